--- /dev/null
+++ b/cmd/beechgrade/pooler.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"tansyhold/internal/backend"
+	"tansyhold/internal/clock"
+	"tansyhold/internal/config"
+	"tansyhold/internal/core"
+	"tansyhold/internal/discovery"
+	"tansyhold/internal/front"
+	"tansyhold/internal/loop"
+)
+
+const (
+	reserved   = 64    // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
+	poolPart   = 0.45  // of the others, for connections to servers
+	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
+	drainMs    = 700   // after SIGTERM clients still come
+	drainClose = 500   // ...and from here on their idle connections are closed
+	pollMs     = 20    // between looks at whether something is still owed
+	drainMost  = 10000 // a client that never goes does not keep the process
+)
+
+// pooler is the program's parts, joined.
+type pooler struct {
+	cfg   *config.Config
+	log   *slog.Logger
+	loop  *loop.Loop
+	core  *core.Core
+	front *front.Postgres
+	pool  *backend.Pool
+}
+
+func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
+	p := &pooler{cfg: cfg, log: log}
+	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
+	p.core = core.New(p.loop, log, cfg)
+	sockets := cfg.Limits.Sockets - reserved
+	poolMost := int(poolPart * float64(sockets))
+	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
+		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
+		IdleMs: cfg.IdleMs * idlePart, MaxConns: poolMost}, p.core)
+	p.front = front.NewPostgres(p.loop, log, p.core, func() int { return sockets - poolMost })
+	return p
+}
+
+// start runs on the loop before anything else.
+func (p *pooler) start() {
+	dir := discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
+	p.core.Start(p.pool, dir)
+	p.log.Info("serving", "listen", p.cfg.Listen, "servers", len(p.cfg.Known.Instances))
+}
+
+// run serves until a signal comes and nothing is owed any more.
+func (p *pooler) run(stop <-chan os.Signal) error {
+	go func() {
+		<-stop
+		p.loop.Post(p.drain)
+	}()
+	return p.loop.Run(p.cfg.Listen)
+}
+
+// drain ends the service: connections are closed as they fall idle, and the process goes when none is
+// left. New ones keep coming for a while, as the clients' side hears of the restart late.
+func (p *pooler) drain() {
+	began := p.loop.Now()
+	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
+	p.loop.At(began+drainClose, p.front.Drain)
+	var look func()
+	look = func() {
+		now := p.loop.Now()
+		if now < began+drainMs || now < began+drainMost && (p.front.Sessions() > 0 || p.core.Open() > 0) {
+			p.loop.At(now+pollMs, look)
+			return
+		}
+		p.log.Info("drained", "ms", now-began)
+		p.loop.End()
+	}
+	look()
+}
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,525 @@
+// Package backend keeps the connections to the servers and carries out attempts and probes on them. It
+// decides nothing about requests: it reports how each attempt and probe ended.
+package backend
+
+import (
+	"log/slog"
+	"math"
+	"strconv"
+
+	"tansyhold"
+	"tansyhold/internal/clock"
+	"tansyhold/internal/deadline"
+	"tansyhold/internal/loop"
+	"tansyhold/internal/pgwire"
+	"tansyhold/internal/slots"
+)
+
+// Query is a request as a server is asked it.
+type Query interface {
+	AppendQuery(dst []byte, waitMs int) []byte
+}
+
+// Tag says which attempt of which request an outcome is of.
+type Tag struct {
+	Request slots.Ref
+	No      int
+}
+
+// Outcome is how an attempt or probe ended, with what its answer told.
+type Outcome struct {
+	Result   tansyhold.Result
+	Answer   []byte // OK: the row as messages, valid during the call
+	Role     tansyhold.Role
+	Position float64 // on the clock, where HasPosition
+	HasPos   bool
+}
+
+// Events is told of ends. The calls may come from within Start, Cancel and Probe.
+type Events interface {
+	AttemptEnded(t Tag, o Outcome)
+	ProbeEnded(store string, o Outcome)
+}
+
+// Options are the pool's limits.
+type Options struct {
+	User, Database   string
+	Roles            [2]string // names of the primary's and a replica's role
+	PositionName     string
+	ConnectTimeoutMs float64
+	IdleMs           float64 // a connection idle for so long is closed
+	MaxConns         int     // over all servers
+}
+
+// most is the longest message accepted from a server.
+const most = 1 << 18
+
+// Pool holds the connections to all servers.
+type Pool struct {
+	loop     *loop.Loop
+	log      *slog.Logger
+	opt      Options
+	events   Events
+	stores   map[string]*store
+	attempts slots.Table[*attempt]
+	conns    slots.Table[*conn]
+	idleSeq  uint64
+	scratch  []byte
+}
+
+type store struct {
+	id      string
+	addr    string
+	idle    []*conn    // the one used last at the end
+	waiting []*attempt // without a connection, oldest first; a probe has an attempt too
+	dialing int        // connections on their way up
+}
+
+// attempt is a request's attempt, or a probe where query is nil.
+type attempt struct {
+	ref     slots.Ref
+	tag     Tag
+	id      string // of the store
+	store   *store // nil if it is not known
+	query   Query
+	until   float64
+	conn    *conn
+	timer   *deadline.Timer // its end
+	connect *deadline.Timer // the end of its wait for a connection
+}
+
+type state int
+
+const (
+	dialing state = iota
+	greeting
+	idle
+	busy
+	closed
+)
+
+// conn is a connection to a server; it is the loop's Handler.
+type conn struct {
+	pool    *Pool
+	ref     slots.Ref
+	store   *store
+	c       *loop.Conn
+	state   state
+	in      pgwire.Reader
+	attempt *attempt
+	sent    bool // the attempt's last byte was handed to the socket or its buffer
+	idleAt  float64
+	idleNo  uint64
+	timer   *deadline.Timer // of coming up, then of idling
+
+	// of the answer that is coming in
+	answer  []byte
+	row     []byte
+	hasRow  bool
+	done    bool
+	code    string
+	outcome Outcome
+}
+
+// New makes a pool.
+func New(l *loop.Loop, log *slog.Logger, opt Options, events Events) *Pool {
+	return &Pool{loop: l, log: log, opt: opt, events: events, stores: map[string]*store{}}
+}
+
+// SetAddress tells where a server listens. Idle connections to an address that it has left are closed.
+func (p *Pool) SetAddress(id, addr string) {
+	s := p.stores[id]
+	if s == nil {
+		p.stores[id] = &store{id: id, addr: addr}
+		return
+	}
+	if s.addr != addr {
+		s.addr = addr
+		p.CloseIdle(id)
+	}
+}
+
+// CloseIdle closes a server's idle connections.
+func (p *Pool) CloseIdle(id string) {
+	if s := p.stores[id]; s != nil {
+		for len(s.idle) > 0 {
+			s.idle[0].c.Close()
+		}
+	}
+}
+
+// Start starts an attempt that ends by itself at until.
+func (p *Pool) Start(id string, q Query, until float64, t Tag) slots.Ref {
+	a := &attempt{tag: t, id: id, query: q, until: until, store: p.stores[id]}
+	a.ref = p.attempts.Put(a)
+	p.begin(a)
+	return a.ref
+}
+
+// Probe asks a server for its load report.
+func (p *Pool) Probe(id string) {
+	a := &attempt{id: id, until: p.loop.Now() + p.opt.ConnectTimeoutMs, store: p.stores[id]}
+	a.ref = p.attempts.Put(a)
+	p.begin(a)
+}
+
+// Cancel gives an attempt up. Where its query is out, its connection is closed and never used again.
+func (p *Pool) Cancel(ref slots.Ref) {
+	if a, ok := p.attempts.Get(ref); ok {
+		p.drop(a, tansyhold.Cancelled)
+	}
+}
+
+// Held is the number of attempts and probes that are out.
+func (p *Pool) Held() int { return p.attempts.Len() }
+
+// Conns is the number of connections, those on their way up included.
+func (p *Pool) Conns() int { return p.conns.Len() }
+
+func (p *Pool) begin(a *attempt) {
+	s := a.store
+	if s == nil {
+		p.end(a, Outcome{Result: tansyhold.Unreachable})
+		return
+	}
+	a.timer = p.loop.At(a.until, func() { p.drop(a, tansyhold.TimedOut) })
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		// The server may have closed it, with the news still on its way through the loop: a request
+		// written now would end as a reset, and an unsafe one could not be tried again.
+		if c.c.Quiet() {
+			c.carry(a)
+			return
+		}
+		c.c.Close()
+	}
+	s.waiting = append(s.waiting, a)
+	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() { p.drop(a, tansyhold.Unreachable) })
+	if s.dialing < len(s.waiting) {
+		p.dial(s)
+	}
+}
+
+// dial opens one more connection, if the budget allows it; else those that wait take what comes free.
+func (p *Pool) dial(s *store) {
+	if p.conns.Len() >= p.opt.MaxConns && !p.CloseOldest() {
+		p.log.Warn("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
+		return
+	}
+	c := &conn{pool: p, store: s, in: pgwire.NewReader(most)}
+	c.ref = p.conns.Put(c)
+	s.dialing++
+	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
+		if c.state == greeting {
+			c.c.Close()
+		} else {
+			c.failed()
+		}
+	})
+	p.loop.Dial(s.addr, p.opt.ConnectTimeoutMs, c, func(err error) {
+		if c.state == dialing {
+			p.log.Debug("connect", "store", s.id, "err", err)
+			c.failed()
+		}
+	})
+}
+
+// CloseOldest closes the connection that has been idle longest, and tells whether there was one.
+func (p *Pool) CloseOldest() bool {
+	var oldest *conn
+	p.conns.Each(func(_ slots.Ref, c *conn) {
+		if c.state == idle && (oldest == nil || c.idleNo < oldest.idleNo) {
+			oldest = c
+		}
+	})
+	if oldest == nil {
+		return false
+	}
+	oldest.c.Close()
+	return true
+}
+
+// drop ends an attempt from this side.
+func (p *Pool) drop(a *attempt, r tansyhold.Result) {
+	if c := a.conn; c != nil {
+		c.attempt = nil // before the close, which would report a reset
+		p.end(a, Outcome{Result: r})
+		c.c.Close()
+		return
+	}
+	p.unqueue(a)
+	p.end(a, Outcome{Result: r})
+}
+
+func (p *Pool) unqueue(a *attempt) {
+	w := a.store.waiting
+	for i := range w {
+		if w[i] == a {
+			a.store.waiting = append(w[:i:i], w[i+1:]...)
+			return
+		}
+	}
+}
+
+// end files an attempt out and reports it, once.
+func (p *Pool) end(a *attempt, o Outcome) {
+	if _, ok := p.attempts.Get(a.ref); !ok {
+		return
+	}
+	p.attempts.Drop(a.ref)
+	p.loop.Stop(a.timer)
+	p.loop.Stop(a.connect)
+	if a.conn != nil && a.conn.attempt == a {
+		a.conn.attempt = nil
+	}
+	if a.query == nil {
+		p.events.ProbeEnded(a.id, o)
+		return
+	}
+	p.events.AttemptEnded(a.tag, o)
+}
+
+// failed takes a connection out that never came up, and with it the attempt that waited longest.
+func (c *conn) failed() {
+	if c.state == closed {
+		return
+	}
+	c.state = closed
+	c.pool.loop.Stop(c.timer)
+	c.pool.conns.Drop(c.ref)
+	c.store.dialing--
+	if w := c.store.waiting; len(w) > c.store.dialing {
+		c.pool.drop(w[0], tansyhold.Unreachable)
+	}
+}
+
+// Opened is loop's.
+func (c *conn) Opened(lc *loop.Conn) {
+	c.c = lc
+	if c.state == closed { // given up meanwhile
+		lc.Close()
+		return
+	}
+	c.state = greeting
+	_ = lc.Write(pgwire.AppendStartup(nil, c.pool.opt.User, c.pool.opt.Database))
+}
+
+// ready makes a connection carry the next attempt, or idle.
+func (c *conn) ready() {
+	if w := c.store.waiting; len(w) > 0 {
+		a := w[0]
+		c.store.waiting = w[1:]
+		c.carry(a)
+		return
+	}
+	p := c.pool
+	c.state = idle
+	c.idleAt = p.loop.Now()
+	p.idleSeq++
+	c.idleNo = p.idleSeq
+	c.store.idle = append(c.store.idle, c)
+	p.loop.Stop(c.timer)
+	c.timer = p.loop.At(c.idleAt+p.opt.IdleMs, c.c.Close)
+}
+
+// carry writes an attempt's query.
+func (c *conn) carry(a *attempt) {
+	p := c.pool
+	c.unidle()
+	p.loop.Stop(c.timer)
+	p.loop.Stop(a.connect)
+	c.state, c.attempt, a.conn = busy, a, c
+	c.answer, c.row, c.hasRow, c.done, c.code, c.outcome = c.answer[:0], nil, false, false, "", Outcome{}
+	if a.query == nil {
+		p.scratch = pgwire.AppendQuery(p.scratch[:0], "SHOW load")
+	} else {
+		left := max(1, math.Floor(a.until-p.loop.Now()))
+		p.scratch = a.query.AppendQuery(p.scratch[:0], int(left))
+	}
+	c.sent = false // a write that fails has closed the connection when it returns
+	if c.c.Write(p.scratch) == nil {
+		c.sent = true
+	}
+}
+
+func (c *conn) unidle() {
+	l := c.store.idle
+	for i := len(l) - 1; i >= 0; i-- {
+		if l[i] == c {
+			c.store.idle = append(l[:i], l[i+1:]...)
+			return
+		}
+	}
+}
+
+// Data is loop's.
+func (c *conn) Data(b []byte) {
+	c.in.Feed(b)
+	for c.state != closed {
+		m, ok, err := c.in.Next()
+		if err != nil {
+			c.pool.log.Warn("server broke the protocol", "store", c.store.id, "err", err)
+			c.c.Close()
+			return
+		}
+		if !ok {
+			return
+		}
+		c.message(m)
+	}
+}
+
+func (c *conn) message(m pgwire.Message) {
+	switch m.Type {
+	case 'T':
+		c.answer = append(c.answer[:0], m.Raw...)
+	case 'D':
+		c.hasRow = true
+		c.answer = append(c.answer, m.Raw...)
+		if c.attempt != nil && c.attempt.query == nil {
+			c.row = append([]byte(nil), m.Body...)
+		}
+	case 'C':
+		c.done = true
+		c.answer = append(c.answer, m.Raw...)
+	case 'E':
+		c.code = pgwire.ErrorCode(m.Body)
+	case 'S':
+		c.parameter(m.Body)
+	case 'Z':
+		c.settled()
+	}
+}
+
+func (c *conn) parameter(body []byte) {
+	name, val, err := pgwire.Parameter(body)
+	if err != nil {
+		return
+	}
+	switch name {
+	case "role":
+		c.outcome.Role = c.pool.role(val)
+	case c.pool.opt.PositionName:
+		if ms, err := strconv.ParseInt(val, 10, 64); err == nil {
+			c.outcome.Position, c.outcome.HasPos = clock.FromUnix(ms), true
+		}
+	}
+}
+
+func (p *Pool) role(val string) tansyhold.Role {
+	switch val {
+	case p.opt.Roles[0]:
+		return tansyhold.RolePrimary
+	case p.opt.Roles[1]:
+		return tansyhold.RoleReplica
+	}
+	return tansyhold.RoleUnknown
+}
+
+// settled ends what the connection carries, at its ReadyForQuery.
+func (c *conn) settled() {
+	p := c.pool
+	switch {
+	case c.state == greeting:
+		c.store.dialing--
+		c.ready()
+	case c.state == busy && c.attempt != nil:
+		a, o := c.attempt, c.outcome
+		o.Result = c.result()
+		if o.Result == tansyhold.OK {
+			o.Answer = c.answer
+			if a.query == nil {
+				o = report(c.row)
+			}
+		}
+		c.attempt, a.conn = nil, nil
+		// The connection is free before the end is told: what that leads to may use it.
+		c.ready()
+		p.end(a, o)
+	}
+}
+
+// result reads the outcome by what came before ReadyForQuery.
+func (c *conn) result() tansyhold.Result {
+	switch c.code {
+	case "":
+		if c.hasRow && c.done {
+			return tansyhold.OK
+		}
+	case "25006", "72000":
+		return tansyhold.Missed
+	case "53300", "57P03":
+		return tansyhold.Full
+	}
+	return tansyhold.Failed
+}
+
+// report reads a load report's row.
+func report(row []byte) Outcome {
+	o := Outcome{Result: tansyhold.OK}
+	col, err := pgwire.Column(row)
+	if err != nil {
+		return o
+	}
+	for name, val := range pgwire.Pairs(string(col)) {
+		x, err := strconv.ParseFloat(val, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "x0": // in seconds; down to whole milliseconds, as a printed figure may have been rounded up
+			o.Position, o.HasPos = clock.FromUnix(int64(x*1000)), true
+		case "x1":
+			if o.Role = tansyhold.RoleReplica; x == 1 {
+				o.Role = tansyhold.RolePrimary
+			}
+		}
+	}
+	return o
+}
+
+// Closed is loop's.
+func (c *conn) Closed(error) {
+	p := c.pool
+	was, unsent := c.state, c.c.Unsent()
+	if was == closed {
+		return
+	}
+	if was == greeting {
+		c.refused()
+		return
+	}
+	c.state = closed
+	p.loop.Stop(c.timer)
+	p.conns.Drop(c.ref)
+	c.unidle()
+	if a := c.attempt; a != nil {
+		a.conn = nil
+		r := tansyhold.Reset
+		if !c.sent || unsent > 0 { // its last byte never left: it cannot have run
+			r = tansyhold.Unreachable
+		}
+		if c.code == "53300" || c.code == "57P03" {
+			r = tansyhold.Full
+		}
+		p.end(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPos: c.outcome.HasPos})
+	}
+	p.refill(c.store)
+}
+
+// refused ends a connection that broke while coming up. A server with too many turns away in words.
+func (c *conn) refused() {
+	if c.code == "53300" && len(c.store.waiting) >= c.store.dialing && len(c.store.waiting) > 0 {
+		a := c.store.waiting[0]
+		c.pool.unqueue(a)
+		defer c.pool.end(a, Outcome{Result: tansyhold.Full})
+	}
+	c.failed()
+}
+
+// refill dials for those that wait for a connection when one they might have had is lost.
+func (p *Pool) refill(s *store) {
+	if s.dialing < len(s.waiting) {
+		p.dial(s)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,186 @@
+// Package config reads what a pooler is told at its start: a JSON file and the environment.
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"tansyhold"
+	"tansyhold/internal/discovery"
+	"tansyhold/internal/wire"
+)
+
+// Limits are the machine's.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Config is what a pooler is told.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     discovery.List
+	Settings  tansyhold.Settings
+
+	Classes, Zones, Kinds []string // names, by the module's numbers
+	ConnectTimeoutMs      float64
+	IdleMs                float64 // servers close a connection idle for so long
+}
+
+type file struct {
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Limits    Limits         `json:"limits"`
+	Known     discovery.List `json:"known"`
+	Settings  map[string]any `json:"settings"`
+}
+
+// Defaults for what may be left out.
+const (
+	defaultSockets = 1024
+	defaultMemory  = 192
+	minSockets     = 64
+	defaultConnect = 250
+	defaultIdle    = 30000
+)
+
+// Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before it.
+func Load(env func(string) string) (*Config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG: not set; it names the configuration file")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	c, err := parse(b, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(b []byte, env func(string) string) (*Config, error) {
+	var f file
+	dec := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(b))
+	dec.UseNumber()
+	if err := dec.Decode(&f); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
+	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
+		if v := env(name); v != "" {
+			*at = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if f.Seed != "" {
+		var err error
+		if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %w", err)
+		}
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = defaultMemory
+	}
+	if c.Limits.Sockets < minSockets || c.Limits.MemoryMB < 0 {
+		return nil, fmt.Errorf("limits: %d sockets and %d MB; at least %d sockets are needed",
+			c.Limits.Sockets, c.Limits.MemoryMB, minSockets)
+	}
+	return c, c.settings(f.Settings)
+}
+
+func (c *Config) settings(tree map[string]any) error {
+	pairs := map[string]string{}
+	flatten(pairs, "", tree)
+	var err error
+	if c.Settings, _, err = wire.Settings(pairs); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	for i := range c.Settings.Classes {
+		c.Classes = append(c.Classes, pairs["request_classes."+strconv.Itoa(i)+".name"])
+	}
+	if len(c.Classes) == 0 {
+		return errors.New("settings: request_classes: none given")
+	}
+	c.Zones, c.Kinds = names(pairs["zones"]), names(pairs["kinds"])
+	if c.ConnectTimeoutMs, err = millis(pairs, "allowed.connect_timeout_ns", defaultConnect); err != nil {
+		return err
+	}
+	c.IdleMs, err = millis(pairs, "allowed.idle_close_ns", defaultIdle)
+	return err
+}
+
+func names(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
+func millis(pairs map[string]string, key string, otherwise float64) (float64, error) {
+	v := pairs[key]
+	if v == "" {
+		return otherwise, nil
+	}
+	ns, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(ns > 0) {
+		return 0, fmt.Errorf("settings: %s: want a time in nanoseconds above 0, got %q", key, v)
+	}
+	return ns / 1e6, nil
+}
+
+// flatten lays the nested settings out as the simulator's wire has them: paths joined by dots, plain
+// lists joined by commas, lists of objects with their length under .count.
+func flatten(out map[string]string, path string, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			if path != "" {
+				k = path + "." + k
+			}
+			flatten(out, k, x)
+		}
+	case []any:
+		var plain []string
+		objects := 0
+		for _, x := range v {
+			if m, ok := x.(map[string]any); ok {
+				flatten(out, path+"."+strconv.Itoa(objects), m)
+				objects++
+				continue
+			}
+			plain = append(plain, fmt.Sprint(x))
+		}
+		if objects > 0 {
+			out[path+".count"] = strconv.Itoa(objects)
+			return
+		}
+		out[path] = strings.Join(plain, ",")
+	case nil:
+	default:
+		out[path] = fmt.Sprint(v)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,331 @@
+// Package core is the loop's state between the router and the sockets: it tells the router what happens
+// and carries out its actions in their order. It decides nothing.
+package core
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"tansyhold"
+	"tansyhold/internal/backend"
+	"tansyhold/internal/clock"
+	"tansyhold/internal/config"
+	"tansyhold/internal/discovery"
+	"tansyhold/internal/front"
+	"tansyhold/internal/loop"
+	"tansyhold/internal/slots"
+)
+
+// Errors of a request that cannot be put to the router.
+var (
+	ErrClass = errors.New("no such class")
+)
+
+// Servers carries out attempts and probes.
+type Servers interface {
+	SetAddress(id, addr string)
+	CloseIdle(id string)
+	Start(id string, q backend.Query, until float64, t backend.Tag) slots.Ref
+	Cancel(attempt slots.Ref)
+	Probe(id string)
+}
+
+// Directory asks for the list of servers.
+type Directory interface {
+	Watch()
+	Fetch()
+}
+
+// Core feeds the router. It is for the loop alone.
+type Core struct {
+	loop    *loop.Loop
+	log     *slog.Logger
+	cfg     *config.Config
+	router  *tansyhold.Router
+	servers Servers
+	dir     Directory
+
+	classes map[string]int
+	zones   names
+	kinds   names
+
+	requests slots.Table[*request]
+	events   []event
+	running  bool
+	actions  []tansyhold.Action
+}
+
+// event is one that the router is yet to be told, with the time at which it happened.
+type event struct {
+	at tansyhold.Time
+	e  tansyhold.Event
+}
+
+// request is one that a client asked; it stays until it is over and its attempts have ended.
+type request struct {
+	client front.Client
+	query  backend.Query
+	due    float64
+	tries  []try // by number
+	open   int
+	over   bool
+}
+
+// try is an attempt; one that was skipped has no ref.
+type try struct {
+	store tansyhold.StoreID
+	ref   slots.Ref
+}
+
+// New makes the core of one pooler.
+func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
+	c := &Core{loop: l, log: log, cfg: cfg, router: tansyhold.New(cfg.Settings, cfg.Seed),
+		classes: map[string]int{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+	for i, n := range cfg.Classes {
+		c.classes[n] = i
+	}
+	return c
+}
+
+// Start joins the core to the servers and the directory and tells the router the list as last known.
+func (c *Core) Start(s Servers, d Directory) {
+	c.servers, c.dir = s, d
+	c.list(&c.cfg.Known, tansyhold.ListRestored)
+}
+
+// Open is the number of requests that are owed an answer or have attempts out.
+func (c *Core) Open() int { return c.requests.Len() }
+
+// Ask is front.Desk's.
+func (c *Core) Ask(q front.Request, client front.Client) (slots.Ref, error) {
+	class, ok := c.classes[q.Class]
+	if !ok {
+		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrClass)
+	}
+	now := clock.Span(c.loop.Now())
+	ref := c.requests.Put(&request{client: client, query: q.Query, due: q.Due})
+	e := &tansyhold.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
+		Session: q.Session, Repeat: q.Repeat}
+	if q.After > 0 {
+		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
+		e.SinceOwn = max(1, now-clock.Span(q.After))
+	}
+	c.tellAt(now, e)
+	return ref, nil
+}
+
+// Gone is front.Desk's.
+func (c *Core) Gone(ref slots.Ref) {
+	q, ok := c.requests.Get(ref)
+	if !ok || q.over {
+		return
+	}
+	q.over = true
+	c.release(ref, q)
+	c.tell(&tansyhold.Expired{ID: requestID(ref)})
+}
+
+// AttemptEnded is backend.Events'.
+func (c *Core) AttemptEnded(t backend.Tag, o backend.Outcome) {
+	q, ok := c.requests.Get(t.Request)
+	if !ok {
+		return
+	}
+	q.open--
+	store := q.tries[t.No].store
+	if o.Result == tansyhold.OK && !q.over {
+		q.over = true
+		q.client.Served(o.Answer)
+	}
+	final := q.over
+	c.release(t.Request, q)
+	c.tell(&tansyhold.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
+		Final: final, Told: told(o)})
+}
+
+// ProbeEnded is backend.Events'.
+func (c *Core) ProbeEnded(store string, o backend.Outcome) {
+	c.tell(&tansyhold.ProbeResult{Store: tansyhold.StoreID(store), Result: o.Result, Load: told(o)})
+}
+
+// Listed is discovery.Events'.
+func (c *Core) Listed(l *discovery.List) {
+	kind := tansyhold.ListChanges
+	if l.Reset {
+		kind = tansyhold.ListFull
+	}
+	c.list(l, kind)
+}
+
+// ListFailed is discovery.Events'.
+func (c *Core) ListFailed() { c.tell(&tansyhold.List{Kind: tansyhold.ListFailed}) }
+
+func (c *Core) list(l *discovery.List, kind tansyhold.ListKind) {
+	e := &tansyhold.List{Kind: kind}
+	for i := range l.Instances {
+		n := &l.Instances[i]
+		if n.ID == "" {
+			continue
+		}
+		entry := tansyhold.Entry{Store: tansyhold.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
+			Zone: c.zones.number(n.Zone), Size: n.Weight, Primary: n.Role == "primary"}
+		if n.StartedAtMs > 0 {
+			entry.Started = clock.Span(clock.FromUnix(n.StartedAtMs))
+		}
+		switch n.Lifecycle {
+		case "draining":
+			entry.State = tansyhold.Draining
+		case "removed":
+			entry.State = tansyhold.Gone
+		}
+		if n.HostPort != "" {
+			c.servers.SetAddress(n.ID, n.HostPort)
+		}
+		e.Entries = append(e.Entries, entry)
+	}
+	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
+	c.tell(e)
+	for i := range e.Entries { // what is in use there stays until it has ended
+		if e.Entries[i].State != tansyhold.Serving {
+			c.servers.CloseIdle(string(e.Entries[i].Store))
+		}
+	}
+}
+
+// tell tells the router of what happens now.
+func (c *Core) tell(e tansyhold.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
+
+// tellAt queues an event and, unless an action of an earlier one is being carried out, works the queue
+// off: what an action leads to at once is told after that event's actions.
+func (c *Core) tellAt(at tansyhold.Time, e tansyhold.Event) {
+	c.events = append(c.events, event{at, e})
+	if c.running {
+		return
+	}
+	c.running = true
+	for i := 0; i < len(c.events); i++ {
+		c.actions = c.router.Handle(c.events[i].at, c.events[i].e, c.actions[:0])
+		for k := range c.actions {
+			c.carryOut(&c.actions[k])
+		}
+	}
+	clear(c.events)
+	c.events = c.events[:0]
+	c.running = false
+}
+
+func (c *Core) carryOut(a *tansyhold.Action) {
+	switch a.Kind {
+	case tansyhold.Send:
+		c.send(a)
+	case tansyhold.Cancel:
+		if q, ok := c.requests.Get(refOf(a.ID)); ok && a.Attempt >= 0 && a.Attempt < len(q.tries) {
+			c.servers.Cancel(q.tries[a.Attempt].ref)
+		}
+	case tansyhold.Refuse:
+		if q := c.conclude(a.ID); q != nil {
+			q.client.Refused(clock.Millis(a.Wait))
+		}
+	case tansyhold.Fail:
+		if q := c.conclude(a.ID); q != nil {
+			q.client.Failed()
+		}
+	case tansyhold.Probe:
+		c.servers.Probe(string(a.Store))
+	case tansyhold.SetTimer:
+		tag := a.Tag
+		c.loop.At(clock.Millis(a.At), func() { c.tell(&tansyhold.Timer{Tag: tag}) })
+	case tansyhold.Subscribe:
+		c.dir.Watch()
+	case tansyhold.FetchList:
+		c.dir.Fetch()
+	case tansyhold.Log:
+		c.log.Info(a.Text)
+	}
+}
+
+// conclude marks a request over and returns it, or nil if it was over before.
+func (c *Core) conclude(id tansyhold.RequestID) *request {
+	ref := refOf(id)
+	q, ok := c.requests.Get(ref)
+	if !ok || q.over {
+		return nil
+	}
+	q.over = true
+	c.release(ref, q)
+	return q
+}
+
+// release frees the slot of a request of which nothing is left.
+func (c *Core) release(ref slots.Ref, q *request) {
+	if q.over && q.open == 0 {
+		c.requests.Drop(ref)
+	}
+}
+
+// send starts a request's next attempt, or skips it where the wire's rules let it not be sent.
+func (c *Core) send(a *tansyhold.Action) {
+	ref := refOf(a.ID)
+	q, ok := c.requests.Get(ref)
+	if !ok {
+		return
+	}
+	no, until := len(q.tries), q.due
+	if a.Wait != 0 {
+		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
+	}
+	q.tries = append(q.tries, try{store: a.Store})
+	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
+		c.tell(&tansyhold.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: tansyhold.Skipped, Final: q.over})
+		return
+	}
+	q.open++
+	at := c.servers.Start(string(a.Store), q.query, until, backend.Tag{Request: ref, No: no})
+	q.tries[no].ref = at
+}
+
+func told(o backend.Outcome) tansyhold.Report {
+	r := tansyhold.Report{Role: o.Role, HasPosition: o.HasPos}
+	if o.HasPos {
+		r.Position = clock.Span(o.Position)
+	}
+	return r
+}
+
+// requestID names a request to the router by its slot: clients' own ids might meet.
+func requestID(r slots.Ref) tansyhold.RequestID {
+	var b [8]byte
+	binary.BigEndian.PutUint32(b[:4], r.Index)
+	binary.BigEndian.PutUint32(b[4:], r.Gen)
+	return tansyhold.RequestID(b[:])
+}
+
+func refOf(id tansyhold.RequestID) slots.Ref {
+	if len(id) != 8 {
+		return slots.Ref{}
+	}
+	b := []byte(id)
+	return slots.Ref{Index: binary.BigEndian.Uint32(b[:4]), Gen: binary.BigEndian.Uint32(b[4:])}
+}
+
+// names numbers names; ones that the settings do not have get numbers behind theirs.
+type names map[string]int
+
+func newNames(list []string) names {
+	n := names{}
+	for _, s := range list {
+		n.number(s)
+	}
+	return n
+}
+
+func (n names) number(s string) int {
+	i, ok := n[s]
+	if !ok {
+		i = len(n)
+		n[s] = i
+	}
+	return i
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,176 @@
+// Package discovery asks for the list of servers over HTTP: the whole of it, or a watch on its changes.
+package discovery
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"tansyhold/internal/deadline"
+	"tansyhold/internal/loop"
+)
+
+// silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s, and a call
+// that waits its turn fails sooner. A machine that vanished closes nothing.
+const silentMs = 6000
+
+// connectMs bounds a connection's coming up.
+const connectMs = 1000
+
+// Instance is one server in the list.
+type Instance struct {
+	ID          string  `json:"instanceId"`
+	HostPort    string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	MachineType string  `json:"machineType"`
+	Cell        int     `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"`
+	Role        string  `json:"role"`
+}
+
+// List is one state of the list, or the changes since the last.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // it is whole
+	Instances  []Instance `json:"instances"`
+}
+
+// Events is told of lists and of calls that failed or ended.
+type Events interface {
+	Listed(l *List)
+	ListFailed()
+}
+
+// Client asks discovery. It holds one watch at most.
+type Client struct {
+	loop   *loop.Loop
+	log    *slog.Logger
+	addr   string
+	events Events
+	gen    int64
+	watch  *call
+}
+
+// New makes a client that has the list as of the given generation.
+func New(l *loop.Loop, log *slog.Logger, addr string, gen int64, events Events) *Client {
+	return &Client{loop: l, log: log, addr: addr, gen: gen, events: events}
+}
+
+// Watch asks for changes from the list that is held on, in place of a watch that may be open.
+func (c *Client) Watch() {
+	if old := c.watch; old != nil {
+		c.watch = nil
+		old.end(nil)
+	}
+	c.watch = c.call(fmt.Sprintf("/v1/endpoints?watch=1&from=%d", c.gen), true)
+}
+
+// Fetch asks for the whole list once.
+func (c *Client) Fetch() { c.call("/v1/endpoints", false) }
+
+// call is one HTTP call; it is the loop's Handler.
+type call struct {
+	client *Client
+	path   string
+	watch  bool
+	conn   *loop.Conn
+	reply  reply
+	timer  *deadline.Timer
+	told   bool // a call that is not a watch has had its list
+	over   bool
+}
+
+func (c *Client) call(path string, watch bool) *call {
+	k := &call{client: c, path: path, watch: watch}
+	k.alive()
+	c.loop.Dial(c.addr, connectMs, k, k.end)
+	return k
+}
+
+// alive puts off the time at which the call counts as dead.
+func (k *call) alive() {
+	l := k.client.loop
+	l.Stop(k.timer)
+	k.timer = l.At(l.Now()+silentMs, func() { k.end(errors.New("silent for too long")) })
+}
+
+// end ends the call; an error, or the end of a watch, is told as a failure.
+func (k *call) end(err error) {
+	if k.over {
+		return
+	}
+	k.over = true
+	c := k.client
+	c.loop.Stop(k.timer)
+	if k.conn != nil {
+		k.conn.Close()
+	}
+	wanted := !k.watch || c.watch == k
+	if c.watch == k {
+		c.watch = nil
+	}
+	if err != nil && wanted {
+		c.log.Info("discovery", "call", k.path, "err", err)
+		c.events.ListFailed()
+	}
+}
+
+// Opened is loop's.
+func (k *call) Opened(conn *loop.Conn) {
+	k.conn = conn
+	if k.over {
+		conn.Close()
+		return
+	}
+	_ = conn.Write([]byte("GET " + k.path + " HTTP/1.1\r\nHost: " + k.client.addr +
+		"\r\nAccept: application/json\r\n\r\n"))
+}
+
+// Data is loop's.
+func (k *call) Data(b []byte) {
+	if k.over {
+		return
+	}
+	k.alive()
+	err := k.reply.feed(b, k.line)
+	switch {
+	case err != nil:
+		k.end(err)
+	case k.reply.inBody && k.reply.status != 200:
+		k.end(fmt.Errorf("status %d", k.reply.status))
+	case k.reply.ended && k.watch:
+		k.end(errors.New("the watch ended"))
+	case k.reply.ended && !k.told:
+		k.end(errors.New("no list in the answer"))
+	case k.reply.ended:
+		k.end(nil)
+	}
+}
+
+// line reads one list.
+func (k *call) line(b []byte) error {
+	if k.over || k.reply.status != 200 {
+		return nil
+	}
+	var l List
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	k.told = true
+	k.client.gen = l.Generation
+	k.client.events.Listed(&l)
+	return nil
+}
+
+// Closed is loop's.
+func (k *call) Closed(err error) {
+	k.conn = nil
+	if err == nil {
+		err = errors.New("connection closed")
+	}
+	k.end(err)
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,32 @@
+// Package front takes requests from clients. What is protocol stays here; what a request needs in order
+// to be decided on is in Request, so that another protocol's front goes through the same decisions.
+package front
+
+import (
+	"tansyhold/internal/backend"
+	"tansyhold/internal/slots"
+)
+
+// Request is what a client asks, in no protocol's form.
+type Request struct {
+	Class   string
+	Group   int
+	Session string
+	Due     float64 // on the clock: the client gives up then
+	After   float64 // on the clock: the position that the read must see, 0 for none
+	Repeat  bool
+	Query   backend.Query
+}
+
+// Client is told the one final answer to its request.
+type Client interface {
+	Served(answer []byte)    // valid during the call
+	Refused(retryMs float64) // trying again is harmless, after so long where that is not 0
+	Failed()                 // nothing is promised
+}
+
+// Desk takes requests in. Ask may answer before it returns; the Ref it returns then names none.
+type Desk interface {
+	Ask(q Request, c Client) (slots.Ref, error)
+	Gone(ref slots.Ref) // its client has gone
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,302 @@
+// Package loop puts the program on one gnet event loop. That loop owns all state: accepted and dialled
+// connections, posted functions and deadlines all run on it, one at a time, so nothing needs a lock.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
+
+	"tansyhold/internal/clock"
+	"tansyhold/internal/deadline"
+)
+
+// Handler is told of one connection. Data is valid during the call only.
+type Handler interface {
+	Opened(c *Conn)
+	Data(b []byte)
+	Closed(err error)
+}
+
+// Conn is a connection on the loop; its methods are for the loop alone.
+type Conn struct {
+	loop *Loop
+	gc   gnet.Conn
+	h    Handler
+	gone bool
+}
+
+// Write sends b, or buffers what the socket does not take. A write that fails closes the connection,
+// and Closed has been called when Write returns.
+func (c *Conn) Write(b []byte) error {
+	if c.gone {
+		return net.ErrClosed
+	}
+	if _, err := c.gc.Write(b); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+// Unsent is the number of bytes written that the socket has not taken yet.
+func (c *Conn) Unsent() int {
+	if c.gone {
+		return 0
+	}
+	return c.gc.OutboundBuffered()
+}
+
+// Close closes the connection now; Closed is called before it returns.
+func (c *Conn) Close() {
+	if !c.gone {
+		_ = c.gc.EventLoop().Close(c.gc)
+	}
+}
+
+// Quiet tells whether the connection stands open with nothing to read: neither data nor an end that
+// the loop has not come to yet.
+func (c *Conn) Quiet() bool {
+	if c.gone {
+		return false
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.gc.Fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// Loop is the event loop. Now, After, Stop and Conn's methods are for functions that run on it; Post
+// may be called from anywhere.
+type Loop struct {
+	gnet.BuiltinEventEngine
+	clk    clock.Clock
+	log    *slog.Logger
+	accept func() Handler
+	start  func()
+
+	eng  gnet.Engine
+	el   gnet.EventLoop
+	heap deadline.Heap
+	wake *time.Timer
+	armd float64 // time for which wake is set, 0 for none
+
+	depth int // callbacks that run inside each other: a close within a write, say
+	conns int
+
+	mu     sync.Mutex
+	posted []func() // before the loop is known
+}
+
+// New makes a loop. accept makes the handler of each accepted connection; start runs on the loop before
+// anything else.
+func New(clk clock.Clock, log *slog.Logger, accept func() Handler, start func()) *Loop {
+	return &Loop{clk: clk, log: log, accept: accept, start: start}
+}
+
+// Run listens on addr and serves until End.
+func (l *Loop) Run(addr string) error {
+	// SO_REUSEPORT makes gnet accept on the one loop instead of on a second one; without this look an
+	// address in use would then be shared in silence.
+	probe, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if err := probe.Close(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	err = gnet.Run(l, "tcp://"+addr, gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true),
+		gnet.WithLoadBalancing(gnet.LeastConnections), gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithWriteBufferCap(4096), gnet.WithLogger(gnetLog{l.log}))
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	return nil
+}
+
+// End stops the loop; Run returns.
+func (l *Loop) End() {
+	go func() { _ = l.eng.Stop(context.Background()) }()
+}
+
+// Now is the time in milliseconds.
+func (l *Loop) Now() float64 { return l.clk.Now() }
+
+// Conns is the number of connections that are open.
+func (l *Loop) Conns() int { return l.conns }
+
+// At runs f on the loop at the given time.
+func (l *Loop) At(ms float64, f func()) *deadline.Timer { return l.heap.Add(ms, f) }
+
+// Stop takes a deadline down.
+func (l *Loop) Stop(t *deadline.Timer) { l.heap.Stop(t) }
+
+// Post runs f on the loop. It may be called from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	if l.el == nil {
+		l.posted = append(l.posted, f)
+		l.mu.Unlock()
+		return
+	}
+	l.mu.Unlock()
+	_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		defer l.enter()()
+		f()
+		return nil
+	}))
+}
+
+// Dial connects to addr off the loop. On the loop, either h is told Opened or failed is called.
+func (l *Loop) Dial(addr string, timeoutMs float64, h Handler, failed func(error)) {
+	go func() {
+		d := net.Dialer{Timeout: clock.Span(timeoutMs)}
+		nc, err := d.Dial("tcp", addr)
+		if err != nil {
+			l.Post(func() { failed(fmt.Errorf("dial: %w", err)) })
+			return
+		}
+		// Enroll duplicates the descriptor, adds the copy to the loop and closes nc.
+		c := &Conn{loop: l, h: h}
+		done, err := l.el.Enroll(gnet.NewContext(context.Background(), c), nc)
+		if err == nil {
+			if r := <-done; r.Err != nil {
+				err = r.Err
+			}
+		} else {
+			_ = nc.Close()
+		}
+		if err != nil {
+			l.Post(func() { failed(fmt.Errorf("dial: %w", err)) })
+		}
+	}()
+}
+
+// OnBoot is gnet's. The loop itself can be had from a connection only, so the program makes one to
+// itself.
+func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
+	l.eng = eng
+	fd, err := eng.Dup()
+	if err != nil {
+		l.log.Error("listener", "err", err)
+		return gnet.Shutdown
+	}
+	sa, err := unix.Getsockname(fd)
+	_ = unix.Close(fd)
+	if err != nil {
+		l.log.Error("listener", "err", err)
+		return gnet.Shutdown
+	}
+	go func() {
+		if nc, err := net.Dial("tcp", sockAddr(sa)); err == nil {
+			_ = nc.Close()
+		}
+	}()
+	return gnet.None
+}
+
+func sockAddr(sa unix.Sockaddr) string {
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
+	case *unix.SockaddrInet6:
+		return (&net.TCPAddr{IP: a.Addr[:], Port: a.Port}).String()
+	}
+	return ""
+}
+
+// begin runs the start function, once the loop is known, and what was posted before.
+func (l *Loop) begin(el gnet.EventLoop) {
+	l.mu.Lock()
+	l.el = el
+	posted := l.posted
+	l.posted = nil
+	l.mu.Unlock()
+	l.start()
+	for _, f := range posted {
+		f()
+	}
+}
+
+// OnOpen is gnet's.
+func (l *Loop) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
+	defer l.enter()()
+	if l.el == nil {
+		l.begin(gc.EventLoop())
+	}
+	l.conns++
+	c, ok := gc.Context().(*Conn)
+	if !ok {
+		c = &Conn{loop: l, h: l.accept()}
+		gc.SetContext(c)
+	}
+	c.gc = gc
+	c.h.Opened(c)
+	return nil, gnet.None
+}
+
+// OnTraffic is gnet's.
+func (l *Loop) OnTraffic(gc gnet.Conn) gnet.Action {
+	defer l.enter()()
+	c, ok := gc.Context().(*Conn)
+	if !ok {
+		return gnet.Close
+	}
+	if b, err := gc.Next(-1); err == nil && len(b) > 0 {
+		c.h.Data(b)
+	}
+	return gnet.None
+}
+
+// OnClose is gnet's.
+func (l *Loop) OnClose(gc gnet.Conn, err error) gnet.Action {
+	defer l.enter()()
+	l.conns--
+	if c, ok := gc.Context().(*Conn); ok && !c.gone {
+		c.h.Closed(err)
+		c.gone = true
+	}
+	return gnet.None
+}
+
+// enter begins a callback and returns what ends it: deadlines are run between callbacks, never inside
+// one.
+func (l *Loop) enter() func() {
+	l.depth++
+	return func() {
+		if l.depth == 1 {
+			l.turn()
+		}
+		l.depth--
+	}
+}
+
+// turn runs what is due and sets the wake-up for what comes next.
+func (l *Loop) turn() {
+	l.heap.Run(l.clk.Now())
+	at, ok := l.heap.Next()
+	if !ok || l.armd != 0 && l.armd <= at {
+		return
+	}
+	l.armd = at
+	d := max(0, clock.Span(at-l.clk.Now()))
+	if l.wake == nil {
+		l.wake = time.AfterFunc(d, func() { l.Post(func() { l.armd = 0 }) })
+		return
+	}
+	l.wake.Reset(d)
+}
+
+// gnetLog passes gnet's log lines on.
+type gnetLog struct{ log *slog.Logger }
+
+func (g gnetLog) Debugf(f string, a ...any) { g.log.Debug(fmt.Sprintf(f, a...)) }
+func (g gnetLog) Infof(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
+func (g gnetLog) Warnf(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
+func (g gnetLog) Errorf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
+func (g gnetLog) Fatalf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,226 @@
+// Package pgwire reads and builds messages of version 3 of PostgreSQL's protocol. Reading is
+// incremental and bounded; nothing here does I/O.
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Request codes that stand where a startup message has its version.
+const (
+	Version       = 196608
+	codeCancel    = 80877102
+	codeSSL       = 80877103
+	codeGSSEnc    = 80877104
+	maxStartupLen = 10000 // PostgreSQL's own bound
+)
+
+// ErrMalformed is wrapped by every error about input that breaks the protocol.
+var ErrMalformed = errors.New("malformed message")
+
+// Message is one message. Body and Raw are valid until the Reader is fed again.
+type Message struct {
+	Type byte
+	Body []byte
+	Raw  []byte // with type and length
+}
+
+// StartupKind says what a client opened its connection with.
+type StartupKind int
+
+// The kinds.
+const (
+	StartupPlain   StartupKind = iota // a startup message
+	StartupEncrypt                    // a request for encryption: answer 'N'
+	StartupCancel                     // a request to cancel: no answer, close
+)
+
+// Reader cuts a stream of bytes into messages.
+type Reader struct {
+	buf []byte
+	off int
+	max int
+}
+
+// NewReader makes a reader for messages of at most max bytes.
+func NewReader(max int) Reader { return Reader{max: max} }
+
+// Feed takes over what was read. It copies b.
+func (r *Reader) Feed(b []byte) {
+	if r.off == len(r.buf) {
+		r.buf, r.off = r.buf[:0], 0
+		if cap(r.buf) > 1<<16 {
+			r.buf = nil
+		}
+	} else if r.off > 1<<12 && r.off > len(r.buf)/2 {
+		r.buf = r.buf[:copy(r.buf, r.buf[r.off:])]
+		r.off = 0
+	}
+	r.buf = append(r.buf, b...)
+}
+
+// Pending is the number of bytes fed and not yet returned.
+func (r *Reader) Pending() int { return len(r.buf) - r.off }
+
+// Startup returns the next message of a connection that has not started, and false if it is not whole.
+func (r *Reader) Startup() (StartupKind, bool, error) {
+	b := r.buf[r.off:]
+	if len(b) < 8 {
+		return 0, false, nil
+	}
+	n, code := binary.BigEndian.Uint32(b), binary.BigEndian.Uint32(b[4:])
+	if n < 8 || n > maxStartupLen {
+		return 0, false, fmt.Errorf("%w: startup of %d bytes", ErrMalformed, n)
+	}
+	if len(b) < int(n) {
+		return 0, false, nil
+	}
+	r.off += int(n)
+	switch {
+	case code == codeSSL || code == codeGSSEnc:
+		return StartupEncrypt, true, nil
+	case code == codeCancel:
+		return StartupCancel, true, nil
+	case code>>16 == Version>>16:
+		return StartupPlain, true, nil
+	}
+	return 0, false, fmt.Errorf("%w: protocol version %d.%d", ErrMalformed, code>>16, code&0xffff)
+}
+
+// Next returns the next message, and false if it is not whole yet.
+func (r *Reader) Next() (Message, bool, error) {
+	b := r.buf[r.off:]
+	if len(b) < 5 {
+		return Message{}, false, nil
+	}
+	n := binary.BigEndian.Uint32(b[1:])
+	if n < 4 || int64(n) > int64(r.max) {
+		return Message{}, false, fmt.Errorf("%w: type %q with length %d", ErrMalformed, b[0], n)
+	}
+	if len(b) < int(n)+1 {
+		return Message{}, false, nil
+	}
+	r.off += int(n) + 1
+	return Message{Type: b[0], Body: b[5 : n+1], Raw: b[:n+1]}, true, nil
+}
+
+// begin appends a message's type and room for its length; end fills that in.
+func begin(dst []byte, typ byte) ([]byte, int) {
+	return append(dst, typ, 0, 0, 0, 0), len(dst) + 1
+}
+
+func end(dst []byte, at int) []byte {
+	binary.BigEndian.PutUint32(dst[at:], uint32(len(dst)-at))
+	return dst
+}
+
+func appendStr(dst []byte, s string) []byte { return append(append(dst, s...), 0) }
+
+// AppendStartup appends a client's startup message.
+func AppendStartup(dst []byte, user, database string) []byte {
+	at := len(dst)
+	dst = append(dst, 0, 0, 0, 0)
+	dst = binary.BigEndian.AppendUint32(dst, Version)
+	for _, s := range []string{"user", user, "database", database} {
+		dst = appendStr(dst, s)
+	}
+	return end(append(dst, 0), at)
+}
+
+// AppendQuery appends a simple query.
+func AppendQuery(dst []byte, sql ...string) []byte {
+	dst, at := begin(dst, 'Q')
+	for _, s := range sql {
+		dst = append(dst, s...)
+	}
+	return end(append(dst, 0), at)
+}
+
+// AppendWelcome appends what a server answers to a startup message, up to its ReadyForQuery.
+func AppendWelcome(dst []byte) []byte {
+	dst, at := begin(dst, 'R')
+	dst = end(append(dst, 0, 0, 0, 0), at)
+	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}} {
+		dst, at = begin(dst, 'S')
+		dst = end(appendStr(appendStr(dst, p[0]), p[1]), at)
+	}
+	return AppendReady(dst)
+}
+
+// AppendReady appends ReadyForQuery, outside a transaction.
+func AppendReady(dst []byte) []byte { return append(dst, 'Z', 0, 0, 0, 5, 'I') }
+
+// AppendEmpty appends EmptyQueryResponse.
+func AppendEmpty(dst []byte) []byte { return append(dst, 'I', 0, 0, 0, 4) }
+
+// AppendComplete appends CommandComplete.
+func AppendComplete(dst []byte, tag string) []byte {
+	dst, at := begin(dst, 'C')
+	return end(appendStr(dst, tag), at)
+}
+
+// AppendError appends an ErrorResponse; an empty detail is left out.
+func AppendError(dst []byte, severity, code, text, detail string) []byte {
+	dst, at := begin(dst, 'E')
+	for _, f := range []struct {
+		key byte
+		val string
+	}{{'S', severity}, {'V', severity}, {'C', code}, {'M', text}, {'D', detail}} {
+		if f.val != "" {
+			dst = appendStr(append(dst, f.key), f.val)
+		}
+	}
+	return end(append(dst, 0), at)
+}
+
+// ErrorCode is the SQLSTATE of an ErrorResponse's body, empty if it has none.
+func ErrorCode(body []byte) string {
+	for len(body) > 1 {
+		val, rest, ok := bytes.Cut(body[1:], []byte{0})
+		if !ok {
+			return ""
+		}
+		if body[0] == 'C' {
+			return string(val)
+		}
+		body = rest
+	}
+	return ""
+}
+
+// Parameter reads the body of a ParameterStatus.
+func Parameter(body []byte) (name, value string, err error) {
+	n, rest, ok := bytes.Cut(body, []byte{0})
+	v, _, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 {
+		return "", "", fmt.Errorf("%w: ParameterStatus", ErrMalformed)
+	}
+	return string(n), string(v), nil
+}
+
+// Column reads the body of a DataRow of one column.
+func Column(body []byte) ([]byte, error) {
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, fmt.Errorf("%w: DataRow is not of one column", ErrMalformed)
+	}
+	n := int32(binary.BigEndian.Uint32(body[2:]))
+	if n < 0 {
+		return nil, nil
+	}
+	if int(n) != len(body)-6 {
+		return nil, fmt.Errorf("%w: DataRow", ErrMalformed)
+	}
+	return body[6:], nil
+}
+
+// Text reads a body that is one zero-terminated string.
+func Text(body []byte) (string, error) {
+	if i := bytes.IndexByte(body, 0); i >= 0 && i == len(body)-1 {
+		return string(body[:i]), nil
+	}
+	return "", fmt.Errorf("%w: text without its end", ErrMalformed)
+}
--- /dev/null
+++ b/internal/pgwire/statement.go
@@ -0,0 +1,95 @@
+package pgwire
+
+import (
+	"errors"
+	"fmt"
+	"iter"
+	"strconv"
+	"strings"
+)
+
+// ErrNoComment says that a statement does not end in the comment that names its request.
+var ErrNoComment = errors.New("statement has no request comment")
+
+// maxWaitMs bounds what a client may say that it waits: a day.
+const maxWaitMs = 24 * 3600 * 1000
+
+// Statement is a client's statement with what its comment says.
+type Statement struct {
+	ID     string
+	Class  string
+	WaitMs float64 // d: how long the client waits, from when it sent the request
+	Group  int     // cluster
+	After  int64   // Unix ms of the session's last commit, 0 for none
+	Retry  bool
+	Key    string // the first quoted value, which names the session where there are any
+
+	head, tail string // the statement up to the value of d, and from its end on
+}
+
+// ParseStatement reads a statement and its closing comment. Names not known here are skipped.
+func ParseStatement(sql string) (Statement, error) {
+	body := strings.TrimRight(sql, "; \t\r\n")
+	from := strings.LastIndex(body, "/*")
+	if from < 0 || !strings.HasSuffix(body, "*/") || len(body) < from+4 {
+		return Statement{}, ErrNoComment
+	}
+	s := Statement{}
+	fields := body[from+2 : len(body)-2]
+	at := from + 2
+	for part := range strings.SplitSeq(fields, ",") {
+		name, val, ok := strings.Cut(part, "=")
+		valAt := at + len(name) + 1
+		at += len(part) + 1
+		if !ok {
+			continue
+		}
+		raw := val
+		val = strings.TrimSpace(val)
+		var err error
+		switch strings.TrimSpace(name) {
+		case "id":
+			s.ID = val
+		case "c":
+			s.Class = val
+		case "d":
+			valAt += strings.Index(raw, val)
+			s.head, s.tail = sql[:valAt], sql[valAt+len(val):]
+			if s.WaitMs, err = strconv.ParseFloat(val, 64); err == nil && !(s.WaitMs >= 0 && s.WaitMs <= maxWaitMs) {
+				err = strconv.ErrRange
+			}
+		case "cluster":
+			s.Group, err = strconv.Atoi(val)
+		case "after":
+			s.After, err = strconv.ParseInt(val, 10, 64)
+		case "r":
+			s.Retry = val == "1"
+		}
+		if err != nil {
+			return Statement{}, fmt.Errorf("comment: %s: %w", strings.TrimSpace(name), err)
+		}
+	}
+	if s.ID == "" || s.Class == "" || s.head == "" {
+		return Statement{}, fmt.Errorf("comment: id, c and d are needed: %w", ErrNoComment)
+	}
+	if _, rest, ok := strings.Cut(body[:from], "'"); ok {
+		s.Key, _, _ = strings.Cut(rest, "'")
+	}
+	return s, nil
+}
+
+// AppendQuery appends the statement as a query to a server, with d saying how long this program waits.
+func (s *Statement) AppendQuery(dst []byte, waitMs int) []byte {
+	return AppendQuery(dst, s.head, strconv.Itoa(waitMs), s.tail)
+}
+
+// Pairs yields the names and values of a list such as 'inflight=7,util=0.61'.
+func Pairs(list string) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for part := range strings.SplitSeq(list, ",") {
+			if name, val, ok := strings.Cut(part, "="); ok && !yield(strings.TrimSpace(name), strings.TrimSpace(val)) {
+				return
+			}
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -60,8 +60,8 @@
 	return n
 }
 
-// settings turns the wire's pairs into the router's settings and the zero of positions.
-func settings(m map[string]string) (tansyhold.Settings, time.Duration, error) {
+// Settings turns the wire's pairs into the router's settings and the zero of positions.
+func Settings(m map[string]string) (tansyhold.Settings, time.Duration, error) {
 	p := &pairs{m: m}
 	s := tansyhold.Settings{
 		Siblings:       int(p.dur("siblings")),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -157,7 +157,7 @@
 		if f.err == nil {
 			var zero time.Duration
 			var err error
-			if it.Settings, zero, err = settings(pairs); err != nil {
+			if it.Settings, zero, err = Settings(pairs); err != nil {
 				return err
 			}
 			d.zero[it.Front] = zero
