--- a/cmd/tansyhold-sim/main.go
+++ b/cmd/beechgrade-sim/main.go
@@ -1,4 +1,4 @@
-// Command tansyhold-sim joins the router to the simulator's wire on standard input and output.
+// Command beechgrade-sim joins the router to the simulator's wire on standard input and output.
 // It hosts many instances, one router each; they share nothing, and it decides nothing.
 package main
 
@@ -8,13 +8,13 @@
 	"io"
 	"os"
 
-	"tansyhold"
-	"tansyhold/internal/wire"
+	"beechgrade"
+	"beechgrade/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "tansyhold-sim:", err)
+		fmt.Fprintln(os.Stderr, "beechgrade-sim:", err)
 		os.Exit(1)
 	}
 }
@@ -23,9 +23,9 @@
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(in)
 	w := bufio.NewWriterSize(out, 1<<20)
-	routers := map[int]*tansyhold.Router{}
+	routers := map[int]*beechgrade.Router{}
 	var reply wire.Reply
-	var actions []tansyhold.Action
+	var actions []beechgrade.Action
 	for {
 		batch, err := dec.Next()
 		if err == io.EOF {
@@ -39,7 +39,7 @@
 			it := &batch.Items[i]
 			switch it.Kind {
 			case wire.Start:
-				routers[it.Front] = tansyhold.New(it.Settings, it.Seed)
+				routers[it.Front] = beechgrade.New(it.Settings, it.Seed)
 			case wire.Stop:
 				delete(routers, it.Front)
 			case wire.Deliver:
@@ -67,8 +67,8 @@
 }
 
 // handle runs one event; a panic comes back as text, so that it is reported and not lost.
-func handle(r *tansyhold.Router, now tansyhold.Time, e tansyhold.Event, out []tansyhold.Action) (
-	actions []tansyhold.Action, fault string,
+func handle(r *beechgrade.Router, now beechgrade.Time, e beechgrade.Event, out []beechgrade.Action) (
+	actions []beechgrade.Action, fault string,
 ) {
 	defer func() {
 		if p := recover(); p != nil {
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"tansyhold/internal/config"
+	"beechgrade/internal/config"
 )
 
 func main() {
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -4,13 +4,13 @@
 	"log/slog"
 	"os"
 
-	"tansyhold/internal/backend"
-	"tansyhold/internal/clock"
-	"tansyhold/internal/config"
-	"tansyhold/internal/core"
-	"tansyhold/internal/discovery"
-	"tansyhold/internal/front"
-	"tansyhold/internal/loop"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/core"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/front"
+	"beechgrade/internal/loop"
 )
 
 const (
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,12 +7,12 @@
 	"math"
 	"strconv"
 
-	"tansyhold"
-	"tansyhold/internal/clock"
-	"tansyhold/internal/deadline"
-	"tansyhold/internal/loop"
-	"tansyhold/internal/pgwire"
-	"tansyhold/internal/slots"
+	"beechgrade"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/loop"
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
 )
 
 // Query is a request as a server is asked it.
@@ -28,9 +28,9 @@
 
 // Outcome is how an attempt or probe ended, with what its answer told.
 type Outcome struct {
-	Result   tansyhold.Result
+	Result   beechgrade.Result
 	Answer   []byte // OK: the row as messages, valid during the call
-	Role     tansyhold.Role
+	Role     beechgrade.Role
 	Position float64 // on the clock, where HasPosition
 	HasPos   bool
 }
@@ -166,7 +166,7 @@
 // Cancel gives an attempt up. Where its query is out, its connection is closed and never used again.
 func (p *Pool) Cancel(ref slots.Ref) {
 	if a, ok := p.attempts.Get(ref); ok {
-		p.drop(a, tansyhold.Cancelled)
+		p.drop(a, beechgrade.Cancelled)
 	}
 }
 
@@ -179,10 +179,10 @@
 func (p *Pool) begin(a *attempt) {
 	s := a.store
 	if s == nil {
-		p.end(a, Outcome{Result: tansyhold.Unreachable})
+		p.end(a, Outcome{Result: beechgrade.Unreachable})
 		return
 	}
-	a.timer = p.loop.At(a.until, func() { p.drop(a, tansyhold.TimedOut) })
+	a.timer = p.loop.At(a.until, func() { p.drop(a, beechgrade.TimedOut) })
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		// The server may have closed it, with the news still on its way through the loop: a request
@@ -194,7 +194,7 @@
 		c.c.Close()
 	}
 	s.waiting = append(s.waiting, a)
-	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() { p.drop(a, tansyhold.Unreachable) })
+	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() { p.drop(a, beechgrade.Unreachable) })
 	if s.dialing < len(s.waiting) {
 		p.dial(s)
 	}
@@ -240,7 +240,7 @@
 }
 
 // drop ends an attempt from this side.
-func (p *Pool) drop(a *attempt, r tansyhold.Result) {
+func (p *Pool) drop(a *attempt, r beechgrade.Result) {
 	if c := a.conn; c != nil {
 		c.attempt = nil // before the close, which would report a reset
 		p.end(a, Outcome{Result: r})
@@ -289,7 +289,7 @@
 	c.pool.conns.Drop(c.ref)
 	c.store.dialing--
 	if w := c.store.waiting; len(w) > c.store.dialing {
-		c.pool.drop(w[0], tansyhold.Unreachable)
+		c.pool.drop(w[0], beechgrade.Unreachable)
 	}
 }
 
@@ -406,14 +406,14 @@
 	}
 }
 
-func (p *Pool) role(val string) tansyhold.Role {
+func (p *Pool) role(val string) beechgrade.Role {
 	switch val {
 	case p.opt.Roles[0]:
-		return tansyhold.RolePrimary
+		return beechgrade.RolePrimary
 	case p.opt.Roles[1]:
-		return tansyhold.RoleReplica
+		return beechgrade.RoleReplica
 	}
-	return tansyhold.RoleUnknown
+	return beechgrade.RoleUnknown
 }
 
 // settled ends what the connection carries, at its ReadyForQuery.
@@ -426,7 +426,7 @@
 	case c.state == busy && c.attempt != nil:
 		a, o := c.attempt, c.outcome
 		o.Result = c.result()
-		if o.Result == tansyhold.OK {
+		if o.Result == beechgrade.OK {
 			o.Answer = c.answer
 			if a.query == nil {
 				o = report(c.row)
@@ -440,23 +440,23 @@
 }
 
 // result reads the outcome by what came before ReadyForQuery.
-func (c *conn) result() tansyhold.Result {
+func (c *conn) result() beechgrade.Result {
 	switch c.code {
 	case "":
 		if c.hasRow && c.done {
-			return tansyhold.OK
+			return beechgrade.OK
 		}
 	case "25006", "72000":
-		return tansyhold.Missed
+		return beechgrade.Missed
 	case "53300", "57P03":
-		return tansyhold.Full
+		return beechgrade.Full
 	}
-	return tansyhold.Failed
+	return beechgrade.Failed
 }
 
 // report reads a load report's row.
 func report(row []byte) Outcome {
-	o := Outcome{Result: tansyhold.OK}
+	o := Outcome{Result: beechgrade.OK}
 	col, err := pgwire.Column(row)
 	if err != nil {
 		return o
@@ -470,8 +470,8 @@
 		case "x0": // in seconds; down to whole milliseconds, as a printed figure may have been rounded up
 			o.Position, o.HasPos = clock.FromUnix(int64(x*1000)), true
 		case "x1":
-			if o.Role = tansyhold.RoleReplica; x == 1 {
-				o.Role = tansyhold.RolePrimary
+			if o.Role = beechgrade.RoleReplica; x == 1 {
+				o.Role = beechgrade.RolePrimary
 			}
 		}
 	}
@@ -495,12 +495,12 @@
 	c.unidle()
 	if a := c.attempt; a != nil {
 		a.conn = nil
-		r := tansyhold.Reset
+		r := beechgrade.Reset
 		if !c.sent || unsent > 0 { // its last byte never left: it cannot have run
-			r = tansyhold.Unreachable
+			r = beechgrade.Unreachable
 		}
 		if c.code == "53300" || c.code == "57P03" {
-			r = tansyhold.Full
+			r = beechgrade.Full
 		}
 		p.end(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPos: c.outcome.HasPos})
 	}
@@ -512,7 +512,7 @@
 	if c.code == "53300" && len(c.store.waiting) >= c.store.dialing && len(c.store.waiting) > 0 {
 		a := c.store.waiting[0]
 		c.pool.unqueue(a)
-		defer c.pool.end(a, Outcome{Result: tansyhold.Full})
+		defer c.pool.end(a, Outcome{Result: beechgrade.Full})
 	}
 	c.failed()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,9 +12,9 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"tansyhold"
-	"tansyhold/internal/discovery"
-	"tansyhold/internal/wire"
+	"beechgrade"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/wire"
 )
 
 // Limits are the machine's.
@@ -32,7 +32,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     discovery.List
-	Settings  tansyhold.Settings
+	Settings  beechgrade.Settings
 
 	Classes, Zones, Kinds []string // names, by the module's numbers
 	ConnectTimeoutMs      float64
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,14 +8,14 @@
 	"fmt"
 	"log/slog"
 
-	"tansyhold"
-	"tansyhold/internal/backend"
-	"tansyhold/internal/clock"
-	"tansyhold/internal/config"
-	"tansyhold/internal/discovery"
-	"tansyhold/internal/front"
-	"tansyhold/internal/loop"
-	"tansyhold/internal/slots"
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/front"
+	"beechgrade/internal/loop"
+	"beechgrade/internal/slots"
 )
 
 // Errors of a request that cannot be put to the router.
@@ -43,7 +43,7 @@
 	loop    *loop.Loop
 	log     *slog.Logger
 	cfg     *config.Config
-	router  *tansyhold.Router
+	router  *beechgrade.Router
 	servers Servers
 	dir     Directory
 
@@ -54,13 +54,13 @@
 	requests slots.Table[*request]
 	events   []event
 	running  bool
-	actions  []tansyhold.Action
+	actions  []beechgrade.Action
 }
 
 // event is one that the router is yet to be told, with the time at which it happened.
 type event struct {
-	at tansyhold.Time
-	e  tansyhold.Event
+	at beechgrade.Time
+	e  beechgrade.Event
 }
 
 // request is one that a client asked; it stays until it is over and its attempts have ended.
@@ -75,13 +75,13 @@
 
 // try is an attempt; one that was skipped has no ref.
 type try struct {
-	store tansyhold.StoreID
+	store beechgrade.StoreID
 	ref   slots.Ref
 }
 
 // New makes the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
-	c := &Core{loop: l, log: log, cfg: cfg, router: tansyhold.New(cfg.Settings, cfg.Seed),
+	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
 		classes: map[string]int{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	for i, n := range cfg.Classes {
 		c.classes[n] = i
@@ -92,7 +92,7 @@
 // Start joins the core to the servers and the directory and tells the router the list as last known.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
-	c.list(&c.cfg.Known, tansyhold.ListRestored)
+	c.list(&c.cfg.Known, beechgrade.ListRestored)
 }
 
 // Open is the number of requests that are owed an answer or have attempts out.
@@ -106,7 +106,7 @@
 	}
 	now := clock.Span(c.loop.Now())
 	ref := c.requests.Put(&request{client: client, query: q.Query, due: q.Due})
-	e := &tansyhold.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
+	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat}
 	if q.After > 0 {
 		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
@@ -124,7 +124,7 @@
 	}
 	q.over = true
 	c.release(ref, q)
-	c.tell(&tansyhold.Expired{ID: requestID(ref)})
+	c.tell(&beechgrade.Expired{ID: requestID(ref)})
 }
 
 // AttemptEnded is backend.Events'.
@@ -135,50 +135,50 @@
 	}
 	q.open--
 	store := q.tries[t.No].store
-	if o.Result == tansyhold.OK && !q.over {
+	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
 		q.client.Served(o.Answer)
 	}
 	final := q.over
 	c.release(t.Request, q)
-	c.tell(&tansyhold.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
+	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
 		Final: final, Told: told(o)})
 }
 
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
-	c.tell(&tansyhold.ProbeResult{Store: tansyhold.StoreID(store), Result: o.Result, Load: told(o)})
+	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
 }
 
 // Listed is discovery.Events'.
 func (c *Core) Listed(l *discovery.List) {
-	kind := tansyhold.ListChanges
+	kind := beechgrade.ListChanges
 	if l.Reset {
-		kind = tansyhold.ListFull
+		kind = beechgrade.ListFull
 	}
 	c.list(l, kind)
 }
 
 // ListFailed is discovery.Events'.
-func (c *Core) ListFailed() { c.tell(&tansyhold.List{Kind: tansyhold.ListFailed}) }
+func (c *Core) ListFailed() { c.tell(&beechgrade.List{Kind: beechgrade.ListFailed}) }
 
-func (c *Core) list(l *discovery.List, kind tansyhold.ListKind) {
-	e := &tansyhold.List{Kind: kind}
+func (c *Core) list(l *discovery.List, kind beechgrade.ListKind) {
+	e := &beechgrade.List{Kind: kind}
 	for i := range l.Instances {
 		n := &l.Instances[i]
 		if n.ID == "" {
 			continue
 		}
-		entry := tansyhold.Entry{Store: tansyhold.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
+		entry := beechgrade.Entry{Store: beechgrade.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
 			Zone: c.zones.number(n.Zone), Size: n.Weight, Primary: n.Role == "primary"}
 		if n.StartedAtMs > 0 {
 			entry.Started = clock.Span(clock.FromUnix(n.StartedAtMs))
 		}
 		switch n.Lifecycle {
 		case "draining":
-			entry.State = tansyhold.Draining
+			entry.State = beechgrade.Draining
 		case "removed":
-			entry.State = tansyhold.Gone
+			entry.State = beechgrade.Gone
 		}
 		if n.HostPort != "" {
 			c.servers.SetAddress(n.ID, n.HostPort)
@@ -188,18 +188,18 @@
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
 	for i := range e.Entries { // what is in use there stays until it has ended
-		if e.Entries[i].State != tansyhold.Serving {
+		if e.Entries[i].State != beechgrade.Serving {
 			c.servers.CloseIdle(string(e.Entries[i].Store))
 		}
 	}
 }
 
 // tell tells the router of what happens now.
-func (c *Core) tell(e tansyhold.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
+func (c *Core) tell(e beechgrade.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
 
 // tellAt queues an event and, unless an action of an earlier one is being carried out, works the queue
 // off: what an action leads to at once is told after that event's actions.
-func (c *Core) tellAt(at tansyhold.Time, e tansyhold.Event) {
+func (c *Core) tellAt(at beechgrade.Time, e beechgrade.Event) {
 	c.events = append(c.events, event{at, e})
 	if c.running {
 		return
@@ -216,38 +216,38 @@
 	c.running = false
 }
 
-func (c *Core) carryOut(a *tansyhold.Action) {
+func (c *Core) carryOut(a *beechgrade.Action) {
 	switch a.Kind {
-	case tansyhold.Send:
+	case beechgrade.Send:
 		c.send(a)
-	case tansyhold.Cancel:
+	case beechgrade.Cancel:
 		if q, ok := c.requests.Get(refOf(a.ID)); ok && a.Attempt >= 0 && a.Attempt < len(q.tries) {
 			c.servers.Cancel(q.tries[a.Attempt].ref)
 		}
-	case tansyhold.Refuse:
+	case beechgrade.Refuse:
 		if q := c.conclude(a.ID); q != nil {
 			q.client.Refused(clock.Millis(a.Wait))
 		}
-	case tansyhold.Fail:
+	case beechgrade.Fail:
 		if q := c.conclude(a.ID); q != nil {
 			q.client.Failed()
 		}
-	case tansyhold.Probe:
+	case beechgrade.Probe:
 		c.servers.Probe(string(a.Store))
-	case tansyhold.SetTimer:
+	case beechgrade.SetTimer:
 		tag := a.Tag
-		c.loop.At(clock.Millis(a.At), func() { c.tell(&tansyhold.Timer{Tag: tag}) })
-	case tansyhold.Subscribe:
+		c.loop.At(clock.Millis(a.At), func() { c.tell(&beechgrade.Timer{Tag: tag}) })
+	case beechgrade.Subscribe:
 		c.dir.Watch()
-	case tansyhold.FetchList:
+	case beechgrade.FetchList:
 		c.dir.Fetch()
-	case tansyhold.Log:
+	case beechgrade.Log:
 		c.log.Info(a.Text)
 	}
 }
 
 // conclude marks a request over and returns it, or nil if it was over before.
-func (c *Core) conclude(id tansyhold.RequestID) *request {
+func (c *Core) conclude(id beechgrade.RequestID) *request {
 	ref := refOf(id)
 	q, ok := c.requests.Get(ref)
 	if !ok || q.over {
@@ -266,7 +266,7 @@
 }
 
 // send starts a request's next attempt, or skips it where the wire's rules let it not be sent.
-func (c *Core) send(a *tansyhold.Action) {
+func (c *Core) send(a *beechgrade.Action) {
 	ref := refOf(a.ID)
 	q, ok := c.requests.Get(ref)
 	if !ok {
@@ -278,7 +278,7 @@
 	}
 	q.tries = append(q.tries, try{store: a.Store})
 	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
-		c.tell(&tansyhold.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: tansyhold.Skipped, Final: q.over})
+		c.tell(&beechgrade.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: beechgrade.Skipped, Final: q.over})
 		return
 	}
 	q.open++
@@ -286,8 +286,8 @@
 	q.tries[no].ref = at
 }
 
-func told(o backend.Outcome) tansyhold.Report {
-	r := tansyhold.Report{Role: o.Role, HasPosition: o.HasPos}
+func told(o backend.Outcome) beechgrade.Report {
+	r := beechgrade.Report{Role: o.Role, HasPosition: o.HasPos}
 	if o.HasPos {
 		r.Position = clock.Span(o.Position)
 	}
@@ -295,14 +295,14 @@
 }
 
 // requestID names a request to the router by its slot: clients' own ids might meet.
-func requestID(r slots.Ref) tansyhold.RequestID {
+func requestID(r slots.Ref) beechgrade.RequestID {
 	var b [8]byte
 	binary.BigEndian.PutUint32(b[:4], r.Index)
 	binary.BigEndian.PutUint32(b[4:], r.Gen)
-	return tansyhold.RequestID(b[:])
+	return beechgrade.RequestID(b[:])
 }
 
-func refOf(id tansyhold.RequestID) slots.Ref {
+func refOf(id beechgrade.RequestID) slots.Ref {
 	if len(id) != 8 {
 		return slots.Ref{}
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,8 +8,8 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"tansyhold/internal/deadline"
-	"tansyhold/internal/loop"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/loop"
 )
 
 // silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s, and a call
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,8 +3,8 @@
 package front
 
 import (
-	"tansyhold/internal/backend"
-	"tansyhold/internal/slots"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/slots"
 )
 
 // Request is what a client asks, in no protocol's form.
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -6,11 +6,11 @@
 	"strconv"
 	"strings"
 
-	"tansyhold/internal/clock"
-	"tansyhold/internal/deadline"
-	"tansyhold/internal/loop"
-	"tansyhold/internal/pgwire"
-	"tansyhold/internal/slots"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/loop"
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
 )
 
 const (
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -14,8 +14,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
-	"tansyhold/internal/clock"
-	"tansyhold/internal/deadline"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/deadline"
 )
 
 // Handler is told of one connection. Data is valid during the call only.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"tansyhold"
+	"beechgrade"
 )
 
 // pairs reads typed values out of the settings; a missing key is its type's zero.
@@ -61,9 +61,9 @@
 }
 
 // Settings turns the wire's pairs into the router's settings and the zero of positions.
-func Settings(m map[string]string) (tansyhold.Settings, time.Duration, error) {
+func Settings(m map[string]string) (beechgrade.Settings, time.Duration, error) {
 	p := &pairs{m: m}
-	s := tansyhold.Settings{
+	s := beechgrade.Settings{
 		Siblings:       int(p.dur("siblings")),
 		Zone:           int(p.dur("my_zone")),
 		Tick:           p.dur("tick_ns"),
@@ -94,14 +94,14 @@
 	}
 	switch m["family_info.when_behind"] {
 	case "bounce":
-		s.Behind = tansyhold.BehindRefuses
+		s.Behind = beechgrade.BehindRefuses
 	case "await":
-		s.Behind = tansyhold.BehindWaits
+		s.Behind = beechgrade.BehindWaits
 	}
 	reads, bounds := p.list("family_info.class_read"), p.list("family_info.staleness_bound_ns")
 	for i := range p.count("request_classes.count") {
 		at := "request_classes." + strconv.Itoa(i) + "."
-		c := tansyhold.Class{
+		c := beechgrade.Class{
 			Aim:       p.dur(at + "slo_ns"),
 			Deadline:  p.dur(at + "deadline_ns"),
 			Worth:     p.float(at + "points"),
@@ -111,27 +111,27 @@
 		switch m[at+"effect"] {
 		case "retryable":
 		case "dedup":
-			c.Effect = tansyhold.Keyed
+			c.Effect = beechgrade.Keyed
 		default: // an effect not known here is treated as the most fragile
-			c.Effect = tansyhold.Unsafe
+			c.Effect = beechgrade.Unsafe
 		}
 		switch m[at+"group"] {
 		case "cell":
-			c.Scope = tansyhold.ScopeGroup
+			c.Scope = beechgrade.ScopeGroup
 		case "zone":
-			c.Scope = tansyhold.ScopeZone
+			c.Scope = beechgrade.ScopeZone
 		}
-		c.Read = tansyhold.ReadFresh // a need not known here is met by the primary
+		c.Read = beechgrade.ReadFresh // a need not known here is met by the primary
 		if i < len(reads) {
 			switch reads[i] {
 			case "eventual":
-				c.Read = tansyhold.ReadAny
+				c.Read = beechgrade.ReadAny
 			case "lag_bound":
-				c.Read = tansyhold.ReadBounded
+				c.Read = beechgrade.ReadBounded
 			case "causal":
-				c.Read = tansyhold.ReadSession
+				c.Read = beechgrade.ReadSession
 			case "mutate":
-				c.Read = tansyhold.Write
+				c.Read = beechgrade.Write
 			}
 		}
 		if i < len(bounds) {
@@ -144,7 +144,7 @@
 		s.Classes = append(s.Classes, c)
 	}
 	for i := range p.count("tenants.count") {
-		s.Tenants = append(s.Tenants, tansyhold.Tenant{
+		s.Tenants = append(s.Tenants, beechgrade.Tenant{
 			Allowance: p.float("tenants." + strconv.Itoa(i) + ".allowance_per_s"),
 		})
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"tansyhold"
+	"beechgrade"
 )
 
 // Kind says what an Item of a batch is.
@@ -30,13 +30,13 @@
 	Front    int
 	Kind     Kind
 	Seed     uint64
-	Settings tansyhold.Settings
-	Event    tansyhold.Event
+	Settings beechgrade.Settings
+	Event    beechgrade.Event
 }
 
 // Batch is what arrived at one time.
 type Batch struct {
-	Now   tansyhold.Time
+	Now   beechgrade.Time
 	Items []Item
 }
 
@@ -48,7 +48,7 @@
 type Decoder struct {
 	in    *bufio.Reader
 	line  int
-	lists [slots][]tansyhold.Entry
+	lists [slots][]beechgrade.Entry
 	zero  map[int]time.Duration
 	long  []byte
 }
@@ -171,7 +171,7 @@
 		}
 		delete(d.zero, it.Front)
 	case "MEMBERS":
-		l := &tansyhold.List{}
+		l := &beechgrade.List{}
 		slot, how := -1, ""
 		for f.next() {
 			switch f.key {
@@ -188,7 +188,7 @@
 			return fmt.Errorf("MEMBERS: unknown how %q", how)
 		}
 		l.Kind = kind
-		if kind != tansyhold.ListFailed {
+		if kind != beechgrade.ListFailed {
 			if slot < 0 || slot >= slots {
 				return fmt.Errorf("MEMBERS: slot %d out of range", slot)
 			}
@@ -200,18 +200,18 @@
 	case "SETTLED":
 		it.Front, it.Event = d.decodeOutcome(f)
 	case "EXPIRED":
-		e := &tansyhold.Expired{}
+		e := &beechgrade.Expired{}
 		for f.next() {
 			switch f.key {
 			case "front":
 				it.Front = f.integer()
 			case "request_id":
-				e.ID = tansyhold.RequestID(f.val)
+				e.ID = beechgrade.RequestID(f.val)
 			}
 		}
 		it.Event = e
 	case "TIMEOUT_FIRED":
-		e := &tansyhold.Timer{}
+		e := &beechgrade.Timer{}
 		for f.next() {
 			switch f.key {
 			case "front":
@@ -222,14 +222,14 @@
 		}
 		it.Event = e
 	case "ECHO":
-		e := &tansyhold.ProbeResult{Result: tansyhold.TimedOut}
+		e := &beechgrade.ProbeResult{Result: beechgrade.TimedOut}
 		var stats []byte
 		for f.next() {
 			switch f.key {
 			case "front":
 				it.Front = f.integer()
 			case "store":
-				e.Store = tansyhold.StoreID(f.val)
+				e.Store = beechgrade.StoreID(f.val)
 			case "disposition":
 				e.Result = result(f.val)
 			case "server_stats":
@@ -250,15 +250,15 @@
 	return f.err
 }
 
-func decodeRequest(f *fields) (int, *tansyhold.Request) {
+func decodeRequest(f *fields) (int, *beechgrade.Request) {
 	front, options, work := -1, 0, time.Duration(0)
-	e := &tansyhold.Request{Class: -1, Group: -1}
+	e := &beechgrade.Request{Class: -1, Group: -1}
 	for f.next() {
 		switch f.key {
 		case "front":
 			front = f.integer()
 		case "request_id":
-			e.ID = tansyhold.RequestID(f.val)
+			e.ID = beechgrade.RequestID(f.val)
 		case "party":
 			e.Tenant = f.integer()
 		case "due_ns":
@@ -287,16 +287,16 @@
 	return front, e
 }
 
-func (d *Decoder) decodeOutcome(f *fields) (int, *tansyhold.Outcome) {
+func (d *Decoder) decodeOutcome(f *fields) (int, *beechgrade.Outcome) {
 	front, note := -1, int64(0)
-	e := &tansyhold.Outcome{Result: tansyhold.Failed}
+	e := &beechgrade.Outcome{Result: beechgrade.Failed}
 	var stats []byte
 	for f.next() {
 		switch f.key {
 		case "front":
 			front = f.integer()
 		case "request_id":
-			e.ID = tansyhold.RequestID(f.val)
+			e.ID = beechgrade.RequestID(f.val)
 		case "try":
 			e.Attempt = f.integer()
 		case "disposition":
@@ -304,7 +304,7 @@
 		case "no_more":
 			e.Final = f.boolean()
 		case "store":
-			e.Store = tansyhold.StoreID(f.val)
+			e.Store = beechgrade.StoreID(f.val)
 		case "note":
 			note = f.int64()
 		case "server_stats":
@@ -314,9 +314,9 @@
 	zero := d.zero[front]
 	switch note & 3 {
 	case 1:
-		e.Told.Role = tansyhold.RolePrimary
+		e.Told.Role = beechgrade.RolePrimary
 	case 2:
-		e.Told.Role = tansyhold.RoleReplica
+		e.Told.Role = beechgrade.RoleReplica
 	}
 	if note >= 4 {
 		e.Told.Position, e.Told.HasPosition = zero+time.Duration(note/4)*time.Millisecond, true
@@ -341,7 +341,7 @@
 	if slot < 0 || slot >= slots || records < 0 {
 		return fmt.Errorf("CENSUS: slot %d or records %d out of range", slot, records)
 	}
-	var list []tansyhold.Entry // fresh: events of this batch may still hold the old one
+	var list []beechgrade.Entry // fresh: events of this batch may still hold the old one
 	for range records {
 		line, err := d.readLine()
 		if err != nil {
@@ -351,7 +351,7 @@
 		if g.name != "ENTRY" {
 			return fmt.Errorf("want ENTRY, got %q", g.name)
 		}
-		e := tansyhold.Entry{Size: 1}
+		e := beechgrade.Entry{Size: 1}
 		for g.next() {
 			switch g.key {
 			case "online_since_ns":
@@ -371,7 +371,7 @@
 			case "hall":
 				e.Zone = g.integer()
 			case "store":
-				e.Store = tansyhold.StoreID(g.val)
+				e.Store = beechgrade.StoreID(g.val)
 			case "is_primary":
 				e.Primary = g.float() == 1
 			}
@@ -388,42 +388,42 @@
 	return nil
 }
 
-var listKinds = map[string]tansyhold.ListKind{
-	"update": tansyhold.ListChanges, "replace": tansyhold.ListFull,
-	"restored": tansyhold.ListRestored, "unavailable": tansyhold.ListFailed,
+var listKinds = map[string]beechgrade.ListKind{
+	"update": beechgrade.ListChanges, "replace": beechgrade.ListFull,
+	"restored": beechgrade.ListRestored, "unavailable": beechgrade.ListFailed,
 }
 
-var states = map[string]tansyhold.StoreState{
-	"SERVING": tansyhold.Serving, "DRAINING": tansyhold.Draining, "DELETED": tansyhold.Gone,
+var states = map[string]beechgrade.StoreState{
+	"SERVING": beechgrade.Serving, "DRAINING": beechgrade.Draining, "DELETED": beechgrade.Gone,
 }
 
 // result reads a disposition. A word not known here becomes an error that may have run: the reading
 // that promises least.
-func result(v []byte) tansyhold.Result {
+func result(v []byte) beechgrade.Result {
 	switch string(v) {
 	case "done":
-		return tansyhold.OK
+		return beechgrade.OK
 	case "busy":
-		return tansyhold.Full
+		return beechgrade.Full
 	case "etimedout":
-		return tansyhold.TimedOut
+		return beechgrade.TimedOut
 	case "econnrefused":
-		return tansyhold.Unreachable
+		return beechgrade.Unreachable
 	case "econnreset":
-		return tansyhold.Reset
+		return beechgrade.Reset
 	case "ecanceled":
-		return tansyhold.Cancelled
+		return beechgrade.Cancelled
 	case "skipped":
-		return tansyhold.Skipped
+		return beechgrade.Skipped
 	case "enoent":
-		return tansyhold.Missed
+		return beechgrade.Missed
 	}
-	return tansyhold.Failed
+	return beechgrade.Failed
 }
 
 // report reads a load report; positions become times on the clock.
-func report(v []byte, zero time.Duration, f *fields) tansyhold.Report {
-	var r tansyhold.Report
+func report(v []byte, zero time.Duration, f *fields) beechgrade.Report {
+	var r beechgrade.Report
 	for len(v) > 0 {
 		var pair []byte
 		pair, v, _ = bytes.Cut(v, []byte{','})
@@ -437,9 +437,9 @@
 			ms := int64(f.parse(val) * 1000)
 			r.Position, r.HasPosition = zero+time.Duration(ms)*time.Millisecond, true
 		case "x1":
-			r.Role = tansyhold.RoleReplica
+			r.Role = beechgrade.RoleReplica
 			if f.parse(val) == 1 {
-				r.Role = tansyhold.RolePrimary
+				r.Role = beechgrade.RolePrimary
 			}
 		case "busy_reqs":
 			r.Held, r.HasHeld = f.parse(val), true
@@ -524,37 +524,37 @@
 func (r *Reply) Fault(front int, text string) { r.text("BAIL_OUT", front, text) }
 
 // Add encodes one action of an instance.
-func (r *Reply) Add(front int, a *tansyhold.Action) {
+func (r *Reply) Add(front int, a *beechgrade.Action) {
 	switch a.Kind {
-	case tansyhold.Send:
+	case beechgrade.Send:
 		r.begin("PASS_ON", front)
 		r.str("request_id", string(a.ID))
 		r.str("store", string(a.Store))
 		r.num("timeout_ns", int64(a.Wait))
-	case tansyhold.Cancel:
+	case beechgrade.Cancel:
 		r.begin("REVOKE", front)
 		r.str("request_id", string(a.ID))
 		r.int("try", int64(a.Attempt))
-	case tansyhold.Refuse:
+	case beechgrade.Refuse:
 		r.begin("NOT_NOW", front)
 		r.str("request_id", string(a.ID))
 		r.num("pause_ns", int64(a.Wait))
-	case tansyhold.Fail:
+	case beechgrade.Fail:
 		r.begin("ERROR", front)
 		r.str("request_id", string(a.ID))
-	case tansyhold.Probe:
+	case beechgrade.Probe:
 		r.begin("PROBE", front)
 		r.str("store", string(a.Store))
-	case tansyhold.SetTimer:
+	case beechgrade.SetTimer:
 		r.begin("WAKE_AT", front)
 		r.int("instant_ns", int64(a.At))
 		r.int("tag", a.Tag)
-	case tansyhold.Subscribe:
+	case beechgrade.Subscribe:
 		r.begin("WATCH", front)
 		r.int("enable", 1)
-	case tansyhold.FetchList:
+	case beechgrade.FetchList:
 		r.begin("LIST_ALL", front)
-	case tansyhold.Log:
+	case beechgrade.Log:
 		r.text("TRACE", front, a.Text)
 		return
 	default:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"tansyhold"
+	"beechgrade"
 )
 
 const day = "SYNC\twall_ns=1000000000\n" +
@@ -42,29 +42,29 @@
 	}
 	s := b.Items[0].Settings
 	if b.Items[0].Seed != 17446744073709551615 || s.Siblings != 2 || !s.MayCancel || !s.AskList ||
-		s.Behind != tansyhold.BehindWaits || len(s.Classes) != 2 || s.Classes[0].Bound != 300 || s.Classes[0].Aim != 7 ||
-		s.Classes[1].Effect != tansyhold.Keyed || s.Classes[1].Scope != tansyhold.ScopeGroup ||
-		s.Classes[1].Read != tansyhold.Write || s.Tenants[0].Allowance != 1.5 {
+		s.Behind != beechgrade.BehindWaits || len(s.Classes) != 2 || s.Classes[0].Bound != 300 || s.Classes[0].Aim != 7 ||
+		s.Classes[1].Effect != beechgrade.Keyed || s.Classes[1].Scope != beechgrade.ScopeGroup ||
+		s.Classes[1].Read != beechgrade.Write || s.Tenants[0].Allowance != 1.5 {
 		t.Errorf("settings: %+v", s)
 	}
 	zero := 500 * time.Nanosecond
 	ms := time.Millisecond
-	want := []tansyhold.Event{
-		&tansyhold.List{Kind: tansyhold.ListRestored, Entries: []tansyhold.Entry{
+	want := []beechgrade.Event{
+		&beechgrade.List{Kind: beechgrade.ListRestored, Entries: []beechgrade.Entry{
 			{Store: "h:1", Group: 11, Kind: 1, Zone: 2, Size: 2.5, Primary: true},
-			{Store: "h:2", Group: 11, Size: 1, State: tansyhold.Draining, Started: 61}}},
-		&tansyhold.List{Entries: []tansyhold.Entry{{Store: "h:3", Group: 4, Size: 1, State: tansyhold.Gone}}},
-		&tansyhold.List{Kind: tansyhold.ListFailed},
-		&tansyhold.Request{ID: "ab", Class: 1, Group: 11, Tenant: 1, Due: 99, Session: "c.k",
+			{Store: "h:2", Group: 11, Size: 1, State: beechgrade.Draining, Started: 61}}},
+		&beechgrade.List{Entries: []beechgrade.Entry{{Store: "h:3", Group: 4, Size: 1, State: beechgrade.Gone}}},
+		&beechgrade.List{Kind: beechgrade.ListFailed},
+		&beechgrade.Request{ID: "ab", Class: 1, Group: 11, Tenant: 1, Due: 99, Session: "c.k",
 			SinceOwn: 412500 * time.Microsecond, Work: 12, Repeat: true},
-		&tansyhold.Outcome{ID: "ab", Attempt: 2, Store: "h:1", Final: true,
-			Told: tansyhold.Report{Role: tansyhold.RolePrimary, Position: zero + 10*ms, HasPosition: true}},
-		&tansyhold.Outcome{ID: "ab", Store: "h:1", Result: tansyhold.Failed,
-			Told: tansyhold.Report{Role: tansyhold.RoleReplica},
-			Load: tansyhold.Report{Role: tansyhold.RolePrimary, Position: zero + 20*ms, HasPosition: true, Held: 7, HasHeld: true}},
-		&tansyhold.ProbeResult{Store: "h:1", Result: tansyhold.Unreachable},
-		&tansyhold.Expired{ID: "ab"},
-		&tansyhold.Timer{Tag: -77},
+		&beechgrade.Outcome{ID: "ab", Attempt: 2, Store: "h:1", Final: true,
+			Told: beechgrade.Report{Role: beechgrade.RolePrimary, Position: zero + 10*ms, HasPosition: true}},
+		&beechgrade.Outcome{ID: "ab", Store: "h:1", Result: beechgrade.Failed,
+			Told: beechgrade.Report{Role: beechgrade.RoleReplica},
+			Load: beechgrade.Report{Role: beechgrade.RolePrimary, Position: zero + 20*ms, HasPosition: true, Held: 7, HasHeld: true}},
+		&beechgrade.ProbeResult{Store: "h:1", Result: beechgrade.Unreachable},
+		&beechgrade.Expired{ID: "ab"},
+		&beechgrade.Timer{Tag: -77},
 	}
 	for i, w := range want {
 		if got := b.Items[i+1]; got.Front != 3 || !reflect.DeepEqual(got.Event, w) {
@@ -80,10 +80,10 @@
 }
 
 func TestEachDisposition(t *testing.T) {
-	for word, want := range map[string]tansyhold.Result{
-		"done": tansyhold.OK, "err": tansyhold.Failed, "busy": tansyhold.Full, "etimedout": tansyhold.TimedOut,
-		"econnrefused": tansyhold.Unreachable, "econnreset": tansyhold.Reset, "ecanceled": tansyhold.Cancelled,
-		"skipped": tansyhold.Skipped, "enoent": tansyhold.Missed, "unheard of": tansyhold.Failed,
+	for word, want := range map[string]beechgrade.Result{
+		"done": beechgrade.OK, "err": beechgrade.Failed, "busy": beechgrade.Full, "etimedout": beechgrade.TimedOut,
+		"econnrefused": beechgrade.Unreachable, "econnreset": beechgrade.Reset, "ecanceled": beechgrade.Cancelled,
+		"skipped": beechgrade.Skipped, "enoent": beechgrade.Missed, "unheard of": beechgrade.Failed,
 	} {
 		if got := result([]byte(word)); got != want {
 			t.Errorf("%s: %d, want %d", word, got, want)
@@ -120,19 +120,19 @@
 func TestLongLine(t *testing.T) {
 	long := strings.Repeat("k", 3<<20)
 	b, err := NewDecoder(strings.NewReader("SYNC\twall_ns=1\nASK\tfront=1\trequest_id=" + long + "\nCOMMIT\n")).Next()
-	if err != nil || len(b.Items[0].Event.(*tansyhold.Request).ID) != len(long) {
+	if err != nil || len(b.Items[0].Event.(*beechgrade.Request).ID) != len(long) {
 		t.Fatal(err)
 	}
 }
 
 func TestEncode(t *testing.T) {
 	var r Reply
-	for _, a := range []tansyhold.Action{
-		{Kind: tansyhold.Send, ID: "ab", Store: "h:1", Wait: 80}, {Kind: tansyhold.Send, ID: "ab", Store: "h:1"},
-		{Kind: tansyhold.Cancel, ID: "ab", Attempt: 2}, {Kind: tansyhold.Refuse, ID: "ab", Wait: 9},
-		{Kind: tansyhold.Fail, ID: "ab"}, {Kind: tansyhold.Probe, Store: "h:1"},
-		{Kind: tansyhold.SetTimer, At: 12, Tag: 7}, {Kind: tansyhold.Subscribe}, {Kind: tansyhold.FetchList},
-		{Kind: tansyhold.Log, Text: "a\tb\nc"}, {Kind: 99},
+	for _, a := range []beechgrade.Action{
+		{Kind: beechgrade.Send, ID: "ab", Store: "h:1", Wait: 80}, {Kind: beechgrade.Send, ID: "ab", Store: "h:1"},
+		{Kind: beechgrade.Cancel, ID: "ab", Attempt: 2}, {Kind: beechgrade.Refuse, ID: "ab", Wait: 9},
+		{Kind: beechgrade.Fail, ID: "ab"}, {Kind: beechgrade.Probe, Store: "h:1"},
+		{Kind: beechgrade.SetTimer, At: 12, Tag: 7}, {Kind: beechgrade.Subscribe}, {Kind: beechgrade.FetchList},
+		{Kind: beechgrade.Log, Text: "a\tb\nc"}, {Kind: 99},
 	} {
 		r.Add(3, &a)
 	}
--- a/router.go
+++ b/router.go
@@ -1,4 +1,4 @@
-package tansyhold
+package beechgrade
 
 // The module: every decision, table and tuned value.
 
--- a/router_test.go
+++ b/router_test.go
@@ -1,4 +1,4 @@
-package tansyhold
+package beechgrade
 
 import (
 	"fmt"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package tansyhold
+package beechgrade
 
 // The records that the router keeps. No decision is made here.
 
