Give up a request that no server has seen at half its time

At fault: closing() in router.go kept every held request until its end, and pump() lets writes wait that long because late worth remains for them. Change: a request with no attempt out and none that reached a server has half its time. The answer goes out at once when the module gives up.

--- a/router.go
+++ b/router.go
@@ -464,8 +464,15 @@
 	}
 }
 
-// closing tells that a request must have its answer before the next beat.
-func (r *Router) closing(q *request) bool { return r.now+beat+dueMargin*r.set.Tick >= q.due }
+// closing tells that a request must have its answer before the next beat. One that no server has seen has
+// half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
+func (r *Router) closing(q *request) bool {
+	end := q.due
+	if !q.reached && q.open == 0 {
+		end = q.arrived + (q.due-q.arrived)/2
+	}
+	return r.now+beat+dueMargin*r.set.Tick >= end
+}
 
 // urgency orders held requests: worth for each unit of work, less once only late worth is left.
 func (r *Router) urgency(q *request) float64 {
@@ -551,6 +558,7 @@
 		return
 	}
 	q := a.req
+	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
 	r.learn(s, e.Told, r.now)
 	r.learn(s, e.Load, e.Load.Position)
 	switch e.Result {
--- a/router_test.go
+++ b/router_test.go
@@ -1094,3 +1094,34 @@
 		t.Error("the probe failed too, and the store is not down")
 	}
 }
+
+// TestUnseenRequestHasHalfItsTime guards against keeping a write for a primary that does not come until too late
+// for its client to ask again: nothing is gained by the second half, and a late refusal without an attempt costs
+// 0.3 of the worth. One whose connection failed is as unseen as one never sent; one that was missed is not.
+func TestUnseenRequestHasHalfItsTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		result Result
+		most   time.Duration
+		least  time.Duration
+	}{
+		"never sent":  {OK, 1500 * ms, 1400 * ms},
+		"unreachable": {Unreachable, 1500 * ms, 1400 * ms},
+		"seen":        {Missed, 3000 * ms, 2900 * ms},
+	} {
+		g := trio(t, func(s *Settings) { s.MayProbe = false })
+		began := g.now
+		if c.result == OK {
+			g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "p", State: Gone}}})
+			g.ask("w", cUnsafe)
+		} else {
+			g.wantSend(g.ask("w", cUnsafe), "w", "p")
+			g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "p", State: Gone}}})
+			g.end("w", 0, "p", c.result)
+		}
+		for len(finals(g.pass(10*ms))) == 0 && g.now-began < 4*time.Second {
+		}
+		if took := g.now - began; took < c.least || took > c.most {
+			t.Errorf("%s: given up after %v, want %v to %v", name, took, c.least, c.most)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -130,6 +130,7 @@
 	maybe     bool // an attempt may have run
 	maybeAt   Time // send of the first that may have, and its zone
 	maybeZone int
+	reached   bool // an attempt got to a store
 	asked     int  // stores asked for it
 	askUntil  Time // it waits for them until then
 	finished  bool
