Bound what buffers keep, share descriptors by use, test the wire's parsers

Sessions may use what connections to servers leave (at least a fifth is kept for those); buffers over 16 KiB are not kept between answers.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,7 +15,8 @@
 
 const (
 	reserved   = 64    // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
-	poolPart   = 0.45  // of the others, for connections to servers
+	poolMost   = 0.45  // of the others, at most for connections to servers...
+	poolLeast  = 0.2   // ...and what clients leave to them
 	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
 	drainMs    = 700   // after SIGTERM clients still come
 	drainClose = 500   // ...and from here on their idle connections are closed
@@ -38,11 +39,12 @@
 	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
 	p.core = core.New(p.loop, log, cfg)
 	sockets := cfg.Limits.Sockets - reserved
-	poolMost := int(poolPart * float64(sockets))
+	most, least := int(poolMost*float64(sockets)), int(poolLeast*float64(sockets))
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
-		IdleMs: cfg.IdleMs * idlePart, MaxConns: poolMost}, p.core)
-	p.front = front.NewPostgres(p.loop, log, p.core, func() int { return sockets - poolMost })
+		IdleMs:   cfg.IdleMs * idlePart,
+		MaxConns: func() int { return min(most, sockets-p.front.Sessions()) }}, p.core)
+	p.front = front.NewPostgres(p.loop, log, p.core, func() int { return sockets - max(least, p.pool.Conns()) })
 	return p
 }
 
@@ -50,7 +52,8 @@
 func (p *pooler) start() {
 	dir := discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
 	p.core.Start(p.pool, dir)
-	p.log.Info("serving", "listen", p.cfg.Listen, "servers", len(p.cfg.Known.Instances))
+	p.log.Info("serving", "listen", p.cfg.Listen, "servers", len(p.cfg.Known.Instances),
+		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
 
 // run serves until a signal comes and nothing is owed any more.
@@ -71,7 +74,7 @@
 	var look func()
 	look = func() {
 		now := p.loop.Now()
-		if now < began+drainMs || now < began+drainMost && (p.front.Sessions() > 0 || p.core.Open() > 0) {
+		if now < began+drainMs || now < began+drainMost && (p.front.Owes() || p.core.Open() > 0) {
 			p.loop.At(now+pollMs, look)
 			return
 		}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -47,13 +47,16 @@
 	Roles            [2]string // names of the primary's and a replica's role
 	PositionName     string
 	ConnectTimeoutMs float64
-	IdleMs           float64 // a connection idle for so long is closed
-	MaxConns         int     // over all servers
+	IdleMs           float64    // a connection idle for so long is closed
+	MaxConns         func() int // over all servers, by the descriptors left now
 }
 
 // most is the longest message accepted from a server.
 const most = 1 << 18
 
+// keepAnswer is how much of a buffer a connection keeps from one answer to the next.
+const keepAnswer = 1 << 14
+
 // Pool holds the connections to all servers.
 type Pool struct {
 	loop     *loop.Loop
@@ -202,7 +205,7 @@
 
 // dial opens one more connection, if the budget allows it; else those that wait take what comes free.
 func (p *Pool) dial(s *store) {
-	if p.conns.Len() >= p.opt.MaxConns && !p.CloseOldest() {
+	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldest() {
 		p.log.Warn("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
 		return
 	}
@@ -436,6 +439,9 @@
 		// The connection is free before the end is told: what that leads to may use it.
 		c.ready()
 		p.end(a, o)
+		if cap(c.answer) > keepAnswer {
+			c.answer = nil
+		}
 	}
 }
 
@@ -496,6 +502,7 @@
 	if a := c.attempt; a != nil {
 		a.conn = nil
 		r := beechgrade.Reset
+		// Where gnet has dropped what it buffered, unsent is 0 and the attempt may have run: the safe side.
 		if !c.sent || unsent > 0 { // its last byte never left: it cannot have run
 			r = beechgrade.Unreachable
 		}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -18,6 +18,7 @@
 	maxAhead   = 1 << 19 // bytes a client may send ahead of its answers
 	maxUnsent  = 1 << 18 // of answers a client has not read: with more, its next command waits
 	recheckMs  = 20
+	keepOut    = 1 << 14 // of a buffer, from one answer to the next
 )
 
 // SQLSTATE codes.
@@ -55,6 +56,15 @@
 // Sessions is the number of clients connected.
 func (p *Postgres) Sessions() int { return p.sessions.Len() }
 
+// Owes tells whether a client waits for an answer, or has not read all of one.
+func (p *Postgres) Owes() bool {
+	owes := false
+	p.sessions.Each(func(_ slots.Ref, s *session) {
+		owes = owes || s.asking || s.conn != nil && s.conn.Unsent() > 0
+	})
+	return owes
+}
+
 // Drain closes clients' connections as they fall idle, from now on.
 func (p *Postgres) Drain() {
 	p.draining = true
@@ -232,7 +242,9 @@
 }
 
 func (s *session) send(b []byte) {
-	s.out = b
+	if s.out = b; cap(b) > keepOut {
+		s.out = nil
+	}
 	if !s.closed {
 		_ = s.conn.Write(b) // a failed write closes the connection
 	}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -16,6 +16,7 @@
 	codeSSL       = 80877103
 	codeGSSEnc    = 80877104
 	maxStartupLen = 10000 // PostgreSQL's own bound
+	keepBuf       = 1 << 14
 )
 
 // ErrMalformed is wrapped by every error about input that breaks the protocol.
@@ -52,9 +53,6 @@
 func (r *Reader) Feed(b []byte) {
 	if r.off == len(r.buf) {
 		r.buf, r.off = r.buf[:0], 0
-		if cap(r.buf) > 1<<16 {
-			r.buf = nil
-		}
 	} else if r.off > 1<<12 && r.off > len(r.buf)/2 {
 		r.buf = r.buf[:copy(r.buf, r.buf[r.off:])]
 		r.off = 0
@@ -104,6 +102,9 @@
 		return Message{}, false, nil
 	}
 	r.off += int(n) + 1
+	if r.off == len(r.buf) && cap(r.buf) > keepBuf {
+		r.buf, r.off = nil, 0 // the message keeps it for as long as it is used
+	}
 	return Message{Type: b[0], Body: b[5 : n+1], Raw: b[:n+1]}, true, nil
 }
 
--- /dev/null
+++ b/internal/pgwire/pgwire_test.go
@@ -0,0 +1,133 @@
+package pgwire
+
+import (
+	"errors"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+const read = "SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=basket,d=480,cluster=2,after=1767225600123 */"
+
+func TestParseStatement(t *testing.T) {
+	for name, c := range map[string]struct {
+		sql  string
+		want Statement
+		sent string // to a server, with 250 ms to wait
+		err  error
+	}{
+		"read": {read, Statement{ID: "9b1f", Class: "basket", WaitMs: 480, Group: 2, After: 1767225600123, Key: "7f3a"},
+			"SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=basket,d=250,cluster=2,after=1767225600123 */", nil},
+		"write, a retry, names not known": {
+			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=20.5 ,c=order */;`,
+			Statement{ID: "1", Class: "order", WaitMs: 20.5, Retry: true, Key: "7f3a"},
+			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=250 ,c=order */;`, nil},
+		"a comment inside the value": {"SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=3 */",
+			Statement{ID: "2", Class: "a", WaitMs: 3, Key: "/* id=0,c=x,d=1 */"}, "SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=250 */", nil},
+		"no comment":         {"SELECT 1", Statement{}, "", ErrNoComment},
+		"comment not last":   {"SELECT /* id=2,c=a,d=3 */ 1", Statement{}, "", ErrNoComment},
+		"no wait":            {"SELECT 1 /* id=2,c=a */", Statement{}, "", ErrNoComment},
+		"overlapping marks":  {"SELECT 1 /*/", Statement{}, "", ErrNoComment},
+		"wait out of range":  {"SELECT 1 /* id=2,c=a,d=NaN */", Statement{}, "", cmpopts.AnyError},
+		"group not a number": {"SELECT 1 /* id=2,c=a,d=1,cluster=q */", Statement{}, "", cmpopts.AnyError},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := ParseStatement(c.sql)
+			if !cmp.Equal(err, c.err, cmpopts.EquateErrors()) {
+				t.Fatalf("error %v, want %v", err, c.err)
+			}
+			if diff := cmp.Diff(c.want, got, cmpopts.IgnoreUnexported(Statement{})); diff != "" {
+				t.Error(diff)
+			}
+			if err == nil {
+				if diff := cmp.Diff(string(AppendQuery(nil, c.sent)), string(got.AppendQuery(nil, 250))); diff != "" {
+					t.Error(diff)
+				}
+			}
+		})
+	}
+}
+
+// TestReaderInPieces guards against taking a message for whole, or losing one, by how the bytes happen to come in.
+func TestReaderInPieces(t *testing.T) {
+	ssl := []byte{0, 0, 0, 8, 4, 210, 22, 47}
+	stream := append(ssl, AppendStartup(nil, "u", "d")...)
+	stream = AppendReady(AppendQuery(AppendQuery(stream, read), ""))
+	want := []string{"startup 1", "startup 0", "Q" + read + "\x00", "Q\x00", "ZI"}
+	for size := 1; size <= len(stream); size++ {
+		r := NewReader(1 << 10)
+		var got []string
+		for part := range slices.Chunk(stream, size) {
+			r.Feed(part)
+			for len(got) < 2 {
+				kind, ok, err := r.Startup()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				got = append(got, []string{"startup 0", "startup 1"}[kind])
+			}
+			for len(got) >= 2 {
+				m, ok, err := r.Next()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !ok {
+					break
+				}
+				got = append(got, string(m.Type)+string(m.Body))
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" || r.Pending() != 0 {
+			t.Fatalf("in pieces of %d, %d bytes left: %s", size, r.Pending(), diff)
+		}
+	}
+}
+
+func TestReaderBounds(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"message longer than the bound": {'Q', 0, 0, 8, 0},
+		"length that leaves itself out": {'Q', 0, 0, 0, 3},
+		"length of 4 GiB":               {'Q', 255, 255, 255, 255},
+	} {
+		r := NewReader(1 << 10)
+		r.Feed(b)
+		if _, _, err := r.Next(); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, b := range map[string][]byte{
+		"startup too long": {0, 1, 0, 0, 0, 3, 0, 0},
+		"version 2":        {0, 0, 0, 8, 0, 2, 0, 0},
+	} {
+		r := NewReader(1 << 10)
+		r.Feed(b)
+		if _, _, err := r.Startup(); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestBodies(t *testing.T) {
+	e := AppendError(nil, "ERROR", "53300", "full", "250")
+	if got := ErrorCode(e[5:]); got != "53300" {
+		t.Errorf("code %q", got)
+	}
+	for _, bad := range []string{"", "C", "C53300", "\x00"} {
+		if got := ErrorCode([]byte(bad)); got != "" {
+			t.Errorf("%q: code %q", bad, got)
+		}
+	}
+	if got, err := Column([]byte("\x00\x01\x00\x00\x00\x02ab")); string(got) != "ab" || err != nil {
+		t.Errorf("column %q, %v", got, err)
+	}
+	for _, bad := range []string{"", "\x00\x02\x00\x00\x00\x00", "\x00\x01\x00\x00\x00\x03ab"} {
+		if _, err := Column([]byte(bad)); !errors.Is(err, ErrMalformed) {
+			t.Errorf("%q: %v", bad, err)
+		}
+	}
+}
