--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -32,6 +32,7 @@
 	core  *core.Core
 	front *front.Postgres
 	pool  *backend.Pool
+	ready func(addr string) // called once, when it serves; may be nil
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
@@ -52,8 +53,11 @@
 func (p *pooler) start() {
 	dir := discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
 	p.core.Start(p.pool, dir)
-	p.log.Info("serving", "listen", p.cfg.Listen, "servers", len(p.cfg.Known.Instances),
+	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
+	if p.ready != nil {
+		p.ready(p.loop.Addr())
+	}
 }
 
 // run serves until a signal comes and nothing is owed any more.
--- /dev/null
+++ b/cmd/beechgrade/story_test.go
@@ -0,0 +1,387 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/config"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/pgwire"
+)
+
+// patience bounds every wait of a test; none depends on how soon something comes.
+const patience = 20 * time.Second
+
+// peer is one end of a connection, spoken by hand.
+type peer struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	_ = c.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { _ = c.Close() })
+	return &peer{t, c, bufio.NewReader(c)}
+}
+
+// message reads one message; its type is 0 at the end of the connection.
+func (p *peer) message() (typ byte, body []byte) {
+	var head [5]byte
+	if _, err := io.ReadFull(p.in, head[:]); err != nil {
+		return 0, nil
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, _ = io.ReadFull(p.in, body)
+	return head[0], body
+}
+
+// answer reads up to ReadyForQuery, or the connection's end, and sums it up: the types, and a row's value or an error's code.
+func (p *peer) answer() string {
+	var types, says string
+	for {
+		typ, body := p.message()
+		switch typ {
+		case 0:
+			return types + "$" + says
+		case 'D':
+			v, _ := pgwire.Column(body)
+			says = " " + string(v)
+		case 'E':
+			says = " " + pgwire.ErrorCode(body)
+		}
+		if types += string(typ); typ == 'Z' {
+			return types + says
+		}
+	}
+}
+
+func (p *peer) want(answer string) {
+	p.t.Helper()
+	if got := p.answer(); got != answer {
+		p.t.Fatalf("got %q, want %q", got, answer)
+	}
+}
+
+func (p *peer) send(b []byte) { _, _ = p.Write(b) }
+
+func query(id, class string, wait int) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%s,c=%s,d=%d,cluster=0 */", id, class, wait))
+}
+
+// row is a server's whole answer.
+func row(value string) []byte {
+	b := []byte{'T', 0, 0, 0, 6, 0, 0, 'D', 0, 0, 0, byte(10 + len(value)), 0, 1, 0, 0, 0, byte(len(value))}
+	b = pgwire.AppendComplete(append(b, value...), "SELECT 1")
+	b = append(b, "S\x00\x00\x00\x11role\x00primary\x00"...)
+	return pgwire.AppendReady(b)
+}
+
+// asked is a query that came to a scripted server.
+type asked struct {
+	*peer
+	sql  string
+	conn int // the number of its connection, from 1
+}
+
+// server is a scripted server: it welcomes connections and hands out what they are asked.
+func server(t *testing.T) (addr string, queries <-chan asked) {
+	l := listen(t)
+	ch := make(chan asked, 100)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func(n int) {
+				p := newPeer(t, c)
+				var size [4]byte
+				if _, err := io.ReadFull(p.in, size[:]); err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, p.in, int64(binary.BigEndian.Uint32(size[:]))-4)
+				p.send(pgwire.AppendWelcome(nil))
+				for {
+					typ, body := p.message()
+					if typ == 0 {
+						ch <- asked{p, "(gone)", n}
+						return
+					}
+					sql, _ := pgwire.Text(body)
+					ch <- asked{p, sql, n}
+				}
+			}(n)
+		}
+	}()
+	return l.Addr().String(), ch
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func next(t *testing.T, queries <-chan asked) asked {
+	t.Helper()
+	select {
+	case q := <-queries:
+		return q
+	case <-time.After(patience):
+		t.Fatal("the server was asked nothing")
+		return asked{}
+	}
+}
+
+// start runs a pooler before one server, the primary of its group. watch is discovery's answer to a watch.
+func start(t *testing.T, server string, watch http.HandlerFunc) (addr string, stop chan<- os.Signal, done <-chan error) {
+	if watch == nil {
+		watch = func(w http.ResponseWriter, r *http.Request) {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}
+	dir := httptest.NewServer(watch)
+	t.Cleanup(func() { dir.CloseClientConnections(); dir.Close() })
+	cfg := &config.Config{Name: "test", Listen: "127.0.0.1:0", Discovery: dir.Listener.Addr().String(),
+		Limits: config.Limits{MemoryMB: 192, Sockets: 1024}, Classes: []string{"read", "write"},
+		ConnectTimeoutMs: 5000, IdleMs: 30000,
+		Known: discovery.List{Generation: 4, Reset: true, Instances: []discovery.Instance{
+			{ID: "s-1", HostPort: server, Lifecycle: "up", Weight: 1, Role: "primary"}}},
+		Settings: beechgrade.Settings{Siblings: 1, Tick: 2 * time.Millisecond, AskList: true, ListShowsRole: true,
+			ListRoleLive: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 8, Classes: []beechgrade.Class{
+				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.ReadAny},
+				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.Write, Effect: beechgrade.Unsafe}}}}
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	ready, ended, sig := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1)
+	p.ready = func(addr string) { ready <- addr }
+	go func() { ended <- p.run(sig) }()
+	t.Cleanup(func() {
+		select {
+		case sig <- syscall.SIGTERM:
+		default:
+		}
+	})
+	select {
+	case addr = <-ready:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	return addr, sig, ended
+}
+
+func dial(t *testing.T, addr string) *peer {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newPeer(t, c)
+}
+
+// client connects and starts up.
+func client(t *testing.T, addr string) *peer {
+	p := dial(t, addr)
+	p.send(pgwire.AppendStartup(nil, "backend", "store"))
+	p.want("RSSSSZ")
+	return p
+}
+
+// TestServes: startup and queries arrive in pieces or run together; answers come in the order of the commands, and the
+// second command reaches a server only once the first is answered, on the same connection.
+func TestServes(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := dial(t, pooler)
+	c.send([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	if b, _ := c.in.ReadByte(); b != 'N' {
+		t.Fatalf("encryption: %q", b)
+	}
+	for _, b := range append(pgwire.AppendStartup(nil, "backend", "store"), query("1", "read", 9000)...) {
+		c.send([]byte{b})
+	}
+	c.want("RSSSSZ")
+	c.send(append(query("2", "read", 9000), pgwire.AppendQuery(nil, "")...))
+	for n, id := range []string{"1", "2"} {
+		q := next(t, queries)
+		var wait int
+		_, err := fmt.Sscanf(q.sql, "SELECT content FROM kv WHERE name = 'k' /* id="+id+",c=read,d=%d,cluster=0 */", &wait)
+		if err != nil || wait <= 0 || wait > 9000 || q.conn != 1 || len(queries) != 0 {
+			t.Fatalf("query %d: %q on connection %d, %d more", n, q.sql, q.conn, len(queries))
+		}
+		q.send(row("v" + id))
+		c.want("TDCZ v" + id)
+	}
+	c.want("IZ")
+}
+
+// TestResetMayHaveRun: a write whose connection breaks after its last byte has one answer, and not one that asks the client
+// to try again; it is not sent a second time.
+func TestResetMayHaveRun(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	c.send(query("1", "write", 9000))
+	_ = next(t, queries).Close()
+	c.want("EZ 58000")
+	if q := next(t, queries); q.sql != "(gone)" || len(queries) != 0 {
+		t.Errorf("the server was asked %q", q.sql)
+	}
+}
+
+// TestUnreachableNeverRan: a connection that breaks before the query is written proves that the write did not run, so the
+// client is told that trying again is harmless.
+func TestUnreachableNeverRan(t *testing.T) {
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	pooler, _, _ := start(t, l.Addr().String(), nil)
+	c := client(t, pooler)
+	c.send(query("1", "write", 400))
+	c.want("EZ 53300")
+}
+
+// TestGoneClient: when a client goes, its attempt is called off by closing the server's connection, which carries nothing
+// after that.
+func TestGoneClient(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	c.send(query("1", "read", 9000))
+	next(t, queries)
+	_ = c.Close()
+	if q := next(t, queries); q.sql != "(gone)" || q.conn != 1 {
+		t.Fatalf("after the client went: %q", q.sql)
+	}
+	c = client(t, pooler)
+	c.send(query("2", "read", 9000))
+	q := next(t, queries)
+	q.send(row("v"))
+	if c.want("TDCZ v"); q.conn != 2 {
+		t.Errorf("on connection %d", q.conn)
+	}
+}
+
+// TestBadInputEndsItsConnectionAlone: what breaks the protocol costs nobody else anything; what is only no request costs
+// not even its connection.
+func TestBadInputEndsItsConnectionAlone(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	for name, bad := range map[string][]byte{
+		"too long": {'Q', 127, 0, 0, 0}, "no type known": {0, 0, 0, 0, 4}, "text without end": {'Q', 0, 0, 0, 5, 'x'}} {
+		p := client(t, pooler)
+		p.send(bad)
+		if got := p.answer(); got != "E$ 08P01" {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+	for sql, want := range map[string]string{"SELECT 1": "EZ 42601", "SET a = 1": "CZ", ";": "IZ",
+		"SELECT 1 /* id=1,c=other,d=5 */": "EZ 42601"} {
+		c.send(pgwire.AppendQuery(nil, sql))
+		c.want(want)
+	}
+	c.send(query("1", "read", 9000))
+	next(t, queries).send(row("v"))
+	c.want("TDCZ v")
+}
+
+// TestWatch: a watch that is refused is asked for again, from the same generation; what it then tells binds: nothing more
+// goes to a server that drains.
+func TestWatch(t *testing.T) {
+	addr, queries := server(t)
+	var calls atomic.Int32
+	told := make(chan string, 9)
+	pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
+		told <- r.URL.String()
+		if calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintf(w, "\n{\"generation\":5,\"reset\":false,\"instances\":[{\"instanceId\":\"s-1\",\"hostPort\":%q,\"lifecycle\":\"draining\"}]}\n", addr)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	for range 2 {
+		select {
+		case got := <-told:
+			if got != "/v1/endpoints?watch=1&from=4" {
+				t.Fatalf("asked %s", got)
+			}
+		case <-time.After(patience):
+			t.Fatal("no watch was asked for")
+		}
+	}
+	c := client(t, pooler)
+	go func() {
+		for q := range queries {
+			q.send(row("v"))
+		}
+	}()
+	for end := time.Now().Add(patience); ; { // until the news has come, the server may be asked
+		c.send(query("1", "read", 400))
+		switch got := c.answer(); {
+		case got == "EZ 53300":
+			return
+		case got != "TDCZ v":
+			t.Fatalf("got %q", got)
+		case time.Now().After(end):
+			t.Fatal("a server that drains is still asked")
+		}
+	}
+}
+
+// TestStop: after SIGTERM what was taken is answered, new connections are still served for a while, and the process ends
+// well once nothing is owed.
+func TestStop(t *testing.T) {
+	addr, queries := server(t)
+	pooler, stop, done := start(t, addr, nil)
+	c := client(t, pooler)
+	c.send(query("1", "read", 9000))
+	held := next(t, queries)
+	stop <- syscall.SIGTERM
+	began := time.Now()
+	late := client(t, pooler)
+	late.send(query("2", "read", 9000))
+	next(t, queries).send(row("v2"))
+	late.want("TDCZ v2")
+	if got := late.answer(); got != "$" {
+		t.Errorf("the idle client was told %q", got)
+	}
+	held.send(row("v1"))
+	c.want("TDCZ v1")
+	select {
+	case err := <-done:
+		if took := time.Since(began); err != nil || took < 700*time.Millisecond {
+			t.Errorf("ended after %v: %v", took, err)
+		}
+	case <-time.After(patience):
+		t.Error("the process did not end")
+	}
+	if _, err := net.Dial("tcp", pooler); err == nil || !strings.Contains(err.Error(), "refused") {
+		t.Errorf("after the end: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,22 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWholeMillisecondsAreExact: a position and the commit that it must reach are compared for equality, so neither may
+// move by a nanosecond on its way to the decision module.
+func TestWholeMillisecondsAreExact(t *testing.T) {
+	for _, ms := range []int64{1, 999, 1767225600123, 1767225600124} {
+		if got := Span(FromUnix(ms)); got != time.Duration(ms)*time.Millisecond {
+			t.Errorf("%d ms became %d ns", ms, got)
+		}
+		if got := Millis(Span(FromUnix(ms))); got != float64(ms) {
+			t.Errorf("%d ms came back as %v", ms, got)
+		}
+	}
+	if now, unix := System().Now(), float64(time.Now().UnixMilli()); now > unix+1000 || now < unix-1000 {
+		t.Errorf("the clock says %v, Unix time is %v", now, unix)
+	}
+}
--- /dev/null
+++ b/internal/discovery/http_test.go
@@ -0,0 +1,48 @@
+package discovery
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestReply guards against reading a list by how its bytes come in: chunks and lines do not end together.
+func TestReply(t *testing.T) {
+	for name, c := range map[string]struct {
+		in    string
+		want  []string
+		ended bool
+		fails bool
+	}{
+		"watch": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"6;x=1\r\n{\"a\":1\r\n4\r\n}\n\n{\r\n1\r\n\n\r\n", []string{`{"a":1}`, "{"}, false, false},
+		"watch that ends": {"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", []string{"ab"}, true, false},
+		"stated length":   {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab\ncd", []string{"ab", "cd"}, true, false},
+		"refused":         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", nil, true, false},
+		"not HTTP":        {"SSH-2.0\r\n\r\n", nil, false, true},
+		"bad chunk":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", nil, false, true},
+		"bad length":      {"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", nil, false, true},
+		"endless head":    {"HTTP/1.1 200 OK\r\n" + strings.Repeat("a: b\r\n", 4000), nil, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, size := range []int{1, 2, 3, 7, len(c.in)} {
+				var r reply
+				var got []string
+				var err error
+				for part := range slices.Chunk([]byte(c.in), size) {
+					if err = r.feed(part, func(line []byte) error { got = append(got, string(line)); return nil }); err != nil {
+						break
+					}
+				}
+				if (err != nil) != c.fails {
+					t.Fatalf("in pieces of %d: error %v", size, err)
+				}
+				if diff := cmp.Diff(c.want, got); diff != "" || r.ended != c.ended {
+					t.Fatalf("in pieces of %d: ended %v: %s", size, r.ended, diff)
+				}
+			}
+		})
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -80,6 +80,7 @@
 	accept func() Handler
 	start  func()
 
+	addr string // that it listens on
 	eng  gnet.Engine
 	el   gnet.EventLoop
 	heap deadline.Heap
@@ -124,6 +125,9 @@
 	go func() { _ = l.eng.Stop(context.Background()) }()
 }
 
+// Addr is the address that the loop listens on, with its port where any was asked for.
+func (l *Loop) Addr() string { return l.addr }
+
 // Now is the time in milliseconds.
 func (l *Loop) Now() float64 { return l.clk.Now() }
 
@@ -192,8 +196,9 @@
 		l.log.Error("listener", "err", err)
 		return gnet.Shutdown
 	}
+	l.addr = sockAddr(sa)
 	go func() {
-		if nc, err := net.Dial("tcp", sockAddr(sa)); err == nil {
+		if nc, err := net.Dial("tcp", l.addr); err == nil {
 			_ = nc.Close()
 		}
 	}()
--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,25 @@
+package slots
+
+import "testing"
+
+// TestLateRefFindsNothing: a callback that comes after its connection has gone must not reach the slot's next tenant.
+func TestLateRefFindsNothing(t *testing.T) {
+	var tab Table[string]
+	old := tab.Put("old")
+	tab.Drop(old)
+	tab.Drop(old)
+	next := tab.Put("next")
+	if next.Index != old.Index {
+		t.Fatalf("the slot was not used again: %v, %v", old, next)
+	}
+	if v, ok := tab.Get(old); ok {
+		t.Errorf("the old ref finds %q", v)
+	}
+	tab.Drop(old)
+	if v, ok := tab.Get(next); !ok || v != "next" || tab.Len() != 1 {
+		t.Errorf("got %q, %v, %d in use", v, ok, tab.Len())
+	}
+	if _, ok := tab.Get(Ref{}); ok {
+		t.Error("the zero ref finds something")
+	}
+}
