--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -151,7 +151,8 @@
 }
 
 // start runs a pooler before one server, the primary of its group. watch is discovery's answer to a watch.
-func start(t *testing.T, server string, watch http.HandlerFunc) (addr string, stop chan<- os.Signal, done <-chan error) {
+// change may change what the pooler is told.
+func start(t *testing.T, server string, watch http.HandlerFunc, change ...func(*config.Config)) (addr string, stop chan<- os.Signal, done <-chan error) {
 	if watch == nil {
 		watch = func(w http.ResponseWriter, r *http.Request) {
 			w.(http.Flusher).Flush()
@@ -169,6 +170,9 @@
 			ListRoleLive: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 8, Classes: []beechgrade.Class{
 				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.ReadAny},
 				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.Write, Effect: beechgrade.Unsafe}}}}
+	for _, f := range change {
+		f(cfg)
+	}
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
 	ready, ended, sig := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1)
 	p.ready = func(addr string) { ready <- addr }
@@ -245,23 +249,50 @@
 	}
 }
 
-// TestUnreachableNeverRan: a connection that breaks before the query is written proves that the write did not run, so the
-// client is told that trying again is harmless.
+// TestUnreachableNeverRan: a connection that breaks, or does not come up, before the query is written proves that the write
+// did not run, so the client is told that trying again is harmless.
 func TestUnreachableNeverRan(t *testing.T) {
-	l := listen(t)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_ = c.Close()
-		}
-	}()
-	pooler, _, _ := start(t, l.Addr().String(), nil)
+	for name, then := range map[string]func(net.Conn){
+		"breaks": func(c net.Conn) { _ = c.Close() }, "never comes up": func(net.Conn) {}} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					t.Cleanup(func() { _ = c.Close() })
+					then(c)
+				}
+			}()
+			pooler, _, _ := start(t, l.Addr().String(), nil, func(c *config.Config) { c.ConnectTimeoutMs = 50 })
+			c := client(t, pooler)
+			c.send(query("1", "write", 400))
+			c.want("EZ 53300")
+		})
+	}
+}
+
+// TestProbeFindsThePrimary: while no primary is known, a write waits for what a probe tells of the role.
+func TestProbeFindsThePrimary(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) {
+		c.Known.Instances[0].Role, c.Settings.MayProbe = "replica", true
+	})
 	c := client(t, pooler)
-	c.send(query("1", "write", 400))
-	c.want("EZ 53300")
+	c.send(query("1", "write", 9000))
+	q := next(t, queries)
+	if q.sql != "SHOW load" {
+		t.Fatalf("asked %q", q.sql)
+	}
+	q.send(row(fmt.Sprintf("x0=%d.25,x1=1", time.Now().Unix()-1)))
+	q = next(t, queries)
+	if !strings.Contains(q.sql, "id=1,") || q.conn != 1 {
+		t.Fatalf("asked %q on connection %d", q.sql, q.conn)
+	}
+	q.send(row("v"))
+	c.want("TDCZ v")
 }
 
 // TestGoneClient: when a client goes, its attempt is called off by closing the server's connection, which carries nothing
