--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -84,10 +84,8 @@
 
 // row is a server's whole answer.
 func row(value string) []byte {
-	b := []byte{'T', 0, 0, 0, 6, 0, 0, 'D', 0, 0, 0, byte(10 + len(value)), 0, 1, 0, 0, 0, byte(len(value))}
-	b = pgwire.AppendComplete(append(b, value...), "SELECT 1")
-	b = append(b, "S\x00\x00\x00\x11role\x00primary\x00"...)
-	return pgwire.AppendReady(b)
+	b := pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte(value)), "SELECT 1")
+	return pgwire.AppendReady(pgwire.AppendParameter(b, "role", "primary"))
 }
 
 // asked is a query that came to a scripted server.
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -146,12 +146,36 @@
 	dst = end(append(dst, 0, 0, 0, 0), at)
 	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}} {
-		dst, at = begin(dst, 'S')
-		dst = end(appendStr(appendStr(dst, p[0]), p[1]), at)
+		dst = AppendParameter(dst, p[0], p[1])
 	}
 	return AppendReady(dst)
 }
 
+// AppendParameter appends a ParameterStatus.
+func AppendParameter(dst []byte, name, value string) []byte {
+	dst, at := begin(dst, 'S')
+	return end(appendStr(appendStr(dst, name), value), at)
+}
+
+// oidBytea is the type of every column.
+const oidBytea = 17
+
+// AppendRow appends the RowDescription and the DataRow of one value; nil is NULL.
+func AppendRow(dst []byte, column string, value []byte) []byte {
+	dst, at := begin(dst, 'T')
+	dst = appendStr(append(dst, 0, 1), column)
+	dst = append(dst, 0, 0, 0, 0, 0, 0) // no table
+	dst = binary.BigEndian.AppendUint32(dst, oidBytea)
+	dst = append(dst, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 1) // size and modifier unknown, binary
+	dst, at = begin(end(dst, at), 'D')
+	dst = append(dst, 0, 1)
+	if value == nil {
+		return end(append(dst, 0xff, 0xff, 0xff, 0xff), at)
+	}
+	dst = binary.BigEndian.AppendUint32(dst, uint32(len(value)))
+	return end(append(dst, value...), at)
+}
+
 // AppendReady appends ReadyForQuery, outside a transaction.
 func AppendReady(dst []byte) []byte { return append(dst, 'Z', 0, 0, 0, 5, 'I') }
 
