Close idle server connections first when clients need descriptors

A story guards it: gnet's loop ends if accept fails for want of a descriptor, so there must never be more connections than the limit.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -32,7 +32,6 @@
 	core  *core.Core
 	front *front.Postgres
 	pool  *backend.Pool
-	ready func(addr string) // called once, when it serves; may be nil
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
@@ -45,7 +44,9 @@
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
 		IdleMs:   cfg.IdleMs * idlePart,
 		MaxConns: func() int { return min(most, sockets-p.front.Sessions()) }}, p.core)
-	p.front = front.NewPostgres(p.loop, log, p.core, func() int { return sockets - max(least, p.pool.Conns()) })
+	p.front = front.NewPostgres(p.loop, log, p.core, func() bool {
+		return p.front.Sessions()+max(least, p.pool.Conns()) <= sockets || p.pool.Conns() > least && p.pool.CloseOldest()
+	})
 	return p
 }
 
@@ -55,9 +56,6 @@
 	p.core.Start(p.pool, dir)
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
-	if p.ready != nil {
-		p.ready(p.loop.Addr())
-	}
 }
 
 // run serves until a signal comes and nothing is owed any more.
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -173,7 +173,7 @@
 	}
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
 	ready, ended, sig := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1)
-	p.ready = func(addr string) { ready <- addr }
+	p.loop.Ready = func() { ready <- p.loop.Addr() }
 	go func() { ended <- p.run(sig) }()
 	t.Cleanup(func() {
 		select {
@@ -383,6 +383,27 @@
 	}
 }
 
+// TestDescriptorsRunShort: gnet's loop ends if it cannot accept, so there are never more connections than descriptors: a
+// new client takes an idle one's place.
+func TestDescriptorsRunShort(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
+	var clients []*peer
+	for range 8 { // two are kept for the server
+		clients = append(clients, client(t, pooler))
+	}
+	clients[0].send(query("1", "read", 9000)) // not idle
+	q := next(t, queries)
+	client(t, pooler)
+	clients[1].want("$")
+	q.send(row("v"))
+	clients[0].want("TDCZ v")
+	for _, c := range clients[2:] {
+		c.send(pgwire.AppendQuery(nil, ""))
+		c.want("IZ")
+	}
+}
+
 // TestStop: after SIGTERM what was taken is answered, new connections are still served for a while, and the process ends
 // well once nothing is owed.
 func TestStop(t *testing.T) {
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -37,13 +37,14 @@
 	log      *slog.Logger
 	desk     Desk
 	sessions slots.Table[*session]
-	max      func() int // sessions there may be now
+	room     func() bool // whether the descriptors allow the sessions there are
 	draining bool
 }
 
-// NewPostgres makes a front. max tells how many sessions there may be, by the descriptors left.
-func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, max func() int) *Postgres {
-	return &Postgres{loop: l, log: log, desk: desk, max: max}
+// NewPostgres makes a front. room tells whether the descriptors allow the sessions there are; it may make
+// room.
+func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, room func() bool) *Postgres {
+	return &Postgres{loop: l, log: log, desk: desk, room: room}
 }
 
 // Accept makes the handler of a new connection.
@@ -97,7 +98,7 @@
 // Opened is loop's.
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
-	if s.front.sessions.Len() > s.front.max() && !s.front.closeIdle(s) {
+	if !s.front.room() && !s.front.closeIdle(s) {
 		s.front.log.Warn("too many clients", "sessions", s.front.sessions.Len())
 		s.fatal(codeRefused, "too many clients")
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -75,6 +75,10 @@
 // may be called from anywhere.
 type Loop struct {
 	gnet.BuiltinEventEngine
+
+	// Ready, if it is set before Run, runs on the loop once it serves and its connection to itself has gone.
+	Ready func()
+
 	clk    clock.Clock
 	log    *slog.Logger
 	accept func() Handler
@@ -198,8 +202,15 @@
 	}
 	l.addr = sockAddr(sa)
 	go func() {
-		if nc, err := net.Dial("tcp", l.addr); err == nil {
-			_ = nc.Close()
+		nc, err := net.Dial("tcp", l.addr)
+		if err != nil {
+			l.log.Error("no connection to the own address", "err", err)
+			l.End()
+			return
+		}
+		_ = nc.Close()
+		if l.Ready != nil {
+			l.Post(l.Ready)
 		}
 	}()
 	return gnet.None
