Close a connection to an address that its server has left once it is free

Seen by reading internal/backend: SetAddress closed the idle connections of a server that moved, but one in use at that time went back among the idle ones and carried the next requests to the old address. ready() is at fault; the other ways into the idle list (dial, greeting) end in it too. Checked: the new story TestServerMoves fails without the change (the request goes to the old address and is refused after its time) and passes with it.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -404,6 +404,69 @@
 	}
 }
 
+// TestRefusalSaysWhenToComeBack: a request given up is answered when the module gives it up, not held back so that the client
+// cannot ask again; where advice is allowed, field D has the wait.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	addr, _ := server(t)
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) {
+		c.Known.Instances[0].Cell, c.Settings.MaxRetryAfter = 9, 1500*time.Millisecond
+	})
+	c := client(t, pooler)
+	began := time.Now()
+	c.send(query("1", "read", 2000)) // nobody serves its group: it has half its time
+	typ, body := c.message()
+	if took := time.Since(began); typ != 'E' || !strings.Contains(string(body), "\x00D1500\x00") || took > patience/2 {
+		t.Errorf("after %v: %q %q", took, typ, body)
+	}
+}
+
+// TestServerMoves: a server that the list shows at another address is asked there, though a connection to the old one was in
+// use when the news came and is free now.
+func TestServerMoves(t *testing.T) {
+	old, atOld := server(t)
+	moved, atNew := server(t)
+	tell := make(chan struct{})
+	pooler, _, _ := start(t, old, func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		select {
+		case <-tell:
+			fmt.Fprintf(w, "{\"generation\":5,\"instances\":[{\"instanceId\":\"s-1\",\"hostPort\":%q,\"lifecycle\":\"up\",\"role\":\"primary\"}]}\n", moved)
+			w.(http.Flusher).Flush()
+		case <-r.Context().Done():
+		}
+		<-r.Context().Done()
+	})
+	c, other := client(t, pooler), client(t, pooler)
+	c.send(query("1", "read", 9000))
+	held := next(t, atOld)
+	close(tell)
+	for came, end := false, time.Now().Add(patience); !came; { // until the news has come
+		if time.Now().After(end) {
+			t.Fatal("the new address is never asked")
+		}
+		other.send(query("2", "read", 9000))
+		for answered := false; !answered; {
+			select {
+			case q := <-atOld:
+				if answered = q.sql != "(gone)"; answered {
+					q.send(row("v"))
+				}
+			case q := <-atNew:
+				q.send(row("v"))
+				came, answered = true, true
+			case <-time.After(patience):
+				t.Fatal("nobody was asked")
+			}
+		}
+		other.want("TDCZ v")
+	}
+	held.send(row("v"))
+	c.want("TDCZ v")
+	c.send(query("3", "read", 9000))
+	next(t, atNew).send(row("v3"))
+	c.want("TDCZ v3")
+}
+
 // TestStop: after SIGTERM what was taken is answered, new connections are still served for a while, and the process ends
 // well once nothing is owed.
 func TestStop(t *testing.T) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -106,12 +106,12 @@
 	pool    *Pool
 	ref     slots.Ref
 	store   *store
+	addr    string // that it was dialled to
 	c       *loop.Conn
 	state   state
 	in      pgwire.Reader
 	attempt *attempt
 	sent    bool // the attempt's last byte was handed to the socket or its buffer
-	idleAt  float64
 	idleNo  uint64
 	timer   *deadline.Timer // of coming up, then of idling
 
@@ -129,7 +129,8 @@
 	return &Pool{loop: l, log: log, opt: opt, events: events, stores: map[string]*store{}}
 }
 
-// SetAddress tells where a server listens. Idle connections to an address that it has left are closed.
+// SetAddress tells where a server listens. Connections to an address that it has left are closed, those in
+// use once they are free.
 func (p *Pool) SetAddress(id, addr string) {
 	s := p.stores[id]
 	if s == nil {
@@ -173,9 +174,6 @@
 	}
 }
 
-// Held is the number of attempts and probes that are out.
-func (p *Pool) Held() int { return p.attempts.Len() }
-
 // Conns is the number of connections, those on their way up included.
 func (p *Pool) Conns() int { return p.conns.Len() }
 
@@ -209,7 +207,7 @@
 		p.log.Warn("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
 		return
 	}
-	c := &conn{pool: p, store: s, in: pgwire.NewReader(most)}
+	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(most)}
 	c.ref = p.conns.Put(c)
 	s.dialing++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
@@ -309,6 +307,11 @@
 
 // ready makes a connection carry the next attempt, or idle.
 func (c *conn) ready() {
+	c.state = idle
+	if c.addr != c.store.addr { // the server has moved since: whatever still listens there is another
+		c.c.Close()
+		return
+	}
 	if w := c.store.waiting; len(w) > 0 {
 		a := w[0]
 		c.store.waiting = w[1:]
@@ -316,13 +319,11 @@
 		return
 	}
 	p := c.pool
-	c.state = idle
-	c.idleAt = p.loop.Now()
 	p.idleSeq++
 	c.idleNo = p.idleSeq
 	c.store.idle = append(c.store.idle, c)
 	p.loop.Stop(c.timer)
-	c.timer = p.loop.At(c.idleAt+p.opt.IdleMs, c.c.Close)
+	c.timer = p.loop.At(p.loop.Now()+p.opt.IdleMs, c.c.Close)
 }
 
 // carry writes an attempt's query.
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -26,7 +26,6 @@
 	codeProtocol    = "08P01"
 	codeRefused     = "53300"
 	codeFailed      = "58000"
-	codeShutdown    = "57P01"
 	codeSyntax      = "42601"
 	codeUnsupported = "0A000"
 )
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -92,7 +92,6 @@
 	armd float64 // time for which wake is set, 0 for none
 
 	depth int // callbacks that run inside each other: a close within a write, say
-	conns int
 
 	mu     sync.Mutex
 	posted []func() // before the loop is known
@@ -135,9 +134,6 @@
 // Now is the time in milliseconds.
 func (l *Loop) Now() float64 { return l.clk.Now() }
 
-// Conns is the number of connections that are open.
-func (l *Loop) Conns() int { return l.conns }
-
 // At runs f on the loop at the given time.
 func (l *Loop) At(ms float64, f func()) *deadline.Timer { return l.heap.Add(ms, f) }
 
@@ -245,7 +241,6 @@
 	if l.el == nil {
 		l.begin(gc.EventLoop())
 	}
-	l.conns++
 	c, ok := gc.Context().(*Conn)
 	if !ok {
 		c = &Conn{loop: l, h: l.accept()}
@@ -272,7 +267,6 @@
 // OnClose is gnet's.
 func (l *Loop) OnClose(gc gnet.Conn, err error) gnet.Action {
 	defer l.enter()()
-	l.conns--
 	if c, ok := gc.Context().(*Conn); ok && !c.gone {
 		c.h.Closed(err)
 		c.gone = true
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -22,7 +22,7 @@
 	}
 	x, err := strconv.ParseFloat(v, 64)
 	if err != nil && p.err == nil {
-		p.err = fmt.Errorf("PROVISION: %s: %w", key, err)
+		p.err = fmt.Errorf("%s: %w", key, err)
 	}
 	return x
 }
@@ -34,7 +34,7 @@
 	}
 	x, err := strconv.ParseInt(v, 10, 64)
 	if err != nil && p.err == nil {
-		p.err = fmt.Errorf("PROVISION: %s: %w", key, err)
+		p.err = fmt.Errorf("%s: %w", key, err)
 	}
 	return time.Duration(x)
 }
@@ -54,7 +54,7 @@
 func (p *pairs) count(key string) int {
 	n := int(p.dur(key))
 	if (n < 0 || n > maxCount) && p.err == nil {
-		p.err = fmt.Errorf("PROVISION: %s: %d out of range", key, n)
+		p.err = fmt.Errorf("%s: %d out of range", key, n)
 		return 0
 	}
 	return n
@@ -137,7 +137,7 @@
 		if i < len(bounds) {
 			b, err := strconv.ParseInt(bounds[i], 10, 64)
 			if err != nil {
-				return s, 0, fmt.Errorf("PROVISION: staleness bound: %w", err)
+				return s, 0, fmt.Errorf("staleness bound: %w", err)
 			}
 			c.Bound = time.Duration(b)
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -158,7 +158,7 @@
 			var zero time.Duration
 			var err error
 			if it.Settings, zero, err = Settings(pairs); err != nil {
-				return err
+				return fmt.Errorf("PROVISION: %w", err)
 			}
 			d.zero[it.Front] = zero
 		}
