--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -34,7 +34,12 @@
 			{
 				Name:   "serve",
 				Usage:  "serve clients until SIGTERM; what it needs to know is in $EDGE_CONFIG",
-				Action: func(_ context.Context, c *cli.Command) error { return serve(c.Bool("verbose")) },
+				Action: func(_ context.Context, c *cli.Command) error {
+					if c.Args().Present() { // serve is the default: a mistyped command must not start it
+						return fmt.Errorf("unknown command or argument %q; see --help", c.Args().First())
+					}
+					return serve(c.Bool("verbose"))
+				},
 			},
 			{
 				Name:  "check",
--- /dev/null
+++ b/cmd/beechgrade/main_test.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+)
+
+func TestCommandLine(t *testing.T) {
+	for _, c := range []struct{ args, config, out, err string }{
+		{"version", "", "beechgrade ", ""},
+		{"check", "../../example/config.json", "3 classes", ""},
+		{"check", "nowhere.json", "", "EDGE_CONFIG"},
+		{"serve", "", "", "EDGE_CONFIG: not set"},
+		{"", "", "", "EDGE_CONFIG: not set"},
+		{"sreve", "../../example/config.json", "", `"sreve"`}, // serve is the default, but not for this
+	} {
+		t.Setenv("EDGE_CONFIG", c.config)
+		var out bytes.Buffer
+		cmd := command()
+		cmd.Writer = &out
+		err := cmd.Run(context.Background(), strings.Fields("beechgrade "+c.args))
+		if !strings.Contains(out.String(), c.out) || (err != nil) != (c.err != "") || err != nil && !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%q: printed %q, error %v", c.args, out.String(), err)
+		}
+	}
+}
