--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -32,8 +32,8 @@
 		Flags:          []cli.Flag{verbose},
 		Commands: []*cli.Command{
 			{
-				Name:   "serve",
-				Usage:  "serve clients until SIGTERM; what it needs to know is in $EDGE_CONFIG",
+				Name:  "serve",
+				Usage: "serve clients until SIGTERM; what it needs to know is in $EDGE_CONFIG",
 				Action: func(_ context.Context, c *cli.Command) error {
 					if c.Args().Present() { // serve is the default: a mistyped command must not start it
 						return fmt.Errorf("unknown command or argument %q; see --help", c.Args().First())
