Hold servers' answers to a strict grammar; drop connections with extra bytes

A trace of every byte from servers showed rows whose type is wrong (skipped, and ReadyForQuery then ended the answer), rows whose length does not fit, noise, a second copy of an answer in the same write, which then answered the connection's next request, and positions and reports that are no number. At fault: backend.message took any order and type up to Z; conn.settled handed a connection on with bytes left in its reader; report() left out what it could not read. Now: pgwire.Answer takes one form only, and fails on the first bytes that cannot become good; what is spoilt has failed and may have run. A connection is handed on only with an empty reader and socket, and what arrives on an idle one closes it. Unreadable reports end a probe as Failed, which the module takes for an answer that tells nothing. The new tests fail on the old code.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -272,6 +272,55 @@
 	}
 }
 
+// TestSpoiltAnswer: what is no whole good answer is never passed on, however it begins; the write may have run, so its client
+// is told that nothing is promised, and the connection is of no further use.
+func TestSpoiltAnswer(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	good := string(row("v"))
+	for n, bad := range []string{"\xbf noise", strings.Replace(good, "D\x00", "q\x00", 1), good[:len(good)-6] + "Z\x00\x00\x00\x05T",
+		strings.Replace(good, "D\x00\x00\x00\x0b", "D\xc0\x00\x00\x0b", 1), strings.Replace(good, "D\x00\x00\x00\x0b", "D\x00\x00\x00\x02", 1)} {
+		c.send(query("1", "write", 9000))
+		q := next(t, queries)
+		q.send([]byte(bad))
+		c.want("EZ 58000")
+		if gone := next(t, queries); gone.sql != "(gone)" || q.conn != n+1 {
+			t.Fatalf("%q: the server was asked %q, the write came on connection %d", bad, gone.sql, q.conn)
+		}
+	}
+}
+
+// TestExtraAnswer: what a server sends beyond its answer would be taken for the answer to the next request, so the connection
+// is not used again, whether it comes at once, while another request waits for the connection, or while it is idle.
+func TestExtraAnswer(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	for n, extra := range []string{string(row("v")), "\xbf", "S"} {
+		c.send(query("1", "read", 9000))
+		q := next(t, queries)
+		q.send(append(row("v"), extra...))
+		c.want("TDCZ v")
+		c.send(query("2", "read", 9000))
+		if gone := next(t, queries); gone.sql == "(gone)" {
+			q = next(t, queries)
+		} else {
+			q = gone
+			next(t, queries)
+		}
+		if q.sql == "(gone)" || q.conn != 2*n+2 {
+			t.Fatalf("%q: asked %q on connection %d", extra, q.sql, q.conn)
+		}
+		q.send(row("w"))
+		c.want("TDCZ w")
+		q.send([]byte(extra))
+		if gone := next(t, queries); gone.sql != "(gone)" {
+			t.Fatalf("%q while idle: asked %q", extra, gone.sql)
+		}
+	}
+}
+
 // TestProbeFindsThePrimary: while no primary is known, a write waits for what a probe tells of the role.
 func TestProbeFindsThePrimary(t *testing.T) {
 	addr, queries := server(t)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -51,11 +51,11 @@
 	MaxConns         func() int // over all servers, by the descriptors left now
 }
 
-// most is the longest message accepted from a server.
-const most = 1 << 18
-
-// keepAnswer is how much of a buffer a connection keeps from one answer to the next.
-const keepAnswer = 1 << 14
+const (
+	most       = 1 << 17 // of a message from a server; an Answer has tighter bounds
+	keepAnswer = 1 << 14 // of a buffer, from one answer to the next
+	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
+)
 
 // Pool holds the connections to all servers.
 type Pool struct {
@@ -116,11 +116,9 @@
 	timer   *deadline.Timer // of coming up, then of idling
 
 	// of the answer that is coming in
+	reading pgwire.Answer
 	answer  []byte
-	row     []byte
-	hasRow  bool
-	done    bool
-	code    string
+	row     []byte // of a probe's
 	outcome Outcome
 }
 
@@ -207,7 +205,7 @@
 		p.log.Warn("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
 		return
 	}
-	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(most)}
+	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(most), reading: pgwire.Welcome()}
 	c.ref = p.conns.Put(c)
 	s.dialing++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
@@ -308,7 +306,9 @@
 // ready makes a connection carry the next attempt, or idle.
 func (c *conn) ready() {
 	c.state = idle
-	if c.addr != c.store.addr { // the server has moved since: whatever still listens there is another
+	// Where the server has moved since, whatever still listens there is another. What it sent beyond its answer
+	// would be taken for the answer to the next request.
+	if c.addr != c.store.addr || c.in.Pending() > 0 || !c.c.Quiet() {
 		c.c.Close()
 		return
 	}
@@ -333,7 +333,7 @@
 	p.loop.Stop(c.timer)
 	p.loop.Stop(a.connect)
 	c.state, c.attempt, a.conn = busy, a, c
-	c.answer, c.row, c.hasRow, c.done, c.code, c.outcome = c.answer[:0], nil, false, false, "", Outcome{}
+	c.reading, c.answer, c.row, c.outcome = pgwire.Reply(), c.answer[:0], nil, Outcome{}
 	if a.query == nil {
 		p.scratch = pgwire.AppendQuery(p.scratch[:0], "SHOW load")
 	} else {
@@ -358,12 +358,16 @@
 
 // Data is loop's.
 func (c *conn) Data(b []byte) {
+	if c.state == idle { // nothing was asked: it would answer what is asked next
+		c.pool.log.Warn("server sent what was not asked for", "store", c.store.id, "bytes", len(b))
+		c.c.Close()
+		return
+	}
 	c.in.Feed(b)
-	for c.state != closed {
-		m, ok, err := c.in.Next()
+	for c.state == greeting || c.state == busy {
+		m, ok, err := c.reading.Next(&c.in)
 		if err != nil {
-			c.pool.log.Warn("server broke the protocol", "store", c.store.id, "err", err)
-			c.c.Close()
+			c.spoilt(err)
 			return
 		}
 		if !ok {
@@ -373,21 +377,25 @@
 	}
 }
 
+// spoilt ends a connection whose server cannot be understood. What it carried has failed and may have run.
+func (c *conn) spoilt(err error) {
+	c.pool.log.Warn("server broke the protocol", "store", c.store.id, "err", err)
+	if c.attempt != nil {
+		c.pool.drop(c.attempt, beechgrade.Failed)
+		return
+	}
+	c.c.Close()
+}
+
 func (c *conn) message(m pgwire.Message) {
 	switch m.Type {
-	case 'T':
-		c.answer = append(c.answer[:0], m.Raw...)
+	case 'T', 'C':
+		c.answer = append(c.answer, m.Raw...)
 	case 'D':
-		c.hasRow = true
 		c.answer = append(c.answer, m.Raw...)
 		if c.attempt != nil && c.attempt.query == nil {
 			c.row = append([]byte(nil), m.Body...)
 		}
-	case 'C':
-		c.done = true
-		c.answer = append(c.answer, m.Raw...)
-	case 'E':
-		c.code = pgwire.ErrorCode(m.Body)
 	case 'S':
 		c.parameter(m.Body)
 	case 'Z':
@@ -400,16 +408,21 @@
 	if err != nil {
 		return
 	}
-	switch name {
+	switch name { // the first that can be read counts
 	case "role":
-		c.outcome.Role = c.pool.role(val)
+		if c.outcome.Role == beechgrade.RoleUnknown {
+			c.outcome.Role = c.pool.role(val)
+		}
 	case c.pool.opt.PositionName:
-		if ms, err := strconv.ParseInt(val, 10, 64); err == nil {
+		if ms, err := strconv.ParseInt(val, 10, 64); err == nil && !c.outcome.HasPos && c.pool.position(clock.FromUnix(ms)) {
 			c.outcome.Position, c.outcome.HasPos = clock.FromUnix(ms), true
 		}
 	}
 }
 
+// position tells whether a server may have got so far.
+func (p *Pool) position(ms float64) bool { return ms > 0 && ms <= p.loop.Now()+aheadMs }
+
 func (p *Pool) role(val string) beechgrade.Role {
 	switch val {
 	case p.opt.Roles[0]:
@@ -433,7 +446,7 @@
 		if o.Result == beechgrade.OK {
 			o.Answer = c.answer
 			if a.query == nil {
-				o = report(c.row)
+				o = p.report(c.row)
 			}
 		}
 		c.attempt, a.conn = nil, nil
@@ -448,9 +461,9 @@
 
 // result reads the outcome by what came before ReadyForQuery.
 func (c *conn) result() beechgrade.Result {
-	switch c.code {
+	switch c.reading.Code {
 	case "":
-		if c.hasRow && c.done {
+		if c.reading.Served {
 			return beechgrade.OK
 		}
 	case "25006", "72000":
@@ -461,27 +474,29 @@
 	return beechgrade.Failed
 }
 
-// report reads a load report's row.
-func report(row []byte) Outcome {
+// report reads a load report's row. One with nothing in it, as a server that has none yet sends, tells that
+// the server is there; one that cannot be read tells nothing.
+func (p *Pool) report(row []byte) Outcome {
 	o := Outcome{Result: beechgrade.OK}
 	col, err := pgwire.Column(row)
-	if err != nil {
+	if err == nil && len(col) == 0 {
 		return o
 	}
 	for name, val := range pgwire.Pairs(string(col)) {
 		x, err := strconv.ParseFloat(val, 64)
-		if err != nil {
-			continue
-		}
-		switch name {
-		case "x0": // in seconds; down to whole milliseconds, as a printed figure may have been rounded up
+		switch {
+		case err != nil:
+		case name == "x0" && p.position(x*1000): // down to whole milliseconds, as a printed figure may have been rounded up
 			o.Position, o.HasPos = clock.FromUnix(int64(x*1000)), true
-		case "x1":
-			if o.Role = beechgrade.RoleReplica; x == 1 {
-				o.Role = beechgrade.RolePrimary
-			}
+		case name == "x1" && x == 1:
+			o.Role = beechgrade.RolePrimary
+		case name == "x1" && x == 0:
+			o.Role = beechgrade.RoleReplica
 		}
 	}
+	if !o.HasPos || o.Role == beechgrade.RoleUnknown {
+		return Outcome{Result: beechgrade.Failed}
+	}
 	return o
 }
 
@@ -507,7 +522,7 @@
 		if !c.sent || unsent > 0 { // its last byte never left: it cannot have run
 			r = beechgrade.Unreachable
 		}
-		if c.code == "53300" || c.code == "57P03" {
+		if c.reading.Code == "53300" || c.reading.Code == "57P03" {
 			r = beechgrade.Full
 		}
 		p.end(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPos: c.outcome.HasPos})
@@ -517,7 +532,7 @@
 
 // refused ends a connection that broke while coming up. A server with too many turns away in words.
 func (c *conn) refused() {
-	if c.code == "53300" && len(c.store.waiting) >= c.store.dialing && len(c.store.waiting) > 0 {
+	if c.reading.Code == "53300" && len(c.store.waiting) >= c.store.dialing && len(c.store.waiting) > 0 {
 		a := c.store.waiting[0]
 		c.pool.unqueue(a)
 		defer c.pool.end(a, Outcome{Result: beechgrade.Full})
--- /dev/null
+++ b/internal/pgwire/answer.go
@@ -0,0 +1,180 @@
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+)
+
+const (
+	maxValue  = 64 << 10 // of a value, by the platform's protocol
+	maxSmall  = 8 << 10  // of any message but a row
+	maxAnswer = 1 << 17  // of all messages of one answer together
+)
+
+// place is how far an answer has come.
+type place uint8
+
+const (
+	placeAuth     place = iota // a connection's welcome: AuthenticationOk is due
+	placeWelcome               // ...then what precedes ReadyForQuery
+	placeDescribe              // a statement's answer: RowDescription is due
+	placeData                  // ...the row
+	placeComplete              // ...CommandComplete
+	placeReady                 // ReadyForQuery
+	placeEnd
+)
+
+// Answer reads what a server says up to ReadyForQuery and holds it to the one form that is good: one row of
+// one column, complete, or an error. A server that sends anything else cannot be believed in the rest.
+type Answer struct {
+	place  place
+	size   int
+	Served bool   // a whole row came, with nothing against it
+	Code   string // an error's
+}
+
+// Welcome is the Answer that is due on a connection that has sent its startup message.
+func Welcome() Answer { return Answer{place: placeAuth} }
+
+// Reply is the Answer that is due to a statement.
+func Reply() Answer { return Answer{place: placeDescribe} }
+
+// Done tells whether ReadyForQuery has come.
+func (a *Answer) Done() bool { return a.place == placeEnd }
+
+// Next takes the answer's next message from r. What cannot become good is an error as soon as its first
+// bytes show it: the rest might never come.
+func (a *Answer) Next(r *Reader) (Message, bool, error) {
+	if err := a.head(r.buf[r.off:]); err != nil {
+		return Message{}, false, err
+	}
+	m, ok, err := r.Next()
+	if err != nil || !ok {
+		return Message{}, false, err
+	}
+	if a.size += len(m.Raw); a.size > maxAnswer {
+		return Message{}, false, fmt.Errorf("%w: an answer of over %d bytes", ErrMalformed, maxAnswer)
+	}
+	if err := a.take(m); err != nil {
+		return Message{}, false, err
+	}
+	return m, true, nil
+}
+
+// due tells whether a message of this type may come now.
+func (a *Answer) due(typ byte) bool {
+	switch typ {
+	case 'N', 'S':
+		return a.place != placeAuth && a.place != placeEnd
+	case 'E':
+		return a.place != placeReady && a.place != placeEnd
+	case 'R':
+		return a.place == placeAuth
+	case 'K':
+		return a.place == placeWelcome
+	case 'T':
+		return a.place == placeDescribe
+	case 'D':
+		return a.place == placeData
+	case 'C':
+		return a.place == placeComplete
+	case 'Z':
+		return a.place == placeWelcome && a.Code == "" || a.place == placeReady
+	}
+	return false
+}
+
+// head checks what there is of the next message.
+func (a *Answer) head(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if !a.due(b[0]) {
+		return fmt.Errorf("%w: type %q is not due", ErrMalformed, b[0])
+	}
+	if len(b) < 5 {
+		return nil
+	}
+	n, most := binary.BigEndian.Uint32(b[1:]), uint32(maxSmall)
+	switch b[0] {
+	case 'D':
+		most = maxValue + 10
+	case 'R':
+		most = 8
+	case 'Z':
+		most = 5
+	}
+	if n < 4 || n > most {
+		return fmt.Errorf("%w: type %q with length %d", ErrMalformed, b[0], n)
+	}
+	if b[0] == 'D' && len(b) >= 11 {
+		if size := int32(binary.BigEndian.Uint32(b[7:])); int64(max(size, 0))+10 != int64(n) || size < -1 {
+			return fmt.Errorf("%w: a value of %d bytes in a row of %d", ErrMalformed, size, n)
+		}
+	}
+	return nil
+}
+
+// take checks a whole message that is due.
+func (a *Answer) take(m Message) error {
+	good := true
+	switch m.Type {
+	case 'R':
+		good = len(m.Body) == 4 && binary.BigEndian.Uint32(m.Body) == 0
+		a.place = placeWelcome
+	case 'S':
+		_, _, err := Parameter(m.Body)
+		good = err == nil
+	case 'K':
+		good = len(m.Body) >= 8
+	case 'N':
+		good = fields(m.Body)
+	case 'E':
+		a.Code = ErrorCode(m.Body)
+		if good = fields(m.Body) && len(a.Code) == 5; a.place != placeWelcome && a.place != placeAuth {
+			a.place = placeReady
+		}
+	case 'T':
+		good = oneColumn(m.Body)
+		a.place = placeData
+	case 'D':
+		_, err := Column(m.Body)
+		good = err == nil
+		a.place = placeComplete
+	case 'C':
+		_, err := Text(m.Body)
+		good = err == nil
+		a.place = placeReady
+	case 'Z':
+		if good = string(m.Body) == "I"; good {
+			a.Served = a.place == placeReady && a.Code == ""
+			a.place = placeEnd
+		}
+	}
+	if !good {
+		return fmt.Errorf("%w: body of type %q", ErrMalformed, m.Type)
+	}
+	return nil
+}
+
+// oneColumn tells whether a RowDescription's body describes one column.
+func oneColumn(body []byte) bool {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return false
+	}
+	_, rest, ok := bytes.Cut(body[2:], []byte{0})
+	return ok && len(rest) == 18
+}
+
+// fields tells whether the body of an error or a notice is made of whole fields.
+func fields(body []byte) bool {
+	for len(body) > 1 {
+		_, rest, ok := bytes.Cut(body[1:], []byte{0})
+		if !ok || body[0] == 0 {
+			return false
+		}
+		body = rest
+	}
+	return len(body) == 1 && body[0] == 0
+}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -220,8 +220,8 @@
 // Parameter reads the body of a ParameterStatus.
 func Parameter(body []byte) (name, value string, err error) {
 	n, rest, ok := bytes.Cut(body, []byte{0})
-	v, _, ok2 := bytes.Cut(rest, []byte{0})
-	if !ok || !ok2 {
+	v, rest, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 || len(rest) > 0 {
 		return "", "", fmt.Errorf("%w: ParameterStatus", ErrMalformed)
 	}
 	return string(n), string(v), nil
@@ -233,7 +233,7 @@
 		return nil, fmt.Errorf("%w: DataRow is not of one column", ErrMalformed)
 	}
 	n := int32(binary.BigEndian.Uint32(body[2:]))
-	if n < 0 {
+	if n == -1 && len(body) == 6 {
 		return nil, nil
 	}
 	if int(n) != len(body)-6 {
--- a/router.go
+++ b/router.go
@@ -722,8 +722,8 @@
 	}
 	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
-	if e.Result == Full || e.Result != OK && slow {
-		return
+	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
+		return // an answer that tells nothing: it neither takes a store out nor back
 	}
 	if e.Result != OK {
 		s.probeFails++
--- a/router_test.go
+++ b/router_test.go
@@ -1095,6 +1095,21 @@
 	}
 }
 
+// TestUnreadableReportTellsNothing: a probe answered with what cannot be read neither takes a store out of use nor back.
+func TestUnreadableReportTellsNothing(t *testing.T) {
+	g := trio(t, nil)
+	for _, was := range []health{healthy, down} {
+		s := g.r.stores["p"]
+		s.health = was
+		g.r.probe(s, 0)
+		g.do(&ProbeResult{Store: "p", Result: Failed})
+		if s.health != was || s.probing {
+			t.Errorf("health %v became %v, probing %v", was, s.health, s.probing)
+		}
+		g.now += time.Second
+	}
+}
+
 // TestUnseenRequestHasHalfItsTime guards against keeping a write for a primary that does not come until too late
 // for its client to ask again: nothing is gained by the second half, and a late refusal without an attempt costs
 // 0.3 of the worth. One whose connection failed is as unseen as one never sent; one that was missed is not.
