Read the configuration again on SIGHUP and move to the new discovery at once

Now: SIGHUP has a channel of its own; the file is read and checked whole off the loop, and a bad one is logged and leaves all as it was. Discovery, limits, connect time-out and idle time are applied; name, listen, settings and classes are named in the log as needing a restart. The file's discovery goes before EDGE_DISCOVERY then, as the environment cannot change. discovery.Move gives up what is open at the old address without a word, asks the new one for its list from generation 0, and for the whole list where the first answer is not whole; a watch opened so is taken over by the module's next Subscribe.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -76,6 +76,10 @@
 }
 
 func serve(verbose bool) error {
+	// Each has a channel of its own: a signal that finds its channel full is dropped, and one of the same kind will do.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -88,8 +92,13 @@
 	// The loop sits in a system call while it waits. With one processor, Go hands that on to timers and
 	// dials only after its monitor has looked, up to 10 ms later; with two, at once.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
+	limitMemory(cfg)
+	p := newPooler(cfg, log)
+	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
+	return p.run(stop, reload)
+}
+
+// limitMemory leaves the runtime a part of what the machine has; the rest is for stacks and what the limit does not see.
+func limitMemory(cfg *config.Config) {
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	return newPooler(cfg, log).run(stop)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -32,41 +32,66 @@
 	core  *core.Core
 	front *front.Postgres
 	pool  *backend.Pool
+	dir   *discovery.Client
+	load  func() (*config.Config, error) // reads the configuration again
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
 	p := &pooler{cfg: cfg, log: log}
 	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
 	p.core = core.New(p.loop, log, cfg)
-	sockets := cfg.Limits.Sockets - reserved
-	most, least := int(poolMost*float64(sockets)), int(poolLeast*float64(sockets))
+	sockets := func() int { return p.cfg.Limits.Sockets - reserved }
+	part := func(x float64) int { return int(x * float64(sockets())) }
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
 		IdleMs:   cfg.IdleMs * idlePart,
-		MaxConns: func() int { return min(most, sockets-p.front.Sessions()) }}, p.core)
+		MaxConns: func() int { return min(part(poolMost), sockets()-p.front.Sessions()) }}, p.core)
 	p.front = front.NewPostgres(p.loop, log, p.core, func() bool {
-		return p.front.Sessions()+max(least, p.pool.Conns()) <= sockets || p.pool.Conns() > least && p.pool.CloseOldest()
+		least := part(poolLeast)
+		return p.front.Sessions()+max(least, p.pool.Conns()) <= sockets() || p.pool.Conns() > least && p.pool.CloseOldest()
 	})
 	return p
 }
 
 // start runs on the loop before anything else.
 func (p *pooler) start() {
-	dir := discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
-	p.core.Start(p.pool, dir)
+	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
+	p.core.Start(p.pool, p.dir)
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
 
-// run serves until a signal comes and nothing is owed any more.
-func (p *pooler) run(stop <-chan os.Signal) error {
+// run serves until a signal to stop comes and nothing is owed any more; one to reload changes the configuration.
+func (p *pooler) run(stop, reload <-chan os.Signal) error {
 	go func() {
 		<-stop
 		p.loop.Post(p.drain)
 	}()
+	go func() {
+		for range reload {
+			next, err := p.load()
+			if err != nil {
+				p.log.Error("configuration not taken; the old one stays", "err", err)
+				continue
+			}
+			p.loop.Post(func() { p.apply(next) })
+		}
+	}()
 	return p.loop.Run(p.cfg.Listen)
 }
 
+// apply takes a new configuration, as far as that goes while serving.
+func (p *pooler) apply(next *config.Config) {
+	changed, kept := p.cfg.Apply(next)
+	p.log.Info("configuration read again", "changed", changed)
+	if len(kept) > 0 {
+		p.log.Warn("cannot change while serving, needs a restart", "kept", kept)
+	}
+	limitMemory(p.cfg)
+	p.pool.SetTimes(p.cfg.ConnectTimeoutMs, p.cfg.IdleMs*idlePart)
+	p.dir.Move(p.cfg.Discovery)
+}
+
 // drain ends the service: connections are closed as they fall idle, and the process goes when none is
 // left. New ones keep coming for a while, as the clients' side hears of the restart late.
 func (p *pooler) drain() {
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -151,6 +152,13 @@
 // start runs a pooler before one server, the primary of its group. watch is discovery's answer to a watch.
 // change may change what the pooler is told.
 func start(t *testing.T, server string, watch http.HandlerFunc, change ...func(*config.Config)) (addr string, stop chan<- os.Signal, done <-chan error) {
+	addr, _, stop, done = startReload(t, server, watch, nil, change...)
+	return addr, stop, done
+}
+
+// startReload is start with a way to send SIGHUP; load is what the pooler then reads.
+func startReload(t *testing.T, server string, watch http.HandlerFunc, load func(config.Config) (*config.Config, error),
+	change ...func(*config.Config)) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
 	if watch == nil {
 		watch = func(w http.ResponseWriter, r *http.Request) {
 			w.(http.Flusher).Flush()
@@ -172,9 +180,11 @@
 		f(cfg)
 	}
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
-	ready, ended, sig := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1)
+	first := *cfg
+	p.load = func() (*config.Config, error) { return load(first) }
+	ready, ended, sig, again := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	p.loop.Ready = func() { ready <- p.loop.Addr() }
-	go func() { ended <- p.run(sig) }()
+	go func() { ended <- p.run(sig, again) }()
 	t.Cleanup(func() {
 		select {
 		case sig <- syscall.SIGTERM:
@@ -186,7 +196,7 @@
 	case err := <-ended:
 		t.Fatal(err)
 	}
-	return addr, sig, ended
+	return addr, again, sig, ended
 }
 
 func dial(t *testing.T, addr string) *peer {
@@ -432,6 +442,82 @@
 	}
 }
 
+// TestReload: on SIGHUP a configuration that cannot be used changes nothing. One that names another discovery is followed at
+// once: it is asked for its whole list, as its generations are its own, and the old one's end is not taken for its failure.
+func TestReload(t *testing.T) {
+	atOld, old := server(t)
+	atNew, moved := server(t)
+	calls := make(chan string, 9)
+	watch := func(name, addr string, gen int, then func(*http.Request)) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			reset := !r.URL.Query().Has("from") // a service that takes any version for one of its own
+			calls <- name + r.URL.String()
+			fmt.Fprintf(w, "{\"generation\":%d,\"reset\":%v,\"instances\":[{\"instanceId\":\"s-%s\",\"hostPort\":%q,\"lifecycle\":\"up\",\"role\":\"primary\"}]}\n",
+				gen, reset, name, addr)
+			w.(http.Flusher).Flush()
+			if !reset {
+				then(r)
+			}
+		}
+	}
+	wait := func(r *http.Request) { <-r.Context().Done() }
+	next2 := httptest.NewServer(watch("2", atNew, 2, wait))
+	t.Cleanup(func() { next2.CloseClientConnections(); next2.Close() })
+	loads, closed := 0, make(chan struct{})
+	pooler, hup, _, _ := startReload(t, atOld, watch("1", atOld, 40, func(r *http.Request) { wait(r); close(closed) }),
+		func(c config.Config) (*config.Config, error) {
+			if loads++; loads == 1 {
+				return nil, errors.New("no good")
+			}
+			c.Discovery = next2.Listener.Addr().String()
+			return &c, nil
+		})
+	told := func(want string) {
+		t.Helper()
+		select {
+		case got := <-calls:
+			if got != want {
+				t.Fatalf("asked %s, want %s", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("not asked: %s", want)
+		}
+	}
+	told("1/v1/endpoints?watch=1&from=4")
+	c := client(t, pooler)
+	hup <- syscall.SIGHUP
+	c.send(query("1", "read", 9000))
+	next(t, old).send(row("v"))
+	c.want("TDCZ v")
+	hup <- syscall.SIGHUP
+	told("2/v1/endpoints?watch=1&from=0")
+	told("2/v1/endpoints") // the first answer was not the whole list
+	<-closed
+	for end, came := time.Now().Add(patience), false; !came; { // until the new list is used
+		if time.Now().After(end) {
+			t.Fatal("the new list is not used")
+		}
+		c.send(query("2", "read", 9000))
+		for answered := false; !answered; {
+			var q asked
+			select {
+			case q = <-moved:
+				came = true
+			case q = <-old:
+			case <-time.After(patience):
+				t.Fatal("nobody was asked")
+			}
+			if answered = q.sql != "(gone)"; answered {
+				q.send(row("v"))
+			}
+		}
+		c.want("TDCZ v")
+	}
+	if len(calls) > 0 {
+		t.Errorf("asked %s", <-calls)
+	}
+}
+
 // TestDescriptorsRunShort: gnet's loop ends if it cannot accept, so there are never more connections than descriptors: a
 // new client takes an idle one's place.
 func TestDescriptorsRunShort(t *testing.T) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -127,6 +127,11 @@
 	return &Pool{loop: l, log: log, opt: opt, events: events, stores: map[string]*store{}}
 }
 
+// SetTimes sets the connect time-out and the idle time; what runs already keeps its own.
+func (p *Pool) SetTimes(connectMs, idleMs float64) {
+	p.opt.ConnectTimeoutMs, p.opt.IdleMs = connectMs, idleMs
+}
+
 // SetAddress tells where a server listens. Connections to an address that it has left are closed, those in
 // use once they are free.
 func (p *Pool) SetAddress(id, addr string) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -54,28 +57,68 @@
 	defaultSockets = 1024
 	defaultMemory  = 192
 	minSockets     = 64
+	maxFile        = 16 << 20
 	defaultConnect = 250
 	defaultIdle    = 30000
 )
 
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before it.
-func Load(env func(string) string) (*Config, error) {
+func Load(env func(string) string) (*Config, error) { return load(env, false) }
+
+func load(env func(string) string, again bool) (*Config, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG: not set; it names the configuration file")
 	}
-	b, err := os.ReadFile(path)
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, maxFile+1))
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	c, err := parse(b, env)
+	if len(b) > maxFile {
+		return nil, fmt.Errorf("EDGE_CONFIG: %s: over %d bytes", path, maxFile)
+	}
+	c, err := parse(b, env, again)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(b []byte, env func(string) string) (*Config, error) {
+// Reload reads the file again while the program serves. EDGE_DISCOVERY was set at the start and cannot be set anew,
+// so the file's address goes before it.
+func Reload(env func(string) string) (*Config, error) {
+	return load(env, true)
+}
+
+// Apply takes over from next what can change while the program serves, and returns the names of what has changed
+// and what would have to but cannot. The list as last known and the seed are of use at a start only.
+func (c *Config) Apply(next *Config) (changed, kept []string) {
+	set := func(name string, differs bool, apply func()) {
+		switch {
+		case differs && apply != nil:
+			apply()
+			changed = append(changed, name)
+		case differs:
+			kept = append(kept, name)
+		}
+	}
+	set("discovery", c.Discovery != next.Discovery, func() { c.Discovery = next.Discovery })
+	set("limits", c.Limits != next.Limits, func() { c.Limits = next.Limits })
+	set("connect_timeout_ns", c.ConnectTimeoutMs != next.ConnectTimeoutMs, func() { c.ConnectTimeoutMs = next.ConnectTimeoutMs })
+	set("idle_close_ns", c.IdleMs != next.IdleMs, func() { c.IdleMs = next.IdleMs })
+	set("name", c.Name != next.Name, nil)
+	set("listen", c.Listen != next.Listen, nil)
+	set("settings", !reflect.DeepEqual(c.Settings, next.Settings), nil)
+	set("request classes' names", !slices.Equal(c.Classes, next.Classes), nil)
+	return changed, kept
+}
+
+func parse(b []byte, env func(string) string, again bool) (*Config, error) {
 	var f file
 	dec := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(b))
 	dec.UseNumber()
@@ -84,7 +127,7 @@
 	}
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
 	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
-		if v := env(name); v != "" {
+		if v := env(name); v != "" && !(again && at == &c.Discovery && c.Discovery != "") {
 			*at = v
 		}
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -45,7 +45,7 @@
 	ListFailed()
 }
 
-// Client asks discovery. It holds one watch at most.
+// Client asks discovery. It holds one watch and one call for the whole list at most.
 type Client struct {
 	loop   *loop.Loop
 	log    *slog.Logger
@@ -53,6 +53,9 @@
 	events Events
 	gen    int64
 	watch  *call
+	fetch  *call // for the whole list
+	moved  bool  // no list has come from this address: gen is not its own
+	ahead  bool  // the watch that is open was not asked for yet, but by Move
 }
 
 // New makes a client that has the list as of the given generation.
@@ -60,8 +63,29 @@
 	return &Client{loop: l, log: log, addr: addr, gen: gen, events: events}
 }
 
+// Move asks another address from now on. What is open at the old one is given up without a word, so that its end
+// is nobody's failure, and asked for anew at once. The new one counts generations for itself: its list is asked for
+// from the first.
+func (c *Client) Move(addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.gen, c.moved = addr, 0, true
+	if old := c.fetch; old != nil {
+		old.end(nil)
+		c.Fetch()
+	}
+	c.ahead = false
+	c.Watch()
+	c.ahead = true
+}
+
 // Watch asks for changes from the list that is held on, in place of a watch that may be open.
 func (c *Client) Watch() {
+	if c.ahead && c.watch != nil {
+		c.ahead = false
+		return
+	}
 	if old := c.watch; old != nil {
 		c.watch = nil
 		old.end(nil)
@@ -69,8 +93,12 @@
 	c.watch = c.call(fmt.Sprintf("/v1/endpoints?watch=1&from=%d", c.gen), true)
 }
 
-// Fetch asks for the whole list once.
-func (c *Client) Fetch() { c.call("/v1/endpoints", false) }
+// Fetch asks for the whole list once, unless that is being asked for.
+func (c *Client) Fetch() {
+	if c.fetch == nil {
+		c.fetch = c.call("/v1/endpoints", false)
+	}
+}
 
 // call is one HTTP call; it is the loop's Handler.
 type call struct {
@@ -105,6 +133,9 @@
 	}
 	k.over = true
 	c := k.client
+	if c.fetch == k {
+		c.fetch = nil
+	}
 	c.loop.Stop(k.timer)
 	if k.conn != nil {
 		k.conn.Close()
@@ -160,9 +191,14 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
+	c := k.client
 	k.told = true
-	k.client.gen = l.Generation
-	k.client.events.Listed(&l)
+	c.gen = l.Generation
+	if c.moved && k.watch && !l.Reset { // changes since what? The list that is held is another's
+		c.Fetch()
+	}
+	c.moved = c.moved && !l.Reset
+	c.events.Listed(&l)
 	return nil
 }
 
