Bound what clients hold, and evict the useless first

At fault: postgres.closeIdle passed over connections that had not started; fatal closed with input unread, a reset that overtakes the word; ParseStatement took a missing cluster; the router held requests for groups that there are not, and kept each such group for good. Now: 1 s for a startup message, 1.5 s for a message begun, 5 s for answers not read; where descriptors run short, leaving and silent clients go first, then servers' idle connections, then clients idle longest; a client turned away has its word and a moment to close; what clients have sent and waits is bounded by an eighth of the memory; open ids, writes in a class of reads, odd waits, unknown groups get an error at once.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -46,10 +46,12 @@
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
 		IdleMs:   cfg.IdleMs * idlePart,
 		MaxConns: func() int { return min(part(poolMost), sockets()-p.front.Sessions()) }}, p.core)
-	p.front = front.NewPostgres(p.loop, log, p.core, func() bool {
-		least := part(poolLeast)
-		return p.front.Sessions()+max(least, p.pool.Conns()) <= sockets() || p.pool.Conns() > least && p.pool.CloseOldest()
-	})
+	spare := func() int {
+		return sockets() - p.front.Sessions() - max(part(poolLeast), p.pool.Conns())
+	}
+	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
+		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
+		Memory: func() int { return p.cfg.Limits.MemoryMB << 20 }})
 	return p
 }
 
@@ -57,6 +59,7 @@
 func (p *pooler) start() {
 	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
 	p.core.Start(p.pool, p.dir)
+	p.front.Start()
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -397,6 +397,85 @@
 	c.want("TDCZ v")
 }
 
+// TestNoRequest: what is no request that could be asked has an error, and never reaches a server: the id of another client's
+// open request, a write in a class of reads, a class or a group that there is not.
+func TestNoRequest(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c, other := client(t, pooler), client(t, pooler)
+	c.send(query("1", "read", 9000))
+	q := next(t, queries)
+	other.send(query("1", "read", 9000))
+	other.want("EZ 42601")
+	for sql, want := range map[string]string{
+		"INSERT INTO kv (name, content) VALUES ('k', '') RETURNING content /* id=2,c=read,d=9000,cluster=0 */": "EZ 42601",
+		"SELECT content FROM kv WHERE name = 'k' /* id=3,c=reads,d=9000,cluster=0 */":                          "EZ 42601",
+		"SELECT content FROM kv WHERE name = 'k' /* id=4,c=read,d=9000 */":                                     "EZ 42601",
+		"SELECT content FROM kv WHERE name = 'k' /* id=5,c=read,d=9000,cluster=9 */":                           "EZ 53300"} {
+		other.send(pgwire.AppendQuery(nil, sql))
+		other.want(want)
+	}
+	if len(queries) > 0 {
+		t.Errorf("the server was asked %q", (<-queries).sql)
+	}
+	q.send(row("v"))
+	c.want("TDCZ v")
+	other.send(query("1", "read", 9000)) // it is open no more
+	next(t, queries).send(row("w"))
+	other.want("TDCZ w")
+}
+
+// TestSilentClients: clients that connect and say nothing, or stop within a message, are closed soon, and make room at once for
+// one that asks; neither costs a client with an open request anything.
+func TestSilentClients(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 }) // eight for clients
+	busy := client(t, pooler)
+	busy.send(query("1", "read", 9000))
+	q := next(t, queries)
+	var silent []*peer
+	for range 20 {
+		silent = append(silent, dial(t, pooler))
+	}
+	c := client(t, pooler)
+	c.send(query("2", "read", 9000))
+	q2 := next(t, queries)
+	q2.send(row("w"))
+	c.want("TDCZ w")
+	for _, p := range silent {
+		if got := p.answer(); got != "$" {
+			t.Errorf("a silent client was told %q", got)
+		}
+	}
+	for name, part := range map[string][]byte{"startup": {0, 0, 0, 50, 0, 3}, "message": append(pgwire.AppendStartup(nil, "u", "d"), 'Q', 0, 0)} {
+		p := dial(t, pooler)
+		p.send(part)
+		if got := strings.TrimPrefix(p.answer(), "RSSSSZ"); name == "startup" && got != "E$ 08P01" {
+			t.Errorf("%s: told %q", name, got)
+		} else if name == "message" {
+			p.want("E$ 08P01")
+		}
+	}
+	q.send(row("v"))
+	busy.want("TDCZ v")
+}
+
+// TestTurnedAwayWithAWord: a client for which there is no room is told so though it has sent its request already: a close with
+// that unread would be a reset, which may overtake the word.
+func TestTurnedAwayWithAWord(t *testing.T) {
+	addr, _ := server(t)
+	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
+	for n := range 6 { // four of which have a connection to the server
+		client(t, pooler).send(query(fmt.Sprint(n), "write", 19000)) // never answered
+	}
+	for range 20 {
+		c := dial(t, pooler)
+		c.send(append(pgwire.AppendStartup(nil, "backend", "store"), query("x", "read", 9000)...))
+		c.want("E$ 53300")
+		_ = c.Close()
+	}
+}
+
 // TestWatch: a watch that is refused is asked for again, from the same generation; what it then tells binds: nothing more
 // goes to a server that drains.
 func TestWatch(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,6 +21,8 @@
 // Errors of a request that cannot be put to the router.
 var (
 	ErrClass = errors.New("no such class")
+	ErrOpen  = errors.New("a request of this id is open")
+	ErrWrite = errors.New("a write in a class of reads")
 )
 
 // Servers carries out attempts and probes.
@@ -52,6 +54,7 @@
 	kinds   names
 
 	requests slots.Table[*request]
+	ids      map[string]bool // of requests
 	events   []event
 	running  bool
 	actions  []beechgrade.Action
@@ -65,6 +68,7 @@
 
 // request is one that a client asked; it stays until it is over and its attempts have ended.
 type request struct {
+	id     string
 	client front.Client
 	query  backend.Query
 	due    float64
@@ -82,7 +86,7 @@
 // New makes the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
-		classes: map[string]int{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+		classes: map[string]int{}, ids: map[string]bool{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	for i, n := range cfg.Classes {
 		c.classes[n] = i
 	}
@@ -104,8 +108,15 @@
 	if !ok {
 		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrClass)
 	}
+	if q.Writes && c.cfg.Settings.Classes[class].Read != beechgrade.Write { // a read may be repeated
+		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrWrite)
+	}
+	if c.ids[q.ID] {
+		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
+	}
+	c.ids[q.ID] = true
 	now := clock.Span(c.loop.Now())
-	ref := c.requests.Put(&request{client: client, query: q.Query, due: q.Due})
+	ref := c.requests.Put(&request{id: q.ID, client: client, query: q.Query, due: q.Due})
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat}
 	if q.After > 0 {
@@ -262,6 +273,7 @@
 func (c *Core) release(ref slots.Ref, q *request) {
 	if q.over && q.open == 0 {
 		c.requests.Drop(ref)
+		delete(c.ids, q.id)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,12 +9,14 @@
 
 // Request is what a client asks, in no protocol's form.
 type Request struct {
+	ID      string // no two open requests have the same
 	Class   string
 	Group   int
 	Session string
 	Due     float64 // on the clock: the client gives up then
 	After   float64 // on the clock: the position that the read must see, 0 for none
 	Repeat  bool
+	Writes  bool // its statement says that it changes data
 	Query   backend.Query
 }
 
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"log/slog"
 	"math"
 	"strconv"
@@ -16,7 +17,7 @@
 const (
 	maxMessage = 1 << 18 // a value of 64 KiB in hex, twice over
 	maxAhead   = 1 << 19 // bytes a client may send ahead of its answers
-	maxUnsent  = 1 << 18 // of answers a client has not read: with more, its next command waits
+	maxUnsent  = 1 << 16 // of answers a client has not read: with more, its next command waits
 	recheckMs  = 20
 	keepOut    = 1 << 14 // of a buffer, from one answer to the next
 )
@@ -35,20 +36,22 @@
 	loop     *loop.Loop
 	log      *slog.Logger
 	desk     Desk
+	budget   Budget
 	sessions slots.Table[*session]
-	room     func() bool // whether the descriptors allow the sessions there are
 	draining bool
+	held     int // bytes that clients have sent and that wait here
+	leaving  int // sessions that have had their last word
+	turned   int // clients turned away since the last sweep
 }
 
-// NewPostgres makes a front. room tells whether the descriptors allow the sessions there are; it may make
-// room.
-func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, room func() bool) *Postgres {
-	return &Postgres{loop: l, log: log, desk: desk, room: room}
+// NewPostgres makes a front.
+func NewPostgres(l *loop.Loop, log *slog.Logger, desk Desk, budget Budget) *Postgres {
+	return &Postgres{loop: l, log: log, desk: desk, budget: budget}
 }
 
 // Accept makes the handler of a new connection.
 func (p *Postgres) Accept() loop.Handler {
-	s := &session{front: p, in: pgwire.NewReader(maxMessage)}
+	s := &session{front: p, in: pgwire.NewReader(maxMessage), since: p.loop.Now()}
 	s.ref = p.sessions.Put(s)
 	return s
 }
@@ -88,48 +91,48 @@
 	recheck *deadline.Timer
 	out     []byte
 	closed  bool
+	leaving bool    // it has had its last word; what it still sends is dropped
+	since   float64 // accepted, idle, in the midst of a message, or leaving: since then
+	stuck   float64 // it has not read all of its answers since then, 0 for not so
+	held    int     // its part of the front's
+	dropped int     // bytes
 }
 
 func (s *session) idle() bool {
-	return !s.closed && s.conn != nil && !s.asking && s.in.Pending() == 0 && s.conn.Unsent() == 0
+	return !s.closed && !s.leaving && s.conn != nil && !s.asking && s.in.Pending() == 0 && s.conn.Unsent() == 0
 }
 
 // Opened is loop's.
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
-	if !s.front.room() && !s.front.closeIdle(s) {
-		s.front.log.Warn("too many clients", "sessions", s.front.sessions.Len())
+	if !s.front.admit(s) {
 		s.fatal(codeRefused, "too many clients")
 	}
 }
 
-// closeIdle closes one idle client's connection to make room for another.
-func (p *Postgres) closeIdle(but *session) bool {
-	var found *session
-	p.sessions.Each(func(_ slots.Ref, s *session) {
-		if found == nil && s != but && s.started && s.idle() && s.conn.Quiet() {
-			found = s
-		}
-	})
-	if found == nil {
-		return false
-	}
-	found.conn.Close()
-	return true
-}
-
 // Data is loop's.
 func (s *session) Data(b []byte) {
+	if s.leaving {
+		if s.dropped += len(b); s.dropped > maxDropped {
+			s.conn.Close()
+		}
+		return
+	}
+	if s.started && !s.asking && s.in.Pending() == 0 {
+		s.since = s.front.loop.Now()
+	}
 	s.in.Feed(b)
 	s.proceed()
 	if !s.closed && s.in.Pending() > maxAhead {
 		s.fatal(codeProtocol, "too much sent ahead of the answers")
 	}
+	s.front.bound()
 }
 
 // proceed takes commands one after the other: the next one once the last has its answer.
 func (s *session) proceed() {
-	for !s.closed && !s.asking {
+	defer s.count()
+	for !s.closed && !s.leaving && !s.asking {
 		if s.started && s.conn.Unsent() > maxUnsent {
 			s.later()
 			return
@@ -159,6 +162,10 @@
 	if !s.started {
 		return s.startup()
 	}
+	// By its first byte, as the rest of what is no message may be long in coming.
+	if typ, ok := s.in.Type(); ok && !strings.ContainsRune("QXSPBDECHF", rune(typ)) {
+		return false, fmt.Errorf("%w: type %q", pgwire.ErrMalformed, typ)
+	}
 	m, ok, err := s.in.Next()
 	if err != nil || !ok {
 		return false, err
@@ -184,8 +191,6 @@
 			}
 			s.send(s.out)
 		}
-	default:
-		return false, pgwire.ErrMalformed
 	}
 	return true, nil
 }
@@ -201,7 +206,7 @@
 	case pgwire.StartupCancel:
 		s.conn.Close()
 	default:
-		s.started = true
+		s.started, s.since = true, s.front.loop.Now()
 		s.send(pgwire.AppendWelcome(s.out[:0]))
 	}
 	return true, nil
@@ -224,7 +229,7 @@
 		s.answerError(codeSyntax, err.Error(), "")
 		return
 	}
-	q := Request{Class: st.Class, Group: st.Group, Session: st.Key, Due: s.front.loop.Now() + st.WaitMs,
+	q := Request{ID: st.ID, Class: st.Class, Writes: st.Writes, Group: st.Group, Session: st.Key, Due: s.front.loop.Now() + st.WaitMs,
 		Repeat: st.Retry, Query: &st}
 	if st.After > 0 {
 		q.After = clock.FromUnix(st.After)
@@ -256,16 +261,16 @@
 
 // fatal ends the connection with a word.
 func (s *session) fatal(code, text string) {
-	if s.closed {
+	if s.closed || s.leaving {
 		return
 	}
 	s.send(pgwire.AppendError(s.out[:0], "FATAL", code, text, ""))
-	s.conn.Close()
+	s.leave()
 }
 
 // answered goes on with the next command; off this call, so that the caller's work comes first.
 func (s *session) answered() {
-	s.asking, s.request = false, slots.Ref{}
+	s.asking, s.request, s.since = false, slots.Ref{}, s.front.loop.Now()
 	if s.in.Pending() > 0 || s.front.draining {
 		l := s.front.loop
 		l.At(l.Now(), s.proceed)
@@ -300,8 +305,17 @@
 		return
 	}
 	s.closed = true
+	if s.leaving {
+		s.front.leaving--
+	}
 	s.front.sessions.Drop(s.ref)
 	s.front.loop.Stop(s.recheck)
+	s.count()
+	s.gone()
+}
+
+// gone ends an open request whose client will not have its answer.
+func (s *session) gone() {
 	if s.asking {
 		s.asking = false
 		s.front.desk.Gone(s.request)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// CloseWrite ends the sending; what the other side still sends is told as before.
+func (c *Conn) CloseWrite() error {
+	if c.gone {
+		return net.ErrClosed
+	}
+	if err := unix.Shutdown(c.gc.Fd(), unix.SHUT_WR); err != nil {
+		return fmt.Errorf("shutdown: %w", err)
+	}
+	return nil
+}
+
 // Quiet tells whether the connection stands open with nothing to read: neither data nor an end that
 // the loop has not come to yet.
 func (c *Conn) Quiet() bool {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -63,6 +63,17 @@
 // Pending is the number of bytes fed and not yet returned.
 func (r *Reader) Pending() int { return len(r.buf) - r.off }
 
+// Type is the type of the next message, known by its first byte.
+func (r *Reader) Type() (typ byte, ok bool) {
+	if r.off == len(r.buf) {
+		return 0, false
+	}
+	return r.buf[r.off], true
+}
+
+// Reset drops what was fed.
+func (r *Reader) Reset() { r.buf, r.off = nil, 0 }
+
 // Startup returns the next message of a connection that has not started, and false if it is not whole.
 func (r *Reader) Startup() (StartupKind, bool, error) {
 	b := r.buf[r.off:]
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -21,16 +22,24 @@
 		"read": {read, Statement{ID: "9b1f", Class: "basket", WaitMs: 480, Group: 2, After: 1767225600123, Key: "7f3a"},
 			"SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=basket,d=250,cluster=2,after=1767225600123 */", nil},
 		"write, a retry, names not known": {
-			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=20.5 ,c=order */;`,
-			Statement{ID: "1", Class: "order", WaitMs: 20.5, Retry: true, Key: "7f3a"},
-			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=250 ,c=order */;`, nil},
-		"a comment inside the value": {"SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=3 */",
-			Statement{ID: "2", Class: "a", WaitMs: 3, Key: "/* id=0,c=x,d=1 */"}, "SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=250 */", nil},
+			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=20.5 ,c=order,cluster=0 */;`,
+			Statement{ID: "1", Class: "order", WaitMs: 20.5, Retry: true, Key: "7f3a", Writes: true},
+			`INSERT INTO kv (name, content) VALUES ('7f3a', '\x2f2a') RETURNING content /* k=9,id=1,r=1,zone=x, d=250 ,c=order,cluster=0 */;`, nil},
+		"a comment inside the value": {"SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=3,cluster=0 */",
+			Statement{ID: "2", Class: "a", WaitMs: 3, Key: "/* id=0,c=x,d=1 */"}, "SELECT '/* id=0,c=x,d=1 */' /* id=2,c=a,d=250,cluster=0 */", nil},
 		"no comment":         {"SELECT 1", Statement{}, "", ErrNoComment},
 		"comment not last":   {"SELECT /* id=2,c=a,d=3 */ 1", Statement{}, "", ErrNoComment},
 		"no wait":            {"SELECT 1 /* id=2,c=a */", Statement{}, "", ErrNoComment},
 		"overlapping marks":  {"SELECT 1 /*/", Statement{}, "", ErrNoComment},
 		"wait out of range":  {"SELECT 1 /* id=2,c=a,d=NaN */", Statement{}, "", cmpopts.AnyError},
+		"wait not a number":  {"SELECT 1 /* id=2,c=a,d=soon,cluster=1 */", Statement{}, "", cmpopts.AnyError},
+		"wait below 0":       {"SELECT 1 /* id=2,c=a,d=-5,cluster=1 */", Statement{}, "", cmpopts.AnyError},
+		"no group":           {"SELECT 1 /* id=2,c=a,d=3 */", Statement{}, "", ErrNoComment},
+		"no id":              {"SELECT 1 /* c=a,d=3,cluster=1 */", Statement{}, "", ErrNoComment},
+		"an endless id":      {"SELECT 1 /* id=" + strings.Repeat("9", 300) + ",c=a,d=3,cluster=1 */", Statement{}, "", ErrNoComment},
+		"said twice":         {"SELECT 1 /* id=2,c=a,d=3,cluster=1,id=3 */", Statement{}, "", cmpopts.AnyError},
+		"position below 0":   {"SELECT 1 /* id=2,c=a,d=3,cluster=1,after=-7 */", Statement{}, "", cmpopts.AnyError},
+		"no such kind":       {"DROP TABLE kv /* id=2,c=a,d=3,cluster=1 */", Statement{}, "", ErrStatement},
 		"group not a number": {"SELECT 1 /* id=2,c=a,d=1,cluster=q */", Statement{}, "", cmpopts.AnyError},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -11,8 +11,13 @@
 // ErrNoComment says that a statement does not end in the comment that names its request.
 var ErrNoComment = errors.New("statement has no request comment")
 
-// maxWaitMs bounds what a client may say that it waits: a day.
-const maxWaitMs = 24 * 3600 * 1000
+// ErrStatement says that a statement is of no kind that servers are asked.
+var ErrStatement = errors.New("only SELECT, INSERT, UPDATE and DELETE are taken")
+
+const (
+	maxWaitMs = 24 * 3600 * 1000 // that a client may say it waits: a day
+	maxName   = 256              // of an id or a class
+)
 
 // Statement is a client's statement with what its comment says.
 type Statement struct {
@@ -23,6 +28,7 @@
 	After  int64   // Unix ms of the session's last commit, 0 for none
 	Retry  bool
 	Key    string // the first quoted value, which names the session where there are any
+	Writes bool   // it changes data, by its first word
 
 	head, tail string // the statement up to the value of d, and from its end on
 }
@@ -35,6 +41,15 @@
 		return Statement{}, ErrNoComment
 	}
 	s := Statement{}
+	word, _, _ := strings.Cut(strings.TrimLeft(body, " \t\r\n"), " ")
+	switch strings.ToUpper(word) {
+	case "SELECT":
+	case "INSERT", "UPDATE", "DELETE":
+		s.Writes = true
+	default:
+		return Statement{}, ErrStatement
+	}
+	seen := map[string]bool{}
 	fields := body[from+2 : len(body)-2]
 	at := from + 2
 	for part := range strings.SplitSeq(fields, ",") {
@@ -47,7 +62,15 @@
 		raw := val
 		val = strings.TrimSpace(val)
 		var err error
-		switch strings.TrimSpace(name) {
+		name = strings.TrimSpace(name)
+		switch name {
+		case "id", "c", "d", "cluster", "after", "r":
+			if seen[name] {
+				return Statement{}, fmt.Errorf("comment: %s: said twice", name)
+			}
+			seen[name] = true
+		}
+		switch name {
 		case "id":
 			s.ID = val
 		case "c":
@@ -55,22 +78,27 @@
 		case "d":
 			valAt += strings.Index(raw, val)
 			s.head, s.tail = sql[:valAt], sql[valAt+len(val):]
-			if s.WaitMs, err = strconv.ParseFloat(val, 64); err == nil && !(s.WaitMs >= 0 && s.WaitMs <= maxWaitMs) {
+			if s.WaitMs, err = strconv.ParseFloat(val, 64); err == nil && !(s.WaitMs > 0 && s.WaitMs <= maxWaitMs) {
 				err = strconv.ErrRange
 			}
 		case "cluster":
 			s.Group, err = strconv.Atoi(val)
 		case "after":
-			s.After, err = strconv.ParseInt(val, 10, 64)
+			if s.After, err = strconv.ParseInt(val, 10, 64); err == nil && s.After < 0 {
+				err = strconv.ErrRange
+			}
 		case "r":
 			s.Retry = val == "1"
 		}
 		if err != nil {
-			return Statement{}, fmt.Errorf("comment: %s: %w", strings.TrimSpace(name), err)
+			return Statement{}, fmt.Errorf("comment: %s: %w", name, err)
 		}
 	}
-	if s.ID == "" || s.Class == "" || s.head == "" {
-		return Statement{}, fmt.Errorf("comment: id, c and d are needed: %w", ErrNoComment)
+	if s.ID == "" || s.Class == "" || s.head == "" || !seen["cluster"] {
+		return Statement{}, fmt.Errorf("comment: id, c, d and cluster are needed: %w", ErrNoComment)
+	}
+	if len(s.ID) > maxName || len(s.Class) > maxName {
+		return Statement{}, fmt.Errorf("comment: id or c of over %d bytes: %w", maxName, ErrNoComment)
 	}
 	if _, rest, ok := strings.Cut(body[:from], "'"); ok {
 		s.Key, _, _ = strings.Cut(rest, "'")
--- a/router.go
+++ b/router.go
@@ -419,6 +419,10 @@
 		return
 	}
 	c := &r.classes[e.Class]
+	if r.groups[e.Group] == nil && len(r.stores) > 0 { // nor does it leave a trace
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim)})
+		return
+	}
 	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
 		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, value: max(c.Worth, 1e-6), size: 1}
 	if q.last = q.aim; c.LateWorth > 0 {
--- a/router_test.go
+++ b/router_test.go
@@ -638,6 +638,7 @@
 func TestTenantOverItsShareWaits(t *testing.T) {
 	// One of 100 routers: its part of the share is one request in ten seconds, and clumps are no excess.
 	g := trio(t, func(s *Settings) { s.Siblings, s.Tenants = 100, []Tenant{{Allowance: 10}} })
+	g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "x", Group: 9}}}) // new: requests wait for its probe
 	for i := range int(tenantDepth) + 1 {
 		g.do(&Request{ID: RequestID(fmt.Sprint(i)), Class: cAny, Group: 9, Due: g.now + time.Second})
 	}
@@ -680,8 +681,7 @@
 			t.Errorf("%s: %+v", q.ID, got)
 		}
 	}
-	g.do(&Request{ID: "group", Class: cAny, Group: 77, Tenant: 5, Due: g.now + time.Second})
-	if got := finals(g.pass(time.Second)); len(got) != 1 {
+	if got := finals(g.do(&Request{ID: "group", Class: cAny, Group: 77, Tenant: 5, Due: g.now + time.Second})); len(got) != 1 {
 		t.Errorf("a group with no members: %+v", got)
 	}
 	e := newRig(t, Settings{})
@@ -1110,6 +1110,29 @@
 	}
 }
 
+// TestUnknownGroupLeavesNoTrace: what asks for groups that there are not is turned away at once, and neither that nor a
+// group whose stores have all left takes memory for good.
+func TestUnknownGroupLeavesNoTrace(t *testing.T) {
+	g := trio(t, func(s *Settings) { s.MaxRetryAfter = time.Second })
+	groups := len(g.r.groups)
+	for i := range 100 {
+		got := finals(g.do(&Request{ID: RequestID(fmt.Sprint(i)), Class: cAny, Group: 1000 + i, Due: g.now + time.Second}))
+		if len(got) != 1 || got[0].Kind != Refuse || got[0].Wait <= 0 {
+			t.Fatalf("got %+v", got)
+		}
+	}
+	g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "x", Group: 9}}})
+	g.do(&List{Kind: ListChanges, Entries: []Entry{{Store: "x", Group: 9, State: Gone}}})
+	g.ask("a", cAny) // a beat comes while something is open only
+	for range 40 {
+		g.pass(time.Second)
+		g.ask(RequestID(fmt.Sprint("a", g.now)), cAny)
+	}
+	if len(g.r.groups) != groups || len(g.r.gorder) != groups || g.r.stores["x"] != nil {
+		t.Errorf("%d groups, %d before; %v", len(g.r.groups), groups, g.r.stores["x"])
+	}
+}
+
 // TestUnseenRequestHasHalfItsTime guards against keeping a write for a primary that does not come until too late
 // for its client to ask again: nothing is gained by the second half, and a late refusal without an attempt costs
 // 0.3 of the worth. One whose connection failed is as unseen as one never sent; one that was missed is not.
--- a/state.go
+++ b/state.go
@@ -166,10 +166,15 @@
 
 func (s *store) isBusy() bool { return len(s.open) > 0 }
 
-// drop unfiles a store; the caller takes it out of the order.
+// drop unfiles a store, and with its last store a group that nothing waits in; the caller takes it out of the order.
 func (r *Router) drop(s *store) {
-	s.group.members = slices.DeleteFunc(s.group.members, func(o *store) bool { return o == s })
+	g := s.group
+	g.members = slices.DeleteFunc(g.members, func(o *store) bool { return o == s })
 	delete(r.stores, s.id)
+	if len(g.members) == 0 && len(g.held) == 0 {
+		delete(r.groups, g.id)
+		r.gorder = slices.DeleteFunc(r.gorder, func(o *group) bool { return o == g })
+	}
 }
 
 // groupOf finds a group or files it.
