Take a server out after two broken connections, not after one

A trace of the module's view showed the primary and a replica at warmth 0.15 for seconds, with 40 to 73 requests held, though no server had restarted; a trace of attempts and probes showed why: one probe reset on a kept connection took a busy store out (router.onProbe), the next probe waited 400 ms, then 800 ms, and after one more reset the store had refused for over a second and counted as restarted. Answers that came meanwhile to what was sent before changed nothing (router.alive). Now: the first refused or broken connection is a strike that a probe follows up at the next beat; a second with no answer between takes the store out. An answer to what was sent before shows that it was alive until then. The pause between probes doubles from the second failure on. Ruled out: stale kept connections (32 of 672 resets) and closes right behind an answer (caught by Quiet); most resets hit requests regardless of the connection's age.

--- a/router.go
+++ b/router.go
@@ -603,7 +603,7 @@
 		// No proof that the store is down, as answers may be lost one by one: it costs more for a while. It
 		// is left alone for a turn, but not after a first failure: nothing else may serve.
 		if e.Result == Unreachable && !r.wayTook(s, r.now-a.sent) && r.now-a.sent < stall {
-			r.bad(s, true)
+			r.refused(s)
 		} else if e.Result == Unreachable { // not refused at once: a probe tells whether it lives
 			r.probe(s, probeDown)
 		}
@@ -676,30 +676,41 @@
 	}
 }
 
-// alive notes an answer to an attempt.
+// alive notes an answer to an attempt. One sent before the store was found bad shows that it had not died till
+// now, but not that it takes more.
 func (r *Router) alive(s *store, a *attempt) {
 	s.answered = r.now
 	if a.sent >= s.badAt || s.refusedSince == 0 {
 		r.well(s)
+	} else {
+		s.refusedSince = r.now
 	}
 }
 
 // well takes a store back. One that refused connections for a while probably restarted, told or not, and is
 // cold.
 func (r *Router) well(s *store) {
-	if s.refusedSince != 0 && r.now-s.refusedSince >= outage {
+	if s.health == down && s.refusedSince != 0 && r.now-s.refusedSince >= outage {
 		s.coldFrom = max(s.coldFrom, r.now)
 	}
 	s.refusedSince, s.probeFails, s.health = 0, 0, healthy
 }
 
 // bad takes a store out of the candidates.
-func (r *Router) bad(s *store, refused bool) {
+func (r *Router) bad(s *store) {
 	if s.health != down {
 		r.act(Action{Kind: Log, Text: "store " + string(s.id) + " down"})
 	}
 	s.health, s.badAt = down, r.now
-	if refused && s.refusedSince == 0 {
+}
+
+// refused notes a connection that was refused or broke. Connections break by themselves, of stores that are well:
+// only a second one with no answer between takes the store out. A probe asks meanwhile.
+func (r *Router) refused(s *store) {
+	if s.refusedSince != 0 || s.health != healthy {
+		r.bad(s)
+	}
+	if s.refusedSince == 0 {
 		s.refusedSince = r.now
 	}
 }
@@ -731,9 +742,14 @@
 	}
 	if e.Result != OK {
 		s.probeFails++
-		r.bad(s, e.Result == Unreachable || e.Result == Reset)
+		if e.Result == Unreachable || e.Result == Reset {
+			r.refused(s)
+		} else {
+			r.bad(s)
+		}
 		return
 	}
+	s.probeFails = 0
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held before may be gone and must
@@ -742,6 +758,7 @@
 		s.health = onTrial
 		s.loseOpen()
 	}
+	s.refusedSince = 0
 	r.pump(s.group)
 }
 
@@ -819,10 +836,12 @@
 	for _, s := range g.members {
 		r.advance(s)
 		if s.health != down && r.silent(s) {
-			r.bad(s, false)
+			r.bad(s)
 		}
 		if s.health == down {
-			r.probe(s, probeDown<<min(s.probeFails, probeMost))
+			r.probe(s, probeDown<<min(max(0, s.probeFails-1), probeMost))
+		} else if s.refusedSince != 0 {
+			r.probe(s, beat)
 		} else if seek {
 			r.probe(s, r.seekEach)
 		}
