Take commands without waiting for answers; close rested clients in a crowd

At fault: no limit on rested clients below all descriptors (crowd.admit); session.proceed took the next command only after the last answer, and counted its time from then. Now: up to 16 commands of a client are open, answers go out in order, and a request's time counts from its last byte's arrival. Beyond a quarter of the descriptors the clients that rest longest are closed, 20 ms after their answer at the earliest; those that never asked go before those that did. Lists by use replace scans.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -17,6 +17,7 @@
 	reserved   = 64    // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
 	poolMost   = 0.45  // of the others, at most for connections to servers...
 	poolLeast  = 0.2   // ...and what clients leave to them
+	askPart    = 4     // clients that ask and hold 1 descriptor in so many are many
 	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
 	drainMs    = 700   // after SIGTERM clients still come
 	drainClose = 500   // ...and from here on their idle connections are closed
@@ -50,6 +51,7 @@
 		return sockets() - p.front.Sessions() - max(part(poolLeast), p.pool.Conns())
 	}
 	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
+		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
 		Memory: func() int { return p.cfg.Limits.MemoryMB << 20 }})
 	return p
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -9,23 +9,81 @@
 	messageMs = 1500  // until a message it has begun is whole
 	stuckMs   = 5000  // until it goes on reading its answers
 	lingerMs  = 250   // after its last word, until it closes
-	restMs    = 2000  // idle for so long, its connection may be closed where clients are many
+	thinMs    = 20    // idle for so long, its connection may be closed where those that ask are many
+	restMs    = 2000  // ...where clients are many
 	idleMs    = 60000 // ...and where they are few
 )
 
 const (
 	maxDropped = 1 << 18 // bytes from a client that has had its last word
 	maxLeaving = 16      // such clients
-	heldPart   = 8       // of the memory, what clients have sent and that waits here may take 1 in so many
+	heldPart   = 8       // of the memory, what waits here for clients or of theirs may take 1 in so many
 )
 
 // Budget is what the machine allows.
 type Budget struct {
 	Spare  func() int  // descriptors left for clients, below 0 where there are too many clients
-	Free   func() bool // frees one that something else uses, and tells whether there was one
+	Share  func() int  // clients with requests beyond which idle ones make room
+	Free   func() bool // frees a descriptor that something else uses, and tells whether there was one
 	Memory func() int  // bytes
 }
 
+// use ranks clients by what closing their connection would cost.
+type use int
+
+const (
+	leaving use = iota // they have had their last word
+	silent             // their startup message is not whole
+	mute               // idle, and have never put a request
+	resting            // idle
+	halfway            // in the midst of a message
+	busy               // never closed to make room
+	uses
+)
+
+func (s *session) rank() use {
+	switch {
+	case s.leaving:
+		return leaving
+	case !s.started:
+		return silent
+	case s.idle() && !s.asked:
+		return mute
+	case s.idle():
+		return resting
+	case len(s.queue) == 0 && s.in.Pending() > 0:
+		return halfway
+	}
+	return busy
+}
+
+// place files a session by its present use.
+func (s *session) place() {
+	s.count()
+	p, now := s.front, s.rank()
+	if s.at != nil && (s.closed || now != s.use) {
+		p.crowd[s.use].Remove(s.at)
+		s.at = nil
+	}
+	if s.at == nil && !s.closed {
+		s.use = now
+		s.at = p.crowd[now].PushBack(s)
+	}
+}
+
+// count brings the sum of what is held up to date.
+func (s *session) count() {
+	n := 0
+	if !s.closed {
+		n = s.in.Pending()
+		for _, a := range s.queue {
+			n += a.size
+		}
+	}
+	s.front.held += n - s.held
+	s.held = n
+}
+
 // Start begins the sweeps; it is for the loop.
 func (p *Postgres) Start() { p.loop.At(p.loop.Now()+sweepMs, p.sweep) }
 
@@ -36,22 +94,28 @@
 		if s.conn == nil {
 			return
 		}
-		age := now - s.since
+		s.place() // by now it may have read its answers
 		if s.conn.Unsent() == 0 {
 			s.stuck = 0
 		} else if s.stuck == 0 {
 			s.stuck = now
 		}
+		age := now - s.since
 		switch {
 		case s.leaving && age >= lingerMs, s.stuck != 0 && now-s.stuck >= stuckMs,
-			!s.started && s.in.Pending() == 0 && age >= startupMs, s.started && s.idle() && age >= idleMs && s.conn.Quiet():
+			s.use == silent && s.in.Pending() == 0 && age >= startupMs,
+			(s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
 			s.conn.Close()
-		case !s.started && age >= startupMs:
+		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
-		case s.started && !s.asking && s.stuck == 0 && s.in.Pending() > 0 && age >= messageMs:
+		case s.use == halfway && s.stuck == 0 && age >= messageMs:
 			s.fatal(codeProtocol, "the message is not whole in time")
 		}
 	})
+	if p.sessions.Len() > p.budget.Share() {
+		for p.evict(mute, restMs) {
+		}
+	}
 	if p.turned > 0 {
 		p.log.Warn("too many clients", "turned_away", p.turned, "sessions", p.sessions.Len())
 		p.turned = 0
@@ -64,76 +128,40 @@
 // have long been in the midst of a message.
 func (p *Postgres) admit(s *session) bool {
 	for p.budget.Spare() < 0 {
-		if !p.evict(s, silent) && !p.budget.Free() && !p.evict(s, halfway) {
+		if !p.evict(leaving, 0) && !p.evict(silent, 0) && !p.evict(mute, 0) && !p.budget.Free() &&
+			!p.evict(resting, 0) && !p.evict(halfway, sweepMs) {
 			p.turned++
 			return false
 		}
 	}
-	if p.budget.Spare() < p.sessions.Len() { // half of them are taken: what rests for long goes
-		if old := p.find(s, resting); old != nil && p.loop.Now()-old.since >= restMs {
-			old.conn.Close()
-		}
+	if p.budget.Spare() < p.sessions.Len() && !p.evict(mute, restMs) { // half of them are taken
+		p.evict(resting, restMs)
 	}
+	p.thin()
 	return true
 }
 
-// use ranks clients by what closing their connection would cost; busy ones are never closed.
-type use int
-
-const (
-	leaving use = iota
-	silent
-	resting
-	halfway
-	busy
-)
-
-func (s *session) use() use {
-	switch {
-	case s.conn == nil || s.closed || s.asking:
-		return busy
-	case s.leaving:
-		return leaving
-	case !s.started:
-		return silent
-	case s.idle():
-		return resting
-	case s.front.loop.Now()-s.since >= sweepMs:
-		return halfway
+// thin closes clients' connections that rest, where those that ask are many: clients may open only so many, and
+// some keep each for a while after a single request.
+func (p *Postgres) thin() {
+	for p.crowd[resting].Len()+p.crowd[halfway].Len()+p.crowd[busy].Len() > p.budget.Share() && p.evict(resting, thinMs) {
 	}
-	return busy
 }
 
-// find finds the client of least use, up to most, and of these the one that has been so longest; not one whose
+// evict closes the connection that has been of this use for longest, if that is as long as given; not one whose
 // next words have come and are only not read yet.
-func (p *Postgres) find(but *session, most use) *session {
-	var found *session
-	least := most
-	p.sessions.Each(func(_ slots.Ref, s *session) {
-		if u := s.use(); s != but && u <= least && (found == nil || u < least || s.since < found.since) &&
-			(u == leaving || u == halfway || s.conn.Quiet()) {
-			found, least = s, u
+func (p *Postgres) evict(u use, ms float64) bool {
+	for e := p.crowd[u].Front(); e != nil; e = e.Next() {
+		s := e.Value.(*session)
+		if p.loop.Now()-s.since < ms {
+			return false
+		}
+		if u == leaving || u == halfway || s.conn.Quiet() {
+			s.conn.Close()
+			return true
 		}
-	})
-	return found
-}
-
-func (p *Postgres) evict(but *session, most use) bool {
-	s := p.find(but, most)
-	if s != nil {
-		s.conn.Close()
-	}
-	return s != nil
-}
-
-// count brings the sum of what is held up to date.
-func (s *session) count() {
-	n := 0
-	if !s.closed && !s.leaving {
-		n = s.in.Pending()
 	}
-	s.front.held += n - s.held
-	s.held = n
+	return false
 }
 
 // bound cuts off whoever holds most while all hold too much together.
@@ -145,27 +173,10 @@
 				most = s
 			}
 		})
-		most.fatal(codeProtocol, "too much sent at once")
-		if !most.closed && !most.leaving {
+		if most == nil || most.held == 0 {
 			return
 		}
+		p.log.Warn("a client holds too much", "bytes", most.held)
+		most.conn.Close()
 	}
 }
-
-// leave ends a connection that has had its last word. A close with input unread would be a reset, which may
-// overtake that word, so the client is given a moment to close.
-func (s *session) leave() {
-	if s.closed || s.leaving {
-		return
-	}
-	if s.front.leaving >= maxLeaving || s.conn.Unsent() > 0 || s.conn.CloseWrite() != nil {
-		s.conn.Close()
-		return
-	}
-	s.leaving, s.since = true, s.front.loop.Now()
-	s.front.leaving++
-	s.front.loop.Stop(s.recheck)
-	s.in.Reset()
-	s.count()
-	s.gone()
-}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -1,10 +1,9 @@
 package front
 
 import (
+	"container/list"
 	"fmt"
 	"log/slog"
-	"math"
-	"strconv"
 	"strings"
 
 	"beechgrade/internal/clock"
@@ -16,7 +15,8 @@
 
 const (
 	maxMessage = 1 << 18 // a value of 64 KiB in hex, twice over
-	maxAhead   = 1 << 19 // bytes a client may send ahead of its answers
+	maxAhead   = 1 << 19 // bytes a client may send ahead of what is taken of them
+	maxQueue   = 16      // commands of one client that are taken and not answered
 	maxUnsent  = 1 << 16 // of answers a client has not read: with more, its next command waits
 	recheckMs  = 20
 	keepOut    = 1 << 14 // of a buffer, from one answer to the next
@@ -38,9 +38,9 @@
 	desk     Desk
 	budget   Budget
 	sessions slots.Table[*session]
+	crowd    [uses]list.List // of sessions, by use; those of longest standing first
 	draining bool
-	held     int // bytes that clients have sent and that wait here
-	leaving  int // sessions that have had their last word
+	held     int // bytes that clients have sent, or are yet to have, and that wait here
 	turned   int // clients turned away since the last sweep
 }
 
@@ -63,7 +63,7 @@
 func (p *Postgres) Owes() bool {
 	owes := false
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		owes = owes || s.asking || s.conn != nil && s.conn.Unsent() > 0
+		owes = owes || len(s.queue) > 0 || s.conn != nil && s.conn.Unsent() > 0
 	})
 	return owes
 }
@@ -78,28 +78,32 @@
 	})
 }
 
-// session is a client's connection; it is the loop's Handler and its requests' Client.
+// session is a client's connection; it is the loop's Handler.
 type session struct {
 	front   *Postgres
 	ref     slots.Ref
 	conn    *loop.Conn
 	in      pgwire.Reader
+	arrived arrivals // of what is in in
+	queue   []*answer
 	started bool
-	asking  bool      // a command waits for its answer
-	request slots.Ref // that command's
-	skip    bool      // after an error in the extended protocol, up to Sync
+	asked   bool // it has put a request at least once
+	skip    bool // after an error in the extended protocol, up to Sync
+	ended   bool // nothing more is taken from it
+	leaving bool // it has had its last word
+	closed  bool
 	recheck *deadline.Timer
 	out     []byte
-	closed  bool
-	leaving bool    // it has had its last word; what it still sends is dropped
 	since   float64 // accepted, idle, in the midst of a message, or leaving: since then
 	stuck   float64 // it has not read all of its answers since then, 0 for not so
 	held    int     // its part of the front's
-	dropped int     // bytes
+	dropped int     // bytes that came after its end
+	use     use
+	at      *list.Element // in the crowd
 }
 
 func (s *session) idle() bool {
-	return !s.closed && !s.leaving && s.conn != nil && !s.asking && s.in.Pending() == 0 && s.conn.Unsent() == 0
+	return !s.closed && !s.ended && s.conn != nil && len(s.queue) == 0 && s.in.Pending() == 0 && s.conn.Unsent() == 0
 }
 
 // Opened is loop's.
@@ -108,20 +112,23 @@
 	if !s.front.admit(s) {
 		s.fatal(codeRefused, "too many clients")
 	}
+	s.place()
 }
 
 // Data is loop's.
 func (s *session) Data(b []byte) {
-	if s.leaving {
-		if s.dropped += len(b); s.dropped > maxDropped {
+	if s.ended {
+		if s.dropped += len(b); s.dropped > maxDropped && s.leaving {
 			s.conn.Close()
 		}
 		return
 	}
-	if s.started && !s.asking && s.in.Pending() == 0 {
-		s.since = s.front.loop.Now()
+	now := s.front.loop.Now()
+	if s.started && len(s.queue) == 0 && s.in.Pending() == 0 {
+		s.since = now
 	}
 	s.in.Feed(b)
+	s.arrived.add(len(b), now)
 	s.proceed()
 	if !s.closed && s.in.Pending() > maxAhead {
 		s.fatal(codeProtocol, "too much sent ahead of the answers")
@@ -129,12 +136,13 @@
 	s.front.bound()
 }
 
-// proceed takes commands one after the other: the next one once the last has its answer.
+// proceed takes the commands that are there. A command does not wait for the answers to those before it, but its
+// own answer does.
 func (s *session) proceed() {
-	defer s.count()
-	for !s.closed && !s.leaving && !s.asking {
+	defer s.place()
+	for !s.closed && !s.ended && len(s.queue) < maxQueue {
 		if s.started && s.conn.Unsent() > maxUnsent {
-			s.later()
+			s.later(recheckMs) // it does not read its answers
 			return
 		}
 		more, err := s.step()
@@ -151,11 +159,10 @@
 	}
 }
 
-// later comes back to a client that does not read its answers.
-func (s *session) later() {
+func (s *session) later(ms float64) {
 	l := s.front.loop
 	l.Stop(s.recheck)
-	s.recheck = l.At(l.Now()+recheckMs, s.proceed)
+	s.recheck = l.At(l.Now()+ms, s.proceed)
 }
 
 func (s *session) step() (more bool, err error) {
@@ -170,36 +177,40 @@
 	if err != nil || !ok {
 		return false, err
 	}
+	at := s.arrived.take(len(m.Raw))
 	switch m.Type {
 	case 'Q':
 		sql, err := pgwire.Text(m.Body)
 		if err != nil {
 			return false, err
 		}
-		s.query(sql)
+		s.query(sql, at)
 	case 'X':
-		s.conn.Close()
+		s.end(nil)
 	case 'S': // Sync
 		s.skip = false
-		s.send(pgwire.AppendReady(s.out[:0]))
-	case 'P', 'B', 'D', 'E', 'C', 'H', 'F':
-		if !s.skip {
-			s.skip = m.Type != 'F'
-			s.out = pgwire.AppendError(s.out[:0], "ERROR", codeUnsupported, "only simple queries are taken", "")
-			if m.Type == 'F' {
-				s.out = pgwire.AppendReady(s.out)
-			}
-			s.send(s.out)
+		s.answer(pgwire.AppendReady(s.out[:0]))
+	default: // of the extended protocol
+		if s.skip {
+			break
+		}
+		s.skip = m.Type != 'F'
+		s.out = pgwire.AppendError(s.out[:0], "ERROR", codeUnsupported, "only simple queries are taken", "")
+		if m.Type == 'F' {
+			s.out = pgwire.AppendReady(s.out)
 		}
+		s.answer(s.out)
 	}
 	return true, nil
 }
 
 func (s *session) startup() (bool, error) {
+	before := s.in.Pending()
 	kind, ok, err := s.in.Startup()
 	if err != nil || !ok {
 		return false, err
 	}
+	s.arrived.take(before - s.in.Pending())
 	switch kind {
 	case pgwire.StartupEncrypt:
 		s.send([]byte{'N'})
@@ -212,91 +223,73 @@
 	return true, nil
 }
 
-// query handles one statement.
-func (s *session) query(sql string) {
+// query handles one statement, whose last byte came at the given time.
+func (s *session) query(sql string, at float64) {
 	word, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
 	switch strings.ToUpper(word) {
 	case "":
-		s.send(pgwire.AppendReady(pgwire.AppendEmpty(s.out[:0])))
+		s.answer(pgwire.AppendReady(pgwire.AppendEmpty(s.out[:0])))
 		return
 	case "SET", "RESET", "DISCARD": // without effect, as at the servers
-		tag := strings.ToUpper(word)
-		s.send(pgwire.AppendReady(pgwire.AppendComplete(s.out[:0], tag)))
+		s.answer(pgwire.AppendReady(pgwire.AppendComplete(s.out[:0], strings.ToUpper(word))))
 		return
 	}
 	st, err := pgwire.ParseStatement(sql)
 	if err != nil {
-		s.answerError(codeSyntax, err.Error(), "")
+		s.answerError(codeSyntax, err)
 		return
 	}
-	q := Request{ID: st.ID, Class: st.Class, Writes: st.Writes, Group: st.Group, Session: st.Key, Due: s.front.loop.Now() + st.WaitMs,
+	q := Request{ID: st.ID, Class: st.Class, Writes: st.Writes, Group: st.Group, Session: st.Key, Due: at + st.WaitMs,
 		Repeat: st.Retry, Query: &st}
 	if st.After > 0 {
 		q.After = clock.FromUnix(st.After)
 	}
-	s.asking, s.request = true, slots.Ref{}
-	ref, err := s.front.desk.Ask(q, s)
-	if err != nil {
-		s.asking = false
-		s.answerError(codeSyntax, err.Error(), "")
-		return
-	}
-	if s.asking {
-		s.request = ref
+	a := s.begin(len(sql))
+	a.open = true
+	ref, err := s.front.desk.Ask(q, a)
+	switch {
+	case err != nil:
+		a.open = false
+		a.finish(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", codeSyntax, err.Error(), "")))
+	case a.open && s.closed:
+		s.front.desk.Gone(ref)
+	case a.open:
+		a.ref = ref
 	}
+	s.asked = s.asked || err == nil
 }
 
 func (s *session) send(b []byte) {
 	if s.out = b; cap(b) > keepOut {
 		s.out = nil
 	}
-	if !s.closed {
+	if !s.closed && len(b) > 0 {
 		_ = s.conn.Write(b) // a failed write closes the connection
 	}
 }
 
-func (s *session) answerError(code, text, detail string) {
-	s.send(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", code, text, detail)))
+// answer answers a command that is no request.
+func (s *session) answer(b []byte) { s.begin(0).finish(b) }
+
+func (s *session) answerError(code string, err error) {
+	s.answer(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", code, err.Error(), "")))
 }
 
 // fatal ends the connection with a word.
 func (s *session) fatal(code, text string) {
-	if s.closed || s.leaving {
-		return
-	}
-	s.send(pgwire.AppendError(s.out[:0], "FATAL", code, text, ""))
-	s.leave()
-}
-
-// answered goes on with the next command; off this call, so that the caller's work comes first.
-func (s *session) answered() {
-	s.asking, s.request, s.since = false, slots.Ref{}, s.front.loop.Now()
-	if s.in.Pending() > 0 || s.front.draining {
-		l := s.front.loop
-		l.At(l.Now(), s.proceed)
+	if !s.closed && !s.ended {
+		s.end(pgwire.AppendError(s.out[:0], "FATAL", code, text, ""))
 	}
 }
 
-// Served is Client's.
-func (s *session) Served(answer []byte) {
-	s.send(pgwire.AppendReady(append(s.out[:0], answer...)))
-	s.answered()
-}
-
-// Refused is Client's.
-func (s *session) Refused(retryMs float64) {
-	detail := ""
-	if retryMs > 0 {
-		detail = strconv.Itoa(int(math.Ceil(retryMs)))
-	}
-	s.answerError(codeRefused, "no server can take this now", detail)
-	s.answered()
-}
-
-// Failed is Client's.
-func (s *session) Failed() {
-	s.answerError(codeFailed, "the request failed; it may have had an effect", "")
-	s.answered()
+// end takes no more commands, and ends the connection once those taken are answered, with a last word.
+func (s *session) end(word []byte) {
+	s.ended = true
+	s.in.Reset()
+	s.arrived = arrivals{}
+	a := s.begin(0)
+	a.last = true
+	a.finish(word)
 }
 
 // Closed is loop's.
@@ -305,19 +298,8 @@
 		return
 	}
 	s.closed = true
-	if s.leaving {
-		s.front.leaving--
-	}
 	s.front.sessions.Drop(s.ref)
 	s.front.loop.Stop(s.recheck)
-	s.count()
-	s.gone()
-}
-
-// gone ends an open request whose client will not have its answer.
-func (s *session) gone() {
-	if s.asking {
-		s.asking = false
-		s.front.desk.Gone(s.request)
-	}
+	s.place()
+	s.abandon()
 }
--- /dev/null
+++ b/internal/front/queue.go
@@ -0,0 +1,167 @@
+package front
+
+import (
+	"math"
+	"strconv"
+
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
+)
+
+// answer is a command's place in its session's queue: answers go out in the order of the commands. It is its
+// request's Client.
+type answer struct {
+	s    *session
+	ref  slots.Ref // of its request...
+	open bool      // ...while that is open
+	done bool
+	size int    // of its statement while it is open, then of word
+	word []byte // what waits for the answers before it
+	last bool   // the connection ends after it
+}
+
+// begin files a command whose statement has so many bytes.
+func (s *session) begin(size int) *answer {
+	a := &answer{s: s, size: size}
+	s.queue = append(s.queue, a)
+	return a
+}
+
+// finish gives a command its answer, which is valid during the call.
+func (a *answer) finish(b []byte) {
+	s := a.s
+	if a.done || s.closed || s.leaving {
+		return
+	}
+	a.done, a.open = true, false
+	if s.queue[0] != a {
+		a.word = append([]byte(nil), b...)
+		a.size = len(a.word)
+		s.count()
+		return
+	}
+	full := len(s.queue) >= maxQueue
+	s.queue = s.queue[1:]
+	s.send(b)
+	for last := a.last; !s.closed; {
+		if last {
+			s.leave()
+			return
+		}
+		if len(s.queue) == 0 || !s.queue[0].done {
+			break
+		}
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		s.send(next.word)
+		last = next.last
+	}
+	if s.closed {
+		return
+	}
+	s.since = s.front.loop.Now()
+	if len(s.queue) == 0 {
+		s.queue = nil
+	}
+	if full && s.in.Pending() > 0 || s.front.draining {
+		s.later(0) // off this call, so that the caller's work comes first
+	}
+	s.place()
+	s.front.crowd[s.use].MoveToBack(s.at)
+	s.front.thin()
+}
+
+// Served is Client's.
+func (a *answer) Served(answer []byte) {
+	a.finish(pgwire.AppendReady(append(a.s.out[:0], answer...)))
+}
+
+// Refused is Client's.
+func (a *answer) Refused(retryMs float64) {
+	detail := ""
+	if retryMs > 0 {
+		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	}
+	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeRefused, "no server can take this now", detail)))
+}
+
+// Failed is Client's.
+func (a *answer) Failed() {
+	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeFailed,
+		"the request failed; it may have had an effect", "")))
+}
+
+// leave ends a connection that has had its last word. A close with input unread would be a reset, which may
+// overtake that word, so the client is given a moment to close.
+func (s *session) leave() {
+	if s.closed || s.leaving {
+		return
+	}
+	if s.front.crowd[leaving].Len() >= maxLeaving || s.conn.Unsent() > 0 || s.conn.CloseWrite() != nil {
+		s.conn.Close()
+		return
+	}
+	s.ended, s.leaving, s.since = true, true, s.front.loop.Now()
+	s.front.loop.Stop(s.recheck)
+	s.in.Reset()
+	s.place()
+	s.abandon()
+}
+
+// abandon ends the open requests of a client that will not have their answers.
+func (s *session) abandon() {
+	queue := s.queue
+	s.queue = nil
+	for _, a := range queue {
+		if a.open {
+			a.open = false
+			s.front.desk.Gone(a.ref)
+		}
+	}
+	s.count()
+}
+
+// arrivals tells when bytes came, as a request's time counts from its last byte and it may wait for those before
+// it to be taken.
+type arrivals struct {
+	marks []arrival
+	taken int
+}
+
+// arrival says that what was fed up to this byte was there then.
+type arrival struct {
+	upTo int
+	at   float64
+}
+
+const maxMarks = 64 // with more pieces than that, the later ones count as come with the one before
+
+func (r *arrivals) add(n int, at float64) {
+	if len(r.marks) == 0 {
+		r.marks, r.taken = append(r.marks, arrival{n, at}), 0
+		return
+	}
+	last := &r.marks[len(r.marks)-1]
+	if last.at == at || len(r.marks) >= maxMarks {
+		last.upTo += n
+		return
+	}
+	r.marks = append(r.marks, arrival{last.upTo + n, at})
+}
+
+// take takes the next n bytes and tells when the last of them came.
+func (r *arrivals) take(n int) float64 {
+	r.taken += n
+	i := 0
+	for i < len(r.marks)-1 && r.marks[i].upTo < r.taken {
+		i++
+	}
+	at := r.marks[i].at
+	if r.marks[i].upTo <= r.taken {
+		i++
+	}
+	if r.marks = r.marks[i:]; len(r.marks) == 0 {
+		r.marks = nil
+	}
+	return at
+}
--- /dev/null
+++ b/internal/front/queue_test.go
@@ -0,0 +1,44 @@
+package front
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestArrivals guards against counting a request's time from when it was taken, after it had waited for those before it.
+func TestArrivals(t *testing.T) {
+	for name, c := range map[string]struct {
+		fed  [][2]int // bytes, time
+		take []int
+		want []float64
+	}{
+		"one by one":           {[][2]int{{10, 1}, {10, 2}}, []int{10, 10}, []float64{1, 2}},
+		"two at once":          {[][2]int{{20, 1}}, []int{10, 10}, []float64{1, 1}},
+		"last byte comes late": {[][2]int{{15, 1}, {5, 2}, {4, 3}}, []int{10, 10, 4}, []float64{1, 2, 3}},
+		"over several pieces":  {[][2]int{{3, 1}, {3, 2}, {4, 3}}, []int{10}, []float64{3}},
+	} {
+		var r arrivals
+		for _, f := range c.fed {
+			r.add(f[0], float64(f[1]))
+		}
+		var got []float64
+		for _, n := range c.take {
+			got = append(got, r.take(n))
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" || r.marks != nil {
+			t.Errorf("%s: %s, left %v", name, diff, r.marks)
+		}
+	}
+}
+
+// TestArrivalsStayFew: a client that sends byte by byte costs no more for that.
+func TestArrivalsStayFew(t *testing.T) {
+	var r arrivals
+	for i := range 1000 {
+		r.add(1, float64(i))
+	}
+	if at := r.take(1000); len(r.marks) != 0 || at != maxMarks-1 {
+		t.Errorf("%d marks left, the last byte came at %v", len(r.marks), at)
+	}
+}
