Give up answers that stop short; forget servers that have left

Now: an answer begun and not gone on with for 150 ms has failed (600 ms for what must not run twice). What is kept of a server goes when it leaves the list, its connections as they fall free.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -334,6 +334,27 @@
 	}
 }
 
+// TestAnswerStopsShort: an answer that stops in its midst, on a connection that stays open, will not go on. A read is asked
+// again at once; a write has failed, long before its time is up.
+func TestAnswerStopsShort(t *testing.T) {
+	addr, queries := server(t)
+	pooler, _, _ := start(t, addr, nil)
+	c := client(t, pooler)
+	for n, class := range []string{"read", "write"} {
+		c.send(query("1", class, 19000))
+		q := next(t, queries)
+		q.send(row("v")[:20])
+		if gone := next(t, queries); gone.sql != "(gone)" || gone.conn != q.conn {
+			t.Fatalf("asked %q", gone.sql)
+		}
+		if n == 0 {
+			next(t, queries).send(row("v"))
+			c.want("TDCZ v")
+		}
+	}
+	c.want("EZ 58000")
+}
+
 // TestExtraAnswer: what a server sends beyond its answer would be taken for the answer to the next request, so the connection
 // is not used again, whether it comes at once, while another request waits for the connection, or while it is idle.
 func TestExtraAnswer(t *testing.T) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -54,6 +54,8 @@
 const (
 	most       = 1 << 17 // of a message from a server; an Answer has tighter bounds
 	keepAnswer = 1 << 14 // of a buffer, from one answer to the next
+	stallMs    = 150     // within an answer that has begun, after which its rest will not come...
+	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
 	brokeMs    = 50      // a connection that breaks so soon after a request did so because of it
 	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
 )
@@ -162,6 +164,29 @@
 	}
 }
 
+// Forget gives up what is kept of a server that has left the list. What is in use there stays until it has ended.
+func (p *Pool) Forget(id string) {
+	s := p.stores[id]
+	if s == nil {
+		return
+	}
+	p.CloseIdle(id)
+	delete(p.stores, id)
+	s.addr = "" // its connections are closed once they are free
+	for len(s.waiting) > 0 {
+		p.drop(s.waiting[0], beechgrade.Skipped)
+	}
+}
+
+// Retain forgets all servers but those.
+func (p *Pool) Retain(ids map[string]bool) {
+	for id := range p.stores {
+		if !ids[id] {
+			p.Forget(id)
+		}
+	}
+}
+
 // Start starts an attempt that ends by itself at until. One that must not run twice is spared connections that
 // would probably lose it.
 func (p *Pool) Start(id string, q Query, until float64, once bool, t Tag) slots.Ref {
@@ -401,10 +426,28 @@
 			return
 		}
 		if !ok {
-			return
+			break
 		}
 		c.message(m)
 	}
+	c.watch()
+}
+
+// watch bounds how long an answer that has begun may take to go on: connections fall silent in its midst.
+func (c *conn) watch() {
+	a, p := c.attempt, c.pool
+	if c.state != busy || a == nil || c.reading.Untouched() && c.in.Pending() == 0 {
+		return
+	}
+	left := float64(stallMs)
+	if a.once {
+		left = stallOnce
+	}
+	p.loop.Stop(c.timer)
+	c.timer = p.loop.At(p.loop.Now()+left, func() {
+		p.log.Debug("an answer stopped short", "store", c.store.id)
+		p.drop(a, beechgrade.Failed)
+	})
 }
 
 // spoilt ends a connection whose server cannot be understood. What it carried has failed and may have run.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -24,8 +24,8 @@
 func (nobody) Data([]byte)       {}
 func (nobody) Closed(error)      {}
 
-// TestNeverWritten: an attempt for which there is no descriptor, or that is called off while it waits for a connection, was
-// never sent. Fails if that tells against its server, or counts as one that may have run.
+// TestNeverWritten: an attempt for which there is no descriptor, or that is called off or whose server leaves the list while it
+// waits for a connection, was never sent. Fails if that tells against its server, or counts as one that may have run.
 func TestNeverWritten(t *testing.T) {
 	clk, events := &clock.Manual{Ms: 1e6}, make(told, 9)
 	var p *Pool
@@ -42,7 +42,16 @@
 		p.Cancel(p.Start("s", events, clk.Ms+9000, true, Tag{No: 1}))
 	})
 	l.Post(func() { clk.Ms += 250 })
-	for range 2 {
+	l.Post(func() {
+		p.SetAddress("t", "127.0.0.1:1")
+		p.Start("t", events, clk.Ms+9000, true, Tag{No: 2})
+		p.Retain(map[string]bool{"s": true}) // t has left the list
+		p.Forget("s")
+		if len(p.stores) != 0 {
+			t.Errorf("kept of servers that left: %v", p.stores)
+		}
+	})
+	for range 3 {
 		select {
 		case o := <-events:
 			if diff := cmp.Diff(Outcome{Result: beechgrade.Skipped}, o); diff != "" {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,7 +56,7 @@
 const (
 	defaultSockets = 1024
 	defaultMemory  = 192
-	minSockets     = 64
+	minSockets     = 128
 	maxFile        = 16 << 20
 	defaultConnect = 250
 	defaultIdle    = 30000
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,8 @@
 type Servers interface {
 	SetAddress(id, addr string)
 	CloseIdle(id string)
+	Forget(id string)
+	Retain(ids map[string]bool)
 	Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref
 	Cancel(attempt slots.Ref)
 	Probe(id string)
@@ -175,7 +177,8 @@
 func (c *Core) ListFailed() { c.tell(&beechgrade.List{Kind: beechgrade.ListFailed}) }
 
 func (c *Core) list(l *discovery.List, kind beechgrade.ListKind) {
-	e := &beechgrade.List{Kind: kind}
+	e, now := &beechgrade.List{Kind: kind}, c.loop.Now()
+	named := map[string]bool{}
 	for i := range l.Instances {
 		n := &l.Instances[i]
 		if n.ID == "" {
@@ -184,7 +187,7 @@
 		entry := beechgrade.Entry{Store: beechgrade.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
 			Zone: c.zones.number(n.Zone), Size: n.Weight, Primary: n.Role == "primary"}
 		if n.StartedAtMs > 0 {
-			entry.Started = clock.Span(clock.FromUnix(n.StartedAtMs))
+			entry.Started = clock.Span(min(clock.FromUnix(n.StartedAtMs), now)) // one that lies ahead would be cold for ever
 		}
 		switch n.Lifecycle {
 		case "draining":
@@ -192,6 +195,7 @@
 		case "removed":
 			entry.State = beechgrade.Gone
 		}
+		named[n.ID] = true
 		if n.HostPort != "" {
 			c.servers.SetAddress(n.ID, n.HostPort)
 		}
@@ -200,10 +204,16 @@
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
 	for i := range e.Entries { // what is in use there stays until it has ended
-		if e.Entries[i].State != beechgrade.Serving {
-			c.servers.CloseIdle(string(e.Entries[i].Store))
+		switch id := string(e.Entries[i].Store); {
+		case e.Entries[i].State == beechgrade.Gone && !c.cfg.Settings.DrainOnly:
+			c.servers.Forget(id)
+		case e.Entries[i].State != beechgrade.Serving:
+			c.servers.CloseIdle(id)
 		}
 	}
+	if kind != beechgrade.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
+		c.servers.Retain(named)
+	}
 }
 
 // tell tells the router of what happens now.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,9 @@
 // that waits its turn fails sooner. A machine that vanished closes nothing.
 const silentMs = 6000
 
+// maxInstances bounds a list: more than that is no group of servers but a fault.
+const maxInstances = 10000
+
 // connectMs bounds a connection's coming up.
 const connectMs = 1000
 
@@ -191,6 +194,9 @@
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
+	if len(l.Instances) > maxInstances || l.Generation < 0 {
+		return fmt.Errorf("list: generation %d with %d instances", l.Generation, len(l.Instances))
+	}
 	c := k.client
 	k.told = true
 	c.gen = l.Generation
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -11,6 +11,8 @@
 const (
 	maxHead = 16 << 10
 	maxLine = 8 << 20 // the whole list on one line
+
+	keepLine = 1 << 16 // of a buffer, from one line to the next
 )
 
 var errTooLong = errors.New("too long")
@@ -148,7 +150,9 @@
 // flush tells the line gathered so far; an empty one is only a sign of life.
 func (r *reply) flush(f func([]byte) error) error {
 	line := bytes.TrimSpace(r.line)
-	r.line = r.line[:0]
+	if r.line = r.line[:0]; cap(line) > keepLine {
+		r.line = nil
+	}
 	if len(line) == 0 {
 		return nil
 	}
