Let the pause between probes grow from the fifth failure on

A trace of servers taken out showed s- down after two probes reset within 5 ms, asked again after 400 ms (reset again) and 800 ms, and cold for 18 s on its return, as 1.05 s without an answer count as a restart. At fault: router.tend doubled the pause from the second failure on. Now: the first four failures leave it at 200 ms, so that chance alone hardly fills a second.

--- a/router.go
+++ b/router.go
@@ -42,6 +42,7 @@
 	lostPassed   = 3                      // ...and this many later ones were answered before it
 	repeatValue  = 0.2                    // a repeat's aim runs from its first try: mostly gone
 	probeDown    = 200 * time.Millisecond // between probes of a store thought down
+	probeSoon    = 4                      // probes that may fail before the pause grows: several can by chance
 	probeMost    = 4                      // doublings of that while probes go on failing
 	failMemory   = 4 * time.Second        // fading of that chance
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
@@ -839,7 +840,7 @@
 			r.bad(s)
 		}
 		if s.health == down {
-			r.probe(s, probeDown<<min(max(0, s.probeFails-1), probeMost))
+			r.probe(s, probeDown<<min(max(0, s.probeFails-probeSoon), probeMost))
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
 		} else if seek {
--- a/router_test.go
+++ b/router_test.go
@@ -1132,6 +1132,26 @@
 	}
 }
 
+// TestProbesSlowDownLate: probes fail by chance too, and one that comes late after a few such keeps a store out, and lets it
+// count as restarted. Only after several does the pause between them grow.
+func TestProbesSlowDownLate(t *testing.T) {
+	g := trio(t, nil)
+	g.ask("open", cUnsafe) // its group is tended to
+	g.r.stores["a"].health = down
+	last := g.now
+	for n := range probeSoon + 3 {
+		for g.pass(beat); !g.r.stores["a"].probing && g.now-last < time.Minute; {
+			g.pass(beat)
+		}
+		want := probeDown << max(0, n-probeSoon)
+		if took := g.now - last; n > 0 && (took < want || took > want+2*beat) {
+			t.Errorf("probe %d after %v, want %v", n, took, want)
+		}
+		last = g.now
+		g.do(&ProbeResult{Store: "a", Result: Unreachable})
+	}
+}
+
 // TestUnreadableReportTellsNothing: a probe answered with what cannot be read neither takes a store out of use nor back.
 func TestUnreadableReportTellsNothing(t *testing.T) {
 	g := trio(t, nil)
