After SIGTERM stay in service until the longest deadline has passed

At fault: pooler.drain closed idle clients 0.5 s after SIGTERM and left at 0.7 s, whatever the deadlines. Now: clients' connections stay open for 0.25 s beyond the longest deadline (3 s at most); what comes meanwhile is due 0.5 s beyond it at the latest, so all is answered before the process may be killed at 0.7 s beyond it.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -19,8 +19,10 @@
 	poolLeast  = 0.2   // ...and what clients leave to them
 	askPart    = 4     // clients that ask and hold 1 descriptor in so many are many
 	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
-	drainMs    = 700   // after SIGTERM clients still come
-	drainClose = 500   // ...and from here on their idle connections are closed
+	drainMs    = 700   // after SIGTERM clients still come; the process may be killed so long after the longest deadline
+	drainEnd   = 500   // after the longest deadline, what came meanwhile has its answer...
+	drainClose = 250   // ...and so long after it, clients' idle connections are closed
+	deadlineMs = 3000  // counted as the longest deadline where that is longer
 	pollMs     = 20    // between looks at whether something is still owed
 	drainMost  = 10000 // a client that never goes does not keep the process
 )
@@ -97,16 +99,22 @@
 	p.dir.Move(p.cfg.Discovery)
 }
 
-// drain ends the service: connections are closed as they fall idle, and the process goes when none is
-// left. New ones keep coming for a while, as the clients' side hears of the restart late.
+// drain ends the service. No new connections come after a while, as the clients' side hears of the restart, but
+// those that there are stay in use for as long as they stay open: nobody else may be there to take their requests.
+// So they are closed late, just soon enough to answer all before the process may be killed.
 func (p *pooler) drain() {
-	began := p.loop.Now()
+	began, longest := p.loop.Now(), 0.0
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, clock.Millis(c.Deadline))
+	}
+	longest = min(longest, deadlineMs)
 	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
-	p.loop.At(began+drainClose, p.front.Drain)
+	p.core.EndAt(began + longest + drainEnd)
+	p.loop.At(began+longest+drainClose, p.front.Drain)
 	var look func()
 	look = func() {
-		now := p.loop.Now()
-		if now < began+drainMs || now < began+drainMost && (p.front.Owes() || p.core.Open() > 0) {
+		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0
+		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
 			p.loop.At(now+pollMs, look)
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,6 +58,7 @@
 	requests slots.Table[*request]
 	ids      map[string]bool // of requests
 	events   []event
+	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
 	actions  []beechgrade.Action
 }
@@ -105,6 +106,9 @@
 // Open is the number of requests that are owed an answer or have attempts out.
 func (c *Core) Open() int { return c.requests.Len() }
 
+// EndAt has the requests that come from now on answered by then.
+func (c *Core) EndAt(ms float64) { c.end = ms }
+
 // Ask is front.Desk's.
 func (c *Core) Ask(q front.Request, client front.Client) (slots.Ref, error) {
 	class, ok := c.classes[q.Class]
@@ -118,6 +122,9 @@
 		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
 	}
 	c.ids[q.ID] = true
+	if c.end > 0 {
+		q.Due = min(q.Due, c.end)
+	}
 	now := clock.Span(c.loop.Now())
 	ref := c.requests.Put(&request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client, query: q.Query, due: q.Due})
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
