--- a/router.go
+++ b/router.go
@@ -42,7 +42,7 @@
 	lostPassed   = 3                      // ...and this many later ones were answered before it
 	repeatValue  = 0.2                    // a repeat's aim runs from its first try: mostly gone
 	probeDown    = 200 * time.Millisecond // between probes of a store thought down
-	probeSoon    = 4                      // probes that may fail before the pause grows: several can by chance
+	probeSoon    = 4                      // probes that may fail before the pause grows
 	probeMost    = 4                      // doublings of that while probes go on failing
 	failMemory   = 4 * time.Second        // fading of that chance
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
@@ -677,8 +677,8 @@
 	}
 }
 
-// alive notes an answer to an attempt. One sent before the store was found bad shows that it had not died till
-// now, but not that it takes more.
+// alive notes an answer to an attempt. One sent before the store was found bad shows that it had not died
+// till now, but not that it takes more.
 func (r *Router) alive(s *store, a *attempt) {
 	s.answered = r.now
 	if a.sent >= s.badAt || s.refusedSince == 0 {
@@ -705,8 +705,8 @@
 	s.health, s.badAt = down, r.now
 }
 
-// refused notes a connection that was refused or broke. Connections break by themselves, of stores that are well:
-// only a second one with no answer between takes the store out. A probe asks meanwhile.
+// refused notes a connection that was refused or broke. Connections to healthy stores break too: only a
+// second one with no answer between takes the store out. A probe asks meanwhile.
 func (r *Router) refused(s *store) {
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
