Take a watch for dead after 3 s of silence, not 6

At fault: silentMs in internal/discovery/discovery.go. An empty line comes every 2 s, and what discovery has to tell counts as told after 6 s, so a limit of 6 s leaves nothing for the next watch.

Ruled out: the address (the same one answers the next watch), generations (from=0 as long as nothing came).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,9 +12,9 @@
 	"beechgrade/internal/loop"
 )
 
-// silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s, and a call
-// that waits its turn fails sooner. A machine that vanished closes nothing.
-const silentMs = 6000
+// silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s. A machine that
+// vanished, or a connection forgotten on the way, closes nothing.
+const silentMs = 3000
 
 // maxInstances bounds a list: more than that is no group of servers but a fault.
 const maxInstances = 10000
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -64,13 +64,13 @@
 	const list = "11\r\n{\"generation\":5}\n\r\n"
 	say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + list)
 	next("list")
-	pass(silentMs - 1)
-	say(list) // in time
+	pass(2500) // signs of life come every 2 s
+	say(list)
 	next("list")
-	pass(silentMs - 1)
+	pass(2500)
 	say(list)
 	next("list")
-	pass(silentMs)
+	pass(3000) // what is told counts as known after 6 s, and the next watch needs some of them
 	next("failed")
 	l.End()
 	if err := <-ended; err != nil {
