Copy overtaken attempts sooner where many are lost and nothing waits

At fault: lostAfter = 6 in router.go. A class's aim is six to seven times its work, so six times the work leaves nothing.

Now the router counts which part of its attempts is never answered and, while no request waits in the group, takes an overtaken one for lost from -ln(part) times the work on, 3 at least.

--- a/router.go
+++ b/router.go
@@ -39,7 +39,9 @@
 	othersLike   = 0.5                    // a guess counts at most as this part of our own, for each other
 	trialJobs    = 3                      // requests at once on trial: one may be lost and prove nothing
 	lostAfter    = 6.0                    // mislaid: an attempt has had this many times its work...
+	lostLeast    = 3.0                    // ...or, where many are, fewer down to this...
 	lostPassed   = 3                      // ...and this many later ones were answered before it
+	lostMemory   = 300                    // attempts: memory of how many were lost
 	repeatValue  = 0.2                    // a repeat's aim runs from its first try: mostly gone
 	probeDown    = 200 * time.Millisecond // between probes of a store thought down
 	probeSoon    = 4                      // probes that may fail before the pause grows
@@ -563,6 +565,7 @@
 		return
 	}
 	q := a.req
+	r.countLost(s, a, e.Result)
 	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
 	r.learn(s, e.Told, r.now)
 	r.learn(s, e.Load, e.Load.Position)
@@ -873,7 +876,7 @@
 			if !q.finished && r.closing(q) {
 				r.finish(q)
 			}
-			if !a.lost && a.passed >= lostPassed && (s.service-a.service)*r.base(s) > lostAfter*q.work() {
+			if !a.lost && a.passed >= lostPassed && r.had(s, a) > r.patience(g) {
 				a.lost = true
 				s.lost++
 			}
@@ -892,6 +895,39 @@
 	}
 }
 
+// had is the service that an attempt has had, in times its expected work.
+func (r *Router) had(s *store, a *attempt) float64 {
+	return (s.service - a.service) * r.base(s) / a.req.work()
+}
+
+// patience is what an attempt that later ones overtook may have had before it is taken for lost. Of those
+// answered, about exp(-x) take more than x times their work: where that is less than the part that is lost,
+// lost is likelier than slow.
+func (r *Router) patience(g *group) float64 {
+	if len(g.held) > 0 { // copies would be at others' expense
+		return lostAfter
+	}
+	return min(lostAfter, max(lostLeast, -math.Log(r.losing)))
+}
+
+// countLost counts an attempt that ended towards the part that is lost. One called off early may have been
+// slow.
+func (r *Router) countLost(s *store, a *attempt, res Result) {
+	lost := 0.0
+	switch {
+	case res == Unreachable || res == Skipped || res == Reset:
+		return
+	case res == Cancelled || res == TimedOut:
+		if a.passed < lostPassed || !a.lost {
+			return
+		}
+		if lost = 0.5; r.had(s, a) > lostAfter {
+			lost = 1
+		}
+	}
+	r.losing += (lost - r.losing) / lostMemory
+}
+
 // refresh corrects rates from the last interval's answers: each kind's, then each store's. Requests out for
 // more than their work count, or a stopped store would keep its rate; not if overtaken: lost answers slow no
 // store.
--- a/router_test.go
+++ b/router_test.go
@@ -547,6 +547,53 @@
 	}
 }
 
+// TestLossesShortenPatience: where many attempts are never answered, one that others overtake is copied while its answer may
+// still be in time; where none is lost, or others wait for room, not yet. A copy at six times the work came too late.
+func TestLossesShortenPatience(t *testing.T) {
+	copied := func(lose, wait bool) bool {
+		g := trio(t, nil)
+		n := 0
+		one := func(res Result) {
+			id := RequestID(fmt.Sprint("n", n))
+			n++
+			s := of(Send, g.ask(id, cAny))[0].Store
+			g.pass(40 * ms)
+			if st := g.r.stores[s]; res == Cancelled {
+				a := st.open[0]
+				a.passed, a.service, a.lost, st.lost = lostPassed, a.service-10, true, 1
+			}
+			g.do(&Outcome{ID: id, Store: s, Result: res, Final: true})
+		}
+		for i := range 400 {
+			if lose && i%10 == 9 {
+				one(Cancelled)
+			} else {
+				one(OK)
+			}
+		}
+		q := of(Send, g.ask("slow", cAny))[0]
+		s := g.r.stores[q.Store]
+		a := s.open[0]
+		a.passed, a.service = lostPassed, a.service-4*a.req.work()/g.r.base(s) // four times its work
+		if wait {
+			r := &request{id: "w", class: &g.r.classes[cWrite], group: s.group, due: never, value: 1, size: 1}
+			s.group.held = append(s.group.held, r)
+		}
+		g.r.out = nil
+		g.r.rescue(s.group)
+		return len(of(Send, g.r.out)) > 0
+	}
+	if !copied(true, false) {
+		t.Error("an attempt that is probably lost was not copied")
+	}
+	if copied(false, false) {
+		t.Error("copied where nothing was ever lost")
+	}
+	if copied(true, true) {
+		t.Error("copied while others wait for room")
+	}
+}
+
 // TestLostAnswersDoNotSlowTheRate: the rate follows the answers, not an attempt that they overtook.
 func TestLostAnswersDoNotSlowTheRate(t *testing.T) {
 	g := newRig(t, testSettings(), Entry{Store: "p"})
--- a/state.go
+++ b/state.go
@@ -31,6 +31,7 @@
 	open      int     // attempts in flight
 	work      float64 // average work of a request, over so many answers
 	answers   float64
+	losing    float64         // part of the attempts that are never answered
 	seekEach  time.Duration   // between probes of a member while a write waits for a primary
 	pools     map[int]float64 // rates by kind
 	ways      map[int]way     // by zone
