Replace a watch that held and broke at once, and one silent for 2.5 s

Empty lines came every 2.0 s to the millisecond.

At fault: rewatch(watchPause) after every ListFailed in router.go: 1 to 2 s, however long the watch had held. Now the pause runs from the last subscription; silentMs is 2500.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,7 +14,7 @@
 
 // silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s. A machine that
 // vanished, or a connection forgotten on the way, closes nothing.
-const silentMs = 3000
+const silentMs = 2500
 
 // maxInstances bounds a list: more than that is no group of servers but a fault.
 const maxInstances = 10000
--- a/router.go
+++ b/router.go
@@ -50,7 +50,8 @@
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
 	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds
 	coldMargin   = 0.5                    // part of the fall budget to use: estimates are rough
-	watchPause   = time.Second            // before subscribing anew, plus jitter of the same
+	watchPause   = time.Second            // between subscriptions, plus jitter of the same...
+	watchSoon    = 100 * time.Millisecond // ...and from a failure to the next, where the last is long ago
 	outage       = time.Second            // refusing for this long means a restarted process
 	sessionsKept = 20000                  // sessions in a generation of remembered commits
 	goneKeep     = 30 * time.Second       // before a vanished store is forgotten
@@ -82,7 +83,7 @@
 	if r.refreshAt == 0 {
 		r.flowAt, r.refreshAt, r.rewatchAt = r.now, r.now+refreshEvery, math.MaxInt64
 		if r.set.AskList {
-			r.rewatch(0)
+			r.rewatch(0, 0)
 		}
 	}
 	if r.wakeAt != never && r.now-r.wakeAt > stall {
@@ -109,7 +110,7 @@
 		r.onBeat()
 	}
 	if r.now >= r.rewatchAt {
-		r.rewatchAt = math.MaxInt64
+		r.rewatchAt, r.watchedAt = math.MaxInt64, r.now
 		r.act(Action{Kind: Subscribe})
 	}
 	// A timer only while something is open or due: hundreds of idle routers cost nothing.
@@ -768,7 +769,11 @@
 
 func (r *Router) onList(e *List) {
 	if e.Kind == ListFailed {
-		r.rewatch(watchPause)
+		if pause := r.watchedAt + watchPause - r.now; pause > watchSoon {
+			r.rewatch(pause, watchPause)
+		} else { // a watch broke that had held
+			r.rewatch(watchSoon, watchSoon)
+		}
 		return
 	}
 	named := map[StoreID]bool{}
@@ -818,8 +823,8 @@
 }
 
 // rewatch subscribes after a pause, each router at a time of its own: the list answers one after the other.
-func (r *Router) rewatch(pause time.Duration) {
-	spread := pause + watchEach*time.Duration(r.set.Siblings-1)
+func (r *Router) rewatch(pause, jitter time.Duration) {
+	spread := jitter + watchEach*time.Duration(r.set.Siblings-1)
 	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(spread))
 }
 
--- a/router_test.go
+++ b/router_test.go
@@ -711,6 +711,29 @@
 	}
 }
 
+// TestBrokenWatchIsReplacedSoon: a watch that held and broke is replaced at once, as drains and new primaries are told by it
+// alone; one that breaks as it is opened is not, or a discovery in trouble would be flooded.
+func TestBrokenWatchIsReplacedSoon(t *testing.T) {
+	set := testSettings()
+	set.AskList = true
+	g := newRig(t, set, Entry{Store: "a"})
+	g.pass(10 * time.Second)
+	g.do(&List{Kind: ListFailed})
+	if n := len(of(Subscribe, g.pass(3*watchSoon))); n != 1 {
+		t.Errorf("%d subscriptions soon after a watch broke, want 1", n)
+	}
+	n := 0
+	for end := g.now + 10*time.Second; g.now < end; {
+		if len(of(Subscribe, g.pass(beat))) > 0 {
+			n++
+			g.do(&List{Kind: ListFailed})
+		}
+	}
+	if n > 10 {
+		t.Errorf("%d subscriptions in 10 s of failures", n)
+	}
+}
+
 // TestBadInput feeds what should never come; each has a defined result and no panic.
 func TestBadInput(t *testing.T) {
 	g := trio(t, func(s *Settings) { s.Siblings = 0 })
--- a/state.go
+++ b/state.go
@@ -44,6 +44,7 @@
 	wakeAt    Time // the timer that is out, never for none
 	refreshAt Time
 	rewatchAt Time
+	watchedAt Time // last subscribed then
 }
 
 // health is what the router thinks of a store.
