Double the pause between broken watches from 100 ms up to 1 s

At fault: the full pause in onList of router.go after any call that had not held for a second. Now it doubles from 100 ms while calls fail within a second; where they go on failing, it is a second and its jitter as before.

--- a/router.go
+++ b/router.go
@@ -50,8 +50,8 @@
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
 	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds
 	coldMargin   = 0.5                    // part of the fall budget to use: estimates are rough
-	watchPause   = time.Second            // between subscriptions, plus jitter of the same...
-	watchSoon    = 100 * time.Millisecond // ...and from a failure to the next, where the last is long ago
+	watchSoon    = 100 * time.Millisecond // before subscribing anew, plus jitter of the same...
+	watchPause   = time.Second            // ...doubled up to this while it fails within as long
 	outage       = time.Second            // refusing for this long means a restarted process
 	sessionsKept = 20000                  // sessions in a generation of remembered commits
 	goneKeep     = 30 * time.Second       // before a vanished store is forgotten
@@ -769,11 +769,11 @@
 
 func (r *Router) onList(e *List) {
 	if e.Kind == ListFailed {
-		if pause := r.watchedAt + watchPause - r.now; pause > watchSoon {
-			r.rewatch(pause, watchPause)
-		} else { // a watch broke that had held
-			r.rewatch(watchSoon, watchSoon)
+		if r.watchFails++; r.now-r.watchedAt >= watchPause { // it had held
+			r.watchFails = 0
 		}
+		pause := min(watchPause, watchSoon<<min(r.watchFails, 9))
+		r.rewatch(pause, pause)
 		return
 	}
 	named := map[StoreID]bool{}
--- a/state.go
+++ b/state.go
@@ -45,6 +45,8 @@
 	refreshAt Time
 	rewatchAt Time
 	watchedAt Time // last subscribed then
+
+	watchFails int // subscriptions in a row that did not hold
 }
 
 // health is what the router thinks of a store.
