Take values of up to 1 MiB from servers, within a part of the memory

The log told why: rows of 137 to 400 KB, of the same length from every member asked, were taken for spoilt.

The platform's protocol speaks of 64 KiB, but its servers give more.

Now a row may have 1 MiB; all answers that are coming in share an eighth of the memory, and one that would take more has failed. What clients have not read yet counts towards what the front holds for them.

Ruled out: the clients that leave (attempts called off by them were 4 %, and cost nothing).

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -45,9 +45,10 @@
 	p.core = core.New(p.loop, log, cfg)
 	sockets := func() int { return p.cfg.Limits.Sockets - reserved }
 	part := func(x float64) int { return int(x * float64(sockets())) }
+	memory := func() int { return p.cfg.Limits.MemoryMB << 20 }
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
-		IdleMs:   cfg.IdleMs * idlePart,
+		IdleMs: cfg.IdleMs * idlePart, Memory: memory,
 		MaxConns: func() int { return min(part(poolMost), sockets()-p.front.Sessions()) }}, p.core)
 	spare := func() int {
 		return sockets() - p.front.Sessions() - max(part(poolLeast), p.pool.Conns())
@@ -55,7 +56,7 @@
 	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
 		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
-		Memory: func() int { return p.cfg.Limits.MemoryMB << 20 }})
+		Memory: memory})
 	return p
 }
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -49,10 +49,11 @@
 	ConnectTimeoutMs float64
 	IdleMs           float64    // a connection idle for so long is closed
 	MaxConns         func() int // over all servers, by the descriptors left now
+	Memory           func() int // bytes the machine has
 }
 
 const (
-	most       = 1 << 17 // of a message from a server; an Answer has tighter bounds
+	heldPart   = 8       // of the memory, answers that are coming in may take 1 in so many
 	keepAnswer = 1 << 14 // of a buffer, from one answer to the next
 	stallMs    = 150     // within an answer that has begun, after which its rest will not come...
 	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
@@ -71,6 +72,7 @@
 	conns    slots.Table[*conn]
 	idleSeq  uint64
 	wear     wear
+	held     int // bytes of answers that are coming in
 	scratch  []byte
 }
 
@@ -126,6 +128,7 @@
 	// of the answer that is coming in
 	reading pgwire.Answer
 	answer  []byte
+	held    int    // its part of the pool's
 	row     []byte // of a probe's
 	outcome Outcome
 }
@@ -253,7 +256,7 @@
 		p.log.Debug("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
 		return
 	}
-	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(most), reading: pgwire.Welcome()}
+	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(pgwire.MaxMessage), reading: pgwire.Welcome()}
 	c.ref = p.conns.Put(c)
 	s.dialing++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
@@ -430,9 +433,25 @@
 		}
 		c.message(m)
 	}
+	c.count()
+	if p := c.pool; c.attempt != nil && c.held > keepAnswer && p.held > p.opt.Memory()/heldPart {
+		p.log.Warn("no memory for an answer", "store", c.store.id, "bytes", c.held, "all", p.held)
+		p.drop(c.attempt, beechgrade.Failed)
+		return
+	}
 	c.watch()
 }
 
+// count brings the sum of what is coming in up to date.
+func (c *conn) count() {
+	n := 0
+	if c.state == busy && c.attempt != nil {
+		n = c.in.Pending() + len(c.answer)
+	}
+	c.pool.held += n - c.held
+	c.held = n
+}
+
 // watch bounds how long an answer that has begun may take to go on: connections fall silent in its midst.
 func (c *conn) watch() {
 	a, p := c.attempt, c.pool
@@ -586,6 +605,7 @@
 		return
 	}
 	c.state = closed
+	c.count()
 	p.loop.Stop(c.timer)
 	p.conns.Drop(c.ref)
 	c.unidle()
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -76,6 +76,9 @@
 	n := 0
 	if !s.closed {
 		n = s.in.Pending()
+		if s.conn != nil {
+			n += s.conn.Unsent()
+		}
 		for _, a := range s.queue {
 			n += a.size
 		}
@@ -169,11 +172,12 @@
 	for p.held > p.budget.Memory()/heldPart {
 		var most *session
 		p.sessions.Each(func(_ slots.Ref, s *session) {
+			s.count() // by now it may have read its answers
 			if most == nil || s.held > most.held {
 				most = s
 			}
 		})
-		if most == nil || most.held == 0 {
+		if most == nil || most.held == 0 || p.held <= p.budget.Memory()/heldPart {
 			return
 		}
 		p.log.Warn("a client holds too much", "bytes", most.held)
