Record what the loop sees and does, by the operators' own settings file

After an incident the operators want to see what happened. The daemon can now keep a typed stream of events (protobuf schema, CRC-32C frames, segments capped in size) that one goroutine writes off the loop from a bounded ring; what finds no room or can't be written is counted and told in the stream. It is switched on in a settings file of S-expressions under deploy/, read by a small reader that gives line and column in every error and checked by 'beechgrade check'. Bad input now ends with exit code 2.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -14,44 +15,59 @@
 	"github.com/urfave/cli/v3"
 
 	"beechgrade/internal/config"
+	"beechgrade/internal/operate"
 )
 
 func main() {
 	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "beechgrade:", err)
+		if errors.As(err, new(badInput)) {
+			os.Exit(2)
+		}
 		os.Exit(1)
 	}
 }
 
+// badInput is a fault of what the program was given, not of what it did.
+type badInput struct{ error }
+
+func (b badInput) Unwrap() error { return b.error }
+
 func command() *cli.Command {
 	verbose := &cli.BoolFlag{Name: "verbose", Aliases: []string{"v"}, Usage: "log what is of use only when looking for a fault"}
+	settings := &cli.StringFlag{Name: "settings", Sources: cli.EnvVars("EDGE_SETTINGS"), Usage: "the operators' settings, a `FILE` of S-expressions"}
 	return &cli.Command{
 		Name:           "beechgrade",
 		Usage:          "a pooler before groups of PostgreSQL-speaking servers",
 		DefaultCommand: "serve",
-		Flags:          []cli.Flag{verbose},
+		Flags:          []cli.Flag{verbose, settings},
 		Commands: []*cli.Command{
 			{
 				Name:  "serve",
 				Usage: "serve clients until SIGTERM; what it needs to know is in $EDGE_CONFIG",
 				Action: func(_ context.Context, c *cli.Command) error {
 					if c.Args().Present() { // serve is the default: a mistyped command must not start it
-						return fmt.Errorf("unknown command or argument %q; see --help", c.Args().First())
+						return badInput{fmt.Errorf("unknown command or argument %q; see --help", c.Args().First())}
 					}
-					return serve(c.Bool("verbose"))
+					return serve(c.Bool("verbose"), c.String("settings"))
 				},
 			},
 			{
 				Name:  "check",
 				Usage: "read the configuration and tell what is in it",
 				Action: func(_ context.Context, c *cli.Command) error {
-					cfg, err := config.Load(os.Getenv)
+					cfg, set, err := read(c.String("settings"))
 					if err != nil {
 						return err
 					}
 					fmt.Fprintf(c.Root().Writer, "%s: listens on %s, asks %s; %d classes, %d servers known, %d sockets, %d MB\n",
 						cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Classes), len(cfg.Known.Instances),
 						cfg.Limits.Sockets, cfg.Limits.MemoryMB)
+					if r := set.Record; r.On {
+						fmt.Fprintf(c.Root().Writer, "records: to %s, files of %d bytes, %d in all\n", r.Dir, r.SegmentBytes, r.TotalBytes)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "records: off")
+					}
 					return nil
 				},
 			},
@@ -75,12 +91,27 @@
 	return info.Main.Version + " " + info.GoVersion
 }
 
-func serve(verbose bool) error {
+// read reads the configuration and, where there are any, the operators' settings.
+func read(settings string) (*config.Config, *operate.Settings, error) {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return nil, nil, badInput{err}
+	}
+	set := &operate.Settings{}
+	if settings != "" {
+		if set, err = operate.Load(settings, os.Getenv); err != nil {
+			return nil, nil, badInput{err}
+		}
+	}
+	return cfg, set, nil
+}
+
+func serve(verbose bool, settings string) error {
 	// Each has a channel of its own: a signal that finds its channel full is dropped, and one of the same kind will do.
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
+	cfg, set, err := read(settings)
 	if err != nil {
 		return err
 	}
@@ -95,6 +126,7 @@
 	limitMemory(cfg)
 	p := newPooler(cfg, log)
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
+	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
 
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os"
+	"strings"
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
@@ -11,18 +12,22 @@
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
 )
 
 const (
-	reserved   = 64    // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
-	poolMost   = 0.45  // of the others, at most for connections to servers...
-	poolLeast  = 0.2   // ...and what clients leave to them
-	askPart    = 4     // clients that ask and hold 1 descriptor in so many are many
-	idlePart   = 0.8   // of the servers' idle time, after which a connection is closed here
-	drainMs    = 700   // after SIGTERM clients still come; the process may be killed so long after the longest deadline
-	drainEnd   = 500   // after the longest deadline, what came meanwhile has its answer...
-	drainClose = 250   // ...and so long after it, clients' idle connections are closed
-	deadlineMs = 3000  // counted as the longest deadline where that is longer
+	reserved   = 64   // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
+	poolMost   = 0.45 // of the others, at most for connections to servers...
+	poolLeast  = 0.2  // ...and what clients leave to them
+	askPart    = 4    // clients that ask and hold 1 descriptor in so many are many
+	idlePart   = 0.8  // of the servers' idle time, after which a connection is closed here
+	drainMs    = 700  // after SIGTERM clients still come; the process may be killed so long after the longest deadline
+	drainEnd   = 500  // after the longest deadline, what came meanwhile has its answer...
+	drainClose = 250  // ...and so long after it, clients' idle connections are closed
+	deadlineMs = 3000 // counted as the longest deadline where that is longer
+	gaugeMs    = 1000
 	pollMs     = 20    // between looks at whether something is still owed
 	drainMost  = 10000 // a client that never goes does not keep the process
 )
@@ -37,6 +42,8 @@
 	pool  *backend.Pool
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
+
+	gauges bool // are recorded
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
@@ -60,11 +67,37 @@
 	return p
 }
 
+// record has the pooler record what it does, where that is on; the function ends it.
+func (p *pooler) record(o operate.Record) (stop func()) {
+	if !o.On {
+		return func() {}
+	}
+	rec, end := record.Start(record.Options{Pooler: p.cfg.Name, Program: version(), Run: p.loop.Now(),
+		Classes: core.RecordClasses(p.cfg.Classes, p.cfg.Settings.Classes), Files: record.Dir(o.Dir),
+		SegmentBytes: o.SegmentBytes, TotalBytes: o.TotalBytes, Events: o.Queue, FlushMs: o.FlushMs, Pack: o.Pack, Log: p.log})
+	p.core.Record(rec)
+	p.gauges = true
+	return func() {
+		p.core.Note(recordpb.Kind_KIND_STOP, "") // the loop has ended
+		end()
+	}
+}
+
+// gauge records once a second how much there is of what.
+func (p *pooler) gauge() {
+	p.core.Gauge(p.front.Sessions(), p.pool.Conns())
+	p.loop.At(p.loop.Now()+gaugeMs, p.gauge)
+}
+
 // start runs on the loop before anything else.
 func (p *pooler) start() {
 	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
+	p.core.Note(recordpb.Kind_KIND_START, "")
 	p.core.Start(p.pool, p.dir)
 	p.front.Start()
+	if p.gauges {
+		p.gauge()
+	}
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
@@ -92,6 +125,7 @@
 func (p *pooler) apply(next *config.Config) {
 	changed, kept := p.cfg.Apply(next)
 	p.log.Info("configuration read again", "changed", changed)
+	p.core.Note(recordpb.Kind_KIND_RELOAD, strings.Join(changed, ", "))
 	if len(kept) > 0 {
 		p.log.Warn("cannot change while serving, needs a restart", "kept", kept)
 	}
@@ -109,6 +143,7 @@
 		longest = max(longest, clock.Millis(c.Deadline))
 	}
 	longest = min(longest, deadlineMs)
+	p.core.Note(recordpb.Kind_KIND_DRAIN, "")
 	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
 	p.core.EndAt(began + longest + drainEnd)
 	p.loop.At(began+longest+drainClose, p.front.Drain)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -15,6 +15,8 @@
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
 	"beechgrade/internal/slots"
 )
 
@@ -61,6 +63,10 @@
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
 	actions  []beechgrade.Action
+
+	rec    *record.Recorder // nil where nothing is recorded
+	asked  uint64           // requests recorded
+	probed map[string]float64
 }
 
 // event is one that the router is yet to be told, with the time at which it happened.
@@ -79,18 +85,20 @@
 	tries  []try // by number
 	open   int
 	over   bool
+	rec    recorded
 }
 
 // try is an attempt; one that was skipped has no ref.
 type try struct {
 	store beechgrade.StoreID
 	ref   slots.Ref
+	from  float64
 }
 
 // New makes the core of one pooler.
 func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
-		classes: map[string]int{}, ids: map[string]bool{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+		classes: map[string]int{}, ids: map[string]bool{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	for i, n := range cfg.Classes {
 		c.classes[n] = i
 	}
@@ -126,7 +134,9 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	ref := c.requests.Put(&request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client, query: q.Query, due: q.Due})
+	r := &request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client, query: q.Query, due: q.Due}
+	ref := c.requests.Put(r)
+	c.recordRequest(r, &q, class)
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat}
 	if q.After > 0 {
@@ -144,6 +154,7 @@
 		return
 	}
 	q.over = true
+	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
 	c.tell(&beechgrade.Expired{ID: requestID(ref)})
 }
@@ -156,9 +167,11 @@
 	}
 	q.open--
 	store := q.tries[t.No].store
+	c.recordAttempt(q, t.No, store, &o)
 	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
 		q.client.Served(o.Answer)
+		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
 	}
 	final := q.over
 	c.release(t.Request, q)
@@ -168,6 +181,7 @@
 
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
+	c.recordProbe(store, &o)
 	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
 }
 
@@ -181,7 +195,10 @@
 }
 
 // ListFailed is discovery.Events'.
-func (c *Core) ListFailed() { c.tell(&beechgrade.List{Kind: beechgrade.ListFailed}) }
+func (c *Core) ListFailed() {
+	c.Note(recordpb.Kind_KIND_LIST_FAILED, "")
+	c.tell(&beechgrade.List{Kind: beechgrade.ListFailed})
+}
 
 func (c *Core) list(l *discovery.List, kind beechgrade.ListKind) {
 	e, now := &beechgrade.List{Kind: kind}, c.loop.Now()
@@ -196,18 +213,14 @@
 		if n.StartedAtMs > 0 {
 			entry.Started = clock.Span(min(clock.FromUnix(n.StartedAtMs), now)) // one that lies ahead would be cold for ever
 		}
-		switch n.Lifecycle {
-		case "draining":
-			entry.State = beechgrade.Draining
-		case "removed":
-			entry.State = beechgrade.Gone
-		}
+		entry.State = stateOf(n)
 		named[n.ID] = true
 		if n.HostPort != "" {
 			c.servers.SetAddress(n.ID, n.HostPort)
 		}
 		e.Entries = append(e.Entries, entry)
 	}
+	c.recordList(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
 	for i := range e.Entries { // what is in use there stays until it has ended
@@ -256,12 +269,17 @@
 	case beechgrade.Refuse:
 		if q := c.conclude(a.ID); q != nil {
 			q.client.Refused(clock.Millis(a.Wait))
+			c.recordAnswer(q, recordpb.Final_FINAL_REFUSED, clock.Millis(a.Wait))
 		}
 	case beechgrade.Fail:
 		if q := c.conclude(a.ID); q != nil {
 			q.client.Failed()
+			c.recordAnswer(q, recordpb.Final_FINAL_FAILED, 0)
 		}
 	case beechgrade.Probe:
+		if c.rec.On() {
+			c.probed[string(a.Store)] = c.loop.Now()
+		}
 		c.servers.Probe(string(a.Store))
 	case beechgrade.SetTimer:
 		tag := a.Tag
@@ -306,7 +324,7 @@
 	if a.Wait != 0 {
 		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
 	}
-	q.tries = append(q.tries, try{store: a.Store})
+	q.tries = append(q.tries, try{store: a.Store, from: c.loop.Now()})
 	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
 		c.tell(&beechgrade.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: beechgrade.Skipped, Final: q.over})
 		return
--- /dev/null
+++ b/internal/operate/operate_test.go
@@ -0,0 +1,38 @@
+package operate
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestParse guards against settings that are half taken: each fault has one line with its place.
+func TestParse(t *testing.T) {
+	env := func(name string) string { return map[string]string{"T": "/t"}[name] }
+	for in, want := range map[string]any{
+		"": Settings{},
+		`(record (on) (dir "$T/r") (segment 1m) (total 8m) (queue 128) (flush 1s) (pack yes))`: Settings{Record: Record{On: true,
+			Dir: "/t/r", SegmentBytes: 1 << 20, TotalBytes: 8 << 20, Queue: 128, FlushMs: 1000, Pack: true}},
+		`(record (on no))`: Settings{Record: Record{SegmentBytes: defaultSegment, TotalBytes: defaultTotal,
+			Queue: defaultQueue, FlushMs: defaultFlushMs}},
+		"(record)\n(records)":                      `o:2:1: "records" is not known here; known are: record`,
+		"(record (on))":                            "o:1:1: record: it is on, but no (dir ...) says where",
+		`(record (on) (dir "$NO"))`:                "o:1:14: record: the folder's name is empty; is its variable set?",
+		"(record (segment 1m)\n (total 1m))":       "o:1:1: record: total has room for less than two segments of 1048576 bytes",
+		"(record\n  (flush 1ms))":                  "o:2:10: 1ms is out of range; it may be from 10ms to 60000ms",
+		"(record (queue 1e9))":                     "o:1:16: 1e9 is out of range; it may be from 64 to 1.048576e+06",
+		"(record (dir \"a\") (dir \"b\"))":         `o:1:19: "dir" stands here twice, first on line 1`,
+		"(record (on yes) (dir \"a\")) (record\n)": `o:1:29: "record" stands here twice, first on line 1`,
+	} {
+		s, err := Parse("o", []byte(in), env)
+		var got any
+		if err != nil {
+			got = err.Error()
+		} else {
+			got = *s
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", in, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,193 @@
+// Package record keeps what the loop saw and did: a typed stream of events that one goroutine writes to segments
+// on disk. The loop never waits for it and never allocates for it; what can't be kept is counted.
+package record
+
+import (
+	"sync/atomic"
+
+	"beechgrade/internal/record/recordpb"
+)
+
+// Kind is what an event is; the schema has the list.
+type Kind = recordpb.Kind
+
+// Reason says what the pooler knew of a request when it refused or failed it. Numbers are the schema's.
+type Reason uint32
+
+// The reasons. A reason behind ReasonEnded is that of the attempt that ended last, by the decision module's Result.
+const (
+	ReasonNone    Reason = iota
+	ReasonUnsent         // no attempt was begun
+	ReasonOut            // an attempt was still out
+	ReasonEnded          // ...plus the Result of the last attempt
+	reasonsBehind = 9
+)
+
+var resultNames = [...]string{"ok", "error", "turned away", "timed out", "unreachable", "reset", "called off", "never sent", "missed"}
+
+// ResultName names a Result of the decision module, by its number.
+func ResultName(r uint32) string {
+	if int(r) < len(resultNames) {
+		return resultNames[r]
+	}
+	return "unknown"
+}
+
+func (r Reason) String() string {
+	switch {
+	case r == ReasonNone:
+		return "none"
+	case r == ReasonUnsent:
+		return "nothing sent"
+	case r == ReasonOut:
+		return "no answer yet"
+	case r < ReasonEnded+reasonsBehind:
+		return ResultName(uint32(r - ReasonEnded))
+	}
+	return "unknown"
+}
+
+// Event is one event on its way to disk, or read back. Times are in milliseconds; At and Position are Unix time.
+// Which fields count depends on Kind, as the schema says.
+type Event struct {
+	At       float64
+	Kind     Kind
+	Final    recordpb.Final
+	Result   uint8
+	Role     uint8
+	State    uint8
+	Repeat   bool
+	Primary  bool
+	Whole    bool
+	Held     bool
+	Class    int32
+	Attempt  int32
+	Group    int64
+	Request  uint64
+	Server   string
+	Session  uint64
+	ID       uint64
+	Took     float64
+	Left     float64
+	Wait     float64
+	Position float64 // 0 for none
+	Reason   Reason
+	Number   int64 // a list's generation; a server's start in Unix ms; a gauge's open requests
+	Sessions int64
+	Conns    int64
+	Memory   int64
+	Files    int64
+	Wall     float64 // the machine's clock at a gauge, Unix ms
+	Text     string
+	Lost     uint64 // events
+	From, To float64
+	Cause    uint8
+}
+
+// Causes of a loss.
+const (
+	CauseRing  = 1 // the writer did not keep up
+	CauseWrite = 2 // writing failed
+)
+
+// Recorder takes events on the loop. A nil Recorder takes none.
+type Recorder struct {
+	ring  ring
+	wake  chan struct{}
+	lost  Event // what the ring had no room for since
+	total atomic.Uint64
+}
+
+// On tells whether events are kept.
+func (r *Recorder) On() bool { return r != nil }
+
+// Put keeps an event, or counts it as lost where the ring is full. It is for the loop alone, and neither waits nor
+// allocates.
+func (r *Recorder) Put(e *Event) {
+	if r == nil {
+		return
+	}
+	if r.lost.Lost > 0 && !r.flushLost() {
+		r.lose(e.At)
+		return
+	}
+	room := r.ring.put(e)
+	if room < 0 {
+		r.lose(e.At)
+	} else if room == len(r.ring.buf)/2 {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Lost is the number of events that found no room in the ring.
+func (r *Recorder) Lost() uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.total.Load()
+}
+
+func (r *Recorder) lose(at float64) {
+	if r.lost.Lost == 0 {
+		r.lost = Event{Kind: recordpb.Kind_KIND_LOST, From: at, Cause: CauseRing}
+	}
+	r.lost.Lost++
+	r.lost.At, r.lost.To = at, at
+	r.total.Add(1)
+}
+
+// flushLost puts the word of a loss where the lost events would have stood.
+func (r *Recorder) flushLost() bool {
+	if r.ring.put(&r.lost) < 0 {
+		return false
+	}
+	r.lost = Event{}
+	return true
+}
+
+// ring is a bounded queue with one writer and one reader, without locks.
+type ring struct {
+	buf  []Event
+	mask uint64
+	head atomic.Uint64 // next to be written; moved by the writer alone
+	_    [48]byte      // each counter on a cache line of its own
+	tail atomic.Uint64 // next to be read; moved by the reader alone
+}
+
+func newRing(events int) ring {
+	size := 1
+	for size < events {
+		size *= 2
+	}
+	return ring{buf: make([]Event, size), mask: uint64(size - 1)}
+}
+
+// put adds an event and returns how many are waiting then, -1 where there was no room.
+func (r *ring) put(e *Event) int {
+	h := r.head.Load()
+	n := h - r.tail.Load()
+	if n > r.mask {
+		return -1
+	}
+	r.buf[h&r.mask] = *e
+	r.head.Store(h + 1)
+	return int(n) + 1
+}
+
+// next is the oldest event, nil where none waits; it stays until drop.
+func (r *ring) next() *Event {
+	t := r.tail.Load()
+	if t == r.head.Load() {
+		return nil
+	}
+	return &r.buf[t&r.mask]
+}
+
+func (r *ring) drop() {
+	t := r.tail.Load()
+	r.buf[t&r.mask] = Event{} // its strings go
+	r.tail.Store(t + 1)
+}
--- /dev/null
+++ b/internal/sexp/sexp.go
@@ -0,0 +1,361 @@
+// Package sexp reads the operators' S-expressions: settings, scenarios and expectations. Every error names file,
+// line and column.
+package sexp
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+)
+
+// Bounds on what is read: a file is written by hand.
+const (
+	MaxBytes = 1 << 20
+	maxDepth = 64
+	maxNodes = 1 << 17
+)
+
+// Pos is a place in a file; lines and columns count from 1, columns in characters.
+type Pos struct {
+	File      string
+	Line, Col int
+}
+
+func (p Pos) String() string { return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Col) }
+
+// Error is a fault at a place.
+type Error struct {
+	Pos  Pos
+	Text string
+}
+
+func (e *Error) Error() string { return e.Pos.String() + ": " + e.Text }
+
+// Kind is what a node is.
+type Kind uint8
+
+// The kinds.
+const (
+	Atom   Kind = iota // a bare word or number
+	String             // in double quotes
+	List
+)
+
+// Node is one expression.
+type Node struct {
+	Pos   Pos
+	Kind  Kind
+	Text  string // of an atom or a string
+	Items []*Node
+}
+
+// Errorf makes an error at the node.
+func (n *Node) Errorf(format string, args ...any) error {
+	return &Error{n.Pos, fmt.Sprintf(format, args...)}
+}
+
+// Parse reads all expressions of a file. A comment runs from ';' to the end of its line.
+func Parse(file string, b []byte) ([]*Node, error) {
+	p := &parser{in: b, pos: Pos{file, 1, 1}}
+	if len(b) > MaxBytes {
+		return nil, &Error{p.pos, fmt.Sprintf("the file has %d bytes; at most %d are read", len(b), MaxBytes)}
+	}
+	var out []*Node
+	for {
+		p.space()
+		if p.at == len(p.in) {
+			return out, nil
+		}
+		n, err := p.node(0)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, n)
+	}
+}
+
+type parser struct {
+	in    []byte
+	at    int
+	pos   Pos
+	nodes int
+}
+
+// next takes one character.
+func (p *parser) next() (rune, error) {
+	r, size := utf8.DecodeRune(p.in[p.at:])
+	if r == utf8.RuneError && size <= 1 {
+		return 0, &Error{p.pos, "this is not UTF-8 text"}
+	}
+	p.at += size
+	p.pos.Col++
+	if r == '\n' {
+		p.pos.Line, p.pos.Col = p.pos.Line+1, 1
+	}
+	return r, nil
+}
+
+func (p *parser) space() {
+	for p.at < len(p.in) {
+		switch p.in[p.at] {
+		case ' ', '\t', '\r', '\n':
+			_, _ = p.next()
+		case ';':
+			for p.at < len(p.in) && p.in[p.at] != '\n' {
+				if _, err := p.next(); err != nil {
+					p.at++ // within a comment anything goes
+				}
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (p *parser) node(depth int) (*Node, error) {
+	n := &Node{Pos: p.pos}
+	if p.nodes++; p.nodes > maxNodes {
+		return nil, n.Errorf("more than %d expressions", maxNodes)
+	}
+	switch c := p.in[p.at]; c {
+	case '(':
+		if depth == maxDepth {
+			return nil, n.Errorf("lists are nested more than %d deep", maxDepth)
+		}
+		n.Kind = List
+		_, _ = p.next()
+		for {
+			p.space()
+			if p.at == len(p.in) {
+				return nil, n.Errorf("this list is not closed")
+			}
+			if p.in[p.at] == ')' {
+				_, _ = p.next()
+				return n, nil
+			}
+			item, err := p.node(depth + 1)
+			if err != nil {
+				return nil, err
+			}
+			n.Items = append(n.Items, item)
+		}
+	case ')':
+		return nil, n.Errorf("a ')' that closes nothing")
+	case '"':
+		n.Kind = String
+		return n, p.text(n)
+	}
+	from := p.at
+	for p.at < len(p.in) && !strings.ContainsRune(" \t\r\n();\"", rune(p.in[p.at])) {
+		if _, err := p.next(); err != nil {
+			return nil, err
+		}
+	}
+	n.Text = string(p.in[from:p.at])
+	return n, nil
+}
+
+func (p *parser) text(n *Node) error {
+	_, _ = p.next()
+	var b strings.Builder
+	for p.at < len(p.in) {
+		at := p.pos
+		r, err := p.next()
+		if err != nil {
+			return err
+		}
+		switch r {
+		case '"':
+			n.Text = b.String()
+			return nil
+		case '\n':
+			return n.Errorf("this text is not closed on its line")
+		case '\\':
+			if p.at == len(p.in) {
+				return n.Errorf("this text is not closed")
+			}
+			if r, err = p.next(); err != nil {
+				return err
+			}
+			i := strings.IndexRune(`"\nt`, r)
+			if i < 0 {
+				return &Error{at, fmt.Sprintf(`\%c is not known; there are \" \\ \n \t`, r)}
+			}
+			r = rune("\"\\\n\t"[i])
+		}
+		b.WriteRune(r)
+	}
+	return n.Errorf("this text is not closed")
+}
+
+// Head is the name that a list begins with, empty where there is none.
+func (n *Node) Head() string {
+	if n.Kind == List && len(n.Items) > 0 && n.Items[0].Kind == Atom {
+		return n.Items[0].Text
+	}
+	return ""
+}
+
+// Args are a list's items behind its name.
+func (n *Node) Args() []*Node {
+	if n.Head() == "" {
+		return nil
+	}
+	return n.Items[1:]
+}
+
+// One is the single argument of a list such as (seconds 20).
+func (n *Node) One() (*Node, error) {
+	if a := n.Args(); len(a) == 1 {
+		return a[0], nil
+	}
+	return nil, n.Errorf("(%s ...) takes one value, here are %d", n.Head(), len(n.Args()))
+}
+
+// Form names what a list may hold and what is done with it.
+type Form map[string]func(*Node) error
+
+// Read puts each list among items to the function of its name. Names that are not known are an error, and so are
+// those that are said twice, but for those in many.
+func (f Form) Read(items []*Node, many ...string) error {
+	seen := map[string]Pos{}
+	for _, n := range items {
+		name := n.Head()
+		if name == "" {
+			return n.Errorf("here a list that begins with a name is due; known are: %s", f.names())
+		}
+		read := f[name]
+		if read == nil {
+			return n.Errorf("%q is not known here; known are: %s", name, f.names())
+		}
+		if at, twice := seen[name]; twice && !slices.Contains(many, name) {
+			return n.Errorf("%q stands here twice, first on line %d", name, at.Line)
+		}
+		seen[name] = n.Pos
+		if err := read(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f Form) names() string {
+	var all []string
+	for name := range f {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return strings.Join(all, ", ")
+}
+
+// Float reads a list's single number and holds it to a range.
+func (n *Node) Float(least, most float64) (float64, error) {
+	a, err := n.One()
+	if err != nil {
+		return 0, err
+	}
+	return a.Number(least, most)
+}
+
+// Number reads an atom as a number within a range.
+func (n *Node) Number(least, most float64) (float64, error) {
+	x, err := strconv.ParseFloat(n.Text, 64)
+	if n.Kind != Atom || err != nil || math.IsNaN(x) {
+		return 0, n.Errorf("a number is due here")
+	}
+	if x < least || x > most {
+		return 0, n.Errorf("%s is out of range; it may be from %v to %v", n.Text, least, most)
+	}
+	return x, nil
+}
+
+// Int reads a list's single whole number and holds it to a range.
+func (n *Node) Int(least, most int) (int, error) {
+	x, err := n.Float(float64(least), float64(most))
+	if err != nil {
+		return 0, err
+	}
+	if x != math.Trunc(x) {
+		return 0, n.Items[1].Errorf("a whole number is due here")
+	}
+	return int(x), nil
+}
+
+// Bool reads a list's single yes or no; a list without a value means yes.
+func (n *Node) Bool() (bool, error) {
+	if len(n.Args()) == 0 {
+		return true, nil
+	}
+	a, err := n.One()
+	if err != nil {
+		return false, err
+	}
+	switch a.Text {
+	case "yes", "true", "on":
+		return true, nil
+	case "no", "false", "off":
+		return false, nil
+	}
+	return false, a.Errorf("yes or no is due here")
+}
+
+// Str reads a list's single text.
+func (n *Node) Str() (string, error) {
+	a, err := n.One()
+	if err != nil {
+		return "", err
+	}
+	if a.Kind == List {
+		return "", a.Errorf("a text is due here")
+	}
+	return a.Text, nil
+}
+
+// Millis reads a list's single time, such as 250ms, 2s or 1m30s, in milliseconds.
+func (n *Node) Millis(least, most float64) (float64, error) {
+	a, err := n.One()
+	if err != nil {
+		return 0, err
+	}
+	return a.Span(least, most)
+}
+
+// Span reads an atom as a time, in milliseconds.
+func (n *Node) Span(least, most float64) (float64, error) {
+	d, err := time.ParseDuration(n.Text)
+	if n.Kind != Atom || err != nil {
+		return 0, n.Errorf("a time is due here, such as 250ms, 2s or 1m30s")
+	}
+	ms := float64(d) / float64(time.Millisecond)
+	if ms < least || ms > most {
+		return 0, n.Errorf("%s is out of range; it may be from %vms to %vms", n.Text, least, most)
+	}
+	return ms, nil
+}
+
+// Bytes reads a list's single size, such as 512k, 8m or 1g, in bytes.
+func (n *Node) Bytes(least, most int64) (int64, error) {
+	a, err := n.One()
+	if err != nil {
+		return 0, err
+	}
+	text, unit := strings.ToLower(a.Text), int64(1)
+	for i, suffix := range []string{"k", "m", "g"} {
+		if cut, ok := strings.CutSuffix(text, suffix); ok {
+			text, unit = cut, 1<<(10*(i+1))
+			break
+		}
+	}
+	x, perr := strconv.ParseInt(text, 10, 64)
+	if a.Kind != Atom || perr != nil || x < 0 || x > math.MaxInt64/unit {
+		return 0, a.Errorf("a size is due here, such as 512k, 8m or 1g")
+	}
+	if x *= unit; x < least || x > most {
+		return 0, a.Errorf("%s is out of range; it may be from %d to %d bytes", a.Text, least, most)
+	}
+	return x, nil
+}
