--- /dev/null
+++ b/cmd/beechgrade-kit/main.go
@@ -0,0 +1,202 @@
+// Command beechgrade-kit is the operators' tools beside the daemon: looking at what poolers recorded, and rehearsing
+// failures on loopback.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/kit/incident"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/report"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := command().Run(ctx, os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "beechgrade-kit:", err)
+	}
+	os.Exit(exitCode(err))
+}
+
+// failed is a result that is not good, where everything was read and done as it should be.
+type failed struct{ error }
+
+func (f failed) Unwrap() error { return f.error }
+
+// exitCode is 0, 1 for what failed, or 2 for usage and bad input.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, new(failed)):
+		return 1
+	}
+	return 2
+}
+
+func command() *cli.Command {
+	asJSON := func() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "write JSON for machines"} }
+	return &cli.Command{
+		Name:           "beechgrade-kit",
+		Usage:          "look at what poolers recorded, and rehearse failures",
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			{
+				Name:  "incident",
+				Usage: "tell from records what happened",
+				Commands: []*cli.Command{
+					{Name: "summary", Usage: "a summary as text", ArgsUsage: "DIR...", Flags: []cli.Flag{asJSON()}, Action: summary},
+					{Name: "report", Usage: "one HTML file", ArgsUsage: "DIR...",
+						Flags:  []cli.Flag{&cli.StringFlag{Name: "out", Aliases: []string{"o"}, Value: "incident.html", Usage: "the `FILE` to write"}},
+						Action: htmlReport},
+					{Name: "view", Usage: "a console to look around in", ArgsUsage: "DIR...",
+						Flags:  []cli.Flag{&cli.BoolFlag{Name: "follow", Usage: "go on with records that are still being written"}},
+						Action: view},
+					{Name: "trace", Usage: "all that is recorded of one request", ArgsUsage: "DIR...",
+						Flags:  []cli.Flag{&cli.StringFlag{Name: "id", Required: true, Usage: "the client's `ID`, or its hash of 16 hexadecimal digits"}, asJSON()},
+						Action: trace},
+				},
+			},
+			{
+				Name: "rehearse", Usage: "run the daemon against stand-in servers and faults, as a script has them", ArgsUsage: "SCRIPT",
+				Flags: []cli.Flag{
+					&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what is drawn follows from this `NUMBER`"},
+					&cli.StringFlag{Name: "out", Value: "rehearsal", Usage: "the `DIR` for records, logs and results"},
+					&cli.StringFlag{Name: "daemon", Usage: "the daemon's program `FILE`; else the one beside this program"},
+					&cli.BoolFlag{Name: "verbose", Aliases: []string{"v"}, Usage: "log what the stand-ins do"},
+					asJSON(),
+				},
+				Action: play,
+				Commands: []*cli.Command{
+					{Name: "check", Usage: "read scripts and tell what is wrong with them", ArgsUsage: "SCRIPT...", Action: check},
+					{Name: "compare", Usage: "hold a rehearsal's records against what its clients saw", ArgsUsage: "DIR", Flags: []cli.Flag{asJSON()}, Action: compare},
+				},
+			},
+		},
+	}
+}
+
+// load reads all records below some folders.
+func load(c *cli.Command) (*incident.View, error) {
+	set, err := open(c)
+	if err != nil {
+		return nil, err
+	}
+	m := incident.New()
+	if err := set.Read(m); err != nil {
+		return nil, err
+	}
+	m.Finish()
+	return m.View(), nil
+}
+
+func summary(_ context.Context, c *cli.Command) error {
+	v, err := load(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, v)
+	}
+	return report.Text(c.Root().Writer, v)
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := jsoniter.ConfigCompatibleWithStandardLibrary.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	if !c.Args().Present() {
+		return errors.New("which scripts?")
+	}
+	for _, path := range c.Args().Slice() {
+		s, err := rehearse.Load(path)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(c.Root().Writer, "%s: %q, %.0f s, %d poolers, groups of %v, %.0f requests a second, %d faults\n", path, s.Name,
+			s.Clients.Seconds, s.Poolers, s.Fleet.Groups, s.Clients.Rate, len(s.Faults))
+	}
+	return nil
+}
+
+func play(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("one script is due; see --help")
+	}
+	s, err := rehearse.Load(c.Args().First())
+	if err != nil {
+		return err
+	}
+	daemon := c.String("daemon")
+	if daemon == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		daemon = filepath.Join(filepath.Dir(self), "beechgrade")
+	}
+	log := slog.New(slog.DiscardHandler)
+	if c.Bool("verbose") {
+		log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	out, told := c.String("out"), -1
+	_, err = rehearse.Play(ctx, s, rehearse.Options{Seed: c.Uint64("seed"), Out: out, Daemon: daemon, Log: log, Progress: func(done, all int) {
+		if part := 20 * done / max(1, all); part != told && !c.Bool("json") {
+			told = part
+			fmt.Fprintf(os.Stderr, "\r%s: %3d%%", s.Name, 5*part)
+		}
+	}})
+	if told >= 0 {
+		fmt.Fprint(os.Stderr, "\r\033[K")
+	}
+	if err != nil {
+		return err
+	}
+	return judge(c, out)
+}
+
+func compare(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("one folder of a rehearsal is due")
+	}
+	return judge(c, c.Args().First())
+}
+
+// judge tells how a rehearsal went, and fails where a rule was broken or the records do not agree with the clients.
+func judge(c *cli.Command, dir string) error {
+	m, v, res, err := rehearse.Compare(dir)
+	if err != nil {
+		return err
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		if err := writeJSON(w, map[string]any{"score": res.Score, "match": m, "facts": res.Facts}); err != nil {
+			return err
+		}
+	} else if err := report.Rehearsal(w, res, m, v, dir); err != nil {
+		return err
+	}
+	switch {
+	case res.Score.Broken > 0:
+		return failed{fmt.Errorf("%d times a rule was broken", res.Score.Broken)}
+	case !m.OK():
+		return failed{errors.New("the records and the clients do not agree")}
+	}
+	return nil
+}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -74,7 +74,8 @@
 	}
 	rec, end := record.Start(record.Options{Pooler: p.cfg.Name, Program: version(), Run: p.loop.Now(),
 		Classes: core.RecordClasses(p.cfg.Classes, p.cfg.Settings.Classes), Files: record.Dir(o.Dir),
-		SegmentBytes: o.SegmentBytes, TotalBytes: o.TotalBytes, Events: o.Queue, FlushMs: o.FlushMs, Pack: o.Pack, Log: p.log})
+		SegmentBytes: o.SegmentBytes, TotalBytes: o.TotalBytes, Events: o.Queue, FlushMs: o.FlushMs, Pack: o.Pack, Log: p.log,
+		ColdFrom: p.cfg.Settings.ColdFrom, ColdMs: clock.Millis(p.cfg.Settings.ColdTime), GraceMs: clock.Millis(p.cfg.Settings.DrainGrace)})
 	p.core.Record(rec)
 	p.gauges = true
 	return func() {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -26,6 +26,9 @@
 	return s.unixMs + float64(time.Since(s.began))/1e6
 }
 
+// Wall reads the machine's clock anew, in Unix milliseconds. It may step, and is for telling that it did, nothing else.
+func Wall() float64 { return float64(time.Now().UnixMicro()) / 1e3 }
+
 // Manual is a clock that stands where it is set.
 type Manual struct{ Ms float64 }
 
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -103,7 +103,7 @@
 func (c *Core) Gauge(sessions, conns int) {
 	if c.rec.On() {
 		c.rec.Put(&record.Event{At: c.loop.Now(), Kind: recordpb.Kind_KIND_GAUGE, Sessions: int64(sessions), Conns: int64(conns),
-			Number: int64(c.requests.Len())})
+			Number: int64(c.requests.Len()), Wall: clock.Wall()})
 	}
 }
 
--- /dev/null
+++ b/internal/kit/clients/clients.go
@@ -0,0 +1,480 @@
+package clients
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/pgwire"
+)
+
+// Kind is how a try ended for its client.
+type Kind string
+
+// The kinds. Late marks the tries whose answer came after the client had given up.
+const (
+	Served  Kind = "served"
+	Refused Kind = "refused"
+	Failed  Kind = "failed"
+	Silent  Kind = "no answer" // by the time the client gave up, nor for a while after
+	Broken  Kind = "broken"    // the connection ended without an answer
+	Unmade  Kind = "unmade"    // no pooler took the connection
+)
+
+// Try is one try of an ask, with what its client saw.
+type Try struct {
+	Ask    *Ask
+	Class  *Class
+	No     int // 0 for the first
+	ID     string
+	Pooler int     // -1 where none was reached
+	First  float64 // when the ask's first try was sent, Unix ms
+	Sent   float64
+	Ended  float64
+	Kind   Kind
+	Late   bool
+	Extra  bool // more than one answer came
+	Value  []byte
+	Wrote  uint64 // a write's number among its key's
+	Stale  bool   // what was read is older than the class allows
+	Alien  bool   // what was read was never written under this key
+}
+
+// Sink is told of tries as they end, by one goroutine at a time.
+type Sink interface{ Tried(t *Try) }
+
+// Player asks what was planned.
+type Player struct {
+	cfg     Config
+	clk     clock.Clock
+	sink    Sink
+	poolers []string
+
+	mu       sync.Mutex
+	idle     [][]*link
+	sessions map[string]*session
+	bad      []float64 // until when a pooler is not tried, as the front has noticed
+	wg       sync.WaitGroup
+}
+
+// session is what clients know of the writes of one key.
+type session struct {
+	commit  float64 // of its last write that was served, or a little later
+	counter uint64
+	writes  []written // the newest
+}
+
+// written is a write that was served.
+type written struct {
+	number      uint64
+	sent, acked float64
+}
+
+const keepWrites = 256
+
+// link is a connection to a pooler.
+type link struct {
+	net.Conn
+	in    *bufio.Reader
+	since float64
+	said  said // of the answer that is coming in
+	rows  int
+}
+
+const (
+	frontMs   = 500 // the front notices so late that a pooler is gone
+	dialMs    = 300
+	maxAnswer = 16 << 10
+)
+
+// NewPlayer makes a player before the given poolers.
+func NewPlayer(cfg Config, clk clock.Clock, poolers []string, sink Sink) *Player {
+	return &Player{cfg: cfg, clk: clk, sink: sink, poolers: poolers, idle: make([][]*link, len(poolers)),
+		sessions: map[string]*session{}, bad: make([]float64, len(poolers))}
+}
+
+// Play asks all, each at its time, and returns when every ask has had its end. progress is told the number asked.
+func (p *Player) Play(ctx context.Context, plan []Ask, progress func(asked int)) {
+	order := make([]*Ask, len(plan))
+	for i := range plan {
+		order[i] = &plan[i]
+	}
+	slices.SortStableFunc(order, func(a, b *Ask) int { return cmp.Compare(a.At, b.At) })
+	began := p.clk.Now()
+	for i, a := range order {
+		if wait := began + a.At - p.clk.Now(); wait > 0 {
+			t := time.NewTimer(time.Duration(wait * float64(time.Millisecond)))
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+				p.end()
+				return
+			}
+		}
+		p.wg.Add(1)
+		go func() {
+			defer p.wg.Done()
+			p.ask(ctx, a)
+		}()
+		if progress != nil && i%64 == 0 {
+			progress(i + 1)
+		}
+	}
+	p.end()
+}
+
+func (p *Player) end() {
+	p.wg.Wait()
+	for _, list := range p.idle {
+		for _, l := range list {
+			_ = l.Close()
+		}
+	}
+}
+
+// ask makes the first try and those that follow.
+func (p *Player) ask(ctx context.Context, a *Ask) {
+	c := &p.cfg.Classes[a.Class]
+	first := 0.0
+	for no := 0; no <= len(a.Waits); no++ {
+		t := &Try{Ask: a, Class: c, No: no, Pooler: -1}
+		wait := p.try(t, &first)
+		p.mu.Lock()
+		p.sink.Tried(t)
+		p.mu.Unlock()
+		if t.Kind == Served || no == len(a.Waits) {
+			return
+		}
+		if wait <= 0 {
+			wait = a.Waits[no]
+		}
+		select {
+		case <-time.After(time.Duration(wait * float64(time.Millisecond))):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// try makes one try, and returns the wait that a refusal advised.
+func (p *Player) try(t *Try, first *float64) (wait float64) {
+	a, c := t.Ask, t.Class
+	t.ID = fmt.Sprintf("%08x%02x%08x", p.cfg.Seed&0xffffffff, t.No, a.No)
+	if c.Read == Write {
+		t.Wrote = p.counted(a.Key)
+	}
+	after := 0.0
+	if c.Read == ReadSession {
+		after = p.committed(a.Key)
+	}
+	t.Sent = p.clk.Now()
+	if *first == 0 {
+		*first = t.Sent
+	}
+	t.First = *first
+	l := p.connect(t)
+	if l == nil {
+		t.Kind, t.Ended = Unmade, p.clk.Now()
+		return 0
+	}
+	giveUp := t.Sent + a.Patience
+	sql := statement(a, c, t, after, giveUp-p.clk.Now())
+	_ = l.SetDeadline(time.Now().Add(time.Duration((giveUp - p.clk.Now()) * float64(time.Millisecond))))
+	if _, err := l.Write(pgwire.AppendQuery(nil, sql)); err != nil {
+		t.Kind, t.Ended = Broken, p.clk.Now()
+		_ = l.Close()
+		return 0
+	}
+	said, err := l.answer()
+	t.Ended = p.clk.Now()
+	if ne, ok := err.(net.Error); ok && ne.Timeout() { // its client has given up; does an answer come all the same?
+		_ = l.SetDeadline(time.Now().Add(time.Duration(p.cfg.LateAfter * float64(time.Millisecond))))
+		said, err = l.answer()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Kind = Silent
+			_ = l.Close()
+			return 0
+		}
+		t.Late = err == nil
+	}
+	if err != nil {
+		t.Kind = Broken
+		_ = l.Close()
+		return 0
+	}
+	switch {
+	case said.code == "":
+		t.Kind, t.Value = Served, said.value
+	case said.code == "53300" || said.code == "57P03":
+		t.Kind, wait = Refused, said.wait
+	default:
+		t.Kind = Failed
+	}
+	if c.Read == Write && t.Kind == Served {
+		p.wrote(a.Key, written{t.Wrote, t.Sent, t.Ended})
+	}
+	if t.Kind == Served {
+		p.judge(t)
+	}
+	t.Extra = l.in.Buffered() > 0
+	if said.ready && !t.Late && !t.Extra {
+		p.keep(t.Pooler, l)
+	} else {
+		_ = l.Close()
+	}
+	return wait
+}
+
+// statement words a try.
+func statement(a *Ask, c *Class, t *Try, after, patience float64) string {
+	var b strings.Builder
+	if c.Read == Write {
+		fmt.Fprintf(&b, `INSERT INTO kv (name, content) VALUES ('%s', '\x%s') RETURNING content`, a.Key, hex.EncodeToString(Value(a.Key, t.Wrote)))
+	} else {
+		fmt.Fprintf(&b, "SELECT content FROM kv WHERE name = '%s'", a.Key)
+	}
+	fmt.Fprintf(&b, " /* id=%s,c=%s,d=%d,cluster=%d", t.ID, c.Name, max(1, int(math.Floor(patience))), a.Group)
+	if after > 0 {
+		fmt.Fprintf(&b, ",after=%d", int64(math.Ceil(after)))
+	}
+	if t.No > 0 {
+		b.WriteString(",r=1")
+	}
+	b.WriteString(" */")
+	return b.String()
+}
+
+// Value is what a session's write of this number writes: who wrote it can be told from it.
+func Value(key string, number uint64) []byte {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return binary.BigEndian.AppendUint64(h.Sum(nil), number)
+}
+
+// Number is the number of the write that wrote a value, and whether it was one of this key's. No value is number 0.
+func Number(key string, value []byte) (uint64, bool) {
+	if len(value) == 0 {
+		return 0, true
+	}
+	if len(value) != 16 || string(value[:8]) != string(Value(key, 0)[:8]) {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(value[8:]), true
+}
+
+func (p *Player) session(key string) *session {
+	s := p.sessions[key]
+	if s == nil {
+		s = &session{}
+		p.sessions[key] = s
+	}
+	return s
+}
+
+func (p *Player) counted(key string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.session(key)
+	s.counter++
+	return s.counter
+}
+
+// committed is the position that a session's read must see, 0 for none.
+func (p *Player) committed(key string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.session(key).commit
+}
+
+func (p *Player) wrote(key string, w written) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.session(key)
+	s.commit = max(s.commit, w.acked)
+	s.writes = append(s.writes, w)
+	s.writes = s.writes[max(0, len(s.writes)-keepWrites):]
+}
+
+// judge holds a read's value to what its class allows. A value is too old only where it surely is: another write was
+// sent after the value's own was answered, and had its answer in time for the read.
+func (p *Player) judge(t *Try) {
+	n, ours := Number(t.Ask.Key, t.Value)
+	if t.Class.Read == Write {
+		t.Alien = !ours || n != t.Wrote
+		return
+	}
+	t.Alien = !ours
+	by := t.Sent
+	switch t.Class.Read {
+	case ReadBounded:
+		by -= t.Class.Bound
+	case ReadSession:
+	default:
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.session(t.Ask.Key)
+	got := written{}
+	for _, w := range s.writes {
+		if w.number == n {
+			got = w
+		}
+	}
+	if n != 0 && got.number == 0 {
+		return // never answered, or long ago: its place is not known
+	}
+	for _, w := range s.writes {
+		if w.number != n && w.acked <= by && (n == 0 || got.acked < w.sent) {
+			t.Stale = true
+		}
+	}
+}
+
+// connect finds a connection to the session's pooler, or to another where that is known to be gone.
+func (p *Player) connect(t *Try) *link {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.Ask.Key))
+	home := int(h.Sum32() % uint32(len(p.poolers)))
+	for i := range p.poolers {
+		n := (home + i) % len(p.poolers)
+		now := p.clk.Now()
+		p.mu.Lock()
+		skip := now < p.bad[n]
+		var l *link
+		for list := p.idle[n]; l == nil && len(list) > 0; list = p.idle[n] {
+			l = list[len(list)-1]
+			p.idle[n] = list[:len(list)-1]
+			if now-l.since > p.cfg.IdleMs || !l.alive() {
+				_ = l.Close()
+				l = nil
+			}
+		}
+		p.mu.Unlock()
+		if l != nil {
+			t.Pooler = n
+			return l
+		}
+		if skip {
+			continue
+		}
+		l, err := dial(p.poolers[n])
+		if err == nil {
+			t.Pooler = n
+			return l
+		}
+		p.mu.Lock()
+		p.bad[n] = p.clk.Now() + frontMs
+		p.mu.Unlock()
+	}
+	return nil
+}
+
+func (p *Player) keep(n int, l *link) {
+	l.since = p.clk.Now()
+	p.mu.Lock()
+	p.idle[n] = append(p.idle[n], l)
+	p.mu.Unlock()
+}
+
+// alive tells whether nothing has come on an idle connection, its end included.
+func (l *link) alive() bool {
+	_ = l.SetReadDeadline(time.Now().Add(20 * time.Microsecond))
+	_, err := l.in.Peek(1)
+	ne, ok := err.(net.Error)
+	_ = l.SetReadDeadline(time.Time{})
+	return ok && ne.Timeout()
+}
+
+func dial(addr string) (*link, error) {
+	nc, err := net.DialTimeout("tcp", addr, dialMs*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{Conn: nc, in: bufio.NewReaderSize(nc, 2*maxAnswer)}
+	_ = nc.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := nc.Write(pgwire.AppendStartup(nil, "backend", "store")); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	if a, err := l.answer(); err != nil || a.code != "" {
+		_ = nc.Close()
+		return nil, fmt.Errorf("welcome: %w", cmp.Or(err, io.ErrUnexpectedEOF))
+	}
+	return l, nil
+}
+
+// said is an answer.
+type said struct {
+	code  string
+	wait  float64
+	value []byte
+	ready bool
+}
+
+// answer reads up to ReadyForQuery, or to the connection's end behind an error. Where its time runs out it may be
+// called again and goes on.
+func (l *link) answer() (said, error) {
+	for {
+		head, err := l.in.Peek(5)
+		if err != nil {
+			if l.said.code != "" && err == io.EOF {
+				return l.said, nil // after a fatal error, no ReadyForQuery is needed
+			}
+			return said{}, err
+		}
+		n := int(binary.BigEndian.Uint32(head[1:]))
+		if n < 4 || n > maxAnswer {
+			return said{}, fmt.Errorf("message of %d bytes", n)
+		}
+		whole, err := l.in.Peek(n + 1)
+		if err != nil {
+			return said{}, err
+		}
+		typ, body := whole[0], whole[5:]
+		switch typ {
+		case 'D':
+			v, err := pgwire.Column(body)
+			if l.rows++; err != nil || l.rows > 1 {
+				return said{}, fmt.Errorf("%d rows: %w", l.rows, cmp.Or(err, io.ErrUnexpectedEOF))
+			}
+			l.said.value = slices.Clone(v)
+		case 'E':
+			l.said.code = pgwire.ErrorCode(body)
+			if ms, err := strconv.ParseFloat(pgwire.ErrorDetail(body), 64); err == nil && ms > 0 {
+				l.said.wait = ms
+			}
+		}
+		if _, err := l.in.Discard(n + 1); err != nil {
+			return said{}, err
+		}
+		if typ == 'Z' {
+			a := l.said
+			a.ready, l.said, l.rows = true, said{}, 0
+			return a, nil
+		}
+	}
+}
+
+// Ready tells whether a pooler takes clients.
+func Ready(addr string) error {
+	l, err := dial(addr)
+	if err != nil {
+		return err
+	}
+	return l.Close()
+}
--- /dev/null
+++ b/internal/kit/incident/model.go
@@ -0,0 +1,613 @@
+// Package incident tells from records what happened: roles, positions, drains and failures of servers over time, what
+// each class was served, takeovers, cold returns, and the worth that was lost with its causes. It does no I/O, takes
+// events one by one, and its memory does not grow with their number.
+package incident
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"beechgrade"
+	"beechgrade/internal/kit/records"
+	"beechgrade/internal/kit/worth"
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
+)
+
+// Bounds on what is kept, whatever the length of the records. Times are in milliseconds.
+const (
+	maxCells     = 2400 // of time; when there are more, neighbours are joined
+	firstCellMs  = 100  // a cell's width at first
+	maxFindings  = 1000 // of each kind a share; what is beyond is counted
+	maxOfKind    = 200  // findings of one kind
+	maxUnknown   = 2000 // unknown requests that are listed
+	maxChains    = 1 << 17
+	maxSpans     = 64    // of each sort kept for one server or group
+	retryMs      = 15000 // a try that was not served may be followed by the client's next for so long
+	forgetMs     = 10000 // beyond its client's time, a request without an answer counts as unknown
+	sweepMs      = 1000
+	borderMs     = 50   // an answer so near to its aim may count otherwise at its client
+	gapMs        = 300  // without a write served, where some failed, and another server then: a takeover
+	stillMs      = 1000 // ...or as long as this with the same server: an interruption
+	silentTries  = 3    // attempts in a row that a server let run out...
+	silentMs     = 300  // ...over at least so long: it was silent
+	stepMs       = 50   // that a machine's clock moved against the pooler's
+	skewMs       = 20   // that a pooler's clock differs from the others
+	reportMs     = 300  // a probe's report may be this old
+	staleAheadMs = 1000 // positions further behind than this are worth a word when a server returns
+	openMost     = 1 << 20
+)
+
+// Model takes events in and keeps the view of them.
+type Model struct {
+	set     []*records.Run // by index
+	runs    map[*records.Run]*run
+	poolers map[string]*pooler
+	classes []*class
+	byName  map[string]*class
+	groups  map[int64]*group
+	servers map[string]*server
+	chains  map[chainKey][]*chain
+	waiting queue // chains that wait for a retry, oldest first
+	nChains int
+
+	from, to  float64
+	width     float64
+	cells     [][]cell // by class, then time
+	service   worth.Window
+	sweptAt   float64
+	events    uint64
+	lost      uint64
+	early     uint64 // events before the first cell
+	findings  []Finding
+	byKind    map[string]int
+	unlisted  uint64 // findings beyond the bounds
+	faults    []records.Fault
+	unknown   []Unknown
+	unknowns  uint64
+	causes    map[string]*Cause
+	orphans   uint64
+	retryLost uint64
+}
+
+// run is one life of a pooler.
+type run struct {
+	*records.Run
+	pooler  *pooler
+	classes []*class
+	open    map[uint64]*request
+	last    float64
+	drift   float64 // wall less own clock at the last gauge
+	drifted bool
+	entries map[string]*listed
+}
+
+type listed struct {
+	primaryAt float64
+	primary   bool
+	draining  float64 // heard at, 0 for not so
+}
+
+type pooler struct {
+	PoolerView
+	least float64 // of primaries' positions behind the pooler's clock
+	told  bool
+}
+
+type class struct {
+	ClassView
+	writes bool
+	index  int
+	window worth.Window
+}
+
+// request is one that is not answered yet.
+type request struct {
+	id        uint64
+	class     *class
+	group     *group
+	at, until float64
+	repeat    bool
+	chain     *chain
+	mask      uint16 // of its attempts' results
+}
+
+type chainKey struct {
+	class   int
+	group   int64
+	session uint64
+}
+
+// chain is what a client asked once, with the tries that followed.
+type chain struct {
+	key    chainKey
+	class  *class
+	group  *group
+	first  float64
+	last   float64 // its last try's end
+	open   int     // tries without an answer
+	mask   uint16
+	final  recordpb.Final
+	reason record.Reason
+	lost   bool // a try's answer is unknown
+	done   bool
+	queued bool
+	tries  int
+}
+
+// cell is what falls into one stretch of time for a class.
+type cell struct {
+	asked, got                       float32 // worth
+	requests, repeats                uint32
+	served, refused, failed, unknown uint32
+}
+
+// New makes an empty model.
+func New() *Model {
+	return &Model{runs: map[*records.Run]*run{}, poolers: map[string]*pooler{}, byName: map[string]*class{}, groups: map[int64]*group{},
+		servers: map[string]*server{}, chains: map[chainKey][]*chain{}, width: firstCellMs, byKind: map[string]int{}, causes: map[string]*Cause{}}
+}
+
+// Begin is records.Sink's.
+func (m *Model) Begin(r *records.Run) {
+	p := m.poolers[r.Pooler]
+	if p == nil {
+		p = &pooler{PoolerView: PoolerView{Name: r.Pooler, From: r.StartMs}, least: math.Inf(1)}
+		m.poolers[r.Pooler] = p
+	}
+	x := &run{Run: r, pooler: p, open: map[uint64]*request{}, entries: map[string]*listed{}, last: r.StartMs}
+	for _, c := range r.Header.Classes {
+		x.classes = append(x.classes, m.class(c))
+	}
+	m.runs[r] = x
+	if p.Runs++; p.Runs > 1 {
+		if r.StartMs < p.To-stepMs {
+			m.find(Finding{At: r.StartMs, Kind: "clock", Pooler: p.Name, Grave: true,
+				Text: fmt.Sprintf("started %s before its last record: its machine's clock stepped back", Span(p.To-r.StartMs))})
+		}
+		m.find(Finding{At: p.To, To: r.StartMs, Kind: "restart", Pooler: p.Name, Grave: !p.ordered,
+			Text: fmt.Sprintf("was not there for %s, then started again", Span(max(0, r.StartMs-p.To)))})
+		p.Away = append(p.Away, Stretch{From: p.To, To: r.StartMs})
+	}
+	p.ordered = false
+}
+
+func (m *Model) class(c *recordpb.Class) *class {
+	k := m.byName[c.Name]
+	if k == nil {
+		k = &class{ClassView: ClassView{Name: c.Name, Worth: c.Worth, LateWorth: c.LateWorth, AimMs: float64(c.AimUs) / 1000,
+			DeadlineMs: float64(c.DeadlineUs) / 1000, Read: c.Read, Reasons: map[string]uint64{}}, writes: c.Read == "write",
+			index: len(m.classes)}
+		m.classes = append(m.classes, k)
+		m.byName[c.Name] = k
+		m.cells = append(m.cells, nil)
+	}
+	return k
+}
+
+// Fault is records.Sink's.
+func (m *Model) Fault(f records.Fault) {
+	if len(m.faults) < maxFindings {
+		m.faults = append(m.faults, f)
+	}
+	grave := f.Kind != records.Unclosed && f.Kind != records.Rotated
+	text := f.Text
+	if f.Offset > 0 {
+		text += fmt.Sprintf(" (offset %d)", f.Offset)
+	}
+	m.find(Finding{At: f.From, To: f.To, Kind: "records " + string(f.Kind), Pooler: f.Pooler, File: f.File, Text: text, Grave: grave})
+}
+
+// End is records.Sink's. Requests of the run that have no answer are unknown.
+func (m *Model) End(r *records.Run, ordered bool) {
+	x := m.runs[r]
+	if x == nil {
+		return
+	}
+	var left []uint64
+	for n := range x.open {
+		left = append(left, n)
+	}
+	slices.Sort(left)
+	for _, n := range left {
+		m.giveUp(x, x.open[n], x.last)
+	}
+	x.pooler.ordered = ordered
+	if !ordered {
+		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
+			Text: fmt.Sprintf("its records end without a stop; %d requests had no answer by then", len(left))})
+	}
+	delete(m.runs, r)
+}
+
+// Event is records.Sink's.
+func (m *Model) Event(r *records.Run, e *record.Event) {
+	x := m.runs[r]
+	if x == nil {
+		return
+	}
+	m.events++
+	x.pooler.Events++
+	x.last = e.At
+	x.pooler.To = max(x.pooler.To, e.At)
+	if m.from == 0 {
+		m.from = e.At
+	}
+	m.to = max(m.to, e.At)
+	if m.to-m.sweptAt >= sweepMs {
+		m.sweep()
+	}
+	switch e.Kind {
+	case recordpb.Kind_KIND_REQUEST:
+		m.onRequest(x, e)
+	case recordpb.Kind_KIND_ATTEMPT:
+		m.onAttempt(x, e)
+	case recordpb.Kind_KIND_ANSWER:
+		m.onAnswer(x, e)
+	case recordpb.Kind_KIND_PROBE:
+		s := m.server(e.Server)
+		s.probes++
+		m.heard(x, s, e)
+	case recordpb.Kind_KIND_LIST:
+		x.pooler.Lists++
+		if e.Whole {
+			for name := range x.entries {
+				if l := x.entries[name]; l.draining == 0 {
+					delete(x.entries, name) // what is still there is named next
+				}
+			}
+		}
+	case recordpb.Kind_KIND_ENTRY:
+		m.onEntry(x, e)
+	case recordpb.Kind_KIND_LIST_FAILED:
+		x.pooler.ListFailures++
+		m.find(Finding{At: e.At, Kind: "list failed", Pooler: r.Pooler, Text: "a call for the list failed, or its watch ended"})
+	case recordpb.Kind_KIND_GAUGE:
+		m.onGauge(x, e)
+	case recordpb.Kind_KIND_START:
+		m.find(Finding{At: e.At, Kind: "start", Pooler: r.Pooler, Text: "started"})
+	case recordpb.Kind_KIND_DRAIN:
+		m.find(Finding{At: e.At, Kind: "pooler drain", Pooler: r.Pooler, Text: "was told to end"})
+	case recordpb.Kind_KIND_STOP:
+		m.find(Finding{At: e.At, Kind: "stop", Pooler: r.Pooler, Text: "stopped in order"})
+	case recordpb.Kind_KIND_RELOAD:
+		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
+	case recordpb.Kind_KIND_LOST:
+		m.lost += e.Lost
+		x.pooler.Lost += e.Lost
+		cause := "the writer did not keep up"
+		if e.Cause == record.CauseWrite {
+			cause = "writing failed"
+		}
+		m.find(Finding{At: e.From, To: e.To, Kind: "records lost", Pooler: r.Pooler, Grave: true,
+			Text: fmt.Sprintf("%d events were not recorded: %s", e.Lost, cause)})
+	}
+}
+
+func (m *Model) onGauge(x *run, e *record.Event) {
+	p := x.pooler
+	p.Memory, p.Files = max(p.Memory, e.Memory), max(p.Files, e.Files)
+	p.Sessions, p.Conns = max(p.Sessions, e.Sessions), max(p.Conns, e.Conns)
+	if e.Wall == 0 {
+		return
+	}
+	drift := e.Wall - e.At
+	if x.drifted && math.Abs(drift-x.drift) > stepMs {
+		m.find(Finding{At: e.At, Kind: "clock", Pooler: p.Name, Grave: true,
+			Text: fmt.Sprintf("its machine's clock stepped by %s; the pooler's own times go on as before", signed(drift-x.drift))})
+	}
+	x.drift, x.drifted = drift, true
+}
+
+func (m *Model) onRequest(x *run, e *record.Event) {
+	if int(e.Class) >= len(x.classes) || len(x.open) >= openMost {
+		return
+	}
+	c, g := x.classes[e.Class], m.group(e.Group)
+	q := &request{id: e.ID, class: c, group: g, at: e.At, until: e.At + e.Left, repeat: e.Repeat}
+	x.open[e.Request] = q
+	c.Requests++
+	cl := m.cell(c, e.At)
+	cl.requests++
+	key := chainKey{c.index, e.Group, e.Session}
+	if e.Repeat {
+		c.Repeats++
+		cl.repeats++
+		if q.chain = m.earlier(key, e.At); q.chain == nil {
+			m.orphans++
+			c.Orphans++
+		}
+	}
+	if q.chain == nil {
+		q.chain = &chain{key: key, class: c, group: g, first: e.At}
+		m.file(q.chain)
+		c.Asked++
+		c.WorthAsked += c.Worth
+		cl.asked += float32(c.Worth)
+		c.window.Add(e.At, c.Worth, 0)
+		m.service.Add(e.At, c.Worth, 0)
+	}
+	q.chain.open++
+	q.chain.tries++
+	if c.writes {
+		g.asked++
+	}
+}
+
+// earlier finds the chain that a client's repeat belongs to: the oldest that has no answer it could live with.
+func (m *Model) earlier(key chainKey, at float64) *chain {
+	var other *chain
+	for _, c := range m.chains[key] {
+		switch {
+		case c.done || at-c.last > retryMs && c.open == 0:
+		case c.open == 0:
+			return c
+		case other == nil:
+			other = c
+		}
+	}
+	return other
+}
+
+func (m *Model) file(c *chain) {
+	if m.nChains >= maxChains {
+		m.retryLost++
+		return
+	}
+	m.nChains++
+	m.chains[c.key] = append(m.chains[c.key], c)
+}
+
+func (m *Model) unfile(c *chain) {
+	list := m.chains[c.key]
+	i := slices.Index(list, c)
+	if i < 0 {
+		return
+	}
+	m.nChains--
+	if len(list) == 1 {
+		delete(m.chains, c.key)
+		return
+	}
+	m.chains[c.key] = slices.Delete(list, i, i+1)
+}
+
+func (m *Model) onAttempt(x *run, e *record.Event) {
+	s := m.server(e.Server)
+	m.heard(x, s, e)
+	q := x.open[e.Request]
+	if q != nil {
+		q.mask |= 1 << e.Result
+		q.class.Attempts++
+	}
+	m.checkDrain(x, s, e)
+	if int(e.Class) < len(x.classes) && x.classes[e.Class].writes {
+		m.group(e.Group).onWrite(m, s, e)
+	}
+}
+
+func (m *Model) onAnswer(x *run, e *record.Event) {
+	q := x.open[e.Request]
+	if q == nil {
+		return // its request is in a part that is missing
+	}
+	delete(x.open, e.Request)
+	c, ch := q.class, q.chain
+	cl := m.cell(c, e.At)
+	ch.open--
+	ch.mask |= q.mask
+	ch.last = max(ch.last, e.At)
+	switch e.Final {
+	case recordpb.Final_FINAL_SERVED:
+		c.Served++
+		cl.served++
+		c.Times.add(e.Took)
+		m.served(ch, e.At)
+		return
+	case recordpb.Final_FINAL_REFUSED:
+		c.Refused++
+		cl.refused++
+	case recordpb.Final_FINAL_FAILED:
+		c.Failed++
+		cl.failed++
+	default:
+		c.Gone++
+		cl.failed++
+	}
+	c.Reasons[e.Final.String()[len("FINAL_"):]+": "+e.Reason.String()]++
+	ch.final, ch.reason = e.Final, e.Reason
+	if c.writes {
+		q.group.refused(e.At)
+	}
+	m.wait(ch)
+}
+
+// served books the worth of an answer.
+func (m *Model) served(ch *chain, at float64) {
+	if ch.done {
+		return
+	}
+	ch.done = true
+	c, took := ch.class, at-ch.first
+	got := c.Worth
+	if took > c.AimMs {
+		got = c.Worth * c.LateWorth
+		c.Late++
+	} else {
+		c.InTime++
+		c.WorthInTime += got
+	}
+	c.WorthGot += got
+	if math.Abs(took-c.AimMs) <= borderMs {
+		c.Border++
+		c.WorthBorder += c.Worth * (1 - c.LateWorth)
+	}
+	m.cell(c, ch.first).got += float32(got)
+	c.window.Add(ch.first, 0, got)
+	m.service.Add(ch.first, 0, got)
+	if got < c.Worth {
+		ch.final = recordpb.Final_FINAL_SERVED
+		m.blame(ch, c.Worth-got, at)
+	}
+	m.unfile(ch)
+}
+
+// wait keeps a chain whose try was not served until its client has had the time to ask again.
+func (m *Model) wait(ch *chain) {
+	if !ch.done && !ch.queued {
+		ch.queued = true
+		m.waiting.push(ch)
+	}
+}
+
+// giveUp books a request whose answer is not in the records.
+func (m *Model) giveUp(x *run, q *request, at float64) {
+	q.class.Unknown++
+	m.cell(q.class, q.at).unknown++
+	m.unknowns++
+	if len(m.unknown) < maxUnknown {
+		m.unknown = append(m.unknown, Unknown{At: q.at, Pooler: x.Pooler, Class: q.class.Name, Group: q.group.id, ID: fmt.Sprintf("%016x", q.id)})
+	}
+	q.chain.open--
+	q.chain.mask |= q.mask
+	q.chain.lost = true
+	q.chain.last = max(q.chain.last, at)
+	m.wait(q.chain)
+}
+
+// sweep closes what nothing more can come of.
+func (m *Model) sweep() {
+	m.sweptAt = m.to
+	for ch := m.waiting.first(); ch != nil && (ch.done || m.to-ch.last > retryMs); ch = m.waiting.first() {
+		m.waiting.pop()
+		ch.queued = false
+		if ch.done || ch.open > 0 {
+			continue
+		}
+		m.abandon(ch)
+	}
+	for _, x := range m.runs {
+		for n, q := range x.open {
+			if m.to-q.until > forgetMs {
+				delete(x.open, n)
+				m.giveUp(x, q, m.to)
+			}
+		}
+	}
+	for _, s := range m.servers {
+		s.settle(m)
+	}
+}
+
+// abandon books a chain that was never served.
+func (m *Model) abandon(ch *chain) {
+	if ch.done {
+		return
+	}
+	ch.done = true
+	m.unfile(ch)
+	m.blame(ch, ch.class.Worth, ch.last)
+}
+
+// blame books lost worth under the cause that the records show.
+func (m *Model) blame(ch *chain, worth float64, end float64) {
+	name := ch.group.cause(ch, end)
+	c := m.causes[name]
+	if c == nil {
+		c = &Cause{Name: name, ByClass: map[string]float64{}}
+		m.causes[name] = c
+	}
+	c.Requests++
+	c.Worth += worth
+	c.ByClass[ch.class.Name] += worth
+	ch.group.lose(ch.first, end, worth)
+}
+
+// Results as bits of a mask.
+const (
+	bitFailed   = 1 << beechgrade.Failed
+	bitFull     = 1 << beechgrade.Full
+	bitTimedOut = 1 << beechgrade.TimedOut
+	bitUnreach  = 1 << beechgrade.Unreachable
+	bitReset    = 1 << beechgrade.Reset
+	bitCalled   = 1 << beechgrade.Cancelled
+	bitMissed   = 1 << beechgrade.Missed
+)
+
+// cell finds a class's cell of a time, joining cells where there are too many.
+func (m *Model) cell(c *class, at float64) *cell {
+	i := m.index(at)
+	for len(m.cells[c.index]) <= i {
+		m.cells[c.index] = append(m.cells[c.index], cell{})
+	}
+	return &m.cells[c.index][i]
+}
+
+// index is the number of the stretch that a time falls into. Times before the first are counted into it.
+func (m *Model) index(at float64) int {
+	if at < m.from {
+		if m.from-at > firstCellMs {
+			m.early++
+		}
+		return 0
+	}
+	for (at-m.from)/m.width >= maxCells {
+		m.widen()
+	}
+	return int((at - m.from) / m.width)
+}
+
+func (m *Model) widen() {
+	m.width *= 2
+	for k, list := range m.cells {
+		n := (len(list) + 1) / 2
+		for i := range n {
+			a := list[2*i]
+			if 2*i+1 < len(list) {
+				b := list[2*i+1]
+				a.asked, a.got = a.asked+b.asked, a.got+b.got
+				a.requests, a.repeats = a.requests+b.requests, a.repeats+b.repeats
+				a.served, a.refused, a.failed, a.unknown = a.served+b.served, a.refused+b.refused, a.failed+b.failed, a.unknown+b.unknown
+			}
+			list[i] = a
+		}
+		m.cells[k] = list[:n]
+	}
+	for _, s := range m.servers {
+		s.widen()
+	}
+}
+
+// find keeps a finding, within the bounds.
+func (m *Model) find(f Finding) {
+	if m.byKind[f.Kind]++; m.byKind[f.Kind] > maxOfKind || len(m.findings) >= maxFindings {
+		m.unlisted++
+		return
+	}
+	m.findings = append(m.findings, f)
+}
+
+// queue holds chains in the order of their ends, about.
+type queue struct {
+	list []*chain
+	head int
+}
+
+func (q *queue) push(c *chain) { q.list = append(q.list, c) }
+
+func (q *queue) first() *chain {
+	if q.head == len(q.list) {
+		return nil
+	}
+	return q.list[q.head]
+}
+
+func (q *queue) pop() {
+	q.list[q.head] = nil
+	if q.head++; q.head > 1024 && q.head > len(q.list)/2 {
+		q.list = q.list[:copy(q.list, q.list[q.head:])]
+		q.head = 0
+	}
+}
--- /dev/null
+++ b/internal/kit/incident/view.go
@@ -0,0 +1,425 @@
+package incident
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"beechgrade/internal/kit/records"
+)
+
+// View is what the records tell. Times are Unix milliseconds, spans milliseconds.
+type View struct {
+	From     float64 `json:"from_ms"`
+	To       float64 `json:"to_ms"`
+	Events   uint64  `json:"events"`
+	Lost     uint64  `json:"events_lost"`
+	Early    uint64  `json:"events_before_start"`
+	SpreadMs float64 `json:"clock_spread_ms"` // between the poolers' clocks, as far as primaries' positions show it
+
+	Total    ClassView       `json:"total"`
+	Classes  []ClassView     `json:"classes"`
+	Poolers  []PoolerView    `json:"poolers"`
+	Groups   []GroupView     `json:"groups"`
+	Servers  []ServerView    `json:"servers"`
+	Causes   []Cause         `json:"causes"`
+	Findings []Finding       `json:"findings"`
+	Unlisted uint64          `json:"findings_not_listed"`
+	Faults   []records.Fault `json:"faults"`
+	Unknown  []Unknown       `json:"unknown_requests"`
+	Unknowns uint64          `json:"unknown_total"`
+	Series   Series          `json:"series"`
+}
+
+// ClassView is what a class was served. A chain is what a client asked once, with its own retries.
+type ClassView struct {
+	Name       string  `json:"name"`
+	Worth      float64 `json:"worth,omitempty"`
+	LateWorth  float64 `json:"late_worth,omitempty"`
+	AimMs      float64 `json:"aim_ms,omitempty"`
+	DeadlineMs float64 `json:"deadline_ms,omitempty"`
+	Read       string  `json:"read,omitempty"`
+
+	Requests uint64 `json:"requests"` // tries
+	Repeats  uint64 `json:"repeats"`  // of them, those that are a client's retry
+	Orphans  uint64 `json:"orphans"`  // of these, those whose first try is not in the records
+	Asked    uint64 `json:"asked"`    // chains
+	Served   uint64 `json:"served"`
+	Refused  uint64 `json:"refused"`
+	Failed   uint64 `json:"failed"`
+	Gone     uint64 `json:"gone"`
+	Unknown  uint64 `json:"unknown"`
+	InTime   uint64 `json:"in_time"`
+	Late     uint64 `json:"late"`
+	Attempts uint64 `json:"attempts"`
+	Border   uint64 `json:"at_the_border"` // answers within 50 ms of their aim
+
+	WorthAsked  float64           `json:"worth_asked"`
+	WorthInTime float64           `json:"worth_in_time"`
+	WorthGot    float64           `json:"worth_got"` // with what late answers still have
+	WorthBorder float64           `json:"worth_at_the_border"`
+	Ratio       float64           `json:"ratio"`
+	Worst       float64           `json:"worst_10s"`
+	WorstAt     float64           `json:"worst_10s_at_ms"`
+	P50         float64           `json:"p50_ms"`
+	P99         float64           `json:"p99_ms"`
+	Reasons     map[string]uint64 `json:"reasons,omitempty"`
+
+	Times times `json:"-"`
+}
+
+// PoolerView is a pooler.
+type PoolerView struct {
+	Name         string    `json:"name"`
+	Runs         int       `json:"runs"`
+	From         float64   `json:"from_ms"`
+	To           float64   `json:"to_ms"`
+	Events       uint64    `json:"events"`
+	Lost         uint64    `json:"events_lost"`
+	Lists        uint64    `json:"lists"`
+	ListFailures uint64    `json:"list_failures"`
+	Away         []Stretch `json:"away,omitempty"`
+	AheadMs      float64   `json:"clock_ahead_ms"` // of the median pooler, as far as positions show it
+	Memory       int64     `json:"most_memory"`
+	Files        int64     `json:"most_descriptors"`
+	Sessions     int64     `json:"most_sessions"`
+	Conns        int64     `json:"most_connections"`
+
+	ordered bool
+}
+
+// GroupView is a group.
+type GroupView struct {
+	Group   int64    `json:"group"`
+	Servers []string `json:"servers"`
+	Gaps    []Gap    `json:"gaps,omitempty"`
+	More    int      `json:"gaps_not_listed,omitempty"`
+}
+
+// Gap is a time in which a group served no write though some were asked.
+type Gap struct {
+	Group       int64   `json:"group"`
+	From        float64 `json:"last_write_ms"`
+	To          float64 `json:"first_write_ms"`
+	FirstFailed float64 `json:"first_failed_ms"`
+	Old         string  `json:"before"`
+	New         string  `json:"after"`
+	Unserved    int     `json:"writes_not_served"`
+	ListWrongMs float64 `json:"list_wrong_ms"` // from the first failure until the last pooler's list named the new primary; -1 not known
+	Lost        float64 `json:"worth_lost"`
+}
+
+// ServerView is a server.
+type ServerView struct {
+	Name         string            `json:"name"`
+	Group        int64             `json:"group"`
+	Address      string            `json:"address,omitempty"`
+	Role         string            `json:"role,omitempty"` // as told last
+	Position     float64           `json:"position_ms"`
+	PositionAt   float64           `json:"position_at_ms"`
+	MostBehindMs float64           `json:"most_behind_ms"`
+	MostBehindAt float64           `json:"most_behind_at_ms"`
+	Results      map[string]uint64 `json:"results"`
+	Primary      []Stretch         `json:"primary,omitempty"`
+	Drains       []Stretch         `json:"drains,omitempty"`
+	Silent       []Stretch         `json:"silent,omitempty"`
+	Returns      []Return          `json:"returns,omitempty"`
+}
+
+// Stretch is a span of time; To is 0 where it has not ended.
+type Stretch struct {
+	From float64 `json:"from_ms"`
+	To   float64 `json:"to_ms"`
+}
+
+// Return is a server that could not be reached and came back.
+type Return struct {
+	Stretch
+	Server    string  `json:"server"`
+	BehindMs  float64 `json:"behind_ms"`            // at its first word of its position, -1 not told
+	StartedMs float64 `json:"started_ms,omitempty"` // where it started anew, and so was cold
+}
+
+// Cause is a share of the worth that was lost.
+type Cause struct {
+	Name     string             `json:"name"`
+	Requests uint64             `json:"requests"`
+	Worth    float64            `json:"worth"`
+	ByClass  map[string]float64 `json:"by_class"`
+}
+
+// Finding is a moment or a stretch worth a look.
+type Finding struct {
+	At     float64 `json:"at_ms"`
+	To     float64 `json:"to_ms,omitempty"`
+	Kind   string  `json:"kind"`
+	Group  int64   `json:"group"`
+	Server string  `json:"server,omitempty"`
+	Pooler string  `json:"pooler,omitempty"`
+	File   string  `json:"file,omitempty"`
+	Text   string  `json:"text"`
+	Grave  bool    `json:"grave"`
+}
+
+// Unknown is a request whose answer is not in the records. ID is the xxhash64 of the client's id.
+type Unknown struct {
+	At     float64 `json:"at_ms"`
+	Pooler string  `json:"pooler"`
+	Class  string  `json:"class"`
+	Group  int64   `json:"group"`
+	ID     string  `json:"id"`
+}
+
+// Series is what changes over time, in stretches of one width.
+type Series struct {
+	From    float64                 `json:"from_ms"`
+	WidthMs float64                 `json:"width_ms"`
+	Classes []ClassSeries           `json:"classes"`
+	Servers map[string]ServerSeries `json:"servers"`
+}
+
+// ClassSeries is a class over time.
+type ClassSeries struct {
+	Name    string    `json:"name"`
+	Asked   []float32 `json:"asked"`
+	Got     []float32 `json:"got"`
+	Served  []uint32  `json:"served"`
+	Refused []uint32  `json:"refused"`
+	Failed  []uint32  `json:"failed"`
+	Repeats []uint32  `json:"repeats"`
+	Unknown []uint32  `json:"unknown"`
+}
+
+// ServerSeries is a server over time.
+type ServerSeries struct {
+	OK    []uint32  `json:"ok"`
+	Bad   []uint32  `json:"bad"`
+	Lag   []float32 `json:"behind_ms"`
+	Flags []uint8   `json:"flags"`
+}
+
+// times holds how long answers took.
+type times struct{ h *hdrhistogram.Histogram }
+
+func (t *times) add(ms float64) {
+	if t.h == nil {
+		t.h = hdrhistogram.New(1, 3_600_000_000, 2) // microseconds, up to an hour
+	}
+	_ = t.h.RecordValue(int64(min(max(1, ms*1000), 3_600_000_000)))
+}
+
+func (t *times) quantile(q float64) float64 {
+	if t.h == nil {
+		return 0
+	}
+	return float64(t.h.ValueAtQuantile(q)) / 1000
+}
+
+// Finish ends the model: what is still open has no answer, and what waits for a retry gets none.
+func (m *Model) Finish() {
+	for r := range m.runs {
+		m.End(r, true)
+	}
+	for ch := m.waiting.first(); ch != nil; ch = m.waiting.first() {
+		m.waiting.pop()
+		ch.queued = false
+		if !ch.done {
+			m.abandon(ch)
+		}
+	}
+	for _, s := range m.servers {
+		s.settle(m)
+		switch {
+		case s.silent:
+			s.Silent = append(s.Silent, Stretch{From: s.muteFrom})
+			m.find(Finding{At: s.muteFrom, Kind: "silent", Server: s.Name, Group: s.Group, Grave: true,
+				Text: "took requests and answered none until the records end"})
+		case s.broke >= silentTries:
+			m.find(Finding{At: s.brokeAt, Kind: "down", Server: s.Name, Group: s.Group, Grave: true,
+				Text: "could not be reached until the records end"})
+		}
+	}
+	for _, g := range m.groups {
+		if g.bad > 0 && g.last != "" && m.to-g.lastAt >= stillMs {
+			m.find(Finding{At: g.lastAt, Kind: "interruption", Group: g.id, Grave: true,
+				Text: "no write was served until the records end; " + g.last + " served the last"})
+		}
+	}
+}
+
+// View is what has been told so far.
+func (m *Model) View() *View {
+	v := &View{From: m.from, To: m.to, Events: m.events, Lost: m.lost, Early: m.early, Unlisted: m.unlisted,
+		Findings: slices.Clone(m.findings), Faults: slices.Clone(m.faults), Unknown: slices.Clone(m.unknown), Unknowns: m.unknowns}
+	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
+	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
+	for _, c := range m.classes {
+		x := c.ClassView
+		x.Reasons = map[string]uint64{}
+		for k, n := range c.Reasons {
+			x.Reasons[k] = n
+			v.Total.Reasons[k] += n
+		}
+		x.P50, x.P99 = c.Times.quantile(50), c.Times.quantile(99)
+		x.Worst, x.WorstAt = c.window.Worst()
+		x.Ratio = ratio(x.WorthGot, x.WorthAsked)
+		v.Classes = append(v.Classes, x)
+		v.Total.add(&x)
+		if c.Times.h != nil {
+			if v.Total.Times.h == nil {
+				v.Total.Times.add(0)
+				v.Total.Times.h.Reset()
+			}
+			v.Total.Times.h.Merge(c.Times.h)
+		}
+	}
+	t := &v.Total
+	t.Ratio, t.P50, t.P99 = ratio(t.WorthGot, t.WorthAsked), t.Times.quantile(50), t.Times.quantile(99)
+	t.Worst, t.WorstAt = m.service.Worst()
+	v.poolers(m)
+	v.fleet(m)
+	for _, c := range m.causes {
+		v.Causes = append(v.Causes, *c)
+	}
+	slices.SortFunc(v.Causes, func(a, b Cause) int { return cmp.Or(cmp.Compare(b.Worth, a.Worth), cmp.Compare(a.Name, b.Name)) })
+	v.series(m)
+	return v
+}
+
+func (c *ClassView) add(x *ClassView) {
+	c.Requests += x.Requests
+	c.Repeats += x.Repeats
+	c.Orphans += x.Orphans
+	c.Asked += x.Asked
+	c.Served += x.Served
+	c.Refused += x.Refused
+	c.Failed += x.Failed
+	c.Gone += x.Gone
+	c.Unknown += x.Unknown
+	c.InTime += x.InTime
+	c.Late += x.Late
+	c.Attempts += x.Attempts
+	c.Border += x.Border
+	c.WorthAsked += x.WorthAsked
+	c.WorthInTime += x.WorthInTime
+	c.WorthGot += x.WorthGot
+	c.WorthBorder += x.WorthBorder
+}
+
+func ratio(got, asked float64) float64 {
+	if asked == 0 {
+		return 1
+	}
+	return got / asked
+}
+
+// poolers reckons how far their clocks lie apart: each saw primaries' positions, which stand at the present.
+func (v *View) poolers(m *Model) {
+	var least []float64
+	for _, p := range m.poolers {
+		if p.told {
+			least = append(least, p.least)
+		}
+	}
+	slices.Sort(least)
+	for _, p := range m.poolers {
+		x := p.PoolerView
+		x.Away = slices.Clone(p.Away)
+		if p.told && len(least) > 1 {
+			x.AheadMs = p.least - least[len(least)/2]
+			if math.Abs(x.AheadMs) >= skewMs {
+				v.Findings = append(v.Findings, Finding{At: x.From, To: x.To, Kind: "clock", Pooler: x.Name,
+					Text: "its clock differs from the others' by " + signed(x.AheadMs) + "; its times stand here as it told them"})
+			}
+		}
+		v.Poolers = append(v.Poolers, x)
+	}
+	if len(least) > 1 {
+		v.SpreadMs = least[len(least)-1] - least[0]
+	}
+	slices.SortFunc(v.Poolers, func(a, b PoolerView) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (v *View) fleet(m *Model) {
+	for _, g := range m.groups {
+		x := GroupView{Group: g.id, More: g.more}
+		for _, s := range g.servers {
+			x.Servers = append(x.Servers, s.Name)
+		}
+		slices.Sort(x.Servers)
+		for _, p := range g.gaps {
+			y := p.Gap
+			wrong := -1.0
+			for _, at := range p.right {
+				wrong = max(wrong, at-p.FirstFailed, 0)
+			}
+			y.ListWrongMs = wrong
+			x.Gaps = append(x.Gaps, y)
+		}
+		v.Groups = append(v.Groups, x)
+	}
+	slices.SortFunc(v.Groups, func(a, b GroupView) int { return cmp.Compare(a.Group, b.Group) })
+	for _, s := range m.servers {
+		x := s.ServerView
+		x.Results = map[string]uint64{}
+		for k, n := range s.Results {
+			x.Results[k] = n
+		}
+		x.Primary, x.Drains, x.Silent, x.Returns = slices.Clone(s.Primary), slices.Clone(s.Drains), slices.Clone(s.Silent), slices.Clone(s.Returns)
+		v.Servers = append(v.Servers, x)
+	}
+	slices.SortFunc(v.Servers, func(a, b ServerView) int {
+		return cmp.Or(cmp.Compare(a.Group, b.Group), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+func (v *View) series(m *Model) {
+	n := 0
+	if m.from > 0 {
+		n = m.index(m.to) + 1
+	}
+	v.Series = Series{From: m.from, WidthMs: m.width, Servers: map[string]ServerSeries{}}
+	for _, c := range m.classes {
+		x := ClassSeries{Name: c.Name, Asked: make([]float32, n), Got: make([]float32, n), Served: make([]uint32, n), Refused: make([]uint32, n),
+			Failed: make([]uint32, n), Repeats: make([]uint32, n), Unknown: make([]uint32, n)}
+		for i, k := range m.cells[c.index] {
+			x.Asked[i], x.Got[i], x.Served[i], x.Refused[i] = k.asked, k.got, k.served, k.refused
+			x.Failed[i], x.Repeats[i], x.Unknown[i] = k.failed, k.repeats, k.unknown
+		}
+		v.Series.Classes = append(v.Series.Classes, x)
+	}
+	for _, s := range m.servers {
+		s.settle(m)
+		x := ServerSeries{OK: make([]uint32, n), Bad: make([]uint32, n), Lag: make([]float32, n), Flags: make([]uint8, n)}
+		for i, k := range s.cells {
+			x.OK[i], x.Bad[i], x.Lag[i], x.Flags[i] = k.ok, k.bad, k.lag, k.flags
+		}
+		v.Series.Servers[s.Name] = x
+	}
+}
+
+// LostWorth is the worth that was asked for and not got.
+func (v *View) LostWorth() float64 { return v.Total.WorthAsked - v.Total.WorthGot }
+
+// Span writes a time in milliseconds for people.
+func Span(ms float64) string {
+	d := time.Duration(ms * float64(time.Millisecond))
+	switch {
+	case d < time.Second:
+		return d.Round(time.Millisecond).String()
+	case d < time.Minute:
+		return d.Round(10 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
+
+func signed(ms float64) string {
+	if ms < 0 {
+		return "-" + Span(-ms)
+	}
+	return "+" + Span(ms)
+}
--- /dev/null
+++ b/internal/kit/rehearse/match.go
@@ -0,0 +1,255 @@
+package rehearse
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/incident"
+	"beechgrade/internal/kit/records"
+	"beechgrade/internal/kit/score"
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
+)
+
+// maxTries bounds the clients' log that is matched.
+const maxTries = 1 << 22
+
+// Match is how what the poolers recorded and what the clients saw agree.
+type Match struct {
+	Tries     int          `json:"tries"`
+	Equal     int          `json:"equal"`      // tries of which both say the same
+	Unknown   int          `json:"unknown"`    // tries that the records themselves list as unknown
+	Dark      int          `json:"dark"`       // tries that fell into a time of which a pooler's records are missing
+	Untaken   int          `json:"untaken"`    // tries that no pooler took, as their clients saw too
+	Differ    []Difference `json:"differ"`     // tries of which they say different things, unexplained
+	Totals    []Difference `json:"totals"`     // figures of a class that differ
+	Worth     []WorthLine  `json:"worth"`      // by class
+	WorthDiff float64      `json:"worth_diff"` // largest, beyond what lies at the border of an aim
+}
+
+// Difference is something that both should say the same of.
+type Difference struct {
+	What    string `json:"what"`
+	Records string `json:"records"`
+	Clients string `json:"clients"`
+}
+
+// WorthLine is a class's worth as both have it. Border is what answers within 50 ms of their aim may shift.
+type WorthLine struct {
+	Class   string  `json:"class"`
+	Asked   float64 `json:"asked"`
+	Records float64 `json:"records"`
+	Clients float64 `json:"clients"`
+	Border  float64 `json:"border"`
+	Unseen  float64 `json:"unseen"` // worth of asks that the records can't have or can't know the end of
+}
+
+// OK tells whether everything agrees.
+func (m *Match) OK() bool { return len(m.Differ) == 0 && len(m.Totals) == 0 }
+
+// finals collects how each request ended, by the hash of its client's id.
+type finals struct {
+	*incident.Model
+	ids  map[string]map[uint64]uint64 // by run: request number to hash
+	kind map[uint64]clients.Kind
+	dark []darkness
+	last map[string]float64
+}
+
+type darkness struct {
+	pooler   string
+	from, to float64
+}
+
+func (f *finals) Event(r *records.Run, e *record.Event) {
+	f.Model.Event(r, e)
+	key := fmt.Sprint(r.Index)
+	f.last[r.Pooler] = e.At
+	switch e.Kind {
+	case recordpb.Kind_KIND_REQUEST:
+		if f.ids[key] == nil {
+			f.ids[key] = map[uint64]uint64{}
+		}
+		f.ids[key][e.Request] = e.ID
+		f.kind[e.ID] = ""
+	case recordpb.Kind_KIND_ANSWER:
+		id, ok := f.ids[key][e.Request]
+		if !ok {
+			return
+		}
+		f.kind[id] = map[recordpb.Final]clients.Kind{recordpb.Final_FINAL_SERVED: clients.Served, recordpb.Final_FINAL_REFUSED: clients.Refused,
+			recordpb.Final_FINAL_FAILED: clients.Failed, recordpb.Final_FINAL_GONE: "gone"}[e.Final]
+	case recordpb.Kind_KIND_LOST:
+		f.dark = append(f.dark, darkness{r.Pooler, e.From, e.To})
+	}
+}
+
+func (f *finals) Fault(x records.Fault) {
+	f.Model.Fault(x)
+	to := x.To
+	if to == 0 {
+		to = math.Inf(1)
+	}
+	f.dark = append(f.dark, darkness{x.Pooler, x.From, to})
+}
+
+// Compare reads a rehearsal's folder and holds its records against its clients' log and score.
+func Compare(dir string) (*Match, *incident.View, *Result, error) {
+	res, err := ReadResult(dir)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	set, err := records.Open(false, filepath.Join(dir, RecordsDir))
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	f := &finals{Model: incident.New(), ids: map[string]map[uint64]uint64{}, kind: map[uint64]clients.Kind{}, last: map[string]float64{}}
+	if err := set.Read(f); err != nil {
+		return nil, nil, nil, err
+	}
+	f.Finish()
+	view := f.View()
+	m := &Match{}
+	unseen, err := f.tries(filepath.Join(dir, TriesFile), m)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	m.totals(view, res.Score, unseen)
+	return m, view, res, nil
+}
+
+// ReadResult reads the result of a rehearsal.
+func ReadResult(dir string) (*Result, error) {
+	path := filepath.Join(dir, ResultFile)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	res := &Result{}
+	if err := jsoniter.Unmarshal(b, res); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if res.Score == nil {
+		return nil, fmt.Errorf("%s: no score in it", path)
+	}
+	return res, nil
+}
+
+// unseenClass is what of a class the records can't have.
+type unseenClass struct {
+	served, refused, failed uint64
+	asks                    uint64 // first tries whose own chain the records may have only in part
+}
+
+// tries holds the clients' log against the records, try by try.
+func (f *finals) tries(path string, m *Match) (map[string]*unseenClass, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	unseen := map[string]*unseenClass{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if m.Tries++; m.Tries > maxTries {
+			return nil, fmt.Errorf("%s: more than %d tries", path, maxTries)
+		}
+		var t TryLine
+		if err := jsoniter.Unmarshal(lines.Bytes(), &t); err != nil {
+			return nil, fmt.Errorf("%s: line %d: %w", path, m.Tries, err)
+		}
+		u := unseen[t.Class]
+		if u == nil {
+			u = &unseenClass{}
+			unseen[t.Class] = u
+		}
+		f.try(&t, u, m)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return unseen, nil
+}
+
+func (f *finals) try(t *TryLine, u *unseenClass, m *Match) {
+	kind, known := f.kind[xxhash.Sum64String(t.ID)]
+	miss := func(n *int) {
+		*n++
+		u.asks++
+		switch t.Kind {
+		case clients.Served:
+			u.served++
+		case clients.Refused:
+			u.refused++
+		case clients.Failed:
+			u.failed++
+		}
+	}
+	unanswered := t.Kind == clients.Broken || t.Kind == clients.Silent || t.Kind == clients.Unmade
+	switch {
+	case known && kind == t.Kind, known && kind == "gone" && unanswered:
+		m.Equal++
+	case !known && unanswered && !f.isDark(t):
+		m.Untaken++
+		u.asks++
+	case known && kind == "":
+		miss(&m.Unknown)
+	case f.isDark(t):
+		miss(&m.Dark)
+	default:
+		if !known {
+			kind = "not there"
+		}
+		m.Differ = append(m.Differ, Difference{What: fmt.Sprintf("%s try %d, id %s, %s, sent at %.0f", t.Class, t.No, t.ID, t.Pooler, t.Sent), Records: string(kind), Clients: string(t.Kind)})
+	}
+}
+
+// isDark tells whether a pooler's records are missing while it had the try.
+func (f *finals) isDark(t *TryLine) bool {
+	return slices.ContainsFunc(f.dark, func(d darkness) bool {
+		return d.pooler == t.Pooler && t.Sent <= d.to && t.Ended >= d.from
+	})
+}
+
+// totals holds the classes' figures against each other: equal to the last one, but for what can't be known.
+func (m *Match) totals(v *incident.View, s *score.Score, unseen map[string]*unseenClass) {
+	for _, c := range s.Classes {
+		i := slices.IndexFunc(v.Classes, func(x incident.ClassView) bool { return x.Name == c.Name })
+		x := incident.ClassView{Name: c.Name}
+		if i >= 0 {
+			x = v.Classes[i]
+		}
+		u := cmp.Or(unseen[c.Name], &unseenClass{})
+		same := func(what string, records, clients, missing uint64) {
+			if records+missing != clients {
+				m.Totals = append(m.Totals, Difference{c.Name + ": " + what, fmt.Sprint(records), fmt.Sprintf("%d, of which %d can't be known", clients, missing)})
+			}
+		}
+		same("served", x.Served, c.Served, u.served)
+		same("refused", x.Refused, c.Refused, u.refused)
+		same("failed", x.Failed, c.Failed, u.failed)
+		worth := 0.0
+		if c.Asked > 0 {
+			worth = c.WorthAsked / float64(c.Asked)
+		}
+		w := WorthLine{Class: c.Name, Asked: c.WorthAsked, Records: x.WorthGot, Clients: c.WorthGot, Border: x.WorthBorder, Unseen: worth * float64(u.asks)}
+		m.Worth = append(m.Worth, w)
+		over := math.Abs(w.Records-w.Clients) - w.Border - w.Unseen
+		m.WorthDiff = max(m.WorthDiff, over)
+		if over > 1e-6 {
+			m.Totals = append(m.Totals, Difference{c.Name + ": worth got", fmt.Sprintf("%.3f", w.Records), fmt.Sprintf("%.3f; %.3f lie at the border of an aim", w.Clients, w.Border)})
+		}
+		if over := math.Abs(x.WorthAsked-c.WorthAsked) - w.Unseen; over > 1e-6 {
+			m.Totals = append(m.Totals, Difference{c.Name + ": worth asked", fmt.Sprintf("%.3f", x.WorthAsked), fmt.Sprintf("%.3f", c.WorthAsked)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/kit/rehearse/run.go
@@ -0,0 +1,471 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/score"
+)
+
+const (
+	readyWait = 15 * time.Second
+	stopWait  = 20 * time.Second
+	portTries = 5
+)
+
+// Options say how a rehearsal is run.
+type Options struct {
+	Seed     uint64
+	Out      string // folder, which must not hold a rehearsal yet
+	Daemon   string // path of the daemon's program
+	Log      *slog.Logger
+	Progress func(done, all int)
+}
+
+// Result is a rehearsal's outcome; it is written to result.json in its folder.
+type Result struct {
+	Rehearsal string       `json:"rehearsal"`
+	Seed      uint64       `json:"seed"`
+	FromMs    float64      `json:"from_ms"`
+	ToMs      float64      `json:"to_ms"`
+	Score     *score.Score `json:"score"`
+	Facts     []fleet.Fact `json:"facts"`
+}
+
+// Names within a rehearsal's folder.
+const (
+	RecordsDir = "records"
+	TriesFile  = "tries.jsonl"
+	ResultFile = "result.json"
+)
+
+// TryLine is a line of TriesFile.
+type TryLine struct {
+	ID     string       `json:"id"`
+	Class  string       `json:"class"`
+	No     int          `json:"no"`
+	Pooler string       `json:"pooler,omitempty"`
+	First  float64      `json:"first_ms"`
+	Sent   float64      `json:"sent_ms"`
+	Ended  float64      `json:"ended_ms"`
+	Kind   clients.Kind `json:"kind"`
+	Late   bool         `json:"late,omitempty"`
+}
+
+// pooler is a daemon's process.
+type pooler struct {
+	name string
+	addr string
+	dir  string
+	run  *Run
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan error
+}
+
+// Run is a rehearsal that is under way.
+type Run struct {
+	script  *Script
+	opt     Options
+	clk     clock.Clock
+	fleet   *fleet.Fleet
+	poolers []*pooler
+}
+
+// Play runs a rehearsal from its start to its end.
+func Play(ctx context.Context, s *Script, opt Options) (*Result, error) {
+	if _, err := os.Stat(filepath.Join(opt.Out, ResultFile)); err == nil {
+		return nil, fmt.Errorf("%s: holds a rehearsal already", opt.Out)
+	}
+	if err := os.MkdirAll(filepath.Join(opt.Out, RecordsDir), 0o750); err != nil {
+		return nil, err
+	}
+	if _, err := os.Stat(opt.Daemon); err != nil {
+		return nil, fmt.Errorf("the daemon: %w", err)
+	}
+	r := &Run{script: s, opt: opt, clk: clock.System()}
+	cfg := s.Fleet
+	cfg.Seed = opt.Seed
+	r.fleet = fleet.New(cfg, r.clk, opt.Log)
+	defer r.fleet.Close()
+	if err := r.fleet.Start(); err != nil {
+		return nil, err
+	}
+	defer r.kill()
+	for i := range s.Poolers {
+		p := &pooler{name: fmt.Sprintf("pooler-%d", i), run: r}
+		p.dir = filepath.Join(opt.Out, p.name)
+		if err := p.launch(ctx); err != nil {
+			return nil, err
+		}
+		r.poolers = append(r.poolers, p)
+	}
+	return r.play(ctx)
+}
+
+func (r *Run) play(ctx context.Context) (*Result, error) {
+	var addrs []string
+	for _, p := range r.poolers {
+		addrs = append(addrs, p.addr)
+	}
+	cfg := r.script.Clients
+	cfg.Seed = r.opt.Seed
+	plan := clients.Plan(cfg)
+	keeper, log, err := r.keep(cfg.Classes)
+	if err != nil {
+		return nil, err
+	}
+	res := &Result{Rehearsal: r.script.Name, Seed: r.opt.Seed, FromMs: r.clk.Now()}
+	faulty, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	errs := make(chan error, len(r.script.Faults))
+	for _, f := range r.script.Faults {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := r.strike(faulty, f); err != nil {
+				errs <- fmt.Errorf("%s: %w", f.Pos, err)
+			}
+		}()
+	}
+	clients.NewPlayer(cfg, r.clk, addrs, log).Play(ctx, plan, func(asked int) {
+		if r.opt.Progress != nil {
+			r.opt.Progress(asked, len(plan))
+		}
+	})
+	stop()
+	wg.Wait()
+	res.ToMs = r.clk.Now()
+	if err := errors.Join(log.close(), r.stop()); err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-errs:
+		return nil, err
+	default:
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	for _, id := range r.fleet.RanTwice() {
+		keeper.Add(score.Breach{Rule: "nothing unsafe twice", ID: id, Text: "a write ran more than once"})
+	}
+	for _, name := range r.fleet.Fallen() {
+		keeper.Add(score.Breach{Rule: "no cold server pushed over", Text: name + " fell"})
+	}
+	for _, f := range r.fleet.Late() {
+		keeper.Add(score.Breach{Rule: "drains kept", At: f.At, Text: f.Server + " " + f.What})
+	}
+	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.MarshalIndent(res, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return res, os.WriteFile(filepath.Join(r.opt.Out, ResultFile), b, 0o640)
+}
+
+// log scores tries and writes them down.
+type log struct {
+	*score.Keeper
+	file *os.File
+	out  *bufio.Writer
+	run  *Run
+	err  error
+}
+
+func (r *Run) keep(classes []clients.Class) (*score.Keeper, *log, error) {
+	f, err := os.Create(filepath.Join(r.opt.Out, TriesFile))
+	if err != nil {
+		return nil, nil, err
+	}
+	k := score.New(r.opt.Seed, classes)
+	return k, &log{Keeper: k, file: f, out: bufio.NewWriter(f), run: r}, nil
+}
+
+// Tried is clients.Sink's.
+func (l *log) Tried(t *clients.Try) {
+	l.Keeper.Tried(t)
+	line := TryLine{ID: t.ID, Class: t.Class.Name, No: t.No, First: t.First, Sent: t.Sent, Ended: t.Ended, Kind: t.Kind, Late: t.Late}
+	if t.Pooler >= 0 {
+		line.Pooler = l.run.poolers[t.Pooler].name
+	}
+	b, err := jsoniter.Marshal(&line)
+	if err == nil {
+		_, err = l.out.Write(append(b, '\n'))
+	}
+	if l.err == nil {
+		l.err = err
+	}
+}
+
+func (l *log) close() error { return errors.Join(l.err, l.out.Flush(), l.file.Close()) }
+
+// strike carries a fault out at its time, and ends it.
+func (r *Run) strike(ctx context.Context, f Fault) error {
+	if f.What == "load" || !pause(ctx, f.At) {
+		return nil
+	}
+	r.opt.Log.Info("fault", "what", f.What, "whom", f.Target.String(), "for_ms", f.For)
+	switch f.What {
+	case "list-late":
+		r.fleet.ListLate(f.Value)
+		if f.For > 0 && pause(ctx, f.For) {
+			r.fleet.ListLate(0)
+		}
+		return nil
+	case "list-gone":
+		r.fleet.ListGone(true)
+		if f.For > 0 && pause(ctx, f.For) {
+			r.fleet.ListGone(false)
+		}
+		return nil
+	case "kill-pooler":
+		p := r.poolers[f.Target.Group]
+		p.stop(syscall.SIGKILL)
+		if f.For > 0 && pause(ctx, f.For) {
+			return p.start(ctx)
+		}
+		return nil
+	}
+	names := r.targets(f.Target)
+	begin, end := r.acts(f)
+	for _, n := range names {
+		if err := begin(n); err != nil {
+			return err
+		}
+	}
+	if f.For > 0 && pause(ctx, f.For) {
+		for _, n := range names {
+			if err := end(n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// acts are what a fault does to a server, and what ends it.
+func (r *Run) acts(f Fault) (begin, end func(string) error) {
+	switch f.What {
+	case "die":
+		return r.fleet.Kill, r.fleet.Revive
+	case "hang":
+		return r.fleet.Hang, r.fleet.Unhang
+	case "drain":
+		return r.fleet.Drain, r.fleet.Undrain
+	case "crowd":
+		return func(n string) error { return r.fleet.Crowd(n, f.Value) }, func(n string) error { return r.fleet.Crowd(n, 1) }
+	default:
+		return func(n string) error { return r.fleet.Lag(n, f.Value) }, func(n string) error { return r.fleet.Lag(n, 1) }
+	}
+}
+
+func (r *Run) targets(t Target) (names []string) {
+	for g, n := range r.script.Fleet.Groups {
+		if t.Kind != "primaries" && t.Kind != "everyone" && g != t.Group {
+			continue
+		}
+		primary := r.fleet.Primary(g)
+		for k := range n {
+			name := fmt.Sprintf("s-%d-%d", g, k)
+			switch t.Kind {
+			case "primary", "primaries":
+				if name == primary {
+					names = append(names, name)
+				}
+			case "replica":
+				if name != primary {
+					return append(names, name)
+				}
+			case "member":
+				if k == t.Member {
+					names = append(names, name)
+				}
+			default:
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+func pause(ctx context.Context, ms float64) bool {
+	t := time.NewTimer(time.Duration(ms * float64(time.Millisecond)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// launch gives the pooler an address and starts it for the first time.
+func (p *pooler) launch(ctx context.Context) error {
+	if err := os.MkdirAll(p.dir, 0o750); err != nil {
+		return err
+	}
+	queue := ""
+	if p.run.script.Queue > 0 {
+		queue = fmt.Sprintf(" (queue %d)", p.run.script.Queue)
+	}
+	records, err := filepath.Abs(filepath.Join(p.run.opt.Out, RecordsDir, p.name))
+	if err != nil {
+		return err
+	}
+	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue)
+	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
+		return err
+	}
+	for try := 1; ; try++ {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		p.addr = l.Addr().String()
+		_ = l.Close()
+		if err = p.start(ctx); err == nil || try == portTries || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (p *pooler) file(name string) string { return filepath.Join(p.dir, name) }
+
+// start starts the process and waits until it serves.
+func (p *pooler) start(ctx context.Context) error {
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.MarshalIndent(p.config(), "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(p.file("config.json"), b, 0o640); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(p.file("log.txt"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(p.run.opt.Daemon, "--settings", p.file("operators.sexp"), "serve")
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.file("config.json"), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=")
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	until := time.Now().Add(readyWait)
+	for {
+		if clients.Ready(p.addr) == nil {
+			return nil
+		}
+		select {
+		case err := <-done:
+			done <- err
+			return fmt.Errorf("%s ended at its start (%v); see %s", p.name, err, p.file("log.txt"))
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(20 * time.Millisecond):
+		}
+		if time.Now().After(until) {
+			return fmt.Errorf("%s does not serve after %s; see %s", p.name, readyWait, p.file("log.txt"))
+		}
+	}
+}
+
+// stop sends a signal and waits for the end.
+func (p *pooler) stop(sig syscall.Signal) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(sig)
+	select {
+	case <-done:
+	case <-time.After(stopWait):
+		_ = cmd.Process.Kill()
+		<-done
+	}
+}
+
+// stop ends all poolers in order.
+func (r *Run) stop() error {
+	var wg sync.WaitGroup
+	for _, p := range r.poolers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			p.stop(syscall.SIGTERM)
+		}()
+	}
+	wg.Wait()
+	return nil
+}
+
+func (r *Run) kill() {
+	for _, p := range r.poolers {
+		p.stop(syscall.SIGKILL)
+	}
+}
+
+// config is what the platform would tell the pooler.
+func (p *pooler) config() map[string]any {
+	s := p.run.script
+	ns := func(ms float64) int64 { return int64(ms * 1e6) }
+	var classes []map[string]any
+	var reads []string
+	var bounds []int64
+	for _, c := range s.Clients.Classes {
+		effect := "retryable"
+		if c.Read == clients.Write {
+			effect = "fragile"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
+			"points": c.Worth, "late_worth": c.LateWorth})
+		reads, bounds = append(reads, string(c.Read)), append(bounds, ns(c.Bound))
+	}
+	known := p.run.fleet.List()
+	if known.Instances == nil {
+		known.Instances = []discovery.Instance{}
+	}
+	return map[string]any{
+		"name": p.name, "listen": p.addr, "discovery": p.run.fleet.Discovery(), "seed": strconv.FormatUint(p.run.opt.Seed^uint64(len(p.name)), 16),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+		"settings": map[string]any{
+			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": 0, "zones": []string{"room"}, "kinds": []string{"padrao-4"},
+			"weights": "nominal", "membership_mode": "ask",
+			"allowed": map[string]any{"connect_timeout_ns": 250000000, "idle_close_ns": 30000000000, "max_attempts": 8, "max_retry_after_ns": 2000000000,
+				"may_cancel": true, "may_duplicate": true, "probes": true, "retry_after": true},
+			"family_info": map[string]any{"class_read": reads, "staleness_bound_ns": bounds, "shows_role": "trailing", "tells_position": true,
+				"tokens": "brought", "when_behind": "none"},
+			"invariants": map[string]any{"cold_from": s.Fleet.ColdBy, "cold_ns": ns(s.Fleet.ColdMs), "drain_grace_ns": 250000000,
+				"fall_multiple": s.Fleet.Falls, "tip_after_ns": ns(s.Fleet.FallsMs)},
+			"prices": map[string]any{"probe": 0.018}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
+			"request_classes": classes,
+		},
+	}
+}
--- /dev/null
+++ b/internal/kit/rehearse/script.go
@@ -0,0 +1,325 @@
+// Package rehearse runs the real daemon against stand-in servers, clients and faults as a script has them, and holds
+// what the daemon recorded against what the clients saw.
+package rehearse
+
+import (
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/sexp"
+)
+
+// Bounds of a script: a rehearsal ends by itself.
+const (
+	maxSeconds = 3600
+	maxPoolers = 16
+	maxRate    = 20000
+	maxServers = 200
+)
+
+// Script is a rehearsal. Times are in milliseconds from its start.
+type Script struct {
+	Name    string
+	Poolers int
+	Fleet   fleet.Config
+	Clients clients.Config
+	Pack    bool
+	Queue   int // events that may wait for the records' writer, 0 for the default
+	Faults  []Fault
+}
+
+// Fault is something that goes wrong for a while.
+type Fault struct {
+	Pos    sexp.Pos
+	At     float64
+	For    float64 // 0 for ever
+	What   string
+	Target Target
+	Value  float64
+}
+
+// Target says whom a fault strikes. It is resolved when that happens.
+type Target struct {
+	Kind   string // primary, replica, member, primaries, everyone or pooler
+	Group  int
+	Member int
+}
+
+func (t Target) String() string {
+	switch t.Kind {
+	case "", "primaries", "everyone":
+		return t.Kind
+	case "member":
+		return fmt.Sprintf("member %d %d", t.Group, t.Member)
+	}
+	return fmt.Sprintf("%s %d", t.Kind, t.Group)
+}
+
+// Load reads a script.
+func Load(path string) (*Script, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, b)
+}
+
+// Parse reads a script's text.
+func Parse(path string, b []byte) (*Script, error) {
+	nodes, err := sexp.Parse(path, b)
+	if err != nil {
+		return nil, err
+	}
+	if len(nodes) != 1 || nodes[0].Head() != "rehearsal" {
+		return nil, &sexp.Error{Pos: sexp.Pos{File: path, Line: 1, Col: 1}, Text: "one (rehearsal \"NAME\" ...) is due"}
+	}
+	n := nodes[0]
+	args := n.Args()
+	if len(args) == 0 || args[0].Kind != sexp.String || args[0].Text == "" {
+		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
+	}
+	s := &Script{Name: args[0].Text, Poolers: 1, Fleet: fleet.Defaults(3), Clients: clients.Defaults()}
+	s.Clients.Rate, s.Clients.Seconds = 100, 20
+	if err := s.form().Read(args[1:], "at", "class"); err != nil {
+		return nil, err
+	}
+	s.Clients.Groups = len(s.Fleet.Groups)
+	s.Fleet.Work = map[string]fleet.Range{}
+	for _, c := range s.Clients.Classes {
+		s.Fleet.Work[c.Name] = c.Work
+	}
+	for i := range s.Faults {
+		if err := s.check(&s.Faults[i]); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return s, nil
+}
+
+func (s *Script) form() sexp.Form {
+	f, c := &s.Fleet, &s.Clients
+	float := func(to *float64, least, most float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Float(least, most); return err }
+	}
+	whole := func(to *int, least, most int) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Int(least, most); return err }
+	}
+	span := func(to *float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Millis(0, maxSeconds*1000); return err }
+	}
+	both := func(to *fleet.Range) func(*sexp.Node) error {
+		return func(n *sexp.Node) error { return spans(n, (*[2]float64)(to)) }
+	}
+	return sexp.Form{
+		"seconds":      float(&c.Seconds, 1, maxSeconds),
+		"poolers":      whole(&s.Poolers, 1, maxPoolers),
+		"groups":       s.groups,
+		"rate":         float(&c.Rate, 0.1, maxRate),
+		"sessions":     whole(&c.Sessions, 1, 1e6),
+		"follows":      float(&c.Follows, 0, 1),
+		"follow":       span(&c.FollowMs),
+		"retries":      whole(&c.Retries, 0, 10),
+		"retry":        func(n *sexp.Node) error { return spans(n, &c.RetryMs) },
+		"class":        s.class,
+		"cores":        whole(&f.Cores, 1, 256),
+		"queue":        whole(&f.Queue, 0, 1e5),
+		"ship":         both(&f.Ship),
+		"apply":        span(&f.Apply),
+		"detect":       both(&f.Detect),
+		"elect":        both(&f.Elect),
+		"switch":       both(&f.Switch),
+		"list":         both(&f.List),
+		"roles":        both(&f.Roles),
+		"cold":         span(&f.ColdMs),
+		"cold-by":      float(&f.ColdBy, 0.01, 1),
+		"falls":        float(&f.Falls, 0, 1000),
+		"falls-in":     span(&f.FallsMs),
+		"pack":         func(n *sexp.Node) (err error) { s.Pack, err = n.Bool(); return err },
+		"record-queue": whole(&s.Queue, 64, 1<<20),
+		"at":           s.at,
+	}
+}
+
+func spans(n *sexp.Node, to *[2]float64) (err error) {
+	a := n.Args()
+	if len(a) != 2 {
+		return n.Errorf("(%s LEAST MOST) takes two times", n.Head())
+	}
+	for i := range to {
+		if to[i], err = a[i].Span(0, maxSeconds*1000); err != nil {
+			return err
+		}
+	}
+	if to[0] > to[1] {
+		return n.Errorf("the first time is the longer one")
+	}
+	return nil
+}
+
+func (s *Script) groups(n *sexp.Node) error {
+	s.Fleet.Groups = nil
+	sum := 0
+	for _, a := range n.Args() {
+		x, err := a.Number(1, 20)
+		if err != nil {
+			return err
+		}
+		sum += int(x)
+		s.Fleet.Groups = append(s.Fleet.Groups, int(x))
+	}
+	if sum == 0 || sum > maxServers {
+		return n.Errorf("the groups have %d servers together; from 1 to %d may be", sum, maxServers)
+	}
+	return nil
+}
+
+// class changes one of the four classes.
+func (s *Script) class(n *sexp.Node) error {
+	args := n.Args()
+	if len(args) == 0 || args[0].Kind == sexp.List {
+		return n.Errorf("a class's name is due first")
+	}
+	i := slices.IndexFunc(s.Clients.Classes, func(c clients.Class) bool { return c.Name == args[0].Text })
+	if i < 0 {
+		return args[0].Errorf("there is no class %q", args[0].Text)
+	}
+	c := &s.Clients.Classes[i]
+	return sexp.Form{
+		"share":    func(n *sexp.Node) (err error) { c.Share, err = n.Float(0, 1); return err },
+		"aim":      func(n *sexp.Node) (err error) { c.Aim, err = n.Millis(1, 600000); return err },
+		"deadline": func(n *sexp.Node) (err error) { c.Deadline, err = n.Millis(1, 600000); return err },
+		"worth":    func(n *sexp.Node) (err error) { c.Worth, err = n.Float(0, 1000); return err },
+		"late":     func(n *sexp.Node) (err error) { c.LateWorth, err = n.Float(0, 1); return err },
+		"bound":    func(n *sexp.Node) (err error) { c.Bound, err = n.Millis(0, 600000); return err },
+		"work":     func(n *sexp.Node) error { return spans(n, &c.Work) },
+	}.Read(args[1:])
+}
+
+// at reads a fault: (at TIME (FAULT ...) (for TIME)).
+func (s *Script) at(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) < 2 || len(a) > 3 {
+		return n.Errorf("(at TIME (FAULT ...)), with (for TIME) behind it where the fault ends")
+	}
+	f := Fault{Pos: n.Pos}
+	var err error
+	if f.At, err = a[0].Span(0, maxSeconds*1000); err != nil {
+		return err
+	}
+	if len(a) == 3 {
+		if a[2].Head() != "for" {
+			return a[2].Errorf("(for TIME) is due here")
+		}
+		if f.For, err = a[2].Millis(1, maxSeconds*1000); err != nil {
+			return err
+		}
+	}
+	f.What = a[1].Head()
+	read := faults[f.What]
+	if read == nil {
+		var known []string
+		for k := range faults {
+			known = append(known, k)
+		}
+		slices.Sort(known)
+		return a[1].Errorf("there is no fault %q; there are: %v", f.What, known)
+	}
+	if err := read(&f, a[1]); err != nil {
+		return err
+	}
+	s.Faults = append(s.Faults, f)
+	return nil
+}
+
+// faults are the kinds of fault with how their arguments are read.
+var faults = map[string]func(*Fault, *sexp.Node) error{
+	"die":       struck(0, 0),
+	"hang":      struck(0, 0),
+	"drain":     struck(0, 0),
+	"crowd":     struck(0.01, 1),
+	"lag":       struck(0.1, 1000),
+	"list-late": func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
+	"list-gone": func(f *Fault, n *sexp.Node) error { return none(n) },
+	"load":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
+	"kill-pooler": func(f *Fault, n *sexp.Node) (err error) {
+		f.Target.Kind = "pooler"
+		f.Target.Group, err = n.Int(0, maxPoolers-1)
+		return err
+	},
+}
+
+func none(n *sexp.Node) error {
+	if len(n.Args()) != 0 {
+		return n.Errorf("(%s) takes nothing", n.Head())
+	}
+	return nil
+}
+
+// struck reads a target, and a figure behind it where there is a range for one.
+func struck(least, most float64) func(*Fault, *sexp.Node) error {
+	return func(f *Fault, n *sexp.Node) error {
+		a := n.Args()
+		if len(a) == 0 {
+			return n.Errorf("whom? (%s primary GROUP), replica GROUP, member GROUP N, primaries or everyone", n.Head())
+		}
+		f.Target.Kind = a[0].Text
+		numbers := map[string]int{"primary": 1, "replica": 1, "member": 2, "primaries": 0, "everyone": 0}
+		need, ok := numbers[f.Target.Kind]
+		if !ok {
+			return a[0].Errorf("%q is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, everyone", a[0].Text)
+		}
+		want := need
+		if most > 0 {
+			want++
+		}
+		if len(a)-1 != want {
+			return n.Errorf("(%s %s ...) takes %d figures, here are %d", n.Head(), f.Target.Kind, want, len(a)-1)
+		}
+		for i, to := range []*int{&f.Target.Group, &f.Target.Member}[:need] {
+			x, err := a[1+i].Number(0, maxServers)
+			if err != nil {
+				return err
+			}
+			*to = int(x)
+		}
+		if most > 0 {
+			var err error
+			f.Value, err = a[len(a)-1].Number(least, most)
+			return err
+		}
+		return nil
+	}
+}
+
+// check holds a fault against the fleet.
+func (s *Script) check(f *Fault) error {
+	fail := func(format string, args ...any) error {
+		return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf(format, args...)}
+	}
+	switch {
+	case f.At >= s.Clients.Seconds*1000:
+		return fail("this comes when the rehearsal is over")
+	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
+		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Target.Group, s.Poolers-1)
+	case slices.Contains([]string{"primary", "replica", "member"}, f.Target.Kind):
+		if f.Target.Group >= len(s.Fleet.Groups) {
+			return fail("there is no group %d; they are numbered from 0 to %d", f.Target.Group, len(s.Fleet.Groups)-1)
+		}
+		if n := s.Fleet.Groups[f.Target.Group]; f.Target.Member >= n || f.Target.Kind == "replica" && n < 2 {
+			return fail("group %d has %d members", f.Target.Group, n)
+		}
+	}
+	if f.What == "load" {
+		to := f.At + f.For
+		if f.For == 0 {
+			to = s.Clients.Seconds * 1000
+		}
+		s.Clients.Jumps = append(s.Clients.Jumps, clients.Jump{From: f.At, To: to, Times: f.Value})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/kit/report/text.go
@@ -0,0 +1,164 @@
+// Package report writes what the records tell: as text for a terminal, and as one HTML file.
+package report
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// Text writes a summary for a terminal.
+func Text(w io.Writer, v *incident.View) error {
+	b := &strings.Builder{}
+	if v.Events == 0 {
+		_, err := fmt.Fprintln(w, "The records hold no events.")
+		return err
+	}
+	fmt.Fprintf(b, "%s to %s (%s), %d events of %d poolers", Clock(v.From), Clock(v.To), incident.Span(v.To-v.From), v.Events, len(v.Poolers))
+	if v.Lost > 0 {
+		fmt.Fprintf(b, "; %d more were not recorded", v.Lost)
+	}
+	b.WriteString("\n\n")
+	table(b, func(t io.Writer) {
+		fmt.Fprintln(t, "class\tservice\tworst 10 s\tasked\tretries\tserved\tlate\trefused\tfailed\tgone\tunknown\tp50 ms\tp99 ms")
+		for _, c := range append(v.Classes[:len(v.Classes):len(v.Classes)], v.Total) {
+			fmt.Fprintf(t, "%s\t%.4f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", Safe(c.Name), c.Ratio, c.Worst, c.Asked, c.Repeats,
+				c.Served, c.Late, c.Refused, c.Failed, c.Gone, c.Unknown, c.P50, c.P99)
+		}
+	})
+	fmt.Fprintf(b, "\nworth asked %.1f, got %.1f, lost %.1f; %.1f of it hangs on answers within 50 ms of their aim\n", v.Total.WorthAsked, v.Total.WorthGot, v.LostWorth(), v.Total.WorthBorder)
+	if len(v.Causes) > 0 {
+		b.WriteString("\n")
+		table(b, func(t io.Writer) {
+			fmt.Fprintln(t, "worth lost\trequests\tcause")
+			for _, c := range v.Causes {
+				fmt.Fprintf(t, "%.1f\t%d\t%s\n", c.Worth, c.Requests, c.Name)
+			}
+		})
+	}
+	gaps(b, v)
+	var returns []incident.Return
+	for _, s := range v.Servers {
+		returns = append(returns, s.Returns...)
+	}
+	if len(returns) > 0 {
+		b.WriteString("\n")
+		table(b, func(t io.Writer) {
+			fmt.Fprintln(t, "returned\tserver\taway\tbehind\tstarted")
+			for _, r := range returns {
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", Clock(r.To), Safe(r.Server), incident.Span(r.To-r.From), known(r.BehindMs), started(r.StartedMs))
+			}
+		})
+	}
+	if len(v.Findings) > 0 {
+		b.WriteString("\nfindings (! grave)\n")
+		table(b, func(t io.Writer) {
+			for _, f := range v.Findings {
+				mark := " "
+				if f.Grave {
+					mark = "!"
+				}
+				fmt.Fprintf(t, "%s %s\t%s\t%s\t%s\n", mark, Clock(f.At), f.Kind, Safe(Who(f)), Safe(f.Text))
+			}
+		})
+	}
+	if v.Unlisted > 0 {
+		fmt.Fprintf(b, "%d more findings are not listed\n", v.Unlisted)
+	}
+	if v.Unknowns > 0 {
+		fmt.Fprintf(b, "\n%d requests have no answer in the records:\n", v.Unknowns)
+		for i, u := range v.Unknown {
+			if i == 20 {
+				fmt.Fprintf(b, "  ... %d more (--json lists up to 2000)\n", v.Unknowns-20)
+				break
+			}
+			fmt.Fprintf(b, "  %s %s %s group %d, id hash %s\n", Clock(u.At), Safe(u.Pooler), Safe(u.Class), u.Group, u.ID)
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func gaps(b *strings.Builder, v *incident.View) {
+	any := false
+	for _, g := range v.Groups {
+		any = any || len(g.Gaps) > 0
+	}
+	if !any {
+		return
+	}
+	b.WriteString("\n")
+	table(b, func(t io.Writer) {
+		fmt.Fprintln(t, "group\tlast write\tfirst after\tgap\tbefore\tafter\tlist wrong for\twrites not served\tworth lost")
+		for _, g := range v.Groups {
+			for _, x := range g.Gaps {
+				fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%.1f\n", x.Group, Clock(x.From), Clock(x.To), incident.Span(x.To-x.From), Safe(x.Old), Safe(x.New),
+					known(x.ListWrongMs), x.Unserved, x.Lost)
+			}
+		}
+	})
+}
+
+func table(b *strings.Builder, rows func(io.Writer)) {
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	rows(t)
+	_ = t.Flush()
+}
+
+// Clock writes a Unix time for people, in UTC.
+func Clock(ms float64) string {
+	if ms <= 0 || math.IsInf(ms, 0) {
+		return "-"
+	}
+	return time.UnixMicro(int64(ms * 1000)).UTC().Format("15:04:05.000")
+}
+
+// Who is whom a finding is about.
+func Who(f incident.Finding) string {
+	switch {
+	case f.Server != "" && f.Pooler != "":
+		return f.Server + " (" + f.Pooler + ")"
+	case f.Server != "":
+		return f.Server
+	case f.Pooler != "":
+		return f.Pooler
+	}
+	return fmt.Sprintf("group %d", f.Group)
+}
+
+// Safe takes out of a name whatever a terminal might act on, and bounds it.
+func Safe(s string) string {
+	out := []rune{}
+	for _, r := range s {
+		if r < ' ' || r == 0x7f || r >= 0x80 && r < 0xa0 || r == 0x2028 || r == 0x2029 || r >= 0x202a && r <= 0x202e || r >= 0x2066 && r <= 0x2069 {
+			r = '?'
+		}
+		if out = append(out, r); len(out) == 200 {
+			return string(out) + "..."
+		}
+	}
+	return string(out)
+}
+
+func known(ms float64) string {
+	if ms < 0 {
+		return "not known"
+	}
+	return incident.Span(ms)
+}
+
+func started(ms float64) string {
+	if ms == 0 {
+		return "not told"
+	}
+	return "cold at " + Clock(ms)
+}
+
+func dateOf(ms float64) string {
+	return time.UnixMicro(int64(ms * 1000)).UTC().Format("2 January 2006")
+}
--- /dev/null
+++ b/internal/kit/score/score.go
@@ -0,0 +1,173 @@
+// Package score judges service from the clients' side only: the worth answered in time over the worth asked for, and
+// the rules, as far as clients can see them. It knows nothing of the poolers' records.
+package score
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/worth"
+)
+
+const (
+	maxBreaches = 200
+	lateMs      = 50 // a client's own reckoning of time is no better than this on a busy machine
+)
+
+// Score is what clients were served.
+type Score struct {
+	Seed     uint64   `json:"seed"`
+	Total    Class    `json:"total"`
+	Classes  []Class  `json:"classes"`
+	Ratio    float64  `json:"ratio"`
+	Worst    float64  `json:"worst_10s"`
+	WorstAt  float64  `json:"worst_10s_at_ms"`
+	Least    string   `json:"worst_class"`
+	Goal     float64  `json:"goal"` // 45% the whole, 35% the worst 10 s, 20% the worst class
+	Breaches []Breach `json:"breaches"`
+	Broken   int      `json:"breaches_total"`
+}
+
+// Class is what one class was served. An ask is a first try with its client's own retries.
+type Class struct {
+	Name        string  `json:"name"`
+	Asked       uint64  `json:"asked"`
+	Tries       uint64  `json:"tries"`
+	Served      uint64  `json:"served"`
+	Refused     uint64  `json:"refused"`
+	Failed      uint64  `json:"failed"`
+	Silent      uint64  `json:"no_answer"`
+	Broken      uint64  `json:"broken"`
+	Unmade      uint64  `json:"unmade"`
+	InTime      uint64  `json:"in_time"`
+	Late        uint64  `json:"late"`
+	WorthAsked  float64 `json:"worth_asked"`
+	WorthInTime float64 `json:"worth_in_time"`
+	WorthGot    float64 `json:"worth_got"`
+	Ratio       float64 `json:"ratio"`
+}
+
+// Breach is a rule that was broken, with the try that shows it.
+type Breach struct {
+	Rule string  `json:"rule"`
+	At   float64 `json:"at_ms"`
+	ID   string  `json:"id"`
+	Text string  `json:"text"`
+}
+
+// Keeper scores tries as they end.
+type Keeper struct {
+	s      Score
+	index  map[string]int
+	window worth.Window
+}
+
+// New makes a keeper for classes.
+func New(seed uint64, classes []clients.Class) *Keeper {
+	k := &Keeper{s: Score{Seed: seed}, index: map[string]int{}}
+	for _, c := range classes {
+		k.index[c.Name] = len(k.s.Classes)
+		k.s.Classes = append(k.s.Classes, Class{Name: c.Name})
+	}
+	return k
+}
+
+// Tried is clients.Sink's.
+func (k *Keeper) Tried(t *clients.Try) {
+	c := &k.s.Classes[k.index[t.Class.Name]]
+	c.Tries++
+	if t.No == 0 {
+		c.Asked++
+		c.WorthAsked += t.Class.Worth
+		k.window.Add(t.First, t.Class.Worth, 0)
+	}
+	switch t.Kind {
+	case clients.Served:
+		c.Served++
+		k.served(c, t)
+	case clients.Refused:
+		c.Refused++
+	case clients.Failed:
+		c.Failed++
+	case clients.Silent:
+		c.Silent++
+		k.breach("one final answer", t, "no answer came")
+	case clients.Broken:
+		c.Broken++
+	default:
+		c.Unmade++
+	}
+	if t.Extra {
+		k.breach("one final answer", t, "more came behind the answer")
+	}
+	if over := t.Ended - t.Sent - t.Ask.Patience; t.Late && over > lateMs {
+		k.breach("in time", t, fmt.Sprintf("the answer came %.0f ms after its client had given up", over))
+	}
+}
+
+func (k *Keeper) served(c *Class, t *clients.Try) {
+	if t.Stale {
+		k.breach("no stale read", t, "the value is older than its class allows")
+		return // worth nothing
+	}
+	if t.Alien {
+		k.breach("no invented value", t, "the value was not made for this request")
+		return
+	}
+	got := t.Class.Worth
+	if t.Ended-t.First > t.Class.Aim {
+		got *= t.Class.LateWorth
+		c.Late++
+	} else {
+		c.InTime++
+		c.WorthInTime += got
+	}
+	c.WorthGot += got
+	k.window.Add(t.First, 0, got)
+}
+
+func (k *Keeper) breach(rule string, t *clients.Try, text string) {
+	k.s.Broken++
+	if len(k.s.Breaches) < maxBreaches {
+		k.s.Breaches = append(k.s.Breaches, Breach{Rule: rule, At: t.Ended, ID: t.ID, Text: t.Class.Name + ": " + text})
+	}
+}
+
+// Add books a breach that was seen elsewhere.
+func (k *Keeper) Add(b Breach) {
+	k.s.Broken++
+	k.s.Breaches = append(k.s.Breaches, b)
+}
+
+// Score is the result so far.
+func (k *Keeper) Score() *Score {
+	s := k.s
+	s.Classes, s.Breaches = slices.Clone(k.s.Classes), slices.Clone(k.s.Breaches)
+	s.Total = Class{Name: "all"}
+	least := 1.0
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		c.Ratio = 1
+		if c.WorthAsked > 0 {
+			c.Ratio = c.WorthGot / c.WorthAsked
+		}
+		if c.Ratio < least || s.Least == "" {
+			least, s.Least = c.Ratio, c.Name
+		}
+		t := &s.Total
+		t.Asked, t.Tries, t.Served, t.Refused, t.Failed = t.Asked+c.Asked, t.Tries+c.Tries, t.Served+c.Served, t.Refused+c.Refused, t.Failed+c.Failed
+		t.Silent, t.Broken, t.Unmade, t.InTime, t.Late = t.Silent+c.Silent, t.Broken+c.Broken, t.Unmade+c.Unmade, t.InTime+c.InTime, t.Late+c.Late
+		t.WorthAsked, t.WorthInTime, t.WorthGot = t.WorthAsked+c.WorthAsked, t.WorthInTime+c.WorthInTime, t.WorthGot+c.WorthGot
+	}
+	s.Total.Ratio = 1
+	if s.Total.WorthAsked > 0 {
+		s.Total.Ratio = s.Total.WorthGot / s.Total.WorthAsked
+	}
+	s.Ratio = s.Total.Ratio
+	s.Worst, s.WorstAt = k.window.Worst()
+	s.Goal = 0.45*s.Ratio + 0.35*s.Worst + 0.2*least
+	slices.SortStableFunc(s.Breaches, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return &s
+}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -214,13 +214,18 @@
 }
 
 // ErrorCode is the SQLSTATE of an ErrorResponse's body, empty if it has none.
-func ErrorCode(body []byte) string {
+func ErrorCode(body []byte) string { return errorField(body, 'C') }
+
+// ErrorDetail is the detail of an ErrorResponse's body, empty if it has none.
+func ErrorDetail(body []byte) string { return errorField(body, 'D') }
+
+func errorField(body []byte, key byte) string {
 	for len(body) > 1 {
 		val, rest, ok := bytes.Cut(body[1:], []byte{0})
 		if !ok {
 			return ""
 		}
-		if body[0] == 'C' {
+		if body[0] == key {
 			return string(val)
 		}
 		body = rest
--- a/internal/record/frame.go
+++ b/internal/record/frame.go
@@ -121,3 +121,6 @@
 	}
 	return b, err
 }
+
+// ResumeFrames goes on in a segment behind a whole frame.
+func ResumeFrames(r io.Reader, at int64) *Frames { return &Frames{in: r, at: at} }
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -41,6 +41,9 @@
 	Program      string
 	Run          float64 // when the process started, Unix ms
 	Classes      []*recordpb.Class
+	ColdFrom     float64 // part of its capacity that a server starts with
+	ColdMs       float64 // from its start until it is warm
+	GraceMs      float64 // for sends, from hearing that a server drains
 	Files        Files
 	SegmentBytes int64 // a segment is closed when it has this many
 	TotalBytes   int64 // of all segments of this pooler; the oldest go first
@@ -246,7 +249,7 @@
 	case recordpb.Kind_KIND_GAUGE:
 		memory, files := w.usage()
 		x.Gauge = &recordpb.Gauge{Sessions: uint32(e.Sessions), Connections: uint32(e.Conns), Open: uint32(e.Number),
-			Memory: memory, Descriptors: files, WallUs: time.Now().UnixMicro()}
+			Memory: memory, Descriptors: files, WallUs: micros(e.Wall)}
 	case recordpb.Kind_KIND_LOST:
 		x.Lost = &recordpb.Lost{Events: e.Lost, FromUs: micros(e.From), ToUs: micros(e.To), Cause: uint32(e.Cause)}
 		w.lost += e.Lost
@@ -287,8 +290,7 @@
 
 // write appends the batch as a frame.
 func (w *writer) write() error {
-	w.batches++
-	w.batch.Number = w.batches
+	w.batch.Number = w.batches + 1
 	var err error
 	if w.payld, err = (proto.MarshalOptions{}).MarshalAppend(w.payld[:0], &w.batch); err != nil {
 		return fmt.Errorf("encode: %w", err)
@@ -306,7 +308,10 @@
 	} else {
 		w.out = append(w.out, w.payld...)
 	}
-	return w.put(endFrame(w.out, 0))
+	if err = w.put(endFrame(w.out, 0)); err == nil {
+		w.batches++
+	}
+	return err
 }
 
 func (w *writer) put(b []byte) error {
@@ -346,7 +351,8 @@
 	}
 	w.file, w.size, w.names = f, 0, map[string]uint32{}
 	head, err := proto.Marshal(&recordpb.Header{Pooler: w.opt.Pooler, Program: w.opt.Program, RunUs: micros(w.opt.Run),
-		Segment: w.segment, OpenedUs: micros(at), Schema: Schema, Classes: w.opt.Classes, LostBefore: w.lost})
+		Segment: w.segment, OpenedUs: micros(at), Schema: Schema, Classes: w.opt.Classes, LostBefore: w.lost,
+		ColdFrom: w.opt.ColdFrom, ColdUs: uspan(w.opt.ColdMs), GraceUs: uspan(w.opt.GraceMs)})
 	if err != nil {
 		return err
 	}
