--- a/cmd/beechgrade-kit/view.go
+++ b/cmd/beechgrade-kit/view.go
@@ -5,6 +5,37 @@
 	"errors"
 
 	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/kit/console"
+	"beechgrade/internal/kit/incident"
+	"beechgrade/internal/kit/records"
 )
 
-func view(context.Context, *cli.Command) error { return errors.New("not yet") }
+func view(ctx context.Context, c *cli.Command) error {
+	if !c.Bool("follow") {
+		v, err := load(c)
+		if err != nil {
+			return err
+		}
+		return console.Run(ctx, console.New(v, nil))
+	}
+	if !c.Args().Present() {
+		return errors.New("which records? name their folders")
+	}
+	set, err := records.Open(true, c.Args().Slice()...)
+	if err != nil {
+		return err
+	}
+	m := incident.New()
+	next := func() (*incident.View, error) {
+		if err := set.Read(m); err != nil {
+			return nil, err
+		}
+		return m.View(), nil
+	}
+	v, err := next()
+	if err != nil {
+		return err
+	}
+	return console.Run(ctx, console.New(v, next))
+}
