--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"log/slog"
 	"os"
 	"strings"
@@ -43,7 +44,8 @@
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
 
-	gauges bool // are recorded
+	gauges bool         // are recorded
+	files  record.Files // where records go, in place of the settings' folder; tests set it
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
@@ -73,7 +75,7 @@
 		return func() {}
 	}
 	rec, end := record.Start(record.Options{Pooler: p.cfg.Name, Program: version(), Run: p.loop.Now(),
-		Classes: core.RecordClasses(p.cfg.Classes, p.cfg.Settings.Classes), Files: record.Dir(o.Dir),
+		Classes: core.RecordClasses(p.cfg.Classes, p.cfg.Settings.Classes), Files: cmp.Or(p.files, record.Files(record.Dir(o.Dir))),
 		SegmentBytes: o.SegmentBytes, TotalBytes: o.TotalBytes, Events: o.Queue, FlushMs: o.FlushMs, Pack: o.Pack, Log: p.log,
 		ColdFrom: p.cfg.Settings.ColdFrom, ColdMs: clock.Millis(p.cfg.Settings.ColdTime), GraceMs: clock.Millis(p.cfg.Settings.DrainGrace)})
 	p.core.Record(rec)
--- a/internal/kit/console/console.go
+++ b/internal/kit/console/console.go
@@ -308,7 +308,7 @@
 			lines = append(lines, "")
 		}
 	}
-	lines = append(lines, m.status(), faint.Render(cut("←→ time  [ ] far  +- zoom  0 all  tab pane  ↑↓ rows  n/p grave  enter jump  ? help  q quit", m.w)))
+	lines = append(lines, m.status(), faint.Render(cut("←→ [] time  +- 0 zoom  tab 1-5 pane  ↑↓ rows  n p grave  enter go  ? help  q quit", m.w)))
 	return m.fit(lines)
 }
 
--- /dev/null
+++ b/internal/kit/records/records_test.go
@@ -0,0 +1,231 @@
+package records
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/standin"
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
+)
+
+// heard collects what a reading yields.
+type heard struct {
+	events []record.Event
+	faults []Fault
+	ends   []bool
+}
+
+func (h *heard) Begin(*Run)                    {}
+func (h *heard) Event(_ *Run, e *record.Event) { h.events = append(h.events, *e) }
+func (h *heard) Fault(f Fault)                 { h.faults = append(h.faults, f) }
+func (h *heard) End(_ *Run, ordered bool)      { h.ends = append(h.ends, ordered) }
+
+func read(t testing.TB, paths ...string) (*heard, error) {
+	t.Helper()
+	set, err := Open(false, paths...)
+	if err != nil {
+		return nil, err
+	}
+	h := &heard{}
+	return h, set.Read(h)
+}
+
+// small writes a small segment and returns its path and text.
+func small(t testing.TB, pack bool) (path string, b []byte) {
+	t.Helper()
+	dir := t.TempDir()
+	opt := record.Options{Pooler: "n1", Program: "t", Run: 1.7e12, Classes: standin.Classes(), Files: record.Dir(dir), SegmentBytes: 1 << 20,
+		TotalBytes: 1 << 30, Events: 8, Pack: pack, Log: slog.New(slog.DiscardHandler)}
+	record.Write(opt, func(put func(*record.Event)) {
+		put(&record.Event{At: 1.7e12, Kind: recordpb.Kind_KIND_START})
+		put(&record.Event{At: 1.7e12, Kind: recordpb.Kind_KIND_ENTRY, Server: "s-1", Primary: true, Text: "127.0.0.1:1"})
+		for i := range 24 { // in several frames
+			at := 1.7e12 + float64(i)
+			put(&record.Event{At: at, Kind: recordpb.Kind_KIND_REQUEST, Request: uint64(i + 1), Session: 1 << 60, ID: uint64(i) << 50, Left: 200})
+			put(&record.Event{At: at, Kind: recordpb.Kind_KIND_ATTEMPT, Request: uint64(i + 1), Server: "s-" + string(rune('1'+i%3)), Position: at - 3, Took: 2})
+		}
+		put(&record.Event{At: 1.7e12 + 24, Kind: recordpb.Kind_KIND_STOP})
+	})
+	path = filepath.Join(dir, record.SegmentName("n1", 1.7e12, 1))
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path, b
+}
+
+// prefix tells whether got is how want begins.
+func prefix(got, want []record.Event) bool {
+	return len(got) <= len(want) && cmp.Equal(append([]record.Event{}, got...), append([]record.Event{}, want[:len(got)]...))
+}
+
+// TestEveryCut cuts a segment at every byte. What is read must be how the whole begins, and a reading that is short
+// must say so: nothing is invented, nothing is missing in silence.
+func TestEveryCut(t *testing.T) {
+	for _, pack := range []bool{false, true} {
+		path, b := small(t, pack)
+		whole, err := read(t, path)
+		if err != nil || len(whole.faults) > 0 || !whole.ends[0] || len(whole.events) != 51 {
+			t.Fatalf("whole: %v, %d events, faults %v", err, len(whole.events), whole.faults)
+		}
+		most := -1
+		for n := range len(b) {
+			if err := os.WriteFile(path, b[:n], 0o600); err != nil {
+				t.Fatal(err)
+			}
+			h, err := read(t, path)
+			if err != nil {
+				if most >= 0 {
+					t.Fatalf("cut at %d: %v, though %d events were read from less", n, err, most)
+				}
+				if !strings.Contains(err.Error(), path) {
+					t.Fatalf("cut at %d: the error does not name the file: %v", n, err)
+				}
+				continue
+			}
+			if !prefix(h.events, whole.events) || len(h.events) < most {
+				t.Fatalf("cut at %d: %d events that are not how the whole begins", n, len(h.events))
+			}
+			if len(h.faults) != 1 || h.ends[0] {
+				t.Fatalf("cut at %d: not said once that it is short: %v", n, h.faults)
+			}
+			most = len(h.events)
+		}
+		if most != len(whole.events) {
+			t.Errorf("without its closing frame %d events are read, not %d", most, len(whole.events))
+		}
+	}
+}
+
+// TestEveryFlip changes each byte of a segment in turn.
+func TestEveryFlip(t *testing.T) {
+	for _, pack := range []bool{false, true} {
+		path, b := small(t, pack)
+		whole, err := read(t, path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range b {
+			for _, bits := range []byte{0x01, 0x80, 0xff} {
+				b[i] ^= bits
+				if err := os.WriteFile(path, b, 0o600); err != nil {
+					t.Fatal(err)
+				}
+				b[i] ^= bits
+				h, err := read(t, path)
+				if err != nil {
+					continue // refused, and said
+				}
+				if !prefix(h.events, whole.events) {
+					t.Fatalf("byte %d with %#x: events that are not how the whole begins", i, bits)
+				}
+				if len(h.faults) == 0 || h.ends[0] {
+					t.Fatalf("byte %d with %#x: nothing is said", i, bits)
+				}
+			}
+		}
+	}
+}
+
+// TestMissing guards against a hole between segments that is passed over in silence, and a copy that counts twice.
+func TestMissing(t *testing.T) {
+	dir := t.TempDir()
+	standin.Day{From: 1.7e12, Poolers: 1, Groups: 2, Members: 3, Requests: 6000, EveryMs: 5}.Write(dir)
+	names, _ := filepath.Glob(filepath.Join(dir, "p0", "*"))
+	if len(names) < 4 {
+		t.Fatalf("%d segments; the test wants four", len(names))
+	}
+	whole, err := read(t, dir)
+	if err != nil || len(whole.faults) > 0 {
+		t.Fatal(err, whole.faults)
+	}
+	kinds := func(h *heard) (out []FaultKind) {
+		for _, f := range h.faults {
+			out = append(out, f.Kind)
+			if f.Kind != Twice && !(f.From > 0 && f.To >= f.From) {
+				t.Errorf("%s: no span: %+v", f.Kind, f)
+			}
+		}
+		return out
+	}
+	b, _ := os.ReadFile(names[2])
+	if err := os.WriteFile(filepath.Join(dir, "copy"+record.Suffix), b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h, _ := read(t, dir)
+	if diff := cmp.Diff([]FaultKind{Twice}, kinds(h)); diff != "" || len(h.events) != len(whole.events) {
+		t.Errorf("a copy: %d events, want %d; %s", len(h.events), len(whole.events), diff)
+	}
+	_ = os.Remove(filepath.Join(dir, "copy"+record.Suffix))
+	_ = os.Remove(names[1])
+	h, _ = read(t, dir)
+	if diff := cmp.Diff([]FaultKind{Missing}, kinds(h)); diff != "" || len(h.events) >= len(whole.events) {
+		t.Errorf("one is missing: %s", diff)
+	}
+	_ = os.Remove(names[0])
+	h, _ = read(t, dir)
+	if diff := cmp.Diff([]FaultKind{Rotated}, kinds(h)); diff != "" {
+		t.Errorf("the first ones went: %s", diff)
+	}
+	if _, err := read(t, t.TempDir()); !errors.Is(err, ErrNone) {
+		t.Errorf("no records: %v", err)
+	}
+	if _, err := read(t, filepath.Join(dir, "nowhere")); err == nil {
+		t.Error("no folder, and no error")
+	}
+}
+
+// TestFollow guards against a reading that stops, or reads twice, where a pooler still writes.
+func TestFollow(t *testing.T) {
+	path, b := small(t, false)
+	whole, _ := read(t, path)
+	_ = os.Remove(path)
+	set, err := Open(true, filepath.Dir(path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &heard{}
+	for n := 0; n <= len(b); n += 7 {
+		if err := os.WriteFile(path, b[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := set.Read(h); err != nil {
+			t.Fatal(err)
+		}
+		if !prefix(h.events, whole.events) {
+			t.Fatalf("at %d bytes: %d events that are not how the whole begins", n, len(h.events))
+		}
+	}
+	_ = os.WriteFile(path, b, 0o600)
+	if err := set.Read(h); err != nil || len(h.events) != len(whole.events) || len(h.faults) > 0 || len(h.ends) != 1 {
+		t.Errorf("%d of %d events, faults %v, ends %v: %v", len(h.events), len(whole.events), h.faults, h.ends, err)
+	}
+}
+
+// FuzzSegment guards against bytes that crash the reader.
+func FuzzSegment(f *testing.F) {
+	for _, pack := range []bool{false, true} {
+		_, b := small(f, pack)
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+		f.Add(append(b[:100:100], b[200:]...))
+	}
+	f.Add([]byte(record.Magic))
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		path := filepath.Join(t.TempDir(), "x"+record.Suffix)
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if h, err := read(t, path); err == nil && len(h.ends) != 1 {
+			t.Fatalf("%d ends of one run", len(h.ends))
+		}
+	})
+}
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -18,6 +18,7 @@
 // Bounds on the page, whatever the records hold.
 const (
 	chartW, chartH = 900.0, 180.0
+	smallW, smallH = 320.0, 90.0
 	laneW, laneH   = 900.0, 14.0
 	maxColumns     = 450    // points of a line, and stretches of a server's lane
 	maxStretches   = 30000  // of all lanes together
@@ -173,15 +174,15 @@
 		return xs
 	}
 	d.Columns = used
-	d.Service = d.chart("Service: worth answered in time over worth asked for", "", 1, []string{"service"}, []string{"l0"}, ratio(-1))
-	d.Counts = d.chart("Requests a second, by how they ended", "/s", 0, []string{"served", "refused", "failed", "clients' retries"}, []string{"l0", "l1", "l2", "l3"},
+	d.Service = d.chart(chartW, chartH, 6, "Service: worth answered in time over worth asked for", "", 1, []string{"service"}, []string{"l0"}, ratio(-1))
+	d.Counts = d.chart(chartW, chartH, 6, "Requests a second, by how they ended", "/s", 0, []string{"served", "refused", "failed", "clients' retries"}, []string{"l0", "l1", "l2", "l3"},
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Served[i]) }),
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Refused[i]) }),
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Failed[i]) }),
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Repeats[i]) }))
 	for k, c := range s.Classes {
 		if k < 12 {
-			d.Classes = append(d.Classes, d.chart(Safe(c.Name), "", 1, []string{"service"}, []string{"l0"}, ratio(k)))
+			d.Classes = append(d.Classes, d.chart(smallW, smallH, 2, Safe(c.Name), "", 1, []string{"service"}, []string{"l0"}, ratio(k)))
 		}
 	}
 }
@@ -203,8 +204,8 @@
 }
 
 // chart lays lines out. With top 0 the scale fits the largest value.
-func (d *pageData) chart(title, unit string, top float64, names, classes []string, lines ...[]float64) Chart {
-	c := Chart{Title: title, Unit: unit, W: chartW, H: chartH, XTicks: d.ticks(chartW)}
+func (d *pageData) chart(w, h float64, ticks int, title, unit string, top float64, names, classes []string, lines ...[]float64) Chart {
+	c := Chart{Title: title, Unit: unit, W: w, H: h, XTicks: d.ticks(w, ticks)}
 	if top == 0 {
 		for _, l := range lines {
 			for _, x := range l {
@@ -215,15 +216,15 @@
 	}
 	for i := 0; i <= 4; i++ {
 		y := float64(i) / 4
-		c.YTicks = append(c.YTicks, Tick{At: chartH * (1 - y), Text: strconv.FormatFloat(top*y, 'g', 3, 64)})
+		c.YTicks = append(c.YTicks, Tick{At: h * (1 - y), Text: strconv.FormatFloat(top*y, 'g', 3, 64)})
 	}
 	for i, l := range lines {
-		c.Lines = append(c.Lines, Line{Name: names[i], Class: classes[i], Path: path(l, top)})
+		c.Lines = append(c.Lines, Line{Name: names[i], Class: classes[i], Path: path(l, top, w, h)})
 	}
 	for _, g := range d.V.Groups {
 		for _, x := range g.Gaps {
 			if len(c.Bands) < maxListed {
-				c.Bands = append(c.Bands, d.band(x.From, x.To, chartW, "gap", fmt.Sprintf("group %d: no write served for %s", x.Group, incident.Span(x.To-x.From))))
+				c.Bands = append(c.Bands, d.band(x.From, x.To, w, "gap", fmt.Sprintf("group %d: no write served for %s", x.Group, incident.Span(x.To-x.From))))
 			}
 		}
 	}
@@ -244,14 +245,14 @@
 	return 10 * unit
 }
 
-func path(l []float64, top float64) string {
+func path(l []float64, top, w, h float64) string {
 	b := &strings.Builder{}
 	for i, x := range l {
 		op := 'L'
 		if i == 0 {
 			op = 'M'
 		}
-		fmt.Fprintf(b, "%c%s %s", op, short(chartW*(float64(i)+0.5)/float64(len(l))), short(chartH*(1-min(1, x/top))))
+		fmt.Fprintf(b, "%c%s %s", op, short(w*(float64(i)+0.5)/float64(len(l))), short(h*(1-min(1, x/top))))
 	}
 	return b.String()
 }
@@ -274,11 +275,11 @@
 	return math.Round(10*w*min(1, max(0, (at-d.V.From)/(d.V.To-d.V.From)))) / 10
 }
 
-func (d *pageData) ticks(w float64) []Tick {
+func (d *pageData) ticks(w float64, n int) []Tick {
 	var out []Tick
-	for i := 0; i <= 6; i++ {
-		at := d.V.From + (d.V.To-d.V.From)*float64(i)/6
-		out = append(out, Tick{At: w * float64(i) / 6, Text: Clock(at)[:8]})
+	for i := 0; i <= n; i++ {
+		at := d.V.From + (d.V.To-d.V.From)*float64(i)/float64(n)
+		out = append(out, Tick{At: w * float64(i) / float64(n), Text: Clock(at)[:8]})
 	}
 	return out
 }
@@ -307,7 +308,7 @@
 }
 
 func (d *pageData) lanes() {
-	d.Axis = d.ticks(laneW)
+	d.Axis = d.ticks(laneW, 6)
 	servers := map[string]*incident.ServerView{}
 	for i := range d.V.Servers {
 		servers[d.V.Servers[i].Name] = &d.V.Servers[i]
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -149,6 +149,23 @@
 	}
 }
 
+// Write records what f puts, without a goroutine: for tools and tests.
+func Write(opt Options, f func(put func(*Event))) {
+	rec := &Recorder{ring: newRing(opt.Events), wake: make(chan struct{}, 1)}
+	w := &writer{opt: opt, rec: rec, held: map[string]Event{}}
+	f(func(e *Event) {
+		rec.Put(e)
+		for len(rec.wake) > 0 {
+			<-rec.wake
+			for w.flush() {
+			}
+		}
+	})
+	for w.flush() {
+	}
+	w.close(true)
+}
+
 func (w *writer) run() {
 	defer close(w.done)
 	tick := time.NewTicker(time.Duration(w.opt.FlushMs * float64(time.Millisecond)))
