Serve ordinary PostgreSQL drivers through a second front with transaction pooling

Foremen's tablets hold sessions, office programs want short transactions, and ordinary drivers speak more than the platform's form. Each transaction is a request to the decision module; who gets a connection is decided by a module without I/O, and so is what a session carries: prepared statements once per distinct text, settings by their difference.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -68,6 +68,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "records: off")
 					}
+					if o := set.Pooling; o.Listen != "" {
+						fmt.Fprintf(c.Root().Writer, "pooling: listens on %s, %d pools\n", o.Listen, len(o.Pools))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "pooling: off")
+					}
 					return nil
 				},
 			},
@@ -103,6 +108,9 @@
 			return nil, nil, badInput{err}
 		}
 	}
+	if err := set.Pooling.Check(cfg.Classes); err != nil {
+		return nil, nil, badInput{err}
+	}
 	return cfg, set, nil
 }
 
@@ -124,7 +132,9 @@
 	// dials only after its monitor has looked, up to 10 ms later; with two, at once.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
 	limitMemory(cfg)
+	set.Pooling.AddClasses(cfg)
 	p := newPooler(cfg, log)
+	p.usePooling(set.Pooling)
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -14,6 +14,7 @@
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/operate"
+	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 )
@@ -44,6 +45,10 @@
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
 
+	pooled     *pooling.Front // nil where it is off
+	pooledAddr string         // where it listens
+	stopPooled func()
+
 	gauges bool         // are recorded
 	files  record.Files // where records go, in place of the settings' folder; tests set it
 }
@@ -96,8 +101,11 @@
 func (p *pooler) start() {
 	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
 	p.core.Note(recordpb.Kind_KIND_START, "")
-	p.core.Start(p.pool, p.dir)
+	p.core.Start(p.servers(), p.dir)
 	p.front.Start()
+	if p.pooled != nil {
+		p.listen()
+	}
 	if p.gauges {
 		p.gauge()
 	}
@@ -150,9 +158,13 @@
 	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
 	p.core.EndAt(began + longest + drainEnd)
 	p.loop.At(began+longest+drainClose, p.front.Drain)
+	if p.pooled != nil {
+		p.stopPooled()
+		p.pooled.Drain()
+	}
 	var look func()
 	look = func() {
-		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0
+		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0 || p.pooled != nil && p.pooled.Owes()
 		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
 			p.loop.At(now+pollMs, look)
 			return
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -78,6 +78,12 @@
 	closed  bool
 	dir     directory
 	wg      sync.WaitGroup
+
+	watch    Watch // of ordinary sessions
+	before   func(server, sql string) bool
+	fulls    map[uint32]*full
+	lastPID  uint32
+	streamed int
 }
 
 type group struct {
@@ -146,7 +152,8 @@
 
 // New makes a fleet; Start has it listen.
 func New(cfg Config, clk clock.Clock, log *slog.Logger) *Fleet {
-	f := &Fleet{cfg: cfg, clk: clk, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), servers: map[string]*Server{}, ran: map[string]int{}}
+	f := &Fleet{cfg: cfg, clk: clk, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), servers: map[string]*Server{}, ran: map[string]int{},
+		fulls: map[uint32]*full{}, watch: Watch{ByText: map[string]int{}}}
 	for i, n := range cfg.Groups {
 		g := &group{id: i, rows: map[string][]version{}}
 		for k := range n {
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -83,13 +83,31 @@
 	if n < 8 || n > startupMax {
 		return
 	}
-	if _, err := io.CopyN(io.Discard, c.in, int64(n)-4); err != nil {
+	startup := append(size[:], make([]byte, n-4)...)
+	if _, err := io.ReadFull(c.in, startup[4:]); err != nil {
+		return
+	}
+	r := pgwire.NewReader(startupMax)
+	r.Feed(startup)
+	said, ok, err := r.StartupMessage()
+	if err != nil || !ok {
+		return
+	}
+	switch said.Kind {
+	case pgwire.StartupCancel:
+		c.s.f.hitBy(said.PID, said.Secret)
+		return
+	case pgwire.StartupEncrypt:
 		return
 	}
 	if c.s.isHung() { // a machine that takes and answers nothing
 		_, _ = io.Copy(io.Discard, c.in)
 		return
 	}
+	if said.Params["database"] != "store" {
+		c.serveFull(said.Params)
+		return
+	}
 	if _, err := c.Write(pgwire.AppendWelcome(nil)); err != nil {
 		return
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -31,6 +32,10 @@
 	gc   gnet.Conn
 	h    Handler
 	gone bool
+
+	accept func() Handler // makes h, for a connection that another listener accepted
+	parked net.Conn       // the connection while it is not read
+	out    []byte         // written while parked
 }
 
 // Write sends b, or buffers what the socket does not take. A write that fails closes the connection,
@@ -39,6 +44,10 @@
 	if c.gone {
 		return net.ErrClosed
 	}
+	if c.parked != nil {
+		c.out = append(c.out, b...)
+		return nil
+	}
 	if _, err := c.gc.Write(b); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
@@ -50,16 +59,64 @@
 	if c.gone {
 		return 0
 	}
+	if c.parked != nil {
+		return len(c.out)
+	}
 	return c.gc.OutboundBuffered()
 }
 
 // Close closes the connection now; Closed is called before it returns.
 func (c *Conn) Close() {
-	if !c.gone {
+	switch {
+	case c.gone:
+	case c.parked != nil:
+		_ = c.parked.Close()
+		c.h.Closed(nil)
+		c.gone = true
+	default:
 		_ = c.gc.EventLoop().Close(c.gc)
 	}
 }
 
+// Park takes the connection off the loop, so that nothing more is read of it until Unpark: what its other side sends
+// stays with that side. It tells whether it could, which is not so while something is yet to be written.
+func (c *Conn) Park() bool {
+	if c.gone || c.parked != nil || c.gc.OutboundBuffered() > 0 {
+		return c.parked != nil
+	}
+	fd, err := unix.Dup(c.gc.Fd())
+	if err != nil {
+		return false
+	}
+	f := os.NewFile(uintptr(fd), "parked")
+	nc, err := net.FileConn(f)
+	_ = f.Close()
+	if err != nil {
+		return false
+	}
+	c.parked = nc
+	_ = c.gc.EventLoop().Close(c.gc) // the copy keeps the connection itself
+	return true
+}
+
+// Unpark puts a connection back on the loop.
+func (c *Conn) Unpark() {
+	if c.gone || c.parked == nil {
+		return
+	}
+	l, nc := c.loop, c.parked
+	go func() {
+		if err := l.enroll(c, nc); err != nil {
+			l.Post(func() {
+				if !c.gone {
+					c.h.Closed(err)
+					c.gone = true
+				}
+			})
+		}
+	}()
+}
+
 // CloseWrite ends the sending; what the other side still sends is told as before.
 func (c *Conn) CloseWrite() error {
 	if c.gone {
@@ -74,7 +131,7 @@
 // Quiet tells whether the connection stands open with nothing to read: neither data nor an end that
 // the loop has not come to yet.
 func (c *Conn) Quiet() bool {
-	if c.gone {
+	if c.gone || c.parked != nil {
 		return false
 	}
 	var b [1]byte
@@ -176,22 +233,53 @@
 			l.Post(func() { failed(fmt.Errorf("dial: %w", err)) })
 			return
 		}
-		// Enroll duplicates the descriptor, adds the copy to the loop and closes nc.
-		c := &Conn{loop: l, h: h}
-		done, err := l.el.Enroll(gnet.NewContext(context.Background(), c), nc)
-		if err == nil {
-			if r := <-done; r.Err != nil {
-				err = r.Err
-			}
-		} else {
-			_ = nc.Close()
-		}
-		if err != nil {
+		if err := l.enroll(&Conn{loop: l, h: h}, nc); err != nil {
 			l.Post(func() { failed(fmt.Errorf("dial: %w", err)) })
 		}
 	}()
 }
 
+// enroll puts a connection on the loop, from a goroutine of its own.
+func (l *Loop) enroll(c *Conn, nc net.Conn) error {
+	// Enroll duplicates the descriptor, adds the copy to the loop and closes nc.
+	done, err := l.el.Enroll(gnet.NewContext(context.Background(), c), nc)
+	if err != nil {
+		_ = nc.Close()
+		return fmt.Errorf("enroll: %w", err)
+	}
+	if r := <-done; r.Err != nil {
+		return fmt.Errorf("enroll: %w", r.Err)
+	}
+	return nil
+}
+
+// Listen accepts connections at one more address, until stop is called. It is for functions that run on the loop, and
+// accept runs there too.
+func (l *Loop) Listen(addr string, accept func() Handler) (at string, stop func(), err error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", nil, fmt.Errorf("listen: %w", err)
+	}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil { // want of descriptors, say
+				time.Sleep(acceptPause)
+				continue
+			}
+			if err := l.enroll(&Conn{loop: l, accept: accept}, nc); err != nil {
+				l.log.Warn("accept", "err", err)
+			}
+		}
+	}()
+	return ln.Addr().String(), func() { _ = ln.Close() }, nil
+}
+
+const acceptPause = 20 * time.Millisecond
+
 // OnBoot is gnet's. The loop itself can be had from a connection only, so the program makes one to
 // itself.
 func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
@@ -258,6 +346,17 @@
 		gc.SetContext(c)
 	}
 	c.gc = gc
+	if c.parked != nil { // it is back
+		c.parked = nil
+		if b := c.out; len(b) > 0 {
+			c.out = nil
+			_ = c.Write(b)
+		}
+		return nil, gnet.None
+	}
+	if c.h == nil {
+		c.h = c.accept()
+	}
 	c.h.Opened(c)
 	return nil, gnet.None
 }
@@ -278,7 +377,7 @@
 // OnClose is gnet's.
 func (l *Loop) OnClose(gc gnet.Conn, err error) gnet.Action {
 	defer l.enter()()
-	if c, ok := gc.Context().(*Conn); ok && !c.gone {
+	if c, ok := gc.Context().(*Conn); ok && !c.gone && c.parked == nil {
 		c.h.Closed(err)
 		c.gone = true
 	}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -11,7 +11,8 @@
 
 // Settings are what the operators may choose. The zero value has everything off.
 type Settings struct {
-	Record Record
+	Record  Record
+	Pooling Pooling
 }
 
 // Record says whether and where the pooler records what it does.
@@ -56,7 +57,8 @@
 	}
 	s := &Settings{}
 	return s, sexp.Form{
-		"record": func(n *sexp.Node) error { return s.Record.read(n, env) },
+		"record":  func(n *sexp.Node) error { return s.Record.read(n, env) },
+		"pooling": s.Pooling.read,
 	}.Read(nodes)
 }
 
--- /dev/null
+++ b/internal/operate/pooling.go
@@ -0,0 +1,218 @@
+package operate
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/config"
+	"beechgrade/internal/pooling"
+	"beechgrade/internal/pooling/share"
+	"beechgrade/internal/sexp"
+)
+
+// Pooling says whether and how ordinary PostgreSQL clients are served.
+type Pooling struct {
+	Listen     string // empty for off
+	Classes    []Class
+	Pools      []pooling.PoolOptions
+	MaxMessage int
+	MaxAnswer  int
+
+	places map[string]sexp.Pos // where pools name their classes
+}
+
+// Class is a class of transactions that the operators add to the platform's.
+type Class struct {
+	Name string
+	beechgrade.Class
+}
+
+// defaultPool is what a pool has where its settings say nothing. Times are in milliseconds.
+func defaultPool() pooling.PoolOptions {
+	return pooling.PoolOptions{Database: "*", User: "*", App: "*", Clients: 5000, TxnMs: 60000, IdleTxnMs: 30000, Statements: 500, StatementBytes: 1 << 20,
+		Limits: share.Limits{Most: 20, Queue: 5000, WaitMs: 10000, ReserveMs: 1000, LifeMs: 3600000, IdleMs: 300000, Dials: 4, AgainMs: 200}}
+}
+
+const longest = 24 * 3600 * 1000
+
+func (p *Pooling) read(n *sexp.Node) error {
+	p.MaxMessage, p.MaxAnswer, p.places = 1<<20, 16<<20, map[string]sexp.Pos{}
+	err := sexp.Form{
+		"listen": func(n *sexp.Node) (err error) {
+			if p.Listen, err = n.Str(); err != nil {
+				return err
+			}
+			if _, _, err := net.SplitHostPort(p.Listen); err != nil {
+				return n.Items[1].Errorf("an address with its port is due here: %v", err)
+			}
+			return nil
+		},
+		"class": p.class,
+		"pool":  p.pool,
+		"most-message": func(n *sexp.Node) error {
+			x, err := n.Bytes(64<<10, 64<<20)
+			p.MaxMessage = int(x)
+			return err
+		},
+		"most-answer": func(n *sexp.Node) error {
+			x, err := n.Bytes(64<<10, 256<<20)
+			p.MaxAnswer = int(x)
+			return err
+		},
+	}.Read(n.Args(), "class", "pool")
+	switch {
+	case err != nil:
+		return err
+	case p.Listen != "" && len(p.Pools) == 0:
+		return n.Errorf("pooling: it listens, but there is no (pool ...)")
+	case p.Listen == "" && len(p.Pools) > 0:
+		return n.Errorf("pooling: there are pools, but no (listen \"ADDRESS:PORT\")")
+	}
+	return nil
+}
+
+func (p *Pooling) class(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) == 0 || a[0].Kind == sexp.List || a[0].Text == "" {
+		return n.Errorf("a class's name is due first")
+	}
+	if slices.ContainsFunc(p.Classes, func(c Class) bool { return c.Name == a[0].Text }) {
+		return a[0].Errorf("there is a class %q already", a[0].Text)
+	}
+	c := Class{Name: a[0].Text, Class: beechgrade.Class{Aim: 500 * time.Millisecond, Deadline: 60 * time.Second, Worth: 1, LateWorth: 1,
+		Effect: beechgrade.Unsafe, Read: beechgrade.Write}}
+	span := func(to *time.Duration) func(*sexp.Node) error {
+		return func(n *sexp.Node) error {
+			ms, err := n.Millis(1, longest)
+			*to = time.Duration(ms * float64(time.Millisecond))
+			return err
+		}
+	}
+	err := sexp.Form{
+		"aim":      span(&c.Aim),
+		"deadline": span(&c.Deadline),
+		"bound":    span(&c.Bound),
+		"worth":    func(n *sexp.Node) (err error) { c.Worth, err = n.Float(0, 1000); return err },
+		"late":     func(n *sexp.Node) (err error) { c.LateWorth, err = n.Float(0, 1); return err },
+		"needs": func(n *sexp.Node) error {
+			s, err := n.Str()
+			if err != nil {
+				return err
+			}
+			kinds := map[string]beechgrade.ReadKind{"primary": beechgrade.Write, "any": beechgrade.ReadAny, "session": beechgrade.ReadSession, "bounded": beechgrade.ReadBounded}
+			k, ok := kinds[s]
+			if !ok {
+				return n.Items[1].Errorf("primary, any, session or bounded is due here")
+			}
+			c.Read = k
+			return nil
+		},
+	}.Read(a[1:])
+	if err != nil {
+		return err
+	}
+	if c.Read == beechgrade.ReadBounded && c.Bound == 0 {
+		return n.Errorf("class %q: (needs bounded) wants a (bound TIME)", c.Name)
+	}
+	p.Classes = append(p.Classes, c)
+	return nil
+}
+
+func (p *Pooling) pool(n *sexp.Node) error {
+	o := defaultPool()
+	l := &o.Limits
+	span := func(to *float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Millis(0, longest); return err }
+	}
+	whole := func(to *int, least, most int) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Int(least, most); return err }
+	}
+	text := func(to *string) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Str(); return err }
+	}
+	class := func(to *string) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) {
+			*to, err = n.Str()
+			if _, ok := p.places[*to]; !ok && err == nil {
+				p.places[*to] = n.Items[1].Pos
+			}
+			return err
+		}
+	}
+	choice := func(set func(string), names ...string) func(*sexp.Node) error {
+		return func(n *sexp.Node) error {
+			s, err := n.Str()
+			if err == nil && !slices.Contains(names, s) {
+				err = n.Items[1].Errorf("one of %v is due here", names)
+			}
+			set(s)
+			return err
+		}
+	}
+	err := sexp.Form{
+		"database": text(&o.Database), "user": text(&o.User), "application": text(&o.App),
+		"mode": choice(func(s string) {
+			if s == "session" {
+				o.Mode = pooling.Session
+			}
+		}, "transaction", "session"),
+		"pins":  choice(func(s string) { o.RefusePins = s == "refuse" }, "keep", "refuse"),
+		"class": class(&o.Class), "reads": class(&o.Reads),
+		"group":       whole(&o.Group, 0, 1<<30),
+		"connections": whole(&l.Most, 1, 100000), "per-server": whole(&l.PerServer, 1, 100000), "reserve": whole(&l.Reserve, 0, 100000),
+		"reserve-after": span(&l.ReserveMs), "queue": whole(&l.Queue, 0, 1000000), "wait": span(&l.WaitMs), "lifetime": span(&l.LifeMs),
+		"idle": span(&l.IdleMs), "dials": whole(&l.Dials, 1, 1000), "again": span(&l.AgainMs),
+		"clients": whole(&o.Clients, 0, 1000000), "transaction": span(&o.TxnMs), "idle-in-transaction": span(&o.IdleTxnMs),
+		"statements": whole(&o.Statements, 1, 100000),
+		"statement-bytes": func(n *sexp.Node) error {
+			x, err := n.Bytes(1024, 1<<30)
+			o.StatementBytes = int(x)
+			return err
+		},
+	}.Read(n.Args())
+	switch {
+	case err != nil:
+		return err
+	case o.Class == "":
+		return n.Errorf("pool: (class \"NAME\") is missing: which class are its transactions of?")
+	case o.Mode == pooling.Session && o.Reads != "":
+		return n.Errorf("pool: a pool by session has all its transactions at the primary; (reads ...) is for one by transaction")
+	}
+	p.Pools = append(p.Pools, o)
+	return nil
+}
+
+// Check holds the pools' classes against those that there are, the platform's by name.
+func (p *Pooling) Check(platform []string) error {
+	for _, c := range p.Classes {
+		if slices.Contains(platform, c.Name) {
+			return fmt.Errorf("pooling: class %q is one of the platform's", c.Name)
+		}
+	}
+	for _, o := range p.Pools {
+		for i, name := range []string{o.Class, o.Reads} {
+			if name == "" {
+				continue
+			}
+			k := slices.IndexFunc(p.Classes, func(c Class) bool { return c.Name == name })
+			switch {
+			case k < 0:
+				return &sexp.Error{Pos: p.places[name], Text: fmt.Sprintf("there is no (class %q ...)", name)}
+			case i == 0 && p.Classes[k].Read != beechgrade.Write:
+				return &sexp.Error{Pos: p.places[name], Text: fmt.Sprintf("class %q does not need the primary, and so is for (reads ...)", name)}
+			}
+		}
+	}
+	return nil
+}
+
+// AddClasses adds the operators' classes to the platform's.
+func (p *Pooling) AddClasses(cfg *config.Config) {
+	for _, c := range p.Classes {
+		cfg.Classes = append(cfg.Classes, c.Name)
+		cfg.Settings.Classes = append(cfg.Settings.Classes, c.Class)
+	}
+}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -265,3 +265,148 @@
 	}
 	return "", fmt.Errorf("%w: text without its end", ErrMalformed)
 }
+
+// StartupMsg is a connection's first message.
+type StartupMsg struct {
+	Kind        StartupKind
+	Minor       int
+	Params      map[string]string
+	Unknown     []string // protocol options that are not known here
+	PID, Secret uint32   // StartupCancel
+}
+
+// maxParams bounds a startup message's parameters.
+const maxParams = 500
+
+// StartupMessage returns the next message of a connection that has not started, with what it says, and false if it is
+// not whole.
+func (r *Reader) StartupMessage() (StartupMsg, bool, error) {
+	b := r.buf[r.off:]
+	kind, ok, err := r.Startup()
+	s := StartupMsg{Kind: kind, Params: map[string]string{}}
+	if err != nil || !ok {
+		return s, false, err
+	}
+	body := b[8:binary.BigEndian.Uint32(b)]
+	switch kind {
+	case StartupCancel:
+		if len(body) < 8 {
+			return s, false, fmt.Errorf("%w: cancel request", ErrMalformed)
+		}
+		s.PID, s.Secret = binary.BigEndian.Uint32(body), binary.BigEndian.Uint32(body[4:])
+	case StartupPlain:
+		s.Minor = int(binary.BigEndian.Uint32(b[4:]) & 0xffff)
+		for len(body) > 1 {
+			name, rest, ok := bytes.Cut(body, []byte{0})
+			val, rest, ok2 := bytes.Cut(rest, []byte{0})
+			if !ok || !ok2 || len(name) == 0 || len(s.Params) >= maxParams {
+				return s, false, fmt.Errorf("%w: startup parameters", ErrMalformed)
+			}
+			s.Params[string(name)] = string(val)
+			if bytes.HasPrefix(name, []byte("_pq_.")) {
+				s.Unknown = append(s.Unknown, string(name))
+			}
+			body = rest
+		}
+		if len(body) != 1 || body[0] != 0 {
+			return s, false, fmt.Errorf("%w: startup message without its end", ErrMalformed)
+		}
+	}
+	return s, true, nil
+}
+
+// AppendReadyIn appends ReadyForQuery in the given state of a transaction: I, T or E.
+func AppendReadyIn(dst []byte, status byte) []byte { return append(dst, 'Z', 0, 0, 0, 5, status) }
+
+// AppendKey appends BackendKeyData.
+func AppendKey(dst []byte, pid, secret uint32) []byte {
+	dst, at := begin(dst, 'K')
+	return end(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(dst, pid), secret), at)
+}
+
+// AppendNegotiate appends NegotiateProtocolVersion: 3.0, and the options that are not known.
+func AppendNegotiate(dst []byte, unknown []string) []byte {
+	dst, at := begin(dst, 'v')
+	dst = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(dst, 0), uint32(len(unknown)))
+	for _, s := range unknown {
+		dst = appendStr(dst, s)
+	}
+	return end(dst, at)
+}
+
+// AppendCancel appends a cancel request.
+func AppendCancel(dst []byte, pid, secret uint32) []byte {
+	for _, x := range []uint32{16, codeCancel, pid, secret} {
+		dst = binary.BigEndian.AppendUint32(dst, x)
+	}
+	return dst
+}
+
+// ParseMessage reads the body of Parse; types is the rest: their number and each.
+func ParseMessage(body []byte) (name, sql string, types []byte, err error) {
+	n, rest, ok := bytes.Cut(body, []byte{0})
+	q, rest, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 || len(rest) < 2 || len(rest) != 2+4*int(binary.BigEndian.Uint16(rest)) {
+		return "", "", nil, fmt.Errorf("%w: Parse", ErrMalformed)
+	}
+	return string(n), string(q), rest, nil
+}
+
+// AppendParse appends Parse.
+func AppendParse(dst []byte, name, sql string, types []byte) []byte {
+	dst, at := begin(dst, 'P')
+	return end(append(appendStr(appendStr(dst, name), sql), types...), at)
+}
+
+// BindMessage reads the names in the body of Bind; rest is what follows them.
+func BindMessage(body []byte) (portal, name string, rest []byte, err error) {
+	p, rest, ok := bytes.Cut(body, []byte{0})
+	n, rest, ok2 := bytes.Cut(rest, []byte{0})
+	if !ok || !ok2 || len(rest) < 6 {
+		return "", "", nil, fmt.Errorf("%w: Bind", ErrMalformed)
+	}
+	return string(p), string(n), rest, nil
+}
+
+// AppendBind appends Bind; rest is as BindMessage returned it.
+func AppendBind(dst []byte, portal, name string, rest []byte) []byte {
+	dst, at := begin(dst, 'B')
+	return end(append(appendStr(appendStr(dst, portal), name), rest...), at)
+}
+
+// AppendDescribeStatement appends Describe of a statement.
+func AppendDescribeStatement(dst []byte, name string) []byte {
+	dst, at := begin(dst, 'D')
+	return end(appendStr(append(dst, 'S'), name), at)
+}
+
+// AppendCloseStatement appends Close of a statement.
+func AppendCloseStatement(dst []byte, name string) []byte {
+	dst, at := begin(dst, 'C')
+	return end(appendStr(append(dst, 'S'), name), at)
+}
+
+// oidText is the type of a table's columns.
+const oidText = 25
+
+// AppendTable appends RowDescription and DataRows of text.
+func AppendTable(dst []byte, names []string, rows [][]string) []byte {
+	dst, at := begin(dst, 'T')
+	dst = binary.BigEndian.AppendUint16(dst, uint16(len(names)))
+	for _, n := range names {
+		dst = append(appendStr(dst, n), 0, 0, 0, 0, 0, 0)
+		dst = binary.BigEndian.AppendUint32(dst, oidText)
+		dst = append(dst, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
+	}
+	dst = end(dst, at)
+	for _, r := range rows {
+		var at int
+		dst, at = begin(dst, 'D')
+		dst = binary.BigEndian.AppendUint16(dst, uint16(len(r)))
+		for _, v := range r {
+			dst = append(binary.BigEndian.AppendUint32(dst, uint32(len(v))), v...)
+		}
+		dst = end(dst, at)
+	}
+	return dst
+}
--- /dev/null
+++ b/internal/pooling/admin.go
@@ -0,0 +1,76 @@
+package pooling
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/slots"
+)
+
+// adminQuery answers in the database "beechgrade": what the pools hold.
+func (c *client) adminQuery(sql string) {
+	f := c.f
+	words := strings.Fields(strings.ToUpper(strings.TrimRight(strings.TrimSpace(sql), "; ")))
+	var names []string
+	var rows [][]string
+	switch strings.Join(words, " ") {
+	case "":
+		c.out = pgwire.AppendReady(pgwire.AppendEmpty(c.out))
+		return
+	case "SHOW POOLS":
+		names = []string{"database", "user", "mode", "clients", "idle", "used", "connecting", "waiting", "longest_wait_ms", "most"}
+		for _, p := range f.pools {
+			idle, used, dialing, waiting := p.share.Counts()
+			oldest := 0.0
+			if at := p.share.Oldest(); at > 0 {
+				oldest = f.loop.Now() - at
+			}
+			rows = append(rows, []string{p.key.database, p.key.user, p.opt.Mode.String(), strconv.Itoa(p.clients), strconv.Itoa(idle), strconv.Itoa(used),
+				strconv.Itoa(dialing), strconv.Itoa(waiting), fmt.Sprintf("%.0f", oldest), strconv.Itoa(p.opt.Limits.Most)})
+		}
+	case "SHOW SERVERS":
+		names = []string{"server", "address", "database", "user", "state", "prepared"}
+		f.links.Each(func(_ slots.Ref, l *link) {
+			state := "idle"
+			switch {
+			case !l.up:
+				state = "connecting"
+			case l.ends != 0:
+				state = "ending"
+			case l.owner != nil:
+				state = "used"
+			}
+			rows = append(rows, []string{l.store, f.addrs[l.store], l.pool.key.database, l.pool.key.user, state, strconv.Itoa(l.server.Prepared())})
+		})
+	case "SHOW CLIENTS":
+		names = []string{"database", "user", "state", "server", "pinned_by"}
+		f.clients.Each(func(_ slots.Ref, x *client) {
+			if x.pool == nil {
+				return
+			}
+			state, server := "idle", ""
+			if x.link != nil {
+				state, server = "active", x.link.store
+			} else if x.txn != nil {
+				state = "waiting"
+			}
+			rows = append(rows, []string{x.pool.key.database, x.pool.key.user, state, server, x.carry.Pins.String()})
+		})
+	case "SHOW STATS":
+		names = []string{"transactions", "executed", "prepared", "settings_carried", "moves", "cancels", "refused", "distinct_statements", "statement_bytes"}
+		n := func(x uint64) string { return strconv.FormatUint(x, 10) }
+		x := f.Counts
+		rows = [][]string{{n(x.Transactions), n(x.Executed), n(x.Prepared), n(x.Syncs), n(x.Moves), n(x.Cancels), n(x.Refused),
+			strconv.Itoa(f.texts.Len()), strconv.Itoa(f.texts.Bytes())}}
+	case "SHOW HELP", "HELP":
+		names = []string{"command"}
+		rows = [][]string{{"SHOW POOLS"}, {"SHOW SERVERS"}, {"SHOW CLIENTS"}, {"SHOW STATS"}}
+	default:
+		c.out = pgwire.AppendReady(pgwire.AppendError(c.out, "ERROR", "42601", "not known here; SHOW HELP lists what is", ""))
+		return
+	}
+	c.out = pgwire.AppendTable(c.out, names, rows)
+	c.out = pgwire.AppendReady(pgwire.AppendComplete(c.out, "SHOW"))
+}
--- /dev/null
+++ b/internal/pooling/pooling.go
@@ -0,0 +1,379 @@
+// Package pooling is the front for ordinary PostgreSQL clients: version 3 of the protocol in full, with session and
+// transaction pooling. Each transaction goes through the decision module as a request; which connection it gets is
+// decided by the package share, and what a session carries from one to the next is kept by the package carry.
+package pooling
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"math"
+	"slices"
+	"strconv"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/front"
+	"beechgrade/internal/loop"
+	"beechgrade/internal/pooling/carry"
+	"beechgrade/internal/pooling/share"
+	"beechgrade/internal/slots"
+)
+
+// Mode says for how long a client keeps a server connection.
+type Mode uint8
+
+// The modes.
+const (
+	Transaction Mode = iota // for a transaction
+	Session                 // for its life
+)
+
+func (m Mode) String() string {
+	if m == Session {
+		return "session"
+	}
+	return "transaction"
+}
+
+// PoolOptions are a pool's. Times are in milliseconds; 0 stands for no limit.
+type PoolOptions struct {
+	Database, User, App string // "*" for any
+	Mode                Mode
+	Class, Reads        string // of transactions; of those known to read only, empty for Class
+	Group               int
+	Limits              share.Limits
+	Clients             int // at most
+	TxnMs               float64
+	IdleTxnMs           float64
+	RefusePins          bool // what can't be carried is refused, in transaction mode, instead of keeping the connection
+	Statements          int  // prepared on one connection at most
+	StatementBytes      int
+}
+
+// Options are the front's.
+type Options struct {
+	Pools        []PoolOptions
+	ConnectMs    float64
+	GraceMs      float64 // after hearing that a server drains, for what is open there
+	Roles        [2]string
+	PositionName string
+	MaxMessage   int        // bytes, from clients
+	MaxAnswer    int        // bytes, of one message from servers
+	Spare        func() int // descriptors left
+}
+
+const (
+	firstRef    = 1 << 31 // attempts' refs have this bit, so that they differ from the other front's
+	beatMs      = 20
+	graceMargin = 40 // ms before the grace's end at which nothing more is sent
+	maxHeld     = 256 << 10
+	muchUnsent  = 256 << 10 // to a client that reads slowly: its server is not read any further
+	littleLeft  = 64 << 10
+	startupMs   = 5000
+	maxCancels  = 64
+)
+
+// Front is the second front. It is for the loop alone.
+type Front struct {
+	loop   *loop.Loop
+	log    *slog.Logger
+	desk   front.Desk
+	events backend.Events
+	opt    Options
+
+	texts    *carry.Texts
+	pools    []*pool
+	clients  slots.Table[*client]
+	links    slots.Table[*link]
+	attempts slots.Table[*attempt]
+	keys     map[uint32]*client
+	lastKey  uint32
+	addrs    map[string]string
+	params   map[string]string // that servers reported, for clients that start
+	cancels  int
+	draining bool
+
+	Counts Counts
+}
+
+// Counts are figures since the start.
+type Counts struct {
+	Transactions, Prepared, Executed, Syncs, Moves, Cancels, Refused uint64
+}
+
+// poolKey names a pool: what was asked for, under which of the settings.
+type poolKey struct {
+	opt            int
+	database, user string
+}
+
+// pool is the connections for one database and user.
+type pool struct {
+	key     poolKey
+	opt     *PoolOptions
+	share   *share.Pool
+	clients int
+	failed  map[string]bool // servers whose last dial failed
+}
+
+// New makes a front; events is told of attempts' ends.
+func New(l *loop.Loop, log *slog.Logger, opt Options, desk front.Desk, events backend.Events) *Front {
+	return &Front{loop: l, log: log, desk: desk, events: events, opt: opt, texts: carry.NewTexts(), keys: map[uint32]*client{},
+		addrs: map[string]string{}, params: map[string]string{"server_version": "15.0", "server_encoding": "UTF8", "client_encoding": "UTF8",
+			"DateStyle": "ISO, MDY", "TimeZone": "UTC", "integer_datetimes": "on", "standard_conforming_strings": "on"}}
+}
+
+// Start begins the beats that let time pass in the pools; it is for the loop.
+func (f *Front) Start() {
+	f.loop.At(f.loop.Now()+beatMs, func() {
+		for _, p := range f.pools {
+			f.do(p, p.share.Beat(f.loop.Now()))
+		}
+		f.clients.Each(func(_ slots.Ref, c *client) { c.beat() })
+		f.Start()
+	})
+}
+
+// Sessions is the number of clients connected, Conns that of connections to servers.
+func (f *Front) Sessions() int { return f.clients.Len() }
+
+// Conns is the number of connections to servers.
+func (f *Front) Conns() int { return f.links.Len() }
+
+// Owes tells whether a client is in the midst of a transaction or waits for an answer.
+func (f *Front) Owes() bool {
+	owes := false
+	f.clients.Each(func(_ slots.Ref, c *client) { owes = owes || c.busy() || c.conn != nil && c.conn.Unsent() > 0 })
+	return owes
+}
+
+// Drain ends clients' connections as they fall idle, from now on.
+func (f *Front) Drain() {
+	f.draining = true
+	f.clients.Each(func(_ slots.Ref, c *client) {
+		if !c.busy() {
+			c.fatal("57P01", "the pooler is shutting down")
+		}
+	})
+}
+
+// Accept makes the handler of a new connection.
+func (f *Front) Accept() loop.Handler {
+	c := newClient(f)
+	c.ref = f.clients.Put(c)
+	return c
+}
+
+// newKey makes a cancel key.
+func (f *Front) newKey(c *client) {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	for {
+		f.lastKey++
+		if f.lastKey &= math.MaxInt32; f.lastKey != 0 && f.keys[f.lastKey] == nil {
+			break
+		}
+	}
+	c.pid, c.secret = f.lastKey, binary.BigEndian.Uint32(b[:4])
+	f.keys[c.pid] = c
+}
+
+// poolOf finds a client's pool, by the first of the settings that fits.
+func (f *Front) poolOf(database, user, app string) *pool {
+	fits := func(want, have string) bool { return want == "*" || want == "" || want == have }
+	i := slices.IndexFunc(f.opt.Pools, func(o PoolOptions) bool { return fits(o.Database, database) && fits(o.User, user) && fits(o.App, app) })
+	if i < 0 {
+		return nil
+	}
+	key := poolKey{i, database, user}
+	for _, p := range f.pools {
+		if p.key == key {
+			return p
+		}
+	}
+	p := &pool{key: key, opt: &f.opt.Pools[i], share: share.New(f.opt.Pools[i].Limits), failed: map[string]bool{}}
+	f.pools = append(f.pools, p)
+	return p
+}
+
+// Ours tells whether a query is one of this front's transactions.
+func Ours(q backend.Query) bool {
+	_, ok := q.(*txn)
+	return ok
+}
+
+// OursRef tells whether an attempt is one of this front's.
+func OursRef(r slots.Ref) bool { return r.Index >= firstRef }
+
+// attempt is a transaction's try at one server.
+type attempt struct {
+	ref   slots.Ref
+	tag   backend.Tag
+	store string
+	t     *txn
+	link  *link
+	ended bool
+	timer *deadline.Timer
+}
+
+// SetAddress tells where a server listens.
+func (f *Front) SetAddress(store, addr string) {
+	if old, ok := f.addrs[store]; ok && old != addr {
+		f.Bar(store)
+	}
+	f.addrs[store] = addr
+	for _, p := range f.pools {
+		p.share.Unbar(store)
+	}
+}
+
+// Bar tells that a server drains or is gone: nobody gets a connection to it any more, and what is open there has the
+// grace to end.
+func (f *Front) Bar(store string) {
+	now := f.loop.Now()
+	for _, p := range f.pools {
+		f.do(p, p.share.Bar(store, now))
+	}
+	f.links.Each(func(_ slots.Ref, l *link) {
+		if l.store == store && l.ends == 0 {
+			l.ends = now + max(0, f.opt.GraceMs-graceMargin)
+			f.loop.At(l.ends, l.graceOver)
+		}
+	})
+}
+
+// Retain bars all servers but those.
+func (f *Front) Retain(ids map[string]bool) {
+	for id := range f.addrs {
+		if !ids[id] {
+			f.Forget(id)
+		}
+	}
+}
+
+// Forget bars a server that has left the list.
+func (f *Front) Forget(store string) {
+	delete(f.addrs, store)
+	f.Bar(store)
+}
+
+// Try is core.Servers' Start for this front's transactions: it gives one a connection to a server.
+func (f *Front) Try(store string, q backend.Query, until float64, t backend.Tag) slots.Ref {
+	a := &attempt{tag: t, store: store, t: q.(*txn)}
+	a.ref = f.attempts.Put(a)
+	a.timer = f.loop.At(until, func() { f.end(a, beechgrade.TimedOut, nil) })
+	a.t.attempt = a
+	if f.addrs[store] == "" {
+		f.end(a, beechgrade.Unreachable, nil)
+	} else if c := a.t.c; !c.stay(a) {
+		f.do(c.pool, c.pool.share.Want(share.ID(refNumber(a.ref)), store, f.loop.Now()))
+	}
+	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
+}
+
+// Cancel is core.Servers': it gives an attempt up. What was sent may have run.
+func (f *Front) Cancel(ref slots.Ref) {
+	if a, ok := f.attempts.Get(slots.Ref{Index: ref.Index &^ firstRef, Gen: ref.Gen}); ok {
+		f.end(a, beechgrade.Cancelled, nil)
+	}
+}
+
+// end ends an attempt, once. With a link still in use, that is given up too unless the attempt was good.
+func (f *Front) end(a *attempt, r beechgrade.Result, l *link) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	f.attempts.Drop(a.ref)
+	f.loop.Stop(a.timer)
+	o := backend.Outcome{Result: r}
+	if l != nil {
+		o.Role, o.Position, o.HasPos = l.told()
+	}
+	if a.t.attempt == a {
+		a.t.attempt = nil
+	}
+	if r != beechgrade.OK {
+		if a.link != nil {
+			a.link.abandon()
+		} else {
+			if r == beechgrade.TimedOut || r == beechgrade.Cancelled {
+				o.Result = beechgrade.Skipped // it never got a connection
+			}
+			f.do(a.t.c.pool, a.t.c.pool.share.Leave(share.ID(refNumber(a.ref)), f.loop.Now()))
+		}
+	}
+	f.events.AttemptEnded(a.tag, o)
+}
+
+func refNumber(r slots.Ref) uint64 { return uint64(r.Gen)<<32 | uint64(r.Index) }
+
+func refFrom(n uint64) slots.Ref { return slots.Ref{Index: uint32(n), Gen: uint32(n >> 32)} }
+
+// do carries out what a pool has decided.
+func (f *Front) do(p *pool, actions []share.Action) {
+	for _, x := range actions {
+		switch x.Do {
+		case share.Dial:
+			f.dial(p, x.Server)
+		case share.Close:
+			if l, ok := f.links.Get(refFrom(uint64(x.Conn))); ok {
+				l.close()
+			}
+		case share.Give:
+			a, ok := f.attempts.Get(refFrom(uint64(x.Waiter)))
+			l, up := f.links.Get(refFrom(uint64(x.Conn)))
+			switch {
+			case !up:
+			case !ok:
+				l.free()
+			default:
+				a.t.c.assign(a, l)
+			}
+		case share.Refuse:
+			if a, ok := f.attempts.Get(refFrom(uint64(x.Waiter))); ok {
+				f.refused(a, p)
+			}
+		}
+	}
+}
+
+// refused ends an attempt that got no connection: its server could not be reached, or the pool had none for it.
+func (f *Front) refused(a *attempt, p *pool) {
+	f.Counts.Refused++
+	switch {
+	case p.share.Barred(a.store):
+		f.end(a, beechgrade.Full, nil)
+	case p.opt.Limits.WaitMs > 0 && f.loop.Now()-a.t.asked >= p.opt.Limits.WaitMs:
+		a.t.waited = true
+		f.end(a, beechgrade.Full, nil)
+	case f.downAt(p, a.store):
+		f.end(a, beechgrade.Unreachable, nil)
+	default:
+		a.t.waited = true // no place in the queue
+		f.end(a, beechgrade.Full, nil)
+	}
+}
+
+func (f *Front) downAt(p *pool, store string) bool { return f.addrs[store] == "" || p.failed[store] }
+
+func (f *Front) role(val string) beechgrade.Role {
+	switch val {
+	case f.opt.Roles[0]:
+		return beechgrade.RolePrimary
+	case f.opt.Roles[1]:
+		return beechgrade.RoleReplica
+	}
+	return beechgrade.RoleUnknown
+}
+
+// position reads a position that a server told, 0 for none.
+func (f *Front) position(val string) float64 {
+	ms, err := strconv.ParseInt(val, 10, 64)
+	if err != nil || ms <= 0 || float64(ms) > f.loop.Now()+100 {
+		return 0
+	}
+	return float64(ms)
+}
