--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +20,7 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/operate"
+	"beechgrade/internal/pgwire"
 )
 
 // pooledWorld is a fleet of stand-ins and a pooler before it, with the second front.
@@ -196,9 +199,16 @@
 
 // TestPooledOwnWrites: replicas are far behind, and each session's reads see its last write all the same.
 func TestPooledOwnWrites(t *testing.T) {
-	w := pooled(t, fmt.Sprintf(usual, "(connections 8)"), func(c *fleet.Config) { c.Apply = 20 })
-	_ = w.fleet.Lag("s-0-1", 10)
-	_ = w.fleet.Lag("s-0-2", 3)
+	w := pooled(t, fmt.Sprintf(usual, "(connections 8)"), func(c *fleet.Config) { c.Apply = 2 })
+	_ = w.fleet.Lag("s-0-1", 5)
+	_ = w.fleet.Lag("s-0-2", 2)
+	var elsewhere atomic.Int64 // reads that were not the primary's
+	w.fleet.Before(func(server, sql string) bool {
+		if strings.HasPrefix(sql, "SELECT") && server != "s-0-0" {
+			elsewhere.Add(1)
+		}
+		return true
+	})
 	done := make(chan string, 4)
 	for n := range 4 {
 		c := w.connect("")
@@ -211,9 +221,12 @@
 					done <- err.Error()
 					return
 				}
-				if err := c.QueryRow(ctx, getKV, key).Scan(&got); err != nil || got != want {
-					done <- fmt.Sprintf("%s read %q, wrote %q: %v", key, got, want, err)
-					return
+				for range 3 { // soon after it, and later
+					if err := c.QueryRow(ctx, getKV, key).Scan(&got); err != nil || got != want {
+						done <- fmt.Sprintf("%s read %q, wrote %q: %v", key, got, want, err)
+						return
+					}
+					time.Sleep(time.Duration(10+i) * time.Millisecond)
 				}
 			}
 			done <- ""
@@ -224,6 +237,9 @@
 			t.Error(s)
 		}
 	}
+	if elsewhere.Load() == 0 {
+		t.Error("no read was a replica's, so nothing was tried")
+	}
 }
 
 // breakAt has the connection break at the statement that a check picks, once.
@@ -354,7 +370,7 @@
 
 // TestPooledCancel: cancels that come as connections change hands never hit another client's query.
 func TestPooledCancel(t *testing.T) {
-	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"), func(c *fleet.Config) { c.CancelMs = 4 }) // cancels are slow on their way
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	hit := w.connect("")
@@ -396,8 +412,11 @@
 		}()
 	}
 	for range 150 {
-		go func() { _ = hit.PgConn().CancelRequest(ctx) }()
-		if _, err := hit.Exec(ctx, "SELECT pg_sleep(0.001)"); err != nil && state(err) != "57014" {
+		go func() { // it sets out while the query runs, and arrives when that is over
+			time.Sleep(4 * time.Millisecond)
+			_ = hit.PgConn().CancelRequest(ctx)
+		}()
+		if _, err := hit.Exec(ctx, "SELECT pg_sleep(0.007)"); err != nil && state(err) != "57014" {
 			t.Errorf("the canceller's own query: %v", err)
 			break
 		}
@@ -409,3 +428,309 @@
 		}
 	}
 }
+
+// TestPooledSettings runs 100,000 statements of 200 clients, each with settings of its own, over six connections of which
+// some break all the time. Each statement says what it wants to run under, and the stand-ins check it.
+func TestPooledSettings(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 6) (queue 1000)"), func(c *fleet.Config) { c.Groups = []int{1} })
+	const clients, each = 200, 500
+	rng := rand.New(rand.NewPCG(11, 0))
+	breaks := map[int]bool{}
+	for range 60 {
+		breaks[rng.IntN(clients*each)] = true
+	}
+	var ran atomic.Int64
+	w.fleet.Before(func(string, string) bool { return !breaks[int(ran.Add(1))] })
+	ctx, cancel := context.WithTimeout(context.Background(), 5*patience)
+	defer cancel()
+	var wg sync.WaitGroup
+	var served, broken atomic.Int64
+	for n := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rng := rand.New(rand.NewPCG(12, uint64(n)))
+			var c *pgconn.PgConn
+			app, path := "", ""
+			for i := range each {
+				if c == nil || c.IsClosed() {
+					var err error
+					app, path = fmt.Sprintf("app-%d", n), "public"
+					if c, err = pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable&application_name=%s", w.addr, app)); err != nil {
+						t.Error(err)
+						return
+					}
+				}
+				wants := fmt.Sprintf(" /* want application_name=%s *//* want search_path=%s */", app, path)
+				sql, then := "SELECT 1"+wants, func() {}
+				switch rng.IntN(10) {
+				case 0:
+					v := fmt.Sprintf("p%d_%d", n, i)
+					sql, then = "SET search_path TO '"+v+"'", func() { path = v }
+				case 1:
+					v := fmt.Sprintf("app-%d-%d", n, i)
+					sql, then = "SELECT set_config('application_name', '"+v+"', false)", func() { app = v }
+				case 2:
+					sql = "BEGIN; SET LOCAL search_path TO 'local'; SELECT 1 /* want search_path=local */; COMMIT"
+				case 3:
+					sql = "BEGIN; SET search_path TO 'gone'; ROLLBACK"
+				case 4:
+					sql, then = "RESET search_path", func() { path = "public" }
+				case 5:
+					sql = "BEGIN; SAVEPOINT a; SET search_path TO 'x'; ROLLBACK TO a; COMMIT"
+				}
+				if strings.Contains(sql, "local") { // its other statements run under other settings
+					sql = "BEGIN; SET LOCAL search_path TO 'local'; COMMIT"
+				}
+				if _, err := c.Exec(ctx, sql).ReadAll(); err != nil {
+					broken.Add(1)
+					if !c.IsClosed() && state(err) != "08007" && state(err) != "53300" {
+						t.Errorf("%s: %v", sql, err)
+						return
+					}
+					_ = c.Close(ctx)
+					continue
+				}
+				served.Add(1)
+				then()
+			}
+			_ = c.Close(ctx)
+		}()
+	}
+	wg.Wait()
+	seen := w.fleet.Watched()
+	for i, m := range seen.Mismatches {
+		if i < 5 {
+			t.Error(m)
+		}
+	}
+	if served.Load() < clients*each*9/10 || broken.Load() == 0 || seen.MostOpen > 7 {
+		t.Errorf("%d statements served and %d broken, over %d connections at once", served.Load(), broken.Load(), seen.MostOpen)
+	}
+	t.Logf("%d texts served, %d broken; %d statements ran, %d connections begun, %d under other settings", served.Load(), broken.Load(), seen.Statements,
+		seen.Sessions, len(seen.Mismatches))
+}
+
+// TestPooledStorm: 2,000 clients come at once while the group has no primary, over a pool of 20. None waits for ever, those
+// in the queue are served in their order, and the new primary is not dialled by all at once.
+func TestPooledStorm(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 20) (dials 2) (wait 30s) (queue 5000)"))
+	warm := w.connect("")
+	w.exec(warm, putKV, "k", "v")
+	old := w.fleet.Primary(0)
+	_ = w.fleet.Kill(old)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*patience)
+	defer cancel()
+	const clients = 2000
+	var wg sync.WaitGroup
+	var served, refused, other atomic.Int64
+	for n := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+			for try := 0; err == nil && try < 200; try++ {
+				_, err = c.Exec(ctx, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('k%d', 'v')", n)).ReadAll()
+				switch state(err) {
+				case "":
+					served.Add(1)
+					_ = c.Close(ctx)
+					return
+				case "53300", "08007", "57P01":
+					refused.Add(1)
+					if err = nil; c.IsClosed() {
+						c, err = pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			other.Add(1)
+			if err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	if served.Load() != clients {
+		t.Errorf("%d of %d served, %d refusals, %d others", served.Load(), clients, refused.Load(), other.Load())
+	}
+	seen := w.fleet.Watched()
+	if len(w.fleet.Fallen()) > 0 || seen.MostOpen > 3*20 {
+		t.Errorf("fallen: %v; %d connections at once", w.fleet.Fallen(), seen.MostOpen)
+	}
+	t.Logf("%d served, %d refusals, %d connections begun", served.Load(), refused.Load(), seen.Sessions)
+}
+
+// TestPooledSlowReader: a client asks for a large result and does not read it. What it does not read stays with the
+// server: the pooler keeps little, and others are served.
+func TestPooledSlowReader(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	c := dial(t, w.addr)
+	c.send(appendStartup("tablet", "obra"))
+	for typ, _ := c.message(); typ != 'Z'; typ, _ = c.message() {
+	}
+	const rows, size = 4000, 32 << 10 // 128 MB
+	c.send(pgwire.AppendQuery(nil, fmt.Sprintf("SELECT repeat('x', %d) FROM generate_series(1, %d)", size, rows)))
+	last := -1
+	within(t, "the server stands still", func() bool {
+		now := w.fleet.Streamed()
+		still := now > 0 && now == last
+		last = now
+		time.Sleep(100 * time.Millisecond)
+		return still
+	})
+	if last > 64<<20 {
+		t.Errorf("%d bytes were taken from the server for a client that reads nothing", last)
+	}
+	other := w.connect("")
+	w.exec(other, putKV, "k", "v")
+	got := 0
+	for typ, body := c.message(); typ != 'Z'; typ, body = c.message() {
+		if typ == 0 {
+			t.Fatalf("the connection ended after %d rows", got)
+		}
+		if typ == 'D' && len(body) == size+6 {
+			got++
+		}
+	}
+	if got != rows {
+		t.Errorf("%d of %d rows came", got, rows)
+	}
+}
+
+func appendStartup(user, database string) []byte { return pgwire.AppendStartup(nil, user, database) }
+
+// TestPooledGone: a client goes in the midst of a transaction. What it did is rolled back before anyone else has its
+// connection.
+func TestPooledGone(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 1)"))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range 5 {
+		c := w.connect("")
+		tx, err := c.Begin(ctx)
+		if err == nil {
+			_, err = tx.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('gone', 'x')")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.PgConn().Conn().Close()
+		next := w.connect("")
+		if n, err := w.rows(next, getKV, "gone"); n != 0 || err != nil {
+			t.Errorf("round %d: %d rows of a transaction that was left: %v", i, n, err)
+		}
+		w.exec(next, putKV, "there", "v")
+	}
+	if seen := w.fleet.Watched(); seen.MostOpen > 4 {
+		t.Errorf("%d connections at once", seen.MostOpen)
+	}
+}
+
+// TestPooledGarbage: bytes that are no messages, at each state of a connection. It is ended with a word, and nothing of it
+// reaches a server.
+func TestPooledGarbage(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	started := appendStartup("tablet", "obra")
+	begin := append(started[:len(started):len(started)], pgwire.AppendQuery(nil, "BEGIN")...)
+	for name, b := range map[string][]byte{
+		"before the startup":         {0, 0, 0, 1, 2, 3, 4, 5},
+		"a huge startup":             {0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"after the startup":          append(started[:len(started):len(started)], "GET / HTTP/1.1\r\n\r\n"...),
+		"a length below its least":   append(started[:len(started):len(started)], 'Q', 0, 0, 0, 2),
+		"a length beyond the most":   append(started[:len(started):len(started)], 'Q', 0x7f, 0, 0, 0),
+		"a text without its end":     append(started[:len(started):len(started)], 'Q', 0, 0, 0, 6, 'a', 'b'),
+		"Parse without its end":      append(started[:len(started):len(started)], 'P', 0, 0, 0, 6, 'a', 'b'),
+		"Bind without its end":       append(started[:len(started):len(started)], 'B', 0, 0, 0, 6, 'a', 'b'),
+		"within a transaction":       append(begin[:len(begin):len(begin)], 'q', 0, 0, 0, 4),
+		"Describe of nothing, there": append(begin[:len(begin):len(begin)], 'D', 0, 0, 0, 4),
+	} {
+		c := dial(t, w.addr)
+		c.send(b)
+		said := ""
+		for typ, body := c.message(); typ != 0; typ, body = c.message() {
+			if typ == 'E' {
+				said = pgwire.ErrorCode(body)
+			}
+		}
+		if said != "08P01" {
+			t.Errorf("%s: ended with %q", name, said)
+		}
+	}
+	c := w.connect("")
+	w.exec(c, putKV, "k", "v")
+	if code := try(c, "SYNTAX"); code != "42601" {
+		t.Errorf("a syntax error: %q", code)
+	}
+}
+
+// TestPooledPins: what can't be carried keeps its connection, or is refused, by setting; DISCARD ALL lets go.
+func TestPooledPins(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	show := w.connect("&dbname=beechgrade&default_query_exec_mode=simple_protocol")
+	pinned := func() (n int) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		r, err := show.Query(ctx, "SHOW CLIENTS")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer r.Close()
+		for r.Next() {
+			var f [5]string
+			if err := r.Scan(&f[0], &f[1], &f[2], &f[3], &f[4]); err != nil {
+				t.Fatal(err)
+			}
+			if f[4] != "" {
+				n++
+			}
+		}
+		return n
+	}
+	a, b := w.connect(""), w.connect("")
+	w.exec(a, "CREATE TEMP TABLE t (x int)")
+	w.exec(b, "SELECT pg_advisory_lock(1)")
+	if n := pinned(); n != 2 {
+		t.Errorf("%d clients are pinned", n)
+	}
+	c := w.connect("")
+	got := make(chan string, 1)
+	go func() { got <- try(c, putKV, "k", "v") }()
+	w.exec(a, "DISCARD ALL")
+	if code := <-got; code != "" {
+		t.Errorf("behind DISCARD ALL the connection is not another's: %q", code)
+	}
+	if n := pinned(); n != 1 {
+		t.Errorf("%d clients are pinned", n)
+	}
+	strict := pooled(t, fmt.Sprintf(usual, "(connections 2) (pins refuse)"))
+	d := strict.connect("")
+	if code := try(d, "LISTEN x"); code != "0A000" {
+		t.Errorf("LISTEN where pins are refused: %q", code)
+	}
+	strict.exec(d, putKV, "k", "v")
+}
+
+// TestPooledSession: by session, a client keeps its connection, and moves with its settings and statements when its server
+// drains.
+func TestPooledSession(t *testing.T) {
+	w := pooled(t, strings.Replace(fmt.Sprintf(usual, "(mode session) (connections 4)"), `(reads "office-reads")`, "", 1))
+	c := w.connect("")
+	w.exec(c, "SET search_path TO 'mine'")
+	w.exec(c, putKV, "k", "1")
+	if n := w.fleet.Watched().Sessions; n != 1 {
+		t.Errorf("%d server connections for one session", n)
+	}
+	old := w.fleet.Primary(0)
+	_ = w.fleet.Drain(old)
+	within(t, "the session has moved", func() bool {
+		return w.fleet.Primary(0) != old && try(c, putKV+" /* want search_path=mine */", "k", "2") == ""
+	})
+	seen := w.fleet.Watched()
+	if len(seen.Mismatches) > 0 || seen.DuringDrain > 0 || seen.Twice > 0 {
+		t.Errorf("%+v", seen)
+	}
+	if v := w.value(c, "SHOW search_path"); v != "mine" {
+		t.Errorf("search_path is %q", v)
+	}
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -43,6 +43,8 @@
 	ColdBy  float64 // the part of its capacity that it starts with
 	Falls   float64 // a cold server that is sent more than so many times its capacity...
 	FallsMs float64 // ...within this time falls over and stays down
+
+	CancelMs float64 // a cancel request takes so long until it strikes
 }
 
 // Defaults are those of the site's brief, for so many members in each group.
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -95,6 +95,7 @@
 	}
 	switch said.Kind {
 	case pgwire.StartupCancel:
+		time.Sleep(time.Duration(c.s.f.cfg.CancelMs * float64(time.Millisecond)))
 		c.s.f.hitBy(said.PID, said.Secret)
 		return
 	case pgwire.StartupEncrypt:
