Hold the pool's decisions, carried state and the reading of SQL to simple models

What decides pooling has to be tested as tightly as the router. The pool's decisions are held to a model under any order of events (nobody passed over, no connection given twice, bounds kept, every wait ends), carried settings to a server that sets, resets, rolls back and goes back to savepoints, and the reader of SQL to a table and a fuzz target. Found and mended: a limit for each server that kept the reserve out, and SELECT INTO TEMPORARY that did not bind.

--- /dev/null
+++ b/internal/pooling/carry/carry_test.go
@@ -0,0 +1,176 @@
+package carry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/sqltext"
+)
+
+// real is a server as it is: what it has set, and what its transaction may undo.
+type real struct {
+	settings map[string]string
+	saved    map[string]string
+	marks    []mark
+	local    map[string]bool
+}
+
+type mark struct {
+	name     string
+	settings map[string]string
+}
+
+func clone(m map[string]string) map[string]string {
+	out := map[string]string{}
+	for k, v := range m {
+		out[k] = v
+	}
+	return out
+}
+
+// run runs a text at the real server.
+func (r *real) run(sql string) {
+	for _, s := range sqltext.Split(sql) {
+		switch s.Kind {
+		case sqltext.Set:
+			if s.Value == "" {
+				delete(r.settings, s.Name)
+			} else {
+				r.settings[s.Name] = s.Value
+			}
+			r.local[s.Name] = s.Local
+		case sqltext.ResetAll:
+			r.settings = map[string]string{}
+		case sqltext.Savepoint:
+			r.marks = append(r.marks, mark{s.Name, clone(r.settings)})
+		case sqltext.RollbackTo:
+			for i := len(r.marks) - 1; i >= 0; i-- {
+				if r.marks[i].name == s.Name {
+					r.settings, r.marks = clone(r.marks[i].settings), r.marks[:i+1]
+					break
+				}
+			}
+		}
+	}
+}
+
+func (r *real) begin() { r.saved, r.marks, r.local = clone(r.settings), nil, map[string]bool{} }
+
+func (r *real) end(commit bool) {
+	if !commit {
+		r.settings = r.saved
+		return
+	}
+	for n, local := range r.local {
+		if local {
+			if v, ok := r.saved[n]; ok {
+				r.settings[n] = v
+			} else {
+				delete(r.settings, n)
+			}
+		}
+	}
+}
+
+// TestCarried moves clients over servers at random, with settings that are set, reset, local, rolled back and undone to
+// savepoints. Before each transaction, the server must have what that client's session has, and nothing of another's.
+func TestCarried(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		texts := NewTexts()
+		var clients []*Client
+		var want []map[string]string // what each session has
+		for i := range 3 {
+			start := map[string]string{}
+			if i > 0 {
+				start["app"] = fmt.Sprint("client", i)
+			}
+			clients = append(clients, NewClient(texts, start))
+			w := map[string]string{}
+			for n, v := range start {
+				w[n] = "'" + v + "'"
+			}
+			want = append(want, w)
+		}
+		servers, reals := []*Server{}, []*real{}
+		for range 2 {
+			servers, reals = append(servers, NewServer(10, 1000)), append(reals, &real{settings: map[string]string{}, local: map[string]bool{}})
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "transactions") {
+			k, s := rapid.IntRange(0, 2).Draw(t, "client"), rapid.IntRange(0, 1).Draw(t, "server")
+			c, srv, r := clients[k], servers[s], reals[s]
+			if sql := c.Sync(srv); sql != "" {
+				r.begin()
+				r.run(sql)
+				r.end(true)
+				c.Synced(srv)
+			}
+			if diff := cmp.Diff(want[k], r.settings); diff != "" {
+				t.Fatalf("client %d at server %d: %s", k, s, diff)
+			}
+			r.begin()
+			for range rapid.IntRange(0, 5).Draw(t, "statements") {
+				name := rapid.SampledFrom([]string{"a", "b", "app"}).Draw(t, "name")
+				sql := rapid.SampledFrom([]string{"SET %s TO 'x'", "SET %s TO 'y'", "RESET %s", "SAVEPOINT %s", "ROLLBACK TO %s"}).Draw(t, "sql")
+				sql = fmt.Sprintf(sql, name)
+				if strings.HasPrefix(sql, "RESET app") {
+					continue // its default is the startup's, which the stand-in here does not know
+				}
+				r.run(sql)
+				c.Did(&sqltext.Split(sql)[0])
+			}
+			if commit := rapid.Bool().Draw(t, "commit"); commit {
+				r.end(true)
+				c.Commit(srv)
+				want[k] = clone(r.settings)
+			} else {
+				r.end(false)
+				c.Abort()
+			}
+		}
+	})
+}
+
+// TestStatements guards against statements that are kept or prepared more often than they must be, or never given up.
+func TestStatements(t *testing.T) {
+	texts := NewTexts()
+	a, b := NewClient(texts, nil), NewClient(texts, nil)
+	x, _, _ := a.Prepare("one", "SELECT 1", []byte{0, 0})
+	y, _, _ := b.Prepare("other", "SELECT 1", []byte{0, 0})
+	z, _, _ := b.Prepare("typed", "SELECT 1", []byte{0, 1, 0, 0, 0, 25})
+	if x != y || x == z || texts.Len() != 2 {
+		t.Errorf("%d texts: %v %v %v", texts.Len(), x, y, z)
+	}
+	if _, twice, _ := a.Prepare("one", "SELECT 2", nil); !twice || a.Statement("one") != x {
+		t.Error("a name was taken twice")
+	}
+	if _, twice, _ := a.Prepare("", "SELECT 3", nil); twice {
+		t.Error("the empty name can't be taken")
+	}
+	if _, twice, _ := a.Prepare("", "SELECT 4", nil); twice || a.Statement("").SQL != "SELECT 4" || texts.Len() != 3 {
+		t.Errorf("the empty name can't be taken again: %d texts", texts.Len())
+	}
+	s := NewServer(2, 1<<20)
+	s.Add(x)
+	s.Add(z)
+	s.Has(x)
+	if out := s.Add(a.Statement("")); len(out) != 1 || out[0] != z || s.Has(z) || !s.Has(x) {
+		t.Errorf("evicted: %v", out)
+	}
+	a.Close()
+	b.Reset()
+	if texts.Len() != 0 || texts.Bytes() != 0 {
+		t.Errorf("%d texts with %d bytes are left", texts.Len(), texts.Bytes())
+	}
+	for i := range MaxStatements {
+		if _, _, err := a.Prepare(fmt.Sprint(i), "SELECT 1", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, err := a.Prepare("more", "SELECT 1", nil); err == nil {
+		t.Error("a client may prepare without end")
+	}
+}
--- a/internal/pooling/share/share.go
+++ b/internal/pooling/share/share.go
@@ -88,7 +88,7 @@
 // New makes a pool.
 func New(lim Limits) *Pool {
 	if lim.PerServer <= 0 {
-		lim.PerServer = lim.Most
+		lim.PerServer = lim.Most + lim.Reserve
 	}
 	lim.Dials = max(1, lim.Dials)
 	return &Pool{lim: lim, conns: map[ID]*conn{}, idle: map[string][]*conn{}, servers: map[string]*server{}}
--- /dev/null
+++ b/internal/pooling/share/share_test.go
@@ -0,0 +1,192 @@
+package share
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// world is a simple model that a pool is held against.
+type world struct {
+	t       *rapid.T
+	p       *Pool
+	lim     Limits
+	now     float64
+	conns   map[ID]string // to which server
+	owner   map[ID]ID     // connection to whom it was given
+	waits   map[ID]string
+	since   map[ID]float64
+	order   []ID
+	dialing map[string]int
+	barred  map[string]bool
+	last    ID
+}
+
+// take checks what the pool decided, and does it.
+func (w *world) take(actions []Action) {
+	for _, a := range actions {
+		switch a.Do {
+		case Dial:
+			w.dialing[a.Server]++
+			all := len(w.conns)
+			for _, n := range w.dialing {
+				all += n
+			}
+			if all > w.lim.Most+w.lim.Reserve || w.dialing[a.Server] > w.lim.Dials {
+				w.t.Fatalf("%d connections with those that come up, %d to %s", all, w.dialing[a.Server], a.Server)
+			}
+			if w.barred[a.Server] {
+				w.t.Fatalf("a connection is opened to %s, which drains", a.Server)
+			}
+		case Give:
+			server, up := w.conns[a.Conn]
+			if _, used := w.owner[a.Conn]; !up || used || w.waits[a.Waiter] != server {
+				w.t.Fatalf("connection %d to %q was given to %d, who waits for %q; used: %v", a.Conn, server, a.Waiter, w.waits[a.Waiter], used)
+			}
+			for _, id := range w.order {
+				if id == a.Waiter {
+					break
+				}
+				if w.waits[id] == server {
+					w.t.Fatalf("%d was passed over by %d", id, a.Waiter)
+				}
+			}
+			w.owner[a.Conn] = a.Waiter
+			w.leave(a.Waiter)
+		case Refuse:
+			if _, ok := w.waits[a.Waiter]; !ok {
+				w.t.Fatalf("%d is refused and does not wait", a.Waiter)
+			}
+			w.leave(a.Waiter)
+		case Close:
+			if _, used := w.owner[a.Conn]; used {
+				w.t.Fatalf("connection %d is closed while it is in use", a.Conn)
+			}
+			if _, up := w.conns[a.Conn]; !up {
+				w.t.Fatalf("connection %d is closed twice", a.Conn)
+			}
+			delete(w.conns, a.Conn)
+		}
+	}
+	idle, used, dialing, waiting := w.p.Counts()
+	sum := 0
+	for _, n := range w.dialing {
+		sum += n
+	}
+	if idle+used != len(w.conns) || used != len(w.owner) || dialing != sum || waiting != len(w.order) {
+		w.t.Fatalf("the pool counts %d idle, %d used, %d coming up, %d waiting; there are %d of which %d are used, %d, %d", idle, used, dialing, waiting,
+			len(w.conns), len(w.owner), sum, len(w.order))
+	}
+	if waiting > w.lim.Queue {
+		w.t.Fatalf("%d wait, %d may", waiting, w.lim.Queue)
+	}
+}
+
+func (w *world) leave(id ID) {
+	delete(w.waits, id)
+	for i, x := range w.order {
+		if x == id {
+			w.order = append(w.order[:i:i], w.order[i+1:]...)
+		}
+	}
+}
+
+// TestPool holds a pool to a simple model: whatever happens, no connection is given twice, nobody is passed over, the
+// bounds hold, and all who wait have an end.
+func TestPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lim := Limits{Most: rapid.IntRange(1, 5).Draw(t, "most"), Reserve: rapid.IntRange(0, 2).Draw(t, "reserve"), ReserveMs: 50, Queue: rapid.IntRange(0, 8).Draw(t, "queue"),
+			WaitMs: 1000, LifeMs: 5000, IdleMs: 500, Dials: rapid.IntRange(1, 3).Draw(t, "dials"), AgainMs: 20}
+		w := &world{t: t, p: New(lim), lim: lim, conns: map[ID]string{}, owner: map[ID]ID{}, waits: map[ID]string{}, since: map[ID]float64{},
+			dialing: map[string]int{}, barred: map[string]bool{}}
+		servers := []string{"a", "b"}
+		pick := func(m map[ID]ID) (ID, bool) {
+			ids := []ID{}
+			for i := ID(1); i <= w.last; i++ {
+				if _, ok := m[i]; ok {
+					ids = append(ids, i)
+				}
+			}
+			if len(ids) == 0 {
+				return 0, false
+			}
+			return rapid.SampledFrom(ids).Draw(t, "which"), true
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			server := rapid.SampledFrom(servers).Draw(t, "server")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2:
+				w.last++
+				w.waits[w.last], w.since[w.last] = server, w.now
+				w.order = append(w.order, w.last)
+				w.take(w.p.Want(w.last, server, w.now))
+			case 3, 4:
+				if w.dialing[server] > 0 {
+					w.dialing[server]--
+					w.last++
+					w.conns[w.last] = server
+					w.take(w.p.Up(w.last, server, w.now))
+				}
+			case 5:
+				if w.dialing[server] > 0 {
+					w.dialing[server]--
+					w.take(w.p.Down(server, w.now))
+				}
+			case 6, 7:
+				if c, ok := pick(w.owner); ok {
+					delete(w.owner, c)
+					if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+						delete(w.conns, c)
+						w.take(w.p.Lost(c, w.now))
+					} else {
+						w.take(w.p.Free(c, w.now))
+					}
+				}
+			case 8:
+				w.now += rapid.Float64Range(0, 400).Draw(t, "time")
+				w.take(w.p.Beat(w.now))
+			case 9:
+				if w.barred[server] {
+					w.barred[server] = false
+					w.p.Unbar(server)
+				} else {
+					w.barred[server] = true
+					w.take(w.p.Bar(server, w.now))
+				}
+			}
+		}
+		// At the end all that is in use comes free, and all who still wait have their end.
+		for c := ID(1); c <= w.last; c++ {
+			if _, ok := w.owner[c]; ok {
+				delete(w.owner, c)
+				w.take(w.p.Free(c, w.now))
+			}
+		}
+		w.now += 2000
+		w.take(w.p.Beat(w.now))
+		if len(w.order) > 0 {
+			t.Fatalf("%v wait for ever", w.order)
+		}
+	})
+}
+
+// TestRoom: with all connections idle at one server, a waiter for another has one closed for it; a reserve is opened only
+// behind its time.
+func TestRoom(t *testing.T) {
+	p := New(Limits{Most: 1, Reserve: 1, ReserveMs: 100, Queue: 9})
+	check := func(want, got []Action) {
+		t.Helper()
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	check([]Action{{Do: Dial, Server: "a"}}, p.Want(1, "a", 0))
+	check([]Action{{Do: Give, Server: "a", Conn: 9, Waiter: 1}}, p.Up(9, "a", 1))
+	check(nil, p.Free(9, 2))
+	check([]Action{{Do: Close, Server: "a", Conn: 9}, {Do: Dial, Server: "b"}}, p.Want(2, "b", 3))
+	check([]Action{{Do: Give, Server: "b", Conn: 10, Waiter: 2}}, p.Up(10, "b", 4))
+	check(nil, p.Want(3, "b", 5))
+	check(nil, p.Beat(50))
+	check([]Action{{Do: Dial, Server: "b"}}, p.Beat(105))
+}
--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -349,11 +349,11 @@
 		return s
 	case first.is("CREATE") || first.is("SELECT") && hasInto(t):
 		s := Statement{Kind: Other, Pin: calls(t)}
-		for _, x := range t[1:] {
-			if x.is("TEMP", "TEMPORARY") {
+		for i, x := range t[1:] {
+			if x.is("TEMP", "TEMPORARY") && (first.is("CREATE") || t[i].is("INTO")) {
 				s.Pin |= PinTemp
 			}
-			if x.is("TABLE", "AS", "VIEW", "FROM") {
+			if first.is("CREATE") && x.is("TABLE", "AS", "VIEW", "FROM") {
 				break
 			}
 		}
--- /dev/null
+++ b/internal/sqltext/sqltext_test.go
@@ -0,0 +1,106 @@
+package sqltext
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+var places = cmpopts.IgnoreFields(Statement{}, "From", "To")
+
+// TestSplit guards against a statement that is taken for less than it does: a write for a read, a setting that is missed.
+func TestSplit(t *testing.T) {
+	for sql, want := range map[string][]Statement{
+		"":                                       {{Kind: Empty}},
+		" ; -- nothing\n;/* or /* so */ */":      {{Kind: Empty}},
+		"select 1":                               {{Kind: Read}},
+		"SELECT ';', \"a;b\", $$;$$, $x$;$$;$x$": {{Kind: Read}},
+		"SELECT E'\\';' , 1; SELECT 2":           {{Kind: Read}, {Kind: Read}},
+		"SELECT 'it''s;'":                        {{Kind: Read}},
+		"SELECT 'open":                           {{Kind: Other}},
+		"/* open SELECT 1":                       {{Kind: Other}},
+		"(SELECT a FROM b) UNION (VALUES (1))":   {{Kind: Read}},
+		"SELECT count(*), max(x) FROM t":         {{Kind: Read}},
+		"SELECT pay(1)":                          {{Kind: Other}},
+		"SELECT s.count(1)":                      {{Kind: Other}},
+		"SELECT \"count\"(1)":                    {{Kind: Other}},
+		"SELECT * FROM t FOR UPDATE":             {{Kind: Other}},
+		"SELECT * FROM t FOR NO KEY UPDATE":      {{Kind: Other}},
+		"SELECT a INTO b FROM c":                 {{Kind: Other}},
+		"WITH x AS (DELETE FROM t RETURNING a) SELECT * FROM x":                   {{Kind: Other}},
+		"WITH x AS (SELECT 1) SELECT * FROM x":                                    {{Kind: Read}},
+		"INSERT INTO t VALUES (1)":                                                {{Kind: Other}},
+		"EXPLAIN ANALYZE DELETE FROM t":                                           {{Kind: Other}},
+		"SELECT nextval('s')":                                                     {{Kind: Other}},
+		"BEGIN ISOLATION LEVEL SERIALIZABLE, READ ONLY":                           {{Kind: Begin, ReadOnly: true}},
+		"START TRANSACTION READ WRITE":                                            {{Kind: Begin}},
+		"END;ABORT":                                                               {{Kind: Commit}, {Kind: Rollback}},
+		"SAVEPOINT A; ROLLBACK WORK TO SAVEPOINT a; RELEASE a":                    {{Kind: Savepoint, Name: "a"}, {Kind: RollbackTo, Name: "a"}, {Kind: Release, Name: "a"}},
+		"COMMIT PREPARED 'x'":                                                     {{Kind: Other}},
+		"SET search_path TO a, \"B\"":                                             {{Kind: Set, Name: "search_path", Value: `a, "B"`}},
+		"set session My.Own = 'x;y' ;":                                            {{Kind: Set, Name: "my.own", Value: "'x;y'"}},
+		"SET LOCAL work_mem = '1MB'":                                              {{Kind: Set, Name: "work_mem", Value: "'1MB'", Local: true}},
+		"SET x TO DEFAULT; RESET x; RESET ALL":                                    {{Kind: Set, Name: "x"}, {Kind: Set, Name: "x"}, {Kind: ResetAll}},
+		"SET TIME ZONE 'America/Recife'":                                          {{Kind: Set, Name: "timezone", Value: "'America/Recife'"}},
+		"SET TIME ZONE LOCAL":                                                     {{Kind: Set, Name: "timezone"}},
+		"SET TIME ZONE INTERVAL '-03:00' HOUR TO MINUTE":                          {{Kind: Other, Pin: PinUnknown}},
+		"SET NAMES 'LATIN1'":                                                      {{Kind: Set, Name: "client_encoding", Value: "'LATIN1'"}},
+		"SET ROLE clerk; SET ROLE NONE":                                           {{Kind: Set, Name: "role", Value: "clerk"}, {Kind: Set, Name: "role"}},
+		"SET SESSION AUTHORIZATION bob; RESET SESSION AUTHORIZATION":              {{Kind: Set, Name: "session_authorization", Value: "bob"}, {Kind: Set, Name: "session_authorization"}},
+		"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY":                    {{Kind: Set, Name: "default_transaction_read_only", Value: "on"}},
+		"SET SESSION CHARACTERISTICS AS TRANSACTION ISOLATION LEVEL SERIALIZABLE": {{Kind: Other, Pin: PinUnknown}},
+		"SET TRANSACTION READ ONLY":                                               {{Kind: Other}},
+		"SET":                                                                     {{Kind: Other, Pin: PinUnknown}},
+		"RESET":                                                                   {{Kind: Other, Pin: PinUnknown}},
+		"DISCARD ALL; DISCARD PLANS":                                              {{Kind: DiscardAll}, {Kind: Other}},
+		"DEALLOCATE PREPARE a; DEALLOCATE ALL; DEALLOCATE \"B\"":                  {{Kind: Deallocate, Name: "a"}, {Kind: Deallocate}, {Kind: Deallocate, Name: "B"}},
+		"CREATE TEMP TABLE t (a int)":                                             {{Kind: Other, Pin: PinTemp}},
+		"create table temp_t (a int)":                                             {{Kind: Other}},
+		"SELECT 1 AS a INTO TEMPORARY t":                                          {{Kind: Other, Pin: PinTemp}},
+		"SELECT pg_advisory_lock(1)":                                              {{Kind: Other, Pin: PinAdvisory}},
+		"SELECT pg_advisory_xact_lock(1)":                                         {{Kind: Other}},
+		"DECLARE c CURSOR WITH HOLD FOR SELECT 1":                                 {{Kind: Other, Pin: PinCursor}},
+		"LISTEN x":                              {{Kind: Other, Pin: PinListen}},
+		"PREPARE p AS SELECT 1":                 {{Kind: Other, Pin: PinPrepare}},
+		"SELECT set_config(a, b, false) FROM t": {{Kind: Other, Pin: PinUnknown}},
+		"COPY t FROM STDIN":                     {{Kind: Other, Copy: true}},
+		"SHOW ALL":                              {{Kind: Show}},
+	} {
+		if diff := cmp.Diff(want, Split(sql), places); diff != "" {
+			t.Errorf("%s: %s", sql, diff)
+		}
+	}
+}
+
+// TestSetConfig guards against a call that is carried with another value than it set.
+func TestSetConfig(t *testing.T) {
+	for sql, want := range map[string]Statement{
+		"SELECT set_config('Search_Path', 'it''s', false)": {Kind: Set, Name: "search_path", Value: "'it''s'"},
+		"select set_config('a', 'b', true);":               {Kind: Set, Name: "a", Value: "'b'", Local: true},
+		"SELECT set_config('a', b, false)":                 {},
+		"SELECT set_config('a', 'b', false), 1":            {},
+	} {
+		got, ok := SetConfig(sql)
+		if diff := cmp.Diff(want, got, places); diff != "" || ok != (want.Name != "") {
+			t.Errorf("%s: %s", sql, diff)
+		}
+	}
+}
+
+// FuzzSplit guards against text that crashes the reader, or a place that lies outside of it.
+func FuzzSplit(f *testing.F) {
+	for _, s := range []string{"SELECT 1; SET a TO 'b'", "$a$ $$", "/* /* */", "E'\\", "\"", "e", "$1", "SET", "((("} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, sql string) {
+		last := 0
+		for _, s := range Split(sql) {
+			if s.From < last || s.To < s.From || s.To > len(sql) {
+				t.Fatalf("a statement from %d to %d behind %d in %d bytes", s.From, s.To, last, len(sql))
+			}
+			last = s.To
+		}
+		SetConfig(sql)
+	})
+}
