Mend a client that waited for ever, and measure the pooling front

Measuring 1,000 clients that write as their primary dies showed clients without an answer: where a connection broke at the settings carried to it, what the client had asked was taken for sent, and nobody answered it. What is held now stays held until the server has said something. TestPooledWaiting fails without the change.

'beechgrade-kit pooling' measures the front side by side with the stand-ins.

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -70,6 +70,17 @@
 						Action: trace},
 				},
 			},
+			{
+				Name: "pooling", Usage: "measure the pooling front beside the stand-ins reached directly",
+				Flags: []cli.Flag{
+					&cli.IntFlag{Name: "clients", Value: 1000, Usage: "`NUMBER` connected at once"},
+					&cli.IntFlag{Name: "connections", Value: 50, Usage: "`NUMBER` of server connections"},
+					&cli.FloatFlag{Name: "seconds", Value: 5, Usage: "for each part"},
+					&cli.StringFlag{Name: "out", Value: "pooling", Usage: "the `DIR` for logs"},
+					&cli.StringFlag{Name: "daemon", Usage: "the daemon's program `FILE`; else the one beside this program"},
+				},
+				Action: measurePooling,
+			},
 			{
 				Name: "rehearse", Usage: "run the daemon against stand-in servers and faults, as a script has them", ArgsUsage: "SCRIPT",
 				Flags: []cli.Flag{
@@ -143,13 +154,9 @@
 	if err != nil {
 		return err
 	}
-	daemon := c.String("daemon")
-	if daemon == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		daemon = filepath.Join(filepath.Dir(self), "beechgrade")
+	daemon, err := daemonOf(c)
+	if err != nil {
+		return err
 	}
 	log := slog.New(slog.DiscardHandler)
 	if c.Bool("verbose") {
@@ -171,6 +178,40 @@
 	return judge(c, out)
 }
 
+// daemonOf is the daemon's program: the one that was named, or the one beside this program.
+func daemonOf(c *cli.Command) (string, error) {
+	if d := c.String("daemon"); d != "" {
+		return d, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	return filepath.Join(filepath.Dir(self), "beechgrade"), nil
+}
+
+func measurePooling(ctx context.Context, c *cli.Command) error {
+	daemon, err := daemonOf(c)
+	if err != nil {
+		return err
+	}
+	if c.Int("clients") < 1 || c.Int("connections") < 1 || c.Float("seconds") <= 0 || c.Float("seconds") > 600 {
+		return errors.New("clients, connections and seconds must be above 0, and seconds at most 600")
+	}
+	res, err := rehearse.MeasurePooling(ctx, rehearse.PoolingOptions{Daemon: daemon, Out: c.String("out"), Clients: c.Int("clients"), Conns: c.Int("connections"),
+		Seconds: c.Float("seconds"), Log: slog.New(slog.DiscardHandler), Stage: func(name string) { fmt.Fprintln(os.Stderr, name, "...") }})
+	if err != nil {
+		return err
+	}
+	if err := writeJSON(c.Root().Writer, res); err != nil {
+		return err
+	}
+	if res.Mismatches > 0 {
+		return failed{fmt.Errorf("%d statements ran under other settings", res.Mismatches)}
+	}
+	return nil
+}
+
 func compare(_ context.Context, c *cli.Command) error {
 	if c.Args().Len() != 1 {
 		return errors.New("one folder of a rehearsal is due")
--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -734,3 +734,48 @@
 		t.Errorf("search_path is %q", v)
 	}
 }
+
+// TestPooledWaiting: clients that are connected and warm write at the moment at which the primary has died. Each has its
+// answer, and all are served once another took over.
+func TestPooledWaiting(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 50) (dials 16) (wait 60s) (queue 100000)"), func(c *fleet.Config) {
+		c.Detect, c.Elect, c.ColdMs = fleet.Range{400, 500}, fleet.Range{400, 500}, 1000
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	const clients = 300
+	var conns []*pgconn.PgConn
+	for i := range clients {
+		c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable&application_name=app%d", w.addr, i%7))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	var wg sync.WaitGroup
+	write := func() {
+		for i, c := range conns {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for ctx.Err() == nil {
+					if _, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('t%d', 'v')", i)).ReadAll(); err == nil {
+						return
+					}
+					if c.IsClosed() {
+						c, _ = pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+						if c == nil {
+							break
+						}
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				t.Errorf("client %d had no answer in time", i)
+			}()
+		}
+		wg.Wait()
+	}
+	write()
+	_ = w.fleet.Kill(w.fleet.Primary(0))
+	write()
+}
--- a/internal/kit/records/records.go
+++ b/internal/kit/records/records.go
@@ -95,11 +95,7 @@
 // Open finds the segments below the given folders, or takes files themselves. With follow, segments that are not
 // closed are taken as still being written.
 func Open(follow bool, paths ...string) (*Set, error) {
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(record.MaxFrame))
-	if err != nil {
-		return nil, fmt.Errorf("zstd: %w", err)
-	}
-	s := &Set{paths: paths, known: map[string]bool{}, byKey: map[string]*Run{}, dec: dec, follow: follow}
+	s := &Set{paths: paths, known: map[string]bool{}, byKey: map[string]*Run{}, follow: follow}
 	if err := s.scan(); err != nil {
 		return nil, err
 	}
@@ -438,6 +434,13 @@
 // decode reads a batch into events.
 func (st *stream) decode(sink Sink, typ byte, b []byte) error {
 	if typ == record.FrameZstd {
+		if st.set.dec == nil {
+			dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(record.MaxFrame))
+			if err != nil {
+				return fmt.Errorf("zstd: %w", err)
+			}
+			st.set.dec = dec
+		}
 		var err error
 		if st.unpack, err = st.set.dec.DecodeAll(b, st.unpack[:0]); err != nil {
 			return fmt.Errorf("%w: %w", record.ErrCorrupt, err)
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -88,6 +88,9 @@
 	clk     clock.Clock
 	fleet   *fleet.Fleet
 	poolers []*pooler
+
+	operators string // more of the operators' settings
+	sockets   int    // that a pooler may hold, where that is more than usual
 }
 
 // Play runs a rehearsal from its start to its end.
@@ -331,7 +334,7 @@
 	if err != nil {
 		return err
 	}
-	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue)
+	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators
 	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
 		return err
 	}
@@ -454,7 +457,7 @@
 	}
 	return map[string]any{
 		"name": p.name, "listen": p.addr, "discovery": p.run.fleet.Discovery(), "seed": strconv.FormatUint(p.run.opt.Seed^uint64(len(p.name)), 16),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": max(1024, p.run.sockets)}, "known": known,
 		"settings": map[string]any{
 			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": 0, "zones": []string{"room"}, "kinds": []string{"padrao-4"},
 			"weights": "nominal", "membership_mode": "ask",
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -41,6 +41,7 @@
 	skip    bool  // messages are dropped up to the next Sync
 	open    bool  // messages of the extended protocol went out since the last Sync
 	failed  bool  // a statement failed since the last ReadyForQuery
+	again   bool  // what is held is being sent
 	wrote   bool  // the transaction did more than is known to be reading
 	began   float64
 	after   float64 // position of the session's last write, Unix ms
@@ -510,16 +511,16 @@
 		c.f.Counts.Syncs++
 		l.own(sql, func() { c.carry.Synced(l.server) })
 	}
-	l.tellParams(c)
 	t := c.txn
-	if t == nil {
+	if t == nil || c.link != l { // the connection broke at the settings: what is held is still to be sent, or answered
 		return
 	}
+	l.tellParams(c)
 	t.on = true
-	held := t.held
-	t.held = nil
-	r := pgwire.NewReader(max(c.f.opt.MaxMessage, len(held)+1))
-	r.Feed(held)
+	r := pgwire.NewReader(max(c.f.opt.MaxMessage, len(t.held)+1))
+	r.Feed(t.held)
+	c.again = true // what is held stays so until the server has said something
+	defer func() { c.again = false }()
 	for !c.closed && c.link == l {
 		m, ok, err := r.Next()
 		if err != nil || !ok {
@@ -587,7 +588,7 @@
 // forward sends a message to the client's server, with statements under their names there.
 func (c *client) forward(m pgwire.Message) error {
 	l := c.link
-	if t := c.txn; t != nil && !t.spoke {
+	if t := c.txn; t != nil && !t.spoke && !c.again {
 		if len(t.held)+len(m.Raw) > maxHeld {
 			t.spoke = true // too long to be asked again
 		} else {
