Keep a line for each server in a pool, so that a long queue costs nothing for each event

5,000 clients over 50 connections were served 1,300 statements a second: each event went through the whole queue, and idle connections were closed for waiters at other servers though some waited for theirs. Those who wait stand in a line for each server now; a connection makes room for another server's only where nobody waits for its own, or where those there have waited 100 ms longer.

--- a/internal/pooling/share/share.go
+++ b/internal/pooling/share/share.go
@@ -64,8 +64,36 @@
 	server string
 	since  float64
 	seq    uint64
+	gone   bool // it has left the line and is only not taken out yet
 }
 
+// line is those who wait for one server, in the order of their coming.
+type line struct {
+	list []*waiter
+	head int
+	n    int // that have not gone
+}
+
+func (l *line) first() *waiter {
+	for l.head < len(l.list) && l.list[l.head].gone {
+		l.list[l.head] = nil
+		l.head++
+	}
+	if l.head == len(l.list) {
+		l.list, l.head = l.list[:0], 0
+		return nil
+	}
+	if l.head > 256 && l.head > len(l.list)/2 {
+		l.list = l.list[:copy(l.list, l.list[l.head:])]
+		l.head = 0
+	}
+	return l.list[l.head]
+}
+
+// shareMs is by how much longer those for another server must have waited, for a connection that comes free to make
+// room for one of theirs.
+const shareMs = 100
+
 type server struct {
 	dialing int
 	conns   int
@@ -78,7 +106,8 @@
 	lim     Limits
 	conns   map[ID]*conn
 	idle    map[string][]*conn // by server, the one used last at the end
-	queue   []*waiter          // in order of their coming
+	waits   map[ID]*waiter
+	lines   map[string]*line // of the servers that somebody waits for
 	servers map[string]*server
 	dialing int
 	seq     uint64
@@ -91,7 +120,7 @@
 		lim.PerServer = lim.Most + lim.Reserve
 	}
 	lim.Dials = max(1, lim.Dials)
-	return &Pool{lim: lim, conns: map[ID]*conn{}, idle: map[string][]*conn{}, servers: map[string]*server{}}
+	return &Pool{lim: lim, waits: map[ID]*waiter{}, lines: map[string]*line{}, conns: map[ID]*conn{}, idle: map[string][]*conn{}, servers: map[string]*server{}}
 }
 
 // Counts is how many connections are idle, in use and coming up, and how many clients wait.
@@ -99,15 +128,41 @@
 	for _, l := range p.idle {
 		idle += len(l)
 	}
-	return idle, len(p.conns) - idle, p.dialing, len(p.queue)
+	return idle, len(p.conns) - idle, p.dialing, len(p.waits)
 }
 
-// Oldest is since when the first in the queue waits, 0 for nobody.
+// Oldest is since when the one that waits longest does, 0 for nobody.
 func (p *Pool) Oldest() float64 {
-	if len(p.queue) == 0 {
-		return 0
+	if w := p.longest(""); w != nil {
+		return w.since
 	}
-	return p.queue[0].since
+	return 0
+}
+
+// longest is who waits longest, for another server than the given one.
+func (p *Pool) longest(but string) (found *waiter) {
+	for name, l := range p.lines {
+		if w := l.first(); w != nil && name != but && (found == nil || w.seq < found.seq) {
+			found = w
+		}
+	}
+	return found
+}
+
+// depart takes a waiter out.
+func (p *Pool) depart(w *waiter) {
+	w.gone = true
+	delete(p.waits, w.id)
+	if l := p.lines[w.server]; l != nil {
+		if l.n--; l.n == 0 {
+			delete(p.lines, w.server)
+		}
+	}
+}
+
+func (p *Pool) refuse(w *waiter) {
+	p.depart(w)
+	p.act(Action{Do: Refuse, Server: w.server, Waiter: w.id})
 }
 
 func (p *Pool) server(name string) *server {
@@ -134,25 +189,28 @@
 		return p.done()
 	}
 	p.seq++
-	p.queue = append(p.queue, &waiter{id: w, server: to, since: now, seq: p.seq})
-	p.serve(now)
+	x := &waiter{id: w, server: to, since: now, seq: p.seq}
+	l := p.lines[to]
+	if l == nil {
+		l = &line{}
+		p.lines[to] = l
+	}
+	l.list = append(l.list, x)
+	l.n++
+	p.waits[w] = x
+	p.serve(to, now)
 	// It may only wait where there is room to: a place in the queue counts for those that found nothing.
-	if len(p.queue) > p.lim.Queue {
-		for i, x := range p.queue {
-			if x.id == w {
-				p.queue = slices.Delete(p.queue, i, i+1)
-				p.act(Action{Do: Refuse, Server: to, Waiter: w})
-				break
-			}
-		}
+	if len(p.waits) > p.lim.Queue && !x.gone {
+		p.refuse(x)
 	}
 	return p.done()
 }
 
 // Leave takes a waiter out that wants nothing any more.
 func (p *Pool) Leave(w ID, now float64) []Action {
-	p.queue = slices.DeleteFunc(p.queue, func(x *waiter) bool { return x.id == w })
-	p.serve(now)
+	if x := p.waits[w]; x != nil {
+		p.depart(x)
+	}
 	return p.done()
 }
 
@@ -165,7 +223,7 @@
 	x := &conn{id: c, server: to, born: now}
 	p.conns[c] = x
 	p.free(x, now)
-	p.serve(now)
+	p.serve(to, now)
 	return p.done()
 }
 
@@ -176,26 +234,31 @@
 	s.dialing--
 	p.dialing--
 	s.until = now + p.lim.AgainMs
-	for i, w := range p.queue {
-		if w.server == to {
-			p.queue = slices.Delete(p.queue, i, i+1)
-			p.act(Action{Do: Refuse, Server: to, Waiter: w.id})
-			break
-		}
+	if l := p.lines[to]; l != nil {
+		p.refuse(l.first())
 	}
-	p.serve(now)
+	p.serve(to, now)
 	return p.done()
 }
 
 // Free tells that whoever had a connection is done with it.
 func (p *Pool) Free(c ID, now float64) []Action {
 	if x := p.conns[c]; x != nil && x.state == used {
+		if w := p.longest(x.server); w != nil && len(p.conns)+p.dialing >= p.lim.Most && p.behind(w, x.server) && p.room(w.server, now) {
+			x.doomed = true // those for another server have waited far longer than any for this one
+		}
 		p.free(x, now)
-		p.serve(now)
+		p.serve(x.server, now)
 	}
 	return p.done()
 }
 
+// behind tells whether a waiter has waited much longer than any for a server.
+func (p *Pool) behind(w *waiter, server string) bool {
+	l := p.lines[server]
+	return l != nil && l.first().since-w.since >= shareMs
+}
+
 func (p *Pool) free(x *conn, now float64) {
 	if x.doomed || p.server(x.server).barred || p.lim.LifeMs > 0 && now-x.born >= p.lim.LifeMs {
 		p.drop(x)
@@ -210,7 +273,7 @@
 func (p *Pool) Lost(c ID, now float64) []Action {
 	if x := p.conns[c]; x != nil {
 		p.drop(x)
-		p.serve(now)
+		p.serve(x.server, now)
 	}
 	return p.done()
 }
@@ -241,14 +304,10 @@
 	for _, x := range p.conns {
 		x.doomed = x.doomed || x.server == to
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(w *waiter) bool {
-		if w.server != to {
-			return false
-		}
-		p.act(Action{Do: Refuse, Server: to, Waiter: w.id})
-		return true
-	})
-	p.serve(now)
+	for l := p.lines[to]; l != nil; l = p.lines[to] {
+		p.refuse(l.first())
+	}
+	p.serve(to, now)
 	return p.done()
 }
 
@@ -260,10 +319,9 @@
 
 // Beat lets time pass: waits that were too long end, and connections that rested or lived too long are closed.
 func (p *Pool) Beat(now float64) []Action {
-	if p.lim.WaitMs > 0 {
-		for len(p.queue) > 0 && now-p.queue[0].since >= p.lim.WaitMs { // they stand in the order of their coming
-			p.act(Action{Do: Refuse, Server: p.queue[0].server, Waiter: p.queue[0].id})
-			p.queue = p.queue[1:]
+	for _, name := range p.hungry() {
+		for l := p.lines[name]; p.lim.WaitMs > 0 && l != nil && now-l.first().since >= p.lim.WaitMs; l = p.lines[name] {
+			p.refuse(l.first())
 		}
 	}
 	for _, l := range p.idle {
@@ -274,45 +332,60 @@
 			}
 		}
 	}
-	slices.SortFunc(p.out, func(a, b Action) int { return cmp.Or(cmp.Compare(b.Do, a.Do), cmp.Compare(a.Conn, b.Conn)) })
-	p.serve(now)
+	slices.SortFunc(p.out, func(a, b Action) int {
+		return cmp.Or(cmp.Compare(b.Do, a.Do), cmp.Compare(a.Conn, b.Conn), cmp.Compare(a.Waiter, b.Waiter))
+	})
+	p.open(now)
 	return p.done()
 }
 
-// serve gives what is idle to those who wait, the first come first, and opens what may be opened for the rest.
-func (p *Pool) serve(now float64) {
-	if len(p.queue) == 0 {
+// hungry are the servers that somebody waits for, those whose first waits longest in front.
+func (p *Pool) hungry() []string {
+	names := make([]string, 0, len(p.lines))
+	for name := range p.lines {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(p.lines[a].first().seq, p.lines[b].first().seq) })
+	return names
+}
+
+// serve gives what is idle at a server to those who wait for it, the first come first, and opens what may be opened.
+func (p *Pool) serve(server string, now float64) {
+	for l := p.lines[server]; l != nil && len(p.idle[server]) > 0; l = p.lines[server] {
+		idle := p.idle[server]
+		x, w := idle[len(idle)-1], l.first()
+		p.idle[server] = idle[:len(idle)-1]
+		x.state = used
+		p.depart(w)
+		p.act(Action{Do: Give, Server: server, Conn: x.id, Waiter: w.id})
+	}
+	p.open(now)
+}
+
+// open opens connections for those who wait, as far as that may be.
+func (p *Pool) open(now float64) {
+	if len(p.lines) == 0 {
 		return
 	}
-	wanted := map[string]int{} // by server: waiters passed over so far
-	keep := p.queue[:0]
-	for _, w := range p.queue {
-		if l := p.idle[w.server]; len(l) > 0 {
-			x := l[len(l)-1]
-			p.idle[w.server] = l[:len(l)-1]
-			x.state = used
-			p.act(Action{Do: Give, Server: w.server, Conn: x.id, Waiter: w.id})
-			continue
-		}
-		wanted[w.server]++
-		if p.mayDial(w, wanted[w.server], now) {
-			s := p.server(w.server)
+	for _, name := range p.hungry() {
+		s := p.server(name)
+		for s.dialing < p.lines[name].n && p.room(name, now) && p.makeRoom(p.lines[name].first(), now) {
 			s.dialing++
 			p.dialing++
-			p.act(Action{Do: Dial, Server: w.server})
+			p.act(Action{Do: Dial, Server: name})
 		}
-		keep = append(keep, w)
 	}
-	clear(p.queue[len(keep):])
-	p.queue = keep
 }
 
-// mayDial tells whether a connection may be opened for a waiter, before whom so many wait for the same server.
-func (p *Pool) mayDial(w *waiter, nth int, now float64) bool {
-	s := p.server(w.server)
-	if s.dialing >= nth || s.dialing >= p.lim.Dials || now < s.until || s.conns+s.dialing >= p.lim.PerServer {
-		return false
-	}
+// room tells whether a server may have one more connection.
+func (p *Pool) room(name string, now float64) bool {
+	s := p.server(name)
+	return s.dialing < p.lim.Dials && now >= s.until && s.conns+s.dialing < p.lim.PerServer
+}
+
+// makeRoom tells whether there may be one more connection in all. Where all are taken, one that idles makes room: it is
+// at a server that nobody waits for.
+func (p *Pool) makeRoom(w *waiter, now float64) bool {
 	most := p.lim.Most
 	if p.lim.Reserve > 0 && now-w.since >= p.lim.ReserveMs {
 		most += p.lim.Reserve
@@ -320,7 +393,6 @@
 	if len(p.conns)+p.dialing < most {
 		return true
 	}
-	// All are taken: one that idles at another server makes room.
 	var oldest *conn
 	for _, l := range p.idle {
 		if len(l) > 0 && (oldest == nil || l[0].since < oldest.since || l[0].since == oldest.since && l[0].id < oldest.id) {
