Test the trace of one request on a rehearsal's records

The trace of a request by its client's id had no test. TestPrimariesDie now takes a refused request out of the clients' log and has its coming and its refusal told.

--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -112,6 +112,26 @@
 			t.Errorf("%v: %v: %s", args, err, out)
 		}
 	}
+	// One refused request, by the client's own id: its coming, what was tried, and its answer.
+	tries, err := os.ReadFile(filepath.Join(dir, rehearse.TriesFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(string(tries), "\n") {
+		if !strings.Contains(line, `"kind":"refused"`) {
+			continue
+		}
+		_, id, _ := strings.Cut(line, `"id":"`)
+		id, _, _ = strings.Cut(id, `"`)
+		out := &bytes.Buffer{}
+		c := command()
+		c.Writer = out
+		if err := c.Run(context.Background(), []string{"beechgrade-kit", "incident", "trace", "--id", id, dir}); err != nil ||
+			!strings.Contains(out.String(), "request") || !strings.Contains(out.String(), "REFUSED") {
+			t.Errorf("trace of %s: %v: %s", id, err, out)
+		}
+		break
+	}
 	page, err := os.ReadFile(filepath.Join(dir, "i.html"))
 	if err != nil || !bytes.Contains(page, []byte("Takeovers")) || bytes.Contains(page, []byte("://")) {
 		t.Errorf("the report does not stand for itself: %v", err)
@@ -173,6 +193,7 @@
 		{[]string{"incident", "summary", garbage}, 2, garbage + ": offset 0: is damaged: it does not begin as a segment of records"},
 		{[]string{"incident", "summary", filepath.Join(dir, "none")}, 2, "none"},
 		{[]string{"incident", "summary"}, 2, "which records?"},
+		{[]string{"incident", "trace", "--id", "x", filepath.Join(dir, "none")}, 2, "none"},
 		{[]string{"incident", "report", "-o", filepath.Join(dir, "o.html"), garbage}, 2, garbage},
 	} {
 		err := command().Run(context.Background(), append([]string{"beechgrade-kit"}, c.args...))
