--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -44,13 +44,14 @@
 	Falls   float64 // a cold server that is sent more than so many times its capacity...
 	FallsMs float64 // ...within this time falls over and stays down
 
+	GraceMs  float64 // for sends to a server, from discovery's word that it drains
 	CancelMs float64 // a cancel request takes so long until it strikes
 }
 
 // Defaults are those of the site's brief, for so many members in each group.
 func Defaults(groups ...int) Config {
 	return Config{Groups: groups, Cores: 4, Queue: 64, Conns: 256, Ship: Range{2.4, 15}, Apply: 3, Detect: Range{1100, 2600}, Elect: Range{1000, 3900},
-		Switch: Range{420, 1000}, Report: Range{110, 240}, List: Range{300, 900}, Roles: Range{2000, 4900}, ColdMs: 18000, ColdBy: 0.15, Falls: 2.5, FallsMs: 1500}
+		Switch: Range{420, 1000}, Report: Range{110, 240}, List: Range{300, 900}, Roles: Range{2000, 4900}, ColdMs: 18000, ColdBy: 0.15, Falls: 2.5, FallsMs: 1500, GraceMs: 250}
 }
 
 // Fact is something that truly happened.
@@ -260,8 +261,8 @@
 	return out
 }
 
-// Late are the requests that came to a server over 300 ms after discovery had told all who watch that it drains: the
-// grace of 250 ms, and 50 ms for the way.
+// Late are the requests that came to a server after discovery had told all who watch that it drains, and the
+// grace and 50 ms for the way had passed.
 func (f *Fleet) Late() []Fact {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -18,7 +18,7 @@
 const (
 	maxStatement = 1 << 20
 	startupMax   = 10000
-	drainMs      = 300 // from discovery's word on, to the last send to a server that drains
+	wayMs        = 50 // for a send's way, behind the grace of a server that drains
 	maxLate      = 100
 )
 
@@ -224,7 +224,7 @@
 	if r, ok := f.cfg.Work[st.Class]; ok {
 		work = r.draw(f.rng)
 	}
-	if s.drainTold != 0 && now-s.drainTold > drainMs && len(f.late) < maxLate {
+	if s.drainTold != 0 && now-s.drainTold > f.cfg.GraceMs+wayMs && len(f.late) < maxLate {
 		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.group.id, What: "was sent " + st.ID + " while it drains"})
 	}
 	switch {
--- a/internal/kit/fleet/session.go
+++ b/internal/kit/fleet/session.go
@@ -28,7 +28,7 @@
 	Sessions     int            `json:"sessions"` // that began
 	Open         int            `json:"open"`
 	MostOpen     int            `json:"most_open"`
-	DuringDrain  int            `json:"during_drain"` // messages over 300 ms after discovery told of the drain
+	DuringDrain  int            `json:"during_drain"` // messages behind the grace of a drain
 }
 
 // Watched is what has been seen so far.
@@ -194,7 +194,7 @@
 func (x *full) take(m pgproto3.FrontendMessage) bool {
 	f, s := x.c.s.f, x.c.s
 	f.mu.Lock()
-	if now := f.clk.Now(); s.drainTold != 0 && now-s.drainTold > drainMs {
+	if now := f.clk.Now(); s.drainTold != 0 && now-s.drainTold > f.cfg.GraceMs+wayMs {
 		f.watch.DuringDrain++
 	}
 	f.mu.Unlock()
