--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"database/sql"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -15,6 +16,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/jackc/pgx/v5/stdlib"
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
@@ -780,3 +782,86 @@
 	_ = w.fleet.Kill(w.fleet.Primary(0))
 	write()
 }
+
+// TestPooledDriverWays uses a driver as programs do: batches, CopyFrom, read-only transactions, errors within a batch,
+// contexts that end, and database/sql with several connections.
+func TestPooledDriverWays(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := w.connect("")
+	b := &pgx.Batch{}
+	for i := range 10 {
+		b.Queue(putKV, fmt.Sprint("b", i), "v")
+		b.Queue(getKV, fmt.Sprint("b", i))
+	}
+	r := c.SendBatch(ctx, b)
+	for i := range 10 {
+		var v string
+		if _, err := r.Exec(); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.QueryRow().Scan(&v); err != nil || v != "v" {
+			t.Fatalf("row %d of a batch: %q, %v", i, v, err)
+		}
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+	b = &pgx.Batch{}
+	b.Queue("INSERT INTO kv (name, content) VALUES ('undone', 'v')")
+	b.Queue("NONSENSE")
+	b.Queue("INSERT INTO kv (name, content) VALUES ('undone', 'v')")
+	if err := c.SendBatch(ctx, b).Close(); state(err) != "42601" {
+		t.Errorf("an error within a batch: %v", err)
+	}
+	if n, err := w.rows(c, getKV, "undone"); n != 0 || err != nil {
+		t.Errorf("%d rows of a batch that failed: %v", n, err)
+	}
+	if n, err := c.CopyFrom(ctx, pgx.Identifier{"kv"}, []string{"content"}, pgx.CopyFromRows([][]any{{"x"}, {"y"}})); err != nil || n == 0 {
+		t.Errorf("CopyFrom: %d, %v", n, err)
+	}
+	tx, err := c.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, putKV, "k", "v"); state(err) != "25006" {
+		t.Errorf("a write within a transaction that only reads: %v", err)
+	}
+	if err := tx.Rollback(ctx); err != nil {
+		t.Error(err)
+	}
+	short, end := context.WithTimeout(ctx, 50*time.Millisecond)
+	_, err = c.Exec(short, "SELECT pg_sleep(30)")
+	end()
+	if err == nil {
+		t.Error("a context's end ends no query")
+	}
+	db, err := sql.Open("pgx", fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = db.Close() }()
+	var wg sync.WaitGroup
+	for n := range 10 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 20 {
+				key, v := fmt.Sprint("sql", n), ""
+				if _, err := db.ExecContext(ctx, putKV, key, fmt.Sprint(i)); err != nil {
+					t.Error(err)
+					return
+				}
+				if err := db.QueryRowContext(ctx, getKV, key).Scan(&v); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if seen := w.fleet.Watched(); seen.Twice > 0 || seen.MostOpen > 4 {
+		t.Errorf("%d statements prepared twice, %d connections at once", seen.Twice, seen.MostOpen)
+	}
+}
