--- a/internal/kit/rehearse/pooling.go
+++ b/internal/kit/rehearse/pooling.go
@@ -363,7 +363,7 @@
 	now := b.r.fleet.Watched()
 	r := b.res
 	r.ManyClients, r.ManyServed, r.ManyP99, r.ManyConns = len(conns), h.TotalCount(), quantile(h, 99), now.MostOpen
-	r.Executions, r.Preparations = now.Statements-was.Statements, now.Preparations-was.Preparations
+	r.Executions, r.Preparations = int(r.ManyServed), now.Preparations-was.Preparations // texts that carry settings are no executions
 	r.PreparedShare = float64(r.Preparations) / float64(max(1, r.Executions))
 	return b.stats(ctx)
 }
--- a/internal/pooling/link.go
+++ b/internal/pooling/link.go
@@ -186,7 +186,7 @@
 		l.parameter(m)
 		return
 	case 'N', 'A':
-		if l.owner != nil && !l.own1() {
+		if l.owner != nil && !l.ownTurn() {
 			l.owner.out = append(l.owner.out, m.Raw...)
 		}
 		return
@@ -236,8 +236,8 @@
 	}
 }
 
-// own1 tells whether what comes now is due to the pooler's own text.
-func (l *link) own1() bool { return len(l.queue) > 0 && l.queue[0].kind == xOwn }
+// ownTurn tells whether what comes now is due to the pooler's own text.
+func (l *link) ownTurn() bool { return len(l.queue) > 0 && l.queue[0].kind == xOwn }
 
 func (l *link) parameter(m pgwire.Message) {
 	name, val, err := pgwire.Parameter(m.Body)
@@ -246,7 +246,7 @@
 	}
 	l.params[name] = val
 	c := l.owner
-	if c == nil || l.own1() || perAnswer(l.f, name) {
+	if c == nil || l.ownTurn() || perAnswer(l.f, name) {
 		return
 	}
 	if c.params[name] != val {
@@ -318,7 +318,7 @@
 
 // fault takes an error.
 func (l *link) fault(m pgwire.Message) {
-	if l.own1() {
+	if l.ownTurn() {
 		l.f.log.Warn("pooling: a client's settings can't be had at a server", "store", l.store, "code", pgwire.ErrorCode(m.Body))
 		l.broken = true
 		if c := l.owner; c != nil { // its settings are not in force: nothing may run under others
@@ -582,7 +582,7 @@
 		}
 		c.lost(l)
 		if a != nil && !a.ended {
-			again := !c.txn0(a).spoke
+			again := !a.t.spoke
 			a.link = nil
 			r := beechgrade.Reset
 			if unsent > 0 && again { // it never left whole
@@ -600,8 +600,6 @@
 	l.f.do(l.pool, l.pool.share.Lost(l.id(), l.f.loop.Now()))
 }
 
-func (c *client) txn0(a *attempt) *txn { return a.t }
-
 // cancel passes a cancel request on to the server where the client's query runs now.
 func (f *Front) cancel(pid, secret uint32) {
 	c := f.keys[pid]
