--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -16,6 +16,7 @@
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/report"
+	"beechgrade/internal/kit/scenario"
 )
 
 // daemon is the real program, built once.
@@ -42,7 +43,7 @@
 
 func rehearsal(t *testing.T, script string) (*rehearse.Match, *incident.View, *rehearse.Result, string) {
 	t.Helper()
-	s, err := rehearse.Parse("script", []byte(script))
+	s, err := scenario.Parse("script", []byte(script))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -213,7 +214,7 @@
 		t.Fatal(err, all)
 	}
 	for _, path := range all {
-		if _, err := rehearse.Load(path); err != nil {
+		if _, err := scenario.Load(path); err != nil {
 			t.Error(err)
 		}
 	}
--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -19,6 +19,7 @@
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/report"
+	"beechgrade/internal/kit/scenario"
 )
 
 func main() {
@@ -136,7 +137,7 @@
 		return errors.New("which scripts?")
 	}
 	for _, path := range c.Args().Slice() {
-		s, err := rehearse.Load(path)
+		s, err := scenario.Load(path)
 		if err != nil {
 			return err
 		}
@@ -150,7 +151,7 @@
 	if c.Args().Len() != 1 {
 		return errors.New("one script is due; see --help")
 	}
-	s, err := rehearse.Load(c.Args().First())
+	s, err := scenario.Load(c.Args().First())
 	if err != nil {
 		return err
 	}
--- a/cmd/beechgrade-kit/trace.go
+++ b/cmd/beechgrade-kit/trace.go
@@ -27,6 +27,7 @@
 type tracer struct {
 	hash  uint64
 	open  map[*records.Run]map[uint64]bool // requests of that hash that have no answer yet, by run
+	whose map[*records.Run]uint64          // the session of the request that is open
 	steps []step
 }
 
@@ -50,6 +51,7 @@
 	switch {
 	case e.Kind == recordpb.Kind_KIND_REQUEST && e.ID == t.hash:
 		t.open[r][e.Request] = true
+		t.whose[r] = e.Session
 		s.What = "request"
 		s.Text = fmt.Sprintf("class %d, group %d, %s left", e.Class, e.Group, incident.Span(e.Left))
 		if int(e.Class) < len(r.Header.Classes) {
@@ -66,10 +68,14 @@
 		}
 	case e.Kind == recordpb.Kind_KIND_ANSWER && mine:
 		s.What = "answer" // attempts may still end behind it
+		t.whose[r] = 0
 		s.Text = e.Final.String()[len("FINAL_"):]
 		if e.Reason != record.ReasonNone {
 			s.Text += ": " + e.Reason.String()
 		}
+	case e.Kind == recordpb.Kind_KIND_HAND && e.Session != 0 && e.Session == t.whose[r]:
+		s.What = "connection" // of pooling: the session has one transaction at a time
+		s.Text = handText(e)
 	default:
 		return
 	}
@@ -78,6 +84,26 @@
 	}
 }
 
+// handText says how a transaction's wait for a server connection ended.
+func handText(e *record.Event) string {
+	switch e.How {
+	case record.HandRefused:
+		return "none came free in time"
+	case record.HandAgain:
+		return "the transaction had only begun, and begins again elsewhere"
+	}
+	text := "pool " + e.Pool
+	for _, x := range []struct {
+		is  bool
+		say string
+	}{{e.Other, "another client had it before"}, {e.Moved, "the session was at another server before"}, {e.Carried, "settings go ahead"}} {
+		if x.is {
+			text += "; " + x.say
+		}
+	}
+	return text
+}
+
 func trace(_ context.Context, c *cli.Command) error {
 	id := c.String("id")
 	hash := xxhash.Sum64String(id)
@@ -88,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	t := &tracer{hash: hash, open: map[*records.Run]map[uint64]bool{}}
+	t := &tracer{hash: hash, open: map[*records.Run]map[uint64]bool{}, whose: map[*records.Run]uint64{}}
 	if err := set.Read(t); err != nil {
 		return err
 	}
--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -31,6 +31,8 @@
 	fleet *fleet.Fleet
 	pool  *pooler
 	addr  string
+
+	endRecords func()
 }
 
 // usual are settings of a pool by transaction.
@@ -74,10 +76,18 @@
 		p.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
 	p.usePooling(set.Pooling)
+	end := p.record(set.Record)
 	launch(t, p)
 	at := make(chan string, 1)
 	p.loop.Post(func() { at <- p.pooledAddr })
-	return &pooledWorld{t, f, p, <-at}
+	var once sync.Once
+	return &pooledWorld{t, f, p, <-at, func() {
+		once.Do(func() {
+			done := make(chan struct{})
+			p.loop.Post(func() { end(); close(done) })
+			<-done
+		})
+	}}
 }
 
 // connect opens a connection with a real driver.
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -84,6 +84,9 @@
 		SegmentBytes: o.SegmentBytes, TotalBytes: o.TotalBytes, Events: o.Queue, FlushMs: o.FlushMs, Pack: o.Pack, Log: p.log,
 		ColdFrom: p.cfg.Settings.ColdFrom, ColdMs: clock.Millis(p.cfg.Settings.ColdTime), GraceMs: clock.Millis(p.cfg.Settings.DrainGrace)})
 	p.core.Record(rec)
+	if p.pooled != nil {
+		p.pooled.Record(rec)
+	}
 	p.gauges = true
 	return func() {
 		p.core.Note(recordpb.Kind_KIND_STOP, "") // the loop has ended
@@ -93,7 +96,11 @@
 
 // gauge records once a second how much there is of what.
 func (p *pooler) gauge() {
-	p.core.Gauge(p.front.Sessions(), p.pool.Conns())
+	sessions, conns := p.front.Sessions(), p.pool.Conns()
+	if p.pooled != nil {
+		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
+	}
+	p.core.Gauge(sessions, conns)
 	p.loop.At(p.loop.Now()+gaugeMs, p.gauge)
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -118,6 +118,9 @@
 	return changed, kept
 }
 
+// Parse reads a configuration's text.
+func Parse(b []byte, env func(string) string) (*Config, error) { return parse(b, env, false) }
+
 func parse(b []byte, env func(string) string, again bool) (*Config, error) {
 	var f file
 	dec := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(b))
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -65,26 +65,11 @@
 
 	mu       sync.Mutex
 	idle     [][]*link
-	sessions map[string]*session
+	sessions Sessions
 	bad      []float64 // until when a pooler is not tried, as the front has noticed
 	wg       sync.WaitGroup
 }
 
-// session is what clients know of the writes of one key.
-type session struct {
-	commit  float64 // of its last write that was served, or a little later
-	counter uint64
-	writes  []written // the newest
-}
-
-// written is a write that was served.
-type written struct {
-	number      uint64
-	sent, acked float64
-}
-
-const keepWrites = 256
-
 // link is a connection to a pooler.
 type link struct {
 	net.Conn
@@ -103,7 +88,7 @@
 // NewPlayer makes a player before the given poolers.
 func NewPlayer(cfg Config, clk clock.Clock, poolers []string, sink Sink) *Player {
 	return &Player{cfg: cfg, clk: clk, sink: sink, poolers: poolers, idle: make([][]*link, len(poolers)),
-		sessions: map[string]*session{}, bad: make([]float64, len(poolers))}
+		sessions: Sessions{}, bad: make([]float64, len(poolers))}
 }
 
 // Play asks all, each at its time, and returns when every ask has had its end. progress is told the number asked.
@@ -175,11 +160,15 @@
 	a, c := t.Ask, t.Class
 	t.ID = fmt.Sprintf("%08x%02x%08x", p.cfg.Seed&0xffffffff, t.No, a.No)
 	if c.Read == Write {
-		t.Wrote = p.counted(a.Key)
+		p.mu.Lock()
+		t.Wrote = p.sessions.Count(a.Key)
+		p.mu.Unlock()
 	}
 	after := 0.0
 	if c.Read == ReadSession {
-		after = p.committed(a.Key)
+		p.mu.Lock()
+		after = p.sessions.Committed(a.Key)
+		p.mu.Unlock()
 	}
 	t.Sent = p.clk.Now()
 	if *first == 0 {
@@ -224,11 +213,10 @@
 	default:
 		t.Kind = Failed
 	}
-	if c.Read == Write && t.Kind == Served {
-		p.wrote(a.Key, written{t.Wrote, t.Sent, t.Ended})
-	}
 	if t.Kind == Served {
-		p.judge(t)
+		p.mu.Lock()
+		p.sessions.Served(t)
+		p.mu.Unlock()
 	}
 	t.Extra = l.in.Buffered() > 0
 	if said.ready && !t.Late && !t.Extra {
@@ -258,98 +246,14 @@
 	return b.String()
 }
 
-// Value is what a session's write of this number writes: who wrote it can be told from it.
-func Value(key string, number uint64) []byte {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(key))
-	return binary.BigEndian.AppendUint64(h.Sum(nil), number)
-}
-
-// Number is the number of the write that wrote a value, and whether it was one of this key's. No value is number 0.
-func Number(key string, value []byte) (uint64, bool) {
-	if len(value) == 0 {
-		return 0, true
-	}
-	if len(value) != 16 || string(value[:8]) != string(Value(key, 0)[:8]) {
-		return 0, false
-	}
-	return binary.BigEndian.Uint64(value[8:]), true
-}
-
-func (p *Player) session(key string) *session {
-	s := p.sessions[key]
-	if s == nil {
-		s = &session{}
-		p.sessions[key] = s
-	}
-	return s
-}
-
-func (p *Player) counted(key string) uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.session(key)
-	s.counter++
-	return s.counter
-}
-
-// committed is the position that a session's read must see, 0 for none.
-func (p *Player) committed(key string) float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.session(key).commit
-}
-
-func (p *Player) wrote(key string, w written) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.session(key)
-	s.commit = max(s.commit, w.acked)
-	s.writes = append(s.writes, w)
-	s.writes = s.writes[max(0, len(s.writes)-keepWrites):]
-}
-
-// judge holds a read's value to what its class allows. A value is too old only where it surely is: another write was
-// sent after the value's own was answered, and had its answer in time for the read.
-func (p *Player) judge(t *Try) {
-	n, ours := Number(t.Ask.Key, t.Value)
-	if t.Class.Read == Write {
-		t.Alien = !ours || n != t.Wrote
-		return
-	}
-	t.Alien = !ours
-	by := t.Sent
-	switch t.Class.Read {
-	case ReadBounded:
-		by -= t.Class.Bound
-	case ReadSession:
-	default:
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.session(t.Ask.Key)
-	got := written{}
-	for _, w := range s.writes {
-		if w.number == n {
-			got = w
-		}
-	}
-	if n != 0 && got.number == 0 {
-		return // never answered, or long ago: its place is not known
-	}
-	for _, w := range s.writes {
-		if w.number != n && w.acked <= by && (n == 0 || got.acked < w.sent) {
-			t.Stale = true
-		}
-	}
-}
-
 // connect finds a connection to the session's pooler, or to another where that is known to be gone.
 func (p *Player) connect(t *Try) *link {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(t.Ask.Key))
 	home := int(h.Sum32() % uint32(len(p.poolers)))
+	if t.Ask.Tag%1000 < uint64(1000*p.cfg.Roams) {
+		home = int(t.Ask.Tag / 1000 % uint64(len(p.poolers)))
+	}
 	for i := range p.poolers {
 		n := (home + i) % len(p.poolers)
 		now := p.clk.Now()
--- a/internal/kit/clients/clients_test.go
+++ b/internal/kit/clients/clients_test.go
@@ -47,10 +47,6 @@
 // TestJudge guards against a stale value that passes, and against a verdict where none can be given.
 func TestJudge(t *testing.T) {
 	key := "k"
-	p := NewPlayer(Defaults(), nil, []string{""}, nil)
-	for _, w := range []written{{1, 10, 20}, {2, 30, 40}, {3, 35, 90}} {
-		p.wrote(key, w)
-	}
 	for name, c := range map[string]struct {
 		read         Read
 		sent         float64
@@ -76,7 +72,7 @@
 		case c.number > 0:
 			try.Value = Value(key, c.number)
 		}
-		p.judge(try)
+		Sessions{key: {writes: []written{{1, 10, 20}, {2, 30, 40}, {3, 35, 90}}}}.Served(try)
 		if try.Stale != c.stale || try.Alien != c.alien {
 			t.Errorf("%s: stale %v, alien %v", name, try.Stale, try.Alien)
 		}
--- a/internal/kit/clients/plan.go
+++ b/internal/kit/clients/plan.go
@@ -3,9 +3,9 @@
 package clients
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 )
 
 // Read says what a class needs; the names are the platform's.
@@ -56,6 +56,7 @@
 	RetryMs   [2]float64 // wait before a retry, where the refusal advises none
 	Patience  [2]float64 // part of the class's deadline after which a try is given up
 	Jumps     []Jump
+	Roams     float64 // part of the tries that go to any pooler, not to their session's
 	IdleMs    float64 // after which a client closes its connection
 	LateAfter float64 // for so long a late answer is still listened for
 }
@@ -82,50 +83,105 @@
 	Tag      uint64    // what a write writes
 }
 
-// Plan draws all first tries ahead, in order. The same configuration gives the same plan.
-func Plan(cfg Config) []Ask {
-	rng := rand.New(rand.NewPCG(cfg.Seed, 2))
-	between := func(r [2]float64) float64 { return r[0] + (r[1]-r[0])*rng.Float64() }
-	var total float64
+// Plan draws all first tries ahead. The same configuration gives the same plan.
+func Plan(cfg Config) (out []Ask) {
+	p := NewPlanner(cfg)
+	for a, ok := p.Next(); ok; a, ok = p.Next() {
+		out = append(out, a)
+	}
+	return out
+}
+
+// Planner draws first tries one by one.
+type Planner struct {
+	cfg   Config
+	rng   *rand.Rand
+	total float64 // of the classes' shares
+	at    float64
+	n     int
+	last  map[int]*recent // by group
+}
+
+// recent are writes that a read may follow.
+type recent struct {
+	list [32]wrote
+	n    int
+}
+
+type wrote struct {
+	no  int
+	at  float64
+	key string
+}
+
+// NewPlanner begins a plan.
+func NewPlanner(cfg Config) *Planner {
+	p := &Planner{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), last: map[int]*recent{}}
 	for _, c := range cfg.Classes {
-		total += c.Share
+		p.total += c.Share
 	}
-	var out []Ask
-	last := map[int][]int{} // by group: numbers of writes that a read may follow
-	for at := 0.0; ; {
-		rate := cfg.Rate
-		for _, j := range cfg.Jumps {
-			if at >= j.From && at < j.To {
-				rate *= j.Times
-			}
-		}
-		if at += rng.ExpFloat64() / rate * 1000; at >= cfg.Seconds*1000 || math.IsNaN(at) {
-			break
-		}
-		x, pick := rng.Float64()*total, 0
-		for pick = 0; pick < len(cfg.Classes)-1 && x >= cfg.Classes[pick].Share; pick++ {
-			x -= cfg.Classes[pick].Share
-		}
-		c := &cfg.Classes[pick]
-		a := Ask{No: len(out), At: at, Class: pick, Group: rng.IntN(max(1, cfg.Groups)), Follows: -1, Tag: rng.Uint64(),
-			Patience: c.Deadline * between(cfg.Patience)}
-		a.Key = fmt.Sprintf("%016x", rng.Uint64())
-		if c.Read != ReadAny {
-			a.Key = fmt.Sprintf("foreman-%d-%d", a.Group, rng.IntN(max(1, cfg.Sessions/max(1, cfg.Groups))))
-		}
-		for range cfg.Retries {
-			a.Waits = append(a.Waits, between(cfg.RetryMs))
+	return p
+}
+
+func (p *Planner) between(r [2]float64) float64 { return r[0] + (r[1]-r[0])*p.rng.Float64() }
+
+// Next draws the next first try, and false at the plan's end. A read that follows a write may be due later than those
+// that are drawn after it, never earlier than At of the draw before.
+func (p *Planner) Next() (Ask, bool) {
+	cfg, rng := &p.cfg, p.rng
+	rate := cfg.Rate
+	for _, j := range cfg.Jumps {
+		if p.at >= j.From && p.at < j.To {
+			rate *= j.Times
 		}
-		switch recent := last[a.Group]; {
-		case c.Read == Write:
-			last[a.Group] = append(recent[max(0, len(recent)-31):], a.No)
-		case c.Read == ReadSession && len(recent) > 0 && rng.Float64() < cfg.Follows:
-			a.Follows = recent[rng.IntN(len(recent))]
-			w := &out[a.Follows]
-			a.Key = w.Key
-			a.At = max(a.At, w.At+rng.ExpFloat64()*cfg.FollowMs)
+	}
+	if p.at += rng.ExpFloat64() / rate * 1000; p.at >= cfg.Seconds*1000 || math.IsNaN(p.at) {
+		return Ask{}, false
+	}
+	x, pick := rng.Float64()*p.total, 0
+	for pick = 0; pick < len(cfg.Classes)-1 && x >= cfg.Classes[pick].Share; pick++ {
+		x -= cfg.Classes[pick].Share
+	}
+	c := &cfg.Classes[pick]
+	a := Ask{No: p.n, At: p.at, Class: pick, Group: rng.IntN(max(1, cfg.Groups)), Follows: -1, Tag: rng.Uint64(),
+		Patience: c.Deadline * p.between(cfg.Patience)}
+	if key := rng.Uint64(); c.Read == ReadAny {
+		a.Key = hexKey(key)
+	} else {
+		a.Key = "foreman-" + strconv.Itoa(a.Group) + "-" + strconv.Itoa(rng.IntN(max(1, cfg.Sessions/max(1, cfg.Groups))))
+	}
+	if cfg.Retries > 0 {
+		a.Waits = make([]float64, cfg.Retries)
+		for i := range a.Waits {
+			a.Waits[i] = p.between(cfg.RetryMs)
 		}
-		out = append(out, a)
 	}
-	return out
+	r := p.last[a.Group]
+	if r == nil {
+		r = &recent{}
+		p.last[a.Group] = r
+	}
+	switch held := min(r.n, len(r.list)); {
+	case c.Read == Write:
+		r.list[r.n%len(r.list)] = wrote{a.No, a.At, a.Key}
+		r.n++
+	case c.Read == ReadSession && held > 0 && rng.Float64() < cfg.Follows:
+		w := &r.list[rng.IntN(held)]
+		a.Follows, a.Key = w.no, w.key
+		a.At = max(a.At, w.at+rng.ExpFloat64()*cfg.FollowMs)
+	}
+	p.n++
+	return a, true
+}
+
+// Drawn is the time up to which all first tries that are due have been drawn.
+func (p *Planner) Drawn() float64 { return p.at }
+
+func hexKey(x uint64) string {
+	var b [16]byte
+	for i := range b {
+		b[15-i] = "0123456789abcdef"[x&15]
+		x >>= 4
+	}
+	return string(b[:])
 }
--- /dev/null
+++ b/internal/kit/clients/sessions.go
@@ -0,0 +1,110 @@
+package clients
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+)
+
+// Sessions is what clients know of the writes of each key. It is not safe for concurrent use.
+type Sessions map[string]*session
+
+type session struct {
+	commit  float64 // of its last write that was served, or a little later
+	counter uint64
+	writes  []written // the newest
+}
+
+// written is a write that was served.
+type written struct {
+	number      uint64
+	sent, acked float64
+}
+
+const keepWrites = 256
+
+func (x Sessions) of(key string) *session {
+	s := x[key]
+	if s == nil {
+		s = &session{}
+		x[key] = s
+	}
+	return s
+}
+
+// Count numbers a key's next write.
+func (x Sessions) Count(key string) uint64 {
+	s := x.of(key)
+	s.counter++
+	return s.counter
+}
+
+// Committed is the position that a session's read must see, 0 for none.
+func (x Sessions) Committed(key string) float64 {
+	if s := x[key]; s != nil {
+		return s.commit
+	}
+	return 0
+}
+
+// Served takes note of a try that was served, and marks in it what its value shows. A value is too old only where it
+// surely is: another write was sent after the value's own was answered, and had its answer in time for the read.
+func (x Sessions) Served(t *Try) {
+	n, ours := Number(t.Ask.Key, t.Value)
+	t.Alien = !ours
+	if t.Class.Read == Write {
+		t.Alien = !ours || n != t.Wrote
+		s := x.of(t.Ask.Key)
+		s.commit = max(s.commit, t.Ended)
+		if len(s.writes) >= 2*keepWrites {
+			s.writes = slices.Delete(s.writes, 0, len(s.writes)-keepWrites)
+		}
+		s.writes = append(s.writes, written{t.Wrote, t.Sent, t.Ended})
+		return
+	}
+	by := t.Sent
+	switch t.Class.Read {
+	case ReadBounded:
+		by -= t.Class.Bound
+	case ReadSession:
+	default:
+		return
+	}
+	s := x[t.Ask.Key]
+	if s == nil {
+		return
+	}
+	writes := s.writes[max(0, len(s.writes)-keepWrites):]
+	got := written{}
+	for _, w := range writes {
+		if w.number == n {
+			got = w
+		}
+	}
+	if n != 0 && got.number == 0 {
+		return // never answered, or long ago: its place is not known
+	}
+	for _, w := range writes {
+		if w.number != n && w.acked <= by && (n == 0 || got.acked < w.sent) {
+			t.Stale = true
+		}
+	}
+}
+
+// Value is what a session's write of this number writes: who wrote it can be told from it.
+func Value(key string, number uint64) []byte {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return binary.BigEndian.AppendUint64(h.Sum(nil), number)
+}
+
+// Number is the number of the write that wrote a value, and whether it was one of this key's. No value is number 0.
+func Number(key string, value []byte) (uint64, bool) {
+	if len(value) == 0 {
+		return 0, true
+	}
+	if len(value) != 16 || string(value[:8]) != string(Value(key, 0)[:8]) {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(value[8:]), true
+}
--- a/internal/kit/console/console.go
+++ b/internal/kit/console/console.go
@@ -39,10 +39,11 @@
 	tabFindings
 	tabTakeovers
 	tabPoolers
+	tabPools
 	tabs
 )
 
-var tabNames = [tabs]string{"servers", "classes", "findings", "takeovers", "poolers"}
+var tabNames = [tabs]string{"servers", "classes", "findings", "takeovers", "poolers", "pools"}
 
 // Model is the console; it is Bubble Tea's.
 type Model struct {
@@ -433,6 +434,8 @@
 		return m.found()
 	case tabTakeovers:
 		return m.takeovers()
+	case tabPools:
+		return m.pools()
 	}
 	return m.poolers()
 }
@@ -561,6 +564,22 @@
 	return rows
 }
 
+func (m *Model) pools() (rows []string) {
+	rows = append(rows, bold.Render(fmt.Sprintf("%-20s %8s %8s %8s %7s %7s %7s %9s %9s %11s %7s", "pool", "sessions", "given", "changed", "moved", "again", "refused",
+		"p50 ms", "p99 ms", "in use", "waiting")))
+	for _, p := range m.view.Pools {
+		rows = append(rows, fmt.Sprintf("%-20s %8d %8d %8d %7d %7d %7d %9.1f %9.1f %5d of %-3d %6d", cut(report.Safe(p.Name), 20), p.Sessions, p.Hands, p.Changed,
+			p.Moved, p.Again, p.Refused, p.WaitP50, p.WaitP99, p.MostUsed, p.Connections, p.MostWaiting))
+		for _, s := range p.Cramped {
+			rows = append(rows, cut(fmt.Sprintf("    cramped from %s for %s", report.Clock(s.From), incident.Span(s.To-s.From)), m.w))
+		}
+	}
+	if len(rows) == 1 {
+		rows = append(rows, "no pools in these records")
+	}
+	return rows
+}
+
 // cut shortens a text to a number of columns.
 func cut(s string, w int) string {
 	if lipgloss.Width(s) <= w {
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"beechgrade/internal/kit/world"
 	"beechgrade/internal/pgwire"
 )
 
@@ -25,13 +26,13 @@
 // conn is a connection that a server accepted.
 type conn struct {
 	net.Conn
-	s    *Server
+	s    *server
 	in   *bufio.Reader
 	gone chan struct{} // the other side has closed
 }
 
 // accept takes connections. A dead server resets them, as one whose process has gone would refuse them.
-func (s *Server) accept() {
+func (s *server) accept() {
 	defer s.f.wg.Done()
 	for {
 		nc, err := s.listener.Accept()
@@ -41,7 +42,7 @@
 		c := &conn{Conn: nc, s: s, in: bufio.NewReader(nc), gone: make(chan struct{})}
 		s.f.mu.Lock()
 		switch {
-		case !s.up || s.f.closed:
+		case !s.Up || s.f.closed:
 			s.f.mu.Unlock()
 			c.reset()
 			continue
@@ -160,10 +161,10 @@
 	return pgwire.Text(body)
 }
 
-func (s *Server) isHung() bool {
+func (s *server) isHung() bool {
 	s.f.mu.Lock()
 	defer s.f.mu.Unlock()
-	return s.hung
+	return s.Hung
 }
 
 // answer works on a statement and returns the whole answer; false where there is none.
@@ -194,148 +195,79 @@
 }
 
 // load is the report of a server, some time old.
-func (s *Server) load() string {
+func (s *server) load() string {
 	f := s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if now := f.clk.Now(); now >= s.nextRep {
-		s.advance(now)
-		s.sampled = report{s.position(now), s.group.primary == s}
-		s.nextRep = now + f.cfg.Report.draw(f.rng)
-	}
+	r := s.Report(f.clk.Now())
 	x1 := "0"
-	if s.sampled.primary {
+	if r.Primary {
 		x1 = "1"
 	}
-	return "x0=" + strconv.FormatFloat(s.sampled.position/1000, 'f', 3, 64) + ",x1=" + x1
+	return "x0=" + strconv.FormatFloat(r.Position/1000, 'f', 3, 64) + ",x1=" + x1
 }
 
-// request queues a client's statement, works on it and reads or writes.
+// reply waits for a job's answer; it is world.Owner.
+type reply chan world.Reply
+
+// Answered is world.Owner's.
+func (r reply) Answered(_ *world.Job, x world.Reply) { r <- x }
+
+// request has the model work on a client's statement, and words its answer.
 func (c *conn) request(sql string, st *pgwire.Statement) ([]byte, bool) {
 	s, f := c.s, c.s.f
-	refuse := func(code, text string) ([]byte, bool) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return s.told(pgwire.AppendError(nil, "ERROR", code, text, ""), 0), true
+	answer := make(reply, 1)
+	j := &world.Job{ID: st.ID, Writes: st.Writes, Key: st.Key, Owner: answer}
+	if st.Writes {
+		j.Value = literal(sql)
 	}
 	f.mu.Lock()
 	now := f.clk.Now()
-	work := 5.0
-	if r, ok := f.cfg.Work[st.Class]; ok {
-		work = r.draw(f.rng)
-	}
+	j.Work = f.world.Work(st.Class)
 	if s.drainTold != 0 && now-s.drainTold > f.cfg.GraceMs+wayMs && len(f.late) < maxLate {
-		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.group.id, What: "was sent " + st.ID + " while it drains"})
-	}
-	switch {
-	case st.Writes && s.group.primary != s:
-		f.mu.Unlock()
-		return refuse("25006", "this is no primary")
-	case s.draining:
-		f.mu.Unlock()
-		return refuse("53300", "draining")
-	case s.push(now, work):
-		s.fallen = true
-		s.die(now, "was pushed over while cold")
-		f.mu.Unlock()
-		return nil, false
+		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.Group.ID, What: "was sent " + st.ID + " while it drains"})
 	}
-	if s.working >= f.cfg.Cores {
-		if len(s.queue) >= f.cfg.Queue {
-			f.mu.Unlock()
-			return refuse("53300", "queue full")
-		}
-		turn := make(chan struct{})
-		s.queue = append(s.queue, turn)
-		f.mu.Unlock()
-		select {
-		case <-turn: // the core is handed on; or the server died, and with it this connection
-		case <-c.gone:
-			s.leave(turn)
-			return nil, false
-		}
-		f.mu.Lock()
-	} else {
-		s.working++
+	if f.watcher != nil && s.Takes(j) {
+		f.watcher.Took(s.No, s.Started, st.ID, j.Work, now)
 	}
-	speed := s.warmth(f.clk.Now()) * s.left
+	s.Take(j)
 	f.mu.Unlock()
-	pause := time.NewTimer(time.Duration(work / speed * float64(time.Millisecond)))
-	defer pause.Stop()
+	var x world.Reply
 	select {
-	case <-pause.C:
-	case <-c.gone: // work stops when its request is cancelled
-		s.free1()
+	case x = <-answer:
+	case <-c.gone: // work stops when its request is cancelled; what is never answered ends here too
+		f.mu.Lock()
+		j.Cancel()
+		f.mu.Unlock()
 		return nil, false
 	}
-	s.free1()
-	if s.isHung() {
-		return nil, c.starve()
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !s.up || !s.conns[c] {
+	switch x.Verdict {
+	case world.Fallen:
 		return nil, false
-	}
-	now = f.clk.Now()
-	s.advance(now)
-	s.served++
-	if !st.Writes {
-		at := s.position(now)
-		return s.told(pgwire.AppendComplete(pgwire.AppendRow(nil, "content", s.read(st.Key)), "SELECT 1"), at), true
-	}
-	if s.group.primary != s || s.group.lostAt != 0 { // it handed over meanwhile
-		return s.told(pgwire.AppendError(nil, "ERROR", "XX000", "handed over", ""), 0), true
-	}
-	if len(f.ran) < maxRan {
-		if f.ran[st.ID]++; f.ran[st.ID] > 1 {
-			f.twice = append(f.twice, st.ID)
-		}
-	}
-	value := literal(sql)
-	commit := s.group.write(now, st.Key, value, f.cfg.Apply)
-	return s.told(pgwire.AppendComplete(pgwire.AppendRow(nil, "content", value), "INSERT 0 1"), commit), true
-}
-
-// free1 hands a core on.
-func (s *Server) free1() {
-	s.f.mu.Lock()
-	defer s.f.mu.Unlock()
-	if len(s.queue) > 0 {
-		close(s.queue[0])
-		s.queue = s.queue[1:]
-		return
-	}
-	s.working = max(0, s.working-1)
-}
-
-// leave takes one that waits out of the queue; where it was just handed a core, that goes on.
-func (s *Server) leave(turn chan struct{}) {
-	s.f.mu.Lock()
-	for i, w := range s.queue {
-		if w == turn {
-			s.queue = append(s.queue[:i:i], s.queue[i+1:]...)
-			s.f.mu.Unlock()
-			return
-		}
-	}
-	s.f.mu.Unlock()
-	s.free1()
+	case world.NotPrimary:
+		return s.told(pgwire.AppendError(nil, "ERROR", "25006", "this is no primary", ""), x), true
+	case world.Drains:
+		return s.told(pgwire.AppendError(nil, "ERROR", "53300", "draining", ""), x), true
+	case world.QueueFull:
+		return s.told(pgwire.AppendError(nil, "ERROR", "53300", "queue full", ""), x), true
+	case world.HandedOver:
+		return s.told(pgwire.AppendError(nil, "ERROR", "XX000", "handed over", ""), x), true
+	}
+	tag := "SELECT 1"
+	if st.Writes {
+		tag = "INSERT 0 1"
+	}
+	return s.told(pgwire.AppendComplete(pgwire.AppendRow(nil, "content", x.Value), tag), x), true
 }
 
 // told ends an answer with the server's role and position, and ReadyForQuery.
-func (s *Server) told(b []byte, at float64) []byte {
+func (s *server) told(b []byte, x world.Reply) []byte {
 	role := "replica"
-	if s.group.primary == s {
+	if x.Primary {
 		role = "primary"
 	}
-	if at == 0 {
-		now := s.f.clk.Now()
-		s.advance(now)
-		at = s.position(now)
-	}
 	b = pgwire.AppendParameter(b, "role", role)
-	b = pgwire.AppendParameter(b, "applied_ms", strconv.FormatInt(int64(math.Floor(at)), 10))
+	b = pgwire.AppendParameter(b, "applied_ms", strconv.FormatInt(int64(math.Floor(x.Position)), 10))
 	return pgwire.AppendReady(b)
 }
 
--- a/internal/kit/fleet/session.go
+++ b/internal/kit/fleet/session.go
@@ -123,7 +123,7 @@
 	x.settings = x.initial()
 	f.mu.Lock()
 	f.lastPID++
-	x.pid, x.key = f.lastPID, f.rng.Uint32()
+	x.pid, x.key = f.lastPID, f.world.Uint32()
 	f.fulls[x.pid] = x
 	f.watch.Sessions++
 	f.watch.Open++
@@ -178,8 +178,7 @@
 	f, s := x.c.s.f, x.c.s
 	f.mu.Lock()
 	now := f.clk.Now()
-	s.advance(now)
-	at, role := math.Floor(s.position(now)), s.role()
+	at, role := math.Floor(s.Position(now)), s.Role()
 	if x.committed > 0 {
 		at = x.committed
 		x.committed = 0
@@ -244,6 +243,9 @@
 	case *pgproto3.Sync:
 		x.skip = false
 		x.endImplicit(nil)
+		if x.status == 'I' { // no portal outlives its transaction
+			clear(x.portals)
+		}
 		x.ready()
 		return x.be.Flush() == nil
 	case *pgproto3.Flush:
@@ -292,6 +294,9 @@
 		}
 	}
 	x.endImplicit(nil)
+	if x.status == 'I' {
+		clear(x.portals)
+	}
 	x.ready()
 	return x.be.Flush() == nil
 }
@@ -460,8 +465,8 @@
 	f, s := x.c.s.f, x.c.s
 	f.mu.Lock()
 	for _, w := range x.writes {
-		if s.group.primary == s {
-			x.committed = s.group.write(f.clk.Now(), w.key, w.value, f.cfg.Apply)
+		if s.Group.Primary == s.Server {
+			x.committed = s.Group.Write(f.clk.Now(), w.key, w.value)
 		}
 	}
 	f.mu.Unlock()
@@ -653,7 +658,7 @@
 	f, s := x.c.s.f, x.c.s
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.group.primary != s || x.readOnly {
+	if s.Group.Primary != s.Server || x.readOnly {
 		return fail("25006", "cannot execute INSERT in a read-only transaction")
 	}
 	return nil
@@ -669,8 +674,8 @@
 	f, s := x.c.s.f, x.c.s
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.advance(f.clk.Now())
-	v := s.read(key)
+	_ = s.Position(f.clk.Now()) // applies what has come
+	v := s.Read(key)
 	if v == nil {
 		return "SELECT 0", [][]byte{}, nil
 	}
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -49,6 +49,7 @@
 	byName  map[string]*class
 	groups  map[int64]*group
 	servers map[string]*server
+	pools   map[string]*pool
 	chains  map[chainKey][]*chain
 	waiting queue // chains that wait for a retry, oldest first
 	nChains int
@@ -147,7 +148,7 @@
 // New makes an empty model.
 func New() *Model {
 	return &Model{runs: map[*records.Run]*run{}, poolers: map[string]*pooler{}, byName: map[string]*class{}, groups: map[int64]*group{},
-		servers: map[string]*server{}, chains: map[chainKey][]*chain{}, width: firstCellMs, byKind: map[string]int{}, causes: map[string]*Cause{}}
+		servers: map[string]*server{}, pools: map[string]*pool{}, chains: map[chainKey][]*chain{}, width: firstCellMs, byKind: map[string]int{}, causes: map[string]*Cause{}}
 }
 
 // Begin is records.Sink's.
@@ -215,6 +216,7 @@
 		m.giveUp(x, x.open[n], x.last)
 	}
 	x.pooler.ordered = ordered
+	m.endPools(x)
 	if !ordered {
 		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
 			Text: fmt.Sprintf("its records end without a stop; %d requests had no answer by then", len(left))})
@@ -276,6 +278,12 @@
 		m.find(Finding{At: e.At, Kind: "stop", Pooler: r.Pooler, Text: "stopped in order"})
 	case recordpb.Kind_KIND_RELOAD:
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
+	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
+		m.onSession(e, e.Kind == recordpb.Kind_KIND_SESSION_END)
+	case recordpb.Kind_KIND_HAND:
+		m.onHand(e)
+	case recordpb.Kind_KIND_POOL:
+		m.onPool(x, e)
 	case recordpb.Kind_KIND_LOST:
 		m.lost += e.Lost
 		x.pooler.Lost += e.Lost
@@ -580,6 +588,9 @@
 	for _, s := range m.servers {
 		s.widen()
 	}
+	for _, p := range m.pools {
+		p.widen()
+	}
 }
 
 // find keeps a finding, within the bounds.
--- /dev/null
+++ b/internal/kit/incident/pools.go
@@ -0,0 +1,271 @@
+package incident
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"beechgrade/internal/record"
+)
+
+// Bounds on what is told of pools.
+const (
+	maxPools    = 500
+	crampedMs   = 1000 // gauges in a row with all connections in use and clients waiting: the pool is cramped
+	gaugeGapMs  = 3000 // between two gauges: what lay between is not known
+	maxEnds     = 40   // codes with which sessions ended
+	stormPart   = 0.5  // of a pool's sessions that end within stormMs: a storm
+	stormMs     = 1000
+	stormLeast  = 20
+	restOfPools = "(other pools)"
+)
+
+// PoolView is a pool of server connections for ordinary clients, over all poolers.
+type PoolView struct {
+	Name        string            `json:"name"`
+	Sessions    uint64            `json:"sessions"`
+	Ended       uint64            `json:"ended"`
+	Ends        map[string]uint64 `json:"ended_by_pooler,omitempty"` // by SQLSTATE
+	Hands       uint64            `json:"connections_given"`
+	Changed     uint64            `json:"changed_hands"` // of them, those that another client had had
+	Moved       uint64            `json:"moved_to_another_server"`
+	Carried     uint64            `json:"settings_carried"`
+	Refused     uint64            `json:"no_connection"`
+	Again       uint64            `json:"begun_again"`
+	WaitP50     float64           `json:"wait_p50_ms"`
+	WaitP99     float64           `json:"wait_p99_ms"`
+	WaitMost    float64           `json:"wait_most_ms"`
+	WaitMostAt  float64           `json:"wait_most_at_ms"`
+	MostClients int64             `json:"most_clients"`
+	MostUsed    int64             `json:"most_used"`
+	MostWaiting int64             `json:"most_waiting"`
+	Connections int64             `json:"connections_allowed"` // of one pooler
+	Cramped     []Stretch         `json:"cramped,omitempty"`
+}
+
+// PoolSeries is a pool over time: the most of each stretch, all poolers together.
+type PoolSeries struct {
+	Waiting []uint32 `json:"waiting"`
+	Used    []uint32 `json:"used"`
+	Moved   []uint32 `json:"moved"`
+}
+
+// pool is what the model keeps of one.
+type pool struct {
+	PoolView
+	waits   times
+	at      map[*run]*poolNow
+	cells   []poolCell
+	ended   burst
+	refused burst
+}
+
+// poolNow is a pool of one pooler as its last gauge told.
+type poolNow struct {
+	at            float64
+	waiting, used uint32
+	crampedFrom   float64 // 0 where it is not
+}
+
+type poolCell struct{ waiting, used, moved uint32 }
+
+// burst counts what comes close together.
+type burst struct {
+	from, last float64
+	n          int
+}
+
+// add counts one more, and returns the burst that ended before it.
+func (b *burst) add(at, gap float64) (ended burst) {
+	if b.n > 0 && at-b.last > gap {
+		ended, *b = *b, burst{}
+	}
+	if b.n == 0 {
+		b.from = at
+	}
+	b.n++
+	b.last = at
+	return ended
+}
+
+func (m *Model) pool(name string) *pool {
+	p := m.pools[name]
+	if p == nil {
+		if len(m.pools) >= maxPools && name != restOfPools {
+			return m.pool(restOfPools)
+		}
+		p = &pool{PoolView: PoolView{Name: name, Ends: map[string]uint64{}}, at: map[*run]*poolNow{}}
+		m.pools[name] = p
+	}
+	return p
+}
+
+func (p *pool) cell(m *Model, at float64) *poolCell {
+	i := m.index(at)
+	for len(p.cells) <= i {
+		p.cells = append(p.cells, poolCell{})
+	}
+	return &p.cells[i]
+}
+
+func (p *pool) widen() {
+	n := (len(p.cells) + 1) / 2
+	for i := range n {
+		a := p.cells[2*i]
+		if 2*i+1 < len(p.cells) {
+			b := p.cells[2*i+1]
+			a = poolCell{max(a.waiting, b.waiting), max(a.used, b.used), a.moved + b.moved}
+		}
+		p.cells[i] = a
+	}
+	p.cells = p.cells[:n]
+}
+
+func (m *Model) onSession(e *record.Event, ended bool) {
+	p := m.pool(e.Pool)
+	if !ended {
+		p.Sessions++
+		return
+	}
+	p.Ended++
+	if e.Text == "" {
+		return
+	}
+	if _, ok := p.Ends[e.Text]; !ok && len(p.Ends) >= maxEnds {
+		e.Text = "other"
+	}
+	p.Ends[e.Text]++
+	m.storm(p, p.ended.add(e.At, stormMs))
+}
+
+// storm tells of many sessions that the pooler ended within a short time.
+func (m *Model) storm(p *pool, b burst) {
+	if b.n >= stormLeast && float64(b.n) >= stormPart*float64(p.MostClients) {
+		m.find(Finding{At: b.from, To: b.last, Kind: "sessions ended", Grave: true,
+			Text: fmt.Sprintf("pool %s: the pooler ended %d sessions within %s", p.Name, b.n, Span(max(1, b.last-b.from)))})
+	}
+}
+
+func (m *Model) onHand(e *record.Event) {
+	p := m.pool(e.Pool)
+	switch e.How {
+	case record.HandRefused:
+		p.Refused++
+		m.turned(p, p.refused.add(e.At, stormMs))
+		return
+	case record.HandAgain:
+		p.Again++
+		return
+	}
+	p.Hands++
+	p.waits.add(e.Took)
+	if e.Took > p.WaitMost {
+		p.WaitMost, p.WaitMostAt = e.Took, e.At
+	}
+	if e.Other {
+		p.Changed++
+	}
+	if e.Carried {
+		p.Carried++
+	}
+	if e.Moved {
+		p.Moved++
+		p.cell(m, e.At).moved++
+	}
+}
+
+func (m *Model) turned(p *pool, b burst) {
+	if b.n > 0 {
+		m.find(Finding{At: b.from, To: b.last, Kind: "no connection", Grave: true,
+			Text: fmt.Sprintf("pool %s: %d transactions found no connection in time", p.Name, b.n)})
+	}
+}
+
+func (m *Model) onPool(x *run, e *record.Event) {
+	p, h := m.pool(e.Pool), &e.Holds
+	p.MostClients, p.MostUsed, p.MostWaiting = max(p.MostClients, int64(h.Clients)), max(p.MostUsed, int64(h.Used)), max(p.MostWaiting, int64(h.Waiting))
+	p.Connections = int64(h.Most)
+	now := p.at[x]
+	if now == nil {
+		now = &poolNow{}
+		p.at[x] = now
+	}
+	if now.at > 0 && e.At-now.at > gaugeGapMs {
+		p.uncramp(m, x, now, now.at)
+	}
+	now.at, now.waiting, now.used = e.At, uint32(max(0, h.Waiting)), uint32(max(0, h.Used))
+	switch cramped := h.Waiting > 0 && h.Used >= h.Most; {
+	case cramped && now.crampedFrom == 0:
+		now.crampedFrom = e.At
+	case !cramped:
+		p.uncramp(m, x, now, e.At)
+	}
+	c := p.cell(m, e.At)
+	var waiting, used uint32
+	for _, o := range p.at {
+		waiting, used = waiting+o.waiting, used+o.used
+	}
+	c.waiting, c.used = max(c.waiting, waiting), max(c.used, used)
+}
+
+// uncramp ends a time in which all connections of a pool were in use while clients waited.
+func (p *pool) uncramp(m *Model, x *run, now *poolNow, at float64) {
+	from := now.crampedFrom
+	now.crampedFrom = 0
+	if from == 0 || at-from < crampedMs {
+		return
+	}
+	if len(p.Cramped) < maxSpans {
+		p.Cramped = append(p.Cramped, Stretch{From: from, To: at})
+	}
+	m.find(Finding{At: from, To: at, Kind: "pool cramped", Pooler: x.Pooler,
+		Text: fmt.Sprintf("pool %s: all %d connections in use and clients waiting for %s", p.Name, p.Connections, Span(at-from))})
+}
+
+// endPools ends what a run's pools were in.
+func (m *Model) endPools(x *run) {
+	for _, p := range m.sortedPools() {
+		if now := p.at[x]; now != nil {
+			p.uncramp(m, x, now, now.at)
+			delete(p.at, x)
+		}
+	}
+}
+
+func (m *Model) sortedPools() []*pool {
+	out := make([]*pool, 0, len(m.pools))
+	for _, p := range m.pools {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *pool) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// finishPools tells of what was still going on.
+func (m *Model) finishPools() {
+	for _, p := range m.sortedPools() {
+		m.turned(p, p.refused)
+		m.storm(p, p.ended)
+		p.refused, p.ended = burst{}, burst{}
+	}
+}
+
+// pools puts the pools into the view.
+func (v *View) pools(m *Model, cells int) {
+	v.Series.Pools = map[string]PoolSeries{}
+	for _, p := range m.sortedPools() {
+		x := p.PoolView
+		x.Ends = map[string]uint64{}
+		for k, n := range p.Ends {
+			x.Ends[k] = n
+		}
+		x.Cramped = slices.Clone(p.Cramped)
+		x.WaitP50, x.WaitP99 = p.waits.quantile(50), p.waits.quantile(99)
+		v.Pools = append(v.Pools, x)
+		s := PoolSeries{Waiting: make([]uint32, cells), Used: make([]uint32, cells), Moved: make([]uint32, cells)}
+		for i, c := range p.cells {
+			s.Waiting[i], s.Used[i], s.Moved[i] = c.waiting, c.used, c.moved
+		}
+		v.Series.Pools[p.Name] = s
+	}
+}
--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -25,6 +25,7 @@
 	Poolers  []PoolerView    `json:"poolers"`
 	Groups   []GroupView     `json:"groups"`
 	Servers  []ServerView    `json:"servers"`
+	Pools    []PoolView      `json:"pools,omitempty"`
 	Causes   []Cause         `json:"causes"`
 	Findings []Finding       `json:"findings"`
 	Unlisted uint64          `json:"findings_not_listed"`
@@ -179,6 +180,7 @@
 	WidthMs float64                 `json:"width_ms"`
 	Classes []ClassSeries           `json:"classes"`
 	Servers map[string]ServerSeries `json:"servers"`
+	Pools   map[string]PoolSeries   `json:"pools,omitempty"`
 }
 
 // ClassSeries is a class over time.
@@ -223,6 +225,7 @@
 	for r := range m.runs {
 		m.End(r, true)
 	}
+	m.finishPools()
 	for ch := m.waiting.first(); ch != nil; ch = m.waiting.first() {
 		m.waiting.pop()
 		ch.queued = false
@@ -400,6 +403,7 @@
 		}
 		v.Series.Servers[s.Name] = x
 	}
+	v.pools(m, n)
 }
 
 // LostWorth is the worth that was asked for and not got.
--- a/internal/kit/records/records.go
+++ b/internal/kit/records/records.go
@@ -478,11 +478,24 @@
 		Whole: x.Whole, Class: int32(x.Class), Attempt: int32(x.Attempt), Group: x.Group, Request: x.Request,
 		Session: x.Session, ID: x.Id, Took: ms(int64(x.TookUs)), Left: ms(int64(x.LeftUs)), Wait: ms(int64(x.WaitUs)),
 		Reason: record.Reason(x.Reason), Number: x.Number, Text: x.Text}
-	if x.Server != 0 {
-		if int(x.Server) > len(st.names) {
-			return fmt.Errorf("%w: server %d of %d names", record.ErrCorrupt, x.Server, len(st.names))
+	for _, n := range []struct {
+		to     *string
+		number uint32
+	}{{&e.Server, x.Server}, {&e.Pool, x.Pool}} {
+		switch {
+		case n.number == 0:
+		case int(n.number) > len(st.names):
+			return fmt.Errorf("%w: name %d of %d", record.ErrCorrupt, n.number, len(st.names))
+		default:
+			*n.to = st.names[n.number-1]
 		}
-		e.Server = st.names[x.Server-1]
+	}
+	if h := x.Hand; h != nil {
+		e.How, e.Other, e.Moved, e.Carried = uint8(h.How), h.Other, h.Moved, h.Carried
+	}
+	if h := x.Held; h != nil {
+		e.Holds = record.PoolHolds{Clients: int32(h.Clients), Idle: int32(h.Idle), Used: int32(h.Used), Connecting: int32(h.Connecting),
+			Waiting: int32(h.Waiting), LongestMs: ms(int64(h.LongestUs)), Most: int32(h.Most)}
 	}
 	if x.Positioned {
 		e.Position = ms(at - x.BehindUs)
--- a/internal/kit/rehearse/pooling.go
+++ b/internal/kit/rehearse/pooling.go
@@ -19,6 +19,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/scenario"
 )
 
 // PoolingOptions say how the pooling front is measured.
@@ -50,6 +51,9 @@
 	Executions    int     `json:"executions"`
 	Preparations  int     `json:"preparations"`
 	PreparedShare float64 `json:"preparations_per_execution"`
+	WarmRuns      int     `json:"warm_executions"`
+	WarmPrepared  int     `json:"warm_preparations"` // in the second half
+	WarmShare     float64 `json:"warm_preparations_per_execution"`
 	Syncs         int     `json:"settings_round_trips"`
 	Transactions  int     `json:"transactions"`
 	Waiting       int     `json:"takeover_waiting"`
@@ -62,7 +66,7 @@
 
 // MeasurePooling measures the pooling front side by side with the stand-ins reached directly.
 func MeasurePooling(ctx context.Context, o PoolingOptions) (*PoolingResult, error) {
-	s, err := Parse("pooling", []byte(`(rehearsal "pooling" (groups 3) (detect 400ms 500ms) (elect 400ms 500ms) (list 50ms 100ms) (roles 100ms 200ms) (cold 1s))`))
+	s, err := scenario.Parse("pooling", []byte(`(rehearsal "pooling" (groups 3) (detect 400ms 500ms) (elect 400ms 500ms) (list 50ms 100ms) (roles 100ms 200ms) (cold 1s))`))
 	if err != nil {
 		return nil, err
 	}
@@ -332,6 +336,14 @@
 	h := newHist()
 	errs := make(chan error, len(conns))
 	until := time.Now().Add(b.span(2))
+	half := make(chan [2]int, 1)
+	go func() { // by then all is warm
+		time.Sleep(b.span(1))
+		mu.Lock()
+		n := int(h.TotalCount())
+		mu.Unlock()
+		half <- [2]int{b.r.fleet.Watched().Preparations, n}
+	}()
 	for i, c := range conns {
 		wg.Add(1)
 		go func() {
@@ -364,6 +376,9 @@
 	r := b.res
 	r.ManyClients, r.ManyServed, r.ManyP99, r.ManyConns = len(conns), h.TotalCount(), quantile(h, 99), now.MostOpen
 	r.Executions, r.Preparations = int(r.ManyServed), now.Preparations-was.Preparations // texts that carry settings are no executions
+	warm := <-half
+	r.WarmPrepared, r.WarmRuns = now.Preparations-warm[0], int(r.ManyServed)-warm[1]
+	r.WarmShare = float64(r.WarmPrepared) / float64(max(1, r.WarmRuns))
 	r.PreparedShare = float64(r.Preparations) / float64(max(1, r.Executions))
 	return b.stats(ctx)
 }
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -18,10 +17,11 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"beechgrade/internal/clock"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/score"
+	"beechgrade/internal/kit/world"
 )
 
 const (
@@ -83,7 +83,7 @@
 
 // Run is a rehearsal that is under way.
 type Run struct {
-	script  *Script
+	script  *scenario.Script
 	opt     Options
 	clk     clock.Clock
 	fleet   *fleet.Fleet
@@ -94,7 +94,10 @@
 }
 
 // Play runs a rehearsal from its start to its end.
-func Play(ctx context.Context, s *Script, opt Options) (*Result, error) {
+func Play(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
+	if err := s.OnSockets(); err != nil {
+		return nil, err
+	}
 	if _, err := os.Stat(filepath.Join(opt.Out, ResultFile)); err == nil {
 		return nil, fmt.Errorf("%s: holds a rehearsal already", opt.Out)
 	}
@@ -222,7 +225,7 @@
 func (l *log) close() error { return errors.Join(l.err, l.out.Flush(), l.file.Close()) }
 
 // strike carries a fault out at its time, and ends it.
-func (r *Run) strike(ctx context.Context, f Fault) error {
+func (r *Run) strike(ctx context.Context, f scenario.Fault) error {
 	if f.What == "load" || !pause(ctx, f.At) {
 		return nil
 	}
@@ -235,9 +238,9 @@
 		}
 		return nil
 	case "list-gone":
-		r.fleet.ListGone(true)
+		r.listGone(true)
 		if f.For > 0 && pause(ctx, f.For) {
-			r.fleet.ListGone(false)
+			r.listGone(false)
 		}
 		return nil
 	case "kill-pooler":
@@ -247,6 +250,10 @@
 			return p.start(ctx)
 		}
 		return nil
+	case "restart-pooler":
+		p := r.poolers[f.Target.Group]
+		p.stop(syscall.SIGTERM)
+		return p.start(ctx)
 	}
 	names := r.targets(f.Target)
 	begin, end := r.acts(f)
@@ -265,48 +272,28 @@
 	return nil
 }
 
+func (r *Run) listGone(gone bool) {
+	_ = r.fleet.Act(func(w *world.World) error { w.ListGone(gone); return nil })
+}
+
 // acts are what a fault does to a server, and what ends it.
-func (r *Run) acts(f Fault) (begin, end func(string) error) {
-	switch f.What {
-	case "die":
-		return r.fleet.Kill, r.fleet.Revive
-	case "hang":
-		return r.fleet.Hang, r.fleet.Unhang
-	case "drain":
-		return r.fleet.Drain, r.fleet.Undrain
-	case "crowd":
-		return func(n string) error { return r.fleet.Crowd(n, f.Value) }, func(n string) error { return r.fleet.Crowd(n, 1) }
-	default:
-		return func(n string) error { return r.fleet.Lag(n, f.Value) }, func(n string) error { return r.fleet.Lag(n, 1) }
+func (r *Run) acts(f scenario.Fault) (begin, end func(string) error) {
+	on := func(do func(w *world.World, name string) error) func(string) error {
+		return func(name string) error {
+			return r.fleet.Act(func(w *world.World) error { return do(w, name) })
+		}
 	}
+	b, e := f.Acts()
+	return on(b), on(e)
 }
 
-func (r *Run) targets(t Target) (names []string) {
-	for g, n := range r.script.Fleet.Groups {
-		if t.Kind != "primaries" && t.Kind != "everyone" && g != t.Group {
-			continue
+func (r *Run) targets(t scenario.Target) (names []string) {
+	_ = r.fleet.Act(func(w *world.World) error {
+		for _, s := range t.Of(w) {
+			names = append(names, s.Name)
 		}
-		primary := r.fleet.Primary(g)
-		for k := range n {
-			name := fmt.Sprintf("s-%d-%d", g, k)
-			switch t.Kind {
-			case "primary", "primaries":
-				if name == primary {
-					names = append(names, name)
-				}
-			case "replica":
-				if name != primary {
-					return append(names, name)
-				}
-			case "member":
-				if k == t.Member {
-					names = append(names, name)
-				}
-			default:
-				names = append(names, name)
-			}
-		}
-	}
+		return nil
+	})
 	return names
 }
 
@@ -437,38 +424,6 @@
 
 // config is what the platform would tell the pooler.
 func (p *pooler) config() map[string]any {
-	s := p.run.script
-	ns := func(ms float64) int64 { return int64(ms * 1e6) }
-	var classes []map[string]any
-	var reads []string
-	var bounds []int64
-	for _, c := range s.Clients.Classes {
-		effect := "retryable"
-		if c.Read == clients.Write {
-			effect = "fragile"
-		}
-		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
-			"points": c.Worth, "late_worth": c.LateWorth})
-		reads, bounds = append(reads, string(c.Read)), append(bounds, ns(c.Bound))
-	}
-	known := p.run.fleet.List()
-	if known.Instances == nil {
-		known.Instances = []discovery.Instance{}
-	}
-	return map[string]any{
-		"name": p.name, "listen": p.addr, "discovery": p.run.fleet.Discovery(), "seed": strconv.FormatUint(p.run.opt.Seed^uint64(len(p.name)), 16),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": max(1024, p.run.sockets)}, "known": known,
-		"settings": map[string]any{
-			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": 0, "zones": []string{"room"}, "kinds": []string{"padrao-4"},
-			"weights": "nominal", "membership_mode": "ask",
-			"allowed": map[string]any{"connect_timeout_ns": 250000000, "idle_close_ns": 30000000000, "max_attempts": 8, "max_retry_after_ns": 2000000000,
-				"may_cancel": true, "may_duplicate": true, "probes": true, "retry_after": true},
-			"family_info": map[string]any{"class_read": reads, "staleness_bound_ns": bounds, "shows_role": "trailing", "tells_position": true,
-				"tokens": "brought", "when_behind": "none"},
-			"invariants": map[string]any{"cold_from": s.Fleet.ColdBy, "cold_ns": ns(s.Fleet.ColdMs), "drain_grace_ns": 250000000,
-				"fall_multiple": s.Fleet.Falls, "tip_after_ns": ns(s.Fleet.FallsMs)},
-			"prices": map[string]any{"probe": 0.018}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
-			"request_classes": classes,
-		},
-	}
+	r := p.run
+	return r.script.Told(p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, r.fleet.List())
 }
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -20,10 +20,11 @@
 	chartW, chartH = 900.0, 180.0
 	smallW, smallH = 320.0, 90.0
 	laneW, laneH   = 900.0, 14.0
-	maxColumns     = 450    // points of a line, and stretches of a server's lane
-	maxStretches   = 30000  // of all lanes together
-	maxRows        = 400    // findings that are listed
-	maxListed      = 200    // unknown requests, returns, gaps that are listed
+	maxColumns     = 450   // points of a line, and stretches of a server's lane
+	maxStretches   = 30000 // of all lanes together
+	maxRows        = 400   // findings that are listed
+	maxListed      = 200   // unknown requests, returns, gaps that are listed
+	maxPoolCharts  = 24
 	minLane        = 40     // columns of a lane, however many servers there are
 	lagLine        = 1000.0 // ms behind that fill a lane
 )
@@ -69,12 +70,19 @@
 	Lanes []Lane
 }
 
+// PoolChart is a pool with its clients that wait and its connections in use over time.
+type PoolChart struct {
+	incident.PoolView
+	Chart Chart
+}
+
 type pageData struct {
 	V            *incident.View
 	Title        string
 	Service      Chart
 	Counts       Chart
 	Classes      []Chart
+	Pools        []PoolChart
 	Groups       []GroupLanes
 	Axis         []Tick
 	LaneW, LaneH float64
@@ -97,6 +105,7 @@
 		"share": func(x, of float64) string { return share(x, of) },
 		"kb":    func(n int64) string { return strconv.FormatFloat(float64(n)/(1<<20), 'f', 1, 64) + " MB" },
 		"date":  date,
+		"ends":  Ends,
 		"add":   func(a, b float64) float64 { return a + b },
 		"sub":   func(a, b float64) float64 { return a - b },
 		"count": func(n int) uint64 { return uint64(n) },
@@ -180,6 +189,18 @@
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Refused[i]) }),
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Failed[i]) }),
 		rate(func(c *incident.ClassSeries, i int) float64 { return float64(c.Repeats[i]) }))
+	for _, p := range d.V.Pools {
+		x := PoolChart{PoolView: p}
+		if len(d.Pools) < maxPoolCharts {
+			w, u := make([]float64, n), make([]float64, n)
+			series := s.Pools[p.Name]
+			columns(len(series.Waiting), n, func(col, i int) {
+				w[col], u[col] = max(w[col], float64(series.Waiting[i])), max(u[col], float64(series.Used[i]))
+			})
+			x.Chart = d.chart(smallW, smallH, 2, Safe(p.Name), "", 0, []string{"clients waiting", "connections in use"}, []string{"l1", "l0"}, w[:used], u[:used])
+		}
+		d.Pools = append(d.Pools, x)
+	}
 	for k, c := range s.Classes {
 		if k < 12 {
 			d.Classes = append(d.Classes, d.chart(smallW, smallH, 2, Safe(c.Name), "", 1, []string{"service"}, []string{"l0"}, ratio(k)))
--- a/internal/kit/report/text.go
+++ b/internal/kit/report/text.go
@@ -2,9 +2,12 @@
 package report
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -42,6 +45,7 @@
 		})
 	}
 	gaps(b, v)
+	pools(b, v)
 	var returns []incident.Return
 	for _, s := range v.Servers {
 		returns = append(returns, s.Returns...)
@@ -104,6 +108,29 @@
 	})
 }
 
+func pools(b *strings.Builder, v *incident.View) {
+	if len(v.Pools) == 0 {
+		return
+	}
+	b.WriteString("\n")
+	table(b, func(t io.Writer) {
+		fmt.Fprintln(t, "pool\tsessions\tended by pooler\tgiven\tchanged hands\tmoved\tsettings carried\tbegun again\tno connection\twait p50 ms\tp99 ms\tmost ms\tmost in use\tmost waiting")
+		for _, p := range v.Pools {
+			fmt.Fprintf(t, "%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d of %d\t%d\n", Safe(p.Name), p.Sessions, Ends(p), p.Hands, p.Changed, p.Moved,
+				p.Carried, p.Again, p.Refused, p.WaitP50, p.WaitP99, p.WaitMost, p.MostUsed, p.Connections, p.MostWaiting)
+		}
+	})
+}
+
+// Ends says how many sessions of a pool the pooler ended, by SQLSTATE.
+func Ends(p incident.PoolView) string {
+	var parts []string
+	for _, code := range slices.Sorted(maps.Keys(p.Ends)) {
+		parts = append(parts, fmt.Sprintf("%d (%s)", p.Ends[code], Safe(code)))
+	}
+	return cmp.Or(strings.Join(parts, ", "), "0")
+}
+
 func table(b *strings.Builder, rows func(io.Writer)) {
 	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
 	rows(t)
--- a/internal/kit/rehearse/script.go
+++ b/internal/kit/scenario/scenario.go
@@ -1,6 +1,6 @@
-// Package rehearse runs the real daemon against stand-in servers, clients and faults as a script has them, and holds
-// what the daemon recorded against what the clients saw.
-package rehearse
+// Package scenario reads what a rehearsal is: a fleet, clients and faults, as an S-expression. The same scenario is played
+// in virtual time by the emulator, and on sockets against real daemons.
+package scenario
 
 import (
 	"cmp"
@@ -9,27 +9,58 @@
 	"slices"
 
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/world"
 	"beechgrade/internal/sexp"
 )
 
 // Bounds of a script: a rehearsal ends by itself.
 const (
 	maxSeconds = 3600
-	maxPoolers = 16
-	maxRate    = 20000
-	maxServers = 200
+	maxPoolers = 1000
+	maxRate    = 1000000
+	maxServers = 20000
+
+	// What can be played on sockets: each server, pooler and request is real there.
+	socketPoolers = 16
+	socketRate    = 20000
+	socketServers = 200
 )
 
+// OnSockets tells why a scenario can't be played on sockets, nil where it can.
+func (s *Script) OnSockets() error {
+	servers := 0
+	for _, n := range s.Fleet.Groups {
+		servers += n
+	}
+	if s.Poolers > socketPoolers || s.Clients.Rate > socketRate || servers > socketServers {
+		return fmt.Errorf("%q has %d poolers, %d servers and %.0f requests a second; on sockets at most %d, %d and %d can be played, more in virtual time",
+			s.Name, s.Poolers, servers, s.Clients.Rate, socketPoolers, socketServers, socketRate)
+	}
+	for _, f := range s.Faults {
+		if virtualOnly[f.What] {
+			return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf("(%s ...) can be played in virtual time only", f.What)}
+		}
+	}
+	return nil
+}
+
+// virtualOnly are faults that no process can cause by itself.
+var virtualOnly = map[string]bool{"cut": true, "stall-pooler": true}
+
 // Script is a rehearsal. Times are in milliseconds from its start.
 type Script struct {
 	Name    string
 	Poolers int
-	Fleet   fleet.Config
+	Fleet   world.Config
 	Clients clients.Config
 	Pack    bool
 	Queue   int // events that may wait for the records' writer, 0 for the default
 	Faults  []Fault
+
+	// The network and what connections cost, in virtual time.
+	Way       world.Range // one way, between any two machines
+	Handshake world.Range // of a new connection to a server, beside the way there and back
+	ProbeCost float64     // ms of a server's core for each probe
 }
 
 // Fault is something that goes wrong for a while.
@@ -40,18 +71,20 @@
 	What   string
 	Target Target
 	Value  float64
+	Pooler int     // cut
+	Every  float64 // it comes again after so long, 0 for once
 }
 
 // Target says whom a fault strikes. It is resolved when that happens.
 type Target struct {
-	Kind   string // primary, replica, member, primaries, everyone or pooler
+	Kind   string // primary, replica, member, primaries, half-primaries (of every other group), everyone or pooler
 	Group  int
 	Member int
 }
 
 func (t Target) String() string {
 	switch t.Kind {
-	case "", "primaries", "everyone":
+	case "", "primaries", "half-primaries", "everyone":
 		return t.Kind
 	case "member":
 		return fmt.Sprintf("member %d %d", t.Group, t.Member)
@@ -82,22 +115,21 @@
 	if len(args) == 0 || args[0].Kind != sexp.String || args[0].Text == "" {
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
-	s := &Script{Name: args[0].Text, Poolers: 1, Fleet: fleet.Defaults(3), Clients: clients.Defaults()}
+	s := &Script{Name: args[0].Text, Poolers: 1, Way: world.Range{0.05, 0.3}, Handshake: world.Range{0.5, 2}, Fleet: world.Defaults(3), Clients: clients.Defaults()}
 	s.Clients.Rate, s.Clients.Seconds = 100, 20
 	if err := s.form().Read(args[1:], "at", "class"); err != nil {
 		return nil, err
 	}
 	s.Clients.Groups = len(s.Fleet.Groups)
-	s.Fleet.Work = map[string]fleet.Range{}
+	s.Fleet.Work = map[string]world.Range{}
 	for _, c := range s.Clients.Classes {
 		s.Fleet.Work[c.Name] = c.Work
 	}
-	for i := range s.Faults {
-		if err := s.check(&s.Faults[i]); err != nil {
-			return nil, err
-		}
-	}
+	s.Faults = unfold(s.Faults, s.Clients.Seconds*1000)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	if err := s.Again(); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -112,17 +144,24 @@
 	span := func(to *float64) func(*sexp.Node) error {
 		return func(n *sexp.Node) (err error) { *to, err = n.Millis(0, maxSeconds*1000); return err }
 	}
-	both := func(to *fleet.Range) func(*sexp.Node) error {
+	both := func(to *world.Range) func(*sexp.Node) error {
 		return func(n *sexp.Node) error { return spans(n, (*[2]float64)(to)) }
 	}
 	return sexp.Form{
 		"seconds":      float(&c.Seconds, 1, maxSeconds),
 		"poolers":      whole(&s.Poolers, 1, maxPoolers),
 		"groups":       s.groups,
+		"groups-of":    s.groupsOf,
+		"way":          both(&s.Way),
+		"handshake":    both(&s.Handshake),
+		"probe-cost":   span(&s.ProbeCost),
+		"crowds":       float(&f.Crowds, 0, 100),
+		"connections":  whole(&f.Conns, 1, 1e6),
 		"rate":         float(&c.Rate, 0.1, maxRate),
 		"sessions":     whole(&c.Sessions, 1, 1e6),
 		"follows":      float(&c.Follows, 0, 1),
 		"follow":       span(&c.FollowMs),
+		"roams":        float(&c.Roams, 0, 1),
 		"retries":      whole(&c.Retries, 0, 10),
 		"retry":        func(n *sexp.Node) error { return spans(n, &c.RetryMs) },
 		"class":        s.class,
@@ -178,6 +217,45 @@
 	return nil
 }
 
+// groupsOf reads (groups-of NUMBER MEMBERS): many groups of one size.
+func (s *Script) groupsOf(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) != 2 {
+		return n.Errorf("(groups-of NUMBER MEMBERS) takes two numbers")
+	}
+	groups, err := a[0].Number(1, maxServers)
+	if err != nil {
+		return err
+	}
+	members, err := a[1].Number(1, 20)
+	if err != nil {
+		return err
+	}
+	if groups*members > maxServers {
+		return n.Errorf("the groups have %.0f servers together; from 1 to %d may be", groups*members, maxServers)
+	}
+	s.Fleet.Groups = slices.Repeat([]int{int(members)}, int(groups))
+	return nil
+}
+
+// unfold writes out what comes again and again.
+func unfold(faults []Fault, endMs float64) (out []Fault) {
+	for _, f := range faults {
+		out = append(out, f)
+		if f.Every <= 0 {
+			continue
+		}
+		for at := f.At + f.Every; at < endMs && len(out) < maxFaults; at += f.Every {
+			again := f
+			again.At = at
+			out = append(out, again)
+		}
+	}
+	return out
+}
+
+const maxFaults = 10000
+
 // class changes one of the four classes.
 func (s *Script) class(n *sexp.Node) error {
 	args := n.Args()
@@ -200,25 +278,33 @@
 	}.Read(args[1:])
 }
 
-// at reads a fault: (at TIME (FAULT ...) (for TIME)).
+// at reads a fault: (at TIME (FAULT ...) (for TIME) (every TIME)).
 func (s *Script) at(n *sexp.Node) error {
 	a := n.Args()
-	if len(a) < 2 || len(a) > 3 {
-		return n.Errorf("(at TIME (FAULT ...)), with (for TIME) behind it where the fault ends")
+	if len(a) < 2 || len(a) > 4 {
+		return n.Errorf("(at TIME (FAULT ...)), with (for TIME) behind it where the fault ends, and (every TIME) where it comes again")
 	}
 	f := Fault{Pos: n.Pos}
 	var err error
 	if f.At, err = a[0].Span(0, maxSeconds*1000); err != nil {
 		return err
 	}
-	if len(a) == 3 {
-		if a[2].Head() != "for" {
-			return a[2].Errorf("(for TIME) is due here")
+	for i, x := range a[2:] {
+		to, least := &f.For, 1.0
+		switch {
+		case i == 0 && x.Head() == "for":
+		case x.Head() == "every" && (i > 0 || len(a) == 3):
+			to, least = &f.Every, 10
+		default:
+			return x.Errorf("(for TIME) is due here")
 		}
-		if f.For, err = a[2].Millis(1, maxSeconds*1000); err != nil {
+		if *to, err = x.Millis(least, maxSeconds*1000); err != nil {
 			return err
 		}
 	}
+	if f.Every > 0 && (f.For == 0 || f.For >= f.Every) {
+		return n.Errorf("what comes again must end before: (for TIME) shorter than (every TIME)")
+	}
 	f.What = a[1].Head()
 	read := faults[f.What]
 	if read == nil {
@@ -238,21 +324,43 @@
 
 // faults are the kinds of fault with how their arguments are read.
 var faults = map[string]func(*Fault, *sexp.Node) error{
-	"die":       struck(0, 0),
-	"hang":      struck(0, 0),
-	"drain":     struck(0, 0),
-	"crowd":     struck(0.01, 1),
-	"lag":       struck(0.1, 1000),
-	"list-late": func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
-	"list-gone": func(f *Fault, n *sexp.Node) error { return none(n) },
-	"load":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
-	"kill-pooler": func(f *Fault, n *sexp.Node) (err error) {
-		f.Target.Kind = "pooler"
-		f.Target.Group, err = n.Int(0, maxPoolers-1)
-		return err
+	"die":            struck(0, 0),
+	"hang":           struck(0, 0),
+	"drain":          struck(0, 0),
+	"crowd":          struck(0.01, 1),
+	"lag":            struck(0.1, 1000),
+	"deaf":           struck(0, 0),
+	"mute":           struck(0, 0),
+	"lose":           struck(0, 1),
+	"disk":           struck(0.1, 1000),
+	"list-late":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
+	"list-gone":      func(f *Fault, n *sexp.Node) error { return none(n) },
+	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
+	"kill-pooler":    aPooler,
+	"restart-pooler": aPooler,
+	"stall-pooler":   aPooler,
+	"cut": func(f *Fault, n *sexp.Node) error { // (cut POOLER member GROUP N): nothing gets from this pooler to that server
+		a := n.Args()
+		if len(a) < 3 {
+			return n.Errorf("(cut POOLER primary GROUP), or another target in place of the primary")
+		}
+		x, err := a[0].Number(0, maxPoolers-1)
+		if err != nil {
+			return err
+		}
+		f.Pooler = int(x)
+		rest := *n
+		rest.Items = append([]*sexp.Node{n.Items[0]}, a[1:]...)
+		return struck(0, 0)(f, &rest)
 	},
 }
 
+func aPooler(f *Fault, n *sexp.Node) (err error) {
+	f.Target.Kind = "pooler"
+	f.Target.Group, err = n.Int(0, maxPoolers-1)
+	return err
+}
+
 func none(n *sexp.Node) error {
 	if len(n.Args()) != 0 {
 		return n.Errorf("(%s) takes nothing", n.Head())
@@ -265,13 +373,13 @@
 	return func(f *Fault, n *sexp.Node) error {
 		a := n.Args()
 		if len(a) == 0 {
-			return n.Errorf("whom? (%s primary GROUP), replica GROUP, member GROUP N, primaries or everyone", n.Head())
+			return n.Errorf("whom? (%s primary GROUP), replica GROUP, member GROUP N, primaries, half-primaries or everyone", n.Head())
 		}
 		f.Target.Kind = a[0].Text
-		numbers := map[string]int{"primary": 1, "replica": 1, "member": 2, "primaries": 0, "everyone": 0}
+		numbers := map[string]int{"primary": 1, "replica": 1, "member": 2, "primaries": 0, "half-primaries": 0, "everyone": 0}
 		need, ok := numbers[f.Target.Kind]
 		if !ok {
-			return a[0].Errorf("%q is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, everyone", a[0].Text)
+			return a[0].Errorf("%q is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, half-primaries, everyone", a[0].Text)
 		}
 		want := need
 		if most > 0 {
@@ -304,6 +412,8 @@
 	switch {
 	case f.At >= s.Clients.Seconds*1000:
 		return fail("this comes when the rehearsal is over")
+	case f.What == "cut" && f.Pooler >= s.Poolers:
+		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Pooler, s.Poolers-1)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
 		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Target.Group, s.Poolers-1)
 	case slices.Contains([]string{"primary", "replica", "member"}, f.Target.Kind):
@@ -314,12 +424,39 @@
 			return fail("group %d has %d members", f.Target.Group, n)
 		}
 	}
-	if f.What == "load" {
+	return nil
+}
+
+// jumps has the clients ask more, or less, where the faults say so.
+func (s *Script) jumps() {
+	for _, f := range s.Faults {
+		if f.What != "load" {
+			continue
+		}
 		to := f.At + f.For
 		if f.For == 0 {
 			to = s.Clients.Seconds * 1000
 		}
 		s.Clients.Jumps = append(s.Clients.Jumps, clients.Jump{From: f.At, To: to, Times: f.Value})
 	}
+}
+
+// Again makes all that follows from a script that was changed, and checks it.
+func (s *Script) Again() error {
+	s.Clients.Jumps = nil
+	for i := range s.Faults {
+		if err := s.check(&s.Faults[i]); err != nil {
+			return err
+		}
+	}
+	s.jumps()
 	return nil
 }
+
+// Clone makes a copy that can be changed by itself.
+func (s *Script) Clone() *Script {
+	c := *s
+	c.Fleet.Groups, c.Faults = slices.Clone(s.Fleet.Groups), slices.Clone(s.Faults)
+	c.Clients.Classes, c.Clients.Jumps = slices.Clone(s.Clients.Classes), slices.Clone(s.Clients.Jumps)
+	return &c
+}
--- /dev/null
+++ b/internal/kit/scenario/settings.go
@@ -0,0 +1,62 @@
+package scenario
+
+import (
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/kit/clients"
+)
+
+// ConnectMs is the poolers' connect time-out.
+const ConnectMs = 250
+
+// MaxAttempts is the most that a pooler may send of one request.
+const MaxAttempts = 8
+
+// Told is what the platform tells a pooler, in the form of its configuration file.
+func (s *Script) Told(name, listen, disco string, seed uint64, sockets int, known discovery.List) map[string]any {
+	ns := func(ms float64) int64 { return int64(ms * 1e6) }
+	var classes []map[string]any
+	var reads []string
+	var bounds []int64
+	for _, c := range s.Clients.Classes {
+		effect := "retryable"
+		if c.Read == clients.Write {
+			effect = "fragile"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
+			"points": c.Worth, "late_worth": c.LateWorth})
+		reads, bounds = append(reads, string(c.Read)), append(bounds, ns(c.Bound))
+	}
+	if known.Instances == nil {
+		known.Instances = []discovery.Instance{}
+	}
+	return map[string]any{
+		"name": name, "listen": listen, "discovery": disco, "seed": strconv.FormatUint(seed, 16),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": max(1024, sockets)}, "known": known,
+		"settings": map[string]any{
+			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": 0, "zones": []string{"room"}, "kinds": []string{"padrao-4"},
+			"weights": "nominal", "membership_mode": "ask",
+			"allowed": map[string]any{"connect_timeout_ns": ns(ConnectMs), "idle_close_ns": 30000000000, "max_attempts": MaxAttempts, "max_retry_after_ns": 2000000000,
+				"may_cancel": true, "may_duplicate": true, "probes": true, "retry_after": true},
+			"family_info": map[string]any{"class_read": reads, "staleness_bound_ns": bounds, "shows_role": "trailing", "tells_position": true,
+				"tokens": "brought", "when_behind": "none"},
+			"invariants": map[string]any{"cold_from": s.Fleet.ColdBy, "cold_ns": ns(s.Fleet.ColdMs), "drain_grace_ns": ns(s.Fleet.GraceMs),
+				"fall_multiple": s.Fleet.Falls, "tip_after_ns": ns(s.Fleet.FallsMs)},
+			"prices": map[string]any{"probe": 0.018}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
+			"request_classes": classes,
+		},
+	}
+}
+
+// Config is what a pooler makes of that.
+func (s *Script) Config(name string, seed uint64, known discovery.List) (*config.Config, error) {
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(s.Told(name, "127.0.0.1:1", "127.0.0.1:1", seed, 0, known))
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(b, func(string) string { return "" })
+}
--- /dev/null
+++ b/internal/kit/world/directory.go
@@ -0,0 +1,89 @@
+package world
+
+import "beechgrade/internal/discovery"
+
+const keepHistory = 4096
+
+// Directory is the list of servers, as late as it is. It never says more than discovery does.
+type Directory struct {
+	Gen   int64
+	Extra float64 // ms by which it is later than usual
+	Gone  bool    // it answers nobody
+
+	w       *World
+	entries map[string]*Entry
+	history []change
+}
+
+// Entry is what the list has of a server.
+type Entry struct {
+	discovery.Instance
+	Server *Server
+}
+
+// change is an entry as of a generation.
+type change struct {
+	gen int64
+	discovery.Instance
+}
+
+func (d *Directory) start() {
+	d.Gen = 1
+	for _, s := range d.w.Servers {
+		d.entries[s.Name] = &Entry{Server: s, Instance: discovery.Instance{ID: s.Name, Zone: "room", MachineType: "padrao-4", Cell: s.Group.ID, Lifecycle: "up",
+			Weight: 1, Role: s.Role()}}
+	}
+}
+
+// SetAddr tells where a server listens.
+func (d *Directory) SetAddr(name, addr string) {
+	if e := d.entries[name]; e != nil {
+		e.HostPort = addr
+	}
+}
+
+// change has the list say something new of a server, late: its lifecycle, or its role where that is empty.
+func (d *Directory) change(s *Server, lifecycle string, roleLate float64) {
+	role, started := s.Role(), s.Started
+	d.w.later(d.w.Draw(d.w.Cfg.List)+roleLate+d.Extra, func(now float64) {
+		e := d.entries[s.Name]
+		was := e.Instance
+		if lifecycle == "" {
+			e.Role = role
+		} else {
+			e.Lifecycle, e.StartedAtMs = lifecycle, int64(started)
+		}
+		if e.Instance == was {
+			return
+		}
+		d.Gen++
+		d.history = append(d.history, change{d.Gen, e.Instance})
+		d.history = d.history[max(0, len(d.history)-keepHistory):]
+		d.w.watch.Listed(e, now)
+	})
+}
+
+// Whole is the list as it is now.
+func (d *Directory) Whole() discovery.List {
+	l := discovery.List{Generation: d.Gen, Reset: true}
+	for _, s := range d.w.Servers {
+		if e := d.entries[s.Name]; e.Lifecycle != "removed" {
+			l.Instances = append(l.Instances, e.Instance)
+		}
+	}
+	return l
+}
+
+// Since is what has changed after a generation, or the whole list where that is not known.
+func (d *Directory) Since(gen int64) discovery.List {
+	if gen <= 0 || gen > d.Gen || len(d.history) > 0 && gen < d.history[0].gen-1 || len(d.history) == 0 && gen < d.Gen {
+		return d.Whole()
+	}
+	l := discovery.List{Generation: d.Gen}
+	for _, c := range d.history {
+		if c.gen > gen {
+			l.Instances = append(l.Instances, c.Instance)
+		}
+	}
+	return l
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -26,6 +26,9 @@
 	Closed(err error)
 }
 
+// lastWord is how long a connection that is closed while it is parked may take to read what was written to it.
+const lastWord = time.Second
+
 // Conn is a connection on the loop; its methods are for the loop alone.
 type Conn struct {
 	loop *Loop
@@ -70,7 +73,11 @@
 	switch {
 	case c.gone:
 	case c.parked != nil:
-		_ = c.parked.Close()
+		go func(nc net.Conn, out []byte) { // its last word
+			_ = nc.SetWriteDeadline(time.Now().Add(lastWord))
+			_, _ = nc.Write(out)
+			_ = nc.Close()
+		}(c.parked, c.out)
 		c.h.Closed(nil)
 		c.gone = true
 	default:
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -27,6 +27,8 @@
 	Type byte
 	Body []byte
 	Raw  []byte // with type and length
+	More bool   // the message goes on in the next one, which has Part; Body is not set
+	Part bool   // Raw goes on with a message that came before
 }
 
 // StartupKind says what a client opened its connection with.
@@ -44,11 +46,24 @@
 	buf []byte
 	off int
 	max int
+
+	over int    // rows and copies' data of more bytes come in parts, 0 for never
+	left uint32 // bytes of a message in parts that are to come
+	typ  byte   // its type
 }
 
 // NewReader makes a reader for messages of at most max bytes.
 func NewReader(max int) Reader { return Reader{max: max} }
 
+// streamMost bounds a message that comes in parts: PostgreSQL's own bound.
+const streamMost = 1 << 30
+
+// Stream has rows and copies' data of more than so many bytes come in parts, as they arrive.
+func (r *Reader) Stream(over int) { r.over = over }
+
+// Midst tells whether the next bytes go on with a message that has come in part.
+func (r *Reader) Midst() bool { return r.left > 0 }
+
 // Feed takes over what was read. It copies b.
 func (r *Reader) Feed(b []byte) {
 	if r.off == len(r.buf) {
@@ -102,10 +117,20 @@
 // Next returns the next message, and false if it is not whole yet.
 func (r *Reader) Next() (Message, bool, error) {
 	b := r.buf[r.off:]
+	if r.left > 0 {
+		n := min(len(b), int(r.left))
+		r.off += n
+		r.left -= uint32(n)
+		return Message{Type: r.typ, Raw: b[:n], Part: true, More: r.left > 0}, n > 0, nil
+	}
 	if len(b) < 5 {
 		return Message{}, false, nil
 	}
 	n := binary.BigEndian.Uint32(b[1:])
+	if r.over > 0 && (b[0] == 'D' || b[0] == 'd') && int64(n) > int64(r.over) && n < streamMost && len(b) < int(n)+1 {
+		r.off, r.left, r.typ = len(r.buf), n+1-uint32(len(b)), b[0]
+		return Message{Type: r.typ, Raw: b, More: true}, true, nil
+	}
 	if n < 4 || int64(n) > int64(r.max) {
 		return Message{}, false, fmt.Errorf("%w: type %q with length %d", ErrMalformed, b[0], n)
 	}
--- a/internal/pooling/admin.go
+++ b/internal/pooling/admin.go
@@ -59,10 +59,10 @@
 			rows = append(rows, []string{x.pool.key.database, x.pool.key.user, state, server, x.carry.Pins.String()})
 		})
 	case "SHOW STATS":
-		names = []string{"transactions", "executed", "prepared", "settings_carried", "moves", "cancels", "refused", "distinct_statements", "statement_bytes"}
+		names = []string{"transactions", "executed", "prepared", "settings_carried", "moves", "cancels", "refused", "begun_again", "distinct_statements", "statement_bytes"}
 		n := func(x uint64) string { return strconv.FormatUint(x, 10) }
 		x := f.Counts
-		rows = [][]string{{n(x.Transactions), n(x.Executed), n(x.Prepared), n(x.Syncs), n(x.Moves), n(x.Cancels), n(x.Refused),
+		rows = [][]string{{n(x.Transactions), n(x.Executed), n(x.Prepared), n(x.Syncs), n(x.Moves), n(x.Cancels), n(x.Refused), n(x.Again),
 			strconv.Itoa(f.texts.Len()), strconv.Itoa(f.texts.Bytes())}}
 	case "SHOW HELP", "HELP":
 		names = []string{"command"}
--- a/internal/pooling/carry/carry.go
+++ b/internal/pooling/carry/carry.go
@@ -33,7 +33,8 @@
 	SQL   string
 	Types []byte // the types as Parse has them: their number and each
 	Does  []sqltext.Statement
-	users int
+	users int // clients that have it by a name, and server connections that have it prepared
+	texts *Texts
 }
 
 // Name is what the statement is called at servers.
@@ -56,7 +57,7 @@
 	t := x.byText[key]
 	if t == nil {
 		x.last++
-		t = &Text{ID: x.last, SQL: strings.Clone(sql), Types: slices.Clone(types), Does: sqltext.Split(sql)}
+		t = &Text{texts: x, ID: x.last, SQL: strings.Clone(sql), Types: slices.Clone(types), Does: sqltext.Split(sql)}
 		if s, ok := sqltext.SetConfig(sql); ok {
 			t.Does = []sqltext.Statement{s}
 		}
@@ -148,6 +149,25 @@
 	return t != nil
 }
 
+// Lift takes a statement from its name, nil where there is none; Lower ends that, by giving it up or back.
+func (c *Client) Lift(name string) *Text {
+	t := c.stmts[name]
+	delete(c.stmts, name)
+	return t
+}
+
+// Lower gives up a statement that was lifted, or gives it back to its name where nothing else has that by now.
+func (c *Client) Lower(name string, t *Text, back bool) {
+	if back && c.stmts[name] == nil {
+		c.stmts[name] = t
+		return
+	}
+	t.Leave()
+}
+
+// Leave gives up a statement that was lifted.
+func (t *Text) Leave() { t.texts.leave(t) }
+
 // UnprepareAll gives all statements up.
 func (c *Client) UnprepareAll() { c.forget() }
 
@@ -252,8 +272,8 @@
 
 // Wiped takes note of DISCARD ALL.
 func (s *Server) Wiped() {
-	s.settings, s.prepared, s.bytes = map[string]string{}, map[uint64]*list.Element{}, 0
-	s.order.Init()
+	s.settings = map[string]string{}
+	s.Forgot()
 }
 
 // Sync is the text that gives the connection the client's settings, empty where it has them. Only what differs is said.
@@ -341,6 +361,7 @@
 	if s.Has(t) {
 		return nil
 	}
+	t.users++ // its name stays its text's for as long as a server knows it
 	s.prepared[t.ID] = s.order.PushFront(t)
 	s.bytes += t.Size()
 	for (s.order.Len() > s.MaxCount || s.bytes > s.MaxBytes) && s.order.Len() > 1 {
@@ -357,14 +378,19 @@
 		s.order.Remove(e)
 		delete(s.prepared, t.ID)
 		s.bytes -= t.Size()
+		t.texts.leave(t)
 	}
 }
 
 // Prepared is the number of statements that are prepared there.
 func (s *Server) Prepared() int { return s.order.Len() }
 
-// Forgot takes note of DEALLOCATE ALL.
+// Forgot takes note of DEALLOCATE ALL, or of the connection's end.
 func (s *Server) Forgot() {
+	for e := s.order.Front(); e != nil; e = e.Next() {
+		t := e.Value.(*Text)
+		t.texts.leave(t)
+	}
 	s.prepared, s.bytes = map[uint64]*list.Element{}, 0
 	s.order.Init()
 }
--- a/internal/pooling/carry/carry_test.go
+++ b/internal/pooling/carry/carry_test.go
@@ -162,6 +162,10 @@
 	}
 	a.Close()
 	b.Reset()
+	if texts.Len() != 2 { // the server still has them, and whoever prepares them again is to find them
+		t.Errorf("%d texts are known while a server has two prepared", texts.Len())
+	}
+	s.Forgot()
 	if texts.Len() != 0 || texts.Bytes() != 0 {
 		t.Errorf("%d texts with %d bytes are left", texts.Len(), texts.Bytes())
 	}
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/pooling/carry"
 	"beechgrade/internal/pooling/share"
+	"beechgrade/internal/record"
 	"beechgrade/internal/slots"
 	"beechgrade/internal/sqltext"
 )
@@ -51,7 +52,20 @@
 	limit   *deadline.Timer // of the transaction
 	outside *outside        // its transaction has not been let in yet
 	inside  bool            // it has been
+	doorMs  float64         // it waited for that
+	session uint64          // in records
+	last    string          // server of its transaction before
+	ended   string          // SQLSTATE with which the pooler ended it
 	paused  *link           // its server is not read, as this client does not read
+	opened  *txn            // the transaction that is open, where it has only begun
+	opening []byte          // of it: what the client sent to begin
+	leg     []byte          // of it: what the client sent since that is not answered yet
+	pre     []byte          // answers that only prepare or begin, held back while all may be asked elsewhere
+	hurry   bool            // the client wants all answers at once
+	redo    bool            // what is sent was sent to another server before
+	midst   bool            // the client has a message in part
+	leaving bool            // the client has taken its leave, with answers due
+	parked  bool            // the client is not read, as its server does not read
 }
 
 // txn is a transaction on its way to a server; it is core's request. It is front.Client's and backend.Query's.
@@ -61,17 +75,23 @@
 	open    bool // with core
 	attempt *attempt
 	asked   float64
+	does    []sqltext.Statement // what its first message does
+	sql     string
 	held    []byte // the client's messages so far, for another server where the first did not run them
 	spoke   bool   // the client has had something of its answer: nothing is asked again
 	waited  bool   // the pool gave it no connection
 	on      bool   // it has a connection
+	sends   int    // how often what is held was sent
+	again   int    // bytes of held with which it began before, 0 for a new one
+	mute    bool   // it begins again: the client has heard that before
 }
 
 // outside is a transaction that waits to be let in.
 type outside struct {
-	raw  []byte
-	does []sqltext.Statement
-	sql  string
+	raw   []byte
+	does  []sqltext.Statement
+	sql   string
+	since float64
 }
 
 // AppendQuery is backend.Query's; a transaction is sent by its own front.
@@ -105,7 +125,9 @@
 }
 
 func newClient(f *Front) *client {
-	return &client{f: f, in: pgwire.NewReader(f.opt.MaxMessage), status: 'I', since: f.loop.Now(), portals: map[string]*carry.Text{}}
+	c := &client{f: f, in: pgwire.NewReader(f.opt.MaxMessage), status: 'I', since: f.loop.Now(), portals: map[string]*carry.Text{}}
+	c.in.Stream(inParts)
+	return c
 }
 
 // Opened is loop's.
@@ -123,6 +145,9 @@
 	}
 	c.in.Feed(b)
 	c.proceed()
+	if !c.closed && c.in.Pending() > c.f.opt.MaxMessage && c.started && c.waiting() && c.conn.Park() {
+		c.parked = true // what it sends ahead stays with it
+	}
 	if !c.closed && c.in.Pending() > 4*c.f.opt.MaxMessage {
 		c.fatal("08P01", "too much sent ahead of the answers")
 	}
@@ -148,7 +173,12 @@
 
 // waiting tells whether the client's next message has to wait: for a connection, or for a server that does not read.
 func (c *client) waiting() bool {
-	return c.outside != nil || c.txn != nil && !c.txn.on || c.link != nil && c.link.syncing > 0 || c.link != nil && c.link.stuffed()
+	return c.leaving || c.outside != nil || c.txn != nil && (!c.txn.on || c.txn.mute) || c.link != nil && (c.link.syncing > 0 || c.link.bound || c.link.stuffed())
+}
+
+// owed tells whether an answer is due to what the client sent.
+func (c *client) owed() bool {
+	return c.outside != nil || c.txn != nil || c.link != nil && len(c.link.queue) > 0
 }
 
 // busy tells whether the client is in the midst of something.
@@ -160,7 +190,7 @@
 	if !c.started {
 		return c.startup()
 	}
-	if typ, ok := c.in.Type(); ok && !strings.ContainsRune("QXSPBDECHFdcf", rune(typ)) {
+	if typ, ok := c.in.Type(); ok && !c.in.Midst() && !strings.ContainsRune("QXSPBDECHFdcf", rune(typ)) {
 		return false, fmt.Errorf("%w: type %q", pgwire.ErrMalformed, typ)
 	}
 	m, ok, err := c.in.Next()
@@ -240,6 +270,7 @@
 	}
 	c.carry = carry.NewClient(f.texts, settings)
 	f.newKey(c)
+	c.recordBegin()
 	c.params = map[string]string{}
 	c.out = append(c.out, 'R', 0, 0, 0, 8, 0, 0, 0, 0)
 	for _, n := range sortedKeys(f.params) {
@@ -283,12 +314,25 @@
 
 // message takes one message of a client that has started.
 func (c *client) message(m pgwire.Message) error {
-	if c.skip && m.Type != 'S' && m.Type != 'X' && m.Type != 'Q' {
+	if m.Part { // more of a copy's data
+		if l := c.link; l != nil && l.partial {
+			if l.over() {
+				c.fatal("57P01", "the server of this transaction is being taken out; nothing of it was committed")
+				return nil
+			}
+			l.write(m.Raw)
+			l.partial = m.More
+		}
+		return nil
+	}
+	if c.skip && m.Type != 'S' && m.Type != 'X' {
 		return nil
 	}
 	switch m.Type {
 	case 'X':
-		c.end()
+		if c.leaving = c.owed(); !c.leaving {
+			c.end()
+		}
 		return nil
 	case 'Q':
 		c.skip = false
@@ -372,7 +416,7 @@
 	if s, ok := sqltext.SetConfig(sql); ok {
 		does = []sqltext.Statement{s}
 	}
-	if len(does) == 1 && c.link == nil {
+	if len(does) == 1 && c.link == nil && c.status == 'I' {
 		switch s := does[0]; s.Kind {
 		case sqltext.Empty:
 			c.out = pgwire.AppendReady(pgwire.AppendEmpty(c.out))
@@ -422,6 +466,9 @@
 
 // ask puts a transaction that begins with this message to the decision module.
 func (c *client) ask(m pgwire.Message, does []sqltext.Statement, sql string) error {
+	if c.opened != nil {
+		return c.beginAgain(m.Raw, false)
+	}
 	if c.pool.opt.RefusePins && c.pool.opt.Mode == Transaction {
 		for _, s := range does {
 			if s.Pin != 0 {
@@ -439,11 +486,11 @@
 		if reading(does) {
 			kind = "reads"
 		}
-		c.outside = &outside{raw: slices.Clone(m.Raw), does: does, sql: sql}
+		c.outside = &outside{raw: slices.Clone(m.Raw), does: does, sql: sql, since: c.f.loop.Now()}
 		c.f.do(c.pool, c.pool.share.Enter(c.id(), kind, c.f.loop.Now()))
 		return nil
 	}
-	return c.put(m.Raw, does, sql)
+	return c.put(&txn{c: c, held: slices.Clone(m.Raw), does: does, sql: sql})
 }
 
 func (c *client) id() share.ID { return share.ID(refNumber(c.ref)) }
@@ -455,7 +502,8 @@
 		return
 	}
 	c.outside, c.inside = nil, true
-	if err := c.put(x.raw, x.does, x.sql); err != nil {
+	c.doorMs = c.f.loop.Now() - x.since
+	if err := c.put(&txn{c: c, held: x.raw, does: x.does, sql: x.sql}); err != nil {
 		c.fatal("08P01", err.Error())
 		return
 	}
@@ -469,6 +517,7 @@
 		return
 	}
 	c.outside = nil
+	c.recordHand(record.HandRefused, nil, c.f.loop.Now()-x.since, false)
 	c.txn = &txn{c: c, held: x.raw}
 	c.concluded(c.txn, "53300", "no connection came free in time", "")
 }
@@ -481,34 +530,36 @@
 	}
 }
 
-// put puts a transaction to the decision module, beginning with this message.
-func (c *client) put(raw []byte, does []sqltext.Statement, sql string) error {
+// put puts a transaction to the decision module, beginning with what it holds.
+func (c *client) put(t *txn) error {
 	f, o, now := c.f, c.pool.opt, c.f.loop.Now()
 	q := front.Request{ID: fmt.Sprintf("pool-%d-%d", c.pid, f.Counts.Transactions), Class: o.Class, Group: o.Group, Writes: true, After: c.after,
-		Session: strconv.FormatUint(uint64(c.pid), 10)}
-	if c.pool.opt.Mode == Transaction && o.Reads != "" && reading(does) {
+		Session: sessionKey(c.pid)}
+	if c.pool.opt.Mode == Transaction && o.Reads != "" && reading(t.does) {
 		q.Class, q.Writes = o.Reads, false
 	}
 	wait := o.TxnMs
-	if st, err := pgwire.ParseStatement(sql); err == nil { // the platform's comment goes before the settings
+	if st, err := pgwire.ParseStatement(t.sql); err == nil { // the platform's comment goes before the settings
 		q.Class, q.Group, q.Writes, wait = st.Class, st.Group, st.Writes, st.WaitMs
 	}
 	if wait <= 0 {
 		wait = 600000
 	}
 	q.Due = now + wait
-	t := &txn{c: c, asked: now, open: true}
-	t.held = append(t.held, raw...)
-	q.Query = t
+	t.asked, t.open, q.Query = now, true, t
 	f.Counts.Transactions++
-	c.txn, c.began, c.wrote, c.failed = t, now, !reading(does), false
+	c.txn, c.began, c.wrote, c.failed = t, now, !reading(t.does), false
 	ref, err := f.desk.Ask(q, t)
 	switch {
 	case err != nil:
 		t.open, c.txn = false, nil
+		if t.again > 0 {
+			c.fatal("58000", err.Error())
+			return nil
+		}
 		c.leave()
 		c.complain("58000", err.Error())
-		if raw[0] == 'Q' {
+		if t.held[0] == 'Q' {
 			c.skip = false
 			c.out = pgwire.AppendReadyIn(c.out, c.status)
 		}
@@ -548,12 +599,15 @@
 
 // assign gives the client a connection, and sends what the transaction has so far.
 func (c *client) assign(a *attempt, l *link) {
-	l.owner, c.link = c, l
+	other := l.last != 0 && l.last != c.session
+	l.owner, c.link, l.last = c, l, c.session
 	if c.closed {
 		c.link, l.owner = nil, nil
 		l.free()
 		return
 	}
+	c.recordHand(record.HandGiven, l, c.doorMs+c.f.loop.Now()-a.t.asked, other)
+	c.last = l.store
 	c.resume(a, l)
 }
 
@@ -577,23 +631,11 @@
 	}
 	l.tellParams(c)
 	t.on = true
-	r := pgwire.NewReader(max(c.f.opt.MaxMessage, len(t.held)+1))
-	r.Feed(t.held)
-	c.again = true // what is held stays so until the server has said something
-	defer func() { c.again = false }()
-	for !c.closed && c.link == l {
-		m, ok, err := r.Next()
-		if err != nil || !ok {
-			break
-		}
-		if err := c.forward(m); err != nil {
-			c.fatal("08P01", err.Error())
-			return
-		}
-	}
-	if !c.closed && c.conn != nil {
-		c.f.loop.At(c.f.loop.Now(), c.proceed) // what the client sent meanwhile, off this call
+	if err := c.sendHeld(t); err != nil {
+		c.fatal("08P01", err.Error())
+		return
 	}
+	c.soon()
 }
 
 // concluded ends a transaction that the decision module has given up.
@@ -601,7 +643,7 @@
 	if c.closed || c.txn != t {
 		return
 	}
-	if t.spoke || c.link != nil && len(c.link.queue) > 0 || code == "08007" && c.status != 'I' {
+	if t.spoke || c.link != nil && len(c.link.queue) > 0 || c.status != 'I' {
 		c.fatal(code, text)
 		return
 	}
@@ -616,7 +658,7 @@
 	// Of what was held, all up to the first point at which an answer is due is done with; what comes behind is new.
 	c.skip, c.open = true, false
 	held := t.held
-	t.held = nil
+	t.held, c.pre = nil, nil
 	r := pgwire.NewReader(max(c.f.opt.MaxMessage, len(held)+1))
 	r.Feed(held)
 	for {
@@ -624,6 +666,9 @@
 		if err != nil || !ok {
 			break
 		}
+		if name, _, _, err := pgwire.ParseMessage(m.Body); m.Type == 'P' && err == nil && t.sends > 0 {
+			c.carry.Unprepare(name) // the client hears of no ParseComplete
+		}
 		if c.skip && (m.Type == 'Q' || m.Type == 'S') {
 			c.skip = false
 			c.out = pgwire.AppendReadyIn(c.out, c.status)
@@ -635,9 +680,7 @@
 		}
 	}
 	c.flush()
-	if !c.closed && c.conn != nil {
-		c.f.loop.At(c.f.loop.Now(), c.proceed)
-	}
+	c.soon()
 }
 
 // complain answers with an error; what follows is skipped up to Sync.
@@ -649,15 +692,18 @@
 // forward sends a message to the client's server, with statements under their names there.
 func (c *client) forward(m pgwire.Message) error {
 	l := c.link
-	if t := c.txn; t != nil && !t.spoke && !c.again {
-		if len(t.held)+len(m.Raw) > maxHeld {
-			t.spoke = true // too long to be asked again
-		} else {
-			t.held = append(t.held, m.Raw...)
-		}
-	}
 	c.f.loop.Stop(c.idle)
 	c.idle = nil
+	if l.over() && c.part() {
+		return c.beginAgain(m.Raw, false)
+	}
+	c.keep(m)
+	if l.skipping {
+		if m.Type != 'S' { // as the server does after an error in a pipeline
+			return nil
+		}
+		l.skipping = false
+	}
 	if l.over() { // the grace has passed: nothing more is sent there
 		c.fatal("57P01", "the server of this transaction is being taken out; nothing of it was committed")
 		return nil
@@ -673,6 +719,7 @@
 			does = []sqltext.Statement{s}
 		}
 		c.note(does)
+		l.bound = l.parses > 0
 		l.expect(expected{kind: xQuery, does: does})
 		l.write(m.Raw)
 		c.f.Counts.Executed++
@@ -719,8 +766,7 @@
 		c.open = true
 		name, _, _ := bytes.Cut(m.Body[1:], []byte{0})
 		if m.Body[0] == 'S' { // it stays at the server, for whoever prepares the same again
-			c.carry.Unprepare(string(name))
-			l.expect(expected{kind: xSay, say: []byte{'3', 0, 0, 0, 4}})
+			l.expect(expected{kind: xSay, say: []byte{'3', 0, 0, 0, 4}, name: string(name), closed: c.carry.Lift(string(name))})
 			l.speak()
 			return nil
 		}
@@ -729,14 +775,29 @@
 		l.write(m.Raw)
 	case 'S':
 		c.open = false
+		l.bound = l.parses > 0
 		l.expect(expected{kind: xReady})
 		l.write(m.Raw)
 	default: // Flush, and the data of a copy
 		l.write(m.Raw)
+		l.partial = m.More
 	}
 	return nil
 }
 
+// lower ends the closing of a statement: it is gone, or still there where the pipeline failed before.
+func (c *client) lower(x *expected, back bool) {
+	if x.closed == nil {
+		return
+	}
+	if c == nil {
+		x.closed.Leave()
+	} else {
+		c.carry.Lower(x.name, x.closed, back && !c.closed)
+	}
+	x.closed = nil
+}
+
 // note takes in what statements do before they run.
 func (c *client) note(does []sqltext.Statement) {
 	if len(does) == 0 {
@@ -758,9 +819,17 @@
 	}
 	l := c.link
 	c.open = true
+	if c.redo && name != "" {
+		c.carry.Unprepare(name)
+	}
+	var old *carry.Text // that the unnamed one replaces, unless the pipeline fails before
+	if name == "" {
+		old = c.carry.Lift(name)
+	}
 	t, twice, err := c.carry.Prepare(name, sql, types)
 	switch {
 	case err != nil:
+		c.lower(&expected{closed: old}, false)
 		c.fatal("54000", err.Error())
 		return nil
 	case twice: // the server itself says so, in its place among the answers
@@ -770,13 +839,13 @@
 		l.write(pgwire.AppendParse(nil, old.Name(), sql, types))
 		return nil
 	case l.server.Has(t):
-		l.expect(expected{kind: xSay, say: []byte{'1', 0, 0, 0, 4}})
+		l.expect(expected{kind: xSay, say: []byte{'1', 0, 0, 0, 4}, name: name, client: true, closed: old})
 		l.speak()
 		return nil
 	}
 	l.evict(l.server.Add(t))
 	c.f.Counts.Prepared++
-	l.expect(expected{kind: xParse, text: t, name: name, client: true})
+	l.expect(expected{kind: xParse, text: t, name: name, client: true, closed: old})
 	l.write(pgwire.AppendParse(nil, t.Name(), sql, types))
 	return nil
 }
@@ -831,6 +900,11 @@
 
 // ready takes a ReadyForQuery that is the client's.
 func (c *client) ready(l *link, status byte) {
+	if t := c.txn; t != nil && t.mute {
+		c.unmute(l, status)
+		return
+	}
+	c.settledAt(c.txn, status)
 	c.status = status
 	if status == 'I' {
 		if c.failed {
@@ -857,7 +931,7 @@
 		if c.pool.opt.IdleTxnMs > 0 && len(l.queue) == 0 {
 			c.f.loop.Stop(c.idle)
 			c.idle = c.f.loop.At(c.f.loop.Now()+c.pool.opt.IdleTxnMs, func() {
-				if c.status != 'I' && c.link != nil && len(c.link.queue) == 0 {
+				if c.status != 'I' && c.txn == nil && (c.link == nil || len(c.link.queue) == 0) {
 					c.fatal("25P03", "the transaction was idle for longer than this pool allows")
 				}
 			})
@@ -900,6 +974,9 @@
 	if t != nil && t.attempt != nil && !t.spoke { // the decision module says what becomes of it
 		return
 	}
+	if t == nil && c.opened != nil && c.leg == nil && len(l.queue) == 0 && c.movable() {
+		return // nothing but a beginning is lost: it begins again
+	}
 	busy := len(l.queue) > 0 || c.status != 'I' || c.open
 	switch {
 	case !busy && c.carry.Pins == 0:
@@ -918,6 +995,8 @@
 func (c *client) beat() {
 	switch {
 	case c.closed || c.conn == nil:
+	case c.leaving && !c.owed():
+		c.end()
 	case !c.started && c.f.loop.Now()-c.since > startupMs:
 		c.fatal("08P01", "the startup message is not whole in time")
 	case c.paused != nil && c.conn.Unsent() < littleLeft:
@@ -925,8 +1004,14 @@
 		c.paused = nil
 		l.unpark()
 	}
-	if c.started && !c.closed && c.in.Pending() > 0 && !c.waiting() {
-		c.proceed()
+	if c.started && !c.closed && (!c.waiting() || c.parked && c.conn.Unsent() > 0) {
+		if c.parked { // it hears what there is, and is read on
+			c.parked = false
+			c.conn.Unpark()
+		}
+		if c.in.Pending() > 0 && !c.waiting() {
+			c.proceed()
+		}
 	}
 }
 
@@ -954,7 +1039,10 @@
 	if c.closed {
 		return
 	}
-	c.out = pgwire.AppendError(c.out, "FATAL", code, text, "")
+	c.ended = code
+	if !c.midst { // there is no place for a word within a message
+		c.out = pgwire.AppendError(c.out, "FATAL", code, text, "")
+	}
 	c.end()
 }
 
@@ -984,6 +1072,7 @@
 	if c.pool != nil {
 		c.pool.clients--
 	}
+	c.recordEnd()
 	defer c.leave()
 	t := c.txn
 	c.txn = nil
--- a/internal/pooling/link.go
+++ b/internal/pooling/link.go
@@ -38,7 +38,10 @@
 	waiting  bool    // it is to be freed once nothing of its own is out
 	ends     float64 // after this nothing more is sent there, 0 for no end
 	parked   bool
-	sent     bool // something of the present attempt has been written whole
+	partial  bool   // the server has a message in part
+	parses   int    // statements that are on their way to be prepared
+	bound    bool   // ...and a Sync is behind them: whether they are prepared is to be known before more is sent
+	last     uint64 // session of the client that had it last
 	timer    *deadline.Timer
 	out      []byte
 	hold     bool // writes are gathered
@@ -69,7 +72,8 @@
 	name      string      // the client's for the statement
 	statement bool        // xDescribe: of a statement, which has two answers
 	say       []byte
-	then      func() // xOwn: when it has gone well
+	closed    *carry.Text // xSay: the statement that the client closed, by its name
+	then      func()      // xOwn: when it has gone well
 }
 
 const maxQueueOut = 20000
@@ -79,6 +83,7 @@
 	addr := f.addrs[store]
 	l := &link{f: f, pool: p, store: store, in: pgwire.NewReader(f.opt.MaxAnswer), params: map[string]string{},
 		server: carry.NewServer(max(1, p.opt.Statements), max(1, p.opt.StatementBytes))}
+	l.in.Stream(inParts)
 	l.ref = f.links.Put(l)
 	if addr == "" {
 		f.loop.At(f.loop.Now(), func() { l.failed() })
@@ -202,8 +207,12 @@
 		l.close()
 		return
 	}
+	if m.Part {
+		l.stream(m)
+		return
+	}
 	x := &l.queue[0]
-	done := false
+	done, mere := false, x.kind != xQuery && x.kind != xExecute
 	switch {
 	case x.kind == xOwn:
 		return
@@ -221,6 +230,7 @@
 		if c := l.owner; c != nil && m.Type != 's' && x.next < len(x.does) {
 			tag, _ := pgwire.Text(m.Body)
 			s := &x.does[x.next]
+			mere = s.Kind == sqltext.Begin && x.next == 0
 			x.next++
 			c.did(s, tag)
 		}
@@ -230,8 +240,10 @@
 		l.close()
 		return
 	}
-	l.say(m.Raw)
-	if done {
+	l.say(m.Raw, mere)
+	if m.More {
+		l.stream(m)
+	} else if done {
 		l.pop()
 	}
 }
@@ -282,16 +294,29 @@
 	}
 }
 
-// say passes a message on to the client.
-func (l *link) say(b []byte) {
+// stream takes note that a message comes in parts: nothing else may be said to its client before the end.
+func (l *link) stream(m pgwire.Message) {
 	c := l.owner
 	if c == nil {
 		return
 	}
-	if t := c.txn; t != nil {
-		t.spoke = true
-		t.held = nil
+	if c.midst = m.More; m.Part {
+		l.say(m.Raw, false)
+	}
+}
+
+// say passes a message on to the client. What is mere, as it only prepares or begins, is held back for as long as all
+// may be asked of another server.
+func (l *link) say(b []byte, mere bool) {
+	c := l.owner
+	switch {
+	case c == nil || c.txn != nil && c.txn.mute:
+		return
+	case mere && c.mayTell():
+		c.pre = append(c.pre, b...)
+		return
 	}
+	c.speaks()
 	c.out = append(c.out, b...)
 	if len(c.out) > muchUnsent {
 		c.flush()
@@ -300,16 +325,38 @@
 
 // pop takes the answer that has come whole out, and says what stands behind it.
 func (l *link) pop() {
+	l.parsed(&l.queue[0], false)
 	l.queue = l.queue[1:]
 	l.speak()
 }
 
+// prepares tells whether it is not known yet whether a statement is prepared.
+func (x *expected) prepares() bool {
+	return x.kind == xParse && x.text != nil || x.kind == xSay && (x.client || x.closed != nil)
+}
+
+// parsed takes note that it is known whether a statement is prepared.
+func (l *link) parsed(x *expected, failed bool) {
+	due := x.prepares()
+	l.owner.lower(x, failed)
+	if !due {
+		return
+	}
+	if l.parses--; l.parses == 0 && l.bound {
+		l.bound = false
+		if l.owner != nil {
+			l.owner.soon()
+		}
+	}
+}
+
 // speak says what is due without the server's doing.
 func (l *link) speak() {
 	for len(l.queue) > 0 && l.queue[0].kind == xSay {
-		say := l.queue[0].say
+		x := l.queue[0]
 		l.queue = l.queue[1:]
-		l.say(say)
+		l.parsed(&x, false)
+		l.say(x.say, true)
 	}
 	if len(l.queue) == 0 {
 		l.queue = nil
@@ -337,49 +384,34 @@
 		return
 	}
 	// All up to the Sync is skipped by the server: what was to be prepared is not.
-	for len(l.queue) > 0 && l.queue[0].kind != xReady && l.queue[0].kind != xQuery && l.queue[0].kind != xOwn {
-		x := l.queue[0]
+	pipeline := l.queue[0].kind != xQuery
+	var dropped []expected
+	for pipeline && len(l.queue) > 0 && l.queue[0].kind != xReady && l.queue[0].kind != xOwn {
+		dropped = append(dropped, l.queue[0])
+		l.queue = l.queue[1:]
+	}
+	for i := len(dropped) - 1; i >= 0; i-- { // undone from its end
+		x := &dropped[i]
+		if x.client && c != nil {
+			c.carry.Unprepare(x.name)
+		}
 		if x.kind == xParse && x.text != nil {
 			l.server.Drop(x.text)
-			if x.client && c != nil {
-				c.carry.Unprepare(x.name)
-			}
 		}
 		if x.kind == xClose && x.text != nil {
 			l.broken = true // it is still prepared there, uncounted
 		}
-		l.queue = l.queue[1:]
+		l.parsed(x, true)
 	}
+	l.skipping = pipeline && len(l.queue) == 0
 	if c == nil {
 		return
 	}
 	if r, again := l.unrun(c, m); again { // it surely did not run, and the client has heard nothing
-		a := c.txn.attempt
-		c.link = nil
-		c.txn.on = false
-		c.failed = false
-		l.owner, l.broken = nil, true // what it still says belongs to nobody
-		a.link = nil
-		l.close()
-		l.f.end(a, r, l)
+		l.elsewhere(c, r)
 		return
 	}
-	l.say(m.Raw)
-}
-
-// unrun tells whether an error says that a transaction's first statement did not run, and it may be asked elsewhere.
-func (l *link) unrun(c *client, m pgwire.Message) (beechgrade.Result, bool) {
-	t := c.txn
-	if t == nil || t.spoke || t.attempt == nil || c.status != 'I' || c.pool.opt.Mode == Session || c.carry.Pins != 0 {
-		return 0, false
-	}
-	switch pgwire.ErrorCode(m.Body) {
-	case "25006", "72000":
-		return beechgrade.Missed, true
-	case "53300", "57P03":
-		return beechgrade.Full, true
-	}
-	return 0, false
+	l.say(m.Raw, false)
 }
 
 // settled takes a ReadyForQuery.
@@ -423,6 +455,9 @@
 // expect files an answer that is due.
 func (l *link) expect(x expected) {
 	l.queue = append(l.queue, x)
+	if x.prepares() {
+		l.parses++
+	}
 	if len(l.queue) > maxQueueOut && l.owner != nil {
 		l.owner.fatal("54000", "too many messages ahead of their answers")
 	}
@@ -472,6 +507,9 @@
 	if l.closed || c == nil {
 		return
 	}
+	if c.part() {
+		return
+	}
 	if c.status != 'I' && len(l.queue) == 0 {
 		c.fatal("57P01", "the server of this transaction is being taken out; nothing of it was committed")
 		return
@@ -511,7 +549,7 @@
 func (l *link) free() {
 	switch {
 	case l.closed:
-	case l.broken || l.ends != 0 || len(l.queue) > l.syncing:
+	case l.broken || l.partial || l.ends != 0 || len(l.queue) > l.syncing:
 		l.close()
 	case l.cancels > 0:
 		l.waiting = true
@@ -571,6 +609,10 @@
 	}
 	unsent := l.conn.Unsent()
 	l.closed = true
+	l.server.Forgot()
+	for i := range l.queue {
+		l.owner.lower(&l.queue[i], false)
+	}
 	l.f.loop.Stop(l.timer)
 	l.f.links.Drop(l.ref)
 	c := l.owner
@@ -585,11 +627,11 @@
 			again := !a.t.spoke
 			a.link = nil
 			r := beechgrade.Reset
-			if unsent > 0 && again { // it never left whole
+			if again && (unsent > 0 || a.t.harmless()) { // it never left whole, or whether it ran does not matter
 				r = beechgrade.Unreachable
 			}
 			if again && c.txn != nil {
-				c.txn.on = false
+				c.txn.on, c.txn.mute, c.pre = false, false, nil
 			}
 			l.f.end(a, r, l)
 		}
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -18,6 +18,7 @@
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pooling/carry"
 	"beechgrade/internal/pooling/share"
+	"beechgrade/internal/record"
 	"beechgrade/internal/slots"
 )
 
@@ -71,6 +72,7 @@
 	maxHeld     = 256 << 10
 	muchUnsent  = 256 << 10 // to a client that reads slowly: its server is not read any further
 	littleLeft  = 64 << 10
+	inParts     = 64 << 10 // rows and copies' data of more bytes pass through as they come
 	startupMs   = 5000
 	maxCancels  = 64
 )
@@ -94,13 +96,15 @@
 	params   map[string]string // that servers reported, for clients that start
 	cancels  int
 	draining bool
+	rec      *record.Recorder // nil where nothing is recorded
+	gaugeAt  float64
 
 	Counts Counts
 }
 
 // Counts are figures since the start.
 type Counts struct {
-	Transactions, Prepared, Executed, Syncs, Moves, Cancels, Refused uint64
+	Transactions, Prepared, Executed, Syncs, Moves, Cancels, Refused, Again uint64
 }
 
 // poolKey names a pool: what was asked for, under which of the settings.
@@ -112,6 +116,7 @@
 // pool is the connections for one database and user.
 type pool struct {
 	key     poolKey
+	name    string // in records
 	opt     *PoolOptions
 	share   *share.Pool
 	clients int
@@ -132,6 +137,7 @@
 			f.do(p, p.share.Beat(f.loop.Now()))
 		}
 		f.clients.Each(func(_ slots.Ref, c *client) { c.beat() })
+		f.gauge()
 		f.Start()
 	})
 }
@@ -193,7 +199,7 @@
 			return p
 		}
 	}
-	p := &pool{key: key, opt: &f.opt.Pools[i], share: share.New(f.opt.Pools[i].Limits), failed: map[string]bool{}}
+	p := &pool{key: key, name: database + "/" + user, opt: &f.opt.Pools[i], share: share.New(f.opt.Pools[i].Limits), failed: map[string]bool{}}
 	f.pools = append(f.pools, p)
 	return p
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -82,8 +82,28 @@
 	Lost     uint64 // events
 	From, To float64
 	Cause    uint8
+
+	Pool    string
+	How     uint8 // of a hand-over
+	Other   bool
+	Moved   bool
+	Carried bool
+	Holds   PoolHolds
+}
+
+// PoolHolds is what a pool holds; LongestMs is for how long one of those who wait has.
+type PoolHolds struct {
+	Clients, Idle, Used, Connecting, Waiting, Most int32
+	LongestMs                                      float64
 }
 
+// How a transaction's wait for a server connection ended.
+const (
+	HandGiven   = 1
+	HandRefused = 2
+	HandAgain   = 3 // it had only begun, and begins again elsewhere
+)
+
 // Causes of a loss.
 const (
 	CauseRing  = 1 // the writer did not keep up
