--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,9 +12,9 @@
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
+	"beechgrade/internal/deadline"
 	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
-	"beechgrade/internal/loop"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 	"beechgrade/internal/slots"
@@ -38,6 +38,12 @@
 	Probe(id string)
 }
 
+// Loop is the event loop as the core needs it.
+type Loop interface {
+	Now() float64
+	At(ms float64, do func()) *deadline.Timer
+}
+
 // Directory asks for the list of servers.
 type Directory interface {
 	Watch()
@@ -46,7 +52,7 @@
 
 // Core feeds the router. It is for the loop alone.
 type Core struct {
-	loop    *loop.Loop
+	loop    Loop
 	log     *slog.Logger
 	cfg     *config.Config
 	router  *beechgrade.Router
@@ -67,8 +73,18 @@
 	rec    *record.Recorder // nil where nothing is recorded
 	asked  uint64           // requests recorded
 	probed map[string]float64
+	meter  Meter
+}
+
+// Meter is told when the decision module begins and ends its work.
+type Meter interface {
+	Begin()
+	End()
 }
 
+// Meter has a meter told, for measurements.
+func (c *Core) Meter(m Meter) { c.meter = m }
+
 // event is one that the router is yet to be told, with the time at which it happened.
 type event struct {
 	at beechgrade.Time
@@ -96,7 +112,7 @@
 }
 
 // New makes the core of one pooler.
-func New(l *loop.Loop, log *slog.Logger, cfg *config.Config) *Core {
+func New(l Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
 		classes: map[string]int{}, ids: map[string]bool{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	for i, n := range cfg.Classes {
@@ -248,7 +264,13 @@
 	}
 	c.running = true
 	for i := 0; i < len(c.events); i++ {
+		if c.meter != nil {
+			c.meter.Begin()
+		}
 		c.actions = c.router.Handle(c.events[i].at, c.events[i].e, c.actions[:0])
+		if c.meter != nil {
+			c.meter.End()
+		}
 		for k := range c.actions {
 			c.carryOut(&c.actions[k])
 		}
--- /dev/null
+++ b/internal/kit/emulate/emulate.go
@@ -0,0 +1,349 @@
+package emulate
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/score"
+	"beechgrade/internal/kit/world"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Seed     uint64
+	Mutant   *Mutant // a pooler that is broken on purpose, to prove the checker
+	Meter    bool    // take the decision module's time apart; it costs some itself
+	Progress func(virtualMs, endMs float64)
+}
+
+// startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
+const startMs = 1.7e12
+
+// tailMs bounds what comes behind the last ask.
+const tailMs = 60000
+
+// Result is what came of a run.
+type Result struct {
+	Scenario string         `json:"scenario"`
+	Seed     uint64         `json:"seed"`
+	Mutant   string         `json:"mutant,omitempty"`
+	Poolers  int            `json:"poolers"`
+	Servers  int            `json:"servers"`
+	Groups   int            `json:"groups"`
+	Hash     string         `json:"hash"` // of every event, in order
+	Score    *score.Score   `json:"score"`
+	Verdict  *check.Verdict `json:"rules"`
+	Facts    []world.Fact   `json:"facts,omitempty"`
+
+	Events    uint64             `json:"events"`
+	Asked     uint64             `json:"asked"`
+	Tries     uint64             `json:"tries"`
+	Attempts  uint64             `json:"attempts"`
+	Probes    uint64             `json:"probes"`
+	Lists     uint64             `json:"list_calls"`
+	Ends      map[string]uint64  `json:"attempts_by_end"`
+	Lost      map[string]float64 `json:"worth_lost_by_last_answer"`
+	VirtualMs float64            `json:"virtual_ms"`
+	WallMs    float64            `json:"wall_ms"`
+	ModuleMs  float64            `json:"module_ms,omitempty"`
+	HeapMB    float64            `json:"heap_mb"`
+	P50       float64            `json:"served_p50_ms"`
+	P99       float64            `json:"served_p99_ms"`
+}
+
+// Emulation is a run that is under way.
+type Emulation struct {
+	script   *scenario.Script
+	opt      Options
+	s        sched
+	world    *world.World
+	rng      *rand.Rand // of the network and the clients, apart from the model's
+	poolers  []*pooler
+	plan     *clients.Planner
+	sessions clients.Sessions
+	keeper   *score.Keeper
+	check    *check.Checker
+	bad      []float64 // until when the front does not try a pooler, as it has noticed that it is gone
+	open     int       // asks
+	drawn    bool
+	times    *timesOf
+
+	asked, tries, attempts, probes, lists uint64
+	watches                               uint32
+	results                               [16]uint64
+	lost                                  map[string]float64
+	moduleNs                              int64
+	began                                 time.Time
+}
+
+// Rules are what a scenario's rules go by.
+func Rules(s *scenario.Script) check.Config {
+	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs}
+	for _, x := range s.Clients.Classes {
+		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write, Session: x.Read == clients.ReadSession}
+		if x.Read == clients.ReadBounded {
+			k.BoundMs = x.Bound
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	return c
+}
+
+// Run plays a scenario from its start to its end.
+func Run(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
+	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
+		began: time.Now()}
+	e.s.now = startMs
+	cfg := s.Fleet
+	cfg.Seed = opt.Seed
+	e.world = world.New(cfg, &e.s, e)
+	if opt.Mutant != nil && opt.Mutant.World != nil {
+		opt.Mutant.World(e.world)
+	}
+	for _, x := range e.world.Servers {
+		e.world.List.SetAddr(x.Name, x.Name+":5432")
+	}
+	c := s.Clients
+	c.Seed = opt.Seed
+	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.bad = make([]float64, s.Poolers)
+	for i := range s.Poolers {
+		p := e.newPooler(i)
+		e.poolers = append(e.poolers, p)
+		if err := p.start(); err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		e.s.at(startMs+f.At, world.Func(func() { e.strike(f) }), 0)
+	}
+	e.s.at(startMs, drawer{e}, 0)
+	end := startMs + c.Seconds*1000
+	stopped := func() bool {
+		if opt.Progress != nil {
+			opt.Progress(e.s.now-startMs, c.Seconds*1000)
+		}
+		return ctx.Err() != nil
+	}
+	e.s.run(end, stopped)
+	for until := end; ctx.Err() == nil && (e.open > 0 || !e.drawn) && until < end+tailMs; {
+		until += 500
+		e.s.run(until, stopped)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	e.check.Finish(e.s.now)
+	return e.result(), nil
+}
+
+func (e *Emulation) result() *Result {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	s := e.script
+	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
+		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Probes: e.probes,
+		Lists: e.lists, Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
+		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
+	for i, n := range e.results {
+		if n > 0 {
+			r.Ends[resultNames[i]] = n
+		}
+	}
+	if e.opt.Mutant != nil {
+		r.Mutant = e.opt.Mutant.Name
+	}
+	return r
+}
+
+// way is how long a message takes from one machine to another.
+func (e *Emulation) way() float64 { return e.draw(e.script.Way) }
+
+func (e *Emulation) draw(r world.Range) float64 { return r.Draw(e.rng) }
+
+// conns is how many connections a server holds.
+func (e *Emulation) conns(s *world.Server) (n int) {
+	for _, p := range e.poolers {
+		if st := p.stores[s.No]; st != nil && p.up {
+			n += st.conns
+		}
+	}
+	return n
+}
+
+func (e *Emulation) sorted(set map[*visit]bool) []*visit {
+	out := make([]*visit, 0, len(set))
+	for v := range set {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b *visit) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+// sortedAttempts has a set of attempts in an order that is the same in every run: that of their slots.
+func (e *Emulation) sortedAttempts(set map[*attempt]bool) []*attempt {
+	out := make([]*attempt, 0, len(set))
+	for a := range set {
+		out = append(out, a)
+	}
+	slices.SortFunc(out, func(a, b *attempt) int { return cmp.Compare(a.ref.Index, b.ref.Index) })
+	return out
+}
+
+// Down is world.Watcher's.
+func (e *Emulation) Down(s *world.Server) {
+	for _, p := range e.poolers {
+		if p.up {
+			p.serverDown(s)
+		}
+	}
+}
+
+// Said is world.Watcher's.
+func (e *Emulation) Said(f world.Fact) { e.s.mix(uint64(f.Group), uint64(len(f.What))) }
+
+// Listed is world.Watcher's.
+func (e *Emulation) Listed(x *world.Entry, _ float64) {
+	l := discovery.List{Generation: e.world.List.Gen, Instances: []discovery.Instance{x.Instance}}
+	for _, p := range e.poolers {
+		p.listed(l)
+	}
+}
+
+// ListDown is world.Watcher's.
+func (e *Emulation) ListDown(gone bool) {
+	for _, p := range e.poolers {
+		if gone {
+			p.listDown()
+		}
+	}
+}
+
+// Executed is world.Watcher's.
+func (e *Emulation) Executed(s *world.Server, j *world.Job, r world.Run) {
+	a, ok := j.Owner.(*attempt)
+	if !ok || a.v == nil {
+		return
+	}
+	value, position := j.Value, r.Position
+	if !j.Writes {
+		value = s.Read(j.Key)
+	}
+	e.check.Ran(e.s.now, s.No, a.v.id, j.Writes, r.Primary, hashOf(value), position)
+}
+
+func hashOf(b []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return h.Sum64()
+}
+
+// strike carries out a fault, and has it end at its time.
+func (e *Emulation) strike(f *scenario.Fault) {
+	later := func(do func()) {
+		if f.For > 0 {
+			e.s.After(f.For, world.Func(do), 0)
+		}
+	}
+	switch f.What {
+	case "load": // the plan has it
+	case "list-late":
+		e.world.ListLate(f.Value)
+		later(func() { e.world.ListLate(0) })
+	case "list-gone":
+		e.world.ListGone(true)
+		later(func() { e.world.ListGone(false) })
+	case "kill-pooler":
+		p := e.poolers[f.Target.Group]
+		p.kill()
+		later(p.revive)
+	case "restart-pooler":
+		e.poolers[f.Target.Group].restart()
+	case "stall-pooler":
+		p := e.poolers[f.Target.Group]
+		p.still = e.s.now + max(1, f.For)
+		e.check.Still(e.s.now, p.no, p.still)
+	case "cut":
+		p := e.poolers[f.Pooler]
+		for _, s := range f.Target.Of(e.world) {
+			p.sever(s, true)
+			later(func() { p.sever(s, false) })
+		}
+	default:
+		begin, end := f.Acts()
+		for _, s := range f.Target.Of(e.world) {
+			_ = begin(e.world, s.Name) // the name is the model's own
+			later(func() { _ = end(e.world, s.Name) })
+		}
+	}
+}
+
+// revive starts a killed pooler again.
+func (p *pooler) revive() {
+	if !p.up {
+		p.known = p.e.world.List.Whole()
+		_ = p.start() // it was started from the same settings before
+	}
+}
+
+const (
+	restartMost = 3700 // a pooler that is restarted goes on for so long at most
+	restartAway = 300
+	restartLook = 20
+)
+
+// restart has a pooler end in order and start again: it takes nothing new, and ends once nothing is open.
+func (p *pooler) restart() {
+	e, life := p.e, p.life
+	if !p.up {
+		return
+	}
+	e.bad[p.no] = e.s.now + restartMost + restartAway
+	began := e.s.now
+	var look func()
+	look = func() {
+		if p.life != life {
+			return
+		}
+		if len(p.visits) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
+			e.s.After(restartLook, world.Func(look), 0)
+			return
+		}
+		p.kill()
+		e.s.After(restartAway, world.Func(func() {
+			p.revive()
+			e.bad[p.no] = 0
+		}), 0)
+	}
+	look()
+}
+
+// sever cuts the way from a pooler to a server, or mends it.
+func (p *pooler) sever(s *world.Server, on bool) {
+	if p.up {
+		if st := p.store(s.Name); st != nil {
+			st.cut = on
+		}
+	}
+}
+
+// Begin and End take the decision module's time.
+type meter struct {
+	e    *Emulation
+	from time.Time
+}
+
+func (m *meter) Begin() { m.from = time.Now() }
+func (m *meter) End()   { m.e.moduleNs += time.Since(m.from).Nanoseconds() }
--- /dev/null
+++ b/internal/kit/emulate/emulate_test.go
@@ -0,0 +1,92 @@
+package emulate
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/scenario"
+)
+
+func parse(t *testing.T, text string) *scenario.Script {
+	t.Helper()
+	s, err := scenario.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t *testing.T, s *scenario.Script, opt Options) *Result {
+	t.Helper()
+	r, err := Run(context.Background(), s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// everything is a scenario in which every rule is put to the test.
+const everything = `(rehearsal "everything" (seconds 40) (poolers 3) (groups 3 3 4) (rate 300) (cold 8s) (cold-by 0.1) (falls 1.5) (roams 0.1)
+	(detect 150ms 400ms) (elect 100ms 400ms) (switch 100ms 300ms) (list 200ms 500ms)
+	(at 3s (drain member 1 1) (for 8s)) (at 4s (hang primary 0) (for 10s)) (at 9s (die primaries) (for 4s)) (at 12s (load 3) (for 4s))
+	(at 15s (lag replica 2 30) (for 8s)) (at 18s (kill-pooler 1) (for 1s)) (at 20s (lose member 1 0 0.3) (for 4s)) (at 22s (list-late 3s) (for 8s))
+	(at 24s (die everyone) (for 2s)) (at 26s (load 4) (for 3s)) (at 30s (drain primary 1) (for 5s)) (at 31s (cut 0 primary 2) (for 2s)) (at 33s (stall-pooler 2) (for 400ms))
+	(at 34s (mute primary 0) (for 1s)) (at 36s (restart-pooler 0)))`
+
+// TestSame: the same scenario and seed are the same run to the last event; another seed is not.
+func TestSame(t *testing.T) {
+	s := parse(t, everything)
+	a, b, c := play(t, s, Options{Seed: 7}), play(t, s, Options{Seed: 7}), play(t, s, Options{Seed: 8})
+	if a.Hash != b.Hash || a.Hash == c.Hash {
+		t.Errorf("hashes %s, %s and of another seed %s", a.Hash, b.Hash, c.Hash)
+	}
+	if diff := cmp.Diff(a.Score, b.Score); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestRules: through all that goes wrong, the pooler breaks no rule, and each rule was put to the test.
+func TestRules(t *testing.T) {
+	for seed := range uint64(2) {
+		r := play(t, parse(t, everything), Options{Seed: seed})
+		for _, b := range r.Verdict.Breaches {
+			t.Errorf("seed %d: %s: %s\n%+v", seed, b.Rule, b.Text, b.Proof)
+			break
+		}
+		for _, rule := range check.Rules() {
+			if r.Verdict.Checked[rule] == 0 {
+				t.Errorf("seed %d: %q was never put to the test", seed, rule)
+			}
+		}
+		for _, b := range r.Score.Breaches {
+			if b.Rule != "in time" { // a machine stands still in the midst of it
+				t.Errorf("the clients saw %+v", b)
+				break
+			}
+		}
+		if r.Score.Ratio < 0.5 || r.Score.Ratio > 0.999 {
+			t.Errorf("service %v; it is meant to suffer", r.Score.Ratio)
+		}
+	}
+}
+
+// TestMutants: each pooler that is broken on purpose is caught, by the rule that it breaks.
+func TestMutants(t *testing.T) {
+	s := parse(t, everything)
+	for _, m := range Mutants() {
+		t.Run(m.Name, func(t *testing.T) {
+			r := play(t, s, Options{Seed: 1, Mutant: &m})
+			if r.Verdict.Broken[m.Breaks] == 0 {
+				t.Errorf("it was not caught: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
+			}
+			for _, b := range r.Verdict.Breaches {
+				if b.Rule == m.Breaks && len(b.Proof) == 0 {
+					t.Errorf("a breach without its proof: %+v", b)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/kit/emulate/mutants.go
@@ -0,0 +1,112 @@
+package emulate
+
+import (
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/world"
+)
+
+// Mutant is a pooler, or a server, that is broken on purpose: what the checker must catch.
+type Mutant struct {
+	Name    string
+	Breaks  check.Rule
+	Module  func(c *config.Config)                               // what its module is told at its start
+	Outcome func(o *backend.Outcome)                             // what it is told of an attempt's end
+	List    func(l *discovery.List)                              // what it is told of the list
+	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
+	World   func(w *world.World)
+}
+
+// Mutants are all of them.
+func Mutants() []Mutant {
+	return []Mutant{
+		{Name: "forgets answers", Breaks: check.OneAnswer, Answer: func(e *Emulation, v *visit, kind clients.Kind) bool {
+			return kind != clients.Refused
+		}},
+		{Name: "answers twice", Breaks: check.OneAnswer, Answer: func(e *Emulation, v *visit, kind clients.Kind) bool {
+			if kind == clients.Served && v.id%64 == 0 {
+				e.s.After(0.01, again{v}, 0)
+			}
+			return true
+		}},
+		{Name: "answers late", Breaks: check.OneAnswer, Answer: func(e *Emulation, v *visit, kind clients.Kind) bool {
+			if kind == clients.Failed && !v.late {
+				v.extra = false
+				e.s.at(v.sent+v.ask.Patience+500, late{v}, 0)
+				return false
+			}
+			return true
+		}},
+		{Name: "takes what broke off for never sent", Breaks: check.NotTwice, Outcome: func(o *backend.Outcome) {
+			if o.Result == beechgrade.Reset || o.Result == beechgrade.TimedOut || o.Result == beechgrade.Failed {
+				o.Result = beechgrade.Unreachable
+			}
+		}},
+		{Name: "takes writes for safe to repeat", Breaks: check.NotTwice, Module: func(c *config.Config) {
+			for i := range c.Settings.Classes {
+				c.Settings.Classes[i].Effect = beechgrade.Safe
+			}
+		}},
+		{Name: "hears of no drains", Breaks: check.DrainsKept, List: func(l *discovery.List) {
+			for i := range l.Instances {
+				if l.Instances[i].Lifecycle == "draining" {
+					l.Instances[i].Lifecycle = "up"
+				}
+			}
+		}},
+		{Name: "takes cold servers for warm", Breaks: check.ColdSpared, Module: func(c *config.Config) {
+			c.Settings.ColdTime, c.Settings.FallMultiple = 0, 0
+		}, List: func(l *discovery.List) {
+			for i := range l.Instances {
+				l.Instances[i].StartedAtMs = 0
+			}
+		}},
+		{Name: "takes replicas for up to date", Breaks: check.NotStale, Outcome: func(o *backend.Outcome) {
+			if o.HasPos {
+				o.Position += 5000
+			}
+		}, Module: func(c *config.Config) {
+			for i := range c.Settings.Classes {
+				if x := &c.Settings.Classes[i]; x.Read == beechgrade.ReadBounded {
+					x.Bound = time.Minute
+				}
+			}
+		}},
+		{Name: "a server that takes writes after it was replaced", Breaks: check.PrimaryRan, World: func(w *world.World) { w.SplitBrain = true }},
+		{Name: "serves what no server made", Breaks: check.NoInvented, Answer: func(e *Emulation, v *visit, kind clients.Kind) bool {
+			if kind == clients.Served && v.id%64 == 0 {
+				v.answer = []byte("cached")
+			}
+			return true
+		}},
+	}
+}
+
+// again answers a second time.
+type again struct{ v *visit }
+
+// Fire is world.Event's.
+func (a again) Fire(uint64) {
+	a.v.e.check.Answered(a.v.e.s.now, a.v.id, string(a.v.kind), false, 0)
+}
+
+// late answers what was held back.
+type late struct{ v *visit }
+
+// Fire is world.Event's.
+func (l late) Fire(uint64) {
+	v := l.v
+	if v.over || v.p.life != v.life {
+		return
+	}
+	v.done = true
+	delete(v.p.visits, v)
+	v.kind = clients.Failed
+	v.e.s.After(v.e.way(), v, visitAnswered)
+}
--- /dev/null
+++ b/internal/kit/emulate/pooler.go
@@ -0,0 +1,581 @@
+package emulate
+
+import (
+	"fmt"
+	"log/slog"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/discovery"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/slots"
+)
+
+// pooler is one pooler: the daemon's core, and in place of its sockets the emulated ways to the servers and the list.
+type pooler struct {
+	e      *Emulation
+	no     int
+	name   string
+	life   uint32 // grows with each end of its process
+	up     bool
+	core   *core.Core
+	stores []*store // by the server's number
+	tries  slots.Table[*attempt]
+	known  discovery.List // as it last had it
+	watch  uint32         // number of the watch that is open, 0 for none
+	visits map[*visit]bool
+	still  float64 // its machine stands still until then
+}
+
+// store is a pooler's connections to one server.
+type store struct {
+	p       *pooler
+	s       *world.Server
+	listed  bool
+	idle    int
+	conns   int // all of them, those coming up included
+	dialing int
+	waiting []*attempt
+	busy    map[*attempt]bool // attempts that are out
+	life    uint32            // grows as the server's end breaks its connections
+	cut     bool              // nothing gets there from this pooler
+}
+
+// attempt is a request's attempt, or a probe where query is nil. It is the model's job while it is at the server.
+type attempt struct {
+	job   world.Job
+	p     *pooler
+	life  uint32
+	ref   slots.Ref
+	tag   backend.Tag
+	st    *store
+	slife uint32
+	v     *visit // nil for a probe
+	no    int
+	until float64
+	sent  bool
+	ended bool
+	reply world.Reply
+	role  beechgrade.Role
+}
+
+// What an attempt's event is of; the model's own argument is 0.
+const (
+	atServer   = iota + 1 // it arrives
+	atPooler              // its answer arrives
+	atEnd                 // its time is over
+	atConnect             // its wait for a connection is over
+	atCancel              // the server sees that its connection has gone
+	atReset               // the pooler sees that its connection broke
+	atRefused             // the server turned its connection away
+	atUp                  // a connection is up
+	atDown                // a connection could not come up
+	atProbed              // a probe's report arrives
+	atNoServer            // it was begun at a server that nobody knows
+)
+
+func (e *Emulation) newPooler(no int) *pooler {
+	p := &pooler{e: e, no: no, name: fmt.Sprintf("pooler-%d", no), visits: map[*visit]bool{}}
+	p.known = e.world.List.Whole()
+	return p
+}
+
+// start begins a process.
+func (p *pooler) start() error {
+	e := p.e
+	cfg, err := e.script.Config(p.name, e.opt.Seed*1000003+uint64(p.no)*7919+uint64(p.life), p.known)
+	if err != nil {
+		return err
+	}
+	p.up, p.watch = true, 0
+	p.stores = make([]*store, len(e.world.Servers))
+	if m := e.opt.Mutant; m != nil && m.Module != nil {
+		m.Module(cfg)
+	}
+	p.core = core.New(lifeLoop{p, p.life}, slog.New(slog.DiscardHandler), cfg)
+	if e.opt.Meter {
+		p.core.Meter(&meter{e: e})
+	}
+	p.core.Start(p, p)
+	return nil
+}
+
+// kill ends the process: its connections on both sides are reset.
+func (p *pooler) kill() {
+	if !p.up {
+		return
+	}
+	p.up = false
+	p.life++
+	e := p.e
+	var open []*attempt
+	p.tries.Each(func(_ slots.Ref, a *attempt) { open = append(open, a) })
+	for _, a := range open {
+		a.ended = true
+		if a.sent {
+			e.s.After(e.way(), a, atCancel)
+		}
+		p.tries.Drop(a.ref)
+	}
+	for _, v := range e.sorted(p.visits) {
+		e.s.After(e.way(), v, visitBroken)
+		e.check.Gone(e.s.now, v.id, "its pooler ended")
+	}
+	clear(p.visits)
+	e.check.Forgot(p.no)
+}
+
+// lifeLoop is core.Loop's for one life of a pooler: what an earlier one hung up comes to nothing.
+type lifeLoop struct {
+	p    *pooler
+	life uint32
+}
+
+func (l lifeLoop) Now() float64 { return l.p.e.s.now }
+
+func (l lifeLoop) At(ms float64, do func()) *deadline.Timer {
+	p := l.p
+	p.e.s.at(max(ms, p.e.s.now), world.Func(func() { p.whenRunning(l.life, do) }), 0)
+	return nil
+}
+
+// whenRunning does something once the pooler's machine runs, if its process is still the same.
+func (p *pooler) whenRunning(life uint32, do func()) {
+	if p.life != life {
+		return
+	}
+	if p.e.s.now < p.still {
+		p.e.s.at(p.still, world.Func(func() { p.whenRunning(life, do) }), 0)
+		return
+	}
+	do()
+}
+
+func (p *pooler) store(id string) *store {
+	s := p.e.world.Server(id)
+	if s == nil {
+		return nil
+	}
+	st := p.stores[s.No]
+	if st == nil {
+		st = &store{p: p, s: s, busy: map[*attempt]bool{}}
+		p.stores[s.No] = st
+	}
+	return st
+}
+
+// SetAddress is core.Servers'.
+func (p *pooler) SetAddress(id, _ string) {
+	if st := p.store(id); st != nil {
+		st.listed = true
+	}
+}
+
+// CloseIdle is core.Servers'.
+func (p *pooler) CloseIdle(id string) {
+	if st := p.store(id); st != nil {
+		st.conns -= st.idle
+		st.idle = 0
+	}
+}
+
+// Forget is core.Servers'.
+func (p *pooler) Forget(id string) {
+	st := p.store(id)
+	if st == nil || !st.listed {
+		return
+	}
+	p.CloseIdle(id)
+	st.listed = false
+	for len(st.waiting) > 0 {
+		st.waiting[0].drop(beechgrade.Skipped)
+	}
+}
+
+// Retain is core.Servers'.
+func (p *pooler) Retain(ids map[string]bool) {
+	for _, st := range p.stores {
+		if st != nil && !ids[st.s.Name] {
+			p.Forget(st.s.Name)
+		}
+	}
+}
+
+// Start is core.Servers'.
+func (p *pooler) Start(id string, q backend.Query, until float64, _ bool, t backend.Tag) slots.Ref {
+	v := q.(*visit)
+	a := &attempt{p: p, life: p.life, tag: t, v: v, no: t.No, until: until}
+	a.ref = p.tries.Put(a)
+	p.begin(a, id)
+	return a.ref
+}
+
+// Probe is core.Servers'.
+func (p *pooler) Probe(id string) {
+	p.e.probes++
+	a := &attempt{p: p, life: p.life, until: p.e.s.now + scenario.ConnectMs}
+	a.ref = p.tries.Put(a)
+	p.begin(a, id)
+}
+
+// Cancel is core.Servers'.
+func (p *pooler) Cancel(ref slots.Ref) {
+	if a, ok := p.tries.Get(ref); ok {
+		a.drop(beechgrade.Cancelled)
+	}
+}
+
+func (p *pooler) begin(a *attempt, id string) {
+	e := p.e
+	a.st = p.store(id)
+	if a.st == nil || !a.st.listed {
+		a.end(backend.Outcome{Result: beechgrade.Unreachable}) // as the sockets' side does, before Start returns
+		return
+	}
+	st := a.st
+	e.s.at(a.until, a, atEnd)
+	if st.idle > 0 {
+		st.idle--
+		a.send()
+		return
+	}
+	e.s.After(scenario.ConnectMs, a, atConnect)
+	st.waiting = append(st.waiting, a)
+	if st.dialing < len(st.waiting) {
+		st.dial()
+	}
+}
+
+// dial opens a connection.
+func (st *store) dial() {
+	e := st.p.e
+	st.dialing++
+	st.conns++
+	d := &dial{st: st, life: st.p.life, slife: st.life}
+	s, there := st.s, e.way()
+	switch {
+	case st.cut || s.Hung:
+		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
+	case !s.Up:
+		e.s.After(there+e.way(), d, atDown)
+	case e.conns(s) >= e.script.Fleet.Conns:
+		e.s.After(there+e.way(), d, atRefused)
+	default:
+		e.s.After(there+e.way()+e.draw(e.script.Handshake), d, atUp)
+	}
+}
+
+// dial is a connection on its way up.
+type dial struct {
+	st    *store
+	life  uint32
+	slife uint32
+}
+
+// Fire is world.Event's.
+func (d *dial) Fire(what uint64) {
+	st := d.st
+	p := st.p
+	p.whenRunning(d.life, func() {
+		st.dialing--
+		if what == atUp && d.slife == st.life && st.s.Up && !st.s.Hung {
+			st.free()
+			return
+		}
+		st.conns--
+		if len(st.waiting) > st.dialing {
+			r := beechgrade.Unreachable
+			if what == atRefused {
+				r = beechgrade.Full
+			}
+			a := st.waiting[0]
+			st.unqueue(a)
+			a.end(backend.Outcome{Result: r})
+		}
+		st.refill()
+	})
+}
+
+// free has a connection carry the next attempt, or idle.
+func (st *store) free() {
+	if !st.listed {
+		st.conns--
+		return
+	}
+	if len(st.waiting) > 0 {
+		a := st.waiting[0]
+		st.waiting = st.waiting[1:]
+		a.send()
+		return
+	}
+	st.idle++
+}
+
+func (st *store) refill() {
+	if st.listed && st.dialing < len(st.waiting) {
+		st.dial()
+	}
+}
+
+func (st *store) unqueue(a *attempt) {
+	for i := range st.waiting {
+		if st.waiting[i] == a {
+			st.waiting = append(st.waiting[:i:i], st.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// send puts an attempt on a connection.
+func (a *attempt) send() {
+	e, st := a.p.e, a.st
+	a.sent, a.slife = true, st.life
+	st.busy[a] = true
+	if a.v != nil {
+		e.attempts++
+		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
+	}
+	if !st.cut {
+		e.s.After(e.way(), a, atServer)
+	}
+}
+
+// Fire is world.Event's; what happens at the pooler's side waits for its machine.
+func (a *attempt) Fire(what uint64) {
+	switch what {
+	case atServer:
+		a.arrive()
+	case atCancel:
+		a.job.Cancel()
+	default:
+		if !a.ended && a.p.life == a.life && a.p.e.s.now < a.p.still {
+			a.p.e.s.at(a.p.still, a, what)
+			return
+		}
+		a.atPooler(what)
+	}
+}
+
+// arrive is at the server.
+func (a *attempt) arrive() {
+	e, s := a.p.e, a.st.s
+	if !s.Up || a.slife != a.st.life {
+		return // its connection is broken, and its pooler hears of that
+	}
+	if a.v == nil { // a probe
+		if s.Hung || s.Mute {
+			return
+		}
+		r := s.Report(e.s.now)
+		a.reply = world.Reply{Position: r.Position, Primary: r.Primary}
+		e.s.After(e.script.ProbeCost+e.way(), a, atProbed)
+		return
+	}
+	v := a.v
+	a.job.ID, a.job.Writes, a.job.Key, a.job.Value, a.job.Owner = v.name, v.class.Read == "mutate", v.ask.Key, v.value, a
+	a.job.Work = e.world.Work(v.class.Name)
+	if s.Takes(&a.job) {
+		e.check.Took(e.s.now, s.No, s.Started, v.id, a.job.Work)
+	}
+	s.Take(&a.job)
+}
+
+// Answered is world.Owner's.
+func (a *attempt) Answered(_ *world.Job, r world.Reply) {
+	if r.Verdict == world.Fallen {
+		return // its connection breaks
+	}
+	a.reply = r
+	a.p.e.s.After(a.p.e.way(), a, atPooler)
+}
+
+var results = map[world.Verdict]beechgrade.Result{world.Served: beechgrade.OK, world.NotPrimary: beechgrade.Missed, world.Drains: beechgrade.Full,
+	world.QueueFull: beechgrade.Full, world.HandedOver: beechgrade.Failed}
+
+func (a *attempt) atPooler(what uint64) {
+	if a.ended || a.p.life != a.life {
+		return
+	}
+	st := a.st
+	switch what {
+	case atPooler, atProbed:
+		if a.slife != st.life {
+			return // the connection broke before the answer was whole
+		}
+		o := backend.Outcome{Result: results[a.reply.Verdict], Role: beechgrade.RoleReplica, Position: a.reply.Position, HasPos: a.reply.Position > 0}
+		if a.reply.Primary {
+			o.Role = beechgrade.RolePrimary
+		}
+		if o.Result == beechgrade.OK {
+			o.Answer = a.reply.Value
+		}
+		delete(st.busy, a)
+		st.free() // before the end is told: what that leads to may use it
+		a.end(o)
+	case atReset:
+		delete(st.busy, a)
+		st.conns--
+		a.end(backend.Outcome{Result: beechgrade.Reset})
+		st.refill()
+	case atConnect:
+		if !a.sent {
+			r := beechgrade.Unreachable
+			if st.dialing == 0 {
+				r = beechgrade.Skipped
+			}
+			a.drop(r)
+		}
+	case atEnd:
+		a.drop(beechgrade.TimedOut)
+	}
+}
+
+// drop ends an attempt from the pooler's side.
+func (a *attempt) drop(r beechgrade.Result) {
+	if a.ended {
+		return
+	}
+	st := a.st
+	if !a.sent {
+		if a.v != nil && r != beechgrade.Unreachable && r != beechgrade.Full {
+			r = beechgrade.Skipped
+		}
+		st.unqueue(a)
+		a.end(backend.Outcome{Result: r})
+		return
+	}
+	delete(st.busy, a)
+	if a.slife == st.life {
+		st.conns--
+	}
+	if !st.cut {
+		a.p.e.s.After(a.p.e.way(), a, atCancel)
+	}
+	a.end(backend.Outcome{Result: r})
+	st.refill()
+}
+
+// end reports an attempt's end, once.
+func (a *attempt) end(o backend.Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	p, e := a.p, a.p.e
+	p.tries.Drop(a.ref)
+	if a.v == nil {
+		p.core.ProbeEnded(a.name(), o)
+		return
+	}
+	if a.sent {
+		never := o.Result == beechgrade.Missed || o.Result == beechgrade.Full
+		e.check.Ended(e.s.now, a.v.id, a.no, resultNames[o.Result], never)
+	}
+	e.results[o.Result]++
+	if m := e.opt.Mutant; m != nil && m.Outcome != nil {
+		m.Outcome(&o)
+	}
+	p.core.AttemptEnded(a.tag, o)
+}
+
+func (a *attempt) name() string {
+	if a.st == nil {
+		return ""
+	}
+	return a.st.s.Name
+}
+
+var resultNames = [...]string{"ok", "error", "turned away", "timed out", "unreachable", "reset", "called off", "never sent", "missed"}
+
+// serverDown breaks all connections to a server.
+func (p *pooler) serverDown(s *world.Server) {
+	st := p.stores[s.No]
+	if st == nil {
+		return
+	}
+	st.life++
+	st.conns -= st.idle
+	st.idle = 0
+	for _, a := range p.e.sortedAttempts(st.busy) {
+		p.e.s.After(p.e.way(), a, atReset)
+	}
+}
+
+// Watch is core.Directory's.
+func (p *pooler) Watch() { p.ask(true) }
+
+// Fetch is core.Directory's.
+func (p *pooler) Fetch() { p.ask(false) }
+
+func (p *pooler) ask(watch bool) {
+	e, life := p.e, p.life
+	e.lists++
+	e.s.After(e.way(), world.Func(func() {
+		if e.world.List.Gone {
+			e.s.After(e.way(), world.Func(func() { p.whenRunning(life, p.core.ListFailed) }), 0)
+			return
+		}
+		l := e.world.List.Whole()
+		if watch {
+			l = e.world.List.Since(p.known.Generation)
+			e.watches++
+			no := e.watches
+			p.whenRunning(life, func() { p.watch = no })
+		}
+		if len(l.Instances) > 0 || l.Reset {
+			p.tellList(life, l)
+		}
+	}), 0)
+}
+
+// tellList has a list arrive.
+func (p *pooler) tellList(life uint32, l discovery.List) {
+	e := p.e
+	e.s.After(e.way(), world.Func(func() {
+		if p.life != life || !p.up {
+			return
+		}
+		named := map[string]bool{}
+		for i := range l.Instances {
+			n := &l.Instances[i]
+			named[n.ID] = true
+			if s := e.world.Server(n.ID); s != nil {
+				e.check.Listed(e.s.now, p.no, s.No, n.Lifecycle)
+			}
+		}
+		if l.Reset {
+			for _, s := range e.world.Servers {
+				if !named[s.Name] {
+					e.check.Listed(e.s.now, p.no, s.No, "removed")
+				}
+			}
+		}
+		p.whenRunning(life, func() {
+			p.known.Generation = l.Generation
+			if m := e.opt.Mutant; m != nil && m.List != nil {
+				m.List(&l)
+			}
+			p.core.Listed(&l)
+		})
+	}), 0)
+}
+
+// listed has the list's news pushed to a pooler that watches.
+func (p *pooler) listed(l discovery.List) {
+	if p.watch != 0 && p.up {
+		p.tellList(p.life, l)
+	}
+}
+
+// listDown ends the watch.
+func (p *pooler) listDown() {
+	if p.watch == 0 || !p.up {
+		return
+	}
+	p.watch = 0
+	life := p.life
+	p.e.s.After(p.e.way(), world.Func(func() { p.whenRunning(life, p.core.ListFailed) }), 0)
+}
