Learn nothing of a store's rate while it is cold, but that it is slower

Routers took a returned store for colder than it was, since they count from when they heard of it, so its answers seemed fast and its rate went from 1.2 to 11.8 within two seconds; the budget of the cold guard grows with the rate.

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -52,7 +52,7 @@
 	asJSON := func() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "write JSON for machines"} }
 	return &cli.Command{
 		Name:           "beechgrade-kit",
-		Usage:          "look at what poolers recorded, and rehearse failures",
+		Usage:          "look at what poolers recorded, rehearse failures, and try changes at any size",
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			{
@@ -82,6 +82,7 @@
 				},
 				Action: measurePooling,
 			},
+			labCommand(asJSON),
 			{
 				Name: "rehearse", Usage: "run the daemon against stand-in servers and faults, as a script has them", ArgsUsage: "SCRIPT",
 				Flags: []cli.Flag{
@@ -93,7 +94,7 @@
 				},
 				Action: play,
 				Commands: []*cli.Command{
-					{Name: "check", Usage: "read scripts and tell what is wrong with them", ArgsUsage: "SCRIPT...", Action: check},
+					{Name: "check", Usage: "read scripts and tell what is wrong with them", ArgsUsage: "SCRIPT...", Action: checkScripts},
 					{Name: "compare", Usage: "hold a rehearsal's records against what its clients saw", ArgsUsage: "DIR", Flags: []cli.Flag{asJSON()}, Action: compare},
 				},
 			},
@@ -132,7 +133,7 @@
 	return enc.Encode(v)
 }
 
-func check(_ context.Context, c *cli.Command) error {
+func checkScripts(_ context.Context, c *cli.Command) error {
 	if !c.Args().Present() {
 		return errors.New("which scripts?")
 	}
--- /dev/null
+++ b/internal/kit/emulate/bench_test.go
@@ -0,0 +1,90 @@
+package emulate
+
+import (
+	"context"
+	"testing"
+
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+)
+
+// BenchmarkWorld is the world's own pace: servers that take, work and answer, without poolers.
+func BenchmarkWorld(b *testing.B) {
+	e := &Emulation{}
+	e.s.now = startMs
+	groups := make([]int, 250)
+	for i := range groups {
+		groups[i] = 4
+	}
+	cfg := world.Defaults(groups...)
+	cfg.Cores = 64
+	e.world = world.New(cfg, &e.s, quiet{})
+	const open = 20000
+	asks := make([]owner, open)
+	for i := range asks {
+		asks[i] = owner{e: e, s: e.world.Servers[i%len(e.world.Servers)]}
+		asks[i].Fire(0)
+	}
+	b.ResetTimer()
+	for e.s.events < uint64(b.N) {
+		x := e.s.pop()
+		e.s.now = x.at
+		e.s.events++
+		x.e.Fire(x.arg)
+	}
+	b.ReportMetric(float64(e.s.events)/b.Elapsed().Seconds(), "events/s")
+}
+
+// owner asks a server again and again.
+type owner struct {
+	e   *Emulation
+	s   *world.Server
+	job world.Job
+}
+
+func (o *owner) Fire(uint64) {
+	o.job = world.Job{Key: "k", Work: 40, Owner: o}
+	o.s.Take(&o.job)
+}
+
+func (o *owner) Answered(*world.Job, world.Reply) { o.e.s.After(1, o, 0) }
+
+type quiet struct{}
+
+func (quiet) Down(*world.Server)                            {}
+func (quiet) Said(world.Fact)                               {}
+func (quiet) Listed(*world.Entry, float64)                  {}
+func (quiet) ListDown(bool)                                 {}
+func (quiet) Executed(*world.Server, *world.Job, world.Run) {}
+
+func benchScenario(b *testing.B, text string) {
+	s, err := scenario.Parse("bench", []byte(text))
+	if err != nil {
+		b.Fatal(err)
+	}
+	var events, tries uint64
+	var module, wall, virtual float64
+	for i := range b.N {
+		r, err := Run(context.Background(), s, Options{Seed: uint64(i), Meter: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		events, tries, module, wall, virtual = events+r.Events, tries+r.Tries, module+r.ModuleMs, wall+r.WallMs, virtual+r.VirtualMs
+	}
+	b.ReportMetric(float64(events)/wall*1000, "events/s")
+	b.ReportMetric(1000*module/float64(tries), "module-us/try")
+	b.ReportMetric(virtual/wall, "virtual/real")
+}
+
+// The sizes at which virtual time is held against real time: a server of four cores is asked 15 a second.
+func BenchmarkServers10(b *testing.B) {
+	benchScenario(b, `(rehearsal "x" (seconds 20) (poolers 3) (groups 3 3 4) (rate 150))`)
+}
+
+func BenchmarkServers100(b *testing.B) {
+	benchScenario(b, `(rehearsal "x" (seconds 10) (poolers 10) (groups-of 25 4) (rate 1500) (sessions 4000))`)
+}
+
+func BenchmarkServers1000(b *testing.B) {
+	benchScenario(b, `(rehearsal "x" (seconds 5) (poolers 100) (groups-of 250 4) (rate 15000) (sessions 40000))`)
+}
--- /dev/null
+++ b/internal/kit/lab/run.go
@@ -0,0 +1,225 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+
+	jsoniter "github.com/json-iterator/go"
+	"golang.org/x/sys/unix"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/emulate"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// ResultsFile is the name of the table within an experiment's folder: a line for each run.
+const ResultsFile = "results.jsonl"
+
+// maxLine bounds a line of the table.
+const maxLine = 1 << 22
+
+// Line is what one run came to.
+type Line struct {
+	Cell   string   `json:"cell"`
+	Labels []string `json:"labels"`
+	Seed   uint64   `json:"seed"`
+	Hash   string   `json:"hash"`
+
+	Goal     float64            `json:"goal"`
+	Service  float64            `json:"service"`
+	Worst    float64            `json:"worst_10s"`
+	Least    float64            `json:"worst_class"`
+	Broken   map[check.Rule]int `json:"rules_broken,omitempty"`
+	Breach   *check.Breach      `json:"first_breach,omitempty"`
+	Asked    uint64             `json:"asked"`
+	Tries    uint64             `json:"tries"`
+	Attempts uint64             `json:"attempts"`
+	Probes   uint64             `json:"probes"`
+	Refused  uint64             `json:"refused"`
+	Failed   uint64             `json:"failed"`
+	Events   uint64             `json:"events"`
+	P50      float64            `json:"p50_ms"`
+	P99      float64            `json:"p99_ms"`
+	Lost     map[string]float64 `json:"lost"`
+	Worth    float64            `json:"worth_asked"`
+}
+
+// LineOf sums a run up.
+func LineOf(c *Cell, r *emulate.Result) Line {
+	l := Line{Cell: c.Key(), Labels: c.Labels, Seed: r.Seed, Hash: r.Hash, Goal: r.Score.Goal, Service: r.Score.Ratio, Worst: r.Score.Worst, Least: 1,
+		Broken: r.Verdict.Broken, Asked: r.Asked, Tries: r.Tries, Attempts: r.Attempts, Probes: r.Probes, Refused: r.Score.Total.Refused, Failed: r.Score.Total.Failed,
+		Events: r.Events, P50: r.P50, P99: r.P99, Lost: r.Lost, Worth: r.Score.Total.WorthAsked}
+	for _, x := range r.Score.Classes {
+		l.Least = min(l.Least, x.Ratio)
+	}
+	if len(r.Verdict.Breaches) > 0 {
+		l.Breach = &r.Verdict.Breaches[0]
+	}
+	return l
+}
+
+// ErrBusy says that another process works on the same folder.
+var ErrBusy = errors.New("another run is at work in this folder")
+
+// Run runs what an experiment has not run yet, on all cores, and returns its whole table. A run that was killed loses
+// nothing but what was under way.
+func Run(ctx context.Context, x *Experiment, dir string, progress func(done, all int)) ([]Line, error) {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, err
+	}
+	f, err := os.OpenFile(filepath.Join(dir, ResultsFile), os.O_RDWR|os.O_CREATE, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return nil, fmt.Errorf("%s: %w", dir, ErrBusy)
+	}
+	lines, whole, err := readLines(f)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Truncate(whole); err != nil { // a line that was cut off
+		return nil, err
+	}
+	if _, err := f.Seek(whole, io.SeekStart); err != nil {
+		return nil, err
+	}
+	type job struct {
+		cell *Cell
+		seed uint64
+	}
+	have := map[string]bool{}
+	key := func(cell string, seed uint64) string { return fmt.Sprintf("%s\x00%d", cell, seed) }
+	for _, l := range lines {
+		have[key(l.Cell, l.Seed)] = true
+	}
+	var jobs []job
+	for i := range x.Cells {
+		for _, seed := range x.Seeds {
+			if c := &x.Cells[i]; !have[key(c.Key(), seed)] {
+				jobs = append(jobs, job{c, seed})
+			}
+		}
+	}
+	all := len(x.Cells) * len(x.Seeds)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	feed := make(chan job)
+	go func() {
+		defer close(feed)
+		for _, j := range jobs {
+			select {
+			case feed <- j:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var failed error
+	for range max(1, min(runtime.GOMAXPROCS(0), len(jobs))) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for j := range feed {
+				r, err := emulate.Run(ctx, j.cell.Script, emulate.Options{Seed: j.seed})
+				mu.Lock()
+				if err == nil {
+					l := LineOf(j.cell, r)
+					if err = appendLine(f, &l); err == nil {
+						lines = append(lines, l)
+					}
+				}
+				if err != nil && failed == nil {
+					failed = err
+					stop()
+				}
+				if progress != nil && failed == nil {
+					progress(all-len(jobs)+len(lines)-len(have), all)
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return x.table(lines), nil
+}
+
+// table has the lines of an experiment's own cells and seeds, in its order, each once.
+func (x *Experiment) table(lines []Line) []Line {
+	order := map[string]int{}
+	for i := range x.Cells {
+		order[x.Cells[i].Key()] = i
+	}
+	var out []Line
+	for _, l := range lines {
+		if _, ok := order[l.Cell]; ok && slices.Contains(x.Seeds, l.Seed) {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(order[a.Cell], order[b.Cell]), cmp.Compare(a.Seed, b.Seed))
+	})
+	return slices.CompactFunc(out, func(a, b Line) bool { return a.Cell == b.Cell && a.Seed == b.Seed })
+}
+
+func appendLine(f *os.File, l *Line) error {
+	b, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	if _, err := f.Write(append(b, '\n')); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// readLines reads a table as far as it is whole, and tells where that ends.
+func readLines(r io.Reader) (lines []Line, whole int64, err error) {
+	in := bufio.NewReaderSize(r, 1<<16)
+	for {
+		b, err := in.ReadBytes('\n')
+		if err != nil || len(b) > maxLine {
+			if err == io.EOF || err == nil {
+				return lines, whole, nil
+			}
+			return nil, 0, err
+		}
+		var l Line
+		if json.Unmarshal(bytes.TrimSpace(b), &l) != nil {
+			return lines, whole, nil // what stands behind it is run again
+		}
+		whole += int64(len(b))
+		lines = append(lines, l)
+	}
+}
+
+// Read reads the table of an experiment that was run.
+func Read(dir string) ([]Line, error) {
+	f, err := os.Open(filepath.Join(dir, ResultsFile))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	lines, _, err := readLines(f)
+	return lines, err
+}
--- /dev/null
+++ b/internal/kit/lab/shrink.go
@@ -0,0 +1,171 @@
+package lab
+
+import (
+	"context"
+	"slices"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/emulate"
+	"beechgrade/internal/kit/scenario"
+)
+
+// Fails tells whether a run still shows what is looked for.
+type Fails func(r *emulate.Result) bool
+
+// Breaks is a run in which a rule is broken; the empty rule stands for any.
+func Breaks(rule check.Rule) Fails {
+	return func(r *emulate.Result) bool { return rule == "" && !r.Verdict.OK() || r.Verdict.Broken[rule] > 0 }
+}
+
+// Below is a run whose goal lies below a figure.
+func Below(goal float64) Fails {
+	return func(r *emulate.Result) bool { return r.Score.Goal < goal }
+}
+
+// Shrunk is what a scenario was shrunk to.
+type Shrunk struct {
+	Script *scenario.Script
+	Result *emulate.Result
+	Runs   int
+}
+
+// maxShrinks bounds the runs that a shrinking takes.
+const maxShrinks = 400
+
+// Shrink looks for a smaller scenario that still fails with the same seed: fewer faults, less time, fewer groups, members,
+// poolers and requests. It returns the smallest that it found, or nil where the scenario does not fail.
+func Shrink(ctx context.Context, s *scenario.Script, opt emulate.Options, fails Fails, progress func(runs int, s *scenario.Script)) (*Shrunk, error) {
+	z := &shrinker{ctx: ctx, opt: opt, fails: fails, progress: progress}
+	ok, err := z.try(s.Clone())
+	if err != nil || !ok {
+		return nil, err
+	}
+	for again := true; again && z.err == nil && z.runs < maxShrinks; {
+		again = z.faults()
+		again = z.time() || again
+		again = z.groups() || again
+		again = z.sizes() || again
+	}
+	return &Shrunk{z.best, z.result, z.runs}, z.err
+}
+
+type shrinker struct {
+	ctx      context.Context
+	opt      emulate.Options
+	fails    Fails
+	progress func(int, *scenario.Script)
+	best     *scenario.Script
+	result   *emulate.Result
+	runs     int
+	err      error
+}
+
+// try runs a candidate, and keeps it where it still fails.
+func (z *shrinker) try(s *scenario.Script) (bool, error) {
+	if z.err != nil || z.runs >= maxShrinks {
+		return false, z.err
+	}
+	if s.Again() != nil {
+		return false, nil // it is no scenario any more: a fault strikes what is not there
+	}
+	r, err := emulate.Run(z.ctx, s, z.opt)
+	if err != nil {
+		z.err = err
+		return false, err
+	}
+	z.runs++
+	if !z.fails(r) {
+		return false, nil
+	}
+	z.best, z.result = s, r
+	if z.progress != nil {
+		z.progress(z.runs, s)
+	}
+	return true, nil
+}
+
+// faults leaves faults out: halves first, then quarters, down to single ones.
+func (z *shrinker) faults() (smaller bool) {
+	for size := max(1, len(z.best.Faults)/2); len(z.best.Faults) > 0; size /= 2 {
+		for at := 0; at < len(z.best.Faults); {
+			s := z.best.Clone()
+			s.Faults = slices.Delete(s.Faults, at, min(at+size, len(s.Faults)))
+			if ok, _ := z.try(s); ok {
+				smaller = true
+				continue
+			}
+			at += size
+		}
+		if size <= 1 {
+			break
+		}
+	}
+	return smaller
+}
+
+// time ends the scenario sooner: just behind what fails, then nearer.
+func (z *shrinker) time() (smaller bool) {
+	for _, part := range []float64{0.5, 0.75, 0.9} {
+		for {
+			s := z.best.Clone()
+			s.Clients.Seconds *= part
+			end := s.Clients.Seconds * 1000
+			s.Faults = slices.DeleteFunc(s.Faults, func(f scenario.Fault) bool { return f.At >= end })
+			if s.Clients.Seconds < 1 {
+				break
+			}
+			if ok, _ := z.try(s); !ok {
+				break
+			}
+			smaller = true
+		}
+	}
+	return smaller
+}
+
+// groups leaves the last groups out.
+func (z *shrinker) groups() (smaller bool) {
+	for n := len(z.best.Fleet.Groups); n > 1; {
+		n /= 2
+		s := z.best.Clone()
+		s.Fleet.Groups = s.Fleet.Groups[:n]
+		s.Clients.Groups = n
+		s.Clients.Rate *= float64(n) / float64(len(z.best.Fleet.Groups))
+		if ok, _ := z.try(s); !ok {
+			break
+		}
+		smaller = true
+	}
+	return smaller
+}
+
+// sizes takes poolers, members and requests away.
+func (z *shrinker) sizes() (smaller bool) {
+	for _, change := range []func(s *scenario.Script) bool{
+		func(s *scenario.Script) bool { s.Poolers /= 2; return s.Poolers >= 1 },
+		func(s *scenario.Script) bool {
+			most := 0
+			for i, n := range s.Fleet.Groups {
+				s.Fleet.Groups[i] = max(1, n-1)
+				most = max(most, n)
+			}
+			return most > 1
+		},
+		func(s *scenario.Script) bool {
+			s.Clients.Rate = float64(int(s.Clients.Rate / 2))
+			return s.Clients.Rate >= 1
+		},
+	} {
+		for {
+			s := z.best.Clone()
+			if !change(s) {
+				break
+			}
+			if ok, _ := z.try(s); !ok {
+				break
+			}
+			smaller = true
+		}
+	}
+	return smaller
+}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -92,6 +92,8 @@
 	return fmt.Sprintf("%s %d", t.Kind, t.Group)
 }
 
+var defaultWay, defaultHandshake = world.Range{0.05, 0.3}, world.Range{0.5, 2}
+
 // Load reads a script.
 func Load(path string) (*Script, error) {
 	b, err := os.ReadFile(path)
@@ -110,12 +112,16 @@
 	if len(nodes) != 1 || nodes[0].Head() != "rehearsal" {
 		return nil, &sexp.Error{Pos: sexp.Pos{File: path, Line: 1, Col: 1}, Text: "one (rehearsal \"NAME\" ...) is due"}
 	}
-	n := nodes[0]
+	return Read(nodes[0])
+}
+
+// Read reads a script that is parsed already.
+func Read(n *sexp.Node) (*Script, error) {
 	args := n.Args()
 	if len(args) == 0 || args[0].Kind != sexp.String || args[0].Text == "" {
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
-	s := &Script{Name: args[0].Text, Poolers: 1, Way: world.Range{0.05, 0.3}, Handshake: world.Range{0.5, 2}, Fleet: world.Defaults(3), Clients: clients.Defaults()}
+	s := &Script{Name: args[0].Text, Poolers: 1, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
 	s.Clients.Rate, s.Clients.Seconds = 100, 20
 	if err := s.form().Read(args[1:], "at", "class"); err != nil {
 		return nil, err
--- a/router.go
+++ b/router.go
@@ -583,11 +583,13 @@
 			}
 			s.want += q.work()
 			s.got += got
-			c.n++
-			c.work += max(workGain, 1/(c.n+8)) * (got*r.base(s)*c.work/q.work() - c.work)
-			c.work = max(c.work, 1e-3)
-			r.work += max(workGain, 1/(r.answers+8)) * (c.work - r.work)
-			r.answers++
+			if r.warmth(s) == 1 { // how cold a store is, is known roughly: what it shows then is little evidence
+				c.n++
+				c.work += max(workGain, 1/(c.n+8)) * (got*r.base(s)*c.work/q.work() - c.work)
+				c.work = max(c.work, 1e-3)
+				r.work += max(workGain, 1/(r.answers+8)) * (c.work - r.work)
+				r.answers++
+			}
 		}
 		s.fails, s.failedAt = r.failing(s)/2, r.now
 		for _, o := range s.open[:older] {
@@ -953,7 +955,7 @@
 				s.got += over - a.req.work()/rate
 			}
 		}
-		if s.got *= rate; s.want > 0 || s.got > 0 { // from here on in work at its present rate
+		if s.got *= rate; r.warmth(s) == 1 && (s.want > 0 || s.got > 0) { // from here on in work at its present rate
 			k := kinds[s.entry.Kind]
 			kinds[s.entry.Kind] = [2]float64{k[0] + s.want, k[1] + s.got}
 		}
@@ -961,7 +963,11 @@
 	for _, s := range r.order {
 		if s.want > 0 || s.got > 0 {
 			f := step(kinds[s.entry.Kind][0], kinds[s.entry.Kind][1])
-			s.rel = min(rateMost, max(1/rateMost, s.rel*step(s.want, s.got*f)))
+			x := step(s.want, s.got*f)
+			if r.warmth(s) < 1 { // one that started sooner than we heard seems fast
+				x = min(1, x)
+			}
+			s.rel = min(rateMost, max(1/rateMost, s.rel*x))
 		}
 		s.want, s.got = 0, 0
 	}
--- a/router_test.go
+++ b/router_test.go
@@ -457,6 +457,39 @@
 	}
 }
 
+// TestColdAnswersDoNotRaiseTheRate: a store that started sooner than the router knows answers sooner than one so cold
+// would. Its rate must not rise for that: it would take more than it stands later, while still cold.
+func TestColdAnswersDoNotRaiseTheRate(t *testing.T) {
+	g := trio(t, nil)
+	s, sent := g.r.stores["p"], 0
+	rounds := func(name string, n int) {
+		for i := range n {
+			id := RequestID(fmt.Sprint(name, i))
+			out := append([]Action{}, g.ask(id, cUnsafe)...)
+			for len(of(Send, out)) == 0 && len(finals(out)) == 0 {
+				out = append(out, g.pass(beat)...)
+			}
+			g.pass(60 * ms) // as a store takes that is warm, and a little faster than usual
+			if len(of(Send, out)) == 1 {
+				sent++
+				g.end(id, 0, "p", OK)
+			}
+			g.pass(140 * ms)
+		}
+	}
+	s.coldFrom = g.now
+	was, work := g.r.base(s), g.r.classes[cUnsafe].work
+	rounds("cold", 20)
+	if now := g.r.base(s); sent < 10 || now > 1.001*was || g.r.classes[cUnsafe].work != work {
+		t.Errorf("%d answers of a cold store; its rate went from %v to %v", sent, was, now)
+	}
+	g.pass(10 * time.Second)
+	rounds("warm", 20)
+	if now := g.r.base(s); now <= 1.05*was {
+		t.Errorf("it is warm and answers soon, and its rate stays at %v", now)
+	}
+}
+
 // TestPrimaryChange holds writes while no primary is known and releases each once when one appears.
 func TestPrimaryChange(t *testing.T) {
 	g := trio(t, nil)
