--- /dev/null
+++ b/cmd/beechgrade-kit/agree.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/emulate"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/score"
+)
+
+// agreement is how both ways of playing a scenario came out.
+type agreement struct {
+	Scenario string       `json:"scenario"`
+	Virtual  *score.Score `json:"virtual"`
+	Sockets  *score.Score `json:"sockets"`
+
+	VirtualRules map[check.Rule]int `json:"virtual_rules_broken,omitempty"`
+	SocketRules  map[check.Rule]int `json:"socket_rules_broken,omitempty"`
+}
+
+// agree plays scenarios in virtual time and on sockets with the same seed, and holds the two against each other.
+func agree(ctx context.Context, c *cli.Command) error {
+	paths := c.Args().Slice()
+	if len(paths) == 0 || c.Int("at-once") < 1 {
+		return errors.New("which scenarios? and --at-once is 1 at least")
+	}
+	daemon, err := daemonOf(c)
+	if err != nil {
+		return err
+	}
+	out, seed := c.String("out"), c.Uint64("seed")
+	rows, errs := make([]agreement, len(paths)), make([]error, len(paths))
+	gate := make(chan struct{}, c.Int("at-once"))
+	var wg sync.WaitGroup
+	for i, path := range paths {
+		s, err := scenario.Load(path)
+		if err != nil {
+			return err
+		}
+		if err := s.OnSockets(); err != nil {
+			return err
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			v, err := emulate.Run(ctx, s.Clone(), emulate.Options{Seed: seed})
+			if err != nil {
+				errs[i] = err
+				return
+			}
+			name := strings.TrimSuffix(filepath.Base(path), ".sexp")
+			r, err := rehearse.Play(ctx, s, rehearse.Options{Seed: seed, Out: filepath.Join(out, name), Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
+			if err != nil {
+				errs[i] = fmt.Errorf("%s: %w", path, err)
+				return
+			}
+			rows[i] = agreement{Scenario: name, Virtual: v.Score, Sockets: r.Score, VirtualRules: v.Verdict.Broken, SocketRules: r.Rules.Broken}
+			if !c.Bool("json") {
+				fmt.Fprintf(os.Stderr, "%s\n", name)
+			}
+		}()
+	}
+	wg.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = writeJSON(c.Root().Writer, rows)
+	} else {
+		err = agreeText(c.Root().Writer, rows)
+	}
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if len(r.VirtualRules) > 0 || r.Sockets.Broken > 0 {
+			return failed{fmt.Errorf("%s: rules were broken: in virtual time %v, on sockets %v", r.Scenario, r.VirtualRules, r.Sockets.Breaches)}
+		}
+	}
+	return nil
+}
+
+func agreeText(w io.Writer, rows []agreement) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "scenario\tservice: virtual\tsockets\tdifference\tworst 10 s: virtual\tsockets\tdifference\tgoal: virtual\tsockets\tdifference")
+	var sum [3]float64
+	for _, r := range rows {
+		v, s := r.Virtual, r.Sockets
+		d := [3]float64{s.Ratio - v.Ratio, s.Worst - v.Worst, s.Goal - v.Goal}
+		for i := range sum {
+			sum[i] += math.Abs(d[i]) / float64(len(rows))
+		}
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t%.3f\t%.3f\t%+.3f\t%.4f\t%.4f\t%+.4f\n", r.Scenario, v.Ratio, s.Ratio, d[0], v.Worst, s.Worst, d[1], v.Goal, s.Goal, d[2])
+	}
+	fmt.Fprintf(t, "mean distance\t\t\t%.4f\t\t\t%.3f\t\t\t%.4f\n", sum[0], sum[1], sum[2])
+	return t.Flush()
+}
--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -83,6 +83,7 @@
 				Action: measurePooling,
 			},
 			labCommand(asJSON),
+			loadCommand(asJSON),
 			{
 				Name: "rehearse", Usage: "run the daemon against stand-in servers and faults, as a script has them", ArgsUsage: "SCRIPT",
 				Flags: []cli.Flag{
@@ -103,7 +104,7 @@
 }
 
 // load reads all records below some folders.
-func load(c *cli.Command) (*incident.View, error) {
+func loadView(c *cli.Command) (*incident.View, error) {
 	set, err := open(c)
 	if err != nil {
 		return nil, err
@@ -117,7 +118,7 @@
 }
 
 func summary(_ context.Context, c *cli.Command) error {
-	v, err := load(c)
+	v, err := loadView(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/beechgrade-kit/trace.go
+++ b/cmd/beechgrade-kit/trace.go
@@ -148,7 +148,7 @@
 }
 
 func htmlReport(_ context.Context, c *cli.Command) (err error) {
-	v, err := load(c)
+	v, err := loadView(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/beechgrade-kit/view.go
+++ b/cmd/beechgrade-kit/view.go
@@ -13,7 +13,7 @@
 
 func view(ctx context.Context, c *cli.Command) error {
 	if !c.Bool("follow") {
-		v, err := load(c)
+		v, err := loadView(c)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/example/rehearsals/half-alive.sexp
@@ -0,0 +1,7 @@
+; Servers that look well and are not: one hears no requests while its probes are answered, one loses some, and the answers
+; of a primary vanish.
+(rehearsal "half alive"
+  (seconds 26) (poolers 2) (groups 3 3) (rate 80)
+  (at 4s (deaf replica 0) (for 6s))
+  (at 8s (lose member 1 1 0.3) (for 8s))
+  (at 16s (mute primary 1) (for 2s)))
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -183,6 +183,9 @@
 	giveUp := t.Sent + a.Patience
 	sql := statement(a, c, t, after, giveUp-p.clk.Now())
 	_ = l.SetDeadline(time.Now().Add(time.Duration((giveUp - p.clk.Now()) * float64(time.Millisecond))))
+	if w, ok := p.sink.(Watcher); ok {
+		w.Trying(t, giveUp, math.Ceil(after))
+	}
 	if _, err := l.Write(pgwire.AppendQuery(nil, sql)); err != nil {
 		t.Kind, t.Ended = Broken, p.clk.Now()
 		_ = l.Close()
--- /dev/null
+++ b/internal/kit/clients/conn.go
@@ -0,0 +1,64 @@
+package clients
+
+import (
+	"errors"
+	"net"
+
+	"time"
+
+	"beechgrade/internal/pgwire"
+)
+
+// Conn is a client's connection to a pooler, in the platform's form.
+type Conn struct{ l *link }
+
+// Said is a pooler's answer.
+type Said struct {
+	Kind   Kind
+	Code   string  // of an error
+	WaitMs float64 // that a refusal advises
+	Value  []byte
+}
+
+// Dial connects to a pooler.
+func Dial(addr string) (*Conn, error) {
+	l, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{l}, nil
+}
+
+// Ask sends a statement and waits for its answer for so long at most. Behind an error the connection is of no use.
+func (c *Conn) Ask(sql string, wait time.Duration) (Said, error) {
+	_ = c.l.SetDeadline(time.Now().Add(wait))
+	if _, err := c.l.Write(pgwire.AppendQuery(nil, sql)); err != nil {
+		return Said{Kind: Broken}, err
+	}
+	a, err := c.l.answer()
+	var ne net.Error
+	switch {
+	case errors.As(err, &ne) && ne.Timeout():
+		return Said{Kind: Silent}, err
+	case err != nil:
+		return Said{Kind: Broken}, err
+	case a.code == "":
+		return Said{Kind: Served, Value: a.value}, nil
+	case a.code == "53300" || a.code == "57P03":
+		return Said{Kind: Refused, Code: a.code, WaitMs: a.wait}, nil
+	}
+	return Said{Kind: Failed, Code: a.code}, nil
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error { return c.l.Close() }
+
+// Word words a statement of an ask for the platform's form.
+func Word(a *Ask, c *Class, id string, wrote uint64, after, patienceMs float64) string {
+	return statement(a, c, &Try{ID: id, Wrote: wrote}, after, patienceMs)
+}
+
+// Watcher is a Sink that is also told of tries as they are sent.
+type Watcher interface {
+	Trying(t *Try, untilMs, afterMs float64)
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -31,10 +31,11 @@
 
 // Watcher is told of what crosses the stand-ins' wires, under the fleet's lock.
 type Watcher interface {
-	Took(server int, started float64, id string, work, at float64)  // a request has come whole
-	Ran(server int, j *world.Job, r world.Run)                      // it ran
-	Drained(server int, at float64)                                 // all that watch have been told that it drains
-	Listed(server int, state string, started float64, told float64) // the list says something new
+	Arrived(server int, id string, at float64) (no int)            // a request has come whole; no is its number among those of its id
+	Turned(id string, no int, how string, at float64)              // it was turned away untouched
+	Took(server int, started float64, id string, work, at float64) // it was taken in
+	Ran(server int, j *world.Job, value []byte, r world.Run)       // it ran, and made this value
+	Listed(server int, state string, at float64)                   // all that watch have been told this of a server
 }
 
 // Fleet is the servers and their discovery.
@@ -156,12 +157,12 @@
 	s := f.servers[e.Server.No]
 	if e.Lifecycle == "draining" && !f.world.List.Gone && len(f.dir.watchers) > 0 {
 		s.drainTold = at
-		if f.watcher != nil {
-			f.watcher.Drained(s.No, at)
-		}
 	} else if e.Lifecycle == "up" {
 		s.drainTold = 0
 	}
+	if f.watcher != nil && !f.world.List.Gone && len(f.dir.watchers) > 0 && e.Lifecycle != "removed" {
+		f.watcher.Listed(s.No, e.Lifecycle, at)
+	}
 	f.dir.wakeAll()
 }
 
@@ -171,7 +172,11 @@
 // Executed is world.Watcher's.
 func (f *Fleet) Executed(s *world.Server, j *world.Job, r world.Run) {
 	if f.watcher != nil {
-		f.watcher.Ran(s.No, j, r)
+		value := j.Value
+		if !j.Writes {
+			value = s.Read(j.Key)
+		}
+		f.watcher.Ran(s.No, j, value, r)
 	}
 }
 
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -207,6 +207,9 @@
 	return "x0=" + strconv.FormatFloat(r.Position/1000, 'f', 3, 64) + ",x1=" + x1
 }
 
+// turned are the verdicts that leave a request untouched.
+var turned = map[world.Verdict]string{world.NotPrimary: "missed", world.Drains: "turned away", world.QueueFull: "turned away"}
+
 // reply waits for a job's answer; it is world.Owner.
 type reply chan world.Reply
 
@@ -227,8 +230,12 @@
 	if s.drainTold != 0 && now-s.drainTold > f.cfg.GraceMs+wayMs && len(f.late) < maxLate {
 		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.Group.ID, What: "was sent " + st.ID + " while it drains"})
 	}
-	if f.watcher != nil && s.Takes(j) {
-		f.watcher.Took(s.No, s.Started, st.ID, j.Work, now)
+	no := 0
+	if f.watcher != nil {
+		no = f.watcher.Arrived(s.No, st.ID, now)
+		if s.Takes(j) {
+			f.watcher.Took(s.No, s.Started, st.ID, j.Work, now)
+		}
 	}
 	s.Take(j)
 	f.mu.Unlock()
@@ -241,6 +248,11 @@
 		f.mu.Unlock()
 		return nil, false
 	}
+	if how := turned[x.Verdict]; how != "" && f.watcher != nil {
+		f.mu.Lock()
+		f.watcher.Turned(st.ID, no, how, f.clk.Now())
+		f.mu.Unlock()
+	}
 	switch x.Verdict {
 	case world.Fallen:
 		return nil, false
--- /dev/null
+++ b/internal/kit/lab/lab_test.go
@@ -0,0 +1,206 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io/fs"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/emulate"
+	"beechgrade/internal/kit/scenario"
+)
+
+const base = `(rehearsal "small" (seconds 6) (poolers 2) (groups 2 2) (rate 60) (cold 3s) (detect 200ms 300ms) (elect 200ms 300ms) (at 2s (die primary 0) (for 1s)))`
+
+const small = `(experiment "small" (scenario "s.sexp") (seeds 1 3) (axis "poolers" (value "one" (poolers 1)) (value "two")) (axis "rate" (value "60") (value "200" (rate 200))))`
+
+func reader(files map[string]string) func(string) ([]byte, error) {
+	return func(name string) ([]byte, error) {
+		if text, ok := files[name]; ok {
+			return []byte(text), nil
+		}
+		return nil, fs.ErrNotExist
+	}
+}
+
+func parse(t *testing.T, text string) *Experiment {
+	t.Helper()
+	x, err := Parse("e.sexp", []byte(text), reader(map[string]string{"s.sexp": base}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// TestParse guards against an experiment that is taken otherwise than it was meant.
+func TestParse(t *testing.T) {
+	x := parse(t, small)
+	var got []string
+	for _, c := range x.Cells {
+		got = append(got, c.Key())
+	}
+	if diff := cmp.Diff([]string{"one / 60", "one / 200", "two / 60", "two / 200"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if c := x.Cells[1].Script; c.Poolers != 1 || c.Clients.Rate != 200 || x.Cells[2].Script.Poolers != 2 || len(c.Faults) != 1 {
+		t.Errorf("%+v", c)
+	}
+	for in, want := range map[string]string{
+		`(rehearsal "x")`:                      `e.sexp:1:1: one (experiment "NAME" ...) is due`,
+		`(experiment "x")`:                     `e.sexp:1:1: (scenario "FILE") is missing`,
+		`(experiment "x" (seeds 2))`:           `e.sexp:1:17: (seeds FIRST LAST) takes two numbers`,
+		`(experiment "x" (scenario "t.sexp"))`: `e.sexp:1:27: file does not exist`,
+		`(experiment "x" (scenario "s.sexp"))`: `e.sexp:1:1: (seeds FIRST LAST) is missing`,
+		`(experiment "x" (scenario "s.sexp") (seeds 1 2) (axis "a" (value "v") (value "v")))`:             `e.sexp:1:78: there is a value "v" already`,
+		`(experiment "x" (scenario "s.sexp") (seeds 1 2) (axis "a" (worth "v")))`:                         `e.sexp:1:59: (value "LABEL" FORM...) is due here`,
+		`(experiment "x" (scenario "s.sexp") (seeds 1 2) (axis "a" (value "v" (poolers 0))))`:             `cell "v": e.sexp:1:79: 0 is out of range; it may be from 1 to 1000`,
+		`(experiment "x" (scenario "s.sexp") (seeds 1 2) (axis "a" (value "v" (at 3s (kill-pooler 7)))))`: `cell "v": e.sexp:1:70: there is no pooler 7; they are numbered from 0 to 1`,
+		`(experiment "x" (scenario "s.sexp") (seeds 1 2) (axis "a" (value "v")) (axis "a" (value "w")))`:  `e.sexp:1:78: there is an axis "a" already`,
+		`(experiment "x" (scenario "s.sexp") (seeds 5 1))`:                                                `e.sexp:1:46: 1 is out of range; it may be from 5 to 10004`,
+	} {
+		_, err := Parse("e.sexp", []byte(in), reader(map[string]string{"s.sexp": base}))
+		if err == nil || err.Error() != want {
+			t.Errorf("%s:\n%v, want\n%s", in, err, want)
+		}
+	}
+}
+
+// TestShipped: every experiment and scenario that is shipped can be read.
+func TestShipped(t *testing.T) {
+	found, _ := filepath.Glob("../../../example/experiments/*.sexp")
+	if len(found) == 0 {
+		t.Error("no experiments are shipped")
+	}
+	for _, f := range found {
+		if _, err := Load(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestResumed: an experiment that was broken off at any point, within a line too, goes on and comes to the same table.
+func TestResumed(t *testing.T) {
+	x, dir := parse(t, small), t.TempDir()
+	whole, err := Run(context.Background(), x, dir, nil)
+	if err != nil || len(whole) != 12 {
+		t.Fatalf("%d runs: %v", len(whole), err)
+	}
+	path := filepath.Join(dir, ResultsFile)
+	all, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 8 {
+		cut := rng.IntN(len(all) + 1)
+		if err := os.WriteFile(path, all[:cut], 0o640); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Run(context.Background(), x, dir, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(whole, again); diff != "" {
+			t.Fatalf("cut at byte %d: %s", cut, diff)
+		}
+		if lines, err := Read(dir); err != nil || len(lines) != 12 {
+			t.Fatalf("cut at byte %d: the file holds %d runs: %v", cut, len(lines), err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(ctx, x, dir, nil); !errors.Is(err, context.Canceled) {
+		t.Errorf("called off: %v", err)
+	}
+	if again, err := Run(context.Background(), x, dir, nil); err != nil || cmp.Diff(whole, again) != "" {
+		t.Errorf("after being called off: %v", err)
+	}
+	var b bytes.Buffer
+	if err := HTML(&b, x, whole); err != nil || strings.Contains(b.String(), "NaN") || !strings.Contains(b.String(), "goal by rate") {
+		t.Errorf("the report: %v", err)
+	}
+}
+
+// lines are runs of which a metric has these values.
+func lines(cell string, goals ...float64) (out []Line) {
+	for i, g := range goals {
+		out = append(out, Line{Cell: cell, Labels: []string{cell}, Seed: uint64(i), Goal: g})
+	}
+	return out
+}
+
+// TestCompare guards against differences that are seen where there are none, and against those that are missed.
+func TestCompare(t *testing.T) {
+	noise := []float64{0.80, 0.60, 0.90, 0.70, 0.50, 0.85, 0.65, 0.75}
+	var up, both []float64
+	for i, x := range noise {
+		up = append(up, x+0.01+0.001*float64(i%3)) // far less than the seeds differ among each other
+		both = append(both, x+0.02*float64(1-2*(i%2)))
+	}
+	for name, c := range map[string]struct {
+		variant []float64
+		want    string
+	}{"always a little more": {up, "better"}, "now more, now less": {both, "no difference seen"}, "the same": {noise, "no difference seen"}, "one pair": {up[:1], "no difference seen"}} {
+		x, err := Compare("a", "b", lines("a", noise...), lines("b", c.variant...))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e := x.Effects[0]; e.Verdict != c.want || e.Pairs != len(c.variant) {
+			t.Errorf("%s: %+v", name, e)
+		}
+	}
+	back, _ := Compare("b", "a", lines("b", up...), lines("a", noise...))
+	if back.Effects[0].Verdict != "worse" {
+		t.Errorf("the other way round: %+v", back.Effects[0])
+	}
+	if _, err := Compare("a", "b", lines("a", 1), []Line{{Seed: 9}}); !errors.Is(err, ErrPairs) {
+		t.Errorf("nothing to pair: %v", err)
+	}
+}
+
+// TestShrink: a scenario with much in it that does not matter is shrunk to what does, and what is written of it can be
+// played again.
+func TestShrink(t *testing.T) {
+	s, err := scenario.Parse("big", []byte(`(rehearsal "big" (seconds 16) (poolers 4) (groups 3 3 3 3) (rate 160) (list 200ms 400ms)
+		(at 1s (lag replica 1 5) (for 3s)) (at 2s (load 2) (for 1s)) (at 3s (drain primary 0) (for 6s)) (at 5s (crowd replica 2 0.5) (for 3s)) (at 9s (list-late 1s) (for 2s)))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mutant *emulate.Mutant
+	all := emulate.Mutants()
+	for i := range all {
+		if all[i].Breaks == check.DrainsKept {
+			mutant = &all[i]
+		}
+	}
+	opt := emulate.Options{Seed: 1, Mutant: mutant}
+	z, err := Shrink(context.Background(), s, opt, Breaks(check.DrainsKept), nil)
+	if err != nil || z == nil {
+		t.Fatalf("%v %v", z, err)
+	}
+	if f := z.Script.Faults; len(f) != 1 || f[0].What != "drain" || z.Script.Clients.Seconds > 8 || len(z.Script.Fleet.Groups) > 2 || z.Script.Poolers > 1 {
+		t.Errorf("shrunk to %s", z.Script.Text())
+	}
+	again, err := scenario.Parse("shrunk", []byte(z.Script.Text()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := emulate.Run(context.Background(), again, opt)
+	if err != nil || r.Hash != z.Result.Hash {
+		t.Errorf("played again it is another run: %v\n%s", err, z.Script.Text())
+	}
+	if z, err := Shrink(context.Background(), s, emulate.Options{Seed: 1}, Breaks(""), nil); z != nil || err != nil {
+		t.Errorf("a scenario that does not fail was shrunk: %v", err)
+	}
+}
--- a/internal/kit/lab/run.go
+++ b/internal/kit/lab/run.go
@@ -63,6 +63,9 @@
 	for _, x := range r.Score.Classes {
 		l.Least = min(l.Least, x.Ratio)
 	}
+	if len(l.Broken) == 0 {
+		l.Broken = nil // as it is read back
+	}
 	if len(r.Verdict.Breaches) > 0 {
 		l.Breach = &r.Verdict.Breaches[0]
 	}
--- /dev/null
+++ b/internal/kit/load/load.go
@@ -0,0 +1,332 @@
+// Package load asks poolers in open loop: at its own times, whether or not what came before is answered, so that a
+// pooler that stalls is not spared. Times count from when a request was due, not from when it could be sent.
+package load
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Shot is one request that is due.
+type Shot struct {
+	AtMs    float64 // from the start
+	Class   string
+	Group   int
+	Session uint64
+	Writes  bool
+}
+
+// Source gives shots in the order of their times.
+type Source interface{ Next() (Shot, bool) }
+
+// Shape says how arrivals are spread.
+type Shape string
+
+// The shapes.
+const (
+	Constant Shape = "constant"
+	Poisson  Shape = "poisson"
+)
+
+// Mix is what is asked for: classes by their shares.
+type Mix struct {
+	Class  string
+	Share  float64
+	Writes bool
+}
+
+// Pattern draws shots: a rate that goes from one figure to another, and a mix.
+type Pattern struct {
+	Shape    Shape
+	From, To float64 // requests a second, at the start and at the end
+	Seconds  float64
+	Mix      []Mix
+	Groups   int
+	Sessions int
+	Seed     uint64
+}
+
+type pattern struct {
+	Pattern
+	rng   *rand.Rand
+	at    float64
+	total float64
+}
+
+// Source makes a source of a pattern; the same one gives the same shots.
+func (p Pattern) Source() Source {
+	s := &pattern{Pattern: p, rng: rand.New(rand.NewPCG(p.Seed, 11))}
+	for _, m := range p.Mix {
+		s.total += m.Share
+	}
+	return s
+}
+
+// Next is Source's.
+func (p *pattern) Next() (Shot, bool) {
+	rate := p.From + (p.To-p.From)*min(1, p.at/(p.Seconds*1000))
+	gap := 1000 / max(rate, 1e-6)
+	if p.Shape == Poisson {
+		gap *= p.rng.ExpFloat64()
+	}
+	if p.at += gap; p.at >= p.Seconds*1000 || math.IsNaN(p.at) || len(p.Mix) == 0 {
+		return Shot{}, false
+	}
+	s := Shot{AtMs: p.at, Group: p.rng.IntN(max(1, p.Groups)), Session: uint64(p.rng.IntN(max(1, p.Sessions)))}
+	x := p.rng.Float64() * p.total
+	m := p.Mix[len(p.Mix)-1]
+	for _, o := range p.Mix {
+		if x < o.Share {
+			m = o
+			break
+		}
+		x -= o.Share
+	}
+	s.Class, s.Writes = m.Class, m.Writes
+	return s, true
+}
+
+// Ending is how a shot ended.
+type Ending string
+
+// The endings of shots that no pooler decided.
+const (
+	Served  Ending = "served"
+	Refused Ending = "refused"
+	Failed  Ending = "failed"
+	Silent  Ending = "no answer"
+	Broken  Ending = "broken"
+	Dropped Ending = "not sent" // more were out than may be
+)
+
+// Target takes shots. It is used by many goroutines at once.
+type Target interface {
+	Fire(ctx context.Context, s Shot) Ending
+}
+
+// Options bound a run.
+type Options struct {
+	Out      int // shots that may be out at once; beyond that they are counted as not sent
+	Progress func(Snapshot)
+	EveryMs  float64
+}
+
+// Snapshot is a run so far.
+type Snapshot struct {
+	AtMs      float64           `json:"at_ms"`
+	Due       uint64            `json:"due"`
+	Ends      map[Ending]uint64 `json:"ends"`
+	PerSecond float64           `json:"served_a_second"` // since the last snapshot
+	P50       float64           `json:"p50_ms"`
+	P99       float64           `json:"p99_ms"`
+	Out       int               `json:"out"`
+}
+
+// ClassResult is what a class came to. Times are in milliseconds, from when a request was due.
+type ClassResult struct {
+	Class string            `json:"class"`
+	Due   uint64            `json:"due"`
+	Ends  map[Ending]uint64 `json:"ends"`
+	P50   float64           `json:"p50_ms"`
+	P90   float64           `json:"p90_ms"`
+	P99   float64           `json:"p99_ms"`
+	P999  float64           `json:"p99_9_ms"`
+	Most  float64           `json:"most_ms"`
+
+	Spread []Bar `json:"spread"`
+	hist   *hdrhistogram.Histogram
+}
+
+// Bar is how many answers took so long at most.
+type Bar struct {
+	UpToMs float64 `json:"up_to_ms"`
+	Count  int64   `json:"count"`
+}
+
+// Result is what a run came to.
+type Result struct {
+	Seconds   float64       `json:"seconds"`
+	Due       uint64        `json:"due"`
+	PerSecond float64       `json:"served_a_second"`
+	Behind    float64       `json:"most_behind_ms"` // by which this program itself was late with a shot
+	Classes   []ClassResult `json:"classes"`
+	Course    []Snapshot    `json:"course"`
+}
+
+// Served is how many were served.
+func (r *Result) Served() (n uint64) {
+	for _, c := range r.Classes {
+		n += c.Ends[Served]
+	}
+	return n
+}
+
+type runner struct {
+	mu      sync.Mutex
+	classes map[string]*ClassResult
+	all     *hdrhistogram.Histogram
+	recent  *hdrhistogram.Histogram
+	ends    map[Ending]uint64
+	due     uint64
+	out     int
+	behind  float64
+	served  uint64 // at the last snapshot
+}
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+const maxCourse = 3600
+
+// Run fires all that a source gives, each at its time, and waits until all have ended.
+func Run(ctx context.Context, src Source, t Target, o Options) (*Result, error) {
+	if o.Out < 1 {
+		return nil, fmt.Errorf("%d shots may be out at once; at least one must", o.Out)
+	}
+	r := &runner{classes: map[string]*ClassResult{}, all: newHist(), recent: newHist(), ends: map[Ending]uint64{}}
+	began := time.Now()
+	since := func() float64 { return float64(time.Since(began).Microseconds()) / 1000 }
+	res := &Result{}
+	ticking, stop := context.WithCancel(ctx)
+	defer stop()
+	var ticks sync.WaitGroup
+	if o.EveryMs > 0 {
+		ticks.Add(1)
+		go func() {
+			defer ticks.Done()
+			tick := time.NewTicker(time.Duration(o.EveryMs * float64(time.Millisecond)))
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+					s := r.snapshot(since(), o.EveryMs)
+					if len(res.Course) < maxCourse {
+						res.Course = append(res.Course, s)
+					}
+					if o.Progress != nil {
+						o.Progress(s)
+					}
+				case <-ticking.Done():
+					return
+				}
+			}
+		}()
+	}
+	var wg sync.WaitGroup
+	for s, ok := src.Next(); ok && ctx.Err() == nil; s, ok = src.Next() {
+		if wait := s.AtMs - since(); wait > 0 {
+			timer := time.NewTimer(time.Duration(wait * float64(time.Millisecond)))
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if !r.begin(s, since(), o.Out) {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.end(s, t.Fire(ctx, s), since())
+		}()
+	}
+	wg.Wait()
+	stop()
+	ticks.Wait()
+	res.Seconds = since() / 1000
+	r.result(res)
+	return res, ctx.Err()
+}
+
+func (r *runner) class(name string) *ClassResult {
+	c := r.classes[name]
+	if c == nil {
+		c = &ClassResult{Class: name, Ends: map[Ending]uint64{}, hist: newHist()}
+		r.classes[name] = c
+	}
+	return c
+}
+
+// begin counts a shot that is due, and tells whether it may be fired.
+func (r *runner) begin(s Shot, now float64, most int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.class(s.Class)
+	r.due++
+	c.Due++
+	r.behind = max(r.behind, now-s.AtMs)
+	if r.out >= most {
+		c.Ends[Dropped]++
+		r.ends[Dropped]++
+		return false
+	}
+	r.out++
+	return true
+}
+
+func (r *runner) end(s Shot, e Ending, now float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.out--
+	c := r.class(s.Class)
+	c.Ends[e]++
+	r.ends[e]++
+	if e == Served {
+		us := int64(min(max(1, (now-s.AtMs)*1000), 600_000_000))
+		_ = c.hist.RecordValue(us)
+		_ = r.all.RecordValue(us)
+		_ = r.recent.RecordValue(us)
+	}
+}
+
+func (r *runner) snapshot(at, everyMs float64) Snapshot {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Snapshot{AtMs: at, Due: r.due, Ends: map[Ending]uint64{}, Out: r.out, P50: quantile(r.recent, 50), P99: quantile(r.recent, 99),
+		PerSecond: float64(r.ends[Served]-r.served) / everyMs * 1000}
+	for k, n := range r.ends {
+		s.Ends[k] = n
+	}
+	r.served = r.ends[Served]
+	r.recent.Reset()
+	return s
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func (r *runner) result(res *Result) {
+	res.Due, res.Behind = r.due, r.behind
+	all := &ClassResult{Class: "all", Due: r.due, Ends: r.ends, hist: r.all}
+	var list []*ClassResult
+	for _, c := range r.classes {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *ClassResult) int { return cmp.Compare(a.Class, b.Class) })
+	for _, c := range append(list, all) {
+		c.P50, c.P90, c.P99, c.P999 = quantile(c.hist, 50), quantile(c.hist, 90), quantile(c.hist, 99), quantile(c.hist, 99.9)
+		c.Most = float64(c.hist.Max()) / 1000
+		for _, b := range c.hist.CumulativeDistribution() {
+			if len(c.Spread) == 0 || float64(b.ValueAt)/1000 > c.Spread[len(c.Spread)-1].UpToMs {
+				c.Spread = append(c.Spread, Bar{float64(b.ValueAt) / 1000, b.Count})
+			}
+		}
+		if c != all {
+			res.Classes = append(res.Classes, *c)
+		}
+	}
+	res.PerSecond = float64(r.ends[Served]) / max(res.Seconds, 1e-9)
+	res.Classes = append(res.Classes, *all)
+}
--- /dev/null
+++ b/internal/kit/load/load_test.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/records"
+	"beechgrade/internal/kit/standin"
+)
+
+func drain(s Source) (out []Shot) {
+	for x, ok := s.Next(); ok; x, ok = s.Next() {
+		out = append(out, x)
+	}
+	return out
+}
+
+// TestPattern guards against shots that are not as their pattern says, or not the same again.
+func TestPattern(t *testing.T) {
+	p := Pattern{Shape: Poisson, From: 100, To: 300, Seconds: 20, Groups: 3, Sessions: 7, Seed: 5, Mix: []Mix{{"r", 0.75, false}, {"w", 0.25, true}}}
+	a := drain(p.Source())
+	if diff := cmp.Diff(a, drain(p.Source())); diff != "" {
+		t.Error(diff)
+	}
+	writes, late := 0, 0
+	for i, s := range a {
+		if i > 0 && s.AtMs < a[i-1].AtMs || s.Group > 2 || s.Session > 6 || s.Writes != (s.Class == "w") {
+			t.Fatalf("shot %d: %+v", i, s)
+		}
+		if s.Writes {
+			writes++
+		}
+		if s.AtMs >= 10000 {
+			late++
+		}
+	}
+	// 200 a second in the mean; 150 in the first half, 250 in the second.
+	if n := float64(len(a)); math.Abs(n-4000) > 300 || math.Abs(float64(writes)/n-0.25) > 0.03 || math.Abs(float64(late)/n-0.625) > 0.03 {
+		t.Errorf("%d shots, %d writes, %d in the second half", len(a), writes, late)
+	}
+	p.Shape, p.To = Constant, 100
+	b := drain(p.Source())
+	for i := 1; i < len(b); i++ {
+		if math.Abs(b[i].AtMs-b[i-1].AtMs-10) > 1e-6 {
+			t.Fatalf("a gap of %v ms", b[i].AtMs-b[i-1].AtMs)
+		}
+	}
+}
+
+// stalls answers at once, but for a while in which it answers nobody.
+type stalls struct {
+	began time.Time
+	out   atomic.Int64
+	most  atomic.Int64
+}
+
+func (s *stalls) Fire(context.Context, Shot) Ending {
+	n := s.out.Add(1)
+	defer s.out.Add(-1)
+	for m := s.most.Load(); n > m && !s.most.CompareAndSwap(m, n); m = s.most.Load() {
+	}
+	if at := time.Since(s.began); at < 500*time.Millisecond {
+		time.Sleep(500*time.Millisecond - at)
+	}
+	return Served
+}
+
+// TestStall: a target that stands still for half a second is asked all the same, and each request's time counts from when
+// it was due: nothing is left out because the tool was waiting.
+func TestStall(t *testing.T) {
+	p := Pattern{Shape: Constant, From: 200, To: 200, Seconds: 1, Mix: []Mix{{"r", 1, false}}}
+	s := &stalls{began: time.Now()}
+	r, err := Run(context.Background(), p.Source(), s, Options{Out: 1000, EveryMs: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.Classes[0]
+	if c.Ends[Served] != c.Due || c.Due < 195 {
+		t.Errorf("%d of %d served", c.Ends[Served], c.Due)
+	}
+	// What was due in the first half waited for its end: a quarter second in the mean, up to half a second.
+	if s.most.Load() < 50 || c.P90 < 300 || c.Most < 400 {
+		t.Errorf("%d out at once, p90 %v ms, most %v ms", s.most.Load(), c.P90, c.Most)
+	}
+	var b bytes.Buffer
+	if err := HTML(&b, r, "a <stall>"); err != nil || !strings.Contains(b.String(), "a &lt;stall&gt;") || strings.Contains(b.String(), "NaN") {
+		t.Errorf("the page: %v", err)
+	}
+	if err := Text(&b, r); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestOut: no more shots are out at once than may be; the others are counted, not forgotten.
+func TestOut(t *testing.T) {
+	p := Pattern{Shape: Constant, From: 400, To: 400, Seconds: 0.4, Mix: []Mix{{"r", 1, false}}}
+	s := &stalls{began: time.Now()}
+	r, err := Run(context.Background(), p.Source(), s, Options{Out: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := r.Classes[0]
+	if s.most.Load() > 10 || c.Ends[Dropped] == 0 || c.Ends[Dropped]+c.Ends[Served] != c.Due {
+		t.Errorf("%d at once, %v of %d", s.most.Load(), c.Ends, c.Due)
+	}
+}
+
+// TestReplay: a recorded day is asked again as it was, so many times as fast.
+func TestReplay(t *testing.T) {
+	dir := t.TempDir()
+	standin.Day{Seed: 3, From: 1.7e12, Poolers: 2, Groups: 2, Members: 3, Requests: 200, EveryMs: 10, Segment: 1 << 20}.Write(dir)
+	of := func(speed float64) []Shot {
+		set, err := records.Open(false, dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		src, err := Replay(set, speed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return drain(src)
+	}
+	a, b := of(1), of(4)
+	if len(a) == 0 || len(a) != len(b) {
+		t.Fatalf("%d and %d shots", len(a), len(b))
+	}
+	for i := range a {
+		if math.Abs(a[i].AtMs-4*b[i].AtMs) > 1e-3 || a[i].Class == "" || i > 0 && a[i].AtMs < a[i-1].AtMs {
+			t.Fatalf("shot %d: %+v and %+v", i, a[i], b[i])
+		}
+	}
+	set, _ := records.Open(false, dir)
+	if _, err := Replay(set, 0); err == nil {
+		t.Error("a speed of 0 is taken")
+	}
+}
--- /dev/null
+++ b/internal/kit/load/report.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+//go:embed report.html
+var page string
+
+var endings = []Ending{Served, Refused, Failed, Silent, Broken, Dropped}
+
+// Text writes a result for a terminal.
+func Text(w io.Writer, r *Result) error {
+	fmt.Fprintf(w, "%d due in %.1f s, %.0f served a second; this program was late by %.1f ms at most\n\n", r.Due, r.Seconds, r.PerSecond, r.Behind)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "class\tdue")
+	for _, e := range endings {
+		fmt.Fprintf(t, "\t%s", e)
+	}
+	fmt.Fprintln(t, "\tp50 ms\tp90\tp99\tp99.9\tmost")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d", c.Class, c.Due)
+		for _, e := range endings {
+			fmt.Fprintf(t, "\t%d", c.Ends[e])
+		}
+		fmt.Fprintf(t, "\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\n", c.P50, c.P90, c.P99, c.P999, c.Most)
+	}
+	return t.Flush()
+}
+
+// curve is a line over the run, or over quantiles.
+type curve struct {
+	Name, Path, Color string
+}
+
+type chart struct {
+	Title  string
+	Lines  []curve
+	YTicks []tick
+	XTicks []tick
+}
+
+type tick struct {
+	At   float64
+	Text string
+}
+
+const chartW, chartH = 800.0, 180.0
+
+// HTML writes a result as one file that needs nothing else.
+func HTML(w io.Writer, r *Result, title string) error {
+	t, err := template.New("load").Funcs(template.FuncMap{
+		"num":   func(x float64) string { return strconv.FormatFloat(x, 'f', 1, 64) },
+		"ended": func(c ClassResult, e Ending) uint64 { return c.Ends[e] },
+	}).Parse(page)
+	if err != nil {
+		return fmt.Errorf("template: %w", err)
+	}
+	data := struct {
+		Title   string
+		R       *Result
+		Endings []Ending
+		Charts  []chart
+	}{title, r, endings, []chart{course(r), spread(r)}}
+	if err := t.Execute(w, data); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+// course is what was served a second, and how soon, over the run.
+func course(r *Result) chart {
+	c := chart{Title: "Served a second (blue), and p99 in ms (red)"}
+	top := 1.0
+	for _, s := range r.Course {
+		top = max(top, s.PerSecond, s.P99)
+	}
+	line := func(name, color string, of func(Snapshot) float64) {
+		var b strings.Builder
+		for i, s := range r.Course {
+			op := 'L'
+			if i == 0 {
+				op = 'M'
+			}
+			fmt.Fprintf(&b, "%c%.1f %.1f", op, chartW*float64(i)/float64(max(1, len(r.Course)-1)), chartH*(1-of(s)/top))
+		}
+		c.Lines = append(c.Lines, curve{name, b.String(), color})
+	}
+	line("served a second", "#1f6feb", func(s Snapshot) float64 { return s.PerSecond })
+	line("p99 ms", "#d1242f", func(s Snapshot) float64 { return s.P99 })
+	for i := range 5 {
+		c.YTicks = append(c.YTicks, tick{chartH * (1 - float64(i)/4), strconv.FormatFloat(top*float64(i)/4, 'g', 3, 64)})
+		c.XTicks = append(c.XTicks, tick{chartW * float64(i) / 4, strconv.FormatFloat(r.Seconds*float64(i)/4, 'f', 0, 64) + " s"})
+	}
+	return c
+}
+
+// spread is how long answers took, by how rare that is: each step to the right is ten times as rare.
+func spread(r *Result) chart {
+	c := chart{Title: "Time of an answer in ms, by how rare it is"}
+	const nines = 4.0
+	colors := []string{"#1f6feb", "#2da44e", "#bf8700", "#8250df", "#d1242f"}
+	top := 1.0
+	for _, x := range r.Classes {
+		top = max(top, x.Most)
+	}
+	for k, x := range r.Classes {
+		if x.Ends[Served] == 0 {
+			continue
+		}
+		var b strings.Builder
+		total := float64(x.Ends[Served])
+		for i, bar := range x.Spread {
+			rare := 1 - float64(bar.Count)/total
+			at := nines
+			if rare > 0 {
+				at = min(nines, -math.Log10(rare))
+			}
+			op := 'L'
+			if i == 0 {
+				op = 'M'
+			}
+			fmt.Fprintf(&b, "%c%.1f %.1f", op, chartW*at/nines, chartH*(1-bar.UpToMs/top))
+		}
+		c.Lines = append(c.Lines, curve{x.Class, b.String(), colors[k%len(colors)]})
+	}
+	for i := range 5 {
+		c.YTicks = append(c.YTicks, tick{chartH * (1 - float64(i)/4), strconv.FormatFloat(top*float64(i)/4, 'g', 3, 64)})
+		c.XTicks = append(c.XTicks, tick{chartW * float64(i) / 4, []string{"all", "90%", "99%", "99.9%", "99.99%"}[i]})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/kit/load/targets.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"beechgrade/internal/kit/clients"
+)
+
+// Platform asks poolers in the platform's form. Connections are kept, and more are opened when all are busy.
+type Platform struct {
+	Addrs      []string
+	Classes    []clients.Class
+	PatienceMs float64 // 0 for each class's deadline
+	Seed       uint64
+
+	mu   sync.Mutex
+	idle map[string][]*clients.Conn
+	n    atomic.Uint64
+}
+
+const keepIdle = 2000 // connections to one pooler
+
+// Fire is Target's.
+func (p *Platform) Fire(_ context.Context, s Shot) Ending {
+	var class *clients.Class
+	for i := range p.Classes {
+		if p.Classes[i].Name == s.Class {
+			class = &p.Classes[i]
+		}
+	}
+	if class == nil {
+		return Failed
+	}
+	no := p.n.Add(1)
+	addr := p.Addrs[int(s.Session%uint64(len(p.Addrs)))]
+	c, err := p.take(addr)
+	if err != nil {
+		return Broken
+	}
+	patience := p.PatienceMs
+	if patience <= 0 {
+		patience = class.Deadline
+	}
+	a := &clients.Ask{Key: fmt.Sprintf("load-%d-%d", s.Group, s.Session), Group: s.Group}
+	sql := clients.Word(a, class, fmt.Sprintf("%016x", p.Seed<<40^no), no, 0, patience)
+	said, err := c.Ask(sql, time.Duration(patience*float64(time.Millisecond)))
+	if err != nil {
+		_ = c.Close()
+	} else {
+		p.keep(addr, c)
+	}
+	return Ending(said.Kind)
+}
+
+func (p *Platform) take(addr string) (*clients.Conn, error) {
+	p.mu.Lock()
+	if l := p.idle[addr]; len(l) > 0 {
+		c := l[len(l)-1]
+		p.idle[addr] = l[:len(l)-1]
+		p.mu.Unlock()
+		return c, nil
+	}
+	p.mu.Unlock()
+	return clients.Dial(addr)
+}
+
+func (p *Platform) keep(addr string, c *clients.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*clients.Conn{}
+	}
+	if len(p.idle[addr]) >= keepIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// Close closes all connections.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		for _, c := range l {
+			_ = c.Close()
+		}
+	}
+	p.idle = nil
+}
+
+// Pooling asks the pooling front as a driver does: each session has a connection of its own, and its statements are
+// prepared once.
+type Pooling struct {
+	URL       string // postgres://user@host:port/database
+	Read      string // a statement with one parameter, the session's key
+	Write     string // ...with a value behind it
+	TimeoutMs float64
+
+	mu    sync.Mutex
+	conns map[uint64]*session
+}
+
+type session struct {
+	mu sync.Mutex // a session asks one thing at a time
+	c  *pgx.Conn
+	n  int
+}
+
+// Fire is Target's.
+func (p *Pooling) Fire(ctx context.Context, s Shot) Ending {
+	p.mu.Lock()
+	if p.conns == nil {
+		p.conns = map[uint64]*session{}
+	}
+	x := p.conns[s.Session]
+	if x == nil {
+		x = &session{}
+		p.conns[s.Session] = x
+	}
+	p.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.TimeoutMs*float64(time.Millisecond)))
+	defer cancel()
+	if x.c == nil || x.c.IsClosed() {
+		c, err := pgx.Connect(ctx, p.URL)
+		if err != nil {
+			return ending(err)
+		}
+		x.c = c
+	}
+	x.n++
+	key := fmt.Sprintf("load-%d", s.Session)
+	var err error
+	if s.Writes {
+		_, err = x.c.Exec(ctx, p.Write, key, fmt.Sprint(x.n))
+	} else {
+		var rows pgx.Rows
+		if rows, err = x.c.Query(ctx, p.Read, key); err == nil {
+			for rows.Next() {
+			}
+			err = rows.Err()
+		}
+	}
+	return ending(err)
+}
+
+func ending(err error) Ending {
+	var pe *pgconn.PgError
+	switch {
+	case err == nil:
+		return Served
+	case errors.As(err, &pe) && (pe.Code == "53300" || pe.Code == "57P03"):
+		return Refused
+	case errors.As(err, &pe):
+		return Failed
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return Silent
+	}
+	return Broken
+}
+
+// Close closes all connections.
+func (p *Pooling) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	for _, x := range p.conns {
+		if x.c != nil {
+			_ = x.c.Close(ctx)
+		}
+	}
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -17,6 +17,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"beechgrade/internal/clock"
+	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/scenario"
@@ -41,12 +42,13 @@
 
 // Result is a rehearsal's outcome; it is written to result.json in its folder.
 type Result struct {
-	Rehearsal string       `json:"rehearsal"`
-	Seed      uint64       `json:"seed"`
-	FromMs    float64      `json:"from_ms"`
-	ToMs      float64      `json:"to_ms"`
-	Score     *score.Score `json:"score"`
-	Facts     []fleet.Fact `json:"facts"`
+	Rehearsal string         `json:"rehearsal"`
+	Seed      uint64         `json:"seed"`
+	FromMs    float64        `json:"from_ms"`
+	ToMs      float64        `json:"to_ms"`
+	Score     *score.Score   `json:"score"`
+	Rules     *check.Verdict `json:"rules"` // by what crossed the wires
+	Facts     []fleet.Fact   `json:"facts"`
 }
 
 // Names within a rehearsal's folder.
@@ -90,7 +92,8 @@
 	poolers []*pooler
 
 	operators string // more of the operators' settings
-	sockets   int    // that a pooler may hold, where that is more than usual
+	wires     *wires
+	sockets   int // that a pooler may hold, where that is more than usual
 }
 
 // Play runs a rehearsal from its start to its end.
@@ -110,7 +113,9 @@
 	r := &Run{script: s, opt: opt, clk: clock.System()}
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
+	r.wires = newWires(s)
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
+	r.fleet.Watch(r.wires)
 	defer r.fleet.Close()
 	if err := r.fleet.Start(); err != nil {
 		return nil, err
@@ -181,6 +186,11 @@
 		keeper.Add(score.Breach{Rule: "drains kept", At: f.At, Text: f.Server + " " + f.What})
 	}
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
+	res.Rules = r.wires.verdict(r.clk.Now())
+	for _, b := range res.Rules.Breaches {
+		keeper.Add(score.Breach{Rule: string(b.Rule), At: b.At, ID: fmt.Sprintf("%016x", b.ID), Text: "by the wires: " + b.Text})
+	}
+	res.Score = keeper.Score()
 	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.MarshalIndent(res, "", "  ")
 	if err != nil {
 		return nil, err
@@ -209,6 +219,7 @@
 // Tried is clients.Sink's.
 func (l *log) Tried(t *clients.Try) {
 	l.Keeper.Tried(t)
+	l.run.wires.tried(t)
 	line := TryLine{ID: t.ID, Class: t.Class.Name, No: t.No, First: t.First, Sent: t.Sent, Ended: t.Ended, Kind: t.Kind, Late: t.Late}
 	if t.Pooler >= 0 {
 		line.Pooler = l.run.poolers[t.Pooler].name
@@ -222,6 +233,11 @@
 	}
 }
 
+// Trying is clients.Watcher's.
+func (l *log) Trying(t *clients.Try, untilMs, afterMs float64) {
+	l.run.wires.Trying(t, untilMs, afterMs)
+}
+
 func (l *log) close() error { return errors.Join(l.err, l.out.Flush(), l.file.Close()) }
 
 // strike carries a fault out at its time, and ends it.
--- /dev/null
+++ b/internal/kit/rehearse/wires.go
@@ -0,0 +1,109 @@
+package rehearse
+
+import (
+	"hash/fnv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/emulate"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+)
+
+// wires tells the checker of the rules what crosses the wires: clients' requests and answers, and what comes to the
+// stand-in servers and to discovery's watchers. It knows nothing of the poolers.
+type wires struct {
+	mu      sync.Mutex
+	check   *check.Checker
+	classes map[string]int
+	poolers int
+	tries   map[string]int // attempts seen at servers, by request
+}
+
+func newWires(s *scenario.Script) *wires {
+	w := &wires{check: check.New(emulate.Rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}}
+	for i, c := range s.Clients.Classes {
+		w.classes[c.Name] = i
+	}
+	return w
+}
+
+func idOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+func valueOf(b []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return h.Sum64()
+}
+
+// Trying is clients.Watcher's.
+func (w *wires) Trying(t *clients.Try, untilMs, afterMs float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Asked(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Pooler, untilMs, afterMs)
+}
+
+// tried takes a try's end.
+func (w *wires) tried(t *clients.Try) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch t.Kind {
+	case clients.Served, clients.Refused, clients.Failed:
+		w.check.Answered(t.Ended, idOf(t.ID), string(t.Kind), t.Kind == clients.Served, valueOf(t.Value))
+		if t.Extra {
+			w.check.Answered(t.Ended, idOf(t.ID), "more behind it", false, 0)
+		}
+	case clients.Broken, clients.Silent:
+		w.check.Gone(t.Ended, idOf(t.ID), string(t.Kind))
+	}
+	delete(w.tries, t.ID)
+}
+
+// Arrived is fleet.Watcher's.
+func (w *wires) Arrived(server int, id string, at float64) (no int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	no = w.tries[id]
+	w.tries[id] = no + 1
+	w.check.Sent(at, idOf(id), no, -1, server)
+	return no
+}
+
+// Turned is fleet.Watcher's.
+func (w *wires) Turned(id string, no int, how string, at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Ended(at, idOf(id), no, how, true)
+}
+
+// Took is fleet.Watcher's.
+func (w *wires) Took(server int, started float64, id string, work, at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Took(at, server, started, idOf(id), work)
+}
+
+// Ran is fleet.Watcher's.
+func (w *wires) Ran(server int, j *world.Job, value []byte, r world.Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Ran(r.At, server, idOf(j.ID), j.Writes, r.Primary, valueOf(value), r.Position)
+}
+
+// Listed is fleet.Watcher's: all that watch are told at once, and which pooler sends is not seen at the servers.
+func (w *wires) Listed(server int, state string, at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Listed(at, -1, server, state)
+}
+
+// verdict ends the check.
+func (w *wires) verdict(now float64) *check.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Finish(now)
+	return w.check.Verdict()
+}
--- a/internal/kit/world/directory.go
+++ b/internal/kit/world/directory.go
@@ -45,7 +45,7 @@
 // change has the list say something new of a server, late: its lifecycle, or its role where that is empty.
 func (d *Directory) change(s *Server, lifecycle string, roleLate float64) {
 	role, started := s.Role(), s.Started
-	d.w.later(d.w.Draw(d.w.Cfg.List)+roleLate+d.Extra, func(now float64) {
+	d.w.later(d.w.Cfg.List.Draw(s.Group.rng)+roleLate+d.Extra, func(now float64) {
 		e := d.entries[s.Name]
 		was := e.Instance
 		if lifecycle == "" {
--- a/internal/kit/world/faults.go
+++ b/internal/kit/world/faults.go
@@ -151,7 +151,7 @@
 		w.fact(s, "drains")
 		w.List.change(s, "draining", 0)
 		if g := s.Group; g.Primary == s {
-			w.later(w.Draw(w.Cfg.Switch), func(now float64) {
+			w.later(w.Cfg.Switch.Draw(s.Group.rng), func(now float64) {
 				if g.Primary == s {
 					g.lostAt, g.Primary = now, nil
 					g.promote(now)
--- a/internal/kit/world/group.go
+++ b/internal/kit/world/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -16,6 +17,7 @@
 	log    []entry
 	base   int // number of the first entry kept
 	rows   map[string][]version
+	rng    *rand.Rand // of its takeovers, so that they last as long whatever else is drawn meanwhile
 }
 
 // entry is a write in the log.
@@ -48,12 +50,12 @@
 	}
 	w := g.w
 	g.lostAt = now
-	w.later(w.Draw(w.Cfg.Detect), func(float64) {
+	w.later(w.Cfg.Detect.Draw(g.rng), func(float64) {
 		if g.Primary != s || s.Up && !s.Hung {
 			return // it is back before it was given up
 		}
 		g.Primary = nil
-		w.later(w.Draw(w.Cfg.Elect), func(now float64) { g.promote(now) })
+		w.later(w.Cfg.Elect.Draw(g.rng), func(now float64) { g.promote(now) })
 	})
 }
 
@@ -64,7 +66,7 @@
 		g.lostAt = 0
 		s.applied = g.End()
 	case g.Primary == nil && !slices.ContainsFunc(g.Members, func(o *Server) bool { return o != s && o.fit() }):
-		g.w.later(g.w.Draw(g.w.Cfg.Elect), func(now float64) { g.promote(now) })
+		g.w.later(g.w.Cfg.Elect.Draw(g.rng), func(now float64) { g.promote(now) })
 	}
 }
 
@@ -90,7 +92,7 @@
 	g.Primary, g.lostAt = best, 0
 	g.w.fact(best, "is the primary")
 	for _, s := range g.Members {
-		g.w.List.change(s, "", g.w.Draw(g.w.Cfg.Roles))
+		g.w.List.change(s, "", g.w.Cfg.Roles.Draw(g.rng))
 	}
 }
 
--- a/internal/kit/world/world.go
+++ b/internal/kit/world/world.go
@@ -120,7 +120,7 @@
 	w.List.w = w
 	w.List.entries = map[string]*Entry{}
 	for i, n := range cfg.Groups {
-		g := &Group{ID: i, w: w, rows: map[string][]version{}}
+		g := &Group{ID: i, w: w, rows: map[string][]version{}, rng: rand.New(rand.NewPCG(cfg.Seed, 100+uint64(i)))}
 		for k := range n {
 			s := &Server{Name: fmt.Sprintf("s-%d-%d", i, k), No: len(w.Servers), Group: g, w: w, Up: true, left: 1, slow: 1, disk: 1, ship: cfg.Ship.Draw(w.rng)}
 			g.Members = append(g.Members, s)
