--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -102,6 +102,10 @@
 
 // Run plays a scenario from its start to its end.
 func Run(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
+	s, err := s.Drawn(opt.Seed)
+	if err != nil {
+		return nil, err
+	}
 	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
 		began: time.Now()}
 	e.s.now = startMs
--- a/internal/kit/lab/shrink.go
+++ b/internal/kit/lab/shrink.go
@@ -36,6 +36,10 @@
 // poolers and requests. It returns the smallest that it found, or nil where the scenario does not fail.
 func Shrink(ctx context.Context, s *scenario.Script, opt emulate.Options, fails Fails, progress func(runs int, s *scenario.Script)) (*Shrunk, error) {
 	z := &shrinker{ctx: ctx, opt: opt, fails: fails, progress: progress}
+	s, err := s.Drawn(opt.Seed) // what was drawn is written out, so that it can be left out
+	if err != nil {
+		return nil, err
+	}
 	ok, err := z.try(s.Clone())
 	if err != nil || !ok {
 		return nil, err
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -98,6 +98,10 @@
 
 // Play runs a rehearsal from its start to its end.
 func Play(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
+	s, err := s.Drawn(opt.Seed)
+	if err != nil {
+		return nil, err
+	}
 	if err := s.OnSockets(); err != nil {
 		return nil, err
 	}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -56,6 +56,7 @@
 	Pack    bool
 	Queue   int // events that may wait for the records' writer, 0 for the default
 	Faults  []Fault
+	Chaos   Chaos // faults that are drawn from the seed
 
 	// The network and what connections cost, in virtual time.
 	Way       world.Range // one way, between any two machines
@@ -187,6 +188,7 @@
 		"pack":         func(n *sexp.Node) (err error) { s.Pack, err = n.Bool(); return err },
 		"record-queue": whole(&s.Queue, 64, 1<<20),
 		"at":           s.at,
+		"chaos":        s.chaos,
 	}
 }
 
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -66,6 +66,13 @@
 		fmt.Fprintf(&b, "\n  (class %s (share %s) (aim %sms) (deadline %sms) (worth %s) (late %s) (bound %sms) (work %sms %sms))", quote(k.Name), num(k.Share), num(k.Aim),
 			num(k.Deadline), num(k.Worth), num(k.LateWorth), num(k.Bound), num(k.Work[0]), num(k.Work[1]))
 	}
+	if c := s.Chaos; c.Faults > 0 {
+		fmt.Fprintf(&b, "\n  (chaos %d %sms %sms", c.Faults, num(c.From), num(c.To))
+		for _, k := range c.Kinds {
+			b.WriteString(" " + k)
+		}
+		b.WriteString(")")
+	}
 	for _, x := range s.Faults {
 		fmt.Fprintf(&b, "\n  (at %sms (%s%s)", num(x.At), x.What, x.args())
 		if x.For > 0 {
