--- a/router.go
+++ b/router.go
@@ -955,7 +955,8 @@
 				s.got += over - a.req.work()/rate
 			}
 		}
-		if s.got *= rate; r.warmth(s) == 1 && (s.want > 0 || s.got > 0) { // from here on in work at its present rate
+		s.got *= rate // from here on in work at its present rate
+		if r.warmth(s) == 1 && (s.want > 0 || s.got > 0) {
 			k := kinds[s.entry.Kind]
 			kinds[s.entry.Kind] = [2]float64{k[0] + s.want, k[1] + s.got}
 		}
