--- a/router.go
+++ b/router.go
@@ -583,7 +583,7 @@
 			}
 			s.want += q.work()
 			s.got += got
-			if r.warmth(s) == 1 { // how cold a store is, is known roughly: what it shows then is little evidence
+			if r.warmth(s) == 1 { // how cold a store is, is known roughly: it proves little
 				c.n++
 				c.work += max(workGain, 1/(c.n+8)) * (got*r.base(s)*c.work/q.work() - c.work)
 				c.work = max(c.work, 1e-3)
