Read own writes in the session that wrote them, in the driver's story

database/sql may give two statements two connections, and so two sessions, of which one need not see the other's write: on a busy machine the story failed.

--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -857,13 +857,19 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			c, err := db.Conn(ctx) // own writes are seen within a session, and any two statements of db may be of two
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.Close() }()
 			for i := range 20 {
 				key, v := fmt.Sprint("sql", n), ""
-				if _, err := db.ExecContext(ctx, putKV, key, fmt.Sprint(i)); err != nil {
+				if _, err := c.ExecContext(ctx, putKV, key, fmt.Sprint(i)); err != nil {
 					t.Error(err)
 					return
 				}
-				if err := db.QueryRowContext(ctx, getKV, key).Scan(&v); err != nil {
+				if err := c.QueryRowContext(ctx, getKV, key).Scan(&v); err != nil || v != fmt.Sprint(i) {
 					t.Error(err)
 					return
 				}
