--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -66,7 +66,7 @@
 	return nil, fmt.Errorf("there is no mutant %q; there are: %v", name, names)
 }
 
-// oneScript reads the script that is named.
+// oneScript reads the one script that a command is given.
 func oneScript(c *cli.Command) (*scenario.Script, error) {
 	if c.Args().Len() != 1 {
 		return nil, errors.New("one script is due; see --help")
--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -150,10 +150,7 @@
 }
 
 func play(ctx context.Context, c *cli.Command) error {
-	if c.Args().Len() != 1 {
-		return errors.New("one script is due; see --help")
-	}
-	s, err := scenario.Load(c.Args().First())
+	s, err := oneScript(c)
 	if err != nil {
 		return err
 	}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -59,6 +59,7 @@
 	fulls    map[uint32]*full
 	lastPID  uint32
 	streamed int
+	shape    int // of the one table; each ALTER changes it
 }
 
 // server is the sockets of one of the model's servers.
--- a/internal/kit/fleet/session.go
+++ b/internal/kit/fleet/session.go
@@ -95,6 +95,7 @@
 type prepared struct {
 	sql    string
 	params int
+	shape  int // of the table, as it was then
 }
 
 type portal struct {
@@ -214,6 +215,13 @@
 			err = fail("26000", "prepared statement %q does not exist", m.PreparedStatement)
 			break
 		}
+		f.mu.Lock()
+		changed := p.shape != f.shape && column(p.sql) != ""
+		f.mu.Unlock()
+		if changed {
+			err = fail("0A000", "cached plan must not change result type")
+			break
+		}
 		args := make([][]byte, len(m.Parameters))
 		for i, a := range m.Parameters {
 			args[i] = slices.Clone(a)
@@ -326,7 +334,9 @@
 		k, _ := strconv.Atoi(found[1])
 		n = max(n, k)
 	}
-	x.stmts[m.Name] = &prepared{m.Query, n}
+	f.mu.Lock()
+	x.stmts[m.Name] = &prepared{m.Query, n, f.shape}
+	f.mu.Unlock()
 	x.be.Send(&pgproto3.ParseComplete{})
 	return nil
 }
@@ -644,6 +654,12 @@
 		return "COPY 3", nil, nil
 	}
 	switch up := strings.ToUpper(strings.TrimSpace(sql)); {
+	case strings.HasPrefix(up, "ALTER"):
+		f := x.c.s.f
+		f.mu.Lock()
+		f.shape++
+		f.mu.Unlock()
+		return "ALTER TABLE", nil, nil
 	case strings.HasPrefix(up, "CREATE"):
 		return "CREATE TABLE", nil, nil
 	case strings.HasPrefix(up, "LISTEN"):
--- a/internal/pooling/link.go
+++ b/internal/pooling/link.go
@@ -404,6 +404,9 @@
 		l.parsed(x, true)
 	}
 	l.skipping = pipeline && len(l.queue) == 0
+	if pipeline && pgwire.ErrorCode(m.Body) == "0A000" { // a plan here is out of date: nobody else is to meet it
+		l.broken = true
+	}
 	if c == nil {
 		return
 	}
