Trust a primary's word for reads only up to when it was said

A router took whoever had last said to be the primary for up to date, however long ago, and the late list's role for such a word. A primary that hung, was replaced and came back unheard so served old data; so did a pooler that started while its group had none.

Change: a primary's word counts for reads up to the time it was said, as a position would, and the list's for nothing; where nothing may be probed, they have to do. Tests: TestOldWordOfAPrimary and TestStartWithoutPrimary (the scenario that was shrunk then).

--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -90,3 +91,16 @@
 		})
 	}
 }
+
+// TestStartWithoutPrimary plays what drawn faults once found: a pooler starts while its group has no primary, and the late
+// list still names one whose position stands still.
+func TestStartWithoutPrimary(t *testing.T) {
+	text, err := os.ReadFile("../../../example/rehearsals/start-without-primary.sexp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := play(t, parse(t, string(text)), Options{Seed: 21})
+	if !r.Verdict.OK() || r.Verdict.Checked[check.NotStale] == 0 {
+		t.Errorf("broken: %v, put to the test: %v", r.Verdict.Broken, r.Verdict.Checked)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -287,7 +287,9 @@
 	if q.class.Read == ReadBounded {
 		need = r.now - q.class.Bound
 	}
-	if need == never || s == r.primary(q.group) || s.position >= need {
+	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard.
+	leads := s == r.primary(q.group) && (s.roleAt >= need || !r.set.MayProbe)
+	if need == never || leads || s.position >= need {
 		return true, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
--- a/router_test.go
+++ b/router_test.go
@@ -521,6 +521,30 @@
 	}
 }
 
+// TestOldWordOfAPrimary: what once said that it is the primary may have been replaced since, unheard. Its word counts for
+// reads up to when it was said, and the list's counts for nothing; where nothing can be asked, they have to do.
+func TestOldWordOfAPrimary(t *testing.T) {
+	g := trio(t, nil)
+	g.wantSend(g.ask("1", cBounded), "1", "")
+	g.end("1", 0, of(Send, g.out)[0].Store, OK)
+	g.now += 2 * time.Second // it hung, was replaced, and is back
+	g.wantNone(Send, g.ask("2", cBounded))
+	if len(of(Probe, g.out)) == 0 {
+		t.Fatal("nobody was asked")
+	}
+	g.wantNone(Send, g.report("p", RoleReplica, g.now-1900*ms))
+	g.wantSend(g.report("a", RolePrimary, g.now), "2", "a")
+
+	for _, probes := range []bool{true, false} {
+		set := testSettings()
+		set.ListShowsRole, set.MayProbe = true, probes
+		g := newRig(t, set, Entry{Store: "p", Size: 1, Primary: true}, Entry{Store: "a", Size: 1})
+		if sent := len(of(Send, g.ask("1", cBounded))) > 0; sent == probes {
+			t.Errorf("sent by the list's word alone: %v, where probes are allowed: %v", sent, probes)
+		}
+	}
+}
+
 func TestDemotionInAnAnswerBinds(t *testing.T) {
 	g := trio(t, nil)
 	g.do(&Request{ID: "1", Class: cWrite, Due: g.now + time.Second})
