Judge one server list out of several sources, and watch Consul's health API

Need: other installations keep their server lists in Consul, whose word on health, role and presence may be old, torn or wrong.

Change: internal/membership/judge merges what sources say and what the servers say of themselves, without I/O or clock: rank, age, drains, mass removals held back, flapping, doubled ids and addresses, two primaries, each with its reason. internal/membership/consul watches services by blocking queries over several agents; what to ask and what to believe is in Watch, apart from its I/O. A stand-in for agents lies on demand; Consul's own client library reads it in a test. discovery moved beside them. Neither is joined to the daemon yet.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -19,7 +19,7 @@
 
 	"beechgrade"
 	"beechgrade/internal/config"
-	"beechgrade/internal/discovery"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/pgwire"
 )
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -21,7 +21,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"beechgrade/internal/discovery"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/pgwire"
 )
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"beechgrade"
-	"beechgrade/internal/discovery"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/wire"
 )
 
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -6,8 +6,8 @@
 	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/front"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 )
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -10,12 +10,12 @@
 	"slices"
 	"time"
 
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/score"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
 )
 
 // Options say how a scenario is played.
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -6,10 +6,10 @@
 	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/config"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
 )
 
 // Mutant is a pooler, or a server, that is broken on purpose: what the checker must catch.
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -9,9 +9,9 @@
 	"beechgrade/internal/backend/wear"
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/slots"
 )
 
--- a/internal/kit/fleet/directory.go
+++ b/internal/kit/fleet/directory.go
@@ -9,7 +9,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"beechgrade/internal/discovery"
+	"beechgrade/internal/membership/discovery"
 )
 
 const aliveEvery = 2 * time.Second
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"beechgrade/internal/clock"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
 )
 
 // What the model calls its parts.
--- a/internal/kit/scenario/settings.go
+++ b/internal/kit/scenario/settings.go
@@ -6,8 +6,8 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/discovery"
 	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/membership/discovery"
 )
 
 // ConnectMs is the poolers' connect time-out.
--- a/internal/kit/world/directory.go
+++ b/internal/kit/world/directory.go
@@ -1,6 +1,6 @@
 package world
 
-import "beechgrade/internal/discovery"
+import "beechgrade/internal/membership/discovery"
 
 const keepHistory = 4096
 
--- /dev/null
+++ b/internal/membership/consul/consul_test.go
@@ -0,0 +1,448 @@
+package consul
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/consul/api"
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/kit/standin/agent"
+	"beechgrade/internal/membership/judge"
+)
+
+const patience = 20 * time.Second
+
+// heard is a sink that a test can wait for.
+type heard struct {
+	mu    sync.Mutex
+	list  map[string]judge.Claim
+	notes []string
+	lost  []string
+	news  chan struct{}
+}
+
+func (h *heard) Heard(_ string, r *judge.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range r.Claims {
+		h.list[c.ID] = c
+	}
+	for _, id := range r.Removed {
+		delete(h.list, id)
+	}
+	h.tell()
+}
+
+func (h *heard) Lost(_, why string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lost = append(h.lost, why)
+	h.tell()
+}
+
+func (h *heard) Noted(_ string, w judge.What, why string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.notes = append(h.notes, string(w)+": "+why)
+	h.tell()
+}
+
+func (h *heard) tell() {
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
+}
+
+// until waits until something holds of what was heard.
+func (h *heard) until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.After(patience); ; {
+		h.mu.Lock()
+		is := ok()
+		h.mu.Unlock()
+		if is {
+			return
+		}
+		select {
+		case <-h.news:
+		case <-end:
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			t.Fatalf("not so: %s; list %v, notes %q, lost %q", what, h.list, h.notes, h.lost)
+		}
+	}
+}
+
+func (h *heard) noted(part string) func() bool {
+	return func() bool { return strings.Contains(strings.Join(h.notes, "\n"), part) }
+}
+
+func instance(i int) agent.Instance {
+	return agent.Instance{ID: fmt.Sprint("db-", i), Node: fmt.Sprint("n", i), Address: fmt.Sprint("10.0.0.", i), Port: 5432, Meta: map[string]string{"group": fmt.Sprint(i / 3), "role": "replica"}}
+}
+
+type world struct {
+	catalog *agent.Catalog
+	agents  []*agent.Agent
+	src     *Source
+	*heard
+}
+
+// watch starts agents before a catalogue of three instances, and a source that watches them.
+func watch(t *testing.T, agents int, change func(*Options)) *world {
+	w := &world{catalog: agent.NewCatalog(), heard: &heard{list: map[string]judge.Claim{}, news: make(chan struct{}, 1)}}
+	opt := Options{Name: "consul", Services: []string{"db"}, Wait: 30000, MaxStale: 10000, MostBytes: 1 << 20, Map: DefaultMapping(), Seed: 1}
+	for range agents {
+		a, err := agent.Start(w.catalog)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(a.Stop)
+		w.agents = append(w.agents, a)
+		opt.Agents = append(opt.Agents, a.Addr)
+	}
+	w.catalog.Change("db", []agent.Instance{instance(0), instance(1), instance(2)})
+	if change != nil {
+		change(&opt)
+	}
+	w.src = New(opt, func(f func()) { f() }, clock.System().Now, w.heard, slog.New(slog.DiscardHandler))
+	w.src.Start()
+	t.Cleanup(w.src.Stop)
+	return w
+}
+
+func (w *world) all(lie agent.Lie) {
+	for _, a := range w.agents {
+		a.Tell(lie)
+	}
+}
+
+func (w *world) size(n int) func() bool { return func() bool { return len(w.list) == n } }
+
+// TestChanges: what is registered, changed, put into maintenance and deregistered is heard, by the health API and by the
+// catalogue, which knows no health.
+func TestChanges(t *testing.T) {
+	for _, catalog := range []bool{false, true} {
+		w := watch(t, 1, func(o *Options) { o.Catalog = catalog })
+		w.until(t, "three", w.size(3))
+		x := instance(1)
+		x.Maintenance, x.Meta["role"], x.Meta["started"], x.Weight = true, "primary", "1700000000", 3
+		w.catalog.Change("db", []agent.Instance{x})
+		want := judge.Claim{ID: "db-1", Address: "10.0.0.1:5432", Zone: "dc1", Weight: 3, Started: 1.7e12, Health: judge.Maintenance, Role: judge.Primary}
+		if catalog {
+			want.Health = judge.Passing
+		}
+		w.until(t, "the change", func() bool { return cmp.Equal(want, w.list["db-1"]) })
+		w.catalog.Change("db", nil, "db-0")
+		w.until(t, "the removal", w.size(2))
+		if n, paths := w.agents[0].Queries(); n > 10 || !strings.Contains(paths[len(paths)-1], "index=") || !strings.Contains(paths[len(paths)-1], "wait=30000ms") {
+			t.Errorf("%d queries, the last %q", n, paths)
+		}
+	}
+}
+
+// TestLies: what an agent says wrongly changes nothing that was known, is told of with its reason, and the truth is heard
+// once it is back.
+func TestLies(t *testing.T) {
+	for name, c := range map[string]struct {
+		lie agent.Lie
+		why string
+	}{
+		"a storm of 500s":     {agent.Lie{Status: 500}, "status 500"},
+		"slow down":           {agent.Lie{Status: 429, RetryAfter: 1}, "status 429"},
+		"cut off in mid-JSON": {agent.Lie{Cut: true}, "not whole"},
+		"no JSON":             {agent.Lie{Garbage: true}, "not whole"},
+		"100 MB":              {agent.Lie{Huge: 100 << 20}, "too long"},
+		"elsewhere":           {agent.Lie{Status: 301}, "status 301"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := watch(t, 2, nil)
+			w.until(t, "three", w.size(3))
+			w.all(c.lie)
+			w.catalog.Change("db", []agent.Instance{instance(3)})
+			w.until(t, "its reason", w.noted(c.why))
+			w.until(t, "that nobody answers", func() bool { return len(w.lost) == 1 && len(w.list) == 3 })
+			w.all(agent.Lie{})
+			w.until(t, "the truth", w.size(4))
+			if read := w.src.Read(); read > 20<<20 {
+				t.Errorf("%d bytes were read", read)
+			}
+		})
+	}
+}
+
+// TestEmpty: an empty list is what the agent says. What is made of it is the judge's.
+func TestEmpty(t *testing.T) {
+	w := watch(t, 1, func(o *Options) { o.Wait = 200 })
+	w.until(t, "three", w.size(3))
+	w.all(agent.Lie{Empty: true})
+	w.until(t, "none", w.size(0))
+	w.all(agent.Lie{})
+	w.until(t, "three again", w.size(3))
+}
+
+// TestOneOfTwo: one agent that is down, hangs, is an hour behind or knows no leader does not keep the other's word away.
+func TestOneOfTwo(t *testing.T) {
+	for name, lie := range map[string]agent.Lie{
+		"down":               {Status: 500},
+		"an hour behind":     {Frozen: true, Contact: time.Hour},
+		"knows no leader":    {Leaderless: true, Frozen: true},
+		"an old index alone": {Frozen: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := watch(t, 2, func(o *Options) { o.Wait = 300 })
+			w.until(t, "three", w.size(3))
+			_, asked := w.agents[0].Queries()
+			first := w.agents[1]
+			if len(asked) > 0 {
+				first = w.agents[0] // the one that is asked now
+			}
+			first.Tell(lie)
+			w.catalog.Change("db", []agent.Instance{instance(3)})
+			if name == "an old index alone" {
+				first.Tell(agent.Lie{}) // it lags, no more
+			}
+			w.until(t, "what changed", w.size(4))
+		})
+	}
+}
+
+// TestHang: an agent that takes a query and never answers is left for another in bounded time.
+func TestHang(t *testing.T) {
+	w := watch(t, 2, func(o *Options) { o.Wait = 200 })
+	w.until(t, "three", w.size(3))
+	w.agents[0].Tell(agent.Lie{Hang: true})
+	w.catalog.Change("db", []agent.Instance{instance(3)})
+	w.until(t, "what changed", w.size(4))
+}
+
+// TestIndexReset: after an index that went back the list is heard again, whole.
+func TestIndexReset(t *testing.T) {
+	w := watch(t, 2, nil)
+	w.until(t, "three", w.size(3))
+	for i := range 20 {
+		w.catalog.Change("db", []agent.Instance{instance(3 + i%2)})
+	}
+	w.until(t, "five", w.size(5))
+	w.catalog.Reset()
+	w.until(t, "that it was noticed", w.noted("index"))
+	w.catalog.Change("db", nil, "db-4")
+	w.until(t, "what changed since", w.size(4))
+}
+
+// TestNoIndex: an agent that gives no index is asked now and then, not without end.
+func TestNoIndex(t *testing.T) {
+	w := watch(t, 1, nil)
+	w.all(agent.Lie{NoIndex: true})
+	w.until(t, "three", w.size(3))
+	w.catalog.Change("db", nil, "db-1")
+	w.until(t, "two", w.size(2))
+	if n, _ := w.agents[0].Queries(); n > 20 {
+		t.Errorf("it was asked %d times", n)
+	}
+}
+
+// TestToken: a token that is denied, and one that takes its place.
+func TestToken(t *testing.T) {
+	w := watch(t, 1, nil)
+	w.until(t, "three", w.size(3))
+	w.agents[0].Need("new")
+	w.src.SetToken("old\n")
+	w.catalog.Change("db", []agent.Instance{instance(3)})
+	w.until(t, "that it is denied", w.noted("its token"))
+	w.src.SetToken("new\n")
+	w.until(t, "what changed", w.size(4))
+	if text := strings.Join(w.notes, " "); strings.Contains(text, "old") || strings.Contains(text, "new\n") {
+		t.Errorf("a token was told: %s", text)
+	}
+}
+
+// TestUnusable: what cannot be used is told of once and takes nothing with it.
+func TestUnusable(t *testing.T) {
+	w := watch(t, 1, nil)
+	x, y := instance(7), instance(8)
+	x.Meta = map[string]string{"group": "seven"}
+	y.Port = 0
+	w.catalog.Change("db", []agent.Instance{x, y, instance(3)})
+	w.until(t, "the others", func() bool { return len(w.list) == 4 && w.noted("2 of 6 instances cannot be used")() })
+	w.catalog.Change("db", []agent.Instance{instance(4)})
+	w.until(t, "one more", w.size(5))
+	if n := strings.Count(strings.Join(w.notes, "\n"), "cannot be used"); n > 2 {
+		t.Errorf("told %d times", n)
+	}
+}
+
+// TestManyServices: a service whose agent hangs does not hold the others.
+func TestManyServices(t *testing.T) {
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprint("db-", i))
+	}
+	w := watch(t, 1, func(o *Options) { o.Services = append(names, "db", "none") })
+	for i, n := range names {
+		x := instance(i)
+		x.ID = n + "-" + x.ID
+		w.catalog.Change(n, []agent.Instance{x})
+	}
+	w.until(t, "all", w.size(43))
+}
+
+// TestRealClient: the stand-in speaks the protocol as Consul's own client library understands it.
+func TestRealClient(t *testing.T) {
+	w := watch(t, 1, nil)
+	cfg := api.DefaultConfig()
+	cfg.Address, cfg.Token = w.agents[0].Addr, "t"
+	w.agents[0].Need("t")
+	client, err := api.NewClient(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries, meta, err := client.Health().Service("db", "", false, nil)
+	if err != nil || len(entries) != 3 || meta.LastIndex == 0 || !meta.KnownLeader || entries[1].Service.Meta["group"] != "0" || entries[1].Service.Port != 5432 {
+		t.Fatalf("%v, %+v, %v", entries, meta, err)
+	}
+	x := instance(2)
+	x.Maintenance = true
+	go w.catalog.Change("db", []agent.Instance{x})
+	entries, next, err := client.Health().Service("db", "", false, &api.QueryOptions{WaitIndex: meta.LastIndex, WaitTime: patience})
+	if err != nil || next.LastIndex <= meta.LastIndex || entries[2].Checks.AggregatedStatus() != api.HealthMaint {
+		t.Fatalf("%+v, %v", next, err)
+	}
+	nodes, _, err := client.Catalog().Service("db", "", nil)
+	if err != nil || len(nodes) != 3 || nodes[0].ServicePort != 5432 {
+		t.Fatalf("%v, %v", nodes, err)
+	}
+}
+
+// TestMapping: where fields may come from, and what cannot be used.
+func TestMapping(t *testing.T) {
+	x := Instance{Node: "n", NodeAddress: "10.1.1.1", Datacenter: "recife", NodeMeta: map[string]string{"rack": "r2"}, ID: "i", Service: "obra-2", Port: 5432,
+		Tags: []string{"Master", "cell=4", "v1"}, Meta: map[string]string{"w": "2.5", "up": "2023-11-14T22:13:20Z"}, Weights: Weights{Passing: 7, Warning: 2}}
+	m := DefaultMapping()
+	m.Group, m.Role, m.Zone, m.Kind, m.Weight, m.Started = From{"tag", "cell="}, From{Kind: "tag"}, From{"node-meta", "rack"}, From{"const", "k"}, From{"meta", "w"}, From{"meta", "up"}
+	c, err := m.Claim(&x)
+	if diff := cmp.Diff(judge.Claim{ID: "i", Address: "10.1.1.1:5432", Group: 4, Zone: "r2", Kind: "k", Weight: 2.5, Started: 1.7e12, Role: judge.Primary}, c); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+	m = DefaultMapping()
+	m.Group, m.Groups, m.Role = From{Kind: "service"}, map[string]string{"obra-2": "9"}, From{"tag", "v"}
+	if c, err = m.Claim(&x); err != nil || c.Group != 9 || c.Weight != 7 || c.Zone != "recife" || c.Role != judge.RoleUnknown {
+		t.Errorf("%+v %v", c, err)
+	}
+	x.Health = judge.Warning
+	if c, _ = m.Claim(&x); c.Weight != 2 {
+		t.Errorf("weight %v", c.Weight)
+	}
+	for text, want := range map[string]float64{"1700000000": 1.7e12, "1700000000000": 1.7e12, "-1": 0, "soon": 0, "NaN": 0, "1e300": 0} {
+		if got := start(text); got != want {
+			t.Errorf("%s: %v", text, got)
+		}
+	}
+	m.Groups = nil
+	if _, err := m.Claim(&x); !errors.Is(err, ErrNoGroup) {
+		t.Error(err)
+	}
+	x.Port = 70000
+	if _, err := m.Claim(&x); !errors.Is(err, ErrNoAddress) {
+		t.Error(err)
+	}
+}
+
+// TestWatchKeepsAsking: whatever answers come, the next query is due in bounded time and asks an agent that there is; what
+// is taken never has a lower index than what was taken from the same agents before, but after an index that began anew.
+func TestWatchKeepsAsking(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(rt, "agents")
+		w := NewWatch(n, 20000, 10000, func() float64 { return rapid.Float64Range(0, 1).Draw(rt, "random") })
+		now, known := 1e6, uint64(0)
+		for range 60 {
+			q, at := w.Next(now)
+			if q.Agent < 0 || q.Agent >= n || at < now || at > now+1.25*mostPause+3600e3 || q.Patience() > 30000 {
+				rt.Fatalf("%+v at %v", q, at-now)
+			}
+			now = at
+			a := Answer{Status: rapid.SampledFrom([]int{200, 200, 200, 403, 500}).Draw(rt, "status"), Index: uint64(rapid.IntRange(0, 9).Draw(rt, "index")),
+				Leaderless: rapid.IntRange(0, 4).Draw(rt, "leaderless") == 0, Contact: float64(rapid.SampledFrom([]int{0, 50, 3600000}).Draw(rt, "contact"))}
+			v := w.Answered(now, q, a)
+			if v.Take && a.Status != 200 || !v.Take && v.Why == "" {
+				rt.Fatalf("%+v: %+v", a, v)
+			}
+			if v.Take && a.Index < known && v.Why == "" {
+				rt.Fatalf("index %d after %d was taken in silence", a.Index, known)
+			}
+			if v.Take {
+				known = w.index
+			}
+		}
+	})
+}
+
+// FuzzParse: whatever an agent sends, it is read whole or not at all, in bounded memory.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{`[]`, `null`, `[{"Node":{"Node":"a","Address":"1.2.3.4"},"Service":{"ID":"x","Port":5432,"Tags":null,"Meta":{"group":"1"}},"Checks":[{"CheckID":"_node_maintenance","Status":"critical"}]}]`,
+		`[{"Node":"a","ServiceID":"x","ServicePort":1}]`, `[{`, `[] x`, `{"a":1}`, `[1,2]`, "[{\"Checks\":[{\"Status\":\"warning\"}]}]\n"} {
+		f.Add([]byte(s), true)
+		f.Add([]byte(s), false)
+	}
+	f.Fuzz(func(t *testing.T, b []byte, health bool) {
+		list, err := Parse(bytes.NewReader(b), health)
+		if err != nil && list != nil || len(list) > len(b) {
+			t.Errorf("%d instances, %v", len(list), err)
+		}
+		m := DefaultMapping()
+		for i := range list {
+			if c, err := m.Claim(&list[i]); err == nil && (c.ID == "" || c.Address == "" || c.Weight <= 0) {
+				t.Errorf("%+v", c)
+			}
+		}
+		if err == nil && len(b) > 1 { // what is cut off is not taken for whole
+			text := bytes.TrimSpace(b)
+			if _, err := Parse(bytes.NewReader(text[:len(text)-1]), health); err == nil && text[len(text)-1] == ']' {
+				t.Errorf("cut off, it was taken: %q", text)
+			}
+		}
+	})
+}
+
+// BenchmarkParse is a full reload of 2,000 instances.
+func BenchmarkParse(b *testing.B) {
+	c := agent.NewCatalog()
+	var all []agent.Instance
+	for i := range 2000 {
+		all = append(all, instance(i))
+	}
+	c.Change("db", all)
+	a, err := agent.Start(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer a.Stop()
+	src := New(Options{Agents: []string{a.Addr}, MostBytes: 16 << 20}, nil, nil, nil, slog.New(slog.DiscardHandler))
+	res, err := src.client.Get(src.url("db", Query{}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	body, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(body)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if list, err := Parse(bytes.NewReader(body), true); err != nil || len(list) != 2000 {
+			b.Fatal(err)
+		}
+	}
+}
