Let a primary's answer to a probe count for the request that asked

Cause: with a primary's word counting only up to when it was said, reads of a quiet group could wait in vain: reports are up to 240 ms old, a commit is rounded up, and each request asks twice at most. The stories of the pooling front timed out by it.

Change: what a primary answers to a probe since the request came counts for it; where probes tell nothing, the primary is asked again, paced. The daemon takes its list from Consul, a static file and the platform's discovery by (membership ...) in the operators' settings, with a saved list, the operators' override and a token that rotates on reload; off unless set. Servers' words go from the core to the judge.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -73,6 +74,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "pooling: off")
 					}
+					if m := set.Membership; m.On {
+						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "membership: by the platform's discovery")
+					}
 					return nil
 				},
 			},
@@ -135,6 +141,7 @@
 	set.Pooling.AddClasses(cfg)
 	p := newPooler(cfg, log)
 	p.usePooling(set.Pooling)
+	p.useMembers(set.Membership)
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
--- /dev/null
+++ b/cmd/beechgrade/members.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/membership"
+	"beechgrade/internal/membership/consul"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/membership/judge"
+	"beechgrade/internal/operate"
+)
+
+// sources are where the list of servers comes from, where the operators' settings have it come from more than the
+// platform's discovery.
+type sources struct {
+	set     operate.Membership
+	members *membership.Members
+	consul  *consul.Source // nil for none
+}
+
+// news is what the sources' files hold.
+type news struct {
+	token    string
+	override judge.Override
+	static   *judge.Report // nil where it could not be read, or there is none
+}
+
+// useMembers has the list made of several sources, where the settings have it so.
+func (p *pooler) useMembers(set operate.Membership) {
+	if !set.On {
+		return
+	}
+	s := &sources{set: set}
+	s.members = membership.New(p.loop, p.log, set.Members, p.core, &p.cfg.Known)
+	if set.Consul != nil {
+		opt := *set.Consul
+		opt.Seed = p.cfg.Seed
+		s.consul = consul.New(opt, p.loop.Post, p.loop.Now, s.members, p.log)
+	}
+	p.sources = s
+	p.core.Hear(s.members)
+}
+
+// begin starts the sources; it runs on the loop before the core starts.
+func (s *sources) begin(p *pooler) {
+	p.cfg.Known = s.members.Begin()
+	if s.set.Members.Platform {
+		s.members.Use(p.dir)
+	}
+	n, err := s.read()
+	if err != nil {
+		p.log.Error("membership", "err", err)
+	}
+	if s.consul != nil {
+		s.consul.SetToken(n.token)
+		s.consul.Start()
+	}
+	p.loop.Post(func() { s.take(n) }) // once the core has started
+}
+
+// read reads the sources' files. What cannot be read leaves the rest as it is.
+func (s *sources) read() (n news, err error) {
+	var errs []error
+	note := func(err error) {
+		if err != nil {
+			errs = append(errs, err)
+		}
+	}
+	n.token, err = s.set.Token()
+	note(err)
+	n.override, err = s.set.ReadOverride()
+	note(err)
+	if s.set.Static != "" {
+		n.static, err = readStatic(s.set.Static)
+		note(err)
+	}
+	return n, errors.Join(errs...)
+}
+
+// take takes what the files held; it runs on the loop.
+func (s *sources) take(n news) {
+	if s.consul != nil && n.token != "" {
+		s.consul.SetToken(n.token)
+	}
+	if n.static != nil {
+		s.members.Heard(membership.Static, n.static)
+	}
+	s.members.Override(n.override)
+}
+
+const maxStatic = 16 << 20
+
+// readStatic reads a list in the platform's form, whole.
+func readStatic(path string) (*judge.Report, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("static list: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, maxStatic+1))
+	if err != nil || len(b) > maxStatic {
+		return nil, fmt.Errorf("static list %s: over %d bytes, or %w", path, maxStatic, err)
+	}
+	var l discovery.List
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(b, &l); err != nil {
+		return nil, fmt.Errorf("static list %s: %s", path, strings.Join(strings.Fields(err.Error()), " "))
+	}
+	l.Reset, l.Generation = true, 0
+	return membership.ReportOf(&l), nil
+}
+
+// stop ends the sources' goroutines.
+func (s *sources) stop() {
+	if s != nil && s.consul != nil {
+		s.consul.Stop()
+	}
+}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -49,6 +49,8 @@
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	sources *sources // of the list, nil where it is the platform's discovery alone
+
 	gauges bool         // are recorded
 	files  record.Files // where records go, in place of the settings' folder; tests set it
 }
@@ -87,6 +89,9 @@
 	if p.pooled != nil {
 		p.pooled.Record(rec)
 	}
+	if p.sources != nil {
+		p.sources.members.Record(rec)
+	}
 	p.gauges = true
 	return func() {
 		p.core.Note(recordpb.Kind_KIND_STOP, "") // the loop has ended
@@ -106,9 +111,17 @@
 
 // start runs on the loop before anything else.
 func (p *pooler) start() {
-	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, p.core)
+	events, directory := discovery.Events(p.core), core.Directory(nil)
+	if p.sources != nil {
+		events = p.sources.members
+	}
+	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, events)
+	if directory = p.dir; p.sources != nil {
+		p.sources.begin(p)
+		directory = p.sources.members
+	}
 	p.core.Note(recordpb.Kind_KIND_START, "")
-	p.core.Start(p.servers(), p.dir)
+	p.core.Start(p.servers(), directory)
 	p.front.Start()
 	if p.pooled != nil {
 		p.listen()
@@ -134,8 +147,16 @@
 				continue
 			}
 			p.loop.Post(func() { p.apply(next) })
+			if s := p.sources; s != nil {
+				n, err := s.read()
+				if err != nil {
+					p.log.Error("membership: what cannot be read stays as it was", "err", err)
+				}
+				p.loop.Post(func() { s.take(n) })
+			}
 		}
 	}()
+	defer p.sources.stop()
 	return p.loop.Run(p.cfg.Listen)
 }
 
@@ -149,7 +170,9 @@
 	}
 	limitMemory(p.cfg)
 	p.pool.SetTimes(p.cfg.ConnectTimeoutMs, p.cfg.IdleMs*idlePart)
-	p.dir.Move(p.cfg.Discovery)
+	if p.sources == nil || p.sources.set.Members.Platform {
+		p.dir.Move(p.cfg.Discovery)
+	}
 }
 
 // drain ends the service. No new connections come after a while, as the clients' side hears of the restart, but
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,11 @@
 	Fetch()
 }
 
+// Words is told what servers say of themselves, each time they do.
+type Words interface {
+	Told(store string, primary, replica bool, position float64)
+}
+
 // Core feeds the router. It is for the loop alone.
 type Core struct {
 	loop    Loop
@@ -74,6 +79,16 @@
 	asked  uint64           // requests recorded
 	probed map[string]float64
 	meter  Meter
+	words  Words // nil where nobody listens
+}
+
+// Hear has somebody told what servers say of themselves.
+func (c *Core) Hear(w Words) { c.words = w }
+
+func (c *Core) told(store string, o *backend.Outcome) {
+	if c.words != nil && (o.Role != beechgrade.RoleUnknown || o.HasPos) {
+		c.words.Told(store, o.Role == beechgrade.RolePrimary, o.Role == beechgrade.RoleReplica, o.Position)
+	}
 }
 
 // Meter is told when the decision module begins and ends its work.
@@ -184,6 +199,7 @@
 	q.open--
 	store := q.tries[t.No].store
 	c.recordAttempt(q, t.No, store, &o)
+	c.told(string(store), &o)
 	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
 		q.client.Served(o.Answer)
@@ -198,6 +214,7 @@
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
+	c.told(store, &o)
 	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
 }
 
--- a/internal/kit/records/records.go
+++ b/internal/kit/records/records.go
@@ -477,11 +477,11 @@
 	*e = record.Event{At: ms(at), Kind: x.Kind, Final: x.Final, Result: uint8(x.Result), Role: uint8(x.Role), Repeat: x.Repeat,
 		Whole: x.Whole, Class: int32(x.Class), Attempt: int32(x.Attempt), Group: x.Group, Request: x.Request,
 		Session: x.Session, ID: x.Id, Took: ms(int64(x.TookUs)), Left: ms(int64(x.LeftUs)), Wait: ms(int64(x.WaitUs)),
-		Reason: record.Reason(x.Reason), Number: x.Number, Text: x.Text}
+		Reason: record.Reason(x.Reason), Number: x.Number, Text: x.Text, Health: uint8(x.Health)}
 	for _, n := range []struct {
 		to     *string
 		number uint32
-	}{{&e.Server, x.Server}, {&e.Pool, x.Pool}} {
+	}{{&e.Server, x.Server}, {&e.Pool, x.Pool}, {&e.Source, x.Source}} {
 		switch {
 		case n.number == 0:
 		case int(n.number) > len(st.names):
--- a/internal/membership/judge/judge.go
+++ b/internal/membership/judge/judge.go
@@ -577,6 +577,16 @@
 	return out
 }
 
+// Len is how many servers the list has.
+func (j *Judge) Len() (n int) {
+	for _, s := range j.servers {
+		if s.listed {
+			n++
+		}
+	}
+	return n
+}
+
 // Held is how many removals are held back.
 func (j *Judge) Held() (n int) {
 	for _, s := range j.sources {
--- /dev/null
+++ b/internal/membership/snapshot/snapshot_test.go
@@ -0,0 +1,68 @@
+package snapshot
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/membership/judge"
+)
+
+var file = &File{SavedMs: 1.7e12, Entries: []judge.Entry{{ID: "a", Address: "10.0.0.1:5432", Group: 3, Zone: "z", Weight: 2, Started: 1e12, Primary: true}, {ID: "b\n", Address: "10.0.0.2:5432", State: judge.Draining}}}
+
+// TestEveryCut: a file that ends too soon, or has a byte that is not its own, is not read; a whole one is.
+func TestEveryCut(t *testing.T) {
+	b, err := Append(nil, file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(b) {
+		if f, err := Parse(b[:n]); f != nil || !errors.Is(err, ErrTorn) && !errors.Is(err, ErrForeign) {
+			t.Fatalf("cut at %d: %+v %v", n, f, err)
+		}
+		flipped := bytes.Clone(b)
+		flipped[n] ^= 0x20
+		if f, err := Parse(flipped); err == nil && !cmp.Equal(f, file) {
+			t.Fatalf("byte %d changed: %+v", n, f)
+		}
+	}
+	if f, err := Parse(append(b, 'x')); f != nil || !errors.Is(err, ErrTorn) {
+		t.Errorf("longer: %+v %v", f, err)
+	}
+	f, err := Parse(b)
+	if diff := cmp.Diff(file, f); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
+
+// TestFile: a file is replaced as a whole, and one that is missing, foreign or not to be written is told of.
+func TestFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "members")
+	if f, err := Load(path); f != nil || err != nil {
+		t.Errorf("none: %+v %v", f, err)
+	}
+	for _, x := range []*File{{SavedMs: 1}, file} {
+		if err := Save(path, x); err != nil {
+			t.Fatal(err)
+		}
+		if f, err := Load(path); err != nil || !cmp.Equal(f, x) {
+			t.Errorf("%+v %v", f, err)
+		}
+	}
+	if names, _ := filepath.Glob(filepath.Join(filepath.Dir(path), "*")); len(names) != 1 {
+		t.Errorf("left behind: %v", names)
+	}
+	if err := os.WriteFile(path, []byte("{\"instances\":[]}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); !errors.Is(err, ErrForeign) {
+		t.Error(err)
+	}
+	if err := Save(filepath.Join(path, "below"), file); err == nil {
+		t.Error("it was saved below a file")
+	}
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -11,8 +11,9 @@
 
 // Settings are what the operators may choose. The zero value has everything off.
 type Settings struct {
-	Record  Record
-	Pooling Pooling
+	Record     Record
+	Pooling    Pooling
+	Membership Membership
 }
 
 // Record says whether and where the pooler records what it does.
@@ -57,8 +58,9 @@
 	}
 	s := &Settings{}
 	return s, sexp.Form{
-		"record":  func(n *sexp.Node) error { return s.Record.read(n, env) },
-		"pooling": s.Pooling.read,
+		"record":     func(n *sexp.Node) error { return s.Record.read(n, env) },
+		"pooling":    s.Pooling.read,
+		"membership": func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -83,6 +83,9 @@
 	From, To float64
 	Cause    uint8
 
+	Source string // of membership
+	Health uint8  // as that says
+
 	Pool    string
 	How     uint8 // of a hand-over
 	Other   bool
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -259,7 +259,7 @@
 	x.TookUs, x.LeftUs, x.WaitUs = uspan(e.Took), uspan(e.Left), uspan(e.Wait)
 	x.Session, x.Id, x.Repeat = e.Session, e.ID, e.Repeat
 	x.Attempt, x.Final, x.Reason, x.Text = uint32(e.Attempt), e.Final, uint32(e.Reason), e.Text
-	x.Pool = w.number(e.Pool)
+	x.Pool, x.Source, x.Health = w.number(e.Pool), w.number(e.Source), uint32(e.Health)
 	switch e.Kind {
 	case recordpb.Kind_KIND_HAND:
 		x.Hand = &recordpb.Hand{How: uint32(e.How), Other: e.Other, Moved: e.Moved, Carried: e.Carried}
@@ -267,7 +267,7 @@
 		h := &e.Holds
 		x.Held = &recordpb.Pool{Clients: uint32(h.Clients), Idle: uint32(h.Idle), Used: uint32(h.Used), Connecting: uint32(h.Connecting),
 			Waiting: uint32(h.Waiting), LongestUs: uspan(h.LongestMs), Most: uint32(h.Most)}
-	case recordpb.Kind_KIND_ENTRY:
+	case recordpb.Kind_KIND_ENTRY, recordpb.Kind_KIND_SAID:
 		x.Text = ""
 		x.Entry = &recordpb.Entry{State: uint32(e.State), Primary: e.Primary, StartedUs: e.Number * 1000, Address: e.Text, Held: e.Held}
 	case recordpb.Kind_KIND_GAUGE:
--- a/router.go
+++ b/router.go
@@ -287,8 +287,9 @@
 	if q.class.Read == ReadBounded {
 		need = r.now - q.class.Bound
 	}
-	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || !r.set.MayProbe)
+	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard, but
+	// hardly between its report and the answer to a probe sent for this request.
+	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
 	if need == never || leads || s.position >= need {
 		return true, true
 	}
@@ -370,6 +371,9 @@
 	}
 	if !s.probing {
 		if q.asked >= askMost {
+			if s == r.primary(q.group) { // the answers told nothing, and nobody else may do
+				r.probe(s, r.seekEach)
+			}
 			return false
 		}
 		q.asked++
--- a/router_test.go
+++ b/router_test.go
@@ -535,6 +535,23 @@
 	g.wantNone(Send, g.report("p", RoleReplica, g.now-1900*ms))
 	g.wantSend(g.report("a", RolePrimary, g.now), "2", "a")
 
+	g = trio(t, nil) // probes that tell nothing: it is asked again and again, but not without end
+	g.now += 2 * time.Second
+	asked, acts := 0, g.ask("1", cBounded)
+	for range 30 {
+		var next []Action
+		for _, a := range of(Probe, acts) {
+			asked++
+			next = append(next, g.do(&ProbeResult{Store: a.Store, Result: Full})...)
+		}
+		g.wantNone(Send, next)
+		acts = append(next, g.pass(beat)...)
+	}
+	if asked <= askMost || asked > 12 {
+		t.Errorf("%d probes in 0.3 s", asked)
+	}
+	g.wantSend(g.report("p", RolePrimary, g.now-200*ms), "1", "p")
+
 	for _, probes := range []bool{true, false} {
 		set := testSettings()
 		set.ListShowsRole, set.MayProbe = true, probes
