Play Consul's lies in virtual time, and keep a server's name under a new id

Need: the judgement of the server list is to be tried against all that a catalogue may say wrongly, with many seeds and against mutants.

Change: scenarios say (consul AGENTS), and faults befall agents and the catalogue: frozen, hung, torn, empty, leaderless, everything deregistered, wrong primaries, new ids, checks that fail; drawn faults have them too. Poolers in virtual time run the daemon's own Watch and judge. An eighth rule: no write to a server that has said that it is not the primary, with a mutant that goes by the catalogue's roles. Two mends by what that showed: a process registered under a new id keeps its name in the list, and writes that wait for a connection to a server that calls itself a replica are given up unsent.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -306,6 +306,19 @@
 	p.end(a, Outcome{Result: r})
 }
 
+// recall gives up what must not run twice and still waits for a connection to a server that says it is a replica: it would
+// be turned away there.
+func (p *Pool) recall(s *store) {
+	for i := 0; i < len(s.waiting); {
+		if a := s.waiting[i]; a.once {
+			p.drop(a, beechgrade.Skipped)
+			i = 0 // what that led to may have changed the rest
+			continue
+		}
+		i++
+	}
+}
+
 func (p *Pool) unqueue(a *attempt) {
 	w := a.store.waiting
 	for i := range w {
@@ -544,6 +557,9 @@
 			}
 		}
 		c.attempt, a.conn = nil, nil
+		if o.Role == beechgrade.RoleReplica {
+			p.recall(c.store)
+		}
 		// The connection is free before the end is told: what that leads to may use it.
 		c.ready()
 		p.end(a, o)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -143,3 +143,65 @@
 		t.Error(err)
 	}
 }
+
+// TestRecalled: a write that waits for a connection to a server which then says that it is a replica is never sent there; a
+// read is.
+func TestRecalled(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	clk, events := &clock.Manual{Ms: 1e6}, make(told, 9)
+	var p *Pool
+	l := loop.New(clk, slog.New(slog.DiscardHandler), func() loop.Handler { return nobody{} }, func() {})
+	p = New(l, slog.New(slog.DiscardHandler), Options{Roles: [2]string{"primary", "replica"}, ConnectTimeoutMs: 1e5, IdleMs: 1e5, MaxConns: func() int { return 1 },
+		Memory: func() int { return 1 << 20 }}, events)
+	ready := make(chan struct{})
+	l.Ready = func() { close(ready) }
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run("127.0.0.1:0") }()
+	<-ready
+	l.Post(func() {
+		p.SetAddress("s", server.Addr().String())
+		for no := range 3 {
+			p.Start("s", events, clk.Ms+9000, no != 2, Tag{No: no}) // all but one go without a connection
+		}
+	})
+	far, err := server.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	_ = far.SetDeadline(time.Now().Add(20 * time.Second))
+	asked := make([]byte, 1<<10)
+	read := func() int {
+		n, err := far.Read(asked)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	read()
+	_, _ = far.Write(pgwire.AppendWelcome(nil))
+	read()
+	answer := pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte("v")), "SELECT 1")
+	_, _ = far.Write(pgwire.AppendReady(pgwire.AppendParameter(answer, "role", "replica")))
+	read() // the read, on the same connection
+	var got []beechgrade.Result
+	for range 2 {
+		select {
+		case o := <-events:
+			got = append(got, o.Result)
+		case <-time.After(20 * time.Second):
+			t.Fatal("not told")
+		}
+	}
+	if diff := cmp.Diff([]beechgrade.Result{beechgrade.Skipped, beechgrade.OK}, got); diff != "" {
+		t.Error(diff)
+	}
+	l.End()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -21,11 +21,12 @@
 	NotStale   Rule = "no read staler than its class allows"
 	PrimaryRan Rule = "no write accepted by another than the primary"
 	NoInvented Rule = "no value that no server made for the request"
+	NotDenied  Rule = "no write to a server that has said that it is not the primary"
 )
 
 // Rules are all of them.
 func Rules() []Rule {
-	return []Rule{OneAnswer, NotTwice, DrainsKept, ColdSpared, NotStale, PrimaryRan, NoInvented}
+	return []Rule{OneAnswer, NotTwice, DrainsKept, ColdSpared, NotStale, PrimaryRan, NoInvented, NotDenied}
 }
 
 // Class is what the rules go by of a class of requests.
@@ -85,6 +86,7 @@
 	breaches []Breach
 	counts   map[Rule]int
 	checked  map[Rule]uint64
+	words    map[where]word    // what servers told poolers of their role last
 	still    map[int]stillness // poolers' machines that stood still last
 	order    []due             // by when an answer is due, about
 	head     int
@@ -92,6 +94,14 @@
 
 type where struct{ pooler, server int }
 
+type word struct {
+	at      float64
+	asOf    float64
+	primary bool
+}
+
+const wordMs = 30000 // a server's word on its role counts for so long
+
 type listing struct {
 	state string
 	at    float64
@@ -146,7 +156,7 @@
 
 // New makes a checker.
 func New(cfg Config) *Checker {
-	return &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}}
+	return &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}}
 }
 
 func (c *Checker) breach(b Breach, proof []Event) {
@@ -266,6 +276,16 @@
 	if q == nil {
 		return
 	}
+	if q.class.Writes {
+		x, ok := c.words[where{pooler, server}]
+		if ok {
+			c.checked[NotDenied]++
+		}
+		if ok && !x.primary && at-x.at <= wordMs {
+			c.breach(Breach{Rule: NotDenied, At: at, ID: id, Server: server, Text: fmt.Sprintf("a write is sent to a server that said %.0f ms before that it is a replica", at-x.at)},
+				[]Event{{At: x.at, What: "said that it is a replica", Pooler: pooler, Server: server}, {At: at, What: "sent", Pooler: pooler, Server: server, Attempt: no}})
+		}
+	}
 	if q.class.Once {
 		c.checked[NotTwice]++
 		for i := range q.attempts {
@@ -310,6 +330,15 @@
 	c.listed[w] = listing{state, at}
 }
 
+// Word tells that a server's word on its role has come to a pooler. A report is some time old: its word is as of the position
+// that it tells, and does not take back a later one.
+func (c *Checker) Word(at, asOf float64, pooler, server int, primary bool) {
+	w := where{pooler, server}
+	if old, ok := c.words[w]; !ok || asOf >= old.asOf {
+		c.words[w] = word{at, asOf, primary}
+	}
+}
+
 // Forgot tells that a pooler's process has ended, and knows nothing any more.
 func (c *Checker) Forgot(pooler int) {
 	for w := range c.listed {
@@ -317,6 +346,11 @@
 			delete(c.listed, w)
 		}
 	}
+	for w := range c.words {
+		if w.pooler == pooler {
+			delete(c.words, w)
+		}
+	}
 }
 
 // Took tells that a request has come whole to a server, which started then; 0 for long ago.
--- a/internal/kit/emulate/bench_test.go
+++ b/internal/kit/emulate/bench_test.go
@@ -55,6 +55,7 @@
 func (quiet) Said(world.Fact)                               {}
 func (quiet) Listed(*world.Entry, float64)                  {}
 func (quiet) ListDown(bool)                                 {}
+func (quiet) Registered()                                   {}
 func (quiet) Executed(*world.Server, *world.Job, world.Run) {}
 
 func benchScenario(b *testing.B, text string) {
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -70,6 +70,7 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
+	agents   *agents // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -124,6 +125,9 @@
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
 	e.bad = make([]float64, s.Poolers)
+	if s.Agents > 0 {
+		e.agents = e.newAgents()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -223,6 +227,9 @@
 
 // Listed is world.Watcher's.
 func (e *Emulation) Listed(x *world.Entry, _ float64) {
+	if e.agents != nil {
+		return
+	}
 	l := discovery.List{Generation: e.world.List.Gen, Instances: []discovery.Instance{x.Instance}}
 	for _, p := range e.poolers {
 		p.listed(l)
@@ -231,6 +238,10 @@
 
 // ListDown is world.Watcher's.
 func (e *Emulation) ListDown(gone bool) {
+	if e.agents != nil {
+		e.agents.wake()
+		return
+	}
 	for _, p := range e.poolers {
 		if gone {
 			p.listDown()
@@ -238,6 +249,13 @@
 	}
 }
 
+// Registered is world.Watcher's.
+func (e *Emulation) Registered() {
+	if e.agents != nil {
+		e.agents.wake()
+	}
+}
+
 // Executed is world.Watcher's.
 func (e *Emulation) Executed(s *world.Server, j *world.Job, r world.Run) {
 	a, ok := j.Owner.(*attempt)
@@ -272,6 +290,16 @@
 	case "list-gone":
 		e.world.ListGone(true)
 		later(func() { e.world.ListGone(false) })
+	case "agent":
+		n, what := f.Target.Group, f.Target.Word
+		e.agents.strike(n, what)
+		later(func() { e.agents.strike(n, "") })
+	case "deregister-all":
+		e.world.Empty(true)
+		later(func() { e.world.Empty(false) })
+	case "wrong-roles":
+		e.world.Swap(true)
+		later(func() { e.world.Swap(false) })
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -38,6 +38,38 @@
 	(at 24s (die everyone) (for 2s)) (at 26s (load 4) (for 3s)) (at 30s (drain primary 1) (for 5s)) (at 31s (cut 0 primary 2) (for 2s)) (at 33s (stall-pooler 2) (for 400ms))
 	(at 34s (mute primary 0) (for 1s)) (at 36s (restart-pooler 0)))`
 
+// lies is a scenario in which Consul says everything wrongly that it can.
+const lies = `(rehearsal "lies" (seconds 45) (poolers 3) (groups 3 3 4) (rate 250) (cold 8s) (roams 0.1) (consul 2)
+	(detect 150ms 400ms) (elect 3s 4s) (switch 100ms 300ms) (list 200ms 500ms) (roles 4s 6s)
+	(at 3s (agent 0 frozen) (for 15s)) (at 4s (die primary 0) (for 12s)) (at 5s (deregister-all) (for 4s)) (at 5s (kill-pooler 0) (for 500ms))
+	(at 6s (reissue member 0 1) (for 100ms) (every 400ms)) (at 6100ms (reissue member 0 2) (for 100ms) (every 400ms)) (at 6s (wrong-roles) (for 9s))
+	(at 12s (agent 1 empty) (for 3s)) (at 16s (drain member 1 1) (for 5s)) (at 20s (hang primary 2) (for 6s)) (at 20s (agent 1 down) (for 3s)) (at 22s (agent 0 cut) (for 3s))
+	(at 26s (fail-check everyone) (for 6s)) (at 28s (agent 0 hang) (for 8s)) (at 30s (die primaries) (for 5s)) (at 33s (kill-pooler 1) (for 400ms)) (at 36s (agent 1 leaderless) (for 5s))
+	(at 38s (lag replica 1 30) (for 5s)) (at 39s (list-gone) (for 4s)) (at 40s (drain primary 1) (for 4s)))`
+
+// TestLies: whatever Consul says wrongly, no rule is broken, and service goes on.
+func TestLies(t *testing.T) {
+	for seed := range uint64(3) {
+		r := play(t, parse(t, lies), Options{Seed: seed})
+		for _, b := range r.Verdict.Breaches {
+			t.Errorf("seed %d: %s: %s\n%+v", seed, b.Rule, b.Text, b.Proof)
+			break
+		}
+		for _, rule := range check.Rules() {
+			if r.Verdict.Checked[rule] == 0 {
+				t.Errorf("seed %d: %q was never put to the test", seed, rule)
+			}
+		}
+		if r.Score.Ratio < 0.5 {
+			t.Errorf("seed %d: service %v", seed, r.Score.Ratio)
+		}
+	}
+	a, b := play(t, parse(t, lies), Options{Seed: 7}), play(t, parse(t, lies), Options{Seed: 7})
+	if a.Hash != b.Hash {
+		t.Errorf("the same seed, and other events: %s, %s", a.Hash, b.Hash)
+	}
+}
+
 // TestSame: the same scenario and seed are the same run to the last event; another seed is not.
 func TestSame(t *testing.T) {
 	s := parse(t, everything)
@@ -77,9 +109,12 @@
 
 // TestMutants: each pooler that is broken on purpose is caught, by the rule that it breaks.
 func TestMutants(t *testing.T) {
-	s := parse(t, everything)
 	for _, m := range Mutants() {
 		t.Run(m.Name, func(t *testing.T) {
+			s := parse(t, everything)
+			if m.Judge != nil {
+				s = parse(t, lies)
+			}
 			r := play(t, s, Options{Seed: 1, Mutant: &m})
 			if r.Verdict.Broken[m.Breaks] == 0 {
 				t.Errorf("it was not caught: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -10,6 +10,7 @@
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/membership/judge"
 )
 
 // Mutant is a pooler, or a server, that is broken on purpose: what the checker must catch.
@@ -21,6 +22,8 @@
 	List    func(l *discovery.List)                              // what it is told of the list
 	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
 	World   func(w *world.World)
+	Judge   func(s *judge.Settings) // what its judge of the server list goes by
+	Lists   bool                    // it goes by its list's role in place of what servers say
 }
 
 // Mutants are all of them.
@@ -79,6 +82,7 @@
 			}
 		}},
 		{Name: "a server that takes writes after it was replaced", Breaks: check.PrimaryRan, World: func(w *world.World) { w.SplitBrain = true }},
+		{Name: "trusts the catalogue's word on roles", Breaks: check.NotDenied, Judge: func(s *judge.Settings) { s.TrustRoles = true }, Lists: true},
 		{Name: "serves what no server made", Breaks: check.NoInvented, Answer: func(e *Emulation, v *visit, kind clients.Kind) bool {
 			if kind == clients.Served && v.id%64 == 0 {
 				v.answer = []byte("cached")
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -33,6 +33,7 @@
 	most   int     // that its descriptors allow
 	idleMs float64 // a connection idle for so long is closed
 	wear   wear.Wear
+	member *member // nil where the list is the platform's
 }
 
 // store is a pooler's connections to one server.
@@ -61,6 +62,7 @@
 	v     *visit // nil for a probe
 	no    int
 	until float64
+	id    string // of the server, as the list has it
 	sent  bool
 	ended bool
 	once  bool    // it must not run twice
@@ -108,7 +110,15 @@
 	if e.opt.Meter {
 		p.core.Meter(&meter{e: e})
 	}
-	p.core.Start(p, p)
+	if p.member = nil; e.agents == nil {
+		p.core.Start(p, p)
+		return nil
+	}
+	p.member = p.newMember()
+	p.core.Hear(p.member.join)
+	cfg.Known = p.member.join.Begin()
+	p.core.Start(p, p.member.join)
+	p.member.ask()
 	return nil
 }
 
@@ -166,7 +176,7 @@
 }
 
 func (p *pooler) store(id string) *store {
-	s := p.e.world.Server(id)
+	s := p.server(id)
 	if s == nil {
 		return nil
 	}
@@ -241,7 +251,7 @@
 
 func (p *pooler) begin(a *attempt, id string) {
 	e := p.e
-	a.st = p.store(id)
+	a.id, a.st = id, p.store(id)
 	if a.st == nil || !a.st.listed {
 		a.end(backend.Outcome{Result: beechgrade.Unreachable}) // as the sockets' side does, before Start returns
 		return
@@ -383,6 +393,18 @@
 	}
 }
 
+// recall gives up writes that wait for a connection to a server that says it is a replica, as the daemon does.
+func (st *store) recall() {
+	for i := 0; i < len(st.waiting); {
+		if a := st.waiting[i]; a.once {
+			a.drop(beechgrade.Skipped)
+			i = 0
+			continue
+		}
+		i++
+	}
+}
+
 func (st *store) unqueue(a *attempt) {
 	for i := range st.waiting {
 		if st.waiting[i] == a {
@@ -481,6 +503,9 @@
 		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
+		if o.Role == beechgrade.RoleReplica && a.p.e.opt.Mutant == nil {
+			st.recall()
+		}
 		st.free() // before the end is told: what that leads to may use it
 		a.end(o)
 	case atReset:
@@ -538,25 +563,45 @@
 	p, e := a.p, a.p.e
 	p.tries.Drop(a.ref)
 	if a.v == nil {
-		p.core.ProbeEnded(a.name(), o)
+		e.word(a, &o)
+		p.trust(a.id, &o)
+		p.core.ProbeEnded(a.id, o)
 		return
 	}
 	if a.sent {
 		never := o.Result == beechgrade.Missed || o.Result == beechgrade.Full
 		e.check.Ended(e.s.now, a.v.id, a.no, resultNames[o.Result], never)
 	}
+	e.word(a, &o)
 	e.results[o.Result]++
 	if m := e.opt.Mutant; m != nil && m.Outcome != nil {
 		m.Outcome(&o)
 	}
+	p.trust(a.id, &o)
 	p.core.AttemptEnded(a.tag, o)
 }
 
-func (a *attempt) name() string {
-	if a.st == nil {
-		return ""
+// trust has a mutant take the list's word on a server's role for the server's own.
+func (p *pooler) trust(id string, o *backend.Outcome) {
+	if m := p.e.opt.Mutant; m == nil || !m.Lists || p.member == nil || o.Role == beechgrade.RoleUnknown {
+		return
+	}
+	if x, ok := p.member.join.Entry(id); ok {
+		if o.Role = beechgrade.RoleReplica; x.Primary {
+			o.Role = beechgrade.RolePrimary
+		}
+	}
+}
+
+// word tells the checker what a server said of itself.
+func (e *Emulation) word(a *attempt, o *backend.Outcome) {
+	if a.st != nil && o.Role != beechgrade.RoleUnknown {
+		asOf := e.s.now
+		if a.v == nil {
+			asOf = o.Position
+		}
+		e.check.Word(e.s.now, asOf, a.p.no, a.st.s.No, o.Role == beechgrade.RolePrimary)
 	}
-	return a.st.s.Name
 }
 
 var resultNames = [...]string{"ok", "error", "turned away", "timed out", "unreachable", "reset", "called off", "never sent", "missed"}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"beechgrade/internal/clock"
+	"beechgrade/internal/kit/standin/agent"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
 )
@@ -50,6 +51,8 @@
 	timers  map[*time.Timer]bool
 	closed  bool
 	dir     directory
+	catalog *agent.Catalog // nil for none
+	known   map[string]bool
 	wg      sync.WaitGroup
 	late    []Fact // sends to servers that drain
 	watcher Watcher
@@ -97,6 +100,11 @@
 		f.wg.Add(1)
 		go s.accept()
 	}
+	if f.catalog != nil {
+		f.mu.Lock()
+		f.register()
+		f.mu.Unlock()
+	}
 	return f.dir.start(f)
 }
 
@@ -170,6 +178,9 @@
 // ListDown is world.Watcher's.
 func (f *Fleet) ListDown(bool) { f.dir.wakeAll() }
 
+// Registered is world.Watcher's.
+func (f *Fleet) Registered() { f.register() }
+
 // Executed is world.Watcher's.
 func (f *Fleet) Executed(s *world.Server, j *world.Job, r world.Run) {
 	if f.watcher != nil {
--- a/internal/kit/scenario/acts.go
+++ b/internal/kit/scenario/acts.go
@@ -11,6 +11,10 @@
 		return (*world.World).Hang, (*world.World).Unhang
 	case "drain":
 		return (*world.World).Drain, (*world.World).Undrain
+	case "reissue":
+		return (*world.World).Reissue, func(*world.World, string) error { return nil }
+	case "fail-check":
+		return switched((*world.World).Fail)
 	case "deaf":
 		return switched((*world.World).Deafen)
 	case "mute":
--- a/internal/kit/scenario/chaos.go
+++ b/internal/kit/scenario/chaos.go
@@ -40,6 +40,15 @@
 	{"restart-pooler", [2]float64{0, 0}, [2]float64{}},
 }
 
+// drawableLies are what Consul may be drawn to tell wrongly, where it is asked.
+var drawableLies = []kind{
+	{"agent", [2]float64{500, 8000}, [2]float64{}},
+	{"deregister-all", [2]float64{200, 6000}, [2]float64{}},
+	{"wrong-roles", [2]float64{500, 8000}, [2]float64{}},
+	{"reissue", [2]float64{}, [2]float64{}},
+	{"fail-check", [2]float64{500, 8000}, [2]float64{}},
+}
+
 const maxChaos = 1000
 
 // chaos reads (chaos NUMBER FROM TO KIND...).
@@ -60,7 +69,7 @@
 		return err
 	}
 	for _, k := range a[3:] {
-		if !slices.ContainsFunc(drawable, func(d kind) bool { return d.what == k.Text }) {
+		if !slices.ContainsFunc(append(slices.Clone(drawable), drawableLies...), func(d kind) bool { return d.what == k.Text }) {
 			return k.Errorf("no fault %q can be drawn", k.Text)
 		}
 		c.Kinds = append(c.Kinds, k.Text)
@@ -80,16 +89,22 @@
 	rng := rand.New(rand.NewPCG(seed, 21))
 	between := func(r [2]float64) float64 { return r[0] + (r[1]-r[0])*rng.Float64() }
 	end := s.Clients.Seconds * 1000
+	drawable := drawable
+	if s.Agents > 0 {
+		drawable = append(slices.Clone(drawable), drawableLies...)
+	}
 	for range c.Faults {
 		d := drawable[rng.IntN(len(drawable))]
-		for len(c.Kinds) > 0 && !slices.Contains(c.Kinds, d.what) {
+		for tries := 0; len(c.Kinds) > 0 && !slices.Contains(c.Kinds, d.what) && tries < 1000; tries++ {
 			d = drawable[rng.IntN(len(drawable))]
 		}
 		f := Fault{What: d.what, At: min(end-1, float64(int(between([2]float64{c.From, c.To})))), For: float64(int(between(d.spans))), Value: between(d.value)}
 		group := rng.IntN(len(s.Fleet.Groups))
 		member := rng.IntN(s.Fleet.Groups[group])
 		switch pooler := rng.IntN(s.Poolers); d.what {
-		case "list-late", "list-gone", "load":
+		case "list-late", "list-gone", "load", "deregister-all", "wrong-roles":
+		case "agent":
+			f.Target = Target{Kind: "agent", Group: rng.IntN(s.Agents), Word: AgentFaults[rng.IntN(len(AgentFaults))]}
 		case "kill-pooler", "restart-pooler":
 			f.Target = Target{Kind: "pooler", Group: pooler}
 		default:
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -67,6 +67,8 @@
 	ProbeCost float64     // ms of a server's core for each probe
 	Forgets   float64     // what lies between forgets a connection that rested for so long, without a word; 0 for never
 
+	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
+
 	IdleMs  float64 // poolers are told that servers close connections idle for so long
 	Sockets int     // descriptors that a pooler may have, 0 for as many as it needs
 }
@@ -88,6 +90,7 @@
 	Kind   string // primary, replica, member, primaries, half-primaries (of every other group), everyone or pooler
 	Group  int
 	Member int
+	Word   string // what befalls an agent
 }
 
 func (t Target) String() string {
@@ -96,6 +99,8 @@
 		return t.Kind
 	case "member":
 		return fmt.Sprintf("member %d %d", t.Group, t.Member)
+	case "agent":
+		return fmt.Sprintf("%d %s", t.Group, t.Word)
 	}
 	return fmt.Sprintf("%s %d", t.Kind, t.Group)
 }
@@ -171,6 +176,7 @@
 		"way":          both(&s.Way),
 		"handshake":    both(&s.Handshake),
 		"probe-cost":   span(&s.ProbeCost),
+		"consul":       whole(&s.Agents, 1, 9),
 		"forgets":      span(&s.Forgets),
 		"idle":         func(n *sexp.Node) (err error) { s.IdleMs, err = n.Millis(10, maxSeconds*1000); return err },
 		"descriptors":  whole(&s.Sockets, 128, 1<<20),
@@ -356,6 +362,11 @@
 	"disk":           struck(0.1, 1000),
 	"list-late":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
 	"list-gone":      func(f *Fault, n *sexp.Node) error { return none(n) },
+	"agent":          anAgent,
+	"deregister-all": func(f *Fault, n *sexp.Node) error { return none(n) },
+	"wrong-roles":    func(f *Fault, n *sexp.Node) error { return none(n) },
+	"reissue":        struck(0, 0),
+	"fail-check":     struck(0, 0),
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
@@ -376,6 +387,23 @@
 	},
 }
 
+// AgentFaults are what may befall an agent.
+var AgentFaults = []string{"down", "hang", "frozen", "leaderless", "cut", "empty"}
+
+// anAgent reads (agent NUMBER down), or another of AgentFaults.
+func anAgent(f *Fault, n *sexp.Node) error {
+	a := n.Args()
+	if len(a) != 2 || !slices.Contains(AgentFaults, a[1].Text) {
+		return n.Errorf("(agent NUMBER WHAT), where WHAT is one of %v", AgentFaults)
+	}
+	x, err := a[0].Number(0, 8)
+	f.Target = Target{Kind: "agent", Group: int(x), Word: a[1].Text}
+	return err
+}
+
+// consulOnly are faults of what only Consul has.
+var consulOnly = map[string]bool{"agent": true, "deregister-all": true, "wrong-roles": true, "reissue": true, "fail-check": true}
+
 func aPooler(f *Fault, n *sexp.Node) (err error) {
 	f.Target.Kind = "pooler"
 	f.Target.Group, err = n.Int(0, maxPoolers-1)
@@ -433,6 +461,10 @@
 	switch {
 	case f.At >= s.Clients.Seconds*1000:
 		return fail("this comes when the rehearsal is over")
+	case consulOnly[f.What] && s.Agents == 0:
+		return fail("(%s ...) goes with (consul AGENTS)", f.What)
+	case f.What == "agent" && f.Target.Group >= s.Agents:
+		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
 	case f.What == "cut" && f.Pooler >= s.Poolers:
 		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Pooler, s.Poolers-1)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -49,6 +49,7 @@
 	number("falls", f.Falls, was.Falls, "")
 	number("falls-in", f.FallsMs, was.FallsMs, "ms")
 	number("crowds", f.Crowds, was.Crowds, "")
+	number("consul", float64(s.Agents), 0, "")
 	number("forgets", s.Forgets, 0, "ms")
 	number("idle", s.IdleMs, defaultIdle, "ms")
 	number("descriptors", float64(s.Sockets), 0, "")
@@ -94,7 +95,7 @@
 func (f *Fault) args() string {
 	var b strings.Builder
 	switch f.What {
-	case "list-gone":
+	case "list-gone", "deregister-all", "wrong-roles":
 	case "list-late":
 		fmt.Fprintf(&b, " %sms", num(f.Value))
 	case "load":
--- a/internal/kit/world/directory.go
+++ b/internal/kit/world/directory.go
@@ -60,6 +60,7 @@
 		d.history = append(d.history, change{d.Gen, e.Instance})
 		d.history = d.history[max(0, len(d.history)-keepHistory):]
 		d.w.watch.Listed(e, now)
+		d.w.Catalog.changed()
 	})
 }
 
--- a/internal/kit/world/world.go
+++ b/internal/kit/world/world.go
@@ -78,6 +78,7 @@
 	Said(f Fact)                       // something happened
 	Listed(e *Entry, at float64)       // the list says something new
 	ListDown(gone bool)                // the list cannot be had, or can again
+	Registered()                       // the catalogue says something new
 	Executed(s *Server, j *Job, r Run) // a request ran
 }
 
@@ -97,6 +98,7 @@
 	Groups  []*Group
 	Servers []*Server
 	List    Directory
+	Catalog Catalog
 
 	SplitBrain bool // a primary that was replaced while it hung takes writes when it is back; what is right has it off
 
@@ -133,6 +135,7 @@
 		}
 		w.Groups = append(w.Groups, g)
 	}
+	w.Catalog = Catalog{w: w, names: map[*Server]int{}, critical: map[*Server]bool{}}
 	w.List.start()
 	return w
 }
--- a/internal/kit/world/world_test.go
+++ b/internal/kit/world/world_test.go
@@ -19,6 +19,7 @@
 func (deaf) Said(Fact)                   {}
 func (deaf) Listed(*Entry, float64)      {}
 func (deaf) ListDown(bool)               {}
+func (deaf) Registered()                 {}
 func (deaf) Executed(*Server, *Job, Run) {}
 
 // still is a world on a clock that stands.
--- a/internal/membership/judge/judge.go
+++ b/internal/membership/judge/judge.go
@@ -178,7 +178,8 @@
 	sources []*source
 	byName  map[string]*source
 	servers map[string]*server
-	words   map[string]*word // by address: it is the process there that speaks
+	named   map[string]*server // by the ids that the list has for them
+	words   map[string]*word   // by address: it is the process there that speaks
 	addrs   map[string][]*server
 	twins   map[string][]string // ids that are not listed, as their address is under another
 	dirty   map[string]*server
@@ -217,6 +218,7 @@
 
 type server struct {
 	id       string
+	name     string   // the list's id for it: its own, or that which its process had before
 	claims   []*claim // by the source's rank, nil for none
 	shown    Entry
 	listed   bool // shown is in the list
@@ -237,7 +239,7 @@
 
 // New makes a judge that has heard nothing.
 func New(set Settings) *Judge {
-	j := &Judge{set: set, byName: map[string]*source{}, servers: map[string]*server{}, words: map[string]*word{}, addrs: map[string][]*server{}, twins: map[string][]string{}, dirty: map[string]*server{},
+	j := &Judge{set: set, byName: map[string]*source{}, servers: map[string]*server{}, named: map[string]*server{}, words: map[string]*word{}, addrs: map[string][]*server{}, twins: map[string][]string{}, dirty: map[string]*server{},
 		groups: map[int]*group{}, pins: map[string]State{}}
 	for i, n := range set.Sources {
 		s := &source{name: n, rank: i, claims: map[string]*claim{}, held: map[string]float64{}}
@@ -250,7 +252,7 @@
 func (j *Judge) say(what What, s *server, src, format string, args ...any) {
 	g := Judgement{At: j.now, What: what, Source: src, Why: fmt.Sprintf(format, args...)}
 	if s != nil {
-		g.Server, g.Group = s.id, s.shown.Group
+		g.Server, g.Group = s.name, s.shown.Group
 		for _, c := range s.claims {
 			if g.Group == 0 && c != nil {
 				g.Group = c.Group
@@ -263,7 +265,7 @@
 func (j *Judge) touch(id string) *server {
 	s := j.servers[id]
 	if s == nil {
-		s = &server{id: id, claims: make([]*claim, len(j.sources)), want: Gone}
+		s = &server{id: id, name: id, claims: make([]*claim, len(j.sources)), want: Gone}
 		j.servers[id] = s
 	}
 	j.dirty[id] = s
@@ -452,8 +454,8 @@
 // Told takes a server's own word, by the id that the list has for it.
 func (j *Judge) Told(now float64, id string, w Word) {
 	j.now = max(now, j.now)
-	s := j.servers[id]
-	if s == nil || s.shown.Address == "" {
+	s := j.named[id]
+	if s == nil {
 		return
 	}
 	x := j.words[s.shown.Address]
@@ -465,12 +467,12 @@
 	x.position = max(x.position, w.Position)
 	if w.Role != RoleUnknown {
 		if x.role != w.Role {
-			j.dirty[id] = s
+			j.dirty[s.id] = s
 		}
 		x.role, x.roleAt = w.Role, j.now
 	}
 	if s.want == Draining && j.set.Critical == Doubt && !s.doubted {
-		j.dirty[id] = s // its answer may speak for it
+		j.dirty[s.id] = s // its answer may speak for it
 	}
 	if len(j.dirty) > 0 {
 		j.settle()
@@ -568,25 +570,24 @@
 // List is the whole list, by id.
 func (j *Judge) List() []Entry {
 	var out []Entry
-	for _, s := range j.servers {
-		if s.listed {
-			out = append(out, s.shown)
-		}
+	for _, s := range j.named {
+		out = append(out, s.shown)
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
-// Len is how many servers the list has.
-func (j *Judge) Len() (n int) {
-	for _, s := range j.servers {
-		if s.listed {
-			n++
-		}
+// Entry is a server as the list has it.
+func (j *Judge) Entry(id string) (Entry, bool) {
+	if s := j.named[id]; s != nil {
+		return s.shown, true
 	}
-	return n
+	return Entry{}, false
 }
 
+// Len is how many servers the list has.
+func (j *Judge) Len() int { return len(j.named) }
+
 // Held is how many removals are held back.
 func (j *Judge) Held() (n int) {
 	for _, s := range j.sources {
--- a/internal/membership/judge/judge_test.go
+++ b/internal/membership/judge/judge_test.go
@@ -124,9 +124,19 @@
 	r.want("1 serving, 2 serving, 3 serving")
 	r.told("2", Replica)
 	r.want("1 serving, 2 serving, 3 serving*")
-	// The same server under another id: what it said of itself it has said at its address.
-	r.heard("consul", false, started(role(Claim{ID: "1b", Address: at("1", 0).Address}, Primary), 1e6-10))
-	r.want("1b serving, 2 serving, 3 serving*")
+	// The same server under another id, and called the primary: it keeps its name, and its word.
+	r.j.Heard(r.now, "consul", &Report{Claims: []Claim{role(Claim{ID: "1b", Address: at("1", 0).Address}, Primary)}, Removed: []string{"1"}})
+	r.take()
+	r.want("1 serving, 2 serving, 3 serving*")
+	if e, ok := r.j.Entry("1"); !ok || e.Address != at("1", 0).Address || r.j.Len() != 3 {
+		t.Errorf("%+v %v", e, ok)
+	}
+	r.told("1", Replica)
+	// A later process under the first id is another server; the list has both by names of their own.
+	later := started(role(at("1", 0), Replica), 9e5)
+	later.Address = "10.3.3.3:5432"
+	r.heard("consul", false, later)
+	r.want("1 serving, 1#2 serving, 2 serving, 3 serving*")
 
 	mutant := newRig(t, func(s *Settings) { s.TrustRoles = true })
 	mutant.heard("consul", true, three...)
@@ -436,7 +446,7 @@
 					}
 					for src, all := range claims {
 						c, ok := all[e.ID]
-						if s := r.j.byName[src]; ok && s.claims[e.ID] != nil && c.Health == Maintenance && s.lostAt == 0 && s.held[e.ID] == 0 && e.State == Serving {
+						if s := r.j.byName[src]; ok && r.j.named[e.ID].id == e.ID && s.claims[e.ID] != nil && c.Health == Maintenance && s.lostAt == 0 && s.held[e.ID] == 0 && e.State == Serving {
 							rt.Fatalf("%s serves, and %s has it in maintenance", e.ID, src)
 						}
 					}
--- a/internal/membership/judge/weigh.go
+++ b/internal/membership/judge/weigh.go
@@ -81,10 +81,10 @@
 		if expired {
 			why = "its source was lost for too long, and it does not answer"
 		}
-		j.show(s, Entry{ID: s.id, State: Gone, Group: s.shown.Group, Address: s.shown.Address}, "", why)
+		j.show(s, Entry{ID: s.name, State: Gone, Group: s.shown.Group, Address: s.shown.Address}, "", why)
 		return
 	}
-	e := Entry{ID: s.id, Address: best.Address, Group: best.Group, Zone: best.Zone, Kind: best.Kind, Weight: best.Weight}
+	e := Entry{ID: s.name, Address: best.Address, Group: best.Group, Zone: best.Zone, Kind: best.Kind, Weight: best.Weight}
 	for i, c := range s.claims {
 		if c == nil {
 			continue
@@ -195,6 +195,14 @@
 		j.forget(s)
 		return
 	}
+	if e.State == Gone && by != "" && j.inherit(s) {
+		j.forget(s)
+		return
+	}
+	if !s.listed {
+		s.name = j.free(s)
+		e.ID = s.name
+	}
 	e.Primary = s.shown.Primary && e.State == Serving && e.Address == s.shown.Address
 	if s.listed && e == s.shown {
 		return
@@ -254,8 +262,12 @@
 	}
 	s.listed, s.shown = e.State != Gone, *e
 	if !s.listed {
+		if j.named[e.ID] == s {
+			delete(j.named, e.ID)
+		}
 		return
 	}
+	j.named[e.ID] = s
 	if !slices.Contains(j.addrs[e.Address], s) {
 		j.addrs[e.Address] = append(j.addrs[e.Address], s)
 	}
@@ -268,6 +280,9 @@
 }
 
 func (j *Judge) unfile(s *server) {
+	if j.named[s.shown.ID] == s {
+		delete(j.named, s.shown.ID)
+	}
 	a := s.shown.Address
 	j.addrs[a] = slices.DeleteFunc(j.addrs[a], func(o *server) bool { return o == s })
 	if len(j.addrs[a]) == 0 {
@@ -281,6 +296,44 @@
 	}
 }
 
+// inherit has another id stand for a server that its source has dropped, where the same process is registered under that:
+// in the list it keeps its name, and whoever reads it learns nothing anew.
+func (j *Judge) inherit(s *server) bool {
+	was := s.shown
+	heirs := append(sorted(j.dirty), j.twins[was.Address]...)
+	for _, id := range heirs {
+		o := j.servers[id]
+		if o == nil || o == s || o.listed {
+			continue
+		}
+		fits := false
+		for i, c := range o.claims {
+			fits = fits || c != nil && !c.dropped && j.standing(j.sources[i]) && c.Address == was.Address && c.Group == was.Group && c.Started <= was.Started
+		}
+		if !fits {
+			continue
+		}
+		j.say(TwoIDs, s, "", "its process at %s is registered as %s now; it keeps its name here", was.Address, o.id)
+		j.unfile(s)
+		delete(j.groups[was.Group].members, s.id)
+		s.listed, s.shown, s.name = false, Entry{Group: was.Group}, s.id
+		o.name, o.want = was.ID, was.State
+		j.file(o, &was)
+		j.touch(o.id)
+		return true
+	}
+	return false
+}
+
+// free is a name for a server that is new in the list: its id, unless another has inherited that.
+func (j *Judge) free(s *server) string {
+	name := s.id
+	for n := 2; j.named[name] != nil && j.named[name] != s; n++ {
+		name = fmt.Sprintf("%s#%d", s.id, n)
+	}
+	return name
+}
+
 // taken tells whether the process at an entry's address is in the list under another id, and stays there: it was there
 // first, and no later start is told under this one.
 func (j *Judge) taken(s *server, e *Entry) bool {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -28,7 +28,6 @@
 type Loop interface {
 	Now() float64
 	At(ms float64, do func()) *deadline.Timer
-	Stop(t *deadline.Timer)
 	Post(f func())
 }
 
@@ -55,8 +54,8 @@
 	dir    Directory // nil where the platform's discovery is none
 	rec    *record.Recorder
 	gen    int64
-	shown  int // servers in the list
-	timer  *deadline.Timer
+	shown  int    // servers in the list
+	hung   uint64 // grows with each call of the judge that is hung up: the ones before come to nothing
 	ready  bool
 	due    map[string]bool // sources that have not been heard yet
 
@@ -231,12 +230,15 @@
 
 // again hangs up the judge's next call.
 func (m *Members) again() {
-	m.loop.Stop(m.timer)
-	m.timer = nil
-	next := m.judge.Tick(m.loop.Now())
+	m.hung++
+	no, next := m.hung, m.judge.Tick(m.loop.Now())
 	m.emit()
 	if next > 0 {
-		m.timer = m.loop.At(max(next, m.loop.Now()+1), m.again)
+		m.loop.At(max(next, m.loop.Now()+1), func() {
+			if m.hung == no {
+				m.again()
+			}
+		})
 	}
 }
 
@@ -329,6 +331,9 @@
 	return n
 }
 
+// Entry is a server as the list has it.
+func (m *Members) Entry(id string) (judge.Entry, bool) { return m.judge.Entry(id) }
+
 // Sum says in a line what the list holds.
 func (m *Members) Sum() string {
 	return fmt.Sprintf("%d servers, %d removals held back", m.shown, m.judge.Held())
