Rehearse Consul's lies on sockets, and tell who said what of the servers

Need: the daemon's membership had no stories of its own, no measurement and no way to see which source said what.

Change: stories of the daemon over stand-in agents for maintenance, mass deregistration with the operators' override, rotated tokens, the saved list, static and platform sources, and an old primary in the catalogue; rehearsals with (consul AGENTS) play the same lies on sockets. beechgrade-kit members tells each source's word beside the server's own and the list's; the incident report has it too. members measure times the watch.

--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -226,3 +226,29 @@
 		t.Error(diff)
 	}
 }
+
+// TestConsulLies: real daemons take their list from stand-ins for Consul that say it wrongly in every way, while a primary dies
+// and another hangs. No rule is broken by what crossed the wires, and the records tell what was said and judged.
+func TestConsulLies(t *testing.T) {
+	_, _, res, dir := rehearsal(t, `(rehearsal "lies" (seconds 8) (poolers 2) (consul 2) `+quick+`
+		(at 1s (deregister-all) (for 1s)) (at 1500ms (die primary 0) (for 2s)) (at 2500ms (wrong-roles) (for 2s))
+		(at 3s (hang primary 1) (for 2s)) (at 3500ms (reissue member 0 1)) (at 4s (fail-check everyone) (for 1s)) (at 5s (agent 1 cut) (for 1s)) (at 5s (agent 0 frozen) (for 2s))
+		(at 7s (agent 0 down) (for 500ms)))`)
+	if !res.Rules.OK() {
+		t.Errorf("broken by what crossed the wires: %v", res.Rules.Broken)
+	}
+	if res.Score.Ratio < 0.3 {
+		t.Errorf("service %v", res.Score.Ratio)
+	}
+	var out bytes.Buffer
+	cmd := command()
+	cmd.Writer = &out
+	if err := cmd.Run(context.Background(), []string{"kit", "members", "--why", dir}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"consul", "itself", "the list", "passing at 127.0.0.1:", "removal held back", "not believed"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not told of in\n%s", want, out.String()[:min(4000, out.Len())])
+		}
+	}
+}
--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -82,6 +82,7 @@
 				},
 				Action: measurePooling,
 			},
+			membersCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
 			{
--- /dev/null
+++ b/cmd/beechgrade-kit/members.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/kit/members"
+	"beechgrade/internal/kit/members/pace"
+	"beechgrade/internal/kit/report"
+)
+
+// membersCommand tells which source of the server list said what, and measures how soon a change is known.
+func membersCommand(asJSON func() cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: "members", Usage: "tell from records which source of the server list said what, and what was made of it", ArgsUsage: "DIR...", Action: showMembers,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "server", Usage: "of this `SERVER` alone"},
+			&cli.BoolFlag{Name: "why", Usage: "each judgement with its reason"},
+			asJSON(),
+		},
+		Commands: []*cli.Command{{
+			Name: "measure", Usage: "time a change's way from a stand-in for Consul to the list, and what the watch costs", Action: measureMembers,
+			Flags: []cli.Flag{
+				&cli.IntSliceFlag{Name: "servers", Value: []int{10, 200, 2000}, Usage: "`NUMBER` of servers, one for each measurement"},
+				&cli.IntFlag{Name: "services", Value: 8, Usage: "`NUMBER` of services that they are spread over"},
+				&cli.FloatFlag{Name: "seconds", Value: 5, Usage: "for each"},
+				asJSON(),
+			},
+		}},
+	}
+}
+
+func showMembers(_ context.Context, c *cli.Command) error {
+	set, err := open(c)
+	if err != nil {
+		return err
+	}
+	m := members.New(c.String("server"))
+	if err := set.Read(m); err != nil {
+		return err
+	}
+	v := m.View()
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, v)
+	}
+	return report.Members(c.Root().Writer, v, c.Bool("why"))
+}
+
+const maxMeasured = 20000
+
+func measureMembers(ctx context.Context, c *cli.Command) error {
+	var all []*pace.Result
+	for _, n := range c.IntSlice("servers") {
+		secs := c.Float("seconds")
+		if n < 1 || n > maxMeasured || c.Int("services") < 1 || c.Int("services") > 500 || !(secs > 0 && secs <= 600) || math.IsNaN(secs) {
+			return fmt.Errorf("--servers: 1 to %d; --services: 1 to 500; --seconds: above 0 and at most 600", maxMeasured)
+		}
+		if !c.Bool("json") {
+			fmt.Fprintf(os.Stderr, "%d servers ...\n", n)
+		}
+		r, err := pace.Measure(ctx, n, min(n, c.Int("services")), secs)
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+	}
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, all)
+	}
+	return pace.Text(c.Root().Writer, all)
+}
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"beechgrade"
+	"beechgrade/internal/kit/members"
 	"beechgrade/internal/kit/records"
 	"beechgrade/internal/kit/worth"
 	"beechgrade/internal/record"
@@ -42,6 +43,7 @@
 
 // Model takes events in and keeps the view of them.
 type Model struct {
+	members *members.Model // nil while no source of the list was recorded
 	set     []*records.Run // by index
 	runs    map[*records.Run]*run
 	poolers map[string]*pooler
@@ -243,6 +245,12 @@
 	if m.to-m.sweptAt >= sweepMs {
 		m.sweep()
 	}
+	if m.members == nil && (e.Kind == recordpb.Kind_KIND_SAID || e.Kind == recordpb.Kind_KIND_JUDGED) {
+		m.members = members.New("")
+	}
+	if m.members != nil {
+		m.members.Event(r, e)
+	}
 	switch e.Kind {
 	case recordpb.Kind_KIND_REQUEST:
 		m.onRequest(x, e)
--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"beechgrade/internal/kit/members"
 	"beechgrade/internal/kit/records"
 )
 
@@ -33,6 +34,7 @@
 	Unknown  []Unknown       `json:"unknown_requests"`
 	Unknowns uint64          `json:"unknown_total"`
 	Series   Series          `json:"series"`
+	Members  *members.View   `json:"members,omitempty"` // where the list was made of several sources
 }
 
 // ClassView is what a class was served. A chain is what a client asked once, with its own retries.
@@ -257,6 +259,9 @@
 func (m *Model) View() *View {
 	v := &View{From: m.from, To: m.to, Events: m.events, Lost: m.lost, Early: m.early, Unlisted: m.unlisted,
 		Findings: slices.Clone(m.findings), Faults: slices.Clone(m.faults), Unknown: slices.Clone(m.unknown), Unknowns: m.unknowns}
+	if m.members != nil {
+		v.Members = m.members.View()
+	}
 	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
 	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
--- /dev/null
+++ b/internal/kit/rehearse/consul.go
@@ -0,0 +1,54 @@
+package rehearse
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/standin/agent"
+	"beechgrade/internal/kit/world"
+)
+
+// startAgents starts stand-ins for Consul's agents, before a catalogue in which the fleet is registered, and has the poolers
+// take their list from them.
+func (r *Run) startAgents() error {
+	c := agent.NewCatalog()
+	var addrs []string
+	for range r.script.Agents {
+		a, err := agent.Start(c)
+		if err != nil {
+			return err
+		}
+		r.agents = append(r.agents, a)
+		addrs = append(addrs, fmt.Sprintf("%q", a.Addr))
+	}
+	r.operators += fmt.Sprintf(`(membership (consul (agents %s) (services %q) (wait 5s) (map (role tag))))
+`, strings.Join(addrs, " "), fleet.Service)
+	r.fleet.Register(c)
+	return nil
+}
+
+func (r *Run) stopAgents() {
+	for _, a := range r.agents {
+		a.Stop()
+	}
+}
+
+// lie has an agent, or the catalogue, say something wrongly, or no more.
+func (r *Run) lie(f scenario.Fault, on bool) {
+	switch f.What {
+	case "deregister-all":
+		_ = r.fleet.Act(func(w *world.World) error { w.Empty(on); return nil })
+	case "wrong-roles":
+		_ = r.fleet.Act(func(w *world.World) error { w.Swap(on); return nil })
+	default:
+		l := agent.Lie{}
+		if on {
+			l = map[string]agent.Lie{"down": {Status: 500}, "hang": {Hang: true}, "frozen": {Frozen: true, Contact: time.Hour},
+				"leaderless": {Frozen: true, Leaderless: true, Contact: time.Hour}, "cut": {Cut: true}, "empty": {Empty: true}}[f.Target.Word]
+		}
+		r.agents[f.Target.Group].Tell(l)
+	}
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -22,7 +22,9 @@
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/score"
+	"beechgrade/internal/kit/standin/agent"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
 )
 
 const (
@@ -91,7 +93,8 @@
 	fleet   *fleet.Fleet
 	poolers []*pooler
 
-	operators string // more of the operators' settings
+	operators string         // more of the operators' settings
+	agents    []*agent.Agent // of Consul
 	wires     *wires
 	sockets   int // that a pooler may hold, where that is more than usual
 }
@@ -121,6 +124,12 @@
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	defer r.fleet.Close()
+	if s.Agents > 0 {
+		if err := r.startAgents(); err != nil {
+			return nil, err
+		}
+		defer r.stopAgents()
+	}
 	if err := r.fleet.Start(); err != nil {
 		return nil, err
 	}
@@ -263,6 +272,12 @@
 			r.listGone(false)
 		}
 		return nil
+	case "agent", "deregister-all", "wrong-roles":
+		r.lie(f, true)
+		if f.For > 0 && pause(ctx, f.For) {
+			r.lie(f, false)
+		}
+		return nil
 	case "kill-pooler":
 		p := r.poolers[f.Target.Group]
 		p.stop(syscall.SIGKILL)
@@ -293,6 +308,9 @@
 }
 
 func (r *Run) listGone(gone bool) {
+	for _, a := range r.agents {
+		a.Tell(agent.Lie{Status: map[bool]int{true: 500}[gone]})
+	}
 	_ = r.fleet.Act(func(w *world.World) error { w.ListGone(gone); return nil })
 }
 
@@ -445,5 +463,9 @@
 // config is what the platform would tell the pooler.
 func (p *pooler) config() map[string]any {
 	r := p.run
-	return r.script.Told(p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, r.fleet.List())
+	known := r.fleet.List()
+	if len(r.agents) > 0 { // it starts knowing nothing
+		known = discovery.List{}
+	}
+	return r.script.Told(p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
 }
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"beechgrade/internal/kit/incident"
+	"beechgrade/internal/kit/members"
 )
 
 //go:embed report.html
@@ -94,6 +95,10 @@
 	Takeovers    int
 	LongestGap   float64
 	Columns      int
+	Members      []MemberRow
+	MoreMembers  int
+	Judged       []string
+	Judgements   []members.Judgement
 }
 
 // HTML writes the report as one file that needs nothing else.
@@ -117,6 +122,11 @@
 	d.charts()
 	d.lanes()
 	d.lists()
+	if v.Members != nil {
+		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
+		d.MoreMembers = max(0, len(d.Members)-maxRows)
+		d.Members, d.Judgements = d.Members[:min(len(d.Members), maxRows)], v.Members.Judgements[:min(len(v.Members.Judgements), maxRows)]
+	}
 	if err := t.Execute(w, d); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
--- /dev/null
+++ b/internal/kit/report/members.go
@@ -0,0 +1,97 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"beechgrade/internal/kit/members"
+)
+
+// MemberRow is what somebody says of a server: a source, the server itself, or the list that was made.
+type MemberRow struct {
+	Pooler, Server string
+	Group          int64
+	Who            string
+	At             float64
+	Says, Role     string
+	Against        string // for how long a source's word on the role stood against the server's own
+}
+
+// MemberRows are a view's rows: sources first, then the server's own word, then the list.
+func MemberRows(v *members.View) (out []MemberRow) {
+	for _, s := range v.Servers {
+		row := MemberRow{Pooler: s.Pooler, Server: s.Name, Group: s.Group}
+		for i, x := range s.Words {
+			row.Who, row.At, row.Role, row.Against = x.Source, x.At, x.Role, ""
+			if i == 0 && s.Denied > 0 {
+				row.Against = time.Duration(s.Denied * float64(time.Millisecond)).Round(100 * time.Millisecond).String()
+			}
+			if row.Says = x.Health + " at " + x.Address; x.Gone {
+				row.Says, row.Role = "gone", ""
+			}
+			out = append(out, row)
+		}
+		row.Against = ""
+		if s.Own != nil {
+			row.Who, row.At, row.Role, row.Says = "itself", s.Own.At, s.Own.Role, "answers"
+			if s.Own.Position > 0 {
+				row.Says = fmt.Sprintf("stands %.0f ms behind", max(0, s.Own.At-s.Own.Position))
+			}
+			out = append(out, row)
+		}
+		if s.Entry != nil {
+			row.Who, row.At, row.Role, row.Says = "the list", s.Entry.At, "", s.Entry.State+" at "+s.Entry.Address
+			if s.Entry.Primary {
+				row.Role = "primary"
+			}
+			out = append(out, row)
+		}
+	}
+	return out
+}
+
+// MemberCounts are how many judgements there were of each kind, by name.
+func MemberCounts(v *members.View) (out []string) {
+	for k, n := range v.Counts {
+		out = append(out, fmt.Sprintf("%s: %d", Safe(k), n))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Members writes a view as text, each judgement with its reason where that is wanted.
+func Members(w io.Writer, v *members.View, why bool) error {
+	t := tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "pooler\tgroup\tserver\twho\tlast said\tsays\trole\tagainst its own word")
+	for _, r := range MemberRows(v) {
+		fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", Safe(r.Pooler), r.Group, Safe(r.Server), Safe(r.Who), Clock(r.At), Safe(r.Says), r.Role, r.Against)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if len(v.Counts) > 0 {
+		fmt.Fprintln(w, "\njudgements")
+		for _, l := range MemberCounts(v) {
+			fmt.Fprintln(w, " ", l)
+		}
+	}
+	if !why {
+		return nil
+	}
+	fmt.Fprintln(w)
+	for i := range v.Judgements {
+		g := &v.Judgements[i]
+		fmt.Fprintf(w, "%s  %s  %s  %s: %s", Clock(g.At), Safe(g.Pooler), Safe(g.Server), Safe(g.What), Safe(g.Why))
+		if g.Source != "" {
+			fmt.Fprintf(w, " (%s)", Safe(g.Source))
+		}
+		fmt.Fprintln(w)
+	}
+	if v.Left > 0 {
+		fmt.Fprintf(w, "...and %d more\n", v.Left)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operate/membership_test.go
@@ -0,0 +1,111 @@
+package operate
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/membership/consul"
+	"beechgrade/internal/membership/judge"
+)
+
+// TestMembership: what is written is what holds, and each mistake has one line with its place.
+func TestMembership(t *testing.T) {
+	env := func(string) string { return "/e" }
+	s, err := Parse("o", []byte(`(membership
+		(consul (agents "127.0.0.1:8500" "[::1]:8500") (services "a" "b") (token-file "$T/token") (dc "recife") (ns "obra") (filter "Service.Port > 1")
+			(consistency stale) (max-stale 3s) (wait 9s) (most 1m)
+			(map (group (tag "cell=")) (role (tag)) (zone (node-meta "rack")) (started none) (primary "lider") (group-number "obra" 3)))
+		(static "/s") (rank static consul) (keep 1h) (old 5s) (mass 0.25 2 10s 1m) (flaps no) (word 9s) (critical drains) (snapshot "$T/s") (override "/o"))`), env)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &s.Membership
+	want := judge.Settings{Sources: []string{"static", "consul"}, Keep: 3600000, OldAge: 5000, MassPart: 0.25, MassLeast: 2, MassIn: 10000, MassHold: 60000, FlapIn: 60000, FlapHold: 20000,
+		WordFor: 9000, Critical: judge.Drains}
+	if diff := cmp.Diff(want, m.Members.Judge); diff != "" {
+		t.Error(diff)
+	}
+	c := m.Consul
+	c.Map.Replica = nil
+	mapping := consul.DefaultMapping()
+	mapping.Group, mapping.Role, mapping.Zone, mapping.Started = consul.From{Kind: "tag", Key: "cell="}, consul.From{Kind: "tag"}, consul.From{Kind: "node-meta", Key: "rack"}, consul.From{Kind: "none"}
+	mapping.Primary, mapping.Replica, mapping.Groups = []string{"lider"}, nil, map[string]string{"obra": "3"}
+	if diff := cmp.Diff(&consul.Options{Name: "consul", Agents: []string{"127.0.0.1:8500", "[::1]:8500"}, Services: []string{"a", "b"}, Datacenter: "recife", Namespace: "obra",
+		Filter: "Service.Port > 1", Consistency: "stale", MaxStale: 3000, Wait: 9000, MostBytes: 1 << 20, Map: mapping}, c); diff != "" {
+		t.Error(diff)
+	}
+	if !m.On || m.TokenFile != "/e/token" || m.Members.Snapshot != "/e/s" || m.Static != "/s" || m.Override != "/o" {
+		t.Errorf("%+v", m)
+	}
+	const agents = `(agents "h:1") (services "a")`
+	for in, want := range map[string]string{
+		`(membership)`:                                                   "o:1:1: membership: there is no source",
+		`(membership (consul))`:                                          "o:1:13: consul: (agents",
+		`(membership (consul (agents "h:1")))`:                           "o:1:13: consul: (services",
+		`(membership (consul (agents "h")))`:                             "o:1:29: an agent's",
+		`(membership (consul (agents "h:1") (services "a/b")))`:          "o:1:46: a service's name",
+		`(membership (platform) (rank consul))`:                          "o:1:24: rank: consul is no source here",
+		`(membership (platform) (rank dns))`:                             "o:1:30: (rank ...) takes",
+		`(membership (platform) (mass 2 3 1s 1s))`:                       "o:1:30: 2 is out of range",
+		`(membership (platform) (mass 1))`:                               "o:1:24: (mass PART",
+		`(membership (platform) (flaps 3))`:                              "o:1:24: (flaps TIMES",
+		`(membership (platform) (critical maybe))`:                       "o:1:24: (critical doubt)",
+		`(membership (platform) (snapshot ""))`:                          "o:1:24: the file's name is empty",
+		`(membership (consul ` + agents + ` (map (group (label "x")))))`: `o:1:64: "label" is no place`,
+		`(membership (consul ` + agents + ` (map (group (meta)))))`:      "o:1:63: (meta ...) takes its key",
+		`(membership (consul ` + agents + ` (map (group (id "x")))))`:    "o:1:63: (id ...) takes nothing",
+		`(membership (consul ` + agents + ` (consistency eventual)))`:    "o:1:51: (consistency default)",
+		`(membership (consul ` + agents + ` (ca "/none")))`:              "o:1:13: consul: (ca ...) goes with (https)",
+		`(membership (consul ` + agents + ` (https) (ca "/none/here")))`: "o:1:13: consul: open /none/here",
+		`(membership (consul ` + agents + ` (map (group-number "x"))))`:  "o:1:56: (group-number",
+	} {
+		_, err := Parse("o", []byte(in), env)
+		if err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", in, err, want)
+		}
+	}
+}
+
+// TestHereItIsOff: on this platform the list is its discovery's alone.
+func TestHereItIsOff(t *testing.T) {
+	s, err := Load("../../deploy/operators.sexp", os.Getenv)
+	if err != nil || s.Membership.On || s.Pooling.Listen != "" || s.Record.On {
+		t.Errorf("%+v %v", s, err)
+	}
+}
+
+// TestOverride: the operators' word, none, and one with a mistake.
+func TestOverride(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "o")
+	m := &Membership{Override: file}
+	for text, want := range map[string]any{
+		"":                                 judge.Override{},
+		`(accept-removals)`:                judge.Override{AcceptRemovals: true},
+		`(pin "a" gone) (pin "b" serving)`: judge.Override{Pins: []judge.Pin{{ID: "a", State: judge.Gone}, {ID: "b", State: judge.Serving}}},
+		`(pin "a")`:                        ":1:1: (pin \"ID\" serving), draining or gone",
+		`(pin "a" up)`:                     ":1:10: serving, draining or gone",
+		`(unpin "a")`:                      `:1:1: "unpin" is not known here; known are: accept-removals, pin`,
+	} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := m.ReadOverride()
+		var got any = o
+		if err != nil {
+			got = strings.TrimPrefix(err.Error(), file)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", text, diff)
+		}
+	}
+	if err := os.Remove(file); err != nil {
+		t.Fatal(err)
+	}
+	if o, err := m.ReadOverride(); err != nil || len(o.Pins) > 0 {
+		t.Errorf("no file: %+v %v", o, err)
+	}
+}
