--- a/internal/operate/membership_test.go
+++ b/internal/operate/membership_test.go
@@ -55,7 +55,7 @@
 		`(membership (platform) (flaps 3))`:                              "o:1:24: (flaps TIMES",
 		`(membership (platform) (critical maybe))`:                       "o:1:24: (critical doubt)",
 		`(membership (platform) (snapshot ""))`:                          "o:1:24: the file's name is empty",
-		`(membership (consul ` + agents + ` (map (group (label "x")))))`: `o:1:64: "label" is no place`,
+		`(membership (consul ` + agents + ` (map (group (label "x")))))`: `o:1:63: "label" is no place`,
 		`(membership (consul ` + agents + ` (map (group (meta)))))`:      "o:1:63: (meta ...) takes its key",
 		`(membership (consul ` + agents + ` (map (group (id "x")))))`:    "o:1:63: (id ...) takes nothing",
 		`(membership (consul ` + agents + ` (consistency eventual)))`:    "o:1:51: (consistency default)",
