--- /dev/null
+++ b/cmd/beechgrade/house.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"beechgrade/internal/clickhouse"
+	"beechgrade/internal/operate"
+)
+
+// useClickHouse adds the front for the ClickHouse HTTP interface, where the settings have it on.
+func (p *pooler) useClickHouse(o operate.ClickHouse) {
+	if o.Listen == "" {
+		return
+	}
+	p.houseAddr, p.houseGroup = o.Listen, o.Group
+	p.house = clickhouse.New(p.loop, p.log, clickhouse.Options{Group: o.Group, MostBody: o.MostBody, Deadline: o.DeadlineMs, ConnectMs: p.cfg.ConnectTimeoutMs,
+		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
+		Spare: func() int {
+			return p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns() - p.house.Sessions() - p.house.Conns()
+		}}, p.core, p.core)
+}
+
+// listenHouse opens its address.
+func (p *pooler) listenHouse() {
+	at, stop, err := p.loop.Listen(p.houseAddr, p.house.Accept)
+	if err != nil {
+		p.log.Error("clickhouse", "err", err)
+		p.stopHouse = func() {}
+		p.loop.End()
+		return
+	}
+	p.houseAddr, p.stopHouse = at, stop
+	p.house.Start()
+	p.log.Info("clickhouse", "listen", at)
+}
--- /dev/null
+++ b/cmd/beechgrade/house_test.go
@@ -0,0 +1,420 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/kit/standin/house"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/operate"
+)
+
+// houseWorld is a pooler before stand-ins for ClickHouse's servers, whose list is a file.
+type houseWorld struct {
+	t       *testing.T
+	p       *pooler
+	addr    string
+	hup     chan<- os.Signal
+	list    string
+	servers []*house.Server
+	client  *http.Client
+}
+
+const houseGroup = 9
+
+func houses(t *testing.T, n int, more string, change ...func(*config.Config)) *houseWorld {
+	t.Helper()
+	w := &houseWorld{t: t, list: filepath.Join(t.TempDir(), "list.json"), client: &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}}
+	t.Cleanup(w.client.CloseIdleConnections)
+	for i := range n {
+		s, err := house.Start(fmt.Sprint("h", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Stop)
+		w.servers = append(w.servers, s)
+	}
+	w.write()
+	set, err := operate.Parse("test", []byte(fmt.Sprintf(`(clickhouse (listen "127.0.0.1:0") (group %d) (aim 5s) (deadline 15s) %s) (membership (static %q))`, houseGroup, more, w.list)), os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := testConfig(t, "", nil, append([]func(*config.Config){func(c *config.Config) {
+		c.Known, c.Settings.DrainGrace = discovery.List{}, 250*time.Millisecond
+		c.ConnectTimeoutMs = 2000
+	}}, change...)...)
+	set.ClickHouse.AddClasses(cfg)
+	w.p = newPooler(cfg, testLog())
+	w.p.useClickHouse(set.ClickHouse)
+	w.p.useMembers(set.Membership)
+	first := *cfg
+	w.p.load = func() (*config.Config, error) { return &first, nil }
+	_, w.hup, _, _ = launch(t, w.p)
+	at := make(chan string, 1)
+	w.p.loop.Post(func() { at <- w.p.houseAddr })
+	w.addr = <-at
+	w.until(fmt.Sprintf("%d servers, 0 removals held back", n))
+	return w
+}
+
+// write writes the list; the servers named drain.
+func (w *houseWorld) write(drain ...string) {
+	var parts []string
+	for _, s := range w.servers {
+		cycle := "up"
+		for _, d := range drain {
+			if d == s.Name {
+				cycle = "draining"
+			}
+		}
+		parts = append(parts, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"cell":%d,"lifecycle":%q,"weight":1}`, s.Name, s.Addr, houseGroup, cycle))
+	}
+	if err := os.WriteFile(w.list, []byte(`{"instances":[`+strings.Join(parts, ",")+`]}`), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *houseWorld) until(sum string) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		got := make(chan string, 1)
+		w.p.loop.Post(func() { got <- w.p.sources.members.Sum() })
+		x := <-got
+		if x == sum {
+			return
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("%q, want %q", x, sum)
+		}
+	}
+}
+
+// query puts one query, and reads its answer: status, exception code, body.
+func (w *houseWorld) query(method, sql, body string, more url.Values) (status int, code, text string, err error) {
+	v := url.Values{}
+	if sql != "" {
+		v.Set("query", sql)
+	}
+	for k := range more {
+		v.Set(k, more.Get(k))
+	}
+	req, err := http.NewRequest(method, "http://"+w.addr+"/?"+v.Encode(), strings.NewReader(body))
+	if err != nil {
+		return 0, "", "", err
+	}
+	req.SetBasicAuth("escritorio", "secret")
+	res, err := w.client.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	b, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	return res.StatusCode, res.Header.Get("X-ClickHouse-Exception-Code"), string(b), err
+}
+
+// runs are the runs at all servers, of one query's id or of all.
+func (w *houseWorld) runs(id string) (out []house.Run) {
+	for _, s := range w.servers {
+		for _, r := range s.Runs() {
+			if id == "" || r.ID == id {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+func id(s string) url.Values { return url.Values{"query_id": {s}} }
+
+// TestHouseServes: queries in each form that the interface has, and answers and exceptions as the server gave them.
+func TestHouseServes(t *testing.T) {
+	w := houses(t, 1, "")
+	for _, c := range []struct{ method, sql, body, status string }{
+		{"GET", "SELECT 1", "", "200  1\n"},
+		{"POST", "", "SELECT 1", "200  1\n"},
+		{"POST", "INSERT INTO t FORMAT TSV", "1\t2\n", "200  1\n"},
+		{"GET", "SELECT x /* FAIL 60 */", "", "500 60 Code: 60. DB::Exception: as asked"},
+		{"POST", "DROP TABLE t /* FAIL 497 */", "", "500 497 Code: 497. DB::Exception: as asked"},
+		{"GET", "", "", "200  Ok.\n"},
+		{"HEAD", "SELECT 1", "", "200  "},
+		{"DELETE", "SELECT 1", "", "501 1 Code: 1. DB::Exception: GET, HEAD, POST and PUT are taken. (UNSUPPORTED_METHOD) (beechgrade)\n"},
+	} {
+		status, code, text, err := w.query(c.method, c.sql, c.body, nil)
+		if got := fmt.Sprintf("%d %s %s", status, code, text); err != nil || got != c.status {
+			t.Errorf("%s %s: %q %v", c.method, c.sql, got, err)
+		}
+	}
+	for _, r := range w.runs("") {
+		if r.User != "escritorio" || !r.Ended {
+			t.Errorf("%+v", r)
+		}
+	}
+	if n := len(w.runs("")); n != 6 {
+		t.Errorf("%d queries came to the server", n)
+	}
+	if s, _, _, _ := w.query("POST", "SELECT 1", "", url.Values{"session_id": {"x"}}); s != 501 {
+		t.Errorf("a session: %d", s)
+	}
+}
+
+// TestHousePipelined: requests sent at once are answered in their order, chunked bodies are passed on, and what is not HTTP as
+// it should be ends the connection with its reason.
+func TestHousePipelined(t *testing.T) {
+	w := houses(t, 2, "(most-body 64k)")
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(patience))
+	_, _ = io.WriteString(c, "GET /?query=SELECT+1&query_id=a HTTP/1.1\r\nHost: h\r\n\r\nPOST /?query_id=b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nSELECT 2\r\n0\r\n\r\n"+
+		"GET /ping HTTP/1.1\r\nHost: h\r\n\r\nPOST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	in := bufio.NewReader(c)
+	var got []string
+	for range 4 {
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(res.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, fmt.Sprintf("%d %s%.12s", res.StatusCode, res.Header.Get("X-ClickHouse-Query-Id"), b))
+	}
+	if diff := cmp.Diff([]string{"200 a1\n", "200 b1\n", "200 Ok.\n", "400 Code: 36. DB"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the connection stays: %v", err)
+	}
+	if r := w.runs("b"); len(r) != 1 || r[0].Text != "SELECT 2" {
+		t.Errorf("%+v", r)
+	}
+	if s, _, _, err := w.query("POST", "INSERT INTO t FORMAT TSV", strings.Repeat("x", 1<<17), nil); err == nil && s != 413 {
+		t.Errorf("too long a body: %d", s)
+	}
+}
+
+// TestHouseStreams: a result far beyond what the pooler may hold passes whole, to a client that reads slowly too.
+func TestHouseStreams(t *testing.T) {
+	w := houses(t, 1, "", func(c *config.Config) { c.Limits.MemoryMB = 16 })
+	res, err := w.client.Get("http://" + w.addr + "/?" + url.Values{"query": {"SELECT /* ROWS 50000 */"}}.Encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := 0
+	for n := int64(0); ; {
+		k, err := io.CopyN(io.Discard, res.Body, 4<<20)
+		n += k
+		held := make(chan int, 1)
+		w.p.loop.Post(func() { held <- w.p.house.Unsent() })
+		most = max(most, <-held)
+		if err != nil {
+			if !errors.Is(err, io.EOF) || n != 50000<<10 {
+				t.Errorf("%d bytes, %v", n, err)
+			}
+			break
+		}
+		time.Sleep(5 * time.Millisecond) // it reads slowly
+	}
+	if most > 4<<20 {
+		t.Errorf("%d bytes were held for one client", most)
+	}
+}
+
+// TestHouseCancel: a client that goes ends its query, before its answer has begun and in the midst of it.
+func TestHouseCancel(t *testing.T) {
+	w := houses(t, 1, "")
+	for i, sql := range []string{"SELECT /* HANG */", "INSERT /* HANG */", "SELECT /* SLOW 100000 */"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr+"/?"+url.Values{"query": {sql}, "query_id": {fmt.Sprint("c", i)}}.Encode(), nil)
+		done := make(chan error, 1)
+		go func() {
+			res, err := w.client.Do(req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, res.Body)
+			}
+			done <- err
+		}()
+		w.wait("it runs", func() bool { return len(w.runs(fmt.Sprint("c", i))) > 0 })
+		cancel()
+		if err := <-done; err == nil {
+			t.Errorf("%s: it was answered", sql)
+		}
+		w.wait("it is cancelled", func() bool {
+			for _, r := range w.runs(fmt.Sprint("c", i)) {
+				if !r.Cancelled {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+func (w *houseWorld) wait(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("not so: %s", what)
+		}
+	}
+}
+
+// TestHouseAgain: what reads is tried elsewhere where a server is full, dead or drops it; what may write never runs twice; an
+// answer that broke off in its midst is not made whole by another.
+func TestHouseAgain(t *testing.T) {
+	w := houses(t, 3, "")
+	w.servers[0].Full(true)
+	for i := range 12 {
+		if s, code, text, err := w.query("POST", "INSERT INTO t VALUES (1)", "", id(fmt.Sprint("f", i))); err != nil || s != 200 {
+			t.Errorf("beside a full one: %d %s %s %v", s, code, text, err)
+		}
+		if n := len(w.runs(fmt.Sprint("f", i))); n != 1 {
+			t.Errorf("it ran %d times", n)
+		}
+	}
+	w.servers[0].Full(false)
+	w.servers[1].Stop()
+	for i := range 12 {
+		if s, code, text, err := w.query("POST", "INSERT INTO t VALUES (1)", "", id(fmt.Sprint("d", i))); err != nil || s != 200 || len(w.runs(fmt.Sprint("d", i))) != 1 {
+			t.Errorf("beside a dead one: %d %s %s %v", s, code, text, err)
+		}
+	}
+	if s, code, _, err := w.query("POST", "INSERT INTO t /* DROP */", "", id("w")); err != nil || s != 502 || code != "210" || len(w.runs("w")) != 1 {
+		t.Errorf("a write that was dropped: %d %s %v, it ran %d times", s, code, err, len(w.runs("w")))
+	}
+	if s, _, _, err := w.query("GET", "SELECT /* DROP */", "", id("r")); err != nil || s != 503 || len(w.runs("r")) < 2 {
+		t.Errorf("a read that is always dropped: %d %v, it ran %d times", s, err, len(w.runs("r")))
+	}
+	if s, _, text, err := w.query("GET", "SELECT /* BROKEN */", "", id("b")); s != 200 || err == nil || len(w.runs("b")) != 1 {
+		t.Errorf("broken in its midst: %d, %d bytes, %v, it ran %d times", s, len(text), err, len(w.runs("b")))
+	}
+}
+
+// TestHouseTime: the sooner of the class's deadline and the query's own limit ends it, with its own code, and at the server too.
+func TestHouseTime(t *testing.T) {
+	w := houses(t, 1, "")
+	s, code, _, err := w.query("POST", "INSERT /* HANG */", "", url.Values{"query_id": {"t"}, "max_execution_time": {"0.4"}})
+	if err != nil || s != 504 || code != "159" {
+		t.Errorf("%d %s %v", s, code, err)
+	}
+	w.wait("it is cancelled", func() bool { r := w.runs("t"); return len(r) == 1 && r[0].Cancelled })
+}
+
+// TestHouseDrain: while queries come without a pause, nothing new goes to a server once the pooler has heard that it drains, and
+// what runs there ends in its time. Every query has its one answer.
+func TestHouseDrain(t *testing.T) {
+	w := houses(t, 2, "")
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	bad := map[string]int{}
+	for k := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				sql, more := "SELECT /* SLOW 2 */", id(fmt.Sprintf("q%d-%d", k, i))
+				if i%3 == 0 {
+					sql = "INSERT INTO t VALUES (1)"
+				}
+				if s, _, _, err := w.query("POST", sql, "", more); s != 200 || err != nil {
+					mu.Lock()
+					bad[fmt.Sprint(s, err)]++
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	w.wait("both are asked", func() bool { return len(w.servers[0].Runs()) > 5 && len(w.servers[1].Runs()) > 5 })
+	w.write("h0")
+	w.hup <- syscall.SIGHUP
+	w.wait("it drains", func() bool {
+		got := make(chan bool, 1)
+		w.p.loop.Post(func() { e, _ := w.p.sources.members.Entry("h0"); got <- e.State == 1 })
+		return <-got
+	})
+	heard := time.Now()
+	before := len(w.servers[1].Runs())
+	w.wait("the other goes on", func() bool { return len(w.servers[1].Runs()) > before+30 })
+	close(stop)
+	wg.Wait()
+	for _, r := range w.servers[0].Runs() {
+		if r.At.After(heard.Add(250 * time.Millisecond)) {
+			t.Errorf("sent %v after it was told to drain: %s", r.At.Sub(heard), r.Text)
+		}
+	}
+	if len(bad) > 0 {
+		t.Errorf("not served: %v", bad)
+	}
+}
+
+// TestHouseOneAnswer: whatever befalls the servers, each query has exactly one answer or a broken connection, no write runs twice,
+// and each answer is one that a server gave for that query.
+func TestHouseOneAnswer(t *testing.T) {
+	w := houses(t, 3, "")
+	rng := rand.New(rand.NewPCG(7, 7))
+	texts := []string{"SELECT 1", "INSERT INTO t VALUES (1)", "SELECT /* SLOW 3 */", "INSERT /* DROP */", "SELECT /* FAIL 60 */", "INSERT /* FAIL 241 */", "SELECT /* ROWS 50 */", "INSERT /* BROKEN */"}
+	var wg sync.WaitGroup
+	answers := make([]string, 300)
+	asked := make([]string, len(answers))
+	slot := make(chan struct{}, 12)
+	for i := range answers {
+		asked[i] = texts[rng.IntN(len(texts))]
+		slot <- struct{}{}
+		if i%40 == 20 {
+			w.servers[i%3].Full(true)
+		}
+		if i%40 == 35 {
+			w.servers[(i-15)%3].Full(false)
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-slot }()
+			s, code, _, err := w.query("POST", asked[i], "", id(fmt.Sprint("x", i)))
+			if answers[i] = fmt.Sprint(s, " ", code); err != nil && s == 0 {
+				answers[i] = "none"
+			}
+		}()
+	}
+	wg.Wait()
+	for i, got := range answers {
+		runs := w.runs(fmt.Sprint("x", i))
+		write := strings.HasPrefix(asked[i], "INSERT")
+		if write && len(runs) > 1 {
+			t.Errorf("%s ran %d times", asked[i], len(runs))
+		}
+		want := map[string]string{"INSERT /* DROP */": "502 210", "SELECT /* FAIL 60 */": "500 60", "INSERT /* FAIL 241 */": "500 241"}[asked[i]]
+		if want == "" {
+			want = "200 "
+		}
+		if got != want {
+			t.Errorf("%s: %q, want %q", asked[i], got, want)
+		}
+	}
+}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -74,6 +74,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "pooling: off")
 					}
+					if h := set.ClickHouse; h.Listen != "" {
+						fmt.Fprintf(c.Root().Writer, "clickhouse: listens on %s, for group %d\n", h.Listen, h.Group)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "clickhouse: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -139,8 +144,10 @@
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
 	limitMemory(cfg)
 	set.Pooling.AddClasses(cfg)
+	set.ClickHouse.AddClasses(cfg)
 	p := newPooler(cfg, log)
 	p.usePooling(set.Pooling)
+	p.useClickHouse(set.ClickHouse)
 	p.useMembers(set.Membership)
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
 	defer p.record(set.Record)()
--- a/cmd/beechgrade/pooled.go
+++ b/cmd/beechgrade/pooled.go
@@ -2,6 +2,7 @@
 
 import (
 	"beechgrade/internal/backend"
+	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/core"
 	"beechgrade/internal/operate"
@@ -36,51 +37,97 @@
 	p.log.Info("pooling", "listen", at)
 }
 
-// servers are what carries out attempts: the platform's connections, and those of the second front.
+// servers are what carries out attempts: the platform's connections, and those of the other fronts.
 func (p *pooler) servers() core.Servers {
-	if p.pooled == nil {
+	if p.pooled == nil && p.house == nil {
 		return p.pool
 	}
-	return bothServers{p.pool, p.pooled}
+	return fronts{Pool: p.pool, pooled: p.pooled, house: p.house, housed: map[string]bool{}, group: p.houseGroup}
 }
 
-// bothServers gives each front's attempts to its own connections.
-type bothServers struct {
+// fronts gives each front's attempts to its own connections; pooled and house are nil where they are off.
+type fronts struct {
 	*backend.Pool
 	pooled *pooling.Front
+	house  *clickhouse.Front
+	housed map[string]bool // servers that are ClickHouse's
+	group  int             // ...which are those of this group
 }
 
-func (s bothServers) SetAddress(id, addr string) {
+// SetGroup is core.Grouped's.
+func (s fronts) SetGroup(id string, group int) {
+	if s.house != nil && group == s.group {
+		s.housed[id] = true
+	}
+}
+
+func (s fronts) SetAddress(id, addr string) {
+	if s.housed[id] {
+		s.house.SetAddress(id, addr)
+		return
+	}
 	s.Pool.SetAddress(id, addr)
-	s.pooled.SetAddress(id, addr)
+	if s.pooled != nil {
+		s.pooled.SetAddress(id, addr)
+	}
 }
 
-func (s bothServers) CloseIdle(id string) {
+func (s fronts) CloseIdle(id string) {
 	s.Pool.CloseIdle(id)
-	s.pooled.Bar(id)
+	if s.pooled != nil {
+		s.pooled.Bar(id)
+	}
+	if s.house != nil {
+		s.house.CloseIdle(id)
+	}
 }
 
-func (s bothServers) Forget(id string) {
+func (s fronts) Forget(id string) {
 	s.Pool.Forget(id)
-	s.pooled.Forget(id)
+	if s.pooled != nil {
+		s.pooled.Forget(id)
+	}
+	if s.house != nil {
+		s.house.Forget(id)
+		delete(s.housed, id)
+	}
 }
 
-func (s bothServers) Retain(ids map[string]bool) {
+func (s fronts) Retain(ids map[string]bool) {
 	s.Pool.Retain(ids)
-	s.pooled.Retain(ids)
+	if s.pooled != nil {
+		s.pooled.Retain(ids)
+	}
+	if s.house != nil {
+		s.house.Retain(ids)
+	}
 }
 
-func (s bothServers) Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref {
-	if pooling.Ours(q) {
+func (s fronts) Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref {
+	switch {
+	case s.house != nil && clickhouse.Ours(q):
+		return s.house.Try(id, q, until, t)
+	case s.pooled != nil && pooling.Ours(q):
 		return s.pooled.Try(id, q, until, t)
 	}
 	return s.Pool.Start(id, q, until, once, t)
 }
 
-func (s bothServers) Cancel(ref slots.Ref) {
-	if pooling.OursRef(ref) {
-		s.pooled.Cancel(ref)
+func (s fronts) Probe(id string) {
+	if s.housed[id] {
+		s.house.Probe(id)
 		return
 	}
-	s.Pool.Cancel(ref)
+	s.Pool.Probe(id)
+}
+
+func (s fronts) Cancel(ref slots.Ref) {
+	switch {
+	case s.house != nil && clickhouse.OursRef(ref):
+		s.house.Cancel(ref)
+	case s.pooled != nil && pooling.OursRef(ref):
+		s.pooled.Cancel(ref)
+	default:
+		s.Pool.Cancel(ref)
+	}
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"beechgrade/internal/backend"
+	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
 	"beechgrade/internal/core"
@@ -49,6 +50,11 @@
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	house      *clickhouse.Front // nil where it is off
+	houseAddr  string
+	houseGroup int
+	stopHouse  func()
+
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
 	gauges bool         // are recorded
@@ -105,6 +111,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.house != nil {
+		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
+	}
 	p.core.Gauge(sessions, conns)
 	p.loop.At(p.loop.Now()+gaugeMs, p.gauge)
 }
@@ -126,6 +135,9 @@
 	if p.pooled != nil {
 		p.listen()
 	}
+	if p.house != nil {
+		p.listenHouse()
+	}
 	if p.gauges {
 		p.gauge()
 	}
@@ -192,9 +204,13 @@
 		p.stopPooled()
 		p.pooled.Drain()
 	}
+	if p.house != nil {
+		p.stopHouse()
+		p.house.Drain()
+	}
 	var look func()
 	look = func() {
-		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0 || p.pooled != nil && p.pooled.Owes()
+		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0 || p.pooled != nil && p.pooled.Owes() || p.house != nil && p.house.Owes()
 		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
 			p.loop.At(now+pollMs, look)
 			return
--- /dev/null
+++ b/internal/clickhouse/link.go
@@ -0,0 +1,480 @@
+package clickhouse
+
+import (
+	"fmt"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/httpwire"
+	"beechgrade/internal/loop"
+	"beechgrade/internal/slots"
+)
+
+// store is the connections to one server.
+type store struct {
+	id      string
+	addr    string
+	idle    []*link // the one used last at the end
+	waiting []*attempt
+	dialing int
+}
+
+// attempt is a query's attempt, or a probe where r is nil.
+type attempt struct {
+	ref     slots.Ref
+	tag     backend.Tag
+	store   *store
+	r       *request
+	until   float64
+	link    *link
+	timer   *deadline.Timer
+	connect *deadline.Timer
+}
+
+type linkState uint8
+
+const (
+	dialing linkState = iota
+	idle
+	asked     // an attempt's query is out
+	streaming // its answer goes to a client
+	shut
+)
+
+// link is a connection to a server; it is the loop's Handler.
+type link struct {
+	f       *Front
+	store   *store
+	addr    string
+	conn    *loop.Conn
+	state   linkState
+	attempt *attempt
+	method  string
+	sent    bool
+	in      []byte
+	head    *httpwire.Head
+	body    httpwire.Body
+	reader  *client // whom the answer goes to
+	parked  bool
+	timer   *deadline.Timer
+}
+
+// Ours tells whether a query is of this front.
+func Ours(q backend.Query) bool { _, ok := q.(*request); return ok }
+
+// OursRef tells whether an attempt is of this front.
+func OursRef(ref slots.Ref) bool { return ref.Index&firstRef != 0 && ref.Index&(1<<31) == 0 }
+
+// SetAddress is core.Servers'.
+func (f *Front) SetAddress(id, addr string) {
+	s := f.stores[id]
+	if s == nil {
+		f.stores[id] = &store{id: id, addr: addr}
+		return
+	}
+	if s.addr != addr {
+		s.addr = addr
+		f.CloseIdle(id)
+	}
+}
+
+// CloseIdle closes a server's idle connections, and gives up unsent what waits for one: it drains.
+func (f *Front) CloseIdle(id string) {
+	s := f.stores[id]
+	if s == nil {
+		return
+	}
+	for len(s.idle) > 0 {
+		s.idle[0].close()
+	}
+	for len(s.waiting) > 0 {
+		f.drop(s.waiting[0], beechgrade.Skipped)
+	}
+}
+
+// Forget is core.Servers'.
+func (f *Front) Forget(id string) {
+	if s := f.stores[id]; s != nil {
+		f.CloseIdle(id)
+		s.addr = ""
+		delete(f.stores, id)
+	}
+}
+
+// Retain is core.Servers'.
+func (f *Front) Retain(ids map[string]bool) {
+	for id := range f.stores {
+		if !ids[id] {
+			f.Forget(id)
+		}
+	}
+}
+
+// Try starts an attempt that ends by itself at until.
+func (f *Front) Try(id string, q backend.Query, until float64, t backend.Tag) slots.Ref {
+	a := &attempt{tag: t, store: f.stores[id], r: q.(*request), until: until}
+	a.ref = f.attempts.Put(a)
+	f.begin(a)
+	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
+}
+
+// Probe asks a server whether it is there.
+func (f *Front) Probe(id string) {
+	s := f.stores[id]
+	if s == nil {
+		f.events.ProbeEnded(id, backend.Outcome{Result: beechgrade.Unreachable})
+		return
+	}
+	a := &attempt{store: s, until: f.loop.Now() + f.opt.ConnectMs}
+	a.ref = f.attempts.Put(a)
+	f.begin(a)
+}
+
+// Cancel gives an attempt up; a server whose connection goes ends its query.
+func (f *Front) Cancel(ref slots.Ref) {
+	ref.Index &^= firstRef
+	if a, ok := f.attempts.Get(ref); ok {
+		f.drop(a, beechgrade.Cancelled)
+	}
+}
+
+func (f *Front) begin(a *attempt) {
+	s := a.store
+	if s == nil || s.addr == "" {
+		f.done(a, beechgrade.Unreachable)
+		return
+	}
+	a.timer = f.loop.At(a.until, func() { f.drop(a, beechgrade.TimedOut) })
+	for len(s.idle) > 0 {
+		l := s.idle[len(s.idle)-1]
+		if !l.conn.Quiet() { // the server has closed it, perhaps
+			l.close()
+			continue
+		}
+		s.idle = s.idle[:len(s.idle)-1]
+		l.ask(a)
+		return
+	}
+	a.connect = f.loop.At(f.loop.Now()+f.opt.ConnectMs, func() {
+		if a.link == nil {
+			f.drop(a, beechgrade.Unreachable)
+		}
+	})
+	s.waiting = append(s.waiting, a)
+	if s.dialing < len(s.waiting) && f.opt.Spare() > 0 {
+		f.dial(s)
+	}
+}
+
+func (f *Front) dial(s *store) {
+	l := &link{f: f, store: s, addr: s.addr}
+	s.dialing++
+	f.conns++
+	f.loop.Dial(s.addr, f.opt.ConnectMs, l, func(err error) {
+		f.log.Debug("clickhouse: connect", "store", s.id, "err", err)
+		l.failed()
+	})
+}
+
+// failed takes a connection out that never came up, and with it the attempt that waited longest.
+func (l *link) failed() {
+	if l.state != dialing {
+		return
+	}
+	l.state = shut
+	l.store.dialing--
+	l.f.conns--
+	if w := l.store.waiting; len(w) > l.store.dialing {
+		l.f.drop(w[0], beechgrade.Unreachable)
+	}
+}
+
+// drop ends an attempt from this side.
+func (f *Front) drop(a *attempt, res beechgrade.Result) {
+	if _, ok := f.attempts.Get(a.ref); !ok {
+		return
+	}
+	if l := a.link; l != nil {
+		l.attempt = nil
+		f.done(a, res)
+		l.close()
+		return
+	}
+	w := a.store.waiting
+	for i := range w {
+		if w[i] == a {
+			a.store.waiting = append(w[:i:i], w[i+1:]...)
+			break
+		}
+	}
+	if a.r != nil && res != beechgrade.Unreachable {
+		res = beechgrade.Skipped // it was never written
+	}
+	f.done(a, res)
+}
+
+// done reports an attempt's end, once.
+func (f *Front) done(a *attempt, res beechgrade.Result) {
+	if _, ok := f.attempts.Get(a.ref); !ok {
+		return
+	}
+	f.attempts.Drop(a.ref)
+	f.loop.Stop(a.timer)
+	f.loop.Stop(a.connect)
+	if a.r == nil {
+		f.events.ProbeEnded(a.store.id, backend.Outcome{Result: res})
+		return
+	}
+	if res != beechgrade.Unreachable && res != beechgrade.Skipped {
+		a.r.reached = true
+	}
+	f.events.AttemptEnded(a.tag, backend.Outcome{Result: res})
+}
+
+// Opened is loop's.
+func (l *link) Opened(lc *loop.Conn) {
+	l.conn = lc
+	if l.state == shut {
+		lc.Close()
+		return
+	}
+	l.store.dialing--
+	l.free()
+}
+
+// free has a connection carry the next attempt, or idle.
+func (l *link) free() {
+	l.state, l.head, l.reader, l.attempt = idle, nil, nil, nil
+	s := l.store
+	if l.addr != s.addr || len(l.in) > 0 || !l.conn.Quiet() {
+		l.close()
+		return
+	}
+	if len(s.waiting) > 0 {
+		a := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		l.ask(a)
+		return
+	}
+	s.idle = append(s.idle, l)
+	l.f.loop.Stop(l.timer)
+	l.timer = l.f.loop.At(l.f.loop.Now()+l.f.opt.IdleMs, l.close)
+}
+
+// ask writes an attempt's query.
+func (l *link) ask(a *attempt) {
+	l.f.loop.Stop(l.timer)
+	l.f.loop.Stop(a.connect)
+	l.state, l.attempt, a.link, l.method = asked, a, l, "GET"
+	out := []byte("GET /ping HTTP/1.1\r\nHost: clickhouse\r\n\r\n")
+	if a.r != nil {
+		out, l.method = a.r.AppendQuery(nil, 0), a.r.head.Method
+	}
+	l.sent = false
+	if l.conn.Write(out) == nil {
+		l.sent = true
+	}
+}
+
+// Data is loop's.
+func (l *link) Data(b []byte) {
+	switch l.state {
+	case asked:
+		l.in = append(l.in, b...)
+		l.begin()
+	case streaming:
+		l.pass(b)
+	default: // nothing was asked
+		l.close()
+	}
+}
+
+// begin reads the answer's head, and decides what it is.
+func (l *link) begin() {
+	h, n, err := httpwire.Parse(l.in, false)
+	a := l.attempt
+	switch {
+	case err != nil:
+		l.f.log.Warn("clickhouse: an answer that cannot be read", "store", l.store.id, "err", err)
+		l.f.drop(a, beechgrade.Failed)
+		return
+	case n == 0:
+		return
+	case h.Status < 200: // 100 Continue
+		l.in = l.in[:copy(l.in, l.in[n:])]
+		l.begin()
+		return
+	}
+	rest := l.in[n:]
+	l.in = nil
+	l.head, l.body = h, httpwire.AnswerBody(h, l.method)
+	if res := resultOf(h); res != beechgrade.OK {
+		l.f.drop(a, res)
+		return
+	}
+	l.state, l.attempt, a.link = streaming, nil, nil
+	was := l.f.serving
+	l.f.serving = l
+	l.f.done(a, beechgrade.OK)
+	l.f.serving = was
+	if a.r != nil && l.reader == nil { // another's answer came first, or nobody waits any more
+		l.close()
+		return
+	}
+	if l.reader != nil {
+		l.reader.answer(l)
+	}
+	if l.state == streaming {
+		l.pass(rest)
+	}
+}
+
+// resultOf reads an answer's head. What a server says of the query itself is its answer; that it takes none now is not.
+func resultOf(h *httpwire.Head) beechgrade.Result {
+	switch h.Get("X-ClickHouse-Exception-Code") {
+	case "202", "439": // too many queries; no thread to be had: it has not begun
+		return beechgrade.Full
+	case "":
+		if h.Status == 503 || h.Status == 429 {
+			return beechgrade.Full
+		}
+		if h.Status >= 500 {
+			return beechgrade.Failed
+		}
+	}
+	return beechgrade.OK
+}
+
+// answer writes the head of a server's answer to the client.
+func (c *client) answer(l *link) {
+	if l.body.Open() || c.req.head.Minor == 0 && l.head.Chunked {
+		c.leaves = true
+	}
+	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", l.head.Status, l.head.Reason)
+	if c.req.head.Minor == 0 && l.head.Chunked {
+		out = l.head.AppendFields(out, "transfer-encoding", "trailer")
+	} else {
+		out = l.head.AppendFields(out)
+	}
+	_ = c.conn.Write(append(out, c.connection()...))
+}
+
+// pass passes a part of the answer's body on.
+func (l *link) pass(b []byte) {
+	c := l.reader
+	var write func([]byte)
+	if c != nil && !c.closed && c.req.head.Minor == 0 && l.head.Chunked {
+		write = func(p []byte) { _ = c.conn.Write(p) }
+	}
+	n, err := l.body.Next(b, write)
+	if c != nil && !c.closed && write == nil && n > 0 {
+		_ = c.conn.Write(b[:n])
+	}
+	switch {
+	case err != nil:
+		l.f.log.Warn("clickhouse: a body that cannot be read", "store", l.store.id, "err", err)
+		l.cut()
+	case l.state != streaming: // its client has gone meanwhile
+	case l.body.Done():
+		l.in = append(l.in, b[n:]...)
+		l.end()
+	case c != nil && c.conn.Unsent() > muchUnsent && !l.parked && l.conn.Park():
+		l.parked = true
+		l.look()
+	}
+}
+
+// look goes on with a parked connection once its client has read.
+func (l *link) look() {
+	l.f.loop.At(l.f.loop.Now()+lookMs, func() {
+		switch c := l.reader; {
+		case l.state != streaming || !l.parked:
+		case c == nil || c.closed || c.conn.Unsent() <= littleLeft:
+			l.parked = false
+			l.conn.Unpark()
+		default:
+			l.look()
+		}
+	})
+}
+
+// end ends an answer that has passed whole.
+func (l *link) end() {
+	c, h := l.reader, l.head
+	l.reader = nil
+	if h.Close {
+		l.close()
+	} else {
+		l.free()
+	}
+	if c != nil {
+		c.finish()
+	}
+}
+
+// cut ends an answer that broke off: the client sees that by its connection's end.
+func (l *link) cut() {
+	c := l.reader
+	l.reader = nil
+	l.close()
+	if c != nil && !c.closed {
+		c.req = nil
+		c.conn.Close()
+	}
+}
+
+// abandon ends an answer whose client has gone: the server sees its connection close, and ends the query.
+func (l *link) abandon() {
+	l.reader = nil
+	l.close()
+}
+
+// close closes the connection.
+func (l *link) close() {
+	if l.state == shut {
+		return
+	}
+	l.Closed(nil)
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+// Closed is loop's.
+func (l *link) Closed(error) {
+	was := l.state
+	if was == shut {
+		return
+	}
+	l.state = shut
+	l.f.conns--
+	l.f.loop.Stop(l.timer)
+	s := l.store
+	for i := range s.idle {
+		if s.idle[i] == l {
+			s.idle = append(s.idle[:i:i], s.idle[i+1:]...)
+			break
+		}
+	}
+	if a := l.attempt; a != nil {
+		l.attempt, a.link = nil, nil
+		res := beechgrade.Reset
+		if !l.sent || l.conn != nil && l.conn.Unsent() > 0 {
+			res = beechgrade.Unreachable // its last byte never left
+		}
+		l.f.done(a, res)
+	}
+	if c := l.reader; was == streaming && c != nil {
+		l.reader = nil
+		if l.body.Open() {
+			c.finish()
+		} else if !c.closed {
+			c.req = nil
+			c.conn.Close()
+		}
+	}
+	if s.dialing < len(s.waiting) && s.addr != "" && l.f.opt.Spare() > 0 {
+		l.f.dial(s)
+	}
+}
--- /dev/null
+++ b/internal/clickhouse/request.go
@@ -0,0 +1,135 @@
+package clickhouse
+
+import (
+	"net/url"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/front"
+	"beechgrade/internal/httpwire"
+	"beechgrade/internal/slots"
+)
+
+// Exception codes, as ClickHouse numbers them, that the pooler gives by itself.
+const (
+	codeUnsupported = 1   // UNSUPPORTED_METHOD
+	codeTimeout     = 159 // TIMEOUT_EXCEEDED
+	codeTooMany     = 202 // TOO_MANY_SIMULTANEOUS_QUERIES
+	codeNetwork     = 210 // NETWORK_ERROR
+	codeNoServer    = 279 // ALL_CONNECTION_TRIES_FAILED
+	codeBadRequest  = 36  // BAD_ARGUMENTS
+)
+
+// request is one query of a client. It is front.Client and its attempts' backend.Query.
+type request struct {
+	c       *client
+	ref     slots.Ref // the core's
+	head    *httpwire.Head
+	raw     []byte // the body as it came, framing and all
+	reads   bool
+	due     float64
+	asked   bool // the core has it
+	over    bool // it has its answer, or its client has gone
+	reached bool // an attempt got to a server
+	link    *link
+}
+
+// AppendQuery is backend.Query's: the request as it came, for a connection that is kept.
+func (r *request) AppendQuery(dst []byte, _ int) []byte {
+	dst = append(append(append(append(dst, r.head.Method...), ' '), r.head.Target...), " HTTP/1.1\r\n"...)
+	dst = r.head.AppendFields(dst, "expect")
+	if r.head.Get("Host") == "" {
+		dst = append(dst, "Host: clickhouse\r\n"...)
+	}
+	return append(append(dst, "\r\n"...), r.raw...)
+}
+
+// Served is front.Client's: the server's answer has begun to come.
+func (r *request) Served([]byte) {
+	if l := r.c.f.serving; l != nil && !r.over {
+		r.over, r.link, r.raw = true, l, nil
+		l.reader = r.c
+	}
+}
+
+// Refused is front.Client's.
+func (r *request) Refused(retryMs float64) {
+	code, name := codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES"
+	if !r.reached {
+		code, name = codeNoServer, "ALL_CONNECTION_TRIES_FAILED"
+	}
+	r.c.complain(r, 503, code, name, "the query has not run; it may be sent again", max(1, int(retryMs/1000+0.5)))
+}
+
+// Failed is front.Client's.
+func (r *request) Failed() {
+	if r.c.f.loop.Now() >= r.due-50 {
+		r.c.complain(r, 504, codeTimeout, "TIMEOUT_EXCEEDED", "no answer in time; the query may have run", 0)
+		return
+	}
+	r.c.complain(r, 502, codeNetwork, "NETWORK_ERROR", "the answer was lost; the query may have run", 0)
+}
+
+// Reads tells whether a query is known to change nothing: ClickHouse holds GET and readonly to that by itself, and a
+// statement that begins so cannot write.
+func Reads(method string, params url.Values, body []byte, known bool) bool {
+	if method == "GET" || method == "HEAD" {
+		return true
+	}
+	if ro := params.Get("readonly"); ro == "1" || ro == "2" {
+		return true
+	}
+	sql := params.Get("query")
+	if known {
+		sql += "\n" + string(body)
+	} else if strings.TrimSpace(sql) == "" {
+		return false // it cannot be read
+	}
+	return readsText(sql)
+}
+
+// readsText tells whether a statement begins as one that reads. Whatever might hide more is taken for a write.
+func readsText(sql string) bool {
+	sql = skipBlank(sql)
+	end := strings.IndexFunc(sql, func(r rune) bool { return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z') })
+	if end < 0 {
+		end = len(sql)
+	}
+	switch strings.ToUpper(sql[:end]) {
+	case "SELECT", "SHOW", "DESCRIBE", "DESC", "EXISTS":
+		return !strings.Contains(strings.ToUpper(sql), "OUTFILE")
+	case "EXPLAIN":
+		return true
+	case "WITH":
+		return !strings.Contains(strings.ToUpper(sql), "INSERT")
+	}
+	return false
+}
+
+// skipBlank passes over blanks, comments and opening brackets at a statement's start.
+func skipBlank(s string) string {
+	for {
+		was := s
+		s = strings.TrimLeft(s, " \t\r\n\f\v(")
+		if strings.HasPrefix(s, "--") || strings.HasPrefix(s, "#!") {
+			_, s, _ = strings.Cut(s, "\n")
+		}
+		if strings.HasPrefix(s, "/*") {
+			_, s, _ = strings.Cut(s, "*/")
+		}
+		if s == was {
+			return s
+		}
+	}
+}
+
+// limit is the time that a query's own settings leave it, 0 for none.
+func limit(params url.Values) float64 {
+	x, err := strconv.ParseFloat(params.Get("max_execution_time"), 64)
+	if err != nil || !(x > 0) || x > 1e6 {
+		return 0
+	}
+	return x * 1000
+}
+
+var _ front.Client = (*request)(nil)
--- /dev/null
+++ b/internal/clickhouse/request_test.go
@@ -0,0 +1,37 @@
+package clickhouse
+
+import (
+	"net/url"
+	"testing"
+)
+
+// TestReads: what is known to change nothing, and all else.
+func TestReads(t *testing.T) {
+	for _, c := range []struct {
+		method, query, body string
+		known, want         bool
+	}{
+		{"GET", "SELECT 1", "", true, true},
+		{"GET", "anything: the server holds it to reading", "", true, true},
+		{"POST", "SELECT 1", "", true, true},
+		{"POST", "", " -- a comment\n /* and */ (select 1)", true, true},
+		{"POST", "WITH x AS (SELECT 1) SELECT * FROM x", "", true, true},
+		{"POST", "WITH x AS (SELECT 1) INSERT INTO t SELECT * FROM x", "", true, false},
+		{"POST", "SELECT 1 INTO OUTFILE 'x'", "", true, false},
+		{"POST", "INSERT INTO t FORMAT TSV", "SELECT", true, false},
+		{"POST", "", "INSERT INTO t SELECT 1", true, false},
+		{"POST", "", "SELECT 1", false, false}, // compressed, for all that is known
+		{"POST", "SELECT 1 FORMAT", "xx", false, true},
+		{"POST", "SELECTED", "", true, false},
+		{"POST", "/* SELECT */ DROP TABLE t", "", true, false},
+		{"POST", "", "", true, false},
+		{"PUT", "OPTIMIZE TABLE t", "", true, false},
+	} {
+		if got := Reads(c.method, url.Values{"query": {c.query}}, []byte(c.body), c.known); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+	if !Reads("POST", url.Values{"query": {"INSERT"}, "readonly": {"1"}}, nil, true) {
+		t.Error("readonly=1 is not taken for reading")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -50,6 +50,11 @@
 	Fetch()
 }
 
+// Grouped are servers that are reached in other ways in some groups than in others.
+type Grouped interface {
+	SetGroup(id string, group int) // before its address
+}
+
 // Words is told what servers say of themselves, each time they do.
 type Words interface {
 	Told(store string, primary, replica bool, position float64)
@@ -248,6 +253,9 @@
 		}
 		entry.State = stateOf(n)
 		named[n.ID] = true
+		if g, ok := c.servers.(Grouped); ok {
+			g.SetGroup(n.ID, n.Cell)
+		}
 		if n.HostPort != "" {
 			c.servers.SetAddress(n.ID, n.HostPort)
 		}
--- /dev/null
+++ b/internal/httpwire/httpwire_test.go
@@ -0,0 +1,135 @@
+package httpwire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestHeads: what is read of a head, and what is refused.
+func TestHeads(t *testing.T) {
+	for in, want := range map[string]any{
+		"GET /?query=1 HTTP/1.1\r\nHost: h\r\n\r\n": Head{Method: "GET", Target: "/?query=1", Minor: 1, Headers: []Header{{"Host", "h"}}, Length: -1},
+		"POST / HTTP/1.1\r\nhost:h\r\nContent-Length: 3 \r\nConnection: foo, Close\r\n\r\n": Head{Method: "POST", Target: "/", Minor: 1,
+			Headers: []Header{{"host", "h"}, {"Content-Length", "3"}, {"Connection", "foo, Close"}}, Length: 3, Close: true},
+		"GET / HTTP/1.0\r\n\r\n": Head{Method: "GET", Target: "/", Length: -1, Close: true},
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n": Head{Method: "POST", Target: "/", Minor: 1, Chunked: true, Length: -1,
+			Headers: []Header{{"Host", "h"}, {"Transfer-Encoding", "Chunked"}}},
+		"GET / HTTP/1.1\r\nHost: h\r\n":                                                         nil,
+		"GET / HTTP/1.1\r\n\r\n":                                                                ErrSyntax,
+		"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n":                                          ErrSyntax,
+		"GET / HTTP/2.0\r\nHost: h\r\n\r\n":                                                     ErrSyntax,
+		"GET  / HTTP/1.1\r\nHost: h\r\n\r\n":                                                    ErrSyntax,
+		"GET / HTTP/1.1\nHost: h\n\n":                                                           ErrSyntax,
+		"GET / HTTP/1.1\r\nHost: h\r\n folded: x\r\n\r\n":                                       ErrSyntax,
+		"GET / HTTP/1.1\r\nHost : h\r\n\r\n":                                                    ErrSyntax,
+		"GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n":                                                  ErrSyntax,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n":          ErrSyntax,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n":                              ErrSyntax,
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n": ErrSyntax,
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n":                ErrUnsupported,
+		"GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a: b\r\n", 200) + "\r\n":              ErrTooLong,
+		"GET /" + strings.Repeat("x", MaxHead) + " HTTP/1.1\r\n":                                ErrTooLong,
+	} {
+		h, _, err := Parse([]byte(in), true)
+		switch w := want.(type) {
+		case error:
+			if !errors.Is(err, w) {
+				t.Errorf("%.60q: %v", in, err)
+			}
+		case nil:
+			if h != nil || err != nil {
+				t.Errorf("%.60q: %+v %v", in, h, err)
+			}
+		case Head:
+			if diff := cmp.Diff(&w, h); err != nil || diff != "" {
+				t.Errorf("%.60q: %v %s", in, err, diff)
+			}
+		}
+	}
+}
+
+// TestBodies: where bodies end, in pieces of any size, with what follows left alone.
+func TestBodies(t *testing.T) {
+	for name, c := range map[string]struct {
+		head, body, data string
+		fails            bool
+	}{
+		"length":      {"Content-Length: 5\r\n", "hello", "hello", false},
+		"none":        {"Content-Length: 0\r\n", "", "", false},
+		"chunks":      {"Transfer-Encoding: chunked\r\n", "5;x=y\r\nhello\r\n1 \r\n!\r\n0\r\n\r\n", "hello!", false},
+		"trailers":    {"Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\nA: b\r\nC: d\r\n\r\n", "x", false},
+		"long chunk":  {"Transfer-Encoding: chunked\r\n", "1\r\nxy\r\n0\r\n\r\n", "", true},
+		"no size":     {"Transfer-Encoding: chunked\r\n", "\r\n", "", true},
+		"bare LF":     {"Transfer-Encoding: chunked\r\n", "1\nx\r\n", "", true},
+		"bare CR":     {"Transfer-Encoding: chunked\r\n", "1\rx", "", true},
+		"huge chunk":  {"Transfer-Encoding: chunked\r\n", "fffffffffffffffff\r\n", "", true},
+		"signed size": {"Transfer-Encoding: chunked\r\n", "+1\r\nx\r\n", "", true},
+	} {
+		h, _, err := Parse([]byte("HTTP/1.1 200 OK\r\n"+c.head+"\r\n"), false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all := c.body + "HTTP/1.1"
+		for size := 1; size <= len(all); size++ {
+			b, got, at := AnswerBody(h, "GET"), "", 0
+			var err error
+			for at < len(all) && !b.Done() && err == nil {
+				var n int
+				n, err = b.Next([]byte(all[at:min(len(all), at+size)]), func(p []byte) { got += string(p) })
+				at += n
+			}
+			if c.fails != (err != nil) || err == nil && (got != c.data || at != len(c.body)) {
+				t.Errorf("%s in pieces of %d: %q, %d of %d, %v", name, size, got, at, len(c.body), err)
+				break
+			}
+		}
+	}
+	for _, method := range []string{"HEAD", "GET"} {
+		h, _, _ := Parse([]byte("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), false)
+		if b := AnswerBody(h, method); b.Done() != (method == "HEAD") {
+			t.Errorf("%s: %+v", method, b)
+		}
+	}
+	if h, _, _ := Parse([]byte("HTTP/1.0 200 OK\r\n\r\n"), false); !h.Close {
+		t.Error("HTTP/1.0 stays open")
+	} else if b := AnswerBody(h, "GET"); !b.Open() {
+		t.Error("a body without a length has an end")
+	}
+}
+
+// FuzzRequest holds the reading against net/http's: what is taken here, that takes too, and sees the same message in it.
+func FuzzRequest(f *testing.F) {
+	for _, s := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "POST /?a=b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET", "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nT: u\r\n\r\nmore", "GET / HTTP/1.0\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		h, n, err := Parse(in, true)
+		if err != nil || h == nil {
+			return
+		}
+		b, got := RequestBody(h), []byte(nil)
+		_, err = b.Next(in[n:], func(p []byte) { got = append(got, p...) })
+		if err != nil || !b.Done() {
+			return
+		}
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(in)))
+		if err != nil {
+			if strings.Contains(h.Target, "%") || !strings.HasPrefix(h.Target, "/") || strings.Contains(err.Error(), "Host") || strings.Contains(err.Error(), "malformed") {
+				return // it reads targets and hosts more closely; the front reads the target by itself
+			}
+			t.Fatalf("taken here, and there: %v\n%q", err, in)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(body, got) || r.Method != h.Method {
+			t.Fatalf("%q here, %q there, %v", got, body, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/operate/clickhouse_test.go
@@ -0,0 +1,46 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade"
+	"beechgrade/internal/config"
+)
+
+// TestClickHouse: what is written is what holds, each mistake has its place, and the classes are such that only reads repeat.
+func TestClickHouse(t *testing.T) {
+	s, err := Parse("o", []byte(`(clickhouse (listen "127.0.0.1:8123") (group 9) (aim 1s) (deadline 5s) (most-body 2m))`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := ClickHouse{Listen: "127.0.0.1:8123", Group: 9, AimMs: 1000, DeadlineMs: 5000, Worth: 1, MostBody: 2 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000}
+	if diff := cmp.Diff(want, s.ClickHouse); diff != "" {
+		t.Error(diff)
+	}
+	cfg := &config.Config{}
+	s.ClickHouse.AddClasses(cfg)
+	got := map[string]beechgrade.Class{}
+	for i, n := range cfg.Classes {
+		got[n] = cfg.Settings.Classes[i]
+	}
+	reads := beechgrade.Class{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.5, Read: beechgrade.ReadAny, Effect: beechgrade.Safe}
+	writes := reads
+	writes.Effect = beechgrade.Unsafe
+	if diff := cmp.Diff(map[string]beechgrade.Class{"clickhouse-reads": reads, "clickhouse-writes": writes}, got); diff != "" {
+		t.Error(diff)
+	}
+	for in, want := range map[string]string{
+		`(clickhouse)`:                                   "o:1:1: clickhouse: (listen",
+		`(clickhouse (listen "x"))`:                      "o:1:21: an address with its port",
+		`(clickhouse (listen "h:1"))`:                    "o:1:1: clickhouse: (group NUMBER)",
+		`(clickhouse (listen "h:1") (group 1) (aim 2m))`: "o:1:1: clickhouse: the deadline comes before the aim",
+	} {
+		if _, err := Parse("o", []byte(in), nil); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s: %v", in, err)
+		}
+	}
+}
--- a/internal/operate/membership_test.go
+++ b/internal/operate/membership_test.go
@@ -73,7 +73,7 @@
 // TestHereItIsOff: on this platform the list is its discovery's alone.
 func TestHereItIsOff(t *testing.T) {
 	s, err := Load("../../deploy/operators.sexp", os.Getenv)
-	if err != nil || s.Membership.On || s.Pooling.Listen != "" || s.Record.On {
+	if err != nil || s.Membership.On || s.Pooling.Listen != "" || s.ClickHouse.Listen != "" || s.Record.On {
 		t.Errorf("%+v %v", s, err)
 	}
 }
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -14,6 +14,7 @@
 	Record     Record
 	Pooling    Pooling
 	Membership Membership
+	ClickHouse ClickHouse
 }
 
 // Record says whether and where the pooler records what it does.
@@ -59,6 +60,7 @@
 	s := &Settings{}
 	return s, sexp.Form{
 		"record":     func(n *sexp.Node) error { return s.Record.read(n, env) },
+		"clickhouse": s.ClickHouse.read,
 		"pooling":    s.Pooling.read,
 		"membership": func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
