Hold each user of the ClickHouse front to limits of its own

Need: one office program must not take all places of the column store.

Change: internal/clickhouse/limits decides how many queries of a user run, wait and may come, without I/O or clock; the front turns away at once what is beyond that, and gives places back when an answer has passed or its client has gone. (user ...) in the settings. A benchmark of the front beside the stand-in itself and net/http's reverse proxy.

--- a/cmd/beechgrade/house_test.go
+++ b/cmd/beechgrade/house_test.go
@@ -6,9 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -418,3 +421,106 @@
 		}
 	}
 }
+
+// TestHouseUsers: a user's queries beyond its limits wait or are turned away at once; another's are served meanwhile; a place is
+// free again once its query has ended, also where its client has gone.
+func TestHouseUsers(t *testing.T) {
+	w := houses(t, 1, `(user "escritorio" (queries 2) (queue 1) (wait 15s)) (user "lento" (queries 1) (queue 1) (wait 50ms)) (user "raro" (rate 0.001) (burst 2))`)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	hang := func(ctx context.Context, user, id string) {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr+"/?"+url.Values{"query": {"INSERT /* HANG */"}, "query_id": {id}, "user": {user}}.Encode(), nil)
+		go func() {
+			if res, err := w.client.Do(req); err == nil {
+				_ = res.Body.Close()
+			}
+		}()
+		w.wait("it runs", func() bool { return len(w.runs(id)) == 1 })
+	}
+	hang(ctx, "escritorio", "h1")
+	hang(ctx, "escritorio", "h2")
+	third := make(chan int, 1)
+	go func() {
+		s, _, _, _ := w.query("POST", "INSERT INTO t VALUES (1)", "", id("h3"))
+		third <- s
+	}()
+	w.wait("the third waits", func() bool {
+		got := make(chan int, 1)
+		w.p.loop.Post(func() { got <- w.p.house.Waiting() })
+		return <-got == 1
+	})
+	if s, code, _, err := w.query("POST", "INSERT INTO t VALUES (1)", "", id("h4")); s != 503 || code != "202" || err != nil || len(w.runs("h4")) > 0 {
+		t.Errorf("the fourth: %d %s %v", s, code, err)
+	}
+	if s, _, _, err := w.query("POST", "SELECT 1", "", url.Values{"user": {"outro"}}); s != 200 || err != nil {
+		t.Errorf("another user: %d %v", s, err)
+	}
+	if n := len(w.runs("h3")); n != 0 {
+		t.Errorf("the third ran %d times while two were running", n)
+	}
+	cancel() // the clients of the first two go
+	if s := <-third; s != 200 || len(w.runs("h3")) != 1 {
+		t.Errorf("the third: %d, it ran %d times", s, len(w.runs("h3")))
+	}
+	slow, end := context.WithCancel(context.Background())
+	defer end()
+	hang(slow, "lento", "l1")
+	if s, code, _, err := w.query("POST", "SELECT 1", "", url.Values{"user": {"lento"}}); s != 503 || code != "202" || err != nil {
+		t.Errorf("one that waited for too long: %d %s %v", s, code, err)
+	}
+	var got []int
+	for range 3 {
+		s, _, _, _ := w.query("POST", "SELECT 1", "", url.Values{"user": {"raro"}})
+		got = append(got, s)
+	}
+	if diff := cmp.Diff([]int{200, 200, 503}, got); diff != "" {
+		t.Errorf("too fast: %s", diff)
+	}
+}
+
+// BenchmarkHouse is a query by the stand-in itself, through the pooler, and through the standard library's reverse proxy.
+func BenchmarkHouse(b *testing.B) {
+	s, err := house.Start("h")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Stop()
+	set, err := operate.Parse("test", []byte(fmt.Sprintf(`(clickhouse (listen "127.0.0.1:0") (group %d))`, houseGroup)), os.Getenv)
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := &config.Config{Name: "bench", Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Limits: config.Limits{MemoryMB: 192, Sockets: 4096}, ConnectTimeoutMs: 5000, IdleMs: 30000,
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "h", HostPort: s.Addr, Cell: houseGroup, Lifecycle: "up", Weight: 1}}}}
+	cfg.Settings.Siblings, cfg.Settings.Tick, cfg.Settings.MaxAttempts, cfg.Settings.MayCancel = 1, 2*time.Millisecond, 8, true
+	set.ClickHouse.AddClasses(cfg)
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	p.useClickHouse(set.ClickHouse)
+	ready := make(chan string, 1)
+	p.loop.Ready = func() { ready <- p.houseAddr }
+	stop, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- p.run(stop, make(chan os.Signal)) }()
+	at := <-ready
+	defer func() { stop <- syscall.SIGTERM; <-ended }()
+	proxy := httptest.NewServer(httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: s.Addr}))
+	defer proxy.Close()
+	for _, c := range []struct{ name, addr string }{{"direct", s.Addr}, {"pooler", at}, {"reverse proxy", proxy.Listener.Addr().String()}} {
+		for _, sql := range []string{"SELECT 1", "SELECT /* ROWS 65536 */"} {
+			b.Run(c.name+"/"+sql, func(b *testing.B) {
+				client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+				defer client.CloseIdleConnections()
+				for b.Loop() {
+					res, err := client.Get("http://" + c.addr + "/?" + url.Values{"query": {sql}}.Encode())
+					if err != nil {
+						b.Fatal(err)
+					}
+					n, err := io.Copy(io.Discard, res.Body)
+					_ = res.Body.Close()
+					if err != nil || res.StatusCode != 200 {
+						b.Fatal(res.Status, err)
+					}
+					b.SetBytes(n)
+				}
+			})
+		}
+	}
+}
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"beechgrade/internal/backend"
+	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/front"
 	"beechgrade/internal/httpwire"
 	"beechgrade/internal/loop"
@@ -31,11 +32,13 @@
 	MostBody  int // bytes of a query's body
 	Deadline  float64
 	ConnectMs float64
-	IdleMs    float64    // a connection to a server idle for so long is closed
-	ClientMs  float64    // ...and a client's
-	HeadMs    float64    // a client has so long for its head and body once begun
-	Spare     func() int // descriptors left
-	Memory    func() int // bytes that all clients' bodies may take
+	IdleMs    float64 // a connection to a server idle for so long is closed
+	ClientMs  float64 // ...and a client's
+	HeadMs    float64 // a client has so long for its head and body once begun
+	Users     map[string]limits.Limits
+	Others    limits.Limits // of users that are not named
+	Spare     func() int    // descriptors left
+	Memory    func() int    // bytes that all clients' bodies may take
 }
 
 const (
@@ -57,6 +60,8 @@
 	clients  slots.Table[*client]
 	attempts slots.Table[*attempt]
 	stores   map[string]*store
+	gate     *limits.Gate
+	waiting  map[limits.ID]*request
 	serving  *link // whose answer the core is being told of
 	number   uint64
 	conns    int
@@ -66,7 +71,8 @@
 
 // New makes a front.
 func New(l *loop.Loop, log *slog.Logger, opt Options, desk front.Desk, events backend.Events) *Front {
-	return &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{}}
+	return &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{},
+		gate: limits.New(opt.Users, opt.Others), waiting: map[limits.ID]*request{}}
 }
 
 // Start begins the sweeps; it is for the loop.
@@ -77,6 +83,33 @@
 	})
 }
 
+// beat turns away what has waited for its turn for too long.
+func (f *Front) beat() {
+	for _, id := range f.gate.Beat(f.loop.Now()) {
+		if r := f.waiting[id]; r != nil {
+			delete(f.waiting, id)
+			r.gated = 0
+			r.c.complain(r, 503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "it has waited for too long behind others of its user; it has not run", 1)
+		}
+	}
+}
+
+// leave gives a request's place up, and lets in who comes next.
+func (f *Front) leave(r *request) {
+	if r.gated == 0 {
+		return
+	}
+	id := r.gated
+	r.gated = 0
+	delete(f.waiting, id)
+	for _, next := range f.gate.Leave(id) {
+		if o := f.waiting[next]; o != nil {
+			delete(f.waiting, next)
+			o.c.ask(o)
+		}
+	}
+}
+
 // sweep closes clients that idle for too long, or do not get on with what they have begun.
 func (f *Front) sweep() {
 	now := f.loop.Now()
@@ -115,6 +148,9 @@
 	return n
 }
 
+// Waiting is how many queries wait for their turn behind others of their user.
+func (f *Front) Waiting() int { return len(f.waiting) }
+
 // Owes tells whether a client waits for an answer, or has not read all of one.
 func (f *Front) Owes() bool {
 	owes := false
@@ -281,7 +317,27 @@
 		r.due = min(r.due, now+ms)
 	}
 	c.f.number++
-	ref, err := c.f.desk.Ask(front.Request{ID: "ch-" + strconv.FormatUint(c.f.number, 36), Class: class, Group: c.f.opt.Group, Due: r.due, Query: r}, r)
+	r.number, r.class = c.f.number, class
+	id := limits.ID(r.number)
+	user := User(h, params)
+	switch c.f.gate.Enter(id, user, now) {
+	case limits.In:
+		r.gated = id
+		c.ask(r)
+	case limits.Waits:
+		r.gated = id
+		c.f.waiting[id] = r
+		c.f.loop.At(now+c.f.gate.Wait(user)+1, c.f.beat)
+	case limits.TooMany:
+		c.complain(r, 503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "too many queries of this user run and wait; it has not run", 1)
+	default:
+		c.complain(r, 503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "queries of this user come too fast; it has not run", 1)
+	}
+}
+
+// ask puts a request to the decision module.
+func (c *client) ask(r *request) {
+	ref, err := c.f.desk.Ask(front.Request{ID: "ch-" + strconv.FormatUint(r.number, 36), Class: r.class, Group: c.f.opt.Group, Due: r.due, Query: r}, r)
 	if err != nil {
 		c.f.log.Error("clickhouse", "err", err)
 		c.complain(r, 500, codeNetwork, "NETWORK_ERROR", "the pooler could not take the query", 0)
@@ -309,11 +365,15 @@
 				c.f.desk.Gone(r.ref)
 			}
 		}
+		c.f.leave(r)
 	}
 }
 
 // finish ends an answer, and takes the next request.
 func (c *client) finish() {
+	if r := c.req; r != nil {
+		defer c.f.leave(r)
+	}
 	c.req = nil
 	c.since = c.f.loop.Now()
 	if c.closed {
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -419,7 +419,6 @@
 	l.reader = nil
 	l.close()
 	if c != nil && !c.closed {
-		c.req = nil
 		c.conn.Close()
 	}
 }
@@ -470,7 +469,6 @@
 		if l.body.Open() {
 			c.finish()
 		} else if !c.closed {
-			c.req = nil
 			c.conn.Close()
 		}
 	}
--- a/internal/clickhouse/request.go
+++ b/internal/clickhouse/request.go
@@ -1,10 +1,12 @@
 package clickhouse
 
 import (
+	"encoding/base64"
 	"net/url"
 	"strconv"
 	"strings"
 
+	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/front"
 	"beechgrade/internal/httpwire"
 	"beechgrade/internal/slots"
@@ -32,6 +34,26 @@
 	over    bool // it has its answer, or its client has gone
 	reached bool // an attempt got to a server
 	link    *link
+	number  uint64
+	class   string
+	gated   limits.ID // its place among its user's, 0 for none
+}
+
+// User is the user that a query comes as: by the URL, the header or Basic, as the server takes them.
+func User(h *httpwire.Head, params url.Values) string {
+	if u := params.Get("user"); u != "" {
+		return u
+	}
+	if u := h.Get("X-ClickHouse-User"); u != "" {
+		return u
+	}
+	if scheme, rest, _ := strings.Cut(h.Get("Authorization"), " "); strings.EqualFold(scheme, "Basic") {
+		if b, err := base64.StdEncoding.DecodeString(strings.TrimSpace(rest)); err == nil {
+			u, _, _ := strings.Cut(string(b), ":")
+			return u
+		}
+	}
+	return "default"
 }
 
 // AppendQuery is backend.Query's: the request as it came, for a connection that is kept.
--- a/internal/operate/clickhouse.go
+++ b/internal/operate/clickhouse.go
@@ -6,6 +6,7 @@
 
 	"beechgrade"
 	"beechgrade/internal/clickhouse"
+	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/config"
 	"beechgrade/internal/sexp"
 )
@@ -21,6 +22,8 @@
 	IdleMs     float64
 	ClientMs   float64
 	HeadMs     float64
+	Users      map[string]limits.Limits
+	Others     limits.Limits
 }
 
 func (c *ClickHouse) read(n *sexp.Node) error {
@@ -46,8 +49,9 @@
 		},
 		"idle":        func(n *sexp.Node) (err error) { c.IdleMs, err = n.Millis(10, longest); return err },
 		"client-idle": func(n *sexp.Node) (err error) { c.ClientMs, err = n.Millis(10, longest); return err },
+		"user":        c.user,
 		"head":        func(n *sexp.Node) (err error) { c.HeadMs, err = n.Millis(10, longest); return err },
-	}.Read(n.Args())
+	}.Read(n.Args(), "user")
 	switch {
 	case err != nil:
 		return err
@@ -61,6 +65,36 @@
 	return nil
 }
 
+// user reads (user "NAME" (queries N) (queue N) (wait TIME) (rate PER-SECOND) (burst N)); "*" is all that are not named.
+func (c *ClickHouse) user(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) == 0 || a[0].Kind == sexp.List || a[0].Text == "" {
+		return n.Errorf("a user's name is due first, or \"*\"")
+	}
+	l := limits.Limits{Wait: 5000}
+	if err := (sexp.Form{
+		"queries": func(n *sexp.Node) (err error) { l.Queries, err = n.Int(1, 1e6); return err },
+		"queue":   func(n *sexp.Node) (err error) { l.Queue, err = n.Int(0, 1e6); return err },
+		"wait":    func(n *sexp.Node) (err error) { l.Wait, err = n.Millis(1, longest); return err },
+		"rate":    func(n *sexp.Node) (err error) { l.PerSecond, err = n.Float(0.001, 1e6); return err },
+		"burst":   func(n *sexp.Node) (err error) { l.Burst, err = n.Float(1, 1e6); return err },
+	}).Read(a[1:]); err != nil {
+		return err
+	}
+	if a[0].Text == "*" {
+		c.Others = l
+		return nil
+	}
+	if _, twice := c.Users[a[0].Text]; twice {
+		return a[0].Errorf("this user stands here twice")
+	}
+	if c.Users == nil {
+		c.Users = map[string]limits.Limits{}
+	}
+	c.Users[a[0].Text] = l
+	return nil
+}
+
 // AddClasses adds the front's classes to the platform's: any member of the group takes either, and what is not known to read
 // never runs twice.
 func (c *ClickHouse) AddClasses(cfg *config.Config) {
--- a/internal/operate/clickhouse_test.go
+++ b/internal/operate/clickhouse_test.go
@@ -8,16 +8,19 @@
 	"github.com/google/go-cmp/cmp"
 
 	"beechgrade"
+	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/config"
 )
 
 // TestClickHouse: what is written is what holds, each mistake has its place, and the classes are such that only reads repeat.
 func TestClickHouse(t *testing.T) {
-	s, err := Parse("o", []byte(`(clickhouse (listen "127.0.0.1:8123") (group 9) (aim 1s) (deadline 5s) (most-body 2m))`), nil)
+	s, err := Parse("o", []byte(`(clickhouse (listen "127.0.0.1:8123") (group 9) (aim 1s) (deadline 5s) (most-body 2m)
+		(user "a" (queries 2) (queue 3) (wait 1s) (rate 5) (burst 9)) (user "*" (queries 4)))`), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := ClickHouse{Listen: "127.0.0.1:8123", Group: 9, AimMs: 1000, DeadlineMs: 5000, Worth: 1, MostBody: 2 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000}
+	want := ClickHouse{Listen: "127.0.0.1:8123", Group: 9, AimMs: 1000, DeadlineMs: 5000, Worth: 1, MostBody: 2 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000,
+		Users: map[string]limits.Limits{"a": {Queries: 2, Queue: 3, Wait: 1000, PerSecond: 5, Burst: 9}}, Others: limits.Limits{Queries: 4, Wait: 5000}}
 	if diff := cmp.Diff(want, s.ClickHouse); diff != "" {
 		t.Error(diff)
 	}
@@ -35,6 +38,8 @@
 	}
 	for in, want := range map[string]string{
 		`(clickhouse)`:                                   "o:1:1: clickhouse: (listen",
+		`(clickhouse (user (queries 1)))`:                "o:1:13: a user's name",
+		`(clickhouse (user "a") (user "a"))`:             "o:1:30: this user stands here twice",
 		`(clickhouse (listen "x"))`:                      "o:1:21: an address with its port",
 		`(clickhouse (listen "h:1"))`:                    "o:1:1: clickhouse: (group NUMBER)",
 		`(clickhouse (listen "h:1") (group 1) (aim 2m))`: "o:1:1: clickhouse: the deadline comes before the aim",
