Kill a ClickHouse query by its id where its client or its time has gone

Need: a server notices a closed connection only when it writes, and may work on for long.

Change: (kill) in the settings has KILL QUERY go out beside the closed connection, as the user that asked, by the query's id, given or made. It counts as a send: none past a drain's grace. Bounded in number and time.

--- a/cmd/beechgrade/house.go
+++ b/cmd/beechgrade/house.go
@@ -2,6 +2,7 @@
 
 import (
 	"beechgrade/internal/clickhouse"
+	"beechgrade/internal/clock"
 	"beechgrade/internal/operate"
 )
 
@@ -12,7 +13,7 @@
 	}
 	p.houseAddr, p.houseGroup = o.Listen, o.Group
 	p.house = clickhouse.New(p.loop, p.log, clickhouse.Options{Group: o.Group, MostBody: o.MostBody, Deadline: o.DeadlineMs, ConnectMs: p.cfg.ConnectTimeoutMs,
-		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Users: o.Users, Others: o.Others, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
+		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Kill: o.Kill, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace), Name: p.cfg.Name, Users: o.Users, Others: o.Others, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
 		Spare: func() int {
 			return p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns() - p.house.Sessions() - p.house.Conns()
 		}}, p.core, p.core)
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -35,6 +35,9 @@
 	IdleMs    float64 // a connection to a server idle for so long is closed
 	ClientMs  float64 // ...and a client's
 	HeadMs    float64 // a client has so long for its head and body once begun
+	Kill      bool    // KILL QUERY goes out beside a connection that is closed in the midst of a query
+	GraceMs   float64 // for sends to a server, from the list's word that it drains
+	Name      string  // of the pooler, in ids of queries that come without one
 	Users     map[string]limits.Limits
 	Others    limits.Limits // of users that are not named
 	Spare     func() int    // descriptors left
@@ -64,14 +67,16 @@
 	waiting  map[limits.ID]*request
 	serving  *link // whose answer the core is being told of
 	number   uint64
+	began    float64
 	conns    int
+	kills    int
 	held     int
 	draining bool
 }
 
 // New makes a front.
 func New(l *loop.Loop, log *slog.Logger, opt Options, desk front.Desk, events backend.Events) *Front {
-	return &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{},
+	return &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{}, began: l.Now(),
 		gate: limits.New(opt.Users, opt.Others), waiting: map[limits.ID]*request{}}
 }
 
@@ -186,7 +191,8 @@
 	since  float64  // idle, or in the midst of a request: since then
 	leaves bool     // it is closed behind its answer
 	closed bool
-	held   int // bytes of it that are kept
+	going  *request // whose answer it left in its midst
+	held   int      // bytes of it that are kept
 }
 
 // Opened is loop's.
@@ -317,7 +323,15 @@
 		r.due = min(r.due, now+ms)
 	}
 	c.f.number++
-	r.number, r.class = c.f.number, class
+	r.number, r.class, r.params = c.f.number, class, params
+	if r.query = params.Get("query_id"); r.query == "" { // one is made, so that it can be found at the server
+		r.query = fmt.Sprintf("%s-%x-%d", c.f.opt.Name, uint64(c.f.began), r.number)
+		sep := "?"
+		if strings.Contains(h.Target, "?") {
+			sep = "&"
+		}
+		h.Target += sep + "query_id=" + url.QueryEscape(r.query)
+	}
 	id := limits.ID(r.number)
 	user := User(h, params)
 	switch c.f.gate.Enter(id, user, now) {
@@ -358,6 +372,7 @@
 		c.req = nil
 		switch {
 		case r.link != nil:
+			c.going = r
 			r.link.abandon()
 		case !r.over:
 			r.over = true
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -18,6 +18,8 @@
 	idle    []*link // the one used last at the end
 	waiting []*attempt
 	dialing int
+
+	barredAt float64 // the list said then that it drains, 0 for not so
 }
 
 // attempt is a query's attempt, or a probe where r is nil.
@@ -85,6 +87,9 @@
 	if s == nil {
 		return
 	}
+	if s.barredAt == 0 {
+		s.barredAt = max(1, f.loop.Now())
+	}
 	for len(s.idle) > 0 {
 		s.idle[0].close()
 	}
@@ -115,6 +120,9 @@
 func (f *Front) Try(id string, q backend.Query, until float64, t backend.Tag) slots.Ref {
 	a := &attempt{tag: t, store: f.stores[id], r: q.(*request), until: until}
 	a.ref = f.attempts.Put(a)
+	if a.store != nil {
+		a.store.barredAt = 0 // the module sends there: it serves
+	}
 	f.begin(a)
 	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
 }
@@ -199,6 +207,9 @@
 		l.attempt = nil
 		f.done(a, res)
 		l.close()
+		if res == beechgrade.Cancelled || res == beechgrade.TimedOut {
+			f.kill(a.store, a.r)
+		}
 		return
 	}
 	w := a.store.waiting
@@ -425,8 +436,15 @@
 
 // abandon ends an answer whose client has gone: the server sees its connection close, and ends the query.
 func (l *link) abandon() {
+	c := l.reader
 	l.reader = nil
+	if l.state == shut {
+		return
+	}
 	l.close()
+	if c != nil && c.going != nil {
+		l.f.kill(l.store, c.going)
+	}
 }
 
 // close closes the connection.
--- a/internal/clickhouse/request.go
+++ b/internal/clickhouse/request.go
@@ -35,6 +35,8 @@
 	reached bool // an attempt got to a server
 	link    *link
 	number  uint64
+	query   string // its query_id, given or made
+	params  url.Values
 	class   string
 	gated   limits.ID // its place among its user's, 0 for none
 }
--- a/internal/operate/clickhouse.go
+++ b/internal/operate/clickhouse.go
@@ -22,6 +22,7 @@
 	IdleMs     float64
 	ClientMs   float64
 	HeadMs     float64
+	Kill       bool // KILL QUERY beside a connection that is closed
 	Users      map[string]limits.Limits
 	Others     limits.Limits
 }
@@ -50,6 +51,7 @@
 		"idle":        func(n *sexp.Node) (err error) { c.IdleMs, err = n.Millis(10, longest); return err },
 		"client-idle": func(n *sexp.Node) (err error) { c.ClientMs, err = n.Millis(10, longest); return err },
 		"user":        c.user,
+		"kill":        func(n *sexp.Node) (err error) { c.Kill, err = n.Bool(); return err },
 		"head":        func(n *sexp.Node) (err error) { c.HeadMs, err = n.Millis(10, longest); return err },
 	}.Read(n.Args(), "user")
 	switch {
