Class ClickHouse queries by user, database, path or header

Need: a report for a screen and one for the night are not worth the same, nor may they take the same time.

Change: (class ...) in (clickhouse ...): the first rule that matches gives aim, deadline and worth, as two classes of the decision module, of what reads and of what may write. A query by a path is asked at / there.

--- a/cmd/beechgrade/house.go
+++ b/cmd/beechgrade/house.go
@@ -12,8 +12,12 @@
 		return
 	}
 	p.houseAddr, p.houseGroup = o.Listen, o.Group
+	var rules []clickhouse.Rule
+	for i := range o.Rules {
+		rules = append(rules, o.Rules[i].Rule)
+	}
 	p.house = clickhouse.New(p.loop, p.log, clickhouse.Options{Group: o.Group, MostBody: o.MostBody, Deadline: o.DeadlineMs, ConnectMs: p.cfg.ConnectTimeoutMs,
-		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Kill: o.Kill, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace), Name: p.cfg.Name, Users: o.Users, Others: o.Others, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
+		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Kill: o.Kill, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace), Name: p.cfg.Name, Rules: rules, Users: o.Users, Others: o.Others, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
 		Spare: func() int {
 			return p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns() - p.house.Sessions() - p.house.Conns()
 		}}, p.core, p.core)
--- a/cmd/beechgrade/house_test.go
+++ b/cmd/beechgrade/house_test.go
@@ -390,6 +390,39 @@
 	w.wait("it is cancelled", func() bool { r := w.runs("t"); return len(r) == 1 && r[0].Cancelled })
 }
 
+// TestHouseClasses: queries are of classes by user, database, path or header, the first that matches, and have their deadlines; the
+// server is asked at its own path.
+func TestHouseClasses(t *testing.T) {
+	w := houses(t, 1, `(class "fast" (path "/fast") (aim 100ms) (deadline 300ms)) (class "mes" (database "mes") (header "X-Report" "mes") (aim 100ms) (deadline 400ms))`)
+	ask := func(path string, header http.Header, v url.Values) (int, time.Duration) {
+		v.Set("query", "INSERT /* HANG */")
+		req, err := http.NewRequest(http.MethodPost, "http://"+w.addr+path+"?"+v.Encode(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header = header
+		began := time.Now()
+		res, err := w.client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		return res.StatusCode, time.Since(began)
+	}
+	if s, took := ask("/fast", http.Header{}, url.Values{}); s != 504 || took > 10*time.Second {
+		t.Errorf("by path: %d after %v", s, took)
+	}
+	if s, took := ask("/", http.Header{"X-Report": {"mes"}, "X-Clickhouse-Database": {"mes"}}, url.Values{}); s != 504 || took > 10*time.Second {
+		t.Errorf("by database and header: %d after %v", s, took)
+	}
+	if s, took := ask("/", http.Header{"X-Report": {"mes"}}, url.Values{"database": {"dia"}, "max_execution_time": {"2"}}); s != 504 || took < 1500*time.Millisecond {
+		t.Errorf("of no class of its own: %d after %v", s, took)
+	}
+	if n := len(w.runs("")); n != 3 {
+		t.Errorf("%d came to the server", n)
+	}
+}
+
 // TestHouseDrain: while queries come without a pause, nothing new goes to a server once the pooler has heard that it drains, and
 // what runs there ends in its time. Every query has its one answer.
 func TestHouseDrain(t *testing.T) {
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -38,6 +38,7 @@
 	Kill      bool    // KILL QUERY goes out beside a connection that is closed in the midst of a query
 	GraceMs   float64 // for sends to a server, from the list's word that it drains
 	Name      string  // of the pooler, in ids of queries that come without one
+	Rules     []Rule  // the first that matches counts
 	Users     map[string]limits.Limits
 	Others    limits.Limits // of users that are not named
 	Spare     func() int    // descriptors left
@@ -312,13 +313,12 @@
 		return
 	}
 	known := params.Get("decompress") == "" && h.Get("Content-Encoding") == ""
-	class := WriteClass
-	if r.reads = Reads(h.Method, params, c.data, known); r.reads {
-		class = ReadClass
-	}
+	r.reads = Reads(h.Method, params, c.data, known)
+	class, deadline, target := c.f.class(h, path, rawQuery, params, r.reads)
+	h.Target = target
 	c.data = nil
 	now := c.f.loop.Now()
-	r.due = now + c.f.opt.Deadline
+	r.due = now + deadline
 	if ms := limit(params); ms > 0 {
 		r.due = min(r.due, now+ms)
 	}
--- /dev/null
+++ b/internal/clickhouse/rules.go
@@ -0,0 +1,56 @@
+package clickhouse
+
+import (
+	"net/url"
+	"strings"
+
+	"beechgrade/internal/httpwire"
+)
+
+// Rule says which queries are of a class of their own. What is empty matches all.
+type Rule struct {
+	Name     string // of the class
+	User     string
+	Database string
+	Path     string // the path of the URL, whole; the server is asked at "/"
+	Header   string // a field of the head...
+	Value    string // ...and its value
+	Deadline float64
+}
+
+// Matches tells whether a query is of a rule.
+func (r *Rule) Matches(h *httpwire.Head, path string, params url.Values) bool {
+	database := params.Get("database")
+	if database == "" {
+		database = h.Get("X-ClickHouse-Database")
+	}
+	return (r.User == "" || r.User == User(h, params)) && (r.Database == "" || r.Database == database) && (r.Path == "" || r.Path == path) &&
+		(r.Header == "" || h.Get(r.Header) == r.Value)
+}
+
+// Classes are the names of a rule's two classes, of what reads and of what may write; those of the front itself are of "".
+func Classes(rule string) (reads, writes string) {
+	if rule == "" {
+		return ReadClass, WriteClass
+	}
+	return "clickhouse-" + rule + "-reads", "clickhouse-" + rule + "-writes"
+}
+
+// class finds a query's class, its deadline, and its target at the server.
+func (f *Front) class(h *httpwire.Head, path, query string, params url.Values, reads bool) (class string, deadline float64, target string) {
+	name, deadline, target := "", f.opt.Deadline, h.Target
+	for i := range f.opt.Rules {
+		if r := &f.opt.Rules[i]; r.Matches(h, path, params) {
+			name, deadline = r.Name, r.Deadline
+			if r.Path != "" {
+				target = "/" + strings.TrimSuffix("?"+query, "?")
+			}
+			break
+		}
+	}
+	class, writes := Classes(name)
+	if !reads {
+		class = writes
+	}
+	return class, deadline, target
+}
--- a/internal/operate/clickhouse.go
+++ b/internal/operate/clickhouse.go
@@ -23,10 +23,17 @@
 	ClientMs   float64
 	HeadMs     float64
 	Kill       bool // KILL QUERY beside a connection that is closed
+	Rules      []HouseRule
 	Users      map[string]limits.Limits
 	Others     limits.Limits
 }
 
+// HouseRule is a rule with what its classes are worth.
+type HouseRule struct {
+	clickhouse.Rule
+	AimMs, Worth float64
+}
+
 func (c *ClickHouse) read(n *sexp.Node) error {
 	*c = ClickHouse{Group: -1, AimMs: 2000, DeadlineMs: 60000, Worth: 1, MostBody: 1 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000}
 	err := sexp.Form{
@@ -51,9 +58,10 @@
 		"idle":        func(n *sexp.Node) (err error) { c.IdleMs, err = n.Millis(10, longest); return err },
 		"client-idle": func(n *sexp.Node) (err error) { c.ClientMs, err = n.Millis(10, longest); return err },
 		"user":        c.user,
+		"class":       c.class,
 		"kill":        func(n *sexp.Node) (err error) { c.Kill, err = n.Bool(); return err },
 		"head":        func(n *sexp.Node) (err error) { c.HeadMs, err = n.Millis(10, longest); return err },
-	}.Read(n.Args(), "user")
+	}.Read(n.Args(), "user", "class")
 	switch {
 	case err != nil:
 		return err
@@ -97,17 +105,66 @@
 	return nil
 }
 
+// class reads (class "NAME" (user "U") (database "D") (path "/P") (header "NAME" "VALUE") (aim TIME) (deadline TIME) (worth N)).
+func (c *ClickHouse) class(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) == 0 || a[0].Kind == sexp.List || a[0].Text == "" {
+		return n.Errorf("a class's name is due first")
+	}
+	r := HouseRule{Rule: clickhouse.Rule{Name: a[0].Text, Deadline: 60000}, AimMs: 2000, Worth: 1}
+	for _, o := range c.Rules {
+		if o.Name == r.Name {
+			return a[0].Errorf("this class stands here twice")
+		}
+	}
+	text := func(to *string) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Str(); return err }
+	}
+	err := sexp.Form{
+		"user": text(&r.User), "database": text(&r.Database), "path": text(&r.Path),
+		"header": func(n *sexp.Node) error {
+			x := n.Args()
+			if len(x) != 2 || x[0].Text == "" {
+				return n.Errorf("(header \"NAME\" \"VALUE\")")
+			}
+			r.Header, r.Value = x[0].Text, x[1].Text
+			return nil
+		},
+		"aim":      func(n *sexp.Node) (err error) { r.AimMs, err = n.Millis(1, longest); return err },
+		"deadline": func(n *sexp.Node) (err error) { r.Deadline, err = n.Millis(1, longest); return err },
+		"worth":    func(n *sexp.Node) (err error) { r.Worth, err = n.Float(0, 1000); return err },
+	}.Read(a[1:])
+	switch {
+	case err != nil:
+		return err
+	case r.User == "" && r.Database == "" && r.Path == "" && r.Header == "":
+		return n.Errorf("class %q: whose queries are of it? (user ...), (database ...), (path ...) or (header ...)", r.Name)
+	case r.Path != "" && r.Path[0] != '/':
+		return n.Errorf("class %q: a path begins with /", r.Name)
+	case r.Deadline < r.AimMs:
+		return n.Errorf("class %q: the deadline comes before the aim", r.Name)
+	}
+	c.Rules = append(c.Rules, r)
+	return nil
+}
+
 // AddClasses adds the front's classes to the platform's: any member of the group takes either, and what is not known to read
 // never runs twice.
 func (c *ClickHouse) AddClasses(cfg *config.Config) {
 	if c.Listen == "" {
 		return
 	}
-	class := beechgrade.Class{Aim: time.Duration(c.AimMs * float64(time.Millisecond)), Deadline: time.Duration(c.DeadlineMs * float64(time.Millisecond)), Worth: c.Worth,
-		LateWorth: 0.5, Read: beechgrade.ReadAny}
-	for name, effect := range map[string]beechgrade.Effect{clickhouse.ReadClass: beechgrade.Safe, clickhouse.WriteClass: beechgrade.Unsafe} {
-		class.Effect = effect
-		cfg.Classes = append(cfg.Classes, name)
+	add := func(rule string, aim, deadline, worth float64) {
+		class := beechgrade.Class{Aim: time.Duration(aim * float64(time.Millisecond)), Deadline: time.Duration(deadline * float64(time.Millisecond)), Worth: worth,
+			LateWorth: 0.5, Read: beechgrade.ReadAny}
+		reads, writes := clickhouse.Classes(rule)
+		cfg.Classes = append(cfg.Classes, reads, writes)
 		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
+		class.Effect = beechgrade.Unsafe
+		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
+	}
+	add("", c.AimMs, c.DeadlineMs, c.Worth)
+	for i := range c.Rules {
+		add(c.Rules[i].Name, c.Rules[i].AimMs, c.Rules[i].Deadline, c.Rules[i].Worth)
 	}
 }
