--- a/router.go
+++ b/router.go
@@ -287,8 +287,8 @@
 	if q.class.Read == ReadBounded {
 		need = r.now - q.class.Bound
 	}
-	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard, but
-	// hardly between its report and the answer to a probe sent for this request.
+	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
+	// but hardly between its report and the answer to a probe sent for this request.
 	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
 	if need == never || leads || s.position >= need {
 		return true, true
