Keep the saved list until all services of Consul have been heard

Cause: the first answer for one of several services counted as Consul's whole word, so that after a start by the saved list the servers of the other services left it until their own answers came.

Change: reports say whether more is to come; what was known at the start stands until each source has said all. Tests of the members themselves, of agents over TLS with and without their authority, and of the incident report's section on who said what.

Measured: TestKnownUntilAllAreHeard fails before the change; all of membership's tests pass.

--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -246,6 +246,13 @@
 	if err := cmd.Run(context.Background(), []string{"kit", "members", "--why", dir}); err != nil {
 		t.Fatal(err)
 	}
+	page := filepath.Join(t.TempDir(), "report.html")
+	if err := command().Run(context.Background(), []string{"kit", "incident", "report", "-o", page, dir}); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := os.ReadFile(page); err != nil || !bytes.Contains(b, []byte("Who said what of the servers")) || !bytes.Contains(b, []byte("removal held back")) {
+		t.Errorf("the report does not tell who said what: %v", err)
+	}
 	for _, want := range []string{"consul", "itself", "the list", "passing at 127.0.0.1:", "removal held back", "not believed"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is not told of in\n%s", want, out.String()[:min(4000, out.Len())])
--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -268,6 +274,32 @@
 	}
 }
 
+// TestTLS: agents over TLS are asked where their authority is known, and not where it is not.
+func TestTLS(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		var proxy *httptest.Server
+		w := watch(t, 1, func(o *Options) {
+			to, err := url.Parse("http://" + o.Agents[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			proxy = httptest.NewTLSServer(httputil.NewSingleHostReverseProxy(to))
+			proxy.Config.ErrorLog = log.New(io.Discard, "", 0)
+			t.Cleanup(func() { proxy.CloseClientConnections(); proxy.Close() })
+			o.Agents[0] = proxy.Listener.Addr().String()
+			o.TLS = &tls.Config{ServerName: "example.com"}
+			if known {
+				o.TLS.RootCAs = proxy.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
+			}
+		})
+		if known {
+			w.until(t, "three", w.size(3))
+		} else {
+			w.until(t, "that it is not believed", w.noted("certificate"))
+		}
+	}
+}
+
 // TestUnusable: what cannot be used is told of once and takes nothing with it.
 func TestUnusable(t *testing.T) {
 	w := watch(t, 1, nil)
--- a/internal/membership/consul/source.go
+++ b/internal/membership/consul/source.go
@@ -67,6 +67,7 @@
 
 	mu   sync.Mutex
 	lost map[string]bool // services that no agent answers for
+	told map[string]bool // services of which a list was told
 	read atomic.Int64    // bytes of answers
 }
 
@@ -78,7 +79,7 @@
 // New makes a source; Start has it watch. post carries calls to the loop, now is its clock.
 func New(opt Options, post func(func()), now func() float64, sink Sink, log *slog.Logger) *Source {
 	dialer := &net.Dialer{Timeout: dialMs * time.Millisecond}
-	s := &Source{opt: opt, post: post, sink: sink, log: log, now: now, lost: map[string]bool{},
+	s := &Source{opt: opt, post: post, sink: sink, log: log, now: now, lost: map[string]bool{}, told: map[string]bool{},
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, TLSClientConfig: opt.TLS, MaxIdleConnsPerHost: idleConns,
 			IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: 1 << 16, ReadBufferSize: 16 << 10, WriteBufferSize: 4 << 10},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
@@ -284,9 +285,11 @@
 	s := w.s
 	s.mu.Lock()
 	delete(s.lost, w.service)
+	s.told[w.service] = true
+	more := len(s.told) < len(s.opt.Services)
 	s.mu.Unlock()
 	next := make(map[string]judge.Claim, len(list))
-	r := &judge.Report{Age: age}
+	r := &judge.Report{Age: age, More: more}
 	bad, why := 0, ""
 	for i := range list {
 		c, err := s.opt.Map.Claim(&list[i])
--- a/internal/membership/judge/judge.go
+++ b/internal/membership/judge/judge.go
@@ -56,6 +56,7 @@
 	Removed    []string
 	Generation int64   // 0 where the source has none
 	Age        float64 // how old the source itself calls its news
+	More       bool    // the source has not said all that it has yet
 }
 
 // State is a server's state in the list that is made.
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -160,7 +160,9 @@
 	if m.judge.Heard(now, source, r) && source == Platform {
 		m.Fetch()
 	}
-	delete(m.due, source)
+	if !r.More {
+		delete(m.due, source)
+	}
 	if len(m.due) == 0 {
 		m.due = map[string]bool{"": true} // once
 		m.judge.Retire(now, Known)
--- /dev/null
+++ b/internal/membership/members_test.go
@@ -0,0 +1,123 @@
+package membership
+
+import (
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/membership/judge"
+)
+
+// rig is members on a loop that a test drives; it is discovery.Events too.
+type rig struct {
+	*Members
+	now    float64
+	due    []func()
+	list   map[string]discovery.Instance
+	failed int
+}
+
+func (r *rig) Now() float64 { return r.now }
+func (r *rig) At(_ float64, do func()) *deadline.Timer {
+	r.due = append(r.due, do)
+	return nil
+}
+func (r *rig) Post(f func()) { f() }
+
+type events struct{ r *rig }
+
+func (e events) Listed(l *discovery.List) {
+	if l.Reset {
+		clear(e.r.list)
+	}
+	for _, n := range l.Instances {
+		if n.Lifecycle == "removed" {
+			delete(e.r.list, n.ID)
+		} else {
+			e.r.list[n.ID] = n
+		}
+	}
+}
+func (e events) ListFailed() { e.r.failed++ }
+
+func (r *rig) sum() string {
+	var out []string
+	for id, n := range r.list {
+		out = append(out, strings.TrimSpace(id+" "+n.Lifecycle+" "+n.Role))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
+func newRig(known []discovery.Instance, sources ...string) *rig {
+	r := &rig{now: 1e6, list: map[string]discovery.Instance{}}
+	r.Members = New(r, slog.New(slog.DiscardHandler), Options{Judge: judge.Defaults(sources...), Platform: slices.Contains(sources, Platform)}, events{r}, &discovery.List{Instances: known})
+	for _, n := range r.Begin().Instances {
+		r.list[n.ID] = n
+	}
+	return r
+}
+
+func up(id string) discovery.Instance {
+	return discovery.Instance{ID: id, HostPort: id + ":5432", Lifecycle: "up", Weight: 1}
+}
+
+func claim(id string) judge.Claim { return judge.Claim{ID: id, Address: id + ":5432", Weight: 1} }
+
+// TestKnownUntilAllAreHeard: what was known at the start stands until each source has said all that it has, not just a part.
+func TestKnownUntilAllAreHeard(t *testing.T) {
+	r := newRig([]discovery.Instance{up("a"), up("b"), up("old")}, Consul, Static)
+	var got []string
+	for _, step := range []func(){
+		func() {},
+		func() { r.Heard(Consul, &judge.Report{Claims: []judge.Claim{claim("a")}, More: true}) },
+		func() { r.Heard(Static, &judge.Report{Whole: true, Claims: []judge.Claim{claim("c")}}) },
+		func() { r.Heard(Consul, &judge.Report{Claims: []judge.Claim{claim("b")}}) },
+		func() { r.Heard(Consul, &judge.Report{Removed: []string{"b"}}) },
+	} {
+		step()
+		got = append(got, r.sum())
+	}
+	if diff := cmp.Diff([]string{"a up, b up, old up", "a up, b up, old up", "a up, b up, c up, old up", "a up, b up, c up", "a up, c up"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestWordsAndPlatform: servers' words reach the list's roles; the platform's changes and failures come through.
+func TestWordsAndPlatform(t *testing.T) {
+	r := newRig(nil, Platform)
+	a, b := up("a"), up("b")
+	a.Role = "primary"
+	r.Listed(&discovery.List{Generation: 5, Reset: true, Instances: []discovery.Instance{a, b}})
+	r.Told("b", true, false, 0)
+	r.Told("a", false, true, 0)
+	if diff := cmp.Diff("a up, b up primary", r.sum()); diff != "" {
+		t.Error(diff)
+	}
+	b.Lifecycle = "draining"
+	r.Listed(&discovery.List{Generation: 6, Instances: []discovery.Instance{b}})
+	if diff := cmp.Diff("a up, b draining", r.sum()); diff != "" {
+		t.Error(diff)
+	}
+	asked := &fetches{}
+	r.Use(asked)
+	b.Lifecycle = "up"
+	r.Listed(&discovery.List{Generation: 2, Instances: []discovery.Instance{b}}) // changes that go back
+	if r.ListFailed(); r.failed != 1 || asked.n != 1 || r.sum() != "a up, b draining" {
+		t.Errorf("%d failures, %d asked for the whole list; %s", r.failed, asked.n, r.sum())
+	}
+	r.Listed(&discovery.List{Generation: 2, Reset: true, Instances: []discovery.Instance{b}})
+	if r.Sum() != "1 servers, 0 removals held back" || r.sum() != "b up primary" {
+		t.Errorf("%s; %s", r.Sum(), r.sum())
+	}
+}
+
+type fetches struct{ n int }
+
+func (f *fetches) Watch() {}
+func (f *fetches) Fetch() { f.n++ }
