Play mutants as the daemon is, and blame no server for want of descriptors

Cause: in virtual time mutants kept writes that wait for a connection to a self-declared replica, which the daemon gives up, so that a mutant might have been caught by that alone. And a ClickHouse query that found no descriptor for a connection counted against its server.

Change: mutants play as the daemon does but for what is broken in them; the ClickHouse front tells such a query as never sent, as the platform's connections do.

--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -165,7 +165,11 @@
 		return
 	}
 	a.connect = f.loop.At(f.loop.Now()+f.opt.ConnectMs, func() {
-		if a.link == nil {
+		switch {
+		case a.link != nil:
+		case s.dialing == 0: // want of a descriptor tells nothing of the server
+			f.drop(a, beechgrade.Skipped)
+		default:
 			f.drop(a, beechgrade.Unreachable)
 		}
 	})
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -503,7 +503,7 @@
 		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
-		if o.Role == beechgrade.RoleReplica && a.p.e.opt.Mutant == nil {
+		if o.Role == beechgrade.RoleReplica {
 			st.recall()
 		}
 		st.free() // before the end is told: what that leads to may use it
