Stream bodies, keep sessions and hold reads to a bound at the ClickHouse front

Contractors' programs load more than a pooler holds, keep temporary tables in sessions, and must not read months-old figures from a replica that fell behind. Bodies longer than (hold) now pass through with back-pressure and are never sent again; a session stays with its server, by a module of its own without I/O, and is lost aloud where that drains or dies; (bound) holds a class's reads to servers whose /replicas_status tells that they are near enough, through the decision module's bounded reads. Heads that tell of progress go on field by field.

Mended on the way: an answer's end could be cut off for a slow reader of a connection that closes behind it; too much sent ahead wrote an error into the midst of another answer; a client of HTTP/1.0 could take half an answer for a whole one; a length of -0 was taken; a parked connection that was closed on its way back leaked.

--- a/api.go
+++ b/api.go
@@ -122,6 +122,7 @@
 	SinceOwn time.Duration // session reads: time since the session's last commit, 0 for none
 	Work     time.Duration // expected work on a standard core, 0 if unknown
 	Repeat   bool          // the client has asked before
+	Only     StoreID       // the one store that can serve it, empty for any; with reads of any member only
 }
 
 // Result says how an attempt or probe ended.
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -5,17 +5,12 @@
 package clickhouse
 
 import (
-	"errors"
-	"fmt"
 	"log/slog"
-	"net/url"
-	"strconv"
-	"strings"
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clickhouse/limits"
+	"beechgrade/internal/clickhouse/sessions"
 	"beechgrade/internal/front"
-	"beechgrade/internal/httpwire"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/slots"
 )
@@ -28,9 +23,15 @@
 
 // Options are the front's. Times are in milliseconds.
 type Options struct {
-	Group     int // whose servers are ClickHouse's
-	MostBody  int // bytes of a query's body
+	Group     int   // whose servers are ClickHouse's
+	Hold      int   // bytes of a query's body that are held; a longer one passes through as it comes, and is never sent again
+	MostBody  int64 // bytes that a body may have, 0 for any number
 	Deadline  float64
+	UploadMs  float64 // a body that passes through may take so long to come
+	QuietMs   float64 // a server may be silent for so long in the midst of an answer
+	StallMs   float64 // ...and a client may take nothing of it for so long
+	Header    string  // a client may say in it how many ms it waits
+	Check     bool    // servers are asked how far behind they are before each read that has a bound
 	ConnectMs float64
 	IdleMs    float64 // a connection to a server idle for so long is closed
 	ClientMs  float64 // ...and a client's
@@ -39,6 +40,8 @@
 	GraceMs   float64 // for sends to a server, from the list's word that it drains
 	Name      string  // of the pooler, in ids of queries that come without one
 	Rules     []Rule  // the first that matches counts
+	Bound     float64 // no read that is of no rule may see data older than that, 0 for any
+	Sessions  int     // at most
 	Users     map[string]limits.Limits
 	Others    limits.Limits // of users that are not named
 	Spare     func() int    // descriptors left
@@ -50,6 +53,7 @@
 	muchUnsent = 256 << 10
 	littleLeft = 64 << 10
 	lookMs     = 10 // between looks at whether a slow reader has read
+	lastMs     = 1000
 	sweepMs    = 500
 	heldPart   = 8 // of the memory, clients' queries may take 1 in so many
 )
@@ -66,19 +70,28 @@
 	stores   map[string]*store
 	gate     *limits.Gate
 	waiting  map[limits.ID]*request
-	serving  *link // whose answer the core is being told of
-	number   uint64
-	began    float64
-	conns    int
-	kills    int
-	held     int
-	draining bool
+	sessions *sessions.Table
+	// queries of sessions that are under way
+	inSession map[sessions.Key]*request
+	bounded   bool  // some class has a bound: probes ask how far behind servers are
+	serving   *link // whose answer the core is being told of
+	number    uint64
+	began     float64
+	conns     int
+	kills     int
+	held      int
+	draining  bool
 }
 
 // New makes a front.
 func New(l *loop.Loop, log *slog.Logger, opt Options, desk front.Desk, events backend.Events) *Front {
-	return &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{}, began: l.Now(),
-		gate: limits.New(opt.Users, opt.Others), waiting: map[limits.ID]*request{}}
+	f := &Front{loop: l, log: log, opt: opt, desk: desk, events: events, stores: map[string]*store{}, began: l.Now(),
+		gate: limits.New(opt.Users, opt.Others), waiting: map[limits.ID]*request{},
+		sessions: sessions.New(opt.Sessions), inSession: map[sessions.Key]*request{}, bounded: opt.Bound > 0}
+	for i := range opt.Rules {
+		f.bounded = f.bounded || opt.Rules[i].Bound > 0
+	}
+	return f
 }
 
 // Start begins the sweeps; it is for the loop.
@@ -102,6 +115,11 @@
 
 // leave gives a request's place up, and lets in who comes next.
 func (f *Front) leave(r *request) {
+	if r.session != (sessions.Key{}) {
+		delete(f.inSession, r.session)
+		f.sessions.Leave(f.loop.Now(), r.session)
+		r.session = sessions.Key{}
+	}
 	if r.gated == 0 {
 		return
 	}
@@ -116,19 +134,49 @@
 	}
 }
 
+// lose ends the sessions of a server that has gone or drains. A query of one that waits for it is answered at once; one that
+// runs there ends in its time.
+func (f *Front) lose(server string) {
+	for _, k := range f.sessions.Gone(server) {
+		r := f.inSession[k]
+		if r == nil || r.over || r.taker != nil {
+			continue
+		}
+		if r.asked {
+			f.desk.Gone(r.ref)
+		}
+		r.c.complain(r, 404, codeNoSession, "SESSION_NOT_FOUND", lostText, 0)
+	}
+}
+
 // sweep closes clients that idle for too long, or do not get on with what they have begun.
 func (f *Front) sweep() {
 	now := f.loop.Now()
-	var late []*client
+	f.sessions.Expire(now)
+	var late, slow []*client
+	var quiet []*link
 	f.clients.Each(func(_ slots.Ref, c *client) {
 		begun := len(c.in) > 0 || c.head != nil
 		if c.req == nil && (begun && now-c.since > f.opt.HeadMs || !begun && now-c.since > f.opt.ClientMs) {
 			late = append(late, c)
 		}
+		if c.uploads() && !c.req.over && !c.conn.Parked() && now-c.since > f.opt.HeadMs {
+			slow = append(slow, c)
+		}
+		if c.req != nil && c.req.link != nil && !c.req.link.parked && now-c.req.link.heard > f.opt.QuietMs {
+			quiet = append(quiet, c.req.link)
+		}
 	})
 	for _, c := range late {
 		c.conn.Close()
 	}
+	for _, c := range slow {
+		c.give(c.req, 408, codeTimeout, "TIMEOUT_EXCEEDED", "the rest of the body does not come")
+	}
+	for _, l := range quiet {
+		f.log.Warn("clickhouse: silent in the midst of an answer", "store", l.store.id)
+		l.cut()
+	}
 }
 
 // Accept makes the handler of a new connection.
@@ -178,280 +226,5 @@
 	}
 }
 
-// client is a client's connection; it is the loop's Handler.
-type client struct {
-	f      *Front
-	ref    slots.Ref
-	conn   *loop.Conn
-	in     []byte
-	head   *httpwire.Head // of the request whose body is coming in
-	body   httpwire.Body
-	raw    []byte
-	data   []byte
-	req    *request // the one that waits for its answer, or whose answer comes
-	since  float64  // idle, or in the midst of a request: since then
-	leaves bool     // it is closed behind its answer
-	closed bool
-	going  *request // whose answer it left in its midst
-	held   int      // bytes of it that are kept
-}
-
-// Opened is loop's.
-func (c *client) Opened(lc *loop.Conn) {
-	c.conn = lc
-	if c.f.opt.Spare() <= 0 || c.f.draining {
-		c.say(503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "too many clients", 1)
-		lc.Close()
-	}
-}
-
-// Data is loop's.
-func (c *client) Data(b []byte) {
-	if c.closed || c.leaves && c.req == nil {
-		return
-	}
-	if len(c.in) == 0 && c.req == nil && c.head == nil {
-		c.since = c.f.loop.Now()
-	}
-	c.in = append(c.in, b...)
-	c.hold(len(b))
-	if f := c.f; f.held > f.opt.Memory()/heldPart {
-		c.end(503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "too much is waiting here already")
-		return
-	}
-	if len(c.in) > c.f.opt.MostBody+httpwire.MaxHead {
-		c.end(413, codeBadRequest, "BAD_ARGUMENTS", "too much was sent ahead, or the body is too long")
-		return
-	}
-	c.proceed()
-}
-
-// hold counts bytes that are kept of a client, and gives back those that are not any more.
-func (c *client) hold(n int) {
-	c.held += n
-	c.f.held += n
-}
-
-// take has so many bytes of what came taken.
-func (c *client) take(n int) {
-	c.in = c.in[:copy(c.in, c.in[n:])]
-	if len(c.in) == 0 {
-		c.in = nil
-	}
-}
-
-// proceed takes the requests that are there, one after the other: answers keep their order.
-func (c *client) proceed() {
-	for !c.closed && c.req == nil && !c.leaves {
-		if c.head == nil {
-			h, n, err := httpwire.Parse(c.in, true)
-			switch {
-			case errors.Is(err, httpwire.ErrTooLong):
-				c.end(431, codeBadRequest, "BAD_ARGUMENTS", err.Error())
-				return
-			case errors.Is(err, httpwire.ErrUnsupported):
-				c.end(501, codeUnsupported, "UNSUPPORTED_METHOD", err.Error())
-				return
-			case err != nil:
-				c.end(400, codeBadRequest, "BAD_ARGUMENTS", err.Error())
-				return
-			case n == 0:
-				return
-			case h.Length > int64(c.f.opt.MostBody):
-				c.end(413, codeBadRequest, "BAD_ARGUMENTS", fmt.Sprintf("a body of %d bytes; at most %d are taken", h.Length, c.f.opt.MostBody))
-				return
-			}
-			c.take(n)
-			c.head, c.body, c.raw, c.data = h, httpwire.RequestBody(h), nil, nil
-			if h.Has("Expect", "100-continue") && !c.body.Done() && len(c.in) == 0 {
-				_ = c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-				if c.closed {
-					return
-				}
-			}
-		}
-		n, err := c.body.Next(c.in, func(p []byte) { c.data = append(c.data, p...) })
-		c.raw = append(c.raw, c.in[:n]...)
-		c.take(n)
-		if err != nil {
-			c.end(400, codeBadRequest, "BAD_ARGUMENTS", err.Error())
-			return
-		}
-		if len(c.raw) > c.f.opt.MostBody {
-			c.end(413, codeBadRequest, "BAD_ARGUMENTS", "the body is too long")
-			return
-		}
-		if !c.body.Done() {
-			return
-		}
-		h := c.head
-		c.head = nil
-		c.put(h)
-	}
-}
-
-// put takes a whole request.
-func (c *client) put(h *httpwire.Head) {
-	c.leaves = h.Close || c.f.draining
-	path, rawQuery, _ := strings.Cut(h.Target, "?")
-	params, err := url.ParseQuery(rawQuery)
-	r := &request{c: c, head: h, raw: c.raw}
-	c.raw = nil
-	c.req = r
-	switch {
-	case err != nil || !strings.HasPrefix(path, "/"):
-		c.complain(r, 400, codeBadRequest, "BAD_ARGUMENTS", "the URL cannot be read", 0)
-		return
-	case path == "/ping", path == "/" && (h.Method == "GET" || h.Method == "HEAD") && params.Get("query") == "" && len(c.data) == 0:
-		c.plain(r, 200, "Ok.\n")
-		return
-	case h.Method != "GET" && h.Method != "HEAD" && h.Method != "POST" && h.Method != "PUT":
-		c.complain(r, 501, codeUnsupported, "UNSUPPORTED_METHOD", "GET, HEAD, POST and PUT are taken", 0)
-		return
-	case params.Get("session_id") != "":
-		c.complain(r, 501, codeUnsupported, "UNSUPPORTED_METHOD", "session_id is not supported: queries of one session may go to several servers", 0)
-		return
-	}
-	known := params.Get("decompress") == "" && h.Get("Content-Encoding") == ""
-	r.reads = Reads(h.Method, params, c.data, known)
-	class, deadline, target := c.f.class(h, path, rawQuery, params, r.reads)
-	h.Target = target
-	c.data = nil
-	now := c.f.loop.Now()
-	r.due = now + deadline
-	if ms := limit(params); ms > 0 {
-		r.due = min(r.due, now+ms)
-	}
-	c.f.number++
-	r.number, r.class, r.params = c.f.number, class, params
-	if r.query = params.Get("query_id"); r.query == "" { // one is made, so that it can be found at the server
-		r.query = fmt.Sprintf("%s-%x-%d", c.f.opt.Name, uint64(c.f.began), r.number)
-		sep := "?"
-		if strings.Contains(h.Target, "?") {
-			sep = "&"
-		}
-		h.Target += sep + "query_id=" + url.QueryEscape(r.query)
-	}
-	id := limits.ID(r.number)
-	user := User(h, params)
-	switch c.f.gate.Enter(id, user, now) {
-	case limits.In:
-		r.gated = id
-		c.ask(r)
-	case limits.Waits:
-		r.gated = id
-		c.f.waiting[id] = r
-		c.f.loop.At(now+c.f.gate.Wait(user)+1, c.f.beat)
-	case limits.TooMany:
-		c.complain(r, 503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "too many queries of this user run and wait; it has not run", 1)
-	default:
-		c.complain(r, 503, codeTooMany, "TOO_MANY_SIMULTANEOUS_QUERIES", "queries of this user come too fast; it has not run", 1)
-	}
-}
-
-// ask puts a request to the decision module.
-func (c *client) ask(r *request) {
-	ref, err := c.f.desk.Ask(front.Request{ID: "ch-" + strconv.FormatUint(r.number, 36), Class: r.class, Group: c.f.opt.Group, Due: r.due, Query: r}, r)
-	if err != nil {
-		c.f.log.Error("clickhouse", "err", err)
-		c.complain(r, 500, codeNetwork, "NETWORK_ERROR", "the pooler could not take the query", 0)
-		return
-	}
-	r.ref, r.asked = ref, true
-}
-
-// Closed is loop's: a client that goes ends its query, in whatever phase that is.
-func (c *client) Closed(error) {
-	if c.closed {
-		return
-	}
-	c.closed = true
-	c.hold(-c.held)
-	c.f.clients.Drop(c.ref)
-	if r := c.req; r != nil {
-		c.req = nil
-		switch {
-		case r.link != nil:
-			c.going = r
-			r.link.abandon()
-		case !r.over:
-			r.over = true
-			if r.asked {
-				c.f.desk.Gone(r.ref)
-			}
-		}
-		c.f.leave(r)
-	}
-}
-
-// finish ends an answer, and takes the next request.
-func (c *client) finish() {
-	if r := c.req; r != nil {
-		defer c.f.leave(r)
-	}
-	c.req = nil
-	c.since = c.f.loop.Now()
-	if c.closed {
-		return
-	}
-	c.hold(len(c.in) - c.held)
-	if c.leaves {
-		c.conn.Close()
-		return
-	}
-	c.proceed()
-}
-
-// complain answers with an exception in ClickHouse's form.
-func (c *client) complain(r *request, status, code int, name, text string, retryS int) {
-	if r.over || c.closed {
-		return
-	}
-	r.over = true
-	c.say(status, code, name, text, retryS)
-	c.finish()
-}
-
-func (c *client) say(status, code int, name, text string, retryS int) {
-	body := fmt.Sprintf("Code: %d. DB::Exception: %s. (%s) (beechgrade)\n", code, text, name)
-	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=UTF-8\r\nX-ClickHouse-Exception-Code: %d\r\nContent-Length: %d\r\n", status, reasons[status], code, len(body))
-	if retryS > 0 {
-		out = fmt.Appendf(out, "Retry-After: %d\r\n", retryS)
-	}
-	out = append(out, c.connection()...)
-	if c.req == nil || c.req.head.Method != "HEAD" {
-		out = append(out, body...)
-	}
-	_ = c.conn.Write(out)
-}
-
-var reasons = map[int]string{400: "Bad Request", 413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
-	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
-
-// connection is the field that says whether the connection stays, with the head's end.
-func (c *client) connection() string {
-	if c.leaves {
-		return "Connection: close\r\n\r\n"
-	}
-	return "Connection: keep-alive\r\n\r\n"
-}
-
-// plain answers by itself.
-func (c *client) plain(r *request, status int, body string) {
-	r.over = true
-	out := fmt.Appendf(nil, "HTTP/1.1 %d OK\r\nContent-Type: text/html; charset=UTF-8\r\nContent-Length: %d\r\n%s", status, len(body), c.connection())
-	if r.head.Method != "HEAD" {
-		out = append(out, body...)
-	}
-	_ = c.conn.Write(out)
-	c.finish()
-}
-
-// end answers what cannot be understood, and closes: nobody knows where the next request begins.
-func (c *client) end(status, code int, name, text string) {
-	c.leaves = true
-	c.say(status, code, name, text, 0)
-	if !c.closed {
-		c.conn.Close()
-	}
-}
+// Held is how many bytes are kept of clients' requests.
+func (f *Front) Held() int { return f.held }
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -1,7 +1,11 @@
 package clickhouse
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"strings"
+	"syscall"
 
 	"beechgrade"
 	"beechgrade/internal/backend"
@@ -11,6 +15,8 @@
 	"beechgrade/internal/slots"
 )
 
+const timedOut = beechgrade.TimedOut
+
 // store is the connections to one server.
 type store struct {
 	id      string
@@ -19,6 +25,9 @@
 	waiting []*attempt
 	dialing int
 
+	position float64 // its data is at least as new, as told at toldAt
+	toldAt   float64 // 0 for never
+
 	barredAt float64 // the list said then that it drains, 0 for not so
 }
 
@@ -29,6 +38,8 @@
 	store   *store
 	r       *request
 	until   float64
+	since   float64 // of a probe
+	checked bool    // its server has told that it is not too far behind
 	link    *link
 	timer   *deadline.Timer
 	connect *deadline.Timer
@@ -40,6 +51,8 @@
 	dialing linkState = iota
 	idle
 	asked     // an attempt's query is out
+	reporting // it tells how far behind it is, for a probe or before a query
+	heading   // the head of its answer comes in many pieces, and goes to a client
 	streaming // its answer goes to a client
 	shut
 )
@@ -54,11 +67,17 @@
 	attempt *attempt
 	method  string
 	sent    bool
+	askedAt float64
+	heard   float64 // something came last
+	lags    bool    // it was asked how far behind it is
+	text    []byte  // ...and says so
 	in      []byte
 	head    *httpwire.Head
 	body    httpwire.Body
 	reader  *client // whom the answer goes to
 	parked  bool
+	unsent  int     // of its reader, when it last took something of it...
+	takenAt float64 // ...that is, then
 	timer   *deadline.Timer
 }
 
@@ -96,6 +115,7 @@
 	for len(s.waiting) > 0 {
 		f.drop(s.waiting[0], beechgrade.Skipped)
 	}
+	f.lose(id)
 }
 
 // Forget is core.Servers'.
@@ -134,7 +154,7 @@
 		f.events.ProbeEnded(id, backend.Outcome{Result: beechgrade.Unreachable})
 		return
 	}
-	a := &attempt{store: s, until: f.loop.Now() + f.opt.ConnectMs}
+	a := &attempt{store: s, until: f.loop.Now() + f.opt.ConnectMs, since: f.loop.Now()}
 	a.ref = f.attempts.Put(a)
 	f.begin(a)
 }
@@ -185,18 +205,21 @@
 	f.conns++
 	f.loop.Dial(s.addr, f.opt.ConnectMs, l, func(err error) {
 		f.log.Debug("clickhouse: connect", "store", s.id, "err", err)
-		l.failed()
+		l.failed(err)
 	})
 }
 
 // failed takes a connection out that never came up, and with it the attempt that waited longest.
-func (l *link) failed() {
+func (l *link) failed(err error) {
 	if l.state != dialing {
 		return
 	}
 	l.state = shut
 	l.store.dialing--
 	l.f.conns--
+	if errors.Is(err, syscall.ECONNREFUSED) { // no process is there, nor what it held
+		l.f.lose(l.store.id)
+	}
 	if w := l.store.waiting; len(w) > l.store.dialing {
 		l.f.drop(w[0], beechgrade.Unreachable)
 	}
@@ -209,9 +232,10 @@
 	}
 	if l := a.link; l != nil {
 		l.attempt = nil
+		a.leave(l)
 		f.done(a, res)
 		l.close()
-		if res == beechgrade.Cancelled || res == beechgrade.TimedOut {
+		if (res == beechgrade.Cancelled || res == beechgrade.TimedOut) && !l.lags {
 			f.kill(a.store, a.r)
 		}
 		return
@@ -238,13 +262,21 @@
 	f.loop.Stop(a.timer)
 	f.loop.Stop(a.connect)
 	if a.r == nil {
-		f.events.ProbeEnded(a.store.id, backend.Outcome{Result: res})
+		o := backend.Outcome{Result: res}
+		if s := a.store; res == beechgrade.OK && s.toldAt >= a.since && s.toldAt != 0 {
+			o.Position, o.HasPos = s.position, true
+		}
+		f.events.ProbeEnded(a.store.id, o)
 		return
 	}
 	if res != beechgrade.Unreachable && res != beechgrade.Skipped {
 		a.r.reached = true
 	}
-	f.events.AttemptEnded(a.tag, backend.Outcome{Result: res})
+	o := backend.Outcome{Result: res}
+	if res == beechgrade.Missed {
+		o.Position, o.HasPos = a.store.position, true
+	}
+	f.events.AttemptEnded(a.tag, o)
 }
 
 // Opened is loop's.
@@ -282,19 +314,42 @@
 	l.f.loop.Stop(l.timer)
 	l.f.loop.Stop(a.connect)
 	l.state, l.attempt, a.link, l.method = asked, a, l, "GET"
-	out := []byte("GET /ping HTTP/1.1\r\nHost: clickhouse\r\n\r\n")
-	if a.r != nil {
+	l.lags = a.r == nil && l.f.bounded || a.r != nil && a.r.bound() > 0 && l.f.opt.Check && !a.checked
+	path := "/ping"
+	if l.lags {
+		path = statusPath
+	}
+	out := []byte("GET " + path + " HTTP/1.1\r\nHost: clickhouse\r\n\r\n")
+	if a.r != nil && !l.lags {
 		out, l.method = a.r.AppendQuery(nil, 0), a.r.head.Method
+		a.r.taker = l
+	}
+	l.sent, l.askedAt = false, l.f.loop.Now()
+	if l.conn.Write(out) != nil {
+		return
+	}
+	l.sent = true
+	if a.r != nil && a.r.stream && a.r.taker == l {
+		a.r.c.resume()
 	}
-	l.sent = false
-	if l.conn.Write(out) == nil {
-		l.sent = true
+}
+
+// leave has an attempt's request know that it is not out on a connection any more.
+func (a *attempt) leave(l *link) {
+	if a.r != nil && a.r.taker == l {
+		a.r.taker = nil
 	}
 }
 
 // Data is loop's.
 func (l *link) Data(b []byte) {
+	l.heard = l.f.loop.Now()
 	switch l.state {
+	case reporting:
+		l.report(b)
+	case heading:
+		l.in = append(l.in, b...)
+		l.fields()
 	case asked:
 		l.in = append(l.in, b...)
 		l.begin()
@@ -307,8 +362,11 @@
 
 // begin reads the answer's head, and decides what it is.
 func (l *link) begin() {
-	h, n, err := httpwire.Parse(l.in, false)
 	a := l.attempt
+	if a.r != nil && !l.lags && a.r.params.Get("send_progress_in_http_headers") == "1" && l.early() {
+		return
+	}
+	h, n, err := httpwire.Parse(l.in, false)
 	switch {
 	case err != nil:
 		l.f.log.Warn("clickhouse: an answer that cannot be read", "store", l.store.id, "err", err)
@@ -324,27 +382,161 @@
 	rest := l.in[n:]
 	l.in = nil
 	l.head, l.body = h, httpwire.AnswerBody(h, l.method)
-	if res := resultOf(h); res != beechgrade.OK {
+	if l.lags {
+		l.state, l.text = reporting, nil
+		l.report(rest)
+		return
+	}
+	// What a body that has passed on met is its answer, whatever that is: there is no other to be had.
+	if res := resultOf(h); res != beechgrade.OK && (a.r == nil || !a.r.passing) {
 		l.f.drop(a, res)
 		return
 	}
-	l.state, l.attempt, a.link = streaming, nil, nil
+	if l.serve(a, streaming) && l.reader != nil {
+		l.reader.answer(l)
+	}
+	if l.state == streaming {
+		l.pass(rest)
+	}
+}
+
+// serve has the core know that an attempt's answer is there. It tells whether the connection still stands: another's answer
+// may have come first, or nobody waits any more.
+func (l *link) serve(a *attempt, next linkState) bool {
+	l.state, l.attempt, a.link = next, nil, nil
 	was := l.f.serving
 	l.f.serving = l
 	l.f.done(a, beechgrade.OK)
 	l.f.serving = was
-	if a.r != nil && l.reader == nil { // another's answer came first, or nobody waits any more
+	if a.r == nil {
+		return true
+	}
+	if l.reader == nil {
+		a.leave(l)
+		l.close()
+		return false
+	}
+	if l.head.Get("X-ClickHouse-Exception-Code") == noSession {
+		l.f.sessions.Unbind(a.r.session)
+	}
+	return true
+}
+
+const noSession = "372"
+
+// report takes a server's word on how far behind it is, and has what waits for it go on.
+func (l *link) report(b []byte) {
+	a := l.attempt
+	n, err := l.body.Next(b, func(p []byte) { l.text = append(l.text, p...) })
+	switch {
+	case err != nil || len(l.text) > maxReport:
+		l.f.drop(a, beechgrade.Failed)
+		return
+	case !l.body.Done():
+		return
+	}
+	l.in = append(l.in, b[n:]...)
+	s := l.store
+	lag, told := lagOf(l.head.Status, string(l.text))
+	l.text = nil
+	if told {
+		s.position, s.toldAt = max(s.position, l.askedAt-lag), l.f.loop.Now()
+	}
+	ends := l.head.Close
+	l.attempt, a.link = nil, nil
+	switch {
+	case a.r == nil && told:
+		l.f.done(a, beechgrade.OK)
+	case a.r == nil:
+		l.f.done(a, resultOf(l.head))
+	case !told || s.position < l.f.loop.Now()-a.r.bound():
+		l.f.done(a, beechgrade.Missed)
+	case ends: // it goes out on another
+		a.checked = true
 		l.close()
+		l.f.loop.Stop(a.timer)
+		l.f.begin(a)
+		return
+	default:
+		a.checked = true
+		l.head = nil
+		l.ask(a)
 		return
 	}
-	if l.reader != nil {
-		l.reader.answer(l)
+	if ends || l.state == shut {
+		l.close()
+	} else {
+		l.free()
 	}
-	if l.state == streaming {
-		l.pass(rest)
+}
+
+// early looks for the start of an answer whose head tells of the query's progress, field by field for as long as that takes.
+// With the first such field it has begun, and goes on to the client as it comes. It tells whether that is so.
+func (l *link) early() bool {
+	h, at, err := httpwire.Start(l.in)
+	if err != nil || at == 0 || h.Status != 200 {
+		return false
+	}
+	for {
+		f, n, end, err := h.Line(l.in[at:], isProgress)
+		if err != nil || n == 0 || end {
+			return false
+		}
+		if at += n; isProgress(f) {
+			l.in = l.in[:copy(l.in, l.in[at:])]
+			l.head = h
+			if !l.serve(l.attempt, heading) {
+				return true
+			}
+			c := l.reader
+			out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", h.Status, h.Reason)
+			out = h.AppendFields(out, c.unfit()...)
+			_ = c.conn.Write((&httpwire.Head{Headers: []httpwire.Header{f}}).AppendFields(out))
+			l.fields()
+			return true
+		}
 	}
 }
 
+func isProgress(f httpwire.Header) bool { return strings.EqualFold(f.Name, "X-ClickHouse-Progress") }
+
+// fields passes on what is there of a head that comes in pieces, and then its body.
+func (l *link) fields() {
+	for at := 0; l.state == heading; {
+		c := l.reader
+		f, n, end, err := l.head.Line(l.in[at:], isProgress)
+		switch {
+		case err != nil:
+			l.f.log.Warn("clickhouse: an answer that cannot be read", "store", l.store.id, "err", err)
+			l.cut()
+			return
+		case n == 0:
+			l.in = l.in[:copy(l.in, l.in[at:])]
+			return
+		}
+		at += n
+		if !end {
+			_ = c.conn.Write((&httpwire.Head{Headers: []httpwire.Header{f}}).AppendFields(nil, c.unfit()...))
+			continue
+		}
+		l.body = httpwire.AnswerBody(l.head, l.method)
+		rest := l.in[at:]
+		l.in, l.state = nil, streaming
+		c.leaves = c.leaves || l.body.Open() || len(c.unfit()) > 0 && l.head.Chunked
+		if c.conn.Write([]byte(c.connection())) == nil {
+			l.pass(rest)
+		}
+	}
+}
+
+// unfit are the fields that a client of HTTP/1.0 does not know.
+func (c *client) unfit() []string {
+	if c.req.head.Minor == 0 {
+		return []string{"transfer-encoding", "trailer"}
+	}
+	return nil
+}
+
 // resultOf reads an answer's head. What a server says of the query itself is its answer; that it takes none now is not.
 func resultOf(h *httpwire.Head) beechgrade.Result {
 	switch h.Get("X-ClickHouse-Exception-Code") {
@@ -367,11 +559,7 @@
 		c.leaves = true
 	}
 	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", l.head.Status, l.head.Reason)
-	if c.req.head.Minor == 0 && l.head.Chunked {
-		out = l.head.AppendFields(out, "transfer-encoding", "trailer")
-	} else {
-		out = l.head.AppendFields(out)
-	}
+	out = l.head.AppendFields(out, c.unfit()...)
 	_ = c.conn.Write(append(out, c.connection()...))
 }
 
@@ -395,7 +583,7 @@
 		l.in = append(l.in, b[n:]...)
 		l.end()
 	case c != nil && c.conn.Unsent() > muchUnsent && !l.parked && l.conn.Park():
-		l.parked = true
+		l.parked, l.unsent, l.takenAt = true, c.conn.Unsent(), l.f.loop.Now()
 		l.look()
 	}
 }
@@ -403,8 +591,16 @@
 // look goes on with a parked connection once its client has read.
 func (l *link) look() {
 	l.f.loop.At(l.f.loop.Now()+lookMs, func() {
-		switch c := l.reader; {
+		c := l.reader
+		if c != nil && !c.closed {
+			if n := c.conn.Unsent(); n != l.unsent {
+				l.unsent, l.takenAt = n, l.f.loop.Now()
+			}
+		}
+		switch {
 		case l.state != streaming || !l.parked:
+		case c != nil && !c.closed && l.f.loop.Now()-l.takenAt > l.f.opt.StallMs: // it takes nothing
+			c.conn.Close()
 		case c == nil || c.closed || c.conn.Unsent() <= littleLeft:
 			l.parked = false
 			l.conn.Unpark()
@@ -418,7 +614,7 @@
 func (l *link) end() {
 	c, h := l.reader, l.head
 	l.reader = nil
-	if h.Close {
+	if h.Close || c != nil && c.uploads() { // the server may still wait for the rest of a body
 		l.close()
 	} else {
 		l.free()
@@ -434,7 +630,7 @@
 	l.reader = nil
 	l.close()
 	if c != nil && !c.closed {
-		c.conn.Close()
+		c.conn.Abort()
 	}
 }
 
@@ -463,7 +659,7 @@
 }
 
 // Closed is loop's.
-func (l *link) Closed(error) {
+func (l *link) Closed(err error) {
 	was := l.state
 	if was == shut {
 		return
@@ -480,18 +676,19 @@
 	}
 	if a := l.attempt; a != nil {
 		l.attempt, a.link = nil, nil
+		a.leave(l)
 		res := beechgrade.Reset
-		if !l.sent || l.conn != nil && l.conn.Unsent() > 0 {
+		if (!l.sent || l.conn != nil && l.conn.Unsent() > 0) && (a.r == nil || !a.r.passing) {
 			res = beechgrade.Unreachable // its last byte never left
 		}
 		l.f.done(a, res)
 	}
-	if c := l.reader; was == streaming && c != nil {
+	if c := l.reader; (was == streaming || was == heading) && c != nil {
 		l.reader = nil
-		if l.body.Open() {
+		if was == streaming && l.body.Open() && (err == nil || errors.Is(err, io.EOF)) {
 			c.finish()
 		} else if !c.closed {
-			c.conn.Close()
+			c.conn.Abort()
 		}
 	}
 	if s.dialing < len(s.waiting) && s.addr != "" && l.f.opt.Spare() > 0 {
--- a/internal/clickhouse/request.go
+++ b/internal/clickhouse/request.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"beechgrade/internal/clickhouse/limits"
+	"beechgrade/internal/clickhouse/sessions"
 	"beechgrade/internal/front"
 	"beechgrade/internal/httpwire"
 	"beechgrade/internal/slots"
@@ -20,6 +21,8 @@
 	codeNetwork     = 210 // NETWORK_ERROR
 	codeNoServer    = 279 // ALL_CONNECTION_TRIES_FAILED
 	codeBadRequest  = 36  // BAD_ARGUMENTS
+	codeNoSession   = 372 // SESSION_NOT_FOUND
+	codeLocked      = 373 // SESSION_IS_LOCKED
 )
 
 // request is one query of a client. It is front.Client and its attempts' backend.Query.
@@ -27,12 +30,19 @@
 	c       *client
 	ref     slots.Ref // the core's
 	head    *httpwire.Head
-	raw     []byte // the body as it came, framing and all
+	raw     []byte // the body as it came, framing and all, or what is held of it
 	reads   bool
 	due     float64
-	asked   bool // the core has it
-	over    bool // it has its answer, or its client has gone
-	reached bool // an attempt got to a server
+	span    float64 // from the end of its body to due
+	stream  bool    // its body passes through
+	passing bool    // ...and more of it than is held has gone on: it can go nowhere else
+	taker   *link   // that it is out on
+	only    string  // the server that has its session
+	session sessions.Key
+	rule    *Rule // nil for none
+	asked   bool  // the core has it
+	over    bool  // it has its answer, or its client has gone
+	reached bool  // an attempt got to a server
 	link    *link
 	number  uint64
 	query   string // its query_id, given or made
@@ -58,6 +68,15 @@
 	return "default"
 }
 
+// release gives up what is held of a body: from here on it can go nowhere else.
+func (r *request) release() {
+	if !r.passing {
+		r.passing = true
+		r.c.hold(-len(r.raw))
+		r.raw = nil
+	}
+}
+
 // AppendQuery is backend.Query's: the request as it came, for a connection that is kept.
 func (r *request) AppendQuery(dst []byte, _ int) []byte {
 	dst = append(append(append(append(dst, r.head.Method...), ' '), r.head.Target...), " HTTP/1.1\r\n"...)
@@ -71,8 +90,17 @@
 // Served is front.Client's: the server's answer has begun to come.
 func (r *request) Served([]byte) {
 	if l := r.c.f.serving; l != nil && !r.over {
-		r.over, r.link, r.raw = true, l, nil
+		r.over, r.link = true, l
+		if !r.stream {
+			r.raw = nil
+		}
 		l.reader = r.c
+		if r.c.conn.Parked() {
+			r.c.conn.Unpark()
+		}
+		if r.session != (sessions.Key{}) {
+			r.c.f.sessions.Served(r.session, l.store.id)
+		}
 	}
 }
 
--- a/internal/clickhouse/rules.go
+++ b/internal/clickhouse/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"strconv"
 	"strings"
 
 	"beechgrade/internal/httpwire"
@@ -16,6 +17,7 @@
 	Header   string // a field of the head...
 	Value    string // ...and its value
 	Deadline float64
+	Bound    float64 // its reads see data no older than that, 0 for any
 }
 
 // Matches tells whether a query is of a rule.
@@ -36,12 +38,12 @@
 	return "clickhouse-" + rule + "-reads", "clickhouse-" + rule + "-writes"
 }
 
-// class finds a query's class, its deadline, and its target at the server.
-func (f *Front) class(h *httpwire.Head, path, query string, params url.Values, reads bool) (class string, deadline float64, target string) {
+// class finds the rule of a query, its class, its deadline, and its target at the server.
+func (f *Front) class(h *httpwire.Head, path, query string, params url.Values, reads bool) (rule *Rule, class string, deadline float64, target string) {
 	name, deadline, target := "", f.opt.Deadline, h.Target
 	for i := range f.opt.Rules {
 		if r := &f.opt.Rules[i]; r.Matches(h, path, params) {
-			name, deadline = r.Name, r.Deadline
+			rule, name, deadline = r, r.Name, r.Deadline
 			if r.Path != "" {
 				target = "/" + strings.TrimSuffix("?"+query, "?")
 			}
@@ -52,5 +54,17 @@
 	if !reads {
 		class = writes
 	}
-	return class, deadline, target
+	return rule, class, deadline, target
+}
+
+// wanted is how many milliseconds a client says in its head that it waits, 0 where it does not.
+func (f *Front) wanted(h *httpwire.Head) float64 {
+	if f.opt.Header == "" {
+		return 0
+	}
+	x, err := strconv.ParseFloat(h.Get(f.opt.Header), 64)
+	if err != nil || !(x > 0) || x > 1e9 {
+		return 0
+	}
+	return x
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -174,7 +174,7 @@
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
-		Session: q.Session, Repeat: q.Repeat}
+		Session: q.Session, Repeat: q.Repeat, Only: beechgrade.StoreID(q.Only)}
 	if q.After > 0 {
 		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
 		e.SinceOwn = max(1, now-clock.Span(q.After))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,7 +16,8 @@
 	Due     float64 // on the clock: the client gives up then
 	After   float64 // on the clock: the position that the read must see, 0 for none
 	Repeat  bool
-	Writes  bool // its statement says that it changes data
+	Only    string // the one server that can serve it, empty for any
+	Writes  bool   // its statement says that it changes data
 	Query   backend.Query
 }
 
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -186,11 +186,11 @@
 	for i := range h.Headers {
 		switch f := &h.Headers[i]; strings.ToLower(f.Name) {
 		case "content-length":
-			n, err := strconv.ParseInt(f.Value, 10, 62)
-			if err != nil || n < 0 || f.Value[0] == '+' || h.Length >= 0 {
+			n, err := strconv.ParseUint(f.Value, 10, 62) // digits alone
+			if err != nil || h.Length >= 0 {
 				return syntax("content length %.40q, or a second one", f.Value)
 			}
-			h.Length = n
+			h.Length = int64(n)
 		case "transfer-encoding":
 			if codings++; codings > 1 || !strings.EqualFold(f.Value, "chunked") {
 				return fmt.Errorf("%w: %.40q", ErrUnsupported, f.Value)
@@ -210,6 +210,52 @@
 	return nil
 }
 
+// Start reads the status line of an answer whose other lines are read one by one, by Line. n is 0 while it is not whole.
+func Start(b []byte) (h *Head, n int, err error) {
+	l, n, err := line(b)
+	if n == 0 || err != nil {
+		return nil, 0, err
+	}
+	h = &Head{Length: -1}
+	return h, n, h.statusLine(l)
+}
+
+// Line reads the next line of a head. An empty one ends the head: end is set, and where its body ends is known. Fields for
+// which drop says so are not kept, so that a head may have any number of them.
+func (h *Head) Line(b []byte, drop func(Header) bool) (f Header, n int, end bool, err error) {
+	l, n, err := line(b)
+	switch {
+	case n == 0 || err != nil:
+		return Header{}, 0, false, err
+	case l == "":
+		return Header{}, n, true, h.framing(false)
+	case len(h.Headers) >= maxHeaders:
+		return Header{}, 0, false, ErrTooLong
+	}
+	if err := h.field(l); err != nil {
+		return Header{}, 0, false, err
+	}
+	f = h.Headers[len(h.Headers)-1]
+	if drop(f) {
+		h.Headers = h.Headers[:len(h.Headers)-1]
+	}
+	return f, n, false, nil
+}
+
+// line is the first line of b without its end; n is 0 while it is not whole.
+func line(b []byte) (l string, n int, err error) {
+	switch end := bytes.IndexByte(b, '\n'); {
+	case end < 0 && len(b) > maxLine, end > maxLine:
+		return "", 0, ErrTooLong
+	case end < 0:
+		return "", 0, nil
+	case end == 0 || b[end-1] != '\r':
+		return "", 0, syntax("a line ends without CR")
+	default:
+		return string(b[:end-1]), end + 1, nil
+	}
+}
+
 // Body follows a body to its end, without taking it apart: a chunked one is passed on as it came.
 type Body struct {
 	left  int64 // of the length, or of the chunk
@@ -262,6 +308,17 @@
 // Done tells whether the body has ended.
 func (b *Body) Done() bool { return b.state == bodyDone }
 
+// Left is how much of a body of stated length is to come, -1 for one in chunks or up to the connection's end.
+func (b *Body) Left() int64 {
+	switch b.state {
+	case bodyDone:
+		return 0
+	case bodyLength:
+		return b.left
+	}
+	return -1
+}
+
 // Open tells whether the body ends with its connection.
 func (b *Body) Open() bool { return b.state == bodyOpen }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -38,6 +39,7 @@
 
 	accept func() Handler // makes h, for a connection that another listener accepted
 	parked net.Conn       // the connection while it is not read
+	back   bool           // it is on its way back
 	out    []byte         // written while parked
 }
 
@@ -108,9 +110,10 @@
 
 // Unpark puts a connection back on the loop.
 func (c *Conn) Unpark() {
-	if c.gone || c.parked == nil {
+	if c.gone || c.parked == nil || c.back {
 		return
 	}
+	c.back = true
 	l, nc := c.loop, c.parked
 	go func() {
 		if err := l.enroll(c, nc); err != nil {
@@ -135,6 +138,50 @@
 	return nil
 }
 
+// Parked tells whether the connection is off the loop, or not back yet.
+func (c *Conn) Parked() bool { return c.parked != nil }
+
+// Ended tells, also while the connection is parked, whether its other side sends no more, and how much of what it sent
+// waits to be read. gone is set where it reads no more either.
+func (c *Conn) Ended() (left int, ended, gone bool) {
+	look := func(fd int) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, err := unix.Poll(p, 0); err != nil {
+			return
+		}
+		gone = p[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
+		ended = gone || p[0].Revents&unix.POLLRDHUP != 0
+		left, _ = unix.IoctlGetInt(fd, unix.TIOCINQ)
+	}
+	switch sc, ok := c.parked.(syscall.Conn); {
+	case c.gone:
+		return 0, true, true
+	case ok:
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { look(int(fd)) })
+		}
+	default:
+		look(c.gc.Fd())
+	}
+	return left, ended, gone
+}
+
+// Abort closes the connection so that its other side takes what it has had for broken off, not for whole.
+func (c *Conn) Abort() {
+	if c.gone {
+		return
+	}
+	if c.parked != nil {
+		if t, ok := c.parked.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.out = nil
+	} else {
+		_ = unix.SetsockoptLinger(c.gc.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	c.Close()
+}
+
 // Quiet tells whether the connection stands open with nothing to read: neither data nor an end that
 // the loop has not come to yet.
 func (c *Conn) Quiet() bool {
@@ -352,9 +399,12 @@
 		c = &Conn{loop: l, h: l.accept()}
 		gc.SetContext(c)
 	}
+	if c.gone { // it was closed on its way back
+		return nil, gnet.Close
+	}
 	c.gc = gc
 	if c.parked != nil { // it is back
-		c.parked = nil
+		c.parked, c.back = nil, false
 		if b := c.out; len(b) > 0 {
 			c.out = nil
 			_ = c.Write(b)
--- a/internal/operate/clickhouse.go
+++ b/internal/operate/clickhouse.go
@@ -18,7 +18,14 @@
 	AimMs      float64
 	DeadlineMs float64
 	Worth      float64
-	MostBody   int
+	Hold       int
+	MostBody   int64   // 0 for any number of bytes
+	BoundMs    float64 // 0 for data of any age
+	UploadMs   float64
+	QuietMs    float64
+	StallMs    float64
+	Header     string // may tell how many ms a client waits
+	Sessions   int
 	IdleMs     float64
 	ClientMs   float64
 	HeadMs     float64
@@ -28,6 +35,9 @@
 	Others     limits.Limits
 }
 
+// leastBound is the least bound of data's age: servers tell it in whole seconds, and are asked now and then.
+const leastBound = 3000
+
 // HouseRule is a rule with what its classes are worth.
 type HouseRule struct {
 	clickhouse.Rule
@@ -35,7 +45,8 @@
 }
 
 func (c *ClickHouse) read(n *sexp.Node) error {
-	*c = ClickHouse{Group: -1, AimMs: 2000, DeadlineMs: 60000, Worth: 1, MostBody: 1 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000}
+	*c = ClickHouse{Group: -1, AimMs: 2000, DeadlineMs: 60000, Worth: 1, Hold: 256 << 10, UploadMs: 600e3, QuietMs: 600e3, StallMs: 60e3, Sessions: 10000,
+		IdleMs: 3000, ClientMs: 60000, HeadMs: 10000}
 	err := sexp.Form{
 		"listen": func(n *sexp.Node) (err error) {
 			if c.Listen, err = n.Str(); err != nil {
@@ -50,17 +61,24 @@
 		"aim":      func(n *sexp.Node) (err error) { c.AimMs, err = n.Millis(1, longest); return err },
 		"deadline": func(n *sexp.Node) (err error) { c.DeadlineMs, err = n.Millis(1, longest); return err },
 		"worth":    func(n *sexp.Node) (err error) { c.Worth, err = n.Float(0, 1000); return err },
-		"most-body": func(n *sexp.Node) error {
+		"hold": func(n *sexp.Node) error {
 			x, err := n.Bytes(1024, 64<<20)
-			c.MostBody = int(x)
+			c.Hold = int(x)
 			return err
 		},
-		"idle":        func(n *sexp.Node) (err error) { c.IdleMs, err = n.Millis(10, longest); return err },
-		"client-idle": func(n *sexp.Node) (err error) { c.ClientMs, err = n.Millis(10, longest); return err },
-		"user":        c.user,
-		"class":       c.class,
-		"kill":        func(n *sexp.Node) (err error) { c.Kill, err = n.Bool(); return err },
-		"head":        func(n *sexp.Node) (err error) { c.HeadMs, err = n.Millis(10, longest); return err },
+		"most-body":       func(n *sexp.Node) (err error) { c.MostBody, err = n.Bytes(1024, 1<<50); return err },
+		"bound":           func(n *sexp.Node) (err error) { c.BoundMs, err = n.Millis(leastBound, longest); return err },
+		"upload":          func(n *sexp.Node) (err error) { c.UploadMs, err = n.Millis(1, longest); return err },
+		"quiet":           func(n *sexp.Node) (err error) { c.QuietMs, err = n.Millis(1, longest); return err },
+		"stall":           func(n *sexp.Node) (err error) { c.StallMs, err = n.Millis(1, longest); return err },
+		"deadline-header": func(n *sexp.Node) (err error) { c.Header, err = n.Str(); return err },
+		"sessions":        func(n *sexp.Node) (err error) { c.Sessions, err = n.Int(0, 1e6); return err },
+		"idle":            func(n *sexp.Node) (err error) { c.IdleMs, err = n.Millis(10, longest); return err },
+		"client-idle":     func(n *sexp.Node) (err error) { c.ClientMs, err = n.Millis(10, longest); return err },
+		"user":            c.user,
+		"class":           c.class,
+		"kill":            func(n *sexp.Node) (err error) { c.Kill, err = n.Bool(); return err },
+		"head":            func(n *sexp.Node) (err error) { c.HeadMs, err = n.Millis(10, longest); return err },
 	}.Read(n.Args(), "user", "class")
 	switch {
 	case err != nil:
@@ -130,6 +148,7 @@
 			r.Header, r.Value = x[0].Text, x[1].Text
 			return nil
 		},
+		"bound":    func(n *sexp.Node) (err error) { r.Bound, err = n.Millis(leastBound, longest); return err },
 		"aim":      func(n *sexp.Node) (err error) { r.AimMs, err = n.Millis(1, longest); return err },
 		"deadline": func(n *sexp.Node) (err error) { r.Deadline, err = n.Millis(1, longest); return err },
 		"worth":    func(n *sexp.Node) (err error) { r.Worth, err = n.Float(0, 1000); return err },
@@ -154,17 +173,21 @@
 	if c.Listen == "" {
 		return
 	}
-	add := func(rule string, aim, deadline, worth float64) {
+	add := func(rule string, aim, deadline, worth, bound float64) {
 		class := beechgrade.Class{Aim: time.Duration(aim * float64(time.Millisecond)), Deadline: time.Duration(deadline * float64(time.Millisecond)), Worth: worth,
 			LateWorth: 0.5, Read: beechgrade.ReadAny}
 		reads, writes := clickhouse.Classes(rule)
 		cfg.Classes = append(cfg.Classes, reads, writes)
+		if bound > 0 {
+			class.Read, class.Bound = beechgrade.ReadBounded, time.Duration(bound*float64(time.Millisecond))
+		}
 		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
+		class.Read, class.Bound = beechgrade.ReadAny, 0
 		class.Effect = beechgrade.Unsafe
 		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
 	}
-	add("", c.AimMs, c.DeadlineMs, c.Worth)
+	add("", c.AimMs, c.DeadlineMs, c.Worth, c.BoundMs)
 	for i := range c.Rules {
-		add(c.Rules[i].Name, c.Rules[i].AimMs, c.Rules[i].Deadline, c.Rules[i].Worth)
+		add(c.Rules[i].Name, c.Rules[i].AimMs, c.Rules[i].Deadline, c.Rules[i].Worth, c.Rules[i].Bound)
 	}
 }
--- a/router.go
+++ b/router.go
@@ -308,6 +308,14 @@
 	return best
 }
 
+// elsewhere tells that a request goes to others: to the one that it needs, or to those that it has not tried.
+func (q *request) elsewhere(s *store) bool {
+	if q.only != "" {
+		return q.only != s.id
+	}
+	return len(q.tries) < len(q.group.members) && q.tried(s)
+}
+
 func (q *request) primaryOnly() bool { return q.class.Read == Write || q.class.Read == ReadFresh }
 
 func (s *store) usable() bool { return s.listed() && s.health != down }
@@ -327,7 +335,7 @@
 	var best, next, sure *store
 	least, second, known := math.Inf(1), math.Inf(1), math.Inf(1)
 	for _, s := range q.group.members {
-		if !s.usable() || len(q.tries) < len(q.group.members) && q.tried(s) || !r.room(s, q) {
+		if !s.usable() || q.elsewhere(s) || !r.room(s, q) {
 			continue
 		}
 		is, may := r.qualifies(s, q)
@@ -434,7 +442,8 @@
 		return
 	}
 	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
-		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, value: max(c.Worth, 1e-6), size: 1}
+		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only,
+		value: max(c.Worth, 1e-6), size: 1}
 	if q.last = q.aim; c.LateWorth > 0 {
 		q.last = q.due
 	}
--- a/state.go
+++ b/state.go
@@ -124,7 +124,8 @@
 	due       Time
 	aim       Time
 	session   string
-	need      Time // session reads: the position that a store must have reached
+	only      StoreID // what it needs is there alone
+	need      Time    // session reads: the position that a store must have reached
 	value     float64
 	luck      float64 // from 0 to 1, drawn once: what a cold store rations by
 	size      float64 // work against the class's average by the hint, 1 without one
