--- a/internal/operate/clickhouse_test.go
+++ b/internal/operate/clickhouse_test.go
@@ -14,12 +14,14 @@
 
 // TestClickHouse: what is written is what holds, each mistake has its place, and the classes are such that only reads repeat.
 func TestClickHouse(t *testing.T) {
-	s, err := Parse("o", []byte(`(clickhouse (listen "127.0.0.1:8123") (group 9) (aim 1s) (deadline 5s) (most-body 2m)
+	s, err := Parse("o", []byte(`(clickhouse (listen "127.0.0.1:8123") (group 9) (aim 1s) (deadline 5s) (most-body 2m) (hold 64k) (bound 10s) (sessions 5)
+		(upload 1m) (quiet 2m) (stall 3s) (deadline-header "X-Wait")
 		(user "a" (queries 2) (queue 3) (wait 1s) (rate 5) (burst 9)) (user "*" (queries 4)))`), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := ClickHouse{Listen: "127.0.0.1:8123", Group: 9, AimMs: 1000, DeadlineMs: 5000, Worth: 1, MostBody: 2 << 20, IdleMs: 3000, ClientMs: 60000, HeadMs: 10000,
+	want := ClickHouse{Listen: "127.0.0.1:8123", Group: 9, AimMs: 1000, DeadlineMs: 5000, Worth: 1, MostBody: 2 << 20, Hold: 64 << 10, BoundMs: 10000,
+		Sessions: 5, UploadMs: 60000, QuietMs: 120000, StallMs: 3000, Header: "X-Wait", IdleMs: 3000, ClientMs: 60000, HeadMs: 10000,
 		Users: map[string]limits.Limits{"a": {Queries: 2, Queue: 3, Wait: 1000, PerSecond: 5, Burst: 9}}, Others: limits.Limits{Queries: 4, Wait: 5000}}
 	if diff := cmp.Diff(want, s.ClickHouse); diff != "" {
 		t.Error(diff)
@@ -32,6 +34,7 @@
 	}
 	reads := beechgrade.Class{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.5, Read: beechgrade.ReadAny, Effect: beechgrade.Safe}
 	writes := reads
+	reads.Read, reads.Bound = beechgrade.ReadBounded, 10*time.Second
 	writes.Effect = beechgrade.Unsafe
 	if diff := cmp.Diff(map[string]beechgrade.Class{"clickhouse-reads": reads, "clickhouse-writes": writes}, got); diff != "" {
 		t.Error(diff)
@@ -45,6 +48,7 @@
 		`(clickhouse (class "a" (path "x")))`:            "o:1:13: class \"a\": a path begins",
 		`(clickhouse (class "a" (user "u") (aim 2m)))`:   "o:1:13: class \"a\": the deadline",
 		`(clickhouse (class "a" (header "h")))`:          "o:1:24: (header",
+		`(clickhouse (bound 1s))`:                        "o:1:20: ",
 		`(clickhouse (listen "x"))`:                      "o:1:21: an address with its port",
 		`(clickhouse (listen "h:1"))`:                    "o:1:1: clickhouse: (group NUMBER)",
 		`(clickhouse (listen "h:1") (group 1) (aim 2m))`: "o:1:1: clickhouse: the deadline comes before the aim",
