Keep a saved list where the first answer of its source is empty

A pooler that starts on its saved list dropped all of it once each service had been heard, even if the first answer named nobody: the guard on removals knows a source's own word only, and that source had said nothing before. What a retired source alone knows is now dropped as any other removal is, held back where it is too much at once (TestRetired).

--- a/internal/membership/judge/judge.go
+++ b/internal/membership/judge/judge.go
@@ -417,14 +417,28 @@
 	j.say(what, nil, name, "%s", why)
 }
 
-// Retire has all that a source said count no more: others have taken its place.
+// Retire has all that a source said count no more: others have taken its place. What none of them knows is dropped as any
+// other removal is: an empty answer in place of a saved list takes nothing away at first.
 func (j *Judge) Retire(now float64, name string) {
 	j.now = max(now, j.now)
 	src := j.byName[name]
 	if src == nil || len(src.claims) == 0 {
 		return
 	}
+	var alone, shared []string
 	for _, id := range sorted(src.claims) {
+		known := false
+		for i, c := range j.servers[id].claims {
+			known = known || i != src.rank && c != nil && !c.dropped && j.standing(j.sources[i])
+		}
+		if known {
+			shared = append(shared, id)
+		} else {
+			alone = append(alone, id)
+		}
+	}
+	j.drop(src, alone, len(shared) == 0)
+	for _, id := range shared {
 		j.dropped(src, src.claims[id])
 	}
 	j.settle()
--- a/internal/membership/judge/judge_test.go
+++ b/internal/membership/judge/judge_test.go
@@ -365,6 +365,27 @@
 	}
 }
 
+// TestRetired: a source whose place others take leaves what they know; that they know nothing takes nothing away at first.
+func TestRetired(t *testing.T) {
+	three := []Claim{at("1", 0), at("2", 0), at("3", 1)}
+	r := newRig(t, nil)
+	r.heard("static", true, three...)
+	r.heard("consul", true)
+	r.j.Retire(r.now, "static")
+	r.wantSaid(r.take(), HeldRemoval, HeldRemoval, HeldRemoval)
+	r.want("1 serving, 2 serving, 3 serving")
+	r.heard("consul", true, three[0], three[2])
+	r.pass(700000)
+	r.want("1 serving, 3 serving")
+
+	r = newRig(t, nil)
+	r.heard("static", true, three...)
+	r.heard("consul", true, three[0], three[2])
+	r.j.Retire(r.now, "static")
+	r.wantSaid(r.take(), Removed)
+	r.want("1 serving, 3 serving")
+}
+
 // TestOldDrops: what a source dropped before it was lost does not take away what another has said meanwhile.
 func TestOldDrops(t *testing.T) {
 	r := newRig(t, func(s *Settings) { s.Keep, s.MassPart = 5000, 0 })
