--- a/cmd/beechgrade/house_hard_test.go
+++ b/cmd/beechgrade/house_hard_test.go
@@ -358,9 +358,7 @@
 // ahead or the front does before each; where none is, they are refused; writes and reads without one go anywhere.
 func TestHouseBounds(t *testing.T) {
 	for _, behind := range []beechgrade.Behind{beechgrade.BehindAnswers, beechgrade.BehindRefuses} {
-		w := houses(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
-		w.servers[1].Lag(60)
-		w.servers[2].Lag(-1)
+		w := housesAs(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(s []*house.Server) { s[1].Lag(60); s[2].Lag(-1) }, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
 		ask := func(path, sql, id string) int {
 			res, err := w.client.Get("http://" + w.addr + path + "?" + url.Values{"query": {sql}, "query_id": {id}}.Encode())
 			if err != nil {
--- /dev/null
+++ b/cmd/beechgrade/house_storm_test.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/kit/check/queries"
+	"beechgrade/internal/kit/standin/house"
+)
+
+// stormClient asks one query after the other on connections of its own, and counts what comes back.
+type stormClient struct {
+	addr string
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (c *stormClient) ask(a *queries.Ask, path, sql string, body []byte, chunked bool) {
+	if c.conn == nil {
+		conn, err := net.Dial("tcp", c.addr)
+		if err != nil {
+			a.Broken = true
+			return
+		}
+		c.conn, c.in = conn, bufio.NewReader(conn)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(patience))
+	v := url.Values{"query": {sql}, "query_id": {a.ID}}
+	if a.Session != "" {
+		v.Set("session_id", a.Session)
+	}
+	req := bytes.NewBufferString("POST " + path + "?" + v.Encode() + " HTTP/1.1\r\nHost: h\r\nAuthorization: Basic " + base64.StdEncoding.EncodeToString([]byte("u:p")) + "\r\n")
+	if chunked {
+		req.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		for rest := body; len(rest) > 0; {
+			n := min(len(rest), 3000)
+			fmt.Fprintf(req, "%x\r\n%s\r\n", n, rest[:n])
+			rest = rest[n:]
+		}
+		req.WriteString("0\r\n\r\n")
+	} else {
+		fmt.Fprintf(req, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	a.Sum = xxhash.Sum64(body)
+	_, err := c.conn.Write(req.Bytes())
+	a.WroteAll = err == nil
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		a.Broken = true
+		c.drop()
+		return
+	}
+	a.Status, a.Code = res.StatusCode, res.Header.Get("X-ClickHouse-Exception-Code")
+	b, err := io.ReadAll(res.Body)
+	a.Body, a.Pooler = string(b), strings.Contains(string(b), "(beechgrade)")
+	if err != nil {
+		a.Broken = true
+		c.drop()
+		return
+	}
+	a.Answers = 1
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Microsecond))
+	if _, err := c.in.Peek(1); err == nil {
+		a.Extra = c.in.Buffered()
+	} else if !errors.Is(err, io.EOF) && !res.Close {
+		return
+	}
+	c.drop()
+}
+
+func (c *stormClient) drop() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// TestHouseStorm: 10,000 queries of all kinds, from a seed, through servers that are full, silent, dead and back, behind, and
+// drained: each has exactly one end, counted on both sides, and no rule is broken.
+func TestHouseStorm(t *testing.T) {
+	const asks, workers, slices = 10000, 24, 25
+	w := housesAs(t, 4, `(deadline 600ms) (aim 300ms) (hold 4k) (class "mes" (path "/mes") (bound 8s) (aim 500ms) (deadline 1500ms))`, func(s []*house.Server) { s[2].Lag(30); s[3].Lag(12) },
+		func(c *config.Config) { c.Settings.MayProbe = true })
+	rng := rand.New(rand.NewPCG(11, 11))
+	all := make([]queries.Ask, asks)
+	var runs []queries.Run
+	var drains []queries.Drain
+	keep := func(s *house.Server) {
+		for _, r := range s.Runs() {
+			runs = append(runs, queries.Run{Server: s.Name, ID: r.ID, Session: r.Session, At: float64(r.At.UnixNano()) / 1e6, LagS: r.Lag, Sum: r.Sum, Whole: r.Whole})
+		}
+	}
+	drain, drained := "", map[string]int{}
+	var restored []func()
+	for slice := range slices {
+		for _, f := range restored {
+			f()
+		}
+		restored = nil
+		s := w.servers[rng.IntN(4)]
+		switch what := rng.IntN(7); what {
+		case 0:
+			s.Full(true)
+			restored = append(restored, func() { s.Full(false) })
+		case 1:
+			s.Silent(true)
+			restored = append(restored, func() { s.Silent(false) })
+		case 2, 3: // it dies, and is back soon
+			i := 0
+			for w.servers[i] != s {
+				i++
+			}
+			timer := time.AfterFunc(30*time.Millisecond, s.Stop)
+			restored = append(restored, func() {
+				timer.Stop()
+				s.Stop()
+				keep(s)
+				l, err := net.Listen("tcp", s.Addr)
+				if err != nil { // its port is another's by now: it comes back at another address
+					l, err = net.Listen("tcp", "127.0.0.1:0")
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.servers[i] = house.StartOn(s.Name, l)
+				w.servers[i].Follow(s)
+				w.write(drain)
+				w.hup <- syscall.SIGHUP
+			})
+		case 4: // it catches up, and then falls behind again, by and by
+			s.Lag(0)
+			restored = append(restored, func() { s.Lag(float64(5 + rng.IntN(60))) })
+		case 5:
+			if drained[s.Name]++; drained[s.Name] == 1 { // what comes and goes more often is held back as flapping
+				drain = s.Name
+				w.write(drain)
+				w.hup <- syscall.SIGHUP
+				w.wait("it drains", func() (is bool) {
+					w.onLoop(func() { e, _ := w.p.sources.members.Entry(drain); is = e.State == 1 })
+					return is
+				})
+				d := queries.Drain{Server: drain, From: float64(time.Now().UnixNano()) / 1e6}
+				restored = append(restored, func() {
+					d.To = float64(time.Now().UnixNano()) / 1e6
+					drains = append(drains, d)
+					drain = ""
+					w.write()
+					w.hup <- syscall.SIGHUP
+					w.wait("it serves again", func() (is bool) {
+						w.onLoop(func() { e, _ := w.p.sources.members.Entry(d.Server); is = e.State == 0 })
+						return is
+					})
+				})
+			}
+		}
+		var next atomic.Int64
+		var wg sync.WaitGroup
+		for k := range workers {
+			wg.Add(1)
+			own := rand.New(rand.NewPCG(uint64(slice), uint64(k)))
+			go func() {
+				defer wg.Done()
+				c := &stormClient{addr: w.addr}
+				defer c.drop()
+				for {
+					n := int(next.Add(1)) - 1
+					if n >= asks/slices {
+						return
+					}
+					a := &all[slice*asks/slices+n]
+					a.ID = fmt.Sprintf("s%d-%d", slice, n)
+					path, sql, body, chunked := "/", "", []byte(nil), own.IntN(2) == 0
+					switch kind := own.IntN(100); {
+					case kind < 35:
+						sql, a.Echo = "SELECT /* ECHO */", true
+					case kind < 50:
+						path, sql, a.Echo, a.BoundS = "/mes", "SELECT /* ECHO */", true, 8
+					case kind < 75:
+						sql, a.Echo, a.Writes, body = "INSERT INTO t /* ECHO */", true, true, bytes.Repeat([]byte("r"), own.IntN(2000))
+					case kind < 85: // it passes through
+						sql, a.Echo, a.Writes, body = "INSERT INTO t /* ECHO */", true, true, bytes.Repeat([]byte("s"), 5000+own.IntN(40000))
+					case kind < 88:
+						sql = "SELECT /* SLOW 2 */"
+					case kind < 91:
+						sql, a.Writes = "INSERT /* DROP */", true
+					case kind < 93:
+						sql = "SELECT /* BROKEN */"
+					case kind < 95:
+						sql, a.Writes = "INSERT /* FAIL 241 */", true
+					case kind < 97:
+						sql = "SELECT /* RAISE */"
+					case kind < 98:
+						sql, a.Writes, body = "INSERT /* EARLY 241 */", true, bytes.Repeat([]byte("e"), 30000)
+					default:
+						sql, a.Echo, a.Writes, a.Session = "SELECT /* ECHO */", true, true, fmt.Sprintf("t%d-%d", slice, k)
+					}
+					c.ask(a, path, sql, body, chunked)
+				}
+			}()
+		}
+		wg.Wait()
+	}
+	for _, f := range restored {
+		f()
+	}
+	for _, s := range w.servers {
+		keep(s)
+	}
+	v := queries.Check(queries.Config{GraceMs: 250, SlackMs: 5, RoundS: 1}, all, runs, drains)
+	for i, b := range v.Breaches {
+		if i < 10 {
+			t.Errorf("%s: %s %s %+v", b.Rule, b.ID, b.Text, b.Proof)
+		}
+	}
+	for _, rule := range []queries.Rule{queries.OneAnswer, queries.NotTwice, queries.DrainsKept, queries.NotStale, queries.NoInvented, queries.OnePlace} {
+		if v.Checked[rule] == 0 {
+			t.Errorf("%q was put to no test", rule)
+		}
+	}
+	ends := map[string]int{}
+	for i := range all {
+		ends[fmt.Sprintf("%d %s broken %v", all[i].Status, all[i].Code, all[i].Broken)]++
+	}
+	t.Logf("%v; %v", ends, v.Checked)
+	if ends["200  broken false"] < asks/2 {
+		t.Errorf("few were served: %v", ends)
+	}
+}
--- a/cmd/beechgrade/house_test.go
+++ b/cmd/beechgrade/house_test.go
@@ -43,6 +43,11 @@
 const houseGroup = 9
 
 func houses(t *testing.T, n int, more string, change ...func(*config.Config)) *houseWorld {
+	return housesAs(t, n, more, nil, change...)
+}
+
+// housesAs has a function set the servers up before the pooler knows them.
+func housesAs(t *testing.T, n int, more string, setUp func([]*house.Server), change ...func(*config.Config)) *houseWorld {
 	t.Helper()
 	w := &houseWorld{t: t, list: filepath.Join(t.TempDir(), "list.json"), client: &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}}
 	t.Cleanup(w.client.CloseIdleConnections)
@@ -54,6 +59,9 @@
 		t.Cleanup(s.Stop)
 		w.servers = append(w.servers, s)
 	}
+	if setUp != nil {
+		setUp(w.servers)
+	}
 	w.write()
 	if !strings.HasPrefix(more, "(deadline") {
 		more = "(deadline 15s) (aim 5s) " + more
--- /dev/null
+++ b/internal/kit/check/queries/queries.go
@@ -0,0 +1,175 @@
+// Package queries holds what clients of the ClickHouse interface saw against what the servers saw. It counts on both sides for
+// itself, and knows nothing of what a pooler thought.
+package queries
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Rule is a rule that can be broken.
+type Rule string
+
+// The rules.
+const (
+	OneAnswer  Rule = "exactly one final answer, or a broken one that can be told from a whole"
+	NotTwice   Rule = "no write sent again that may have run"
+	Harmless   Rule = "nothing refused as harmless that came to a server"
+	DrainsKept Rule = "nothing new to a server after the grace of its drain"
+	NotStale   Rule = "no read staler than its class allows"
+	NoInvented Rule = "no answer that no server made for the query"
+	OnePlace   Rule = "no session at two servers"
+)
+
+// Ask is a query as its client saw it. Times are in milliseconds on one clock with the servers'.
+type Ask struct {
+	ID       string
+	Writes   bool
+	Session  string
+	BoundS   float64 // how old its data may be, 0 for any age
+	Sum      uint64  // of its body
+	Echo     bool    // what serves it tells its server, its id and the body's sum
+	Answers  int     // whole answers that came...
+	Extra    int     // ...and bytes that nobody had asked for
+	Broken   bool    // its connection ended before an answer, or within one
+	Status   int
+	Code     string // of ClickHouse's exception
+	Pooler   bool   // the answer was the pooler's own
+	Body     string
+	WroteAll bool // its body went out whole
+}
+
+// Run is a query as a server saw it.
+type Run struct {
+	Server  string
+	ID      string
+	Session string
+	At      float64
+	LagS    float64
+	Sum     uint64
+	Whole   bool
+}
+
+// Drain is when a pooler heard that a server drains, and when it heard that it does no more (0 for never).
+type Drain struct {
+	Server   string
+	From, To float64
+}
+
+// Config has the rules' figures, in milliseconds.
+type Config struct {
+	GraceMs float64
+	SlackMs float64 // by which times may differ
+	RoundS  float64 // by which servers round their lag
+}
+
+// Breach is a rule that was broken, with what proves it.
+type Breach struct {
+	Rule  Rule   `json:"rule"`
+	ID    string `json:"id"`
+	Text  string `json:"text"`
+	Proof []Run  `json:"proof,omitempty"`
+}
+
+// Verdict is what came of it all.
+type Verdict struct {
+	Breaches []Breach     `json:"breaches"`
+	Checked  map[Rule]int `json:"checked"` // how often each rule was put to the test
+}
+
+// Check holds asks against runs.
+func Check(cfg Config, asks []Ask, runs []Run, drains []Drain) *Verdict {
+	v := &Verdict{Checked: map[Rule]int{}}
+	byID := map[string][]Run{}
+	for _, r := range runs {
+		byID[r.ID] = append(byID[r.ID], r)
+		v.drained(cfg, r, drains)
+	}
+	for i := range asks {
+		v.ask(cfg, &asks[i], byID[asks[i].ID])
+	}
+	v.places(asks, byID)
+	return v
+}
+
+func (v *Verdict) breach(rule Rule, id string, proof []Run, format string, args ...any) {
+	v.Breaches = append(v.Breaches, Breach{rule, id, fmt.Sprintf(format, args...), slices.Clone(proof)})
+}
+
+func (v *Verdict) drained(cfg Config, r Run, drains []Drain) {
+	for _, d := range drains {
+		if d.Server != r.Server {
+			continue
+		}
+		v.Checked[DrainsKept]++
+		if late := r.At - d.From - cfg.GraceMs - cfg.SlackMs; late > 0 && (d.To == 0 || r.At < d.To) {
+			v.breach(DrainsKept, r.ID, []Run{r}, "it came %.0f ms after the grace of %s's drain", late, r.Server)
+		}
+	}
+}
+
+func (v *Verdict) ask(cfg Config, a *Ask, runs []Run) {
+	v.Checked[OneAnswer]++
+	switch ends := a.Answers; {
+	case a.Broken && ends > 0, ends > 1, a.Extra > 0:
+		v.breach(OneAnswer, a.ID, runs, "%d answers, broken off: %v, %d bytes behind them", ends, a.Broken, a.Extra)
+	case !a.Broken && ends == 0:
+		v.breach(OneAnswer, a.ID, runs, "no answer, and its connection stands")
+	}
+	if a.Writes {
+		if v.Checked[NotTwice]++; len(runs) > 1 {
+			v.breach(NotTwice, a.ID, runs, "it came to servers %d times", len(runs))
+		}
+	}
+	if a.Answers == 1 && a.Status == 503 && a.Pooler && a.Writes {
+		if v.Checked[Harmless]++; len(runs) > 0 {
+			v.breach(Harmless, a.ID, runs, "refused with %s, and it came to a server", a.Code)
+		}
+	}
+	if a.Answers == 1 && a.Status == 200 && a.Echo {
+		v.served(a, runs)
+	}
+	if a.BoundS > 0 {
+		for _, r := range runs {
+			if v.Checked[NotStale]++; r.LagS > a.BoundS+cfg.RoundS {
+				v.breach(NotStale, a.ID, []Run{r}, "%s was %.1f s behind, with a bound of %.1f s", r.Server, r.LagS, a.BoundS)
+			}
+		}
+	}
+}
+
+// served holds an answer to the run that made it.
+func (v *Verdict) served(a *Ask, runs []Run) {
+	v.Checked[NoInvented]++
+	part := strings.Fields(a.Body)
+	if len(part) == 3 && part[1] == a.ID {
+		sum, err := strconv.ParseUint(part[2], 10, 64)
+		for _, r := range runs {
+			if err == nil && r.Server == part[0] && r.Sum == sum && r.Whole && (!a.WroteAll || a.Sum == sum) {
+				return
+			}
+		}
+	}
+	v.breach(NoInvented, a.ID, runs, "no server answered %.80q to it", a.Body)
+}
+
+// places holds each session to one server. A session that was lost is another from then on; its clients name it anew.
+func (v *Verdict) places(asks []Ask, byID map[string][]Run) {
+	home := map[string]Run{}
+	for i := range asks {
+		a := &asks[i]
+		if a.Session == "" {
+			continue
+		}
+		for _, r := range byID[a.ID] {
+			v.Checked[OnePlace]++
+			if was, ok := home[a.Session]; ok && was.Server != r.Server {
+				v.breach(OnePlace, a.ID, []Run{was, r}, "session %s was at %s, and is at %s", a.Session, was.Server, r.Server)
+			} else if a.Answers == 1 && a.Status == 200 {
+				home[a.Session] = r
+			}
+		}
+	}
+}
--- a/internal/kit/standin/house/house.go
+++ b/internal/kit/standin/house/house.go
@@ -47,12 +47,14 @@
 	runs     []*Run
 	full     bool
 	silent   chan struct{} // closed when it is not any more; nil where it answers
-	lag      float64
-	plain    bool // it has no tables that are replicated
+	lag      float64       // seconds that it stays behind once it is
+	pos      time.Time     // what it has is never older again
+	plain    bool          // it has no tables that are replicated
 	sessions map[string]*session
 	asked    int // for its lag
 	pings    int
 	slowRead time.Duration
+	own      func(http.ResponseWriter, *http.Request, *Run, []byte) bool
 }
 
 // session is one that the server has: user and id, as ClickHouse keeps them apart.
@@ -104,13 +106,33 @@
 	}
 }
 
-// Lag sets how many seconds its tables are behind; below 0 it has none that are replicated.
+// Lag sets how many seconds its tables are behind; below 0 it has none that are replicated. What it has had it keeps: where it
+// was nearer before, it stands still until it is so far behind.
 func (s *Server) Lag(seconds float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lag, s.plain = max(0, seconds), seconds < 0
 }
 
+// behind is how many seconds it is behind now.
+func (s *Server) behind() float64 {
+	now := time.Now()
+	if p := now.Add(-time.Duration(s.lag * float64(time.Second))); p.After(s.pos) {
+		s.pos = p
+	}
+	return now.Sub(s.pos).Seconds()
+}
+
+// Follow has it begin with the data of a process that was there before.
+func (s *Server) Follow(old *Server) {
+	old.mu.Lock()
+	lag, pos, plain := old.lag, old.pos, old.plain
+	old.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lag, s.pos, s.plain = lag, pos, plain
+}
+
 // SlowRead has it wait before each 64 KiB of a body.
 func (s *Server) SlowRead(d time.Duration) {
 	s.mu.Lock()
@@ -118,6 +140,13 @@
 	s.slowRead = d
 }
 
+// Answer has queries answered by a function where it says that it did; it gets as much of the body as is kept.
+func (s *Server) Answer(f func(w http.ResponseWriter, r *http.Request, x *Run, body []byte) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own = f
+}
+
 // Runs are the queries that came, as they stand now.
 func (s *Server) Runs() (out []Run) {
 	s.mu.Lock()
@@ -139,7 +168,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	silent, lag, plain, slow := s.silent, s.lag, s.plain, s.slowRead
+	silent, lag, plain, slow := s.silent, s.behind(), s.plain, s.slowRead
 	switch r.URL.Path {
 	case "/ping":
 		s.pings++
@@ -166,7 +195,7 @@
 			if lag >= 300 {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
-			_, _ = fmt.Fprintf(w, "obra.ponto:\tAbsolute delay: %.0f. Relative delay: 0.\nobra.mes:\tAbsolute delay: 0. Relative delay: 0.\n", lag)
+			_, _ = fmt.Fprintf(w, "obra.ponto:\tAbsolute delay: %d. Relative delay: 0.\nobra.mes:\tAbsolute delay: 0. Relative delay: 0.\n", int(lag))
 		}
 		return
 	}
@@ -203,7 +232,8 @@
 		whole = true
 		return
 	}
-	if !s.read(x, r.Body, slow) {
+	body, ok := s.read(x, r.Body, slow)
+	if !ok {
 		return
 	}
 	if x.Session != "" {
@@ -215,12 +245,25 @@
 		}
 		defer s.leave(user + "\x00" + x.Session)
 	}
+	s.mu.Lock()
+	own := s.own
+	s.mu.Unlock()
+	if own != nil {
+		mine := *x
+		if own(w, r, &mine, body) {
+			s.mu.Lock()
+			x.Text = mine.Text
+			s.mu.Unlock()
+			whole = true
+			return
+		}
+	}
 	whole = s.answer(w, r, x)
 }
 
-// read takes a body; it tells whether that came whole.
-func (s *Server) read(x *Run, body io.Reader, slow time.Duration) bool {
-	sum, text, buf := xxhash.New(), []byte(nil), make([]byte, 64<<10)
+// read takes a body, and keeps some of it; it tells whether that came whole.
+func (s *Server) read(x *Run, body io.Reader, slow time.Duration) (text []byte, whole bool) {
+	sum, buf := xxhash.New(), make([]byte, 64<<10)
 	n := int64(0)
 	for {
 		k, err := body.Read(buf)
@@ -236,7 +279,7 @@
 			x.Bytes, x.Sum, x.Whole = n, sum.Sum64(), errors.Is(err, io.EOF)
 			x.Kept = x.Whole
 			x.Text = strings.TrimSpace(x.Text + "\n" + string(text))
-			return x.Whole
+			return text, x.Whole
 		}
 	}
 }
