Play the ClickHouse front in the laboratory, in virtual time and on sockets

A scenario with (clickhouse) has clients speak the ClickHouse interface, with three classes, to one group of peers that share a log: the model behind the stand-ins takes writes at every member, and the stand-in servers speak that interface on the same port. Rehearsals run real daemons with the front on; records know a query by its query_id, so that they can be held against what clients saw.

--- /dev/null
+++ b/example/experiments/clickhouse.sexp
@@ -0,0 +1,5 @@
+; The decisions behind the ClickHouse front under faults drawn from 300 seeds, at two ways of being cold.
+(experiment "column store chaos"
+  (scenario "../rehearsals/clickhouse-chaos.sexp")
+  (seeds 1 300)
+  (axis "cold" (value "0.15") (value "0.05" (cold-by 0.05) (falls 1.5))))
--- /dev/null
+++ b/example/rehearsals/clickhouse-chaos.sexp
@@ -0,0 +1,6 @@
+; Faults of a column store's peers and of the poolers before them, drawn from the seed.
+(rehearsal "column store chaos"
+  (clickhouse)
+  (seconds 30) (poolers 3) (groups 6) (rate 120) (cold 8s) (roams 0.05)
+  (class "painel" (bound 3s))
+  (chaos 24 3s 24s))
--- a/internal/clickhouse/client.go
+++ b/internal/clickhouse/client.go
@@ -368,7 +368,7 @@
 
 // ask puts a request to the decision module.
 func (c *client) ask(r *request) {
-	ref, err := c.f.desk.Ask(front.Request{ID: "ch-" + strconv.FormatUint(r.number, 36), Class: r.class, Group: c.f.opt.Group, Due: r.due, Only: r.only, Query: r}, r)
+	ref, err := c.f.desk.Ask(front.Request{ID: "ch-" + strconv.FormatUint(r.number, 36), Known: r.query, Class: r.class, Group: c.f.opt.Group, Due: r.due, Only: r.only, Query: r}, r)
 	if err != nil {
 		c.f.log.Error("clickhouse", "err", err)
 		c.complain(r, 500, codeNetwork, "NETWORK_ERROR", "the pooler could not take the query", 0)
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"github.com/cespare/xxhash/v2"
 
 	"beechgrade"
@@ -32,7 +33,7 @@
 	now := c.loop.Now()
 	r.rec = recorded{number: c.asked, class: int32(class), group: int64(q.Group), from: now}
 	c.rec.Put(&record.Event{At: now, Kind: recordpb.Kind_KIND_REQUEST, Request: c.asked, Class: int32(class), Group: int64(q.Group),
-		Session: xxhash.Sum64String(q.Session), ID: xxhash.Sum64String(q.ID), Left: q.Due - now, Repeat: q.Repeat, Position: q.After})
+		Session: xxhash.Sum64String(q.Session), ID: xxhash.Sum64String(cmp.Or(q.Known, q.ID)), Left: q.Due - now, Repeat: q.Repeat, Position: q.After})
 }
 
 func (c *Core) recordAttempt(r *request, no int, store beechgrade.StoreID, o *backend.Outcome) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 // Request is what a client asks, in no protocol's form.
 type Request struct {
 	ID      string // no two open requests have the same
+	Known   string // by what its client knows it, for records; empty for its ID
 	Class   string
 	Group   int
 	Session string
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -181,21 +181,24 @@
 		return 0
 	}
 	giveUp := t.Sent + a.Patience
-	sql := statement(a, c, t, after, giveUp-p.clk.Now())
+	ask, answer := pgwire.AppendQuery(nil, statement(a, c, t, after, giveUp-p.clk.Now())), l.answer
+	if p.cfg.House {
+		ask, answer = houseQuery(a, c, t, giveUp-p.clk.Now()), l.houseAnswer
+	}
 	_ = l.SetDeadline(time.Now().Add(time.Duration((giveUp - p.clk.Now()) * float64(time.Millisecond))))
 	if w, ok := p.sink.(Watcher); ok {
 		w.Trying(t, giveUp, math.Ceil(after))
 	}
-	if _, err := l.Write(pgwire.AppendQuery(nil, sql)); err != nil {
+	if _, err := l.Write(ask); err != nil {
 		t.Kind, t.Ended = Broken, p.clk.Now()
 		_ = l.Close()
 		return 0
 	}
-	said, err := l.answer()
+	said, err := answer()
 	t.Ended = p.clk.Now()
 	if ne, ok := err.(net.Error); ok && ne.Timeout() { // its client has given up; does an answer come all the same?
 		_ = l.SetDeadline(time.Now().Add(time.Duration(p.cfg.LateAfter * float64(time.Millisecond))))
-		said, err = l.answer()
+		said, err = answer()
 		if ne, ok := err.(net.Error); ok && ne.Timeout() {
 			t.Kind = Silent
 			_ = l.Close()
@@ -279,7 +282,11 @@
 		if skip {
 			continue
 		}
-		l, err := dial(p.poolers[n])
+		connect := dial
+		if p.cfg.House {
+			connect = dialHouse
+		}
+		l, err := connect(p.poolers[n])
 		if err == nil {
 			t.Pooler = n
 			return l
@@ -307,12 +314,14 @@
 	return ok && ne.Timeout()
 }
 
+func newLink(nc net.Conn) *link { return &link{Conn: nc, in: bufio.NewReaderSize(nc, 2*maxAnswer)} }
+
 func dial(addr string) (*link, error) {
 	nc, err := net.DialTimeout("tcp", addr, dialMs*time.Millisecond)
 	if err != nil {
 		return nil, err
 	}
-	l := &link{Conn: nc, in: bufio.NewReaderSize(nc, 2*maxAnswer)}
+	l := newLink(nc)
 	_ = nc.SetDeadline(time.Now().Add(2 * time.Second))
 	if _, err := nc.Write(pgwire.AppendStartup(nil, "backend", "store")); err != nil {
 		_ = nc.Close()
--- /dev/null
+++ b/internal/kit/clients/house.go
@@ -0,0 +1,89 @@
+package clients
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Fields in which clients of the ClickHouse interface name a query's class, and how many ms they wait.
+const (
+	ClassField = "X-Class"
+	WaitField  = "X-Wait-Ms"
+)
+
+// HouseClasses are the classes of clients of the ClickHouse interface, whose servers take writes and reads at any member.
+func HouseClasses() []Class {
+	return []Class{
+		{Name: "painel", Share: 0.25, Read: ReadBounded, Bound: 5000, Aim: 300, Deadline: 1500, Worth: 1, LateWorth: 0.5, Work: [2]float64{26, 45}},
+		{Name: "relatorio-mes", Share: 0.45, Read: ReadAny, Aim: 500, Deadline: 2000, Worth: 1, LateWorth: 0.5, Work: [2]float64{65, 110}},
+		{Name: "carga", Share: 0.30, Read: Write, Aim: 800, Deadline: 3000, Worth: 2, LateWorth: 0.5, Work: [2]float64{26, 45}},
+	}
+}
+
+// houseQuery words a try for the ClickHouse interface.
+func houseQuery(a *Ask, c *Class, t *Try, patience float64) []byte {
+	sql := fmt.Sprintf("SELECT content FROM kv WHERE name = '%s'", a.Key)
+	if c.Read == Write {
+		sql = fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('%s', unhex('%s'))", a.Key, hex.EncodeToString(Value(a.Key, t.Wrote)))
+	}
+	return fmt.Appendf(nil, "POST /?%s HTTP/1.1\r\nHost: clickhouse\r\nX-ClickHouse-User: escritorio\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		url.Values{"query_id": {t.ID}}.Encode(), ClassField, c.Name, WaitField, max(1, int(math.Floor(patience))), len(sql), sql)
+}
+
+// houseAnswer reads an answer of the ClickHouse interface. Where its time runs out before its first byte it may be called
+// again.
+func (l *link) houseAnswer() (said, error) {
+	if _, err := l.in.Peek(1); err != nil {
+		return said{}, err
+	}
+	res, err := http.ReadResponse(l.in, nil)
+	if err != nil {
+		return said{}, whole(err)
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, 8*maxAnswer))
+	if err != nil {
+		return said{}, whole(err)
+	}
+	a := said{ready: !res.Close}
+	switch res.StatusCode {
+	case 200:
+		a.value = b
+	case 503:
+		a.code = "53300"
+		if s, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64); err == nil {
+			a.wait = s * 1000
+		}
+	default:
+		a.code = res.Header.Get("X-ClickHouse-Exception-Code")
+		if a.code == "" {
+			a.code = strconv.Itoa(res.StatusCode)
+		}
+	}
+	return a, nil
+}
+
+// whole has an answer that stopped in its midst count as broken: it cannot be gone on with.
+func whole(err error) error {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// dialHouse connects to a pooler's ClickHouse front.
+func dialHouse(addr string) (*link, error) {
+	nc, err := net.DialTimeout("tcp", addr, dialMs*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return newLink(nc), nil
+}
--- a/internal/kit/clients/plan.go
+++ b/internal/kit/clients/plan.go
@@ -58,6 +58,7 @@
 	Jumps     []Jump
 	Roams     float64 // part of the tries that go to any pooler, not to their session's
 	IdleMs    float64 // after which a client closes its connection
+	House     bool    // they speak the ClickHouse interface
 	LateAfter float64 // for so long a late answer is still listened for
 }
 
--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -169,3 +170,41 @@
 		t.Errorf("service %v, broken: %v", few.Score.Ratio, few.Verdict.Broken)
 	}
 }
+
+// house has peers of a column store, one of which is far behind, and the faults that befall them.
+const house = `(rehearsal "house" (clickhouse) (seconds 14) (poolers 3) (groups 4) (rate 150) (cold 6s) (class "painel" (bound 3s)) (at 1s (lag member 0 1 60) (for 9s))
+	(at 3s (hang member 0 0) (for 2s)) (at 5s (load 1.6) (for 2s)) (at 6s (drain member 0 2) (for 3s)) (at 8s (die member 0 3) (for 2s)))`
+
+// TestHouse: the decisions behind the ClickHouse front, where every member takes writes and only probes tell how far behind one
+// is: no rule broken, each put to the test that can be, and the same run twice. What repeats a write or hears of no drain is
+// caught there too.
+func TestHouse(t *testing.T) {
+	for seed := range uint64(3) {
+		r := play(t, parse(t, house), Options{Seed: seed})
+		for _, b := range r.Verdict.Breaches {
+			t.Errorf("seed %d: %s: %s\n%+v", seed, b.Rule, b.Text, b.Proof)
+			break
+		}
+		for _, rule := range []check.Rule{check.OneAnswer, check.NotTwice, check.DrainsKept, check.ColdSpared, check.NotStale, check.NoInvented} {
+			if r.Verdict.Checked[rule] == 0 {
+				t.Errorf("seed %d: %q was never put to the test", seed, rule)
+			}
+		}
+		if r.Score.Ratio < 0.9 {
+			t.Errorf("seed %d: service %v", seed, r.Score.Ratio)
+		}
+	}
+	a, b := play(t, parse(t, house), Options{Seed: 7}), play(t, parse(t, house), Options{Seed: 7})
+	if a.Hash != b.Hash {
+		t.Errorf("the same seed, and other events: %s, %s", a.Hash, b.Hash)
+	}
+	for _, m := range Mutants() {
+		switch m.Name {
+		case "hears of no drains", "takes writes for safe to repeat", "answers twice":
+			r := play(t, parse(t, house), Options{Seed: 1, Mutant: &m})
+			if !slices.ContainsFunc(r.Verdict.Breaches, func(b check.Breach) bool { return b.Rule == m.Breaks }) {
+				t.Errorf("%q is not caught", m.Name)
+			}
+		}
+	}
+}
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 
 	"beechgrade"
 	"beechgrade/internal/backend"
@@ -68,6 +69,7 @@
 	once  bool    // it must not run twice
 	at    float64 // sent then, on a connection that had rested so long
 	rest  float64
+	asOf  float64 // a server tells its lag as of then
 	reply world.Reply
 	role  beechgrade.Role
 }
@@ -459,6 +461,9 @@
 			return
 		}
 		r := s.Report(e.s.now)
+		if e.script.Clients.House {
+			r, a.asOf = world.Report{Position: s.Position(e.s.now)}, e.s.now
+		}
 		a.reply = world.Reply{Position: r.Position, Primary: r.Primary}
 		e.s.After(e.script.ProbeCost+e.way(), a, atProbed)
 		return
@@ -501,6 +506,9 @@
 		if o.Result == beechgrade.OK {
 			o.Answer = a.reply.Value
 		}
+		if a.p.e.script.Clients.House {
+			a.house(&o)
+		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
 		if o.Role == beechgrade.RoleReplica {
@@ -529,6 +537,16 @@
 	}
 }
 
+// house has an answer tell what one of the ClickHouse interface does: nothing of a role, and how far behind its server is
+// only where a probe asks for that, in whole seconds.
+func (a *attempt) house(o *backend.Outcome) {
+	o.Role, o.HasPos = beechgrade.RoleUnknown, false
+	if a.v == nil {
+		lag := math.Floor(max(0, a.asOf-o.Position)/1000) * 1000
+		o.Position, o.HasPos = a.at-lag-1000, true
+	}
+}
+
 // drop ends an attempt from the pooler's side.
 func (a *attempt) drop(r beechgrade.Result) {
 	if a.ended {
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -175,7 +175,7 @@
 func (v *visit) file(due float64) {
 	a := v.ask
 	q := front.Request{ID: v.name, Class: v.class.Name, Group: a.Group, Session: a.Key, Due: due, After: v.after, Repeat: v.no > 0,
-		Writes: v.class.Read == clients.Write, Query: v}
+		Writes: v.class.Read == clients.Write && !v.e.script.Clients.House, Query: v}
 	ref, err := v.p.core.Ask(q, v)
 	if err != nil {
 		v.Failed()
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -76,6 +76,14 @@
 
 // serve answers one request after another, until the connection ends.
 func (c *conn) serve() {
+	start, err := c.in.Peek(4)
+	if err != nil {
+		return
+	}
+	if isHTTP(start) {
+		c.serveHTTP()
+		return
+	}
 	var size [4]byte
 	if _, err := io.ReadFull(c.in, size[:]); err != nil {
 		return
@@ -216,43 +224,60 @@
 // Answered is world.Owner's.
 func (r reply) Answered(_ *world.Job, x world.Reply) { r <- x }
 
-// request has the model work on a client's statement, and words its answer.
-func (c *conn) request(sql string, st *pgwire.Statement) ([]byte, bool) {
+// work is what a server is asked, in no protocol's form.
+type work struct {
+	id, class, key string
+	writes         bool
+	value          []byte
+}
+
+// work has the model work on what a client asks. There is no answer where the server dies, hangs or loses it, or the client
+// goes.
+func (c *conn) work(st *work) (x world.Reply, ok bool) {
 	s, f := c.s, c.s.f
 	answer := make(reply, 1)
-	j := &world.Job{ID: st.ID, Writes: st.Writes, Key: st.Key, Owner: answer}
-	if st.Writes {
-		j.Value = literal(sql)
-	}
+	j := &world.Job{ID: st.id, Writes: st.writes, Key: st.key, Value: st.value, Owner: answer}
 	f.mu.Lock()
 	now := f.clk.Now()
-	j.Work = f.world.Work(st.Class)
+	j.Work = f.world.Work(st.class)
 	if s.drainTold != 0 && now-s.drainTold > f.cfg.GraceMs+wayMs && len(f.late) < maxLate {
-		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.Group.ID, What: "was sent " + st.ID + " while it drains"})
+		f.late = append(f.late, Fact{At: now, Server: s.Name, Group: s.Group.ID, What: "was sent " + st.id + " while it drains"})
 	}
 	no := 0
 	if f.watcher != nil {
-		no = f.watcher.Arrived(s.No, st.ID, now)
+		no = f.watcher.Arrived(s.No, st.id, now)
 		if s.Takes(j) {
-			f.watcher.Took(s.No, s.Started, st.ID, j.Work, now)
+			f.watcher.Took(s.No, s.Started, st.id, j.Work, now)
 		}
 	}
 	s.Take(j)
 	f.mu.Unlock()
-	var x world.Reply
 	select {
 	case x = <-answer:
 	case <-c.gone: // work stops when its request is cancelled; what is never answered ends here too
 		f.mu.Lock()
 		j.Cancel()
 		f.mu.Unlock()
-		return nil, false
+		return x, false
 	}
 	if how := turned[x.Verdict]; how != "" && f.watcher != nil {
 		f.mu.Lock()
-		f.watcher.Turned(st.ID, no, how, f.clk.Now())
+		f.watcher.Turned(st.id, no, how, f.clk.Now())
 		f.mu.Unlock()
 	}
+	return x, true
+}
+
+// request has the model work on a client's statement, and words its answer.
+func (c *conn) request(sql string, st *pgwire.Statement) ([]byte, bool) {
+	s, w := c.s, &work{id: st.ID, class: st.Class, key: st.Key, writes: st.Writes}
+	if st.Writes {
+		w.value = literal(sql)
+	}
+	x, ok := c.work(w)
+	if !ok {
+		return nil, false
+	}
 	switch x.Verdict {
 	case world.Fallen:
 		return nil, false
--- a/internal/kit/rehearse/match.go
+++ b/internal/kit/rehearse/match.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	jsoniter "github.com/json-iterator/go"
@@ -144,6 +145,15 @@
 	return res, nil
 }
 
+// className is a class as clients call it: the ClickHouse front has two of each name, of which its clients use one.
+func className(recorded string) string {
+	name, house := strings.CutPrefix(recorded, "clickhouse-")
+	if !house {
+		return recorded
+	}
+	return strings.TrimSuffix(strings.TrimSuffix(name, "-reads"), "-writes")
+}
+
 // unseenClass is what of a class the records can't have.
 type unseenClass struct {
 	served, refused, failed uint64
@@ -223,10 +233,15 @@
 // totals holds the classes' figures against each other: equal to the last one, but for what can't be known.
 func (m *Match) totals(v *incident.View, s *score.Score, unseen map[string]*unseenClass) {
 	for _, c := range s.Classes {
-		i := slices.IndexFunc(v.Classes, func(x incident.ClassView) bool { return x.Name == c.Name })
-		x := incident.ClassView{Name: c.Name}
-		if i >= 0 {
-			x = v.Classes[i]
+		x, again := incident.ClassView{Name: c.Name}, 0.0
+		for i := range v.Classes {
+			if o := &v.Classes[i]; className(o.Name) == c.Name {
+				if o.Name != c.Name && o.Asked > 0 { // that a query is asked again does not show in the ClickHouse interface
+					again = float64(c.Tries - c.Asked)
+				}
+				x.Served, x.Refused, x.Failed = x.Served+o.Served, x.Refused+o.Refused, x.Failed+o.Failed
+				x.WorthAsked, x.WorthGot, x.WorthBorder = x.WorthAsked+o.WorthAsked, x.WorthGot+o.WorthGot, x.WorthBorder+o.WorthBorder
+			}
 		}
 		u := cmp.Or(unseen[c.Name], &unseenClass{})
 		same := func(what string, records, clients, missing uint64) {
@@ -241,7 +256,7 @@
 		if c.Asked > 0 {
 			worth = c.WorthAsked / float64(c.Asked)
 		}
-		w := WorthLine{Class: c.Name, Asked: c.WorthAsked, Records: x.WorthGot, Clients: c.WorthGot, Border: x.WorthBorder, Unseen: worth * float64(u.asks)}
+		w := WorthLine{Class: c.Name, Asked: c.WorthAsked, Records: x.WorthGot, Clients: c.WorthGot, Border: x.WorthBorder, Unseen: worth * (float64(u.asks) + again)}
 		m.Worth = append(m.Worth, w)
 		over := math.Abs(w.Records-w.Clients) - w.Border - w.Unseen
 		m.WorthDiff = max(m.WorthDiff, over)
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -77,6 +77,7 @@
 type pooler struct {
 	name string
 	addr string
+	near string // where its ClickHouse front listens
 	dir  string
 	run  *Run
 
@@ -148,6 +149,10 @@
 func (r *Run) play(ctx context.Context) (*Result, error) {
 	var addrs []string
 	for _, p := range r.poolers {
+		if r.script.Clients.House {
+			addrs = append(addrs, p.near)
+			continue
+		}
 		addrs = append(addrs, p.addr)
 	}
 	cfg := r.script.Clients
@@ -359,7 +364,12 @@
 	if err != nil {
 		return err
 	}
-	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators
+	if p.run.script.Clients.House {
+		if p.near, err = freePort(); err != nil {
+			return err
+		}
+	}
+	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near)
 	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
 		return err
 	}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -142,6 +142,9 @@
 		return nil, err
 	}
 	s.Clients.Groups = len(s.Fleet.Groups)
+	if s.Clients.House && len(s.Fleet.Groups) != 1 {
+		return nil, n.Errorf("(clickhouse) takes one group, of peers; here are %d", len(s.Fleet.Groups))
+	}
 	s.Fleet.Work = map[string]world.Range{}
 	for _, c := range s.Clients.Classes {
 		s.Fleet.Work[c.Name] = c.Work
@@ -176,6 +179,7 @@
 		"way":          both(&s.Way),
 		"handshake":    both(&s.Handshake),
 		"probe-cost":   span(&s.ProbeCost),
+		"clickhouse":   s.clickhouse,
 		"consul":       whole(&s.Agents, 1, 9),
 		"forgets":      span(&s.Forgets),
 		"idle":         func(n *sexp.Node) (err error) { s.IdleMs, err = n.Millis(10, maxSeconds*1000); return err },
@@ -211,6 +215,14 @@
 	}
 }
 
+// clickhouse has clients speak the ClickHouse interface, with classes of its own, to one group of peers.
+func (s *Script) clickhouse(n *sexp.Node) (err error) {
+	if s.Clients.House, err = n.Bool(); err == nil && s.Clients.House {
+		s.Fleet.Peers, s.Clients.Classes = true, clients.HouseClasses()
+	}
+	return err
+}
+
 func spans(n *sexp.Node, to *[2]float64) (err error) {
 	a := n.Args()
 	if len(a) != 2 {
--- a/internal/kit/scenario/settings.go
+++ b/internal/kit/scenario/settings.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"fmt"
 	"strconv"
+	"strings"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -32,7 +34,11 @@
 		}
 		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
 			"points": c.Worth, "late_worth": c.LateWorth})
-		reads, bounds = append(reads, string(c.Read)), append(bounds, ns(c.Bound))
+		read := c.Read
+		if s.Clients.House && read == clients.Write { // any member takes it, once
+			read = clients.ReadAny
+		}
+		reads, bounds = append(reads, string(read)), append(bounds, ns(c.Bound))
 	}
 	if known.Instances == nil {
 		known.Instances = []discovery.Instance{}
@@ -71,3 +77,20 @@
 	}
 	return config.Parse(b, func(string) string { return "" })
 }
+
+// Operators are the operators' settings that a scenario needs of a daemon, whose ClickHouse front listens at an address.
+func (s *Script) Operators(house string) string {
+	if !s.Clients.House {
+		return ""
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "(clickhouse (listen %q) (group 0) (deadline-header %q)\n", house, clients.WaitField)
+	for _, c := range s.Clients.Classes {
+		bound := ""
+		if c.Bound > 0 {
+			bound = fmt.Sprintf(" (bound %gms)", c.Bound)
+		}
+		fmt.Fprintf(&b, "\t(class %q (header %q %q) (aim %gms) (deadline %gms) (worth %g)%s)\n", c.Name, clients.ClassField, c.Name, c.Aim, c.Deadline, c.Worth, bound)
+	}
+	return b.String() + ")\n"
+}
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -24,6 +24,10 @@
 		}
 		b.WriteString(")")
 	}
+	if c.House {
+		b.WriteString("\n  (clickhouse)")
+		wc.Classes = clients.HouseClasses()
+	}
 	number := func(name string, is, was float64, unit string) {
 		if is != was {
 			fmt.Fprintf(&b, "\n  (%s %s%s)", name, num(is), unit)
--- a/internal/kit/standin/house/house.go
+++ b/internal/kit/standin/house/house.go
@@ -204,6 +204,9 @@
 	if !ok {
 		user = r.Header.Get("X-ClickHouse-User")
 	}
+	if u := q.Get("user"); u != "" {
+		user = u
+	}
 	x := &Run{ID: q.Get("query_id"), Text: q.Get("query"), User: user, Session: q.Get("session_id"), At: time.Now(), Lag: lag}
 	h := w.Header()
 	h.Set("X-ClickHouse-Server-Display-Name", s.Name)
--- a/internal/kit/world/group.go
+++ b/internal/kit/world/group.go
@@ -65,7 +65,7 @@
 	case g.Primary == s:
 		g.lostAt = 0
 		s.applied = g.End()
-	case g.Primary == nil && !slices.ContainsFunc(g.Members, func(o *Server) bool { return o != s && o.fit() }):
+	case g.Primary == nil && !g.w.Cfg.Peers && !slices.ContainsFunc(g.Members, func(o *Server) bool { return o != s && o.fit() }):
 		g.w.later(g.w.Cfg.Elect.Draw(g.rng), func(now float64) { g.promote(now) })
 	}
 }
@@ -73,7 +73,7 @@
 // promote makes the member that has most of the log the primary. Nothing that was committed is lost: what it had not
 // applied yet, it applies now.
 func (g *Group) promote(now float64) {
-	if g.Primary != nil {
+	if g.Primary != nil || g.w.Cfg.Peers {
 		return
 	}
 	var best *Server
@@ -102,7 +102,9 @@
 	g.log = append(g.log, entry{commit, g.w.Cfg.Apply})
 	rows := append(g.rows[key], version{g.End() - 1, value})
 	g.rows[key] = rows[max(0, len(rows)-keepVersions):]
-	g.Primary.applied = g.End()
+	if g.Primary != nil {
+		g.Primary.applied = g.End()
+	}
 	if len(g.log) > 2*keepLog {
 		cut := len(g.log) - keepLog
 		g.log, g.base = slices.Clone(g.log[cut:]), g.base+cut
--- a/internal/kit/world/server.go
+++ b/internal/kit/world/server.go
@@ -195,9 +195,12 @@
 
 // Takes tells whether a server would take a request in now, and not turn it away at the door or lose it on the way.
 func (s *Server) Takes(j *Job) bool {
-	return s.Up && !s.Hung && !s.Deaf && !s.Draining && (!j.Writes || s.Group.Primary == s || s.rogue)
+	return s.Up && !s.Hung && !s.Deaf && !s.Draining && (!j.Writes || s.leads())
 }
 
+// leads tells whether a server takes writes.
+func (s *Server) leads() bool { return s.Group.Primary == s || s.rogue || s.w.Cfg.Peers }
+
 // Take has a server take a request. Its owner is told of the answer, perhaps before Take returns.
 func (s *Server) Take(j *Job) {
 	now := s.w.clk.Now()
@@ -205,7 +208,7 @@
 	switch {
 	case !s.Up || s.Hung || s.Deaf || s.loses > 0 && s.w.rng.Float64() < s.loses:
 		return // nobody answers
-	case j.Writes && s.Group.Primary != s && !s.rogue:
+	case j.Writes && !s.leads():
 		s.answer(j, Reply{Verdict: NotPrimary})
 		return
 	case s.Draining:
@@ -256,7 +259,7 @@
 	now := s.w.clk.Now()
 	s.advance(now)
 	s.Served++
-	r := Run{At: now, Applied: s.applied, Primary: s.Group.Primary == s && s.Group.lostAt == 0}
+	r := Run{At: now, Applied: s.applied, Primary: s.w.Cfg.Peers || s.Group.Primary == s && s.Group.lostAt == 0}
 	if !j.Writes {
 		r.Position = s.position(now)
 		s.w.watch.Executed(s, j, r)
--- a/internal/kit/world/world.go
+++ b/internal/kit/world/world.go
@@ -39,6 +39,8 @@
 	FallsMs float64 // ...within this time falls over and stays down
 	Crowds  float64 // each request that waits, for each core, makes work take so much longer, as a part
 
+	Peers bool // there is no primary: every member takes writes, which the others apply from a log that all share
+
 	GraceMs  float64 // for sends to a server, from the list's word that it drains
 	CancelMs float64 // a cancel request takes so long until it strikes
 }
@@ -130,7 +132,7 @@
 			w.byName[s.Name] = s
 			w.Servers = append(w.Servers, s)
 		}
-		if n > 0 {
+		if n > 0 && !cfg.Peers {
 			g.Primary = g.Members[0]
 		}
 		w.Groups = append(w.Groups, g)
