Measure the ClickHouse front beside the direct way and a reverse proxy in one run

The issue asks for figures of all three ways from one run. beechgrade-kit clickhouse starts the daemon, the standard library's reverse proxy in a process of its own and a stand-in, and takes latency in turns, rates with the processor time of the process between, memory of idle clients, and long answers and bodies.

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -82,6 +82,7 @@
 				},
 				Action: measurePooling,
 			},
+			houseCommand(asJSON),
 			membersCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
--- /dev/null
+++ b/internal/kit/rehearse/house.go
@@ -0,0 +1,358 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/standin/house"
+)
+
+// HouseOptions say how the ClickHouse front is measured.
+type HouseOptions struct {
+	Daemon    string
+	Kit       string // this program, which plays the reverse proxy in a process of its own
+	Out       string
+	Seconds   float64 // of each part
+	Gigabytes float64 // of a body
+	Idle      int     // clients that only stay connected
+	Log       *slog.Logger
+	Stage     func(name string)
+}
+
+// HouseWay is what was measured of one way to a server. Times are in milliseconds, rates in a second.
+type HouseWay struct {
+	Way       string  `json:"way"`
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	PerSecond float64 `json:"queries_per_s"`           // of 16 clients
+	CPUMicros float64 `json:"cpu_us_per_query"`        // of the process between, 0 for the direct way
+	PerCore   float64 `json:"queries_per_s_and_core"`  // by that
+	DownMB    float64 `json:"answer_mb_per_s"`         // of a long answer...
+	DownCPU   float64 `json:"answer_cpu_s_per_gb"`     // ...
+	UpMB      float64 `json:"body_mb_per_s"`           // ...and a long body
+	UpCPU     float64 `json:"body_cpu_s_per_gb"`       // ...
+	PeakMB    float64 `json:"peak_resident_mb"`        // of the process, over all parts
+	IdleBytes float64 `json:"bytes_for_each_idle"`     // of its memory
+	Broken    int64   `json:"answers_not_as_expected"` // of all
+}
+
+const (
+	houseClients = 16
+	warmUp       = 3 * time.Second
+)
+
+// way is a way to the stand-in, with the process between.
+type way struct {
+	HouseWay
+	addr string
+	pid  int
+	hist *hdrhistogram.Histogram
+}
+
+// MeasureHouse measures the ClickHouse front side by side with the stand-in reached directly, and through the standard
+// library's reverse proxy.
+func MeasureHouse(ctx context.Context, o HouseOptions) ([]HouseWay, error) {
+	s, err := house.Start("h0")
+	if err != nil {
+		return nil, err
+	}
+	defer s.Stop()
+	s.Forget()
+	if err := os.MkdirAll(o.Out, 0o750); err != nil {
+		return nil, err
+	}
+	list, err := filepath.Abs(filepath.Join(o.Out, "list.json"))
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(list, fmt.Appendf(nil, `{"instances":[{"instanceId":"h0","hostPort":%q,"cell":9,"lifecycle":"up","weight":1}]}`, s.Addr), 0o640); err != nil {
+		return nil, err
+	}
+	at, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	script, err := scenario.Parse("clickhouse", []byte(`(rehearsal "clickhouse" (groups 1) (cold 1s))`))
+	if err != nil {
+		return nil, err
+	}
+	r := &Run{script: script, opt: Options{Seed: 1, Out: o.Out, Daemon: o.Daemon, Log: o.Log}, clk: clock.System(), sockets: 2*o.Idle + 4096,
+		operators: fmt.Sprintf("(clickhouse (listen %q) (group 9) (deadline 600s) (upload 600s))\n(membership (static %q))\n", at, list)}
+	r.fleet = fleet.New(script.Fleet, r.clk, o.Log)
+	defer r.fleet.Close()
+	if err := r.fleet.Start(); err != nil {
+		return nil, err
+	}
+	defer r.kill()
+	p := &pooler{name: "pooler-0", dir: filepath.Join(o.Out, "pooler-0"), run: r}
+	r.poolers = append(r.poolers, p)
+	if err := p.launch(ctx); err != nil {
+		return nil, err
+	}
+	proxy, stop, err := startProxy(o.Kit, s.Addr)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	ways := []*way{{HouseWay: HouseWay{Way: "direct"}, addr: s.Addr}, {HouseWay: HouseWay{Way: "pooler"}, addr: at, pid: p.cmd.Process.Pid}, proxy}
+	for began, c := time.Now(), houseClient(); time.Since(began) < warmUp; { // a server that is new in the list counts as cold
+		_ = small(c, at)
+	}
+	for _, stage := range []struct {
+		name string
+		run  func(context.Context, HouseOptions, []*way) error
+	}{{"latency", houseLatency}, {"throughput", houseThroughput}, {"idle clients", houseIdle}, {"long answers", houseDown}, {"long bodies", houseUp}} {
+		if o.Stage != nil {
+			o.Stage(stage.name)
+		}
+		if err := stage.run(ctx, o, ways); err != nil {
+			return nil, fmt.Errorf("%s: %w", stage.name, err)
+		}
+	}
+	var out []HouseWay
+	for _, w := range ways {
+		w.PeakMB = peakOf(w.pid)
+		out = append(out, w.HouseWay)
+	}
+	return out, nil
+}
+
+// ReverseProxy serves the standard library's reverse proxy to an address on loopback, and tells its own on the writer.
+func ReverseProxy(to string, out io.Writer) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintln(out, l.Addr())
+	h := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
+	h.Transport = &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
+	return (&http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}).Serve(l)
+}
+
+func startProxy(kit, to string) (*way, func(), error) {
+	cmd := exec.Command(kit, "clickhouse", "reverse-proxy", to)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, nil, err
+	}
+	stop := func() { _ = cmd.Process.Kill(); _ = cmd.Wait() }
+	addr, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		stop()
+		return nil, nil, fmt.Errorf("the reverse proxy did not start: %w", err)
+	}
+	return &way{HouseWay: HouseWay{Way: "reverse proxy"}, addr: strings.TrimSpace(addr), pid: cmd.Process.Pid}, stop, nil
+}
+
+func houseClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: houseClients}}
+}
+
+// small asks one small query; it tells whether the answer was as it should be.
+func small(c *http.Client, addr string) bool {
+	res, err := c.Get("http://" + addr + "/?query=SELECT+1")
+	if err != nil {
+		return false
+	}
+	b, err := io.ReadAll(res.Body)
+	_ = res.Body.Close()
+	return err == nil && res.StatusCode == 200 && string(b) == "1\n"
+}
+
+// houseLatency takes turns between the ways, so that all meet the same moments of the machine.
+func houseLatency(ctx context.Context, o HouseOptions, ways []*way) error {
+	c := houseClient()
+	defer c.CloseIdleConnections()
+	for _, w := range ways {
+		w.hist = newHist()
+	}
+	for i, until := 0, time.Now().Add(time.Duration(o.Seconds*float64(time.Second))); time.Now().Before(until) && ctx.Err() == nil; i++ {
+		w := ways[i%len(ways)]
+		began := time.Now()
+		if !small(c, w.addr) {
+			w.Broken++
+			continue
+		}
+		_ = w.hist.RecordValue(max(1, time.Since(began).Microseconds()))
+	}
+	for _, w := range ways {
+		w.P50, w.P99 = quantile(w.hist, 50), quantile(w.hist, 99)
+	}
+	return ctx.Err()
+}
+
+func houseThroughput(ctx context.Context, o HouseOptions, ways []*way) error {
+	for _, w := range ways {
+		before := cpuOf(w.pid)
+		var n, broken atomic.Int64
+		var wg sync.WaitGroup
+		began := time.Now()
+		until := began.Add(time.Duration(o.Seconds * float64(time.Second)))
+		c := houseClient()
+		for range houseClients {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for time.Now().Before(until) && ctx.Err() == nil {
+					if !small(c, w.addr) {
+						broken.Add(1)
+					}
+					n.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		c.CloseIdleConnections()
+		w.PerSecond, w.Broken = float64(n.Load())/time.Since(began).Seconds(), w.Broken+broken.Load()
+		if w.pid != 0 {
+			w.CPUMicros = (cpuOf(w.pid) - before) * 1e6 / float64(max(1, n.Load()))
+			w.PerCore = 1e6 / max(w.CPUMicros, 1e-9)
+		}
+	}
+	return ctx.Err()
+}
+
+func houseIdle(_ context.Context, o HouseOptions, ways []*way) error {
+	for _, w := range ways {
+		if w.pid == 0 {
+			continue
+		}
+		before := residentOf(w.pid)
+		var conns []net.Conn
+		for range o.Idle {
+			c, err := net.Dial("tcp", w.addr)
+			if err != nil {
+				return err
+			}
+			conns = append(conns, c)
+			if _, err := io.WriteString(c, "GET /?query=SELECT+1 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				return err
+			}
+			if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+				return err
+			}
+		}
+		w.IdleBytes = (residentOf(w.pid) - before) / float64(max(1, o.Idle))
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	return nil
+}
+
+const rowBytes = 1 << 10 // of the stand-in's rows
+
+func houseDown(ctx context.Context, o HouseOptions, ways []*way) error {
+	rows := int64(o.Gigabytes * (1 << 30) / rowBytes)
+	for _, w := range ways {
+		before, began := cpuOf(w.pid), time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.addr+"/?"+url.Values{"query": {fmt.Sprintf("SELECT /* ROWS %d */", rows)}}.Encode(), nil)
+		if err != nil {
+			return err
+		}
+		res, err := houseClient().Do(req)
+		if err != nil {
+			return err
+		}
+		n, err := io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if err != nil || n != rows*rowBytes {
+			return fmt.Errorf("%s: %d bytes of %d: %w", w.Way, n, rows*rowBytes, errors.Join(err))
+		}
+		w.DownMB = float64(n) / 1e6 / time.Since(began).Seconds()
+		w.DownCPU = (cpuOf(w.pid) - before) / (float64(n) / 1e9)
+	}
+	return nil
+}
+
+// zeros is a body of so many bytes.
+type zeros struct{ left int64 }
+
+func (z *zeros) Read(p []byte) (int, error) {
+	if z.left == 0 {
+		return 0, io.EOF
+	}
+	n := int(min(z.left, int64(len(p))))
+	z.left -= int64(n)
+	return n, nil
+}
+
+func houseUp(ctx context.Context, o HouseOptions, ways []*way) error {
+	size := int64(o.Gigabytes * (1 << 30))
+	for _, w := range ways {
+		before, began := cpuOf(w.pid), time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.addr+"/?query=INSERT+INTO+t", &zeros{size})
+		if err != nil {
+			return err
+		}
+		req.ContentLength = size
+		res, err := houseClient().Do(req)
+		if err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if res.StatusCode != 200 {
+			return fmt.Errorf("%s: %s", w.Way, res.Status)
+		}
+		w.UpMB = float64(size) / 1e6 / time.Since(began).Seconds()
+		w.UpCPU = (cpuOf(w.pid) - before) / (float64(size) / 1e9)
+	}
+	return nil
+}
+
+// cpuOf is the processor time of a process so far in seconds, 0 for none.
+func cpuOf(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, ok := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	if pid == 0 || err != nil || !ok || len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / 100 // in hundredths of a second, as Linux counts for programs
+}
+
+// statusOf is a figure of a process's status in bytes, 0 where it can't be read.
+func statusOf(pid int, name string) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if pid == 0 || err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), name+":")
+	f := strings.Fields(rest)
+	if len(f) == 0 {
+		return 0
+	}
+	kb, _ := strconv.ParseFloat(f[0], 64)
+	return kb * 1024
+}
+
+func residentOf(pid int) float64 { return statusOf(pid, "VmRSS") }
+
+func peakOf(pid int) float64 { return statusOf(pid, "VmHWM") / (1 << 20) }
--- a/internal/kit/rehearse/pooling.go
+++ b/internal/kit/rehearse/pooling.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -247,31 +246,17 @@
 
 // cpu is the CPU time of the daemon so far, in seconds.
 func (b *bench) cpu() (float64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", b.pid()))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, ok := strings.Cut(string(text), ") ")
-	f := strings.Fields(rest)
-	if !ok || len(f) < 13 {
-		return 0, errors.New("the process's times can't be read")
+	if x := cpuOf(b.pid()); x > 0 {
+		return x, nil
 	}
-	user, err1 := strconv.ParseFloat(f[11], 64)
-	system, err2 := strconv.ParseFloat(f[12], 64)
-	return (user + system) / 100, errors.Join(err1, err2) // in hundredths of a second, as Linux counts for programs
+	return 0, errors.New("the process's times can't be read")
 }
 
 func (b *bench) memory() (float64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", b.pid()))
-	if err != nil {
-		return 0, err
-	}
-	f := strings.Fields(string(text))
-	if len(f) < 2 {
-		return 0, errors.New("the process's memory can't be read")
+	if x := residentOf(b.pid()); x > 0 {
+		return x, nil
 	}
-	pages, err := strconv.ParseFloat(f[1], 64)
-	return pages * float64(os.Getpagesize()), err
+	return 0, errors.New("the process's memory can't be read")
 }
 
 // crowd connects many clients.
--- a/internal/kit/standin/house/house.go
+++ b/internal/kit/standin/house/house.go
@@ -54,6 +54,7 @@
 	asked    int // for its lag
 	pings    int
 	slowRead time.Duration
+	forgets  bool
 	own      func(http.ResponseWriter, *http.Request, *Run, []byte) bool
 }
 
@@ -123,6 +124,13 @@
 	return now.Sub(s.pos).Seconds()
 }
 
+// Forget has it keep no list of what came, for measurements.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgets = true
+}
+
 // Follow has it begin with the data of a process that was there before.
 func (s *Server) Follow(old *Server) {
 	old.mu.Lock()
@@ -214,7 +222,7 @@
 	h.Set("X-ClickHouse-Format", "TabSeparated")
 	s.mu.Lock()
 	full := s.full
-	if !full {
+	if !full && !s.forgets {
 		s.runs = append(s.runs, x)
 	}
 	s.mu.Unlock()
