--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
+	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/report"
@@ -207,6 +209,25 @@
 	}
 }
 
+// TestColumnStore: a rehearsal of the ClickHouse front on sockets breaks no rule, puts those that it can to the test, and its
+// records and clients tell every try alike.
+func TestColumnStore(t *testing.T) {
+	_, v, res, _ := rehearsal(t, `(rehearsal "house" (clickhouse) (seconds 5) (poolers 2) (groups 4) (rate 60) (cold 1s) (class "painel" (aim 3s) (deadline 4s) (bound 4s) (work 2ms 4ms))
+		(class "relatorio-mes" (aim 3s) (deadline 4s) (work 2ms 4ms)) (class "carga" (aim 3s) (deadline 4s) (work 2ms 4ms))
+		(at 1s (hang member 0 0) (for 1s)) (at 2s (drain member 0 1) (for 1500ms)) (at 2500ms (die member 0 2) (for 1s)))`)
+	for _, b := range res.Rules.Breaches {
+		t.Errorf("%s: %s %+v", b.Rule, b.Text, b.Proof)
+	}
+	for _, rule := range []check.Rule{check.OneAnswer, check.NotTwice, check.DrainsKept, check.NotStale, check.NoInvented} {
+		if res.Rules.Checked[rule] == 0 {
+			t.Errorf("%q was put to no test", rule)
+		}
+	}
+	if !slices.ContainsFunc(v.Classes, func(c incident.ClassView) bool { return c.Name == "clickhouse-carga-writes" && c.Served > 0 }) {
+		t.Errorf("the records know no such class: %+v", v.Classes)
+	}
+}
+
 // TestExamples keeps the shipped scripts readable.
 func TestExamples(t *testing.T) {
 	all, err := filepath.Glob("../../example/rehearsals/*.sexp")
--- a/cmd/beechgrade-kit/load.go
+++ b/cmd/beechgrade-kit/load.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -23,6 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "target", Usage: "a pooler's `ADDRESS`; several share the sessions"},
 			&cli.StringFlag{Name: "pooling", Usage: "in place of targets: the pooling front's `URL`, postgres://USER@ADDRESS/DATABASE"},
+			&cli.StringFlag{Name: "clickhouse", Usage: "in place of targets: the ClickHouse front's `URL`, http://USER@ADDRESS"},
 			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "requests a second, `NUMBER`"},
 			&cli.FloatFlag{Name: "to", Usage: "the rate at the end, `NUMBER`; it rises or falls evenly"},
 			&cli.StringFlag{Name: "shape", Value: string(load.Poisson), Usage: "of the arrivals: constant or poisson"},
@@ -47,6 +50,9 @@
 // fire runs the load tool.
 func fire(ctx context.Context, c *cli.Command) error {
 	classes := clients.Classes()
+	if c.String("clickhouse") != "" {
+		classes = clients.HouseClasses()
+	}
 	p := load.Pattern{Shape: load.Shape(c.String("shape")), From: c.Float("rate"), To: c.Float("to"), Seconds: c.Float("seconds"), Groups: c.Int("groups"),
 		Sessions: c.Int("sessions"), Seed: c.Uint64("seed")}
 	if p.To == 0 {
@@ -62,10 +68,12 @@
 		return fmt.Errorf("--rate and --to: above 0 and at most %d", maxLoadRate)
 	case !(p.Seconds > 0 && p.Seconds <= maxLoadSeconds):
 		return fmt.Errorf("--seconds: above 0 and at most %d", maxLoadSeconds)
-	case len(c.StringSlice("target")) == 0 == (c.String("pooling") == ""):
-		return errors.New("--target or --pooling is due, one of them")
 	}
-	for _, a := range append(c.StringSlice("target"), hostOf(c.String("pooling"))...) {
+	addrs := slices.Concat(c.StringSlice("target"), hostOf(c.String("pooling")), hostOf(c.String("clickhouse")))
+	if given := min(1, len(c.StringSlice("target"))) + len(hostOf(c.String("pooling"))) + len(hostOf(c.String("clickhouse"))); given != 1 {
+		return errors.New("--target, --pooling or --clickhouse is due, one of them")
+	}
+	for _, a := range addrs {
 		if err := onThisMachine(a); err != nil {
 			return err
 		}
@@ -84,8 +92,11 @@
 		load.Target
 		Close()
 	} = &load.Platform{Addrs: c.StringSlice("target"), Classes: classes, Seed: p.Seed}
-	if url := c.String("pooling"); url != "" {
-		target = &load.Pooling{URL: url, Read: c.String("read"), Write: c.String("write"), TimeoutMs: 5000}
+	if at := c.String("pooling"); at != "" {
+		target = &load.Pooling{URL: at, Read: c.String("read"), Write: c.String("write"), TimeoutMs: 5000}
+	}
+	if at := c.String("clickhouse"); at != "" {
+		target = &load.House{URL: at, Read: "SELECT content FROM kv WHERE name = '?'", Write: "INSERT INTO kv (name, content) VALUES ('?', unhex('00'))", TimeoutMs: 5000}
 	}
 	defer target.Close()
 	o := load.Options{Out: c.Int("out-most"), EveryMs: 1000}
@@ -99,7 +110,7 @@
 	if c.Bool("live") {
 		run, stop := context.WithCancel(ctx)
 		defer stop()
-		title := strings.Join(append(c.StringSlice("target"), hostOf(c.String("pooling"))...), " ")
+		title := strings.Join(addrs, " ")
 		if failed := live.Run(ctx, live.New(title, p.Seconds, stop), func(progress func(load.Snapshot)) {
 			o.Progress = progress
 			r, err = load.Run(run, src, target, o)
@@ -135,15 +146,16 @@
 	return err
 }
 
-// hostOf is the address within a URL of the pooling front.
-func hostOf(url string) []string {
-	if url == "" {
+// hostOf is the address within a URL, none for none.
+func hostOf(text string) []string {
+	if text == "" {
 		return nil
 	}
-	rest := url[strings.LastIndex(url, "@")+1:]
-	rest = strings.TrimPrefix(rest, "postgres://")
-	host, _, _ := strings.Cut(rest, "/")
-	return []string{host}
+	u, err := url.Parse(text)
+	if err != nil {
+		return []string{text} // which is then refused
+	}
+	return []string{u.Host}
 }
 
 // onThisMachine refuses every address but those of this machine: a load tool aimed wrongly is an attack.
--- a/cmd/beechgrade/house_test.go
+++ b/cmd/beechgrade/house_test.go
@@ -390,7 +390,15 @@
 
 // TestHouseTime: the sooner of the class's deadline and the query's own limit ends it, with its own code, and at the server too.
 func TestHouseTime(t *testing.T) {
-	w := houses(t, 1, "")
+	w := houses(t, 1, `(deadline-header "X-Wait")`)
+	req, _ := http.NewRequest(http.MethodPost, "http://"+w.addr+"/?query=INSERT+/*+HANG+*/&query_id=h", nil)
+	req.Header.Set("X-Wait", "300")
+	if res, err := w.client.Do(req); err != nil || res.StatusCode != 504 {
+		t.Errorf("by the header: %v %v", res, err)
+	} else {
+		_ = res.Body.Close()
+	}
+	w.wait("it is cancelled", func() bool { r := w.runs("h"); return len(r) == 1 && r[0].Cancelled })
 	s, code, _, err := w.query("POST", "INSERT /* HANG */", "", url.Values{"query_id": {"t"}, "max_execution_time": {"0.4"}})
 	if err != nil || s != 504 || code != "159" {
 		t.Errorf("%d %s %v", s, code, err)
--- a/internal/kit/load/load_test.go
+++ b/internal/kit/load/load_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"math"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -112,6 +115,29 @@
 	}
 }
 
+// TestHouse: the ClickHouse front's answers are told apart, and each query names its class.
+func TestHouse(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		switch {
+		case r.Header.Get("X-Class") != "c":
+			t.Errorf("class %q", r.Header.Get("X-Class"))
+		case strings.HasPrefix(string(b), "INSERT 'load-3'"):
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case strings.HasPrefix(string(b), "INSERT"):
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	}))
+	h := &House{URL: s.URL, Read: "SELECT '?'", Write: "INSERT '?'", TimeoutMs: 20000}
+	got := []Ending{h.Fire(context.Background(), Shot{Class: "c", Session: 1}), h.Fire(context.Background(), Shot{Class: "c", Session: 3, Writes: true}), h.Fire(context.Background(), Shot{Class: "c", Session: 4, Writes: true})}
+	h.Close()
+	s.Close()
+	got = append(got, h.Fire(context.Background(), Shot{Class: "c"}))
+	if diff := cmp.Diff([]Ending{Served, Refused, Failed, Broken}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestReplay: a recorded day is asked again as it was, so many times as fast.
 func TestReplay(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/kit/load/targets.go
+++ b/internal/kit/load/targets.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,3 +184,56 @@
 		}
 	}
 }
+
+// House asks the ClickHouse front: reads and writes are queries of the given texts, in which ? stands for the session's key.
+type House struct {
+	URL       string // http://user@host:port
+	Read      string
+	Write     string
+	TimeoutMs float64
+
+	once   sync.Once
+	client *http.Client
+}
+
+// Fire is Target's.
+func (h *House) Fire(ctx context.Context, s Shot) Ending {
+	h.once.Do(func() {
+		h.client = &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: keepIdle}}
+	})
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.TimeoutMs*float64(time.Millisecond)))
+	defer cancel()
+	sql := h.Read
+	if s.Writes {
+		sql = h.Write
+	}
+	sql = strings.ReplaceAll(sql, "?", fmt.Sprintf("load-%d", s.Session))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.URL, strings.NewReader(sql))
+	if err != nil {
+		return Failed
+	}
+	req.Header.Set(clients.ClassField, s.Class)
+	res, err := h.client.Do(req)
+	if err == nil {
+		_, err = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+	switch {
+	case ctx.Err() != nil:
+		return Silent
+	case err != nil:
+		return Broken
+	case res.StatusCode == http.StatusServiceUnavailable:
+		return Refused
+	case res.StatusCode != http.StatusOK:
+		return Failed
+	}
+	return Served
+}
+
+// Close closes all connections.
+func (h *House) Close() {
+	if h.client != nil {
+		h.client.CloseIdleConnections()
+	}
+}
