--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,410 @@
+package store_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/steady"
+	"beechgrade/internal/store"
+	"beechgrade/internal/store/faulty"
+)
+
+// act is a step of a history: entries kept together, or a compaction.
+type act struct {
+	entries []store.Entry
+	compact bool
+}
+
+// history is a scripted one, with keys that are written again and removed, compactions, and segments that fill up.
+func history() (out []act) {
+	for i := range 30 {
+		e := []store.Entry{{Key: fmt.Sprint("k", i%7), Value: []byte(fmt.Sprint("v", i, strings.Repeat("x", i*5)))}}
+		if i%5 == 4 {
+			e = append(e, store.Entry{Key: fmt.Sprint("k", (i+3)%7), Gone: true})
+		}
+		out = append(out, act{entries: e})
+		if i%11 == 10 {
+			out = append(out, act{compact: true})
+		}
+	}
+	return out
+}
+
+// models are what a store holds after each prefix of a history.
+func models(acts []act) (out []map[string]string) {
+	m := map[string]string{}
+	snap := func() {
+		c := map[string]string{}
+		for k, v := range m {
+			c[k] = v
+		}
+		out = append(out, c)
+	}
+	snap()
+	for _, a := range acts {
+		for _, e := range a.entries {
+			if delete(m, e.Key); !e.Gone {
+				m[e.Key] = string(e.Value)
+			}
+		}
+		snap()
+	}
+	return out
+}
+
+// play has a store go through a history, one act after the other, and tells how many were acknowledged, and how many asked for.
+func play(d *faulty.Disk, acts []act) (acked, asked int) {
+	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 700})
+	if err != nil {
+		return 0, 0
+	}
+	defer func() { _ = s.Close() }()
+	for _, a := range acts {
+		asked++
+		done := make(chan error, 1)
+		if a.compact {
+			s.Compact(func(err error) { done <- err })
+		} else {
+			s.Append(a.entries, func(err error) { done <- err })
+		}
+		if err := <-done; err != nil {
+			return acked, asked
+		}
+		acked = asked
+	}
+	return acked, asked
+}
+
+func held(s *store.Store) map[string]string {
+	out := map[string]string{}
+	s.Range("", "", func(k string, v []byte) bool { out[k] = string(v); return true })
+	return out
+}
+
+// prefix tells which prefix of a history a store holds, between two, -1 for none.
+func prefix(got map[string]string, all []map[string]string, from, to int) int {
+	for n := to; n >= from; n-- {
+		if cmp.Equal(got, all[n]) {
+			return n
+		}
+	}
+	return -1
+}
+
+// TestPowerLost: the power goes out at every operation of a history, within compactions too; whatever of the bytes and names
+// that were not synced is there afterwards, the store has all that was acknowledged, and nothing that was not asked for; and it
+// goes on from there. The same where only the process ends.
+func TestPowerLost(t *testing.T) {
+	acts := history()
+	all := models(acts)
+	whole := faulty.New()
+	if acked, _ := play(whole, acts); acked != len(acts) {
+		t.Fatalf("%d of %d", acked, len(acts))
+	}
+	ops, _ := whole.Ops()
+	where := map[string]int{}
+	for at := 1; at <= ops; at++ {
+		for variant := range 12 {
+			rng := rand.New(rand.NewPCG(uint64(at), uint64(variant)))
+			d := faulty.New()
+			d.CrashAt = at
+			acked, asked := play(d, acts)
+			if variant == 0 {
+				_, what := d.Ops()
+				where[what]++
+			}
+			next := d.Restart(rng, variant > 0)
+			s, _, err := store.Open(store.Options{FS: next, SegmentBytes: 700})
+			if err != nil {
+				t.Fatalf("operation %d, variant %d: %v", at, variant, err)
+			}
+			got := held(s)
+			n := prefix(got, all, acked, asked)
+			if n < 0 {
+				t.Fatalf("operation %d, variant %d: %d acknowledged of %d asked, and it holds %v", at, variant, acked, asked, got)
+			}
+			done := make(chan error, 1)
+			s.Append([]store.Entry{{Key: "after", Value: []byte("all")}}, func(err error) { done <- err })
+			if err := errors.Join(<-done, s.Close()); err != nil {
+				t.Fatal(err)
+			}
+			last, _, err := store.Open(store.Options{FS: next.Restart(rng, true)})
+			if err != nil {
+				t.Fatalf("operation %d, variant %d, the second time: %v", at, variant, err)
+			}
+			got["after"] = "all"
+			if diff := cmp.Diff(got, held(last)); diff != "" {
+				t.Fatalf("operation %d, variant %d, the second time: %s", at, variant, diff)
+			}
+			_ = last.Close()
+		}
+	}
+	t.Logf("%d operations: %v", ops, where)
+	for _, what := range []string{"create", "write", "sync", "rename", "remove", "sync folder"} {
+		if where[what] == 0 {
+			t.Errorf("the power never went out at %q", what)
+		}
+	}
+}
+
+// TestEveryCut and flip: each file is cut at every offset, and each of its bytes flipped: the store opens with a prefix of what it
+// held, or refuses aloud. Only the end of the newest segment may be missing without a word of damage.
+func TestEveryCut(t *testing.T) {
+	acts := history()
+	all := models(acts)
+	d := faulty.New()
+	if acked, _ := play(d, acts); acked != len(acts) {
+		t.Fatal(acked)
+	}
+	files := d.Files()
+	names := slices.Sorted(func(yield func(string) bool) {
+		for n := range files {
+			if !yield(n) {
+				return
+			}
+		}
+	})
+	opened, refused := 0, 0
+	try := func(name string, b []byte, what string) {
+		c := faulty.New()
+		for n, x := range files {
+			c.Set(n, x)
+		}
+		c.Set(name, b)
+		s, rec, err := store.Open(store.Options{FS: c})
+		if err != nil {
+			if refused++; !errors.Is(err, store.ErrRotten) {
+				t.Fatalf("%s %s: %v", name, what, err)
+			}
+			return
+		}
+		opened++
+		n := prefix(held(s), all, 0, len(acts))
+		if n < 0 || n < len(acts) && rec.Dropped == 0 && !strings.HasPrefix(what, "cut") { // a cut between frames looks like an end
+			t.Fatalf("%s %s: it holds %d acts, %+v", name, what, n, rec)
+		}
+		if name != names[len(names)-1] && n < len(acts) {
+			t.Fatalf("%s %s: an older file is damaged, and %d of %d are there without a word", name, what, n, len(acts))
+		}
+		_ = s.Close()
+	}
+	for _, name := range names {
+		b := files[name]
+		for at := range b {
+			try(name, b[:at], fmt.Sprint("cut at ", at))
+			flipped := slices.Clone(b)
+			flipped[at] ^= 1 << (at % 8)
+			try(name, flipped, fmt.Sprintf("flipped at %d", at))
+		}
+	}
+	t.Logf("%d files; opened %d, refused %d", len(files), opened, refused)
+	if opened == 0 || refused == 0 {
+		t.Errorf("opened %d, refused %d", opened, refused)
+	}
+	for _, name := range names { // a file that is gone
+		c := faulty.New()
+		for n, x := range files {
+			if n != name {
+				c.Set(n, x)
+			}
+		}
+		if s, _, err := store.Open(store.Options{FS: c}); err == nil {
+			if n := prefix(held(s), all, 0, len(acts)); n < len(acts) && name != names[len(names)-1] {
+				t.Errorf("without %s it holds the first %d acts, without a word", name, n)
+			}
+			_ = s.Close()
+		}
+	}
+}
+
+// TestFailures: each operation fails once: nothing that is told to be kept is lost, nothing is told to be kept after a sync has
+// failed, and the next start holds all that was.
+func TestFailures(t *testing.T) {
+	acts := history()
+	all := models(acts)
+	whole := faulty.New()
+	play(whole, acts)
+	ops, _ := whole.Ops()
+	for at := 1; at <= ops; at++ {
+		for _, short := range []bool{false, true} {
+			d := faulty.New()
+			d.FailAt, d.Err, d.Short = at, errors.New("input/output error"), short
+			acked, asked := play(d, acts)
+			if acked == len(acts) {
+				t.Errorf("operation %d failed, and nobody heard", at)
+			}
+			next := d.Restart(rand.New(rand.NewPCG(uint64(at), 1)), true)
+			s, _, err := store.Open(store.Options{FS: next})
+			if err != nil {
+				t.Fatalf("operation %d: %v", at, err)
+			}
+			if prefix(held(s), all, acked, asked) < 0 {
+				t.Fatalf("operation %d: %d acknowledged of %d, and it holds %v", at, acked, asked, held(s))
+			}
+			_ = s.Close()
+		}
+	}
+}
+
+// TestDiskFull: with room for less and less, what was acknowledged is there; a bound on its own size is told before anything is
+// lost, and what is dead makes room.
+func TestDiskFull(t *testing.T) {
+	acts := history()
+	all := models(acts)
+	for room := 20; room < 4000; room += 37 {
+		d := faulty.New()
+		d.Room = room
+		acked, asked := play(d, acts)
+		next := d.Restart(rand.New(rand.NewPCG(uint64(room), 1)), true)
+		s, _, err := store.Open(store.Options{FS: next})
+		if err != nil {
+			t.Fatalf("room for %d: %v", room, err)
+		}
+		if prefix(held(s), all, acked, asked) < 0 {
+			t.Fatalf("room for %d: %d acknowledged of %d", room, acked, asked)
+		}
+		_ = s.Close()
+	}
+	s, _, err := store.Open(store.Options{FS: faulty.New(), SegmentBytes: 1000, MaxBytes: 4000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	one := func(key string) error {
+		done := make(chan error, 1)
+		s.Append([]store.Entry{{Key: key, Value: make([]byte, 100)}}, func(err error) { done <- err })
+		return <-done
+	}
+	for i := range 300 { // dead ones make room
+		if err := one("same"); err != nil {
+			t.Fatalf("write %d: %v", i, err)
+		}
+	}
+	full := error(nil)
+	for i := 0; full == nil && i < 100; i++ {
+		full = one(fmt.Sprint("other", i))
+	}
+	if !errors.Is(full, store.ErrFull) {
+		t.Errorf("%v", full)
+	}
+	if _, ok := s.Get("other0"); !ok {
+		t.Error("what was kept has gone")
+	}
+}
+
+// TestStateMachine: random histories with crashes, compactions and failures against a map.
+func TestStateMachine(t *testing.T) {
+	steady.Check(t, func(rt *rapid.T) {
+		d := faulty.New()
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		model := map[string]string{}
+		open := func() *store.Store {
+			s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 300})
+			if err != nil {
+				rt.Fatalf("open: %v", err)
+			}
+			return s
+		}
+		s := open()
+		rt.Repeat(map[string]func(*rapid.T){
+			"append": func(rt *rapid.T) {
+				var e []store.Entry
+				for range rapid.IntRange(1, 3).Draw(rt, "entries") {
+					e = append(e, store.Entry{Key: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "key"), Value: []byte(rapid.StringN(0, 90, -1).Draw(rt, "value")), Gone: rapid.IntRange(0, 3).Draw(rt, "gone") == 0})
+				}
+				done := make(chan error, 1)
+				s.Append(e, func(err error) { done <- err })
+				if err := <-done; err != nil {
+					rt.Fatal(err)
+				}
+				for _, x := range e {
+					if delete(model, x.Key); !x.Gone {
+						model[x.Key] = string(x.Value)
+					}
+				}
+			},
+			"compact": func(rt *rapid.T) {
+				done := make(chan error, 1)
+				s.Compact(func(err error) { done <- err })
+				if err := <-done; err != nil {
+					rt.Fatal(err)
+				}
+			},
+			"crash": func(rt *rapid.T) {
+				_ = s.Close()
+				d = d.Restart(rng, rapid.Bool().Draw(rt, "power"))
+				s = open()
+			},
+			"": func(rt *rapid.T) {
+				if diff := cmp.Diff(model, held(s)); diff != "" {
+					rt.Fatal(diff)
+				}
+			},
+		})
+		_ = s.Close()
+	})
+}
+
+// TestTogether: many that append at once share syncs; each is told once, after what it wrote can be read; a second process is
+// refused; a range sees the store as it was.
+func TestTogether(t *testing.T) {
+	d := faulty.New()
+	s, _, err := store.Open(store.Options{FS: d})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := store.Open(store.Options{FS: d}); !errors.Is(err, store.ErrLocked) {
+		t.Errorf("a second process: %v", err)
+	}
+	before, _ := d.Ops()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	told := map[int]int{}
+	for i := range 400 {
+		wg.Add(1)
+		s.Append([]store.Entry{{Key: fmt.Sprint("k", i), Value: []byte("v")}}, func(err error) {
+			defer wg.Done()
+			if _, ok := s.Get(fmt.Sprint("k", i)); err != nil || !ok {
+				t.Errorf("%d: %v %v", i, err, ok)
+			}
+			mu.Lock()
+			told[i]++
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	after, _ := d.Ops()
+	if len(told) != 400 || after-before > 2*400 {
+		t.Errorf("%d were told, with %d operations", len(told), after-before)
+	}
+	n := 0
+	s.Range("k1", "k2", func(k string, _ []byte) bool {
+		if n++; n == 1 {
+			done := make(chan error, 1)
+			s.Append([]store.Entry{{Key: "k15", Gone: true}, {Key: "k1x", Value: []byte("new")}}, func(err error) { done <- err })
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+		return true
+	})
+	if n != 111 { // k1, k10 to k19, k100 to k199
+		t.Errorf("%d in the range", n)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	done := make(chan error, 1)
+	s.Append(nil, func(err error) { done <- err })
+	if err := <-done; !errors.Is(err, store.ErrClosed) {
+		t.Errorf("after the end: %v", err)
+	}
+}
