--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -14,11 +15,14 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"beechgrade/internal/journal"
 	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/report"
 	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/store"
 )
 
 // daemon is the real program, built once.
@@ -228,6 +232,62 @@
 	}
 }
 
+// TestJournalKilled: a pooler is killed under load again and again: each write that ran has an answer that its client heard, or
+// is in the journal; none is there twice; the journal lists what was called off and broken off too.
+func TestJournalKilled(t *testing.T) {
+	dir, out := t.TempDir(), t.TempDir()
+	s, err := scenario.Parse("script", []byte(`(rehearsal "killed" (seconds 6) (poolers 1) `+strings.Replace(quick, "(rate 60)", "(rate 150)", 1)+` (class "registrar-ponto" (share 0.8)) (at 500ms (kill-pooler 0) (for 60ms) (every 450ms)))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 3, Out: out, Daemon: daemon, Log: slog.New(slog.DiscardHandler),
+		Operators: fmt.Sprintf("(journal (dir %q))", filepath.Join(dir, "$POOLER"))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := os.ReadFile(filepath.Join(out, rehearse.TriesFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := map[string]bool{}
+	for line := range strings.Lines(string(b)) {
+		var x rehearse.TryLine
+		if err := json.Unmarshal([]byte(line), &x); err != nil {
+			t.Fatal(err)
+		}
+		heard[x.ID] = x.Kind == clients.Served
+	}
+	j, _, err := store.Open(store.Options{FS: store.Dir(filepath.Join(dir, "pooler-0"))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := map[string]int{}
+	for _, a := range journal.Pending(j) {
+		listed[fmt.Sprint(a.ID, " ", a.No, " ", a.At)]++
+		listed[a.ID] = 1
+	}
+	_ = j.Close()
+	missing, lost := 0, 0
+	for _, id := range res.Ran {
+		if !heard[id] {
+			lost++
+			if listed[id] == 0 {
+				missing++
+				t.Errorf("%s ran, its client heard nothing of it, and it is not listed", id)
+			}
+		}
+	}
+	for what, n := range listed {
+		if n > 1 {
+			t.Errorf("%s is listed %d times", what, n)
+		}
+	}
+	t.Logf("%d writes ran, of %d nothing was heard; %d lines", len(res.Ran), lost, len(listed)/2)
+	if len(res.Ran) < 100 || lost == 0 {
+		t.Errorf("%d writes ran, and of %d nothing was heard: nothing was put to the test", len(res.Ran), lost)
+	}
+}
+
 // TestExamples keeps the shipped scripts readable.
 func TestExamples(t *testing.T) {
 	all, err := filepath.Glob("../../example/rehearsals/*.sexp")
--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -83,6 +83,7 @@
 				Action: measurePooling,
 			},
 			houseCommand(asJSON),
+			journalCommand(asJSON),
 			membersCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
@@ -92,6 +93,7 @@
 					&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what is drawn follows from this `NUMBER`"},
 					&cli.StringFlag{Name: "out", Value: "rehearsal", Usage: "the `DIR` for records, logs and results"},
 					&cli.StringFlag{Name: "daemon", Usage: "the daemon's program `FILE`; else the one beside this program"},
+					&cli.StringFlag{Name: "settings", Usage: "more of the operators' settings for the poolers, a `FILE`; $POOLER stands for a pooler's name"},
 					&cli.BoolFlag{Name: "verbose", Aliases: []string{"v"}, Usage: "log what the stand-ins do"},
 					asJSON(),
 				},
@@ -165,7 +167,15 @@
 		log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
 	out, told := c.String("out"), -1
-	_, err = rehearse.Play(ctx, s, rehearse.Options{Seed: c.Uint64("seed"), Out: out, Daemon: daemon, Log: log, Progress: func(done, all int) {
+	more := ""
+	if path := c.String("settings"); path != "" {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		more = string(b)
+	}
+	_, err = rehearse.Play(ctx, s, rehearse.Options{Seed: c.Uint64("seed"), Out: out, Operators: more, Daemon: daemon, Log: log, Progress: func(done, all int) {
 		if part := 20 * done / max(1, all); part != told && !c.Bool("json") {
 			told = part
 			fmt.Fprintf(os.Stderr, "\r%s: %3d%%", s.Name, 5*part)
--- a/cmd/beechgrade/house_storm_test.go
+++ b/cmd/beechgrade/house_storm_test.go
@@ -23,6 +23,8 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/kit/check/queries"
 	"beechgrade/internal/kit/standin/house"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/store/faulty"
 )
 
 // stormClient asks one query after the other on connections of its own, and counts what comes back.
@@ -243,3 +245,37 @@
 		t.Errorf("few were served: %v", ends)
 	}
 }
+
+// TestHouseJournal: writes go out once their entries are durable, and those of which nothing was heard are listed by their
+// query_id; a pooler that starts on that journal answers such an id as failed, and sends nothing.
+func TestHouseJournal(t *testing.T) {
+	d := faulty.New()
+	start := func() (*houseWorld, func()) {
+		var end func()
+		w := housesOn(t, 2, "", nil, func(p *pooler) {
+			var err error
+			if end, err = p.journalOn(d, operate.Journal{MostBytes: 1 << 20}); err != nil {
+				t.Fatal(err)
+			}
+		})
+		return w, end
+	}
+	w, end := start()
+	for i := range 10 {
+		if s, _, _, err := w.query("POST", "INSERT INTO t VALUES (1)", "", id(fmt.Sprint("ok", i))); s != 200 || err != nil {
+			t.Errorf("%d %v", s, err)
+		}
+	}
+	if s, _, _, err := w.query("POST", "INSERT /* DROP */", "", id("lost")); s != 502 || err != nil {
+		t.Errorf("%d %v", s, err)
+	}
+	end()
+	next, end := start()
+	defer end()
+	if s, _, _, err := next.query("POST", "INSERT INTO t VALUES (1)", "", id("lost")); s != 502 || err != nil || len(next.runs("lost")) != 0 {
+		t.Errorf("an id that may have run: %d %v, it ran %d times", s, err, len(next.runs("lost")))
+	}
+	if s, _, _, err := next.query("POST", "INSERT INTO t VALUES (1)", "", id("ok3")); s != 200 || err != nil {
+		t.Errorf("an id that was answered: %d %v", s, err)
+	}
+}
--- a/cmd/beechgrade/house_test.go
+++ b/cmd/beechgrade/house_test.go
@@ -48,6 +48,11 @@
 
 // housesAs has a function set the servers up before the pooler knows them.
 func housesAs(t *testing.T, n int, more string, setUp func([]*house.Server), change ...func(*config.Config)) *houseWorld {
+	return housesOn(t, n, more, setUp, func(*pooler) {}, change...)
+}
+
+// housesOn has another function add to the pooler before it runs.
+func housesOn(t *testing.T, n int, more string, setUp func([]*house.Server), add func(*pooler), change ...func(*config.Config)) *houseWorld {
 	t.Helper()
 	w := &houseWorld{t: t, list: filepath.Join(t.TempDir(), "list.json"), client: &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: patience}}
 	t.Cleanup(w.client.CloseIdleConnections)
@@ -78,6 +83,7 @@
 	w.p = newPooler(cfg, testLog())
 	w.p.useClickHouse(set.ClickHouse)
 	w.p.useMembers(set.Membership)
+	add(w.p)
 	first := *cfg
 	w.p.load = func() (*config.Config, error) { return &first, nil }
 	_, w.hup, _, _ = launch(t, w.p)
--- /dev/null
+++ b/cmd/beechgrade/journal.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"fmt"
+
+	"beechgrade/internal/journal"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/store"
+)
+
+// useJournal opens the journal of what may have run, where the settings have it on; the function ends it.
+func (p *pooler) useJournal(o operate.Journal) (stop func(), err error) {
+	if o.Dir == "" {
+		return func() {}, nil
+	}
+	return p.journalOn(store.Dir(o.Dir), o)
+}
+
+func (p *pooler) journalOn(fs store.FS, o operate.Journal) (stop func(), err error) {
+	s, rec, err := store.Open(store.Options{FS: fs, MaxBytes: o.MostBytes, SegmentBytes: o.MostBytes / 16, Post: p.loop.Post})
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	if rec.Dropped > 0 {
+		p.log.Warn("journal: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
+	}
+	p.journal = journal.New(p.loop, p.log, p.core, s, o.Mode)
+	p.core.Journal(p.journal)
+	if n := len(journal.Pending(s)); n > 0 {
+		p.log.Warn("journal: attempts of earlier processes may have run", "attempts", n)
+	}
+	return func() { _ = s.Close() }, nil
+}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -79,6 +79,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "clickhouse: off")
 					}
+					if j := set.Journal; j.Dir != "" {
+						fmt.Fprintf(c.Root().Writer, "journal: in %s, %s an attempt goes out, at most %d bytes\n", j.Dir, j.Mode, j.MostBytes)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "journal: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -149,6 +154,11 @@
 	p.usePooling(set.Pooling)
 	p.useClickHouse(set.ClickHouse)
 	p.useMembers(set.Membership)
+	end, err := p.useJournal(set.Journal)
+	if err != nil {
+		return err
+	}
+	defer end()
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -12,6 +12,7 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/journal"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
@@ -55,6 +56,8 @@
 	houseGroup int
 	stopHouse  func()
 
+	journal *journal.Journal // nil where it is off
+
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
 	gauges bool         // are recorded
@@ -130,7 +133,11 @@
 		directory = p.sources.members
 	}
 	p.core.Note(recordpb.Kind_KIND_START, "")
-	p.core.Start(p.servers(), directory)
+	servers := p.servers()
+	if p.journal != nil {
+		servers = p.journal.Wrap(servers)
+	}
+	p.core.Start(servers, directory)
 	p.front.Start()
 	if p.pooled != nil {
 		p.listen()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -85,6 +86,25 @@
 	probed map[string]float64
 	meter  Meter
 	words  Words // nil where nobody listens
+
+	journal Journal // nil where there is none
+}
+
+// Journal is told how attempts ended, and knows what may have run before this process began.
+type Journal interface {
+	Ended(t backend.Tag, res beechgrade.Result)
+	Ran(id string) bool
+}
+
+// Journal has a journal told.
+func (c *Core) Journal(j Journal) { c.journal = j }
+
+// Known is by what its client knows a request.
+func (c *Core) Known(ref slots.Ref) string {
+	if q, ok := c.requests.Get(ref); ok {
+		return q.known
+	}
+	return ""
 }
 
 // Hear has somebody told what servers say of themselves.
@@ -114,6 +134,7 @@
 // request is one that a client asked; it stays until it is over and its attempts have ended.
 type request struct {
 	id     string
+	known  string
 	once   bool // it must not run twice
 	client front.Client
 	query  backend.Query
@@ -165,12 +186,17 @@
 	if c.ids[q.ID] {
 		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
 	}
+	known, once := cmp.Or(q.Known, q.ID), c.cfg.Settings.Classes[class].Effect != beechgrade.Safe
+	if once && c.journal != nil && c.journal.Ran(known) { // nobody knows whether it did
+		client.Failed()
+		return slots.Ref{}, nil
+	}
 	c.ids[q.ID] = true
 	if c.end > 0 {
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, once: c.cfg.Settings.Classes[class].Effect != beechgrade.Safe, client: client, query: q.Query, due: q.Due}
+	r := &request{id: q.ID, known: known, once: once, client: client, query: q.Query, due: q.Due}
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
@@ -204,6 +230,9 @@
 	q.open--
 	store := q.tries[t.No].store
 	c.recordAttempt(q, t.No, store, &o)
+	if c.journal != nil {
+		c.journal.Ended(t, o.Result)
+	}
 	c.told(string(store), &o)
 	if o.Result == beechgrade.OK && !q.over {
 		q.over = true
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,161 @@
+package journal
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/slots"
+	"beechgrade/internal/store"
+	"beechgrade/internal/store/faulty"
+)
+
+// rig is a journal between a core and servers that only take notes. The store's words come when pass is called.
+type rig struct {
+	t      *testing.T
+	disk   *faulty.Disk
+	store  *store.Store
+	j      *Journal
+	heap   deadline.Heap
+	now    float64
+	posted chan func()
+	out    []string
+}
+
+func (r *rig) Now() float64                             { return r.now }
+func (r *rig) At(ms float64, do func()) *deadline.Timer { return r.heap.Add(ms, do) }
+func (r *rig) Stop(t *deadline.Timer)                   { r.heap.Stop(t) }
+func (r *rig) Known(ref slots.Ref) string               { return fmt.Sprint("id-", ref.Index) }
+func (r *rig) note(format string, args ...any)          { r.out = append(r.out, fmt.Sprintf(format, args...)) }
+func (r *rig) SetAddress(id, addr string)               {}
+func (r *rig) CloseIdle(id string)                      { r.note("idle %s", id) }
+func (r *rig) Forget(id string)                         { r.note("forget %s", id) }
+func (r *rig) Retain(map[string]bool)                   {}
+func (r *rig) Probe(id string)                          {}
+func (r *rig) Cancel(ref slots.Ref)                     { r.note("cancel %d", ref.Index) }
+func (r *rig) AttemptEnded(t backend.Tag, o backend.Outcome) {
+	r.note("ended %d %d", t.Request.Index, o.Result)
+	r.j.Ended(t, o.Result)
+}
+func (r *rig) Start(id string, _ backend.Query, _ float64, once bool, t backend.Tag) slots.Ref {
+	r.note("start %s %d %v", id, t.Request.Index, once)
+	return slots.Ref{Index: 100 + t.Request.Index, Gen: 1}
+}
+
+func newRig(t *testing.T, d *faulty.Disk, mode Mode) *rig {
+	r := &rig{t: t, disk: d, now: 1e6, posted: make(chan func(), 100)}
+	s, _, err := store.Open(store.Options{FS: d, Post: func(f func()) { r.posted <- f }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.store = s
+	r.j = New(r, slog.New(slog.NewTextHandler(io.Discard, nil)), r, s, mode)
+	r.j.Wrap(r)
+	return r
+}
+
+// pass carries out so many words of the store.
+func (r *rig) pass(n int) {
+	for range n {
+		(<-r.posted)()
+	}
+}
+
+func (r *rig) want(out ...string) {
+	r.t.Helper()
+	if diff := cmp.Diff(out, r.out); diff != "" {
+		r.t.Fatal(diff)
+	}
+	r.out = nil
+}
+
+func tag(n uint32) backend.Tag { return backend.Tag{Request: slots.Ref{Index: n, Gen: 1}} }
+
+func (r *rig) pending() (out []string) {
+	for _, a := range Pending(r.store) {
+		out = append(out, fmt.Sprintf("%s %s %s", a.Server, a.ID, a.How()))
+	}
+	return out
+}
+
+var _ core.Servers = (*Journal)(nil)
+
+// TestBefore: a write goes out once its entry is durable, and not at all where it was called off, its time ended, or its server
+// drains before; a read goes out at once. What ended without a word stays, also for the next process.
+func TestBefore(t *testing.T) {
+	r := newRig(t, faulty.New(), Before)
+	r.j.Start("a", nil, 2e6, false, tag(1))
+	r.want("start a 1 false")
+	ref := r.j.Start("a", nil, 2e6, true, tag(2))
+	r.want()
+	if got := r.pending(); len(got) > 1 {
+		t.Error(got)
+	}
+	r.pass(1)
+	r.want("start a 2 true")
+	r.j.Cancel(ref)
+	r.want("cancel 102")
+	r.AttemptEnded(tag(2), backend.Outcome{Result: beechgrade.Reset})
+	r.pass(1)
+	r.out = nil
+	called := r.j.Start("a", nil, 2e6, true, tag(3))
+	r.j.Cancel(called)
+	r.pass(2)
+	r.want("ended 3 7")
+	r.j.Start("b", nil, 2e6, true, tag(4))
+	r.j.CloseIdle("b")
+	r.pass(2)
+	r.want("ended 4 7", "idle b")
+	r.j.Start("b", nil, 1.5e6, true, tag(5))
+	r.now = 1.6e6
+	r.heap.Run(r.now)
+	r.pass(2)
+	r.want("ended 5 7")
+	r.j.Start("a", nil, 2e6, true, tag(6))
+	r.pass(1)
+	r.AttemptEnded(tag(6), backend.Outcome{Result: beechgrade.OK})
+	r.pass(1)
+	r.j.Start("c", nil, 2e6, true, tag(7))
+	r.pass(1)
+	if diff := cmp.Diff([]string{"a id-2 its connection broke", "c id-7 the pooler ended"}, r.pending()); diff != "" {
+		t.Error(diff)
+	}
+	_ = r.store.Close()
+	next := newRig(t, r.disk, Before)
+	if !next.j.Ran("id-2") || !next.j.Ran("id-7") || next.j.Ran("id-6") || next.j.Ran("id-3") {
+		t.Errorf("%v", next.j.ran)
+	}
+	next.j.Start("d", nil, 2e6, true, tag(2)) // the clock stands where it stood before, and nothing is written over
+	next.pass(1)
+	if got := next.pending(); len(got) != 3 {
+		t.Errorf("%q", got)
+	}
+	done := make(chan error, 1)
+	Clear(next.store, func(err error) { done <- err })
+	next.pass(1)
+	if err := <-done; err != nil || len(next.pending()) != 0 {
+		t.Error(err, next.pending())
+	}
+	_ = next.store.Close()
+}
+
+// TestDiskFails: what cannot be written down is not sent; alongside, it is.
+func TestDiskFails(t *testing.T) {
+	for mode, want := range map[Mode][]string{Before: {"ended 1 7"}, Alongside: {"start a 1 true"}} {
+		d := faulty.New()
+		r := newRig(t, d, mode)
+		ops, _ := d.Ops()
+		d.FailAt, d.Err = ops+2, fmt.Errorf("input/output error")
+		r.j.Start("a", nil, 2e6, true, tag(1))
+		r.pass(1)
+		r.want(want...)
+		_ = r.store.Close()
+	}
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -211,6 +211,13 @@
 	return out
 }
 
+// Ran are the ids of the writes that ran.
+func (f *Fleet) Ran() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.world.Ran()
+}
+
 // Primary is the name of a group's present primary, empty where there is none.
 func (f *Fleet) Primary(group int) string {
 	f.mu.Lock()
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,8 @@
 	Daemon   string // path of the daemon's program
 	Log      *slog.Logger
 	Progress func(done, all int)
+
+	Operators string // more of the operators' settings; $POOLER stands for a pooler's name
 }
 
 // Result is a rehearsal's outcome; it is written to result.json in its folder.
@@ -51,6 +54,7 @@
 	Score     *score.Score   `json:"score"`
 	Rules     *check.Verdict `json:"rules"` // by what crossed the wires
 	Facts     []fleet.Fact   `json:"facts"`
+	Ran       []string       `json:"-"` // ids of the writes that ran
 }
 
 // Names within a rehearsal's folder.
@@ -204,6 +208,7 @@
 		keeper.Add(score.Breach{Rule: "drains kept", At: f.At, Text: f.Server + " " + f.What})
 	}
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
+	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
 	for _, b := range res.Rules.Breaches {
 		keeper.Add(score.Breach{Rule: string(b.Rule), At: b.At, ID: fmt.Sprintf("%016x", b.ID), Text: "by the wires: " + b.Text})
@@ -369,7 +374,7 @@
 			return err
 		}
 	}
-	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near)
+	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
 	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
 		return err
 	}
--- a/internal/kit/world/world.go
+++ b/internal/kit/world/world.go
@@ -168,6 +168,14 @@
 	return out
 }
 
+// Ran are the ids of the writes that ran, in no order.
+func (w *World) Ran() (out []string) {
+	for id := range w.ran {
+		out = append(out, id)
+	}
+	return out
+}
+
 // Primary is a group's present primary, nil where there is none.
 func (w *World) Primary(group int) *Server {
 	if group < 0 || group >= len(w.Groups) {
--- /dev/null
+++ b/internal/operate/journal.go
@@ -0,0 +1,48 @@
+package operate
+
+import (
+	"os"
+
+	"beechgrade/internal/journal"
+	"beechgrade/internal/sexp"
+)
+
+// Journal says whether and where it is kept which attempts may have run.
+type Journal struct {
+	Dir       string // empty for off; "$NAME" stands for a variable of the environment
+	Mode      journal.Mode
+	MostBytes int64
+}
+
+func (j *Journal) read(n *sexp.Node, env func(string) string) error {
+	*j = Journal{MostBytes: 64 << 20}
+	if err := (sexp.Form{
+		"dir": func(n *sexp.Node) error {
+			text, err := n.Str()
+			j.Dir = os.Expand(text, env)
+			return err
+		},
+		"mode": func(n *sexp.Node) error {
+			a, err := n.One()
+			if err != nil {
+				return err
+			}
+			switch a.Text {
+			case "before":
+				j.Mode = journal.Before
+			case "alongside":
+				j.Mode = journal.Alongside
+			default:
+				return a.Errorf("before or alongside is due here")
+			}
+			return nil
+		},
+		"most": func(n *sexp.Node) (err error) { j.MostBytes, err = n.Bytes(1<<20, 1<<40); return err },
+	}).Read(n.Args()); err != nil {
+		return err
+	}
+	if j.Dir == "" {
+		return n.Errorf("journal: (dir \"FOLDER\") is due, on a disk that survives")
+	}
+	return nil
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -15,6 +15,7 @@
 	Pooling    Pooling
 	Membership Membership
 	ClickHouse ClickHouse
+	Journal    Journal
 }
 
 // Record says whether and where the pooler records what it does.
@@ -62,6 +63,7 @@
 		"record":     func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse": s.ClickHouse.read,
 		"pooling":    s.Pooling.read,
+		"journal":    func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership": func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
 }
