Look into a durable store and repair it into a copy, without changing it

An operator whose store refuses to open must see why, and get out what can be read. beechgrade-kit store check, stats and dump open a folder so that nothing in it changes; repair writes every frame that is whole into a new folder and names each part that it left out. The disk that loses and tears moves to the stand-ins.

Measured: a byte flipped at every 41st place of each file of a history: each repair names one lost part that holds the byte, keeps all but that frame's entries, and leaves the damaged store as it was (TestRepair).

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -84,6 +84,7 @@
 			},
 			houseCommand(asJSON),
 			journalCommand(asJSON),
+			storeCommand(asJSON),
 			membersCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
--- /dev/null
+++ b/cmd/beechgrade-kit/store.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/store"
+)
+
+// storeCommand looks into a store that no process has open.
+func storeCommand(asJSON func() cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: "store", Usage: "look into a durable store that no pooler has open; nothing in it is changed",
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "tell whether it opens, and what recovery would make of it", ArgsUsage: "DIR", Flags: []cli.Flag{asJSON()}, Action: checkStore},
+			{Name: "stats", Usage: "its files and how much is live", ArgsUsage: "DIR", Flags: []cli.Flag{asJSON()}, Action: storeStats},
+			{Name: "dump", Usage: "its keys and values", ArgsUsage: "DIR", Flags: []cli.Flag{
+				&cli.StringFlag{Name: "from", Usage: "the first `KEY`"}, &cli.StringFlag{Name: "to", Usage: "the `KEY` before which it ends"}}, Action: dumpStore},
+			{Name: "repair", Usage: "write what can be read into a new folder, and tell what was left out", ArgsUsage: "DIR NEW", Action: repairStore},
+		},
+	}
+}
+
+// lookInto opens a store so that nothing in it changes.
+func lookInto(c *cli.Command) (*store.Store, *store.Recovery, error) {
+	if c.Args().Len() != 1 {
+		return nil, nil, errors.New("the store's DIR is due")
+	}
+	return store.Open(store.Options{FS: store.ReadOnly{FS: store.Dir(c.Args().First())}})
+}
+
+func checkStore(_ context.Context, c *cli.Command) error {
+	s, rec, err := lookInto(c)
+	if errors.Is(err, store.ErrRotten) {
+		return failed{err}
+	}
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, rec)
+	}
+	fmt.Fprintf(c.Root().Writer, "it opens: %d records, %d segments behind the snapshot\n", rec.Records, rec.Segments)
+	if rec.Dropped > 0 {
+		fmt.Fprintf(c.Root().Writer, "its end was not whole: %d bytes would be cut (%s)\n", rec.Dropped, rec.Why)
+	}
+	return nil
+}
+
+func storeStats(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return errors.New("the store's DIR is due")
+	}
+	files, err := store.Inspect(store.Dir(c.Args().First()))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, files)
+	}
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "file\tbytes\tframes\tentries\tnumbers\tends\tat byte")
+	for _, f := range files {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d to %d\t%s\t%d\n", f.Name, f.Bytes, f.Frames, f.Entries, f.First, f.Last, f.Ends, f.At)
+	}
+	return w.Flush()
+}
+
+func dumpStore(_ context.Context, c *cli.Command) error {
+	s, _, err := lookInto(c)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = s.Close() }()
+	s.Range(c.String("from"), c.String("to"), func(k string, v []byte) bool {
+		_, err = fmt.Fprintf(c.Root().Writer, "%q %q\n", k, v)
+		return err == nil
+	})
+	return err
+}
+
+func repairStore(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 2 {
+		return errors.New("the store's DIR and a NEW folder are due")
+	}
+	kept, lost, err := store.Repair(store.Dir(c.Args().Get(0)), store.Dir(c.Args().Get(1)))
+	for _, l := range lost {
+		fmt.Fprintf(c.Root().Writer, "left out: %s, bytes %d to %d: %s\n", l.Name, l.From, l.To, l.Why)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.Root().Writer, "%d records are in %s; what was left out may have been newer\n", kept, c.Args().Get(1))
+	return nil
+}
--- a/cmd/beechgrade/house_storm_test.go
+++ b/cmd/beechgrade/house_storm_test.go
@@ -22,9 +22,9 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/kit/check/queries"
+	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/kit/standin/house"
 	"beechgrade/internal/operate"
-	"beechgrade/internal/store/faulty"
 )
 
 // stormClient asks one query after the other on connections of its own, and counts what comes back.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -12,9 +12,9 @@
 	"beechgrade/internal/backend"
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/slots"
 	"beechgrade/internal/store"
-	"beechgrade/internal/store/faulty"
 )
 
 // rig is a journal between a core and servers that only take notes. The store's words come when pass is called.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,9 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/steady"
 	"beechgrade/internal/store"
-	"beechgrade/internal/store/faulty"
 )
 
 // act is a step of a history: entries kept together, or a compaction.
@@ -225,6 +225,63 @@
 	}
 }
 
+// TestRepair: what can be read of a damaged store is in a copy, with a word on each part that was left out; the store itself is as
+// it was, for a look into it too.
+func TestRepair(t *testing.T) {
+	acts := history()
+	d := faulty.New()
+	if acked, _ := play(d, acts); acked != len(acts) {
+		t.Fatal(acked)
+	}
+	last := models(acts)[len(acts)]
+	for name, b := range d.Files() {
+		for at := 16; at < len(b); at += 41 {
+			c := faulty.New()
+			for n, x := range d.Files() {
+				c.Set(n, x)
+			}
+			bad := slices.Clone(b)
+			bad[at] ^= 0x10
+			c.Set(name, bad)
+			before := c.Files()
+			if s, _, err := store.Open(store.Options{FS: store.ReadOnly{FS: c}}); err == nil {
+				_ = s.Close()
+			}
+			copied := faulty.New()
+			kept, lost, err := store.Repair(c, copied)
+			if err != nil || len(lost) != 1 || lost[0].Name != name || lost[0].From > at || lost[0].To <= at {
+				t.Fatalf("%s, byte %d: %d kept, %+v, %v", name, at, kept, lost, err)
+			}
+			if diff := cmp.Diff(before, c.Files()); diff != "" {
+				t.Fatalf("%s, byte %d: the damaged store was changed: %s", name, at, diff)
+			}
+			s, _, err := store.Open(store.Options{FS: copied})
+			if err != nil {
+				t.Fatal(err)
+			}
+			same := 0
+			for k, v := range held(s) {
+				if last[k] == v {
+					same++
+				}
+			}
+			if same < len(last)-2 { // one frame is lost, of two entries at most
+				t.Fatalf("%s, byte %d: %d of %d are as they were", name, at, same, len(last))
+			}
+			_ = s.Close()
+		}
+	}
+	files, err := store.Inspect(d)
+	if err != nil || len(files) == 0 {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if f.At != f.Bytes || f.Frames == 0 {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
 // TestFailures: each operation fails once: nothing that is told to be kept is lost, nothing is told to be kept after a sync has
 // failed, and the next start holds all that was.
 func TestFailures(t *testing.T) {
