--- a/cmd/beechgrade-kit/store.go
+++ b/cmd/beechgrade-kit/store.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
+	"beechgrade/internal/kit/storebench"
 	"beechgrade/internal/store"
 )
 
@@ -20,6 +22,14 @@
 			{Name: "stats", Usage: "its files and how much is live", ArgsUsage: "DIR", Flags: []cli.Flag{asJSON()}, Action: storeStats},
 			{Name: "dump", Usage: "its keys and values", ArgsUsage: "DIR", Flags: []cli.Flag{
 				&cli.StringFlag{Name: "from", Usage: "the first `KEY`"}, &cli.StringFlag{Name: "to", Usage: "the `KEY` before which it ends"}}, Action: dumpStore},
+			{Name: "measure", Usage: "hold it beside bbolt: commits, opening, and what each makes of damaged files", Flags: []cli.Flag{
+				&cli.FloatFlag{Name: "seconds", Value: 3, Usage: "of each part, `NUMBER`"},
+				&cli.IntFlag{Name: "step", Value: 97, Usage: "damage each `NUMBER`th byte; 0 for none"},
+				&cli.StringFlag{Name: "out", Value: "store-measured", Usage: "an empty `DIR` to work in"}, asJSON()}, Action: measureStore},
+			{Name: "opened", Hidden: true, ArgsUsage: "NAME DIR", Action: func(_ context.Context, c *cli.Command) error {
+				fmt.Fprintln(c.Root().Writer, storebench.Opened(c.Args().Get(0), c.Args().Get(1)))
+				return nil
+			}},
 			{Name: "repair", Usage: "write what can be read into a new folder, and tell what was left out", ArgsUsage: "DIR NEW", Action: repairStore},
 		},
 	}
@@ -98,3 +108,40 @@
 	fmt.Fprintf(c.Root().Writer, "%d records are in %s; what was left out may have been newer\n", kept, c.Args().Get(1))
 	return nil
 }
+
+func measureStore(ctx context.Context, c *cli.Command) error {
+	if s, step := c.Float("seconds"), c.Int("step"); !(s > 0 && s <= 600) || step < 0 {
+		return errors.New("--seconds up to 600, and --step from 0")
+	}
+	kit, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	rows, err := storebench.Measure(ctx, c.String("out"), c.Float("seconds"))
+	if err != nil {
+		return err
+	}
+	var damage []storebench.Damage
+	if step := c.Int("step"); step > 0 {
+		damage, err = storebench.Damaged(ctx, kit, c.String("out"), step, func(done, all int) { fmt.Fprintf(os.Stderr, "\r%d of %d bytes ", done, all) })
+		fmt.Fprint(os.Stderr, "\r\033[K")
+		if err != nil {
+			return err
+		}
+	}
+	if c.Bool("json") {
+		return writeJSON(c.Root().Writer, map[string]any{"commits": rows, "damage": damage})
+	}
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\tcommits/s\tp50 ms\tp99 ms\t64 at once/s\tp99 ms\trecords\tMB\topens in ms")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%.0f\t%.3f\t%.3f\t%.0f\t%.3f\t%d\t%.1f\t%.1f\n", r.Name, r.Alone, r.AloneP50, r.AloneP99, r.Together, r.TogetherP, r.Records, float64(r.Bytes)/1e6, r.OpenMs)
+	}
+	if len(damage) > 0 {
+		fmt.Fprintln(w, "\ndamaged\ttried\tall there\ta prefix\trefused\tsomething else\tprocess died\tfirst of these")
+	}
+	for _, d := range damage {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", d.Name, d.Tried, d.Same, d.Prefix, d.Refused, d.Wrong, d.Died, d.First)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/kit/storebench/storebench.go
@@ -0,0 +1,304 @@
+// Package storebench holds the durable store beside bbolt: how fast each commits, how soon each opens, and what each makes of a
+// file that was damaged.
+package storebench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.etcd.io/bbolt"
+
+	"beechgrade/internal/store"
+)
+
+// Row is what was measured of one candidate. Times are in milliseconds.
+type Row struct {
+	Name      string  `json:"name"`
+	Alone     float64 `json:"commits_per_s_one_at_a_time"`
+	AloneP50  float64 `json:"commit_p50_ms"`
+	AloneP99  float64 `json:"commit_p99_ms"`
+	Together  float64 `json:"commits_per_s_64_at_once"`
+	TogetherP float64 `json:"commit_64_p99_ms"`
+	Bytes     int64   `json:"bytes_on_disk"`
+	Records   int     `json:"records"`
+	OpenMs    float64 `json:"open_ms"`
+}
+
+// Damage is what a candidate made of damaged files.
+type Damage struct {
+	Name    string `json:"name"`
+	Tried   int    `json:"tried"`
+	Same    int    `json:"all_there"`
+	Prefix  int    `json:"a_correct_prefix"`
+	Refused int    `json:"refused"`
+	Wrong   int    `json:"something_else"` // opened with what is no prefix, in silence
+	Died    int    `json:"process_died"`
+	First   string `json:"first_wrong"` // what led to the first of these
+}
+
+const valueBytes = 100
+
+// candidate is a store that keeps a value durably before put returns.
+type candidate interface {
+	put(key string, value []byte) error
+	close() error
+}
+
+type own struct{ s *store.Store }
+
+func (o own) put(key string, value []byte) error {
+	done := make(chan error, 1)
+	o.s.Append([]store.Entry{{Key: key, Value: value}}, func(err error) { done <- err })
+	return <-done
+}
+func (o own) close() error { return o.s.Close() }
+
+type bolt struct {
+	db    *bbolt.DB
+	batch bool
+}
+
+var bucket = []byte("b")
+
+func (b bolt) put(key string, value []byte) error {
+	do := func(tx *bbolt.Tx) error {
+		x, err := tx.CreateBucketIfNotExists(bucket)
+		if err != nil {
+			return err
+		}
+		return x.Put([]byte(key), value)
+	}
+	if b.batch {
+		return b.db.Batch(do)
+	}
+	return b.db.Update(do)
+}
+func (b bolt) close() error { return b.db.Close() }
+
+func open(name, dir string, batch bool) (candidate, error) {
+	if name == "store" {
+		s, _, err := store.Open(store.Options{FS: store.Dir(dir)})
+		return own{s}, err
+	}
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return nil, err
+	}
+	db, err := bbolt.Open(filepath.Join(dir, "db"), 0o640, &bbolt.Options{Timeout: time.Second})
+	if err != nil {
+		return nil, err
+	}
+	db.MaxBatchDelay = time.Millisecond
+	return bolt{db, batch}, nil
+}
+
+// Measure measures both in folders below dir, for so many seconds each part.
+func Measure(ctx context.Context, dir string, seconds float64) (out []Row, err error) {
+	span := time.Duration(seconds * float64(time.Second))
+	for _, name := range []string{"store", "bbolt"} {
+		r := Row{Name: name}
+		at := filepath.Join(dir, name)
+		c, err := open(name, at, false)
+		if err != nil {
+			return nil, err
+		}
+		n, hist, err := run(ctx, c, 1, span, 0)
+		if err != nil {
+			return nil, err
+		}
+		r.Alone, r.AloneP50, r.AloneP99 = float64(n)/seconds, quantile(hist, 50), quantile(hist, 99)
+		if err := c.close(); err != nil {
+			return nil, err
+		}
+		if c, err = open(name, at, true); err != nil {
+			return nil, err
+		}
+		m, hist, err := run(ctx, c, 64, span, n)
+		if err != nil {
+			return nil, err
+		}
+		r.Together, r.TogetherP, r.Records = float64(m)/seconds, quantile(hist, 99), n+m
+		if err := c.close(); err != nil {
+			return nil, err
+		}
+		began := time.Now()
+		if c, err = open(name, at, false); err != nil {
+			return nil, err
+		}
+		r.OpenMs = float64(time.Since(began).Microseconds()) / 1000
+		if err := c.close(); err != nil {
+			return nil, err
+		}
+		entries, err := os.ReadDir(at)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			if i, err := e.Info(); err == nil {
+				r.Bytes += i.Size()
+			}
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// run has so many writers put one key after the other.
+func run(ctx context.Context, c candidate, writers int, span time.Duration, from int) (n int, h *hdrhistogram.Histogram, err error) {
+	h = hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	until := time.Now().Add(span)
+	value := make([]byte, valueBytes)
+	for range writers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(until) && ctx.Err() == nil {
+				mu.Lock()
+				key := fmt.Sprintf("%012d", from+n)
+				n++
+				mu.Unlock()
+				began := time.Now()
+				e := c.put(key, value)
+				mu.Lock()
+				err = errors.Join(err, e)
+				_ = h.RecordValue(max(1, time.Since(began).Microseconds()))
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return n, h, errors.Join(err, ctx.Err())
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// damageRecords are kept before a file is damaged, by keys that count up.
+const damageRecords = 40
+
+// Damaged cuts the one file of each candidate at every step-th byte and flips a bit there, and opens each in a process of its
+// own: kit with the words store opened NAME DIR prints how many of the records there are, and whether they are a prefix.
+func Damaged(ctx context.Context, kit, dir string, step int, progress func(done, all int)) (out []Damage, err error) {
+	for _, name := range []string{"store", "bbolt"} {
+		d := Damage{Name: name}
+		whole := filepath.Join(dir, name+"-whole")
+		c, err := open(name, whole, false)
+		if err != nil {
+			return nil, err
+		}
+		for i := range damageRecords {
+			if err := c.put(fmt.Sprintf("%012d", i), make([]byte, valueBytes)); err != nil {
+				return nil, err
+			}
+		}
+		if err := c.close(); err != nil {
+			return nil, err
+		}
+		file := map[string]string{"store": fmt.Sprintf("%016x.log", 1), "bbolt": "db"}[name]
+		b, err := os.ReadFile(filepath.Join(whole, file))
+		if err != nil {
+			return nil, err
+		}
+		for at := 0; at < len(b); at += step {
+			for _, how := range []string{"cut", "flipped"} {
+				bad := append([]byte(nil), b...)
+				if bad[at] ^= 0x20; how == "cut" {
+					bad = append([]byte(nil), b[:at]...)
+				}
+				try := filepath.Join(dir, name+"-try")
+				if err := errors.Join(os.RemoveAll(try), os.MkdirAll(try, 0o750), os.WriteFile(filepath.Join(try, file), bad, 0o640)); err != nil {
+					return nil, err
+				}
+				d.one(ctx, kit, try, fmt.Sprintf("%s at %d", how, at))
+			}
+			if progress != nil {
+				progress(at, len(b))
+			}
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+		}
+		out = append(out, d)
+	}
+	return out, nil
+}
+
+func (d *Damage) one(ctx context.Context, kit, dir, what string) {
+	d.Tried++
+	short, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	text, err := exec.CommandContext(short, kit, "store", "opened", d.Name, dir).Output()
+	word := strings.Fields(string(text))
+	n := -1
+	if len(word) == 2 && word[0] == "prefix" {
+		n, _ = strconv.Atoi(word[1])
+	}
+	switch {
+	case err == nil && n == damageRecords:
+		d.Same++
+	case err == nil && n >= 0:
+		d.Prefix++
+	case len(word) > 0 && word[0] == "refused":
+		d.Refused++
+	default:
+		if len(word) > 0 && word[0] == "wrong" {
+			d.Wrong++
+		} else {
+			d.Died++
+		}
+		if d.First == "" {
+			d.First = what
+		}
+	}
+}
+
+// Opened opens a candidate and says in a line what it holds: "prefix N", "wrong", or "refused".
+func Opened(name, dir string) string {
+	var keys []string
+	bad := false
+	take := func(k string, v []byte) {
+		keys = append(keys, k)
+		bad = bad || len(v) != valueBytes || strings.Trim(string(v), "\x00") != ""
+	}
+	if name == "store" {
+		s, _, err := store.Open(store.Options{FS: store.Dir(dir)})
+		if err != nil {
+			return "refused"
+		}
+		s.Range("", "", func(k string, v []byte) bool { take(k, v); return true })
+		_ = s.Close()
+	} else {
+		db, err := bbolt.Open(filepath.Join(dir, "db"), 0o640, &bbolt.Options{Timeout: time.Second})
+		if err != nil {
+			return "refused"
+		}
+		err = db.View(func(tx *bbolt.Tx) error {
+			b := tx.Bucket(bucket)
+			if b == nil {
+				return nil
+			}
+			return b.ForEach(func(k, v []byte) error { take(string(k), v); return nil })
+		})
+		if err = errors.Join(err, db.Close()); err != nil {
+			return "refused"
+		}
+	}
+	for i, k := range keys {
+		bad = bad || k != fmt.Sprintf("%012d", i)
+	}
+	if bad {
+		return "wrong"
+	}
+	return fmt.Sprint("prefix ", len(keys))
+}
