Serve on the inherited socket, with a door for ready, drain and resume

Cause: a second process found the address taken and exited with 1, and nobody could tell the pooler to send its clients away.

Change: internal/control answers HTTP/1.1 on the loop at control or EDGE_CONTROL; internal/lifecycle is the state machine of starting, ready, draining, handing over and stopping; with EDGE_SOCKET_FD the loop accepts on the inherited socket, and at SIGTERM stops accepting, answers what it took and closes connections as they fall idle. A drain says no to the empty query, waits until the front has noticed, closes behind answers, and cuts off who never falls idle after 1.5 s.

--- /dev/null
+++ b/cmd/beechgrade/life.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/control"
+	"beechgrade/internal/lifecycle"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/record/recordpb"
+)
+
+const (
+	noticeMs = 350  // from a no until clients' side has noticed: new connections stop, and closed ones go elsewhere
+	cutMs    = 1500 // after a drain has begun, until a client that never falls idle is cut off
+	unheard  = 1500 // of the list, after which the one from the start has to do
+)
+
+// inherit takes the listening socket that the platform holds, where it names one.
+func inherit(env func(string) string) (net.Listener, error) {
+	v := env("EDGE_SOCKET_FD")
+	if v == "" {
+		return nil, nil
+	}
+	fd, err := strconv.Atoi(v)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("EDGE_SOCKET_FD: want the number of a descriptor above 2, got %q", v)
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	ln, err := net.FileListener(f) // a copy
+	_ = f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("EDGE_SOCKET_FD: descriptor %d: %w", fd, err)
+	}
+	if _, ok := ln.(*net.TCPListener); !ok {
+		_ = ln.Close()
+		return nil, fmt.Errorf("EDGE_SOCKET_FD: descriptor %d is no TCP listener", fd)
+	}
+	return ln, nil
+}
+
+// listener passes the list's news on, and notes the first.
+type listener struct {
+	p *pooler
+	discovery.Events
+}
+
+// Listed is discovery.Events'.
+func (l listener) Listed(list *discovery.List) {
+	l.Events.Listed(list)
+	l.p.hear()
+}
+
+// hear notes that the list has been heard: from then on this process can serve.
+func (p *pooler) hear() {
+	if !p.heard {
+		p.heard = true
+		p.live(lifecycle.Began)
+	}
+}
+
+// open opens the operators' door, and has the process count as ready once the list is heard or has been waited for.
+func (p *pooler) open() {
+	p.life.Shared = p.given != nil
+	p.loop.At(p.loop.Now()+unheard, p.hear)
+	if p.doorAddr == "" {
+		return
+	}
+	p.door = control.New(p.loop, p.log, desk{p})
+	at, _, err := p.loop.Listen(p.doorAddr, p.door.Accept)
+	if err != nil {
+		p.log.Error("control", "err", err)
+		p.loop.End()
+		return
+	}
+	p.doorAddr = at
+	p.log.Info("control", "listen", at)
+}
+
+// desk carries operators' calls out.
+type desk struct{ p *pooler }
+
+// Call is control.Desk's.
+func (d desk) Call(method, path string) control.Answer {
+	p := d.p
+	calls := map[string]struct {
+		method string
+		do     func() bool
+	}{
+		"/-/ready":  {http.MethodGet, p.life.Serves},
+		"/-/drain":  {http.MethodPost, func() bool { return p.live(lifecycle.Drain) }},
+		"/-/resume": {http.MethodPost, func() bool { return p.live(lifecycle.Resume) }},
+	}
+	c, ok := calls[path]
+	switch {
+	case !ok:
+		return control.Answer{Status: http.StatusNotFound}
+	case c.method != method:
+		return control.Answer{Status: http.StatusMethodNotAllowed, Allow: c.method}
+	case c.do():
+		return control.Answer{Status: http.StatusOK, Body: []byte(p.life.State().String() + "\n")}
+	case c.method == http.MethodGet:
+		return control.Answer{Status: http.StatusServiceUnavailable, Body: []byte(p.life.State().String() + "\n")}
+	}
+	return control.Answer{Status: http.StatusConflict, Body: []byte(p.life.State().String() + "\n")}
+}
+
+// live takes an event of the pooler's life, does what follows from it, and tells whether it could be followed.
+func (p *pooler) live(e lifecycle.Event) bool {
+	was := p.life.State()
+	ok := p.life.Handle(e)
+	now := p.life.State()
+	if now == was {
+		return ok
+	}
+	p.log.Info("life", "was", was.String(), "now", now.String(), "sessions", p.front.Sessions(), "open", p.core.Open())
+	p.front.Welcome(p.life.Welcomes())
+	if p.given != nil && was == lifecycle.Starting && p.life.Accepts() {
+		p.stopTaking = p.loop.Take(p.given, p.front.Accept)
+	}
+	switch now {
+	case lifecycle.Draining:
+		p.core.Note(recordpb.Kind_KIND_DRAIN, "")
+		p.shed(noticeMs)
+	case lifecycle.Ready:
+		p.resume()
+	case lifecycle.HandingOver, lifecycle.Stopping:
+		p.core.Note(recordpb.Kind_KIND_DRAIN, "")
+		p.end(was == lifecycle.Draining)
+	}
+	return ok
+}
+
+// shed closes clients' connections as they fall idle from a while on, and cuts off later those that never do. A resume in
+// between ends that.
+func (p *pooler) shed(in float64) {
+	p.shedding++
+	this := p.shedding
+	if p.pooled != nil {
+		p.pooled.Drain()
+	}
+	if p.house != nil {
+		p.house.Drain()
+	}
+	from := p.loop.Now()
+	for ms, do := range map[float64]func(){in: p.front.Drain, cutMs: p.front.Cut} {
+		p.loop.At(from+ms, func() {
+			if p.shedding == this && p.life.Sheds() {
+				do()
+			}
+		})
+	}
+}
+
+// resume ends shed.
+func (p *pooler) resume() {
+	p.front.Resume()
+	if p.pooled != nil {
+		p.pooled.Resume()
+	}
+	if p.house != nil {
+		p.house.Resume()
+	}
+}
+
+// end ends the service. Where another process takes what comes on the same socket, clients' connections are closed as they
+// fall idle, and they connect to that one. Else no new connections come after a while, as the clients' side hears of the
+// restart, but those that there are stay in use for as long as they stay open: nobody else may be there to take their
+// requests. So they are closed late, just soon enough to answer all before the process may be killed.
+func (p *pooler) end(drained bool) {
+	began, longest := p.loop.Now(), 0.0
+	for _, c := range p.cfg.Settings.Classes {
+		longest = max(longest, clock.Millis(c.Deadline))
+	}
+	longest = min(longest, deadlineMs)
+	p.core.EndAt(began + longest + drainEnd)
+	closeAt, leastMs := began+longest+drainClose, float64(drainMs)
+	if p.life.State() == lifecycle.HandingOver {
+		p.stopTaking()
+		closeAt, leastMs = began, 0
+		p.loop.At(began+longest, p.front.Cut)
+	} else if drained {
+		closeAt = began
+	}
+	p.loop.At(closeAt, p.front.Drain)
+	if p.pooled != nil {
+		p.stopPooled()
+		p.pooled.Drain()
+	}
+	if p.house != nil {
+		p.stopHouse()
+		p.house.Drain()
+	}
+	var look func()
+	look = func() {
+		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0 || p.pooled != nil && p.pooled.Owes() || p.house != nil && p.house.Owes()
+		if now < began+leastMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
+			p.loop.At(now+pollMs, look)
+			return
+		}
+		p.log.Info("drained", "ms", now-began)
+		p.loop.End()
+	}
+	look()
+}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -159,6 +159,9 @@
 		return err
 	}
 	defer end()
+	if p.given, err = inherit(os.Getenv); err != nil {
+		return badInput{err}
+	}
 	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"net"
 	"os"
 	"strings"
 
@@ -10,9 +11,11 @@
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
+	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
 	"beechgrade/internal/journal"
+	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
@@ -60,12 +63,20 @@
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
+	life       lifecycle.Machine
+	given      net.Listener // the listening socket that the process was given, nil where it opens its own
+	stopTaking func()       // ends accepting there
+	heard      bool         // the list, from whoever keeps it
+	shedding   int          // drains so far
+	door       *control.Door
+	doorAddr   string // where it listens
+
 	gauges bool         // are recorded
 	files  record.Files // where records go, in place of the settings' folder; tests set it
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
-	p := &pooler{cfg: cfg, log: log}
+	p := &pooler{cfg: cfg, log: log, doorAddr: cfg.Control, stopTaking: func() {}}
 	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
 	p.core = core.New(p.loop, log, cfg)
 	sockets := func() int { return p.cfg.Limits.Sockets - reserved }
@@ -127,7 +138,7 @@
 	if p.sources != nil {
 		events = p.sources.members
 	}
-	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, events)
+	p.dir = discovery.New(p.loop, p.log, p.cfg.Discovery, p.cfg.Known.Generation, listener{p, events})
 	if directory = p.dir; p.sources != nil {
 		p.sources.begin(p)
 		directory = p.sources.members
@@ -139,6 +150,7 @@
 	}
 	p.core.Start(servers, directory)
 	p.front.Start()
+	p.open()
 	if p.pooled != nil {
 		p.listen()
 	}
@@ -155,8 +167,9 @@
 // run serves until a signal to stop comes and nothing is owed any more; one to reload changes the configuration.
 func (p *pooler) run(stop, reload <-chan os.Signal) error {
 	go func() {
-		<-stop
-		p.loop.Post(p.drain)
+		for range stop {
+			p.loop.Post(func() { p.live(lifecycle.Term) })
+		}
 	}()
 	go func() {
 		for range reload {
@@ -176,6 +189,9 @@
 		}
 	}()
 	defer p.sources.stop()
+	if p.given != nil {
+		return p.loop.Serve(p.given)
+	}
 	return p.loop.Run(p.cfg.Listen)
 }
 
@@ -193,37 +209,3 @@
 		p.dir.Move(p.cfg.Discovery)
 	}
 }
-
-// drain ends the service. No new connections come after a while, as the clients' side hears of the restart, but
-// those that there are stay in use for as long as they stay open: nobody else may be there to take their requests.
-// So they are closed late, just soon enough to answer all before the process may be killed.
-func (p *pooler) drain() {
-	began, longest := p.loop.Now(), 0.0
-	for _, c := range p.cfg.Settings.Classes {
-		longest = max(longest, clock.Millis(c.Deadline))
-	}
-	longest = min(longest, deadlineMs)
-	p.core.Note(recordpb.Kind_KIND_DRAIN, "")
-	p.log.Info("draining", "sessions", p.front.Sessions(), "open", p.core.Open())
-	p.core.EndAt(began + longest + drainEnd)
-	p.loop.At(began+longest+drainClose, p.front.Drain)
-	if p.pooled != nil {
-		p.stopPooled()
-		p.pooled.Drain()
-	}
-	if p.house != nil {
-		p.stopHouse()
-		p.house.Drain()
-	}
-	var look func()
-	look = func() {
-		now, busy := p.loop.Now(), p.front.Owes() || p.core.Open() > 0 || p.pooled != nil && p.pooled.Owes() || p.house != nil && p.house.Owes()
-		if now < began+drainMs || now < began+longest+drainClose+pollMs && p.front.Sessions() > 0 || now < began+drainMost && busy {
-			p.loop.At(now+pollMs, look)
-			return
-		}
-		p.log.Info("drained", "ms", now-began)
-		p.loop.End()
-	}
-	look()
-}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string // where operators call, empty for nowhere
 	Seed      uint64
 	Limits    Limits
 	Known     discovery.List
@@ -46,6 +47,7 @@
 	Name      string         `json:"name"`
 	Listen    string         `json:"listen"`
 	Discovery string         `json:"discovery"`
+	Control   string         `json:"control"`
 	Seed      string         `json:"seed"`
 	Limits    Limits         `json:"limits"`
 	Known     discovery.List `json:"known"`
@@ -62,7 +64,7 @@
 	defaultIdle    = 30000
 )
 
-// Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY go before it.
+// Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONTROL go before it.
 func Load(env func(string) string) (*Config, error) { return load(env, false) }
 
 func load(env func(string) string, again bool) (*Config, error) {
@@ -113,6 +115,7 @@
 	set("idle_close_ns", c.IdleMs != next.IdleMs, func() { c.IdleMs = next.IdleMs })
 	set("name", c.Name != next.Name, nil)
 	set("listen", c.Listen != next.Listen, nil)
+	set("control", c.Control != next.Control, nil)
 	set("settings", !reflect.DeepEqual(c.Settings, next.Settings), nil)
 	set("request classes' names", !slices.Equal(c.Classes, next.Classes), nil)
 	return changed, kept
@@ -128,13 +131,16 @@
 	if err := dec.Decode(&f); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known}
-	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery} {
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Limits: f.Limits, Known: f.Known}
+	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery, "EDGE_CONTROL": &c.Control} {
 		if v := env(name); v != "" && !(again && at == &c.Discovery && c.Discovery != "") {
 			*at = v
 		}
 	}
-	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "control": c.Control} {
+		if name == "control" && addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,143 @@
+// Package control is the door for operators: HTTP/1.1 at an address of its own, one call to a connection. It reads calls
+// and bounds callers; what a call does is the Desk's.
+package control
+
+import (
+	"container/list"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/httpwire"
+	"beechgrade/internal/loop"
+)
+
+// Bounds on callers.
+const (
+	maxCallers = 16      // connections; the one that has gone longest without a whole call makes room
+	maxHead    = 8 << 10 // bytes of a call
+	headMs     = 5000    // until a call is whole
+	lingerMs   = 250     // after the answer, for the caller to read it and go
+)
+
+// Answer is what a call is told.
+type Answer struct {
+	Status int
+	Type   string // of the body; empty for plain text
+	Allow  string // the method that the path has, with 405
+	Body   []byte
+}
+
+// Desk carries calls out. It is called on the loop.
+type Desk interface {
+	Call(method, path string) Answer
+}
+
+// Door takes operators' calls. It is for the loop alone.
+type Door struct {
+	loop    *loop.Loop
+	log     *slog.Logger
+	desk    Desk
+	callers list.List // of connections, the oldest first
+}
+
+// New makes a door.
+func New(l *loop.Loop, log *slog.Logger, desk Desk) *Door {
+	return &Door{loop: l, log: log, desk: desk}
+}
+
+// Callers is the number of connections.
+func (d *Door) Callers() int { return d.callers.Len() }
+
+// Accept makes the handler of a new connection.
+func (d *Door) Accept() loop.Handler { return &caller{door: d} }
+
+// caller is a connection; it is the loop's Handler.
+type caller struct {
+	door  *Door
+	conn  *loop.Conn
+	at    *list.Element
+	timer *deadline.Timer
+	in    []byte
+	said  bool // it has its answer
+}
+
+// Opened is loop's.
+func (c *caller) Opened(conn *loop.Conn) {
+	d := c.door
+	c.conn = conn
+	if d.callers.Len() >= maxCallers {
+		d.callers.Front().Value.(*caller).conn.Close()
+	}
+	c.at = d.callers.PushBack(c)
+	c.timer = d.loop.At(d.loop.Now()+headMs, func() { c.answer(Answer{Status: http.StatusRequestTimeout}) })
+}
+
+// Data is loop's.
+func (c *caller) Data(b []byte) {
+	if c.said { // one call to a connection: what follows is dropped
+		return
+	}
+	if c.in = append(c.in, b...); len(c.in) > maxHead {
+		c.answer(Answer{Status: http.StatusRequestHeaderFieldsTooLarge})
+		return
+	}
+	h, n, err := httpwire.Parse(c.in, true)
+	switch {
+	case errors.Is(err, httpwire.ErrTooLong):
+		c.answer(Answer{Status: http.StatusRequestHeaderFieldsTooLarge})
+	case err != nil:
+		c.answer(Answer{Status: http.StatusBadRequest, Body: []byte(err.Error() + "\n")})
+	case n == 0: // not whole yet
+	case h.Chunked || h.Length > 0:
+		c.answer(Answer{Status: http.StatusRequestEntityTooLarge, Body: []byte("a call has no body\n")})
+	default:
+		path, _, _ := strings.Cut(h.Target, "?")
+		c.answer(c.door.desk.Call(h.Method, path))
+	}
+}
+
+// answer ends the call.
+func (c *caller) answer(a Answer) {
+	if c.said || c.conn == nil {
+		return
+	}
+	c.said, c.in = true, nil
+	d := c.door
+	if a.Status >= http.StatusBadRequest {
+		d.log.Debug("control: turned away", "status", a.Status)
+	}
+	if len(a.Body) == 0 {
+		a.Body = []byte(http.StatusText(a.Status) + "\n")
+	}
+	if a.Type == "" {
+		a.Type = "text/plain; charset=utf-8"
+	}
+	b := append([]byte("HTTP/1.1 "), strconv.Itoa(a.Status)+" "+http.StatusText(a.Status)+"\r\nContent-Type: "+a.Type+"\r\nContent-Length: "+
+		strconv.Itoa(len(a.Body))+"\r\nConnection: close\r\nCache-Control: no-store\r\n"...)
+	if a.Allow != "" {
+		b = append(b, "Allow: "+a.Allow+"\r\n"...)
+	}
+	d.loop.Stop(c.timer)
+	if c.conn.Write(append(append(b, "\r\n"...), a.Body...)) != nil {
+		return
+	}
+	// A close with input unread would be a reset, which may overtake the answer.
+	c.timer = d.loop.At(d.loop.Now()+lingerMs, c.conn.Close)
+	if c.conn.Unsent() == 0 {
+		_ = c.conn.CloseWrite()
+	}
+}
+
+// Closed is loop's.
+func (c *caller) Closed(error) {
+	c.said = true
+	c.door.loop.Stop(c.timer)
+	if c.at != nil {
+		c.door.callers.Remove(c.at)
+		c.at = nil
+	}
+}
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -107,7 +107,7 @@
 		switch {
 		case s.leaving && age >= lingerMs, s.stuck != 0 && now-s.stuck >= stuckMs,
 			s.use == silent && s.in.Pending() == 0 && age >= startupMs,
-			(s.use == mute || s.use == resting) && age >= idleMs && s.conn.Quiet():
+			(s.use == mute || s.use == resting) && (age >= idleMs || p.draining) && s.conn.Quiet():
 			s.conn.Close()
 		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -27,6 +27,7 @@
 	codeProtocol    = "08P01"
 	codeRefused     = "53300"
 	codeFailed      = "58000"
+	codeClosed      = "57P03"
 	codeSyntax      = "42601"
 	codeUnsupported = "0A000"
 )
@@ -39,9 +40,11 @@
 	budget   Budget
 	sessions slots.Table[*session]
 	crowd    [uses]list.List // of sessions, by use; those of longest standing first
-	draining bool
-	held     int // bytes that clients have sent, or are yet to have, and that wait here
-	turned   int // clients turned away since the last sweep
+	draining bool            // clients' connections are closed as they fall idle
+	closed   bool            // whoever asks whether clients may come is told no
+	cut      bool            // the next command of each is its last
+	held     int             // bytes that clients have sent, or are yet to have, and that wait here
+	turned   int             // clients turned away since the last sweep
 }
 
 // NewPostgres makes a front.
@@ -68,6 +71,15 @@
 	return owes
 }
 
+// Welcome says whether the empty query, by which clients' side asks, is answered well.
+func (p *Postgres) Welcome(yes bool) { p.closed = !yes }
+
+// Resume ends Drain and Cut.
+func (p *Postgres) Resume() { p.draining, p.cut = false, false }
+
+// Cut has the next command of each client refused, and its connection closed behind that: some never fall idle.
+func (p *Postgres) Cut() { p.cut = true }
+
 // Drain closes clients' connections as they fall idle, from now on.
 func (p *Postgres) Drain() {
 	p.draining = true
@@ -228,12 +240,20 @@
 	word, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
 	switch strings.ToUpper(word) {
 	case "":
+		if s.front.closed {
+			s.answer(pgwire.AppendReady(pgwire.AppendError(s.out[:0], "ERROR", codeClosed, "clients are being sent away", "")))
+			return
+		}
 		s.answer(pgwire.AppendReady(pgwire.AppendEmpty(s.out[:0])))
 		return
 	case "SET", "RESET", "DISCARD": // without effect, as at the servers
 		s.answer(pgwire.AppendReady(pgwire.AppendComplete(s.out[:0], strings.ToUpper(word))))
 		return
 	}
+	if s.front.cut {
+		s.fatal(codeClosed, "clients are being sent away")
+		return
+	}
 	st, err := pgwire.ParseStatement(sql)
 	if err != nil {
 		s.answerError(codeSyntax, err)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -206,12 +206,15 @@
 	accept func() Handler
 	start  func()
 
-	addr string // that it listens on
-	eng  gnet.Engine
-	el   gnet.EventLoop
-	heap deadline.Heap
-	wake *time.Timer
-	armd float64 // time for which wake is set, 0 for none
+	addr   string // that it listens on
+	shared bool   // it serves on a socket that it was given
+	ended  chan struct{}
+	once   sync.Once
+	eng    gnet.Engine
+	el     gnet.EventLoop
+	heap   deadline.Heap
+	wake   *time.Timer
+	armd   float64 // time for which wake is set, 0 for none
 
 	depth int // callbacks that run inside each other: a close within a write, say
 
@@ -245,8 +248,55 @@
 	return nil
 }
 
-// End stops the loop; Run returns.
+// Serve accepts on a listening socket that other processes may hold too, and serves until End; ln is closed then.
+func (l *Loop) Serve(ln net.Listener) error {
+	defer func() { _ = ln.Close() }()
+	l.shared, l.addr, l.ended = true, ln.Addr().String(), make(chan struct{})
+	cl, err := gnet.NewClient(l, gnet.WithNumEventLoop(1), gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithWriteBufferCap(4096), gnet.WithLogger(gnetLog{l.log}))
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	if err := cl.Start(); err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	// The loop can be had from a connection only.
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	far, near := os.NewFile(uintptr(pair[0]), "own"), os.NewFile(uintptr(pair[1]), "own")
+	nc, err := net.FileConn(near)
+	_ = near.Close()
+	if err == nil {
+		_, err = cl.EnrollContext(nc, &Conn{loop: l, h: nobody{}})
+	}
+	_ = far.Close()
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	if l.Ready != nil {
+		l.Post(l.Ready)
+	}
+	<-l.ended
+	if err := cl.Stop(); err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	return nil
+}
+
+// nobody hears nothing of a connection.
+type nobody struct{}
+
+func (nobody) Opened(*Conn) {}
+func (nobody) Data([]byte)  {}
+func (nobody) Closed(error) {}
+
+// End stops the loop; Run and Serve return.
 func (l *Loop) End() {
+	if l.shared {
+		l.once.Do(func() { close(l.ended) })
+		return
+	}
 	go func() { _ = l.eng.Stop(context.Background()) }()
 }
 
@@ -314,6 +364,11 @@
 	if err != nil {
 		return "", nil, fmt.Errorf("listen: %w", err)
 	}
+	return ln.Addr().String(), l.Take(ln, accept), nil
+}
+
+// Take accepts what comes to ln, until stop is called, which closes it.
+func (l *Loop) Take(ln net.Listener, accept func() Handler) (stop func()) {
 	go func() {
 		for {
 			nc, err := ln.Accept()
@@ -329,7 +384,7 @@
 			}
 		}
 	}()
-	return ln.Addr().String(), func() { _ = ln.Close() }, nil
+	return func() { _ = ln.Close() }
 }
 
 const acceptPause = 20 * time.Millisecond
@@ -337,7 +392,9 @@
 // OnBoot is gnet's. The loop itself can be had from a connection only, so the program makes one to
 // itself.
 func (l *Loop) OnBoot(eng gnet.Engine) gnet.Action {
-	l.eng = eng
+	if l.eng = eng; l.shared {
+		return gnet.None
+	}
 	fd, err := eng.Dup()
 	if err != nil {
 		l.log.Error("listener", "err", err)
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -155,6 +155,9 @@
 	return owes
 }
 
+// Resume ends Drain.
+func (f *Front) Resume() { f.draining = false }
+
 // Drain ends clients' connections as they fall idle, from now on.
 func (f *Front) Drain() {
 	f.draining = true
