Tell true figures at the door, and retune settings at SIGHUP whole or not at all

Change: internal/figures counts where the core sees requests and attempts begin and end; an attempt counts once its last byte has left. GET /-/metrics prints them.

--- a/api.go
+++ b/api.go
@@ -221,6 +221,9 @@
 	Entries []Entry
 }
 
+// Retune brings new settings. Classes keep their numbers: new ones come behind, and one that has gone has no aim.
+type Retune struct{ Settings Settings }
+
 // Timer is a wake-up that the router asked for.
 type Timer struct{ Tag int64 }
 
@@ -230,6 +233,7 @@
 func (*ProbeResult) event() {}
 func (*List) event()        {}
 func (*Timer) event()       {}
+func (*Retune) event()      {}
 
 // ActionKind says what an Action asks for.
 type ActionKind uint8
--- /dev/null
+++ b/cmd/beechgrade/figures_test.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade"
+	"beechgrade/internal/config"
+	"beechgrade/internal/membership/discovery"
+)
+
+// figures fetches what a door tells, but for what is 0.
+func figures(t *testing.T, door string) map[string]string {
+	t.Helper()
+	got := map[string]string{}
+	for l := range strings.Lines(strings.TrimPrefix(call(t, door, "GET", "/-/metrics"), "200 ")) {
+		name, val, ok := strings.Cut(strings.TrimSpace(l), "=")
+		if !ok || !strings.HasPrefix(name, "app.") {
+			t.Errorf("line %q", l)
+		}
+		if val != "0" {
+			got[strings.TrimPrefix(name, "app.")] = val
+		}
+	}
+	return got
+}
+
+// settle waits until the figures are as wanted, and tells how they differ at last.
+func settle(t *testing.T, door string, want map[string]string) {
+	t.Helper()
+	diff := ""
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if diff = cmp.Diff(want, figures(t, door)); diff == "" {
+			return
+		}
+	}
+	t.Error(diff)
+}
+
+// TestFigures: they are true after every kind of end.
+func TestFigures(t *testing.T) {
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv)
+	const listed = "known_database_servers"
+	settle(t, door, map[string]string{listed: "1"})
+
+	served, failed, refused, gone, twice := client(t, pooler), client(t, pooler), client(t, pooler), client(t, pooler), client(t, pooler)
+	served.send(query("1", "read", 9000))
+	held := next(t, queries)
+	settle(t, door, map[string]string{listed: "1", "in_progress": "1", "upstream_tries": "1"})
+	held.send(row("v"))
+	served.want("TDCZ v")
+	settle(t, door, map[string]string{listed: "1", "upstream_tries": "1", "handled.read.passed": "1"})
+
+	failed.send(query("2", "write", 9000)) // its connection breaks: it may have run
+	_ = next(t, queries).Close()
+	failed.want("EZ 58000")
+	settle(t, door, map[string]string{listed: "1", "upstream_tries": "2", "handled.read.passed": "1", "handled.write.bad_gateway": "1"})
+
+	twice.send(query("3", "read", 9000)) // turned away once, then served
+	for q := next(t, queries); ; q = next(t, queries) {
+		if q.sql != "(gone)" {
+			q.send(append(pgError("53300"), 'Z', 0, 0, 0, 5, 'I'))
+			break
+		}
+	}
+	next(t, queries).send(row("v"))
+	twice.want("TDCZ v")
+	settle(t, door, map[string]string{listed: "1", "upstream_tries": "4", "handled.read.passed": "2", "handled.write.bad_gateway": "1"})
+
+	gone.send(query("4", "read", 9000)) // abandoned by its client
+	next(t, queries)
+	_ = gone.Close()
+	settle(t, door, map[string]string{listed: "1", "upstream_tries": "5", "handled.read.passed": "2", "handled.write.bad_gateway": "1"})
+
+	refused.send([]byte(strings.Replace(string(query("5", "read", 9000)), "cluster=0", "cluster=7", 1))) // no such group
+	refused.want("EZ 53300")
+	settle(t, door, map[string]string{listed: "1", "upstream_tries": "5", "handled.read.passed": "2", "handled.read.dropped": "1", "handled.write.bad_gateway": "1"})
+}
+
+// TestFiguresOfTheUnreached: a connection that never comes up is no attempt that was written. A server that drains is listed and
+// avoided.
+func TestFiguresOfTheUnreached(t *testing.T) {
+	l := listen(t)
+	_ = l.Close()
+	pooler, door, _, _ := operated(t, l.Addr().String(), func(p *pooler) {
+		p.cfg.Known.Instances = append(p.cfg.Known.Instances, discovery.Instance{ID: "s-2", HostPort: "127.0.0.1:1", Lifecycle: "draining", Weight: 1})
+	})
+	c := client(t, pooler)
+	c.send(query("1", "write", 400))
+	c.want("EZ 53300")
+	settle(t, door, map[string]string{"known_database_servers": "2", "skipped_database_servers": "1", "handled.write.dropped": "1"})
+}
+
+func pgError(code string) []byte {
+	b := []byte("E\x00\x00\x00\x00SERROR\x00C" + code + "\x00\x00")
+	b[4] = byte(len(b) - 1)
+	return b
+}
+
+// TestRetune: new settings take hold while requests are under way, which keep what they came with; a class that has gone is not
+// asked for until it is back, and one that was never there appears.
+func TestRetune(t *testing.T) {
+	srv, queries := server(t)
+	files := make(chan func(*config.Config), 1)
+	pooler, door, hups, _, _ := operatedReload(t, srv, func(p *pooler) {
+		first := *p.cfg
+		p.load = func() (*config.Config, error) {
+			c, change := first, <-files
+			if change == nil {
+				return nil, errors.New("no good")
+			}
+			c.Settings.Classes, c.Classes = append([]beechgrade.Class(nil), c.Settings.Classes...), append([]string(nil), c.Classes...)
+			change(&c)
+			return &c, nil
+		}
+	})
+	loads, errs := 0, 0
+	hup := func(change func(*config.Config)) {
+		t.Helper()
+		files <- change
+		hups <- syscall.SIGHUP
+		if loads++; change == nil {
+			loads, errs = loads-1, errs+1
+		}
+		for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+			if f := figures(t, door); f["loads"] == zero(loads) && f["load_errors"] == zero(errs) {
+				return
+			} else if time.Now().After(end) {
+				t.Fatal(f)
+			}
+		}
+	}
+	c, k := client(t, pooler), client(t, pooler)
+	c.send(query("1", "write", 19000))
+	held := next(t, queries)
+	hup(func(c *config.Config) { // "write" goes, "other" comes before "read"
+		c.Classes = []string{"other", "read"}
+		c.Settings.Classes = []beechgrade.Class{c.Settings.Classes[1], c.Settings.Classes[0]}
+	})
+	k.send(query("2", "write", 9000))
+	k.want("EZ 42601")
+	k.send(query("3", "other", 9000)) // as fragile as the file says
+	_ = next(t, queries).Close()
+	k.want("EZ 58000")
+	k.send(query("4", "read", 9000))
+	for q := next(t, queries); ; q = next(t, queries) {
+		if q.sql != "(gone)" {
+			q.send(row("v"))
+			break
+		}
+	}
+	k.want("TDCZ v")
+	held.send(row("v1"))
+	c.want("TDCZ v1")
+	hup(nil) // turned down: all stays
+	k.send(query("5", "write", 9000))
+	k.want("EZ 42601")
+	hup(func(c *config.Config) { c.Settings.MaxAttempts = 1 }) // "write" is back
+	k.send(query("6", "write", 9000))
+	next(t, queries).send(row("v"))
+	k.want("TDCZ v")
+	k.send(query("7", "read", 9000)) // one attempt and no more
+	_ = next(t, queries).Close()
+	k.want("EZ 53300")
+	want := map[string]string{"handled.write.passed": "2", "handled.read.passed": "1", "handled.read.dropped": "1", "handled.other.bad_gateway": "1",
+		"upstream_tries": "5", "known_database_servers": "1", "loads": "2", "load_errors": "1"}
+	settle(t, door, want)
+}
+
+func zero(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprint(n)
+}
+
+// TestFewerAttempts: a request that has used more attempts than are allowed by now is not tried again.
+func TestFewerAttempts(t *testing.T) {
+	srv, queries := server(t)
+	cfg := testConfig(t, srv, nil)
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	next2 := *cfg
+	next2.Settings.MaxAttempts = 1
+	p.load = func() (*config.Config, error) { return &next2, nil }
+	addr, hup, _, _ := launch(t, p)
+	c := client(t, addr)
+	c.send(query("1", "read", 9000))
+	turned := append(pgError("53300"), 'Z', 0, 0, 0, 5, 'I')
+	next(t, queries).send(turned)
+	second := next(t, queries)
+	hup <- syscall.SIGHUP
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		done := make(chan uint64)
+		p.loop.Post(func() { done <- p.core.Figures().Loads })
+		if <-done == 1 || time.Now().After(end) {
+			break
+		}
+	}
+	second.send(turned)
+	c.want("EZ 53300")
+	if len(queries) > 0 {
+		t.Errorf("asked %q", (<-queries).sql)
+	}
+}
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -87,13 +87,17 @@
 // Call is control.Desk's.
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
+	if path == "/-/metrics" && method == http.MethodGet {
+		return control.Answer{Status: http.StatusOK, Body: p.core.AppendFigures(nil)}
+	}
 	calls := map[string]struct {
 		method string
 		do     func() bool
 	}{
-		"/-/ready":  {http.MethodGet, p.life.Serves},
-		"/-/drain":  {http.MethodPost, func() bool { return p.live(lifecycle.Drain) }},
-		"/-/resume": {http.MethodPost, func() bool { return p.live(lifecycle.Resume) }},
+		"/-/metrics": {method: http.MethodGet},
+		"/-/ready":   {http.MethodGet, p.life.Serves},
+		"/-/drain":   {http.MethodPost, func() bool { return p.live(lifecycle.Drain) }},
+		"/-/resume":  {http.MethodPost, func() bool { return p.live(lifecycle.Resume) }},
 	}
 	c, ok := calls[path]
 	switch {
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -162,7 +162,18 @@
 	if p.given, err = inherit(os.Getenv); err != nil {
 		return badInput{err}
 	}
-	p.load = func() (*config.Config, error) { return config.Reload(os.Getenv) }
+	p.load = func() (*config.Config, error) {
+		next, err := config.Reload(os.Getenv)
+		if err == nil {
+			err = set.Pooling.Check(next.Classes)
+		}
+		if err != nil {
+			return nil, err
+		}
+		set.Pooling.AddClasses(next)
+		set.ClickHouse.AddClasses(next)
+		return next, nil
+	}
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strings"
 
 	"beechgrade/internal/backend"
@@ -175,7 +176,7 @@
 		for range reload {
 			next, err := p.load()
 			if err != nil {
-				p.log.Error("configuration not taken; the old one stays", "err", err)
+				p.loop.Post(func() { p.turnDown(err) })
 				continue
 			}
 			p.loop.Post(func() { p.apply(next) })
@@ -195,9 +196,22 @@
 	return p.loop.Run(p.cfg.Listen)
 }
 
+// turnDown tells of a configuration that cannot be used.
+func (p *pooler) turnDown(err error) {
+	p.log.Error("configuration not taken; the old one stays", "err", err)
+	p.core.Figures().LoadErrors++
+}
+
 // apply takes a new configuration, as far as that goes while serving.
 func (p *pooler) apply(next *config.Config) {
+	if err := p.cfg.Covers(next); err != nil {
+		p.turnDown(err)
+		return
+	}
 	changed, kept := p.cfg.Apply(next)
+	if p.core.Figures().Loads++; slices.Contains(changed, "settings") {
+		p.core.Retuned()
+	}
 	p.log.Info("configuration read again", "changed", changed)
 	p.core.Note(recordpb.Kind_KIND_RELOAD, strings.Join(changed, ", "))
 	if len(kept) > 0 {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -36,8 +36,9 @@
 	HasPos   bool
 }
 
-// Events is told of ends. The calls may come from within Start, Cancel and Probe.
+// Events is told of ends, and of an attempt whose last byte has left. The calls may come from within Start, Cancel and Probe.
 type Events interface {
+	AttemptWritten(t Tag)
 	AttemptEnded(t Tag, o Outcome)
 	ProbeEnded(store string, o Outcome)
 }
@@ -97,6 +98,7 @@
 	timer   *deadline.Timer // its end
 	connect *deadline.Timer // the end of its wait for a connection
 	once    bool            // it must not run twice
+	written bool            // its last byte has left, as was told
 }
 
 type state int
@@ -297,6 +299,7 @@
 		r = beechgrade.Skipped // it was never written
 	}
 	if c != nil {
+		c.whole()
 		c.attempt = nil // before the close, which would report a reset
 		p.end(a, Outcome{Result: r})
 		c.c.Close()
@@ -415,6 +418,15 @@
 	c.sent = false // a write that fails has closed the connection when it returns
 	if c.c.Write(p.scratch) == nil {
 		c.sent = true
+		c.whole()
+	}
+}
+
+// whole tells, once, that the last byte of what is carried has left.
+func (c *conn) whole() {
+	if a := c.attempt; a != nil && a.query != nil && !a.written && c.sent && c.c.Unsent() == 0 {
+		a.written = true
+		c.pool.events.AttemptWritten(a.tag)
 	}
 }
 
@@ -435,6 +447,7 @@
 		c.c.Close()
 		return
 	}
+	c.whole()
 	c.in.Feed(b)
 	for c.state == greeting || c.state == busy {
 		m, ok, err := c.reading.Next(&c.in)
@@ -621,6 +634,7 @@
 		c.refused()
 		return
 	}
+	c.whole()
 	c.state = closed
 	c.count()
 	p.loop.Stop(c.timer)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -16,6 +16,7 @@
 
 type told chan Outcome
 
+func (c told) AttemptWritten(Tag)                 {}
 func (c told) AttemptEnded(_ Tag, o Outcome)      { c <- o }
 func (c told) ProbeEnded(_ string, o Outcome)     { c <- o }
 func (told) AppendQuery(dst []byte, _ int) []byte { return pgwire.AppendQuery(dst, "query") }
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -329,6 +329,9 @@
 		return
 	}
 	l.sent = true
+	if a.r != nil && !l.lags && !a.r.stream && l.conn.Unsent() == 0 {
+		l.f.events.AttemptWritten(a.tag)
+	}
 	if a.r != nil && a.r.stream && a.r.taker == l {
 		a.r.c.resume()
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,7 +2,7 @@
 package config
 
 import (
-	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -41,6 +42,9 @@
 	Classes, Zones, Kinds []string // names, by the module's numbers
 	ConnectTimeoutMs      float64
 	IdleMs                float64 // servers close a connection idle for so long
+
+	keys    []string // of the file, numbers in lists as *, each that all entries of its list have
+	retired []bool   // by the classes' numbers
 }
 
 type file struct {
@@ -97,8 +101,22 @@
 	return load(env, true)
 }
 
+// Covers holds another configuration to the shape of this one: what lacks a key that this one has is not whole.
+func (c *Config) Covers(next *Config) error {
+	for _, k := range c.keys {
+		if !slices.Contains(next.keys, k) {
+			return fmt.Errorf("%s: missing", k)
+		}
+	}
+	return nil
+}
+
+// maxClasses bounds the names of classes that one process has known.
+const maxClasses = 1000
+
 // Apply takes over from next what can change while the program serves, and returns the names of what has changed
-// and what would have to but cannot. The list as last known and the seed are of use at a start only.
+// and what would have to but cannot. The list as last known and the seed are of use at a start only. Classes, zones and kinds
+// keep their numbers; a class that has gone keeps its own without a contract.
 func (c *Config) Apply(next *Config) (changed, kept []string) {
 	set := func(name string, differs bool, apply func()) {
 		switch {
@@ -116,22 +134,55 @@
 	set("name", c.Name != next.Name, nil)
 	set("listen", c.Listen != next.Listen, nil)
 	set("control", c.Control != next.Control, nil)
-	set("settings", !reflect.DeepEqual(c.Settings, next.Settings), nil)
-	set("request classes' names", !slices.Equal(c.Classes, next.Classes), nil)
+
+	settings, classes, zones := next.Settings, union(c.Classes, next.Classes), union(c.Zones, next.Zones)
+	settings.Classes = make([]beechgrade.Class, len(classes))
+	retired := make([]bool, len(classes))
+	for i, n := range classes {
+		k := slices.Index(next.Classes, n)
+		if retired[i] = k < 0; k >= 0 {
+			settings.Classes[i] = next.Settings.Classes[k]
+		}
+	}
+	if z := settings.Zone; z >= 0 && z < len(next.Zones) {
+		settings.Zone = slices.Index(zones, next.Zones[z])
+	}
+	if len(classes) > maxClasses {
+		set("request classes' names", true, nil)
+		return changed, kept
+	}
+	set("settings", !reflect.DeepEqual(c.Settings, settings), func() {
+		c.Settings, c.Classes, c.Zones, c.Kinds, c.retired = settings, classes, zones, union(c.Kinds, next.Kinds), retired
+	})
+	c.keys = next.keys
 	return changed, kept
 }
 
+// Retired tells whether the class of that number is not in the settings any more.
+func (c *Config) Retired(class int) bool { return class < len(c.retired) && c.retired[class] }
+
+// union is a list with the names of another that it does not have behind its own.
+func union(names, more []string) []string {
+	out := slices.Clone(names)
+	for _, n := range more {
+		if !slices.Contains(out, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Parse reads a configuration's text.
 func Parse(b []byte, env func(string) string) (*Config, error) { return parse(b, env, false) }
 
 func parse(b []byte, env func(string) string, again bool) (*Config, error) {
 	var f file
-	dec := jsoniter.ConfigCompatibleWithStandardLibrary.NewDecoder(bytes.NewReader(b))
-	dec.UseNumber()
-	if err := dec.Decode(&f); err != nil {
-		return nil, err
+	var tree map[string]any
+	if err := errors.Join(whole.Unmarshal(b, &f), whole.Unmarshal(b, &tree)); err != nil {
+		first, _, _ := strings.Cut(err.Error(), "\n")
+		return nil, errors.New(first)
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Limits: f.Limits, Known: f.Known}
+	c := &Config{keys: shape(tree), Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Limits: f.Limits, Known: f.Known}
 	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery, "EDGE_CONTROL": &c.Control} {
 		if v := env(name); v != "" && !(again && at == &c.Discovery && c.Discovery != "") {
 			*at = v
@@ -164,7 +215,83 @@
 	return c, c.settings(f.Settings)
 }
 
+// whole reads a file as a whole: what stands behind its object is an error.
+var whole = jsoniter.Config{EscapeHTML: true, SortMapKeys: true, ValidateJsonRawMessage: true, UseNumber: true}.Froze()
+
+// shape lists the keys of a file. Those within the list as last known are not of its shape.
+func shape(tree map[string]any) []string {
+	var keys func(path string, v any) []string
+	keys = func(path string, v any) (out []string) {
+		switch v := v.(type) {
+		case map[string]any:
+			for k, x := range v {
+				at := strings.TrimPrefix(path+"."+k, ".")
+				if out = append(out, at); at != "known" {
+					out = append(out, keys(at, x)...)
+				}
+			}
+		case []any:
+			for i, x := range v {
+				these := keys(path+".*", x)
+				if i == 0 {
+					out = these
+				}
+				out = slices.DeleteFunc(out, func(k string) bool { return !slices.Contains(these, k) })
+			}
+		}
+		return out
+	}
+	out := keys("", tree)
+	slices.Sort(out)
+	return out
+}
+
+// Bounds of what settings may say.
+const (
+	maxDeadline = 24 * time.Hour
+	maxAttempts = 1000
+)
+
+// sane checks the numbers without which no request can be decided on.
+func sane(tree map[string]any) error {
+	number := func(at string, m map[string]any, key string, most float64) error {
+		v, ok := m[key]
+		if !ok {
+			return nil
+		}
+		n, isNumber := v.(json.Number)
+		x, err := n.Float64()
+		if !isNumber || err != nil || !(x > 0 && x <= most) {
+			return fmt.Errorf("settings: %s%s: want a number above 0 and up to %g, got %.40q", at, key, most, fmt.Sprint(v))
+		}
+		return nil
+	}
+	allowed, _ := tree["allowed"].(map[string]any)
+	if err := number("allowed.", allowed, "max_attempts", maxAttempts); err != nil {
+		return err
+	}
+	classes, _ := tree["request_classes"].([]any)
+	seen := map[any]bool{}
+	for i, c := range classes {
+		m, ok := c.(map[string]any)
+		name, isText := m["name"].(string)
+		if !ok || !isText || name == "" || seen[name] {
+			return fmt.Errorf("settings: request_classes: entry %d has no name of its own", i)
+		}
+		seen[name] = true
+		for _, key := range []string{"deadline_ns", "slo_ns"} {
+			if err := number("request_classes."+name+".", m, key, float64(maxDeadline)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Config) settings(tree map[string]any) error {
+	if err := sane(tree); err != nil {
+		return err
+	}
 	pairs := map[string]string{}
 	flatten(pairs, "", tree)
 	var err error
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/figures"
 	"beechgrade/internal/front"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
@@ -70,7 +71,9 @@
 	servers Servers
 	dir     Directory
 
-	classes map[string]int
+	classes map[string]int // those that may be asked for
+	figures figures.Figures
+	counted []*figures.Class // by the classes' numbers
 	zones   names
 	kinds   names
 
@@ -143,25 +146,62 @@
 	open   int
 	over   bool
 	rec    recorded
+	count  *figures.Class
 }
 
 // try is an attempt; one that was skipped has no ref.
 type try struct {
-	store beechgrade.StoreID
-	ref   slots.Ref
-	from  float64
+	store   beechgrade.StoreID
+	ref     slots.Ref
+	from    float64
+	written bool
 }
 
 // New makes the core of one pooler.
 func New(l Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
-		classes: map[string]int{}, ids: map[string]bool{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
-	for i, n := range cfg.Classes {
-		c.classes[n] = i
-	}
+		ids: map[string]bool{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+	c.name()
 	return c
 }
 
+// name takes the classes' names and numbers from the configuration.
+func (c *Core) name() {
+	c.classes, c.counted = map[string]int{}, nil
+	for i, n := range c.cfg.Classes {
+		c.counted = append(c.counted, c.figures.Class(n))
+		if !c.cfg.Retired(i) {
+			c.classes[n] = i
+		}
+	}
+}
+
+// Retuned takes the settings that the configuration has now. Requests under way keep the class that they came with.
+func (c *Core) Retuned() {
+	c.name()
+	set := c.cfg.Settings
+	if z := set.Zone; z >= 0 && z < len(c.cfg.Zones) {
+		set.Zone = c.zones.number(c.cfg.Zones[z])
+	}
+	c.tell(&beechgrade.Retune{Settings: set})
+}
+
+// Figures are the process's.
+func (c *Core) Figures() *figures.Figures { return &c.figures }
+
+// AppendFigures prints them.
+func (c *Core) AppendFigures(dst []byte) []byte {
+	listed, avoided := c.router.Survey()
+	return c.figures.Append(dst, listed, avoided)
+}
+
+// ends marks a request over and counts its end.
+func (c *Core) ends(q *request, e figures.End) {
+	q.over = true
+	c.figures.Open--
+	q.count.Count(e)
+}
+
 // Start joins the core to the servers and the directory and tells the router the list as last known.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
@@ -188,6 +228,7 @@
 	}
 	known, once := cmp.Or(q.Known, q.ID), c.cfg.Settings.Classes[class].Effect != beechgrade.Safe
 	if once && c.journal != nil && c.journal.Ran(known) { // nobody knows whether it did
+		c.counted[class].Count(figures.BadGateway)
 		client.Failed()
 		return slots.Ref{}, nil
 	}
@@ -196,7 +237,8 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, once: once, client: client, query: q.Query, due: q.Due}
+	r := &request{id: q.ID, known: known, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
 	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
@@ -215,12 +257,20 @@
 	if !ok || q.over {
 		return
 	}
-	q.over = true
+	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
 	c.tell(&beechgrade.Expired{ID: requestID(ref)})
 }
 
+// AttemptWritten is backend.Events'.
+func (c *Core) AttemptWritten(t backend.Tag) {
+	if q, ok := c.requests.Get(t.Request); ok && !q.tries[t.No].written {
+		q.tries[t.No].written = true
+		c.figures.Tries++
+	}
+}
+
 // AttemptEnded is backend.Events'.
 func (c *Core) AttemptEnded(t backend.Tag, o backend.Outcome) {
 	q, ok := c.requests.Get(t.Request)
@@ -228,6 +278,10 @@
 		return
 	}
 	q.open--
+	switch o.Result {
+	case beechgrade.OK, beechgrade.Missed, beechgrade.Failed, beechgrade.Reset: // what is answered was written
+		c.AttemptWritten(t)
+	}
 	store := q.tries[t.No].store
 	c.recordAttempt(q, t.No, store, &o)
 	if c.journal != nil {
@@ -235,7 +289,7 @@
 	}
 	c.told(string(store), &o)
 	if o.Result == beechgrade.OK && !q.over {
-		q.over = true
+		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
 	}
@@ -343,12 +397,12 @@
 			c.servers.Cancel(q.tries[a.Attempt].ref)
 		}
 	case beechgrade.Refuse:
-		if q := c.conclude(a.ID); q != nil {
+		if q := c.conclude(a.ID, figures.Dropped); q != nil {
 			q.client.Refused(clock.Millis(a.Wait))
 			c.recordAnswer(q, recordpb.Final_FINAL_REFUSED, clock.Millis(a.Wait))
 		}
 	case beechgrade.Fail:
-		if q := c.conclude(a.ID); q != nil {
+		if q := c.conclude(a.ID, figures.BadGateway); q != nil {
 			q.client.Failed()
 			c.recordAnswer(q, recordpb.Final_FINAL_FAILED, 0)
 		}
@@ -370,13 +424,13 @@
 }
 
 // conclude marks a request over and returns it, or nil if it was over before.
-func (c *Core) conclude(id beechgrade.RequestID) *request {
+func (c *Core) conclude(id beechgrade.RequestID, e figures.End) *request {
 	ref := refOf(id)
 	q, ok := c.requests.Get(ref)
 	if !ok || q.over {
 		return nil
 	}
-	q.over = true
+	c.ends(q, e)
 	c.release(ref, q)
 	return q
 }
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -635,6 +635,9 @@
 		c.fatal("08P01", err.Error())
 		return
 	}
+	if l.conn != nil && l.conn.Unsent() == 0 {
+		c.f.events.AttemptWritten(a.tag)
+	}
 	c.soon()
 }
 
--- a/router.go
+++ b/router.go
@@ -60,21 +60,32 @@
 
 // New makes a router. The seed is its only source of randomness.
 func New(set Settings, seed uint64) *Router {
-	r := &Router{set: set, rng: rand.New(rand.NewPCG(seed, 0)), stores: map[StoreID]*store{},
-		groups: map[int]*group{}, reqs: map[RequestID]*request{}, forgotten: never,
-		pools: map[int]float64{}, ways: map[int]way{}, wakeAt: never}
+	r := &Router{rng: rand.New(rand.NewPCG(seed, 0)), stores: map[StoreID]*store{}, groups: map[int]*group{},
+		reqs: map[RequestID]*request{}, forgotten: never, pools: map[int]float64{}, ways: map[int]way{}, wakeAt: never}
+	r.tune(set)
+	for _, c := range r.classes {
+		r.work += c.work / float64(len(r.classes))
+	}
+	return r
+}
+
+// tune takes new settings. Classes keep their numbers, and what was learned of them; one without an aim is not
+// asked for any more. Requests under way keep the class that they came with.
+func (r *Router) tune(set Settings) {
+	old := r.classes
+	r.set, r.classes, r.leastAim = set, make([]class, len(set.Classes)), 0
 	r.set.Siblings = max(1, set.Siblings)
 	r.set.MaxAttempts = max(1, set.MaxAttempts)
-	for _, c := range set.Classes {
-		r.classes = append(r.classes, class{Class: c, work: max(1e-3, startWork*c.Aim.Seconds())})
-		r.work += r.classes[len(r.classes)-1].work / float64(len(set.Classes))
-		if c.Aim > 0 && (r.leastAim == 0 || c.Aim < r.leastAim) {
+	for i, c := range set.Classes {
+		if r.classes[i].work = max(1e-3, startWork*c.Aim.Seconds()); i < len(old) {
+			r.classes[i] = old[i]
+		}
+		if r.classes[i].Class = c; c.Aim > 0 && (r.leastAim == 0 || c.Aim < r.leastAim) {
 			r.leastAim = c.Aim
 		}
 	}
 	r.seekEach = max(r.leastAim/2, beat)
-	r.tenants = make([]tenant, len(set.Tenants))
-	return r
+	r.tenants = append(r.tenants, make([]tenant, len(set.Tenants))...)[:len(set.Tenants)]
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
@@ -105,6 +116,8 @@
 		r.onProbe(e)
 	case *List:
 		r.onList(e)
+	case *Retune:
+		r.tune(e.Settings)
 	case *Timer:
 		r.wakeAt = never
 		r.onBeat()
@@ -121,8 +134,6 @@
 	return r.out
 }
 
-func (r *Router) act(a Action) { r.out = append(r.out, a) }
-
 // warmth is the part of its capacity that a store can be counted on for.
 func (r *Router) warmth(s *store) float64 {
 	age := r.now - s.coldFrom
@@ -138,8 +149,6 @@
 
 func (r *Router) turn(s *store) Time { return seconds(r.work / r.rateOf(s)) }
 
-func seconds(x float64) Time { return Time(x * float64(time.Second)) }
-
 // rateOf is the rate for one request alone now. A cold store's old good rate would win every pick otherwise.
 func (r *Router) rateOf(s *store) float64 { return r.base(s) * r.warmth(s) }
 
@@ -514,16 +523,11 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		if q.finished {
-			continue
-		}
-		if r.closing(q) || r.now+r.soonest(q) > q.last {
-			if q.open == 0 {
-				r.finish(q)
-			}
-			continue
-		}
-		if !r.place(q) {
+		switch over := r.closing(q) || r.now+r.soonest(q) > q.last; {
+		case q.finished:
+		case over && q.open == 0:
+			r.finish(q)
+		case !over && !r.place(q):
 			kept = append(kept, q)
 		}
 	}
@@ -561,11 +565,9 @@
 func (r *Router) forget(q *request) {
 	q.finished = true
 	delete(r.reqs, q.id)
-	if r.set.MayCancel {
-		for _, a := range q.tries {
-			if !a.over {
-				r.act(Action{Kind: Cancel, ID: q.id, Attempt: a.no})
-			}
+	for _, a := range q.tries {
+		if r.set.MayCancel && !a.over {
+			r.act(Action{Kind: Cancel, ID: q.id, Attempt: a.no})
 		}
 	}
 }
@@ -937,12 +939,10 @@
 func (r *Router) countLost(s *store, a *attempt, res Result) {
 	lost := 0.0
 	switch {
-	case res == Unreachable || res == Skipped || res == Reset:
+	case res == Unreachable || res == Skipped || res == Reset,
+		(res == Cancelled || res == TimedOut) && (a.passed < lostPassed || !a.lost):
 		return
 	case res == Cancelled || res == TimedOut:
-		if a.passed < lostPassed || !a.lost {
-			return
-		}
 		if lost = 0.5; r.had(s, a) > lostAfter {
 			lost = 1
 		}
--- a/state.go
+++ b/state.go
@@ -158,6 +158,23 @@
 	at     Time
 }
 
+func (r *Router) act(a Action) { r.out = append(r.out, a) }
+
+func seconds(x float64) Time { return Time(x * float64(time.Second)) }
+
+// Survey counts the stores in the list, and those of them that take nothing now.
+func (r *Router) Survey() (listed, avoided int) {
+	for _, s := range r.order {
+		if s.gone == 0 {
+			listed++
+			if !s.usable() {
+				avoided++
+			}
+		}
+	}
+	return listed, avoided
+}
+
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never,
