Pass long answers on as they come, with back-pressure on the servers

Ruled out: memory (8 to 10 of 64 MB), descriptors (at most 111 of 1024).

Change: a row of over 64 KiB goes from the server's connection to the client's as it comes; for the module it is answered with its first bytes. The server's connection is parked while the client has a window unread; the end goes out once the server's own is good. A client that reads at all is not stuck; startup and messages may take 3 s.

--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -118,11 +118,10 @@
 	was := p.life.State()
 	ok := p.life.Handle(e)
 	now := p.life.State()
-	if now == was {
+	if p.front.Welcome(p.life.Welcomes()); now == was {
 		return ok
 	}
 	p.log.Info("life", "was", was.String(), "now", now.String(), "sessions", p.front.Sessions(), "open", p.core.Open())
-	p.front.Welcome(p.life.Welcomes())
 	if p.given != nil && was == lifecycle.Starting && p.life.Accepts() {
 		p.stopTaking = p.loop.Take(p.given, p.front.Accept)
 	}
--- /dev/null
+++ b/cmd/beechgrade/long_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/pgwire"
+)
+
+// long is a value of so many bytes that tells of its place in each.
+func long(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte('a' + i/997%26)
+	}
+	return b
+}
+
+// inPieces sends bytes with pauses, in pieces of ever other sizes.
+func inPieces(c net.Conn, b []byte, pause time.Duration) {
+	for n := 0; len(b) > 0; n++ {
+		k := min(len(b), n*n*7919%150000+1)
+		if _, err := c.Write(b[:k]); err != nil {
+			return
+		}
+		b = b[k:]
+		time.Sleep(pause)
+	}
+}
+
+// TestLongAnswers: values of up to 4 MiB come through whole, from servers that write in pieces and to clients that read slowly; the
+// first bytes go on while the rest is still at the server, and many at once take less memory than they are long.
+func TestLongAnswers(t *testing.T) {
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv, func(p *pooler) { p.cfg.Limits.MemoryMB = 32 })
+	for _, n := range []int{1<<16 - 1, 1 << 16, 1<<16 + 1, 300000, 4 << 20} {
+		c, value := client(t, pooler), long(n)
+		c.send(append(query(fmt.Sprint("a", n), "read", 9000), pgwire.AppendQuery(nil, "")...))
+		q := next(t, queries)
+		go inPieces(q, row(string(value)), time.Millisecond)
+		if got := c.answer(); got != "TDCZ "+string(value) {
+			t.Fatalf("%d bytes: got %.40q, %d long", n, got, len(got))
+		}
+		c.want("IZ") // what comes behind is in step
+	}
+
+	c := client(t, pooler)
+	c.send(query("first", "read", 500)) // the deadline is for the first bytes
+	q := next(t, queries)
+	whole := row(string(long(1 << 20)))
+	q.send(whole[:100000])
+	if b, err := c.in.Peek(4000); err != nil || len(b) < 4000 {
+		t.Fatalf("the first bytes do not go on: %v", err)
+	}
+	time.Sleep(700 * time.Millisecond)
+	q.send(whole[100000:])
+	if got := c.answer(); len(got) != len("TDCZ ")+1<<20 {
+		t.Fatalf("got %d bytes", len(got))
+	}
+
+	const many = 24 // 96 MiB, at clients that read nothing yet
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var clients []*peer
+	value := row(string(long(4 << 20)))
+	for n := range many {
+		c := client(t, pooler)
+		c.send(query(fmt.Sprint("m", n), "read", 9000))
+		q := next(t, queries)
+		go func() { q.send(value) }()
+		clients = append(clients, c)
+	}
+	settle(t, door, map[string]string{"known_database_servers": "1", "in_progress": fmt.Sprint(many), "handled.read.passed": "6", "upstream_tries": fmt.Sprint(many + 6)})
+	time.Sleep(200 * time.Millisecond)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapInuse) - int64(before.HeapInuse); grown > 16<<20 {
+		t.Errorf("%d MiB are held", grown>>20)
+	}
+	other := client(t, pooler) // others are served as ever
+	other.send(query("other", "read", 9000))
+	next(t, queries).send(row("v"))
+	other.want("TDCZ v")
+	for _, c := range clients {
+		if got := c.answer(); !strings.HasPrefix(got, "TDCZ a") || len(got) != len("TDCZ ")+4<<20 {
+			t.Fatalf("got %.40q, %d long", got, len(got))
+		}
+	}
+	settle(t, door, map[string]string{"known_database_servers": "1", "handled.read.passed": fmt.Sprint(many + 7), "upstream_tries": fmt.Sprint(many + 7)})
+}
+
+// TestLongAnswerCutShort: a server that dies, or spoils what comes behind, part way through a long value leaves an answer that the
+// client can tell is not whole; nobody is asked again. A client that goes has its server's connection closed.
+func TestLongAnswerCutShort(t *testing.T) {
+	whole := row(string(long(1 << 20)))
+	at := bytes.LastIndex(whole, []byte("SELECT 1")) - 5
+	for name, then := range map[string]func(asked){
+		"dies": func(q asked) { q.send(whole[:200000]); _ = q.Close() }, "dies at the end": func(q asked) { q.send(whole[:at]); _ = q.Close() },
+		"fails at the end": func(q asked) { q.send(append(append(whole[:at:at], pgError("XX000")...), 'Z', 0, 0, 0, 5, 'I')) },
+		"spoils the end":   func(q asked) { q.send(append(whole[:at:at], "noise, and more of it"...)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv, queries := server(t)
+			pooler, door, _, _ := operated(t, srv)
+			c := client(t, pooler)
+			c.send(query("1", "read", 9000))
+			then(next(t, queries))
+			if got, err := io.ReadAll(c.in); err != nil || bytes.Contains(got, []byte("SELECT 1")) || bytes.HasSuffix(got, []byte{'Z', 0, 0, 0, 5, 'I'}) || len(got) > len(whole) {
+				t.Errorf("%v, %d bytes that end in %q", err, len(got), got[max(0, len(got)-20):])
+			}
+			settle(t, door, map[string]string{"known_database_servers": "1", "handled.read.bad_gateway": "1", "upstream_tries": "1"})
+		})
+	}
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv)
+	c := client(t, pooler)
+	c.send(query("1", "read", 9000))
+	q := next(t, queries)
+	q.send(whole[:200000])
+	_, _ = c.in.Peek(1)
+	_ = c.Close()
+	if q := next(t, queries); q.sql != "(gone)" {
+		t.Errorf("asked %q", q.sql)
+	}
+	settle(t, door, map[string]string{"known_database_servers": "1", "upstream_tries": "1"})
+}
+
+// TestLongLies: a length beyond the bound, or one that contradicts the value's own, is never passed on.
+func TestLongLies(t *testing.T) {
+	srv, queries := server(t)
+	pooler, _, _, _ := operated(t, srv, func(p *pooler) { p.cfg.Settings.MaxAttempts = 1; p.loop.Post(p.core.Retuned) })
+	whole := row(string(long(1 << 20)))
+	at := bytes.IndexByte(whole[30:], 'D') + 30
+	for _, n := range []uint32{4<<20 + 11, 1 << 30, 1 << 31, 1<<20 + 9, 1<<20 + 11} {
+		lie := append([]byte(nil), whole[:at+100000]...)
+		binary.BigEndian.PutUint32(lie[at+1:], n)
+		c := client(t, pooler)
+		c.send(query(fmt.Sprint(n), "read", 9000))
+		q := next(t, queries)
+		for q.sql == "(gone)" {
+			q = next(t, queries)
+		}
+		q.send(lie)
+		c.want("EZ 53300")
+	}
+}
+
+// TestLongAnswersInTurn: long answers that come before their turn wait at their servers, and keep the commands' order.
+func TestLongAnswersInTurn(t *testing.T) {
+	srv, queries := server(t)
+	pooler, _, _ := start(t, srv, nil, func(c *config.Config) { c.Limits.MemoryMB = 64 })
+	c := client(t, pooler)
+	c.send(append(query("1", "read", 9000), query("2", "read", 9000)...))
+	got := map[string]asked{}
+	for range 2 {
+		q := next(t, queries)
+		got[q.sql[strings.Index(q.sql, "id=")+3:][:1]] = q
+	}
+	second := long(2 << 20)
+	go got["2"].send(row(string(second)))
+	time.Sleep(50 * time.Millisecond)
+	go got["1"].send(row(string(long(1 << 20))))
+	if a := c.answer(); len(a) != len("TDCZ ")+1<<20 {
+		t.Fatalf("the first has %d bytes", len(a))
+	}
+	if a := c.answer(); a != "TDCZ "+string(second) {
+		t.Fatalf("the second has %d bytes", len(a))
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,10 +39,20 @@
 // Events is told of ends, and of an attempt whose last byte has left. The calls may come from within Start, Cancel and Probe.
 type Events interface {
 	AttemptWritten(t Tag)
+	// AttemptBegun ends an attempt as served whose answer is passed on as it comes. stop gives up the rest; the Flow is nil
+	// where nobody takes it.
+	AttemptBegun(t Tag, stop func()) Flow
 	AttemptEnded(t Tag, o Outcome)
 	ProbeEnded(store string, o Outcome)
 }
 
+// Flow takes an answer that is passed on as it comes.
+type Flow interface {
+	Piece(b []byte)             // valid during the call
+	Room() bool                 // another piece would find its place
+	Ended(b []byte, whole bool) // with what comes behind the last piece; not whole where the rest will not come
+}
+
 // Options are the pool's limits.
 type Options struct {
 	User, Database   string
@@ -59,6 +69,9 @@
 	keepAnswer = 1 << 14 // of a buffer, from one answer to the next
 	stallMs    = 150     // within an answer that has begun, after which its rest will not come...
 	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
+	longValue  = 1 << 16 // bytes; a row of more is passed on as it comes
+	silentMs   = 10000   // within such a row, after which its rest will not come
+	roomMs     = 5       // between looks at whether there is room for its next piece
 	brokeMs    = 50      // a connection that breaks so soon after a request did so because of it
 	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
 )
@@ -108,6 +121,7 @@
 	greeting
 	idle
 	busy
+	passing // on the rest of an answer, to flow
 	closed
 )
 
@@ -131,6 +145,7 @@
 	// of the answer that is coming in
 	reading pgwire.Answer
 	answer  []byte
+	flow    Flow   // takes its pieces, nil where it is kept whole
 	held    int    // its part of the pool's
 	row     []byte // of a probe's
 	outcome Outcome
@@ -260,6 +275,7 @@
 		return
 	}
 	c := &conn{pool: p, store: s, addr: s.addr, in: pgwire.NewReader(pgwire.MaxMessage), reading: pgwire.Welcome()}
+	c.in.Stream(longValue)
 	c.ref = p.conns.Put(c)
 	s.dialing++
 	c.timer = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
@@ -449,7 +465,7 @@
 	}
 	c.whole()
 	c.in.Feed(b)
-	for c.state == greeting || c.state == busy {
+	for c.state == greeting || c.state == busy || c.state == passing {
 		m, ok, err := c.reading.Next(&c.in)
 		if err != nil {
 			c.spoilt(err)
@@ -461,6 +477,10 @@
 		c.message(m)
 	}
 	c.count()
+	if c.state == passing {
+		c.pace()
+		return
+	}
 	if p := c.pool; c.attempt != nil && c.held > keepAnswer && p.held > p.opt.Memory()/heldPart {
 		p.log.Warn("no memory for an answer", "store", c.store.id, "bytes", c.held, "all", p.held)
 		p.drop(c.attempt, beechgrade.Failed)
@@ -506,12 +526,67 @@
 	c.c.Close()
 }
 
+// begin passes on from now on what there is of an answer and what comes.
+func (c *conn) begin() {
+	p, a := c.pool, c.attempt
+	if a == nil || a.query == nil {
+		c.spoilt(pgwire.ErrMalformed) // a report is never long
+		return
+	}
+	p.wear.Note(p.loop.Now(), c.rested, false)
+	c.state, c.attempt, a.conn = passing, nil, nil
+	p.attempts.Drop(a.ref)
+	p.loop.Stop(a.timer)
+	p.loop.Stop(a.connect)
+	stop := func() {
+		if c.state == passing {
+			c.flow = nil
+			c.c.Close()
+		}
+	}
+	if c.flow = p.events.AttemptBegun(a.tag, stop); c.flow == nil {
+		stop()
+		return
+	}
+	c.flow.Piece(c.answer)
+	c.answer = nil
+}
+
+// pace takes the connection off the loop while there is no room for what it brings, so that this stays with its server.
+func (c *conn) pace() {
+	p := c.pool
+	p.loop.Stop(c.timer)
+	if c.flow == nil {
+		return
+	}
+	if c.flow.Room() {
+		if c.c.Parked() {
+			c.c.Unpark()
+		}
+		c.timer = p.loop.At(p.loop.Now()+silentMs, func() {
+			p.log.Debug("a long value stopped short", "store", c.store.id)
+			c.c.Close()
+		})
+		return
+	}
+	c.c.Park()
+	c.timer = p.loop.At(p.loop.Now()+roomMs, c.pace)
+}
+
 func (c *conn) message(m pgwire.Message) {
 	switch m.Type {
 	case 'T', 'C':
 		c.answer = append(c.answer, m.Raw...)
 	case 'D':
+		if m.Part && c.flow != nil {
+			c.flow.Piece(m.Raw)
+			return
+		}
 		c.answer = append(c.answer, m.Raw...)
+		if m.More {
+			c.begin()
+			return
+		}
 		if c.attempt != nil && c.attempt.query == nil {
 			c.row = append([]byte(nil), m.Body...)
 		}
@@ -559,6 +634,11 @@
 	case c.state == greeting:
 		c.store.dialing--
 		c.ready()
+	case c.state == passing && c.flow != nil:
+		flow, answer, whole := c.flow, c.answer, c.result() == beechgrade.OK
+		c.flow, c.answer = nil, nil
+		c.ready()
+		flow.Ended(answer, whole)
 	case c.state == busy && c.attempt != nil:
 		a, o := c.attempt, c.outcome
 		p.wear.Note(p.loop.Now(), c.rested, false)
@@ -640,6 +720,10 @@
 	p.loop.Stop(c.timer)
 	p.conns.Drop(c.ref)
 	c.unidle()
+	if c.flow != nil {
+		c.flow.Ended(nil, false)
+		c.flow = nil
+	}
 	if a := c.attempt; a != nil {
 		a.conn = nil
 		if c.reading.Untouched() && p.loop.Now()-c.written <= brokeMs {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,6 +147,7 @@
 	over   bool
 	rec    recorded
 	count  *figures.Class
+	flow   *flow // its answer that is passed on as it comes, nil where it is not
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -195,6 +196,60 @@
 	return c.figures.Append(dst, listed, avoided)
 }
 
+// flow is a request's answer on its way past the core.
+type flow struct {
+	backend.Flow
+	core *Core
+	ref  slots.Ref
+	stop func()
+}
+
+// AttemptBegun is backend.Events'. For the router the request is answered.
+func (c *Core) AttemptBegun(t backend.Tag, stop func()) backend.Flow {
+	q, ok := c.requests.Get(t.Request)
+	if !ok {
+		return nil
+	}
+	q.open--
+	c.AttemptWritten(t)
+	store, final := q.tries[t.No].store, q.over
+	o := backend.Outcome{Result: beechgrade.OK}
+	c.recordAttempt(q, t.No, store, &o)
+	if c.journal != nil {
+		c.journal.Ended(t, o.Result)
+	}
+	if taker, ok := q.client.(front.Taker); ok && !final {
+		q.over, q.flow = true, &flow{Flow: taker.Take(), core: c, ref: t.Request, stop: stop}
+		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
+	}
+	f := q.flow
+	c.release(t.Request, q)
+	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result, Final: q.over})
+	if f == nil || final {
+		return nil
+	}
+	return f
+}
+
+// Ended is backend.Flow's.
+func (f *flow) Ended(b []byte, whole bool) {
+	end := figures.Passed
+	if !whole {
+		end = figures.BadGateway
+	}
+	f.core.flowed(f.ref, end)
+	f.Flow.Ended(b, whole)
+}
+
+// flowed ends a request whose answer was passed on as it came.
+func (c *Core) flowed(ref slots.Ref, e figures.End) {
+	if q, ok := c.requests.Get(ref); ok && q.flow != nil {
+		q.flow = nil
+		c.ends(q, e)
+		c.release(ref, q)
+	}
+}
+
 // ends marks a request over and counts its end.
 func (c *Core) ends(q *request, e figures.End) {
 	q.over = true
@@ -254,6 +309,12 @@
 // Gone is front.Desk's.
 func (c *Core) Gone(ref slots.Ref) {
 	q, ok := c.requests.Get(ref)
+	if ok && q.flow != nil {
+		stop := q.flow.stop
+		c.flowed(ref, figures.Gone)
+		stop()
+		return
+	}
 	if !ok || q.over {
 		return
 	}
@@ -437,7 +498,7 @@
 
 // release frees the slot of a request of which nothing is left.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 {
+	if q.over && q.open == 0 && q.flow == nil {
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -5,8 +5,8 @@
 // Bounds on what a client may hold without asking for anything, in milliseconds.
 const (
 	sweepMs   = 250
-	startupMs = 1000  // until its startup message is whole
-	messageMs = 1500  // until a message it has begun is whole
+	startupMs = 3000  // until its startup message is whole
+	messageMs = 3000  // until a message it has begun is whole
 	stuckMs   = 5000  // until it goes on reading its answers
 	lingerMs  = 250   // after its last word, until it closes
 	thinMs    = 20    // idle for so long, its connection may be closed where those that ask are many
@@ -17,7 +17,10 @@
 const (
 	maxDropped = 1 << 18 // bytes from a client that has had its last word
 	maxLeaving = 16      // such clients
-	heldPart   = 8       // of the memory, what waits here for clients or of theirs may take 1 in so many
+	heldPart   = 4       // of the memory, what waits here for clients or of theirs may take 1 in so many
+	flowPart   = 16      // ...and of answers that are passed on as they come, 1 in so many together
+	flowLeast  = 1 << 14 // bytes of each...
+	flowMost   = 1 << 18 // ...at least and at most
 )
 
 // Budget is what the machine allows.
@@ -71,6 +74,11 @@
 	}
 }
 
+// window is how much of an answer that is passed on as it comes may wait for its client.
+func (p *Postgres) window() int {
+	return max(flowLeast, min(flowMost, p.budget.Memory()/flowPart/max(1, p.flows)))
+}
+
 // count brings the sum of what is held up to date.
 func (s *session) count() {
 	n := 0
@@ -98,10 +106,10 @@
 			return
 		}
 		s.place() // by now it may have read its answers
-		if s.conn.Unsent() == 0 {
+		if took := s.wrote - s.conn.Unsent(); s.conn.Unsent() == 0 {
 			s.stuck = 0
-		} else if s.stuck == 0 {
-			s.stuck = now
+		} else if s.stuck == 0 || took != s.took {
+			s.stuck, s.took = now, took
 		}
 		age := now - s.since
 		switch {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,3 +34,8 @@
 	Ask(q Request, c Client) (slots.Ref, error)
 	Gone(ref slots.Ref) // its client has gone
 }
+
+// Taker is a Client that can take a long answer as it comes, in place of Served.
+type Taker interface {
+	Take() backend.Flow
+}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -44,6 +44,7 @@
 	closed   bool            // whoever asks whether clients may come is told no
 	cut      bool            // the next command of each is its last
 	held     int             // bytes that clients have sent, or are yet to have, and that wait here
+	flows    int             // answers that are passed on as they come
 	turned   int             // clients turned away since the last sweep
 }
 
@@ -107,7 +108,9 @@
 	recheck *deadline.Timer
 	out     []byte
 	since   float64 // accepted, idle, in the midst of a message, or leaving: since then
-	stuck   float64 // it has not read all of its answers since then, 0 for not so
+	stuck   float64 // it has read nothing of what waits for it since then, 0 where nothing waits
+	wrote   int     // bytes written to it...
+	took    int     // ...and of those taken by its socket when that was last looked at
 	held    int     // its part of the front's
 	dropped int     // bytes that came after its end
 	use     use
@@ -284,10 +287,18 @@
 		s.out = nil
 	}
 	if !s.closed && len(b) > 0 {
+		s.wrote += len(b)
 		_ = s.conn.Write(b) // a failed write closes the connection
 	}
 }
 
+// pass sends what somebody else's buffer holds.
+func (s *session) pass(b []byte) {
+	s.wrote += len(b)
+	_ = s.conn.Write(b)
+	s.count()
+}
+
 // answer answers a command that is no request.
 func (s *session) answer(b []byte) { s.begin(0).finish(b) }
 
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 
+	"beechgrade/internal/backend"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
 )
@@ -18,6 +19,7 @@
 	size int    // of its statement while it is open, then of word
 	word []byte // what waits for the answers before it
 	last bool   // the connection ends after it
+	flow bool   // it is passed on as it comes
 }
 
 // begin files a command whose statement has so many bytes.
@@ -34,8 +36,9 @@
 		return
 	}
 	a.done, a.open = true, false
+	s.still(a)
 	if s.queue[0] != a {
-		a.word = append([]byte(nil), b...)
+		a.word = append(a.word, b...)
 		a.size = len(a.word)
 		s.count()
 		return
@@ -49,6 +52,7 @@
 			return
 		}
 		if len(s.queue) == 0 || !s.queue[0].done {
+			s.reach()
 			break
 		}
 		next := s.queue[0]
@@ -91,6 +95,68 @@
 		"the request failed; it may have had an effect", "")))
 }
 
+// Take is Taker's.
+func (a *answer) Take() backend.Flow {
+	a.flow = true
+	a.s.front.flows++
+	return a
+}
+
+// Piece is backend.Flow's. What comes before the answer's turn waits.
+func (a *answer) Piece(b []byte) {
+	s := a.s
+	switch {
+	case s.closed || s.leaving || a.done:
+	case s.queue[0] == a:
+		s.pass(b)
+	default:
+		a.word = append(a.word, b...)
+		a.size = len(a.word)
+		s.count()
+	}
+}
+
+// Room is backend.Flow's.
+func (a *answer) Room() bool {
+	s := a.s
+	return s.closed || s.queue[0] == a && s.conn.Unsent() < s.front.window()
+}
+
+// Ended is backend.Flow's. A client that has had a part of what will not be whole is told by the end of its connection.
+func (a *answer) Ended(b []byte, whole bool) {
+	s := a.s
+	switch {
+	case whole:
+		a.finish(pgwire.AppendReady(b))
+	case s.closed || a.done:
+	case s.queue[0] == a:
+		s.still(a)
+		s.conn.Close()
+	default: // nothing of it has gone out
+		a.word = nil
+		a.Failed()
+	}
+}
+
+// reach has an answer whose turn has come go out as far as it is there.
+func (s *session) reach() {
+	if s.closed || len(s.queue) == 0 || len(s.queue[0].word) == 0 {
+		return
+	}
+	a := s.queue[0]
+	word := a.word
+	a.word, a.size = nil, 0
+	s.send(word)
+}
+
+// still ends an answer's flow.
+func (s *session) still(a *answer) {
+	if a.flow {
+		a.flow = false
+		s.front.flows--
+	}
+}
+
 // leave ends a connection that has had its last word. A close with input unread would be a reset, which may
 // overtake that word, so the client is given a moment to close.
 func (s *session) leave() {
@@ -113,6 +179,7 @@
 	queue := s.queue
 	s.queue = nil
 	for _, a := range queue {
+		s.still(a)
 		if a.open {
 			a.open = false
 			s.front.desk.Gone(a.ref)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -73,7 +73,9 @@
 func (m *Machine) Accepts() bool { return m.state != Starting && m.state != HandingOver }
 
 // Welcomes tells whether whoever asks if clients may come is told yes.
-func (m *Machine) Welcomes() bool { return m.state == Ready || m.state == Stopping }
+func (m *Machine) Welcomes() bool {
+	return m.state == Starting && !m.wish || m.state == Ready || m.state == Stopping
+}
 
 // Sheds tells whether clients' connections are to be closed as they fall idle.
 func (m *Machine) Sheds() bool { return m.state == Draining || m.state == HandingOver }
--- a/internal/pgwire/answer.go
+++ b/internal/pgwire/answer.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	maxValue  = 1 << 20 // of a value: the platform's protocol says 64 KiB, but its servers give more
+	maxValue  = 4 << 20 // of a value
 	maxSmall  = 8 << 10 // of any message but a row
 	maxBeside = 1 << 17 // of all messages of one answer together but the row
 )
@@ -53,13 +53,27 @@
 // Next takes the answer's next message from r. What cannot become good is an error as soon as its first
 // bytes show it: the rest might never come.
 func (a *Answer) Next(r *Reader) (Message, bool, error) {
+	if r.Midst() { // of a row that comes in parts
+		m, ok, err := r.Next()
+		if ok && !m.More {
+			a.place = placeComplete
+		}
+		return m, ok, err
+	}
 	if err := a.head(r.buf[r.off:]); err != nil {
 		return Message{}, false, err
 	}
+	if b := r.buf[r.off:]; len(b) >= 5 && len(b) < 11 && b[0] == 'D' && int64(binary.BigEndian.Uint32(b[1:])) > int64(len(b)) {
+		return Message{}, false, nil // it may come in parts, and is checked as far as that goes before the first
+	}
 	m, ok, err := r.Next()
 	if err != nil || !ok {
 		return Message{}, false, err
 	}
+	if m.More {
+		a.began = true
+		return m, true, nil
+	}
 	if a.began = true; m.Type != 'D' {
 		a.beside += len(m.Raw)
 	}
@@ -119,7 +133,7 @@
 		return fmt.Errorf("%w: type %q with length %d", ErrMalformed, b[0], n)
 	}
 	if b[0] == 'D' && len(b) >= 11 {
-		if size := int32(binary.BigEndian.Uint32(b[7:])); int64(max(size, 0))+10 != int64(n) || size < -1 {
+		if size := int32(binary.BigEndian.Uint32(b[7:])); int64(max(size, 0))+10 != int64(n) || size < -1 || b[5] != 0 || b[6] != 1 {
 			return fmt.Errorf("%w: a value of %d bytes in a row of %d", ErrMalformed, size, n)
 		}
 	}
