Hand the next process what this one knows, and share limits out while there are two

Need: a process that starts beside another began with the list of its file and knew no role, position, rate or cold start, and neither knew what the other holds.

The next one goes on from the newest; a newer list binds both; sends to cold servers, memory and descriptors are shared out while both run.

--- a/api.go
+++ b/api.go
@@ -77,6 +77,7 @@
 // Settings is what a router is told when it starts.
 type Settings struct {
 	Siblings       int // routers in this tier, this one included
+	Processes      int // that stand in this router's place at a time, this one included; 0 for one
 	Zone           int
 	Tick           time.Duration
 	Classes        []Class
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -51,7 +51,10 @@
 
 // Listed is discovery.Events'.
 func (l listener) Listed(list *discovery.List) {
-	l.Events.Listed(list)
+	if p := l.p; list.Generation >= p.list.adopted { // else another process has told all of it, and more
+		p.list.take(list)
+		l.Events.Listed(list)
+	}
 	l.p.hear()
 }
 
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -147,7 +147,7 @@
 	// The loop sits in a system call while it waits. With one processor, Go hands that on to timers and
 	// dials only after its monitor has looked, up to 10 ms later; with two, at once.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	limitMemory(cfg)
+	limitMemory(cfg, 1)
 	set.Pooling.AddClasses(cfg)
 	set.ClickHouse.AddClasses(cfg)
 	p := newPooler(cfg, log)
@@ -162,6 +162,7 @@
 	if p.given, err = inherit(os.Getenv); err != nil {
 		return badInput{err}
 	}
+	p.inheritKnown(os.Getenv("TMPDIR"))
 	p.load = func() (*config.Config, error) {
 		next, err := config.Reload(os.Getenv)
 		if err == nil {
@@ -179,6 +180,6 @@
 }
 
 // limitMemory leaves the runtime a part of what the machine has; the rest is for stacks and what the limit does not see.
-func limitMemory(cfg *config.Config) {
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10)
+func limitMemory(cfg *config.Config, processes int) {
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 6 / 10 / int64(processes))
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/handover"
 	"beechgrade/internal/journal"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/loop"
@@ -69,6 +70,11 @@
 	stopTaking func()       // ends accepting there
 	heard      bool         // the list, from whoever keeps it
 	shedding   int          // drains so far
+	list       list
+	folder     *handover.Folder // where processes on one socket tell each other, nil where they do not
+	before     *handover.State  // what another process knew, until it is taken
+	others     int              // processes on the socket...
+	othersHold int              // ...and the descriptors that they hold
 	door       *control.Door
 	doorAddr   string // where it listens
 
@@ -80,9 +86,9 @@
 	p := &pooler{cfg: cfg, log: log, doorAddr: cfg.Control, stopTaking: func() {}}
 	p.loop = loop.New(clock.System(), log, func() loop.Handler { return p.front.Accept() }, p.start)
 	p.core = core.New(p.loop, log, cfg)
-	sockets := func() int { return p.cfg.Limits.Sockets - reserved }
+	sockets := func() int { return p.sockets() - reserved }
 	part := func(x float64) int { return int(x * float64(sockets())) }
-	memory := func() int { return p.cfg.Limits.MemoryMB << 20 }
+	memory := p.memory
 	p.pool = backend.New(p.loop, log, backend.Options{User: "backend", Database: "store",
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", ConnectTimeoutMs: cfg.ConnectTimeoutMs,
 		IdleMs: cfg.IdleMs * idlePart, Memory: memory,
@@ -91,7 +97,7 @@
 		return sockets() - p.front.Sessions() - max(part(poolLeast), p.pool.Conns())
 	}
 	p.front = front.NewPostgres(p.loop, log, p.core, front.Budget{Spare: spare,
-		Share:  func() int { return p.cfg.Limits.Sockets / askPart },
+		Share:  func() int { return p.sockets() / askPart },
 		Free:   func() bool { return p.pool.Conns() > part(poolLeast) && p.pool.CloseOldest() },
 		Memory: memory})
 	return p
@@ -149,7 +155,9 @@
 	if p.journal != nil {
 		servers = p.journal.Wrap(servers)
 	}
+	p.list.take(&p.cfg.Known)
 	p.core.Start(servers, directory)
+	p.recall()
 	p.front.Start()
 	p.open()
 	if p.pooled != nil {
@@ -191,6 +199,7 @@
 	}()
 	defer p.sources.stop()
 	if p.given != nil {
+		defer p.tell()()
 		return p.loop.Serve(p.given)
 	}
 	return p.loop.Run(p.cfg.Listen)
@@ -217,9 +226,12 @@
 	if len(kept) > 0 {
 		p.log.Warn("cannot change while serving, needs a restart", "kept", kept)
 	}
-	limitMemory(p.cfg)
+	limitMemory(p.cfg, 1+p.others)
 	p.pool.SetTimes(p.cfg.ConnectTimeoutMs, p.cfg.IdleMs*idlePart)
 	if p.sources == nil || p.sources.set.Members.Platform {
+		if slices.Contains(changed, "discovery") { // its generations are its own
+			p.list.adopted, p.list.gen = 0, 0
+		}
 		p.dir.Move(p.cfg.Discovery)
 	}
 }
--- /dev/null
+++ b/cmd/beechgrade/upgrade.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/handover"
+	"beechgrade/internal/membership/discovery"
+)
+
+const (
+	tellEvery = 500 * time.Millisecond
+	besides   = 16 // descriptors of a process that nobody counts
+)
+
+// list keeps the platform's list as a whole.
+type list struct {
+	gen     int64
+	adopted int64 // taken from another process: what discovery told up to then is known
+	entries map[string]discovery.Instance
+}
+
+// take brings the list up to date.
+func (l *list) take(n *discovery.List) {
+	if n.Reset || l.entries == nil {
+		l.entries = map[string]discovery.Instance{}
+	}
+	for _, e := range n.Instances {
+		if e.Lifecycle == "removed" {
+			delete(l.entries, e.ID)
+		} else {
+			l.entries[e.ID] = e
+		}
+	}
+	l.gen = n.Generation
+}
+
+// whole is all of it.
+func (l *list) whole() discovery.List {
+	out := discovery.List{Generation: l.gen, Reset: true}
+	for _, id := range slices.Sorted(maps.Keys(l.entries)) {
+		out.Instances = append(out.Instances, l.entries[id])
+	}
+	return out
+}
+
+// inheritKnown has the process begin with what another one on the same socket knows; dir is where that is told.
+func (p *pooler) inheritKnown(dir string) {
+	if p.given == nil || dir == "" {
+		return
+	}
+	p.folder = handover.In(dir)
+	others, err := p.folder.Others(clock.Wall(), handover.KnownMs)
+	if err != nil {
+		p.log.Warn("what another process handed over is not used", "err", err)
+	}
+	if len(others) == 0 {
+		return
+	}
+	p.before = others[0]
+	if l := &p.before.List; p.sources == nil && p.before.From == p.cfg.Discovery && l.Generation > p.cfg.Known.Generation {
+		p.cfg.Known = *l
+	}
+	p.count(others)
+}
+
+// recall gives the module what another process knew. Its classes and kinds have to be the same ones.
+func (p *pooler) recall() {
+	if b := p.before; b != nil {
+		if !slices.Equal(b.Classes, p.cfg.Classes) {
+			b.Memory.Work = nil
+		}
+		if !slices.Equal(b.Kinds, p.cfg.Kinds) {
+			b.Memory.Rates = nil
+		}
+		p.core.Recall(b.Memory)
+		p.log.Info("goes on from another process", "generation", b.List.Generation, "servers", len(b.Memory.Stores))
+		p.before = nil
+	}
+	p.share()
+}
+
+// count notes how many processes there are on the socket, and what the others hold.
+func (p *pooler) count(others []*handover.State) {
+	p.others, p.othersHold = 0, 0
+	for _, s := range others {
+		if clock.Wall()-s.SavedMs <= handover.FreshMs {
+			p.others++
+			p.othersHold += s.Held
+		}
+	}
+}
+
+// share shares limits out among the processes on the socket.
+func (p *pooler) share() {
+	if p.core.Share(1 + p.others) {
+		p.log.Info("processes on the socket", "others", p.others, "they_hold", p.othersHold)
+		limitMemory(p.cfg, 1+p.others)
+	}
+}
+
+// sockets is how many descriptors this process may hold, of those that the machine has.
+func (p *pooler) sockets() int {
+	if p.others == 0 {
+		return p.cfg.Limits.Sockets
+	}
+	return max(2*reserved, p.cfg.Limits.Sockets-p.othersHold)
+}
+
+// memory is how many bytes this process may take.
+func (p *pooler) memory() int { return p.cfg.Limits.MemoryMB << 20 / (1 + p.others) }
+
+// state is what this process tells the others.
+func (p *pooler) state() *handover.State {
+	held := besides + p.front.Sessions() + p.pool.Conns()
+	if p.door != nil {
+		held += p.door.Callers()
+	}
+	return &handover.State{SavedMs: clock.Wall(), Held: held, Ends: !p.life.Serves(), From: p.cfg.Discovery, List: p.list.whole(),
+		Classes: slices.Clone(p.cfg.Classes), Kinds: slices.Clone(p.cfg.Kinds), Memory: p.core.Memory()}
+}
+
+// tell tells the others what there is here and hears them, until the function is called.
+func (p *pooler) tell() (stop func()) {
+	if p.folder == nil {
+		return func() {}
+	}
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		last := ""
+		for {
+			states := make(chan *handover.State, 1)
+			p.loop.Post(func() { states <- p.state() })
+			select {
+			case s := <-states:
+				if err := p.folder.Write(s); err != nil && err.Error() != last {
+					last = err.Error()
+					p.log.Warn("what the next process needs is not told", "err", err)
+				}
+			case <-quit:
+				p.folder.Remove()
+				return
+			}
+			others, err := p.folder.Others(clock.Wall(), handover.FreshMs)
+			if err != nil && err.Error() != last {
+				last = err.Error()
+				p.log.Warn("what another process tells is not used", "err", err)
+			}
+			p.loop.Post(func() { p.heed(others) })
+			select {
+			case <-time.After(tellEvery):
+			case <-quit:
+				p.folder.Remove()
+				return
+			}
+		}
+	}()
+	return func() { close(quit); <-done }
+}
+
+// heed takes what others tell.
+func (p *pooler) heed(others []*handover.State) {
+	p.count(others)
+	p.share()
+	if p.sources != nil {
+		return
+	}
+	for _, s := range others {
+		if s.From == p.cfg.Discovery && s.List.Generation > p.list.gen {
+			p.log.Info("another process has heard more", "generation", s.List.Generation, "own", p.list.gen)
+			p.list.take(&s.List)
+			p.list.adopted = s.List.Generation
+			p.core.Listed(&s.List)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/beechgrade/upgrade_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/handover"
+	"beechgrade/internal/lifecycle"
+	"beechgrade/internal/membership/discovery"
+)
+
+// upgrade is a socket that processes share, the folder between them, and a discovery whose watches say what is put into lines;
+// mute ones say nothing.
+type upgrade struct {
+	t     *testing.T
+	ln    *net.TCPListener
+	dir   string
+	at    string
+	lines chan string
+	mute  atomic.Bool
+}
+
+func newUpgrade(t *testing.T) *upgrade {
+	u := &upgrade{t: t, ln: listen(t).(*net.TCPListener), dir: t.TempDir(), lines: make(chan string, 9)}
+	dir := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lines := u.lines
+		if u.mute.Load() {
+			lines = nil
+		}
+		for {
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case l := <-lines:
+				_, _ = fmt.Fprintln(w, l)
+			case <-time.After(200 * time.Millisecond):
+				_, _ = fmt.Fprintln(w) // a sign of life
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(func() { dir.CloseClientConnections(); dir.Close() })
+	u.at = dir.Listener.Addr().String()
+	return u
+}
+
+// process runs one more pooler on the socket; it is ready when this returns.
+func (u *upgrade) process(known ...discovery.Instance) *pooler {
+	u.t.Helper()
+	p := newPooler(testConfig(u.t, "127.0.0.1:1", nil, func(c *config.Config) {
+		c.Discovery, c.Known.Instances = u.at, known
+	}), slog.New(slog.DiscardHandler))
+	f, err := u.ln.File()
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	fd, err := syscall.Dup(int(f.Fd()))
+	if err != nil {
+		u.t.Fatal(err)
+	}
+	if p.given, err = inherit(func(string) string { return fmt.Sprint(fd) }); err != nil {
+		u.t.Fatal(err)
+	}
+	p.inheritKnown(u.dir)
+	launch(u.t, p)
+	u.until("ready", p, func() bool { return p.life.Serves() })
+	return p
+}
+
+// until waits until something holds on a process's loop.
+func (u *upgrade) until(what string, p *pooler, holds func() bool) {
+	u.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(2 * time.Millisecond) {
+		got := make(chan bool, 1)
+		p.loop.Post(func() { got <- holds() })
+		if <-got {
+			return
+		}
+		if time.Now().After(end) {
+			u.t.Fatalf("it never came to: %s", what)
+		}
+	}
+}
+
+// TestNextKnowsWhatThisOneKnew: a process that starts beside another goes on from its list, roles and rates, though discovery tells
+// it nothing and its own file is older.
+func TestNextKnowsWhatThisOneKnew(t *testing.T) {
+	srv, queries := server(t)
+	u := newUpgrade(t)
+	one := u.process()
+	u.lines <- fmt.Sprintf(`{"generation":7,"reset":true,"instances":[{"instanceId":"s-9","hostPort":%q,"lifecycle":"up","weight":1}]}`, srv)
+	u.until("the list is there", one, func() bool { return one.list.gen == 7 })
+	c := client(t, u.ln.Addr().String())
+	c.send(query("1", "read", 9000))
+	next(t, queries).send(row("v")) // which tells that it is the primary
+	c.want("TDCZ v")
+	u.mute.Store(true)
+	var was *handover.State
+	for end := time.Now().Add(patience); was == nil || len(was.Memory.Stores) == 0 || was.Memory.Stores[0].Role != beechgrade.RolePrimary; time.Sleep(2 * time.Millisecond) {
+		if others, _ := handover.In(u.dir).Others(clock.Wall(), handover.KnownMs); len(others) > 0 {
+			was = others[0]
+		}
+		if time.Now().After(end) {
+			t.Fatal("nothing is handed over")
+		}
+	}
+	two := u.process()
+	u.until("they know of each other", two, func() bool { return two.others == 1 })
+	u.until("they know of each other", one, func() bool { return one.others == 1 })
+	one.loop.Post(func() { one.live(lifecycle.Term) })
+	u.until("the other one has ended", two, func() bool { return two.others == 0 })
+	c = client(t, u.ln.Addr().String())
+	c.send(query("2", "write", 9000))
+	nextQuery(t, queries).send(row("w"))
+	c.want("TDCZ w")
+}
+
+// TestDrainHeardByOne: what discovery told one process binds the other too, and older news do not undo it.
+func TestDrainHeardByOne(t *testing.T) {
+	u := newUpgrade(t)
+	s := discovery.Instance{ID: "s-1", HostPort: "127.0.0.1:1", Lifecycle: "up", Weight: 1}
+	one := u.process(s)
+	u.mute.Store(true)
+	two := u.process(s)
+	u.lines <- `{"generation":8,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"draining","weight":1}]}`
+	drained := func(p *pooler) func() bool {
+		return func() bool { return p.list.entries["s-1"].Lifecycle == "draining" }
+	}
+	u.until("the one hears", one, drained(one))
+	u.until("the other hears", two, drained(two))
+	two.loop.Post(func() {
+		listener{two, two.core}.Listed(&discovery.List{Generation: 6, Instances: []discovery.Instance{s}})
+	})
+	u.until("it still holds", two, drained(two))
+}
+
+// TestKilledInTheOverlap: a process that is killed takes nothing away by itself; once its file is old the other has all limits
+// again. What a file says that is broken is passed over.
+func TestKilledInTheOverlap(t *testing.T) {
+	u := newUpgrade(t)
+	killed := handover.In(u.dir)
+	if err := killed.Write(&handover.State{SavedMs: clock.Wall() - handover.FreshMs + 300, Held: 400, Memory: &beechgrade.Memory{}}); err != nil {
+		t.Fatal(err)
+	}
+	two := u.process()
+	two.loop.Post(func() {
+		if got := two.sockets(); two.others == 1 && (got != 624 || two.memory() != 96<<20) {
+			t.Errorf("%d sockets and %d bytes", got, two.memory())
+		}
+	})
+	u.until("all limits are its own", two, func() bool { return two.others == 0 && two.sockets() == 1024 && two.memory() == 192<<20 })
+}
--- /dev/null
+++ b/handover.go
@@ -0,0 +1,92 @@
+package beechgrade
+
+// What one router knows that another, which takes its place or stands beside it, can go on with. It is evidence with its time;
+// no decision is made here.
+
+// StoreMemory is what is known of one store.
+type StoreMemory struct {
+	ID          StoreID `json:"id"`
+	Role        Role    `json:"role"`
+	RoleAt      Time    `json:"role_at"`
+	Position    Time    `json:"position"`
+	PositionAt  Time    `json:"position_at"`
+	PlacedAt    Time    `json:"placed_at"`
+	Pace        float64 `json:"pace"`
+	Rel         float64 `json:"rel"`
+	ColdFrom    Time    `json:"cold_from"`
+	ColdSpent   float64 `json:"cold_spent"`
+	ColdSpentAt Time    `json:"cold_spent_at"`
+	Down        bool    `json:"down"`
+	BadAt       Time    `json:"bad_at"`
+}
+
+// Memory is what a router knows. Work is by class, Rates by kind of store.
+type Memory struct {
+	Stores []StoreMemory   `json:"stores"`
+	Work   []float64       `json:"work"`
+	Rates  map[int]float64 `json:"rates"`
+	Mean   float64         `json:"mean"`
+}
+
+// Memory tells what the router knows.
+func (r *Router) Memory() *Memory {
+	m := &Memory{Rates: map[int]float64{}, Mean: r.work}
+	for _, s := range r.order {
+		if s.gone == 0 {
+			m.Stores = append(m.Stores, StoreMemory{ID: s.id, Role: s.role, RoleAt: s.roleAt, Position: s.position, PositionAt: s.positionAt,
+				PlacedAt: s.placedAt, Pace: s.pace, Rel: s.rel, ColdFrom: s.coldFrom, ColdSpent: s.coldSpent, ColdSpentAt: s.coldSpentAt,
+				Down: s.health == down, BadAt: s.badAt})
+		}
+	}
+	for i := range r.classes {
+		m.Work = append(m.Work, r.classes[i].work)
+	}
+	for k, x := range r.pools {
+		m.Rates[k] = x
+	}
+	return m
+}
+
+// Recall takes what another router knew, of the stores that are listed here. What is newer here stays; times from ahead of now,
+// and figures that no router has, are passed over.
+func (r *Router) Recall(now Time, m *Memory) {
+	sane := func(x float64) bool { return x >= 1/rateMost && x <= rateMost }
+	if len(m.Work) == len(r.classes) && sane(m.Mean) {
+		r.work = m.Mean
+		for i, w := range m.Work {
+			if sane(w) {
+				r.classes[i].work = w
+			}
+		}
+	}
+	for k, x := range m.Rates {
+		if sane(x) {
+			r.pools[k] = x
+		}
+	}
+	for i := range m.Stores {
+		k := &m.Stores[i]
+		s := r.stores[k.ID]
+		if s == nil {
+			continue
+		}
+		if k.RoleAt > s.roleAt && k.RoleAt <= now && k.Role <= RoleReplica {
+			s.role, s.roleAt = k.Role, k.RoleAt
+		}
+		if k.Position > s.position && k.Position <= now && k.PositionAt <= now && k.PlacedAt <= now {
+			s.position, s.positionAt, s.placedAt, s.pace = k.Position, k.PositionAt, k.PlacedAt, min(1, max(0, k.Pace))
+		}
+		if sane(k.Rel) {
+			s.rel = k.Rel
+		}
+		if k.ColdFrom > s.coldFrom && k.ColdFrom <= now {
+			s.coldFrom = k.ColdFrom
+		}
+		if k.ColdSpent >= 0 && k.ColdSpent <= rateMost && k.ColdSpentAt <= now {
+			s.coldSpent, s.coldSpentAt = k.ColdSpent, k.ColdSpentAt
+		}
+		if k.Down && k.BadAt <= now && r.set.MayProbe {
+			s.health, s.badAt = down, k.BadAt
+		}
+	}
+}
--- /dev/null
+++ b/handover_test.go
@@ -0,0 +1,51 @@
+package beechgrade
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestRecall: what one router knows another goes on with, so far as it is newer and can be true.
+func TestRecall(t *testing.T) {
+	list := &List{Kind: ListRestored, Entries: []Entry{{Store: "a", Size: 1}, {Store: "b", Size: 1}}}
+	set := Settings{Siblings: 1, Tick: time.Millisecond, MayProbe: true, Classes: []Class{{Aim: time.Second, Worth: 1}}, ColdTime: 10 * time.Second, ColdFrom: 0.2}
+	made := func() *Router {
+		r := New(set, 1)
+		r.Handle(100*time.Second, list, nil)
+		return r
+	}
+	old := made()
+	old.Handle(101*time.Second, &ProbeResult{Store: "a", Result: OK, Load: Report{Role: RolePrimary, HasPosition: true, Position: 101 * time.Second}}, nil)
+	old.Handle(102*time.Second, &ProbeResult{Store: "b", Result: OK, Load: Report{Role: RoleReplica, HasPosition: true, Position: 99 * time.Second}}, nil)
+	old.stores["b"].coldFrom, old.stores["b"].coldSpent, old.stores["b"].coldSpentAt = 98*time.Second, 3, 101*time.Second
+	old.stores["b"].rel, old.classes[0].work, old.work = 1.5, 0.04, 0.05
+	m := old.Memory()
+
+	next := made()
+	next.Recall(103*time.Second, m)
+	if diff := cmp.Diff(m, next.Memory()); diff != "" {
+		t.Error(diff)
+	}
+	if p := next.primary(next.groups[0]); p == nil || p.id != "a" {
+		t.Errorf("the primary is %v", p)
+	}
+	next.Handle(104*time.Second, &ProbeResult{Store: "a", Result: OK, Load: Report{Role: RoleReplica, HasPosition: true, Position: 104 * time.Second}}, nil)
+	before := next.Memory()
+	next.Recall(105*time.Second, m) // older by now
+	if diff := cmp.Diff(before.Stores[0], next.Memory().Stores[0]); diff != "" {
+		t.Error(diff)
+	}
+
+	hostile := *m
+	hostile.Mean, hostile.Work, hostile.Rates = math.Inf(1), []float64{-1}, map[int]float64{0: 1e9}
+	hostile.Stores = []StoreMemory{{ID: "a", Role: 9, RoleAt: 300 * time.Second, Position: 300 * time.Second, Rel: -1, ColdFrom: 300 * time.Second, ColdSpent: 1e9}, {ID: "c"}}
+	other := made()
+	want := other.Memory()
+	other.Recall(103*time.Second, &hostile)
+	if diff := cmp.Diff(want, other.Memory()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,6 +74,7 @@
 	classes map[string]int // those that may be asked for
 	figures figures.Figures
 	counted []*figures.Class // by the classes' numbers
+	share   int              // processes on the socket, 0 for this one alone
 	zones   names
 	kinds   names
 
@@ -180,13 +181,35 @@
 // Retuned takes the settings that the configuration has now. Requests under way keep the class that they came with.
 func (c *Core) Retuned() {
 	c.name()
+	c.retune()
+}
+
+// retune tells the router the settings, with this process one of so many on its socket.
+func (c *Core) retune() {
 	set := c.cfg.Settings
+	set.Processes = max(1, c.share)
 	if z := set.Zone; z >= 0 && z < len(c.cfg.Zones) {
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.tell(&beechgrade.Retune{Settings: set})
 }
 
+// Share has the router count so many processes in the place of each pooler, and tells whether that is news.
+func (c *Core) Share(n int) bool {
+	if n == max(1, c.share) {
+		return false
+	}
+	c.share = n
+	c.retune()
+	return true
+}
+
+// Memory is what the router knows.
+func (c *Core) Memory() *beechgrade.Memory { return c.router.Memory() }
+
+// Recall gives the router what another one knew.
+func (c *Core) Recall(m *beechgrade.Memory) { c.router.Recall(clock.Span(c.loop.Now()), m) }
+
 // Figures are the process's.
 func (c *Core) Figures() *figures.Figures { return &c.figures }
 
--- /dev/null
+++ b/internal/sealed/sealed.go
@@ -0,0 +1,105 @@
+// Package sealed keeps a value in a file that is read whole or not at all: a line with the kind, the sum and the length of
+// what follows, and the value as JSON.
+package sealed
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Errors of a file that is not used.
+var (
+	ErrForeign = errors.New("it is of another kind or version")
+	ErrTorn    = errors.New("it is not whole")
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// Append writes a value; kind names what it is, and its version.
+func Append(dst []byte, kind string, v any) ([]byte, error) {
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(v)
+	if err != nil {
+		return dst, err
+	}
+	dst = fmt.Appendf(dst, "%s %08x %d\n", kind, crc32.Checksum(b, table), len(b))
+	return append(dst, b...), nil
+}
+
+// Parse reads a value of that kind into v.
+func Parse(b []byte, kind string, v any) error {
+	head, body, ok := bytes.Cut(b, []byte{'\n'})
+	rest, is := strings.CutPrefix(string(head), kind+" ")
+	if !is {
+		return ErrForeign
+	}
+	sum, size, two := strings.Cut(rest, " ")
+	want, err := strconv.ParseUint(sum, 16, 32)
+	n, err2 := strconv.Atoi(size)
+	if !ok || !two || errors.Join(err, err2) != nil || n != len(body) || crc32.Checksum(body, table) != uint32(want) {
+		return ErrTorn
+	}
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(body, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrForeign, err)
+	}
+	return nil
+}
+
+// Read reads a file of at most so many bytes; nil where there is none.
+func Read(path string, most int64) ([]byte, error) {
+	f, err := os.Open(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = ErrForeign
+	}
+	return b, err
+}
+
+// Replace puts a file in another's place: whoever reads finds the old one or the new; where it is to be durable, also after a
+// loss of power.
+func Replace(path string, b []byte, durable bool) (err error) {
+	dir := filepath.Dir(path)
+	f, err := os.CreateTemp(dir, filepath.Base(path)+".new-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			_ = os.Remove(f.Name())
+		}
+	}()
+	sync := func(f *os.File) error {
+		if !durable {
+			return nil
+		}
+		return f.Sync()
+	}
+	_, err = f.Write(b)
+	if err = errors.Join(err, sync(f), f.Close()); err != nil {
+		return err
+	}
+	if err = os.Rename(f.Name(), path); err != nil || !durable {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(sync(d), d.Close())
+}
--- a/router.go
+++ b/router.go
@@ -61,7 +61,8 @@
 // New makes a router. The seed is its only source of randomness.
 func New(set Settings, seed uint64) *Router {
 	r := &Router{rng: rand.New(rand.NewPCG(seed, 0)), stores: map[StoreID]*store{}, groups: map[int]*group{},
-		reqs: map[RequestID]*request{}, forgotten: never, pools: map[int]float64{}, ways: map[int]way{}, wakeAt: never}
+		reqs: map[RequestID]*request{}, pools: map[int]float64{}, ways: map[int]way{},
+		forgotten: never, wakeAt: never}
 	r.tune(set)
 	for _, c := range r.classes {
 		r.work += c.work / float64(len(r.classes))
@@ -69,12 +70,12 @@
 	return r
 }
 
-// tune takes new settings. Classes keep their numbers, and what was learned of them; one without an aim is not
+// tune takes new settings. Classes keep their numbers and what was learned of them; one without an aim is not
 // asked for any more. Requests under way keep the class that they came with.
 func (r *Router) tune(set Settings) {
 	old := r.classes
 	r.set, r.classes, r.leastAim = set, make([]class, len(set.Classes)), 0
-	r.set.Siblings = max(1, set.Siblings)
+	r.set.Siblings, r.set.Processes = max(1, set.Siblings), max(1, set.Processes)
 	r.set.MaxAttempts = max(1, set.MaxAttempts)
 	for i, c := range set.Classes {
 		if r.classes[i].work = max(1e-3, startWork*c.Aim.Seconds()); i < len(old) {
@@ -279,7 +280,7 @@
 	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
 		return true
 	}
-	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width / float64(r.set.Siblings)
+	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width / float64(r.set.Siblings*r.set.Processes)
 	depth := part/2*r.set.FallSpan.Seconds() - q.work()
 	if depth < 0 {
 		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
