Take long statements one by one as memory allows, and write them as servers take them

Need: a statement of over 256 KiB ended its connection with 08P01, and values may have 4 MiB both ways.

Change: a long statement is read into one buffer, of which every attempt is written in pieces while the server takes them; an eighth of the memory is for all of them, and clients beyond that are parked in turn. What was never written whole is told as never sent.

--- a/cmd/beechgrade/long_test.go
+++ b/cmd/beechgrade/long_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -182,3 +183,106 @@
 		t.Fatalf("the second has %d bytes", len(a))
 	}
 }
+
+// insert is a write of a value of so many bytes.
+func insert(id string, n int) []byte {
+	return pgwire.AppendQuery(nil, "INSERT INTO kv (name, content) VALUES ('k', '\\x", strings.Repeat("61", n),
+		"') RETURNING content /* id="+id+",c=write,d=19000,cluster=0 */")
+}
+
+// TestLongWrites: statements with values of up to 4 MiB reach the server whole, though client and server are slow; many at once wait
+// with their clients for memory; one that is too long is turned away on the spot; others are served meanwhile.
+func TestLongWrites(t *testing.T) {
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv, func(p *pooler) { p.cfg.Limits.MemoryMB = 32 })
+	whole := insert("a", 4<<20)
+	c := client(t, pooler)
+	go inPieces(c, append(whole, query("behind", "read", 9000)...), time.Millisecond)
+	q, behind := nextQuery(t, queries), nextQuery(t, queries)
+	if len(q.sql) < len(behind.sql) { // each has a connection of its own
+		q, behind = behind, q
+	}
+	at := strings.Index(q.sql, ",d=")
+	if sent := string(whole[5 : len(whole)-1]); q.sql[:at] != sent[:at] || !strings.HasSuffix(q.sql, ",cluster=0 */") || len(q.sql) > len(sent) {
+		t.Fatalf("%d bytes came of %d", len(q.sql), len(sent))
+	}
+	behind.send(row("v"))
+	q.send(row("w"))
+	c.want("TDCZ w")
+	c.want("TDCZ v")
+
+	c = client(t, pooler)
+	c.send([]byte{'Q', 0, 0x90, 0, 0})
+	c.want("E$ 08P01")
+
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	const many = 8 // 64 MiB
+	var clients []*peer
+	for n := range many {
+		c, b := client(t, pooler), insert(fmt.Sprint("m", n), 4<<20)
+		go c.send(b)
+		clients = append(clients, c)
+	}
+	first := nextQuery(t, queries)
+	time.Sleep(200 * time.Millisecond)
+	if len(queries) > 0 {
+		t.Error("more than one is asked at a time")
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	// What the clients' side of this test holds is in it too.
+	if grown := int64(after.HeapInuse) - int64(before.HeapInuse) - many*(8<<20) - int64(len(first.sql)); grown > 24<<20 {
+		t.Errorf("%d MiB are held", grown>>20)
+	}
+	other := client(t, pooler)
+	other.send(query("other", "read", 9000))
+	nextQuery(t, queries).send(row("v"))
+	other.want("TDCZ v")
+	for n := range many {
+		if n > 0 {
+			first = nextQuery(t, queries)
+		}
+		first.send(row("w"))
+	}
+	for _, c := range clients {
+		c.want("TDCZ w")
+	}
+	settle(t, door, map[string]string{"known_database_servers": "1", "handled.read.passed": "2", "handled.write.passed": fmt.Sprint(many + 1), "upstream_tries": fmt.Sprint(many + 3)})
+}
+
+// TestLongWriteNeverWhole: a long write whose server goes before its last byte never ran, so its client may try
+// again; a client that goes in the midst of one leaves room for the next.
+func TestLongWriteNeverWhole(t *testing.T) {
+	l := listen(t)
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1<<14) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = c.Write(pgwire.AppendWelcome(nil))
+			time.AfterFunc(30*time.Millisecond, func() { _ = c.Close() }) // and reads nothing
+		}
+	}()
+	pooler, door, _, _ := operated(t, l.Addr().String(), func(p *pooler) { p.cfg.Limits.MemoryMB = 32 })
+	leaver := client(t, pooler)
+	leaver.send(insert("1", 4<<20)[:1<<20])
+	c := client(t, pooler)
+	b := bytes.Replace(insert("2", 4<<20), []byte("d=19000"), []byte("d=02000"), 1)
+	go c.send(b)
+	time.Sleep(50 * time.Millisecond)
+	_ = leaver.Close()
+	c.want("EZ 53300")
+	settle(t, door, map[string]string{"known_database_servers": "1", "handled.write.dropped": "1"})
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -21,6 +21,12 @@
 	AppendQuery(dst []byte, waitMs int) []byte
 }
 
+// Long is a Query that may be too long to be copied: its parts are written one by one, as the server takes them. They are nil
+// for one that is short.
+type Long interface {
+	QueryParts(waitMs int) []string
+}
+
 // Tag says which attempt of which request an outcome is of.
 type Tag struct {
 	Request slots.Ref
@@ -71,6 +77,8 @@
 	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
 	longValue  = 1 << 16 // bytes; a row of more is passed on as it comes
 	silentMs   = 10000   // within such a row, after which its rest will not come
+	sendPiece  = 1 << 16 // bytes of a long query that are written at a time...
+	sendAhead  = 1 << 18 // ...while less than this waits for the server to take it
 	roomMs     = 5       // between looks at whether there is room for its next piece
 	brokeMs    = 50      // a connection that breaks so soon after a request did so because of it
 	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
@@ -135,7 +143,9 @@
 	state   state
 	in      pgwire.Reader
 	attempt *attempt
-	sent    bool // the attempt's last byte was handed to the socket or its buffer
+	sent    bool            // the attempt's last byte was handed to the socket or its buffer
+	rest    []string        // of a long query, that is yet to be handed there
+	more    *deadline.Timer // until the next look at whether it can be
 	idleNo  uint64
 	since   float64         // up or idle since then
 	written float64         // its attempt, then
@@ -315,7 +325,10 @@
 		r = beechgrade.Skipped // it was never written
 	}
 	if c != nil {
-		c.whole()
+		if c.whole(); len(c.rest) > 0 && r != beechgrade.Full {
+			r = beechgrade.Skipped // nor was it written whole
+		}
+		c.hold()
 		c.attempt = nil // before the close, which would report a reset
 		p.end(a, Outcome{Result: r})
 		c.c.Close()
@@ -397,7 +410,7 @@
 	c.since = c.pool.loop.Now()
 	// Where the server has moved since, whatever still listens there is another. What it sent beyond its answer
 	// would be taken for the answer to the next request.
-	if c.addr != c.store.addr || c.in.Pending() > 0 || !c.c.Quiet() {
+	if c.addr != c.store.addr || c.in.Pending() > 0 || !c.c.Quiet() || len(c.rest) > 0 {
 		c.c.Close()
 		return
 	}
@@ -426,18 +439,54 @@
 	if a.query == nil {
 		p.scratch = pgwire.AppendQuery(p.scratch[:0], "SHOW load")
 	} else {
-		left := max(1, math.Floor(a.until-p.loop.Now()))
-		p.scratch = a.query.AppendQuery(p.scratch[:0], int(left))
+		left := int(max(1, math.Floor(a.until-p.loop.Now())))
+		if q, ok := a.query.(Long); ok {
+			c.rest = q.QueryParts(left)
+		}
+		if c.rest == nil {
+			p.scratch = a.query.AppendQuery(p.scratch[:0], left)
+		}
 	}
 	c.written = p.loop.Now()
 	c.rested = c.written - c.since
 	c.sent = false // a write that fails has closed the connection when it returns
+	if c.rest != nil {
+		c.push()
+		return
+	}
 	if c.c.Write(p.scratch) == nil {
 		c.sent = true
 		c.whole()
 	}
 }
 
+// push writes what the server takes of a long query.
+func (c *conn) push() {
+	for len(c.rest) > 0 && c.c.Unsent() < sendAhead {
+		k := min(len(c.rest[0]), sendPiece)
+		piece := c.rest[0][:k]
+		if c.rest[0] = c.rest[0][k:]; c.rest[0] == "" {
+			c.rest = c.rest[1:]
+		}
+		if c.c.Write([]byte(piece)) != nil || c.state != busy {
+			return
+		}
+		c.written = c.pool.loop.Now()
+	}
+	if len(c.rest) > 0 {
+		c.more = c.pool.loop.At(c.pool.loop.Now()+roomMs, c.push)
+		return
+	}
+	c.rest, c.sent = nil, true
+	c.whole()
+}
+
+// hold ends push.
+func (c *conn) hold() {
+	c.rest = nil
+	c.pool.loop.Stop(c.more)
+}
+
 // whole tells, once, that the last byte of what is carried has left.
 func (c *conn) whole() {
 	if a := c.attempt; a != nil && a.query != nil && !a.written && c.sent && c.c.Unsent() == 0 {
@@ -715,6 +764,7 @@
 		return
 	}
 	c.whole()
+	c.hold()
 	c.state = closed
 	c.count()
 	p.loop.Stop(c.timer)
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -18,6 +18,7 @@
 	maxDropped = 1 << 18 // bytes from a client that has had its last word
 	maxLeaving = 16      // such clients
 	heldPart   = 4       // of the memory, what waits here for clients or of theirs may take 1 in so many
+	longPart   = 8       // ...and long messages, 1 in so many together, but one at least
 	flowPart   = 16      // ...and of answers that are passed on as they come, 1 in so many together
 	flowLeast  = 1 << 14 // bytes of each...
 	flowMost   = 1 << 18 // ...at least and at most
@@ -83,7 +84,7 @@
 func (s *session) count() {
 	n := 0
 	if !s.closed {
-		n = s.in.Pending()
+		n = max(0, s.in.Pending()-s.long)
 		if s.conn != nil {
 			n += s.conn.Unsent()
 		}
@@ -119,6 +120,8 @@
 			s.conn.Close()
 		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
+		case s.inLine:
+		case s.use == halfway && s.long > 0 && now-s.moved < stuckMs && age < idleMs: // a long message comes in as it can
 		case s.use == halfway && s.stuck == 0 && age >= messageMs:
 			s.fatal(codeProtocol, "the message is not whole in time")
 		}
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	maxMessage = 1 << 18 // a value of 64 KiB in hex, twice over
-	maxAhead   = 1 << 19 // bytes a client may send ahead of what is taken of them
-	maxQueue   = 16      // commands of one client that are taken and not answered
-	maxUnsent  = 1 << 16 // of answers a client has not read: with more, its next command waits
+	maxMessage = 1 << 18       // a value of 64 KiB in hex, twice over; more is long...
+	maxLong    = 8<<20 + 1<<16 // ...up to a value of 4 MiB in hex
+	maxAhead   = 1 << 19       // bytes a client may send ahead of what is taken of them
+	maxQueue   = 16            // commands of one client that are taken and not answered
+	maxUnsent  = 1 << 16       // of answers a client has not read: with more, its next command waits
 	recheckMs  = 20
 	keepOut    = 1 << 14 // of a buffer, from one answer to the next
 )
@@ -44,6 +45,8 @@
 	closed   bool            // whoever asks whether clients may come is told no
 	cut      bool            // the next command of each is its last
 	held     int             // bytes that clients have sent, or are yet to have, and that wait here
+	long     int             // bytes of long messages that are coming in or are asked
+	line     []*session      // that wait with a long message, the first first
 	flows    int             // answers that are passed on as they come
 	turned   int             // clients turned away since the last sweep
 }
@@ -55,7 +58,7 @@
 
 // Accept makes the handler of a new connection.
 func (p *Postgres) Accept() loop.Handler {
-	s := &session{front: p, in: pgwire.NewReader(maxMessage), since: p.loop.Now()}
+	s := &session{front: p, in: pgwire.NewReader(maxLong), since: p.loop.Now()}
 	s.ref = p.sessions.Put(s)
 	return s
 }
@@ -112,6 +115,9 @@
 	wrote   int     // bytes written to it...
 	took    int     // ...and of those taken by its socket when that was last looked at
 	held    int     // its part of the front's
+	long    int     // ...and of what it may take for a long message that is coming in
+	inLine  bool    // it waits for that
+	moved   float64 // last heard then
 	dropped int     // bytes that came after its end
 	use     use
 	at      *list.Element // in the crowd
@@ -143,9 +149,11 @@
 		s.since = now
 	}
 	s.in.Feed(b)
+	s.moved = now
 	s.arrived.add(len(b), now)
 	s.proceed()
-	if !s.closed && s.in.Pending() > maxAhead {
+	s.await()
+	if !s.closed && !s.inLine && s.in.Pending() > maxAhead+s.long {
 		s.fatal(codeProtocol, "too much sent ahead of the answers")
 	}
 	s.front.bound()
@@ -193,13 +201,17 @@
 		return false, err
 	}
 	at := s.arrived.take(len(m.Raw))
+	long := s.long
+	s.long = 0
 	switch m.Type {
 	case 'Q':
-		sql, err := pgwire.Text(m.Body)
+		sql, err := pgwire.KeptText(m)
 		if err != nil {
+			s.front.free(long)
 			return false, err
 		}
-		s.query(sql, at)
+		s.query(sql, at, long)
+		return true, nil
 	case 'X':
 		s.end(nil)
 	case 'S': // Sync
@@ -216,9 +228,54 @@
 		}
 		s.answer(s.out)
 	}
+	s.front.free(long)
 	return true, nil
 }
 
+// await has a long message wait with its client until there is memory for it.
+func (s *session) await() {
+	p, need := s.front, s.in.Need()
+	if s.closed || s.ended || !s.started || s.long > 0 || need <= maxMessage || need > maxLong+1 {
+		return
+	}
+	if p.long == 0 || p.long+need <= p.budget.Memory()/longPart {
+		s.long, p.long = need, p.long+need
+		s.in.Grow(need)
+		return
+	}
+	if !s.inLine {
+		s.inLine, p.line = true, append(p.line, s)
+	}
+	if !s.conn.Park() { // it is yet to be sent something
+		s.front.loop.At(s.front.loop.Now()+recheckMs, func() {
+			if s.inLine && !s.closed {
+				s.conn.Park()
+			}
+		})
+	}
+}
+
+// free gives memory of a long message back, and lets those in who wait for it.
+func (p *Postgres) free(long int) {
+	if long == 0 {
+		return
+	}
+	p.long -= long
+	for len(p.line) > 0 && p.long < p.budget.Memory()/longPart {
+		s := p.line[0]
+		p.line = p.line[1:]
+		if s.inLine = false; s.closed {
+			continue
+		}
+		if s.await(); s.inLine { // still too much: it comes first again
+			p.line = append([]*session{s}, p.line[:len(p.line)-1]...)
+			return
+		}
+		s.moved = p.loop.Now()
+		s.conn.Unpark()
+	}
+}
+
 func (s *session) startup() (bool, error) {
 	before := s.in.Pending()
 	kind, ok, err := s.in.Startup()
@@ -238,8 +295,9 @@
 	return true, nil
 }
 
-// query handles one statement, whose last byte came at the given time.
-func (s *session) query(sql string, at float64) {
+// query handles one statement, whose last byte came at the given time; long is what it holds as a long message.
+func (s *session) query(sql string, at float64, long int) {
+	defer func() { s.front.free(long) }()
 	word, _, _ := strings.Cut(strings.TrimLeft(strings.TrimRight(sql, "; \t\r\n"), " \t\r\n"), " ")
 	switch strings.ToUpper(word) {
 	case "":
@@ -267,8 +325,8 @@
 	if st.After > 0 {
 		q.After = clock.FromUnix(st.After)
 	}
-	a := s.begin(len(sql))
-	a.open = true
+	a := s.begin(len(sql) - min(len(sql), long))
+	a.open, a.long, long = true, long, 0
 	ref, err := s.front.desk.Ask(q, a)
 	switch {
 	case err != nil:
@@ -317,6 +375,8 @@
 func (s *session) end(word []byte) {
 	s.ended = true
 	s.in.Reset()
+	s.front.free(s.long)
+	s.long = 0
 	s.arrived = arrivals{}
 	a := s.begin(0)
 	a.last = true
@@ -332,5 +392,7 @@
 	s.front.sessions.Drop(s.ref)
 	s.front.loop.Stop(s.recheck)
 	s.place()
+	s.front.free(s.long)
+	s.long = 0
 	s.abandon()
 }
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -20,6 +20,7 @@
 	word []byte // what waits for the answers before it
 	last bool   // the connection ends after it
 	flow bool   // it is passed on as it comes
+	long int    // what its statement holds as a long message
 }
 
 // begin files a command whose statement has so many bytes.
@@ -37,6 +38,8 @@
 	}
 	a.done, a.open = true, false
 	s.still(a)
+	defer s.front.free(a.long)
+	a.long = 0
 	if s.queue[0] != a {
 		a.word = append(a.word, b...)
 		a.size = len(a.word)
@@ -180,6 +183,8 @@
 	s.queue = nil
 	for _, a := range queue {
 		s.still(a)
+		s.front.free(a.long)
+		a.long = 0
 		if a.open {
 			a.open = false
 			s.front.desk.Gone(a.ref)
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"unsafe"
 )
 
 // Request codes that stand where a startup message has its version.
@@ -17,6 +18,7 @@
 	codeGSSEnc    = 80877104
 	maxStartupLen = 10000 // PostgreSQL's own bound
 	keepBuf       = 1 << 14
+	longMessage   = 1 << 17 // one of more bytes takes its buffer along, whatever stands behind it
 )
 
 // ErrMalformed is wrapped by every error about input that breaks the protocol.
@@ -29,6 +31,7 @@
 	Raw  []byte // with type and length
 	More bool   // the message goes on in the next one, which has Part; Body is not set
 	Part bool   // Raw goes on with a message that came before
+	Kept bool   // the Reader has given its bytes away: they stay as they are
 }
 
 // StartupKind says what a client opened its connection with.
@@ -78,6 +81,22 @@
 // Pending is the number of bytes fed and not yet returned.
 func (r *Reader) Pending() int { return len(r.buf) - r.off }
 
+// Need is the length of the next message, 0 while that is not known.
+func (r *Reader) Need() int {
+	if b := r.buf[r.off:]; len(b) >= 5 {
+		return int(binary.BigEndian.Uint32(b[1:])) + 1
+	}
+	return 0
+}
+
+// Grow makes room for a message of so many bytes, so that it is not moved while it comes in.
+func (r *Reader) Grow(n int) {
+	if cap(r.buf)-r.off < n {
+		r.buf = append(make([]byte, 0, n), r.buf[r.off:]...)
+		r.off = 0
+	}
+}
+
 // Type is the type of the next message, known by its first byte.
 func (r *Reader) Type() (typ byte, ok bool) {
 	if r.off == len(r.buf) {
@@ -138,10 +157,11 @@
 		return Message{}, false, nil
 	}
 	r.off += int(n) + 1
-	if r.off == len(r.buf) && cap(r.buf) > keepBuf {
-		r.buf, r.off = nil, 0 // the message keeps it for as long as it is used
+	kept := false
+	if r.off == len(r.buf) && cap(r.buf) > keepBuf || n > longMessage {
+		r.buf, r.off, kept = append([]byte(nil), r.buf[r.off:]...), 0, true // the message keeps it for as long as it is used
 	}
-	return Message{Type: b[0], Body: b[5 : n+1], Raw: b[:n+1]}, true, nil
+	return Message{Type: b[0], Body: b[5 : n+1], Raw: b[:n+1], Kept: kept}, true, nil
 }
 
 // begin appends a message's type and room for its length; end fills that in.
@@ -291,6 +311,14 @@
 	return "", fmt.Errorf("%w: text without its end", ErrMalformed)
 }
 
+// KeptText is Text of a message whose bytes the Reader has given away: it copies nothing.
+func KeptText(m Message) (string, error) {
+	if !m.Kept || len(m.Body) == 0 || bytes.IndexByte(m.Body, 0) != len(m.Body)-1 {
+		return Text(m.Body)
+	}
+	return unsafe.String(&m.Body[0], len(m.Body)-1), nil
+}
+
 // StartupMsg is a connection's first message.
 type StartupMsg struct {
 	Kind        StartupKind
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -1,6 +1,7 @@
 package pgwire
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"iter"
@@ -111,6 +112,23 @@
 	return AppendQuery(dst, s.head, strconv.Itoa(waitMs), s.tail)
 }
 
+// longQuery is the length of a statement that is better written in parts than copied.
+const longQuery = 1 << 17
+
+// QueryParts is AppendQuery's in parts that share the statement's memory; nil for one that is short.
+func (s *Statement) QueryParts(waitMs int) []string {
+	if len(s.head)+len(s.tail) <= longQuery {
+		return nil
+	}
+	parts := []string{"", s.head, strconv.Itoa(waitMs), s.tail, "\x00"}
+	n := 4
+	for _, p := range parts {
+		n += len(p)
+	}
+	parts[0] = string(binary.BigEndian.AppendUint32([]byte{'Q'}, uint32(n)))
+	return parts
+}
+
 // Pairs yields the names and values of a list such as 'inflight=7,util=0.61'.
 func Pairs(list string) iter.Seq2[string, string] {
 	return func(yield func(string, string) bool) {
