Hold long answers in parts to whole ones, and a drain to a resume in its midst

Tests: a fuzz target by which an answer in parts is the same answer byte for byte; a drain taken back before and after clients are closed; no door without the setting.

--- a/cmd/beechgrade/life_test.go
+++ b/cmd/beechgrade/life_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// TestResumeInTheMiddle: a drain that is taken back before clients are closed leaves them alone, and one that is taken back later
+// closes nobody any more.
+func TestResumeInTheMiddle(t *testing.T) {
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv)
+	c := client(t, pooler)
+	for range 3 {
+		call(t, door, "POST", "/-/drain")
+		call(t, door, "POST", "/-/resume")
+	}
+	time.Sleep(2 * noticeMs * time.Millisecond)
+	c.send(query("1", "read", 9000))
+	next(t, queries).send(row("v"))
+	c.want("TDCZ v")
+	call(t, door, "POST", "/-/drain")
+	if got := c.answer(); got != "$" {
+		t.Errorf("told %q", got)
+	}
+	call(t, door, "POST", "/-/resume")
+	k := client(t, pooler)
+	time.Sleep(cutMs * time.Millisecond)
+	k.send(query("2", "read", 9000))
+	nextQuery(t, queries).send(row("w"))
+	k.want("TDCZ w")
+}
+
+// TestNoDoor: without the setting nothing listens for operators.
+func TestNoDoor(t *testing.T) {
+	srv, _ := server(t)
+	p := newPooler(testConfig(t, srv, nil), slog.New(slog.DiscardHandler))
+	launch(t, p)
+	at := make(chan bool)
+	p.loop.Post(func() { at <- p.door == nil && p.doorAddr == "" })
+	if !<-at {
+		t.Error("there is a door")
+	}
+}
+
 // TestInherited: two processes hold one listening socket. The one that is told to end takes nothing new, answers what it took,
 // closes who falls idle and ends soon; no connection is refused meanwhile.
 func TestInherited(t *testing.T) {
--- a/internal/pgwire/fuzz_test.go
+++ b/internal/pgwire/fuzz_test.go
@@ -36,3 +36,41 @@
 		}
 	})
 }
+
+// FuzzAnswerInParts: an answer whose row comes in parts is the same answer, byte for byte, and as good or as bad, however it is cut.
+func FuzzAnswerInParts(f *testing.F) {
+	good := AppendReady(AppendParameter(AppendComplete(AppendRow(nil, "content", make([]byte, 300)), "SELECT 1"), "role", "replica"))
+	f.Add(good, uint8(7))
+	f.Add(good[:100], uint8(1))
+	f.Add(append(AppendRow(nil, "content", make([]byte, 200)), "E\x00\x00\x00\x0bCXX000\x00\x00Z\x00\x00\x00\x05I"...), uint8(50))
+	f.Add(AppendReady(AppendRow(nil, "content", nil)), uint8(3))
+	read := func(b []byte, piece int, over int) (raw string, served, bad bool) {
+		r, a := NewReader(MaxMessage), Reply()
+		r.Stream(over)
+		for {
+			n := min(piece, len(b))
+			r.Feed(b[:n])
+			b = b[n:]
+			for !a.Done() {
+				m, ok, err := a.Next(&r)
+				if err != nil {
+					return raw, false, true
+				}
+				if !ok {
+					break
+				}
+				raw += string(m.Raw)
+			}
+			if len(b) == 0 || a.Done() {
+				return raw, a.Served, false
+			}
+		}
+	}
+	f.Fuzz(func(t *testing.T, b []byte, piece uint8) {
+		raw, served, bad := read(b, len(b)+1, 0)
+		raw2, served2, bad2 := read(b, int(piece)+1, 64)
+		if served != served2 || bad != bad2 || served && raw != raw2 || len(raw2) < len(raw) && !bad {
+			t.Fatalf("whole: %v, %v, %q; in parts: %v, %v, %q", served, bad, raw, served2, bad2, raw2)
+		}
+	})
+}
