Hold the figures of copies, and the sharing out of what cold servers may get, by tests

Two hard cases had no test: a read that was copied counts once, with both attempts; two processes in one place may together send a cold server what one may send alone.

--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -80,6 +80,31 @@
 	settle(t, door, map[string]string{listed: "1", "upstream_tries": "5", "handled.read.passed": "2", "handled.read.dropped": "1", "handled.write.bad_gateway": "1"})
 }
 
+// TestFiguresOfCopies: a read that many later ones overtook is copied; both attempts count, and the request once.
+func TestFiguresOfCopies(t *testing.T) {
+	srv, queries := server(t)
+	pooler, door, _, _ := operated(t, srv)
+	slow, c := client(t, pooler), client(t, pooler)
+	slow.send(query("slow", "read", 19000))
+	nextQuery(t, queries) // never answered
+	tries, served := 1, 0
+	for copied := false; !copied; {
+		c.send(query(fmt.Sprint(served), "read", 9000))
+		for answered := false; !answered; tries++ {
+			q := nextQuery(t, queries)
+			if q.send(row("v")); strings.Contains(q.sql, "id=slow") {
+				copied = true
+			} else {
+				answered = true
+			}
+		}
+		c.want("TDCZ v")
+		served++
+	}
+	slow.want("TDCZ v")
+	settle(t, door, map[string]string{"known_database_servers": "1", "upstream_tries": fmt.Sprint(tries), "handled.read.passed": fmt.Sprint(served + 1)})
+}
+
 // TestFiguresOfTheUnreached: a connection that never comes up is no attempt that was written. A server that drains is listed and
 // avoided.
 func TestFiguresOfTheUnreached(t *testing.T) {
--- a/handover_test.go
+++ b/handover_test.go
@@ -49,3 +49,22 @@
 		t.Error(diff)
 	}
 }
+
+// TestColdShared: two processes in one router's place send a cold store together what one may send alone.
+func TestColdShared(t *testing.T) {
+	room := func(processes int) float64 {
+		set := Settings{Siblings: 1, Processes: processes, Classes: []Class{{Aim: time.Second, Worth: 1}}, ColdTime: 10 * time.Second, ColdFrom: 0.5,
+			FallMultiple: 2.5, FallSpan: 1500 * time.Millisecond}
+		r := New(set, 1)
+		r.Handle(100*time.Second, &List{Kind: ListRestored, Entries: []Entry{{Store: "a", Size: 1, Started: 100 * time.Second}}}, nil)
+		s, q := r.stores["a"], &request{class: &r.classes[0], size: 1}
+		sent := 0.0
+		for s.coldSpent = 0; r.coldRoom(s, q); s.coldSpent += 0.01 {
+			sent += 0.01
+		}
+		return sent + q.work() // the bucket's depth
+	}
+	if one, two := room(1), room(2); one <= 0 || two < 0.45*one || two > 0.55*one {
+		t.Errorf("one may send %.2f, each of two %.2f", one, two)
+	}
+}
