--- a/cmd/beechgrade/life_test.go
+++ b/cmd/beechgrade/life_test.go
@@ -222,20 +222,7 @@
 func TestInherited(t *testing.T) {
 	srv, queries := server(t)
 	ln := listen(t).(*net.TCPListener)
-	share := func(p *pooler) {
-		f, err := ln.File()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = f.Close() }()
-		fd, err := syscall.Dup(int(f.Fd()))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if p.given, err = inherit(func(string) string { return fmt.Sprint(fd) }); err != nil {
-			t.Fatal(err)
-		}
-	}
+	share := func(p *pooler) { give(t, p, ln) }
 	addr, _, stop, done := operated(t, srv, share)
 	if addr != ln.Addr().String() {
 		t.Errorf("serves at %s", addr)
--- a/cmd/beechgrade/upgrade_test.go
+++ b/cmd/beechgrade/upgrade_test.go
@@ -54,24 +54,30 @@
 	return u
 }
 
-// process runs one more pooler on the socket; it is ready when this returns.
-func (u *upgrade) process(known ...discovery.Instance) *pooler {
-	u.t.Helper()
-	p := newPooler(testConfig(u.t, "127.0.0.1:1", nil, func(c *config.Config) {
-		c.Discovery, c.Known.Instances = u.at, known
-	}), slog.New(slog.DiscardHandler))
-	f, err := u.ln.File()
+// give has a pooler inherit a listening socket.
+func give(t *testing.T, p *pooler, ln *net.TCPListener) {
+	t.Helper()
+	f, err := ln.File()
 	if err != nil {
-		u.t.Fatal(err)
+		t.Fatal(err)
 	}
 	defer func() { _ = f.Close() }()
 	fd, err := syscall.Dup(int(f.Fd()))
 	if err != nil {
-		u.t.Fatal(err)
+		t.Fatal(err)
 	}
 	if p.given, err = inherit(func(string) string { return fmt.Sprint(fd) }); err != nil {
-		u.t.Fatal(err)
+		t.Fatal(err)
 	}
+}
+
+// process runs one more pooler on the socket; it is ready when this returns.
+func (u *upgrade) process(known ...discovery.Instance) *pooler {
+	u.t.Helper()
+	p := newPooler(testConfig(u.t, "127.0.0.1:1", nil, func(c *config.Config) {
+		c.Discovery, c.Known.Instances = u.at, known
+	}), slog.New(slog.DiscardHandler))
+	give(u.t, p, u.ln)
 	p.inheritKnown(u.dir)
 	launch(u.t, p)
 	u.until("ready", p, func() bool { return p.life.Serves() })
