Have the story of a process killed in an upgrade's overlap really see the limits shared

Cause: the other process's file was stale before the pooler was ready, so the check of sockets and memory was passed over and could not fail. The file is now written once the pooler serves, and a broken one lies beside it. Measured: passes twice over; with the other's descriptors no longer taken off it fails, as it should.

--- a/cmd/beechgrade/upgrade_test.go
+++ b/cmd/beechgrade/upgrade_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -155,15 +157,13 @@
 // again. What a file says that is broken is passed over.
 func TestKilledInTheOverlap(t *testing.T) {
 	u := newUpgrade(t)
-	killed := handover.In(u.dir)
-	if err := killed.Write(&handover.State{SavedMs: clock.Wall() - handover.FreshMs + 300, Held: 400, Memory: &beechgrade.Memory{}}); err != nil {
+	two := u.process()
+	if err := handover.In(u.dir).Write(&handover.State{SavedMs: clock.Wall(), Held: 400, Memory: &beechgrade.Memory{}}); err != nil {
+		t.Fatal(err)
+	}
+	u.until("limits are shared", two, func() bool { return two.others == 1 && two.sockets() == 624 && two.memory() == 96<<20 })
+	if err := os.WriteFile(filepath.Join(u.dir, "handover-broken.state"), []byte("noise"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	two := u.process()
-	two.loop.Post(func() {
-		if got := two.sockets(); two.others == 1 && (got != 624 || two.memory() != 96<<20) {
-			t.Errorf("%d sockets and %d bytes", got, two.memory())
-		}
-	})
 	u.until("all limits are its own", two, func() bool { return two.others == 0 && two.sockets() == 1024 && two.memory() == 192<<20 })
 }
