Have the story of a client that goes while held not race with the server's room

The server got room as soon as the client's going was known, while a try that had been written before was still on its way to it; the pooler was right.

--- a/internal/kit/standin/house/house.go
+++ b/internal/kit/standin/house/house.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex
 	runs     []*Run
 	full     bool
+	turned   int           // queries turned away
 	silent   chan struct{} // closed when it is not any more; nil where it answers
 	lag      float64       // seconds that it stays behind once it is
 	pos      time.Time     // what it has is never older again
@@ -94,6 +95,13 @@
 	s.full = on
 }
 
+// Turned is how many queries it has turned away.
+func (s *Server) Turned() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turned
+}
+
 // Silent has it take all that comes, and answer nothing until it is not so any more.
 func (s *Server) Silent(on bool) {
 	s.mu.Lock()
@@ -222,6 +230,9 @@
 	h.Set("X-ClickHouse-Format", "TabSeparated")
 	s.mu.Lock()
 	full := s.full
+	if full {
+		s.turned++
+	}
 	if !full && !s.forgets {
 		s.runs = append(s.runs, x)
 	}
