Hold a watch open where lists are pushed, and read tenants and reports in answers

The pooler asks for the list only where the module says so, and this says so only where lists are asked for (AskList, internal/wire/settings.go): so nothing was ever heard after the start. Beside it core.Ask gave every request tenant 0 (t was not read), and the load reports that come with answers there were dropped (backend.parameter). Change: discovery.Client holds a watch open where lists are pushed, asks again after 10 to 160 ms where one ends, and tells nobody of such ends. t names the tenant; one that does not exist or is missing where there are tenants is one error at once. The parameter load in an answer is read like a probe's report.

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -157,6 +157,7 @@
 	}
 	p.list.take(&p.cfg.Known)
 	p.core.Start(servers, directory)
+	p.push()
 	p.recall()
 	p.front.Start()
 	p.open()
@@ -173,6 +174,11 @@
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
 
+// push has the list come unasked where the settings say that it does: on sockets that is a watch held open.
+func (p *pooler) push() {
+	p.dir.Push(!p.cfg.Settings.AskList && (p.sources == nil || p.sources.set.Members.Platform))
+}
+
 // run serves until a signal to stop comes and nothing is owed any more; one to reload changes the configuration.
 func (p *pooler) run(stop, reload <-chan os.Signal) error {
 	go func() {
@@ -234,4 +240,5 @@
 		}
 		p.dir.Move(p.cfg.Discovery)
 	}
+	p.push()
 }
--- /dev/null
+++ b/cmd/beechgrade/second_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/config"
+	"beechgrade/internal/pgwire"
+)
+
+// tell writes a line of the list.
+func tell(w http.ResponseWriter, generation int, addr, lifecycle string) {
+	_, _ = fmt.Fprintf(w, `{"generation":%d,"instances":[{"instanceId":"s-1","hostPort":%q,"lifecycle":%q,"role":"primary"}]}`+"\n",
+		generation, addr, lifecycle)
+	w.(http.Flusher).Flush()
+}
+
+// TestPushedList: where lists are pushed nobody is to ask for them, but what the agent holds counts as told: a watch is open
+// all the same, goes on from what was heard when the agent closes it or goes silent, and its failures are nobody's.
+func TestPushedList(t *testing.T) {
+	addr, queries := server(t)
+	froms, then := make(chan string, 99), make(chan string)
+	pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
+		froms <- r.URL.Query().Get("from")
+		select {
+		case state := <-then:
+			gen := map[string]int{"draining": 5, "up": 6}[state]
+			tell(w, gen, addr, state)
+			<-then // the agent ends the watch
+		case <-r.Context().Done():
+		}
+	}, func(c *config.Config) { c.Settings.AskList = false })
+	ask := func(id, want string) {
+		t.Helper()
+		c := client(t, pooler)
+		for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+			c.send(query(id, "read", 100))
+			select {
+			case q := <-queries:
+				q.send(row("v"))
+			case <-time.After(300 * time.Millisecond):
+			}
+			if got := c.answer(); got == want {
+				return
+			} else if time.Now().After(end) {
+				t.Fatalf("%s: got %q, want %q", id, got, want)
+			}
+		}
+	}
+	for _, step := range []struct{ from, state, answer string }{{"4", "draining", "EZ 53300"}, {"5", "up", "TDCZ v"}} {
+		if got := <-froms; got != step.from {
+			t.Fatalf("watches from %s, want %s", got, step.from)
+		}
+		then <- step.state
+		ask(step.state, step.answer)
+		then <- "end"
+	}
+	if got := <-froms; got != "6" {
+		t.Errorf("watches from %s after the second end", got)
+	}
+}
+
+// TestTenants: one beyond its share waits behind one within, when there is no room for both, though it came first. One that
+// does not exist, or is not named, gets one error at once, and its client can go on.
+func TestTenants(t *testing.T) {
+	addr, queries := server(t)
+	p := newPooler(testConfig(t, addr, nil, func(c *config.Config) {
+		c.Tenants = []string{"greedy", "modest"}
+		c.Settings.Tenants = []beechgrade.Tenant{{Allowance: 1e-6}, {Allowance: 1e6}}
+		c.Settings.OverShareWorth = 0.2
+	}), slog.New(slog.DiscardHandler))
+	pooler, _, _, _ := launch(t, p)
+	open := func(n int) { // waits until so many requests are with the pooler
+		t.Helper()
+		within(t, fmt.Sprint(n, " requests"), func() bool {
+			got := make(chan int)
+			p.loop.Post(func() { got <- p.core.Open() })
+			return <-got == n
+		})
+	}
+	send := func(c *peer, id, tenant string) {
+		c.send(pgwire.AppendQuery(nil, fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%s,c=read%s,d=9000,cluster=0 */", id, tenant)))
+	}
+	c := client(t, pooler)
+	for n, tenant := range []string{"", ",t=nobody", ",t="} {
+		send(c, fmt.Sprint("x", n), tenant)
+		c.want("EZ 42601")
+	}
+	var first asked
+	for n := range 4 { // what may be sent at once; a bucket holds as many
+		send(client(t, pooler), fmt.Sprint("a", n), ",t=greedy")
+		first = next(t, queries)
+	}
+	send(client(t, pooler), "over", ",t=greedy")
+	open(5)
+	send(c, "within", ",t=modest")
+	open(6)
+	if len(queries) != 0 {
+		t.Fatalf("asked %q with no room", (<-queries).sql)
+	}
+	first.send(row("v"))
+	if q := next(t, queries); !strings.Contains(q.sql, "id=within,c=read,t=modest,") {
+		t.Errorf("asked %q first", q.sql)
+	} else {
+		q.send(row("v"))
+		c.want("TDCZ v")
+	}
+}
+
+// TestReportsInAnswers: a load report in an answer tells its server's role. One that cannot be read, or lies ahead, tells
+// nothing, and does the answer no harm.
+func TestReportsInAnswers(t *testing.T) {
+	for _, story := range []struct{ report, write string }{{"x0=%d,x1=1", "TDCZ w"}, {"x0=%d,x1=yes", "EZ 53300"},
+		{"x1=1", "EZ 53300"}, {"x0=9%d,x1=1", "EZ 53300"}, {"=,,\xff%d", "EZ 53300"}} {
+		addr, queries := server(t)
+		pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Settings.ListShowsRole = false })
+		c := client(t, pooler)
+		c.send(query("1", "read", 9000))
+		report := story.report
+		if strings.Contains(report, "%d") {
+			report = fmt.Sprintf(report, time.Now().Unix()-1)
+		}
+		answer := pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte("v")), "SELECT 1")
+		next(t, queries).send(pgwire.AppendReady(pgwire.AppendParameter(answer, "load", report)))
+		c.want("TDCZ v")
+		c.send(query("2", "write", 300))
+		if story.write == "TDCZ w" {
+			next(t, queries).send(row("w"))
+		}
+		c.want(story.write)
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -35,10 +35,16 @@
 
 // Outcome is how an attempt or probe ended, with what its answer told.
 type Outcome struct {
-	Result   beechgrade.Result
-	Answer   []byte // OK: the row as messages, valid during the call
+	Result beechgrade.Result
+	Answer []byte // OK: the row as messages, valid during the call
+	Said
+	Load Said // a load report that came along with the answer, some time old
+}
+
+// Said is what a server told of itself.
+type Said struct {
 	Role     beechgrade.Role
-	Position float64 // on the clock, where HasPosition
+	Position float64 // on the clock, where HasPos
 	HasPos   bool
 }
 
@@ -656,6 +662,10 @@
 		if c.outcome.Role == beechgrade.RoleUnknown {
 			c.outcome.Role = c.pool.role(val)
 		}
+	case "load":
+		if c.outcome.Load == (Said{}) {
+			c.outcome.Load = c.pool.load(val)
+		}
 	case c.pool.opt.PositionName:
 		if ms, err := strconv.ParseInt(val, 10, 64); err == nil && !c.outcome.HasPos && c.pool.position(clock.FromUnix(ms)) {
 			c.outcome.Position, c.outcome.HasPos = clock.FromUnix(ms), true
@@ -734,22 +744,30 @@
 	if err == nil && len(col) == 0 {
 		return o
 	}
-	for name, val := range pgwire.Pairs(string(col)) {
+	if o.Said = p.load(string(col)); !o.HasPos {
+		return Outcome{Result: beechgrade.Failed}
+	}
+	return o
+}
+
+// load reads a load report; of one that cannot be read whole, nothing.
+func (p *Pool) load(text string) (s Said) {
+	for name, val := range pgwire.Pairs(text) {
 		x, err := strconv.ParseFloat(val, 64)
 		switch {
 		case err != nil:
 		case name == "x0" && p.position(x*1000): // down to whole milliseconds, as a printed figure may have been rounded up
-			o.Position, o.HasPos = clock.FromUnix(int64(x*1000)), true
+			s.Position, s.HasPos = clock.FromUnix(int64(x*1000)), true
 		case name == "x1" && x == 1:
-			o.Role = beechgrade.RolePrimary
+			s.Role = beechgrade.RolePrimary
 		case name == "x1" && x == 0:
-			o.Role = beechgrade.RoleReplica
+			s.Role = beechgrade.RoleReplica
 		}
 	}
-	if !o.HasPos || o.Role == beechgrade.RoleUnknown {
-		return Outcome{Result: beechgrade.Failed}
+	if !s.HasPos || s.Role == beechgrade.RoleUnknown {
+		return Said{}
 	}
-	return o
+	return s
 }
 
 // Closed is loop's.
@@ -787,7 +805,7 @@
 		if c.reading.Code == "53300" || c.reading.Code == "57P03" {
 			r = beechgrade.Full
 		}
-		p.end(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPos: c.outcome.HasPos})
+		p.end(a, Outcome{Result: r, Said: c.outcome.Said})
 	}
 	p.refill(c.store)
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -77,8 +77,8 @@
 	unreadable := Outcome{Result: beechgrade.Failed}
 	for report, want := range map[string]Outcome{
 		"":                       {Result: beechgrade.OK}, // it has none yet
-		"x0=4.25,x1=1":           {Result: beechgrade.OK, Role: beechgrade.RolePrimary, Position: 4250, HasPos: true},
-		"x1=0, x0=5.0019,load=7": {Result: beechgrade.OK, Role: beechgrade.RoleReplica, Position: 5001, HasPos: true},
+		"x0=4.25,x1=1":           {Result: beechgrade.OK, Said: Said{beechgrade.RolePrimary, 4250, true}},
+		"x1=0, x0=5.0019,load=7": {Result: beechgrade.OK, Said: Said{beechgrade.RoleReplica, 5001, true}},
 		"x0=4.25":                unreadable,
 		"x1=1":                   unreadable,
 		"x0=nan,x1=1":            unreadable,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	Settings  beechgrade.Settings
 
 	Classes, Zones, Kinds []string // names, by the module's numbers
+	Tenants               []string // names, as the settings number them
 	ConnectTimeoutMs      float64
 	IdleMs                float64 // servers close a connection idle for so long
 
@@ -153,6 +154,7 @@
 	}
 	set("settings", !reflect.DeepEqual(c.Settings, settings), func() {
 		c.Settings, c.Classes, c.Zones, c.Kinds, c.retired = settings, classes, zones, union(c.Kinds, next.Kinds), retired
+		c.Tenants = next.Tenants
 	})
 	c.keys = next.keys
 	return changed, kept
@@ -304,6 +306,9 @@
 	if len(c.Classes) == 0 {
 		return errors.New("settings: request_classes: none given")
 	}
+	for i := range c.Settings.Tenants {
+		c.Tenants = append(c.Tenants, pairs["tenants."+strconv.Itoa(i)+".name"])
+	}
 	c.Zones, c.Kinds = names(pairs["zones"]), names(pairs["kinds"])
 	if c.ConnectTimeoutMs, err = millis(pairs, "allowed.connect_timeout_ns", defaultConnect); err != nil {
 		return err
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,9 +24,10 @@
 
 // Errors of a request that cannot be put to the router.
 var (
-	ErrClass = errors.New("no such class")
-	ErrOpen  = errors.New("a request of this id is open")
-	ErrWrite = errors.New("a write in a class of reads")
+	ErrClass  = errors.New("no such class")
+	ErrTenant = errors.New("no such tenant")
+	ErrOpen   = errors.New("a request of this id is open")
+	ErrWrite  = errors.New("a write in a class of reads")
 )
 
 // Servers carries out attempts and probes.
@@ -72,6 +73,7 @@
 	dir     Directory
 
 	classes map[string]int // those that may be asked for
+	tenants map[string]int
 	figures figures.Figures
 	counted []*figures.Class // by the classes' numbers
 	share   int              // processes on the socket, 0 for this one alone
@@ -169,7 +171,10 @@
 
 // name takes the classes' names and numbers from the configuration.
 func (c *Core) name() {
-	c.classes, c.counted = map[string]int{}, nil
+	c.classes, c.counted, c.tenants = map[string]int{}, nil, map[string]int{}
+	for i, n := range c.cfg.Tenants {
+		c.tenants[n] = i
+	}
 	for i, n := range c.cfg.Classes {
 		c.counted = append(c.counted, c.figures.Class(n))
 		if !c.cfg.Retired(i) {
@@ -304,6 +309,13 @@
 	if c.ids[q.ID] {
 		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
 	}
+	tenant, ok := c.tenants[q.Tenant]
+	if !ok && (q.Named || q.Tenant != "") && len(c.tenants) > 0 {
+		return slots.Ref{}, fmt.Errorf("tenant %q: %w", q.Tenant, ErrTenant)
+	}
+	if !ok {
+		tenant = -1
+	}
 	known, once := cmp.Or(q.Known, q.ID), c.cfg.Settings.Classes[class].Effect != beechgrade.Safe
 	if once && c.journal != nil && c.journal.Ran(known) { // nobody knows whether it did
 		c.counted[class].Count(figures.BadGateway)
@@ -319,7 +331,7 @@
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
-	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Due: clock.Span(q.Due),
+	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat, Only: beechgrade.StoreID(q.Only)}
 	if q.After > 0 {
 		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
@@ -380,14 +392,14 @@
 	final := q.over
 	c.release(t.Request, q)
 	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
-		Final: final, Told: told(o)})
+		Final: final, Told: told(o.Said), Load: told(o.Load)})
 }
 
 // ProbeEnded is backend.Events'.
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
-	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o)})
+	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o.Said)})
 }
 
 // Listed is discovery.Events'.
@@ -548,7 +560,7 @@
 	q.tries[no].ref = at
 }
 
-func told(o backend.Outcome) beechgrade.Report {
+func told(o backend.Said) beechgrade.Report {
 	r := beechgrade.Report{Role: o.Role, HasPosition: o.HasPos}
 	if o.HasPos {
 		r.Position = clock.Span(o.Position)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,8 @@
 	ID      string // no two open requests have the same
 	Known   string // by what its client knows it, for records; empty for its ID
 	Class   string
+	Tenant  string // empty for none
+	Named   bool   // where the settings have tenants, it must name one of them
 	Group   int
 	Session string
 	Due     float64 // on the clock: the client gives up then
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -499,7 +499,7 @@
 		if a.slife != st.life {
 			return // the connection broke before the answer was whole
 		}
-		o := backend.Outcome{Result: results[a.reply.Verdict], Role: beechgrade.RoleReplica, Position: a.reply.Position, HasPos: a.reply.Position > 0}
+		o := backend.Outcome{Result: results[a.reply.Verdict], Said: backend.Said{Role: beechgrade.RoleReplica, Position: a.reply.Position, HasPos: a.reply.Position > 0}}
 		if a.reply.Primary {
 			o.Role = beechgrade.RolePrimary
 		}
--- a/internal/membership/discovery/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -22,6 +22,14 @@
 // connectMs bounds a connection's coming up.
 const connectMs = 1000
 
+// Where lists are pushed, a watch that ends is asked for anew at once, as what the agent holds counts as told. After one
+// that held for less than heldMs the pause doubles, up to what leaves time to hear of a drain.
+const (
+	againMs     = 10
+	againMostMs = 160
+	heldMs      = 1000
+)
+
 // Instance is one server in the list.
 type Instance struct {
 	ID          string  `json:"instanceId"`
@@ -59,6 +67,10 @@
 	fetch  *call // for the whole list
 	moved  bool  // no list has come from this address: gen is not its own
 	ahead  bool  // the watch that is open was not asked for yet, but by Move
+
+	pushed bool            // a watch is held open without anybody's asking
+	pause  float64         // before the next one
+	again  *deadline.Timer // that is due then
 }
 
 // New makes a client that has the list as of the given generation.
@@ -83,6 +95,32 @@
 	c.ahead = true
 }
 
+// Push holds a watch open from now on, or no longer does: where lists are pushed, nobody asks for them, and their failures
+// are nobody's.
+func (c *Client) Push(on bool) {
+	if on == c.pushed {
+		return
+	}
+	c.pushed = on
+	c.loop.Stop(c.again)
+	if on && c.watch == nil {
+		c.Watch()
+	}
+}
+
+// repush asks for the next pushed watch.
+func (c *Client) repush(held float64) {
+	if c.pause = min(againMostMs, max(againMs, 2*c.pause)); held >= heldMs {
+		c.pause = againMs
+	}
+	c.loop.Stop(c.again)
+	c.again = c.loop.At(c.loop.Now()+c.pause, func() {
+		if c.pushed && c.watch == nil {
+			c.Watch()
+		}
+	})
+}
+
 // Watch asks for changes from the list that is held on, in place of a watch that may be open.
 func (c *Client) Watch() {
 	if c.ahead && c.watch != nil {
@@ -108,6 +146,7 @@
 	client *Client
 	path   string
 	watch  bool
+	from   float64 // asked for then
 	conn   *loop.Conn
 	reply  reply
 	timer  *deadline.Timer
@@ -116,7 +155,7 @@
 }
 
 func (c *Client) call(path string, watch bool) *call {
-	k := &call{client: c, path: path, watch: watch}
+	k := &call{client: c, path: path, watch: watch, from: c.loop.Now()}
 	k.alive()
 	c.loop.Dial(c.addr, connectMs, k, k.end)
 	return k
@@ -149,6 +188,10 @@
 	}
 	if err != nil && wanted {
 		c.log.Info("discovery", "call", k.path, "err", err)
+		if c.pushed && k.watch {
+			c.repush(c.loop.Now() - k.from)
+			return
+		}
 		c.events.ListFailed()
 	}
 }
