Advise refused clients to stay away for long, and hold keyed writes to their window

Need: a keyed write may go out again only while its servers drop repeats. place() kept to that, but the attempt could then wait up to the connect time-out for its connection, and a client's retry under a new id began a window of its own. Change: what found no room is told the longest wait. Send names the moment from which an attempt must not be written (By), and backend drops what is late, unsent. core remembers when keys were first sent of what may have run, and tells the module with a request of the same key. Shown by TestKeyWindowAtAClientsRetry, TestKeyWindowOnASlowConnect, TestKeys.

--- a/api.go
+++ b/api.go
@@ -123,6 +123,7 @@
 	SinceOwn time.Duration // session reads: time since the session's last commit, 0 for none
 	Work     time.Duration // expected work on a standard core, 0 if unknown
 	Repeat   bool          // the client has asked before
+	RanAt    Time          // another request with its key may have run, first sent then; 0 for none
 	Only     StoreID       // the one store that can serve it, empty for any; with reads of any member only
 }
 
@@ -259,6 +260,7 @@
 	Attempt int
 	Store   StoreID
 	Wait    time.Duration
+	By      Time // Send: an attempt that has not been written by then must not be
 	At      Time
 	Tag     int64
 	Text    string
--- a/cmd/beechgrade/pooled.go
+++ b/cmd/beechgrade/pooled.go
@@ -103,14 +103,14 @@
 	}
 }
 
-func (s fronts) Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref {
+func (s fronts) Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref {
 	switch {
 	case s.house != nil && clickhouse.Ours(q):
 		return s.house.Try(id, q, until, t)
 	case s.pooled != nil && pooling.Ours(q):
 		return s.pooled.Try(id, q, until, t)
 	}
-	return s.Pool.Start(id, q, until, once, t)
+	return s.Pool.Start(id, q, until, on, t)
 }
 
 func (s fronts) Probe(id string) {
--- a/cmd/beechgrade/second_test.go
+++ b/cmd/beechgrade/second_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -135,3 +136,101 @@
 		c.want(story.write)
 	}
 }
+
+// keyed is a write with a key, or without one.
+func keyed(id, key string) []byte {
+	if key != "" {
+		key = ",k=" + key
+	}
+	return pgwire.AppendQuery(nil, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('k', '') RETURNING content /* id=%s,c=write%s,d=9000,cluster=0 */", id, key))
+}
+
+// withWindow makes writes keyed, their repeats dropped for so long.
+func withWindow(d time.Duration, attempts int) func(*config.Config) {
+	return func(c *config.Config) {
+		w := &c.Settings.Classes[1]
+		w.Effect, w.Scope, w.KeyWindow, c.Settings.MaxAttempts = beechgrade.Keyed, beechgrade.ScopeGroup, d, attempts
+	}
+}
+
+// TestKeyWindowAtAClientsRetry: what a client asks again with its key, under a new id, is held to the window of the first: sent
+// within it, and not behind it, where its servers may have forgotten the key; then it fails at once. What has no key cannot be
+// known again.
+func TestKeyWindowAtAClientsRetry(t *testing.T) {
+	for _, within := range []bool{true, false} {
+		addr, queries := server(t)
+		window := patience
+		if !within {
+			window = time.Millisecond
+		}
+		pooler, _, _ := start(t, addr, nil, withWindow(window, 1))
+		c := client(t, pooler)
+		c.send(keyed("0", ""))
+		c.want("EZ 42601")
+		c.send(keyed("1", "key"))
+		_ = next(t, queries).Close()
+		c.want("EZ 58000")
+		if gone := next(t, queries); gone.sql != "(gone)" {
+			t.Fatalf("asked %q", gone.sql)
+		}
+		time.Sleep(5 * time.Millisecond)
+		c.send(keyed("2", "key"))
+		if within {
+			next(t, queries).send(row("v"))
+			c.want("TDCZ v")
+		} else {
+			c.want("EZ 58000")
+		}
+		c.send(keyed("3", "other"))
+		if q := next(t, queries); !strings.Contains(q.sql, "id=3,c=write,k=other,") {
+			t.Fatalf("asked %q", q.sql)
+		} else {
+			q.send(row("w"))
+		}
+		c.want("TDCZ w")
+	}
+}
+
+// TestKeyWindowOnASlowConnect: a keyed write is to go out once more within its window, but the connection for it comes up only
+// behind that. It is given up unsent when the window ends, long before its client's time.
+func TestKeyWindowOnASlowConnect(t *testing.T) {
+	l := listen(t)
+	conns := make(chan *peer)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- newPeer(t, c)
+		}
+	}()
+	welcome := func(p *peer) {
+		head, err := p.in.Peek(4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = p.in.Discard(int(binary.BigEndian.Uint32(head)))
+		p.send(pgwire.AppendWelcome(nil))
+	}
+	pooler, _, _ := start(t, l.Addr().String(), nil, withWindow(400*time.Millisecond, 8))
+	c := client(t, pooler)
+	c.send(keyed("1", "key"))
+	first := <-conns
+	welcome(first)
+	if typ, _ := first.message(); typ != 'Q' {
+		t.Fatalf("got %q", typ)
+	}
+	_ = first.Close()
+	slow := <-conns
+	began := time.Now()
+	c.want("EZ 58000")
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("given up after %v", took)
+	}
+	welcome(slow)
+	_ = slow.SetDeadline(time.Now().Add(200 * time.Millisecond))
+	if typ, body := slow.message(); typ != 0 {
+		t.Errorf("the server was sent %q %q behind the window", typ, body)
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -41,6 +41,15 @@
 	Load Said // a load report that came along with the answer, some time old
 }
 
+// Terms are how an attempt may go out.
+type Terms struct {
+	Once bool    // it must not run twice: it is spared connections that would probably lose it
+	By   float64 // it must not be written from then on, 0 for whenever it may be: its servers may have forgotten its key
+}
+
+// Late tells that an attempt may not be written any more.
+func (on Terms) Late(now float64) bool { return on.By > 0 && now >= on.By }
+
 // Said is what a server told of itself.
 type Said struct {
 	Role     beechgrade.Role
@@ -124,8 +133,8 @@
 	conn    *conn
 	timer   *deadline.Timer // its end
 	connect *deadline.Timer // the end of its wait for a connection
-	once    bool            // it must not run twice
 	written bool            // its last byte has left, as was told
+	Terms
 }
 
 type state int
@@ -224,10 +233,9 @@
 	}
 }
 
-// Start starts an attempt that ends by itself at until. One that must not run twice is spared connections that
-// would probably lose it.
-func (p *Pool) Start(id string, q Query, until float64, once bool, t Tag) slots.Ref {
-	a := &attempt{tag: t, id: id, query: q, until: until, once: once, store: p.stores[id]}
+// Start starts an attempt that ends by itself at until.
+func (p *Pool) Start(id string, q Query, until float64, on Terms, t Tag) slots.Ref {
+	a := &attempt{tag: t, id: id, query: q, until: until, Terms: on, store: p.stores[id]}
 	a.ref = p.attempts.Put(a)
 	p.begin(a)
 	return a.ref
@@ -252,13 +260,21 @@
 
 func (p *Pool) begin(a *attempt) {
 	s := a.store
-	if s == nil {
+	switch {
+	case s == nil:
 		p.end(a, Outcome{Result: beechgrade.Unreachable})
 		return
+	case a.Late(p.loop.Now()):
+		p.end(a, Outcome{Result: beechgrade.Skipped})
+		return
 	}
 	a.timer = p.loop.At(a.until, func() { p.drop(a, beechgrade.TimedOut) })
-	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
-		if a.conn == nil && s.dialing == 0 { // want of a descriptor tells nothing of the server
+	up := p.loop.Now() + p.opt.ConnectTimeoutMs
+	if a.By > 0 {
+		up = min(up, a.By)
+	}
+	a.connect = p.loop.At(up, func() {
+		if a.conn == nil && s.dialing == 0 || a.Late(p.loop.Now()) { // want of a descriptor tells nothing of the server
 			p.drop(a, beechgrade.Skipped)
 			return
 		}
@@ -272,7 +288,7 @@
 			c.c.Close()
 			continue
 		}
-		if a.once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
+		if a.Once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
 			break
 		}
 		c.carry(a)
@@ -348,7 +364,7 @@
 // be turned away there.
 func (p *Pool) recall(s *store) {
 	for i := 0; i < len(s.waiting); {
-		if a := s.waiting[i]; a.once {
+		if a := s.waiting[i]; a.Once {
 			p.drop(a, beechgrade.Skipped)
 			i = 0 // what that led to may have changed the rest
 			continue
@@ -420,13 +436,17 @@
 		c.c.Close()
 		return
 	}
-	if w := c.store.waiting; len(w) > 0 {
-		a := w[0]
-		c.store.waiting = w[1:]
+	p := c.pool
+	for len(c.store.waiting) > 0 {
+		a := c.store.waiting[0]
+		if a.Late(p.loop.Now()) {
+			p.drop(a, beechgrade.Skipped)
+			continue
+		}
+		c.store.waiting = c.store.waiting[1:]
 		c.carry(a)
 		return
 	}
-	p := c.pool
 	p.idleSeq++
 	c.idleNo = p.idleSeq
 	c.store.idle = append(c.store.idle, c)
@@ -561,7 +581,7 @@
 		return
 	}
 	left := float64(stallMs)
-	if a.once {
+	if a.Once {
 		left = stallOnce
 	}
 	p.loop.Stop(c.timer)
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -42,13 +42,13 @@
 	<-ready
 	l.Post(func() {
 		p.SetAddress("s", "127.0.0.1:1")
-		p.Start("s", events, clk.Ms+9000, true, Tag{})
-		p.Cancel(p.Start("s", events, clk.Ms+9000, true, Tag{No: 1}))
+		p.Start("s", events, clk.Ms+9000, Terms{Once: true}, Tag{})
+		p.Cancel(p.Start("s", events, clk.Ms+9000, Terms{Once: true}, Tag{No: 1}))
 	})
 	l.Post(func() { clk.Ms += 250 })
 	l.Post(func() {
 		p.SetAddress("t", "127.0.0.1:1")
-		p.Start("t", events, clk.Ms+9000, true, Tag{No: 2})
+		p.Start("t", events, clk.Ms+9000, Terms{Once: true}, Tag{No: 2})
 		p.Retain(map[string]bool{"s": true}) // t has left the list
 		p.Forget("s")
 		if len(p.stores) != 0 {
@@ -113,7 +113,7 @@
 	go func() { ended <- l.Run("127.0.0.1:0") }()
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
-		p.Start("s", events, l.Now()+20000, false, Tag{})
+		p.Start("s", events, l.Now()+20000, Terms{}, Tag{})
 	})
 	far, err := server.Accept()
 	if err != nil {
@@ -167,7 +167,7 @@
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
 		for no := range 3 {
-			p.Start("s", events, clk.Ms+9000, no != 2, Tag{No: no}) // all but one go without a connection
+			p.Start("s", events, clk.Ms+9000, Terms{Once: no != 2}, Tag{No: no}) // all but one go without a connection
 		}
 	})
 	far, err := server.Accept()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
+	"strconv"
 
 	"beechgrade"
 	"beechgrade/internal/backend"
@@ -26,6 +28,7 @@
 var (
 	ErrClass  = errors.New("no such class")
 	ErrTenant = errors.New("no such tenant")
+	ErrKey    = errors.New("no key, which its class needs")
 	ErrOpen   = errors.New("a request of this id is open")
 	ErrWrite  = errors.New("a write in a class of reads")
 )
@@ -36,7 +39,7 @@
 	CloseIdle(id string)
 	Forget(id string)
 	Retain(ids map[string]bool)
-	Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref
+	Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref
 	Cancel(attempt slots.Ref)
 	Probe(id string)
 }
@@ -74,6 +77,7 @@
 
 	classes map[string]int // those that may be asked for
 	tenants map[string]int
+	keys    keys // of keyed requests that may have run
 	figures figures.Figures
 	counted []*figures.Class // by the classes' numbers
 	share   int              // processes on the socket, 0 for this one alone
@@ -141,7 +145,8 @@
 type request struct {
 	id     string
 	known  string
-	once   bool // it must not run twice
+	key    string // by which its servers know a repeat, empty for none
+	once   bool   // it must not run twice
 	client front.Client
 	query  backend.Query
 	due    float64
@@ -303,9 +308,6 @@
 	if !ok {
 		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrClass)
 	}
-	if q.Writes && c.cfg.Settings.Classes[class].Read != beechgrade.Write { // a read may be repeated
-		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrWrite)
-	}
 	if c.ids[q.ID] {
 		return slots.Ref{}, fmt.Errorf("id %q: %w", q.ID, ErrOpen)
 	}
@@ -316,18 +318,29 @@
 	if !ok {
 		tenant = -1
 	}
-	known, once := cmp.Or(q.Known, q.ID), c.cfg.Settings.Classes[class].Effect != beechgrade.Safe
+	set := &c.cfg.Settings.Classes[class]
+	if set.Effect == beechgrade.Keyed && q.Named && q.Idem == "" {
+		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrKey)
+	}
+	if q.Writes && set.Read != beechgrade.Write { // a read may be repeated
+		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrWrite)
+	}
+	known, once := cmp.Or(q.Known, q.ID), set.Effect != beechgrade.Safe
 	if once && c.journal != nil && c.journal.Ran(known) { // nobody knows whether it did
 		c.counted[class].Count(figures.BadGateway)
 		client.Failed()
 		return slots.Ref{}, nil
 	}
+	key := ""
+	if set.Effect == beechgrade.Keyed && q.Idem != "" {
+		key = strconv.Itoa(q.Group) + " " + q.Idem
+	}
 	c.ids[q.ID] = true
 	if c.end > 0 {
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -337,6 +350,9 @@
 		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
 		e.SinceOwn = max(1, now-clock.Span(q.After))
 	}
+	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
+		e.RanAt = clock.Span(at)
+	}
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -363,6 +379,7 @@
 func (c *Core) AttemptWritten(t backend.Tag) {
 	if q, ok := c.requests.Get(t.Request); ok && !q.tries[t.No].written {
 		q.tries[t.No].written = true
+		c.keys.sent(q.key, q.tries[t.No].from, c.loop.Now())
 		c.figures.Tries++
 	}
 }
@@ -378,6 +395,10 @@
 	case beechgrade.OK, beechgrade.Missed, beechgrade.Failed, beechgrade.Reset: // what is answered was written
 		c.AttemptWritten(t)
 	}
+	switch o.Result {
+	case beechgrade.Missed, beechgrade.Full, beechgrade.Unreachable, beechgrade.Skipped:
+		c.keys.never(q.key, q.tries[t.No].from)
+	}
 	store := q.tries[t.No].store
 	c.recordAttempt(q, t.No, store, &o)
 	if c.journal != nil {
@@ -539,6 +560,9 @@
 	}
 }
 
+// never is later than any time that the router may name.
+const never = math.MaxInt64 / 2
+
 // send starts a request's next attempt, or skips it where the wire's rules let it not be sent.
 func (c *Core) send(a *beechgrade.Action) {
 	ref := refOf(a.ID)
@@ -556,7 +580,11 @@
 		return
 	}
 	q.open++
-	at := c.servers.Start(string(a.Store), q.query, until, q.once, backend.Tag{Request: ref, No: no})
+	on := backend.Terms{Once: q.once}
+	if a.By < never {
+		on.By = clock.Millis(a.By)
+	}
+	at := c.servers.Start(string(a.Store), q.query, until, on, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
 
--- /dev/null
+++ b/internal/core/keys_test.go
@@ -0,0 +1,59 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/steady"
+)
+
+// TestKeys holds what is remembered of keys to a model: the first send of each that may have run, for as long as is promised,
+// and no more of them than is allowed.
+func TestKeys(t *testing.T) {
+	steady.Check(t, func(t *rapid.T) {
+		var k keys
+		now, sent := 1e6, map[string][]float64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"sent": func(t *rapid.T) {
+				now++
+				key := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+				k.sent(key, now, now)
+				sent[key] = append(sent[key], now)
+			},
+			"never": func(t *rapid.T) {
+				key := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))
+				if s := sent[key]; len(s) == 1 {
+					k.never(key, s[0])
+					delete(sent, key)
+				}
+			},
+			"passes": func(t *rapid.T) { now += rapid.Float64Range(0, keysMs).Draw(t, "ms") },
+			"": func(t *rapid.T) {
+				for key, s := range sent {
+					at, ok := k.ran(key, now)
+					if now-s[0] < keysMs && (!ok || at != s[0]) {
+						t.Fatalf("%s: first sent at %v, remembered %v %v", key, s[0], at, ok)
+					}
+					if last := s[len(s)-1]; now-last > 2*keysMs+1 {
+						if ok && at <= last {
+							t.Fatalf("%s: last sent at %v, still remembered at %v", key, last, now)
+						}
+						delete(sent, key)
+					}
+				}
+				if _, ok := k.ran("4", now); ok {
+					t.Fatal("remembers what was never sent")
+				}
+			},
+		})
+	})
+	var k keys
+	for i := range 5 * keysMost {
+		k.sent(fmt.Sprint(i), 1, 1)
+	}
+	if n := len(k.young) + len(k.old); n > 2*keysMost {
+		t.Errorf("remembers %d", n)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,7 +13,8 @@
 	Known   string // by what its client knows it, for records; empty for its ID
 	Class   string
 	Tenant  string // empty for none
-	Named   bool   // where the settings have tenants, it must name one of them
+	Idem    string // by which servers know a repeat, empty for none
+	Named   bool   // in the platform's form: it must name a tenant where there are any, and a key in a keyed class
 	Group   int
 	Session string
 	Due     float64 // on the clock: the client gives up then
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -320,7 +320,7 @@
 		s.answerError(codeSyntax, err)
 		return
 	}
-	q := Request{ID: st.ID, Class: st.Class, Tenant: st.Tenant, Named: true, Writes: st.Writes, Group: st.Group, Session: st.Key, Due: at + st.WaitMs,
+	q := Request{ID: st.ID, Class: st.Class, Tenant: st.Tenant, Idem: st.Idem, Named: true, Writes: st.Writes, Group: st.Group, Session: st.Key, Due: at + st.WaitMs,
 		Repeat: st.Retry, Query: &st}
 	if st.After > 0 {
 		q.After = clock.FromUnix(st.After)
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -105,9 +105,9 @@
 }
 
 // Start is core.Servers'.
-func (j *Journal) Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref {
-	if !once {
-		return j.Servers.Start(id, q, until, once, t)
+func (j *Journal) Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref {
+	if !on.Once {
+		return j.Servers.Start(id, q, until, on, t)
 	}
 	j.n++
 	h := &held{key: fmt.Sprintf("%s%013x-%08x", prefix, int64(j.began), j.n), tag: t,
@@ -116,7 +116,7 @@
 	entry := []store.Entry{{Key: h.key, Value: h.attempt.encode()}}
 	if j.mode == Alongside {
 		j.store.Append(entry, j.failed)
-		return j.Servers.Start(id, q, until, once, t)
+		return j.Servers.Start(id, q, until, on, t)
 	}
 	h.ref = j.held.Put(h)
 	h.timer = j.loop.At(until, func() { j.skip(h) })
@@ -129,7 +129,7 @@
 		default:
 			j.loop.Stop(h.timer)
 			h.started = true
-			h.inner = j.Servers.Start(id, q, until, once, t)
+			h.inner = j.Servers.Start(id, q, until, on, t)
 		}
 	})
 	return slots.Ref{Index: h.ref.Index | ownRef, Gen: h.ref.Gen}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -44,8 +44,8 @@
 	r.note("ended %d %d", t.Request.Index, o.Result)
 	r.j.Ended(t, o.Result)
 }
-func (r *rig) Start(id string, _ backend.Query, _ float64, once bool, t backend.Tag) slots.Ref {
-	r.note("start %s %d %v", id, t.Request.Index, once)
+func (r *rig) Start(id string, _ backend.Query, _ float64, on backend.Terms, t backend.Tag) slots.Ref {
+	r.note("start %s %d %v", id, t.Request.Index, on.Once)
 	return slots.Ref{Index: 100 + t.Request.Index, Gen: 1}
 }
 
@@ -91,9 +91,9 @@
 // drains before; a read goes out at once. What ended without a word stays, also for the next process.
 func TestBefore(t *testing.T) {
 	r := newRig(t, faulty.New(), Before)
-	r.j.Start("a", nil, 2e6, false, tag(1))
+	r.j.Start("a", nil, 2e6, backend.Terms{}, tag(1))
 	r.want("start a 1 false")
-	ref := r.j.Start("a", nil, 2e6, true, tag(2))
+	ref := r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(2))
 	r.want()
 	if got := r.pending(); len(got) > 1 {
 		t.Error(got)
@@ -105,24 +105,24 @@
 	r.AttemptEnded(tag(2), backend.Outcome{Result: beechgrade.Reset})
 	r.pass(1)
 	r.out = nil
-	called := r.j.Start("a", nil, 2e6, true, tag(3))
+	called := r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(3))
 	r.j.Cancel(called)
 	r.pass(2)
 	r.want("ended 3 7")
-	r.j.Start("b", nil, 2e6, true, tag(4))
+	r.j.Start("b", nil, 2e6, backend.Terms{Once: true}, tag(4))
 	r.j.CloseIdle("b")
 	r.pass(2)
 	r.want("ended 4 7", "idle b")
-	r.j.Start("b", nil, 1.5e6, true, tag(5))
+	r.j.Start("b", nil, 1.5e6, backend.Terms{Once: true}, tag(5))
 	r.now = 1.6e6
 	r.heap.Run(r.now)
 	r.pass(2)
 	r.want("ended 5 7")
-	r.j.Start("a", nil, 2e6, true, tag(6))
+	r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(6))
 	r.pass(1)
 	r.AttemptEnded(tag(6), backend.Outcome{Result: beechgrade.OK})
 	r.pass(1)
-	r.j.Start("c", nil, 2e6, true, tag(7))
+	r.j.Start("c", nil, 2e6, backend.Terms{Once: true}, tag(7))
 	r.pass(1)
 	if diff := cmp.Diff([]string{"a id-2 its connection broke", "c id-7 the pooler ended"}, r.pending()); diff != "" {
 		t.Error(diff)
@@ -132,7 +132,7 @@
 	if !next.j.Ran("id-2") || !next.j.Ran("id-7") || next.j.Ran("id-6") || next.j.Ran("id-3") {
 		t.Errorf("%v", next.j.ran)
 	}
-	next.j.Start("d", nil, 2e6, true, tag(2)) // the clock stands where it stood before, and nothing is written over
+	next.j.Start("d", nil, 2e6, backend.Terms{Once: true}, tag(2)) // the clock stands where it stood before, and nothing is written over
 	next.pass(1)
 	if got := next.pending(); len(got) != 3 {
 		t.Errorf("%q", got)
@@ -153,7 +153,7 @@
 		r := newRig(t, d, mode)
 		ops, _ := d.Ops()
 		d.FailAt, d.Err = ops+2, fmt.Errorf("input/output error")
-		r.j.Start("a", nil, 2e6, true, tag(1))
+		r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(1))
 		r.pass(1)
 		r.want(want...)
 		_ = r.store.Close()
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -66,12 +66,12 @@
 	id    string // of the server, as the list has it
 	sent  bool
 	ended bool
-	once  bool    // it must not run twice
 	at    float64 // sent then, on a connection that had rested so long
 	rest  float64
 	asOf  float64 // a server tells its lag as of then
 	reply world.Reply
 	role  beechgrade.Role
+	backend.Terms
 }
 
 // What an attempt's event is of; the model's own argument is 0.
@@ -228,9 +228,9 @@
 }
 
 // Start is core.Servers'.
-func (p *pooler) Start(id string, q backend.Query, until float64, once bool, t backend.Tag) slots.Ref {
+func (p *pooler) Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref {
 	v := q.(*visit)
-	a := &attempt{p: p, life: p.life, tag: t, v: v, no: t.No, until: until, once: once}
+	a := &attempt{p: p, life: p.life, tag: t, v: v, no: t.No, until: until, Terms: on}
 	a.ref = p.tries.Put(a)
 	p.begin(a, id)
 	return a.ref
@@ -259,10 +259,14 @@
 		return
 	}
 	st := a.st
+	if a.Late(e.s.now) {
+		a.end(backend.Outcome{Result: beechgrade.Skipped})
+		return
+	}
 	e.s.at(a.until, a, atEnd)
 	st.expire()
 	if n := len(st.idle); n > 0 {
-		if rest := e.s.now - st.idle[n-1]; !a.once || rest < p.wear.Limit() {
+		if rest := e.s.now - st.idle[n-1]; !a.Once || rest < p.wear.Limit() {
 			st.idle = st.idle[:n-1]
 			a.rest = rest
 			a.send()
@@ -380,8 +384,12 @@
 		st.add(-1)
 		return
 	}
-	if len(st.waiting) > 0 {
+	for len(st.waiting) > 0 {
 		a := st.waiting[0]
+		if a.Late(st.p.e.s.now) {
+			a.drop(beechgrade.Skipped)
+			continue
+		}
 		st.waiting = st.waiting[1:]
 		a.send()
 		return
@@ -398,7 +406,7 @@
 // recall gives up writes that wait for a connection to a server that says it is a replica, as the daemon does.
 func (st *store) recall() {
 	for i := 0; i < len(st.waiting); {
-		if a := st.waiting[i]; a.once {
+		if a := st.waiting[i]; a.Once {
 			a.drop(beechgrade.Skipped)
 			i = 0
 			continue
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -17,7 +17,7 @@
 
 const (
 	maxWaitMs = 24 * 3600 * 1000 // that a client may say it waits: a day
-	maxName   = 256              // of an id, a class or a tenant
+	maxName   = 256              // of an id, a class, a tenant or a key
 )
 
 // Statement is a client's statement with what its comment says.
@@ -25,6 +25,7 @@
 	ID     string
 	Class  string
 	Tenant string
+	Idem   string  // k, by which servers know a repeat
 	WaitMs float64 // d: how long the client waits, from when it sent the request
 	Group  int     // cluster
 	After  int64   // Unix ms of the session's last commit, 0 for none
@@ -66,7 +67,7 @@
 		var err error
 		name = strings.TrimSpace(name)
 		switch name {
-		case "id", "c", "t", "d", "cluster", "after", "r":
+		case "id", "c", "t", "k", "d", "cluster", "after", "r":
 			if seen[name] {
 				return Statement{}, fmt.Errorf("comment: %s: said twice", name)
 			}
@@ -79,6 +80,8 @@
 			s.Class = val
 		case "t":
 			s.Tenant = val
+		case "k":
+			s.Idem = val
 		case "d":
 			valAt += strings.Index(raw, val)
 			s.head, s.tail = sql[:valAt], sql[valAt+len(val):]
@@ -101,8 +104,8 @@
 	if s.ID == "" || s.Class == "" || s.head == "" || !seen["cluster"] {
 		return Statement{}, fmt.Errorf("comment: id, c, d and cluster are needed: %w", ErrNoComment)
 	}
-	if len(s.ID) > maxName || len(s.Class) > maxName || len(s.Tenant) > maxName {
-		return Statement{}, fmt.Errorf("comment: id, c or t of over %d bytes: %w", maxName, ErrNoComment)
+	if max(len(s.ID), len(s.Class), len(s.Tenant), len(s.Idem)) > maxName {
+		return Statement{}, fmt.Errorf("comment: id, c, t or k of over %d bytes: %w", maxName, ErrNoComment)
 	}
 	if _, rest, ok := strings.Cut(body[:from], "'"); ok {
 		s.Key, _, _ = strings.Cut(rest, "'")
--- a/router.go
+++ b/router.go
@@ -78,6 +78,7 @@
 	r.set.Siblings, r.set.Processes = max(1, set.Siblings), max(1, set.Processes)
 	r.set.MaxAttempts = max(1, set.MaxAttempts)
 	for i, c := range set.Classes {
+		c.KeyWindow = [...]time.Duration{Safe: math.MaxInt64 / 2, Keyed: c.KeyWindow, Unsafe: 0}[c.Effect]
 		if r.classes[i].work = max(1e-3, startWork*c.Aim.Seconds()); i < len(old) {
 			r.classes[i] = old[i]
 		}
@@ -404,14 +405,12 @@
 // spent tells that a request may not be sent again. One that may have run could otherwise apply twice:
 // an unsafe one at any time, a keyed one once its servers may have forgotten it.
 func (r *Router) spent(q *request) bool {
-	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
-		q.maybe && (q.class.Effect == Unsafe ||
-			q.class.Effect == Keyed && r.now+r.set.Tick >= q.maybeAt+q.class.KeyWindow)
+	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate || r.now+r.set.Tick >= q.sendBy
 }
 
 func (q *request) mayHaveRun(a *attempt, s *store) {
 	if !q.maybe || a.sent < q.maybeAt {
-		q.maybe, q.maybeAt, q.maybeZone = true, a.sent, s.entry.Zone
+		q.maybe, q.maybeAt, q.maybeZone, q.sendBy = true, a.sent, s.entry.Zone, a.sent+q.class.KeyWindow
 	}
 }
 
@@ -434,7 +433,7 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id})
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: q.sendBy - r.set.Tick})
 	return true
 }
 
@@ -452,8 +451,11 @@
 		return
 	}
 	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
-		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only,
+		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only, sendBy: math.MaxInt64,
 		value: max(c.Worth, 1e-6), size: 1}
+	if e.RanAt > 0 && c.Effect == Keyed { // another with its key may have run
+		q.maybe, q.maybeAt, q.sendBy = true, e.RanAt, e.RanAt+c.KeyWindow
+	}
 	if q.last = q.aim; c.LateWorth > 0 {
 		q.last = q.due
 	}
@@ -524,7 +526,7 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		switch over := r.closing(q) || r.now+r.soonest(q) > q.last; {
+		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
 		case q.finished:
 		case over && q.open == 0:
 			r.finish(q)
@@ -551,11 +553,11 @@
 	return seconds(q.class.soon.Seconds() * q.size)
 }
 
-// finish gives the final answer: refused where trying again is harmless, failed where it may not be.
+// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is to
+// stay away for long: soon again it would be late, and in the way of what is not.
 func (r *Router) finish(q *request) {
-	ran := q.maybe || q.open > 0
-	if q.class.Effect == Safe || !ran || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
-		r.act(Action{Kind: Refuse, ID: q.id, Wait: min(r.set.MaxRetryAfter, q.class.Aim)})
+	if q.class.Effect == Safe || !q.maybe && q.open == 0 || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
+		r.act(Action{Kind: Refuse, ID: q.id, Wait: r.set.MaxRetryAfter})
 	} else {
 		r.act(Action{Kind: Fail, ID: q.id})
 	}
@@ -648,12 +650,8 @@
 	if e.Final {
 		r.forget(q)
 	}
-	if e.Result != OK && !q.finished && q.open == 0 {
-		if r.closing(q) || r.spent(q) {
-			r.finish(q)
-		} else if !slices.Contains(q.group.held, q) {
-			q.group.held = append(q.group.held, q)
-		}
+	if e.Result != OK && !q.finished && q.open == 0 && !slices.Contains(q.group.held, q) {
+		q.group.held = append(q.group.held, q)
 	}
 	r.pump(s.group)
 }
--- a/state.go
+++ b/state.go
@@ -132,6 +132,7 @@
 	last      Time    // after this an answer is worth nothing
 	tries     []*attempt
 	open      int
+	sendBy    Time // not to be sent from then on
 	maybe     bool // an attempt may have run
 	maybeAt   Time // send of the first that may have, and its zone
 	maybeZone int
