--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -35,10 +35,25 @@
 
 // Outcome is how an attempt or probe ended, with what its answer told.
 type Outcome struct {
-	Result   beechgrade.Result
-	Answer   []byte // OK: the row as messages, valid during the call
+	Result beechgrade.Result
+	Answer []byte // OK: the row as messages, valid during the call
+	Said
+	Load Said // a load report that came along with the answer, some time old
+}
+
+// Terms are how an attempt may go out.
+type Terms struct {
+	Once bool    // it must not run twice: it is spared connections that would probably lose it
+	By   float64 // it must not be written from then on, 0 for whenever it may be: its servers may have forgotten its key
+}
+
+// Late tells that an attempt may not be written any more.
+func (on Terms) Late(now float64) bool { return on.By > 0 && now >= on.By }
+
+// Said is what a server told of itself.
+type Said struct {
 	Role     beechgrade.Role
-	Position float64 // on the clock, where HasPosition
+	Position float64 // on the clock, where HasPos
 	HasPos   bool
 }
 
@@ -118,8 +133,8 @@
 	conn    *conn
 	timer   *deadline.Timer // its end
 	connect *deadline.Timer // the end of its wait for a connection
-	once    bool            // it must not run twice
 	written bool            // its last byte has left, as was told
+	Terms
 }
 
 type state int
@@ -218,10 +233,9 @@
 	}
 }
 
-// Start starts an attempt that ends by itself at until. One that must not run twice is spared connections that
-// would probably lose it.
-func (p *Pool) Start(id string, q Query, until float64, once bool, t Tag) slots.Ref {
-	a := &attempt{tag: t, id: id, query: q, until: until, once: once, store: p.stores[id]}
+// Start starts an attempt that ends by itself at until.
+func (p *Pool) Start(id string, q Query, until float64, on Terms, t Tag) slots.Ref {
+	a := &attempt{tag: t, id: id, query: q, until: until, Terms: on, store: p.stores[id]}
 	a.ref = p.attempts.Put(a)
 	p.begin(a)
 	return a.ref
@@ -246,13 +260,21 @@
 
 func (p *Pool) begin(a *attempt) {
 	s := a.store
-	if s == nil {
+	switch {
+	case s == nil:
 		p.end(a, Outcome{Result: beechgrade.Unreachable})
 		return
+	case a.Late(p.loop.Now()):
+		p.end(a, Outcome{Result: beechgrade.Skipped})
+		return
 	}
 	a.timer = p.loop.At(a.until, func() { p.drop(a, beechgrade.TimedOut) })
-	a.connect = p.loop.At(p.loop.Now()+p.opt.ConnectTimeoutMs, func() {
-		if a.conn == nil && s.dialing == 0 { // want of a descriptor tells nothing of the server
+	up := p.loop.Now() + p.opt.ConnectTimeoutMs
+	if a.By > 0 {
+		up = min(up, a.By)
+	}
+	a.connect = p.loop.At(up, func() {
+		if a.conn == nil && s.dialing == 0 || a.Late(p.loop.Now()) { // want of a descriptor tells nothing of the server
 			p.drop(a, beechgrade.Skipped)
 			return
 		}
@@ -266,7 +288,7 @@
 			c.c.Close()
 			continue
 		}
-		if a.once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
+		if a.Once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
 			break
 		}
 		c.carry(a)
@@ -342,7 +364,7 @@
 // be turned away there.
 func (p *Pool) recall(s *store) {
 	for i := 0; i < len(s.waiting); {
-		if a := s.waiting[i]; a.once {
+		if a := s.waiting[i]; a.Once {
 			p.drop(a, beechgrade.Skipped)
 			i = 0 // what that led to may have changed the rest
 			continue
@@ -414,13 +436,17 @@
 		c.c.Close()
 		return
 	}
-	if w := c.store.waiting; len(w) > 0 {
-		a := w[0]
-		c.store.waiting = w[1:]
+	p := c.pool
+	for len(c.store.waiting) > 0 {
+		a := c.store.waiting[0]
+		if a.Late(p.loop.Now()) {
+			p.drop(a, beechgrade.Skipped)
+			continue
+		}
+		c.store.waiting = c.store.waiting[1:]
 		c.carry(a)
 		return
 	}
-	p := c.pool
 	p.idleSeq++
 	c.idleNo = p.idleSeq
 	c.store.idle = append(c.store.idle, c)
@@ -555,7 +581,7 @@
 		return
 	}
 	left := float64(stallMs)
-	if a.once {
+	if a.Once {
 		left = stallOnce
 	}
 	p.loop.Stop(c.timer)
@@ -656,6 +682,10 @@
 		if c.outcome.Role == beechgrade.RoleUnknown {
 			c.outcome.Role = c.pool.role(val)
 		}
+	case "load":
+		if c.outcome.Load == (Said{}) {
+			c.outcome.Load = c.pool.load(val)
+		}
 	case c.pool.opt.PositionName:
 		if ms, err := strconv.ParseInt(val, 10, 64); err == nil && !c.outcome.HasPos && c.pool.position(clock.FromUnix(ms)) {
 			c.outcome.Position, c.outcome.HasPos = clock.FromUnix(ms), true
@@ -734,22 +764,30 @@
 	if err == nil && len(col) == 0 {
 		return o
 	}
-	for name, val := range pgwire.Pairs(string(col)) {
+	if o.Said = p.load(string(col)); !o.HasPos {
+		return Outcome{Result: beechgrade.Failed}
+	}
+	return o
+}
+
+// load reads a load report; of one that cannot be read whole, nothing.
+func (p *Pool) load(text string) (s Said) {
+	for name, val := range pgwire.Pairs(text) {
 		x, err := strconv.ParseFloat(val, 64)
 		switch {
 		case err != nil:
 		case name == "x0" && p.position(x*1000): // down to whole milliseconds, as a printed figure may have been rounded up
-			o.Position, o.HasPos = clock.FromUnix(int64(x*1000)), true
+			s.Position, s.HasPos = clock.FromUnix(int64(x*1000)), true
 		case name == "x1" && x == 1:
-			o.Role = beechgrade.RolePrimary
+			s.Role = beechgrade.RolePrimary
 		case name == "x1" && x == 0:
-			o.Role = beechgrade.RoleReplica
+			s.Role = beechgrade.RoleReplica
 		}
 	}
-	if !o.HasPos || o.Role == beechgrade.RoleUnknown {
-		return Outcome{Result: beechgrade.Failed}
+	if !s.HasPos || s.Role == beechgrade.RoleUnknown {
+		return Said{}
 	}
-	return o
+	return s
 }
 
 // Closed is loop's.
@@ -787,7 +825,7 @@
 		if c.reading.Code == "53300" || c.reading.Code == "57P03" {
 			r = beechgrade.Full
 		}
-		p.end(a, Outcome{Result: r, Role: c.outcome.Role, Position: c.outcome.Position, HasPos: c.outcome.HasPos})
+		p.end(a, Outcome{Result: r, Said: c.outcome.Said})
 	}
 	p.refill(c.store)
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -42,13 +42,13 @@
 	<-ready
 	l.Post(func() {
 		p.SetAddress("s", "127.0.0.1:1")
-		p.Start("s", events, clk.Ms+9000, true, Tag{})
-		p.Cancel(p.Start("s", events, clk.Ms+9000, true, Tag{No: 1}))
+		p.Start("s", events, clk.Ms+9000, Terms{Once: true}, Tag{})
+		p.Cancel(p.Start("s", events, clk.Ms+9000, Terms{Once: true}, Tag{No: 1}))
 	})
 	l.Post(func() { clk.Ms += 250 })
 	l.Post(func() {
 		p.SetAddress("t", "127.0.0.1:1")
-		p.Start("t", events, clk.Ms+9000, true, Tag{No: 2})
+		p.Start("t", events, clk.Ms+9000, Terms{Once: true}, Tag{No: 2})
 		p.Retain(map[string]bool{"s": true}) // t has left the list
 		p.Forget("s")
 		if len(p.stores) != 0 {
@@ -77,8 +77,8 @@
 	unreadable := Outcome{Result: beechgrade.Failed}
 	for report, want := range map[string]Outcome{
 		"":                       {Result: beechgrade.OK}, // it has none yet
-		"x0=4.25,x1=1":           {Result: beechgrade.OK, Role: beechgrade.RolePrimary, Position: 4250, HasPos: true},
-		"x1=0, x0=5.0019,load=7": {Result: beechgrade.OK, Role: beechgrade.RoleReplica, Position: 5001, HasPos: true},
+		"x0=4.25,x1=1":           {Result: beechgrade.OK, Said: Said{beechgrade.RolePrimary, 4250, true}},
+		"x1=0, x0=5.0019,load=7": {Result: beechgrade.OK, Said: Said{beechgrade.RoleReplica, 5001, true}},
 		"x0=4.25":                unreadable,
 		"x1=1":                   unreadable,
 		"x0=nan,x1=1":            unreadable,
@@ -113,7 +113,7 @@
 	go func() { ended <- l.Run("127.0.0.1:0") }()
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
-		p.Start("s", events, l.Now()+20000, false, Tag{})
+		p.Start("s", events, l.Now()+20000, Terms{}, Tag{})
 	})
 	far, err := server.Accept()
 	if err != nil {
@@ -167,7 +167,7 @@
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
 		for no := range 3 {
-			p.Start("s", events, clk.Ms+9000, no != 2, Tag{No: no}) // all but one go without a connection
+			p.Start("s", events, clk.Ms+9000, Terms{Once: no != 2}, Tag{No: no}) // all but one go without a connection
 		}
 	})
 	far, err := server.Accept()
