Play keyed writes, tenants, sites and pushed lists in the laboratory, with their checks

Change: scenarios have keyed, tenant, allowance, over, sites, cross, cross-price and pushed; the model's servers drop repeats by key within the window and run them behind it. The checker holds each send to the window of its key's first send that may have run, at the same pooler, a client's retries under other ids included; the mutant that takes keys for kept for ever is caught. Tenants are scored within their shares.

--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -121,6 +121,12 @@
 	for _, c := range append(s.Classes[:len(s.Classes):len(s.Classes)], s.Total) {
 		fmt.Fprintf(t, "%s\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Name, c.Ratio, c.Asked, c.Tries, c.Served, c.Late, c.Refused, c.Failed, c.Silent, c.Broken, c.Unmade)
 	}
+	for _, c := range s.Tenants {
+		fmt.Fprintf(t, "%s, in its share\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Name, c.Ratio, c.Asked, c.Tries, c.Served, c.Late, c.Refused, c.Failed, c.Silent, c.Broken, c.Unmade)
+	}
+	if r.Crossed > 0 {
+		fmt.Fprintf(t, "\nattempts across sites\t%d of %d\n", r.Crossed, r.Attempts)
+	}
 	fmt.Fprintf(t, "\nrule\tput to the test\tbroken\n")
 	for _, rule := range check.Rules() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
--- /dev/null
+++ b/example/rehearsals/tenants.sexp
@@ -0,0 +1,7 @@
+; Three tenants with shares of 300 requests a second. One asks for twice its share; under pressure it is to lose first, and the
+; others are to have what is theirs.
+(rehearsal "tenants"
+  (seconds 30) (poolers 3) (groups 3 3) (rate 300)
+  (tenant "laguna" (share 0.49) (usage 1.6)) (tenant "naipes" (share 0.4) (usage 0.5)) (tenant "verde" (share 0.11) (usage 0.8))
+  (allowance 300) (over 0.2)
+  (at 8s (load 2) (for 12s)))
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -34,6 +34,7 @@
 	Name    string
 	Writes  bool
 	Once    bool    // it must not run twice
+	KeyMs   float64 // its servers drop repeats by its key for so long, from the first send that may have run; 0 for no keys
 	Session bool    // a read must hold the session's own writes
 	BoundMs float64 // a read's data is no older at the send, 0 for any
 }
@@ -88,10 +89,26 @@
 	checked  map[Rule]uint64
 	words    map[where]word    // what servers told poolers of their role last
 	still    map[int]stillness // poolers' machines that stood still last
-	order    []due             // by when an answer is due, about
+	keyed    map[keyAt][]keySend
+	order    []due // by when an answer is due, about
 	head     int
 }
 
+// keyAt is a key at a pooler: what a pooler sent it is held to, and what another did it cannot know.
+type keyAt struct {
+	pooler int
+	key    uint64
+}
+
+type keySend struct {
+	id    uint64
+	no    int
+	at    float64
+	never bool
+}
+
+const maxKeyed = 1 << 18
+
 type where struct{ pooler, server int }
 
 type word struct {
@@ -126,6 +143,7 @@
 // request is one that is open, or was a short while ago.
 type request struct {
 	id       uint64
+	key      uint64
 	class    *Class
 	asked    float64
 	due      float64
@@ -156,7 +174,7 @@
 
 // New makes a checker.
 func New(cfg Config) *Checker {
-	return &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}}
+	return &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
 }
 
 func (c *Checker) breach(b Breach, proof []Event) {
@@ -189,6 +207,31 @@
 	c.sweep(at)
 }
 
+// Keyed tells that an open request has a key, by which its servers know repeats, those that its client asks under other ids
+// included.
+func (c *Checker) Keyed(id, key uint64) {
+	if q := c.open[id]; q != nil {
+		q.key = key
+	}
+}
+
+// again holds a send to the window of its key.
+func (c *Checker) again(at float64, q *request, no, server int) {
+	c.checked[NotTwice]++
+	k := keyAt{q.pooler, q.key}
+	for _, s := range c.keyed[k] {
+		if !s.never && at > s.at+q.class.KeyMs+c.cfg.SlackMs {
+			c.breach(Breach{Rule: NotTwice, At: at, ID: q.id, Server: server, Text: fmt.Sprintf("attempt %d is sent %.0f ms after one of its key that may have run; its servers drop repeats for %.0f ms", no, at-s.at, q.class.KeyMs)},
+				append(slices.Clone(q.events), Event{At: s.at, What: "sent", Pooler: q.pooler, Server: server, Attempt: s.no}, Event{At: at, What: "sent", Pooler: q.pooler, Server: server, Attempt: no}))
+			break
+		}
+	}
+	if len(c.keyed) >= maxKeyed {
+		clear(c.keyed)
+	}
+	c.keyed[k] = append(c.keyed[k], keySend{id: q.id, no: no, at: at})
+}
+
 // Answered tells that an answer's last byte has come to its client. value is a hash of what was served, 0 for none.
 func (c *Checker) Answered(at float64, id uint64, kind string, served bool, value uint64) {
 	q := c.open[id]
@@ -286,6 +329,9 @@
 				[]Event{{At: x.at, What: "said that it is a replica", Pooler: pooler, Server: server}, {At: at, What: "sent", Pooler: pooler, Server: server, Attempt: no}})
 		}
 	}
+	if q.class.KeyMs > 0 {
+		c.again(at, q, no, server)
+	}
 	if q.class.Once {
 		c.checked[NotTwice]++
 		for i := range q.attempts {
@@ -314,6 +360,13 @@
 		return
 	}
 	q.attempts[no].ended, q.attempts[no].never = true, never
+	if sends := c.keyed[keyAt{q.pooler, q.key}]; q.class.KeyMs > 0 {
+		for i := range sends {
+			if s := &sends[i]; s.id == id && s.no == no {
+				s.never = never
+			}
+		}
+	}
 	q.note(Event{At: at, What: "ended", Pooler: q.pooler, Server: q.attempts[no].server, Attempt: no, Text: how})
 }
 
@@ -351,6 +404,11 @@
 			delete(c.words, w)
 		}
 	}
+	for k := range c.keyed {
+		if k.pooler == pooler {
+			delete(c.keyed, k)
+		}
+	}
 }
 
 // Took tells that a request has come whole to a server, which started then; 0 for long ago.
@@ -410,11 +468,19 @@
 	}
 	q.ran = append(q.ran, ran{server, at, value, position, sent, primary})
 	q.note(Event{At: at, What: "ran", Pooler: -1, Server: server, Text: fmt.Sprintf("data as of %.0f ms before", at-position)})
-	if q.class.Once && times > 0 {
+	if (q.class.Once || q.class.KeyMs > 0) && times > 0 {
 		c.breach(Breach{Rule: NotTwice, At: at, ID: id, Server: server, Text: "it ran a second time"}, q.events)
 	}
 }
 
+// Repeated tells that a server answered a keyed write's repeat, without running it again.
+func (c *Checker) Repeated(at float64, server int, id uint64, value uint64, position float64) {
+	if q := c.open[id]; q != nil {
+		q.ran = append(q.ran, ran{server: -1, at: at, value: value, position: position, sent: q.asked})
+		q.note(Event{At: at, What: "repeat dropped", Pooler: -1, Server: server})
+	}
+}
+
 // sweep ends what is long past.
 func (c *Checker) sweep(now float64) {
 	const keepMs = 5000
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -51,6 +51,7 @@
 	Wrote  uint64 // a write's number among its key's
 	Stale  bool   // what was read is older than the class allows
 	Alien  bool   // what was read was never written under this key
+	Tenant string // whose it is
 }
 
 // Sink is told of tries as they end, by one goroutine at a time.
@@ -136,7 +137,7 @@
 	c := &p.cfg.Classes[a.Class]
 	first := 0.0
 	for no := 0; no <= len(a.Waits); no++ {
-		t := &Try{Ask: a, Class: c, No: no, Pooler: -1}
+		t := &Try{Ask: a, Class: c, No: no, Pooler: -1, Tenant: p.cfg.TenantOf(a)}
 		wait := p.try(t, &first)
 		p.mu.Lock()
 		p.sink.Tried(t)
@@ -161,7 +162,7 @@
 	t.ID = fmt.Sprintf("%08x%02x%08x", p.cfg.Seed&0xffffffff, t.No, a.No)
 	if c.Read == Write {
 		p.mu.Lock()
-		t.Wrote = p.sessions.Count(a.Key)
+		t.Wrote = p.sessions.Write(a, c)
 		p.mu.Unlock()
 	}
 	after := 0.0
@@ -245,6 +246,12 @@
 	if after > 0 {
 		fmt.Fprintf(&b, ",after=%d", int64(math.Ceil(after)))
 	}
+	if c.KeyMs > 0 {
+		fmt.Fprintf(&b, ",k=%s", a.Idem())
+	}
+	if t.Tenant != "" {
+		fmt.Fprintf(&b, ",t=%s", t.Tenant)
+	}
 	if t.No > 0 {
 		b.WriteString(",r=1")
 	}
--- a/internal/kit/clients/plan.go
+++ b/internal/kit/clients/plan.go
@@ -30,6 +30,14 @@
 	Worth     float64
 	LateWorth float64 // part of Worth after Aim
 	Work      [2]float64
+	KeyMs     float64 // a write has a key, by which its group drops repeats for so long; 0 for none
+}
+
+// Tenant is a customer with a share of what all may have.
+type Tenant struct {
+	Name  string
+	Share float64 // of Config.Allowance
+	Usage float64 // of its share that it asks for
 }
 
 // Classes are the four of the site's brief.
@@ -60,6 +68,18 @@
 	IdleMs    float64 // after which a client closes its connection
 	House     bool    // they speak the ClickHouse interface
 	LateAfter float64 // for so long a late answer is still listened for
+
+	Tenants   []Tenant
+	Allowance float64 // requests a second that the tenants share, 0 for as many as are asked for
+	Over      float64 // what is beyond a tenant's share is worth this part
+}
+
+// AllowanceOf is how many requests a second are within a tenant's share.
+func (c *Config) AllowanceOf(t *Tenant) float64 {
+	if c.Allowance > 0 {
+		return c.Allowance * t.Share
+	}
+	return c.Rate * t.Share
 }
 
 // Jump is a time in which the load is a multiple of the usual.
@@ -82,6 +102,17 @@
 	Follows  int       // it follows the write of this number by FollowMs, -1 for none
 	Waits    []float64 // before each retry
 	Tag      uint64    // what a write writes
+	Tenant   int       // -1 for none
+	Over     bool      // it is beyond its tenant's share
+	Wrote    uint64    // a keyed write's number, the same for all its tries
+}
+
+// Worth is what the ask is worth in time.
+func (a *Ask) Worth(c *Class, over float64) float64 {
+	if a.Over {
+		return c.Worth * over
+	}
+	return c.Worth
 }
 
 // Plan draws all first tries ahead. The same configuration gives the same plan.
@@ -101,6 +132,32 @@
 	at    float64
 	n     int
 	last  map[int]*recent // by group
+
+	tenants *rand.Rand // apart, so that a plan is the same but for them
+	buckets []bucket   // of the tenants' shares
+}
+
+// bucket holds what is left of a share, of a second at most.
+type bucket struct{ left, at float64 }
+
+// tenant draws whose an ask is, and whether it is within that tenant's share.
+func (p *Planner) tenant(a *Ask) {
+	if a.Tenant = -1; len(p.cfg.Tenants) == 0 {
+		return
+	}
+	sum := 0.0
+	for i := range p.cfg.Tenants {
+		sum += p.cfg.Tenants[i].Share * p.cfg.Tenants[i].Usage
+	}
+	x, i := p.tenants.Float64()*sum, 0
+	for ; i < len(p.cfg.Tenants)-1 && x >= p.cfg.Tenants[i].Share*p.cfg.Tenants[i].Usage; i++ {
+		x -= p.cfg.Tenants[i].Share * p.cfg.Tenants[i].Usage
+	}
+	rate, b := p.cfg.AllowanceOf(&p.cfg.Tenants[i]), &p.buckets[i]
+	b.left, b.at = min(max(1, rate), b.left+rate*(p.at-b.at)/1000), p.at
+	if a.Tenant, a.Over = i, b.left < 1; !a.Over {
+		b.left--
+	}
 }
 
 // recent are writes that a read may follow.
@@ -117,7 +174,8 @@
 
 // NewPlanner begins a plan.
 func NewPlanner(cfg Config) *Planner {
-	p := &Planner{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), last: map[int]*recent{}}
+	p := &Planner{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), last: map[int]*recent{},
+		tenants: rand.New(rand.NewPCG(cfg.Seed, 4)), buckets: make([]bucket, len(cfg.Tenants))}
 	for _, c := range cfg.Classes {
 		p.total += c.Share
 	}
@@ -171,6 +229,7 @@
 		a.Follows, a.Key = w.no, w.key
 		a.At = max(a.At, w.at+rng.ExpFloat64()*cfg.FollowMs)
 	}
+	p.tenant(&a)
 	p.n++
 	return a, true
 }
--- a/internal/kit/clients/sessions.go
+++ b/internal/kit/clients/sessions.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
+	"strconv"
 )
 
 // Sessions is what clients know of the writes of each key. It is not safe for concurrent use.
@@ -39,6 +40,25 @@
 	return s.counter
 }
 
+// Write numbers an ask's write: a keyed one has the same number at each of its tries.
+func (x Sessions) Write(a *Ask, c *Class) uint64 {
+	if a.Wrote == 0 || c.KeyMs == 0 {
+		a.Wrote = x.Count(a.Key)
+	}
+	return a.Wrote
+}
+
+// Idem is the key of a keyed ask, the same at each of its tries.
+func (a *Ask) Idem() string { return strconv.FormatUint(a.Tag, 16) }
+
+// TenantOf is whose an ask is, by name; empty for nobody's.
+func (c *Config) TenantOf(a *Ask) string {
+	if a.Tenant < 0 || a.Tenant >= len(c.Tenants) {
+		return ""
+	}
+	return c.Tenants[a.Tenant].Name
+}
+
 // Committed is the position that a session's read must see, 0 for none.
 func (x Sessions) Committed(key string) float64 {
 	if s := x[key]; s != nil {
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -49,6 +49,7 @@
 	Asked     uint64             `json:"asked"`
 	Tries     uint64             `json:"tries"`
 	Attempts  uint64             `json:"attempts"`
+	Crossed   uint64             `json:"attempts_across_sites,omitempty"`
 	Probes    uint64             `json:"probes"`
 	Lists     uint64             `json:"list_calls"`
 	Ends      map[string]uint64  `json:"attempts_by_end"`
@@ -81,6 +82,7 @@
 	times    *timesOf
 
 	asked, tries, attempts, probes, lists uint64
+	crossed                               uint64
 	watches                               uint32
 	conned                                int // connections that a pooler had at most
 	results                               [16]uint64
@@ -94,7 +96,7 @@
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
 		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs}
 	for _, x := range s.Clients.Classes {
-		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write, Session: x.Read == clients.ReadSession}
+		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
 			k.BoundMs = x.Bound
 		}
@@ -124,6 +126,7 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
 	if s.Agents > 0 {
 		e.agents = e.newAgents()
@@ -164,7 +167,7 @@
 	runtime.ReadMemStats(&m)
 	s := e.script
 	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
-		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Probes: e.probes,
+		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Probes: e.probes,
 		Lists: e.lists, Conns: e.conned, Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
 		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
 	for i, n := range e.results {
@@ -181,6 +184,14 @@
 // way is how long a message takes from one machine to another.
 func (e *Emulation) way() float64 { return e.draw(e.script.Way) }
 
+// wayTo is how long one takes between a pooler and a server, which may stand in different sites.
+func (e *Emulation) wayTo(p *pooler, s *world.Server) float64 {
+	if n := len(e.script.Sites); n > 0 && p.no%n != s.SiteNo() {
+		return e.draw(e.script.Cross)
+	}
+	return e.way()
+}
+
 func (e *Emulation) draw(r world.Range) float64 { return r.Draw(e.rng) }
 
 // conns is how many connections a server holds.
@@ -263,6 +274,10 @@
 		return
 	}
 	value, position := j.Value, r.Position
+	if r.Dropped {
+		e.check.Repeated(e.s.now, s.No, a.v.id, hashOf(value), position)
+		return
+	}
 	if !j.Writes {
 		value = s.Read(j.Key)
 	}
--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -113,8 +113,11 @@
 	for _, m := range Mutants() {
 		t.Run(m.Name, func(t *testing.T) {
 			s := parse(t, everything)
-			if m.Judge != nil {
+			switch {
+			case m.Judge != nil:
 				s = parse(t, lies)
+			case m.Keyed:
+				s = load(t, "keyed-window")
 			}
 			r := play(t, s, Options{Seed: 1, Mutant: &m})
 			if r.Verdict.Broken[m.Breaks] == 0 {
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -23,6 +23,7 @@
 	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
 	World   func(w *world.World)
 	Judge   func(s *judge.Settings) // what its judge of the server list goes by
+	Keyed   bool                    // it shows where writes have keys
 	Lists   bool                    // it goes by its list's role in place of what servers say
 }
 
@@ -56,6 +57,11 @@
 				c.Settings.Classes[i].Effect = beechgrade.Safe
 			}
 		}},
+		{Name: "takes keys for kept for ever", Breaks: check.NotTwice, Module: func(c *config.Config) {
+			for i := range c.Settings.Classes {
+				c.Settings.Classes[i].KeyWindow = time.Hour
+			}
+		}, Keyed: true},
 		{Name: "hears of no drains", Breaks: check.DrainsKept, List: func(l *discovery.List) {
 			for i := range l.Instances {
 				if l.Instances[i].Lifecycle == "draining" {
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -98,7 +98,7 @@
 // start begins a process.
 func (p *pooler) start() error {
 	e := p.e
-	cfg, err := e.script.Config(p.name, e.opt.Seed*1000003+uint64(p.no)*7919+uint64(p.life), p.known)
+	cfg, err := e.script.Config(p.no, p.name, e.opt.Seed*1000003+uint64(p.no)*7919+uint64(p.life), p.known)
 	if err != nil {
 		return err
 	}
@@ -114,6 +114,9 @@
 	}
 	if p.member = nil; e.agents == nil {
 		p.core.Start(p, p)
+		if e.script.Pushed { // the agent's watch, held open by the pooler's program
+			p.Watch()
+		}
 		return nil
 	}
 	p.member = p.newMember()
@@ -431,14 +434,18 @@
 	st.busy[a] = true
 	if a.v != nil {
 		e.attempts++
+		if n := len(e.script.Sites); n > 0 && a.p.no%n != st.s.SiteNo() {
+			e.crossed++
+		}
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
+		a.p.core.AttemptWritten(a.tag)
 	}
 	switch forgets := e.script.Forgets; {
 	case st.cut:
 	case forgets > 0 && a.rest >= forgets: // what lies between knows nothing of this connection any more
-		e.s.After(e.way(), a, atReset)
+		e.s.After(e.wayTo(a.p, st.s), a, atReset)
 	default:
-		e.s.After(e.way(), a, atServer)
+		e.s.After(e.wayTo(a.p, st.s), a, atServer)
 	}
 }
 
@@ -473,12 +480,15 @@
 			r, a.asOf = world.Report{Position: s.Position(e.s.now)}, e.s.now
 		}
 		a.reply = world.Reply{Position: r.Position, Primary: r.Primary}
-		e.s.After(e.script.ProbeCost+e.way(), a, atProbed)
+		e.s.After(e.script.ProbeCost+e.wayTo(a.p, s), a, atProbed)
 		return
 	}
 	v := a.v
 	a.job.ID, a.job.Writes, a.job.Key, a.job.Value, a.job.Owner = v.name, v.class.Read == "mutate", v.ask.Key, v.value, a
 	a.job.Work = e.world.Work(v.class.Name)
+	if v.class.KeyMs > 0 {
+		a.job.Idem, a.job.KeyMs = v.ask.Idem(), v.class.KeyMs
+	}
 	if s.Takes(&a.job) {
 		e.check.Took(e.s.now, s.No, s.Started, v.id, a.job.Work)
 	}
@@ -491,7 +501,7 @@
 		return // its connection breaks
 	}
 	a.reply = r
-	a.p.e.s.After(a.p.e.way(), a, atPooler)
+	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
 }
 
 var results = map[world.Verdict]beechgrade.Result{world.Served: beechgrade.OK, world.NotPrimary: beechgrade.Missed, world.Drains: beechgrade.Full,
@@ -657,7 +667,7 @@
 	e.lists++
 	e.s.After(e.way(), world.Func(func() {
 		if e.world.List.Gone {
-			e.s.After(e.way(), world.Func(func() { p.whenRunning(life, p.core.ListFailed) }), 0)
+			e.s.After(e.way(), world.Func(func() { p.whenRunning(life, p.listFailed) }), 0)
 			return
 		}
 		l := e.world.List.Whole()
@@ -719,5 +729,23 @@
 	}
 	p.watch = 0
 	life := p.life
-	p.e.s.After(p.e.way(), world.Func(func() { p.whenRunning(life, p.core.ListFailed) }), 0)
+	p.e.s.After(p.e.way(), world.Func(func() { p.whenRunning(life, p.listFailed) }), 0)
+}
+
+const againMs = 160 // before a pushed list's next watch, at most; as the daemon has it
+
+// listFailed is the end of a call or a watch. Where lists are pushed it is nobody's failure, and the watch is asked for anew.
+func (p *pooler) listFailed() {
+	if !p.e.script.Pushed {
+		p.core.ListFailed()
+		return
+	}
+	life := p.life
+	p.e.s.After(againMs, world.Func(func() {
+		p.whenRunning(life, func() {
+			if p.watch == 0 {
+				p.Watch()
+			}
+		})
+	}), 0)
 }
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -49,7 +49,7 @@
 		a.first = e.s.now
 	}
 	if v.class.Read == clients.Write {
-		v.wrote = e.sessions.Count(a.Key)
+		v.wrote = e.sessions.Write(&a.Ask, v.class)
 		v.value = clients.Value(a.Key, v.wrote)
 	}
 	if v.class.Read == clients.ReadSession {
@@ -142,6 +142,9 @@
 		left := max(1, math.Floor(v.sent+v.ask.Patience-e.s.now))
 		due := e.s.now + left
 		e.check.Asked(e.s.now, v.id, v.ask.Class, v.p.no, due, v.after)
+		if v.class.KeyMs > 0 {
+			e.check.Keyed(v.id, v.ask.Tag)
+		}
 		v.p.whenRunning(v.life, func() { v.file(due) })
 	case visitAnswered:
 		if v.over {
@@ -175,7 +178,10 @@
 func (v *visit) file(due float64) {
 	a := v.ask
 	q := front.Request{ID: v.name, Class: v.class.Name, Group: a.Group, Session: a.Key, Due: due, After: v.after, Repeat: v.no > 0,
-		Writes: v.class.Read == clients.Write && !v.e.script.Clients.House, Query: v}
+		Writes: v.class.Read == clients.Write && !v.e.script.Clients.House, Query: v, Tenant: v.e.script.Clients.TenantOf(&a.Ask)}
+	if v.class.KeyMs > 0 {
+		q.Idem = a.Idem()
+	}
 	ref, err := v.p.core.Ask(q, v)
 	if err != nil {
 		v.Failed()
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -227,6 +227,7 @@
 // work is what a server is asked, in no protocol's form.
 type work struct {
 	id, class, key string
+	idem           string
 	writes         bool
 	value          []byte
 }
@@ -236,7 +237,10 @@
 func (c *conn) work(st *work) (x world.Reply, ok bool) {
 	s, f := c.s, c.s.f
 	answer := make(reply, 1)
-	j := &world.Job{ID: st.id, Writes: st.writes, Key: st.key, Value: st.value, Owner: answer}
+	j := &world.Job{ID: st.id, Writes: st.writes, Key: st.key, Value: st.value, Owner: answer, Idem: st.idem, KeyMs: f.cfg.Keys[st.class]}
+	if j.KeyMs == 0 {
+		j.Idem = ""
+	}
 	f.mu.Lock()
 	now := f.clk.Now()
 	j.Work = f.world.Work(st.class)
@@ -270,7 +274,7 @@
 
 // request has the model work on a client's statement, and words its answer.
 func (c *conn) request(sql string, st *pgwire.Statement) ([]byte, bool) {
-	s, w := c.s, &work{id: st.ID, class: st.Class, key: st.Key, writes: st.Writes}
+	s, w := c.s, &work{id: st.ID, class: st.Class, key: st.Key, idem: st.Idem, writes: st.Writes}
 	if st.Writes {
 		w.value = literal(sql)
 	}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -79,6 +79,7 @@
 
 // pooler is a daemon's process.
 type pooler struct {
+	no   int
 	name string
 	addr string
 	near string // where its ClickHouse front listens
@@ -140,7 +141,7 @@
 	}
 	defer r.kill()
 	for i := range s.Poolers {
-		p := &pooler{name: fmt.Sprintf("pooler-%d", i), run: r}
+		p := &pooler{no: i, name: fmt.Sprintf("pooler-%d", i), run: r}
 		p.dir = filepath.Join(opt.Out, p.name)
 		if err := p.launch(ctx); err != nil {
 			return nil, err
@@ -236,6 +237,7 @@
 		return nil, nil, err
 	}
 	k := score.New(r.opt.Seed, classes)
+	k.Tenants(r.script.Clients.Tenants, r.script.Clients.Over)
 	return k, &log{Keeper: k, file: f, out: bufio.NewWriter(f), run: r}, nil
 }
 
@@ -482,5 +484,5 @@
 	if len(r.agents) > 0 { // it starts knowing nothing
 		known = discovery.List{}
 	}
-	return r.script.Told(p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
+	return r.script.Told(p.no, p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
 }
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -44,6 +44,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.check.Asked(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Pooler, untilMs, afterMs)
+	if t.Class.KeyMs > 0 {
+		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
+	}
 }
 
 // tried takes a try's end.
@@ -90,6 +93,10 @@
 func (w *wires) Ran(server int, j *world.Job, value []byte, r world.Run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if r.Dropped {
+		w.check.Repeated(r.At, server, idOf(j.ID), valueOf(value), r.Position)
+		return
+	}
 	w.check.Ran(r.At, server, idOf(j.ID), j.Writes, r.Primary, valueOf(value), r.Position)
 }
 
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -19,6 +19,7 @@
 	maxPoolers = 1000
 	maxRate    = 1000000
 	maxServers = 20000
+	maxSites   = 27
 
 	// What can be played on sockets: each server, pooler and request is real there.
 	socketPoolers = 16
@@ -69,6 +70,11 @@
 
 	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
 
+	Pushed     bool        // the list comes by an agent's push, unasked
+	Sites      []string    // servers and poolers stand in them in turn
+	Cross      world.Range // one way between two sites
+	CrossPrice float64     // of an attempt that crosses, as a part of its worth
+
 	IdleMs  float64 // poolers are told that servers close connections idle for so long
 	Sockets int     // descriptors that a pooler may have, 0 for as many as it needs
 }
@@ -138,7 +144,7 @@
 	}
 	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
 	s.Clients.Rate, s.Clients.Seconds = 100, 20
-	if err := s.form().Read(args[1:], "at", "class"); err != nil {
+	if err := s.form().Read(args[1:], "at", "class", "tenant"); err != nil {
 		return nil, err
 	}
 	s.Clients.Groups = len(s.Fleet.Groups)
@@ -146,9 +152,11 @@
 		return nil, n.Errorf("(clickhouse) takes one group, of peers; here are %d", len(s.Fleet.Groups))
 	}
 	s.Fleet.Work = map[string]world.Range{}
+	s.Fleet.Keys = map[string]float64{}
 	for _, c := range s.Clients.Classes {
-		s.Fleet.Work[c.Name] = c.Work
+		s.Fleet.Work[c.Name], s.Fleet.Keys[c.Name] = c.Work, c.KeyMs
 	}
+	s.Fleet.Sites = s.Sites
 	s.Faults = unfold(s.Faults, s.Clients.Seconds*1000)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	if err := s.Again(); err != nil {
@@ -194,6 +202,13 @@
 		"retries":      whole(&c.Retries, 0, 10),
 		"retry":        func(n *sexp.Node) error { return spans(n, &c.RetryMs) },
 		"class":        s.class,
+		"tenant":       s.tenant,
+		"allowance":    float(&c.Allowance, 0.1, maxRate),
+		"over":         float(&c.Over, 0, 1),
+		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
+		"sites":        s.sites,
+		"cross":        both(&s.Cross),
+		"cross-price":  float(&s.CrossPrice, 0, 1),
 		"cores":        whole(&f.Cores, 1, 256),
 		"queue":        whole(&f.Queue, 0, 1e5),
 		"tail":         func(n *sexp.Node) (err error) { f.Tail, err = n.Bool(); return err },
@@ -223,6 +238,41 @@
 	return err
 }
 
+// tenant reads (tenant NAME (share PART) (usage TIMES)).
+func (s *Script) tenant(n *sexp.Node) error {
+	args := n.Args()
+	if len(args) == 0 || args[0].Kind == sexp.List || args[0].Text == "" {
+		return n.Errorf("a tenant's name is due first")
+	}
+	t := clients.Tenant{Name: args[0].Text, Usage: 1}
+	if slices.ContainsFunc(s.Clients.Tenants, func(o clients.Tenant) bool { return o.Name == t.Name }) {
+		return args[0].Errorf("there are two tenants %q", t.Name)
+	}
+	err := sexp.Form{
+		"share": func(n *sexp.Node) (err error) { t.Share, err = n.Float(0.001, 1); return err },
+		"usage": func(n *sexp.Node) (err error) { t.Usage, err = n.Float(0, 100); return err },
+	}.Read(args[1:])
+	if err == nil && t.Share == 0 {
+		err = n.Errorf("a tenant's (share PART) is due")
+	}
+	s.Clients.Tenants = append(s.Clients.Tenants, t)
+	return err
+}
+
+// sites reads (sites NAME NAME ...).
+func (s *Script) sites(n *sexp.Node) error {
+	for _, a := range n.Args() {
+		if a.Kind == sexp.List || a.Text == "" || slices.Contains(s.Sites, a.Text) {
+			return a.Errorf("a site's name, each once, is due")
+		}
+		s.Sites = append(s.Sites, a.Text)
+	}
+	if len(s.Sites) < 2 || len(s.Sites) > maxSites {
+		return n.Errorf("(sites NAME NAME ...) takes from 2 to %d", maxSites)
+	}
+	return nil
+}
+
 func spans(n *sexp.Node, to *[2]float64) (err error) {
 	a := n.Args()
 	if len(a) != 2 {
@@ -314,6 +364,13 @@
 		"late":     func(n *sexp.Node) (err error) { c.LateWorth, err = n.Float(0, 1); return err },
 		"bound":    func(n *sexp.Node) (err error) { c.Bound, err = n.Millis(0, 600000); return err },
 		"work":     func(n *sexp.Node) error { return spans(n, &c.Work) },
+		"keyed": func(n *sexp.Node) (err error) { // its group drops repeats for so long
+			if c.Read != clients.Write {
+				return n.Errorf("only writes have keys, and %q is none", c.Name)
+			}
+			c.KeyMs, err = n.Millis(1, 600000)
+			return err
+		},
 	}.Read(args[1:])
 }
 
@@ -522,6 +579,6 @@
 func (s *Script) Clone() *Script {
 	c := *s
 	c.Fleet.Groups, c.Faults = slices.Clone(s.Fleet.Groups), slices.Clone(s.Faults)
-	c.Clients.Classes, c.Clients.Jumps = slices.Clone(s.Clients.Classes), slices.Clone(s.Clients.Jumps)
+	c.Clients.Classes, c.Clients.Jumps, c.Clients.Tenants = slices.Clone(s.Clients.Classes), slices.Clone(s.Clients.Jumps), slices.Clone(s.Clients.Tenants)
 	return &c
 }
--- a/internal/kit/scenario/settings.go
+++ b/internal/kit/scenario/settings.go
@@ -21,8 +21,8 @@
 // MaxAttempts is the most that a pooler may send of one request.
 const MaxAttempts = 8
 
-// Told is what the platform tells a pooler, in the form of its configuration file.
-func (s *Script) Told(name, listen, disco string, seed uint64, sockets int, known discovery.List) map[string]any {
+// Told is what the platform tells the pooler of a number, in the form of its configuration file.
+func (s *Script) Told(no int, name, listen, disco string, seed uint64, sockets int, known discovery.List) map[string]any {
 	ns := func(ms float64) int64 { return int64(ms * 1e6) }
 	var classes []map[string]any
 	var reads []string
@@ -32,7 +32,10 @@
 		if c.Read == clients.Write {
 			effect = "fragile"
 		}
-		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
+		if c.KeyMs > 0 {
+			effect = "dedup"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "effect": effect, "group": "cell", "key_ttl_ns": ns(c.KeyMs), "slo_ns": ns(c.Aim), "deadline_ns": ns(c.Deadline),
 			"points": c.Worth, "late_worth": c.LateWorth})
 		read := c.Read
 		if s.Clients.House && read == clients.Write { // any member takes it, once
@@ -40,6 +43,18 @@
 		}
 		reads, bounds = append(reads, string(read)), append(bounds, ns(c.Bound))
 	}
+	tenants := []map[string]any{}
+	for i := range s.Clients.Tenants {
+		t := &s.Clients.Tenants[i]
+		tenants = append(tenants, map[string]any{"name": t.Name, "share": t.Share, "allowance_per_s": s.Clients.AllowanceOf(t)})
+	}
+	zones, mode := s.Sites, "ask"
+	if len(zones) == 0 {
+		zones = []string{"room"}
+	}
+	if s.Pushed {
+		mode = "push"
+	}
 	if known.Instances == nil {
 		known.Instances = []discovery.Instance{}
 	}
@@ -47,15 +62,15 @@
 		"name": name, "listen": listen, "discovery": disco, "seed": strconv.FormatUint(seed, 16),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.sockets(sockets)}, "known": known,
 		"settings": map[string]any{
-			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": 0, "zones": []string{"room"}, "kinds": []string{"padrao-4"},
-			"weights": "nominal", "membership_mode": "ask",
+			"siblings": s.Poolers, "tick_ns": 2000000, "my_zone": no % len(zones), "zones": zones, "tenants": tenants, "over_share_worth": s.Clients.Over, "kinds": []string{"padrao-4"},
+			"weights": "nominal", "membership_mode": mode,
 			"allowed": map[string]any{"connect_timeout_ns": ns(ConnectMs), "idle_close_ns": ns(s.IdleMs), "max_attempts": MaxAttempts, "max_retry_after_ns": 2000000000,
 				"may_cancel": true, "may_duplicate": true, "probes": true, "retry_after": true},
 			"family_info": map[string]any{"class_read": reads, "staleness_bound_ns": bounds, "shows_role": "trailing", "tells_position": true,
 				"tokens": "brought", "when_behind": "none"},
 			"invariants": map[string]any{"cold_from": s.Fleet.ColdBy, "cold_ns": ns(s.Fleet.ColdMs), "drain_grace_ns": ns(s.Fleet.GraceMs),
 				"fall_multiple": s.Fleet.Falls, "tip_after_ns": ns(s.Fleet.FallsMs)},
-			"prices": map[string]any{"probe": 0.018}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
+			"prices": map[string]any{"probe": 0.018, "cross_zone": s.CrossPrice}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
 			"request_classes": classes,
 		},
 	}
@@ -70,8 +85,8 @@
 }
 
 // Config is what a pooler makes of that.
-func (s *Script) Config(name string, seed uint64, known discovery.List) (*config.Config, error) {
-	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(s.Told(name, "127.0.0.1:1", "127.0.0.1:1", seed, plenty, known))
+func (s *Script) Config(no int, name string, seed uint64, known discovery.List) (*config.Config, error) {
+	b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(s.Told(no, name, "127.0.0.1:1", "127.0.0.1:1", seed, plenty, known))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/kit/score/score.go
+++ b/internal/kit/score/score.go
@@ -21,6 +21,7 @@
 	Seed     uint64   `json:"seed"`
 	Total    Class    `json:"total"`
 	Classes  []Class  `json:"classes"`
+	Tenants  []Class  `json:"tenants,omitempty"` // within their shares
 	Ratio    float64  `json:"ratio"`
 	Worst    float64  `json:"worst_10s"`
 	WorstAt  float64  `json:"worst_10s_at_ms"`
@@ -62,6 +63,24 @@
 	s      Score
 	index  map[string]int
 	window worth.Window
+	over   float64 // what is beyond a tenant's share is worth this part
+}
+
+// Tenants has the keeper score each tenant within its share; what is beyond that is worth a part.
+func (k *Keeper) Tenants(tenants []clients.Tenant, over float64) {
+	k.over = over
+	for _, t := range tenants {
+		k.s.Tenants = append(k.s.Tenants, Class{Name: t.Name})
+	}
+}
+
+// books are what a try counts in: its class, and its tenant where it is within the share.
+func (k *Keeper) books(t *clients.Try) []*Class {
+	b := []*Class{&k.s.Classes[k.index[t.Class.Name]]}
+	if n := t.Ask.Tenant; n >= 0 && n < len(k.s.Tenants) && !t.Ask.Over {
+		b = append(b, &k.s.Tenants[n])
+	}
+	return b
 }
 
 // New makes a keeper for classes.
@@ -76,38 +95,51 @@
 
 // Tried is clients.Sink's.
 func (k *Keeper) Tried(t *clients.Try) {
-	c := &k.s.Classes[k.index[t.Class.Name]]
+	worth := t.Ask.Worth(t.Class, k.over)
+	if t.No == 0 {
+		k.window.Add(t.First, worth, 0)
+	}
+	for _, c := range k.books(t) {
+		c.tried(t, worth)
+	}
+	switch t.Kind {
+	case clients.Served:
+		k.served(t, worth)
+	case clients.Silent:
+		k.breach("one final answer", t, "no answer came")
+	}
+	if t.Extra {
+		k.breach("one final answer", t, "more came behind the answer")
+	}
+	if over := t.Ended - t.Sent - t.Ask.Patience; t.Late && over > lateMs {
+		k.breach("in time", t, fmt.Sprintf("the answer came %.0f ms after its client had given up", over))
+	}
+}
+
+// tried counts a try.
+func (c *Class) tried(t *clients.Try, worth float64) {
 	c.Tries++
 	if t.No == 0 {
 		c.Asked++
-		c.WorthAsked += t.Class.Worth
-		k.window.Add(t.First, t.Class.Worth, 0)
+		c.WorthAsked += worth
 	}
 	switch t.Kind {
 	case clients.Served:
 		c.Served++
-		k.served(c, t)
 	case clients.Refused:
 		c.Refused++
 	case clients.Failed:
 		c.Failed++
 	case clients.Silent:
 		c.Silent++
-		k.breach("one final answer", t, "no answer came")
 	case clients.Broken:
 		c.Broken++
 	default:
 		c.Unmade++
 	}
-	if t.Extra {
-		k.breach("one final answer", t, "more came behind the answer")
-	}
-	if over := t.Ended - t.Sent - t.Ask.Patience; t.Late && over > lateMs {
-		k.breach("in time", t, fmt.Sprintf("the answer came %.0f ms after its client had given up", over))
-	}
 }
 
-func (k *Keeper) served(c *Class, t *clients.Try) {
+func (k *Keeper) served(t *clients.Try, worth float64) {
 	if t.Stale {
 		k.breach("no stale read", t, "the value is older than its class allows")
 		return // worth nothing
@@ -116,15 +148,19 @@
 		k.breach("no invented value", t, "the value was not made for this request")
 		return
 	}
-	got := t.Class.Worth
-	if t.Ended-t.First > t.Class.Aim {
+	got, late := worth, t.Ended-t.First > t.Class.Aim
+	if late {
 		got *= t.Class.LateWorth
-		c.Late++
-	} else {
-		c.InTime++
-		c.WorthInTime += got
 	}
-	c.WorthGot += got
+	for _, c := range k.books(t) {
+		if late {
+			c.Late++
+		} else {
+			c.InTime++
+			c.WorthInTime += got
+		}
+		c.WorthGot += got
+	}
 	k.window.Add(t.First, 0, got)
 }
 
@@ -144,7 +180,12 @@
 // Score is the result so far.
 func (k *Keeper) Score() *Score {
 	s := k.s
-	s.Classes, s.Breaches = slices.Clone(k.s.Classes), slices.Clone(k.s.Breaches)
+	s.Classes, s.Tenants, s.Breaches = slices.Clone(k.s.Classes), slices.Clone(k.s.Tenants), slices.Clone(k.s.Breaches)
+	for i := range s.Tenants {
+		if c := &s.Tenants[i]; c.WorthAsked > 0 {
+			c.Ratio = c.WorthGot / c.WorthAsked
+		}
+	}
 	s.Total = Class{Name: "all"}
 	least := 1.0
 	for i := range s.Classes {
--- a/internal/kit/world/directory.go
+++ b/internal/kit/world/directory.go
@@ -30,11 +30,29 @@
 func (d *Directory) start() {
 	d.Gen = 1
 	for _, s := range d.w.Servers {
-		d.entries[s.Name] = &Entry{Server: s, Instance: discovery.Instance{ID: s.Name, Zone: "room", MachineType: "padrao-4", Cell: s.Group.ID, Lifecycle: "up",
+		d.entries[s.Name] = &Entry{Server: s, Instance: discovery.Instance{ID: s.Name, Zone: s.Site(), MachineType: "padrao-4", Cell: s.Group.ID, Lifecycle: "up",
 			Weight: 1, Role: s.Role()}}
 	}
 }
 
+// Site is where a server stands: those of a group in all sites, in turn.
+func (s *Server) Site() string {
+	if n := len(s.w.Cfg.Sites); n > 0 {
+		return s.w.Cfg.Sites[s.SiteNo()]
+	}
+	return "room"
+}
+
+// SiteNo is the number of the site.
+func (s *Server) SiteNo() int {
+	for k, m := range s.Group.Members {
+		if m == s {
+			return (s.Group.ID + k) % max(1, len(s.w.Cfg.Sites))
+		}
+	}
+	return 0
+}
+
 // SetAddr tells where a server listens.
 func (d *Directory) SetAddr(name, addr string) {
 	if e := d.entries[name]; e != nil {
--- a/internal/kit/world/server.go
+++ b/internal/kit/world/server.go
@@ -77,12 +77,15 @@
 	ID     string
 	Writes bool
 	Key    string
+	Idem   string // by which a repeat is known, for KeyMs; empty for none
+	KeyMs  float64
 	Value  []byte
 	Work   float64 // ms on a warm core
 	Owner  Owner
 	Tag    uint64 // the owner's
 
 	s     *Server
+	came  float64
 	life  uint32
 	state jobState
 }
@@ -204,7 +207,7 @@
 // Take has a server take a request. Its owner is told of the answer, perhaps before Take returns.
 func (s *Server) Take(j *Job) {
 	now := s.w.clk.Now()
-	j.s, j.life, j.state = s, s.life, jobOut
+	j.s, j.came, j.life, j.state = s, now, s.life, jobOut
 	switch {
 	case !s.Up || s.Hung || s.Deaf || s.loses > 0 && s.w.rng.Float64() < s.loses:
 		return // nobody answers
@@ -276,6 +279,16 @@
 		return
 	}
 	r.Twice = s.w.ran[j.ID]
+	if x, known := s.w.keyed[j.Idem]; j.Idem != "" && known {
+		if r.Twice = true; j.came-x.at <= j.KeyMs {
+			r.Twice, r.Dropped, r.Commit, r.Position = false, true, now, now
+			s.w.watch.Executed(s, j, r)
+			s.answer(j, Reply{Value: x.value, Position: now})
+			return
+		}
+	} else if j.Idem != "" && len(s.w.keyed) < maxRan {
+		s.w.keyed[j.Idem] = first{j.came, j.Value}
+	}
 	if r.Twice && len(s.w.twice) < maxTwice {
 		s.w.twice = append(s.w.twice, j.ID)
 	}
--- a/internal/kit/world/world.go
+++ b/internal/kit/world/world.go
@@ -39,6 +39,9 @@
 	FallsMs float64 // ...within this time falls over and stays down
 	Crowds  float64 // each request that waits, for each core, makes work take so much longer, as a part
 
+	Keys  map[string]float64 // by class: a write's repeat by its key is dropped for so long
+	Sites []string           // where servers stand, in turn; nil for one room
+
 	Peers bool // there is no primary: every member takes writes, which the others apply from a log that all share
 
 	GraceMs  float64 // for sends to a server, from the list's word that it drains
@@ -91,7 +94,14 @@
 	Applied  int     // of the log, as the server had it
 	Position float64
 	Primary  bool // the server was its group's one primary
-	Twice    bool // a write of this id ran before
+	Twice    bool // a write of this id, or of this key, ran before
+	Dropped  bool // a repeat of a keyed write, which was answered and not run
+}
+
+// first is when a keyed write that ran first came, and what it wrote.
+type first struct {
+	at    float64
+	value []byte
 }
 
 // World is a fleet of servers.
@@ -110,6 +120,7 @@
 	byName map[string]*Server
 	facts  []Fact
 	ran    map[string]bool // ids of writes that ran
+	keyed  map[string]first
 	twice  []string
 }
 
@@ -121,7 +132,7 @@
 
 // New makes a fleet. Its list names the servers at no address until SetAddr.
 func New(cfg Config, clk Clock, watch Watcher) *World {
-	w := &World{Cfg: cfg, clk: clk, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), watch: watch, byName: map[string]*Server{}, ran: map[string]bool{}}
+	w := &World{Cfg: cfg, clk: clk, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), watch: watch, byName: map[string]*Server{}, ran: map[string]bool{}, keyed: map[string]first{}}
 	w.List.w = w
 	w.List.entries = map[string]*Entry{}
 	for i, n := range cfg.Groups {
