--- /dev/null
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/scenario"
+)
+
+// fleetQuick is what a fleet on sockets is played with, at times short enough for a test.
+const fleetQuick = quick + ` (poolers 8) (peers (probe 300ms) (timeout 100ms) (suspicion 900ms) (gossip 100ms) (exchange 2s) (reconnect 400ms) (hold 30s))`
+
+// fleet plays a scenario on 8 processes with a relay between each two of them, and holds it to all rules.
+func fleet(t *testing.T, script string, more ...check.Rule) *rehearse.Result {
+	t.Helper()
+	s, err := scenario.Parse("script", []byte(`(rehearsal "fleet" `+fleetQuick+script+`)`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: t.TempDir(), Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range res.Rules.Breaches {
+		t.Errorf("%s: at %.1f s: %s\n%+v", b.Rule, (b.At-res.FromMs)/1000, b.Text, b.Proof)
+		break
+	}
+	for _, b := range res.Score.Breaches {
+		t.Errorf("the clients saw %+v", b)
+		break
+	}
+	for _, rule := range append(more, check.ViewAccurate, check.ViewSending, check.OneAnswer) {
+		if res.Rules.Checked[rule] == 0 {
+			t.Errorf("%q was never put to the test", rule)
+		}
+	}
+	if res.Fleet.Looks < 100 || res.Fleet.Carried == 0 {
+		t.Errorf("poolers were asked %d times, %d datagrams were carried", res.Fleet.Looks, res.Fleet.Carried)
+	}
+	return res
+}
+
+// TestFleetKilled: half of 8 processes are killed at once and return with an empty memory; the others call them failed within the
+// bound, and take their successors for them.
+func TestFleetKilled(t *testing.T) {
+	t.Parallel()
+	res := fleet(t, `(seconds 14) (at 2s (kill-pooler 1) (for 5s)) (at 2s (kill-pooler 4) (for 5s)) (at 2s (kill-pooler 6) (for 5s)) (at 2s (kill-pooler 7) (for 5s))`,
+		check.ViewComplete, check.ViewNoReturn)
+	if n := len(res.Fleet.Views.Detected); n < 16 {
+		t.Errorf("%d times one that was killed was called failed", n)
+	}
+}
+
+// TestFleetParted: a partition five to three heals, and both sides find each other without a seed: 0 and 1, the seeds, are on one
+// side.
+func TestFleetParted(t *testing.T) {
+	t.Parallel()
+	res := fleet(t, `(seconds 21) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 8s))`, check.ViewComplete, check.ViewSettled)
+	if res.Fleet.Lost == 0 {
+		t.Error("nothing was lost")
+	}
+}
+
+// TestFleetUnheard: what one says is lost while it hears all, two never hear each other, and one stands still for 5 s; nobody who can
+// be reached is called failed for good, and who stood still accuses nobody.
+func TestFleetUnheard(t *testing.T) {
+	t.Parallel()
+	fleet(t, `(seconds 25) (at 2s (links 2 all cut) (for 4s)) (at 2s (between 0 3 cut) (for 10s)) (at 9s (stall-pooler 5) (for 5s))`, check.ViewSettled)
+}
+
+// TestFleetUnderLoss: with three datagrams of ten lost, doubled and overtaken ones, nobody who runs is called failed for long.
+func TestFleetUnderLoss(t *testing.T) {
+	t.Parallel()
+	res := fleet(t, `(seconds 14) (at 2s (between all all (lose 0.3) (duplicate 0.2) (reorder 0.3)) (for 8s)) (at 4s (restart-pooler 3))`)
+	if res.Fleet.Lost < 100 {
+		t.Errorf("%d datagrams lost", res.Fleet.Lost)
+	}
+}
--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -131,9 +131,17 @@
 	for _, rule := range check.Rules() {
 		fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
 	}
+	if r.Views != nil {
+		for _, rule := range check.ViewRules() {
+			fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
+		}
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	if v := r.Views; v != nil {
+		fmt.Fprintf(w, "\nviews: %.1f datagrams and %.0f bytes a second of each pooler; %d accused wrongly, %d called failed that ran\n", v.Packets, v.Bytes, v.Accused, v.Wrong)
+	}
 	if r.ModuleMs > 0 {
 		fmt.Fprintf(w, "\ndecision module: %.1f us a try, %.0f%% of the run\n", 1000*r.ModuleMs/float64(max(1, r.Tries)), 100*r.ModuleMs/r.WallMs)
 	}
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -91,7 +91,7 @@
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
-		return control.Answer{Status: http.StatusOK, Body: p.core.AppendFigures(nil)}
+		return control.Answer{Status: http.StatusOK, Body: p.appendPeers(p.core.AppendFigures(nil))}
 	}
 	calls := map[string]struct {
 		method string
@@ -128,6 +128,9 @@
 	if p.given != nil && was == lifecycle.Starting && p.life.Accepts() {
 		p.stopTaking = p.loop.Take(p.given, p.front.Accept)
 	}
+	if p.peers != nil && now != lifecycle.Starting {
+		p.peers.Drain(now != lifecycle.Ready)
+	}
 	switch now {
 	case lifecycle.Draining:
 		p.core.Note(recordpb.Kind_KIND_DRAIN, "")
@@ -187,6 +190,9 @@
 	closeAt, leastMs := began+longest+drainClose, float64(drainMs)
 	if p.life.State() == lifecycle.HandingOver {
 		p.stopTaking()
+		if p.peers != nil { // the next process is this pooler from now on
+			p.peers.Leave(true)
+		}
 		closeAt, leastMs = began, 0
 		p.loop.At(began+longest, p.front.Cut)
 	} else if drained {
@@ -209,6 +215,9 @@
 			return
 		}
 		p.log.Info("drained", "ms", now-began)
+		if p.peers != nil {
+			p.peers.Leave(false)
+		}
 		p.loop.End()
 	}
 	look()
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -84,6 +84,14 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "journal: off")
 					}
+					if f := set.Peers; f.On {
+						if _, err := f.Key(); err != nil {
+							return badInput{err}
+						}
+						fmt.Fprintf(c.Root().Writer, "peers: listens on %s, %d seeds\n", f.Listen, len(f.View.Seeds))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "peers: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -163,6 +171,9 @@
 		return badInput{err}
 	}
 	p.inheritKnown(os.Getenv("TMPDIR"))
+	if err := p.usePeers(set.Peers); err != nil {
+		return err
+	}
 	p.load = func() (*config.Config, error) {
 		next, err := config.Reload(os.Getenv)
 		if err == nil {
--- /dev/null
+++ b/cmd/beechgrade/peers.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/view"
+	"beechgrade/internal/record/recordpb"
+)
+
+// usePeers has the pooler be one of a fleet, where the settings have it so.
+func (p *pooler) usePeers(set operate.Peers) error {
+	if !set.On {
+		return nil
+	}
+	key, err := set.Key()
+	if err != nil {
+		return badInput{err}
+	}
+	zone := set.Zone
+	if z := p.cfg.Settings.Zone; zone == "" && z >= 0 && z < len(p.cfg.Zones) {
+		zone = p.cfg.Zones[z]
+	}
+	v := set.View
+	v.Expect = cmp.Or(v.Expect, p.cfg.Settings.Siblings)
+	drawn := rand.Uint64() // not of the configuration's seed, which two processes may have
+	v.Seed = drawn
+	p.peers = peers.New(p.loop, p.log, peers.Options{Listen: set.Listen, Advertise: set.Advertise, Key: key, View: v, Again: p.given != nil,
+		Record: view.Record{ID: view.NewID(clock.Wall(), drawn), Name: p.cfg.Name, Zone: zone, Region: set.Region, Version: short(version())}}, fleetEvents{p})
+	return nil
+}
+
+func short(s string) string { return s[:min(len(s), view.MostName)] }
+
+// fleetEvents carries on what the view comes to.
+type fleetEvents struct{ p *pooler }
+
+// Fleet is peers.Events'.
+func (f fleetEvents) Fleet(c view.Counts) {
+	p := f.p
+	p.log.Info("fleet", "reachable", c.Reachable, "sending", c.Sending, "majority", c.Majority, "alone", c.Alone)
+	p.core.Siblings(c.Sending)
+}
+
+// Member is peers.Events'.
+func (f fleetEvents) Member(r view.Record, was view.State, isNew bool) {
+	if isNew {
+		f.p.core.Note(recordpb.Kind_KIND_PEER, fmt.Sprintf("%s %x %s: %s", r.Name, uint64(r.ID), r.Zone, r.State))
+		return
+	}
+	f.p.core.Note(recordpb.Kind_KIND_PEER, fmt.Sprintf("%s %x %s: %s, was %s", r.Name, uint64(r.ID), r.Zone, r.State, was))
+}
+
+// appendPeers prints the fleet's figures, where there is one.
+func (p *pooler) appendPeers(dst []byte) []byte {
+	if p.peers == nil {
+		return dst
+	}
+	c, s := p.peers.Counts(), p.peers.Stats()
+	for _, f := range []struct {
+		name string
+		n    uint64
+	}{{"reachable", uint64(c.Reachable)}, {"sending", uint64(c.Sending)}, {"datagrams_in", s.In}, {"datagrams_out", s.Out}, {"dropped", s.Dropped},
+		{"overrun", s.Overrun}, {"exchanges", s.Exchanges}, {"exchanges_failed", s.Fails}} {
+		dst = fmt.Appendf(dst, "app.peers.%s=%d\n", f.name, f.n)
+	}
+	return dst
+}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -21,6 +21,7 @@
 	"beechgrade/internal/loop"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
+	"beechgrade/internal/peers"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -61,6 +62,8 @@
 	houseGroup int
 	stopHouse  func()
 
+	peers *peers.Peers // nil where it is no fleet's
+
 	journal *journal.Journal // nil where it is off
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
@@ -170,6 +173,13 @@
 	if p.gauges {
 		p.gauge()
 	}
+	if p.peers != nil {
+		if err := p.peers.Start(); err != nil {
+			p.log.Error("peers", "err", err)
+			p.loop.End()
+			return
+		}
+	}
 	p.log.Info("serving", "listen", p.loop.Addr(), "servers", len(p.cfg.Known.Instances),
 		"siblings", p.cfg.Settings.Siblings, "max_retry_after", p.cfg.Settings.MaxRetryAfter)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,14 +75,15 @@
 	servers Servers
 	dir     Directory
 
-	classes map[string]int // those that may be asked for
-	tenants map[string]int
-	keys    keys // of keyed requests that may have run
-	figures figures.Figures
-	counted []*figures.Class // by the classes' numbers
-	share   int              // processes on the socket, 0 for this one alone
-	zones   names
-	kinds   names
+	classes  map[string]int // those that may be asked for
+	tenants  map[string]int
+	keys     keys // of keyed requests that may have run
+	figures  figures.Figures
+	counted  []*figures.Class // by the classes' numbers
+	share    int              // processes on the socket, 0 for this one alone
+	siblings int              // poolers that may be sending, 0 for as many as the settings say
+	zones    names
+	kinds    names
 
 	requests slots.Table[*request]
 	ids      map[string]bool // of requests
@@ -198,6 +199,9 @@
 func (c *Core) retune() {
 	set := c.cfg.Settings
 	set.Processes = max(1, c.share)
+	if c.siblings > 0 {
+		set.Siblings = c.siblings
+	}
 	if z := set.Zone; z >= 0 && z < len(c.cfg.Zones) {
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
@@ -214,6 +218,14 @@
 	return true
 }
 
+// Siblings has the router count so many poolers that may be sending, in place of the settings' number; 0 for that.
+func (c *Core) Siblings(n int) {
+	if n != c.siblings {
+		c.siblings = n
+		c.retune()
+	}
+}
+
 // Memory is what the router knows.
 func (c *Core) Memory() *beechgrade.Memory { return c.router.Memory() }
 
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -182,6 +182,11 @@
 		return 0
 	}
 	giveUp := t.Sent + a.Patience
+	if p.clk.Now() >= giveUp { // all its time went into connecting
+		t.Kind, t.Ended = Unmade, p.clk.Now()
+		_ = l.Close()
+		return 0
+	}
 	ask, answer := pgwire.AppendQuery(nil, statement(a, c, t, after, giveUp-p.clk.Now())), l.answer
 	if p.cfg.House {
 		ask, answer = houseQuery(a, c, t, giveUp-p.clk.Now()), l.houseAnswer
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -16,6 +16,7 @@
 	"beechgrade/internal/kit/score"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/peers/view"
 )
 
 // Options say how a scenario is played.
@@ -59,6 +60,7 @@
 	WallMs    float64            `json:"wall_ms"`
 	ModuleMs  float64            `json:"module_ms,omitempty"`
 	HeapMB    float64            `json:"heap_mb"`
+	Views     *Views             `json:"views,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -71,7 +73,8 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	agents   *agents // of Consul, nil where the list is the platform's
+	fleet    *fleetOf // the poolers as peers, nil where they are none
+	agents   *agents  // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -131,6 +134,9 @@
 	if s.Agents > 0 {
 		e.agents = e.newAgents()
 	}
+	if s.Peers != nil {
+		e.fleet = e.newFleet()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -178,6 +184,10 @@
 	if e.opt.Mutant != nil {
 		r.Mutant = e.opt.Mutant.Name
 	}
+	if e.fleet != nil {
+		r.Views = e.fleet.result()
+		e.fleet.check.Verdict(r.Verdict)
+	}
 	return r
 }
 
@@ -299,6 +309,10 @@
 	}
 	switch f.What {
 	case "load": // the plan has it
+	case "links", "between":
+		f.Strike(e.fleet.net, true)
+		e.fleet.check.Fault(e.s.now)
+		later(func() { f.Strike(e.fleet.net, false); e.fleet.check.Fault(e.s.now) })
 	case "list-late":
 		e.world.ListLate(f.Value)
 		later(func() { e.world.ListLate(0) })
@@ -325,6 +339,9 @@
 		p := e.poolers[f.Target.Group]
 		p.still = e.s.now + max(1, f.For)
 		e.check.Still(e.s.now, p.no, p.still)
+		if e.fleet != nil {
+			e.fleet.check.Stood(e.s.now, p.no, p.still)
+		}
 	case "cut":
 		p := e.poolers[f.Pooler]
 		for _, s := range f.Target.Of(e.world) {
@@ -363,6 +380,9 @@
 	e.bad[p.no] = e.s.now + restartMost + restartAway
 	began := e.s.now
 	var look func()
+	if p.peer != nil {
+		p.whenRunning(p.life, func() { p.peer.do(view.Drain{On: true}) })
+	}
 	look = func() {
 		if p.life != life {
 			return
@@ -371,6 +391,7 @@
 			e.s.After(restartLook, world.Func(look), 0)
 			return
 		}
+		p.leave()
 		p.kill()
 		e.s.After(restartAway, world.Func(func() {
 			p.revive()
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/membership/judge"
+	"beechgrade/internal/peers/view"
 )
 
 // Mutant is a pooler, or a server, that is broken on purpose: what the checker must catch.
@@ -22,9 +23,12 @@
 	List    func(l *discovery.List)                              // what it is told of the list
 	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
 	World   func(w *world.World)
-	Judge   func(s *judge.Settings) // what its judge of the server list goes by
-	Keyed   bool                    // it shows where writes have keys
-	Lists   bool                    // it goes by its list's role in place of what servers say
+	Judge   func(s *judge.Settings)           // what its judge of the server list goes by
+	View    func(s *view.Settings)            // how its view of the fleet is kept
+	Peer    func(x *peer, ev view.Event) bool // what its view is told; nothing where it returns false
+	SameID  bool                              // its processes all have one ID
+	Keyed   bool                              // it shows where writes have keys
+	Lists   bool                              // it goes by its list's role in place of what servers say
 }
 
 // Mutants are all of them.
@@ -98,6 +102,45 @@
 	}
 }
 
+// ViewMutants are poolers whose view of the fleet is broken on purpose.
+func ViewMutants() []Mutant {
+	return []Mutant{
+		{Name: "refutes nothing", Breaks: check.ViewAccurate, Peer: func(x *peer, ev view.Event) bool {
+			drop := func(list []view.Record) (kept []view.Record) {
+				for _, r := range list {
+					if r.ID != x.view.Self().ID || r.State == view.Alive {
+						kept = append(kept, r)
+					}
+				}
+				return kept
+			}
+			switch ev := ev.(type) {
+			case view.Heard:
+				m := *ev.Message
+				m.Records = drop(m.Records)
+				x.out = x.view.Handle(x.p.e.s.now, view.Heard{Message: &m}, x.out[:0])
+				x.carry()
+				return false
+			case view.Exchanged:
+				x.out = x.view.Handle(x.p.e.s.now, view.Exchanged{Records: drop(ev.Records)}, x.out[:0])
+				x.carry()
+				return false
+			}
+			return true
+		}},
+		{Name: "forgets its incarnation on a restart", Breaks: check.ViewAccurate, SameID: true},
+		{Name: "does not look for those it lost", Breaks: check.ViewSettled, View: func(s *view.Settings) { s.Reconnect, s.Seeds = 1e9, s.Seeds[:0] }},
+		{Name: "accuses while it stands still", Breaks: check.ViewRash, View: func(s *view.Settings) { s.Confirm, s.Calm = 0, 0 }, Peer: func(x *peer, ev view.Event) bool {
+			for now := x.p.e.s.now; x.view.Next() < now; { // it makes up for the time as if it had run
+				x.out = x.view.Handle(x.view.Next(), view.Tick{}, x.out[:0])
+				x.carry()
+			}
+			return true
+		}},
+		{Name: "counts what is cut off as gone", Breaks: check.ViewSending, View: func(s *view.Settings) { s.Hold, s.Expect = 0, 0 }},
+	}
+}
+
 // again answers a second time.
 type again struct{ v *visit }
 
--- /dev/null
+++ b/internal/kit/emulate/peers.go
@@ -0,0 +1,220 @@
+package emulate
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/links"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/view"
+)
+
+// fleetOf is the poolers as peers: the ways between them, and the checker of their views.
+type fleetOf struct {
+	e     *Emulation
+	net   *links.Net
+	rng   *rand.Rand
+	check *check.Views
+
+	packets, bytes uint64
+	trades         uint64
+}
+
+const lookMs = 250 // between two looks of the checker
+
+// Views is what came of the poolers' views.
+type Views struct {
+	Packets  float64   `json:"packets_a_second_of_a_pooler"`
+	Bytes    float64   `json:"bytes_a_second_of_a_pooler"`
+	Trades   uint64    `json:"full_exchanges"`
+	Detected []float64 `json:"detected_ms,omitempty"`
+	Settled  []float64 `json:"settled_ms,omitempty"`
+	Accused  int       `json:"accused_wrongly"`
+	Wrong    int       `json:"failed_wrongly"`
+}
+
+// Bounds are those of a scenario's views, by the formulas of the view's page; f is how many may be called failed at once.
+func Bounds(s *scenario.Script, f int) check.ViewConfig {
+	v, delay, lossy := s.Peers.View, max(s.Way[1], s.Cross[1]), false
+	for i := range s.Faults {
+		if x := &s.Faults[i]; x.OfLinks() {
+			lossy = lossy || x.Link.Lose > 0
+			held := 0.0
+			if x.Link.Duplicate > 0 || x.Link.Reorder > 0 {
+				held = links.HeldMs
+			}
+			delay = max(delay, s.Way[1]+x.Link.Slow+held)
+		}
+	}
+	n := s.Poolers
+	return check.ViewConfig{DetectMs: v.Detect(n, f, delay), SettleMs: v.Settle(n, f, delay, lossy), JoinMs: v.Join(n, delay), SpreadMs: v.Spread(n, delay), HoldMs: v.Hold,
+		SelfMs: v.Self(delay)}
+}
+
+func (e *Emulation) newFleet() *fleetOf {
+	s := e.script
+	f := &fleetOf{e: e, net: links.New(s.Poolers), rng: rand.New(rand.NewPCG(e.opt.Seed, 5))}
+	f.check = check.NewViews(Bounds(s, max(1, s.Poolers/2)), s.Poolers, f.net.Cut)
+	f.check.Exact = true
+	var look func()
+	look = func() {
+		f.check.Look(e.s.now)
+		e.s.After(lookMs, world.Func(look), 0)
+	}
+	e.s.After(lookMs, world.Func(look), 0)
+	return f
+}
+
+func (f *fleetOf) result() *Views {
+	seconds := (f.e.s.now - startMs) / 1000 * float64(len(f.e.poolers))
+	return &Views{Packets: float64(f.packets) / seconds, Bytes: float64(f.bytes) / seconds, Trades: f.trades, Detected: f.check.Detected, Settled: f.check.Settled,
+		Accused: f.check.Accused, Wrong: f.check.Wrong}
+}
+
+// peer is a pooler's side of it.
+type peer struct {
+	p    *pooler
+	f    *fleetOf
+	life uint32
+	view *view.View
+	out  []view.Action
+	sent int // its count of those that may be sending
+}
+
+// join begins a process's view.
+func (p *pooler) join() {
+	f := p.e.fleet
+	set := p.e.script.Peers.View
+	set.Expect, set.Seed = p.e.script.Poolers, p.e.opt.Seed*31+uint64(p.no)
+	for i := range p.e.script.Peers.Seeds {
+		set.Seeds = append(set.Seeds, p.e.poolerName(i))
+	}
+	id := view.NewID(p.e.s.now, uint64(p.no)*131+uint64(p.life))
+	if m := p.e.opt.Mutant; m != nil {
+		if m.View != nil {
+			m.View(&set)
+		}
+		if m.SameID {
+			id = view.NewID(startMs, uint64(p.no))
+		}
+	}
+	site := "room"
+	if n := len(p.e.script.Sites); n > 0 {
+		site = p.e.script.Sites[p.no%n]
+	}
+	x := &peer{p: p, f: f, life: p.life}
+	x.view = view.New(set, view.Record{ID: id, Name: p.name, Addr: p.name, Zone: site}, p.e.s.now)
+	p.peer = x
+	f.check.Began(p.e.s.now, p.no, uint64(id))
+	x.tick()
+}
+
+func (e *Emulation) poolerName(i int) string { return fmt.Sprintf("pooler-%d", i) }
+
+func (x *peer) tick() {
+	x.do(view.Tick{})
+	lifeLoop{x.p, x.life}.At(x.view.Next(), x.tick)
+}
+
+// do tells the view of an event and carries out what it asks for.
+func (x *peer) do(ev view.Event) {
+	e := x.p.e
+	if m := e.opt.Mutant; m != nil && m.Peer != nil && !m.Peer(x, ev) {
+		return
+	}
+	x.out = x.view.Handle(e.s.now, ev, x.out[:0])
+	x.carry()
+}
+
+// carry carries out what the view asks for.
+func (x *peer) carry() {
+	e := x.p.e
+	for i := range x.out {
+		switch a := &x.out[i]; a.Kind {
+		case view.Send:
+			x.send(a.Addr, a.Message)
+		case view.Trade:
+			x.trade(a.Addr)
+		case view.Changed:
+			x.f.check.Says(e.s.now, x.p.no, uint64(a.Record.ID), int(a.Record.State))
+			e.s.mix(uint64(a.Record.ID), uint64(x.p.no)<<8|uint64(a.Record.State))
+		}
+	}
+	if n := x.view.Counts().Sending; n != x.sent {
+		x.sent = n
+		x.p.core.Siblings(n)
+		x.f.check.Counts(e.s.now, x.p.no, n)
+	}
+}
+
+// at finds the pooler that listens at an address.
+func (f *fleetOf) at(addr string) *pooler {
+	for _, p := range f.e.poolers {
+		if p.name == addr {
+			return p
+		}
+	}
+	return nil
+}
+
+const headBytes = 60 // of a datagram and its message, beside the records
+
+// send has a datagram arrive, as often and as late as the way has it.
+func (x *peer) send(addr string, m *view.Message) {
+	f, e := x.f, x.p.e
+	to := f.at(addr)
+	if to == nil || to == x.p {
+		return
+	}
+	f.packets++
+	f.bytes += headBytes
+	for i := range m.Records {
+		f.bytes += uint64(m.Records[i].Size())
+	}
+	for _, late := range f.net.Fate(x.p.no, to.no, f.rng) {
+		e.s.After(e.wayBetween(x.p, to)+late, world.Func(func() {
+			if y := to.peer; y != nil && to.up {
+				to.whenRunning(y.life, func() { y.do(view.Heard{Message: m}) })
+			}
+		}), 0)
+	}
+}
+
+// trade has a full exchange: a stream, which loses nothing, but does not come up over a way that is cut.
+func (x *peer) trade(addr string) {
+	f, e := x.f, x.p.e
+	to := f.at(addr)
+	if to == nil || to == x.p || f.net.Cut(x.p.no, to.no) || f.net.Cut(to.no, x.p.no) {
+		return
+	}
+	f.trades++
+	mine := x.view.Records()
+	e.s.After(2*e.wayBetween(x.p, to)+2*f.net.Slow(x.p.no, to.no), world.Func(func() {
+		y := to.peer
+		if y == nil || !to.up || f.net.Cut(x.p.no, to.no) {
+			return
+		}
+		to.whenRunning(y.life, func() {
+			theirs := y.view.Records()
+			y.do(view.Exchanged{Records: mine})
+			if f.net.Cut(to.no, x.p.no) {
+				return
+			}
+			e.s.After(e.wayBetween(x.p, to)+f.net.Slow(to.no, x.p.no), world.Func(func() {
+				if x.p.up {
+					x.p.whenRunning(x.life, func() { x.do(view.Exchanged{Records: theirs}) })
+				}
+			}), 0)
+		})
+	}), 0)
+}
+
+// wayBetween is how long a message takes between two poolers.
+func (e *Emulation) wayBetween(a, b *pooler) float64 {
+	if n := len(e.script.Sites); n > 0 && a.no%n != b.no%n {
+		return e.script.Cross.Draw(e.fleet.rng)
+	}
+	return e.script.Way.Draw(e.fleet.rng)
+}
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -13,11 +13,13 @@
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/peers/view"
 	"beechgrade/internal/slots"
 )
 
 // pooler is one pooler: the daemon's core, and in place of its sockets the emulated ways to the servers and the list.
 type pooler struct {
+	peer   *peer // nil where poolers are no peers
 	e      *Emulation
 	no     int
 	name   string
@@ -112,6 +114,11 @@
 	if e.opt.Meter {
 		p.core.Meter(&meter{e: e})
 	}
+	defer func() {
+		if e.fleet != nil {
+			p.join()
+		}
+	}()
 	if p.member = nil; e.agents == nil {
 		p.core.Start(p, p)
 		if e.script.Pushed { // the agent's watch, held open by the pooler's program
@@ -127,6 +134,13 @@
 	return nil
 }
 
+// leave has a pooler that ends in order say so.
+func (p *pooler) leave() {
+	if p.peer != nil {
+		p.peer.do(view.Leave{})
+	}
+}
+
 const brokeMs = 50 // a connection that breaks so soon after a request did so because of it; as the daemon has it
 
 // kill ends the process: its connections on both sides are reset.
@@ -137,6 +151,10 @@
 	p.up = false
 	p.life++
 	e := p.e
+	if p.peer != nil {
+		e.fleet.check.Ended(e.s.now, p.no, p.peer.view.Self().State == view.Left)
+		p.peer = nil
+	}
 	var open []*attempt
 	p.tries.Each(func(_ slots.Ref, a *attempt) { open = append(open, a) })
 	for _, a := range open {
--- /dev/null
+++ b/internal/kit/rehearse/peers.go
@@ -0,0 +1,223 @@
+package rehearse
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/emulate"
+	"beechgrade/internal/kit/links"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/view"
+)
+
+// fleetOf is the poolers as peers: relays between each two of them, and the checker of what they say of each other.
+type fleetOf struct {
+	run    *Run
+	relays *links.Relays
+	key    peers.Key
+	file   string // that holds it
+
+	mu    sync.Mutex
+	check *check.Views
+	ids   []view.ID                // of the processes that run, by pooler; 0 for none that was heard
+	says  []map[view.ID]view.State // what each said last
+	calls int
+}
+
+const (
+	lookMs     = 250
+	sockDelay  = 60  // ms that a message may take on a busy machine, beside what links do to it
+	askedMs    = 150 // until a pooler's word is here
+	lookOverMs = 1000
+)
+
+// startPeers opens the relays, and writes the key.
+func (r *Run) startPeers() error {
+	s := r.script
+	relays, err := links.NewRelays(s.Poolers, r.opt.Seed)
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256([]byte(fmt.Sprint("rehearsal", r.opt.Seed)))
+	f := &fleetOf{run: r, relays: relays, key: peers.Key(hex.EncodeToString(sum[:])), ids: make([]view.ID, s.Poolers), says: make([]map[view.ID]view.State, s.Poolers)}
+	if f.file, err = filepath.Abs(filepath.Join(r.opt.Out, "fleet.key")); err != nil {
+		return err
+	}
+	if err := os.WriteFile(f.file, f.key, 0o600); err != nil {
+		return err
+	}
+	bounds := emulate.Bounds(s, max(1, s.Poolers/2))
+	late := sockDelay + askedMs + lookOverMs // what a busy machine and asking may add
+	bounds.DetectMs, bounds.SettleMs, bounds.JoinMs, bounds.SpreadMs = bounds.DetectMs+float64(late), bounds.SettleMs+float64(late), bounds.JoinMs+float64(late), bounds.SpreadMs+float64(late)
+	f.check = check.NewViews(bounds, s.Poolers, relays.Cut)
+	r.peers = f
+	return nil
+}
+
+// settings are what a pooler is told of its being a peer.
+func (f *fleetOf) settings(no int) string {
+	p, v := f.run.script.Peers, &f.run.script.Peers.View
+	var b strings.Builder
+	fmt.Fprintf(&b, "(peers (listen %q) (advertise %q) (key %q) (expect %d)\n  (seeds", f.relays.Real(no), f.relays.Told(no), f.file, f.run.script.Poolers)
+	for i := range min(p.Seeds, f.run.script.Poolers) {
+		fmt.Fprintf(&b, " %q", f.relays.Told(i))
+	}
+	fmt.Fprintf(&b, ")\n  (probe %.0fms) (timeout %.0fms) (suspicion %.0fms) (gossip %.0fms) (exchange %.0fms) (reconnect %.0fms) (hold %.0fms) (forget %.0fms))\n", v.Probe, v.Timeout,
+		v.Suspicion, v.Gossip, v.Exchange, v.Reconnect, v.Hold, v.Forget)
+	return b.String()
+}
+
+// begin looks until the function that it returns is called.
+func (f *fleetOf) begin(ctx context.Context) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.look(ctx)
+	}()
+	return func() { cancel(); <-done }
+}
+
+// look asks all poolers now and then what they think, until the context ends.
+func (f *fleetOf) look(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.once()
+		pause(ctx, lookMs)
+	}
+}
+
+func (f *fleetOf) once() {
+	var wg sync.WaitGroup
+	for i, p := range f.run.poolers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			pid := p.pid()
+			if pid == 0 {
+				return
+			}
+			records, counts, err := peers.Show(f.relays.Real(i), f.key)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if err != nil || len(records) == 0 || p.pid() != pid {
+				return // it stands still, or has ended meanwhile
+			}
+			f.calls++
+			f.take(i, records, counts)
+		}()
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.check.Look(f.run.clk.Now())
+}
+
+// take tells the checker what a pooler said that it had not said before.
+func (f *fleetOf) take(i int, records []view.Record, counts view.Counts) {
+	now := f.run.clk.Now()
+	if id := records[0].ID; f.ids[i] != id {
+		f.ids[i], f.says[i] = id, map[view.ID]view.State{}
+		f.check.Began(now, i, uint64(id))
+	}
+	for _, r := range records[1:] {
+		if was, known := f.says[i][r.ID]; !known || was != r.State {
+			f.says[i][r.ID] = r.State
+			f.check.Says(now, i, uint64(r.ID), int(r.State))
+		}
+	}
+	f.check.Counts(now, i, counts.Sending)
+}
+
+// ended tells the checker that a pooler's process ends now.
+func (f *fleetOf) ended(i int, inOrder bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids[i] = 0
+	f.check.Ended(f.run.clk.Now(), i, inOrder)
+}
+
+// strike has a fault of links strike and end.
+func (f *fleetOf) strike(ctx context.Context, x scenario.Fault) {
+	do := func(on bool) {
+		f.relays.Strike(func(n *links.Net) { x.Strike(n, on) })
+		f.mu.Lock()
+		f.check.Fault(f.run.clk.Now())
+		f.mu.Unlock()
+	}
+	do(true)
+	if x.For > 0 {
+		pause(ctx, x.For)
+		do(false)
+	}
+}
+
+// stand has a pooler's process stand still for a while.
+func (p *pooler) stand(ctx context.Context, ms float64) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	now := p.run.clk.Now()
+	p.run.wires.still(now, p.no, now+ms)
+	if f := p.run.peers; f != nil {
+		f.mu.Lock()
+		f.check.Stood(now, p.no, now+ms)
+		f.mu.Unlock()
+	}
+	_ = cmd.Process.Signal(syscall.SIGSTOP)
+	pause(context.WithoutCancel(ctx), ms) // whatever happens, it goes on
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// pid is the process that runs, 0 for none.
+func (p *pooler) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Fleet is what came of the poolers as peers.
+type Fleet struct {
+	Views   emulate.Views `json:"views"`
+	Carried uint64        `json:"datagrams_carried"`
+	Lost    uint64        `json:"datagrams_lost_on_purpose"`
+	Looks   int           `json:"poolers_asked"`
+}
+
+func (f *fleetOf) result(v *check.Verdict) *Fleet {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.check.Verdict(v)
+	out := &Fleet{Looks: f.calls, Views: emulate.Views{Detected: f.check.Detected, Settled: f.check.Settled, Accused: f.check.Accused, Wrong: f.check.Wrong}}
+	out.Carried, out.Lost = f.relays.Counts()
+	return out
+}
+
+// settle waits until the last fault is behind so far that all views must be equal, but no longer than a bound.
+func (f *fleetOf) settle(ctx context.Context, most time.Duration) {
+	until := time.Now().Add(most)
+	for time.Now().Before(until) && ctx.Err() == nil && !f.quiet() {
+		pause(ctx, lookMs)
+	}
+}
+
+func (f *fleetOf) quiet() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.check.Equal()
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -32,6 +32,8 @@
 	readyWait = 15 * time.Second
 	stopWait  = 20 * time.Second
 	portTries = 5
+
+	settleMost = 10 * time.Second
 )
 
 // Options say how a rehearsal is run.
@@ -54,6 +56,7 @@
 	Score     *score.Score   `json:"score"`
 	Rules     *check.Verdict `json:"rules"` // by what crossed the wires
 	Facts     []fleet.Fact   `json:"facts"`
+	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
 }
 
@@ -102,7 +105,8 @@
 	operators string         // more of the operators' settings
 	agents    []*agent.Agent // of Consul
 	wires     *wires
-	sockets   int // that a pooler may hold, where that is more than usual
+	peers     *fleetOf // nil where the poolers are no peers
+	sockets   int      // that a pooler may hold, where that is more than usual
 }
 
 // Play runs a rehearsal from its start to its end.
@@ -139,18 +143,39 @@
 	if err := r.fleet.Start(); err != nil {
 		return nil, err
 	}
+	if s.Peers != nil {
+		if err := r.startPeers(); err != nil {
+			return nil, err
+		}
+		defer func() { _ = r.peers.relays.Close() }()
+	}
 	defer r.kill()
 	for i := range s.Poolers {
 		p := &pooler{no: i, name: fmt.Sprintf("pooler-%d", i), run: r}
 		p.dir = filepath.Join(opt.Out, p.name)
-		if err := p.launch(ctx); err != nil {
-			return nil, err
-		}
 		r.poolers = append(r.poolers, p)
 	}
+	if err := r.launchAll(ctx); err != nil {
+		return nil, err
+	}
 	return r.play(ctx)
 }
 
+// launchAll starts all poolers, side by side.
+func (r *Run) launchAll(ctx context.Context) error {
+	errs := make([]error, len(r.poolers))
+	var wg sync.WaitGroup
+	for i, p := range r.poolers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			errs[i] = p.launch(ctx)
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
 func (r *Run) play(ctx context.Context) (*Result, error) {
 	var addrs []string
 	for _, p := range r.poolers {
@@ -180,6 +205,10 @@
 			}
 		}()
 	}
+	looked := func() {}
+	if r.peers != nil {
+		looked = r.peers.begin(ctx)
+	}
 	clients.NewPlayer(cfg, r.clk, addrs, log).Play(ctx, plan, func(asked int) {
 		if r.opt.Progress != nil {
 			r.opt.Progress(asked, len(plan))
@@ -187,6 +216,10 @@
 	})
 	stop()
 	wg.Wait()
+	if r.peers != nil && ctx.Err() == nil {
+		r.peers.settle(ctx, settleMost)
+	}
+	looked()
 	res.ToMs = r.clk.Now()
 	if err := errors.Join(log.close(), r.stop()); err != nil {
 		return nil, err
@@ -211,6 +244,9 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	if r.peers != nil {
+		res.Fleet = r.peers.result(res.Rules)
+	}
 	for _, b := range res.Rules.Breaches {
 		keeper.Add(score.Breach{Rule: string(b.Rule), At: b.At, ID: fmt.Sprintf("%016x", b.ID), Text: "by the wires: " + b.Text})
 	}
@@ -243,8 +279,11 @@
 
 // Tried is clients.Sink's.
 func (l *log) Tried(t *clients.Try) {
-	l.Keeper.Tried(t)
 	l.run.wires.tried(t)
+	if l.run.wires.excused(t) {
+		t.Kind = clients.Broken
+	}
+	l.Keeper.Tried(t)
 	line := TryLine{ID: t.ID, Class: t.Class.Name, No: t.No, First: t.First, Sent: t.Sent, Ended: t.Ended, Kind: t.Kind, Late: t.Late}
 	if t.Pooler >= 0 {
 		line.Pooler = l.run.poolers[t.Pooler].name
@@ -290,6 +329,12 @@
 			r.lie(f, false)
 		}
 		return nil
+	case "links", "between":
+		r.peers.strike(ctx, f)
+		return nil
+	case "stall-pooler":
+		r.poolers[f.Target.Group].stand(ctx, f.For)
+		return nil
 	case "kill-pooler":
 		p := r.poolers[f.Target.Group]
 		p.stop(syscall.SIGKILL)
@@ -376,7 +421,11 @@
 			return err
 		}
 	}
-	operators := fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
+	peers := ""
+	if f := p.run.peers; f != nil {
+		peers = f.settings(p.no)
+	}
+	operators := peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
 	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
 		return err
 	}
@@ -449,6 +498,11 @@
 		return
 	}
 	_ = cmd.Process.Signal(sig)
+	if f := p.run.peers; f != nil && sig == syscall.SIGKILL {
+		f.ended(p.no, false)
+	} else if f != nil { // it goes on until it has answered all
+		defer f.ended(p.no, true)
+	}
 	select {
 	case <-done:
 	case <-time.After(stopWait):
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -21,10 +21,11 @@
 	classes map[string]int
 	poolers int
 	tries   map[string]int // attempts seen at servers, by request
+	stood   map[int][2]float64
 }
 
 func newWires(s *scenario.Script) *wires {
-	w := &wires{check: check.New(emulate.Rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}}
+	w := &wires{check: check.New(emulate.Rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
 	for i, c := range s.Clients.Classes {
 		w.classes[c.Name] = i
 	}
@@ -100,6 +101,22 @@
 	w.check.Ran(r.At, server, idOf(j.ID), j.Writes, r.Primary, valueOf(value), r.Position)
 }
 
+// still tells that a pooler's process stands still for a while.
+func (w *wires) still(at float64, pooler int, until float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Still(at, pooler, until)
+	w.stood[pooler] = [2]float64{at, until}
+}
+
+// excused tells whether a try that had no answer lay at a pooler whose process stood still meanwhile.
+func (w *wires) excused(t *clients.Try) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.stood[t.Pooler]
+	return ok && t.Kind == clients.Silent && t.Sent < s[1] && t.Ended > s[0]
+}
+
 // Listed is fleet.Watcher's: all that watch are told at once, and which pooler sends is not seen at the servers.
 func (w *wires) Listed(server int, state string, at float64) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/kit/scenario/peers.go
@@ -0,0 +1,96 @@
+package scenario
+
+import (
+	"slices"
+
+	"beechgrade/internal/kit/links"
+	"beechgrade/internal/peers/view"
+	"beechgrade/internal/sexp"
+)
+
+// Peers says that poolers keep a view of the fleet, and how.
+type Peers struct {
+	View  view.Settings
+	Seeds int // poolers, the first ones, that all are told of
+}
+
+// peers reads (peers ...).
+func (s *Script) peers(n *sexp.Node) error {
+	p := &Peers{View: view.Defaults(), Seeds: 2}
+	s.Peers = p
+	span := func(to *float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Millis(0, maxSeconds*1000); return err }
+	}
+	return sexp.Form{
+		"probe": span(&p.View.Probe), "timeout": span(&p.View.Timeout), "suspicion": span(&p.View.Suspicion), "gossip": span(&p.View.Gossip),
+		"exchange": span(&p.View.Exchange), "reconnect": span(&p.View.Reconnect), "hold": span(&p.View.Hold), "forget": span(&p.View.Forget),
+		"seeds": func(n *sexp.Node) (err error) { p.Seeds, err = n.Int(0, maxPoolers); return err },
+	}.Read(n.Args())
+}
+
+// aLink reads (links WHOM WHOM WHAT...): what befalls the ways from some poolers to others; (between WHOM WHOM WHAT...): both ways.
+func aLink(f *Fault, n *sexp.Node) error {
+	a := n.Args()
+	if len(a) < 3 {
+		return n.Errorf("(%s WHOM WHOM WHAT...), where WHOM is all, a pooler's number, (NUMBER...) or a site, and WHAT is cut, (lose X), (duplicate X), (reorder X) or (slow TIME)", n.Head())
+	}
+	f.Both = n.Head() == "between"
+	f.From, f.To = whom{a[0]}, whom{a[1]}
+	part := func(to *float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Float(0, 1); return err }
+	}
+	form := sexp.Form{"lose": part(&f.Link.Lose), "duplicate": part(&f.Link.Duplicate), "reorder": part(&f.Link.Reorder),
+		"slow": func(n *sexp.Node) (err error) { f.Link.Slow, err = n.Millis(0, 60000); return err }}
+	rest := a[2:]
+	if rest[0].Kind != sexp.List && rest[0].Text == "cut" {
+		f.Link.Cut, rest = true, rest[1:]
+	}
+	return form.Read(rest)
+}
+
+// whom names poolers.
+type whom struct{ *sexp.Node }
+
+// of are the poolers that are meant.
+func (w whom) of(s *Script) (out []int, err error) {
+	add := func(n *sexp.Node) error {
+		x, err := n.Number(0, float64(s.Poolers-1))
+		if err == nil && !slices.Contains(out, int(x)) {
+			out = append(out, int(x))
+		}
+		return err
+	}
+	switch site := slices.Index(s.Sites, w.Text); {
+	case w.Kind == sexp.List:
+		for _, n := range w.Items {
+			if err := add(n); err != nil {
+				return nil, err
+			}
+		}
+	case w.Text == "all":
+		for i := range s.Poolers {
+			out = append(out, i)
+		}
+	case site >= 0:
+		for i := site; i < s.Poolers; i += len(s.Sites) {
+			out = append(out, i)
+		}
+	default:
+		err = add(w.Node)
+	}
+	if err == nil && len(out) == 0 {
+		err = w.Errorf("these are no poolers")
+	}
+	return out, err
+}
+
+// Strike has a fault of links strike, or end.
+func (f *Fault) Strike(x *links.Net, on bool) {
+	x.Set(f.Ends[0], f.Ends[1], &f.Link, on)
+	if f.Both {
+		x.Set(f.Ends[1], f.Ends[0], &f.Link, on)
+	}
+}
+
+// OfLinks tells whether a fault is one of the ways between poolers.
+func (f *Fault) OfLinks() bool { return f.What == "links" || f.What == "between" }
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/sexp"
 )
@@ -49,7 +50,7 @@
 }
 
 // virtualOnly are faults that no process can cause by itself.
-var virtualOnly = map[string]bool{"cut": true, "stall-pooler": true}
+var virtualOnly = map[string]bool{"cut": true}
 
 // Script is a rehearsal. Times are in milliseconds from its start.
 type Script struct {
@@ -70,6 +71,8 @@
 
 	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
 
+	Peers *Peers // poolers keep a view of the fleet; nil where they do not
+
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
 	Cross      world.Range // one way between two sites
@@ -89,6 +92,11 @@
 	Value  float64
 	Pooler int     // cut
 	Every  float64 // it comes again after so long, 0 for once
+
+	From, To whom // of links: whose...
+	Ends     [2][]int
+	Both     bool // ...and the other way too
+	Link     links.Fault
 }
 
 // Target says whom a fault strikes. It is resolved when that happens.
@@ -205,6 +213,7 @@
 		"tenant":       s.tenant,
 		"allowance":    float(&c.Allowance, 0.1, maxRate),
 		"over":         float(&c.Over, 0, 1),
+		"peers":        s.peers,
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
 		"sites":        s.sites,
 		"cross":        both(&s.Cross),
@@ -436,6 +445,8 @@
 	"wrong-roles":    func(f *Fault, n *sexp.Node) error { return none(n) },
 	"reissue":        struck(0, 0),
 	"fail-check":     struck(0, 0),
+	"links":          aLink,
+	"between":        aLink,
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
@@ -534,6 +545,8 @@
 		return fail("(%s ...) goes with (consul AGENTS)", f.What)
 	case f.What == "agent" && f.Target.Group >= s.Agents:
 		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
+	case f.OfLinks() && s.Peers == nil:
+		return fail("(%s ...) goes with (peers)", f.What)
 	case f.What == "cut" && f.Pooler >= s.Poolers:
 		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Pooler, s.Poolers-1)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
@@ -567,6 +580,15 @@
 func (s *Script) Again() error {
 	s.Clients.Jumps = nil
 	for i := range s.Faults {
+		if f := &s.Faults[i]; f.OfLinks() && s.Peers != nil {
+			var err error
+			if f.Ends[0], err = f.From.of(s); err == nil {
+				f.Ends[1], err = f.To.of(s)
+			}
+			if err != nil {
+				return err
+			}
+		}
 		if err := s.check(&s.Faults[i]); err != nil {
 			return err
 		}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -16,6 +16,7 @@
 	Membership Membership
 	ClickHouse ClickHouse
 	Journal    Journal
+	Peers      Peers
 }
 
 // Record says whether and where the pooler records what it does.
@@ -63,6 +64,7 @@
 		"record":     func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse": s.ClickHouse.read,
 		"pooling":    s.Pooling.read,
+		"peers":      func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":    func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership": func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
--- /dev/null
+++ b/internal/peers/form.go
@@ -0,0 +1,238 @@
+package peers
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"beechgrade/internal/peers/view"
+)
+
+// What goes between two poolers is, in this order: the mark and the version, a keyed hash of the rest, and a protobuf message:
+//
+//	message Envelope { uint32 kind = 1; fixed64 from = 2; uint32 seq = 3; fixed64 target = 4; repeated Record records = 5; Counts counts = 6; }
+//	message Record { fixed64 id = 1; string name = 2; string addr = 3; string zone = 4; string region = 5; string version = 6;
+//	                 uint32 incarnation = 7; uint32 state = 8; bool draining = 9; }
+//	message Counts { uint32 reachable = 1; uint32 sending = 2; bool majority = 3; bool alone = 4; }
+//
+// Fields that are not known are skipped, so that a later version can say more. A datagram that is sent again by a stranger who has
+// seen it tells nothing new: what a record says is ordered by the incarnation that its process gave it.
+const (
+	mark     = "bgp1"
+	hashSize = 16 // bytes of the hash that are sent
+	headSize = len(mark) + hashSize
+
+	// MostDatagram and MostStream bound what is read, in bytes.
+	MostDatagram = 1400
+	MostStream   = 1 << 19
+)
+
+// Kinds beside the view's own: what goes over a stream.
+const (
+	kindRecords view.Kind = 16 // one side of a full exchange
+	kindShow    view.Kind = 17 // asks for all that is known, and tells nothing
+)
+
+// Errors of what cannot be read.
+var (
+	ErrKey  = errors.New("not by one who has the key")
+	ErrForm = errors.New("cannot be read")
+)
+
+// Key is what all poolers of a fleet share.
+type Key []byte
+
+func (k Key) hash(body []byte) []byte {
+	h := hmac.New(sha256.New, k)
+	_, _ = h.Write(body)
+	return h.Sum(nil)[:hashSize]
+}
+
+// envelope is a message with what only streams have.
+type envelope struct {
+	view.Message
+	counts view.Counts
+}
+
+// Seal appends a message as it goes out.
+func (k Key) seal(dst []byte, e *envelope) []byte {
+	from := len(dst)
+	dst = append(append(dst, mark...), make([]byte, hashSize)...)
+	dst = appendEnvelope(dst, e)
+	copy(dst[from+len(mark):], k.hash(dst[from+headSize:]))
+	return dst
+}
+
+// open reads a message that came.
+func (k Key) open(b []byte) (*envelope, error) {
+	if len(b) < headSize || string(b[:len(mark)]) != mark {
+		return nil, ErrKey
+	}
+	if !hmac.Equal(b[len(mark):headSize], k.hash(b[headSize:])) {
+		return nil, ErrKey
+	}
+	return readEnvelope(b[headSize:])
+}
+
+func appendUint(b []byte, num protowire.Number, x uint64) []byte {
+	if x == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, num, protowire.VarintType), x)
+}
+
+func appendFixed(b []byte, num protowire.Number, x uint64) []byte {
+	return protowire.AppendFixed64(protowire.AppendTag(b, num, protowire.Fixed64Type), x)
+}
+
+func appendText(b []byte, num protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, num, protowire.BytesType), s)
+}
+
+func bit(on bool) uint64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+func appendEnvelope(b []byte, e *envelope) []byte {
+	b = appendUint(b, 1, uint64(e.Kind))
+	b = appendFixed(b, 2, uint64(e.From))
+	b = appendUint(b, 3, uint64(e.Seq))
+	b = appendFixed(b, 4, uint64(e.Target))
+	var part []byte
+	for i := range e.Records {
+		part = appendRecord(part[:0], &e.Records[i])
+		b = protowire.AppendBytes(protowire.AppendTag(b, 5, protowire.BytesType), part)
+	}
+	if c := e.counts; c.Sending > 0 {
+		part = appendUint(appendUint(part[:0], 1, uint64(c.Reachable)), 2, uint64(c.Sending))
+		part = appendUint(appendUint(part, 3, bit(c.Majority)), 4, bit(c.Alone))
+		b = protowire.AppendBytes(protowire.AppendTag(b, 6, protowire.BytesType), part)
+	}
+	return b
+}
+
+func appendRecord(b []byte, r *view.Record) []byte {
+	b = appendFixed(b, 1, uint64(r.ID))
+	for i, s := range []string{r.Name, r.Addr, r.Zone, r.Region, r.Version} {
+		b = appendText(b, protowire.Number(2+i), s)
+	}
+	b = appendUint(b, 7, uint64(r.Inc))
+	b = appendUint(b, 8, uint64(r.State))
+	return appendUint(b, 9, bit(r.Draining))
+}
+
+// fields calls f for each field, with a number or the bytes of it.
+func fields(b []byte, f func(num protowire.Number, x uint64, text []byte) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return fmt.Errorf("%w: %w", ErrForm, protowire.ParseError(n))
+		}
+		b = b[n:]
+		var x uint64
+		var text []byte
+		switch typ {
+		case protowire.VarintType:
+			x, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			x, n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			text, n = protowire.ConsumeBytes(b)
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return fmt.Errorf("%w: %w", ErrForm, protowire.ParseError(n))
+		}
+		if err := f(num, x, text); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+func readEnvelope(b []byte) (*envelope, error) {
+	e := &envelope{}
+	err := fields(b, func(num protowire.Number, x uint64, text []byte) error {
+		switch num {
+		case 1:
+			if x > 255 {
+				return fmt.Errorf("%w: kind %d", ErrForm, x)
+			}
+			e.Kind = view.Kind(x)
+		case 2:
+			e.From = view.ID(x)
+		case 3:
+			e.Seq = uint32(x)
+		case 4:
+			e.Target = view.ID(x)
+		case 5:
+			if len(e.Records) >= view.MostRecords {
+				return fmt.Errorf("%w: over %d records", ErrForm, view.MostRecords)
+			}
+			r, err := readRecord(text)
+			if err != nil {
+				return err
+			}
+			e.Records = append(e.Records, r)
+		case 6:
+			return fields(text, func(num protowire.Number, x uint64, _ []byte) error {
+				switch x := int(x & 0xffffff); num {
+				case 1:
+					e.counts.Reachable = x
+				case 2:
+					e.counts.Sending = x
+				case 3:
+					e.counts.Majority = x == 1
+				case 4:
+					e.counts.Alone = x == 1
+				}
+				return nil
+			})
+		}
+		return nil
+	})
+	if err == nil && e.From == 0 && e.Kind != kindShow {
+		err = fmt.Errorf("%w: from nobody", ErrForm)
+	}
+	return e, err
+}
+
+func readRecord(b []byte) (r view.Record, err error) {
+	texts := [...]*string{&r.Name, &r.Addr, &r.Zone, &r.Region, &r.Version}
+	err = fields(b, func(num protowire.Number, x uint64, text []byte) error {
+		switch {
+		case num == 1:
+			r.ID = view.ID(x)
+		case num >= 2 && num <= 6:
+			*texts[num-2] = string(text)
+		case num == 7:
+			r.Inc = uint32(x)
+		case num == 8:
+			r.State = view.State(min(x, 255))
+		case num == 9:
+			r.Draining = x == 1
+		}
+		return nil
+	})
+	if err == nil && !r.Good() {
+		err = fmt.Errorf("%w: a record", ErrForm)
+	}
+	return r, err
+}
+
+// appendFrame puts the length of a sealed message before it, for a stream.
+func appendFrame(dst, sealed []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(dst, uint32(len(sealed))), sealed...)
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,443 @@
+// Package peers joins the fleet's view (package view) to sockets: datagrams for what is small, a stream for a full exchange, on one
+// address. Reading, writing, hashing and coding are done on goroutines off the loop, which post what they make; the view itself is
+// for the loop alone. Without (peers ...) in the operators' settings there is no socket and no goroutine of all this.
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/peers/view"
+)
+
+// Options say how a pooler is a peer.
+type Options struct {
+	Listen    string // host:port, both of them numbers
+	Advertise string // what others are told, Listen where empty
+	Key       Key
+	Record    view.Record // but for the address
+	View      view.Settings
+	Again     bool // the address may still be held by this pooler's last process: it is asked for until it is free
+}
+
+// Loop is where the view lives.
+type Loop interface {
+	Now() float64
+	At(ms float64, do func()) *deadline.Timer
+	Post(f func())
+}
+
+// Events is told what the view comes to, on the loop.
+type Events interface {
+	Fleet(c view.Counts)                              // whenever it differs from before
+	Member(r view.Record, was view.State, isNew bool) // news of a process
+}
+
+// Bounds of what is done at a time for others.
+const (
+	waiting  = 256 // events that wait for the loop
+	outgoing = 512 // datagrams that wait for the socket
+	streams  = 8   // full exchanges of each side at a time
+	streamMs = 1500
+	againMs  = 50
+	leaveMs  = 200 // that the last words may take
+)
+
+// Stats are counts since the start.
+type Stats struct {
+	In, Out          uint64 // datagrams
+	Dropped          uint64 // what came without the key, or could not be read
+	Overrun          uint64 // what came or went when too much waited
+	Exchanges, Fails uint64 // full exchanges that this pooler began, and those of them that failed
+}
+
+// Peers is a pooler as one of a fleet.
+type Peers struct {
+	opt    Options
+	loop   Loop
+	log    *slog.Logger
+	events Events
+	view   *view.View
+	counts view.Counts
+	out    []view.Action
+	local  netip.Addr
+
+	packet  *net.UDPConn
+	listen  *net.TCPListener
+	wg      sync.WaitGroup
+	send    chan datagram
+	written chan struct{} // closed once all that was to be sent has been
+
+	posted   atomic.Int64
+	asking   atomic.Int64
+	in, sent atomic.Uint64
+	dropped  atomic.Uint64
+	overrun  atomic.Uint64
+	traded   atomic.Uint64
+	failed   atomic.Uint64
+	ended    bool // on the loop: nothing is told to the view any more
+}
+
+// datagram is one that goes out; the view's message is not changed any more.
+type datagram struct {
+	to netip.AddrPort
+	m  *view.Message
+}
+
+// New makes a peer; Start begins it.
+func New(l Loop, log *slog.Logger, opt Options, events Events) *Peers {
+	if opt.Advertise == "" {
+		opt.Advertise = opt.Listen
+	}
+	return &Peers{opt: opt, loop: l, log: log, events: events, send: make(chan datagram, outgoing), written: make(chan struct{})}
+}
+
+// Start opens the sockets and begins the view; it runs on the loop.
+func (p *Peers) Start() error {
+	at, err := netip.ParseAddrPort(p.opt.Listen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	p.local = at.Addr()
+	err = p.open()
+	if err != nil && p.opt.Again {
+		p.loop.At(p.loop.Now()+againMs, p.retry)
+		return nil
+	}
+	if err == nil {
+		p.begin()
+	}
+	return err
+}
+
+// retry asks for the address again.
+func (p *Peers) retry() {
+	if p.ended {
+		return
+	}
+	if err := p.open(); err != nil {
+		p.loop.At(p.loop.Now()+againMs, p.retry)
+		return
+	}
+	p.begin()
+}
+
+func (p *Peers) open() error {
+	addr, err := net.ResolveUDPAddr("udp", p.opt.Listen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	packet, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	listen, err := net.ListenTCP("tcp", &net.TCPAddr{IP: addr.IP, Port: addr.Port})
+	if err != nil {
+		return errors.Join(fmt.Errorf("peers: %w", err), packet.Close())
+	}
+	p.packet, p.listen = packet, listen
+	return nil
+}
+
+func (p *Peers) begin() {
+	me := p.opt.Record
+	me.Addr = p.opt.Advertise
+	p.view = view.New(p.opt.View, me, p.loop.Now())
+	p.wg.Add(3)
+	go p.reader()
+	go p.writer()
+	go p.accepter()
+	p.log.Info("peers", "listen", p.opt.Listen, "id", fmt.Sprintf("%x", uint64(me.ID)), "seeds", p.opt.View.Seeds)
+	p.tick()
+}
+
+func (p *Peers) tick() {
+	if p.ended {
+		return
+	}
+	p.do(view.Tick{})
+	p.loop.At(p.view.Next(), p.tick)
+}
+
+// do tells the view and carries out what it asks for.
+func (p *Peers) do(e view.Event) {
+	if p.ended || p.view == nil {
+		return
+	}
+	p.out = p.view.Handle(p.loop.Now(), e, p.out[:0])
+	for i := range p.out {
+		a := &p.out[i]
+		switch a.Kind {
+		case view.Send:
+			p.write(a.Addr, a.Message)
+		case view.Trade:
+			p.trade(a.Addr)
+		case view.Changed:
+			p.log.Info("fleet", "pooler", a.Record.Name, "id", fmt.Sprintf("%x", uint64(a.Record.ID)), "addr", a.Record.Addr, "state", a.Record.State.String(), "inc", a.Record.Inc)
+			p.events.Member(a.Record, a.Was, a.New)
+		case view.Conflict:
+			p.log.Error("fleet", "err", a.Text)
+		}
+	}
+	clear(p.out)
+	if c := p.view.Counts(); c != p.counts {
+		p.counts = c
+		p.events.Fleet(c)
+	}
+}
+
+// Drain tells the others that this pooler takes no more clients, or does again.
+func (p *Peers) Drain(on bool) { p.do(view.Drain{On: on}) }
+
+// Counts are the view's.
+func (p *Peers) Counts() view.Counts { return p.counts }
+
+// Members are all processes that are known; nil before the start.
+func (p *Peers) Members() []view.Record {
+	if p.view == nil {
+		return nil
+	}
+	return p.view.Members()
+}
+
+// Stats are the counts so far.
+func (p *Peers) Stats() Stats {
+	return Stats{In: p.in.Load(), Out: p.sent.Load(), Dropped: p.dropped.Load(), Overrun: p.overrun.Load(), Exchanges: p.traded.Load(), Fails: p.failed.Load()}
+}
+
+// write has a datagram go out, unless too many wait.
+func (p *Peers) write(addr string, m *view.Message) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		p.dropped.Add(1)
+		return
+	}
+	select {
+	case p.send <- datagram{to, m}:
+	default:
+		p.overrun.Add(1)
+	}
+}
+
+func (p *Peers) writer() {
+	defer p.wg.Done()
+	defer close(p.written)
+	var b []byte
+	for d := range p.send {
+		b = p.opt.Key.seal(b[:0], &envelope{Message: *d.m})
+		if _, err := p.packet.WriteToUDPAddrPort(b, d.to); err == nil {
+			p.sent.Add(1)
+		}
+	}
+}
+
+func (p *Peers) reader() {
+	defer p.wg.Done()
+	b := make([]byte, MostDatagram+1)
+	for {
+		n, _, err := p.packet.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue // a refusal of what was sent to one who has gone
+		}
+		if n > MostDatagram {
+			p.dropped.Add(1)
+			continue
+		}
+		e, err := p.opt.Key.open(b[:n])
+		if err != nil || e.Kind > view.Gossip {
+			p.dropped.Add(1)
+			continue
+		}
+		p.in.Add(1)
+		p.post(view.Heard{Message: &e.Message})
+	}
+}
+
+// post tells the view from a goroutine, unless too much waits for the loop.
+func (p *Peers) post(e view.Event) {
+	if p.posted.Add(1) > waiting {
+		p.posted.Add(-1)
+		p.overrun.Add(1)
+		return
+	}
+	p.loop.Post(func() {
+		p.posted.Add(-1)
+		p.do(e)
+	})
+}
+
+// trade begins a full exchange.
+func (p *Peers) trade(addr string) {
+	if p.asking.Add(1) > streams {
+		p.asking.Add(-1)
+		p.overrun.Add(1)
+		return
+	}
+	mine := p.side()
+	p.traded.Add(1)
+	go func() {
+		defer p.asking.Add(-1)
+		e, err := p.exchange(addr, mine)
+		if err != nil {
+			p.failed.Add(1)
+			p.log.Debug("peers: exchange", "addr", addr, "err", err)
+			return
+		}
+		p.post(view.Exchanged{Records: e.Records})
+	}()
+}
+
+// side is this process's side of an exchange; it is made on the loop.
+func (p *Peers) side() *envelope {
+	me := p.view.Self()
+	return &envelope{Message: view.Message{Kind: kindRecords, From: me.ID, Records: p.view.Records()}, counts: p.counts}
+}
+
+func (p *Peers) exchange(addr string, mine *envelope) (*envelope, error) {
+	d := net.Dialer{Timeout: streamMs * time.Millisecond, LocalAddr: &net.TCPAddr{IP: p.local.AsSlice()}}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Close() }()
+	return Call(c, p.opt.Key, mine)
+}
+
+// Call has one side of an exchange over a connection that is up.
+func Call(c net.Conn, key Key, mine *envelope) (*envelope, error) {
+	_ = c.SetDeadline(time.Now().Add(streamMs * time.Millisecond))
+	if _, err := c.Write(appendFrame(nil, key.seal(nil, mine))); err != nil {
+		return nil, err
+	}
+	return readFrame(c, key)
+}
+
+// readFrame reads one sealed message of a stream. Nothing is set aside for what a length promises before it has come.
+func readFrame(c io.Reader, key Key) (*envelope, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(c, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MostStream {
+		return nil, fmt.Errorf("%w: %d bytes", ErrForm, n)
+	}
+	b, err := io.ReadAll(io.LimitReader(c, int64(n)))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) < int(n) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return key.open(b)
+}
+
+func (p *Peers) accepter() {
+	defer p.wg.Done()
+	room := make(chan struct{}, streams)
+	for {
+		c, err := p.listen.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(againMs * time.Millisecond) // no descriptor
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			p.overrun.Add(1)
+			_ = c.Close()
+			continue
+		}
+		go func() {
+			defer func() { _ = c.Close(); <-room }()
+			p.answer(c)
+		}()
+	}
+}
+
+// answer has the other side of an exchange.
+func (p *Peers) answer(c net.Conn) {
+	_ = c.SetDeadline(time.Now().Add(streamMs * time.Millisecond))
+	e, err := readFrame(c, p.opt.Key)
+	if err != nil || e.Kind != kindRecords && e.Kind != kindShow {
+		p.dropped.Add(1)
+		return
+	}
+	got := make(chan *envelope, 1)
+	if p.posted.Add(1) > waiting {
+		p.posted.Add(-1)
+		p.overrun.Add(1)
+		return
+	}
+	p.loop.Post(func() {
+		p.posted.Add(-1)
+		if p.ended {
+			close(got)
+			return
+		}
+		mine := p.side()
+		if e.Kind == kindRecords {
+			p.do(view.Exchanged{Records: e.Records})
+		}
+		got <- mine
+	})
+	select {
+	case mine := <-got:
+		if mine != nil {
+			_, _ = c.Write(appendFrame(nil, p.opt.Key.seal(nil, mine)))
+		}
+	case <-time.After(streamMs * time.Millisecond):
+	}
+}
+
+// Leave tells the others that this process ends, and gives the address up; quietly where another of this pooler's processes goes
+// on in its place. It runs on the loop, and nothing comes of the view afterwards.
+func (p *Peers) Leave(quietly bool) {
+	if p.ended {
+		return
+	}
+	if !quietly {
+		p.do(view.Leave{})
+	}
+	p.ended = true
+	if p.view == nil {
+		return
+	}
+	close(p.send) // the writer sends what waits, then ends
+	select {
+	case <-p.written:
+	case <-time.After(leaveMs * time.Millisecond):
+	}
+	_ = p.packet.Close()
+	_ = p.listen.Close()
+	p.wg.Wait()
+}
+
+// Show asks a pooler for all that it knows.
+func Show(addr string, key Key) ([]view.Record, view.Counts, error) {
+	c, err := net.DialTimeout("tcp", addr, streamMs*time.Millisecond)
+	if err != nil {
+		return nil, view.Counts{}, err
+	}
+	defer func() { _ = c.Close() }()
+	e, err := Call(c, key, &envelope{Message: view.Message{Kind: kindShow}})
+	if err != nil {
+		return nil, view.Counts{}, err
+	}
+	return e.Records, e.counts, nil
+}
