Have the check on sockets hear that a drain is over while the list is gone

The records of the wires and the poolers' logs: the list was gone when it was to say so, all watches had ended, and the sends begin in the moment in which the watches are back and bring the news. Ruled out: the poolers, which sent nothing before they were told. At fault: fleet.Listed, which told the checker of no news while nobody watched, so that one never counted. A drain's end counts now as soon as the list has it. What is left unchecked on sockets: a drain that begins while the list is gone; virtual time has it.

--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -164,12 +164,15 @@
 // Listed is world.Watcher's.
 func (f *Fleet) Listed(e *world.Entry, at float64) {
 	s := f.servers[e.Server.No]
-	if e.Lifecycle == "draining" && !f.world.List.Gone && len(f.dir.watchers) > 0 {
-		s.drainTold = at
-	} else if e.Lifecycle == "up" {
+	// That a drain is over counts as soon as the list has it: whoever comes back to a list that nobody could be told of is told.
+	heard := !f.world.List.Gone && len(f.dir.watchers) > 0
+	switch {
+	case e.Lifecycle == "up":
 		s.drainTold = 0
+	case e.Lifecycle == "draining" && heard:
+		s.drainTold = at
 	}
-	if f.watcher != nil && !f.world.List.Gone && len(f.dir.watchers) > 0 && e.Lifecycle != "removed" {
+	if f.watcher != nil && (heard && e.Lifecycle == "draining" || e.Lifecycle == "up") {
 		f.watcher.Listed(s.No, e.Lifecycle, at)
 	}
 	f.dir.wakeAll()
