Hold the peers to strangers, upgrades and being off, and show views side by side

Need: what the view's issue asks of the sockets' side. Change: beechgrade-kit peers asks poolers over the fleet's own stream and lays their views side by side, differences first.

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -86,6 +86,7 @@
 			journalCommand(asJSON),
 			storeCommand(asJSON),
 			membersCommand(asJSON),
+			peersCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
 			{
--- /dev/null
+++ b/cmd/beechgrade-kit/peers.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/urfave/cli/v3"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers"
+	fleetview "beechgrade/internal/peers/view"
+)
+
+func peersCommand(asJSON func() cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: "peers", Usage: "ask poolers for their views of the fleet, and lay them side by side, differences first", ArgsUsage: "ADDRESS:PORT...", Action: showPeers,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "key", Usage: "the `FILE` that holds the fleet's key", Required: true},
+			&cli.BoolFlag{Name: "all", Usage: "ask everybody who is named in the views, too"},
+			asJSON(),
+		},
+	}
+}
+
+// asked is what one pooler said, or why it did not.
+type asked struct {
+	Addr    string             `json:"addr"`
+	Name    string             `json:"name,omitempty"`
+	Err     string             `json:"error,omitempty"`
+	Counts  fleetview.Counts   `json:"counts"`
+	Records []fleetview.Record `json:"records"`
+}
+
+// askPeers asks poolers side by side.
+func askPeers(addrs []string, key peers.Key) []*asked {
+	out := make([]*asked, len(addrs))
+	var wg sync.WaitGroup
+	for i, a := range addrs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			out[i] = &asked{Addr: a}
+			records, counts, err := peers.Show(a, key)
+			if err != nil {
+				out[i].Err = err.Error()
+				return
+			}
+			if len(records) > 0 {
+				out[i].Name = records[0].Name
+			}
+			out[i].Records, out[i].Counts = records, counts
+		}()
+	}
+	wg.Wait()
+	return out
+}
+
+func showPeers(_ context.Context, c *cli.Command) error {
+	addrs := c.Args().Slice()
+	if len(addrs) == 0 {
+		return errors.New("peers: at least one ADDRESS:PORT is due")
+	}
+	key, err := operate.ReadKey(c.String("key"))
+	if err != nil {
+		return err
+	}
+	views := askPeers(addrs, key)
+	if c.Bool("all") {
+		var more []string
+		for _, v := range views {
+			for _, r := range v.Records {
+				known := slices.ContainsFunc(views, func(o *asked) bool { return o.Addr == r.Addr || len(o.Records) > 0 && o.Records[0].ID == r.ID })
+				if !known && r.State <= fleetview.Suspect && !slices.Contains(more, r.Addr) {
+					more = append(more, r.Addr)
+				}
+			}
+		}
+		views = append(views, askPeers(more, key)...)
+	}
+	if c.Bool("json") {
+		e := jsoniter.NewEncoder(c.Root().Writer)
+		e.SetIndent("", "  ")
+		return e.Encode(views)
+	}
+	return peersText(c.Root().Writer, views)
+}
+
+// peersText lays views side by side: a line for each process, first those on which the poolers differ.
+func peersText(w io.Writer, views []*asked) error {
+	type line struct {
+		fleetview.Record
+		says   []string
+		differ bool
+	}
+	lines := map[fleetview.ID]*line{}
+	heard := 0
+	for _, v := range views {
+		if v.Err != "" {
+			fmt.Fprintf(w, "%s does not answer: %s\n", v.Addr, v.Err)
+			continue
+		}
+		heard++
+		for _, r := range v.Records {
+			l := lines[r.ID]
+			if l == nil {
+				l = &line{Record: r}
+				lines[r.ID] = l
+			}
+			if r.Inc > l.Inc {
+				l.Record = r
+			}
+		}
+	}
+	var order []*line
+	for id, l := range lines {
+		for _, v := range views {
+			if v.Err != "" {
+				continue
+			}
+			i := slices.IndexFunc(v.Records, func(r fleetview.Record) bool { return r.ID == id })
+			says := "-"
+			if i >= 0 {
+				if says = v.Records[i].State.String(); v.Records[i].Draining {
+					says += ", drains"
+				}
+			}
+			l.says = append(l.says, says)
+			l.differ = l.differ || says != l.says[0]
+		}
+		order = append(order, l)
+	}
+	slices.SortFunc(order, func(a, b *line) int {
+		return cmp.Or(boolFirst(a.differ, b.differ), cmp.Compare(a.Name, b.Name), cmp.Compare(a.ID, b.ID))
+	})
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	head := []string{"", "process", "pooler", "zone", "address", "incarnation"}
+	for _, v := range views {
+		if v.Err == "" {
+			head = append(head, "by "+v.Name)
+		}
+	}
+	fmt.Fprintln(t, strings.Join(head, "\t"))
+	for _, l := range order {
+		mark := ""
+		if l.differ {
+			mark = "!"
+		}
+		fmt.Fprintf(t, "%s\t%x\t%s\t%s\t%s\t%d\t%s\n", mark, uint64(l.ID), l.Name, l.Zone, l.Addr, l.Inc, strings.Join(l.says, "\t"))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, v := range views {
+		if v.Err == "" {
+			fmt.Fprintf(w, "%s reaches %d, counts %d that may be sending, %s%s\n", v.Name, v.Counts.Reachable, v.Counts.Sending,
+				map[bool]string{true: "sees a majority", false: "sees no majority"}[v.Counts.Majority], map[bool]string{true: ", hears nobody"}[v.Counts.Alone])
+		}
+	}
+	if heard == 0 {
+		return failed{errors.New("nobody answers")}
+	}
+	return nil
+}
+
+func boolFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/cmd/beechgrade/peers_test.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"beechgrade/internal/lifecycle"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/view"
+)
+
+// peerSettings are those of a peer on loopback, with the key in a file.
+func peerSettings(t *testing.T, seeds ...string) operate.Peers {
+	t.Helper()
+	key := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(key, []byte("the key of a fleet in tests\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	v := view.Defaults()
+	v.Probe, v.Timeout, v.Suspicion, v.Reconnect, v.Seeds = 300, 100, 900, 200, seeds
+	return operate.Peers{On: true, Listen: freeBoth(t), KeyFile: key, View: v}
+}
+
+// freeBoth is an address that is free for datagrams and streams.
+func freeBoth(t *testing.T) string {
+	t.Helper()
+	for range 50 {
+		l := listen(t)
+		at := l.Addr().String()
+		p, err := net.ListenPacket("udp", at)
+		_ = l.Close()
+		if err == nil {
+			_ = p.Close()
+			return at
+		}
+	}
+	t.Fatal("no port is free for both")
+	return ""
+}
+
+// peerOf runs a pooler as a peer before a server.
+func peerOf(t *testing.T, name, srv string, set operate.Peers) (p *pooler, addr string) {
+	t.Helper()
+	cfg := testConfig(t, srv, nil)
+	cfg.Name = name
+	p = newPooler(cfg, slog.New(slog.DiscardHandler))
+	if err := p.usePeers(set); err != nil {
+		t.Fatal(err)
+	}
+	addr, _, _, _ = launch(t, p)
+	return p, addr
+}
+
+// fleetOf is what a pooler takes the fleet for.
+func fleetOf(p *pooler) (s string, c view.Counts) {
+	done := make(chan struct{})
+	p.loop.Post(func() {
+		defer close(done)
+		c = p.peers.Counts()
+		for _, r := range p.peers.Members() {
+			s += fmt.Sprintf("%s %s; ", r.Name, r.State)
+		}
+	})
+	<-done
+	return s, c
+}
+
+func untilFleet(t *testing.T, p *pooler, what string, ok func(s string, c view.Counts) bool) {
+	t.Helper()
+	var s string
+	var c view.Counts
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if s, c = fleetOf(p); ok(s, c) {
+			return
+		}
+	}
+	t.Fatalf("%s: it never came to that: %s%+v", what, s, c)
+}
+
+// TestNoPeers: where the settings have no (peers ...), as in the line 'run', nothing of it is made: no socket, no goroutine, no figure.
+func TestNoPeers(t *testing.T) {
+	set, err := operate.Load(filepath.Join("..", "..", "deploy", "operators.sexp"), func(string) string { return t.TempDir() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, queries := server(t)
+	before, _ := filepath.Glob("/proc/self/fd/*")
+	p := newPooler(testConfig(t, addr, nil), slog.New(slog.DiscardHandler))
+	if err := p.usePeers(set.Peers); err != nil || p.peers != nil {
+		t.Fatalf("made %v, %v", p.peers, err)
+	}
+	pooler, _, _, _ := launch(t, p)
+	c := client(t, pooler)
+	c.send(query("1", "read", 9000))
+	next(t, queries).send(row("v"))
+	c.want("TDCZ v")
+	stacks := make([]byte, 1<<20)
+	if all := string(stacks[:runtime.Stack(stacks, true)]); strings.Contains(all, "beechgrade/internal/peers") {
+		t.Error("a goroutine of the peers runs")
+	}
+	after, _ := filepath.Glob("/proc/self/fd/*")
+	for _, f := range after {
+		if at, err := os.Readlink(f); err == nil && strings.HasPrefix(at, "socket:") && isUDP(at) && len(after) > len(before) {
+			t.Errorf("there is a socket for datagrams: %s", at)
+		}
+	}
+	if got := string(p.appendPeers(nil)); got != "" {
+		t.Errorf("figures %q", got)
+	}
+	if n := testing.AllocsPerRun(100, func() { p.appendPeers(nil) }); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
+// isUDP tells whether a socket, named as in /proc/self/fd, is one for datagrams.
+func isUDP(name string) bool {
+	inode := strings.TrimSuffix(strings.TrimPrefix(name, "socket:["), "]")
+	b, err := os.ReadFile("/proc/self/net/udp")
+	if err != nil {
+		return false
+	}
+	for l := range strings.Lines(string(b)) {
+		if f := strings.Fields(l); len(f) > 9 && f[9] == inode {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPeersStrangers: 100,000 packets that are forged, torn or random, or that one who has no key sends again, are dropped and
+// counted; the view does not change, memory stays bounded, and requests go on.
+func TestPeersStrangers(t *testing.T) {
+	srv, queries := server(t)
+	a := peerSettings(t)
+	b := peerSettings(t, a.Listen)
+	b.KeyFile = a.KeyFile
+	one, addr := peerOf(t, "one", srv, a)
+	two, _ := peerOf(t, "two", srv, b)
+	both := func(_ string, c view.Counts) bool { return c.Reachable == 2 }
+	untilFleet(t, one, "both are there", both)
+	untilFleet(t, two, "both are there", both)
+	key, err := a.Key()
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged := peers.Key("a key that is none").Datagram(&view.Message{Kind: view.Gossip, From: 99, Records: []view.Record{{ID: 98, Name: "forged", Addr: "127.0.0.1:9"}}})
+	good := key.Datagram(&view.Message{Kind: view.Ping, From: 97, Seq: 1, Target: 1})
+	out, err := net.Dial("udp", a.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = out.Close() }()
+	rng := rand.New(rand.NewPCG(1, 2))
+	noise := make([]byte, 1600)
+	for i := range noise {
+		noise[i] = byte(rng.Uint32())
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	c := client(t, addr)
+	asked := 0
+	for i := range 100000 {
+		switch i % 4 {
+		case 0:
+			_, _ = out.Write(forged)
+		case 1:
+			_, _ = out.Write(good[:rng.IntN(len(good))])
+		case 2:
+			_, _ = out.Write(noise[:rng.IntN(len(noise))])
+		default:
+			x := append([]byte(nil), good...)
+			x[rng.IntN(len(x))] ^= 1 << rng.IntN(8)
+			_, _ = out.Write(x)
+		}
+		if i%5000 == 0 {
+			c.send(query(fmt.Sprint(i), "read", 9000))
+			next(t, queries).send(row("v"))
+			c.want("TDCZ v")
+			asked++
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if after.HeapAlloc > before.HeapAlloc+32<<20 {
+		t.Errorf("memory grew from %d to %d", before.HeapAlloc, after.HeapAlloc)
+	}
+	if s, c := fleetOf(one); strings.Contains(s, "forged") || c.Sending != 2 {
+		t.Errorf("its fleet is %s%+v", s, c)
+	}
+	if st := one.peers.Stats(); st.Dropped < 20000 { // the kernel may have dropped many itself
+		t.Errorf("%+v", st)
+	}
+	if asked != 20 {
+		t.Errorf("%d requests were served", asked)
+	}
+}
+
+// TestPeersUpgrade: two processes on one given socket are one pooler: the next takes the address over when the old one hands over, and
+// the others neither suspect it nor count two.
+func TestPeersUpgrade(t *testing.T) {
+	srv, _ := server(t)
+	a := peerSettings(t)
+	b := peerSettings(t, a.Listen)
+	b.KeyFile = a.KeyFile
+	other, _ := peerOf(t, "other", srv, a)
+	ln := listen(t).(*net.TCPListener)
+	process := func() *pooler {
+		cfg := testConfig(t, srv, nil)
+		cfg.Name = "upgraded"
+		p := newPooler(cfg, slog.New(slog.DiscardHandler))
+		give(t, p, ln)
+		if err := p.usePeers(b); err != nil {
+			t.Fatal(err)
+		}
+		launch(t, p)
+		return p
+	}
+	old := process()
+	there := func(_ string, c view.Counts) bool { return c.Reachable == 2 && c.Sending == 2 }
+	untilFleet(t, other, "the old one is there", there)
+	next := process()
+	time.Sleep(200 * time.Millisecond) // both run, the old one in the fleet
+	if s, c := fleetOf(other); !there(s, c) {
+		t.Fatalf("while both run: %s%+v", s, c)
+	}
+	stop := time.Now().Add(3 * time.Second)
+	old.loop.Post(func() { old.live(lifecycle.Term) })
+	taken := false
+	for time.Now().Before(stop) {
+		s, c := fleetOf(other)
+		if strings.Contains(s, "upgraded failed") || strings.Contains(s, "upgraded suspect") || c.Sending != 2 {
+			t.Fatalf("as the next one takes over: %s%+v", s, c)
+		}
+		taken = taken || strings.Contains(s, "upgraded left") && strings.Contains(s, "upgraded alive")
+		time.Sleep(5 * time.Millisecond)
+	}
+	if !taken {
+		s, c := fleetOf(other)
+		t.Errorf("the next one never took over: %s%+v", s, c)
+	}
+	untilFleet(t, next, "it knows the other", there)
+}
--- a/internal/peers/form.go
+++ b/internal/peers/form.go
@@ -58,7 +58,7 @@
 	counts view.Counts
 }
 
-// Seal appends a message as it goes out.
+// seal appends a message as it goes out.
 func (k Key) seal(dst []byte, e *envelope) []byte {
 	from := len(dst)
 	dst = append(append(dst, mark...), make([]byte, hashSize)...)
@@ -67,6 +67,9 @@
 	return dst
 }
 
+// Datagram is a message as it goes out.
+func (k Key) Datagram(m *view.Message) []byte { return k.seal(nil, &envelope{Message: *m}) }
+
 // open reads a message that came.
 func (k Key) open(b []byte) (*envelope, error) {
 	if len(b) < headSize || string(b[:len(mark)]) != mark {
--- /dev/null
+++ b/internal/peers/form_test.go
@@ -0,0 +1,98 @@
+package peers
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/peers/view"
+	"beechgrade/internal/steady"
+)
+
+var testKey = Key("a key of a fleet, for tests")
+
+// TestForm: whatever a pooler can say comes out as it went in, and not where a byte of it was changed, or the key is another.
+func TestForm(t *testing.T) {
+	text := rapid.StringN(0, 20, view.MostName)
+	steady.Check(t, func(t *rapid.T) {
+		in := &envelope{Message: view.Message{Kind: view.Kind(rapid.IntRange(0, 20).Draw(t, "kind")), From: view.ID(rapid.Uint64Min(1).Draw(t, "from")),
+			Seq: rapid.Uint32().Draw(t, "seq"), Target: view.ID(rapid.Uint64().Draw(t, "target"))}}
+		for range rapid.IntRange(0, 5).Draw(t, "records") {
+			in.Records = append(in.Records, view.Record{ID: view.ID(rapid.Uint64Min(1).Draw(t, "id")), Name: "n", Addr: "1.2.3.4:5", Zone: text.Draw(t, "zone"),
+				Version: text.Draw(t, "version"), Inc: rapid.Uint32().Draw(t, "inc"), State: view.State(rapid.IntRange(0, 3).Draw(t, "state")), Draining: rapid.Bool().Draw(t, "draining")})
+		}
+		if rapid.Bool().Draw(t, "counts") {
+			in.counts = view.Counts{Reachable: 3, Sending: rapid.IntRange(1, 2000).Draw(t, "sending"), Majority: rapid.Bool().Draw(t, "majority")}
+		}
+		b := testKey.seal(nil, in)
+		out, err := testKey.open(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(in, out, cmp.AllowUnexported(envelope{}), cmpopts.EquateEmpty()); diff != "" {
+			t.Fatal(diff)
+		}
+		if _, err := Key("another key of a fleet").open(b); !errors.Is(err, ErrKey) {
+			t.Fatalf("with another key: %v", err)
+		}
+		b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		if _, err := testKey.open(b); !errors.Is(err, ErrKey) {
+			t.Fatalf("with a byte changed: %v", err)
+		}
+	})
+}
+
+// TestFieldsToCome: a later version's fields are skipped.
+func TestFieldsToCome(t *testing.T) {
+	in := &envelope{Message: view.Message{Kind: view.Gossip, From: 7, Records: []view.Record{{ID: 9, Name: "n", Addr: "a"}}}}
+	body := appendText(appendUint(appendEnvelope(nil, in), 99, 5), 77, "news of a later version")
+	out, err := readEnvelope(body)
+	if err != nil || len(out.Records) != 1 || out.From != 7 {
+		t.Errorf("%+v, %v", out, err)
+	}
+}
+
+// FuzzOpen: what strangers send, and what one who has the key may send wrongly, is turned down or taken, and no more.
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte("bgp1"), true)
+	f.Add(appendEnvelope(nil, &envelope{Message: view.Message{Kind: view.Ping, From: 1, Records: []view.Record{{ID: 9, Name: "n", Addr: "a"}}}}), true)
+	f.Add(testKey.seal(nil, &envelope{Message: view.Message{From: 1}}), false)
+	f.Fuzz(func(t *testing.T, b []byte, sealed bool) {
+		if sealed {
+			b = append(append([]byte(mark), testKey.hash(b)...), b...)
+		}
+		e, err := testKey.open(b)
+		if err != nil {
+			return
+		}
+		for i := range e.Records {
+			if !e.Records[i].Good() {
+				t.Fatalf("taken: %+v", e.Records[i])
+			}
+		}
+		again, err := testKey.open(testKey.seal(nil, e))
+		if err != nil || !cmp.Equal(e, again, cmp.AllowUnexported(envelope{}), cmpopts.EquateEmpty()) {
+			t.Fatalf("%+v came back as %+v, %v", e, again, err)
+		}
+	})
+}
+
+// TestFrame: a stream's message is read whole or not at all, and no length has memory set aside for what does not come.
+func TestFrame(t *testing.T) {
+	b := appendFrame(nil, testKey.seal(nil, &envelope{Message: view.Message{Kind: kindShow}}))
+	if e, err := readFrame(bytes.NewReader(b), testKey); err != nil || e.Kind != kindShow {
+		t.Fatalf("%+v, %v", e, err)
+	}
+	for cut := range b {
+		if _, err := readFrame(bytes.NewReader(b[:cut]), testKey); err == nil {
+			t.Errorf("cut at %d it was taken", cut)
+		}
+	}
+	if _, err := readFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff, 1}), testKey); !errors.Is(err, ErrForm) {
+		t.Error(err)
+	}
+}
--- a/internal/peers/view/view.go
+++ b/internal/peers/view/view.go
@@ -26,8 +26,9 @@
 	out   []Action
 	self  *member
 	all   map[ID]*member
-	ring  []*member // alive and suspect ones, this process included, by their place
-	lost  []*member // failed ones, to be sought in turn
+	holds map[string]*member // by address: the youngest that was heard of there
+	ring  []*member          // alive and suspect ones, this process included, by their place
+	lost  []*member          // failed ones, to be sought in turn
 	news  []*news
 	tries map[uint32]*try
 	order []uint32 // of tries, the oldest first
@@ -47,6 +48,11 @@
 	ackFrom   ID
 	ackOther  float64 // ...and somebody other than that one
 	tradedAt  map[ID]float64
+	suspects  int
+	forgetAt  float64
+	counts    Counts
+	countedAt float64
+	stale     bool // counts have to be made anew
 	settled   bool // somebody has been heard
 	left      bool
 	stranger  int // records that could not be taken
@@ -81,10 +87,10 @@
 
 // New makes the view of a process that knows nobody.
 func New(set Settings, me Record, now float64) *View {
-	v := &View{set: set, rng: rand.New(rand.NewPCG(set.Seed, uint64(me.ID))), now: now, all: map[ID]*member{}, tries: map[uint32]*try{}, tradedAt: map[ID]float64{}}
+	v := &View{set: set, rng: rand.New(rand.NewPCG(set.Seed, uint64(me.ID))), now: now, all: map[ID]*member{}, holds: map[string]*member{}, tries: map[uint32]*try{}, tradedAt: map[ID]float64{}}
 	me.State = Alive
 	v.self = &member{Record: me, place: place(me.ID)}
-	v.all[me.ID] = v.self
+	v.all[me.ID], v.holds[me.Addr] = v.self, v.self
 	v.ring = []*member{v.self}
 	v.began, v.tickAt = now, now
 	v.probeAt = now + set.Probe*v.rng.Float64()
@@ -363,6 +369,7 @@
 func (v *View) silent(t *try) {
 	m := t.m
 	m.missed++
+	v.stale = true
 	if m.State == Alive && v.hears(m, t.at) {
 		r := m.Record
 		r.State = Suspect
@@ -372,6 +379,9 @@
 
 // suspicions have those fail that did not refute theirs in time.
 func (v *View) suspicions() {
+	if v.suspects == 0 {
+		return
+	}
 	lately := v.now - v.set.Probe - 2*v.set.Timeout - 2*v.set.Step
 	for _, m := range slices.Clone(v.ring) {
 		if m.State == Suspect && v.now >= m.deadline && v.hears(m, lately) {
@@ -433,7 +443,9 @@
 		return
 	}
 	delete(v.tries, x.Seq)
-	t.m.missed = 0
+	if t.m.missed > 0 {
+		t.m.missed, v.stale = 0, true
+	}
 	if t.helped != 0 {
 		if h := v.all[t.helped]; h != nil {
 			v.send(h, &Message{Kind: Ack, Seq: t.seq, Target: t.m.ID})
@@ -502,11 +514,15 @@
 		return
 	}
 	was := m.State
-	m.Record = *r
+	if !fresh && was == Suspect {
+		v.suspects--
+	}
+	m.Record, v.stale = *r, true
 	switch m.State {
 	case Alive:
 		m.missed, m.goneAt = 0, 0
 	case Suspect:
+		v.suspects++
 		m.deadline = v.now + v.set.Suspicion
 	default:
 		if m.goneAt == 0 {
@@ -543,21 +559,25 @@
 
 // displace has an older process leave whose name and address a younger one has: only one can hold the address.
 func (v *View) displace(m *member) {
-	for _, o := range v.members() {
-		if o != m && o.Name == m.Name && o.Addr == m.Addr && o.State != Left {
-			old, young := o, m
-			if old.ID > young.ID {
-				old, young = young, old
-			}
-			if old == v.self { // its own time has gone: it should have ended
-				v.act(Action{Kind: Conflict, Text: fmt.Sprintf("process %x has taken the name %q and the address %s of this one", young.ID, young.Name, young.Addr)})
-				continue
-			}
-			r := old.Record
-			r.State = Left
-			v.take(&r)
+	o := v.holds[m.Addr]
+	if o == nil || o == m || o.State == Left || o.Name != m.Name {
+		if o == nil || o.ID < m.ID {
+			v.holds[m.Addr] = m
 		}
+		return
 	}
+	old, young := o, m
+	if old.ID > young.ID {
+		old, young = young, old
+	}
+	v.holds[m.Addr] = young
+	if old == v.self { // its own time has gone: it should have ended
+		v.act(Action{Kind: Conflict, Text: fmt.Sprintf("process %x has taken the name %q and the address %s of this one", young.ID, young.Name, young.Addr)})
+		return
+	}
+	r := old.Record
+	r.State = Left
+	v.take(&r)
 }
 
 // giveWay settles who keeps a name that two processes have at different addresses, each of which runs: the older one.
@@ -594,10 +614,18 @@
 
 // forget drops what has been gone for long.
 func (v *View) forget() {
+	if v.now < v.forgetAt {
+		return
+	}
+	v.forgetAt = v.now + v.set.Reconnect
 	for _, m := range v.all {
 		if m.State >= Failed && v.now-m.goneAt >= v.set.Forget {
 			delete(v.all, m.ID)
 			delete(v.tradedAt, m.ID)
+			if v.holds[m.Addr] == m {
+				delete(v.holds, m.Addr)
+			}
+			v.stale = true
 			if i := slices.Index(v.lost, m); i >= 0 {
 				v.lost = slices.Delete(v.lost, i, i+1)
 			}
@@ -606,8 +634,14 @@
 	}
 }
 
+// countEvery is how old counts may be that only time can have changed, in ms.
+const countEvery = 250
+
 // Counts are what the view comes to now.
 func (v *View) Counts() Counts {
+	if !v.stale && v.now-v.countedAt < countEvery {
+		return v.counts
+	}
 	c := Counts{Reachable: 1, Sending: 1, Alone: v.alone() && len(v.all) > 1}
 	for _, m := range v.all {
 		switch {
@@ -628,6 +662,7 @@
 	if !c.Majority || v.now-v.began < v.set.Hold {
 		c.Sending = there
 	}
+	v.counts, v.countedAt, v.stale = c, v.now, false
 	return c
 }
 
