Explore all that can befall three views, with every loss, delay, repetition and crash

Need: a protocol between poolers is to be gone through exhaustively at small size. Three views that know one another, at each step each message may arrive, be lost, be doubled, or come three steps late, and processes crash and start again, as often as a search allows. Held: no process takes itself for gone, invents another's incarnation, takes one back, or comes back from the dead without a later word of its own. Bounds: 110 steps, over two rounds of probes and a suspicion; random choices follow each process's own numbers and are not branched on.

--- /dev/null
+++ b/internal/kit/explore/explore_test.go
@@ -0,0 +1,77 @@
+package explore
+
+import (
+	"testing"
+
+	"beechgrade/internal/peers/view"
+)
+
+// steps is how far the searches go: over two rounds of probes, a suspicion and its end.
+const steps = 110
+
+// search goes through three views that know one another, with what may go wrong.
+func search(t *testing.T, wrong Views, mutant func(i int, e view.Event) view.Event) *Result {
+	t.Helper()
+	s := NewViews(3)
+	if err := s.settle(25); err != nil {
+		t.Fatal(err)
+	}
+	s.Lose, s.Double, s.Late, s.Crash, s.Restart, s.Break = wrong.Lose, wrong.Double, wrong.Late, wrong.Crash, wrong.Restart, mutant
+	return Run(s, Bounds{Depth: steps, States: 400000})
+}
+
+// TestViews: wherever one message is lost, late or doubled, and one process crashes and starts again, within the search's bounds: no
+// process takes itself for gone, none invents another's incarnation or takes one back, and none comes back from the dead without a
+// later word of its own.
+func TestViews(t *testing.T) {
+	for name, wrong := range map[string]Views{"lost, crash, restart": {Lose: 1, Crash: 1, Restart: 1}, "late, crash": {Late: 1, Crash: 1},
+		"lost, late, doubled": {Lose: 1, Late: 1, Double: 1}, "three lost": {Lose: 3}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := search(t, wrong, nil)
+			if r.Err != nil {
+				t.Errorf("%v\n%v", r.Err, r.Trace)
+			}
+			t.Logf("%d states, %d steps, up to %d deep, whole %v", r.States, r.Steps, r.Depth, r.Whole)
+			if !r.Whole || r.States < 1000 {
+				t.Errorf("%d states, up to %d deep, whole %v", r.States, r.Depth, r.Whole)
+			}
+		})
+	}
+}
+
+// TestViewMutants: who answers for another, by raising that one's incarnation, and who takes an old word for a new one, are found.
+func TestViewMutants(t *testing.T) {
+	change := func(by func(r *view.Record)) func(i int, e view.Event) view.Event {
+		return func(i int, e view.Event) view.Event {
+			h, ok := e.(view.Heard)
+			if !ok || i != 0 {
+				return e
+			}
+			m := *h.Message
+			m.Records = nil
+			for _, r := range h.Message.Records {
+				by(&r)
+				m.Records = append(m.Records, r)
+			}
+			return view.Heard{Message: &m}
+		}
+	}
+	for name, m := range map[string]func(i int, e view.Event) view.Event{
+		"answers for another": change(func(r *view.Record) {
+			if r.State == view.Suspect {
+				r.State, r.Inc = view.Alive, r.Inc+1
+			}
+		}),
+		"ages every word": change(func(r *view.Record) { r.Inc++ }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if r := search(t, Views{Lose: 1, Crash: 1}, m); r.Err == nil {
+				t.Errorf("not found in %d states, %d deep", r.States, r.Depth)
+			} else {
+				t.Logf("%v after %d states, %d deep", r.Err, r.States, r.Depth)
+			}
+		})
+	}
+}
--- a/internal/peers/view/view.go
+++ b/internal/peers/view/view.go
@@ -21,6 +21,7 @@
 // View is one process's. It is not safe for concurrent use.
 type View struct {
 	set   Settings
+	pcg   *rand.PCG
 	rng   *rand.Rand
 	now   float64
 	out   []Action
@@ -87,7 +88,8 @@
 
 // New makes the view of a process that knows nobody.
 func New(set Settings, me Record, now float64) *View {
-	v := &View{set: set, rng: rand.New(rand.NewPCG(set.Seed, uint64(me.ID))), now: now, all: map[ID]*member{}, holds: map[string]*member{}, tries: map[uint32]*try{}, tradedAt: map[ID]float64{}}
+	pcg := rand.NewPCG(set.Seed, uint64(me.ID))
+	v := &View{set: set, pcg: pcg, rng: rand.New(pcg), now: now, all: map[ID]*member{}, holds: map[string]*member{}, tries: map[uint32]*try{}, tradedAt: map[ID]float64{}}
 	me.State = Alive
 	v.self = &member{Record: me, place: place(me.ID)}
 	v.all[me.ID], v.holds[me.Addr] = v.self, v.self
