--- a/cmd/beechgrade-kit/agree.go
+++ b/cmd/beechgrade-kit/agree.go
@@ -30,6 +30,8 @@
 
 	VirtualRules map[check.Rule]int `json:"virtual_rules_broken,omitempty"`
 	SocketRules  map[check.Rule]int `json:"socket_rules_broken,omitempty"`
+	VirtualViews *emulate.Views     `json:"virtual_views,omitempty"`
+	SocketViews  *rehearse.Fleet    `json:"socket_views,omitempty"`
 }
 
 // agree plays scenarios in virtual time and on sockets with the same seed, and holds the two against each other.
@@ -70,7 +72,7 @@
 				errs[i] = fmt.Errorf("%s: %w", path, err)
 				return
 			}
-			rows[i] = agreement{Scenario: name, Virtual: v.Score, Sockets: r.Score, VirtualRules: v.Verdict.Broken, SocketRules: r.Rules.Broken}
+			rows[i] = agreement{Scenario: name, Virtual: v.Score, Sockets: r.Score, VirtualRules: v.Verdict.Broken, SocketRules: r.Rules.Broken, VirtualViews: v.Views, SocketViews: r.Fleet}
 			if !c.Bool("json") {
 				fmt.Fprintf(os.Stderr, "%s\n", name)
 			}
@@ -109,5 +111,15 @@
 		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%+.4f\t%.3f\t%.3f\t%+.3f\t%.4f\t%.4f\t%+.4f\n", r.Scenario, v.Ratio, s.Ratio, d[0], v.Worst, s.Worst, d[1], v.Goal, s.Goal, d[2])
 	}
 	fmt.Fprintf(t, "mean distance\t\t\t%.4f\t\t\t%.3f\t\t\t%.4f\n", sum[0], sum[1], sum[2])
+	for _, r := range rows {
+		if v, s := r.VirtualViews, r.SocketViews; v != nil && s != nil {
+			a, b := quantiles(v.Detected), quantiles(s.Views.Detected)
+			c, d := quantiles(v.Settled), quantiles(s.Views.Settled)
+			fmt.Fprintf(t, "\nviews of %s\tvirtual\tsockets\n", r.Scenario)
+			fmt.Fprintf(t, "a crash told, p50 and most, ms\t%.0f, %.0f\t%.0f, %.0f\n", a[0], a[2], b[0], b[2])
+			fmt.Fprintf(t, "views equal, most, ms\t%.0f\t%.0f\n", c[2], d[2])
+			fmt.Fprintf(t, "called failed that ran\t%d\t%d\n", v.Wrong, s.Views.Wrong)
+		}
+	}
 	return t.Flush()
 }
--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -79,3 +79,20 @@
 		t.Errorf("%d datagrams lost", res.Fleet.Lost)
 	}
 }
+
+// TestFleetRestarted: all 8 are killed a quarter at a time and come back empty within the time of a suspicion, the seeds first; two
+// links flap meanwhile. In the end each is known by its new process, and no old one comes back.
+func TestFleetRestarted(t *testing.T) {
+	t.Parallel()
+	fleet(t, `(seconds 24) (at 2s (between 2 5 cut) (for 200ms) (every 400ms)) (at 2s (between 1 6 cut) (for 300ms) (every 700ms))
+		(at 3s (kill-pooler 0) (for 200ms)) (at 3s (kill-pooler 1) (for 200ms)) (at 5s (kill-pooler 2) (for 200ms)) (at 5s (kill-pooler 3) (for 200ms))
+		(at 7s (kill-pooler 4) (for 200ms)) (at 7s (kill-pooler 5) (for 200ms)) (at 9s (kill-pooler 6) (for 200ms)) (at 9s (kill-pooler 7) (for 200ms))`, check.ViewNoReturn)
+}
+
+// TestFleetOneLeft: the seeds are gone, then all but one; they come back while the seeds stay away, and are found by the one that was
+// left, which had accused nobody.
+func TestFleetOneLeft(t *testing.T) {
+	t.Parallel()
+	fleet(t, `(seconds 26) (at 2s (kill-pooler 0)) (at 2s (kill-pooler 1)) (at 5s (kill-pooler 2) (for 4s)) (at 5s (kill-pooler 3) (for 4s))
+		(at 5s (kill-pooler 4) (for 4s)) (at 5s (kill-pooler 5) (for 4s)) (at 5s (kill-pooler 6) (for 4s))`, check.ViewComplete, check.ViewSettled)
+}
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -248,3 +248,36 @@
 	}
 	untilFleet(t, next, "it knows the other", there)
 }
+
+// TestPeersOneName: two poolers are given one name. The younger one takes a name of its own, and all count both.
+func TestPeersOneName(t *testing.T) {
+	srv, _ := server(t)
+	a := peerSettings(t)
+	settings := func() operate.Peers {
+		s := peerSettings(t, a.Listen)
+		s.KeyFile = a.KeyFile
+		return s
+	}
+	other, _ := peerOf(t, "other", srv, a)
+	older, _ := peerOf(t, "same", srv, settings())
+	three := func(n int) func(string, view.Counts) bool {
+		return func(s string, c view.Counts) bool { return c.Reachable == n && c.Sending == n }
+	}
+	untilFleet(t, other, "the first is there", three(2))
+	time.Sleep(5 * time.Millisecond) // the second is younger by its clock
+	younger, _ := peerOf(t, "same", srv, settings())
+	for _, p := range []*pooler{other, older, younger} {
+		untilFleet(t, p, "there are three, with names of their own", func(s string, c view.Counts) bool {
+			return three(3)(s, c) && strings.Contains(s, "same alive") && strings.Contains(s, "same~") && strings.Count(s, "same alive") == 1
+		})
+	}
+	name := func(p *pooler) (s string) {
+		done := make(chan struct{})
+		p.loop.Post(func() { s = p.peers.Name(); close(done) })
+		<-done
+		return s
+	}
+	if a, b := name(older), name(younger); a != "same" || !strings.HasPrefix(b, "same~") {
+		t.Errorf("the older is called %q, the younger %q", a, b)
+	}
+}
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -73,6 +73,7 @@
 	causes    map[string]*Cause
 	orphans   uint64
 	retryLost uint64
+	fleet     fleet
 }
 
 // run is one life of a pooler.
@@ -218,6 +219,7 @@
 		m.giveUp(x, x.open[n], x.last)
 	}
 	x.pooler.ordered = ordered
+	m.fleet.ended(r.Pooler, x.last)
 	m.endPools(x)
 	if !ordered {
 		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
@@ -286,6 +288,8 @@
 		m.find(Finding{At: e.At, Kind: "stop", Pooler: r.Pooler, Text: "stopped in order"})
 	case recordpb.Kind_KIND_RELOAD:
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
+	case recordpb.Kind_KIND_PEER:
+		m.fleet.event(r.Pooler, e)
 	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
 		m.onSession(e, e.Kind == recordpb.Kind_KIND_SESSION_END)
 	case recordpb.Kind_KIND_HAND:
--- a/internal/kit/rehearse/match.go
+++ b/internal/kit/rehearse/match.go
@@ -64,6 +64,13 @@
 	kind map[uint64]clients.Kind
 	dark []darkness
 	last map[string]float64
+
+	stood []Stood
+}
+
+// still tells whether a try's pooler stood still meanwhile: then it reckons the try's time from when it went on.
+func (f *finals) still(t *TryLine) bool {
+	return slices.ContainsFunc(f.stood, func(s Stood) bool { return s.Pooler == t.Pooler && t.Sent <= s.To && t.Ended >= s.From })
 }
 
 type darkness struct {
@@ -113,7 +120,7 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	f := &finals{Model: incident.New(), ids: map[string]map[uint64]uint64{}, kind: map[uint64]clients.Kind{}, last: map[string]float64{}}
+	f := &finals{Model: incident.New(), ids: map[string]map[uint64]uint64{}, kind: map[uint64]clients.Kind{}, last: map[string]float64{}, stood: res.Stood}
 	if err := set.Read(f); err != nil {
 		return nil, nil, nil, err
 	}
@@ -207,7 +214,9 @@
 	unanswered := t.Kind == clients.Broken || t.Kind == clients.Silent || t.Kind == clients.Unmade
 	switch {
 	case known && kind == t.Kind, known && kind == "gone" && unanswered:
-		m.Equal++
+		if m.Equal++; f.still(t) {
+			u.asks++
+		}
 	case !known && unanswered && !f.isDark(t):
 		m.Untaken++
 		u.asks++
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -57,9 +57,17 @@
 	Rules     *check.Verdict `json:"rules"` // by what crossed the wires
 	Facts     []fleet.Fact   `json:"facts"`
 	Fleet     *Fleet         `json:"fleet,omitempty"`
+	Stood     []Stood        `json:"stood_still,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
 }
 
+// Stood is when a pooler's process stood still: what came meanwhile it takes for newly come.
+type Stood struct {
+	Pooler string  `json:"pooler"`
+	From   float64 `json:"from_ms"`
+	To     float64 `json:"to_ms"`
+}
+
 // Names within a rehearsal's folder.
 const (
 	RecordsDir = "records"
@@ -244,6 +252,9 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	for i, s := range r.wires.stood {
+		res.Stood = append(res.Stood, Stood{r.poolers[i].name, s[0], s[1]})
+	}
 	if r.peers != nil {
 		res.Fleet = r.peers.result(res.Rules)
 	}
--- /dev/null
+++ b/internal/kit/report/fleet.go
@@ -0,0 +1,39 @@
+package report
+
+import (
+	"fmt"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// FleetLane is what one pooler took another's process for, over time.
+type FleetLane struct {
+	By, Of string
+	Bands  []Band
+}
+
+var seenAs = map[string]string{"alive": "primary", "suspect": "silent", "failed": "broken", "left": "gone"}
+
+const fleetLanes = 400
+
+// FleetLanes are a view's lanes, and how many more there are.
+func FleetLanes(v *incident.View, width float64) (out []FleetLane, more int) {
+	scale := width / max(1, v.To-v.From)
+	for _, s := range v.Fleet {
+		if n := len(out); n == 0 || out[n-1].By != s.By || out[n-1].Of != s.Of {
+			if n == fleetLanes {
+				more++
+				continue
+			}
+			out = append(out, FleetLane{By: s.By, Of: s.Of})
+		}
+		to := s.To
+		if to == 0 {
+			to = v.To
+		}
+		l := &out[len(out)-1]
+		l.Bands = append(l.Bands, Band{Class: seenAs[s.State], X: max(0, (s.From-v.From)*scale), W: max(0.5, (to-s.From)*scale),
+			Title: fmt.Sprintf("%s takes %s for %s from %s for %s", Safe(s.By), Safe(s.Of), Safe(s.State), Clock(s.From), incident.Span(to-s.From))})
+	}
+	return out, more
+}
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -97,6 +97,8 @@
 	Columns      int
 	Members      []MemberRow
 	MoreMembers  int
+	Fleet        []FleetLane
+	MoreFleet    int
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -122,6 +124,7 @@
 	d.charts()
 	d.lanes()
 	d.lists()
+	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
 	if v.Members != nil {
 		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
 		d.MoreMembers = max(0, len(d.Members)-maxRows)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -209,6 +209,14 @@
 	return p.view.Members()
 }
 
+// Name is what this process goes by; the settings' name, unless another has that.
+func (p *Peers) Name() string {
+	if p.view == nil {
+		return p.opt.Record.Name
+	}
+	return p.view.Self().Name
+}
+
 // Stats are the counts so far.
 func (p *Peers) Stats() Stats {
 	return Stats{In: p.in.Load(), Out: p.sent.Load(), Dropped: p.dropped.Load(), Overrun: p.overrun.Load(), Exchanges: p.traded.Load(), Fails: p.failed.Load()}
--- a/internal/peers/view/view.go
+++ b/internal/peers/view/view.go
@@ -225,7 +225,7 @@
 func (v *View) send(m *member, x *Message) {
 	x.From = v.self.ID
 	left := v.set.Packet
-	if m.metAt == 0 || m.State == Failed { // whoever is there may not know who asks, and could not answer
+	if m.metAt == 0 || m.missed > 0 || m.State == Failed { // whoever is there may not know who asks, and could not answer
 		x.Records = append(x.Records, v.self.Record)
 		left -= v.self.Size()
 	}
@@ -579,8 +579,9 @@
 		old, young = young, old
 	}
 	v.holds[m.Addr] = young
-	if old == v.self { // its own time has gone: it should have ended
-		v.act(Action{Kind: Conflict, Text: fmt.Sprintf("process %x has taken the name %q and the address %s of this one", young.ID, young.Name, young.Addr)})
+	if old == v.self { // it holds the address: the other has ended, and began by a clock that was ahead
+		v.act(Action{Kind: Conflict, Text: fmt.Sprintf("process %x was at %s before this one and is younger by its clock: this one takes a later ID", uint64(young.ID), young.Addr)})
+		v.renew(young)
 		return
 	}
 	r := old.Record
@@ -588,6 +589,20 @@
 	v.take(&r)
 }
 
+// renew has this process go by an ID that is later than another's.
+func (v *View) renew(than *member) {
+	id := (than.ID>>16+1)<<16 | v.self.ID&0xffff
+	delete(v.all, v.self.ID)
+	v.ring = slices.DeleteFunc(v.ring, func(m *member) bool { return m == v.self })
+	v.self.ID, v.self.place = id, place(id)
+	v.all[id], v.holds[v.self.Addr] = v.self, v.self
+	v.file(v.self)
+	r := than.Record
+	r.State = Left
+	v.take(&r)
+	v.raise(v.self.Inc + 1)
+}
+
 // giveWay settles who keeps a name that two processes have at different addresses, each of which runs: the older one.
 func (v *View) giveWay(m *member) {
 	if m.ID > v.self.ID {
--- a/internal/peers/view/view_test.go
+++ b/internal/peers/view/view_test.go
@@ -220,3 +220,39 @@
 		f.want(i, "a alive, a left, b alive, c alive, d alive")
 	}
 }
+
+// TestClockGoesBack: a process that returns by a clock that is behind the last one's is the pooler all the same.
+func TestClockGoesBack(t *testing.T) {
+	f := newFew(t, "a", "b", "c", "d")
+	f.pass(4000)
+	f.dead[1] = true
+	f.pass(1000)
+	s := Defaults()
+	s.Seeds = []string{"at-0"}
+	f.views = append(f.views, New(s, Record{ID: NewID(5000, 1), Name: "b", Addr: "at-1"}, f.now))
+	f.pass(9000)
+	for _, i := range []int{0, 2, 3, 4} {
+		f.want(i, "a alive, b alive, b left, b left, c alive, d alive") // by its first ID, by the last process's and by its own
+	}
+}
+
+// TestOneLeft: all but one are gone, and come back empty while their seed stays away: the one that is left, which hears nobody and
+// accuses nobody, finds them by looking for those that were there.
+func TestOneLeft(t *testing.T) {
+	f := newFew(t, "a", "b", "c", "d")
+	f.pass(4000)
+	for i := range 3 {
+		f.dead[i] = true
+	}
+	f.pass(9000)
+	f.want(3, "a alive, b alive, c alive, d alive")
+	for i, n := range []string{"b", "c"} {
+		v := f.join(n)
+		v.self.Addr = fmt.Sprint("at-", i+1)
+		v.holds = map[string]*member{v.self.Addr: v.self}
+	}
+	f.pass(20000)
+	for _, i := range []int{3, 4, 5} {
+		f.want(i, "a failed, b alive, b left, c alive, c left, d alive")
+	}
+}
