Hold the module's number of poolers to what the view tells

Need: the path from the view's count to the module had no test of its own. Change: TestSiblings asks a cold server 40 requests at once with no view, as one of 40 by the view, and with the view gone again; the parts differ as they should. A first story with tenants at a daemon was dropped: how many requests find room also hangs on the number of poolers, so it measured two things at once.

--- /dev/null
+++ b/internal/core/siblings_test.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"beechgrade"
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/front"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/slots"
+)
+
+type still struct{}
+
+func (still) Now() float64                       { return 1e6 }
+func (still) At(float64, func()) *deadline.Timer { return nil }
+func (still) Watch()                             {}
+func (still) Fetch()                             {}
+func (still) Served([]byte)                      {}
+func (still) Refused(float64)                    {}
+func (still) Failed()                            {}
+func (still) AppendQuery(b []byte, _ int) []byte { return b }
+
+// counting are servers that count what they are asked.
+type counting struct{ n int }
+
+func (*counting) SetAddress(string, string) {}
+func (*counting) CloseIdle(string)          {}
+func (*counting) Forget(string)             {}
+func (*counting) Retain(map[string]bool)    {}
+func (*counting) Probe(string)              {}
+func (*counting) Cancel(slots.Ref)          {}
+func (c *counting) Start(string, backend.Query, float64, backend.Terms, backend.Tag) slots.Ref {
+	c.n++
+	return slots.Ref{}
+}
+
+// TestSiblings: what a cold server may get is shared out among as many poolers as may be sending, where that is told, and as the
+// settings say where it is not any more.
+func TestSiblings(t *testing.T) {
+	sent := func(siblings ...int) int {
+		cfg := &config.Config{Classes: []string{"read"}, Settings: beechgrade.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
+			FallMultiple: 3, FallSpan: 1500 * time.Millisecond, ColdFrom: 0.5, ColdTime: 18 * time.Second,
+			Classes: []beechgrade.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: beechgrade.ReadAny}}},
+			Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: "1.2.3.4:5", Lifecycle: "up", StartedAtMs: 999000, Weight: 1}}}}
+		c, servers := New(still{}, slog.New(slog.DiscardHandler), cfg), &counting{}
+		c.Start(servers, still{})
+		for _, n := range siblings {
+			c.Siblings(n)
+		}
+		for i := range 40 {
+			if _, err := c.Ask(front.Request{ID: fmt.Sprint(i), Class: "read", Due: 1e6 + 9000, Query: still{}}, still{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return servers.n
+	}
+	alone, many, back := sent(), sent(40), sent(40, 0)
+	if many >= alone || alone == 0 {
+		t.Errorf("alone it sends %d, as one of 40 %d", alone, many)
+	}
+	if back != alone {
+		t.Errorf("without a view again it sends %d, and %d without one", back, alone)
+	}
+}
