--- a/router.go
+++ b/router.go
@@ -405,7 +405,8 @@
 // spent tells that a request may not be sent again. One that may have run could otherwise apply twice:
 // an unsafe one at any time, a keyed one once its servers may have forgotten it.
 func (r *Router) spent(q *request) bool {
-	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate || r.now+r.set.Tick >= q.sendBy
+	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
+		r.now+r.set.Tick >= q.sendBy
 }
 
 func (q *request) mayHaveRun(a *attempt, s *store) {
@@ -553,10 +554,11 @@
 	return seconds(q.class.soon.Seconds() * q.size)
 }
 
-// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is to
-// stay away for long: soon again it would be late, and in the way of what is not.
+// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is
+// to stay away for long: soon again it would be late, and in the way of what is not.
 func (r *Router) finish(q *request) {
-	if q.class.Effect == Safe || !q.maybe && q.open == 0 || q.class.Effect == Keyed && q.class.Scope == ScopeAll {
+	if q.class.Effect == Safe || !q.maybe && q.open == 0 ||
+		q.class.Effect == Keyed && q.class.Scope == ScopeAll {
 		r.act(Action{Kind: Refuse, ID: q.id, Wait: r.set.MaxRetryAfter})
 	} else {
 		r.act(Action{Kind: Fail, ID: q.id})
