--- /dev/null
+++ b/internal/operate/peers_test.go
@@ -0,0 +1,51 @@
+package operate
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestPeersSettings: what is wrong with (peers ...) is named with its place, in one line; what is right is taken.
+func TestPeersSettings(t *testing.T) {
+	dir := t.TempDir()
+	short, good := filepath.Join(dir, "short"), filepath.Join(dir, "good")
+	if err := os.WriteFile(short, []byte("too short\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(good, []byte("0123456789abcdef\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := func(string) string { return "" }
+	for in, want := range map[string]string{
+		`(peers (listen "1.2.3.4:5"))`:                                                      `o:1:1: (peers ...) needs (key ...)`,
+		`(peers (key "k"))`:                                                                 `o:1:1: (peers ...) needs (listen ...)`,
+		`(peers (listen "host:5") (key "k"))`:                                               `o:1:16: "host:5" is no address and port in numbers`,
+		`(peers (listen "1.2.3.4:0") (key "k"))`:                                            `o:1:16: "1.2.3.4:0" is no address and port in numbers`,
+		`(peers (listen "1.2.3.4:5") (key "$NONE"))`:                                        `o:1:29: the file's name is empty; is its variable set?`,
+		`(peers (listen "1.2.3.4:5") (key "k") (seeds "a"))`:                                `o:1:46: "a" is no address and port in numbers`,
+		`(peers (listen "1.2.3.4:5") (key "k") (probe 100ms) (timeout 50ms))`:               `o:1:1: a probe of 100 ms leaves no room for two times the time-out of 50 ms`,
+		`(peers (listen "1.2.3.4:5") (key "k") (hold 2h) (forget 1h))`:                      `o:1:1: what is forgotten after 3.6e+06 ms cannot be held for 7.2e+06 ms`,
+		`(peers (listen "1.2.3.4:5") (key "k") (probe 1ms))`:                                `o:1:46: 1ms is out of range; it may be from 50ms to 60000ms`,
+		`(peers (listen "1.2.3.4:5") (key "k") (seeds "1.2.3.4:5" "1.2.3.5:5") (zone "a"))`: ``,
+	} {
+		_, err := Parse("o", []byte(in), env)
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if got != want {
+			t.Errorf("%s: %q, want %q", in, got, want)
+		}
+	}
+	if _, err := ReadKey(short); err == nil || !strings.Contains(err.Error(), "9 bytes; from 16 to 4096 are wanted") {
+		t.Errorf("a short key: %v", err)
+	}
+	if k, err := ReadKey(good); err != nil || string(k) != "0123456789abcdef" {
+		t.Errorf("%q, %v", k, err)
+	}
+	if _, err := ReadKey(filepath.Join(dir, "none")); err == nil {
+		t.Error("a key that is not there was read")
+	}
+}
