--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -96,3 +96,9 @@
 	fleet(t, `(seconds 26) (at 2s (kill-pooler 0)) (at 2s (kill-pooler 1)) (at 5s (kill-pooler 2) (for 4s)) (at 5s (kill-pooler 3) (for 4s))
 		(at 5s (kill-pooler 4) (for 4s)) (at 5s (kill-pooler 5) (for 4s)) (at 5s (kill-pooler 6) (for 4s))`, check.ViewComplete, check.ViewSettled)
 }
+
+// TestFleetThreeWays: the fleet falls into three parts, each of which calls the others failed, and is one again after the heal.
+func TestFleetThreeWays(t *testing.T) {
+	t.Parallel()
+	fleet(t, `(seconds 22) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 8s)) (at 3s (between (0 1) (2 3 4) cut) (for 7s))`, check.ViewComplete, check.ViewSettled)
+}
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"beechgrade/internal/kit/links"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
@@ -281,3 +282,59 @@
 		t.Errorf("the older is called %q, the younger %q", a, b)
 	}
 }
+
+// TestPeersUpgradeInAPartition: one that is cut off from a third is upgraded meanwhile. Behind the partition the old process is called
+// failed; when it heals, the next one takes its place there too, and nobody counts two.
+func TestPeersUpgradeInAPartition(t *testing.T) {
+	srv, _ := server(t)
+	relays, err := links.NewRelays(3, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = relays.Close() })
+	base := peerSettings(t)
+	settings := func(i int) operate.Peers {
+		s := base
+		s.Listen, s.Advertise, s.View.Seeds, s.View.Expect = relays.Real(i), relays.Told(i), []string{relays.Told(0), relays.Told(2)}, 3
+		return s
+	}
+	far, _ := peerOf(t, "far", srv, settings(0))
+	near, _ := peerOf(t, "near", srv, settings(2))
+	ln := listen(t).(*net.TCPListener)
+	process := func() *pooler {
+		cfg := testConfig(t, srv, nil)
+		cfg.Name = "upgraded"
+		p := newPooler(cfg, slog.New(slog.DiscardHandler))
+		give(t, p, ln)
+		if err := p.usePeers(settings(1)); err != nil {
+			t.Fatal(err)
+		}
+		launch(t, p)
+		return p
+	}
+	old := process()
+	all := func(_ string, c view.Counts) bool { return c.Reachable == 3 && c.Sending == 3 }
+	for _, p := range []*pooler{far, near, old} {
+		untilFleet(t, p, "all are there", all)
+	}
+	cut := &links.Fault{Cut: true}
+	relays.Strike(func(n *links.Net) { n.Set([]int{0}, []int{1, 2}, cut, true); n.Set([]int{1, 2}, []int{0}, cut, true) })
+	untilFleet(t, near, "the far one is lost", func(s string, _ view.Counts) bool { return strings.Contains(s, "far failed") })
+	next := process()
+	old.loop.Post(func() { old.live(lifecycle.Term) })
+	untilFleet(t, near, "the next one has taken over", func(s string, c view.Counts) bool {
+		if strings.Contains(s, "upgraded failed") {
+			t.Fatalf("the upgraded one is called failed: %s", s)
+		}
+		return strings.Contains(s, "upgraded left") && strings.Contains(s, "upgraded alive") && c.Sending == 3
+	})
+	if s, c := fleetOf(far); c.Sending != 3 || !c.Alone && c.Reachable > 1 {
+		t.Errorf("the far one sees %s%+v", s, c)
+	}
+	relays.Strike(func(n *links.Net) { n.Set([]int{0}, []int{1, 2}, cut, false); n.Set([]int{1, 2}, []int{0}, cut, false) })
+	for _, p := range []*pooler{far, near, next} {
+		untilFleet(t, p, "all are there again", func(s string, c view.Counts) bool {
+			return all(s, c) && strings.Contains(s, "upgraded left") && strings.Contains(s, "upgraded alive") && strings.Contains(s, "far alive")
+		})
+	}
+}
--- a/router_test.go
+++ b/router_test.go
@@ -416,6 +416,8 @@
 	g := newRig(t, testSettings()) // nobody to ask
 	if got := finals(append(g.ask("1", cBounded), g.pass(410*ms)...)); len(got) != 1 || got[0].Kind != Refuse {
 		t.Fatalf("want a refusal once the aim has passed: %+v", got)
+	} else if got[0].Wait != time.Second { // it found no room for all its aim: soon again it would be late
+		t.Fatalf("advised %v, want the longest that there is", got[0].Wait)
 	}
 }
 
