--- a/internal/kit/rehearse/peers.go
+++ b/internal/kit/rehearse/peers.go
@@ -36,9 +36,9 @@
 
 const (
 	lookMs     = 250
-	sockDelay  = 60  // ms that a message may take on a busy machine, beside what links do to it
-	askedMs    = 150 // until a pooler's word is here
-	lookOverMs = 1000
+	sockDelay  = 60   // ms that a message may take on a busy machine, beside what links do to it
+	askedMs    = 150  // until a pooler's word is here
+	lookOverMs = 2000 // that a machine with dozens of processes on few cores may add
 )
 
 // startPeers opens the relays, and writes the key.
