Take a tenant's allowance and the part of the fall budget as told, in place of one in Siblings

Need: what a pooler may use of a limit of the whole fleet is decided beside the module, which refuses by it.

Change: a tenant may be told its own rate and depth, and be hard: beyond it requests are refused at once, with the time until the next is free as advice; the fall budget's part may be told. Buckets are brought up to date by the old rate before new settings. Nothing tells any of it yet.

--- a/api.go
+++ b/api.go
@@ -72,7 +72,13 @@
 }
 
 // Tenant is a customer with a share; Allowance is in requests a second over all routers, 0 for no limit.
-type Tenant struct{ Allowance float64 }
+type Tenant struct {
+	Allowance float64
+	Told      bool    // this router's part of it is told: Own, in place of one of as many as there are siblings
+	Own       float64 // requests a second
+	Depth     float64 // of them that may come at once
+	Hard      bool    // what is beyond is refused, in place of worth less
+}
 
 // Settings is what a router is told when it starts.
 type Settings struct {
@@ -102,6 +108,8 @@
 	DrainOnly     bool // only a server seen draining binds; one that vanished may still serve
 	FallMultiple  float64
 	FallSpan      time.Duration
+	ColdTold      bool // this router's part of the fall budget is told: ColdPart, in place of one of Siblings
+	ColdPart      float64
 	ColdFrom      float64
 	ColdTime      time.Duration
 	PriceCross    float64 // part of a request's worth that an attempt into another zone costs
--- a/router.go
+++ b/router.go
@@ -74,8 +74,14 @@
 // asked for any more. Requests under way keep the class that they came with.
 func (r *Router) tune(set Settings) {
 	old := r.classes
+	for i := range r.tenants { // by the rates that were
+		r.fill(i)
+	}
+	r.tenants = append(r.tenants, make([]tenant, len(set.Tenants))...)[:len(set.Tenants)]
 	r.set, r.classes, r.leastAim = set, make([]class, len(set.Classes)), 0
-	r.set.Siblings, r.set.Processes = max(1, set.Siblings), max(1, set.Processes)
+	if r.set.Siblings, r.set.Processes = max(1, set.Siblings), max(1, set.Processes); !set.ColdTold {
+		r.set.ColdPart = 1 / float64(r.set.Siblings)
+	}
 	r.set.MaxAttempts = max(1, set.MaxAttempts)
 	for i, c := range set.Classes {
 		c.KeyWindow = [...]time.Duration{Safe: math.MaxInt64 / 2, Keyed: c.KeyWindow, Unsafe: 0}[c.Effect]
@@ -87,7 +93,6 @@
 		}
 	}
 	r.seekEach = max(r.leastAim/2, beat)
-	r.tenants = append(r.tenants, make([]tenant, len(set.Tenants))...)[:len(set.Tenants)]
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
@@ -145,8 +150,7 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
 }
 
-// base is a store's rate when warm: its kind's, taught by all answers, times its own, for one router hears
-// little.
+// base is a store's rate when warm: its kind's, taught by all answers, times its own, as one hears little.
 func (r *Router) base(s *store) float64 { return r.pools[s.entry.Kind] * s.rel }
 
 func (r *Router) turn(s *store) Time { return seconds(r.work / r.rateOf(s)) }
@@ -168,8 +172,7 @@
 
 // load is the number of requests at a store, ours but for those thought lost, and others': what was told of
 // them fades towards a guess, as many routers that each see an idle store would crowd it together. A guess
-// may steer, but not refuse: by evidence, it counts no more than if each other router had as many there as
-// this one.
+// may steer, but not refuse: by evidence, it counts no more than if each other had as many there as this one.
 func (r *Router) load(s *store) (likely, evident float64) {
 	own := float64(len(s.open) - s.lost)
 	fresh := r.fading(s.heardAt, 2*refreshEvery)
@@ -187,9 +190,8 @@
 	s.serviceAt = r.now
 }
 
-// guess is what the other routers are taken to have in flight at a store: each as much as this one on
-// average. One that seldom has a request out so goes round the members at the pace of their rates, from its
-// own place.
+// guess is what the others are taken to have in flight at a store: each as much as this one on average. One
+// that seldom has a request out so goes round the members at the pace of their rates, from its own place.
 func (r *Router) guess(s *store) float64 {
 	n := float64(r.set.Siblings-1) * r.flow / float64(max(1, len(r.gorder))) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
@@ -197,8 +199,7 @@
 }
 
 // cost is equation 2 of the paper: the read's own time at its max-min fair share plus the slowdown of this
-// router's requests there, each counted by its worth against the read's: so a primary full of writes is
-// spared.
+// router's requests there, each by its worth against the read's: so a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -241,8 +242,7 @@
 }
 
 // room tells whether a store can take one more: without making requests there too slow for the least aim, or,
-// where none is ours, this one. What finds no room waits here and can still go to whichever store frees
-// first.
+// where none is ours, this one. What finds no room waits here and can still go to whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
@@ -264,8 +264,7 @@
 // work is the request's expected work: its class's average, by its hint where it came with one.
 func (q *request) work() float64 { return q.class.work * q.size }
 
-// flowed counts n more requests and brings up to date this router's own flow of them a second, over a fading
-// memory.
+// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
 func (r *Router) flowed(n float64) {
 	dt := (r.now - r.flowAt).Seconds()
 	keep := math.Exp(-dt / flowMemory.Seconds())
@@ -275,13 +274,12 @@
 
 // coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
 // Where that is less than a request, chance lets through what all together may send of what they are asked
-// for: a bucket of each would hold credit where nothing is asked, and writes would wait at an idle cold
-// primary.
+// for: buckets would hold credit where nothing is asked, and writes would wait at an idle cold primary.
 func (r *Router) coldRoom(s *store, q *request) bool {
 	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
 		return true
 	}
-	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width / float64(r.set.Siblings*r.set.Processes)
+	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width * r.set.ColdPart / float64(r.set.Processes)
 	depth := part/2*r.set.FallSpan.Seconds() - q.work()
 	if depth < 0 {
 		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
@@ -471,13 +469,12 @@
 		}
 	}
 	if e.Tenant >= 0 && e.Tenant < len(r.tenants) && r.set.Tenants[e.Tenant].Allowance > 0 {
-		// This router's part of the tenant's share, as a bucket of a second, or of some requests: clumps are
-		// no excess.
-		t, rate := &r.tenants[e.Tenant], r.set.Tenants[e.Tenant].Allowance/float64(r.set.Siblings)
-		t.tokens = min(max(rate, tenantDepth), t.tokens+rate*(r.now-t.at).Seconds())
-		t.at = r.now
-		if t.tokens >= 1 {
+		if t := r.fill(e.Tenant); t.tokens >= 1 {
 			t.tokens--
+		} else if r.set.Tenants[e.Tenant].Hard {
+			wait := seconds((1 - t.tokens) / max(t.rate, 1e-3))
+			r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, wait)})
+			return
 		} else {
 			q.value = max(q.value*r.set.OverShareWorth, 1e-6)
 		}
@@ -500,6 +497,18 @@
 	}
 }
 
+// fill brings a tenant's bucket up to now: a second of this part, as clumps are no excess, or as was told.
+func (r *Router) fill(i int) *tenant {
+	t, a := &r.tenants[i], r.set.Tenants[i]
+	if !a.Told {
+		a.Own = a.Allowance / float64(r.set.Siblings)
+		a.Depth = max(a.Own, tenantDepth)
+	}
+	t.tokens = min(a.Depth, t.tokens+a.Own*(r.now-t.at).Seconds())
+	t.at, t.rate = r.now, a.Own
+	return t
+}
+
 // closing tells that a request must have its answer before the next beat. One that no server has seen has
 // half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
 func (r *Router) closing(q *request) bool {
@@ -701,8 +710,7 @@
 	}
 }
 
-// alive notes an answer to an attempt. One sent before the store was found bad shows that it had not died
-// till now, but not that it takes more.
+// alive notes an answer to an attempt. One sent before the store was found bad shows only that it lived.
 func (r *Router) alive(s *store, a *attempt) {
 	s.answered = r.now
 	if a.sent >= s.badAt || s.refusedSince == 0 {
@@ -712,8 +720,7 @@
 	}
 }
 
-// well takes a store back. One that refused connections for a while probably restarted, told or not, and is
-// cold.
+// well takes a store back. One that refused connections for a while probably restarted and is cold.
 func (r *Router) well(s *store) {
 	if s.health == down && s.refusedSince != 0 && r.now-s.refusedSince >= outage {
 		s.coldFrom = max(s.coldFrom, r.now)
@@ -740,8 +747,7 @@
 	}
 }
 
-// silent tells whether a store left its requests without an answer for longer than chance explains. Answered
-// probes do not count: they are answered beside the queue.
+// silent tells whether a store left requests unanswered for longer than chance explains. Probes do not count.
 func (r *Router) silent(s *store) bool {
 	first, n, longest := r.now, 0.0, r.work
 	for _, a := range s.open {
@@ -777,8 +783,7 @@
 	s.probeFails = 0
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
-		// Reached, but beside its queue: requests have to prove it. What it held before may be gone and must
-		// not count as load: else an outage outlasts itself.
+		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
 		r.well(s)
 		s.health = onTrial
 		s.loseOpen()
@@ -891,9 +896,8 @@
 	}
 }
 
-// rescue frees requests from silent stores and from attempts mislaid, which had several times their work
-// while later ones were answered: by a second copy, else by calling the first off; nothing unsafe. What is
-// mislaid is no load.
+// rescue frees requests from silent stores and from attempts mislaid, which had several times their work as
+// later ones were answered: by a second copy, or by calling the first off; nothing unsafe. They are no load.
 func (r *Router) rescue(g *group) {
 	for _, s := range g.members {
 		for _, a := range slices.Clone(s.open) {
@@ -925,9 +929,8 @@
 	return (s.service - a.service) * r.base(s) / a.req.work()
 }
 
-// patience is what an attempt that later ones overtook may have had before it is taken for lost. Of those
-// answered, about exp(-x) take more than x times their work: where that is less than the part that is lost,
-// lost is likelier than slow.
+// patience is what an attempt that others overtook may have had before it is taken for lost: about exp(-x)
+// have more than x times their work; where that is less than the part that is lost, lost is likelier.
 func (r *Router) patience(g *group) float64 {
 	if len(g.held) > 0 { // copies would be at others' expense
 		return lostAfter
@@ -935,8 +938,7 @@
 	return min(lostAfter, max(lostLeast, -math.Log(r.losing)))
 }
 
-// countLost counts an attempt that ended towards the part that is lost. One called off early may have been
-// slow.
+// countLost counts an attempt that ended towards the part that is lost. One called off early may be slow.
 func (r *Router) countLost(s *store, a *attempt, res Result) {
 	lost := 0.0
 	switch {
@@ -952,8 +954,7 @@
 }
 
 // refresh corrects rates from the last interval's answers: each kind's, then each store's. Requests out for
-// more than their work count, or a stopped store would keep its rate; not if overtaken: lost answers slow no
-// store.
+// more than their work count, or a stopped store kept its rate; not if overtaken: lost answers slow no store.
 func (r *Router) refresh() {
 	r.refreshAt = r.now + refreshEvery
 	r.flowed(0)
--- a/state.go
+++ b/state.go
@@ -156,6 +156,7 @@
 
 type tenant struct {
 	tokens float64
+	rate   float64 // a second
 	at     Time
 }
 
