--- /dev/null
+++ b/cmd/beechgrade/limits.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"fmt"
+
+	"beechgrade/internal/clickhouse/limits"
+	"beechgrade/internal/core"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/quota"
+	"beechgrade/internal/record/recordpb"
+)
+
+// demandMs is between two looks at what this pooler would use of the fleet's limits.
+const demandMs = 100
+
+// fleetLimits joins limits that hold for the whole fleet to what they are of.
+type fleetLimits struct {
+	p     *pooler
+	set   operate.FleetLimits
+	told  map[string]limits.Told // by user
+	beats bool
+}
+
+// quotas are the limits as the poolers share them; nil where there are none.
+func quotas(set *operate.FleetLimits, expect int) *quota.Settings {
+	if !set.On {
+		return nil
+	}
+	s := set.Settings
+	s.Limits, s.Expect = set.Quotas(), expect
+	return &s
+}
+
+// use has the parts keep to nothing of each limit until they are told; it runs on the loop.
+func (l *fleetLimits) use(set operate.FleetLimits) {
+	old := l.set.List
+	l.set = set
+	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists}
+	var bounds []core.Bound
+	for i := range set.List {
+		x := &set.List[i]
+		if of, ok := kinds[x.Of]; ok {
+			bounds = append(bounds, core.Bound{Limit: x.Name, Of: of, Tenant: x.Whom, Amount: x.Amount, Hard: x.Hard})
+		} else if !had(old, x) {
+			l.give(x, 0, 0)
+		}
+	}
+	for i := range old {
+		if x := &old[i]; !had(set.List, x) {
+			l.free(x)
+		}
+	}
+	l.p.core.Bind(bounds, l.p.peers)
+	if !l.beats {
+		l.beats = true
+		l.beat()
+	}
+}
+
+func had(list []operate.FleetLimit, x *operate.FleetLimit) bool {
+	for i := range list {
+		if list[i].Name == x.Name && list[i].Of == x.Of && list[i].Whom == x.Whom && list[i].Kind == x.Kind {
+			return true
+		}
+	}
+	return false
+}
+
+// give tells a part what it may use.
+func (l *fleetLimits) give(x *operate.FleetLimit, amount, burst float64) {
+	switch x.Of {
+	case operate.OfQueries:
+		t := l.told[x.Whom]
+		if x.Kind == quota.Number {
+			t.Queries, t.Most = true, int(amount+1e-9)
+		} else {
+			t.Rate, t.PerSecond, t.Burst = true, amount, burst
+		}
+		if l.told[x.Whom] = t; l.p.house != nil {
+			l.p.house.Tell(x.Whom, t)
+		}
+	case operate.OfPool:
+		if l.p.pooled != nil {
+			l.p.pooled.Tell(x.Whom, int(amount+1e-9))
+		}
+	}
+}
+
+// free has a part go by its own settings again.
+func (l *fleetLimits) free(x *operate.FleetLimit) {
+	switch x.Of {
+	case operate.OfQueries:
+		t := l.told[x.Whom]
+		if x.Kind == quota.Number {
+			t.Queries = false
+		} else {
+			t.Rate = false
+		}
+		if l.told[x.Whom] = t; l.p.house == nil {
+			return
+		}
+		if l.p.house.Tell(x.Whom, t); t == (limits.Told{}) {
+			l.p.house.Untell(x.Whom)
+		}
+	case operate.OfPool:
+		if l.p.pooled != nil {
+			l.p.pooled.Untell(x.Whom)
+		}
+	}
+}
+
+// allow is told what this pooler may use of a limit.
+func (l *fleetLimits) allow(name string, amount, burst float64) {
+	l.p.log.Debug("fleet limit", "limit", name, "amount", amount, "burst", burst)
+	l.p.core.Note(recordpb.Kind_KIND_LIMIT, fmt.Sprintf("%s: %g", name, amount))
+	if l.p.core.Allow(name, amount, burst) {
+		return
+	}
+	for i := range l.set.List {
+		if x := &l.set.List[i]; x.Name == name {
+			l.give(x, amount, burst)
+			if x.Kind == quota.Number { // what is in use beyond it must be known before it is lent to others
+				l.demand(x)
+			}
+		}
+	}
+}
+
+// demand tells what this pooler would use of a limit, and uses.
+func (l *fleetLimits) demand(x *operate.FleetLimit) {
+	if want, ok := l.p.core.Demand(x.Name); ok {
+		if x.Of == operate.OfCold { // as a part of what a fleet may ask for
+			want /= coldFlow
+		}
+		l.p.peers.Demand(x.Name, want, 0)
+		return
+	}
+	switch {
+	case x.Of == operate.OfQueries && l.p.house != nil:
+		running, waits, asked := l.p.house.Demand(x.Whom)
+		if x.Kind == quota.Number {
+			l.p.peers.Demand(x.Name, float64(running+waits), float64(running))
+		} else {
+			l.p.peers.Demand(x.Name, asked, 0)
+		}
+	case x.Of == operate.OfPool && l.p.pooled != nil:
+		has, want := l.p.pooled.Demand(x.Whom)
+		l.p.peers.Demand(x.Name, float64(want), float64(has))
+	}
+}
+
+// coldFlow is a flow, a second, that stands for the whole of the fall budget: parts of it follow how flows compare.
+const coldFlow = 1e5
+
+func (l *fleetLimits) beat() {
+	for i := range l.set.List {
+		l.demand(&l.set.List[i])
+	}
+	l.p.loop.At(l.p.loop.Now()+demandMs, l.beat)
+}
+
+// reloadLimits takes limits that have changed.
+func (p *pooler) reloadLimits(set operate.FleetLimits) {
+	if p.peers == nil {
+		if set.On {
+			p.log.Warn("cannot change while serving, needs a restart", "kept", []string{"fleet-limits"})
+		}
+		return
+	}
+	if p.limits == nil {
+		if !set.On {
+			return
+		}
+		p.limits = &fleetLimits{p: p, told: map[string]limits.Told{}}
+	}
+	p.limits.use(set)
+	p.peers.Limit(*quotasOrNone(&set, p.expect))
+	p.log.Info("fleet limits read again", "limits", len(set.List))
+}
+
+func quotasOrNone(set *operate.FleetLimits, expect int) *quota.Settings {
+	if s := quotas(set, expect); s != nil {
+		return s
+	}
+	return &quota.Settings{Expect: expect}
+}
+
+// appendLimits prints how the fleet's limits stand here.
+func (p *pooler) appendLimits(dst []byte) []byte {
+	if p.peers == nil || p.limits == nil {
+		return dst
+	}
+	for _, s := range p.peers.Standings() {
+		owns := 0
+		if s.Owns {
+			owns = 1
+		}
+		dst = fmt.Appendf(dst, "app.limits.%s.allowed=%g\napp.limits.%s.floor=%g\napp.limits.%s.owns=%d\napp.limits.%s.lent=%g\n", s.Limit.Name, s.Amount, s.Limit.Name, s.Floor,
+			s.Limit.Name, owns, s.Limit.Name, s.Lent)
+	}
+	return dst
+}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -92,6 +92,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "peers: off")
 					}
+					if l := set.Limits; l.On {
+						fmt.Fprintf(c.Root().Writer, "fleet limits: %d\n", len(l.List))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "fleet limits: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -171,9 +176,18 @@
 		return badInput{err}
 	}
 	p.inheritKnown(os.Getenv("TMPDIR"))
-	if err := p.usePeers(set.Peers); err != nil {
+	if err := p.usePeers(set.Peers, set.Limits); err != nil {
 		return err
 	}
+	if settings != "" && set.Peers.On {
+		p.loadLimits = func() (*operate.FleetLimits, error) {
+			next, err := operate.Load(settings, os.Getenv)
+			if err != nil {
+				return nil, err
+			}
+			return &next.Limits, nil
+		}
+	}
 	p.load = func() (*config.Config, error) {
 		next, err := config.Reload(os.Getenv)
 		if err == nil {
--- a/cmd/beechgrade/peers.go
+++ b/cmd/beechgrade/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 
 	"beechgrade/internal/clock"
+	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
 	"beechgrade/internal/peers/view"
@@ -13,7 +14,7 @@
 )
 
 // usePeers has the pooler be one of a fleet, where the settings have it so.
-func (p *pooler) usePeers(set operate.Peers) error {
+func (p *pooler) usePeers(set operate.Peers, own operate.FleetLimits) error {
 	if !set.On {
 		return nil
 	}
@@ -27,10 +28,14 @@
 	}
 	v := set.View
 	v.Expect = cmp.Or(v.Expect, p.cfg.Settings.Siblings)
+	p.expect = v.Expect
 	drawn := rand.Uint64() // not of the configuration's seed, which two processes may have
 	v.Seed = drawn
-	p.peers = peers.New(p.loop, p.log, peers.Options{Listen: set.Listen, Advertise: set.Advertise, Key: key, View: v, Again: p.given != nil,
+	p.peers = peers.New(p.loop, p.log, peers.Options{Listen: set.Listen, Advertise: set.Advertise, Key: key, View: v, Limits: quotas(&own, p.expect), Again: p.given != nil,
 		Record: view.Record{ID: view.NewID(clock.Wall(), drawn), Name: p.cfg.Name, Zone: zone, Region: set.Region, Version: short(version())}}, fleetEvents{p})
+	if own.On {
+		p.limits = &fleetLimits{p: p, set: own, told: map[string]limits.Told{}}
+	}
 	return nil
 }
 
@@ -46,6 +51,13 @@
 	p.core.Siblings(c.Sending)
 }
 
+// Allow is peers.Events'.
+func (f fleetEvents) Allow(limit string, amount, burst float64) {
+	if f.p.limits != nil {
+		f.p.limits.allow(limit, amount, burst)
+	}
+}
+
 // Member is peers.Events'.
 func (f fleetEvents) Member(r view.Record, was view.State, isNew bool) {
 	if isNew {
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -54,7 +54,7 @@
 	cfg := testConfig(t, srv, nil)
 	cfg.Name = name
 	p = newPooler(cfg, slog.New(slog.DiscardHandler))
-	if err := p.usePeers(set); err != nil {
+	if err := p.usePeers(set, operate.FleetLimits{}); err != nil {
 		t.Fatal(err)
 	}
 	addr, _, _, _ = launch(t, p)
@@ -96,7 +96,7 @@
 	addr, queries := server(t)
 	routines, sockets := peerRoutines(), udpSockets(t) // poolers of other tests may still be ending
 	p := newPooler(testConfig(t, addr, nil), slog.New(slog.DiscardHandler))
-	if err := p.usePeers(set.Peers); err != nil || p.peers != nil {
+	if err := p.usePeers(set.Peers, set.Limits); err != nil || p.peers != nil {
 		t.Fatalf("made %v, %v", p.peers, err)
 	}
 	pooler, _, _, _ := launch(t, p)
@@ -234,7 +234,7 @@
 		cfg.Name = "upgraded"
 		p := newPooler(cfg, slog.New(slog.DiscardHandler))
 		give(t, p, ln)
-		if err := p.usePeers(b); err != nil {
+		if err := p.usePeers(b, operate.FleetLimits{}); err != nil {
 			t.Fatal(err)
 		}
 		launch(t, p)
@@ -322,7 +322,7 @@
 		cfg.Name = "upgraded"
 		p := newPooler(cfg, slog.New(slog.DiscardHandler))
 		give(t, p, ln)
-		if err := p.usePeers(settings(1)); err != nil {
+		if err := p.usePeers(settings(1), operate.FleetLimits{}); err != nil {
 			t.Fatal(err)
 		}
 		launch(t, p)
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -53,6 +53,8 @@
 	dir   *discovery.Client
 	load  func() (*config.Config, error) // reads the configuration again
 
+	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
+
 	pooled     *pooling.Front // nil where it is off
 	pooledAddr string         // where it listens
 	stopPooled func()
@@ -62,7 +64,9 @@
 	houseGroup int
 	stopHouse  func()
 
-	peers *peers.Peers // nil where it is no fleet's
+	peers  *peers.Peers // nil where it is no fleet's
+	expect int          // poolers that there are to be
+	limits *fleetLimits // nil where none hold for the whole fleet
 
 	journal *journal.Journal // nil where it is off
 
@@ -173,6 +177,9 @@
 	if p.gauges {
 		p.gauge()
 	}
+	if p.limits != nil { // of each nothing, until it is told
+		p.limits.use(p.limits.set)
+	}
 	if p.peers != nil {
 		if err := p.peers.Start(); err != nil {
 			p.log.Error("peers", "err", err)
@@ -204,6 +211,13 @@
 				continue
 			}
 			p.loop.Post(func() { p.apply(next) })
+			if p.loadLimits != nil {
+				if set, err := p.loadLimits(); err != nil {
+					p.loop.Post(func() { p.log.Error("fleet limits: the old ones stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.reloadLimits(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- a/internal/clickhouse/client.go
+++ b/internal/clickhouse/client.go
@@ -315,6 +315,9 @@
 		return
 	}
 	id := limits.ID(r.number)
+	if c.f.opt.Expire != nil {
+		c.f.opt.Expire()
+	}
 	switch c.f.gate.Enter(id, user, now) {
 	case limits.In:
 		r.gated = id
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -44,6 +44,7 @@
 	Sessions  int     // at most
 	Users     map[string]limits.Limits
 	Others    limits.Limits // of users that are not named
+	Expire    func()        // has leases of limits that are over be so; nil for none
 	Spare     func() int    // descriptors left
 	Memory    func() int    // bytes that all clients' bodies may take
 }
@@ -113,6 +114,26 @@
 	}
 }
 
+// Tell has this pooler's part of a user's limits be so.
+func (f *Front) Tell(user string, t limits.Told) { f.admit(f.gate.Tell(user, t, f.loop.Now())) }
+
+// Untell has a user's limits be those of the settings again.
+func (f *Front) Untell(user string) { f.admit(f.gate.Untell(user)) }
+
+// Demand is how many of a user's queries run and wait, and how many come a second.
+func (f *Front) Demand(user string) (running, waits int, asked float64) {
+	return f.gate.Demand(user, f.loop.Now())
+}
+
+func (f *Front) admit(in []limits.ID) {
+	for _, next := range in {
+		if o := f.waiting[next]; o != nil {
+			delete(f.waiting, next)
+			o.c.ask(o)
+		}
+	}
+}
+
 // leave gives a request's place up, and lets in who comes next.
 func (f *Front) leave(r *request) {
 	if r.session != (sessions.Key{}) {
@@ -126,12 +147,7 @@
 	id := r.gated
 	r.gated = 0
 	delete(f.waiting, id)
-	for _, next := range f.gate.Leave(id) {
-		if o := f.waiting[next]; o != nil {
-			delete(f.waiting, next)
-			o.c.ask(o)
-		}
-	}
+	f.admit(f.gate.Leave(id))
 }
 
 // lose ends the sessions of a server that has gone or drains. A query of one that waits for it is answered at once; one that
--- a/internal/clickhouse/limits/limits.go
+++ b/internal/clickhouse/limits/limits.go
@@ -2,7 +2,10 @@
 // has no clock and no goroutines. Times are in milliseconds.
 package limits
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Limits are one user's; 0 is no limit.
 type Limits struct {
@@ -32,12 +35,24 @@
 	byName map[string]Limits
 	other  Limits
 	users  map[string]*user
+	told   map[string]Told
 	whose  map[ID]*user // of those that run
 	queued map[ID]*user
 }
 
+// Told is this pooler's own part of what a user may have over the whole fleet, where that is told; it goes before the user's limits.
+type Told struct {
+	Queries          bool // Most is told
+	Most             int
+	Rate             bool // PerSecond and Burst are told
+	PerSecond, Burst float64
+}
+
 type user struct {
+	name    string
 	limits  Limits
+	asked   float64 // queries that came, over a fading second
+	askedAt float64
 	running int
 	queue   []waiting
 	tokens  float64
@@ -55,7 +70,7 @@
 
 // New makes a gate; other is for users that are not named.
 func New(byName map[string]Limits, other Limits) *Gate {
-	return &Gate{byName: byName, other: other, users: map[string]*user{}, whose: map[ID]*user{}, queued: map[ID]*user{}}
+	return &Gate{byName: byName, other: other, told: map[string]Told{}, users: map[string]*user{}, whose: map[ID]*user{}, queued: map[ID]*user{}}
 }
 
 func (g *Gate) user(name string, now float64) *user {
@@ -69,7 +84,10 @@
 			}
 		}
 		l := g.limits(name)
-		u = &user{limits: l, tokens: max(1, l.Burst), at: now}
+		u = &user{name: name, limits: l, tokens: max(1, l.Burst), at: now}
+		if g.told[name].Rate { // what another process let in may have been as much
+			u.tokens = 0
+		}
 		g.users[name] = u
 	}
 	return u
@@ -88,16 +106,15 @@
 // Enter decides about a query that comes.
 func (g *Gate) Enter(id ID, name string, now float64) Verdict {
 	u := g.user(name, now)
-	l := &u.limits
-	if l.PerSecond > 0 {
-		u.tokens = min(max(1, l.Burst), u.tokens+max(0, now-u.at)*l.PerSecond/1000)
-		u.at = max(now, u.at)
-		if u.tokens < 1 {
+	u.ask(now, 1)
+	l, t := &u.limits, g.told[name]
+	if l.PerSecond > 0 || t.Rate {
+		if u.fill(now, t); u.tokens < 1 {
 			return TooFast
 		}
 	}
-	switch {
-	case l.Queries <= 0 || u.running < l.Queries && len(u.queue) == 0:
+	switch most, bound := g.most(u); {
+	case !bound || u.running < most && len(u.queue) == 0:
 		u.running++
 		g.whose[id] = u
 	case len(u.queue) < l.Queue:
@@ -126,7 +143,12 @@
 	}
 	delete(g.whose, id)
 	u.running--
-	for len(u.queue) > 0 && u.running < u.limits.Queries {
+	return g.admit(u)
+}
+
+// admit lets in those that wait, as many as may run.
+func (g *Gate) admit(u *user) (in []ID) {
+	for most, bound := g.most(u); len(u.queue) > 0 && (!bound || u.running < most); {
 		next := u.queue[0].id
 		u.queue = u.queue[1:]
 		delete(g.queued, next)
@@ -137,6 +159,63 @@
 	return in
 }
 
+// most is how many queries of a user may run, if that is bound.
+func (g *Gate) most(u *user) (most int, bound bool) {
+	if t := g.told[u.name]; t.Queries {
+		return t.Most, true
+	}
+	return u.limits.Queries, u.limits.Queries > 0
+}
+
+func (u *user) fill(now float64, t Told) {
+	rate, burst := u.limits.PerSecond, max(1, u.limits.Burst)
+	if t.Rate {
+		rate, burst = t.PerSecond, t.Burst
+	}
+	u.tokens = min(burst, u.tokens+max(0, now-u.at)*rate/1000)
+	u.at = max(now, u.at)
+}
+
+func (u *user) ask(now, n float64) {
+	u.asked = u.asked*math.Exp(-max(0, now-u.askedAt)/1000) + n
+	u.askedAt = max(now, u.askedAt)
+}
+
+// Tell has this pooler's part of a user's limits be so, and returns the queries that are let in for it. More than that may run: they
+// are left to end.
+func (g *Gate) Tell(name string, t Told, now float64) (in []ID) {
+	u := g.users[name]
+	if u != nil {
+		u.fill(now, g.told[name])
+		if t.Rate && !g.told[name].Rate {
+			u.tokens = 0
+		}
+	}
+	if g.told[name] = t; u == nil {
+		return nil
+	}
+	u.fill(now, t)
+	return g.admit(u)
+}
+
+// Untell has a user's limits be those of the settings again.
+func (g *Gate) Untell(name string) (in []ID) {
+	delete(g.told, name)
+	if u := g.users[name]; u != nil {
+		return g.admit(u)
+	}
+	return nil
+}
+
+// Demand is how many of a user's queries run and wait, and how many come a second.
+func (g *Gate) Demand(name string, now float64) (running, waits int, asked float64) {
+	if u := g.users[name]; u != nil {
+		u.ask(now, 0)
+		return u.running, len(u.queue), u.asked
+	}
+	return 0, 0, 0
+}
+
 // Beat turns away what has waited for too long.
 func (g *Gate) Beat(now float64) (out []ID) {
 	if len(g.queued) == 0 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,9 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+
+	bounds []*bound // limits that hold for the whole fleet
+	leases Leases   // nil where there are none
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -205,6 +208,7 @@
 	if z := set.Zone; z >= 0 && z < len(c.cfg.Zones) {
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
+	c.allowed(&set)
 	c.tell(&beechgrade.Retune{Settings: set})
 }
 
@@ -343,6 +347,8 @@
 		client.Failed()
 		return slots.Ref{}, nil
 	}
+	c.met(OfTenant, q.Tenant)
+	c.Expire()
 	key := ""
 	if set.Effect == beechgrade.Keyed && q.Idem != "" {
 		key = strconv.Itoa(q.Group) + " " + q.Idem
@@ -539,14 +545,15 @@
 		if c.rec.On() {
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
-		c.servers.Probe(string(a.Store))
+		id := string(a.Store)
+		c.met(OfProbes, "").do(c, func() { c.servers.Probe(id) })
 	case beechgrade.SetTimer:
 		tag := a.Tag
 		c.loop.At(clock.Millis(a.At), func() { c.tell(&beechgrade.Timer{Tag: tag}) })
 	case beechgrade.Subscribe:
-		c.dir.Watch()
+		c.met(OfLists, "").do(c, c.dir.Watch)
 	case beechgrade.FetchList:
-		c.dir.Fetch()
+		c.met(OfLists, "").do(c, c.dir.Fetch)
 	case beechgrade.Log:
 		c.log.Info(a.Text)
 	}
--- /dev/null
+++ b/internal/core/limits.go
@@ -0,0 +1,207 @@
+package core
+
+import (
+	"math"
+	"slices"
+
+	"beechgrade"
+)
+
+// Of says what a limit of the whole fleet is of, as far as the core has it.
+type Of uint8
+
+// What a limit may be of.
+const (
+	OfTenant Of = iota // a tenant's requests a second
+	OfCold             // the fall budget of cold servers, whose whole is 1
+	OfProbes           // probes a second
+	OfLists            // calls for lists a second
+)
+
+// Bound is a limit that holds for the whole fleet, of which this pooler is told its own part.
+type Bound struct {
+	Limit  string
+	Of     Of
+	Tenant string
+	Amount float64 // the whole
+	Hard   bool    // of a tenant: what is beyond is refused
+}
+
+// Leases end without a word.
+type Leases interface {
+	Due() float64 // what is allowed may fall then
+	Expire()
+}
+
+// bound is a Bound with what this pooler may use, and would.
+type bound struct {
+	Bound
+	amount, burst float64
+	flow          flowOf
+	pace          pace
+}
+
+// Bind has the core keep to what it is told of some limits; of each it may use nothing until it is told. Limits that were bound
+// before keep what they were told.
+func (c *Core) Bind(list []Bound, l Leases) {
+	old := c.bounds
+	c.bounds, c.leases = nil, l
+	for _, b := range list {
+		n := &bound{Bound: b, pace: pace{told: true}}
+		if i := slices.IndexFunc(old, func(o *bound) bool { return o.Limit == b.Limit && o.Of == b.Of && o.Tenant == b.Tenant }); i >= 0 {
+			n = old[i]
+			n.Bound = b
+		}
+		c.bounds = append(c.bounds, n)
+	}
+	for _, o := range old {
+		if !slices.Contains(c.bounds, o) {
+			o.pace.open(c)
+		}
+	}
+	c.retune()
+}
+
+// Allow tells how much of a limit this pooler may use, and whether the limit is one of the core's.
+func (c *Core) Allow(limit string, amount, burst float64) bool {
+	for _, b := range c.bounds {
+		if b.Limit != limit {
+			continue
+		}
+		b.amount, b.burst = amount, burst
+		if b.pace.set(c, amount, burst); b.Of == OfTenant || b.Of == OfCold {
+			c.retune()
+		}
+		return true
+	}
+	return false
+}
+
+// Demand is what this pooler would use of a limit, a second.
+func (c *Core) Demand(limit string) (float64, bool) {
+	for _, b := range c.bounds {
+		if b.Limit == limit {
+			return b.flow.rate(c.loop.Now()), true
+		}
+	}
+	return 0, false
+}
+
+// allowed puts into settings what this pooler was told.
+func (c *Core) allowed(set *beechgrade.Settings) {
+	cloned := false
+	for _, b := range c.bounds {
+		switch b.Of {
+		case OfTenant:
+			i, ok := c.tenants[b.Tenant]
+			if !ok || i >= len(set.Tenants) {
+				continue
+			}
+			if !cloned {
+				set.Tenants, cloned = slices.Clone(set.Tenants), true
+			}
+			set.Tenants[i] = beechgrade.Tenant{Allowance: b.Amount, Told: true, Own: b.amount, Depth: b.burst, Hard: b.Hard}
+		case OfCold:
+			set.ColdTold, set.ColdPart = true, b.amount
+		}
+	}
+}
+
+// met counts a request, or what else a limit is of.
+func (c *Core) met(of Of, tenant string) *bound {
+	for _, b := range c.bounds {
+		if b.Of == of && (of != OfTenant || b.Tenant == tenant) {
+			b.flow.count(c.loop.Now())
+			return b
+		}
+	}
+	return nil
+}
+
+// Expire has leases that are over be so before anything else happens.
+func (c *Core) Expire() {
+	if c.leases != nil && c.loop.Now() >= c.leases.Due() {
+		c.leases.Expire()
+	}
+}
+
+// flowOf is how many of something come a second, lately.
+type flowOf struct{ n, at float64 }
+
+const flowMs = 1000 // memory of a flow
+
+func (f *flowOf) fade(now float64) {
+	f.n *= math.Exp(-max(0, now-f.at) / flowMs)
+	f.at = max(f.at, now)
+}
+
+func (f *flowOf) count(now float64) {
+	f.fade(now)
+	f.n++
+}
+
+func (f *flowOf) rate(now float64) float64 {
+	f.fade(now)
+	return f.n * 1000 / flowMs
+}
+
+// pace has what this pooler does of itself wait for its turn.
+type pace struct {
+	told        bool
+	rate, depth float64
+	tokens, at  float64
+	waits       []func()
+	due         bool
+}
+
+func (p *pace) fill(now float64) {
+	p.tokens = min(p.depth, p.tokens+p.rate*max(0, now-p.at)/1000)
+	p.at = max(p.at, now)
+}
+
+func (p *pace) set(c *Core, rate, depth float64) {
+	now := c.loop.Now()
+	if p.fill(now); !p.told {
+		p.tokens = 0
+	}
+	p.told, p.rate, p.depth = true, rate, depth
+	p.fill(now)
+	p.release(c)
+}
+
+// open lets everything go that waits.
+func (p *pace) open(c *Core) {
+	p.told = false
+	p.release(c)
+}
+
+// mostWaits bounds what waits; the router has one probe out to each server at most.
+const mostWaits = 4096
+
+func (b *bound) do(c *Core, f func()) {
+	if b == nil || len(b.pace.waits) >= mostWaits {
+		f()
+		return
+	}
+	b.pace.waits = append(b.pace.waits, f)
+	b.pace.release(c)
+}
+
+const leastWaitMs = 5
+
+func (p *pace) release(c *Core) {
+	p.fill(c.loop.Now())
+	for len(p.waits) > 0 && (!p.told || p.tokens >= 1) {
+		f := p.waits[0]
+		p.waits = p.waits[1:]
+		p.tokens--
+		f()
+	}
+	if len(p.waits) > 0 && p.rate > 0 && !p.due {
+		p.due = true
+		c.loop.At(c.loop.Now()+max(leastWaitMs, (1-p.tokens)*1000/p.rate), func() {
+			p.due = false
+			p.release(c)
+		})
+	}
+}
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -50,6 +50,7 @@
 	Cores       int
 	Falls       float64 // times its capacity of the moment, in FallsMs, that push a cold server over
 	FallsMs     float64
+	Limits      []Limit // that hold for the whole fleet
 }
 
 // Event is something that crossed the wire, as evidence.
@@ -90,6 +91,7 @@
 	words    map[where]word    // what servers told poolers of their role last
 	still    map[int]stillness // poolers' machines that stood still last
 	keyed    map[keyAt][]keySend
+	limits   []*limitUse
 	order    []due // by when an answer is due, about
 	head     int
 }
@@ -154,6 +156,8 @@
 	attempts []attempt
 	ran      []ran
 	events   []Event
+	limit    *limitUse // nil where none is of its tenant
+	used     bool
 }
 
 type attempt struct {
@@ -174,7 +178,11 @@
 
 // New makes a checker.
 func New(cfg Config) *Checker {
-	return &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
+	c := &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
+	for _, l := range cfg.Limits {
+		c.limits = append(c.limits, &limitUse{Limit: l, poolers: map[int]*poolerUse{}, seconds: map[int64]float64{}, wanted: map[int64]float64{}})
+	}
+	return c
 }
 
 func (c *Checker) breach(b Breach, proof []Event) {
@@ -323,6 +331,10 @@
 	if q == nil {
 		return
 	}
+	if q.limit != nil && !q.used {
+		q.used = true
+		c.use(at, q, server)
+	}
 	if q.class.Writes {
 		x, ok := c.words[where{pooler, server}]
 		if ok {
@@ -538,6 +550,7 @@
 
 // Verdict is the verdict so far.
 func (c *Checker) Verdict() *Verdict {
+	c.shares()
 	v := &Verdict{Checked: map[Rule]uint64{}, Broken: map[Rule]int{}, Breaches: slices.Clone(c.breaches)}
 	for r, n := range c.checked {
 		v.Checked[r] = n
--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -264,14 +264,25 @@
 	return b.String()
 }
 
+// Home is which of so many poolers an ask goes to: its session's, unless it roams, or goes where most of its tenant's do.
+func (c *Config) Home(a *Ask, poolers int) int {
+	if c.Skew > 0 && (a.Tag>>20)%1000 < uint64(1000*c.Skew) && c.TenantOf(a) != "" {
+		if c.SwingMs > 0 && poolers > 1 {
+			return int(a.At/c.SwingMs) % 2
+		}
+		return 0
+	}
+	if a.Tag%1000 < uint64(1000*c.Roams) {
+		return int(a.Tag / 1000 % uint64(poolers))
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(a.Key))
+	return int(h.Sum32() % uint32(poolers))
+}
+
 // connect finds a connection to the session's pooler, or to another where that is known to be gone.
 func (p *Player) connect(t *Try) *link {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(t.Ask.Key))
-	home := int(h.Sum32() % uint32(len(p.poolers)))
-	if t.Ask.Tag%1000 < uint64(1000*p.cfg.Roams) {
-		home = int(t.Ask.Tag / 1000 % uint64(len(p.poolers)))
-	}
+	home := p.cfg.Home(t.Ask, len(p.poolers))
 	for i := range p.poolers {
 		n := (home + i) % len(p.poolers)
 		now := p.clk.Now()
--- a/internal/kit/clients/plan.go
+++ b/internal/kit/clients/plan.go
@@ -64,6 +64,8 @@
 	RetryMs   [2]float64 // wait before a retry, where the refusal advises none
 	Patience  [2]float64 // part of the class's deadline after which a try is given up
 	Jumps     []Jump
+	Skew      float64 // part of the asks of tenants that goes to one pooler, the first...
+	SwingMs   float64 // ...or to it and the second, for so long each in turn; 0 for the first alone
 	Roams     float64 // part of the tries that go to any pooler, not to their session's
 	IdleMs    float64 // after which a client closes its connection
 	House     bool    // they speak the ClickHouse interface
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -61,6 +61,7 @@
 	ModuleMs  float64            `json:"module_ms,omitempty"`
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
+	Limits    *Limits            `json:"limits,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -97,7 +98,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -186,6 +187,9 @@
 	}
 	if e.fleet != nil {
 		r.Views = e.fleet.result()
+		if s.Limits != nil {
+			r.Limits = e.fleet.lentResult()
+		}
 		e.fleet.check.Verdict(r.Verdict)
 	}
 	return r
@@ -313,6 +317,7 @@
 		strike := func(on bool) {
 			f.Strike(e.fleet.net, on)
 			e.fleet.check.Fault(e.s.now)
+			e.check.Fault(e.s.now)
 			if f.Link.Lose > 0 {
 				e.fleet.check.Lossy(on)
 			}
@@ -335,13 +340,18 @@
 	case "wrong-roles":
 		e.world.Swap(true)
 		later(func() { e.world.Swap(false) })
+	case "limit":
+		e.change(f)
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
-		later(p.revive)
+		e.check.Fault(e.s.now)
+		later(func() { p.revive(); e.check.Fault(e.s.now) })
 	case "restart-pooler":
 		e.poolers[f.Target.Group].restart()
+		e.check.Fault(e.s.now)
 	case "stall-pooler":
+		e.check.Fault(e.s.now + f.For)
 		p := e.poolers[f.Target.Group]
 		p.still = max(p.still, e.s.now+max(1, f.For))
 		e.check.Still(e.s.now, p.no, p.still)
--- /dev/null
+++ b/internal/kit/emulate/limits.go
@@ -0,0 +1,180 @@
+package emulate
+
+import (
+	"math"
+
+	"beechgrade/internal/core"
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/quota"
+	"beechgrade/internal/peers/view"
+)
+
+// Limits is what came of limits that hold for the whole fleet.
+type Limits struct {
+	Messages float64     `json:"messages_a_second_of_a_pooler"`
+	Bytes    float64     `json:"bytes_a_second_of_a_pooler"`
+	Uses     []check.Use `json:"uses"`
+	Followed []float64   `json:"-"`
+}
+
+const (
+	demandMs  = 100   // between two looks at what a pooler would use; as the daemon has it
+	itemBytes = 70    // of a message's part about one limit
+	warmMs    = 20000 // until parts used are counted: the first owner waits a lease out
+)
+
+// lender is a pooler's side of the fleet's limits.
+type lender struct {
+	x     *peer
+	q     *quota.Quota
+	id    view.ID
+	set   operate.FleetLimits
+	due   float64
+	acts  []quota.Action
+	count int // of those that may be sending
+}
+
+// lend begins a process's limits.
+func (x *peer) lend() {
+	e := x.p.e
+	if e.script.Limits == nil {
+		return
+	}
+	x.limits = &lender{x: x, set: *x.p.limits, due: math.Inf(1)}
+	x.limits.bind()
+	x.limits.members()
+	x.limits.beat()
+}
+
+// bind tells the core which limits are its own.
+func (l *lender) bind() {
+	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists}
+	var bounds []core.Bound
+	for _, x := range l.set.List {
+		if of, ok := kinds[x.Of]; ok {
+			bounds = append(bounds, core.Bound{Limit: x.Name, Of: of, Tenant: x.Whom, Amount: x.Amount, Hard: x.Hard})
+		}
+	}
+	l.x.p.core.Bind(bounds, l)
+}
+
+func (l *lender) members() {
+	self, e := l.x.view.Self().ID, l.x.p.e
+	if l.q == nil || self != l.id {
+		set := e.script.Quotas()
+		set.Limits = l.set.Quotas()
+		from := e.s.now
+		if m := e.opt.Mutant; m != nil {
+			if m.Quota != nil {
+				m.Quota(l.x.p.no, &set)
+			}
+			if m.Rash && l.x.life > 0 {
+				from -= 1e9
+			}
+		}
+		l.id, l.q = self, quota.New(set, self, from)
+	}
+	m := quota.Members{Sending: l.x.view.Counts().Sending}
+	for _, r := range l.x.view.Members() {
+		if r.State <= view.Suspect {
+			m.Peers = append(m.Peers, quota.Peer{ID: r.ID, Addr: r.Addr, Ending: r.Draining})
+		}
+	}
+	l.share(m)
+}
+
+func (l *lender) share(ev quota.Event) {
+	e := l.x.p.e
+	acts := l.q.Handle(e.s.now, ev, l.acts[:0])
+	l.acts, l.due = nil, l.q.Due()
+	for i := range acts {
+		switch a := &acts[i]; a.Kind {
+		case quota.Send:
+			l.send(a.Addr, a.Message)
+		case quota.Allow:
+			l.x.p.core.Allow(a.Limit, a.Amount, a.Burst)
+			e.s.mix(uint64(l.x.p.no)<<32|uint64(a.Amount*1000), uint64(e.s.now))
+		}
+	}
+	clear(acts)
+	l.acts = acts
+}
+
+// send has a message about limits arrive, as often and as late as the way has it.
+func (l *lender) send(addr string, m *quota.Message) {
+	x := l.x
+	f, e := x.f, x.p.e
+	to := f.at(addr)
+	if to == nil || to == x.p {
+		return
+	}
+	f.lent++
+	f.lentBytes += headBytes + itemBytes*uint64(len(m.Items))
+	for _, late := range f.net.Fate(x.p.no, to.no, f.rng) {
+		e.s.After(e.wayBetween(x.p, to)+late, world.Func(func() {
+			if y := to.peer; y != nil && to.up && y.limits != nil {
+				to.whenRunning(y.life, func() { y.limits.hear(m) })
+			}
+		}), 0)
+	}
+}
+
+func (l *lender) hear(m *quota.Message) {
+	if k := l.x.p.e.opt.Mutant; k != nil && k.Limits != nil {
+		c := *m
+		c.Items = append([]quota.Item(nil), m.Items...)
+		k.Limits(l.x.p.no, l.q, &c)
+		m = &c
+	}
+	l.share(quota.Heard{Message: m})
+}
+
+// Due is core.Leases'.
+func (l *lender) Due() float64 { return l.due }
+
+// Expire is core.Leases'.
+func (l *lender) Expire() { l.share(quota.Tick{}) }
+
+const coldFlow = 1e5 // as the daemon has it
+
+func (l *lender) beat() {
+	for i := range l.set.List {
+		x := &l.set.List[i]
+		if want, ok := l.x.p.core.Demand(x.Name); ok {
+			if x.Of == operate.OfCold {
+				want /= coldFlow
+			}
+			l.share(quota.Demand{Limit: x.Name, Want: want})
+		}
+	}
+	lifeLoop{l.x.p, l.x.life}.At(l.x.p.e.s.now+demandMs, l.beat)
+}
+
+// reload has a pooler take limits that have changed.
+func (p *pooler) reload(set operate.FleetLimits) {
+	p.limits = &set
+	if x := p.peer; x != nil && x.limits != nil {
+		p.whenRunning(x.life, func() {
+			x.limits.set = set
+			x.limits.bind()
+			x.limits.share(quota.Retune{Limits: set.Quotas()})
+		})
+	}
+}
+
+// change has a limit be another at some poolers.
+func (e *Emulation) change(f *scenario.Fault) {
+	for _, no := range f.Struck(e.script) {
+		p := e.poolers[no]
+		p.reload(scenario.Changed(*p.limits, f.Target.Word, f.Value))
+	}
+	e.check.Changed(e.s.now, f.Target.Word, f.Struck(e.script), len(e.poolers), f.Value, e.script.Lowered(f))
+}
+
+func (f *fleetOf) lentResult() *Limits {
+	seconds := (f.e.s.now - f.from) / 1000 * float64(len(f.e.poolers))
+	return &Limits{Messages: float64(f.lent) / seconds, Bytes: float64(f.lentBytes) / seconds, Uses: f.e.check.Uses(warmMs)}
+}
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/membership/judge"
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
 
@@ -23,12 +24,15 @@
 	List    func(l *discovery.List)                              // what it is told of the list
 	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
 	World   func(w *world.World)
-	Judge   func(s *judge.Settings)           // what its judge of the server list goes by
-	View    func(s *view.Settings)            // how its view of the fleet is kept
-	Peer    func(x *peer, ev view.Event) bool // what its view is told; nothing where it returns false
-	SameID  bool                              // its processes all have one ID
-	Keyed   bool                              // it shows where writes have keys
-	Lists   bool                              // it goes by its list's role in place of what servers say
+	Judge   func(s *judge.Settings)                        // what its judge of the server list goes by
+	View    func(s *view.Settings)                         // how its view of the fleet is kept
+	Peer    func(x *peer, ev view.Event) bool              // what its view is told; nothing where it returns false
+	Quota   func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
+	Limits  func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
+	Rash    bool                                           // a process that begins again votes at once
+	SameID  bool                                           // its processes all have one ID
+	Keyed   bool                                           // it shows where writes have keys
+	Lists   bool                                           // it goes by its list's role in place of what servers say
 }
 
 // Mutants are all of them.
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -8,6 +8,7 @@
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
 
@@ -18,10 +19,11 @@
 	rng   *rand.Rand
 	check *check.Views
 
-	packets, bytes uint64
-	trades         uint64
-	streamed       uint64
-	from           float64 // rates count from then on
+	packets, bytes  uint64
+	lent, lentBytes uint64 // about limits
+	trades          uint64
+	streamed        uint64
+	from            float64 // rates count from then on
 }
 
 // settledMs is when a fleet that started at once is taken for settled, for rates.
@@ -72,7 +74,9 @@
 	e.s.After(lookMs, world.Func(look), 0)
 	f.from = startMs
 	if s.Clients.Seconds*1000 > 2*settledMs {
-		e.s.After(settledMs, world.Func(func() { f.packets, f.bytes, f.streamed, f.trades, f.from = 0, 0, 0, 0, e.s.now }), 0)
+		e.s.After(settledMs, world.Func(func() {
+			f.packets, f.bytes, f.streamed, f.trades, f.lent, f.lentBytes, f.from = 0, 0, 0, 0, 0, 0, e.s.now
+		}), 0)
 	}
 	return f
 }
@@ -91,6 +95,8 @@
 	view *view.View
 	out  []view.Action
 	sent int // its count of those that may be sending
+
+	limits *lender // nil where none hold for the whole fleet
 }
 
 // join begins a process's view.
@@ -118,6 +124,7 @@
 	x.view = view.New(set, view.Record{ID: id, Name: p.name, Addr: p.name, Zone: site}, p.e.s.now)
 	p.peer = x
 	f.check.Began(p.e.s.now, p.no, uint64(id))
+	x.lend()
 	x.tick()
 }
 
@@ -125,6 +132,9 @@
 
 func (x *peer) tick() {
 	x.do(view.Tick{})
+	if x.limits != nil {
+		x.limits.share(quota.Tick{})
+	}
 	lifeLoop{x.p, x.life}.At(x.view.Next(), x.tick)
 }
 
@@ -159,6 +169,7 @@
 // carry carries out what the view asks for.
 func (x *peer) carry() {
 	e := x.p.e
+	news := x.limits != nil && x.limits.id != x.view.Self().ID
 	for i := range x.out {
 		switch a := &x.out[i]; a.Kind {
 		case view.Send:
@@ -168,12 +179,17 @@
 		case view.Changed:
 			x.f.check.Says(e.s.now, x.p.no, uint64(a.Record.ID), int(a.Record.State), a.Record.Inc)
 			e.s.mix(uint64(a.Record.ID), uint64(x.p.no)<<8|uint64(a.Record.State))
+			news = true
 		}
 	}
 	if n := x.view.Counts().Sending; n != x.sent {
 		x.sent = n
 		x.p.core.Siblings(n)
 		x.f.check.Counts(e.s.now, x.p.no, n)
+		news = true
+	}
+	if news && x.limits != nil {
+		x.limits.members()
 	}
 }
 
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -13,6 +13,8 @@
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 	"beechgrade/internal/slots"
 )
@@ -36,7 +38,8 @@
 	most   int     // that its descriptors allow
 	idleMs float64 // a connection idle for so long is closed
 	wear   wear.Wear
-	member *member // nil where the list is the platform's
+	member *member              // nil where the list is the platform's
+	limits *operate.FleetLimits // as it last read them
 }
 
 // store is a pooler's connections to one server.
@@ -93,7 +96,7 @@
 
 func (e *Emulation) newPooler(no int) *pooler {
 	p := &pooler{e: e, no: no, name: fmt.Sprintf("pooler-%d", no), visits: map[*visit]bool{}}
-	p.known = e.world.List.Whole()
+	p.known, p.limits = e.world.List.Whole(), e.script.Limits
 	return p
 }
 
@@ -138,6 +141,9 @@
 func (p *pooler) leave() {
 	if p.peer != nil {
 		p.peer.do(view.Leave{})
+		if l := p.peer.limits; l != nil {
+			l.share(quota.Leave{})
+		}
 	}
 }
 
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -1,7 +1,6 @@
 package emulate
 
 import (
-	"hash/fnv"
 	"math"
 	"strconv"
 
@@ -60,12 +59,7 @@
 
 // home is the pooler that a session's requests go to, unless it roams.
 func (e *Emulation) home(a *ask) int {
-	if a.Tag%1000 < uint64(1000*e.script.Clients.Roams) {
-		return int(a.Tag / 1000 % uint64(len(e.poolers)))
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(a.Key))
-	return int(h.Sum32() % uint32(len(e.poolers)))
+	return e.script.Clients.Home(&a.Ask, len(e.poolers))
 }
 
 // visit is one try of a client at a pooler. It is front.Client and the attempts' backend.Query.
@@ -145,6 +139,9 @@
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
+		if e.script.Limits != nil {
+			e.check.Tenant(e.s.now, v.id, e.script.Clients.TenantOf(&v.ask.Ask))
+		}
 		v.p.whenRunning(v.life, func() { v.file(due) })
 	case visitAnswered:
 		if v.over {
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -48,6 +48,7 @@
 	if t.Class.KeyMs > 0 {
 		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
 	}
+	w.check.Tenant(t.Sent, idOf(t.ID), t.Tenant)
 }
 
 // tried takes a try's end.
--- /dev/null
+++ b/internal/kit/scenario/limits.go
@@ -0,0 +1,115 @@
+package scenario
+
+import (
+	"slices"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/quota"
+	"beechgrade/internal/sexp"
+)
+
+// fleetLimits reads (fleet-limits ...), as the operators' settings have it.
+func (s *Script) fleetLimits(n *sexp.Node) (err error) {
+	s.Limits, err = operate.ReadFleetLimits(n)
+	return err
+}
+
+// aLimit reads (limit NAME AMOUNT), a limit that is another from then on at all poolers, or (limit NAME AMOUNT POOLER ...) at some; each
+// takes it by reading its settings again. The burst changes with the amount.
+func aLimit(f *Fault, n *sexp.Node) error {
+	a := n.Args()
+	if len(a) < 2 || a[0].Kind == sexp.List {
+		return n.Errorf("(limit NAME AMOUNT POOLER ...)")
+	}
+	var err error
+	if f.Target.Word = a[0].Text; f.Target.Kind == "" {
+		f.Target.Kind = "limit"
+	}
+	if f.Value, err = a[1].Number(0.01, maxRate); err != nil {
+		return err
+	}
+	for _, x := range a[2:] {
+		no, err := x.Number(0, maxPoolers-1)
+		if err != nil {
+			return err
+		}
+		f.Ends[0] = append(f.Ends[0], int(no))
+	}
+	return nil
+}
+
+func (s *Script) limit(name string) *operate.FleetLimit {
+	if s.Limits == nil {
+		return nil
+	}
+	if i := slices.IndexFunc(s.Limits.List, func(l operate.FleetLimit) bool { return l.Name == name }); i >= 0 {
+		return &s.Limits.List[i]
+	}
+	return nil
+}
+
+// Changed are the limits with one of another amount.
+func Changed(f operate.FleetLimits, name string, amount float64) operate.FleetLimits {
+	f.List = slices.Clone(f.List)
+	for i := range f.List {
+		if l := &f.List[i]; l.Name == name {
+			l.Burst *= amount / l.Amount
+			l.Amount = amount
+			if l.Kind != quota.Number {
+				l.Burst = max(1, l.Burst)
+			}
+		}
+	}
+	return f
+}
+
+// Struck are the poolers at which a change of a limit strikes.
+func (f *Fault) Struck(s *Script) []int {
+	if len(f.Ends[0]) > 0 {
+		return f.Ends[0]
+	}
+	var all []int
+	for i := range s.Poolers {
+		all = append(all, i)
+	}
+	return all
+}
+
+// Quotas are how poolers share the limits.
+func (s *Script) Quotas() quota.Settings {
+	q := s.Limits.Settings
+	q.Limits, q.Expect = s.Limits.Quotas(), s.Poolers
+	return q
+}
+
+// CheckedLimits are what the checker holds the whole fleet to: those that it can count at servers.
+func (s *Script) CheckedLimits() (out []check.Limit) {
+	if s.Limits == nil {
+		return nil
+	}
+	q := s.Quotas()
+	for _, l := range s.Limits.List {
+		if l.Of == operate.OfTenant && l.Hard {
+			delay := s.Way[1]
+			for i := range s.Faults {
+				delay = max(delay, s.Way[1]+s.Faults[i].Link.Slow)
+			}
+			out = append(out, check.Limit{Name: l.Name, Tenant: l.Whom, PerSecond: l.Amount, Burst: l.Burst, Even: l.Manner != quota.Never, OverMs: q.EvenOver(delay), CalmMs: calmMs})
+		}
+	}
+	return out
+}
+
+// calmMs after a fault all is calm again, as far as limits go: their owner has been found, and old leases are over.
+const calmMs = 30000
+
+// Lowered is when a limit that was changed binds: with a lower amount, once what was lent before is over.
+func (s *Script) Lowered(f *Fault) float64 {
+	q := s.Quotas()
+	l := s.limit(f.Target.Word)
+	if f.Value < l.Amount {
+		return q.Free(l.Kind)
+	}
+	return 0
+}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/operate"
 	"beechgrade/internal/sexp"
 )
 
@@ -71,7 +72,8 @@
 
 	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
 
-	Peers *Peers // poolers keep a view of the fleet; nil where they do not
+	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
+	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -167,6 +169,9 @@
 	s.Fleet.Sites = s.Sites
 	s.Faults = unfold(s.Faults, s.Clients.Seconds*1000)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	if s.Limits != nil && s.Peers == nil {
+		return nil, n.Errorf("(fleet-limits ...) goes with (peers)")
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -214,6 +219,9 @@
 		"allowance":    float(&c.Allowance, 0.1, maxRate),
 		"over":         float(&c.Over, 0, 1),
 		"peers":        s.peers,
+		"fleet-limits": s.fleetLimits,
+		"skew":         float(&c.Skew, 0, 1),
+		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
 		"sites":        s.sites,
 		"cross":        both(&s.Cross),
@@ -447,6 +455,7 @@
 	"fail-check":     struck(0, 0),
 	"links":          aLink,
 	"between":        aLink,
+	"limit":          aLimit,
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
@@ -545,6 +554,8 @@
 		return fail("(%s ...) goes with (consul AGENTS)", f.What)
 	case f.What == "agent" && f.Target.Group >= s.Agents:
 		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
+	case f.What == "limit" && (s.Limits == nil || s.limit(f.Target.Word) == nil):
+		return fail("there is no limit %q in (fleet-limits ...)", f.Target.Word)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
 	case f.What == "cut" && f.Pooler >= s.Poolers:
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"beechgrade/internal/sexp"
 )
@@ -17,6 +18,7 @@
 	ClickHouse ClickHouse
 	Journal    Journal
 	Peers      Peers
+	Limits     FleetLimits
 }
 
 // Record says whether and where the pooler records what it does.
@@ -60,14 +62,19 @@
 		return nil, err
 	}
 	s := &Settings{}
-	return s, sexp.Form{
-		"record":     func(n *sexp.Node) error { return s.Record.read(n, env) },
-		"clickhouse": s.ClickHouse.read,
-		"pooling":    s.Pooling.read,
-		"peers":      func(n *sexp.Node) error { return s.Peers.read(n, env) },
-		"journal":    func(n *sexp.Node) error { return s.Journal.read(n, env) },
-		"membership": func(n *sexp.Node) error { return s.Membership.read(n, env) },
+	err = sexp.Form{
+		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
+		"clickhouse":   s.ClickHouse.read,
+		"pooling":      s.Pooling.read,
+		"fleet-limits": s.Limits.read,
+		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
+		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
+		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
+	}
+	return s, err
 }
 
 func (r *Record) read(n *sexp.Node, env func(string) string) error {
--- a/internal/peers/form.go
+++ b/internal/peers/form.go
@@ -6,9 +6,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
 
@@ -19,6 +21,14 @@
 //	                 uint32 incarnation = 7; uint32 state = 8; bool draining = 9; }
 //	message Counts { uint32 reachable = 1; uint32 sending = 2; bool majority = 3; bool alone = 4; }
 //
+// About limits the kind is 18, the target is whom it is for, and the rest is:
+//
+//	Envelope { uint32 verb = 8; repeated Item items = 7; }
+//	message Item { fixed64 limit = 1; uint32 seq = 2; uint32 epoch = 3; fixed64 stamp = 4; bool vote = 5; bool even = 6; uint32 seen = 7;
+//	               uint32 hold = 8; fixed64 rest = 9; fixed64 want = 10; uint32 units = 11; uint32 pool = 12; bool sure = 13; fixed64 share = 14; }
+//
+// where stamp, rest, want and share are doubles.
+//
 // Fields that are not known are skipped, so that a later version can say more. A datagram that is sent again by a stranger who has
 // seen it tells nothing new: what a record says is ordered by the incarnation that its process gave it.
 const (
@@ -35,6 +45,7 @@
 const (
 	kindRecords view.Kind = 16 // one side of a full exchange
 	kindShow    view.Kind = 17 // asks for all that is known, and tells nothing
+	kindLimits  view.Kind = 18 // about limits of the whole fleet
 )
 
 // Errors of what cannot be read.
@@ -56,6 +67,7 @@
 type envelope struct {
 	view.Message
 	counts view.Counts
+	limits *quota.Message
 }
 
 // seal appends a message as it goes out.
@@ -121,9 +133,73 @@
 		part = appendUint(appendUint(part, 3, bit(c.Majority)), 4, bit(c.Alone))
 		b = protowire.AppendBytes(protowire.AppendTag(b, 6, protowire.BytesType), part)
 	}
+	if m := e.limits; m != nil {
+		for i := range m.Items {
+			part = appendItem(part[:0], &m.Items[i])
+			b = protowire.AppendBytes(protowire.AppendTag(b, 7, protowire.BytesType), part)
+		}
+		b = appendUint(b, 8, uint64(m.Verb))
+	}
+	return b
+}
+
+func appendItem(b []byte, it *quota.Item) []byte {
+	real := func(num protowire.Number, x float64) {
+		if x != 0 {
+			b = appendFixed(b, num, math.Float64bits(x))
+		}
+	}
+	b = appendFixed(b, 1, it.Limit)
+	b = appendUint(appendUint(b, 2, uint64(it.Seq)), 3, uint64(it.Epoch))
+	real(4, it.Stamp)
+	b = appendUint(appendUint(b, 5, bit(it.Vote)), 6, bit(it.Even))
+	b = appendUint(appendUint(b, 7, uint64(it.Seen)), 8, uint64(it.Hold))
+	real(9, it.Rest)
+	real(10, it.Want)
+	b = appendUint(appendUint(b, 11, uint64(it.Units)), 12, uint64(it.Pool))
+	b = appendUint(b, 13, bit(it.Sure))
+	real(14, it.Share)
 	return b
 }
 
+func readItem(b []byte) (it quota.Item, err error) {
+	err = fields(b, func(num protowire.Number, x uint64, _ []byte) error {
+		small, real := int(min(x, math.MaxInt32)), math.Float64frombits(x)
+		switch num {
+		case 1:
+			it.Limit = x
+		case 2:
+			it.Seq = uint32(x)
+		case 3:
+			it.Epoch = uint32(x)
+		case 4:
+			it.Stamp = real
+		case 5:
+			it.Vote = x == 1
+		case 6:
+			it.Even = x == 1
+		case 7:
+			it.Seen = uint32(x)
+		case 8:
+			it.Hold = small
+		case 9:
+			it.Rest = real
+		case 10:
+			it.Want = real
+		case 11:
+			it.Units = small
+		case 12:
+			it.Pool = small
+		case 13:
+			it.Sure = x == 1
+		case 14:
+			it.Share = real
+		}
+		return nil
+	})
+	return it, err
+}
+
 func appendRecord(b []byte, r *view.Record) []byte {
 	b = appendFixed(b, 1, uint64(r.ID))
 	for i, s := range []string{r.Name, r.Addr, r.Zone, r.Region, r.Version} {
@@ -203,9 +279,26 @@
 				}
 				return nil
 			})
+		case 7:
+			if e.limits == nil {
+				e.limits = &quota.Message{}
+			}
+			if len(e.limits.Items) >= quota.MostItems {
+				return fmt.Errorf("%w: over %d limits", ErrForm, quota.MostItems)
+			}
+			it, err := readItem(text)
+			e.limits.Items = append(e.limits.Items, it)
+			return err
+		case 8:
+			if e.limits != nil {
+				e.limits.Verb = quota.Verb(min(x, 255))
+			}
 		}
 		return nil
 	})
+	if e.limits != nil {
+		e.limits.From, e.limits.To = e.From, e.Target
+	}
 	if err == nil && e.From == 0 && e.Kind != kindShow {
 		err = fmt.Errorf("%w: from nobody", ErrForm)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
 
@@ -26,7 +27,8 @@
 	Key       Key
 	Record    view.Record // but for the address
 	View      view.Settings
-	Again     bool // the address may still be held by this pooler's last process: it is asked for until it is free
+	Limits    *quota.Settings // that hold for the whole fleet, nil for none
+	Again     bool            // the address may still be held by this pooler's last process: it is asked for until it is free
 }
 
 // Loop is where the view lives.
@@ -40,6 +42,7 @@
 type Events interface {
 	Fleet(c view.Counts)                              // whenever it differs from before
 	Member(r view.Record, was view.State, isNew bool) // news of a process
+	Allow(limit string, amount, burst float64)        // what this pooler may use of a limit from now on
 }
 
 // Bounds of what is done at a time for others.
@@ -71,6 +74,11 @@
 	out    []view.Action
 	local  netip.Addr
 
+	quota *quota.Quota // nil where there is none
+	lends view.ID      // whom the quota goes by
+	acts  []quota.Action
+	due   float64
+
 	packet  *net.UDPConn
 	listen  *net.TCPListener
 	wg      sync.WaitGroup
@@ -90,7 +98,7 @@
 // datagram is one that goes out; the view's message is not changed any more.
 type datagram struct {
 	to netip.AddrPort
-	m  *view.Message
+	e  envelope
 }
 
 // New makes a peer; Start begins it.
@@ -165,6 +173,7 @@
 		return
 	}
 	p.do(view.Tick{})
+	p.share(quota.Tick{})
 	p.loop.At(p.view.Next(), p.tick)
 }
 
@@ -174,25 +183,30 @@
 		return
 	}
 	p.out = p.view.Handle(p.loop.Now(), e, p.out[:0])
+	news := p.view.Self().ID != p.lends
 	for i := range p.out {
 		a := &p.out[i]
 		switch a.Kind {
 		case view.Send:
-			p.write(a.Addr, a.Message)
+			p.write(a.Addr, envelope{Message: *a.Message})
 		case view.Trade:
 			p.trade(a.Addr)
 		case view.Changed:
 			p.log.Info("fleet", "pooler", a.Record.Name, "id", fmt.Sprintf("%x", uint64(a.Record.ID)), "addr", a.Record.Addr, "state", a.Record.State.String(), "inc", a.Record.Inc)
 			p.events.Member(a.Record, a.Was, a.New)
+			news = true
 		case view.Conflict:
 			p.log.Error("fleet", "err", a.Text)
 		}
 	}
 	clear(p.out)
 	if c := p.view.Counts(); c != p.counts {
-		p.counts = c
+		p.counts, news = c, true
 		p.events.Fleet(c)
 	}
+	if news {
+		p.members()
+	}
 }
 
 // Drain tells the others that this pooler takes no more clients, or does again.
@@ -223,14 +237,14 @@
 }
 
 // write has a datagram go out, unless too many wait.
-func (p *Peers) write(addr string, m *view.Message) {
+func (p *Peers) write(addr string, e envelope) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		p.dropped.Add(1)
 		return
 	}
 	select {
-	case p.send <- datagram{to, m}:
+	case p.send <- datagram{to, e}:
 	default:
 		p.overrun.Add(1)
 	}
@@ -241,7 +255,7 @@
 	defer close(p.written)
 	var b []byte
 	for d := range p.send {
-		b = p.opt.Key.seal(b[:0], &envelope{Message: *d.m})
+		b = p.opt.Key.seal(b[:0], &d.e)
 		if _, err := p.packet.WriteToUDPAddrPort(b, d.to); err == nil {
 			p.sent.Add(1)
 		}
@@ -264,17 +278,21 @@
 			continue
 		}
 		e, err := p.opt.Key.open(b[:n])
-		if err != nil || e.Kind > view.Gossip {
+		if err != nil || e.Kind > view.Gossip && (e.Kind != kindLimits || e.limits == nil) {
 			p.dropped.Add(1)
 			continue
 		}
 		p.in.Add(1)
-		p.post(view.Heard{Message: &e.Message})
+		if e.Kind == kindLimits {
+			p.post(func() { p.share(quota.Heard{Message: e.limits}) })
+			continue
+		}
+		p.post(func() { p.do(view.Heard{Message: &e.Message}) })
 	}
 }
 
 // post tells the view from a goroutine, unless too much waits for the loop.
-func (p *Peers) post(e view.Event) {
+func (p *Peers) post(do func()) {
 	if p.posted.Add(1) > waiting {
 		p.posted.Add(-1)
 		p.overrun.Add(1)
@@ -282,7 +300,7 @@
 	}
 	p.loop.Post(func() {
 		p.posted.Add(-1)
-		p.do(e)
+		do()
 	})
 }
 
@@ -303,7 +321,7 @@
 			p.log.Debug("peers: exchange", "addr", addr, "err", err)
 			return
 		}
-		p.post(view.Exchanged{Records: e.Records})
+		p.post(func() { p.do(view.Exchanged{Records: e.Records}) })
 	}()
 }
 
@@ -422,6 +440,7 @@
 	if !quietly {
 		p.do(view.Leave{})
 	}
+	p.share(quota.Leave{})
 	p.ended = true
 	if p.view == nil {
 		return
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -91,6 +91,7 @@
 	links    slots.Table[*link]
 	attempts slots.Table[*attempt]
 	keys     map[uint32]*client
+	told     map[string]int // connections of the pools of a name, where that is told
 	lastKey  uint32
 	addrs    map[string]string
 	params   map[string]string // that servers reported, for clients that start
@@ -125,7 +126,7 @@
 
 // New makes a front; events is told of attempts' ends.
 func New(l *loop.Loop, log *slog.Logger, opt Options, desk front.Desk, events backend.Events) *Front {
-	return &Front{loop: l, log: log, desk: desk, events: events, opt: opt, texts: carry.NewTexts(), keys: map[uint32]*client{},
+	return &Front{loop: l, log: log, desk: desk, events: events, opt: opt, texts: carry.NewTexts(), keys: map[uint32]*client{}, told: map[string]int{},
 		addrs: map[string]string{}, params: map[string]string{"server_version": "15.0", "server_encoding": "UTF8", "client_encoding": "UTF8",
 			"DateStyle": "ISO, MDY", "TimeZone": "UTC", "integer_datetimes": "on", "standard_conforming_strings": "on"}}
 }
@@ -204,9 +205,48 @@
 	}
 	p := &pool{key: key, name: database + "/" + user, opt: &f.opt.Pools[i], share: share.New(f.opt.Pools[i].Limits), failed: map[string]bool{}}
 	f.pools = append(f.pools, p)
+	if most, ok := f.told[p.name]; ok {
+		f.Tell(p.name, most)
+	}
 	return p
 }
 
+// Tell has the pools of a database and a user, named DATABASE/USER, have so many connections at most together.
+func (f *Front) Tell(name string, most int) {
+	f.told[name] = most
+	mine := f.named(name)
+	for i, p := range mine {
+		f.do(p, p.share.Tell((most+len(mine)-1-i)/len(mine), f.loop.Now()))
+	}
+}
+
+// Untell has these pools' limits be those of the settings again.
+func (f *Front) Untell(name string) {
+	delete(f.told, name)
+	for _, p := range f.named(name) {
+		f.do(p, p.share.Untell(f.loop.Now()))
+	}
+}
+
+// Demand is how many connections the pools of a database and a user have, and how many they would.
+func (f *Front) Demand(name string) (has, want int) {
+	for _, p := range f.named(name) {
+		idle, used, dialing, waiting := p.share.Counts()
+		has += idle + used + dialing
+		want += used + waiting + p.share.Outside()
+	}
+	return has, want
+}
+
+func (f *Front) named(name string) (out []*pool) {
+	for _, p := range f.pools {
+		if p.name == name {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // Ours tells whether a query is one of this front's transactions.
 func Ours(q backend.Query) bool {
 	_, ok := q.(*txn)
--- a/internal/pooling/share/share.go
+++ b/internal/pooling/share/share.go
@@ -116,6 +116,8 @@
 	dialing int
 	seq     uint64
 	out     []Action
+	told    bool // Most is told, and may fall
+	own     Limits
 }
 
 // New makes a pool.
@@ -124,7 +126,7 @@
 		lim.PerServer = lim.Most + lim.Reserve
 	}
 	lim.Dials = max(1, lim.Dials)
-	return &Pool{lim: lim, doors: map[string]*door{}, inside: map[ID]*door{}, outside: map[ID]*waiter{}, waits: map[ID]*waiter{}, lines: map[string]*line{}, conns: map[ID]*conn{}, idle: map[string][]*conn{}, servers: map[string]*server{}}
+	return &Pool{lim: lim, own: lim, doors: map[string]*door{}, inside: map[ID]*door{}, outside: map[ID]*waiter{}, waits: map[ID]*waiter{}, lines: map[string]*line{}, conns: map[ID]*conn{}, idle: map[string][]*conn{}, servers: map[string]*server{}}
 }
 
 // door lets as many transactions of one kind in as there may be connections. The others wait before it, so that nobody
@@ -328,8 +330,42 @@
 	return l != nil && l.first().since-w.since >= shareMs
 }
 
+// Tell has this pool's connections be so many at most, in place of what the settings say and its reserve; Untell ends it. Idle ones that
+// are beyond are closed, those in use once they are free.
+func (p *Pool) Tell(most int, now float64) []Action {
+	p.told, p.lim.Most, p.lim.Reserve = true, most, 0
+	for len(p.conns)+p.dialing > most {
+		var oldest *conn
+		for _, l := range p.idle {
+			if len(l) > 0 && (oldest == nil || l[0].since < oldest.since || l[0].since == oldest.since && l[0].id < oldest.id) {
+				oldest = l[0]
+			}
+		}
+		if oldest == nil {
+			break
+		}
+		p.drop(oldest)
+		p.act(Action{Do: Close, Server: oldest.server, Conn: oldest.id})
+	}
+	for _, d := range p.doors {
+		p.admit(d)
+	}
+	p.open(now)
+	return p.done()
+}
+
+// Untell has the pool's limits be those of the settings again.
+func (p *Pool) Untell(now float64) []Action {
+	p.told, p.lim.Most, p.lim.Reserve = false, p.own.Most, p.own.Reserve
+	for _, d := range p.doors {
+		p.admit(d)
+	}
+	p.open(now)
+	return p.done()
+}
+
 func (p *Pool) free(x *conn, now float64) {
-	if x.doomed || p.server(x.server).barred || p.lim.LifeMs > 0 && now-x.born >= p.lim.LifeMs {
+	if x.doomed || p.told && len(p.conns)+p.dialing > p.lim.Most || p.server(x.server).barred || p.lim.LifeMs > 0 && now-x.born >= p.lim.LifeMs {
 		p.drop(x)
 		p.act(Action{Do: Close, Server: x.server, Conn: x.id})
 		return
