Draw faults over shared limits in virtual time, with five mutants caught

Need: the bound is to be held by counts outside the poolers, under faults that nobody chose.

Change: the checker holds each tenant's uses, by when they came to their poolers, to a bucket of the limit's rate and burst; poolers asked for as much are to get as much.

Seen on the way: counted by first sends the program itself seemed 0.5 uses over, as sends wait for room; by arrival nothing was.

--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -51,6 +51,7 @@
 	Falls       float64 // times its capacity of the moment, in FallsMs, that push a cold server over
 	FallsMs     float64
 	Limits      []Limit // that hold for the whole fleet
+	CountMs     float64 // by which a use may come to its pooler later, or sooner, than it is told
 }
 
 // Event is something that crossed the wire, as evidence.
@@ -333,7 +334,7 @@
 	}
 	if q.limit != nil && !q.used {
 		q.used = true
-		c.use(at, q, server)
+		c.use(q, server)
 	}
 	if q.class.Writes {
 		x, ok := c.words[where{pooler, server}]
@@ -550,6 +551,7 @@
 
 // Verdict is the verdict so far.
 func (c *Checker) Verdict() *Verdict {
+	c.hold()
 	c.shares()
 	v := &Verdict{Checked: map[Rule]uint64{}, Broken: map[Rule]int{}, Breaches: slices.Clone(c.breaches)}
 	for r, n := range c.checked {
--- a/internal/kit/emulate/limits.go
+++ b/internal/kit/emulate/limits.go
@@ -147,6 +147,9 @@
 			if x.Of == operate.OfCold {
 				want /= coldFlow
 			}
+			if m := l.x.p.e.opt.Mutant; m != nil && m.Demand != nil {
+				want = m.Demand(l.x.p.no, want)
+			}
 			l.share(quota.Demand{Limit: x.Name, Want: want})
 		}
 	}
--- /dev/null
+++ b/internal/kit/emulate/limits_test.go
@@ -0,0 +1,59 @@
+package emulate
+
+import (
+	"context"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/scenario"
+)
+
+const limited = `(rehearsal "limits" (poolers 8) (groups 3 3) (retries 0)
+	(tenant "a" (share 0.8)) (tenant "b" (share 0.2)) `
+
+const quick = `(peers (probe 500ms) (timeout 250ms) (suspicion 1500ms)) `
+
+// playLimits plays a scenario of limits.
+func playLimits(t *testing.T, text string, seed uint64, m *Mutant) *Result {
+	t.Helper()
+	s, err := scenario.Parse("s", []byte(limited+text+")"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Run(context.Background(), s, Options{Seed: seed, Mutant: m})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestLimitMutants: each breaks its rule, and the program as it is breaks none in the same scenario.
+func TestLimitMutants(t *testing.T) {
+	never := `(fleet-limits (lease 6s) (promise 2s) (limit "a" (of tenant "a") (rate 100) (burst 10)))`
+	for i, x := range []struct{ text string }{
+		{quick + `(seconds 30) (rate 300) (skew 0.5) (at 15s (between 0 all cut) (for 10s)) ` + never},
+		{quick + `(seconds 30) (rate 300) (skew 0.5) (at 15s (between 0 all cut) (for 12s)) ` + never},
+		{`(peers (probe 5s) (timeout 2200ms) (suspicion 3s)) (seconds 40) (rate 800) (skew 0.7) (at 5s (links all 0 (slow 1s)) (for 30s)) (at 24s (between 0 all cut) (for 10s))
+			(fleet-limits (lease 6s) (promise 6s) (limit "a" (of tenant "a") (rate 200) (burst 4)))`},
+		// The owner, cut off from all, lends to itself while its promises last; five others begin again.
+		{quick + `(seconds 40) (rate 300) (at 18s (between 2 all cut) (for 18s)) (at 18s (kill-pooler 0) (for 200ms)) (at 18s (kill-pooler 1) (for 200ms)) (at 18s (kill-pooler 3) (for 200ms))
+			(at 18s (kill-pooler 4) (for 200ms)) (at 18s (kill-pooler 5) (for 200ms)) (fleet-limits (lease 6s) (promise 10s) (limit "a" (of tenant "a") (rate 100) (burst 10)))`},
+		{quick + `(seconds 60) (rate 300) (fleet-limits (lease 6s) (promise 2s) (limit "a" (of tenant "a") (rate 100)))`},
+	} {
+		m := LimitMutants()[i]
+		t.Run(m.Name, func(t *testing.T) {
+			t.Parallel()
+			if r := playLimits(t, x.text, 1, nil); len(r.Verdict.Broken) > 0 {
+				t.Errorf("without: %v %v", r.Verdict.Broken, r.Verdict.Breaches[0].Text)
+			} else if r.Verdict.Checked[check.FleetLimit] == 0 || r.Limits.Uses[0].Part < 0.3 {
+				t.Errorf("%v %+v", r.Verdict.Checked, r.Limits.Uses)
+			}
+			r := playLimits(t, x.text, 1, &m)
+			if r.Verdict.Broken[m.Breaks] == 0 {
+				t.Errorf("not caught: %v, %+v", r.Verdict.Checked, r.Limits.Uses)
+			} else {
+				t.Log(r.Verdict.Broken[m.Breaks])
+			}
+		})
+	}
+}
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -29,6 +29,7 @@
 	Peer    func(x *peer, ev view.Event) bool              // what its view is told; nothing where it returns false
 	Quota   func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
 	Limits  func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
+	Demand  func(no int, want float64) float64             // what it says that it would use
 	Rash    bool                                           // a process that begins again votes at once
 	SameID  bool                                           // its processes all have one ID
 	Keyed   bool                                           // it shows where writes have keys
@@ -145,6 +146,37 @@
 	}
 }
 
+// LimitMutants are poolers that share limits of the whole fleet in a way that is broken on purpose. Those that concern one pooler concern
+// the first.
+func LimitMutants() []Mutant {
+	return []Mutant{
+		{Name: "lends without waiting", Breaks: check.FleetLimit, Quota: func(no int, s *quota.Settings) {
+			if no != 0 {
+				s.Lease = 500
+			}
+		}},
+		{Name: "a lease without an end", Breaks: check.FleetLimit, Quota: func(no int, s *quota.Settings) {
+			if no == 0 {
+				s.Lease = 1e9
+			}
+		}},
+		{Name: "counts a lease's end from the answer", Breaks: check.FleetLimit, Limits: func(no int, q *quota.Quota, m *quota.Message) {
+			if no == 0 && m.Verb == quota.Answer {
+				for _, it := range m.Items {
+					q.Recount(it.Limit, it.Seq)
+				}
+			}
+		}},
+		{Name: "forgets its promises and its epoch on a restart", Breaks: check.FleetLimit, Rash: true},
+		{Name: "counts demand twice", Breaks: check.FleetShare, Demand: func(no int, want float64) float64 {
+			if no == 0 {
+				return 2 * want
+			}
+			return want
+		}},
+	}
+}
+
 // again answers a second time.
 type again struct{ v *visit }
 
--- a/internal/peers/view/api.go
+++ b/internal/peers/view/api.go
@@ -19,7 +19,7 @@
 // # Bounds
 //
 // With d the longest delay of a message, Step the grain of timers, and D(n) = Gossip*(ceil(log2 n)+2) + d for what is new to have
-// come to all n that can reach one another (no loss):
+// come to all n that can reach one another (no loss, and Timeout no shorter than 2*d, else who is well seems silent too):
 //
 //	a crash is told failed by all within   R*(Probe + 2*Timeout + 2*d + 2*Step) + Suspicion + Step + D(n)
 //	where R = 1 for one crash, else 1 + ceil(r/Watched) for a longest run of r crashed processes on the ring; of f that crash at once
