Hold limits of the whole fleet on eight processes, with relays between each two of them

Need: hard cases of limits are to be caused between processes of the program, and counted outside of them.

Change: rehearsals write (fleet-limits ...) into the poolers' settings, change a limit by SIGHUP at some of them, and strike whoever lends a limit: kill it, stop it, cut what it says. Five stories: nine tenths of demand at one of 8 and a process that joins; a partition five to three with the limit halved in its midst; the lender killed, stopped for 3 s and unheard; all restarted a quarter at a time; loss, repetition and reordering while demand swings.

--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -15,11 +15,18 @@
 
 // fleet plays a scenario on 8 processes with a relay between each two of them, and holds it to all rules.
 func fleet(t *testing.T, script string, more ...check.Rule) *rehearse.Result {
+	t.Helper()
+	return fleetAt(t, 60, script, more...)
+}
+
+// fleetAt is fleet with so many requests a second.
+func fleetAt(t *testing.T, rate float64, script string, more ...check.Rule) *rehearse.Result {
 	t.Helper()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "fleet" `+fleetQuick+script+`)`))
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.Clients.Rate = rate
 	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: t.TempDir(), Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/cmd/beechgrade-kit/limits_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/rehearse"
+)
+
+// limited is a fleet of 8 processes whose tenants ask for more than they may, with leases short enough for a test.
+const limited = ` (retries 0) (tenant "a" (share 0.6)) (tenant "b" (share 0.4)) `
+
+// limits plays a scenario of limits on 8 processes.
+func limits(t *testing.T, list, script string) *rehearse.Result {
+	t.Helper()
+	res := fleetAt(t, 200, limited+`(fleet-limits (lease 2500ms) (promise 1200ms) (renew 200ms) (soon 60ms) `+list+`) `+script, check.FleetLimit)
+	for _, u := range res.Fleet.Uses {
+		t.Logf("%+v", u)
+	}
+	return res
+}
+
+const two = `(limit "a" (of tenant "a") (rate 60) (burst 30)) (limit "b" (of tenant "b") (rate 40) (burst 20) (manner soon-even))`
+
+// TestFleetLimitsSkewed: nine tenths of each tenant's requests come to one of 8 processes; one joins while the limit is all out. Limits
+// are used for the most part, and no more than allowed.
+func TestFleetLimitsSkewed(t *testing.T) {
+	t.Parallel()
+	res := limits(t, two, `(seconds 20) (skew 0.9) (at 1s (kill-pooler 6) (for 9s))`)
+	for _, u := range res.Fleet.Uses {
+		if u.Part < 0.85 {
+			t.Errorf("%+v", u)
+		}
+	}
+}
+
+// TestFleetLimitsParted: a partition five to three with demand on both sides, in the midst of which the limit is halved by SIGHUP, on
+// the one side first, and then heals.
+func TestFleetLimitsParted(t *testing.T) {
+	t.Parallel()
+	limits(t, two, `(seconds 28) (at 10s (between (5 6 7) (0 1 2 3 4) cut) (for 9s)) (at 12s (limit "a" 30 0 1 2 3 4)) (at 13s (limit "a" 30 5 6 7))`)
+}
+
+// TestFleetLimitsOwner: who lends a limit is killed; the next one stands still for 3 s and wakes as if nothing were; the next is heard by
+// nobody while it hears all.
+func TestFleetLimitsOwner(t *testing.T) {
+	t.Parallel()
+	res := limits(t, two, `(seconds 32) (at 9s (kill-pooler owner "a")) (at 14s (stall-pooler owner "a") (for 3s)) (at 20s (links (owner "a") all cut) (for 4s))
+		(at 11s (kill-pooler owner "b") (for 1s)) (at 17s (stall-pooler owner "b") (for 3s))`)
+	if u := res.Fleet.Uses[0]; u.Part < 0.3 {
+		t.Errorf("%+v", u)
+	}
+}
+
+// TestFleetLimitsRestarted: all 8 are killed a quarter at a time under load, and come back with nothing.
+func TestFleetLimitsRestarted(t *testing.T) {
+	t.Parallel()
+	limits(t, two, `(seconds 28) (at 9s (kill-pooler 0) (for 300ms)) (at 9s (kill-pooler 1) (for 300ms)) (at 13s (kill-pooler 2) (for 300ms)) (at 13s (kill-pooler 3) (for 300ms))
+		(at 17s (kill-pooler 4) (for 300ms)) (at 17s (kill-pooler 5) (for 300ms)) (at 21s (kill-pooler 6) (for 300ms)) (at 21s (kill-pooler 7) (for 300ms))`)
+}
+
+// TestFleetLimitsLossy: three datagrams of ten lost, doubled and overtaken ones, while demand swings between two processes.
+func TestFleetLimitsLossy(t *testing.T) {
+	t.Parallel()
+	res := limits(t, two, `(seconds 24) (skew 0.9) (swing 1s) (at 8s (between all all (lose 0.3) (duplicate 0.2) (reorder 0.3)) (for 12s))`)
+	if u := res.Fleet.Uses[0]; u.Part < 0.2 {
+		t.Errorf("%+v", u)
+	}
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -311,6 +311,7 @@
 			e.s.After(f.For, world.Func(do), 0)
 		}
 	}
+	f = f.Resolved(e.lender)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
--- a/internal/kit/emulate/limits.go
+++ b/internal/kit/emulate/limits.go
@@ -21,9 +21,8 @@
 }
 
 const (
-	demandMs  = 100   // between two looks at what a pooler would use; as the daemon has it
-	itemBytes = 70    // of a message's part about one limit
-	warmMs    = 20000 // until parts used are counted: the first owner waits a lease out
+	demandMs  = 100 // between two looks at what a pooler would use; as the daemon has it
+	itemBytes = 70  // of a message's part about one limit
 )
 
 // lender is a pooler's side of the fleet's limits.
@@ -156,6 +155,19 @@
 	lifeLoop{l.x.p, l.x.life}.At(l.x.p.e.s.now+demandMs, l.beat)
 }
 
+// lender is the pooler that lends a limit, where all that run can reach one another.
+func (e *Emulation) lender(limit string) int {
+	var all []quota.Peer
+	by := map[view.ID]int{}
+	for _, p := range e.poolers {
+		if p.up && p.peer != nil {
+			id := p.peer.view.Self().ID
+			all, by[id] = append(all, quota.Peer{ID: id}), p.no
+		}
+	}
+	return by[quota.OwnerOf(limit, all)]
+}
+
 // reload has a pooler take limits that have changed.
 func (p *pooler) reload(set operate.FleetLimits) {
 	p.limits = &set
@@ -179,5 +191,5 @@
 
 func (f *fleetOf) lentResult() *Limits {
 	seconds := (f.e.s.now - f.from) / 1000 * float64(len(f.e.poolers))
-	return &Limits{Messages: float64(f.lent) / seconds, Bytes: float64(f.lentBytes) / seconds, Uses: f.e.check.Uses(warmMs)}
+	return &Limits{Messages: float64(f.lent) / seconds, Bytes: float64(f.lentBytes) / seconds, Uses: f.e.check.Uses(f.e.script.WarmMs())}
 }
--- a/internal/kit/rehearse/peers.go
+++ b/internal/kit/rehearse/peers.go
@@ -17,6 +17,7 @@
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
 
@@ -140,6 +141,41 @@
 	f.check.Counts(now, i, counts.Sending)
 }
 
+// lender is the pooler that lends a limit, of those that were heard of last.
+func (f *fleetOf) lender(limit string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []quota.Peer
+	by := map[view.ID]int{}
+	for i, id := range f.ids {
+		if id != 0 {
+			all, by[id] = append(all, quota.Peer{ID: id}), i
+		}
+	}
+	return by[quota.OwnerOf(limit, all)]
+}
+
+// changeLimit has a limit be another at some poolers, which read their settings again.
+func (r *Run) changeLimit(f scenario.Fault) error {
+	for _, no := range f.Struck(r.script) {
+		p := r.poolers[no]
+		p.limits = scenario.Changed(p.limits, f.Target.Word, f.Value)
+		if err := p.settings(); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		cmd := p.cmd
+		p.mu.Unlock()
+		if cmd != nil {
+			_ = cmd.Process.Signal(syscall.SIGHUP)
+		}
+	}
+	r.wires.mu.Lock()
+	defer r.wires.mu.Unlock()
+	r.wires.check.Changed(r.clk.Now()+countMs, f.Target.Word, f.Struck(r.script), len(r.poolers), f.Value, r.script.Lowered(&f))
+	return nil
+}
+
 // ended tells the checker that a pooler's process ends now.
 func (f *fleetOf) ended(i int, inOrder bool) {
 	f.mu.Lock()
@@ -154,6 +190,7 @@
 		f.relays.Strike(func(n *links.Net) { x.Strike(n, on) })
 		f.mu.Lock()
 		f.check.Fault(f.run.clk.Now())
+		f.run.wires.fault(f.run.clk.Now())
 		if x.Link.Lose > 0 {
 			f.check.Lossy(on)
 		}
@@ -202,6 +239,7 @@
 	Carried uint64        `json:"datagrams_carried"`
 	Lost    uint64        `json:"datagrams_lost_on_purpose"`
 	Looks   int           `json:"poolers_asked"`
+	Uses    []check.Use   `json:"limits,omitempty"`
 }
 
 func (f *fleetOf) result(v *check.Verdict) *Fleet {
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -26,6 +26,7 @@
 	"beechgrade/internal/kit/standin/agent"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/operate"
 )
 
 const (
@@ -94,8 +95,11 @@
 	name string
 	addr string
 	near string // where its ClickHouse front listens
-	dir  string
-	run  *Run
+
+	record string              // its records' folder
+	limits operate.FleetLimits // of the whole fleet, as its settings have them
+	dir    string
+	run    *Run
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -257,6 +261,9 @@
 	}
 	if r.peers != nil {
 		res.Fleet = r.peers.result(res.Rules)
+		if r.script.Limits != nil {
+			res.Fleet.Uses = r.wires.uses(r.script.WarmMs())
+		}
 	}
 	for _, b := range res.Rules.Breaches {
 		keeper.Add(score.Breach{Rule: string(b.Rule), At: b.At, ID: fmt.Sprintf("%016x", b.ID), Text: "by the wires: " + b.Text})
@@ -320,6 +327,9 @@
 	if f.What == "load" || !pause(ctx, f.At) {
 		return nil
 	}
+	if f.Owner != "" {
+		f = *f.Resolved(r.peers.lender)
+	}
 	r.opt.Log.Info("fault", "what", f.What, "whom", f.Target.String(), "for_ms", f.For)
 	switch f.What {
 	case "list-late":
@@ -343,6 +353,8 @@
 	case "links", "between":
 		r.peers.strike(ctx, f)
 		return nil
+	case "limit":
+		return r.changeLimit(f)
 	case "stall-pooler":
 		r.poolers[f.Target.Group].stand(ctx, f.For)
 		return nil
@@ -350,6 +362,7 @@
 		p := r.poolers[f.Target.Group]
 		p.stop(syscall.SIGKILL)
 		if f.For > 0 && pause(ctx, f.For) {
+			p.run.wires.fault(p.run.clk.Now())
 			return p.start(ctx)
 		}
 		return nil
@@ -419,10 +432,6 @@
 	if err := os.MkdirAll(p.dir, 0o750); err != nil {
 		return err
 	}
-	queue := ""
-	if p.run.script.Queue > 0 {
-		queue = fmt.Sprintf(" (queue %d)", p.run.script.Queue)
-	}
 	records, err := filepath.Abs(filepath.Join(p.run.opt.Out, RecordsDir, p.name))
 	if err != nil {
 		return err
@@ -432,12 +441,11 @@
 			return err
 		}
 	}
-	peers := ""
-	if f := p.run.peers; f != nil {
-		peers = f.settings(p.no)
+	p.record = records
+	if p.run.script.Limits != nil {
+		p.limits = *p.run.script.Limits
 	}
-	operators := peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", records, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
-	if err := os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640); err != nil {
+	if err := p.settings(); err != nil {
 		return err
 	}
 	for try := 1; ; try++ {
@@ -453,6 +461,22 @@
 	}
 }
 
+// settings writes the operators' settings of a pooler.
+func (p *pooler) settings() error {
+	queue, peers := "", ""
+	if p.run.script.Queue > 0 {
+		queue = fmt.Sprintf(" (queue %d)", p.run.script.Queue)
+	}
+	if f := p.run.peers; f != nil {
+		peers = f.settings(p.no)
+		if p.limits.On {
+			peers += p.limits.String()
+		}
+	}
+	operators := peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
+	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
+}
+
 func (p *pooler) file(name string) string { return filepath.Join(p.dir, name) }
 
 // start starts the process and waits until it serves.
@@ -509,6 +533,7 @@
 		return
 	}
 	_ = cmd.Process.Signal(sig)
+	p.run.wires.fault(p.run.clk.Now())
 	if f := p.run.peers; f != nil && sig == syscall.SIGKILL {
 		f.ended(p.no, false)
 	} else if f != nil { // it goes on until it has answered all
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -25,7 +25,7 @@
 }
 
 func newWires(s *scenario.Script) *wires {
-	w := &wires{check: check.New(emulate.Rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
+	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
 	for i, c := range s.Clients.Classes {
 		w.classes[c.Name] = i
 	}
@@ -40,6 +40,29 @@
 	return h.Sum64()
 }
 
+// countMs is by how much a request may come to its pooler sooner or later than its client and the relays have it, on a busy machine.
+const countMs = 100
+
+func rules(s *scenario.Script) check.Config {
+	c := emulate.Rules(s)
+	c.CountMs = countMs
+	return c
+}
+
+// fault tells the checker that one struck or ended.
+func (w *wires) fault(at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Fault(at)
+}
+
+// uses are what came of limits of the whole fleet.
+func (w *wires) uses(warmMs float64) []check.Use {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.check.Uses(warmMs)
+}
+
 // Trying is clients.Watcher's.
 func (w *wires) Trying(t *clients.Try, untilMs, afterMs float64) {
 	w.mu.Lock()
--- a/internal/kit/scenario/limits.go
+++ b/internal/kit/scenario/limits.go
@@ -76,6 +76,12 @@
 	return all
 }
 
+// WarmMs is until parts of limits that are used are counted: the first owner waits for votes, and leases out.
+func (s *Script) WarmMs() float64 {
+	q := s.Quotas()
+	return q.TakeOver(quota.Rate, s.Way[1])
+}
+
 // Quotas are how poolers share the limits.
 func (s *Script) Quotas() quota.Settings {
 	q := s.Limits.Settings
--- a/internal/kit/scenario/peers.go
+++ b/internal/kit/scenario/peers.go
@@ -36,6 +36,9 @@
 	}
 	f.Both = n.Head() == "between"
 	f.From, f.To = whom{a[0]}, whom{a[1]}
+	if x := f.From.Items; len(x) == 2 && x[0].Text == "owner" && x[1].Kind != sexp.List {
+		f.Owner = x[1].Text
+	}
 	part := func(to *float64) func(*sexp.Node) error {
 		return func(n *sexp.Node) (err error) { *to, err = n.Float(0, 1); return err }
 	}
@@ -61,6 +64,8 @@
 		return err
 	}
 	switch site := slices.Index(s.Sites, w.Text); {
+	case w.Kind == sexp.List && len(w.Items) == 2 && w.Items[0].Text == "owner": // it is known when the fault strikes
+		return nil, nil
 	case w.Kind == sexp.List:
 		for _, n := range w.Items {
 			if err := add(n); err != nil {
@@ -84,6 +89,18 @@
 	return out, err
 }
 
+// Resolved is a fault as it strikes: at whoever lends its limit then, who is told.
+func (f *Fault) Resolved(lender func(limit string) int) *Fault {
+	if f.Owner == "" {
+		return f
+	}
+	c := *f
+	if c.Target.Group = lender(f.Owner); f.OfLinks() {
+		c.Ends[0] = []int{c.Target.Group}
+	}
+	return &c
+}
+
 // Strike has a fault of links strike, or end.
 func (f *Fault) Strike(x *links.Net, on bool) {
 	x.Set(f.Ends[0], f.Ends[1], &f.Link, on)
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -95,7 +95,8 @@
 	Pooler int     // cut
 	Every  float64 // it comes again after so long, 0 for once
 
-	From, To whom // of links: whose...
+	Owner    string // the limit whose lender it strikes
+	From, To whom   // of links: whose...
 	Ends     [2][]int
 	Both     bool // ...and the other way too
 	Link     links.Fault
@@ -493,8 +494,13 @@
 // consulOnly are faults of what only Consul has.
 var consulOnly = map[string]bool{"agent": true, "deregister-all": true, "wrong-roles": true, "reissue": true, "fail-check": true}
 
+// aPooler reads (stall-pooler NUMBER), or (stall-pooler owner LIMIT): whoever lends that limit then.
 func aPooler(f *Fault, n *sexp.Node) (err error) {
 	f.Target.Kind = "pooler"
+	if a := n.Args(); len(a) == 2 && a[0].Text == "owner" && a[1].Kind != sexp.List {
+		f.Owner = a[1].Text
+		return nil
+	}
 	f.Target.Group, err = n.Int(0, maxPoolers-1)
 	return err
 }
@@ -556,6 +562,8 @@
 		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
 	case f.What == "limit" && (s.Limits == nil || s.limit(f.Target.Word) == nil):
 		return fail("there is no limit %q in (fleet-limits ...)", f.Target.Word)
+	case f.Owner != "" && s.limit(f.Owner) == nil:
+		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
 	case f.What == "cut" && f.Pooler >= s.Poolers:
--- a/internal/peers/quota/quota.go
+++ b/internal/peers/quota/quota.go
@@ -235,18 +235,25 @@
 	}
 }
 
-// bestOf is whom a limit's asks go to: the first by a hash of the limit and the process.
-func (q *Quota) bestOf(l *limit) (best ID) {
-	best = q.self
+// bestOf is whom a limit's asks go to.
+func (q *Quota) bestOf(l *limit) ID { return lender(l.key, q.self, q.peers) }
+
+func lender(key uint64, self ID, peers []Peer) (best ID) {
+	best = self
 	most := uint64(0)
-	for _, p := range q.peers {
-		if s := score(l.key, p.ID); !p.Ending && (s > most || s == most && p.ID > best) {
+	for _, p := range peers {
+		if s := score(key, p.ID); !p.Ending && (s > most || s == most && p.ID > best) {
 			best, most = p.ID, s
 		}
 	}
 	return best
 }
 
+// OwnerOf is who lends a limit of a name where these processes can all be reached: the first by a hash of the name and the process.
+func OwnerOf(limit string, peers []Peer) ID {
+	return lender((&Limit{Name: limit}).hash(), 0, peers)
+}
+
 func score(key uint64, id ID) uint64 {
 	var b [16]byte
 	for i := range 8 {
