Count queries at once at the servers, one and five at a time over eight processes

Need: a limit of 1 at once, and numbers at once under cuts, are to be held where the queries run.

Change: the stand-in servers tell when they work on a query and when no more; the checker holds that to the limit. A user's demand counts what was turned away as too many within the last second, so that a pooler that may run nothing is heard of.

--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -11,18 +11,20 @@
 )
 
 // fleetQuick is what a fleet on sockets is played with, at times short enough for a test.
-const fleetQuick = quick + ` (poolers 8) (peers (probe 300ms) (timeout 100ms) (suspicion 900ms) (gossip 100ms) (exchange 2s) (reconnect 400ms) (hold 30s))`
+const fleetQuick = quick + peersQuick
+
+const peersQuick = ` (poolers 8) (peers (probe 300ms) (timeout 100ms) (suspicion 900ms) (gossip 100ms) (exchange 2s) (reconnect 400ms) (hold 30s))`
 
 // fleet plays a scenario on 8 processes with a relay between each two of them, and holds it to all rules.
 func fleet(t *testing.T, script string, more ...check.Rule) *rehearse.Result {
 	t.Helper()
-	return fleetAt(t, 60, script, more...)
+	return fleetAt(t, 60, fleetQuick+script, more...)
 }
 
-// fleetAt is fleet with so many requests a second.
+// fleetAt is fleet with so many requests a second, and all of the script given.
 func fleetAt(t *testing.T, rate float64, script string, more ...check.Rule) *rehearse.Result {
 	t.Helper()
-	s, err := scenario.Parse("script", []byte(`(rehearsal "fleet" `+fleetQuick+script+`)`))
+	s, err := scenario.Parse("script", []byte(`(rehearsal "fleet" `+script+`)`))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/beechgrade-kit/limits_test.go
+++ b/cmd/beechgrade-kit/limits_test.go
@@ -8,12 +8,20 @@
 )
 
 // limited is a fleet of 8 processes whose tenants ask for more than they may, with leases short enough for a test.
-const limited = ` (retries 0) (tenant "a" (share 0.6)) (tenant "b" (share 0.4)) `
+const limited = fleetQuick + ` (retries 0) (tenant "a" (share 0.6)) (tenant "b" (share 0.4)) `
+
+// houseFleet is one whose clients speak the ClickHouse interface.
+const houseFleet = peersQuick + ` (clickhouse) (groups 4) (retries 0) `
 
 // limits plays a scenario of limits on 8 processes.
 func limits(t *testing.T, list, script string) *rehearse.Result {
 	t.Helper()
-	res := fleetAt(t, 200, limited+`(fleet-limits (lease 2500ms) (promise 1200ms) (renew 200ms) (soon 60ms) `+list+`) `+script, check.FleetLimit)
+	return limitsOf(t, limited, list, script)
+}
+
+func limitsOf(t *testing.T, what, list, script string) *rehearse.Result {
+	t.Helper()
+	res := fleetAt(t, 200, what+`(fleet-limits (lease 2500ms) (promise 1200ms) (renew 200ms) (soon 60ms) `+list+`) `+script, check.FleetLimit)
 	for _, u := range res.Fleet.Uses {
 		t.Logf("%+v", u)
 	}
@@ -67,3 +75,22 @@
 		t.Errorf("%+v", u)
 	}
 }
+
+// TestFleetLimitsOnce: a user's queries at the ClickHouse interface, one at a time over 8 processes; whoever lends that is killed, and then
+// stands still. They take turns, and the servers never work on two for longer than it takes to see that a client has gone.
+func TestFleetLimitsOnce(t *testing.T) {
+	t.Parallel()
+	res := limitsOf(t, houseFleet, `(limit "one" (of queries "escritorio") (at-once 1))`, `(seconds 26) (at 10s (kill-pooler owner "one")) (at 16s (stall-pooler owner "one") (for 3s))`)
+	if u := res.Fleet.Uses[0]; u.Used < 20 || u.MostOver > 1 {
+		t.Errorf("%+v", u)
+	}
+}
+
+// TestFleetLimitsAtOnce: five at a time, most of them at one process, which is cut off and back.
+func TestFleetLimitsAtOnce(t *testing.T) {
+	t.Parallel()
+	res := limitsOf(t, houseFleet, `(limit "five" (of queries "escritorio") (at-once 5))`, `(seconds 26) (at 9s (between 0 all cut) (for 6s)) (at 18s (between (0 1 2) (3 4 5 6 7) cut) (for 5s))`)
+	if u := res.Fleet.Uses[0]; u.Used < 200 || u.Part < 0.3 {
+		t.Errorf("%+v", u)
+	}
+}
--- a/cmd/beechgrade/limits.go
+++ b/cmd/beechgrade/limits.go
@@ -137,9 +137,9 @@
 	}
 	switch {
 	case x.Of == operate.OfQueries && l.p.house != nil:
-		running, waits, asked := l.p.house.Demand(x.Whom)
+		running, more, asked := l.p.house.Demand(x.Whom)
 		if x.Kind == quota.Number {
-			l.p.peers.Demand(x.Name, float64(running+waits), float64(running))
+			l.p.peers.Demand(x.Name, float64(running)+more, float64(running))
 		} else {
 			l.p.peers.Demand(x.Name, asked, 0)
 		}
--- a/cmd/beechgrade/peers.go
+++ b/cmd/beechgrade/peers.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 
-	"beechgrade/internal/clock"
 	"beechgrade/internal/clickhouse/limits"
+	"beechgrade/internal/clock"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
 	"beechgrade/internal/peers/view"
--- a/internal/clickhouse/front.go
+++ b/internal/clickhouse/front.go
@@ -120,8 +120,8 @@
 // Untell has a user's limits be those of the settings again.
 func (f *Front) Untell(user string) { f.admit(f.gate.Untell(user)) }
 
-// Demand is how many of a user's queries run and wait, and how many come a second.
-func (f *Front) Demand(user string) (running, waits int, asked float64) {
+// Demand is how many of a user's queries run, how many more would, and how many come a second.
+func (f *Front) Demand(user string) (running int, more, asked float64) {
 	return f.gate.Demand(user, f.loop.Now())
 }
 
--- a/internal/clickhouse/limits/limits.go
+++ b/internal/clickhouse/limits/limits.go
@@ -52,6 +52,7 @@
 	name    string
 	limits  Limits
 	asked   float64 // queries that came, over a fading second
+	turned  float64 // ...and those of them that were too many
 	askedAt float64
 	running int
 	queue   []waiting
@@ -121,6 +122,7 @@
 		u.queue = append(u.queue, waiting{id, now + l.Wait})
 		g.queued[id] = u
 	default:
+		u.turned++
 		return TooMany
 	}
 	u.tokens--
@@ -177,7 +179,8 @@
 }
 
 func (u *user) ask(now, n float64) {
-	u.asked = u.asked*math.Exp(-max(0, now-u.askedAt)/1000) + n
+	fade := math.Exp(-max(0, now-u.askedAt) / 1000)
+	u.asked, u.turned = u.asked*fade+n, u.turned*fade
 	u.askedAt = max(now, u.askedAt)
 }
 
@@ -207,11 +210,12 @@
 	return nil
 }
 
-// Demand is how many of a user's queries run and wait, and how many come a second.
-func (g *Gate) Demand(name string, now float64) (running, waits int, asked float64) {
+// Demand is how many of a user's queries run, how many more would, those of the last second that were turned away as too many
+// included, and how many come a second.
+func (g *Gate) Demand(name string, now float64) (running int, more, asked float64) {
 	if u := g.users[name]; u != nil {
 		u.ask(now, 0)
-		return u.running, len(u.queue), u.asked
+		return u.running, float64(len(u.queue)) + u.turned, u.asked
 	}
 	return 0, 0, 0
 }
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -181,7 +181,7 @@
 func New(cfg Config) *Checker {
 	c := &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
 	for _, l := range cfg.Limits {
-		c.limits = append(c.limits, &limitUse{Limit: l, poolers: map[int]*poolerUse{}, seconds: map[int64]float64{}, wanted: map[int64]float64{}})
+		c.limits = append(c.limits, &limitUse{Limit: l, poolers: map[int]*poolerUse{}, runs: map[run]float64{}, seconds: map[int64]float64{}, wanted: map[int64]float64{}})
 	}
 	return c
 }
--- a/internal/kit/check/limits.go
+++ b/internal/kit/check/limits.go
@@ -25,6 +25,7 @@
 	Burst     float64
 	Even      bool    // it may be over for a while after a fault:
 	OverMs    float64 // up to twice the amount, for so long
+	AtOnce    int     // a number at once of all queries, in place of a rate
 	CalmMs    float64 // so long after a fault shares follow demand again; 0 where that is not checked
 }
 
@@ -48,12 +49,21 @@
 	used     uint64
 	asked    uint64
 	poolers  map[int]*poolerUse
+	runs     map[run]float64   // since when each runs
+	over     float64           // since when too many do, 0 where that is not so
+	area     float64           // of how many ran, by time
 	seconds  map[int64]float64 // uses by the second
 	wanted   map[int64]float64
 }
 
 type limitChange struct{ at, rate, burst float64 }
 
+// run is a query at a server.
+type run struct {
+	id     uint64
+	server int
+}
+
 type useAt struct {
 	at     float64
 	id     uint64
@@ -74,7 +84,7 @@
 
 func (c *Checker) limitOf(tenant string) *limitUse {
 	for _, u := range c.limits {
-		if u.Tenant == tenant {
+		if u.Tenant == tenant && u.AtOnce == 0 {
 			return u
 		}
 	}
@@ -169,6 +179,40 @@
 	u.uses = append(u.uses, useAt{at, q.id, server})
 }
 
+// Runs tells that a server works on a query now.
+func (c *Checker) Runs(at float64, id uint64, server int) { c.runs(at, run{id, server}, true) }
+
+// Over tells that a server does not work on a query any more.
+func (c *Checker) Over(at float64, id uint64, server int) { c.runs(at, run{id, server}, false) }
+
+func (c *Checker) runs(at float64, r run, on bool) {
+	for _, u := range c.limits {
+		if u.AtOnce == 0 {
+			continue
+		}
+		if u.first == 0 {
+			u.first, u.at = at, at
+		}
+		u.area += float64(len(u.runs)) * max(0, at-u.at)
+		u.at = max(u.at, at)
+		if u.over > 0 && at-u.over > c.cfg.CountMs {
+			c.breach(Breach{Rule: FleetLimit, At: at, ID: r.id, Server: r.server, Text: fmt.Sprintf("limit %q, %d at once: %d ran for %.0f ms", u.Name, u.AtOnce, len(u.runs), at-u.over)}, nil)
+			u.over = at
+		}
+		if c.checked[FleetLimit]++; on {
+			u.runs[r] = at
+			u.used++
+		} else {
+			delete(u.runs, r)
+		}
+		if u.most = max(u.most, float64(len(u.runs)-u.AtOnce)); len(u.runs) <= u.AtOnce {
+			u.over = 0
+		} else if u.over == 0 {
+			u.over = at
+		}
+	}
+}
+
 // hold holds what was used to the limits, in the order of time.
 func (c *Checker) hold() {
 	for _, u := range c.limits {
@@ -230,6 +274,10 @@
 func (c *Checker) Uses(afterMs float64) (out []Use) {
 	c.hold()
 	for _, u := range c.limits {
+		if u.AtOnce > 0 {
+			out = append(out, Use{Name: u.Name, Used: u.used, Part: u.area / max(1, u.at-u.first) / float64(u.AtOnce), MostOver: u.most, HeldTo: float64(u.AtOnce)})
+			continue
+		}
 		part, of := 0.0, 0.0
 		last := int64(u.at / 1000)
 		for s := int64(math.Ceil((u.first + afterMs) / 1000)); s < last; s++ {
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -35,6 +35,7 @@
 	Arrived(server int, id string, at float64) (no int)            // a request has come whole; no is its number among those of its id
 	Turned(id string, no int, how string, at float64)              // it was turned away untouched
 	Took(server int, started float64, id string, work, at float64) // it was taken in
+	Over(server int, id string, at float64)                        // it was taken in, and the server has nothing more to do with it
 	Ran(server int, j *world.Job, value []byte, r world.Run)       // it ran, and made this value
 	Listed(server int, state string, at float64)                   // all that watch have been told this of a server
 }
--- a/internal/kit/fleet/listed_test.go
+++ b/internal/kit/fleet/listed_test.go
@@ -18,6 +18,7 @@
 func (told) Arrived(int, string, float64) int            { return 0 }
 func (told) Turned(string, int, string, float64)         {}
 func (told) Took(int, float64, string, float64, float64) {}
+func (told) Over(int, string, float64)                   {}
 func (told) Ran(int, *world.Job, []byte, world.Run)      {}
 func (c told) Listed(_ int, state string, _ float64)     { c <- state }
 
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -252,6 +252,11 @@
 		no = f.watcher.Arrived(s.No, st.id, now)
 		if s.Takes(j) {
 			f.watcher.Took(s.No, s.Started, st.id, j.Work, now)
+			defer func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.watcher.Over(s.No, st.id, f.clk.Now())
+			}()
 		}
 	}
 	s.Take(j)
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -112,6 +112,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.check.Took(at, server, started, idOf(id), work)
+	w.check.Runs(at, idOf(id), server)
+}
+
+// Over is fleet.Watcher's.
+func (w *wires) Over(server int, id string, at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Over(at, idOf(id), server)
 }
 
 // Ran is fleet.Watcher's.
--- a/internal/kit/scenario/limits.go
+++ b/internal/kit/scenario/limits.go
@@ -96,6 +96,9 @@
 	}
 	q := s.Quotas()
 	for _, l := range s.Limits.List {
+		if l.Of == operate.OfQueries && l.Kind == quota.Number && s.Clients.House {
+			out = append(out, check.Limit{Name: l.Name, AtOnce: int(l.Amount)})
+		}
 		if l.Of == operate.OfTenant && l.Hard {
 			delay := s.Way[1]
 			for i := range s.Faults {
