Hold the limits' bounds on following, cut-offs, lenders' crashes, joins and changes

Now one keeps what it has until there is a plan, and only what is not held by the dead is shared out. beechgrade-kit peers limits measures manners, demands and states.

--- a/cmd/beechgrade-kit/peers.go
+++ b/cmd/beechgrade-kit/peers.go
@@ -27,7 +27,7 @@
 			&cli.BoolFlag{Name: "all", Usage: "ask everybody who is named in the views, too"},
 			asJSON(),
 		},
-		Commands: []*cli.Command{peersMeasureCommand(asJSON)},
+		Commands: []*cli.Command{peersMeasureCommand(asJSON), peersLimitsCommand(asJSON)},
 	}
 }
 
--- a/internal/peers/quota/quota.go
+++ b/internal/peers/quota/quota.go
@@ -562,7 +562,7 @@
 	default:
 		return
 	}
-	b.adopted, b.confSeq = true, math.MaxUint32
+	b.adopted, b.confSeq, b.target = true, math.MaxUint32, b.out(q.now) // until there is a plan it keeps what it has
 	o.dirty = true
 }
 
@@ -610,17 +610,20 @@
 	turns := (q.now - o.planAt + q.set.Step) / (2 * q.set.Renew)
 	o.dirty, o.planAt = false, q.now+q.set.Step
 	live := make([]*book, 0, len(o.books))
-	total := 0.0
+	total, left := 0.0, l.pool-o.unknown // what one that has gone may hold is nobody's until its lease is over
 	for _, b := range o.books {
 		b.target = 0
 		if b.adopted && b.promise > q.now {
 			live = append(live, b)
 			total += b.weight(q.set.Expect)
+		} else {
+			left -= b.out(q.now)
 		}
 	}
-	left := l.pool
+	left = max(0, left)
+	pool := float64(left)
 	for _, b := range live {
-		part := float64(l.pool) * b.weight(q.set.Expect) / total
+		part := pool * b.weight(q.set.Expect) / total
 		b.target = int(part + 1e-9)
 		b.credit = max(-float64(l.pool), min(float64(l.pool), b.credit+(part-float64(b.out(q.now)))*min(1, turns)))
 		left -= b.target
