Show in the incident view who held how much of the fleet's limits

Need: after an incident the operators are to see what each pooler might use, and when.

Change: records have what a pooler may use of a limit (kind LIMIT); the incident view has them as spans, its page a lane for each limit and pooler. Where the settings have none of it there is no figure and no allocation (TestNoPeers).

--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -87,7 +87,8 @@
 	t.Fatalf("%s: it never came to that: %s%+v", what, s, c)
 }
 
-// TestNoPeers: where the settings have no (peers ...), as in the line 'run', nothing of it is made: no socket, no goroutine, no figure.
+// TestNoPeers: where the settings have no (peers ...), as in the line 'run', nothing of it is made: no socket, no goroutine, no figure, no
+// limit of the whole fleet.
 func TestNoPeers(t *testing.T) {
 	set, err := operate.Load(filepath.Join("..", "..", "deploy", "operators.sexp"), func(string) string { return t.TempDir() })
 	if err != nil {
@@ -112,10 +113,13 @@
 			t.Errorf("there is a socket for datagrams: %s", at)
 		}
 	}
-	if got := string(p.appendPeers(nil)); got != "" {
+	if p.limits != nil {
+		t.Error("there are limits of the whole fleet")
+	}
+	if got := string(p.appendLimits(p.appendPeers(nil))); got != "" {
 		t.Errorf("figures %q", got)
 	}
-	if n := testing.AllocsPerRun(100, func() { p.appendPeers(nil) }); n != 0 {
+	if n := testing.AllocsPerRun(100, func() { p.appendLimits(p.appendPeers(nil)); p.core.Expire() }); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
 }
--- a/cmd/beechgrade/pooled.go
+++ b/cmd/beechgrade/pooled.go
@@ -17,7 +17,7 @@
 	}
 	p.pooledAddr = o.Listen
 	p.pooled = pooling.New(p.loop, p.log, pooling.Options{Pools: o.Pools, ConnectMs: p.cfg.ConnectTimeoutMs, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace),
-		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", MaxMessage: o.MaxMessage, MaxAnswer: o.MaxAnswer,
+		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", MaxMessage: o.MaxMessage, MaxAnswer: o.MaxAnswer, Expire: p.core.Expire,
 		Spare: func() int {
 			return p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns() - p.pooled.Sessions() - p.pooled.Conns()
 		}}, p.core, p.core)
--- /dev/null
+++ b/internal/kit/incident/limits.go
@@ -0,0 +1,71 @@
+package incident
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/record"
+)
+
+// Held is how much of a limit of the whole fleet a pooler might use, for how long.
+type Held struct {
+	Limit  string  `json:"limit"`
+	By     string  `json:"by"`
+	Amount float64 `json:"amount"`
+	From   float64 `json:"from_ms"`
+	To     float64 `json:"to_ms"` // 0 for the records' end
+}
+
+// mostHeld bounds how many are kept; what comes after them is left out.
+const mostHeld = 20000
+
+// limits is who held how much when.
+type limits struct {
+	held []Held
+	last map[[2]string]int // by pooler and limit: the last of them, numbered from 1
+}
+
+// event takes what a pooler was told that it may use: 'limit: amount'.
+func (l *limits) event(by string, e *record.Event) {
+	i := strings.LastIndex(e.Text, ": ")
+	if i <= 0 || len(l.held) >= mostHeld {
+		return
+	}
+	name := e.Text[:i]
+	amount, err := strconv.ParseFloat(e.Text[i+2:], 64)
+	if err != nil || !(amount >= 0) {
+		return
+	}
+	if l.last == nil {
+		l.last = map[[2]string]int{}
+	}
+	k := [2]string{by, name}
+	if n := l.last[k]; n > 0 {
+		if l.held[n-1].Amount == amount {
+			return
+		}
+		l.held[n-1].To = e.At
+	}
+	l.held = append(l.held, Held{Limit: name, By: by, Amount: amount, From: e.At})
+	l.last[k] = len(l.held)
+}
+
+// ended has a pooler's process end: it uses nothing any more.
+func (l *limits) ended(by string, at float64) {
+	for k, n := range l.last {
+		if k[0] == by {
+			l.held[n-1].To = at
+			delete(l.last, k)
+		}
+	}
+}
+
+func (l *limits) view() []Held {
+	out := slices.Clone(l.held)
+	slices.SortStableFunc(out, func(a, b Held) int {
+		return cmp.Or(cmp.Compare(a.Limit, b.Limit), cmp.Compare(a.By, b.By), cmp.Compare(a.From, b.From))
+	})
+	return out
+}
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -74,6 +74,7 @@
 	orphans   uint64
 	retryLost uint64
 	fleet     fleet
+	limits    limits
 }
 
 // run is one life of a pooler.
@@ -220,6 +221,7 @@
 	}
 	x.pooler.ordered = ordered
 	m.fleet.ended(r.Pooler, x.last)
+	m.limits.ended(r.Pooler, x.last)
 	m.endPools(x)
 	if !ordered {
 		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
@@ -290,6 +292,8 @@
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
 	case recordpb.Kind_KIND_PEER:
 		m.fleet.event(r.Pooler, e)
+	case recordpb.Kind_KIND_LIMIT:
+		m.limits.event(r.Pooler, e)
 	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
 		m.onSession(e, e.Kind == recordpb.Kind_KIND_SESSION_END)
 	case recordpb.Kind_KIND_HAND:
--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -35,6 +35,7 @@
 	Unknowns uint64          `json:"unknown_total"`
 	Series   Series          `json:"series"`
 	Members  *members.View   `json:"members,omitempty"` // where the list was made of several sources
+	Limits   []Held          `json:"limits,omitempty"`  // where limits held for the whole fleet: who might use how much
 	Fleet    []Seen          `json:"fleet,omitempty"`   // where poolers were peers: who saw whom
 }
 
@@ -263,7 +264,7 @@
 	if m.members != nil {
 		v.Members = m.members.View()
 	}
-	v.Fleet = m.fleet.view()
+	v.Fleet, v.Limits = m.fleet.view(), m.limits.view()
 	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
 	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -97,6 +97,8 @@
 	Columns      int
 	Members      []MemberRow
 	MoreMembers  int
+	Limits       []LimitLane
+	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
 	Judged       []string
@@ -125,6 +127,7 @@
 	d.lanes()
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
+	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
 	if v.Members != nil {
 		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
 		d.MoreMembers = max(0, len(d.Members)-maxRows)
--- /dev/null
+++ b/internal/kit/report/limits_test.go
@@ -0,0 +1,27 @@
+package report
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// TestLimitLanes: a lane for each limit and pooler, as high as the part of the most that any had.
+func TestLimitLanes(t *testing.T) {
+	v := &incident.View{From: 1000, To: 2000, Limits: []incident.Held{{Limit: "x", By: "a", Amount: 5, From: 1000, To: 1500}, {Limit: "x", By: "a", Amount: 10, From: 1500}, {Limit: "y", By: "a", Amount: 0, From: 1000}}}
+	lanes, more := LimitLanes(v, 100)
+	type box struct{ X, W, Y, H float64 }
+	var got [][]box
+	for _, l := range lanes {
+		var b []box
+		for _, x := range l.Bands {
+			b = append(b, box{x.X, x.W, x.Y, x.H})
+		}
+		got = append(got, b)
+	}
+	if diff := cmp.Diff([][]box{{{0, 50, 7, 7}, {50, 50, 0, 14}}, {{0, 100, 14, 0}}}, got); diff != "" || more != 0 {
+		t.Error(diff, more)
+	}
+}
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -487,6 +487,7 @@
 			kind = "reads"
 		}
 		c.outside = &outside{raw: slices.Clone(m.Raw), does: does, sql: sql, since: c.f.loop.Now()}
+		c.f.expire()
 		c.f.do(c.pool, c.pool.share.Enter(c.id(), kind, c.f.loop.Now()))
 		return nil
 	}
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -63,6 +63,7 @@
 	MaxMessage   int        // bytes, from clients
 	MaxAnswer    int        // bytes, of one message from servers
 	Spare        func() int // descriptors left
+	Expire       func()     // has leases of limits that are over be so; nil for none
 }
 
 const (
@@ -211,6 +212,12 @@
 	return p
 }
 
+func (f *Front) expire() {
+	if f.opt.Expire != nil {
+		f.opt.Expire()
+	}
+}
+
 // Tell has the pools of a database and a user, named DATABASE/USER, have so many connections at most together.
 func (f *Front) Tell(name string, most int) {
 	f.told[name] = most
@@ -317,6 +324,7 @@
 	if f.addrs[store] == "" {
 		f.end(a, beechgrade.Unreachable, nil)
 	} else if c := a.t.c; !c.stay(a) {
+		f.expire()
 		f.do(c.pool, c.pool.share.Want(share.ID(refNumber(a.ref)), store, f.loop.Now()))
 	}
 	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
