--- a/internal/clickhouse/limits/limits_test.go
+++ b/internal/clickhouse/limits/limits_test.go
@@ -128,3 +128,35 @@
 		t.Errorf("%d users are kept", len(g.users))
 	}
 }
+
+// TestTold: what a pooler is told of a user's limits for the whole fleet goes before the settings: nothing until it is more, those that
+// wait are let in as it grows, those that run are left to end as it falls.
+func TestTold(t *testing.T) {
+	g := New(map[string]Limits{"a": {Queries: 9, Queue: 2, Wait: 100}}, Limits{})
+	g.Tell("a", Told{Queries: true}, 0)
+	if g.Enter(1, "a", 0) != Waits || g.Enter(2, "a", 0) != Waits || g.Enter(3, "a", 0) != TooMany {
+		t.Error("some were let in")
+	}
+	if running, more, asked := g.Demand("a", 0); running != 0 || more != 3 || asked != 3 {
+		t.Errorf("demand %d, %v, %v", running, more, asked)
+	}
+	if in := g.Tell("a", Told{Queries: true, Most: 2}, 10); len(in) != 2 {
+		t.Errorf("%v came in", in)
+	}
+	if in := g.Tell("a", Told{Queries: true, Most: 1, Rate: true, PerSecond: 100, Burst: 2}, 10); in != nil {
+		t.Errorf("%v came in", in)
+	}
+	g.Leave(1)
+	if v := g.Enter(4, "a", 10); v != TooFast {
+		t.Errorf("%d by a rate that begins empty", v)
+	}
+	if v := g.Enter(5, "a", 21); v != Waits {
+		t.Errorf("%d beside one that runs", v)
+	}
+	if in := g.Untell("a"); len(in) != 1 || in[0] != 5 {
+		t.Errorf("%v came in by the settings", in)
+	}
+	if v := g.Enter(6, "a", 21); v != In {
+		t.Errorf("%d by the settings", v)
+	}
+}
--- a/internal/pooling/share/share_test.go
+++ b/internal/pooling/share/share_test.go
@@ -255,3 +255,33 @@
 		}
 	})
 }
+
+// TestTold: a pool that is told to have fewer connections closes those that rest, and those in use once they are free; told more, it
+// opens for who waits; untold, it has what its settings say.
+func TestTold(t *testing.T) {
+	p := New(Limits{Most: 3, Reserve: 2, Queue: 9, Dials: 9})
+	p.Want(1, "s", 0)
+	p.Want(2, "s", 0)
+	p.Up(11, "s", 0)
+	p.Up(12, "s", 0)
+	p.Free(11, 1)
+	if got := p.Tell(1, 2); len(got) != 1 || got[0].Do != Close || got[0].Conn != 11 {
+		t.Errorf("told one: %+v", got)
+	}
+	if got := p.Tell(0, 3); got != nil {
+		t.Errorf("told none: %+v", got)
+	}
+	if got := p.Free(12, 4); len(got) != 1 || got[0].Do != Close {
+		t.Errorf("one that is free with none allowed: %+v", got)
+	}
+	if got := p.Want(3, "s", 5); got != nil {
+		t.Errorf("with none allowed: %+v", got)
+	}
+	if got := p.Tell(1, 6); len(got) != 1 || got[0].Do != Dial {
+		t.Errorf("told one again: %+v", got)
+	}
+	p.Want(4, "s", 7)
+	if got := p.Untell(8); len(got) != 1 || got[0].Do != Dial {
+		t.Errorf("by the settings: %+v", got)
+	}
+}
