Have all servers come back cold at once under a shared fall budget, on eight processes

Need: sends of all poolers together are to stay under what cold servers bear, when their budget is shared out by demand.

Change: the story TestFleetLimitsCold.

--- a/cmd/beechgrade-kit/limits_test.go
+++ b/cmd/beechgrade-kit/limits_test.go
@@ -94,3 +94,14 @@
 		t.Errorf("%+v", u)
 	}
 }
+
+// TestFleetLimitsCold: all servers of both groups die and come back cold at once, with the fall budget shared out by demand and most of
+// that at one of 8 processes, which is cut off from the others as they return: no server is pushed over.
+func TestFleetLimitsCold(t *testing.T) {
+	t.Parallel()
+	res := fleetAt(t, 150, fleetQuick+` (retries 0) (falls 2) (falls-in 1s) (tenant "a" (share 1)) (skew 0.7)
+		(fleet-limits (lease 2500ms) (promise 1200ms) (renew 200ms) (soon 60ms) (limit "cold" (of cold))) (seconds 18) (at 9s (die everyone) (for 1s)) (at 9s (between 0 all cut) (for 4s))`, check.ColdSpared)
+	if n := res.Rules.Checked[check.ColdSpared]; n < 50 {
+		t.Errorf("%d requests came to cold servers", n)
+	}
+}
