Add a budget for new connections, and hold drawn faults over limits in every run of the tests

Change: (of dials): a connection to a server is begun in its turn, if somebody waits for it then. The mutant that forgets its promises is played where it shows again: with 10 units its overlap was one unit, which took turns. Calm is no longer taken for such while a link is cut.

A budget below the need is dear.

--- a/cmd/beechgrade/limits.go
+++ b/cmd/beechgrade/limits.go
@@ -35,7 +35,7 @@
 func (l *fleetLimits) use(set operate.FleetLimits) {
 	old := l.set.List
 	l.set = set
-	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists}
+	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists, operate.OfDials: core.OfDials}
 	var bounds []core.Bound
 	for i := range set.List {
 		x := &set.List[i]
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -80,9 +80,10 @@
 	Roles            [2]string // names of the primary's and a replica's role
 	PositionName     string
 	ConnectTimeoutMs float64
-	IdleMs           float64    // a connection idle for so long is closed
-	MaxConns         func() int // over all servers, by the descriptors left now
-	Memory           func() int // bytes the machine has
+	IdleMs           float64         // a connection idle for so long is closed
+	MaxConns         func() int      // over all servers, by the descriptors left now
+	Memory           func() int      // bytes the machine has
+	Dial             func(do func()) // has a connection be begun in its turn; nil for at once
 }
 
 const (
@@ -300,8 +301,21 @@
 	}
 }
 
-// dial opens one more connection, if the budget allows it; else those that wait take what comes free.
+// dial opens one more connection in its turn, if somebody waits for it then.
 func (p *Pool) dial(s *store) {
+	if p.opt.Dial == nil {
+		p.open(s)
+		return
+	}
+	p.opt.Dial(func() {
+		if s.dialing < len(s.waiting) {
+			p.open(s)
+		}
+	})
+}
+
+// open opens one more connection, if the budget allows it; else those that wait take what comes free.
+func (p *Pool) open(s *store) {
 	if p.conns.Len() >= p.opt.MaxConns() && !p.CloseOldest() {
 		p.log.Debug("no descriptor left for a connection", "store", s.id, "conns", p.conns.Len())
 		return
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -16,6 +16,7 @@
 	OfCold             // the fall budget of cold servers, whose whole is 1
 	OfProbes           // probes a second
 	OfLists            // calls for lists a second
+	OfDials            // new connections to servers a second
 )
 
 // Bound is a limit that holds for the whole fleet, of which this pooler is told its own part.
@@ -187,6 +188,9 @@
 	b.pace.release(c)
 }
 
+// Dial has a connection to a server be begun in its turn, where they are limited.
+func (c *Core) Dial(do func()) { c.met(OfDials, "").do(c, do) }
+
 const leastWaitMs = 5
 
 func (p *pace) release(c *Core) {
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -93,6 +93,7 @@
 	still    map[int]stillness // poolers' machines that stood still last
 	keyed    map[keyAt][]keySend
 	limits   []*limitUse
+	inForce  int   // faults
 	order    []due // by when an answer is due, about
 	head     int
 }
--- a/internal/kit/check/limits.go
+++ b/internal/kit/check/limits.go
@@ -43,6 +43,7 @@
 	at       float64
 	first    float64
 	fault    float64
+	faulty   bool    // one is in force
 	credit   float64 // uses that a fault allows beyond
 	until    float64
 	most     float64 // that the level was over the burst
@@ -110,7 +111,7 @@
 
 // calm is what a pooler has of a limit while all is calm, nil where it is not.
 func (u *limitUse) calm(at float64, pooler int) *poolerUse {
-	if u.CalmMs == 0 || at < max(u.fault, u.first)+u.CalmMs {
+	if u.CalmMs == 0 || u.faulty || at < max(u.fault, u.first)+u.CalmMs {
 		return nil
 	}
 	p := u.poolers[pooler]
@@ -121,10 +122,12 @@
 	return p
 }
 
-// Fault tells that one has struck or ended, for limits that may be over for a while after one.
-func (c *Checker) Fault(at float64) {
+// Fault tells that one has struck or ended, for limits that may be over for a while after one; begins is 1 for one that is in force until
+// it ends, by -1, and 0 for what happens at once.
+func (c *Checker) Fault(at float64, begins int) {
+	c.inForce += begins
 	for _, u := range c.limits {
-		u.fault = max(u.fault, at)
+		u.fault, u.faulty = max(u.fault, at), c.inForce > 0
 		u.faults = append(u.faults, at)
 	}
 }
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -318,7 +318,7 @@
 		strike := func(on bool) {
 			f.Strike(e.fleet.net, on)
 			e.fleet.check.Fault(e.s.now)
-			e.check.Fault(e.s.now)
+			e.check.Fault(e.s.now, map[bool]int{true: 1, false: -1}[on])
 			if f.Link.Lose > 0 {
 				e.fleet.check.Lossy(on)
 			}
@@ -346,13 +346,13 @@
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
-		e.check.Fault(e.s.now)
-		later(func() { p.revive(); e.check.Fault(e.s.now) })
+		e.check.Fault(e.s.now, 0)
+		later(func() { p.revive(); e.check.Fault(e.s.now, 0) })
 	case "restart-pooler":
 		e.poolers[f.Target.Group].restart()
-		e.check.Fault(e.s.now)
+		e.check.Fault(e.s.now, 0)
 	case "stall-pooler":
-		e.check.Fault(e.s.now + f.For)
+		e.check.Fault(e.s.now+f.For, 0)
 		p := e.poolers[f.Target.Group]
 		p.still = max(p.still, e.s.now+max(1, f.For))
 		e.check.Still(e.s.now, p.no, p.still)
--- a/internal/kit/emulate/limits.go
+++ b/internal/kit/emulate/limits.go
@@ -50,7 +50,7 @@
 
 // bind tells the core which limits are its own.
 func (l *lender) bind() {
-	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists}
+	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists, operate.OfDials: core.OfDials}
 	var bounds []core.Bound
 	for _, x := range l.set.List {
 		if of, ok := kinds[x.Of]; ok {
--- a/internal/kit/emulate/limits_test.go
+++ b/internal/kit/emulate/limits_test.go
@@ -36,8 +36,8 @@
 		{`(peers (probe 5s) (timeout 2200ms) (suspicion 3s)) (seconds 40) (rate 800) (skew 0.7) (at 5s (links all 0 (slow 1s)) (for 30s)) (at 24s (between 0 all cut) (for 10s))
 			(fleet-limits (lease 6s) (promise 6s) (limit "a" (of tenant "a") (rate 200) (burst 4)))`},
 		// The owner, cut off from all, lends to itself while its promises last; five others begin again.
-		{quick + `(seconds 40) (rate 300) (at 18s (between 2 all cut) (for 18s)) (at 18s (kill-pooler 0) (for 200ms)) (at 18s (kill-pooler 1) (for 200ms)) (at 18s (kill-pooler 3) (for 200ms))
-			(at 18s (kill-pooler 4) (for 200ms)) (at 18s (kill-pooler 5) (for 200ms)) (fleet-limits (lease 6s) (promise 10s) (limit "a" (of tenant "a") (rate 100) (burst 10)))`},
+		{quick + `(seconds 60) (rate 300) (at 24s (between 2 all cut) (for 30s)) (at 24s (kill-pooler 0) (for 200ms)) (at 24s (kill-pooler 1) (for 200ms)) (at 24s (kill-pooler 3) (for 200ms))
+			(at 24s (kill-pooler 4) (for 200ms)) (at 24s (kill-pooler 5) (for 200ms)) (fleet-limits (lease 6s) (promise 10s) (limit "a" (of tenant "a") (rate 100) (burst 40)))`},
 		{quick + `(seconds 60) (rate 300) (fleet-limits (lease 6s) (promise 2s) (limit "a" (of tenant "a") (rate 100)))`},
 	} {
 		m := LimitMutants()[i]
@@ -57,3 +57,31 @@
 		})
 	}
 }
+
+// TestLimitsUnderChaos: links and processes fail as drawn from seeds; no limit is gone over by either manner beyond its bound, and the same
+// seed plays the same to the bit.
+func TestLimitsUnderChaos(t *testing.T) {
+	s, err := scenario.Load("../../../example/rehearsals/fleet-limits-chaos.sexp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hash string
+	for seed := range uint64(8) {
+		r, err := Run(context.Background(), s, Options{Seed: seed + 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Verdict.Broken) > 0 {
+			t.Errorf("seed %d: %v %s", seed+1, r.Verdict.Broken, r.Verdict.Breaches[0].Text)
+		}
+		if r.Verdict.Checked[check.FleetLimit] < 1000 {
+			t.Errorf("seed %d: %d uses", seed+1, r.Verdict.Checked[check.FleetLimit])
+		}
+		if seed == 0 {
+			hash = r.Hash
+		}
+	}
+	if r, err := Run(context.Background(), s, Options{Seed: 1}); err != nil || r.Hash != hash {
+		t.Errorf("%v, %s and %s", err, hash, r.Hash)
+	}
+}
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -352,8 +352,17 @@
 	return true
 }
 
-// dial opens a connection, if the descriptors allow it; else those that wait take what comes free.
+// dial opens a connection in its turn, if somebody waits for it then.
 func (st *store) dial() {
+	st.p.core.Dial(func() {
+		if st.dialing < len(st.waiting) {
+			st.open()
+		}
+	})
+}
+
+// open opens a connection, if the descriptors allow it; else those that wait take what comes free.
+func (st *store) open() {
 	e, p := st.p.e, st.p
 	if p.conns >= p.most && !p.closeOldest() {
 		return
--- a/internal/kit/rehearse/peers.go
+++ b/internal/kit/rehearse/peers.go
@@ -190,7 +190,7 @@
 		f.relays.Strike(func(n *links.Net) { x.Strike(n, on) })
 		f.mu.Lock()
 		f.check.Fault(f.run.clk.Now())
-		f.run.wires.fault(f.run.clk.Now())
+		f.run.wires.fault(f.run.clk.Now(), map[bool]int{true: 1, false: -1}[on])
 		if x.Link.Lose > 0 {
 			f.check.Lossy(on)
 		}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -362,7 +362,7 @@
 		p := r.poolers[f.Target.Group]
 		p.stop(syscall.SIGKILL)
 		if f.For > 0 && pause(ctx, f.For) {
-			p.run.wires.fault(p.run.clk.Now())
+			p.run.wires.fault(p.run.clk.Now(), 0)
 			return p.start(ctx)
 		}
 		return nil
@@ -533,7 +533,7 @@
 		return
 	}
 	_ = cmd.Process.Signal(sig)
-	p.run.wires.fault(p.run.clk.Now())
+	p.run.wires.fault(p.run.clk.Now(), 0)
 	if f := p.run.peers; f != nil && sig == syscall.SIGKILL {
 		f.ended(p.no, false)
 	} else if f != nil { // it goes on until it has answered all
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -50,10 +50,10 @@
 }
 
 // fault tells the checker that one struck or ended.
-func (w *wires) fault(at float64) {
+func (w *wires) fault(at float64, begins int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.check.Fault(at)
+	w.check.Fault(at, begins)
 }
 
 // uses are what came of limits of the whole fleet.
--- a/internal/operate/limits.go
+++ b/internal/operate/limits.go
@@ -22,6 +22,7 @@
 	OfCold    = "cold"    // the fall budget of cold servers
 	OfProbes  = "probes"  // probes of servers a second
 	OfLists   = "lists"   // calls for lists a second
+	OfDials   = "dials"   // new connections to the platform's servers a second
 	OfQueries = "queries" // of a user at the ClickHouse interface, at once or a second
 	OfPool    = "pool"    // connections to servers of the pools of a database and a user, at once
 )
@@ -98,13 +99,13 @@
 		"of": func(n *sexp.Node) error {
 			a := n.Args()
 			if len(a) == 0 || a[0].Kind == sexp.List {
-				return n.Errorf("(of WHAT ...) is due: tenant, queries or pool with a name, cold, probes or lists")
+				return n.Errorf("(of WHAT ...) is due: tenant, queries or pool with a name, cold, probes, lists or dials")
 			}
 			l.Of = a[0].Text
-			named := map[string]int{OfTenant: 1, OfQueries: 1, OfPool: 2, OfCold: 0, OfProbes: 0, OfLists: 0}
+			named := map[string]int{OfTenant: 1, OfQueries: 1, OfPool: 2, OfCold: 0, OfProbes: 0, OfLists: 0, OfDials: 0}
 			names, known := named[l.Of]
 			if !known || len(a) != 1+names {
-				return a[0].Errorf("tenant or queries with a name, pool with a database and a user, cold, probes or lists is due here")
+				return a[0].Errorf("tenant or queries with a name, pool with a database and a user, cold, probes, lists or dials is due here")
 			}
 			for _, x := range a[1:] {
 				if x.Kind == sexp.List || x.Text == "" {
@@ -139,7 +140,7 @@
 		l.Kind = quota.Number
 	case l.Of == OfCold:
 		l.Kind, l.Amount, l.Burst = quota.Budget, 1, coldParts
-	case l.Of == OfProbes, l.Of == OfLists:
+	case l.Of == OfProbes, l.Of == OfLists, l.Of == OfDials:
 		l.Kind = quota.Budget
 	}
 	if !once && l.Burst == 0 {
--- a/internal/operate/limits_test.go
+++ b/internal/operate/limits_test.go
@@ -18,7 +18,7 @@
 		`(fleet-limits (limit "a" (of cold)))`:                                          `o:1:1: (fleet-limits ...) needs (peers ...)`,
 		peers + `(fleet-limits)`:                                                        `o:1:39: (fleet-limits ...) needs a (limit ...)`,
 		peers + `(fleet-limits (limit "a" (rate 5)))`:                                   `o:1:53: limit "a": (of WHAT ...) is due`,
-		peers + `(fleet-limits (limit "a" (of tenant) (rate 5)))`:                       `o:1:68: tenant or queries with a name, pool with a database and a user, cold, probes or lists is due here`,
+		peers + `(fleet-limits (limit "a" (of tenant) (rate 5)))`:                       `o:1:68: tenant or queries with a name, pool with a database and a user, cold, probes, lists or dials is due here`,
 		peers + `(fleet-limits (limit "a" (of tenant "x")))`:                            `o:1:53: limit "a": (rate A-SECOND) is due, or (at-once N) where something goes on: of a pool, or of queries`,
 		peers + `(fleet-limits (limit "a" (of tenant "x") (at-once 5)))`:                `o:1:53: limit "a": (rate A-SECOND) is due, or (at-once N) where something goes on: of a pool, or of queries`,
 		peers + `(fleet-limits (limit "a" (of queries "x") (rate 5) (at-once 5)))`:      `o:1:53: limit "a": (rate A-SECOND) is due, or (at-once N) where something goes on: of a pool, or of queries`,
