Cut rates finely where the burst has two uses for each pooler, and stop leases crossing settings

Messages grew with unsteady demand. Seen by reading: a pooler that had read a limit of another burst told an owner that had not of fewer units, though each was worth more.

Change: where the burst allows it one use of it is each pooler's own, so it saves up for a use by however small a part of the rate; units are sixteenths. Asks and answers carry the pool they are of, and those of other settings are not counted. Thin flows have a memory of 8 s; calls and early asks come for what is not small. An owner plans at once when something comes free.

--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -126,24 +126,32 @@
 	}
 }
 
-// flowOf is how many of something come a second, lately.
-type flowOf struct{ n, at float64 }
+// flowOf is how many of something come a second, lately: of the last second, or of some more where they were few.
+type flowOf struct{ n, long, at float64 }
 
-const flowMs = 1000 // memory of a flow
+const (
+	flowMs = 1000 // memory of a flow...
+	longMs = 8000 // ...and of a thin one
+	thin   = 8    // within flowMs
+)
 
 func (f *flowOf) fade(now float64) {
-	f.n *= math.Exp(-max(0, now-f.at) / flowMs)
+	past := max(0, now-f.at)
+	f.n, f.long = f.n*math.Exp(-past/flowMs), f.long*math.Exp(-past/longMs)
 	f.at = max(f.at, now)
 }
 
 func (f *flowOf) count(now float64) {
 	f.fade(now)
 	f.n++
+	f.long++
 }
 
 func (f *flowOf) rate(now float64) float64 {
-	f.fade(now)
-	return f.n * 1000 / flowMs
+	if f.fade(now); f.n >= thin {
+		return f.n * 1000 / flowMs
+	}
+	return f.long * 1000 / longMs
 }
 
 // pace has what this pooler does of itself wait for its turn.
--- a/internal/peers/form_test.go
+++ b/internal/peers/form_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 	"beechgrade/internal/steady"
 )
@@ -96,3 +97,27 @@
 		t.Error(err)
 	}
 }
+
+// TestLimitsForm: what is said of limits reads as it was written, in one datagram for as many as go into a message.
+func TestLimitsForm(t *testing.T) {
+	key := Key("0123456789abcdef")
+	m := &quota.Message{Verb: quota.Answer, From: 7, To: 9}
+	for i := range quota.MostItems {
+		m.Items = append(m.Items, quota.Item{Limit: 1<<63 + uint64(i), Seq: 1 << 31, Epoch: 3, Stamp: 1e9 + 0.5, Vote: true, Even: i%2 == 0, Seen: 4, Hold: 5, Rest: 0.25, Want: 1e3, Units: 4096, Pool: 4000, Sure: true, Share: 0.125})
+	}
+	b := key.seal(nil, &envelope{Message: view.Message{Kind: kindLimits, From: m.From, Target: m.To}, limits: m})
+	if len(b) > MostDatagram {
+		t.Errorf("%d bytes", len(b))
+	}
+	e, err := key.open(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(m, e.limits); diff != "" {
+		t.Error(diff)
+	}
+	m.Items = append(m.Items, quota.Item{})
+	if _, err := key.open(key.seal(nil, &envelope{Message: view.Message{Kind: kindLimits, From: 1}, limits: m})); err == nil {
+		t.Error("too many were read")
+	}
+}
--- a/internal/peers/quota/api.go
+++ b/internal/peers/quota/api.go
@@ -3,7 +3,7 @@
 //
 // # Never over
 //
-// A limit is cut into Units. Of these, Floor are each pooler's own whatever happens, and the rest, the pool, is lent as leases by an
+// A limit is cut into units (Limit.Cut). Of these, Floor are each pooler's own whatever happens, and the rest, the pool, is lent as leases by an
 // owner: the first of the reachable processes by rendezvous hashing of the limit's name. Each pooler asks the owner about every Renew.
 // An ask is a vote: for Promise from its sending the pooler votes for nobody else, and takes grants from nobody else. An owner lends only
 // while more than half of Expect have promised, so no two ever lend at the same time, whatever each side of a partition thinks; a
@@ -35,7 +35,7 @@
 // With L the amount, B the burst, n = Expect, d the longest delay of a message, and at most n processes at a time:
 //
 //	never over: uses in any W seconds are at most L*W + B; at once, at most L (Over is 0 whatever links do);
-//	under while cut off: Floor of it is left, from Lease after the last answered ask on;
+//	under while cut off: the Floor of it is left, from Lease after the last answered ask on;
 //	a lease of one that crashed is lent again within Stretch(Lease) + Linger + Step (Settings.Free);
 //	after an owner's crash all is lent again within Settings.TakeOver of when all know it; what is held goes on meanwhile
 //	    where Lease is longer than the view's Detect + Settings.Elect;
@@ -101,23 +101,40 @@
 	MostItems  = 16   // in a message
 )
 
-// Units are the parts that a limit is lent in: each is one use at once, or a rate with at least one use of burst.
-func (l *Limit) Units() int {
-	if l.Kind == Number {
-		return int(l.Amount)
-	}
-	return int(max(1, min(l.Burst, MostUnits)))
+// Cut is how a limit is cut up among n poolers.
+type Cut struct {
+	Units int     // parts that it is lent in
+	Floor int     // of them that each pooler has for its own
+	Pool  int     // that are lent
+	Own   float64 // of the burst, that each pooler has beside what comes with its units
+	Share float64 // of the burst, that comes with the units
 }
 
-// Split is the units that each of n has for its own, and those that are lent.
-func (l *Limit) Split(n int) (floor, pool int) {
-	u := l.Units()
-	floor = int(l.Reserve * float64(u) / float64(max(1, n)))
-	return floor, u - n*floor
+// Cut cuts a limit up. A unit is one use at once, or a part of the rate. Where the burst has at least two uses for each pooler, one of these
+// is each pooler's own, so it may save up for a use by however small a part of the rate, and units are fine. Else each unit comes with
+// a use of the burst.
+func (l *Limit) Cut(n int) Cut {
+	n = max(1, n)
+	c := Cut{Units: int(l.Amount), Share: l.Burst}
+	switch {
+	case l.Kind == Number:
+	case l.Burst >= 2*float64(n):
+		c.Units, c.Own, c.Share = int(min(finer*l.Burst, MostUnits)), 1, l.Burst-float64(n)
+	default:
+		c.Units = int(max(1, min(l.Burst, MostUnits)))
+	}
+	c.Floor = int(l.Reserve * float64(c.Units) / float64(n))
+	c.Pool = c.Units - n*c.Floor
+	return c
 }
 
-// Part is what a part of a limit's units lets a pooler use.
-func (l *Limit) Part(part float64) (amount, burst float64) { return l.Amount * part, l.Burst * part }
+const finer = 16 // units for each use of the burst
+
+// part is what so many units let a pooler use.
+func (l *Limit) part(c *Cut, units int) (amount, burst float64) {
+	x := float64(units) / float64(max(1, c.Units))
+	return l.Amount * x, c.Own + c.Share*x
+}
 
 func (l *Limit) hash() uint64 { return xxhash.Sum64String(l.Name) }
 
@@ -245,7 +262,7 @@
 	Rest  float64 // Ask: ms that they may go on
 	Want  float64 // Ask: as a part of the limit
 	Units int
-	Pool  int     // Answer: that the Units are of
+	Pool  int     // that the units are of, by the sender's settings: those of others are not counted
 	Sure  bool    // Answer: no more is lent than the Pool
 	Share float64 // Answer, soon even: as a part of the limit
 }
--- a/internal/peers/quota/clone.go
+++ b/internal/peers/quota/clone.go
@@ -35,7 +35,7 @@
 	till := func(at float64) float64 { return max(0, min(at-q.now, 1e6)) }
 	fmt.Fprint(&w, q.left, q.peers)
 	for _, l := range q.limits {
-		fmt.Fprintf(&w, "|%d %d %d %v %d %d %d %v %d %v %d %v ", l.floor, l.pool, l.low, till(l.began+q.ban(l.Kind)), l.best, l.bound, l.epoch, till(l.until), l.heard, ago(l.stamp), l.stampOf, min(ago(l.heardAt), q.set.Promise))
+		fmt.Fprintf(&w, "|%v %d %v %d %d %d %v %d %v %d %v ", l.cut, l.low, till(l.began+q.ban(l.Kind)), l.best, l.bound, l.epoch, till(l.until), l.heard, ago(l.stamp), l.stampOf, min(ago(l.heardAt), q.set.Promise))
 		fmt.Fprintf(&w, "%d %d %d %v %v %v %v %v ", l.seq-l.seen, l.hold, l.high, till(l.heldTill), l.want, l.told, till(l.askAt), l.hurry)
 		for _, a := range l.asks {
 			if a.seq > l.seen && q.now-a.at < q.set.Lease {
@@ -64,8 +64,8 @@
 	return 0
 }
 
-// Usable is how many units of a limit may be used at a time, had nothing come since.
-func (q *Quota) Usable(name string, now float64) int {
+// Usable is how much of a limit may be used, had nothing come since.
+func (q *Quota) Usable(name string, now float64) float64 {
 	l := q.find(name)
 	if l == nil || q.left {
 		return 0
@@ -77,7 +77,8 @@
 	if now < l.heldTill {
 		n += l.hold
 	}
-	return n
+	amount, _ := l.part(&l.cut, n)
+	return amount
 }
 
 // Recount has the lease by the answer to an ask count from now: for a checker's mutant.
--- a/internal/peers/quota/quota.go
+++ b/internal/peers/quota/quota.go
@@ -12,6 +12,7 @@
 	askMemory  = 64   // asks whose answers are still taken
 	pendMost   = 8    // answers of each process that are kept apart
 	changed    = 0.1  // a demand that differs by so much, or a unit, from the one told last is told soon
+	little     = 0.01 // ...if that is not a small part of the limit
 	idleWeight = 0.02 // part of the limit that all together count as wanting beside their demand: newcomers have a share
 	voteFresh  = 0.5  // part of Promise that an answer may be old for the owner to be voted for again
 )
@@ -33,13 +34,12 @@
 
 type limit struct {
 	Limit
-	key         uint64
-	units       int
-	floor, pool int
-	low         int // floor that is in effect: a higher one waits until no more is lent than the new pool
-	began       float64
-	given       float64 // amount that was allowed last
-	givenBurst  float64
+	key        uint64
+	cut        Cut
+	low        int // floor that is in effect: a higher one waits until no more is lent than the new pool
+	began      float64
+	given      float64 // amount that was allowed last
+	givenBurst float64
 
 	// as a holder
 	best      ID
@@ -182,9 +182,8 @@
 		i := slices.IndexFunc(old, func(l *limit) bool { return l.Name == n.Name && l.Kind == n.Kind && l.Manner == n.Manner })
 		if i < 0 {
 			l := &limit{Limit: n, key: n.hash(), began: q.now, given: -1, sharedAt: q.now}
-			l.units = n.Units()
-			l.floor, l.pool = n.Split(q.set.Expect)
-			l.low, l.share = l.floor, 1/float64(max(1, q.sending))
+			l.cut = n.Cut(q.set.Expect)
+			l.low, l.share = l.cut.Floor, 1/float64(max(1, q.sending))
 			l.o = owner{epoch: 1, byID: map[ID]*book{}}
 			q.limits, q.byHash[l.key] = append(q.limits, l), l
 			l.best = q.bestOf(l)
@@ -192,20 +191,19 @@
 		}
 		l := old[i]
 		if l.Limit != n {
-			pool, units := l.pool, l.units
-			l.Limit, l.units = n, n.Units()
-			l.floor, l.pool = n.Split(q.set.Expect)
-			l.low = min(l.low, l.floor)
-			if l.pool < pool {
-				l.lower(l.hold * l.pool / pool)
-			}
+			was, amount := l.cut, l.Amount
+			l.Limit, l.cut = n, n.Cut(q.set.Expect)
+			// No more than before of the limit, and a floor of no more than it was, until the owner knows the limit as it is.
+			low, _ := (&Limit{Amount: amount}).part(&was, l.low)
+			l.low = min(l.cut.Floor, int(low/n.Amount*float64(l.cut.Units)+1e-9))
+			l.hold = l.hold * l.cut.Pool / max(1, was.Pool)
 			if l.Kind != Number { // the measure of what is kept in units has changed
 				l.high = l.hold
 			}
 			l.given = -1
 			l.hurry = true
 			l.o.dirty = true
-			if units != l.units || pool != l.pool { // books in the old measure: what is not known to be free is waited out
+			if was.Pool != l.cut.Pool { // books in the old measure: what is not known to be free is waited out
 				q.begin(l)
 			}
 		}
@@ -271,7 +269,7 @@
 	if l.Kind == Number {
 		l.high = max(l.hold, int(e.Used)-l.low)
 	}
-	if d := math.Abs(l.want - l.told); d > changed*l.told && (d*float64(l.units) >= 1 || l.Manner == Even && d > 0.01) {
+	if d := math.Abs(l.want - l.told); d > changed*l.told && d*float64(l.cut.Units) >= 1 && (d > little || l.Kind == Number) {
 		l.hurry = true
 	}
 }
@@ -298,7 +296,7 @@
 func (q *Quota) ask(l *limit) {
 	l.askAt, l.hurry, l.told = q.now+q.set.Renew, false, l.want
 	l.seq++
-	it := Item{Limit: l.key, Seq: l.seq, Want: l.want, Seen: l.seen, Even: l.Manner == Even}
+	it := Item{Limit: l.key, Seq: l.seq, Want: l.want, Seen: l.seen, Pool: l.cut.Pool, Even: l.Manner == Even}
 	if l.Manner == Never {
 		fresh := l.heard == l.best && q.now-l.heardAt <= voteFresh*q.set.Promise
 		free := l.bound == l.best || q.now >= l.until
@@ -410,18 +408,13 @@
 		}
 		l.heard, l.stamp, l.stampOf, l.heardAt = from, it.Stamp, it.Epoch, a.at
 	}
-	if !it.Vote || !a.vote || from != l.bound || it.Epoch != l.epoch {
+	if !it.Vote || !a.vote || from != l.bound || it.Epoch != l.epoch || it.Pool != l.cut.Pool {
 		return
 	}
-	l.seen = it.Seq
-	units := it.Units
-	if it.Pool > l.pool {
-		units = units * l.pool / max(1, it.Pool)
-	}
-	if it.Sure && it.Pool == l.pool {
-		l.low = l.floor
+	if l.seen = it.Seq; it.Sure {
+		l.low = l.cut.Floor
 	}
-	l.hold, l.heldTill = units, a.at+q.set.Lease
+	l.hold, l.heldTill = it.Units, a.at+q.set.Lease
 	if q.now >= l.heldTill {
 		l.hold = 0
 	}
@@ -455,15 +448,18 @@
 		return
 	}
 	b.seq, b.at = it.Seq, q.now
-	re := Item{Limit: l.key, Seq: it.Seq, Epoch: o.epoch, Stamp: q.now, Pool: l.pool}
-	if it.Vote && it.Epoch == o.epoch && it.Stamp <= q.now {
+	re := Item{Limit: l.key, Seq: it.Seq, Epoch: o.epoch, Stamp: q.now, Pool: l.cut.Pool}
+	if it.Vote && it.Epoch == o.epoch && it.Stamp <= q.now && it.Pool == l.cut.Pool {
 		b.promise = max(b.promise, it.Stamp+q.set.Promise*(1-q.set.Drift)/(1+q.set.Drift))
 		b.claim, b.till = it.Hold, it.Stamp+it.Rest*(1-q.set.Drift)/(1+q.set.Drift)
 		if b.want != it.Want {
 			b.want, o.dirty = it.Want, true
 		}
 		q.own(l)
-		b.confirm(it)
+		had := b.out(q.now)
+		if b.confirm(it); b.out(q.now) < had { // there may be something for who is short
+			o.dirty = true
+		}
 		if o.owns {
 			q.adopt(l, b)
 		}
@@ -516,7 +512,7 @@
 			slices.Sort(ends)
 			o.right = max(o.right, ends[len(ends)-most])
 			if !o.owns {
-				o.owns, o.unknown, o.waitTo = true, l.pool, q.now+q.set.kept(l.Kind)
+				o.owns, o.unknown, o.waitTo = true, l.cut.Pool, q.now+q.set.kept(l.Kind)
 				o.dirty = true
 				for _, b := range o.books {
 					q.adopt(l, b)
@@ -591,7 +587,7 @@
 // lend gives a process what it is to have, as far as that is there.
 func (q *Quota) lend(l *limit, b *book, seq uint32) int {
 	has := b.out(q.now)
-	n := max(0, min(b.target, has+max(0, l.pool-q.lentOf(l))))
+	n := max(0, min(b.target, has+max(0, l.cut.Pool-q.lentOf(l))))
 	if len(b.pend) >= pendMost { // the two oldest are kept as one that is taken for the later
 		b.pend[1].units, b.pend[1].end = max(b.pend[0].units, b.pend[1].units), max(b.pend[0].end, b.pend[1].end)
 		b.pend = append(b.pend[:0], b.pend[1:]...)
@@ -610,7 +606,7 @@
 	turns := (q.now - o.planAt + q.set.Step) / (2 * q.set.Renew)
 	o.dirty, o.planAt = false, q.now+q.set.Step
 	live := make([]*book, 0, len(o.books))
-	total, left := 0.0, l.pool-o.unknown // what one that has gone may hold is nobody's until its lease is over
+	total, left := 0.0, l.cut.Pool-o.unknown // what one that has gone may hold is nobody's until its lease is over
 	for _, b := range o.books {
 		b.target = 0
 		if b.adopted && b.promise > q.now {
@@ -625,7 +621,7 @@
 	for _, b := range live {
 		part := pool * b.weight(q.set.Expect) / total
 		b.target = int(part + 1e-9)
-		b.credit = max(-float64(l.pool), min(float64(l.pool), b.credit+(part-float64(b.out(q.now)))*min(1, turns)))
+		b.credit = max(-float64(l.cut.Pool), min(float64(l.cut.Pool), b.credit+(part-float64(b.out(q.now)))*min(1, turns)))
 		left -= b.target
 	}
 	slices.SortStableFunc(live, func(a, b *book) int {
@@ -644,16 +640,20 @@
 			left--
 		}
 	}
-	free := l.pool - q.lentOf(l)
+	free := l.cut.Pool - q.lentOf(l)
 	short := false
 	for _, b := range live {
 		short = short || b.out(q.now) < b.target
 	}
 	for _, b := range live {
 		has := b.out(q.now)
-		if q.now >= b.calledAt+q.set.Soon && (short && has > b.target || free > 0 && has < b.target) {
+		near := 0 // of fine units, what is about right is left until the next ask
+		if l.Kind != Number {
+			near = max(b.target/10, l.cut.Pool/200)
+		}
+		if q.now >= b.calledAt+q.set.Soon && (short && has > b.target+near || free > 0 && has < b.target-near) {
 			b.calledAt = q.now
-			q.put(b.id, Call, Item{Limit: l.key, Epoch: o.epoch, Units: b.target})
+			q.put(b.id, Call, Item{Limit: l.key, Epoch: o.epoch, Units: b.target, Pool: l.cut.Pool})
 		}
 	}
 }
@@ -697,11 +697,11 @@
 		if l.Kind != Number || q.now >= l.began+q.ban(l.Kind) { // what a last life let in may still go on
 			n += l.low
 		}
-		return l.Part(float64(n) / float64(max(1, l.units)))
+		return l.part(&l.cut, n)
 	case Even:
-		amount, burst = l.Part(l.share)
+		amount, burst = l.Amount*l.share, l.Burst*l.share
 	default:
-		amount, burst = l.Part(1 / float64(q.sending))
+		amount, burst = l.Amount/float64(q.sending), l.Burst/float64(q.sending)
 	}
 	if l.Kind == Number {
 		amount = max(1, math.Floor(amount+1e-9))
@@ -714,11 +714,11 @@
 	for _, l := range q.limits {
 		amount, _ := q.may(l)
 		s := Standing{Limit: l.Limit, Amount: amount, Until: l.heldTill, Owner: l.best, Epoch: l.epoch}
-		s.Floor, _ = l.Part(float64(l.low) / float64(max(1, l.units)))
+		s.Floor, _ = l.part(&l.cut, l.low)
 		if l.o.owns && q.now < l.o.right {
 			s.Owns = true
 			s.Epoch = l.o.epoch
-			s.Lent, _ = l.Part(float64(q.lentOf(l)) / float64(max(1, l.units)))
+			s.Lent, _ = l.part(&l.cut, q.lentOf(l))
 		}
 		for _, b := range l.o.books {
 			if b.promise > q.now {
