--- a/internal/kit/explore/quotas.go
+++ b/internal/kit/explore/quotas.go
@@ -18,6 +18,7 @@
 	QuotaFaults
 	LateSteps int // how late a message is that is late
 	Only      int // who is killed and begun again, -1 for whoever it may be
+	Ends      int // who drains, and is to lend no more, numbered from 1; 0 for nobody
 	Alone     int // who is cut off from the others in a partition
 
 	Number bool // it is a number at once: uses go on, and are what is counted
@@ -129,7 +130,7 @@
 	e := quota.Members{Sending: len(s.nodes)}
 	for k, x := range s.nodes {
 		if !x.dead && (!s.parted || (i == s.Alone) == (k == s.Alone)) {
-			e.Peers = append(e.Peers, quota.Peer{ID: s.id(k), Addr: fmt.Sprint(k)})
+			e.Peers = append(e.Peers, quota.Peer{ID: s.id(k), Addr: fmt.Sprint(k), Ending: s.Ends == k+1})
 		}
 	}
 	return e
--- a/internal/kit/explore/quotas_test.go
+++ b/internal/kit/explore/quotas_test.go
@@ -395,3 +395,52 @@
 		s.most = int(x.to)
 	}
 }
+
+// TestOldOwnersAnswer: an owner's answer is late while all turn to another owner, which hears from all what they hold and lends the rest at
+// once. Who gets the late answer does not take it any more.
+func TestOldOwnersAnswer(t *testing.T) {
+	s := quotas(t, 2, 0, smallQuota(), nil)
+	_ = s.swing(0)
+	if err := s.Settle(15); err != nil || s.Held()[0] != 2 {
+		t.Fatal(err, s.Held())
+	}
+	_ = s.swing(2)
+	var late *parcel
+	step := func(keep func(w parcel) bool) {
+		_ = s.time()
+		for len(s.wires) > 0 {
+			w := s.wires[0]
+			s.wires = s.wires[1:]
+			if keep(w) {
+				_ = s.deliver(w)
+			}
+		}
+	}
+	lends := func(w parcel) bool { return w.to == 2 && w.m.Verb == quota.Answer && w.m.Items[0].Vote }
+	for k := 0; late == nil; k++ {
+		if k > 20 {
+			t.Fatal("2 was not lent all")
+		}
+		step(func(w parcel) bool {
+			if lends(w) && w.m.Items[0].Units == 2 {
+				late = &w
+			}
+			return late == nil
+		})
+	}
+	s.Ends = 2 // the owner drains: all turn to the next
+	_ = s.look()
+	_ = s.swing(0)
+	took := false
+	for range 8 { // of a lease of 7 steps, by a clock that is slow
+		step(func(w parcel) bool { return !lends(w) }) // the new one's answers to 2 are lost
+		if s.Held()[0] == 2 {
+			took = true
+			_ = s.deliver(*late)
+			break
+		}
+	}
+	if err := s.Check(); err != nil || !took {
+		t.Error(err, took, s.Held())
+	}
+}
