Keep in the books what outlives a smaller answer, and bound following by what was seen

Seen in the trace: one that had uses going on lost answers for a while, then took one that lent it nothing; by that its uses might go on for longer, but the owner's books had them only to the end of the last answer that it had confirmed. The line at fault is in lend: an answer stood in the books by what it lends, not by what it lets go on. And jumps of demand at every phase took up to 700 ms where the bound said 550: a call to who is short may find that it was called just before.

Change: an answer about a number at once stands in the books with what its pooler has in use, if that is more.

--- a/internal/peers/quota/api.go
+++ b/internal/peers/quota/api.go
@@ -179,8 +179,9 @@
 func (s *Settings) TakeOver(k Kind, delay float64) float64 { return s.Elect(delay) + s.Free(k) }
 
 // Follow bounds the time until shares have followed demand, where every pooler hears the owner and nothing is lost: the ask that tells of
-// it, the call to those who have too much, their asks, the call to who has too little, its ask and the answer.
-func (s *Settings) Follow(delay float64) float64 { return 3*(s.Soon+s.Step) + 2*s.Step + 6*delay }
+// it, the plan, the call to those who have too much, their asks, the plan, the call to who has too little, which may have been called just
+// before, its ask and the answer.
+func (s *Settings) Follow(delay float64) float64 { return 4*(s.Soon+s.Step) + 3*s.Step + 6*delay }
 
 // Stale is how long a share that is soon even is kept without an answer, and a demand without an ask.
 func (s *Settings) Stale() float64 { return 4 * s.Renew }
--- a/internal/peers/quota/quota.go
+++ b/internal/peers/quota/quota.go
@@ -592,7 +592,11 @@
 		b.pend[1].units, b.pend[1].end = max(b.pend[0].units, b.pend[1].units), max(b.pend[0].end, b.pend[1].end)
 		b.pend = append(b.pend[:0], b.pend[1:]...)
 	}
-	b.pend = append(b.pend, lent{seq, n, q.now + q.set.kept(l.Kind)})
+	books := n
+	if l.Kind == Number { // what is in use beyond it goes on for as long as this answer's lease does
+		books = max(n, has)
+	}
+	b.pend = append(b.pend, lent{seq, books, q.now + q.set.kept(l.Kind)})
 	return n
 }
 
