Say once which limits the core keeps to, and take a limit away and back

Need: the daemon and the emulator each had their own list of what the core keeps to; that a limit is taken away and added by SIGHUP, not at all poolers at a time, had no test.

Change: operate.FleetLimits.Bounds; two fields that nothing read are gone; TestLimitTakenAway.

--- a/cmd/beechgrade/limits.go
+++ b/cmd/beechgrade/limits.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"beechgrade/internal/clickhouse/limits"
-	"beechgrade/internal/core"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/record/recordpb"
@@ -35,13 +34,8 @@
 func (l *fleetLimits) use(set operate.FleetLimits) {
 	old := l.set.List
 	l.set = set
-	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists, operate.OfDials: core.OfDials}
-	var bounds []core.Bound
 	for i := range set.List {
-		x := &set.List[i]
-		if of, ok := kinds[x.Of]; ok {
-			bounds = append(bounds, core.Bound{Limit: x.Name, Of: of, Tenant: x.Whom, Amount: x.Amount, Hard: x.Hard})
-		} else if !had(old, x) {
+		if x := &set.List[i]; !had(old, x) { // what the core has is nothing by itself
 			l.give(x, 0, 0)
 		}
 	}
@@ -50,7 +44,7 @@
 			l.free(x)
 		}
 	}
-	l.p.core.Bind(bounds, l.p.peers)
+	l.p.core.Bind(set.Bounds(), l.p.peers)
 	if !l.beats {
 		l.beats = true
 		l.beat()
--- a/internal/kit/emulate/limits.go
+++ b/internal/kit/emulate/limits.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 
-	"beechgrade/internal/core"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
@@ -17,7 +16,6 @@
 	Messages float64     `json:"messages_a_second_of_a_pooler"`
 	Bytes    float64     `json:"bytes_a_second_of_a_pooler"`
 	Uses     []check.Use `json:"uses"`
-	Followed []float64   `json:"-"`
 }
 
 const (
@@ -27,13 +25,12 @@
 
 // lender is a pooler's side of the fleet's limits.
 type lender struct {
-	x     *peer
-	q     *quota.Quota
-	id    view.ID
-	set   operate.FleetLimits
-	due   float64
-	acts  []quota.Action
-	count int // of those that may be sending
+	x    *peer
+	q    *quota.Quota
+	id   view.ID
+	set  operate.FleetLimits
+	due  float64
+	acts []quota.Action
 }
 
 // lend begins a process's limits.
@@ -50,14 +47,7 @@
 
 // bind tells the core which limits are its own.
 func (l *lender) bind() {
-	kinds := map[string]core.Of{operate.OfTenant: core.OfTenant, operate.OfCold: core.OfCold, operate.OfProbes: core.OfProbes, operate.OfLists: core.OfLists, operate.OfDials: core.OfDials}
-	var bounds []core.Bound
-	for _, x := range l.set.List {
-		if of, ok := kinds[x.Of]; ok {
-			bounds = append(bounds, core.Bound{Limit: x.Name, Of: of, Tenant: x.Whom, Amount: x.Amount, Hard: x.Hard})
-		}
-	}
-	l.x.p.core.Bind(bounds, l)
+	l.x.p.core.Bind(l.set.Bounds(), l)
 }
 
 func (l *lender) members() {
--- a/internal/kit/explore/quotas_test.go
+++ b/internal/kit/explore/quotas_test.go
@@ -497,3 +497,22 @@
 		t.Error("the others were never lent them")
 	}
 }
+
+// TestLimitTakenAway: a limit is taken away at one pooler after the other, and put back in the same way: none uses it where it does not know
+// it, never is more used than it allows, and in the end all of it is lent again.
+func TestLimitTakenAway(t *testing.T) {
+	s, set := eight(t, 160, 0.1)
+	for _, limits := range [][]quota.Limit{nil, s.Set.Limits} {
+		for i, x := range s.nodes {
+			_ = s.do(i, quota.Retune{Limits: limits})
+			_ = s.do(i, s.demand(i))
+			if n := x.q.Usable(QuotaName, s.clock(i)); limits == nil && n != 0 {
+				t.Errorf("%g of a limit that is not there", n)
+			}
+			if err := s.Settle(7); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	within(t, s, set.TakeOver(quota.Rate, 0)+set.Promise, "the limit is back", func() bool { return sumOf(s.Held()) > 159 })
+}
--- a/internal/operate/limits.go
+++ b/internal/operate/limits.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"beechgrade/internal/core"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/sexp"
 )
@@ -43,6 +44,17 @@
 	return out
 }
 
+// Bounds are those of the limits that the core keeps to.
+func (f *FleetLimits) Bounds() (out []core.Bound) {
+	kinds := map[string]core.Of{OfTenant: core.OfTenant, OfCold: core.OfCold, OfProbes: core.OfProbes, OfLists: core.OfLists, OfDials: core.OfDials}
+	for _, x := range f.List {
+		if of, ok := kinds[x.Of]; ok {
+			out = append(out, core.Bound{Limit: x.Name, Of: of, Tenant: x.Whom, Amount: x.Amount, Hard: x.Hard})
+		}
+	}
+	return out
+}
+
 // ReadFleetLimits reads (fleet-limits ...).
 func ReadFleetLimits(n *sexp.Node) (*FleetLimits, error) {
 	f := &FleetLimits{}
