--- a/cmd/beechgrade-sim/main.go
+++ b/cmd/beechgrade-sim/main.go
@@ -8,7 +8,7 @@
 	"io"
 	"os"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/wire"
 )
 
@@ -23,9 +23,9 @@
 func run(in io.Reader, out io.Writer) error {
 	dec := wire.NewDecoder(in)
 	w := bufio.NewWriterSize(out, 1<<20)
-	routers := map[int]*beechgrade.Router{}
+	routers := map[int]*decide.Router{}
 	var reply wire.Reply
-	var actions []beechgrade.Action
+	var actions []decide.Action
 	for {
 		batch, err := dec.Next()
 		if err == io.EOF {
@@ -39,7 +39,7 @@
 			it := &batch.Items[i]
 			switch it.Kind {
 			case wire.Start:
-				routers[it.Front] = beechgrade.New(it.Settings, it.Seed)
+				routers[it.Front] = decide.New(it.Settings, it.Seed)
 			case wire.Stop:
 				delete(routers, it.Front)
 			case wire.Deliver:
@@ -67,8 +67,8 @@
 }
 
 // handle runs one event; a panic comes back as text, so that it is reported and not lost.
-func handle(r *beechgrade.Router, now beechgrade.Time, e beechgrade.Event, out []beechgrade.Action) (
-	actions []beechgrade.Action, fault string,
+func handle(r *decide.Router, now decide.Time, e decide.Event, out []decide.Action) (
+	actions []decide.Action, fault string,
 ) {
 	defer func() {
 		if p := recover(); p != nil {
--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"beechgrade"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 )
 
@@ -137,7 +137,7 @@
 			if change == nil {
 				return nil, errors.New("no good")
 			}
-			c.Settings.Classes, c.Classes = append([]beechgrade.Class(nil), c.Settings.Classes...), append([]string(nil), c.Classes...)
+			c.Settings.Classes, c.Classes = append([]decide.Class(nil), c.Settings.Classes...), append([]string(nil), c.Classes...)
 			change(&c)
 			return &c, nil
 		}
@@ -163,7 +163,7 @@
 	held := next(t, queries)
 	hup(func(c *config.Config) { // "write" goes, "other" comes before "read"
 		c.Classes = []string{"other", "read"}
-		c.Settings.Classes = []beechgrade.Class{c.Settings.Classes[1], c.Settings.Classes[0]}
+		c.Settings.Classes = []decide.Class{c.Settings.Classes[1], c.Settings.Classes[0]}
 	})
 	k.send(query("2", "write", 9000))
 	k.want("EZ 42601")
--- a/cmd/beechgrade/house.go
+++ b/cmd/beechgrade/house.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"beechgrade"
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/operate"
 )
 
@@ -18,7 +18,7 @@
 		rules = append(rules, o.Rules[i].Rule)
 	}
 	p.house = clickhouse.New(p.loop, p.log, clickhouse.Options{Group: o.Group, Hold: o.Hold, MostBody: o.MostBody, Bound: o.BoundMs, UploadMs: o.UploadMs,
-		QuietMs: o.QuietMs, StallMs: o.StallMs, Header: o.Header, Sessions: o.Sessions, Check: p.cfg.Settings.Behind != beechgrade.BehindAnswers,
+		QuietMs: o.QuietMs, StallMs: o.StallMs, Header: o.Header, Sessions: o.Sessions, Check: p.cfg.Settings.Behind != decide.BehindAnswers,
 		Deadline: o.DeadlineMs, ConnectMs: p.cfg.ConnectTimeoutMs,
 		IdleMs: o.IdleMs * idlePart, ClientMs: o.ClientMs, HeadMs: o.HeadMs, Kill: o.Kill, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace), Name: p.cfg.Name, Rules: rules, Users: o.Users, Others: o.Others, Expire: p.core.Expire, Memory: func() int { return p.cfg.Limits.MemoryMB << 20 },
 		Spare: func() int {
--- a/cmd/beechgrade/house_hard_test.go
+++ b/cmd/beechgrade/house_hard_test.go
@@ -20,8 +20,8 @@
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sys/unix"
 
-	"beechgrade"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/standin/house"
 )
 
@@ -357,7 +357,7 @@
 // TestHouseBounds: reads with a bound go only to servers whose data is known to be so new, whether the module asks for that
 // ahead or the front does before each; where none is, they are refused; writes and reads without one go anywhere.
 func TestHouseBounds(t *testing.T) {
-	for _, behind := range []beechgrade.Behind{beechgrade.BehindAnswers, beechgrade.BehindRefuses} {
+	for _, behind := range []decide.Behind{decide.BehindAnswers, decide.BehindRefuses} {
 		w := housesAs(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(s []*house.Server) { s[1].Lag(60); s[2].Lag(-1) }, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
 		ask := func(path, sql, id string) int {
 			res, err := w.client.Get("http://" + w.addr + path + "?" + url.Values{"query": {sql}, "query_id": {id}}.Encode())
--- a/cmd/beechgrade/second_test.go
+++ b/cmd/beechgrade/second_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/pgwire"
 )
 
@@ -72,7 +72,7 @@
 	addr, queries := server(t)
 	p := newPooler(testConfig(t, addr, nil, func(c *config.Config) {
 		c.Tenants = []string{"greedy", "modest"}
-		c.Settings.Tenants = []beechgrade.Tenant{{Allowance: 1e-6}, {Allowance: 1e6}}
+		c.Settings.Tenants = []decide.Tenant{{Allowance: 1e-6}, {Allowance: 1e6}}
 		c.Settings.OverShareWorth = 0.2
 	}), slog.New(slog.DiscardHandler))
 	pooler, _, _, _ := launch(t, p)
@@ -149,7 +149,7 @@
 func withWindow(d time.Duration, attempts int) func(*config.Config) {
 	return func(c *config.Config) {
 		w := &c.Settings.Classes[1]
-		w.Effect, w.Scope, w.KeyWindow, c.Settings.MaxAttempts = beechgrade.Keyed, beechgrade.ScopeGroup, d, attempts
+		w.Effect, w.Scope, w.KeyWindow, c.Settings.MaxAttempts = decide.Keyed, decide.ScopeGroup, d, attempts
 	}
 }
 
--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -17,8 +17,8 @@
 	"testing"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/pgwire"
@@ -182,10 +182,10 @@
 		ConnectTimeoutMs: 5000, IdleMs: 30000,
 		Known: discovery.List{Generation: 4, Reset: true, Instances: []discovery.Instance{
 			{ID: "s-1", HostPort: server, Lifecycle: "up", Weight: 1, Role: "primary"}}},
-		Settings: beechgrade.Settings{Siblings: 1, Tick: 2 * time.Millisecond, AskList: true, ListShowsRole: true,
-			ListRoleLive: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 8, Classes: []beechgrade.Class{
-				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.ReadAny},
-				{Aim: patience, Deadline: patience, Worth: 1, Read: beechgrade.Write, Effect: beechgrade.Unsafe}}}}
+		Settings: decide.Settings{Siblings: 1, Tick: 2 * time.Millisecond, AskList: true, ListShowsRole: true,
+			ListRoleLive: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 8, Classes: []decide.Class{
+				{Aim: patience, Deadline: patience, Worth: 1, Read: decide.ReadAny},
+				{Aim: patience, Deadline: patience, Worth: 1, Read: decide.Write, Effect: decide.Unsafe}}}}
 	for _, f := range change {
 		f(cfg)
 	}
--- a/cmd/beechgrade/upgrade_test.go
+++ b/cmd/beechgrade/upgrade_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/handover"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/membership/discovery"
@@ -115,7 +115,7 @@
 	c.want("TDCZ v")
 	u.mute.Store(true)
 	var was *handover.State
-	for end := time.Now().Add(patience); was == nil || len(was.Memory.Stores) == 0 || was.Memory.Stores[0].Role != beechgrade.RolePrimary; time.Sleep(2 * time.Millisecond) {
+	for end := time.Now().Add(patience); was == nil || len(was.Memory.Stores) == 0 || was.Memory.Stores[0].Role != decide.RolePrimary; time.Sleep(2 * time.Millisecond) {
 		if others, _ := handover.In(u.dir).Others(clock.Wall(), handover.KnownMs); len(others) > 0 {
 			was = others[0]
 		}
@@ -158,7 +158,7 @@
 func TestKilledInTheOverlap(t *testing.T) {
 	u := newUpgrade(t)
 	two := u.process()
-	if err := handover.In(u.dir).Write(&handover.State{SavedMs: clock.Wall(), Held: 400, Memory: &beechgrade.Memory{}}); err != nil {
+	if err := handover.In(u.dir).Write(&handover.State{SavedMs: clock.Wall(), Held: 400, Memory: &decide.Memory{}}); err != nil {
 		t.Fatal(err)
 	}
 	u.until("limits are shared", two, func() bool { return two.others == 1 && two.sockets() == 624 && two.memory() == 96<<20 })
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -7,10 +7,10 @@
 	"math"
 	"strconv"
 
-	"beechgrade"
 	"beechgrade/internal/backend/wear"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/slots"
@@ -35,7 +35,7 @@
 
 // Outcome is how an attempt or probe ended, with what its answer told.
 type Outcome struct {
-	Result beechgrade.Result
+	Result decide.Result
 	Answer []byte // OK: the row as messages, valid during the call
 	Said
 	Load Said // a load report that came along with the answer, some time old
@@ -52,7 +52,7 @@
 
 // Said is what a server told of itself.
 type Said struct {
-	Role     beechgrade.Role
+	Role     decide.Role
 	Position float64 // on the clock, where HasPos
 	HasPos   bool
 }
@@ -221,7 +221,7 @@
 	delete(p.stores, id)
 	s.addr = "" // its connections are closed once they are free
 	for len(s.waiting) > 0 {
-		p.drop(s.waiting[0], beechgrade.Skipped)
+		p.drop(s.waiting[0], decide.Skipped)
 	}
 }
 
@@ -252,7 +252,7 @@
 // Cancel gives an attempt up. Where its query is out, its connection is closed and never used again.
 func (p *Pool) Cancel(ref slots.Ref) {
 	if a, ok := p.attempts.Get(ref); ok {
-		p.drop(a, beechgrade.Cancelled)
+		p.drop(a, decide.Cancelled)
 	}
 }
 
@@ -263,23 +263,23 @@
 	s := a.store
 	switch {
 	case s == nil:
-		p.end(a, Outcome{Result: beechgrade.Unreachable})
+		p.end(a, Outcome{Result: decide.Unreachable})
 		return
 	case a.Late(p.loop.Now()):
-		p.end(a, Outcome{Result: beechgrade.Skipped})
+		p.end(a, Outcome{Result: decide.Skipped})
 		return
 	}
-	a.timer = p.loop.At(a.until, func() { p.drop(a, beechgrade.TimedOut) })
+	a.timer = p.loop.At(a.until, func() { p.drop(a, decide.TimedOut) })
 	up := p.loop.Now() + p.opt.ConnectTimeoutMs
 	if a.By > 0 {
 		up = min(up, a.By)
 	}
 	a.connect = p.loop.At(up, func() {
 		if a.conn == nil && s.dialing == 0 || a.Late(p.loop.Now()) { // want of a descriptor tells nothing of the server
-			p.drop(a, beechgrade.Skipped)
+			p.drop(a, decide.Skipped)
 			return
 		}
-		p.drop(a, beechgrade.Unreachable)
+		p.drop(a, decide.Unreachable)
 	})
 	for len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
@@ -355,14 +355,14 @@
 }
 
 // drop ends an attempt from this side.
-func (p *Pool) drop(a *attempt, r beechgrade.Result) {
+func (p *Pool) drop(a *attempt, r decide.Result) {
 	c := a.conn
-	if c == nil && a.query != nil && r != beechgrade.Unreachable && r != beechgrade.Full {
-		r = beechgrade.Skipped // it was never written
+	if c == nil && a.query != nil && r != decide.Unreachable && r != decide.Full {
+		r = decide.Skipped // it was never written
 	}
 	if c != nil {
-		if c.whole(); len(c.rest) > 0 && r != beechgrade.Full {
-			r = beechgrade.Skipped // nor was it written whole
+		if c.whole(); len(c.rest) > 0 && r != decide.Full {
+			r = decide.Skipped // nor was it written whole
 		}
 		c.hold()
 		c.attempt = nil // before the close, which would report a reset
@@ -379,7 +379,7 @@
 func (p *Pool) recall(s *store) {
 	for i := 0; i < len(s.waiting); {
 		if a := s.waiting[i]; a.Once {
-			p.drop(a, beechgrade.Skipped)
+			p.drop(a, decide.Skipped)
 			i = 0 // what that led to may have changed the rest
 			continue
 		}
@@ -425,7 +425,7 @@
 	c.pool.conns.Drop(c.ref)
 	c.store.dialing--
 	if w := c.store.waiting; len(w) > c.store.dialing {
-		c.pool.drop(w[0], beechgrade.Unreachable)
+		c.pool.drop(w[0], decide.Unreachable)
 	}
 }
 
@@ -454,7 +454,7 @@
 	for len(c.store.waiting) > 0 {
 		a := c.store.waiting[0]
 		if a.Late(p.loop.Now()) {
-			p.drop(a, beechgrade.Skipped)
+			p.drop(a, decide.Skipped)
 			continue
 		}
 		c.store.waiting = c.store.waiting[1:]
@@ -572,7 +572,7 @@
 	}
 	if p := c.pool; c.attempt != nil && c.held > keepAnswer && p.held > p.opt.Memory()/heldPart {
 		p.log.Warn("no memory for an answer", "store", c.store.id, "bytes", c.held, "all", p.held)
-		p.drop(c.attempt, beechgrade.Failed)
+		p.drop(c.attempt, decide.Failed)
 		return
 	}
 	c.watch()
@@ -601,7 +601,7 @@
 	p.loop.Stop(c.timer)
 	c.timer = p.loop.At(p.loop.Now()+left, func() {
 		p.log.Debug("an answer stopped short", "store", c.store.id)
-		p.drop(a, beechgrade.Failed)
+		p.drop(a, decide.Failed)
 	})
 }
 
@@ -609,7 +609,7 @@
 func (c *conn) spoilt(err error) {
 	c.pool.log.Warn("server broke the protocol", "store", c.store.id, "err", err)
 	if c.attempt != nil {
-		c.pool.drop(c.attempt, beechgrade.Failed)
+		c.pool.drop(c.attempt, decide.Failed)
 		return
 	}
 	c.c.Close()
@@ -693,7 +693,7 @@
 	}
 	switch name { // the first that can be read counts
 	case "role":
-		if c.outcome.Role == beechgrade.RoleUnknown {
+		if c.outcome.Role == decide.RoleUnknown {
 			c.outcome.Role = c.pool.role(val)
 		}
 	case "load":
@@ -710,14 +710,14 @@
 // position tells whether a server may have got so far.
 func (p *Pool) position(ms float64) bool { return ms > 0 && ms <= p.loop.Now()+aheadMs }
 
-func (p *Pool) role(val string) beechgrade.Role {
+func (p *Pool) role(val string) decide.Role {
 	switch val {
 	case p.opt.Roles[0]:
-		return beechgrade.RolePrimary
+		return decide.RolePrimary
 	case p.opt.Roles[1]:
-		return beechgrade.RoleReplica
+		return decide.RoleReplica
 	}
-	return beechgrade.RoleUnknown
+	return decide.RoleUnknown
 }
 
 // settled ends what the connection carries, at its ReadyForQuery.
@@ -728,7 +728,7 @@
 		c.store.dialing--
 		c.ready()
 	case c.state == passing && c.flow != nil:
-		flow, answer, whole := c.flow, c.answer, c.result() == beechgrade.OK
+		flow, answer, whole := c.flow, c.answer, c.result() == decide.OK
 		c.flow, c.answer = nil, nil
 		c.ready()
 		flow.Ended(answer, whole)
@@ -736,14 +736,14 @@
 		a, o := c.attempt, c.outcome
 		p.wear.Note(p.loop.Now(), c.rested, false)
 		o.Result = c.result()
-		if o.Result == beechgrade.OK {
+		if o.Result == decide.OK {
 			o.Answer = c.answer
 			if a.query == nil {
 				o = p.report(c.row)
 			}
 		}
 		c.attempt, a.conn = nil, nil
-		if o.Role == beechgrade.RoleReplica {
+		if o.Role == decide.RoleReplica {
 			p.recall(c.store)
 		}
 		// The connection is free before the end is told: what that leads to may use it.
@@ -756,30 +756,30 @@
 }
 
 // result reads the outcome by what came before ReadyForQuery.
-func (c *conn) result() beechgrade.Result {
+func (c *conn) result() decide.Result {
 	switch c.reading.Code {
 	case "":
 		if c.reading.Served {
-			return beechgrade.OK
+			return decide.OK
 		}
 	case "25006", "72000":
-		return beechgrade.Missed
+		return decide.Missed
 	case "53300", "57P03":
-		return beechgrade.Full
+		return decide.Full
 	}
-	return beechgrade.Failed
+	return decide.Failed
 }
 
 // report reads a load report's row. One with nothing in it, as a server that has none yet sends, tells that
 // the server is there; one that cannot be read tells nothing.
 func (p *Pool) report(row []byte) Outcome {
-	o := Outcome{Result: beechgrade.OK}
+	o := Outcome{Result: decide.OK}
 	col, err := pgwire.Column(row)
 	if err == nil && len(col) == 0 {
 		return o
 	}
 	if o.Said = p.load(string(col)); !o.HasPos {
-		return Outcome{Result: beechgrade.Failed}
+		return Outcome{Result: decide.Failed}
 	}
 	return o
 }
@@ -793,12 +793,12 @@
 		case name == "x0" && p.position(x*1000): // down to whole milliseconds, as a printed figure may have been rounded up
 			s.Position, s.HasPos = clock.FromUnix(int64(x*1000)), true
 		case name == "x1" && x == 1:
-			s.Role = beechgrade.RolePrimary
+			s.Role = decide.RolePrimary
 		case name == "x1" && x == 0:
-			s.Role = beechgrade.RoleReplica
+			s.Role = decide.RoleReplica
 		}
 	}
-	if !s.HasPos || s.Role == beechgrade.RoleUnknown {
+	if !s.HasPos || s.Role == decide.RoleUnknown {
 		return Said{}
 	}
 	return s
@@ -831,13 +831,13 @@
 		if c.reading.Untouched() && p.loop.Now()-c.written <= brokeMs {
 			p.wear.Note(p.loop.Now(), c.rested, true)
 		}
-		r := beechgrade.Reset
+		r := decide.Reset
 		// Where gnet has dropped what it buffered, unsent is 0 and the attempt may have run: the safe side.
 		if !c.sent || unsent > 0 { // its last byte never left: it cannot have run
-			r = beechgrade.Unreachable
+			r = decide.Unreachable
 		}
 		if c.reading.Code == "53300" || c.reading.Code == "57P03" {
-			r = beechgrade.Full
+			r = decide.Full
 		}
 		p.end(a, Outcome{Result: r, Said: c.outcome.Said})
 	}
@@ -849,7 +849,7 @@
 	if c.reading.Code == "53300" && len(c.store.waiting) >= c.store.dialing && len(c.store.waiting) > 0 {
 		a := c.store.waiting[0]
 		c.pool.unqueue(a)
-		defer c.pool.end(a, Outcome{Result: beechgrade.Full})
+		defer c.pool.end(a, Outcome{Result: decide.Full})
 	}
 	c.failed()
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"beechgrade"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 )
@@ -58,7 +58,7 @@
 	for range 3 {
 		select {
 		case o := <-events:
-			if diff := cmp.Diff(Outcome{Result: beechgrade.Skipped}, o); diff != "" {
+			if diff := cmp.Diff(Outcome{Result: decide.Skipped}, o); diff != "" {
 				t.Error(diff)
 			}
 		case <-time.After(20 * time.Second):
@@ -74,11 +74,11 @@
 // TestReport guards against believing half of a report that cannot be read, or a position that no server can have.
 func TestReport(t *testing.T) {
 	p := &Pool{loop: loop.New(&clock.Manual{Ms: 5000}, nil, nil, nil)}
-	unreadable := Outcome{Result: beechgrade.Failed}
+	unreadable := Outcome{Result: decide.Failed}
 	for report, want := range map[string]Outcome{
-		"":                       {Result: beechgrade.OK}, // it has none yet
-		"x0=4.25,x1=1":           {Result: beechgrade.OK, Said: Said{beechgrade.RolePrimary, 4250, true}},
-		"x1=0, x0=5.0019,load=7": {Result: beechgrade.OK, Said: Said{beechgrade.RoleReplica, 5001, true}},
+		"":                       {Result: decide.OK}, // it has none yet
+		"x0=4.25,x1=1":           {Result: decide.OK, Said: Said{decide.RolePrimary, 4250, true}},
+		"x1=0, x0=5.0019,load=7": {Result: decide.OK, Said: Said{decide.RoleReplica, 5001, true}},
 		"x0=4.25":                unreadable,
 		"x1=1":                   unreadable,
 		"x0=nan,x1=1":            unreadable,
@@ -129,7 +129,7 @@
 	}
 	select {
 	case o := <-events:
-		if o.Result != beechgrade.Failed {
+		if o.Result != decide.Failed {
 			t.Errorf("result %v", o.Result)
 		}
 	case <-time.After(20 * time.Second):
@@ -190,7 +190,7 @@
 	answer := pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte("v")), "SELECT 1")
 	_, _ = far.Write(pgwire.AppendReady(pgwire.AppendParameter(answer, "role", "replica")))
 	read() // the read, on the same connection
-	var got []beechgrade.Result
+	var got []decide.Result
 	for range 2 {
 		select {
 		case o := <-events:
@@ -199,7 +199,7 @@
 			t.Fatal("not told")
 		}
 	}
-	if diff := cmp.Diff([]beechgrade.Result{beechgrade.Skipped, beechgrade.OK}, got); diff != "" {
+	if diff := cmp.Diff([]decide.Result{decide.Skipped, decide.OK}, got); diff != "" {
 		t.Error(diff)
 	}
 	l.End()
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -7,15 +7,15 @@
 	"strings"
 	"syscall"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/httpwire"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/slots"
 )
 
-const timedOut = beechgrade.TimedOut
+const timedOut = decide.TimedOut
 
 // store is the connections to one server.
 type store struct {
@@ -113,7 +113,7 @@
 		s.idle[0].close()
 	}
 	for len(s.waiting) > 0 {
-		f.drop(s.waiting[0], beechgrade.Skipped)
+		f.drop(s.waiting[0], decide.Skipped)
 	}
 	f.lose(id)
 }
@@ -151,7 +151,7 @@
 func (f *Front) Probe(id string) {
 	s := f.stores[id]
 	if s == nil {
-		f.events.ProbeEnded(id, backend.Outcome{Result: beechgrade.Unreachable})
+		f.events.ProbeEnded(id, backend.Outcome{Result: decide.Unreachable})
 		return
 	}
 	a := &attempt{store: s, until: f.loop.Now() + f.opt.ConnectMs, since: f.loop.Now()}
@@ -163,17 +163,17 @@
 func (f *Front) Cancel(ref slots.Ref) {
 	ref.Index &^= firstRef
 	if a, ok := f.attempts.Get(ref); ok {
-		f.drop(a, beechgrade.Cancelled)
+		f.drop(a, decide.Cancelled)
 	}
 }
 
 func (f *Front) begin(a *attempt) {
 	s := a.store
 	if s == nil || s.addr == "" {
-		f.done(a, beechgrade.Unreachable)
+		f.done(a, decide.Unreachable)
 		return
 	}
-	a.timer = f.loop.At(a.until, func() { f.drop(a, beechgrade.TimedOut) })
+	a.timer = f.loop.At(a.until, func() { f.drop(a, decide.TimedOut) })
 	for len(s.idle) > 0 {
 		l := s.idle[len(s.idle)-1]
 		if !l.conn.Quiet() { // the server has closed it, perhaps
@@ -188,9 +188,9 @@
 		switch {
 		case a.link != nil:
 		case s.dialing == 0: // want of a descriptor tells nothing of the server
-			f.drop(a, beechgrade.Skipped)
+			f.drop(a, decide.Skipped)
 		default:
-			f.drop(a, beechgrade.Unreachable)
+			f.drop(a, decide.Unreachable)
 		}
 	})
 	s.waiting = append(s.waiting, a)
@@ -221,12 +221,12 @@
 		l.f.lose(l.store.id)
 	}
 	if w := l.store.waiting; len(w) > l.store.dialing {
-		l.f.drop(w[0], beechgrade.Unreachable)
+		l.f.drop(w[0], decide.Unreachable)
 	}
 }
 
 // drop ends an attempt from this side.
-func (f *Front) drop(a *attempt, res beechgrade.Result) {
+func (f *Front) drop(a *attempt, res decide.Result) {
 	if _, ok := f.attempts.Get(a.ref); !ok {
 		return
 	}
@@ -235,7 +235,7 @@
 		a.leave(l)
 		f.done(a, res)
 		l.close()
-		if (res == beechgrade.Cancelled || res == beechgrade.TimedOut) && !l.lags {
+		if (res == decide.Cancelled || res == decide.TimedOut) && !l.lags {
 			f.kill(a.store, a.r)
 		}
 		return
@@ -247,14 +247,14 @@
 			break
 		}
 	}
-	if a.r != nil && res != beechgrade.Unreachable {
-		res = beechgrade.Skipped // it was never written
+	if a.r != nil && res != decide.Unreachable {
+		res = decide.Skipped // it was never written
 	}
 	f.done(a, res)
 }
 
 // done reports an attempt's end, once.
-func (f *Front) done(a *attempt, res beechgrade.Result) {
+func (f *Front) done(a *attempt, res decide.Result) {
 	if _, ok := f.attempts.Get(a.ref); !ok {
 		return
 	}
@@ -263,17 +263,17 @@
 	f.loop.Stop(a.connect)
 	if a.r == nil {
 		o := backend.Outcome{Result: res}
-		if s := a.store; res == beechgrade.OK && s.toldAt >= a.since && s.toldAt != 0 {
+		if s := a.store; res == decide.OK && s.toldAt >= a.since && s.toldAt != 0 {
 			o.Position, o.HasPos = s.position, true
 		}
 		f.events.ProbeEnded(a.store.id, o)
 		return
 	}
-	if res != beechgrade.Unreachable && res != beechgrade.Skipped {
+	if res != decide.Unreachable && res != decide.Skipped {
 		a.r.reached = true
 	}
 	o := backend.Outcome{Result: res}
-	if res == beechgrade.Missed {
+	if res == decide.Missed {
 		o.Position, o.HasPos = a.store.position, true
 	}
 	f.events.AttemptEnded(a.tag, o)
@@ -373,7 +373,7 @@
 	switch {
 	case err != nil:
 		l.f.log.Warn("clickhouse: an answer that cannot be read", "store", l.store.id, "err", err)
-		l.f.drop(a, beechgrade.Failed)
+		l.f.drop(a, decide.Failed)
 		return
 	case n == 0:
 		return
@@ -391,7 +391,7 @@
 		return
 	}
 	// What a body that has passed on met is its answer, whatever that is: there is no other to be had.
-	if res := resultOf(h); res != beechgrade.OK && (a.r == nil || !a.r.passing) {
+	if res := resultOf(h); res != decide.OK && (a.r == nil || !a.r.passing) {
 		l.f.drop(a, res)
 		return
 	}
@@ -409,7 +409,7 @@
 	l.state, l.attempt, a.link = next, nil, nil
 	was := l.f.serving
 	l.f.serving = l
-	l.f.done(a, beechgrade.OK)
+	l.f.done(a, decide.OK)
 	l.f.serving = was
 	if a.r == nil {
 		return true
@@ -433,7 +433,7 @@
 	n, err := l.body.Next(b, func(p []byte) { l.text = append(l.text, p...) })
 	switch {
 	case err != nil || len(l.text) > maxReport:
-		l.f.drop(a, beechgrade.Failed)
+		l.f.drop(a, decide.Failed)
 		return
 	case !l.body.Done():
 		return
@@ -449,11 +449,11 @@
 	l.attempt, a.link = nil, nil
 	switch {
 	case a.r == nil && told:
-		l.f.done(a, beechgrade.OK)
+		l.f.done(a, decide.OK)
 	case a.r == nil:
 		l.f.done(a, resultOf(l.head))
 	case !told || s.position < l.f.loop.Now()-a.r.bound():
-		l.f.done(a, beechgrade.Missed)
+		l.f.done(a, decide.Missed)
 	case ends: // it goes out on another
 		a.checked = true
 		l.close()
@@ -541,19 +541,19 @@
 }
 
 // resultOf reads an answer's head. What a server says of the query itself is its answer; that it takes none now is not.
-func resultOf(h *httpwire.Head) beechgrade.Result {
+func resultOf(h *httpwire.Head) decide.Result {
 	switch h.Get("X-ClickHouse-Exception-Code") {
 	case "202", "439": // too many queries; no thread to be had: it has not begun
-		return beechgrade.Full
+		return decide.Full
 	case "":
 		if h.Status == 503 || h.Status == 429 {
-			return beechgrade.Full
+			return decide.Full
 		}
 		if h.Status >= 500 {
-			return beechgrade.Failed
+			return decide.Failed
 		}
 	}
-	return beechgrade.OK
+	return decide.OK
 }
 
 // answer writes the head of a server's answer to the client.
@@ -680,9 +680,9 @@
 	if a := l.attempt; a != nil {
 		l.attempt, a.link = nil, nil
 		a.leave(l)
-		res := beechgrade.Reset
+		res := decide.Reset
 		if (!l.sent || l.conn != nil && l.conn.Unsent() > 0) && (a.r == nil || !a.r.passing) {
-			res = beechgrade.Unreachable // its last byte never left
+			res = decide.Unreachable // its last byte never left
 		}
 		l.f.done(a, res)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/wire"
 )
@@ -37,7 +37,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     discovery.List
-	Settings  beechgrade.Settings
+	Settings  decide.Settings
 
 	Classes, Zones, Kinds []string // names, by the module's numbers
 	Tenants               []string // names, as the settings number them
@@ -137,7 +137,7 @@
 	set("control", c.Control != next.Control, nil)
 
 	settings, classes, zones := next.Settings, union(c.Classes, next.Classes), union(c.Zones, next.Zones)
-	settings.Classes = make([]beechgrade.Class, len(classes))
+	settings.Classes = make([]decide.Class, len(classes))
 	retired := make([]bool, len(classes))
 	for i, n := range classes {
 		k := slices.Index(next.Classes, n)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,11 +11,11 @@
 	"math"
 	"strconv"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
 	"beechgrade/internal/front"
 	"beechgrade/internal/membership/discovery"
@@ -71,7 +71,7 @@
 	loop    Loop
 	log     *slog.Logger
 	cfg     *config.Config
-	router  *beechgrade.Router
+	router  *decide.Router
 	servers Servers
 	dir     Directory
 
@@ -90,7 +90,7 @@
 	events   []event
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
-	actions  []beechgrade.Action
+	actions  []decide.Action
 
 	rec    *record.Recorder // nil where nothing is recorded
 	asked  uint64           // requests recorded
@@ -106,7 +106,7 @@
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
 type Journal interface {
-	Ended(t backend.Tag, res beechgrade.Result)
+	Ended(t backend.Tag, res decide.Result)
 	Ran(id string) bool
 }
 
@@ -125,8 +125,8 @@
 func (c *Core) Hear(w Words) { c.words = w }
 
 func (c *Core) told(store string, o *backend.Outcome) {
-	if c.words != nil && (o.Role != beechgrade.RoleUnknown || o.HasPos) {
-		c.words.Told(store, o.Role == beechgrade.RolePrimary, o.Role == beechgrade.RoleReplica, o.Position)
+	if c.words != nil && (o.Role != decide.RoleUnknown || o.HasPos) {
+		c.words.Told(store, o.Role == decide.RolePrimary, o.Role == decide.RoleReplica, o.Position)
 	}
 }
 
@@ -141,8 +141,8 @@
 
 // event is one that the router is yet to be told, with the time at which it happened.
 type event struct {
-	at beechgrade.Time
-	e  beechgrade.Event
+	at decide.Time
+	e  decide.Event
 }
 
 // request is one that a client asked; it stays until it is over and its attempts have ended.
@@ -164,7 +164,7 @@
 
 // try is an attempt; one that was skipped has no ref.
 type try struct {
-	store   beechgrade.StoreID
+	store   decide.StoreID
 	ref     slots.Ref
 	from    float64
 	written bool
@@ -172,7 +172,7 @@
 
 // New makes the core of one pooler.
 func New(l Loop, log *slog.Logger, cfg *config.Config) *Core {
-	c := &Core{loop: l, log: log, cfg: cfg, router: beechgrade.New(cfg.Settings, cfg.Seed),
+	c := &Core{loop: l, log: log, cfg: cfg, router: decide.New(cfg.Settings, cfg.Seed),
 		ids: map[string]bool{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	c.name()
 	return c
@@ -209,7 +209,7 @@
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.allowed(&set)
-	c.tell(&beechgrade.Retune{Settings: set})
+	c.tell(&decide.Retune{Settings: set})
 }
 
 // Share has the router count so many processes in the place of each pooler, and tells whether that is news.
@@ -231,10 +231,10 @@
 }
 
 // Memory is what the router knows.
-func (c *Core) Memory() *beechgrade.Memory { return c.router.Memory() }
+func (c *Core) Memory() *decide.Memory { return c.router.Memory() }
 
 // Recall gives the router what another one knew.
-func (c *Core) Recall(m *beechgrade.Memory) { c.router.Recall(clock.Span(c.loop.Now()), m) }
+func (c *Core) Recall(m *decide.Memory) { c.router.Recall(clock.Span(c.loop.Now()), m) }
 
 // Figures are the process's.
 func (c *Core) Figures() *figures.Figures { return &c.figures }
@@ -262,7 +262,7 @@
 	q.open--
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
-	o := backend.Outcome{Result: beechgrade.OK}
+	o := backend.Outcome{Result: decide.OK}
 	c.recordAttempt(q, t.No, store, &o)
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
@@ -273,7 +273,7 @@
 	}
 	f := q.flow
 	c.release(t.Request, q)
-	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result, Final: q.over})
+	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result, Final: q.over})
 	if f == nil || final {
 		return nil
 	}
@@ -309,7 +309,7 @@
 // Start joins the core to the servers and the directory and tells the router the list as last known.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
-	c.list(&c.cfg.Known, beechgrade.ListRestored)
+	c.list(&c.cfg.Known, decide.ListRestored)
 }
 
 // Open is the number of requests that are owed an answer or have attempts out.
@@ -335,13 +335,13 @@
 		tenant = -1
 	}
 	set := &c.cfg.Settings.Classes[class]
-	if set.Effect == beechgrade.Keyed && q.Named && q.Idem == "" {
+	if set.Effect == decide.Keyed && q.Named && q.Idem == "" {
 		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrKey)
 	}
-	if q.Writes && set.Read != beechgrade.Write { // a read may be repeated
+	if q.Writes && set.Read != decide.Write { // a read may be repeated
 		return slots.Ref{}, fmt.Errorf("class %q: %w", q.Class, ErrWrite)
 	}
-	known, once := cmp.Or(q.Known, q.ID), set.Effect != beechgrade.Safe
+	known, once := cmp.Or(q.Known, q.ID), set.Effect != decide.Safe
 	if once && c.journal != nil && c.journal.Ran(known) { // nobody knows whether it did
 		c.counted[class].Count(figures.BadGateway)
 		client.Failed()
@@ -350,7 +350,7 @@
 	c.met(OfTenant, q.Tenant)
 	c.Expire()
 	key := ""
-	if set.Effect == beechgrade.Keyed && q.Idem != "" {
+	if set.Effect == decide.Keyed && q.Idem != "" {
 		key = strconv.Itoa(q.Group) + " " + q.Idem
 	}
 	c.ids[q.ID] = true
@@ -362,8 +362,8 @@
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
-	e := &beechgrade.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
-		Session: q.Session, Repeat: q.Repeat, Only: beechgrade.StoreID(q.Only)}
+	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
+		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
 		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
 		e.SinceOwn = max(1, now-clock.Span(q.After))
@@ -390,7 +390,7 @@
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
-	c.tell(&beechgrade.Expired{ID: requestID(ref)})
+	c.tell(&decide.Expired{ID: requestID(ref)})
 }
 
 // AttemptWritten is backend.Events'.
@@ -410,11 +410,11 @@
 	}
 	q.open--
 	switch o.Result {
-	case beechgrade.OK, beechgrade.Missed, beechgrade.Failed, beechgrade.Reset: // what is answered was written
+	case decide.OK, decide.Missed, decide.Failed, decide.Reset: // what is answered was written
 		c.AttemptWritten(t)
 	}
 	switch o.Result {
-	case beechgrade.Missed, beechgrade.Full, beechgrade.Unreachable, beechgrade.Skipped:
+	case decide.Missed, decide.Full, decide.Unreachable, decide.Skipped:
 		c.keys.never(q.key, q.tries[t.No].from)
 	}
 	store := q.tries[t.No].store
@@ -423,14 +423,14 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
-	if o.Result == beechgrade.OK && !q.over {
+	if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
 	}
 	final := q.over
 	c.release(t.Request, q)
-	c.tell(&beechgrade.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
+	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
 		Final: final, Told: told(o.Said), Load: told(o.Load)})
 }
 
@@ -438,14 +438,14 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
-	c.tell(&beechgrade.ProbeResult{Store: beechgrade.StoreID(store), Result: o.Result, Load: told(o.Said)})
+	c.tell(&decide.ProbeResult{Store: decide.StoreID(store), Result: o.Result, Load: told(o.Said)})
 }
 
 // Listed is discovery.Events'.
 func (c *Core) Listed(l *discovery.List) {
-	kind := beechgrade.ListChanges
+	kind := decide.ListChanges
 	if l.Reset {
-		kind = beechgrade.ListFull
+		kind = decide.ListFull
 	}
 	c.list(l, kind)
 }
@@ -453,18 +453,18 @@
 // ListFailed is discovery.Events'.
 func (c *Core) ListFailed() {
 	c.Note(recordpb.Kind_KIND_LIST_FAILED, "")
-	c.tell(&beechgrade.List{Kind: beechgrade.ListFailed})
+	c.tell(&decide.List{Kind: decide.ListFailed})
 }
 
-func (c *Core) list(l *discovery.List, kind beechgrade.ListKind) {
-	e, now := &beechgrade.List{Kind: kind}, c.loop.Now()
+func (c *Core) list(l *discovery.List, kind decide.ListKind) {
+	e, now := &decide.List{Kind: kind}, c.loop.Now()
 	named := map[string]bool{}
 	for i := range l.Instances {
 		n := &l.Instances[i]
 		if n.ID == "" {
 			continue
 		}
-		entry := beechgrade.Entry{Store: beechgrade.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
+		entry := decide.Entry{Store: decide.StoreID(n.ID), Group: n.Cell, Kind: c.kinds.number(n.MachineType),
 			Zone: c.zones.number(n.Zone), Size: n.Weight, Primary: n.Role == "primary"}
 		if n.StartedAtMs > 0 {
 			entry.Started = clock.Span(min(clock.FromUnix(n.StartedAtMs), now)) // one that lies ahead would be cold for ever
@@ -484,23 +484,23 @@
 	c.tell(e)
 	for i := range e.Entries { // what is in use there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
-		case e.Entries[i].State == beechgrade.Gone && !c.cfg.Settings.DrainOnly:
+		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
 			c.servers.Forget(id)
-		case e.Entries[i].State != beechgrade.Serving:
+		case e.Entries[i].State != decide.Serving:
 			c.servers.CloseIdle(id)
 		}
 	}
-	if kind != beechgrade.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
+	if kind != decide.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
 		c.servers.Retain(named)
 	}
 }
 
 // tell tells the router of what happens now.
-func (c *Core) tell(e beechgrade.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
+func (c *Core) tell(e decide.Event) { c.tellAt(clock.Span(c.loop.Now()), e) }
 
 // tellAt queues an event and, unless an action of an earlier one is being carried out, works the queue
 // off: what an action leads to at once is told after that event's actions.
-func (c *Core) tellAt(at beechgrade.Time, e beechgrade.Event) {
+func (c *Core) tellAt(at decide.Time, e decide.Event) {
 	c.events = append(c.events, event{at, e})
 	if c.running {
 		return
@@ -523,44 +523,44 @@
 	c.running = false
 }
 
-func (c *Core) carryOut(a *beechgrade.Action) {
+func (c *Core) carryOut(a *decide.Action) {
 	switch a.Kind {
-	case beechgrade.Send:
+	case decide.Send:
 		c.send(a)
-	case beechgrade.Cancel:
+	case decide.Cancel:
 		if q, ok := c.requests.Get(refOf(a.ID)); ok && a.Attempt >= 0 && a.Attempt < len(q.tries) {
 			c.servers.Cancel(q.tries[a.Attempt].ref)
 		}
-	case beechgrade.Refuse:
+	case decide.Refuse:
 		if q := c.conclude(a.ID, figures.Dropped); q != nil {
 			q.client.Refused(clock.Millis(a.Wait))
 			c.recordAnswer(q, recordpb.Final_FINAL_REFUSED, clock.Millis(a.Wait))
 		}
-	case beechgrade.Fail:
+	case decide.Fail:
 		if q := c.conclude(a.ID, figures.BadGateway); q != nil {
 			q.client.Failed()
 			c.recordAnswer(q, recordpb.Final_FINAL_FAILED, 0)
 		}
-	case beechgrade.Probe:
+	case decide.Probe:
 		if c.rec.On() {
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
 		c.met(OfProbes, "").do(c, func() { c.servers.Probe(id) })
-	case beechgrade.SetTimer:
+	case decide.SetTimer:
 		tag := a.Tag
-		c.loop.At(clock.Millis(a.At), func() { c.tell(&beechgrade.Timer{Tag: tag}) })
-	case beechgrade.Subscribe:
+		c.loop.At(clock.Millis(a.At), func() { c.tell(&decide.Timer{Tag: tag}) })
+	case decide.Subscribe:
 		c.met(OfLists, "").do(c, c.dir.Watch)
-	case beechgrade.FetchList:
+	case decide.FetchList:
 		c.met(OfLists, "").do(c, c.dir.Fetch)
-	case beechgrade.Log:
+	case decide.Log:
 		c.log.Info(a.Text)
 	}
 }
 
 // conclude marks a request over and returns it, or nil if it was over before.
-func (c *Core) conclude(id beechgrade.RequestID, e figures.End) *request {
+func (c *Core) conclude(id decide.RequestID, e figures.End) *request {
 	ref := refOf(id)
 	q, ok := c.requests.Get(ref)
 	if !ok || q.over {
@@ -583,7 +583,7 @@
 const never = math.MaxInt64 / 2
 
 // send starts a request's next attempt, or skips it where the wire's rules let it not be sent.
-func (c *Core) send(a *beechgrade.Action) {
+func (c *Core) send(a *decide.Action) {
 	ref := refOf(a.ID)
 	q, ok := c.requests.Get(ref)
 	if !ok {
@@ -595,7 +595,7 @@
 	}
 	q.tries = append(q.tries, try{store: a.Store, from: c.loop.Now()})
 	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
-		c.tell(&beechgrade.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: beechgrade.Skipped, Final: q.over})
+		c.tell(&decide.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: decide.Skipped, Final: q.over})
 		return
 	}
 	q.open++
@@ -607,8 +607,8 @@
 	q.tries[no].ref = at
 }
 
-func told(o backend.Said) beechgrade.Report {
-	r := beechgrade.Report{Role: o.Role, HasPosition: o.HasPos}
+func told(o backend.Said) decide.Report {
+	r := decide.Report{Role: o.Role, HasPosition: o.HasPos}
 	if o.HasPos {
 		r.Position = clock.Span(o.Position)
 	}
@@ -616,14 +616,14 @@
 }
 
 // requestID names a request to the router by its slot: clients' own ids might meet.
-func requestID(r slots.Ref) beechgrade.RequestID {
+func requestID(r slots.Ref) decide.RequestID {
 	var b [8]byte
 	binary.BigEndian.PutUint32(b[:4], r.Index)
 	binary.BigEndian.PutUint32(b[4:], r.Gen)
-	return beechgrade.RequestID(b[:])
+	return decide.RequestID(b[:])
 }
 
-func refOf(id beechgrade.RequestID) slots.Ref {
+func refOf(id decide.RequestID) slots.Ref {
 	if len(id) != 8 {
 		return slots.Ref{}
 	}
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -4,7 +4,7 @@
 	"math"
 	"slices"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 )
 
 // Of says what a limit of the whole fleet is of, as far as the core has it.
@@ -89,7 +89,7 @@
 }
 
 // allowed puts into settings what this pooler was told.
-func (c *Core) allowed(set *beechgrade.Settings) {
+func (c *Core) allowed(set *decide.Settings) {
 	cloned := false
 	for _, b := range c.bounds {
 		switch b.Of {
@@ -101,7 +101,7 @@
 			if !cloned {
 				set.Tenants, cloned = slices.Clone(set.Tenants), true
 			}
-			set.Tenants[i] = beechgrade.Tenant{Allowance: b.Amount, Told: true, Own: b.amount, Depth: b.burst, Hard: b.Hard}
+			set.Tenants[i] = decide.Tenant{Allowance: b.Amount, Told: true, Own: b.amount, Depth: b.burst, Hard: b.Hard}
 		case OfCold:
 			set.ColdTold, set.ColdPart = true, b.amount
 		}
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"github.com/cespare/xxhash/v2"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
@@ -36,7 +36,7 @@
 		Session: xxhash.Sum64String(q.Session), ID: xxhash.Sum64String(cmp.Or(q.Known, q.ID)), Left: q.Due - now, Repeat: q.Repeat, Position: q.After})
 }
 
-func (c *Core) recordAttempt(r *request, no int, store beechgrade.StoreID, o *backend.Outcome) {
+func (c *Core) recordAttempt(r *request, no int, store decide.StoreID, o *backend.Outcome) {
 	if !c.rec.On() {
 		return
 	}
@@ -83,12 +83,12 @@
 	c.rec.Put(&e)
 }
 
-func (c *Core) recordList(l *discovery.List, kind beechgrade.ListKind) {
+func (c *Core) recordList(l *discovery.List, kind decide.ListKind) {
 	if !c.rec.On() {
 		return
 	}
 	now := c.loop.Now()
-	c.rec.Put(&record.Event{At: now, Kind: recordpb.Kind_KIND_LIST, Number: l.Generation, Whole: kind != beechgrade.ListChanges,
+	c.rec.Put(&record.Event{At: now, Kind: recordpb.Kind_KIND_LIST, Number: l.Generation, Whole: kind != decide.ListChanges,
 		Result: uint8(kind)})
 	for i := range l.Instances {
 		n := &l.Instances[i]
@@ -116,9 +116,9 @@
 }
 
 // RecordClasses are the classes as the records' headers have them.
-func RecordClasses(names []string, classes []beechgrade.Class) []*recordpb.Class {
-	reads := map[beechgrade.ReadKind]string{beechgrade.ReadAny: "any", beechgrade.ReadBounded: "bounded",
-		beechgrade.ReadSession: "session", beechgrade.ReadFresh: "fresh", beechgrade.Write: "write"}
+func RecordClasses(names []string, classes []decide.Class) []*recordpb.Class {
+	reads := map[decide.ReadKind]string{decide.ReadAny: "any", decide.ReadBounded: "bounded",
+		decide.ReadSession: "session", decide.ReadFresh: "fresh", decide.Write: "write"}
 	var out []*recordpb.Class
 	for i, c := range classes {
 		out = append(out, &recordpb.Class{Name: names[i], Worth: c.Worth, LateWorth: c.LateWorth, Read: reads[c.Read],
@@ -128,12 +128,12 @@
 }
 
 // stateOf reads an entry's state.
-func stateOf(n *discovery.Instance) beechgrade.StoreState {
+func stateOf(n *discovery.Instance) decide.StoreState {
 	switch n.Lifecycle {
 	case "draining":
-		return beechgrade.Draining
+		return decide.Draining
 	case "removed":
-		return beechgrade.Gone
+		return decide.Gone
 	}
-	return beechgrade.Serving
+	return decide.Serving
 }
--- a/internal/core/siblings_test.go
+++ b/internal/core/siblings_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/config"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/slots"
@@ -44,9 +44,9 @@
 // settings say where it is not any more.
 func TestSiblings(t *testing.T) {
 	sent := func(siblings ...int) int {
-		cfg := &config.Config{Classes: []string{"read"}, Settings: beechgrade.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
+		cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
 			FallMultiple: 3, FallSpan: 1500 * time.Millisecond, ColdFrom: 0.5, ColdTime: 18 * time.Second,
-			Classes: []beechgrade.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: beechgrade.ReadAny}}},
+			Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}},
 			Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: "1.2.3.4:5", Lifecycle: "up", StartedAtMs: 999000, Weight: 1}}}}
 		c, servers := New(still{}, slog.New(slog.DiscardHandler), cfg), &counting{}
 		c.Start(servers, still{})
--- a/api.go
+++ b/internal/decide/api.go
@@ -1,9 +1,9 @@
-// Package beechgrade decides where a proxy sends each request when the servers behind it form
+// Package decide decides where a proxy sends each request when the servers behind it form
 // groups of one primary and its replicas. It holds decisions only: no sockets, no clock, no
 // goroutines. The embedding proxy feeds events to a Router and carries out its actions.
 //
 // This file is the interface: settings, events and actions. Every decision is in router.go.
-package beechgrade
+package decide
 
 import "time"
 
--- a/handover.go
+++ b/internal/decide/handover.go
@@ -1,4 +1,4 @@
-package beechgrade
+package decide
 
 // What one router knows that another, which takes its place or stands beside it, can go on with. It is evidence with its time;
 // no decision is made here.
--- a/router.go
+++ b/internal/decide/router.go
@@ -1,4 +1,4 @@
-package beechgrade
+package decide
 
 // The module: every decision, table and tuned value.
 
--- a/router_test.go
+++ b/internal/decide/router_test.go
@@ -1,4 +1,4 @@
-package beechgrade
+package decide
 
 import (
 	"fmt"
--- a/state.go
+++ b/internal/decide/state.go
@@ -1,4 +1,4 @@
-package beechgrade
+package decide
 
 // The records that the router keeps. No decision is made here.
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,7 +13,7 @@
 	"slices"
 	"strings"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/sealed"
 )
@@ -35,14 +35,14 @@
 
 // State is what a process tells.
 type State struct {
-	SavedMs float64            `json:"saved_ms"` // Unix ms
-	Held    int                `json:"held"`     // descriptors
-	Ends    bool               `json:"ends"`     // it takes nothing new
-	From    string             `json:"from"`     // the list's source
-	List    discovery.List     `json:"list"`     // whole, as heard last
-	Classes []string           `json:"classes"`
-	Kinds   []string           `json:"kinds"`
-	Memory  *beechgrade.Memory `json:"memory"`
+	SavedMs float64        `json:"saved_ms"` // Unix ms
+	Held    int            `json:"held"`     // descriptors
+	Ends    bool           `json:"ends"`     // it takes nothing new
+	From    string         `json:"from"`     // the list's source
+	List    discovery.List `json:"list"`     // whole, as heard last
+	Classes []string       `json:"classes"`
+	Kinds   []string       `json:"kinds"`
+	Memory  *decide.Memory `json:"memory"`
 }
 
 // Append writes a state.
--- a/internal/journal/attempt.go
+++ b/internal/journal/attempt.go
@@ -6,7 +6,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 )
 
 // Attempt is one that may have run. It is kept as a protobuf message:
@@ -17,19 +17,19 @@
 	Server string  // as the list has it
 	At     float64 // when it was to go out, Unix ms
 	No     int     // of the request's attempts
-	End    uint64  // how it ended, beechgrade.Result and 1; 0 where no end is known
+	End    uint64  // how it ended, decide.Result and 1; 0 where no end is known
 }
 
 // How is how it ended, in words.
 func (a *Attempt) How() string {
-	switch beechgrade.Result(a.End - 1) {
-	case beechgrade.Failed:
+	switch decide.Result(a.End - 1) {
+	case decide.Failed:
 		return "an error"
-	case beechgrade.TimedOut:
+	case decide.TimedOut:
 		return "no answer in time"
-	case beechgrade.Reset:
+	case decide.Reset:
 		return "its connection broke"
-	case beechgrade.Cancelled:
+	case decide.Cancelled:
 		return "called off"
 	}
 	return "the pooler ended"
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -9,10 +9,10 @@
 	"log/slog"
 	"slices"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/slots"
 	"beechgrade/internal/store"
 )
@@ -148,7 +148,7 @@
 	}
 	h.over = true
 	j.loop.Stop(h.timer)
-	j.core.AttemptEnded(h.tag, backend.Outcome{Result: beechgrade.Skipped})
+	j.core.AttemptEnded(h.tag, backend.Outcome{Result: decide.Skipped})
 }
 
 // Cancel is core.Servers'.
@@ -200,7 +200,7 @@
 
 // Ended is told how an attempt ended. One that was answered, or that is known not to have run, is nobody's concern any more;
 // any other stays.
-func (j *Journal) Ended(t backend.Tag, res beechgrade.Result) {
+func (j *Journal) Ended(t backend.Tag, res decide.Result) {
 	h := j.keys[t]
 	if h == nil {
 		return
@@ -212,7 +212,7 @@
 	}
 	e := store.Entry{Key: h.key, Gone: true}
 	switch res {
-	case beechgrade.Failed, beechgrade.TimedOut, beechgrade.Reset, beechgrade.Cancelled:
+	case decide.Failed, decide.TimedOut, decide.Reset, decide.Cancelled:
 		h.attempt.End = uint64(res) + 1
 		e = store.Entry{Key: h.key, Value: h.attempt.encode()}
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/slots"
 	"beechgrade/internal/store"
@@ -102,7 +102,7 @@
 	r.want("start a 2 true")
 	r.j.Cancel(ref)
 	r.want("cancel 102")
-	r.AttemptEnded(tag(2), backend.Outcome{Result: beechgrade.Reset})
+	r.AttemptEnded(tag(2), backend.Outcome{Result: decide.Reset})
 	r.pass(1)
 	r.out = nil
 	called := r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(3))
@@ -120,7 +120,7 @@
 	r.want("ended 5 7")
 	r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, tag(6))
 	r.pass(1)
-	r.AttemptEnded(tag(6), backend.Outcome{Result: beechgrade.OK})
+	r.AttemptEnded(tag(6), backend.Outcome{Result: decide.OK})
 	r.pass(1)
 	r.j.Start("c", nil, 2e6, backend.Terms{Once: true}, tag(7))
 	r.pass(1)
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/world"
@@ -57,13 +57,13 @@
 			return true
 		}},
 		{Name: "takes what broke off for never sent", Breaks: check.NotTwice, Outcome: func(o *backend.Outcome) {
-			if o.Result == beechgrade.Reset || o.Result == beechgrade.TimedOut || o.Result == beechgrade.Failed {
-				o.Result = beechgrade.Unreachable
+			if o.Result == decide.Reset || o.Result == decide.TimedOut || o.Result == decide.Failed {
+				o.Result = decide.Unreachable
 			}
 		}},
 		{Name: "takes writes for safe to repeat", Breaks: check.NotTwice, Module: func(c *config.Config) {
 			for i := range c.Settings.Classes {
-				c.Settings.Classes[i].Effect = beechgrade.Safe
+				c.Settings.Classes[i].Effect = decide.Safe
 			}
 		}},
 		{Name: "takes keys for kept for ever", Breaks: check.NotTwice, Module: func(c *config.Config) {
@@ -91,7 +91,7 @@
 			}
 		}, Module: func(c *config.Config) {
 			for i := range c.Settings.Classes {
-				if x := &c.Settings.Classes[i]; x.Read == beechgrade.ReadBounded {
+				if x := &c.Settings.Classes[i]; x.Read == decide.ReadBounded {
 					x.Bound = time.Minute
 				}
 			}
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -5,11 +5,11 @@
 	"log/slog"
 	"math"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/backend/wear"
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
@@ -75,7 +75,7 @@
 	rest  float64
 	asOf  float64 // a server tells its lag as of then
 	reply world.Reply
-	role  beechgrade.Role
+	role  decide.Role
 	backend.Terms
 }
 
@@ -241,7 +241,7 @@
 	p.CloseIdle(id)
 	st.listed = false
 	for len(st.waiting) > 0 {
-		st.waiting[0].drop(beechgrade.Skipped)
+		st.waiting[0].drop(decide.Skipped)
 	}
 }
 
@@ -274,7 +274,7 @@
 // Cancel is core.Servers'.
 func (p *pooler) Cancel(ref slots.Ref) {
 	if a, ok := p.tries.Get(ref); ok {
-		a.drop(beechgrade.Cancelled)
+		a.drop(decide.Cancelled)
 	}
 }
 
@@ -282,12 +282,12 @@
 	e := p.e
 	a.id, a.st = id, p.store(id)
 	if a.st == nil || !a.st.listed {
-		a.end(backend.Outcome{Result: beechgrade.Unreachable}) // as the sockets' side does, before Start returns
+		a.end(backend.Outcome{Result: decide.Unreachable}) // as the sockets' side does, before Start returns
 		return
 	}
 	st := a.st
 	if a.Late(e.s.now) {
-		a.end(backend.Outcome{Result: beechgrade.Skipped})
+		a.end(backend.Outcome{Result: decide.Skipped})
 		return
 	}
 	e.s.at(a.until, a, atEnd)
@@ -402,9 +402,9 @@
 		}
 		st.add(-1)
 		if len(st.waiting) > st.dialing {
-			r := beechgrade.Unreachable
+			r := decide.Unreachable
 			if what == atRefused {
-				r = beechgrade.Full
+				r = decide.Full
 			}
 			a := st.waiting[0]
 			st.unqueue(a)
@@ -423,7 +423,7 @@
 	for len(st.waiting) > 0 {
 		a := st.waiting[0]
 		if a.Late(st.p.e.s.now) {
-			a.drop(beechgrade.Skipped)
+			a.drop(decide.Skipped)
 			continue
 		}
 		st.waiting = st.waiting[1:]
@@ -443,7 +443,7 @@
 func (st *store) recall() {
 	for i := 0; i < len(st.waiting); {
 		if a := st.waiting[i]; a.Once {
-			a.drop(beechgrade.Skipped)
+			a.drop(decide.Skipped)
 			i = 0
 			continue
 		}
@@ -537,8 +537,8 @@
 	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
 }
 
-var results = map[world.Verdict]beechgrade.Result{world.Served: beechgrade.OK, world.NotPrimary: beechgrade.Missed, world.Drains: beechgrade.Full,
-	world.QueueFull: beechgrade.Full, world.HandedOver: beechgrade.Failed}
+var results = map[world.Verdict]decide.Result{world.Served: decide.OK, world.NotPrimary: decide.Missed, world.Drains: decide.Full,
+	world.QueueFull: decide.Full, world.HandedOver: decide.Failed}
 
 func (a *attempt) atPooler(what uint64) {
 	if a.ended || a.p.life != a.life {
@@ -550,11 +550,11 @@
 		if a.slife != st.life {
 			return // the connection broke before the answer was whole
 		}
-		o := backend.Outcome{Result: results[a.reply.Verdict], Said: backend.Said{Role: beechgrade.RoleReplica, Position: a.reply.Position, HasPos: a.reply.Position > 0}}
+		o := backend.Outcome{Result: results[a.reply.Verdict], Said: backend.Said{Role: decide.RoleReplica, Position: a.reply.Position, HasPos: a.reply.Position > 0}}
 		if a.reply.Primary {
-			o.Role = beechgrade.RolePrimary
+			o.Role = decide.RolePrimary
 		}
-		if o.Result == beechgrade.OK {
+		if o.Result == decide.OK {
 			o.Answer = a.reply.Value
 		}
 		if a.p.e.script.Clients.House {
@@ -562,7 +562,7 @@
 		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
-		if o.Role == beechgrade.RoleReplica {
+		if o.Role == decide.RoleReplica {
 			st.recall()
 		}
 		st.free() // before the end is told: what that leads to may use it
@@ -573,25 +573,25 @@
 			a.p.wear.Note(now, a.rest, true)
 		}
 		st.add(-1)
-		a.end(backend.Outcome{Result: beechgrade.Reset})
+		a.end(backend.Outcome{Result: decide.Reset})
 		st.refill()
 	case atConnect:
 		if !a.sent {
-			r := beechgrade.Unreachable
+			r := decide.Unreachable
 			if st.dialing == 0 {
-				r = beechgrade.Skipped
+				r = decide.Skipped
 			}
 			a.drop(r)
 		}
 	case atEnd:
-		a.drop(beechgrade.TimedOut)
+		a.drop(decide.TimedOut)
 	}
 }
 
 // house has an answer tell what one of the ClickHouse interface does: nothing of a role, and how far behind its server is
 // only where a probe asks for that, in whole seconds.
 func (a *attempt) house(o *backend.Outcome) {
-	o.Role, o.HasPos = beechgrade.RoleUnknown, false
+	o.Role, o.HasPos = decide.RoleUnknown, false
 	if a.v == nil {
 		lag := math.Floor(max(0, a.asOf-o.Position)/1000) * 1000
 		o.Position, o.HasPos = a.at-lag-1000, true
@@ -599,14 +599,14 @@
 }
 
 // drop ends an attempt from the pooler's side.
-func (a *attempt) drop(r beechgrade.Result) {
+func (a *attempt) drop(r decide.Result) {
 	if a.ended {
 		return
 	}
 	st := a.st
 	if !a.sent {
-		if a.v != nil && r != beechgrade.Unreachable && r != beechgrade.Full {
-			r = beechgrade.Skipped
+		if a.v != nil && r != decide.Unreachable && r != decide.Full {
+			r = decide.Skipped
 		}
 		st.unqueue(a)
 		a.end(backend.Outcome{Result: r})
@@ -638,7 +638,7 @@
 		return
 	}
 	if a.sent {
-		never := o.Result == beechgrade.Missed || o.Result == beechgrade.Full
+		never := o.Result == decide.Missed || o.Result == decide.Full
 		e.check.Ended(e.s.now, a.v.id, a.no, resultNames[o.Result], never)
 	}
 	e.word(a, &o)
@@ -652,24 +652,24 @@
 
 // trust has a mutant take the list's word on a server's role for the server's own.
 func (p *pooler) trust(id string, o *backend.Outcome) {
-	if m := p.e.opt.Mutant; m == nil || !m.Lists || p.member == nil || o.Role == beechgrade.RoleUnknown {
+	if m := p.e.opt.Mutant; m == nil || !m.Lists || p.member == nil || o.Role == decide.RoleUnknown {
 		return
 	}
 	if x, ok := p.member.join.Entry(id); ok {
-		if o.Role = beechgrade.RoleReplica; x.Primary {
-			o.Role = beechgrade.RolePrimary
+		if o.Role = decide.RoleReplica; x.Primary {
+			o.Role = decide.RolePrimary
 		}
 	}
 }
 
 // word tells the checker what a server said of itself.
 func (e *Emulation) word(a *attempt, o *backend.Outcome) {
-	if a.st != nil && o.Role != beechgrade.RoleUnknown {
+	if a.st != nil && o.Role != decide.RoleUnknown {
 		asOf := e.s.now
 		if a.v == nil {
 			asOf = o.Position
 		}
-		e.check.Word(e.s.now, asOf, a.p.no, a.st.s.No, o.Role == beechgrade.RolePrimary)
+		e.check.Word(e.s.now, asOf, a.p.no, a.st.s.No, o.Role == decide.RolePrimary)
 	}
 }
 
--- a/internal/kit/incident/groups.go
+++ b/internal/kit/incident/groups.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 )
@@ -38,8 +38,8 @@
 
 // onWrite takes a write's attempt that ended.
 func (g *group) onWrite(m *Model, s *server, e *record.Event) {
-	if e.Result != uint8(beechgrade.OK) {
-		if e.Result != uint8(beechgrade.Skipped) && e.Result != uint8(beechgrade.Cancelled) {
+	if e.Result != uint8(decide.OK) {
+		if e.Result != uint8(decide.Skipped) && e.Result != uint8(decide.Cancelled) {
 			g.refused(e.At)
 		}
 		return
--- a/internal/kit/incident/incident_test.go
+++ b/internal/kit/incident/incident_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/records"
 	"beechgrade/internal/kit/standin"
 	"beechgrade/internal/record"
@@ -44,14 +44,14 @@
 }
 
 // ask tells of a request and, where final says so, of its one attempt and its answer.
-func (s *story) ask(at float64, class int32, key uint64, repeat bool, server string, res beechgrade.Result, took float64, final recordpb.Final) uint64 {
+func (s *story) ask(at float64, class int32, key uint64, repeat bool, server string, res decide.Result, took float64, final recordpb.Final) uint64 {
 	s.no++
 	s.tell(at, record.Event{Kind: recordpb.Kind_KIND_REQUEST, Request: s.no, Class: class, Session: key, ID: s.no, Left: 2000, Repeat: repeat})
 	reason := record.ReasonUnsent
 	if server != "" {
-		role := beechgrade.RoleUnknown
-		if res == beechgrade.OK && class == 1 {
-			role = beechgrade.RolePrimary
+		role := decide.RoleUnknown
+		if res == decide.OK && class == 1 {
+			role = decide.RolePrimary
 		}
 		s.tell(at+took, record.Event{Kind: recordpb.Kind_KIND_ATTEMPT, Request: s.no, Class: class, Server: server, Result: uint8(res), Took: took, Role: uint8(role)})
 		reason = record.ReasonEnded + record.Reason(res)
@@ -75,16 +75,16 @@
 // TestWorth guards against worth that is counted twice, or against a client's retry that passes for a new request.
 func TestWorth(t *testing.T) {
 	s := newStory("a")
-	s.ask(0, 1, 1, false, "s-1", beechgrade.OK, 100, served)    // in time: 3
-	s.ask(0, 1, 2, false, "s-1", beechgrade.OK, 700, served)    // late: 0.9
-	s.ask(10, 1, 3, false, "", 0, 50, refused)                  // then served in time of its first try: 3
-	s.ask(100, 1, 3, true, "s-1", beechgrade.OK, 80, served)    //
-	s.ask(10, 1, 4, false, "", 0, 50, refused)                  // then served, but late of its first try: 0.9
-	s.ask(300, 1, 4, true, "s-1", beechgrade.OK, 80, served)    //
-	s.ask(0, 0, 5, false, "s-1", beechgrade.OK, 300, served)    // a read that is late: 0
-	s.ask(0, 0, 6, false, "s-1", beechgrade.Failed, 10, failed) // never served: 0
-	s.ask(400, 0, 6, true, "s-1", beechgrade.Failed, 10, failed)
-	s.ask(900, 0, 7, true, "s-1", beechgrade.OK, 10, served) // a retry whose first try no pooler had: 1
+	s.ask(0, 1, 1, false, "s-1", decide.OK, 100, served)    // in time: 3
+	s.ask(0, 1, 2, false, "s-1", decide.OK, 700, served)    // late: 0.9
+	s.ask(10, 1, 3, false, "", 0, 50, refused)              // then served in time of its first try: 3
+	s.ask(100, 1, 3, true, "s-1", decide.OK, 80, served)    //
+	s.ask(10, 1, 4, false, "", 0, 50, refused)              // then served, but late of its first try: 0.9
+	s.ask(300, 1, 4, true, "s-1", decide.OK, 80, served)    //
+	s.ask(0, 0, 5, false, "s-1", decide.OK, 300, served)    // a read that is late: 0
+	s.ask(0, 0, 6, false, "s-1", decide.Failed, 10, failed) // never served: 0
+	s.ask(400, 0, 6, true, "s-1", decide.Failed, 10, failed)
+	s.ask(900, 0, 7, true, "s-1", decide.OK, 10, served) // a retry whose first try no pooler had: 1
 	s.Finish()
 	v := s.View()
 	type sums struct {
@@ -107,19 +107,19 @@
 // TestTakeover guards against a gap that is measured from the wrong writes, or a list whose error is not seen.
 func TestTakeover(t *testing.T) {
 	s := newStory("a")
-	entry := func(at float64, server string, primary bool, state beechgrade.StoreState, started float64) {
+	entry := func(at float64, server string, primary bool, state decide.StoreState, started float64) {
 		s.tell(at, record.Event{Kind: recordpb.Kind_KIND_ENTRY, Server: server, Primary: primary, State: uint8(state), Number: int64(started)})
 	}
-	entry(0, "s-1", true, beechgrade.Serving, 0)
-	entry(0, "s-2", false, beechgrade.Serving, 0)
-	s.ask(100, 1, 1, false, "s-1", beechgrade.OK, 10, served)
+	entry(0, "s-1", true, decide.Serving, 0)
+	entry(0, "s-2", false, decide.Serving, 0)
+	s.ask(100, 1, 1, false, "s-1", decide.OK, 10, served)
 	for i := range 5 {
-		s.ask(200+float64(i)*400, 1, uint64(10+i), false, "s-1", beechgrade.Unreachable, 5, refused)
+		s.ask(200+float64(i)*400, 1, uint64(10+i), false, "s-1", decide.Unreachable, 5, refused)
 	}
-	s.ask(3000, 1, 2, false, "s-2", beechgrade.OK, 10, served)
-	entry(6000, "s-2", true, beechgrade.Serving, 0)
-	entry(6100, "s-1", false, beechgrade.Serving, t0+5000)
-	s.tell(7000, record.Event{Kind: recordpb.Kind_KIND_PROBE, Server: "s-1", Role: uint8(beechgrade.RoleReplica), Position: t0 + 4000, Took: 3})
+	s.ask(3000, 1, 2, false, "s-2", decide.OK, 10, served)
+	entry(6000, "s-2", true, decide.Serving, 0)
+	entry(6100, "s-1", false, decide.Serving, t0+5000)
+	s.tell(7000, record.Event{Kind: recordpb.Kind_KIND_PROBE, Server: "s-1", Role: uint8(decide.RoleReplica), Position: t0 + 4000, Took: 3})
 	s.Finish()
 	v := s.View()
 	want := []Gap{{From: t0 + 110, To: t0 + 3010, FirstFailed: t0 + 205, Old: "s-1", New: "s-2", Unserved: 10, ListWrongMs: 5795, Lost: 15}}
@@ -155,30 +155,30 @@
 	}{
 		"quiet": {func(s *story) {
 			for i := range 100 {
-				s.ask(float64(i)*50, 1, uint64(i), false, "s-1", beechgrade.OK, 10, served)
+				s.ask(float64(i)*50, 1, uint64(i), false, "s-1", decide.OK, 10, served)
 			}
 		}, nil},
 		"one broken connection": {func(s *story) {
-			s.ask(0, 1, 1, false, "s-1", beechgrade.Reset, 10, failed)
-			s.ask(50, 1, 2, false, "s-1", beechgrade.OK, 10, served)
+			s.ask(0, 1, 1, false, "s-1", decide.Reset, 10, failed)
+			s.ask(50, 1, 2, false, "s-1", decide.OK, 10, served)
 		}, nil},
 		"silent server": {func(s *story) {
-			s.ask(0, 0, 1, false, "s-1", beechgrade.OK, 10, served)
+			s.ask(0, 0, 1, false, "s-1", decide.OK, 10, served)
 			for i := range 4 {
-				s.ask(100+float64(i)*100, 0, uint64(2+i), false, "s-1", beechgrade.TimedOut, 800, failed)
+				s.ask(100+float64(i)*100, 0, uint64(2+i), false, "s-1", decide.TimedOut, 800, failed)
 			}
-			s.ask(2000, 0, 9, false, "s-1", beechgrade.OK, 10, served)
+			s.ask(2000, 0, 9, false, "s-1", decide.OK, 10, served)
 		}, []string{"silent s-1"}},
 		"copies called off while others are answered": {func(s *story) {
 			for i := range 9 {
-				s.ask(float64(i)*100, 0, uint64(i), false, "s-1", beechgrade.OK, 10, served)
-				s.ask(float64(i)*100, 0, uint64(100+i), false, "s-1", beechgrade.Cancelled, 50, failed)
+				s.ask(float64(i)*100, 0, uint64(i), false, "s-1", decide.OK, 10, served)
+				s.ask(float64(i)*100, 0, uint64(100+i), false, "s-1", decide.Cancelled, 50, failed)
 			}
 		}, nil},
 		"sent after a drain": {func(s *story) {
-			s.tell(0, record.Event{Kind: recordpb.Kind_KIND_ENTRY, Server: "s-1", State: uint8(beechgrade.Draining)})
-			s.ask(200, 0, 1, false, "s-1", beechgrade.OK, 300, served) // sent within the grace
-			s.ask(300, 0, 2, false, "s-1", beechgrade.Full, 1, refused)
+			s.tell(0, record.Event{Kind: recordpb.Kind_KIND_ENTRY, Server: "s-1", State: uint8(decide.Draining)})
+			s.ask(200, 0, 1, false, "s-1", decide.OK, 300, served) // sent within the grace
+			s.ask(300, 0, 2, false, "s-1", decide.Full, 1, refused)
 		}, []string{"drain s-1a", "sent after drain s-1a"}},
 		"records lost": {func(s *story) {
 			s.tell(0, record.Event{Kind: recordpb.Kind_KIND_LOST, Lost: 9, From: t0, To: t0 + 5, Cause: record.CauseRing})
@@ -190,7 +190,7 @@
 			s.tell(3000, record.Event{Kind: recordpb.Kind_KIND_GAUGE, Wall: t0 + 3701})
 		}, []string{"clock a"}},
 		"killed and started again, its clock behind": {func(s *story) {
-			s.ask(5000, 1, 1, false, "s-1", beechgrade.OK, 10, none)
+			s.ask(5000, 1, 1, false, "s-1", decide.OK, 10, none)
 			s.End(s.r, false)
 			s.begin("a", t0+2000)
 		}, []string{"clock a", "killed a", "restart a"}},
@@ -221,7 +221,7 @@
 			final := rapid.SampledFrom([]recordpb.Final{served, refused, failed, recordpb.Final_FINAL_GONE, none}).Draw(t, "final")
 			server := rapid.SampledFrom([]string{"", "s-1", "s-2"}).Draw(t, "server")
 			s.ask(at, int32(rapid.IntRange(0, 1).Draw(t, "class")), rapid.Uint64Range(0, 3).Draw(t, "key"), rapid.Bool().Draw(t, "repeat"), server,
-				beechgrade.Result(rapid.IntRange(0, 8).Draw(t, "result")), rapid.Float64Range(0, 900).Draw(t, "took"), final)
+				decide.Result(rapid.IntRange(0, 8).Draw(t, "result")), rapid.Float64Range(0, 900).Draw(t, "took"), final)
 		}
 		s.End(s.r, false)
 		s.Finish()
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -9,7 +9,7 @@
 	"math"
 	"slices"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/kit/members"
 	"beechgrade/internal/kit/records"
 	"beechgrade/internal/kit/worth"
@@ -553,13 +553,13 @@
 
 // Results as bits of a mask.
 const (
-	bitFailed   = 1 << beechgrade.Failed
-	bitFull     = 1 << beechgrade.Full
-	bitTimedOut = 1 << beechgrade.TimedOut
-	bitUnreach  = 1 << beechgrade.Unreachable
-	bitReset    = 1 << beechgrade.Reset
-	bitCalled   = 1 << beechgrade.Cancelled
-	bitMissed   = 1 << beechgrade.Missed
+	bitFailed   = 1 << decide.Failed
+	bitFull     = 1 << decide.Full
+	bitTimedOut = 1 << decide.TimedOut
+	bitUnreach  = 1 << decide.Unreachable
+	bitReset    = 1 << decide.Reset
+	bitCalled   = 1 << decide.Cancelled
+	bitMissed   = 1 << decide.Missed
 )
 
 // cell finds a class's cell of a time, joining cells where there are too many.
--- a/internal/kit/incident/servers.go
+++ b/internal/kit/incident/servers.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 )
@@ -24,7 +24,7 @@
 type server struct {
 	ServerView
 	group    *group
-	role     beechgrade.Role
+	role     decide.Role
 	roleAt   float64
 	probes   uint64
 	started  float64 // as the list has it
@@ -72,9 +72,9 @@
 
 func (s *server) flags(at float64) (f uint8) {
 	switch s.role {
-	case beechgrade.RolePrimary:
+	case decide.RolePrimary:
 		f = FlagPrimary
-	case beechgrade.RoleReplica:
+	case decide.RoleReplica:
 		f = FlagReplica
 	}
 	set := func(on bool, flag uint8) {
@@ -108,7 +108,7 @@
 
 // heard takes what an attempt or a probe told of a server.
 func (m *Model) heard(x *run, s *server, e *record.Event) {
-	if e.Result == uint8(beechgrade.Skipped) {
+	if e.Result == uint8(decide.Skipped) {
 		return
 	}
 	if s.group == nil && e.Request != 0 {
@@ -118,13 +118,13 @@
 	s.Results[record.ResultName(uint32(e.Result))]++
 	cell := s.at(m, e.At)
 	from := e.At - e.Took
-	switch beechgrade.Result(e.Result) {
-	case beechgrade.Unreachable, beechgrade.Reset:
+	switch decide.Result(e.Result) {
+	case decide.Unreachable, decide.Reset:
 		cell.bad++
 		if s.broke++; s.brokeAt == 0 {
 			s.brokeAt = e.At
 		}
-	case beechgrade.TimedOut, beechgrade.Cancelled:
+	case decide.TimedOut, decide.Cancelled:
 		cell.bad++
 		s.ran(m, from, e.At)
 	default:
@@ -138,15 +138,15 @@
 	if e.Kind == recordpb.Kind_KIND_PROBE {
 		told -= reportMs
 	}
-	if r := beechgrade.Role(e.Role); r != beechgrade.RoleUnknown && told >= s.roleAt {
-		if r != s.role && s.role != beechgrade.RoleUnknown {
+	if r := decide.Role(e.Role); r != decide.RoleUnknown && told >= s.roleAt {
+		if r != s.role && s.role != decide.RoleUnknown {
 			m.find(Finding{At: e.At, Kind: "role", Server: s.Name, Group: s.Group, Pooler: x.Pooler, Text: "answers as " + roleName(r) + " now"})
 		}
-		if r == beechgrade.RolePrimary && s.role != r {
+		if r == decide.RolePrimary && s.role != r {
 			s.Primary = append(s.Primary, Stretch{From: e.At})
 			s.Primary = s.Primary[max(0, len(s.Primary)-maxSpans):]
 		}
-		if r != beechgrade.RolePrimary && s.role == beechgrade.RolePrimary && len(s.Primary) > 0 {
+		if r != decide.RolePrimary && s.role == decide.RolePrimary && len(s.Primary) > 0 {
 			s.Primary[len(s.Primary)-1].To = e.At
 		}
 		s.role, s.roleAt = r, told
@@ -209,7 +209,7 @@
 // placed takes a position that was told.
 func (s *server) placed(m *Model, x *run, e *record.Event, cell *serverCell) {
 	behind := e.At - e.Position
-	if beechgrade.Role(e.Role) == beechgrade.RolePrimary {
+	if decide.Role(e.Role) == decide.RolePrimary {
 		p := x.pooler
 		p.least, p.told = min(p.least, behind), true
 		behind = max(0, behind)
@@ -229,11 +229,11 @@
 	}
 }
 
-func roleName(r beechgrade.Role) string {
+func roleName(r decide.Role) string {
 	switch r {
-	case beechgrade.RolePrimary:
+	case decide.RolePrimary:
 		return "primary"
-	case beechgrade.RoleReplica:
+	case decide.RoleReplica:
 		return "replica"
 	}
 	return ""
@@ -271,8 +271,8 @@
 		}
 	}
 	s.started = max(s.started, started)
-	switch beechgrade.StoreState(e.State) {
-	case beechgrade.Draining:
+	switch decide.StoreState(e.State) {
+	case decide.Draining:
 		if l.draining == 0 {
 			l.draining = e.At
 			if e.Held {
@@ -285,7 +285,7 @@
 			s.Drains = s.Drains[max(0, len(s.Drains)-maxSpans):]
 			m.find(Finding{At: e.At, Kind: "drain", Server: s.Name, Group: s.Group, Pooler: x.Pooler, Text: "drains, as the list has it"})
 		}
-	case beechgrade.Gone:
+	case decide.Gone:
 		delete(x.entries, e.Server)
 		if !s.gone {
 			m.find(Finding{At: e.At, Kind: "gone", Server: s.Name, Group: s.Group, Pooler: x.Pooler, Text: "has left the list"})
@@ -313,8 +313,8 @@
 	if l == nil || l.draining == 0 || x.Header.GraceUs == 0 {
 		return
 	}
-	switch beechgrade.Result(e.Result) {
-	case beechgrade.Skipped, beechgrade.Unreachable:
+	switch decide.Result(e.Result) {
+	case decide.Skipped, decide.Unreachable:
 		return
 	}
 	if over := e.At - e.Took - l.draining - float64(x.Header.GraceUs)/1000; over > 0 {
--- a/internal/kit/standin/records.go
+++ b/internal/kit/standin/records.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"path/filepath"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
 )
@@ -114,27 +114,27 @@
 			ok = at >= o.At+o.GapMs
 		}
 	}
-	member, role := primary, beechgrade.RolePrimary
+	member, role := primary, decide.RolePrimary
 	if class == 0 {
 		if member = rng.IntN(d.Members); member != primary {
-			role = beechgrade.RoleReplica
+			role = decide.RoleReplica
 		}
 	}
 	a := record.Event{At: now, Kind: recordpb.Kind_KIND_ATTEMPT, Request: no, Class: class, Group: int64(g), Server: Server(g, member), Took: took,
 		Role: uint8(role), Position: now - 1}
-	if role == beechgrade.RoleReplica {
+	if role == decide.RoleReplica {
 		a.Position -= rng.Float64() * 30
 	}
 	final, reason := recordpb.Final_FINAL_SERVED, record.ReasonNone
 	if class == 1 && !ok {
-		a.Server, a.Result, a.Role, a.Position = Server(g, 0), uint8(beechgrade.Unreachable), 0, 0
-		final, reason = recordpb.Final_FINAL_REFUSED, record.ReasonEnded+record.Reason(beechgrade.Unreachable)
+		a.Server, a.Result, a.Role, a.Position = Server(g, 0), uint8(decide.Unreachable), 0, 0
+		final, reason = recordpb.Final_FINAL_REFUSED, record.ReasonEnded+record.Reason(decide.Unreachable)
 	}
 	if !ok && class == 0 && member == 1 { // not the primary yet
-		a.Role = uint8(beechgrade.RoleReplica)
+		a.Role = uint8(decide.RoleReplica)
 	}
 	if class == 0 && member == 0 && primary == 1 { // gone, or back as a replica
-		a.Role = uint8(beechgrade.RoleReplica)
+		a.Role = uint8(decide.RoleReplica)
 	}
 	tell(a)
 	tell(record.Event{At: now, Kind: recordpb.Kind_KIND_ANSWER, Request: no, Class: class, Group: int64(g), Final: final, Reason: reason, Took: took, Attempt: 1})
--- a/internal/operate/clickhouse.go
+++ b/internal/operate/clickhouse.go
@@ -4,10 +4,10 @@
 	"net"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/sexp"
 )
 
@@ -174,16 +174,16 @@
 		return
 	}
 	add := func(rule string, aim, deadline, worth, bound float64) {
-		class := beechgrade.Class{Aim: time.Duration(aim * float64(time.Millisecond)), Deadline: time.Duration(deadline * float64(time.Millisecond)), Worth: worth,
-			LateWorth: 0.5, Read: beechgrade.ReadAny}
+		class := decide.Class{Aim: time.Duration(aim * float64(time.Millisecond)), Deadline: time.Duration(deadline * float64(time.Millisecond)), Worth: worth,
+			LateWorth: 0.5, Read: decide.ReadAny}
 		reads, writes := clickhouse.Classes(rule)
 		cfg.Classes = append(cfg.Classes, reads, writes)
 		if bound > 0 {
-			class.Read, class.Bound = beechgrade.ReadBounded, time.Duration(bound*float64(time.Millisecond))
+			class.Read, class.Bound = decide.ReadBounded, time.Duration(bound*float64(time.Millisecond))
 		}
 		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
-		class.Read, class.Bound = beechgrade.ReadAny, 0
-		class.Effect = beechgrade.Unsafe
+		class.Read, class.Bound = decide.ReadAny, 0
+		class.Effect = decide.Unsafe
 		cfg.Settings.Classes = append(cfg.Settings.Classes, class)
 	}
 	add("", c.AimMs, c.DeadlineMs, c.Worth, c.BoundMs)
--- a/internal/operate/clickhouse_test.go
+++ b/internal/operate/clickhouse_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"beechgrade"
 	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/journal"
 )
 
@@ -29,15 +29,15 @@
 	}
 	cfg := &config.Config{}
 	s.ClickHouse.AddClasses(cfg)
-	got := map[string]beechgrade.Class{}
+	got := map[string]decide.Class{}
 	for i, n := range cfg.Classes {
 		got[n] = cfg.Settings.Classes[i]
 	}
-	reads := beechgrade.Class{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.5, Read: beechgrade.ReadAny, Effect: beechgrade.Safe}
+	reads := decide.Class{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1, LateWorth: 0.5, Read: decide.ReadAny, Effect: decide.Safe}
 	writes := reads
-	reads.Read, reads.Bound = beechgrade.ReadBounded, 10*time.Second
-	writes.Effect = beechgrade.Unsafe
-	if diff := cmp.Diff(map[string]beechgrade.Class{"clickhouse-reads": reads, "clickhouse-writes": writes}, got); diff != "" {
+	reads.Read, reads.Bound = decide.ReadBounded, 10*time.Second
+	writes.Effect = decide.Unsafe
+	if diff := cmp.Diff(map[string]decide.Class{"clickhouse-reads": reads, "clickhouse-writes": writes}, got); diff != "" {
 		t.Error(diff)
 	}
 	for in, want := range map[string]string{
--- a/internal/operate/pooling.go
+++ b/internal/operate/pooling.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"beechgrade"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/pooling/share"
 	"beechgrade/internal/sexp"
@@ -27,7 +27,7 @@
 // Class is a class of transactions that the operators add to the platform's.
 type Class struct {
 	Name string
-	beechgrade.Class
+	decide.Class
 }
 
 // defaultPool is what a pool has where its settings say nothing. Times are in milliseconds.
@@ -82,8 +82,8 @@
 	if slices.ContainsFunc(p.Classes, func(c Class) bool { return c.Name == a[0].Text }) {
 		return a[0].Errorf("there is a class %q already", a[0].Text)
 	}
-	c := Class{Name: a[0].Text, Class: beechgrade.Class{Aim: 500 * time.Millisecond, Deadline: 60 * time.Second, Worth: 1, LateWorth: 1,
-		Effect: beechgrade.Unsafe, Read: beechgrade.Write}}
+	c := Class{Name: a[0].Text, Class: decide.Class{Aim: 500 * time.Millisecond, Deadline: 60 * time.Second, Worth: 1, LateWorth: 1,
+		Effect: decide.Unsafe, Read: decide.Write}}
 	span := func(to *time.Duration) func(*sexp.Node) error {
 		return func(n *sexp.Node) error {
 			ms, err := n.Millis(1, longest)
@@ -102,7 +102,7 @@
 			if err != nil {
 				return err
 			}
-			kinds := map[string]beechgrade.ReadKind{"primary": beechgrade.Write, "any": beechgrade.ReadAny, "session": beechgrade.ReadSession, "bounded": beechgrade.ReadBounded}
+			kinds := map[string]decide.ReadKind{"primary": decide.Write, "any": decide.ReadAny, "session": decide.ReadSession, "bounded": decide.ReadBounded}
 			k, ok := kinds[s]
 			if !ok {
 				return n.Items[1].Errorf("primary, any, session or bounded is due here")
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if c.Read == beechgrade.ReadBounded && c.Bound == 0 {
+	if c.Read == decide.ReadBounded && c.Bound == 0 {
 		return n.Errorf("class %q: (needs bounded) wants a (bound TIME)", c.Name)
 	}
 	p.Classes = append(p.Classes, c)
@@ -201,7 +201,7 @@
 			switch {
 			case k < 0:
 				return &sexp.Error{Pos: p.places[name], Text: fmt.Sprintf("there is no (class %q ...)", name)}
-			case i == 0 && p.Classes[k].Read != beechgrade.Write:
+			case i == 0 && p.Classes[k].Read != decide.Write:
 				return &sexp.Error{Pos: p.places[name], Text: fmt.Sprintf("class %q does not need the primary, and so is for (reads ...)", name)}
 			}
 		}
--- a/internal/pooling/begun.go
+++ b/internal/pooling/begun.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/record"
 	"beechgrade/internal/sqltext"
@@ -219,7 +219,7 @@
 }
 
 // unrun tells whether an error says that a transaction's first statement did not run, and it may be asked elsewhere.
-func (l *link) unrun(c *client, m pgwire.Message) (beechgrade.Result, bool) {
+func (l *link) unrun(c *client, m pgwire.Message) (decide.Result, bool) {
 	if !c.movable() {
 		return 0, false
 	}
@@ -238,17 +238,17 @@
 		for _, s := range does {
 			wanted = wanted || s.ReadOnly
 		}
-		return beechgrade.Missed, !wanted // a transaction that was declared so gets what it asked for
+		return decide.Missed, !wanted // a transaction that was declared so gets what it asked for
 	case "72000":
-		return beechgrade.Missed, true
+		return decide.Missed, true
 	case "53300", "57P03":
-		return beechgrade.Full, true
+		return decide.Full, true
 	}
 	return 0, false
 }
 
 // elsewhere asks a transaction again whose first statement did not run.
-func (l *link) elsewhere(c *client, r beechgrade.Result) {
+func (l *link) elsewhere(c *client, r decide.Result) {
 	c.link, l.owner, l.broken = nil, nil, true // what the server still says belongs to nobody
 	c.failed, c.pre = false, nil
 	t := c.txn
--- a/internal/pooling/link.go
+++ b/internal/pooling/link.go
@@ -4,8 +4,8 @@
 	"math"
 	"slices"
 
-	"beechgrade"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/pooling/carry"
@@ -535,7 +535,7 @@
 }
 
 // told is what the last answer said of the server's role and position.
-func (l *link) told() (role beechgrade.Role, position float64, ok bool) {
+func (l *link) told() (role decide.Role, position float64, ok bool) {
 	at := l.f.position(l.params[l.f.opt.PositionName])
 	return l.f.role(l.params["role"]), at, at > 0
 }
@@ -629,9 +629,9 @@
 		if a != nil && !a.ended {
 			again := !a.t.spoke
 			a.link = nil
-			r := beechgrade.Reset
+			r := decide.Reset
 			if again && (unsent > 0 || a.t.harmless()) { // it never left whole, or whether it ran does not matter
-				r = beechgrade.Unreachable
+				r = decide.Unreachable
 			}
 			if again && c.txn != nil {
 				c.txn.on, c.txn.mute, c.pre = false, false, nil
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -11,9 +11,9 @@
 	"slices"
 	"strconv"
 
-	"beechgrade"
 	"beechgrade/internal/backend"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pooling/carry"
@@ -319,10 +319,10 @@
 func (f *Front) Try(store string, q backend.Query, until float64, t backend.Tag) slots.Ref {
 	a := &attempt{tag: t, store: store, t: q.(*txn)}
 	a.ref = f.attempts.Put(a)
-	a.timer = f.loop.At(until, func() { f.end(a, beechgrade.TimedOut, nil) })
+	a.timer = f.loop.At(until, func() { f.end(a, decide.TimedOut, nil) })
 	a.t.attempt = a
 	if f.addrs[store] == "" {
-		f.end(a, beechgrade.Unreachable, nil)
+		f.end(a, decide.Unreachable, nil)
 	} else if c := a.t.c; !c.stay(a) {
 		f.expire()
 		f.do(c.pool, c.pool.share.Want(share.ID(refNumber(a.ref)), store, f.loop.Now()))
@@ -333,12 +333,12 @@
 // Cancel is core.Servers': it gives an attempt up. What was sent may have run.
 func (f *Front) Cancel(ref slots.Ref) {
 	if a, ok := f.attempts.Get(slots.Ref{Index: ref.Index &^ firstRef, Gen: ref.Gen}); ok {
-		f.end(a, beechgrade.Cancelled, nil)
+		f.end(a, decide.Cancelled, nil)
 	}
 }
 
 // end ends an attempt, once. With a link still in use, that is given up too unless the attempt was good.
-func (f *Front) end(a *attempt, r beechgrade.Result, l *link) {
+func (f *Front) end(a *attempt, r decide.Result, l *link) {
 	if a.ended {
 		return
 	}
@@ -352,12 +352,12 @@
 	if a.t.attempt == a {
 		a.t.attempt = nil
 	}
-	if r != beechgrade.OK {
+	if r != decide.OK {
 		if a.link != nil {
 			a.link.abandon()
 		} else {
-			if r == beechgrade.TimedOut || r == beechgrade.Cancelled {
-				o.Result = beechgrade.Skipped // it never got a connection
+			if r == decide.TimedOut || r == decide.Cancelled {
+				o.Result = decide.Skipped // it never got a connection
 			}
 			f.do(a.t.c.pool, a.t.c.pool.share.Leave(share.ID(refNumber(a.ref)), f.loop.Now()))
 		}
@@ -413,28 +413,28 @@
 	f.Counts.Refused++
 	switch {
 	case p.share.Barred(a.store):
-		f.end(a, beechgrade.Full, nil)
+		f.end(a, decide.Full, nil)
 	case p.opt.Limits.WaitMs > 0 && f.loop.Now()-a.t.asked >= p.opt.Limits.WaitMs:
 		a.t.waited = true
-		f.end(a, beechgrade.Full, nil)
+		f.end(a, decide.Full, nil)
 	case f.downAt(p, a.store):
-		f.end(a, beechgrade.Unreachable, nil)
+		f.end(a, decide.Unreachable, nil)
 	default:
 		a.t.waited = true // no place in the queue
-		f.end(a, beechgrade.Full, nil)
+		f.end(a, decide.Full, nil)
 	}
 }
 
 func (f *Front) downAt(p *pool, store string) bool { return f.addrs[store] == "" || p.failed[store] }
 
-func (f *Front) role(val string) beechgrade.Role {
+func (f *Front) role(val string) decide.Role {
 	switch val {
 	case f.opt.Roles[0]:
-		return beechgrade.RolePrimary
+		return decide.RolePrimary
 	case f.opt.Roles[1]:
-		return beechgrade.RoleReplica
+		return decide.RoleReplica
 	}
-	return beechgrade.RoleUnknown
+	return decide.RoleUnknown
 }
 
 // position reads a position that a server told, 0 for none.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 )
 
 // pairs reads typed values out of the settings; a missing key is its type's zero.
@@ -61,9 +61,9 @@
 }
 
 // Settings turns the wire's pairs into the router's settings and the zero of positions.
-func Settings(m map[string]string) (beechgrade.Settings, time.Duration, error) {
+func Settings(m map[string]string) (decide.Settings, time.Duration, error) {
 	p := &pairs{m: m}
-	s := beechgrade.Settings{
+	s := decide.Settings{
 		Siblings:       int(p.dur("siblings")),
 		Zone:           int(p.dur("my_zone")),
 		Tick:           p.dur("tick_ns"),
@@ -94,14 +94,14 @@
 	}
 	switch m["family_info.when_behind"] {
 	case "bounce":
-		s.Behind = beechgrade.BehindRefuses
+		s.Behind = decide.BehindRefuses
 	case "await":
-		s.Behind = beechgrade.BehindWaits
+		s.Behind = decide.BehindWaits
 	}
 	reads, bounds := p.list("family_info.class_read"), p.list("family_info.staleness_bound_ns")
 	for i := range p.count("request_classes.count") {
 		at := "request_classes." + strconv.Itoa(i) + "."
-		c := beechgrade.Class{
+		c := decide.Class{
 			Aim:       p.dur(at + "slo_ns"),
 			Deadline:  p.dur(at + "deadline_ns"),
 			Worth:     p.float(at + "points"),
@@ -111,27 +111,27 @@
 		switch m[at+"effect"] {
 		case "retryable":
 		case "dedup":
-			c.Effect = beechgrade.Keyed
+			c.Effect = decide.Keyed
 		default: // an effect not known here is treated as the most fragile
-			c.Effect = beechgrade.Unsafe
+			c.Effect = decide.Unsafe
 		}
 		switch m[at+"group"] {
 		case "cell":
-			c.Scope = beechgrade.ScopeGroup
+			c.Scope = decide.ScopeGroup
 		case "zone":
-			c.Scope = beechgrade.ScopeZone
+			c.Scope = decide.ScopeZone
 		}
-		c.Read = beechgrade.ReadFresh // a need not known here is met by the primary
+		c.Read = decide.ReadFresh // a need not known here is met by the primary
 		if i < len(reads) {
 			switch reads[i] {
 			case "eventual":
-				c.Read = beechgrade.ReadAny
+				c.Read = decide.ReadAny
 			case "lag_bound":
-				c.Read = beechgrade.ReadBounded
+				c.Read = decide.ReadBounded
 			case "causal":
-				c.Read = beechgrade.ReadSession
+				c.Read = decide.ReadSession
 			case "mutate":
-				c.Read = beechgrade.Write
+				c.Read = decide.Write
 			}
 		}
 		if i < len(bounds) {
@@ -144,7 +144,7 @@
 		s.Classes = append(s.Classes, c)
 	}
 	for i := range p.count("tenants.count") {
-		s.Tenants = append(s.Tenants, beechgrade.Tenant{
+		s.Tenants = append(s.Tenants, decide.Tenant{
 			Allowance: p.float("tenants." + strconv.Itoa(i) + ".allowance_per_s"),
 		})
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 )
 
 // Kind says what an Item of a batch is.
@@ -30,13 +30,13 @@
 	Front    int
 	Kind     Kind
 	Seed     uint64
-	Settings beechgrade.Settings
-	Event    beechgrade.Event
+	Settings decide.Settings
+	Event    decide.Event
 }
 
 // Batch is what arrived at one time.
 type Batch struct {
-	Now   beechgrade.Time
+	Now   decide.Time
 	Items []Item
 }
 
@@ -48,7 +48,7 @@
 type Decoder struct {
 	in    *bufio.Reader
 	line  int
-	lists [slots][]beechgrade.Entry
+	lists [slots][]decide.Entry
 	zero  map[int]time.Duration
 	long  []byte
 }
@@ -171,7 +171,7 @@
 		}
 		delete(d.zero, it.Front)
 	case "MEMBERS":
-		l := &beechgrade.List{}
+		l := &decide.List{}
 		slot, how := -1, ""
 		for f.next() {
 			switch f.key {
@@ -188,7 +188,7 @@
 			return fmt.Errorf("MEMBERS: unknown how %q", how)
 		}
 		l.Kind = kind
-		if kind != beechgrade.ListFailed {
+		if kind != decide.ListFailed {
 			if slot < 0 || slot >= slots {
 				return fmt.Errorf("MEMBERS: slot %d out of range", slot)
 			}
@@ -200,18 +200,18 @@
 	case "SETTLED":
 		it.Front, it.Event = d.decodeOutcome(f)
 	case "EXPIRED":
-		e := &beechgrade.Expired{}
+		e := &decide.Expired{}
 		for f.next() {
 			switch f.key {
 			case "front":
 				it.Front = f.integer()
 			case "request_id":
-				e.ID = beechgrade.RequestID(f.val)
+				e.ID = decide.RequestID(f.val)
 			}
 		}
 		it.Event = e
 	case "TIMEOUT_FIRED":
-		e := &beechgrade.Timer{}
+		e := &decide.Timer{}
 		for f.next() {
 			switch f.key {
 			case "front":
@@ -222,14 +222,14 @@
 		}
 		it.Event = e
 	case "ECHO":
-		e := &beechgrade.ProbeResult{Result: beechgrade.TimedOut}
+		e := &decide.ProbeResult{Result: decide.TimedOut}
 		var stats []byte
 		for f.next() {
 			switch f.key {
 			case "front":
 				it.Front = f.integer()
 			case "store":
-				e.Store = beechgrade.StoreID(f.val)
+				e.Store = decide.StoreID(f.val)
 			case "disposition":
 				e.Result = result(f.val)
 			case "server_stats":
@@ -250,15 +250,15 @@
 	return f.err
 }
 
-func decodeRequest(f *fields) (int, *beechgrade.Request) {
+func decodeRequest(f *fields) (int, *decide.Request) {
 	front, options, work := -1, 0, time.Duration(0)
-	e := &beechgrade.Request{Class: -1, Group: -1}
+	e := &decide.Request{Class: -1, Group: -1}
 	for f.next() {
 		switch f.key {
 		case "front":
 			front = f.integer()
 		case "request_id":
-			e.ID = beechgrade.RequestID(f.val)
+			e.ID = decide.RequestID(f.val)
 		case "party":
 			e.Tenant = f.integer()
 		case "due_ns":
@@ -287,16 +287,16 @@
 	return front, e
 }
 
-func (d *Decoder) decodeOutcome(f *fields) (int, *beechgrade.Outcome) {
+func (d *Decoder) decodeOutcome(f *fields) (int, *decide.Outcome) {
 	front, note := -1, int64(0)
-	e := &beechgrade.Outcome{Result: beechgrade.Failed}
+	e := &decide.Outcome{Result: decide.Failed}
 	var stats []byte
 	for f.next() {
 		switch f.key {
 		case "front":
 			front = f.integer()
 		case "request_id":
-			e.ID = beechgrade.RequestID(f.val)
+			e.ID = decide.RequestID(f.val)
 		case "try":
 			e.Attempt = f.integer()
 		case "disposition":
@@ -304,7 +304,7 @@
 		case "no_more":
 			e.Final = f.boolean()
 		case "store":
-			e.Store = beechgrade.StoreID(f.val)
+			e.Store = decide.StoreID(f.val)
 		case "note":
 			note = f.int64()
 		case "server_stats":
@@ -314,9 +314,9 @@
 	zero := d.zero[front]
 	switch note & 3 {
 	case 1:
-		e.Told.Role = beechgrade.RolePrimary
+		e.Told.Role = decide.RolePrimary
 	case 2:
-		e.Told.Role = beechgrade.RoleReplica
+		e.Told.Role = decide.RoleReplica
 	}
 	if note >= 4 {
 		e.Told.Position, e.Told.HasPosition = zero+time.Duration(note/4)*time.Millisecond, true
@@ -341,7 +341,7 @@
 	if slot < 0 || slot >= slots || records < 0 {
 		return fmt.Errorf("CENSUS: slot %d or records %d out of range", slot, records)
 	}
-	var list []beechgrade.Entry // fresh: events of this batch may still hold the old one
+	var list []decide.Entry // fresh: events of this batch may still hold the old one
 	for range records {
 		line, err := d.readLine()
 		if err != nil {
@@ -351,7 +351,7 @@
 		if g.name != "ENTRY" {
 			return fmt.Errorf("want ENTRY, got %q", g.name)
 		}
-		e := beechgrade.Entry{Size: 1}
+		e := decide.Entry{Size: 1}
 		for g.next() {
 			switch g.key {
 			case "online_since_ns":
@@ -371,7 +371,7 @@
 			case "hall":
 				e.Zone = g.integer()
 			case "store":
-				e.Store = beechgrade.StoreID(g.val)
+				e.Store = decide.StoreID(g.val)
 			case "is_primary":
 				e.Primary = g.float() == 1
 			}
@@ -388,42 +388,42 @@
 	return nil
 }
 
-var listKinds = map[string]beechgrade.ListKind{
-	"update": beechgrade.ListChanges, "replace": beechgrade.ListFull,
-	"restored": beechgrade.ListRestored, "unavailable": beechgrade.ListFailed,
+var listKinds = map[string]decide.ListKind{
+	"update": decide.ListChanges, "replace": decide.ListFull,
+	"restored": decide.ListRestored, "unavailable": decide.ListFailed,
 }
 
-var states = map[string]beechgrade.StoreState{
-	"SERVING": beechgrade.Serving, "DRAINING": beechgrade.Draining, "DELETED": beechgrade.Gone,
+var states = map[string]decide.StoreState{
+	"SERVING": decide.Serving, "DRAINING": decide.Draining, "DELETED": decide.Gone,
 }
 
 // result reads a disposition. A word not known here becomes an error that may have run: the reading
 // that promises least.
-func result(v []byte) beechgrade.Result {
+func result(v []byte) decide.Result {
 	switch string(v) {
 	case "done":
-		return beechgrade.OK
+		return decide.OK
 	case "busy":
-		return beechgrade.Full
+		return decide.Full
 	case "etimedout":
-		return beechgrade.TimedOut
+		return decide.TimedOut
 	case "econnrefused":
-		return beechgrade.Unreachable
+		return decide.Unreachable
 	case "econnreset":
-		return beechgrade.Reset
+		return decide.Reset
 	case "ecanceled":
-		return beechgrade.Cancelled
+		return decide.Cancelled
 	case "skipped":
-		return beechgrade.Skipped
+		return decide.Skipped
 	case "enoent":
-		return beechgrade.Missed
+		return decide.Missed
 	}
-	return beechgrade.Failed
+	return decide.Failed
 }
 
 // report reads a load report; positions become times on the clock.
-func report(v []byte, zero time.Duration, f *fields) beechgrade.Report {
-	var r beechgrade.Report
+func report(v []byte, zero time.Duration, f *fields) decide.Report {
+	var r decide.Report
 	for len(v) > 0 {
 		var pair []byte
 		pair, v, _ = bytes.Cut(v, []byte{','})
@@ -437,9 +437,9 @@
 			ms := int64(f.parse(val) * 1000)
 			r.Position, r.HasPosition = zero+time.Duration(ms)*time.Millisecond, true
 		case "x1":
-			r.Role = beechgrade.RoleReplica
+			r.Role = decide.RoleReplica
 			if f.parse(val) == 1 {
-				r.Role = beechgrade.RolePrimary
+				r.Role = decide.RolePrimary
 			}
 		case "busy_reqs":
 			r.Held, r.HasHeld = f.parse(val), true
@@ -524,37 +524,37 @@
 func (r *Reply) Fault(front int, text string) { r.text("BAIL_OUT", front, text) }
 
 // Add encodes one action of an instance.
-func (r *Reply) Add(front int, a *beechgrade.Action) {
+func (r *Reply) Add(front int, a *decide.Action) {
 	switch a.Kind {
-	case beechgrade.Send:
+	case decide.Send:
 		r.begin("PASS_ON", front)
 		r.str("request_id", string(a.ID))
 		r.str("store", string(a.Store))
 		r.num("timeout_ns", int64(a.Wait))
-	case beechgrade.Cancel:
+	case decide.Cancel:
 		r.begin("REVOKE", front)
 		r.str("request_id", string(a.ID))
 		r.int("try", int64(a.Attempt))
-	case beechgrade.Refuse:
+	case decide.Refuse:
 		r.begin("NOT_NOW", front)
 		r.str("request_id", string(a.ID))
 		r.num("pause_ns", int64(a.Wait))
-	case beechgrade.Fail:
+	case decide.Fail:
 		r.begin("ERROR", front)
 		r.str("request_id", string(a.ID))
-	case beechgrade.Probe:
+	case decide.Probe:
 		r.begin("PROBE", front)
 		r.str("store", string(a.Store))
-	case beechgrade.SetTimer:
+	case decide.SetTimer:
 		r.begin("WAKE_AT", front)
 		r.int("instant_ns", int64(a.At))
 		r.int("tag", a.Tag)
-	case beechgrade.Subscribe:
+	case decide.Subscribe:
 		r.begin("WATCH", front)
 		r.int("enable", 1)
-	case beechgrade.FetchList:
+	case decide.FetchList:
 		r.begin("LIST_ALL", front)
-	case beechgrade.Log:
+	case decide.Log:
 		r.text("TRACE", front, a.Text)
 		return
 	default:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"beechgrade"
+	"beechgrade/internal/decide"
 )
 
 const day = "SYNC\twall_ns=1000000000\n" +
@@ -42,29 +42,29 @@
 	}
 	s := b.Items[0].Settings
 	if b.Items[0].Seed != 17446744073709551615 || s.Siblings != 2 || !s.MayCancel || !s.AskList ||
-		s.Behind != beechgrade.BehindWaits || len(s.Classes) != 2 || s.Classes[0].Bound != 300 || s.Classes[0].Aim != 7 ||
-		s.Classes[1].Effect != beechgrade.Keyed || s.Classes[1].Scope != beechgrade.ScopeGroup ||
-		s.Classes[1].Read != beechgrade.Write || s.Tenants[0].Allowance != 1.5 {
+		s.Behind != decide.BehindWaits || len(s.Classes) != 2 || s.Classes[0].Bound != 300 || s.Classes[0].Aim != 7 ||
+		s.Classes[1].Effect != decide.Keyed || s.Classes[1].Scope != decide.ScopeGroup ||
+		s.Classes[1].Read != decide.Write || s.Tenants[0].Allowance != 1.5 {
 		t.Errorf("settings: %+v", s)
 	}
 	zero := 500 * time.Nanosecond
 	ms := time.Millisecond
-	want := []beechgrade.Event{
-		&beechgrade.List{Kind: beechgrade.ListRestored, Entries: []beechgrade.Entry{
+	want := []decide.Event{
+		&decide.List{Kind: decide.ListRestored, Entries: []decide.Entry{
 			{Store: "h:1", Group: 11, Kind: 1, Zone: 2, Size: 2.5, Primary: true},
-			{Store: "h:2", Group: 11, Size: 1, State: beechgrade.Draining, Started: 61}}},
-		&beechgrade.List{Entries: []beechgrade.Entry{{Store: "h:3", Group: 4, Size: 1, State: beechgrade.Gone}}},
-		&beechgrade.List{Kind: beechgrade.ListFailed},
-		&beechgrade.Request{ID: "ab", Class: 1, Group: 11, Tenant: 1, Due: 99, Session: "c.k",
+			{Store: "h:2", Group: 11, Size: 1, State: decide.Draining, Started: 61}}},
+		&decide.List{Entries: []decide.Entry{{Store: "h:3", Group: 4, Size: 1, State: decide.Gone}}},
+		&decide.List{Kind: decide.ListFailed},
+		&decide.Request{ID: "ab", Class: 1, Group: 11, Tenant: 1, Due: 99, Session: "c.k",
 			SinceOwn: 412500 * time.Microsecond, Work: 12, Repeat: true},
-		&beechgrade.Outcome{ID: "ab", Attempt: 2, Store: "h:1", Final: true,
-			Told: beechgrade.Report{Role: beechgrade.RolePrimary, Position: zero + 10*ms, HasPosition: true}},
-		&beechgrade.Outcome{ID: "ab", Store: "h:1", Result: beechgrade.Failed,
-			Told: beechgrade.Report{Role: beechgrade.RoleReplica},
-			Load: beechgrade.Report{Role: beechgrade.RolePrimary, Position: zero + 20*ms, HasPosition: true, Held: 7, HasHeld: true}},
-		&beechgrade.ProbeResult{Store: "h:1", Result: beechgrade.Unreachable},
-		&beechgrade.Expired{ID: "ab"},
-		&beechgrade.Timer{Tag: -77},
+		&decide.Outcome{ID: "ab", Attempt: 2, Store: "h:1", Final: true,
+			Told: decide.Report{Role: decide.RolePrimary, Position: zero + 10*ms, HasPosition: true}},
+		&decide.Outcome{ID: "ab", Store: "h:1", Result: decide.Failed,
+			Told: decide.Report{Role: decide.RoleReplica},
+			Load: decide.Report{Role: decide.RolePrimary, Position: zero + 20*ms, HasPosition: true, Held: 7, HasHeld: true}},
+		&decide.ProbeResult{Store: "h:1", Result: decide.Unreachable},
+		&decide.Expired{ID: "ab"},
+		&decide.Timer{Tag: -77},
 	}
 	for i, w := range want {
 		if got := b.Items[i+1]; got.Front != 3 || !reflect.DeepEqual(got.Event, w) {
@@ -80,10 +80,10 @@
 }
 
 func TestEachDisposition(t *testing.T) {
-	for word, want := range map[string]beechgrade.Result{
-		"done": beechgrade.OK, "err": beechgrade.Failed, "busy": beechgrade.Full, "etimedout": beechgrade.TimedOut,
-		"econnrefused": beechgrade.Unreachable, "econnreset": beechgrade.Reset, "ecanceled": beechgrade.Cancelled,
-		"skipped": beechgrade.Skipped, "enoent": beechgrade.Missed, "unheard of": beechgrade.Failed,
+	for word, want := range map[string]decide.Result{
+		"done": decide.OK, "err": decide.Failed, "busy": decide.Full, "etimedout": decide.TimedOut,
+		"econnrefused": decide.Unreachable, "econnreset": decide.Reset, "ecanceled": decide.Cancelled,
+		"skipped": decide.Skipped, "enoent": decide.Missed, "unheard of": decide.Failed,
 	} {
 		if got := result([]byte(word)); got != want {
 			t.Errorf("%s: %d, want %d", word, got, want)
@@ -120,19 +120,19 @@
 func TestLongLine(t *testing.T) {
 	long := strings.Repeat("k", 3<<20)
 	b, err := NewDecoder(strings.NewReader("SYNC\twall_ns=1\nASK\tfront=1\trequest_id=" + long + "\nCOMMIT\n")).Next()
-	if err != nil || len(b.Items[0].Event.(*beechgrade.Request).ID) != len(long) {
+	if err != nil || len(b.Items[0].Event.(*decide.Request).ID) != len(long) {
 		t.Fatal(err)
 	}
 }
 
 func TestEncode(t *testing.T) {
 	var r Reply
-	for _, a := range []beechgrade.Action{
-		{Kind: beechgrade.Send, ID: "ab", Store: "h:1", Wait: 80}, {Kind: beechgrade.Send, ID: "ab", Store: "h:1"},
-		{Kind: beechgrade.Cancel, ID: "ab", Attempt: 2}, {Kind: beechgrade.Refuse, ID: "ab", Wait: 9},
-		{Kind: beechgrade.Fail, ID: "ab"}, {Kind: beechgrade.Probe, Store: "h:1"},
-		{Kind: beechgrade.SetTimer, At: 12, Tag: 7}, {Kind: beechgrade.Subscribe}, {Kind: beechgrade.FetchList},
-		{Kind: beechgrade.Log, Text: "a\tb\nc"}, {Kind: 99},
+	for _, a := range []decide.Action{
+		{Kind: decide.Send, ID: "ab", Store: "h:1", Wait: 80}, {Kind: decide.Send, ID: "ab", Store: "h:1"},
+		{Kind: decide.Cancel, ID: "ab", Attempt: 2}, {Kind: decide.Refuse, ID: "ab", Wait: 9},
+		{Kind: decide.Fail, ID: "ab"}, {Kind: decide.Probe, Store: "h:1"},
+		{Kind: decide.SetTimer, At: 12, Tag: 7}, {Kind: decide.Subscribe}, {Kind: decide.FetchList},
+		{Kind: decide.Log, Text: "a\tb\nc"}, {Kind: 99},
 	} {
 		r.Add(3, &a)
 	}
