Let other decision modules speak over the peers' sockets, and in virtual time

Need: overload, the log in common and credit each have words of their own between poolers; each would have had to change the sockets, their form and the emulation.

Change: package peers/part says what a part is (read off the loop; members, words and steps on it) and what it may do: tell (a datagram) and stream. Package peers carries kinds from 32 on as bytes that the part reads; emulate carries the same bytes with the fate that the ways have. Without a part nothing of it runs.

--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -25,6 +25,7 @@
 	Mutant   *Mutant // a pooler that is broken on purpose, to prove the checker
 	Meter    bool    // take the decision module's time apart; it costs some itself
 	Progress func(virtualMs, endMs float64)
+	Parts    []Joined // that live in each pooler, beside those that the scenario has
 }
 
 // startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
--- /dev/null
+++ b/internal/kit/emulate/parts.go
@@ -0,0 +1,96 @@
+package emulate
+
+import (
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// Joined makes a pooler's parts as a process of it begins: what lives beside the view and is no quota. A Host is what they get to do with it.
+type Joined func(h Host) []part.Part
+
+// Host is the process that a part lives in.
+type Host struct{ x *peer }
+
+// No is the pooler's number, Life which of its processes this is.
+func (h Host) No() int      { return h.x.p.no }
+func (h Host) Life() uint32 { return h.x.life }
+
+// At has something done at a time, unless the process has ended by then.
+func (h Host) At(ms float64, do func()) { lifeLoop{h.x.p, h.x.life}.At(ms, do) }
+
+// Now is part.Net's.
+func (h Host) Now() float64 { return h.x.p.e.s.now }
+
+// Tell is part.Net's: coded, it arrives as often and as late as the way has it, and is read there.
+func (h Host) Tell(addr string, to view.ID, kind view.Kind, w part.Words) {
+	x := h.x
+	f, e := x.f, x.p.e
+	at := f.at(addr)
+	b := w.Append(nil)
+	if at == nil || at == x.p || len(b) > part.MostBody {
+		return
+	}
+	f.told++
+	f.toldBytes += headBytes + uint64(len(b))
+	from := x.view.Self().ID
+	for _, late := range f.net.Fate(x.p.no, at.no, f.rng) {
+		e.s.After(e.wayBetween(x.p, at)+late, world.Func(func() { at.hearPart(from, to, kind, b) }), 0)
+	}
+}
+
+// Stream is part.Net's: it loses nothing, but does not come up over a way that is cut.
+func (h Host) Stream(addr string, to view.ID, kind view.Kind, w part.Words, done func(ok bool)) {
+	x := h.x
+	f, e := x.f, x.p.e
+	at := f.at(addr)
+	b := w.Append(nil)
+	if at == nil || at == x.p || len(b) > part.MostStream || f.net.Cut(x.p.no, at.no) || f.net.Cut(at.no, x.p.no) {
+		h.At(e.s.now+streamFailsMs, func() { done(false) })
+		return
+	}
+	f.streamed += uint64(len(b))
+	from := x.view.Self().ID
+	e.s.After(2*e.wayBetween(x.p, at)+2*f.net.Slow(x.p.no, at.no), world.Func(func() {
+		ok := !f.net.Cut(x.p.no, at.no) && at.hearPart(from, to, kind, b)
+		h.At(e.s.now+e.wayBetween(x.p, at), func() { done(ok) })
+	}), 0)
+}
+
+const streamFailsMs = 1500 // as the daemon gives up
+
+// hearPart reads what came for a part, and has it heard once the process runs.
+func (p *pooler) hearPart(from, to view.ID, kind view.Kind, b []byte) bool {
+	y := p.peer
+	if y == nil || !p.up {
+		return false
+	}
+	for _, s := range y.parts {
+		if s.Kind() != kind {
+			continue
+		}
+		m, err := s.Read(b)
+		if err != nil {
+			return false
+		}
+		p.whenRunning(y.life, func() {
+			if to == 0 || to == y.view.Self().ID {
+				s.Heard(from, m)
+			}
+		})
+		return true
+	}
+	return false
+}
+
+// joins are the parts of each pooler; those that a scenario's settings have come first.
+func (e *Emulation) joins() (all []Joined) {
+	return append(all, e.opt.Parts...)
+}
+
+// tellParts tells all parts who is there.
+func (x *peer) tellParts() {
+	for _, s := range x.parts {
+		s.Members(x.view.Self().ID, x.view.Members(), x.view.Counts())
+	}
+}
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -8,6 +8,7 @@
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
@@ -21,6 +22,7 @@
 
 	packets, bytes  uint64
 	lent, lentBytes uint64 // about limits
+	told, toldBytes uint64 // by parts
 	trades          uint64
 	streamed        uint64
 	from            float64 // rates count from then on
@@ -75,7 +77,7 @@
 	f.from = startMs
 	if s.Clients.Seconds*1000 > 2*settledMs {
 		e.s.After(settledMs, world.Func(func() {
-			f.packets, f.bytes, f.streamed, f.trades, f.lent, f.lentBytes, f.from = 0, 0, 0, 0, 0, 0, e.s.now
+			f.packets, f.bytes, f.streamed, f.trades, f.lent, f.lentBytes, f.told, f.toldBytes, f.from = 0, 0, 0, 0, 0, 0, 0, 0, e.s.now
 		}), 0)
 	}
 	return f
@@ -95,8 +97,10 @@
 	view *view.View
 	out  []view.Action
 	sent int // its count of those that may be sending
+	was  view.ID
 
 	limits *lender // nil where none hold for the whole fleet
+	parts  []part.Part
 }
 
 // join begins a process's view.
@@ -125,6 +129,10 @@
 	p.peer = x
 	f.check.Began(p.e.s.now, p.no, uint64(id))
 	x.lend()
+	for _, join := range p.e.joins() {
+		x.parts = append(x.parts, join(Host{x})...)
+	}
+	x.tellParts()
 	x.tick()
 }
 
@@ -135,6 +143,9 @@
 	if x.limits != nil {
 		x.limits.share(quota.Tick{})
 	}
+	for _, s := range x.parts {
+		s.Tick()
+	}
 	lifeLoop{x.p, x.life}.At(x.view.Next(), x.tick)
 }
 
@@ -169,7 +180,10 @@
 // carry carries out what the view asks for.
 func (x *peer) carry() {
 	e := x.p.e
-	news := x.limits != nil && x.limits.id != x.view.Self().ID
+	news, self := x.limits != nil && x.limits.id != x.view.Self().ID, x.view.Self()
+	if self.ID != x.was {
+		x.was, news = self.ID, true
+	}
 	for i := range x.out {
 		switch a := &x.out[i]; a.Kind {
 		case view.Send:
@@ -191,6 +205,9 @@
 	if news && x.limits != nil {
 		x.limits.members()
 	}
+	if news {
+		x.tellParts()
+	}
 }
 
 // at finds the pooler that listens at an address.
--- a/internal/peers/form.go
+++ b/internal/peers/form.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
@@ -27,7 +28,8 @@
 //	message Item { fixed64 limit = 1; uint32 seq = 2; uint32 epoch = 3; fixed64 stamp = 4; bool vote = 5; bool even = 6; uint32 seen = 7;
 //	               uint32 hold = 8; fixed64 rest = 9; fixed64 want = 10; uint32 units = 11; uint32 pool = 12; bool sure = 13; fixed64 share = 14; }
 //
-// where stamp, rest, want and share are doubles.
+// where stamp, rest, want and share are doubles. Kinds from 32 on are those of parts (package part), whose words are bytes of a form
+// of their own: Envelope { bytes body = 9; }.
 //
 // Fields that are not known are skipped, so that a later version can say more. A datagram that is sent again by a stranger who has
 // seen it tells nothing new: what a record says is ordered by the incarnation that its process gave it.
@@ -38,7 +40,7 @@
 
 	// MostDatagram and MostStream bound what is read, in bytes.
 	MostDatagram = 1400
-	MostStream   = 1 << 19
+	MostStream   = part.MostStream + 256
 )
 
 // Kinds beside the view's own: what goes over a stream.
@@ -68,6 +70,7 @@
 	view.Message
 	counts view.Counts
 	limits *quota.Message
+	body   body // of a part
 }
 
 // seal appends a message as it goes out.
@@ -140,7 +143,7 @@
 		}
 		b = appendUint(b, 8, uint64(m.Verb))
 	}
-	return b
+	return appendBody(b, e.body.words)
 }
 
 func appendItem(b []byte, it *quota.Item) []byte {
@@ -293,6 +296,8 @@
 			if e.limits != nil {
 				e.limits.Verb = quota.Verb(min(x, 255))
 			}
+		case 9:
+			e.body.raw = text
 		}
 		return nil
 	})
--- a/internal/peers/form_test.go
+++ b/internal/peers/form_test.go
@@ -34,7 +34,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if diff := cmp.Diff(in, out, cmp.AllowUnexported(envelope{}), cmpopts.EquateEmpty()); diff != "" {
+		if diff := cmp.Diff(in, out, cmp.AllowUnexported(envelope{}, body{}), cmpopts.EquateEmpty()); diff != "" {
 			t.Fatal(diff)
 		}
 		if _, err := Key("another key of a fleet").open(b); !errors.Is(err, ErrKey) {
@@ -76,7 +76,7 @@
 			}
 		}
 		again, err := testKey.open(testKey.seal(nil, e))
-		if err != nil || !cmp.Equal(e, again, cmp.AllowUnexported(envelope{}), cmpopts.EquateEmpty()) {
+		if err != nil || !cmp.Equal(e, again, cmp.AllowUnexported(envelope{}, body{}), cmpopts.EquateEmpty()) {
 			t.Fatalf("%+v came back as %+v, %v", e, again, err)
 		}
 	})
--- /dev/null
+++ b/internal/peers/parts.go
@@ -0,0 +1,136 @@
+package peers
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// body is a part's message: words on their way out, or what was read of those that came.
+type body struct {
+	words part.Words
+	raw   []byte
+	read  any
+}
+
+func appendBody(b []byte, w part.Words) []byte {
+	if w == nil {
+		return b
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, 9, protowire.BytesType), w.Append(nil))
+}
+
+// Join has a part live beside the view; before Start.
+func (p *Peers) Join(x part.Part) {
+	if k := x.Kind(); k < part.First || k > part.Last || p.partOf(k) != nil {
+		panic(fmt.Sprintf("peers: kind %d of a part", k))
+	}
+	p.parts = append(p.parts, x)
+}
+
+func (p *Peers) partOf(k view.Kind) part.Part {
+	if i := slices.IndexFunc(p.parts, func(x part.Part) bool { return x.Kind() == k }); i >= 0 {
+		return p.parts[i]
+	}
+	return nil
+}
+
+// Now is part.Net's.
+func (p *Peers) Now() float64 { return p.loop.Now() }
+
+// Tell is part.Net's.
+func (p *Peers) Tell(addr string, to view.ID, kind view.Kind, w part.Words) {
+	if p.ended || p.view == nil {
+		return
+	}
+	p.write(addr, envelope{Message: view.Message{Kind: kind, From: p.view.Self().ID, Target: to}, body: body{words: w}})
+}
+
+// Stream is part.Net's.
+func (p *Peers) Stream(addr string, to view.ID, kind view.Kind, w part.Words, done func(ok bool)) {
+	if p.ended || p.view == nil {
+		return
+	}
+	if p.asking.Add(1) > streams {
+		p.asking.Add(-1)
+		p.overrun.Add(1)
+		done(false)
+		return
+	}
+	e := &envelope{Message: view.Message{Kind: kind, From: p.view.Self().ID, Target: to}, body: body{words: w}}
+	go func() {
+		defer p.asking.Add(-1)
+		_, err := p.exchange(addr, e) // the answer is one side of a full exchange, and says that it was taken
+		if err != nil {
+			p.log.Debug("peers: stream", "addr", addr, "kind", kind, "err", err)
+		}
+		p.loop.Post(func() {
+			if !p.ended {
+				done(err == nil)
+			}
+		})
+	}()
+}
+
+// readPart has a part read its message, off the loop.
+func (p *Peers) readPart(e *envelope) error {
+	x := p.partOf(e.Kind)
+	if x == nil {
+		return fmt.Errorf("%w: kind %d", ErrForm, e.Kind)
+	}
+	m, err := x.Read(e.body.raw)
+	if err != nil {
+		return fmt.Errorf("%w: kind %d: %w", ErrForm, e.Kind, err)
+	}
+	e.body.read = m
+	return nil
+}
+
+// heardPart passes on what a part was told; what was for another process is not for this one.
+func (p *Peers) heardPart(e *envelope) {
+	if p.ended || p.view == nil || e.Target != p.view.Self().ID && e.Target != 0 {
+		return
+	}
+	p.partOf(e.Kind).Heard(e.From, e.body.read)
+}
+
+// answerPart takes a part's message that came over a stream.
+func (p *Peers) answerPart(c net.Conn, e *envelope) {
+	if err := p.readPart(e); err != nil {
+		p.dropped.Add(1)
+		return
+	}
+	got := make(chan *envelope, 1)
+	p.post(func() {
+		if p.ended {
+			close(got)
+			return
+		}
+		p.heardPart(e)
+		got <- &envelope{Message: view.Message{Kind: kindRecords, From: p.view.Self().ID}}
+	})
+	select {
+	case mine := <-got:
+		if mine != nil {
+			_, _ = c.Write(appendFrame(nil, p.opt.Key.seal(nil, mine)))
+		}
+	case <-time.After(streamMs * time.Millisecond):
+	}
+}
+
+// tellParts tells all parts who is there.
+func (p *Peers) tellParts() {
+	if len(p.parts) == 0 || p.view == nil || p.ended {
+		return
+	}
+	self, all := p.view.Self().ID, p.view.Members()
+	for _, x := range p.parts {
+		x.Members(self, all, p.counts)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
@@ -79,6 +80,8 @@
 	acts  []quota.Action
 	due   float64
 
+	parts []part.Part
+
 	packet  *net.UDPConn
 	listen  *net.TCPListener
 	wg      sync.WaitGroup
@@ -164,6 +167,7 @@
 	go p.reader()
 	go p.writer()
 	go p.accepter()
+	p.tellParts()
 	p.log.Info("peers", "listen", p.opt.Listen, "id", fmt.Sprintf("%x", uint64(me.ID)), "seeds", p.opt.View.Seeds)
 	p.tick()
 }
@@ -174,6 +178,9 @@
 	}
 	p.do(view.Tick{})
 	p.share(quota.Tick{})
+	for _, x := range p.parts {
+		x.Tick()
+	}
 	p.loop.At(p.view.Next(), p.tick)
 }
 
@@ -206,6 +213,7 @@
 	}
 	if news {
 		p.members()
+		p.tellParts()
 	}
 }
 
@@ -278,11 +286,19 @@
 			continue
 		}
 		e, err := p.opt.Key.open(b[:n])
-		if err != nil || e.Kind > view.Gossip && (e.Kind != kindLimits || e.limits == nil) {
+		ofPart := err == nil && e.Kind >= part.First && e.Kind <= part.Last
+		if ofPart {
+			err = p.readPart(e)
+		}
+		if err != nil || !ofPart && e.Kind > view.Gossip && (e.Kind != kindLimits || e.limits == nil) {
 			p.dropped.Add(1)
 			continue
 		}
 		p.in.Add(1)
+		if ofPart {
+			p.post(func() { p.heardPart(e) })
+			continue
+		}
 		if e.Kind == kindLimits {
 			p.post(func() { p.share(quota.Heard{Message: e.limits}) })
 			continue
@@ -400,6 +416,10 @@
 func (p *Peers) answer(c net.Conn) {
 	_ = c.SetDeadline(time.Now().Add(streamMs * time.Millisecond))
 	e, err := readFrame(c, p.opt.Key)
+	if err == nil && e.Kind >= part.First && e.Kind <= part.Last {
+		p.answerPart(c, e)
+		return
+	}
 	if err != nil || e.Kind != kindRecords && e.Kind != kindShow {
 		p.dropped.Add(1)
 		return
@@ -441,6 +461,11 @@
 		p.do(view.Leave{})
 	}
 	p.share(quota.Leave{})
+	if p.view != nil {
+		for _, x := range p.parts {
+			x.Leave()
+		}
+	}
 	p.ended = true
 	if p.view == nil {
 		return
