Add invariants: statements about state, told once with the state that broke them

A breach is told once for each name, counted, and stops nobody; walks may be sampled and what they trip over is a breach too.

--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,93 @@
+package invariant
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// TestToldOnce: a breach is told once for each name with the state of the first time, counted each time, and stops nobody.
+func TestToldOnce(t *testing.T) {
+	var told []string
+	c := New(func(b Breach) { told = append(told, b.String()) })
+	for i := range 3 {
+		c.That(i == 0, "small", func() string { return fmt.Sprint("i is ", i) })
+	}
+	c.That(false, "other", func() string { var m map[string]int; m["x"] = 1; return "" })
+	n := 0
+	for range 4 {
+		c.Walk(&n, 2, "walk", func(c *Checks) { var s []int; c.That(s[1] == 0, "not reached", nil) })
+	}
+	want := []string{"invariant broken: small: i is 1", "invariant broken: other: state that cannot be told", "invariant broken: walk: the walk broke off"}
+	for i, w := range want {
+		if i >= len(told) || !strings.HasPrefix(told[i], w) {
+			t.Fatalf("told %q, not %q at %d", told, w, i)
+		}
+	}
+	if len(told) != len(want) {
+		t.Errorf("told %q", told)
+	}
+	if made, broken := c.Counts(); made != 4 || broken != 5 || c.Broken()[0].Times != 2 {
+		t.Errorf("%d made, %d broken: %v", made, broken, c.Broken())
+	}
+}
+
+// TestOffIsNothing: nil takes everything and does nothing.
+func TestOffIsNothing(t *testing.T) {
+	var c *Checks
+	n := 0
+	c.That(false, "x", func() string { t.Error("asked for state"); return "" })
+	c.Walk(&n, 1, "x", func(*Checks) { t.Error("walked") })
+	if made, broken := c.Counts(); c.On() || c.Broken() != nil || made != 0 || broken != 0 {
+		t.Error("nil checks something")
+	}
+}
+
+type sayer struct{ said string }
+
+func (s *sayer) Helper()                      {}
+func (s *sayer) Errorf(f string, args ...any) { s.said += fmt.Sprintf(f, args...) }
+
+// TestTestFails: checks for a test fail it.
+func TestTestFails(t *testing.T) {
+	var s sayer
+	Test(&s).That(false, "x", func() string { return "y" })
+	if s.said != "invariant broken: x: y" {
+		t.Errorf("said %q", s.said)
+	}
+}
+
+// BenchmarkOff: what a check costs where it is off, in the form that owners use it.
+func BenchmarkOff(b *testing.B) {
+	var c *Checks
+	s := make([]int, 8)
+	b.ReportAllocs()
+	for i := range b.N {
+		s[i&7]++
+		if c.On() {
+			c.That(s[i&7] >= 0, "x", func() string { return fmt.Sprint(s, i) })
+		}
+	}
+}
+
+// BenchmarkBare is BenchmarkOff without the check.
+func BenchmarkBare(b *testing.B) {
+	s := make([]int, 8)
+	b.ReportAllocs()
+	for i := range b.N {
+		s[i&7]++
+	}
+}
+
+// BenchmarkOn: a check that holds.
+func BenchmarkOn(b *testing.B) {
+	c := New(nil)
+	s := make([]int, 8)
+	b.ReportAllocs()
+	for i := range b.N {
+		s[i&7]++
+		if c.On() {
+			c.That(s[i&7] >= 0, "x", func() string { return fmt.Sprint(s, i) })
+		}
+	}
+}
