Read and answer operators' calls by the standard library's HTTP

Need: plumbing by hand where a library serves. The door read calls with the project's own parser and put its answers together from strings.

Change: http.ReadRequest over what has come, once the head is whole; http.Response.Write into memory. The loop, the bounds and one call to a connection stay. httpwire stays where bodies are followed without being held.

Result: TestDoor as before but for the wording of one 400; the daemon grows from 20.77 to 20.80 MB.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -3,15 +3,14 @@
 package control
 
 import (
+	"bufio"
+	"bytes"
 	"container/list"
-	"errors"
+	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"beechgrade/internal/deadline"
-	"beechgrade/internal/httpwire"
 	"beechgrade/internal/loop"
 )
 
@@ -85,18 +84,16 @@
 		c.answer(Answer{Status: http.StatusRequestHeaderFieldsTooLarge})
 		return
 	}
-	h, n, err := httpwire.Parse(c.in, true)
-	switch {
-	case errors.Is(err, httpwire.ErrTooLong):
-		c.answer(Answer{Status: http.StatusRequestHeaderFieldsTooLarge})
+	if !bytes.Contains(c.in, []byte("\r\n\r\n")) && !bytes.Contains(c.in, []byte("\n\n")) {
+		return // not whole yet
+	}
+	switch r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.in))); {
 	case err != nil:
 		c.answer(Answer{Status: http.StatusBadRequest, Body: []byte(err.Error() + "\n")})
-	case n == 0: // not whole yet
-	case h.Chunked || h.Length > 0:
+	case r.ContentLength != 0:
 		c.answer(Answer{Status: http.StatusRequestEntityTooLarge, Body: []byte("a call has no body\n")})
 	default:
-		path, _, _ := strings.Cut(h.Target, "?")
-		c.answer(c.door.desk.Call(h.Method, path))
+		c.answer(c.door.desk.Call(r.Method, r.URL.Path))
 	}
 }
 
@@ -116,13 +113,15 @@
 	if a.Type == "" {
 		a.Type = "text/plain; charset=utf-8"
 	}
-	b := append([]byte("HTTP/1.1 "), strconv.Itoa(a.Status)+" "+http.StatusText(a.Status)+"\r\nContent-Type: "+a.Type+"\r\nContent-Length: "+
-		strconv.Itoa(len(a.Body))+"\r\nConnection: close\r\nCache-Control: no-store\r\n"...)
+	res := http.Response{StatusCode: a.Status, ProtoMajor: 1, ProtoMinor: 1, Close: true, ContentLength: int64(len(a.Body)), Body: io.NopCloser(bytes.NewReader(a.Body)),
+		Header: http.Header{"Content-Type": {a.Type}, "Cache-Control": {"no-store"}}}
 	if a.Allow != "" {
-		b = append(b, "Allow: "+a.Allow+"\r\n"...)
+		res.Header.Set("Allow", a.Allow)
 	}
+	var out bytes.Buffer
+	_ = res.Write(&out) // into memory
 	d.loop.Stop(c.timer)
-	if c.conn.Write(append(append(b, "\r\n"...), a.Body...)) != nil {
+	if c.conn.Write(out.Bytes()) != nil {
 		return
 	}
 	// A close with input unread would be a reset, which may overtake the answer.
