Keep who is primary, who may be used and what may have run among the decisions

Change: they stand in choose and attempts again; cold and tenants are one file, ration; elsewhere and countLost are shorter; what only keeps books (the flow's memory, forgetting servers that are gone) went to the records.

--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -72,7 +72,7 @@
 		}
 		s.fails, s.failedAt = (r.failing(s)+1)/2, r.now
 		if e.Result == Full || e.Result == Failed && s.fails > 0.5 {
-			s.fullUntil = r.now + r.turn(s)
+			s.fullUntil = r.now + seconds(r.work/r.rateOf(s))
 		}
 	}
 	q.asked = 0
@@ -139,15 +139,20 @@
 
 // countLost counts an attempt that ended towards the part that is lost. One called off early may be slow.
 func (r *Router) countLost(s *store, a *attempt, res Result) {
-	lost := 0.0
-	switch {
-	case res == Unreachable || res == Skipped || res == Reset,
-		(res == Cancelled || res == TimedOut) && (a.passed < lostPassed || !a.lost):
+	quit, lost := res == Cancelled || res == TimedOut, 0.0
+	if res == Unreachable || res == Skipped || res == Reset || quit && (a.passed < lostPassed || !a.lost) {
 		return
-	case res == Cancelled || res == TimedOut:
-		if lost = 0.5; r.had(s, a) > lostAfter {
-			lost = 1
-		}
+	}
+	if quit && r.had(s, a) > lostAfter {
+		lost = 1
+	} else if quit {
+		lost = 0.5
 	}
 	r.losing += (lost - r.losing) / lostMemory
 }
+
+func (q *request) mayHaveRun(a *attempt, s *store) {
+	if !q.maybe || a.sent < q.maybeAt {
+		q.maybe, q.maybeAt, q.maybeZone, q.sendBy = true, a.sent, s.entry.Zone, a.sent+q.class.KeyWindow
+	}
+}
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -50,6 +50,29 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// primary is the group's primary by the latest evidence, or nil while none is known.
+func (r *Router) primary(g *group) *store {
+	var best *store
+	for _, s := range g.members {
+		if s.role == RolePrimary && (best == nil || s.roleAt > best.roleAt) {
+			best = s
+		}
+	}
+	return best
+}
+
+// elsewhere tells that a request goes to others: to the one that it needs, or to those that it has not tried.
+func (q *request) elsewhere(s *store) bool {
+	return q.only != "" && q.only != s.id || q.only == "" && len(q.tries) < len(q.group.members) && q.tried(s)
+}
+
+func (q *request) primaryOnly() bool { return q.class.Read == Write || q.class.Read == ReadFresh }
+
+func (s *store) usable() bool { return s.listed() && s.health != down }
+
+// listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
 	if q.primaryOnly() {
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -4,14 +4,11 @@
 
 import (
 	"math"
-	"slices"
 )
 
 // base is a store's rate when warm: its kind's, taught by all answers, times its own, as one hears little.
 func (r *Router) base(s *store) float64 { return r.pools[s.entry.Kind] * s.rel }
 
-func (r *Router) turn(s *store) Time { return seconds(r.work / r.rateOf(s)) }
-
 // rateOf is the rate for one request alone now. A cold store's old good rate would win every pick otherwise.
 func (r *Router) rateOf(s *store) float64 { return r.base(s) * r.warmth(s) }
 
@@ -67,14 +64,6 @@
 	return s.fails * r.fading(s.failedAt, failMemory)
 }
 
-// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
-func (r *Router) flowed(n float64) {
-	dt := (r.now - r.flowAt).Seconds()
-	keep := math.Exp(-dt / flowMemory.Seconds())
-	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
-	r.flow = r.sends / max(r.flowSpan, 1)
-}
-
 // loaded takes an answer as evidence of so many requests met there, unless our own explain them. Without it,
 // hundreds of routers with nothing there go on feeding a queue full of what will be late.
 func (r *Router) loaded(s *store, met float64) bool {
@@ -146,12 +135,5 @@
 	for kind, k := range kinds { // each on its own: the order does not matter
 		r.pools[kind] = min(rateMost, max(1/rateMost, r.pools[kind]*step(k[0], k[1])))
 	}
-	// Stores that left, have not answered since for a while, and hold nothing of ours are forgotten.
-	r.order = slices.DeleteFunc(r.order, func(s *store) bool {
-		if s.gone == 0 || r.now-max(s.gone, s.answered) < goneKeep || len(s.open) > 0 {
-			return false
-		}
-		r.drop(s)
-		return true
-	})
+	r.forgetGone()
 }
--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -61,6 +61,5 @@
 
 // rewatch subscribes after a pause, each router at a time of its own: the list answers one after the other.
 func (r *Router) rewatch(pause, jitter time.Duration) {
-	spread := jitter + watchEach*time.Duration(r.set.Siblings-1)
-	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(spread))
+	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(jitter+watchEach*time.Duration(r.set.Siblings-1)))
 }
--- a/internal/decide/cold.go
+++ b/internal/decide/ration.go
@@ -1,6 +1,6 @@
 package decide
 
-// What a cold server may be sent.
+// What is rationed: what a cold server may be sent, and what tenants are let in with.
 
 // warmth is the part of its capacity that a store can be counted on for.
 func (r *Router) warmth(s *store) float64 {
@@ -27,3 +27,15 @@
 	s.coldSpentAt = r.now
 	return s.coldSpent <= depth
 }
+
+// fill brings a tenant's bucket up to now: a second of this part, as clumps are no excess, or as was told.
+func (r *Router) fill(i int) *tenant {
+	t, a := &r.tenants[i], r.set.Tenants[i]
+	if !a.Told {
+		a.Own = a.Allowance / float64(r.set.Siblings)
+		a.Depth = max(a.Own, tenantDepth)
+	}
+	t.tokens = min(a.Depth, t.tokens+a.Own*(r.now-t.at).Seconds())
+	t.at, t.rate = r.now, a.Own
+	return t
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -287,38 +287,6 @@
 // work is the request's expected work: its class's average, by its hint where it came with one.
 func (q *request) work() float64 { return q.class.work * q.size }
 
-// primary is the group's primary by the latest evidence, or nil while none is known.
-func (r *Router) primary(g *group) *store {
-	var best *store
-	for _, s := range g.members {
-		if s.role == RolePrimary && (best == nil || s.roleAt > best.roleAt) {
-			best = s
-		}
-	}
-	return best
-}
-
-// elsewhere tells that a request goes to others: to the one that it needs, or to those that it has not tried.
-func (q *request) elsewhere(s *store) bool {
-	if q.only != "" {
-		return q.only != s.id
-	}
-	return len(q.tries) < len(q.group.members) && q.tried(s)
-}
-
-func (q *request) primaryOnly() bool { return q.class.Read == Write || q.class.Read == ReadFresh }
-
-func (s *store) usable() bool { return s.listed() && s.health != down }
-
-// listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
-func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
-
-func (q *request) mayHaveRun(a *attempt, s *store) {
-	if !q.maybe || a.sent < q.maybeAt {
-		q.maybe, q.maybeAt, q.maybeZone, q.sendBy = true, a.sent, s.entry.Zone, a.sent+q.class.KeyWindow
-	}
-}
-
 // remember keeps a session's last commit. One dropped counts as written as late as any that was.
 func (r *Router) remember(session string, at Time) {
 	if r.commits == nil || len(r.commits) >= sessionsKept {
@@ -329,3 +297,22 @@
 	}
 	r.commits[session] = max(at, r.commits[session])
 }
+
+// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
+func (r *Router) flowed(n float64) {
+	dt := (r.now - r.flowAt).Seconds()
+	keep := math.Exp(-dt / flowMemory.Seconds())
+	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
+	r.flow = r.sends / max(r.flowSpan, 1)
+}
+
+// forgetGone drops stores that left, have not answered since for a while, and hold nothing of ours.
+func (r *Router) forgetGone() {
+	r.order = slices.DeleteFunc(r.order, func(s *store) bool {
+		if s.gone == 0 || r.now-max(s.gone, s.answered) < goneKeep || len(s.open) > 0 {
+			return false
+		}
+		r.drop(s)
+		return true
+	})
+}
