Date a primary's word from when it spoke, found by a check at every send

Need: a check at the send now states that what a read's server said covers the read's class, dated by the server's own word. In virtual time it broke within the first minute, in two ways. The role in an answer counted as of when it was read: a process that stood still for 5 s took what a primary had said before for news, and sent bounded reads there though it might have been replaced. And any position that was read after a request came let the known primary serve it, also one asked for long before.

Change: that a store leads counts as of its position or the attempt's send; only a probe sent for the read lets an older word do.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
 	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -130,6 +131,11 @@
 	}
 }
 
+// Check has the invariants of the core and of the router checked, from the beginning on.
+func (c *Core) Check(x *invariant.Checks) { c.router.Watch(x, walkEach) }
+
+const walkEach = 64 // events for one walk over all of the router's state
+
 // Meter is told when the decision module begins and ends its work.
 type Meter interface {
 	Begin()
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -20,7 +20,11 @@
 	q := a.req
 	r.countLost(s, a, e.Result)
 	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
-	r.learn(s, e.Told, r.now)
+	at := r.now // that it does not lead counts at once; that it does, as of when it said so, which may be read late
+	if e.Told.Role == RolePrimary {
+		at = min(r.now, max(a.sent, e.Told.Position))
+	}
+	r.learn(s, e.Told, at)
 	r.learn(s, e.Load, e.Load.Position)
 	switch e.Result {
 	case OK:
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -42,7 +42,7 @@
 	}
 	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
 	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
+	leads := s == r.primary(q.group) && (s.roleAt >= need || s.askedAt >= max(need, q.arrived) || !r.set.MayProbe)
 	if need == never || leads || s.position >= need {
 		return true, true
 	}
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -50,6 +50,9 @@
 // Recall takes what another router knew, of the stores that are listed here. What is newer here stays; times from ahead of now,
 // and figures that no router has, are passed over.
 func (r *Router) Recall(now Time, m *Memory) {
+	if r.watch != nil {
+		r.watch.recalled(now, m)
+	}
 	sane := func(x float64) bool { return x >= 1/rateMost && x <= rateMost }
 	if len(m.Work) == len(r.classes) && sane(m.Mean) {
 		r.work = m.Mean
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -124,6 +124,7 @@
 		r.wakeAt = r.now + beat
 		r.act(Action{Kind: SetTimer, At: r.wakeAt})
 	}
+	r.watched(e, len(out))
 	return r.out
 }
 
--- a/internal/decide/router_test.go
+++ b/internal/decide/router_test.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"beechgrade/internal/invariant"
 )
 
 const ms = time.Millisecond
@@ -49,6 +51,7 @@
 func newRig(t *testing.T, set Settings, entries ...Entry) *rig {
 	t.Helper()
 	g := &rig{t: t, r: New(set, 7), now: start}
+	g.r.Watch(invariant.Test(t), 1)
 	g.do(&List{Kind: ListRestored, Entries: entries})
 	return g
 }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -47,6 +47,8 @@
 	watchedAt Time // last subscribed then
 
 	watchFails int // subscriptions in a row that did not hold
+
+	watch *watch // of its invariants, nil where nobody watches
 }
 
 // health is what the router thinks of a store.
@@ -80,6 +82,7 @@
 	position     Time    // known position: never goes back
 	positionAt   Time
 	placedAt     Time    // last told of its position, new or not
+	askedAt      Time    // the probe was sent then that it answered last
 	pace         float64 // how fast the position advances against the clock
 	role         Role
 	roleAt       Time // time of the evidence
@@ -179,7 +182,7 @@
 
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
-	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never,
+	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
 		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never}
 	r.stores[id] = s
 	r.order = append(r.order, s)
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/scenario"
@@ -25,7 +26,8 @@
 	Mutant   *Mutant // a pooler that is broken on purpose, to prove the checker
 	Meter    bool    // take the decision module's time apart; it costs some itself
 	Progress func(virtualMs, endMs float64)
-	Parts    []Joined // that live in each pooler, beside those that the scenario has
+	Broken   func(invariant.Breach) // is told of each invariant that breaks first, at that moment; may be nil
+	Parts    []Joined               // that live in each pooler, beside those that the scenario has
 }
 
 // startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
@@ -93,6 +95,7 @@
 	results                               [16]uint64
 	lost                                  map[string]float64
 	moduleNs                              int64
+	checks                                *invariant.Checks
 	began                                 time.Time
 }
 
@@ -117,7 +120,7 @@
 		return nil, err
 	}
 	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
-		began: time.Now()}
+		checks: invariant.New(opt.Broken), began: time.Now()}
 	e.s.now = startMs
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
@@ -183,6 +186,7 @@
 			r.Ends[resultNames[i]] = n
 		}
 	}
+	r.Verdict.Invariants(e.s.now, e.checks)
 	if e.opt.Mutant != nil {
 		r.Mutant = e.opt.Mutant.Name
 	}
