Book a write that is answered late when its answer came, not when it was given up

Played again with a dozen stops of poolers by SIGSTOP and no limits (8 processes, 300 requests a second, 30 s), it came in two plays of two: write 39 of foreman-0-15 was given up by its client at 828257, its pooler woke at about 828900, sent and answered it then, and a bounded read asked at 828567 and answered at 828913 showed write 38. That was right: 39 had not run. The fault was the clients' own: Player.try kept the time of giving up (t.Ended) for an answer that came later, and Sessions.Served took it for the time by which the write had run. Ruled out in that play: the read's server was behind no position that it needed, by the wires' check.

A try now has the time at which its answer came, and writes are booked by it. A session's read is held to the position that it asked for, since another's answer that is not yet taken in when it asks cannot be in it. For the same reason "in time" could not fail on sockets, as a late answer's time was that of giving up: it is now held to half a second, where the pooler did not stand still.

--- a/internal/kit/clients/clients.go
+++ b/internal/kit/clients/clients.go
@@ -43,9 +43,12 @@
 	Pooler int     // -1 where none was reached
 	First  float64 // when the ask's first try was sent, Unix ms
 	Sent   float64
-	Ended  float64
+	Ended  float64 // its client had its answer, or had given up
+	Came   float64 // its answer's last byte; later than Ended where it is Late, 0 for none
+	After  float64 // a session's read: the position that it must see, as its client knew it when it asked; 0 for none
 	Kind   Kind
 	Late   bool
+	Stood  bool // its pooler stood still meanwhile, and takes for newly come what came then
 	Extra  bool // more than one answer came
 	Value  []byte
 	Wrote  uint64 // a write's number among its key's
@@ -165,10 +168,9 @@
 		t.Wrote = p.sessions.Write(a, c)
 		p.mu.Unlock()
 	}
-	after := 0.0
 	if c.Read == ReadSession {
 		p.mu.Lock()
-		after = p.sessions.Committed(a.Key)
+		t.After = p.sessions.Committed(a.Key)
 		p.mu.Unlock()
 	}
 	t.Sent = p.clk.Now()
@@ -187,13 +189,13 @@
 		_ = l.Close()
 		return 0
 	}
-	ask, answer := pgwire.AppendQuery(nil, statement(a, c, t, after, giveUp-p.clk.Now())), l.answer
+	ask, answer := pgwire.AppendQuery(nil, statement(a, c, t, t.After, giveUp-p.clk.Now())), l.answer
 	if p.cfg.House {
 		ask, answer = houseQuery(a, c, t, giveUp-p.clk.Now()), l.houseAnswer
 	}
 	_ = l.SetDeadline(time.Now().Add(time.Duration((giveUp - p.clk.Now()) * float64(time.Millisecond))))
 	if w, ok := p.sink.(Watcher); ok {
-		w.Trying(t, giveUp, math.Ceil(after))
+		w.Trying(t, giveUp, math.Ceil(t.After))
 	}
 	if _, err := l.Write(ask); err != nil {
 		t.Kind, t.Ended = Broken, p.clk.Now()
@@ -212,6 +214,7 @@
 		}
 		t.Late = err == nil
 	}
+	t.Came = p.clk.Now()
 	if err != nil {
 		t.Kind = Broken
 		_ = l.Close()
--- a/internal/kit/clients/sessions.go
+++ b/internal/kit/clients/sessions.go
@@ -68,25 +68,28 @@
 }
 
 // Served takes note of a try that was served, and marks in it what its value shows. A value is too old only where it
-// surely is: another write was sent after the value's own was answered, and had its answer in time for the read.
+// surely is: another write was sent after the value's own was answered, and had its answer in time for the read. A write whose
+// client had given up is answered when its answer comes, not when it was given up: it may have run in between.
 func (x Sessions) Served(t *Try) {
 	n, ours := Number(t.Ask.Key, t.Value)
 	t.Alien = !ours
 	if t.Class.Read == Write {
 		t.Alien = !ours || n != t.Wrote
 		s := x.of(t.Ask.Key)
-		s.commit = max(s.commit, t.Ended)
+		came := max(t.Ended, t.Came)
+		s.commit = max(s.commit, came)
 		if len(s.writes) >= 2*keepWrites {
 			s.writes = slices.Delete(s.writes, 0, len(s.writes)-keepWrites)
 		}
-		s.writes = append(s.writes, written{t.Wrote, t.Sent, t.Ended})
+		s.writes = append(s.writes, written{t.Wrote, t.Sent, came})
 		return
 	}
 	by := t.Sent
 	switch t.Class.Read {
 	case ReadBounded:
 		by -= t.Class.Bound
-	case ReadSession:
+	case ReadSession: // what it asked for, not what was answered to others by then: that may not have been known when it asked
+		by = min(by, t.After)
 	default:
 		return
 	}
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -221,7 +221,7 @@
 		delete(v.p.visits, v)
 	}
 	t := &clients.Try{Ask: &a.Ask, Class: v.class, No: v.no, ID: v.name, Pooler: -1, First: a.first, Sent: v.sent, Ended: e.s.now, Kind: kind, Late: v.late,
-		Extra: v.extra, Value: v.answer, Wrote: v.wrote}
+		Extra: v.extra, Value: v.answer, Wrote: v.wrote, After: v.after}
 	if v.p != nil {
 		t.Pooler = v.p.no
 	}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -298,7 +298,7 @@
 // Tried is clients.Sink's.
 func (l *log) Tried(t *clients.Try) {
 	l.run.wires.tried(t)
-	if l.run.wires.excused(t) {
+	if t.Stood = l.run.wires.excused(t); t.Stood && t.Kind == clients.Silent {
 		t.Kind = clients.Broken
 	}
 	l.Keeper.Tried(t)
--- a/internal/kit/score/score.go
+++ b/internal/kit/score/score.go
@@ -13,7 +13,8 @@
 
 const (
 	maxBreaches = 200
-	lateMs      = 50 // a client's own reckoning of time is no better than this on a busy machine
+	lateMs      = 50  // a client's own reckoning of time is no better than this on a busy machine
+	lostMs      = 500 // up to so long after its time an answer only earns nothing; where clients are real, one that is later is lost
 )
 
 // Score is what clients were served.
@@ -111,7 +112,11 @@
 	if t.Extra {
 		k.breach("one final answer", t, "more came behind the answer")
 	}
-	if over := t.Ended - t.Sent - t.Ask.Patience; t.Late && over > lateMs {
+	over, most := t.Ended-t.Sent-t.Ask.Patience, float64(lateMs)
+	if t.Came > t.Ended {
+		over, most = t.Came-t.Sent-t.Ask.Patience, lostMs
+	}
+	if t.Late && !t.Stood && over > most {
 		k.breach("in time", t, fmt.Sprintf("the answer came %.0f ms after its client had given up", over))
 	}
 }
