Merge sorted rows of many shards in the servers' own order

A report over many groups needs one order of all rows, the same at any pooler. Keys compare as the values do at the servers, ties go by shard and then by its own order, a shard out of order is caught, and what is held is bounded.

--- /dev/null
+++ b/internal/fronts/scatter/merge/merge_test.go
@@ -0,0 +1,365 @@
+package merge
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// datum is a value as a test knows it: nil, int64, float64, string, []byte or time.Time.
+type datum any
+
+// drawn draws a value of a type, often one of few so that some are equal.
+func drawn(t *rapid.T, c *Column) datum {
+	if rapid.IntRange(0, 5).Draw(t, "null") == 0 {
+		return nil
+	}
+	switch c.Type {
+	case Int:
+		return rapid.OneOf(rapid.Int64(), rapid.SampledFrom([]int64{math.MinInt64, -1, 0, 1, math.MaxInt64})).Draw(t, "int")
+	case Float:
+		return rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), math.Inf(-1), 0, math.Copysign(0, -1), -1})).Draw(t, "float")
+	case Text:
+		return rapid.OneOf(rapid.StringMatching(`[a-c]{0,3}`), rapid.StringMatching(`[ -~é-ü]{0,9}`)).Draw(t, "text")
+	case Timestamp, Instant:
+		return time.Unix(rapid.Int64Range(-2e11, 2e11).Draw(t, "s"), rapid.Int64Range(0, 999999).Draw(t, "us")*1000).UTC()
+	case UUID:
+		return rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "uuid")
+	}
+	return rapid.SliceOfN(rapid.SampledFrom([]byte{0, 1, 254, 255}), 0, 4).Draw(t, "bytes")
+}
+
+// before is the servers' own order, said another way than keys say it.
+func before(c *Column, a, b datum) int {
+	if a == nil || b == nil {
+		switch {
+		case a == nil && b == nil:
+			return 0
+		case (a == nil) == c.NullsFirst:
+			return -1
+		}
+		return 1
+	}
+	n := 0
+	switch x := a.(type) {
+	case int64:
+		n = cmp.Compare(x, b.(int64))
+	case float64:
+		y := b.(float64)
+		switch {
+		case math.IsNaN(x) && math.IsNaN(y):
+		case math.IsNaN(x):
+			n = 1
+		case math.IsNaN(y):
+			n = -1
+		default:
+			n = cmp.Compare(x, y)
+		}
+	case string:
+		n = cmp.Compare(x, b.(string))
+	case []byte:
+		n = bytes.Compare(x, b.([]byte))
+	case time.Time:
+		n = x.Compare(b.(time.Time))
+	}
+	if c.Desc {
+		return -n
+	}
+	return n
+}
+
+// wire is a value as a server sends it.
+func wire(c *Column, v datum, binaryForm bool) []byte {
+	switch x := v.(type) {
+	case int64:
+		if binaryForm {
+			return binary.BigEndian.AppendUint64(nil, uint64(x))
+		}
+		return strconv.AppendInt(nil, x, 10)
+	case float64:
+		switch {
+		case binaryForm:
+			return binary.BigEndian.AppendUint64(nil, math.Float64bits(x))
+		case math.IsInf(x, 0):
+			return []byte(map[bool]string{true: "Infinity", false: "-Infinity"}[x > 0])
+		}
+		return strconv.AppendFloat(nil, x, 'g', -1, 64)
+	case string:
+		return []byte(x)
+	case time.Time:
+		if binaryForm {
+			return binary.BigEndian.AppendUint64(nil, uint64(x.UnixMicro()-epoch*1e6))
+		}
+		year, end := x.Year(), ""
+		if year < 1 {
+			year, end = 1-year, " BC"
+		}
+		zone := ""
+		if c.Type == Instant { // 5:30 ahead, as the server of a session there says it
+			x = x.Add(5*time.Hour + 30*time.Minute)
+			if year, end = x.Year(), ""; year < 1 {
+				year, end = 1-year, " BC"
+			}
+			zone = "+05:30"
+		}
+		return fmt.Appendf(nil, "%04d-%s%s%s", year, x.Format("01-02 15:04:05.999999"), zone, end)
+	case []byte:
+		switch {
+		case binaryForm:
+			return append([]byte{}, x...)
+		case c.Type == UUID:
+			return fmt.Appendf(nil, "%x-%x-%x-%x-%x", x[:4], x[4:6], x[6:8], x[8:10], x[10:])
+		}
+		return fmt.Appendf(nil, `\x%x`, x)
+	}
+	return nil
+}
+
+func drawnOrder(t *rapid.T) Order {
+	o := Order{Own: rapid.IntRange(1, 3).Draw(t, "columns")}
+	for range o.Own {
+		o.Columns = append(o.Columns, Column{Name: "c", Type: Type(rapid.IntRange(0, int(types)-1).Draw(t, "type")), Desc: rapid.Bool().Draw(t, "desc"),
+			NullsFirst: rapid.Bool().Draw(t, "nulls first")})
+	}
+	o.Columns = append(o.Columns, Column{Name: "id", Type: Int})
+	return o
+}
+
+// TestKeys: keys compare as values do at the servers, in both forms of the wire, and a key gives its values back.
+func TestKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawnOrder(t).Columns[0]
+		a, b := drawn(t, &c), drawn(t, &c)
+		var keys [][]byte
+		for _, v := range []datum{a, b} {
+			form := rapid.Bool().Draw(t, "binary")
+			k, err := c.Append(nil, wire(&c, v, form), form)
+			if err != nil {
+				t.Fatalf("%v: %v", v, err)
+			}
+			keys = append(keys, k)
+			o := Order{Columns: []Column{c}, Own: 1}
+			back, err := o.Values(k)
+			if err != nil || back[0].Null != (v == nil) {
+				t.Fatalf("%v came back as %v, %v", v, back, err)
+			}
+			if again, err := c.Append(nil, back[0].Text, false); v != nil && (err != nil || !bytes.Equal(again, k)) {
+				t.Fatalf("%v came back as %q: %x, was %x, %v", v, back[0].Text, again, k, err)
+			}
+		}
+		if got, want := bytes.Compare(keys[0], keys[1]), before(&c, a, b); got != want {
+			t.Fatalf("%v and %v of %+v compare as %d, not %d: %x %x", a, b, c, got, want, keys[0], keys[1])
+		}
+	})
+}
+
+// row is one of a drawn shard.
+type row struct {
+	vals  []datum
+	shard int
+	text  string
+}
+
+// TestMerge: what comes out is what a plain sort makes of all rows, however they come in, and what is held stays within its bound.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := drawnOrder(t)
+		n, window := rapid.IntRange(1, 6).Draw(t, "shards"), rapid.IntRange(1, 300).Draw(t, "window")
+		less := func(a, b row) int {
+			for i := range o.Own {
+				if c := before(&o.Columns[i], a.vals[i], b.vals[i]); c != 0 {
+					return c
+				}
+			}
+			return cmp.Or(cmp.Compare(a.shard, b.shard), before(&o.Columns[o.Own], a.vals[o.Own], b.vals[o.Own]))
+		}
+		shards, all, most := make([][]row, n), []row(nil), 0
+		for i := range n {
+			for k := range rapid.IntRange(0, 12).Draw(t, "rows") {
+				r := row{shard: i, text: fmt.Sprint(i, "/", k)}
+				for c := range o.Own {
+					r.vals = append(r.vals, drawn(t, &o.Columns[c]))
+				}
+				r.vals = append(r.vals, int64(k))
+				shards[i] = append(shards[i], r)
+			}
+			slices.SortFunc(shards[i], less)
+			all = append(all, shards[i]...)
+		}
+		slices.SortFunc(all, less)
+		m, got := New(n, window), []string(nil)
+		take := func() {
+			for {
+				_, _, _, text, ok := m.Next()
+				if !ok {
+					return
+				}
+				got = append(got, string(text))
+			}
+		}
+		for left := n; left > 0; {
+			i := rapid.IntRange(0, n-1).Draw(t, "next")
+			switch {
+			case !m.shards[i].open:
+				continue
+			case len(shards[i]) == 0:
+				m.End(i)
+				left--
+				continue
+			case m.Full(i):
+				if take(); m.Full(i) && !slices.ContainsFunc(m.shards, func(s shard) bool { return s.open && s.empty() }) {
+					t.Fatal("nothing comes out, and nothing more may come in")
+				}
+				continue
+			}
+			r := shards[i][0]
+			shards[i] = shards[i][1:]
+			key, own := []byte(nil), 0
+			for c := range o.Columns {
+				if c == o.Own {
+					own = len(key)
+				}
+				form := rapid.Bool().Draw(t, "binary")
+				key, _ = o.Columns[c].Append(key, wire(&o.Columns[c], r.vals[c], form), form)
+			}
+			if err := m.Add(i, key, own, []byte(r.text)); err != nil {
+				t.Fatal(err)
+			}
+			if most = max(most, len(key)+len(r.text)); m.Held() > Most(n, window, most) {
+				t.Fatalf("%d bytes are held of %d", m.Held(), Most(n, window, most))
+			}
+			if rapid.Bool().Draw(t, "take") {
+				take()
+			}
+		}
+		take()
+		var want []string
+		for _, r := range all {
+			want = append(want, r.text)
+		}
+		if !slices.Equal(got, want) || !m.Done() || m.Held() != 0 {
+			t.Fatalf("got %v\nwant %v, done %v, %d held", got, want, m.Done(), m.Held())
+		}
+	})
+}
+
+// TestDisorder: a shard whose row is not behind the one before is caught, whether that row is still here or not.
+func TestDisorder(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		m := New(1, 100)
+		if err := m.Add(0, []byte{5, 1}, 1, nil); err != nil {
+			t.Fatal(err)
+		}
+		if taken {
+			m.Next()
+		}
+		for _, key := range [][]byte{{4, 9}, {5, 1}, {5, 0}} {
+			if err := m.Add(0, key, 1, nil); !errors.Is(err, ErrOrder) {
+				t.Errorf("%v: %v", key, err)
+			}
+		}
+		m.End(0)
+		if err := m.Add(0, []byte{6, 1}, 1, nil); !errors.Is(err, ErrOrder) {
+			t.Errorf("behind its end: %v", err)
+		}
+	}
+}
+
+// TestNoValue: what is not of its type is an error, in both forms.
+func TestNoValue(t *testing.T) {
+	for typ, list := range map[Type][]string{Int: {"", "-", "1.5", "9223372036854775808", "+1", "99999999999999999999"}, Float: {"", "x", "0x1p4", "1_0", "inf"},
+		Bytea: {"", "abc", `\x1`, `\xgg`}, Timestamp: {"", "2026-13-01 00:00:00", "01/02/2026 00:00:00", "2026-01-01", "2026-01-01 00:00:00+00", "2026-01-01 00:00:00 AD"},
+		Instant: {"2026-01-01 00:00:00", "2026-01-01 00:00:00 CET"}, UUID: {"", "0", "6ba7b810-9dad-11d1-80b4-00c04fd430c", "6ba7b810-9dad-11d1-80b4-00c04fd430c8ff"}} {
+		c := Column{Name: "c", Type: typ}
+		for _, s := range list {
+			if _, err := c.Append(nil, []byte(s), false); !errors.Is(err, ErrValue) {
+				t.Errorf("%s %q: %v", typ, s, err)
+			}
+		}
+		if _, err := c.Append(nil, []byte{1, 2, 3}, true); typ != Bytea && !errors.Is(err, ErrValue) {
+			t.Errorf("%s of three bytes: %v", typ, err)
+		}
+	}
+}
+
+// FuzzKey: no key from outside has Values do worse than an error, and one that is taken gives itself again.
+func FuzzKey(f *testing.F) {
+	f.Add([]byte{2, 1, 2, 3, 4, 5, 6, 7, 8}, byte(0), false)
+	f.Add([]byte{2, 'a', 0, 1}, byte(2), false)
+	f.Fuzz(func(t *testing.T, key []byte, typ byte, desc bool) {
+		c := Column{Type: Type(typ % byte(types)), Desc: desc}
+		o := Order{Columns: []Column{c}, Own: 1}
+		vals, err := o.Values(key)
+		if err != nil || len(vals) == 0 || vals[0].Null || c.Type == Float || c.Type == Timestamp || c.Type == Instant {
+			return // of times and numbers not all bits are ones
+		}
+		again, err := c.Append(nil, vals[0].Text, false)
+		if err != nil || !bytes.Equal(again, key) {
+			t.Errorf("%x came back as %q: %x, %v", key, vals[0].Text, again, err)
+		}
+	})
+}
+
+// BenchmarkMerge is a row's way through the merge: its key from the wire, in, and out.
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range []int{1, 4, 16, 64} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			o := Order{Columns: []Column{{Type: Instant, Desc: true}, {Type: Int}}, Own: 1}
+			m, text := New(n, 1<<16), bytes.Repeat([]byte("x"), 100)
+			var key, at, id []byte
+			count := int64(0)
+			add := func(i int) {
+				count++
+				at = binary.BigEndian.AppendUint64(at[:0], uint64(-count/3))
+				id = binary.BigEndian.AppendUint64(id[:0], uint64(count))
+				key, _ = o.Columns[0].Append(key[:0], at, true)
+				own := len(key)
+				key, _ = o.Columns[1].Append(key, id, true)
+				if err := m.Add(i, key, own, text); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for i := range n {
+				for range 8 {
+					add(i)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				i, _, _, _, ok := m.Next()
+				if !ok {
+					b.Fatal("no row")
+				}
+				add(i)
+			}
+		})
+	}
+}
+
+// TestNoAllocation: a row costs no allocation once buffers have their size.
+func TestNoAllocation(t *testing.T) {
+	m, key, text := New(2, 1<<16), make([]byte, 8), make([]byte, 100)
+	count := uint64(0)
+	step := func() {
+		for i := range 2 {
+			count++
+			binary.BigEndian.PutUint64(key, count)
+			_ = m.Add(i, key, 8, text)
+		}
+		for range 2 {
+			m.Next()
+		}
+	}
+	if n := testing.AllocsPerRun(1000, step); n != 0 {
+		t.Errorf("%v allocations for two rows", n)
+	}
+}
