--- /dev/null
+++ b/internal/decide/ration.go
@@ -0,0 +1,41 @@
+package decide
+
+// What is rationed: what a cold server may be sent, and what tenants are let in with.
+
+// warmth is the part of its capacity that a store can be counted on for.
+func (r *Router) warmth(s *store) float64 {
+	age := r.now - s.coldFrom
+	if r.set.ColdTime <= 0 || age >= r.set.ColdTime {
+		return 1
+	}
+	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
+}
+
+// coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
+// Where that is less than a request, chance lets through what all together may send of what they are asked
+// for: buckets would hold credit where nothing is asked, and writes would wait at an idle cold primary.
+func (r *Router) coldRoom(s *store, q *request) bool {
+	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
+		return true
+	}
+	part := coldMargin * r.set.FallMultiple * r.rateOf(s) * width * r.set.ColdPart / float64(r.set.Processes)
+	depth := part/2*r.set.FallSpan.Seconds() - q.work()
+	if depth < 0 {
+		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
+	}
+	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
+	s.coldSpentAt = r.now
+	return s.coldSpent <= depth
+}
+
+// fill brings a tenant's bucket up to now: a second of this part, as clumps are no excess, or as was told.
+func (r *Router) fill(i int) *tenant {
+	t, a := &r.tenants[i], r.set.Tenants[i]
+	if !a.Told {
+		a.Own = a.Allowance / float64(r.set.Siblings)
+		a.Depth = max(a.Own, tenantDepth)
+	}
+	t.tokens = min(a.Depth, t.tokens+a.Own*(r.now-t.at).Seconds())
+	t.at, t.rate = r.now, a.Own
+	return t
+}
