Check invariants by (invariants) in the operators' settings, and in each process of a rehearsal

Need: statements about state are to be checked in serving daemons where operators want it, and fail every play.

Change: (invariants) has the module and the loop's deadlines checked; a breach is logged once for each name with its state and counted in app.invariants.broken, and stops nothing. Rehearsals switch it on in each process and read the logs, so every story of several processes is held to it. Deadlines and slots have their statements, drawn by rapid, and mutants that each of them sees.

--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -41,7 +41,7 @@
 		t.Errorf("the clients saw %+v", b)
 		break
 	}
-	for _, rule := range append(more, check.ViewAccurate, check.ViewSending, check.OneAnswer) {
+	for _, rule := range append(more, check.ViewAccurate, check.ViewSending, check.OneAnswer, check.Invariant) {
 		if res.Rules.Checked[rule] == 0 {
 			t.Errorf("%q was never put to the test", rule)
 		}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -102,6 +102,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "membership: by the platform's discovery")
 					}
+					if i := set.Invariants; i.On {
+						fmt.Fprintf(c.Root().Writer, "invariants: checked, a walk each %d changes\n", i.Every)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "invariants: off")
+					}
 					return nil
 				},
 			},
@@ -200,6 +205,8 @@
 		set.ClickHouse.AddClasses(next)
 		return next, nil
 	}
+	p.useInvariants(set.Invariants)
+	defer p.saidInvariants()
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -16,6 +16,7 @@
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
 	"beechgrade/internal/handover"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/loop"
@@ -70,6 +71,8 @@
 
 	journal *journal.Journal // nil where it is off
 
+	checks *invariant.Checks // nil where they are off
+
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
 	life       lifecycle.Machine
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,6 +103,10 @@
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int               // events for one walk
+	walks  int
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -132,9 +136,10 @@
 }
 
 // Check has the invariants of the core and of the router checked, from the beginning on.
-func (c *Core) Check(x *invariant.Checks) { c.router.Watch(x, walkEach) }
-
-const walkEach = 64 // events for one walk over all of the router's state
+func (c *Core) Check(x *invariant.Checks, every int) {
+	c.checks, c.every = x, every
+	c.router.Watch(x, every)
+}
 
 // Meter is told when the decision module begins and ends its work.
 type Meter interface {
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -33,6 +33,9 @@
 // startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
 const startMs = 1.7e12
 
+// walkEach is how many events there are for one walk over a pooler's state that checks its invariants.
+const walkEach = 64
+
 // tailMs bounds what comes behind the last ask.
 const tailMs = 60000
 
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -114,7 +114,7 @@
 	}
 	p.conns, p.most, p.idleMs, p.wear = 0, serverConns(cfg.Limits.Sockets), idlePart*cfg.IdleMs, wear.New()
 	p.core = core.New(lifeLoop{p, p.life}, slog.New(slog.DiscardHandler), cfg)
-	p.core.Check(e.checks)
+	p.core.Check(e.checks, walkEach)
 	if e.opt.Meter {
 		p.core.Meter(&meter{e: e})
 	}
--- /dev/null
+++ b/internal/kit/rehearse/invariants.go
@@ -0,0 +1,50 @@
+package rehearse
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+
+	"beechgrade/internal/kit/check"
+)
+
+// withInvariants is what each daemon is told of statements about its own state: they are checked.
+const withInvariants = "(invariants)\n"
+
+var (
+	brokenLine = regexp.MustCompile(`msg="invariant broken".*? name="(.*?[^\\])" state=(.*)`)
+	madeLine   = regexp.MustCompile(`msg=invariants .*?made=(\d+) broken=(\d+)`)
+)
+
+// invariants adds to a verdict what the daemons' logs tell of statements about their own state.
+func (r *Run) invariants(v *check.Verdict) error {
+	for _, p := range r.poolers {
+		if err := p.invariants(v, r.clk.Now()); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+	}
+	return nil
+}
+
+func (p *pooler) invariants(v *check.Verdict, at float64) error {
+	f, err := os.Open(p.file("log.txt"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if m := brokenLine.FindStringSubmatch(lines.Text()); m != nil {
+			v.Broken[check.Invariant]++
+			v.Breaches = append(v.Breaches, check.Breach{Rule: check.Invariant, At: at, Server: -1, Text: p.name + ": " + m[1] + ": " + m[2]})
+		}
+		if m := madeLine.FindStringSubmatch(lines.Text()); m != nil {
+			n, _ := strconv.ParseUint(m[1], 10, 64) // digits, as the expression has it
+			v.Checked[check.Invariant] += n
+		}
+	}
+	return lines.Err()
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -256,6 +256,9 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	if err := r.invariants(res.Rules); err != nil {
+		return nil, err
+	}
 	for i, s := range r.wires.stood {
 		res.Stood = append(res.Stood, Stood{r.poolers[i].name, s[0], s[1]})
 	}
@@ -473,7 +476,7 @@
 			peers += p.limits.String()
 		}
 	}
-	operators := peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
+	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
 	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -18,6 +18,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/invariant"
 )
 
 // Handler is told of one connection. Data is valid during the call only.
@@ -200,6 +201,8 @@
 
 	// Ready, if it is set before Run, runs on the loop once it serves and its connection to itself has gone.
 	Ready func()
+	// Between, if it is set before Run, runs on the loop after each callback, once what was due then has run.
+	Between func()
 
 	clk    clock.Clock
 	log    *slog.Logger
@@ -214,6 +217,7 @@
 	el     gnet.EventLoop
 	heap   deadline.Heap
 	wake   *time.Timer
+	walks  int
 	armd   float64 // time for which wake is set, 0 for none
 
 	depth int // callbacks that run inside each other: a close within a write, say
@@ -513,6 +517,9 @@
 // turn runs what is due and sets the wake-up for what comes next.
 func (l *Loop) turn() {
 	l.heap.Run(l.clk.Now())
+	if l.Between != nil {
+		l.Between()
+	}
 	at, ok := l.heap.Next()
 	if !ok || l.armd != 0 && l.armd <= at {
 		return
@@ -526,6 +533,11 @@
 	l.wake.Reset(d)
 }
 
+// Check has the order of deadlines checked, once in so many calls.
+func (l *Loop) Check(c *invariant.Checks, every int) {
+	c.Walk(&l.walks, every, "deadlines: the walk", l.heap.Check)
+}
+
 // gnetLog passes gnet's log lines on.
 type gnetLog struct{ log *slog.Logger }
 
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,6 +19,7 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Invariants Invariants
 }
 
 // Record says whether and where the pooler records what it does.
@@ -66,6 +67,7 @@
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
 		"pooling":      s.Pooling.read,
+		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
--- /dev/null
+++ b/internal/slots/invariants_test.go
@@ -0,0 +1,68 @@
+package slots
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
+)
+
+// TestInvariants: whatever is put and dropped in any order, no slot leaks, none is used twice, and each ref finds its own or nothing.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tab Table[int]
+		var refs []Ref
+		c, in := invariant.Test(t), map[Ref]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(*rapid.T) {
+				r := tab.Put(len(refs))
+				refs, in[r] = append(refs, r), len(refs)
+			},
+			"drop": func(t *rapid.T) {
+				if len(refs) > 0 {
+					r := rapid.SampledFrom(refs).Draw(t, "ref")
+					tab.Drop(r)
+					delete(in, r)
+				}
+			},
+			"": func(t *rapid.T) {
+				tab.Check(c, "table")
+				for _, r := range refs {
+					v, ok := tab.Get(r)
+					if x, is := in[r]; ok != is || is && v != x {
+						t.Errorf("%v: %v, %v; put was %v, %v", r, v, ok, x, is)
+					}
+				}
+				if tab.Len() != len(in) {
+					t.Errorf("%d in use, %d put", tab.Len(), len(in))
+				}
+			},
+		})
+	})
+}
+
+// TestMutants: each statement is seen to break.
+func TestMutants(t *testing.T) {
+	for _, m := range []struct {
+		name string
+		poke func(*Table[int])
+	}{
+		{"table: a slot that is free is not in use, and free once", func(t *Table[int]) { t.free = append(t.free, t.free[0]) }},
+		{"table: a slot that is free is not in use, and free once", func(t *Table[int]) { t.free[0] = 0 }},
+		{"table: no slot leaks", func(t *Table[int]) { t.free = t.free[:0] }},
+		{"table: no slot leaks", func(t *Table[int]) { t.used++ }},
+	} {
+		var tab Table[int]
+		tab.Put(1)
+		tab.Drop(tab.Put(2))
+		c := invariant.New(nil)
+		if tab.Check(c, "table"); len(c.Broken()) > 0 {
+			t.Errorf("without: %v", c.Broken())
+		}
+		m.poke(&tab)
+		if tab.Check(c, "table"); len(c.Broken()) == 0 || c.Broken()[0].Name != m.name {
+			t.Errorf("%q: %v", m.name, c.Broken())
+		}
+	}
+}
