Count a server's word as old as it is when it waited while the pooler stood still

Read for ways by which a read could meet data that is older than its class allows. Positions are Unix times that servers tell, so waiting does not make one younger; what did become younger was the word of a primary. learn took role and placedAt as of the moment of reading: an answer from before a stop of 3 s, read behind the first request after it, made a replaced primary fit for that request (unit test: sent to p). Mended, each with a test that fails without:

- a word that took over 100 ms counts from the server's position in it, or from when it was asked, not from now;
- a read that has waited, or is sent again, is no more fit for a primary heard after its arrival but before its bound;
- a read with a bound is not written any more once what was known of its server no longer suffices: its attempt may wait for a connection, or its process may stand still (Action.By, so far for keyed writes only);
- a session's commit that lies ahead of this clock (by a step) is waited for; it counted as one that every position covers up to now;
- where poolers remember commits, a write answered without a position counts as committed by now; it was forgotten.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -365,8 +365,8 @@
 	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
-		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
-		e.SinceOwn = max(1, now-clock.Span(q.After))
+		// A commit is rounded up and so may lie ahead of the clock, or far ahead where a clock was set; 0 would stand for none.
+		e.SinceOwn = cmp.Or(now-clock.Span(q.After), 1)
 	}
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
--- /dev/null
+++ b/internal/decide/age_test.go
@@ -0,0 +1,89 @@
+package decide
+
+import "testing"
+
+// leads is what a server says of itself that is the primary.
+func leads(at Time) Report { return Report{Role: RolePrimary, Position: at, HasPosition: true} }
+
+// TestAnswersThatWaited: a router stood still, and the primary was replaced meanwhile. What the old one said before that waits in the
+// process's sockets and is read after the first request that comes: it is as old as it is, not news.
+func TestAnswersThatWaited(t *testing.T) {
+	for _, class := range []int{cBounded, cSession} {
+		g := trio(t, nil)
+		g.now += 400 * ms
+		g.ask("old", cWrite)
+		g.wantSend(g.out, "old", "p")
+		g.now += 10 * ms
+		probed := g.r.stores["p"]
+		probed.probing, probed.probeAt = true, g.now
+		said := g.now
+		g.now += 3 * time3 // it stood still
+		g.do(&Request{ID: "1", Class: class, Due: g.now + 2*time3, SinceOwn: 1})
+		g.wantNone(Send, g.out)
+		g.wantNone(Send, g.do(&Outcome{ID: "old", Store: "p", Result: OK, Final: true, Told: leads(said)}))
+		g.wantNone(Send, g.do(&ProbeResult{Store: "p", Load: leads(said)}))
+		g.wantNone(Send, g.pass(100*ms))
+		if got := g.r.stores["p"].roleAt; got > said {
+			t.Errorf("its word of %v counts as of %v", said, got)
+		}
+	}
+}
+
+const time3 = 1000 * ms
+
+// TestOldWordOfAnOldRequest: a read that has waited for longer than its bound is not sent by a word that came soon after it.
+func TestOldWordOfAnOldRequest(t *testing.T) {
+	g := newRig(t, testSettings(), Entry{Store: "p", Size: 1})
+	g.report("p", RolePrimary, g.now)
+	g.now += 2 * time3
+	g.wantNone(Send, g.ask("1", cBounded))
+	g.wantSend(append(g.report("p", RolePrimary, g.now-100*ms), g.pass(40*ms)...), "1", "p")
+	g.now += 1200 * ms // its connection never came up; meanwhile another took over
+	g.wantNone(Send, append(g.do(&Outcome{ID: "1", Store: "p", Result: Skipped}), g.pass(beat)...))
+}
+
+// TestReadIsWrittenInTime: what is known of a server suffices for a read up to a time, and it may wait for a connection for no longer.
+func TestReadIsWrittenInTime(t *testing.T) {
+	g := trio(t, nil)
+	g.now += 100 * ms
+	g.wantSend(g.ask("1", cBounded), "1", "")
+	if by, want := g.out[0].By, start+300*ms+1; by != want { // later than that it is too late
+		t.Errorf("by %v, want %v", by-start, want-start)
+	}
+	g.ask("2", cAny)
+	if a := of(Send, g.out)[0]; a.By < never2 {
+		t.Errorf("any read has an end: %v", a.By)
+	}
+	g.do(&Request{ID: "3", Class: cSession, Due: g.now + time3, SinceOwn: 50 * ms})
+	if got := of(Send, g.out); len(got) > 0 && got[0].By < never2 {
+		t.Errorf("a session's read has an end: %v", got[0].By)
+	}
+}
+
+const never2 = 1 << 62
+
+// TestCommitAhead: a commit may lie ahead of this clock, where a server's is fast or was set. What a replica had by now is not enough.
+func TestCommitAhead(t *testing.T) {
+	g := trio(t, nil)
+	g.now += 10 * ms
+	g.do(&Request{ID: "1", Class: cSession, Due: g.now + time3, SinceOwn: -40 * ms})
+	g.report("a", RoleReplica, g.now)
+	g.now += 10 * ms
+	for _, a := range of(Send, append(g.report("a", RoleReplica, g.now), g.pass(beat)...)) {
+		t.Errorf("sent to %s, which is known not to have it", a.Store)
+	}
+	g.now += 40 * ms
+	g.wantSend(append(g.report("a", RoleReplica, g.now), g.pass(40*ms)...), "1", "a")
+}
+
+// TestWriteWithoutAPosition: a session's write whose answer told no position was committed by now at the latest.
+func TestWriteWithoutAPosition(t *testing.T) {
+	g := trio(t, func(s *Settings) { s.KeptTokens = true })
+	g.do(&Request{ID: "w", Class: cWrite, Session: "s", Due: g.now + time3})
+	g.now += 50 * ms
+	g.do(&Outcome{ID: "w", Store: "p", Result: OK, Final: true})
+	g.do(&Request{ID: "r", Class: cSession, Session: "s", Due: g.now + time3})
+	for _, a := range of(Send, g.out) {
+		t.Errorf("sent to %s", a.Store)
+	}
+}
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -129,7 +129,7 @@
 	Tenant   int
 	Due      Time // the client gives this try up
 	Session  string
-	SinceOwn time.Duration // session reads: time since the session's last commit, 0 for none
+	SinceOwn time.Duration // session reads: time since the session's last commit, below 0 for one that lies ahead of this clock, 0 for none
 	Work     time.Duration // expected work on a standard core, 0 if unknown
 	Repeat   bool          // the client has asked before
 	RanAt    Time          // another request with its key may have run, first sent then; 0 for none
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -20,8 +20,12 @@
 	q := a.req
 	r.countLost(s, a, e.Result)
 	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
-	r.learn(s, e.Told, r.now)
-	r.learn(s, e.Load, e.Load.Position)
+	at := r.now
+	if e.Told.Role == RolePrimary { // that it no longer is one counts from now on
+		at = r.said(e.Told, a.sent)
+	}
+	r.learn(s, e.Told, at, a.sent)
+	r.learn(s, e.Load, e.Load.Position, a.sent)
 	switch e.Result {
 	case OK:
 		c := q.class
@@ -48,8 +52,12 @@
 			o.passed++
 		}
 		r.alive(s, a)
-		if q.class.Read == Write && r.set.KeptTokens && e.Told.HasPosition {
-			r.remember(q.session, e.Told.Position)
+		if q.class.Read == Write && r.set.KeptTokens {
+			at := r.now // by then it was committed
+			if e.Told.HasPosition {
+				at = e.Told.Position
+			}
+			r.remember(q.session, at)
 		}
 	case Missed:
 		r.alive(s, a)
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -42,7 +42,8 @@
 	}
 	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
 	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
+	// An old request is not young for that: a bound counts at each send.
+	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived && (s.placedAt >= need || q.class.Read != ReadBounded) || !r.set.MayProbe)
 	if need == never || leads || s.position >= need {
 		return true, true
 	}
@@ -50,6 +51,21 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// youngUntil is until when what is known of a store suffices for a read with a bound, which counts from when it has been written: it
+// may wait for a connection, or its process may stand still, while the store falls behind.
+func (r *Router) youngUntil(s *store, q *request) Time {
+	if q.class.Read != ReadBounded || s == r.primary(q.group) && !r.set.MayProbe {
+		return math.MaxInt64
+	}
+	as := s.position
+	if s == r.primary(q.group) {
+		if as = max(as, s.roleAt); s.placedAt >= q.arrived {
+			as = max(as, s.placedAt)
+		}
+	}
+	return as + q.class.Bound + 1 // when it is not so any more
+}
+
 // primary is the group's primary by the latest evidence, or nil while none is known.
 func (r *Router) primary(g *group) *store {
 	var best *store
@@ -160,6 +176,6 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: q.sendBy - r.set.Tick})
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: min(q.sendBy-r.set.Tick, r.youngUntil(s, q))})
 	return true
 }
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -75,10 +75,22 @@
 	return true
 }
 
-// learn takes a role and a position; at is the time of the role's evidence.
-func (r *Router) learn(s *store, t Report, at Time) {
+// said is as of when a store said what comes now in answer to what was asked then. Mostly that is now; what has been long on its way may
+// have waited here, while this router stood still. A primary's position is the time, and no answer is older than what it answers.
+func (r *Router) said(t Report, asked Time) Time {
+	if r.now-asked <= stall {
+		return r.now
+	}
+	if t.HasPosition {
+		asked = max(asked, min(t.Position, r.now))
+	}
+	return asked
+}
+
+// learn takes a role and a position, of an answer to what was asked then; at is the time of the role's evidence.
+func (r *Router) learn(s *store, t Report, at, asked Time) {
 	if t.HasPosition {
-		s.placedAt = r.now
+		s.placedAt = max(s.placedAt, r.said(t, asked))
 	}
 	if t.HasPosition && t.Position > s.position && t.Position <= r.now {
 		if s.position != never && r.now-s.positionAt > 0 {
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -63,7 +63,10 @@
 	if s == nil {
 		return
 	}
-	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
+	asked, slow := r.now, s.probing && r.wayTook(s, r.now-s.probeAt)
+	if s.probing {
+		asked = s.probeAt
+	}
 	s.probing = false
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
 		return // an answer that tells nothing: it neither takes a store out nor back
@@ -78,7 +81,7 @@
 		return
 	}
 	s.probeFails = 0
-	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
+	r.learn(s, e.Load, e.Load.Position, asked) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
 		r.well(s)
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -36,7 +36,7 @@
 			if q.need = t; !ok {
 				q.need = r.forgotten
 			}
-		} else if e.SinceOwn > 0 {
+		} else if e.SinceOwn != 0 {
 			q.need = r.now - e.SinceOwn
 		}
 	}
--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -211,3 +211,19 @@
 		}
 	}
 }
+
+// TestStalledPoolers: poolers stand still and wake while primaries are replaced and replicas fall behind; what waited in their sockets
+// is no news, and no read is staler than it may be.
+func TestStalledPoolers(t *testing.T) {
+	s := load(t, "stalled-poolers")
+	for seed := range uint64(4) {
+		r := play(t, s, Options{Seed: seed})
+		for _, b := range r.Verdict.Breaches {
+			t.Errorf("seed %d: %s: %s\n%+v", seed, b.Rule, b.Text, b.Proof)
+			break
+		}
+		if r.Verdict.Checked[check.NotStale] < 1000 {
+			t.Errorf("seed %d: %d reads were held to an age", seed, r.Verdict.Checked[check.NotStale])
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -268,7 +268,7 @@
 		case "session":
 			e.Session = string(f.val)
 		case "token_ms":
-			e.SinceOwn = time.Duration(f.float() * float64(time.Millisecond))
+			e.SinceOwn = max(0, time.Duration(f.float()*float64(time.Millisecond)))
 		case "expected_ns":
 			work = f.duration()
 		case "options":
