--- a/internal/membership/discovery/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -13,9 +14,13 @@
 )
 
 // silentMs is how long a call may bring nothing: a watch shows a sign of life every 2 s. A machine that
-// vanished, or a connection forgotten on the way, closes nothing.
+// vanished, or a connection forgotten on the way, closes nothing. What a silent watch misses counts as told 6 s after it
+// fell silent: one is found so within 2.5 s, asked for anew at once, and if that is silent too, once more in time. A list may take
+// as long from its first byte to its last, lest signs of life keep one alive that broke off.
 const silentMs = 2500
 
+var errSilent = errors.New("silent for too long")
+
 // maxInstances bounds a list: more than that is no group of servers but a fault.
 const maxInstances = 10000
 
@@ -150,7 +155,8 @@
 	conn   *loop.Conn
 	reply  reply
 	timer  *deadline.Timer
-	told   bool // a call that is not a watch has had its list
+	begun  float64 // a list that is not whole began then, 0 for none
+	told   bool    // a call that is not a watch has had its list
 	over   bool
 }
 
@@ -165,7 +171,13 @@
 func (k *call) alive() {
 	l := k.client.loop
 	l.Stop(k.timer)
-	k.timer = l.At(l.Now()+silentMs, func() { k.end(errors.New("silent for too long")) })
+	k.timer = l.At(l.Now()+silentMs, func() { k.end(errSilent) })
+}
+
+// silent tells whether a call ended as nothing came: on it, or in answer to the wish for a connection.
+func silent(err error) bool {
+	var ne net.Error
+	return errors.Is(err, errSilent) || errors.As(err, &ne) && ne.Timeout()
 }
 
 // end ends the call; an error, or the end of a watch, is told as a failure.
@@ -188,9 +200,14 @@
 	}
 	if err != nil && wanted {
 		c.log.Info("discovery", "call", k.path, "err", err)
-		if c.pushed && k.watch {
+		switch {
+		case c.pushed && k.watch:
 			c.repush(c.loop.Now() - k.from)
 			return
+		case k.watch && silent(err): // it is broken, and what it misses counts before a turn of one's own may come
+			c.ahead = false
+			c.Watch()
+			return
 		}
 		c.events.ListFailed()
 	}
@@ -214,6 +231,14 @@
 	}
 	k.alive()
 	err := k.reply.feed(b, k.line)
+	switch now := k.client.loop.Now(); {
+	case k.over || !k.reply.begun():
+		k.begun = 0
+	case k.begun == 0:
+		k.begun = now
+	case now-k.begun >= silentMs:
+		err = errSilent
+	}
 	switch {
 	case err != nil:
 		k.end(err)
