--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -3,14 +3,14 @@
 // Which servers are taken out, and come back.
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // alive notes an answer to an attempt. One sent before the store was found bad shows only that it lived.
 func (r *Router) alive(s *store, a *attempt) {
-	s.answered = r.now
-	if a.sent >= s.badAt || s.refusedSince == 0 {
+	if s.answered = r.now; a.sent >= s.badAt || s.refusedSince == 0 {
 		r.well(s)
 	} else {
 		s.refusedSince = r.now
@@ -39,9 +39,7 @@
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
 	}
-	if s.refusedSince == 0 {
-		s.refusedSince = r.now
-	}
+	s.refusedSince = cmp.Or(s.refusedSince, r.now)
 }
 
 // silent tells whether a store left requests unanswered for longer than chance explains. Probes do not count.
@@ -53,8 +51,7 @@
 		}
 	}
 	load, _ := r.load(s)
-	turn := longest / (r.rateOf(s) * share(load))
-	limit := turn*(silentTurns+silentJobs/min(width, n)) + r.way(s)
+	limit := longest/(r.rateOf(s)*share(load))*(silentTurns+silentJobs/min(width, n)) + r.way(s)
 	return n > 0 && (r.now-max(s.answered, first)).Seconds() > limit
 }
 
@@ -68,16 +65,16 @@
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
 		return // an answer that tells nothing: it neither takes a store out nor back
 	}
-	if e.Result != OK {
-		s.probeFails++
-		if e.Result == Unreachable || e.Result == Reset {
-			r.refused(s)
-		} else {
-			r.bad(s)
-		}
+	if s.probeFails++; e.Result == Unreachable || e.Result == Reset {
+		r.refused(s)
 		return
+	} else if e.Result != OK {
+		r.bad(s)
+		return
+	}
+	if s.probeFails = 0; e.Load.Role == RolePrimary { // any other answer is no word that it leads
+		s.askedAt = s.probeAt
 	}
-	s.probeFails, s.askedAt = 0, s.probeAt
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -319,3 +319,11 @@
 		return true
 	})
 }
+
+// position is the one that was told, or else this.
+func (t *Report) position(or Time) Time {
+	if t.HasPosition {
+		return t.Position
+	}
+	return or
+}
