Decide one scattered read: whom to ask, what is next, and its one answer

A page is shed as a whole before anything is sent, a shard that dies is asked again from behind its last row at a position that qualifies, and a place is worded for a shard without knowing SQL: two marks in the client's statement, and parameters behind its own.

The statements are worked on by a stand-in that reads them.

--- a/internal/fronts/scatter/merge/merge.go
+++ b/internal/fronts/scatter/merge/merge.go
@@ -125,7 +125,7 @@
 // Done tells whether all rows of all shards are out.
 func (m *Merge) Done() bool { return m.lacking == 0 && len(m.ready.order) == 0 }
 
-// Next is the next row in order, with its shard and key, valid until the next call; false while a shard's row is yet to come, or there
+// Next is the next row in order, with its shard and key, valid until the next Add; false while a shard's row is yet to come, or there
 // are no more.
 func (m *Merge) Next() (i int, key []byte, own int, row []byte, ok bool) {
 	if m.lacking > 0 || len(m.ready.order) == 0 {
--- a/internal/fronts/scatter/merge/order.go
+++ b/internal/fronts/scatter/merge/order.go
@@ -73,7 +73,8 @@
 
 // Column is one of an order.
 type Column struct {
-	Name       string
+	Name       string // in the rows
+	Expr       string // in the statement
 	Type       Type
 	Desc       bool
 	NullsFirst bool
--- /dev/null
+++ b/internal/fronts/scatter/plan/plan_test.go
@@ -0,0 +1,90 @@
+package plan
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"beechgrade/internal/fronts/scatter/cursor"
+	"beechgrade/internal/fronts/scatter/merge"
+)
+
+const body = "SELECT id, at FROM orders WHERE site = $1 /*after*/ /*order*/ "
+
+// TestRead reads what a comment says, and has one line for each fault.
+func TestRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		sql  string
+		want Asked
+		ok   bool
+		err  error
+	}{
+		"all of it":         {body + "/* scatter=orders, page=50,d=2000.5,t=acme,cursor=AbC_-1 */;", Asked{Scatter: "orders", Page: 50, WaitMs: 2000.5, Tenant: "acme", Cursor: "AbC_-1", Body: body}, true, nil},
+		"a parameter":       {body + "/* scatter=orders,cursor=$2 */", Asked{Scatter: "orders", Cursor: "$2", CursorParam: 2, Body: body}, true, nil},
+		"none":              {"SELECT 1", Asked{}, false, nil},
+		"another's comment": {"SELECT 1 /* id=1,c=a,d=3,cluster=0 */", Asked{}, false, nil},
+		"no marks":          {"SELECT 1 /* scatter=orders */", Asked{}, true, ErrMarks},
+		"a mark twice":      {body + "/*order*/ /* scatter=orders */", Asked{}, true, ErrMarks},
+		"turned round":      {"SELECT 1 /*order*/ /*after*/ /* scatter=orders */", Asked{}, true, ErrMarks},
+		"page of none":      {body + "/* scatter=orders,page=0 */", Asked{}, true, ErrComment},
+		"no wait":           {body + "/* scatter=orders,d=NaN */", Asked{}, true, ErrComment},
+		"no parameter":      {body + "/* scatter=orders,cursor=$x */", Asked{}, true, ErrComment},
+		"twice":             {body + "/* scatter=orders,page=1,page=2 */", Asked{}, true, ErrComment},
+		"an endless name":   {body + "/* scatter=" + strings.Repeat("x", 65) + " */", Asked{}, true, ErrComment},
+	} {
+		got, ok, err := Read(c.sql)
+		if ok != c.ok || !errors.Is(err, c.err) {
+			t.Errorf("%s: %v, %v", name, ok, err)
+		}
+		if diff := cmp.Diff(c.want, got, cmpopts.EquateEmpty()); err == nil && ok && diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+// TestWord: the three ways in which a shard stands to a row, and what NULLs make of them.
+func TestWord(t *testing.T) {
+	o := merge.Order{Columns: []merge.Column{{Name: "at", Type: merge.Int, Desc: true, NullsFirst: true}, {Name: `a"b`, Expr: "o.name", Type: merge.Text}, {Name: "id", Type: merge.Int}}, Own: 2}
+	key := func(vals ...[]byte) cursor.Place {
+		p := cursor.Place{Shard: 1}
+		for i, v := range vals {
+			if i == o.Own {
+				p.Own = len(p.Key)
+			}
+			p.Key, _ = o.Columns[i].Append(p.Key, v, false)
+		}
+		return p
+	}
+	row, null := key([]byte("5"), []byte("x"), []byte("9")), key(nil, nil, []byte("9"))
+	const by = ` ORDER BY "at" DESC NULLS FIRST, o.name COLLATE "C" NULLS LAST, "id" NULLS LAST LIMIT 7`
+	const two = `"at" < $2::int8 OR "at" = $2::int8 AND (o.name COLLATE "C" > $3::text OR o.name COLLATE "C" IS NULL)`
+	for name, c := range map[string]struct {
+		place cursor.Place
+		shard int
+		after string
+		vals  string
+	}{
+		"from the start":           {cursor.Place{}, 0, "", ""},
+		"a shard before the row's": {row, 0, " AND (" + two + ")", "5 x"},
+		"the row's":                {row, 1, " AND (" + two + ` OR "at" = $2::int8 AND o.name COLLATE "C" = $3::text AND ("id" > $4::int8 OR "id" IS NULL))`, "5 x 9"},
+		"a shard behind":           {row, 2, " AND (" + two + ` OR "at" = $2::int8 AND o.name COLLATE "C" = $3::text)`, "5 x"},
+		"nulls":                    {null, 0, ` AND ("at" IS NOT NULL)`, ""},
+		"nulls, behind":            {null, 2, ` AND ("at" IS NOT NULL OR "at" IS NULL AND o.name COLLATE "C" IS NULL)`, ""},
+	} {
+		a := Asked{Body: "SELECT 1 /*after*/ /*order*/"}
+		sql, vals, err := a.Word(&o, &c.place, c.shard, 7, 1)
+		if want := "SELECT 1 " + c.after + " " + by; sql != want || err != nil {
+			t.Errorf("%s: %v\n got %s\nwant %s", name, err, sql, want)
+		}
+		var list []string
+		for _, v := range vals {
+			list = append(list, string(v))
+		}
+		if s := strings.Join(list, " "); s != c.vals {
+			t.Errorf("%s: values %q", name, s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fronts/scatter/run/run_test.go
@@ -0,0 +1,375 @@
+package run
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"beechgrade/internal/fronts/scatter/cursor"
+	"beechgrade/internal/fronts/scatter/merge"
+	"beechgrade/internal/fronts/scatter/plan"
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/kit/standin/sorted"
+)
+
+// stored is a row of a shard, there from one position of its log to another.
+type stored struct {
+	vals      sorted.Row // place, x, name, id
+	from, end float64
+}
+
+// history is one drawn from a seed: shards that change, servers that die, are silent, slow, endless or behind, and clients that page.
+type history struct {
+	t      testing.TB
+	rng    *rand.Rand
+	set    Settings
+	order  merge.Order
+	data   [][]*stored // by shard
+	now    float64
+	still  bool // nothing is written
+	faulty bool
+	nextID int64
+
+	run   *Run
+	pages [][]given
+	tries []*try // by shard, the present one
+	needs []int64
+	held  int // most
+	broke int
+}
+
+type given struct {
+	shard int
+	id    int64
+	vals  sorted.Row
+}
+
+// try is a shard's read at a server.
+type try struct {
+	shard, no int
+	rows      []sorted.Row
+	at        float64 // position that it was read at
+	sent      bool
+	stopped   bool
+	dies      int // before this row, -1 for never
+	silent    bool
+	done      bool
+	need      int64
+	place     cursor.Place
+	limit     int
+}
+
+var table = sorted.Table{"place", "x", "name", "id"}
+
+const word = "SELECT place, x, name, id FROM t WHERE true /*after*/ /*order*/ /* scatter=t */"
+
+func newHistory(t testing.TB, seed uint64) *history {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	h := &history{t: t, rng: rng, now: 1e6, still: rng.IntN(3) == 0, faulty: rng.IntN(3) > 0}
+	n := 1 + rng.IntN(6)
+	h.set = Settings{Shards: n, Window: 1 + rng.IntN(400), MostRow: 200, Silent: 50, Again: 2 + rng.IntN(3), Settle: 5, Spare: 20}
+	if rng.IntN(3) == 0 {
+		h.set.Missing = rng.IntN(n + 1)
+	}
+	cols := []merge.Column{{Name: "place", Type: merge.Int}, {Name: "x", Type: merge.Float}, {Name: "name", Type: merge.Text}}
+	rng.Shuffle(len(cols), func(i, k int) { cols[i], cols[k] = cols[k], cols[i] })
+	cols = cols[:1+rng.IntN(3)]
+	for i := range cols {
+		cols[i].Desc, cols[i].NullsFirst = rng.IntN(2) == 0, rng.IntN(2) == 0
+	}
+	h.order = merge.Order{Columns: append(cols, merge.Column{Name: "id", Type: merge.Int, Desc: rng.IntN(2) == 0}), Own: len(cols)}
+	h.data = make([][]*stored, n)
+	for i := range h.data {
+		for range rng.IntN(25) {
+			h.write(i)
+		}
+	}
+	h.now += 100
+	h.tries = make([]*try, n)
+	return h
+}
+
+func (h *history) write(i int) {
+	pick := func(vals ...any) any { return vals[h.rng.IntN(len(vals))] }
+	h.nextID++
+	h.data[i] = append(h.data[i], &stored{from: h.now, end: math.Inf(1), vals: sorted.Row{pick(int64(1), int64(2), int64(-3), nil),
+		pick(0.5, math.NaN(), math.Inf(-1), -2.0, nil), pick("", "a", "ab", "é", nil), h.nextID}})
+}
+
+// meanwhile has rows come and go.
+func (h *history) meanwhile() {
+	h.now += h.rng.Float64() * 10
+	if h.still {
+		return
+	}
+	for range h.rng.IntN(3) {
+		i := h.rng.IntN(len(h.data))
+		if h.write(i); h.rng.IntN(2) == 0 {
+			if s := h.data[i][h.rng.IntN(len(h.data[i]))]; s.end > h.now {
+				s.end = h.now
+			}
+		}
+	}
+}
+
+// visible are a shard's rows as of a position.
+func (h *history) visible(i int, at float64) (out []sorted.Row) {
+	for _, s := range h.data[i] {
+		if s.from <= at && s.end > at {
+			out = append(out, s.vals)
+		}
+	}
+	return out
+}
+
+func (h *history) do(actions []Action) {
+	for k := range actions {
+		a := actions[k]
+		switch x := h.tries[a.Shard]; a.Do {
+		case Ask:
+			if h.needs != nil && a.Need < h.needs[a.Shard] {
+				h.t.Fatalf("shard %d is asked at %d, before its cursor's %d", a.Shard, a.Need, h.needs[a.Shard])
+			}
+			h.tries[a.Shard] = &try{shard: a.Shard, no: a.Try, dies: -1, need: a.Need, place: a.Place, limit: a.Limit}
+		case Send:
+			h.sendTo(x)
+		case Stop:
+			x.stopped = true
+		case Go:
+			x.stopped = false
+		case Cancel:
+			x.done = true
+		case Give:
+			last := &h.pages[len(h.pages)-1]
+			var g given
+			if _, err := fmt.Sscan(string(a.Row), &g.shard, &g.id); err != nil {
+				h.t.Fatal(err)
+			}
+			for _, s := range h.data[g.shard] {
+				if s.vals[3] == g.id {
+					g.vals = s.vals
+				}
+			}
+			*last = append(*last, g)
+		}
+	}
+}
+
+// sendTo has a server work on a try's statement: one that is behind by up to a while, but never behind its need.
+func (h *history) sendTo(x *try) {
+	x.sent, x.at = true, max(float64(x.need), h.now-h.rng.Float64()*30)
+	asked, ok, err := plan.Read(word)
+	if err != nil || !ok {
+		h.t.Fatal(err)
+	}
+	sql, vals, err := asked.Word(&h.order, &x.place, x.shard, x.limit, 0)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	q, err := sorted.Read(sql)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	if x.rows, err = q.Run(table, h.visible(x.shard, x.at), vals); err != nil {
+		h.t.Fatal(err)
+	}
+	if h.faulty {
+		switch h.rng.IntN(8) {
+		case 0:
+			x.dies = h.rng.IntN(len(x.rows) + 1)
+		case 1:
+			x.silent = true
+		case 2: // endless: what it sends beyond the limit is in order, and in the way
+			for i := 0; i < 5 && len(x.rows) >= x.limit; i++ {
+				x.rows = append(x.rows, sorted.Row{nil, nil, nil, int64(1e6 + i)})
+			}
+		}
+	}
+}
+
+// step has one thing happen.
+func (h *history) step() {
+	if h.rng.IntN(6) == 0 {
+		h.meanwhile()
+	}
+	h.now += h.rng.Float64()
+	if h.rng.IntN(10) == 0 {
+		h.do(h.run.Room(h.rng.IntN(3) > 0, h.now))
+	}
+	if h.rng.IntN(5) == 0 {
+		h.now += 5
+		h.do(h.run.Tick(h.now))
+	}
+	if h.run.Verdict != Running {
+		return
+	}
+	x := h.tries[h.rng.IntN(len(h.tries))]
+	switch {
+	case x == nil || x.done || x.stopped:
+	case !x.sent && h.run.shards[x.shard].phase == asking:
+		if h.faulty && h.rng.IntN(60) == 0 {
+			x.done = true
+			h.do(h.run.Refused(x.shard, x.no, 5, h.now))
+			return
+		}
+		h.do(h.run.Granted(x.shard, x.no, h.now))
+	case !x.sent || x.silent:
+	case x.dies == 0:
+		x.done = true
+		h.broke++
+		h.do(h.run.Broke(x.shard, x.no, "it died", true, h.now))
+	case len(x.rows) > 0:
+		r := x.rows[0]
+		x.rows, x.dies = x.rows[1:], x.dies-1
+		var key []byte
+		own := 0
+		for i := range h.order.Columns {
+			if i == h.order.Own {
+				own = len(key)
+			}
+			c := &h.order.Columns[i]
+			key, _ = c.Append(key, sorted.Text(r[slices.Index(table, c.Name)]), false)
+		}
+		h.do(h.run.Row(x.shard, x.no, key, own, fmt.Appendf(nil, "%d %d", x.shard, r[3]), h.now))
+	default:
+		x.done = true
+		h.do(h.run.Ended(x.shard, x.no, h.now))
+		if pos := int64(math.Ceil(x.at)); h.rng.IntN(4) > 0 && h.run.Verdict == Running {
+			h.do(h.run.Settled(x.shard, x.no, pos, h.now))
+		}
+	}
+	h.held = max(h.held, h.run.Held())
+}
+
+// page plays one page with a cursor's text and returns the next one.
+func (h *history) page(ring *cursor.Ring, text string, checks *invariant.Checks) (next string, more, ok bool) {
+	var places []cursor.Place
+	h.needs = nil
+	if text != "" {
+		c, err := ring.Open(text, h.now, &cursor.Bound{})
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		places, h.needs = c.Places, c.Needs
+	}
+	h.run = New(&h.set, 1+h.rng.IntN(9), places, h.needs, h.now+300, checks)
+	h.pages = append(h.pages, nil)
+	h.do(h.run.Begin(h.now))
+	for h.run.Verdict == Running {
+		h.step()
+	}
+	if h.held > h.set.Held() {
+		h.t.Fatalf("%d bytes held, over %d", h.held, h.set.Held())
+	}
+	if h.run.Verdict != Served {
+		h.pages = h.pages[:len(h.pages)-1] // the client asks again with the cursor it has
+		return text, true, false
+	}
+	if !h.run.More {
+		return "", false, true
+	}
+	c := &cursor.Cursor{Issued: h.now}
+	c.Places, c.Needs = h.run.Places()
+	next, err := ring.Seal(c, cursor.Nonce{byte(h.rng.IntN(256))})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return next, true, true
+}
+
+// before is the order of rows, said without keys.
+func (h *history) before(a, b given) int {
+	for i, c := range h.order.Columns {
+		if i == h.order.Own && a.shard != b.shard {
+			return a.shard - b.shard
+		}
+		k := slices.Index(table, c.Name)
+		x, y, n := a.vals[k], b.vals[k], 0
+		switch {
+		case x == nil && y == nil:
+		case x == nil || y == nil:
+			if n = 1; (x == nil) == c.NullsFirst {
+				n = -1
+			}
+		default:
+			if n = sorted.Compare(x, y); c.Desc {
+				n = -n
+			}
+		}
+		if n != 0 {
+			return n
+		}
+	}
+	return 0
+}
+
+// TestHistories: over 1,000 drawn histories, the pages' union is the model's sorted list: each row that was there throughout exactly once, no
+// row twice, none that never was; in order, and where nothing was written and nothing left out, the very list.
+func TestHistories(t *testing.T) {
+	t.Parallel()
+	pages, again, broke, exact := 0, 0, 0, 0
+	for seed := range uint64(1000) {
+		h := newHistory(t, seed)
+		checks := invariant.Test(t)
+		ring := cursor.NewRing(3600e3, 3600e3, []byte("a secret"))
+		began, text, more, left := h.now-31, "", true, false // a first page may be read as far behind as its class allows, here 30 ms
+		for n := 0; more; n++ {
+			var ok bool
+			h.meanwhile()
+			if h.faulty && n > 40 {
+				h.faulty = false // it gets well in the end
+			}
+			if text, more, ok = h.page(ring, text, checks); !ok {
+				again++
+			} else {
+				pages++
+				left = left || len(h.run.Missing()) > 0
+			}
+			if n > 2000 {
+				t.Fatalf("seed %d: it has no end", seed)
+			}
+		}
+		count := map[int64]int{}
+		var all []given
+		for _, p := range h.pages {
+			if !slices.IsSortedFunc(p, h.before) {
+				t.Fatalf("seed %d: a page is not in order: %v", seed, p)
+			}
+			for _, g := range p {
+				count[g.id]++
+			}
+			all = append(all, p...)
+		}
+		var want []given
+		for i := range h.data {
+			for _, s := range h.data[i] {
+				id := s.vals[3].(int64)
+				there := s.from <= began && s.end > h.now
+				if n := count[id]; n > 1 || there && n != 1 {
+					t.Fatalf("seed %d: row %d of shard %d was given %d times; there throughout: %v", seed, id, i, n, there)
+				}
+				delete(count, id)
+				want = append(want, given{i, id, s.vals})
+			}
+		}
+		if len(count) > 0 {
+			t.Fatalf("seed %d: rows %v never were", seed, count)
+		}
+		if !left && !slices.IsSortedFunc(all, h.before) {
+			t.Fatalf("seed %d: pages are not in order", seed)
+		}
+		if slices.SortFunc(want, h.before); h.still && !left {
+			exact++
+			if len(all) != len(want) || slices.ContainsFunc(all, func(g given) bool { w := want[0]; want = want[1:]; return w.id != g.id }) {
+				t.Fatalf("seed %d: not the sorted list", seed)
+			}
+		}
+		broke += h.broke
+	}
+	t.Logf("%d pages, %d asked again, %d servers died midway, %d histories were the very list", pages, again, broke, exact)
+	if broke < 500 || exact < 100 || again < 100 {
+		t.Error("too little befell them for this to say much")
+	}
+}
--- /dev/null
+++ b/internal/kit/standin/sorted/sorted.go
@@ -0,0 +1,275 @@
+// Package sorted is a stand-in for a table that a scattered read asks for: it works on the statements that internal/fronts/scatter/plan words, by reading
+// them, not by knowing how they came about. Of SQL it knows just these:
+//
+//	SELECT anything [AND (conditions)] ORDER BY columns LIMIT n
+//
+// Columns are of int8, float8 or text. Conditions compare columns with parameters by =, < and >, or with NULL, joined by AND, OR and
+// brackets, in the three-valued logic of SQL.
+package sorted
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Row is a row's values: nil, int64, float64 or string, by column.
+type Row []any
+
+// Table names the columns.
+type Table []string
+
+var shape = regexp.MustCompile(`(?s)^\s*SELECT .*?(?: AND (\(.*\)))?\s* ORDER BY (.*) LIMIT (\d+)\s*$`)
+
+// Query is a statement that was read.
+type Query struct {
+	cond  []string // its words, nil for none
+	order []by
+	Limit int
+}
+
+type by struct {
+	column            string
+	desc, first, text bool
+}
+
+// Read reads a statement.
+func Read(sql string) (*Query, error) {
+	m := shape.FindStringSubmatch(sql)
+	if m == nil {
+		return nil, fmt.Errorf("the stand-in does not know %.80q", sql)
+	}
+	q := &Query{cond: words.FindAllString(m[1], -1)}
+	q.Limit, _ = strconv.Atoi(m[3])
+	for part := range strings.SplitSeq(m[2], ", ") {
+		w := strings.Fields(part)
+		b := by{column: strings.Trim(w[0], `"`)}
+		rest := strings.Join(w[1:], " ")
+		rest, b.text = strings.CutPrefix(rest, `COLLATE "C"`)
+		rest, b.desc = strings.CutPrefix(strings.TrimSpace(rest), "DESC")
+		switch strings.TrimSpace(rest) {
+		case "NULLS FIRST":
+			b.first = true
+		case "NULLS LAST":
+		default:
+			return nil, fmt.Errorf("order by %q", part)
+		}
+		q.order = append(q.order, b)
+	}
+	return q, nil
+}
+
+// Run works on the statement: rows that hold, in order, as many as the limit lets be.
+func (q *Query) Run(t Table, rows []Row, args [][]byte) (out []Row, err error) {
+	for _, r := range rows {
+		holds := yes
+		if q.cond != nil {
+			e := &eval{words: q.cond, table: t, row: r, args: args}
+			if holds = e.or(); e.err != nil || len(e.words) > 0 {
+				return nil, fmt.Errorf("condition %q, at %q: %v", q.cond, e.words, e.err)
+			}
+		}
+		if holds == yes {
+			out = append(out, r)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Row) int {
+		for _, o := range q.order {
+			i := slices.Index(t, o.column)
+			if i < 0 {
+				err = fmt.Errorf("no column %q", o.column)
+				return 0
+			}
+			c := 0
+			switch x, y := a[i], b[i]; {
+			case x == nil && y == nil:
+			case x == nil || y == nil:
+				if c = 1; (x == nil) == o.first {
+					c = -1
+				}
+			default:
+				if c = Compare(x, y); o.desc {
+					c = -c
+				}
+			}
+			if c != 0 {
+				return c
+			}
+		}
+		return 0
+	})
+	return out[:min(len(out), q.Limit)], err
+}
+
+// Compare compares values as servers do.
+func Compare(a, b any) int {
+	switch x := a.(type) {
+	case int64:
+		return cmp.Compare(x, b.(int64))
+	case float64:
+		y := b.(float64)
+		if math.IsNaN(x) || math.IsNaN(y) { // the largest
+			return nan(x) - nan(y)
+		}
+		return cmp.Compare(x, y)
+	}
+	return cmp.Compare(a.(string), b.(string))
+}
+
+func nan(x float64) int {
+	if math.IsNaN(x) {
+		return 1
+	}
+	return 0
+}
+
+// truth is SQL's.
+type truth int8
+
+const (
+	no truth = iota
+	unknown
+	yes
+)
+
+var words = regexp.MustCompile(`\(|\)|"[^"]*"|COLLATE "C"|\$\d+::\w+|IS NOT NULL|IS NULL|AND|OR|[=<>]|\w+|\S`)
+
+type eval struct {
+	words []string
+	table Table
+	row   Row
+	args  [][]byte
+	err   error
+}
+
+func (e *eval) next(w string) bool {
+	if len(e.words) > 0 && e.words[0] == w {
+		e.words = e.words[1:]
+		return true
+	}
+	return false
+}
+
+func (e *eval) or() truth {
+	t := e.and()
+	for e.next("OR") {
+		t = max(t, e.and())
+	}
+	return t
+}
+
+func (e *eval) and() truth {
+	t := e.term()
+	for e.next("AND") {
+		t = min(t, e.term())
+	}
+	return t
+}
+
+func (e *eval) term() truth {
+	if e.next("(") {
+		t := e.or()
+		if !e.next(")") {
+			e.err = fmt.Errorf("a bracket is open")
+		}
+		return t
+	}
+	if e.next("false") {
+		return no
+	}
+	if len(e.words) == 0 {
+		e.err = fmt.Errorf("a term is due")
+		return no
+	}
+	i := slices.Index(e.table, strings.Trim(e.words[0], `"`))
+	if i < 0 {
+		e.err = fmt.Errorf("no column %s", e.words[0])
+		e.words = nil
+		return no
+	}
+	e.words = e.words[1:]
+	text := e.next(`COLLATE "C"`)
+	v := e.row[i]
+	is := func(b bool) truth {
+		if b {
+			return yes
+		}
+		return no
+	}
+	switch {
+	case e.next("IS NULL"):
+		return is(v == nil)
+	case e.next("IS NOT NULL"):
+		return is(v != nil)
+	case len(e.words) < 2:
+		e.err = fmt.Errorf("a comparison is due")
+		return no
+	}
+	op, ref := e.words[0], e.words[1]
+	e.words = e.words[2:]
+	n, typ, _ := strings.Cut(strings.TrimPrefix(ref, "$"), "::")
+	k, err := strconv.Atoi(n)
+	if err != nil || k < 1 || k > len(e.args) || e.args[k-1] == nil || text != (typ == "text") {
+		e.err = fmt.Errorf("parameter %q", ref)
+		return no
+	}
+	want, err := Value(typ, string(e.args[k-1]))
+	if err != nil {
+		e.err = err
+		return no
+	}
+	if v == nil {
+		return unknown
+	}
+	c := Compare(v, want)
+	return is(op == "=" && c == 0 || op == "<" && c < 0 || op == ">" && c > 0)
+}
+
+// Value reads a text of a type.
+func Value(typ, s string) (any, error) {
+	switch typ {
+	case "int8":
+		n, err := strconv.ParseInt(s, 10, 64)
+		return n, err
+	case "float8":
+		x, err := strconv.ParseFloat(s, 64)
+		return x, err
+	case "text":
+		return s, nil
+	}
+	return nil, fmt.Errorf("no type %q", typ)
+}
+
+// Text is a value as a server words it, nil for null.
+func Text(v any) []byte {
+	switch x := v.(type) {
+	case int64:
+		return strconv.AppendInt(nil, x, 10)
+	case float64:
+		switch {
+		case math.IsInf(x, 1):
+			return []byte("Infinity")
+		case math.IsInf(x, -1):
+			return []byte("-Infinity")
+		}
+		return strconv.AppendFloat(nil, x, 'g', -1, 64)
+	case string:
+		return []byte(x)
+	}
+	return nil
+}
+
+// OID is the type of a value, as it is described.
+func OID(v any) uint32 {
+	switch v.(type) {
+	case int64:
+		return 20
+	case float64:
+		return 701
+	}
+	return 25
+}
