Hold a scattered read's run to the positions its rows were read at

The histories now track where each served page was read, send events of given-up tries, and tell when a limit or a position is forgotten. They found an answer without rows whose position was not counted; a shard that fails more than once is now left alone 100 ms before it is asked again.

--- a/internal/fronts/scatter/run/run.go
+++ b/internal/fronts/scatter/run/run.go
@@ -96,7 +96,8 @@
 type phase uint8
 
 const (
-	asking  phase = iota // the decision module has it
+	resting phase = iota // it is asked again soon
+	asking               // the decision module has it
 	granted              // it has a server, and nothing is sent
 	sent
 	ended   // all its rows are here
@@ -117,6 +118,7 @@
 	told    int64        // position that it told at its end
 	rows    int          // that came
 	moved   float64
+	rests   float64 // until then
 	stopped bool
 	why     string
 }
@@ -176,10 +178,15 @@
 	return r.out
 }
 
+// restMs is how long a shard that failed more than once is left alone.
+const restMs = 100
+
 // ask puts a shard's read to the decision module, from behind what came of it.
 func (r *Run) ask(i int, now float64) {
 	s := &r.shards[i]
-	s.try++
+	if s.phase != resting || s.try == 0 {
+		s.try++
+	}
 	s.phase, s.moved, s.stopped = asking, now, false
 	a := Action{Do: Ask, Shard: i, Try: s.try, Place: s.place, Need: max(s.need, s.seen), Limit: r.page - s.rows}
 	if k := r.merge.Last(i); k != nil {
@@ -213,7 +220,7 @@
 // gather sends all statements once no shard waits for its server.
 func (r *Run) gather(now float64) {
 	for i := range r.shards {
-		if r.shards[i].phase == asking {
+		if r.shards[i].phase <= asking {
 			return
 		}
 	}
@@ -234,7 +241,7 @@
 func (r *Run) Refused(i, try int, retryMs, now float64) []Action {
 	if r.mine(i, try) {
 		r.RetryMs = max(r.RetryMs, retryMs)
-		r.lose(i, "no server can take it now", now)
+		r.broke(i, "no server can take it now", r.begun && r.shards[i].phase < ended, now)
 	}
 	return r.out
 }
@@ -251,7 +258,12 @@
 	s := &r.shards[i]
 	if again && s.try <= r.set.Again && now < r.due-r.set.Spare {
 		r.out = append(r.out, Action{Do: Cancel, Shard: i})
-		r.ask(i, now)
+		if s.try == 1 {
+			r.ask(i, now)
+			return
+		}
+		s.phase, s.rests, s.why = resting, now+restMs, why
+		s.try++
 		return
 	}
 	r.lose(i, why, now)
@@ -324,7 +336,8 @@
 // Ended tells that a shard has no more rows.
 func (r *Run) Ended(i, try int, now float64) []Action {
 	if r.mine(i, try) && r.shards[i].phase == sent {
-		r.shards[i].phase = ended
+		s := &r.shards[i]
+		s.phase, s.seen = ended, max(s.seen, int64(math.Ceil(now))) // that it has no more rows was read, too
 		r.merge.End(i)
 		r.pump(now)
 	}
@@ -338,9 +351,6 @@
 		if s.phase == ended {
 			s.phase, s.told = settled, position
 		}
-		if s.told == 0 && s.seen == 0 { // it had no rows, and did not say where it stood
-			s.seen = int64(math.Ceil(now))
-		}
 		r.settle(now)
 	}
 	return r.out
@@ -375,13 +385,15 @@
 	late := now >= r.due || r.set.Missing > 0 && now >= r.due-r.set.Spare
 	for i := range r.shards {
 		s := &r.shards[i]
-		owes := s.phase == asking || s.phase == sent && r.merge.Lacks(i)
+		owes := s.phase <= asking || s.phase == sent && r.merge.Lacks(i)
 		switch {
 		case r.Verdict != Running:
 		case late && owes:
 			r.lose(i, "it gave no rows in time", now)
 		case s.phase == sent && owes && r.set.Silent > 0 && now-s.moved >= r.set.Silent:
 			r.broke(i, "it was silent for too long", true, now)
+		case s.phase == resting && now >= s.rests:
+			r.ask(i, now)
 		}
 	}
 	if r.Verdict == Running && now >= r.due {
--- a/internal/fronts/scatter/run/run_test.go
+++ b/internal/fronts/scatter/run/run_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"beechgrade/internal/fronts/scatter/cursor"
 	"beechgrade/internal/fronts/scatter/merge"
 	"beechgrade/internal/fronts/scatter/plan"
@@ -36,7 +38,9 @@
 	pages [][]given
 	tries []*try // by shard, the present one
 	needs []int64
-	held  int // most
+	read  []float64 // by shard: the position that rows were read at, of pages that were served
+	now1  []float64 // ...and of this one
+	held  int       // most
 	broke int
 }
 
@@ -87,7 +91,7 @@
 		}
 	}
 	h.now += 100
-	h.tries = make([]*try, n)
+	h.tries, h.read, h.now1 = make([]*try, n), make([]float64, n), make([]float64, n)
 	return h
 }
 
@@ -132,6 +136,9 @@
 			if h.needs != nil && a.Need < h.needs[a.Shard] {
 				h.t.Fatalf("shard %d is asked at %d, before its cursor's %d", a.Shard, a.Need, h.needs[a.Shard])
 			}
+			if at := max(h.read[a.Shard], h.now1[a.Shard]); float64(a.Need) < at {
+				h.t.Fatalf("shard %d is asked at %d, and was read at %f", a.Shard, a.Need, at)
+			}
 			h.tries[a.Shard] = &try{shard: a.Shard, no: a.Try, dies: -1, need: a.Need, place: a.Place, limit: a.Limit}
 		case Send:
 			h.sendTo(x)
@@ -206,6 +213,11 @@
 		return
 	}
 	x := h.tries[h.rng.IntN(len(h.tries))]
+	if x != nil && h.rng.IntN(8) == 0 { // of a try that was given up
+		h.do(h.run.Row(x.shard, x.no-1, []byte{255}, 1, []byte("0 0"), h.now))
+		h.do(h.run.Ended(x.shard, x.no-1, h.now))
+		h.do(h.run.Broke(x.shard, x.no-1, "late", true, h.now))
+	}
 	switch {
 	case x == nil || x.done || x.stopped:
 	case !x.sent && h.run.shards[x.shard].phase == asking:
@@ -232,9 +244,11 @@
 			c := &h.order.Columns[i]
 			key, _ = c.Append(key, sorted.Text(r[slices.Index(table, c.Name)]), false)
 		}
+		h.now1[x.shard] = max(h.now1[x.shard], x.at)
 		h.do(h.run.Row(x.shard, x.no, key, own, fmt.Appendf(nil, "%d %d", x.shard, r[3]), h.now))
 	default:
 		x.done = true
+		h.now1[x.shard] = max(h.now1[x.shard], x.at)
 		h.do(h.run.Ended(x.shard, x.no, h.now))
 		if pos := int64(math.Ceil(x.at)); h.rng.IntN(4) > 0 && h.run.Verdict == Running {
 			h.do(h.run.Settled(x.shard, x.no, pos, h.now))
@@ -255,7 +269,7 @@
 		places, h.needs = c.Places, c.Needs
 	}
 	h.run = New(&h.set, 1+h.rng.IntN(9), places, h.needs, h.now+300, checks)
-	h.pages = append(h.pages, nil)
+	h.pages, h.now1 = append(h.pages, nil), make([]float64, h.set.Shards)
 	h.do(h.run.Begin(h.now))
 	for h.run.Verdict == Running {
 		h.step()
@@ -267,6 +281,9 @@
 		h.pages = h.pages[:len(h.pages)-1] // the client asks again with the cursor it has
 		return text, true, false
 	}
+	for i, at := range h.now1 {
+		h.read[i] = max(h.read[i], at)
+	}
 	if !h.run.More {
 		return "", false, true
 	}
@@ -373,3 +390,50 @@
 		t.Error("too little befell them for this to say much")
 	}
 }
+
+// TestAgain: a shard that dies midway is asked again from behind its last row, for what is left, at no earlier position; and one whose rows are not
+// in order, or too long, is not asked again.
+func TestAgain(t *testing.T) {
+	set := Settings{Shards: 2, Window: 1000, MostRow: 100, Again: 1, Settle: 5, Spare: 10}
+	begin := func() *Run {
+		r := New(&set, 5, nil, nil, 1000, invariant.Test(t))
+		r.Begin(0)
+		r.Granted(0, 1, 1)
+		r.Granted(1, 1, 1)
+		r.Row(0, 1, []byte{2, 1, 1}, 2, []byte("one"), 2)
+		r.Row(0, 1, []byte{2, 2, 2}, 2, []byte("two"), 3.5)
+		return r
+	}
+	want := []Action{{Do: Cancel}, {Do: Ask, Try: 2, Place: cursor.Place{Key: []byte{2, 2, 2}, Own: 2}, Need: 4, Limit: 3}}
+	r := begin()
+	if diff := cmp.Diff(want, r.Broke(0, 1, "it died", true, 4)); diff != "" {
+		t.Error(diff)
+	}
+	r.Granted(0, 2, 5)
+	if r.Broke(0, 2, "it died", true, 6); r.Verdict != Failed {
+		t.Errorf("dead twice: %v", r.Verdict)
+	}
+	for what, key := range map[string][]byte{"out of order": {2, 1, 9}, "too long": make([]byte, 101)} {
+		if r := begin(); len(r.Row(0, 1, key, 1, nil, 4)) == 0 || r.Verdict != Failed {
+			t.Errorf("%s: %v", what, r.Verdict)
+		}
+	}
+}
+
+// TestShedWhole: where one shard is refused, nothing is sent to any, and who was granted is given up.
+func TestShedWhole(t *testing.T) {
+	set := Settings{Shards: 3, Window: 1000, MostRow: 100, Again: 3}
+	r := New(&set, 5, nil, nil, 1000, invariant.Test(t))
+	r.Begin(0)
+	var all []Action
+	all = append(all, r.Granted(0, 1, 1)...)
+	all = append(all, r.Granted(2, 1, 1)...)
+	all = append(all, r.Refused(1, 1, 40, 2)...)
+	want := []Action{{Do: Cancel, Shard: 1}, {Do: Cancel}, {Do: Cancel, Shard: 2}, {Do: Final}}
+	if diff := cmp.Diff(want, all); diff != "" || r.Verdict != Refused || r.RetryMs != 40 {
+		t.Errorf("%v, %g: %s", r.Verdict, r.RetryMs, diff)
+	}
+	if late := r.Granted(1, 1, 3); len(late) > 0 {
+		t.Errorf("behind the final answer: %v", late)
+	}
+}
