Join scattered reads to the front for PostgreSQL clients and the daemon

A client's statement with two marks and a comment goes to all shards that (scatter ...) names: each through the decision module, on connections of the scatter's own, merged to one page with a cursor. Off without it. (of shards) limits how many shards the fleet asks at once. The stand-ins hold tables that are scattered. Not yet tested with a client.

--- a/cmd/beechgrade/limits.go
+++ b/cmd/beechgrade/limits.go
@@ -77,6 +77,10 @@
 		if l.p.pooled != nil {
 			l.p.pooled.Tell(x.Whom, int(amount+1e-9))
 		}
+	case operate.OfShards:
+		if l.p.scatter != nil {
+			l.p.scatter.Tell(int(amount + 1e-9))
+		}
 	}
 }
 
@@ -100,6 +104,10 @@
 		if l.p.pooled != nil {
 			l.p.pooled.Untell(x.Whom)
 		}
+	case operate.OfShards:
+		if l.p.scatter != nil {
+			l.p.scatter.Untell()
+		}
 	}
 }
 
@@ -140,6 +148,9 @@
 	case x.Of == operate.OfPool && l.p.pooled != nil:
 		has, want := l.p.pooled.Demand(x.Whom)
 		l.p.peers.Demand(x.Name, float64(want), float64(has))
+	case x.Of == operate.OfShards && l.p.scatter != nil:
+		has, want := l.p.scatter.Demand()
+		l.p.peers.Demand(x.Name, float64(want), float64(has))
 	}
 }
 
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -74,6 +74,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "pooling: off")
 					}
+					if s := set.Scatter; s.On {
+						fmt.Fprintf(c.Root().Writer, "scatter: %d reads\n", len(s.Specs))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "scatter: off")
+					}
 					if h := set.ClickHouse; h.Listen != "" {
 						fmt.Fprintf(c.Root().Writer, "clickhouse: listens on %s, for group %d\n", h.Listen, h.Group)
 					} else {
@@ -140,6 +145,9 @@
 	if err := set.Pooling.Check(cfg.Classes); err != nil {
 		return nil, nil, badInput{err}
 	}
+	if err := set.Scatter.Check(&set.Pooling, &set.Peers); err != nil {
+		return nil, nil, badInput{err}
+	}
 	return cfg, set, nil
 }
 
@@ -164,6 +172,9 @@
 	set.Pooling.AddClasses(cfg)
 	set.ClickHouse.AddClasses(cfg)
 	p := newPooler(cfg, log)
+	if err := p.useScatter(set.Scatter, set.Peers); err != nil {
+		return err
+	}
 	p.usePooling(set.Pooling)
 	p.useClickHouse(set.ClickHouse)
 	p.useMembers(set.Membership)
--- a/cmd/beechgrade/pooled.go
+++ b/cmd/beechgrade/pooled.go
@@ -5,6 +5,7 @@
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
 	"beechgrade/internal/core"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/slots"
@@ -18,9 +19,7 @@
 	p.pooledAddr = o.Listen
 	p.pooled = pooling.New(p.loop, p.log, pooling.Options{Pools: o.Pools, ConnectMs: p.cfg.ConnectTimeoutMs, GraceMs: clock.Millis(p.cfg.Settings.DrainGrace),
 		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", MaxMessage: o.MaxMessage, MaxAnswer: o.MaxAnswer, Expire: p.core.Expire,
-		Spare: func() int {
-			return p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns() - p.pooled.Sessions() - p.pooled.Conns()
-		}}, p.core, p.core)
+		Spare: p.spareConns, Scatter: p.scatter}, p.core, p.core)
 }
 
 // listen opens the second front's address.
@@ -42,16 +41,17 @@
 	if p.pooled == nil && p.house == nil {
 		return p.pool
 	}
-	return fronts{Pool: p.pool, pooled: p.pooled, house: p.house, housed: map[string]bool{}, group: p.houseGroup}
+	return fronts{Pool: p.pool, pooled: p.pooled, scatter: p.scatter, house: p.house, housed: map[string]bool{}, group: p.houseGroup}
 }
 
 // fronts gives each front's attempts to its own connections; pooled and house are nil where they are off.
 type fronts struct {
 	*backend.Pool
-	pooled *pooling.Front
-	house  *clickhouse.Front
-	housed map[string]bool // servers that are ClickHouse's
-	group  int             // ...which are those of this group
+	pooled  *pooling.Front
+	scatter *scatter.Front // with pooled only
+	house   *clickhouse.Front
+	housed  map[string]bool // servers that are ClickHouse's
+	group   int             // ...which are those of this group
 }
 
 // SetGroup is core.Grouped's.
@@ -70,6 +70,9 @@
 	if s.pooled != nil {
 		s.pooled.SetAddress(id, addr)
 	}
+	if s.scatter != nil {
+		s.scatter.SetAddress(id, addr)
+	}
 }
 
 func (s fronts) CloseIdle(id string) {
@@ -77,6 +80,9 @@
 	if s.pooled != nil {
 		s.pooled.Bar(id)
 	}
+	if s.scatter != nil {
+		s.scatter.Bar(id)
+	}
 	if s.house != nil {
 		s.house.CloseIdle(id)
 	}
@@ -87,6 +93,9 @@
 	if s.pooled != nil {
 		s.pooled.Forget(id)
 	}
+	if s.scatter != nil {
+		s.scatter.Forget(id)
+	}
 	if s.house != nil {
 		s.house.Forget(id)
 		delete(s.housed, id)
@@ -98,6 +107,9 @@
 	if s.pooled != nil {
 		s.pooled.Retain(ids)
 	}
+	if s.scatter != nil {
+		s.scatter.Retain(ids)
+	}
 	if s.house != nil {
 		s.house.Retain(ids)
 	}
@@ -109,6 +121,8 @@
 		return s.house.Try(id, q, until, t)
 	case s.pooled != nil && pooling.Ours(q):
 		return s.pooled.Try(id, q, until, t)
+	case s.scatter != nil && scatter.Ours(q):
+		return s.scatter.Try(id, q, until, t)
 	}
 	return s.Pool.Start(id, q, until, on, t)
 }
@@ -127,6 +141,8 @@
 		s.house.Cancel(ref)
 	case s.pooled != nil && pooling.OursRef(ref):
 		s.pooled.Cancel(ref)
+	case s.scatter != nil && scatter.OursRef(ref):
+		s.scatter.Cancel(ref)
 	default:
 		s.Pool.Cancel(ref)
 	}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/handover"
 	"beechgrade/internal/journal"
 	"beechgrade/internal/lifecycle"
@@ -59,6 +60,8 @@
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	scatter *scatter.Front // reads over many groups, nil where there are none
+
 	house      *clickhouse.Front // nil where it is off
 	houseAddr  string
 	houseGroup int
@@ -139,6 +142,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.scatter != nil {
+		conns += p.scatter.Conns()
+	}
 	if p.house != nil {
 		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
 	}
--- /dev/null
+++ b/cmd/beechgrade/scatter.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"beechgrade/internal/fronts/scatter"
+	"beechgrade/internal/fronts/scatter/cursor"
+	"beechgrade/internal/operate"
+)
+
+// useScatter adds reads over many groups to the second front, where the settings have them. It comes before usePooling.
+func (p *pooler) useScatter(o operate.Scatter, peers operate.Peers) error {
+	if !o.On {
+		return nil
+	}
+	secrets, err := o.Secrets(&peers)
+	if err != nil {
+		return badInput{err}
+	}
+	p.scatter = scatter.New(p.loop, p.log, scatter.Options{Specs: o.Specs, Ring: cursor.NewRing(o.Rotate, o.Age, secrets...), ConnectMs: p.cfg.ConnectTimeoutMs,
+		Roles: [2]string{"primary", "replica"}, PositionName: "applied_ms", Spare: func() int { return p.spareConns() }}, p.core, p.core)
+	return nil
+}
+
+// spareConns is how many descriptors the second front and its scattered reads may take yet.
+func (p *pooler) spareConns() int {
+	n := p.cfg.Limits.Sockets - reserved - p.front.Sessions() - p.pool.Conns()
+	if p.pooled != nil {
+		n -= p.pooled.Sessions() + p.pooled.Conns()
+	}
+	if p.scatter != nil {
+		n -= p.scatter.Conns()
+	}
+	return n
+}
+
+// appendScatter prints the scattered reads' figures, where there are any.
+func (p *pooler) appendScatter(dst []byte) []byte {
+	if p.scatter == nil {
+		return dst
+	}
+	return p.scatter.AppendFigures(dst)
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -64,6 +64,7 @@
 	lastPID  uint32
 	streamed int
 	shape    int // of the one table; each ALTER changes it
+	scatters Scatters
 }
 
 // server is the sockets of one of the model's servers.
--- /dev/null
+++ b/internal/kit/fleet/scattered.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"beechgrade/internal/kit/standin/sorted"
+)
+
+// Scatters are tables of which each group has a part, as a test fills them.
+type Scatters struct {
+	tables map[string]*Table
+	asked  func(server, sql string) Manner
+	reads  []Read
+	open   int // statements that run
+	most   int
+	hits   int // that a cancel or a closed connection ended
+}
+
+// Table is one that is scattered. Rows have a value for each column.
+type Table struct {
+	Name    string
+	Columns sorted.Table
+	Types   sorted.Row // a value of each column's type
+
+	rows map[int][]*kept // by group
+}
+
+// kept is a row, which is there from one position of its group's log to another.
+type kept struct {
+	row       sorted.Row
+	from, end float64
+}
+
+// Manner is how a server does with a statement.
+type Manner struct {
+	Silent  bool          // it says nothing
+	Each    time.Duration // between two rows
+	Endless bool          // it never ends, whatever limit it is told
+	DieAt   int           // it breaks the connection before this row, from 1 on; 0 for never
+}
+
+// Read is a statement that a server worked on.
+type Read struct {
+	Server   string
+	Group    int
+	SQL      string
+	Position float64
+	Rows     int // that went out
+	Cut      bool
+}
+
+// Scatter makes a table.
+func (f *Fleet) Scatter(t *Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.scatters.tables == nil {
+		f.scatters.tables = map[string]*Table{}
+	}
+	t.rows = map[int][]*kept{}
+	f.scatters.tables[t.Name] = t
+}
+
+// Put writes a row at a group's primary; Initial has it be there from the beginning.
+func (f *Fleet) Put(table string, group int, row sorted.Row, initial bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	from := 0.0
+	if !initial {
+		from = f.world.Groups[group].Write(f.clk.Now(), "scattered", nil)
+	}
+	t := f.scatters.tables[table]
+	t.rows[group] = append(t.rows[group], &kept{row: row, from: from})
+}
+
+// Remove deletes the rows for which a function holds.
+func (f *Fleet) Remove(table string, group int, is func(sorted.Row) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := f.world.Groups[group].Write(f.clk.Now(), "scattered", nil)
+	for _, k := range f.scatters.tables[table].rows[group] {
+		if k.end == 0 && is(k.row) {
+			k.end = at
+		}
+	}
+}
+
+// Asked has a function say how servers do with a statement; nil for well.
+func (f *Fleet) Asked(do func(server, sql string) Manner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.scatters.asked = do
+}
+
+// Reads are the statements that were worked on so far, with those that run at a time at most, and how many were cut off.
+func (f *Fleet) Reads() (reads []Read, running, most, hits int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Read(nil), f.scatters.reads...), f.scatters.open, f.scatters.most, f.scatters.hits
+}
+
+var fromTable = regexp.MustCompile(`(?i)\sFROM\s+(\w+)\s`)
+
+// table is the scattered table that a statement reads, nil for none.
+func (x *full) table(sql string) *Table {
+	f := x.c.s.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m := fromTable.FindStringSubmatch(sql); m != nil {
+		return f.scatters.tables[strings.ToLower(m[1])]
+	}
+	return nil
+}
+
+func (t *Table) describe() *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, c := range t.Columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(c), DataTypeOID: sorted.OID(t.Types[i]), DataTypeSize: -1, TypeModifier: -1})
+	}
+	return d
+}
+
+// scattered works on a read of a scattered table.
+func (x *full) scattered(t *Table, sql string, args [][]byte, simple bool) (alive bool, err error) {
+	f, s := x.c.s.f, x.c.s
+	q, err := sorted.Read(sql)
+	if err != nil {
+		return true, fail("42601", "%v", err)
+	}
+	f.mu.Lock()
+	at := s.Position(f.clk.Now())
+	var there []sorted.Row
+	for _, k := range t.rows[s.Group.ID] {
+		if k.from <= at && (k.end == 0 || k.end > at) {
+			there = append(there, k.row)
+		}
+	}
+	manner := Manner{}
+	if f.scatters.asked != nil {
+		manner = f.scatters.asked(s.Name, sql)
+	}
+	cut := make(chan struct{})
+	x.cancel, x.sql = func() { close(cut); x.cancel = nil }, sql
+	f.scatters.open++
+	f.scatters.most = max(f.scatters.most, f.scatters.open)
+	f.mu.Unlock()
+	rows, err := q.Run(t.Columns, there, args)
+	read := Read{Server: s.Name, Group: s.Group.ID, SQL: sql, Position: at}
+	defer func() {
+		f.mu.Lock()
+		x.cancel = nil
+		f.scatters.open--
+		if read.Cut {
+			f.scatters.hits++
+		}
+		f.scatters.reads = append(f.scatters.reads, read)
+		f.mu.Unlock()
+	}()
+	if err != nil {
+		return true, fail("42601", "%v", err)
+	}
+	if simple {
+		x.be.Send(t.describe())
+	}
+	wait := func(d time.Duration) bool { // false where it was cut off
+		if x.be.Flush() != nil {
+			return false
+		}
+		select {
+		case <-cut:
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	if manner.Silent {
+		read.Cut = true
+		wait(30 * time.Second)
+		return false, nil
+	}
+	for i := 0; i < len(rows) || manner.Endless; i++ {
+		if manner.DieAt > 0 && i+1 >= manner.DieAt {
+			_ = x.be.Flush()
+			x.c.reset()
+			return false, nil
+		}
+		select {
+		case <-cut:
+			read.Cut = true
+			return true, fail("57014", "canceling statement due to user request")
+		default:
+		}
+		if manner.Each > 0 && !wait(manner.Each) {
+			read.Cut = true
+			return true, fail("57014", "canceling statement due to user request")
+		}
+		var vals [][]byte
+		if i < len(rows) {
+			for _, v := range rows[i] {
+				vals = append(vals, sorted.Text(v))
+			}
+		} else {
+			for range t.Columns {
+				vals = append(vals, nil)
+			}
+		}
+		x.be.Send(&pgproto3.DataRow{Values: vals})
+		if read.Rows++; i%64 == 63 && x.be.Flush() != nil {
+			read.Cut = true
+			return false, nil
+		}
+	}
+	if manner.DieAt > 0 {
+		_ = x.be.Flush()
+		x.c.reset()
+		return false, nil
+	}
+	x.be.Send(&pgproto3.CommandComplete{CommandTag: fmt.Appendf(nil, "SELECT %d", len(rows))})
+	return true, nil
+}
--- a/internal/kit/fleet/session.go
+++ b/internal/kit/fleet/session.go
@@ -363,7 +363,9 @@
 		}
 		sql = p.sql
 	}
-	if col := column(sql); col != "" {
+	if t := x.table(sql); t != nil {
+		x.be.Send(t.describe())
+	} else if col := column(sql); col != "" {
 		x.be.Send(rowDescription(col))
 	} else {
 		x.be.Send(&pgproto3.NoData{})
@@ -423,6 +425,9 @@
 		x.begin()
 		x.implicit = true
 	}
+	if t := x.table(sql); t != nil {
+		return x.scattered(t, sql, args, simple)
+	}
 	tag, rows, err := x.work(d, sql, args, simple)
 	if err == errGone {
 		return false, nil
--- a/internal/operate/limits.go
+++ b/internal/operate/limits.go
@@ -26,6 +26,7 @@
 	OfDials   = "dials"   // new connections to the platform's servers a second
 	OfQueries = "queries" // of a user at the ClickHouse interface, at once or a second
 	OfPool    = "pool"    // connections to servers of the pools of a database and a user, at once
+	OfShards  = "shards"  // that scattered reads ask at once
 )
 
 // FleetLimit is one.
@@ -111,13 +112,13 @@
 		"of": func(n *sexp.Node) error {
 			a := n.Args()
 			if len(a) == 0 || a[0].Kind == sexp.List {
-				return n.Errorf("(of WHAT ...) is due: tenant, queries or pool with a name, cold, probes, lists or dials")
+				return n.Errorf("(of WHAT ...) is due: tenant, queries or pool with a name, cold, probes, lists, dials or shards")
 			}
 			l.Of = a[0].Text
-			named := map[string]int{OfTenant: 1, OfQueries: 1, OfPool: 2, OfCold: 0, OfProbes: 0, OfLists: 0, OfDials: 0}
+			named := map[string]int{OfTenant: 1, OfQueries: 1, OfPool: 2, OfCold: 0, OfProbes: 0, OfLists: 0, OfDials: 0, OfShards: 0}
 			names, known := named[l.Of]
 			if !known || len(a) != 1+names {
-				return a[0].Errorf("tenant or queries with a name, pool with a database and a user, cold, probes, lists or dials is due here")
+				return a[0].Errorf("tenant or queries with a name, pool with a database and a user, cold, probes, lists, dials or shards is due here")
 			}
 			for _, x := range a[1:] {
 				if x.Kind == sexp.List || x.Text == "" {
@@ -146,8 +147,8 @@
 		return n.Errorf("limit %q: (of WHAT ...) is due", l.Name)
 	case l.Of == OfCold && (rate || once):
 		return n.Errorf("limit %q: how much cold servers bear is known from elsewhere", l.Name)
-	case l.Of == OfPool && !once, l.Of != OfCold && l.Of != OfPool && l.Of != OfQueries && !rate, l.Of == OfQueries && rate == once:
-		return n.Errorf("limit %q: (rate A-SECOND) is due, or (at-once N) where something goes on: of a pool, or of queries", l.Name)
+	case (l.Of == OfPool || l.Of == OfShards) && !once, l.Of != OfCold && l.Of != OfPool && l.Of != OfShards && l.Of != OfQueries && !rate, l.Of == OfQueries && rate == once:
+		return n.Errorf("limit %q: (rate A-SECOND) is due, or (at-once N) where something goes on: of a pool, of shards, or of queries", l.Name)
 	case once:
 		l.Kind = quota.Number
 	case l.Of == OfCold:
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,6 +19,7 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Scatter    Scatter
 }
 
 // Record says whether and where the pooler records what it does.
@@ -65,6 +66,7 @@
 	err = sexp.Form{
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
+		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
 		"fleet-limits": s.Limits.read,
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -246,7 +246,16 @@
 
 // AppendError appends an ErrorResponse; an empty detail is left out.
 func AppendError(dst []byte, severity, code, text, detail string) []byte {
-	dst, at := begin(dst, 'E')
+	return appendFields(dst, 'E', severity, code, text, detail)
+}
+
+// AppendNotice appends a NoticeResponse: a warning.
+func AppendNotice(dst []byte, code, text, detail string) []byte {
+	return appendFields(dst, 'N', "WARNING", code, text, detail)
+}
+
+func appendFields(dst []byte, typ byte, severity, code, text, detail string) []byte {
+	dst, at := begin(dst, typ)
 	for _, f := range []struct {
 		key byte
 		val string
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -11,6 +11,7 @@
 
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter/plan"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pgwire"
 	"beechgrade/internal/pooling/carry"
@@ -66,6 +67,8 @@
 	midst   bool            // the client has a message in part
 	leaving bool            // the client has taken its leave, with answers due
 	parked  bool            // the client is not read, as its server does not read
+	bound   *bound          // a scattered read that is bound, and begins at the Sync
+	page    *page           // ...that runs
 }
 
 // txn is a transaction on its way to a server; it is core's request. It is front.Client's and backend.Query's.
@@ -173,17 +176,17 @@
 
 // waiting tells whether the client's next message has to wait: for a connection, or for a server that does not read.
 func (c *client) waiting() bool {
-	return c.leaving || c.outside != nil || c.txn != nil && (!c.txn.on || c.txn.mute) || c.link != nil && (c.link.syncing > 0 || c.link.bound || c.link.stuffed())
+	return c.leaving || c.page != nil || c.outside != nil || c.txn != nil && (!c.txn.on || c.txn.mute) || c.link != nil && (c.link.syncing > 0 || c.link.bound || c.link.stuffed())
 }
 
 // owed tells whether an answer is due to what the client sent.
 func (c *client) owed() bool {
-	return c.outside != nil || c.txn != nil || c.link != nil && len(c.link.queue) > 0
+	return c.page != nil || c.outside != nil || c.txn != nil || c.link != nil && len(c.link.queue) > 0
 }
 
 // busy tells whether the client is in the midst of something.
 func (c *client) busy() bool {
-	return c.outside != nil || c.txn != nil || c.status != 'I' || c.link != nil && len(c.link.queue) > 0 || c.open
+	return c.page != nil || c.bound != nil || c.outside != nil || c.txn != nil || c.status != 'I' || c.link != nil && len(c.link.queue) > 0 || c.open
 }
 
 func (c *client) step() (bool, error) {
@@ -344,8 +347,18 @@
 			c.adminQuery(sql)
 			return nil
 		}
+		if c.f.opt.Scatter != nil && plan.Is(sql) {
+			if took := c.scatterQuery(sql); took {
+				return nil
+			}
+		}
 		return c.query(sql, m)
 	case 'S':
+		if c.bound != nil && !c.skip {
+			c.scatterSync()
+			return nil
+		}
+		c.bound = nil
 		if c.skip || c.link == nil {
 			c.skip, c.open = false, false
 			c.out = pgwire.AppendReadyIn(c.out, c.status)
@@ -372,6 +385,11 @@
 		c.complain("0A000", "only simple queries are taken here")
 		return nil
 	}
+	if c.f.opt.Scatter != nil && !c.admin {
+		if took, err := c.scatterMessage(m); took || err != nil {
+			return err
+		}
+	}
 	if c.fresh() && !strings.ContainsRune("SHdcf", rune(m.Type)) {
 		does, err := c.means(m)
 		if err != nil {
@@ -1077,6 +1095,7 @@
 		c.pool.clients--
 	}
 	c.recordEnd()
+	c.scatterGone()
 	defer c.leave()
 	t := c.txn
 	c.txn = nil
--- a/internal/pooling/link.go
+++ b/internal/pooling/link.go
@@ -648,6 +648,10 @@
 // cancel passes a cancel request on to the server where the client's query runs now.
 func (f *Front) cancel(pid, secret uint32) {
 	c := f.keys[pid]
+	if c != nil && c.secret == secret && c.page != nil {
+		c.scatterCancel()
+		return
+	}
 	if c == nil || c.secret != secret || c.link == nil || len(c.link.queue) == 0 || c.link.pid == 0 || f.cancels >= maxCancels {
 		return
 	}
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/pooling/carry"
 	"beechgrade/internal/pooling/share"
@@ -60,10 +61,11 @@
 	GraceMs      float64 // after hearing that a server drains, for what is open there
 	Roles        [2]string
 	PositionName string
-	MaxMessage   int        // bytes, from clients
-	MaxAnswer    int        // bytes, of one message from servers
-	Spare        func() int // descriptors left
-	Expire       func()     // has leases of limits that are over be so; nil for none
+	MaxMessage   int            // bytes, from clients
+	MaxAnswer    int            // bytes, of one message from servers
+	Spare        func() int     // descriptors left
+	Expire       func()         // has leases of limits that are over be so; nil for none
+	Scatter      *scatter.Front // reads over many groups, nil where there are none
 }
 
 const (
--- /dev/null
+++ b/internal/pooling/scatter.go
@@ -0,0 +1,269 @@
+package pooling
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/core"
+	"beechgrade/internal/fronts/scatter"
+	"beechgrade/internal/fronts/scatter/cursor"
+	"beechgrade/internal/fronts/scatter/merge"
+	"beechgrade/internal/fronts/scatter/plan"
+	"beechgrade/internal/fronts/scatter/run"
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/pooling/carry"
+)
+
+// What a client reads over many groups goes to scatter; here is how it asks, by a simple query or by Bind to Sync, and how it hears.
+
+// bound is a scattered read on its way from Bind to Sync.
+type bound struct {
+	text     *carry.Text
+	rest     []byte
+	describe bool
+	execute  bool
+}
+
+// page is one that runs. It is scatter.Reader.
+type page struct {
+	c        *client
+	s        *scatter.Scatter
+	describe bool // the client wants its rows described
+}
+
+const cursorName = "scatter_cursor"
+
+// scatterQuery takes a simple query, where it is of a scattered read.
+func (c *client) scatterQuery(sql string) bool {
+	a, ok, err := plan.Read(sql)
+	if !ok {
+		return false
+	}
+	c.skip = false
+	if err == nil && a.CursorParam > 0 {
+		err = fmt.Errorf("%w: a simple query has no parameters", plan.ErrComment)
+	}
+	c.scatter(a, err, nil, nil, true)
+	return true
+}
+
+// scatterMessage takes a message of the extended protocol, where it is of a scattered read.
+func (c *client) scatterMessage(m pgwire.Message) (bool, error) {
+	switch m.Type {
+	case 'P':
+		name, sql, types, err := pgwire.ParseMessage(m.Body)
+		if err != nil || !plan.Is(sql) || !c.fresh() {
+			return false, err
+		}
+		if _, ok, _ := plan.Read(sql); !ok {
+			return false, nil
+		}
+		var old *carry.Text // that the unnamed one replaces
+		if name == "" {
+			old = c.carry.Lift(name)
+		}
+		_, twice, err := c.carry.Prepare(name, sql, types) // a server has it prepared when the client wants it described
+		c.lower(&expected{closed: old}, err != nil)
+		switch {
+		case err != nil:
+			c.fatal("54000", err.Error())
+		case twice:
+			c.complain("42P05", fmt.Sprintf("prepared statement %q already exists", name))
+		default:
+			c.out = append(c.out, '1', 0, 0, 0, 4)
+		}
+		return true, nil
+	case 'B':
+		_, name, rest, err := pgwire.BindMessage(m.Body)
+		if err != nil {
+			return false, err
+		}
+		t := c.carry.Statement(name)
+		if t == nil || !plan.Is(t.SQL) {
+			return false, nil
+		}
+		if _, ok, _ := plan.Read(t.SQL); !ok {
+			return false, nil
+		}
+		if !c.fresh() || c.bound != nil {
+			c.complain("25001", "a scattered read is a transaction of its own, one at a time")
+			return true, nil
+		}
+		c.bound = &bound{text: t, rest: bytes.Clone(rest)}
+		c.out = append(c.out, '2', 0, 0, 0, 4)
+		return true, nil
+	}
+	if c.bound == nil {
+		return false, nil
+	}
+	switch {
+	case m.Type == 'D' && len(m.Body) > 1 && m.Body[0] == 'P':
+		c.bound.describe = true
+	case m.Type == 'E' && !c.bound.execute:
+		c.bound.execute = true
+	case m.Type == 'H':
+	default:
+		c.bound = nil
+		c.complain("0A000", "behind the Bind of a scattered read come Describe, Execute once and Sync")
+	}
+	return true, nil
+}
+
+// scatterSync begins what was bound.
+func (c *client) scatterSync() {
+	b := c.bound
+	c.bound, c.open = nil, false
+	if !b.execute {
+		c.out = pgwire.AppendReadyIn(c.out, c.status)
+		return
+	}
+	a, _, err := plan.Read(b.text.SQL)
+	c.scatter(a, err, b.text.Types, b.rest, b.describe)
+}
+
+// scatter begins a page, or says why not.
+func (c *client) scatter(a plan.Asked, err error, types, params []byte, describe bool) {
+	if err == nil && (!c.fresh() || c.status != 'I' || c.opened != nil) {
+		c.scatterFail("25001", "a scattered read is a transaction of its own", "")
+		return
+	}
+	if types == nil {
+		types = []byte{0, 0}
+	}
+	if err == nil {
+		p := &page{c: c, describe: describe}
+		c.page = p
+		who := scatter.Who{Database: c.pool.key.database, User: c.pool.key.user, Settings: c.carry, Session: sessionKey(c.pid), After: c.after}
+		var s *scatter.Scatter
+		if s, err = c.f.opt.Scatter.Begin(a, who, types, params, p); err == nil {
+			p.s = s
+			return
+		}
+		c.page = nil
+	}
+	c.scatterFail(codeOf(err), err.Error(), "")
+}
+
+// codeOf is the SQLSTATE of what kept a scattered read from beginning.
+func codeOf(err error) string {
+	for code, list := range map[string][]error{
+		"53300": {scatter.ErrBusy},
+		"42704": {scatter.ErrSpec, core.ErrClass, core.ErrTenant},
+		"42601": {plan.ErrComment, plan.ErrMarks},
+		"22023": {scatter.ErrPage, scatter.ErrEncoding, cursor.ErrCut, cursor.ErrKey, cursor.ErrForged, cursor.ErrOld, cursor.ErrStatement, cursor.ErrReader, cursor.ErrOrder,
+			cursor.ErrShards},
+		"54000": {cursor.ErrLong},
+		"42804": {scatter.ErrColumns, merge.ErrValue},
+	} {
+		for _, e := range list {
+			if errors.Is(err, e) {
+				return code
+			}
+		}
+	}
+	return "58000"
+}
+
+// scatterFail ends a scattered read with an error.
+func (c *client) scatterFail(code, text, detail string) {
+	c.page = nil
+	c.out = pgwire.AppendReadyIn(pgwire.AppendError(c.out, "ERROR", code, text, detail), c.status)
+	c.scatterEnd()
+}
+
+// scatterEnd goes on with what the client sent meanwhile.
+func (c *client) scatterEnd() {
+	c.flush()
+	c.soon()
+	if c.f.draining && !c.busy() {
+		c.fatal("57P01", "the pooler is shutting down")
+	}
+}
+
+func (c *client) scatterGone() {
+	if p := c.page; p != nil {
+		c.page = nil
+		if p.s != nil {
+			p.s.Leave()
+		}
+	}
+}
+
+// scatterCancel ends a page at the client's wish.
+func (c *client) scatterCancel() {
+	if p := c.page; p.s != nil {
+		p.s.Leave()
+		c.scatterFail("57014", "canceling statement due to user request", "")
+	}
+}
+
+// Describe is scatter.Reader's.
+func (p *page) Describe(row []byte) {
+	if p.describe {
+		p.c.out = append(p.c.out, row...)
+	}
+}
+
+// Row is scatter.Reader's.
+func (p *page) Row(row []byte) {
+	c := p.c
+	if c.out = append(c.out, row...); len(c.out) > littleLeft {
+		c.flush()
+	}
+}
+
+// Flush is scatter.Reader's.
+func (p *page) Flush() {
+	if !p.c.closed {
+		p.c.flush()
+	}
+}
+
+// Unsent is scatter.Reader's.
+func (p *page) Unsent() int {
+	if p.c.closed || p.c.conn == nil {
+		return 0
+	}
+	return p.c.conn.Unsent() + len(p.c.out)
+}
+
+// Page is scatter.Reader's.
+func (p *page) Page(x *scatter.Page) {
+	c := p.c
+	if c.page != p {
+		return
+	}
+	c.page = nil
+	c.out = pgwire.AppendParameter(c.out, cursorName, x.Cursor)
+	if len(x.Missing) > 0 {
+		c.out = pgwire.AppendNotice(c.out, "01000", "shards are missing in this page: "+strings.Join(x.Missing, ", "), "")
+	}
+	c.out = pgwire.AppendComplete(c.out, "SELECT "+strconv.Itoa(x.Rows))
+	c.out = pgwire.AppendReadyIn(c.out, c.status)
+	c.scatterEnd()
+}
+
+// Fail is scatter.Reader's.
+func (p *page) Fail(r *run.Run, err error) {
+	c := p.c
+	if c.page != p {
+		return
+	}
+	if r.Verdict == run.Refused {
+		detail := ""
+		if r.RetryMs > 0 {
+			detail = strconv.Itoa(int(math.Ceil(r.RetryMs)))
+		}
+		code := codeOf(err)
+		if code == "58000" {
+			code = "53300"
+		}
+		c.scatterFail(code, err.Error(), detail)
+		return
+	}
+	c.scatterFail(codeOf(err), err.Error(), "")
+}
