--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	Peers      Peers
 	Limits     FleetLimits
 	Invariants Invariants
+	Scatter    Scatter
 }
 
 // Record says whether and where the pooler records what it does.
@@ -66,6 +67,7 @@
 	err = sexp.Form{
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
+		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
