State what must hold of requests, connections, pools, limits and views, and mend what broke

Change: core (the router has what the core has), backend and pooling (connections counted by server agree with the lists, an attempt is on a connection or waits), shares of limits (leases within the pool, none beyond its end, no books of the gone) and the view (nothing kept of the forgotten), each with rapid machines and mutants. Found by them and mended: an owner of limits kept a book for every process that ever asked, and at 2,000 would have left each new one without its share; a process that came back and failed again counted as gone since its first failure, so it was too early taken for one that sends no more; addresses and marks of names stayed in the view for those that were forgotten.

--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -15,8 +15,15 @@
 	}
 	p.checks = invariant.New(func(b invariant.Breach) { p.log.Error("invariant broken", "name", b.Name, "state", b.State) })
 	p.core.Check(p.checks, set.Every)
+	if p.peers != nil {
+		p.peers.Check(p.checks, set.Every)
+	}
 	p.loop.Between = func() {
 		p.loop.Check(p.checks, set.Every)
+		p.pool.Check(p.checks, set.Every)
+		if p.pooled != nil {
+			p.pooled.Check(p.checks, set.Every)
+		}
 	}
 }
 
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -113,6 +113,7 @@
 	wear     wear.Wear
 	held     int // bytes of answers that are coming in
 	scratch  []byte
+	walks    int // of invariants
 }
 
 type store struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -532,6 +532,9 @@
 	clear(c.events)
 	c.events = c.events[:0]
 	c.running = false
+	if c.checks.On() {
+		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
+	}
 }
 
 func (c *Core) carryOut(a *decide.Action) {
--- /dev/null
+++ b/internal/core/invariants.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"fmt"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/slots"
+)
+
+// walk makes the statements about all requests, between two events: what the core has, the router has.
+func (c *Core) walk(x *invariant.Checks) {
+	c.requests.Check(x, "core: requests")
+	owed, open, counted := 0, 0, 0
+	c.requests.Each(func(ref slots.Ref, q *request) {
+		state := func() string {
+			return fmt.Sprintf("%v %s: over %v, %d of %d attempts out, passes on %v", ref, q.id, q.over, q.open, len(q.tries), q.flow != nil)
+		}
+		x.That(!q.over || q.open > 0 || q.flow != nil, "core: of what is over nothing is kept", state)
+		x.That(q.open >= 0 && q.open <= len(q.tries), "core: attempts out are of those made", state)
+		x.That(c.ids[q.id], "core: each request has its id", state)
+		open += q.open
+		if !q.over {
+			owed++
+		}
+		if !q.over || q.flow != nil {
+			counted++
+		}
+	})
+	requests, attempts := c.router.InFlight()
+	state := func() string {
+		return fmt.Sprintf("%d requests owed an answer, the router has %d; %d attempts out, the router has %d; %d ids of %d; %d counted as open", owed, requests,
+			open, attempts, len(c.ids), c.requests.Len(), c.figures.Open)
+	}
+	x.That(owed == requests, "core: the router has the requests that are owed an answer", state)
+	x.That(open == attempts, "core: the router has the attempts that are out", state)
+	x.That(len(c.ids) == c.requests.Len(), "core: each request has its id", state)
+	x.That(c.figures.Open == counted, "core: the figure is of those in progress", state)
+}
--- a/internal/decide/invariants.go
+++ b/internal/decide/invariants.go
@@ -27,6 +27,9 @@
 	}
 }
 
+// InFlight is how many requests are owed an answer, and how many attempts are out.
+func (r *Router) InFlight() (requests, attempts int) { return len(r.reqs), r.open }
+
 // watch is what is known of a router from its events and actions alone.
 type watch struct {
 	c      *invariant.Checks
--- a/internal/kit/emulate/limits.go
+++ b/internal/kit/emulate/limits.go
@@ -65,6 +65,7 @@
 			}
 		}
 		l.id, l.q = self, quota.New(set, self, from)
+		l.q.Check(e.checks, 8)
 	}
 	m := quota.Members{Sending: l.x.view.Counts().Sending}
 	for _, r := range l.x.view.Members() {
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -126,6 +126,7 @@
 	}
 	x := &peer{p: p, f: f, life: p.life}
 	x.view = view.New(set, view.Record{ID: id, Name: p.name, Addr: p.name, Zone: site}, p.e.s.now)
+	x.view.Check(p.e.checks, walkEach)
 	p.peer = x
 	f.check.Began(p.e.s.now, p.no, uint64(id))
 	x.lend()
--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -14,6 +14,7 @@
 	}
 	if self := p.view.Self().ID; p.quota == nil || self != p.lends {
 		p.lends, p.quota = self, quota.New(*p.opt.Limits, self, p.loop.Now())
+		p.quota.Check(p.checks, p.every)
 	}
 	e := quota.Members{Sending: p.counts.Sending}
 	for _, r := range p.view.Members() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"beechgrade/internal/deadline"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
@@ -82,6 +83,9 @@
 
 	parts []part.Part
 
+	checks *invariant.Checks // nil where nothing is checked
+	every  int
+
 	packet  *net.UDPConn
 	listen  *net.TCPListener
 	wg      sync.WaitGroup
@@ -112,6 +116,9 @@
 	return &Peers{opt: opt, loop: l, log: log, events: events, send: make(chan datagram, outgoing), written: make(chan struct{})}
 }
 
+// Check has the invariants of the view and of the limits checked, from the beginning on.
+func (p *Peers) Check(c *invariant.Checks, every int) { p.checks, p.every = c, every }
+
 // Start opens the sockets and begins the view; it runs on the loop.
 func (p *Peers) Start() error {
 	at, err := netip.ParseAddrPort(p.opt.Listen)
@@ -163,6 +170,7 @@
 	me := p.opt.Record
 	me.Addr = p.opt.Advertise
 	p.view = view.New(p.opt.View, me, p.loop.Now())
+	p.view.Check(p.checks, p.every)
 	p.wg.Add(3)
 	go p.reader()
 	go p.writer()
--- a/internal/peers/quota/quota.go
+++ b/internal/peers/quota/quota.go
@@ -6,6 +6,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/invariant"
 )
 
 const (
@@ -30,6 +32,10 @@
 	out     []Action
 	box     []*Message // that go out at the end
 	left    bool
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int
+	walks  int
 }
 
 type limit struct {
@@ -151,6 +157,9 @@
 	for _, l := range q.limits {
 		q.allow(l)
 	}
+	if q.checks.On() {
+		q.checks.Walk(&q.walks, q.every, "quota: the walk", q.walk)
+	}
 	return q.out
 }
 
@@ -501,6 +510,7 @@
 	}
 	if q.now >= o.rightAt || !o.owns || o.right-q.now < q.set.Promise/2 {
 		o.rightAt = q.now + 2*q.set.Step
+		q.forget(l)
 		ends := make([]float64, 0, len(o.books))
 		for _, b := range o.books {
 			if b.promise > q.now {
@@ -532,6 +542,23 @@
 	q.plan(l)
 }
 
+// done tells that a process is not there and, for so long at least, can have held nothing: of its last words none would be taken.
+func (q *Quota) done(l *limit, b *book, ms float64) bool {
+	_, here := q.addr[b.id]
+	return !here && b.id != q.self && q.now-ms >= b.promise+q.set.kept(l.Kind) && q.now-ms >= b.at+q.set.kept(l.Kind) && b.out(q.now-ms) == 0
+}
+
+// forget closes the books of those that have gone: each start of a process is another, and they would fill up.
+func (q *Quota) forget(l *limit) {
+	l.o.books = slices.DeleteFunc(l.o.books, func(b *book) bool {
+		gone := q.done(l, b, 0)
+		if gone {
+			delete(l.o.byID, b.id)
+		}
+		return gone
+	})
+}
+
 // heardAll tells whether every process that can hold something has said so, and is bound to this owner.
 func (q *Quota) heardAll(l *limit) bool {
 	n := 0
--- a/internal/peers/view/view.go
+++ b/internal/peers/view/view.go
@@ -10,6 +10,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/invariant"
 )
 
 const (
@@ -57,6 +59,10 @@
 	settled   bool // somebody has been heard
 	left      bool
 	stranger  int // records that could not be taken
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int
+	walks  int
 }
 
 // member is one process.
@@ -129,6 +135,9 @@
 	case Leave:
 		v.leave()
 	}
+	if v.checks.On() && !v.left {
+		v.checks.Walk(&v.walks, v.every, "view: the walk", v.look)
+	}
 	return v.out
 }
 
@@ -525,12 +534,16 @@
 	if !fresh && was == Suspect {
 		v.suspects--
 	}
+	if r.Addr != m.Addr && v.holds[m.Addr] == m {
+		delete(v.holds, m.Addr)
+	}
 	m.Record, v.stale = *r, true
 	switch m.State {
 	case Alive:
 		m.missed, m.goneAt = 0, 0
 	case Suspect:
 		v.suspects++
+		m.goneAt = 0 // a later word than its failure: it was there in between
 		m.deadline = v.now + v.set.Suspicion
 	default:
 		if m.goneAt == 0 {
@@ -645,6 +658,7 @@
 		if m.State >= Failed && v.now-m.goneAt >= v.set.Forget {
 			delete(v.all, m.ID)
 			delete(v.tradedAt, m.ID)
+			delete(v.tradedAt, ^m.ID)
 			if v.holds[m.Addr] == m {
 				delete(v.holds, m.Addr)
 			}
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -100,6 +100,7 @@
 	draining bool
 	rec      *record.Recorder // nil where nothing is recorded
 	gaugeAt  float64
+	walks    int // of invariants
 
 	Counts Counts
 }
--- a/internal/pooling/share/share_test.go
+++ b/internal/pooling/share/share_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/steady"
 )
 
@@ -71,6 +72,7 @@
 			delete(w.conns, a.Conn)
 		}
 	}
+	w.p.Check(invariant.Test(w.t))
 	idle, used, dialing, waiting := w.p.Counts()
 	sum := 0
 	for _, n := range w.dialing {
