--- /dev/null
+++ b/cmd/beechgrade/standing_test.go
@@ -0,0 +1,310 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/pgwire"
+)
+
+// Stories of the operators' standing test: what a pooler that hears nothing is held to, and what one that ends owes.
+
+// both runs a story where lists are asked for, and where they are pushed.
+func both(t *testing.T, story func(t *testing.T, mode func(*config.Config))) {
+	for name, asked := range map[string]bool{"asked": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			story(t, func(c *config.Config) { c.Settings.AskList = asked })
+		})
+	}
+}
+
+// barred asks until the one server there is takes nothing any more, and tells when that was.
+func barred(t *testing.T, pooler string, queries <-chan asked, by time.Time) time.Time {
+	t.Helper()
+	go func() {
+		for q := range queries {
+			q.send(row("v"))
+		}
+	}()
+	c := client(t, pooler)
+	for n := 0; ; n++ {
+		c.send(query(fmt.Sprint("b", n), "read", 400))
+		switch got := c.answer(); {
+		case got == "EZ 53300":
+			return time.Now()
+		case got != "TDCZ v":
+			t.Fatalf("got %q", got)
+		case time.Now().After(by):
+			t.Fatal("a server that drains is still asked")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// draining is a list in which the server drains.
+func draining(gen int, addr string) []byte {
+	b, _ := json.Marshal(map[string]any{"generation": gen, "reset": false, "instances": []map[string]any{{"instanceId": "s-1", "hostPort": addr, "lifecycle": "draining"}}})
+	return b
+}
+
+// TestIndentedList: a list binds however it is laid out, and however its bytes come in.
+func TestIndentedList(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, mode func(*config.Config)) {
+		addr, queries := server(t)
+		pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
+			var b bytes.Buffer
+			_ = json.Indent(&b, draining(5, addr), "", "  ")
+			for _, part := range bytes.SplitAfter(append([]byte("\n"), append(b.Bytes(), '\n')...), []byte{'\n'}) {
+				_, _ = w.Write(part)
+				w.(http.Flusher).Flush()
+			}
+			<-r.Context().Done()
+		}, mode)
+		barred(t, pooler, queries, time.Now().Add(2*time.Second))
+	})
+}
+
+// TestSilentDiscovery: a watch falls silent, wherever in it, and so does the one that is opened in its place; a server begins to
+// drain just then. It counts as told 6 s after that, and is heard by then.
+func TestSilentDiscovery(t *testing.T) {
+	t.Parallel()
+	flush := func(w http.ResponseWriter, s string) {
+		_, _ = w.Write([]byte(s))
+		w.(http.Flusher).Flush()
+	}
+	for name, begin := range map[string]func(w http.ResponseWriter){
+		"at its start":    func(http.ResponseWriter) {},
+		"behind its head": func(w http.ResponseWriter) { w.(http.Flusher).Flush() },
+		"after a list": func(w http.ResponseWriter) {
+			flush(w, "{\"generation\":4,\"reset\":false,\"instances\":[]}\n\n")
+		},
+		"in the midst of a list": func(w http.ResponseWriter) { flush(w, "\n{\"generation\":5,\"reset\":false,\"inst") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			both(t, func(t *testing.T, mode func(*config.Config)) {
+				addr, queries := server(t)
+				var calls atomic.Int32
+				silent := make(chan time.Time, 1)
+				pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
+					switch calls.Add(1) {
+					case 1:
+						begin(w)
+						silent <- time.Now()
+					case 2: // and this one from its start
+					default:
+						flush(w, string(draining(6, addr))+"\n")
+					}
+					<-r.Context().Done()
+				}, mode, func(c *config.Config) { c.Settings.Siblings = 100 }) // whose calls are spread otherwise
+				fell := <-silent
+				if took := barred(t, pooler, queries, fell.Add(6*time.Second)).Sub(fell); took < 4500*time.Millisecond {
+					t.Errorf("heard after %v; the story is of two silent watches", took)
+				}
+			})
+		})
+	}
+}
+
+// TestBegunInAnOutage: a process begins while discovery hangs. It serves by the list that it was given, at once, and what discovery has
+// when it is back binds.
+func TestBegunInAnOutage(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, mode func(*config.Config)) {
+		addr, queries := server(t)
+		var back atomic.Bool
+		pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
+			if back.Load() {
+				_, _ = w.Write(append(draining(5, addr), '\n'))
+				w.(http.Flusher).Flush()
+			}
+			<-r.Context().Done()
+		}, mode)
+		began := time.Now()
+		c := client(t, pooler)
+		c.send(query("1", "read", 9000))
+		next(t, queries).send(row("v"))
+		c.want("TDCZ v")
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("served after %v", took)
+		}
+		back.Store(true)
+		barred(t, pooler, queries, time.Now().Add(4*time.Second))
+	})
+}
+
+// TestDiscoveryReturns: discovery is down for a while, its connections reset and new ones refused. What it has when it is back counts
+// at once where lists are pushed, so it is heard within the least grace of a drain; where they are asked for, from when it has told it.
+func TestDiscoveryReturns(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, mode func(*config.Config)) {
+		addr, queries := server(t)
+		l := listen(t)
+		at := l.Addr().String()
+		opened := make(chan bool, 99)
+		serve := func(l net.Listener, say []byte) *http.Server {
+			s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = w.Write(say)
+				w.(http.Flusher).Flush()
+				opened <- true
+				<-r.Context().Done()
+			})}
+			go func() { _ = s.Serve(l) }()
+			t.Cleanup(func() { _ = s.Close() })
+			return s
+		}
+		first := serve(l, []byte("\n"))
+		var asks bool
+		pooler, _, _ := start(t, addr, nil, mode, func(c *config.Config) { c.Discovery, asks = at, c.Settings.AskList })
+		<-opened
+		_ = first.Close()
+		time.Sleep(1500 * time.Millisecond)
+		back, err := net.Listen("tcp", at)
+		if err != nil {
+			t.Skip("the port was taken meanwhile: ", err)
+		}
+		returned := time.Now()
+		serve(back, append(draining(5, addr), '\n'))
+		took := barred(t, pooler, queries, returned.Add(3*time.Second)).Sub(returned)
+		if most := 350 * time.Millisecond; !asks && took > most { // the grace is 250 ms, and every limit 50 ms longer; a busy machine
+			t.Errorf("heard %v after its return", took)
+		}
+	})
+}
+
+// TestReloadToASilentDiscovery: the discovery that a new configuration names hangs at first. What it has counts as told 4 s after SIGHUP.
+func TestReloadToASilentDiscovery(t *testing.T) {
+	t.Parallel()
+	both(t, func(t *testing.T, mode func(*config.Config)) {
+		addr, queries := server(t)
+		var calls atomic.Int32
+		moved := listen(t)
+		s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) > 1 {
+				_, _ = w.Write(bytes.Replace(append(draining(2, addr), '\n'), []byte(`"reset":false`), []byte(`"reset":true`), 1))
+				w.(http.Flusher).Flush()
+			}
+			<-r.Context().Done()
+		})}
+		go func() { _ = s.Serve(moved) }()
+		t.Cleanup(func() { _ = s.Close() })
+		pooler, hup, _, _ := startReload(t, addr, nil, func(c config.Config) (*config.Config, error) {
+			c.Discovery = moved.Addr().String()
+			return &c, nil
+		}, mode)
+		c := client(t, pooler)
+		c.send(query("1", "read", 9000))
+		next(t, queries).send(row("v"))
+		c.want("TDCZ v")
+		told := time.Now()
+		hup <- syscall.SIGHUP
+		barred(t, pooler, queries, told.Add(4*time.Second))
+	})
+}
+
+// TestStopUnderClients: after SIGTERM clients send on every connection that stays open, one request behind the other, and open new
+// ones for a while. Every request that was taken has its answer, and the process is gone before it may be killed. A close may cross a request
+// that was not read; no answer may be cut short or late.
+func TestStopUnderClients(t *testing.T) {
+	t.Parallel()
+	addr, queries := server(t)
+	const longest = time.Second
+	pooler, stop, done := start(t, addr, nil, func(c *config.Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].Deadline, c.Settings.Classes[i].Aim = longest, longest
+		}
+	})
+	go func() {
+		for q := range queries {
+			if strings.Contains(q.sql, "hang") { // never answered
+				continue
+			}
+			go func() {
+				time.Sleep(3 * time.Millisecond)
+				q.send(row("v"))
+			}()
+		}
+	}()
+	var mu sync.Mutex
+	counts, ids := map[string]int{}, 0
+	var wg sync.WaitGroup
+	hammer := func(k int) {
+		defer wg.Done()
+		nc, err := net.Dial("tcp", pooler)
+		if err != nil {
+			return
+		}
+		c := newPeer(t, nc)
+		c.send(pgwire.AppendStartup(nil, "backend", "store"))
+		if c.answer() != "RSSSSZ" {
+			return
+		}
+		for {
+			mu.Lock()
+			ids++
+			id := fmt.Sprint("h", ids)
+			if ids%50 == 0 {
+				id += "hang"
+			}
+			mu.Unlock()
+			began := time.Now()
+			c.send(query(id, map[bool]string{true: "write", false: "read"}[k%3 == 0], 800))
+			got := c.answer()
+			mu.Lock()
+			counts[got]++
+			if took := time.Since(began); took > 800*time.Millisecond+500*time.Millisecond && got != "$" {
+				counts["late"]++
+			}
+			mu.Unlock()
+			if strings.Contains(got, "$") {
+				return
+			}
+		}
+	}
+	for k := range 30 {
+		wg.Add(1)
+		go hammer(k)
+	}
+	time.Sleep(300 * time.Millisecond)
+	told := time.Now()
+	stop <- syscall.SIGTERM
+	for k := range 10 { // clients come for a while still
+		time.Sleep(30 * time.Millisecond)
+		wg.Add(1)
+		go hammer(k)
+	}
+	select {
+	case err := <-done:
+		if took := time.Since(told); err != nil || took < longest || took > longest+700*time.Millisecond {
+			t.Errorf("it ended after %v: %v", took, err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the process did not end")
+	}
+	wg.Wait()
+	sum := 0
+	for got, n := range counts {
+		switch got {
+		case "TDCZ v", "EZ 53300", "EZ 58000":
+			sum += n
+		case "$":
+		default:
+			t.Errorf("%d were told %q", n, got)
+		}
+	}
+	if sum < 1000 || counts["TDCZ v"] < sum*9/10 || counts["$"] != 40 {
+		t.Errorf("told: %v", counts)
+	}
+}
