--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -20,12 +20,12 @@
 	q := a.req
 	r.countLost(s, a, e.Result)
 	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
-	at := r.now
-	if e.Told.Role == RolePrimary { // that it no longer is one counts from now on
-		at = r.said(e.Told, a.sent)
+	at := r.now // that it does not lead counts at once; that it does, as of when it said so, which may be read late
+	if e.Told.Role == RolePrimary {
+		at = min(r.now, max(a.sent, e.Told.Position))
 	}
-	r.learn(s, e.Told, at, a.sent)
-	r.learn(s, e.Load, e.Load.Position, a.sent)
+	r.learn(s, e.Told, at)
+	r.learn(s, e.Load, e.Load.Position)
 	switch e.Result {
 	case OK:
 		c := q.class
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -42,8 +42,7 @@
 	}
 	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
 	// but hardly between its report and the answer to a probe sent for this request.
-	// An old request is not young for that: a bound counts at each send.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived && (s.placedAt >= need || q.class.Read != ReadBounded) || !r.set.MayProbe)
+	leads := s == r.primary(q.group) && (s.roleAt >= need || s.askedAt >= max(need, q.arrived) || !r.set.MayProbe)
 	if need == never || leads || s.position >= need {
 		return true, true
 	}
@@ -59,8 +58,8 @@
 	}
 	as := s.position
 	if s == r.primary(q.group) {
-		if as = max(as, s.roleAt); s.placedAt >= q.arrived {
-			as = max(as, s.placedAt)
+		if as = max(as, s.roleAt); s.askedAt >= q.arrived {
+			as = max(as, s.askedAt)
 		}
 	}
 	return as + q.class.Bound + 1 // when it is not so any more
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -63,10 +63,7 @@
 	if s == nil {
 		return
 	}
-	asked, slow := r.now, s.probing && r.wayTook(s, r.now-s.probeAt)
-	if s.probing {
-		asked = s.probeAt
-	}
+	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
 		return // an answer that tells nothing: it neither takes a store out nor back
@@ -80,8 +77,8 @@
 		}
 		return
 	}
-	s.probeFails = 0
-	r.learn(s, e.Load, e.Load.Position, asked) // a primary stands at the present: its position is the report's time
+	s.probeFails, s.askedAt = 0, s.probeAt
+	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
 		r.well(s)
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -171,6 +171,7 @@
 	case e.Lifecycle == "up":
 		s.drainTold = 0
 	case e.Lifecycle == "draining" && heard:
+		at = f.dir.told(at)
 		s.drainTold = at
 	}
 	if f.watcher != nil && (heard && e.Lifecycle == "draining" || e.Lifecycle == "up") {
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -256,6 +256,9 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	if err := r.invariants(res.Rules); err != nil {
+		return nil, err
+	}
 	for i, s := range r.wires.stood {
 		res.Stood = append(res.Stood, Stood{r.poolers[i].name, s[0], s[1]})
 	}
@@ -344,6 +347,12 @@
 			r.listGone(false)
 		}
 		return nil
+	case "list-silent":
+		r.fleet.ListSilent(true)
+		if f.For > 0 && pause(ctx, f.For) {
+			r.fleet.ListSilent(false)
+		}
+		return nil
 	case "agent", "deregister-all", "wrong-roles":
 		r.lie(f, true)
 		if f.For > 0 && pause(ctx, f.For) {
@@ -473,7 +482,7 @@
 			peers += p.limits.String()
 		}
 	}
-	operators := peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
+	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
 	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
 }
 
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -99,7 +99,7 @@
 func (f *Fault) args() string {
 	var b strings.Builder
 	switch f.What {
-	case "list-gone", "deregister-all", "wrong-roles":
+	case "list-gone", "list-silent", "deregister-all", "wrong-roles":
 	case "list-late":
 		fmt.Fprintf(&b, " %sms", num(f.Value))
 	case "load":
