--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -23,13 +23,21 @@
 
 // fleetAt is fleet with so many requests a second, and all of the script given.
 func fleetAt(t *testing.T, rate float64, script string, more ...check.Rule) *rehearse.Result {
+	t.Helper()
+	_, res := fleetIn(t, rate, script, more...)
+	return res
+}
+
+// fleetIn is fleetAt, with the folder of what came of it.
+func fleetIn(t *testing.T, rate float64, script string, more ...check.Rule) (string, *rehearse.Result) {
 	t.Helper()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "fleet" `+script+`)`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Clients.Rate = rate
-	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: t.TempDir(), Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
+	out := t.TempDir()
+	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: out, Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,7 +57,7 @@
 	if res.Fleet.Looks < 100 || res.Fleet.Carried == 0 {
 		t.Errorf("poolers were asked %d times, %d datagrams were carried", res.Fleet.Looks, res.Fleet.Carried)
 	}
-	return res
+	return out, res
 }
 
 // TestFleetKilled: half of 8 processes are killed at once and return with an empty memory; the others call them failed within the
