--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -1,6 +1,6 @@
 package decide
 
-// The records that the router keeps. No decision is made here.
+// The records that the router keeps, and what is read off them. No decision is made here.
 
 import (
 	"cmp"
@@ -266,3 +266,53 @@
 	slow float64
 	at   Time
 }
+
+// New makes a router. The seed is its only source of randomness.
+func New(set Settings, seed uint64) *Router {
+	r := &Router{rng: rand.New(rand.NewPCG(seed, 0)), stores: map[StoreID]*store{}, groups: map[int]*group{},
+		reqs: map[RequestID]*request{}, pools: map[int]float64{}, ways: map[int]way{},
+		forgotten: never, wakeAt: never}
+	r.tune(set)
+	for _, c := range r.classes {
+		r.work += c.work / float64(len(r.classes))
+	}
+	return r
+}
+
+// fading is what is left, from 1 to 0, of something last heard of then.
+func (r *Router) fading(at Time, memory time.Duration) float64 {
+	return max(0, 1-(r.now-at).Seconds()/memory.Seconds())
+}
+
+// work is the request's expected work: its class's average, by its hint where it came with one.
+func (q *request) work() float64 { return q.class.work * q.size }
+
+// remember keeps a session's last commit. One dropped counts as written as late as any that was.
+func (r *Router) remember(session string, at Time) {
+	if r.commits == nil || len(r.commits) >= sessionsKept {
+		for _, t := range r.commits {
+			r.forgotten = max(r.forgotten, t)
+		}
+		r.commits = map[string]Time{}
+	}
+	r.commits[session] = max(at, r.commits[session])
+}
+
+// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
+func (r *Router) flowed(n float64) {
+	dt := (r.now - r.flowAt).Seconds()
+	keep := math.Exp(-dt / flowMemory.Seconds())
+	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
+	r.flow = r.sends / max(r.flowSpan, 1)
+}
+
+// forgetGone drops stores that left, have not answered since for a while, and hold nothing of ours.
+func (r *Router) forgetGone() {
+	r.order = slices.DeleteFunc(r.order, func(s *store) bool {
+		if s.gone == 0 || r.now-max(s.gone, s.answered) < goneKeep || len(s.open) > 0 {
+			return false
+		}
+		r.drop(s)
+		return true
+	})
+}
