Agree on a log in common by raft as a pure core, with its disk, new disks and proposals from afar

Need: prepaid credit, and later zones, need one sequence of entries that no crash, partition or lost disk changes.

Found on the way: a voter that joins knew nobody to answer; a second disk lost within the change of the first stops three voters for good, which the page now says.

--- /dev/null
+++ b/internal/kit/explore/agreed.go
@@ -0,0 +1,586 @@
+package explore
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/agreed/tally"
+)
+
+// Agreed are so many voters of a log in common, the messages between them and the writes that wait for their disks. Messages arrive
+// in any order; of them some are lost or come twice. A voter may stand for election, be proposed to, and crash: of the writes that wait
+// the first so many are on its disk then, and it starts again from that. It knows of voters what is on their disks and what they
+// send and apply, nothing of how they come to it.
+type Agreed struct {
+	Lose, Double, Stand, Beat, Propose, Crash, Wipe int // that may still happen
+
+	set     agreed.Settings
+	voters  []*voter
+	wires   []letter
+	truth   truth
+	number  uint64
+	Live    bool                         // voters are kept rather than made again from what they were told: no clone is taken
+	Early   func(w []agreed.Record) bool // a mutant: which writes a voter takes for done before they are
+	Amnesia bool                         // a mutant: who has lost its disk goes by its old number
+	Sloppy  bool                         // a mutant: entries that come twice are taken twice
+	Checks  *invariant.Checks
+}
+
+type voter struct {
+	name    string
+	rep     *agreed.Replica // nil where it is to be made again
+	told    []told          // since its start
+	life    int
+	now     float64
+	disk    map[string][]byte
+	had     map[string]bool // entries that were on any of its disks
+	base    uint64          // the highest snapshot that was
+	pending []write
+	key     uint64 // of all it was told
+	broke   string
+	leads   bool
+	tally   *tally.Tally
+}
+
+type write struct {
+	agreed.Action
+	told bool
+}
+
+type told struct {
+	now float64
+	e   agreed.Event
+}
+
+type letter struct {
+	from, to int
+	text     string
+	stream   uint64 // its number, where its end is to be told
+}
+
+// truth is what has become known to be so.
+type truth struct {
+	entries []string          // by index, that were applied
+	leaders map[uint64]string // by term
+	votes   map[string]string // by voter, disk and term
+	sums    map[uint64]uint64 // by entries taken
+}
+
+// AgreedSettings are of a small log.
+func AgreedSettings(n int) agreed.Settings {
+	s := agreed.Defaults()
+	s.Tick, s.Election, s.Heartbeat, s.Every, s.Keep = 1, 3, 1, 4, 1
+	for i := range n {
+		s.Voters = append(s.Voters, fmt.Sprint("p", i))
+	}
+	return s
+}
+
+// NewAgreed makes a group that begins, or voters with empty disks.
+func NewAgreed(set agreed.Settings, founded bool) *Agreed {
+	s := &Agreed{set: set, truth: truth{leaders: map[uint64]string{}, votes: map[string]string{}, sums: map[uint64]uint64{}}}
+	var all []agreed.Member
+	for i, v := range set.Voters {
+		all = append(all, agreed.Member{Name: v, Disk: uint64(i + 1)})
+	}
+	for i, v := range set.Voters {
+		x := &voter{name: v, disk: map[string][]byte{}, had: map[string]bool{}}
+		if founded {
+			for _, r := range agreed.Founded(all[i], all) {
+				x.disk[r.Key] = r.Value
+			}
+		}
+		s.voters = append(s.voters, x)
+	}
+	for i := range s.voters {
+		_ = s.start(i)
+	}
+	return s
+}
+
+func (s *Agreed) made(x *voter) *agreed.Replica {
+	set := s.set
+	set.Self, set.Drawn, set.Checks = x.name, uint64(x.life), s.Checks
+	x.tally = &tally.Tally{Sloppy: s.Sloppy}
+	return &agreed.Replica{Log: agreed.New(set, 0), Machine: x.tally}
+}
+
+// start has a voter begin with what its disk has.
+func (s *Agreed) start(i int) error {
+	x := s.voters[i]
+	x.life++
+	x.told, x.pending, x.leads, x.now, x.broke = nil, nil, false, 0, ""
+	x.rep = s.made(x)
+	x.key = xxhash.Sum64String(fmt.Sprint(x.key, i, x.life))
+	var m agreed.Members
+	for _, y := range s.voters {
+		m.Voters = append(m.Voters, agreed.Address{Name: y.name, Addr: y.name})
+	}
+	var records []agreed.Record
+	for _, k := range slices.Sorted(maps.Keys(x.disk)) {
+		records = append(records, agreed.Record{Key: k, Value: x.disk[k]})
+	}
+	if err := s.do(i, m); err != nil {
+		return err
+	}
+	return s.do(i, agreed.Restored{Records: records})
+}
+
+func (s *Agreed) clone() *Agreed {
+	c := *s
+	c.voters = make([]*voter, len(s.voters))
+	for i, x := range s.voters {
+		y := *x
+		y.rep, y.told, y.pending, y.disk = nil, slices.Clip(x.told), slices.Clone(x.pending), maps.Clone(x.disk)
+		y.had = maps.Clone(x.had)
+		c.voters[i] = &y
+	}
+	c.wires = slices.Clone(s.wires)
+	c.truth = truth{slices.Clip(s.truth.entries), maps.Clone(s.truth.leaders), maps.Clone(s.truth.votes), maps.Clone(s.truth.sums)}
+	return &c
+}
+
+// Key is System's: the same was told to each voter, in its order, and the same is on the way.
+func (s *Agreed) Key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, s.Lose, s.Double, s.Stand, s.Beat, s.Propose, s.Crash, s.Wipe, s.number)
+	for _, x := range s.voters {
+		fmt.Fprint(&b, "|", x.key)
+	}
+	keys := make([]string, 0, len(s.wires))
+	for _, w := range s.wires {
+		keys = append(keys, fmt.Sprint(w.from, w.to, w.stream, w.text))
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		fmt.Fprint(&b, "|", k)
+	}
+	return b.String()
+}
+
+// do tells a voter of an event and takes what it asks for.
+func (s *Agreed) do(i int, e agreed.Event) error {
+	x := s.voters[i]
+	if x.rep == nil {
+		x.rep = s.made(x)
+		for _, t := range x.told {
+			x.rep.Handle(t.now, t.e, nil)
+		}
+	}
+	if !s.Live {
+		x.told = append(x.told, told{x.now, e})
+	}
+	x.key = xxhash.Sum64String(fmt.Sprintf("%d %v %T %v", x.key, x.now, e, e))
+	before := *x.tally
+	for _, a := range x.rep.Handle(x.now, e, nil) {
+		if err := s.carry(i, &a); err != nil {
+			return err
+		}
+	}
+	for k := range x.pending { // of a mutant
+		if s.Early == nil || !x.pending[k].told && !s.Early(x.pending[k].Records) {
+			break
+		}
+		if !x.pending[k].told {
+			x.pending[k].told = true
+			return s.do(i, agreed.Stored{Ref: x.pending[k].Ref})
+		}
+	}
+	if x.tally.Taken > uint64(len(x.tally.Numbers())) {
+		return fmt.Errorf("%s has taken %d entries, of %d numbers", x.name, x.tally.Taken, len(x.tally.Numbers()))
+	}
+	if x.tally.Taken < before.Taken && x.tally.Index > before.Index {
+		return fmt.Errorf("%s had taken %d entries up to %d, and %d up to %d", x.name, before.Taken, before.Index, x.tally.Taken, x.tally.Index)
+	}
+	if n, sum := x.tally.Taken, x.tally.Sum; n > 0 {
+		if was, ok := s.truth.sums[n]; ok && was != sum {
+			return fmt.Errorf("%s has taken %d entries, others than another did", x.name, n)
+		}
+		s.truth.sums[n] = sum
+	}
+	return nil
+}
+
+func (s *Agreed) index(name string) int {
+	return slices.IndexFunc(s.voters, func(x *voter) bool { return x.name == name })
+}
+
+func (s *Agreed) carry(i int, a *agreed.Action) error {
+	x := s.voters[i]
+	switch a.Kind {
+	case agreed.Send:
+		to := s.index(a.Addr)
+		if len(a.Message) > agreed.MostDatagram && !a.Stream {
+			return fmt.Errorf("a message of %d bytes", len(a.Message))
+		}
+		if to < 0 || to == i {
+			return nil
+		}
+		w := letter{from: i, to: to, text: string(a.Message)}
+		if a.Stream {
+			w.stream = a.Ref
+		}
+		s.wires = append(s.wires, w)
+		return s.looked(x, a.Message)
+	case agreed.Store:
+		x.pending = append(x.pending, write{Action: *a})
+	case agreed.Apply:
+		return s.applied(x, a)
+	case agreed.Leads:
+		if was := s.truth.leaders[a.Term]; was != "" && was != x.name {
+			return fmt.Errorf("%s and %s lead in term %d", was, x.name, a.Term)
+		}
+		s.truth.leaders[a.Term] = x.name
+		x.leads = true
+	case agreed.Follows:
+		x.leads = false
+	case agreed.Broke:
+		x.broke, x.leads, x.pending = a.Text, false, nil
+	}
+	return nil
+}
+
+// raftOf is what a message has of raft's own; nil for none.
+func raftOf(b []byte) *pb.Message {
+	raft := false
+	for len(b) > 0 {
+		f, t, n := protowire.ConsumeTag(b)
+		b = b[n:]
+		if f == 1 {
+			v, _ := protowire.ConsumeVarint(b)
+			raft = v == 1
+		}
+		if f == 14 && raft {
+			data, _ := protowire.ConsumeBytes(b)
+			m := &pb.Message{}
+			if proto.Unmarshal(data, m) == nil {
+				return m
+			}
+		}
+		b = b[protowire.ConsumeFieldValue(f, t, b):]
+	}
+	return nil
+}
+
+// looked holds what a voter sends against its disk: a vote is there before it is told, and it is the only one of its term.
+func (s *Agreed) looked(x *voter, b []byte) error {
+	m := raftOf(b)
+	if m == nil || m.GetReject() || m.GetType() != pb.MsgVoteResp {
+		return nil
+	}
+	h := &pb.HardState{}
+	if err := proto.Unmarshal(x.disk["hard"], h); err != nil {
+		return err
+	}
+	if h.GetTerm() < m.GetTerm() || h.GetTerm() == m.GetTerm() && h.GetVote() != m.GetTo() {
+		return fmt.Errorf("%s says that it votes for %x in term %d; its disk has %x in term %d", x.name, m.GetTo(), m.GetTerm(), h.GetVote(), h.GetTerm())
+	}
+	k, to := fmt.Sprint(m.GetFrom(), " ", m.GetTerm()), fmt.Sprint(m.GetTo())
+	if was, ok := s.truth.votes[k]; ok && was != to {
+		return fmt.Errorf("%s votes for %s and %s in term %d", x.name, was, to, m.GetTerm())
+	}
+	s.truth.votes[k] = to
+	return nil
+}
+
+// applied holds what a voter applies against what others did, and, the first time, against the disks: more than half have it, or had it on a disk that was lost since.
+func (s *Agreed) applied(x *voter, a *agreed.Action) error {
+	text := fmt.Sprint(a.Term, " ", string(a.Entry))
+	for uint64(len(s.truth.entries)) <= a.Index {
+		s.truth.entries = append(s.truth.entries, "")
+	}
+	switch was := s.truth.entries[a.Index]; {
+	case was == text:
+		return nil
+	case was != "":
+		return fmt.Errorf("%s applies %q as entry %d, which was %q", x.name, text, a.Index, was)
+	}
+	have := 0
+	for _, y := range s.voters {
+		if y.had[fmt.Sprint(a.Index, " ", text)] || y.base >= a.Index {
+			have++
+		}
+	}
+	if have <= len(s.voters)/2 {
+		return fmt.Errorf("%s applies entry %d, which %d of %d had on their disks", x.name, a.Index, have, len(s.voters))
+	}
+	s.truth.entries[a.Index] = text
+	return nil
+}
+
+// Check is System's: what is wrong was found in the step.
+func (s *Agreed) Check() error {
+	for _, x := range s.voters {
+		if x.broke != "" {
+			return fmt.Errorf("%s: %s", x.name, x.broke)
+		}
+	}
+	if b := s.Checks.Broken(); len(b) > 0 {
+		return fmt.Errorf("%v", b[0])
+	}
+	return nil
+}
+
+// write puts a voter's oldest write on its disk, and tells it where it is to know.
+func (s *Agreed) write(i int, tell bool) error {
+	x := s.voters[i]
+	a := x.pending[0]
+	x.pending = x.pending[1:]
+	for _, r := range a.Records {
+		if r.Gone {
+			delete(x.disk, r.Key)
+			continue
+		}
+		x.disk[r.Key] = r.Value
+		e, sn := &pb.Entry{}, &pb.Snapshot{}
+		switch {
+		case strings.HasPrefix(r.Key, "e/") && proto.Unmarshal(r.Value, e) == nil:
+			x.had[fmt.Sprint(e.GetIndex(), " ", e.GetTerm(), " ", string(e.GetData()))] = true
+		case r.Key == "snapshot" && proto.Unmarshal(r.Value, sn) == nil:
+			x.base = max(x.base, sn.GetMetadata().GetIndex())
+		}
+	}
+	if !tell || a.told {
+		return nil
+	}
+	return s.do(i, agreed.Stored{Ref: a.Ref})
+}
+
+// crash has a voter end and start again; of its writes the first so many are on the disk.
+func (s *Agreed) crash(i, writes int) error {
+	for range writes {
+		if err := s.write(i, false); err != nil {
+			return err
+		}
+	}
+	return s.start(i)
+}
+
+// wipe has a voter start with an empty disk.
+func (s *Agreed) wipe(i int) error {
+	x := s.voters[i]
+	old := x.disk
+	x.disk = map[string][]byte{}
+	if s.Amnesia {
+		x.disk["meta"] = old["meta"]
+		x.disk["snapshot"] = agreedFirst(s)
+	}
+	return s.start(i)
+}
+
+func agreedFirst(s *Agreed) []byte {
+	var all []agreed.Member
+	for i, v := range s.set.Voters {
+		all = append(all, agreed.Member{Name: v, Disk: uint64(i + 1)})
+	}
+	return agreed.Founded(all[0], all)[2].Value
+}
+
+// stand lets time pass at a voter until it stands for election; at a leader, until it has told that it lives.
+func (s *Agreed) stand(i int) error {
+	x := s.voters[i]
+	for range 2*s.set.Election + 1 {
+		had := len(s.wires)
+		x.now++
+		if err := s.do(i, agreed.Tick{}); err != nil || len(s.wires) > had {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Agreed) deliver(k int, keep bool) error {
+	w := s.wires[k]
+	if !keep {
+		s.wires = slices.Delete(s.wires, k, k+1)
+	}
+	if err := s.do(w.to, agreed.Heard{From: s.voters[w.from].name, Message: []byte(w.text)}); err != nil || w.stream == 0 || keep {
+		return err
+	}
+	return s.do(w.from, agreed.Sent{Ref: w.stream, OK: true})
+}
+
+// lose has a message not come.
+func (s *Agreed) lose(k int) error {
+	w := s.wires[k]
+	s.wires = slices.Delete(s.wires, k, k+1)
+	if w.stream == 0 {
+		return nil
+	}
+	return s.do(w.from, agreed.Sent{Ref: w.stream})
+}
+
+func (s *Agreed) propose(i int) error {
+	s.number++
+	return s.again(i, s.number)
+}
+
+// again proposes a number that may have been proposed before.
+func (s *Agreed) again(i int, number uint64) error {
+	return s.do(i, agreed.Propose{Ref: number, Entry: tally.Entry("x", number, 0)})
+}
+
+// lost counts voters with a disk that was lost, and which are not of the group again; all, while a place goes over.
+func (s *Agreed) lost() (n int) {
+	for _, x := range s.voters {
+		st := x.rep.Standing()
+		if !st.Part {
+			n++
+		}
+		if st.Changes {
+			return len(s.voters)
+		}
+	}
+	return n
+}
+
+// Wander goes one of all ways, as drawn: messages in any order, lost and twice, writes that wait, crashes, at most so many lost disks at
+// a time that more than half are whole.
+func (s *Agreed) Wander(pick func(n int) int, steps int) error {
+	s.Live = true
+	for range steps {
+		i := pick(len(s.voters))
+		x := s.voters[i]
+		var err error
+		switch k := pick(100); {
+		case k < 38 && len(s.wires) > 0:
+			err = s.deliver(pick(min(len(s.wires), 12)), false)
+		case k < 58 && len(x.pending) > 0:
+			err = s.write(i, true)
+		case k < 72:
+			x.now++
+			err = s.do(i, agreed.Tick{})
+		case k < 79:
+			err = s.propose(i)
+		case k < 81 && s.number > 0:
+			err = s.again(i, 1+uint64(pick(int(s.number))))
+		case k < 84 && len(s.wires) > 0:
+			err = s.lose(pick(len(s.wires)))
+		case k < 87 && len(s.wires) > 0:
+			err = s.deliver(pick(len(s.wires)), true)
+		case k < 89:
+			err = s.crash(i, pick(len(x.pending)+1))
+		case k == 89 && s.lost() < (len(s.voters)-1)/2:
+			err = s.wipe(i)
+		case k > 90 && k < 93:
+			err = s.Settle(4)
+		}
+		for err == nil && len(s.wires) > 80 {
+			err = s.lose(0)
+		}
+		if err == nil {
+			err = s.Check()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Settle has all messages arrive and all writes be done, while time goes on for so many ticks.
+func (s *Agreed) Settle(ticks int) error {
+	for range ticks {
+		for n := 0; ; n++ {
+			var err error
+			i := slices.IndexFunc(s.voters, func(x *voter) bool { return len(x.pending) > 0 })
+			switch {
+			case n > 100000:
+				return fmt.Errorf("there is no end to messages and writes")
+			case i >= 0:
+				err = s.write(i, true)
+			case len(s.wires) > 0:
+				err = s.deliver(0, false)
+			}
+			if err != nil {
+				return err
+			}
+			if i < 0 && len(s.wires) == 0 {
+				break
+			}
+		}
+		for i, x := range s.voters {
+			x.now++
+			if err := s.do(i, agreed.Tick{}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Taken is how many numbers each voter has taken, and how many were applied by anybody; part is of those that take part.
+func (s *Agreed) Taken() (least, most uint64, part int) {
+	least = s.number
+	for _, x := range s.voters {
+		least, most = min(least, x.tally.Taken), max(most, x.tally.Taken)
+		if x.rep.Standing().Part {
+			part++
+		}
+	}
+	return least, most, part
+}
+
+// Moves are System's.
+func (s *Agreed) Moves() (moves []Move) {
+	add := func(name string, do func(c *Agreed) error) {
+		moves = append(moves, Move{name, func() (System, error) {
+			c := s.clone()
+			return c, do(c)
+		}})
+	}
+	spend := func(n *int, name string, field func(c *Agreed) *int, do func(c *Agreed) error) {
+		if *n > 0 {
+			add(name, func(c *Agreed) error {
+				*field(c)--
+				return do(c)
+			})
+		}
+	}
+	seen := map[letter]bool{}
+	for k, w := range s.wires {
+		if seen[w] {
+			continue
+		}
+		seen[w] = true
+		name := fmt.Sprintf("%d to %d %s", w.from, w.to, kindOf(w.text))
+		add(name, func(c *Agreed) error { return c.deliver(k, false) })
+		spend(&s.Double, name+" twice", func(c *Agreed) *int { return &c.Double }, func(c *Agreed) error { return c.deliver(k, true) })
+		spend(&s.Lose, name+" lost", func(c *Agreed) *int { return &c.Lose }, func(c *Agreed) error { return c.lose(k) })
+	}
+	for i, x := range s.voters {
+		if len(x.pending) > 0 {
+			add(fmt.Sprintf("%d has written", i), func(c *Agreed) error { return c.write(i, true) })
+		}
+		if x.leads {
+			spend(&s.Beat, fmt.Sprintf("%d beats", i), func(c *Agreed) *int { return &c.Beat }, func(c *Agreed) error { return c.stand(i) })
+			spend(&s.Propose, fmt.Sprintf("%d is proposed to", i), func(c *Agreed) *int { return &c.Propose }, func(c *Agreed) error { return c.propose(i) })
+		} else {
+			spend(&s.Stand, fmt.Sprintf("%d stands", i), func(c *Agreed) *int { return &c.Stand }, func(c *Agreed) error { return c.stand(i) })
+		}
+		for n := range len(x.pending) + 1 {
+			spend(&s.Crash, fmt.Sprintf("%d crashes with %d of %d writes done", i, n, len(x.pending)), func(c *Agreed) *int { return &c.Crash },
+				func(c *Agreed) error { return c.crash(i, n) })
+		}
+		spend(&s.Wipe, fmt.Sprintf("%d loses its disk", i), func(c *Agreed) *int { return &c.Wipe }, func(c *Agreed) error { return c.wipe(i) })
+	}
+	return moves
+}
+
+func kindOf(text string) string {
+	if m := raftOf([]byte(text)); m != nil {
+		return m.GetType().String()
+	}
+	v, n := binary.Uvarint([]byte(text)[1:])
+	return fmt.Sprint("verb ", v, n > 0)
+}
--- /dev/null
+++ b/internal/kit/explore/agreed_test.go
@@ -0,0 +1,144 @@
+package explore
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/peers/agreed"
+)
+
+func (s *Agreed) leader() int {
+	for i, x := range s.voters {
+		if x.rep != nil && x.rep.Standing().Leads {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestAgreedSmoke: voters with empty disks find each other, and one leads; what is proposed all have; one that loses its disk comes
+// back as another voter.
+func TestAgreedSmoke(t *testing.T) {
+	for _, n := range []int{3, 5} {
+		s := NewAgreed(AgreedSettings(n), false)
+		s.Live, s.Checks = true, invariant.Test(t)
+		do := func(err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		do(s.Settle(40))
+		l := s.leader()
+		if l < 0 {
+			t.Fatalf("nobody leads: %+v", s.voters[0].rep.Standing())
+		}
+		for range 10 {
+			do(s.propose((l + 1) % n))
+			do(s.Settle(1))
+		}
+		do(s.Settle(5))
+		for _, x := range s.voters {
+			if x.tally.Taken != 10 {
+				t.Errorf("%s has taken %d: %+v", x.name, x.tally.Taken, x.rep.Standing())
+			}
+		}
+		do(s.wipe((l + 1) % n))
+		do(s.Settle(40))
+		x := s.voters[(l+1)%n]
+		if st := x.rep.Standing(); !st.Part || x.tally.Taken != 10 {
+			t.Errorf("%+v, took %d", st, x.tally.Taken)
+		}
+		do(s.Check())
+	}
+}
+
+// TestAgreedWander: whatever way is gone, and once the links and disks are well again all have taken the same.
+func TestAgreedWander(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
+		s := NewAgreed(AgreedSettings(n), rapid.Bool().Draw(t, "founded"))
+		s.Checks = invariant.Test(t)
+		if err := s.Wander(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "") }, 300); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Settle(120); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if least, most, part := s.Taken(); least != most || part != n {
+			for _, x := range s.voters {
+				t.Logf("%s %+v", x.name, x.rep.Standing())
+			}
+			t.Fatalf("taken %d to %d, %d of %d take part", least, most, part, n)
+		}
+	})
+}
+
+func hardOnly(w []agreed.Record) bool { return len(w) > 0 && w[0].Key == "hard" && len(w) == 1 }
+
+func entries(w []agreed.Record) bool {
+	return len(w) > 0 && strings.HasPrefix(w[len(w)-1].Key, "e/") && !w[len(w)-1].Gone
+}
+
+// TestAgreedMutants: each of these is found by what crosses the wires and what the disks hold.
+func TestAgreedMutants(t *testing.T) {
+	mutants := map[string]func(s *Agreed){
+		"a vote is told before it is stored":            func(s *Agreed) { s.Early = hardOnly },
+		"an entry is told before it is stored":          func(s *Agreed) { s.Early = entries },
+		"a voter that lost its disk goes by its number": func(s *Agreed) { s.Amnesia = true },
+		"what is proposed twice is taken twice":         func(s *Agreed) { s.Sloppy = true },
+	}
+	for name, mutate := range mutants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(300) {
+				s := NewAgreed(AgreedSettings(3), true)
+				mutate(s)
+				r := rand.New(rand.NewPCG(seed, 1))
+				if err := s.Wander(r.IntN, 400); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Error("not found in 300 ways")
+		})
+	}
+}
+
+// TestAgreedExplored goes through all that can happen within so many steps: to voters of whom none leads, and to such as have a leader with
+// an entry on its way.
+func TestAgreedExplored(t *testing.T) {
+	for _, c := range []struct {
+		name                                      string
+		led                                       bool
+		stand, beat, propose, crash, lose, double int
+		depth, states                             int
+	}{
+		{"two stand, one crashes", false, 2, 0, 0, 1, 1, 1, 6, 40000},
+		{"an entry is on its way, another stands", true, 1, 1, 1, 1, 1, 0, 4, 40000},
+		{"an entry comes twice, its leader crashes", true, 1, 0, 2, 1, 0, 1, 4, 40000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewAgreed(AgreedSettings(3), true)
+			if c.led {
+				if err := s.Settle(8); err != nil || s.leader() < 0 {
+					t.Fatal(err, s.leader())
+				}
+				if err := s.propose(s.leader()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.Stand, s.Beat, s.Propose, s.Crash, s.Lose, s.Double = c.stand, c.beat, c.propose, c.crash, c.lose, c.double
+			r := Run(s, Bounds{c.depth, c.states})
+			t.Logf("%d states, %d steps, depth %d, whole %v", r.States, r.Steps, r.Depth, r.Whole)
+			if r.Err != nil || !r.Whole {
+				t.Fatalf("%v after %q; whole: %v", r.Err, r.Trace, r.Whole)
+			}
+		})
+	}
+}
--- a/internal/peers/agreed/api.go
+++ b/internal/peers/agreed/api.go
@@ -1,5 +1,7 @@
 package agreed
 
+import "beechgrade/internal/invariant"
+
 // Bounds of what is taken from outside.
 const (
 	MostEntry    = 900       // bytes of an entry: it goes in one datagram
@@ -21,7 +23,8 @@
 	Keep       int      // entries before it that are kept for who is a little behind
 	MaxPending int      // bytes that may wait for a majority
 	Forwards   int      // proposals to others that may wait for their word
-	Drawn      uint64   // seed of what is drawn: a disk's number, when to stand for election
+	Drawn      uint64   // seed of what is drawn: a disk's number, when to stand for election; another one at each start
+	Checks     *invariant.Checks
 }
 
 // Event is something a log is told.
@@ -30,8 +33,11 @@
 // Tick tells that the time asked for has come.
 type Tick struct{}
 
-// Heard is a message that came, whole, from whom it says.
-type Heard struct{ Message []byte }
+// Heard is a message that came, whole. From is the address that an answer to a proposal goes to.
+type Heard struct {
+	From    string
+	Message []byte
+}
 
 // Address is where a voter is.
 type Address struct{ Name, Addr string }
@@ -103,11 +109,12 @@
 	Dropped                         // the proposal of Ref is lost, as far as is known here: it may be made again
 	Leads                           // this voter leads in Term
 	Follows                         // it follows Leader, empty for nobody known
+	Voters                          // the voters are Members from Index on
 	Broke                           // this voter takes no part any more: Text says why
 )
 
 func (k ActionKind) String() string {
-	return [...]string{"send", "store", "apply", "apply-snapshot", "take-snapshot", "dropped", "leads", "follows", "broke"}[min(k, Broke)]
+	return [...]string{"send", "store", "apply", "apply-snapshot", "take-snapshot", "dropped", "leads", "follows", "voters", "broke"}[min(k, Broke)]
 }
 
 // Action is something a log asks for.
@@ -124,6 +131,7 @@
 	Entry   []byte
 	Data    []byte
 	Leader  string
+	Members []Member
 	Text    string
 }
 
@@ -140,6 +148,7 @@
 	Votes   bool   // this pooler is named as a voter
 	Part    bool   // ...and takes part
 	Why     string // ...or why it does not
+	Changes bool   // a voter's place is going over to another disk: until it has, the old one counts too
 	Leader  string // as far as is known, empty for nobody
 	Leads   bool
 	Term    uint64
--- a/internal/peers/agreed/doc.go
+++ b/internal/peers/agreed/doc.go
@@ -13,7 +13,8 @@
 // log a voter is its name with that number (Member), so a name with another disk is another voter. The group begins once all of
 // these names have told one another, each after the other's disk was new, that they have nothing. From then on a name that comes
 // with an empty disk neither votes nor counts until the others have agreed, as an entry, that it takes its old self's place: what
-// its old self promised is not forgotten but void, as that voter is no more. So nobody votes twice in a term. Poolers that do not
+// its old self promised is not forgotten but void, as that voter is no more. So nobody votes twice in a term. While such a change goes
+// on the old disk counts too: of three, a second one lost before it is done stops the group for good. Poolers that do not
 // vote propose by way of those that do (Forward) and learn what came of it by their user's own messages.
 //
 // # What is told and asked
