Join the log in common to the fleet and its disk, by (agreed ...) in the operators' settings

Need: the log was a pure module with nobody to carry its messages and writes.

Change: agreed/joined is a part of the fleet for the daemon and virtual time alike; agreed.Shared lets several users have the log, by an entry's first byte; cmd/beechgrade opens a voter's store off the loop, waits for a last process to let it go, logs leaders and a voter that stops, and prints app.agreed figures. (witness RATE) has a pooler propose numbered entries to try the voters. A disk that cannot be read takes the vote, not the pooler. Off without the settings.

--- /dev/null
+++ b/cmd/beechgrade/agreed.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/agreed/joined"
+	"beechgrade/internal/peers/agreed/tally"
+	"beechgrade/internal/store"
+)
+
+const (
+	lockedMs  = 200 // between looks at whether this pooler's last process has let the disk go
+	witnessMs = 20
+)
+
+// commonLog is the log that the poolers have in common; its users add their Machines before the start.
+type commonLog struct {
+	p      *pooler
+	set    operate.Agreed
+	part   *joined.Part
+	users  *agreed.Shared
+	told   []func(a *agreed.Action) // users who want to know what happens
+	store  *store.Store
+	ended  chan struct{}
+	opened chan struct{}
+
+	tally   tally.Tally
+	owed    float64
+	next    uint64 // number of the next entry that is proposed to try the voters
+	waiting []tried
+	name    string // of this process, as its entries have it
+}
+
+type tried struct {
+	number uint64
+	at     float64
+}
+
+// useAgreed joins the log in common, where the settings have it on; the function ends it.
+func (p *pooler) useAgreed(set operate.Agreed) (stop func()) {
+	if !set.On {
+		return func() {}
+	}
+	l := &commonLog{p: p, set: set, users: &agreed.Shared{}, ended: make(chan struct{}), opened: make(chan struct{})}
+	l.name = fmt.Sprintf("%s/%x", p.cfg.Name, rand.Uint32())
+	l.users.Add(agreed.OfTally, &l.tally)
+	s := set.Settings
+	s.Self, s.Drawn, s.Checks = p.cfg.Name, rand.Uint64(), p.checks
+	l.part = joined.New(p.peers, joined.Options{Settings: s, Machine: l.users, Told: l.hear})
+	p.peers.Join(l.part)
+	p.agreed = l
+	return func() {
+		close(l.ended)
+		<-l.opened
+		if l.store != nil {
+			_ = l.store.Close()
+		}
+	}
+}
+
+// begin opens a voter's disk, off the loop: another process of this pooler may have it still.
+func (l *commonLog) begin() {
+	if l.set.Witness > 0 {
+		l.next = 1
+		l.p.loop.At(l.p.loop.Now()+witnessMs, l.try)
+	}
+	if !slices.Contains(l.set.Settings.Voters, l.p.cfg.Name) {
+		close(l.opened)
+		return
+	}
+	go func() {
+		defer close(l.opened)
+		for {
+			s, rec, err := store.Open(store.Options{FS: store.Dir(l.set.Dir), MaxBytes: l.set.MostBytes, SegmentBytes: l.set.MostBytes / 16, Post: l.p.loop.Post})
+			if errors.Is(err, store.ErrLocked) {
+				select {
+				case <-l.ended:
+					return
+				case <-time.After(lockedMs * time.Millisecond):
+					continue
+				}
+			}
+			var records []agreed.Record
+			if err == nil {
+				l.store = s
+				s.Range("", "", func(key string, value []byte) bool {
+					records = append(records, agreed.Record{Key: key, Value: value})
+					return true
+				})
+			}
+			l.p.loop.Post(func() {
+				if err == nil && rec.Dropped > 0 {
+					l.p.log.Warn("agreed: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
+				}
+				l.part.Begin(l, records, err)
+			})
+			return
+		}
+	}()
+}
+
+// Append is joined.Disk's.
+func (l *commonLog) Append(records []agreed.Record, done func(error)) {
+	entries := make([]store.Entry, len(records))
+	for i, r := range records {
+		entries[i] = store.Entry{Key: r.Key, Value: r.Value, Gone: r.Gone}
+	}
+	l.store.Append(entries, done)
+}
+
+// hear tells of what happens to the log.
+func (l *commonLog) hear(a *agreed.Action) {
+	switch a.Kind {
+	case agreed.Leads:
+		l.p.log.Info("agreed: this pooler leads", "term", a.Term)
+	case agreed.Follows:
+		l.p.log.Info("agreed: follows", "leader", a.Leader, "term", a.Term)
+	case agreed.Voters:
+		l.p.log.Warn("agreed: a voter's place went to another disk", "from", a.Index, "voters", fmt.Sprint(a.Members))
+	case agreed.Broke:
+		l.p.log.Error("agreed: this pooler votes no more", "why", a.Text)
+	}
+	for _, f := range l.told {
+		f(a)
+	}
+}
+
+// try proposes numbered entries at the settings' rate, and those again of which nothing was heard.
+func (l *commonLog) try() {
+	now := l.p.loop.Now()
+	const mostTries = tally.Window / 2
+	kept := l.waiting[:0]
+	for _, w := range l.waiting {
+		if l.tally.Has(l.name, w.number) {
+			continue
+		}
+		if now >= w.at+l.set.Settings.Patience() {
+			w.at = now
+			l.propose(w.number)
+		}
+		kept = append(kept, w)
+	}
+	l.waiting = kept
+	for l.owed += l.set.Witness * witnessMs / 1000; l.owed >= 1 && len(l.waiting) < mostTries; l.owed-- {
+		l.waiting = append(l.waiting, tried{l.next, now})
+		l.propose(l.next)
+		l.next++
+	}
+	l.owed = min(l.owed, l.set.Witness)
+	l.p.loop.At(now+witnessMs, l.try)
+}
+
+func (l *commonLog) propose(number uint64) {
+	l.part.Propose(number, append([]byte{agreed.OfTally}, tally.Entry(l.name, number, 0)...))
+}
+
+// appendAgreed prints the log's figures, where there is one.
+func (p *pooler) appendAgreed(dst []byte) []byte {
+	if p.agreed == nil {
+		return dst
+	}
+	l := p.agreed
+	s, c := l.part.Standing(), l.part.Counts()
+	flag := map[bool]uint64{true: 1}
+	for _, f := range []struct {
+		name string
+		n    uint64
+	}{{"part", flag[s.Part]}, {"leads", flag[s.Leads]}, {"broke", flag[c.Broke != ""]}, {"changes", flag[s.Changes]}, {"term", s.Term}, {"last", s.Last}, {"commit", s.Commit},
+		{"applied", s.Applied}, {"first", s.First}, {"bytes", uint64(s.Bytes)}, {"writing", uint64(s.Pending)}, {"forwarded", uint64(s.Waiting)}, {"sent", c.Sent},
+		{"sent_bytes", c.Bytes}, {"streams", c.Streams}, {"writes", c.Writes}, {"dropped", c.Dropped}, {"taken", l.tally.Taken}, {"again", l.tally.Again}, {"sum", l.tally.Sum},
+		{"tried", max(1, l.next) - 1}, {"unheard", uint64(len(l.waiting))}} {
+		dst = fmt.Appendf(dst, "app.agreed.%s=%d\n", f.name, f.n)
+	}
+	return dst
+}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -97,6 +97,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "fleet limits: off")
 					}
+					if a := set.Agreed; a.On {
+						fmt.Fprintf(c.Root().Writer, "agreed: %d voters, in %s\n", len(a.Settings.Voters), a.Dir)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "agreed: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -207,6 +212,7 @@
 	}
 	p.useInvariants(set.Invariants)
 	defer p.saidInvariants()
+	defer p.useAgreed(set.Agreed)()
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -70,6 +70,7 @@
 	limits *fleetLimits // nil where none hold for the whole fleet
 
 	journal *journal.Journal // nil where it is off
+	agreed  *commonLog       // nil where it is off
 
 	checks *invariant.Checks // nil where they are off
 
@@ -183,6 +184,9 @@
 	if p.limits != nil { // of each nothing, until it is told
 		p.limits.use(p.limits.set)
 	}
+	if p.agreed != nil {
+		p.agreed.begin()
+	}
 	if p.peers != nil {
 		if err := p.peers.Start(); err != nil {
 			p.log.Error("peers", "err", err)
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	Peers      Peers
 	Limits     FleetLimits
 	Invariants Invariants
+	Agreed     Agreed
 }
 
 // Record says whether and where the pooler records what it does.
@@ -69,6 +70,7 @@
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
@@ -76,6 +78,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
+	}
 	return s, err
 }
 
--- /dev/null
+++ b/internal/peers/agreed/joined/joined.go
@@ -0,0 +1,169 @@
+// Package joined carries the log in common to where a pooler lives: it is a part of the fleet (package part), with the disk as it is told.
+// The same serves the daemon and virtual time.
+package joined
+
+import (
+	"slices"
+
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// Disk keeps records, off the loop; done comes on the loop, in the order of the calls.
+type Disk interface {
+	Append(records []agreed.Record, done func(error))
+}
+
+// Options say how a log is joined.
+type Options struct {
+	Settings agreed.Settings
+	Machine  agreed.Machine
+	Told     func(a *agreed.Action) // all but sends and writes, nil for nobody
+}
+
+// Part is a pooler's log in common.
+type Part struct {
+	net    part.Net
+	opt    Options
+	rep    agreed.Replica
+	disk   Disk
+	ids    []view.ID // of all who can be reached, with their addresses
+	addrs  []string
+	queue  []agreed.Event
+	busy   bool
+	acts   []agreed.Action
+	counts Counts
+}
+
+// Counts are since the start.
+type Counts struct {
+	Sent, Bytes, Streams, Writes uint64
+	Applied, Dropped             uint64
+	Broke                        string
+}
+
+// New makes one; at a voter nothing goes on before Begin.
+func New(net part.Net, opt Options) *Part {
+	return &Part{net: net, opt: opt, rep: agreed.Replica{Log: agreed.New(opt.Settings, net.Now()), Machine: opt.Machine}}
+}
+
+// Begin brings a voter's disk and what it held; err tells that it cannot be read.
+func (p *Part) Begin(d Disk, records []agreed.Record, err error) {
+	p.disk = d
+	p.do(agreed.Restored{Records: records, Err: err})
+}
+
+// Propose asks for an entry. Ref comes back where it is dropped.
+func (p *Part) Propose(ref uint64, entry []byte) { p.do(agreed.Propose{Ref: ref, Entry: entry}) }
+
+// Standing tells how the log stands here.
+func (p *Part) Standing() agreed.Standing { return p.rep.Standing() }
+
+// Counts are the counts so far.
+func (p *Part) Counts() Counts { return p.counts }
+
+// Kind is part.Part's.
+func (p *Part) Kind() view.Kind { return part.Agreed }
+
+// Read is part.Part's: what it is the log finds out.
+func (p *Part) Read(body []byte) (any, error) { return body, nil }
+
+// Members is part.Part's. Of several processes of a voter's name the youngest that can be reached is the one.
+func (p *Part) Members(self view.ID, all []view.Record, _ view.Counts) {
+	p.ids, p.addrs = p.ids[:0], p.addrs[:0]
+	var m agreed.Members
+	for _, v := range p.opt.Settings.Voters {
+		var best *view.Record
+		for i := range all {
+			if r := &all[i]; r.Name == v && r.State != view.Left && (best == nil || r.ID > best.ID) {
+				best = r // one that failed may be back before the view knows
+			}
+		}
+		if best != nil && best.ID != self {
+			m.Voters = append(m.Voters, agreed.Address{Name: v, Addr: best.Addr})
+		}
+	}
+	for i := range all {
+		if r := &all[i]; r.State != view.Left {
+			p.ids, p.addrs = append(p.ids, r.ID), append(p.addrs, r.Addr)
+		}
+	}
+	p.do(m)
+}
+
+// Heard is part.Part's.
+func (p *Part) Heard(from view.ID, m any) {
+	e := agreed.Heard{Message: m.([]byte)}
+	if i := slices.Index(p.ids, from); i >= 0 {
+		e.From = p.addrs[i]
+	}
+	p.do(e)
+}
+
+// Tick is part.Part's.
+func (p *Part) Tick() { p.do(agreed.Tick{}) }
+
+// Leave is part.Part's.
+func (p *Part) Leave() { p.do(agreed.Leave{}) }
+
+// do tells the log; what comes of it may tell it more, which waits its turn.
+func (p *Part) do(e agreed.Event) {
+	p.queue = append(p.queue, e)
+	if p.busy {
+		return
+	}
+	p.busy = true
+	for len(p.queue) > 0 {
+		e := p.queue[0]
+		p.queue = p.queue[1:]
+		p.acts = p.rep.Handle(p.net.Now(), e, p.acts[:0])
+		for i := range p.acts {
+			p.carry(&p.acts[i])
+		}
+		clear(p.acts)
+	}
+	p.busy = false
+}
+
+type words []byte
+
+func (w words) Append(b []byte) []byte { return append(b, w...) }
+
+func (p *Part) carry(a *agreed.Action) {
+	switch a.Kind {
+	case agreed.Send:
+		p.send(a)
+		return
+	case agreed.Store:
+		p.counts.Writes++
+		ref := a.Ref
+		p.disk.Append(a.Records, func(err error) { p.do(agreed.Stored{Ref: ref, Err: err}) })
+		return
+	case agreed.Apply:
+		p.counts.Applied++
+	case agreed.Dropped:
+		p.counts.Dropped++
+	case agreed.Broke:
+		p.counts.Broke = a.Text
+	}
+	if p.opt.Told != nil {
+		p.opt.Told(a)
+	}
+}
+
+func (p *Part) send(a *agreed.Action) {
+	var to view.ID
+	if i := slices.Index(p.addrs, a.Addr); i >= 0 && a.To == "" { // a voter's next process takes what was for its last: its disk is the same
+		to = p.ids[i]
+	}
+	p.counts.Bytes += uint64(len(a.Message))
+	if !a.Stream {
+		p.counts.Sent++
+		p.net.Tell(a.Addr, to, part.Agreed, words(a.Message))
+		return
+	}
+	p.counts.Streams++
+	ref := a.Ref
+	p.net.Stream(a.Addr, to, part.Agreed, words(a.Message), func(ok bool) { p.do(agreed.Sent{Ref: ref, OK: ok}) })
+}
