Keep tenants' prepaid funds in books on a log, and lend them to poolers in accounts

Funds that a tenant paid ahead have to be spent at many poolers as at one, and never twice, whatever links and processes do.

Nothing is returned that its holder may still spend.

Drawn histories found one fault of the first design: files of a process that was asleep were taken for its last words before its accounts were over; now it is barred first and its files are read after its ends.

--- /dev/null
+++ b/internal/peers/credit/ledger/form.go
@@ -0,0 +1,296 @@
+package ledger
+
+import (
+	"errors"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// An entry of the log is a protobuf message:
+//
+//	message Entry { repeated Op ops = 1; }
+//	message Op { uint32 kind = 1; string tenant = 2; uint64 depth = 3; fixed64 holder = 4; uint32 gen = 5; uint64 no = 6; uint64 amount = 7;
+//	             uint64 spent = 8; uint64 returned = 9; uint32 seq = 10; bool heir = 11; bool expired = 12; uint64 granted = 13; }
+//
+// A snapshot is the same with accounts as ops of kind 16, and tenants of kind 17 with their payments' numbers as packed pairs:
+//
+//	message Op { uint64 paid = 14; sint64 balance = 15; uint64 lent = 16; uint64 stranded = 17; uint64 full = 18; bytes taken = 19; }
+//
+// and processes of kind 18.
+
+// ErrForm is of an entry that cannot be read.
+var ErrForm = errors.New("no entry of the ledger's")
+
+const (
+	kindAccount Kind = 16
+	kindTenant  Kind = 17
+	kindHolder  Kind = 18
+	kindIndex   Kind = 19
+)
+
+// Encode makes an entry.
+func Encode(ops []Op) (b []byte) {
+	for i := range ops {
+		b = appendLine(b, &line{Op: ops[i]})
+	}
+	return b
+}
+
+// line is an Op, or a line of a snapshot.
+type line struct {
+	Op
+	expired              bool
+	granted              int64
+	paid                 int64
+	balance              int64
+	lent, stranded, full int64
+	taken                []byte
+}
+
+func appendLine(b []byte, l *line) []byte {
+	var x []byte
+	num := func(field protowire.Number, v uint64) {
+		if v != 0 {
+			x = protowire.AppendVarint(protowire.AppendTag(x, field, protowire.VarintType), v)
+		}
+	}
+	num(1, uint64(l.Kind))
+	if l.Key.Tenant != "" {
+		x = protowire.AppendString(protowire.AppendTag(x, 2, protowire.BytesType), l.Key.Tenant)
+	}
+	num(3, uint64(l.Key.Depth))
+	if l.Key.Holder != 0 {
+		x = protowire.AppendFixed64(protowire.AppendTag(x, 4, protowire.Fixed64Type), l.Key.Holder)
+	}
+	num(5, uint64(l.Key.Gen))
+	num(6, l.No)
+	num(7, uint64(l.Amount))
+	num(8, uint64(l.Spent))
+	num(9, uint64(l.Returned))
+	num(10, uint64(l.Seq))
+	num(11, protowire.EncodeBool(l.Heir))
+	num(12, protowire.EncodeBool(l.expired))
+	num(13, uint64(l.granted))
+	num(14, uint64(l.paid))
+	num(15, protowire.EncodeZigZag(l.balance))
+	num(16, uint64(l.lent))
+	num(17, uint64(l.stranded))
+	num(18, uint64(l.full))
+	if len(l.taken) > 0 {
+		x = protowire.AppendBytes(protowire.AppendTag(x, 19, protowire.BytesType), l.taken)
+	}
+	return protowire.AppendBytes(protowire.AppendTag(b, 1, protowire.BytesType), x)
+}
+
+// Decode reads an entry, all or nothing.
+func Decode(b []byte) (ops []Op, err error) {
+	err = lines(b, func(l *line) error {
+		if len(ops) == MostOps || l.Kind < Payment || l.Kind > Rest || (l.Key.Tenant == "") != (l.Kind >= Bar) {
+			return ErrForm
+		}
+		if l.Kind == Payment && l.Amount == 0 {
+			return ErrForm
+		}
+		ops = append(ops, l.Op)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ops, nil
+}
+
+func lines(b []byte, do func(l *line) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrForm
+		}
+		b = b[n:]
+		if num != 1 || typ != protowire.BytesType {
+			if n = protowire.ConsumeFieldValue(num, typ, b); n < 0 {
+				return ErrForm
+			}
+			b = b[n:]
+			continue
+		}
+		x, n := protowire.ConsumeBytes(b)
+		if n < 0 {
+			return ErrForm
+		}
+		b = b[n:]
+		l := &line{}
+		if err := l.read(x); err != nil {
+			return err
+		}
+		if err := do(l); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *line) read(b []byte) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrForm
+		}
+		b = b[n:]
+		switch typ {
+		case protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 || num != 6 && num != 15 && v > uint64(MostPaid) {
+				return ErrForm
+			}
+			b = b[n:]
+			switch num {
+			case 1:
+				l.Kind = Kind(min(v, 255))
+			case 3:
+				l.Key.Depth = int64(v)
+			case 5:
+				l.Key.Gen = uint32(v)
+			case 6:
+				l.No = v
+			case 7:
+				l.Amount = int64(v)
+			case 8:
+				l.Spent = int64(v)
+			case 9:
+				l.Returned = int64(v)
+			case 10:
+				l.Seq = uint32(v)
+			case 11:
+				l.Heir = v != 0
+			case 12:
+				l.expired = v != 0
+			case 13:
+				l.granted = int64(v)
+			case 14:
+				l.paid = int64(v)
+			case 15:
+				l.balance = protowire.DecodeZigZag(v)
+			case 16:
+				l.lent = int64(v)
+			case 17:
+				l.stranded = int64(v)
+			case 18:
+				l.full = int64(v)
+			}
+		case protowire.BytesType:
+			v, n := protowire.ConsumeBytes(b)
+			if n < 0 {
+				return ErrForm
+			}
+			b = b[n:]
+			switch num {
+			case 2:
+				l.Key.Tenant = string(v)
+			case 19:
+				l.taken = v
+			}
+		case protowire.Fixed64Type:
+			v, n := protowire.ConsumeFixed64(b)
+			if n < 0 {
+				return ErrForm
+			}
+			if b = b[n:]; num == 4 {
+				l.Key.Holder = v
+			}
+		default:
+			if n = protowire.ConsumeFieldValue(num, typ, b); n < 0 {
+				return ErrForm
+			}
+			b = b[n:]
+		}
+	}
+	if len(l.Key.Tenant) > MostName || l.Kind <= Rest && (l.Amount > MostAmount || l.Key.Depth > MostAmount) {
+		return ErrForm
+	}
+	return nil
+}
+
+// Snapshot is the books as bytes: the same books, the same bytes.
+func (l *Ledger) Snapshot() (b []byte) {
+	b = appendLine(b, &line{Op: Op{Kind: kindIndex, No: l.Index}})
+	for _, name := range l.Tenants() {
+		t := l.tenants[name]
+		x := line{Op: Op{Kind: kindTenant, Key: Key{Tenant: name}, Spent: t.Spent}, paid: t.Paid, balance: t.Balance, lent: t.Lent, stranded: t.Stranded, full: t.Full}
+		for _, s := range t.taken {
+			x.taken = protowire.AppendVarint(protowire.AppendVarint(x.taken, s.from), s.to)
+		}
+		b = appendLine(b, &x)
+	}
+	for _, k := range l.All() {
+		a := l.accounts[k]
+		b = appendLine(b, &line{Op: Op{Kind: kindAccount, Key: k, Spent: a.Spent, Returned: a.Returned, Seq: a.Seq}, granted: a.Granted, expired: a.Expired})
+	}
+	for _, h := range slices.Sorted(maps.Keys(l.opened)) {
+		b = appendLine(b, &line{Op: Op{Kind: kindHolder, Key: Key{Holder: h, Gen: l.opened[h]}}})
+	}
+	return b
+}
+
+// Restore takes the books from bytes, or leaves them as they are.
+func (l *Ledger) Restore(b []byte) error {
+	n := New()
+	n.Checks = l.Checks
+	err := lines(b, func(x *line) error {
+		switch x.Kind {
+		case kindIndex:
+			n.Index = x.No
+		case kindTenant:
+			t := &Tenant{Paid: x.paid, Balance: x.balance, Lent: x.lent, Stranded: x.stranded, Spent: x.Spent, Full: x.full}
+			for p := x.taken; len(p) > 0; {
+				from, i := protowire.ConsumeVarint(p)
+				if i < 0 {
+					return ErrForm
+				}
+				to, k := protowire.ConsumeVarint(p[i:])
+				if k < 0 || to < from {
+					return ErrForm
+				}
+				t.taken = append(t.taken, span{from, to})
+				p = p[i+k:]
+			}
+			n.tenants[x.Key.Tenant] = t
+		case kindAccount:
+			if n.accounts[x.Key] != nil {
+				return ErrForm
+			}
+			*n.begin(x.Key) = Account{Granted: x.granted, Returned: x.Returned, Spent: x.Spent, Seq: x.Seq, Expired: x.expired}
+		case kindHolder:
+			n.opened[x.Key.Holder] = x.Key.Gen
+		default:
+			return ErrForm
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.Check(); err != nil {
+		return err
+	}
+	*l = *n
+	return nil
+}
+
+// Clone makes another like it.
+func (l *Ledger) Clone() *Ledger {
+	c := New()
+	c.Index, c.Checks = l.Index, l.Checks
+	for k, t := range l.tenants {
+		x := *t
+		x.taken = slices.Clone(t.taken)
+		c.tenants[k] = &x
+	}
+	for k, a := range l.accounts {
+		*c.begin(k) = *a
+	}
+	c.opened = maps.Clone(l.opened)
+	return c
+}
--- /dev/null
+++ b/internal/peers/credit/purse/purse_test.go
@@ -0,0 +1,176 @@
+package purse
+
+import (
+	"testing"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/talk"
+)
+
+func settings(t *testing.T) Settings {
+	s := Defaults()
+	s.Prepaid = []string{"t"}
+	s.Classes = []Class{{Price: Price{Request: 10}, Worth: 5}, {Price: Price{Request: 10, Row: 2, Most: 50}, Worth: 1}, {Price: Price{Request: 10}, Worth: 1, Depth: 40}}
+	s.Checks = invariant.Test(t)
+	return s
+}
+
+// fill has the purse ask, and be granted so much by the answer.
+func fill(t *testing.T, p *Purse, at float64, granted, left, full int64) (seq uint32, gen uint32) {
+	t.Helper()
+	for _, a := range p.Handle(at, Tick{}, nil) {
+		for _, x := range a.Asks {
+			if !x.Final && x.Key.Depth == 0 {
+				p.Handle(at, Heard{[]talk.Answer{{Key: x.Key, Seq: x.Seq, Granted: granted, Left: left, Full: full}}}, nil)
+				return x.Seq, x.Key.Gen
+			}
+		}
+	}
+	t.Fatal("it asked for nothing")
+	return 0, 0
+}
+
+// TestWaitsOnce has a tenant's first request wait for one answer, and the next for nobody.
+func TestWaitsOnce(t *testing.T) {
+	p := New(settings(t), 7, 0)
+	if _, v := p.Hold(1000, "t", 0, 1, 1, 11); v != Wait {
+		t.Fatal(v)
+	}
+	acts := p.Handle(1000, Tick{}, nil)
+	if len(acts) != 1 || acts[0].Asks[0].Need != 10 {
+		t.Fatalf("%+v", acts)
+	}
+	k := acts[0].Asks[0]
+	acts = p.Handle(1005, Heard{[]talk.Answer{{Key: k.Key, Seq: k.Seq, Granted: 100, Left: 1000, Full: 1000}}}, nil)
+	if len(acts) == 0 || acts[0].Kind != Admit || acts[0].Tag != 11 || acts[0].Hold.Amount != 10 {
+		t.Fatalf("%+v", acts)
+	}
+	if _, v := p.Hold(1006, "t", 0, 1, 1, 12); v != Pass {
+		t.Error(v)
+	}
+	if _, v := p.Hold(1006, "other", 0, 1, 1, 13); v != Pass {
+		t.Error("one who does not pay ahead was stopped")
+	}
+}
+
+// TestPastItsEnd has a process that was stopped wake past its account's end and spend nothing of it, by whatever comes first.
+func TestPastItsEnd(t *testing.T) {
+	for _, late := range []float64{999, 10001} {
+		p := New(settings(t), 7, 0)
+		p.Hold(1000, "t", 0, 1, 1, 1)
+		fill(t, p, 1000, 100, 1000, 1000)
+		_, v := p.Hold(1000+late, "t", 0, 1, 1, 2)
+		if want := map[bool]Verdict{true: Pass, false: Wait}[late < 10000]; v != want {
+			t.Errorf("after %g ms: %v, want %v", late, v, want)
+		}
+	}
+}
+
+// TestChargedOnce holds prices at the admission and takes what it came to at the end, by the price as it was.
+func TestChargedOnce(t *testing.T) {
+	set := settings(t)
+	p := New(set, 7, 0)
+	p.Hold(1000, "t", 1, 1, 1, 1)
+	fill(t, p, 1000, 200, 1000, 1000)
+	h, v := p.Hold(1001, "t", 1, 1, 1, 2)
+	if v != Pass || h.Amount != 50 {
+		t.Fatal(h, v)
+	}
+	dear := set
+	dear.Classes = []Class{{Price: Price{Request: 1000}}, {Price: Price{Request: 1000}}, {}}
+	p.Handle(1002, Retune{dear}, nil)
+	for _, c := range []struct {
+		d    Done
+		want int64
+	}{{Done{Served: 1, Rows: 3}, 16}, {Done{Served: 1, Rows: 1000}, 50}, {Done{}, 0}, {Done{Failed: 1}, 0}} {
+		if got := h.Cost(c.d); got != c.want {
+			t.Errorf("%+v costs %d, want %d", c.d, got, c.want)
+		}
+	}
+	if got := p.Settle(&h, Done{Served: 1, Rows: 3}); got != 16 {
+		t.Error(got)
+	}
+	if got := p.Settle(&h, Done{Served: 1, Rows: 3}); got != 0 {
+		t.Error("a repeat was charged", got)
+	}
+	scattered := Hold{Amount: 40, Price: Price{Request: 10, Failed: true}}
+	if got := scattered.Cost(Done{Served: 2, Failed: 1}); got != 30 {
+		t.Error("a scatter of two served parts and a failed one costs", got)
+	}
+}
+
+// TestLeastFirst slows a tenant that runs low: its most worth goes on, its least does not, and a session meets the same verdict.
+func TestLeastFirst(t *testing.T) {
+	set := settings(t)
+	set.Below, set.Classes[1] = 0.5, Class{Price: Price{Request: 10}, Worth: 1}
+	p := New(set, 7, 0)
+	p.Hold(1000, "t", 0, 1, 1, 1)
+	fill(t, p, 1000, 100000, 250, 1000) // half of what is slowed below
+	n := map[int]int{}
+	for i := range 2000 {
+		now := 1001 + float64(i)
+		for class := range 2 {
+			h, v := p.Hold(now, "t", class, Session(string(rune(i%100))), 1, 9)
+			if v == Pass {
+				n[class]++
+				p.Settle(&h, Done{})
+			}
+		}
+	}
+	if n[0] < 1980 || n[1] > 100 {
+		t.Errorf("of the most worth %d were let in, of the least %d; want nearly 2000 and few", n[0], n[1])
+	}
+	if _, v := p.Hold(3001, "t", 2, 1, 1, 1); v != Pass {
+		t.Error("work that must not stop was slowed:", v)
+	}
+}
+
+// TestOverdraft has only its own class go on beyond the funds, by what it holds for that.
+func TestOverdraft(t *testing.T) {
+	p := New(settings(t), 7, 0)
+	p.Hold(1000, "t", 2, 1, 1, 1)
+	for _, a := range p.Handle(1000, Tick{}, nil) {
+		for _, x := range a.Asks {
+			if x.Key.Depth == 40 {
+				p.Handle(1001, Heard{[]talk.Answer{{Key: x.Key, Seq: x.Seq, Granted: 30, Left: 0, Full: 100}}}, nil)
+			}
+		}
+	}
+	if _, v := p.Hold(1002, "t", 0, 1, 1, 2); v == Pass {
+		t.Error("another class spent of the overdraft")
+	}
+	if _, v := p.Hold(1002, "t", 2, 1, 1, 3); v != Pass {
+		t.Error(v)
+	}
+}
+
+// TestMarks has nothing be spent that is not written, and a process's files be read only after the ends of its accounts.
+func TestMarks(t *testing.T) {
+	set := settings(t)
+	set.Marks = true
+	p := New(set, 7, 0)
+	p.Hold(1000, "t", 0, 1, 1, 1)
+	acts := p.Handle(1000, Tick{}, nil)
+	k := acts[0].Asks[0]
+	acts = p.Handle(1001, Heard{[]talk.Answer{{Key: k.Key, Seq: k.Seq, Granted: 100, Left: 1000, Full: 1000}}}, nil)
+	if len(acts) == 0 || acts[0].Kind != Write {
+		t.Fatalf("%+v", acts)
+	}
+	if acts = p.Handle(1002, Marked{acts[0].No}, nil); len(acts) == 0 || acts[0].Kind != Admit {
+		t.Fatalf("after the mark: %+v", acts)
+	}
+	heir := New(set, 8, 0)
+	heir.Handle(0, Inherit{[]ledger.Holder{7}}, nil)
+	acts = heir.Handle(50, Tick{}, nil)
+	bar := acts[0].Asks[0]
+	if !bar.Heir || bar.Rest || bar.Key.Holder != 7 {
+		t.Fatalf("%+v", bar)
+	}
+	if acts = heir.Handle(60, Heard{[]talk.Answer{{Key: bar.Key}}}, nil); len(acts) != 0 {
+		t.Fatalf("read before the ends: %+v", acts)
+	}
+	if acts = heir.Handle(70, Heard{[]talk.Answer{{Key: bar.Key, Ended: true}}}, nil); len(acts) != 1 || acts[0].Kind != Read {
+		t.Fatalf("%+v", acts)
+	}
+}
