Carry credit's words between poolers, and measure it at up to 300 in virtual time

Purse and bank decide; what goes between them, who leads, and which payments are in the books had to be told over the peers' sockets.

Funds for ten requests are used to the last by 300 poolers that want them.

--- a/internal/peers/credit/bank/bank.go
+++ b/internal/peers/credit/bank/bank.go
@@ -140,7 +140,7 @@
 func (b *Bank) Heard(now float64, from ledger.Holder, asks []talk.Ask, out []Action) []Action {
 	b.now, b.out = max(b.now, now), out
 	for i := range asks {
-		if !b.leads || len(b.asks) >= mostAsks || !asks[i].Heir && asks[i].Key.Holder != from {
+		if !b.leads || len(b.asks) >= mostAsks || !asks[i].Heir && (asks[i].Key.Holder != from || asks[i].Key.Tenant == "") {
 			continue
 		}
 		p := pending{asks[i], from, b.now}
--- /dev/null
+++ b/internal/peers/credit/fleet_test.go
@@ -0,0 +1,327 @@
+package credit
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/peers/credit/bank"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/purse"
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// fleet is so many poolers in one test's time, with a log that takes logMs for an entry and loses none, and requests that take serveMs.
+type fleet struct {
+	t      *testing.T
+	now    float64
+	rng    *rand.Rand
+	todo   todo
+	n      int
+	nodes  []*node
+	log    [][]byte
+	leader int
+	lossy  float64
+	parted func(a, b int) bool
+	cut    func(a int) bool // from the log
+
+	entries, bytes, words, wordBytes int
+	served, refused, waited, asked   int
+	charged                          int64
+	ample                            int64 // funds of which none are short
+	early                            int   // waited while no more was charged
+	firstRefusal                     int64 // charged by then, -1 for none
+	passedAt                         []float64
+}
+
+type node struct {
+	f    *fleet
+	no   int
+	c    *Credit
+	has  int
+	wait map[uint64]bool
+	dead bool
+	late float64
+}
+
+type due struct {
+	at float64
+	no int
+	do func()
+}
+type todo []due
+
+func (q todo) Len() int { return len(q) }
+func (q todo) Less(i, k int) bool {
+	return q[i].at < q[k].at || q[i].at == q[k].at && q[i].no < q[k].no
+}
+func (q todo) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
+func (q *todo) Push(x any)   { *q = append(*q, x.(due)) }
+func (q *todo) Pop() any {
+	x := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return x
+}
+
+const (
+	wayMs, logMs, serveMs, stepMs = 1, 4, 20, 50
+)
+
+func (f *fleet) at(ms float64, do func()) {
+	f.n++
+	heap.Push(&f.todo, due{f.now + ms, f.n, do})
+}
+
+func (f *fleet) run(until float64) {
+	for len(f.todo) > 0 && f.todo[0].at <= until {
+		x := heap.Pop(&f.todo).(due)
+		f.now = x.at
+		x.do()
+	}
+	f.now = until
+}
+
+func (n *node) Now() float64 { return n.f.now }
+func (n *node) Tell(addr string, to view.ID, _ view.Kind, w part.Words) {
+	f := n.f
+	b := w.Append(nil)
+	if len(b) > part.MostBody {
+		f.t.Errorf("a datagram of %d bytes", len(b))
+	}
+	f.words++
+	f.wordBytes += len(b)
+	y := f.nodes[int(to)-1]
+	if f.lossy > 0 && f.rng.Float64() < f.lossy || f.parted != nil && f.parted(n.no, y.no) {
+		return
+	}
+	f.at(wayMs+f.rng.Float64(), func() {
+		m, err := Read(b)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if !y.dead {
+			y.c.Heard(view.ID(n.no+1), m)
+		}
+	})
+}
+func (n *node) Stream(string, view.ID, view.Kind, part.Words, func(bool)) {}
+func (n *node) Propose(entry []byte) {
+	f := n.f
+	if f.cut != nil && f.cut(n.no) || n.no != f.leader {
+		return
+	}
+	f.entries++
+	f.bytes += len(entry)
+	f.at(logMs, func() {
+		f.log = append(f.log, entry)
+		for _, y := range f.nodes {
+			f.at(f.rng.Float64(), y.catch)
+		}
+	})
+}
+
+func (n *node) catch() {
+	for n.c.books != nil && !n.dead && n.has < len(n.f.log) && (n.f.cut == nil || !n.f.cut(n.no)) {
+		n.has++
+		n.c.Apply(uint64(n.has), n.f.log[n.has-1])
+	}
+}
+
+func (n *node) Admit(tag uint64, h purse.Hold) {
+	delete(n.wait, tag)
+	n.f.serve(n, h)
+}
+
+func (n *node) Turn(tag uint64) {
+	delete(n.wait, tag)
+	n.f.refuse()
+}
+
+func (f *fleet) refuse() {
+	if f.refused++; f.firstRefusal < 0 {
+		f.firstRefusal = f.charged
+	}
+}
+
+func (f *fleet) serve(n *node, h purse.Hold) {
+	f.served++
+	f.passedAt[n.no] = f.now
+	f.charged += h.Amount
+	f.at(serveMs, func() { n.c.Settle(&h, purse.Done{Served: 1}) })
+}
+
+// ask has a client ask a pooler.
+func (f *fleet) ask(n *node, tenant string, class int) {
+	f.asked++
+	switch h, v := n.c.Hold(tenant, class, uint64(f.asked), 1, uint64(f.asked)); v {
+	case purse.Pass:
+		f.serve(n, h)
+	case purse.Wait:
+		if f.waited++; f.firstRefusal < 0 && f.charged < f.ample {
+			f.early++
+		}
+		n.wait[uint64(f.asked)] = true
+	default:
+		f.refuse()
+	}
+}
+
+// newFleet begins so many poolers, three of which vote.
+func newFleet(t *testing.T, poolers int, change func(s *Settings)) *fleet {
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(uint64(poolers), 7)), firstRefusal: -1, passedAt: make([]float64, poolers)}
+	var all []view.Record
+	for i := range poolers {
+		all = append(all, view.Record{ID: view.ID(i + 1), Name: fmt.Sprintf("p%d", i), Addr: fmt.Sprint(i)})
+	}
+	for i := range poolers {
+		s := Settings{Purse: purse.Defaults(), Bank: bank.Defaults(), Voters: []string{"p0", "p1", "p2"}, Name: all[i].Name, Holder: ledger.Holder(1000 + i)}
+		s.Purse.Classes = []purse.Class{{Price: purse.Price{Request: 1}, Worth: 1}}
+		s.Purse.Prepaid = []string{"t"}
+		s.Purse.Checks = invariant.Test(t)
+		s.Bank.Ends = s.Purse.Ends()
+		if change != nil {
+			change(&s)
+		}
+		n := &node{f: f, no: i, wait: map[uint64]bool{}}
+		f.nodes = append(f.nodes, n)
+		n.c = New(s, n, n, nil, n)
+		n.c.Members(all[i].ID, all, view.Counts{})
+		var tick func()
+		tick = func() {
+			if !n.dead {
+				n.c.Tick()
+			}
+			f.at(stepMs, tick)
+		}
+		f.at(f.rng.Float64()*stepMs, tick)
+	}
+	f.lead(0)
+	return f
+}
+
+func (f *fleet) lead(i int) {
+	f.leader = i
+	for _, n := range f.nodes[:3] {
+		n.c.Lead(fmt.Sprintf("p%d", i))
+	}
+}
+
+// load has requests come, so many a second in all, to poolers by their weights, until a time.
+func (f *fleet) load(rate, until float64, weight func(i int) float64, alive func(i int) bool) {
+	sum := 0.0
+	for i := range f.nodes {
+		sum += weight(i)
+	}
+	for i, n := range f.nodes {
+		r := rate * weight(i) / sum
+		var next func()
+		next = func() {
+			if f.now > until {
+				return
+			}
+			if !n.dead && (alive == nil || alive(i)) {
+				f.ask(n, "t", 0)
+			}
+			f.at(f.rng.ExpFloat64()*1000/r, next)
+		}
+		f.at(f.rng.ExpFloat64()*1000/r, next)
+	}
+}
+
+func even(int) float64     { return 1 }
+func skewed(i int) float64 { return 1 / float64(1+i) }
+
+func pay(list ...bank.Pay) func(s *Settings) { return func(s *Settings) { s.Pays = list } }
+
+// check holds what was charged to what was paid.
+func (f *fleet) check(paid int64) {
+	f.t.Helper()
+	if f.charged > paid {
+		f.t.Errorf("%d are charged, of %d paid", f.charged, paid)
+	}
+	for _, n := range f.nodes[:3] {
+		if err := n.c.Books().Check(); err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
+// TestUsedBeforeRefusal measures how much of the funds is used before anybody is refused.
+func TestUsedBeforeRefusal(t *testing.T) {
+	t.Parallel()
+	for _, poolers := range []int{8, 100, 300} {
+		for name, weight := range map[string]func(int) float64{"even": even, "skewed": skewed} {
+			const funds, rate = 20000, 1000
+			f := newFleet(t, poolers, pay(bank.Pay{Tenant: "t", No: 1, Amount: funds}))
+			f.ample = funds * 9 / 10
+			f.run(2000)
+			f.load(rate, 30000, weight, nil)
+			f.run(32000)
+			f.check(funds)
+			part := float64(f.firstRefusal) / funds
+			t.Logf("%d poolers, %s: %.4f of the funds used before the first refusal, %.4f in all; %.4f of requests waited, %.4f of those of the first nine tenths; %d entries of %d bytes, %d words of %d bytes", poolers, name, part,
+				float64(f.charged)/funds, float64(f.waited)/float64(f.asked), float64(f.early)/(0.9*funds), f.entries, f.bytes/max(1, f.entries), f.words, f.wordBytes/max(1, f.words))
+			if part < 0.98 {
+				t.Errorf("%d poolers, %s: %.4f of the funds used before the first refusal", poolers, name, part)
+			}
+		}
+	}
+}
+
+// TestTenRequests has 300 poolers want the funds for ten.
+func TestTenRequests(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 300, pay(bank.Pay{Tenant: "t", No: 1, Amount: 10}))
+	f.run(2000)
+	f.load(300, 8000, even, nil)
+	f.run(9000)
+	f.check(10)
+	if f.charged != 10 {
+		t.Errorf("%d of the funds for ten requests were used", f.charged)
+	}
+}
+
+// TestPaymentOpens measures how long after one pooler has read of a payment all that are asked let the tenant in again.
+func TestPaymentOpens(t *testing.T) {
+	t.Parallel()
+	for _, poolers := range []int{8, 100, 300} {
+		f := newFleet(t, poolers, pay(bank.Pay{Tenant: "t", No: 1, Amount: 500}))
+		f.run(2000)
+		f.load(float64(10*poolers), 20000, even, nil)
+		f.run(10000)
+		f.check(500)
+		reads := f.nodes[poolers-1] // one that does not vote, where there are others
+		s := reads.c.set
+		s.Pays = append(slices.Clone(s.Pays), bank.Pay{Tenant: "t", No: 2, Amount: 1_000_000})
+		first := map[int]float64{}
+		at := f.now
+		clear(f.passedAt)
+		reads.c.Retune(s)
+		for len(first) < poolers && f.now < at+8000 {
+			f.run(f.now + 10)
+			for i, x := range f.passedAt {
+				if _, ok := first[i]; !ok && x > 0 {
+					first[i] = x - at
+				}
+			}
+		}
+		var all []float64
+		for _, x := range first {
+			all = append(all, x)
+		}
+		slices.Sort(all)
+		if len(all) < poolers {
+			t.Fatalf("%d of %d poolers let the tenant in", len(all), poolers)
+		}
+		p99 := all[int(math.Ceil(0.99*float64(len(all))))-1]
+		t.Logf("%d poolers: median %.0f ms, p99 %.0f ms, last %.0f ms from one pooler's reading", poolers, all[len(all)/2], p99, all[len(all)-1])
+		if p99 > 2000 {
+			t.Errorf("%d poolers: p99 %.0f ms", poolers, p99)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/credit/form.go
@@ -0,0 +1,257 @@
+package credit
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"beechgrade/internal/peers/credit/bank"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/talk"
+)
+
+// Message goes between two poolers, one of which leads, or is thought to:
+//
+//	message Credit { fixed64 who = 1; bool reply = 2; string leader = 3; repeated Item asks = 4; repeated Item answers = 5; fixed64 digest = 6; repeated Pay pays = 7; }
+//	message Item { string tenant = 1; uint64 depth = 2; fixed64 holder = 3; uint32 gen = 4; uint32 seq = 5; uint64 spent = 6; uint64 returned = 7; uint64 want = 8;
+//	               uint64 need = 9; uint64 rate = 10; uint32 flags = 11; uint64 granted = 12; sint64 left = 13; uint64 full = 14; uint64 keep = 15; }
+//	message Pay { string tenant = 1; uint64 no = 2; uint64 amount = 3; }
+type Message struct {
+	Who     ledger.Holder
+	Reply   bool
+	Leader  string
+	Asks    []talk.Ask
+	Answers []talk.Answer
+	Digest  uint64
+	Pays    []bank.Pay
+}
+
+// ErrForm is of words that cannot be read.
+var ErrForm = errors.New("no words about credit")
+
+const (
+	flagFinal = 1 << iota
+	flagHeir
+	flagRest
+	flagClosed
+	flagEnded
+	flagCall
+)
+
+type writer struct{ b []byte }
+
+func (w *writer) num(field protowire.Number, v uint64) {
+	if v != 0 {
+		w.b = protowire.AppendVarint(protowire.AppendTag(w.b, field, protowire.VarintType), v)
+	}
+}
+
+func (w *writer) fixed(field protowire.Number, v uint64) {
+	w.b = protowire.AppendFixed64(protowire.AppendTag(w.b, field, protowire.Fixed64Type), v)
+}
+
+func (w *writer) text(field protowire.Number, s string) {
+	if s != "" {
+		w.b = protowire.AppendString(protowire.AppendTag(w.b, field, protowire.BytesType), s)
+	}
+}
+
+func (w *writer) key(k *ledger.Key) {
+	w.text(1, k.Tenant)
+	w.num(2, uint64(k.Depth))
+	w.fixed(3, k.Holder)
+	w.num(4, uint64(k.Gen))
+}
+
+func flags(bits ...bool) (n uint64) {
+	for i, b := range bits {
+		n |= protowire.EncodeBool(b) << i
+	}
+	return n
+}
+
+// Append is part.Words'.
+func (m *Message) Append(b []byte) []byte {
+	o := &writer{b}
+	part := func(field protowire.Number, do func(w *writer)) {
+		w := &writer{}
+		do(w)
+		o.b = protowire.AppendBytes(protowire.AppendTag(o.b, field, protowire.BytesType), w.b)
+	}
+	o.fixed(1, m.Who)
+	o.num(2, protowire.EncodeBool(m.Reply))
+	o.text(3, m.Leader)
+	for i := range m.Asks {
+		a := &m.Asks[i]
+		part(4, func(w *writer) {
+			w.key(&a.Key)
+			w.num(5, uint64(a.Seq))
+			w.num(6, uint64(a.Spent))
+			w.num(7, uint64(a.Returned))
+			w.num(8, uint64(a.Want))
+			w.num(9, uint64(a.Need))
+			w.num(10, uint64(a.Rate))
+			w.num(11, flags(a.Final, a.Heir, a.Rest))
+		})
+	}
+	for i := range m.Answers {
+		a := &m.Answers[i]
+		part(5, func(w *writer) {
+			w.key(&a.Key)
+			w.num(5, uint64(a.Seq))
+			w.num(11, flags(false, false, false, a.Closed, a.Ended, a.Call))
+			w.num(12, uint64(a.Granted))
+			w.num(13, protowire.EncodeZigZag(a.Left))
+			w.num(14, uint64(a.Full))
+			w.num(15, uint64(a.Keep))
+		})
+	}
+	if m.Digest != 0 {
+		o.fixed(6, m.Digest)
+	}
+	for _, p := range m.Pays {
+		part(7, func(w *writer) {
+			w.text(1, p.Tenant)
+			w.num(2, p.No)
+			w.num(3, uint64(p.Amount))
+		})
+	}
+	return o.b
+}
+
+// fields goes through a message's fields.
+func fields(b []byte, do func(num protowire.Number, v uint64, text []byte) error) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return ErrForm
+		}
+		b = b[n:]
+		var v uint64
+		var text []byte
+		switch typ {
+		case protowire.VarintType:
+			v, n = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			v, n = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			text, n = protowire.ConsumeBytes(b)
+		default:
+			if n = protowire.ConsumeFieldValue(num, typ, b); n >= 0 {
+				num = 0
+			}
+		}
+		if n < 0 {
+			return ErrForm
+		}
+		b = b[n:]
+		if err := do(num, v, text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Read is part.Part's.
+func (c *Credit) Read(b []byte) (any, error) { return Read(b) }
+
+// Read reads words of others.
+func Read(b []byte) (*Message, error) {
+	m := &Message{}
+	err := fields(b, func(num protowire.Number, v uint64, text []byte) error {
+		switch num {
+		case 1:
+			m.Who = v
+		case 2:
+			m.Reply = v != 0
+		case 3:
+			if len(text) > ledger.MostName {
+				return ErrForm
+			}
+			m.Leader = string(text)
+		case 4, 5:
+			a, w := talk.Ask{}, talk.Answer{}
+			if err := item(text, &a, &w); err != nil || len(m.Asks)+len(m.Answers) >= talk.MostItems {
+				return ErrForm
+			}
+			if num == 4 {
+				m.Asks = append(m.Asks, a)
+			} else {
+				m.Answers = append(m.Answers, w)
+			}
+		case 6:
+			m.Digest = v
+		case 7:
+			p := bank.Pay{}
+			err := fields(text, func(num protowire.Number, v uint64, text []byte) error {
+				switch num {
+				case 1:
+					p.Tenant = string(text)
+				case 2:
+					p.No = v
+				case 3:
+					p.Amount = int64(min(v, uint64(ledger.MostAmount)+1))
+				}
+				return nil
+			})
+			if err != nil || p.Tenant == "" || len(p.Tenant) > ledger.MostName || p.Amount <= 0 || p.Amount > ledger.MostAmount {
+				return ErrForm
+			}
+			m.Pays = append(m.Pays, p)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func item(b []byte, a *talk.Ask, w *talk.Answer) error {
+	k := &ledger.Key{}
+	err := fields(b, func(num protowire.Number, v uint64, text []byte) error {
+		n := int64(v)
+		if num != 3 && num != 13 && v > uint64(ledger.MostPaid) || num == 2 && n > ledger.MostAmount {
+			return ErrForm
+		}
+		switch num {
+		case 1:
+			k.Tenant = string(text)
+		case 2:
+			k.Depth = n
+		case 3:
+			k.Holder = v
+		case 4:
+			k.Gen = uint32(v)
+		case 5:
+			a.Seq, w.Seq = uint32(v), uint32(v)
+		case 6:
+			a.Spent = n
+		case 7:
+			a.Returned = n
+		case 8:
+			a.Want = min(n, ledger.MostAmount)
+		case 9:
+			a.Need = min(n, ledger.MostAmount)
+		case 10:
+			a.Rate = min(n, ledger.MostAmount)
+		case 11:
+			a.Final, a.Heir, a.Rest = v&flagFinal != 0, v&flagHeir != 0, v&flagRest != 0
+			w.Closed, w.Ended, w.Call = v&flagClosed != 0, v&flagEnded != 0, v&flagCall != 0
+		case 12:
+			w.Granted = n
+		case 13:
+			w.Left = protowire.DecodeZigZag(v)
+		case 14:
+			w.Full = n
+		case 15:
+			w.Keep = n
+		}
+		return nil
+	})
+	if err != nil || len(k.Tenant) > ledger.MostName || (k.Tenant == "") && !a.Heir && !w.Closed && !w.Ended && w.Seq != 0 {
+		return ErrForm
+	}
+	a.Key, w.Key = *k, *k
+	return nil
+}
