Have the core ask credit before the module hears of a request, and settle once at its end

A tenant's funds decide before the decision module does: what is not paid for is neither sent nor counted against anybody.

A request that waits for funds is held back from the module; its client's going, its end and its late answer are each settled once. In the platform's protocol the refusal is 53300 with a word of its own, at the pooling front SQLSTATE PP001, at ClickHouse's 402 and QUOTA_EXCEEDED. Off, the core compares one nil.

--- a/internal/clickhouse/request.go
+++ b/internal/clickhouse/request.go
@@ -17,6 +17,7 @@
 const (
 	codeUnsupported = 1   // UNSUPPORTED_METHOD
 	codeTimeout     = 159 // TIMEOUT_EXCEEDED
+	codeQuota       = 201 // QUOTA_EXCEEDED
 	codeTooMany     = 202 // TOO_MANY_SIMULTANEOUS_QUERIES
 	codeNetwork     = 210 // NETWORK_ERROR
 	codeNoServer    = 279 // ALL_CONNECTION_TRIES_FAILED
@@ -113,6 +114,11 @@
 	r.c.complain(r, 503, code, name, "the query has not run; it may be sent again", max(1, int(retryMs/1000+0.5)))
 }
 
+// Broke is front.Broke's.
+func (r *request) Broke(slowed bool, retryMs float64) {
+	r.c.complain(r, 402, codeQuota, "QUOTA_EXCEEDED", front.Unfunded(slowed), max(1, int(retryMs/1000+0.5)))
+}
+
 // Failed is front.Client's.
 func (r *request) Failed() {
 	if r.c.f.loop.Now() >= r.due-50 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,8 @@
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 
+	credit Credit // nil where nobody pays ahead
+
 	checks *invariant.Checks // nil where nothing is checked
 	every  int               // events for one walk
 	walks  int
@@ -171,6 +173,7 @@
 	rec    recorded
 	count  *figures.Class
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	paid   paid
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -312,7 +315,9 @@
 
 // ends marks a request over and counts its end.
 func (c *Core) ends(q *request, e figures.End) {
-	q.over = true
+	if q.over = true; q.paid.hold.Amount > 0 {
+		c.settle(q, e)
+	}
 	c.figures.Open--
 	q.count.Count(e)
 }
@@ -382,6 +387,12 @@
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
 	}
+	if c.credit != nil && !c.funded(ref, r, &q, e) {
+		if r.over {
+			ref = slots.Ref{}
+		}
+		return ref, nil
+	}
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -401,6 +412,11 @@
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
+	if q.paid.waits != nil { // the module has not heard of it
+		q.paid.waits = nil
+		c.credit.Cancel(q.paid.tenant, tagOf(ref))
+		return
+	}
 	c.tell(&decide.Expired{ID: requestID(ref)})
 }
 
--- /dev/null
+++ b/internal/core/credit.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/figures"
+	"beechgrade/internal/front"
+	"beechgrade/internal/peers/credit/purse"
+	"beechgrade/internal/record/recordpb"
+	"beechgrade/internal/slots"
+)
+
+// Credit says whether what a tenant paid ahead lets a request in. The module hears of a request once it is let in.
+type Credit interface {
+	Hold(tenant, class, session string, tag uint64) (purse.Hold, purse.Verdict)
+	Settle(h *purse.Hold, d purse.Done)
+	Cancel(tenant string, tag uint64)
+}
+
+// Credit has requests be paid for.
+func (c *Core) Credit(x Credit) { c.credit = x }
+
+// paid is what a request has to do with its tenant's funds.
+type paid struct {
+	tenant string
+	hold   purse.Hold
+	waits  *decide.Request // that the module is told once it is let in
+	since  float64
+}
+
+func tagOf(ref slots.Ref) uint64 { return uint64(ref.Index)<<32 | uint64(ref.Gen) }
+
+// funded tells whether a request may go on now.
+func (c *Core) funded(ref slots.Ref, r *request, q *front.Request, e *decide.Request) bool {
+	h, v := c.credit.Hold(q.Tenant, q.Class, q.Session, tagOf(ref))
+	r.paid.tenant, r.paid.hold = q.Tenant, h
+	switch v {
+	case purse.Pass:
+		return true
+	case purse.Wait:
+		r.paid.waits, r.paid.since = e, c.loop.Now()
+	default:
+		c.unfunded(ref, r, v == purse.Slow)
+	}
+	return false
+}
+
+// unfunded refuses a request for its tenant's funds.
+func (c *Core) unfunded(ref slots.Ref, r *request, slowed bool) {
+	c.ends(r, figures.Dropped)
+	wait := min(clock.Millis(c.cfg.Settings.MaxRetryAfter), adviceMs+float64(tagOf(ref)%adviceMs))
+	if b, ok := r.client.(front.Broke); ok {
+		b.Broke(slowed, wait)
+	} else {
+		r.client.Refused(wait)
+	}
+	c.recordAnswer(r, recordpb.Final_FINAL_REFUSED, wait)
+	c.release(ref, r)
+}
+
+const adviceMs = 1000 // a payment is everywhere sooner, as a rule; up to twice that, so that not all come back together
+
+// Funded tells that a request that waited is let in.
+func (c *Core) Funded(tag uint64, h purse.Hold) {
+	r, ok := c.requests.Get(refOfTag(tag))
+	if !ok || r.paid.waits == nil {
+		c.credit.Settle(&h, purse.Done{})
+		return
+	}
+	e := r.paid.waits
+	if r.paid.waits, r.paid.hold = nil, h; e.SinceOwn > 0 {
+		e.SinceOwn += clock.Span(c.loop.Now() - r.paid.since)
+	}
+	c.tell(e)
+}
+
+// Unfunded tells that a request that waited is not.
+func (c *Core) Unfunded(tag uint64) {
+	if r, ok := c.requests.Get(refOfTag(tag)); ok && r.paid.waits != nil {
+		r.paid.waits = nil
+		c.unfunded(refOfTag(tag), r, false)
+	}
+}
+
+func refOfTag(tag uint64) slots.Ref { return slots.Ref{Index: uint32(tag >> 32), Gen: uint32(tag)} }
+
+// settle ends what is held for a request: once, whatever was tried again or asked twice.
+func (c *Core) settle(q *request, e figures.End) {
+	d, sent := purse.Done{}, false
+	from := 0.0
+	for i := range q.tries {
+		if t := &q.tries[i]; t.written && (!sent || t.from < from) {
+			sent, from = true, t.from
+		}
+	}
+	switch {
+	case e == figures.Passed:
+		d.Served = 1
+		if sent {
+			d.Seconds = (c.loop.Now() - from) / 1000
+		}
+		if x, ok := q.client.(front.Counted); ok {
+			d.Rows = x.Rows()
+		}
+	case e != figures.Dropped && sent:
+		d.Failed = 1
+	}
+	c.credit.Settle(&q.paid.hold, d)
+}
--- /dev/null
+++ b/internal/core/credit_test.go
@@ -0,0 +1,115 @@
+package core
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/front"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/peers/credit/purse"
+	"beechgrade/internal/slots"
+)
+
+// payer lets in as it is told to, and notes what it is told.
+type payer struct {
+	say  purse.Verdict
+	tag  uint64
+	told []string
+}
+
+func (p *payer) Hold(_, _, _ string, tag uint64) (purse.Hold, purse.Verdict) {
+	p.tag = tag
+	if p.say == purse.Pass {
+		return purse.Hold{Amount: 5}, purse.Pass
+	}
+	return purse.Hold{}, p.say
+}
+
+func (p *payer) Settle(h *purse.Hold, d purse.Done) {
+	word := "free"
+	switch {
+	case h.Amount == 0:
+		return
+	case d.Served > 0:
+		word = "served"
+	case d.Failed > 0:
+		word = "failed"
+	}
+	h.Amount = 0
+	p.told = append(p.told, word)
+}
+func (p *payer) Cancel(string, uint64) { p.told = append(p.told, "cancelled") }
+
+// asker is a client that hears why.
+type asker struct {
+	still
+	heard []string
+}
+
+func (a *asker) Broke(bool, float64) { a.heard = append(a.heard, "broke") }
+func (a *asker) Served([]byte)       { a.heard = append(a.heard, "served") }
+func (a *asker) Failed()             { a.heard = append(a.heard, "failed") }
+
+// TestCreditGate has a request be told to the module once it is paid for, and be settled once, whatever becomes of it.
+func TestCreditGate(t *testing.T) {
+	begin := func(say purse.Verdict) (*Core, *payer, *asker, *counting, slots.Ref) {
+		cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
+			Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}},
+			Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}}}}
+		c, servers, p, a := New(still{}, slog.New(slog.DiscardHandler), cfg), &counting{}, &payer{say: say}, &asker{}
+		c.Start(servers, still{})
+		c.Credit(p)
+		ref, err := c.Ask(front.Request{ID: "1", Class: "read", Due: 1e6 + 9000, Query: still{}}, a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, p, a, servers, ref
+	}
+	served := func(c *Core, ref slots.Ref) {
+		c.AttemptWritten(backend.Tag{Request: ref})
+		c.AttemptEnded(backend.Tag{Request: ref}, backend.Outcome{Result: decide.OK})
+	}
+	for _, x := range []struct {
+		name  string
+		say   purse.Verdict
+		do    func(c *Core, p *payer, ref slots.Ref)
+		sends int
+		told  []string
+		heard []string
+	}{
+		{"served", purse.Pass, func(c *Core, _ *payer, ref slots.Ref) { served(c, ref) }, 1, []string{"served"}, []string{"served"}},
+		{"no funds", purse.None, func(*Core, *payer, slots.Ref) {}, 0, nil, []string{"broke"}},
+		{"waits, is let in and served", purse.Wait, func(c *Core, p *payer, ref slots.Ref) {
+			c.Funded(p.tag, purse.Hold{Amount: 5})
+			served(c, ref)
+		}, 1, []string{"served"}, []string{"served"}},
+		{"waits and is turned away", purse.Wait, func(c *Core, p *payer, _ slots.Ref) { c.Unfunded(p.tag) }, 0, nil, []string{"broke"}},
+		{"its client goes while it waits", purse.Wait, func(c *Core, p *payer, ref slots.Ref) {
+			c.Gone(ref)
+			c.Funded(p.tag, purse.Hold{Amount: 5})
+		}, 0, []string{"cancelled", "free"}, nil},
+		{"its client goes before anything was sent", purse.Pass, func(c *Core, _ *payer, ref slots.Ref) { c.Gone(ref) }, 1, []string{"free"}, nil},
+		{"its client goes after", purse.Pass, func(c *Core, _ *payer, ref slots.Ref) {
+			c.AttemptWritten(backend.Tag{Request: ref})
+			c.Gone(ref)
+		}, 1, []string{"failed"}, nil},
+	} {
+		c, p, a, servers, ref := begin(x.say)
+		x.do(c, p, ref)
+		if servers.n != x.sends {
+			t.Errorf("%s: sent %d times, want %d", x.name, servers.n, x.sends)
+		}
+		if d := cmp.Diff(x.told, p.told); d != "" {
+			t.Errorf("%s: settled: %s", x.name, d)
+		}
+		if d := cmp.Diff(x.heard, a.heard); d != "" {
+			t.Errorf("%s: heard: %s", x.name, d)
+		}
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,14 @@
 	Failed()                 // nothing is promised
 }
 
+// Broke is a Client that tells why its request is refused where what its tenant paid ahead is spent, in place of Refused.
+type Broke interface {
+	Broke(slowed bool, retryMs float64) // slowed: it runs low, and this request is among its least
+}
+
+// Counted is a Client that knows how many rows its answer had.
+type Counted interface{ Rows() int64 }
+
 // Desk takes requests in. Ask may answer before it returns; the Ref it returns then names none.
 type Desk interface {
 	Ask(q Request, c Client) (slots.Ref, error)
--- a/internal/front/queue.go
+++ b/internal/front/queue.go
@@ -92,6 +92,23 @@
 	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeRefused, "no server can take this now", detail)))
 }
 
+// Broke is front.Broke's. In the platform's protocol it is a refusal like others, with another word.
+func (a *answer) Broke(slowed bool, retryMs float64) {
+	detail := ""
+	if retryMs > 0 {
+		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	}
+	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeRefused, Unfunded(slowed), detail)))
+}
+
+// Unfunded is the word to clients whose tenant's funds are spent.
+func Unfunded(slowed bool) string {
+	if slowed {
+		return "the tenant's prepaid funds run low, this request is among the least"
+	}
+	return "the tenant's prepaid funds are spent"
+}
+
 // Failed is Client's.
 func (a *answer) Failed() {
 	a.finish(pgwire.AppendReady(pgwire.AppendError(a.s.out[:0], "ERROR", codeFailed,
--- a/internal/kit/explore/credits.go
+++ b/internal/kit/explore/credits.go
@@ -30,7 +30,7 @@
 	Early bool                                                 // a mutant: voters know of another lease than poolers
 
 	t       float64
-	voters  []*voter
+	voters  []*creditVoter
 	poolers []*spender
 	leader  int
 	log     [][]byte
@@ -47,7 +47,7 @@
 // CreditFaults are what may still happen.
 type CreditFaults struct{ Ask, Lose, Double, Depose, Crash, Stop, Pay int }
 
-type voter struct {
+type creditVoter struct {
 	b    *bank.Bank
 	has  int // entries of the log that it applied
 	rate float64
@@ -96,7 +96,7 @@
 		Classes: []purse.Class{{Price: purse.Price{Request: 1}, Worth: 1}}, Prepaid: []string{CreditTenant}}
 	s.Banks = bank.Settings{Again: 2, Keep: 1e9, Patient: 0, Recall: 1, Fresh: 5, Shrink: 2, Most: 900}
 	for i := range voters {
-		s.voters = append(s.voters, &voter{rate: 1 + 0.01*float64(i%3-1)})
+		s.voters = append(s.voters, &creditVoter{rate: 1 + 0.01*float64(i%3-1)})
 	}
 	for i := range poolers {
 		s.poolers = append(s.poolers, &spender{id: ledger.Holder(i + 1), rate: 1 - 0.01*float64(i%3-1)})
@@ -133,7 +133,7 @@
 
 func (s *Credits) clone() *Credits {
 	c := *s
-	c.voters, c.poolers = make([]*voter, len(s.voters)), make([]*spender, len(s.poolers))
+	c.voters, c.poolers = make([]*creditVoter, len(s.voters)), make([]*spender, len(s.poolers))
 	for i, v := range s.voters {
 		x := *v
 		x.b = v.b.Clone()
--- a/internal/pooling/client.go
+++ b/internal/pooling/client.go
@@ -114,6 +114,19 @@
 	t.c.concluded(t, "53300", text, detail)
 }
 
+// CodeUnfunded is the SQLSTATE of what is refused as its tenant's prepaid funds are spent, or run low.
+const CodeUnfunded = "PP001"
+
+// Broke is front.Broke's.
+func (t *txn) Broke(slowed bool, retryMs float64) {
+	t.open = false
+	detail := ""
+	if retryMs > 0 {
+		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	}
+	t.c.concluded(t, CodeUnfunded, front.Unfunded(slowed), detail)
+}
+
 // Failed is front.Client's.
 func (t *txn) Failed() {
 	t.open = false
