--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -74,6 +74,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "pooling: off")
 					}
+					if s := set.Scatter; s.On {
+						fmt.Fprintf(c.Root().Writer, "scatter: %d reads\n", len(s.Specs))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "scatter: off")
+					}
 					if h := set.ClickHouse; h.Listen != "" {
 						fmt.Fprintf(c.Root().Writer, "clickhouse: listens on %s, for group %d\n", h.Listen, h.Group)
 					} else {
@@ -97,11 +102,21 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "fleet limits: off")
 					}
+					if a := set.Agreed; a.On {
+						fmt.Fprintf(c.Root().Writer, "agreed: %d voters, in %s\n", len(a.Settings.Voters), a.Dir)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "agreed: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
 						fmt.Fprintln(c.Root().Writer, "membership: by the platform's discovery")
 					}
+					if i := set.Invariants; i.On {
+						fmt.Fprintf(c.Root().Writer, "invariants: checked, a walk each %d changes\n", i.Every)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "invariants: off")
+					}
 					return nil
 				},
 			},
@@ -140,6 +155,9 @@
 	if err := set.Pooling.Check(cfg.Classes); err != nil {
 		return nil, nil, badInput{err}
 	}
+	if err := set.Scatter.Check(&set.Pooling, &set.Peers); err != nil {
+		return nil, nil, badInput{err}
+	}
 	return cfg, set, nil
 }
 
@@ -164,6 +182,9 @@
 	set.Pooling.AddClasses(cfg)
 	set.ClickHouse.AddClasses(cfg)
 	p := newPooler(cfg, log)
+	if err := p.useScatter(set.Scatter, set.Peers); err != nil {
+		return err
+	}
 	p.usePooling(set.Pooling)
 	p.useClickHouse(set.ClickHouse)
 	p.useMembers(set.Membership)
@@ -200,6 +221,9 @@
 		set.ClickHouse.AddClasses(next)
 		return next, nil
 	}
+	p.useInvariants(set.Invariants)
+	defer p.saidInvariants()
+	defer p.useAgreed(set.Agreed)()
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,7 +15,9 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/handover"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/loop"
@@ -59,6 +61,8 @@
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	scatter *scatter.Front // reads over many groups, nil where there are none
+
 	house      *clickhouse.Front // nil where it is off
 	houseAddr  string
 	houseGroup int
@@ -69,6 +73,9 @@
 	limits *fleetLimits // nil where none hold for the whole fleet
 
 	journal *journal.Journal // nil where it is off
+	agreed  *commonLog       // nil where it is off
+
+	checks *invariant.Checks // nil where they are off
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
@@ -139,6 +146,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.scatter != nil {
+		conns += p.scatter.Conns()
+	}
 	if p.house != nil {
 		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
 	}
@@ -180,6 +190,9 @@
 	if p.limits != nil { // of each nothing, until it is told
 		p.limits.use(p.limits.set)
 	}
+	if p.agreed != nil {
+		p.agreed.begin()
+	}
 	if p.peers != nil {
 		if err := p.peers.Start(); err != nil {
 			p.log.Error("peers", "err", err)
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,6 +19,9 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Invariants Invariants
+	Scatter    Scatter
+	Agreed     Agreed
 }
 
 // Record says whether and where the pooler records what it does.
@@ -65,8 +68,11 @@
 	err = sexp.Form{
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
+		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
+		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
@@ -74,6 +80,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
+	}
 	return s, err
 }
 
