Keep what a part reads from being written over, and words of the disk in their order

Need: tests of several voters on sockets found two defects that lie below the log in common. What a part was given to read, and to keep, was the peers' reader's own buffer, which the next datagram overwrites: voters took messages for others and stopped. And what is posted to the loop while over 128 wait there is overtaken by what is posted later, as gnet then uses its second queue: after SIGSTOP a disk's words came out of turn.

Change: peers clones a part's body; the voter's disk has a box of its own, emptied in order.

--- a/cmd/beechgrade/agreed.go
+++ b/cmd/beechgrade/agreed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"beechgrade/internal/operate"
@@ -17,6 +18,7 @@
 const (
 	lockedMs  = 200 // between looks at whether this pooler's last process has let the disk go
 	witnessMs = 20
+	tellMs    = 250 // between lines of the log about the entries that try the voters
 )
 
 // commonLog is the log that the poolers have in common; its users add their Machines before the start.
@@ -30,8 +32,12 @@
 	ended  chan struct{}
 	opened chan struct{}
 
+	mu  sync.Mutex
+	box []func() // words of the disk, on their way to the loop
+
 	tally   tally.Tally
 	owed    float64
+	tellAt  float64
 	next    uint64 // number of the next entry that is proposed to try the voters
 	waiting []tried
 	name    string // of this process, as its entries have it
@@ -77,7 +83,7 @@
 	go func() {
 		defer close(l.opened)
 		for {
-			s, rec, err := store.Open(store.Options{FS: store.Dir(l.set.Dir), MaxBytes: l.set.MostBytes, SegmentBytes: l.set.MostBytes / 16, Post: l.p.loop.Post})
+			s, rec, err := store.Open(store.Options{FS: store.Dir(l.set.Dir), MaxBytes: l.set.MostBytes, SegmentBytes: l.set.MostBytes / 16, Post: l.mail})
 			if errors.Is(err, store.ErrLocked) {
 				select {
 				case <-l.ended:
@@ -105,6 +111,25 @@
 	}()
 }
 
+// mail has something done on the loop, in the order of the calls: what is posted to the loop while much waits there may be overtaken.
+func (l *commonLog) mail(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.box = append(l.box, do); len(l.box) == 1 {
+		l.p.loop.Post(l.unpack)
+	}
+}
+
+func (l *commonLog) unpack() {
+	l.mu.Lock()
+	box := l.box
+	l.box = nil
+	l.mu.Unlock()
+	for _, do := range box {
+		do()
+	}
+}
+
 // Append is joined.Disk's.
 func (l *commonLog) Append(records []agreed.Record, done func(error)) {
 	entries := make([]store.Entry, len(records))
@@ -153,6 +178,12 @@
 		l.next++
 	}
 	l.owed = min(l.owed, l.set.Witness)
+	if now >= l.tellAt {
+		l.tellAt = now + tellMs
+		s := l.part.Standing()
+		l.p.log.Info("agreed: tally", "taken", l.tally.Taken, "sum", l.tally.Sum, "again", l.tally.Again, "term", s.Term, "applied", s.Applied, "first", s.First, "leads", s.Leads,
+			"part", s.Part, "tried", l.next-1, "unheard", len(l.waiting))
+	}
 	l.p.loop.At(now+witnessMs, l.try)
 }
 
--- a/internal/kit/explore/agreed.go
+++ b/internal/kit/explore/agreed.go
@@ -474,6 +474,10 @@
 			err = s.wipe(i)
 		case k > 90 && k < 93:
 			err = s.Settle(4)
+		case k == 93:
+			for n := pick(60); n > 0 && err == nil; n-- {
+				err = s.propose(i)
+			}
 		}
 		for err == nil && len(s.wires) > 80 {
 			err = s.lose(0)
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -46,6 +46,8 @@
 	Progress func(done, all int)
 
 	Operators string // more of the operators' settings; $POOLER stands for a pooler's name
+
+	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
 }
 
 // Result is a rehearsal's outcome; it is written to result.json in its folder.
@@ -364,6 +366,9 @@
 	case "kill-pooler":
 		p := r.poolers[f.Target.Group]
 		p.stop(syscall.SIGKILL)
+		if r.opt.Killed != nil {
+			r.opt.Killed(p.name)
+		}
 		if f.For > 0 && pause(ctx, f.For) {
 			p.run.wires.fault(p.run.clk.Now(), 0)
 			return p.start(ctx)
--- a/internal/peers/form.go
+++ b/internal/peers/form.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -297,7 +298,7 @@
 				e.limits.Verb = quota.Verb(min(x, 255))
 			}
 		case 9:
-			e.body.raw = text
+			e.body.raw = slices.Clone(text) // the reader uses its bytes again
 		}
 		return nil
 	})
