--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
 	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -102,6 +103,10 @@
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int               // events for one walk
+	walks  int
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -130,6 +135,12 @@
 	}
 }
 
+// Check has the invariants of the core and of the router checked, from the beginning on.
+func (c *Core) Check(x *invariant.Checks, every int) {
+	c.checks, c.every = x, every
+	c.router.Watch(x, every)
+}
+
 // Meter is told when the decision module begins and ends its work.
 type Meter interface {
 	Begin()
--- a/internal/fronts/scatter/front.go
+++ b/internal/fronts/scatter/front.go
@@ -150,6 +150,9 @@
 	return m
 }
 
+// Check has statements about state checked.
+func (f *Front) Check(c *invariant.Checks) { f.opt.Checks = c }
+
 // Conns is the number of connections to servers.
 func (f *Front) Conns() int { return f.conns }
 
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	Peers      Peers
 	Limits     FleetLimits
 	Scatter    Scatter
+	Invariants Invariants
 }
 
 // Record says whether and where the pooler records what it does.
@@ -68,6 +69,7 @@
 		"clickhouse":   s.ClickHouse.read,
 		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
+		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
