--- /dev/null
+++ b/cmd/beechgrade/scatter_test.go
@@ -0,0 +1,425 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/standin/sorted"
+	"beechgrade/internal/operate"
+)
+
+// scatterWorld is groups of stand-ins with a scattered table, and a pooler before them.
+type scatterWorld struct {
+	t     *testing.T
+	fleet *fleet.Fleet
+	pool  *pooler
+	addr  string
+}
+
+const scattered = `(pooling (listen "127.0.0.1:0")
+	(class "office" (needs primary) (aim 5s) (deadline 60s))
+	(class "reports" (needs session) (aim 5s) (deadline 60s))
+	(pool (class "office") (reads "reports") (connections 4)))
+ (scatter (key %q)
+	(read "visits" (class "reports") (shards ("north" 0) ("east" 1) ("south" 2) ("west" 3))
+		(order ("place" int8 (desc)) ("name" text)) (own ("id" int8)) %s))`
+
+// visits are n rows of each of four shards, of few places and names so that many are equal.
+func visits(f *fleet.Fleet, n int) (all []sorted.Row) {
+	f.Scatter(&fleet.Table{Name: "visits", Columns: sorted.Table{"id", "place", "name"}, Types: sorted.Row{int64(0), int64(0), ""}})
+	for g := range 4 {
+		for k := range n {
+			r := sorted.Row{int64(g*100000 + k), int64(k % 5), []string{"ana", "bo", "Éva", ""}[k%4]}
+			if k%7 == 0 {
+				r[1] = nil
+			}
+			f.Put("visits", g, r, true)
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func scatterPooler(t *testing.T, more string, change ...func(*fleet.Config)) *scatterWorld {
+	t.Helper()
+	fc := fleet.Defaults(3, 3, 3, 3)
+	fc.Detect, fc.Elect, fc.List, fc.Roles = fleet.Range{100, 150}, fleet.Range{100, 150}, fleet.Range{30, 60}, fleet.Range{100, 200}
+	fc.Report, fc.Conns = fleet.Range{20, 40}, 2000
+	for _, f := range change {
+		f(&fc)
+	}
+	f := fleet.New(fc, clock.System(), slog.New(slog.DiscardHandler))
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	key := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(key, []byte("a key for cursors in tests\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set, err := operate.Parse("test", fmt.Appendf(nil, scattered, key, more), os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := testConfig(t, "", nil, func(c *config.Config) {
+		c.Discovery, c.Known = f.Discovery(), f.List()
+		c.Limits.Sockets = 8000
+		c.Settings.MayProbe, c.Settings.DrainGrace = true, clock.Span(fc.GraceMs)
+		c.Settings.ColdFrom, c.Settings.ColdTime = 0.15, time.Second
+		c.Settings.FallMultiple, c.Settings.FallSpan = 2.5, 1500*time.Millisecond
+		c.ConnectTimeoutMs = 2000
+	})
+	if err := set.Scatter.Check(&set.Pooling, &set.Peers); err != nil {
+		t.Fatal(err)
+	}
+	set.Pooling.AddClasses(cfg)
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	if os.Getenv("POOL_LOG") != "" {
+		p.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	if err := p.useScatter(set.Scatter, set.Peers); err != nil {
+		t.Fatal(err)
+	}
+	checks := invariant.New(func(b invariant.Breach) { t.Errorf("%v", b) })
+	p.scatter.Check(checks)
+	p.usePooling(set.Pooling)
+	launch(t, p)
+	at := make(chan string, 1)
+	p.loop.Post(func() { at <- p.pooledAddr })
+	return &scatterWorld{t, f, p, <-at}
+}
+
+// reader is a client that reads pages.
+type reader struct {
+	c       *pgx.Conn
+	cursor  string
+	missing string // of the last page, as the warning says
+}
+
+func (w *scatterWorld) reader() *reader {
+	w.t.Helper()
+	r := &reader{}
+	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://office@%s/obra?sslmode=disable", w.addr))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	cfg.OnNotice = func(_ *pgconn.PgConn, n *pgconn.Notice) { r.missing = n.Message }
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if r.c, err = pgx.ConnectConfig(ctx, cfg); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = r.c.Close(context.Background()) })
+	return r
+}
+
+const visitsSQL = "SELECT id, place, name FROM visits WHERE true /*after*/ /*order*/ "
+
+// page reads a page by a simple query, as text.
+func (r *reader) page(rows int, more string) (ids []int64, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r.missing = ""
+	sql := visitsSQL + fmt.Sprintf("/* scatter=visits,page=%d,cursor=%s%s */", rows, r.cursor, more)
+	res, err := r.c.PgConn().Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	for _, x := range res[0].Rows {
+		var id int64
+		_, _ = fmt.Sscan(string(x[0]), &id)
+		ids = append(ids, id)
+	}
+	r.cursor = r.c.PgConn().ParameterStatus("scatter_cursor")
+	return ids, nil
+}
+
+// all reads to the end.
+func (r *reader) all(t *testing.T, rows int) (ids []int64) {
+	t.Helper()
+	for {
+		got, err := r.page(rows, "")
+		if err != nil {
+			t.Fatalf("behind %d rows: %v", len(ids), err)
+		}
+		if ids = append(ids, got...); r.cursor == "" {
+			return ids
+		}
+	}
+}
+
+// sortedIDs are the rows' ids in the order asked for, with shards by name.
+func sortedIDs(rows []sorted.Row) (ids []int64) {
+	shard := []int{1, 0, 2, 3} // east, north, south, west, by group
+	rows = slices.Clone(rows)
+	slices.SortFunc(rows, func(a, b sorted.Row) int {
+		switch x, y := a[1], b[1]; {
+		case x == nil && y == nil:
+		case x == nil || y == nil:
+			if x == nil {
+				return -1
+			}
+			return 1
+		default:
+			if c := -sorted.Compare(x, y); c != 0 {
+				return c
+			}
+		}
+		if c := sorted.Compare(a[2], b[2]); c != 0 {
+			return c
+		}
+		return int(int64(shard[a[0].(int64)/100000])*1e9+a[0].(int64)) - int(int64(shard[b[0].(int64)/100000])*1e9+b[0].(int64))
+	})
+	for _, r := range rows {
+		ids = append(ids, r[0].(int64))
+	}
+	return ids
+}
+
+// TestScatterPages: pages of several sizes give the sorted list, by simple queries and by a driver's own ways, with a cursor as parameter.
+func TestScatterPages(t *testing.T) {
+	w := scatterPooler(t, "(whole)")
+	want := sortedIDs(visits(w.fleet, 60))
+	for _, n := range []int{7, 50, 240, 1000} {
+		if got := w.reader().all(t, n); !slices.Equal(got, want) {
+			t.Fatalf("pages of %d: %d rows\n got %v\nwant %v", n, len(got), got, want)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeExec, pgx.QueryExecModeCacheStatement} {
+		r, got := w.reader(), []int64(nil)
+		for {
+			rows, err := r.c.Query(ctx, "SELECT id, place, name FROM visits WHERE $1::text IS NOT NULL /*after*/ /*order*/ /* scatter=visits,page=33,cursor=$1 */", []any{mode, r.cursor}...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids, err := pgx.CollectRows(rows, func(row pgx.CollectableRow) (id int64, err error) {
+				var place *int64
+				var name string
+				err = row.Scan(&id, &place, &name)
+				return id, err
+			})
+			if err != nil {
+				t.Fatal(mode, err)
+			}
+			got = append(got, ids...)
+			if r.cursor = r.c.PgConn().ParameterStatus("scatter_cursor"); r.cursor == "" {
+				break
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%v: %v", mode, got)
+		}
+	}
+	if n := w.on(func() int { return w.pool.scatter.Running() }); n != 0 {
+		t.Errorf("%d pages run", n)
+	}
+}
+
+func (w *scatterWorld) on(do func() int) int {
+	n := make(chan int, 1)
+	w.pool.loop.Post(func() { n <- do() })
+	return <-n
+}
+
+// TestScatterRefused: one clear error for each fault, with its SQLSTATE, and the connection goes on.
+func TestScatterRefused(t *testing.T) {
+	w := scatterPooler(t, "(whole) (most-page 500) (at-once 1)")
+	visits(w.fleet, 30)
+	r := w.reader()
+	if _, err := r.page(10, ""); err != nil {
+		t.Fatal(err)
+	}
+	good := r.cursor
+	for name, c := range map[string]struct{ cursor, sql, code string }{
+		"forged":            {"AQBxAAAAAAAA", "", "22023"},
+		"cut":               {good[:len(good)-8], "", "22023"},
+		"another statement": {good, "SELECT id, place, name FROM visits WHERE 1 = 1 /*after*/ /*order*/ /* scatter=visits,page=5,cursor=%s */", "22023"},
+		"no such scatter":   {"", "SELECT id FROM visits WHERE true /*after*/ /*order*/ /* scatter=none%s */", "42704"},
+		"too large a page":  {"", "SELECT id FROM visits WHERE true /*after*/ /*order*/ /* scatter=visits,page=501%s */", "22023"},
+		"no mark":           {"", "SELECT id FROM visits /*order*/ /* scatter=visits%s */", "42601"},
+		"no such column":    {"", "SELECT id, place FROM other WHERE true /*after*/ /*order*/ /* scatter=visits%s */", "42804"},
+		"a server's error":  {"", "SELECT SYNTAX ERROR FROM nothing WHERE true /*after*/ /*order*/ /* scatter=visits%s */", "58000"},
+	} {
+		w.fleet.Scatter(&fleet.Table{Name: "other", Columns: sorted.Table{"id", "place"}, Types: sorted.Row{int64(0), int64(0)}})
+		sql := fmt.Sprintf(c.sql, c.cursor)
+		if c.sql == "" {
+			sql = visitsSQL + fmt.Sprintf("/* scatter=visits,page=10,cursor=%s */", c.cursor)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		_, err := r.c.PgConn().Exec(ctx, sql).ReadAll()
+		cancel()
+		if got := state(err); got != c.code {
+			t.Errorf("%s: %q, not %s: %v", name, got, c.code, err)
+		}
+	}
+	r.cursor = good
+	if _, err := r.page(10, ""); err != nil {
+		t.Errorf("behind all that: %v", err)
+	}
+	// A page of more than is let be at a time is refused as a whole: no server hears of it.
+	w.fleet.Asked(func(string, string) fleet.Manner { return fleet.Manner{Each: 50 * time.Millisecond} })
+	first := make(chan error, 1)
+	other := w.reader()
+	go func() { _, err := other.page(20, ""); first <- err }()
+	within(t, "the first runs", func() bool { _, running, _, _ := w.fleet.Reads(); return running == 4 })
+	before, _, _, _ := w.fleet.Reads()
+	r.cursor = ""
+	if _, err := r.page(10, ""); state(err) != "53300" {
+		t.Errorf("the second: %v", err)
+	}
+	if now, running, _, _ := w.fleet.Reads(); running != 4 || len(now) != len(before) {
+		t.Errorf("%d statements run", running)
+	}
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestScatterBadShards: one shard is silent, one slow by 100 times, one endless. The whole waits for the slow one, does without the silent
+// server, and the endless one is ended, as the servers see.
+func TestScatterBadShards(t *testing.T) {
+	w := scatterPooler(t, "(whole) (silent 300ms)")
+	want := sortedIDs(visits(w.fleet, 60))[:40]
+	silent := ""
+	w.fleet.Asked(func(server, _ string) fleet.Manner { // under the fleet's lock
+		switch {
+		case server[:4] == "s-0-" && (silent == "" || silent == server):
+			silent = server
+			return fleet.Manner{Silent: true}
+		case server[:4] == "s-1-":
+			return fleet.Manner{Each: 20 * time.Millisecond}
+		case server[:4] == "s-2-":
+			return fleet.Manner{Endless: true}
+		}
+		return fleet.Manner{}
+	})
+	r := w.reader()
+	got, err := r.page(40, "")
+	if err != nil || !slices.Equal(got, want) {
+		t.Fatalf("%v\n got %v\nwant %v", err, got, want)
+	}
+	within(t, "nothing runs any more", func() bool { _, running, _, _ := w.fleet.Reads(); return running == 0 })
+	reads, _, _, hits := w.fleet.Reads()
+	if hits < 2 {
+		t.Errorf("%d statements were cut off: %+v", hits, reads)
+	}
+	for _, x := range reads {
+		if x.Rows > 20000 {
+			t.Errorf("%s sent %d rows for a page of 40", x.Server, x.Rows)
+		}
+	}
+}
+
+// TestScatterPartial: a group is silent altogether: the page has the others' rows, names the missing one, and the cursor keeps its place, so that its rows
+// come once it is back. Where the whole is wanted, the page fails in time.
+func TestScatterPartial(t *testing.T) {
+	for _, setting := range []string{"(partial 1)", "(whole)"} {
+		w := scatterPooler(t, setting+" (silent 200ms) (again 1) (wait 3s)")
+		want := sortedIDs(visits(w.fleet, 30))
+		w.fleet.Asked(func(server, _ string) fleet.Manner { return fleet.Manner{Silent: strings.HasPrefix(server, "s-2-")} })
+		r := w.reader()
+		got, err := r.page(40, "")
+		if setting == "(whole)" {
+			if state(err) != "58000" || !strings.Contains(err.Error(), `"south"`) {
+				t.Errorf("whole: %v", err)
+			}
+			continue
+		}
+		if err != nil || len(got) != 40 || !strings.HasSuffix(r.missing, ": south") {
+			t.Fatalf("%d rows, missing %q: %v", len(got), r.missing, err)
+		}
+		w.fleet.Asked(nil)
+		got = append(got, r.all(t, 40)...)
+		slices.Sort(got)
+		if slices.Sort(want); !slices.Equal(got, want) {
+			t.Errorf("%d rows of %d", len(got), len(want))
+		}
+	}
+}
+
+// TestScatterGone: clients that go midway, and one that cancels, leave nothing: no statement runs on, no page is kept.
+func TestScatterGone(t *testing.T) {
+	w := scatterPooler(t, "(whole)")
+	visits(w.fleet, 60)
+	w.fleet.Asked(func(string, string) fleet.Manner { return fleet.Manner{Each: 30 * time.Millisecond} })
+	for i := range 6 {
+		r := w.reader()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			_, err := r.c.PgConn().Exec(ctx, visitsSQL+"/* scatter=visits,page=200 */").ReadAll()
+			done <- err
+		}()
+		within(t, "it runs", func() bool { _, running, _, _ := w.fleet.Reads(); return running == 4 })
+		if i%2 == 0 {
+			cancel() // the driver closes the connection
+		} else if err := r.c.PgConn().CancelRequest(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		err := <-done
+		cancel()
+		if i%2 == 1 && state(err) != "57014" {
+			t.Errorf("cancelled: %v", err)
+		}
+		within(t, "nothing runs", func() bool {
+			_, running, _, _ := w.fleet.Reads()
+			return running == 0 && w.on(func() int { return w.pool.scatter.Running() + w.pool.scatter.Held() }) == 0
+		})
+	}
+	if reads, _, _, hits := w.fleet.Reads(); hits < 20 {
+		t.Errorf("of %d statements %d were cut off", len(reads), hits)
+	}
+}
+
+// TestScatterSlowReader: a client that does not read has the shards wait: what is held stays within its bound, and all rows come when it reads on.
+func TestScatterSlowReader(t *testing.T) {
+	w := scatterPooler(t, "(whole) (memory 64k) (most-page 20000)")
+	w.fleet.Scatter(&fleet.Table{Name: "visits", Columns: sorted.Table{"id", "place", "name"}, Types: sorted.Row{int64(0), int64(0), ""}})
+	const n = 3000
+	pad := strings.Repeat("x", 1000)
+	for g := range 4 {
+		for k := range n {
+			w.fleet.Put("visits", g, sorted.Row{int64(g*100000 + k), int64(k), pad}, true)
+		}
+	}
+	r := w.reader()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	res := r.c.PgConn().Exec(ctx, visitsSQL+"/* scatter=visits,page=20000 */")
+	if !res.NextResult() {
+		t.Fatal(res.Close())
+	}
+	rows, rest, most := res.ResultReader(), 0, 0
+	for rows.NextRow() {
+		if rest++; rest == 100 {
+			for range 30 {
+				time.Sleep(10 * time.Millisecond)
+				most = max(most, w.on(w.pool.scatter.Held))
+			}
+		}
+	}
+	if _, err := rows.Close(); err != nil || rest != 4*n {
+		t.Errorf("%d rows: %v", rest, err)
+	}
+	bound := w.pool.scatter.Bound("visits")
+	if most == 0 || most > bound {
+		t.Errorf("%d bytes held, %d may be", most, bound)
+	}
+	t.Logf("held %d of %d bytes while 12 MB were due", most, bound)
+}
--- a/internal/fronts/scatter/front.go
+++ b/internal/fronts/scatter/front.go
@@ -286,3 +286,13 @@
 	}
 	return append(dst, b.String()...)
 }
+
+// Bound is the bound of what is held for one page of a scatter.
+func (f *Front) Bound(name string) int {
+	i := f.spec(name)
+	if i < 0 {
+		return 0
+	}
+	s := &f.opt.Specs[i]
+	return s.Held() / s.AtOnce
+}
--- a/internal/fronts/scatter/link.go
+++ b/internal/fronts/scatter/link.go
@@ -101,7 +101,7 @@
 func (l *link) Data(b []byte) {
 	l.in.Feed(b)
 	if l.stopped { // the merge has enough: what came with the last read stays here
-		l.park()
+		l.parked = l.conn.Park() // it may have been on its way back when it was stopped
 		return
 	}
 	l.work()
@@ -225,7 +225,7 @@
 	case m.Type == 'T':
 		if err := p.s.described(l, m); err != nil {
 			l.ending = true
-			p.broke(err.Error(), false)
+			p.wrong(err)
 		}
 	case m.Type == 'D':
 		l.first = true
@@ -405,6 +405,10 @@
 	if l.ending && l.asked { // it was told to end
 		return
 	}
+	if l.asked && l.up && !l.broken { // the server is told
+		l.finish()
+		return
+	}
 	if l.part = nil; l.asked || !l.up {
 		l.close()
 		return
--- a/internal/fronts/scatter/part.go
+++ b/internal/fronts/scatter/part.go
@@ -1,6 +1,8 @@
 package scatter
 
 import (
+	"fmt"
+
 	"beechgrade/internal/backend"
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
@@ -52,6 +54,14 @@
 	p.s.event(func(now float64) []run.Action { return p.s.run.Broke(p.a.Shard, p.a.Try, why, again, now) })
 }
 
+// wrong tells of rows that can't be merged, wherever they are read.
+func (p *part) wrong(err error) {
+	if p.s.err == nil && p.s.spec.Missing == 0 {
+		p.s.err = fmt.Errorf("shard %q: %w", p.s.spec.Shards[p.a.Shard].Name, err)
+	}
+	p.broke(err.Error(), false)
+}
+
 // Try is core.Servers' Start for this front's parts.
 func (f *Front) Try(store string, q backend.Query, until float64, t backend.Tag) slots.Ref {
 	p := q.(*part)
--- a/internal/fronts/scatter/run/run.go
+++ b/internal/fronts/scatter/run/run.go
@@ -325,11 +325,12 @@
 	if s.rows++; s.rows >= r.page { // as many as were asked for: whatever it sends behind them is not read
 		s.phase = ended
 		r.merge.End(i)
-	} else if r.merge.Full(i) && !s.stopped {
+	}
+	r.pump(now)
+	if s.phase == sent && !s.stopped && r.merge.Full(i) {
 		s.stopped = true
 		r.out = append(r.out, Action{Do: Stop, Shard: i})
 	}
-	r.pump(now)
 	return r.out
 }
 
--- a/internal/fronts/scatter/scatter.go
+++ b/internal/fronts/scatter/scatter.go
@@ -201,7 +201,7 @@
 	}
 	key, own, err := s.keyOf(&l.cols, m.Body)
 	if err != nil {
-		p.broke(err.Error(), false)
+		p.wrong(err)
 		return
 	}
 	s.busy = true
--- a/internal/kit/fleet/scattered.go
+++ b/internal/kit/fleet/scattered.go
@@ -116,17 +116,31 @@
 	return nil
 }
 
-func (t *Table) describe() *pgproto3.RowDescription {
+// form is how a column's values go out.
+func form(forms []int16, i int) int16 {
+	switch {
+	case len(forms) == 0:
+		return 0
+	case len(forms) == 1:
+		return forms[0]
+	}
+	return forms[i]
+}
+
+func (t *Table) describe(forms []int16) *pgproto3.RowDescription {
 	d := &pgproto3.RowDescription{}
 	for i, c := range t.Columns {
-		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(c), DataTypeOID: sorted.OID(t.Types[i]), DataTypeSize: -1, TypeModifier: -1})
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(c), DataTypeOID: sorted.OID(t.Types[i]), DataTypeSize: -1, TypeModifier: -1, Format: form(forms, i)})
 	}
 	return d
 }
 
 // scattered works on a read of a scattered table.
-func (x *full) scattered(t *Table, sql string, args [][]byte, simple bool) (alive bool, err error) {
+func (x *full) scattered(t *Table, sql string, args [][]byte, forms []int16, simple bool) (alive bool, err error) {
 	f, s := x.c.s.f, x.c.s
+	if simple {
+		forms = nil
+	}
 	q, err := sorted.Read(sql)
 	if err != nil {
 		return true, fail("42601", "%v", err)
@@ -164,7 +178,7 @@
 		return true, fail("42601", "%v", err)
 	}
 	if simple {
-		x.be.Send(t.describe())
+		x.be.Send(t.describe(nil))
 	}
 	wait := func(d time.Duration) bool { // false where it was cut off
 		if x.be.Flush() != nil {
@@ -200,7 +214,11 @@
 		}
 		var vals [][]byte
 		if i < len(rows) {
-			for _, v := range rows[i] {
+			for k, v := range rows[i] {
+				if form(forms, k) == 1 {
+					vals = append(vals, sorted.Binary(v))
+					continue
+				}
 				vals = append(vals, sorted.Text(v))
 			}
 		} else {
--- a/internal/kit/fleet/session.go
+++ b/internal/kit/fleet/session.go
@@ -76,6 +76,7 @@
 	implicit  bool
 	skip      bool
 	cancel    context.CancelFunc
+	forms     []int16         // of the results of the portal that runs
 	sql       string          // that may be cancelled
 	local     map[string]bool // settings of the transaction alone
 	committed float64         // of the last write
@@ -99,8 +100,9 @@
 }
 
 type portal struct {
-	sql  string
-	args [][]byte
+	sql   string
+	args  [][]byte
+	forms []int16 // of results
 }
 
 // sqlError is an error as a server words it.
@@ -226,7 +228,7 @@
 		for i, a := range m.Parameters {
 			args[i] = slices.Clone(a)
 		}
-		x.portals[m.DestinationPortal] = &portal{p.sql, args}
+		x.portals[m.DestinationPortal] = &portal{p.sql, args, slices.Clone(m.ResultFormatCodes)}
 		x.be.Send(&pgproto3.BindComplete{})
 	case *pgproto3.Describe:
 		err = x.describe(m)
@@ -237,6 +239,7 @@
 			break
 		}
 		var alive bool
+		x.forms = p.forms
 		alive, err = x.run(p.sql, p.args, false)
 		if !alive {
 			return false
@@ -344,7 +347,7 @@
 var paramRef = regexp.MustCompile(`\$(\d+)`)
 
 func (x *full) describe(m *pgproto3.Describe) error {
-	sql := ""
+	sql, forms := "", []int16(nil)
 	if m.ObjectType == 'S' {
 		p := x.stmts[m.Name]
 		if p == nil {
@@ -361,10 +364,10 @@
 		if p == nil {
 			return fail("34000", "portal %q does not exist", m.Name)
 		}
-		sql = p.sql
+		sql, forms = p.sql, p.forms
 	}
 	if t := x.table(sql); t != nil {
-		x.be.Send(t.describe())
+		x.be.Send(t.describe(forms))
 	} else if col := column(sql); col != "" {
 		x.be.Send(rowDescription(col))
 	} else {
@@ -426,7 +429,7 @@
 		x.implicit = true
 	}
 	if t := x.table(sql); t != nil {
-		return x.scattered(t, sql, args, simple)
+		return x.scattered(t, sql, args, x.forms, simple)
 	}
 	tag, rows, err := x.work(d, sql, args, simple)
 	if err == errGone {
--- a/internal/kit/standin/sorted/sorted.go
+++ b/internal/kit/standin/sorted/sorted.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"math"
 	"regexp"
@@ -263,6 +264,17 @@
 	return nil
 }
 
+// Binary is a value in the binary form, nil for null.
+func Binary(v any) []byte {
+	switch x := v.(type) {
+	case int64:
+		return binary.BigEndian.AppendUint64(nil, uint64(x))
+	case float64:
+		return binary.BigEndian.AppendUint64(nil, math.Float64bits(x))
+	}
+	return Text(v)
+}
+
 // OID is the type of a value, as it is described.
 func OID(v any) uint32 {
 	switch v.(type) {
