Have tenants pay ahead by (credit ...) in the operators' settings, on the log in common

Credit's decisions had nobody to carry their words, entries and marks in the daemon, and no prices or payments.

(credit ...) names the unit, prices by class, payments by tenant and number, what slows a tenant, and overdrafts; it takes (peers ...) and (agreed ...), and SIGHUP reads it again. A process's marks are written off the loop and durable before they are spent by, in a file under a lock; who finds one without its process takes it over. Off without the settings: one nil compared at a request. Figures are app.credit.

--- /dev/null
+++ b/cmd/beechgrade/credit.go
@@ -0,0 +1,310 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"golang.org/x/sys/unix"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/credit"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/purse"
+)
+
+// prepaid is what tenants pay ahead for, as this pooler has it. It is core's Credit, and credit's Log, Files and Events.
+type prepaid struct {
+	p       *pooler
+	set     operate.Credit
+	credit  *credit.Credit
+	classes map[string]int
+	holder  ledger.Holder
+	writes  chan marks
+	done    chan struct{}
+	locks   map[ledger.Holder]*os.File // of this process's marks, and of those that it has taken over
+	spent   int64
+	refused uint64
+	waited  uint64
+}
+
+type marks struct {
+	no   uint64
+	list []purse.Mark
+}
+
+// useCredit has tenants pay ahead, where the settings have it on; the function ends it.
+func (p *pooler) useCredit(set operate.Credit) (stop func(), err error) {
+	if !set.On {
+		return func() {}, nil
+	}
+	x := &prepaid{p: p, set: set, holder: rand.Uint64() | 1, writes: make(chan marks, 1), done: make(chan struct{}), locks: map[ledger.Holder]*os.File{}}
+	var gone []ledger.Holder
+	if set.Dir != "" {
+		if gone, err = x.lock(); err != nil {
+			return nil, badInput{fmt.Errorf("credit: files: %w", err)}
+		}
+	}
+	go x.write()
+	s := x.settings()
+	x.credit = credit.New(s, p.peers, x, x, x)
+	x.credit.Inherit(gone)
+	p.peers.Join(x.credit)
+	if x.credit.Books() != nil {
+		p.agreed.users.Add(agreed.OfCredit, x.credit)
+	}
+	p.agreed.told = append(p.agreed.told, func(a *agreed.Action) {
+		switch a.Kind {
+		case agreed.Leads:
+			x.credit.Lead(p.cfg.Name)
+		case agreed.Follows:
+			x.credit.Lead(a.Leader)
+		case agreed.Broke:
+			x.credit.Lead("")
+		}
+	})
+	p.core.Credit(x)
+	p.credit = x
+	if set.Dir != "" {
+		p.loop.Post(func() { p.loop.At(p.loop.Now()+lookMs, x.look) })
+	}
+	return func() {
+		close(x.writes)
+		<-x.done
+	}, nil
+}
+
+func (x *prepaid) settings() credit.Settings {
+	cfg := x.p.cfg
+	x.classes = map[string]int{}
+	for i, n := range cfg.Classes {
+		if !cfg.Retired(i) {
+			x.classes[n] = i
+		}
+	}
+	s := x.set.For(cfg.Classes, func(i int) float64 { return cfg.Settings.Classes[i].Worth })
+	s.Voters, s.Name, s.Holder = x.p.agreed.set.Settings.Voters, cfg.Name, x.holder
+	s.Purse.Checks = x.p.checks
+	return s
+}
+
+// reload takes prices and payments as they are now.
+func (x *prepaid) reload(set operate.Credit) {
+	if !set.On || set.Dir != x.set.Dir {
+		x.p.log.Warn("cannot change while serving, needs a restart", "kept", []string{"credit"})
+		set.On, set.Dir = true, x.set.Dir
+		if len(set.Prices) == 0 {
+			return
+		}
+	}
+	x.set = set
+	x.credit.Retune(x.settings())
+	x.p.log.Info("credit read again", "prices", len(set.Prices), "payments", len(set.Pays))
+}
+
+// Hold is core.Credit's.
+func (x *prepaid) Hold(tenant, class, session string, tag uint64) (purse.Hold, purse.Verdict) {
+	i, ok := x.classes[class]
+	if !ok {
+		return purse.Hold{}, purse.Pass
+	}
+	h, v := x.credit.Hold(tenant, i, purse.Session(session), 1, tag)
+	switch v {
+	case purse.Wait:
+		x.waited++
+	case purse.Slow, purse.None:
+		x.refused++
+	}
+	return h, v
+}
+
+// Settle is core.Credit's.
+func (x *prepaid) Settle(h *purse.Hold, d purse.Done) { x.spent += x.credit.Settle(h, d) }
+
+// Cancel is core.Credit's.
+func (x *prepaid) Cancel(tenant string, tag uint64) { x.credit.Cancel(tenant, tag) }
+
+// Admit is credit.Events'.
+func (x *prepaid) Admit(tag uint64, h purse.Hold) { x.p.core.Funded(tag, h) }
+
+// Turn is credit.Events'.
+func (x *prepaid) Turn(tag uint64) {
+	x.refused++
+	x.p.core.Unfunded(tag)
+}
+
+// Propose is credit.Log's. What is dropped the poolers ask for again.
+func (x *prepaid) Propose(entry []byte) {
+	x.p.agreed.part.Propose(0, append([]byte{agreed.OfCredit}, entry...))
+}
+
+// Write is credit.Files': the newest marks are all that there are.
+func (x *prepaid) Write(no uint64, list []purse.Mark) {
+	select {
+	case <-x.writes:
+	default:
+	}
+	x.writes <- marks{no, list}
+}
+
+const (
+	marksAgain = time.Second // after marks could not be written
+	lookMs     = 3000        // between two looks for files of processes that are no more
+	marksEnd   = ".marks"
+	lockEnd    = ".lock"
+)
+
+func (x *prepaid) file(h ledger.Holder, end string) string {
+	return filepath.Join(x.set.Dir, fmt.Sprintf("credit-%016x%s", h, end))
+}
+
+// write writes marks, off the loop: whole, and durable before anything is spent by them.
+func (x *prepaid) write() {
+	defer close(x.done)
+	for m := range x.writes {
+		b, err := jsoniter.Marshal(m.list)
+		for err == nil {
+			if err = save(x.file(x.holder, marksEnd), b); err == nil {
+				break
+			}
+			x.p.log.Error("credit: marks cannot be written; prepaid tenants wait", "err", err)
+			select {
+			case next, ok := <-x.writes:
+				if !ok {
+					return
+				}
+				m = next
+			case <-time.After(marksAgain):
+			}
+			b, err = jsoniter.Marshal(m.list)
+		}
+		no := m.no
+		x.p.loop.Post(func() { x.credit.Written(no) })
+	}
+}
+
+func save(path string, b []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), "credit-*.part")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(f.Name())
+	}
+	return err
+}
+
+// lock takes this process's place among the files, and finds those whose processes are no more: nobody has their locks.
+func (x *prepaid) lock() (gone []ledger.Holder, err error) {
+	if err := os.MkdirAll(x.set.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	take := func(h ledger.Holder) bool {
+		f, e := os.OpenFile(x.file(h, lockEnd), os.O_CREATE|os.O_RDWR, 0o600)
+		if e == nil {
+			if e = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); e == nil {
+				x.locks[h] = f
+				return true
+			}
+			_ = f.Close()
+		}
+		err = e
+		return false
+	}
+	list, err := os.ReadDir(x.set.Dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range list {
+		text, found := strings.CutSuffix(f.Name(), lockEnd)
+		h, e := strconv.ParseUint(strings.TrimPrefix(text, "credit-"), 16, 64)
+		if x.locks[h] == nil && found && e == nil && take(h) {
+			gone = append(gone, h)
+		}
+	}
+	if err = nil; x.locks[x.holder] == nil && !take(x.holder) {
+		return nil, err
+	}
+	return gone, nil
+}
+
+// look finds the files of processes that have ended since.
+func (x *prepaid) look() {
+	if gone, err := x.lock(); err != nil {
+		x.p.log.Warn("credit: files", "err", err)
+	} else if len(gone) > 0 {
+		x.p.log.Info("credit: found what processes that are no more left", "processes", len(gone))
+		x.credit.Inherit(gone)
+	}
+	x.p.loop.At(x.p.loop.Now()+lookMs, x.look)
+}
+
+// Read is credit.Files'.
+func (x *prepaid) Read(h ledger.Holder, do func([]purse.Mark)) {
+	path := x.file(h, marksEnd)
+	go func() {
+		b, err := os.ReadFile(path)
+		var list []purse.Mark
+		if err == nil {
+			err = jsoniter.Unmarshal(b, &list)
+		}
+		if err != nil && !os.IsNotExist(err) { // what is not known to be unspent stays spent
+			x.p.log.Error("credit: marks of a process that is no more cannot be read; what it held counts as spent", "err", err)
+			return
+		}
+		x.p.loop.Post(func() { do(list) })
+	}()
+}
+
+// Erase is credit.Files'.
+func (x *prepaid) Erase(h ledger.Holder) {
+	f := x.locks[h]
+	delete(x.locks, h)
+	go func() {
+		_ = os.Remove(x.file(h, marksEnd))
+		_ = os.Remove(x.file(h, lockEnd))
+		if f != nil {
+			_ = f.Close()
+		}
+	}()
+}
+
+// appendCredit prints how credit stands, where there is any.
+func (p *pooler) appendCredit(dst []byte) []byte {
+	if p.credit == nil {
+		return dst
+	}
+	x := p.credit
+	free, held := int64(0), int64(0)
+	for _, s := range x.credit.Standings() {
+		free, held = free+s.Free, held+s.Held
+	}
+	dst = fmt.Appendf(dst, "app.credit.spent=%d\napp.credit.free=%d\napp.credit.held=%d\napp.credit.refused=%d\napp.credit.waited=%d\n", x.spent, free, held, x.refused, x.waited)
+	if b := x.credit.Books(); b != nil {
+		var paid, left, lent, stranded, spent int64
+		for _, n := range b.Tenants() {
+			t := b.Tenant(n)
+			paid, left, lent, stranded, spent = paid+t.Paid, left+t.Balance, lent+t.Lent, stranded+t.Stranded, spent+t.Spent
+		}
+		tenants, accounts := b.Size()
+		dst = fmt.Appendf(dst, "app.credit.books.paid=%d\napp.credit.books.balance=%d\napp.credit.books.lent=%d\napp.credit.books.stranded=%d\napp.credit.books.spent=%d\n"+
+			"app.credit.books.tenants=%d\napp.credit.books.accounts=%d\n", paid, left, lent, stranded, spent, tenants, accounts)
+	}
+	return dst
+}
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -91,7 +91,7 @@
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
-		return control.Answer{Status: http.StatusOK, Body: p.appendInvariants(p.appendAgreed(p.appendLimits(p.appendPeers(p.core.AppendFigures(nil)))))}
+		return control.Answer{Status: http.StatusOK, Body: p.appendInvariants(p.appendCredit(p.appendAgreed(p.appendLimits(p.appendPeers(p.core.AppendFigures(nil))))))}
 	}
 	calls := map[string]struct {
 		method string
@@ -215,6 +215,9 @@
 			return
 		}
 		p.log.Info("drained", "ms", now-began)
+		if p.credit != nil {
+			p.credit.credit.Close()
+		}
 		if p.peers != nil {
 			p.peers.Leave(false)
 		}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -102,6 +102,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "agreed: off")
 					}
+					if x := set.Credit; x.On {
+						fmt.Fprintf(c.Root().Writer, "credit: %d prices, %d payments of %d tenants\n", len(x.Prices), len(x.Pays), len(x.Prepaid))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "credit: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -213,6 +218,20 @@
 	p.useInvariants(set.Invariants)
 	defer p.saidInvariants()
 	defer p.useAgreed(set.Agreed)()
+	unpay, err := p.useCredit(set.Credit)
+	if err != nil {
+		return err
+	}
+	defer unpay()
+	if p.credit != nil {
+		p.loadCredit = func() (*operate.Credit, error) {
+			next, err := operate.Load(settings, os.Getenv)
+			if err != nil {
+				return nil, err
+			}
+			return &next.Credit, nil
+		}
+	}
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -56,6 +56,8 @@
 
 	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
 
+	loadCredit func() (*operate.Credit, error) // reads prices and payments again; nil where nobody pays ahead
+
 	pooled     *pooling.Front // nil where it is off
 	pooledAddr string         // where it listens
 	stopPooled func()
@@ -71,6 +73,7 @@
 
 	journal *journal.Journal // nil where it is off
 	agreed  *commonLog       // nil where it is off
+	credit  *prepaid         // nil where nobody pays ahead
 
 	checks *invariant.Checks // nil where they are off
 
@@ -225,6 +228,13 @@
 					p.loop.Post(func() { p.reloadLimits(*set) })
 				}
 			}
+			if p.loadCredit != nil {
+				if set, err := p.loadCredit(); err != nil {
+					p.loop.Post(func() { p.log.Error("credit: the old prices and payments stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.credit.reload(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- /dev/null
+++ b/internal/operate/credit_test.go
@@ -0,0 +1,57 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/peers/credit/bank"
+	"beechgrade/internal/peers/credit/purse"
+)
+
+const beforeCredit = `(peers (listen "127.0.0.1:1") (key "k")) (agreed (voters "a" "b" "c") (dir "d")) `
+
+// TestCredit reads prices, overdrafts and payments, and has each class find its own.
+func TestCredit(t *testing.T) {
+	s, err := Parse("x", []byte(beforeCredit+`(credit (unit "cent") (slow-below 0.1) (price "read" (request 2)) (price "report" (request 5) (row 1) (most 100) (failed charged))
+		(overdraft "write" 500) (payment "m" 2 70) (payment "m" 1 30) (payment "a" 1 10) (prepaid "z"))`), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := s.Credit.For([]string{"write", "read", "report"}, func(i int) float64 { return float64(i) })
+	want := []purse.Class{{Worth: 0, Depth: 500}, {Worth: 1, Price: purse.Price{Request: 2}}, {Worth: 2, Price: purse.Price{Request: 5, Row: 1, Most: 100, Failed: true}}}
+	if d := cmp.Diff(want, got.Purse.Classes); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([]bank.Pay{{Tenant: "a", No: 1, Amount: 10}, {Tenant: "m", No: 1, Amount: 30}, {Tenant: "m", No: 2, Amount: 70}}, got.Pays); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([]string{"a", "m", "z"}, got.Purse.Prepaid); d != "" {
+		t.Error(d)
+	}
+	if got.Bank.Ends != got.Purse.Ends() || got.Purse.Marks {
+		t.Errorf("ends after %g ms, marks %v", got.Bank.Ends, got.Purse.Marks)
+	}
+}
+
+// TestCreditFaults has each fault be told in one line.
+func TestCreditFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		`(credit (price "a" (request 1)))`:                                                                "needs (peers ...) and (agreed ...)",
+		beforeCredit + `(credit)`:                                                                         "needs a (price CLASS ...)",
+		beforeCredit + `(credit (price "a" (row 1)))`:                                                     "(most AMOUNT) is due",
+		beforeCredit + `(credit (price "a" (request 1)) (price "a" (request 1)))`:                         "there is a price of \"a\" already",
+		beforeCredit + `(credit (price "a" (request 1)) (payment "t" 1 5) (payment "t" 1 6))`:             "two payments 1 of \"t\"",
+		beforeCredit + `(credit (price "a" (request 1)) (payment "t" 1 0))`:                               "a whole number from 1",
+		beforeCredit + `(credit (price "a" (request 1.5)))`:                                               "a whole number from 0",
+		beforeCredit + `(credit (price "a" (request 1)) (lease 2s))`:                                      "four times",
+		beforeCredit + `(credit (price "a" (request 1)) (payment "` + strings.Repeat("x", 65) + `" 1 5))`: "of 64 bytes at most",
+		beforeCredit + `(credit (price "a" (request 1)) (payment "t" 1 99999999999999999))`:               "a whole number from 1",
+	} {
+		_, err := Parse("x", []byte(text), func(string) string { return "" })
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -21,6 +21,7 @@
 	Limits     FleetLimits
 	Invariants Invariants
 	Agreed     Agreed
+	Credit     Credit
 }
 
 // Record says whether and where the pooler records what it does.
@@ -70,6 +71,7 @@
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
@@ -81,6 +83,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "credit" }); err == nil && i >= 0 && (!s.Peers.On || !s.Agreed.On) {
+		err = nodes[i].Errorf("(credit ...) needs (peers ...) and (agreed ...)")
+	}
 	return s, err
 }
 
--- a/internal/peers/credit/credit.go
+++ b/internal/peers/credit/credit.go
@@ -198,7 +198,7 @@
 	c.self = self
 	clear(c.addrs)
 	for _, r := range all {
-		if r.State <= view.Suspect && slices.Contains(c.set.Voters, r.Name) {
+		if r.State <= view.Suspect && slices.Contains(c.set.Voters, r.Name) && r.ID > c.addrs[r.Name].id { // of two processes the younger
 			c.addrs[r.Name] = place{r.Addr, r.ID}
 		}
 	}
@@ -224,8 +224,16 @@
 	c.payments(now)
 }
 
-// Leave is part.Part's.
+// Leave is part.Part's. Where files are kept what is here may be spent on by requests that still come to this process; whoever finds
+// the files tells the last words.
 func (c *Credit) Leave() {
+	if c.left = true; !c.set.Purse.Marks {
+		c.pursed(purse.Leave{})
+	}
+}
+
+// Close tells last words: no more requests come.
+func (c *Credit) Close() {
 	c.left = true
 	c.pursed(purse.Leave{})
 }
