--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -92,7 +92,7 @@
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
 		b := p.core.AppendFigures(nil)
-		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed} {
+		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit} {
 			b = more(b)
 		}
 		return control.Answer{Status: http.StatusOK, Body: b}
@@ -219,6 +219,9 @@
 			return
 		}
 		p.log.Info("drained", "ms", now-began)
+		if p.credit != nil {
+			p.credit.credit.Close()
+		}
 		if p.peers != nil {
 			p.peers.Leave(false)
 		}
