Ask anew within 2 s of the wait of a Consul query that fell silent

A query that waits was given 2 s beyond its wait (and the sixteenth that servers add) before it counted as silent, and the next one came 0.15 to 0.25 s later: what it missed counts as told 2 s after the wait, so it was heard too late each time. It has 1 s now. A query that may not wait is given up after 5 s, and asked anew at 5.25 s of 6. The test fails with 2 s.

--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -479,3 +479,30 @@
 		}
 	}
 }
+
+// TestSilentPoll: a query that may wait falls silent, with one agent or two. What it missed counts as told 2 s after its wait is over, and
+// one that may not wait, 6 s after it was asked: by then the next is asked, from where the list stands, with half a second to answer.
+func TestSilentPoll(t *testing.T) {
+	for _, agents := range []int{1, 2} {
+		for _, index := range []uint64{0, 7} {
+			for _, wait := range []float64{200, 5000, 60000} {
+				w := NewWatch(agents, wait, 0, func() float64 { return 1 })
+				now := 1e6
+				if index > 0 {
+					q, at := w.Next(now)
+					w.Answered(at, q, Answer{Status: 200, Index: index})
+				}
+				q, asked := w.Next(now)
+				told := asked + 6000
+				if index > 0 {
+					told = asked + wait + wait/16 + 2000
+				}
+				now = asked + q.Patience()
+				w.Answered(now, q, Answer{Err: errors.New("no answer")})
+				if next, at := w.Next(now); at+500 > told || next.Index != index || agents > 1 && next.Agent == q.Agent {
+					t.Errorf("%d agents, index %d, wait %v: %+v is asked %v ms before what was missed counts as told", agents, index, wait, next, told-at)
+				}
+			}
+		}
+	}
+}
--- a/internal/membership/consul/watch.go
+++ b/internal/membership/consul/watch.go
@@ -80,12 +80,13 @@
 	return Query{Agent: best, Index: w.index, Wait: w.wait}, at
 }
 
-// Patience is how long an answer to a query may take: servers add up to a sixteenth of the wait.
+// Patience is how long an answer to a query may take: servers add up to a sixteenth of the wait. What a silent one misses counts as told
+// 2 s after that, or after 6 s where it may not wait, and by then another has to be asked and to have answered.
 func (q Query) Patience() float64 {
 	if q.Index == 0 {
 		return 5000
 	}
-	return q.Wait + q.Wait/16 + 2000
+	return q.Wait + q.Wait/16 + 1000
 }
 
 // Answered takes the answer to a query.
