Play the log in common in virtual time, with disks that outlive processes

Need: elections, delays and many poolers are to be seen the same to the bit for a seed.

Change: emulate.CommonLog joins the log's part to poolers in virtual time; its voters' disks keep what a process was told of, and lose the rest with it.

--- /dev/null
+++ b/internal/kit/emulate/agreed.go
@@ -0,0 +1,81 @@
+package emulate
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/agreed/joined"
+)
+
+// CommonLog is the log that poolers have in common, in virtual time: the first ones vote, each with a disk that outlives its processes.
+type CommonLog struct {
+	Settings agreed.Settings // but for names and seeds
+	Voters   int
+	Seed     uint64
+	DiskMs   [2]float64 // that a durable write takes, from and to
+
+	disks map[int]*platter
+	rng   *rand.Rand
+}
+
+// platter is a voter's disk: what a process that ended had not been told of is not on it.
+type platter struct {
+	log     *CommonLog
+	records map[string][]byte
+	free    float64 // when the writes before are done
+}
+
+type written struct {
+	d *platter
+	h Host
+}
+
+// Append is joined.Disk's.
+func (w written) Append(records []agreed.Record, done func(error)) {
+	d, c := w.d, w.d.log
+	d.free = max(d.free, w.h.Now()+c.DiskMs[0]+(c.DiskMs[1]-c.DiskMs[0])*c.rng.Float64())
+	w.h.At(d.free, func() {
+		for _, r := range records {
+			if r.Gone {
+				delete(d.records, r.Key)
+			} else {
+				d.records[r.Key] = r.Value
+			}
+		}
+		done(nil)
+	})
+}
+
+// Join makes a process's part in the log.
+func (c *CommonLog) Join(h Host, m agreed.Machine, told func(a *agreed.Action)) *joined.Part {
+	if c.disks == nil {
+		c.disks, c.rng = map[int]*platter{}, rand.New(rand.NewPCG(c.Seed, 33))
+	}
+	set := c.Settings
+	set.Voters = nil
+	for i := range c.Voters {
+		set.Voters = append(set.Voters, h.x.p.e.poolerName(i))
+	}
+	set.Self, set.Drawn, set.Checks = h.x.p.name, c.Seed<<32|uint64(h.No())<<16|uint64(h.Life()), h.x.p.e.checks
+	p := joined.New(h, joined.Options{Settings: set, Machine: m, Told: told})
+	if h.No() >= c.Voters {
+		return p
+	}
+	d := c.disks[h.No()]
+	if d == nil {
+		d = &platter{log: c, records: map[string][]byte{}}
+		c.disks[h.No()] = d
+	}
+	d.free = 0
+	var records []agreed.Record
+	for _, k := range slices.Sorted(maps.Keys(d.records)) {
+		records = append(records, agreed.Record{Key: k, Value: d.records[k]})
+	}
+	h.At(h.Now(), func() { p.Begin(written{d, h}, records, nil) })
+	return p
+}
+
+// Wipe has a voter's disk be empty from its next process on.
+func (c *CommonLog) Wipe(no int) { delete(c.disks, no) }
