--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -74,6 +74,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "pooling: off")
 					}
+					if s := set.Scatter; s.On {
+						fmt.Fprintf(c.Root().Writer, "scatter: %d reads\n", len(s.Specs))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "scatter: off")
+					}
 					if h := set.ClickHouse; h.Listen != "" {
 						fmt.Fprintf(c.Root().Writer, "clickhouse: listens on %s, for group %d\n", h.Listen, h.Group)
 					} else {
@@ -102,6 +107,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "agreed: off")
 					}
+					if x := set.Credit; x.On {
+						fmt.Fprintf(c.Root().Writer, "credit: %d prices, %d payments of %d tenants\n", len(x.Prices), len(x.Pays), len(x.Prepaid))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "credit: off")
+					}
 					if m := set.Membership; m.On {
 						fmt.Fprintf(c.Root().Writer, "membership: by %s\n", strings.Join(m.Members.Judge.Sources, ", then "))
 					} else {
@@ -150,6 +160,9 @@
 	if err := set.Pooling.Check(cfg.Classes); err != nil {
 		return nil, nil, badInput{err}
 	}
+	if err := set.Scatter.Check(&set.Pooling, &set.Peers); err != nil {
+		return nil, nil, badInput{err}
+	}
 	return cfg, set, nil
 }
 
@@ -174,6 +187,9 @@
 	set.Pooling.AddClasses(cfg)
 	set.ClickHouse.AddClasses(cfg)
 	p := newPooler(cfg, log)
+	if err := p.useScatter(set.Scatter, set.Peers); err != nil {
+		return err
+	}
 	p.usePooling(set.Pooling)
 	p.useClickHouse(set.ClickHouse)
 	p.useMembers(set.Membership)
@@ -213,6 +229,20 @@
 	p.useInvariants(set.Invariants)
 	defer p.saidInvariants()
 	defer p.useAgreed(set.Agreed)()
+	unpay, err := p.useCredit(set.Credit)
+	if err != nil {
+		return err
+	}
+	defer unpay()
+	if p.credit != nil {
+		p.loadCredit = func() (*operate.Credit, error) {
+			next, err := operate.Load(settings, os.Getenv)
+			if err != nil {
+				return nil, err
+			}
+			return &next.Credit, nil
+		}
+	}
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/handover"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
@@ -56,10 +57,14 @@
 
 	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
 
+	loadCredit func() (*operate.Credit, error) // reads prices and payments again; nil where nobody pays ahead
+
 	pooled     *pooling.Front // nil where it is off
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	scatter *scatter.Front // reads over many groups, nil where there are none
+
 	house      *clickhouse.Front // nil where it is off
 	houseAddr  string
 	houseGroup int
@@ -71,6 +76,7 @@
 
 	journal *journal.Journal // nil where it is off
 	agreed  *commonLog       // nil where it is off
+	credit  *prepaid         // nil where nobody pays ahead
 
 	checks *invariant.Checks // nil where they are off
 
@@ -143,6 +149,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.scatter != nil {
+		conns += p.scatter.Conns()
+	}
 	if p.house != nil {
 		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
 	}
@@ -225,6 +234,13 @@
 					p.loop.Post(func() { p.reloadLimits(*set) })
 				}
 			}
+			if p.loadCredit != nil {
+				if set, err := p.loadCredit(); err != nil {
+					p.loop.Post(func() { p.log.Error("credit: the old prices and payments stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.credit.reload(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,8 @@
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 
+	credit Credit // nil where nobody pays ahead
+
 	checks *invariant.Checks // nil where nothing is checked
 	every  int               // events for one walk
 	walks  int
@@ -171,6 +173,7 @@
 	rec    recorded
 	count  *figures.Class
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	paid   paid
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -312,7 +315,9 @@
 
 // ends marks a request over and counts its end.
 func (c *Core) ends(q *request, e figures.End) {
-	q.over = true
+	if q.over = true; q.paid.hold.Amount > 0 {
+		c.settle(q, e)
+	}
 	c.figures.Open--
 	q.count.Count(e)
 }
@@ -376,12 +381,18 @@
 	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
-		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
-		e.SinceOwn = max(1, now-clock.Span(q.After))
+		// A commit is rounded up and so may lie ahead of the clock, or far ahead where a clock was set; 0 would stand for none.
+		e.SinceOwn = cmp.Or(now-clock.Span(q.After), 1)
 	}
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
 	}
+	if c.credit != nil && !c.funded(ref, r, &q, e) {
+		if r.over {
+			ref = slots.Ref{}
+		}
+		return ref, nil
+	}
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -401,6 +412,11 @@
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
+	if q.paid.waits != nil { // the module has not heard of it
+		q.paid.waits = nil
+		c.credit.Cancel(q.paid.tenant, tagOf(ref))
+		return
+	}
 	c.tell(&decide.Expired{ID: requestID(ref)})
 }
 
@@ -532,6 +548,9 @@
 	clear(c.events)
 	c.events = c.events[:0]
 	c.running = false
+	if c.checks.On() {
+		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
+	}
 }
 
 func (c *Core) carryOut(a *decide.Action) {
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -52,8 +52,8 @@
 			o.passed++
 		}
 		r.alive(s, a)
-		if q.class.Read == Write && r.set.KeptTokens && e.Told.HasPosition {
-			r.remember(q.session, e.Told.Position)
+		if q.class.Read == Write && r.set.KeptTokens {
+			r.remember(q.session, e.Told.position(r.now)) // by now it was committed, whatever it tells
 		}
 	case Missed:
 		r.alive(s, a)
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -60,9 +60,7 @@
 }
 
 // failing is the chance that a store answers a request with a failure: from its last answers, fading.
-func (r *Router) failing(s *store) float64 {
-	return s.fails * r.fading(s.failedAt, failMemory)
-}
+func (r *Router) failing(s *store) float64 { return s.fails * r.fading(s.failedAt, failMemory) }
 
 // loaded takes an answer as evidence of so many requests met there, unless our own explain them. Without it,
 // hundreds of routers with nothing there go on feeding a queue full of what will be late.
--- a/internal/decide/ration.go
+++ b/internal/decide/ration.go
@@ -23,8 +23,7 @@
 	if depth < 0 {
 		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
 	}
-	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
-	s.coldSpentAt = r.now
+	s.coldSpent, s.coldSpentAt = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds()), r.now
 	return s.coldSpent <= depth
 }
 
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -122,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := s.InVirtualTime(); err != nil {
+		return nil, err
+	}
 	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
 		checks: invariant.New(opt.Broken), began: time.Now()}
 	e.s.now = startMs
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -349,6 +349,12 @@
 			r.listGone(false)
 		}
 		return nil
+	case "list-silent":
+		r.fleet.ListSilent(true)
+		if f.For > 0 && pause(ctx, f.For) {
+			r.fleet.ListSilent(false)
+		}
+		return nil
 	case "agent", "deregister-all", "wrong-roles":
 		r.lie(f, true)
 		if f.For > 0 && pause(ctx, f.For) {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -53,6 +53,16 @@
 // virtualOnly are faults that no process can cause by itself.
 var virtualOnly = map[string]bool{"cut": true}
 
+// InVirtualTime tells why a scenario can't be played in virtual time, nil where it can.
+func (s *Script) InVirtualTime() error {
+	for _, f := range s.Faults {
+		if f.What == "list-silent" {
+			return &sexp.Error{Pos: f.Pos, Text: "(list-silent) can be played on sockets only: in virtual time no connection is forgotten"}
+		}
+	}
+	return nil
+}
+
 // Script is a rehearsal. Times are in milliseconds from its start.
 type Script struct {
 	Name    string
@@ -449,6 +459,7 @@
 	"disk":           struck(0.1, 1000),
 	"list-late":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
 	"list-gone":      func(f *Fault, n *sexp.Node) error { return none(n) },
+	"list-silent":    func(f *Fault, n *sexp.Node) error { return none(n) },
 	"agent":          anAgent,
 	"deregister-all": func(f *Fault, n *sexp.Node) error { return none(n) },
 	"wrong-roles":    func(f *Fault, n *sexp.Node) error { return none(n) },
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,7 +20,9 @@
 	Peers      Peers
 	Limits     FleetLimits
 	Invariants Invariants
+	Scatter    Scatter
 	Agreed     Agreed
+	Credit     Credit
 }
 
 // Record says whether and where the pooler records what it does.
@@ -67,9 +69,11 @@
 	err = sexp.Form{
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
+		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
@@ -81,6 +85,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "credit" }); err == nil && i >= 0 && (!s.Peers.On || !s.Agreed.On) {
+		err = nodes[i].Errorf("(credit ...) needs (peers ...) and (agreed ...)")
+	}
 	return s, err
 }
 
