Draw what befalls the module and the core, and date no word from ahead of the clock

Need: random load is to drive the statements, and each is to be seen to fail.

Change: rapid machines of the module (settings, lists, requests, outcomes, probes, timers, standstills, retunings in any order) and of the core; a mutant for each statement of the module, the core, the connections and the pools. Found by them and mended: after a retuning that no longer lets vanished servers serve, those known before still got requests; a probe's answer with nothing in it counted as a word on what its server holds; a role by a report from ahead of the clock was taken for as fresh as that.

--- /dev/null
+++ b/internal/backend/invariants_test.go
@@ -0,0 +1,59 @@
+package backend
+
+import (
+	"slices"
+	"testing"
+
+	"beechgrade/internal/invariant"
+)
+
+// TestInvariantMutants: each statement about connections is seen to break by one line of state.
+func TestInvariantMutants(t *testing.T) {
+	type parts struct {
+		p                   *Pool
+		s                   *store
+		idle, busy, dialing *conn
+		carried, waits      *attempt
+	}
+	for _, m := range []struct {
+		name string
+		poke func(x parts)
+	}{
+		{"backend: what idles is listed at its server", func(x parts) { x.s.idle = nil }},
+		{"backend: what is busy carries an attempt", func(x parts) { x.busy.attempt = nil }},
+		{"backend: what carries an attempt is busy", func(x parts) { x.idle.attempt = x.carried }},
+		{"backend: nothing is kept of what is closed", func(x parts) { x.idle.state = closed }},
+		{"backend: connections by server agree", func(x parts) { x.s.dialing++ }},
+		{"backend: connections by server agree", func(x parts) { x.s.idle = append(x.s.idle, x.idle) }},
+		{"backend: what waits is an attempt without a connection, once", func(x parts) { x.s.waiting = append(x.s.waiting, x.waits) }},
+		{"backend: what waits is an attempt without a connection, once", func(x parts) { x.p.attempts.Drop(x.waits.ref) }},
+		{"backend: an attempt is on a connection or waits", func(x parts) { x.s.waiting = nil }},
+		{"backend: nothing idles at a server that is forgotten", func(x parts) { delete(x.p.stores, "s") }},
+		{"backend: memory of answers is counted", func(x parts) { x.p.held++ }},
+	} {
+		p := &Pool{stores: map[string]*store{}}
+		x := parts{p: p, s: &store{id: "s"}}
+		p.stores["s"] = x.s
+		put := func(st state) *conn {
+			c := &conn{pool: p, store: x.s, state: st}
+			c.ref = p.conns.Put(c)
+			return c
+		}
+		x.idle, x.busy, x.dialing = put(idle), put(busy), put(dialing)
+		x.carried, x.waits = &attempt{id: "s", store: x.s, conn: x.busy}, &attempt{id: "s", store: x.s}
+		x.busy.attempt = x.carried
+		for _, a := range []*attempt{x.carried, x.waits} {
+			a.ref = p.attempts.Put(a)
+		}
+		x.s.idle, x.s.waiting, x.s.dialing = []*conn{x.idle}, []*attempt{x.waits}, 1
+		c := invariant.New(nil)
+		if p.walk(c); len(c.Broken()) > 0 {
+			t.Errorf("without: %v", c.Broken())
+		}
+		m.poke(x)
+		p.walk(c)
+		if !slices.ContainsFunc(c.Broken(), func(b invariant.Breach) bool { return b.Name == m.name }) {
+			t.Errorf("%q is not seen: %v", m.name, c.Broken())
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/invariants_test.go
@@ -0,0 +1,181 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/slots"
+	"beechgrade/internal/steady"
+)
+
+// drawn is a core whose servers, clients and clock do whatever is drawn, but keep what they promise: each attempt ends once.
+type drawn struct {
+	counting
+	now    float64
+	heap   deadline.Heap
+	core   *Core
+	out    []backend.Tag
+	probes []string
+	flows  []backend.Flow
+	refs   []slots.Ref
+	ends   map[int]int // answers by client
+	asked  int
+}
+
+func (d *drawn) Now() float64                            { return d.now }
+func (d *drawn) At(ms float64, f func()) *deadline.Timer { return d.heap.Add(ms, f) }
+func (d *drawn) Probe(id string)                         { d.probes = append(d.probes, id) }
+func (d *drawn) Start(_ string, _ backend.Query, _ float64, _ backend.Terms, t backend.Tag) slots.Ref {
+	d.out = append(d.out, t)
+	return slots.Ref{Index: uint32(t.No) + 1, Gen: 1}
+}
+
+// asker is a client that counts its answers, and takes one that is passed on as it comes.
+type asker struct {
+	d  *drawn
+	no int
+}
+
+func (a asker) Served([]byte)      { a.d.ends[a.no]++ }
+func (a asker) Refused(float64)    { a.d.ends[a.no]++ }
+func (a asker) Failed()            { a.d.ends[a.no]++ }
+func (a asker) Take() backend.Flow { a.d.ends[a.no]++; return nothing{} }
+
+type nothing struct{}
+
+func (nothing) Piece([]byte)       {}
+func (nothing) Room() bool         { return true }
+func (nothing) Ended([]byte, bool) {}
+
+func newDrawn(c *invariant.Checks) *drawn {
+	d := &drawn{now: 1e6, ends: map[int]int{}}
+	var list []discovery.Instance
+	for i := range 3 {
+		list = append(list, discovery.Instance{ID: fmt.Sprint("s", i), HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1})
+	}
+	cfg := &config.Config{Classes: []string{"read", "write"}, Settings: decide.Settings{Siblings: 2, Tick: time.Millisecond, MaxAttempts: 4, MayCancel: true, MayDuplicate: true, MayProbe: true,
+		Classes: []decide.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Read: decide.ReadAny}, {Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Read: decide.Write, Effect: decide.Unsafe}}},
+		Known: discovery.List{Reset: true, Instances: list}}
+	d.core = New(d, slog.New(slog.DiscardHandler), cfg)
+	d.core.Check(c, 1)
+	d.core.Start(d, still{})
+	return d
+}
+
+func (d *drawn) ask(class string, due float64) {
+	d.asked++
+	ref, err := d.core.Ask(front.Request{ID: fmt.Sprint(d.asked), Class: class, Due: d.now + due, Query: still{}}, asker{d, d.asked})
+	if err == nil {
+		d.refs = append(d.refs, ref)
+	}
+}
+
+// TestInvariants: whatever clients, servers, lists and the clock do in whatever order, the core has what the router has, and nothing
+// stays of what is over.
+func TestInvariants(t *testing.T) {
+	steady.Check(t, func(t *rapid.T) {
+		d := newDrawn(invariant.Test(t))
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "which") }
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				for range rapid.IntRange(1, 6).Draw(t, "times") {
+					d.ask(rapid.SampledFrom([]string{"read", "write", "none"}).Draw(t, "class"), rapid.Float64Range(0, 3000).Draw(t, "due"))
+				}
+			},
+			"end": func(t *rapid.T) {
+				if n := len(d.out); n > 0 {
+					i := pick(n)
+					tag := d.out[i]
+					d.out = slices.Delete(d.out, i, i+1)
+					o := backend.Outcome{Result: decide.Result(rapid.IntRange(0, int(decide.Missed)).Draw(t, "result"))}
+					if rapid.Bool().Draw(t, "says") {
+						o.Said = backend.Said{Role: decide.Role(rapid.IntRange(0, 2).Draw(t, "role")), Position: d.now, HasPos: true}
+					}
+					d.core.AttemptEnded(tag, o)
+				}
+			},
+			"begin": func(t *rapid.T) {
+				if n := len(d.out); n > 0 {
+					i := pick(n)
+					tag := d.out[i]
+					d.out = slices.Delete(d.out, i, i+1)
+					if f := d.core.AttemptBegun(tag, func() {}); f != nil {
+						d.flows = append(d.flows, f)
+					}
+				}
+			},
+			"flow ends": func(t *rapid.T) {
+				if len(d.flows) > 0 {
+					d.flows[0].Ended(nil, rapid.Bool().Draw(t, "whole"))
+					d.flows = d.flows[1:]
+				}
+			},
+			"probed": func(t *rapid.T) {
+				if len(d.probes) > 0 {
+					d.core.ProbeEnded(d.probes[0], backend.Outcome{Result: decide.Result(rapid.IntRange(0, int(decide.Reset)).Draw(t, "result")),
+						Said: backend.Said{Role: decide.Role(rapid.IntRange(0, 2).Draw(t, "role")), Position: d.now, HasPos: true}})
+					d.probes = d.probes[1:]
+				}
+			},
+			"gone": func(*rapid.T) {
+				if n := len(d.refs); n > 0 {
+					d.core.Gone(d.refs[pick(n)])
+				}
+			},
+			"pass": func(t *rapid.T) {
+				d.now += rapid.Float64Range(1, 400).Draw(t, "ms")
+				d.heap.Run(d.now)
+			},
+			"list": func(t *rapid.T) {
+				d.core.Listed(&discovery.List{Reset: rapid.Bool().Draw(t, "whole"), Instances: []discovery.Instance{{ID: fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "server")), HostPort: "1.2.3.4:5",
+					Lifecycle: rapid.SampledFrom([]string{"up", "draining", "gone"}).Draw(t, "state"), Weight: 1}}})
+			},
+			"": func(t *rapid.T) {
+				for no, n := range d.ends {
+					if n > 1 {
+						t.Errorf("%d had %d answers", no, n)
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestInvariantMutants: each statement is seen to break by one line of state.
+func TestInvariantMutants(t *testing.T) {
+	for _, m := range []struct {
+		name string
+		poke func(c *Core, q *request)
+	}{
+		{"core: of what is over nothing is kept", func(_ *Core, q *request) { q.over, q.open = true, 0 }},
+		{"core: attempts out are of those made", func(_ *Core, q *request) { q.open = 9 }},
+		{"core: each request has its id", func(c *Core, q *request) { delete(c.ids, q.id) }},
+		{"core: the router has the requests that are owed an answer", func(_ *Core, q *request) { q.over = true }},
+		{"core: the router has the attempts that are out", func(_ *Core, q *request) { q.open++ }},
+		{"core: the figure is of those in progress", func(c *Core, _ *request) { c.figures.Open++ }},
+	} {
+		d, c := newDrawn(nil), invariant.New(nil)
+		d.ask("read", 3000)
+		if d.core.walk(c); len(c.Broken()) > 0 {
+			t.Errorf("without: %v", c.Broken())
+		}
+		q, _ := d.core.requests.Get(d.refs[0])
+		m.poke(d.core, q)
+		d.core.walk(c)
+		if !slices.ContainsFunc(c.Broken(), func(b invariant.Breach) bool { return b.Name == m.name }) {
+			t.Errorf("%q is not seen: %v", m.name, c.Broken())
+		}
+	}
+}
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -88,7 +88,7 @@
 		s.position, s.positionAt = t.Position, r.now
 	}
 	if t.Role != RoleUnknown && at >= s.roleAt {
-		s.role, s.roleAt = t.Role, at
+		s.role, s.roleAt = t.Role, min(at, r.now)
 	}
 	if t.HasHeld {
 		r.advance(s)
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -77,7 +77,9 @@
 		}
 		return
 	}
-	s.probeFails, s.askedAt = 0, s.probeAt
+	if s.probeFails = 0; e.Load.HasPosition {
+		s.askedAt = s.probeAt
+	}
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
--- a/internal/decide/invariants.go
+++ b/internal/decide/invariants.go
@@ -47,7 +47,7 @@
 	drains, gone bool
 	position     Time // the newest that it told
 	lead         Time // it last was the primary then, for certain
-	asked        Time // and it said so, though as of before, in answer to what was sent then
+	asked        Time // and did not deny it, though as of before, in answer to what was sent then
 	probed       Time // sent
 	out          int
 	cold         []spent // sent while it was cold, within the last span of the fall rule
@@ -108,8 +108,10 @@
 	if t.HasPosition && t.Position <= now {
 		s.position = max(s.position, t.Position)
 	}
-	if t.Role == RolePrimary {
+	if t.Role == RolePrimary || t.Role == RoleUnknown && t.HasPosition { // where the list alone tells roles, a word need not
 		s.asked = max(s.asked, sent)
+	}
+	if t.Role == RolePrimary {
 		if t.HasPosition {
 			sent = min(t.Position, now)
 		}
@@ -129,7 +131,7 @@
 			s.lead = max(s.lead, t.sent)
 		}
 		if e.Load.HasPosition {
-			s.says(r.now, Report{Position: e.Load.Position, HasPosition: true}, never)
+			s.says(r.now, e.Load, never)
 		}
 		delete(a.out, e.Attempt)
 		w.count(a, s, -1)
@@ -259,7 +261,7 @@
 	if q.primaryOnly() || need == never || r.set.Behind != BehindAnswers || !r.set.MayProbe {
 		return
 	}
-	w.c.That(s.position >= need || s.lead >= need || s.asked >= max(need, q.arrived), "decide: a read goes where its position is covered", func() string {
+	w.c.That(s.position >= need || s.lead >= need || s.asked >= max(need, q.arrived) && r.stores[a.Store].role == RolePrimary, "decide: a read goes where its position is covered", func() string {
 		o := r.stores[a.Store]
 		ago := func(t Time) time.Duration { return r.now - t }
 		return fmt.Sprintf("%s for %x, which came %v ago and needs %v ago (bound %v): it said to be at %v ago and to lead %v ago, when asked %v ago; the router has position %v ago, "+
--- /dev/null
+++ b/internal/decide/invariants_test.go
@@ -0,0 +1,280 @@
+package decide
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/steady"
+)
+
+// drawn is a router with its embedder, which keeps its promises: each attempt and each probe ends once, with a served one or one whose
+// request is over as the final one, timers come late but come. All else is drawn.
+type drawn struct {
+	r       *Router
+	c       *invariant.Checks
+	now     Time
+	tries   map[RequestID]int
+	over    map[RequestID]bool
+	out     []Action // sends that have not ended
+	probes  []StoreID
+	timers  int
+	stores  []StoreID
+	last    int
+	answers map[RequestID]int
+}
+
+func drawSettings(t *rapid.T) Settings {
+	set := testSettings()
+	flag := func(name string) bool { return rapid.Bool().Draw(t, name) }
+	set.Siblings = rapid.SampledFrom([]int{1, 3, 20, 300}).Draw(t, "siblings")
+	set.MayCancel, set.MayDuplicate, set.MayProbe = flag("cancel"), flag("duplicate"), flag("probe")
+	set.KeptTokens, set.DrainOnly, set.ListShowsRole = flag("tokens"), flag("drain only"), flag("roles")
+	set.Behind = Behind(rapid.IntRange(0, 2).Draw(t, "behind"))
+	set.MaxAttempts = rapid.IntRange(1, 6).Draw(t, "attempts")
+	if flag("no cold") {
+		set.FallMultiple = 0
+	}
+	set.Tenants = []Tenant{{Allowance: 100}, {Allowance: 20, Told: true, Own: 3, Depth: 3, Hard: true}}
+	for i := range set.Classes {
+		set.Classes[i].LateWorth = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late worth")
+	}
+	return set
+}
+
+func newDrawn(c *invariant.Checks, set Settings, seed uint64) *drawn {
+	d := &drawn{r: New(set, seed), c: c, now: start, tries: map[RequestID]int{}, over: map[RequestID]bool{}, answers: map[RequestID]int{}}
+	d.r.Watch(c, 1)
+	var entries []Entry
+	for g := range 2 {
+		for i := range 3 {
+			id := StoreID(fmt.Sprintf("s%d%d", g, i))
+			d.stores = append(d.stores, id)
+			entries = append(entries, Entry{Store: id, Group: g, Zone: i, Size: 1, Primary: i == 0})
+		}
+	}
+	d.do(&List{Kind: ListRestored, Entries: entries})
+	return d
+}
+
+func (d *drawn) do(e Event) {
+	for _, a := range d.r.Handle(d.now, e, nil) {
+		switch a.Kind {
+		case Send:
+			a.Attempt = d.tries[a.ID]
+			d.tries[a.ID]++
+			d.out = append(d.out, a)
+		case Refuse, Fail:
+			d.over[a.ID] = true
+			d.answers[a.ID]++
+		case Probe:
+			d.probes = append(d.probes, a.Store)
+		case SetTimer:
+			d.timers++
+		}
+	}
+}
+
+func (d *drawn) report(t *rapid.T) Report {
+	rep := Report{Role: Role(rapid.IntRange(0, 2).Draw(t, "role")), HasPosition: rapid.Bool().Draw(t, "placed"),
+		HasHeld: rapid.Bool().Draw(t, "loaded"), Held: rapid.Float64Range(0, 30).Draw(t, "held")}
+	if rep.HasPosition {
+		rep.Position = d.now + rapid.SampledFrom([]Time{-10 * time.Second, -400 * ms, -200 * ms, -20 * ms, 0, 20 * ms}).Draw(t, "position")
+	}
+	return rep
+}
+
+// end has an attempt end somehow.
+func (d *drawn) end(t *rapid.T) {
+	if len(d.out) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(d.out)-1).Draw(t, "attempt")
+	a := d.out[i]
+	d.out = slices.Delete(d.out, i, i+1)
+	res := Result(rapid.IntRange(0, int(Missed)).Draw(t, "result"))
+	if res == OK {
+		d.over[a.ID] = true
+	}
+	e := &Outcome{ID: a.ID, Attempt: a.Attempt, Store: a.Store, Result: res, Final: d.over[a.ID]}
+	if res == OK || res == Missed || res == Failed {
+		e.Told = d.report(t)
+		if rapid.Bool().Draw(t, "report") {
+			e.Load = d.report(t)
+		}
+	}
+	d.do(e)
+}
+
+func (d *drawn) ask(t *rapid.T) {
+	d.last++
+	d.do(&Request{ID: RequestID(fmt.Sprint(d.last)), Class: rapid.IntRange(0, 5).Draw(t, "class"), Group: rapid.IntRange(0, 2).Draw(t, "group"),
+		Tenant: rapid.IntRange(-1, 1).Draw(t, "tenant"), Due: d.now + Time(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "due")),
+		Session: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "session"), SinceOwn: Time(rapid.Int64Range(0, int64(time.Second)).Draw(t, "own")),
+		Repeat: rapid.Bool().Draw(t, "repeat"), Work: Time(rapid.Int64Range(0, int64(200*ms)).Draw(t, "work"))})
+}
+
+// TestInvariants: settings, lists, requests, outcomes, probes, timers and standstills in any order.
+func TestInvariants(t *testing.T) {
+	steady.Check(t, func(t *rapid.T) {
+		d := newDrawn(invariant.Test(t), drawSettings(t), rapid.Uint64().Draw(t, "seed"))
+		many := func(do func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				for range rapid.IntRange(1, 8).Draw(t, "times") {
+					do(t)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": many(d.ask), "end": many(d.end),
+			"pass": func(t *rapid.T) {
+				for range rapid.IntRange(1, 20).Draw(t, "beats") {
+					if d.now += beat; d.timers > 0 {
+						d.timers--
+						d.do(&Timer{})
+					}
+				}
+			},
+			"stand still": func(t *rapid.T) { d.now += Time(rapid.Int64Range(int64(ms), int64(6*time.Second)).Draw(t, "ms")) },
+			"probed": func(t *rapid.T) {
+				if len(d.probes) > 0 {
+					s := d.probes[0]
+					d.probes = d.probes[1:]
+					e := &ProbeResult{Store: s, Result: rapid.SampledFrom([]Result{OK, OK, OK, Full, TimedOut, Unreachable}).Draw(t, "result")}
+					if e.Result == OK {
+						e.Load = d.report(t)
+					}
+					d.do(e)
+				}
+			},
+			"list": func(t *rapid.T) {
+				l := &List{Kind: ListKind(rapid.IntRange(0, int(ListFailed)).Draw(t, "kind"))}
+				for _, s := range rapid.SliceOfDistinct(rapid.SampledFrom(append(d.stores, "new")), rapid.ID).Draw(t, "named") {
+					l.Entries = append(l.Entries, Entry{Store: s, Group: int(s[1]) % 2, Size: 1, State: StoreState(rapid.IntRange(0, 2).Draw(t, "state")), Started: d.now - Time(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "age"))})
+				}
+				if l.Kind == ListFailed {
+					l.Entries = nil
+				}
+				d.do(l)
+			},
+			"gone": func(t *rapid.T) {
+				if d.last > 0 {
+					id := RequestID(fmt.Sprint(rapid.IntRange(1, d.last).Draw(t, "request")))
+					if !d.over[id] {
+						d.over[id] = true
+						d.do(&Expired{ID: id})
+					}
+				}
+			},
+			"retune": func(t *rapid.T) { d.do(&Retune{Settings: drawSettings(t)}) },
+			"recall": func(*rapid.T) { d.r.Recall(d.now, d.r.Memory()) },
+			"": func(t *rapid.T) {
+				for id, n := range d.answers {
+					if n > 1 {
+						t.Errorf("%s had %d answers", id, n)
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestInvariantMutants: each statement is seen to break by one line of state, or by what the router would do if it were broken.
+func TestInvariantMutants(t *testing.T) {
+	send := func(id RequestID, s StoreID) func(*rig) []Action {
+		return func(g *rig) []Action { return []Action{{Kind: Send, ID: id, Store: s}} }
+	}
+	none := func(*rig) []Action { return nil }
+	held := func(g *rig) *request {
+		return &request{id: "h", group: g.r.groups[0], class: &g.r.classes[0], due: g.now + time.Hour}
+	}
+	for _, m := range []struct {
+		name string
+		poke func(*rig)
+		do   func(*rig) []Action
+	}{
+		{"decide: each request has one final answer", nil, func(*rig) []Action { return []Action{{Kind: Refuse, ID: "none"}} }},
+		{"decide: only what is out is called off", nil, func(*rig) []Action { return []Action{{Kind: Cancel, ID: "w", Attempt: 3}} }},
+		{"decide: only what was listed is probed", nil, func(*rig) []Action { return []Action{{Kind: Probe, Store: "z"}} }},
+		{"decide: nothing goes to a store that drains or is gone", func(g *rig) { g.r.watch.stores["p"].drains = true }, send("w", "p")},
+		{"decide: nothing goes to a store that drains or is gone", func(g *rig) { g.r.watch.stores["p"].gone = true }, func(*rig) []Action { return []Action{{Kind: Probe, Store: "p"}} }},
+		{"decide: only what is not over is sent, to what was listed", func(g *rig) { g.r.watch.asks["w"].over = true }, send("w", "p")},
+		{"decide: no more attempts than may be", func(g *rig) { g.r.watch.asks["w"].tries = 9 }, send("w", "p")},
+		{"decide: what must not run twice is out once", func(g *rig) { g.r.reqs["w"].class.Effect = Unsafe }, send("w", "p")},
+		{"decide: a read goes where its position is covered", func(g *rig) {
+			s := g.r.watch.stores["p"]
+			s.position, s.lead, s.asked = g.now-time.Second, never, never
+			g.r.reqs["w"].class = &g.r.classes[cBounded]
+		}, send("w", "p")},
+		{"decide: nothing cold over budget", func(g *rig) {
+			s := g.r.stores["p"]
+			s.coldFrom = g.now
+			g.r.reqs["w"].size = 0.01
+			g.r.watch.stores["p"].cold = []spent{{g.now, 1e6, 1}}
+		}, send("w", "p")},
+		{"decide: stores are in order", func(g *rig) { slices.Reverse(g.r.order) }, none},
+		{"decide: attempts in flight agree", func(g *rig) { g.r.open++ }, none},
+		{"decide: attempts in flight agree by class", func(g *rig) { g.r.watch.asks["w"].class++ }, none},
+		{"decide: attempts in flight agree by tenant", func(g *rig) { g.r.watch.asks["w"].tenant++ }, none},
+		{"decide: attempts in flight agree by store", func(g *rig) { g.r.stores["p"].open = nil }, none},
+		{"decide: what is out at a store was sent there", func(g *rig) { g.r.stores["p"].open[0].no = 7 }, none},
+		{"decide: lost attempts are counted", func(g *rig) { g.r.stores["p"].lost = 2 }, none},
+		{"decide: a store is filed where it belongs", func(g *rig) { g.r.groups[0].members = nil }, none},
+		{"decide: a position is one that was told", func(g *rig) { g.r.stores["a"].position = g.now + 1 }, none},
+		{"decide: a store's figures are ones that can be", func(g *rig) { g.r.stores["a"].told = -1 }, none},
+		{"decide: a request is held once", func(g *rig) { q := held(g); q.group.held = []*request{q, q} }, none},
+		{"decide: a request is held in its group", func(g *rig) { q := held(g); q.group.held, q.group = []*request{q}, &group{} }, none},
+		{"decide: after a beat what is held is not over", func(g *rig) { q := held(g); q.finished, q.group.held = true, []*request{q} }, none},
+		{"decide: what is owed an answer is known", func(g *rig) { delete(g.r.reqs, "w") }, none},
+		{"decide: what is known is owed an answer", func(g *rig) { g.r.reqs["x"] = held(g) }, none},
+		{"decide: a request's attempts are counted", func(g *rig) { g.r.reqs["w"].open = 2 }, none},
+		{"decide: a request is out or held", func(g *rig) { g.r.reqs["w"].tries[0].over, g.r.reqs["w"].open = true, 0 }, none},
+		{"decide: a timer is out while anything is open", func(g *rig) { g.r.wakeAt = never }, none},
+	} {
+		g := trio(t, nil)
+		g.wantSend(g.ask("w", cWrite), "w", "p")
+		c := invariant.New(nil)
+		g.r.watch.c = c
+		w := g.r.watch
+		if w.walk(g.r, &Timer{}); len(c.Broken()) > 0 {
+			t.Errorf("without: %v", c.Broken())
+		}
+		if m.poke != nil {
+			m.poke(g)
+		}
+		w.look(g.r, &Timer{}, m.do(g))
+		if !slices.ContainsFunc(c.Broken(), func(b invariant.Breach) bool { return b.Name == m.name }) {
+			t.Errorf("%q is not seen: %v", m.name, c.Broken())
+		}
+	}
+}
+
+// BenchmarkWatch: what the statements cost where they are off, on, and with a walk at every event.
+func BenchmarkWatch(b *testing.B) {
+	for _, x := range []struct {
+		name  string
+		every int
+	}{{"off", 0}, {"each 64", 64}, {"each", 1}} {
+		b.Run(x.name, func(b *testing.B) {
+			r, now := New(testSettings(), 1), start
+			if x.every > 0 {
+				r.Watch(invariant.New(nil), x.every)
+			}
+			out := r.Handle(now, &List{Entries: []Entry{{Store: "p", Size: 1}}}, nil)
+			r.Handle(now, &ProbeResult{Store: "p", Load: Report{Role: RolePrimary, Position: now, HasPosition: true}}, out[:0])
+			q, e := &Request{ID: "1", Class: cAny}, &Outcome{ID: "1", Store: "p", Final: true}
+			b.ReportAllocs()
+			for b.Loop() {
+				now += ms
+				q.Due = now + time.Second
+				out = r.Handle(now, q, out[:0])
+				now += ms
+				out = r.Handle(now, e, out[:0])
+			}
+		})
+	}
+}
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -79,6 +79,9 @@
 		}
 	}
 	r.seekEach = max(r.leastAim/2, beat)
+	for _, s := range r.order {
+		s.soft = set.DrainOnly
+	}
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
