--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -67,11 +67,11 @@
 	open         []*attempt // in order of sending
 	lost         int        // how many of them are thought lost
 	draining     bool
-	gone         Time    // when it left the list, 0 while in it
-	soft         bool    // leaving the list alone does not bind
-	rel          float64 // its rate against its kind's
-	part         float64 // part of the group's requests that this router sends there
-	fails        float64 // chance of a failed answer, at failedAt
+	gone         Time      // when it left the list, 0 while in it
+	set          *Settings // the router's, as they are now
+	rel          float64   // its rate against its kind's
+	part         float64   // part of the group's requests that this router sends there
+	fails        float64   // chance of a failed answer, at failedAt
 	failedAt     Time
 	service      float64 // virtual service: the integral of one request's share of rate over time
 	serviceAt    Time
@@ -182,7 +182,7 @@
 
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
-	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
+	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
 		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never}
 	r.stores[id] = s
 	r.order = append(r.order, s)
