Have poolers agree on what to turn away under overload, and share probes

Change: internal/peers/overload decides, by what all tell of each group, one level on one order of requests; a session stands at one place of it at every pooler. What is below the level is refused at once, also while it waits, and has no second attempts. Budgets are robust against one liar by leaving out who tells most, and evidence is aged by each reader's own clock. Probes of a server are made by two poolers and told to those that ask; bad news takes two. `(overload ...)` in the operators' settings, off without it and in run.

--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -91,7 +91,7 @@
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
-		return control.Answer{Status: http.StatusOK, Body: p.appendLimits(p.appendPeers(p.core.AppendFigures(nil)))}
+		return control.Answer{Status: http.StatusOK, Body: p.appendOverload(p.appendLimits(p.appendPeers(p.core.AppendFigures(nil))))}
 	}
 	calls := map[string]struct {
 		method string
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -179,6 +179,7 @@
 	if err := p.usePeers(set.Peers, set.Limits); err != nil {
 		return err
 	}
+	p.useOverload(set.Overload)
 	if settings != "" && set.Peers.On {
 		p.loadLimits = func() (*operate.FleetLimits, error) {
 			next, err := operate.Load(settings, os.Getenv)
--- /dev/null
+++ b/cmd/beechgrade/overload.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"fmt"
+
+	"beechgrade/internal/loop"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/overload/joined"
+)
+
+// peersHost is what a part lives on: the peers' words and the loop's time.
+type peersHost struct {
+	*peers.Peers
+	loop *loop.Loop
+}
+
+// At is joined.Host's.
+func (h peersHost) At(ms float64, do func()) { h.loop.At(ms, do) }
+
+// useOverload has the fleet handle overload as one, where the settings have it so; after usePeers.
+func (p *pooler) useOverload(set operate.Overload) {
+	if !set.On || p.peers == nil {
+		return
+	}
+	j := joined.New(set.Options, p.core, peersHost{p.peers, p.loop})
+	if set.Shed {
+		p.core.Weigh(j)
+	}
+	if set.Share {
+		p.core.Probing(joined.Prober{Joined: j})
+	}
+	p.peers.Join(j)
+	p.over = j
+}
+
+// appendOverload prints how groups stand, where overload is handled together.
+func (p *pooler) appendOverload(dst []byte) []byte {
+	if p.over == nil {
+		return dst
+	}
+	for _, s := range p.over.Standings() {
+		dst = fmt.Appendf(dst, "app.overload.%d.level=%g\napp.overload.%d.of=%d\napp.overload.%d.answers=%d\n", s.Group, s.Level, s.Group, s.Cells, s.Group, s.Answers)
+	}
+	return dst
+}
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -100,6 +100,9 @@
 	if err := p.usePeers(set.Peers, set.Limits); err != nil || p.peers != nil {
 		t.Fatalf("made %v, %v", p.peers, err)
 	}
+	if p.useOverload(set.Overload); set.Overload.On || p.over != nil {
+		t.Fatal("overload is handled with others")
+	}
 	pooler, _, _, _ := launch(t, p)
 	c := client(t, pooler)
 	c.send(query("1", "read", 9000))
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -22,6 +22,7 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -64,9 +65,10 @@
 	houseGroup int
 	stopHouse  func()
 
-	peers  *peers.Peers // nil where it is no fleet's
-	expect int          // poolers that there are to be
-	limits *fleetLimits // nil where none hold for the whole fleet
+	peers  *peers.Peers   // nil where it is no fleet's
+	expect int            // poolers that there are to be
+	limits *fleetLimits   // nil where none hold for the whole fleet
+	over   *joined.Joined // nil where overload is handled alone
 
 	journal *journal.Journal // nil where it is off
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,6 +102,7 @@
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
+	fleet  fleet
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -159,6 +160,7 @@
 	over   bool
 	rec    recorded
 	count  *figures.Class
+	load   load
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
 }
 
@@ -209,6 +211,7 @@
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.allowed(&set)
+	set.Shed = c.fleet.shed
 	c.tell(&decide.Retune{Settings: set})
 }
 
@@ -304,6 +307,7 @@
 	q.over = true
 	c.figures.Open--
 	q.count.Count(e)
+	c.bore(q, e)
 }
 
 // Start joins the core to the servers and the directory and tells the router the list as last known.
@@ -371,6 +375,7 @@
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
 	}
+	c.weigh(r, now, e)
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -438,7 +443,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
-	c.tell(&decide.ProbeResult{Store: decide.StoreID(store), Result: o.Result, Load: told(o.Said)})
+	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
+		c.ProbeTold(store, o.Result, o.Said, 0)
+	}
 }
 
 // Listed is discovery.Events'.
@@ -546,7 +553,9 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		c.met(OfProbes, "").do(c, func() { c.servers.Probe(id) })
+		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+			c.Probe(id)
+		}
 	case decide.SetTimer:
 		tag := a.Tag
 		c.loop.At(clock.Millis(a.At), func() { c.tell(&decide.Timer{Tag: tag}) })
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"maps"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/figures"
+)
+
+// Pressure is told what is asked of groups, and how hard it was to serve what was let in.
+type Pressure interface {
+	Asked(group, class, tenant int, again, in bool)
+	Ended(group, class int, served, gone bool, strain float64) // of what was let in
+}
+
+// Prober shares probes with other poolers.
+type Prober interface {
+	Wanted(store string) bool                                         // false: it is for this pooler to make
+	Ended(store string, result decide.Result, said backend.Said) bool // one that this pooler made; false: the module is told as ever
+}
+
+// fleet is what the core has of the fleet's handling of overload; all nil where there is none.
+type fleet struct {
+	pressure Pressure
+	prober   Prober
+	shed     map[int]*decide.Shed
+}
+
+// load is a request as a part of its group's load.
+type load struct {
+	in    bool // it was let in, and counts
+	group int
+	class int
+	from  float64
+	aim   float64
+}
+
+// Weigh has somebody told of load; Probing has probes shared.
+func (c *Core) Weigh(p Pressure)                   { c.fleet.pressure = p }
+func (c *Core) Probing(p Prober)                   { c.fleet.prober = p }
+func (c *Core) Works() []float64                   { return c.router.Works() }
+func (c *Core) Names() (classes, tenants []string) { return c.cfg.Classes, c.cfg.Tenants }
+
+// Contracts are the classes and tenants as the settings have them.
+func (c *Core) Contracts() *decide.Settings { return &c.cfg.Settings }
+
+// Shed has the router turn requests of a group away; nil for none.
+func (c *Core) Shed(group int, s *decide.Shed) {
+	c.fleet.shed = maps.Clone(c.fleet.shed) // the router has the old one
+	if c.fleet.shed == nil {
+		c.fleet.shed = map[int]*decide.Shed{}
+	}
+	if delete(c.fleet.shed, group); s != nil {
+		s.Wait = c.cfg.Settings.MaxRetryAfter
+		c.fleet.shed[group] = s
+	}
+	c.retune()
+}
+
+// Probe probes a server, in its turn.
+func (c *Core) Probe(store string) {
+	c.met(OfProbes, "").do(c, func() { c.servers.Probe(store) })
+}
+
+// ProbeTold tells the router what a probe found, which is ageMs old at most.
+func (c *Core) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	r := told(said)
+	r.Age = clock.Span(ageMs)
+	c.tell(&decide.ProbeResult{Store: decide.StoreID(store), Result: result, Load: r})
+}
+
+// weigh counts a request that came.
+func (c *Core) weigh(q *request, now decide.Time, e *decide.Request) {
+	if c.fleet.pressure == nil {
+		return
+	}
+	s := c.fleet.shed[e.Group]
+	q.load = load{in: !s.Turns(s.Place(now, e)), group: e.Group, class: e.Class, from: c.loop.Now(), aim: clock.Millis(c.cfg.Settings.Classes[e.Class].Aim)}
+	c.fleet.pressure.Asked(e.Group, e.Class, e.Tenant, e.Repeat, q.load.in)
+}
+
+// Strain begins where an answer takes this part of its aim.
+const strainFrom = 0.7
+
+// bore counts how a request that was let in ended.
+func (c *Core) bore(q *request, e figures.End) {
+	l := &q.load
+	if c.fleet.pressure == nil || !l.in {
+		return
+	}
+	took := (c.loop.Now() - l.from) / max(1, l.aim)
+	served, strain := e == figures.Passed, 1.0
+	if served {
+		strain = max(0, min(1, (took-strainFrom)/(1-strainFrom)))
+	}
+	c.fleet.pressure.Ended(l.group, l.class, served, e == figures.Gone && took < 1, strain)
+}
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -6,7 +6,12 @@
 // file is one idea of how decisions are made.
 package decide
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Time is a reading of the embedder's monotonic clock. Its origin does not matter.
 type Time = time.Duration
@@ -17,6 +22,55 @@
 	RequestID string
 )
 
+// Shed says which of a group's requests are turned away: those that stand below Level. Cells are by class, of four kinds: a retry of a
+// session beyond its tenant's share, a retry within it, a first try beyond, a first try within.
+type Shed struct {
+	Level  float64
+	Cells  [][4]int
+	Beyond []float64 // by tenant: the part of its sessions that is beyond its share
+	Keep   time.Duration
+	Wait   time.Duration // the longest that is advised
+}
+
+// Place is where a request stands. A session stands at one place within its cell for Keep, at any router whose clock tells the same time.
+func (s *Shed) Place(now Time, e *Request) float64 {
+	if s == nil || e.Class < 0 || e.Class >= len(s.Cells) {
+		return math.Inf(1)
+	}
+	id := e.Session
+	if id == "" {
+		id = string(e.ID)
+	}
+	h := xxhash.Sum64String(id)
+	kind := 1
+	if e.Tenant >= 0 && e.Tenant < len(s.Beyond) && draw(h, 1) < s.Beyond[e.Tenant] {
+		kind = 0
+	}
+	if !e.Repeat {
+		kind += 2
+	}
+	turn := uint64(0)
+	if s.Keep > 0 {
+		turn = uint64(now+time.Duration(draw(h, 2)*float64(s.Keep))) / uint64(s.Keep)
+	}
+	return float64(s.Cells[e.Class][kind]) + draw(h, turn+3)
+}
+
+// Turns tells whether what stands at a place is turned away.
+func (s *Shed) Turns(place float64) bool { return s != nil && place < s.Level }
+
+// Advice is how long its client should stay away: each for a time of its own, so that they do not come back together.
+func (s *Shed) Advice(now Time, e *Request) time.Duration {
+	return time.Duration((1 + draw(xxhash.Sum64String(e.Session+string(e.ID)), uint64(now))) / 2 * float64(s.Wait))
+}
+
+// draw makes a number from 0 to 1 of a hash.
+func draw(h, salt uint64) float64 {
+	h = (h ^ salt*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+	h = (h ^ h>>32) * 0xc4ceb9fe1a85ec53
+	return float64((h^h>>29)>>11) / (1 << 53)
+}
+
 // Effect says what repeating a request may do.
 type Effect uint8
 
@@ -116,6 +170,8 @@
 	PriceCross    float64 // part of a request's worth that an attempt into another zone costs
 	PriceProbe    float64 // part of a request's worth that a probe costs
 	ReportsOnSend bool    // answers carry load reports too
+
+	Shed map[int]*Shed // by group: what the routers have agreed to turn away; it is not changed any more
 }
 
 // Event is something the router is told.
@@ -170,6 +226,7 @@
 	HasPosition bool
 	Held        float64 // requests in flight there, from everyone
 	HasHeld     bool
+	Age         time.Duration // that it may be older than the event which brings it
 }
 
 // Outcome ends an attempt. Final is set when the request is over.
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -89,7 +89,7 @@
 // learn takes a role and a position; at is the time of the role's evidence.
 func (r *Router) learn(s *store, t Report, at Time) {
 	if t.HasPosition {
-		s.placedAt = r.now
+		s.placedAt = max(s.placedAt, r.now-t.Age)
 	}
 	if t.HasPosition && t.Position > s.position && t.Position <= r.now {
 		if s.position != never && r.now-s.positionAt > 0 {
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -21,7 +21,13 @@
 		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim)})
 		return
 	}
-	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
+	shed := r.set.Shed[e.Group]
+	place := shed.Place(r.now, e)
+	if shed.Turns(place) { // as all routers do, at once
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: shed.Advice(r.now, e)})
+		return
+	}
+	q := &request{id: e.ID, class: c, place: place, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
 		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only, sendBy: math.MaxInt64,
 		value: max(c.Worth, 1e-6), size: 1}
 	if e.RanAt > 0 && c.Effect == Keyed { // another with its key may have run
@@ -116,7 +122,7 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
+		switch over := r.set.Shed[g.id].Turns(q.place) || r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
 		case q.finished:
 		case over && q.open == 0:
 			r.finish(q)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -119,6 +119,7 @@
 type request struct {
 	id        RequestID
 	class     *class
+	place     float64 // on the order that the routers have agreed on; it keeps it
 	group     *group
 	arrived   Time
 	due       Time
@@ -177,6 +178,14 @@
 	return listed, avoided
 }
 
+// Works are what the classes are taken to cost, by number: for others to hold against their own.
+func (r *Router) Works() (out []float64) {
+	for i := range r.classes {
+		out = append(out, r.classes[i].work)
+	}
+	return out
+}
+
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never,
--- /dev/null
+++ b/internal/kit/emulate/overload.go
@@ -0,0 +1,22 @@
+package emulate
+
+import (
+	"beechgrade/internal/peers/overload/joined"
+	"beechgrade/internal/peers/part"
+)
+
+// Overloaded has poolers handle overload as one.
+func Overloaded(opt joined.Options) Joined {
+	return func(h Host) []part.Part {
+		c := h.x.p.core
+		j := joined.New(opt, c, h)
+		if opt.Shed {
+			c.Weigh(j)
+		}
+		if opt.Share {
+			c.Probing(joined.Prober{Joined: j})
+		}
+		h.x.over = j
+		return []part.Part{j}
+	}
+}
--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -85,6 +85,9 @@
 
 // joins are the parts of each pooler; those that a scenario's settings have come first.
 func (e *Emulation) joins() (all []Joined) {
+	if o := e.script.Overload; o != nil {
+		all = append(all, Overloaded(o.Options))
+	}
 	return append(all, e.opt.Parts...)
 }
 
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -8,6 +8,7 @@
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
@@ -101,6 +102,7 @@
 
 	limits *lender // nil where none hold for the whole fleet
 	parts  []part.Part
+	over   *joined.Joined // nil where each pooler handles overload alone
 }
 
 // join begins a process's view.
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -75,6 +75,8 @@
 	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
+	Overload *operate.Overload // nil where each pooler handles it alone
+
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
 	Cross      world.Range // one way between two sites
@@ -173,6 +175,9 @@
 	if s.Limits != nil && s.Peers == nil {
 		return nil, n.Errorf("(fleet-limits ...) goes with (peers)")
 	}
+	if s.Overload != nil && s.Peers == nil {
+		return nil, n.Errorf("(overload ...) goes with (peers)")
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -221,6 +226,7 @@
 		"over":         float(&c.Over, 0, 1),
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
+		"overload":     s.overload,
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,6 +19,7 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Overload   Overload
 }
 
 // Record says whether and where the pooler records what it does.
@@ -67,12 +68,13 @@
 		"clickhouse":   s.ClickHouse.read,
 		"pooling":      s.Pooling.read,
 		"fleet-limits": s.Limits.read,
+		"overload":     s.Overload.read,
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
-	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
-		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
 	}
 	return s, err
 }
--- /dev/null
+++ b/internal/operate/overload.go
@@ -0,0 +1,50 @@
+package operate
+
+import (
+	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/joined"
+	"beechgrade/internal/sexp"
+)
+
+// Overload says whether and how the fleet handles overload as one. It takes (peers ...).
+type Overload struct {
+	On bool
+	joined.Options
+}
+
+// ReadOverload reads (overload ...).
+func ReadOverload(n *sexp.Node) (*Overload, error) {
+	o := &Overload{}
+	return o, o.read(n)
+}
+
+func (o *Overload) read(n *sexp.Node) error {
+	o.On, o.Options = true, joined.Options{Shed: true, Set: overload.Defaults(), Share: true, Probes: overload.DefaultProbes()}
+	s, p := &o.Set, &o.Probes
+	span := func(to *float64, least, most float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Millis(least, most); return err }
+	}
+	part := func(to *float64, least, most float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Float(least, most); return err }
+	}
+	flag := func(to *bool) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Bool(); return err }
+	}
+	err := sexp.Form{
+		"shed": flag(&o.Shed), "period": span(&s.Period, 100, 10000), "memory": span(&s.Memory, 100, 10000), "stale": span(&s.Stale, 300, 60000),
+		"hold": span(&s.Hold, 500, 600000), "fall": span(&s.Fall, 100, 600000), "keep": span(&s.Keep, 1000, 3600e3),
+		"target": part(&s.Target, 0.01, 0.5), "delay": part(&s.Delay, 0.05, 0.9), "drain": part(&s.Drain, 0.3, 10), "back": part(&s.Back, 0.01, 2),
+		"collectors": func(n *sexp.Node) (err error) { s.Collectors, err = n.Int(1, 7); return err },
+		"probes": func(n *sexp.Node) error {
+			return sexp.Form{
+				"share":   flag(&o.Share),
+				"probers": func(n *sexp.Node) (err error) { p.Probers, err = n.Int(1, 16); return err },
+				"each":    span(&p.Each, 1, 10000), "age": span(&p.Age, 0, 10000), "patience": span(&p.Patience, 10, 10000), "shun": span(&p.Shun, 0, 600000),
+			}.Read(n.Args())
+		},
+	}.Read(n.Args())
+	if err == nil && s.Stale < 3*s.Period {
+		err = n.Errorf("with a period of %g ms, what is stale after %g ms leaves no room for a lost word", s.Period, s.Stale)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/operate/overload_test.go
@@ -0,0 +1,28 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestOverloadSettings: what is wrong with (overload ...) is named with its place, in one line.
+func TestOverloadSettings(t *testing.T) {
+	for in, want := range map[string]string{
+		`(overload)`: `o:1:1: (overload ...) needs (peers ...)`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (overload (period 500ms) (stale 1s))`: `o:1:40: with a period of 500 ms, what is stale after 1000 ms leaves no room for a lost word`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (overload (collectors 0))`:            `o:1:62: 0 is out of range`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (overload (probes (share no)))`:       ``,
+	} {
+		s, err := Parse("o", []byte(in), func(string) string { return "" })
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if !strings.HasPrefix(got, want) || (want == "") != (got == "") {
+			t.Errorf("%s: %q, want %q", in, got, want)
+		}
+		if want == "" && (!s.Overload.On || !s.Overload.Shed || s.Overload.Share) {
+			t.Errorf("read as %+v", s.Overload)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peers/overload/joined/joined.go
@@ -0,0 +1,244 @@
+// Package joined joins package overload to a pooler's core and to the ways between poolers: one adapter for sockets and for virtual time.
+package joined
+
+import (
+	"time"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// Core is what it needs of a pooler's core.
+type Core interface {
+	Shed(group int, s *decide.Shed)
+	Works() []float64
+	Names() (classes, tenants []string)
+	Contracts() *decide.Settings
+	Probe(store string)
+	ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64)
+}
+
+// Host is what carries words, and time.
+type Host interface {
+	part.Net
+	At(ms float64, do func())
+}
+
+// Options say what is shared, and how.
+type Options struct {
+	Shed   bool // overload is handled together
+	Set    overload.Settings
+	Share  bool // probes are shared
+	Probes overload.ProbeSettings
+}
+
+// Joined is a pooler's side. It is part.Part, core.Pressure and core.Prober.
+type Joined struct {
+	opt    Options
+	core   Core
+	host   Host
+	o      *overload.Overload
+	p      *overload.Probes
+	acts   []overload.Action
+	due    float64
+	named  int // classes and tenants that the settings had
+	learnt float64
+}
+
+// New makes one; it is to be joined to the peers and to the core.
+func New(opt Options, c Core, h Host) *Joined {
+	return &Joined{opt: opt, core: c, host: h}
+}
+
+// learnMs is between two looks at what classes cost.
+const learnMs = 1000
+
+// Kind is part.Part's.
+func (j *Joined) Kind() view.Kind { return part.Overload }
+
+// Read is part.Part's.
+func (j *Joined) Read(b []byte) (any, error) { return overload.Read(b) }
+
+// contracts are the classes and tenants as they are now.
+func (j *Joined) contracts() overload.Settings {
+	set, out := j.core.Contracts(), j.opt.Set
+	classes, tenants := j.core.Names()
+	for i, c := range set.Classes {
+		if i < len(classes) {
+			out.Classes = append(out.Classes, overload.Class{Name: classes[i], Worth: c.Worth, Aim: float64(c.Aim) / float64(time.Millisecond), Once: c.Effect == decide.Unsafe})
+		}
+	}
+	all := 0.0
+	for _, t := range set.Tenants {
+		all += t.Allowance
+	}
+	for i, t := range set.Tenants {
+		if i < len(tenants) {
+			out.Tenants = append(out.Tenants, overload.Tenant{Name: tenants[i], Share: t.Allowance / max(all, 1e-9)})
+		}
+	}
+	j.named = len(set.Classes) + len(set.Tenants)<<16
+	return out
+}
+
+// Members is part.Part's.
+func (j *Joined) Members(self view.ID, all []view.Record, _ view.Counts) {
+	var peers []overload.Peer
+	for i := range all {
+		if r := &all[i]; r.ID == self || r.State <= view.Suspect {
+			peers = append(peers, overload.Peer{ID: r.ID, Addr: r.Addr})
+		}
+	}
+	now := j.host.Now()
+	if j.o == nil && j.opt.Shed {
+		j.o = overload.New(j.contracts(), self, now)
+	}
+	if j.p == nil && j.opt.Share {
+		j.p = overload.NewProbes(j.opt.Probes, self, now)
+	}
+	if j.o != nil {
+		j.do(overload.Members{Self: self, Peers: peers})
+	}
+	if j.p != nil {
+		j.p.Members(self, peers)
+	}
+}
+
+// Heard is part.Part's.
+func (j *Joined) Heard(from view.ID, m any) {
+	switch m := m.(type) {
+	case *overload.Tell:
+		j.do(overload.Told{From: from, Tell: m})
+	case *overload.Answer:
+		j.do(overload.Answered{From: from, Answer: m})
+	default:
+		if j.p != nil {
+			j.probes(j.p.Heard(j.host.Now(), from, m, nil))
+		}
+	}
+}
+
+// Tick is part.Part's.
+func (j *Joined) Tick() {
+	now := j.host.Now()
+	if j.o != nil {
+		if set := j.core.Contracts(); len(set.Classes)+len(set.Tenants)<<16 != j.named {
+			j.do(overload.Retune{Settings: j.contracts()})
+		}
+		if now-j.learnt >= learnMs {
+			j.learnt = now
+			j.do(overload.Learned{Work: j.core.Works()})
+		}
+		j.do(overload.Tick{})
+	}
+	if j.p != nil {
+		j.probes(j.p.Tick(now, nil))
+	}
+}
+
+// Leave is part.Part's: what it told fades by itself.
+func (j *Joined) Leave() {}
+
+// Asked is core.Pressure's.
+func (j *Joined) Asked(group, class, tenant int, again, in bool) {
+	j.do(overload.Asked{Group: group, Class: class, Tenant: tenant, Again: again, In: in})
+}
+
+// Ended is core.Pressure's.
+func (j *Joined) Ended(group, class int, served, gone bool, strain float64) {
+	j.do(overload.Ended{Group: group, Class: class, Served: served, Gone: gone, Strain: strain})
+}
+
+func (j *Joined) do(e overload.Event) {
+	if j.o == nil {
+		return
+	}
+	acts := j.o.Handle(j.host.Now(), e, j.acts[:0])
+	j.acts = nil
+	for i := range acts {
+		switch a := &acts[i]; a.Kind {
+		case overload.SendTell:
+			j.host.Tell(a.Addr, a.To, part.Overload, a.Tell)
+		case overload.SendAnswer:
+			j.host.Tell(a.Addr, a.To, part.Overload, a.Answer)
+		case overload.Shed:
+			j.core.Shed(a.Group, shedOf(a.Place))
+		}
+	}
+	clear(acts)
+	j.acts = acts
+}
+
+func shedOf(p *overload.Place) *decide.Shed {
+	if p == nil {
+		return nil
+	}
+	return &decide.Shed{Level: p.Level, Cells: p.Cells, Beyond: p.Beyond, Keep: time.Duration(p.Keep * float64(time.Millisecond))}
+}
+
+// Prober is what shares probes, as core.Prober.
+type Prober struct{ *Joined }
+
+// Wanted is core.Prober's.
+func (j Prober) Wanted(store string) bool {
+	if j.p == nil {
+		return false
+	}
+	j.probes(j.p.Wanted(j.host.Now(), store, nil))
+	return true
+}
+
+// Ended is core.Prober's.
+func (j Prober) Ended(store string, result decide.Result, said backend.Said) bool {
+	if j.p == nil {
+		return false
+	}
+	f := overload.Finding{Kind: uint8(result), Role: uint8(said.Role)}
+	if result != decide.OK {
+		f.Result = overload.Bad
+	}
+	if said.HasPos {
+		f.Position = said.Position
+	}
+	j.probes(j.p.Ended(j.host.Now(), store, f, nil))
+	return true
+}
+
+func (j *Joined) probes(acts []overload.ProbeAction) {
+	for i := range acts {
+		switch a := &acts[i]; {
+		case a.Probe != "":
+			j.core.Probe(a.Probe)
+		case a.Want != nil:
+			j.host.Tell(a.Addr, a.To, part.Overload, a.Want)
+		case a.Found != nil:
+			j.host.Tell(a.Addr, a.To, part.Overload, a.Found)
+		case a.Tell:
+			said := backend.Said{Role: decide.Role(min(a.Role, uint8(decide.RoleReplica))), HasPos: a.Position > 0}
+			if said.HasPos {
+				said.Position = a.Position
+			}
+			j.core.ProbeTold(a.Server, decide.Result(min(a.Kind, uint8(decide.Missed))), said, a.Age)
+		}
+	}
+	if due := j.p.Due(); due < j.due || j.due <= j.host.Now() {
+		if j.due = due; due < 1e300 {
+			j.host.At(due, func() {
+				if j.host.Now() >= due {
+					j.probes(j.p.Tick(j.host.Now(), nil))
+				}
+			})
+		}
+	}
+}
+
+// Standings tell how groups stand here, for those who look.
+func (j *Joined) Standings() []overload.Standing {
+	if j.o == nil {
+		return nil
+	}
+	return j.o.Standings()
+}
--- /dev/null
+++ b/internal/peers/overload/order.go
@@ -0,0 +1,123 @@
+package overload
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// cells numbers the cells of the order: by class in the order of shedding, safe ones before those that must not run twice.
+type cells struct {
+	of map[uint16][4]int
+	n  int
+}
+
+func cellsOf(order []uint16, once map[uint16]bool) cells {
+	c := cells{of: map[uint16][4]int{}}
+	for _, last := range []bool{false, true} {
+		for stage := range 4 {
+			for _, k := range order {
+				if once[k] == last {
+					x := c.of[k]
+					x[stage] = c.n
+					c.of[k] = x
+					c.n++
+				}
+			}
+		}
+	}
+	return c
+}
+
+// reorder sorts classes by worth for work, and leaves the order that there was where it is about right.
+func reorder(old []uint16, worth, work map[uint16]float64) []uint16 {
+	keys := make([]uint16, 0, len(worth))
+	dear := map[uint16]float64{}
+	for k, w := range worth { // sorted below: the map's order does not matter
+		keys = append(keys, k)
+		dear[k] = w / max(1e-9, work[k])
+	}
+	slices.SortFunc(keys, func(a, b uint16) int { return cmp.Or(cmp.Compare(dear[a], dear[b]), cmp.Compare(a, b)) })
+	if len(old) != len(keys) {
+		return keys
+	}
+	most := 0.0
+	for _, k := range old {
+		d, ok := dear[k]
+		if !ok || d < most/roughly {
+			return keys
+		}
+		most = max(most, d)
+	}
+	return old
+}
+
+const roughly = 1.25
+
+// levelOf is the level at which as much as need stands below it.
+func levelOf(demand []float64, need float64) float64 {
+	for i, d := range demand {
+		if need <= 0 {
+			return float64(i)
+		}
+		if need < d {
+			return float64(i) + need/d
+		}
+		need -= d
+	}
+	return float64(len(demand))
+}
+
+// above is the demand that a level lets in.
+func above(demand []float64, level float64) (sum float64) {
+	for i, d := range demand {
+		sum += d * max(0, min(1, float64(i+1)-level))
+	}
+	return sum
+}
+
+// beyond is the part of each tenant's demand that is beyond its share of a budget; what some leave is the others'.
+func beyond(want, share []float64, budget float64) []float64 {
+	out := make([]float64, len(want))
+	left, shares, open := budget, 0.0, []int{}
+	for i := range want {
+		if share[i] > 0 && want[i] > 0 {
+			open = append(open, i)
+			shares += share[i]
+		} else {
+			left -= want[i] // one without a share of its own is never beyond it
+		}
+	}
+	slices.SortStableFunc(open, func(a, b int) int { return cmp.Compare(want[a]/share[a], want[b]/share[b]) })
+	for _, i := range open {
+		gets := min(want[i], max(0, left)*share[i]/shares)
+		out[i] = 1 - gets/want[i]
+		left -= gets
+		shares -= share[i]
+	}
+	return out
+}
+
+// middle is the median, the lower of two; 0 of none.
+func middle(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	slices.Sort(x)
+	return x[(len(x)-1)/2]
+}
+
+// grain rounds a guess of work to eighths of a doubling, so that it takes a byte and hardly ever changes.
+func grain(x float64) uint8 {
+	if x <= 0 {
+		return 0
+	}
+	return uint8(max(1, min(255, 128+math.Round(8*math.Log2(x)))))
+}
+
+func ungrain(b uint8) float64 {
+	if b == 0 {
+		return 0
+	}
+	return math.Exp2((float64(b) - 128) / 8)
+}
--- /dev/null
+++ b/internal/peers/overload/overload_test.go
@@ -0,0 +1,290 @@
+package overload
+
+import (
+	"bytes"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// fleet is some processes whose words take delay to arrive, in steps.
+type fleet struct {
+	now   float64
+	all   []*Overload
+	place []map[int]*Place
+	mail  []mail
+	delay float64
+	cut   func(a, b int) bool
+	twist func(from int, m any) any // what a liar makes of it
+}
+
+type mail struct {
+	at       float64
+	from, to int
+	m        any
+}
+
+var classes = []Class{{Name: "list", Worth: 1, Aim: 400}, {Name: "read", Worth: 4, Aim: 400}, {Name: "write", Worth: 5, Aim: 400, Once: true}}
+
+func newFleet(n int, set Settings) *fleet {
+	f := &fleet{now: 1e6, cut: func(int, int) bool { return false }, delay: 1}
+	set.Classes = classes
+	for i := range n {
+		f.all = append(f.all, New(set, ID(i+1), f.now))
+		f.place = append(f.place, map[int]*Place{})
+	}
+	f.members()
+	return f
+}
+
+func (f *fleet) members() {
+	for i, o := range f.all {
+		var p []Peer
+		for k := range f.all {
+			if !f.cut(i, k) {
+				p = append(p, Peer{ID(k + 1), string(rune('a' + k))})
+			}
+		}
+		f.do(i, Members{ID(i + 1), p})
+		_ = o
+	}
+}
+
+func (f *fleet) do(i int, e Event) {
+	for _, a := range f.all[i].Handle(f.now, e, nil) {
+		var m any = a.Tell
+		switch a.Kind {
+		case Shed:
+			f.place[i][a.Group] = a.Place
+			continue
+		case SendAnswer:
+			m = a.Answer
+		}
+		if f.twist != nil {
+			m = f.twist(i, m)
+		}
+		if to := int(a.To) - 1; !f.cut(i, to) {
+			f.mail = append(f.mail, mail{f.now + f.delay, i, to, m})
+		}
+	}
+}
+
+// step lets 50 ms pass: what has come is heard, and each process counts what load has it.
+func (f *fleet) step(load func(i int)) {
+	f.now += 50
+	mails := f.mail
+	f.mail = nil
+	for _, m := range mails {
+		if m.at > f.now {
+			f.mail = append(f.mail, m)
+			continue
+		}
+		switch x := m.m.(type) {
+		case *Tell:
+			f.do(m.to, Told{ID(m.from + 1), x})
+		case *Answer:
+			f.do(m.to, Answered{ID(m.from + 1), x})
+		}
+	}
+	for i := range f.all {
+		load(i)
+		f.do(i, Tick{})
+	}
+}
+
+// servers is a group that serves so many requests a second of what it is asked; the rest waits in line, as long as its client does.
+type servers struct {
+	f       *fleet
+	can     float64   // a second
+	ask     []float64 // a second, of each process
+	line    []waits
+	able    float64
+	let     float64 // in the last second, about
+	credit  []float64
+	session int
+}
+
+type waits struct {
+	i, class int
+	at       float64
+}
+
+func newServers(f *fleet, can, ask float64) *servers {
+	s := &servers{f: f, can: can, credit: make([]float64, len(f.all))}
+	for range f.all {
+		s.ask = append(s.ask, ask/float64(len(f.all)))
+	}
+	return s
+}
+
+// place is where a request stands here; the hash is the test's own.
+func (s *servers) lets(i, class int, u float64) bool {
+	p := s.f.place[i][3]
+	return p == nil || float64(p.Cells[class][3])+u >= p.Level
+}
+
+func (s *servers) run(steps int) {
+	for range steps {
+		in := 0.0
+		s.f.step(func(i int) {
+			s.credit[i] += s.ask[i] / 20
+			for ; s.credit[i] >= 1; s.credit[i]-- {
+				s.session++
+				class, u := s.session%3, math.Mod(float64(s.session)*0.618034, 1)
+				ok := s.lets(i, class, u)
+				s.f.do(i, Asked{Group: 3, Class: class, Tenant: -1, In: ok})
+				if !ok {
+					continue
+				}
+				in++
+				s.line = append(s.line, waits{i, class, s.f.now})
+			}
+		})
+		s.able = min(s.able+s.can/20, s.can/10)
+		for len(s.line) > 0 {
+			w, age := s.line[0], s.f.now-s.line[0].at
+			if age > 2000 {
+				s.f.do(w.i, Ended{Group: 3, Class: w.class, Strain: 1})
+			} else if s.able < 1 {
+				break
+			} else {
+				s.able--
+				s.f.do(w.i, Ended{Group: 3, Class: w.class, Served: true, Strain: max(0, min(1, (age/400-0.7)/0.3))})
+			}
+			s.line = s.line[1:]
+		}
+		s.let = 0.95*s.let + in
+	}
+}
+
+// TestLevelFindsCapacity: at half more than the servers can do, what is let in comes to what they can, at every process alike; the cheapest is
+// what is shed; once the load is gone, nothing is.
+func TestLevelFindsCapacity(t *testing.T) {
+	f := newFleet(8, Defaults())
+	s := newServers(f, 400, 200)
+	s.run(60)
+	for i := range f.all {
+		if f.place[i][3] != nil {
+			t.Fatalf("at half of what they can do process %d sheds from %g", i, f.place[i][3].Level)
+		}
+	}
+	for i := range s.ask {
+		s.ask[i] *= 3
+	}
+	s.run(400)
+	if s.let < 300 || s.let > 460 {
+		t.Errorf("of 600 a second %.0f are let in, where 400 can be done", s.let)
+	}
+	first := f.place[0][3]
+	if first == nil {
+		t.Fatal("nothing is shed")
+	}
+	for i := range f.all {
+		if p := f.place[i][3]; p == nil || math.Abs(p.Level-first.Level) > 0.5 {
+			t.Errorf("process %d sheds by %+v, the first by %+v", i, p, first)
+		}
+	}
+	if p := first; p.Cells[0][3] > p.Cells[1][3] || p.Cells[1][3] > p.Cells[2][3] || p.Cells[2][0] < p.Cells[1][3] || p.Cells[1][1] > p.Cells[0][3] {
+		t.Errorf("the order is %v", p.Cells)
+	}
+	for i := range s.ask {
+		s.ask[i] /= 3
+	}
+	s.run(400)
+	for i := range f.all {
+		if p := f.place[i][3]; p != nil {
+			t.Errorf("the load has gone, and process %d sheds from %g", i, p.Level)
+		}
+	}
+}
+
+// TestLiar: one that tells of no load, or of a thousand times its own, moves what is let in by no more than a part.
+func TestLiar(t *testing.T) {
+	for name, times := range map[string]float64{"no load": 0, "all load": 1000} {
+		f := newFleet(8, Defaults())
+		f.twist = func(from int, m any) any {
+			if x, ok := m.(*Tell); ok && from == 2 {
+				c := *x
+				c.Groups = slices.Clone(x.Groups)
+				for i := range c.Groups {
+					c.Groups[i].Classes = slices.Clone(c.Groups[i].Classes)
+					for k := range c.Groups[i].Classes {
+						l := &c.Groups[i].Classes[k]
+						l.First, l.In, l.Done, l.Ended, l.Strain = l.First*times, l.In*times, l.Done*times, l.Ended*times, l.Strain*times
+					}
+				}
+				return &c
+			}
+			return m
+		}
+		s := newServers(f, 400, 600)
+		s.run(500)
+		if s.let < 260 || s.let > 520 {
+			t.Errorf("%s: %.0f a second are let in, where 400 can be done", name, s.let)
+		}
+	}
+}
+
+// TestLonely: one that is cut off from all keeps its level for a while and is then as alone; the others go on.
+func TestLonely(t *testing.T) {
+	f := newFleet(8, Defaults())
+	s := newServers(f, 400, 600)
+	s.run(300)
+	if f.place[0][3] == nil {
+		t.Fatal("nothing is shed")
+	}
+	f.cut = func(a, b int) bool { return (a == 0) != (b == 0) }
+	set := Defaults()
+	s.run(int((set.Lonely() + set.Stale) / 50))
+	if p := f.place[0][3]; p != nil {
+		t.Errorf("it still sheds from %g", p.Level)
+	}
+	if f.place[1][3] == nil {
+		t.Error("the others shed nothing any more")
+	}
+}
+
+// TestLate: words that are older than Stale count for nothing, and nobody sheds by them.
+func TestLate(t *testing.T) {
+	f := newFleet(8, Defaults())
+	f.delay = 3000
+	s := newServers(f, 400, 600)
+	s.run(300)
+	for i := range f.all {
+		if p := f.place[i][3]; p != nil && len(f.all[i].CollectorsOf(3)) > 0 && !slices.Contains(f.all[i].CollectorsOf(3), ID(i+1)) {
+			t.Errorf("process %d sheds from %g", i, p.Level)
+		}
+	}
+}
+
+// TestForm: what is written is read again; what is not of the form is an error and nothing else.
+func TestForm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := func(most float64) float64 { return math.Round(rapid.Float64Range(0, most).Draw(t, "x")*64) / 64 }
+		key := rapid.Uint16()
+		m := &Tell{Seq: rapid.Uint32().Draw(t, "seq"), Stamp: x(1e12), Held: x(1e4)}
+		for range rapid.IntRange(0, Block).Draw(t, "groups") {
+			p := Pressure{Group: rapid.IntRange(0, 1<<30).Draw(t, "group"), Budget: float64(float32(x(1e6))), Level: float64(float32(x(100)))}
+			for range rapid.IntRange(0, 4).Draw(t, "classes") {
+				p.Classes = append(p.Classes, Flow{key.Draw(t, "key"), x(1e5), x(1e5), x(1e5), x(1e5), x(1e5), x(1e5), x(1e5)})
+			}
+			m.Groups = append(m.Groups, p)
+		}
+		b := m.Append(nil)
+		got, err := Read(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again := got.(*Tell).Append(nil); !bytes.Equal(b, again) {
+			t.Fatalf("read as %+v, told %+v", got, m)
+		}
+		if n := rapid.IntRange(0, len(b)-1).Draw(t, "cut"); n < len(b) {
+			if _, err := Read(b[:n]); err == nil {
+				t.Fatalf("%d of %d bytes were taken", n, len(b))
+			}
+		}
+		_, _ = Read(rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "noise"))
+	})
+}
--- /dev/null
+++ b/internal/peers/overload/probes_test.go
@@ -0,0 +1,162 @@
+package overload
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// probers are processes that share probes, in steps of 1 ms; each word takes way to arrive.
+type probers struct {
+	now    float64
+	all    []*Probes
+	dead   map[int]bool
+	mail   []mail
+	sees   func(i int) bool // the server answers a probe of this process
+	probes []int            // that each made
+	took   float64
+	ends   map[int][]ProbeAction
+	began  map[int]float64
+}
+
+func newProbers(n int) *probers {
+	w := &probers{now: 1e6, dead: map[int]bool{}, sees: func(int) bool { return true }, probes: make([]int, n), took: 2, ends: map[int][]ProbeAction{}, began: map[int]float64{}}
+	var peers []Peer
+	for i := range n {
+		peers = append(peers, Peer{ID(i + 1), fmt.Sprint(i)})
+	}
+	for i := range n {
+		p := NewProbes(DefaultProbes(), ID(i+1), w.now)
+		p.Members(ID(i+1), peers)
+		w.all = append(w.all, p)
+	}
+	return w
+}
+
+func (w *probers) do(i int, acts []ProbeAction) {
+	for _, a := range acts {
+		switch {
+		case a.Probe != "":
+			w.probes[i]++
+			w.began[i] = w.now
+		case a.Want != nil:
+			w.mail = append(w.mail, mail{w.now + 1, i, int(a.To) - 1, a.Want})
+		case a.Found != nil:
+			w.mail = append(w.mail, mail{w.now + 1, i, int(a.To) - 1, a.Found})
+		case a.Tell:
+			w.ends[i] = append(w.ends[i], a)
+		}
+	}
+}
+
+func (w *probers) step() {
+	w.now++
+	for i, at := range w.began {
+		took, f := w.took, Finding{Position: 5}
+		if !w.sees(i) {
+			took, f = 250, Finding{Result: Bad, Kind: 4}
+		}
+		if w.now >= at+took && !w.dead[i] {
+			delete(w.began, i)
+			w.do(i, w.all[i].Ended(w.now, "s", f, nil))
+		}
+	}
+	mails := w.mail
+	w.mail = nil
+	for _, m := range mails {
+		if m.at > w.now {
+			w.mail = append(w.mail, m)
+		} else if !w.dead[m.to] && !w.dead[m.from] {
+			w.do(m.to, w.all[m.to].Heard(w.now, ID(m.from+1), m.m, nil))
+		}
+	}
+	for i, p := range w.all {
+		if !w.dead[i] && (int(w.now)%50 == 0 || w.now >= p.Due()) {
+			w.do(i, p.Tick(w.now, nil))
+		}
+	}
+}
+
+// TestProbesShared: 20 processes that want a probe each 10 ms have one each, and the server has no more of them than two may make. None is told
+// what is older than it may be.
+func TestProbesShared(t *testing.T) {
+	w := newProbers(20)
+	set := DefaultProbes()
+	for ms := range 2000 {
+		if ms%10 == 0 {
+			for i, p := range w.all {
+				w.do(i, p.Wanted(w.now, "s", nil))
+			}
+		}
+		w.step()
+	}
+	total := 0
+	for _, n := range w.probes {
+		total += n
+	}
+	if most := set.Most(20) * 2; float64(total) > most+4 || total < 50 {
+		t.Errorf("%d probes; the bound is %g", total, most)
+	}
+	for i := range w.all {
+		if len(w.ends[i]) < 30 {
+			t.Errorf("process %d was told %d times", i, len(w.ends[i]))
+		}
+		for _, a := range w.ends[i] {
+			if a.Age > set.Age+2*set.Each+10 || a.Result != Good {
+				t.Fatalf("process %d was told %+v", i, a)
+			}
+		}
+	}
+}
+
+// TestProberGone: where a prober has died, or is cut off from the server, whoever asks it is told the truth within the time that the page states.
+func TestProberGone(t *testing.T) {
+	for _, dead := range []bool{true, false} {
+		w := newProbers(8)
+		set := DefaultProbes()
+		first := int(w.all[0].ProbersOf("s")[0]) - 1
+		if dead {
+			w.dead[first] = true
+		} else {
+			w.sees = func(i int) bool { return i != first }
+		}
+		for i, p := range w.all {
+			if !w.dead[i] {
+				w.do(i, p.Wanted(w.now, "s", nil))
+			}
+		}
+		for range int(set.Latest()) {
+			w.step()
+		}
+		for i := range w.all {
+			if ends := w.ends[i]; i != first && (len(ends) != 1 || ends[0].Result != Good) {
+				t.Errorf("dead %v: process %d was told %+v", dead, i, ends)
+			}
+		}
+	}
+}
+
+// TestProbesEnd: whoever dies and whatever the server does, each want has one end within Latest.
+func TestProbesEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newProbers(rapid.IntRange(1, 6).Draw(t, "n"))
+		blind := rapid.SliceOfN(rapid.Bool(), len(w.all), len(w.all)).Draw(t, "blind")
+		w.sees = func(i int) bool { return !blind[i] }
+		set := DefaultProbes()
+		who := rapid.IntRange(0, len(w.all)-1).Draw(t, "who")
+		for range 5 {
+			if k := rapid.IntRange(0, len(w.all)-1).Draw(t, "dead"); k != who {
+				w.dead[k] = rapid.Bool().Draw(t, "is")
+			}
+			had := len(w.ends[who])
+			w.do(who, w.all[who].Wanted(w.now, "s", nil))
+			for range int(set.Latest()) {
+				w.step()
+			}
+			if got := len(w.ends[who]) - had; got != 1 {
+				t.Fatalf("a want had %d ends", got)
+			}
+		}
+	})
+}
