--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
 	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -103,6 +104,12 @@
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 	fleet  fleet
+
+	credit Credit // nil where nobody pays ahead
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int               // events for one walk
+	walks  int
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -131,6 +138,12 @@
 	}
 }
 
+// Check has the invariants of the core and of the router checked, from the beginning on.
+func (c *Core) Check(x *invariant.Checks, every int) {
+	c.checks, c.every = x, every
+	c.router.Watch(x, every)
+}
+
 // Meter is told when the decision module begins and ends its work.
 type Meter interface {
 	Begin()
@@ -162,6 +175,7 @@
 	count  *figures.Class
 	load   load
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	paid   paid
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -304,7 +318,9 @@
 
 // ends marks a request over and counts its end.
 func (c *Core) ends(q *request, e figures.End) {
-	q.over = true
+	if q.over = true; q.paid.hold.Amount > 0 {
+		c.settle(q, e)
+	}
 	c.figures.Open--
 	q.count.Count(e)
 	c.bore(q, e)
@@ -369,12 +385,18 @@
 	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
-		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
-		e.SinceOwn = max(1, now-clock.Span(q.After))
+		// A commit is rounded up and so may lie ahead of the clock, or far ahead where a clock was set; 0 would stand for none.
+		e.SinceOwn = cmp.Or(now-clock.Span(q.After), 1)
 	}
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
 	}
+	if c.credit != nil && !c.funded(ref, r, &q, e) {
+		if r.over {
+			ref = slots.Ref{}
+		}
+		return ref, nil
+	}
 	c.weigh(r, now, e)
 	c.tellAt(now, e)
 	return ref, nil
@@ -395,6 +417,11 @@
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
+	if q.paid.waits != nil { // the module has not heard of it
+		q.paid.waits = nil
+		c.credit.Cancel(q.paid.tenant, tagOf(ref))
+		return
+	}
 	c.tell(&decide.Expired{ID: requestID(ref)})
 }
 
@@ -528,6 +555,9 @@
 	clear(c.events)
 	c.events = c.events[:0]
 	c.running = false
+	if c.checks.On() {
+		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
+	}
 }
 
 func (c *Core) carryOut(a *decide.Action) {
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -29,8 +29,7 @@
 	if s.entry.Zone != r.set.Zone {
 		cost += r.set.PriceCross * q.class.Aim.Seconds() // in time: a worth is an aim
 	}
-	cost += r.way(s)
-	return cost, left
+	return cost + r.way(s), left
 }
 
 // qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
@@ -40,21 +39,55 @@
 	if q.class.Read == ReadBounded {
 		need = r.now - q.class.Bound
 	}
-	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
-	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
-	if need == never || leads || s.position >= need {
+	if need == never || r.proven(s, q) >= need {
 		return true, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// proven is as of when a store's data is known to be whole. A primary stood at the present when it said that it was
+// one. It may have been replaced since, unheard, but hardly between its report and the answer to a probe that was
+// sent for this request.
+func (r *Router) proven(s *store, q *request) Time {
+	at := s.position
+	if s == r.primary(q.group) {
+		if at = max(at, s.roleAt); !r.set.MayProbe {
+			at = math.MaxInt64 / 2
+		} else if s.askedAt >= q.arrived {
+			at = max(at, s.askedAt)
+		}
+	}
+	return at
+}
+
+// primary is the group's primary by the latest evidence, or nil while none is known.
+func (r *Router) primary(g *group) *store {
+	var best *store
+	for _, s := range g.members {
+		if s.role == RolePrimary && (best == nil || s.roleAt > best.roleAt) {
+			best = s
+		}
+	}
+	return best
+}
+
+// elsewhere tells that a request goes to others: to the one that it needs, or to those that it has not tried.
+func (q *request) elsewhere(s *store) bool {
+	return q.only != "" && q.only != s.id || q.only == "" && len(q.tries) < len(q.group.members) && q.tried(s)
+}
+
+func (q *request) primaryOnly() bool { return q.class.Read == Write || q.class.Read == ReadFresh }
+
+func (s *store) usable() bool { return s.listed() && s.health != down }
+
+// listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
 	if q.primaryOnly() {
-		p := r.primary(q.group)
-		if p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
+		if p := r.primary(q.group); p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
 			return p
 		}
 		return nil
@@ -137,6 +170,10 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: q.sendBy - r.set.Tick})
+	by := q.sendBy - r.set.Tick
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, while the store falls behind
+		by = min(by, r.proven(s, q)+q.class.Bound+1)
+	}
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: by})
 	return true
 }
--- a/internal/decide/cold.go
+++ b/internal/decide/ration.go
@@ -1,6 +1,6 @@
 package decide
 
-// What a cold server may be sent.
+// What is rationed: what a cold server may be sent, and what tenants are let in with.
 
 // warmth is the part of its capacity that a store can be counted on for.
 func (r *Router) warmth(s *store) float64 {
@@ -23,7 +23,18 @@
 	if depth < 0 {
 		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
 	}
-	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
-	s.coldSpentAt = r.now
+	s.coldSpent, s.coldSpentAt = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds()), r.now
 	return s.coldSpent <= depth
 }
+
+// fill brings a tenant's bucket up to now: a second of this part, as clumps are no excess, or as was told.
+func (r *Router) fill(i int) *tenant {
+	t, a := &r.tenants[i], r.set.Tenants[i]
+	if !a.Told {
+		a.Own = a.Allowance / float64(r.set.Siblings)
+		a.Depth = max(a.Own, tenantDepth)
+	}
+	t.tokens = min(a.Depth, t.tokens+a.Own*(r.now-t.at).Seconds())
+	t.at, t.rate = r.now, a.Own
+	return t
+}
