Shed by what one's own answers tell of others' waiting at servers

Before 150 poolers that do not talk, servers at 1.25 times their load worked in full, but for answers that came late: each had a queue of twenty standing, 233 to 296 ms, as a pooler forgets what a slow answer told before it has the next.

--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -36,6 +36,7 @@
 			s.want += q.work()
 			s.got += got
 			if r.warmth(s) == 1 { // how cold a store is, is known roughly: it proves little
+				r.waited(s, took-q.work()/r.base(s))
 				c.n++
 				c.work += max(workGain, 1/(c.n+8)) * (got*r.base(s)*c.work/q.work() - c.work)
 				c.work = max(c.work, 1e-3)
@@ -59,8 +60,8 @@
 			s.pace /= 2 // it is further behind than guessed
 		}
 	case Full, Unreachable, Failed, Reset:
-		// No proof that the store is down, as answers may be lost one by one: it costs more for a while. It
-		// is left alone for a turn, but not after a first failure: nothing else may serve.
+		// No proof that the store is down: it costs more for a while. It is left alone for a
+		// turn, but not after a first failure: nothing else may serve.
 		if e.Result == Unreachable && !r.wayTook(s, r.now-a.sent) && r.now-a.sent < stall {
 			r.refused(s)
 		} else if e.Result == Unreachable { // not refused at once: a probe tells whether it lives
@@ -123,11 +124,6 @@
 	}
 }
 
-// had is the service that an attempt has had, in times its expected work.
-func (r *Router) had(s *store, a *attempt) float64 {
-	return (s.service - a.service) * r.base(s) / a.req.work()
-}
-
 // patience is what an attempt that others overtook may have had before it is taken for lost: about exp(-x)
 // have more than x times their work; where that is less than the part that is lost, lost is likelier.
 func (r *Router) patience(g *group) float64 {
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -24,7 +24,6 @@
 		rest := max(w-(s.service-a.service)*rate, minLeft*w)
 		cost += (rest/left - rest/now) * a.req.value / q.value
 	}
-	// A failed answer comes quickly and leaves its store idle: without its chance a failing store wins picks.
 	cost /= 1 - r.failing(s)
 	if s.entry.Zone != r.set.Zone {
 		cost += r.set.PriceCross * q.class.Aim.Seconds() // in time: a worth is an aim
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -33,15 +33,6 @@
 	return own + guess, own + min(guess, othersLike*float64((len(s.open)-s.lost)*(r.set.Siblings-1)))
 }
 
-// advance moves a store's virtual service up to now; call it before its load changes.
-func (r *Router) advance(s *store) {
-	if dt := (r.now - s.serviceAt).Seconds(); dt > 0 {
-		n, _ := r.load(s)
-		s.service += dt * share(n) * r.warmth(s)
-	}
-	s.serviceAt = r.now
-}
-
 // guess is what the others are taken to have in flight at a store: each as much as this one on average. One
 // that seldom has a request out so goes round the members at the pace of their rates, from its own place.
 func (r *Router) guess(s *store) float64 {
@@ -67,14 +58,6 @@
 	return s.fails * r.fading(s.failedAt, failMemory)
 }
 
-// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
-func (r *Router) flowed(n float64) {
-	dt := (r.now - r.flowAt).Seconds()
-	keep := math.Exp(-dt / flowMemory.Seconds())
-	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
-	r.flow = r.sends / max(r.flowSpan, 1)
-}
-
 // loaded takes an answer as evidence of so many requests met there, unless our own explain them. Without it,
 // hundreds of routers with nothing there go on feeding a queue full of what will be late.
 func (r *Router) loaded(s *store, met float64) bool {
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -61,6 +61,7 @@
 	}
 	q.luck = r.rng.Float64()
 	r.flowed(1)
+	r.asks(q)
 	r.reqs[q.id] = q
 	r.tend(q.group)
 	if len(q.group.held) > 0 || !r.place(q) {
@@ -75,6 +76,9 @@
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
 	}
+	if !r.letsIn(s, q) {
+		return false
+	}
 	_, n := r.load(s)
 	n, warm := n+1, r.warmth(s)
 	if warm < 1 && !r.coldRoom(s, q) {
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -53,6 +53,11 @@
 	outage       = time.Second            // refusing for this long means a restarted process
 	sessionsKept = 20000                  // sessions in a generation of remembered commits
 	goneKeep     = 30 * time.Second       // before a vanished store is forgotten
+	waitPart     = 0.25                   // too long a wait behind others: this part of the least aim...
+	waitLeast    = 0.5                    // ...but no less than this part of a usual request's time
+	waitMost     = 4.0                    // so many times that counts at most
+	shutRate     = 0.25                   // what is let in falls so fast a second for each time that
+	openAgain    = 10.0                   // seconds: memory of that
 	dueMargin    = 2                      // ticks before a request's end at which it gets its answer
 )
 
@@ -92,7 +97,6 @@
 	}
 	if r.wakeAt != never && r.now-r.wakeAt > stall {
 		// This router's own standstill must not count against stores: what was out has no measured time.
-		// Where it might hurt: a store that died meanwhile is called silent a little later.
 		r.wakeAt = r.now
 		r.blurOpen()
 	}
@@ -119,7 +123,6 @@
 		r.rewatchAt, r.watchedAt = math.MaxInt64, r.now
 		r.act(Action{Kind: Subscribe})
 	}
-	// A timer only while something is open or due: hundreds of idle routers cost nothing.
 	if r.wakeAt == never && (len(r.reqs) > 0 || r.open > 0 || r.rewatchAt < math.MaxInt64) {
 		r.wakeAt = r.now + beat
 		r.act(Action{Kind: SetTimer, At: r.wakeAt})
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -46,6 +46,9 @@
 	rewatchAt Time
 	watchedAt Time // last subscribed then
 
+	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
+	askedAt Time
+
 	watchFails int // subscriptions in a row that did not hold
 }
 
@@ -101,6 +104,7 @@
 	id      int
 	members []*store
 	held    []*request
+	crowds  [2]crowding // at its primary, and at the others
 }
 
 type attempt struct {
@@ -329,3 +333,61 @@
 	}
 	r.commits[session] = max(at, r.commits[session])
 }
+
+// urgencyBins are of a quarter of an octave each, the middle one from 1.
+const urgencyBins = 96
+
+// flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
+func (r *Router) flowed(n float64) {
+	dt := (r.now - r.flowAt).Seconds()
+	keep := math.Exp(-dt / flowMemory.Seconds())
+	r.sends, r.flowSpan, r.flowAt = r.sends*keep+n, r.flowSpan*keep+dt, r.now
+	r.flow = r.sends / max(r.flowSpan, 1)
+}
+
+// asks counts a request among what is asked, by its urgency.
+func (r *Router) asks(q *request) {
+	keep := math.Exp(-(r.now - r.askedAt).Seconds() / flowMemory.Seconds())
+	for i := range r.asked {
+		r.asked[i] *= keep
+	}
+	r.asked[urgencyBin(r.urgency(q))]++
+	r.askedAt = r.now
+}
+
+func urgencyBin(u float64) int { return int(min(urgencyBins-1, max(0, urgencyBins/2+4*math.Log2(u)))) }
+
+// crowding is what the answers of a group's primary, or of its other members, tell of waiting there.
+type crowding struct {
+	shut  float64 // exp(-shut) of what is asked is let in
+	at    Time
+	bin   int     // of which, as of cutAt, this is the least urgent...
+	part  float64 // ...and this part of it
+	cutAt Time
+}
+
+// advance moves a store's virtual service up to now; call it before its load changes.
+func (r *Router) advance(s *store) {
+	if dt := (r.now - s.serviceAt).Seconds(); dt > 0 {
+		n, _ := r.load(s)
+		s.service += dt * share(n) * r.warmth(s)
+	}
+	s.serviceAt = r.now
+}
+
+// had is the service that an attempt has had, in times its expected work.
+func (r *Router) had(s *store, a *attempt) float64 {
+	return (s.service - a.service) * r.base(s) / a.req.work()
+}
+
+// fill brings a tenant's bucket up to now: a second of this part, as clumps are no excess, or as was told.
+func (r *Router) fill(i int) *tenant {
+	t, a := &r.tenants[i], r.set.Tenants[i]
+	if !a.Told {
+		a.Own = a.Allowance / float64(r.set.Siblings)
+		a.Depth = max(a.Own, tenantDepth)
+	}
+	t.tokens = min(a.Depth, t.tokens+a.Own*(r.now-t.at).Seconds())
+	t.at, t.rate = r.now, a.Own
+	return t
+}
