--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -10,6 +10,7 @@
 //   - estimate.go: how fast servers and the ways to them are, and what they hold
 //   - ration.go: what a cold server may be sent, and what tenants are let in with
 //   - queue.go: what waits, what is given up, and in which order the rest goes
+//   - shed.go: how much is let in where answers tell of waiting behind others, of whom a router sees nothing else
 //   - attempts.go: what attempts came to, and when one is tried anew
 //   - health.go: which servers are taken out, and come back
 //   - list.go: the list of servers
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -65,6 +65,7 @@
 	}
 	q.luck = r.rng.Float64()
 	r.flowed(1)
+	r.asks(q)
 	r.reqs[q.id] = q
 	r.tend(q.group)
 	if len(q.group.held) > 0 || !r.place(q) {
@@ -73,12 +74,14 @@
 	}
 }
 
-// room tells whether a store can take one more: without making requests there too slow for the least aim, or,
-// where none is ours, this one. What finds no room waits here and can still go to whichever frees first.
+// room tells whether a store can take one more; what finds none waits here, for whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
 	}
+	if !r.letsIn(s, q) {
+		return false
+	}
 	_, n := r.load(s)
 	n, warm := n+1, r.warmth(s)
 	if warm < 1 && !r.coldRoom(s, q) {
@@ -93,8 +96,7 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
-// closing tells that a request must have its answer before the next beat. One that no server has seen has
-// half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
+// closing tells that a request must have its answer now. One that no server saw has half its time, to ask again.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
@@ -147,8 +149,7 @@
 	return seconds(q.class.soon.Seconds() * q.size)
 }
 
-// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is
-// to stay away for long: soon again it would be late, and in the way of what is not.
+// finish gives the final answer: refused where trying again is harmless, with the longest wait, else failed.
 func (r *Router) finish(q *request) {
 	if q.class.Effect == Safe || !q.maybe && q.open == 0 ||
 		q.class.Effect == Keyed && q.class.Scope == ScopeAll {
