Ask stores one by one, by a probe's price, and leave alone those that turn probes away

Of 13,321 reads sent with two probes out together 2,569 went to the second one's store; 40% of the replicas asked were behind.

At fault: choose asked a second store beside the first; onProbe took a probe turned away as if nothing had been sent, so each beat of each pooler sent it again; tend sought a primary each half aim whatever that cost; qualifies took one that lacked seconds when last told for as good as any.

Each part has its test in asking_test.go, seen to fail without it.

--- /dev/null
+++ b/internal/decide/asking_test.go
@@ -0,0 +1,107 @@
+package decide
+
+// What is asked before a read goes, and what that may cost.
+
+import (
+	"testing"
+	"time"
+)
+
+// stale is a group whose positions were told long ago: p leads, a was up to date then and b far behind.
+func stale(t *testing.T, price float64, lacked time.Duration) *rig {
+	g := trio(t, func(s *Settings) { s.PriceProbe = price })
+	g.r.stores["p"].fails, g.r.stores["p"].failedAt = 0.95, g.now
+	g.now += time.Second
+	g.report("a", RoleReplica, g.now)
+	g.report("b", RoleReplica, g.now)
+	g.r.stores["b"].position = g.now - lacked
+	g.now += time.Second
+	return g
+}
+
+// TestAskedOneByOne: a read asks the next store when the first has told that it is behind, not both at once: the second
+// probe would mostly be for nothing, times all routers.
+func TestAskedOneByOne(t *testing.T) {
+	g := stale(t, 0, 0)
+	first := of(Probe, g.ask("1", cBounded))
+	if len(first) != 1 {
+		t.Fatalf("asked %+v, want one", first)
+	}
+	g.now += 5 * ms
+	next := of(Probe, g.report(first[0].Store, RoleReplica, g.now-400*ms))
+	if len(next) != 1 || next[0].Store == first[0].Store {
+		t.Fatalf("then asked %+v, want another", next)
+	}
+	g.now += 5 * ms
+	g.wantSend(g.report(next[0].Store, RoleReplica, g.now), "1", next[0].Store)
+}
+
+// TestOneBehindIsAskedLast: a store that lacked too much when last told is asked after the others, though it is faster.
+func TestOneBehindIsAskedLast(t *testing.T) {
+	g := stale(t, 0.15, 900*ms)
+	g.r.stores["b"].rel, g.r.stores["p"].draining = 1.2, true
+	if asked := of(Probe, g.ask("1", cBounded)); len(asked) != 1 || asked[0].Store != "a" {
+		t.Fatalf("asked %+v, want a", asked)
+	}
+	g.now += 5 * ms
+	if asked := of(Probe, g.report("a", RoleReplica, g.now-400*ms)); len(asked) != 1 || asked[0].Store != "b" {
+		t.Fatalf("then asked %+v, want b", asked)
+	}
+}
+
+// TestProbeTurnedAway: a store that has more probes than it takes, from all routers together, is left alone for a while, and
+// another is asked. Asked again each beat by each of hundreds, it never comes out of that.
+func TestProbeTurnedAway(t *testing.T) {
+	g := stale(t, 0, 0)
+	first := of(Probe, g.ask("1", cBounded))
+	if len(first) != 1 {
+		t.Fatalf("asked %+v", first)
+	}
+	asked := map[StoreID]int{}
+	acts := g.do(&ProbeResult{Store: first[0].Store, Result: Full})
+	for range int(probeDown/beat) - 1 {
+		for _, a := range of(Probe, acts) {
+			asked[a.Store]++
+		}
+		acts = g.pass(beat)
+	}
+	if asked[first[0].Store] != 0 || len(asked) == 0 {
+		t.Errorf("turned away by %s, then asked %v", first[0].Store, asked)
+	}
+}
+
+// TestAskingHasAPrice: where all stores tell that they are behind, no more is spent on a read than part of its worth; and
+// those that wait for a primary look for it the less often, the dearer that is.
+func TestAskingHasAPrice(t *testing.T) {
+	g := newRig(t, testSettings(), Entry{Store: "a"}, Entry{Store: "b"}, Entry{Store: "c"}, Entry{Store: "d"})
+	g.r.set.PriceProbe = askShare / 2
+	asked, acts := 0, g.ask("1", cBounded)
+	for range 50 {
+		var next []Action
+		for _, a := range of(Probe, acts) {
+			asked++
+			next = append(next, g.report(a.Store, RoleReplica, g.now-350*ms)...)
+		}
+		acts = append(next, g.pass(beat)...)
+	}
+	if asked != 2 {
+		t.Errorf("%d probes for one read, want 2", asked)
+	}
+	sought := map[float64]int{}
+	for _, price := range []float64{0, 0.05} {
+		g := newRig(t, testSettings(), Entry{Store: "a"}, Entry{Store: "b"}, Entry{Store: "c"}, Entry{Store: "d"})
+		g.r.set.PriceProbe = price
+		acts := g.do(&Request{ID: "w", Class: cWrite, Due: g.now + 3*time.Second})
+		for range 100 {
+			var next []Action
+			for _, a := range of(Probe, acts) {
+				sought[price]++
+				next = append(next, g.report(a.Store, RoleReplica, g.now)...)
+			}
+			acts = append(next, g.pass(beat)...)
+		}
+	}
+	if sought[0] != 20 || sought[0.05] != 16 {
+		t.Errorf("probes in a second by price: %v", sought)
+	}
+}
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -36,10 +36,7 @@
 // qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
 // or because it was not asked for as long as it needs to catch up.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
-	need := q.need
-	if q.class.Read == ReadBounded {
-		need = r.now - q.class.Bound
-	}
+	need := r.needs(q)
 	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
 	// but hardly between its report and the answer to a probe sent for this request.
 	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
@@ -50,6 +47,23 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// needs is the position that a request needs now.
+func (r *Router) needs(q *request) Time {
+	if q.class.Read == ReadBounded {
+		return r.now - q.class.Bound
+	}
+	return q.need
+}
+
+// chance guesses how likely a probe finds a store new enough: one that was too far behind probably is for a while.
+func (r *Router) chance(s *store, q *request) float64 {
+	lacked, may := s.placedAt-s.position, r.now-r.needs(q)
+	if s.position == never || lacked <= may {
+		return 1
+	}
+	return 1 - (1-may.Seconds()/lacked.Seconds())*r.fading(s.placedAt, wayMemory)
+}
+
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
 	if q.primaryOnly() {
@@ -59,34 +73,28 @@
 		}
 		return nil
 	}
-	var best, next, sure *store
-	least, second, known := math.Inf(1), math.Inf(1), math.Inf(1)
+	var best, sure *store
+	least, known := math.Inf(1), math.Inf(1)
 	for _, s := range q.group.members {
 		if !s.usable() || q.elsewhere(s) || !r.room(s, q) {
 			continue
 		}
 		is, may := r.qualifies(s, q)
-		if !is && !may {
+		if !is && (!may || r.set.Behind == BehindAnswers && !r.askable(s, q)) {
 			continue
 		}
 		c, _ := r.cost(s, q)
-		if !is { // a wrong guess costs a turn; where stores do not check, they are asked first
-			c += (2 * r.set.Tick).Seconds() + r.price(q)
+		if !is { // a wrong guess costs a turn; where stores do not check, they are asked first, one by one
+			c += ((2 * r.set.Tick).Seconds() + r.price(q)) / (r.chance(s, q) + 1e-3)
 		}
 		if (is || r.set.Behind != BehindAnswers) && c < known {
 			sure, known = s, c
 		}
 		if c < least {
-			next, second, best, least = best, least, s, c
-		} else if c < second {
-			next, second = s, c
+			best, least = s, c
 		}
 	}
-	wait := best != nil && r.ask(q, best)
-	if next != nil && second <= 2*least { // one that might turn out best
-		wait = r.ask(q, next) || wait
-	}
-	if wait {
+	if best != nil && r.ask(q, best) {
 		return nil
 	}
 	return sure
@@ -94,6 +102,11 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
+// askable: not just asked too much by all routers together, nor with a probe out for longer than another one costs.
+func (r *Router) askable(s *store, q *request) bool {
+	return r.now-s.turnedAt >= probeDown && !(s.probing && r.now-s.probeAt > askWait*r.set.Tick+seconds(r.price(q)))
+}
+
 // ask probes a store for a request and tells whether to wait for that: because its position must be known, or
 // because what others seem to have waiting there costs more than a probe.
 func (r *Router) ask(q *request, s *store) bool {
@@ -105,17 +118,16 @@
 		return false
 	}
 	if !s.probing {
-		if q.asked >= askMost {
+		if q.asked >= len(q.group.members) || float64(q.asked)*r.set.PriceProbe >= askShare {
 			if s == r.primary(q.group) { // the answers told nothing, and nobody else may do
 				r.probe(s, r.seekEach)
 			}
 			return false
 		}
 		q.asked++
-		q.askUntil = r.now + askWait*r.set.Tick
 		r.probe(s, 0)
 	}
-	return r.now < q.askUntil
+	return r.now < s.probeAt+askWait*r.set.Tick
 }
 
 // place sends a request if a store can take it now.
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -3,6 +3,7 @@
 // Which servers are taken out, and come back.
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -66,7 +67,8 @@
 	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
-		return // an answer that tells nothing: it neither takes a store out nor back
+		s.turnedAt = r.now // an answer that tells nothing: it neither takes a store out nor back
+		return
 	}
 	if e.Result != OK {
 		s.probeFails++
@@ -102,7 +104,11 @@
 // primary. What nobody asks for is not probed: probes have a price, times all routers.
 func (r *Router) tend(g *group) {
 	p := r.primary(g)
-	seek := (p == nil || !p.usable()) && slices.ContainsFunc(g.held, (*request).primaryOnly)
+	i := slices.IndexFunc(g.held, (*request).primaryOnly)
+	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
+	if seek { // a round of probes a pause and half a pause of delay cost least together
+		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))))
+	}
 	for _, s := range g.members {
 		r.advance(s)
 		if s.health != down && r.silent(s) {
@@ -113,7 +119,7 @@
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
 		} else if seek {
-			r.probe(s, r.seekEach)
+			r.probe(s, pause)
 		}
 	}
 }
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -88,6 +88,7 @@
 	answered     Time // last answer of an attempt
 	probeAt      Time // last probe sent
 	probing      bool
+	turnedAt     Time // last probe turned away
 	probeFails   int  // probes failed in a row
 	heardAt      Time // last report of its load
 	fullUntil    Time
@@ -138,7 +139,6 @@
 	maybeZone int
 	reached   bool // an attempt got to a store
 	asked     int  // stores asked for it
-	askUntil  Time // it waits for them until then
 	finished  bool
 }
 
@@ -180,7 +180,7 @@
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never,
-		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never}
+		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never}
 	r.stores[id] = s
 	r.order = append(r.order, s)
 	slices.SortFunc(r.order, func(a, b *store) int { return cmp.Compare(a.id, b.id) })
