--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -35,32 +35,23 @@
 // qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
 // or because it was not asked for as long as it needs to catch up.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
-	need := r.needs(q)
+	if q.class.Read == ReadBounded {
+		q.need = r.now - q.class.Bound
+	}
 	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
 	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.placedAt >= q.arrived || !r.set.MayProbe)
-	if need == never || leads || s.position >= need {
+	leads := s == r.primary(q.group) && (s.roleAt >= q.need || s.placedAt >= q.arrived || !r.set.MayProbe)
+	if q.need == never || leads || s.position >= q.need {
 		return true, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
-		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
-}
-
-// needs is the position that a request needs now.
-func (r *Router) needs(q *request) Time {
-	if q.class.Read == ReadBounded {
-		return r.now - q.class.Bound
-	}
-	return q.need
+		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= q.need
 }
 
 // chance guesses how likely a probe finds a store new enough: one that was too far behind probably is for a while.
 func (r *Router) chance(s *store, q *request) float64 {
-	lacked, may := s.placedAt-s.position, r.now-r.needs(q)
-	if s.position == never || lacked <= may {
-		return 1
-	}
-	return 1 - (1-may.Seconds()/lacked.Seconds())*r.fading(s.placedAt, wayMemory)
+	lacked := max(1e-3, (s.placedAt - s.position).Seconds())
+	return 1 - max(0, 1-(r.now-q.need).Seconds()/lacked)*r.fading(s.placedAt, wayMemory)
 }
 
 // choose finds the store for a request, or nil if it has to wait.
@@ -79,7 +70,9 @@
 			continue
 		}
 		is, may := r.qualifies(s, q)
-		if !is && (!may || r.set.Behind == BehindAnswers && !r.askable(s, q)) {
+		// One that all routers just asked too much is left alone, and one asked for longer than a probe is worth.
+		mute := r.now-s.turnedAt < probeDown || s.probing && r.now-s.probeAt > askWait*r.set.Tick+seconds(r.price(q))
+		if !is && (!may || r.set.Behind == BehindAnswers && mute) {
 			continue
 		}
 		c, _ := r.cost(s, q)
@@ -101,11 +94,6 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
-// askable: not just asked too much by all routers together, nor with a probe out for longer than another one costs.
-func (r *Router) askable(s *store, q *request) bool {
-	return r.now-s.turnedAt >= probeDown && !(s.probing && r.now-s.probeAt > askWait*r.set.Tick+seconds(r.price(q)))
-}
-
 // ask probes a store for a request and tells whether to wait for that: because its position must be known, or
 // because what others seem to have waiting there costs more than a probe.
 func (r *Router) ask(q *request, s *store) bool {
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -105,10 +105,6 @@
 func (r *Router) tend(g *group) {
 	p := r.primary(g)
 	i := slices.IndexFunc(g.held, (*request).primaryOnly)
-	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
-	if seek { // a round of probes a pause and half a pause of delay cost least together
-		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))))
-	}
 	for _, s := range g.members {
 		r.advance(s)
 		if s.health != down && r.silent(s) {
@@ -118,8 +114,9 @@
 			r.probe(s, probeDown<<min(max(0, s.probeFails-probeSoon), probeMost))
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
-		} else if seek {
-			r.probe(s, pause)
+		} else if i >= 0 && (p == nil || !p.usable()) { // so often that probes and delay cost least together
+			pause := g.held[i].class.Aim.Seconds() * math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))
+			r.probe(s, max(r.seekEach, seconds(pause)))
 		}
 	}
 }
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -73,10 +73,7 @@
 // room tells whether a store can take one more: without making requests there too slow for the least aim, or,
 // where none is ours, this one. What finds no room waits here and can still go to whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
-	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
-		return false
-	}
-	if !r.letsIn(s, q) {
+	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs || !r.letsIn(s, q) {
 		return false
 	}
 	_, n := r.load(s)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -184,7 +184,7 @@
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never,
-		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never}
+		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never, placedAt: never}
 	r.stores[id] = s
 	r.order = append(r.order, s)
 	slices.SortFunc(r.order, func(a, b *store) int { return cmp.Compare(a.id, b.id) })
