--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -10,26 +10,31 @@
 // useInvariants has the parts check statements about their state, where the settings have it so. A breach is logged once for each
 // name and counted; it stops nothing.
 func (p *pooler) useInvariants(set operate.Invariants) {
-	if !set.On {
-		return
+	if set.On {
+		p.countsChecks = true
+		p.check(invariant.New(func(b invariant.Breach) { p.log.Error("invariant broken", "name", b.Name, "state", b.State) }), set.Every)
 	}
-	p.checks = invariant.New(func(b invariant.Breach) { p.log.Error("invariant broken", "name", b.Name, "state", b.State) })
-	p.core.Check(p.checks, set.Every)
+}
+
+// check hands the checks to the parts; it is for the time before they begin, once all are there.
+func (p *pooler) check(c *invariant.Checks, every int) {
+	p.checks = c
+	p.core.Check(c, every)
 	if p.peers != nil {
-		p.peers.Check(p.checks, set.Every)
+		p.peers.Check(c, every)
 	}
 	p.loop.Between = func() {
-		p.loop.Check(p.checks, set.Every)
-		p.pool.Check(p.checks, set.Every)
+		p.loop.Check(c, every)
+		p.pool.Check(c, every)
 		if p.pooled != nil {
-			p.pooled.Check(p.checks, set.Every)
+			p.pooled.Check(c, every)
 		}
 	}
 }
 
 // saidInvariants tells at the end how many statements held.
 func (p *pooler) saidInvariants() {
-	if p.checks.On() {
+	if p.countsChecks {
 		made, broken := p.checks.Counts()
 		p.log.Info("invariants", "made", made, "broken", broken)
 	}
@@ -37,7 +42,7 @@
 
 // appendInvariants prints the figures of statements, where any are checked.
 func (p *pooler) appendInvariants(dst []byte) []byte {
-	if !p.checks.On() {
+	if !p.countsChecks {
 		return dst
 	}
 	made, broken := p.checks.Counts()
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -71,7 +71,8 @@
 
 	journal *journal.Journal // nil where it is off
 
-	checks *invariant.Checks // nil where they are off
+	checks       *invariant.Checks // nil where they are off
+	countsChecks bool              // and are figures
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,6 +107,7 @@
 	checks *invariant.Checks // nil where nothing is checked
 	every  int               // events for one walk
 	walks  int
+	midst  int // ends of attempts that are not yet told to the router
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -270,6 +271,7 @@
 	if !ok {
 		return nil
 	}
+	c.midst++
 	q.open--
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
@@ -284,6 +286,7 @@
 	}
 	f := q.flow
 	c.release(t.Request, q)
+	c.midst--
 	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result, Final: q.over})
 	if f == nil || final {
 		return nil
@@ -419,6 +422,7 @@
 	if !ok {
 		return
 	}
+	c.midst++
 	q.open--
 	switch o.Result {
 	case decide.OK, decide.Missed, decide.Failed, decide.Reset: // what is answered was written
@@ -441,6 +445,7 @@
 	}
 	final := q.over
 	c.release(t.Request, q)
+	c.midst--
 	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
 		Final: final, Told: told(o.Said), Load: told(o.Load)})
 }
@@ -532,7 +537,7 @@
 	clear(c.events)
 	c.events = c.events[:0]
 	c.running = false
-	if c.checks.On() {
+	if c.checks.On() && c.midst == 0 {
 		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
 	}
 }
--- /dev/null
+++ b/internal/kit/check/invariants_test.go
@@ -0,0 +1,19 @@
+package check
+
+import (
+	"testing"
+
+	"beechgrade/internal/invariant"
+)
+
+// TestInvariants: a statement that was false breaks a rule of the play, with its name and state.
+func TestInvariants(t *testing.T) {
+	for _, ok := range []bool{true, false} {
+		c, v := invariant.New(nil), New(Config{}).Verdict()
+		c.That(ok, "x", func() string { return "y" })
+		v.Invariants(7, c)
+		if v.OK() != ok || v.Checked[Invariant] != 1 || !ok && (v.Breaches[0].Text != "x: y" || v.Breaches[0].At != 7) {
+			t.Errorf("%v: %+v", ok, v)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kit/rehearse/invariants_test.go
@@ -0,0 +1,34 @@
+package rehearse
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+)
+
+// TestInvariantsOfLogs: what a daemon logs of statements about its state is in the play's verdict.
+func TestInvariantsOfLogs(t *testing.T) {
+	p := &pooler{name: "pooler-0", dir: t.TempDir()}
+	f, err := os.Create(filepath.Join(p.dir, "log.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := slog.New(slog.NewTextHandler(f, nil)).With("pooler", p.name)
+	l.Info("serving", "listen", "x")
+	l.Error("invariant broken", "name", "decide: a \"b\"", "state", "s at 1")
+	l.Info("invariants", "made", 12, "broken", 1)
+	l.Info("invariants", "made", 30, "broken", 0)
+	if err := f.Close(); err != nil {
+		t.Fatal(err)
+	}
+	v := check.New(check.Config{}).Verdict()
+	if err := p.invariants(v, 5); err != nil {
+		t.Fatal(err)
+	}
+	if v.Checked[check.Invariant] != 42 || v.Broken[check.Invariant] != 1 || len(v.Breaches) != 1 || v.Breaches[0].Text != `pooler-0: decide: a \"b\": "s at 1"` {
+		t.Errorf("%+v", v)
+	}
+}
