Check statements about state in every test that launches a pooler

Need: they are to be on in tests.

Change: launch hands checks to the pooler's parts, a walk at each event; a breach fails the test.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -19,6 +19,7 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/pgwire"
@@ -196,8 +197,20 @@
 func launch(t *testing.T, p *pooler) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
 	ready, ended, sig, again := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	p.loop.Ready = func() { ready <- p.loop.Addr() }
+	broken := make(chan invariant.Breach, 1)
+	p.check(invariant.New(func(b invariant.Breach) {
+		select {
+		case broken <- b:
+		default:
+		}
+	}), 1)
 	go func() { ended <- p.run(sig, again) }()
 	t.Cleanup(func() {
+		select {
+		case b := <-broken:
+			t.Error(b)
+		default:
+		}
 		select {
 		case sig <- syscall.SIGTERM:
 		default:
