--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/handover"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
@@ -23,6 +24,7 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -56,20 +58,27 @@
 
 	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
 
+	loadCredit func() (*operate.Credit, error) // reads prices and payments again; nil where nobody pays ahead
+
 	pooled     *pooling.Front // nil where it is off
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	scatter *scatter.Front // reads over many groups, nil where there are none
+
 	house      *clickhouse.Front // nil where it is off
 	houseAddr  string
 	houseGroup int
 	stopHouse  func()
 
-	peers  *peers.Peers // nil where it is no fleet's
-	expect int          // poolers that there are to be
-	limits *fleetLimits // nil where none hold for the whole fleet
+	peers  *peers.Peers   // nil where it is no fleet's
+	expect int            // poolers that there are to be
+	limits *fleetLimits   // nil where none hold for the whole fleet
+	over   *joined.Joined // nil where overload is handled alone
 
 	journal *journal.Journal // nil where it is off
+	agreed  *commonLog       // nil where it is off
+	credit  *prepaid         // nil where nobody pays ahead
 
 	checks       *invariant.Checks // nil where they are off
 	countsChecks bool              // and are figures
@@ -143,6 +152,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.scatter != nil {
+		conns += p.scatter.Conns()
+	}
 	if p.house != nil {
 		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
 	}
@@ -184,6 +196,9 @@
 	if p.limits != nil { // of each nothing, until it is told
 		p.limits.use(p.limits.set)
 	}
+	if p.agreed != nil {
+		p.agreed.begin()
+	}
 	if p.peers != nil {
 		if err := p.peers.Start(); err != nil {
 			p.log.Error("peers", "err", err)
@@ -222,6 +237,13 @@
 					p.loop.Post(func() { p.reloadLimits(*set) })
 				}
 			}
+			if p.loadCredit != nil {
+				if set, err := p.loadCredit(); err != nil {
+					p.loop.Post(func() { p.log.Error("credit: the old prices and payments stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.credit.reload(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -42,16 +42,16 @@
 	return slots.Ref{Index: uint32(t.No) + 1, Gen: 1}
 }
 
-// asker is a client that counts its answers, and takes one that is passed on as it comes.
-type asker struct {
+// drawnAsker is a client that counts its answers, and takes one that is passed on as it comes.
+type drawnAsker struct {
 	d  *drawn
 	no int
 }
 
-func (a asker) Served([]byte)      { a.d.ends[a.no]++ }
-func (a asker) Refused(float64)    { a.d.ends[a.no]++ }
-func (a asker) Failed()            { a.d.ends[a.no]++ }
-func (a asker) Take() backend.Flow { a.d.ends[a.no]++; return nothing{} }
+func (a drawnAsker) Served([]byte)      { a.d.ends[a.no]++ }
+func (a drawnAsker) Refused(float64)    { a.d.ends[a.no]++ }
+func (a drawnAsker) Failed()            { a.d.ends[a.no]++ }
+func (a drawnAsker) Take() backend.Flow { a.d.ends[a.no]++; return nothing{} }
 
 type nothing struct{}
 
@@ -76,7 +76,7 @@
 
 func (d *drawn) ask(class string, due float64) {
 	d.asked++
-	ref, err := d.core.Ask(front.Request{ID: fmt.Sprint(d.asked), Class: class, Due: d.now + due, Query: still{}}, asker{d, d.asked})
+	ref, err := d.core.Ask(front.Request{ID: fmt.Sprint(d.asked), Class: class, Due: d.now + due, Query: still{}}, drawnAsker{d, d.asked})
 	if err == nil {
 		d.refs = append(d.refs, ref)
 	}
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -1,14 +1,11 @@
 package decide
 
-// Which server a request goes to.
-
 import (
 	"math"
 	"time"
 )
 
-// cost is equation 2 of the paper: the read's own time at its max-min fair share plus the slowdown of this
-// router's requests there, each by its worth against the read's: so a primary full of writes is spared.
+// cost is equation 2 of the paper, the slowdown of each request by its worth: a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -24,32 +21,40 @@
 		rest := max(w-(s.service-a.service)*rate, minLeft*w)
 		cost += (rest/left - rest/now) * a.req.value / q.value
 	}
-	// A failed answer comes quickly and leaves its store idle: without its chance a failing store wins picks.
 	cost /= 1 - r.failing(s)
 	if s.entry.Zone != r.set.Zone {
 		cost += r.set.PriceCross * q.class.Aim.Seconds() // in time: a worth is an aim
 	}
-	cost += r.way(s)
-	return cost, left
+	return cost + r.way(s), left
 }
 
-// qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
-// or because it was not asked for as long as it needs to catch up.
+// qualifies tells whether a store's data is known to be new enough, and whether it may well be by now.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
 	need := q.need
 	if q.class.Read == ReadBounded {
 		need = r.now - q.class.Bound
 	}
-	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
-	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.askedAt >= max(need, q.arrived) || !r.set.MayProbe)
-	if need == never || leads || s.position >= need {
+	if need == never || r.proven(s, q) >= need {
 		return true, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or as of
+// a probe sent for this request: it is hardly replaced between its report and the answer.
+func (r *Router) proven(s *store, q *request) Time {
+	at := s.position
+	if s == r.primary(q.group) {
+		if at = max(at, s.roleAt); !r.set.MayProbe {
+			at = math.MaxInt64 / 2
+		} else if s.askedAt >= q.arrived {
+			at = max(at, s.askedAt)
+		}
+	}
+	return at
+}
+
 // primary is the group's primary by the latest evidence, or nil while none is known.
 func (r *Router) primary(g *group) *store {
 	var best *store
@@ -71,13 +76,12 @@
 func (s *store) usable() bool { return s.listed() && s.health != down }
 
 // listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
-func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.set.DrainOnly) }
 
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
 	if q.primaryOnly() {
-		p := r.primary(q.group)
-		if p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
+		if p := r.primary(q.group); p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
 			return p
 		}
 		return nil
@@ -117,8 +121,7 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
-// ask probes a store for a request and tells whether to wait for that: because its position must be known, or
-// because what others seem to have waiting there costs more than a probe.
+// ask probes a store whose position or load must be known, if that costs less, and tells whether to wait for it.
 func (r *Router) ask(q *request, s *store) bool {
 	is, _ := r.qualifies(s, q)
 	n, _ := r.load(s)
@@ -160,6 +163,10 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: q.sendBy - r.set.Tick})
+	by := q.sendBy - r.set.Tick
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, while the store falls behind
+		by = min(by, r.proven(s, q)+q.class.Bound+1)
+	}
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: by})
 	return true
 }
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -1,7 +1,5 @@
 package decide
 
-// What waits, what is given up, and in which order the rest goes.
-
 import (
 	"cmp"
 	"math"
@@ -21,7 +19,13 @@
 		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim)})
 		return
 	}
-	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
+	shed := r.set.Shed[e.Group]
+	place := shed.Place(r.now, e)
+	if shed.Turns(place) { // as all routers do, at once
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: shed.Advice(r.now, e)})
+		return
+	}
+	q := &request{id: e.ID, class: c, place: place, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
 		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only, sendBy: math.MaxInt64,
 		value: max(c.Worth, 1e-6), size: 1}
 	if e.RanAt > 0 && c.Effect == Keyed { // another with its key may have run
@@ -36,7 +40,7 @@
 			if q.need = t; !ok {
 				q.need = r.forgotten
 			}
-		} else if e.SinceOwn > 0 {
+		} else if e.SinceOwn != 0 {
 			q.need = r.now - e.SinceOwn
 		}
 	}
@@ -61,6 +65,7 @@
 	}
 	q.luck = r.rng.Float64()
 	r.flowed(1)
+	r.asks(q)
 	r.reqs[q.id] = q
 	r.tend(q.group)
 	if len(q.group.held) > 0 || !r.place(q) {
@@ -69,12 +74,14 @@
 	}
 }
 
-// room tells whether a store can take one more: without making requests there too slow for the least aim, or,
-// where none is ours, this one. What finds no room waits here and can still go to whichever frees first.
+// room tells whether a store can take one more; what finds none waits here, for whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
 	}
+	if !r.letsIn(s, q) {
+		return false
+	}
 	_, n := r.load(s)
 	n, warm := n+1, r.warmth(s)
 	if warm < 1 && !r.coldRoom(s, q) {
@@ -89,8 +96,7 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
-// closing tells that a request must have its answer before the next beat. One that no server has seen has
-// half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
+// closing tells that a request must have its answer now. One that no server saw has half its time, to ask again.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
@@ -116,7 +122,7 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
+		switch over := r.set.Shed[g.id].Turns(q.place) || r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
 		case q.finished:
 		case over && q.open == 0:
 			r.finish(q)
@@ -143,8 +149,7 @@
 	return seconds(q.class.soon.Seconds() * q.size)
 }
 
-// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is
-// to stay away for long: soon again it would be late, and in the way of what is not.
+// finish gives the final answer: refused where trying again is harmless, with the longest wait, else failed.
 func (r *Router) finish(q *request) {
 	if q.class.Effect == Safe || !q.maybe && q.open == 0 ||
 		q.class.Effect == Keyed && q.class.Scope == ScopeAll {
--- a/internal/decide/ration.go
+++ b/internal/decide/ration.go
@@ -1,7 +1,5 @@
 package decide
 
-// What is rationed: what a cold server may be sent, and what tenants are let in with.
-
 // warmth is the part of its capacity that a store can be counted on for.
 func (r *Router) warmth(s *store) float64 {
 	age := r.now - s.coldFrom
@@ -11,9 +9,8 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
 }
 
-// coldRoom keeps the fall rule: this router's part of the budget of all, as a leaky bucket of half a span.
-// Where that is less than a request, chance lets through what all together may send of what they are asked
-// for: buckets would hold credit where nothing is asked, and writes would wait at an idle cold primary.
+// coldRoom keeps the fall rule by this router's part of all's budget, a leaky bucket of half a span; where that is
+// less than a request, by chance: buckets would hold credit where nothing is asked, as writes wait.
 func (r *Router) coldRoom(s *store, q *request) bool {
 	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
 		return true
@@ -23,8 +20,7 @@
 	if depth < 0 {
 		return q.luck*r.flow/float64(max(1, len(r.gorder)))*r.work < part
 	}
-	s.coldSpent = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds())
-	s.coldSpentAt = r.now
+	s.coldSpent, s.coldSpentAt = max(0, s.coldSpent-part/2*(r.now-s.coldSpentAt).Seconds()), r.now
 	return s.coldSpent <= depth
 }
 
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -64,6 +64,7 @@
 	lastPID  uint32
 	streamed int
 	shape    int // of the one table; each ALTER changes it
+	scatters Scatters
 }
 
 // server is the sockets of one of the model's servers.
@@ -171,6 +172,7 @@
 	case e.Lifecycle == "up":
 		s.drainTold = 0
 	case e.Lifecycle == "draining" && heard:
+		at = f.dir.told(at)
 		s.drainTold = at
 	}
 	if f.watcher != nil && (heard && e.Lifecycle == "draining" || e.Lifecycle == "up") {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -53,6 +53,16 @@
 // virtualOnly are faults that no process can cause by itself.
 var virtualOnly = map[string]bool{"cut": true}
 
+// InVirtualTime tells why a scenario can't be played in virtual time, nil where it can.
+func (s *Script) InVirtualTime() error {
+	for _, f := range s.Faults {
+		if f.What == "list-silent" {
+			return &sexp.Error{Pos: f.Pos, Text: "(list-silent) can be played on sockets only: in virtual time no connection is forgotten"}
+		}
+	}
+	return nil
+}
+
 // Script is a rehearsal. Times are in milliseconds from its start.
 type Script struct {
 	Name    string
@@ -75,6 +85,8 @@
 	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
+	Overload *operate.Overload // nil where each pooler handles it alone
+
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
 	Cross      world.Range // one way between two sites
@@ -173,6 +185,9 @@
 	if s.Limits != nil && s.Peers == nil {
 		return nil, n.Errorf("(fleet-limits ...) goes with (peers)")
 	}
+	if s.Overload != nil && s.Peers == nil {
+		return nil, n.Errorf("(overload ...) goes with (peers)")
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -221,6 +236,7 @@
 		"over":         float(&c.Over, 0, 1),
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
+		"overload":     s.overload,
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
@@ -449,6 +465,7 @@
 	"disk":           struck(0.1, 1000),
 	"list-late":      func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Millis(0, 600000); return err },
 	"list-gone":      func(f *Fault, n *sexp.Node) error { return none(n) },
+	"list-silent":    func(f *Fault, n *sexp.Node) error { return none(n) },
 	"agent":          anAgent,
 	"deregister-all": func(f *Fault, n *sexp.Node) error { return none(n) },
 	"wrong-roles":    func(f *Fault, n *sexp.Node) error { return none(n) },
