Show on sockets that a word which waited in a stopped pooler is no news

A pooler stands still for 1.5 s; a primary's answer and a read with a bound of 200 ms come meanwhile, and another server takes over.

--- a/cmd/beechgrade/standing_test.go
+++ b/cmd/beechgrade/standing_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,8 @@
 	"time"
 
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/pgwire"
 )
 
@@ -308,3 +311,57 @@
 		t.Errorf("told: %v", counts)
 	}
 }
+
+// TestWordThatWaited: a pooler stands still. A primary's answer comes meanwhile, and a read whose data may be 200 ms old; then another
+// takes over. When the pooler wakes, that answer is 1.5 s old, not news: the read goes to nobody until somebody is asked.
+func TestWordThatWaited(t *testing.T) {
+	t.Parallel()
+	addrP, atP := server(t)
+	addrA, atA := server(t)
+	p := newPooler(testConfig(t, addrP, nil, func(c *config.Config) {
+		c.Known.Instances = append(c.Known.Instances, discovery.Instance{ID: "s-2", HostPort: addrA, Lifecycle: "up", Weight: 1, Role: "replica"})
+		c.Settings.MayProbe = true
+		c.Classes = append(c.Classes, "young")
+		c.Settings.Classes = append(c.Settings.Classes, decide.Class{Aim: patience, Deadline: patience, Worth: 1, Read: decide.ReadBounded, Bound: 200 * time.Millisecond})
+	}), slog.New(slog.DiscardHandler))
+	pooler, _, _, _ := launch(t, p)
+	w, r := client(t, pooler), client(t, pooler)
+	w.send(query("w", "write", 9000))
+	held := next(t, atP)
+	for held.sql == "SHOW load" {
+		held = next(t, atP)
+	}
+	stood, wakes := make(chan struct{}), make(chan struct{})
+	p.loop.Post(func() { close(stood); <-wakes })
+	<-stood
+	said := time.Now().UnixMilli()
+	value := pgwire.AppendParameter(pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte("w")), "SELECT 1"), "role", "primary")
+	held.send(pgwire.AppendReady(pgwire.AppendParameter(value, "applied_ms", fmt.Sprint(said))))
+	time.Sleep(50 * time.Millisecond)
+	r.send(query("r", "young", 9000))
+	time.Sleep(1450 * time.Millisecond)
+	close(wakes)
+	w.want("TDCZ w")
+	load := func(primary int) []byte {
+		return row(fmt.Sprintf("x0=%d.%03d,x1=%d", time.Now().Unix(), time.Now().UnixMilli()%1000, primary))
+	}
+	go func() {
+		for q := range atP {
+			if q.sql == "SHOW load" {
+				q.send(load(0))
+			} else if strings.Contains(q.sql, "id=r,") {
+				q.send(row("old"))
+			}
+		}
+	}()
+	go func() {
+		for q := range atA {
+			if q.sql == "SHOW load" {
+				q.send(load(1))
+			} else {
+				q.send(row("new"))
+			}
+		}
+	}()
+	r.want("TDCZ new")
+}
