Subscribe anew before what changed without a watch counts as told, by the settings

A pooler with no watch is held to its list for the time that the settings give for asking (invariants.ask_every_ns). That was not read: subscriptions were spread over 20 ms for each other pooler, 6 s with 300, whatever that time. It fits the 10 s that the deployments so far have, and would break the rule where it is shorter or poolers are more.

--- a/internal/decide/age_test.go
+++ b/internal/decide/age_test.go
@@ -103,3 +103,30 @@
 		}
 	}
 }
+
+// TestSubscribesInTime: however many routers there are, each subscribes anew before what changed without it counts as told.
+func TestSubscribesInTime(t *testing.T) {
+	for seed := range uint64(50) {
+		set := testSettings()
+		set.AskList, set.AskEvery, set.Siblings = true, 2*time3, 1000
+		r := New(set, seed)
+		now, asked := Time(start), 0
+		out := r.Handle(now, &List{Kind: ListRestored, Entries: []Entry{{Store: "p"}}}, nil)
+		for failed := now; now < start+10*time3; now += beat {
+			if len(of(Subscribe, out)) > 0 {
+				if asked++; now-failed > 1200*ms+beat {
+					t.Fatalf("seed %d: %v without a subscription", seed, now-failed)
+				}
+				failed = now + 300*ms // so long it held
+			}
+			var e Event = &Timer{}
+			if now == failed && asked > 0 {
+				e = &List{Kind: ListFailed}
+			}
+			out = r.Handle(now+beat, e, nil)
+		}
+		if asked < 5 {
+			t.Errorf("seed %d: subscribed %d times", seed, asked)
+		}
+	}
+}
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -91,7 +91,8 @@
 	Tenants        []Tenant
 	OverShareWorth float64
 
-	AskList       bool // the server list must be subscribed to
+	AskList       bool          // the server list must be subscribed to
+	AskEvery      time.Duration // without a subscription for so long, what changed counts as told; 0 for never
 	Behind        Behind
 	BehindWait    time.Duration
 	KeptTokens    bool // the router itself must remember its sessions' commits
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -69,6 +69,7 @@
 		Tick:           p.dur("tick_ns"),
 		OverShareWorth: p.float("over_share_worth"),
 		AskList:        m["membership_mode"] == "ask",
+		AskEvery:       p.dur("invariants.ask_every_ns"),
 		BehindWait:     p.dur("family_info.holds_for_ns"),
 		KeptTokens:     m["family_info.tokens"] == "kept",
 		ListShowsRole:  m["family_info.shows_role"] == "trailing" || m["family_info.shows_role"] == "static",
