--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -18,6 +18,9 @@
 	if p.peers != nil {
 		p.peers.Check(p.checks, set.Every)
 	}
+	if p.scatter != nil {
+		p.scatter.Check(p.checks)
+	}
 	p.loop.Between = func() {
 		p.loop.Check(p.checks, set.Every)
 		p.pool.Check(p.checks, set.Every)
