Close no client's connection in its face as clients are sent away

Read what a process that ends does to connections that have just come. A client that has put no request yet is now left alone for 250 ms; it is closed behind its first answer, or then. TestComesAsItEnds fails without ("$" for the startup's answer).

--- a/cmd/beechgrade/life_test.go
+++ b/cmd/beechgrade/life_test.go
@@ -252,6 +252,38 @@
 	}
 }
 
+// TestComesAsItEnds: a client whose connection a process has just accepted when it is told to end has its first request answered: nobody
+// closes in its face. Behind the answer its connection is closed.
+func TestComesAsItEnds(t *testing.T) {
+	t.Parallel()
+	srv, queries := server(t)
+	ln := listen(t).(*net.TCPListener)
+	accepted := make(chan int, 1)
+	var old *pooler
+	addr, _, stop, done := operated(t, srv, func(p *pooler) { old = p; give(t, p, ln) })
+	bare, started := dial(t, addr), client(t, addr)
+	for n := 0; n < 2; time.Sleep(time.Millisecond) {
+		old.loop.Post(func() { accepted <- old.front.Sessions() })
+		n = <-accepted
+	}
+	stop <- syscall.SIGTERM
+	time.Sleep(20 * time.Millisecond)
+	for n, c := range map[string]*peer{"bare": bare, "started": started} {
+		if n == "bare" {
+			c.send(append(pgwire.AppendStartup(nil, "backend", "store"), query("1", "read", 9000)...))
+			c.want("RSSSSZ")
+		} else {
+			c.send(query("2", "read", 9000))
+		}
+		next(t, queries).send(row("v"))
+		c.want("TDCZ v")
+		c.want("$")
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestNoSocket: a descriptor that is no listening socket stops the start with one line.
 func TestNoSocket(t *testing.T) {
 	f, err := os.CreateTemp(t.TempDir(), "x")
--- a/internal/front/crowd.go
+++ b/internal/front/crowd.go
@@ -9,6 +9,7 @@
 	messageMs = 3000  // until a message it has begun is whole
 	stuckMs   = 5000  // until it goes on reading its answers
 	lingerMs  = 250   // after its last word, until it closes
+	freshMs   = 250   // without a request, before its connection is closed as the pooler sends clients away
 	thinMs    = 20    // idle for so long, its connection may be closed where those that ask are many
 	restMs    = 2000  // ...where clients are many
 	idleMs    = 60000 // ...and where they are few
@@ -116,7 +117,7 @@
 		switch {
 		case s.leaving && age >= lingerMs, s.stuck != 0 && now-s.stuck >= stuckMs,
 			s.use == silent && s.in.Pending() == 0 && age >= startupMs,
-			(s.use == mute || s.use == resting) && (age >= idleMs || p.draining) && s.conn.Quiet():
+			(s.use == mute || s.use == resting) && (age >= idleMs || p.draining && !s.fresh()) && s.conn.Quiet():
 			s.conn.Close()
 		case s.use == silent && age >= startupMs:
 			s.fatal(codeProtocol, "the startup message is not whole in time")
--- a/internal/front/postgres.go
+++ b/internal/front/postgres.go
@@ -88,7 +88,7 @@
 func (p *Postgres) Drain() {
 	p.draining = true
 	p.sessions.Each(func(_ slots.Ref, s *session) {
-		if s.idle() && s.conn.Quiet() {
+		if s.idle() && !s.fresh() && s.conn.Quiet() {
 			s.conn.Close()
 		}
 	})
@@ -127,6 +127,10 @@
 	return !s.closed && !s.ended && s.conn != nil && len(s.queue) == 0 && s.in.Pending() == 0 && s.conn.Unsent() == 0
 }
 
+// fresh tells whether the client has come just now, so that its first request is probably on its way: closing in its face would leave
+// that without an answer. It is closed behind that, or a little later.
+func (s *session) fresh() bool { return !s.asked && s.front.loop.Now()-s.since < freshMs }
+
 // Opened is loop's.
 func (s *session) Opened(c *loop.Conn) {
 	s.conn = c
@@ -177,7 +181,7 @@
 			break
 		}
 	}
-	if s.front.draining && s.started && s.idle() && s.conn.Quiet() {
+	if s.front.draining && s.started && s.idle() && !s.fresh() && s.conn.Quiet() {
 		s.conn.Close()
 	}
 }
