--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -1,7 +1,5 @@
 package decide
 
-// Which server a request goes to.
-
 import (
 	"math"
 	"time"
@@ -82,7 +80,7 @@
 func (s *store) usable() bool { return s.listed() && s.health != down }
 
 // listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
-func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.set.DrainOnly) }
 
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -1,7 +1,5 @@
 package decide
 
-// How fast servers and the ways to them are, and what they hold.
-
 import (
 	"math"
 )
@@ -76,7 +74,7 @@
 // learn takes a role and a position; at is the time of the role's evidence.
 func (r *Router) learn(s *store, t Report, at Time) {
 	if t.HasPosition {
-		s.placedAt = r.now
+		s.placedAt = max(s.placedAt, r.now-t.Age)
 	}
 	if t.HasPosition && t.Position > s.position && t.Position <= r.now {
 		if s.position != never && r.now-s.positionAt > 0 {
@@ -86,7 +84,7 @@
 		s.position, s.positionAt = t.Position, r.now
 	}
 	if t.Role != RoleUnknown && at >= s.roleAt {
-		s.role, s.roleAt = t.Role, at
+		s.role, s.roleAt = t.Role, min(at, r.now)
 	}
 	if t.HasHeld {
 		r.advance(s)
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,6 +19,7 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Overload   Overload
 	Invariants Invariants
 	Scatter    Scatter
 	Agreed     Agreed
@@ -73,14 +74,15 @@
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"overload":     s.Overload.read,
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
-	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
-		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
 	}
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
