--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -1,14 +1,11 @@
 package decide
 
-// Which server a request goes to.
-
 import (
 	"math"
 	"time"
 )
 
-// cost is equation 2 of the paper: the read's own time at its max-min fair share plus the slowdown of this
-// router's requests there, each by its worth against the read's: so a primary full of writes is spared.
+// cost is equation 2 of the paper, the slowdown of each request by its worth: a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -24,7 +21,6 @@
 		rest := max(w-(s.service-a.service)*rate, minLeft*w)
 		cost += (rest/left - rest/now) * a.req.value / q.value
 	}
-	// A failed answer comes quickly and leaves its store idle: without its chance a failing store wins picks.
 	cost /= 1 - r.failing(s)
 	if s.entry.Zone != r.set.Zone {
 		cost += r.set.PriceCross * q.class.Aim.Seconds() // in time: a worth is an aim
@@ -32,8 +28,7 @@
 	return cost + r.way(s), left
 }
 
-// qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
-// or because it was not asked for as long as it needs to catch up.
+// qualifies tells whether a store's data is known to be new enough, and whether it may well be by now.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
 	need := q.need
 	if q.class.Read == ReadBounded {
@@ -46,9 +41,8 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
-// proven is as of when a store's data is known to be whole. A primary stood at the present when it said that it was
-// one. It may have been replaced since, unheard, but hardly between its report and the answer to a probe that was
-// sent for this request.
+// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or as of
+// a probe sent for this request: it is hardly replaced between its report and the answer.
 func (r *Router) proven(s *store, q *request) Time {
 	at := s.position
 	if s == r.primary(q.group) {
@@ -82,7 +76,7 @@
 func (s *store) usable() bool { return s.listed() && s.health != down }
 
 // listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
-func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.set.DrainOnly) }
 
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
@@ -127,8 +121,7 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
-// ask probes a store for a request and tells whether to wait for that: because its position must be known, or
-// because what others seem to have waiting there costs more than a probe.
+// ask probes a store whose position or load must be known, if that costs less, and tells whether to wait for it.
 func (r *Router) ask(q *request, s *store) bool {
 	is, _ := r.qualifies(s, q)
 	n, _ := r.load(s)
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -1,7 +1,5 @@
 package decide
 
-// Which servers are taken out, and come back.
-
 import (
 	"cmp"
 	"slices"
@@ -33,8 +31,7 @@
 	s.health, s.badAt = down, r.now
 }
 
-// refused notes a connection that was refused or broke. Connections to healthy stores break too: only a
-// second one with no answer between takes the store out. A probe asks meanwhile.
+// refused notes a connection that was refused or broke. A second one with no answer between takes the store out.
 func (r *Router) refused(s *store) {
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
@@ -95,8 +92,7 @@
 	r.act(Action{Kind: Probe, Store: s.id})
 }
 
-// tend finds silent stores of a busy group, and probes those that are down, or all while a write waits for a
-// primary. What nobody asks for is not probed: probes have a price, times all routers.
+// tend finds silent stores of a busy group, and probes those that are down, or all while a write seeks a primary.
 func (r *Router) tend(g *group) {
 	p := r.primary(g)
 	seek := (p == nil || !p.usable()) && slices.ContainsFunc(g.held, (*request).primaryOnly)
