--- a/internal/kit/explore/agreed_test.go
+++ b/internal/kit/explore/agreed_test.go
@@ -142,3 +142,43 @@
 		})
 	}
 }
+
+// TestAgreedOtherVoters: a pooler takes the place of a voter that the settings name no more; then two more come to make five.
+func TestAgreedOtherVoters(t *testing.T) {
+	s := NewAgreed(AgreedSettings(3), true)
+	s.Live, s.Checks = true, invariant.Test(t)
+	do := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	change := func(voters ...string) {
+		s.set.Voters = voters
+		for _, v := range voters {
+			if s.index(v) < 0 {
+				s.voters = append(s.voters, &voter{name: v, disk: map[string][]byte{}, had: map[string]bool{}})
+			}
+		}
+		for i := range s.voters { // one after the other, the new ones last
+			do(s.start(i))
+			do(s.Settle(20))
+		}
+		do(s.Settle(60))
+	}
+	do(s.Settle(20))
+	do(s.propose(s.leader()))
+	change("p0", "p1", "p3")
+	do(s.propose(s.leader()))
+	do(s.Settle(10))
+	if st := s.voters[3].rep.Standing(); !st.Part || s.voters[3].tally.Taken != 2 {
+		t.Errorf("the new voter: %+v, took %d", st, s.voters[3].tally.Taken)
+	}
+	change("p0", "p1", "p3", "p4", "p5")
+	do(s.propose(s.leader()))
+	do(s.Settle(10))
+	for i, x := range s.voters {
+		if st := x.rep.Standing(); i != 2 && (!st.Part || len(st.Members) != 5 || x.tally.Taken != 3) {
+			t.Errorf("%s: %+v, took %d", x.name, st, x.tally.Taken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operate/agreed_test.go
@@ -0,0 +1,33 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestAgreed: what is told is taken, and each fault has its line.
+func TestAgreed(t *testing.T) {
+	const peers = `(peers (listen "127.0.0.1:1") (key "/k"))`
+	read := func(s string) (*Settings, error) {
+		return Parse("f", []byte(peers+s), func(string) string { return "/disk" })
+	}
+	s, err := read(`(agreed (voters "a" "b" "c") (dir "$D/agreed") (tick 100ms) (election 10) (heartbeat 1) (witness 5))`)
+	if err != nil || !s.Agreed.On || s.Agreed.Dir != "/disk/agreed" || s.Agreed.Settings.Tick != 100 || len(s.Agreed.Settings.Voters) != 3 {
+		t.Fatalf("%v %+v", err, s)
+	}
+	for text, word := range map[string]string{
+		`(agreed (voters "a" "b") (dir "d"))`:                                 "three names or five",
+		`(agreed (voters "a" "b" "a") (dir "d"))`:                             "votes already",
+		`(agreed (voters "a" "b" "c"))`:                                       "(dir",
+		`(agreed (voters "a" "b" "c") (dir "d") (election 4) (heartbeat 2))`:  "four times",
+		`(agreed (voters "a" "b" "c") (dir "d") (tick 1ms))`:                  "50",
+		`(agreed (voters "a" "b" "c") (dir "d") (elections 4) (heartbeat 2))`: "elections",
+	} {
+		if _, err := read(text); err == nil || !strings.Contains(err.Error(), word) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if _, err := Parse("f", []byte(`(agreed (voters "a" "b" "c") (dir "d"))`), nil); err == nil || !strings.Contains(err.Error(), "needs (peers ...)") {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/peers/agreed/agreed_test.go
@@ -0,0 +1,150 @@
+package agreed
+
+import (
+	"bytes"
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+)
+
+// TestParts: what is too large for a datagram arrives whole, and nothing of it where a part is missing, comes twice or is another's.
+func TestParts(t *testing.T) {
+	set := Defaults()
+	set.Voters = []string{"a", "b", "c"}
+	set.Self = "a"
+	a := New(set, 0)
+	b := New(set, 0)
+	a.addr["b"], a.table = "b", []Member{{"b", 2}}
+	data := bytes.Repeat([]byte("0123456789"), 130000)
+	parts := func() (all [][]byte) {
+		a.out = nil
+		a.split(&message{group: 1, from: 1, to: a.table[0].number(), data: data})
+		for len(a.out) > 0 {
+			x := a.out[0]
+			a.out = nil
+			all = append(all, x.Message)
+			a.sentPart(Sent{Ref: x.Ref, OK: true})
+		}
+		return all
+	}
+	take := func(all ...[]byte) (got []byte) {
+		for _, x := range all {
+			m, err := parse(x)
+			if err != nil || len(x) > MostChunk+200 {
+				t.Fatal(err, len(x))
+			}
+			if d := b.join(m); d != nil {
+				got = d
+			}
+		}
+		return got
+	}
+	one, two := parts(), parts()
+	if len(one) != 4 {
+		t.Fatalf("%d parts", len(one))
+	}
+	if !bytes.Equal(take(one...), data) {
+		t.Error("it did not arrive")
+	}
+	if take(one[0], one[1], one[3]) != nil || take(one[0], one[1], one[1], one[3]) != nil || take(one[0], two[1], one[2], one[3]) != nil {
+		t.Error("half of it was taken")
+	}
+	if !bytes.Equal(take(two...), data) || len(a.going) != 0 {
+		t.Error("it did not arrive after that")
+	}
+}
+
+// TestForward: who does not vote goes by hints to who leads, tries the next where nothing is heard, and tells what is lost.
+func TestForward(t *testing.T) {
+	set := Defaults()
+	set.Voters, set.Self, set.Forwards = []string{"a", "b", "c"}, "x", 2
+	l := New(set, 0)
+	l.Handle(0, Members{Voters: []Address{{"a", "A"}, {"b", "B"}, {"c", "C"}}}, nil)
+	propose := func(now float64, ref uint64) (to string, m *message) {
+		for _, a := range l.Handle(now, Propose{Ref: ref, Entry: []byte("e")}, nil) {
+			if a.Kind == Send {
+				m, _ = parse(a.Message)
+				return a.Addr, m
+			}
+		}
+		return "dropped", nil
+	}
+	to, m := propose(0, 1)
+	if to != "A" || string(m.data) != "e" {
+		t.Fatal(to, m)
+	}
+	out := l.Handle(1, Heard{From: "A", Message: (&message{verb: verbTook, ref: m.ref, name: "c"}).append(nil)}, nil)
+	if len(out) != 1 || out[0].Kind != Dropped || out[0].Ref != 1 {
+		t.Fatalf("%+v", out)
+	}
+	to, m = propose(2, 2)
+	if to != "C" {
+		t.Error("the hint was not taken:", to)
+	}
+	if out = l.Handle(3, Heard{From: "C", Message: (&message{verb: verbTook, ref: m.ref, flag: true}).append(nil)}, nil); len(out) != 0 {
+		t.Errorf("%+v", out)
+	}
+	propose(4, 3)
+	propose(4, 4)
+	if to, _ = propose(4, 5); to != "dropped" {
+		t.Error("more wait than may:", to)
+	}
+	lost := 0
+	for now := 4.0; now < 4+set.Patience()+2*set.Tick; now += set.Tick {
+		for _, a := range l.Handle(now, Tick{}, nil) {
+			if a.Kind == Dropped {
+				lost++
+			}
+		}
+	}
+	if to, _ = propose(3000, 6); lost != 2 || to != "A" {
+		t.Error("after silence:", lost, to)
+	}
+}
+
+// TestForm: what is written is read; other bytes are errors or something, never a panic, here and in a voter.
+func TestForm(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &message{verb: verb(rapid.IntRange(1, 6).Draw(t, "verb")), group: rapid.Uint64().Draw(t, "group"), from: rapid.Uint64().Draw(t, "from"), name: "n",
+			ref: rapid.Uint64().Draw(t, "ref"), flag: rapid.Bool().Draw(t, "flag"), members: []Member{{"a", rapid.Uint64().Draw(t, "disk")}}, data: []byte("d")}
+		b := m.append(nil)
+		got, err := parse(b)
+		if err != nil || !bytes.Equal(got.append(nil), b) {
+			t.Fatal(err, got)
+		}
+		b[rapid.IntRange(0, len(b)-1).Draw(t, "at")] ^= byte(rapid.IntRange(1, 255).Draw(t, "bits"))
+		all := []Member{{"a", 1}, {"b", 2}, {"c", 3}}
+		set := Defaults()
+		set.Voters, set.Self = []string{"a", "b", "c"}, "a"
+		l := New(set, 0)
+		l.Handle(0, Restored{Records: Founded(all[0], all)}, nil)
+		l.Handle(1, Heard{From: "B", Message: b}, nil)
+		if l.broke != "" {
+			t.Fatal(l.broke)
+		}
+	})
+}
+
+// TestDisk: another's disk, one that lacks something and one that cannot be read take the vote, with one line.
+func TestDisk(t *testing.T) {
+	all := []Member{{"a", 1}, {"b", 2}, {"c", 3}}
+	set := Defaults()
+	set.Voters, set.Self = []string{"a", "b", "c"}, "a"
+	ninth, _ := proto.Marshal(&pb.Entry{Index: proto.Uint64(9), Term: proto.Uint64(1)})
+	for name, records := range map[string][]Record{
+		"another's":         Founded(all[1], all),
+		"without its owner": Founded(all[0], all)[1:],
+		"without entries":   append(Founded(all[0], all), Record{Key: entryKey(9), Value: ninth}),
+	} {
+		l := New(set, 0)
+		out := l.Handle(0, Restored{Records: records}, nil)
+		if len(out) != 1 || out[0].Kind != Broke || l.Standing().Part {
+			t.Errorf("%s: %+v", name, out)
+		}
+		if out = l.Handle(5000, Tick{}, nil); len(out) != 0 {
+			t.Errorf("%s: it goes on with %+v", name, out)
+		}
+	}
+}
