--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -110,17 +109,3 @@
 	r.watched(e, len(out))
 	return r.out
 }
-
-func (r *Router) onBeat() {
-	if r.now >= r.refreshAt {
-		r.refresh()
-	}
-	for _, g := range r.gorder {
-		if len(g.held) == 0 && !slices.ContainsFunc(g.members, (*store).isBusy) {
-			continue
-		}
-		r.tend(g)
-		r.rescue(g)
-		r.pump(g)
-	}
-}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -409,3 +409,18 @@
 		r.onBeat()
 	}
 }
+
+// onBeat goes round what has something to do.
+func (r *Router) onBeat() {
+	if r.now >= r.refreshAt {
+		r.refresh()
+	}
+	for _, g := range r.gorder {
+		if len(g.held) == 0 && !slices.ContainsFunc(g.members, (*store).isBusy) {
+			continue
+		}
+		r.tend(g)
+		r.rescue(g)
+		r.pump(g)
+	}
+}
