Ask two stores at most for one read, one after the other

At fault: the bound by worth in ask (choose.go), as each read pays its questions alone while the next one's position has aged by then.

Change: the bound of two stores is back; they stay asked one after the other, by chance and price.

--- a/internal/decide/asking_test.go
+++ b/internal/decide/asking_test.go
@@ -70,11 +70,10 @@
 	}
 }
 
-// TestAskingHasAPrice: where all stores tell that they are behind, no more is spent on a read than part of its worth; and
+// TestAskingHasAPrice: where all stores tell that they are behind, the best two are asked for a read and no more; and
 // those that wait for a primary look for it the less often, the dearer that is.
 func TestAskingHasAPrice(t *testing.T) {
 	g := newRig(t, testSettings(), Entry{Store: "a"}, Entry{Store: "b"}, Entry{Store: "c"}, Entry{Store: "d"})
-	g.r.set.PriceProbe = askShare / 2
 	asked, acts := 0, g.ask("1", cBounded)
 	for range 50 {
 		var next []Action
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -144,7 +144,7 @@
 		return false
 	}
 	if !s.probing {
-		if q.asked >= len(q.group.members) || float64(q.asked)*r.set.PriceProbe >= askShare {
+		if q.asked >= askMost {
 			if s == r.primary(q.group) { // the answers told nothing, and nobody else may do
 				r.probe(s, r.seekEach)
 			}
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -29,7 +29,7 @@
 	silentTurns  = 3.0                    // ...and this many mean request times
 	flowMemory   = 5 * time.Second        // memory of this router's own flow of requests
 	pickMemory   = 4.0                    // memory of where a group's requests went, in rounds of its members
-	askShare     = 0.5                    // part of its worth that may go into asking for one request
+	askMost      = 2                      // stores asked for one read: the best two tell most of it
 	askWait      = 4                      // ticks that a read waits for what it asked
 	othersLike   = 0.5                    // a guess counts at most as this part of our own, for each other
 	trialJobs    = 3                      // requests at once on trial: one may be lost and prove nothing
