--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -57,6 +57,7 @@
 	waitLeast    = 0.5                    // ...but no less than this part of a usual request's time
 	waitMost     = 4.0                    // so many times that counts at most
 	shutRate     = 0.25                   // what is let in falls so fast a second for each time that
+	openMost     = -0.5                   // what is well is so much slower to shut
 	openAgain    = 10.0                   // seconds: memory of that
 	dueMargin    = 2                      // ticks before a request's end at which it gets its answer
 )
--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -5,35 +5,33 @@
 
 import "math"
 
-// crowd is the crowding of those to which a store belongs: what writes meet is not what reads meet.
-func (r *Router) crowd(s *store) *crowding {
-	if s == r.primary(s.group) {
-		return &s.group.crowds[0]
-	}
-	return &s.group.crowds[1]
-}
-
 // waited takes in how long an answer kept waiting behind others.
 func (r *Router) waited(s *store, wait float64) {
-	c := r.crowd(s)
 	much := max(waitPart*r.leastAim.Seconds(), waitLeast*r.turn(s).Seconds())
-	over := min(waitMost, max(-1, wait/much-1))
-	age := (r.now - c.at).Seconds()
-	c.shut, c.at, c.cutAt = max(0, c.shut*math.Exp(-age/openAgain)+shutRate*over*min(1, age)), r.now, never
+	for _, c := range r.crowds(s) {
+		age := (r.now - c.at).Seconds()
+		shut := r.shut(c) + shutRate*min(waitMost, max(-1, wait/much-1))*min(1, age)
+		c.shut, c.at, c.cutAt = max(openMost, shut), r.now, never
+	}
+}
+
+func (r *Router) shut(c *crowding) float64 {
+	return c.shut * math.Exp(-(r.now-c.at).Seconds()/openAgain)
 }
 
 // letsIn tells whether a request is let in at a store. Beside few others, what a router has out tells more.
+// One group's answers are few, chance is much in them: all groups' count as much. One that is well is spared.
 func (r *Router) letsIn(s *store, q *request) bool {
-	c := r.crowd(s)
-	if c.shut == 0 {
+	of := r.crowds(s)
+	if of[0].shut+of[1].shut <= 0 {
 		return true
 	}
-	if c.cutAt != r.now {
+	if c := of[0]; c.cutAt != r.now {
 		others := float64(r.set.Siblings - 1)
-		shut := c.shut * math.Exp(-(r.now-c.at).Seconds()/openAgain) * others / (others + fewRouters)
+		part := math.Exp(-max(0, r.shut(c)+r.shut(of[1])) / 2 * others / (others + fewRouters))
 		left := 0.0
 		for _, n := range r.asked {
-			left += n * math.Exp(-shut)
+			left += n * part
 		}
 		c.cutAt, c.bin = r.now, urgencyBins
 		for c.bin > 0 && left >= 0 {
@@ -43,5 +41,5 @@
 		}
 	}
 	b := urgencyBin(r.urgency(q))
-	return b > c.bin || b == c.bin && q.luck < c.part
+	return b > of[0].bin || b == of[0].bin && q.luck < of[0].part
 }
--- a/internal/decide/shed_test.go
+++ b/internal/decide/shed_test.go
@@ -56,8 +56,9 @@
 		g.r.asks(&request{class: c, value: c.Worth, size: 1, aim: g.now})
 	}
 	for _, x := range []struct{ shut, cheap, dear float64 }{{0, 1, 1}, {0.41, 0.5, 1}, {1.1, 0, 1}, {1.8, 0, 0.5}} {
-		c := g.r.crowd(s)
-		c.shut, c.at, c.cutAt = x.shut, g.now, never
+		for _, c := range g.r.crowds(s) {
+			c.shut, c.at, c.cutAt = x.shut, g.now, never
+		}
 		in := map[float64]float64{}
 		for luck := 0.005; luck < 1; luck += 0.01 {
 			for _, no := range []int{cAny, cWrite} {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -48,6 +48,7 @@
 
 	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
 	askedAt Time
+	crowded [2]crowding // at all groups' primaries, and at the others
 
 	watchFails int // subscriptions in a row that did not hold
 }
@@ -104,7 +105,7 @@
 	id      int
 	members []*store
 	held    []*request
-	crowds  [2]crowding // at its primary, and at the others
+	crowded [2]crowding // at its primary, and at the others
 }
 
 type attempt struct {
@@ -375,6 +376,15 @@
 	s.serviceAt = r.now
 }
 
+// crowds are those to which a store belongs, its group's and all groups': what writes meet is not what reads meet.
+func (r *Router) crowds(s *store) [2]*crowding {
+	i := 1
+	if s == r.primary(s.group) {
+		i = 0
+	}
+	return [2]*crowding{&s.group.crowded[i], &r.crowded[i]}
+}
+
 // had is the service that an attempt has had, in times its expected work.
 func (r *Router) had(s *store, a *attempt) float64 {
 	return (s.service - a.service) * r.base(s) / a.req.work()
--- a/internal/kit/emulate/over_test.go
+++ b/internal/kit/emulate/over_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestOverloadOfMany: 150 poolers that do not talk shed a quarter more than the servers can do much as one pooler would.
-// Before they went by their answers' waits, 0.45 was served, two thirds of it late.
+// Before they went by their answers' waits, 0.45 of the worth was served, and 0.57 of all that was asked came late.
 func TestOverloadOfMany(t *testing.T) {
 	t.Parallel()
 	b, err := os.ReadFile("../../../example/rehearsals/over.sexp")
@@ -23,8 +23,8 @@
 	r := play(t, s, Options{Seed: 1})
 	late := float64(r.Score.Total.Late) / float64(r.Score.Total.Asked)
 	t.Logf("service %.3f, late %.3f", r.Score.Ratio, late)
-	if r.Score.Ratio < 0.72 || late > 0.2 {
-		t.Errorf("service %.3f, late %.3f of what was asked; want at least 0.72 and at most 0.2", r.Score.Ratio, late)
+	if r.Score.Ratio < 0.78 || late > 0.15 {
+		t.Errorf("service %.3f, late %.3f of what was asked; want at least 0.78 and at most 0.15", r.Score.Ratio, late)
 	}
 	for _, c := range r.Score.Classes {
 		if c.Ratio < 0.4 {
