--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -48,6 +48,7 @@
 
 	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
 	askedAt Time
+	crowded [2]crowding // at all groups' primaries, and at the others
 
 	watchFails int // subscriptions in a row that did not hold
 
@@ -108,7 +109,7 @@
 	id      int
 	members []*store
 	held    []*request
-	crowds  [2]crowding // at its primary, and at the others
+	crowded [2]crowding // at its primary, and at the others
 }
 
 type attempt struct {
@@ -379,12 +380,13 @@
 	return (s.service - a.service) * r.base(s) / a.req.work()
 }
 
-// crowd is the crowding of those to which a store belongs: what writes meet is not what reads meet.
-func (r *Router) crowd(s *store) *crowding {
+// crowds are those to which a store belongs, its group's and all groups': what writes meet is not what reads meet.
+func (r *Router) crowds(s *store) [2]*crowding {
+	i := 1
 	if s == r.primary(s.group) {
-		return &s.group.crowds[0]
+		i = 0
 	}
-	return &s.group.crowds[1]
+	return [2]*crowding{&s.group.crowded[i], &r.crowded[i]}
 }
 
 // dispatch brings an event to what decides about it.
