Take over what ended processes left once their file is read off the loop, and count credit at clients

Four processes killed in a rehearsal left 892 units stranded for good: the word that a file was read came back with the number of a process from a buffer that had been cleared meanwhile, which the test's disk, that answered at once, did not show. It now answers late.

Entries stay below the log's bound by more than the byte that says whose they are.

--- a/cmd/beechgrade/credit.go
+++ b/cmd/beechgrade/credit.go
@@ -54,7 +54,7 @@
 	go x.write()
 	s := x.settings()
 	x.credit = credit.New(s, p.peers, x, x, x)
-	x.credit.Inherit(gone)
+	x.inherit(gone)
 	p.peers.Join(x.credit)
 	if x.credit.Books() != nil {
 		p.agreed.users.Add(agreed.OfCredit, x.credit)
@@ -244,13 +244,19 @@
 	return gone, nil
 }
 
+func (x *prepaid) inherit(gone []ledger.Holder) {
+	if len(gone) > 0 {
+		x.p.log.Info("credit: found what processes that are no more left", "processes", len(gone))
+		x.credit.Inherit(gone)
+	}
+}
+
 // look finds the files of processes that have ended since.
 func (x *prepaid) look() {
 	if gone, err := x.lock(); err != nil {
 		x.p.log.Warn("credit: files", "err", err)
-	} else if len(gone) > 0 {
-		x.p.log.Info("credit: found what processes that are no more left", "processes", len(gone))
-		x.credit.Inherit(gone)
+	} else {
+		x.inherit(gone)
 	}
 	x.p.loop.At(x.p.loop.Now()+lookMs, x.look)
 }
@@ -274,6 +280,7 @@
 
 // Erase is credit.Files'.
 func (x *prepaid) Erase(h ledger.Holder) {
+	x.p.log.Info("credit: settled what a process that is no more left", "process", fmt.Sprintf("%016x", h))
 	f := x.locks[h]
 	delete(x.locks, h)
 	go func() {
@@ -285,6 +292,18 @@
 	}()
 }
 
+// close tells last words, and how things stood.
+func (x *prepaid) close() {
+	x.credit.Close()
+	if b := x.credit.Books(); b != nil {
+		for _, n := range b.Tenants() {
+			t := b.Tenant(n)
+			x.p.log.Info("credit: books", "tenant", n, "paid", t.Paid, "balance", t.Balance, "lent", t.Lent, "stranded", t.Stranded, "spent", t.Spent)
+		}
+	}
+	x.p.log.Info("credit: ends", "spent", x.spent, "refused", x.refused, "waited", x.waited)
+}
+
 // appendCredit prints how credit stands, where there is any.
 func (p *pooler) appendCredit(dst []byte) []byte {
 	if p.credit == nil {
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -216,7 +216,7 @@
 		}
 		p.log.Info("drained", "ms", now-began)
 		if p.credit != nil {
-			p.credit.credit.Close()
+			p.credit.close()
 		}
 		if p.peers != nil {
 			p.peers.Leave(false)
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -46,6 +46,7 @@
 	Progress func(done, all int)
 
 	Operators string // more of the operators' settings; $POOLER stands for a pooler's name
+	Rereads   []Reread
 
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
 }
@@ -89,6 +90,7 @@
 	Ended  float64      `json:"ended_ms"`
 	Kind   clients.Kind `json:"kind"`
 	Late   bool         `json:"late,omitempty"`
+	Tenant string       `json:"tenant,omitempty"`
 }
 
 // pooler is a daemon's process.
@@ -100,6 +102,7 @@
 
 	record string              // its records' folder
 	limits operate.FleetLimits // of the whole fleet, as its settings have them
+	more   *string             // in place of Options.Operators
 	dir    string
 	run    *Run
 
@@ -209,7 +212,16 @@
 	res := &Result{Rehearsal: r.script.Name, Seed: r.opt.Seed, FromMs: r.clk.Now()}
 	faulty, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	errs := make(chan error, len(r.script.Faults))
+	errs := make(chan error, len(r.script.Faults)+len(r.opt.Rereads))
+	for _, x := range r.opt.Rereads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if err := r.reread(faulty, x); err != nil {
+				errs <- err
+			}
+		}()
+	}
 	for _, f := range r.script.Faults {
 		wg.Add(1)
 		go func() {
@@ -307,7 +319,7 @@
 		t.Kind = clients.Broken
 	}
 	l.Keeper.Tried(t)
-	line := TryLine{ID: t.ID, Class: t.Class.Name, No: t.No, First: t.First, Sent: t.Sent, Ended: t.Ended, Kind: t.Kind, Late: t.Late}
+	line := TryLine{ID: t.ID, Class: t.Class.Name, No: t.No, First: t.First, Sent: t.Sent, Ended: t.Ended, Kind: t.Kind, Late: t.Late, Tenant: t.Tenant}
 	if t.Pooler >= 0 {
 		line.Pooler = l.run.poolers[t.Pooler].name
 	}
@@ -481,7 +493,11 @@
 			peers += p.limits.String()
 		}
 	}
-	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(p.run.opt.Operators, "$POOLER", p.name)
+	more := p.run.opt.Operators
+	if p.more != nil {
+		more = *p.more
+	}
+	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(more, "$POOLER", p.name)
 	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
 }
 
--- a/internal/peers/credit/bank/bank.go
+++ b/internal/peers/credit/bank/bank.go
@@ -42,7 +42,7 @@
 
 // Defaults are for a fleet within one region or a few.
 func Defaults() Settings {
-	return Settings{Beat: 25, Again: 1000, Ends: 11000, Keep: 24 * 3600e3, Patient: 150, Recall: 100, Fresh: 5000, Shrink: 4, Most: 900}
+	return Settings{Beat: 25, Again: 1000, Ends: 11000, Keep: 24 * 3600e3, Patient: 150, Recall: 100, Fresh: 5000, Shrink: 4, Most: 850}
 }
 
 // Pay is a payment, as the operators' settings have it.
--- a/internal/peers/credit/credit.go
+++ b/internal/peers/credit/credit.go
@@ -406,7 +406,8 @@
 		case purse.Write:
 			c.files.Write(a.No, a.Marks)
 		case purse.Read:
-			c.files.Read(a.Holder, func(m []purse.Mark) { c.pursed(purse.Found{Holder: a.Holder, Marks: m}) })
+			h := a.Holder
+			c.files.Read(h, func(m []purse.Mark) { c.pursed(purse.Found{Holder: h, Marks: m}) })
 		case purse.Erase:
 			c.files.Erase(a.Holder)
 		}
--- a/internal/peers/credit/fleet_test.go
+++ b/internal/peers/credit/fleet_test.go
@@ -325,3 +325,55 @@
 		}
 	}
 }
+
+// disk keeps marks of all processes, as files do.
+type disk struct {
+	f    *fleet
+	of   ledger.Holder
+	to   func(no uint64)
+	kept map[ledger.Holder][]purse.Mark
+}
+
+func (d *disk) Write(no uint64, m []purse.Mark) {
+	d.f.at(2, func() { d.kept[d.of] = m; d.to(no) })
+}
+func (d *disk) Read(h ledger.Holder, do func([]purse.Mark)) { d.f.at(2, func() { do(d.kept[h]) }) }
+func (d *disk) Erase(h ledger.Holder)                       { delete(d.kept, h) }
+
+// TestFilesFound has processes crash with what they hold, and others find their files: nothing stays stranded, and what was in flight alone is
+// charged without having been done, beside what the marks were ahead.
+func TestFilesFound(t *testing.T) {
+	t.Parallel()
+	kept := map[ledger.Holder][]purse.Mark{}
+	f := newFleet(t, 8, func(s *Settings) {
+		s.Pays = []bank.Pay{{Tenant: "t", No: 1, Amount: 100000}}
+		s.Purse.Marks = true
+	})
+	for _, n := range f.nodes {
+		n.c.files = &disk{f, n.c.set.Holder, func(no uint64) {
+			if !n.dead {
+				n.c.Written(no)
+			}
+		}, kept}
+	}
+	f.run(2000)
+	f.load(500, 12000, even, nil)
+	f.run(8000)
+	crash := []ledger.Holder{1003, 1004}
+	most := int64(0)
+	for i, h := range crash {
+		f.nodes[3+i].dead = true
+		most += int64(len(kept[h])) * 500
+	}
+	f.run(9000)
+	f.nodes[5].c.Inherit(crash)
+	f.run(40000)
+	b := f.nodes[0].c.Books().Tenant("t")
+	t.Logf("served %d, %+v", f.charged, b)
+	if b.Stranded != 0 || kept[1003] != nil || kept[1004] != nil {
+		t.Errorf("stranded %d, files %v", b.Stranded, kept)
+	}
+	if over := b.Spent + b.Lent - f.charged; over < 0 || over > most {
+		t.Errorf("%d are charged that were not served", over)
+	}
+}
