Play credit on eight processes, and keep two prices in hand where a tenant asks seldom

Killed voters, a partition, poolers that sleep past their ends, disks gone and torn, and funds for ten requests: each had a test in virtual time alone.

--- /dev/null
+++ b/cmd/beechgrade-kit/credit_test.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/scenario"
+)
+
+// creditPlay is a rehearsal of 8 processes, three or five of which vote, and two tenants that pay ahead.
+type creditPlay struct {
+	voters int
+	funds  int64  // of tenant a; b has plenty
+	more   string // of the credit's settings
+	script string
+	rate   float64
+	pays   []creditPay // later
+	killed func(disk, pooler string)
+}
+
+// creditPay is a payment of tenant a that some poolers read.
+type creditPay struct {
+	at      float64 // ms
+	no      int
+	amount  int64
+	poolers []int
+}
+
+const creditPrice = 10
+
+var creditClasses = []string{"quadro-obra", "conferir-ponto", "relatorio-mes", "registrar-ponto"}
+
+// play plays it, and holds what clients saw to what was paid.
+func (p creditPlay) play(t *testing.T) (*check.Credit, *rehearse.Result) {
+	t.Helper()
+	dir := t.TempDir()
+	names := ""
+	for i := range p.voters {
+		names += fmt.Sprintf(" %q", fmt.Sprintf("pooler-%d", i))
+	}
+	s, err := scenario.Parse("script", []byte(fmt.Sprintf(`(rehearsal "credit" %s (retries 0) (tenant "a" (share 0.5)) (tenant "b" (share 0.5)) %s)`, fleetQuick, p.script)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Clients.Rate = p.rate; p.rate == 0 {
+		s.Clients.Rate = 100
+	}
+	disks := filepath.Join(dir, "disks")
+	settings := func(pays ...creditPay) string {
+		text := fmt.Sprintf("(agreed (voters%s) (dir \"%s/$POOLER\") (tick 50ms) (election 12) (heartbeat 2) (every 400) (keep 100))\n(credit (unit \"cent\") (lease 3s) (renew 500ms) (files %q) (payment \"b\" 1 1000000) (payment \"a\" 1 %d) %s",
+			names, disks, filepath.Join(dir, "marks"), p.funds, p.more)
+		for _, c := range creditClasses {
+			text += fmt.Sprintf(" (price %q (request %d))", c, creditPrice)
+		}
+		once := map[int]bool{}
+		for _, x := range pays {
+			if once[x.no] {
+				continue
+			}
+			once[x.no] = true
+			text += fmt.Sprintf(" (payment \"a\" %d %d)", x.no, x.amount)
+		}
+		return text + ")\n"
+	}
+	opt := rehearse.Options{Seed: 5, Out: dir, Daemon: daemon, Log: slog.New(slog.DiscardHandler), Operators: settings()}
+	c := &check.Credit{Prices: map[string]int64{}}
+	for _, x := range creditClasses {
+		c.Prices[x] = creditPrice
+	}
+	for i, x := range p.pays {
+		opt.Rereads = append(opt.Rereads, rehearse.Reread{AtMs: x.at, Poolers: x.poolers, Operators: settings(p.pays[:i+1]...)})
+	}
+	if p.killed != nil {
+		opt.Killed = func(pooler string) { p.killed(filepath.Join(disks, pooler), pooler) }
+	}
+	res, err := rehearse.Play(context.Background(), s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Pays(0, "a", p.funds)
+	once := map[int]bool{}
+	for _, x := range p.pays {
+		if !once[x.no] {
+			once[x.no] = true
+			c.Pays(res.FromMs+x.at, "a", x.amount)
+		}
+	}
+	c.Pays(0, "b", 1_000_000)
+	for _, b := range res.Rules.Breaches {
+		t.Errorf("%s: at %.1f s: %s", b.Rule, (b.At-res.FromMs)/1000, b.Text)
+		break
+	}
+	f, err := os.Open(filepath.Join(dir, rehearse.TriesFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	for in := bufio.NewScanner(f); in.Scan(); {
+		var l rehearse.TryLine
+		if err := jsoniter.Unmarshal(in.Bytes(), &l); err != nil {
+			t.Fatal(err)
+		}
+		c.Tried(l.Ended, l.Tenant, l.Class, l.Kind == clients.Served, l.Kind == clients.Refused)
+	}
+	if c.End(); len(c.Found) > 0 {
+		t.Error(c.Found[0])
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "pooler-*", "log.txt"))
+	if err != nil || len(logs) != 8 {
+		t.Fatal(err, logs)
+	}
+	for _, name := range logs {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for line := range strings.Lines(string(b)) {
+			if i := strings.Index(line, "msg=\"credit: "); i >= 0 {
+				t.Log(filepath.Base(filepath.Dir(name)), strings.TrimSpace(line[i:]))
+			}
+		}
+	}
+	for _, tenant := range []string{"a", "b"} {
+		n, _ := c.Served(tenant, res.ToMs+60000)
+		asked, turned := c.Counts(tenant)
+		t.Logf("tenant %s: %d asked, %d refused, served for %d", tenant, asked, turned, n)
+	}
+	return c, res
+}
+
+// TestFleetCreditLeader: each voter is killed in turn, so the one that leads too, at whatever step of a loan it is, while a tenant's funds run
+// out; then one pooler that does not vote reads of a payment, twice.
+func TestFleetCreditLeader(t *testing.T) {
+	t.Parallel()
+	const paidAt = 14000
+	c, res := creditPlay{voters: 3, funds: 4000, script: `(seconds 20) (at 2s (kill-pooler 0) (for 1s)) (at 4500ms (kill-pooler 1) (for 1s)) (at 7s (kill-pooler 2) (for 1s)) (at 8s (kill-pooler 6) (for 1s))`,
+		pays: []creditPay{{paidAt, 2, 1000, []int{7}}, {paidAt + 500, 2, 1000, []int{7, 3}}, {paidAt + 1000, 2, 1000, []int{0, 1, 2, 4, 5, 6}}}}.play(t)
+	before, next := c.Served("a", res.FromMs+paidAt)
+	if before < 3600 {
+		t.Errorf("%d of 4000 were used before the second payment", before)
+	}
+	if opened := next - res.FromMs - paidAt; next == 0 || opened > 2500 {
+		t.Errorf("the payment opened after %.0f ms", opened)
+	} else {
+		t.Logf("the payment opened after %.0f ms", opened)
+	}
+}
+
+// TestFleetCreditParted: of five voters two are cut off from three, with demand on both sides and funds that run out meanwhile; then a payment is
+// read on the side that has no majority, and opens once the ways are well.
+func TestFleetCreditParted(t *testing.T) {
+	t.Parallel()
+	c, res := creditPlay{voters: 5, funds: 3500, script: `(seconds 24) (at 4s (between (0 1 5) (2 3 4 6 7) cut) (for 9s)) (at 15s (between all all (lose 0.2) (duplicate 0.2) (reorder 0.2)) (for 5s))`,
+		pays: []creditPay{{11000, 2, 1500, []int{5}}}}.play(t)
+	if used, _ := c.Served("a", res.FromMs+22000); used < 4000 {
+		t.Errorf("%d of 5000 were used", used)
+	}
+}
+
+// TestFleetCreditStopped: poolers stand still past their accounts' ends, and wake; what they held is spent by nobody twice.
+func TestFleetCreditStopped(t *testing.T) {
+	t.Parallel()
+	c, res := creditPlay{voters: 3, funds: 4500, script: `(seconds 22) (at 3s (stall-pooler 5) (for 6s)) (at 4s (stall-pooler 0) (for 6s)) (at 11s (stall-pooler 1) (for 5s)) (at 11s (stall-pooler 6) (for 5s))`}.play(t)
+	if used, _ := c.Served("a", res.ToMs); used < 4000 {
+		t.Errorf("%d of 4500 were used", used)
+	}
+}
+
+// TestFleetCreditDisks: all are killed and come back on their disks, one of them without, one with a torn end; what was paid and spent is known
+// as before.
+func TestFleetCreditDisks(t *testing.T) {
+	t.Parallel()
+	var kills string
+	for i := range 8 {
+		kills += fmt.Sprintf(" (at 6s (kill-pooler %d) (for 500ms))", i)
+	}
+	c, res := creditPlay{voters: 3, funds: 4000, script: `(seconds 22)` + kills,
+		killed: func(disk, pooler string) {
+			switch pooler {
+			case "pooler-1":
+				_ = os.RemoveAll(disk)
+			case "pooler-2":
+				damage(t, disk, func(b []byte) []byte { return append(b, 40, 0, 0, 0, 1, 2, 3) })
+			}
+		}}.play(t)
+	if used, _ := c.Served("a", res.ToMs); used < 3000 {
+		t.Errorf("%d of 4000 were used", used)
+	}
+}
+
+// TestFleetCreditTen: funds for ten requests, eight processes that want them.
+func TestFleetCreditTen(t *testing.T) {
+	t.Parallel()
+	c, res := creditPlay{voters: 3, funds: 10 * creditPrice, script: `(seconds 8)`}.play(t)
+	if used, _ := c.Served("a", res.ToMs); used != 10*creditPrice {
+		t.Errorf("%d of %d were used", used, 10*creditPrice)
+	}
+}
--- a/internal/kit/explore/credits.go
+++ b/internal/kit/explore/credits.go
@@ -61,6 +61,7 @@
 	stopped int
 	files   []purse.Mark
 	wrote   uint64
+	legacy  []ledger.Holder // whose files it has taken over
 	flights []purse.Hold
 }
 
@@ -212,6 +213,8 @@
 			s.admit(x, a.Hold)
 		case purse.Turn:
 			s.Turned++
+		case purse.Erase:
+			x.legacy = slices.DeleteFunc(slices.Clone(x.legacy), func(h ledger.Holder) bool { return h == a.Holder })
 		case purse.Read:
 			k := slices.IndexFunc(s.poolers, func(x *spender) bool { return x.id == a.Holder })
 			s.pursed(i, x.p.Handle(s.clockOf(i), purse.Found{Holder: a.Holder, Marks: s.poolers[k].files}, nil))
@@ -380,7 +383,7 @@
 	for _, st := range x.p.Standings() {
 		s.Crashed += st.Free + st.Held
 	}
-	y := &spender{id: x.id + 100, rate: x.rate}
+	y := &spender{id: ledger.Holder(100 * len(s.poolers)), rate: x.rate, legacy: append(slices.Clone(x.legacy), x.id)}
 	s.poolers = append(s.poolers, y)
 	if x.stopped = stop; stop == 0 {
 		x.gone, x.flights = true, nil
@@ -388,7 +391,7 @@
 	k := len(s.poolers) - 1
 	y.p = purse.New(s.Set, y.id, s.clockOf(k))
 	if s.Set.Marks {
-		s.pursed(k, y.p.Handle(s.clockOf(k), purse.Inherit{Gone: []ledger.Holder{x.id}}, nil))
+		s.pursed(k, y.p.Handle(s.clockOf(k), purse.Inherit{Gone: y.legacy}, nil))
 	}
 }
 
--- a/internal/peers/credit/bank/bank.go
+++ b/internal/peers/credit/bank/bank.go
@@ -76,6 +76,7 @@
 	now    float64
 	leads  bool
 	asks   []pending
+	byKey  map[ledger.Key]int // of asks
 	pays   []Pay
 	flight [][]byte
 	sentAt float64
@@ -106,7 +107,7 @@
 
 // New makes a voter's bank over its books.
 func New(set Settings, books *ledger.Ledger, now float64) *Bank {
-	b := &Bank{set: set, books: books, now: now, demand: map[string][]told{}, called: map[ledger.Key]float64{}}
+	b := &Bank{set: set, books: books, now: now, demand: map[string][]told{}, called: map[ledger.Key]float64{}, byKey: map[ledger.Key]int{}}
 	b.Restored(now)
 	return b
 }
@@ -130,6 +131,7 @@
 	b.now = max(b.now, now)
 	if b.leads != leads {
 		b.leads, b.flight, b.asks = leads, nil, nil
+		clear(b.byKey)
 		clear(b.demand)
 	}
 }
@@ -144,7 +146,8 @@
 			continue
 		}
 		p := pending{asks[i], from, b.now}
-		if k := slices.IndexFunc(b.asks, func(o pending) bool { return o.Key == p.Key }); k < 0 {
+		if k, ok := b.byKey[p.Key]; !ok {
+			b.byKey[p.Key] = len(b.asks)
 			b.asks = append(b.asks, p)
 		} else if o := &b.asks[k]; p.Seq >= o.Seq || p.Final {
 			p.since = o.since
@@ -353,6 +356,10 @@
 		ops = append(ops, ledger.Op{Kind: ledger.Lend, Key: p.Key, Seq: p.Seq, Spent: p.Spent, Returned: p.Returned, Amount: n})
 	}
 	b.asks = rest
+	clear(b.byKey)
+	for i := range rest {
+		b.byKey[rest[i].Key] = i
+	}
 	for _, name := range order {
 		if unmet[name] > 0 {
 			b.call(name, unmet[name])
@@ -407,7 +414,8 @@
 	}
 	var all []holds
 	for _, k := range b.books.Accounts(tenant) {
-		needs := slices.ContainsFunc(b.asks, func(p pending) bool { return p.Key == k && p.Need > 0 })
+		i, asks := b.byKey[k]
+		needs := asks && b.asks[i].Need > 0
 		if a, _ := b.books.Account(k); !needs && !a.Expired && a.Open() > 0 {
 			all = append(all, holds{k, a.Open()})
 		}
--- a/internal/peers/credit/bank/clone.go
+++ b/internal/peers/credit/bank/clone.go
@@ -15,7 +15,7 @@
 	c.out = nil
 	c.books = b.books.Clone()
 	c.asks, c.pays, c.queue, c.ended = slices.Clone(b.asks), slices.Clone(b.pays), slices.Clone(b.queue), slices.Clone(b.ended)
-	c.flight = slices.Clone(b.flight)
+	c.flight, c.byKey = slices.Clone(b.flight), maps.Clone(b.byKey)
 	c.demand, c.called = map[string][]told{}, maps.Clone(b.called)
 	for k, l := range b.demand {
 		c.demand[k] = slices.Clone(l)
--- a/internal/peers/credit/fleet_test.go
+++ b/internal/peers/credit/fleet_test.go
@@ -377,3 +377,60 @@
 		t.Errorf("%d are charged that were not served", over)
 	}
 }
+
+// TestManyTenants has 10,000 tenants that paid, a hundred of which ask: books and words grow with those that ask, not with those that paid.
+func TestManyTenants(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 30, func(s *Settings) {
+		s.Purse.Prepaid, s.Purse.Checks = nil, nil
+		for i := range 10000 {
+			name := fmt.Sprintf("t%d", i)
+			s.Purse.Prepaid = append(s.Purse.Prepaid, name)
+			s.Pays = append(s.Pays, bank.Pay{Tenant: name, No: 1, Amount: 1000})
+		}
+	})
+	f.run(6000)
+	entries, bytes := f.entries, f.bytes
+	for i, n := range f.nodes {
+		var next func()
+		next = func() {
+			f.ask(n, fmt.Sprintf("t%d", f.rng.IntN(100)*97), 0)
+			f.at(f.rng.ExpFloat64()*30, next)
+		}
+		f.at(float64(i), next)
+	}
+	f.run(16000)
+	tenants, accounts := f.nodes[0].c.Books().Size()
+	t.Logf("%d requests, %d waited, %d refused; %d tenants, %d accounts; %.1f entries and %.0f bytes a second, snapshot of %d bytes", f.asked, f.waited, f.refused, tenants, accounts,
+		float64(f.entries-entries)/10, float64(f.bytes-bytes)/10, len(f.nodes[0].c.Snapshot()))
+	if tenants != 10000 || accounts > 100*30*2 || f.refused > 0 {
+		t.Errorf("%d tenants, %d accounts, %d refused", tenants, accounts, f.refused)
+	}
+}
+
+// TestOverspent draws fleets in which words are lost, the ways part, leaders change and poolers crash and stand still: never is more charged than
+// was paid.
+func TestOverspent(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		funds := int64(2000 + rng.IntN(4000))
+		f := newFleet(t, 12, pay(bank.Pay{Tenant: "t", No: 1, Amount: funds}))
+		f.rng = rand.New(rand.NewPCG(seed, 4))
+		f.run(1000)
+		f.load(600, 14000, even, func(i int) bool { return f.now > f.nodes[i].late })
+		f.at(2000, func() { f.lossy = 0.2 })
+		f.at(5000, func() { f.lossy = 0; f.parted = func(a, b int) bool { return (a < 6) != (b < 6) } })
+		f.at(9000, func() { f.parted = nil })
+		for range 4 {
+			f.at(1000+rng.Float64()*9000, func() { f.lead(rng.IntN(3)) })
+			x := f.nodes[3+rng.IntN(9)]
+			f.at(1000+rng.Float64()*9000, func() { x.dead = x.no%3 == 0 })
+		}
+		f.run(40000)
+		f.check(funds)
+		if b := f.nodes[f.leader].c.Books().Tenant("t"); b.Spent+b.Stranded+b.Lent < f.charged || b.Paid != funds {
+			t.Errorf("seed %d: charged %d, books %+v", seed, f.charged, b)
+		}
+	}
+}
--- a/internal/peers/credit/purse/ask.go
+++ b/internal/peers/credit/purse/ask.go
@@ -90,7 +90,10 @@
 	a := &o.cur
 	need, rate := p.need(t, o.depth), p.rate(t, o)
 	price := p.price(t, o.depth)
-	target := max(int64(rate*p.set.Span/1000), need, min(price, int64(rate*1e6)))
+	target := max(int64(rate*p.set.Span/1000), need)
+	if rate > 1e-3 { // one in the hand while one is asked for
+		target = max(target, 2*price)
+	}
 	dry := p.now < t.dry && t.total(p.now) > 0
 	if dry {
 		target = max(target, price)
--- a/internal/peers/credit/purse/purse.go
+++ b/internal/peers/credit/purse/purse.go
@@ -359,7 +359,7 @@
 				o.cur.returned += o.cur.free()
 			}
 			o.over = append(o.over, o.cur)
-			o.cur = account{}
+			o.cur, o.askAt = account{}, 0
 		}
 		o.over = slices.DeleteFunc(o.over, func(x account) bool { return x.gen == a.Key.Gen && x.held == 0 })
 		return
