Restart voters one at a time and change prices midway on eight processes, and measure a hold

Two hard cases had no test with processes: voters that restart in order under load, and a price that changes in the midst.

--- a/cmd/beechgrade-kit/credit_test.go
+++ b/cmd/beechgrade-kit/credit_test.go
@@ -26,7 +26,9 @@
 	script string
 	rate   float64
 	pays   []creditPay // later
-	killed func(disk, pooler string)
+
+	cheaper float64 // ms: from then on a request costs less
+	killed  func(disk, pooler string)
 }
 
 // creditPay is a payment of tenant a that some poolers read.
@@ -57,11 +59,12 @@
 		s.Clients.Rate = 100
 	}
 	disks := filepath.Join(dir, "disks")
+	price := int64(creditPrice)
 	settings := func(pays ...creditPay) string {
 		text := fmt.Sprintf("(agreed (voters%s) (dir \"%s/$POOLER\") (tick 50ms) (election 12) (heartbeat 2) (every 400) (keep 100))\n(credit (unit \"cent\") (lease 3s) (renew 500ms) (files %q) (payment \"b\" 1 1000000) (payment \"a\" 1 %d) %s",
 			names, disks, filepath.Join(dir, "marks"), p.funds, p.more)
 		for _, c := range creditClasses {
-			text += fmt.Sprintf(" (price %q (request %d))", c, creditPrice)
+			text += fmt.Sprintf(" (price %q (request %d))", c, price)
 		}
 		once := map[int]bool{}
 		for _, x := range pays {
@@ -81,6 +84,13 @@
 	for i, x := range p.pays {
 		opt.Rereads = append(opt.Rereads, rehearse.Reread{AtMs: x.at, Poolers: x.poolers, Operators: settings(p.pays[:i+1]...)})
 	}
+	if p.cheaper > 0 { // what is served is held to the lower of both
+		price = creditPrice / 2
+		opt.Rereads = append(opt.Rereads, rehearse.Reread{AtMs: p.cheaper, Poolers: []int{0, 1, 2, 3, 4, 5, 6, 7}, Operators: settings()})
+		for _, x := range creditClasses {
+			c.Prices[x] = price
+		}
+	}
 	if p.killed != nil {
 		opt.Killed = func(pooler string) { p.killed(filepath.Join(disks, pooler), pooler) }
 	}
@@ -207,3 +217,18 @@
 		t.Errorf("%d of %d were used", used, 10*creditPrice)
 	}
 }
+
+// TestFleetCreditRestarted: voters restart in order one at a time, under load, while prices are halved midway at all poolers: each request costs
+// what it was let in by.
+func TestFleetCreditRestarted(t *testing.T) {
+	t.Parallel()
+	const funds, cheaper = 6000, 9000
+	c, res := creditPlay{voters: 3, funds: funds, cheaper: cheaper,
+		script: `(seconds 20) (at 3s (restart-pooler 0)) (at 7s (restart-pooler 1)) (at 11s (restart-pooler 2)) (at 14s (restart-pooler 5))`}.play(t)
+	before, _ := c.Served("a", res.FromMs+cheaper)
+	all, _ := c.Served("a", res.ToMs)
+	const midst = 20 * creditPrice // that were under way, or read the new prices later
+	if used := before + all; used < funds*9/10 || used > funds+midst {
+		t.Errorf("%d of %d were used, %d of them at the old price", used, funds, 2*before)
+	}
+}
--- a/internal/kit/explore/credits_test.go
+++ b/internal/kit/explore/credits_test.go
@@ -172,7 +172,7 @@
 	}
 }
 
-// TestCreditsExplored goes through all that can befall two poolers and two voters with funds for two requests.
+// TestCreditsExplored goes through all that can befall two poolers and three voters with funds for two requests.
 func TestCreditsExplored(t *testing.T) {
 	t.Parallel()
 	for name, f := range map[string]CreditFaults{
@@ -181,10 +181,10 @@
 		"a crash, and a payment read again":      {Ask: 3, Crash: 1, Pay: 1},
 		"stopped and replaced":                   {Ask: 2, Stop: 1},
 	} {
-		s := NewCredits(2, 2, 2)
+		s := NewCredits(3, 2, 2)
 		s.CreditFaults = f
 		s.Start()
-		r := Run(s, Bounds{Depth: 16, States: 60_000})
+		r := Run(s, Bounds{Depth: 16, States: 200_000})
 		if r.Err != nil {
 			t.Fatalf("%s: %v\n%s", name, r.Err, strings.Join(r.Trace, "\n"))
 		}
--- a/internal/peers/credit/purse/purse_test.go
+++ b/internal/peers/credit/purse/purse_test.go
@@ -174,3 +174,19 @@
 		t.Fatalf("%+v", acts)
 	}
 }
+
+// BenchmarkHold is what credit costs a request.
+func BenchmarkHold(b *testing.B) {
+	s := Defaults()
+	s.Prepaid, s.Classes = []string{"t"}, []Class{{Price: Price{Request: 1}, Worth: 1}}
+	p := New(s, 7, 0)
+	p.tenantOf("t").pot(0).cur = account{gen: 1, granted: 1 << 50, till: 1e6}
+	b.ReportAllocs()
+	for b.Loop() {
+		h, v := p.Hold(1002, "t", 0, 1, 1, 2)
+		if v != Pass {
+			b.Fatal(v)
+		}
+		p.Settle(&h, Done{Served: 1})
+	}
+}
