--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -15,6 +15,7 @@
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/handover"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
@@ -23,6 +24,7 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -62,14 +64,17 @@
 	pooledAddr string         // where it listens
 	stopPooled func()
 
+	scatter *scatter.Front // reads over many groups, nil where there are none
+
 	house      *clickhouse.Front // nil where it is off
 	houseAddr  string
 	houseGroup int
 	stopHouse  func()
 
-	peers  *peers.Peers // nil where it is no fleet's
-	expect int          // poolers that there are to be
-	limits *fleetLimits // nil where none hold for the whole fleet
+	peers  *peers.Peers   // nil where it is no fleet's
+	expect int            // poolers that there are to be
+	limits *fleetLimits   // nil where none hold for the whole fleet
+	over   *joined.Joined // nil where overload is handled alone
 
 	journal *journal.Journal // nil where it is off
 	agreed  *commonLog       // nil where it is off
@@ -146,6 +151,9 @@
 	if p.pooled != nil {
 		sessions, conns = sessions+p.pooled.Sessions(), conns+p.pooled.Conns()
 	}
+	if p.scatter != nil {
+		conns += p.scatter.Conns()
+	}
 	if p.house != nil {
 		sessions, conns = sessions+p.house.Sessions(), conns+p.house.Conns()
 	}
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -1,7 +1,5 @@
 package decide
 
-// What attempts came to, and when one is tried anew.
-
 import (
 	"math"
 	"slices"
@@ -40,6 +38,7 @@
 			s.want += q.work()
 			s.got += got
 			if r.warmth(s) == 1 { // how cold a store is, is known roughly: it proves little
+				r.waited(s, took-q.work()/r.base(s))
 				c.n++
 				c.work += max(workGain, 1/(c.n+8)) * (got*r.base(s)*c.work/q.work() - c.work)
 				c.work = max(c.work, 1e-3)
@@ -52,8 +51,8 @@
 			o.passed++
 		}
 		r.alive(s, a)
-		if q.class.Read == Write && r.set.KeptTokens && e.Told.HasPosition {
-			r.remember(q.session, e.Told.Position)
+		if q.class.Read == Write && r.set.KeptTokens {
+			r.remember(q.session, e.Told.position(r.now)) // by now it was committed, whatever it tells
 		}
 	case Missed:
 		r.alive(s, a)
@@ -63,8 +62,7 @@
 			s.pace /= 2 // it is further behind than guessed
 		}
 	case Full, Unreachable, Failed, Reset:
-		// No proof that the store is down, as answers may be lost one by one: it costs more for a while. It
-		// is left alone for a turn, but not after a first failure: nothing else may serve.
+		// No proof that it is down: it costs more for a while, and is left alone for a turn, but not at once.
 		if e.Result == Unreachable && !r.wayTook(s, r.now-a.sent) && r.now-a.sent < stall {
 			r.refused(s)
 		} else if e.Result == Unreachable { // not refused at once: a probe tells whether it lives
@@ -92,15 +90,13 @@
 	r.pump(s.group)
 }
 
-// spent tells that a request may not be sent again. One that may have run could otherwise apply twice:
-// an unsafe one at any time, a keyed one once its servers may have forgotten it.
+// spent tells that a request may not be sent again: one that may have run might then apply twice.
 func (r *Router) spent(q *request) bool {
 	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
-		r.now+r.set.Tick >= q.sendBy
+		r.now+r.set.Tick >= q.sendBy || (q.maybe || q.open > 0) && r.set.Shed[q.group.id] != nil
 }
 
-// rescue frees requests from silent stores and from attempts mislaid, which had several times their work as
-// later ones were answered: by a second copy, or by calling the first off; nothing unsafe. They are no load.
+// rescue frees safe requests from silent stores and mislaid attempts, by a copy or by calling the first off.
 func (r *Router) rescue(g *group) {
 	for _, s := range g.members {
 		for _, a := range slices.Clone(s.open) {
@@ -127,13 +123,7 @@
 	}
 }
 
-// had is the service that an attempt has had, in times its expected work.
-func (r *Router) had(s *store, a *attempt) float64 {
-	return (s.service - a.service) * r.base(s) / a.req.work()
-}
-
-// patience is what an attempt that others overtook may have had before it is taken for lost: about exp(-x)
-// have more than x times their work; where that is less than the part that is lost, lost is likelier.
+// patience is what one overtaken may have had before lost is likelier: exp(-x) have more than x times their work.
 func (r *Router) patience(g *group) float64 {
 	if len(g.held) > 0 { // copies would be at others' expense
 		return lostAfter
--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -1,7 +1,5 @@
 package decide
 
-// The list of servers.
-
 import "time"
 
 func (r *Router) onList(e *List) {
@@ -22,7 +20,7 @@
 				continue
 			}
 			s = r.newStore(n.Store, r.groupOf(n.Group))
-			s.soft, s.part = r.set.DrainOnly, r.rng.Float64() // each goes round from a place of its own
+			s.part = r.rng.Float64() // each goes round from a place of its own
 			if r.listed {
 				s.part = 0
 				if r.set.MayProbe {
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -1,7 +1,5 @@
 package decide
 
-// The decision module: its tuned values, its settings, and each event on its way to what decides about it.
-
 import (
 	"math"
 	"slices"
@@ -32,7 +30,7 @@
 	silentTurns  = 3.0                    // ...and this many mean request times
 	flowMemory   = 5 * time.Second        // memory of this router's own flow of requests
 	pickMemory   = 4.0                    // memory of where a group's requests went, in rounds of its members
-	askMost      = 2                      // stores asked for one read: the best two tell most of it
+	askShare     = 0.5                    // part of its worth that may go into asking for one request
 	askWait      = 4                      // ticks that a read waits for what it asked
 	othersLike   = 0.5                    // a guess counts at most as this part of our own, for each other
 	trialJobs    = 3                      // requests at once on trial: one may be lost and prove nothing
@@ -53,11 +51,15 @@
 	outage       = time.Second            // refusing for this long means a restarted process
 	sessionsKept = 20000                  // sessions in a generation of remembered commits
 	goneKeep     = 30 * time.Second       // before a vanished store is forgotten
+	waitPart     = 0.25                   // too long a wait behind others: this part of the least aim...
+	waitLeast    = 0.5                    // ...but no less than this part of a usual request's time
+	waitMost     = 4.0                    // so many times that counts at most
+	shutRate     = 0.25                   // what is let in falls so fast a second for each time that
+	openAgain    = 10.0                   // seconds: memory of that
 	dueMargin    = 2                      // ticks before a request's end at which it gets its answer
 )
 
-// tune takes new settings. Classes keep their numbers and what was learned of them; one without an aim is not
-// asked for any more. Requests under way keep the class that they came with.
+// tune takes new settings. Classes keep their numbers and what was learned; one without an aim has gone.
 func (r *Router) tune(set Settings) {
 	old := r.classes
 	for i := range r.tenants { // by the rates that were
@@ -92,34 +94,14 @@
 	}
 	if r.wakeAt != never && r.now-r.wakeAt > stall {
 		// This router's own standstill must not count against stores: what was out has no measured time.
-		// Where it might hurt: a store that died meanwhile is called silent a little later.
 		r.wakeAt = r.now
 		r.blurOpen()
 	}
-	switch e := e.(type) {
-	case *Request:
-		r.onRequest(e)
-	case *Outcome:
-		r.onOutcome(e)
-	case *Expired:
-		if q := r.reqs[e.ID]; q != nil {
-			r.forget(q)
-		}
-	case *ProbeResult:
-		r.onProbe(e)
-	case *List:
-		r.onList(e)
-	case *Retune:
-		r.tune(e.Settings)
-	case *Timer:
-		r.wakeAt = never
-		r.onBeat()
-	}
+	r.dispatch(e)
 	if r.now >= r.rewatchAt {
 		r.rewatchAt, r.watchedAt = math.MaxInt64, r.now
 		r.act(Action{Kind: Subscribe})
 	}
-	// A timer only while something is open or due: hundreds of idle routers cost nothing.
 	if r.wakeAt == never && (len(r.reqs) > 0 || r.open > 0 || r.rewatchAt < math.MaxInt64) {
 		r.wakeAt = r.now + beat
 		r.act(Action{Kind: SetTimer, At: r.wakeAt})
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,7 +19,9 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
+	Overload   Overload
 	Invariants Invariants
+	Scatter    Scatter
 	Agreed     Agreed
 	Credit     Credit
 }
@@ -68,17 +70,19 @@
 	err = sexp.Form{
 		"record":       func(n *sexp.Node) error { return s.Record.read(n, env) },
 		"clickhouse":   s.ClickHouse.read,
+		"scatter":      func(n *sexp.Node) error { return s.Scatter.read(n, env) },
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"overload":     s.Overload.read,
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
-	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
-		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
 	}
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
