Have tenants pay ahead in virtual time too, with the log, files and clients' counts

Credit was played in a test's own small fleet and on processes; faults of whole fleets with servers behind them were not.

--- /dev/null
+++ b/internal/kit/emulate/credit.go
@@ -0,0 +1,129 @@
+package emulate
+
+import (
+	"slices"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/agreed/joined"
+	"beechgrade/internal/peers/credit"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/purse"
+	"beechgrade/internal/peers/part"
+)
+
+// Prepaid has tenants pay ahead in virtual time, as the daemon has it: on the log in common, with marks in files that outlive processes.
+type Prepaid struct {
+	Log   *CommonLog
+	Set   operate.Credit
+	Marks [2]float64 // ms that a durable write of marks takes, from and to
+
+	files   map[ledger.Holder][]purse.Mark
+	writers map[ledger.Holder]int // pooler
+	now     map[int]*payer        // the process of each pooler
+}
+
+// payer is a process's side; it is core's Credit, and credit's Log, Files and Events.
+type payer struct {
+	*Prepaid
+	h       Host
+	of      ledger.Holder
+	c       *credit.Credit
+	log     *joined.Part
+	classes map[string]int
+}
+
+// Join makes a process's parts: the log's and credit's.
+func (c *Prepaid) Join(h Host) []part.Part {
+	if c.files == nil {
+		c.files, c.writers, c.now = map[ledger.Holder][]purse.Mark{}, map[ledger.Holder]int{}, map[int]*payer{}
+	}
+	p := h.x.p
+	x := &payer{Prepaid: c, h: h, of: ledger.Holder(h.No()+1)<<32 | ledger.Holder(h.Life()), classes: map[string]int{}}
+	var names []string
+	for i := range p.e.script.Clients.Classes {
+		name := p.e.script.Clients.Classes[i].Name
+		names, x.classes[name] = append(names, name), i
+	}
+	set := c.Set.For(names, func(i int) float64 { return p.e.script.Clients.Classes[i].Worth })
+	set.Purse.Marks, set.Purse.Checks = true, p.e.checks
+	for i := range c.Log.Voters {
+		set.Voters = append(set.Voters, p.e.poolerName(i))
+	}
+	set.Name, set.Holder = p.name, x.of
+	x.c = credit.New(set, h, x, x, x)
+	users := &agreed.Shared{}
+	if x.c.Books() != nil {
+		users.Add(agreed.OfCredit, x.c)
+	}
+	x.log = c.Log.Join(h, users, func(a *agreed.Action) {
+		switch a.Kind {
+		case agreed.Leads:
+			x.c.Lead(p.name)
+		case agreed.Follows:
+			x.c.Lead(a.Leader)
+		case agreed.Broke:
+			x.c.Lead("")
+		}
+	})
+	var gone []ledger.Holder // this pooler's own; each has a disk of its own
+	for of, no := range c.writers {
+		if no == h.No() && of != x.of {
+			gone = append(gone, of)
+		}
+	}
+	slices.Sort(gone)
+	c.writers[x.of] = h.No()
+	c.now[h.No()] = x
+	x.c.Inherit(gone)
+	h.At(h.Now(), func() { p.core.Credit(x) })
+	return []part.Part{x.log, x.c}
+}
+
+// Hold is core.Credit's.
+func (x *payer) Hold(tenant, class, session string, tag uint64) (purse.Hold, purse.Verdict) {
+	i, ok := x.classes[class]
+	if !ok {
+		return purse.Hold{}, purse.Pass
+	}
+	return x.c.Hold(tenant, i, purse.Session(session), 1, tag)
+}
+
+// Settle is core.Credit's.
+func (x *payer) Settle(h *purse.Hold, d purse.Done) { x.c.Settle(h, d) }
+
+// Cancel is core.Credit's.
+func (x *payer) Cancel(tenant string, tag uint64) { x.c.Cancel(tenant, tag) }
+
+// Admit is credit.Events'.
+func (x *payer) Admit(tag uint64, h purse.Hold) { x.h.x.p.core.Funded(tag, h) }
+
+// Turn is credit.Events'.
+func (x *payer) Turn(tag uint64) { x.h.x.p.core.Unfunded(tag) }
+
+// Propose is credit.Log's.
+func (x *payer) Propose(entry []byte) {
+	x.log.Propose(0, append([]byte{agreed.OfCredit}, entry...))
+}
+
+// Write is credit.Files'.
+func (x *payer) Write(no uint64, m []purse.Mark) {
+	x.h.At(x.h.Now()+(x.Marks[0]+x.Marks[1])/2, func() {
+		x.files[x.of] = m
+		x.c.Written(no)
+	})
+}
+
+// Read is credit.Files'.
+func (x *payer) Read(h ledger.Holder, do func([]purse.Mark)) {
+	x.h.At(x.h.Now()+1, func() { do(x.files[h]) })
+}
+
+// Erase is credit.Files'.
+func (x *payer) Erase(h ledger.Holder) {
+	delete(x.files, h)
+	delete(x.writers, h)
+}
+
+// Books are those of a voter's process.
+func (c *Prepaid) Books(no int) *ledger.Ledger { return c.now[no].c.Books() }
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -28,6 +28,7 @@
 	Progress func(virtualMs, endMs float64)
 	Broken   func(invariant.Breach) // is told of each invariant that breaks first, at that moment; may be nil
 	Parts    []Joined               // that live in each pooler, beside those that the scenario has
+	Tried    func(t *clients.Try)   // is told how each try ended for its client; may be nil
 }
 
 // startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -231,6 +231,10 @@
 	}
 	e.s.mix(v.id, uint64(len(kind))<<32|uint64(t.Pooler+1))
 	e.keeper.Tried(t)
+	if e.opt.Tried != nil {
+		t.Tenant = e.script.Clients.TenantOf(&a.Ask)
+		e.opt.Tried(t)
+	}
 	if kind == clients.Served || v.no == len(a.Waits) {
 		if kind != clients.Served {
 			e.lost[string(kind)] += v.class.Worth
