--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -46,6 +45,7 @@
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
 	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds
 	coldMargin   = 0.5                    // part of the fall budget to use: estimates are rough
+	watchPart    = 0.6                    // of the time that routers may go without a subscription, at most until the next
 	watchSoon    = 100 * time.Millisecond // before subscribing anew, plus jitter of the same...
 	watchPause   = time.Second            // ...doubled up to this while it fails within as long
 	outage       = time.Second            // refusing for this long means a restarted process
@@ -109,17 +109,3 @@
 	r.watched(e, len(out))
 	return r.out
 }
-
-func (r *Router) onBeat() {
-	if r.now >= r.refreshAt {
-		r.refresh()
-	}
-	for _, g := range r.gorder {
-		if len(g.held) == 0 && !slices.ContainsFunc(g.members, (*store).isBusy) {
-			continue
-		}
-		r.tend(g)
-		r.rescue(g)
-		r.pump(g)
-	}
-}
