End a pooler whose address is taken, and hold marks on disk to their locks

Marks are found once, by whoever gets the lock of a process that is gone, and left alone while it is there.

--- a/cmd/beechgrade/agreed.go
+++ b/cmd/beechgrade/agreed.go
@@ -32,6 +32,7 @@
 	store  *store.Store
 	ended  chan struct{}
 	opened chan struct{}
+	begun  bool
 
 	mu  sync.Mutex
 	box []func() // words of the disk, on their way to the loop
@@ -65,6 +66,9 @@
 	p.agreed = l
 	return func() {
 		close(l.ended)
+		if !l.begun { // the pooler's address could not be had
+			return
+		}
 		<-l.opened
 		if l.store != nil {
 			_ = l.store.Close()
@@ -74,6 +78,7 @@
 
 // begin opens a voter's disk, off the loop: another process of this pooler may have it still.
 func (l *commonLog) begin() {
+	l.begun = true
 	if l.set.Witness > 0 {
 		l.next = 1
 		l.p.loop.At(l.p.loop.Now()+witnessMs, l.try)
--- /dev/null
+++ b/cmd/beechgrade/credit_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/credit/ledger"
+	"beechgrade/internal/peers/credit/purse"
+)
+
+// creditOf is a pooler's credit that has not begun, with its files in a folder.
+func creditOf(t *testing.T, dir string) (*pooler, func()) {
+	t.Helper()
+	text := `(peers (listen "127.0.0.1:1") (key "k")) (agreed (voters "a" "b" "c") (dir "` + dir + `")) (credit (price "read" (request 1)) (payment "t" 1 5) (files "` + dir + `"))`
+	set, err := operate.Parse("x", []byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPooler(testConfig(t, "127.0.0.1:1", nil), slog.New(slog.DiscardHandler))
+	if err := p.usePeers(peerSettings(t), operate.FleetLimits{}); err != nil {
+		t.Fatal(err)
+	}
+	stop := p.useAgreed(set.Agreed)
+	end, err := p.useCredit(set.Credit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, func() { end(); stop() }
+}
+
+// TestNeverBegan: a pooler that could not begin, as its address is taken, ends all the same.
+func TestNeverBegan(t *testing.T) {
+	_, stop := creditOf(t, t.TempDir())
+	done := make(chan struct{})
+	go func() { stop(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("it hangs")
+	}
+}
+
+// TestMarksKept: marks are written whole; those of a process that is there are left alone, of one that is gone they are found once.
+func TestMarksKept(t *testing.T) {
+	dir := t.TempDir()
+	one, stop := creditOf(t, dir)
+	x := one.credit
+	want := []purse.Mark{{Key: ledger.Key{Tenant: "t", Holder: x.holder, Gen: 3}, Spent: 70}}
+	x.Write(1, want)
+	stop()
+	two, stopTwo := creditOf(t, dir)
+	defer stopTwo()
+	if n := len(two.credit.locks); n != 1 {
+		t.Fatalf("took over %d files while their process is there", n-1)
+	}
+	_ = x.locks[x.holder].Close() // as the process's end does
+	gone, err := two.credit.lock()
+	if d := cmp.Diff([]ledger.Holder{x.holder}, gone); d != "" || err != nil {
+		t.Fatal(d, err)
+	}
+	if gone, _ = two.credit.lock(); len(gone) > 0 {
+		t.Error("found twice:", gone)
+	}
+	b, err := os.ReadFile(x.file(x.holder, marksEnd))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []purse.Mark
+	if err := jsoniter.Unmarshal(b, &got); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	two.credit.Erase(x.holder)
+	for range 100 {
+		if all, _ := filepath.Glob(filepath.Join(dir, "*"+marksEnd)); len(all) == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("files that have served are left")
+}
