Count what waits for its tenant's funds apart from what the router owes an answer

The statement that the router has all requests that are owed an answer was found broken on processes: of those that wait for funds it has not heard, by design.

They are left out of it, and a statement of their own says that none of them was sent; it is seen to break.

--- a/internal/core/credit_test.go
+++ b/internal/core/credit_test.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/peers/credit/purse"
 	"beechgrade/internal/slots"
@@ -101,7 +102,9 @@
 		}, 1, []string{"failed"}, nil},
 	} {
 		c, p, a, servers, ref := begin(x.say)
+		c.walk(invariant.Test(t)) // also while it waits
 		x.do(c, p, ref)
+		c.walk(invariant.Test(t))
 		if servers.n != x.sends {
 			t.Errorf("%s: sent %d times, want %d", x.name, servers.n, x.sends)
 		}
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -19,7 +19,8 @@
 		x.That(q.open >= 0 && q.open <= len(q.tries), "core: attempts out are of those made", state)
 		x.That(c.ids[q.id], "core: each request has its id", state)
 		open += q.open
-		if !q.over {
+		x.That(q.paid.waits == nil || !q.over && len(q.tries) == 0, "core: what waits for funds has not been sent", state)
+		if !q.over && q.paid.waits == nil { // of what waits for its tenant's funds the router has not heard
 			owed++
 		}
 		if !q.over || q.flow != nil {
