Play scattered reads with processes of the program, and mend three faults found

Processes are killed between and within pages, parted, given other shards and keys; a takeover comes in the midst of a page while rows are written and deleted; servers count what the fleet asks at once.

Found: a read with a position that another pooler had told was held for half its time, as only the two cheapest servers were asked where they stand and never the primary; it is asked now, once more for such a read. An answer told the module of its server only when it came in one piece. A page that was full counted as one whose client had gone.

--- /dev/null
+++ b/cmd/beechgrade-kit/scatter_test.go
@@ -0,0 +1,442 @@
+package main
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	stand "beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/standin/sorted"
+)
+
+// reports are processes of the program before three groups that have a part of a table each.
+type reports struct {
+	*rehearse.Processes
+	t    *testing.T
+	all  []sorted.Row
+	next atomic.Int64
+}
+
+const reportShards = `("a" 0) ("b" 1) ("c" 2)`
+
+// reportSettings are what a process is told beside its peers.
+func reportSettings(pooled, key, shards, more string) string {
+	return fmt.Sprintf(`(pooling (listen %q) (class "office" (needs primary) (aim 5s) (deadline 60s)) (class "reports" (needs session) (aim 5s) (deadline 60s))
+	(pool (class "office") (reads "reports") (connections 4)))
+ (scatter %s (read "visits" (class "reports") (shards %s) (order ("place" int8)) (own ("id" int8)) %s))
+`, pooled, key, shards, more)
+}
+
+// startReports starts three processes; settings says what each is told where it is not the usual.
+func startReports(t *testing.T, more, script string, settings func(i int, pooled string) string) *reports {
+	t.Helper()
+	if settings == nil {
+		settings = func(_ int, pooled string) string { return reportSettings(pooled, "", reportShards, more) }
+	}
+	x, err := rehearse.StartProcesses(context.Background(), daemon, t.TempDir(),
+		`(rehearsal "reports" `+strings.Replace(quick, "(groups 3 3)", "(groups 3 3 3)", 1)+` (poolers 3) (peers (probe 300ms) (timeout 100ms) (suspicion 900ms) (gossip 100ms) (exchange 2s) (reconnect 400ms) (hold 30s))`+script+`)`, settings)
+	if x != nil {
+		t.Cleanup(x.Close)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &reports{Processes: x, t: t}
+	x.Fleet.Scatter(&stand.Table{Name: "visits", Columns: sorted.Table{"id", "place"}, Types: sorted.Row{int64(0), int64(0)}})
+	t.Cleanup(func() {
+		for i := range x.Addrs {
+			if b, _ := os.ReadFile(x.Log(i)); strings.Contains(string(b), "invariant broken") || strings.Contains(string(b), "panic") {
+				t.Errorf("pooler %d: %s", i, b[max(0, len(b)-3000):])
+			}
+		}
+	})
+	return r
+}
+
+// fill puts n rows into each group, of so many places.
+func (r *reports) fill(n, places int) {
+	for g := range 3 {
+		for range n {
+			r.put(g, places, true)
+		}
+	}
+}
+
+func (r *reports) put(group, places int, initial bool) int64 {
+	id := r.next.Add(1)
+	row := sorted.Row{id, id * 7919 % int64(places)}
+	r.Fleet.Put("visits", group, row, initial)
+	if initial {
+		r.all = append(r.all, sorted.Row{row[0], row[1], int64(group)})
+	}
+	return id
+}
+
+// want are the ids in order: by place, shard and id.
+func (r *reports) want() (ids []int64) {
+	slices.SortFunc(r.all, func(a, b sorted.Row) int {
+		for _, i := range []int{1, 2, 0} {
+			if c := sorted.Compare(a[i], b[i]); c != 0 {
+				return c
+			}
+		}
+		return 0
+	})
+	for _, x := range r.all {
+		ids = append(ids, x[0].(int64))
+	}
+	return ids
+}
+
+// page asks a process for a page.
+func (r *reports) page(i, rows int, cursor string) (ids []int64, next string, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://office@%s/obra?sslmode=disable", r.Addrs[i]))
+	if err != nil {
+		return nil, cursor, err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	return pageOf(ctx, c, rows, cursor)
+}
+
+func pageOf(ctx context.Context, c *pgconn.PgConn, rows int, cursor string) (ids []int64, next string, err error) {
+	res, err := c.Exec(ctx, fmt.Sprintf("SELECT id, place FROM visits WHERE true /*after*/ /*order*/ /* scatter=visits,page=%d,cursor=%s */", rows, cursor)).ReadAll()
+	if err != nil {
+		return nil, cursor, err
+	}
+	for _, x := range res[0].Rows {
+		var id int64
+		_, _ = fmt.Sscan(string(x[0]), &id)
+		ids = append(ids, id)
+	}
+	return ids, c.ParameterStatus("scatter_cursor"), nil
+}
+
+func sqlState(err error) string {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return pe.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// TestScatterFleetKilled: pages alternate between three processes, of which two cannot hear each other; one is killed between pages, and one within a
+// page. Whoever is left goes on with the cursor, and the pages are the sorted list.
+func TestScatterFleetKilled(t *testing.T) {
+	t.Parallel()
+	r := startReports(t, "(whole)", "", nil)
+	r.fill(100, 9)
+	r.Part(0, 1, true)
+	var got []int64
+	alive, cursor, pages := []int{0, 1, 2}, "", 0
+	for {
+		i := alive[pages%len(alive)]
+		pages++
+		if pages == 6 {
+			r.Kill(1)
+			alive = []int{0, 2}
+			i = 0
+		}
+		if pages == 12 { // within a page
+			r.Fleet.Asked(func(string, string) stand.Manner { return stand.Manner{Each: 20 * time.Millisecond} })
+			failed := make(chan error, 1)
+			go func() {
+				_, _, err := r.page(0, 30, cursor)
+				failed <- err
+			}()
+			for running := 0; running < 3; _, running, _, _ = r.Fleet.Reads() {
+				time.Sleep(time.Millisecond)
+			}
+			r.Kill(0)
+			if err := <-failed; err == nil {
+				t.Error("a page came whole from a pooler that was killed in its midst")
+			}
+			r.Fleet.Asked(nil)
+			alive, i = []int{2}, 2
+		}
+		ids, next, err := r.page(i, 10, cursor)
+		if err != nil {
+			t.Fatalf("page %d at %d: %v", pages, i, err)
+		}
+		got, cursor = append(got, ids...), next
+		if cursor == "" {
+			break
+		}
+	}
+	if want := r.want(); !slices.Equal(got, want) {
+		t.Errorf("%d rows in %d pages\n got %v\nwant %v", len(got), pages, got, want)
+	}
+}
+
+// TestScatterFleetTakeover: rows are written and deleted while pages are read; replicas are behind; a primary is killed in the midst of a page. Rows that are there
+// throughout come exactly once, none twice, and no page is read at a position before that of the page before.
+func TestScatterFleetTakeover(t *testing.T) {
+	t.Parallel()
+	r := startReports(t, "(whole) (silent 400ms) (again 8)", "", nil)
+	r.fill(120, 9)
+	for g := range 3 {
+		_ = r.Fleet.Lag(fmt.Sprintf("s-%d-1", g), 20)
+	}
+	r.Fleet.Asked(func(string, string) stand.Manner { return stand.Manner{Each: time.Millisecond} })
+	stop, done := make(chan struct{}), make(chan struct{})
+	written, deleted := map[int64]bool{}, map[int64]bool{}
+	go func() { // at groups 0 and 2, which keep their primaries
+		defer close(done)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(3 * time.Millisecond):
+			}
+			g := n % 2 * 2
+			written[r.put(g, 9, false)] = true
+			if n%3 == 0 {
+				id := int64(g*120 + n%120 + 1)
+				deleted[id] = true
+				r.Fleet.Remove("visits", g, func(x sorted.Row) bool { return x[0] == id })
+			}
+		}
+	}()
+	count := map[int64]int{}
+	cursor, again, before := "", 0, map[int]float64{}
+	for n := 0; ; n++ {
+		from, _, _, _ := r.Fleet.Reads()
+		if n == 4 {
+			go func() {
+				time.Sleep(8 * time.Millisecond)
+				_ = r.Fleet.Kill("s-1-0")
+			}()
+		}
+		ids, next, err := r.page(n%3, 20, cursor)
+		if err != nil {
+			if again++; again > 10 {
+				t.Fatal(err)
+			}
+			continue
+		}
+		for running := 1; running > 0; _, running, _, _ = r.Fleet.Reads() {
+			time.Sleep(time.Millisecond)
+		}
+		to, _, _, _ := r.Fleet.Reads()
+		now := map[int]float64{}
+		for _, x := range to[len(from):] {
+			if x.Position < before[x.Group] {
+				t.Errorf("page %d: %s was read at %.0f, group %d before at %.0f", n, x.Server, x.Position, x.Group, before[x.Group])
+			}
+			now[x.Group] = max(now[x.Group], x.Position)
+		}
+		before = now
+		for _, id := range ids {
+			count[id]++
+		}
+		if cursor = next; cursor == "" || n > 400 {
+			break
+		}
+		if n == 30 {
+			close(stop)
+			<-done
+		}
+	}
+	select {
+	case <-stop:
+	default:
+		close(stop)
+		<-done
+	}
+	for _, x := range r.all {
+		id := x[0].(int64)
+		if n := count[id]; n > 1 || n == 0 && !deleted[id] {
+			t.Errorf("row %d was given %d times; deleted: %v", id, n, deleted[id])
+		}
+		delete(count, id)
+	}
+	for id, n := range count {
+		if n > 1 || !written[id] {
+			t.Errorf("row %d was given %d times; written: %v", id, n, written[id])
+		}
+	}
+	if len(written) < 10 || len(deleted) < 3 {
+		t.Errorf("%d rows written, %d deleted", len(written), len(deleted))
+	}
+	reads, _, _, _ := r.Fleet.Reads()
+	replicas := 0
+	for _, x := range reads {
+		if !strings.HasSuffix(x.Server, "-0") {
+			replicas++
+		}
+	}
+	t.Logf("%d reads, %d not at the first primaries, %d pages asked again", len(reads), replicas, again)
+	if replicas == 0 {
+		t.Error("no read was elsewhere than at the first primaries")
+	}
+}
+
+// TestScatterFleetEqual: 10,000 rows with one key, over all shards, in pages of 7, ten at a process and then ten at the next.
+func TestScatterFleetEqual(t *testing.T) {
+	t.Parallel()
+	r := startReports(t, "(whole)", "", nil)
+	r.fill(3334, 1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var conns []*pgconn.PgConn
+	for _, at := range r.Addrs {
+		c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://office@%s/obra?sslmode=disable", at))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close(ctx) }()
+		conns = append(conns, c)
+	}
+	var got []int64
+	cursor, longest, began := "", 0, time.Now()
+	for n := 0; n == 0 || cursor != ""; n++ {
+		ids, next, err := pageOf(ctx, conns[n/10%3], 7, cursor)
+		if err != nil {
+			t.Fatal(n, err)
+		}
+		got, cursor, longest = append(got, ids...), next, max(longest, len(next))
+	}
+	if want := r.want(); !slices.Equal(got, want) {
+		t.Errorf("%d rows of %d", len(got), len(want))
+	}
+	t.Logf("%d rows in pages of 7: %s; a cursor has %d characters at most", len(got), time.Since(began).Round(time.Millisecond), longest)
+}
+
+// TestScatterFleetShards: a shard goes, and comes again, between pages: a process with another list refuses the cursor, one with the same list goes on.
+func TestScatterFleetShards(t *testing.T) {
+	t.Parallel()
+	r := startReports(t, "(whole)", "", nil)
+	r.fill(30, 3)
+	first, cursor, err := r.page(1, 20, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	restart := func(shards string) {
+		r.Kill(1)
+		if err := r.Restart(context.Background(), 1, reportSettings(r.Addrs[1], "", shards, "(whole)")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	restart(`("a" 0) ("b" 1)`)
+	if _, _, err := r.page(1, 20, cursor); sqlState(err) != "22023" || !strings.Contains(err.Error(), "other shards") {
+		t.Errorf("a shard less: %v", err)
+	}
+	second, next, err := r.page(0, 20, cursor)
+	if err != nil {
+		t.Error(err)
+	}
+	restart(reportShards)
+	rest, next, err := r.page(1, 1000, next)
+	if err != nil || next != "" {
+		t.Errorf("%q, %v", next, err)
+	}
+	if got, want := slices.Concat(first, second, rest), r.want(); !slices.Equal(got, want) {
+		t.Errorf(" got %v\nwant %v", got, want)
+	}
+}
+
+// TestScatterFleetKeys: three processes of which each two neighbours are one key apart. A cursor is taken one key on, and refused two keys on or by who has
+// not heard of its key yet; no flipped bit of any byte is taken.
+func TestScatterFleetKeys(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	r := startReports(t, "", "", func(i int, pooled string) string {
+		file := filepath.Join(dir, fmt.Sprint("key", i))
+		text := fmt.Sprintf("the key of generation %d\n", i)
+		if i > 0 {
+			text += fmt.Sprintf("the key of generation %d\n", i-1)
+		}
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return reportSettings(pooled, fmt.Sprintf("(key %q)", file), reportShards, "(whole)")
+	})
+	r.fill(20, 3)
+	for from := range 3 {
+		_, cursor, err := r.page(from, 10, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for to := range 3 {
+			_, _, err := r.page(to, 10, cursor)
+			if taken := to == from || to == from+1; taken != (err == nil) || !taken && (sqlState(err) != "22023" || !strings.Contains(err.Error(), "key is not taken")) {
+				t.Errorf("given by %d, brought to %d: %v", from, to, err)
+			}
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://office@%s/obra?sslmode=disable", r.Addrs[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close(ctx) }()
+	_, cursor, err := pageOf(ctx, c, 10, "")
+	b, err2 := base64.RawURLEncoding.DecodeString(cursor)
+	if err := errors.Join(err, err2); err != nil {
+		t.Fatal(err)
+	}
+	before, _, _, _ := r.Fleet.Reads()
+	for i := range b {
+		x := slices.Clone(b)
+		x[i] ^= 1 << (i % 8)
+		if _, _, err := pageOf(ctx, c, 10, base64.RawURLEncoding.EncodeToString(x)); sqlState(err) != "22023" {
+			t.Errorf("byte %d changed: %v", i, err)
+		}
+	}
+	if after, _, _, _ := r.Fleet.Reads(); len(after) != len(before) {
+		t.Errorf("servers were asked %d times for cursors that are none", len(after)-len(before))
+	}
+	if _, _, err := pageOf(ctx, c, 10, cursor); err != nil {
+		t.Errorf("the true one: %v", err)
+	}
+}
+
+// TestScatterFleetLimit: the fleet asks so many shards at once at most, as the servers count, and a page is refused as a whole beyond that.
+func TestScatterFleetLimit(t *testing.T) {
+	t.Parallel()
+	const most = 9
+	r := startReports(t, "", "", func(_ int, pooled string) string {
+		return reportSettings(pooled, "", reportShards, "(whole)") + fmt.Sprintf(`(fleet-limits (lease 2s) (promise 2s) (renew 400ms) (soon 100ms) (limit "shards" (of shards) (at-once %d) (reserve 0)))`, most)
+	})
+	r.fill(40, 3)
+	r.Fleet.Asked(func(string, string) stand.Manner { return stand.Manner{Each: 3 * time.Millisecond} })
+	var wg sync.WaitGroup
+	var served, refused, other atomic.Int64
+	end := time.Now().Add(8 * time.Second)
+	for n := range 12 {
+		wg.Go(func() {
+			for time.Now().Before(end) {
+				switch _, _, err := r.page(n%3, 20, ""); {
+				case err == nil:
+					served.Add(1)
+				case sqlState(err) == "53300":
+					refused.Add(1)
+					time.Sleep(20 * time.Millisecond)
+				default:
+					other.Add(1)
+					t.Logf("%v", err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	_, _, at, _ := r.Fleet.Reads()
+	t.Logf("%d pages served, %d refused, %d statements at once at most", served.Load(), refused.Load(), at)
+	if at > most || served.Load() < 20 || refused.Load() == 0 || other.Load() > 0 {
+		t.Errorf("%d at once of %d; %d served, %d refused, %d came to something else", at, most, served.Load(), refused.Load(), other.Load())
+	}
+}
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -112,6 +112,15 @@
 	if wait {
 		return nil
 	}
+	if sure == nil && q.asked >= askMost && q.class.Read == ReadSession { // asked in vain those that cost least: the primary has it all
+		if p := r.primary(q.group); p != nil && p.usable() {
+			pause := r.seekEach
+			if p.probeAt < q.arrived {
+				pause = 0
+			}
+			r.probe(p, pause)
+		}
+	}
 	return sure
 }
 
--- a/internal/fronts/scatter/link.go
+++ b/internal/fronts/scatter/link.go
@@ -31,6 +31,7 @@
 	ready   int   // ReadyForQuery that are due: of settings, and of the statement
 	syncs   func()
 	first   bool // a row has come, or the end
+	firstAt float64
 	ended   bool // CommandComplete has come
 	ending  bool // what still comes is dropped, up to ReadyForQuery
 	broken  bool
@@ -133,14 +134,28 @@
 	if l.closed {
 		return
 	}
-	if a := l.attempt; a != nil && l.first && !a.ended { // its rest is the run's
-		l.f.end(a, decide.OK, nil)
-	}
+	l.early()
 	if s := l.of(); s != nil {
 		s.reader.Flush()
 	}
 }
 
+// earlyMs is how long an answer that has begun may take to tell the decision module of its server, at its end.
+const earlyMs = 20
+
+// early ends an attempt whose answer has begun and goes on for long: its rest is the run's.
+func (l *link) early() {
+	a := l.attempt
+	if a == nil || !l.first || a.ended {
+		return
+	}
+	if now := l.f.loop.Now(); l.firstAt == 0 {
+		l.firstAt = now
+	} else if now-l.firstAt > earlyMs || l.stopped {
+		l.f.end(a, decide.OK, nil)
+	}
+}
+
 // of is the scatter whose answer comes here, nil where nobody waits for it.
 func (l *link) of() *Scatter {
 	if l.part == nil || l.part.s.over {
@@ -190,6 +205,7 @@
 		return err
 	}
 	var out []byte
+	l.firstAt = 0
 	l.asked, l.ready, l.rows, l.first, l.ended, l.ending = true, 1, 0, false, false, false
 	if set := s.who.Settings.Sync(l.server); set != "" {
 		out = pgwire.AppendQuery(out, set)
--- a/internal/fronts/scatter/part.go
+++ b/internal/fronts/scatter/part.go
@@ -154,6 +154,9 @@
 	if l != nil && l.asked {
 		l.finish()
 	}
+	if a := p.attempt; p.open && a != nil && l != nil && l.first { // its answer has begun: as far as it was wanted it was served
+		p.s.f.end(a, decide.OK, nil)
+	}
 	if p.open {
 		p.open = false
 		p.s.f.desk.Gone(p.ref)
--- a/internal/fronts/scatter/scatter.go
+++ b/internal/fronts/scatter/scatter.go
@@ -381,6 +381,11 @@
 		s.event(func(now float64) []run.Action { return s.run.Room(true, now) })
 	}
 	s.event(s.run.Tick)
+	for _, p := range s.parts {
+		if p != nil && p.link != nil {
+			p.link.early()
+		}
+	}
 	if !s.over {
 		s.reader.Flush()
 	}
--- a/internal/kit/fleet/scattered.go
+++ b/internal/kit/fleet/scattered.go
@@ -193,7 +193,14 @@
 	}
 	if manner.Silent {
 		read.Cut = true
-		wait(30 * time.Second)
+		for wait(50 * time.Millisecond) {
+			f.mu.Lock()
+			over := f.closed || !s.Up
+			f.mu.Unlock()
+			if over {
+				break
+			}
+		}
 		return false, nil
 	}
 	for i := 0; i < len(rows) || manner.Endless; i++ {
--- a/internal/kit/standin/sorted/sorted.go
+++ b/internal/kit/standin/sorted/sorted.go
@@ -66,27 +66,28 @@
 
 // Run works on the statement: rows that hold, in order, as many as the limit lets be.
 func (q *Query) Run(t Table, rows []Row, args [][]byte) (out []Row, err error) {
-	for _, r := range rows {
-		holds := yes
-		if q.cond != nil {
-			e := &eval{words: q.cond, table: t, row: r, args: args}
-			if holds = e.or(); e.err != nil || len(e.words) > 0 {
-				return nil, fmt.Errorf("condition %q, at %q: %v", q.cond, e.words, e.err)
-			}
+	holds := func(Row) truth { return yes }
+	if q.cond != nil {
+		c := &compiler{words: q.cond, table: t, args: args}
+		if holds = c.or(); c.err != nil || len(c.words) > 0 {
+			return nil, fmt.Errorf("condition %q, at %q: %v", q.cond, c.words, c.err)
 		}
-		if holds == yes {
+	}
+	for _, r := range rows {
+		if holds(r) == yes {
 			out = append(out, r)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Row) int {
-		for _, o := range q.order {
-			i := slices.Index(t, o.column)
-			if i < 0 {
-				err = fmt.Errorf("no column %q", o.column)
-				return 0
-			}
+	at := make([]int, len(q.order))
+	for k, o := range q.order {
+		if at[k] = slices.Index(t, o.column); at[k] < 0 {
+			return nil, fmt.Errorf("no column %q", o.column)
+		}
+	}
+	compare := func(a, b Row) int {
+		for k, o := range q.order {
 			c := 0
-			switch x, y := a[i], b[i]; {
+			switch x, y := a[at[k]], b[at[k]]; {
 			case x == nil && y == nil:
 			case x == nil || y == nil:
 				if c = 1; (x == nil) == o.first {
@@ -102,8 +103,11 @@
 			}
 		}
 		return 0
-	})
-	return out[:min(len(out), q.Limit)], err
+	}
+	if !slices.IsSortedFunc(out, compare) { // as a table with an index on it is
+		slices.SortStableFunc(out, compare)
+	}
+	return out[:min(len(out), q.Limit)], nil
 }
 
 // Compare compares values as servers do.
@@ -139,62 +143,81 @@
 
 var words = regexp.MustCompile(`\(|\)|"[^"]*"|COLLATE "C"|\$\d+::\w+|IS NOT NULL|IS NULL|AND|OR|[=<>]|\w+|\S`)
 
-type eval struct {
+type compiler struct {
 	words []string
 	table Table
-	row   Row
 	args  [][]byte
 	err   error
 }
 
-func (e *eval) next(w string) bool {
-	if len(e.words) > 0 && e.words[0] == w {
-		e.words = e.words[1:]
+type cond func(Row) truth
+
+func (c *compiler) next(w string) bool {
+	if len(c.words) > 0 && c.words[0] == w {
+		c.words = c.words[1:]
 		return true
 	}
 	return false
 }
 
-func (e *eval) or() truth {
-	t := e.and()
-	for e.next("OR") {
-		t = max(t, e.and())
+func (c *compiler) fail(format string, args ...any) cond {
+	if c.err == nil {
+		c.err = fmt.Errorf(format, args...)
+	}
+	c.words = nil
+	return func(Row) truth { return no }
+}
+
+func (c *compiler) or() cond {
+	a := c.and()
+	for c.next("OR") {
+		x, y := a, c.and()
+		a = func(r Row) truth {
+			if t := x(r); t == yes {
+				return yes
+			} else {
+				return max(t, y(r))
+			}
+		}
 	}
-	return t
+	return a
 }
 
-func (e *eval) and() truth {
-	t := e.term()
-	for e.next("AND") {
-		t = min(t, e.term())
+func (c *compiler) and() cond {
+	a := c.term()
+	for c.next("AND") {
+		x, y := a, c.term()
+		a = func(r Row) truth {
+			if t := x(r); t == no {
+				return no
+			} else {
+				return min(t, y(r))
+			}
+		}
 	}
-	return t
+	return a
 }
 
-func (e *eval) term() truth {
-	if e.next("(") {
-		t := e.or()
-		if !e.next(")") {
-			e.err = fmt.Errorf("a bracket is open")
+func (c *compiler) term() cond {
+	if c.next("(") {
+		t := c.or()
+		if !c.next(")") {
+			return c.fail("a bracket is open")
 		}
 		return t
 	}
-	if e.next("false") {
-		return no
+	if c.next("false") {
+		return func(Row) truth { return no }
 	}
-	if len(e.words) == 0 {
-		e.err = fmt.Errorf("a term is due")
-		return no
+	if len(c.words) == 0 {
+		return c.fail("a term is due")
 	}
-	i := slices.Index(e.table, strings.Trim(e.words[0], `"`))
+	i := slices.Index(c.table, strings.Trim(c.words[0], `"`))
 	if i < 0 {
-		e.err = fmt.Errorf("no column %s", e.words[0])
-		e.words = nil
-		return no
+		return c.fail("no column %s", c.words[0])
 	}
-	e.words = e.words[1:]
-	text := e.next(`COLLATE "C"`)
-	v := e.row[i]
+	c.words = c.words[1:]
+	text := c.next(`COLLATE "C"`)
 	is := func(b bool) truth {
 		if b {
 			return yes
@@ -202,32 +225,31 @@
 		return no
 	}
 	switch {
-	case e.next("IS NULL"):
-		return is(v == nil)
-	case e.next("IS NOT NULL"):
-		return is(v != nil)
-	case len(e.words) < 2:
-		e.err = fmt.Errorf("a comparison is due")
-		return no
+	case c.next("IS NULL"):
+		return func(r Row) truth { return is(r[i] == nil) }
+	case c.next("IS NOT NULL"):
+		return func(r Row) truth { return is(r[i] != nil) }
+	case len(c.words) < 2:
+		return c.fail("a comparison is due")
 	}
-	op, ref := e.words[0], e.words[1]
-	e.words = e.words[2:]
+	op, ref := c.words[0], c.words[1]
+	c.words = c.words[2:]
 	n, typ, _ := strings.Cut(strings.TrimPrefix(ref, "$"), "::")
 	k, err := strconv.Atoi(n)
-	if err != nil || k < 1 || k > len(e.args) || e.args[k-1] == nil || text != (typ == "text") {
-		e.err = fmt.Errorf("parameter %q", ref)
-		return no
+	if err != nil || k < 1 || k > len(c.args) || c.args[k-1] == nil || text != (typ == "text") {
+		return c.fail("parameter %q", ref)
 	}
-	want, err := Value(typ, string(e.args[k-1]))
+	want, err := Value(typ, string(c.args[k-1]))
 	if err != nil {
-		e.err = err
-		return no
+		return c.fail("%w", err)
 	}
-	if v == nil {
-		return unknown
+	return func(r Row) truth {
+		if r[i] == nil {
+			return unknown
+		}
+		n := Compare(r[i], want)
+		return is(op == "=" && n == 0 || op == "<" && n < 0 || op == ">" && n > 0)
 	}
-	c := Compare(v, want)
-	return is(op == "=" && c == 0 || op == "<" && c < 0 || op == ">" && c > 0)
 }
 
 // Value reads a text of a type.
