--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -168,7 +168,7 @@
 }
 
 // testConfig is what a pooler before one server is told.
-func testConfig(t *testing.T, server string, watch http.HandlerFunc, change ...func(*config.Config)) *config.Config {
+func testConfig(t testing.TB, server string, watch http.HandlerFunc, change ...func(*config.Config)) *config.Config {
 	if watch == nil {
 		watch = func(w http.ResponseWriter, r *http.Request) {
 			w.(http.Flusher).Flush()
@@ -193,7 +193,7 @@
 }
 
 // launch runs a pooler until the test's end.
-func launch(t *testing.T, p *pooler) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
+func launch(t testing.TB, p *pooler) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
 	ready, ended, sig, again := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	p.loop.Ready = func() { ready <- p.loop.Addr() }
 	go func() { ended <- p.run(sig, again) }()
--- a/internal/fronts/scatter/front.go
+++ b/internal/fronts/scatter/front.go
@@ -62,20 +62,26 @@
 // Held is how many bytes a pooler holds for all pages of a spec: rows, and of each connection what was read ahead.
 func (s *Spec) Held() int {
 	set := s.Run()
-	return s.AtOnce * (set.Held() + len(s.Shards)*(readAhead+s.MostRow))
+	return s.AtOnce * (set.Held() + len(s.Shards)*(readAhead+s.longest()))
+}
+
+// longest is the longest message that is taken of a server.
+func (s *Spec) longest() int {
+	return max(s.MostRow, leastMessage)
 }
 
 const (
-	leastWindow = 4 << 10
-	readAhead   = 64 << 10 // that the loop reads of a connection at once
-	tickMs      = 5
-	idleMs      = 30000
-	cancelMs    = 5    // an answer that ends by itself within it needs no cancel request
-	drainMs     = 1000 // ...and one that does not end within this is closed
-	firstRef    = 1 << 29
-	muchUnsent  = 256 << 10 // to a client that reads slowly
-	littleLeft  = 64 << 10
-	mostCancels = 256
+	leastWindow  = 4 << 10
+	leastMessage = 64 << 10 // for descriptions and errors
+	readAhead    = 64 << 10 // that the loop reads of a connection at once
+	tickMs       = 5
+	idleMs       = 30000
+	cancelMs     = 5    // an answer that ends by itself within it needs no cancel request
+	drainMs      = 1000 // ...and one that does not end within this is closed
+	firstRef     = 1 << 29
+	muchUnsent   = 256 << 10 // to a client that reads slowly
+	littleLeft   = 64 << 10
+	mostCancels  = 256
 )
 
 // Options are the front's.
--- a/internal/fronts/scatter/link.go
+++ b/internal/fronts/scatter/link.go
@@ -63,7 +63,7 @@
 		f.end(a, decide.Full, nil)
 		return
 	}
-	l := &link{f: f, key: k, in: pgwire.NewReader(s.spec.MostRow + 64<<10), params: map[string]string{}, server: carry.NewServer(1, 1024), attempt: a, part: a.p}
+	l := &link{f: f, key: k, in: pgwire.NewReader(s.spec.longest()), params: map[string]string{}, server: carry.NewServer(1, 1024), attempt: a, part: a.p}
 	f.conns++
 	l.timer = f.loop.At(f.loop.Now()+f.opt.ConnectMs, l.failed)
 	f.loop.Dial(f.addrs[k.store], f.opt.ConnectMs, l, func(err error) {
