--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -91,7 +91,11 @@
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
-		return control.Answer{Status: http.StatusOK, Body: p.appendScatter(p.appendInvariants(p.appendLimits(p.appendPeers(p.core.AppendFigures(nil)))))}
+		b := p.core.AppendFigures(nil)
+		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload} {
+			b = more(b)
+		}
+		return control.Answer{Status: http.StatusOK, Body: b}
 	}
 	calls := map[string]struct {
 		method string
@@ -215,6 +219,9 @@
 			return
 		}
 		p.log.Info("drained", "ms", now-began)
+		if p.credit != nil {
+			p.credit.credit.Close()
+		}
 		if p.peers != nil {
 			p.peers.Leave(false)
 		}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -24,6 +24,7 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -57,6 +58,8 @@
 
 	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
 
+	loadCredit func() (*operate.Credit, error) // reads prices and payments again; nil where nobody pays ahead
+
 	pooled     *pooling.Front // nil where it is off
 	pooledAddr string         // where it listens
 	stopPooled func()
@@ -68,13 +71,17 @@
 	houseGroup int
 	stopHouse  func()
 
-	peers  *peers.Peers // nil where it is no fleet's
-	expect int          // poolers that there are to be
-	limits *fleetLimits // nil where none hold for the whole fleet
+	peers  *peers.Peers   // nil where it is no fleet's
+	expect int            // poolers that there are to be
+	limits *fleetLimits   // nil where none hold for the whole fleet
+	over   *joined.Joined // nil where overload is handled alone
 
 	journal *journal.Journal // nil where it is off
+	agreed  *commonLog       // nil where it is off
+	credit  *prepaid         // nil where nobody pays ahead
 
-	checks *invariant.Checks // nil where they are off
+	checks       *invariant.Checks // nil where they are off
+	countsChecks bool              // and are figures
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
@@ -189,6 +196,9 @@
 	if p.limits != nil { // of each nothing, until it is told
 		p.limits.use(p.limits.set)
 	}
+	if p.agreed != nil {
+		p.agreed.begin()
+	}
 	if p.peers != nil {
 		if err := p.peers.Start(); err != nil {
 			p.log.Error("peers", "err", err)
@@ -227,6 +237,13 @@
 					p.loop.Post(func() { p.reloadLimits(*set) })
 				}
 			}
+			if p.loadCredit != nil {
+				if set, err := p.loadCredit(); err != nil {
+					p.loop.Post(func() { p.log.Error("credit: the old prices and payments stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.credit.reload(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -103,10 +103,14 @@
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
+	fleet  fleet
+
+	credit Credit // nil where nobody pays ahead
 
 	checks *invariant.Checks // nil where nothing is checked
 	every  int               // events for one walk
 	walks  int
+	midst  int // ends of attempts that are not yet told to the router
 }
 
 // Journal is told how attempts ended, and knows what may have run before this process began.
@@ -170,7 +174,9 @@
 	over   bool
 	rec    recorded
 	count  *figures.Class
+	load   load
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	paid   paid
 }
 
 // try is an attempt; one that was skipped has no ref.
@@ -220,6 +226,7 @@
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.allowed(&set)
+	set.Shed = c.fleet.shed
 	c.tell(&decide.Retune{Settings: set})
 }
 
@@ -270,6 +277,7 @@
 	if !ok {
 		return nil
 	}
+	c.midst++
 	q.open--
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
@@ -284,6 +292,7 @@
 	}
 	f := q.flow
 	c.release(t.Request, q)
+	c.midst--
 	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result, Final: q.over})
 	if f == nil || final {
 		return nil
@@ -312,9 +321,12 @@
 
 // ends marks a request over and counts its end.
 func (c *Core) ends(q *request, e figures.End) {
-	q.over = true
+	if q.over = true; q.paid.hold.Amount > 0 {
+		c.settle(q, e)
+	}
 	c.figures.Open--
 	q.count.Count(e)
+	c.bore(q, e)
 }
 
 // Start joins the core to the servers and the directory and tells the router the list as last known.
@@ -376,12 +388,19 @@
 	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
 		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
-		// A commit is rounded up and so may lie ahead of the clock; 0 would stand for none.
-		e.SinceOwn = max(1, now-clock.Span(q.After))
+		// A commit is rounded up and so may lie ahead of the clock, or far ahead where a clock was set; 0 would stand for none.
+		e.SinceOwn = cmp.Or(now-clock.Span(q.After), 1)
 	}
 	if at, ok := c.keys.ran(key, c.loop.Now()); ok {
 		e.RanAt = clock.Span(at)
 	}
+	if c.credit != nil && !c.funded(ref, r, &q, e) {
+		if r.over {
+			ref = slots.Ref{}
+		}
+		return ref, nil
+	}
+	c.weigh(r, now, e)
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -401,6 +420,11 @@
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
 	c.release(ref, q)
+	if q.paid.waits != nil { // the module has not heard of it
+		q.paid.waits = nil
+		c.credit.Cancel(q.paid.tenant, tagOf(ref))
+		return
+	}
 	c.tell(&decide.Expired{ID: requestID(ref)})
 }
 
@@ -419,6 +443,7 @@
 	if !ok {
 		return
 	}
+	c.midst++
 	q.open--
 	switch o.Result {
 	case decide.OK, decide.Missed, decide.Failed, decide.Reset: // what is answered was written
@@ -441,6 +466,7 @@
 	}
 	final := q.over
 	c.release(t.Request, q)
+	c.midst--
 	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
 		Final: final, Told: told(o.Said), Load: told(o.Load)})
 }
@@ -449,7 +475,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
-	c.tell(&decide.ProbeResult{Store: decide.StoreID(store), Result: o.Result, Load: told(o.Said)})
+	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
+		c.ProbeTold(store, o.Result, o.Said, 0)
+	}
 }
 
 // Listed is discovery.Events'.
@@ -532,6 +560,9 @@
 	clear(c.events)
 	c.events = c.events[:0]
 	c.running = false
+	if c.checks.On() && c.midst == 0 {
+		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
+	}
 }
 
 func (c *Core) carryOut(a *decide.Action) {
@@ -557,7 +588,9 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		c.met(OfProbes, "").do(c, func() { c.servers.Probe(id) })
+		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+			c.Probe(id)
+		}
 	case decide.SetTimer:
 		tag := a.Tag
 		c.loop.At(clock.Millis(a.At), func() { c.tell(&decide.Timer{Tag: tag}) })
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -2,11 +2,26 @@
 // groups of one primary and its replicas. It holds decisions only: no sockets, no clock, no
 // goroutines. The embedding proxy feeds events to a Router and carries out its actions.
 //
-// This file is the interface: settings, events and actions; state.go and handover.go keep records. Each other
-// file is one idea of how decisions are made.
+// This file is the interface: settings, events and actions; state.go and handover.go keep records, invariants.go
+// what must be true of them. Each other file is one idea of how decisions are made:
+//
+//   - router.go: tuned values, settings, and each event on its way to what decides about it
+//   - choose.go: which server a request goes to
+//   - estimate.go: how fast servers and the ways to them are, and what they hold
+//   - ration.go: what a cold server may be sent, and what tenants are let in with
+//   - queue.go: what waits, what is given up, and in which order the rest goes
+//   - shed.go: how much is let in where answers tell of waiting behind others, of whom a router sees nothing else
+//   - attempts.go: what attempts came to, and when one is tried anew
+//   - health.go: which servers are taken out, and come back
+//   - list.go: the list of servers
 package decide
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Time is a reading of the embedder's monotonic clock. Its origin does not matter.
 type Time = time.Duration
@@ -17,6 +32,55 @@
 	RequestID string
 )
 
+// Shed says which of a group's requests are turned away: those that stand below Level. Cells are by class, of four kinds: a retry of a
+// session beyond its tenant's share, a retry within it, a first try beyond, a first try within.
+type Shed struct {
+	Level  float64
+	Cells  [][4]int
+	Beyond []float64 // by tenant: the part of its sessions that is beyond its share
+	Keep   time.Duration
+	Wait   time.Duration // the longest that is advised
+}
+
+// Place is where a request stands. A session stands at one place within its cell for Keep, at any router whose clock tells the same time.
+func (s *Shed) Place(now Time, e *Request) float64 {
+	if s == nil || e.Class < 0 || e.Class >= len(s.Cells) {
+		return math.Inf(1)
+	}
+	id := e.Session
+	if id == "" {
+		id = string(e.ID)
+	}
+	h := xxhash.Sum64String(id)
+	kind := 1
+	if e.Tenant >= 0 && e.Tenant < len(s.Beyond) && draw(h, 1) < s.Beyond[e.Tenant] {
+		kind = 0
+	}
+	if !e.Repeat {
+		kind += 2
+	}
+	turn := uint64(0)
+	if s.Keep > 0 {
+		turn = uint64(now+time.Duration(draw(h, 2)*float64(s.Keep))) / uint64(s.Keep)
+	}
+	return float64(s.Cells[e.Class][kind]) + draw(h, turn+3)
+}
+
+// Turns tells whether what stands at a place is turned away.
+func (s *Shed) Turns(place float64) bool { return s != nil && place < s.Level }
+
+// Advice is how long its client should stay away: each for a time of its own, so that they do not come back together.
+func (s *Shed) Advice(now Time, e *Request) time.Duration {
+	return time.Duration((1 + draw(xxhash.Sum64String(e.Session+string(e.ID)), uint64(now))) / 2 * float64(s.Wait))
+}
+
+// draw makes a number from 0 to 1 of a hash.
+func draw(h, salt uint64) float64 {
+	h = (h ^ salt*0x9e3779b97f4a7c15) * 0xff51afd7ed558ccd
+	h = (h ^ h>>32) * 0xc4ceb9fe1a85ec53
+	return float64((h^h>>29)>>11) / (1 << 53)
+}
+
 // Effect says what repeating a request may do.
 type Effect uint8
 
@@ -91,7 +155,8 @@
 	Tenants        []Tenant
 	OverShareWorth float64
 
-	AskList       bool // the server list must be subscribed to
+	AskList       bool          // the server list must be subscribed to
+	AskEvery      time.Duration // without a subscription for so long, what changed counts as told; 0 for never
 	Behind        Behind
 	BehindWait    time.Duration
 	KeptTokens    bool // the router itself must remember its sessions' commits
@@ -116,6 +181,8 @@
 	PriceCross    float64 // part of a request's worth that an attempt into another zone costs
 	PriceProbe    float64 // part of a request's worth that a probe costs
 	ReportsOnSend bool    // answers carry load reports too
+
+	Shed map[int]*Shed // by group: what the routers have agreed to turn away; it is not changed any more
 }
 
 // Event is something the router is told.
@@ -129,7 +196,7 @@
 	Tenant   int
 	Due      Time // the client gives this try up
 	Session  string
-	SinceOwn time.Duration // session reads: time since the session's last commit, 0 for none
+	SinceOwn time.Duration // session reads: time since the session's last commit, below 0 for one that lies ahead of this clock, 0 for none
 	Work     time.Duration // expected work on a standard core, 0 if unknown
 	Repeat   bool          // the client has asked before
 	RanAt    Time          // another request with its key may have run, first sent then; 0 for none
@@ -170,6 +237,7 @@
 	HasPosition bool
 	Held        float64 // requests in flight there, from everyone
 	HasHeld     bool
+	Age         time.Duration // that it may be older than the event which brings it
 }
 
 // Outcome ends an attempt. Final is set when the request is over.
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -1,14 +1,11 @@
 package decide
 
-// Which server a request goes to.
-
 import (
 	"math"
 	"time"
 )
 
-// cost is equation 2 of the paper: the read's own time at its max-min fair share plus the slowdown of this
-// router's requests there, each by its worth against the read's: so a primary full of writes is spared.
+// cost is equation 2 of the paper, the slowdown of each request by its worth: a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -24,32 +21,37 @@
 		rest := max(w-(s.service-a.service)*rate, minLeft*w)
 		cost += (rest/left - rest/now) * a.req.value / q.value
 	}
-	// A failed answer comes quickly and leaves its store idle: without its chance a failing store wins picks.
 	cost /= 1 - r.failing(s)
 	if s.entry.Zone != r.set.Zone {
 		cost += r.set.PriceCross * q.class.Aim.Seconds() // in time: a worth is an aim
 	}
-	cost += r.way(s)
-	return cost, left
+	return cost + r.way(s), left
 }
 
-// qualifies tells whether a store's data is known to be new enough, and whether it may well be: by its pace,
-// or because it was not asked for as long as it needs to catch up.
+// qualifies tells whether a store's data is known to be new enough, and whether it may well be by now.
 func (r *Router) qualifies(s *store, q *request) (known, likely bool) {
-	need := q.need
-	if q.class.Read == ReadBounded {
-		need = r.now - q.class.Bound
-	}
-	// A primary stood at the present when it said that it was one. It may have been replaced since, unheard,
-	// but hardly between its report and the answer to a probe sent for this request.
-	leads := s == r.primary(q.group) && (s.roleAt >= need || s.askedAt >= max(need, q.arrived) || !r.set.MayProbe)
-	if need == never || leads || s.position >= need {
+	need := r.needs(q)
+	if need == never || r.proven(s, q) >= need {
 		return true, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
+// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or as of
+// a probe sent for this request: it is hardly replaced between its report and the answer.
+func (r *Router) proven(s *store, q *request) Time {
+	at := s.position
+	if s == r.primary(q.group) {
+		if at = max(at, s.roleAt); !r.set.MayProbe {
+			at = math.MaxInt64 / 2
+		} else if s.askedAt >= q.arrived {
+			at = max(at, s.askedAt)
+		}
+	}
+	return at
+}
+
 // primary is the group's primary by the latest evidence, or nil while none is known.
 func (r *Router) primary(g *group) *store {
 	var best *store
@@ -71,54 +73,60 @@
 func (s *store) usable() bool { return s.listed() && s.health != down }
 
 // listed tells whether the list lets it be used: where only draining binds, a store that vanished may be.
-func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.soft) }
+func (s *store) listed() bool { return !s.draining && (s.gone == 0 || s.set.DrainOnly) }
+
+// needs is the position that a request needs now.
+func (r *Router) needs(q *request) Time {
+	if q.class.Read == ReadBounded {
+		return r.now - q.class.Bound
+	}
+	return q.need
+}
+
+// chance guesses how likely a probe finds a store new enough: one that was too far behind probably is for a while.
+func (r *Router) chance(s *store, q *request) float64 {
+	lacked, may := s.placedAt-s.position, r.now-r.needs(q)
+	if s.position == never || lacked <= may {
+		return 1
+	}
+	return 1 - (1-may.Seconds()/lacked.Seconds())*r.fading(s.placedAt, wayMemory)
+}
 
 // choose finds the store for a request, or nil if it has to wait.
 func (r *Router) choose(q *request) *store {
 	if q.primaryOnly() {
-		p := r.primary(q.group)
-		if p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
+		if p := r.primary(q.group); p != nil && p.usable() && r.room(p, q) && !r.ask(q, p) {
 			return p
 		}
 		return nil
 	}
-	var best, next, sure *store
-	least, second, known := math.Inf(1), math.Inf(1), math.Inf(1)
+	var best, sure *store
+	least, known := math.Inf(1), math.Inf(1)
 	for _, s := range q.group.members {
 		if !s.usable() || q.elsewhere(s) || !r.room(s, q) {
 			continue
 		}
 		is, may := r.qualifies(s, q)
-		if !is && !may {
+		if !is && (!may || r.set.Behind == BehindAnswers && !r.askable(s, q)) {
 			continue
 		}
 		c, _ := r.cost(s, q)
-		if !is { // a wrong guess costs a turn; where stores do not check, they are asked first
-			c += (2 * r.set.Tick).Seconds() + r.price(q)
+		if !is { // a wrong guess costs a turn; where stores do not check, they are asked first, one by one
+			c += ((2 * r.set.Tick).Seconds() + r.price(q)) / (r.chance(s, q) + 1e-3)
 		}
 		if (is || r.set.Behind != BehindAnswers) && c < known {
 			sure, known = s, c
 		}
 		if c < least {
-			next, second, best, least = best, least, s, c
-		} else if c < second {
-			next, second = s, c
+			best, least = s, c
 		}
 	}
-	wait := best != nil && r.ask(q, best)
-	if next != nil && second <= 2*least { // one that might turn out best
-		wait = r.ask(q, next) || wait
-	}
-	if wait {
+	if best != nil && r.ask(q, best) {
 		return nil
 	}
-	if sure == nil && q.asked >= askMost && q.class.Read == ReadSession { // asked in vain those that cost least: the primary has it all
-		if p := r.primary(q.group); p != nil && p.usable() {
-			pause := r.seekEach
-			if p.probeAt < q.arrived {
-				pause = 0
-			}
-			r.probe(p, pause)
+	if sure == nil && q.class.Read == ReadSession { // what costs less is behind, or not to be asked now: the primary has it all, and is asked once
+		if p := r.primary(q.group); p != nil && p.usable() && p.probeAt < q.arrived {
+			r.probe(p, 0)
 		}
 	}
 	return sure
@@ -126,8 +134,12 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
-// ask probes a store for a request and tells whether to wait for that: because its position must be known, or
-// because what others seem to have waiting there costs more than a probe.
+// askable: not just asked too much by all routers together, nor with a probe out for longer than another one costs.
+func (r *Router) askable(s *store, q *request) bool {
+	return r.now-s.turnedAt >= probeDown && !(s.probing && r.now-s.probeAt > askWait*r.set.Tick+seconds(r.price(q)))
+}
+
+// ask probes a store whose position or load must be known, if that costs less, and tells whether to wait for it.
 func (r *Router) ask(q *request, s *store) bool {
 	is, _ := r.qualifies(s, q)
 	n, _ := r.load(s)
@@ -137,17 +149,16 @@
 		return false
 	}
 	if !s.probing {
-		if q.asked >= askMost {
+		if q.asked >= len(q.group.members) || float64(q.asked)*r.set.PriceProbe >= askShare {
 			if s == r.primary(q.group) { // the answers told nothing, and nobody else may do
 				r.probe(s, r.seekEach)
 			}
 			return false
 		}
 		q.asked++
-		q.askUntil = r.now + askWait*r.set.Tick
 		r.probe(s, 0)
 	}
-	return r.now < q.askUntil
+	return r.now < s.probeAt+askWait*r.set.Tick
 }
 
 // place sends a request if a store can take it now.
@@ -169,6 +180,10 @@
 		o.part -= o.part / (pickMemory * float64(len(s.group.members)))
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
-	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: q.sendBy - r.set.Tick})
+	by := q.sendBy - r.set.Tick
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, while the store falls behind
+		by = min(by, r.proven(s, q)+q.class.Bound+1)
+	}
+	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: by})
 	return true
 }
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -1,7 +1,5 @@
 package decide
 
-// How fast servers and the ways to them are, and what they hold.
-
 import (
 	"math"
 )
@@ -12,8 +10,7 @@
 // rateOf is the rate for one request alone now. A cold store's old good rate would win every pick otherwise.
 func (r *Router) rateOf(s *store) float64 { return r.base(s) * r.warmth(s) }
 
-// share is the part of the rate for one alone that each of n requests gets there: about width/n beyond width,
-// rounded at the corner because the number of cores is not told.
+// share is the part of the rate for one alone that each of n gets: about width/n, rounded as cores are not told.
 func share(n float64) float64 {
 	x := n * n / (width * width)
 	return 1 / math.Sqrt(math.Sqrt(1+x*x))
@@ -30,25 +27,14 @@
 	return own + guess, own + min(guess, othersLike*float64((len(s.open)-s.lost)*(r.set.Siblings-1)))
 }
 
-// advance moves a store's virtual service up to now; call it before its load changes.
-func (r *Router) advance(s *store) {
-	if dt := (r.now - s.serviceAt).Seconds(); dt > 0 {
-		n, _ := r.load(s)
-		s.service += dt * share(n) * r.warmth(s)
-	}
-	s.serviceAt = r.now
-}
-
-// guess is what the others are taken to have in flight at a store: each as much as this one on average. One
-// that seldom has a request out so goes round the members at the pace of their rates, from its own place.
+// guess is what others are taken to have at a store, each as much as this one: so it goes round by their rates.
 func (r *Router) guess(s *store) float64 {
 	n := float64(r.set.Siblings-1) * r.flow / float64(max(1, len(r.gorder))) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
 	return n / (1 - use*use) // and what waits there, which grows with use
 }
 
-// way is the time that probes into the store's zone took lately. A slow way must not be taken for slow or
-// dead stores: they are well in their own zone, and a primary there still takes writes.
+// way is the time that probes into the store's zone took lately: a slow way is no slow or dead store.
 func (r *Router) way(s *store) float64 {
 	return r.ways[s.entry.Zone].slow * r.fading(r.ways[s.entry.Zone].at, wayMemory)
 }
@@ -60,12 +46,9 @@
 }
 
 // failing is the chance that a store answers a request with a failure: from its last answers, fading.
-func (r *Router) failing(s *store) float64 {
-	return s.fails * r.fading(s.failedAt, failMemory)
-}
+func (r *Router) failing(s *store) float64 { return s.fails * r.fading(s.failedAt, failMemory) }
 
-// loaded takes an answer as evidence of so many requests met there, unless our own explain them. Without it,
-// hundreds of routers with nothing there go on feeding a queue full of what will be late.
+// loaded takes an answer as evidence of so many requests met there, unless our own explain them.
 func (r *Router) loaded(s *store, met float64) bool {
 	n, _ := r.load(s)
 	if fewRouters*(len(s.open)+1) >= r.set.Siblings || met <= n {
@@ -78,7 +61,7 @@
 // learn takes a role and a position; at is the time of the role's evidence.
 func (r *Router) learn(s *store, t Report, at Time) {
 	if t.HasPosition {
-		s.placedAt = r.now
+		s.placedAt = max(s.placedAt, r.now-t.Age)
 	}
 	if t.HasPosition && t.Position > s.position && t.Position <= r.now {
 		if s.position != never && r.now-s.positionAt > 0 {
@@ -88,7 +71,7 @@
 		s.position, s.positionAt = t.Position, r.now
 	}
 	if t.Role != RoleUnknown && at >= s.roleAt {
-		s.role, s.roleAt = t.Role, at
+		s.role, s.roleAt = t.Role, min(at, r.now)
 	}
 	if t.HasHeld {
 		r.advance(s)
@@ -96,8 +79,7 @@
 	}
 }
 
-// refresh corrects rates from the last interval's answers: each kind's, then each store's. Requests out for
-// more than their work count, or a stopped store kept its rate; not if overtaken: lost answers slow no store.
+// refresh corrects rates by the last answers. What is out for longer than its work counts; not if overtaken.
 func (r *Router) refresh() {
 	r.refreshAt = r.now + refreshEvery
 	r.flowed(0)
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -1,16 +1,15 @@
 package decide
 
-// Which servers are taken out, and come back.
-
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // alive notes an answer to an attempt. One sent before the store was found bad shows only that it lived.
 func (r *Router) alive(s *store, a *attempt) {
-	s.answered = r.now
-	if a.sent >= s.badAt || s.refusedSince == 0 {
+	if s.answered = r.now; a.sent >= s.badAt || s.refusedSince == 0 {
 		r.well(s)
 	} else {
 		s.refusedSince = r.now
@@ -33,15 +32,12 @@
 	s.health, s.badAt = down, r.now
 }
 
-// refused notes a connection that was refused or broke. Connections to healthy stores break too: only a
-// second one with no answer between takes the store out. A probe asks meanwhile.
+// refused notes a connection that was refused or broke. A second one with no answer between takes the store out.
 func (r *Router) refused(s *store) {
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
 	}
-	if s.refusedSince == 0 {
-		s.refusedSince = r.now
-	}
+	s.refusedSince = cmp.Or(s.refusedSince, r.now)
 }
 
 // silent tells whether a store left requests unanswered for longer than chance explains. Probes do not count.
@@ -53,8 +49,7 @@
 		}
 	}
 	load, _ := r.load(s)
-	turn := longest / (r.rateOf(s) * share(load))
-	limit := turn*(silentTurns+silentJobs/min(width, n)) + r.way(s)
+	limit := longest/(r.rateOf(s)*share(load))*(silentTurns+silentJobs/min(width, n)) + r.way(s)
 	return n > 0 && (r.now-max(s.answered, first)).Seconds() > limit
 }
 
@@ -66,18 +61,19 @@
 	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
-		return // an answer that tells nothing: it neither takes a store out nor back
+		s.turnedAt = r.now // an answer that tells nothing: it neither takes a store out nor back
+		return
 	}
-	if e.Result != OK {
-		s.probeFails++
-		if e.Result == Unreachable || e.Result == Reset {
-			r.refused(s)
-		} else {
-			r.bad(s)
-		}
+	if s.probeFails++; e.Result == Unreachable || e.Result == Reset {
+		r.refused(s)
+		return
+	} else if e.Result != OK {
+		r.bad(s)
 		return
 	}
-	s.probeFails, s.askedAt = 0, s.probeAt
+	if s.probeFails = 0; e.Load.Role == RolePrimary { // any other answer is no word that it leads
+		s.askedAt = s.probeAt
+	}
 	r.learn(s, e.Load, e.Load.Position) // a primary stands at the present: its position is the report's time
 	if s.health == down {
 		// Reached, but beside its queue: requests have to prove it. What it held may be gone, and is no load.
@@ -98,11 +94,13 @@
 	r.act(Action{Kind: Probe, Store: s.id})
 }
 
-// tend finds silent stores of a busy group, and probes those that are down, or all while a write waits for a
-// primary. What nobody asks for is not probed: probes have a price, times all routers.
+// tend finds silent stores of a busy group, and probes those that are down, or all while a write seeks a primary.
 func (r *Router) tend(g *group) {
-	p := r.primary(g)
-	seek := (p == nil || !p.usable()) && slices.ContainsFunc(g.held, (*request).primaryOnly)
+	p, i := r.primary(g), slices.IndexFunc(g.held, (*request).primaryOnly)
+	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
+	if seek { // a round of probes a pause and half a pause of delay cost least together
+		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))))
+	}
 	for _, s := range g.members {
 		r.advance(s)
 		if s.health != down && r.silent(s) {
@@ -113,7 +111,7 @@
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
 		} else if seek {
-			r.probe(s, r.seekEach)
+			r.probe(s, pause)
 		}
 	}
 }
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -8,6 +8,7 @@
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
@@ -101,6 +102,7 @@
 
 	limits *lender // nil where none hold for the whole fleet
 	parts  []part.Part
+	over   *joined.Joined // nil where each pooler handles overload alone
 }
 
 // join begins a process's view.
@@ -126,6 +128,7 @@
 	}
 	x := &peer{p: p, f: f, life: p.life}
 	x.view = view.New(set, view.Record{ID: id, Name: p.name, Addr: p.name, Zone: site}, p.e.s.now)
+	x.view.Check(p.e.checks, walkEach)
 	p.peer = x
 	f.check.Began(p.e.s.now, p.no, uint64(id))
 	x.lend()
--- a/internal/kit/fleet/directory.go
+++ b/internal/kit/fleet/directory.go
@@ -20,6 +20,29 @@
 	server   *http.Server
 	listener net.Listener
 	watchers map[chan struct{}]bool
+	silent   bool    // what is called is taken and not answered
+	fellAt   float64 // the watches that were open fell silent then, for good; 0 for never
+}
+
+// toldMs is when what a silent watch misses counts as told, from when it fell silent.
+const toldMs = 6000
+
+// ListSilent has the watches that are open fall silent, and what is called from now on not be answered; not so ends the latter.
+func (f *Fleet) ListSilent(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dir.silent = on; on {
+		f.dir.fellAt = f.clk.Now()
+		f.dir.wakeAll()
+	}
+}
+
+// told is when what the list says now counts as told.
+func (d *directory) told(at float64) float64 {
+	if d.fellAt > 0 {
+		return max(at, d.fellAt+toldMs)
+	}
+	return at
 }
 
 func (d *directory) start(f *Fleet) error {
@@ -52,6 +75,12 @@
 
 func (d *directory) endpoints(f *Fleet, w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
+	if f.dir.silent {
+		f.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	fell := f.dir.fellAt
 	if f.world.List.Gone {
 		f.mu.Unlock()
 		http.Error(w, "discovery is down", http.StatusServiceUnavailable)
@@ -94,8 +123,12 @@
 			}
 		case <-wake:
 			f.mu.Lock()
-			gone, next := f.world.List.Gone, f.world.List.Since(gen)
+			gone, silent, next := f.world.List.Gone, f.dir.fellAt != fell, f.world.List.Since(gen)
 			f.mu.Unlock()
+			if silent {
+				<-r.Context().Done()
+				return
+			}
 			if gone {
 				panic(http.ErrAbortHandler) // its watches end
 			}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -19,8 +19,11 @@
 	Journal    Journal
 	Peers      Peers
 	Limits     FleetLimits
-	Scatter    Scatter
+	Overload   Overload
 	Invariants Invariants
+	Scatter    Scatter
+	Agreed     Agreed
+	Credit     Credit
 }
 
 // Record says whether and where the pooler records what it does.
@@ -71,12 +74,21 @@
 		"pooling":      s.Pooling.read,
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
+		"overload":     s.Overload.read,
+		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
+		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
-	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" }); err == nil && i >= 0 && !s.Peers.On {
-		err = nodes[i].Errorf("(fleet-limits ...) needs (peers ...)")
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
+	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
+	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "credit" }); err == nil && i >= 0 && (!s.Peers.On || !s.Agreed.On) {
+		err = nodes[i].Errorf("(credit ...) needs (peers ...) and (agreed ...)")
 	}
 	return s, err
 }
