--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -124,6 +124,11 @@
 	if best != nil && r.ask(q, best) {
 		return nil
 	}
+	if sure == nil && q.class.Read == ReadSession { // what costs less is behind, or not to be asked now: the primary has it all, and is asked once
+		if p := r.primary(q.group); p != nil && p.usable() && p.probeAt < q.arrived {
+			r.probe(p, 0)
+		}
+	}
 	return sure
 }
 
