--- a/internal/kit/explore/quotas.go
+++ b/internal/kit/explore/quotas.go
@@ -1,12 +1,14 @@
 package explore
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
 	"sort"
 	"strings"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/quota"
 )
 
@@ -181,7 +183,8 @@
 
 // do tells one process of an event, and puts on the wires what follows.
 func (s *Quotas) do(i int, e quota.Event) error {
-	x := s.nodes[i]
+	x, c := s.nodes[i], invariant.New(nil)
+	x.q.Check(c, 1)
 	for _, a := range x.q.Handle(s.clock(i), e, nil) {
 		if a.Kind != quota.Send {
 			continue
@@ -192,6 +195,9 @@
 			}
 		}
 	}
+	for _, b := range c.Broken() {
+		return errors.New(b.String())
+	}
 	return nil
 }
 
