--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -62,8 +62,7 @@
 			s.pace /= 2 // it is further behind than guessed
 		}
 	case Full, Unreachable, Failed, Reset:
-		// No proof that the store is down: it costs more for a while. It is left alone for a
-		// turn, but not after a first failure: nothing else may serve.
+		// No proof that it is down: it costs more for a while, and is left alone for a turn, but not at once.
 		if e.Result == Unreachable && !r.wayTook(s, r.now-a.sent) && r.now-a.sent < stall {
 			r.refused(s)
 		} else if e.Result == Unreachable { // not refused at once: a probe tells whether it lives
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -60,7 +61,8 @@
 	slow := s.probing && r.wayTook(s, r.now-s.probeAt)
 	s.probing = false
 	if e.Result == Full || e.Result == Failed || e.Result != OK && slow {
-		return // an answer that tells nothing: it neither takes a store out nor back
+		s.turnedAt = r.now // an answer that tells nothing: it neither takes a store out nor back
+		return
 	}
 	if s.probeFails++; e.Result == Unreachable || e.Result == Reset {
 		r.refused(s)
@@ -94,8 +96,11 @@
 
 // tend finds silent stores of a busy group, and probes those that are down, or all while a write seeks a primary.
 func (r *Router) tend(g *group) {
-	p := r.primary(g)
-	seek := (p == nil || !p.usable()) && slices.ContainsFunc(g.held, (*request).primaryOnly)
+	p, i := r.primary(g), slices.IndexFunc(g.held, (*request).primaryOnly)
+	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
+	if seek { // a round of probes a pause and half a pause of delay cost least together
+		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))))
+	}
 	for _, s := range g.members {
 		r.advance(s)
 		if s.health != down && r.silent(s) {
@@ -106,7 +111,7 @@
 		} else if s.refusedSince != 0 {
 			r.probe(s, beat)
 		} else if seek {
-			r.probe(s, r.seekEach)
+			r.probe(s, pause)
 		}
 	}
 }
