See the log's invariants fail once, and let them cost nothing where they are off

Need: a statement's state was set aside for each entry, checked or not; neither statement had been seen to fail.

Change: both behind Checks.On; TestInvariants breaks both.

--- /dev/null
+++ b/internal/peers/agreed/invariants_test.go
@@ -0,0 +1,28 @@
+package agreed
+
+import (
+	"testing"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"beechgrade/internal/invariant"
+)
+
+// TestInvariants: each is seen to fail, told what cannot be.
+func TestInvariants(t *testing.T) {
+	all := []Member{{"a", 1}, {"b", 2}, {"c", 3}}
+	set := Defaults()
+	set.Voters, set.Self, set.Checks = []string{"a", "b", "c"}, "a", invariant.New(nil)
+	l := New(set, 0)
+	l.Handle(0, Restored{Records: Founded(all[0], all)}, nil)
+	if b := set.Checks.Broken(); b != nil {
+		t.Fatal(b)
+	}
+	l.apply(&pb.Message{Entries: []*pb.Entry{{Index: proto.Uint64(3), Term: proto.Uint64(1), Data: []byte("x")}}}) // the second is missing
+	l.term = 9
+	l.Handle(1, Tick{}, nil)
+	if b := set.Checks.Broken(); len(b) != 2 {
+		t.Errorf("%v", b)
+	}
+}
--- a/internal/peers/agreed/log.go
+++ b/internal/peers/agreed/log.go
@@ -266,7 +266,9 @@
 	}
 	st := l.node.BasicStatus()
 	term, lead, leads := st.GetTerm(), st.Lead, st.RaftState == raft.StateLeader
-	l.set.Checks.That(term >= l.term, "agreed: the term never falls", func() string { return fmt.Sprint(l.set.Self, l.term, term) })
+	if c := l.set.Checks; c.On() {
+		c.That(term >= l.term, "agreed: the term never falls", func() string { return fmt.Sprint(l.set.Self, " ", l.term, " ", term) })
+	}
 	if lead == l.lead && leads == l.leads && (term == l.term || !leads) {
 		l.term = term
 		return
@@ -314,9 +316,11 @@
 func (l *Log) apply(m *pb.Message) {
 	for _, e := range m.GetEntries() {
 		i := e.GetIndex()
-		l.set.Checks.That(i == l.applied+1 && e.GetTerm() >= l.appliedTerm, "agreed: entries are applied one by one, in terms that never fall", func() string {
-			return fmt.Sprint(l.set.Self, " applies ", i, " of term ", e.GetTerm(), " after ", l.applied, " of term ", l.appliedTerm)
-		})
+		if c := l.set.Checks; c.On() {
+			c.That(i == l.applied+1 && e.GetTerm() >= l.appliedTerm, "agreed: entries are applied one by one, in terms that never fall", func() string {
+				return fmt.Sprint(l.set.Self, " applies ", i, " of term ", e.GetTerm(), " after ", l.applied, " of term ", l.appliedTerm)
+			})
+		}
 		l.applied, l.appliedTerm = i, e.GetTerm()
 		l.since++
 		l.sinceBytes += len(e.GetData())
