--- /dev/null
+++ b/internal/kit/explore/agreed_ways.go
@@ -0,0 +1,113 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+
+	"beechgrade/internal/peers/agreed"
+)
+
+// lost counts voters with a disk that was lost, and which are not of the group again; all, while a place goes over.
+func (s *Agreed) lost() (n int) {
+	for _, x := range s.voters {
+		st := x.rep.Standing()
+		if !st.Part {
+			n++
+		}
+		if st.Changes {
+			return len(s.voters)
+		}
+	}
+	return n
+}
+
+// Wander goes one of all ways, as drawn: messages in any order, lost and twice, writes that wait, crashes, at most so many lost disks at
+// a time that more than half are whole.
+func (s *Agreed) Wander(pick func(n int) int, steps int) error {
+	s.Live = true
+	for range steps {
+		i := pick(len(s.voters))
+		x := s.voters[i]
+		var err error
+		switch k := pick(100); {
+		case k < 38 && len(s.wires) > 0:
+			err = s.deliver(pick(min(len(s.wires), 12)), false)
+		case k < 58 && len(x.pending) > 0:
+			err = s.write(i, true)
+		case k < 72:
+			x.now++
+			err = s.do(i, agreed.Tick{})
+		case k < 79:
+			err = s.propose(i)
+		case k < 81 && s.number > 0:
+			err = s.again(i, 1+uint64(pick(int(s.number))))
+		case k < 84 && len(s.wires) > 0:
+			err = s.lose(pick(len(s.wires)))
+		case k < 87 && len(s.wires) > 0:
+			err = s.deliver(pick(len(s.wires)), true)
+		case k < 89:
+			err = s.crash(i, pick(len(x.pending)+1))
+		case k == 89 && s.lost() < (len(s.voters)-1)/2:
+			err = s.wipe(i)
+		case k > 90 && k < 93:
+			err = s.Settle(4)
+		case k == 93:
+			for n := pick(60); n > 0 && err == nil; n-- {
+				err = s.propose(i)
+			}
+		}
+		for err == nil && len(s.wires) > 80 {
+			err = s.lose(0)
+		}
+		if err == nil {
+			err = s.Check()
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Settle has all messages arrive and all writes be done, while time goes on for so many ticks.
+func (s *Agreed) Settle(ticks int) error {
+	for range ticks {
+		for n := 0; ; n++ {
+			var err error
+			i := slices.IndexFunc(s.voters, func(x *voter) bool { return len(x.pending) > 0 })
+			switch {
+			case n > 100000:
+				return fmt.Errorf("there is no end to messages and writes")
+			case i >= 0:
+				err = s.write(i, true)
+			case len(s.wires) > 0:
+				err = s.deliver(0, false)
+			}
+			if err != nil {
+				return err
+			}
+			if i < 0 && len(s.wires) == 0 {
+				break
+			}
+		}
+		for i, x := range s.voters {
+			x.now++
+			if err := s.do(i, agreed.Tick{}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Taken is how many numbers each voter has taken, and how many were applied by anybody; part is of those that take part.
+func (s *Agreed) Taken() (least, most uint64, part int) {
+	least = s.number
+	for _, x := range s.voters {
+		least, most = min(least, x.tally.Taken), max(most, x.tally.Taken)
+		if x.rep.Standing().Part {
+			part++
+		}
+	}
+	return least, most, part
+}
