Give what only a primary may do a level of its own

Change: pressure is told of a group as of two, what only its primary may do and the rest, each with its level.

TestShedPlace: two routers agree on 1,000 sessions of which about half are refused, each with its own wait.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -77,7 +77,7 @@
 		return
 	}
 	s := c.fleet.shed[e.Group]
-	q.load = load{in: !s.Turns(s.Place(now, e)), group: e.Group, class: e.Class, from: c.loop.Now(), aim: clock.Millis(c.cfg.Settings.Classes[e.Class].Aim)}
+	q.load = load{in: !s.Off(now, e), group: e.Group, class: e.Class, from: c.loop.Now(), aim: clock.Millis(c.cfg.Settings.Classes[e.Class].Aim)}
 	c.fleet.pressure.Asked(e.Group, e.Class, e.Tenant, e.Repeat, q.load.in)
 }
 
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -22,12 +22,13 @@
 	RequestID string
 )
 
-// Shed says which of a group's requests are turned away: those that stand below Level. Cells are by class, of four kinds: a retry of a
+// Shed says which of a group's requests are turned away: those that stand below their level. Cells are by class, of four kinds: a retry of a
 // session beyond its tenant's share, a retry within it, a first try beyond, a first try within.
 type Shed struct {
-	Level  float64
+	Levels []float64 // by class: one for what only the primary may do, one for the rest
 	Cells  [][4]int
-	Beyond []float64 // by tenant: the part of its sessions that is beyond its share
+	Beyond [][2]float64 // by tenant: the part of its sessions that is beyond its share of the rest, and of what only the primary may do
+	Of     []int        // by class: which of the two
 	Keep   time.Duration
 	Wait   time.Duration // the longest that is advised
 }
@@ -43,7 +44,7 @@
 	}
 	h := xxhash.Sum64String(id)
 	kind := 1
-	if e.Tenant >= 0 && e.Tenant < len(s.Beyond) && draw(h, 1) < s.Beyond[e.Tenant] {
+	if e.Tenant >= 0 && e.Tenant < len(s.Beyond) && draw(h, 1) < s.Beyond[e.Tenant][s.Of[e.Class]] {
 		kind = 0
 	}
 	if !e.Repeat {
@@ -57,10 +58,23 @@
 }
 
 // Turns tells whether what stands at a place is turned away.
-func (s *Shed) Turns(place float64) bool { return s != nil && place < s.Level }
+func (s *Shed) Turns(class int, place float64) bool {
+	return s != nil && class < len(s.Levels) && place < s.Levels[class]
+}
+
+// Off tells whether a request that comes is turned away.
+func (s *Shed) Off(now Time, e *Request) bool {
+	return s != nil && e.Class >= 0 && s.Turns(e.Class, s.Place(now, e))
+}
+
+// Once tells whether a request has no second attempt where its first may have run.
+func (s *Shed) Once(class int) bool { return s != nil && class < len(s.Levels) && s.Levels[class] > 0 }
 
 // Advice is how long its client should stay away: each for a time of its own, so that they do not come back together.
 func (s *Shed) Advice(now Time, e *Request) time.Duration {
+	if s == nil {
+		return 0
+	}
 	return time.Duration((1 + draw(xxhash.Sum64String(e.Session+string(e.ID)), uint64(now))) / 2 * float64(s.Wait))
 }
 
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -96,7 +96,7 @@
 // an unsafe one at any time, a keyed one once its servers may have forgotten it.
 func (r *Router) spent(q *request) bool {
 	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
-		r.now+r.set.Tick >= q.sendBy || (q.maybe || q.open > 0) && r.set.Shed[q.group.id] != nil
+		r.now+r.set.Tick >= q.sendBy || (q.maybe || q.open > 0) && r.set.Shed[q.group.id].Once(q.no)
 }
 
 // rescue frees requests from silent stores and from attempts mislaid, which had several times their work as
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -12,8 +12,9 @@
 	if r.reqs[e.ID] != nil {
 		return
 	}
-	if e.Class < 0 || e.Class >= len(r.classes) || e.Due <= r.now {
-		r.act(Action{Kind: Refuse, ID: e.ID})
+	shed := r.set.Shed[e.Group] // what is to be turned away is so at once, as by all routers
+	if e.Class < 0 || e.Class >= len(r.classes) || e.Due <= r.now || shed.Off(r.now, e) {
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: shed.Advice(r.now, e)})
 		return
 	}
 	c := &r.classes[e.Class]
@@ -21,19 +22,13 @@
 		r.act(Action{Kind: Refuse, ID: e.ID, Wait: min(r.set.MaxRetryAfter, c.Aim)})
 		return
 	}
-	shed := r.set.Shed[e.Group]
-	place := shed.Place(r.now, e)
-	if shed.Turns(place) { // as all routers do, at once
-		r.act(Action{Kind: Refuse, ID: e.ID, Wait: shed.Advice(r.now, e)})
-		return
-	}
-	q := &request{id: e.ID, class: c, place: place, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
+	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
 		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only, sendBy: math.MaxInt64,
-		value: max(c.Worth, 1e-6), size: 1}
+		value: max(c.Worth, 1e-6), size: 1, place: shed.Place(r.now, e)}
 	if e.RanAt > 0 && c.Effect == Keyed { // another with its key may have run
 		q.maybe, q.maybeAt, q.sendBy = true, e.RanAt, e.RanAt+c.KeyWindow
 	}
-	if q.last = q.aim; c.LateWorth > 0 {
+	if q.no, q.last = e.Class, q.aim; c.LateWorth > 0 {
 		q.last = q.due
 	}
 	if c.Read == ReadSession {
@@ -122,7 +117,8 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		switch over := r.set.Shed[g.id].Turns(q.place) || r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
+		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last ||
+			r.set.Shed[g.id].Turns(q.no, q.place); {
 		case q.finished:
 		case over && q.open == 0:
 			r.finish(q)
--- /dev/null
+++ b/internal/decide/shed_test.go
@@ -0,0 +1,54 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestShedPlace: a session stands at two places at most within Keep, whatever its request is called and whichever router it comes to; its
+// retries stand below its first tries; and what stands below the level is refused at once, with advice that is not the same for all.
+func TestShedPlace(t *testing.T) {
+	s := &Shed{Levels: []float64{3.5}, Cells: [][4]int{{0, 1, 2, 3}}, Of: []int{0}, Keep: time.Minute, Wait: 2 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		now := Time(rapid.Int64Range(1, 1e18).Draw(t, "now"))
+		session := rapid.StringN(1, 20, -1).Draw(t, "session")
+		places := map[float64]bool{}
+		for i := range 60 {
+			places[s.Place(now+Time(i)*time.Second, &Request{ID: RequestID(fmt.Sprint(i)), Session: session, Tenant: -1})] = true
+		}
+		if len(places) > 2 {
+			t.Fatalf("%d places in a minute", len(places))
+		}
+		if first, again := s.Place(now, &Request{Session: session, Tenant: -1}), s.Place(now, &Request{Session: session, Repeat: true, Tenant: -1}); again >= first {
+			t.Fatalf("a retry stands at %g, the first try at %g", again, first)
+		}
+	})
+	set := Settings{Classes: []Class{{Aim: time.Second, Worth: 1}}, Siblings: 1, Shed: map[int]*Shed{4: s}, MaxRetryAfter: 2 * time.Second}
+	refused, waits := 0, map[time.Duration]bool{}
+	a, b := New(set, 1), New(set, 2)
+	for i := range 1000 {
+		off := func(r *Router) (no bool) {
+			e := &Request{ID: RequestID(fmt.Sprint(i)), Group: 4, Tenant: -1, Session: fmt.Sprint("s", i), Due: Time(time.Hour + time.Second)}
+			for _, x := range r.Handle(Time(time.Hour), e, nil) {
+				if x.Kind == Refuse {
+					no = true
+					waits[x.Wait] = true
+				}
+			}
+			return no
+		}
+		first := off(a)
+		if first != off(b) {
+			t.Fatalf("two routers differ on session %d", i)
+		}
+		if first {
+			refused++
+		}
+	}
+	if refused < 400 || refused > 600 || len(waits) < refused/2 {
+		t.Errorf("%d of 1000 refused where half stands below the level, with %d waits", refused, len(waits))
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -122,6 +122,7 @@
 type request struct {
 	id        RequestID
 	class     *class
+	no        int     // its class's
 	place     float64 // on the order that the routers have agreed on; it keeps it
 	group     *group
 	arrived   Time
--- a/internal/peers/overload/doc.go
+++ b/internal/peers/overload/doc.go
@@ -62,5 +62,6 @@
 // # What it does not know
 //
 // Whether strain comes from too much load or from servers that fail: where answers are lost at random the budget falls too. Nor which of a group's
-// servers is crowded: there is one level for a group, so where only its primary has too much to do, reads are shed before writes.
+// servers is crowded, beyond that its embedder tells of a group as of two: what only its primary may do, and the rest. With one level for both,
+// reads were all shed before the first write, and replicas stood idle. With two, writes are shed though the reads at their primary are the cause.
 package overload
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -46,11 +46,12 @@
 	due    float64
 	named  int // classes and tenants that the settings had
 	learnt float64
+	places map[int]*overload.Place // by resource
 }
 
 // New makes one; it is to be joined to the peers and to the core.
 func New(opt Options, c Core, h Host) *Joined {
-	return &Joined{opt: opt, core: c, host: h}
+	return &Joined{opt: opt, core: c, host: h, places: map[int]*overload.Place{}}
 }
 
 // learnMs is between two looks at what classes cost.
@@ -144,12 +145,12 @@
 
 // Asked is core.Pressure's.
 func (j *Joined) Asked(group, class, tenant int, again, in bool) {
-	j.do(overload.Asked{Group: group, Class: class, Tenant: tenant, Again: again, In: in})
+	j.do(overload.Asked{Group: j.resource(group, class), Class: class, Tenant: tenant, Again: again, In: in})
 }
 
 // Ended is core.Pressure's.
 func (j *Joined) Ended(group, class int, served, gone bool, strain float64) {
-	j.do(overload.Ended{Group: group, Class: class, Served: served, Gone: gone, Strain: strain})
+	j.do(overload.Ended{Group: j.resource(group, class), Class: class, Served: served, Gone: gone, Strain: strain})
 }
 
 func (j *Joined) do(e overload.Event) {
@@ -165,18 +166,49 @@
 		case overload.SendAnswer:
 			j.host.Tell(a.Addr, a.To, part.Overload, a.Answer)
 		case overload.Shed:
-			j.core.Shed(a.Group, shedOf(a.Place))
+			j.shed(a.Group, a.Place)
 		}
 	}
 	clear(acts)
 	j.acts = acts
 }
 
-func shedOf(p *overload.Place) *decide.Shed {
-	if p == nil {
-		return nil
+// resource is what a class's requests of a group ask for: its primary, or any of its servers. Each has a level of its own.
+func (j *Joined) resource(group, class int) int {
+	if set := j.core.Contracts(); class >= 0 && class < len(set.Classes) && (set.Classes[class].Read == decide.Write || set.Classes[class].Read == decide.ReadFresh) {
+		return 2*group + 1
+	}
+	return 2 * group
+}
+
+// shed has the module turn away what both of a group's levels say.
+func (j *Joined) shed(resource int, p *overload.Place) {
+	if j.places[resource] = p; p == nil {
+		delete(j.places, resource)
+	}
+	group, set := resource/2, j.core.Contracts()
+	n := len(set.Classes)
+	s := &decide.Shed{Levels: make([]float64, n), Cells: make([][4]int, n), Of: make([]int, n), Beyond: make([][2]float64, len(set.Tenants)),
+		Keep: time.Duration(j.opt.Set.Keep * float64(time.Millisecond))}
+	on := false
+	for i := range set.Classes {
+		s.Of[i] = j.resource(group, i) & 1
+		if p := j.places[2*group+s.Of[i]]; p != nil && i < len(p.Cells) {
+			s.Levels[i], s.Cells[i], on = p.Level, p.Cells[i], true
+		}
+	}
+	if !on {
+		j.core.Shed(group, nil)
+		return
+	}
+	for k := range 2 {
+		if p := j.places[2*group+k]; p != nil {
+			for i := range min(len(s.Beyond), len(p.Beyond)) {
+				s.Beyond[i][k] = p.Beyond[i]
+			}
+		}
 	}
-	return &decide.Shed{Level: p.Level, Cells: p.Cells, Beyond: p.Beyond, Keep: time.Duration(p.Keep * float64(time.Millisecond))}
+	j.core.Shed(group, s)
 }
 
 // Prober is what shares probes, as core.Prober.
