--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -2,8 +2,18 @@
 // groups of one primary and its replicas. It holds decisions only: no sockets, no clock, no
 // goroutines. The embedding proxy feeds events to a Router and carries out its actions.
 //
-// This file is the interface: settings, events and actions; state.go and handover.go keep records. Each other
-// file is one idea of how decisions are made.
+// This file is the interface: settings, events and actions; state.go and handover.go keep records, invariants.go
+// what must be true of them. Each other file is one idea of how decisions are made:
+//
+//   - router.go: tuned values, settings, and each event on its way to what decides about it
+//   - choose.go: which server a request goes to
+//   - estimate.go: how fast servers and the ways to them are, and what they hold
+//   - ration.go: what a cold server may be sent, and what tenants are let in with
+//   - queue.go: what waits, what is given up, and in which order the rest goes
+//   - shed.go: how much is let in where answers tell of waiting behind others, of whom a router sees nothing else
+//   - attempts.go: what attempts came to, and when one is tried anew
+//   - health.go: which servers are taken out, and come back
+//   - list.go: the list of servers
 package decide
 
 import (
@@ -67,8 +77,11 @@
 	return s != nil && e.Class >= 0 && s.Turns(e.Class, s.Place(now, e))
 }
 
-// Once tells whether a request has no second attempt where its first may have run.
-func (s *Shed) Once(class int) bool { return s != nil && class < len(s.Levels) && s.Levels[class] > 0 }
+// Spent tells whether one that is under way is not sent any more: it stands below the level by now, or would be a copy or a repeat of what may have run,
+// and these stand below everything.
+func (s *Shed) Spent(class int, place float64, again bool) bool {
+	return s.Turns(class, place) || again && s != nil && class < len(s.Levels) && s.Levels[class] > 0
+}
 
 // Advice is how long its client should stay away: each for a time of its own, so that they do not come back together.
 func (s *Shed) Advice(now Time, e *Request) time.Duration {
@@ -159,7 +172,8 @@
 	Tenants        []Tenant
 	OverShareWorth float64
 
-	AskList       bool // the server list must be subscribed to
+	AskList       bool          // the server list must be subscribed to
+	AskEvery      time.Duration // without a subscription for so long, what changed counts as told; 0 for never
 	Behind        Behind
 	BehindWait    time.Duration
 	KeptTokens    bool // the router itself must remember its sessions' commits
--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -1,7 +1,5 @@
 package decide
 
-// The list of servers.
-
 import "time"
 
 func (r *Router) onList(e *List) {
@@ -22,7 +20,7 @@
 				continue
 			}
 			s = r.newStore(n.Store, r.groupOf(n.Group))
-			s.soft, s.part = r.set.DrainOnly, r.rng.Float64() // each goes round from a place of its own
+			s.part = r.rng.Float64() // each goes round from a place of its own
 			if r.listed {
 				s.part = 0
 				if r.set.MayProbe {
@@ -59,7 +57,12 @@
 	}
 }
 
-// rewatch subscribes after a pause, each router at a time of its own: the list answers one after the other.
+// rewatch subscribes after a pause, each router at a time of its own: the list answers one after the other. With many routers that takes
+// long, but no longer than leaves time for the answer before what is missed counts as told.
 func (r *Router) rewatch(pause, jitter time.Duration) {
-	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(jitter+watchEach*time.Duration(r.set.Siblings-1)))
+	spread := jitter + watchEach*time.Duration(r.set.Siblings-1)
+	if most := time.Duration(watchPart * float64(r.set.AskEvery)); most > 0 {
+		spread = max(0, min(spread, most-pause))
+	}
+	r.rewatchAt = r.now + pause + time.Duration(r.rng.Float64()*float64(spread))
 }
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -1,7 +1,5 @@
 package decide
 
-// What waits, what is given up, and in which order the rest goes.
-
 import (
 	"cmp"
 	"math"
@@ -12,9 +10,8 @@
 	if r.reqs[e.ID] != nil {
 		return
 	}
-	shed := r.set.Shed[e.Group] // what is to be turned away is so at once, as by all routers
-	if e.Class < 0 || e.Class >= len(r.classes) || e.Due <= r.now || shed.Off(r.now, e) {
-		r.act(Action{Kind: Refuse, ID: e.ID, Wait: shed.Advice(r.now, e)})
+	if e.Class < 0 || e.Class >= len(r.classes) || e.Due <= r.now || r.set.Shed[e.Group].Off(r.now, e) {
+		r.act(Action{Kind: Refuse, ID: e.ID, Wait: r.set.Shed[e.Group].Advice(r.now, e)})
 		return
 	}
 	c := &r.classes[e.Class]
@@ -24,7 +21,7 @@
 	}
 	q := &request{id: e.ID, class: c, group: r.groupOf(e.Group), arrived: r.now, due: e.Due,
 		aim: min(e.Due, r.now+c.Aim), need: never, session: e.Session, only: e.Only, sendBy: math.MaxInt64,
-		value: max(c.Worth, 1e-6), size: 1, place: shed.Place(r.now, e)}
+		value: max(c.Worth, 1e-6), size: 1, place: r.set.Shed[e.Group].Place(r.now, e)}
 	if e.RanAt > 0 && c.Effect == Keyed { // another with its key may have run
 		q.maybe, q.maybeAt, q.sendBy = true, e.RanAt, e.RanAt+c.KeyWindow
 	}
@@ -62,6 +59,7 @@
 	}
 	q.luck = r.rng.Float64()
 	r.flowed(1)
+	r.asks(q)
 	r.reqs[q.id] = q
 	r.tend(q.group)
 	if len(q.group.held) > 0 || !r.place(q) {
@@ -70,12 +68,14 @@
 	}
 }
 
-// room tells whether a store can take one more: without making requests there too slow for the least aim, or,
-// where none is ours, this one. What finds no room waits here and can still go to whichever frees first.
+// room tells whether a store can take one more; what finds none waits here, for whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
 	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
 		return false
 	}
+	if !r.letsIn(s, q) {
+		return false
+	}
 	_, n := r.load(s)
 	n, warm := n+1, r.warmth(s)
 	if warm < 1 && !r.coldRoom(s, q) {
@@ -90,8 +90,7 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
-// closing tells that a request must have its answer before the next beat. One that no server has seen has
-// half its time: a client told by then can still ask again, while one kept to the end for nothing cannot.
+// closing tells that a request must have its answer now. One that no server saw has half its time, to ask again.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
@@ -117,8 +116,7 @@
 	kept, queue := g.held[:0:0], g.held
 	g.held = nil
 	for _, q := range queue {
-		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last ||
-			r.set.Shed[g.id].Turns(q.no, q.place); {
+		switch over := r.closing(q) || r.spent(q) || r.now+r.soonest(q) > q.last; {
 		case q.finished:
 		case over && q.open == 0:
 			r.finish(q)
@@ -145,8 +143,7 @@
 	return seconds(q.class.soon.Seconds() * q.size)
 }
 
-// finish gives the final answer: refused where trying again is harmless, else failed. What found no room is
-// to stay away for long: soon again it would be late, and in the way of what is not.
+// finish gives the final answer: refused where trying again is harmless, with the longest wait, else failed.
 func (r *Router) finish(q *request) {
 	if q.class.Effect == Safe || !q.maybe && q.open == 0 ||
 		q.class.Effect == Keyed && q.class.Scope == ScopeAll {
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -46,6 +46,9 @@
 	rewatchAt Time
 	watchedAt Time // last subscribed then
 
+	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
+	askedAt Time
+
 	watchFails int // subscriptions in a row that did not hold
 
 	watch *watch // of its invariants, nil where nobody watches
@@ -67,11 +70,11 @@
 	open         []*attempt // in order of sending
 	lost         int        // how many of them are thought lost
 	draining     bool
-	gone         Time    // when it left the list, 0 while in it
-	soft         bool    // leaving the list alone does not bind
-	rel          float64 // its rate against its kind's
-	part         float64 // part of the group's requests that this router sends there
-	fails        float64 // chance of a failed answer, at failedAt
+	gone         Time      // when it left the list, 0 while in it
+	set          *Settings // the router's, as they are now
+	rel          float64   // its rate against its kind's
+	part         float64   // part of the group's requests that this router sends there
+	fails        float64   // chance of a failed answer, at failedAt
 	failedAt     Time
 	service      float64 // virtual service: the integral of one request's share of rate over time
 	serviceAt    Time
@@ -91,6 +94,7 @@
 	answered     Time // last answer of an attempt
 	probeAt      Time // last probe sent
 	probing      bool
+	turnedAt     Time // last probe turned away
 	probeFails   int  // probes failed in a row
 	heardAt      Time // last report of its load
 	fullUntil    Time
@@ -104,6 +108,7 @@
 	id      int
 	members []*store
 	held    []*request
+	crowds  [2]crowding // at its primary, and at the others
 }
 
 type attempt struct {
@@ -143,7 +148,6 @@
 	maybeZone int
 	reached   bool // an attempt got to a store
 	asked     int  // stores asked for it
-	askUntil  Time // it waits for them until then
 	finished  bool
 }
 
@@ -192,8 +196,8 @@
 
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
-	s := &store{id: id, group: g, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
-		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never}
+	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
+		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never}
 	r.stores[id] = s
 	r.order = append(r.order, s)
 	slices.SortFunc(r.order, func(a, b *store) int { return cmp.Compare(a.id, b.id) })
@@ -311,6 +315,9 @@
 	r.commits[session] = max(at, r.commits[session])
 }
 
+// urgencyBins are of a quarter of an octave each, the middle one from 1.
+const urgencyBins = 96
+
 // flowed counts n more requests and brings up to date this router's flow of them a second, a fading memory.
 func (r *Router) flowed(n float64) {
 	dt := (r.now - r.flowAt).Seconds()
@@ -337,3 +344,69 @@
 	}
 	return or
 }
+
+// asks counts a request among what is asked, by its urgency.
+func (r *Router) asks(q *request) {
+	keep := math.Exp(-(r.now - r.askedAt).Seconds() / flowMemory.Seconds())
+	for i := range r.asked {
+		r.asked[i] *= keep
+	}
+	r.asked[urgencyBin(r.urgency(q))]++
+	r.askedAt = r.now
+}
+
+func urgencyBin(u float64) int { return int(min(urgencyBins-1, max(0, urgencyBins/2+4*math.Log2(u)))) }
+
+// crowding is what the answers of a group's primary, or of its other members, tell of waiting there.
+type crowding struct {
+	shut  float64 // exp(-shut) of what is asked is let in
+	at    Time
+	bin   int     // of which, as of cutAt, this is the least urgent...
+	part  float64 // ...and this part of it
+	cutAt Time
+}
+
+// advance moves a store's virtual service up to now; call it before its load changes.
+func (r *Router) advance(s *store) {
+	if dt := (r.now - s.serviceAt).Seconds(); dt > 0 {
+		n, _ := r.load(s)
+		s.service += dt * share(n) * r.warmth(s)
+	}
+	s.serviceAt = r.now
+}
+
+// had is the service that an attempt has had, in times its expected work.
+func (r *Router) had(s *store, a *attempt) float64 {
+	return (s.service - a.service) * r.base(s) / a.req.work()
+}
+
+// crowd is the crowding of those to which a store belongs: what writes meet is not what reads meet.
+func (r *Router) crowd(s *store) *crowding {
+	if s == r.primary(s.group) {
+		return &s.group.crowds[0]
+	}
+	return &s.group.crowds[1]
+}
+
+// dispatch brings an event to what decides about it.
+func (r *Router) dispatch(e Event) {
+	switch e := e.(type) {
+	case *Request:
+		r.onRequest(e)
+	case *Outcome:
+		r.onOutcome(e)
+	case *Expired:
+		if q := r.reqs[e.ID]; q != nil {
+			r.forget(q)
+		}
+	case *ProbeResult:
+		r.onProbe(e)
+	case *List:
+		r.onList(e)
+	case *Retune:
+		r.tune(e.Settings)
+	case *Timer:
+		r.wakeAt = never
+		r.onBeat()
+	}
+}
