Share probes by (overload), agree on levels only where that is turned on

Need: since each pooler sheds by what its own answers tell, levels on top of that cost more than they give.

Change: `(shed no)` is the default.

TestOverloadSettings, TestParse pass.

--- a/internal/operate/overload.go
+++ b/internal/operate/overload.go
@@ -19,7 +19,7 @@
 }
 
 func (o *Overload) read(n *sexp.Node) error {
-	o.On, o.Options = true, joined.Options{Shed: true, Set: overload.Defaults(), Share: true, Probes: overload.DefaultProbes()}
+	o.On, o.Options = true, joined.Options{Set: overload.Defaults(), Share: true, Probes: overload.DefaultProbes()}
 	s, p := &o.Set, &o.Probes
 	span := func(to *float64, least, most float64) func(*sexp.Node) error {
 		return func(n *sexp.Node) (err error) { *to, err = n.Millis(least, most); return err }
