--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -93,7 +93,7 @@
 // spent tells that a request may not be sent again: one that may have run might then apply twice.
 func (r *Router) spent(q *request) bool {
 	return len(q.tries) >= r.set.MaxAttempts || q.open > 0 && !r.set.MayDuplicate ||
-		r.now+r.set.Tick >= q.sendBy || (q.maybe || q.open > 0) && r.set.Shed[q.group.id] != nil
+		r.now+r.set.Tick >= q.sendBy || r.set.Shed[q.group.id].Spent(q.no, q.place, q.maybe || q.open > 0)
 }
 
 // rescue frees safe requests from silent stores and mislaid attempts, by a copy or by calling the first off.
