--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -80,7 +80,8 @@
 	agreed  *commonLog       // nil where it is off
 	credit  *prepaid         // nil where nobody pays ahead
 
-	checks *invariant.Checks // nil where they are off
+	checks       *invariant.Checks // nil where they are off
+	countsChecks bool              // and are figures
 
 	sources *sources // of the list, nil where it is the platform's discovery alone
 
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -124,6 +124,11 @@
 	if best != nil && r.ask(q, best) {
 		return nil
 	}
+	if sure == nil && q.class.Read == ReadSession { // what costs less is behind, or not to be asked now: the primary has it all, and is asked once
+		if p := r.primary(q.group); p != nil && p.usable() && p.probeAt < q.arrived {
+			r.probe(p, 0)
+		}
+	}
 	return sure
 }
 
@@ -144,7 +149,7 @@
 		return false
 	}
 	if !s.probing {
-		if q.asked >= len(q.group.members) || float64(q.asked)*r.set.PriceProbe >= askShare {
+		if q.asked >= askMost {
 			if s == r.primary(q.group) { // the answers told nothing, and nobody else may do
 				r.probe(s, r.seekEach)
 			}
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -30,7 +29,7 @@
 	silentTurns  = 3.0                    // ...and this many mean request times
 	flowMemory   = 5 * time.Second        // memory of this router's own flow of requests
 	pickMemory   = 4.0                    // memory of where a group's requests went, in rounds of its members
-	askShare     = 0.5                    // part of its worth that may go into asking for one request
+	askMost      = 2                      // stores asked for one read: the best two tell most of it
 	askWait      = 4                      // ticks that a read waits for what it asked
 	othersLike   = 0.5                    // a guess counts at most as this part of our own, for each other
 	trialJobs    = 3                      // requests at once on trial: one may be lost and prove nothing
@@ -46,6 +45,7 @@
 	wayMemory    = 10 * time.Second       // fading of what the way to a zone was seen to take
 	watchEach    = 20 * time.Millisecond  // of the list for one router's call: all in some seconds
 	coldMargin   = 0.5                    // part of the fall budget to use: estimates are rough
+	watchPart    = 0.6                    // of the time that routers may go without a subscription, at most until the next
 	watchSoon    = 100 * time.Millisecond // before subscribing anew, plus jitter of the same...
 	watchPause   = time.Second            // ...doubled up to this while it fails within as long
 	outage       = time.Second            // refusing for this long means a restarted process
@@ -55,6 +55,7 @@
 	waitLeast    = 0.5                    // ...but no less than this part of a usual request's time
 	waitMost     = 4.0                    // so many times that counts at most
 	shutRate     = 0.25                   // what is let in falls so fast a second for each time that
+	openMost     = -0.5                   // what is well is so much slower to shut
 	openAgain    = 10.0                   // seconds: memory of that
 	dueMargin    = 2                      // ticks before a request's end at which it gets its answer
 )
@@ -109,17 +110,3 @@
 	r.watched(e, len(out))
 	return r.out
 }
-
-func (r *Router) onBeat() {
-	if r.now >= r.refreshAt {
-		r.refresh()
-	}
-	for _, g := range r.gorder {
-		if len(g.held) == 0 && !slices.ContainsFunc(g.members, (*store).isBusy) {
-			continue
-		}
-		r.tend(g)
-		r.rescue(g)
-		r.pump(g)
-	}
-}
--- a/internal/peers/credit/purse/purse_test.go
+++ b/internal/peers/credit/purse/purse_test.go
@@ -174,3 +174,34 @@
 		t.Fatalf("%+v", acts)
 	}
 }
+
+// TestInvariantsSeen has each statement about a purse be found broken.
+func TestInvariantsSeen(t *testing.T) {
+	seen := map[string]bool{}
+	set := settings(t)
+	set.Marks, set.Checks = true, invariant.New(func(b invariant.Breach) { seen[b.Name] = true })
+	p := New(set, 7, 0)
+	p.tenantOf("t").pot(0).cur = account{gen: 1, granted: 10, held: 20, till: 1e6}
+	p.Handle(1, Heard{}, nil)
+	for _, name := range []string{"credit: no more is held and spent than was granted", "credit: no more is spent than is marked"} {
+		if !seen[name] {
+			t.Errorf("%q was not found broken", name)
+		}
+	}
+}
+
+// BenchmarkHold is what credit costs a request.
+func BenchmarkHold(b *testing.B) {
+	s := Defaults()
+	s.Prepaid, s.Classes = []string{"t"}, []Class{{Price: Price{Request: 1}, Worth: 1}}
+	p := New(s, 7, 0)
+	p.tenantOf("t").pot(0).cur = account{gen: 1, granted: 1 << 50, till: 1e6}
+	b.ReportAllocs()
+	for b.Loop() {
+		h, v := p.Hold(1002, "t", 0, 1, 1, 2)
+		if v != Pass {
+			b.Fatal(v)
+		}
+		p.Settle(&h, Done{Served: 1})
+	}
+}
