--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -18,7 +18,7 @@
 	q := a.req
 	r.countLost(s, a, e.Result)
 	q.reached = q.reached || e.Result != Unreachable && e.Result != Skipped
-	at := r.now // that it does not lead counts at once; that it does, as of when it said so, which may be read late
+	at := r.now // that it does not lead counts at once; that it does, as of when it said so
 	if e.Told.Role == RolePrimary {
 		at = min(r.now, max(a.sent, e.Told.Position))
 	}
@@ -123,7 +123,7 @@
 	}
 }
 
-// patience is what one overtaken may have had before lost is likelier: exp(-x) have more than x times their work.
+// patience is what one overtaken may have had before lost is likelier: exp(-x) have over x times their work.
 func (r *Router) patience(g *group) float64 {
 	if len(g.held) > 0 { // copies would be at others' expense
 		return lostAfter
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// cost is equation 2 of the paper, the slowdown of each request by its worth: a primary full of writes is spared.
+// cost is the paper's equation 2, each request's slowdown by its worth: a primary full of writes is spared.
 func (r *Router) cost(s *store, q *request) (cost, left float64) {
 	r.advance(s)
 	rate := r.rateOf(s)
@@ -38,8 +38,8 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
-// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or as of
-// a probe sent for this request: it is hardly replaced between its report and the answer.
+// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or
+// of a probe sent for this request: it is hardly replaced between its report and the answer.
 func (r *Router) proven(s *store, q *request) Time {
 	at := s.position
 	if s == r.primary(q.group) {
@@ -83,7 +83,7 @@
 	return q.need
 }
 
-// chance guesses how likely a probe finds a store new enough: one that was too far behind probably is for a while.
+// chance guesses how likely a probe finds a store new enough: one that was too far behind stays so a while.
 func (r *Router) chance(s *store, q *request) float64 {
 	lacked, may := s.placedAt-s.position, r.now-r.needs(q)
 	if s.position == never || lacked <= may {
@@ -124,7 +124,7 @@
 	if best != nil && r.ask(q, best) {
 		return nil
 	}
-	if sure == nil && q.class.Read == ReadSession { // what costs less is behind, or not to be asked now: the primary has it all, and is asked once
+	if sure == nil && q.class.Read == ReadSession { // what costs less is behind: the primary is asked once
 		if p := r.primary(q.group); p != nil && p.usable() && p.probeAt < q.arrived {
 			r.probe(p, 0)
 		}
@@ -134,12 +134,13 @@
 
 func (r *Router) price(q *request) float64 { return r.set.PriceProbe * q.class.Aim.Seconds() }
 
-// askable: not just asked too much by all routers together, nor with a probe out for longer than another one costs.
+// askable: not just asked too much by all together, nor with a probe out for longer than another one costs.
 func (r *Router) askable(s *store, q *request) bool {
-	return r.now-s.turnedAt >= probeDown && !(s.probing && r.now-s.probeAt > askWait*r.set.Tick+seconds(r.price(q)))
+	most := askWait*r.set.Tick + seconds(r.price(q))
+	return r.now-s.turnedAt >= probeDown && !(s.probing && r.now-s.probeAt > most)
 }
 
-// ask probes a store whose position or load must be known, if that costs less, and tells whether to wait for it.
+// ask probes a store whose position or load must be known, if that costs less, and whether to wait for it.
 func (r *Router) ask(q *request, s *store) bool {
 	is, _ := r.qualifies(s, q)
 	n, _ := r.load(s)
@@ -181,7 +182,7 @@
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
 	by := q.sendBy - r.set.Tick
-	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, while the store falls behind
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, as the store falls behind
 		by = min(by, r.proven(s, q)+q.class.Bound+1)
 	}
 	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: by})
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -10,7 +10,7 @@
 // rateOf is the rate for one request alone now. A cold store's old good rate would win every pick otherwise.
 func (r *Router) rateOf(s *store) float64 { return r.base(s) * r.warmth(s) }
 
-// share is the part of the rate for one alone that each of n gets: about width/n, rounded as cores are not told.
+// share is the part of the rate for one alone that each of n gets: about width/n, as cores are not told.
 func share(n float64) float64 {
 	x := n * n / (width * width)
 	return 1 / math.Sqrt(math.Sqrt(1+x*x))
@@ -27,7 +27,7 @@
 	return own + guess, own + min(guess, othersLike*float64((len(s.open)-s.lost)*(r.set.Siblings-1)))
 }
 
-// guess is what others are taken to have at a store, each as much as this one: so it goes round by their rates.
+// guess is what others are taken to have at a store, each as much as this one: it goes round by rates.
 func (r *Router) guess(s *store) float64 {
 	n := float64(r.set.Siblings-1) * r.flow / float64(max(1, len(r.gorder))) * s.part * r.work / r.rateOf(s)
 	use := min(0.95, n/width)
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -32,7 +32,7 @@
 	s.health, s.badAt = down, r.now
 }
 
-// refused notes a connection that was refused or broke. A second one with no answer between takes the store out.
+// refused notes a connection that was refused or broke. A second with no answer between takes the store out.
 func (r *Router) refused(s *store) {
 	if s.refusedSince != 0 || s.health != healthy {
 		r.bad(s)
@@ -94,12 +94,13 @@
 	r.act(Action{Kind: Probe, Store: s.id})
 }
 
-// tend finds silent stores of a busy group, and probes those that are down, or all while a write seeks a primary.
+// tend finds silent stores of a busy group, and probes those down, or all while a write seeks a primary.
 func (r *Router) tend(g *group) {
 	p, i := r.primary(g), slices.IndexFunc(g.held, (*request).primaryOnly)
 	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
 	if seek { // a round of probes a pause and half a pause of delay cost least together
-		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*math.Sqrt(2*r.set.PriceProbe*float64(len(g.members)))))
+		least := math.Sqrt(2 * r.set.PriceProbe * float64(len(g.members)))
+		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*least))
 	}
 	for _, s := range g.members {
 		r.advance(s)
--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// rewatch subscribes after a pause, each router at a time of its own, but before what it missed counts as told.
+// rewatch subscribes after a pause, each router at its own time, but before what it missed counts as told.
 func (r *Router) rewatch(pause, jitter time.Duration) {
 	spread := jitter + watchEach*time.Duration(r.set.Siblings-1)
 	if most := time.Duration(watchPart * float64(r.set.AskEvery)); most > 0 {
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -90,7 +90,7 @@
 		r.work/rate <= crowdShare*r.leastAim.Seconds()
 }
 
-// closing tells that a request must have its answer now. One that no server saw has half its time, to ask again.
+// closing tells that a request must have its answer now. One that no server saw has half its time.
 func (r *Router) closing(q *request) bool {
 	end := q.due
 	if !q.reached && q.open == 0 {
