--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -182,7 +182,7 @@
 	}
 	s.part += 1 / (pickMemory * float64(len(s.group.members)))
 	by := q.sendBy - r.set.Tick
-	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, as the store falls behind
+	if q.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, and age
 		by = min(by, r.proven(s, q)+q.class.Bound+1)
 	}
 	r.act(Action{Kind: Send, ID: q.id, Store: s.id, By: by})
