Let the endless shard's test allow for what sockets hold

Cause: in a whole run TestScatterBadShards saw 28,352 and 23,581 rows of the endless shard where it allowed 20,000: the kernel's buffers of both ends grow to some megabytes of 100-byte rows, and how far is its own affair.

Change: 100,000, which what is not held back would pass: one stream brings 638,000 rows a second, for the 0.8 s that the slow shard takes.

--- a/cmd/beechgrade/scatter_test.go
+++ b/cmd/beechgrade/scatter_test.go
@@ -320,7 +320,7 @@
 		t.Errorf("%d statements were cut off: %+v", hits, reads)
 	}
 	for _, x := range reads {
-		if x.Rows > 20000 {
+		if x.Rows > 100000 { // what both ends' sockets and the pooler may hold; unheld, it would be some 500,000 in the slow one's 0.8 s
 			t.Errorf("%s sent %d rows for a page of 40", x.Server, x.Rows)
 		}
 	}
