Start on the last good configuration and list where their sources are gone

A start whose configuration file was cut short, or whose discovery answers nobody, served nobody. With (kept (dir ...)) the configuration in force and the list as heard last are kept on a durable store, off the loop, and said to be good once a minute. A configuration from there is used only where the file cannot be read whole, and is logged; a list counts as restored; both have an age bound. Membership's saved list goes there too where it names no file.

--- /dev/null
+++ b/cmd/beechgrade/kept.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/kept"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/membership/snapshot"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/store"
+)
+
+const (
+	keepEvery = 60000 // ms between words that what is kept is still good
+	keepPause = 1000  // ms between lists that are kept
+)
+
+// startKept opens what is kept, where the settings have it on. Without a disk that can be used the start goes on, as if it were off.
+func startKept(o operate.Kept, log *slog.Logger) *kept.Keeper {
+	if o.Dir == "" {
+		return nil
+	}
+	k, err := kept.Start(kept.Options{FS: store.Dir(o.Dir), MostBytes: o.MostBytes, AgeMs: o.AgeMs, Log: log})
+	if err != nil {
+		log.Error("kept: starting without it, and nothing is kept", "dir", o.Dir, "err", err)
+		return nil
+	}
+	return k
+}
+
+// keptConfig is the configuration that was kept, for a start whose file cannot be read whole. Any other fault of the file is
+// somebody's to mend, and so is one of the variables.
+func keptConfig(k *kept.Keeper, cause error, env func(string) string, log *slog.Logger) (*config.Config, error) {
+	if k == nil || !errors.Is(cause, config.ErrUnread) {
+		return nil, cause
+	}
+	r, err := k.Found(kept.Config, clock.Wall())
+	if err == nil && r != nil && r.From != env("EDGE_CONFIG") {
+		err = fmt.Errorf("it is of %s", r.From)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w; what was kept is not used: %w", cause, err)
+	}
+	if r == nil {
+		return nil, cause
+	}
+	c, err := config.Parse(r.Body, env)
+	if err != nil {
+		return nil, fmt.Errorf("%w; what was kept is not used: %w", cause, err)
+	}
+	c.Kept = true
+	log.Warn("kept: starting with the configuration that was kept", "saved_s_ago", math.Round((clock.Wall()-r.SavedMs)/1000), "why", cause)
+	return c, nil
+}
+
+// useKept has the start know the list that was kept, and what is good from now on kept.
+func (p *pooler) useKept(k *kept.Keeper) {
+	if k == nil {
+		return
+	}
+	p.kept = k
+	if p.sources == nil {
+		p.restore()
+	}
+}
+
+// restore takes the list that was kept where it is newer than the configuration's, of the same discovery.
+func (p *pooler) restore() {
+	r, err := p.kept.Found(kept.List, clock.Wall())
+	var l discovery.List
+	if err == nil && r != nil {
+		if err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(r.Body, &l); err == nil && (len(l.Instances) == 0 || !l.Reset) {
+			err = kept.ErrForeign
+		}
+	}
+	known := &p.cfg.Known
+	switch {
+	case err != nil:
+		p.log.Warn("kept: starting without the list", "err", err)
+	case r == nil:
+	case r.From != p.cfg.Discovery:
+		p.log.Info("kept: the list is another discovery's", "from", r.From)
+	case len(known.Instances) > 0 && (l.Generation <= known.Generation || !p.cfg.Kept && p.cfg.WrittenMs > r.SavedMs):
+		p.log.Info("kept: the configuration's list is newer", "generation", known.Generation, "kept", l.Generation)
+	default:
+		p.cfg.Known = l
+		p.log.Info("kept: starting with the list that was kept", "servers", len(l.Instances), "generation", l.Generation, "saved_s_ago", math.Round((clock.Wall()-r.SavedMs)/1000))
+	}
+}
+
+// keepConfig has the configuration kept that is in force, where it was read from its file.
+func (p *pooler) keepConfig(c *config.Config, path string) {
+	if p.kept == nil || c.Kept {
+		return
+	}
+	text := c.Text
+	p.keptConfig = func() {
+		at := clock.Wall()
+		p.kept.Put(kept.Config, func() (*kept.Record, error) { return &kept.Record{SavedMs: at, From: path, Body: text}, nil })
+	}
+	p.keptConfig()
+}
+
+// keep keeps the platform's list soon after it has changed, and says once a minute that what is kept is still good: the list where a
+// watch on it is open.
+func (p *pooler) keep() {
+	if p.kept == nil {
+		return
+	}
+	var beat func()
+	beat = func() {
+		p.loop.At(p.loop.Now()+keepEvery, beat)
+		if p.dir.Holds() {
+			p.keepList()
+		}
+		if p.keptConfig != nil {
+			p.keptConfig()
+		}
+	}
+	p.loop.At(p.loop.Now()+keepEvery, beat)
+}
+
+// keepList has the list kept as it is a moment from now.
+func (p *pooler) keepList() {
+	if p.kept == nil || p.sources != nil || p.keeping {
+		return
+	}
+	p.keeping = true
+	now := p.loop.Now()
+	p.keptAt = max(now, p.keptAt+keepPause)
+	p.loop.At(p.keptAt, func() {
+		p.keeping = false
+		l, from, at := p.list.whole(), p.cfg.Discovery, clock.Wall()
+		if len(l.Instances) == 0 || l.Generation == 0 { // it serves nobody, or is another discovery's still
+			return
+		}
+		p.kept.Put(kept.List, func() (*kept.Record, error) {
+			b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(&l)
+			return &kept.Record{SavedMs: at, From: from, Body: b}, err
+		})
+	})
+}
+
+// savedMembers keeps the list that membership makes, where it names no file for that.
+type savedMembers struct{ k *kept.Keeper }
+
+// Load is snapshot.Saver's.
+func (s savedMembers) Load() (*snapshot.File, error) {
+	r, err := s.k.Found(kept.Members, clock.Wall())
+	if err != nil || r == nil {
+		return nil, err
+	}
+	return snapshot.Parse(r.Body)
+}
+
+// Save is snapshot.Saver's.
+func (s savedMembers) Save(f *snapshot.File) error {
+	b, err := snapshot.Append(nil, f)
+	if err == nil {
+		s.k.Put(kept.Members, func() (*kept.Record, error) { return &kept.Record{SavedMs: f.SavedMs, Body: b}, nil })
+	}
+	return err
+}
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -53,6 +53,7 @@
 func (l listener) Listed(list *discovery.List) {
 	if p := l.p; list.Generation >= p.list.adopted { // else another process has told all of it, and more
 		p.list.take(list)
+		p.keepList()
 		l.Events.Listed(list)
 	}
 	l.p.hear()
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"beechgrade/internal/config"
+	"beechgrade/internal/kept"
 	"beechgrade/internal/operate"
 )
 
@@ -57,7 +58,7 @@
 				Name:  "check",
 				Usage: "read the configuration and tell what is in it",
 				Action: func(_ context.Context, c *cli.Command) error {
-					cfg, set, err := read(c.String("settings"))
+					cfg, set, _, err := read(c.String("settings"), nil)
 					if err != nil {
 						return err
 					}
@@ -89,6 +90,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "journal: off")
 					}
+					if k := set.Kept; k.Dir != "" {
+						fmt.Fprintf(c.Root().Writer, "kept: configuration and list, in %s, for %.0f s\n", k.Dir, k.AgeMs/1000)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "kept: off")
+					}
 					if f := set.Peers; f.On {
 						if _, err := f.Key(); err != nil {
 							return badInput{err}
@@ -145,25 +151,34 @@
 	return info.Main.Version + " " + info.GoVersion
 }
 
-// read reads the configuration and, where there are any, the operators' settings.
-func read(settings string) (*config.Config, *operate.Settings, error) {
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return nil, nil, badInput{err}
+// read reads the operators' settings, where there are any, and the configuration; where there is a log, that may be one that was
+// kept, and the keeper goes on from there.
+func read(settings string, log *slog.Logger) (cfg *config.Config, set *operate.Settings, k *kept.Keeper, err error) {
+	set = &operate.Settings{}
+	cfg, err = config.Load(os.Getenv)
+	if err != nil && !errors.Is(err, config.ErrUnread) {
+		return nil, nil, nil, badInput{err}
 	}
-	set := &operate.Settings{}
 	if settings != "" {
-		if set, err = operate.Load(settings, os.Getenv); err != nil {
-			return nil, nil, badInput{err}
+		var fault error
+		if set, fault = operate.Load(settings, os.Getenv); fault != nil {
+			return nil, nil, nil, badInput{errors.Join(err, fault)}
 		}
 	}
-	if err := set.Pooling.Check(cfg.Classes); err != nil {
-		return nil, nil, badInput{err}
+	if log != nil {
+		k = startKept(set.Kept, log)
 	}
-	if err := set.Scatter.Check(&set.Pooling, &set.Peers); err != nil {
-		return nil, nil, badInput{err}
+	if err != nil {
+		cfg, err = keptConfig(k, err, os.Getenv, log)
+	}
+	if err == nil {
+		err = errors.Join(set.Pooling.Check(cfg.Classes), set.Scatter.Check(&set.Pooling, &set.Peers))
+	}
+	if err != nil {
+		k.Stop()
+		return nil, nil, nil, badInput{err}
 	}
-	return cfg, set, nil
+	return cfg, set, k, nil
 }
 
 func serve(verbose bool, settings string) error {
@@ -171,15 +186,17 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, set, err := read(settings)
-	if err != nil {
-		return err
-	}
 	level := slog.LevelInfo
 	if verbose {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("pooler", cfg.Name)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	cfg, set, keeper, err := read(settings, log)
+	if err != nil {
+		return err
+	}
+	defer keeper.Stop()
+	log = log.With("pooler", cfg.Name)
 	// The loop sits in a system call while it waits. With one processor, Go hands that on to timers and
 	// dials only after its monitor has looked, up to 10 ms later; with two, at once.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
@@ -192,7 +209,12 @@
 	}
 	p.usePooling(set.Pooling)
 	p.useClickHouse(set.ClickHouse)
+	if set.Membership.On && keeper != nil {
+		set.Membership.Members.Saver = savedMembers{keeper}
+	}
 	p.useMembers(set.Membership)
+	p.useKept(keeper)
+	p.keepConfig(cfg, os.Getenv("EDGE_CONFIG"))
 	end, err := p.useJournal(set.Journal)
 	if err != nil {
 		return err
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -19,6 +19,7 @@
 	"beechgrade/internal/handover"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/journal"
+	"beechgrade/internal/kept"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/membership/discovery"
@@ -77,8 +78,14 @@
 	over   *joined.Joined // nil where overload is handled alone
 
 	journal *journal.Journal // nil where it is off
-	agreed  *commonLog       // nil where it is off
-	credit  *prepaid         // nil where nobody pays ahead
+
+	kept       *kept.Keeper // the last good configuration and list, nil where they are not kept
+	keptConfig func()       // says that the configuration is still good, nil where it came from there
+	keptAt     float64      // the list was kept last, or will be
+	keeping    bool
+
+	agreed *commonLog // nil where it is off
+	credit *prepaid   // nil where nobody pays ahead
 
 	checks       *invariant.Checks // nil where they are off
 	countsChecks bool              // and are figures
@@ -182,6 +189,7 @@
 	p.core.Start(servers, directory)
 	p.push()
 	p.recall()
+	p.keep()
 	p.front.Start()
 	p.open()
 	if p.pooled != nil {
@@ -273,6 +281,7 @@
 		p.turnDown(err)
 		return
 	}
+	p.keepConfig(next, os.Getenv("EDGE_CONFIG"))
 	changed, kept := p.cfg.Apply(next)
 	if p.core.Figures().Loads++; slices.Contains(changed, "settings") {
 		p.core.Retuned()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,10 @@
 	ConnectTimeoutMs      float64
 	IdleMs                float64 // servers close a connection idle for so long
 
+	Text      []byte  // of the file, as it was read
+	WrittenMs float64 // when the file was written, Unix ms
+	Kept      bool    // it is not from its file, but was kept from an earlier process
+
 	keys    []string // of the file, numbers in lists as *, each that all entries of its list have
 	retired []bool   // by the classes' numbers
 }
@@ -69,6 +73,10 @@
 	defaultIdle    = 30000
 )
 
+// ErrUnread is of a file that could not be read whole: it is not there, or ends too soon, or is no such file at all. One that was read
+// and says what cannot be used is not among them.
+var ErrUnread = errors.New("not read whole")
+
 // Load reads the file that EDGE_CONFIG names. EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONTROL go before it.
 func Load(env func(string) string) (*Config, error) { return load(env, false) }
 
@@ -79,12 +87,12 @@
 	}
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return nil, fmt.Errorf("EDGE_CONFIG: %w: %w", ErrUnread, err)
 	}
 	defer func() { _ = f.Close() }()
 	b, err := io.ReadAll(io.LimitReader(f, maxFile+1))
 	if err != nil {
-		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
+		return nil, fmt.Errorf("EDGE_CONFIG: %w: %w", ErrUnread, err)
 	}
 	if len(b) > maxFile {
 		return nil, fmt.Errorf("EDGE_CONFIG: %s: over %d bytes", path, maxFile)
@@ -93,6 +101,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if i, err := f.Stat(); err == nil {
+		c.WrittenMs = float64(i.ModTime().UnixMilli())
+	}
 	return c, nil
 }
 
@@ -182,9 +193,9 @@
 	var tree map[string]any
 	if err := errors.Join(whole.Unmarshal(b, &f), whole.Unmarshal(b, &tree)); err != nil {
 		first, _, _ := strings.Cut(err.Error(), "\n")
-		return nil, errors.New(first)
+		return nil, fmt.Errorf("%w: %s", ErrUnread, first)
 	}
-	c := &Config{keys: shape(tree), Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Limits: f.Limits, Known: f.Known}
+	c := &Config{Text: b, keys: shape(tree), Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Control: f.Control, Limits: f.Limits, Known: f.Known}
 	for name, at := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen, "EDGE_DISCOVERY": &c.Discovery, "EDGE_CONTROL": &c.Control} {
 		if v := env(name); v != "" && !(again && at == &c.Discovery && c.Discovery != "") {
 			*at = v
--- /dev/null
+++ b/internal/kept/kept.go
@@ -0,0 +1,247 @@
+// Package kept keeps the last good configuration and the last list of servers on a durable store, so that a start whose sources
+// are gone serves by them. What is kept is one value for each, with the time at which it was known to be good, and where it is from.
+package kept
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"beechgrade/internal/store"
+)
+
+// What is kept.
+const (
+	Config  = "config"  // the configuration file's text, from its path
+	List    = "list"    // the platform's list, from discovery's address
+	Members = "members" // the list that membership makes
+)
+
+// Errors of what is kept and not used.
+var (
+	ErrOld     = errors.New("it is too old")
+	ErrAhead   = errors.New("it was kept at a time that lies ahead of this clock")
+	ErrForeign = errors.New("it is not of this program")
+)
+
+// aheadMs is how far ahead of the clock a time may lie: a clock may have been set back a little.
+const aheadMs = 60000
+
+// Record is a value that is kept, as a protobuf message:
+//
+//	message Record { double saved_ms = 1; string from = 2; bytes body = 3; }
+type Record struct {
+	SavedMs float64 // Unix ms at which it was known to be good
+	From    string
+	Body    []byte
+}
+
+func (r *Record) encode() []byte {
+	b := protowire.AppendFixed64(protowire.AppendTag(nil, 1, protowire.Fixed64Type), math.Float64bits(r.SavedMs))
+	b = protowire.AppendString(protowire.AppendTag(b, 2, protowire.BytesType), r.From)
+	return protowire.AppendBytes(protowire.AppendTag(b, 3, protowire.BytesType), r.Body)
+}
+
+func decode(b []byte) (*Record, error) {
+	r, seen := &Record{}, 0
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return nil, ErrForeign
+		}
+		b = b[n:]
+		switch {
+		case num == 1 && typ == protowire.Fixed64Type:
+			var x uint64
+			x, n = protowire.ConsumeFixed64(b)
+			r.SavedMs = math.Float64frombits(x)
+			seen |= 1
+		case num == 2 && typ == protowire.BytesType:
+			var x []byte
+			x, n = protowire.ConsumeBytes(b)
+			r.From = string(x)
+		case num == 3 && typ == protowire.BytesType:
+			r.Body, n = protowire.ConsumeBytes(b)
+			seen |= 2
+		default:
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return nil, ErrForeign
+		}
+		b = b[n:]
+	}
+	if seen != 3 || math.IsNaN(r.SavedMs) {
+		return nil, ErrForeign
+	}
+	return r, nil
+}
+
+// Options are a keeper's.
+type Options struct {
+	FS        store.FS
+	MostBytes int64
+	AgeMs     float64 // what was last known to be good before that is not used
+	Log       *slog.Logger
+}
+
+// Keeper keeps values. It holds the store on a goroutine of its own; whoever has something new never waits for a disk.
+type Keeper struct {
+	opt   Options
+	first map[string]*Record // as found at the start
+
+	mu     sync.Mutex
+	next   map[string]func() (*Record, error)
+	wake   chan struct{}
+	quit   chan struct{}
+	done   chan struct{}
+	store  *store.Store // the goroutine's own, once it runs
+	failed map[string]string
+}
+
+const (
+	again = 500 * time.Millisecond // between tries to have a store that another process has
+	most  = 15 << 20               // of one value: the store takes no more at once
+)
+
+// Start opens the store. An error is one line on why nothing of it is used and nothing is kept; another process that has it, as
+// where one takes another's place, is none: what it keeps is not read, and this one keeps on once that one has ended.
+func Start(opt Options) (*Keeper, error) {
+	k := &Keeper{opt: opt, first: map[string]*Record{}, next: map[string]func() (*Record, error){}, failed: map[string]string{},
+		wake: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{})}
+	err := k.open(true)
+	if err != nil && !errors.Is(err, store.ErrLocked) {
+		return nil, err
+	}
+	if err != nil {
+		opt.Log.Info("kept: another process has the store", "err", err)
+	}
+	go k.run()
+	return k, nil
+}
+
+// open opens the store; what it holds is read at a start only.
+func (k *Keeper) open(start bool) error {
+	s, rec, err := store.Open(store.Options{FS: k.opt.FS, MaxBytes: k.opt.MostBytes, SegmentBytes: k.opt.MostBytes / 8})
+	if err != nil {
+		return err
+	}
+	if k.store = s; rec.Dropped > 0 {
+		k.opt.Log.Warn("kept: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
+	}
+	for _, what := range []string{Config, List, Members} {
+		v, ok := s.Get(what)
+		if !ok || !start {
+			continue
+		}
+		r, err := decode(v)
+		if err != nil {
+			k.opt.Log.Warn("kept: a value is not used", "what", what, "err", err)
+			continue
+		}
+		k.first[what] = r
+	}
+	return nil
+}
+
+// Found is what was kept when the store was opened, nil where there is nothing; an error says why it is not used. Nothing that is
+// older than the bound, or whose age nobody can tell, is.
+func (k *Keeper) Found(what string, now float64) (*Record, error) {
+	if k == nil || k.first[what] == nil {
+		return nil, nil
+	}
+	r := k.first[what]
+	switch age := now - r.SavedMs; {
+	case age < -aheadMs:
+		return nil, fmt.Errorf("%w, by %.0f s", ErrAhead, -age/1000)
+	case age > k.opt.AgeMs:
+		return nil, fmt.Errorf("%w: %.0f s, at most %.0f", ErrOld, age/1000, k.opt.AgeMs/1000)
+	}
+	return r, nil
+}
+
+// Put has a value kept in place of the one before. What makes it runs on the keeper's goroutine; of several that wait, only the
+// last does.
+func (k *Keeper) Put(what string, value func() (*Record, error)) {
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	k.next[what] = value
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) run() {
+	defer close(k.done)
+	for k.store == nil {
+		select {
+		case <-k.quit:
+			return
+		case <-time.After(again):
+		}
+		if err := k.open(false); err != nil && !errors.Is(err, store.ErrLocked) {
+			k.opt.Log.Error("kept: nothing is kept", "err", err)
+			<-k.quit
+			return
+		}
+	}
+	for {
+		k.flush()
+		select {
+		case <-k.quit:
+			k.flush()
+			if err := k.store.Close(); err != nil {
+				k.opt.Log.Warn("kept", "err", err)
+			}
+			return
+		case <-k.wake:
+		}
+	}
+}
+
+func (k *Keeper) flush() {
+	k.mu.Lock()
+	next := k.next
+	k.next = map[string]func() (*Record, error){}
+	k.mu.Unlock()
+	for _, what := range []string{Config, List, Members} {
+		if value := next[what]; value != nil {
+			k.keep(what, value)
+		}
+	}
+}
+
+func (k *Keeper) keep(what string, value func() (*Record, error)) {
+	r, err := value()
+	if err == nil && len(r.Body) > most {
+		err = fmt.Errorf("%d bytes; at most %d", len(r.Body), most)
+	}
+	if err == nil {
+		done := make(chan error, 1)
+		k.store.Append([]store.Entry{{Key: what, Value: r.encode()}}, func(err error) { done <- err })
+		err = <-done
+	}
+	if err == nil {
+		delete(k.failed, what)
+	} else if k.failed[what] != err.Error() { // once
+		k.failed[what] = err.Error()
+		k.opt.Log.Error("kept: it could not be kept", "what", what, "err", err)
+	}
+}
+
+// Stop keeps what waits, and ends.
+func (k *Keeper) Stop() {
+	if k != nil {
+		close(k.quit)
+		<-k.done
+	}
+}
--- a/internal/membership/discovery/discovery.go
+++ b/internal/membership/discovery/discovery.go
@@ -126,6 +126,9 @@
 	})
 }
 
+// Holds tells whether a watch is open that was answered: what is held is as new as can be.
+func (c *Client) Holds() bool { return c.watch != nil && c.watch.reply.status == 200 }
+
 // Watch asks for changes from the list that is held on, in place of a watch that may be open.
 func (c *Client) Watch() {
 	if c.ahead && c.watch != nil {
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -40,8 +40,9 @@
 // Options say what the list is made of.
 type Options struct {
 	Judge    judge.Settings
-	Platform bool   // the platform's discovery is a source
-	Snapshot string // a file, empty for none
+	Platform bool           // the platform's discovery is a source
+	Snapshot string         // a file, empty for none
+	Saver    snapshot.Saver // in place of a file where there is none; nil for none
 }
 
 // Members makes the list. It belongs to the loop.
@@ -81,7 +82,10 @@
 		}
 	}
 	if opt.Snapshot != "" {
-		f, err := snapshot.Load(opt.Snapshot)
+		m.opt.Saver = snapshot.Path(opt.Snapshot)
+	}
+	if m.opt.Saver != nil {
+		f, err := m.opt.Saver.Load()
 		switch {
 		case err != nil:
 			log.Warn("starting without the saved list", "err", err)
@@ -270,7 +274,7 @@
 
 // save writes the snapshot, not too often and one at a time, on a goroutine of its own.
 func (m *Members) save() {
-	if m.opt.Snapshot == "" || m.saving || !m.dirty || m.shown == 0 {
+	if m.opt.Saver == nil || m.saving || !m.dirty || m.shown == 0 {
 		return
 	}
 	now := m.loop.Now()
@@ -282,7 +286,7 @@
 	m.saving, m.dirty, m.saveAt = true, false, now+saveEvery
 	f := &snapshot.File{SavedMs: clock.Wall(), Entries: m.judge.List()}
 	go func() {
-		err := snapshot.Save(m.opt.Snapshot, f)
+		err := m.opt.Saver.Save(f)
 		m.loop.Post(func() {
 			m.saving = false
 			if err != nil {
--- a/internal/membership/snapshot/snapshot.go
+++ b/internal/membership/snapshot/snapshot.go
@@ -49,6 +49,21 @@
 	return f, nil
 }
 
+// Saver keeps snapshots elsewhere than in a file.
+type Saver interface {
+	Load() (*File, error) // nil where there is none
+	Save(f *File) error
+}
+
+// Path is a file that is one.
+type Path string
+
+// Load is Saver's.
+func (p Path) Load() (*File, error) { return Load(string(p)) }
+
+// Save is Saver's.
+func (p Path) Save(f *File) error { return Save(string(p), f) }
+
 // Load reads a file; nil where there is none.
 func Load(path string) (*File, error) {
 	b, err := sealed.Read(path, maxBytes)
