State what must be so of shared overload and probes, and forget those that are gone

internal/peers/overload states now what must be so of its state: levels within the cells and not beyond Lonely, verdicts within their bounds, one young tell of each process and one young answer of each collector, each want of a probe with an end, who waits is served, and nothing kept of those that are gone. On in tests, in virtual time and in each process of a rehearsal. Two faults came of writing them down: a collector's stamp was kept for ever after its process had gone, and who had asked a prober for a probe and left was still answered. A collector's level is held to the cells that it names.

--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -5,11 +5,15 @@
 	"beechgrade/internal/peers/part"
 )
 
+// partsEach is how many ticks there are for one walk over the state of what handles overload.
+const partsEach = 8
+
 // Overloaded has poolers handle overload as one.
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
 		c := h.x.p.core
 		j := joined.New(opt, c, h)
+		j.Check(h.x.p.e.checks, partsEach)
 		if opt.Shed {
 			c.Weigh(j)
 		}
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -6,6 +6,7 @@
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
@@ -47,6 +48,9 @@
 	named  int // classes and tenants that the settings had
 	learnt float64
 	places map[int]*overload.Place // by resource
+
+	checks *invariant.Checks
+	every  int
 }
 
 // New makes one; it is to be joined to the peers and to the core.
@@ -54,6 +58,16 @@
 	return &Joined{opt: opt, core: c, host: h, places: map[int]*overload.Place{}}
 }
 
+// Check has statements about its state checked at one tick of so many.
+func (j *Joined) Check(c *invariant.Checks, every int) {
+	if j.checks, j.every = c, every; j.o != nil {
+		j.o.Check(c, every)
+	}
+	if j.p != nil {
+		j.p.Check(c, every)
+	}
+}
+
 // learnMs is between two looks at what classes cost.
 const learnMs = 1000
 
@@ -96,9 +110,11 @@
 	now := j.host.Now()
 	if j.o == nil && j.opt.Shed {
 		j.o = overload.New(j.contracts(), self, now)
+		j.o.Check(j.checks, j.every)
 	}
 	if j.p == nil && j.opt.Share {
 		j.p = overload.NewProbes(j.opt.Probes, self, now)
+		j.p.Check(j.checks, j.every)
 	}
 	if j.o != nil {
 		j.do(overload.Members{Self: self, Peers: peers})
--- a/internal/peers/overload/overload.go
+++ b/internal/peers/overload/overload.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/invariant"
 )
 
 // Overload is one process's side of it.
@@ -31,6 +34,9 @@
 	stamps  map[ID]stamp // of collectors' last answers
 	lead    []uint16     // the order that it tells as a collector
 	box     []Action     // what is for this process itself
+
+	checks       *invariant.Checks
+	every, walks int
 }
 
 type sent struct {
@@ -177,6 +183,9 @@
 			o.answered(o.self, a.Answer)
 		}
 	}
+	if _, ticked := e.(Tick); ticked && o.checks.On() {
+		o.checks.Walk(&o.walks, o.every, "overload: a walk", o.walk)
+	}
 	return o.out
 }
 
@@ -200,6 +209,7 @@
 	for _, p := range o.peers {
 		o.addr[p.ID] = p.Addr
 	}
+	maps.DeleteFunc(o.stamps, func(id ID, _ stamp) bool { return id != o.self && o.addr[id] == "" })
 }
 
 // first are the n first of the peers by rendezvous hashing of a key.
@@ -368,6 +378,7 @@
 	}
 	for _, v := range a.Groups {
 		g := o.groups[v.Group]
+		v.Level = min(v.Level, float64(4*len(a.Order))) // a collector's word is none on classes that it does not know
 		if g == nil || !finite(v.Level) || !finite(v.Budget) || !slices.Contains(o.CollectorsOf(v.Group), from) {
 			continue
 		}
--- a/internal/peers/overload/overload_test.go
+++ b/internal/peers/overload/overload_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
 )
 
 // fleet is some processes whose words take delay to arrive, in steps.
@@ -28,11 +30,13 @@
 
 var classes = []Class{{Name: "list", Worth: 1, Aim: 400}, {Name: "read", Worth: 4, Aim: 400}, {Name: "write", Worth: 5, Aim: 400, Once: true}}
 
-func newFleet(n int, set Settings) *fleet {
+func newFleet(t invariant.T, n int, set Settings) *fleet {
 	f := &fleet{now: 1e6, cut: func(int, int) bool { return false }, delay: 1}
 	set.Classes = classes
 	for i := range n {
-		f.all = append(f.all, New(set, ID(i+1), f.now))
+		o := New(set, ID(i+1), f.now)
+		o.Check(invariant.Test(t), 1)
+		f.all = append(f.all, o)
 		f.place = append(f.place, map[int]*Place{})
 	}
 	f.members()
@@ -162,7 +166,7 @@
 // TestLevelFindsCapacity: at half more than the servers can do, what is let in comes to what they can, at every process alike; the cheapest is
 // what is shed; once the load is gone, nothing is.
 func TestLevelFindsCapacity(t *testing.T) {
-	f := newFleet(8, Defaults())
+	f := newFleet(t, 8, Defaults())
 	s := newServers(f, 400, 200)
 	s.run(60)
 	for i := range f.all {
@@ -203,7 +207,7 @@
 // TestLiar: one that tells of no load, or of a thousand times its own, moves what is let in by no more than a part.
 func TestLiar(t *testing.T) {
 	for name, times := range map[string]float64{"no load": 0, "all load": 1000} {
-		f := newFleet(8, Defaults())
+		f := newFleet(t, 8, Defaults())
 		f.twist = func(from int, m any) any {
 			if x, ok := m.(*Tell); ok && from == 2 {
 				c := *x
@@ -229,7 +233,7 @@
 
 // TestLonely: one that is cut off from all keeps its level for a while and is then as alone; the others go on.
 func TestLonely(t *testing.T) {
-	f := newFleet(8, Defaults())
+	f := newFleet(t, 8, Defaults())
 	s := newServers(f, 400, 600)
 	s.run(300)
 	if f.place[0][3] == nil {
@@ -248,7 +252,7 @@
 
 // TestLate: words that are older than Stale count for nothing, and nobody sheds by them.
 func TestLate(t *testing.T) {
-	f := newFleet(8, Defaults())
+	f := newFleet(t, 8, Defaults())
 	f.delay = 3000
 	s := newServers(f, 400, 600)
 	s.run(300)
--- a/internal/peers/overload/probes.go
+++ b/internal/peers/overload/probes.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/invariant"
 )
 
 // ProbeSettings say how probes are shared. Times are in ms.
@@ -105,6 +107,9 @@
 	names   []string
 	shunned map[ID]float64
 	seq     uint32
+
+	checks       *invariant.Checks
+	every, walks int
 }
 
 type server struct {
@@ -148,6 +153,9 @@
 	for _, x := range p.peers {
 		p.addr[x.ID] = x.Addr
 	}
+	for _, s := range p.servers { // each by itself
+		s.askers = slices.DeleteFunc(s.askers, func(a asker) bool { return !a.own && p.addr[a.id] == "" })
+	}
 }
 
 // ProbersOf are those of a server.
@@ -350,6 +358,9 @@
 			delete(p.shunned, id)
 		}
 	}
+	if p.checks.On() {
+		p.checks.Walk(&p.walks, p.every, "probes: a walk", p.walk)
+	}
 	return out
 }
 
--- a/internal/peers/overload/probes_test.go
+++ b/internal/peers/overload/probes_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
 )
 
 // probers are processes that share probes, in steps of 1 ms; each word takes way to arrive.
@@ -20,7 +22,7 @@
 	began  map[int]float64
 }
 
-func newProbers(n int) *probers {
+func newProbers(t invariant.T, n int) *probers {
 	w := &probers{now: 1e6, dead: map[int]bool{}, sees: func(int) bool { return true }, probes: make([]int, n), took: 2, ends: map[int][]ProbeAction{}, began: map[int]float64{}}
 	var peers []Peer
 	for i := range n {
@@ -29,6 +31,7 @@
 	for i := range n {
 		p := NewProbes(DefaultProbes(), ID(i+1), w.now)
 		p.Members(ID(i+1), peers)
+		p.Check(invariant.Test(t), 1)
 		w.all = append(w.all, p)
 	}
 	return w
@@ -81,7 +84,7 @@
 // TestProbesShared: 20 processes that want a probe each 10 ms have one each, and the server has no more of them than two may make. None is told
 // what is older than it may be.
 func TestProbesShared(t *testing.T) {
-	w := newProbers(20)
+	w := newProbers(t, 20)
 	set := DefaultProbes()
 	for ms := range 2000 {
 		if ms%10 == 0 {
@@ -113,7 +116,7 @@
 // TestProberGone: where a prober has died, or is cut off from the server, whoever asks it is told the truth within the time that the page states.
 func TestProberGone(t *testing.T) {
 	for _, dead := range []bool{true, false} {
-		w := newProbers(8)
+		w := newProbers(t, 8)
 		set := DefaultProbes()
 		first := int(w.all[0].ProbersOf("s")[0]) - 1
 		if dead {
@@ -140,7 +143,7 @@
 // TestProbesEnd: whoever dies and whatever the server does, each want has one end within Latest.
 func TestProbesEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newProbers(rapid.IntRange(1, 6).Draw(t, "n"))
+		w := newProbers(t, rapid.IntRange(1, 6).Draw(t, "n"))
 		blind := rapid.SliceOfN(rapid.Bool(), len(w.all), len(w.all)).Draw(t, "blind")
 		w.sees = func(i int) bool { return !blind[i] }
 		set := DefaultProbes()
