Keep sessions' commits across a crash, where the pooler has to remember them

A pooler that remembers its sessions' commits forgot them with its process: started again, it answered 42 of 72 sessions' reads with less than the session had written (killed six times under load, replicas far behind). With (sessions (dir ...)) the commits are on a durable store, off the loop, many to a sync; the decision module takes them by its Recall. Before: a write is answered once its commit is durable, and as failed where it is not by the client's deadline. Alongside: at once, and a start after a crash takes every session for as late as that start.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -90,6 +90,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "journal: off")
 					}
+					if x := set.Sessions; x.Dir != "" {
+						fmt.Fprintf(c.Root().Writer, "sessions: commits in %s, %s an answer goes out, at most %d bytes\n", x.Dir, x.Mode, x.MostBytes)
+					} else {
+						fmt.Fprintln(c.Root().Writer, "sessions: off")
+					}
 					if k := set.Kept; k.Dir != "" {
 						fmt.Fprintf(c.Root().Writer, "kept: configuration and list, in %s, for %.0f s\n", k.Dir, k.AgeMs/1000)
 					} else {
@@ -220,6 +225,11 @@
 		return err
 	}
 	defer end()
+	endSessions, err := p.useSessions(set.Sessions)
+	if err != nil {
+		return err
+	}
+	defer endSessions()
 	if p.given, err = inherit(os.Getenv); err != nil {
 		return badInput{err}
 	}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/commits"
 	"beechgrade/internal/config"
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
@@ -79,9 +80,10 @@
 
 	journal *journal.Journal // nil where it is off
 
-	kept       *kept.Keeper // the last good configuration and list, nil where they are not kept
-	keptConfig func()       // says that the configuration is still good, nil where it came from there
-	keptAt     float64      // the list was kept last, or will be
+	commits    *commits.Keeper // of sessions, nil where they are not kept
+	kept       *kept.Keeper    // the last good configuration and list, nil where they are not kept
+	keptConfig func()          // says that the configuration is still good, nil where it came from there
+	keptAt     float64         // the list was kept last, or will be
 	keeping    bool
 
 	agreed *commonLog // nil where it is off
@@ -189,6 +191,9 @@
 	p.core.Start(servers, directory)
 	p.push()
 	p.recall()
+	if p.commits != nil {
+		p.core.Recall(p.commits.Memory())
+	}
 	p.keep()
 	p.front.Start()
 	p.open()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -100,6 +100,7 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+	commits Commits // nil where sessions' commits are not kept
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
@@ -175,7 +176,9 @@
 	rec    recorded
 	count  *figures.Class
 	load   load
-	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	flow   *flow  // its answer that is passed on as it comes, nil where it is not
+	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
+	wrote  string // the session whose commit is kept, where it is a write of one
 	paid   paid
 }
 
@@ -282,6 +285,9 @@
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
+	if q.wrote != "" && !final { // what comes as it is cannot wait
+		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
+	}
 	c.recordAttempt(q, t.No, store, &o)
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
@@ -382,6 +388,9 @@
 	}
 	now := clock.Span(c.loop.Now())
 	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	if q.Named && set.Read == decide.Write && c.keeps() {
+		r.wrote = q.Session
+	}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -414,6 +423,10 @@
 		stop()
 		return
 	}
+	if ok && q.held != nil {
+		c.unhold(ref, q, figures.Gone)
+		return
+	}
 	if !ok || q.over {
 		return
 	}
@@ -459,7 +472,9 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
-	if o.Result == decide.OK && !q.over {
+	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
+		q.over = true
+	} else if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
@@ -617,7 +632,7 @@
 
 // release frees the slot of a request of which nothing is left.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 && q.flow == nil {
+	if q.over && q.open == 0 && q.flow == nil && q.held == nil {
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -15,7 +15,7 @@
 		state := func() string {
 			return fmt.Sprintf("%v %s: over %v, %d of %d attempts out, passes on %v", ref, q.id, q.over, q.open, len(q.tries), q.flow != nil)
 		}
-		x.That(!q.over || q.open > 0 || q.flow != nil, "core: of what is over nothing is kept", state)
+		x.That(!q.over || q.open > 0 || q.flow != nil || q.held != nil, "core: of what is over nothing is kept", state)
 		x.That(q.open >= 0 && q.open <= len(q.tries), "core: attempts out are of those made", state)
 		x.That(c.ids[q.id], "core: each request has its id", state)
 		open += q.open
@@ -23,7 +23,8 @@
 		if !q.over && q.paid.waits == nil { // of what waits for its tenant's funds the router has not heard
 			owed++
 		}
-		if !q.over || q.flow != nil {
+		x.That(q.held == nil || q.over && q.flow == nil, "core: an answer that is held is the request's last", state)
+		if !q.over || q.flow != nil || q.held != nil {
 			counted++
 		}
 	})
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -20,8 +20,18 @@
 	BadAt       Time    `json:"bad_at"`
 }
 
-// Memory is what a router knows. Work is by class, Rates by kind of store.
+// Commit is a session's last commit.
+type Commit struct {
+	Session string
+	At      Time
+}
+
+// Memory is what a router knows. Work is by class, Rates by kind of store. Commits, which are told by whoever has kept them, are
+// sessions'; of any other session the last one is no later than Forgotten, 0 where there was none.
 type Memory struct {
+	Commits   []Commit `json:"-"`
+	Forgotten Time     `json:"-"`
+
 	Stores []StoreMemory   `json:"stores"`
 	Work   []float64       `json:"work"`
 	Rates  map[int]float64 `json:"rates"`
@@ -53,6 +63,12 @@
 	if r.watch != nil {
 		r.watch.recalled(now, m)
 	}
+	if m.Forgotten > 0 {
+		r.forgotten = max(r.forgotten, m.Forgotten)
+	}
+	for _, k := range m.Commits {
+		r.remember(k.Session, k.At)
+	}
 	sane := func(x float64) bool { return x >= 1/rateMost && x <= rateMost }
 	if len(m.Work) == len(r.classes) && sane(m.Mean) {
 		r.work = m.Mean
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -18,6 +18,7 @@
 	ClickHouse ClickHouse
 	Journal    Journal
 	Kept       Kept
+	Sessions   Sessions
 	Peers      Peers
 	Limits     FleetLimits
 	Overload   Overload
@@ -79,6 +80,7 @@
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
+		"sessions":     func(n *sexp.Node) error { return s.Sessions.read(n, env) },
 		"kept":         func(n *sexp.Node) error { return s.Kept.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"beechgrade/internal/commits"
 )
 
 // TestParse guards against settings that are half taken: each fault has one line with its place.
@@ -16,16 +18,18 @@
 			Dir: "/t/r", SegmentBytes: 1 << 20, TotalBytes: 8 << 20, Queue: 128, FlushMs: 1000, Pack: true}},
 		`(record (on no))`: Settings{Record: Record{SegmentBytes: defaultSegment, TotalBytes: defaultTotal,
 			Queue: defaultQueue, FlushMs: defaultFlushMs}},
-		`(kept (dir "$T/k") (age 1h))`:             Settings{Kept: Kept{Dir: "/t/k", AgeMs: 3600e3, MostBytes: defaultKept}},
-		`(kept (dir "$NO"))`:                       `o:1:1: kept: (dir "FOLDER") is due, on a disk that survives`,
-		"(record)\n(records)":                      `o:2:1: "records" is not known here; known are: agreed, clickhouse, credit, fleet-limits, invariants, journal, kept, membership, overload, peers, pooling, record, scatter`,
-		"(record (on))":                            "o:1:1: record: it is on, but no (dir ...) says where",
-		`(record (on) (dir "$NO"))`:                "o:1:14: record: the folder's name is empty; is its variable set?",
-		"(record (segment 1m)\n (total 1m))":       "o:1:1: record: total has room for less than two segments of 1048576 bytes",
-		"(record\n  (flush 1ms))":                  "o:2:10: 1ms is out of range; it may be from 10ms to 60000ms",
-		"(record (queue 1e9))":                     "o:1:16: 1e9 is out of range; it may be from 64 to 1.048576e+06",
-		"(record (dir \"a\") (dir \"b\"))":         `o:1:19: "dir" stands here twice, first on line 1`,
-		"(record (on yes) (dir \"a\")) (record\n)": `o:1:29: "record" stands here twice, first on line 1`,
+		`(kept (dir "$T/k") (age 1h))`:                     Settings{Kept: Kept{Dir: "/t/k", AgeMs: 3600e3, MostBytes: defaultKept}},
+		`(kept (dir "$NO"))`:                               `o:1:1: kept: (dir "FOLDER") is due, on a disk that survives`,
+		`(sessions (dir "/s") (mode alongside) (most 2m))`: Settings{Sessions: Sessions{Dir: "/s", Mode: commits.Alongside, MostBytes: 2 << 20}},
+		`(sessions (dir "/s") (mode never))`:               "o:1:28: before or alongside is due here",
+		"(record)\n(records)":                              `o:2:1: "records" is not known here; known are: agreed, clickhouse, credit, fleet-limits, invariants, journal, kept, membership, overload, peers, pooling, record, scatter, sessions`,
+		"(record (on))":                                    "o:1:1: record: it is on, but no (dir ...) says where",
+		`(record (on) (dir "$NO"))`:                        "o:1:14: record: the folder's name is empty; is its variable set?",
+		"(record (segment 1m)\n (total 1m))":               "o:1:1: record: total has room for less than two segments of 1048576 bytes",
+		"(record\n  (flush 1ms))":                          "o:2:10: 1ms is out of range; it may be from 10ms to 60000ms",
+		"(record (queue 1e9))":                             "o:1:16: 1e9 is out of range; it may be from 64 to 1.048576e+06",
+		"(record (dir \"a\") (dir \"b\"))":                 `o:1:19: "dir" stands here twice, first on line 1`,
+		"(record (on yes) (dir \"a\")) (record\n)":         `o:1:29: "record" stands here twice, first on line 1`,
 	} {
 		s, err := Parse("o", []byte(in), env)
 		var got any
