Hold what a slow or refusing disk does to sessions' writes by a test

While the disk does not answer, a write's answer waits and reads are served beside it; by the client's deadline, or where the disk refuses, it is answered as failed; alongside it is answered whatever the disk does. A client that goes meanwhile leaves nothing open.

--- /dev/null
+++ b/cmd/beechgrade/sessions_test.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade/internal/commits"
+	"beechgrade/internal/config"
+	"beechgrade/internal/kit/standin/faulty"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/pgwire"
+	"beechgrade/internal/store"
+)
+
+// slowDisk takes its time for each sync of a file, while it is slow.
+type slowDisk struct {
+	*faulty.Disk
+	slow atomic.Bool
+	gate chan struct{}
+}
+
+type slowFile struct {
+	store.File
+	d *slowDisk
+}
+
+func (d *slowDisk) Create(name string) (store.File, error) {
+	f, err := d.Disk.Create(name)
+	return slowFile{f, d}, err
+}
+
+func (f slowFile) Sync() error {
+	if f.d.slow.Load() {
+		<-f.d.gate
+	}
+	return f.File.Sync()
+}
+
+func sessionWrite(id string, wait int) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf(`INSERT INTO kv (name, content) VALUES ('s', '\x76') RETURNING content /* id=%s,c=write,d=%d,cluster=0 */`, id, wait))
+}
+
+// TestSlowSessions: while the disk does not answer, a write's answer waits, reads are served and the loop turns; where the client's
+// deadline comes first, or the disk refuses, it is answered as failed; alongside, it is answered whatever the disk does.
+func TestSlowSessions(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []commits.Mode{commits.Before, commits.Alongside} {
+		addr, queries := server(t)
+		cfg := testConfig(t, addr, nil, func(c *config.Config) { c.Settings.KeptTokens = true })
+		var log bytes.Buffer
+		p := newPooler(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+		d := &slowDisk{Disk: faulty.New(), gate: make(chan struct{})}
+		end, err := p.sessionsOn(d, operate.Sessions{Mode: mode, MostBytes: 1 << 20})
+		if err != nil {
+			t.Fatal(err)
+		}
+		pooler, _, stop, done := launch(t, p)
+		go func() {
+			for q := range queries {
+				q.send(row("v"))
+			}
+		}()
+		c, reader := client(t, pooler), client(t, pooler)
+		write := func(id string, wait int, want string) {
+			t.Helper()
+			c.send(sessionWrite(id, wait))
+			c.want(want)
+		}
+		write("w1", 15000, "TDCZ v")
+		d.slow.Store(true)
+		refused := "EZ 58000"
+		if mode == commits.Alongside {
+			refused = "TDCZ v"
+		}
+		write("w2", 150, refused)
+		c.send(sessionWrite("w3", 15000))
+		worst := time.Duration(0)
+		for i := range 100 {
+			began := time.Now()
+			reader.send(query(fmt.Sprint("r", i), "read", 15000))
+			reader.want("TDCZ v")
+			worst = max(worst, time.Since(began))
+		}
+		t.Logf("%s: the slowest of 100 reads beside a disk that does not answer took %v", mode, worst)
+		gone := client(t, pooler) // while its answer waits
+		gone.send(sessionWrite("w4", 15000))
+		time.Sleep(20 * time.Millisecond)
+		_ = gone.Close()
+		d.slow.Store(false)
+		close(d.gate)
+		c.want("TDCZ v")
+		ops, _ := d.Ops()
+		d.FailAt, d.Err = ops+1, errors.New("input/output error")
+		write("w5", 15000, refused)
+		write("w6", 15000, refused)
+		reader.send(query("last", "read", 15000))
+		reader.want("TDCZ v")
+		open := make(chan int, 1)
+		p.loop.Post(func() { open <- p.core.Open() })
+		if n := <-open; n != 0 {
+			t.Errorf("%d requests are still open", n)
+		}
+		_ = c.Close()
+		_ = reader.Close()
+		stop <- syscall.SIGTERM
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		end()
+		if n := bytes.Count(log.Bytes(), []byte("commits are not kept")); n != 1 {
+			t.Errorf("%s: %d lines say that commits are not kept\n%s", mode, n, log.String())
+		}
+	}
+}
