Compact the durable store beside its writer, within its bound and at a pace

It is written by a goroutine of its own from a copy of the index now, in pieces, at (Pace) bytes a second; the bound counts it while it is written; one that cannot be written costs itself alone, and one that failed once it had its name is final, as before.

--- /dev/null
+++ b/internal/store/beside_test.go
@@ -0,0 +1,256 @@
+package store_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/standin/faulty"
+	"beechgrade/internal/store"
+)
+
+// hooked is a disk that has something done before each operation of a compaction.
+type hooked struct {
+	*faulty.Disk
+	hook func()
+}
+
+type hookedFile struct {
+	store.File
+	d *hooked
+}
+
+func (h *hooked) Create(name string) (store.File, error) {
+	if !strings.HasSuffix(name, ".tmp") {
+		return h.Disk.Create(name)
+	}
+	h.hook()
+	f, err := h.Disk.Create(name)
+	return hookedFile{f, h}, err
+}
+
+func (f hookedFile) Write(p []byte) (int, error) { f.d.hook(); return f.File.Write(p) }
+func (f hookedFile) Sync() error                 { f.d.hook(); return f.File.Sync() }
+
+func (h *hooked) Rename(from, to string) error {
+	h.hook()
+	defer h.hook()
+	return h.Disk.Rename(from, to)
+}
+
+func (h *hooked) Remove(name string) error {
+	h.hook()
+	return h.Disk.Remove(name)
+}
+
+// playBeside has a store take a history's entries, the last of them one by one before each operation of two compactions, and read what
+// there is each time. It tells how many were acknowledged and asked for, and how the compactions ended.
+func playBeside(t *testing.T, d *faulty.Disk, acts []act, all []map[string]string) (acked, asked int, compacted error) {
+	h := &hooked{Disk: d}
+	s, _, err := store.Open(store.Options{FS: h, SegmentBytes: 700})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = s.Close() }()
+	broken := false
+	next := func() {
+		if broken || asked == len(acts) {
+			return
+		}
+		done := make(chan error, 1)
+		s.Append(acts[asked].entries, func(err error) { done <- err })
+		asked++
+		if err := <-done; err != nil {
+			broken = true
+			return
+		}
+		acked = asked
+		if diff := cmp.Diff(all[acked], held(s)); diff != "" {
+			t.Errorf("after %d: %s", acked, diff)
+		}
+	}
+	h.hook = next
+	for range 18 {
+		next()
+	}
+	for range 2 {
+		done := make(chan error, 1)
+		s.Compact(func(err error) { done <- err })
+		compacted = errors.Join(compacted, <-done)
+	}
+	for asked < len(acts) && !broken {
+		next()
+	}
+	done := make(chan error, 1)
+	s.Compact(func(err error) { done <- err })
+	if err := <-done; err == nil && !broken && len(d.Files()) != 2 {
+		t.Errorf("after a compaction there are %d files", len(d.Files()))
+	} else {
+		compacted = errors.Join(compacted, err)
+	}
+	return acked, asked, compacted
+}
+
+func puts(n int) (out []act) {
+	for i := range n {
+		e := []store.Entry{{Key: fmt.Sprint("k", i%7), Value: []byte(fmt.Sprint("v", i, strings.Repeat("x", i*5)))}}
+		if i%5 == 4 {
+			e = append(e, store.Entry{Key: fmt.Sprint("k", (i+3)%7), Gone: true})
+		}
+		out = append(out, act{entries: e})
+	}
+	return out
+}
+
+// TestBeside: entries come, and are read, at each step of a compaction. The power goes out, or something fails, at each operation of
+// either: what was acknowledged is there, nothing that was not asked for is, and what failed before the snapshot had its name costs the
+// compaction alone.
+func TestBeside(t *testing.T) {
+	acts := puts(60)
+	all := models(acts)
+	whole := faulty.New()
+	if acked, _, err := playBeside(t, whole, acts, all); acked != len(acts) || err != nil {
+		t.Fatal(acked, err)
+	}
+	ops, _ := whole.Ops()
+	goesOn, crashes := 0, 0
+	for at := 1; at <= ops; at++ {
+		for variant := range 6 {
+			d := faulty.New()
+			if variant < 3 {
+				d.CrashAt = at
+				crashes++
+			} else {
+				d.FailAt, d.Err, d.Short = at, []error{syscall.EIO, syscall.ENOSPC, syscall.EROFS}[variant-3], variant == 4
+			}
+			acked, asked, err := playBeside(t, d, acts, all)
+			if variant >= 3 && err != nil && acked == len(acts) {
+				goesOn++
+			}
+			if variant >= 3 && err == nil && acked == len(acts) {
+				t.Errorf("operation %d failed, and nobody heard", at)
+			}
+			s, _, err := store.Open(store.Options{FS: d.Restart(rand.New(rand.NewPCG(uint64(at), uint64(variant))), variant != 1), SegmentBytes: 700})
+			if err != nil {
+				t.Fatalf("operation %d, variant %d: %v", at, variant, err)
+			}
+			if prefix(held(s), all, acked, asked) < 0 {
+				t.Fatalf("operation %d, variant %d: %d acknowledged of %d, and it holds %v", at, variant, acked, asked, held(s))
+			}
+			_ = s.Close()
+		}
+	}
+	t.Logf("%d operations, %d crashes; %d failures cost a compaction alone", ops, crashes, goesOn)
+	if goesOn < 6 {
+		t.Errorf("%d failures cost a compaction alone", goesOn)
+	}
+}
+
+// readOnly is a disk that takes nothing.
+type readOnly struct{ *faulty.Disk }
+
+func (readOnly) Create(string) (store.File, error) { return nil, syscall.EROFS }
+func (readOnly) Append(string) (store.File, error) { return nil, syscall.EROFS }
+func (readOnly) Truncate(string, int64) error      { return syscall.EROFS }
+func (readOnly) Rename(string, string) error       { return syscall.EROFS }
+func (readOnly) Remove(string) error               { return syscall.EROFS }
+func (readOnly) Sync() error                       { return syscall.EROFS }
+
+// TestReadOnly: a store on a disk that takes nothing is refused, for that reason and not as damaged, and can be looked into.
+func TestReadOnly(t *testing.T) {
+	d := faulty.New()
+	acts := history()
+	play(d, acts)
+	before := d.Files()
+	if _, _, err := store.Open(store.Options{FS: readOnly{d}}); !errors.Is(err, syscall.EROFS) || errors.Is(err, store.ErrRotten) {
+		t.Errorf("%v", err)
+	}
+	s, _, err := store.Open(store.Options{FS: store.ReadOnly{FS: readOnly{d}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(models(acts)[len(acts)], held(s)); diff != "" {
+		t.Error(diff)
+	}
+	_ = s.Close()
+	if diff := cmp.Diff(before, d.Files()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestBounds: with a bound on its size a store never takes more than that on its disk, a snapshot that is being written among it; what
+// is dead makes room, what is not is refused aloud and stays; a compaction keeps to its pace, and a close does not wait for that.
+func TestBounds(t *testing.T) {
+	const most = 30000
+	d := faulty.New()
+	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 2000, MaxBytes: most})
+	if err != nil {
+		t.Fatal(err)
+	}
+	largest := 0
+	one := func(key string) error {
+		done := make(chan error, 1)
+		s.Append([]store.Entry{{Key: key, Value: make([]byte, 100)}}, func(err error) { done <- err })
+		err := <-done
+		n := 0
+		for _, b := range d.Files() {
+			n += len(b)
+		}
+		largest = max(largest, n)
+		return err
+	}
+	for i := range 3000 {
+		if err := one(fmt.Sprint("k", i%40)); err != nil {
+			t.Fatalf("write %d: %v", i, err)
+		}
+	}
+	kept := 40
+	for ; kept < 1000; kept++ {
+		if err := one(fmt.Sprint("k", kept)); err != nil {
+			if !errors.Is(err, store.ErrFull) {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	t.Logf("at most %d bytes of %d; refused with %d records", largest, most, kept)
+	if largest > most || kept == 1000 || len(held(s)) != kept || kept*(100+40) < most/3 {
+		t.Errorf("%d bytes of %d, %d records of %d", largest, most, len(held(s)), kept)
+	}
+	_ = s.Close()
+
+	if s, _, err = store.Open(store.Options{FS: faulty.New(), Pace: 200 << 10}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 40 {
+		s.Append([]store.Entry{{Key: fmt.Sprint("k", i), Value: make([]byte, 10<<10)}}, nil)
+	}
+	done := make(chan error, 1)
+	began := time.Now()
+	s.Compact(func(err error) { done <- err })
+	for i := range 100 { // which go on meanwhile
+		ok := make(chan error, 1)
+		s.Append([]store.Entry{{Key: fmt.Sprint("m", i)}}, func(err error) { ok <- err })
+		if err := <-ok; err != nil {
+			t.Fatal(err)
+		}
+	}
+	beside := time.Since(began)
+	select {
+	case <-done:
+		t.Errorf("400 KB were written within %v", beside)
+	case <-time.After(300 * time.Millisecond):
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := <-done; err != nil || time.Since(began) > 1500*time.Millisecond || beside > 250*time.Millisecond {
+		t.Errorf("%v; ended after %v, 100 appends beside it took %v", err, time.Since(began), beside)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,8 @@
 package store
 
 import (
+	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -33,7 +35,8 @@
 type Options struct {
 	FS           FS
 	SegmentBytes int64        // a segment that has so much is followed by another
-	MaxBytes     int64        // of all that is kept, 0 for any; beyond it nothing more is taken
+	MaxBytes     int64        // of all that is kept, a snapshot that is being written among it, 0 for any; beyond it nothing more is taken
+	Pace         int64        // bytes a second that a compaction writes at most, 0 for any
 	Post         func(func()) // runs what tells of a commit, on the loop say; nil for where it happens
 }
 
@@ -75,6 +78,9 @@
 	durable uint64
 	old     []string // files that the next snapshot replaces
 	sizes   map[string]int64
+	beside  *compaction   // that is under way, nil for none
+	results chan error    // of it, when it has ended
+	hurry   chan struct{} // closed once a compaction shall not spare the disk any more
 }
 
 type commit struct {
@@ -94,7 +100,8 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
-	s = &Store{opt: opt, unlock: unlock, tree: btree.NewG(degree, less), wake: make(chan struct{}, 1), stopped: make(chan struct{}), sizes: map[string]int64{}}
+	s = &Store{opt: opt, unlock: unlock, tree: btree.NewG(degree, less), wake: make(chan struct{}, 1), stopped: make(chan struct{}), sizes: map[string]int64{},
+		results: make(chan error, 1), hurry: make(chan struct{})}
 	if rec, err = s.recover(); err != nil {
 		return nil, rec, errors.Join(fmt.Errorf("store: %w", err), unlock())
 	}
@@ -228,7 +235,7 @@
 	at, sealed := headSize, false
 	switch err := readHead(b, n); {
 	case err == nil:
-	case last && errors.Is(err, errShort): // it was being made
+	case last && (errors.Is(err, errShort) || len(b) == headSize && bytes.Count(b, []byte{0}) == headSize): // it was being made: its length may be there first
 		rec.Dropped, rec.Why = rec.Dropped+len(b), "its head is not whole"
 		if err := errors.Join(s.opt.FS.Remove(segment(n)), s.opt.FS.Sync()); err != nil {
 			return err
@@ -368,17 +375,25 @@
 // write is the writer: all that waits goes out in one write and one sync.
 func (s *Store) write() {
 	defer close(s.stopped)
-	for range s.wake {
+	for {
+		select {
+		case err := <-s.results:
+			s.compacted(err)
+		case <-s.wake:
+		}
 		for {
 			s.mu.Lock()
 			all, closed := s.queue, s.closed
 			s.queue = nil
 			s.mu.Unlock()
 			if len(all) == 0 {
-				if closed {
-					return
+				if !closed {
+					break
+				}
+				for s.beside != nil {
+					s.compacted(<-s.results)
 				}
-				break
+				return
 			}
 			s.commit(all)
 		}
@@ -404,11 +419,7 @@
 	for _, c := range all {
 		if c.compact {
 			flush()
-			err := s.dead()
-			if err == nil {
-				err = s.fail(s.compact())
-			}
-			s.tell(c.done, err)
+			s.compact(c.done)
 			continue
 		}
 		room := int64(frameHead)
@@ -422,16 +433,9 @@
 		case room > maxFrame:
 			s.tell(c.done, fmt.Errorf("store: %d bytes at once; at most %d", room, maxFrame))
 			continue
-		case s.opt.MaxBytes > 0 && s.total+int64(len(buf))+room > s.opt.MaxBytes:
-			flush()
-			if s.live+room+headSize < s.opt.MaxBytes/2 { // a snapshot makes room
-				if err := s.fail(s.compact()); err != nil {
-					s.tell(c.done, err)
-					continue
-				}
-			}
-			if s.total+room > s.opt.MaxBytes {
-				s.tell(c.done, ErrFull)
+		case s.opt.MaxBytes > 0 && s.taken()+int64(len(buf))+room+headSize+frameHead > s.opt.MaxBytes:
+			if flush(); !s.roomFor(room + headSize + frameHead) {
+				s.tell(c.done, cmp.Or(s.dead(), ErrFull))
 				continue
 			}
 		}
@@ -445,6 +449,7 @@
 		batch = append(batch, c)
 	}
 	flush()
+	s.early()
 }
 
 func (s *Store) dead() error {
@@ -512,66 +517,6 @@
 	return s.begin(s.number + 1)
 }
 
-// compact writes what is live into a snapshot that takes the place of all files before the present segment. It is whole under
-// another name before it gets its own, and nothing is removed before that is durable: killed anywhere, the old files or the new
-// one tell the same.
-func (s *Store) compact() error {
-	if s.size > headSize {
-		if err := s.rotate(); err != nil {
-			return err
-		}
-	}
-	upTo := s.number - 1
-	if len(s.old) == 0 || len(s.old) == 1 && s.old[0] == snapshot(upTo) {
-		return nil // nothing has come since
-	}
-	s.mu.Lock()
-	tree := s.tree.Clone()
-	s.mu.Unlock()
-	tmp := snapshot(upTo) + ".tmp"
-	f, err := s.opt.FS.Create(tmp)
-	if err != nil {
-		return err
-	}
-	buf, size, count := appendHead(nil, upTo), int64(0), uint64(0)
-	put := func() bool {
-		_, err = f.Write(buf)
-		size += int64(len(buf))
-		buf = buf[:0]
-		return err == nil
-	}
-	tree.Ascend(func(x item) bool {
-		count++
-		buf = appendFrame(buf, &frame{kind: kindPut, entries: []Entry{{Key: x.key, Value: x.value}}})
-		return len(buf) < chunk || put()
-	})
-	if err == nil {
-		buf = appendFrame(buf, &frame{seq: count, durable: s.durable, kind: kindEnd})
-		put()
-	}
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	if err := errors.Join(s.opt.FS.Rename(tmp, snapshot(upTo)), s.opt.FS.Sync()); err != nil {
-		return err
-	}
-	s.grow(snapshot(upTo), size)
-	for _, name := range s.old {
-		if name == snapshot(upTo) {
-			continue
-		}
-		if err := s.opt.FS.Remove(name); err != nil {
-			return err
-		}
-		s.total -= s.sizes[name]
-		delete(s.sizes, name)
-	}
-	s.old = []string{snapshot(upTo)}
-	return s.opt.FS.Sync()
-}
-
-const chunk = 64 << 10
-
 // Get is a key's value, as it is durable.
 func (s *Store) Get(key string) (value []byte, ok bool) {
 	s.mu.Lock()
@@ -611,6 +556,7 @@
 	}
 	s.closed = true
 	s.mu.Unlock()
+	close(s.hurry)
 	select {
 	case s.wake <- struct{}{}:
 	default:
