Explore how probes are shared, and mend three faults that came of it

It found: who was told that a prober is at a probe was not told so of the next one, and gave that prober up for two seconds (each server that hangs had all its askers do so); that a server does not answer was kept from those who asked while the probe was on; and where one of two probers was passed over, the other's bad news was taken alone. Latest counts both probes that a prober may be at.

Six mutants are found.

--- /dev/null
+++ b/internal/kit/explore/probes_test.go
@@ -0,0 +1,92 @@
+package explore
+
+import (
+	"testing"
+
+	"beechgrade/internal/peers/overload"
+)
+
+// prober searches so many processes that share probes, with what may go wrong.
+func probers(n, depth int, wrong ProbeFaults, blind []int, mutant func(s *Probers)) *Result {
+	s := NewProbers(n, SmallProbes())
+	if mutant != nil {
+		mutant(s)
+	}
+	s.Start()
+	for _, k := range blind {
+		s.Blind[s.Probing()[k]] = true
+	}
+	s.ProbeFaults = wrong
+	return Run(s, Bounds{Depth: depth, States: 900000})
+}
+
+// TestProbers: whoever wants a probe, however long probes take, whichever message is lost, late, doubled or overtaken, and whoever crashes and
+// begins again: each want has one end, in time, with what is true, no older than it may be, and bad news by one's own eyes or two others'.
+func TestProbers(t *testing.T) {
+	for name, x := range map[string]struct {
+		n, depth int
+		wrong    ProbeFaults
+		blind    []int
+	}{
+		"nothing wrong, three wants":     {3, 22, ProbeFaults{Want: 3}, nil},
+		"one lost, one late":             {3, 44, ProbeFaults{Want: 1, Lose: 1, Late: 1}, nil},
+		"doubled, late":                  {3, 14, ProbeFaults{Want: 2, Double: 1, Late: 1}, nil},
+		"a crash, a restart":             {3, 15, ProbeFaults{Want: 1, Crash: 1, Restart: 1, Drop: 2}, nil},
+		"the first is blind, one lost":   {3, 17, ProbeFaults{Want: 2, Lose: 1}, []int{0}},
+		"the second is blind, one crash": {3, 20, ProbeFaults{Want: 1, Crash: 1, Drop: 1}, []int{1}},
+		"both are blind":                 {3, 17, ProbeFaults{Want: 2, Lose: 1}, []int{0, 1}},
+		"two processes, all of it":       {2, 16, ProbeFaults{Want: 2, Lose: 1, Late: 1, Double: 1, Crash: 1, Restart: 1, Drop: 1}, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := probers(x.n, x.depth, x.wrong, x.blind, nil)
+			if r.Err != nil {
+				t.Errorf("%v\n%v", r.Err, r.Trace)
+			}
+			t.Logf("%d states, %d steps, %d deep, whole %v", r.States, r.Steps, r.Depth, r.Whole)
+			if !r.Whole || r.States < 300 {
+				t.Errorf("%d states, whole %v", r.States, r.Whole)
+			}
+		})
+	}
+}
+
+// TestProberMutants: the search finds each of these.
+func TestProberMutants(t *testing.T) {
+	found := func(do func(seq uint32, f *overload.Found)) func(*Probers) {
+		return func(s *Probers) {
+			s.Break = func(_ int, seq uint32, m any) any {
+				if f, ok := m.(*overload.Found); ok {
+					c := *f
+					do(seq, &c)
+					return &c
+				}
+				return m
+			}
+		}
+	}
+	set := func(do func(s *overload.ProbeSettings)) func(*Probers) {
+		return func(s *Probers) { s.Each = func(_ int, x *overload.ProbeSettings) { do(x) } }
+	}
+	for name, x := range map[string]struct {
+		wrong  ProbeFaults
+		blind  []int
+		mutant func(*Probers)
+	}{
+		"takes an old answer for its own": {ProbeFaults{Want: 2, Double: 1}, nil, found(func(seq uint32, f *overload.Found) { f.Seq = seq })},
+		"tells no age":                    {ProbeFaults{Want: 2}, nil, found(func(_ uint32, f *overload.Found) { f.Began = -5 })},
+		"believes one prober":             {ProbeFaults{Want: 2}, []int{0}, found(func(_ uint32, f *overload.Found) { f.Result = min(f.Result, overload.Good) })},
+		"waits for ever":                  {ProbeFaults{Want: 1, Lose: 1}, nil, set(func(s *overload.ProbeSettings) { s.Patience = 1e6 })},
+		"probes as often as asked":        {ProbeFaults{Want: 2}, nil, set(func(s *overload.ProbeSettings) { s.Each, s.Age = 0, -1 })},
+		"keeps what it found":             {ProbeFaults{Want: 2}, nil, set(func(s *overload.ProbeSettings) { s.Age = 10 })},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if r := probers(3, 50, x.wrong, x.blind, x.mutant); r.Err == nil {
+				t.Errorf("not found in %d states, %d deep", r.States, r.Depth)
+			} else {
+				t.Logf("%v after %d states, %d deep", r.Err, r.States, r.Depth)
+			}
+		})
+	}
+}
--- a/internal/peers/overload/probes.go
+++ b/internal/peers/overload/probes.go
@@ -13,11 +13,13 @@
 //
 // Each server has Probers, the first processes of the view by rendezvous hashing of its name. Who wants a probe of it and is none of them
 // asks the first of these that has answered lately; who wants one and is one makes it himself. A prober begins at most one probe of a server each
-// Each, and what it finds goes to all that asked, and is what it is for them: found after they asked, or Age before at most. Nobody's clock is needed for
+// Each, and what it finds goes to all that asked, and is what it is for them: found by a probe that began after they asked, or Age before at most; that
+// a server does not answer is news as of the probe's end. Nobody's clock is needed for
 // that: the prober says how long before its answer the probe began, and the asker knows when it asked.
 //
-// Bad news is taken only from two: after the first prober's the second is asked, and where that says the same, or there is none, the asker
-// is told. What a prober that is cut off says so costs its askers a second question.
+// Bad news is taken only from two: after the first prober's the second is asked, and where that says the same, the asker
+// is told. Where the second is passed over, it probes for itself; where there is but one, his word is enough. What a prober that is cut off says so
+// costs its askers a second question.
 //
 // One that has not answered within Patience, a datagram that it is still at it included, is passed over for Shun, and the asker probes
 // for itself. So a prober that dies is replaced within Replace = Patience + Step, and who hears nobody probes as ever, so much later. A probe that the
@@ -42,8 +44,12 @@
 // Replace bounds how long a prober that has died is waited for.
 func (s *ProbeSettings) Replace() float64 { return s.Patience + s.Step }
 
-// Latest bounds the time from when a probe is wanted until the module is told: both probers may be at it, then it probes itself.
-func (s *ProbeSettings) Latest() float64 { return 2*(s.Patience+s.Probe+s.Step) + s.Probe }
+// atIt is for how long one that is at a probe is waited for, from its word.
+func (s *ProbeSettings) atIt() float64 { return max(s.Probe, s.Each) + 2*s.Step }
+
+// Latest bounds the time from when a probe is wanted until the module is told: both probers may be at one, and then at the next, then it
+// probes itself.
+func (s *ProbeSettings) Latest() float64 { return 2*(s.Patience+2*s.atIt()+s.Step) + s.Probe }
 
 // Most bounds the probes a second that a server gets from n poolers, all of which hear their probers: by these.
 func (s *ProbeSettings) Most(n int) float64 { return float64(min(n, s.Probers)) * 1000 / s.Each }
@@ -209,7 +215,7 @@
 		s.seq, s.wantAt, s.until = p.seq, p.now, p.now+p.set.Patience
 		return append(out, ProbeAction{To: id, Addr: p.addr[id], Want: &Want{name, s.seq}})
 	}
-	if s.bad != nil {
+	if s.bad != nil && len(s.asked) >= min(2, len(ids)) {
 		return p.end(name, s, *s.bad, s.badAge, out)
 	}
 	return p.mine(name, s, out)
@@ -273,9 +279,10 @@
 	askers := s.askers
 	s.askers = nil
 	for _, a := range askers {
-		if a.at <= s.began || a.at-s.began <= p.set.Age {
+		if a.at <= s.began || a.at-s.began <= p.set.Age || f.Result != Good {
 			out = p.give(name, s, a, out)
 		} else {
+			a.hi = false // of the next probe it is to be told by itself
 			s.askers = append(s.askers, a)
 		}
 	}
@@ -307,7 +314,7 @@
 		delete(p.shunned, from)
 		switch age := p.now - s.wantAt + m.Began; {
 		case m.Result == Busy:
-			s.until = p.now + p.set.Probe + p.set.Step
+			s.until = p.now + p.set.atIt()
 		case m.Result == Good:
 			return p.end(m.Server, s, m.Finding, age, out)
 		default:
