Follow a zone from serving to evacuated and back, with rests that double

Evidence that comes and goes would have traffic swing. A state changes after evidence that lasts; a return in vain doubles the rest before the next, so shifts a minute are bounded by a formula that drawn evidence is held to.

--- /dev/null
+++ b/internal/peers/zones/state/state_test.go
@@ -0,0 +1,143 @@
+package state
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/steady"
+)
+
+const tick = 500.0
+
+// TestHalfAlive: probes pass, a third of what is sent is lost. The zone fails, is evacuated, tried again with what comes back, found as
+// bad, and left alone for longer each time; once it is well it serves.
+func TestHalfAlive(t *testing.T) {
+	set := Defaults()
+	z, now := New(&set), 0.0
+	var seen []State
+	last := map[State]float64{}
+	var rests []float64
+	for ; now < 400000; now += tick {
+		e := Seen{Asked: 100, Lost: 33, Up: 1, Load: 0.5}
+		if z.State == Evacuated {
+			e.Asked, e.Lost = 0, 0
+		}
+		if now > 200000 {
+			e.Lost = 0
+		}
+		if was := z.State; z.Step(&set, now, &e) {
+			if was == Evacuated {
+				rests = append(rests, now-last[Evacuated])
+			}
+			seen, last[z.State] = append(seen, z.State), now
+		}
+	}
+	if len(seen) < 6 || seen[0] != Failing || seen[1] != Evacuated || seen[2] != Returning || seen[3] != Evacuated || z.State != Serving {
+		t.Errorf("%v", seen)
+	}
+	for i := 1; i < len(rests); i++ {
+		if rests[i] < 1.9*rests[i-1] {
+			t.Errorf("rests of %v", rests)
+		}
+	}
+	if rests[0] < set.Rest || rests[0] > set.Rest+set.Fail+2*tick {
+		t.Errorf("the first rest took %v", rests[0])
+	}
+}
+
+// TestOrders: an order holds whatever is seen, and its end brings the zone back slowly.
+func TestOrders(t *testing.T) {
+	set := Defaults()
+	z := New(&set)
+	z.Order(0, Evacuated)
+	for now := 0.0; now < 300000; now += tick {
+		if z.Step(&set, now, &Seen{Asked: 100, Up: 1}) || z.State != Evacuated {
+			t.Fatalf("%v at %v, under an order", z.State, now)
+		}
+	}
+	z.Free(300000)
+	if z.State != Returning || z.Warmed(&set, 300000+set.Warm/2) != 0.5 {
+		t.Errorf("%v after the order", z.State)
+	}
+	if !z.Step(&set, 300000+set.Warm, &Seen{Asked: 100, Up: 1}) || z.State != Serving {
+		t.Errorf("%v, warm", z.State)
+	}
+	z.Order(0, Serving)
+	for now := 0.0; now < 10000; now += tick {
+		if z.Step(&set, now, &Seen{Up: 0}); z.State != Serving {
+			t.Fatalf("%v: it was ordered to serve", z.State)
+		}
+	}
+	if z.Free(10000); !z.Step(&set, 10000, &Seen{Up: 0}) || z.State != Failing {
+		t.Errorf("%v: what was seen all the while counts at the order's end", z.State)
+	}
+}
+
+// TestStrain has load hold before a zone is strained, and be lower before it is not.
+func TestStrain(t *testing.T) {
+	set := Defaults()
+	z, now := New(&set), 0.0
+	run := func(load, ms float64) State {
+		for end := now + ms; now < end; now += tick {
+			z.Step(&set, now, &Seen{Asked: 100, Up: 1, Load: load})
+		}
+		return z.State
+	}
+	for i, s := range []struct {
+		load, ms float64
+		want     State
+	}{{1.2, set.Strain, Serving}, {0.9, tick, Serving}, {1.2, set.Strain + 2*tick, Strained}, {0.9, 5 * set.Strain, Strained}, {0.7, set.Strain, Strained}, {0.7, 2 * tick, Serving}} {
+		if got := run(s.load, s.ms); got != s.want {
+			t.Errorf("%d: %v, want %v", i, got, s.want)
+		}
+	}
+}
+
+// TestShiftsAreFew: whatever is seen, a zone is left and taken back no more often than stated.
+func TestShiftsAreFew(t *testing.T) {
+	steady.Check(t, func(r *rapid.T) {
+		set := Defaults()
+		set.Rest = rapid.Float64Range(2000, 20000).Draw(r, "rest")
+		z, now, out := New(&set), 0.0, false
+		var shifts []float64
+		for now < 150000 {
+			e := Seen{Asked: 100, Up: 1, Dark: rapid.IntRange(0, 9).Draw(r, "dark") == 0}
+			if rapid.Bool().Draw(r, "bad") {
+				e.Lost = 100
+			}
+			for range rapid.IntRange(1, 40).Draw(r, "ticks") {
+				now += tick
+				if z.Step(&set, now, &e); z.State.Out() != out {
+					out = !out
+					shifts = append(shifts, now)
+				}
+			}
+		}
+		for i := range shifts {
+			n := 0
+			for _, at := range shifts[i:] {
+				if at < shifts[i]+60000 {
+					n++
+				}
+			}
+			if n > set.Shifts(60000) {
+				r.Fatalf("%d shifts in a minute from %v: %v; %d are stated", n, shifts[i], shifts, set.Shifts(60000))
+			}
+		}
+	})
+}
+
+// TestAnotherGoesOn: who takes a zone over from another begins its times anew.
+func TestAnotherGoesOn(t *testing.T) {
+	set := Defaults()
+	z := Resume(Evacuated, 60000, 1000)
+	for now := 1000.0; now < 61000; now += tick { // its rest is not over
+		if z.Step(&set, now, &Seen{Up: 1}) {
+			t.Fatalf("%v at %v", z.State, now)
+		}
+	}
+	if !z.Step(&set, 61000, &Seen{Up: 1}) || z.State != Returning || z.Rest != 60000 {
+		t.Errorf("%v after its rest of %v", z.State, z.Rest)
+	}
+}
