Keep the zones' plan and the operators' orders on the log in common

Of two who lead at once both make plans. A plan names the number before and the version of the orders; the log's order says which of two is void, so there is one for each number, and orders outlive a restart of all.

--- /dev/null
+++ b/internal/peers/zones/book/form.go
@@ -0,0 +1,222 @@
+package book
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+
+	"beechgrade/internal/peers/zones/plan"
+	"beechgrade/internal/peers/zones/state"
+)
+
+// All numbers are varints; a plan is
+//
+//	no version of by-length by zones {state rest}... ways {from to state rest}... short most {cells {to part}...}...
+//
+// with parts in thousandths, and rows without the cells that are nothing.
+
+const parts = 1000
+
+func describe(a, b *Plan) string { return fmt.Sprintf("%+v, then %+v", a, b) }
+
+func (m *Mark) append(b []byte) []byte {
+	b = binary.AppendUvarint(b, uint64(m.State))
+	return binary.AppendUvarint(b, uint64(max(0, math.Round(m.Rest/1000))))
+}
+
+func thousandths(x float64) uint64 { return uint64(min(1e12, max(0, math.Ceil(x*parts-1e-6)))) }
+
+func (p *Plan) append(b []byte) []byte {
+	for _, x := range []uint64{p.No, p.Version, uint64(p.Of), uint64(len(p.By))} {
+		b = binary.AppendUvarint(b, x)
+	}
+	b = append(b, p.By...)
+	b = binary.AppendUvarint(b, uint64(len(p.Zones)))
+	for i := range p.Zones {
+		b = p.Zones[i].append(b)
+	}
+	b = binary.AppendUvarint(b, uint64(len(p.Ways)))
+	for i := range p.Ways {
+		w := &p.Ways[i]
+		b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(w.From)), uint64(w.To))
+		b = w.append(b)
+	}
+	b = binary.AppendUvarint(binary.AppendUvarint(b, thousandths(p.Short)), thousandths(p.Most))
+	for z, row := range p.Matrix {
+		b = appendRow(b, z, row)
+	}
+	return b
+}
+
+// appendRow rounds what goes elsewhere down, and has what stays make up for it, where anything stays.
+func appendRow(b []byte, z int, row []float64) []byte {
+	var cells []uint64
+	lost := 0.0
+	for to, p := range row {
+		n := math.Floor(p*parts + 1e-6)
+		if to != z {
+			lost += p*parts - n
+		}
+		cells = append(cells, uint64(min(parts, max(0, n))))
+	}
+	if cells[z] > 0 {
+		cells[z] = min(parts, uint64(row[z]*parts+lost+0.5))
+	}
+	count := 0
+	for _, n := range cells {
+		if n > 0 {
+			count++
+		}
+	}
+	b = binary.AppendUvarint(b, uint64(count))
+	for to, n := range cells {
+		if n > 0 {
+			b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(to)), n)
+		}
+	}
+	return b
+}
+
+func (o *Order) append(b []byte) []byte {
+	lifts := uint64(0)
+	if o.Lifts {
+		lifts = 1
+	}
+	for _, x := range []uint64{o.No, uint64(o.Zone), lifts, uint64(o.State), uint64(max(0, o.Until))} {
+		b = binary.AppendUvarint(b, x)
+	}
+	return b
+}
+
+// reader reads numbers; what is none, or above its bound, spoils it.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) num(most uint64) uint64 {
+	x, n := binary.Uvarint(r.b)
+	if n <= 0 || x > most {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return x
+}
+
+func (r *reader) done() bool { return !r.bad && len(r.b) == 0 }
+
+func (r *reader) mark() Mark {
+	return Mark{State: state.State(r.num(uint64(state.Returning))), Rest: float64(r.num(1e6)) * 1000}
+}
+
+func (r *reader) text(most uint64) string {
+	n := r.num(most)
+	if uint64(len(r.b)) < n {
+		r.bad = true
+		return ""
+	}
+	s := string(r.b[:n])
+	r.b = r.b[n:]
+	return s
+}
+
+func (r *reader) plan() *Plan {
+	p := &Plan{No: r.num(math.MaxUint64), Version: r.num(math.MaxUint64), Of: uint32(r.num(math.MaxUint32)), By: r.text(MostName)}
+	zones := r.num(MostZones)
+	for range zones {
+		p.Zones = append(p.Zones, r.mark())
+	}
+	for range r.num(MostWays) {
+		if zones == 0 {
+			r.bad = true
+			return p
+		}
+		p.Ways = append(p.Ways, Way{From: int(r.num(zones - 1)), To: int(r.num(zones - 1)), Mark: r.mark()})
+	}
+	p.Short, p.Most = float64(r.num(1e12))/parts, float64(r.num(1e12))/parts
+	for range zones {
+		row, sum := make([]float64, zones), uint64(0)
+		for range r.num(zones) {
+			to := r.num(zones - 1)
+			n := r.num(parts)
+			row[to], sum = float64(n)/parts, sum+n
+		}
+		if sum > parts {
+			r.bad = true
+		}
+		p.Matrix = append(p.Matrix, row)
+	}
+	return p
+}
+
+func (r *reader) order() Order {
+	return Order{No: r.num(math.MaxUint64), Zone: int(r.num(MostZones - 1)), Lifts: r.num(1) == 1, State: state.State(r.num(uint64(state.Returning))), Until: float64(r.num(1 << 50))}
+}
+
+// ReadPlan reads a plan's bytes, all or nothing.
+func ReadPlan(b []byte) (*Plan, error) {
+	r := reader{b: b}
+	if p := r.plan(); r.done() {
+		return p, nil
+	}
+	return nil, ErrForm
+}
+
+// Append makes a plan's bytes.
+func (p *Plan) Append(b []byte) []byte { return p.append(b) }
+
+// Rounded is a plan as others read it.
+func (p *Plan) Rounded() *Plan {
+	q, err := ReadPlan(p.append(nil))
+	if err != nil {
+		return &Plan{Matrix: plan.Near(len(p.Zones))}
+	}
+	return q
+}
+
+// Snapshot is the book as bytes: the same book, the same bytes.
+func (b *Book) Snapshot() []byte {
+	out := binary.AppendUvarint(binary.AppendUvarint(nil, b.Index), b.Version)
+	for z := range b.orders {
+		if b.orders[z].No > 0 {
+			out = append(out, 1)
+			if b.stands[z] {
+				out[len(out)-1] = 2
+			}
+			out = b.orders[z].append(out)
+		}
+	}
+	out = append(out, 0)
+	if b.Plan != nil {
+		out = b.Plan.append(append(out, 1))
+	}
+	return out
+}
+
+// Restore takes the book from bytes, or leaves it as it is.
+func (b *Book) Restore(data []byte) error {
+	n := Book{Checks: b.Checks, Sloppy: b.Sloppy}
+	if len(data) > 0 {
+		r := reader{b: data}
+		n.Index, n.Version = r.num(math.MaxUint64), r.num(math.MaxUint64)
+		for k := r.num(2); k > 0 && !r.bad; k = r.num(2) {
+			o := r.order()
+			n.orders[o.Zone], n.stands[o.Zone] = o, k == 2
+		}
+		if len(r.b) > 0 && r.num(1) == 1 {
+			n.Plan = r.plan()
+		}
+		if !r.done() {
+			return ErrForm
+		}
+	}
+	*b = n
+	return nil
+}
+
+// Clone makes another like it.
+func (b *Book) Clone() *Book {
+	c := *b
+	return &c
+}
