Make the zones' plans at the voter that leads, in steps and with hysteresis

What all poolers see becomes one plan: zones and ways by evidence that lasts, groups solved and folded, steps that stay safe, renewals.

--- /dev/null
+++ b/internal/peers/zones/chief/chief_test.go
@@ -0,0 +1,287 @@
+package chief
+
+import (
+	"math"
+	"testing"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/peers/zones/book"
+	"beechgrade/internal/peers/zones/plan"
+	"beechgrade/internal/peers/zones/state"
+)
+
+const period = 500.0
+
+// rig is a fleet of zones with one group, as a chief is told of it: poolers ask near, or as the plan has it, and lose what befalls them.
+type rig struct {
+	t     *testing.T
+	set   Settings
+	book  *book.Book
+	chief *Chief
+	now   float64
+	index uint64
+	cores []float64    // that serve
+	whole []float64    // that there are
+	lost  []float64    // part of what is sent to a zone
+	ways  [][2]int     // that are cut
+	load  []float64    // cores that clients near a zone ask
+	dark  []bool       // its poolers are gone
+	plans []*book.Plan // in order
+	out   []bool
+	shift []float64
+}
+
+func settings(zones int) Settings {
+	s := Settings{Name: "a", Of: 1, Zones: zones, State: state.Defaults(), Stale: 1600, Memory: 3000, Step: 1000, Out: 0.34, Back: 0.1, Renew: 2000, Settle: 1000, Late: 1000}
+	s.Plan = plan.Settings{Classes: []plan.Class{{Worth: 1}}, Price: 1, Spare: 0.2}
+	for a := range zones {
+		s.Plan.Delay = append(s.Plan.Delay, make([]float64, zones))
+		for b := range zones {
+			s.Plan.Delay[a][b] = math.Abs(float64(a - b))
+		}
+	}
+	return s
+}
+
+func newRig(t *testing.T, zones int) *rig {
+	r := &rig{t: t, set: settings(zones), book: book.New(), now: 1e6, out: make([]bool, zones), dark: make([]bool, zones), lost: make([]float64, zones)}
+	r.book.Checks = invariant.Test(t)
+	for range zones {
+		r.cores, r.whole, r.load = append(r.cores, 10), append(r.whole, 10), append(r.load, 4)
+	}
+	r.elect("a")
+	return r
+}
+
+func (r *rig) elect(name string) {
+	r.set.Name = name
+	r.chief = New(r.set)
+	r.chief.Lead(r.now, true, r.book.Plan)
+}
+
+func (r *rig) matrix() plan.Matrix {
+	if r.book.Plan == nil {
+		return plan.Near(r.set.Zones)
+	}
+	return r.book.Plan.Matrix
+}
+
+// apply puts entries into the log.
+func (r *rig) apply(entries [][]byte) {
+	for _, e := range entries {
+		r.index++
+		if !r.book.Apply(r.index, e) || e[0] != 1 {
+			continue
+		}
+		p := r.book.Plan
+		r.plans = append(r.plans, p)
+		if most := r.chief.plan.Most(p.Matrix, r.chief.view.Groups); len(r.chief.view.Groups) > 0 && r.now-r.chief.from > r.set.Settle && most > 1.02 {
+			r.t.Errorf("at %.0f plan %d has a zone that receives at %.2f of its safe room: %v", r.now-1e6, p.No, most, p.Matrix)
+		}
+		for z := range r.out {
+			if o := p.Zones[z].State.Out(); o != r.out[z] {
+				r.out[z], r.shift = o, append(r.shift, r.now)
+			}
+		}
+	}
+}
+
+func (r *rig) tell() {
+	n := r.set.Zones
+	for a := range n {
+		if r.dark[a] {
+			continue
+		}
+		t := Tell{Zone: a, Asks: []Ask{{0, 0, r.load[a]}}}
+		for b := range n {
+			c := Cell{Zone: b, Cores: r.cores[b], Whole: r.whole[b], Asked: 1 + 100*r.matrix()[a][b]}
+			c.Lost = c.Asked * r.lost[b]
+			if r.cores[b] == 0 {
+				c.Lost = c.Asked
+			}
+			for _, w := range r.ways {
+				if w == [2]int{a, b} {
+					c.Asked, c.Lost = 30, 30
+				}
+			}
+			t.Cells = append(t.Cells, c)
+		}
+		r.chief.Told(r.now, uint64(a+1), &t)
+	}
+}
+
+func (r *rig) run(ms float64) {
+	for end := r.now + ms; r.now < end; r.now += period {
+		r.tell()
+		r.apply(r.chief.Step(r.now, r.book))
+	}
+}
+
+// until runs until something holds, and tells how long that took.
+func (r *rig) until(most float64, what string, ok func() bool) float64 {
+	from := r.now
+	for !ok() {
+		if r.now-from > most {
+			r.t.Fatalf("%s: not after %.0f ms: %v, zones %v", what, most, r.matrix(), r.book.Plan.Zones)
+		}
+		r.run(period)
+	}
+	return r.now - from
+}
+
+// TestCalm: near is safe, so everything stays near; a plan that does not change is renewed, and no more often than that.
+func TestCalm(t *testing.T) {
+	r := newRig(t, 3)
+	r.run(60000)
+	if n := len(r.plans); n < 20 || n > 32 {
+		t.Errorf("%d plans in a minute", n)
+	}
+	if c := r.matrix().Cross(r.chief.view.Groups); c != 0 {
+		t.Errorf("%.3f cross", c)
+	}
+}
+
+// TestZoneLost: a zone goes dark with its servers; its reads are elsewhere within the bound. It comes back cold: in small steps.
+func TestZoneLost(t *testing.T) {
+	r := newRig(t, 3)
+	r.run(10000)
+	r.cores[0] = 0
+	took := r.until(20000, "evacuated", func() bool { return r.matrix()[0][0] == 0 })
+	if bound := r.set.State.Fail + 2*r.set.Step + 2*period; took > bound {
+		t.Errorf("%.0f ms to evacuate, bound %.0f", took, bound)
+	}
+	r.run(20000)
+	r.cores[0] = 10
+	was := 0.0
+	took = r.until(120000, "back", func() bool {
+		if now := r.matrix()[0][0]; now < was-0.001 || now > was+r.set.Back+0.002 {
+			t.Fatalf("%.2f near after %.2f", now, was)
+		} else {
+			was = now
+		}
+		return was == 1
+	})
+	if took < r.set.Step/r.set.Back-r.set.Step || r.chief.Zone(0).State != state.Returning && r.chief.Zone(0).State != state.Serving {
+		t.Errorf("back after %.0f ms, %v", took, r.chief.Zone(0).State)
+	}
+}
+
+// TestHalfAliveZone: probes pass, a third of requests vanish: in steps it is left, and left for longer each time.
+func TestHalfAliveZone(t *testing.T) {
+	r := newRig(t, 2)
+	r.run(5000)
+	r.lost[1] = 0.33
+	r.until(20000, "evacuated", func() bool { return r.matrix()[1][1] == 0 })
+	r.run(280000)
+	if n := len(r.shift); n < 3 || n > r.set.State.Shifts(240000)+1 {
+		t.Errorf("%d shifts: %v", n, r.shift)
+	}
+	r.lost[1] = 0
+	r.until(400000, "back", func() bool { return r.matrix()[1][1] == 1 && r.chief.Zone(1).State == state.Serving })
+}
+
+// TestNoPlanIsFeasible: two zones strained at once, then the third lost: what has no safe room is told, and no zone that receives is overfull.
+func TestNoPlanIsFeasible(t *testing.T) {
+	r := newRig(t, 3)
+	r.load = []float64{9, 9, 3}
+	r.run(30000)
+	if c := r.chief; c.Zone(0).State != state.Strained || c.Zone(1).State != state.Strained || r.matrix()[0][2]+r.matrix()[1][2] == 0 || r.book.Plan.Short > 0 {
+		t.Errorf("%v and %v, %v, short %.2f", c.Zone(0).State, c.Zone(1).State, r.matrix(), r.book.Plan.Short)
+	}
+	r.cores[2] = 0
+	r.run(30000)
+	if r.book.Plan.Short < 4 || r.matrix()[0][2] > 0 {
+		t.Errorf("short by %.2f, %v", r.book.Plan.Short, r.matrix())
+	}
+}
+
+// TestIntoAZoneThatFails: the zone that took an evacuated one's reads fails too; all go to the third.
+func TestIntoAZoneThatFails(t *testing.T) {
+	r := newRig(t, 3)
+	r.load = []float64{2, 2, 2}
+	r.run(5000)
+	r.cores[0] = 0
+	r.until(20000, "evacuated", func() bool { return r.matrix()[0][1] == 1 })
+	r.cores[1] = 0
+	r.until(20000, "evacuated once more", func() bool { return r.matrix()[0][2] == 1 && r.matrix()[1][2] == 1 })
+}
+
+// TestFlappingWay: a way between two zones that is there and gone again moves traffic no more often than stated.
+func TestFlappingWay(t *testing.T) {
+	r := newRig(t, 3)
+	r.load, r.cores[0] = []float64{2, 2, 2}, 0
+	r.run(30000)
+	last, shifts := r.matrix()[0][1] > 0.5, 0
+	from := r.now
+	for r.now < from+60000 {
+		r.ways = [][2]int{{0, 1}}
+		r.run(3000)
+		if on := r.matrix()[0][1] > 0.5; on != last {
+			last, shifts = on, shifts+1
+		}
+		r.ways = nil
+		r.run(1500)
+		if on := r.matrix()[0][1] > 0.5; on != last {
+			last, shifts = on, shifts+1
+		}
+	}
+	if shifts == 0 || shifts > r.set.State.Shifts(60000) {
+		t.Errorf("%d shifts in a minute; %d are stated", shifts, r.set.State.Shifts(60000))
+	}
+}
+
+// TestOrderAndLeaders: operators evacuate while an automatic plan is under way; leaders change in its midst, one of them late with a plan of
+// old; a book that was put back from its bytes has order and plan; the order's end brings the zone back.
+func TestOrderAndLeaders(t *testing.T) {
+	r := newRig(t, 3)
+	r.load = []float64{2, 2, 2}
+	r.run(5000)
+	r.lost[0] = 0.5
+	r.until(10000, "under way", func() bool { return r.matrix()[0][0] < 1 })
+	late := r.chief
+	r.apply([][]byte{book.EncodeOrder(&book.Order{No: 1, Zone: 2, State: state.Evacuated, Until: r.now + 60000})})
+	if p := r.book.Clone(); p.Apply(1<<40, book.EncodePlan(&book.Plan{No: p.Plan.No + 1, Version: 0, Zones: p.Plan.Zones, Matrix: plan.Near(3)})) {
+		t.Error("a plan that does not know of the order is taken")
+	}
+	r.elect("b")
+	r.until(20000, "both evacuated", func() bool { return r.matrix()[0][1] == 1 && r.matrix()[2][1] == 1 })
+	no := r.book.Plan.No
+	late.sent = 0
+	for _, e := range late.Step(r.now, book.New()) { // it was asleep, and has its book of old
+		if r.index++; r.book.Apply(r.index, e) {
+			t.Error("a plan of old is taken")
+		}
+	}
+	b := book.New()
+	if err := b.Restore(r.book.Snapshot()); err != nil || b.Plan.No != no {
+		t.Fatal(err)
+	}
+	r.book = b
+	r.elect("c")
+	r.run(r.set.Settle)
+	if m := r.matrix(); m[0][1] != 1 || m[2][1] != 1 {
+		t.Errorf("%v after all were restarted", m)
+	}
+	r.run(20000)
+	if o, ok := r.book.Order(2); !ok || o.No != 1 || r.matrix()[2][2] != 0 {
+		t.Errorf("%+v stands", o)
+	}
+	r.until(60000, "the order's end", func() bool { _, ok := r.book.Order(2); return !ok })
+	r.until(60000, "back", func() bool { return r.matrix()[2][2] == 1 })
+}
+
+// TestLoadDoubles in the midst of the way back.
+func TestLoadDoubles(t *testing.T) {
+	r := newRig(t, 2)
+	r.load = []float64{3, 3}
+	r.run(5000)
+	r.cores[0] = 0
+	r.run(30000)
+	r.cores[0] = 10
+	r.until(60000, "half way", func() bool { return r.matrix()[0][0] > 0.4 })
+	r.load = []float64{6, 6}
+	r.run(60000)
+	if m := r.matrix(); m[0][0] != 1 || r.book.Plan.Short > 0 {
+		t.Errorf("%v, short %.2f", m, r.book.Plan.Short)
+	}
+}
--- a/internal/peers/zones/plan/matrix.go
+++ b/internal/peers/zones/plan/matrix.go
@@ -103,6 +103,9 @@
 // quiet is the row of a zone that asks nothing: near, or the nearest that takes in all groups.
 func (s *Settings) quiet(row []float64, z int, groups []Group) {
 	may := func(b int) bool {
+		if s.Cut(z, b) {
+			return false
+		}
 		for i := range groups {
 			if r := &groups[i].Rooms[b]; b == z && !r.Keeps || b != z && !r.Takes {
 				return false
@@ -188,17 +191,17 @@
 	return true
 }
 
-// Pace is how far a plan may go at once: the part of a zone's reads that may move.
+// Pace is how far a plan may go at once with a zone: the part of its reads that may move. Out is 1 where there is nothing left to stay at.
 type Pace struct{ Out, Back float64 }
 
-// Step goes from one matrix towards another: out by Out at most, back near by Back, whichever zone it is of. What the old one asks for that
+// Step goes from one matrix towards another: out by Out at most, back near by Back. What the old one asks for that
 // is not safe any more, or not allowed, is left at once: then the new one is taken whole. A way between two safe ones is safe.
-func (s *Settings) Step(old, want Matrix, groups []Group, p Pace) Matrix {
+func (s *Settings) Step(old, want Matrix, groups []Group, p []Pace) Matrix {
 	next := old.Clone()
 	for z := range want {
-		most := p.Out
+		most := p[z].Out
 		if want[z][z] > old[z][z] {
-			most = p.Back
+			most = p[z].Back
 		}
 		far := 0.0
 		for b := range want[z] {
@@ -208,9 +211,6 @@
 		if far > most {
 			part = most / far
 		}
-		if p := old[z][z]; p > 0 && !s.keeps(z, groups) {
-			part = 1
-		}
 		for b := range want[z] {
 			next[z][b] = old[z][b] + part*(want[z][b]-old[z][b])
 			if want[z][b] == 0 && next[z][b] < 1e-3 {
@@ -229,7 +229,7 @@
 	for i := range groups {
 		for a := range m {
 			for b, p := range m[a] {
-				if a != b && p > slack && !groups[i].Rooms[b].Takes {
+				if a != b && p > slack && (s.Cut(a, b) || !groups[i].Rooms[b].Takes) {
 					return false
 				}
 			}
--- a/internal/peers/zones/plan/plan.go
+++ b/internal/peers/zones/plan/plan.go
@@ -27,7 +27,7 @@
 // Settings are the same for all groups.
 type Settings struct {
 	Classes []Class
-	Delay   [][]float64 // ms one way, from the zone of a pooler to that of a server
+	Delay   [][]float64 // ms one way, from the zone of a pooler to that of a server; endless where nothing may go
 	Price   float64     // of crossing, as ms of delay
 	Spare   float64     // part of a zone's servers that is kept free
 }
@@ -72,12 +72,15 @@
 	if f.Zone == to {
 		return r.Keeps && (c.Age <= 0 || r.Age <= c.Age)
 	}
-	return r.Takes && (c.Age <= 0 || r.Age <= c.Age) && (c.Reach <= 0 || 2*s.Delay[f.Zone][to] <= c.Reach)
+	return r.Takes && !s.Cut(f.Zone, to) && (c.Age <= 0 || r.Age <= c.Age) && (c.Reach <= 0 || 2*s.Delay[f.Zone][to] <= c.Reach)
 }
 
+// Cut tells whether nothing may go from one zone to another.
+func (s *Settings) Cut(from, to int) bool { return math.IsInf(s.Delay[from][to], 1) }
+
 // crossing is the price of a unit from one zone to another, in whole microseconds.
 func (s *Settings) crossing(from, to int) int64 {
-	if from == to {
+	if from == to || s.Cut(from, to) {
 		return 0
 	}
 	return 1 + int64(math.Round(1000*(s.Price+max(0, s.Delay[from][to]))))
--- a/internal/peers/zones/plan/plan_test.go
+++ b/internal/peers/zones/plan/plan_test.go
@@ -138,7 +138,10 @@
 				answers = append(answers, s.Solve(&groups[i]))
 			}
 			want, _ := s.Fold(groups, answers)
-			p := Pace{Out: rapid.Float64Range(0.1, 1).Draw(r, "out"), Back: rapid.Float64Range(0.05, 0.3).Draw(r, "back")}
+			p := make([]Pace, zones)
+			for z := range p {
+				p[z] = Pace{Out: rapid.Float64Range(0.1, 1).Draw(r, "out"), Back: rapid.Float64Range(0.05, 0.3).Draw(r, "back")}
+			}
 			for range 4 {
 				m = s.Step(m, want, groups, p)
 				if most := s.Most(m, groups); most > 1.001 {
@@ -165,9 +168,9 @@
 func TestStepsBackAreSmall(t *testing.T) {
 	s, far := small(2), Matrix{{0, 1}, {0, 1}}
 	well := []Group{{Flows: []Flow{{0, 0, 1}, {0, 1, 1}}, Rooms: []Room{{Cores: 9, Keeps: true, Takes: true}, {Cores: 9, Keeps: true, Takes: true}}}}
-	m, steps := far, 0
+	m, steps, slow := far, 0, []Pace{{0.5, 0.1}, {0.5, 0.1}}
 	for ; m[0][0] < 0.999 && steps < 100; steps++ {
-		next := s.Step(m, Near(2), well, Pace{0.5, 0.1})
+		next := s.Step(m, Near(2), well, slow)
 		if next[0][0]-m[0][0] > 0.1001 {
 			t.Fatalf("a step back of %.2f", next[0][0]-m[0][0])
 		}
@@ -176,11 +179,10 @@
 	if steps != 10 {
 		t.Errorf("back after %d steps", steps)
 	}
-	if m = s.Step(Near(2), far, well, Pace{0.5, 0.1}); m[0][1] != 0.5 {
+	if m = s.Step(Near(2), far, well, slow); m[0][1] != 0.5 {
 		t.Errorf("a step out of %v", m)
 	}
-	well[0].Rooms[0].Keeps = false
-	if m = s.Step(Near(2), far, well, Pace{0.5, 0.1}); m[0][1] != 1 {
+	if m = s.Step(Near(2), far, well, []Pace{{1, 0.1}, {0.5, 0.1}}); m[0][1] != 1 {
 		t.Errorf("a zone that is gone is left by %v", m)
 	}
 }
