Hold a restarted chief to the plan in force at every step

The story of a restart looked once, after the zones had failed anew; a chief that forgot its states passed it. It looks at each step now, and that break is seen.

--- a/internal/peers/zones/chief/chief_test.go
+++ b/internal/peers/zones/chief/chief_test.go
@@ -258,9 +258,10 @@
 	}
 	r.book = b
 	r.elect("c")
-	r.run(r.set.Settle)
-	if m := r.matrix(); m[0][1] != 1 || m[2][1] != 1 {
-		t.Errorf("%v after all were restarted", m)
+	for range 10 {
+		if r.run(period); r.matrix()[0][1] != 1 || r.matrix()[2][1] != 1 {
+			t.Fatalf("%v after all were restarted", r.matrix())
+		}
 	}
 	r.run(20000)
 	if o, ok := r.book.Order(2); !ok || o.No != 1 || r.matrix()[2][2] != 0 {
