Give scenarios words for credit, the log in common, pages and payments

A scenario could not say that tenants pay ahead, that poolers keep a log in common, or that reports are paged; nor that it is smaller on sockets. (agreed ...), (credit ...), (pages ...), (pay ...), (part FROM TO) and (on-sockets ...) say so, each with one clear line for bad input.

--- a/internal/kit/lab/experiment.go
+++ b/internal/kit/lab/experiment.go
@@ -160,12 +160,7 @@
 		for i, a := range x.Axes {
 			v := a.Values[at[i]]
 			c.Labels = append(c.Labels, v.Label)
-			for _, f := range v.Forms { // in place of the same form, but for faults and classes, which add up
-				if h := f.Head(); h != "at" && h != "class" {
-					items = slices.DeleteFunc(items, func(o *sexp.Node) bool { return o.Head() == h || h == "groups-of" && o.Head() == "groups" })
-				}
-				items = append(items, f)
-			}
+			items = scenario.Replaced(items, v.Forms)
 		}
 		whole := *base
 		whole.Items = items
--- /dev/null
+++ b/internal/kit/scenario/credit.go
@@ -0,0 +1,175 @@
+package scenario
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/sexp"
+)
+
+// Agreed is the log that the first poolers keep in common.
+type Agreed struct {
+	Voters   int
+	Settings agreed.Settings // but for names and seeds
+	Disk     [2]float64      // ms that a durable write takes, in virtual time
+}
+
+// Credit is what tenants pay ahead, as the operators' settings have it; who holds marks where is the player's matter.
+type Credit struct {
+	operate.Credit
+	node *sexp.Node
+}
+
+// agreed reads (agreed (voters N) ...): the first poolers vote. The rest is as in the operators' settings.
+func (s *Script) agreed(n *sexp.Node) error {
+	a := &Agreed{Settings: agreed.Defaults(), Disk: [2]float64{0.1, 2}}
+	s.Agreed = a
+	err := sexp.Form{
+		"voters":    func(n *sexp.Node) (err error) { a.Voters, err = n.Int(3, 5); return err },
+		"disk":      func(n *sexp.Node) error { return spans(n, &a.Disk) },
+		"tick":      func(n *sexp.Node) (err error) { a.Settings.Tick, err = n.Millis(50, 10000); return err },
+		"election":  func(n *sexp.Node) (err error) { a.Settings.Election, err = n.Int(4, 1000); return err },
+		"heartbeat": func(n *sexp.Node) (err error) { a.Settings.Heartbeat, err = n.Int(1, 250); return err },
+		"every":     func(n *sexp.Node) (err error) { a.Settings.Every, err = n.Int(16, 1e6); return err },
+		"keep":      func(n *sexp.Node) (err error) { a.Settings.Keep, err = n.Int(1, 1e6); return err },
+	}.Read(n.Args())
+	if err == nil && a.Voters != 3 && a.Voters != 5 {
+		err = n.Errorf("(agreed ...) has (voters 3) or (voters 5)")
+	}
+	return err
+}
+
+// credit reads (credit ...), as the operators' settings have it but for where marks are kept.
+func (s *Script) credit(n *sexp.Node) error {
+	for _, a := range n.Args() {
+		if a.Head() == "files" {
+			return a.Errorf("where marks are kept is the player's matter: no (files ...) in a scenario")
+		}
+	}
+	set, err := operate.ReadCredit(n)
+	s.Credit = &Credit{*set, n}
+	return err
+}
+
+// aPay reads (pay TENANT NUMBER AMOUNT), a payment that all poolers read of then, or (pay TENANT NUMBER AMOUNT POOLER ...): those.
+func aPay(f *Fault, n *sexp.Node) error {
+	a := n.Args()
+	if len(a) < 3 || a[0].Kind == sexp.List {
+		return n.Errorf("(pay TENANT NUMBER AMOUNT POOLER ...)")
+	}
+	no, err := a[1].Number(0, 1e9)
+	if err != nil {
+		return err
+	}
+	if f.Value, err = a[2].Number(1, 1e15); err != nil {
+		return err
+	}
+	f.Target.Kind, f.Target.Word, f.Pooler = "pay", a[0].Text, int(no)
+	for _, x := range a[3:] {
+		no, err := x.Number(0, maxPoolers-1)
+		if err != nil {
+			return err
+		}
+		f.Ends[0] = append(f.Ends[0], int(no))
+	}
+	return nil
+}
+
+// joint checks what goes with what, of credit and pages.
+func (s *Script) joint(n *sexp.Node) error {
+	known := func(class string) bool {
+		return slices.ContainsFunc(s.Clients.Classes, func(c clients.Class) bool { return c.Name == class })
+	}
+	tenant := func(name string) bool {
+		return slices.ContainsFunc(s.Clients.Tenants, func(t clients.Tenant) bool { return t.Name == name })
+	}
+	switch {
+	case s.Agreed != nil && s.Peers == nil:
+		return n.Errorf("(agreed ...) goes with (peers)")
+	case s.Agreed != nil && s.Agreed.Voters > s.Poolers:
+		return n.Errorf("of %d poolers %d cannot vote", s.Poolers, s.Agreed.Voters)
+	case s.Credit != nil && s.Agreed == nil:
+		return n.Errorf("(credit ...) goes with (agreed ...)")
+	}
+	if s.Credit != nil {
+		for _, p := range s.Credit.Prices {
+			if !known(p.Class) {
+				return s.Credit.node.Errorf("there is no class %q to have a price", p.Class)
+			}
+		}
+		for _, p := range s.Credit.Pays {
+			if !tenant(p.Tenant) {
+				return s.Credit.node.Errorf("there is no (tenant %q ...) to pay", p.Tenant)
+			}
+		}
+	}
+	if p := s.Pages; p != nil {
+		i := slices.IndexFunc(s.Clients.Classes, func(c clients.Class) bool { return c.Name == p.Class })
+		switch {
+		case i < 0 || s.Clients.Classes[i].Read != clients.ReadSession:
+			return p.node.Errorf("(pages ...) takes the name of a class of session reads, and %q is none", p.Class)
+		case p.Tenant != "" && !tenant(p.Tenant):
+			return p.node.Errorf("there is no tenant %q", p.Tenant)
+		}
+	}
+	return nil
+}
+
+// PriceOf is what a class's requests cost, as far as they cost the same each.
+func (s *Script) PriceOf(class string) int64 {
+	if s.Credit == nil {
+		return 0
+	}
+	for _, p := range s.Credit.Prices {
+		if p.Class == class {
+			return p.Request
+		}
+	}
+	return 0
+}
+
+// Shared is what the operators' settings say of the log in common, credit and overload, for a daemon whose disk and marks lie in these
+// folders. pays are the payments that it has read of since the start; more are forms of (credit ...).
+func (s *Script) Shared(disk, marks string, pays []Fault, more string) string {
+	var b strings.Builder
+	if s.Overload != nil {
+		b.WriteString(textOf(s.Overload.node) + "\n")
+	}
+	if a := s.Agreed; a != nil {
+		b.WriteString("(agreed (voters")
+		for i := range a.Voters {
+			fmt.Fprintf(&b, " \"pooler-%d\"", i)
+		}
+		fmt.Fprintf(&b, ") (dir %s) (tick %gms) (election %d) (heartbeat %d) (every %d) (keep %d))\n", quote(disk), a.Settings.Tick, a.Settings.Election, a.Settings.Heartbeat, a.Settings.Every, a.Settings.Keep)
+	}
+	if c := s.Credit; c != nil {
+		fmt.Fprintf(&b, "(credit (files %s)", quote(marks))
+		for _, a := range c.node.Args() {
+			b.WriteString(" " + textOf(a))
+		}
+		for _, p := range pays {
+			fmt.Fprintf(&b, " (payment %s %d %.0f)", quote(p.Target.Word), p.Pooler, p.Value)
+		}
+		b.WriteString(more + ")\n")
+	}
+	return b.String()
+}
+
+// textOf writes down what was read.
+func textOf(n *sexp.Node) string {
+	switch {
+	case n.Kind == sexp.String:
+		return quote(n.Text)
+	case n.Kind != sexp.List:
+		return n.Text
+	}
+	var parts []string
+	for _, x := range n.Items {
+		parts = append(parts, textOf(x))
+	}
+	return "(" + strings.Join(parts, " ") + ")"
+}
--- a/internal/kit/scenario/peers.go
+++ b/internal/kit/scenario/peers.go
@@ -32,7 +32,7 @@
 func aLink(f *Fault, n *sexp.Node) error {
 	a := n.Args()
 	if len(a) < 3 {
-		return n.Errorf("(%s WHOM WHOM WHAT...), where WHOM is all, a pooler's number, (NUMBER...) or a site, and WHAT is cut, (lose X), (duplicate X), (reorder X) or (slow TIME)", n.Head())
+		return n.Errorf("(%s WHOM WHOM WHAT...), where WHOM is all, a pooler's number, (NUMBER...), (part FROM TO) or a site, and WHAT is cut, (lose X), (duplicate X), (reorder X) or (slow TIME)", n.Head())
 	}
 	f.Both = n.Head() == "between"
 	f.From, f.To = whom{a[0]}, whom{a[1]}
@@ -66,6 +66,8 @@
 	switch site := slices.Index(s.Sites, w.Text); {
 	case w.Kind == sexp.List && len(w.Items) == 2 && w.Items[0].Text == "owner": // it is known when the fault strikes
 		return nil, nil
+	case w.Kind == sexp.List && len(w.Items) == 3 && w.Items[0].Text == "part":
+		return w.part(s)
 	case w.Kind == sexp.List:
 		for _, n := range w.Items {
 			if err := add(n); err != nil {
@@ -89,6 +91,25 @@
 	return out, err
 }
 
+// part are the poolers of (part FROM TO): from one part of them all to another.
+func (w whom) part(s *Script) (out []int, err error) {
+	var ends [2]float64
+	for i := range ends {
+		if ends[i], err = w.Items[1+i].Number(0, 1); err != nil {
+			return nil, err
+		}
+	}
+	for i := range s.Poolers {
+		if at := float64(i) / float64(s.Poolers); at >= ends[0] && at < ends[1] {
+			out = append(out, i)
+		}
+	}
+	if len(out) == 0 {
+		err = w.Errorf("these are no poolers")
+	}
+	return out, err
+}
+
 // Resolved is a fault as it strikes: at whoever lends its limit then, who is told.
 func (f *Fault) Resolved(lender func(limit string) int) *Fault {
 	if f.Owner == "" {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -85,7 +85,13 @@
 	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
-	Overload *operate.Overload // nil where each pooler handles it alone
+	Overload *Overload // nil where each pooler handles it alone
+	Agreed   *Agreed   // the log in common, nil for none
+	Credit   *Credit   // tenants pay ahead, nil where they do not
+	Pages    *Pages    // reports over all groups, nil for none
+
+	source  *sexp.Node   // as it was read
+	smaller []*sexp.Node // forms that go for sockets
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -166,7 +172,7 @@
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
 	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
-	s.Clients.Rate, s.Clients.Seconds = 100, 20
+	s.Clients.Rate, s.Clients.Seconds, s.source = 100, 20, n
 	if err := s.form().Read(args[1:], "at", "class", "tenant"); err != nil {
 		return nil, err
 	}
@@ -188,6 +194,9 @@
 	if s.Overload != nil && s.Peers == nil {
 		return nil, n.Errorf("(overload ...) goes with (peers)")
 	}
+	if err := s.joint(n); err != nil {
+		return nil, err
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -237,6 +246,10 @@
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
 		"overload":     s.overload,
+		"agreed":       s.agreed,
+		"credit":       s.credit,
+		"pages":        s.pages,
+		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
@@ -474,6 +487,7 @@
 	"links":          aLink,
 	"between":        aLink,
 	"limit":          aLimit,
+	"pay":            aPay,
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
@@ -579,6 +593,10 @@
 		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
 	case f.What == "limit" && (s.Limits == nil || s.limit(f.Target.Word) == nil):
 		return fail("there is no limit %q in (fleet-limits ...)", f.Target.Word)
+	case f.What == "pay" && s.Credit == nil:
+		return fail("(pay ...) goes with (credit ...)")
+	case f.What == "pay" && !slices.ContainsFunc(s.Clients.Tenants, func(t clients.Tenant) bool { return t.Name == f.Target.Word }):
+		return fail("there is no tenant %q", f.Target.Word)
 	case f.Owner != "" && s.limit(f.Owner) == nil:
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
--- a/internal/operate/credit.go
+++ b/internal/operate/credit.go
@@ -83,6 +83,12 @@
 	}
 }
 
+// ReadCredit reads (credit ...).
+func ReadCredit(n *sexp.Node) (*Credit, error) {
+	c := &Credit{}
+	return c, c.read(n, os.Getenv)
+}
+
 func (c *Credit) read(n *sexp.Node, env func(string) string) error {
 	*c = Credit{On: true, Purse: purse.Defaults(), Bank: bank.Defaults()}
 	p := &c.Purse
