Let a request that waits for funds be told of before it is known to wait

Cause: Hold may let a waiting request in, or turn it away, before it returns (it asks at once, and an earlier one of the class may free both); core then did not know yet that the request waits, and it never had an answer. And a request turned away for its funds was released only behind its client's word, so a client that gave something else up at that moment (a scattered read does) had the core walked with an ended request in it. Both held by TestCreditAtOnce, seen to fail without.

--- a/internal/core/credit.go
+++ b/internal/core/credit.go
@@ -32,22 +32,22 @@
 
 // funded tells whether a request may go on now.
 func (c *Core) funded(ref slots.Ref, r *request, q *front.Request, e *decide.Request) bool {
+	r.paid.tenant, r.paid.waits, r.paid.since = q.Tenant, e, c.loop.Now() // one that waits may be told of before Hold returns
 	h, v := c.credit.Hold(q.Tenant, q.Class, q.Session, tagOf(ref))
-	r.paid.tenant, r.paid.hold = q.Tenant, h
-	switch v {
-	case purse.Pass:
-		return true
-	case purse.Wait:
-		r.paid.waits, r.paid.since = e, c.loop.Now()
-	default:
+	if v == purse.Wait {
+		return false
+	}
+	r.paid.waits, r.paid.hold = nil, h
+	if v != purse.Pass {
 		c.unfunded(ref, r, v == purse.Slow)
 	}
-	return false
+	return v == purse.Pass
 }
 
 // unfunded refuses a request for its tenant's funds.
 func (c *Core) unfunded(ref slots.Ref, r *request, slowed bool) {
 	c.ends(r, figures.Dropped)
+	c.release(ref, r) // its client may ask, or give up, something else at once
 	wait := min(clock.Millis(c.cfg.Settings.MaxRetryAfter), adviceMs+float64(tagOf(ref)%adviceMs))
 	if b, ok := r.client.(front.Broke); ok {
 		b.Broke(slowed, wait)
@@ -55,7 +55,6 @@
 		r.client.Refused(wait)
 	}
 	c.recordAnswer(r, recordpb.Final_FINAL_REFUSED, wait)
-	c.release(ref, r)
 }
 
 const adviceMs = 1000 // a payment is everywhere sooner, as a rule; up to twice that, so that not all come back together
--- a/internal/core/credit_test.go
+++ b/internal/core/credit_test.go
@@ -22,10 +22,14 @@
 	say  purse.Verdict
 	tag  uint64
 	told []string
+	at   func(tag uint64) // is done before Hold returns, where it is set
 }
 
 func (p *payer) Hold(_, _, _ string, tag uint64) (purse.Hold, purse.Verdict) {
 	p.tag = tag
+	if p.at != nil {
+		p.at(tag)
+	}
 	if p.say == purse.Pass {
 		return purse.Hold{Amount: 5}, purse.Pass
 	}
@@ -116,3 +120,52 @@
 		}
 	}
 }
+
+// TestCreditAtOnce: what waits may be let in, or turned away, before Hold returns; and a client that is turned away may give up another
+// request of its own at that moment, as a scattered read does.
+func TestCreditAtOnce(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}},
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}}}}
+	servers, p := &counting{}, &payer{say: purse.Wait}
+	c := New(still{}, slog.New(slog.DiscardHandler), cfg)
+	c.Start(servers, still{})
+	c.Credit(p)
+	ask := func(id string, client front.Client) slots.Ref {
+		ref, err := c.Ask(front.Request{ID: id, Class: "read", Due: 1e6 + 9000, Query: still{}}, client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ref
+	}
+	p.at = func(tag uint64) { c.Funded(tag, purse.Hold{Amount: 5}) }
+	if ask("1", &asker{}); servers.n != 1 {
+		t.Errorf("let in at once: sent %d times", servers.n)
+	}
+	p.at = func(tag uint64) { c.Unfunded(tag) }
+	if a := (&asker{}); ask("2", a) != (slots.Ref{}) || len(a.heard) != 1 {
+		t.Errorf("turned away at once: heard %v", a.heard)
+	}
+	p.at = nil
+	other := ask("3", &asker{})
+	tag := p.tag
+	p.say = purse.Pass
+	mine, left := ask("4", &asker{}), false
+	r, _ := c.requests.Get(other)
+	r.client = leaver{func() {
+		c.Gone(mine)
+		c.walk(invariant.Test(t))
+		left = true
+	}}
+	if c.Unfunded(tag); !left {
+		t.Error("its client did not hear of it")
+	}
+}
+
+// leaver is a client that gives something up as it is turned away.
+type leaver struct{ leave func() }
+
+func (l leaver) Broke(bool, float64) { l.leave() }
+func (l leaver) Served([]byte)       {}
+func (l leaver) Refused(float64)     {}
+func (l leaver) Failed()             {}
