Play reports in pages and prepaid credit of a scenario in virtual time

The scatter front had no counterpart in virtual time. internal/kit/emulate has one now, of run, merge, cursor and plan before the emulated core, with a drawn table that changes while it is read, behind by replicas' lag. check.Pages holds the pages to the rows that there were; check.Credit's word is a rule of the verdict. example/rehearsals/month-end-fleet.sexp has all of it at once.

--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -136,9 +136,25 @@
 			fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
 		}
 	}
+	if r.Pages != nil {
+		for _, rule := range check.PageRules() {
+			fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
+		}
+	}
+	if r.Funds != nil {
+		fmt.Fprintf(t, "%s\t%d\t%d\n", check.CreditKept, r.Verdict.Checked[check.CreditKept], r.Verdict.Broken[check.CreditKept])
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	if p := r.Pages; p != nil {
+		fmt.Fprintf(w, "\npages: %d with %d rows, %d reports whole, by %d poolers; %d refused, %d failed, %d broken off; %d shards asked again\n", p.Pages, p.Rows, p.Reports, p.ByPoolers,
+			p.Refused, p.Failed, p.Broken, p.Again)
+	}
+	for _, f := range r.Funds {
+		fmt.Fprintf(w, "tenant %s: paid %d, served for %d (%d tries, %d refused); in the books balance %d, lent %d, spent %d, stranded %d\n", f.Tenant, f.Paid, f.Served, f.Asked, f.Turned,
+			f.Balance, f.Lent, f.Spent, f.Stranded)
+	}
 	if v := r.Views; v != nil {
 		fmt.Fprintf(w, "\nviews: %.1f datagrams and %.0f bytes a second of each pooler; %d accused wrongly, %d called failed that ran\n", v.Packets, v.Bytes, v.Accused, v.Wrong)
 	}
--- a/internal/kit/check/credit.go
+++ b/internal/kit/check/credit.go
@@ -94,3 +94,17 @@
 	t := c.tenant(tenant)
 	return t.Asked, t.Turned
 }
+
+// CreditKept is the rule that Credit holds tenants to.
+const CreditKept Rule = "no tenant is served beyond what was paid by then"
+
+// Verdict adds what was checked and found.
+func (c *Credit) Verdict(at float64, v *Verdict) {
+	for _, t := range c.tenants {
+		v.Checked[CreditKept] += uint64(len(t.served))
+	}
+	for _, text := range c.Found {
+		v.Broken[CreditKept]++
+		v.Breaches = append(v.Breaches, Breach{Rule: CreditKept, At: at, Server: -1, Text: text})
+	}
+}
--- /dev/null
+++ b/internal/kit/check/pages.go
@@ -0,0 +1,185 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Rules of reports that are read in pages.
+const (
+	PagesOnce  Rule = "the pages together are the sorted list, each row exactly once"
+	PagesAhead Rule = "no page is read at a server that is behind the page before"
+	PagesEnd   Rule = "a page has one end, in time"
+)
+
+// PageRules are all of them.
+func PageRules() []Rule { return []Rule{PagesOnce, PagesAhead, PagesEnd} }
+
+// Pages holds reports to the rows that the servers' groups had. It knows which rows there were and from which position of their group's log to
+// which, what clients were given, and at which positions servers read; nothing of cursors.
+type Pages struct {
+	Desc    bool // the place comes down
+	rows    map[int64]*pageRow
+	reports map[int]*report
+	checked map[Rule]uint64
+	found   []Breach
+	counts  map[Rule]int
+
+	Served, Ended, Rows int // pages, reports that came to their end, rows
+	Refused, Failed     int
+}
+
+// pageRow is a row, there from one position to another, 0 for ever.
+type pageRow struct {
+	id, place int64
+	group     int
+	from, end float64
+}
+
+// PageRead says that a server of a group worked on a shard's part of a page.
+type PageRead struct {
+	Group    int
+	Position float64
+}
+
+// report is one that is under way.
+type report struct {
+	first map[int]float64 // by group: the least position at which its first page was read
+	last  map[int]float64 // ...and the greatest at which any was
+	given []*pageRow
+	began float64
+}
+
+// NewPages makes a checker.
+func NewPages(desc bool) *Pages {
+	return &Pages{Desc: desc, rows: map[int64]*pageRow{}, reports: map[int]*report{}, checked: map[Rule]uint64{}, counts: map[Rule]int{}}
+}
+
+func (p *Pages) breach(rule Rule, at float64, format string, args ...any) {
+	if p.counts[rule]++; len(p.found) < maxBreaches {
+		p.found = append(p.found, Breach{Rule: rule, At: at, Server: -1, Text: fmt.Sprintf(format, args...)})
+	}
+}
+
+// Row tells of a row that is written, as of a position of its group's log; 0 for one that was there from the beginning.
+func (p *Pages) Row(id, place int64, group int, from float64) {
+	p.rows[id] = &pageRow{id: id, place: place, group: group, from: from}
+}
+
+// Gone tells that a row is deleted as of a position.
+func (p *Pages) Gone(id int64, at float64) {
+	if r := p.rows[id]; r != nil {
+		r.end = at
+	}
+}
+
+// compare is the order of a report: by place, then by group, as shards are named in that order, then by the row's own number.
+func (p *Pages) compare(a, b *pageRow) int {
+	c := cmp.Compare(a.place, b.place)
+	if p.Desc {
+		c = -c
+	}
+	return cmp.Or(c, cmp.Compare(a.group, b.group), cmp.Compare(a.id, b.id))
+}
+
+// Page tells of a page that a reader was given whole, with what servers read for it, and whether it is its report's last.
+func (p *Pages) Page(at float64, reader int, ids []int64, reads []PageRead, last bool) {
+	p.Served++
+	p.Rows += len(ids)
+	r := p.reports[reader]
+	if r == nil {
+		r = &report{first: map[int]float64{}, last: map[int]float64{}, began: at}
+		p.reports[reader] = r
+	}
+	p.checked[PagesAhead]++
+	now, fresh := map[int]float64{}, len(r.last) == 0
+	for _, x := range reads {
+		if before, ok := r.last[x.Group]; ok && x.Position < before {
+			p.breach(PagesAhead, at, "report of reader %d: group %d is read as of %.0f, for the page before it was as of %.0f", reader, x.Group, x.Position, before)
+		}
+		if least, ok := r.first[x.Group]; fresh && (!ok || x.Position < least) {
+			r.first[x.Group] = x.Position
+		}
+		now[x.Group] = max(now[x.Group], x.Position)
+	}
+	for g, x := range now {
+		r.last[g] = max(r.last[g], x)
+	}
+	for _, id := range ids {
+		p.checked[PagesOnce]++
+		x := p.rows[id]
+		if x == nil {
+			p.breach(PagesOnce, at, "report of reader %d: row %d never was", reader, id)
+			continue
+		}
+		if n := len(r.given); n > 0 && p.compare(r.given[n-1], x) >= 0 {
+			p.breach(PagesOnce, at, "report of reader %d: row %d of place %d, group %d comes behind row %d of place %d, group %d", reader, x.id, x.place, x.group,
+				r.given[n-1].id, r.given[n-1].place, r.given[n-1].group)
+		}
+		if x.from > r.last[x.group] || x.end > 0 && x.end <= r.first[x.group] {
+			p.breach(PagesOnce, at, "report of reader %d: row %d was there from %.0f to %.0f, and group %d was read as of %.0f to %.0f", reader, id, x.from, x.end, x.group,
+				r.first[x.group], r.last[x.group])
+		}
+		r.given = append(r.given, x)
+	}
+	if last {
+		p.Ended++
+		p.hold(at, reader, r, nil)
+		delete(p.reports, reader)
+	}
+}
+
+// hold looks for rows that a report should have been given, up to one.
+func (p *Pages) hold(at float64, reader int, r *report, upTo *pageRow) {
+	given := map[int64]bool{}
+	for _, x := range r.given {
+		given[x.id] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.rows)) {
+		x := p.rows[id]
+		if upTo != nil && p.compare(x, upTo) > 0 {
+			continue
+		}
+		from, read := r.first[x.group]
+		if throughout := read && x.from <= from && (x.end == 0 || x.end > r.last[x.group]); throughout && !given[id] {
+			p.breach(PagesOnce, at, "report of reader %d: row %d of place %d, group %d, there throughout (%.0f to %.0f, read as of %.0f to %.0f), was not given", reader, id, x.place, x.group,
+				x.from, x.end, from, r.last[x.group])
+		}
+	}
+}
+
+// Began has a reader begin a new report, whatever it had.
+func (p *Pages) Began(reader int) { delete(p.reports, reader) }
+
+// Came tells that a page came to an end of some kind, and by when one was due.
+func (p *Pages) Came(at, due float64, reader int) {
+	if p.checked[PagesEnd]++; at > due {
+		p.breach(PagesEnd, at, "report of reader %d: a page's end came %.0f ms late", reader, at-due)
+	}
+}
+
+// Tried counts pages that came to nothing.
+func (p *Pages) Tried(refused bool) {
+	if p.Failed++; refused {
+		p.Failed--
+		p.Refused++
+	}
+}
+
+// Verdict adds what was checked and found; reports that are under way are held to what they have come to.
+func (p *Pages) Verdict(at float64, v *Verdict) {
+	for _, reader := range slices.Sorted(maps.Keys(p.reports)) {
+		if r := p.reports[reader]; len(r.given) > 0 {
+			p.hold(at, reader, r, r.given[len(r.given)-1])
+		}
+	}
+	for rule, n := range p.checked {
+		v.Checked[rule] += n
+	}
+	for rule, n := range p.counts {
+		v.Broken[rule] += n
+	}
+	v.Breaches = append(v.Breaches, p.found...)
+}
--- a/internal/kit/emulate/credit.go
+++ b/internal/kit/emulate/credit.go
@@ -7,6 +7,7 @@
 	"beechgrade/internal/peers/agreed"
 	"beechgrade/internal/peers/agreed/joined"
 	"beechgrade/internal/peers/credit"
+	"beechgrade/internal/peers/credit/bank"
 	"beechgrade/internal/peers/credit/ledger"
 	"beechgrade/internal/peers/credit/purse"
 	"beechgrade/internal/peers/part"
@@ -18,6 +19,8 @@
 	Set   operate.Credit
 	Marks [2]float64 // ms that a durable write of marks takes, from and to
 
+	Later func(no int) []bank.Pay // payments that a pooler has read of since the start; may be nil
+
 	files   map[ledger.Holder][]purse.Mark
 	writers map[ledger.Holder]int // pooler
 	now     map[int]*payer        // the process of each pooler
@@ -31,8 +34,24 @@
 	c       *credit.Credit
 	log     *joined.Part
 	classes map[string]int
+	names   []string
 }
 
+// settings are a process's, as it would read them now.
+func (x *payer) settings() credit.Settings {
+	p, s := x.h.x.p, x.Set
+	if x.Later != nil {
+		s.Pays = append(slices.Clone(s.Pays), x.Later(x.h.No())...)
+		slices.SortFunc(s.Pays, credit.ByNumber)
+	}
+	set := s.For(x.names, func(i int) float64 { return p.e.script.Clients.Classes[i].Worth })
+	set.Purse.Marks, set.Purse.Checks = true, p.e.checks
+	return set
+}
+
+// reread has a process read its settings again.
+func (x *payer) reread() { x.c.Retune(x.settings()) }
+
 // Join makes a process's parts: the log's and credit's.
 func (c *Prepaid) Join(h Host) []part.Part {
 	if c.files == nil {
@@ -40,13 +59,11 @@
 	}
 	p := h.x.p
 	x := &payer{Prepaid: c, h: h, of: ledger.Holder(h.No()+1)<<32 | ledger.Holder(h.Life()), classes: map[string]int{}}
-	var names []string
 	for i := range p.e.script.Clients.Classes {
 		name := p.e.script.Clients.Classes[i].Name
-		names, x.classes[name] = append(names, name), i
+		x.names, x.classes[name] = append(x.names, name), i
 	}
-	set := c.Set.For(names, func(i int) float64 { return p.e.script.Clients.Classes[i].Worth })
-	set.Purse.Marks, set.Purse.Checks = true, p.e.checks
+	set := x.settings()
 	for i := range c.Log.Voters {
 		set.Voters = append(set.Voters, p.e.poolerName(i))
 	}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -69,6 +69,8 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Pages     *PageCounts        `json:"pages,omitempty"`
+	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -82,6 +84,8 @@
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
 	fleet    *fleetOf // the poolers as peers, nil where they are none
+	paging   *paging  // reports that are read in pages, nil for none
+	funds    *funds   // that tenants pay ahead, nil for none
 	agents   *agents  // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
@@ -149,6 +153,12 @@
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
 	}
+	if s.Credit != nil {
+		e.funds = e.newFunds()
+	}
+	if s.Pages != nil {
+		e.paging = e.newPaging()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -204,6 +214,13 @@
 		}
 		e.fleet.check.Verdict(r.Verdict)
 	}
+	if e.paging != nil {
+		e.paging.check.Verdict(e.s.now, r.Verdict)
+		r.Pages = &e.paging.Counts
+	}
+	if e.funds != nil {
+		r.Funds = e.funds.result(r.Verdict)
+	}
 	return r
 }
 
@@ -355,6 +372,8 @@
 		later(func() { e.world.Swap(false) })
 	case "limit":
 		e.change(f)
+	case "pay":
+		e.funds.pay(f)
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
@@ -416,7 +435,7 @@
 		if p.life != life {
 			return
 		}
-		if len(p.visits) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
+		if len(p.visits)+e.paging.made(p) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
 			e.s.After(restartLook, world.Func(look), 0)
 			return
 		}
--- /dev/null
+++ b/internal/kit/emulate/month_test.go
@@ -0,0 +1,76 @@
+package emulate
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/scenario"
+)
+
+// monthEnd plays the month-end of a fleet, smaller where shorter forms say so, and holds it to all promises.
+func monthEnd(t *testing.T, s *scenario.Script, opt Options) *Result {
+	t.Helper()
+	r := play(t, s, opt)
+	norte := r.Funds[0]
+	t.Logf("seed %d: service %.3f, %.2f probes a try; %s paid %d, served for %d, stranded %d; %+v", opt.Seed, r.Score.Ratio, float64(r.Probes)/float64(r.Tries), norte.Tenant, norte.Paid, norte.Served,
+		norte.Stranded, *r.Pages)
+	return r
+}
+
+// short is the scenario with fewer poolers and groups, in a third of the time.
+func short(t *testing.T, more string) *scenario.Script {
+	return parse(t, `(rehearsal "month-end, short" (seconds 9) (poolers 24) (groups 3 3 3) (rate 180) (roams 0.6) (retries 3) (retry 20ms 120ms)
+		(tenant "norte" (share 0.3)) (tenant "sul" (share 0.7)) (peers) (overload (shed yes)) (agreed (voters 3))
+		(credit (lease 3s) (renew 500ms) (price "quadro-obra" (request 10)) (price "conferir-ponto" (request 20)) (price "relatorio-mes" (request 20)) (price "registrar-ponto" (request 10))
+			(payment "norte" 1 3000) (payment "sul" 1 100000000))
+		(pages (class "conferir-ponto") (tenant "sul") (rows 40) (page 25) (readers 3) (think 20ms) (changes 40))
+		(at 2s (load 2) (for 4s)) (at 2500ms (between (part 0 0.4) (part 0.4 1) cut) (for 2s)) (at 3s (kill-pooler 2) (for 1s)) (at 5s (kill-pooler 6) (for 1s)) (at 6s (pay "norte" 2 6000 3)) `+more+`)`)
+}
+
+// TestMonthEnd: all of it at once, at a few seeds; BEECHGRADE_MONTH_END names how many more of the whole one at 150 poolers are to be played.
+func TestMonthEnd(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		r := monthEnd(t, short(t, ""), Options{Seed: seed})
+		if v := r.Verdict; len(v.Breaches) > 0 {
+			t.Errorf("seed %d: %v: %s", seed, v.Broken, v.Breaches[0].Text)
+		}
+		if f := r.Funds[0]; f.Served < f.Paid*9/10 || f.Turned == 0 {
+			t.Errorf("seed %d: of %d paid %d were used, %d tries refused", seed, f.Paid, f.Served, f.Turned)
+		}
+		if p := r.Pages; p.Pages < 40 || p.Reports < 3 || p.ByPoolers < 20 {
+			t.Errorf("seed %d: %+v", seed, *p)
+		}
+		if r.Score.Ratio < 0.55 || r.Probes > r.Tries {
+			t.Errorf("seed %d: service %.3f, %d probes for %d tries", seed, r.Score.Ratio, r.Probes, r.Tries)
+		}
+	}
+	more, _ := strconv.ParseUint(os.Getenv("BEECHGRADE_MONTH_END"), 10, 64)
+	for seed := range more {
+		s, err := scenario.Load("../../../example/rehearsals/month-end-fleet.sexp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r := monthEnd(t, s, Options{Seed: seed + 1}); len(r.Verdict.Breaches) > 0 {
+			t.Errorf("seed %d: %v: %s", seed+1, r.Verdict.Broken, r.Verdict.Breaches[0].Text)
+		}
+	}
+}
+
+// TestPageMutants: a pooler that forgets a cursor's positions, leaves a row out or gives one again breaks the rule that it is to break.
+func TestPageMutants(t *testing.T) {
+	t.Parallel()
+	s := parse(t, `(rehearsal "pages" (seconds 4) (poolers 4) (groups 3 3) (rate 60) (ship 5ms 80ms) (apply 6ms) (at 0s (lag replica 0 4)) (at 1s (lag replica 1 4))
+		(pages (class "conferir-ponto") (rows 60) (page 11) (readers 3) (think 5ms) (changes 60)))`)
+	for _, m := range PageMutants() {
+		if r := play(t, s, Options{Seed: 1, Mutant: &m}); r.Verdict.Broken[m.Breaks] == 0 {
+			t.Errorf("%s: %q is not broken: %v, %+v", m.Name, m.Breaks, r.Verdict.Broken, *r.Pages)
+		}
+	}
+	whole := play(t, s, Options{Seed: 1})
+	if len(whole.Verdict.Breaches) > 0 || whole.Verdict.Checked[check.PagesOnce] < 200 {
+		t.Errorf("without a mutant: %v", whole.Verdict.Broken)
+	}
+}
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -30,6 +30,7 @@
 	Quota   func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
 	Limits  func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
 	Demand  func(no int, want float64) float64             // what it says that it would use
+	Pages   PageMutant                                     // what becomes of a page
 	Rash    bool                                           // a process that begins again votes at once
 	SameID  bool                                           // its processes all have one ID
 	Keyed   bool                                           // it shows where writes have keys
--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -88,6 +88,9 @@
 	if o := e.script.Overload; o != nil {
 		all = append(all, Overloaded(o.Options))
 	}
+	if e.funds != nil {
+		all = append(all, e.funds.Join)
+	}
 	return append(all, e.opt.Parts...)
 }
 
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -76,6 +76,8 @@
 	asOf  float64 // a server tells its lag as of then
 	reply world.Reply
 	role  decide.Role
+	held  bool    // it has a connection, and waits until all of its page have one
+	rows  *rowsOf // of a page's shard, nil where it is none
 	backend.Terms
 }
 
@@ -92,6 +94,7 @@
 	atDown                // a connection could not come up
 	atProbed              // a probe's report arrives
 	atNoServer            // it was begun at a server that nobody knows
+	atRows                // the next rows of a page's shard arrive
 )
 
 func (e *Emulation) newPooler(no int) *pooler {
@@ -176,6 +179,9 @@
 		e.check.Gone(e.s.now, v.id, "its pooler ended")
 	}
 	clear(p.visits)
+	if e.paging != nil {
+		e.paging.killed(p)
+	}
 	e.check.Forgot(p.no)
 }
 
@@ -464,6 +470,9 @@
 // send puts an attempt on a connection.
 func (a *attempt) send() {
 	e, st := a.p.e, a.st
+	if a.v != nil && a.v.shard != nil && a.v.shard.holds(a) {
+		return
+	}
 	a.sent, a.slife, a.at = true, st.life, e.s.now
 	st.busy[a] = true
 	if a.v != nil {
@@ -535,6 +544,9 @@
 		return // its connection breaks
 	}
 	a.reply = r
+	if a.v != nil && a.v.shard != nil {
+		a.v.shard.read(a, r)
+	}
 	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
 }
 
@@ -561,6 +573,11 @@
 		if a.p.e.script.Clients.House {
 			a.house(&o)
 		}
+		if a.rows != nil {
+			a.rows.o = o
+			a.v.shard.come(a)
+			return
+		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
 		if o.Role == decide.RoleReplica {
@@ -576,8 +593,10 @@
 		st.add(-1)
 		a.end(backend.Outcome{Result: decide.Reset})
 		st.refill()
+	case atRows:
+		a.v.shard.come(a)
 	case atConnect:
-		if !a.sent {
+		if !a.sent && !a.held {
 			r := decide.Unreachable
 			if st.dialing == 0 {
 				r = decide.Skipped
@@ -609,6 +628,9 @@
 		if a.v != nil && r != decide.Unreachable && r != decide.Full {
 			r = decide.Skipped
 		}
+		if a.held {
+			a.unhold()
+		}
 		st.unqueue(a)
 		a.end(backend.Outcome{Result: r})
 		return
@@ -648,6 +670,9 @@
 		m.Outcome(&o)
 	}
 	p.trust(a.id, &o)
+	if x := a.v.shard; x != nil {
+		x.tried(a, &o)
+	}
 	p.core.AttemptEnded(a.tag, o)
 }
 
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -85,6 +85,7 @@
 	answer []byte
 	extra  bool
 	late   bool
+	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
 }
 
 // What a visit's event is.
@@ -231,6 +232,9 @@
 	}
 	e.s.mix(v.id, uint64(len(kind))<<32|uint64(t.Pooler+1))
 	e.keeper.Tried(t)
+	if e.funds != nil {
+		e.funds.tried(t)
+	}
 	if e.opt.Tried != nil {
 		t.Tenant = e.script.Clients.TenantOf(&a.Ask)
 		e.opt.Tried(t)
--- a/internal/kit/lab/run.go
+++ b/internal/kit/lab/run.go
@@ -53,13 +53,17 @@
 	P99      float64            `json:"p99_ms"`
 	Lost     map[string]float64 `json:"lost"`
 	Worth    float64            `json:"worth_asked"`
+
+	Pages *emulate.PageCounts `json:"pages,omitempty"`
+	Funds []emulate.Funds     `json:"funds,omitempty"`
 }
 
 // LineOf sums a run up.
 func LineOf(c *Cell, r *emulate.Result) Line {
 	l := Line{Cell: c.Key(), Labels: c.Labels, Seed: r.Seed, Hash: r.Hash, Goal: r.Score.Goal, Service: r.Score.Ratio, Worst: r.Score.Worst, Least: 1,
 		Broken: r.Verdict.Broken, Asked: r.Asked, Tries: r.Tries, Attempts: r.Attempts, Probes: r.Probes, Refused: r.Score.Total.Refused, Failed: r.Score.Total.Failed,
-		Events: r.Events, P50: r.P50, P99: r.P99, Lost: r.Lost, Worth: r.Score.Total.WorthAsked}
+		Events: r.Events, P50: r.P50, P99: r.P99, Lost: r.Lost, Worth: r.Score.Total.WorthAsked,
+		Pages: r.Pages, Funds: r.Funds}
 	for _, x := range r.Score.Classes {
 		l.Least = min(l.Least, x.Ratio)
 	}
