Give verdicts on servers shared among poolers their place: settings, adapter, door

Poolers learn alone which servers are bad. The seam for a part that shares evidence: its kind, settings word, adapter, door figures, and the place in virtual time with a mutants' hook. Nothing is shared yet; without (verdicts ...) nothing runs.

--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -206,6 +206,7 @@
 		return err
 	}
 	p.useOverload(set.Overload)
+	p.useVerdicts(set.Verdicts)
 	if settings != "" && set.Peers.On {
 		p.loadLimits = func() (*operate.FleetLimits, error) {
 			next, err := operate.Load(settings, os.Getenv)
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -25,6 +25,7 @@
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
 	"beechgrade/internal/peers/overload/joined"
+	judged "beechgrade/internal/peers/verdicts/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -75,6 +76,7 @@
 	expect int            // poolers that there are to be
 	limits *fleetLimits   // nil where none hold for the whole fleet
 	over   *joined.Joined // nil where overload is handled alone
+	judged *judged.Joined // nil where each learns of servers alone
 
 	journal *journal.Journal // nil where it is off
 	agreed  *commonLog       // nil where it is off
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -12,28 +12,30 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/membership/judge"
 	"beechgrade/internal/peers/quota"
+	"beechgrade/internal/peers/verdicts"
 	"beechgrade/internal/peers/view"
 )
 
 // Mutant is a pooler, or a server, that is broken on purpose: what the checker must catch.
 type Mutant struct {
-	Name    string
-	Breaks  check.Rule
-	Module  func(c *config.Config)                               // what its module is told at its start
-	Outcome func(o *backend.Outcome)                             // what it is told of an attempt's end
-	List    func(l *discovery.List)                              // what it is told of the list
-	Answer  func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
-	World   func(w *world.World)
-	Judge   func(s *judge.Settings)                        // what its judge of the server list goes by
-	View    func(s *view.Settings)                         // how its view of the fleet is kept
-	Peer    func(x *peer, ev view.Event) bool              // what its view is told; nothing where it returns false
-	Quota   func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
-	Limits  func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
-	Demand  func(no int, want float64) float64             // what it says that it would use
-	Rash    bool                                           // a process that begins again votes at once
-	SameID  bool                                           // its processes all have one ID
-	Keyed   bool                                           // it shows where writes have keys
-	Lists   bool                                           // it goes by its list's role in place of what servers say
+	Name     string
+	Breaks   check.Rule
+	Module   func(c *config.Config)                               // what its module is told at its start
+	Outcome  func(o *backend.Outcome)                             // what it is told of an attempt's end
+	List     func(l *discovery.List)                              // what it is told of the list
+	Answer   func(e *Emulation, v *visit, kind clients.Kind) bool // in place of an answer, where it returns false
+	World    func(w *world.World)
+	Judge    func(s *judge.Settings)                        // what its judge of the server list goes by
+	View     func(s *view.Settings)                         // how its view of the fleet is kept
+	Peer     func(x *peer, ev view.Event) bool              // what its view is told; nothing where it returns false
+	Quota    func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
+	Limits   func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
+	Demand   func(no int, want float64) float64             // what it says that it would use
+	Verdicts func(no int, s *verdicts.Settings)             // how it shares what it knows of servers
+	Rash     bool                                           // a process that begins again votes at once
+	SameID   bool                                           // its processes all have one ID
+	Keyed    bool                                           // it shows where writes have keys
+	Lists    bool                                           // it goes by its list's role in place of what servers say
 }
 
 // Mutants are all of them.
--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -88,6 +88,9 @@
 	if o := e.script.Overload; o != nil {
 		all = append(all, Overloaded(o.Options))
 	}
+	if v := e.script.Verdicts; v != nil {
+		all = append(all, Judged(v.Options))
+	}
 	return append(all, e.opt.Parts...)
 }
 
--- /dev/null
+++ b/internal/kit/emulate/verdicts.go
@@ -0,0 +1,19 @@
+package emulate
+
+import (
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/verdicts/joined"
+)
+
+// Judged has poolers share what they know of servers.
+func Judged(opt joined.Options) Joined {
+	return func(h Host) []part.Part {
+		c := h.x.p.core
+		if m := h.x.p.e.opt.Mutant; m != nil && m.Verdicts != nil {
+			m.Verdicts(h.x.p.no, &opt.Set)
+		}
+		j := joined.New(opt, c, h)
+		h.x.judged = j
+		return []part.Part{j}
+	}
+}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -86,6 +86,7 @@
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
 	Overload *operate.Overload // nil where each pooler handles it alone
+	Verdicts *operate.Verdicts // nil where each pooler learns alone
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -188,6 +189,9 @@
 	if s.Overload != nil && s.Peers == nil {
 		return nil, n.Errorf("(overload ...) goes with (peers)")
 	}
+	if s.Verdicts != nil && s.Peers == nil {
+		return nil, n.Errorf("(verdicts ...) goes with (peers)")
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -237,6 +241,7 @@
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
 		"overload":     s.overload,
+		"verdicts":     s.verdicts,
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -20,6 +20,7 @@
 	Peers      Peers
 	Limits     FleetLimits
 	Overload   Overload
+	Verdicts   Verdicts
 	Invariants Invariants
 	Scatter    Scatter
 	Agreed     Agreed
@@ -75,6 +76,7 @@
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
 		"overload":     s.Overload.read,
+		"verdicts":     s.Verdicts.read,
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
@@ -84,6 +86,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "verdicts" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(verdicts ...) needs (peers ...)")
+	}
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
 	}
--- /dev/null
+++ b/internal/operate/verdicts.go
@@ -0,0 +1,39 @@
+package operate
+
+import (
+	"beechgrade/internal/peers/verdicts"
+	"beechgrade/internal/peers/verdicts/joined"
+	"beechgrade/internal/sexp"
+)
+
+// Verdicts says whether and how the fleet shares what it knows of servers. It takes (peers ...).
+type Verdicts struct {
+	On bool
+	joined.Options
+}
+
+// ReadVerdicts reads (verdicts ...).
+func ReadVerdicts(n *sexp.Node) (*Verdicts, error) {
+	v := &Verdicts{}
+	return v, v.read(n)
+}
+
+func (v *Verdicts) read(n *sexp.Node) error {
+	v.On, v.Options = true, joined.Options{Set: verdicts.Defaults()}
+	s := &v.Set
+	span := func(to *float64, least, most float64) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Millis(least, most); return err }
+	}
+	whole := func(to *int, least, most int) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Int(least, most); return err }
+	}
+	flag := func(to *bool) func(*sexp.Node) error {
+		return func(n *sexp.Node) (err error) { *to, err = n.Bool(); return err }
+	}
+	return sexp.Form{
+		"period": span(&s.Period, 50, 10000), "fanout": whole(&s.Fanout, 1, 16), "delay": span(&s.Delay, 1, 2000), "stale": span(&s.Stale, 200, 60000),
+		"lapse": span(&s.Lapse, 500, 600000), "observers": whole(&s.Observers, 2, 16), "shun": span(&s.Shun, 0, 3600e3),
+		"blind":  func(n *sexp.Node) (err error) { s.Blind, err = n.Float(0, 0.75); return err },
+		"health": flag(&s.Health), "places": flag(&s.Places), "roles": flag(&s.Roles),
+	}.Read(n.Args())
+}
--- a/internal/peers/part/part.go
+++ b/internal/peers/part/part.go
@@ -15,6 +15,8 @@
 	Agreed   view.Kind = 33
 	Credit   view.Kind = 34
 	Scatter  view.Kind = 35
+	Verdicts view.Kind = 36
+	Zones    view.Kind = 37
 
 	// MostBody and MostStream bound what one message may take, in bytes.
 	MostBody   = 1200
