--- /dev/null
+++ b/example/experiments/alone.sexp
@@ -0,0 +1,6 @@
+; The same faults before one pooler and before many, each of which learns alone, or all from one another.
+(experiment "alone"
+  (scenario "../rehearsals/alone.sexp")
+  (seeds 1 4)
+  (axis "verdicts" (value "off") (value "on" (verdicts)))
+  (axis "poolers" (value "1" (poolers 1)) (value "4" (poolers 4)) (value "30" (poolers 30)) (value "150" (poolers 150)) (value "300" (poolers 300))))
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -82,6 +82,7 @@
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
 	fleet    *fleetOf // the poolers as peers, nil where they are none
+	ways     *ways    // from poolers to servers, and to the list
 	agents   *agents  // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
@@ -143,6 +144,7 @@
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
+	e.ways = newWays(s.Poolers, len(e.world.Servers))
 	if s.Agents > 0 {
 		e.agents = e.newAgents()
 	}
@@ -371,12 +373,13 @@
 		if e.fleet != nil {
 			e.fleet.check.Stood(e.s.now, p.no, p.still)
 		}
-	case "cut":
-		p := e.poolers[f.Pooler]
-		for _, s := range f.Target.Of(e.world) {
-			p.sever(s, true)
-			later(func() { p.sever(s, false) })
-		}
+	case "cut", "thin":
+		servers := f.Target.Of(e.world)
+		e.ways.strike(f, servers, true)
+		later(func() { e.ways.strike(f, servers, false) })
+	case "list-held":
+		e.ways.holdAll(f.Poolers, true)
+		later(func() { e.ways.holdAll(f.Poolers, false) })
 	default:
 		begin, end := f.Acts()
 		for _, s := range f.Target.Of(e.world) {
@@ -430,15 +433,6 @@
 	look()
 }
 
-// sever cuts the way from a pooler to a server, or mends it.
-func (p *pooler) sever(s *world.Server, on bool) {
-	if p.up {
-		if st := p.store(s.Name); st != nil {
-			st.cut = on
-		}
-	}
-}
-
 // Begin and End take the decision module's time.
 type meter struct {
 	e    *Emulation
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -53,7 +53,6 @@
 	waiting []*attempt
 	busy    map[*attempt]bool // attempts that are out
 	life    uint32            // grows as the server's end breaks its connections
-	cut     bool              // nothing gets there from this pooler
 }
 
 // attempt is a request's attempt, or a probe where query is nil. It is the model's job while it is at the server.
@@ -373,7 +372,7 @@
 	d := &dial{st: st, life: st.p.life, slife: st.life}
 	s, there := st.s, e.way()
 	switch {
-	case st.cut || s.Hung:
+	case p.cut(s) || s.Hung:
 		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
 	case !s.Up:
 		e.s.After(there+e.way(), d, atDown)
@@ -475,7 +474,7 @@
 		a.p.core.AttemptWritten(a.tag)
 	}
 	switch forgets := e.script.Forgets; {
-	case st.cut:
+	case a.p.cut(st.s) || a.p.loses(st.s):
 	case forgets > 0 && a.rest >= forgets: // what lies between knows nothing of this connection any more
 		e.s.After(e.wayTo(a.p, st.s), a, atReset)
 	default:
@@ -534,7 +533,9 @@
 	if r.Verdict == world.Fallen {
 		return // its connection breaks
 	}
-	a.reply = r
+	if a.reply = r; a.p.cut(a.st.s) {
+		return
+	}
 	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
 }
 
@@ -617,7 +618,7 @@
 	if a.slife == st.life {
 		st.add(-1)
 	}
-	if !st.cut {
+	if !a.p.cut(st.s) {
 		a.p.e.s.After(a.p.e.way(), a, atCancel)
 	}
 	a.end(backend.Outcome{Result: r})
@@ -717,9 +718,12 @@
 	}), 0)
 }
 
-// tellList has a list arrive.
+// tellList has a list arrive, once nothing holds it.
 func (p *pooler) tellList(life uint32, l discovery.List) {
 	e := p.e
+	if e.ways.hold(p.no, func() { p.tellList(life, l) }) {
+		return
+	}
 	e.s.After(e.way(), world.Func(func() {
 		if p.life != life || !p.up {
 			return
--- a/internal/kit/fleet/directory.go
+++ b/internal/kit/fleet/directory.go
@@ -20,7 +20,8 @@
 	server   *http.Server
 	listener net.Listener
 	watchers map[chan struct{}]bool
-	silent   bool    // what is called is taken and not answered
+	silent   bool // what is called is taken and not answered
+	doors    []*http.Server
 	fellAt   float64 // the watches that were open fell silent then, for good; 0 for never
 }
 
@@ -51,17 +52,26 @@
 		return err
 	}
 	d.listener, d.addr, d.watchers = l, l.Addr().String(), map[chan struct{}]bool{}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/endpoints", func(w http.ResponseWriter, r *http.Request) { d.endpoints(f, w, r) })
-	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = d.server.Serve(l) }()
+	d.server = d.serve(f, l, -1)
 	return nil
 }
 
+// serve answers at an address: that of a pooler, or -1 for the one that all share.
+func (d *directory) serve(f *Fleet, l net.Listener, door int) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/endpoints", func(w http.ResponseWriter, r *http.Request) { d.endpoints(f, w, r, door) })
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(l) }()
+	return s
+}
+
 func (d *directory) close() {
 	if d.server != nil {
 		_ = d.server.Close()
 	}
+	for _, s := range d.doors {
+		_ = s.Close()
+	}
 }
 
 func (d *directory) wakeAll() {
@@ -73,9 +83,10 @@
 	}
 }
 
-func (d *directory) endpoints(f *Fleet, w http.ResponseWriter, r *http.Request) {
+func (d *directory) endpoints(f *Fleet, w http.ResponseWriter, r *http.Request, door int) {
+	watch := r.URL.Query().Get("watch") != ""
 	f.mu.Lock()
-	if f.dir.silent {
+	if f.dir.silent || f.doors.held(door) && !watch {
 		f.mu.Unlock()
 		<-r.Context().Done()
 		return
@@ -86,16 +97,19 @@
 		http.Error(w, "discovery is down", http.StatusServiceUnavailable)
 		return
 	}
-	if r.URL.Query().Get("watch") == "" {
+	if !watch {
 		l := f.world.List.Whole()
 		f.mu.Unlock()
-		d.say(w, &l)
+		d.say(w, f.at(door, &l))
 		return
 	}
 	gen, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	wake := make(chan struct{}, 1)
 	d.watchers[wake] = true
 	l := f.world.List.Since(gen)
+	if f.doors.held(door) {
+		l = discovery.List{Generation: gen}
+	}
 	f.mu.Unlock()
 	defer func() {
 		f.mu.Lock()
@@ -107,7 +121,7 @@
 		return
 	}
 	if l.Reset || len(l.Instances) > 0 {
-		d.say(w, &l)
+		d.say(w, f.at(door, &l))
 	}
 	flush.Flush()
 	tick := time.NewTicker(aliveEvery)
@@ -124,6 +138,9 @@
 		case <-wake:
 			f.mu.Lock()
 			gone, silent, next := f.world.List.Gone, f.dir.fellAt != fell, f.world.List.Since(gen)
+			if f.doors.held(door) {
+				next.Generation = gen
+			}
 			f.mu.Unlock()
 			if silent {
 				<-r.Context().Done()
@@ -134,7 +151,7 @@
 			}
 			if next.Generation > gen {
 				gen = next.Generation
-				d.say(w, &next)
+				d.say(w, f.at(door, &next))
 			}
 		}
 		flush.Flush()
--- /dev/null
+++ b/internal/kit/fleet/doors.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+
+	"beechgrade/internal/membership/discovery"
+)
+
+// doors are addresses that each pooler has for itself, of every server and of the list: by them the stand-ins know who calls, and what
+// befalls one pooler's ways befalls it alone.
+type doors struct {
+	n    int
+	cut  map[way]int       // faults in force
+	thin map[way][]float64 // parts that are lost
+	hold []int             // by pooler
+	list []string          // where the list answers each
+}
+
+type way struct{ door, server int }
+
+// Doors has servers and the list open a door for each of so many poolers, from before Start on.
+func (f *Fleet) Doors(n int) {
+	f.doors = doors{n: n, cut: map[way]int{}, thin: map[way][]float64{}, hold: make([]int, n)}
+}
+
+func (f *Fleet) openDoors() error {
+	for i := range f.doors.n {
+		at := fmt.Sprintf("127.79.0.%d:0", i+1)
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			return fmt.Errorf("the list's door %d: %w", i, err)
+		}
+		f.doors.list = append(f.doors.list, l.Addr().String())
+		f.dir.doors = append(f.dir.doors, f.dir.serve(f, l, i))
+		for _, s := range f.servers {
+			l, err := net.Listen("tcp", at)
+			if err != nil {
+				return fmt.Errorf("server %s's door %d: %w", s.Name, i, err)
+			}
+			s.doors = append(s.doors, l)
+			f.wg.Add(1)
+			go s.accept(l, i)
+		}
+	}
+	return nil
+}
+
+// DiscoveryAt is where the list answers a pooler.
+func (f *Fleet) DiscoveryAt(door int) string {
+	if door < 0 || door >= f.doors.n {
+		return f.dir.addr
+	}
+	return f.doors.list[door]
+}
+
+// ListAt is the list as a pooler is told it.
+func (f *Fleet) ListAt(door int) discovery.List {
+	l := f.List()
+	return *f.at(door, &l)
+}
+
+// at has a list name the addresses of a pooler's doors.
+func (f *Fleet) at(door int, l *discovery.List) *discovery.List {
+	if door < 0 || door >= f.doors.n {
+		return l
+	}
+	l.Instances = slices.Clone(l.Instances)
+	for i := range l.Instances {
+		if s := f.world.Server(l.Instances[i].ID); s != nil {
+			l.Instances[i].HostPort = f.servers[s.No].doors[door].Addr().String()
+		}
+	}
+	return l
+}
+
+// Cut has nothing get from a pooler to a server nor back, or ends that.
+func (f *Fleet) Cut(door, server int, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.doors.cut[way{door, server}]--; on {
+		f.doors.cut[way{door, server}] += 2
+	}
+}
+
+// Thin has a part of what a pooler sends to a server be lost, or ends that.
+func (f *Fleet) Thin(door, server int, part float64, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := way{door, server}
+	if on {
+		f.doors.thin[w] = append(f.doors.thin[w], part)
+	} else if i := slices.Index(f.doors.thin[w], part); i >= 0 {
+		f.doors.thin[w] = slices.Delete(f.doors.thin[w], i, i+1)
+	}
+}
+
+// Hold has the list tell a pooler nothing new, or all that it did not tell.
+func (f *Fleet) Hold(door int, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.doors.hold[door]--; on {
+		f.doors.hold[door] += 2
+	}
+	f.dir.wakeAll()
+}
+
+func (d *doors) held(door int) bool { return door >= 0 && door < d.n && d.hold[door] > 0 }
+
+// holding tells whether the list holds back anything from anybody.
+func (d *doors) holding() bool { return slices.ContainsFunc(d.hold, func(n int) bool { return n > 0 }) }
+
+// Open tells whether nothing befalls the way from a pooler to a server. The lock is held.
+func (d *doors) open(w way) bool { return d.cut[w] == 0 && len(d.thin[w]) == 0 }
+
+// shut tells whether nothing gets over the connection's way.
+func (c *conn) shut() bool {
+	c.s.f.mu.Lock()
+	defer c.s.f.mu.Unlock()
+	return c.door >= 0 && c.s.f.doors.cut[way{c.door, c.s.No}] > 0
+}
+
+// lost draws whether a message that came over the connection is to be lost.
+func (c *conn) lost() bool {
+	if c.door < 0 {
+		return false
+	}
+	c.s.f.mu.Lock()
+	defer c.s.f.mu.Unlock()
+	w := way{c.door, c.s.No}
+	return c.s.f.doors.cut[w] > 0 || slices.ContainsFunc(c.s.f.doors.thin[w], func(part float64) bool { return rand.Float64() < part })
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -63,6 +63,7 @@
 	fulls    map[uint32]*full
 	lastPID  uint32
 	streamed int
+	doors    doors
 	shape    int // of the one table; each ALTER changes it
 	scatters Scatters
 }
@@ -73,6 +74,7 @@
 	f         *Fleet
 	addr      string
 	listener  net.Listener
+	doors     []net.Listener // one for each pooler, where they have some
 	conns     map[*conn]bool
 	drainTold float64 // discovery had told all that watch of its drain by then, 0 for not so
 }
@@ -100,7 +102,10 @@
 		s.listener, s.addr = l, l.Addr().String()
 		f.world.List.SetAddr(s.Name, s.addr)
 		f.wg.Add(1)
-		go s.accept()
+		go s.accept(l, -1)
+	}
+	if err := f.openDoors(); err != nil {
+		return err
 	}
 	if f.catalog != nil {
 		f.mu.Lock()
@@ -122,6 +127,9 @@
 		if s.listener != nil {
 			_ = s.listener.Close()
 		}
+		for _, l := range s.doors {
+			_ = l.Close()
+		}
 		for c := range s.conns {
 			conns = append(conns, c)
 		}
@@ -167,7 +175,7 @@
 func (f *Fleet) Listed(e *world.Entry, at float64) {
 	s := f.servers[e.Server.No]
 	// That a drain is over counts as soon as the list has it: whoever comes back to a list that nobody could be told of is told.
-	heard := !f.world.List.Gone && len(f.dir.watchers) > 0
+	heard := !f.world.List.Gone && len(f.dir.watchers) > 0 && !f.doors.holding()
 	switch {
 	case e.Lifecycle == "up":
 		s.drainTold = 0
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -29,17 +29,18 @@
 	s    *server
 	in   *bufio.Reader
 	gone chan struct{} // the other side has closed
+	door int           // by which it came, -1 for the one that all share
 }
 
 // accept takes connections. A dead server resets them, as one whose process has gone would refuse them.
-func (s *server) accept() {
+func (s *server) accept(l net.Listener, door int) {
 	defer s.f.wg.Done()
 	for {
-		nc, err := s.listener.Accept()
+		nc, err := l.Accept()
 		if err != nil {
 			return
 		}
-		c := &conn{Conn: nc, s: s, in: bufio.NewReader(nc), gone: make(chan struct{})}
+		c := &conn{Conn: nc, s: s, in: bufio.NewReader(nc), gone: make(chan struct{}), door: door}
 		s.f.mu.Lock()
 		switch {
 		case !s.Up || s.f.closed:
@@ -110,7 +111,7 @@
 	case pgwire.StartupEncrypt:
 		return
 	}
-	if c.s.isHung() { // a machine that takes and answers nothing
+	if c.s.isHung() || c.shut() { // a machine, or a way, that takes and answers nothing
 		_, _ = io.Copy(io.Discard, c.in)
 		return
 	}
@@ -139,7 +140,7 @@
 	}()
 	for sql := range queries {
 		b, ok := c.answer(sql)
-		if !ok {
+		if !ok || c.shut() && !c.starve() {
 			break
 		}
 		if _, err := c.Write(b); err != nil {
@@ -178,7 +179,7 @@
 // answer works on a statement and returns the whole answer; false where there is none.
 func (c *conn) answer(sql string) ([]byte, bool) {
 	s := c.s
-	if s.isHung() {
+	if s.isHung() || c.lost() {
 		return nil, c.starve()
 	}
 	switch strings.TrimSpace(sql) {
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -150,6 +150,9 @@
 	r.wires = newWires(s)
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
+	if s.Doors() {
+		r.fleet.Doors(s.Poolers)
+	}
 	defer r.fleet.Close()
 	if s.Agents > 0 {
 		if err := r.startAgents(); err != nil {
@@ -378,6 +381,13 @@
 		return nil
 	case "limit":
 		return r.changeLimit(f)
+	case "cut", "thin", "list-held":
+		do := r.ways(f)
+		do(true)
+		if f.For > 0 && pause(ctx, f.For) {
+			do(false)
+		}
+		return nil
 	case "stall-pooler":
 		r.poolers[f.Target.Group].stand(ctx, f.For)
 		return nil
@@ -600,9 +610,9 @@
 // config is what the platform would tell the pooler.
 func (p *pooler) config() map[string]any {
 	r := p.run
-	known := r.fleet.List()
+	known := r.fleet.ListAt(p.no)
 	if len(r.agents) > 0 { // it starts knowing nothing
 		known = discovery.List{}
 	}
-	return r.script.Told(p.no, p.name, p.addr, r.fleet.Discovery(), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
+	return r.script.Told(p.no, p.name, p.addr, r.fleet.DiscoveryAt(p.no), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
 }
--- /dev/null
+++ b/internal/kit/rehearse/ways.go
@@ -0,0 +1,33 @@
+package rehearse
+
+import (
+	"beechgrade/internal/kit/scenario"
+	"beechgrade/internal/kit/world"
+)
+
+// ways has a fault of the ways from poolers to servers, or of the list's to poolers, strike or end.
+func (r *Run) ways(f scenario.Fault) func(on bool) {
+	var servers []int
+	_ = r.fleet.Act(func(w *world.World) error {
+		for _, s := range f.Target.Of(w) {
+			servers = append(servers, s.No)
+		}
+		return nil
+	})
+	return func(on bool) {
+		for _, p := range f.Poolers {
+			switch f.What {
+			case "list-held":
+				r.fleet.Hold(p, on)
+			case "cut":
+				for _, s := range servers {
+					r.fleet.Cut(p, s, on)
+				}
+			case "thin":
+				for _, s := range servers {
+					r.fleet.Thin(p, s, f.Value, on)
+				}
+			}
+		}
+	}
+}
--- a/internal/kit/scenario/acts.go
+++ b/internal/kit/scenario/acts.go
@@ -9,6 +9,8 @@
 		return (*world.World).Kill, (*world.World).Revive
 	case "hang":
 		return (*world.World).Hang, (*world.World).Unhang
+	case "restart":
+		return (*world.World).Restart, func(*world.World, string) error { return nil }
 	case "drain":
 		return (*world.World).Drain, (*world.World).Undrain
 	case "reissue":
--- a/internal/kit/scenario/chaos.go
+++ b/internal/kit/scenario/chaos.go
@@ -60,6 +60,33 @@
 	{"slow", [2]float64{1000, 9000}, [2]float64{5, 120}},
 }
 
+// drawableWays are what may befall the ways from poolers to servers and to the list. They are drawn only where they are named.
+var drawableWays = []kind{
+	{"cut", [2]float64{500, 9000}, [2]float64{}},
+	{"thin", [2]float64{500, 9000}, [2]float64{0.1, 0.7}},
+	{"list-held", [2]float64{500, 9000}, [2]float64{}},
+	{"restart", [2]float64{}, [2]float64{}},
+}
+
+// someOf draws poolers: one, a part of them, or those of a site.
+func (s *Script) someOf(rng *rand.Rand) (out []int) {
+	if n := len(s.Sites); n > 0 && rng.Float64() < 0.5 {
+		for i := rng.IntN(n); i < s.Poolers; i += n {
+			out = append(out, i)
+		}
+		return out
+	}
+	out = rng.Perm(s.Poolers)
+	if some := 1; rng.Float64() < 0.5 {
+		some += rng.IntN((s.Poolers + 2) / 3)
+		out = out[:some]
+	} else {
+		out = out[:1]
+	}
+	slices.Sort(out)
+	return out
+}
+
 // ways makes a drawn fault of the ways between poolers.
 func (f *Fault) ways(n int, rng *rand.Rand) {
 	all := make([]int, n)
@@ -105,7 +132,7 @@
 		return err
 	}
 	for _, k := range a[3:] {
-		if !slices.ContainsFunc(slices.Concat(drawable, drawableLies, drawablePeers), func(d kind) bool { return d.what == k.Text }) {
+		if !slices.ContainsFunc(slices.Concat(drawable, drawableLies, drawablePeers, drawableWays), func(d kind) bool { return d.what == k.Text }) {
 			return k.Errorf("no fault %q can be drawn", k.Text)
 		}
 		c.Kinds = append(c.Kinds, k.Text)
@@ -132,6 +159,9 @@
 	if s.Peers != nil {
 		drawable = append(slices.Clone(drawable), drawablePeers...)
 	}
+	if slices.ContainsFunc(drawableWays, func(d kind) bool { return slices.Contains(c.Kinds, d.what) }) {
+		drawable = append(slices.Clone(drawable), drawableWays...)
+	}
 	for range c.Faults {
 		d := drawable[rng.IntN(len(drawable))]
 		for tries := 0; len(c.Kinds) > 0 && !slices.Contains(c.Kinds, d.what) && tries < 1000; tries++ {
@@ -140,8 +170,11 @@
 		f := Fault{What: d.what, At: min(end-1, float64(int(between([2]float64{c.From, c.To})))), For: float64(int(between(d.spans))), Value: between(d.value)}
 		group := rng.IntN(len(s.Fleet.Groups))
 		member := rng.IntN(s.Fleet.Groups[group])
+		if f.OfWays() {
+			f.Poolers = s.someOf(rng)
+		}
 		switch pooler := rng.IntN(s.Poolers); d.what {
-		case "list-late", "list-gone", "load", "deregister-all", "wrong-roles":
+		case "list-held", "list-late", "list-gone", "load", "deregister-all", "wrong-roles":
 		case "agent":
 			f.Target = Target{Kind: "agent", Group: rng.IntN(s.Agents), Word: AgentFaults[rng.IntN(len(AgentFaults))]}
 		case "parted", "unheard", "apart", "lossy", "slow":
@@ -153,6 +186,9 @@
 			if rng.Float64() < 0.4 {
 				f.Target = Target{Kind: "primary", Group: group}
 			}
+			if f.OfWays() && rng.Float64() < 0.3 { // a pooler's own links
+				f.Target = Target{Kind: "everyone"}
+			}
 		}
 		out.Faults = append(out.Faults, f)
 	}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -42,17 +42,9 @@
 	if s.Forgets > 0 {
 		return fmt.Errorf("%q has (forgets ...), which can be played in virtual time only", s.Name)
 	}
-	for _, f := range s.Faults {
-		if virtualOnly[f.What] {
-			return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf("(%s ...) can be played in virtual time only", f.What)}
-		}
-	}
 	return nil
 }
 
-// virtualOnly are faults that no process can cause by itself.
-var virtualOnly = map[string]bool{"cut": true}
-
 // InVirtualTime tells why a scenario can't be played in virtual time, nil where it can.
 func (s *Script) InVirtualTime() error {
 	for _, f := range s.Faults {
@@ -105,9 +97,11 @@
 	What   string
 	Target Target
 	Value  float64
-	Pooler int     // cut
 	Every  float64 // it comes again after so long, 0 for once
 
+	Who     whom  // of a way to a server, or of the list's: whose...
+	Poolers []int // ...that are these poolers
+
 	Owner    string // the limit whose lender it strikes
 	From, To whom   // of links: whose...
 	Ends     [2][]int
@@ -483,20 +477,10 @@
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
 	"stall-pooler":   aPooler,
-	"cut": func(f *Fault, n *sexp.Node) error { // (cut POOLER member GROUP N): nothing gets from this pooler to that server
-		a := n.Args()
-		if len(a) < 3 {
-			return n.Errorf("(cut POOLER primary GROUP), or another target in place of the primary")
-		}
-		x, err := a[0].Number(0, maxPoolers-1)
-		if err != nil {
-			return err
-		}
-		f.Pooler = int(x)
-		rest := *n
-		rest.Items = append([]*sexp.Node{n.Items[0]}, a[1:]...)
-		return struck(0, 0)(f, &rest)
-	},
+	"restart":        struck(0, 0),
+	"cut":            aWay(0, 0),
+	"thin":           aWay(0, 1),
+	"list-held":      held,
 }
 
 // AgentFaults are what may befall an agent.
@@ -588,8 +572,8 @@
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
-	case f.What == "cut" && f.Pooler >= s.Poolers:
-		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Pooler, s.Poolers-1)
+	case f.OfWays() && (s.Agents > 0 || s.Clients.House):
+		return fail("(%s ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)", f.What)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
 		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Target.Group, s.Poolers-1)
 	case slices.Contains([]string{"primary", "replica", "member"}, f.Target.Kind):
@@ -621,6 +605,12 @@
 func (s *Script) Again() error {
 	s.Clients.Jumps = nil
 	for i := range s.Faults {
+		if f := &s.Faults[i]; f.Who.Node != nil {
+			var err error
+			if f.Poolers, err = f.Who.of(s); err != nil {
+				return err
+			}
+		}
 		if f := &s.Faults[i]; f.OfLinks() && s.Peers != nil && f.From.Node != nil {
 			var err error
 			if f.Ends[0], err = f.From.of(s); err == nil {
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -107,11 +107,14 @@
 	case "kill-pooler", "restart-pooler", "stall-pooler":
 		fmt.Fprintf(&b, " %d", f.Target.Group)
 	default:
-		if f.What == "cut" {
-			fmt.Fprintf(&b, " %d", f.Pooler)
+		if f.OfWays() {
+			fmt.Fprintf(&b, " (%s)", strings.Trim(fmt.Sprint(f.Poolers), "[]"))
+		}
+		if f.What == "list-held" {
+			break
 		}
 		fmt.Fprintf(&b, " %s", f.Target)
-		if slices.Contains([]string{"crowd", "lag", "lose", "disk"}, f.What) {
+		if slices.Contains([]string{"crowd", "lag", "lose", "disk", "thin"}, f.What) {
 			fmt.Fprintf(&b, " %s", num(f.Value))
 		}
 	}
--- /dev/null
+++ b/internal/kit/scenario/ways_test.go
@@ -0,0 +1,30 @@
+package scenario
+
+import (
+	"reflect"
+	"testing"
+)
+
+// TestWays: whom a fault of ways names, by a site, by numbers and all, and what is drawn, are the same poolers once written down and read again.
+func TestWays(t *testing.T) {
+	s, err := Parse("s", []byte(`(rehearsal "x" (poolers 5) (sites "a" "b") (at 1s (cut b member 0 1)) (at 2s (thin (4 0) everyone 0.4)) (at 3s (list-held all) (for 1s))
+		(chaos 20 4s 9s cut thin list-held restart))`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err = s.Drawn(3); err != nil {
+		t.Fatal(err)
+	}
+	if want := [][]int{{1, 3}, {4, 0}, {0, 1, 2, 3, 4}}; !reflect.DeepEqual([][]int{s.Faults[0].Poolers, s.Faults[1].Poolers, s.Faults[2].Poolers}, want) {
+		t.Errorf("these are struck: %v", s.Faults[:3])
+	}
+	again, err := Parse("again", []byte(s.Text()))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, s.Text())
+	}
+	for i, f := range s.Faults {
+		if g := again.Faults[i]; !reflect.DeepEqual(f.Poolers, g.Poolers) || f.What != g.What || f.Target != g.Target || f.Value != g.Value {
+			t.Errorf("%s %v %v became %s %v %v", f.What, f.Poolers, f.Target, g.What, g.Poolers, g.Target)
+		}
+	}
+}
--- a/internal/kit/world/faults.go
+++ b/internal/kit/world/faults.go
@@ -52,6 +52,23 @@
 	})
 }
 
+// Restart ends a server's process and has another one there at once: cold, at the same address and under the same id.
+func (w *World) Restart(name string) error {
+	return w.with(name, func(s *Server, now float64) {
+		if !s.Up || s.Fell {
+			return
+		}
+		s.stand(now)
+		s.Hung, s.Draining, s.rogue = false, false, false
+		s.Started, s.sent, s.sentSum = max(1, now), nil, 0
+		w.fact(s, "is another process at once, cold")
+		s.drop()
+		s.goOn(now)
+		w.List.change(s, "up", 0)
+		s.Group.returned(s)
+	})
+}
+
 // goOn has a server's log go on from where it stood, behind the group's present primary.
 func (s *Server) goOn(now float64) {
 	s.stoodAt, s.free = 0, now
@@ -172,6 +189,11 @@
 	})
 }
 
+// Sound tells whether a server does all that it is to do: it takes, answers and loses nothing, and is as fast as ever.
+func (s *Server) Sound(now float64) bool {
+	return s.Up && !s.Hung && !s.Deaf && !s.Mute && !s.Draining && s.loses == 0 && s.left >= 1 && s.slow <= 1 && s.disk <= 1 && s.Warmth(now) >= 1
+}
+
 // ListLate has the list run later by so many milliseconds.
 func (w *World) ListLate(ms float64) { w.List.Extra = ms }
 
