--- a/internal/kit/emulate/funds.go
+++ b/internal/kit/emulate/funds.go
@@ -64,7 +64,7 @@
 
 // pay has poolers read of a payment.
 func (f *funds) pay(x *scenario.Fault) {
-	p := bank.Pay{Tenant: x.Target.Word, No: uint64(x.Pooler), Amount: int64(x.Value)}
+	p := bank.Pay{Tenant: x.Target.Word, No: uint64(x.Number), Amount: int64(x.Value)}
 	f.took(f.e.s.now, p)
 	for _, no := range x.Struck(f.e.script) {
 		if slices.Contains(f.pays[no], p) {
