--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -42,17 +42,9 @@
 	if s.Forgets > 0 {
 		return fmt.Errorf("%q has (forgets ...), which can be played in virtual time only", s.Name)
 	}
-	for _, f := range s.Faults {
-		if virtualOnly[f.What] {
-			return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf("(%s ...) can be played in virtual time only", f.What)}
-		}
-	}
 	return nil
 }
 
-// virtualOnly are faults that no process can cause by itself.
-var virtualOnly = map[string]bool{"cut": true}
-
 // InVirtualTime tells why a scenario can't be played in virtual time, nil where it can.
 func (s *Script) InVirtualTime() error {
 	for _, f := range s.Faults {
@@ -85,7 +77,14 @@
 	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
-	Overload *operate.Overload // nil where each pooler handles it alone
+	Overload *Overload         // nil where each pooler handles it alone
+	Agreed   *Agreed           // the log in common, nil for none
+	Credit   *Credit           // tenants pay ahead, nil where they do not
+	Pages    *Pages            // reports over all groups, nil for none
+	Verdicts *operate.Verdicts // nil where each pooler learns alone
+
+	source  *sexp.Node   // as it was read
+	smaller []*sexp.Node // forms that go for sockets
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -104,9 +103,12 @@
 	What   string
 	Target Target
 	Value  float64
-	Pooler int     // cut
+	Number int     // of a payment
 	Every  float64 // it comes again after so long, 0 for once
 
+	Who     whom  // of a way to a server, or of the list's: whose...
+	Poolers []int // ...that are these poolers
+
 	Owner    string // the limit whose lender it strikes
 	From, To whom   // of links: whose...
 	Ends     [2][]int
@@ -166,7 +168,7 @@
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
 	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
-	s.Clients.Rate, s.Clients.Seconds = 100, 20
+	s.Clients.Rate, s.Clients.Seconds, s.source = 100, 20, n
 	if err := s.form().Read(args[1:], "at", "class", "tenant"); err != nil {
 		return nil, err
 	}
@@ -188,6 +190,12 @@
 	if s.Overload != nil && s.Peers == nil {
 		return nil, n.Errorf("(overload ...) goes with (peers)")
 	}
+	if err := s.joint(n); err != nil {
+		return nil, err
+	}
+	if s.Verdicts != nil && s.Peers == nil {
+		return nil, n.Errorf("(verdicts ...) goes with (peers)")
+	}
 	if err := s.Again(); err != nil {
 		return nil, err
 	}
@@ -237,6 +245,11 @@
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
 		"overload":     s.overload,
+		"agreed":       s.agreed,
+		"credit":       s.credit,
+		"pages":        s.pages,
+		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
+		"verdicts":     s.verdicts,
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
@@ -474,24 +487,15 @@
 	"links":          aLink,
 	"between":        aLink,
 	"limit":          aLimit,
+	"pay":            aPay,
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
 	"kill-pooler":    aPooler,
 	"restart-pooler": aPooler,
 	"stall-pooler":   aPooler,
-	"cut": func(f *Fault, n *sexp.Node) error { // (cut POOLER member GROUP N): nothing gets from this pooler to that server
-		a := n.Args()
-		if len(a) < 3 {
-			return n.Errorf("(cut POOLER primary GROUP), or another target in place of the primary")
-		}
-		x, err := a[0].Number(0, maxPoolers-1)
-		if err != nil {
-			return err
-		}
-		f.Pooler = int(x)
-		rest := *n
-		rest.Items = append([]*sexp.Node{n.Items[0]}, a[1:]...)
-		return struck(0, 0)(f, &rest)
-	},
+	"restart":        struck(0, 0),
+	"cut":            aWay(0, 0),
+	"thin":           aWay(0, 1),
+	"list-held":      held,
 }
 
 // AgentFaults are what may befall an agent.
@@ -579,12 +583,16 @@
 		return fail("there is no agent %d; they are numbered from 0 to %d", f.Target.Group, s.Agents-1)
 	case f.What == "limit" && (s.Limits == nil || s.limit(f.Target.Word) == nil):
 		return fail("there is no limit %q in (fleet-limits ...)", f.Target.Word)
+	case f.What == "pay" && s.Credit == nil:
+		return fail("(pay ...) goes with (credit ...)")
+	case f.What == "pay" && !slices.ContainsFunc(s.Clients.Tenants, func(t clients.Tenant) bool { return t.Name == f.Target.Word }):
+		return fail("there is no tenant %q", f.Target.Word)
 	case f.Owner != "" && s.limit(f.Owner) == nil:
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
-	case f.What == "cut" && f.Pooler >= s.Poolers:
-		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Pooler, s.Poolers-1)
+	case f.OfWays() && (s.Agents > 0 || s.Clients.House):
+		return fail("(%s ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)", f.What)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
 		return fail("there is no pooler %d; they are numbered from 0 to %d", f.Target.Group, s.Poolers-1)
 	case slices.Contains([]string{"primary", "replica", "member"}, f.Target.Kind):
@@ -616,6 +624,12 @@
 func (s *Script) Again() error {
 	s.Clients.Jumps = nil
 	for i := range s.Faults {
+		if f := &s.Faults[i]; f.Who.Node != nil {
+			var err error
+			if f.Poolers, err = f.Who.of(s); err != nil {
+				return err
+			}
+		}
 		if f := &s.Faults[i]; f.OfLinks() && s.Peers != nil && f.From.Node != nil {
 			var err error
 			if f.Ends[0], err = f.From.of(s); err == nil {
