Check the store's protocol exhaustively, and concurrent histories for linearizability

Whether commits, the next segment and a compaction beside them can lose anything in some order was argued in words.

--- /dev/null
+++ b/internal/kit/explore/durable.go
@@ -0,0 +1,429 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// DurableWays are ways in which the durable store's protocol could be wrong, each a step that is left out or comes too early.
+type DurableWays struct {
+	AckUnsynced      bool // a commit is told of before its sync
+	HeadUnsynced     bool // a segment is written to before its head and its name are durable
+	SealUnsynced     bool // the next segment is made before the seal is durable
+	SnapUnsynced     bool // a snapshot gets its name before it is durable
+	NameUnsynced     bool // what a snapshot replaces is removed before its name is durable
+	RecoveryUnsynced bool // what a start finds is told of, and gone on with, as it is
+	SnapLate         bool // a snapshot says that it holds more than the segments it replaces
+}
+
+// DurableBounds say how small the store is.
+type DurableBounds struct {
+	Records, Segments, Compactions, Crashes int
+	Ways                                    DurableWays
+}
+
+// durable is the protocol by which a store commits, goes on to another segment, compacts beside that, and recovers, on a disk that
+// may lose, of what was not synced, any bytes from the end of each file and any names. Records are numbers from 1, in the files as
+// letters; a file is its letters: H its head, S its seal, E a snapshot's end, ? what is there and cannot be read.
+type durable struct {
+	b DurableBounds
+
+	files map[string]*medium // by what they are called when they are made; a file keeps that, whatever its name becomes
+	names map[string]string  // as a process sees them
+	kept  map[string]string  // as the disk has them
+
+	asked, acked int
+	cur          int    // the segment that is written
+	pc           string // of the writer, empty for nothing to do
+	old          string // files that the next snapshot replaces, by commas
+
+	cpc     string // of the compaction, empty for none
+	upTo    int
+	holds   int    // records that its snapshot holds
+	removes string // files that it has yet to remove
+
+	compactions, crashes int
+	wrong                string
+}
+
+type medium struct {
+	data   string
+	synced int
+}
+
+// NewDurable is a store that has just been made.
+func NewDurable(b DurableBounds) System {
+	s := &durable{b: b, files: map[string]*medium{"l1": {"H", 1}}, names: map[string]string{"l1": "l1"}, kept: map[string]string{"l1": "l1"}, cur: 1}
+	return s
+}
+
+func (s *durable) copy() *durable {
+	c := *s
+	c.files, c.names, c.kept = map[string]*medium{}, map[string]string{}, map[string]string{}
+	for k, v := range s.files {
+		m := *v
+		c.files[k] = &m
+	}
+	for k, v := range s.names {
+		c.names[k] = v
+	}
+	for k, v := range s.kept {
+		c.kept[k] = v
+	}
+	return &c
+}
+
+// Key is System's.
+func (s *durable) Key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, s.asked, " ", s.acked, " ", s.cur, " ", s.pc, " ", s.old, " ", s.cpc, " ", s.upTo, " ", s.holds, " ", s.removes, " ", s.compactions, " ", s.crashes, " ", s.wrong)
+	for _, m := range []map[string]string{s.names, s.kept} {
+		b.WriteByte('|')
+		for _, k := range sortedKeys(m) {
+			fmt.Fprint(&b, k, "=", m[k], ",")
+		}
+	}
+	var ids []string
+	for k := range s.files {
+		ids = append(ids, k)
+	}
+	slices.Sort(ids)
+	for _, k := range ids {
+		fmt.Fprint(&b, k, ":", s.files[k].data, "/", s.files[k].synced, ",")
+	}
+	return b.String()
+}
+
+func sortedKeys(m map[string]string) (out []string) {
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Check is System's.
+func (s *durable) Check() error {
+	if s.wrong != "" {
+		return fmt.Errorf("%s", s.wrong)
+	}
+	return nil
+}
+
+func segmentOf(n int) string { return fmt.Sprint("l", n) }
+func snapOf(n int) string    { return fmt.Sprint("s", n) }
+func recordOf(n int) string    { return string(rune('a' + n - 1)) }
+
+func (s *durable) add(name, letters string) { s.files[s.names[name]].data += letters }
+
+func (s *durable) sync(name string) {
+	f := s.files[s.names[name]]
+	f.synced = len(f.data)
+}
+
+func (s *durable) syncNames() {
+	s.kept = map[string]string{}
+	for k, v := range s.names {
+		s.kept[k] = v
+	}
+}
+
+func (s *durable) make(name, id, letters string) {
+	s.files[id] = &medium{data: letters}
+	s.names[name] = id
+}
+
+// Moves is System's: a step of the writer, one of the compaction, or the end of the process or of the power.
+func (s *durable) Moves() (out []Move) {
+	step := func(name string, do func(c *durable)) {
+		out = append(out, Move{name, func() (System, error) {
+			c := s.copy()
+			do(c)
+			return c, nil
+		}})
+	}
+	w, cur := s.b.Ways, segmentOf(s.cur)
+	switch s.pc {
+	case "":
+		if s.asked < s.b.Records {
+			step("write", func(c *durable) { c.asked++; c.add(cur, recordOf(c.asked)); c.pc = "written" })
+		}
+		if f := s.files[s.names[cur]].data; len(f) > 1 && s.cur < s.b.Segments {
+			step("write the seal", func(c *durable) { c.add(cur, "S"); c.pc = "sealed" })
+		} else if s.cpc == "" && s.compactions < s.b.Compactions && len(f) == 1 && s.cur > 1 && s.old != "" && s.old != snapOf(s.cur-1) {
+			step("begin a compaction", func(c *durable) {
+				c.compactions++
+				c.cpc, c.upTo, c.holds, c.removes, c.old = "begun", c.cur-1, c.acked, c.old, ""
+			})
+		}
+	case "written":
+		if w.AckUnsynced {
+			step("tell", func(c *durable) { c.acked = c.asked; c.pc = "told" })
+		} else {
+			step("sync", func(c *durable) { c.sync(cur); c.pc = "synced" })
+		}
+	case "told":
+		step("sync", func(c *durable) { c.sync(cur); c.pc = "" })
+	case "synced":
+		step("tell", func(c *durable) { c.acked = c.asked; c.pc = "" })
+	case "sealed":
+		step("sync the seal", func(c *durable) {
+			if !w.SealUnsynced {
+				c.sync(cur)
+			}
+			c.pc = "closed"
+		})
+	case "closed":
+		step("make the next", func(c *durable) {
+			if c.old != "" {
+				c.old += ","
+			}
+			c.old += cur
+			c.cur++
+			c.make(segmentOf(c.cur), segmentOf(c.cur)+fmt.Sprint("-", c.crashes), "H")
+			c.pc = "made"
+		})
+	case "made":
+		step("sync the head and its name", func(c *durable) {
+			if !w.HeadUnsynced {
+				c.sync(cur)
+				c.syncNames()
+			}
+			c.pc = ""
+		})
+	}
+	tmp := "t" + snapOf(s.upTo)
+	switch s.cpc {
+	case "begun":
+		step("write the snapshot", func(c *durable) {
+			holds := c.holds
+			if w.SnapLate {
+				holds = min(c.asked, holds+1)
+			}
+			c.make(tmp, fmt.Sprint(snapOf(c.upTo), "-", c.crashes, "-", c.compactions), "H"+strings.Repeat("r", holds)+"E")
+			c.cpc = "there"
+		})
+	case "there":
+		step("sync the snapshot", func(c *durable) {
+			if !w.SnapUnsynced {
+				c.sync(tmp)
+			}
+			c.cpc = "whole"
+		})
+	case "whole":
+		step("rename it", func(c *durable) {
+			c.names[snapOf(c.upTo)] = c.names[tmp]
+			delete(c.names, tmp)
+			c.cpc = "named"
+		})
+	case "named":
+		step("sync its name", func(c *durable) {
+			if !w.NameUnsynced {
+				c.syncNames()
+			}
+			c.cpc = "durable"
+		})
+	case "durable":
+		step("remove one", func(c *durable) {
+			name, rest, _ := strings.Cut(c.removes, ",")
+			delete(c.names, name)
+			if c.removes = rest; rest == "" {
+				c.cpc = ""
+				if c.old != "" {
+					c.old = "," + c.old
+				}
+				c.old = snapOf(c.upTo) + c.old
+			}
+		})
+	}
+	if s.crashes < s.b.Crashes {
+		step("the process ends", func(c *durable) { c.recover() })
+		for i, after := range s.outcomes() {
+			step(fmt.Sprint("the power goes out, ", i), func(c *durable) {
+				*c = *after.copy()
+				c.recover()
+			})
+		}
+	}
+	return out
+}
+
+// outcomes are what the disk may have after a loss of power.
+func (s *durable) outcomes() []*durable {
+	all := []*durable{s.copy()}
+	each := func(more func(x *durable) []*durable) {
+		var next []*durable
+		for _, x := range all {
+			next = append(next, more(x)...)
+		}
+		all = next
+	}
+	union := map[string]string{}
+	for k := range s.names {
+		union[k] = ""
+	}
+	for k := range s.kept {
+		union[k] = ""
+	}
+	for _, name := range sortedKeys(union) {
+		if s.names[name] == s.kept[name] {
+			continue
+		}
+		each(func(x *durable) []*durable { // this change of names reached the disk by itself, or did not
+			y := x.copy()
+			if id := s.kept[name]; id != "" {
+				y.names[name] = id
+			} else {
+				delete(y.names, name)
+			}
+			return []*durable{x, y}
+		})
+	}
+	var ids []string
+	for id := range s.files {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		f := s.files[id]
+		if f.synced == len(f.data) {
+			continue
+		}
+		each(func(x *durable) (out []*durable) {
+			for n := f.synced; n <= len(f.data); n++ {
+				for _, torn := range []string{"", "?"} {
+					if torn == "?" && n == len(f.data) {
+						continue
+					}
+					y := x.copy()
+					y.files[id].data = f.data[:n] + torn
+					out = append(out, y)
+				}
+			}
+			return out
+		})
+	}
+	for _, x := range all {
+		for _, f := range x.files {
+			f.synced = len(f.data)
+		}
+		x.syncNames()
+	}
+	return all
+}
+
+// recover is what a start makes of what it finds, and holds that to what was told.
+func (s *durable) recover() {
+	s.crashes++
+	s.pc, s.cpc, s.removes, s.old = "", "", "", ""
+	if !s.b.Ways.RecoveryUnsynced {
+		s.syncNames()
+	}
+	base, got := 0, 0
+	var logs []int
+	for _, name := range sortedKeys(s.names) {
+		n := 0
+		if _, err := fmt.Sscanf(name[1:], "%d", &n); name[0] == 't' || err != nil {
+			delete(s.names, name)
+			continue
+		}
+		if name[0] == 's' {
+			base = max(base, n)
+		}
+	}
+	if base > 0 {
+		d := s.files[s.names[snapOf(base)]].data
+		if !strings.HasPrefix(d, "H") || !strings.HasSuffix(d, "E") {
+			s.wrong = fmt.Sprintf("refused: snapshot %d is %q", base, d)
+			return
+		}
+		got = len(d) - 2
+		s.old = snapOf(base)
+	}
+	for _, name := range sortedKeys(s.names) {
+		n := 0
+		_, _ = fmt.Sscanf(name[1:], "%d", &n)
+		switch {
+		case name[0] == 's' && n < base, name[0] == 'l' && n <= base:
+			delete(s.names, name)
+		case name[0] == 'l':
+			logs = append(logs, n)
+		}
+	}
+	slices.Sort(logs)
+	s.cur = base
+	for i, n := range logs {
+		last, f := i == len(logs)-1, s.files[s.names[segmentOf(n)]]
+		if n != base+1+i {
+			s.wrong = fmt.Sprintf("refused: segment %d is not there", base+1+i)
+			return
+		}
+		s.cur = n
+		if f.data == "" || f.data[0] != 'H' {
+			if !last {
+				s.wrong = fmt.Sprintf("refused: segment %d has no head", n)
+				return
+			}
+			f.data = "H" // it was being made, and is made anew
+			f.synced = 1
+			s.syncNames()
+			break
+		}
+		sealed := false
+		for at := 1; at < len(f.data); at++ {
+			switch x := f.data[at]; {
+			case x == 'S':
+				sealed = true
+			case x == '?':
+				f.data = f.data[:at]
+				f.synced = min(f.synced, at)
+			case int(x-'a'+1) == got+1:
+				got++
+			default:
+				s.wrong = fmt.Sprintf("refused: record %c behind %d", x, got)
+				return
+			}
+		}
+		if !last && !sealed {
+			s.wrong = fmt.Sprintf("refused: segment %d is not sealed, and another follows", n)
+			return
+		}
+		if !s.b.Ways.RecoveryUnsynced {
+			f.synced = len(f.data)
+		}
+		if !last || sealed {
+			s.old = strings.TrimPrefix(s.old+","+segmentOf(n), ",")
+		}
+		if last && sealed {
+			s.cur++
+		}
+	}
+	if got < s.acked || got > s.asked {
+		s.wrong = fmt.Sprintf("%d records are there; %d were told of, %d asked for", got, s.acked, s.asked)
+		return
+	}
+	s.asked, s.acked = got, got // what is there is told of from now on
+	if s.cur == base || s.names[segmentOf(s.cur)] == "" {
+		s.cur = max(s.cur, base+1)
+		s.make(segmentOf(s.cur), fmt.Sprint(segmentOf(s.cur), "-", s.crashes), "H")
+		s.sync(segmentOf(s.cur))
+		s.syncNames()
+	}
+	s.drop()
+}
+
+// drop forgets files that no name leads to any more.
+func (s *durable) drop() {
+	used := map[string]bool{}
+	for _, m := range []map[string]string{s.names, s.kept} {
+		for _, id := range m {
+			used[id] = true
+		}
+	}
+	for id := range s.files {
+		if !used[id] {
+			delete(s.files, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/linear_test.go
@@ -0,0 +1,171 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"beechgrade/internal/kit/standin/faulty"
+	"beechgrade/internal/store"
+)
+
+// deed is what a client did: it wrote some keys at once, or read all.
+type deed struct {
+	writes map[int]string
+	maybe  bool // nobody has told whether it is kept
+}
+
+const linearKeys = 3
+
+// contents is a state: the keys' values.
+type contents [linearKeys]string
+
+// linear is a store as one that does one thing after the other.
+var linear = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{contents{}} },
+	Step: func(state, input, output any) []any {
+		s, in := state.(contents), input.(deed)
+		if in.writes == nil {
+			if output.(contents) == s {
+				return []any{s}
+			}
+			return nil
+		}
+		next := s
+		for k, v := range in.writes {
+			next[k] = v
+		}
+		if in.maybe {
+			return []any{s, next}
+		}
+		return []any{next}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+func readAll(s *store.Store) (out contents) {
+	s.Range("", "", func(k string, v []byte) bool {
+		i := 0
+		if _, err := fmt.Sscanf(k, "k%d", &i); err == nil {
+			out[i] = string(v)
+		}
+		return true
+	})
+	return out
+}
+
+// concurrent has clients write and read at once, beside compactions, until the power goes out, and again after that; it is what they did and saw.
+func concurrent(t *testing.T, seed uint64) (history []porcupine.Operation, maybes int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	d := faulty.New()
+	d.CrashAt = 20 + rng.IntN(30)
+	var mu sync.Mutex
+	began := time.Now()
+	now := func() int64 { return time.Since(began).Nanoseconds() }
+	var unsure []int
+	for life := range 2 {
+		s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 200})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		for client := range 5 {
+			mine := rand.New(rand.NewPCG(seed, uint64(10*life+client+2)))
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for i := range 9 {
+					op := porcupine.Operation{ClientId: client, Call: now()}
+					switch mine.IntN(5) {
+					case 0, 1:
+						op.Input, op.Output = deed{}, readAll(s)
+					case 2:
+						if client == 0 {
+							s.Compact(nil)
+						}
+						continue
+					default:
+						in := deed{writes: map[int]string{}}
+						var e []store.Entry
+						for range 1 + mine.IntN(2) {
+							k := mine.IntN(linearKeys)
+							if in.writes[k] == "" {
+								in.writes[k] = fmt.Sprint(life, client, ".", i)
+								e = append(e, store.Entry{Key: fmt.Sprint("k", k), Value: []byte(in.writes[k])})
+							}
+						}
+						done := make(chan error, 1)
+						s.Append(e, func(err error) { done <- err })
+						in.maybe = <-done != nil
+						op.Input = in
+					}
+					op.Return = now()
+					mu.Lock()
+					if in := op.Input.(deed); in.maybe {
+						unsure = append(unsure, len(history))
+					}
+					history = append(history, op)
+					mu.Unlock()
+					if in := op.Input.(deed); in.maybe { // this client has gone
+						return
+					}
+				}
+			}()
+		}
+		wg.Wait()
+		_ = s.Close()
+		if life == 0 {
+			d = d.Restart(rng, seed%2 == 0)
+			if s, _, err = store.Open(store.Options{FS: d, SegmentBytes: 200}); err != nil {
+				t.Fatal(err)
+			}
+			op := porcupine.Operation{ClientId: 9, Call: now(), Input: deed{}, Output: readAll(s)}
+			for _, i := range unsure { // one that was not told of its end may be kept up to the restart
+				history[i].Return = now()
+			}
+			op.Call = now()
+			op.Return = now() + 1
+			history = append(history, op)
+			_ = s.Close()
+		}
+	}
+	return history, len(unsure)
+}
+
+// TestLinear: what clients at once wrote and read, some keys at a time, beside compactions and over a loss of power, is what one after
+// the other could have; and that is a test: with one value read that was written over before, it is not.
+func TestLinear(t *testing.T) {
+	t.Parallel()
+	reads, maybes, broken := 0, 0, 0
+	for seed := range uint64(25) {
+		h, unsure := concurrent(t, seed)
+		maybes += unsure
+		if res := porcupine.CheckOperationsTimeout(linear, h, 3*time.Second); res != porcupine.Ok {
+			t.Fatalf("seed %d: %v of %d operations", seed, res, len(h))
+		}
+		for i := len(h) - 1; i >= 0 && broken <= int(seed); i-- { // an older value of a key, in place of the last
+			if out, ok := h[i].Output.(contents); ok && strings.HasPrefix(out[0], "1") {
+				out[0] = ""
+				h[i].Output = out
+				if porcupine.CheckOperationsTimeout(linear, h, 3*time.Second) == porcupine.Illegal {
+					broken++
+				}
+				break
+			}
+		}
+		for _, op := range h {
+			if op.Output != nil {
+				reads++
+			}
+		}
+	}
+	t.Logf("%d reads, %d writes of which nobody was told; %d of 25 broken histories were found", reads, maybes, broken)
+	if reads < 200 || maybes == 0 || broken < 20 {
+		t.Errorf("%d reads, %d unsure writes, %d broken histories found", reads, maybes, broken)
+	}
+}
