--- a/cmd/beechgrade-kit/store.go
+++ b/cmd/beechgrade-kit/store.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -25,11 +27,17 @@
 			{Name: "measure", Usage: "hold it beside bbolt: commits, opening, and what each makes of damaged files", Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "seconds", Value: 3, Usage: "of each part, `NUMBER`"},
 				&cli.IntFlag{Name: "step", Value: 97, Usage: "damage each `NUMBER`th byte; 0 for none"},
+				&cli.StringFlag{Name: "sizes", Usage: "also fill each with so many bytes and open it again, such as `1000,1000000`; each once with as many keys as there are records, and once with a thousand"},
 				&cli.StringFlag{Name: "out", Value: "store-measured", Usage: "an empty `DIR` to work in"}, asJSON()}, Action: measureStore},
 			{Name: "opened", Hidden: true, ArgsUsage: "NAME DIR", Action: func(_ context.Context, c *cli.Command) error {
 				fmt.Fprintln(c.Root().Writer, storebench.Opened(c.Args().Get(0), c.Args().Get(1)))
 				return nil
 			}},
+			{Name: "reopened", Hidden: true, ArgsUsage: "NAME DIR", Action: func(_ context.Context, c *cli.Command) error {
+				b, err := storebench.Reopened(c.Args().Get(0), c.Args().Get(1))
+				fmt.Fprintln(c.Root().Writer, string(b))
+				return err
+			}},
 			{Name: "repair", Usage: "write what can be read into a new folder, and tell what was left out", ArgsUsage: "DIR NEW", Action: repairStore},
 		},
 	}
@@ -129,8 +137,25 @@
 			return err
 		}
 	}
+	var sizes []int64
+	for _, text := range strings.FieldsFunc(c.String("sizes"), func(r rune) bool { return r == ',' }) {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n < 1 {
+			return fmt.Errorf("--sizes: %q is no number of bytes", text)
+		}
+		sizes = append(sizes, n)
+	}
+	scaled, err := storebench.Scale(ctx, kit, c.String("out"), sizes, false)
+	if err != nil {
+		return err
+	}
+	again, err := storebench.Scale(ctx, kit, c.String("out"), sizes, true)
+	if err != nil {
+		return err
+	}
+	scaled = append(scaled, again...)
 	if c.Bool("json") {
-		return writeJSON(c.Root().Writer, map[string]any{"commits": rows, "damage": damage})
+		return writeJSON(c.Root().Writer, map[string]any{"commits": rows, "damage": damage, "scaled": scaled})
 	}
 	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "\tcommits/s\tp50 ms\tp99 ms\t64 at once/s\tp99 ms\trecords\tMB\topens in ms")
@@ -143,5 +168,15 @@
 	for _, d := range damage {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", d.Name, d.Tried, d.Same, d.Prefix, d.Refused, d.Wrong, d.Died, d.First)
 	}
+	if len(scaled) > 0 {
+		fmt.Fprintln(w, "\nfilled\tMB\tkeys\tbytes written for each\tMB on disk\tMB/s\topens in ms\tpeak MB")
+	}
+	for _, r := range scaled {
+		keys := r.Records
+		if r.Rewrite {
+			keys = min(keys, 1000)
+		}
+		fmt.Fprintf(w, "%s\t%.3f\t%d\t%.2f\t%.3f\t%.1f\t%.1f\t%.1f\n", r.Name, float64(r.Payload)/1e6, keys, r.Written, float64(r.Bytes)/1e6, float64(r.Payload)/1000/r.FillMs, r.OpenMs, r.PeakMB)
+	}
 	return w.Flush()
 }
--- a/internal/kit/explore/durable.go
+++ b/internal/kit/explore/durable.go
@@ -113,7 +113,7 @@
 
 func segmentOf(n int) string { return fmt.Sprint("l", n) }
 func snapOf(n int) string    { return fmt.Sprint("s", n) }
-func recordOf(n int) string    { return string(rune('a' + n - 1)) }
+func recordOf(n int) string  { return string(rune('a' + n - 1)) }
 
 func (s *durable) add(name, letters string) { s.files[s.names[name]].data += letters }
 
--- a/internal/kit/storebench/storebench.go
+++ b/internal/kit/storebench/storebench.go
@@ -47,6 +47,9 @@
 
 const valueBytes = 100
 
+// Candidates are what is held side by side.
+var Candidates = []string{"store", "bbolt"}
+
 // candidate is a store that keeps a value durably before put returns.
 type candidate interface {
 	put(key string, value []byte) error
@@ -103,7 +106,7 @@
 // Measure measures both in folders below dir, for so many seconds each part.
 func Measure(ctx context.Context, dir string, seconds float64) (out []Row, err error) {
 	span := time.Duration(seconds * float64(time.Second))
-	for _, name := range []string{"store", "bbolt"} {
+	for _, name := range Candidates {
 		r := Row{Name: name}
 		at := filepath.Join(dir, name)
 		c, err := open(name, at, false)
@@ -190,7 +193,7 @@
 // Damaged cuts the one file of each candidate at every step-th byte and flips a bit there, and opens each in a process of its
 // own: kit with the words store opened NAME DIR prints how many of the records there are, and whether they are a prefix.
 func Damaged(ctx context.Context, kit, dir string, step int, progress func(done, all int)) (out []Damage, err error) {
-	for _, name := range []string{"store", "bbolt"} {
+	for _, name := range Candidates {
 		d := Damage{Name: name}
 		whole := filepath.Join(dir, name+"-whole")
 		c, err := open(name, whole, false)
