Hold overload handled together to rules of probes, talk, quiet groups, tenants and return

Talk counts now that a block with many classes takes several datagrams: with 12 classes it did three times what the formula said.

--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -50,8 +50,9 @@
 	Cores       int
 	Falls       float64 // times its capacity of the moment, in FallsMs, that push a cold server over
 	FallsMs     float64
-	Limits      []Limit // that hold for the whole fleet
-	CountMs     float64 // by which a use may come to its pooler later, or sooner, than it is told
+	Limits      []Limit   // that hold for the whole fleet
+	CountMs     float64   // by which a use may come to its pooler later, or sooner, than it is told
+	Overload    *Overload // nil where it is not handled together
 }
 
 // Event is something that crossed the wire, as evidence.
@@ -93,8 +94,9 @@
 	still    map[int]stillness // poolers' machines that stood still last
 	keyed    map[keyAt][]keySend
 	limits   []*limitUse
-	inForce  int   // faults
-	order    []due // by when an answer is due, about
+	over     *overload // nil where its rules are not checked
+	inForce  int       // faults
+	order    []due     // by when an answer is due, about
 	head     int
 }
 
@@ -160,6 +162,8 @@
 	events   []Event
 	limit    *limitUse // nil where none is of its tenant
 	used     bool
+	group    int
+	tenant   string
 }
 
 type attempt struct {
@@ -181,6 +185,9 @@
 // New makes a checker.
 func New(cfg Config) *Checker {
 	c := &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
+	if cfg.Overload != nil {
+		c.over = &overload{Overload: *cfg.Overload}
+	}
 	for _, l := range cfg.Limits {
 		c.limits = append(c.limits, &limitUse{Limit: l, poolers: map[int]*poolerUse{}, runs: map[run]float64{}, seconds: map[int64]float64{}, wanted: map[int64]float64{}})
 	}
@@ -258,6 +265,9 @@
 	case at > c.latest(q)+c.cfg.SlackMs && !q.gone:
 		c.breach(Breach{Rule: OneAnswer, At: at, ID: id, Server: -1, Text: fmt.Sprintf("the answer came %.0f ms late", at-q.due)}, q.events)
 	}
+	if c.over != nil {
+		c.over.heard(q, kind, served)
+	}
 	if served {
 		c.served(at, q, value)
 	}
@@ -554,6 +564,7 @@
 func (c *Checker) Verdict() *Verdict {
 	c.hold()
 	c.shares()
+	c.overloaded()
 	v := &Verdict{Checked: map[Rule]uint64{}, Broken: map[Rule]int{}, Breaches: slices.Clone(c.breaches)}
 	for r, n := range c.checked {
 		v.Checked[r] = n
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -106,7 +106,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -324,6 +324,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/membership/judge"
+	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 )
@@ -30,6 +31,8 @@
 	Quota   func(no int, s *quota.Settings)                // how it shares limits of the whole fleet
 	Limits  func(no int, q *quota.Quota, m *quota.Message) // before a message about them is told
 	Demand  func(no int, want float64) float64             // what it says that it would use
+	Over    func(no int, o *joined.Options)                // how it handles overload with others
+	Core    func(no int, c joined.Core) joined.Core        // whom that tells
 	Rash    bool                                           // a process that begins again votes at once
 	SameID  bool                                           // its processes all have one ID
 	Keyed   bool                                           // it shows where writes have keys
@@ -177,6 +180,32 @@
 	}
 }
 
+// OverloadMutants are poolers that handle overload together in a way that is broken on purpose.
+func OverloadMutants() []Mutant {
+	return []Mutant{
+		{Name: "makes each probe itself", Breaks: check.ProbesShared, Over: func(no int, o *joined.Options) { o.Share = false }},
+		{Name: "probes once for each who asks", Breaks: check.ProbesShared, Over: func(no int, o *joined.Options) { o.Probes.Each, o.Probes.Age = 0, -1 }},
+		{Name: "tells at every turn", Breaks: check.TalkBounded, Over: func(no int, o *joined.Options) { o.Set.Period = o.Set.Step }},
+		{Name: "sheds in all groups what one cannot do", Breaks: check.QuietSpared, Core: func(no int, c joined.Core) joined.Core { return everywhere{c} }},
+		{Name: "knows of no tenants", Breaks: check.TenantKept, Module: func(c *config.Config) { c.Settings.Tenants = nil }},
+		{Name: "does not let in again", Breaks: check.ServiceBack, Over: func(no int, o *joined.Options) { o.Set.Back, o.Set.Hold = 1e-4, 1e6 }},
+	}
+}
+
+// everywhere tells the module of each group what is for one.
+type everywhere struct{ joined.Core }
+
+// Shed is joined.Core's.
+func (e everywhere) Shed(group int, s *decide.Shed) {
+	for g := range mostSpoilt {
+		if g == group || s != nil {
+			e.Core.Shed(g, s)
+		}
+	}
+}
+
+const mostSpoilt = 16 // groups
+
 // again answers a second time.
 type again struct{ v *visit }
 
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -12,7 +12,16 @@
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
 		c := h.x.p.core
-		j := joined.New(opt, c, h)
+		opt, told := opt, joined.Core(c)
+		if m := h.x.p.e.opt.Mutant; m != nil {
+			if m.Over != nil {
+				m.Over(h.No(), &opt)
+			}
+			if m.Core != nil {
+				told = m.Core(h.No(), c)
+			}
+		}
+		j := joined.New(opt, told, h)
 		j.Check(h.x.p.e.checks, partsEach)
 		if opt.Shed {
 			c.Weigh(j)
--- /dev/null
+++ b/internal/kit/emulate/overload_test.go
@@ -0,0 +1,42 @@
+package emulate
+
+import (
+	"testing"
+)
+
+// crowd are classes of which a group of three servers with four cores each can do about 200 a second.
+const crowd = `(poolers 8) (roams 0.6) (retries 3) (retry 20ms 120ms) (cold 3s) (peers (probe 500ms) (timeout 250ms) (suspicion 1500ms))
+	(class "quadro-obra" (aim 800ms) (deadline 2s) (work 40ms 80ms)) (class "conferir-ponto" (aim 800ms) (deadline 2s) (work 40ms 80ms))
+	(class "relatorio-mes" (aim 800ms) (deadline 2s) (work 40ms 80ms)) (class "registrar-ponto" (aim 800ms) (deadline 2s) (work 40ms 80ms)) `
+
+const (
+	halved  = `(groups 3 3) (rate 200) (seconds 40) (back-in 8s) (at 12s (crowd everyone 0.5) (for 5s)) `
+	harder  = `(groups 3 3) (rate 320) (seconds 40) (back-in 8s) (at 12s (crowd everyone 0.4) (for 5s)) `
+	oneHot  = `(groups 1 6 6 6 6) (rate 350) (seconds 25) `
+	stormed = `(groups 3 3) (rate 700) (allowance 300) (seconds 30) (tenant "quiet" (share 0.5) (usage 0.8)) (tenant "storm" (share 0.5) (usage 4)) `
+)
+
+func playOver(t *testing.T, text, over string, seed uint64, m *Mutant) *Result {
+	t.Helper()
+	return play(t, parse(t, `(rehearsal "overload" `+crowd+text+over+`)`), Options{Seed: seed, Mutant: m})
+}
+
+// TestOverloadMutants: each breaks its rule, and the program as it is breaks none in the same scenario.
+func TestOverloadMutants(t *testing.T) {
+	const probes = `(overload (probes (each 400ms) (age 400ms)))`
+	texts := [][2]string{{halved, probes}, {halved, probes}, {halved, `(overload (shed yes))`}, {oneHot, `(overload (shed yes))`}, {stormed, `(overload (shed yes))`}, {harder, `(overload (shed yes))`}}
+	for i, m := range OverloadMutants() {
+		t.Run(m.Name, func(t *testing.T) {
+			t.Parallel()
+			r := playOver(t, texts[i][0], texts[i][1], 1, nil)
+			if len(r.Verdict.Broken) > 0 || r.Verdict.Checked[m.Breaks] == 0 {
+				t.Errorf("without: %v %v %+v", r.Verdict.Broken, r.Verdict.Checked[m.Breaks], r.Verdict.Breaches)
+			}
+			x := playOver(t, texts[i][0], texts[i][1], 1, &m)
+			if x.Verdict.Broken[m.Breaks] == 0 {
+				t.Errorf("not caught: %v", x.Verdict.Checked)
+			}
+			t.Logf("broken %d times of %d; service %.3f without and %.3f with it", x.Verdict.Broken[m.Breaks], x.Verdict.Checked[m.Breaks], r.Score.Ratio, x.Score.Ratio)
+		})
+	}
+}
--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -31,6 +31,9 @@
 	if at == nil || at == x.p || len(b) > part.MostBody {
 		return
 	}
+	if kind == part.Overload && (b[0] == tellVerb || b[0] == answerVerb) {
+		e.check.Talked(e.s.now)
+	}
 	f.told++
 	f.toldBytes += headBytes + uint64(len(b))
 	from := x.view.Self().ID
@@ -39,6 +42,9 @@
 	}
 }
 
+// The first bytes of words on load and levels, as the form has them; the others are on probes.
+const tellVerb, answerVerb = 1, 2
+
 // Stream is part.Net's: it loses nothing, but does not come up over a way that is cut.
 func (h Host) Stream(addr string, to view.ID, kind view.Kind, w part.Words, done func(ok bool)) {
 	x := h.x
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -267,6 +267,9 @@
 // Probe is core.Servers'.
 func (p *pooler) Probe(id string) {
 	p.e.probes++
+	if st := p.store(id); st != nil {
+		p.e.check.Probed(p.e.s.now, st.s.No)
+	}
 	a := &attempt{p: p, life: p.life, until: p.e.s.now + scenario.ConnectMs}
 	a.ref = p.tries.Put(a)
 	p.begin(a, id)
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -139,6 +139,7 @@
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
+		e.check.Load(e.s.now, v.id, v.ask.Class, v.ask.Group, e.script.Clients.TenantOf(&v.ask.Ask), v.no > 0)
 		if e.script.Limits != nil {
 			e.check.Tenant(e.s.now, v.id, e.script.Clients.TenantOf(&v.ask.Ask))
 		}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Took(server int, started float64, id string, work, at float64) // it was taken in
 	Over(server int, id string, at float64)                        // it was taken in, and the server has nothing more to do with it
 	Ran(server int, j *world.Job, value []byte, r world.Run)       // it ran, and made this value
+	Probed(server int, at float64)                                 // it was asked how it is
 	Listed(server int, state string, at float64)                   // all that watch have been told this of a server
 }
 
--- a/internal/kit/fleet/listed_test.go
+++ b/internal/kit/fleet/listed_test.go
@@ -15,6 +15,7 @@
 // told notes what its fleet says the watchers of the list were told.
 type told chan string
 
+func (told) Probed(int, float64)                         {}
 func (told) Arrived(int, string, float64) int            { return 0 }
 func (told) Turned(string, int, string, float64)         {}
 func (told) Took(int, float64, string, float64, float64) {}
--- a/internal/kit/fleet/server.go
+++ b/internal/kit/fleet/server.go
@@ -207,6 +207,9 @@
 	f := s.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.watcher != nil {
+		f.watcher.Probed(s.No, f.clk.Now())
+	}
 	r := s.Report(f.clk.Now())
 	x1 := "0"
 	if r.Primary {
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -341,7 +341,10 @@
 
 // strike carries a fault out at its time, and ends it.
 func (r *Run) strike(ctx context.Context, f scenario.Fault) error {
-	if f.What == "load" || !pause(ctx, f.At) {
+	if !pause(ctx, f.At) {
+		return nil
+	}
+	if r.wires.struck(r.clk.Now(), r.script, &f); f.What == "load" {
 		return nil
 	}
 	if f.Owner != "" {
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -48,7 +48,9 @@
 
 func rules(s *scenario.Script) check.Config {
 	c := emulate.Rules(s)
-	c.CountMs = countMs
+	if c.CountMs = countMs; c.Overload != nil {
+		c.Overload.Slack = c.Overload.Probes // a word that comes later than Patience has its asker probe
+	}
 	return c
 }
 
@@ -74,9 +76,25 @@
 	if t.Class.KeyMs > 0 {
 		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
 	}
+	w.check.Load(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Ask.Group, t.Tenant, t.No > 0)
 	w.check.Tenant(t.Sent, idOf(t.ID), t.Tenant)
 }
 
+// Probed is fleet.Watcher's.
+func (w *wires) Probed(server int, at float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.check.Probed(at, server)
+}
+
+// struck tells the checker of a fault.
+func (w *wires) struck(at float64, s *scenario.Script, f *scenario.Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	groups, poolers := f.Where(s)
+	w.check.Struck(at, f.Until(at), groups, poolers)
+}
+
 // tried takes a try's end.
 func (w *wires) tried(t *clients.Try) {
 	w.mu.Lock()
--- a/internal/kit/scenario/overload.go
+++ b/internal/kit/scenario/overload.go
@@ -1,7 +1,11 @@
 package scenario
 
 import (
+	"math"
+
+	"beechgrade/internal/kit/check"
 	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/overload"
 	"beechgrade/internal/sexp"
 )
 
@@ -10,3 +14,62 @@
 	s.Overload, err = operate.ReadOverload(n)
 	return err
 }
+
+// CheckedOverload is what the rules of overload go by; nil where poolers do not handle it together.
+func (s *Script) CheckedOverload() *check.Overload {
+	if s.Overload == nil {
+		return nil
+	}
+	c := &check.Overload{Poolers: s.Poolers, BackMs: s.BackMs, Tenants: map[string]float64{}}
+	if p := &s.Overload.Probes; s.Overload.Share {
+		v := &s.Peers.View
+		c.Probes = p.Most(s.Poolers) + float64(p.Probers)
+		c.CalmMs = p.Shun + p.Latest() + v.Detect(s.Poolers, max(1, s.Poolers/2), s.Way[1]) + v.Settle(s.Poolers, max(1, s.Poolers/2), s.Way[1], false)
+	}
+	set := s.Overload.Set
+	for _, x := range s.Clients.Classes {
+		c.Work = append(c.Work, (x.Work[0]+x.Work[1])/2)
+		set.Classes = append(set.Classes, overload.Class{Name: x.Name})
+	}
+	for _, t := range s.Clients.Tenants {
+		c.Tenants[t.Name] = s.Clients.AllowanceOf(&t)
+		set.Tenants = append(set.Tenants, overload.Tenant{Name: t.Name})
+	}
+	if s.Overload.Shed {
+		c.Talk = set.Talk(2 * len(s.Fleet.Groups)) // each is told of as two
+	}
+	one := float64(s.Fleet.Cores) * 1000
+	for _, n := range s.Fleet.Groups {
+		c.Capacity, c.Primary = append(c.Capacity, float64(n)*one), append(c.Primary, one)
+	}
+	return c
+}
+
+// Where is where a fault strikes: at servers of these groups, or among poolers. It is neither where the load changes.
+func (f *Fault) Where(s *Script) (groups []int, poolers bool) {
+	switch f.What {
+	case "load":
+		return nil, false
+	case "links", "between", "limit", "kill-pooler", "restart-pooler", "stall-pooler":
+		return nil, true
+	}
+	switch f.Target.Kind {
+	case "primary", "replica", "member":
+		return []int{f.Target.Group}, f.What == "cut"
+	}
+	for g := range s.Fleet.Groups {
+		groups = append(groups, g)
+	}
+	return groups, false
+}
+
+// Until is when a fault that struck then ends; +Inf for never.
+func (f *Fault) Until(at float64) float64 {
+	switch {
+	case f.For > 0:
+		return at + f.For
+	case f.What == "restart-pooler" || f.What == "limit":
+		return at
+	}
+	return math.Inf(1)
+}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -86,6 +86,7 @@
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
 	Overload *operate.Overload // nil where each pooler handles it alone
+	BackMs   float64           // after the last fault's end service is to be back, 0 for no such rule
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -237,6 +238,7 @@
 		"peers":        s.peers,
 		"fleet-limits": s.fleetLimits,
 		"overload":     s.overload,
+		"back-in":      span(&s.BackMs),
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
--- a/internal/peers/overload/api.go
+++ b/internal/peers/overload/api.go
@@ -73,9 +73,15 @@
 	return ms
 }
 
-// Talk bounds the datagrams that a pooler sends a second, in the mean over the fleet.
+// Talk bounds the datagrams that a pooler sends a second, in the mean over the fleet. With many classes a block takes more than one.
 func (s *Settings) Talk(groups int) float64 {
-	return 2 * float64(s.Collectors) * 1000 / s.Period * math.Ceil(float64(groups)/Block)
+	each := math.Ceil(Block / float64(min(Block, max(1, mostTold/s.toldOf()))))
+	return 2 * float64(s.Collectors) * 1000 / s.Period * math.Ceil(float64(groups)/Block) * each
+}
+
+// toldOf bounds what is told of a group, in bytes.
+func (s *Settings) toldOf() int {
+	return 16 + 24*min(len(s.Classes), MostClasses) + 6*min(len(s.Tenants), MostTenants)
 }
 
 // Peer is a process that can be reached, by the view.
--- a/internal/peers/overload/doc.go
+++ b/internal/peers/overload/doc.go
@@ -57,7 +57,8 @@
 //	most load on a group while links fail: each of the sides of a partition lets in what its own collectors' budget says, and no more than
 //	    what comes; each side's budget falls by what all sides' load does to the servers;
 //	once nobody is late the budget grows by a factor within Return of it, plus React;
-//	datagrams a second of one pooler: at most 2*Collectors*1000/Period for each busy block, in the mean over the fleet (Settings.Talk).
+//	datagrams a second of one pooler: at most 2*Collectors*1000/Period for each busy block, in the mean over the fleet; with
+//	    many classes, as often as a block takes datagrams (Settings.Talk).
 //
 // # What it does not know
 //
--- a/internal/peers/overload/overload.go
+++ b/internal/peers/overload/overload.go
@@ -276,7 +276,7 @@
 		if o.fade(g); g.idle > 20 && g.level == 0 {
 			continue
 		}
-		size := 16 + 24*len(o.classes) + 6*min(len(o.tenants), MostTenants)
+		size := o.set.toldOf()
 		if len(block) > 0 && (block[0].id/Block != g.id/Block || size*(len(block)+1) > mostTold) {
 			flush()
 		}
