--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -85,6 +85,7 @@
 
 	source  *sexp.Node   // as it was read
 	smaller []*sexp.Node // forms that go for sockets
+	BackMs  float64      // after the last fault's end service is to be back, 0 for no such rule
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -250,6 +251,7 @@
 		"pages":        s.pages,
 		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
 		"verdicts":     s.verdicts,
+		"back-in":      span(&s.BackMs),
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
