Share evidence of silent servers, leaders and positions by collectors

Alone, each of 150 poolers finds a deaf server for itself. Each now tells collectors what it sees of servers; these judge by the evidence of independent observers, and all heed what most collectors say, up to half of a group.

--- a/cmd/beechgrade/verdicts.go
+++ b/cmd/beechgrade/verdicts.go
@@ -13,6 +13,7 @@
 		return
 	}
 	p.judged = joined.New(set.Options, p.core, peersHost{p.peers, p.loop})
+	p.core.Witness(p.judged)
 	p.peers.Join(p.judged)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,6 +104,7 @@
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 	fleet  fleet
+	seen   sight
 
 	credit Credit // nil where nobody pays ahead
 
@@ -175,6 +176,7 @@
 	rec    recorded
 	count  *figures.Class
 	load   load
+	class  int
 	flow   *flow // its answer that is passed on as it comes, nil where it is not
 	paid   paid
 }
@@ -283,6 +285,9 @@
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
 	c.recordAttempt(q, t.No, store, &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
 	}
@@ -381,7 +386,7 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class], class: class}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -459,6 +464,9 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
@@ -475,6 +483,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
+	if c.looked(store, &o) {
+		return
+	}
 	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
 		c.ProbeTold(store, o.Result, o.Said, 0)
 	}
@@ -521,6 +532,9 @@
 	c.recordList(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
+	if c.seen.witness != nil {
+		c.seen.witness.Listed(l, kind != decide.ListChanges)
+	}
 	for i := range e.Entries { // what is in use there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
 		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
@@ -588,7 +602,9 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+		if c.seen.looks[id] { // that one's answer is not this one's
+			c.seen.later[id] = true
+		} else if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
 			c.Probe(id)
 		}
 	case decide.SetTimer:
@@ -647,6 +663,9 @@
 	if a.By < never {
 		on.By = clock.Millis(a.By)
 	}
+	if c.seen.witness != nil {
+		c.seen.witness.Sent(string(a.Store), backend.Tag{Request: ref, No: no}, q.class)
+	}
 	at := c.servers.Start(string(a.Store), q.query, until, on, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
--- /dev/null
+++ b/internal/core/witness.go
@@ -0,0 +1,99 @@
+package core
+
+import (
+	"beechgrade/internal/backend"
+	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/membership/discovery"
+)
+
+// Witness is told all that this pooler sees of servers.
+type Witness interface {
+	Listed(l *discovery.List, whole bool)
+	Sent(store string, t backend.Tag, class int)
+	Ended(store string, t backend.Tag, result decide.Result, said backend.Said)
+	Probed(store string, result decide.Result, said backend.Said) // by this pooler
+	Withholds(store string) bool                                  // others find that it takes no requests, whatever its probes say
+}
+
+// sight is what the core has for a witness; all nil where there is none.
+type sight struct {
+	witness Witness
+	looks   map[string]bool // probes that are out and nobody of the module's asked for
+	later   map[string]bool // of these: the module has asked for one meanwhile
+}
+
+// Witness has somebody told of what is seen of servers.
+func (c *Core) Witness(w Witness) {
+	c.seen = sight{witness: w, looks: map[string]bool{}, later: map[string]bool{}}
+	w.Listed(&c.cfg.Known, true)
+}
+
+// Look probes a server for the witness alone.
+func (c *Core) Look(store string) {
+	if !c.seen.looks[store] {
+		c.seen.looks[store] = true
+		c.Probe(store)
+	}
+}
+
+// looked takes a probe's end, and tells whether it was the witness's own.
+func (c *Core) looked(store string, o *backend.Outcome) bool {
+	if c.seen.witness == nil {
+		return false
+	}
+	c.seen.witness.Probed(store, o.Result, o.Said)
+	if !c.seen.looks[store] {
+		return false
+	}
+	again := c.seen.later[store]
+	delete(c.seen.looks, store)
+	delete(c.seen.later, store)
+	if o.Result == decide.OK {
+		c.recall(store, o.Said)
+	}
+	if again {
+		c.carryOut(&decide.Action{Kind: decide.Probe, Store: decide.StoreID(store)})
+	}
+	return true
+}
+
+// recall gives the router what a server said of itself, as of when it said so.
+func (c *Core) recall(store string, said backend.Said) {
+	if !said.HasPos || said.Position > c.loop.Now() {
+		return
+	}
+	c.Learnt(store, said, 0)
+}
+
+// Learnt gives the router what a server said of itself, to whomever, ageMs ago at most. A position stands for the time at which it was told.
+func (c *Core) Learnt(store string, said backend.Said, ageMs float64) {
+	now, at := clock.Span(c.loop.Now()), clock.Span(said.Position)
+	k, ok := c.router.MemoryOf(decide.StoreID(store))
+	if !ok || at > now {
+		return
+	}
+	k.Down = false
+	if said.Role != decide.RoleUnknown {
+		k.Role, k.RoleAt = said.Role, at
+	}
+	if at > k.Position {
+		k.Position, k.PositionAt, k.PlacedAt = at, now, now-clock.Span(ageMs)
+	}
+	c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+}
+
+// Avoid has the router take a server for down; Try has it send a few requests there, if it does.
+func (c *Core) Avoid(store string) {
+	if k, ok := c.router.MemoryOf(decide.StoreID(store)); ok {
+		k.Down, k.BadAt = true, clock.Span(c.loop.Now())
+		c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+	}
+}
+
+// Try is Avoid's end.
+func (c *Core) Try(store string) {
+	if k, ok := c.router.MemoryOf(decide.StoreID(store)); ok && k.Down {
+		c.tell(&decide.ProbeResult{Store: k.ID})
+	}
+}
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -33,9 +33,7 @@
 	m := &Memory{Rates: map[int]float64{}, Mean: r.work}
 	for _, s := range r.order {
 		if s.gone == 0 {
-			m.Stores = append(m.Stores, StoreMemory{ID: s.id, Role: s.role, RoleAt: s.roleAt, Position: s.position, PositionAt: s.positionAt,
-				PlacedAt: s.placedAt, Pace: s.pace, Rel: s.rel, ColdFrom: s.coldFrom, ColdSpent: s.coldSpent, ColdSpentAt: s.coldSpentAt,
-				Down: s.health == down, BadAt: s.badAt})
+			m.Stores = append(m.Stores, s.memory())
 		}
 	}
 	for i := range r.classes {
@@ -47,6 +45,20 @@
 	return m
 }
 
+// MemoryOf tells what the router knows of one store that is listed.
+func (r *Router) MemoryOf(id StoreID) (StoreMemory, bool) {
+	if s := r.stores[id]; s != nil && s.gone == 0 {
+		return s.memory(), true
+	}
+	return StoreMemory{}, false
+}
+
+func (s *store) memory() StoreMemory {
+	return StoreMemory{ID: s.id, Role: s.role, RoleAt: s.roleAt, Position: s.position, PositionAt: s.positionAt,
+		PlacedAt: s.placedAt, Pace: s.pace, Rel: s.rel, ColdFrom: s.coldFrom, ColdSpent: s.coldSpent, ColdSpentAt: s.coldSpentAt,
+		Down: s.health == down, BadAt: s.badAt}
+}
+
 // Recall takes what another router knew, of the stores that are listed here. What is newer here stays; times from ahead of now,
 // and figures that no router has, are passed over.
 func (r *Router) Recall(now Time, m *Memory) {
--- a/internal/peers/verdicts/joined/joined.go
+++ b/internal/peers/verdicts/joined/joined.go
@@ -2,7 +2,11 @@
 package joined
 
 import (
+	"slices"
+
+	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/verdicts"
 	"beechgrade/internal/peers/view"
@@ -11,7 +15,10 @@
 // Core is what it needs of a pooler's core.
 type Core interface {
 	Memory() *decide.Memory
-	Recall(m *decide.Memory)
+	Look(store string)
+	Learnt(store string, said backend.Said, ageMs float64)
+	Avoid(store string)
+	Try(store string)
 }
 
 // Host is what carries words, and time.
@@ -23,33 +30,206 @@
 // Options say what is shared, and how.
 type Options struct{ Set verdicts.Settings }
 
-// Joined is a pooler's side. It is part.Part.
+// Joined is a pooler's side. It is part.Part and core.Witness.
 type Joined struct {
-	opt  Options
-	core Core
-	host Host
+	opt    Options
+	core   Core
+	host   Host
+	v      *verdicts.Verdicts // nil until somebody is known
+	acts   []verdicts.Action
+	listed map[string]verdicts.Server
+	kinds  map[string]float64 // rates of the servers, as learned
+	works  []float64
+	learnt float64
 }
 
 // New makes one; it is to be joined to the peers and to the core.
-func New(opt Options, c Core, h Host) *Joined { return &Joined{opt: opt, core: c, host: h} }
+func New(opt Options, c Core, h Host) *Joined {
+	return &Joined{opt: opt, core: c, host: h, listed: map[string]verdicts.Server{}, kinds: map[string]float64{}}
+}
+
+// learnMs is between two looks at what requests cost.
+const learnMs = 1000
 
 // Kind is part.Part's.
 func (j *Joined) Kind() view.Kind { return part.Verdicts }
 
 // Read is part.Part's.
-func (j *Joined) Read(b []byte) (any, error) { return nil, nil }
+func (j *Joined) Read(b []byte) (any, error) { return verdicts.Read(b) }
 
 // Members is part.Part's.
-func (j *Joined) Members(self view.ID, all []view.Record, _ view.Counts) {}
+func (j *Joined) Members(self view.ID, all []view.Record, _ view.Counts) {
+	var peers []verdicts.Peer
+	for i := range all {
+		if r := &all[i]; r.ID == self || r.State <= view.Suspect {
+			peers = append(peers, verdicts.Peer{ID: r.ID, Addr: r.Addr, Zone: r.Zone})
+		}
+	}
+	began := j.v == nil
+	if began {
+		j.v = verdicts.New(j.opt.Set, self, j.host.Now())
+	}
+	j.do(verdicts.Members{Self: self, Peers: peers})
+	if began {
+		j.list()
+	}
+}
 
 // Heard is part.Part's.
-func (j *Joined) Heard(from view.ID, m any) {}
+func (j *Joined) Heard(from view.ID, m any) { j.do(verdicts.Heard{From: from, Message: m}) }
 
 // Tick is part.Part's.
-func (j *Joined) Tick() {}
+func (j *Joined) Tick() {
+	if now := j.host.Now(); now-j.learnt >= learnMs || len(j.works) == 0 {
+		j.learnt = now
+		j.learn(j.core.Memory())
+	}
+	j.do(verdicts.Tick{})
+}
+
+// learn takes what requests cost, and which servers the module takes for down.
+func (j *Joined) learn(m *decide.Memory) {
+	j.works = m.Work
+	rate := 0.0
+	for _, x := range m.Rates { // the least
+		if rate == 0 || x < rate {
+			rate = x
+		}
+	}
+	if rate == 0 {
+		rate = 1
+	}
+	var down []string
+	for i := range m.Stores {
+		s := &m.Stores[i]
+		if j.kinds[string(s.ID)] = s.Rel * rate; s.Down {
+			down = append(down, string(s.ID))
+		}
+	}
+	slices.Sort(down)
+	j.do(verdicts.Downs{Servers: down})
+}
 
-// Leave is part.Part's.
+// Leave is part.Part's: what it told fades by itself.
 func (j *Joined) Leave() {}
 
+// Listed is core.Witness's.
+func (j *Joined) Listed(l *discovery.List, whole bool) {
+	if whole {
+		clear(j.listed)
+	}
+	for i := range l.Instances {
+		n := &l.Instances[i]
+		if n.ID == "" {
+			continue
+		}
+		if n.Lifecycle == "removed" {
+			delete(j.listed, n.ID)
+			continue
+		}
+		j.listed[n.ID] = verdicts.Server{Name: n.ID, Group: n.Cell, Start: float64(n.StartedAtMs)}
+	}
+	j.list()
+}
+
+func (j *Joined) list() {
+	var all []verdicts.Server
+	for _, x := range j.listed { // the module sorts them
+		all = append(all, x)
+	}
+	j.do(verdicts.Listed{Servers: all})
+}
+
+func refOf(t backend.Tag) uint64 {
+	return uint64(t.Request.Index)<<40 | uint64(t.Request.Gen&0xffffff)<<16 | uint64(t.No&0xffff)
+}
+
+// usualMs is what a request takes whose class nothing is known of.
+const usualMs = 100
+
+// Sent is core.Witness's.
+func (j *Joined) Sent(store string, t backend.Tag, class int) {
+	work := float64(usualMs)
+	if class >= 0 && class < len(j.works) {
+		if work = j.works[class] * 1000; j.kinds[store] > 0 {
+			work /= j.kinds[store]
+		}
+	}
+	j.do(verdicts.Sent{Server: store, Ref: refOf(t), Work: max(1, work)})
+}
+
+// Ended is core.Witness's.
+func (j *Joined) Ended(store string, t backend.Tag, result decide.Result, said backend.Said) {
+	end := verdicts.Answered
+	switch result {
+	case decide.TimedOut, decide.Cancelled, decide.Skipped:
+		end = verdicts.Void
+	case decide.Unreachable, decide.Reset:
+		end = verdicts.Lost
+	}
+	j.do(verdicts.Ended{Server: store, Ref: refOf(t), End: end, Said: saidOf(said)})
+}
+
+// Probed is core.Witness's.
+func (j *Joined) Probed(store string, result decide.Result, said backend.Said) {
+	j.do(verdicts.Probed{Server: store, OK: result == decide.OK, Said: saidOf(said)})
+}
+
+// Withholds is core.Witness's.
+func (j *Joined) Withholds(store string) bool { return j.v != nil && j.v.Avoids(store) }
+
+func saidOf(s backend.Said) (out verdicts.Said) {
+	if s.HasPos {
+		out.Position = s.Position
+		out.Role = map[decide.Role]verdicts.Role{decide.RolePrimary: verdicts.Leads, decide.RoleReplica: verdicts.Follows}[s.Role]
+	}
+	return out
+}
+
+func (j *Joined) do(e verdicts.Event) {
+	if j.v == nil {
+		return
+	}
+	acts := j.v.Handle(j.host.Now(), e, j.acts[:0])
+	j.acts = nil
+	for i := range acts {
+		switch a := &acts[i]; a.Kind {
+		case verdicts.Send:
+			if a.Tell != nil {
+				j.host.Tell(a.Addr, a.To, part.Verdicts, a.Tell)
+			} else {
+				j.host.Tell(a.Addr, a.To, part.Verdicts, a.Word)
+			}
+		case verdicts.Avoid:
+			j.core.Avoid(a.Server)
+		case verdicts.Try:
+			j.core.Try(a.Server)
+		case verdicts.Look:
+			j.core.Look(a.Server)
+		case verdicts.Learn:
+			s := backend.Said{Position: a.Said.Position, HasPos: true}
+			if a.Said.Role == verdicts.Leads {
+				s.Role = decide.RolePrimary
+			}
+			j.core.Learnt(a.Server, s, max(0, a.Age))
+		}
+	}
+	clear(acts)
+	j.acts = acts
+}
+
 // Avoided are the servers that this pooler avoids by others' word: for those who look.
-func (j *Joined) Avoided() []verdicts.Standing { return nil }
+func (j *Joined) Avoided() []verdicts.Standing {
+	if j.v == nil {
+		return nil
+	}
+	return j.v.Standings()
+}
+
+// Lonely counts the servers that others get answers from and this pooler does not.
+func (j *Joined) Lonely() int {
+	if j.v == nil {
+		return 0
+	}
+	return j.v.Lonely()
+}
