Let the checker know that poolers tell one another who leads

Where words are shared, a pooler may write to a server that told it to be a replica and told another that it leads since. Positions and leaders may ask for more observers to vouch for them.

--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -141,6 +141,7 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.check.Share = s.Verdicts != nil || s.Overload != nil && s.Overload.Share
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
 	if s.Agents > 0 {
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -45,6 +45,8 @@
 	Settled  []float64 `json:"settled_ms,omitempty"`
 	Accused  int       `json:"accused_wrongly"`
 	Wrong    int       `json:"failed_wrongly"`
+	Told     float64   `json:"parts_datagrams_a_second_of_a_pooler,omitempty"`
+	ToldSize float64   `json:"parts_bytes_a_second_of_a_pooler,omitempty"`
 }
 
 // Bounds are those of a scenario's views, by the formulas of the view's page; f is how many may be called failed at once.
--- a/internal/operate/verdicts.go
+++ b/internal/operate/verdicts.go
@@ -33,7 +33,7 @@
 	return sexp.Form{
 		"period": span(&s.Period, 50, 10000), "refresh": span(&s.Refresh, 200, 60000), "collectors": whole(&s.Collectors, 1, 7), "testers": whole(&s.Testers, 1, 64),
 		"turn": span(&s.Turn, 200, 60000), "delay": span(&s.Delay, 1, 2000), "stale": span(&s.Stale, 200, 60000),
-		"lapse": span(&s.Lapse, 500, 600000), "observers": whole(&s.Observers, 2, 16), "shun": span(&s.Shun, 0, 3600e3),
+		"lapse": span(&s.Lapse, 500, 600000), "observers": whole(&s.Observers, 2, 16), "vouch": whole(&s.Vouch, 1, 16), "shun": span(&s.Shun, 0, 3600e3),
 		"blind":  func(n *sexp.Node) (err error) { s.Blind, err = n.Float(0, 0.75); return err },
 		"health": flag(&s.Health), "places": flag(&s.Places), "roles": flag(&s.Roles),
 	}.Read(n.Args())
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -18,6 +18,7 @@
 	Stale      float64 // positions and roles told as older than that are neither told nor taken
 	Lapse      float64 // a server is bad for so long after the last that it left unanswered
 	Observers  int     // that must have found a server bad
+	Vouch      int     // observers, the least, that must have heard as much of a position or of who leads, for it to be taken
 	Blind      float64 // part of a group that words of others may take away together
 	Shun       float64 // one whose word was contradicted counts for nothing for so long
 	Testers    int     // of all poolers, that may send to a server which is bad by others' word, in turn
@@ -31,7 +32,7 @@
 
 // Defaults are for a fleet within one region or a few.
 func Defaults() Settings {
-	return Settings{Period: 100, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
+	return Settings{Period: 100, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Vouch: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
 		Health: true, Places: true, Roles: true}
 }
 
--- a/internal/peers/verdicts/collect.go
+++ b/internal/peers/verdicts/collect.go
@@ -182,7 +182,10 @@
 				have = append(have, x)
 			}
 		}
-		k := min(2, v.set.observers())
+		k := max(1, v.set.Vouch)
+		if v.set.Broken == OneEnough {
+			k = 1
+		}
 		if len(have) < k {
 			return 0, 0
 		}
