--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -75,10 +75,11 @@
 	Chaos   Chaos // faults that are drawn from the seed
 
 	// The network and what connections cost, in virtual time.
-	Way       world.Range // one way, between any two machines
-	Handshake world.Range // of a new connection to a server, beside the way there and back
-	ProbeCost float64     // ms of a server's core for each probe
-	Forgets   float64     // what lies between forgets a connection that rested for so long, without a word; 0 for never
+	Way        world.Range // one way, between any two machines
+	Handshake  world.Range // of a new connection to a server, beside the way there and back
+	ProbeCost  float64     // ms of a server's core for each probe
+	ProbePrice float64     // poolers are told that a probe costs this part of a request's worth
+	Forgets    float64     // what lies between forgets a connection that rested for so long, without a word; 0 for never
 
 	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
 
@@ -134,7 +135,10 @@
 	return fmt.Sprintf("%s %d", t.Kind, t.Group)
 }
 
-const defaultIdle = 30000
+const (
+	defaultIdle       = 30000
+	defaultProbePrice = 0.018
+)
 
 var defaultWay, defaultHandshake = world.Range{0.05, 0.3}, world.Range{0.5, 2}
 
@@ -165,7 +169,7 @@
 	if len(args) == 0 || args[0].Kind != sexp.String || args[0].Text == "" {
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
-	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
+	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, ProbePrice: defaultProbePrice, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
 	s.Clients.Rate, s.Clients.Seconds = 100, 20
 	if err := s.form().Read(args[1:], "at", "class", "tenant"); err != nil {
 		return nil, err
@@ -216,6 +220,7 @@
 		"way":          both(&s.Way),
 		"handshake":    both(&s.Handshake),
 		"probe-cost":   span(&s.ProbeCost),
+		"probe-price":  float(&s.ProbePrice, 0, 1),
 		"clickhouse":   s.clickhouse,
 		"consul":       whole(&s.Agents, 1, 9),
 		"forgets":      span(&s.Forgets),
--- a/internal/kit/scenario/settings.go
+++ b/internal/kit/scenario/settings.go
@@ -70,7 +70,7 @@
 				"tokens": "brought", "when_behind": "none"},
 			"invariants": map[string]any{"cold_from": s.Fleet.ColdBy, "cold_ns": ns(s.Fleet.ColdMs), "drain_grace_ns": ns(s.Fleet.GraceMs),
 				"fall_multiple": s.Fleet.Falls, "tip_after_ns": ns(s.Fleet.FallsMs)},
-			"prices": map[string]any{"probe": 0.018, "cross_zone": s.CrossPrice}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
+			"prices": map[string]any{"probe": s.ProbePrice, "cross_zone": s.CrossPrice}, "telemetry": map[string]any{"source": "probe", "fields": []string{"x0", "x1"}},
 			"request_classes": classes,
 		},
 	}
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -58,6 +58,7 @@
 	number("idle", s.IdleMs, defaultIdle, "ms")
 	number("descriptors", float64(s.Sockets), 0, "")
 	number("probe-cost", s.ProbeCost, 0, "ms")
+	number("probe-price", s.ProbePrice, defaultProbePrice, "")
 	if f.Tail {
 		b.WriteString("\n  (tail yes)")
 	}
