Leave a primary that has too much to what only it can take

Ruled out: cold or lost primaries, crowding by own attempts (14 of 4,730), positions.

At fault: urgency (queue.go), by which letsIn sheds.

Change: what only the primary can take counts once for each member.

--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -70,10 +70,7 @@
 
 // room tells whether a store can take one more; what finds none waits here, for whichever frees first.
 func (r *Router) room(s *store, q *request) bool {
-	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs {
-		return false
-	}
-	if !r.letsIn(s, q) {
+	if r.now < s.fullUntil || s.health == onTrial && len(s.open)-s.lost >= trialJobs || !r.letsIn(s, q) {
 		return false
 	}
 	_, n := r.load(s)
@@ -101,10 +98,14 @@
 
 // urgency orders held requests: worth for each unit of work, less once only late worth is left.
 func (r *Router) urgency(q *request) float64 {
+	u := q.value / q.work()
+	if q.primaryOnly() { // what any member can take leaves the primary to this
+		u *= float64(len(q.group.members))
+	}
 	if r.now > q.aim {
-		return q.value * q.class.LateWorth / q.work()
+		u *= q.class.LateWorth
 	}
-	return q.value / q.work()
+	return u
 }
 
 // pump sends what can be sent of a group's held requests, dearest first, and gives up what has no use.
