--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -69,6 +69,8 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Pages     *PageCounts        `json:"pages,omitempty"`
+	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -82,6 +84,9 @@
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
 	fleet    *fleetOf // the poolers as peers, nil where they are none
+	paging   *paging  // reports that are read in pages, nil for none
+	funds    *funds   // that tenants pay ahead, nil for none
+	ways     *ways    // from poolers to servers, and to the list
 	agents   *agents  // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
@@ -143,12 +148,19 @@
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
+	e.ways = newWays(s.Poolers, len(e.world.Servers))
 	if s.Agents > 0 {
 		e.agents = e.newAgents()
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
 	}
+	if s.Credit != nil {
+		e.funds = e.newFunds()
+	}
+	if s.Pages != nil {
+		e.paging = e.newPaging()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -204,6 +216,13 @@
 		}
 		e.fleet.check.Verdict(r.Verdict)
 	}
+	if e.paging != nil {
+		e.paging.check.Verdict(e.s.now, r.Verdict)
+		r.Pages = &e.paging.Counts
+	}
+	if e.funds != nil {
+		r.Funds = e.funds.result(r.Verdict)
+	}
 	return r
 }
 
@@ -355,6 +374,8 @@
 		later(func() { e.world.Swap(false) })
 	case "limit":
 		e.change(f)
+	case "pay":
+		e.funds.pay(f)
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
@@ -371,12 +392,13 @@
 		if e.fleet != nil {
 			e.fleet.check.Stood(e.s.now, p.no, p.still)
 		}
-	case "cut":
-		p := e.poolers[f.Pooler]
-		for _, s := range f.Target.Of(e.world) {
-			p.sever(s, true)
-			later(func() { p.sever(s, false) })
-		}
+	case "cut", "thin":
+		servers := f.Target.Of(e.world)
+		e.ways.strike(f, servers, true)
+		later(func() { e.ways.strike(f, servers, false) })
+	case "list-held":
+		e.ways.holdAll(f.Poolers, true)
+		later(func() { e.ways.holdAll(f.Poolers, false) })
 	default:
 		begin, end := f.Acts()
 		for _, s := range f.Target.Of(e.world) {
@@ -416,7 +438,7 @@
 		if p.life != life {
 			return
 		}
-		if len(p.visits) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
+		if len(p.visits)+e.paging.made(p) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
 			e.s.After(restartLook, world.Func(look), 0)
 			return
 		}
@@ -430,15 +452,6 @@
 	look()
 }
 
-// sever cuts the way from a pooler to a server, or mends it.
-func (p *pooler) sever(s *world.Server, on bool) {
-	if p.up {
-		if st := p.store(s.Name); st != nil {
-			st.cut = on
-		}
-	}
-}
-
 // Begin and End take the decision module's time.
 type meter struct {
 	e    *Emulation
