--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/backend"
 	"beechgrade/internal/clickhouse"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/commits"
 	"beechgrade/internal/config"
 	"beechgrade/internal/control"
 	"beechgrade/internal/core"
@@ -26,6 +27,7 @@
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
 	"beechgrade/internal/peers/overload/joined"
+	judged "beechgrade/internal/peers/verdicts/joined"
 	"beechgrade/internal/pooling"
 	"beechgrade/internal/record"
 	"beechgrade/internal/record/recordpb"
@@ -76,12 +78,14 @@
 	expect int            // poolers that there are to be
 	limits *fleetLimits   // nil where none hold for the whole fleet
 	over   *joined.Joined // nil where overload is handled alone
+	judged *judged.Joined // nil where each learns of servers alone
 
 	journal *journal.Journal // nil where it is off
 
-	kept       *kept.Keeper // the last good configuration and list, nil where they are not kept
-	keptConfig func()       // says that the configuration is still good, nil where it came from there
-	keptAt     float64      // the list was kept last, or will be
+	commits    *commits.Keeper // of sessions, nil where they are not kept
+	kept       *kept.Keeper    // the last good configuration and list, nil where they are not kept
+	keptConfig func()          // says that the configuration is still good, nil where it came from there
+	keptAt     float64         // the list was kept last, or will be
 	keeping    bool
 
 	agreed *commonLog // nil where it is off
@@ -189,6 +193,9 @@
 	p.core.Start(servers, directory)
 	p.push()
 	p.recall()
+	if p.commits != nil {
+		p.core.Recall(p.commits.Memory())
+	}
 	p.keep()
 	p.front.Start()
 	p.open()
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -10,14 +10,14 @@
 const partsEach = 8
 
 // prober is the first prober of a server.
-func (e *Emulation) prober(server string) *pooler {
+func (e *Emulation) prober(server string) int {
 	ids := make([]view.ID, len(e.poolers))
 	for i, p := range e.poolers {
 		if p.up && p.peer != nil {
 			ids[i] = p.peer.view.Self().ID
 		}
 	}
-	return e.poolers[e.script.Prober(server, ids)]
+	return e.script.Prober(server, ids)
 }
 
 // Overloaded has poolers handle overload as one.
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
+	judged "beechgrade/internal/peers/verdicts/joined"
 	"beechgrade/internal/peers/view"
 )
 
@@ -44,6 +45,8 @@
 	Settled  []float64 `json:"settled_ms,omitempty"`
 	Accused  int       `json:"accused_wrongly"`
 	Wrong    int       `json:"failed_wrongly"`
+	Told     float64   `json:"parts_datagrams_a_second_of_a_pooler,omitempty"`
+	ToldSize float64   `json:"parts_bytes_a_second_of_a_pooler,omitempty"`
 }
 
 // Bounds are those of a scenario's views, by the formulas of the view's page; f is how many may be called failed at once.
@@ -103,6 +106,7 @@
 	limits *lender // nil where none hold for the whole fleet
 	parts  []part.Part
 	over   *joined.Joined // nil where each pooler handles overload alone
+	judged *judged.Joined // nil where each learns alone
 }
 
 // join begins a process's view.
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -53,7 +53,6 @@
 	waiting []*attempt
 	busy    map[*attempt]bool // attempts that are out
 	life    uint32            // grows as the server's end breaks its connections
-	cut     bool              // nothing gets there from this pooler
 }
 
 // attempt is a request's attempt, or a probe where query is nil. It is the model's job while it is at the server.
@@ -76,6 +75,8 @@
 	asOf  float64 // a server tells its lag as of then
 	reply world.Reply
 	role  decide.Role
+	held  bool    // it has a connection, and waits until all of its page have one
+	rows  *rowsOf // of a page's shard, nil where it is none
 	backend.Terms
 }
 
@@ -92,6 +93,7 @@
 	atDown                // a connection could not come up
 	atProbed              // a probe's report arrives
 	atNoServer            // it was begun at a server that nobody knows
+	atRows                // the next rows of a page's shard arrive
 )
 
 func (e *Emulation) newPooler(no int) *pooler {
@@ -176,6 +178,9 @@
 		e.check.Gone(e.s.now, v.id, "its pooler ended")
 	}
 	clear(p.visits)
+	if e.paging != nil {
+		e.paging.killed(p)
+	}
 	e.check.Forgot(p.no)
 }
 
@@ -376,7 +381,7 @@
 	d := &dial{st: st, life: st.p.life, slife: st.life}
 	s, there := st.s, e.way()
 	switch {
-	case st.cut || s.Hung:
+	case p.cut(s) || s.Hung:
 		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
 	case !s.Up:
 		e.s.After(there+e.way(), d, atDown)
@@ -467,6 +472,9 @@
 // send puts an attempt on a connection.
 func (a *attempt) send() {
 	e, st := a.p.e, a.st
+	if a.v != nil && a.v.shard != nil && a.v.shard.holds(a) {
+		return
+	}
 	a.sent, a.slife, a.at = true, st.life, e.s.now
 	st.busy[a] = true
 	if a.v != nil {
@@ -478,7 +486,7 @@
 		a.p.core.AttemptWritten(a.tag)
 	}
 	switch forgets := e.script.Forgets; {
-	case st.cut:
+	case a.p.cut(st.s) || a.p.loses(st.s):
 	case forgets > 0 && a.rest >= forgets: // what lies between knows nothing of this connection any more
 		e.s.After(e.wayTo(a.p, st.s), a, atReset)
 	default:
@@ -537,7 +545,12 @@
 	if r.Verdict == world.Fallen {
 		return // its connection breaks
 	}
-	a.reply = r
+	if a.reply = r; a.p.cut(a.st.s) {
+		return
+	}
+	if a.v != nil && a.v.shard != nil {
+		a.v.shard.read(a, r)
+	}
 	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
 }
 
@@ -564,6 +577,11 @@
 		if a.p.e.script.Clients.House {
 			a.house(&o)
 		}
+		if a.rows != nil {
+			a.rows.o = o
+			a.v.shard.come(a)
+			return
+		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
 		if o.Role == decide.RoleReplica {
@@ -579,8 +597,10 @@
 		st.add(-1)
 		a.end(backend.Outcome{Result: decide.Reset})
 		st.refill()
+	case atRows:
+		a.v.shard.come(a)
 	case atConnect:
-		if !a.sent {
+		if !a.sent && !a.held {
 			r := decide.Unreachable
 			if st.dialing == 0 {
 				r = decide.Skipped
@@ -612,6 +632,9 @@
 		if a.v != nil && r != decide.Unreachable && r != decide.Full {
 			r = decide.Skipped
 		}
+		if a.held {
+			a.unhold()
+		}
 		st.unqueue(a)
 		a.end(backend.Outcome{Result: r})
 		return
@@ -620,7 +643,7 @@
 	if a.slife == st.life {
 		st.add(-1)
 	}
-	if !st.cut {
+	if !a.p.cut(st.s) {
 		a.p.e.s.After(a.p.e.way(), a, atCancel)
 	}
 	a.end(backend.Outcome{Result: r})
@@ -651,6 +674,9 @@
 		m.Outcome(&o)
 	}
 	p.trust(a.id, &o)
+	if x := a.v.shard; x != nil {
+		x.tried(a, &o)
+	}
 	p.core.AttemptEnded(a.tag, o)
 }
 
@@ -720,9 +746,12 @@
 	}), 0)
 }
 
-// tellList has a list arrive.
+// tellList has a list arrive, once nothing holds it.
 func (p *pooler) tellList(life uint32, l discovery.List) {
 	e := p.e
+	if e.ways.hold(p.no, func() { p.tellList(life, l) }) {
+		return
+	}
 	e.s.After(e.way(), world.Func(func() {
 		if p.life != life || !p.up {
 			return
--- a/internal/peers/overload/probes.go
+++ b/internal/peers/overload/probes.go
@@ -172,7 +172,7 @@
 
 // ProbersOf are so many probers of a server, of processes that can be reached.
 func ProbersOf(name string, n int, peers []Peer) []ID {
-	return first(xxhash.Sum64String(name), n, peers)
+	return First(xxhash.Sum64String(name), n, peers)
 }
 
 const mostServers = 4096
