Play the fleet's month-end with eight processes too

Cause: the scenario's new words had no counterpart on sockets. The rehearsal now gives each process the log in common, credit, overload, ordinary clients' front and the report; clients page it at all of them in turn, rows come and go at the stand-ins, payments are read by SIGHUP.

--- /dev/null
+++ b/cmd/beechgrade-kit/month_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/scenario"
+)
+
+// TestFleetMonthEnd: the month-end with eight processes and a relay between each two of them: overload from clients that try again, a partition,
+// a tenant whose funds run out and who pays, reports paged at all of them in turn, two killed. Servers and clients count.
+func TestFleetMonthEnd(t *testing.T) {
+	t.Parallel()
+	s, err := scenario.Load("../../example/rehearsals/month-end-fleet.sexp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: dir, Daemon: daemon, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, b := range res.Rules.Breaches {
+		if i < 4 {
+			t.Errorf("%s: at %.1f s: %s\n%+v", b.Rule, (b.At-res.FromMs)/1000, b.Text, b.Proof)
+		}
+	}
+	for _, b := range res.Score.Breaches {
+		t.Errorf("the clients saw %+v", b)
+		break
+	}
+	for _, rule := range append(check.PageRules(), check.CreditKept, check.Invariant, check.OneAnswer, check.ViewAccurate, check.NotStale, check.NotTwice) {
+		if res.Rules.Checked[rule] == 0 {
+			t.Errorf("%q was never put to the test", rule)
+		}
+	}
+	t.Logf("%d asked, of the worth %.3f; %d tries, %d refused; served for %v, up to the payment %v; %+v", res.Score.Total.Asked, res.Score.Total.Ratio, res.Score.Total.Tries, res.Score.Total.Refused, res.Served, res.UpTo, *res.Pages)
+	if res.Score.Total.Ratio < 0.4 || res.UpTo["norte"] < 9000*9/10 || res.Served["norte"] <= res.UpTo["norte"] || res.Pages.Pages < 50 || res.Pages.Reports < 3 {
+		t.Error("too little was earned, used or read")
+	}
+	logs, _ := filepath.Glob(filepath.Join(dir, "pooler-*", "log.txt"))
+	for _, name := range logs {
+		if b, _ := os.ReadFile(name); strings.Contains(string(b), "panic:") {
+			t.Errorf("%s: %s", name, b[max(0, len(b)-3000):])
+		}
+	}
+}
--- a/internal/kit/check/pages.go
+++ b/internal/kit/check/pages.go
@@ -38,7 +38,7 @@
 	from, end float64
 }
 
-// PageRead says that a server of a group worked on a shard's part of a page.
+// PageRead says that a server of a group worked on a shard's part of a page; those of a page come in the order of time.
 type PageRead struct {
 	Group    int
 	Position float64
@@ -47,7 +47,7 @@
 // report is one that is under way.
 type report struct {
 	first map[int]float64 // by group: the least position at which its first page was read
-	last  map[int]float64 // ...and the greatest at which any was
+	last  map[int]float64 // ...and the greatest at which the last read of any was
 	given []*pageRow
 	began float64
 }
@@ -102,7 +102,7 @@
 		if least, ok := r.first[x.Group]; fresh && (!ok || x.Position < least) {
 			r.first[x.Group] = x.Position
 		}
-		now[x.Group] = max(now[x.Group], x.Position)
+		now[x.Group] = x.Position // that of the last one: those before it broke
 	}
 	for g, x := range now {
 		r.last[g] = max(r.last[g], x)
--- a/internal/kit/fleet/scattered.go
+++ b/internal/kit/fleet/scattered.go
@@ -49,6 +49,7 @@
 	Server   string
 	Group    int
 	SQL      string
+	At       float64 // when it was read
 	Position float64
 	Rows     int // that went out
 	Cut      bool
@@ -65,28 +66,29 @@
 	f.scatters.tables[t.Name] = t
 }
 
-// Put writes a row at a group's primary; Initial has it be there from the beginning.
-func (f *Fleet) Put(table string, group int, row sorted.Row, initial bool) {
+// Put writes a row at a group's primary, as of a position that it returns; initial has it be there from the beginning, as of 0.
+func (f *Fleet) Put(table string, group int, row sorted.Row, initial bool) (from float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	from := 0.0
 	if !initial {
 		from = f.world.Groups[group].Write(f.clk.Now(), "scattered", nil)
 	}
 	t := f.scatters.tables[table]
 	t.rows[group] = append(t.rows[group], &kept{row: row, from: from})
+	return from
 }
 
-// Remove deletes the rows for which a function holds.
-func (f *Fleet) Remove(table string, group int, is func(sorted.Row) bool) {
+// Remove deletes the rows for which a function holds, as of a position that it returns.
+func (f *Fleet) Remove(table string, group int, is func(sorted.Row) bool) (at float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at := f.world.Groups[group].Write(f.clk.Now(), "scattered", nil)
+	at = f.world.Groups[group].Write(f.clk.Now(), "scattered", nil)
 	for _, k := range f.scatters.tables[table].rows[group] {
 		if k.end == 0 && is(k.row) {
 			k.end = at
 		}
 	}
+	return at
 }
 
 // Asked has a function say how servers do with a statement; nil for well.
@@ -146,7 +148,8 @@
 		return true, fail("42601", "%v", err)
 	}
 	f.mu.Lock()
-	at := s.Position(f.clk.Now())
+	now := f.clk.Now()
+	at := s.Position(now)
 	var there []sorted.Row
 	for _, k := range t.rows[s.Group.ID] {
 		if k.from <= at && (k.end == 0 || k.end > at) {
@@ -163,7 +166,7 @@
 	f.scatters.most = max(f.scatters.most, f.scatters.open)
 	f.mu.Unlock()
 	rows, err := q.Run(t.Columns, there, args)
-	read := Read{Server: s.Name, Group: s.Group.ID, SQL: sql, Position: at}
+	read := Read{Server: s.Name, Group: s.Group.ID, SQL: sql, At: now, Position: at}
 	defer func() {
 		f.mu.Lock()
 		x.cancel = nil
--- /dev/null
+++ b/internal/kit/rehearse/month.go
@@ -0,0 +1,153 @@
+package rehearse
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/scenario"
+)
+
+// shared are what the poolers of a scenario share beside their view: overload, the log in common, credit, and reports in pages.
+type shared struct {
+	run   *Run
+	mu    sync.Mutex
+	funds *check.Credit
+	pages *check.Pages
+	once  map[string]bool // payments that some pooler has read of
+	upTo  map[string]int64
+	Pages PageCounts
+}
+
+// PageCounts are figures of the reports, as their clients have them.
+type PageCounts struct {
+	Pages, Reports, Rows, Refused, Failed, Broken int
+}
+
+func (r *Run) newShared() *shared {
+	s := r.script
+	x := &shared{run: r, once: map[string]bool{}, upTo: map[string]int64{}}
+	if s.Credit != nil {
+		x.funds = &check.Credit{Prices: map[string]int64{}}
+		for _, p := range s.Credit.Prices {
+			x.funds.Prices[p.Class] = p.Request
+		}
+		for _, d := range s.Credit.Depths {
+			x.funds.Beyond += d.Amount
+		}
+		for _, p := range s.Credit.Pays {
+			x.funds.Pays(0, p.Tenant, p.Amount)
+		}
+	}
+	if s.Pages != nil {
+		x.pages = check.NewPages(s.Pages.Desc)
+	}
+	return x
+}
+
+// settings are what a pooler is told of all this.
+func (p *pooler) shared() (string, error) {
+	s := p.run.script
+	out, err := filepath.Abs(p.run.opt.Out)
+	if err != nil {
+		return "", err
+	}
+	price := ""
+	if s.Pages != nil {
+		price = fmt.Sprintf(" (price %q (request %d))", pagesClass, s.PriceOf(s.Pages.Class))
+	}
+	p.mu.Lock()
+	pays := append([]scenario.Fault(nil), p.pays...)
+	p.mu.Unlock()
+	text := s.Shared(filepath.Join(out, "disks", p.name), filepath.Join(out, "marks"), pays, price)
+	if s.Pages != nil {
+		text += p.pagesSettings()
+	}
+	return text, nil
+}
+
+// pay has poolers read of a payment.
+func (r *Run) pay(f scenario.Fault) error {
+	key := fmt.Sprint(f.Target.Word, f.Pooler)
+	r.shared.mu.Lock()
+	if !r.shared.once[key] {
+		r.shared.once[key] = true
+		r.shared.upTo[f.Target.Word], _ = r.shared.funds.Served(f.Target.Word, r.clk.Now())
+		r.shared.funds.Pays(r.clk.Now(), f.Target.Word, int64(f.Value))
+	}
+	r.shared.mu.Unlock()
+	for _, no := range f.Struck(r.script) {
+		p := r.poolers[no]
+		p.mu.Lock()
+		p.pays = append(p.pays, f)
+		cmd := p.cmd
+		p.mu.Unlock()
+		if err := p.settings(); err != nil {
+			return err
+		}
+		if cmd != nil {
+			_ = cmd.Process.Signal(syscall.SIGHUP)
+		}
+	}
+	return nil
+}
+
+// tried takes a client's try.
+func (x *shared) tried(t *clients.Try) {
+	if x.funds == nil {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.funds.Tried(t.Ended, t.Tenant, t.Class.Name, t.Kind == clients.Served, t.Kind == clients.Refused)
+}
+
+// verdict adds what was checked and found.
+func (x *shared) verdict(v *check.Verdict) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.funds != nil {
+		x.funds.End()
+		x.funds.Verdict(x.run.clk.Now(), v)
+	}
+	if x.pages != nil {
+		x.pages.Verdict(x.run.clk.Now(), v)
+	}
+}
+
+// Served is what a tenant's answers cost.
+func (x *shared) served() map[string]int64 {
+	if x.funds == nil {
+		return nil
+	}
+	out := map[string]int64{}
+	for i := range x.run.script.Clients.Tenants {
+		name := x.run.script.Clients.Tenants[i].Name
+		out[name], _ = x.funds.Served(name, x.run.clk.Now())
+	}
+	return out
+}
+
+// pagesClass is the class of reports that the poolers' ordinary clients are told of.
+const pagesClass = "pages"
+
+// pagesSettings have a pooler serve ordinary clients, and the report.
+func (p *pooler) pagesSettings() string {
+	x := p.run.script.Pages
+	var shards strings.Builder
+	for i := range p.run.script.Fleet.Groups {
+		fmt.Fprintf(&shards, " (\"group-%02d\" %d)", i, i) // in the groups' order
+	}
+	order := "int8"
+	if x.Desc {
+		order += " (desc)"
+	}
+	return fmt.Sprintf(`(pooling (listen %q) (class "office" (needs primary) (aim 5s) (deadline 60s)) (class %q (needs session) (aim 2s) (deadline 60s))
+  (pool (class "office") (reads %q) (connections 8)))
+(scatter (read "visits" (class %q) (shards%s) (order ("place" %s)) (own ("id" int8)) (whole) (wait %gms)))
+`, p.pooled, pagesClass, pagesClass, pagesClass, shards.String(), order, x.Wait)
+}
--- /dev/null
+++ b/internal/kit/rehearse/month_pages.go
@@ -0,0 +1,191 @@
+package rehearse
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/standin/sorted"
+)
+
+const (
+	pageLateMs  = 3000 // by which a page's end may be late on a busy machine
+	pageDialMs  = 2000
+	cursorState = "22023" // a cursor that is not taken
+)
+
+// report is the reports' clients and the table.
+type report struct {
+	*shared
+	rng  *rand.Rand
+	last int64
+	live [][]int64 // ids, by group
+}
+
+// pagesTable makes the table and its first rows.
+func (x *shared) pagesTable() *report {
+	s := x.run.script
+	r := &report{shared: x, rng: rand.New(rand.NewPCG(x.run.opt.Seed, 41)), live: make([][]int64, len(s.Fleet.Groups))}
+	x.run.fleet.Scatter(&fleet.Table{Name: "visits", Columns: sorted.Table{"id", "place"}, Types: sorted.Row{int64(0), int64(0)}})
+	for g := range r.live {
+		for range s.Pages.Rows {
+			r.write(g, true)
+		}
+	}
+	return r
+}
+
+func (r *report) write(group int, initial bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last++
+	place := int64(r.rng.IntN(r.run.script.Pages.Places))
+	from := r.run.fleet.Put("visits", group, sorted.Row{r.last, place}, initial)
+	r.pages.Row(r.last, place, group, from)
+	r.live[group] = append(r.live[group], r.last)
+}
+
+// remove deletes a row that was there.
+func (r *report) remove(group int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := len(r.live[group])
+	if n == 0 {
+		return
+	}
+	k := r.rng.IntN(n)
+	id := r.live[group][k]
+	r.live[group] = slices.Delete(r.live[group], k, k+1)
+	r.pages.Gone(id, r.run.fleet.Remove("visits", group, func(row sorted.Row) bool { return row[0] == id }))
+}
+
+// play has rows come and go and reports be read until the context ends.
+func (r *report) play(ctx context.Context) (wait func()) {
+	var wg sync.WaitGroup
+	s := r.run.script.Pages
+	if s.Changes > 0 {
+		wg.Go(func() {
+			for n := 0; pause(ctx, 1000/s.Changes); n++ {
+				if g := n % len(r.live); r.run.fleet.Primary(g) == "" {
+					continue
+				} else if n/len(r.live)%2 == 0 {
+					r.write(g, false)
+				} else {
+					r.remove(g)
+				}
+			}
+		})
+	}
+	for i := range s.Readers {
+		wg.Go(func() { r.read(ctx, i) })
+	}
+	return wg.Wait
+}
+
+// read is one client that reads reports, each page at the next pooler.
+func (r *report) read(ctx context.Context, no int) {
+	s, cursor := r.run.script.Pages, ""
+	for n := no; pause(ctx, s.Think); n++ {
+		p := r.run.poolers[n%len(r.run.poolers)]
+		if p.pid() == 0 {
+			continue
+		}
+		sent := r.run.clk.Now()
+		if cursor == "" {
+			r.mu.Lock()
+			r.pages.Began(no)
+			r.mu.Unlock()
+		}
+		ids, next, err := r.page(no, p, cursor)
+		now := r.run.clk.Now()
+		if r.took(no, sent, now, ids, next, err) {
+			cursor = next
+		}
+		if err != nil {
+			pause(ctx, 4*s.Think)
+		}
+	}
+}
+
+// took tells the checker of a page's end, and whether it was served.
+func (r *report) took(no int, sent, now float64, ids []int64, next string, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.run.script.Pages
+	var pe *pgconn.PgError
+	switch {
+	case err == nil:
+		r.Pages.Pages, r.Pages.Rows = r.Pages.Pages+1, r.Pages.Rows+len(ids)
+		if next == "" {
+			r.Pages.Reports++
+		}
+		r.pages.Came(now, sent+s.Wait+pageLateMs, no)
+		r.pages.Page(now, no, ids, r.reads(no, sent, now), next == "")
+		if r.funds != nil {
+			for range r.live {
+				r.funds.Tried(now, s.Tenant, s.Class, true, false)
+			}
+		}
+		return true
+	case errors.As(err, &pe) && pe.Code == cursorState: // the fleet's own cursor: it is taken anywhere
+		r.pages.Came(now, 0, no)
+		r.Pages.Failed++
+	case errors.As(err, &pe) && strings.HasPrefix(pe.Code, "53"):
+		r.Pages.Refused++
+	case pe != nil:
+		r.run.opt.Log.Info("a page failed", "err", err)
+		r.Pages.Failed++
+	default:
+		r.Pages.Broken++
+	}
+	return false
+}
+
+// reads are what servers did for a page, in its time.
+func (r *report) reads(no int, sent, now float64) (out []check.PageRead) {
+	all, _, _, _ := r.run.fleet.Reads()
+	all = slices.DeleteFunc(all, func(x fleet.Read) bool { return x.At < sent || x.At > now || !strings.Contains(x.SQL, tagOf(no)) })
+	slices.SortStableFunc(all, func(a, b fleet.Read) int { return cmp.Compare(a.At, b.At) })
+	for _, x := range all {
+		out = append(out, check.PageRead{Group: x.Group, Position: x.Position})
+	}
+	return out
+}
+
+func tagOf(no int) string { return fmt.Sprintf("'reader %d'", no) }
+
+// page asks a pooler for a page.
+func (r *report) page(no int, p *pooler, cursor string) (ids []int64, next string, err error) {
+	s := r.run.script.Pages
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration((s.Wait+pageLateMs)*float64(time.Millisecond)))
+	defer cancel()
+	c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://office@%s/obra?sslmode=disable&connect_timeout=%d", p.pooled, pageDialMs/1000))
+	if err != nil {
+		return nil, cursor, err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	tenant := ""
+	if s.Tenant != "" {
+		tenant = ",t=" + s.Tenant
+	}
+	res, err := c.Exec(ctx, fmt.Sprintf("SELECT id, place FROM visits WHERE %s <> '' /*after*/ /*order*/ /* scatter=visits,page=%d,d=%.0f%s,cursor=%s */", tagOf(no), s.Page, s.Wait, tenant, cursor)).ReadAll()
+	if err != nil {
+		return nil, cursor, err
+	}
+	for _, x := range res[0].Rows {
+		var id int64
+		_, _ = fmt.Sscan(string(x[0]), &id)
+		ids = append(ids, id)
+	}
+	return ids, c.ParameterStatus("scatter_cursor"), nil
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -63,6 +63,10 @@
 	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Stood     []Stood        `json:"stood_still,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
+
+	Pages  *PageCounts      `json:"pages,omitempty"`
+	Served map[string]int64 `json:"served_for,omitempty"`   // by tenant, of what it paid...
+	UpTo   map[string]int64 `json:"served_up_to,omitempty"` // ...and up to its last payment in the midst
 }
 
 // Stood is when a pooler's process stood still: what came meanwhile it takes for newly come.
@@ -100,6 +104,9 @@
 	addr string
 	near string // where its ClickHouse front listens
 
+	pooled string           // where it serves ordinary clients
+	pays   []scenario.Fault // payments that it has read of since the start
+
 	record string              // its records' folder
 	limits operate.FleetLimits // of the whole fleet, as its settings have them
 	more   *string             // in place of Options.Operators
@@ -122,13 +129,20 @@
 	operators string         // more of the operators' settings
 	agents    []*agent.Agent // of Consul
 	wires     *wires
+	shared    *shared
 	peers     *fleetOf // nil where the poolers are no peers
 	sockets   int      // that a pooler may hold, where that is more than usual
 }
 
 // Play runs a rehearsal from its start to its end.
 func Play(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
-	s, err := s.Drawn(opt.Seed)
+	s, err := s.Smaller()
+	if err != nil {
+		return nil, err
+	}
+	if s, err = s.Drawn(opt.Seed); err != nil {
+		return nil, err
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +161,7 @@
 	r := &Run{script: s, opt: opt, clk: clock.System()}
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
-	r.wires = newWires(s)
+	r.wires, r.shared = newWires(s), r.newShared()
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	defer r.fleet.Close()
@@ -202,6 +216,10 @@
 		}
 		addrs = append(addrs, p.addr)
 	}
+	var table *report
+	if r.script.Pages != nil {
+		table = r.shared.pagesTable()
+	}
 	cfg := r.script.Clients
 	cfg.Seed = r.opt.Seed
 	plan := clients.Plan(cfg)
@@ -235,6 +253,10 @@
 	if r.peers != nil {
 		looked = r.peers.begin(ctx)
 	}
+	reported := func() {}
+	if r.script.Pages != nil {
+		reported = table.play(faulty)
+	}
 	clients.NewPlayer(cfg, r.clk, addrs, log).Play(ctx, plan, func(asked int) {
 		if r.opt.Progress != nil {
 			r.opt.Progress(asked, len(plan))
@@ -242,6 +264,7 @@
 	})
 	stop()
 	wg.Wait()
+	reported()
 	if r.peers != nil && ctx.Err() == nil {
 		r.peers.settle(ctx, settleMost)
 	}
@@ -270,6 +293,10 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	if r.shared.verdict(res.Rules); r.script.Pages != nil {
+		res.Pages = &r.shared.Pages
+	}
+	res.Served, res.UpTo = r.shared.served(), r.shared.upTo
 	if err := r.invariants(res.Rules); err != nil {
 		return nil, err
 	}
@@ -315,6 +342,7 @@
 // Tried is clients.Sink's.
 func (l *log) Tried(t *clients.Try) {
 	l.run.wires.tried(t)
+	l.run.shared.tried(t)
 	if t.Stood = l.run.wires.excused(t); t.Stood && t.Kind == clients.Silent {
 		t.Kind = clients.Broken
 	}
@@ -378,6 +406,8 @@
 		return nil
 	case "limit":
 		return r.changeLimit(f)
+	case "pay":
+		return r.pay(f)
 	case "stall-pooler":
 		r.poolers[f.Target.Group].stand(ctx, f.For)
 		return nil
@@ -467,6 +497,11 @@
 			return err
 		}
 	}
+	if p.run.script.Pages != nil {
+		if p.pooled, err = freePort(); err != nil {
+			return err
+		}
+	}
 	p.record = records
 	if p.run.script.Limits != nil {
 		p.limits = *p.run.script.Limits
@@ -503,7 +538,11 @@
 	if p.more != nil {
 		more = *p.more
 	}
-	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(more, "$POOLER", p.name)
+	shared, err := p.shared()
+	if err != nil {
+		return err
+	}
+	operators := withInvariants + shared + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(more, "$POOLER", p.name)
 	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
 }
 
