Refuse what waits for funds by its client's own time

Cause: a request waited for its tenant's funds as long as the settings say, whatever its own time; one whose client waits less, or whose pooler stood still, was refused up to 250 ms late or not at all. It is refused 5 ms before its time now.

--- a/internal/core/credit.go
+++ b/internal/core/credit.go
@@ -35,6 +35,7 @@
 	r.paid.tenant, r.paid.waits, r.paid.since = q.Tenant, e, c.loop.Now() // one that waits may be told of before Hold returns
 	h, v := c.credit.Hold(q.Tenant, q.Class, q.Session, tagOf(ref))
 	if v == purse.Wait {
+		c.loop.At(max(r.paid.since, q.Due-dueMs), func() { c.overdue(ref) })
 		return false
 	}
 	r.paid.waits, r.paid.hold = nil, h
@@ -44,6 +45,17 @@
 	return v == purse.Pass
 }
 
+const dueMs = 5 // before its time a request that waits for funds is refused, so that its client hears of it
+
+// overdue refuses a request that has waited for funds for as long as its client does.
+func (c *Core) overdue(ref slots.Ref) {
+	if r, ok := c.requests.Get(ref); ok && r.paid.waits != nil {
+		r.paid.waits = nil
+		c.credit.Cancel(r.paid.tenant, tagOf(ref))
+		c.unfunded(ref, r, false)
+	}
+}
+
 // unfunded refuses a request for its tenant's funds.
 func (c *Core) unfunded(ref slots.Ref, r *request, slowed bool) {
 	c.ends(r, figures.Dropped)
--- a/internal/core/credit_test.go
+++ b/internal/core/credit_test.go
@@ -9,6 +9,7 @@
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/config"
+	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
 	"beechgrade/internal/invariant"
@@ -169,3 +170,37 @@
 func (l leaver) Served([]byte)       {}
 func (l leaver) Refused(float64)     {}
 func (l leaver) Failed()             {}
+
+// hung is a loop that keeps what is hung up, and from when on.
+type hung struct {
+	still
+	at float64
+	do func()
+}
+
+func (h *hung) At(ms float64, do func()) *deadline.Timer {
+	h.at, h.do = ms, do
+	return nil
+}
+
+// TestCreditDue: what waits for funds is refused by its client's own time, and one whose time is past already at once.
+func TestCreditDue(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}}}
+	loop, p, a := &hung{}, &payer{say: purse.Wait}, &asker{}
+	c := New(loop, slog.New(slog.DiscardHandler), cfg)
+	c.Start(&counting{}, still{})
+	c.Credit(p)
+	for i, x := range []struct{ due, at float64 }{{1e6 + 80, 1e6 + 80 - dueMs}, {1e6 - 300, 1e6}} {
+		if _, err := c.Ask(front.Request{ID: "1", Class: "read", Due: x.due, Query: still{}}, a); err != nil {
+			t.Fatal(err)
+		}
+		if loop.at != x.at || loop.do == nil {
+			t.Errorf("due %.0f: it ends at %.0f, want %.0f", x.due, loop.at, x.at)
+			continue
+		}
+		if loop.do(); len(a.heard) != i+1 || len(p.told) != i+1 || c.Open() != 0 {
+			t.Errorf("heard %v, the purse %v, %d open", a.heard, p.told, c.Open())
+		}
+	}
+}
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -1,19 +1,18 @@
 package emulate
 
 import (
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 )
 
-// partsEach is how many ticks there are for one walk over the state of what handles overload.
-const partsEach = 8
-
 // Overloaded has poolers handle overload as one.
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
 		c := h.x.p.core
-		j := joined.New(opt, c, h)
-		j.Check(h.x.p.e.checks, partsEach)
+		j := joined.New(opt, probed{c, h.x.p}, h)
 		if opt.Shed {
 			c.Weigh(j)
 		}
@@ -24,3 +23,17 @@
 		return []part.Part{j}
 	}
 }
+
+// probed has the checker hear what other poolers' probes told a pooler of servers' roles, as it does of its own.
+type probed struct {
+	*core.Core
+	p *pooler
+}
+
+// ProbeTold is joined's core's.
+func (c probed) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	if s := c.p.e.world.Server(store); s != nil && said.Role != decide.RoleUnknown {
+		c.p.e.check.Word(c.p.e.s.now, said.Position, c.p.no, s.No, said.Role == decide.RolePrimary)
+	}
+	c.Core.ProbeTold(store, result, said, ageMs)
+}
