--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -91,6 +91,9 @@
 	if e.funds != nil {
 		all = append(all, e.funds.Join)
 	}
+	if v := e.script.Verdicts; v != nil {
+		all = append(all, Judged(v.Options))
+	}
 	return append(all, e.opt.Parts...)
 }
 
--- a/internal/kit/rehearse/month.go
+++ b/internal/kit/rehearse/month.go
@@ -72,7 +72,7 @@
 
 // pay has poolers read of a payment.
 func (r *Run) pay(f scenario.Fault) error {
-	key := fmt.Sprint(f.Target.Word, f.Pooler)
+	key := fmt.Sprint(f.Target.Word, f.Number)
 	r.shared.mu.Lock()
 	if !r.shared.once[key] {
 		r.shared.once[key] = true
--- a/internal/kit/scenario/credit.go
+++ b/internal/kit/scenario/credit.go
@@ -68,7 +68,7 @@
 	if f.Value, err = a[2].Number(1, 1e15); err != nil {
 		return err
 	}
-	f.Target.Kind, f.Target.Word, f.Pooler = "pay", a[0].Text, int(no)
+	f.Target.Kind, f.Target.Word, f.Number = "pay", a[0].Text, int(no)
 	for _, x := range a[3:] {
 		no, err := x.Number(0, maxPoolers-1)
 		if err != nil {
@@ -152,7 +152,7 @@
 			b.WriteString(" " + textOf(a))
 		}
 		for _, p := range pays {
-			fmt.Fprintf(&b, " (payment %s %d %.0f)", quote(p.Target.Word), p.Pooler, p.Value)
+			fmt.Fprintf(&b, " (payment %s %d %.0f)", quote(p.Target.Word), p.Number, p.Value)
 		}
 		b.WriteString(more + ")\n")
 	}
--- a/internal/kit/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 		`(rehearsal "x" (groups 2 3) (at 1s (die replica 1) (for 2s)) (at 2s (crowd everyone 0.5)) (at 1s (load 2) (for 3s)))`: "",
 		``:                                  `s:1:1: one (rehearsal "NAME" ...) is due`,
 		`(rehearsal x)`:                     `s:1:1: a rehearsal's name in double quotes is due first`,
-		`(rehearsal "x" (at 1s (dye)))`:     `s:1:23: there is no fault "dye"; there are: [agent between crowd cut deaf deregister-all die disk drain fail-check hang kill-pooler lag limit links list-gone list-late list-silent load lose mute pay reissue restart-pooler stall-pooler wrong-roles]`,
+		`(rehearsal "x" (at 1s (dye)))`:     `s:1:23: there is no fault "dye"; there are: [agent between crowd cut deaf deregister-all die disk drain fail-check hang kill-pooler lag limit links list-gone list-held list-late list-silent load lose mute pay reissue restart restart-pooler stall-pooler thin wrong-roles]`,
 		`(rehearsal "x" (at 1s (die)))`:     `s:1:23: whom? (die primary GROUP), replica GROUP, member GROUP N, primaries, half-primaries or everyone`,
 		`(rehearsal "x" (at 1s (die all)))`: `s:1:28: "all" is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, half-primaries, everyone`,
 		`(rehearsal "x" (at 1s (lag replica 0)))`:                                             `s:1:23: (lag replica ...) takes 2 figures, here are 1`,
@@ -38,6 +38,13 @@
 		`(rehearsal "x" (class "quadro-obra" (keyed 1s)))`:                                    `s:1:37: only writes have keys, and "quadro-obra" is none`,
 		`(rehearsal "x" (groups 300))`:                                                        `s:1:24: 300 is out of range; it may be from 1 to 20`,
 		`(rehearsal "x" (at 1s (list-late 1s) (until 3s)))`:                                   `s:1:38: (for TIME) is due here`,
+		`(rehearsal "x" (sites "a" "b") (poolers 4) (at 1s (cut b member 0 1)) (at 1s (thin (1 3) everyone 0.4)) (at 2s (list-held all) (for 1s)))`: "",
+		`(rehearsal "x" (at 1s (cut 0)))`:                  `s:1:23: (cut WHOM primary GROUP), or another target; WHOM is all, a pooler's number, (NUMBER...) or a site`,
+		`(rehearsal "x" (at 1s (cut c primary 0)))`:        `s:1:28: a number is due here`,
+		`(rehearsal "x" (at 1s (cut 3 primary 0)))`:        `s:1:28: 3 is out of range; it may be from 0 to 0`,
+		`(rehearsal "x" (at 1s (thin 0 primary 0 2)))`:     `s:1:41: 2 is out of range; it may be from 0 to 1`,
+		`(rehearsal "x" (at 1s (list-held)))`:              `s:1:23: (list-held WHOM), where WHOM is all, a pooler's number, (NUMBER...) or a site`,
+		`(rehearsal "x" (consul 1) (at 1s (list-held 0)))`: `s:1:27: (list-held ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)`,
 	} {
 		_, err := Parse("s", []byte(in))
 		got := ""
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -17,9 +17,11 @@
 	Membership Membership
 	ClickHouse ClickHouse
 	Journal    Journal
+	Kept       Kept
 	Peers      Peers
 	Limits     FleetLimits
 	Overload   Overload
+	Verdicts   Verdicts
 	Invariants Invariants
 	Scatter    Scatter
 	Agreed     Agreed
@@ -75,15 +77,20 @@
 		"invariants":   s.Invariants.read,
 		"fleet-limits": s.Limits.read,
 		"overload":     s.Overload.read,
+		"verdicts":     s.Verdicts.read,
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
+		"kept":         func(n *sexp.Node) error { return s.Kept.read(n, env) },
 		"journal":      func(n *sexp.Node) error { return s.Journal.read(n, env) },
 		"membership":   func(n *sexp.Node) error { return s.Membership.read(n, env) },
 	}.Read(nodes)
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "fleet-limits" || n.Head() == "overload" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(%s ...) needs (peers ...)", nodes[i].Head())
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "verdicts" }); err == nil && i >= 0 && !s.Peers.On {
+		err = nodes[i].Errorf("(verdicts ...) needs (peers ...)")
+	}
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "agreed" }); err == nil && i >= 0 && !s.Peers.On {
 		err = nodes[i].Errorf("(agreed ...) needs (peers ...)")
 	}
