Tell the router of an attempt whose request went while actions were carried out

Cause: a client that hears of one request may give up another at that moment, as a scattered read does with its other shards. If the router's next action was to send that one, the core no longer knew it and said nothing: the router counted an attempt as out at that server for ever, and its load with it. Such a request is released behind the actions now, so the send is told as skipped.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,7 @@
 	events   []event
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
+	left     []slots.Ref // requests that were given up while actions are carried out
 	actions  []decide.Action
 
 	rec    *record.Recorder // nil where nothing is recorded
@@ -419,7 +420,11 @@
 	}
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
-	c.release(ref, q)
+	if c.running { // a client that hears of one request gives up another: what the router has decided for that one may be yet to be carried out
+		c.left = append(c.left, ref)
+	} else {
+		c.release(ref, q)
+	}
 	if q.paid.waits != nil { // the module has not heard of it
 		q.paid.waits = nil
 		c.credit.Cancel(q.paid.tenant, tagOf(ref))
@@ -559,7 +564,12 @@
 	}
 	clear(c.events)
 	c.events = c.events[:0]
-	c.running = false
+	for _, ref := range c.left {
+		if q, ok := c.requests.Get(ref); ok {
+			c.release(ref, q)
+		}
+	}
+	c.left, c.running = c.left[:0], false
 	if c.checks.On() && c.midst == 0 {
 		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
 	}
--- a/internal/core/credit_test.go
+++ b/internal/core/credit_test.go
@@ -204,3 +204,29 @@
 		}
 	}
 }
+
+// TestGoneAmongActions: a request that is given up while the router's actions are carried out, and that one of them is to send, is told to the
+// router as skipped: else it would count an attempt as out for ever.
+func TestGoneAmongActions(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}}}
+	c := New(still{}, slog.New(slog.DiscardHandler), cfg)
+	c.Start(&counting{}, still{})
+	ref := c.requests.Put(&request{id: "1", client: still{}, due: 1e6 + 9000, count: c.counted[0]})
+	c.figures.Open++
+	c.running = true
+	c.Gone(ref)
+	c.carryOut(&decide.Action{Kind: decide.Send, ID: requestID(ref), Store: "s"})
+	skipped := false
+	for _, e := range c.events {
+		o, ok := e.e.(*decide.Outcome)
+		skipped = skipped || ok && o.Result == decide.Skipped && o.Final && o.ID == requestID(ref)
+	}
+	if !skipped {
+		t.Error("the router does not hear that it was not sent")
+	}
+	c.events, c.running = nil, false
+	if c.tell(&decide.Timer{}); c.Open() != 0 {
+		t.Errorf("%d requests are kept", c.Open())
+	}
+}
