--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,10 +101,12 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+	commits Commits // nil where sessions' commits are not kept
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 	fleet  fleet
+	seen   sight
 
 	credit Credit // nil where nobody pays ahead
 
@@ -176,7 +178,10 @@
 	rec    recorded
 	count  *figures.Class
 	load   load
-	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	class  int
+	flow   *flow  // its answer that is passed on as it comes, nil where it is not
+	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
+	wrote  string // the session whose commit is kept, where it is a write of one
 	paid   paid
 }
 
@@ -283,7 +288,13 @@
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
+	if q.wrote != "" && !final { // what comes as it is cannot wait
+		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
+	}
 	c.recordAttempt(q, t.No, store, &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
 	}
@@ -382,7 +393,10 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class], class: class}
+	if q.Named && set.Read == decide.Write && c.keeps() {
+		r.wrote = q.Session
+	}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -415,6 +429,10 @@
 		stop()
 		return
 	}
+	if ok && q.held != nil {
+		c.unhold(ref, q, figures.Gone)
+		return
+	}
 	if !ok || q.over {
 		return
 	}
@@ -464,7 +482,12 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
-	if o.Result == decide.OK && !q.over {
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
+	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
+		q.over = true
+	} else if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
@@ -480,6 +503,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
+	if c.looked(store, &o) {
+		return
+	}
 	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
 		c.ProbeTold(store, o.Result, o.Said, 0)
 	}
@@ -526,6 +552,9 @@
 	c.recordList(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
+	if c.seen.witness != nil {
+		c.seen.witness.Listed(l, kind != decide.ListChanges)
+	}
 	for i := range e.Entries { // what is in use there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
 		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
@@ -598,7 +627,9 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+		if c.seen.looks[id] { // that one's answer is not this one's
+			c.seen.later[id] = true
+		} else if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
 			c.Probe(id)
 		}
 	case decide.SetTimer:
@@ -627,7 +658,7 @@
 
 // release frees the slot of a request of which nothing is left.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 && q.flow == nil {
+	if q.over && q.open == 0 && q.flow == nil && q.held == nil {
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
@@ -657,6 +688,9 @@
 	if a.By < never {
 		on.By = clock.Millis(a.By)
 	}
+	if c.seen.witness != nil {
+		c.seen.witness.Sent(string(a.Store), backend.Tag{Request: ref, No: no}, q.class)
+	}
 	at := c.servers.Start(string(a.Store), q.query, until, on, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -111,7 +111,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -146,6 +146,7 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.check.Share = s.Verdicts != nil || s.Overload != nil && s.Overload.Share
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
 	e.ways = newWays(s.Poolers, len(e.world.Servers))
@@ -343,6 +344,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
