Hold the judgement on servers to stories, any order of evidence, and invariants

Hard cases as stories of a small fleet in a time of its own; the same evidence in any order and any number of times ends in the same judgement (this found that an overtaken word lost its position: each kind of evidence is now ordered by itself). One that stood still tells nothing of what was out; one whose words all others contradict counts for nothing for a while.

--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -26,6 +26,9 @@
 	if p.over != nil {
 		p.over.Check(c, every)
 	}
+	if p.judged != nil {
+		p.judged.Check(c, every)
+	}
 	if p.scatter != nil {
 		p.scatter.Check(p.checks)
 	}
--- a/internal/kit/emulate/verdicts.go
+++ b/internal/kit/emulate/verdicts.go
@@ -13,6 +13,7 @@
 			m.Verdicts(h.x.p.no, &opt.Set)
 		}
 		j := joined.New(opt, c, h)
+		j.Check(h.x.p.e.checks, walkEach)
 		c.Witness(j)
 		h.x.judged = j
 		return []part.Part{j}
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -90,26 +90,34 @@
 // Lonely bounds how long one that hears nobody goes by what it heard.
 func (s *Settings) Lonely() float64 { return 3*s.Refresh + s.Step }
 
-// Lies bounds how long a collector's word of a verdict counts.
+// holds is how long a collector's word of a verdict counts.
 func (s *Settings) holds() float64 { return 3 * s.Refresh }
 
 // Sizes of what is told, in bytes at most.
 const (
 	headSize  = 66 // of a datagram and its message
-	tellSize  = 48 // of one server in a Tell
-	wordSize  = 56 // of one in a Word
+	tellSize  = 45 // of one server in a Tell
+	wordSize  = 38 // of one in a Word, and if it is bad...
+	badSize   = 28 // ...with one zone; and 4 for each more
 	blockSize = 64 // servers of a block, in groups of four
 )
 
-// Talk bounds the bytes that a pooler sends a second in the mean over a fleet of n, for so many servers.
-func (s *Settings) Talk(n, servers int) float64 {
-	blocks, c := math.Ceil(float64(servers)/blockSize), float64(min(n, s.Collectors))
-	parts := func(size int) float64 {
-		return headSize*math.Ceil(float64(servers*size)/mostPacket) + float64(servers*size)
+func (x *Item) size() int { return tellSize }
+
+func (x *Sum) size() int {
+	if x.Bad {
+		return wordSize + badSize + 4*len(x.Zones)
 	}
-	up := c * (blocks*headSize + parts(tellSize))
-	down := c * (blocks*headSize + parts(wordSize))
-	return (up + down) * (1000/s.Period + 1000/s.Refresh)
+	return wordSize
+}
+
+// Talk bounds the bytes that a pooler sends a second in the mean over a fleet of n, for so many servers of which so many are bad. Beside it,
+// what is told at once: a datagram to each collector for a server that turns out other than was said, and one to all for a verdict, or a
+// leader, that changes.
+func (s *Settings) Talk(n, servers, bad int) float64 {
+	blocks, c := math.Ceil(float64(servers)/blockSize), float64(min(n, s.Collectors))
+	parts := func(size int) float64 { return headSize*(blocks+float64(size)/mostPacket) + float64(size) }
+	return c * (parts(servers*tellSize) + parts(servers*wordSize+bad*badSize)) * 1000 / s.Period
 }
 
 // Event is something that it is told.
--- a/internal/peers/verdicts/collect.go
+++ b/internal/peers/verdicts/collect.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	silentTurns = 3.0 // a server is silent for this many times the work of a request, and...
-	silentJobs  = 8.0 // ...this many shared among those that wait, up to...
-	silentMost  = 4   // ...so many
-	contrary    = 3   // so many others contradict one
-	lookEach    = 200 // ms between probes for one that is said to lead
+	silentTurns = 3.0     // a server is silent for this many times the work of a request, and...
+	silentJobs  = 8.0     // ...this many shared among those that wait, up to...
+	silentMost  = 4       // ...so many
+	contrary    = 3       // so many others contradict one
+	old         = 1 << 20 // messages: so far back one that was overtaken may lie
+	lookEach    = 200     // ms between probes for one that is said to lead
 )
 
 // file takes an observer's word of a server, where this process collects it.
@@ -28,33 +29,33 @@
 		if len(s.seen) >= MostPeers {
 			return
 		}
-		x = &seen{seq: seq - 1, answered: -inf, since: -inf, saidAt: -inf}
+		x = &seen{seq: seq - old, answeredSeq: seq - old, saidSeq: seq - old, answered: -inf, since: -inf, saidAt: -inf}
 		s.seen[from] = x
 	}
-	if int32(seq-x.seq) <= 0 {
-		return
-	}
-	x.seq, x.at, x.zone = seq, v.now, v.at[from].Zone
+	x.zone = v.at[from].Zone
 	at := func(age float64) float64 {
 		if v.set.Broken == HeardAge {
 			return v.now
 		}
 		return v.now - age
 	}
-	if m.Answered >= 0 {
-		if a := at(m.Answered); a > x.answered {
-			if v.answeredBy(s, from) > x.since {
-				x.since = a
-			}
-			x.answered = a
+	newer := func(had *uint32) bool { // each kind's newest stands, in whatever order they come, and however often
+		if int32(seq-*had) <= 0 {
+			return false
 		}
+		*had = seq
+		return true
+	}
+	if m.Answered >= 0 && newer(&x.answeredSeq) {
+		x.answered = at(m.Answered)
 	}
-	x.n, x.first, x.last, x.work = m.N, at(m.First), at(m.Last), m.Work
-	if age := m.SaidAge + delay; (m.Said.Role != Unsaid || m.Said.Position > 0) && age <= v.set.Stale {
+	if newer(&x.seq) {
+		x.at, x.n, x.first, x.last, x.work = v.now, m.N, at(m.First), at(m.Last), m.Work
+	}
+	if age := m.SaidAge + delay; (m.Said.Role != Unsaid || m.Said.Position > 0) && age <= v.set.Stale && newer(&x.saidSeq) {
 		x.said, x.saidAt = m.Said, v.now-age
 		v.rumour(s)
 	}
-	v.contradict(s, from, x)
 	v.tellChange(s)
 }
 
@@ -74,23 +75,36 @@
 	return work * (silentTurns + silentJobs/float64(min(silentMost, max(1, n))))
 }
 
-// contradict has one count for nothing for a while whose words others' evidence contradicts: it alone gets answers, or it alone gets none.
-func (v *Verdicts) contradict(s *server, from ID, x *seen) {
+// review has those count for nothing for a while whose words others' evidence contradicts: one alone gets answers, or one alone gets none.
+func (v *Verdicts) review(s *server) {
+	var liars []ID
+	for id, x := range s.seen { // each on its own
+		if x.answered > x.since && v.answeredBy(s, id) > x.since {
+			x.since = x.answered
+		}
+		if v.now >= v.shunned[id] && v.contradicted(s, id, x) {
+			liars = append(liars, id)
+		}
+	}
+	for _, id := range liars {
+		v.shunned[id] = v.now + v.set.Shun
+	}
+}
+
+func (v *Verdicts) contradicted(s *server, from ID, x *seen) bool {
 	fails, gets := 0, 0
 	for id, y := range s.seen { // a count
 		if id == from || v.now < v.shunned[id] || y.zone != x.zone {
 			continue
 		}
-		if y.n > 0 && y.last > x.since && y.answered < x.since && v.now-y.last > limit(y.work, 1) {
+		if y.n > 0 && y.last > x.since && y.answered < x.since && v.now-max(y.first, x.since) > limit(y.work, 1) {
 			fails++
 		}
 		if y.answered > x.first+limit(x.work, 1) {
 			gets++
 		}
 	}
-	if x.answered > x.since && fails >= contrary || x.n >= silentMost && x.last-x.first > limit(x.work, 1) && gets >= contrary {
-		v.shunned[from] = v.now + v.set.Shun
-	}
+	return x.answered > x.since && fails >= contrary || x.n >= silentMost && x.last-x.first > limit(x.work, 1) && gets >= contrary
 }
 
 // silence is what observers in a zone (or all) say of a server since a moment.
@@ -207,6 +221,14 @@
 	return Said{}, 0
 }
 
+// Judged is what this process makes of all servers as a collector, for those who look.
+func (v *Verdicts) Judged() (out []Sum) {
+	for _, s := range v.order {
+		out = append(out, v.judge(s))
+	}
+	return out
+}
+
 // rumour has this collector look itself where one says that another than the known one leads.
 func (v *Verdicts) rumour(s *server) {
 	if !v.set.Roles || v.now-s.looked < lookEach {
@@ -250,6 +272,7 @@
 		if !slices.Contains(v.collectors(s), v.self) || len(s.seen) == 0 {
 			continue
 		}
+		v.review(s)
 		x := v.judge(s)
 		if !x.same(&s.said) || v.set.Places && x.Said.Position > s.said.Said.Position || full && (x.Bad || x.Said.Role == Leads) {
 			list = append(list, s)
@@ -277,7 +300,7 @@
 		x.First, x.Last, x.Answered, x.SaidAge = age(x.First), age(x.Last), age(x.Answered), max(0, age(x.SaidAge))
 		items = append(items, x)
 	}
-	split(items, wordSize, func(part []Sum) {
+	split(items, (*Sum).size, func(part []Sum) {
 		w := &Word{Seq: v.seq, Items: part}
 		for i := range v.peers {
 			if p := &v.peers[i]; p.ID != v.self {
--- a/internal/peers/verdicts/joined/joined.go
+++ b/internal/peers/verdicts/joined/joined.go
@@ -6,6 +6,7 @@
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/verdicts"
@@ -41,6 +42,8 @@
 	kinds  map[string]float64 // rates of the servers, as learned
 	works  []float64
 	learnt float64
+	checks *invariant.Checks
+	every  int
 }
 
 // New makes one; it is to be joined to the peers and to the core.
@@ -48,6 +51,13 @@
 	return &Joined{opt: opt, core: c, host: h, listed: map[string]verdicts.Server{}, kinds: map[string]float64{}}
 }
 
+// Check has its invariants checked.
+func (j *Joined) Check(c *invariant.Checks, every int) {
+	if j.checks, j.every = c, every; j.v != nil {
+		j.v.Check(c, every)
+	}
+}
+
 // learnMs is between two looks at what requests cost.
 const learnMs = 1000
 
@@ -68,6 +78,7 @@
 	began := j.v == nil
 	if began {
 		j.v = verdicts.New(j.opt.Set, self, j.host.Now())
+		j.v.Check(j.checks, j.every)
 	}
 	j.do(verdicts.Members{Self: self, Peers: peers})
 	if began {
--- a/internal/peers/verdicts/observe.go
+++ b/internal/peers/verdicts/observe.go
@@ -171,7 +171,7 @@
 				}
 				continue
 			}
-			split(items, tellSize, func(part []Item) {
+			split(items, (*Item).size, func(part []Item) {
 				v.out = append(v.out, Action{Kind: Send, To: id, Addr: v.at[id].Addr, Tell: &Tell{Seq: v.seq, Items: part}})
 			})
 		}
--- a/internal/peers/verdicts/verdicts.go
+++ b/internal/peers/verdicts/verdicts.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
 )
 
@@ -25,9 +26,14 @@
 	of      map[int][]ID // collectors, by block
 	shunned map[ID]float64
 	seq     uint32
+	ticked  float64
 	tellAt  float64
 	fullAt  float64
 	out     []Action
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int
+	walks  int
 }
 
 // server is what is known of one.
@@ -48,14 +54,14 @@
 
 // seen is what an observer told of a server, in this process's time.
 type seen struct {
-	seq               uint32
-	at                float64
-	answered, since   float64 // since: its answers since then are all that there were
-	n                 int
-	first, last, work float64
-	said              Said
-	saidAt            float64
-	zone              string
+	seq, answeredSeq, saidSeq uint32
+	at                        float64
+	answered, since           float64 // since: its answers since then are all that there were
+	n                         int
+	first, last, work         float64
+	said                      Said
+	saidAt                    float64
+	zone                      string
 }
 
 // New makes a process's side.
@@ -66,9 +72,13 @@
 
 // Handle takes one event at time now and appends what is to be done to out.
 func (v *Verdicts) Handle(now float64, e Event, out []Action) []Action {
+	if v.ticked > 0 && now-v.ticked > still { // it stood still: what was out may have its answer in a socket
+		v.stood()
+	}
 	v.now, v.out = max(now, v.now), out
 	switch e := e.(type) {
 	case Tick:
+		v.ticked = v.now
 		v.tick()
 	case Members:
 		v.members(e)
@@ -89,10 +99,24 @@
 	case Heard:
 		v.heard(e.From, e.Message)
 	}
+	if v.checks.On() {
+		v.checks.Walk(&v.walks, v.every, "verdicts: the walk", v.walk)
+	}
 	out, v.out = v.out, nil
 	return out
 }
 
+// still is how long after its last tick a process stood still.
+const still = 500
+
+// stood has nothing count that was out while this process stood still, and what it heard before be as old as it is.
+func (v *Verdicts) stood() {
+	for _, s := range v.order {
+		s.own.open = s.own.open[:0]
+		s.own.n = 0
+	}
+}
+
 func (v *Verdicts) members(e Members) {
 	v.self = e.Self
 	v.peers = slices.Clone(e.Peers[:min(len(e.Peers), MostPeers)])
@@ -214,10 +238,13 @@
 }
 
 // split sends items in as many messages as it takes.
-func split[T any](items []T, size int, send func([]T)) {
-	most := max(1, mostPacket/size)
+func split[T any](items []T, size func(*T) int, send func([]T)) {
 	for len(items) > 0 {
-		n := min(most, len(items))
+		n, all := 0, 0
+		for n < len(items) && (n == 0 || all+size(&items[n]) <= mostPacket) {
+			all += size(&items[n])
+			n++
+		}
 		send(items[:n:n])
 		items = items[n:]
 	}
--- /dev/null
+++ b/internal/peers/verdicts/verdicts_test.go
@@ -0,0 +1,303 @@
+package verdicts
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func zones(z string, n int) (out []string) {
+	for range n {
+		out = append(out, z)
+	}
+	return out
+}
+
+// TestDeaf: a server takes requests and answers none, while its probes pass. All avoid it soon after the evidence suffices, within the stated
+// time of one another; one that answers again is back soon.
+func TestDeaf(t *testing.T) {
+	f := newFleet(t, zones("a", 8)...)
+	f.pass(2000, 400)
+	f.answers = func(_ *pooler, s string) bool { return s != "s1" }
+	f.pass(workMs*(silentTurns+silentJobs/2)+2*f.set.Period+400, 400)
+	if n := f.avoiding("s1"); n != 8 {
+		t.Fatalf("%d of 8 avoid it", n)
+	}
+	first, last := inf, 0.0
+	for _, p := range f.poolers {
+		first, last = min(first, p.since["s1"]), max(last, p.since["s1"])
+		for _, s := range p.v.Standings() {
+			if len(s.By) != 2 || s.Until > f.now+f.set.Lapse || s.Why == "" {
+				t.Errorf("%+v", s)
+			}
+		}
+	}
+	if spread := f.set.Spread(wayMs); last-first > spread {
+		t.Errorf("%v ms between the first and the last, of %v", last-first, spread)
+	}
+	f.pass(12000, 400) // its testers find it deaf: longer than a verdict stands by itself
+	if n := f.avoiding("s1"); n != 8 {
+		t.Errorf("%d of 8 avoid it later", n)
+	}
+	f.answers = func(*pooler, string) bool { return true }
+	if f.pass(f.set.Lasting(8, 400, workMs, wayMs), 400); f.avoiding("s1") > 0 {
+		t.Errorf("%d avoid it though it answers", f.avoiding("s1"))
+	}
+}
+
+// TestLapses: without new evidence a verdict ends.
+func TestLapses(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.answers = func(_ *pooler, s string) bool { return s != "s1" }
+	f.pass(2000, 300)
+	if f.avoiding("s1") != 5 {
+		t.Fatal("nobody avoids it")
+	}
+	if f.pass(f.set.Lapse+2000, 0); f.avoiding("s1") > 0 {
+		t.Error("it has no end")
+	}
+}
+
+// TestZoneCut: a server cannot be reached from one zone. That zone goes elsewhere, the other goes on.
+func TestZoneCut(t *testing.T) {
+	f := newFleet(t, "a", "a", "a", "b", "b", "b")
+	f.pass(1000, 300)
+	f.answers = func(p *pooler, s string) bool { return p.zone == "b" || s != "s1" }
+	f.pass(4000, 300)
+	for _, p := range f.poolers {
+		if p.avoids("s1") != (p.zone == "a") {
+			t.Errorf("%d of zone %s: %v", p.id, p.zone, p.avoids("s1"))
+		}
+	}
+}
+
+// TestOwnLinks: one reaches no server. Nobody is led by that; it can tell that it is itself.
+func TestOwnLinks(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.pass(1000, 300)
+	f.answers = func(p *pooler, _ string) bool { return p.id != 2 }
+	f.pass(5000, 300)
+	for _, s := range f.servers {
+		if n := f.avoiding(s.Name); n > 0 {
+			t.Errorf("%d avoid %s", n, s.Name)
+		}
+	}
+	p := f.poolers[1]
+	p.do(Downs{Servers: []string{"s0", "s1", "s2", "s3"}})
+	if n := p.v.Lonely(); n != 4 {
+		t.Errorf("it thinks that it is itself for %d of 4", n)
+	}
+}
+
+// TestLiar: one says that all servers are silent, that a replica leads, and positions from the time to come, as an observer and as a
+// collector. Nobody heeds it; what it says counts for nothing for a while.
+func TestLiar(t *testing.T) {
+	f := newFleet(t, zones("a", 6)...)
+	f.pass(1000, 300)
+	liar := f.poolers[0]
+	for range 60 {
+		for _, s := range f.servers {
+			x := f.poolers[1].v.byName[s.Name]
+			tell := &Tell{Seq: uint32(f.now), Items: []Item{{Key: x.key, Start: 1000, Answered: -1, N: 200, First: 5000, Last: 10, Work: 1, Said: Said{Leads, f.now + 5000}}}}
+			word := &Word{Seq: uint32(f.now), Items: []Sum{{Key: x.key, Start: 1000, Bad: true, All: true, First: 5000, Last: 10, By: []ID{2, 3}, Said: Said{Leads, f.now + 5000}}}}
+			for _, p := range f.poolers[1:] {
+				p.do(Heard{From: liar.id, Message: tell})
+				p.do(Heard{From: liar.id, Message: word})
+			}
+		}
+		f.pass(50, 300)
+	}
+	for _, p := range f.poolers[1:] {
+		for _, s := range f.servers {
+			if p.avoids(s.Name) {
+				t.Errorf("%d avoids %s", p.id, s.Name)
+			}
+			if at := p.knows[fmt.Sprint(s.Name, Leads)]; at.Position > f.now || at.Role == Leads && !f.leads[s.Name] {
+				t.Errorf("%d takes it that %s leads: %+v", p.id, s.Name, at)
+			}
+			if at := p.knows[fmt.Sprint(s.Name, Unsaid)]; at.Position > f.now {
+				t.Errorf("%d takes it that %s is at %v of %v", p.id, s.Name, at.Position, f.now)
+			}
+		}
+	}
+	if i := slices.IndexFunc(f.poolers[1:], func(p *pooler) bool { return p.v.shunned[liar.id] > f.now }); i < 0 {
+		t.Error("its words count on")
+	}
+}
+
+// TestSoleAnswer: one says again and again that a deaf server answers it. The others are not kept from avoiding it for long.
+func TestSoleAnswer(t *testing.T) {
+	f := newFleet(t, zones("a", 7)...)
+	f.pass(1000, 300)
+	f.answers = func(p *pooler, s string) bool { return p.id == 1 || s != "s1" }
+	f.pass(6000, 300)
+	if n := f.avoiding("s1"); n != 6 {
+		t.Errorf("%d of 6 avoid it", n)
+	}
+	if f.poolers[0].avoids("s1") {
+		t.Error("one avoids it that has its answers") // own evidence stands above others'
+	}
+}
+
+// TestPartition: while poolers are parted a server falls silent for one side alone. After the heal all come to what is so, without a flood.
+func TestPartition(t *testing.T) {
+	f := newFleet(t, zones("a", 8)...)
+	f.pass(1000, 300)
+	side := func(p *pooler) bool { return p.id <= 4 }
+	f.cut = func(from, to *pooler) bool { return side(from) != side(to) }
+	f.answers = func(p *pooler, s string) bool { return !side(p) || s != "s1" }
+	f.pass(5000, 300)
+	for _, p := range f.poolers[4:] {
+		if p.avoids("s1") {
+			t.Errorf("%d avoids a server that answers it", p.id)
+		}
+	}
+	before := f.sent
+	f.pass(2000, 300)
+	usual := f.sent - before
+	f.cut, f.answers, before = func(_, _ *pooler) bool { return false }, func(*pooler, string) bool { return true }, f.sent
+	f.pass(2000, 300)
+	if sent := f.sent - before; sent > 2*usual {
+		t.Errorf("%d messages after the heal, %d before", sent, usual)
+	}
+	if f.pass(f.set.Lasting(8, 300, workMs, wayMs), 300); f.avoiding("s1") > 0 {
+		t.Errorf("%d avoid it after the heal", f.avoiding("s1"))
+	}
+}
+
+// TestRestart: a server begins again under its name: what was said of its old process counts for nothing, even if it comes later.
+func TestRestart(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.answers = func(_ *pooler, s string) bool { return s != "s1" }
+	f.pass(2000, 300)
+	if f.avoiding("s1") != 5 {
+		t.Fatal("nobody avoids it")
+	}
+	f.answers = func(*pooler, string) bool { return true }
+	f.servers[1].Start = f.now
+	for i, p := range f.poolers {
+		if i > 0 {
+			p.do(Listed{Servers: f.servers})
+		}
+	}
+	if n := f.avoiding("s1"); n != 1 {
+		t.Errorf("%d avoid the new process", n)
+	}
+	f.poolers[0].do(Tick{}) // it has the old list yet, and tells what it has of the old process
+	if f.pass(300, 300); f.avoiding("s1") > 1 {
+		t.Errorf("%d avoid the new process by an old word", f.avoiding("s1"))
+	}
+}
+
+// TestTakeover: one pooler sees first that another server leads. All know within two ways and a probe, and as of when it said so.
+func TestTakeover(t *testing.T) {
+	f := newFleet(t, zones("a", 6)...)
+	f.pass(2000, 300)
+	f.leads = map[string]bool{"s2": true, "s4": true}
+	seen := f.now
+	f.poolers[3].do(Probed{Server: "s2", OK: true, Said: f.says("s2")})
+	f.pass(5*wayMs, 0)
+	for _, p := range f.poolers {
+		got, old := p.knows[fmt.Sprint("s2", Leads)], p.knows[fmt.Sprint("s0", Leads)]
+		if got.Position < seen || got.Position > f.now || got.Position <= old.Position {
+			t.Errorf("%d: %+v, of the old one %+v, of %v", p.id, got, old, seen)
+		}
+	}
+}
+
+// TestPositionsAge: positions count from when servers told them, wherever they were heard, and old ones are not told.
+func TestPositionsAge(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.poolers[0].deaf = true
+	f.pass(2000, 300)
+	p := f.poolers[0]
+	for _, s := range f.servers {
+		at := p.knows[fmt.Sprint(s.Name, Unsaid)]
+		if age := f.now - at.Position; age < 40 && !f.leads[s.Name] || age > 1000 {
+			t.Errorf("%s: %v ms old", s.Name, age)
+		}
+	}
+	had := p.knows["s1Unsaid"]
+	if f.pass(3000, 0); p.knows["s1Unsaid"].Position > had.Position+200 {
+		t.Errorf("its position moved by %v with nobody asking", p.knows["s1Unsaid"].Position-had.Position)
+	}
+}
+
+// TestWakes: one stands still for 5 s with requests out. What it tells then leads nobody, and it forgets what it heard before.
+func TestWakes(t *testing.T) {
+	f := newFleet(t, zones("a", 4)...)
+	f.pass(1000, 300)
+	a, b := f.poolers[0], f.poolers[1]
+	for _, p := range []*pooler{a, b} {
+		for range 5 {
+			p.ask("s1")
+		}
+		p.stands = f.now + 5000
+	}
+	f.pass(5600, 0) // nobody else asks, so nobody contradicts
+	for _, s := range f.servers {
+		if n := f.avoiding(s.Name); n > 0 {
+			t.Errorf("%d avoid %s", n, s.Name)
+		}
+	}
+}
+
+// TestSeeds: all begin anew but one. Who leads is known to all by it, and a server that is deaf is found by two of them, not by all.
+func TestSeeds(t *testing.T) {
+	f := newFleet(t, zones("a", 6)...)
+	f.pass(2000, 300)
+	for _, p := range f.poolers[1:] {
+		p.id += 100
+	}
+	for _, p := range f.poolers {
+		if p == f.poolers[0] {
+			m := Members{Self: p.id}
+			for _, o := range f.poolers {
+				m.Peers = append(m.Peers, Peer{ID: o.id, Addr: fmt.Sprint(o.id), Zone: o.zone})
+			}
+			p.do(m)
+		} else {
+			p.begin()
+		}
+	}
+	f.mail = nil
+	f.pass(f.set.Refresh, 0)
+	for _, p := range f.poolers[1:] {
+		if p.knows["s0Leads"] == (Said{}) && p.knows[fmt.Sprint("s0", Leads)] == (Said{}) {
+			t.Errorf("%d does not know who leads", p.id)
+		}
+	}
+}
+
+// TestGroupLooksBad: all members of a group are silent. Words take no more than they may, and never the last.
+func TestGroupLooksBad(t *testing.T) {
+	f := newFleet(t, zones("a", 6)...)
+	f.answers = func(_ *pooler, s string) bool { return s >= "s4" }
+	f.pass(6000, 300)
+	for _, p := range f.poolers {
+		if n := len(p.v.Standings()); n != f.set.Blinded(4) {
+			t.Errorf("%d avoids %d, of %d at most", p.id, n, f.set.Blinded(4))
+		}
+	}
+	p := f.poolers[0]
+	p.do(Downs{Servers: []string{"s0", "s1", "s2", "s3"}}) // its own module has all of them down
+	if p.do(Tick{}); len(p.v.Standings()) > 0 {
+		t.Error("words take the last")
+	}
+}
+
+// TestAlone: one that hears nobody goes by what it heard for no longer than is stated.
+func TestAlone(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.answers = func(_ *pooler, s string) bool { return s != "s1" }
+	f.pass(2000, 300)
+	p := f.poolers[0]
+	f.cut = func(from, to *pooler) bool { return from == p || to == p }
+	p.deaf = true
+	if f.pass(f.set.Lonely()+f.set.Step, 300); p.avoids("s1") {
+		t.Error("it goes on avoiding")
+	}
+	if f.avoiding("s1") < 4 {
+		t.Error("the others do not")
+	}
+}
