--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -602,7 +602,9 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		if c.seen.looks[id] { // that one's answer is not this one's
+		if w := c.seen.witness; w != nil && w.Withholds(id) { // it would tell nothing
+			c.loop.At(c.loop.Now()+withheldMs, func() { c.tell(&decide.ProbeResult{Store: decide.StoreID(id), Result: decide.Failed}) })
+		} else if c.seen.looks[id] { // that one's answer is not this one's
 			c.seen.later[id] = true
 		} else if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
 			c.Probe(id)
--- a/internal/core/witness.go
+++ b/internal/core/witness.go
@@ -23,6 +23,9 @@
 	later   map[string]bool // of these: the module has asked for one meanwhile
 }
 
+// withheldMs is how long a probe that is not made takes.
+const withheldMs = 2
+
 // Witness has somebody told of what is seen of servers.
 func (c *Core) Witness(w Witness) {
 	c.seen = sight{witness: w, looks: map[string]bool{}, later: map[string]bool{}}
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -90,7 +90,8 @@
 func (f *fleetOf) result() *Views {
 	seconds := (f.e.s.now - f.from) / 1000 * float64(len(f.e.poolers))
 	return &Views{Packets: float64(f.packets) / seconds, Bytes: float64(f.bytes) / seconds, Streamed: float64(f.streamed) / seconds, Trades: f.trades, Detected: f.check.Detected, Settled: f.check.Settled,
-		Accused: f.check.Accused, Wrong: f.check.Wrong}
+		Accused: f.check.Accused, Wrong: f.check.Wrong,
+		Told: float64(f.told) / seconds, ToldSize: float64(f.toldBytes) / seconds}
 }
 
 // peer is a pooler's side of it.
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -32,7 +32,7 @@
 
 // Defaults are for a fleet within one region or a few.
 func Defaults() Settings {
-	return Settings{Period: 100, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Vouch: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
+	return Settings{Period: 50, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Vouch: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
 		Health: true, Places: true, Roles: true}
 }
 
@@ -96,8 +96,8 @@
 // Sizes of what is told, in bytes at most.
 const (
 	headSize  = 66 // of a datagram and its message
-	tellSize  = 45 // of one server in a Tell
-	wordSize  = 38 // of one in a Word, and if it is bad...
+	tellSize  = 37 // of one server in a Tell
+	wordSize  = 21 // of one in a Word, and if it is bad...
 	badSize   = 28 // ...with one zone; and 4 for each more
 	blockSize = 64 // servers of a block, in groups of four
 )
@@ -221,10 +221,9 @@
 	Items []Item
 }
 
-// Item is what an observer has of one server.
+// Item is what an observer has of one server's process: the key has its name and its start in it.
 type Item struct {
-	Key      uint64
-	Start    float64
+	Key      uint32
 	Answered float64 // age of the last answer to a request, below 0 for none
 	N        int     // attempts sent after any that was answered, and not answered in time
 	First    float64 // age of the first of them, and of the last
@@ -242,8 +241,7 @@
 
 // Sum is what a collector has of one server.
 type Sum struct {
-	Key      uint64
-	Start    float64
+	Key      uint32
 	Bad      bool
 	All      bool     // to all; else to the Zones
 	Zones    []uint32 // by hash
--- a/internal/peers/verdicts/collect.go
+++ b/internal/peers/verdicts/collect.go
@@ -18,10 +18,7 @@
 
 // file takes an observer's word of a server, where this process collects it.
 func (v *Verdicts) file(s *server, from ID, seq uint32, m *Item, delay float64) {
-	if v.set.Broken == KeepsOld {
-		m.Start = s.Start
-	}
-	if m.Start != s.Start || !slices.Contains(v.collectors(s), v.self) {
+	if !slices.Contains(v.collectors(s), v.self) {
 		return
 	}
 	x := s.seen[from]
@@ -148,7 +145,7 @@
 
 // judge is what this collector makes of a server: of the evidence alone, whatever the order that it came in.
 func (v *Verdicts) judge(s *server) Sum {
-	out := Sum{Key: s.key, Start: s.Start, Answered: -1}
+	out := Sum{Key: s.key, Answered: -1}
 	ids := make([]ID, 0, len(s.seen))
 	for id := range s.seen { // sorted below
 		if v.now >= v.shunned[id] {
--- a/internal/peers/verdicts/fleet_test.go
+++ b/internal/peers/verdicts/fleet_test.go
@@ -8,10 +8,11 @@
 	"beechgrade/internal/invariant"
 )
 
-// Messages take wayMs between the poolers of a test's fleet, and a request workMs where it is answered.
+// Messages take wayMs between the poolers of a test's fleet, and a request workMs where it is answered; replicas are behindMs behind.
 const (
-	wayMs  = 5.0
-	workMs = 80.0
+	wayMs    = 5.0
+	workMs   = 80.0
+	behindMs = 40.0 // that replicas are
 )
 
 // fleet is some poolers and the servers that they ask, in a time of its own.
@@ -107,6 +108,9 @@
 		case Try:
 			delete(p.down, a.Server)
 		case Learn:
+			if a.Said.Role != Leads && !f.leads[a.Server] && a.Said.Position > f.now-behindMs {
+				f.t.Errorf("%s is taken to be at %v at %v, newer than it said", a.Server, a.Said.Position, f.now)
+			}
 			p.knows[fmt.Sprint(a.Server, a.Said.Role)] = a.Said
 		case Look:
 			f.mail = append(f.mail, mail{f.now + 1, p, nil, []byte(a.Server)})
@@ -119,7 +123,7 @@
 	if f.leads[server] {
 		return Said{Leads, f.now}
 	}
-	return Said{Follows, f.now - 40}
+	return Said{Follows, f.now - behindMs}
 }
 
 // ask has a pooler send a request.
--- a/internal/peers/verdicts/form.go
+++ b/internal/peers/verdicts/form.go
@@ -17,63 +17,82 @@
 )
 
 const (
-	ageGrain   = 10
-	placeGrain = 1000
-	mostAge    = 1e7
-	mostPlace  = 1e13
-	mostZones  = 8
+	ageGrain  = 10
+	mostAge   = 1e7
+	mostPlace = 1e13
+	mostZones = 8
 )
 
 func putAge(b []byte, x float64) []byte {
 	return binary.AppendUvarint(b, uint64(math.Round(min(max(0, x), mostAge)*ageGrain)))
 }
 
-// putSaid rounds a position down: it is never newer than it was.
-func putSaid(b []byte, s Said, age float64) []byte {
-	b = append(b, byte(s.Role))
-	if s.Role == Unsaid && s.Position <= 0 {
-		return append(b, 0)
+const (
+	flagRole = 3 // the bits of a role
+	flagSaid = 4 << iota
+	flagAnswered
+	flagBad
+	flagAll
+)
+
+func flags(s Said, answered float64) byte {
+	f := byte(s.Role)
+	if s.Position > 0 {
+		f |= flagSaid
+	}
+	if answered >= 0 {
+		f |= flagAnswered
 	}
-	return putAge(binary.AppendUvarint(b, uint64(min(max(0, s.Position), mostPlace)*placeGrain)), age)
+	return f
+}
+
+// base is the newest position of a message; each is told as so far behind it, rounded: never newer than it was.
+func putBase[T any](b []byte, items []T, said func(*T) Said) ([]byte, float64) {
+	base := 0.0
+	for i := range items {
+		base = max(base, said(&items[i]).Position)
+	}
+	base = math.Ceil(min(base, mostPlace))
+	return binary.AppendUvarint(b, uint64(base)), base
+}
+
+func putRest(b []byte, base float64, s Said, age, answered float64) []byte {
+	if s.Position > 0 {
+		b = putAge(binary.AppendUvarint(b, uint64(math.Ceil(min(max(0, base-s.Position), mostPlace)*ageGrain))), age)
+	}
+	if answered >= 0 {
+		b = putAge(b, answered)
+	}
+	return b
 }
 
 // Append is part.Words'.
 func (t *Tell) Append(b []byte) []byte {
-	b = binary.BigEndian.AppendUint32(append(b, verbTell), t.Seq)
+	b, base := putBase(binary.BigEndian.AppendUint32(append(b, verbTell), t.Seq), t.Items, func(x *Item) Said { return x.Said })
 	for i := range t.Items {
 		x := &t.Items[i]
-		b = binary.BigEndian.AppendUint64(b, x.Key)
-		b = binary.AppendUvarint(b, uint64(max(0, x.Start)))
-		b = append(b, byte(min(x.N, mostCount)))
-		b = putAge(b, x.Answered+1) // 0 for none
+		b = append(binary.BigEndian.AppendUint32(b, x.Key), flags(x.Said, x.Answered), byte(min(x.N, mostCount)))
 		if x.N > 0 {
 			b = putAge(putAge(putAge(b, x.First), x.Last), x.Work)
 		}
-		b = putSaid(b, x.Said, x.SaidAge)
+		b = putRest(b, base, x.Said, x.SaidAge, x.Answered)
 	}
 	return b
 }
 
-const (
-	flagBad = 1 << iota
-	flagAll
-)
-
 // Append is part.Words'.
 func (w *Word) Append(b []byte) []byte {
-	b = binary.BigEndian.AppendUint32(append(b, verbWord), w.Seq)
+	b, base := putBase(binary.BigEndian.AppendUint32(append(b, verbWord), w.Seq), w.Items, func(x *Sum) Said { return x.Said })
 	for i := range w.Items {
 		x := &w.Items[i]
-		b = binary.BigEndian.AppendUint64(b, x.Key)
-		b = binary.AppendUvarint(b, uint64(max(0, x.Start)))
-		flags := byte(0)
+		f := flags(x.Said, x.Answered)
 		if x.Bad {
-			flags |= flagBad
+			f |= flagBad
 		}
 		if x.All {
-			flags |= flagAll
+			f |= flagAll
 		}
-		b = putAge(append(b, flags), x.Answered+1)
+		b = append(binary.BigEndian.AppendUint32(b, x.Key), f)
 		if x.Bad {
 			zones, by := x.Zones[:min(len(x.Zones), mostZones)], x.By[:min(len(x.By), 2)]
 			b = append(b, byte(len(zones)), byte(len(by)))
@@ -85,7 +104,7 @@
 			}
 			b = putAge(putAge(b, x.First), x.Last)
 		}
-		b = putSaid(b, x.Said, x.SaidAge)
+		b = putRest(b, base, x.Said, x.SaidAge, x.Answered)
 	}
 	return b
 }
@@ -128,42 +147,49 @@
 
 func (r *reader) age() float64 { return r.number(ageGrain, mostAge) }
 
-func (r *reader) said() (s Said, age float64) {
-	role, at := r.byte(), r.number(placeGrain, mostPlace)
-	if role > int(Follows) {
+// rest reads what flags say that there is.
+func (r *reader) rest(f byte, base float64) (s Said, age, answered float64) {
+	if s.Role, answered = Role(f&flagRole), -1; s.Role > Follows {
 		r.bad = true
 	}
-	if role != int(Unsaid) || at > 0 {
-		age = r.age()
+	if f&flagSaid != 0 {
+		s.Position = base - r.number(ageGrain, mostPlace)
+		if age = r.age(); s.Position <= 0 {
+			r.bad = true
+		}
+	}
+	if f&flagAnswered != 0 {
+		answered = r.age()
 	}
-	return Said{Role(role), at}, age
+	return s, age, answered
 }
 
 // Read reads a message.
 func Read(b []byte) (any, error) {
 	r := &reader{b: b}
-	switch verb := r.byte(); verb {
+	verb, seq, base := r.byte(), binary.BigEndian.Uint32(r.take(4)), r.number(1, mostPlace)
+	switch verb {
 	case verbTell:
-		t := &Tell{Seq: binary.BigEndian.Uint32(r.take(4))}
+		t := &Tell{Seq: seq}
 		for len(r.b) > 0 && !r.bad {
-			x := Item{Key: binary.BigEndian.Uint64(r.take(8)), Start: r.number(1, mostPlace), N: r.byte(), Answered: r.age() - 1}
-			if x.N > 0 {
+			x := Item{Key: binary.BigEndian.Uint32(r.take(4))}
+			f := byte(r.byte())
+			if x.N = r.byte(); x.N > 0 {
 				x.First, x.Last, x.Work = r.age(), r.age(), r.age()
 				r.bad = r.bad || x.Last > x.First
 			}
-			x.Said, x.SaidAge = r.said()
+			x.Said, x.SaidAge, x.Answered = r.rest(f, base)
 			t.Items = append(t.Items, x)
 		}
 		if !r.bad {
 			return t, nil
 		}
 	case verbWord:
-		w := &Word{Seq: binary.BigEndian.Uint32(r.take(4))}
+		w := &Word{Seq: seq}
 		for len(r.b) > 0 && !r.bad {
-			x := Sum{Key: binary.BigEndian.Uint64(r.take(8)), Start: r.number(1, mostPlace)}
-			flags := r.byte()
-			x.Bad, x.All, x.Answered = flags&flagBad != 0, flags&flagAll != 0, r.age()-1
-			if x.Bad {
+			x := Sum{Key: binary.BigEndian.Uint32(r.take(4))}
+			f := byte(r.byte())
+			if x.Bad, x.All = f&flagBad != 0, f&flagAll != 0; x.Bad {
 				zones, by := r.byte(), r.byte()
 				r.bad = r.bad || zones > mostZones || by > 2
 				for i := 0; i < zones && !r.bad; i++ {
@@ -175,7 +201,7 @@
 				x.First, x.Last = r.age(), r.age()
 				r.bad = r.bad || x.Last > x.First
 			}
-			x.Said, x.SaidAge = r.said()
+			x.Said, x.SaidAge, x.Answered = r.rest(f, base)
 			w.Items = append(w.Items, x)
 		}
 		if !r.bad {
--- a/internal/peers/verdicts/heed.go
+++ b/internal/peers/verdicts/heed.go
@@ -29,10 +29,7 @@
 
 // hear takes a collector's word.
 func (v *Verdicts) hear(s *server, from ID, seq uint32, m *Sum) {
-	if v.set.Broken == KeepsOld {
-		m.Start = s.Start
-	}
-	if m.Start != s.Start || !slices.Contains(v.collectors(s), from) {
+	if !slices.Contains(v.collectors(s), from) {
 		return
 	}
 	w := s.says[from]
@@ -164,7 +161,7 @@
 // turn tells whether it is this process's turn to try a server: some of all do at any time, each for a while.
 func (v *Verdicts) turn(s *server) bool {
 	round := uint64((v.now - s.avoid.since) / max(1, v.set.Turn))
-	h := mixed(s.key^uint64(v.self), round+1)
+	h := mixed(uint64(s.key)<<32^uint64(v.self), round+1)
 	return round > 0 && h%uint64(max(1, len(v.peers))) < uint64(v.set.Testers)
 }
 
--- a/internal/peers/verdicts/merge_test.go
+++ b/internal/peers/verdicts/merge_test.go
@@ -29,7 +29,6 @@
 
 func drawItem(t *rapid.T, v *Verdicts) Item {
 	x := Item{Key: v.order[rapid.IntRange(0, 1).Draw(t, "server")].key, Answered: float64(rapid.IntRange(-1, 3000).Draw(t, "answered"))}
-	x.Start = rapid.SampledFrom([]float64{v.byKey[x.Key].Start, 4}).Draw(t, "start")
 	if x.N = rapid.IntRange(0, 6).Draw(t, "n"); x.N > 0 {
 		x.Last = float64(rapid.IntRange(0, 3000).Draw(t, "last"))
 		x.First, x.Work = x.Last+float64(rapid.IntRange(0, 3000).Draw(t, "first")), float64(rapid.IntRange(1, 300).Draw(t, "work"))
@@ -95,7 +94,7 @@
 		if err != nil || !reflect.DeepEqual(got, tell) {
 			t.Fatalf("%v: %+v of %+v", err, got, tell)
 		}
-		word := &Word{Seq: 7, Items: []Sum{{Key: 9, Start: 1e12, Answered: -1, Bad: true, Zones: []uint32{4, 5}, First: 20, Last: 10.5, By: []ID{1, 1 << 60}, Said: Said{Leads, 1.7e12 + 0.25}, SaidAge: 3},
+		word := &Word{Seq: 7, Items: []Sum{{Key: 9, Answered: -1, Bad: true, Zones: []uint32{4, 5}, First: 20, Last: 10.5, By: []ID{1, 1 << 60}, Said: Said{Leads, 1.7e12 + 0.5}, SaidAge: 3},
 			{Key: 10, Answered: 4, Said: Said{Unsaid, 1.7e12 + 0.1234567}}}}
 		b := word.Append(nil)
 		back, err := Read(b)
@@ -148,14 +147,14 @@
 
 // TestSize: what is told lies within what is stated, and no message is too long.
 func TestSize(t *testing.T) {
-	item := Item{Key: 1 << 63, Start: 1.7e12, Answered: 1e6, N: 200, First: 1e6, Last: 1e6, Work: 1e6, Said: Said{Leads, 1.7e12}, SaidAge: 1e6}
-	sum := Sum{Key: 1 << 63, Start: 1.7e12, Bad: true, Zones: []uint32{1}, First: 1e6, Last: 1e6, By: []ID{1, 2}, Answered: 1e6, Said: Said{Leads, 1.7e12}, SaidAge: 1e6}
+	item := Item{Key: 1 << 31, Answered: 1e6, N: 200, First: 1e6, Last: 1e6, Work: 1e6, Said: Said{Leads, 1.7e12}, SaidAge: 1e6}
+	sum := Sum{Key: 1 << 31, Bad: true, Zones: []uint32{1}, First: 1e6, Last: 1e6, By: []ID{1, 2}, Answered: 1e6, Said: Said{Leads, 1.7e12}, SaidAge: 1e6}
 	one, two := len((&Tell{Items: []Item{item, item}}).Append(nil))-len((&Tell{Items: []Item{item}}).Append(nil)),
 		len((&Word{Items: []Sum{sum, sum}}).Append(nil))-len((&Word{Items: []Sum{sum}}).Append(nil))
 	if one > item.size() || two > sum.size() {
 		t.Errorf("a server takes %d bytes of a tell, of %d, and %d of a word, of %d", one, item.size(), two, sum.size())
 	}
-	if sum.Bad = false; len((&Word{Items: []Sum{sum}}).Append(nil))-5 > sum.size() {
+	if sum.Bad = false; len((&Word{Items: []Sum{sum}}).Append(nil))-12 > sum.size() {
 		t.Error("one that is not bad takes more than its size")
 	}
 }
--- a/internal/peers/verdicts/observe.go
+++ b/internal/peers/verdicts/observe.go
@@ -113,7 +113,7 @@
 // item is what there is to tell of a server.
 func (v *Verdicts) item(s *server) Item {
 	o := &s.own
-	x := Item{Key: s.key, Start: s.Start, Answered: -1}
+	x := Item{Key: s.key, Answered: -1}
 	if v.set.Health {
 		if v.now-o.answered <= 2*v.set.Lapse {
 			x.Answered = v.now - o.answered
--- a/internal/peers/verdicts/verdicts.go
+++ b/internal/peers/verdicts/verdicts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +20,7 @@
 	ring    []overload.Peer // the same, for hashing
 	at      map[ID]*Peer
 	zones   int // in which poolers stand
-	byKey   map[uint64]*server
+	byKey   map[uint32]*server
 	byName  map[string]*server
 	order   []*server // by key
 	groups  map[int][]*server
@@ -39,7 +40,7 @@
 // server is what is known of one.
 type server struct {
 	Server
-	key    uint64
+	key    uint32
 	own    own
 	told   Item // as last told, by what changes it: see news
 	seen   map[ID]*seen
@@ -66,7 +67,7 @@
 
 // New makes a process's side.
 func New(set Settings, self ID, now float64) *Verdicts {
-	return &Verdicts{set: set, self: self, now: now, at: map[ID]*Peer{}, byKey: map[uint64]*server{}, byName: map[string]*server{}, groups: map[int][]*server{}, of: map[int][]ID{},
+	return &Verdicts{set: set, self: self, now: now, at: map[ID]*Peer{}, byKey: map[uint32]*server{}, byName: map[string]*server{}, groups: map[int][]*server{}, of: map[int][]ID{},
 		shunned: map[ID]float64{}, tellAt: now, fullAt: now}
 }
 
@@ -151,6 +152,9 @@
 		if named[x.Name] || len(named) >= MostServers {
 			continue
 		}
+		if o := v.byKey[v.keyOf(x)]; o != nil && o.Name != x.Name { // it shares its key: it goes without
+			continue
+		}
 		named[x.Name] = true
 		s := v.byName[x.Name]
 		if s == nil || s.Start != x.Start && v.set.Broken != KeepsOld || s.Group != x.Group {
@@ -158,7 +162,10 @@
 				v.release(s, false)
 			}
 			down := s != nil && s.down
-			s = &server{Server: x, key: xxhash.Sum64String(x.Name), seen: map[ID]*seen{}, says: map[ID]*word{}, down: down}
+			if s != nil {
+				delete(v.byKey, s.key)
+			}
+			s = &server{Server: x, key: v.keyOf(x), seen: map[ID]*seen{}, says: map[ID]*word{}, down: down}
 			s.own.clear()
 			v.byName[x.Name], v.byKey[s.key] = s, s
 		}
@@ -179,6 +186,14 @@
 	}
 }
 
+// keyOf names a server's process.
+func (v *Verdicts) keyOf(x Server) uint32 {
+	if v.set.Broken == KeepsOld {
+		x.Start = 0
+	}
+	return uint32(xxhash.Sum64String(fmt.Sprintf("%s %.0f", x.Name, x.Start)))
+}
+
 func (v *Verdicts) tick() {
 	for _, s := range v.order {
 		v.weigh(s)
--- a/internal/peers/verdicts/verdicts_test.go
+++ b/internal/peers/verdicts/verdicts_test.go
@@ -98,8 +98,8 @@
 	for range 60 {
 		for _, s := range f.servers {
 			x := f.poolers[1].v.byName[s.Name]
-			tell := &Tell{Seq: uint32(f.now), Items: []Item{{Key: x.key, Start: 1000, Answered: -1, N: 200, First: 5000, Last: 10, Work: 1, Said: Said{Leads, f.now + 5000}}}}
-			word := &Word{Seq: uint32(f.now), Items: []Sum{{Key: x.key, Start: 1000, Bad: true, All: true, First: 5000, Last: 10, By: []ID{2, 3}, Said: Said{Leads, f.now + 5000}}}}
+			tell := &Tell{Seq: uint32(f.now), Items: []Item{{Key: x.key, Answered: -1, N: 200, First: 5000, Last: 10, Work: 1, Said: Said{Leads, f.now + 5000}}}}
+			word := &Word{Seq: uint32(f.now), Items: []Sum{{Key: x.key, Bad: true, All: true, First: 5000, Last: 10, By: []ID{2, 3}, Said: Said{Leads, f.now + 5000}}}}
 			for _, p := range f.poolers[1:] {
 				p.do(Heard{From: liar.id, Message: tell})
 				p.do(Heard{From: liar.id, Message: word})
