Hold who is asked to two rules: no blackout by word, and no group given up

Words of others must not take a server from those whom it would answer. The checker is told of each send and of what befalls servers and ways, and of nothing that poolers think.

--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -132,7 +132,7 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
 	}
 	if r.Views != nil {
-		for _, rule := range check.ViewRules() {
+		for _, rule := range slices.Concat(check.ViewRules(), check.BlackoutRules()) {
 			fmt.Fprintf(t, "%s\t%d\t%d\n", rule, r.Verdict.Checked[rule], r.Verdict.Broken[rule])
 		}
 	}
--- /dev/null
+++ b/internal/kit/emulate/blackout.go
@@ -0,0 +1,46 @@
+package emulate
+
+import (
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/scenario"
+)
+
+// Blackouts are what the rules of who is asked go by.
+func Blackouts(s *scenario.Script) check.BlackoutConfig {
+	c := check.BlackoutConfig{Poolers: s.Poolers, WindowMs: 10000, AfterMs: 10000, OwnMs: 120000, Part: 0.75, Least: 12, Wanted: 20}
+	if v := s.Verdicts; v != nil {
+		c.AfterMs, c.Part = v.Set.Lapse+2000, max(c.Part, v.Set.Blind)
+	}
+	next := 0
+	for _, n := range s.Fleet.Groups {
+		var members []int
+		for range n {
+			members = append(members, next)
+			next++
+		}
+		c.Groups = append(c.Groups, members)
+	}
+	return c
+}
+
+// sight is what befalls servers, ways and poolers now: check.Sight.
+type sight struct{ e *Emulation }
+
+func (x sight) Sound(s int) bool   { return x.e.world.Servers[s].Sound(x.e.s.now) }
+func (x sight) Primary(s int) bool { w := x.e.world.Servers[s]; return w.Group.Primary == w }
+func (x sight) Way(p, s int) bool {
+	return x.e.ways.good(p, s) && !x.e.world.List.Gone && x.e.ways.held[p] == 0
+}
+func (x sight) Pooler(no int) bool { p := x.e.poolers[no]; return p.up && x.e.s.now >= p.still }
+func (x sight) Runs(server int) bool {
+	w := x.e.world.Servers[server]
+	if !w.Up || w.Hung || w.Draining {
+		return false
+	}
+	for p := range x.e.poolers {
+		if x.e.ways.cut[p*x.e.ways.servers+server] == 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -69,6 +69,7 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Trials    []check.Trial      `json:"-"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -81,9 +82,10 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	fleet    *fleetOf // the poolers as peers, nil where they are none
-	ways     *ways    // from poolers to servers, and to the list
-	agents   *agents  // of Consul, nil where the list is the platform's
+	fleet    *fleetOf         // the poolers as peers, nil where they are none
+	black    *check.Blackouts // nil where poolers are no peers
+	ways     *ways            // from poolers to servers, and to the list
+	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -150,6 +152,7 @@
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
+		e.black = check.NewBlackouts(startMs, Blackouts(s))
 	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
@@ -205,6 +208,8 @@
 			r.Limits = e.fleet.lentResult()
 		}
 		e.fleet.check.Verdict(r.Verdict)
+		e.black.Verdict(r.Verdict)
+		r.Trials = e.black.Trials()
 	}
 	return r
 }
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -73,6 +73,9 @@
 	var look func()
 	look = func() {
 		f.check.Look(e.s.now)
+		if e.s.now <= startMs+s.Clients.Seconds*1000 {
+			e.black.Look(e.s.now, sight{e})
+		}
 		e.s.After(lookMs, world.Func(look), 0)
 	}
 	e.s.After(lookMs, world.Func(look), 0)
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -10,6 +10,7 @@
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
@@ -471,6 +472,9 @@
 			e.crossed++
 		}
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
+		if e.black != nil {
+			e.black.Sent(e.s.now, a.p.no, st.s.No, a.v.class.Read == clients.Write)
+		}
 		a.p.core.AttemptWritten(a.tag)
 	}
 	switch forgets := e.script.Forgets; {
@@ -633,6 +637,9 @@
 	a.ended = true
 	p, e := a.p, a.p.e
 	p.tries.Drop(a.ref)
+	if e.black != nil && a.st != nil && o.Result != decide.OK && o.Result != decide.Missed && o.Result != decide.Skipped {
+		e.black.Unanswered(e.s.now, p.no, a.st.s.No)
+	}
 	if a.v == nil {
 		e.word(a, &o)
 		p.trust(a.id, &o)
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -136,6 +136,9 @@
 		left := max(1, math.Floor(v.sent+v.ask.Patience-e.s.now))
 		due := e.s.now + left
 		e.check.Asked(e.s.now, v.id, v.ask.Class, v.p.no, due, v.after)
+		if e.black != nil {
+			e.black.Wanted(v.ask.Group)
+		}
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
