--- a/internal/kit/emulate/blackout.go
+++ b/internal/kit/emulate/blackout.go
@@ -7,7 +7,7 @@
 
 // Blackouts are what the rules of who is asked go by.
 func Blackouts(s *scenario.Script) check.BlackoutConfig {
-	c := check.BlackoutConfig{Poolers: s.Poolers, WindowMs: 10000, AfterMs: 10000, OwnMs: 120000, Part: 0.75, Least: 12, Wanted: 20}
+	c := check.BlackoutConfig{Poolers: s.Poolers, WindowMs: 10000, AfterMs: 10000, OwnMs: 120000, Part: 0.8, Least: 12, Wanted: 20}
 	if v := s.Verdicts; v != nil {
 		c.AfterMs, c.Part = v.Set.Lapse+2000, max(c.Part, v.Set.Blind)
 	}
