--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -70,6 +70,8 @@
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
 	Trials    []check.Trial      `json:"-"`
+	Pages     *PageCounts        `json:"pages,omitempty"`
+	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -82,8 +84,10 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	fleet    *fleetOf         // the poolers as peers, nil where they are none
 	black    *check.Blackouts // nil where poolers are no peers
+	fleet    *fleetOf         // the poolers as peers, nil where they are none
+	paging   *paging          // reports that are read in pages, nil for none
+	funds    *funds           // that tenants pay ahead, nil for none
 	ways     *ways            // from poolers to servers, and to the list
 	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
@@ -109,7 +113,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -155,6 +159,12 @@
 		e.fleet = e.newFleet()
 		e.black = check.NewBlackouts(startMs, Blackouts(s))
 	}
+	if s.Credit != nil {
+		e.funds = e.newFunds()
+	}
+	if s.Pages != nil {
+		e.paging = e.newPaging()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -212,6 +222,13 @@
 		e.black.Verdict(r.Verdict)
 		r.Trials = e.black.Trials()
 	}
+	if e.paging != nil {
+		e.paging.check.Verdict(e.s.now, r.Verdict)
+		r.Pages = &e.paging.Counts
+	}
+	if e.funds != nil {
+		r.Funds = e.funds.result(r.Verdict)
+	}
 	return r
 }
 
@@ -332,6 +349,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
@@ -363,6 +382,8 @@
 		later(func() { e.world.Swap(false) })
 	case "limit":
 		e.change(f)
+	case "pay":
+		e.funds.pay(f)
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
@@ -425,7 +446,7 @@
 		if p.life != life {
 			return
 		}
-		if len(p.visits) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
+		if len(p.visits)+e.paging.made(p) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
 			e.s.After(restartLook, world.Func(look), 0)
 			return
 		}
--- /dev/null
+++ b/internal/operate/sessions_test.go
@@ -0,0 +1,29 @@
+package operate
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/commits"
+)
+
+// TestSessions: sessions' commits have a folder and a mode, or one line says what is wrong.
+func TestSessions(t *testing.T) {
+	for in, want := range map[string]any{
+		`(sessions (dir "/s") (mode alongside) (most 2m))`: Sessions{Dir: "/s", Mode: commits.Alongside, MostBytes: 2 << 20},
+		`(sessions (dir "$NO"))`:                           `o:1:1: sessions: (dir "FOLDER") is due, on a disk that survives`,
+		`(sessions (dir "/s") (mode never))`:               "o:1:28: before or alongside is due here",
+	} {
+		s, err := Parse("o", []byte(in), func(string) string { return "" })
+		var got any
+		if got = err; err != nil {
+			got = err.Error()
+		} else {
+			got = s.Sessions
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", in, diff)
+		}
+	}
+}
