--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -1,6 +1,9 @@
 package emulate
 
 import (
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
@@ -24,13 +27,13 @@
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
 		c := h.x.p.core
-		opt, told := opt, joined.Core(c)
+		opt, told := opt, joined.Core(probed{c, h.x.p})
 		if m := h.x.p.e.opt.Mutant; m != nil {
 			if m.Over != nil {
 				m.Over(h.No(), &opt)
 			}
 			if m.Core != nil {
-				told = m.Core(h.No(), c)
+				told = m.Core(h.No(), told)
 			}
 		}
 		j := joined.New(opt, told, h)
@@ -45,3 +48,17 @@
 		return []part.Part{j}
 	}
 }
+
+// probed has the checker hear what other poolers' probes told a pooler of servers' roles, as it does of its own.
+type probed struct {
+	*core.Core
+	p *pooler
+}
+
+// ProbeTold is joined's core's.
+func (c probed) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	if s := c.p.e.world.Server(store); s != nil && said.Role != decide.RoleUnknown {
+		c.p.e.check.Word(c.p.e.s.now, said.Position, c.p.no, s.No, said.Role == decide.RolePrimary)
+	}
+	c.Core.ProbeTold(store, result, said, ageMs)
+}
