--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -402,6 +402,7 @@
 		}
 	case "cut", "thin":
 		servers := f.Target.Of(e.world)
+		f = f.AtProber(e.prober, servers)
 		e.ways.strike(f, servers, true)
 		later(func() { e.ways.strike(f, servers, false) })
 	case "list-held":
--- a/internal/kit/rehearse/ways.go
+++ b/internal/kit/rehearse/ways.go
@@ -9,9 +9,13 @@
 func (r *Run) ways(f scenario.Fault) func(on bool) {
 	var servers []int
 	_ = r.fleet.Act(func(w *world.World) error {
-		for _, s := range f.Target.Of(w) {
+		all := f.Target.Of(w)
+		for _, s := range all {
 			servers = append(servers, s.No)
 		}
+		if f.OfProber() {
+			f = *f.AtProber(r.peers.prober, all)
+		}
 		return nil
 	})
 	return func(on bool) {
