--- /dev/null
+++ b/internal/kit/explore/verdicts.go
@@ -0,0 +1,90 @@
+package explore
+
+import (
+	"fmt"
+
+	"beechgrade/internal/peers/verdicts"
+)
+
+// Evidence is what one process hears of servers' state from others, in whatever order, each word once and as many of them twice as Twice says.
+type Evidence struct {
+	Set     verdicts.Settings
+	Members verdicts.Members
+	Servers []verdicts.Server
+	Words   []verdicts.Heard
+	Twice   int
+
+	heard []int // in their order
+	v     *verdicts.Verdicts
+	want  string // what is made of all of them, heard in their order
+}
+
+// evidenceAt is when all that happens.
+const evidenceAt = 1e6
+
+// Start is the state before anything was heard.
+func (e *Evidence) Start() *Evidence {
+	var all []int
+	for i := range e.Words {
+		all = append(all, i)
+	}
+	e.want = e.after(all).made()
+	return e.after(nil)
+}
+
+func (e *Evidence) after(heard []int) *Evidence {
+	x := *e
+	x.heard, x.v = heard, verdicts.New(e.Set, e.Members.Self, evidenceAt)
+	x.v.Handle(evidenceAt, e.Members, nil)
+	x.v.Handle(evidenceAt, verdicts.Listed{Servers: e.Servers}, nil)
+	for _, i := range heard {
+		x.v.Handle(evidenceAt, e.Words[i], nil)
+	}
+	return &x
+}
+
+// made is what it makes of what it heard: as a collector, and as one that heeds collectors.
+func (e *Evidence) made() string { return fmt.Sprintf("%+v %+v", e.v.Judged(), e.v.Standings()) }
+
+func (e *Evidence) times() (n []int, twice int) {
+	n = make([]int, len(e.Words))
+	for _, i := range e.heard {
+		if n[i]++; n[i] == 2 {
+			twice++
+		}
+	}
+	return n, twice
+}
+
+// Key is System's.
+func (e *Evidence) Key() string { n, _ := e.times(); return fmt.Sprint(n, e.made()) }
+
+// Moves is System's.
+func (e *Evidence) Moves() (out []Move) {
+	n, twice := e.times()
+	for i := range e.Words {
+		if n[i] == 0 || n[i] == 1 && twice < e.Twice {
+			out = append(out, Move{fmt.Sprintf("word %d", i), func() (System, error) { return e.after(append(append([]int(nil), e.heard...), i)), nil }})
+		}
+	}
+	return out
+}
+
+// Check is System's: once all was heard, the same is made of it; and nothing is avoided by the word of one alone.
+func (e *Evidence) Check() error {
+	n, _ := e.times()
+	all := true
+	by := map[verdicts.ID]bool{}
+	for i := range e.Words {
+		if all = all && n[i] > 0; n[i] > 0 {
+			by[e.Words[i].From] = true
+		}
+	}
+	if len(by) < 2 && len(e.v.Standings()) > 0 {
+		return fmt.Errorf("by one alone: %+v", e.v.Standings())
+	}
+	if got := e.made(); all && got != e.want {
+		return fmt.Errorf("%s is made of it, and of the words in their order %s", got, e.want)
+	}
+	return nil
+}
