--- a/cmd/beechgrade/verdicts.go
+++ b/cmd/beechgrade/verdicts.go
@@ -23,7 +23,7 @@
 		return dst
 	}
 	for _, s := range p.judged.Avoided() {
-		dst = fmt.Appendf(dst, "app.verdicts.%s.until=%g\napp.verdicts.%s.why=%s\napp.verdicts.%s.by=", s.Server, s.Until, s.Server, s.Why, s.Server)
+		dst = fmt.Appendf(dst, "app.verdicts.%s.until=%.0f\napp.verdicts.%s.why=%s\napp.verdicts.%s.by=", s.Server, s.Until, s.Server, s.Why, s.Server)
 		for i, id := range s.By {
 			if i > 0 {
 				dst = append(dst, ',')
@@ -32,5 +32,5 @@
 		}
 		dst = append(dst, '\n')
 	}
-	return dst
+	return fmt.Appendf(dst, "app.verdicts.own_links=%d\n", p.judged.Lonely())
 }
