--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,7 @@
 	events   []event
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
+	left     []slots.Ref // requests that were given up while actions are carried out
 	actions  []decide.Action
 
 	rec    *record.Recorder // nil where nothing is recorded
@@ -100,6 +101,7 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+	commits Commits // nil where sessions' commits are not kept
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
@@ -177,7 +179,9 @@
 	count  *figures.Class
 	load   load
 	class  int
-	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	flow   *flow  // its answer that is passed on as it comes, nil where it is not
+	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
+	wrote  string // the session whose commit is kept, where it is a write of one
 	paid   paid
 }
 
@@ -284,6 +288,9 @@
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
+	if q.wrote != "" && !final { // what comes as it is cannot wait
+		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
+	}
 	c.recordAttempt(q, t.No, store, &o)
 	if c.seen.witness != nil {
 		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
@@ -387,6 +394,9 @@
 	}
 	now := clock.Span(c.loop.Now())
 	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class], class: class}
+	if q.Named && set.Read == decide.Write && c.keeps() {
+		r.wrote = q.Session
+	}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -419,12 +429,20 @@
 		stop()
 		return
 	}
+	if ok && q.held != nil {
+		c.unhold(ref, q, figures.Gone)
+		return
+	}
 	if !ok || q.over {
 		return
 	}
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
-	c.release(ref, q)
+	if c.running { // a client that hears of one request gives up another: what the router has decided for that one may be yet to be carried out
+		c.left = append(c.left, ref)
+	} else {
+		c.release(ref, q)
+	}
 	if q.paid.waits != nil { // the module has not heard of it
 		q.paid.waits = nil
 		c.credit.Cancel(q.paid.tenant, tagOf(ref))
@@ -467,7 +485,9 @@
 	if c.seen.witness != nil {
 		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
 	}
-	if o.Result == decide.OK && !q.over {
+	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
+		q.over = true
+	} else if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
@@ -573,7 +593,12 @@
 	}
 	clear(c.events)
 	c.events = c.events[:0]
-	c.running = false
+	for _, ref := range c.left {
+		if q, ok := c.requests.Get(ref); ok {
+			c.release(ref, q)
+		}
+	}
+	c.left, c.running = c.left[:0], false
 	if c.checks.On() && c.midst == 0 {
 		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
 	}
@@ -635,7 +660,7 @@
 
 // release frees the slot of a request of which nothing is left.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 && q.flow == nil {
+	if q.over && q.open == 0 && q.flow == nil && q.held == nil {
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
--- a/internal/core/credit_test.go
+++ b/internal/core/credit_test.go
@@ -9,6 +9,7 @@
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/config"
+	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/front"
 	"beechgrade/internal/invariant"
@@ -22,10 +23,14 @@
 	say  purse.Verdict
 	tag  uint64
 	told []string
+	at   func(tag uint64) // is done before Hold returns, where it is set
 }
 
 func (p *payer) Hold(_, _, _ string, tag uint64) (purse.Hold, purse.Verdict) {
 	p.tag = tag
+	if p.at != nil {
+		p.at(tag)
+	}
 	if p.say == purse.Pass {
 		return purse.Hold{Amount: 5}, purse.Pass
 	}
@@ -116,3 +121,112 @@
 		}
 	}
 }
+
+// TestCreditAtOnce: what waits may be let in, or turned away, before Hold returns; and a client that is turned away may give up another
+// request of its own at that moment, as a scattered read does.
+func TestCreditAtOnce(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayCancel: true,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}},
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}}}}
+	servers, p := &counting{}, &payer{say: purse.Wait}
+	c := New(still{}, slog.New(slog.DiscardHandler), cfg)
+	c.Start(servers, still{})
+	c.Credit(p)
+	ask := func(id string, client front.Client) slots.Ref {
+		ref, err := c.Ask(front.Request{ID: id, Class: "read", Due: 1e6 + 9000, Query: still{}}, client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ref
+	}
+	p.at = func(tag uint64) { c.Funded(tag, purse.Hold{Amount: 5}) }
+	if ask("1", &asker{}); servers.n != 1 {
+		t.Errorf("let in at once: sent %d times", servers.n)
+	}
+	p.at = func(tag uint64) { c.Unfunded(tag) }
+	if a := (&asker{}); ask("2", a) != (slots.Ref{}) || len(a.heard) != 1 {
+		t.Errorf("turned away at once: heard %v", a.heard)
+	}
+	p.at = nil
+	other := ask("3", &asker{})
+	tag := p.tag
+	p.say = purse.Pass
+	mine, left := ask("4", &asker{}), false
+	r, _ := c.requests.Get(other)
+	r.client = leaver{func() {
+		c.Gone(mine)
+		c.walk(invariant.Test(t))
+		left = true
+	}}
+	if c.Unfunded(tag); !left {
+		t.Error("its client did not hear of it")
+	}
+}
+
+// leaver is a client that gives something up as it is turned away.
+type leaver struct{ leave func() }
+
+func (l leaver) Broke(bool, float64) { l.leave() }
+func (l leaver) Served([]byte)       {}
+func (l leaver) Refused(float64)     {}
+func (l leaver) Failed()             {}
+
+// hung is a loop that keeps what is hung up, and from when on.
+type hung struct {
+	still
+	at float64
+	do func()
+}
+
+func (h *hung) At(ms float64, do func()) *deadline.Timer {
+	h.at, h.do = ms, do
+	return nil
+}
+
+// TestCreditDue: what waits for funds is refused by its client's own time, and one whose time is past already at once.
+func TestCreditDue(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}}}
+	loop, p, a := &hung{}, &payer{say: purse.Wait}, &asker{}
+	c := New(loop, slog.New(slog.DiscardHandler), cfg)
+	c.Start(&counting{}, still{})
+	c.Credit(p)
+	for i, x := range []struct{ due, at float64 }{{1e6 + 80, 1e6 + 80 - dueMs}, {1e6 - 300, 1e6}} {
+		if _, err := c.Ask(front.Request{ID: "1", Class: "read", Due: x.due, Query: still{}}, a); err != nil {
+			t.Fatal(err)
+		}
+		if loop.at != x.at || loop.do == nil {
+			t.Errorf("due %.0f: it ends at %.0f, want %.0f", x.due, loop.at, x.at)
+			continue
+		}
+		if loop.do(); len(a.heard) != i+1 || len(p.told) != i+1 || c.Open() != 0 {
+			t.Errorf("heard %v, the purse %v, %d open", a.heard, p.told, c.Open())
+		}
+	}
+}
+
+// TestGoneAmongActions: a request that is given up while the router's actions are carried out, and that one of them is to send, is told to the
+// router as skipped: else it would count an attempt as out for ever.
+func TestGoneAmongActions(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8,
+		Classes: []decide.Class{{Aim: 5 * time.Second, Deadline: 9 * time.Second, Worth: 1, Read: decide.ReadAny}}}}
+	c := New(still{}, slog.New(slog.DiscardHandler), cfg)
+	c.Start(&counting{}, still{})
+	ref := c.requests.Put(&request{id: "1", client: still{}, due: 1e6 + 9000, count: c.counted[0]})
+	c.figures.Open++
+	c.running = true
+	c.Gone(ref)
+	c.carryOut(&decide.Action{Kind: decide.Send, ID: requestID(ref), Store: "s"})
+	skipped := false
+	for _, e := range c.events {
+		o, ok := e.e.(*decide.Outcome)
+		skipped = skipped || ok && o.Result == decide.Skipped && o.Final && o.ID == requestID(ref)
+	}
+	if !skipped {
+		t.Error("the router does not hear that it was not sent")
+	}
+	c.events, c.running = nil, false
+	if c.tell(&decide.Timer{}); c.Open() != 0 {
+		t.Errorf("%d requests are kept", c.Open())
+	}
+}
--- a/internal/kit/fleet/fleet.go
+++ b/internal/kit/fleet/fleet.go
@@ -37,6 +37,7 @@
 	Took(server int, started float64, id string, work, at float64) // it was taken in
 	Over(server int, id string, at float64)                        // it was taken in, and the server has nothing more to do with it
 	Ran(server int, j *world.Job, value []byte, r world.Run)       // it ran, and made this value
+	Probed(server int, at float64)                                 // it was asked how it is
 	Listed(server int, state string, at float64)                   // all that watch have been told this of a server
 }
 
@@ -63,6 +64,7 @@
 	fulls    map[uint32]*full
 	lastPID  uint32
 	streamed int
+	doors    doors
 	shape    int // of the one table; each ALTER changes it
 	scatters Scatters
 }
@@ -73,6 +75,7 @@
 	f         *Fleet
 	addr      string
 	listener  net.Listener
+	doors     []net.Listener // one for each pooler, where they have some
 	conns     map[*conn]bool
 	drainTold float64 // discovery had told all that watch of its drain by then, 0 for not so
 }
@@ -100,7 +103,10 @@
 		s.listener, s.addr = l, l.Addr().String()
 		f.world.List.SetAddr(s.Name, s.addr)
 		f.wg.Add(1)
-		go s.accept()
+		go s.accept(l, -1)
+	}
+	if err := f.openDoors(); err != nil {
+		return err
 	}
 	if f.catalog != nil {
 		f.mu.Lock()
@@ -122,6 +128,9 @@
 		if s.listener != nil {
 			_ = s.listener.Close()
 		}
+		for _, l := range s.doors {
+			_ = l.Close()
+		}
 		for c := range s.conns {
 			conns = append(conns, c)
 		}
@@ -167,7 +176,7 @@
 func (f *Fleet) Listed(e *world.Entry, at float64) {
 	s := f.servers[e.Server.No]
 	// That a drain is over counts as soon as the list has it: whoever comes back to a list that nobody could be told of is told.
-	heard := !f.world.List.Gone && len(f.dir.watchers) > 0
+	heard := !f.world.List.Gone && len(f.dir.watchers) > 0 && !f.doors.holding()
 	switch {
 	case e.Lifecycle == "up":
 		s.drainTold = 0
