--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,7 @@
 	events   []event
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
+	left     []slots.Ref // requests that were given up while actions are carried out
 	actions  []decide.Action
 
 	rec    *record.Recorder // nil where nothing is recorded
@@ -105,6 +106,7 @@
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 	fleet  fleet
+	seen   sight
 
 	credit Credit // nil where nobody pays ahead
 
@@ -176,6 +178,7 @@
 	rec    recorded
 	count  *figures.Class
 	load   load
+	class  int
 	flow   *flow  // its answer that is passed on as it comes, nil where it is not
 	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
 	wrote  string // the session whose commit is kept, where it is a write of one
@@ -289,6 +292,9 @@
 		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
 	}
 	c.recordAttempt(q, t.No, store, &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
 	}
@@ -387,7 +393,7 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class], class: class}
 	if q.Named && set.Read == decide.Write && c.keeps() {
 		r.wrote = q.Session
 	}
@@ -432,7 +438,11 @@
 	}
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
-	c.release(ref, q)
+	if c.running { // a client that hears of one request gives up another: what the router has decided for that one may be yet to be carried out
+		c.left = append(c.left, ref)
+	} else {
+		c.release(ref, q)
+	}
 	if q.paid.waits != nil { // the module has not heard of it
 		q.paid.waits = nil
 		c.credit.Cancel(q.paid.tenant, tagOf(ref))
@@ -472,6 +482,9 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
 		q.over = true
 	} else if o.Result == decide.OK && !q.over {
@@ -490,6 +503,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
+	if c.looked(store, &o) {
+		return
+	}
 	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
 		c.ProbeTold(store, o.Result, o.Said, 0)
 	}
@@ -536,6 +552,9 @@
 	c.recordList(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
+	if c.seen.witness != nil {
+		c.seen.witness.Listed(l, kind != decide.ListChanges)
+	}
 	for i := range e.Entries { // what is in use there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
 		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
@@ -574,7 +593,12 @@
 	}
 	clear(c.events)
 	c.events = c.events[:0]
-	c.running = false
+	for _, ref := range c.left {
+		if q, ok := c.requests.Get(ref); ok {
+			c.release(ref, q)
+		}
+	}
+	c.left, c.running = c.left[:0], false
 	if c.checks.On() && c.midst == 0 {
 		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
 	}
@@ -603,7 +627,11 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+		if w := c.seen.witness; w != nil && w.Withholds(id) { // it would tell nothing
+			c.loop.At(c.loop.Now()+withheldMs, func() { c.tell(&decide.ProbeResult{Store: decide.StoreID(id), Result: decide.Failed}) })
+		} else if c.seen.looks[id] { // that one's answer is not this one's
+			c.seen.later[id] = true
+		} else if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
 			c.Probe(id)
 		}
 	case decide.SetTimer:
@@ -662,6 +690,9 @@
 	if a.By < never {
 		on.By = clock.Millis(a.By)
 	}
+	if c.seen.witness != nil {
+		c.seen.witness.Sent(string(a.Store), backend.Tag{Request: ref, No: no}, q.class)
+	}
 	at := c.servers.Start(string(a.Store), q.query, until, on, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -69,6 +69,7 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Trials    []check.Trial      `json:"-"`
 	Pages     *PageCounts        `json:"pages,omitempty"`
 	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
@@ -83,11 +84,12 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	fleet    *fleetOf // the poolers as peers, nil where they are none
-	paging   *paging  // reports that are read in pages, nil for none
-	funds    *funds   // that tenants pay ahead, nil for none
-	ways     *ways    // from poolers to servers, and to the list
-	agents   *agents  // of Consul, nil where the list is the platform's
+	black    *check.Blackouts // nil where poolers are no peers
+	fleet    *fleetOf         // the poolers as peers, nil where they are none
+	paging   *paging          // reports that are read in pages, nil for none
+	funds    *funds           // that tenants pay ahead, nil for none
+	ways     *ways            // from poolers to servers, and to the list
+	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -111,7 +113,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -146,6 +148,7 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.check.Share = s.Verdicts != nil || s.Overload != nil && s.Overload.Share
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
 	e.ways = newWays(s.Poolers, len(e.world.Servers))
@@ -154,6 +157,7 @@
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
+		e.black = check.NewBlackouts(startMs, Blackouts(s))
 	}
 	if s.Credit != nil {
 		e.funds = e.newFunds()
@@ -215,6 +219,8 @@
 			r.Limits = e.fleet.lentResult()
 		}
 		e.fleet.check.Verdict(r.Verdict)
+		e.black.Verdict(r.Verdict)
+		r.Trials = e.black.Trials()
 	}
 	if e.paging != nil {
 		e.paging.check.Verdict(e.s.now, r.Verdict)
@@ -343,6 +349,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
@@ -394,6 +402,7 @@
 		}
 	case "cut", "thin":
 		servers := f.Target.Of(e.world)
+		f = f.AtProber(e.prober, servers)
 		e.ways.strike(f, servers, true)
 		later(func() { e.ways.strike(f, servers, false) })
 	case "list-held":
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -137,9 +137,13 @@
 		left := max(1, math.Floor(v.sent+v.ask.Patience-e.s.now))
 		due := e.s.now + left
 		e.check.Asked(e.s.now, v.id, v.ask.Class, v.p.no, due, v.after)
+		if e.black != nil {
+			e.black.Wanted(v.ask.Group)
+		}
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
+		e.check.Load(e.s.now, v.id, v.ask.Class, v.ask.Group, e.script.Clients.TenantOf(&v.ask.Ask), v.no > 0)
 		if e.script.Limits != nil {
 			e.check.Tenant(e.s.now, v.id, e.script.Clients.TenantOf(&v.ask.Ask))
 		}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -49,6 +49,10 @@
 	Rereads   []Reread
 
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
+
+	Liar string                       // path of the daemon's program built with the tag liar...
+	Lies map[int]string               // ...and what some poolers, by number, lie about load: "none" or "all"
+	Came func(server int, at float64) // is told of each request that came to a server
 }
 
 // Result is a rehearsal's outcome; it is written to result.json in its folder.
@@ -63,6 +67,10 @@
 	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Stood     []Stood        `json:"stood_still,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
+
+	Pages  *PageCounts      `json:"pages,omitempty"`
+	Served map[string]int64 `json:"served_for,omitempty"`   // by tenant, of what it paid...
+	UpTo   map[string]int64 `json:"served_up_to,omitempty"` // ...and up to its last payment in the midst
 }
 
 // Stood is when a pooler's process stood still: what came meanwhile it takes for newly come.
@@ -100,6 +108,9 @@
 	addr string
 	near string // where its ClickHouse front listens
 
+	pooled string           // where it serves ordinary clients
+	pays   []scenario.Fault // payments that it has read of since the start
+
 	record string              // its records' folder
 	limits operate.FleetLimits // of the whole fleet, as its settings have them
 	more   *string             // in place of Options.Operators
@@ -122,13 +133,20 @@
 	operators string         // more of the operators' settings
 	agents    []*agent.Agent // of Consul
 	wires     *wires
+	shared    *shared
 	peers     *fleetOf // nil where the poolers are no peers
 	sockets   int      // that a pooler may hold, where that is more than usual
 }
 
 // Play runs a rehearsal from its start to its end.
 func Play(ctx context.Context, s *scenario.Script, opt Options) (*Result, error) {
-	s, err := s.Drawn(opt.Seed)
+	s, err := s.Smaller()
+	if err != nil {
+		return nil, err
+	}
+	if s, err = s.Drawn(opt.Seed); err != nil {
+		return nil, err
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +165,8 @@
 	r := &Run{script: s, opt: opt, clk: clock.System()}
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
-	r.wires = newWires(s)
+	r.wires, r.shared = newWires(s), r.newShared()
+	r.wires.came = opt.Came
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	if s.Doors() {
@@ -205,6 +224,10 @@
 		}
 		addrs = append(addrs, p.addr)
 	}
+	var table *report
+	if r.script.Pages != nil {
+		table = r.shared.pagesTable()
+	}
 	cfg := r.script.Clients
 	cfg.Seed = r.opt.Seed
 	plan := clients.Plan(cfg)
@@ -238,6 +261,10 @@
 	if r.peers != nil {
 		looked = r.peers.begin(ctx)
 	}
+	reported := func() {}
+	if r.script.Pages != nil {
+		reported = table.play(faulty)
+	}
 	clients.NewPlayer(cfg, r.clk, addrs, log).Play(ctx, plan, func(asked int) {
 		if r.opt.Progress != nil {
 			r.opt.Progress(asked, len(plan))
@@ -245,6 +272,7 @@
 	})
 	stop()
 	wg.Wait()
+	reported()
 	if r.peers != nil && ctx.Err() == nil {
 		r.peers.settle(ctx, settleMost)
 	}
@@ -273,6 +301,10 @@
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
 	res.Rules = r.wires.verdict(r.clk.Now())
+	if r.shared.verdict(res.Rules); r.script.Pages != nil {
+		res.Pages = &r.shared.Pages
+	}
+	res.Served, res.UpTo = r.shared.served(), r.shared.upTo
 	if err := r.invariants(res.Rules); err != nil {
 		return nil, err
 	}
@@ -318,6 +350,7 @@
 // Tried is clients.Sink's.
 func (l *log) Tried(t *clients.Try) {
 	l.run.wires.tried(t)
+	l.run.shared.tried(t)
 	if t.Stood = l.run.wires.excused(t); t.Stood && t.Kind == clients.Silent {
 		t.Kind = clients.Broken
 	}
@@ -344,7 +377,10 @@
 
 // strike carries a fault out at its time, and ends it.
 func (r *Run) strike(ctx context.Context, f scenario.Fault) error {
-	if f.What == "load" || !pause(ctx, f.At) {
+	if !pause(ctx, f.At) {
+		return nil
+	}
+	if r.wires.struck(r.clk.Now(), r.script, &f); f.What == "load" {
 		return nil
 	}
 	if f.Owner != "" {
@@ -381,6 +417,8 @@
 		return nil
 	case "limit":
 		return r.changeLimit(f)
+	case "pay":
+		return r.pay(f)
 	case "cut", "thin", "list-held":
 		do := r.ways(f)
 		do(true)
@@ -477,6 +515,11 @@
 			return err
 		}
 	}
+	if p.run.script.Pages != nil {
+		if p.pooled, err = freePort(); err != nil {
+			return err
+		}
+	}
 	p.record = records
 	if p.run.script.Limits != nil {
 		p.limits = *p.run.script.Limits
@@ -513,7 +556,11 @@
 	if p.more != nil {
 		more = *p.more
 	}
-	operators := withInvariants + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(more, "$POOLER", p.name)
+	shared, err := p.shared()
+	if err != nil {
+		return err
+	}
+	operators := withInvariants + shared + peers + fmt.Sprintf("(record (on) (dir %q) (pack %v)%s)\n", p.record, p.run.script.Pack, queue) + p.run.operators + p.run.script.Operators(p.near) + strings.ReplaceAll(more, "$POOLER", p.name)
 	return os.WriteFile(p.file("operators.sexp"), []byte(operators), 0o640)
 }
 
@@ -533,8 +580,12 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	cmd := exec.Command(p.run.opt.Daemon, "--settings", p.file("operators.sexp"), "serve")
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.file("config.json"), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=")
+	daemon, lie := p.run.opt.Daemon, p.run.opt.Lies[p.no]
+	if lie != "" {
+		daemon = p.run.opt.Liar
+	}
+	cmd := exec.Command(daemon, "--settings", p.file("operators.sexp"), "serve")
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.file("config.json"), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "LIE="+lie)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/kit/scenario/peers.go
+++ b/internal/kit/scenario/peers.go
@@ -64,6 +64,8 @@
 		return err
 	}
 	switch site := slices.Index(s.Sites, w.Text); {
+	case w.Kind != sexp.List && w.Text == "prober": // likewise, of ways to servers
+		return nil, nil
 	case w.Kind == sexp.List && len(w.Items) == 2 && w.Items[0].Text == "owner": // it is known when the fault strikes
 		return nil, nil
 	case w.Kind == sexp.List && len(w.Items) == 3 && w.Items[0].Text == "part":
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -67,10 +67,11 @@
 	Chaos   Chaos // faults that are drawn from the seed
 
 	// The network and what connections cost, in virtual time.
-	Way       world.Range // one way, between any two machines
-	Handshake world.Range // of a new connection to a server, beside the way there and back
-	ProbeCost float64     // ms of a server's core for each probe
-	Forgets   float64     // what lies between forgets a connection that rested for so long, without a word; 0 for never
+	Way        world.Range // one way, between any two machines
+	Handshake  world.Range // of a new connection to a server, beside the way there and back
+	ProbeCost  float64     // ms of a server's core for each probe
+	ProbePrice float64     // poolers are told that a probe costs this part of a request's worth
+	Forgets    float64     // what lies between forgets a connection that rested for so long, without a word; 0 for never
 
 	Agents int // of Consul, whose catalogue poolers take their list from; 0 for the platform's discovery
 
@@ -85,6 +86,7 @@
 
 	source  *sexp.Node   // as it was read
 	smaller []*sexp.Node // forms that go for sockets
+	BackMs  float64      // after the last fault's end service is to be back, 0 for no such rule
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -136,7 +138,10 @@
 	return fmt.Sprintf("%s %d", t.Kind, t.Group)
 }
 
-const defaultIdle = 30000
+const (
+	defaultIdle       = 30000
+	defaultProbePrice = 0.018
+)
 
 var defaultWay, defaultHandshake = world.Range{0.05, 0.3}, world.Range{0.5, 2}
 
@@ -167,7 +172,7 @@
 	if len(args) == 0 || args[0].Kind != sexp.String || args[0].Text == "" {
 		return nil, n.Errorf("a rehearsal's name in double quotes is due first")
 	}
-	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
+	s := &Script{Name: args[0].Text, Poolers: 1, IdleMs: defaultIdle, ProbePrice: defaultProbePrice, Way: defaultWay, Handshake: defaultHandshake, Fleet: world.Defaults(3), Clients: clients.Defaults()}
 	s.Clients.Rate, s.Clients.Seconds, s.source = 100, 20, n
 	if err := s.form().Read(args[1:], "at", "class", "tenant"); err != nil {
 		return nil, err
@@ -224,6 +229,7 @@
 		"way":          both(&s.Way),
 		"handshake":    both(&s.Handshake),
 		"probe-cost":   span(&s.ProbeCost),
+		"probe-price":  float(&s.ProbePrice, 0, 1),
 		"clickhouse":   s.clickhouse,
 		"consul":       whole(&s.Agents, 1, 9),
 		"forgets":      span(&s.Forgets),
@@ -250,6 +256,7 @@
 		"pages":        s.pages,
 		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
 		"verdicts":     s.verdicts,
+		"back-in":      span(&s.BackMs),
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
@@ -591,6 +598,8 @@
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
+	case f.OfProber() && (s.Overload == nil || !s.Overload.Share):
+		return fail("(%s prober ...) goes with (overload), where poolers share probes", f.What)
 	case f.OfWays() && (s.Agents > 0 || s.Clients.House):
 		return fail("(%s ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)", f.What)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
--- a/internal/peers/overload/overload.go
+++ b/internal/peers/overload/overload.go
@@ -212,8 +212,8 @@
 	maps.DeleteFunc(o.stamps, func(id ID, _ stamp) bool { return id != o.self && o.addr[id] == "" })
 }
 
-// first are the n first of the peers by rendezvous hashing of a key.
-func first(key uint64, n int, peers []Peer) []ID {
+// First are the n first of the peers by rendezvous hashing of a key.
+func First(key uint64, n int, peers []Peer) []ID {
 	type scored struct {
 		id ID
 		s  uint64
@@ -239,7 +239,7 @@
 
 // CollectorsOf are those of a group, where these processes can all be reached.
 func (o *Overload) CollectorsOf(id int) []ID {
-	return first(uint64(id/Block)<<8|1, o.set.Collectors, o.peers)
+	return First(uint64(id/Block)<<8|1, o.set.Collectors, o.peers)
 }
 
 func (o *Overload) tick() {
@@ -276,7 +276,7 @@
 		if o.fade(g); g.idle > 20 && g.level == 0 {
 			continue
 		}
-		size := 16 + 24*len(o.classes) + 6*min(len(o.tenants), MostTenants)
+		size := o.set.toldOf()
 		if len(block) > 0 && (block[0].id/Block != g.id/Block || size*(len(block)+1) > mostTold) {
 			flush()
 		}
@@ -403,7 +403,11 @@
 			return cmp.Or(cmp.Compare(a.v.Level, b.v.Level), cmp.Compare(a.from, b.from))
 		})
 		x := g.given[(len(g.given)-1)/2]
-		g.level, g.budget, g.heldAt, g.orderOf, g.beyond = x.v.Level, x.v.Budget, o.now, x.order, x.v.Beyond
+		budgets := make([]float64, len(g.given)) // apart: of equal levels one could be a liar's
+		for i := range g.given {
+			budgets[i] = g.given[i].v.Budget
+		}
+		g.level, g.budget, g.heldAt, g.orderOf, g.beyond = x.v.Level, middle(budgets), o.now, x.order, x.v.Beyond
 		o.place(g, g.level)
 		return
 	}
