--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -165,6 +165,7 @@
 		{"core: the router has the requests that are owed an answer", func(_ *Core, q *request) { q.over = true }},
 		{"core: the router has the attempts that are out", func(_ *Core, q *request) { q.open++ }},
 		{"core: what waits for funds has not been sent", func(_ *Core, q *request) { q.paid.waits, q.tries = &decide.Request{}, []try{{}} }},
+		{"core: an answer that is held is the request's last", func(_ *Core, q *request) { q.held = &held{} }},
 		{"core: the figure is of those in progress", func(c *Core, _ *request) { c.figures.Open++ }},
 	} {
 		d, c := newDrawn(nil), invariant.New(nil)
