Bound own repeats for each group and come back slowly to servers that return

Own copies and repeats had no budget where no level of overload holds, and poolers that all see a server return open connections there at once. With (overload (repeats)) each pooler earns a part of its own first attempts and its part of a floor, and pays one for each copy or repeat of what may have run; internal/peers/overload/lend moves what some do not need to those that lack, each loan taken off before it is sent and counted once. With (overload (returns N)) each pooler grows its connections to a server that returned at its part of N a second. Off, and the same to the bit, without these.

The checker in virtual time is told of what poolers hear through others' probes; it had taken a write to a new primary for a breach.

--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -23,6 +23,9 @@
 	if p.peers != nil {
 		p.peers.Check(c, every)
 	}
+	if p.over != nil {
+		p.over.Check(c)
+	}
 	if p.scatter != nil {
 		p.scatter.Check(p.checks)
 	}
--- a/cmd/beechgrade/overload.go
+++ b/cmd/beechgrade/overload.go
@@ -30,6 +30,7 @@
 	if set.Share {
 		p.core.Probing(joined.Prober{Joined: j})
 	}
+	j.Begin()
 	p.peers.Join(j)
 	p.over = j
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -226,7 +226,7 @@
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.allowed(&set)
-	set.Shed = c.fleet.shed
+	set.Shed, set.Repeats, set.Returns = c.fleet.shed, c.fleet.repeats, c.fleet.returns
 	c.tell(&decide.Retune{Settings: set})
 }
 
@@ -332,6 +332,9 @@
 // Start joins the core to the servers and the directory and tells the router the list as last known.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
+	if c.fleet.repeats != nil || c.fleet.returns > 0 {
+		c.retune()
+	}
 	c.list(&c.cfg.Known, decide.ListRestored)
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -26,6 +26,8 @@
 	pressure Pressure
 	prober   Prober
 	shed     map[int]*decide.Shed
+	repeats  *decide.Repeats
+	returns  float64
 }
 
 // load is a request as a part of its group's load.
@@ -59,6 +61,39 @@
 	c.retune()
 }
 
+// Bound has the router bound repeats, and come back slowly to servers that return: so many connections a second over all poolers, 0 for any
+// number.
+func (c *Core) Bound(b *decide.Repeats, returns float64) {
+	if c.fleet.repeats, c.fleet.returns = b, returns; c.servers != nil {
+		c.retune()
+	}
+}
+
+// Stocks are what groups may still have twice here.
+func (c *Core) Stocks() []decide.Stock {
+	if c.fleet.repeats == nil {
+		return nil
+	}
+	return c.router.Stocks()
+}
+
+// Lend gives groups more that they may have twice, or takes it away.
+func (c *Core) Lend(more map[int]float64) {
+	if c.fleet.repeats == nil || len(more) == 0 {
+		return
+	}
+	b := *c.fleet.repeats // the router has the old one
+	b.Lent = maps.Clone(b.Lent)
+	if b.Lent == nil {
+		b.Lent = map[int]float64{}
+	}
+	for g, x := range more { // each on its own
+		b.Lent[g] += x
+	}
+	c.fleet.repeats = &b
+	c.retune()
+}
+
 // Probe probes a server, in its turn.
 func (c *Core) Probe(store string) {
 	c.met(OfProbes, "").do(c, func() { c.servers.Probe(store) })
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -12,6 +12,7 @@
 //   - queue.go: what waits, what is given up, and in which order the rest goes
 //   - shed.go: how much is let in where answers tell of waiting behind others, of whom a router sees nothing else
 //   - attempts.go: what attempts came to, and when one is tried anew
+//   - purse.go: how much of it may be sent twice, and how fast what returns is crowded
 //   - health.go: which servers are taken out, and come back
 //   - list.go: the list of servers
 package decide
@@ -199,6 +200,9 @@
 	PriceProbe    float64 // part of a request's worth that a probe costs
 	ReportsOnSend bool    // answers carry load reports too
 
+	Repeats *Repeats // nil for any number
+	Returns float64  // connections a second, over all routers, to a store that has returned; 0 for any number
+
 	Shed map[int]*Shed // by group: what the routers have agreed to turn away; it is not changed any more
 }
 
--- a/internal/decide/invariants.go
+++ b/internal/decide/invariants.go
@@ -40,6 +40,7 @@
 	class  map[int]int        // attempts out
 	tenant map[int]int
 	out    int
+	twice  map[int]*twice // by group
 }
 
 // seen is what was said of a store, and by it.
@@ -62,6 +63,7 @@
 type ask struct {
 	class, tenant int
 	over          bool
+	ran           bool // an attempt that ended may have run
 	out           map[int]try
 	tries         int
 }
@@ -134,6 +136,7 @@
 			s.says(r.now, e.Load, never)
 		}
 		delete(a.out, e.Attempt)
+		a.ran = a.ran || mayRun(e.Result)
 		w.count(a, s, -1)
 	}
 	if e.Final {
@@ -228,6 +231,7 @@
 	w.bars(r, a, s)
 	w.covers(r, a, s, q)
 	w.cold(r, a, s, q)
+	w.repeats(r, q, k)
 	k.out[k.tries] = try{store: a.Store, sent: r.now}
 	k.tries++
 	w.count(k, s, 1)
--- /dev/null
+++ b/internal/decide/invariants_purse.go
@@ -0,0 +1,44 @@
+package decide
+
+import "fmt"
+
+// twice is what is known of a group's repeats from its router's actions alone.
+type twice struct {
+	since  Time
+	firsts int
+	again  int
+	floor  float64 // this router's part of it at most
+}
+
+// repeats states that a group's copies and repeats are within what its first attempts, the floor and others' loans allow.
+func (w *watch) repeats(r *Router, q *request, k *ask) {
+	b := r.set.Repeats
+	if b == nil {
+		w.twice = nil
+		return
+	}
+	if w.twice == nil {
+		w.twice = map[int]*twice{}
+	}
+	t := w.twice[q.group.id]
+	if t == nil {
+		t = &twice{since: r.now}
+		w.twice[q.group.id] = t
+	}
+	t.floor = max(t.floor, b.Own(r.set.Siblings, r.set.Processes))
+	switch {
+	case k.tries == 0:
+		t.firsts++
+	case len(k.out) > 0 || k.ran:
+		t.again++
+	}
+	most := b.Part*float64(t.firsts) + t.floor*(1+(r.now-t.since+returnSpan).Seconds()/b.Span.Seconds()) + b.Lent[q.group.id]
+	w.c.That(float64(t.again) <= most+1e-6, "decide: no more copies and repeats than a part of first attempts, a floor and what was lent", func() string {
+		return fmt.Sprintf("group %d: %d, of %v; %+v", q.group.id, t.again, most, *t)
+	})
+}
+
+// mayRun tells of ends after which an attempt may have run.
+func mayRun(res Result) bool {
+	return res == Failed || res == TimedOut || res == Reset || res == Cancelled
+}
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -62,26 +62,24 @@
 
 // tune takes new settings. Classes keep their numbers and what was learned; one without an aim has gone.
 func (r *Router) tune(set Settings) {
-	old := r.classes
+	was := r.set.Repeats
 	for i := range r.tenants { // by the rates that were
 		r.fill(i)
 	}
 	r.tenants = append(r.tenants, make([]tenant, len(set.Tenants))...)[:len(set.Tenants)]
-	r.set, r.classes, r.leastAim = set, make([]class, len(set.Classes)), 0
+	r.set, r.classes, r.leastAim = set, r.kept(set.Classes), 0
 	if r.set.Siblings, r.set.Processes = max(1, set.Siblings), max(1, set.Processes); !set.ColdTold {
 		r.set.ColdPart = 1 / float64(r.set.Siblings)
 	}
 	r.set.MaxAttempts = max(1, set.MaxAttempts)
 	for i, c := range set.Classes {
 		c.KeyWindow = [...]time.Duration{Safe: math.MaxInt64 / 2, Keyed: c.KeyWindow, Unsafe: 0}[c.Effect]
-		if r.classes[i].work = max(1e-3, startWork*c.Aim.Seconds()); i < len(old) {
-			r.classes[i] = old[i]
-		}
 		if r.classes[i].Class = c; c.Aim > 0 && (r.leastAim == 0 || c.Aim < r.leastAim) {
 			r.leastAim = c.Aim
 		}
 	}
 	r.seekEach = max(r.leastAim/2, beat)
+	r.lent(was)
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -20,8 +20,8 @@
 // One group's answers are few, chance is much in them: all groups' count as much. One that is well is spared.
 func (r *Router) letsIn(s *store, q *request) bool {
 	of := r.crowds(s)
-	if of[0].shut+of[1].shut <= 0 {
-		return true
+	if may := r.affords(q) && r.connects(s); !may || of[0].shut+of[1].shut <= 0 {
+		return may
 	}
 	if c := of[0]; c.cutAt != r.now {
 		others := float64(r.set.Siblings - 1)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -49,6 +49,7 @@
 	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
 	askedAt Time
 	crowded [2]crowding // at all groups' primaries, and at the others
+	purses  map[int]*purse
 
 	watchFails int // subscriptions in a row that did not hold
 
@@ -92,6 +93,8 @@
 	roleAt       Time // time of the evidence
 	health       health
 	badAt        Time // when it was last found bad
+	newAt        Time // it came into the list then, never for before this router began
+	back         returning
 	answered     Time // last answer of an attempt
 	probeAt      Time // last probe sent
 	probing      bool
@@ -150,6 +153,7 @@
 	reached   bool // an attempt got to a store
 	asked     int  // stores asked for it
 	finished  bool
+	lacks     bool // its group may have nothing twice now, so it waits
 }
 
 type class struct {
@@ -198,7 +202,10 @@
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
-		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never}
+		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never, newAt: never, back: returning{of: never}}
+	if r.listed {
+		s.newAt = r.now
+	}
 	r.stores[id] = s
 	r.order = append(r.order, s)
 	slices.SortFunc(r.order, func(a, b *store) int { return cmp.Compare(a.id, b.id) })
@@ -233,10 +240,12 @@
 
 // putIn files an attempt that goes out.
 func (r *Router) putIn(s *store, a *attempt) {
+	r.pays(a.req)
 	s.open = append(s.open, a)
 	a.req.tries = append(a.req.tries, a)
 	a.req.open++
 	r.open++
+	s.back.most = max(s.back.most, len(s.open))
 }
 
 // tried tells whether a request was sent to a store before.
@@ -297,6 +306,20 @@
 	return r
 }
 
+// kept are the classes as new settings have them: these themselves where none differs, as the answers to what is under way go on teaching them.
+func (r *Router) kept(set []Class) []class {
+	if slices.Equal(set, r.set.Classes) {
+		return r.classes
+	}
+	out := make([]class, len(set))
+	for i, n := 0, copy(out, r.classes); i < len(out); i++ {
+		if i >= n {
+			out[i].work = max(1e-3, startWork*set[i].Aim.Seconds())
+		}
+	}
+	return out
+}
+
 // fading is what is left, from 1 to 0, of something last heard of then.
 func (r *Router) fading(at Time, memory time.Duration) float64 {
 	return max(0, 1-(r.now-at).Seconds()/memory.Seconds())
--- /dev/null
+++ b/internal/kit/emulate/again.go
@@ -0,0 +1,68 @@
+package emulate
+
+import (
+	"maps"
+	"slices"
+
+	"beechgrade/internal/kit/world"
+)
+
+// Again counts what poolers do twice, as the servers see it, and how they come back to one that returns.
+type Again struct {
+	Firsts uint64  `json:"first_attempts"`
+	Taken  uint64  `json:"taken_again"`          // attempts of a request of which a server had taken another
+	Part   float64 `json:"taken_again_at_worst"` // of the first attempts of a group
+	Opened int     `json:"opened_at_worst"`      // connections to a server in a tenth of a second, within returnedMs of its return
+}
+
+const (
+	returnedMs = 5000
+	binMs      = 100
+)
+
+// agains keeps the counts.
+type agains struct {
+	firsts, taken map[int]uint64 // by group
+	opened        map[opening]int
+}
+
+type opening struct{ server, bin int }
+
+func newAgains() *agains {
+	return &agains{firsts: map[int]uint64{}, taken: map[int]uint64{}, opened: map[opening]int{}}
+}
+
+// first counts an attempt that is sent, if it is its request's first.
+func (x *agains) first(v *visit, s *world.Server) {
+	if !v.sentOnce {
+		v.sentOnce = true
+		x.firsts[s.Group.ID]++
+	}
+}
+
+// took counts one that a server takes.
+func (x *agains) took(v *visit, s *world.Server) {
+	if v.taken {
+		x.taken[s.Group.ID]++
+	}
+	v.taken = true
+}
+
+// opens counts a connection that is opened.
+func (x *agains) opens(now float64, s *world.Server) {
+	if s.Started > 0 && now-s.Started <= returnedMs {
+		x.opened[opening{s.No, int(now / binMs)}]++
+	}
+}
+
+func (x *agains) result() (r Again) {
+	for _, g := range slices.Sorted(maps.Keys(x.firsts)) {
+		r.Firsts += x.firsts[g]
+		r.Taken += x.taken[g]
+		r.Part = max(r.Part, float64(x.taken[g])/float64(max(1, x.firsts[g])))
+	}
+	for _, n := range x.opened { // the order does not matter
+		r.Opened = max(r.Opened, n)
+	}
+	return r
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -62,6 +62,7 @@
 	Lists     uint64             `json:"list_calls"`
 	Ends      map[string]uint64  `json:"attempts_by_end"`
 	Conns     int                `json:"most_connections_of_a_pooler"`
+	Again     Again              `json:"again"`
 	Lost      map[string]float64 `json:"worth_lost_by_last_answer"`
 	VirtualMs float64            `json:"virtual_ms"`
 	WallMs    float64            `json:"wall_ms"`
@@ -98,6 +99,7 @@
 	conned                                int // connections that a pooler had at most
 	results                               [16]uint64
 	lost                                  map[string]float64
+	agains                                *agains
 	moduleNs                              int64
 	checks                                *invariant.Checks
 	began                                 time.Time
@@ -126,7 +128,7 @@
 	if err := s.InVirtualTime(); err != nil {
 		return nil, err
 	}
-	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
+	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, agains: newAgains(), times: newTimes(),
 		checks: invariant.New(opt.Broken), began: time.Now()}
 	e.s.now = startMs
 	cfg := s.Fleet
@@ -186,7 +188,7 @@
 	s := e.script
 	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
 		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Probes: e.probes,
-		Lists: e.lists, Conns: e.conned, Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
+		Lists: e.lists, Conns: e.conned, Again: e.agains.result(), Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
 		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
 	for i, n := range e.results {
 		if n > 0 {
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -1,14 +1,32 @@
 package emulate
 
 import (
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
 )
 
+// sharer tells the checker what a pooler hears of servers through others' probes.
+type sharer struct {
+	*core.Core
+	x *peer
+}
+
+func (c sharer) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	if e := c.x.p.e; result == decide.OK && said.Role != decide.RoleUnknown {
+		if st := c.x.p.store(store); st != nil {
+			e.check.Word(e.s.now, said.Position, c.x.p.no, st.s.No, said.Role == decide.RolePrimary)
+		}
+	}
+	c.Core.ProbeTold(store, result, said, ageMs)
+}
+
 // Overloaded has poolers handle overload as one.
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
-		c := h.x.p.core
+		c := sharer{h.x.p.core, h.x}
 		j := joined.New(opt, c, h)
 		if opt.Shed {
 			c.Weigh(j)
@@ -17,6 +35,8 @@
 			c.Probing(joined.Prober{Joined: j})
 		}
 		h.x.over = j
+		j.Check(h.x.p.e.checks)
+		j.Begin()
 		return []part.Part{j}
 	}
 }
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -372,6 +372,7 @@
 	st.add(1)
 	d := &dial{st: st, life: st.p.life, slife: st.life}
 	s, there := st.s, e.way()
+	e.agains.opens(e.s.now, s)
 	switch {
 	case st.cut || s.Hung:
 		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
@@ -471,6 +472,7 @@
 		if n := len(e.script.Sites); n > 0 && a.p.no%n != st.s.SiteNo() {
 			e.crossed++
 		}
+		e.agains.first(a.v, st.s)
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
 		a.p.core.AttemptWritten(a.tag)
 	}
@@ -524,6 +526,7 @@
 		a.job.Idem, a.job.KeyMs = v.ask.Idem(), v.class.KeyMs
 	}
 	if s.Takes(&a.job) {
+		e.agains.took(v, s)
 		e.check.Took(e.s.now, s.No, s.Started, v.id, a.job.Work)
 	}
 	s.Take(&a.job)
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -85,6 +85,8 @@
 	answer []byte
 	extra  bool
 	late   bool
+
+	sentOnce, taken bool // an attempt of it was sent; a server took one
 }
 
 // What a visit's event is.
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -6,7 +6,9 @@
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/lend"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
 )
@@ -18,6 +20,9 @@
 	Names() (classes, tenants []string)
 	Contracts() *decide.Settings
 	Probe(store string)
+	Bound(b *decide.Repeats, returns float64)
+	Stocks() []decide.Stock
+	Lend(more map[int]float64)
 	ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64)
 }
 
@@ -33,6 +38,7 @@
 	Set    overload.Settings
 	Share  bool // probes are shared
 	Probes overload.ProbeSettings
+	Bound
 }
 
 // Joined is a pooler's side. It is part.Part, core.Pressure and core.Prober.
@@ -42,6 +48,8 @@
 	host   Host
 	o      *overload.Overload
 	p      *overload.Probes
+	l      *lend.Lend
+	checks *invariant.Checks
 	acts   []overload.Action
 	due    float64
 	named  int // classes and tenants that the settings had
@@ -61,7 +69,12 @@
 func (j *Joined) Kind() view.Kind { return part.Overload }
 
 // Read is part.Part's.
-func (j *Joined) Read(b []byte) (any, error) { return overload.Read(b) }
+func (j *Joined) Read(b []byte) (any, error) {
+	if lend.Mine(b) {
+		return lend.Read(b)
+	}
+	return overload.Read(b)
+}
 
 // contracts are the classes and tenants as they are now.
 func (j *Joined) contracts() overload.Settings {
@@ -100,6 +113,7 @@
 	if j.p == nil && j.opt.Share {
 		j.p = overload.NewProbes(j.opt.Probes, self, now)
 	}
+	j.lenders(self, peers)
 	if j.o != nil {
 		j.do(overload.Members{Self: self, Peers: peers})
 	}
@@ -115,6 +129,10 @@
 		j.do(overload.Told{From: from, Tell: m})
 	case *overload.Answer:
 		j.do(overload.Answered{From: from, Answer: m})
+	case *lend.Give, *lend.Want:
+		if j.l != nil {
+			j.lends(j.l.Heard(j.host.Now(), from, m, nil))
+		}
 	default:
 		if j.p != nil {
 			j.probes(j.p.Heard(j.host.Now(), from, m, nil))
@@ -138,6 +156,7 @@
 	if j.p != nil {
 		j.probes(j.p.Tick(now, nil))
 	}
+	j.stocks()
 }
 
 // Leave is part.Part's: what it told fades by itself.
--- a/internal/peers/overload/overload.go
+++ b/internal/peers/overload/overload.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// first are the n first of the peers by rendezvous hashing of a key.
-func first(key uint64, n int, peers []Peer) []ID {
+// First are the n first of the peers by rendezvous hashing of a key.
+func First(key uint64, n int, peers []Peer) []ID {
 	type scored struct {
 		id ID
 		s  uint64
@@ -229,7 +229,7 @@
 
 // CollectorsOf are those of a group, where these processes can all be reached.
 func (o *Overload) CollectorsOf(id int) []ID {
-	return first(uint64(id/Block)<<8|1, o.set.Collectors, o.peers)
+	return First(uint64(id/Block)<<8|1, o.set.Collectors, o.peers)
 }
 
 func (o *Overload) tick() {
--- a/internal/peers/overload/probes.go
+++ b/internal/peers/overload/probes.go
@@ -152,7 +152,7 @@
 
 // ProbersOf are those of a server.
 func (p *Probes) ProbersOf(name string) []ID {
-	return first(xxhash.Sum64String(name), p.set.Probers, p.peers)
+	return First(xxhash.Sum64String(name), p.set.Probers, p.peers)
 }
 
 const mostServers = 4096
