--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -24,7 +24,7 @@
 		p.peers.Check(c, every)
 	}
 	if p.over != nil {
-		p.over.Check(c)
+		p.over.Check(c, every)
 	}
 	if p.scatter != nil {
 		p.scatter.Check(p.checks)
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -53,6 +53,7 @@
 func (l listener) Listed(list *discovery.List) {
 	if p := l.p; list.Generation >= p.list.adopted { // else another process has told all of it, and more
 		p.list.take(list)
+		p.keepList()
 		l.Events.Listed(list)
 	}
 	l.p.hear()
@@ -92,7 +93,8 @@
 	p := d.p
 	if path == "/-/metrics" && method == http.MethodGet {
 		b := p.core.AppendFigures(nil)
-		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload} {
+		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload,
+			p.appendVerdicts} {
 			b = more(b)
 		}
 		return control.Answer{Status: http.StatusOK, Body: b}
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -20,8 +20,18 @@
 	BadAt       Time    `json:"bad_at"`
 }
 
-// Memory is what a router knows. Work is by class, Rates by kind of store.
+// Commit is a session's last commit.
+type Commit struct {
+	Session string
+	At      Time
+}
+
+// Memory is what a router knows. Work is by class, Rates by kind of store. Commits, which are told by whoever has kept them, are
+// sessions'; of any other session the last one is no later than Forgotten, 0 where there was none.
 type Memory struct {
+	Commits   []Commit `json:"-"`
+	Forgotten Time     `json:"-"`
+
 	Stores []StoreMemory   `json:"stores"`
 	Work   []float64       `json:"work"`
 	Rates  map[int]float64 `json:"rates"`
@@ -33,9 +43,7 @@
 	m := &Memory{Rates: map[int]float64{}, Mean: r.work}
 	for _, s := range r.order {
 		if s.gone == 0 {
-			m.Stores = append(m.Stores, StoreMemory{ID: s.id, Role: s.role, RoleAt: s.roleAt, Position: s.position, PositionAt: s.positionAt,
-				PlacedAt: s.placedAt, Pace: s.pace, Rel: s.rel, ColdFrom: s.coldFrom, ColdSpent: s.coldSpent, ColdSpentAt: s.coldSpentAt,
-				Down: s.health == down, BadAt: s.badAt})
+			m.Stores = append(m.Stores, s.memory())
 		}
 	}
 	for i := range r.classes {
@@ -47,12 +55,32 @@
 	return m
 }
 
+// MemoryOf tells what the router knows of one store that is listed.
+func (r *Router) MemoryOf(id StoreID) (StoreMemory, bool) {
+	if s := r.stores[id]; s != nil && s.gone == 0 {
+		return s.memory(), true
+	}
+	return StoreMemory{}, false
+}
+
+func (s *store) memory() StoreMemory {
+	return StoreMemory{ID: s.id, Role: s.role, RoleAt: s.roleAt, Position: s.position, PositionAt: s.positionAt,
+		PlacedAt: s.placedAt, Pace: s.pace, Rel: s.rel, ColdFrom: s.coldFrom, ColdSpent: s.coldSpent, ColdSpentAt: s.coldSpentAt,
+		Down: s.health == down, BadAt: s.badAt}
+}
+
 // Recall takes what another router knew, of the stores that are listed here. What is newer here stays; times from ahead of now,
 // and figures that no router has, are passed over.
 func (r *Router) Recall(now Time, m *Memory) {
 	if r.watch != nil {
 		r.watch.recalled(now, m)
 	}
+	if m.Forgotten > 0 {
+		r.forgotten = max(r.forgotten, m.Forgotten)
+	}
+	for _, k := range m.Commits {
+		r.remember(k.Session, k.At)
+	}
 	sane := func(x float64) bool { return x >= 1/rateMost && x <= rateMost }
 	if len(m.Work) == len(r.classes) && sane(m.Mean) {
 		r.work = m.Mean
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -70,6 +70,8 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Pages     *PageCounts        `json:"pages,omitempty"`
+	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
 	P99       float64            `json:"served_p99_ms"`
 }
@@ -83,6 +85,9 @@
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
 	fleet    *fleetOf // the poolers as peers, nil where they are none
+	paging   *paging  // reports that are read in pages, nil for none
+	funds    *funds   // that tenants pay ahead, nil for none
+	ways     *ways    // from poolers to servers, and to the list
 	agents   *agents  // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
@@ -108,7 +113,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -143,14 +148,22 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.check.Share = s.Verdicts != nil || s.Overload != nil && s.Overload.Share
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
+	e.ways = newWays(s.Poolers, len(e.world.Servers))
 	if s.Agents > 0 {
 		e.agents = e.newAgents()
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
 	}
+	if s.Credit != nil {
+		e.funds = e.newFunds()
+	}
+	if s.Pages != nil {
+		e.paging = e.newPaging()
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -206,6 +219,13 @@
 		}
 		e.fleet.check.Verdict(r.Verdict)
 	}
+	if e.paging != nil {
+		e.paging.check.Verdict(e.s.now, r.Verdict)
+		r.Pages = &e.paging.Counts
+	}
+	if e.funds != nil {
+		r.Funds = e.funds.result(r.Verdict)
+	}
 	return r
 }
 
@@ -326,6 +346,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
@@ -357,6 +379,8 @@
 		later(func() { e.world.Swap(false) })
 	case "limit":
 		e.change(f)
+	case "pay":
+		e.funds.pay(f)
 	case "kill-pooler":
 		p := e.poolers[f.Target.Group]
 		p.kill()
@@ -373,12 +397,13 @@
 		if e.fleet != nil {
 			e.fleet.check.Stood(e.s.now, p.no, p.still)
 		}
-	case "cut":
-		p := e.poolers[f.Pooler]
-		for _, s := range f.Target.Of(e.world) {
-			p.sever(s, true)
-			later(func() { p.sever(s, false) })
-		}
+	case "cut", "thin":
+		servers := f.Target.Of(e.world)
+		e.ways.strike(f, servers, true)
+		later(func() { e.ways.strike(f, servers, false) })
+	case "list-held":
+		e.ways.holdAll(f.Poolers, true)
+		later(func() { e.ways.holdAll(f.Poolers, false) })
 	default:
 		begin, end := f.Acts()
 		for _, s := range f.Target.Of(e.world) {
@@ -418,7 +443,7 @@
 		if p.life != life {
 			return
 		}
-		if len(p.visits) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
+		if len(p.visits)+e.paging.made(p) > 0 && e.s.now < began+restartMost || e.s.now < began+100 {
 			e.s.After(restartLook, world.Func(look), 0)
 			return
 		}
@@ -432,15 +457,6 @@
 	look()
 }
 
-// sever cuts the way from a pooler to a server, or mends it.
-func (p *pooler) sever(s *world.Server, on bool) {
-	if p.up {
-		if st := p.store(s.Name); st != nil {
-			st.cut = on
-		}
-	}
-}
-
 // Begin and End take the decision module's time.
 type meter struct {
 	e    *Emulation
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -8,6 +8,9 @@
 	"beechgrade/internal/peers/part"
 )
 
+// partsEach is how many ticks there are for one walk over the state of what handles overload.
+const partsEach = 8
+
 // sharer tells the checker what a pooler hears of servers through others' probes.
 type sharer struct {
 	*core.Core
@@ -26,8 +29,18 @@
 // Overloaded has poolers handle overload as one.
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
-		c := sharer{h.x.p.core, h.x}
-		j := joined.New(opt, c, h)
+		c := h.x.p.core
+		opt, told := opt, joined.Core(sharer{c, h.x})
+		if m := h.x.p.e.opt.Mutant; m != nil {
+			if m.Over != nil {
+				m.Over(h.No(), &opt)
+			}
+			if m.Core != nil {
+				told = m.Core(h.No(), c)
+			}
+		}
+		j := joined.New(opt, told, h)
+		j.Check(h.x.p.e.checks, partsEach)
 		if opt.Shed {
 			c.Weigh(j)
 		}
@@ -35,7 +48,6 @@
 			c.Probing(joined.Prober{Joined: j})
 		}
 		h.x.over = j
-		j.Check(h.x.p.e.checks)
 		j.Begin()
 		return []part.Part{j}
 	}
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -85,6 +85,7 @@
 	answer []byte
 	extra  bool
 	late   bool
+	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
 
 	sentOnce, taken bool // an attempt of it was sent; a server took one
 }
@@ -141,6 +142,7 @@
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
+		e.check.Load(e.s.now, v.id, v.ask.Class, v.ask.Group, e.script.Clients.TenantOf(&v.ask.Ask), v.no > 0)
 		if e.script.Limits != nil {
 			e.check.Tenant(e.s.now, v.id, e.script.Clients.TenantOf(&v.ask.Ask))
 		}
@@ -233,6 +235,9 @@
 	}
 	e.s.mix(v.id, uint64(len(kind))<<32|uint64(t.Pooler+1))
 	e.keeper.Tried(t)
+	if e.funds != nil {
+		e.funds.tried(t)
+	}
 	if e.opt.Tried != nil {
 		t.Tenant = e.script.Clients.TenantOf(&a.Ask)
 		e.opt.Tried(t)
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -49,12 +49,14 @@
 	o      *overload.Overload
 	p      *overload.Probes
 	l      *lend.Lend
-	checks *invariant.Checks
 	acts   []overload.Action
 	due    float64
 	named  int // classes and tenants that the settings had
 	learnt float64
 	places map[int]*overload.Place // by resource
+
+	checks *invariant.Checks
+	every  int
 }
 
 // New makes one; it is to be joined to the peers and to the core.
@@ -62,6 +64,16 @@
 	return &Joined{opt: opt, core: c, host: h, places: map[int]*overload.Place{}}
 }
 
+// Check has statements about its state checked at one tick of so many.
+func (j *Joined) Check(c *invariant.Checks, every int) {
+	if j.checks, j.every = c, every; j.o != nil {
+		j.o.Check(c, every)
+	}
+	if j.p != nil {
+		j.p.Check(c, every)
+	}
+}
+
 // learnMs is between two looks at what classes cost.
 const learnMs = 1000
 
@@ -109,9 +121,11 @@
 	now := j.host.Now()
 	if j.o == nil && j.opt.Shed {
 		j.o = overload.New(j.contracts(), self, now)
+		j.o.Check(j.checks, j.every)
 	}
 	if j.p == nil && j.opt.Share {
 		j.p = overload.NewProbes(j.opt.Probes, self, now)
+		j.p.Check(j.checks, j.every)
 	}
 	j.lenders(self, peers)
 	if j.o != nil {
--- a/internal/peers/overload/joined/lend.go
+++ b/internal/peers/overload/joined/lend.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"beechgrade/internal/decide"
-	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
 	"beechgrade/internal/peers/overload/lend"
 	"beechgrade/internal/peers/view"
@@ -38,9 +37,6 @@
 	}
 }
 
-// Check has what must be true of it checked; before Members.
-func (j *Joined) Check(c *invariant.Checks) { j.checks = c }
-
 // lenders tells who can be reached. A process that takes another ID begins anew.
 func (j *Joined) lenders(self view.ID, peers []overload.Peer) {
 	if !j.opt.Repeats || !j.opt.Lend {
