--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -7,6 +7,7 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
+	"beechgrade/internal/peers/overload/account"
 )
 
 // Pressure is told what is asked of groups, and how hard it was to serve what was let in.
@@ -26,7 +27,7 @@
 	pressure Pressure
 	prober   Prober
 	shed     map[int]*decide.Shed
-	repeats  *decide.Repeats
+	repeats  *account.Repeats
 	returns  float64
 }
 
@@ -63,7 +64,7 @@
 
 // Bound has the router bound repeats, and come back slowly to servers that return: so many connections a second over all poolers, 0 for any
 // number.
-func (c *Core) Bound(b *decide.Repeats, returns float64) {
+func (c *Core) Bound(b *account.Repeats, returns float64) {
 	if c.fleet.repeats, c.fleet.returns = b, returns; c.servers != nil {
 		c.retune()
 	}
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -102,15 +102,12 @@
 		}
 	}
 	for _, s := range r.order {
-		if s.want > 0 || s.got > 0 {
-			f := step(kinds[s.entry.Kind][0], kinds[s.entry.Kind][1])
-			x := step(s.want, s.got*f)
-			if r.warmth(s) < 1 { // one that started sooner than we heard seems fast
-				x = min(1, x)
-			}
-			s.rel = min(rateMost, max(1/rateMost, s.rel*x))
+		f := step(kinds[s.entry.Kind][0], kinds[s.entry.Kind][1])
+		x := step(s.want, s.got*f)
+		if r.warmth(s) < 1 { // one that started sooner than we heard seems fast
+			x = min(1, x)
 		}
-		s.want, s.got = 0, 0
+		s.rel, s.want, s.got = min(rateMost, max(1/rateMost, s.rel*x)), 0, 0
 	}
 	for kind, k := range kinds { // each on its own: the order does not matter
 		r.pools[kind] = min(rateMost, max(1/rateMost, r.pools[kind]*step(k[0], k[1])))
--- a/internal/decide/invariants_purse.go
+++ b/internal/decide/invariants_twice.go
@@ -1,6 +1,10 @@
 package decide
 
-import "fmt"
+import (
+	"fmt"
+
+	"beechgrade/internal/peers/overload/account"
+)
 
 // twice is what is known of a group's repeats from its router's actions alone.
 type twice struct {
@@ -32,7 +36,7 @@
 	case len(k.out) > 0 || k.ran:
 		t.again++
 	}
-	most := b.Part*float64(t.firsts) + t.floor*(1+(r.now-t.since+returnSpan).Seconds()/b.Span.Seconds()) + b.Lent[q.group.id]
+	most := b.Part*float64(t.firsts) + t.floor*(1+(r.now-t.since+account.Slow).Seconds()/b.Span.Seconds()) + b.Lent[q.group.id]
 	w.c.That(float64(t.again) <= most+1e-6, "decide: no more copies and repeats than a part of first attempts, a floor and what was lent", func() string {
 		return fmt.Sprintf("group %d: %d, of %v; %+v", q.group.id, t.again, most, *t)
 	})
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -70,6 +70,7 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Trials    []check.Trial      `json:"-"`
 	Pages     *PageCounts        `json:"pages,omitempty"`
 	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
@@ -84,11 +85,12 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	fleet    *fleetOf // the poolers as peers, nil where they are none
-	paging   *paging  // reports that are read in pages, nil for none
-	funds    *funds   // that tenants pay ahead, nil for none
-	ways     *ways    // from poolers to servers, and to the list
-	agents   *agents  // of Consul, nil where the list is the platform's
+	black    *check.Blackouts // nil where poolers are no peers
+	fleet    *fleetOf         // the poolers as peers, nil where they are none
+	paging   *paging          // reports that are read in pages, nil for none
+	funds    *funds           // that tenants pay ahead, nil for none
+	ways     *ways            // from poolers to servers, and to the list
+	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -157,6 +159,7 @@
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
+		e.black = check.NewBlackouts(startMs, Blackouts(s))
 	}
 	if s.Credit != nil {
 		e.funds = e.newFunds()
@@ -218,6 +221,8 @@
 			r.Limits = e.fleet.lentResult()
 		}
 		e.fleet.check.Verdict(r.Verdict)
+		e.black.Verdict(r.Verdict)
+		r.Trials = e.black.Trials()
 	}
 	if e.paging != nil {
 		e.paging.check.Verdict(e.s.now, r.Verdict)
@@ -399,6 +404,7 @@
 		}
 	case "cut", "thin":
 		servers := f.Target.Of(e.world)
+		f = f.AtProber(e.prober, servers)
 		e.ways.strike(f, servers, true)
 		later(func() { e.ways.strike(f, servers, false) })
 	case "list-held":
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -598,6 +598,8 @@
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
+	case f.OfProber() && (s.Overload == nil || !s.Overload.Share):
+		return fail("(%s prober ...) goes with (overload), where poolers share probes", f.What)
 	case f.OfWays() && (s.Agents > 0 || s.Clients.House):
 		return fail("(%s ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)", f.What)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -8,6 +8,7 @@
 	"beechgrade/internal/decide"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/account"
 	"beechgrade/internal/peers/overload/lend"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
@@ -20,7 +21,7 @@
 	Names() (classes, tenants []string)
 	Contracts() *decide.Settings
 	Probe(store string)
-	Bound(b *decide.Repeats, returns float64)
+	Bound(b *account.Repeats, returns float64)
 	Stocks() []decide.Stock
 	Lend(more map[int]float64)
 	ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64)
@@ -195,9 +196,9 @@
 	for i := range acts {
 		switch a := &acts[i]; a.Kind {
 		case overload.SendTell:
-			j.host.Tell(a.Addr, a.To, part.Overload, a.Tell)
+			j.host.Tell(a.Addr, a.To, part.Overload, told(a.Tell))
 		case overload.SendAnswer:
-			j.host.Tell(a.Addr, a.To, part.Overload, a.Answer)
+			j.host.Tell(a.Addr, a.To, part.Overload, answered(a.Answer))
 		case overload.Shed:
 			j.shed(a.Group, a.Place)
 		}
--- a/internal/peers/overload/lend/doc.go
+++ b/internal/peers/overload/lend/doc.go
@@ -3,7 +3,7 @@
 // # The rule that adds up without talking
 //
 // Each pooler's decision module earns, for each group, a part of its own first attempts, and its part of a floor; each copy, and each
-// repeat of what may have run, costs one (decide.Repeats). So the sum over all poolers is bounded though nobody has said a word.
+// repeat of what may have run, costs one (account.Repeats). So the sum over all poolers is bounded though nobody has said a word.
 // But who has one request in a second earns one repeat in ten seconds, and it is not always those who need one who have it.
 //
 // # What is lent
@@ -15,7 +15,7 @@
 // A loan is taken off before it is sent and counted once where it arrives, by its sender's number: what is lost, or comes a second time or
 // overtaken, is gone. So the sum of all purses, vaults and what is on its way never grows by lending, whatever links and processes do, and
 //
-//	repeats of a group, ever <= Part * first attempts + Floor/Siblings * processes * (1 + time/Span)    (decide.Repeats.Most)
+//	repeats of a group, ever <= Part * first attempts + Floor/Siblings * processes * (1 + time/Span)    (account.Repeats.Most)
 //
 // holds with lending as without; in any stretch of time, what had been saved up comes on top: at most Settings.Carry.
 //
--- a/internal/peers/verdicts/observe.go
+++ b/internal/peers/verdicts/observe.go
@@ -113,7 +113,7 @@
 // item is what there is to tell of a server.
 func (v *Verdicts) item(s *server) Item {
 	o := &s.own
-	x := Item{Key: s.key, Start: s.Start, Answered: -1}
+	x := Item{Key: s.key, Answered: -1}
 	if v.set.Health {
 		if v.now-o.answered <= 2*v.set.Lapse {
 			x.Answered = v.now - o.answered
@@ -171,7 +171,7 @@
 				}
 				continue
 			}
-			split(items, tellSize, func(part []Item) {
+			split(items, (*Item).size, func(part []Item) {
 				v.out = append(v.out, Action{Kind: Send, To: id, Addr: v.at[id].Addr, Tell: &Tell{Seq: v.seq, Items: part}})
 			})
 		}
