--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -86,6 +86,8 @@
 	extra  bool
 	late   bool
 	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
+
+	sentOnce, taken bool // an attempt of it was sent; a server took one
 }
 
 // What a visit's event is.
