Play verdicts shared by eight processes, and under drawn faults; catch positions that are not aged

TestFleetVerdictsDeaf causes at once a deaf server whose probes pass, a server cut off from one zone, one pooler's own bad links, and then all replicas of a group deaf, counted at the servers. Not aging positions breaks the rule of staleness in virtual time.

--- /dev/null
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/rehearse"
+	"beechgrade/internal/kit/scenario"
+)
+
+// judged is a fleet of 8 processes in two zones, before two groups of 4 with a relay between each two of them, that share what they know.
+const judged = ` (groups 4 4) (sessions 60) (retries 0) (cold 0s) (detect 300ms 400ms) (elect 300ms 500ms) (list 100ms 200ms) (roles 300ms 500ms) (sites "a" "b") ` + peersQuick
+
+// arrivals are the requests that came to servers: who sent them, and when.
+type arrivals struct {
+	mu  sync.Mutex
+	all []arrival
+}
+
+type arrival struct {
+	server, pooler int
+	writes         bool
+	at             float64
+}
+
+// count counts those at a server from some time to another, of the poolers that of takes.
+func (a *arrivals) count(server int, from, to float64, of func(pooler int) bool) (n int) {
+	for _, x := range a.all {
+		if x.server == server && x.at >= from && x.at < to && of(x.pooler) {
+			n++
+		}
+	}
+	return n
+}
+
+func anybody(int) bool { return true }
+
+// verdicts plays a scenario on 8 processes that share what they know of servers, and holds it to all rules.
+func verdicts(t *testing.T, operators, script string) (*rehearse.Result, *arrivals) {
+	t.Helper()
+	s, err := scenario.Parse("script", []byte(`(rehearsal "verdicts" (rate 240) `+judged+script+`)`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	came := &arrivals{}
+	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: t.TempDir(), Daemon: daemon, Operators: operators, Log: slog.New(slog.DiscardHandler),
+		Arrived: func(server, pooler int, writes bool, at float64) {
+			came.mu.Lock()
+			defer came.mu.Unlock()
+			came.all = append(came.all, arrival{server, pooler, writes, at})
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range came.all {
+		came.all[i].at -= res.FromMs
+	}
+	for _, b := range res.Rules.Breaches {
+		t.Errorf("%s: at %.1f s: %s\n%+v", b.Rule, (b.At-res.FromMs)/1000, b.Text, b.Proof)
+		break
+	}
+	for _, rule := range []check.Rule{check.OneAnswer, check.NotStale, check.NotTwice, check.PrimaryRan, check.ViewAccurate} {
+		if res.Rules.Checked[rule] == 0 {
+			t.Errorf("%q was never put to the test", rule)
+		}
+	}
+	t.Logf("%d asked, of the worth %.3f; %d refused, %d failed, %d late", res.Score.Total.Asked, res.Score.Total.Ratio, res.Score.Total.Refused, res.Score.Total.Failed, res.Score.Total.Late)
+	return res, came
+}
+
+// knownMs is by when all must avoid a server that is deaf, from when it became so: two of eight poolers find out within some of their requests,
+// Settings.Spread, and what a busy machine adds.
+const knownMs = 1500
+
+// TestFleetVerdictsDeaf: a server hears no requests while probes pass, another is cut off from one zone only, one pooler's own links lose most, and
+// at last all replicas of a group are deaf.
+func TestFleetVerdictsDeaf(t *testing.T) {
+	t.Parallel()
+	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 17) (at 4s (deaf member 0 1) (for 5s)) (at 4s (cut a member 1 1) (for 5s)) (at 4s (thin 7 everyone 0.8) (for 5s))
+		(at 11s (deaf member 0 1) (for 4s)) (at 11s (deaf member 0 2) (for 4s)) (at 11s (deaf member 0 3) (for 4s))`)
+	others := func(p int) bool { return p != 7 }
+	inA, inB := func(p int) bool { return p%2 == 0 }, func(p int) bool { return p%2 == 1 && p != 7 }
+	before, deaf := came.count(1, 2000, 4000, others), came.count(1, 4000+knownMs, 9000, others)
+	t.Logf("the deaf server: %d in 2 s before, %d in %d ms after all know", before, deaf, 5000-knownMs)
+	if float64(deaf)/(5000-knownMs) > 0.2*float64(before)/2000 {
+		t.Errorf("the deaf server came to %d requests in 2 s before, to %d in %d ms once all were to know", before, deaf, 5000-knownMs)
+	}
+	cutA, freeB, wasB := came.count(5, 4200, 9000, inA), came.count(5, 4000+knownMs, 9000, inB), came.count(5, 2000, 4000, inB)
+	t.Logf("the server that zone a is cut off from: zone a %d, zone b %d in 2 s before, %d in %d ms", cutA, wasB, freeB, 5000-knownMs)
+	if cutA > 0 || float64(freeB)/(5000-knownMs) < 0.4*float64(wasB)/2000 {
+		t.Errorf("a server cut off from zone a came to %d requests of that, and to %d of zone b's in 2 s before, %d in %d ms since", cutA, wasB, freeB, 5000-knownMs)
+	}
+	for s := range 8 { // one whose own links are bad takes no server from others
+		if s == 1 || s == 0 || s == 4 {
+			continue
+		}
+		if was, is := came.count(s, 2000, 4000, inB), came.count(s, 4000+knownMs, 9000, inB); float64(is)/(5000-knownMs) < 0.3*float64(was)/2000 {
+			t.Errorf("server %d came to %d requests of zone b's in 2 s before, and %d in %d ms while one pooler's own links lose most", s, was, is, 5000-knownMs)
+		}
+	}
+	asked := 0
+	for s := 1; s < 4; s++ {
+		asked += came.count(s, 12500, 15000, anybody)
+	}
+	t.Logf("replicas that are all deaf: %d in 2.5 s", asked)
+	if asked == 0 {
+		t.Error("a group whose replicas look bad to all is asked no more")
+	}
+}
--- a/internal/kit/check/blackout.go
+++ b/internal/kit/check/blackout.go
@@ -82,7 +82,7 @@
 		}
 	}
 	for range cfg.Poolers {
-		b.burnt = append(b.burnt, make([]float64, servers))
+		b.burnt = append(b.burnt, slices.Repeat([]float64{-never}, servers))
 		b.well, b.reads = append(b.well, slices.Repeat([]float64{at}, servers)), append(b.reads, make([]int, servers))
 	}
 	n := len(cfg.Groups)
--- /dev/null
+++ b/internal/kit/check/blackout_test.go
@@ -0,0 +1,60 @@
+package check
+
+import "testing"
+
+// calm is a sight in which nothing befalls anybody, but a server that one who knows says is unsound, and a way.
+type calm struct {
+	unsound int
+	cut     func(pooler, server int) bool
+}
+
+func (c calm) Sound(s int) bool  { return s != c.unsound }
+func (calm) Runs(int) bool       { return true }
+func (calm) Primary(s int) bool  { return s == 0 }
+func (calm) Pooler(int) bool     { return true }
+func (c calm) Way(p, s int) bool { return c.cut == nil || !c.cut(p, s) }
+func nobody(int, int) bool       { return false }
+func half(pooler, _ int) bool    { return pooler < 6 }
+
+// TestBlackouts: that all poolers, or nearly all, leave out a server that answers is a breach; not where it does not answer most, where they saw
+// that themselves, or where some still ask it. A group that nobody asks any more is one too.
+func TestBlackouts(t *testing.T) {
+	for _, c := range []struct {
+		what   string
+		see    calm
+		avoid  func(pooler int) bool // of server 3
+		own    bool
+		silent bool
+		broken Rule
+	}{
+		{"all ask it", calm{-1, nobody}, func(int) bool { return false }, false, false, ""},
+		{"nobody asks it", calm{-1, nobody}, func(int) bool { return true }, false, false, NoBlackout},
+		{"one asks it", calm{-1, nobody}, func(p int) bool { return p > 0 }, false, false, NoBlackout},
+		{"a third ask it", calm{-1, nobody}, func(p int) bool { return p >= 4 }, false, false, ""},
+		{"it does not answer", calm{3, nobody}, func(int) bool { return true }, false, false, ""},
+		{"it answers half", calm{-1, half}, func(int) bool { return true }, false, false, ""},
+		{"they saw it themselves", calm{-1, nobody}, func(int) bool { return true }, true, false, ""},
+		{"nobody asks anybody", calm{-1, nobody}, func(int) bool { return true }, false, true, LastAsked},
+	} {
+		b := NewBlackouts(0, BlackoutConfig{Groups: [][]int{{0, 1, 2, 3}}, Poolers: 12, WindowMs: 1000, AfterMs: 1000, OwnMs: 60000, Part: 0.8, Least: 12, Wanted: 20})
+		for at := 0.0; at <= 5000; at += 50 {
+			for p := range 12 {
+				b.Wanted(0)
+				for s := 1; s < 4 && !c.silent; s++ {
+					if s != 3 || !c.avoid(p) {
+						b.Sent(at, p, s, false)
+					}
+				}
+				if c.own {
+					b.Unanswered(at, p, 3)
+				}
+			}
+			b.Look(at, c.see)
+		}
+		v := Verdict{Checked: map[Rule]uint64{}, Broken: map[Rule]int{}}
+		b.Verdict(&v)
+		if c.broken == "" && !v.OK() || c.broken != "" && v.Broken[c.broken] == 0 {
+			t.Errorf("%s: broken %v of %v", c.what, v.Broken, v.Checked)
+		}
+	}
+}
--- /dev/null
+++ b/internal/kit/emulate/mutants_verdicts.go
@@ -0,0 +1,13 @@
+package emulate
+
+import (
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/peers/verdicts"
+)
+
+// VerdictMutants are poolers that share what they know of servers in a way that is broken on purpose.
+func VerdictMutants() []Mutant {
+	return []Mutant{
+		{Name: "positions are not aged", Breaks: check.NotStale, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.NotAged }},
+	}
+}
--- /dev/null
+++ b/internal/kit/emulate/verdicts_test.go
@@ -0,0 +1,54 @@
+package emulate
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+)
+
+// judgedFleet is poolers in three zones that share what they know of servers.
+const judgedFleet = `(sites "a" "b" "c") (cross 0.3ms 1ms) (retries 0) (peers (probe 500ms) (timeout 150ms) (suspicion 1500ms) (exchange 3s)) `
+
+// lateWords has replicas fall behind while what poolers tell one another comes late.
+const lateWords = `(rehearsal "late words" (seconds 14) (poolers 12) ` + judgedFleet + ` (groups-of 2 4) (rate 400) (verdicts (delay 1ms))
+	(at 3s (lag member 0 2 80) (for 9s)) (at 3s (lag member 1 3 80) (for 9s)) (at 3s (lag member 1 2 80) (for 9s)) (at 4s (between all all (slow 600ms)) (for 8s)))`
+
+// TestVerdictMutants: words that come 0.6 s late make no read staler than its class allows; poolers that take a position for as new as the word
+// that brought it are caught.
+func TestVerdictMutants(t *testing.T) {
+	if r := play(t, parse(t, lateWords), Options{Seed: 1}); r.Verdict.Broken[check.NotStale] > 0 || r.Verdict.Checked[check.NotStale] < 1000 {
+		t.Errorf("broken: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
+	}
+	for _, m := range VerdictMutants() {
+		t.Run(m.Name, func(t *testing.T) {
+			if r := play(t, parse(t, lateWords), Options{Seed: 1, Mutant: &m}); r.Verdict.Broken[m.Breaks] == 0 {
+				t.Errorf("it was not caught: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
+			}
+		})
+	}
+}
+
+// TestVerdictsUnderChaos: what befalls servers, the ways to them, poolers and the ways between them is drawn from seeds; no rule is broken. Many more
+// seeds with BEECHGRADE_VERDICT_SEEDS.
+func TestVerdictsUnderChaos(t *testing.T) {
+	seeds := 2
+	if n, err := strconv.Atoi(os.Getenv("BEECHGRADE_VERDICT_SEEDS")); err == nil {
+		seeds = n
+	}
+	s := load(t, "verdicts-chaos")
+	service, blackouts, least := 0.0, uint64(0), 1.0
+	for seed := range uint64(seeds) {
+		r := play(t, s, Options{Seed: seed})
+		for _, b := range r.Verdict.Breaches {
+			t.Errorf("seed %d: %s: at %.1f s: %s\n%+v", seed, b.Rule, (b.At-startMs)/1000, b.Text, b.Proof)
+			break
+		}
+		service, blackouts, least = service+r.Score.Ratio, blackouts+r.Verdict.Checked[check.NoBlackout], min(least, r.Score.Ratio)
+		if r.Verdict.Checked[check.LastAsked] == 0 || r.Verdict.Checked[check.NotStale] == 0 || r.Verdict.Checked[check.NotDenied] == 0 {
+			t.Errorf("seed %d: a rule was never put to the test: %v", seed, r.Verdict.Checked)
+		}
+	}
+	t.Logf("%d seeds: service %.4f, least %.3f; blackouts looked for %d times", seeds, service/float64(seeds), least, blackouts)
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -48,6 +48,8 @@
 	Operators string // more of the operators' settings; $POOLER stands for a pooler's name
 	Rereads   []Reread
 
+	Arrived func(server, pooler int, writes bool, at float64) // is told of each request that comes whole to a server; may be nil
+
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
 }
 
@@ -148,6 +150,7 @@
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
 	r.wires = newWires(s)
+	r.wires.arrived = opt.Arrived
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	if s.Doors() {
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -22,10 +22,18 @@
 	poolers int
 	tries   map[string]int // attempts seen at servers, by request
 	stood   map[int][2]float64
+	from    map[string]asker // who asked, by request
+	arrived func(server, pooler int, writes bool, at float64)
+}
+
+// asker is who asked something.
+type asker struct {
+	pooler int
+	writes bool
 }
 
 func newWires(s *scenario.Script) *wires {
-	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
+	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}, from: map[string]asker{}}
 	for i, c := range s.Clients.Classes {
 		w.classes[c.Name] = i
 	}
@@ -72,6 +80,7 @@
 func (w *wires) Trying(t *clients.Try, untilMs, afterMs float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.from[t.ID] = asker{t.Pooler, t.Class.Read == clients.Write}
 	w.check.Asked(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Pooler, untilMs, afterMs)
 	if t.Class.KeyMs > 0 {
 		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
@@ -121,6 +130,9 @@
 	defer w.mu.Unlock()
 	no = w.tries[id]
 	w.tries[id] = no + 1
+	if a, ok := w.from[id]; ok && w.arrived != nil {
+		w.arrived(server, a.pooler, a.writes, at)
+	}
 	w.check.Sent(at, idOf(id), no, -1, server)
 	return no
 }
