--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -20,8 +20,7 @@
 				continue
 			}
 			s = r.newStore(n.Store, r.groupOf(n.Group))
-			s.part = r.rng.Float64() // each goes round from a place of its own
-			if r.listed {
+			if s.part = r.rng.Float64(); r.listed { // each goes round from a place of its own
 				s.part = 0
 				if r.set.MayProbe {
 					s.health = down // it may not exist: a probe comes before any request
--- a/internal/kit/scenario/overload.go
+++ b/internal/kit/scenario/overload.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/world"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/overload"
 	"beechgrade/internal/sexp"
@@ -52,6 +53,36 @@
 	return c
 }
 
+// OfProber tells whether a fault strikes the first of a server's probers, (cut prober ...), whoever that is then.
+func (f *Fault) OfProber() bool {
+	return f.Who.Node != nil && f.Who.Kind != sexp.List && f.Who.Text == "prober"
+}
+
+// AtProber is the fault as it strikes then.
+func (f *Fault) AtProber(prober func(server string) int, servers []*world.Server) *Fault {
+	if !f.OfProber() || len(servers) == 0 {
+		return f
+	}
+	c := *f
+	c.Poolers = []int{prober(servers[0].Name)}
+	return &c
+}
+
+// Prober is the first prober of a server, of processes by pooler; 0 for those that do not run.
+func (s *Script) Prober(server string, ids []overload.ID) int {
+	var all []overload.Peer
+	by := map[overload.ID]int{}
+	for i, id := range ids {
+		if id != 0 {
+			all, by[id] = append(all, overload.Peer{ID: id}), i
+		}
+	}
+	for _, id := range overload.ProbersOf(server, 1, all) {
+		return by[id]
+	}
+	return 0
+}
+
 // Where is where a fault strikes: at servers of these groups, or among poolers. It is neither where the load changes.
 func (f *Fault) Where(s *Script) (groups []int, poolers bool) {
 	switch f.What {
@@ -62,7 +93,7 @@
 	}
 	switch f.Target.Kind {
 	case "primary", "replica", "member":
-		return []int{f.Target.Group}, f.What == "cut"
+		return []int{f.Target.Group}, f.OfWays()
 	}
 	for g := range s.Fleet.Groups {
 		groups = append(groups, g)
