Prove how the core serves a witness, and the words of (verdicts ...)

A look is not taken for the module's own probe, a withheld probe has nothing back and is not made, a position of the time to come counts for nothing; faults in the settings are named with their place.

--- /dev/null
+++ b/internal/core/witness_test.go
@@ -0,0 +1,103 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/front"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/slots"
+)
+
+// probing are servers that keep what they are asked.
+type probing struct {
+	counting
+	probes []string
+	sent   []string
+}
+
+func (p *probing) Probe(id string) { p.probes = append(p.probes, id) }
+func (p *probing) Start(id string, _ backend.Query, _ float64, _ backend.Terms, _ backend.Tag) slots.Ref {
+	p.sent = append(p.sent, id)
+	return slots.Ref{}
+}
+
+// witness keeps what it is told.
+type witness struct {
+	told      []string
+	withholds string
+}
+
+func (w *witness) Listed(l *discovery.List, _ bool) { w.note("listed", len(l.Instances)) }
+func (w *witness) Sent(store string, _ backend.Tag, class int) {
+	w.note("sent", store, class)
+}
+func (w *witness) Ended(store string, _ backend.Tag, r decide.Result, _ backend.Said) {
+	w.note("ended", store, r)
+}
+func (w *witness) Probed(store string, r decide.Result, _ backend.Said) { w.note("probed", store, r) }
+func (w *witness) Withholds(store string) bool                          { return store == w.withholds }
+func (w *witness) note(x ...any)                                        { w.told = append(w.told, fmt.Sprint(x...)) }
+
+// TestWitness: a witness hears what is seen; it has servers avoided and tried, and looks at one without the module's own probes being mixed
+// up with its. What a server said counts as of then; what is of the time to come counts for nothing.
+func TestWitness(t *testing.T) {
+	entry := func(id string) discovery.Instance {
+		return discovery.Instance{ID: id, HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}
+	}
+	cfg := &config.Config{Classes: []string{"read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayProbe: true,
+		Classes: []decide.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Read: decide.ReadAny}}},
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{entry("a"), entry("b")}}}
+	l, servers, w := &hand{now: 1e6}, &probing{}, &witness{}
+	c := New(l, slog.New(slog.DiscardHandler), cfg)
+	c.Witness(w)
+	c.Start(servers, l)
+	c.Avoid("a")
+	for i := range 3 {
+		if _, err := c.Ask(front.Request{ID: fmt.Sprint(i), Class: "read", Due: l.now + 2000, Query: still{}}, still{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if fmt.Sprint(servers.sent) != "[b b b]" || fmt.Sprint(w.told) != "[listed2 listed2 sentb0 sentb0 sentb0]" {
+		t.Errorf("sent to %v; told %v", servers.sent, w.told)
+	}
+	down := func(id string) bool { k, _ := c.router.MemoryOf(decide.StoreID(id)); return k.Down }
+	servers.probes = nil
+	if w.withholds = "a"; !down("a") {
+		t.Fatal("it is not avoided")
+	}
+	if c.ProbeTold("a", decide.OK, backend.Said{}, 0); !down("a") {
+		t.Error("a probe's answer has it back that tells nothing")
+	}
+	if c.carryOut(&decide.Action{Kind: decide.Probe, Store: "a"}); len(servers.probes) != 0 || len(l.at) == 0 {
+		t.Errorf("%v are probed for nothing, and %d wait", servers.probes, len(l.at))
+	}
+	w.withholds = ""
+	c.Look("a")
+	if c.carryOut(&decide.Action{Kind: decide.Probe, Store: "a"}); len(servers.probes) != 1 {
+		t.Errorf("%v: the module's probe goes out while a look does", servers.probes)
+	}
+	c.ProbeEnded("a", backend.Outcome{Said: backend.Said{Role: decide.RolePrimary, Position: l.now - 30, HasPos: true}})
+	if k, _ := c.router.MemoryOf("a"); !k.Down || k.Role != decide.RolePrimary || k.RoleAt != 999970*1e6 {
+		t.Errorf("a look is taken for a probe, or not told: %+v", k)
+	}
+	if len(servers.probes) != 2 {
+		t.Errorf("%v: the module's probe is forgotten", servers.probes)
+	}
+	c.Learnt("b", backend.Said{Position: l.now + 500, HasPos: true}, 0)
+	c.Learnt("a", backend.Said{Position: l.now - 10, HasPos: true}, 20)
+	if k, _ := c.router.MemoryOf("b"); k.Position > 0 {
+		t.Errorf("a position of the time to come counts: %+v", k)
+	}
+	if k, _ := c.router.MemoryOf("a"); k.Position != 999990*1e6 || k.PlacedAt != 999980*1e6 || !k.Down {
+		t.Errorf("%+v", k)
+	}
+	if c.Try("a"); down("a") {
+		t.Error("it is not tried")
+	}
+}
--- /dev/null
+++ b/internal/operate/verdicts_test.go
@@ -0,0 +1,28 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestVerdictsSettings: what is wrong with (verdicts ...) is named with its place, in one line.
+func TestVerdictsSettings(t *testing.T) {
+	for in, want := range map[string]string{
+		`(verdicts)`: `o:1:1: (verdicts ...) needs (peers ...)`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (verdicts (observers 1))`:                       `o:1:61: 1 is out of range`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (verdicts (blind 1))`:                           `o:1:57: 1 is out of range`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (verdicts (places no) (blind 0.25) (lapse 5s))`: ``,
+	} {
+		s, err := Parse("o", []byte(in), func(string) string { return "" })
+		got := ""
+		if err != nil {
+			got = err.Error()
+		}
+		if !strings.HasPrefix(got, want) || (want == "") != (got == "") {
+			t.Errorf("%s: %q, want %q", in, got, want)
+		}
+		if v := s.Verdicts; want == "" && (!v.On || v.Set.Places || !v.Set.Health || v.Set.Blind != 0.25 || v.Set.Lapse != 5000) {
+			t.Errorf("read as %+v", v)
+		}
+	}
+}
