--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -12,6 +12,7 @@
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/membership/judge"
 	"beechgrade/internal/peers/overload/joined"
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/verdicts"
 	"beechgrade/internal/peers/view"
@@ -40,6 +41,7 @@
 	Lists    bool                                           // it goes by its list's role in place of what servers say
 	Over     func(no int, o *joined.Options)                // how it handles overload with others
 	Core     func(no int, c joined.Core) joined.Core        // whom that tells
+	Says     func(no int, w part.Words) part.Words          // what it says in place of its words on load and levels
 }
 
 // Mutants are all of them.
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -381,6 +381,7 @@
 	st.add(1)
 	d := &dial{st: st, life: st.p.life, slife: st.life}
 	s, there := st.s, e.way()
+	e.agains.opens(e.s.now, s)
 	switch {
 	case p.cut(s) || s.Hung:
 		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
@@ -483,6 +484,7 @@
 		if n := len(e.script.Sites); n > 0 && a.p.no%n != st.s.SiteNo() {
 			e.crossed++
 		}
+		e.agains.first(a.v, st.s)
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
 		if e.black != nil {
 			e.black.Sent(e.s.now, a.p.no, st.s.No, a.v.class.Read == clients.Write)
@@ -539,6 +541,7 @@
 		a.job.Idem, a.job.KeyMs = v.ask.Idem(), v.class.KeyMs
 	}
 	if s.Takes(&a.job) {
+		e.agains.took(v, s)
 		e.check.Took(e.s.now, s.No, s.Started, v.id, a.job.Work)
 	}
 	s.Take(&a.job)
--- a/internal/kit/rehearse/peers.go
+++ b/internal/kit/rehearse/peers.go
@@ -155,6 +155,13 @@
 	return by[quota.OwnerOf(limit, all)]
 }
 
+// prober is the first prober of a server, of those that were heard of last.
+func (f *fleetOf) prober(server string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.run.script.Prober(server, f.ids)
+}
+
 // changeLimit has a limit be another at some poolers, which read their settings again.
 func (r *Run) changeLimit(f scenario.Fault) error {
 	for _, no := range f.Struck(r.script) {
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -49,6 +49,10 @@
 	Rereads   []Reread
 
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
+
+	Liar string                       // path of the daemon's program built with the tag liar...
+	Lies map[int]string               // ...and what some poolers, by number, lie about load: "none" or "all"
+	Came func(server int, at float64) // is told of each request that came to a server
 }
 
 // Result is a rehearsal's outcome; it is written to result.json in its folder.
@@ -162,6 +166,7 @@
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
 	r.wires, r.shared = newWires(s), r.newShared()
+	r.wires.came = opt.Came
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	if s.Doors() {
@@ -575,8 +580,12 @@
 		return err
 	}
 	defer func() { _ = out.Close() }()
-	cmd := exec.Command(p.run.opt.Daemon, "--settings", p.file("operators.sexp"), "serve")
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.file("config.json"), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=")
+	daemon, lie := p.run.opt.Daemon, p.run.opt.Lies[p.no]
+	if lie != "" {
+		daemon = p.run.opt.Liar
+	}
+	cmd := exec.Command(daemon, "--settings", p.file("operators.sexp"), "serve")
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.file("config.json"), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "LIE="+lie)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
