--- /dev/null
+++ b/internal/kit/explore/levels_test.go
@@ -0,0 +1,72 @@
+package explore
+
+import (
+	"strings"
+	"testing"
+
+	"beechgrade/internal/peers/overload"
+)
+
+// TestLevels: in whatever order words on load come, and however often, the same words end in the same state at each process; levels stay within their
+// cells, and those of all are the same a while after the last fault.
+func TestLevels(t *testing.T) {
+	for name, x := range map[string]struct {
+		n, depth int
+		wrong    LevelFaults
+	}{
+		"two, any order":              {2, 40, LevelFaults{}},
+		"two, lost, late and doubled": {2, 17, LevelFaults{Lose: 1, Late: 1, Double: 1}},
+		"two, late twice":             {2, 19, LevelFaults{Late: 2}},
+		"three, any order":            {3, 20, LevelFaults{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := NewLevels(x.n)
+			if h := s.Held(); h[0] <= 0 {
+				t.Fatalf("nothing is shed: %v", h)
+			}
+			s.LevelFaults, s.End = x.wrong, 2
+			r := Run(s, Bounds{Depth: x.depth, States: 200000})
+			if r.Err != nil {
+				t.Errorf("%v\n%v", r.Err, strings.Join(r.Trace, "\n"))
+			}
+			t.Logf("%d states, %d steps, %d deep, whole %v", r.States, r.Steps, r.Depth, r.Whole)
+			if !r.Whole || r.States < 30 {
+				t.Errorf("%d states, whole %v", r.States, r.Whole)
+			}
+		})
+	}
+}
+
+// TestLevelMutants: who takes an overtaken word for the newest one, on either side, is found.
+func TestLevelMutants(t *testing.T) {
+	for name, mutant := range map[string]func(m any, last, came uint32) any{
+		"counts what is overtaken": func(m any, _, came uint32) any {
+			if x, ok := m.(*overload.Tell); ok {
+				c := *x
+				c.Seq = 1<<20 + came
+				return &c
+			}
+			return m
+		},
+		"takes an old answer for the newest": func(m any, last, _ uint32) any {
+			if x, ok := m.(*overload.Answer); ok {
+				c := *x
+				c.Seq = last
+				return &c
+			}
+			return m
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := NewLevels(2)
+			s.LevelFaults, s.Break = LevelFaults{Double: 1, Late: 1}, mutant
+			if r := Run(s, Bounds{Depth: 20, States: 200000}); r.Err == nil || !strings.Contains(r.Err.Error(), "the same words") {
+				t.Errorf("not found in %d states, %d deep: %v", r.States, r.Depth, r.Err)
+			} else {
+				t.Logf("after %d states, %d deep", r.States, r.Depth)
+			}
+		})
+	}
+}
--- a/internal/peers/overload/clone.go
+++ b/internal/peers/overload/clone.go
@@ -94,3 +94,6 @@
 	}
 	return w.String()
 }
+
+// LastTell is the number of its last tell.
+func (o *Overload) LastTell() uint32 { return o.seq }
