--- a/internal/kit/explore/levels.go
+++ b/internal/kit/explore/levels.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 
 	"beechgrade/internal/invariant"
@@ -124,13 +123,7 @@
 		}
 		s.words = append(s.words, w)
 	}
-	sort.SliceStable(s.words, func(a, b int) bool {
-		x, y := &s.words[a], &s.words[b]
-		if x.to != y.to {
-			return x.to < y.to
-		}
-		return x.text < y.text
-	})
+	sortWords(s.words)
 }
 
 func (s *Levels) deliver(w word) {
--- a/internal/kit/explore/probes.go
+++ b/internal/kit/explore/probes.go
@@ -1,10 +1,10 @@
 package explore
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
-	"sort"
 	"strings"
 
 	"beechgrade/internal/invariant"
@@ -211,13 +211,12 @@
 func (s *Probers) put(w word) {
 	w.text = fmt.Sprintf("%T%+v", w.m, w.m)
 	s.words = append(s.words, w)
-	sort.SliceStable(s.words, func(a, b int) bool {
-		x, y := &s.words[a], &s.words[b]
-		if x.to != y.to {
-			return x.to < y.to
-		}
-		return x.text < y.text
-	})
+	sortWords(s.words)
+}
+
+// sortWords has words in an order that does not depend on who sent first.
+func sortWords(words []word) {
+	slices.SortStableFunc(words, func(x, y word) int { return cmp.Or(cmp.Compare(x.to, y.to), cmp.Compare(x.text, y.text)) })
 }
 
 // deliver has a message arrive.
