--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -45,6 +45,7 @@
 			c.Probing(joined.Prober{Joined: j})
 		}
 		h.x.over = j
+		j.Begin()
 		return []part.Part{j}
 	}
 }
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -23,10 +23,18 @@
 	tries   map[string]int // attempts seen at servers, by request
 	stood   map[int][2]float64
 	came    func(server int, at float64) // may be nil
+	from    map[string]asker             // who asked, by request
+	arrived func(server, pooler int, writes bool, at float64)
+}
+
+// asker is who asked something.
+type asker struct {
+	pooler int
+	writes bool
 }
 
 func newWires(s *scenario.Script) *wires {
-	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
+	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}, from: map[string]asker{}}
 	for i, c := range s.Clients.Classes {
 		w.classes[c.Name] = i
 	}
@@ -76,6 +84,7 @@
 func (w *wires) Trying(t *clients.Try, untilMs, afterMs float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.from[t.ID] = asker{t.Pooler, t.Class.Read == clients.Write}
 	w.check.Asked(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Pooler, untilMs, afterMs)
 	if t.Class.KeyMs > 0 {
 		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
@@ -127,6 +136,9 @@
 	if w.tries[id] = no + 1; w.came != nil {
 		w.came(server, at)
 	}
+	if a, ok := w.from[id]; ok && w.arrived != nil {
+		w.arrived(server, a.pooler, a.writes, at)
+	}
 	w.check.Sent(at, idOf(id), no, -1, server)
 	return no
 }
--- a/internal/peers/overload/joined/joined.go
+++ b/internal/peers/overload/joined/joined.go
@@ -8,6 +8,8 @@
 	"beechgrade/internal/decide"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/account"
+	"beechgrade/internal/peers/overload/lend"
 	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
 )
@@ -19,6 +21,9 @@
 	Names() (classes, tenants []string)
 	Contracts() *decide.Settings
 	Probe(store string)
+	Bound(b *account.Repeats, returns float64)
+	Stocks() []decide.Stock
+	Lend(more map[int]float64)
 	ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64)
 }
 
@@ -34,6 +39,7 @@
 	Set    overload.Settings
 	Share  bool // probes are shared
 	Probes overload.ProbeSettings
+	Bound
 }
 
 // Joined is a pooler's side. It is part.Part, core.Pressure and core.Prober.
@@ -43,6 +49,7 @@
 	host   Host
 	o      *overload.Overload
 	p      *overload.Probes
+	l      *lend.Lend
 	acts   []overload.Action
 	due    float64
 	named  int // classes and tenants that the settings had
@@ -75,7 +82,12 @@
 func (j *Joined) Kind() view.Kind { return part.Overload }
 
 // Read is part.Part's.
-func (j *Joined) Read(b []byte) (any, error) { return overload.Read(b) }
+func (j *Joined) Read(b []byte) (any, error) {
+	if lend.Mine(b) {
+		return lend.Read(b)
+	}
+	return overload.Read(b)
+}
 
 // contracts are the classes and tenants as they are now.
 func (j *Joined) contracts() overload.Settings {
@@ -116,6 +128,7 @@
 		j.p = overload.NewProbes(j.opt.Probes, self, now)
 		j.p.Check(j.checks, j.every)
 	}
+	j.lenders(self, peers)
 	if j.o != nil {
 		j.do(overload.Members{Self: self, Peers: peers})
 	}
@@ -131,6 +144,10 @@
 		j.do(overload.Told{From: from, Tell: m})
 	case *overload.Answer:
 		j.do(overload.Answered{From: from, Answer: m})
+	case *lend.Give, *lend.Want:
+		if j.l != nil {
+			j.lends(j.l.Heard(j.host.Now(), from, m, nil))
+		}
 	default:
 		if j.p != nil {
 			j.probes(j.p.Heard(j.host.Now(), from, m, nil))
@@ -154,6 +171,7 @@
 	if j.p != nil {
 		j.probes(j.p.Tick(now, nil))
 	}
+	j.stocks()
 }
 
 // Leave is part.Part's: what it told fades by itself.
