--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/peers/overload/account"
 )
 
 // Time is a reading of the embedder's monotonic clock. Its origin does not matter.
@@ -199,6 +201,9 @@
 	PriceProbe    float64 // part of a request's worth that a probe costs
 	ReportsOnSend bool    // answers carry load reports too
 
+	Repeats *account.Repeats // nil for any number
+	Returns float64          // connections a second, over all routers, to a store that has returned; 0 for any number
+
 	Shed map[int]*Shed // by group: what the routers have agreed to turn away; it is not changed any more
 }
 
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -86,6 +86,8 @@
 	extra  bool
 	late   bool
 	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
+
+	sentOnce, taken bool // an attempt of it was sent; a server took one
 }
 
 // What a visit's event is.
@@ -137,6 +139,9 @@
 		left := max(1, math.Floor(v.sent+v.ask.Patience-e.s.now))
 		due := e.s.now + left
 		e.check.Asked(e.s.now, v.id, v.ask.Class, v.p.no, due, v.after)
+		if e.black != nil {
+			e.black.Wanted(v.ask.Group)
+		}
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
