--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// probed has the checker hear what other poolers' probes told a pooler of servers' roles, as it does of its own.
+// probed has the checker hear which servers other poolers' probes found to be primaries: that takes back what these said to this pooler before. That one
+// is a replica is its word to the other pooler alone.
 type probed struct {
 	*core.Core
 	p *pooler
@@ -58,8 +59,8 @@
 
 // ProbeTold is joined's core's.
 func (c probed) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
-	if s := c.p.e.world.Server(store); s != nil && said.Role != decide.RoleUnknown {
-		c.p.e.check.Word(c.p.e.s.now, said.Position, c.p.no, s.No, said.Role == decide.RolePrimary)
+	if s := c.p.e.world.Server(store); s != nil && said.Role == decide.RolePrimary {
+		c.p.e.check.Word(c.p.e.s.now, said.Position, c.p.no, s.No, true)
 	}
 	c.Core.ProbeTold(store, result, said, ageMs)
 }
