--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -351,11 +351,11 @@
 	}
 	if q.class.Writes {
 		x, ok := c.words[where{pooler, server}]
-		ok = ok && (!c.Share || c.leads[server] <= x.asOf) // else it may have heard by others that the server leads since
+		since := c.Share && c.leads[server] > x.asOf // it may have heard by others that the server leads since
 		if ok {
 			c.checked[NotDenied]++
 		}
-		if ok && !x.primary && at-x.at <= wordMs {
+		if ok && !x.primary && !since && at-x.at <= wordMs {
 			c.breach(Breach{Rule: NotDenied, At: at, ID: id, Server: server, Text: fmt.Sprintf("a write is sent to a server that said %.0f ms before that it is a replica", at-x.at)},
 				[]Event{{At: x.at, What: "said that it is a replica", Pooler: pooler, Server: server}, {At: at, What: "sent", Pooler: pooler, Server: server, Attempt: no}})
 		}
