Have eight processes find a takeover of which the list tells one

TestFleetVerdictsTakeover: beside it a partition while a server is cut off from one side, a process that stands still for 5 s, a server that is another process at once, and a fleet of which all but one are killed. No rule is broken.

--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -110,3 +110,25 @@
 		t.Error("a group whose replicas look bad to all is asked no more")
 	}
 }
+
+// TestFleetVerdictsTakeover: a primary dies and the list tells one of eight of the takeover, the others nothing; the fleet falls apart while a server is cut
+// off from one side; one process stands still for 5 s; a server is another process at once; in the end all are killed but one. No rule is broken, and
+// writes find the new primary at all poolers.
+func TestFleetVerdictsTakeover(t *testing.T) {
+	t.Parallel()
+	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 17) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 4s)) (at 2s (cut (5 6 7) member 1 2) (for 5s)) (at 2s (stall-pooler 4) (for 5s))
+		(at 3s (restart member 1 1)) (at 8s (list-held (1 2 3 4 5 6 7)) (for 5s)) (at 8200ms (die primary 0))
+		(at 13s (kill-pooler 0) (for 200ms)) (at 13s (kill-pooler 1) (for 200ms)) (at 13s (kill-pooler 2) (for 200ms)) (at 13s (kill-pooler 4) (for 200ms))
+		(at 13s (kill-pooler 5) (for 200ms)) (at 13s (kill-pooler 6) (for 200ms)) (at 13s (kill-pooler 7) (for 200ms))`)
+	for p := range 8 { // the takeover is over by 9.1 s
+		n := 0
+		for _, x := range came.all {
+			if x.pooler == p && x.writes && x.server > 0 && x.server < 4 && x.at > 10000 && x.at < 13000 {
+				n++
+			}
+		}
+		if n == 0 {
+			t.Errorf("pooler %d sent no write to the new primary of group 0, of which the list told pooler 0 alone", p)
+		}
+	}
+}
