Name overload's settings once in its plays, as rehearsals hand them to the daemons now

Rehearsals write a scenario's (overload ...) into the operators' settings since the month's end; the plays of overload still added it, so daemons ended at their start with two of them.

--- a/cmd/beechgrade-kit/overload_test.go
+++ b/cmd/beechgrade-kit/overload_test.go
@@ -22,7 +22,7 @@
 const crowded = ` (class "quadro-obra" (aim 800ms) (deadline 2s) (work 40ms 80ms)) (class "conferir-ponto" (aim 800ms) (deadline 2s) (work 40ms 80ms))
 	(class "relatorio-mes" (aim 800ms) (deadline 2s) (work 40ms 80ms)) (class "registrar-ponto" (aim 800ms) (deadline 2s) (work 40ms 80ms)) `
 
-const levels = "(overload (shed yes))"
+const levels = "(overload (shed yes))" // what the rules go by, and the daemons
 
 // liar is the program built to lie to the other poolers.
 var liar = sync.OnceValues(func() (string, error) {
@@ -42,7 +42,7 @@
 		t.Fatal(err)
 	}
 	s.Clients.Rate = rate
-	opt.Seed, opt.Daemon, opt.Operators, opt.Log = 5, daemon, levels+"\n", slog.New(slog.DiscardHandler)
+	opt.Seed, opt.Daemon, opt.Log = 5, daemon, slog.New(slog.DiscardHandler)
 	if opt.Out == "" {
 		opt.Out = t.TempDir()
 	}
