--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -94,7 +94,7 @@
 	if path == "/-/metrics" && method == http.MethodGet {
 		b := p.core.AppendFigures(nil)
 		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload,
-			p.appendVerdicts} {
+			p.appendVerdicts, p.appendZones} {
 			b = more(b)
 		}
 		return control.Answer{Status: http.StatusOK, Body: b}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -118,6 +118,11 @@
 					} else {
 						fmt.Fprintln(c.Root().Writer, "agreed: off")
 					}
+					if z := set.Zones; z.On {
+						fmt.Fprintf(c.Root().Writer, "zones: %d decided together, %d orders\n", len(z.Zones), len(z.Order))
+					} else {
+						fmt.Fprintln(c.Root().Writer, "zones: off")
+					}
 					if x := set.Credit; x.On {
 						fmt.Fprintf(c.Root().Writer, "credit: %d prices, %d payments of %d tenants\n", len(x.Prices), len(x.Pays), len(x.Prepaid))
 					} else {
@@ -277,6 +282,20 @@
 			return &next.Credit, nil
 		}
 	}
+	unzone, err := p.useZones(set.Zones)
+	if err != nil {
+		return err
+	}
+	defer unzone()
+	if p.zones != nil {
+		p.loadZones = func() (*operate.Zones, error) {
+			next, err := operate.Load(settings, os.Getenv)
+			if err != nil {
+				return nil, err
+			}
+			return &next.Zones, nil
+		}
+	}
 	defer p.record(set.Record)()
 	return p.run(stop, reload)
 }
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -61,6 +61,7 @@
 
 	loadLimits func() (*operate.FleetLimits, error) // reads the fleet's limits again; nil where there are no settings
 
+	loadZones  func() (*operate.Zones, error)  // reads orders again; nil where zones are not decided together
 	loadCredit func() (*operate.Credit, error) // reads prices and payments again; nil where nobody pays ahead
 
 	pooled     *pooling.Front // nil where it is off
@@ -79,6 +80,7 @@
 	limits *fleetLimits   // nil where none hold for the whole fleet
 	over   *joined.Joined // nil where overload is handled alone
 	judged *judged.Joined // nil where each learns of servers alone
+	zones  *zoned         // nil where zones are not decided together
 
 	journal *journal.Journal // nil where it is off
 
@@ -259,6 +261,13 @@
 					p.loop.Post(func() { p.credit.reload(*set) })
 				}
 			}
+			if p.loadZones != nil {
+				if set, err := p.loadZones(); err != nil {
+					p.loop.Post(func() { p.log.Error("zones: the old orders stay", "err", err) })
+				} else {
+					p.loop.Post(func() { p.zones.reload(*set) })
+				}
+			}
 			if s := p.sources; s != nil {
 				n, err := s.read()
 				if err != nil {
--- /dev/null
+++ b/cmd/beechgrade/zones.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/zones/joined"
+)
+
+// zoned is which zone serves what, as the fleet decides it. It is zones' Log, and joined's Keeper.
+type zoned struct {
+	p    *pooler
+	set  operate.Zones
+	j    *joined.Joined
+	keep chan numbered
+	done chan struct{}
+}
+
+type numbered struct {
+	no   uint64
+	done func()
+}
+
+// useZones has the fleet decide, where the settings have it so; after useAgreed. The function ends it.
+func (p *pooler) useZones(set operate.Zones) (stop func(), err error) {
+	if !set.On {
+		return func() {}, nil
+	}
+	z := &zoned{p: p, set: set, keep: make(chan numbered, 64), done: make(chan struct{})}
+	s := set.Settings
+	if i := p.cfg.Settings.Zone; i >= 0 && i < len(p.cfg.Zones) {
+		s.Zone = p.cfg.Zones[i]
+	}
+	if s.Index(s.Zone) < 0 {
+		return nil, badInput{fmt.Errorf("zones: this pooler's zone %q is not among %q", s.Zone, s.Zones)}
+	}
+	s.Name, s.Voters, s.Checks = p.cfg.Name, p.agreed.set.Settings.Voters, p.checks
+	if set.Dir != "" {
+		if s.Floor, err = z.floor(); err != nil {
+			return nil, badInput{fmt.Errorf("zones: %w", err)}
+		}
+	}
+	go z.write()
+	z.j = joined.New(s, p.peers, z, p.core, z)
+	z.j.Listed(&p.cfg.Known, true)
+	p.core.Locate(z.j)
+	p.peers.Join(z.j)
+	if z.j.Book() != nil {
+		p.agreed.users.Add(agreed.OfZones, z.j)
+	}
+	p.agreed.told = append(p.agreed.told, z.j.Hear)
+	p.zones = z
+	return func() {
+		close(z.keep)
+		<-z.done
+	}, nil
+}
+
+func (z *zoned) file() string { return filepath.Join(z.set.Dir, "zones-"+z.p.cfg.Name) }
+
+// floor is the number that the last process followed.
+func (z *zoned) floor() (uint64, error) {
+	if err := os.MkdirAll(z.set.Dir, 0o700); err != nil {
+		return 0, err
+	}
+	b, err := os.ReadFile(z.file())
+	if os.IsNotExist(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(strings.TrimSpace(string(b)), 10, 64)
+}
+
+// write keeps numbers, off the loop: whole, and durable before a plan is followed.
+func (z *zoned) write() {
+	defer close(z.done)
+	for k := range z.keep {
+		if z.set.Dir != "" {
+			if err := save(z.file(), strconv.AppendUint(nil, k.no, 10)); err != nil {
+				z.p.log.Error("zones: the plan's number cannot be kept; the plan is not followed", "err", err)
+				continue
+			}
+		}
+		z.p.loop.Post(k.done)
+	}
+}
+
+// Keep is joined.Keeper's. What finds no room is asked for again with the next plan.
+func (z *zoned) Keep(no uint64, done func()) {
+	if z.set.Dir == "" {
+		done()
+		return
+	}
+	select {
+	case z.keep <- numbered{no, func() {
+		done()
+		z.say()
+	}}:
+	default:
+	}
+}
+
+// say tells the log what this pooler does now.
+func (z *zoned) say() {
+	s, p := z.j.Standing()
+	if p != nil {
+		z.p.log.Info("zones: follows", "plan", p.No, "by", p.By, "zones", fmt.Sprint(p.Zones), "shares", fmt.Sprint(p.Matrix), "near", z.set.Zones[s.Zone], "why", s.Why.String(), "short", p.Short)
+	}
+}
+
+// Propose is zones.Log's.
+func (z *zoned) Propose(entry []byte) {
+	z.p.agreed.part.Propose(0, append([]byte{agreed.OfZones}, entry...))
+}
+
+// reload takes orders as they are now.
+func (z *zoned) reload(set operate.Zones) {
+	if !set.On {
+		z.p.log.Warn("cannot change while serving, needs a restart", "kept", []string{"zones"})
+		return
+	}
+	z.j.Retune(set.Order)
+	z.p.log.Info("zones: orders read again", "orders", len(set.Order))
+}
+
+// appendZones prints how zones stand, where they are decided together.
+func (p *pooler) appendZones(dst []byte) []byte {
+	if p.zones == nil {
+		return dst
+	}
+	z := p.zones
+	s, plan := z.j.Standing()
+	c := z.j.Counts()
+	dst = fmt.Appendf(dst, "app.zones.plans=%d\napp.zones.shifts=%d\napp.zones.fallbacks=%d\napp.zones.why=%d\napp.zones.near=%d\n", c.Plans, c.Shifts, c.Fallbacks, s.Why, s.Zone)
+	if plan == nil {
+		return dst
+	}
+	dst = fmt.Appendf(dst, "app.zones.plan=%d\napp.zones.short=%g\napp.zones.most=%g\n", plan.No, plan.Short, plan.Most)
+	for i, m := range plan.Zones {
+		dst = fmt.Appendf(dst, "app.zones.%s.state=%d\napp.zones.%s.near=%g\n", z.set.Zones[i], m.State, z.set.Zones[i], plan.Matrix[i][i])
+	}
+	return dst
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -177,8 +177,8 @@
 	over   bool
 	rec    recorded
 	count  *figures.Class
-	load   load
 	class  int
+	load   load
 	flow   *flow  // its answer that is passed on as it comes, nil where it is not
 	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
 	wrote  string // the session whose commit is kept, where it is a write of one
@@ -231,6 +231,7 @@
 	if z := set.Zone; z >= 0 && z < len(c.cfg.Zones) {
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
+	c.stands(&set)
 	c.allowed(&set)
 	set.Shed, set.Repeats, set.Returns = c.fleet.shed, c.fleet.repeats, c.fleet.returns
 	c.tell(&decide.Retune{Settings: set})
@@ -288,6 +289,7 @@
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
+	c.tried(q, t.No, o.Result)
 	if q.wrote != "" && !final { // what comes as it is cannot wait
 		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
 	}
@@ -419,6 +421,7 @@
 		return ref, nil
 	}
 	c.weigh(r, now, e)
+	c.wanted(e)
 	c.tellAt(now, e)
 	return ref, nil
 }
@@ -480,6 +483,7 @@
 		c.keys.never(q.key, q.tries[t.No].from)
 	}
 	store := q.tries[t.No].store
+	c.tried(q, t.No, o.Result)
 	c.recordAttempt(q, t.No, store, &o)
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
@@ -506,6 +510,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
+	if c.fleet.geography != nil {
+		c.fleet.geography.Probed(store, o.Result == decide.OK)
+	}
 	if c.looked(store, &o) {
 		return
 	}
@@ -553,6 +560,7 @@
 		e.Entries = append(e.Entries, entry)
 	}
 	c.recordList(l, kind)
+	c.lists(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
 	if c.seen.witness != nil {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -29,6 +29,9 @@
 	shed     map[int]*decide.Shed
 	repeats  *account.Repeats
 	returns  float64
+
+	geography Geography
+	stand     stand
 }
 
 // load is a request as a part of its group's load.
--- /dev/null
+++ b/internal/core/zones.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"beechgrade/internal/clock"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/membership/discovery"
+)
+
+// Geography is told where servers are, what is asked, and what became of attempts, for the fleet to decide which zone serves what.
+type Geography interface {
+	Listed(l *discovery.List, whole bool)
+	Asked(group, class int)
+	Tried(store string, class int, result decide.Result, ms float64, overtaken bool)
+	Probed(store string, ok bool)
+}
+
+// stand is where the router takes this pooler to be, and how dear it is to cross; the settings' own where it is not on.
+type stand struct {
+	zone  string
+	price float64
+	on    bool
+}
+
+// Locate has somebody told.
+func (c *Core) Locate(g Geography) { c.fleet.geography = g }
+
+// Stand has the router take another zone for near, and crossing to cost a part of a request's worth; below 0 for the settings' own.
+func (c *Core) Stand(zone string, price float64) {
+	if s := (stand{zone, price, true}); s != c.fleet.stand {
+		c.fleet.stand = s
+		c.retune()
+	}
+}
+
+// stands puts the settings where this pooler stands.
+func (c *Core) stands(set *decide.Settings) {
+	if s := &c.fleet.stand; s.on {
+		set.Zone = c.zones.number(s.zone)
+		if s.price >= 0 {
+			set.PriceCross = s.price
+		}
+	}
+}
+
+// Pace is how fast a server is taken to be, as a part of what others of its kind are.
+func (c *Core) Pace(store string) float64 { return c.router.Pace(decide.StoreID(store)) }
+
+// wanted counts a request that came; tried how an attempt ended.
+func (c *Core) wanted(e *decide.Request) {
+	if g := c.fleet.geography; g != nil {
+		g.Asked(e.Group, e.Class)
+	}
+}
+
+func (c *Core) tried(q *request, no int, result decide.Result) {
+	if g := c.fleet.geography; g != nil {
+		t := &q.tries[no]
+		g.Tried(string(t.store), q.class, result, c.loop.Now()-t.from, q.over)
+	}
+}
+
+// lists tells of a list.
+func (c *Core) lists(l *discovery.List, kind decide.ListKind) {
+	if g := c.fleet.geography; g != nil {
+		g.Listed(l, kind != decide.ListChanges)
+	}
+}
+
+// Cold is how much of its capacity a server has so long after its start.
+func (c *Core) Cold(startedMs float64) float64 {
+	set := &c.cfg.Settings
+	age := c.loop.Now() - startedMs
+	if startedMs <= 0 || set.ColdTime <= 0 || age >= clock.Millis(set.ColdTime) {
+		return 1
+	}
+	return set.ColdFrom + (1-set.ColdFrom)*max(0, age)/clock.Millis(set.ColdTime)
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -201,6 +201,14 @@
 	return out
 }
 
+// Pace is how fast a store is taken to be, as a part of what others of its kind are; 1 where nothing is known.
+func (r *Router) Pace(id StoreID) float64 {
+	if s := r.stores[id]; s != nil {
+		return s.rel
+	}
+	return 1
+}
+
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
--- /dev/null
+++ b/internal/kit/check/zones.go
@@ -0,0 +1,86 @@
+package check
+
+import "fmt"
+
+// Zones holds what poolers made of the fleet's plans against what was true of clients and servers. It knows the faults, by Changed, and no
+// plan but by what it says.
+type Zones struct {
+	Safe    float64 // part of a zone's cores that may be planned where it receives
+	Settled float64 // ms after a change in which a plan may not know of it yet
+	Far     float64 // part of reads that may cross in calm
+
+	Found   []Breach
+	plans   map[uint64]uint64 // by number: a sum of what it asks for
+	last    map[int]uint64    // by pooler, whatever process
+	changed float64
+	reads   float64
+	far     float64
+}
+
+// The rules.
+const (
+	OnePlan  Rule = "one plan for each number"
+	OldPlan  Rule = "no old plan after a new one"
+	FullZone Rule = "a receiving zone never above its safe load by the plan"
+	NearCalm Rule = "near while safe"
+)
+
+// NewZones makes a checker.
+func NewZones(safe, settledMs, far float64) *Zones {
+	return &Zones{Safe: safe, Settled: settledMs, Far: far, plans: map[uint64]uint64{}, last: map[int]uint64{}}
+}
+
+func (c *Zones) breach(r Rule, at float64, format string, args ...any) {
+	c.Found = append(c.Found, Breach{Rule: r, At: at, Text: fmt.Sprintf(format, args...)})
+}
+
+// Changed tells that something befell zones, their servers or what is asked of them, or ended.
+func (c *Zones) Changed(at float64) { c.changed = max(c.changed, at) }
+
+// Follows tells that a pooler follows a plan now; sum is of all that it asks for.
+func (c *Zones) Follows(at float64, pooler int, no, sum uint64) {
+	if was, known := c.plans[no]; known && was != sum {
+		c.breach(OnePlan, at, "pooler %d follows another plan %d than others", pooler, no)
+	}
+	c.plans[no] = sum
+	if no < c.last[pooler] {
+		c.breach(OldPlan, at, "pooler %d follows plan %d after %d", pooler, no, c.last[pooler])
+	}
+	c.last[pooler] = max(c.last[pooler], no)
+}
+
+// Planned holds a plan's shares, by zone, against the cores of work that clients near each ask and those that serve in each.
+func (c *Zones) Planned(at float64, no uint64, shares [][]float64, asked, cores []float64) {
+	if at < c.changed+c.Settled {
+		return
+	}
+	for b := range cores {
+		all, came := 0.0, 0.0
+		for a := range shares {
+			if all += shares[a][b] * asked[a]; a != b {
+				came += shares[a][b] * asked[a]
+			}
+		}
+		if came > 0 && all > c.Safe*cores[b] {
+			c.breach(FullZone, at, "plan %d has %.2f cores of work in zone %d, %.2f of them of others; safe are %.2f", no, all, b, came, c.Safe*cores[b])
+		}
+	}
+}
+
+// Read tells that a read that any member may serve went out, to another zone or not.
+func (c *Zones) Read(at float64, far bool) {
+	if at < c.changed+c.Settled {
+		return
+	}
+	if c.reads++; far {
+		c.far++
+	}
+}
+
+// Finish looks at what crossed in calm, and tells that part.
+func (c *Zones) Finish(at float64) (far float64) {
+	if far = c.far / max(1, c.reads); far > c.Far {
+		c.breach(NearCalm, at, "%.3f of %.0f reads crossed in calm", far, c.reads)
+	}
+	return far
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -13,6 +13,7 @@
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/score"
 	"beechgrade/internal/kit/world"
@@ -29,6 +30,8 @@
 	Broken   func(invariant.Breach) // is told of each invariant that breaks first, at that moment; may be nil
 	Parts    []Joined               // that live in each pooler, beside those that the scenario has
 	Tried    func(t *clients.Try)   // is told how each try ended for its client; may be nil
+
+	Read func(at float64, class *clients.Class, pooler int, work float64, far bool) // is told of each attempt of a read that any member may serve; may be nil
 }
 
 // startMs is when virtual time begins, Unix ms: a fixed moment, so that every run is the same.
@@ -58,6 +61,8 @@
 	Tries     uint64             `json:"tries"`
 	Attempts  uint64             `json:"attempts"`
 	Crossed   uint64             `json:"attempts_across_sites,omitempty"`
+	Reads     uint64             `json:"attempts_of_reads_that_any_member_may_serve,omitempty"`
+	Far       uint64             `json:"of_these_across_sites,omitempty"`
 	Probes    uint64             `json:"probes"`
 	Lists     uint64             `json:"list_calls"`
 	Ends      map[string]uint64  `json:"attempts_by_end"`
@@ -90,6 +95,7 @@
 	paging   *paging          // reports that are read in pages, nil for none
 	funds    *funds           // that tenants pay ahead, nil for none
 	ways     *ways            // from poolers to servers, and to the list
+	routes   *links.Net       // what befalls the ways between sites, nil for one room
 	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
@@ -101,7 +107,7 @@
 	times    *timesOf
 
 	asked, tries, attempts, probes, lists uint64
-	crossed                               uint64
+	crossed, reads, far                   uint64
 	watches                               uint32
 	conned                                int // connections that a pooler had at most
 	results                               [16]uint64
@@ -167,6 +173,9 @@
 	if s.Pages != nil {
 		e.paging = e.newPaging()
 	}
+	if n := len(s.Sites); n > 0 {
+		e.routes = links.New(n)
+	}
 	for i := range s.Poolers {
 		p := e.newPooler(i)
 		e.poolers = append(e.poolers, p)
@@ -203,7 +212,7 @@
 	runtime.ReadMemStats(&m)
 	s := e.script
 	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
-		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Probes: e.probes,
+		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Reads: e.reads, Far: e.far, Probes: e.probes,
 		Lists: e.lists, Conns: e.conned, Again: e.agains.result(), Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
 		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
 	for i, n := range e.results {
@@ -239,12 +248,41 @@
 
 // wayTo is how long one takes between a pooler and a server, which may stand in different sites.
 func (e *Emulation) wayTo(p *pooler, s *world.Server) float64 {
-	if n := len(e.script.Sites); n > 0 && p.no%n != s.SiteNo() {
-		return e.draw(e.script.Cross)
+	if n := len(e.script.Sites); n > 0 {
+		return e.draw(e.script.Between(p.no%n, s.SiteNo()))
 	}
 	return e.way()
 }
 
+// apart tells whether nothing goes between a pooler and a server, one way at least.
+func (e *Emulation) apart(p *pooler, s *world.Server) bool {
+	if e.routes == nil {
+		return false
+	}
+	a, b := p.no%len(e.script.Sites), s.SiteNo()
+	return a != b && (e.routes.Cut(a, b) || e.routes.Cut(b, a))
+}
+
+// carried is how long a message takes between a pooler and a server, or back; below 0 where it is lost.
+func (e *Emulation) carried(p *pooler, s *world.Server, back bool) float64 {
+	ms := e.wayTo(p, s)
+	if e.routes == nil {
+		return ms
+	}
+	a, b := p.no%len(e.script.Sites), s.SiteNo()
+	if a == b {
+		return ms
+	}
+	if back {
+		a, b = b, a
+	}
+	late := e.routes.Fate(a, b, e.rng)
+	if len(late) == 0 {
+		return -1
+	}
+	return ms + late[0]
+}
+
 func (e *Emulation) draw(r world.Range) float64 { return r.Draw(e.rng) }
 
 // conns is how many connections a server holds.
@@ -355,6 +393,20 @@
 	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
+	case "route", "routes":
+		strike := func(on bool) {
+			e.routes.Set(f.Sited[0], f.Sited[1], &f.Link, on)
+			if f.Both {
+				e.routes.Set(f.Sited[1], f.Sited[0], &f.Link, on)
+			}
+			if e.fleet != nil {
+				f.Strike(e.fleet.net, on)
+				e.fleet.check.Fault(e.s.now)
+			}
+			e.check.Fault(e.s.now, map[bool]int{true: 1, false: -1}[on])
+		}
+		strike(true)
+		later(func() { strike(false) })
 	case "links", "between":
 		strike := func(on bool) {
 			f.Strike(e.fleet.net, on)
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -288,8 +288,8 @@
 
 // wayBetween is how long a message takes between two poolers.
 func (e *Emulation) wayBetween(a, b *pooler) float64 {
-	if n := len(e.script.Sites); n > 0 && a.no%n != b.no%n {
-		return e.script.Cross.Draw(e.fleet.rng)
+	if n := len(e.script.Sites); n > 0 {
+		return e.script.Between(a.no%n, b.no%n).Draw(e.fleet.rng)
 	}
 	return e.script.Way.Draw(e.fleet.rng)
 }
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -481,8 +481,17 @@
 	st.busy[a] = true
 	if a.v != nil {
 		e.attempts++
+		old := a.v.class.Read != clients.Write // it may be
+		if n := len(e.script.Sites); old && e.opt.Read != nil {
+			e.opt.Read(e.s.now, a.v.class, a.p.no, (a.v.class.Work[0]+a.v.class.Work[1])/2, n > 0 && a.p.no%n != st.s.SiteNo())
+		}
+		if old {
+			e.reads++
+		}
 		if n := len(e.script.Sites); n > 0 && a.p.no%n != st.s.SiteNo() {
-			e.crossed++
+			if e.crossed++; old {
+				e.far++
+			}
 		}
 		e.agains.first(a.v, st.s)
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
@@ -496,7 +505,9 @@
 	case forgets > 0 && a.rest >= forgets: // what lies between knows nothing of this connection any more
 		e.s.After(e.wayTo(a.p, st.s), a, atReset)
 	default:
-		e.s.After(e.wayTo(a.p, st.s), a, atServer)
+		if ms := e.carried(a.p, st.s, false); ms >= 0 {
+			e.s.After(ms, a, atServer)
+		}
 	}
 }
 
@@ -531,7 +542,9 @@
 			r, a.asOf = world.Report{Position: s.Position(e.s.now)}, e.s.now
 		}
 		a.reply = world.Reply{Position: r.Position, Primary: r.Primary}
-		e.s.After(e.script.ProbeCost+e.wayTo(a.p, s), a, atProbed)
+		if ms := e.carried(a.p, s, true); ms >= 0 {
+			e.s.After(e.script.ProbeCost+ms, a, atProbed)
+		}
 		return
 	}
 	v := a.v
@@ -558,7 +571,9 @@
 	if a.v != nil && a.v.shard != nil {
 		a.v.shard.read(a, r)
 	}
-	a.p.e.s.After(a.p.e.wayTo(a.p, a.st.s), a, atPooler)
+	if ms := a.p.e.carried(a.p, a.st.s, true); ms >= 0 {
+		a.p.e.s.After(ms, a, atPooler)
+	}
 }
 
 var results = map[world.Verdict]decide.Result{world.Served: decide.OK, world.NotPrimary: decide.Missed, world.Drains: decide.Full,
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -107,6 +107,9 @@
 	e := v.e
 	for ; tried < len(e.poolers); tried++ {
 		n := (home + tried) % len(e.poolers)
+		if k := len(e.script.Sites); e.script.Near && k > 0 { // its own site's first
+			n = e.nearest(home, tried, k)
+		}
 		if e.s.now < e.bad[n] {
 			continue
 		}
@@ -124,6 +127,25 @@
 	v.finish(clients.Unmade)
 }
 
+// nearest is the pooler that is tried as the tried-th: first those of the home's own site.
+func (e *Emulation) nearest(home, tried, sites int) int {
+	all := len(e.poolers)
+	own := (all - home%sites + sites - 1) / sites
+	if tried < own {
+		return (home/sites+tried)%own*sites + home%sites
+	}
+	n := tried - own
+	for i := range all {
+		if p := (home + i) % all; p%sites != home%sites {
+			if n == 0 {
+				return p
+			}
+			n--
+		}
+	}
+	return home
+}
+
 // Fire is world.Event's.
 func (v *visit) Fire(arg uint64) {
 	e := v.e
--- a/internal/kit/emulate/ways.go
+++ b/internal/kit/emulate/ways.go
@@ -71,7 +71,9 @@
 }
 
 // cut tells whether nothing gets from this pooler to a server.
-func (p *pooler) cut(s *world.Server) bool { return p.e.ways.cut[p.no*p.e.ways.servers+s.No] > 0 }
+func (p *pooler) cut(s *world.Server) bool {
+	return p.e.ways.cut[p.no*p.e.ways.servers+s.No] > 0 || p.e.apart(p, s)
+}
 
 // loses draws whether what it sends to a server is lost on a thin way.
 func (p *pooler) loses(s *world.Server) bool {
--- /dev/null
+++ b/internal/kit/emulate/zones_test.go
@@ -0,0 +1,179 @@
+package emulate
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/zones"
+	"beechgrade/internal/peers/zones/follow"
+	"beechgrade/internal/peers/zones/state"
+)
+
+// zonedPlay is a play with zones decided together, and what is held against it.
+type zonedPlay struct {
+	*Zoned
+	*Result
+	rules *check.Zones
+	far   float64 // of the reads that any member may serve at any age, in calm
+	steps []step  // what pooler 1 followed
+}
+
+type step struct {
+	at    float64
+	near  float64 // of site 0
+	state state.State
+	short float64
+}
+
+// zoned plays a script with zones decided together, or each pooler for itself; changes are when something befalls the fleet.
+func zoned(t *testing.T, seed uint64, on bool, script string, changes []float64, mutate func(*zones.Settings)) *zonedPlay {
+	t.Helper()
+	s := parse(t, fmt.Sprintf(`(rehearsal "zones" (peers) (near yes) (pushed yes) (cross-price 0.01) (cold 10s) (retries 1) %s)`, script))
+	z := &zonedPlay{Zoned: &Zoned{Log: &CommonLog{Settings: agreed.Defaults(), Voters: 3, Seed: seed, DiskMs: [2]float64{0.1, 2}}, Set: zones.Defaults(), KeepMs: 1}}
+	z.rules = check.NewZones(0.9, 15000, 0.02)
+	for _, at := range append(changes, 0) {
+		z.rules.Changed(at)
+	}
+	if mutate != nil {
+		mutate(&z.Set)
+	}
+	opt := Options{Seed: seed}
+	type ask struct{ at, work float64 }
+	asked := make([][]ask, len(s.Sites)) // of the last seconds
+	const span = 8000
+	lookAt := 0.0
+	opt.Read = func(at float64, c *clients.Class, pooler int, work float64, far bool) {
+		site := pooler % len(s.Sites)
+		asked[site] = append(asked[site], ask{at, work})
+		if c.Read == clients.ReadAny {
+			z.rules.Read(at-startMs, far)
+		}
+		if !on || at < lookAt {
+			return
+		}
+		lookAt = at + 1000
+		loads := make([]float64, len(asked))
+		for i := range asked {
+			asked[i] = slices.DeleteFunc(asked[i], func(a ask) bool { return a.at < at-span })
+			for _, a := range asked[i] {
+				loads[i] += a.work / span
+			}
+		}
+		if p, plan := z.Of(1).Standing(); p.Why == follow.Planned {
+			z.rules.Planned(at-startMs, plan.No, plan.Matrix, loads, z.Cores(1))
+		}
+	}
+	z.Told = func(p int, _ uint64) {
+		_, plan := z.Of(p).Standing()
+		if plan == nil {
+			return // a newer one was heard meanwhile
+		}
+		at := z.Now(p) - startMs
+		z.rules.Follows(at, p, plan.No, xxhash.Sum64(plan.Append(nil)))
+		if p == 1 {
+			z.steps = append(z.steps, step{at, plan.Matrix[0][0], plan.Zones[0].State, plan.Short})
+		}
+	}
+	if on {
+		opt.Parts = []Joined{z.Join}
+	}
+	z.Result = play(t, s, opt)
+	z.far = z.rules.Finish(s.Clients.Seconds * 1000)
+	return z
+}
+
+const threeZones = `(sites "a" "b" "c") (cross 1ms 2ms) (poolers 12) (groups 3 3) (rate 50) `
+
+func (z *zonedPlay) hold(t *testing.T) {
+	t.Helper()
+	for _, b := range z.rules.Found {
+		t.Errorf("%s at %.0f: %s", b.Rule, b.At, b.Text)
+	}
+	for _, b := range z.Verdict.Breaches {
+		t.Errorf("%s at %.0f: %s", b.Rule, b.At, b.Text)
+	}
+}
+
+// until is when pooler 1 first followed a plan, from a time on, by which site a's reads near are as wanted; below 0 for never.
+func (z *zonedPlay) until(from float64, ok func(s *step) bool) float64 {
+	for i := range z.steps {
+		if s := &z.steps[i]; s.at >= from && ok(s) {
+			return s.at - from
+		}
+	}
+	return -1
+}
+
+// TestZonesLost: a zone loses its power and has it again, cold. The fleet leaves it within the bound, comes back in steps, and in calm next to
+// nothing crosses.
+func TestZonesLost(t *testing.T) {
+	t.Parallel()
+	z := zoned(t, 1, true, threeZones+`(seconds 90) (at 20s (power "a") (for 10s))`, []float64{20000, 65000}, nil)
+	z.hold(t)
+	bound := z.Set.Decide(2, 2, 1)
+	if out := z.until(20000, func(s *step) bool { return s.near == 0 }); out < 0 || out > bound+1500 { // and the list is late
+		t.Errorf("left after %.0f ms, bound %.0f", out, bound)
+	}
+	back := z.until(30000, func(s *step) bool { return s.near == 1 })
+	if last := z.steps[len(z.steps)-1]; back < z.Set.Chief.State.Rest-10000 || last.state != state.Serving {
+		t.Errorf("back after %.0f ms, %v at the end", back, last.state)
+	}
+	if p, _ := z.Of(5).Standing(); p.Why != follow.Planned {
+		t.Errorf("%+v", p)
+	}
+}
+
+// TestZonesHalfAlive: probes pass and a third of requests vanish: the zone is left, and is back when it is well.
+func TestZonesHalfAlive(t *testing.T) {
+	t.Parallel()
+	z := zoned(t, 2, true, threeZones+`(seconds 130) (at 15s (lose site "a" 0.4) (for 30s))`, []float64{15000, 130000}, nil) // calm is not looked at
+	z.hold(t)
+	if out := z.until(15000, func(s *step) bool { return s.near == 0 }); out < 0 || out > 15000 {
+		t.Errorf("left after %.0f ms: %+v", out, z.steps)
+	}
+	if last := z.steps[len(z.steps)-1]; last.near != 1 {
+		t.Errorf("%+v in the end", last)
+	}
+}
+
+// TestZonesCutOff: a zone is cut off from the others but fine inside: its poolers fall back, and its reads of any age are served there; the voters
+// that are left go on.
+func TestZonesCutOff(t *testing.T) {
+	t.Parallel()
+	var z *zonedPlay
+	z = zoned(t, 3, true, threeZones+`(seconds 60) (at 15s (routes "a" ("b" "c") cut) (for 15s))`, []float64{15000, 35000}, nil)
+	z.hold(t)
+	for p := range 12 {
+		c := z.Of(p).Counts()
+		if cut := p%3 == 0; cut != (c.Fallbacks > 0) {
+			t.Errorf("pooler %d fell back %d times", p, c.Fallbacks)
+		}
+		if s, _ := z.Of(p).Standing(); s.Why != follow.Planned {
+			t.Errorf("pooler %d: %+v in the end", p, s)
+		}
+	}
+}
+
+// TestZonesMutants: what breaks a rule on purpose is found.
+func TestZonesMutants(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		rule         check.Rule
+		rate, script string
+		mutate       func(*zones.Settings)
+	}{
+		{check.NearCalm, "(rate 100)", `(seconds 40)`, func(s *zones.Settings) { s.Price = 0 }},
+	} {
+		z := zoned(t, 1, true, strings.Replace(threeZones, "(rate 50)", x.rate, 1)+x.script, nil, x.mutate)
+		if !slices.ContainsFunc(z.rules.Found, func(b check.Breach) bool { return b.Rule == x.rule }) {
+			t.Errorf("%q is not found", x.rule)
+		}
+	}
+}
--- a/internal/kit/scenario/acts.go
+++ b/internal/kit/scenario/acts.go
@@ -46,7 +46,7 @@
 // Of resolves a target as the world is now.
 func (t Target) Of(w *world.World) (out []*world.Server) {
 	for _, g := range w.Groups {
-		if t.Kind != "primaries" && t.Kind != "everyone" && t.Kind != "half-primaries" && g.ID != t.Group || t.Kind == "half-primaries" && g.ID%2 != 0 {
+		if t.Kind != "site" && t.Kind != "primaries" && t.Kind != "everyone" && t.Kind != "half-primaries" && g.ID != t.Group || t.Kind == "half-primaries" && g.ID%2 != 0 {
 			continue
 		}
 		for k, s := range g.Members {
@@ -59,6 +59,10 @@
 				if s != g.Primary {
 					return append(out, s)
 				}
+			case "site":
+				if s.Site() == t.Word {
+					out = append(out, s)
+				}
 			case "member":
 				if k == t.Member {
 					out = append(out, s)
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -42,6 +42,11 @@
 	if s.Forgets > 0 {
 		return fmt.Errorf("%q has (forgets ...), which can be played in virtual time only", s.Name)
 	}
+	for _, f := range s.Faults {
+		if f.OfRoutes() {
+			return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf("(%s ...) can be played in virtual time only", f.What)}
+		}
+	}
 	return nil
 }
 
@@ -91,6 +96,9 @@
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
 	Cross      world.Range // one way between two sites
+	Regions    []int       // of the sites, by number; nil for one
+	Far        world.Range // one way between two regions
+	Near       bool        // a client's front tries the poolers of its own site first
 	CrossPrice float64     // of an attempt that crosses, as a part of its worth
 
 	IdleMs  float64 // poolers are told that servers close connections idle for so long
@@ -114,16 +122,18 @@
 	Owner    string // the limit whose lender it strikes
 	From, To whom   // of links: whose...
 	Ends     [2][]int
-	Both     bool // ...and the other way too
+	Both     bool        // ...and the other way too
+	Places   [2][]string // of routes: sites
+	Sited    [2][]int    // ...by number
 	Link     links.Fault
 }
 
 // Target says whom a fault strikes. It is resolved when that happens.
 type Target struct {
-	Kind   string // primary, replica, member, primaries, half-primaries (of every other group), everyone or pooler
+	Kind   string // primary, replica, member, primaries, half-primaries (of every other group), everyone, site or pooler
 	Group  int
 	Member int
-	Word   string // what befalls an agent
+	Word   string // what befalls an agent; a site's name
 }
 
 func (t Target) String() string {
@@ -134,6 +144,8 @@
 		return fmt.Sprintf("member %d %d", t.Group, t.Member)
 	case "agent":
 		return fmt.Sprintf("%d %s", t.Group, t.Word)
+	case "site":
+		return "site " + quote(t.Word)
 	}
 	return fmt.Sprintf("%s %d", t.Kind, t.Group)
 }
@@ -187,6 +199,12 @@
 		s.Fleet.Work[c.Name], s.Fleet.Keys[c.Name] = c.Work, c.KeyMs
 	}
 	s.Fleet.Sites = s.Sites
+	for i := range s.Faults {
+		if err := s.sited(&s.Faults[i]); err != nil {
+			return nil, err
+		}
+	}
+	s.Faults = s.powered(s.Faults)
 	s.Faults = unfold(s.Faults, s.Clients.Seconds*1000)
 	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	if s.Limits != nil && s.Peers == nil {
@@ -262,6 +280,9 @@
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
 		"sites":        s.sites,
 		"cross":        both(&s.Cross),
+		"regions":      s.regions,
+		"far":          both(&s.Far),
+		"near":         func(n *sexp.Node) (err error) { s.Near, err = n.Bool(); return err },
 		"cross-price":  float(&s.CrossPrice, 0, 1),
 		"cores":        whole(&f.Cores, 1, 256),
 		"queue":        whole(&f.Queue, 0, 1e5),
@@ -327,6 +348,47 @@
 	return nil
 }
 
+// regions reads (regions N N ...): how many of the sites, in their order, each region has.
+func (s *Script) regions(n *sexp.Node) error {
+	for i, a := range n.Args() {
+		x, err := a.Number(1, maxSites)
+		if err != nil {
+			return err
+		}
+		for range int(x) {
+			s.Regions = append(s.Regions, i)
+		}
+	}
+	if len(s.Regions) != len(s.Sites) {
+		return n.Errorf("the regions have %d sites; %d are named before", len(s.Regions), len(s.Sites))
+	}
+	return nil
+}
+
+// Delays are the mean ways between sites, as operators would state them.
+func (s *Script) Delays() [][]float64 {
+	out := make([][]float64, len(s.Sites))
+	for a := range out {
+		out[a] = make([]float64, len(s.Sites))
+		for b := range out[a] {
+			r := s.Between(a, b)
+			out[a][b] = (r[0] + r[1]) / 2
+		}
+	}
+	return out
+}
+
+// Between is the way between two sites.
+func (s *Script) Between(a, b int) world.Range {
+	if a == b {
+		return s.Way
+	}
+	if len(s.Regions) > 0 && s.Regions[a] != s.Regions[b] {
+		return s.Far
+	}
+	return s.Cross
+}
+
 func spans(n *sexp.Node, to *[2]float64) (err error) {
 	a := n.Args()
 	if len(a) != 2 {
@@ -493,6 +555,9 @@
 	"fail-check":     struck(0, 0),
 	"links":          aLink,
 	"between":        aLink,
+	"route":          aRoute,
+	"routes":         aRoute,
+	"power":          aSite,
 	"limit":          aLimit,
 	"pay":            aPay,
 	"load":           func(f *Fault, n *sexp.Node) (err error) { f.Value, err = n.Float(0, 100); return err },
@@ -549,6 +614,10 @@
 		}
 		f.Target.Kind = a[0].Text
 		numbers := map[string]int{"primary": 1, "replica": 1, "member": 2, "primaries": 0, "half-primaries": 0, "everyone": 0}
+		if f.Target.Kind == "site" && len(a) > 1 && a[1].Kind != sexp.List {
+			f.Target.Word, a = a[1].Text, a[1:]
+			numbers["site"] = 0
+		}
 		need, ok := numbers[f.Target.Kind]
 		if !ok {
 			return a[0].Errorf("%q is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, half-primaries, everyone", a[0].Text)
@@ -596,6 +665,8 @@
 		return fail("there is no tenant %q", f.Target.Word)
 	case f.Owner != "" && s.limit(f.Owner) == nil:
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
+	case f.OfRoutes() && s.Sites == nil:
+		return fail("(%s ...) goes with (sites ...)", f.What)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
 	case f.OfProber() && (s.Overload == nil || !s.Overload.Share):
--- a/internal/kit/scenario/scenario_test.go
+++ b/internal/kit/scenario/scenario_test.go
@@ -9,7 +9,7 @@
 		`(rehearsal "x" (groups 2 3) (at 1s (die replica 1) (for 2s)) (at 2s (crowd everyone 0.5)) (at 1s (load 2) (for 3s)))`: "",
 		``:                                  `s:1:1: one (rehearsal "NAME" ...) is due`,
 		`(rehearsal x)`:                     `s:1:1: a rehearsal's name in double quotes is due first`,
-		`(rehearsal "x" (at 1s (dye)))`:     `s:1:23: there is no fault "dye"; there are: [agent between crowd cut deaf deregister-all die disk drain fail-check hang kill-pooler lag limit links list-gone list-held list-late list-silent load lose mute pay reissue restart restart-pooler stall-pooler thin wrong-roles]`,
+		`(rehearsal "x" (at 1s (dye)))`:     `s:1:23: there is no fault "dye"; there are: [agent between crowd cut deaf deregister-all die disk drain fail-check hang kill-pooler lag limit links list-gone list-held list-late list-silent load lose mute pay power reissue restart restart-pooler route routes stall-pooler thin wrong-roles]`,
 		`(rehearsal "x" (at 1s (die)))`:     `s:1:23: whom? (die primary GROUP), replica GROUP, member GROUP N, primaries, half-primaries or everyone`,
 		`(rehearsal "x" (at 1s (die all)))`: `s:1:28: "all" is nobody; there are: primary GROUP, replica GROUP, member GROUP N, primaries, half-primaries, everyone`,
 		`(rehearsal "x" (at 1s (lag replica 0)))`:                                             `s:1:23: (lag replica ...) takes 2 figures, here are 1`,
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -27,6 +27,7 @@
 	Scatter    Scatter
 	Agreed     Agreed
 	Credit     Credit
+	Zones      Zones
 }
 
 // Record says whether and where the pooler records what it does.
@@ -80,6 +81,7 @@
 		"overload":     s.Overload.read,
 		"verdicts":     s.Verdicts.read,
 		"credit":       func(n *sexp.Node) error { return s.Credit.read(n, env) },
+		"zones":        func(n *sexp.Node) error { return s.Zones.read(n, env) },
 		"agreed":       func(n *sexp.Node) error { return s.Agreed.read(n, env) },
 		"peers":        func(n *sexp.Node) error { return s.Peers.read(n, env) },
 		"sessions":     func(n *sexp.Node) error { return s.Sessions.read(n, env) },
@@ -99,6 +101,9 @@
 	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "credit" }); err == nil && i >= 0 && (!s.Peers.On || !s.Agreed.On) {
 		err = nodes[i].Errorf("(credit ...) needs (peers ...) and (agreed ...)")
 	}
+	if i := slices.IndexFunc(nodes, func(n *sexp.Node) bool { return n.Head() == "zones" }); err == nil && i >= 0 && (!s.Peers.On || !s.Agreed.On) {
+		err = nodes[i].Errorf("(zones ...) needs (peers ...) and (agreed ...)")
+	}
 	return s, err
 }
 
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -18,7 +18,7 @@
 			Queue: defaultQueue, FlushMs: defaultFlushMs}},
 		`(kept (dir "$T/k") (age 1h))`:             Settings{Kept: Kept{Dir: "/t/k", AgeMs: 3600e3, MostBytes: defaultKept}},
 		`(kept (dir "$NO"))`:                       `o:1:1: kept: (dir "FOLDER") is due, on a disk that survives`,
-		"(record)\n(records)":                      `o:2:1: "records" is not known here; known are: agreed, clickhouse, credit, fleet-limits, invariants, journal, kept, membership, overload, peers, pooling, record, scatter, sessions, verdicts`,
+		"(record)\n(records)":                      `o:2:1: "records" is not known here; known are: agreed, clickhouse, credit, fleet-limits, invariants, journal, kept, membership, overload, peers, pooling, record, scatter, sessions, verdicts, zones`,
 		"(record (on))":                            "o:1:1: record: it is on, but no (dir ...) says where",
 		`(record (on) (dir "$NO"))`:                "o:1:14: record: the folder's name is empty; is its variable set?",
 		"(record (segment 1m)\n (total 1m))":       "o:1:1: record: total has room for less than two segments of 1048576 bytes",
--- /dev/null
+++ b/internal/operate/zones_test.go
@@ -0,0 +1,35 @@
+package operate
+
+import (
+	"strings"
+	"testing"
+
+	"beechgrade/internal/peers/zones/state"
+)
+
+const zonesNeed = `(peers (listen "127.0.0.1:1") (key "k")) (agreed (voters "a" "b" "c") (dir "d"))`
+
+// TestZonesRead: names, ways and orders, and what is wrong with others.
+func TestZonesRead(t *testing.T) {
+	s, err := Parse("x", []byte(zonesNeed+` (zones (names "a" "b") (delay "a" "b" 3ms) (spare 0.3) (order 7 "b" evacuated (until "2026-01-31T12:00:00Z")))`), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	z := &s.Zones
+	if o := z.Order[0]; !z.On || z.Chief.Plan.Delay[1][0] != 3 || z.Chief.Plan.Spare != 0.3 || o.No != 7 || o.State != state.Evacuated || o.Until != 1769860800000 {
+		t.Errorf("%+v", z)
+	}
+	for text, want := range map[string]string{
+		`(zones (names "a" "b"))`:                                          "needs (peers ...) and (agreed ...)",
+		zonesNeed + `(zones (names "a"))`:                                  "from 2 to",
+		zonesNeed + `(zones (names "a" "b") (delay "a" "c" 1ms))`:          "that are named",
+		zonesNeed + `(zones (names "a" "b") (order 1 "c" serving))`:        "is not named",
+		zonesNeed + `(zones (names "a" "b") (order 1 "a" away))`:           "a state is one of",
+		zonesNeed + `(zones (names "a" "b") (life 1s))`:                    "two renewals",
+		zonesNeed + `(zones (names "a" "b") (order 1 "a" lifted (for 1)))`: "is due here",
+	} {
+		if _, err := Parse("x", []byte(text), func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/peers/agreed/shared.go
+++ b/internal/peers/agreed/shared.go
@@ -54,4 +54,5 @@
 const (
 	OfTally  byte = 1
 	OfCredit byte = 2
+	OfZones  byte = 4
 )
--- a/internal/peers/zones/book/book.go
+++ b/internal/peers/zones/book/book.go
@@ -41,6 +41,7 @@
 // Plan is what the fleet does. Shares are in thousandths, rounded so that nothing more than was meant goes anywhere else.
 type Plan struct {
 	No      uint64
+	Since   uint64 // the number from which on plans asked for the same; the log's order says it
 	Version uint64 // of the orders that it was made with
 	Of      uint32 // a sum of the zones' names: a pooler that has others does not follow
 	By      string // the voter that made it
@@ -54,7 +55,7 @@
 // Same tells whether two plans ask for the same.
 func (p *Plan) Same(o *Plan) bool {
 	a, b := *p, *o
-	a.No, b.No, a.By, b.By, a.Short, b.Short, a.Most, b.Most = 0, 0, "", "", 0, 0, 0, 0
+	a.No, b.No, a.Since, b.Since, a.By, b.By, a.Short, b.Short, a.Most, b.Most = 0, 0, 0, 0, "", "", 0, 0, 0, 0
 	return string(a.append(nil)) == string(b.append(nil))
 }
 
@@ -143,6 +144,9 @@
 	if b.Checks.On() {
 		b.Checks.That(p.No > last, "zones: no old plan after a new one", func() string { return describe(b.Plan, p) })
 	}
+	if p.Since = p.No; b.Plan != nil && b.Plan.Same(p) {
+		p.Since = b.Plan.Since
+	}
 	b.Plan = p
 	return true
 }
--- a/internal/peers/zones/book/form.go
+++ b/internal/peers/zones/book/form.go
@@ -11,7 +11,7 @@
 
 // All numbers are varints; a plan is
 //
-//	no version of by-length by zones {state rest}... ways {from to state rest}... short most {cells {to part}...}...
+//	no since version of by-length by zones {state rest}... ways {from to state rest}... short most {cells {to part}...}...
 //
 // with parts in thousandths, and rows without the cells that are nothing.
 
@@ -27,7 +27,7 @@
 func thousandths(x float64) uint64 { return uint64(min(1e12, max(0, math.Ceil(x*parts-1e-6)))) }
 
 func (p *Plan) append(b []byte) []byte {
-	for _, x := range []uint64{p.No, p.Version, uint64(p.Of), uint64(len(p.By))} {
+	for _, x := range []uint64{p.No, p.Since, p.Version, uint64(p.Of), uint64(len(p.By))} {
 		b = binary.AppendUvarint(b, x)
 	}
 	b = append(b, p.By...)
@@ -122,7 +122,7 @@
 }
 
 func (r *reader) plan() *Plan {
-	p := &Plan{No: r.num(math.MaxUint64), Version: r.num(math.MaxUint64), Of: uint32(r.num(math.MaxUint32)), By: r.text(MostName)}
+	p := &Plan{No: r.num(math.MaxUint64), Since: r.num(math.MaxUint64), Version: r.num(math.MaxUint64), Of: uint32(r.num(math.MaxUint32)), By: r.text(MostName)}
 	zones := r.num(MostZones)
 	for range zones {
 		p.Zones = append(p.Zones, r.mark())
--- a/internal/peers/zones/chief/chief.go
+++ b/internal/peers/zones/chief/chief.go
@@ -30,6 +30,7 @@
 	Plan   plan.Settings
 	State  state.Settings
 	Stale  float64 // what a pooler told is forgotten
+	Window float64 // over which attempts are counted
 	Memory float64 // over which loads are smoothed
 	Step   float64 // between two steps of a plan
 	Out    float64 // part of a zone's reads that leave in a step
@@ -86,6 +87,10 @@
 	zones  []state.Zone
 	ways   [][]state.Zone
 	loads  map[flow]float64 // smoothed
+	ends   [][2]float64     // by zone of the poolers and of the servers: attempts that ended and were lost, about over Window
+	lookAt float64
+	fine   plan.Matrix // of which the plan is what whole poolers can follow
+	fineOf uint64      // ...as of this plan
 	stepAt float64
 	lastAt float64
 	sent   uint64 // number of the plan that was proposed
@@ -147,6 +152,7 @@
 	if leads && !c.leads {
 		c.from, c.sent = now, 0
 		clear(c.loads)
+		c.ends = nil
 		c.begin(p, now)
 	}
 	c.leads = leads
@@ -211,12 +217,21 @@
 		p.Matrix = last.Matrix
 	}
 	if c.view.Want != nil && c.from+c.set.Settle <= now {
-		p.Matrix = c.step(now, p.Matrix, last)
+		if c.fine == nil || !fits || last.By != c.set.Name || last.No != c.fineOf {
+			c.fine = p.Matrix
+		}
+		c.fine = c.step(now, c.fine, last)
+		if c.fineOf = p.No; len(c.view.Groups) > 0 {
+			p.Matrix = c.plan.Round(c.fine, c.view.Groups, c.counts())
+		} else {
+			p.Matrix = c.fine
+		}
 		p.Short, p.Most = c.view.Short, c.plan.Most(p.Matrix, c.view.Groups)
 	} else if fits {
 		p.Zones, p.Ways = last.Zones, last.Ways
 	}
 	if fits && last.Same(p) && now-c.lastAt < c.set.Renew {
+		c.fineOf = last.No
 		return nil
 	}
 	c.lastAt = now
@@ -266,6 +281,7 @@
 	c.view = Sight{Seen: make([]state.Seen, c.set.Zones)}
 	groups, cells := c.gather()
 	c.smooth(now, groups)
+	c.count(now, cells)
 	for z := range c.zones {
 		c.view.Seen[z] = c.seen(z, cells)
 	}
@@ -285,7 +301,7 @@
 				continue
 			}
 			w := &c.ways[a][b]
-			e := c.way(a, b, cells)
+			e := c.way(a, b)
 			if w.Step(&c.set.State, now, &e); w.State.Out() {
 				c.plan.Delay[a][b] = math.Inf(1)
 			}
@@ -360,7 +376,7 @@
 	}
 }
 
-const rise = 0.5 // of what a load has grown is taken in a look
+const rise = 0.15 // of what a load has grown is taken in a look
 
 func (s *Settings) lookEach() float64 { return max(1, s.Step/4) }
 
@@ -378,29 +394,48 @@
 	return all
 }
 
+// count follows how attempts end, over a window: one word of a pooler has few.
+func (c *Chief) count(now float64, by []words) {
+	n := c.set.Zones
+	if len(c.ends) != n*n {
+		c.ends, c.lookAt = make([][2]float64, n*n), now
+	}
+	fade := math.Exp(-(now - c.lookAt) / max(1, c.set.Window))
+	c.lookAt = now
+	sums := make([][2]float64, n*n)
+	for _, w := range by {
+		for _, x := range w.all {
+			sums[x.zone*n+w.zone][0] += x.Asked
+			sums[x.zone*n+w.zone][1] += x.Lost
+		}
+	}
+	for i := range sums {
+		for k := range 2 {
+			c.ends[i][k] = c.ends[i][k]*fade + sums[i][k]*c.set.Window/1000*(1-fade)
+		}
+	}
+}
+
 // seen is what there is to say of a zone: what its own poolers see, where they ask enough.
 func (c *Chief) seen(z int, by []words) (e state.Seen) {
-	var near, far state.Seen
+	var far state.Seen
 	up, whole := 0.0, 0.0
 	e.Dark = true
 	for _, w := range by {
-		if w.zone != z {
-			continue
+		if w.zone == z {
+			e.Dark = false
+			cores, most := middle(best(w.all, z))
+			up, whole = up+cores, whole+most
 		}
-		all := w.all
-		e.Dark = false
-		for _, x := range all {
-			if x.zone == z {
-				near.Asked, near.Lost = near.Asked+x.Asked, near.Lost+x.Lost
-			} else {
-				far.Asked, far.Lost = far.Asked+x.Asked, far.Lost+x.Lost
-			}
+	}
+	for a := range c.set.Zones {
+		if x := c.ends[a*c.set.Zones+z]; a == z {
+			e.Asked, e.Lost = x[0], x[1]
+		} else {
+			far.Asked, far.Lost = far.Asked+x[0], far.Lost+x[1]
 		}
-		cores, most := middle(best(all, z))
-		up, whole = up+cores, whole+most
 	}
-	e.Asked, e.Lost = near.Asked, near.Lost
-	if near.Asked < c.set.State.Least && (len(c.poolers(z)) == 0 || far.Lost < c.set.State.FailAt*far.Asked) {
+	if e.Asked < c.set.State.Least && (len(c.poolers(z)) == 0 || far.Lost < c.set.State.FailAt*far.Asked) {
 		e.Asked, e.Lost = far.Asked, far.Lost
 	}
 	if e.Up = 1; whole > 0 {
@@ -419,6 +454,15 @@
 	return out
 }
 
+// counts are how many poolers of each zone have told something lately.
+func (c *Chief) counts() []int {
+	n := make([]int, c.set.Zones)
+	for z := range n {
+		n[z] = len(c.poolers(z))
+	}
+	return n
+}
+
 // middle is the median of what is said of a cell's cores.
 func middle(all []seenBy) (cores, whole float64) {
 	var a, b []float64
@@ -431,18 +475,9 @@
 }
 
 // way is what there is to say of one: what one zone's poolers see of another that is well by its own.
-func (c *Chief) way(a, b int, by []words) (e state.Seen) {
-	e.Up = 1
-	for _, w := range by {
-		if w.zone != b {
-			continue
-		}
-		for _, x := range w.all {
-			if x.zone == a {
-				e.Asked, e.Lost = e.Asked+x.Asked, e.Lost+x.Lost
-			}
-		}
-	}
+func (c *Chief) way(a, b int) (e state.Seen) {
+	x := c.ends[a*c.set.Zones+b]
+	e.Up, e.Asked, e.Lost = 1, x[0], x[1]
 	z := &c.view.Seen[b]
 	e.Dark = c.set.State.Bad(z) || z.Asked < fewAsks && e.Asked < fewAsks
 	return e
--- a/internal/peers/zones/chief/chief_test.go
+++ b/internal/peers/zones/chief/chief_test.go
@@ -10,7 +10,10 @@
 	"beechgrade/internal/peers/zones/state"
 )
 
-const period = 500.0
+const (
+	period  = 500.0
+	poolers = 10 // of each zone
+)
 
 // rig is a fleet of zones with one group, as a chief is told of it: poolers ask near, or as the plan has it, and lose what befalls them.
 type rig struct {
@@ -32,8 +35,8 @@
 }
 
 func settings(zones int) Settings {
-	s := Settings{Name: "a", Of: 1, Zones: zones, State: state.Defaults(), Stale: 1600, Memory: 3000, Step: 1000, Out: 0.34, Back: 0.1, Renew: 2000, Settle: 1000, Late: 1000}
-	s.Plan = plan.Settings{Classes: []plan.Class{{Worth: 1}}, Price: 1, Spare: 0.2}
+	s := Settings{Name: "a", Of: 1, Zones: zones, State: state.Defaults(), Stale: 1600, Window: 1000, Memory: 3000, Step: 1000, Out: 0.34, Back: 0.1, Renew: 2000, Settle: 1000, Late: 1000}
+	s.Plan = plan.Settings{Classes: []plan.Class{{Worth: 1}}, Price: 1, Spare: 0.2, Tight: 0.2}
 	for a := range zones {
 		s.Plan.Delay = append(s.Plan.Delay, make([]float64, zones))
 		for b := range zones {
@@ -106,7 +109,13 @@
 			}
 			t.Cells = append(t.Cells, c)
 		}
-		r.chief.Told(r.now, uint64(a+1), &t)
+		for i := range t.Cells {
+			t.Cells[i].Asked, t.Cells[i].Lost = t.Cells[i].Asked/poolers, t.Cells[i].Lost/poolers
+		}
+		t.Asks[0].Load /= poolers
+		for i := range poolers {
+			r.chief.Told(r.now, uint64(a*poolers+i+1), &t)
+		}
 	}
 }
 
@@ -147,7 +156,7 @@
 	r.run(10000)
 	r.cores[0] = 0
 	took := r.until(20000, "evacuated", func() bool { return r.matrix()[0][0] == 0 })
-	if bound := r.set.State.Fail + 2*r.set.Step + 2*period; took > bound {
+	if bound := r.set.State.Fail + r.set.Window + 2*r.set.Step + 2*period; took > bound {
 		t.Errorf("%.0f ms to evacuate, bound %.0f", took, bound)
 	}
 	r.run(20000)
--- a/internal/peers/zones/follow/follow.go
+++ b/internal/peers/zones/follow/follow.go
@@ -15,8 +15,8 @@
 //
 // # Never back to an older one
 //
-// A plan with a lower number is passed over, also after a restart: before a plan is followed its number is Kept where the process's next
-// self finds it, as Floor.
+// A plan with a lower number is passed over, also after a restart: before a plan that asks for something else is followed, the number
+// from which on it was asked for (Since) is Kept where the process's next self finds it, as Floor.
 package follow
 
 import "beechgrade/internal/peers/zones/book"
@@ -30,7 +30,7 @@
 	Least   float64 // attempts near in a window, for their losses to count
 	FailAt  float64 // part lost
 	Fail    float64 // that it lasts until this pooler goes by it, without news
-	Floor   uint64  // the plan that this pooler followed last, before it was started
+	Floor   uint64  // Since of the plan that this pooler followed last, before it was started
 	Forgets bool    // a mutant: any plan is followed
 }
 
@@ -82,33 +82,37 @@
 	if p.Of != f.set.Of || ends <= now && f.plan == nil {
 		return 0
 	}
-	newest := f.set.Floor
-	if f.plan != nil {
-		newest = max(newest, f.plan.No)
-	}
-	if f.next != nil {
-		newest = max(newest, f.next.No)
-	}
 	switch {
 	case f.set.Forgets:
 		f.plan, f.ends = p, ends
 		return 0
-	case p.No < newest:
+	case p.Since < f.set.Floor, p.No < f.Number():
 		return 0
-	case f.plan != nil && p.No == f.plan.No:
-		f.ends = max(f.ends, ends)
+	case f.next != nil && p.Since == f.next.Since:
+		f.next, f.nextE = p, max(f.nextE, ends)
 		return 0
-	case f.next != nil && p.No == f.next.No:
-		f.nextE = max(f.nextE, ends)
+	case f.plan != nil && p.Since == f.plan.Since:
+		f.plan, f.ends = p, max(f.ends, ends)
 		return 0
 	}
 	f.next, f.nextE = p, ends
-	return p.No
+	return p.Since
+}
+
+// Again tells that the newest plan that was heard was in force age ms ago still.
+func (f *Follower) Again(now float64, no uint64, age float64) {
+	ends := now + f.set.Life - max(0, age)
+	switch {
+	case f.next != nil && f.next.No == no:
+		f.nextE = max(f.nextE, ends)
+	case f.next == nil && f.plan != nil && f.plan.No == no:
+		f.ends = max(f.ends, ends)
+	}
 }
 
 // Kept tells that a number is where the next self of this process finds it.
-func (f *Follower) Kept(no uint64) {
-	if f.next != nil && f.next.No <= no {
+func (f *Follower) Kept(since uint64) {
+	if f.next != nil && f.next.Since <= since {
 		f.plan, f.ends, f.next = f.next, f.nextE, nil
 	}
 }
--- a/internal/peers/zones/follow/follow_test.go
+++ b/internal/peers/zones/follow/follow_test.go
@@ -12,7 +12,7 @@
 }
 
 func thePlan(no uint64, away float64) *book.Plan {
-	return &book.Plan{No: no, Of: 9, Zones: make([]book.Mark, 2), Matrix: plan.Matrix{{1 - away, away}, {0, 1}}}
+	return &book.Plan{No: no, Since: no, Of: 9, Zones: make([]book.Mark, 2), Matrix: plan.Matrix{{1 - away, away}, {0, 1}}}
 }
 
 // TestSharesAreDealt: never more poolers than a share has go, but where a zone is left whole.
@@ -98,7 +98,15 @@
 	if g.Kept(g.Heard(0, thePlan(8, 0), 0)); g.Stand(0).No != 8 {
 		t.Errorf("%+v: the one that it had", g.Stand(0))
 	}
-	other := thePlan(9, 0)
+	again := thePlan(9, 0) // the same once more
+	if again.Since = 8; g.Heard(10, again, 0) != 0 || g.Stand(10).No != 9 {
+		t.Errorf("%+v: the same plan, renewed", g.Stand(10))
+	}
+	g.Again(4000, 9, 0)
+	if g.Stand(8999).Why != Planned || g.Stand(9001).Why != Fallback {
+		t.Error("a plan ends Life after it was in force")
+	}
+	other := thePlan(10, 0)
 	if other.Of = 1; g.Heard(0, other, 0) != 0 {
 		t.Error("a plan for other zones")
 	}
--- a/internal/peers/zones/plan/plan.go
+++ b/internal/peers/zones/plan/plan.go
@@ -4,7 +4,7 @@
 // Groups share no servers, so each is solved by itself (Solve): its flows, the reads of a class that clients of a zone ask, against the
 // room that its servers have in each zone. First as much worth as there is safe room for is served, the least worth first left out;
 // of all ways to do that the one that crosses for the least price and delay is taken. A room is safe up to what its servers can do, less
-// a spare part and what only they can do (writes, fresh reads).
+// a spare part and what only they can do (writes, fresh reads); near reads alone may take some of the spare part before they cross.
 //
 // Poolers have one near zone for all groups, so what the fleet agrees on is a Matrix: by zone, the part of its reads that goes to each
 // (Fold). No group of a zone that receives is above its safe room by it: where one would be, less goes there.
@@ -29,7 +29,8 @@
 	Classes []Class
 	Delay   [][]float64 // ms one way, from the zone of a pooler to that of a server; endless where nothing may go
 	Price   float64     // of crossing, as ms of delay
-	Spare   float64     // part of a zone's servers that is kept free
+	Spare   float64     // part of a zone's servers that is kept free of what comes from elsewhere
+	Tight   float64     // ...and of near reads, before they go elsewhere
 }
 
 // Flow is what is asked of a group: the work of a class from clients near a zone, in cores.
@@ -53,9 +54,14 @@
 	Rooms []Room // by zone
 }
 
-// Safe is what reads may take of a room.
+// Safe is what reads may take of a room that receives.
 func (s *Settings) Safe(r *Room) float64 { return max(0, r.Cores*(1-s.Spare)-r.Fixed) }
 
+// Beyond is what near reads alone may take above that.
+func (s *Settings) Beyond(r *Room) float64 {
+	return max(0, r.Cores*(1-min(s.Spare, s.Tight))-r.Fixed) - s.Safe(r)
+}
+
 // Answer is a group's plan.
 type Answer struct {
 	To    [][]float64 // by flow and zone: the part of it that goes there; what is missing to 1 is shed
@@ -83,9 +89,11 @@
 	if from == to || s.Cut(from, to) {
 		return 0
 	}
-	return 1 + int64(math.Round(1000*(s.Price+max(0, s.Delay[from][to]))))
+	return 2*beyond + int64(math.Round(1000*(s.Price+max(0, s.Delay[from][to]))))
 }
 
+const beyond = 1 // the price of a unit that is served near above what is safe for one that receives: less than any crossing
+
 const worths = 1000 // a worth counts in so many parts of one
 
 func worthOf(c *Class) int64 { return 1 + int64(math.Round(worths*max(0, c.Worth))) }
@@ -93,12 +101,12 @@
 // Solve makes a group's plan.
 func (s *Settings) Solve(g *Group) Answer {
 	n := &net{}
-	src, flows, zones := n.node(), make([]int, len(g.Flows)), make([]int, len(g.Rooms))
+	src, flows, zones, own := n.node(), make([]int, len(g.Flows)), make([]int, len(g.Rooms)), make([]int, len(g.Rooms))
 	for i := range flows {
 		flows[i] = n.node()
 	}
 	for z := range zones {
-		zones[z] = n.node()
+		zones[z], own[z] = n.node(), n.node()
 	}
 	sink := n.node()
 	most := int64(1)
@@ -114,7 +122,11 @@
 		f := &g.Flows[i]
 		loads[i] = int64(math.Ceil(f.Load/Unit - 1e-6))
 		n.edge(src, flows[i], loads[i], -worthOf(&s.Classes[f.Class])*weight)
-		at[i] = make([]int, len(g.Rooms))
+		at[i] = make([]int, len(g.Rooms)+1)
+		at[i][len(g.Rooms)] = -1
+		if z := f.Zone; s.may(f, g, z) {
+			at[i][len(g.Rooms)] = n.edge(flows[i], own[z], math.MaxInt32, beyond)
+		}
 		for z := range g.Rooms {
 			at[i][z] = -1
 			if s.may(f, g, z) {
@@ -124,6 +136,7 @@
 	}
 	for z := range g.Rooms {
 		n.edge(zones[z], sink, int64(s.Safe(&g.Rooms[z])/Unit+1e-6), 0)
+		n.edge(own[z], sink, int64(s.Beyond(&g.Rooms[z])/Unit+1e-6), 0)
 	}
 	n.run(src, sink)
 	a := Answer{To: make([][]float64, len(g.Flows))}
@@ -135,7 +148,10 @@
 				continue
 			}
 			used := n.edges[e^1].room
-			a.To[i][z] = float64(used) / float64(loads[i])
+			if z == len(g.Rooms) {
+				z = g.Flows[i].Zone
+			}
+			a.To[i][z] += float64(used) / float64(loads[i])
 			if left -= used; z != g.Flows[i].Zone {
 				a.Cross += float64(used) * Unit
 			}
--- a/internal/peers/zones/plan/plan_test.go
+++ b/internal/peers/zones/plan/plan_test.go
@@ -12,9 +12,10 @@
 
 // brute finds the best plan of a group by trying every one, in whole units: the most worth, then the least crossing.
 func brute(s *Settings, g *Group) (worth, cross int64) {
-	room, left := make([]int64, len(g.Rooms)), make([]int64, len(g.Flows))
-	for z := range room {
-		room[z] = int64(math.Floor(s.Safe(&g.Rooms[z])/Unit + 1e-6))
+	zones := len(g.Rooms)
+	room, left := make([]int64, 2*zones), make([]int64, len(g.Flows)) // the second half: for near reads alone
+	for z := range zones {
+		room[z], room[zones+z] = int64(math.Floor(s.Safe(&g.Rooms[z])/Unit+1e-6)), int64(math.Floor(s.Beyond(&g.Rooms[z])/Unit+1e-6))
 	}
 	for i := range left {
 		left[i] = int64(math.Round(g.Flows[i].Load / Unit))
@@ -32,10 +33,16 @@
 			return
 		}
 		f := &g.Flows[i]
-		for n := int64(0); n <= left[i] && n <= room[z] && (n == 0 || s.may(f, g, z)); n++ {
+		may, price := z < zones && s.may(f, g, z), int64(beyond)
+		if z < zones {
+			price = s.crossing(f.Zone, z)
+		} else {
+			may = z-zones == f.Zone && s.may(f, g, f.Zone)
+		}
+		for n := int64(0); n <= left[i] && n <= room[z] && (n == 0 || may); n++ {
 			left[i] -= n
 			room[z] -= n
-			try(i, z+1, w+n*worthOf(&s.Classes[f.Class]), c+n*s.crossing(f.Zone, z))
+			try(i, z+1, w+n*worthOf(&s.Classes[f.Class]), c+n*price)
 			left[i] += n
 			room[z] += n
 		}
@@ -45,18 +52,25 @@
 }
 
 func (s *Settings) value(g *Group, a *Answer) (worth, cross int64) {
+	all := make([]int64, len(g.Rooms))
+	defer func() {
+		for z := range all {
+			cross += beyond * max(0, all[z]-int64(s.Safe(&g.Rooms[z])/Unit+1e-6))
+		}
+	}()
 	for i := range g.Flows {
 		for z, p := range a.To[i] {
 			n := int64(math.Round(p * g.Flows[i].Load / Unit))
 			worth += n * worthOf(&s.Classes[g.Flows[i].Class])
 			cross += n * s.crossing(g.Flows[i].Zone, z)
+			all[z] += n
 		}
 	}
 	return worth, cross
 }
 
 func small(zones int) *Settings {
-	s := &Settings{Classes: []Class{{Worth: 1}, {Worth: 3, Reach: 5, Age: 100}}, Price: 1}
+	s := &Settings{Classes: []Class{{Worth: 1}, {Worth: 3, Reach: 5, Age: 100}}, Price: 1, Spare: 0.5}
 	for a := range zones {
 		s.Delay = append(s.Delay, nil)
 		for b := range zones {
@@ -91,7 +105,7 @@
 					x /= most
 				}
 				for z := range zones {
-					g.Rooms = append(g.Rooms, Room{Cores: float64(x%most) * Unit, Keeps: kinds>>z&1 > 0, Takes: kinds>>(zones+z)&1 > 0, Age: float64(z * 60)})
+					g.Rooms = append(g.Rooms, Room{Cores: float64(2*(x%most)) * Unit, Fixed: float64(x%most/2) * Unit, Keeps: kinds>>z&1 > 0, Takes: kinds>>(zones+z)&1 > 0, Age: float64(z * 60)})
 					x /= most
 				}
 				a := s.Solve(g)
@@ -150,6 +164,21 @@
 				if !s.Allowed(m, groups) {
 					r.Fatalf("%v sends where nothing may go: %+v", m, groups)
 				}
+				from := make([]int, zones)
+				for z := range from {
+					from[z] = rapid.IntRange(0, 6).Draw(r, "poolers")
+				}
+				whole := s.Round(m, groups, from)
+				if most := s.Most(whole, groups); most > 1.001 || !s.Allowed(whole, groups) {
+					r.Fatalf("rounded to %v, a zone is at %.3f: %v of %+v", whole, most, m, groups)
+				}
+				for z := range whole {
+					for b, p := range whole[z] {
+						if x := p * float64(from[z]); b != z && from[z] > 0 && math.Abs(x-math.Round(x)) > 1e-6 {
+							r.Fatalf("%v has parts of one of %d poolers", whole, from[z])
+						}
+					}
+				}
 				for z := range m {
 					sum := 0.0
 					for _, p := range m[z] {
@@ -186,3 +215,31 @@
 		t.Errorf("a zone that is gone is left by %v", m)
 	}
 }
+
+// TestRounded: whole poolers go, as many as is safe; a zone that nothing stays in is left whole.
+func TestRounded(t *testing.T) {
+	s := small(3)
+	s.Spare = 0
+	group := []Group{{Flows: []Flow{{0, 0, 2}}, Rooms: []Room{{Cores: 2, Keeps: true}, {Cores: 0.5, Takes: true}, {Cores: 9, Takes: true}}}}
+	for _, c := range []struct {
+		row, want []float64
+		n         int
+	}{
+		{[]float64{0.6, 0.2, 0.2}, []float64{0.5, 0.25, 0.25}, 4}, // two are nearer than one
+		{[]float64{0, 0.25, 0.75}, []float64{0, 0.25, 0.75}, 4},
+		{[]float64{0, 0.24, 0.76}, []float64{0, 0, 1}, 2},
+		{[]float64{0.9, 0, 0.1}, []float64{1, 0, 0}, 2},
+		{[]float64{0, 0.25, 0.4}, []float64{0, 0, 1}, 1}, // there is room
+		{[]float64{0, 0.25, 0.4}, []float64{0, 0.25, 0.4}, 0},
+	} {
+		m := Near(3)
+		m[0] = c.row
+		got := s.Round(m, group, []int{c.n, 1, 1})[0]
+		for b := range got {
+			if math.Abs(got[b]-c.want[b]) > 1e-9 {
+				t.Errorf("%v of %d poolers: %v, want %v", c.row, c.n, got, c.want)
+				break
+			}
+		}
+	}
+}
--- a/internal/peers/zones/state/state.go
+++ b/internal/peers/zones/state/state.go
@@ -46,7 +46,7 @@
 
 // Defaults are for zones of one region.
 func Defaults() Settings {
-	return Settings{Least: 20, FailAt: 0.15, WellAt: 0.05, UpAt: 0.5, StrainAt: 1, StrainOff: 0.8, Fail: 1500, Empty: 3000, Strain: 3000, Rest: 15000, MostRest: 240000, Warm: 30000}
+	return Settings{Least: 10, FailAt: 0.15, WellAt: 0.05, UpAt: 0.5, StrainAt: 1, StrainOff: 0.8, Fail: 1500, Empty: 3000, Strain: 3000, Rest: 15000, MostRest: 240000, Warm: 30000}
 }
 
 // Shifts bounds how often a zone is left or taken back in a time up to MostRest: from out to back it takes Rest at least, from back to out Fail,
