--- a/internal/kit/emulate/again.go
+++ b/internal/kit/emulate/again.go
@@ -42,10 +42,17 @@
 
 // took counts one that a server takes.
 func (x *agains) took(v *visit, s *world.Server) {
-	if v.taken {
+	if v.taken > 0 {
 		x.taken[s.Group.ID]++
 	}
-	v.taken = true
+	v.taken++
+}
+
+// full takes one back that found no place there.
+func (x *agains) full(v *visit, s *world.Server) {
+	if v.taken--; v.taken > 0 {
+		x.taken[s.Group.ID]--
+	}
 }
 
 // opens counts a connection that is opened.
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -548,6 +548,9 @@
 	if r.Verdict == world.Fallen {
 		return // its connection breaks
 	}
+	if r.Verdict == world.QueueFull {
+		a.p.e.agains.full(a.v, a.st.s)
+	}
 	if a.reply = r; a.p.cut(a.st.s) {
 		return
 	}
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -87,7 +87,8 @@
 	late   bool
 	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
 
-	sentOnce, taken bool // an attempt of it was sent; a server took one
+	sentOnce bool // an attempt of it was sent
+	taken    int  // attempts that servers took
 }
 
 // What a visit's event is.
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -63,8 +63,12 @@
 	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Stood     []Stood        `json:"stood_still,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
+	Twice     map[int]Twice  `json:"-"` // by group
 }
 
+// Twice is what servers of a group took, or had no room for: attempts, and how many of these were of a request of which one had been taken.
+type Twice struct{ Taken, Again int }
+
 // Stood is when a pooler's process stood still: what came meanwhile it takes for newly come.
 type Stood struct {
 	Pooler string  `json:"pooler"`
@@ -272,6 +276,7 @@
 	}
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
+	res.Twice = r.wires.twices()
 	res.Rules = r.wires.verdict(r.clk.Now())
 	if err := r.invariants(res.Rules); err != nil {
 		return nil, err
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -2,6 +2,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,10 +24,16 @@
 	poolers int
 	tries   map[string]int // attempts seen at servers, by request
 	stood   map[int][2]float64
+	taken   map[string]bool // requests that a server took
+	groups  []int           // of the servers
+	twice   map[int]Twice
 }
 
 func newWires(s *scenario.Script) *wires {
-	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}}
+	w := &wires{check: check.New(rules(s)), classes: map[string]int{}, poolers: s.Poolers, tries: map[string]int{}, stood: map[int][2]float64{}, taken: map[string]bool{}, twice: map[int]Twice{}}
+	for g, n := range s.Fleet.Groups {
+		w.groups = append(w.groups, slices.Repeat([]int{g}, n)...)
+	}
 	for i, c := range s.Clients.Classes {
 		w.classes[c.Name] = i
 	}
@@ -113,6 +121,7 @@
 		w.check.Gone(t.Ended, idOf(t.ID), string(t.Kind))
 	}
 	delete(w.tries, t.ID)
+	delete(w.taken, t.ID)
 }
 
 // Arrived is fleet.Watcher's.
@@ -138,6 +147,11 @@
 	defer w.mu.Unlock()
 	w.check.Took(at, server, started, idOf(id), work)
 	w.check.Runs(at, idOf(id), server)
+	x := w.twice[w.groups[server]]
+	if x.Taken++; w.taken[id] {
+		x.Again++
+	}
+	w.taken[id], w.twice[w.groups[server]] = true, x
 }
 
 // Over is fleet.Watcher's.
@@ -192,3 +206,9 @@
 	w.check.Finish(now)
 	return w.check.Verdict()
 }
+
+func (w *wires) twices() map[int]Twice {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.twice)
+}
--- a/internal/operate/overload_test.go
+++ b/internal/operate/overload_test.go
@@ -11,6 +11,8 @@
 		`(overload)`: `o:1:1: (overload ...) needs (peers ...)`,
 		`(peers (listen "1.2.3.4:5") (key "k")) (overload (period 500ms) (stale 1s))`: `o:1:40: with a period of 500 ms, what is stale after 1000 ms leaves no room for a lost word`,
 		`(peers (listen "1.2.3.4:5") (key "k")) (overload (collectors 0))`:            `o:1:62: 0 is out of range`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (overload (returns 0))`:               `o:1:59: 0 is out of range`,
+		`(peers (listen "1.2.3.4:5") (key "k")) (overload (repeats (part -1)))`:       `o:1:65: -1 is out of range`,
 		`(peers (listen "1.2.3.4:5") (key "k")) (overload (probes (share no)))`:       ``,
 	} {
 		s, err := Parse("o", []byte(in), func(string) string { return "" })
@@ -21,7 +23,7 @@
 		if !strings.HasPrefix(got, want) || (want == "") != (got == "") {
 			t.Errorf("%s: %q, want %q", in, got, want)
 		}
-		if want == "" && (!s.Overload.On || s.Overload.Shed || s.Overload.Share) {
+		if want == "" && (!s.Overload.On || s.Overload.Shed || s.Overload.Share || s.Overload.Repeats || s.Overload.Returns != 0) {
 			t.Errorf("read as %+v", s.Overload)
 		}
 	}
