--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -62,7 +62,6 @@
 
 // tune takes new settings. Classes keep their numbers and what was learned; one without an aim has gone.
 func (r *Router) tune(set Settings) {
-	was := r.set.Repeats
 	for i := range r.tenants { // by the rates that were
 		r.fill(i)
 	}
@@ -79,7 +78,7 @@
 		}
 	}
 	r.seekEach = max(r.leastAim/2, beat)
-	r.lent(was)
+	r.twice.Tune(r.now, set.Repeats, r.set.Siblings, r.set.Processes)
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -40,3 +40,16 @@
 	b := urgencyBin(r.urgency(q))
 	return b > of[0].bin || b == of[0].bin && q.luck < of[0].part
 }
+
+// affords tells whether a request's next attempt is a first one, or its group may have one twice.
+func (r *Router) affords(q *request) bool {
+	q.lacks = q.again() && !r.twice.Affords(r.now, q.group.id)
+	return !q.lacks
+}
+
+// connects tells whether a store may hold one more of ours: to one that returned all come back slowly.
+func (r *Router) connects(s *store) bool {
+	rate, of := r.set.Returns/float64(r.set.Siblings*r.set.Processes), max(s.badAt, s.coldFrom, s.newAt)
+	then := s.health == healthy && s.badAt != of
+	return rate <= 0 || s.back.May(r.now, of, then, len(s.open), rate, r.rng.Float64)
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"beechgrade/internal/peers/overload/account"
 )
 
 const never = Time(math.MinInt64 / 2)
@@ -48,8 +50,8 @@
 
 	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
 	askedAt Time
-	crowded [2]crowding // at all groups' primaries, and at the others
-	purses  map[int]*purse
+	crowded [2]crowding      // at all groups' primaries, and at the others
+	twice   account.Accounts // what groups may have twice
 
 	watchFails int // subscriptions in a row that did not hold
 
@@ -94,7 +96,7 @@
 	health       health
 	badAt        Time // when it was last found bad
 	newAt        Time // it came into the list then, never for before this router began
-	back         returning
+	back         account.Return
 	answered     Time // last answer of an attempt
 	probeAt      Time // last probe sent
 	probing      bool
@@ -202,7 +204,7 @@
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
-		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never, newAt: never, back: returning{of: never}}
+		heardAt: never, failedAt: never, probeAt: never, coldFrom: never, answered: never, badAt: never, turnedAt: never, newAt: never, back: account.NewReturn()}
 	if r.listed {
 		s.newAt = r.now
 	}
@@ -240,12 +242,13 @@
 
 // putIn files an attempt that goes out.
 func (r *Router) putIn(s *store, a *attempt) {
-	r.pays(a.req)
+	r.twice.Sent(r.now, a.req.group.id, len(a.req.tries) == 0, a.req.again())
+	a.req.lacks = false
 	s.open = append(s.open, a)
 	a.req.tries = append(a.req.tries, a)
 	a.req.open++
 	r.open++
-	s.back.most = max(s.back.most, len(s.open))
+	s.back.Has(len(s.open))
 }
 
 // tried tells whether a request was sent to a store before.
@@ -450,3 +453,27 @@
 		r.pump(g)
 	}
 }
+
+// again tells that a request's next attempt would be a copy, or repeat what may have run.
+func (q *request) again() bool { return len(q.tries) > 0 && (q.maybe || q.open > 0) }
+
+// Stock is what a group may still have twice here, and how many of its requests lack.
+type Stock struct {
+	Group int
+	Left  float64
+	Lacks int
+}
+
+// Stocks are those of all groups that anything was sent to, by number.
+func (r *Router) Stocks() (out []Stock) {
+	lacks := map[int]int{}
+	for _, q := range r.reqs { // they are counted
+		if q.lacks {
+			lacks[q.group.id]++
+		}
+	}
+	for _, id := range r.twice.Groups() {
+		out = append(out, Stock{id, r.twice.Left(r.now, id), lacks[id]})
+	}
+	return out
+}
--- a/internal/peers/overload/joined/lend.go
+++ b/internal/peers/overload/joined/lend.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"beechgrade/internal/decide"
 	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/account"
 	"beechgrade/internal/peers/overload/lend"
 	"beechgrade/internal/peers/view"
 )
@@ -28,9 +28,9 @@
 // Begin has the module told what it needs no other pooler for.
 func (j *Joined) Begin() {
 	b := &j.opt.Bound
-	var r *decide.Repeats
+	var r *account.Repeats
 	if b.Repeats {
-		r = &decide.Repeats{Part: b.Part, Floor: b.Floor, Span: time.Duration(b.SpanMs * float64(time.Millisecond))}
+		r = &account.Repeats{Part: b.Part, Floor: b.Floor, Span: time.Duration(b.SpanMs * float64(time.Millisecond))}
 	}
 	if r != nil || b.Returns > 0 {
 		j.core.Bound(r, b.Returns)
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -32,7 +32,7 @@
 
 // Defaults are for a fleet within one region or a few.
 func Defaults() Settings {
-	return Settings{Period: 100, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Vouch: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
+	return Settings{Period: 50, Refresh: 1000, Collectors: 3, Delay: 50, Stale: 1500, Lapse: 10000, Observers: 2, Vouch: 2, Blind: 0.5, Shun: 20000, Testers: 8, Turn: 2000, Step: 50,
 		Health: true, Places: true, Roles: true}
 }
 
@@ -90,26 +90,34 @@
 // Lonely bounds how long one that hears nobody goes by what it heard.
 func (s *Settings) Lonely() float64 { return 3*s.Refresh + s.Step }
 
-// Lies bounds how long a collector's word of a verdict counts.
+// holds is how long a collector's word of a verdict counts.
 func (s *Settings) holds() float64 { return 3 * s.Refresh }
 
 // Sizes of what is told, in bytes at most.
 const (
 	headSize  = 66 // of a datagram and its message
-	tellSize  = 48 // of one server in a Tell
-	wordSize  = 56 // of one in a Word
+	tellSize  = 37 // of one server in a Tell
+	wordSize  = 21 // of one in a Word, and if it is bad...
+	badSize   = 28 // ...with one zone; and 4 for each more
 	blockSize = 64 // servers of a block, in groups of four
 )
 
-// Talk bounds the bytes that a pooler sends a second in the mean over a fleet of n, for so many servers.
-func (s *Settings) Talk(n, servers int) float64 {
-	blocks, c := math.Ceil(float64(servers)/blockSize), float64(min(n, s.Collectors))
-	parts := func(size int) float64 {
-		return headSize*math.Ceil(float64(servers*size)/mostPacket) + float64(servers*size)
+func (x *Item) size() int { return tellSize }
+
+func (x *Sum) size() int {
+	if x.Bad {
+		return wordSize + badSize + 4*len(x.Zones)
 	}
-	up := c * (blocks*headSize + parts(tellSize))
-	down := c * (blocks*headSize + parts(wordSize))
-	return (up + down) * (1000/s.Period + 1000/s.Refresh)
+	return wordSize
+}
+
+// Talk bounds the bytes that a pooler sends a second in the mean over a fleet of n, for so many servers of which so many are bad. Beside it,
+// what is told at once: a datagram to each collector for a server that turns out other than was said, and one to all for a verdict, or a
+// leader, that changes.
+func (s *Settings) Talk(n, servers, bad int) float64 {
+	blocks, c := math.Ceil(float64(servers)/blockSize), float64(min(n, s.Collectors))
+	parts := func(size int) float64 { return headSize*(blocks+float64(size)/mostPacket) + float64(size) }
+	return c * (parts(servers*tellSize) + parts(servers*wordSize+bad*badSize)) * 1000 / s.Period
 }
 
 // Event is something that it is told.
@@ -213,10 +221,9 @@
 	Items []Item
 }
 
-// Item is what an observer has of one server.
+// Item is what an observer has of one server's process: the key has its name and its start in it.
 type Item struct {
-	Key      uint64
-	Start    float64
+	Key      uint32
 	Answered float64 // age of the last answer to a request, below 0 for none
 	N        int     // attempts sent after any that was answered, and not answered in time
 	First    float64 // age of the first of them, and of the last
@@ -234,8 +241,7 @@
 
 // Sum is what a collector has of one server.
 type Sum struct {
-	Key      uint64
-	Start    float64
+	Key      uint32
 	Bad      bool
 	All      bool     // to all; else to the Zones
 	Zones    []uint32 // by hash
--- a/internal/peers/verdicts/verdicts.go
+++ b/internal/peers/verdicts/verdicts.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/overload"
 )
 
@@ -18,25 +20,31 @@
 	ring    []overload.Peer // the same, for hashing
 	at      map[ID]*Peer
 	zones   int // in which poolers stand
-	byKey   map[uint64]*server
+	byKey   map[uint32]*server
 	byName  map[string]*server
 	order   []*server // by key
 	groups  map[int][]*server
 	of      map[int][]ID // collectors, by block
 	shunned map[ID]float64
 	seq     uint32
+	ticked  float64
 	tellAt  float64
 	fullAt  float64
 	out     []Action
+
+	checks *invariant.Checks // nil where nothing is checked
+	every  int
+	walks  int
 }
 
 // server is what is known of one.
 type server struct {
 	Server
-	key    uint64
+	key    uint32
 	own    own
-	told   Item // as last told, by what changes it: see news
-	seen   map[ID]*seen
+	told   Item    // as last told, by what changes it: see news
+	seen   []*seen // by observer
+	fresh  bool    // something was filed since it was judged
 	says   map[ID]*word
 	said   Sum // as last published
 	looked float64
@@ -48,27 +56,32 @@
 
 // seen is what an observer told of a server, in this process's time.
 type seen struct {
-	seq               uint32
-	at                float64
-	answered, since   float64 // since: its answers since then are all that there were
-	n                 int
-	first, last, work float64
-	said              Said
-	saidAt            float64
-	zone              string
+	id                        ID
+	seq, answeredSeq, saidSeq uint32
+	at                        float64
+	answered, since           float64 // since: its answers since then are all that there were
+	n                         int
+	first, last, work         float64
+	said                      Said
+	saidAt                    float64
+	zone                      string
 }
 
 // New makes a process's side.
 func New(set Settings, self ID, now float64) *Verdicts {
-	return &Verdicts{set: set, self: self, now: now, at: map[ID]*Peer{}, byKey: map[uint64]*server{}, byName: map[string]*server{}, groups: map[int][]*server{}, of: map[int][]ID{},
+	return &Verdicts{set: set, self: self, now: now, at: map[ID]*Peer{}, byKey: map[uint32]*server{}, byName: map[string]*server{}, groups: map[int][]*server{}, of: map[int][]ID{},
 		shunned: map[ID]float64{}, tellAt: now, fullAt: now}
 }
 
 // Handle takes one event at time now and appends what is to be done to out.
 func (v *Verdicts) Handle(now float64, e Event, out []Action) []Action {
+	if v.ticked > 0 && now-v.ticked > still { // it stood still: what was out may have its answer in a socket
+		v.stood()
+	}
 	v.now, v.out = max(now, v.now), out
 	switch e := e.(type) {
 	case Tick:
+		v.ticked = v.now
 		v.tick()
 	case Members:
 		v.members(e)
@@ -89,10 +102,24 @@
 	case Heard:
 		v.heard(e.From, e.Message)
 	}
+	if v.checks.On() {
+		v.checks.Walk(&v.walks, v.every, "verdicts: the walk", v.walk)
+	}
 	out, v.out = v.out, nil
 	return out
 }
 
+// still is how long after its last tick a process stood still.
+const still = 500
+
+// stood has nothing count that was out while this process stood still, and what it heard before be as old as it is.
+func (v *Verdicts) stood() {
+	for _, s := range v.order {
+		s.own.open = s.own.open[:0]
+		s.own.n = 0
+	}
+}
+
 func (v *Verdicts) members(e Members) {
 	v.self = e.Self
 	v.peers = slices.Clone(e.Peers[:min(len(e.Peers), MostPeers)])
@@ -127,6 +154,9 @@
 		if named[x.Name] || len(named) >= MostServers {
 			continue
 		}
+		if o := v.byKey[v.keyOf(x)]; o != nil && o.Name != x.Name { // it shares its key: it goes without
+			continue
+		}
 		named[x.Name] = true
 		s := v.byName[x.Name]
 		if s == nil || s.Start != x.Start && v.set.Broken != KeepsOld || s.Group != x.Group {
@@ -134,7 +164,10 @@
 				v.release(s, false)
 			}
 			down := s != nil && s.down
-			s = &server{Server: x, key: xxhash.Sum64String(x.Name), seen: map[ID]*seen{}, says: map[ID]*word{}, down: down}
+			if s != nil {
+				delete(v.byKey, s.key)
+			}
+			s = &server{Server: x, key: v.keyOf(x), says: map[ID]*word{}, down: down}
 			s.own.clear()
 			v.byName[x.Name], v.byKey[s.key] = s, s
 		}
@@ -155,6 +188,14 @@
 	}
 }
 
+// keyOf names a server's process.
+func (v *Verdicts) keyOf(x Server) uint32 {
+	if v.set.Broken == KeepsOld {
+		x.Start = 0
+	}
+	return uint32(xxhash.Sum64String(fmt.Sprintf("%s %.0f", x.Name, x.Start)))
+}
+
 func (v *Verdicts) tick() {
 	for _, s := range v.order {
 		v.weigh(s)
@@ -180,11 +221,8 @@
 		}
 	}
 	for _, s := range v.order {
-		for id, x := range s.seen { // each on its own
-			if v.now-x.at > 2*v.set.Lapse || v.at[id] == nil {
-				delete(s.seen, id)
-			}
-		}
+		s.seen = slices.DeleteFunc(s.seen, func(x *seen) bool { return v.now-x.at > 2*v.set.Lapse || v.at[x.id] == nil })
+		s.fresh = true
 		for id, w := range s.says {
 			if v.now-w.at > v.set.Lapse || v.at[id] == nil {
 				delete(s.says, id)
@@ -214,10 +252,13 @@
 }
 
 // split sends items in as many messages as it takes.
-func split[T any](items []T, size int, send func([]T)) {
-	most := max(1, mostPacket/size)
+func split[T any](items []T, size func(*T) int, send func([]T)) {
 	for len(items) > 0 {
-		n := min(most, len(items))
+		n, all := 0, 0
+		for n < len(items) && (n == 0 || all+size(&items[n]) <= mostPacket) {
+			all += size(&items[n])
+			n++
+		}
 		send(items[:n:n])
 		items = items[n:]
 	}
