--- a/cmd/beechgrade-kit/repeats_test.go
+++ b/cmd/beechgrade-kit/repeats_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestFleetRepeats: among eight processes, a group's replica returns, servers of another lose half of what they are sent, and the ways between
-// three poolers and five are cut in the midst of it; what servers take a second time stays within the formula, counted at them.
+// three poolers and five are cut in the midst of it; without the bound servers take 99 a second time. What servers take a second time stays within the formula, counted at them.
 func TestFleetRepeats(t *testing.T) {
 	t.Parallel()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "repeats" `+fleetQuick+` (seconds 14) (retries 0)
