--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -69,12 +69,16 @@
 	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Stood     []Stood        `json:"stood_still,omitempty"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
+	Twice     map[int]Twice  `json:"-"` // by group
 
 	Pages  *PageCounts      `json:"pages,omitempty"`
 	Served map[string]int64 `json:"served_for,omitempty"`   // by tenant, of what it paid...
 	UpTo   map[string]int64 `json:"served_up_to,omitempty"` // ...and up to its last payment in the midst
 }
 
+// Twice is what servers of a group took, or had no room for: attempts, and how many of these were of a request of which one had been taken.
+type Twice struct{ Taken, Again int }
+
 // Stood is when a pooler's process stood still: what came meanwhile it takes for newly come.
 type Stood struct {
 	Pooler string  `json:"pooler"`
@@ -302,6 +306,7 @@
 	}
 	res.Score, res.Facts = keeper.Score(), r.fleet.Facts()
 	res.Ran = r.fleet.Ran()
+	res.Twice = r.wires.twices()
 	res.Rules = r.wires.verdict(r.clk.Now())
 	if r.shared.verdict(res.Rules); r.script.Pages != nil {
 		res.Pages = &r.shared.Pages
