--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -12,8 +12,7 @@
 	n, _ := r.load(s)
 	now, left := rate*share(n), rate*share(n+1)
 	if r.now < s.frozenUntil {
-		now = min(rate, s.frozenShare)
-		left = min(left, now)
+		now, left = min(rate, s.frozenShare), min(left, rate, s.frozenShare)
 	}
 	cost = q.work() / left
 	for _, a := range s.open {
@@ -38,8 +37,8 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
-// proven is as of when a store's data is known to be whole: a primary's as of when it said that it leads, or
-// of a probe sent for this request: it is hardly replaced between its report and the answer.
+// proven is as of when a store's data is known to be whole: a primary's as of its word that it leads, or of a
+// probe sent for this request: it is hardly replaced between its report and the answer.
 func (r *Router) proven(s *store, q *request) Time {
 	at := s.position
 	if s == r.primary(q.group) {
@@ -124,10 +123,9 @@
 	if best != nil && r.ask(q, best) {
 		return nil
 	}
-	if sure == nil && q.class.Read == ReadSession { // what costs less is behind: the primary is asked once
-		if p := r.primary(q.group); p != nil && p.usable() && p.probeAt < q.arrived && r.room(p, q) {
-			r.probe(p, 0)
-		}
+	if p := r.primary(q.group); sure == nil && q.class.Read == ReadSession && p != nil && p.usable() &&
+		p.probeAt < q.arrived && r.room(p, q) {
+		r.probe(p, 0) // what costs less is behind: the primary is asked once
 	}
 	return sure
 }
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -14,9 +14,8 @@
 	return 1 / math.Sqrt(math.Sqrt(1+x*x))
 }
 
-// load is the number of requests at a store, ours but for those thought lost, and others': what was told of
-// them fades towards a guess, as many routers that each see an idle store would crowd it together. A guess
-// may steer, but not refuse: by evidence, it counts no more than if each other had as many there as this one.
+// load is what a store has, ours but for those thought lost, and others': as told, fading towards a guess.
+// A guess may steer, but not refuse: by evidence, each other has at most as many as this router.
 func (r *Router) load(s *store) (likely, evident float64) {
 	own := float64(len(s.open) - s.lost)
 	fresh := r.fading(s.heardAt, 2*refreshEvery)
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -99,12 +99,12 @@
 // urgency orders held requests: worth for each unit of work, less once only late worth is left.
 func (r *Router) urgency(q *request) float64 {
 	u := q.value / q.work()
-	if q.primaryOnly() { // what any member can take leaves the primary to this
-		u *= float64(len(q.group.members))
-	}
 	if r.now > q.aim {
 		u *= q.class.LateWorth
 	}
+	if q.primaryOnly() { // what any member can take leaves the primary to this
+		return u * float64(len(q.group.members))
+	}
 	return u
 }
 
