--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -91,6 +91,7 @@
 	events   []event
 	end      float64 // by then requests that come have their answer, 0 for whenever it is due
 	running  bool
+	left     []slots.Ref // requests that were given up while actions are carried out
 	actions  []decide.Action
 
 	rec    *record.Recorder // nil where nothing is recorded
@@ -100,10 +101,12 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+	commits Commits // nil where sessions' commits are not kept
 
 	bounds []*bound // limits that hold for the whole fleet
 	leases Leases   // nil where there are none
 	fleet  fleet
+	seen   sight
 
 	credit Credit // nil where nobody pays ahead
 
@@ -175,7 +178,10 @@
 	rec    recorded
 	count  *figures.Class
 	load   load
-	flow   *flow // its answer that is passed on as it comes, nil where it is not
+	class  int
+	flow   *flow  // its answer that is passed on as it comes, nil where it is not
+	held   *held  // its answer that waits for its session's commit to be kept, nil where none does
+	wrote  string // the session whose commit is kept, where it is a write of one
 	paid   paid
 }
 
@@ -226,7 +232,7 @@
 		set.Zone = c.zones.number(c.cfg.Zones[z])
 	}
 	c.allowed(&set)
-	set.Shed = c.fleet.shed
+	set.Shed, set.Repeats, set.Returns = c.fleet.shed, c.fleet.repeats, c.fleet.returns
 	c.tell(&decide.Retune{Settings: set})
 }
 
@@ -282,7 +288,13 @@
 	c.AttemptWritten(t)
 	store, final := q.tries[t.No].store, q.over
 	o := backend.Outcome{Result: decide.OK}
+	if q.wrote != "" && !final { // what comes as it is cannot wait
+		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
+	}
 	c.recordAttempt(q, t.No, store, &o)
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
 	}
@@ -332,6 +344,9 @@
 // Start joins the core to the servers and the directory and tells the router the list as last known.
 func (c *Core) Start(s Servers, d Directory) {
 	c.servers, c.dir = s, d
+	if c.fleet.repeats != nil || c.fleet.returns > 0 {
+		c.retune()
+	}
 	c.list(&c.cfg.Known, decide.ListRestored)
 }
 
@@ -381,7 +396,10 @@
 		q.Due = min(q.Due, c.end)
 	}
 	now := clock.Span(c.loop.Now())
-	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class]}
+	r := &request{id: q.ID, known: known, key: key, once: once, client: client, query: q.Query, due: q.Due, count: c.counted[class], class: class}
+	if q.Named && set.Read == decide.Write && c.keeps() {
+		r.wrote = q.Session
+	}
 	c.figures.Open++
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
@@ -414,12 +432,20 @@
 		stop()
 		return
 	}
+	if ok && q.held != nil {
+		c.unhold(ref, q, figures.Gone)
+		return
+	}
 	if !ok || q.over {
 		return
 	}
 	c.ends(q, figures.Gone)
 	c.recordAnswer(q, recordpb.Final_FINAL_GONE, 0)
-	c.release(ref, q)
+	if c.running { // a client that hears of one request gives up another: what the router has decided for that one may be yet to be carried out
+		c.left = append(c.left, ref)
+	} else {
+		c.release(ref, q)
+	}
 	if q.paid.waits != nil { // the module has not heard of it
 		q.paid.waits = nil
 		c.credit.Cancel(q.paid.tenant, tagOf(ref))
@@ -459,7 +485,12 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
-	if o.Result == decide.OK && !q.over {
+	if c.seen.witness != nil {
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
+	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
+		q.over = true
+	} else if o.Result == decide.OK && !q.over {
 		c.ends(q, figures.Passed)
 		q.client.Served(o.Answer)
 		c.recordAnswer(q, recordpb.Final_FINAL_SERVED, 0)
@@ -475,6 +506,9 @@
 func (c *Core) ProbeEnded(store string, o backend.Outcome) {
 	c.recordProbe(store, &o)
 	c.told(store, &o)
+	if c.looked(store, &o) {
+		return
+	}
 	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
 		c.ProbeTold(store, o.Result, o.Said, 0)
 	}
@@ -521,6 +555,9 @@
 	c.recordList(l, kind)
 	c.log.Debug("list", "kind", kind, "generation", l.Generation, "entries", len(e.Entries))
 	c.tell(e)
+	if c.seen.witness != nil {
+		c.seen.witness.Listed(l, kind != decide.ListChanges)
+	}
 	for i := range e.Entries { // what is in use there stays until it has ended
 		switch id := string(e.Entries[i].Store); {
 		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
@@ -559,7 +596,12 @@
 	}
 	clear(c.events)
 	c.events = c.events[:0]
-	c.running = false
+	for _, ref := range c.left {
+		if q, ok := c.requests.Get(ref); ok {
+			c.release(ref, q)
+		}
+	}
+	c.left, c.running = c.left[:0], false
 	if c.checks.On() && c.midst == 0 {
 		c.checks.Walk(&c.walks, c.every, "core: the walk", c.walk)
 	}
@@ -588,7 +630,11 @@
 			c.probed[string(a.Store)] = c.loop.Now()
 		}
 		id := string(a.Store)
-		if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
+		if w := c.seen.witness; w != nil && w.Withholds(id) { // it would tell nothing
+			c.loop.At(c.loop.Now()+withheldMs, func() { c.tell(&decide.ProbeResult{Store: decide.StoreID(id), Result: decide.Failed}) })
+		} else if c.seen.looks[id] { // that one's answer is not this one's
+			c.seen.later[id] = true
+		} else if c.fleet.prober == nil || !c.fleet.prober.Wanted(id) {
 			c.Probe(id)
 		}
 	case decide.SetTimer:
@@ -617,7 +663,7 @@
 
 // release frees the slot of a request of which nothing is left.
 func (c *Core) release(ref slots.Ref, q *request) {
-	if q.over && q.open == 0 && q.flow == nil {
+	if q.over && q.open == 0 && q.flow == nil && q.held == nil {
 		c.requests.Drop(ref)
 		delete(c.ids, q.id)
 	}
@@ -647,6 +693,9 @@
 	if a.By < never {
 		on.By = clock.Millis(a.By)
 	}
+	if c.seen.witness != nil {
+		c.seen.witness.Sent(string(a.Store), backend.Tag{Request: ref, No: no}, q.class)
+	}
 	at := c.servers.Start(string(a.Store), q.query, until, on, backend.Tag{Request: ref, No: no})
 	q.tries[no].ref = at
 }
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -62,6 +62,7 @@
 	Lists     uint64             `json:"list_calls"`
 	Ends      map[string]uint64  `json:"attempts_by_end"`
 	Conns     int                `json:"most_connections_of_a_pooler"`
+	Again     Again              `json:"again"`
 	Lost      map[string]float64 `json:"worth_lost_by_last_answer"`
 	VirtualMs float64            `json:"virtual_ms"`
 	WallMs    float64            `json:"wall_ms"`
@@ -69,6 +70,7 @@
 	HeapMB    float64            `json:"heap_mb"`
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
+	Trials    []check.Trial      `json:"-"`
 	Pages     *PageCounts        `json:"pages,omitempty"`
 	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
@@ -83,11 +85,12 @@
 	world    *world.World
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
-	fleet    *fleetOf // the poolers as peers, nil where they are none
-	paging   *paging  // reports that are read in pages, nil for none
-	funds    *funds   // that tenants pay ahead, nil for none
-	ways     *ways    // from poolers to servers, and to the list
-	agents   *agents  // of Consul, nil where the list is the platform's
+	black    *check.Blackouts // nil where poolers are no peers
+	fleet    *fleetOf         // the poolers as peers, nil where they are none
+	paging   *paging          // reports that are read in pages, nil for none
+	funds    *funds           // that tenants pay ahead, nil for none
+	ways     *ways            // from poolers to servers, and to the list
+	agents   *agents          // of Consul, nil where the list is the platform's
 	plan     *clients.Planner
 	sessions clients.Sessions
 	keeper   *score.Keeper
@@ -103,6 +106,7 @@
 	conned                                int // connections that a pooler had at most
 	results                               [16]uint64
 	lost                                  map[string]float64
+	agains                                *agains
 	moduleNs                              int64
 	checks                                *invariant.Checks
 	began                                 time.Time
@@ -111,7 +115,7 @@
 // Rules are what a scenario's rules go by.
 func Rules(s *scenario.Script) check.Config {
 	c := check.Config{GraceMs: s.Fleet.GraceMs, SlackMs: 50, MaxAttempts: scenario.MaxAttempts, ColdMs: s.Fleet.ColdMs, ColdBy: s.Fleet.ColdBy,
-		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5}
+		Cores: s.Fleet.Cores, Falls: s.Fleet.Falls, FallsMs: s.Fleet.FallsMs, Limits: s.CheckedLimits(), CountMs: 5, Overload: s.CheckedOverload()}
 	for _, x := range s.Clients.Classes {
 		k := check.Class{Name: x.Name, Writes: x.Read == clients.Write, Once: x.Read == clients.Write && x.KeyMs == 0, KeyMs: x.KeyMs, Session: x.Read == clients.ReadSession}
 		if x.Read == clients.ReadBounded {
@@ -131,7 +135,7 @@
 	if err := s.InVirtualTime(); err != nil {
 		return nil, err
 	}
-	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, times: newTimes(),
+	e := &Emulation{script: s, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 3)), sessions: clients.Sessions{}, lost: map[string]float64{}, agains: newAgains(), times: newTimes(),
 		checks: invariant.New(opt.Broken), began: time.Now()}
 	e.s.now = startMs
 	cfg := s.Fleet
@@ -146,6 +150,7 @@
 	c := s.Clients
 	c.Seed = opt.Seed
 	e.plan, e.keeper, e.check = clients.NewPlanner(c), score.New(opt.Seed, c.Classes), check.New(Rules(s))
+	e.check.Share = s.Verdicts != nil || s.Overload != nil && s.Overload.Share
 	e.keeper.Tenants(c.Tenants, c.Over)
 	e.bad = make([]float64, s.Poolers)
 	e.ways = newWays(s.Poolers, len(e.world.Servers))
@@ -154,6 +159,7 @@
 	}
 	if s.Peers != nil {
 		e.fleet = e.newFleet()
+		e.black = check.NewBlackouts(startMs, Blackouts(s))
 	}
 	if s.Credit != nil {
 		e.funds = e.newFunds()
@@ -198,7 +204,7 @@
 	s := e.script
 	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
 		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Probes: e.probes,
-		Lists: e.lists, Conns: e.conned, Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
+		Lists: e.lists, Conns: e.conned, Again: e.agains.result(), Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
 		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
 	for i, n := range e.results {
 		if n > 0 {
@@ -215,6 +221,8 @@
 			r.Limits = e.fleet.lentResult()
 		}
 		e.fleet.check.Verdict(r.Verdict)
+		e.black.Verdict(r.Verdict)
+		r.Trials = e.black.Trials()
 	}
 	if e.paging != nil {
 		e.paging.check.Verdict(e.s.now, r.Verdict)
@@ -343,6 +351,8 @@
 		}
 	}
 	f = f.Resolved(e.lender)
+	groups, poolers := f.Where(e.script)
+	e.check.Struck(e.s.now, f.Until(e.s.now), groups, poolers)
 	switch f.What {
 	case "load": // the plan has it
 	case "links", "between":
@@ -394,6 +404,7 @@
 		}
 	case "cut", "thin":
 		servers := f.Target.Of(e.world)
+		f = f.AtProber(e.prober, servers)
 		e.ways.strike(f, servers, true)
 		later(func() { e.ways.strike(f, servers, false) })
 	case "list-held":
--- a/internal/kit/emulate/overload.go
+++ b/internal/kit/emulate/overload.go
@@ -1,18 +1,42 @@
 package emulate
 
 import (
+	"beechgrade/internal/backend"
+	"beechgrade/internal/core"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/peers/overload/joined"
 	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
 )
 
 // partsEach is how many ticks there are for one walk over the state of what handles overload.
 const partsEach = 8
 
+// prober is the first prober of a server.
+func (e *Emulation) prober(server string) int {
+	ids := make([]view.ID, len(e.poolers))
+	for i, p := range e.poolers {
+		if p.up && p.peer != nil {
+			ids[i] = p.peer.view.Self().ID
+		}
+	}
+	return e.script.Prober(server, ids)
+}
+
 // Overloaded has poolers handle overload as one.
 func Overloaded(opt joined.Options) Joined {
 	return func(h Host) []part.Part {
 		c := h.x.p.core
-		j := joined.New(opt, c, h)
+		opt, told := opt, joined.Core(probed{c, h.x.p})
+		if m := h.x.p.e.opt.Mutant; m != nil {
+			if m.Over != nil {
+				m.Over(h.No(), &opt)
+			}
+			if m.Core != nil {
+				told = m.Core(h.No(), told)
+			}
+		}
+		j := joined.New(opt, told, h)
 		j.Check(h.x.p.e.checks, partsEach)
 		if opt.Shed {
 			c.Weigh(j)
@@ -21,6 +45,21 @@
 			c.Probing(joined.Prober{Joined: j})
 		}
 		h.x.over = j
+		j.Begin()
 		return []part.Part{j}
 	}
 }
+
+// probed has the checker hear what other poolers' probes told a pooler of servers' roles, as it does of its own.
+type probed struct {
+	*core.Core
+	p *pooler
+}
+
+// ProbeTold is joined's core's.
+func (c probed) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	if s := c.p.e.world.Server(store); s != nil && said.Role != decide.RoleUnknown {
+		c.p.e.check.Word(c.p.e.s.now, said.Position, c.p.no, s.No, said.Role == decide.RolePrimary)
+	}
+	c.Core.ProbeTold(store, result, said, ageMs)
+}
--- a/internal/kit/emulate/peers.go
+++ b/internal/kit/emulate/peers.go
@@ -45,6 +45,8 @@
 	Settled  []float64 `json:"settled_ms,omitempty"`
 	Accused  int       `json:"accused_wrongly"`
 	Wrong    int       `json:"failed_wrongly"`
+	Told     float64   `json:"parts_datagrams_a_second_of_a_pooler,omitempty"`
+	ToldSize float64   `json:"parts_bytes_a_second_of_a_pooler,omitempty"`
 }
 
 // Bounds are those of a scenario's views, by the formulas of the view's page; f is how many may be called failed at once.
@@ -73,6 +75,9 @@
 	var look func()
 	look = func() {
 		f.check.Look(e.s.now)
+		if e.s.now <= startMs+s.Clients.Seconds*1000 {
+			e.black.Look(e.s.now, sight{e})
+		}
 		e.s.After(lookMs, world.Func(look), 0)
 	}
 	e.s.After(lookMs, world.Func(look), 0)
@@ -88,7 +93,8 @@
 func (f *fleetOf) result() *Views {
 	seconds := (f.e.s.now - f.from) / 1000 * float64(len(f.e.poolers))
 	return &Views{Packets: float64(f.packets) / seconds, Bytes: float64(f.bytes) / seconds, Streamed: float64(f.streamed) / seconds, Trades: f.trades, Detected: f.check.Detected, Settled: f.check.Settled,
-		Accused: f.check.Accused, Wrong: f.check.Wrong}
+		Accused: f.check.Accused, Wrong: f.check.Wrong,
+		Told: float64(f.told) / seconds, ToldSize: float64(f.toldBytes) / seconds}
 }
 
 // peer is a pooler's side of it.
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -10,6 +10,7 @@
 	"beechgrade/internal/core"
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/membership/discovery"
@@ -272,6 +273,9 @@
 // Probe is core.Servers'.
 func (p *pooler) Probe(id string) {
 	p.e.probes++
+	if st := p.store(id); st != nil {
+		p.e.check.Probed(p.e.s.now, st.s.No)
+	}
 	a := &attempt{p: p, life: p.life, until: p.e.s.now + scenario.ConnectMs}
 	a.ref = p.tries.Put(a)
 	p.begin(a, id)
@@ -377,6 +381,7 @@
 	st.add(1)
 	d := &dial{st: st, life: st.p.life, slife: st.life}
 	s, there := st.s, e.way()
+	e.agains.opens(e.s.now, s)
 	switch {
 	case p.cut(s) || s.Hung:
 		e.s.After(scenario.ConnectMs, d, atDown) // nothing comes back
@@ -479,7 +484,11 @@
 		if n := len(e.script.Sites); n > 0 && a.p.no%n != st.s.SiteNo() {
 			e.crossed++
 		}
+		e.agains.first(a.v, st.s)
 		e.check.Sent(e.s.now, a.v.id, a.no, a.p.no, st.s.No)
+		if e.black != nil {
+			e.black.Sent(e.s.now, a.p.no, st.s.No, a.v.class.Read == clients.Write)
+		}
 		a.p.core.AttemptWritten(a.tag)
 	}
 	switch forgets := e.script.Forgets; {
@@ -532,6 +541,7 @@
 		a.job.Idem, a.job.KeyMs = v.ask.Idem(), v.class.KeyMs
 	}
 	if s.Takes(&a.job) {
+		e.agains.took(v, s)
 		e.check.Took(e.s.now, s.No, s.Started, v.id, a.job.Work)
 	}
 	s.Take(&a.job)
@@ -655,6 +665,9 @@
 	a.ended = true
 	p, e := a.p, a.p.e
 	p.tries.Drop(a.ref)
+	if e.black != nil && a.st != nil && o.Result != decide.OK && o.Result != decide.Missed && o.Result != decide.Skipped {
+		e.black.Unanswered(e.s.now, p.no, a.st.s.No)
+	}
 	if a.v == nil {
 		e.word(a, &o)
 		p.trust(a.id, &o)
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -86,6 +86,8 @@
 	extra  bool
 	late   bool
 	shard  *shardRead // of a page whose shard's read this is, nil for a client's try
+
+	sentOnce, taken bool // an attempt of it was sent; a server took one
 }
 
 // What a visit's event is.
@@ -137,9 +139,13 @@
 		left := max(1, math.Floor(v.sent+v.ask.Patience-e.s.now))
 		due := e.s.now + left
 		e.check.Asked(e.s.now, v.id, v.ask.Class, v.p.no, due, v.after)
+		if e.black != nil {
+			e.black.Wanted(v.ask.Group)
+		}
 		if v.class.KeyMs > 0 {
 			e.check.Keyed(v.id, v.ask.Tag)
 		}
+		e.check.Load(e.s.now, v.id, v.ask.Class, v.ask.Group, e.script.Clients.TenantOf(&v.ask.Ask), v.no > 0)
 		if e.script.Limits != nil {
 			e.check.Tenant(e.s.now, v.id, e.script.Clients.TenantOf(&v.ask.Ask))
 		}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -86,6 +86,7 @@
 
 	source  *sexp.Node   // as it was read
 	smaller []*sexp.Node // forms that go for sockets
+	BackMs  float64      // after the last fault's end service is to be back, 0 for no such rule
 
 	Pushed     bool        // the list comes by an agent's push, unasked
 	Sites      []string    // servers and poolers stand in them in turn
@@ -255,6 +256,7 @@
 		"pages":        s.pages,
 		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
 		"verdicts":     s.verdicts,
+		"back-in":      span(&s.BackMs),
 		"skew":         float(&c.Skew, 0, 1),
 		"swing":        span(&c.SwingMs),
 		"pushed":       func(n *sexp.Node) (err error) { s.Pushed, err = n.Bool(); return err },
@@ -596,6 +598,8 @@
 		return fail("there is no limit %q in (fleet-limits ...)", f.Owner)
 	case f.OfLinks() && s.Peers == nil:
 		return fail("(%s ...) goes with (peers)", f.What)
+	case f.OfProber() && (s.Overload == nil || !s.Overload.Share):
+		return fail("(%s prober ...) goes with (overload), where poolers share probes", f.What)
 	case f.OfWays() && (s.Agents > 0 || s.Clients.House):
 		return fail("(%s ...) goes with the platform's list and protocol: without (consul ...) and (clickhouse)", f.What)
 	case f.Target.Kind == "pooler" && f.Target.Group >= s.Poolers:
