--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -37,8 +37,7 @@
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
-// proven is as of when a store's data is known to be whole: a primary's as of its word that it leads, or of a
-// probe sent for this request: it is hardly replaced between its report and the answer.
+// proven is as of when a store's data is whole: a primary's as of its word, or of a probe for this request.
 func (r *Router) proven(s *store, q *request) Time {
 	at := s.position
 	if s == r.primary(q.group) {
