--- a/internal/decide/ration.go
+++ b/internal/decide/ration.go
@@ -9,7 +9,7 @@
 	return r.set.ColdFrom + (1-r.set.ColdFrom)*max(0, age.Seconds())/r.set.ColdTime.Seconds()
 }
 
-// coldRoom keeps the fall rule by this router's part of the budget: a leaky bucket, or chance where it is small.
+// coldRoom keeps the fall rule by this router's part of the budget: a bucket, or chance if small.
 func (r *Router) coldRoom(s *store, q *request) bool {
 	if r.set.FallMultiple <= 0 || r.set.FallSpan <= 0 {
 		return true
