Pace the search for a primary as before: by one aim and one write that waits

At fault: tend's pause, which grows with the outage and finds the next primary late. Change: the old pause.

--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -98,13 +98,9 @@
 func (r *Router) tend(g *group) {
 	p, i := r.primary(g), slices.IndexFunc(g.held, (*request).primaryOnly)
 	seek, pause := (p == nil || !p.usable()) && i >= 0, r.seekEach
-	if seek { // a round a pause, and half a pause of delay for what comes then, cost least together
-		c, last := g.held[i].class, g.held[i].class.Aim
-		if p != nil && p.answered != never { // as long again as it has lasted: nobody can know
-			last = max(last, r.now-p.answered)
-		}
-		each := min(c.Deadline.Seconds(), float64(len(r.gorder))/max(r.flow, 1e-3))
-		pause = max(pause, seconds(math.Sqrt(2*r.set.PriceProbe*float64(len(g.members))*last.Seconds()*each)))
+	if seek { // a round of probes a pause and half a pause of delay cost least together
+		least := math.Sqrt(2 * r.set.PriceProbe * float64(len(g.members)))
+		pause = max(pause, seconds(g.held[i].class.Aim.Seconds()*least))
 	}
 	for _, s := range g.members {
 		r.advance(s)
