--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -52,6 +52,9 @@
 
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
 
+	Figures func(pooler, pid int, at float64, figures map[string]string) // is told what poolers' doors show, now and then; nil for no doors
+	Instead func(pooler int) int                                         // whom a kill-pooler strikes in place of the one that it names; may be nil
+
 	Liar string                       // path of the daemon's program built with the tag liar...
 	Lies map[int]string               // ...and what some poolers, by number, lie about load: "none" or "all"
 	Came func(server int, at float64) // is told of each request that came to a server
@@ -113,6 +116,7 @@
 	name string
 	addr string
 	near string // where its ClickHouse front listens
+	door string // where operators' calls come; empty for nowhere
 
 	pooled string           // where it serves ordinary clients
 	pays   []scenario.Fault // payments that it has read of since the start
@@ -267,6 +271,7 @@
 	if r.peers != nil {
 		looked = r.peers.begin(ctx)
 	}
+	shown := r.doors(ctx)
 	reported := func() {}
 	if r.script.Pages != nil {
 		reported = table.play(faulty)
@@ -282,6 +287,7 @@
 	if r.peers != nil && ctx.Err() == nil {
 		r.peers.settle(ctx, settleMost)
 	}
+	shown()
 	looked()
 	res.ToMs = r.clk.Now()
 	if err := errors.Join(log.close(), r.stop()); err != nil {
@@ -387,6 +393,9 @@
 	if !pause(ctx, f.At) {
 		return nil
 	}
+	if f.What == "kill-pooler" && r.opt.Instead != nil {
+		f.Target.Group = r.opt.Instead(f.Target.Group)
+	}
 	if r.wires.struck(r.clk.Now(), r.script, &f); f.What == "load" {
 		return nil
 	}
@@ -527,6 +536,11 @@
 			return err
 		}
 	}
+	if p.run.opt.Figures != nil {
+		if p.door, err = freePort(); err != nil {
+			return err
+		}
+	}
 	p.record = records
 	if p.run.script.Limits != nil {
 		p.limits = *p.run.script.Limits
@@ -672,5 +686,9 @@
 	if len(r.agents) > 0 { // it starts knowing nothing
 		known = discovery.List{}
 	}
-	return r.script.Told(p.no, p.name, p.addr, r.fleet.DiscoveryAt(p.no), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
+	told := r.script.Told(p.no, p.name, p.addr, r.fleet.DiscoveryAt(p.no), r.opt.Seed^uint64(len(p.name)), r.sockets, known)
+	if p.door != "" {
+		told["control"] = p.door
+	}
+	return told
 }
