--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -294,9 +294,6 @@
 		c.commits.Keep(q.wrote, clock.Span(c.loop.Now()), nil)
 	}
 	c.recordAttempt(q, t.No, store, &o)
-	if c.seen.witness != nil {
-		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
-	}
 	if c.journal != nil {
 		c.journal.Ended(t, o.Result)
 	}
@@ -489,9 +486,6 @@
 		c.journal.Ended(t, o.Result)
 	}
 	c.told(string(store), &o)
-	if c.seen.witness != nil {
-		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
-	}
 	if o.Result == decide.OK && !q.over && c.hold(t.Request, q, &o) {
 		q.over = true
 	} else if o.Result == decide.OK && !q.over {
@@ -504,6 +498,9 @@
 	c.midst--
 	c.tell(&decide.Outcome{ID: requestID(t.Request), Attempt: t.No, Store: store, Result: o.Result,
 		Final: final, Told: told(o.Said), Load: told(o.Load)})
+	if c.seen.witness != nil { // it may have the server tried: by then the router knows what that said
+		c.seen.witness.Ended(string(store), t, o.Result, o.Said)
+	}
 }
 
 // ProbeEnded is backend.Events'.
--- a/internal/core/witness.go
+++ b/internal/core/witness.go
@@ -40,21 +40,27 @@
 	}
 }
 
-// looked takes a probe's end, and tells whether it was the witness's own.
+// looked takes a probe's end, and tells whether it was the witness's own. The router has the server's word on its role before the witness does:
+// that may have the server tried at once, and what waits must not go there if it is a replica now.
 func (c *Core) looked(store string, o *backend.Outcome) bool {
 	if c.seen.witness == nil {
 		return false
 	}
+	look := c.seen.looks[store]
+	switch {
+	case o.Result != decide.OK:
+	case look:
+		c.recall(store, o.Said)
+	default: // the position comes with the probe's result, by which the router learns the server's pace
+		c.recallRole(store, o.Said)
+	}
 	c.seen.witness.Probed(store, o.Result, o.Said)
-	if !c.seen.looks[store] {
+	if !look {
 		return false
 	}
 	again := c.seen.later[store]
 	delete(c.seen.looks, store)
 	delete(c.seen.later, store)
-	if o.Result == decide.OK {
-		c.recall(store, o.Said)
-	}
 	if again {
 		c.carryOut(&decide.Action{Kind: decide.Probe, Store: decide.StoreID(store)})
 	}
@@ -69,6 +75,15 @@
 	c.Learnt(store, said, 0)
 }
 
+// recallRole is recall without the position.
+func (c *Core) recallRole(store string, said backend.Said) {
+	now, at := clock.Span(c.loop.Now()), clock.Span(said.Position)
+	if k, ok := c.router.MemoryOf(decide.StoreID(store)); ok && said.HasPos && said.Role != decide.RoleUnknown && at <= now {
+		k.Down, k.Role, k.RoleAt = false, said.Role, at
+		c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+	}
+}
+
 // Learnt gives the router what a server said of itself, to whomever, ageMs ago at most. A position stands for the time at which it was told.
 func (c *Core) Learnt(store string, said backend.Said, ageMs float64) {
 	now, at := clock.Span(c.loop.Now()), clock.Span(said.Position)
--- a/internal/core/witness_test.go
+++ b/internal/core/witness_test.go
@@ -31,6 +31,7 @@
 type witness struct {
 	told      []string
 	withholds string
+	then      func(store string) // at what is told of a server
 }
 
 func (w *witness) Listed(l *discovery.List, _ bool) { w.note("listed", len(l.Instances)) }
@@ -39,10 +40,19 @@
 }
 func (w *witness) Ended(store string, _ backend.Tag, r decide.Result, _ backend.Said) {
 	w.note("ended", store, r)
+	w.do(store)
 }
-func (w *witness) Probed(store string, r decide.Result, _ backend.Said) { w.note("probed", store, r) }
-func (w *witness) Withholds(store string) bool                          { return store == w.withholds }
-func (w *witness) note(x ...any)                                        { w.told = append(w.told, fmt.Sprint(x...)) }
+func (w *witness) Probed(store string, r decide.Result, _ backend.Said) {
+	w.note("probed", store, r)
+	w.do(store)
+}
+func (w *witness) do(store string) {
+	if w.then != nil {
+		w.then(store)
+	}
+}
+func (w *witness) Withholds(store string) bool { return store == w.withholds }
+func (w *witness) note(x ...any)               { w.told = append(w.told, fmt.Sprint(x...)) }
 
 // TestWitness: a witness hears what is seen; it has servers avoided and tried, and looks at one without the module's own probes being mixed
 // up with its. What a server said counts as of then; what is of the time to come counts for nothing.
@@ -101,3 +111,51 @@
 		t.Error("it is not tried")
 	}
 }
+
+// TestWitnessHearsLast: a primary was avoided, and a write waits for it. What it says next, to a look, to a probe or to a request, has the witness try it:
+// the write goes there if it still leads, and not if it is a replica now.
+func TestWitnessHearsLast(t *testing.T) {
+	cfg := &config.Config{Classes: []string{"write"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 8, MayProbe: true,
+		Classes: []decide.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Read: decide.Write}}},
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{
+			{ID: "a", HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}, {ID: "b", HostPort: "1.2.3.4:6", Lifecycle: "up", Weight: 1}}}}
+	for _, role := range []decide.Role{decide.RolePrimary, decide.RoleReplica} {
+		for _, by := range []string{"look", "probe", "request"} {
+			l, servers, w := &hand{now: 1e6}, &probing{}, &witness{}
+			c := New(l, slog.New(slog.DiscardHandler), cfg)
+			c.Witness(w)
+			c.Start(servers, l)
+			c.Learnt("a", backend.Said{Role: decide.RolePrimary, Position: l.now - 200, HasPos: true}, 0)
+			ask := func(id string) slots.Ref {
+				ref, err := c.Ask(front.Request{ID: id, Class: "write", Due: l.now + 2000, Query: still{}}, still{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				return ref
+			}
+			first := ask("1")
+			c.Avoid("a")
+			if ask("2"); fmt.Sprint(servers.sent) != "[a]" {
+				t.Fatalf("sent to %v", servers.sent)
+			}
+			w.then = c.Try
+			o := backend.Outcome{Said: backend.Said{Role: role, Position: l.now - 100, HasPos: true}}
+			switch by {
+			case "look":
+				c.Look("a")
+				c.ProbeEnded("a", o)
+			case "probe":
+				c.ProbeEnded("a", o)
+			case "request":
+				if role == decide.RoleReplica {
+					o.Result = decide.Missed
+				}
+				c.AttemptEnded(backend.Tag{Request: first}, o)
+			}
+			want := map[decide.Role]string{decide.RolePrimary: "[a a]", decide.RoleReplica: "[a]"}[role]
+			if fmt.Sprint(servers.sent) != want {
+				t.Errorf("by a %s, role %d: sent to %v, not %s", by, role, servers.sent, want)
+			}
+		}
+	}
+}
