Try again until a plan's number is kept, and log plans without a folder too

Change: what could not be kept is tried each second; an older number does not replace a newer one. Result: TestZonesKeep; it fails without the second try, and where older numbers are written.

--- a/cmd/beechgrade/zones.go
+++ b/cmd/beechgrade/zones.go
@@ -78,35 +78,49 @@
 	return strconv.ParseUint(strings.TrimSpace(string(b)), 10, 64)
 }
 
-// write keeps numbers, off the loop: whole, and durable before a plan is followed.
+// againMs is after what a number that could not be kept is tried again.
+const againMs = 1000
+
+// write keeps numbers, off the loop: whole, and durable before a plan is followed. An older one after a newer is as good as kept.
 func (z *zoned) write() {
 	defer close(z.done)
+	last := uint64(0)
 	for k := range z.keep {
-		if z.set.Dir != "" {
+		if k.no > last {
 			if err := save(z.file(), strconv.AppendUint(nil, k.no, 10)); err != nil {
 				z.p.log.Error("zones: the plan's number cannot be kept; the plan is not followed", "err", err)
+				z.p.loop.Post(func() { z.later(k) })
 				continue
 			}
+			last = k.no
 		}
 		z.p.loop.Post(k.done)
 	}
 }
 
-// Keep is joined.Keeper's. What finds no room is asked for again with the next plan.
+// Keep is joined.Keeper's. A renewal does not ask again, so what fails or finds no room is tried until it is kept.
 func (z *zoned) Keep(no uint64, done func()) {
-	if z.set.Dir == "" {
+	k := numbered{no, func() {
 		done()
+		z.say()
+	}}
+	if z.set.Dir == "" {
+		k.done()
 		return
 	}
+	z.put(k)
+}
+
+func (z *zoned) put(k numbered) {
 	select {
-	case z.keep <- numbered{no, func() {
-		done()
-		z.say()
-	}}:
+	case z.keep <- k:
 	default:
+		z.later(k)
 	}
 }
 
+func (z *zoned) later(k numbered) { z.p.loop.At(z.p.loop.Now()+againMs, func() { z.put(k) }) }
+
 // say tells the log what this pooler does now.
 func (z *zoned) say() {
 	s, p := z.j.Standing()
--- /dev/null
+++ b/cmd/beechgrade/zones_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"beechgrade/internal/operate"
+)
+
+// TestZonesKeep: a plan's number that the disk does not take at first is kept once it does, and only then the plan is followed; an older one that
+// comes behind does not take its place.
+func TestZonesKeep(t *testing.T) {
+	var p *pooler
+	_, _, stop, ended := operated(t, "", func(at *pooler) { p = at })
+	dir := filepath.Join(t.TempDir(), "zones")
+	z := &zoned{p: p, set: operate.Zones{Dir: dir}, keep: make(chan numbered, 4), done: make(chan struct{})}
+	go z.write()
+	kept := make(chan uint64, 2)
+	p.loop.Post(func() { z.put(numbered{7, func() { kept <- 7 }}) })
+	select {
+	case <-kept:
+		t.Fatal("followed without a number on the disk")
+	case <-time.After(100 * time.Millisecond):
+	}
+	if _, err := z.floor(); err != nil { // makes the folder
+		t.Fatal(err)
+	}
+	for _, no := range []uint64{7, 6} {
+		if no == 6 {
+			p.loop.Post(func() { z.put(numbered{6, func() { kept <- 6 }}) })
+		}
+		select {
+		case got := <-kept:
+			if got != no {
+				t.Errorf("%d was kept before %d", got, no)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d was not tried again", no)
+		}
+	}
+	if no, err := z.floor(); no != 7 || err != nil {
+		t.Errorf("%d is kept, %v", no, err)
+	}
+	stop <- os.Interrupt
+	<-ended
+	close(z.keep)
+	<-z.done
+}
