Play poolers that lie of servers, and catch two more mutants of the verdicts

A pooler may now lie of servers, as observer and as collector, in virtual time and in a program with the tag liar: all are silent, each leads, each is further than it is. Poolers that need one word only, and those that take age from when it was heard, black out servers and are caught.

--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -41,7 +41,7 @@
 	Lists    bool                                           // it goes by its list's role in place of what servers say
 	Over     func(no int, o *joined.Options)                // how it handles overload with others
 	Core     func(no int, c joined.Core) joined.Core        // whom that tells
-	Says     func(no int, w part.Words) part.Words          // what it says in place of its words on load and levels
+	Says     func(no int, w part.Words) part.Words          // what a part of it says in place of its words
 }
 
 // Mutants are all of them.
--- a/internal/kit/emulate/parts.go
+++ b/internal/kit/emulate/parts.go
@@ -27,7 +27,7 @@
 	x := h.x
 	f, e := x.f, x.p.e
 	at := f.at(addr)
-	if m := e.opt.Mutant; m != nil && m.Says != nil && kind == part.Overload {
+	if m := e.opt.Mutant; m != nil && m.Says != nil {
 		w = m.Says(x.p.no, w)
 	}
 	b := w.Append(nil)
--- a/internal/kit/emulate/verdicts_test.go
+++ b/internal/kit/emulate/verdicts_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
+	liars "beechgrade/internal/kit/lies"
+	"beechgrade/internal/peers/part"
 )
 
 // judgedFleet is poolers in three zones that share what they know of servers.
@@ -16,14 +18,20 @@
 	(at 3s (lag member 0 2 80) (for 9s)) (at 3s (lag member 1 3 80) (for 9s)) (at 3s (lag member 1 2 80) (for 9s)) (at 4s (between all all (slow 600ms)) (for 8s)))`
 
 // TestVerdictMutants: words that come 0.6 s late make no read staler than its class allows; poolers that take a position for as new as the word
-// that brought it are caught.
+// that brought it are caught. Collectors that lie take no server from those that it answers, one of three nor two: poolers that need one
+// word only, or for which each word is new, are caught.
 func TestVerdictMutants(t *testing.T) {
-	if r := play(t, parse(t, lateWords), Options{Seed: 1}); r.Verdict.Broken[check.NotStale] > 0 || r.Verdict.Checked[check.NotStale] < 1000 {
-		t.Errorf("broken: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
-	}
-	for _, m := range VerdictMutants() {
+	for i, m := range VerdictMutants() {
 		t.Run(m.Name, func(t *testing.T) {
-			if r := play(t, parse(t, lateWords), Options{Seed: 1, Mutant: &m}); r.Verdict.Broken[m.Breaks] == 0 {
+			text := []string{lateWords, toldOf, toldOf}[i]
+			says := func() func(int, part.Words) part.Words { // afresh for each play
+				return lying(liars.Servers{Silent: true, Since: []float64{0, 0, 20000}[i]}, [][]int{nil, {1}, {1, 7}}[i]...)
+			}
+			if r := play(t, parse(t, text), Options{Seed: 1, Mutant: &Mutant{Says: says()}}); r.Verdict.Broken[m.Breaks] > 0 || r.Verdict.Checked[m.Breaks] < 3 {
+				t.Errorf("without: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
+			}
+			m.Says = says()
+			if r := play(t, parse(t, text), Options{Seed: 1, Mutant: &m}); r.Verdict.Broken[m.Breaks] == 0 {
 				t.Errorf("it was not caught: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
 			}
 		})
--- /dev/null
+++ b/internal/kit/lies/servers.go
@@ -0,0 +1,59 @@
+package lies
+
+import (
+	"slices"
+
+	"beechgrade/internal/peers/verdicts"
+)
+
+// Servers is what a liar says of servers, as an observer and as a collector; times are in ms.
+type Servers struct {
+	Silent bool    // each has answered nothing...
+	Since  float64 // ...for so long
+	Lead   bool    // each leads its group
+	Ahead  float64 // each is so much further than it is
+}
+
+// OfServers are the kinds of liar.
+var OfServers = map[string]Servers{"silent": {Silent: true, Since: 200}, "leads": {Lead: true}, "ahead": {Ahead: 5000}, "servers": {Silent: true, Since: 200, Lead: true, Ahead: 5000}}
+
+// Said is what a liar makes of a word of servers.
+func Said[T any](word T, l Servers) T {
+	lie, _ := l.of(word).(T) // it is of the same kind
+	return lie
+}
+
+func (l Servers) of(word any) any {
+	said := func(s verdicts.Said) verdicts.Said {
+		if s.Position > 0 {
+			s.Position += l.Ahead
+			if l.Lead {
+				s.Role = verdicts.Leads
+			}
+		}
+		return s
+	}
+	switch m := word.(type) {
+	case *verdicts.Tell:
+		c := *m
+		c.Items = slices.Clone(m.Items)
+		for i := range c.Items {
+			x := &c.Items[i]
+			if x.Said = said(x.Said); l.Silent {
+				x.Answered, x.N, x.First, x.Last, x.Work = -1, 100, l.Since, 0, 1
+			}
+		}
+		return &c
+	case *verdicts.Word:
+		c := *m
+		c.Items = slices.Clone(m.Items)
+		for i := range c.Items {
+			x := &c.Items[i]
+			if x.Said = said(x.Said); l.Silent {
+				x.Bad, x.All, x.First, x.Last, x.By, x.Answered = true, true, l.Since, 0, []verdicts.ID{1, 2}, -1
+			}
+		}
+		return &c
+	}
+	return word
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -56,7 +56,7 @@
 	Instead func(pooler int) int                                         // whom a kill-pooler strikes in place of the one that it names; may be nil
 
 	Liar string                       // path of the daemon's program built with the tag liar...
-	Lies map[int]string               // ...and what some poolers, by number, lie about load: "none" or "all"
+	Lies map[int]string               // ...and what some poolers, by number, lie about load ("none" or "all"), or of servers: see lies
 	Came func(server int, at float64) // is told of each request that came to a server
 }
 
--- a/internal/peers/verdicts/joined/joined.go
+++ b/internal/peers/verdicts/joined/joined.go
@@ -207,9 +207,9 @@
 		switch a := &acts[i]; a.Kind {
 		case verdicts.Send:
 			if a.Tell != nil {
-				j.host.Tell(a.Addr, a.To, part.Verdicts, a.Tell)
+				j.host.Tell(a.Addr, a.To, part.Verdicts, told(a.Tell))
 			} else {
-				j.host.Tell(a.Addr, a.To, part.Verdicts, a.Word)
+				j.host.Tell(a.Addr, a.To, part.Verdicts, said(a.Word))
 			}
 		case verdicts.Avoid:
 			j.core.Avoid(a.Server)
