Feed the merge of ordered reads over shards from one attempt of a part only

The front rested, unsaid, on classes that the decision module asks only once, as the pools' are. With a class that may be asked twice, a reset within 20 ms of the first row had the part asked again from its start, so the page failed for its order; of two servers that answered, rows were mixed, or the end of one was taken for the other's, and a page was served without rows that were there.

The first attempt whose answer begins is the part's now. A copy that is out is given up, a later one is skipped. Where that attempt breaks, the module hears of the reset and has the request taken back, and the run asks anew from behind the last row; behind the end nobody is asked again.

--- a/cmd/beechgrade/scatter_test.go
+++ b/cmd/beechgrade/scatter_test.go
@@ -16,6 +16,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/standin/sorted"
@@ -55,6 +56,12 @@
 }
 
 func scatterPooler(t *testing.T, more string, change ...func(*fleet.Config)) *scatterWorld {
+	t.Helper()
+	return scatterPoolerOf(t, more, func(*config.Config) {}, change...)
+}
+
+// scatterPoolerOf has the module's settings changed, too.
+func scatterPoolerOf(t *testing.T, more string, module func(*config.Config), change ...func(*fleet.Config)) *scatterWorld {
 	t.Helper()
 	fc := fleet.Defaults(3, 3, 3, 3)
 	fc.Detect, fc.Elect, fc.List, fc.Roles = fleet.Range{100, 150}, fleet.Range{100, 150}, fleet.Range{30, 60}, fleet.Range{100, 200}
@@ -87,6 +94,7 @@
 		t.Fatal(err)
 	}
 	set.Pooling.AddClasses(cfg)
+	module(cfg)
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
 	if os.Getenv("POOL_LOG") != "" {
 		p.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
@@ -326,6 +334,38 @@
 	}
 }
 
+// TestScatterBreaksEarly: in each group one server breaks off behind its third row, within some 10 ms. The rest comes from behind that row, be the class one
+// that the module asks but once, as those of the pools are, or one that it would ask again by itself.
+func TestScatterBreaksEarly(t *testing.T) {
+	for _, effect := range []decide.Effect{decide.Unsafe, decide.Safe} {
+		w := scatterPoolerOf(t, "(whole)", func(c *config.Config) {
+			c.Settings.Classes[slices.Index(c.Classes, "reports")].Effect = effect
+		})
+		want := sortedIDs(visits(w.fleet, 60))
+		bad, asked := map[string]string{}, map[string]int{}   // by group
+		w.fleet.Asked(func(server, sql string) fleet.Manner { // under the fleet's lock
+			g := server[:4]
+			if asked[g]++; asked[g] == 1 {
+				bad[g] = server
+			}
+			if behind := strings.Contains(sql, " AND ("); behind != (asked[g] > 1) {
+				t.Errorf("%v: %s is asked as number %d: %s", effect, server, asked[g], sql)
+			}
+			if bad[g] == server {
+				return fleet.Manner{Each: 3 * time.Millisecond, DieAt: 4}
+			}
+			return fleet.Manner{}
+		})
+		got, err := w.reader().page(240, "")
+		if err != nil || !slices.Equal(got, want) {
+			t.Fatalf("%v: %v\n got %v\nwant %v", effect, err, got, want)
+		}
+		if len(asked) != 4 || asked["s-0-"] < 2 {
+			t.Errorf("nobody broke off: %v", asked)
+		}
+	}
+}
+
 // TestScatterPartial: a group is silent altogether: the page has the others' rows, names the missing one, and the cursor keeps its place, so that its rows
 // come once it is back. Where the whole is wanted, the page fails in time.
 func TestScatterPartial(t *testing.T) {
--- a/internal/fronts/scatter/link.go
+++ b/internal/fronts/scatter/link.go
@@ -115,9 +115,7 @@
 		m, ok, err := l.in.Next()
 		if err != nil {
 			l.f.log.Warn("scatter: server broke the protocol, or sent more than is taken", "store", l.key.store, "err", err)
-			if p := l.part; p != nil && !p.over {
-				p.broke("it sent a longer row than is taken, or broke the protocol", false)
-			}
+			l.broke("it sent a longer row than is taken, or broke the protocol", false)
 			l.close()
 			break
 		}
@@ -232,7 +230,7 @@
 	case m.Type == 'N' || m.Type == 'A' || l.ending || l.ready > 1:
 		if m.Type == 'E' && l.ready > 1 {
 			l.broken, l.ending = true, true
-			p.broke("the session's settings can't be had there: "+pgwire.ErrorCode(m.Body), false)
+			l.broke("the session's settings can't be had there: "+pgwire.ErrorCode(m.Body), false)
 		}
 	case p == nil || !l.asked:
 		l.close()
@@ -249,13 +247,15 @@
 			l.finish()
 			return
 		}
+		p.begins(l)
 		p.s.row(l, p, m)
 	case m.Type == 'C':
 		l.first, l.ended = true, true
+		p.begins(l)
 		p.s.event(func(now float64) []run.Action { return p.s.run.Ended(p.a.Shard, p.a.Try, now) })
 	case m.Type == '1' || m.Type == '2':
 	default:
-		p.broke("a message that is not due: "+strconv.Quote(string(m.Type)), true)
+		l.broke("a message that is not due: "+strconv.Quote(string(m.Type)), true)
 		l.close()
 	}
 }
@@ -314,8 +314,10 @@
 			l.f.opt.Checks.That(position >= p.a.Need, "scatter: no page is read at a server that is behind its cursor",
 				func() string { return fmt.Sprintf("%s at %d, needed %d", l.key.store, position, p.a.Need) })
 		}
-		if p.link = nil; !l.broken {
-			p.s.event(func(now float64) []run.Action { return p.s.run.Settled(p.a.Shard, p.a.Try, position, now) })
+		if p.link == l {
+			if p.link = nil; !l.broken {
+				p.s.event(func(now float64) []run.Action { return p.s.run.Settled(p.a.Shard, p.a.Try, position, now) })
+			}
 		}
 	}
 	l.attempt, l.part, l.asked, l.ending = nil, nil, false, false
@@ -495,15 +497,36 @@
 	}
 	p, a := l.part, l.attempt
 	l.part, l.attempt = nil, nil
-	if p != nil && p.link == l {
+	ours, out := p != nil && p.link == l, a != nil && !a.ended
+	if ours {
 		p.link = nil
 	}
+	if out {
+		a.link = nil
+	}
 	switch {
-	case a != nil && !a.ended && !l.asked:
+	case ours && l.ended: // all its rows are here: asked again it would only tell where another server stands
+		if out {
+			f.end(a, decide.OK, nil)
+		}
+	case ours: // rows of it are with the merge: the run asks anew, from behind them, and the module must not ask this one again
+		if out {
+			a.lost = true
+		}
+		p.broke("its server's connection broke", true)
+		if out {
+			f.end(a, decide.Reset, nil)
+		}
+	case out && !l.asked:
 		f.end(a, decide.Unreachable, nil)
-	case a != nil && !a.ended:
+	case out:
 		f.end(a, decide.Reset, nil)
-	case p != nil && !p.over && !l.ended:
-		p.broke("its server's connection broke", true)
+	}
+}
+
+// broke tells of an answer that came to nothing, unless the part's is another attempt's.
+func (l *link) broke(why string, again bool) {
+	if p := l.part; p != nil && !p.over && (!p.begun || p.link == l) {
+		p.broke(why, again)
 	}
 }
--- a/internal/fronts/scatter/part.go
+++ b/internal/fronts/scatter/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/deadline"
@@ -12,14 +13,15 @@
 
 // part is a shard's read as the decision module has it: one try of the run. It is front.Client's and backend.Query's.
 type part struct {
-	s       *Scatter
-	a       run.Action // that asked for it
-	ref     slots.Ref
-	open    bool // with core
-	over    bool // the run has given it up, or has its end
-	due     bool // it is to be sent as soon as it has a connection
-	attempt *attempt
-	link    *link
+	s     *Scatter
+	a     run.Action // that asked for it
+	ref   slots.Ref
+	open  bool       // with core
+	over  bool       // the run has given it up, or has its end
+	due   bool       // it is to be sent as soon as it has a connection
+	begun bool       // an attempt's answer has begun: the part's rows are that one's alone, and no other is sent
+	tries []*attempt // that are out; the module may have a copy made
+	link  *link      // whose answer it is, from when it begins to its end
 }
 
 // attempt is a part's try at one server.
@@ -28,7 +30,9 @@
 	tag   backend.Tag
 	store string
 	p     *part
+	link  *link // once it has one
 	ended bool
+	lost  bool // its connection broke within the answer
 	timer *deadline.Timer
 }
 
@@ -68,11 +72,11 @@
 	a := &attempt{tag: t, store: store, p: p}
 	a.ref = f.attempts.Put(a)
 	a.timer = f.loop.At(until, func() { f.end(a, decide.TimedOut, nil) })
-	p.attempt = a
+	p.tries = append(p.tries, a)
 	switch {
 	case f.addrs[store] == "":
 		f.end(a, decide.Unreachable, nil)
-	case p.over:
+	case p.over || p.begun:
 		f.end(a, decide.Skipped, nil)
 	default:
 		f.connect(a)
@@ -95,17 +99,23 @@
 	a.ended = true
 	f.attempts.Drop(a.ref)
 	f.loop.Stop(a.timer)
-	o := backend.Outcome{Result: r}
-	p := a.p
-	if p.attempt == a {
-		p.attempt = nil
+	p, x := a.p, a.link
+	if i := slices.Index(p.tries, a); i >= 0 {
+		p.tries = slices.Delete(p.tries, i, i+1)
+	}
+	quit := r == decide.TimedOut || r == decide.Cancelled
+	switch {
+	case quit && a.lost:
+		r = decide.Reset
+	case quit && x != nil && x == p.link: // its answer has begun: it was served, and the rest is the run's
+		r = decide.OK
 	}
+	o := backend.Outcome{Result: r}
 	if l != nil {
 		o.Role, o.Position, o.HasPos = l.said()
 	}
-	if x := p.link; x != nil && r != decide.OK && x.attempt == a {
-		p.link = nil
-		if !x.asked && (r == decide.TimedOut || r == decide.Cancelled) {
+	if a.link = nil; x != nil && r != decide.OK {
+		if !x.asked && quit {
 			o.Result = decide.Skipped // nothing was sent
 		}
 		x.drop()
@@ -113,22 +123,46 @@
 	f.events.AttemptEnded(a.tag, o)
 }
 
+// begins has a part's answer be the one that comes on a link. A copy that is out is given up: rows of two would not be in order, and the end of one
+// is not the other's.
+func (p *part) begins(l *link) {
+	if p.begun {
+		return
+	}
+	p.begun, p.link = true, l
+	if len(p.tries) < 2 {
+		return
+	}
+	f := p.s.f
+	if a := l.attempt; a != nil {
+		f.end(a, decide.OK, nil) // first, so the module asks no other in place of those that are given up
+	}
+	for _, a := range slices.Clone(p.tries) {
+		f.end(a, decide.Cancelled, nil)
+	}
+}
+
 // granted goes on with a part that has a connection.
 func (p *part) granted(l *link) {
-	p.link = l
+	l.attempt.link = l
 	if p.due {
-		p.send()
+		p.send(l)
 		return
 	}
 	p.s.event(func(now float64) []run.Action { return p.s.run.Granted(p.a.Shard, p.a.Try, now) })
 }
 
-// send has the statement go out, at once or when there is a connection.
-func (p *part) send() {
-	l := p.link
-	if p.due = true; l == nil {
-		return
+// sendAll has the statement go out, at once or when there is a connection.
+func (p *part) sendAll() {
+	p.due = true
+	for _, a := range slices.Clone(p.tries) {
+		if l := a.link; l != nil && !l.asked && !p.over {
+			p.send(l)
+		}
 	}
+}
+
+func (p *part) send(l *link) {
 	f := p.s.f
 	if f.barred[l.key.store] { // it drains since: the module knows another one
 		f.end(l.attempt, decide.Full, nil)
@@ -139,7 +173,7 @@
 		return
 	}
 	f.Counts.Asked++
-	if a := p.attempt; a != nil && l.conn != nil && l.conn.Unsent() == 0 {
+	if a := l.attempt; a != nil && !a.ended && l.conn != nil && l.conn.Unsent() == 0 {
 		f.events.AttemptWritten(a.tag)
 	}
 }
@@ -150,19 +184,27 @@
 		return
 	}
 	p.over = true
-	l := p.link
-	if l != nil && l.asked {
-		l.finish()
-	}
-	if a := p.attempt; p.open && a != nil && l != nil && l.first { // its answer has begun: as far as it was wanted it was served
-		p.s.f.end(a, decide.OK, nil)
+	if p.link != nil {
+		p.link.finish()
+	}
+	tries := slices.Clone(p.tries)
+	for _, a := range tries {
+		l := a.link
+		if l != nil && l.asked {
+			l.finish()
+		}
+		if p.open && l != nil && l.first { // its answer has begun: as far as it was wanted it was served
+			p.s.f.end(a, decide.OK, nil)
+		}
 	}
 	if p.open {
 		p.open = false
 		p.s.f.desk.Gone(p.ref)
 	}
-	if l != nil && !l.asked && p.link == l {
-		p.link = nil
-		l.drop()
+	for _, a := range tries {
+		if l := a.link; l != nil && !l.asked {
+			a.link = nil
+			l.drop()
+		}
 	}
 }
--- a/internal/fronts/scatter/scatter.go
+++ b/internal/fronts/scatter/scatter.go
@@ -328,7 +328,7 @@
 			}
 			s.ask(*a)
 		case run.Send:
-			p.send()
+			p.sendAll()
 		case run.Stop:
 			if p.link != nil {
 				p.link.stop()
