Have as many poolers test a silent server as the fleet's size bears

Now min(testers, max(2, poolers/4)) do, counted from the view, and just so many: they were drawn each by itself before, so a turn could have none. The process test plays the default instead of (testers 1).

--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -79,7 +79,7 @@
 // at last all replicas of a group are deaf.
 func TestFleetVerdictsDeaf(t *testing.T) {
 	t.Parallel()
-	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 17) (at 4s (deaf member 0 1) (for 5s)) (at 4s (cut a member 1 1) (for 5s)) (at 4s (thin 7 everyone 0.8) (for 5s))
+	_, came := verdicts(t, "(verdicts)\n", `(seconds 17) (at 4s (deaf member 0 1) (for 5s)) (at 4s (cut a member 1 1) (for 5s)) (at 4s (thin 7 everyone 0.8) (for 5s))
 		(at 11s (deaf member 0 1) (for 4s)) (at 11s (deaf member 0 2) (for 4s)) (at 11s (deaf member 0 3) (for 4s))`)
 	others := func(p int) bool { return p != 7 }
 	inA, inB := func(p int) bool { return p%2 == 0 }, func(p int) bool { return p%2 == 1 && p != 7 }
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -21,7 +21,7 @@
 	Vouch      int     // observers, the least, that must have heard as much of a position or of who leads, for it to be taken
 	Blind      float64 // part of a group that words of others may take away together
 	Shun       float64 // one whose word was contradicted counts for nothing for so long
-	Testers    int     // of all poolers, that may send to a server which is bad by others' word, in turn
+	Testers    int     // of all poolers, the most that may send to a server which is bad by others' word, in turn; see Trying
 	Turn       float64 // of one of them
 	Step       float64 // the grain of all these
 	Health     bool    // servers that are bad are shared
@@ -82,6 +82,16 @@
 	return max(0, min(int(s.Blind*float64(members)), members-1))
 }
 
+// One of testedBy poolers tests: where few poolers were all testers, a deaf server would be sent as much as without words. Two do at least, as one may
+// be cut off from the server itself.
+const (
+	testedBy    = 4
+	testedLeast = 2
+)
+
+// Trying is how many of so many poolers send to a server that is bad by others' word.
+func (s *Settings) Trying(poolers int) int { return min(s.Testers, max(testedLeast, poolers/testedBy)) }
+
 // Lasting bounds how long a server that answers its testers is avoided by others' word: until one is at it, has its answer, and all heard.
 func (s *Settings) Lasting(poolers int, each, answer, delay float64) float64 {
 	return s.Turn + each + answer + s.Spread(delay)
--- a/internal/peers/verdicts/doc.go
+++ b/internal/peers/verdicts/doc.go
@@ -22,8 +22,8 @@
 //
 // A pooler does not heed a verdict on a server that answered what it sent after all that is held against it began. Words take away Blind of a
 // group's members at most, and never the last that its own module has not taken out; what is beyond stays. A verdict ends Lapse after
-// the last request that went unanswered. While it stands, Testers of all poolers, by turns drawn from hashes, may send a few requests there as the
-// module does on trial: the first answer ends it for all.
+// the last request that went unanswered. While it stands, Trying of all poolers (one of four, two at least and Testers at most), by turns drawn
+// from hashes, may send a few requests there as the module does on trial: the first answer ends it for all.
 //
 // One observer whose words all others contradict counts for nothing for Shun: it alone has answers where three others of its zone have none for
 // as long as a verdict takes; or it has four without an answer where three others had theirs meanwhile. A collector that lies is outvoted.
@@ -50,6 +50,8 @@
 //	servers of a group that words of others take away                    Blinded = min(floor(Blind*members), members-1)
 //	a server that answers is avoided by word no longer than              Lasting = Turn + each + answer + Spread, where the testers of a turn
 //	    together ask it once every `each`; and Lapse at most without a tester
+//	poolers that send to a server which is bad by word, after its first Turn  Trying = min(Testers, max(2, floor(poolers/4))), while views are
+//	    equal, and twice that where one turn ends and the next begins
 //	one that hears nobody goes by what it heard no longer than           Lonely = 3*Refresh + Step
 //	bytes a second of a pooler, in the mean                              Talk
 //
--- a/internal/peers/verdicts/heed.go
+++ b/internal/peers/verdicts/heed.go
@@ -158,11 +158,20 @@
 	return left > 0 && taken < v.set.Blinded(len(members))
 }
 
-// turn tells whether it is this process's turn to try a server: some of all do at any time, each for a while.
+// turn tells whether it is this process's turn to try a server: some of all do at any time, each for a while, the ones with the least hashes.
 func (v *Verdicts) turn(s *server) bool {
 	round := uint64((v.now - s.avoid.since) / max(1, v.set.Turn))
-	h := mixed(uint64(s.key)<<32^uint64(v.self), round+1)
-	return round > 0 && h%uint64(max(1, len(v.peers))) < uint64(v.set.Testers)
+	if round == 0 {
+		return false
+	}
+	draw := func(id ID) uint64 { return mixed(uint64(s.key)<<32^uint64(id), round+1) }
+	own, before := draw(v.self), 0
+	for i := range v.peers {
+		if id := v.peers[i].ID; id != v.self && draw(id) < own {
+			before++
+		}
+	}
+	return before < v.set.Trying(len(v.peers))
 }
 
 func mixed(h, salt uint64) uint64 {
--- a/internal/peers/verdicts/verdicts_test.go
+++ b/internal/peers/verdicts/verdicts_test.go
@@ -45,6 +45,43 @@
 	}
 }
 
+// TestTesters: one in four poolers goes on trying a server that is bad by word, two at least and Testers at most; and it is not always the same.
+func TestTesters(t *testing.T) {
+	set := Defaults()
+	for poolers, want := range map[int]int{2: 2, 8: 2, 11: 2, 12: 3, 30: 7, 32: 8, 300: 8} {
+		if n := set.Trying(poolers); n != want {
+			t.Errorf("%d of %d poolers try, not %d", n, poolers, want)
+		}
+	}
+	if set.Testers = 1; set.Trying(8) != 1 || set.Trying(300) != 1 {
+		t.Error("more try than the settings allow")
+	}
+	for _, poolers := range []int{8, 13} {
+		f := newFleet(t, zones("a", poolers)...)
+		f.answers = func(_ *pooler, s string) bool { return s != "s1" }
+		f.pass(2000, 400)
+		had := map[ID]bool{}
+		for range 8 {
+			for f.pass(50, 400); int(f.now-f.poolers[0].v.byName["s1"].avoid.since)%int(f.set.Turn) < 900; { // to the middle of a turn
+				f.pass(50, 400)
+			}
+			n := 0
+			for _, p := range f.poolers {
+				if a := &p.v.byName["s1"].avoid; a.on && a.turn {
+					n, had[p.id] = n+1, true
+				}
+			}
+			if round := int((f.now - f.poolers[0].v.byName["s1"].avoid.since) / f.set.Turn); round > 0 && n != f.set.Trying(poolers) {
+				t.Errorf("%d of %d poolers try it in round %d", n, poolers, round)
+			}
+			f.pass(1200, 400)
+		}
+		if len(had) < 3 {
+			t.Errorf("always the same of %d poolers try it: %v", poolers, had)
+		}
+	}
+}
+
 // TestLapses: without new evidence a verdict ends.
 func TestLapses(t *testing.T) {
 	f := newFleet(t, zones("a", 5)...)
