Have a process lie of servers to seven others, and catch own evidence overruled

The liar's play had neither a replica behind nor a dead primary, so a lie on positions or roles could not have shown; nothing from outside caught poolers whose own evidence loses.

--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -39,19 +39,20 @@
 func anybody(int) bool { return true }
 
 // verdicts plays a scenario on 8 processes that share what they know of servers, and holds it to all rules.
-func verdicts(t *testing.T, operators, script string) (*rehearse.Result, *arrivals) {
+func verdicts(t *testing.T, operators, script string, opt rehearse.Options) (*rehearse.Result, *arrivals) {
 	t.Helper()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "verdicts" (rate 240) `+judged+script+`)`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	came := &arrivals{}
-	res, err := rehearse.Play(context.Background(), s, rehearse.Options{Seed: 5, Out: t.TempDir(), Daemon: daemon, Operators: operators, Log: slog.New(slog.DiscardHandler),
-		Arrived: func(server, pooler int, writes bool, at float64) {
-			came.mu.Lock()
-			defer came.mu.Unlock()
-			came.all = append(came.all, arrival{server, pooler, writes, at})
-		}})
+	opt.Seed, opt.Out, opt.Daemon, opt.Operators, opt.Log = 5, t.TempDir(), daemon, operators, slog.New(slog.DiscardHandler)
+	opt.Arrived = func(server, pooler int, writes bool, at float64) {
+		came.mu.Lock()
+		defer came.mu.Unlock()
+		came.all = append(came.all, arrival{server, pooler, writes, at})
+	}
+	res, err := rehearse.Play(context.Background(), s, opt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,7 +81,7 @@
 func TestFleetVerdictsDeaf(t *testing.T) {
 	t.Parallel()
 	_, came := verdicts(t, "(verdicts)\n", `(seconds 17) (at 4s (deaf member 0 1) (for 5s)) (at 4s (cut a member 1 1) (for 5s)) (at 4s (thin 7 everyone 0.8) (for 5s))
-		(at 11s (deaf member 0 1) (for 4s)) (at 11s (deaf member 0 2) (for 4s)) (at 11s (deaf member 0 3) (for 4s))`)
+		(at 11s (deaf member 0 1) (for 4s)) (at 11s (deaf member 0 2) (for 4s)) (at 11s (deaf member 0 3) (for 4s))`, rehearse.Options{})
 	others := func(p int) bool { return p != 7 }
 	inA, inB := func(p int) bool { return p%2 == 0 }, func(p int) bool { return p%2 == 1 && p != 7 }
 	before, deaf := came.count(1, 2000, 4000, others), came.count(1, 4000+knownMs, 9000, others)
@@ -119,7 +120,7 @@
 	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 17) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 4s)) (at 2s (cut (5 6 7) member 1 2) (for 5s)) (at 2s (stall-pooler 4) (for 5s))
 		(at 3s (restart member 1 1)) (at 8s (list-held (1 2 3 4 5 6 7)) (for 5s)) (at 8200ms (die primary 0))
 		(at 13s (kill-pooler 0) (for 200ms)) (at 13s (kill-pooler 1) (for 200ms)) (at 13s (kill-pooler 2) (for 200ms)) (at 13s (kill-pooler 4) (for 200ms))
-		(at 13s (kill-pooler 5) (for 200ms)) (at 13s (kill-pooler 6) (for 200ms)) (at 13s (kill-pooler 7) (for 200ms))`)
+		(at 13s (kill-pooler 5) (for 200ms)) (at 13s (kill-pooler 6) (for 200ms)) (at 13s (kill-pooler 7) (for 200ms))`, rehearse.Options{})
 	for p := range 8 { // the takeover is over by 9.1 s
 		n := 0
 		for _, x := range came.all {
@@ -132,3 +133,21 @@
 		}
 	}
 }
+
+// TestFleetVerdictsLiar: one of eight processes says of all servers that they are silent, lead and are 5 s further than they are, while one is deaf: the
+// others avoid that one and no other, and no rule is broken.
+func TestFleetVerdictsLiar(t *testing.T) {
+	t.Parallel()
+	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
+	others := func(p int) bool { return p != 3 }
+	for s := range 8 {
+		if s == 0 || s == 4 {
+			continue // they lead
+		}
+		was, is := float64(came.count(s, 1000, 4000, others))/3000, float64(came.count(s, 4000+knownMs, 9000, others))/(5000-knownMs)
+		t.Logf("server %d came to %.0f requests a second before, to %.0f once all were to know that one is deaf", s, 1000*was, 1000*is)
+		if s == 1 && is > 0.2*was || s != 1 && is < 0.3*was || was == 0 {
+			t.Errorf("server %d came to %.0f requests a second before, to %.0f once all were to know that one is deaf", s, 1000*was, 1000*is)
+		}
+	}
+}
--- a/internal/kit/emulate/mutants_verdicts.go
+++ b/internal/kit/emulate/mutants_verdicts.go
@@ -11,5 +11,6 @@
 		{Name: "positions are not aged", Breaks: check.NotStale, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.NotAged }},
 		{Name: "one word is enough", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.OneEnough }},
 		{Name: "age is taken from when it was heard", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.HeardAge }},
+		{Name: "own evidence is overruled by others' older", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.OwnLoses }},
 	}
 }
--- a/internal/kit/emulate/verdicts_test.go
+++ b/internal/kit/emulate/verdicts_test.go
@@ -23,9 +23,9 @@
 func TestVerdictMutants(t *testing.T) {
 	for i, m := range VerdictMutants() {
 		t.Run(m.Name, func(t *testing.T) {
-			text := []string{lateWords, toldOf, toldOf}[i]
+			text := []string{lateWords, toldOf, toldOf, seldomTold}[i]
 			says := func() func(int, part.Words) part.Words { // afresh for each play
-				return lying(liars.Servers{Silent: true, Since: []float64{0, 0, 20000}[i]}, [][]int{nil, {1}, {1, 7}}[i]...)
+				return lying(liars.Servers{Silent: true, Since: []float64{0, 0, 20000, 20000}[i]}, [][]int{nil, {1}, {1, 7}, {1, 7}}[i]...)
 			}
 			if r := play(t, parse(t, text), Options{Seed: 1, Mutant: &Mutant{Says: says()}}); r.Verdict.Broken[m.Breaks] > 0 || r.Verdict.Checked[m.Breaks] < 3 {
 				t.Errorf("without: %v of %v", r.Verdict.Broken, r.Verdict.Checked)
