Have the lying process collect, and lie that servers fell silent just now

As one collector of three it was one only in some runs, and a lie that began 0.2 s ago lost to most poolers' own answers, so the story held even with one word enough. Seven of eight collect, and the lie is of now.

--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -135,10 +135,10 @@
 }
 
 // TestFleetVerdictsLiar: one of eight processes says of all servers that they are silent, lead and are 5 s further than they are, while one is deaf: the
-// others avoid that one and no other, and no rule is broken.
+// others avoid that one and no other, and no rule is broken. Seven of the eight collect, so it does in most runs.
 func TestFleetVerdictsLiar(t *testing.T) {
 	t.Parallel()
-	_, came := verdicts(t, "(verdicts (testers 1))\n", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
+	_, came := verdicts(t, "(verdicts (testers 1) (collectors 7) (turn 30s))\n", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
 	others := func(p int) bool { return p != 3 }
 	for s := range 8 {
 		if s == 0 || s == 4 {
--- a/internal/kit/lies/servers.go
+++ b/internal/kit/lies/servers.go
@@ -15,7 +15,7 @@
 }
 
 // OfServers are the kinds of liar.
-var OfServers = map[string]Servers{"silent": {Silent: true, Since: 200}, "leads": {Lead: true}, "ahead": {Ahead: 5000}, "servers": {Silent: true, Since: 200, Lead: true, Ahead: 5000}}
+var OfServers = map[string]Servers{"silent": {Silent: true}, "leads": {Lead: true}, "ahead": {Ahead: 5000}, "servers": {Silent: true, Lead: true, Ahead: 5000}}
 
 // Said is what a liar makes of a word of servers.
 func Said[T any](word T, l Servers) T {
