--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -138,7 +138,10 @@
 // others avoid that one and no other, and no rule is broken. Seven of the eight collect, so it does in most runs.
 func TestFleetVerdictsLiar(t *testing.T) {
 	t.Parallel()
-	_, came := verdicts(t, "(verdicts (testers 1) (collectors 7) (turn 30s))\n", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
+	res, came := verdicts(t, "(verdicts (testers 1) (collectors 7) (turn 30s))\n", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
+	if got := res.Score.Total.Ratio; got < 0.9 { // 0.78 where one word is enough
+		t.Errorf("service %.3f", got)
+	}
 	others := func(p int) bool { return p != 3 }
 	for s := range 8 {
 		if s == 0 || s == 4 {
