Let a story's server hear of its end before or after it is asked again

Seen: TestAnswerStopsShort failed once beside other tests: the read was asked again on another connection in the same moment in which the first was closed, and the stand-in's two connections told in the other order. Change: either order.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -369,13 +369,18 @@
 		c.send(query("1", class, 19000))
 		q := next(t, queries)
 		q.send(row("v")[:20])
-		if gone := next(t, queries); gone.sql != "(gone)" || gone.conn != q.conn {
-			t.Fatalf("asked %q", gone.sql)
-		}
-		if n == 0 {
-			next(t, queries).send(row("v"))
+		gone := next(t, queries)
+		if n == 0 { // the server may hear of its end before or after it is asked again
+			again := next(t, queries)
+			if gone.sql != "(gone)" {
+				gone, again = again, gone
+			}
+			again.send(row("v"))
 			c.want("TDCZ v")
 		}
+		if gone.sql != "(gone)" || gone.conn != q.conn {
+			t.Fatalf("asked %q", gone.sql)
+		}
 	}
 	c.want("EZ 58000")
 }
