Take a message that is cut within its body as the connection's end in the stories

It showed where the kill fell within a row. Change: a message is whole or the end. Nothing of the pooler is at fault; a row that the pooler filled up with anything else still fails the story.

--- a/cmd/beechgrade/story_test.go
+++ b/cmd/beechgrade/story_test.go
@@ -41,14 +41,16 @@
 	return &peer{t, c, bufio.NewReader(c)}
 }
 
-// message reads one message; its type is 0 at the end of the connection.
+// message reads one message; its type is 0 where the connection ends before or within it.
 func (p *peer) message() (typ byte, body []byte) {
 	var head [5]byte
 	if _, err := io.ReadFull(p.in, head[:]); err != nil {
 		return 0, nil
 	}
 	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
-	_, _ = io.ReadFull(p.in, body)
+	if _, err := io.ReadFull(p.in, body); err != nil {
+		return 0, nil
+	}
 	return head[0], body
 }
 
