Keep a plan's number and marks of funds through a loss of power, folder and all

The file was renamed into its place without its folder being synced, so a loss of power right after could bring the old number back, and a pooler could follow an older plan. Its part files were named for credit whatever they were for.

store.Replace writes, syncs, renames and syncs the folder; zones, credit and durable sealed files use it. The power goes out at each operation in a test, 20 draws each, and each operation fails once: the file is the old one or the new, and the new one once that was said. A plan's number is not put over a newer one that the process which takes over has kept.

With it the first of the operators' way to zones: GET and POST /-/zones at the door, and beechgrade-kit zones.

--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -87,6 +87,7 @@
 			storeCommand(asJSON),
 			membersCommand(asJSON),
 			peersCommand(asJSON),
+			zonesCommand(asJSON),
 			labCommand(asJSON),
 			loadCommand(asJSON),
 			{
--- a/cmd/beechgrade/credit.go
+++ b/cmd/beechgrade/credit.go
@@ -17,6 +17,7 @@
 	"beechgrade/internal/peers/credit"
 	"beechgrade/internal/peers/credit/ledger"
 	"beechgrade/internal/peers/credit/purse"
+	"beechgrade/internal/store"
 )
 
 // prepaid is what tenants pay ahead for, as this pooler has it. It is core's Credit, and credit's Log, Files and Events.
@@ -170,7 +171,7 @@
 	for m := range x.writes {
 		b, err := jsoniter.Marshal(m.list)
 		for err == nil {
-			if err = save(x.file(x.holder, marksEnd), b); err == nil {
+			if err = store.Replace(store.Dir(x.set.Dir), filepath.Base(x.file(x.holder, marksEnd)), b); err == nil {
 				break
 			}
 			x.p.log.Error("credit: marks cannot be written; prepaid tenants wait", "err", err)
@@ -189,27 +190,6 @@
 	}
 }
 
-func save(path string, b []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), "credit-*.part")
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	if err == nil {
-		err = f.Sync()
-	}
-	if e := f.Close(); err == nil {
-		err = e
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		_ = os.Remove(f.Name())
-	}
-	return err
-}
-
 // lock takes this process's place among the files, and finds those whose processes are no more: nobody has their locks.
 func (x *prepaid) lock() (gone []ledger.Holder, err error) {
 	if err := os.MkdirAll(x.set.Dir, 0o700); err != nil {
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 
@@ -89,8 +90,11 @@
 type desk struct{ p *pooler }
 
 // Call is control.Desk's.
-func (d desk) Call(method, path string) control.Answer {
+func (d desk) Call(method, path string, query url.Values) control.Answer {
 	p := d.p
+	if path == zonesPath && p.zones != nil {
+		return p.zones.call(method, query)
+	}
 	if path == "/-/metrics" && method == http.MethodGet {
 		b := p.core.AppendFigures(nil)
 		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload,
--- a/cmd/beechgrade/zones.go
+++ b/cmd/beechgrade/zones.go
@@ -10,6 +10,7 @@
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
 	"beechgrade/internal/peers/zones/joined"
+	"beechgrade/internal/store"
 )
 
 // zoned is which zone serves what, as the fleet decides it. It is zones' Log, and joined's Keeper.
@@ -68,6 +69,11 @@
 	if err := os.MkdirAll(z.set.Dir, 0o700); err != nil {
 		return 0, err
 	}
+	return z.held()
+}
+
+// held is the number in the file, 0 for none.
+func (z *zoned) held() (uint64, error) {
 	b, err := os.ReadFile(z.file())
 	if os.IsNotExist(err) {
 		return 0, nil
@@ -86,8 +92,11 @@
 	defer close(z.done)
 	last := uint64(0)
 	for k := range z.keep {
+		if has, err := z.held(); err == nil { // another process of this pooler, which takes over, may have kept a newer one
+			last = max(last, has)
+		}
 		if k.no > last {
-			if err := save(z.file(), strconv.AppendUint(nil, k.no, 10)); err != nil {
+			if err := store.Replace(store.Dir(z.set.Dir), filepath.Base(z.file()), strconv.AppendUint(nil, k.no, 10)); err != nil {
 				z.p.log.Error("zones: the plan's number cannot be kept; the plan is not followed", "err", err)
 				z.p.loop.Post(func() { z.later(k) })
 				continue
--- a/cmd/beechgrade/zones_test.go
+++ b/cmd/beechgrade/zones_test.go
@@ -7,10 +7,11 @@
 	"time"
 
 	"beechgrade/internal/operate"
+	"beechgrade/internal/store"
 )
 
 // TestZonesKeep: a plan's number that the disk does not take at first is kept once it does, and only then the plan is followed; an older one that
-// comes behind does not take its place.
+// comes behind does not take its place, nor that of a newer one of another process.
 func TestZonesKeep(t *testing.T) {
 	var p *pooler
 	_, _, stop, ended := operated(t, "", func(at *pooler) { p = at })
@@ -43,6 +44,18 @@
 	if no, err := z.floor(); no != 7 || err != nil {
 		t.Errorf("%d is kept, %v", no, err)
 	}
+	if err := store.Replace(store.Dir(dir), filepath.Base(z.file()), []byte("12")); err != nil { // the process that takes over has kept a newer one
+		t.Fatal(err)
+	}
+	p.loop.Post(func() { z.put(numbered{9, func() { kept <- 9 }}) })
+	select {
+	case <-kept:
+	case <-time.After(10 * time.Second):
+		t.Fatal("9 was not passed over")
+	}
+	if no, err := z.floor(); no != 12 || err != nil {
+		t.Errorf("%d is kept, %v: another process of this pooler had kept 12", no, err)
+	}
 	stop <- os.Interrupt
 	<-ended
 	close(z.keep)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 
 	"beechgrade/internal/deadline"
 	"beechgrade/internal/loop"
@@ -32,7 +33,7 @@
 
 // Desk carries calls out. It is called on the loop.
 type Desk interface {
-	Call(method, path string) Answer
+	Call(method, path string, query url.Values) Answer
 }
 
 // Door takes operators' calls. It is for the loop alone.
@@ -93,7 +94,7 @@
 	case r.ContentLength != 0:
 		c.answer(Answer{Status: http.StatusRequestEntityTooLarge, Body: []byte("a call has no body\n")})
 	default:
-		c.answer(c.door.desk.Call(r.Method, r.URL.Path))
+		c.answer(c.door.desk.Call(r.Method, r.URL.Path, r.URL.Query()))
 	}
 }
 
--- /dev/null
+++ b/internal/peers/zones/desk/desk.go
@@ -0,0 +1,152 @@
+// Package desk is what operators are shown of zones, and how their calls are read: for the door of a pooler, and for whoever asks there. Pure.
+//
+// It decides whether a call is an order that may be proposed: of a zone and a state that there are, with an end that is bounded, and with the
+// number after the newest of its zone. It is told the settings and the book; whether the order comes to stand the log says, so whoever
+// asked looks again. A number is named by the asker, so that a call that is made twice is one order.
+//
+// A pooler that does not vote has no book: it shows what it does itself, and takes no orders.
+package desk
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"beechgrade/internal/peers/zones"
+	"beechgrade/internal/peers/zones/book"
+	"beechgrade/internal/peers/zones/follow"
+	"beechgrade/internal/peers/zones/state"
+)
+
+// Standing is how zones stand at a pooler, as its door shows it.
+type Standing struct {
+	Pooler string   `json:"pooler"`
+	Zone   string   `json:"zone"`
+	Near   string   `json:"near"` // the zone that it takes for near
+	Why    string   `json:"why"`  // none, plan, fallback or spilling
+	Votes  bool     `json:"votes"`
+	Leads  bool     `json:"leads"`
+	Voters []string `json:"voters"`
+	Plan   *Plan    `json:"plan,omitempty"` // the last that it followed; in force where Why is plan
+	Zones  []Zone   `json:"zones"`
+}
+
+// Plan is one.
+type Plan struct {
+	No    uint64  `json:"no"`
+	Since uint64  `json:"since"` // the number from which on plans asked for the same
+	By    string  `json:"by"`
+	Short float64 `json:"short"` // cores without safe room
+	Most  float64 `json:"most"`  // the largest part of its safe room that a zone gets which receives
+}
+
+// Zone is how one stands by the plan, and by the orders of a book.
+type Zone struct {
+	Name   string  `json:"name"`
+	State  string  `json:"state,omitempty"`
+	RestMs float64 `json:"rest_ms,omitempty"`
+	Shares []Share `json:"shares,omitempty"` // of its reads, what stays too
+	Newest uint64  `json:"newest_order"`     // 0 for none; at voters only, as Order is
+	Order  *Order  `json:"order,omitempty"`  // the one that stands
+}
+
+// Share is what part of a zone's reads goes to a zone.
+type Share struct {
+	Zone string  `json:"zone"`
+	Part float64 `json:"part"`
+}
+
+// Order is one that stands. UntilMs is Unix ms, 0 for until it is lifted.
+type Order struct {
+	No      uint64  `json:"no"`
+	State   string  `json:"state"`
+	UntilMs float64 `json:"until_ms,omitempty"`
+}
+
+// Lifted is what is said in place of a state, where no order is to stand any more.
+const Lifted = "lifted"
+
+// MostFor bounds how long an order may hold that has an end.
+const MostFor = 30 * 24 * time.Hour
+
+// Errors of calls; ErrLate of one that came when there was a newer order.
+var (
+	ErrCall = errors.New("no such order")
+	ErrLate = errors.New("the zone's newest order is another one")
+	ErrVote = errors.New("this pooler does not vote")
+	ErrLags = errors.New("this pooler has not heard of the order before this one yet")
+)
+
+// Look is how things stand; b is nil at a pooler that does not vote.
+func Look(set *zones.Settings, s follow.Stand, p *book.Plan, b *book.Book, leads bool) *Standing {
+	out := &Standing{Pooler: set.Name, Zone: set.Zone, Near: set.Zones[s.Zone], Why: s.Why.String(), Votes: b != nil, Leads: leads, Voters: set.Voters}
+	if p != nil {
+		out.Plan = &Plan{No: p.No, Since: p.Since, By: p.By, Short: p.Short, Most: p.Most}
+	}
+	for z, name := range set.Zones {
+		x := Zone{Name: name}
+		if p != nil && z < len(p.Zones) && z < len(p.Matrix) {
+			x.State, x.RestMs = p.Zones[z].State.String(), p.Zones[z].Rest
+			for to, part := range p.Matrix[z] {
+				if part > 0 && to < len(set.Zones) {
+					x.Shares = append(x.Shares, Share{set.Zones[to], part})
+				}
+			}
+		}
+		if b != nil {
+			x.Newest = b.Newest(z)
+			if o, ok := b.Order(z); ok {
+				x.Order = &Order{o.No, o.State.String(), o.Until}
+			}
+		}
+		out.Zones = append(out.Zones, x)
+	}
+	return out
+}
+
+// Read reads a call's (zone, state, number, and for how long), at a time in Unix ms. Where stands is true the order came to stand before: it is
+// the same call again.
+func Read(q url.Values, set *zones.Settings, b *book.Book, now float64) (o zones.Order, stands bool, err error) {
+	for k := range q {
+		if !slices.Contains([]string{"zone", "state", "number", "for"}, k) {
+			return o, false, fmt.Errorf("%w: %q is not known; known are zone, state, number and for", ErrCall, k)
+		}
+	}
+	if b == nil {
+		return o, false, fmt.Errorf("%w; these do: %s", ErrVote, strings.Join(set.Voters, " "))
+	}
+	if o.Zone = q.Get("zone"); set.Index(o.Zone) < 0 {
+		return o, false, fmt.Errorf("%w: there is no zone %q; there are: %s", ErrCall, o.Zone, strings.Join(set.Zones, " "))
+	}
+	word := q.Get("state")
+	i := slices.Index(state.Names[:], word)
+	if o.Lifts = word == Lifted; i < 0 && !o.Lifts {
+		return o, false, fmt.Errorf("%w: there is no state %q; there are: %s %s", ErrCall, word, strings.Join(state.Names[:], " "), Lifted)
+	}
+	o.State = state.State(max(0, i))
+	if text := q.Get("for"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 || d > MostFor || o.Lifts {
+			return o, false, fmt.Errorf("%w: for: a time above 0 and up to %s is due, as 10m, and none with %s", ErrCall, MostFor, Lifted)
+		}
+		o.Until = now + float64(d.Milliseconds())
+	}
+	if o.No, err = strconv.ParseUint(q.Get("number"), 10, 64); err != nil || o.No == 0 {
+		return o, false, fmt.Errorf("%w: number: the one after the zone's newest order is due", ErrCall)
+	}
+	at := set.Index(o.Zone)
+	if newest := b.Newest(at); o.No > newest+1 {
+		return o, false, fmt.Errorf("%w: it knows %d", ErrLags, newest)
+	} else if o.No <= newest {
+		was, standing := b.Order(at)
+		if o.No == newest && standing != o.Lifts && (o.Lifts || was.State == o.State) {
+			return o, true, nil
+		}
+		return o, false, fmt.Errorf("%w: it has number %d", ErrLate, newest)
+	}
+	return o, false, nil
+}
--- a/internal/peers/zones/joined/joined.go
+++ b/internal/peers/zones/joined/joined.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// Settings are those that it goes by.
+func (j *Joined) Settings() *zones.Settings { return &j.set }
+
 // movable tells whether any member may serve a class.
 func (j *Joined) movable(class int) bool {
 	set := j.core.Contracts()
--- a/internal/sealed/sealed.go
+++ b/internal/sealed/sealed.go
@@ -15,6 +15,8 @@
 	"strings"
 
 	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/store"
 )
 
 // Errors of a file that is not used.
@@ -74,32 +76,20 @@
 // Replace puts a file in another's place: whoever reads finds the old one or the new; where it is to be durable, also after a
 // loss of power.
 func Replace(path string, b []byte, durable bool) (err error) {
-	dir := filepath.Dir(path)
-	f, err := os.CreateTemp(dir, filepath.Base(path)+".new-*")
+	dir, name := filepath.Dir(path), filepath.Base(path)
+	if durable {
+		return store.Replace(store.Dir(dir), name, b)
+	}
+	f, err := os.CreateTemp(dir, name+".new-*")
 	if err != nil {
 		return err
 	}
-	defer func() {
-		if err != nil {
-			_ = os.Remove(f.Name())
-		}
-	}()
-	sync := func(f *os.File) error {
-		if !durable {
-			return nil
-		}
-		return f.Sync()
-	}
 	_, err = f.Write(b)
-	if err = errors.Join(err, sync(f), f.Close()); err != nil {
-		return err
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
 	}
-	if err = os.Rename(f.Name(), path); err != nil || !durable {
-		return err
-	}
-	d, err := os.Open(dir)
 	if err != nil {
-		return err
+		_ = os.Remove(f.Name())
 	}
-	return errors.Join(sync(d), d.Close())
+	return err
 }
--- /dev/null
+++ b/internal/store/replace_test.go
@@ -0,0 +1,46 @@
+package store_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"beechgrade/internal/kit/standin/faulty"
+	"beechgrade/internal/store"
+)
+
+// TestReplace: the power goes out at every operation of a replacement, or the operation fails; the file is the old one or the new, whole, and the
+// new one once it was said so. Who fails leaves no part behind.
+func TestReplace(t *testing.T) {
+	t.Parallel()
+	old, new := strings.Repeat("old ", 400), strings.Repeat("newer ", 500)
+	whole := faulty.New()
+	if err := store.Replace(whole, "a", []byte(new)); err != nil {
+		t.Fatal(err)
+	}
+	ops, _ := whole.Ops()
+	if ops < 5 { // create, write, sync, rename, sync of the folder
+		t.Errorf("%d operations", ops)
+	}
+	read := func(d *faulty.Disk) string { return string(d.Files()["a"]) }
+	for at := 1; at <= ops+1; at++ {
+		for seed := range uint64(20) {
+			d := faulty.New()
+			d.Set("a", []byte(old))
+			d.CrashAt = at
+			err := store.Replace(d, "a", []byte(new))
+			got := read(d.Restart(rand.New(rand.NewPCG(seed, 1)), true))
+			if got != new && (err == nil || got != old) {
+				t.Fatalf("power lost at operation %d, %v: %d bytes are there", at, err, len(got))
+			}
+		}
+		d := faulty.New()
+		d.Set("a", []byte(old))
+		d.FailAt, d.Err, d.Short = at, errors.New("no"), true
+		err := store.Replace(d, "a", []byte(new))
+		if got := read(d); (err != nil) != (at <= ops) || got != new && (err == nil || got != old) || len(d.Files()) != 1 {
+			t.Fatalf("operation %d failed: %v, %d bytes are there, %d files", at, err, len(got), len(d.Files()))
+		}
+	}
+}
