Show zones' plans and take orders by the kit, and tell of both in the incident view

Operators could order a zone by the settings alone, and saw a plan in the log and as numbers.

Poolers note once a second what they go by and where reads went; the incident view has lanes and sums of it.

A pooler whose disk took longer for a number than plans took to change never followed any: with sync at 0.5 to 1 s, plan 11 was still in force where others had 30. Now one number is kept after the other, and each is followed. A chief that has just begun repeats the shortage of the plan that it took over, where it said 0.

--- a/cmd/beechgrade-kit/zones.go
+++ b/cmd/beechgrade-kit/zones.go
@@ -172,6 +172,9 @@
 			fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", z.Name, cmp.Or(z.State, "-"), sharesText(z.Shares), orderText(book, i))
 		}
 	}
+	if err := t.Flush(); err != nil { // columns of the next table are its own
+		return err
+	}
 	fmt.Fprintln(t, "pooler\tzone\tnear\tgoes by\tplan\tvotes")
 	for _, d := range all {
 		if d.Standing == nil {
--- /dev/null
+++ b/cmd/beechgrade-kit/zones_kit_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/peers/zones"
+	"beechgrade/internal/peers/zones/book"
+	"beechgrade/internal/peers/zones/desk"
+	"beechgrade/internal/peers/zones/follow"
+	"beechgrade/internal/peers/zones/plan"
+	"beechgrade/internal/peers/zones/state"
+)
+
+// kit runs a command of this program.
+func kit(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := command()
+	cmd.Writer = &out
+	err := cmd.Run(context.Background(), append([]string{"beechgrade-kit"}, args...))
+	return out.String(), err
+}
+
+// aDoor is a pooler's door with a book behind it, or none; an order is agreed as soon as it was proposed so many times.
+type aDoor struct {
+	mu    sync.Mutex
+	set   zones.Settings
+	book  *book.Book
+	after int
+	asked int
+}
+
+func (d *aDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r.Method == http.MethodPost {
+		o, stands, err := desk.Read(r.URL.Query(), &d.set, d.book, 1e12)
+		switch {
+		case errors.Is(err, desk.ErrCall):
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusConflict)
+			return
+		case !stands:
+			if d.asked++; d.asked >= d.after {
+				d.book.Apply(d.book.Index+1, book.EncodeOrder(&book.Order{No: o.No, Zone: d.set.Index(o.Zone), Lifts: o.Lifts, State: o.State, Until: o.Until}))
+			}
+			w.WriteHeader(http.StatusAccepted)
+		}
+	}
+	p := &book.Plan{No: 9, Since: 7, By: "p", Zones: make([]book.Mark, 2), Matrix: plan.Matrix{{1, 0}, {0.25, 0.75}}}
+	b, _ := jsoniter.Marshal(desk.Look(&d.set, follow.Stand{Why: follow.Planned}, p, d.book, d.book != nil))
+	_, _ = w.Write(b)
+}
+
+// TestZonesKit: what doors show is laid side by side; an order is proposed until it stands, is one order however often, and is taken back; what cannot be is
+// said in one line, with exit code 2 for bad input and 1 for what failed.
+func TestZonesKit(t *testing.T) {
+	t.Parallel()
+	b := book.New()
+	b.Apply(1, book.EncodeOrder(&book.Order{No: 4, Zone: 1, State: state.Serving}))
+	names := []string{"a", "b"}
+	voter := &aDoor{set: zones.Settings{Name: "p", Zone: "a", Zones: names, Voters: []string{"p"}}, book: b, after: 2}
+	other := &aDoor{set: zones.Settings{Name: "q", Zone: "b", Zones: names, Voters: []string{"p"}}}
+	door := func(h http.Handler) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	p, q, off := door(voter), door(other), door(http.NotFoundHandler())
+	for _, x := range []struct {
+		args, out, err string
+		code           int
+	}{
+		{"--door " + q + " --door " + p + " --door " + off, "plan 9 by p, the same since 7", "", 0},
+		{"--door " + p, "b     serving  a 25%, b 75%         4: serving", "", 0},
+		{"--door " + q, "no voter was asked", "", 0},
+		{"--door " + off, "not in its settings", "no door answered", 1},
+		{"", "", "--door", 2},
+		{"evacuate --door " + q + " --wait 300ms b", "", "does not vote; these do: p", 1},
+		{"evacuate --door " + q + " --door " + p + " --for 10m b", "order 5 of zone b is agreed: evacuated", "", 0},
+		{"return --door " + p + " b", "order 6 of zone b is agreed: lifted", "", 0},
+		{"order --door " + p + " a serving", "order 1 of zone a is agreed: serving", "", 0},
+		{"evacuate --door " + p + " c", "", `there is no zone "c"; there are: a b`, 2},
+		{"order --door " + p + " a away", "", `there is no state "away"`, 2},
+		{"evacuate --door " + p, "", "ZONE is due", 2},
+		{"evacuate --door " + p + " --for 9999h a", "", "up to 720h", 2},
+		{"evacuate --door " + p + " --for -1m a", "", "above 0", 2},
+		{"evcuate b", "", `"evcuate" is not known`, 2},
+	} {
+		voter.mu.Lock()
+		voter.asked = 0
+		voter.mu.Unlock()
+		out, err := kit(append([]string{"zones"}, strings.Fields(x.args)...)...)
+		if !strings.Contains(out, x.out) || (err == nil) != (x.err == "") || err != nil && !strings.Contains(err.Error(), x.err) || exitCode(err) != x.code {
+			t.Errorf("zones %s: %q, %v", x.args, out, err)
+		}
+	}
+	if _, stands := b.Order(1); stands || b.Newest(1) != 6 {
+		t.Errorf("after all, %d is zone b's newest order", b.Newest(1))
+	}
+	voter.after = 1000 // nobody agrees
+	if _, err := kit("zones", "evacuate", "--door", p, "--wait", "500ms", "b"); exitCode(err) != 1 || !strings.Contains(err.Error(), "order 7 was not seen to stand; it may yet") {
+		t.Errorf("an order that nobody agrees to: %v", err)
+	}
+}
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -209,6 +209,9 @@
 	}
 	if p.gauges {
 		p.gauge()
+		if p.zones != nil {
+			p.zones.note()
+		}
 	}
 	if p.limits != nil { // of each nothing, until it is told
 		p.limits.use(p.limits.set)
--- a/cmd/beechgrade/zones.go
+++ b/cmd/beechgrade/zones.go
@@ -9,7 +9,9 @@
 
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
+	zonedesk "beechgrade/internal/peers/zones/desk"
 	"beechgrade/internal/peers/zones/joined"
+	"beechgrade/internal/record/recordpb"
 	"beechgrade/internal/store"
 )
 
@@ -20,6 +22,8 @@
 	j    *joined.Joined
 	keep chan numbered
 	done chan struct{}
+	last *zonedesk.Note // that was recorded
+	sent []uint64       // counts as of it
 }
 
 type numbered struct {
@@ -32,7 +36,7 @@
 	if !set.On {
 		return func() {}, nil
 	}
-	z := &zoned{p: p, set: set, keep: make(chan numbered, 64), done: make(chan struct{})}
+	z := &zoned{p: p, set: set, keep: make(chan numbered, 64), done: make(chan struct{}), sent: make([]uint64, len(set.Zones))}
 	s := set.Settings
 	if i := p.cfg.Settings.Zone; i >= 0 && i < len(p.cfg.Zones) {
 		s.Zone = p.cfg.Zones[i]
@@ -138,6 +142,21 @@
 	}
 }
 
+// noteMs is between two notes for the records.
+const noteMs = 1000
+
+// note records what this pooler goes by and where reads went, where there is anything to say.
+func (z *zoned) note() {
+	s, p := z.j.Standing()
+	n := zonedesk.Take(z.j.Settings(), s, p, z.j.Sent(), z.sent)
+	if z.last == nil || n.Sent != nil || !n.Same(z.last) {
+		copy(z.sent, z.j.Sent())
+		z.last = n
+		z.p.core.Note(recordpb.Kind_KIND_ZONES, n.Text())
+	}
+	z.p.loop.At(z.p.loop.Now()+noteMs, z.note)
+}
+
 // Propose is zones.Log's.
 func (z *zoned) Propose(entry []byte) {
 	z.p.agreed.part.Propose(0, append([]byte{agreed.OfZones}, entry...))
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -75,6 +75,7 @@
 	retryLost uint64
 	fleet     fleet
 	limits    limits
+	zones     zones
 }
 
 // run is one life of a pooler.
@@ -222,6 +223,7 @@
 	x.pooler.ordered = ordered
 	m.fleet.ended(r.Pooler, x.last)
 	m.limits.ended(r.Pooler, x.last)
+	m.zones.ended(r.Pooler, x.last)
 	m.endPools(x)
 	if !ordered {
 		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
@@ -294,6 +296,8 @@
 		m.fleet.event(r.Pooler, e)
 	case recordpb.Kind_KIND_LIMIT:
 		m.limits.event(r.Pooler, e)
+	case recordpb.Kind_KIND_ZONES:
+		m.zones.event(r.Pooler, e)
 	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
 		m.onSession(e, e.Kind == recordpb.Kind_KIND_SESSION_END)
 	case recordpb.Kind_KIND_HAND:
--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -37,6 +37,7 @@
 	Members  *members.View   `json:"members,omitempty"` // where the list was made of several sources
 	Limits   []Held          `json:"limits,omitempty"`  // where limits held for the whole fleet: who might use how much
 	Fleet    []Seen          `json:"fleet,omitempty"`   // where poolers were peers: who saw whom
+	Zones    *ZonesView      `json:"zones,omitempty"`   // where the fleet decided them together
 }
 
 // ClassView is what a class was served. A chain is what a client asked once, with its own retries.
@@ -264,7 +265,7 @@
 	if m.members != nil {
 		v.Members = m.members.View()
 	}
-	v.Fleet, v.Limits = m.fleet.view(), m.limits.view()
+	v.Fleet, v.Limits, v.Zones = m.fleet.view(), m.limits.view(), m.zones.view()
 	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
 	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
--- /dev/null
+++ b/internal/kit/incident/zones.go
@@ -0,0 +1,165 @@
+package incident
+
+import (
+	"cmp"
+	"slices"
+
+	"beechgrade/internal/peers/zones/desk"
+	"beechgrade/internal/record"
+)
+
+// ZonesView is what zones' plans were, what poolers made of them, and where reads went.
+type ZonesView struct {
+	Plans   uint64      `json:"newest_plan"`
+	States  []ZoneState `json:"states"`  // by the newest plans that anybody followed
+	Goes    []ZoneGoes  `json:"goes_by"` // what each pooler went by
+	Crossed []Crossed   `json:"crossed"` // by pooler
+	Sent    []ZoneSent  `json:"sent"`    // over all, reads that any member may serve
+	Far     float64     `json:"part_that_crossed"`
+	More    uint64      `json:"not_listed"`
+}
+
+// ZoneState is for how long a zone was in a state by the plans.
+type ZoneState struct {
+	Zone  string  `json:"zone"`
+	State string  `json:"state"`
+	Plan  uint64  `json:"plan"` // the first that had it so
+	From  float64 `json:"from_ms"`
+	To    float64 `json:"to_ms"` // 0 for the records' end
+}
+
+// ZoneGoes is for how long a pooler went by something.
+type ZoneGoes struct {
+	By   string  `json:"by"`
+	Zone string  `json:"zone"` // its own
+	Near string  `json:"near"` // the one that it took for near
+	Why  string  `json:"why"`  // none, plan, fallback or spilling
+	Plan uint64  `json:"plan"` // the first of that
+	From float64 `json:"from_ms"`
+	To   float64 `json:"to_ms"` // 0 for the records' end
+}
+
+// Crossed is how much of a pooler's reads went to other zones, in a time.
+type Crossed struct {
+	By   string  `json:"by"`
+	From float64 `json:"from_ms"`
+	To   float64 `json:"to_ms"`
+	Sent uint64  `json:"sent"`
+	Far  uint64  `json:"far"`
+}
+
+// ZoneSent is how many reads the poolers of a zone sent to servers of another, or of their own.
+type ZoneSent struct {
+	From string `json:"from"`
+	To   string `json:"to"`
+	Sent uint64 `json:"sent"`
+}
+
+// mostZones bounds how many are kept of each; what comes after them is left out, and counted.
+const mostZones = 20000
+
+// zones is who went by which plan when, in the records of poolers that decide zones together.
+type zones struct {
+	seen    bool
+	newest  uint64
+	states  []ZoneState
+	goes    []ZoneGoes
+	crossed []Crossed
+	sent    map[[2]string]uint64
+	state   map[string]int     // by zone: the last of states, numbered from 1
+	going   map[string]int     // by pooler: the last of goes, numbered from 1
+	noted   map[string]float64 // by pooler: when it noted last
+	more    uint64
+}
+
+// event takes a pooler's note.
+func (z *zones) event(by string, e *record.Event) {
+	n, ok := desk.ReadNote(e.Text)
+	if !ok {
+		return
+	}
+	if !z.seen {
+		z.seen, z.sent, z.state, z.going, z.noted = true, map[[2]string]uint64{}, map[string]int{}, map[string]int{}, map[string]float64{}
+	}
+	if n.Plan > z.newest || n.Plan == z.newest && len(z.states) == 0 {
+		z.newest = n.Plan
+		for i, state := range n.States {
+			z.becomes(n.Zones[i], state, n.Plan, e.At)
+		}
+	}
+	if i := z.going[by]; i == 0 || z.goes[i-1].Why != n.Why || z.goes[i-1].Near != n.Near {
+		if i > 0 {
+			z.goes[i-1].To = e.At
+		}
+		if delete(z.going, by); len(z.goes) < mostZones {
+			z.goes = append(z.goes, ZoneGoes{By: by, Zone: n.Zone, Near: n.Near, Why: n.Why, Plan: n.Plan, From: e.At})
+			z.going[by] = len(z.goes)
+		} else {
+			z.more++
+		}
+	}
+	x := Crossed{By: by, From: e.At, To: e.At}
+	if was, ok := z.noted[by]; ok {
+		x.From = was
+	}
+	z.noted[by] = e.At
+	for i, sent := range n.Sent {
+		if sent > 0 {
+			z.sent[[2]string{n.Zone, n.Zones[i]}] += sent
+		}
+		if x.Sent += sent; n.Zones[i] != n.Zone {
+			x.Far += sent
+		}
+	}
+	switch {
+	case x.Sent == 0:
+	case len(z.crossed) < mostZones:
+		z.crossed = append(z.crossed, x)
+	default:
+		z.more++
+	}
+}
+
+func (z *zones) becomes(zone, state string, plan uint64, at float64) {
+	if i := z.state[zone]; i > 0 {
+		if z.states[i-1].State == state {
+			return
+		}
+		z.states[i-1].To = at
+	}
+	if delete(z.state, zone); len(z.states) == mostZones {
+		z.more++
+		return
+	}
+	z.states = append(z.states, ZoneState{Zone: zone, State: state, Plan: plan, From: at})
+	z.state[zone] = len(z.states)
+}
+
+// ended has a pooler's process end: it goes by nothing any more.
+func (z *zones) ended(by string, at float64) {
+	if i := z.going[by]; i > 0 {
+		z.goes[i-1].To = at
+	}
+	delete(z.going, by)
+	delete(z.noted, by)
+}
+
+func (z *zones) view() *ZonesView {
+	if !z.seen {
+		return nil
+	}
+	v := &ZonesView{Plans: z.newest, States: slices.Clone(z.states), Goes: slices.Clone(z.goes), Crossed: slices.Clone(z.crossed), More: z.more}
+	slices.SortStableFunc(v.States, func(a, b ZoneState) int { return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.From, b.From)) })
+	slices.SortStableFunc(v.Goes, func(a, b ZoneGoes) int { return cmp.Or(cmp.Compare(a.By, b.By), cmp.Compare(a.From, b.From)) })
+	slices.SortStableFunc(v.Crossed, func(a, b Crossed) int { return cmp.Or(cmp.Compare(a.By, b.By), cmp.Compare(a.From, b.From)) })
+	all, far := uint64(0), uint64(0)
+	for k, n := range z.sent {
+		v.Sent = append(v.Sent, ZoneSent{k[0], k[1], n})
+		if all += n; k[0] != k[1] {
+			far += n
+		}
+	}
+	slices.SortFunc(v.Sent, func(a, b ZoneSent) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To)) })
+	v.Far = float64(far) / float64(max(1, all))
+	return v
+}
--- /dev/null
+++ b/internal/kit/incident/zones_test.go
@@ -0,0 +1,46 @@
+package incident
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/peers/zones/desk"
+	"beechgrade/internal/record"
+)
+
+// TestZonesNoted: notes become spans of states and of what poolers go by, which end with the process, and sums of where reads went; what an older
+// plan had is no news; what cannot be read is left out.
+func TestZonesNoted(t *testing.T) {
+	var z zones
+	if z.view() != nil {
+		t.Error("zones, where nobody has any")
+	}
+	names := []string{"a", "b"}
+	for _, e := range []struct {
+		by string
+		at float64
+		n  desk.Note
+	}{
+		{"p", 1, desk.Note{Why: "none", Zone: "a", Near: "a", Zones: names, Sent: []uint64{3, 0}}},
+		{"p", 2, desk.Note{Plan: 7, Why: "plan", Zone: "a", Near: "a", Zones: names, States: []string{"serving", "serving"}}},
+		{"p", 3, desk.Note{Plan: 9, Why: "plan", Zone: "a", Near: "b", Zones: names, States: []string{"evacuated", "serving"}, Sent: []uint64{1, 4}}},
+		{"q", 4, desk.Note{Plan: 7, Why: "plan", Zone: "b", Near: "b", Zones: names, States: []string{"serving", "serving"}, Sent: []uint64{0, 2}}},
+		{"q", 5, desk.Note{Plan: 9, Why: "fallback", Zone: "b", Near: "b", Zones: names, States: []string{"evacuated", "serving"}}},
+	} {
+		z.event(e.by, &record.Event{At: e.at, Text: e.n.Text()})
+	}
+	for _, bad := range []string{"", "{", `{"why":"plan","zone":"z","zones":["a","b"]}`, `{"zone":"a","zones":["a","b"],"sent":[1]}`, `{"zone":"a","zones":["a","b"],"states":["x"]}`} {
+		z.event("r", &record.Event{At: 6, Text: bad})
+	}
+	z.ended("p", 9)
+	want := &ZonesView{Plans: 9, Far: 0.4,
+		States: []ZoneState{{"a", "serving", 7, 2, 3}, {"a", "evacuated", 9, 3, 0}, {"b", "serving", 7, 2, 0}},
+		Goes: []ZoneGoes{{"p", "a", "a", "none", 0, 1, 2}, {"p", "a", "a", "plan", 7, 2, 3}, {"p", "a", "b", "plan", 9, 3, 9},
+			{"q", "b", "b", "plan", 7, 4, 5}, {"q", "b", "b", "fallback", 9, 5, 0}},
+		Crossed: []Crossed{{"p", 1, 1, 3, 0}, {"p", 2, 3, 5, 4}, {"q", 4, 4, 2, 0}},
+		Sent:    []ZoneSent{{"a", "a", 4}, {"a", "b", 4}, {"b", "b", 2}}}
+	if diff := cmp.Diff(want, z.view()); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -53,7 +53,10 @@
 	Killed func(pooler string) // is told once a pooler's process was killed, before it starts again
 
 	Figures func(pooler, pid int, at float64, figures map[string]string) // is told what poolers' doors show, now and then; nil for no doors
-	Instead func(pooler int) int                                         // whom a kill-pooler strikes in place of the one that it names; may be nil
+	Instead func(pooler int) int                                         // whom a kill-pooler or stall-pooler strikes in place of the one that it names; may be nil
+	Begins  func(at float64, doors []string)                             // is told, as clients begin to ask, where poolers' doors are, if there are Figures; may be nil
+
+	Read func(at float64, c *clients.Class, pooler, server int) // is told of each attempt of a read that came whole to a server; may be nil
 
 	Liar string                       // path of the daemon's program built with the tag liar...
 	Lies map[int]string               // ...and what some poolers, by number, lie about load ("none" or "all"), or of servers: see lies
@@ -176,7 +179,7 @@
 	cfg := s.Fleet
 	cfg.Seed = opt.Seed
 	r.wires, r.shared = newWires(s), r.newShared()
-	r.wires.came, r.wires.arrived = opt.Came, opt.Arrived
+	r.wires.came, r.wires.arrived, r.wires.read = opt.Came, opt.Arrived, opt.Read
 	r.fleet = fleet.New(cfg, r.clk, opt.Log)
 	r.fleet.Watch(r.wires)
 	if s.Doors() {
@@ -272,6 +275,13 @@
 		looked = r.peers.begin(ctx)
 	}
 	shown := r.doors(ctx)
+	if r.opt.Begins != nil {
+		var doors []string
+		for _, p := range r.poolers {
+			doors = append(doors, p.door)
+		}
+		r.opt.Begins(res.FromMs, doors)
+	}
 	reported := func() {}
 	if r.script.Pages != nil {
 		reported = table.play(faulty)
@@ -393,7 +403,7 @@
 	if !pause(ctx, f.At) {
 		return nil
 	}
-	if f.What == "kill-pooler" && r.opt.Instead != nil {
+	if (f.What == "kill-pooler" || f.What == "stall-pooler") && r.opt.Instead != nil {
 		f.Target.Group = r.opt.Instead(f.Target.Group)
 	}
 	if r.wires.struck(r.clk.Now(), r.script, &f); f.What == "load" {
--- a/internal/kit/rehearse/wires.go
+++ b/internal/kit/rehearse/wires.go
@@ -30,12 +30,14 @@
 	came    func(server int, at float64) // may be nil
 	from    map[string]asker             // who asked, by request
 	arrived func(server, pooler int, writes bool, at float64)
+	read    func(at float64, c *clients.Class, pooler, server int)
 }
 
 // asker is who asked something.
 type asker struct {
 	pooler int
 	writes bool
+	class  *clients.Class
 }
 
 func newWires(s *scenario.Script) *wires {
@@ -92,7 +94,7 @@
 func (w *wires) Trying(t *clients.Try, untilMs, afterMs float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.from[t.ID] = asker{t.Pooler, t.Class.Read == clients.Write}
+	w.from[t.ID] = asker{t.Pooler, t.Class.Read == clients.Write, t.Class}
 	w.check.Asked(t.Sent, idOf(t.ID), w.classes[t.Class.Name], t.Pooler, untilMs, afterMs)
 	if t.Class.KeyMs > 0 {
 		w.check.Keyed(idOf(t.ID), idOf(t.Ask.Idem()))
@@ -148,6 +150,9 @@
 	if a, ok := w.from[id]; ok && w.arrived != nil {
 		w.arrived(server, a.pooler, a.writes, at)
 	}
+	if a, ok := w.from[id]; ok && w.read != nil && !a.writes {
+		w.read(at, a.class, a.pooler, server)
+	}
 	w.check.Sent(at, idOf(id), no, -1, server)
 	return no
 }
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -101,6 +101,9 @@
 	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
+	Zones        []ZoneLane
+	ZoneGoes     []ZoneLane
+	MoreZones    int
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -128,6 +131,7 @@
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
 	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
+	d.Zones, d.ZoneGoes, d.MoreZones = ZoneLanes(v, laneW)
 	if v.Members != nil {
 		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
 		d.MoreMembers = max(0, len(d.Members)-maxRows)
--- /dev/null
+++ b/internal/kit/report/zones.go
@@ -0,0 +1,99 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// ZoneLane is a zone's states over time, or what a pooler went by and how much of its reads crossed.
+type ZoneLane struct {
+	Name  string
+	Bands []ZoneBand
+}
+
+// ZoneBand is as high as the part that crossed, or whole for a state.
+type ZoneBand struct {
+	Class      string
+	X, W, Y, H float64
+	Title      string
+}
+
+var stateAs = map[string]string{"serving": "primary", "strained": "drain", "failing": "silent", "evacuated": "broken", "returning": "cold"}
+var whyAs = map[string]string{"none": "gone", "plan": "replica", "fallback": "silent", "spilling": "broken"}
+
+const (
+	zoneLanes = 400
+	zoneHigh  = 14
+)
+
+// ZoneLanes are a view's: of zones, and of poolers; and how many more there are of these.
+func ZoneLanes(v *incident.View, width float64) (states, poolers []ZoneLane, more int) {
+	if v.Zones == nil {
+		return nil, nil, 0
+	}
+	scale := width / max(1, v.To-v.From)
+	band := func(class string, from, to, high float64, title string) ZoneBand {
+		if to == 0 {
+			to = v.To
+		}
+		return ZoneBand{Class: class, X: max(0, (from-v.From)*scale), W: max(0.5, (to-from)*scale), Y: zoneHigh * (1 - high), H: zoneHigh * high,
+			Title: fmt.Sprintf("%s from %s for %s", title, Clock(from), incident.Span(to-from))}
+	}
+	at := func(lanes *[]ZoneLane, name string) *ZoneLane {
+		for i := range *lanes {
+			if (*lanes)[i].Name == name {
+				return &(*lanes)[i]
+			}
+		}
+		if len(*lanes) == zoneLanes {
+			more++
+			return &ZoneLane{}
+		}
+		*lanes = append(*lanes, ZoneLane{Name: name})
+		return &(*lanes)[len(*lanes)-1]
+	}
+	for _, s := range v.Zones.States {
+		l := at(&states, s.Zone)
+		l.Bands = append(l.Bands, band(stateAs[s.State], s.From, s.To, 1, fmt.Sprintf("%s is %s from plan %d on,", Safe(s.Zone), Safe(s.State), s.Plan)))
+	}
+	for _, g := range v.Zones.Goes {
+		l := at(&poolers, g.By)
+		l.Bands = append(l.Bands, band(whyAs[g.Why], g.From, g.To, 1, fmt.Sprintf("%s, in %s, goes by: %s, with %s for near,", Safe(g.By), Safe(g.Zone), Safe(g.Why), Safe(g.Near))))
+	}
+	for _, c := range v.Zones.Crossed {
+		if c.Far == 0 {
+			continue
+		}
+		l := at(&poolers, c.By)
+		part := float64(c.Far) / float64(c.Sent)
+		l.Bands = append(l.Bands, band("cold", c.From, c.To, part, fmt.Sprintf("%.0f%% of %d reads crossed", 100*part, c.Sent)))
+	}
+	return states, poolers, more
+}
+
+// zonesText is the summary's part.
+func zonesText(b *strings.Builder, v *incident.View) {
+	if v.Zones == nil {
+		return
+	}
+	fmt.Fprintf(b, "\nzones: plan %d is the newest; %.1f%% of the reads that any member may serve crossed\n", v.Zones.Plans, 100*v.Zones.Far)
+	table(b, func(t io.Writer) {
+		fmt.Fprintln(t, "zone\tstate\tfrom plan\tfrom\tfor")
+		for _, s := range v.Zones.States {
+			to := s.To
+			if to == 0 {
+				to = v.To
+			}
+			fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\n", Safe(s.Zone), Safe(s.State), s.Plan, Clock(s.From), incident.Span(to-s.From))
+		}
+	})
+	table(b, func(t io.Writer) {
+		fmt.Fprintln(t, "reads of\tserved in\tattempts")
+		for _, s := range v.Zones.Sent {
+			fmt.Fprintf(t, "%s\t%s\t%d\n", Safe(s.From), Safe(s.To), s.Sent)
+		}
+	})
+}
--- /dev/null
+++ b/internal/kit/report/zones_test.go
@@ -0,0 +1,56 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// TestZoneLanes: a lane for each zone's states; one for each pooler, with what crossed as high as its part; the page and the text have them, and nothing
+// of zones where there are none.
+func TestZoneLanes(t *testing.T) {
+	v := &incident.View{From: 1000, To: 2000, Events: 1, Zones: &incident.ZonesView{Plans: 9, Far: 0.25,
+		States:  []incident.ZoneState{{Zone: "a", State: "serving", Plan: 7, From: 1000, To: 1500}, {Zone: "a", State: "evacuated", Plan: 9, From: 1500}, {Zone: "b", State: "serving", Plan: 7, From: 1000}},
+		Goes:    []incident.ZoneGoes{{By: "p", Zone: "a", Near: "b", Why: "plan", Plan: 9, From: 1500}},
+		Crossed: []incident.Crossed{{By: "p", From: 1500, To: 2000, Sent: 8, Far: 2}, {By: "p", From: 1000, To: 1500, Sent: 8}},
+		Sent:    []incident.ZoneSent{{From: "a", To: "b", Sent: 2}}}}
+	states, poolers, more := ZoneLanes(v, 100)
+	type box struct {
+		Class      string
+		X, W, Y, H float64
+	}
+	boxes := func(lanes []ZoneLane) (out [][]box) {
+		for _, l := range lanes {
+			var b []box
+			for _, x := range l.Bands {
+				b = append(b, box{x.Class, x.X, x.W, x.Y, x.H})
+			}
+			out = append(out, b)
+		}
+		return out
+	}
+	if diff := cmp.Diff([][]box{{{"primary", 0, 50, 0, 14}, {"broken", 50, 50, 0, 14}}, {{"primary", 0, 100, 0, 14}}}, boxes(states)); diff != "" || more != 0 {
+		t.Error(diff, more)
+	}
+	if diff := cmp.Diff([][]box{{{"replica", 50, 50, 0, 14}, {"cold", 50, 50, 10.5, 3.5}}}, boxes(poolers)); diff != "" {
+		t.Error(diff)
+	}
+	for _, on := range []bool{true, false} {
+		if !on {
+			v.Zones = nil
+		}
+		var page, text strings.Builder
+		if err := HTML(&page, v, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if err := Text(&text, v); err != nil {
+			t.Fatal(err)
+		}
+		if strings.Contains(page.String(), "25% of 8 reads crossed") != on || strings.Contains(text.String(), "25.0% of the reads") != on || strings.Contains(text.String(), "evacuated") != on {
+			t.Errorf("zones on %v: %s", on, text.String())
+		}
+	}
+}
--- a/internal/peers/zones/chief/chief.go
+++ b/internal/peers/zones/chief/chief.go
@@ -228,7 +228,7 @@
 		}
 		p.Short, p.Most = c.view.Short, c.plan.Most(p.Matrix, c.view.Groups)
 	} else if fits {
-		p.Zones, p.Ways = last.Zones, last.Ways
+		p.Zones, p.Ways, p.Short, p.Most = last.Zones, last.Ways, last.Short, last.Most
 	}
 	if fits && last.Same(p) && now-c.lastAt < c.set.Renew {
 		c.fineOf = last.No
--- /dev/null
+++ b/internal/peers/zones/desk/note.go
@@ -0,0 +1,65 @@
+package desk
+
+import (
+	"slices"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"beechgrade/internal/peers/zones"
+	"beechgrade/internal/peers/zones/book"
+	"beechgrade/internal/peers/zones/follow"
+)
+
+// Note is what a pooler records of zones: what it goes by, and where the reads went that any member may serve since the note before.
+type Note struct {
+	Plan   uint64   `json:"plan,omitempty"`
+	By     string   `json:"by,omitempty"`
+	Why    string   `json:"why"`
+	Zone   string   `json:"zone"` // this pooler's
+	Near   string   `json:"near"`
+	Zones  []string `json:"zones"`
+	States []string `json:"states,omitempty"` // of Zones by the plan, in their order
+	Sent   []uint64 `json:"sent,omitempty"`   // attempts that ended, by Zones; nothing for none
+}
+
+// Take makes a note; sent are the counts since the start, and was those at the note before.
+func Take(set *zones.Settings, s follow.Stand, p *book.Plan, sent, was []uint64) *Note {
+	n := &Note{Why: s.Why.String(), Zone: set.Zone, Near: set.Zones[s.Zone], Zones: set.Zones}
+	if p != nil {
+		n.Plan, n.By = p.No, p.By
+		for _, m := range p.Zones {
+			n.States = append(n.States, m.State.String())
+		}
+	}
+	any := false
+	for z := range sent {
+		x := sent[z] - was[z]
+		n.Sent, any = append(n.Sent, x), any || x > 0
+	}
+	if !any {
+		n.Sent = nil
+	}
+	return n
+}
+
+// Same tells whether two notes say the same of what the pooler goes by, whatever the plan's number.
+func (n *Note) Same(o *Note) bool {
+	return n.Why == o.Why && n.Near == o.Near && slices.Equal(n.States, o.States)
+}
+
+// Text writes a note.
+func (n *Note) Text() string {
+	b, err := jsoniter.Marshal(n)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
+// ReadNote reads one; false for what is none.
+func ReadNote(text string) (n Note, ok bool) {
+	if jsoniter.UnmarshalFromString(text, &n) != nil || len(n.Zones) == 0 || len(n.Zones) > book.MostZones || !slices.Contains(n.Zones, n.Zone) {
+		return n, false
+	}
+	return n, (len(n.Sent) == 0 || len(n.Sent) == len(n.Zones)) && (len(n.States) == 0 || len(n.States) == len(n.Zones))
+}
--- a/internal/peers/zones/follow/follow.go
+++ b/internal/peers/zones/follow/follow.go
@@ -61,9 +61,11 @@
 type Follower struct {
 	set   Settings
 	plan  *book.Plan // in force, or the last
-	next  *book.Plan // its number is not kept yet
+	next  *book.Plan // its number is being kept
+	later *book.Plan // heard since: its number is kept once that one's is, so that a slow disk delays, and no haste of plans stops, what is followed
 	ends  float64
 	nextE float64
+	lateE float64
 	rank  int
 	of    int
 	bad   float64
@@ -88,9 +90,15 @@
 		return 0
 	case p.Since < f.set.Floor, p.No < f.Number():
 		return 0
-	case f.next != nil && p.Since == f.next.Since:
+	case f.later != nil && p.Since == f.later.Since:
+		f.later, f.lateE = p, max(f.lateE, ends)
+		return 0
+	case f.next != nil && f.later == nil && p.Since == f.next.Since:
 		f.next, f.nextE = p, max(f.nextE, ends)
 		return 0
+	case f.next != nil:
+		f.later, f.lateE = p, ends
+		return 0
 	case f.plan != nil && p.Since == f.plan.Since:
 		f.plan, f.ends = p, max(f.ends, ends)
 		return 0
@@ -102,19 +110,29 @@
 // Again tells that the newest plan that was heard was in force age ms ago still.
 func (f *Follower) Again(now float64, no uint64, age float64) {
 	ends := now + f.set.Life - max(0, age)
+	if no != f.Number() {
+		return
+	}
 	switch {
-	case f.next != nil && f.next.No == no:
+	case f.later != nil:
+		f.lateE = max(f.lateE, ends)
+	case f.next != nil:
 		f.nextE = max(f.nextE, ends)
-	case f.next == nil && f.plan != nil && f.plan.No == no:
+	case f.plan != nil:
 		f.ends = max(f.ends, ends)
 	}
 }
 
-// Kept tells that a number is where the next self of this process finds it.
-func (f *Follower) Kept(since uint64) {
-	if f.next != nil && f.next.Since <= since {
-		f.plan, f.ends, f.next = f.next, f.nextE, nil
+// Kept tells that a number is where the next self of this process finds it. It tells the next number that is to be kept, 0 for none.
+func (f *Follower) Kept(since uint64) (keep uint64) {
+	if f.next == nil || f.next.Since > since {
+		return 0
+	}
+	f.plan, f.ends, f.next, f.nextE, f.later = f.next, f.nextE, f.later, f.lateE, nil
+	if f.next == nil {
+		return 0
 	}
+	return f.next.Since
 }
 
 // Plan is the last one that was followed, nil for none, and when it ends.
@@ -123,6 +141,8 @@
 // Number is the newest plan that was heard.
 func (f *Follower) Number() uint64 {
 	switch {
+	case f.later != nil:
+		return f.later.No
 	case f.next != nil:
 		return f.next.No
 	case f.plan != nil:
--- a/internal/peers/zones/follow/follow_test.go
+++ b/internal/peers/zones/follow/follow_test.go
@@ -111,3 +111,36 @@
 		t.Error("a plan for other zones")
 	}
 }
+
+// TestSlowDisk: plans come faster than the disk keeps their numbers. One after the other is kept, each that is followed is newer, and the newest is
+// followed in the end; renewals of what waits hold.
+func TestSlowDisk(t *testing.T) {
+	f, keep, last := New(set()), uint64(0), uint64(0)
+	for no := uint64(1); no <= 40; no++ {
+		now := 100 * float64(no)
+		if k := f.Heard(now, thePlan(no, float64(no%2)), 0); k > 0 && keep > 0 {
+			t.Fatalf("%d and %d are kept at once", keep, k)
+		} else if k > 0 {
+			keep = k
+		}
+		if f.Number() != no {
+			t.Fatalf("%d was heard, %d is the newest", no, f.Number())
+		}
+		if no%7 != 0 { // the disk takes seven times as long
+			continue
+		}
+		was := keep
+		keep = f.Kept(keep)
+		if s := f.Stand(now); s.No != was || s.No <= last || s.Why != Planned || keep != no {
+			t.Fatalf("%d was kept: %+v after %d, then %d is", was, s, last, keep)
+		}
+		last = was
+	}
+	f.Again(8000, 40, 0)
+	for keep > 0 {
+		keep = f.Kept(keep)
+	}
+	if s := f.Stand(12000); s.No != 40 || s.Why != Planned {
+		t.Errorf("%+v in the end", s)
+	}
+}
--- a/internal/peers/zones/joined/joined.go
+++ b/internal/peers/zones/joined/joined.go
@@ -39,6 +39,7 @@
 	sites map[string]*site // servers
 	cells []*cell          // in their order
 	asks  map[[2]int]float64
+	sent  []uint64 // attempts of reads that any member may serve, by zone, since the start
 	stood bool
 }
 
@@ -72,7 +73,7 @@
 
 // New makes one. Classes, and how far each may cross, come from the core's contracts.
 func New(set zones.Settings, net part.Net, log zones.Log, c Core, k Keeper) *Joined {
-	j := &Joined{set: set, core: c, net: net, keep: k, sites: map[string]*site{}, asks: map[[2]int]float64{}}
+	j := &Joined{set: set, core: c, net: net, keep: k, sites: map[string]*site{}, asks: map[[2]int]float64{}, sent: make([]uint64, len(set.Zones))}
 	set.Chief.Plan.Classes = classes(c.Contracts())
 	j.set = set
 	j.Zones = zones.New(set, net, log, j)
@@ -95,6 +96,9 @@
 // Settings are those that it goes by.
 func (j *Joined) Settings() *zones.Settings { return &j.set }
 
+// Sent are the attempts of reads that any member may serve, by zone of the servers, since the start.
+func (j *Joined) Sent() []uint64 { return j.sent }
+
 // movable tells whether any member may serve a class.
 func (j *Joined) movable(class int) bool {
 	set := j.core.Contracts()
@@ -166,6 +170,9 @@
 		return
 	}
 	lost := false
+	if r != decide.Skipped && j.movable(class) {
+		j.sent[s.at.Zone]++
+	}
 	switch r {
 	case decide.Skipped:
 		return
--- a/internal/peers/zones/zones.go
+++ b/internal/peers/zones/zones.go
@@ -205,14 +205,19 @@
 }
 
 func (z *Zones) heard(p *book.Plan, age float64) {
-	no := z.follow.Heard(z.net.Now(), p, age)
+	z.keep(z.follow.Heard(z.net.Now(), p, age))
+}
+
+// keep has a plan's number kept before it is followed, one after the other; 0 for none.
+func (z *Zones) keep(no uint64) {
 	if no == 0 {
 		return
 	}
 	z.counts.Plans++
 	z.pooler.Keep(no, func() {
-		z.follow.Kept(no)
+		next := z.follow.Kept(no)
 		z.stands()
+		z.keep(next)
 	})
 }
 
