--- a/internal/kit/rehearse/run.go
+++ b/internal/kit/rehearse/run.go
@@ -21,6 +21,7 @@
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/kit/machine"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/kit/score"
 	"beechgrade/internal/kit/standin/agent"
@@ -71,6 +72,7 @@
 	Facts     []fleet.Fact   `json:"facts"`
 	Fleet     *Fleet         `json:"fleet,omitempty"`
 	Stood     []Stood        `json:"stood_still,omitempty"`
+	Machine   machine.Busy   `json:"machine"`
 	Ran       []string       `json:"-"` // ids of the writes that ran
 	Twice     map[int]Twice  `json:"-"` // by group
 
@@ -246,6 +248,7 @@
 		return nil, err
 	}
 	res := &Result{Rehearsal: r.script.Name, Seed: r.opt.Seed, FromMs: r.clk.Now()}
+	watch := machine.Begin()
 	faulty, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	errs := make(chan error, len(r.script.Faults)+len(r.opt.Rereads))
@@ -289,7 +292,7 @@
 	}
 	shown()
 	looked()
-	res.ToMs = r.clk.Now()
+	res.ToMs, res.Machine = r.clk.Now(), watch.End()
 	if err := errors.Join(log.close(), r.stop()); err != nil {
 		return nil, err
 	}
