Split the pooling front's client and link by idea

Change: pure moves within the package; the client's transaction (txn), its start (startup), its messages (message), how it is let in (enter), what goes on to the server (forward) and how it ends (settle), the link's coming up (dial), the server's answers (answers) and cancels (cancel) have files of their own.

--- /dev/null
+++ b/internal/pooling/settle.go
@@ -0,0 +1,143 @@
+package pooling
+
+import (
+	"fmt"
+
+	"beechgrade/internal/pgwire"
+)
+
+// release gives the connection back between transactions, unless the client keeps it.
+func (c *client) release() {
+	l := c.link
+	if l == nil || c.pool.opt.Mode == Session && l.ends == 0 || c.carry.Pins != 0 && l.ends == 0 {
+		if c.f.draining {
+			c.fatal("57P01", "the pooler is shutting down")
+		}
+		return
+	}
+	if c.carry.Pins != 0 {
+		c.fatal("57P01", fmt.Sprintf("the server is being taken out, and %s can't be carried to another", c.carry.Pins))
+		return
+	}
+	c.link, l.owner = nil, nil
+	l.free()
+	c.leave()
+	if c.f.draining {
+		c.fatal("57P01", "the pooler is shutting down")
+	}
+}
+
+// lost tells that the client's server connection has ended.
+func (c *client) lost(l *link) {
+	c.link = nil
+	if c.closed {
+		return
+	}
+	t := c.txn
+	if t != nil && t.attempt != nil && !t.spoke { // the decision module says what becomes of it
+		return
+	}
+	if t == nil && c.opened != nil && c.leg == nil && len(l.queue) == 0 && c.movable() {
+		return // nothing but a beginning is lost: it begins again
+	}
+	busy := len(l.queue) > 0 || c.status != 'I' || c.open
+	switch {
+	case !busy && c.carry.Pins == 0:
+		c.leave()
+		return // a session's connection between its transactions: the next one gets another
+	case !busy:
+		c.fatal("57P01", fmt.Sprintf("the server connection ended, and with it %s", c.carry.Pins))
+	case l.committing() || c.status == 'I' && c.wrote:
+		c.fatal("08007", "the connection to the server broke; whether the transaction was committed is unknown")
+	default:
+		c.fatal("08006", "the connection to the server broke; nothing of the transaction was committed")
+	}
+}
+
+// beat lets time pass.
+func (c *client) beat() {
+	switch {
+	case c.closed || c.conn == nil:
+	case c.leaving && !c.owed():
+		c.end()
+	case !c.started && c.f.loop.Now()-c.since > startupMs:
+		c.fatal("08P01", "the startup message is not whole in time")
+	case c.paused != nil && c.conn.Unsent() < littleLeft:
+		l := c.paused
+		c.paused = nil
+		l.unpark()
+	}
+	if c.started && !c.closed && (!c.waiting() || c.parked && c.conn.Unsent() > 0) {
+		if c.parked { // it hears what there is, and is read on
+			c.parked = false
+			c.conn.Unpark()
+		}
+		if c.in.Pending() > 0 && !c.waiting() {
+			c.proceed()
+		}
+	}
+}
+
+// fatal ends the connection with a word.
+func (c *client) fatal(code, text string) {
+	if c.closed {
+		return
+	}
+	c.ended = code
+	if !c.midst { // there is no place for a word within a message
+		c.out = pgwire.AppendError(c.out, "FATAL", code, text, "")
+	}
+	c.end()
+}
+
+// end closes the connection, once what is written has gone out.
+func (c *client) end() {
+	c.flush()
+	if !c.closed && c.conn != nil {
+		c.conn.Close()
+	}
+}
+
+// Closed is loop's.
+func (c *client) Closed(error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	f := c.f
+	f.clients.Drop(c.ref)
+	delete(f.keys, c.pid)
+	f.loop.Stop(c.idle)
+	f.loop.Stop(c.limit)
+	if c.paused != nil {
+		c.paused.unpark()
+		c.paused = nil
+	}
+	if c.pool != nil {
+		c.pool.clients--
+	}
+	c.recordEnd()
+	c.scatterGone()
+	defer c.leave()
+	t := c.txn
+	c.txn = nil
+	if l := c.link; l != nil {
+		c.link, l.owner = nil, nil
+		switch {
+		case len(l.queue) > 0 || c.open || c.carry.Pins != 0 || t != nil:
+			l.close() // in the midst of something, or with what must not be left to another
+		case c.status != 'I':
+			l.own("ROLLBACK", nil)
+			l.free()
+		default:
+			l.free()
+		}
+	}
+	if t != nil && t.open {
+		t.open = false
+		f.desk.Gone(t.ref)
+	}
+	if c.carry != nil {
+		c.carry.Close()
+	}
+}
--- /dev/null
+++ b/internal/pooling/txn.go
@@ -0,0 +1,79 @@
+package pooling
+
+import (
+	"math"
+	"strconv"
+
+	"beechgrade/internal/front"
+	"beechgrade/internal/slots"
+	"beechgrade/internal/sqltext"
+)
+
+// txn is a transaction on its way to a server; it is core's request. It is front.Client's and backend.Query's.
+type txn struct {
+	c       *client
+	ref     slots.Ref
+	open    bool // with core
+	attempt *attempt
+	asked   float64
+	does    []sqltext.Statement // what its first message does
+	sql     string
+	held    []byte // the client's messages so far, for another server where the first did not run them
+	spoke   bool   // the client has had something of its answer: nothing is asked again
+	waited  bool   // the pool gave it no connection
+	on      bool   // it has a connection
+	sends   int    // how often what is held was sent
+	again   int    // bytes of held with which it began before, 0 for a new one
+	mute    bool   // it begins again: the client has heard that before
+}
+
+// outside is a transaction that waits to be let in.
+type outside struct {
+	raw   []byte
+	does  []sqltext.Statement
+	sql   string
+	since float64
+}
+
+// AppendQuery is backend.Query's; a transaction is sent by its own front.
+func (t *txn) AppendQuery(dst []byte, _ int) []byte { return dst }
+
+// Served is front.Client's. The answer has gone out by itself.
+func (t *txn) Served([]byte) { t.open = false }
+
+// Refused is front.Client's.
+func (t *txn) Refused(retryMs float64) {
+	t.open = false
+	text := "no server can take this now"
+	if t.waited {
+		text = "no connection came free in time"
+	}
+	detail := ""
+	if retryMs > 0 {
+		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	}
+	t.c.concluded(t, "53300", text, detail)
+}
+
+// CodeUnfunded is the SQLSTATE of what is refused as its tenant's prepaid funds are spent, or run low.
+const CodeUnfunded = "PP001"
+
+// Broke is front.Broke's.
+func (t *txn) Broke(slowed bool, retryMs float64) {
+	t.open = false
+	detail := ""
+	if retryMs > 0 {
+		detail = strconv.Itoa(int(math.Ceil(retryMs)))
+	}
+	t.c.concluded(t, CodeUnfunded, front.Unfunded(slowed), detail)
+}
+
+// Failed is front.Client's.
+func (t *txn) Failed() {
+	t.open = false
+	if t.waited {
+		t.c.concluded(t, "53300", "no connection came free in time", "")
+		return
+	}
+	t.c.concluded(t, "08007", "the transaction's outcome is unknown: its server gave no answer in time or broke off", "")
+}
