Split the pool of servers' connections by idea

Change: pure moves within the package; what callers see (api), attempts from start to end (attempts), connections coming up and going (dial) and servers' answers (answers) have files of their own.

--- /dev/null
+++ b/internal/backend/api.go
@@ -0,0 +1,90 @@
+package backend
+
+import (
+	"beechgrade/internal/decide"
+	"beechgrade/internal/slots"
+)
+
+// Query is a request as a server is asked it.
+type Query interface {
+	AppendQuery(dst []byte, waitMs int) []byte
+}
+
+// Long is a Query that may be too long to be copied: its parts are written one by one, as the server takes them. They are nil
+// for one that is short.
+type Long interface {
+	QueryParts(waitMs int) []string
+}
+
+// Tag says which attempt of which request an outcome is of.
+type Tag struct {
+	Request slots.Ref
+	No      int
+}
+
+// Outcome is how an attempt or probe ended, with what its answer told.
+type Outcome struct {
+	Result decide.Result
+	Answer []byte // OK: the row as messages, valid during the call
+	Said
+	Load Said // a load report that came along with the answer, some time old
+}
+
+// Terms are how an attempt may go out.
+type Terms struct {
+	Once bool    // it must not run twice: it is spared connections that would probably lose it
+	By   float64 // it must not be written from then on, 0 for whenever it may be: its servers may have forgotten its key
+}
+
+// Late tells that an attempt may not be written any more.
+func (on Terms) Late(now float64) bool { return on.By > 0 && now >= on.By }
+
+// Said is what a server told of itself.
+type Said struct {
+	Role     decide.Role
+	Position float64 // on the clock, where HasPos
+	HasPos   bool
+}
+
+// Events is told of ends, and of an attempt whose last byte has left. The calls may come from within Start, Cancel and Probe.
+type Events interface {
+	AttemptWritten(t Tag)
+	// AttemptBegun ends an attempt as served whose answer is passed on as it comes. stop gives up the rest; the Flow is nil
+	// where nobody takes it.
+	AttemptBegun(t Tag, stop func()) Flow
+	AttemptEnded(t Tag, o Outcome)
+	ProbeEnded(store string, o Outcome)
+}
+
+// Flow takes an answer that is passed on as it comes.
+type Flow interface {
+	Piece(b []byte)             // valid during the call
+	Room() bool                 // another piece would find its place
+	Ended(b []byte, whole bool) // with what comes behind the last piece; not whole where the rest will not come
+}
+
+// Options are the pool's limits.
+type Options struct {
+	User, Database   string
+	Roles            [2]string // names of the primary's and a replica's role
+	PositionName     string
+	ConnectTimeoutMs float64
+	IdleMs           float64         // a connection idle for so long is closed
+	MaxConns         func() int      // over all servers, by the descriptors left now
+	Memory           func() int      // bytes the machine has
+	Dial             func(do func()) // has a connection be begun in its turn; nil for at once
+}
+
+const (
+	heldPart   = 8       // of the memory, answers that are coming in may take 1 in so many
+	keepAnswer = 1 << 14 // of a buffer, from one answer to the next
+	stallMs    = 150     // within an answer that has begun, after which its rest will not come...
+	stallOnce  = 600     // ...for what must not run twice, and so has no second chance
+	longValue  = 1 << 16 // bytes; a row of more is passed on as it comes
+	silentMs   = 10000   // within such a row, after which its rest will not come
+	sendPiece  = 1 << 16 // bytes of a long query that are written at a time...
+	sendAhead  = 1 << 18 // ...while less than this waits for the server to take it
+	roomMs     = 5       // between looks at whether there is room for its next piece
+	brokeMs    = 50      // a connection that breaks so soon after a request did so because of it
+	aheadMs    = 100     // of the clock here that a position may be: commits are rounded up, clocks differ
+)
