Split the stand-ins' ordinary sessions by idea

Change: pure moves within the package; what was seen of sessions (watch), their settings (settings), the extended protocol (extended), transactions (transactions) and what statements do (work) have files of their own.

--- /dev/null
+++ b/internal/kit/fleet/watch.go
@@ -0,0 +1,55 @@
+package fleet
+
+import "slices"
+
+// Watch is what the stand-ins saw of ordinary sessions, over all servers.
+type Watch struct {
+	Statements   int            `json:"statements"`
+	Preparations int            `json:"preparations"`
+	Twice        int            `json:"prepared_twice"` // the same text on one connection, while it was prepared there
+	Mismatches   []string       `json:"mismatches"`     // statements that ran under other settings than they wanted
+	Cancelled    []string       `json:"cancelled"`      // statements that a cancel hit
+	ByText       map[string]int `json:"-"`
+	Sessions     int            `json:"sessions"` // that began
+	Open         int            `json:"open"`
+	MostOpen     int            `json:"most_open"`
+	DuringDrain  int            `json:"during_drain"` // messages behind the grace of a drain
+}
+
+// Watched is what has been seen so far.
+func (f *Fleet) Watched() Watch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.watch
+	w.Mismatches, w.Cancelled = slices.Clone(w.Mismatches), slices.Clone(w.Cancelled)
+	w.ByText = map[string]int{}
+	for k, n := range f.watch.ByText {
+		w.ByText[k] = n
+	}
+	return w
+}
+
+// Before has a function called before each statement of an ordinary session; where it returns false, the connection
+// breaks there and then. Tests cause their failures with it.
+func (f *Fleet) Before(do func(server, sql string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before = do
+}
+
+// Streamed is how many bytes of long results went out.
+func (f *Fleet) Streamed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.streamed
+}
+
+// hitBy cancels what a session runs.
+func (f *Fleet) hitBy(pid, key uint32) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x := f.fulls[pid]; x != nil && x.key == key && x.cancel != nil {
+		f.watch.Cancelled = append(f.watch.Cancelled, x.sql)
+		x.cancel()
+	}
+}
