Split the console by idea

Change: pure moves within the package; what keys do (keys), the line of time (timeline) and the tables (tables) have files of their own. Result: the same lines in four files; the package's tests pass.

--- /dev/null
+++ b/internal/kit/console/keys.go
@@ -0,0 +1,116 @@
+package console
+
+import tea "charm.land/bubbletea/v2"
+
+// key does what a key is for.
+func (m *Model) key(k string) tea.Cmd {
+	if m.help {
+		m.help = false
+		return nil
+	}
+	step := (m.to - m.from) / float64(m.lane())
+	switch k {
+	case "q", "ctrl+c":
+		return tea.Quit
+	case "?", "h":
+		m.help = true
+	case "tab":
+		m.tab = (m.tab + 1) % tabs
+	case "shift+tab":
+		m.tab = (m.tab + tabs - 1) % tabs
+	case "1", "2", "3", "4", "5":
+		m.tab = tab(k[0] - '1')
+	case "left":
+		m.move(-step)
+	case "right":
+		m.move(step)
+	case "shift+left", "[":
+		m.move(-10 * step)
+	case "shift+right", "]":
+		m.move(10 * step)
+	case "home":
+		m.move(m.view.From - m.cursor)
+	case "end":
+		m.move(m.view.To - m.cursor)
+		m.follow = m.next != nil
+	case "+", "=":
+		m.zoom(0.5)
+	case "-":
+		m.zoom(2)
+	case "0":
+		m.from, m.to = m.view.From, m.view.To
+	case "up", "k":
+		m.step(-1)
+	case "down", "j":
+		m.step(1)
+	case "pgup":
+		m.step(-m.body())
+	case "pgdown":
+		m.step(m.body())
+	case "g":
+		m.grave, m.chosen, m.scroll[tabFindings] = !m.grave, 0, 0
+	case "n":
+		m.seek(1)
+	case "p":
+		m.seek(-1)
+	case "enter":
+		if f := m.findings(); m.tab == tabFindings && m.chosen < len(f) {
+			m.jump(f[m.chosen].At)
+			m.tab = tabServers
+		}
+	}
+	return nil
+}
+
+// move moves the cursor along the time, and the stretch that is shown with it.
+func (m *Model) move(ms float64) {
+	m.follow = false
+	m.cursor = min(m.view.To, max(m.view.From, m.cursor+ms))
+	m.hold()
+}
+
+// hold keeps the cursor within what is shown.
+func (m *Model) hold() {
+	m.cursor = min(m.view.To, max(m.view.From, m.cursor))
+	if span := m.to - m.from; m.cursor < m.from {
+		m.from, m.to = m.cursor, m.cursor+span
+	} else if m.cursor > m.to {
+		m.from, m.to = m.cursor-span, m.cursor
+	}
+}
+
+func (m *Model) jump(at float64) { m.move(at - m.cursor) }
+
+// zoom shows a shorter or longer stretch round the cursor.
+func (m *Model) zoom(by float64) {
+	span := min(m.view.To-m.view.From, max(m.view.Series.WidthMs*4, (m.to-m.from)*by))
+	left := m.cursor - m.from
+	if m.to > m.from {
+		left *= span / (m.to - m.from)
+	}
+	m.from = min(max(m.view.From, m.cursor-left), m.view.To-span)
+	m.to = m.from + span
+}
+
+// seek goes to the next or the previous grave finding.
+func (m *Model) seek(way int) {
+	f := m.view.Findings
+	for i := range f {
+		if way < 0 {
+			i = len(f) - 1 - i
+		}
+		if d := (f[i].At - m.cursor) * float64(way); f[i].Grave && d > 0.5 {
+			m.jump(f[i].At)
+			return
+		}
+	}
+}
+
+func (m *Model) step(n int) {
+	if m.tab == tabFindings {
+		m.chosen = min(max(0, m.chosen+n), max(0, len(m.findings())-1))
+		m.scroll[tabFindings] = min(m.chosen, max(m.scroll[tabFindings], m.chosen-m.body()+1))
+		return
+	}
+	m.scroll[m.tab] = max(0, min(m.scroll[m.tab]+n, len(m.rows())-m.body()))
+}
--- /dev/null
+++ b/internal/kit/console/timeline.go
@@ -0,0 +1,72 @@
+package console
+
+import (
+	"strings"
+
+	"beechgrade/internal/kit/report"
+	"charm.land/lipgloss/v2"
+)
+
+func (m *Model) cell(at float64) int {
+	if m.view.Series.WidthMs <= 0 || at < m.view.Series.From {
+		return 0
+	}
+	return int((at - m.view.Series.From) / m.view.Series.WidthMs)
+}
+
+// span are the cells that a column of the lane stands for.
+func (m *Model) span(col int) (from, to int) {
+	w := (m.to - m.from) / float64(m.lane())
+	from = m.cell(m.from + float64(col)*w)
+	return from, max(from+1, m.cell(m.from+float64(col+1)*w))
+}
+
+var bars = []rune("▁▂▃▄▅▆▇█")
+
+// spark draws the service over the stretch that is shown.
+func (m *Model) spark() string {
+	out := make([]rune, m.lane())
+	for col := range out {
+		from, to := m.span(col)
+		var asked, got float64
+		for _, c := range m.view.Series.Classes {
+			for i := from; i < min(to, len(c.Asked)); i++ {
+				asked, got = asked+float64(c.Asked[i]), got+float64(c.Got[i])
+			}
+		}
+		out[col] = '_'
+		if asked > 0 {
+			out[col] = bars[min(len(bars)-1, max(0, int(got/asked*float64(len(bars)))))]
+		}
+	}
+	return m.label("service") + blue.Render(string(out))
+}
+
+// axis shows the stretch's ends and the cursor.
+func (m *Model) axis() string {
+	out := []rune(strings.Repeat(" ", m.lane()))
+	put := func(at int, s string) {
+		for i, r := range []rune(s) {
+			if at+i >= 0 && at+i < len(out) {
+				out[at+i] = r
+			}
+		}
+	}
+	put(0, report.Clock(m.from)[:min(8, len(report.Clock(m.from)))])
+	end := report.Clock(m.to)
+	put(len(out)-8, end[:min(8, len(end))])
+	put(m.column(), "|")
+	return m.label("") + string(out)
+}
+
+func (m *Model) column() int {
+	if m.to <= m.from {
+		return 0
+	}
+	return min(m.lane()-1, max(0, int((m.cursor-m.from)/(m.to-m.from)*float64(m.lane()))))
+}
+
+func (m *Model) label(s string) string {
+	s = cut(report.Safe(s), labelW-1)
+	return s + strings.Repeat(" ", max(0, labelW-lipgloss.Width(s)))
+}
