Split scattered reads and their links by idea

Change: pure moves within the package; rows (rows), bound parameters (bind), a read's end (end), a link's coming up (dial), servers' answers (answers) and cancels (cancel) have files of their own.

--- /dev/null
+++ b/internal/fronts/scatter/bind.go
@@ -0,0 +1,91 @@
+package scatter
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+
+	"beechgrade/internal/pgwire"
+)
+
+// bind is what a Bind has behind its names.
+type bind struct {
+	forms   []uint16
+	params  [][]byte
+	results []byte // the forms that are wished for, as they came
+}
+
+const mostParams = 1000
+
+func readBind(b []byte) (x bind, err error) {
+	if b == nil { // a simple query's
+		return bind{results: []byte{0, 0}}, nil
+	}
+	bad := fmt.Errorf("%w: Bind", pgwire.ErrMalformed)
+	number := func() int {
+		if len(b) < 2 {
+			err = bad
+			return 0
+		}
+		n := int(binary.BigEndian.Uint16(b))
+		b = b[2:]
+		return n
+	}
+	n := number()
+	if n > mostParams || len(b) < 2*n {
+		return x, bad
+	}
+	for range n {
+		x.forms = append(x.forms, uint16(number()))
+	}
+	n = number()
+	if n > mostParams {
+		return x, bad
+	}
+	for range n {
+		if len(b) < 4 {
+			return x, bad
+		}
+		size := int32(binary.BigEndian.Uint32(b))
+		if b = b[4:]; size < 0 {
+			x.params = append(x.params, nil)
+			continue
+		}
+		if len(b) < int(size) {
+			return x, bad
+		}
+		x.params, b = append(x.params, slices.Clone(b[:size])), b[size:]
+	}
+	if len(b) < 2 || len(b) != 2+2*int(binary.BigEndian.Uint16(b)) || len(x.forms) > 1 && len(x.forms) != len(x.params) {
+		return x, bad
+	}
+	x.results = slices.Clone(b)
+	return x, err
+}
+
+// with is the same with more values behind its own, as text.
+func (x *bind) with(vals [][]byte) []byte {
+	n := len(x.params) + len(vals)
+	dst := binary.BigEndian.AppendUint16(nil, uint16(n))
+	for i := range n {
+		form := uint16(0)
+		switch {
+		case i >= len(x.params) || len(x.forms) == 0:
+		case len(x.forms) == 1:
+			form = x.forms[0]
+		default:
+			form = x.forms[i]
+		}
+		dst = binary.BigEndian.AppendUint16(dst, form)
+	}
+	dst = binary.BigEndian.AppendUint16(dst, uint16(n))
+	for _, v := range append(slices.Clone(x.params), vals...) {
+		if v == nil {
+			dst = binary.BigEndian.AppendUint32(dst, math.MaxUint32)
+			continue
+		}
+		dst = append(binary.BigEndian.AppendUint32(dst, uint32(len(v))), v...)
+	}
+	return append(dst, x.results...)
+}
