--- a/internal/fronts/scatter/end.go
+++ b/internal/fronts/scatter/end.go
@@ -69,14 +69,9 @@
 // nobody reads for a client that has gone.
 type nobody struct{}
 
-func (nobody) Describe([]byte) {}
-
-func (nobody) Row([]byte) {}
-
-func (nobody) Flush() {}
-
-func (nobody) Unsent() int { return 0 }
-
-func (nobody) Page(*Page) {}
-
+func (nobody) Describe([]byte)      {}
+func (nobody) Row([]byte)           {}
+func (nobody) Flush()               {}
+func (nobody) Unsent() int          { return 0 }
+func (nobody) Page(*Page)           {}
 func (nobody) Fail(*run.Run, error) {}
--- a/internal/loop/engine.go
+++ b/internal/loop/engine.go
@@ -145,11 +145,7 @@
 type gnetLog struct{ log *slog.Logger }
 
 func (g gnetLog) Debugf(f string, a ...any) { g.log.Debug(fmt.Sprintf(f, a...)) }
-
-func (g gnetLog) Infof(f string, a ...any) { g.log.Debug(fmt.Sprintf(f, a...)) }
-
-func (g gnetLog) Warnf(f string, a ...any) { g.log.Debug(fmt.Sprintf(f, a...)) }
-
+func (g gnetLog) Infof(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
+func (g gnetLog) Warnf(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
 func (g gnetLog) Errorf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
-
 func (g gnetLog) Fatalf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -16,9 +16,7 @@
 type nobody struct{}
 
 func (nobody) Opened(*Conn) {}
-
-func (nobody) Data([]byte) {}
-
+func (nobody) Data([]byte)  {}
 func (nobody) Closed(error) {}
 
 // Addr is the address that the loop listens on, with its port where any was asked for.
