Split the daemon's stories by idea

Change: pure moves; the peer spoken by hand, the pooled world, stories of clients, of the process, of takeovers, of uploads and of ends have files of their own.

--- /dev/null
+++ b/cmd/beechgrade/house_ends_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/kit/standin/house"
+	"golang.org/x/sys/unix"
+)
+
+// TestHouseCancelPhases: a client that goes is forgotten at once in every phase: while it waits behind its user's others, for
+// room, for a connection, for its answer, and in its midst; its query does not run where it had not been sent.
+func TestHouseCancelPhases(t *testing.T) {
+	deaf, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0) // a listener whose queue is full: connections hang
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unix.Close(deaf) }()
+	if err := errors.Join(unix.Bind(deaf, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(deaf, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sa, _ := unix.Getsockname(deaf)
+	deafAddr := fmt.Sprintf("127.0.0.1:%d", sa.(*unix.SockaddrInet4).Port)
+	for range 2 {
+		c, err := net.DialTimeout("tcp", deafAddr, 100*time.Millisecond)
+		if err == nil {
+			defer func() { _ = c.Close() }()
+		}
+	}
+	for _, c := range []struct {
+		phase, settings, sql string
+		ready                func(w *houseWorld) bool
+		prepare              func(w *houseWorld)
+		runs                 int
+	}{
+		{phase: "queued", settings: `(user "default" (queries 1) (queue 5) (wait 15s))`, sql: "SELECT 1", prepare: func(w *houseWorld) {
+			go func() {
+				if res, err := w.client.Get("http://" + w.addr + "/?query=SELECT+/*+HANG+*/&query_id=first"); err == nil {
+					_ = res.Body.Close()
+				}
+			}()
+			w.wait("the first runs", func() bool { return len(w.runs("first")) == 1 })
+		}, ready: func(w *houseWorld) (is bool) { w.onLoop(func() { is = w.p.house.Waiting() == 1 }); return is }},
+		{phase: "held for room", sql: "SELECT 1", prepare: func(w *houseWorld) { w.servers[0].Full(true) },
+			ready: func(w *houseWorld) (is bool) { w.onLoop(func() { is = w.p.core.Open() == 1 }); return is }},
+		{phase: "connecting", sql: "SELECT 1", prepare: func(w *houseWorld) {
+			w.servers[0].Addr = deafAddr
+			w.write()
+			w.hup <- syscall.SIGHUP
+			w.wait("it is there", func() (is bool) {
+				w.onLoop(func() { e, _ := w.p.sources.members.Entry("h0"); is = e.Address == deafAddr })
+				return is
+			})
+		}, ready: func(w *houseWorld) (is bool) {
+			w.onLoop(func() { is = w.p.core.Open() == 1 && w.p.house.Conns() == 1 })
+			return is
+		}},
+		{phase: "sent", sql: "SELECT /* HANG */", ready: func(w *houseWorld) bool { return len(w.runs("q")) == 1 }, runs: 1},
+		{phase: "streaming", sql: "SELECT /* SLOW 100000 */", ready: func(w *houseWorld) bool { return len(w.runs("q")) == 1 }, runs: 1},
+	} {
+		t.Run(c.phase, func(t *testing.T) {
+			w := houses(t, 1, c.settings)
+			if c.prepare != nil {
+				c.prepare(w)
+			}
+			w.t = t
+			sessions := 0
+			w.onLoop(func() { sessions = w.p.house.Sessions() })
+			conn, err := net.Dial("tcp", w.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(conn, "GET /?"+url.Values{"query": {c.sql}, "query_id": {"q"}}.Encode()+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			w.wait(c.phase, func() bool { return c.ready(w) })
+			if c.phase == "streaming" {
+				_, _ = bufio.NewReader(conn).ReadString('\n')
+			}
+			open := 0
+			w.onLoop(func() { open = w.p.core.Open() })
+			_ = conn.Close()
+			w.wait("it is forgotten in the turn in which it goes", func() (is bool) {
+				w.onLoop(func() {
+					if w.p.house.Sessions() > sessions {
+						return
+					}
+					if is = true; c.phase != "queued" && c.phase != "streaming" && w.p.core.Open() >= open {
+						t.Errorf("it has gone, and %d queries are open of %d", w.p.core.Open(), open)
+					}
+					if w.p.house.Waiting() != 0 {
+						t.Error("it has gone, and waits")
+					}
+				})
+				return is
+			})
+			if c.runs > 0 {
+				w.wait("the server sees it", func() bool { r := w.runs("q"); return len(r) == 1 && r[0].Cancelled })
+			} else if c.phase == "held for room" {
+				sent := uint64(0) // what was on its way when the client went must not come to a server that has room
+				w.onLoop(func() { sent = w.p.core.Figures().Tries })
+				w.wait("all that was sent was turned away", func() bool { return uint64(w.servers[0].Turned()) == sent })
+				w.servers[0].Full(false)
+				if s, _, _, err := w.query("GET", "SELECT 1", "", id("next")); s != 200 || err != nil {
+					t.Errorf("the next: %d %v", s, err)
+				}
+			}
+			if n := len(w.runs("q")); n != c.runs {
+				t.Errorf("it ran %d times", n)
+			}
+		})
+	}
+}
+
+// TestHouseCopies: reads that one server keeps are copied to the other, and both answer at the same moment: the client has one
+// answer, whole, of one of them.
+func TestHouseCopies(t *testing.T) {
+	w := houses(t, 2, "", func(c *config.Config) { c.Settings.MayProbe = true })
+	for i := range 20 { // so that it is known how long one takes
+		if s, _, _, err := w.query("GET", "SELECT 1", "", id(fmt.Sprint("w", i))); s != 200 || err != nil {
+			t.Fatal(s, err)
+		}
+	}
+	answers := make([]string, 24)
+	copied := map[string]chan struct{}{}
+	for i := range answers {
+		copied[fmt.Sprint("q", i)] = make(chan struct{})
+	}
+	for k, s := range w.servers {
+		s.Answer(func(rw http.ResponseWriter, r *http.Request, x *house.Run, _ []byte) bool {
+			c := copied[x.ID]
+			switch {
+			case c == nil:
+				return false
+			case k == 0: // it keeps the query until the other one has it too
+				select {
+				case <-c:
+				case <-r.Context().Done():
+				}
+			default:
+				close(c)
+			}
+			_, _ = fmt.Fprintf(rw, "%s %s", s.Name, x.ID)
+			return true
+		})
+	}
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s, _, text, err := w.query("GET", "SELECT 2", "", id(fmt.Sprint("q", i)))
+			answers[i] = fmt.Sprint(s, " ", text, " ", err)
+		}()
+	}
+	wg.Wait()
+	both := 0
+	for i, a := range answers {
+		q := fmt.Sprint("q", i)
+		if a != "200 h0 "+q+" <nil>" && a != "200 h1 "+q+" <nil>" {
+			t.Errorf("%s: %q", q, a)
+		}
+		if len(w.runs(q)) == 2 {
+			both++
+		}
+	}
+	if both == 0 {
+		t.Error("no query came to both")
+	}
+	if s, _, _, err := w.query("GET", "SELECT 1", "", nil); s != 200 || err != nil {
+		t.Errorf("afterwards: %d %v", s, err)
+	}
+}
+
+// TestHouseDies: wherever in its answer a server dies, the client has one final answer, which it can tell from a whole one; a read
+// is tried elsewhere only where none of it had come.
+func TestHouseDies(t *testing.T) {
+	for _, c := range []struct{ name, says, want string }{
+		{"before anything", "", "503 202"},
+		{"within the head", "HTTP/1.1 200 OK\r\nContent-Ty", "503 202"},
+		{"after the head", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "broken"},
+		{"within a length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345", "broken"},
+		{"within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123", "broken"},
+		{"between chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n", "broken"},
+		{"before the trailer's end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n", "broken"},
+		{"with a chunk that is none", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "broken"},
+		{"with no HTTP", "SSH-2.0-x\r\n\r\n", "503 202"},
+		{"with two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "503 202"},
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n1\n", "200 1\n"},
+		{"whole, up to its end", "HTTP/1.1 200 OK\r\n\r\n1\n", "200 1\n"},
+	} {
+		for _, minor := range []int{1, 0} {
+			t.Run(fmt.Sprintf("%s, HTTP/1.%d", c.name, minor), func(t *testing.T) {
+				var came atomic.Int64
+				s, err := house.StartRaw(func(conn net.Conn, _ *bufio.Reader, _ string) {
+					came.Add(1)
+					_, _ = io.WriteString(conn, c.says)
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Stop()
+				w := houses(t, 0, "(deadline 600ms) (aim 600ms)")
+				w.servers = []*house.Server{{Name: "raw", Addr: s.Addr}}
+				w.write()
+				w.hup <- syscall.SIGHUP
+				w.until("1 servers, 0 removals held back")
+				w.servers = nil
+				answer, err := w.raw(fmt.Sprintf("GET /?query=SELECT+1 HTTP/1.%d\r\nHost: h\r\nConnection: close\r\n\r\n", minor))
+				got := "broken"
+				if err == nil {
+					if res, e := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil); e == nil {
+						if b, e := io.ReadAll(res.Body); e == nil {
+							got = fmt.Sprint(res.StatusCode, " ", res.Header.Get("X-ClickHouse-Exception-Code"))
+							if res.StatusCode == 200 {
+								got = "200 " + string(b)
+							}
+						}
+					}
+				}
+				if got != c.want {
+					t.Errorf("%q, want %q: %q %v", got, c.want, answer, err)
+				}
+				if n := came.Load(); (c.want == "503 202") != (n > 1) {
+					t.Errorf("it was asked %d times", n)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/cmd/beechgrade/peer_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/pgwire"
+)
+
+// patience bounds every wait of a test; none depends on how soon something comes.
+const patience = 20 * time.Second
+
+// peer is one end of a connection, spoken by hand.
+type peer struct {
+	t *testing.T
+	net.Conn
+	in *bufio.Reader
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	_ = c.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { _ = c.Close() })
+	return &peer{t, c, bufio.NewReader(c)}
+}
+
+// message reads one message; its type is 0 where the connection ends before or within it.
+func (p *peer) message() (typ byte, body []byte) {
+	var head [5]byte
+	if _, err := io.ReadFull(p.in, head[:]); err != nil {
+		return 0, nil
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	if _, err := io.ReadFull(p.in, body); err != nil {
+		return 0, nil
+	}
+	return head[0], body
+}
+
+// answer reads up to ReadyForQuery, or the connection's end, and sums it up: the types, and a row's value or an error's code.
+func (p *peer) answer() string {
+	var types, says string
+	for {
+		typ, body := p.message()
+		switch typ {
+		case 0:
+			return types + "$" + says
+		case 'D':
+			v, _ := pgwire.Column(body)
+			says = " " + string(v)
+		case 'E':
+			says = " " + pgwire.ErrorCode(body)
+		}
+		if types += string(typ); typ == 'Z' {
+			return types + says
+		}
+	}
+}
+
+func (p *peer) want(answer string) {
+	p.t.Helper()
+	if got := p.answer(); got != answer {
+		p.t.Fatalf("got %q, want %q", got, answer)
+	}
+}
+
+func (p *peer) send(b []byte) { _, _ = p.Write(b) }
+
+func query(id, class string, wait int) []byte {
+	return pgwire.AppendQuery(nil, fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%s,c=%s,d=%d,cluster=0 */", id, class, wait))
+}
+
+// row is a server's whole answer.
+func row(value string) []byte {
+	b := pgwire.AppendComplete(pgwire.AppendRow(nil, "content", []byte(value)), "SELECT 1")
+	return pgwire.AppendReady(pgwire.AppendParameter(b, "role", "primary"))
+}
+
+// asked is a query that came to a scripted server.
+type asked struct {
+	*peer
+	sql  string
+	conn int // the number of its connection, from 1
+}
+
+// server is a scripted server: it welcomes connections and hands out what they are asked.
+func server(t *testing.T) (addr string, queries <-chan asked) {
+	l := listen(t)
+	ch := make(chan asked, 100)
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func(n int) {
+				p := newPeer(t, c)
+				var size [4]byte
+				if _, err := io.ReadFull(p.in, size[:]); err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, p.in, int64(binary.BigEndian.Uint32(size[:]))-4)
+				p.send(pgwire.AppendWelcome(nil))
+				for {
+					typ, body := p.message()
+					if typ == 0 {
+						ch <- asked{p, "(gone)", n}
+						return
+					}
+					sql, _ := pgwire.Text(body)
+					ch <- asked{p, sql, n}
+				}
+			}(n)
+		}
+	}()
+	return l.Addr().String(), ch
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func next(t *testing.T, queries <-chan asked) asked {
+	t.Helper()
+	select {
+	case q := <-queries:
+		return q
+	case <-time.After(patience):
+		t.Fatal("the server was asked nothing")
+		return asked{}
+	}
+}
+
+// start runs a pooler before one server, the primary of its group. watch is discovery's answer to a watch.
+// change may change what the pooler is told.
+func start(t *testing.T, server string, watch http.HandlerFunc, change ...func(*config.Config)) (addr string, stop chan<- os.Signal, done <-chan error) {
+	addr, _, stop, done = startReload(t, server, watch, nil, change...)
+	return addr, stop, done
+}
+
+// startReload is start with a way to send SIGHUP; load is what the pooler then reads.
+func startReload(t *testing.T, server string, watch http.HandlerFunc, load func(config.Config) (*config.Config, error),
+	change ...func(*config.Config)) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
+	cfg := testConfig(t, server, watch, change...)
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	first := *cfg
+	p.load = func() (*config.Config, error) { return load(first) }
+	return launch(t, p)
+}
+
+// testConfig is what a pooler before one server is told.
+func testConfig(t testing.TB, server string, watch http.HandlerFunc, change ...func(*config.Config)) *config.Config {
+	if watch == nil {
+		watch = func(w http.ResponseWriter, r *http.Request) {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}
+	dir := httptest.NewServer(watch)
+	t.Cleanup(func() { dir.CloseClientConnections(); dir.Close() })
+	cfg := &config.Config{Name: "test", Listen: "127.0.0.1:0", Discovery: dir.Listener.Addr().String(),
+		Limits: config.Limits{MemoryMB: 192, Sockets: 1024}, Classes: []string{"read", "write"},
+		ConnectTimeoutMs: 5000, IdleMs: 30000,
+		Known: discovery.List{Generation: 4, Reset: true, Instances: []discovery.Instance{
+			{ID: "s-1", HostPort: server, Lifecycle: "up", Weight: 1, Role: "primary"}}},
+		Settings: decide.Settings{Siblings: 1, Tick: 2 * time.Millisecond, AskList: true, ListShowsRole: true,
+			ListRoleLive: true, MayCancel: true, MayDuplicate: true, MaxAttempts: 8, Classes: []decide.Class{
+				{Aim: patience, Deadline: patience, Worth: 1, Read: decide.ReadAny},
+				{Aim: patience, Deadline: patience, Worth: 1, Read: decide.Write, Effect: decide.Unsafe}}}}
+	for _, f := range change {
+		f(cfg)
+	}
+	return cfg
+}
+
+// launch runs a pooler until the test's end.
+func launch(t testing.TB, p *pooler) (addr string, hup, stop chan<- os.Signal, done <-chan error) {
+	ready, ended, sig, again := make(chan string, 1), make(chan error, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	p.loop.Ready = func() { ready <- p.loop.Addr() }
+	broken := make(chan invariant.Breach, 1)
+	p.check(invariant.New(func(b invariant.Breach) {
+		select {
+		case broken <- b:
+		default:
+		}
+	}), 1)
+	go func() { ended <- p.run(sig, again) }()
+	t.Cleanup(func() {
+		select {
+		case b := <-broken:
+			t.Error(b)
+		default:
+		}
+		select {
+		case sig <- syscall.SIGTERM:
+		default:
+		}
+	})
+	select {
+	case addr = <-ready:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	return addr, again, sig, ended
+}
+
+func dial(t *testing.T, addr string) *peer {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newPeer(t, c)
+}
+
+// client connects and starts up.
+func client(t *testing.T, addr string) *peer {
+	p := dial(t, addr)
+	p.send(pgwire.AppendStartup(nil, "backend", "store"))
+	p.want("RSSSSZ")
+	return p
+}
--- /dev/null
+++ b/cmd/beechgrade/pooled_clients_test.go
@@ -0,0 +1,267 @@
+package main
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/pgwire"
+	"github.com/jackc/pgx/v5"
+)
+
+// TestPooledCancel: cancels that come as connections change hands never hit another client's query.
+func TestPooledCancel(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"), func(c *fleet.Config) { c.CancelMs = 4 }) // cancels are slow on their way
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	hit := w.connect("")
+	failed := make(chan error, 1)
+	go func() {
+		_, err := hit.Exec(ctx, "SELECT pg_sleep(30) /* want application_name= */")
+		failed <- err
+	}()
+	within(t, "it runs", func() bool { return w.fleet.Watched().Statements > 0 })
+	for try := 0; try < 200; try++ {
+		_ = hit.PgConn().CancelRequest(ctx)
+		select {
+		case err := <-failed:
+			if state(err) != "57014" {
+				t.Errorf("cancelled: %v", err)
+			}
+			try = 1000
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	// One client cancels queries that are over while others run theirs on the same connections.
+	stop := make(chan struct{})
+	bad := make(chan string, 8)
+	for n := range 3 {
+		c := w.connect("")
+		go func() {
+			for {
+				select {
+				case <-stop:
+					bad <- ""
+					return
+				default:
+				}
+				if _, err := c.Exec(ctx, fmt.Sprintf("SELECT pg_sleep(0.00%d)", 1+n)); err != nil {
+					bad <- fmt.Sprintf("another client's query: %v", err)
+					return
+				}
+			}
+		}()
+	}
+	for range 150 {
+		go func() { // it sets out while the query runs, and arrives when that is over
+			time.Sleep(4 * time.Millisecond)
+			_ = hit.PgConn().CancelRequest(ctx)
+		}()
+		if _, err := hit.Exec(ctx, "SELECT pg_sleep(0.007)"); err != nil && state(err) != "57014" {
+			t.Errorf("the canceller's own query: %v", err)
+			break
+		}
+	}
+	close(stop)
+	for range 3 {
+		if s := <-bad; s != "" {
+			t.Error(s)
+		}
+	}
+}
+
+// TestPooledSlowReader: a client asks for a large result and does not read it. What it does not read stays with the
+// server: the pooler keeps little, and others are served.
+func TestPooledSlowReader(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	c := dial(t, w.addr)
+	c.send(appendStartup("tablet", "obra"))
+	for typ, _ := c.message(); typ != 'Z'; typ, _ = c.message() {
+	}
+	const rows, size = 4000, 32 << 10 // 128 MB
+	c.send(pgwire.AppendQuery(nil, fmt.Sprintf("SELECT repeat('x', %d) FROM generate_series(1, %d)", size, rows)))
+	last := -1
+	within(t, "the server stands still", func() bool {
+		now := w.fleet.Streamed()
+		still := now > 0 && now == last
+		last = now
+		time.Sleep(100 * time.Millisecond)
+		return still
+	})
+	if last > 64<<20 {
+		t.Errorf("%d bytes were taken from the server for a client that reads nothing", last)
+	}
+	other := w.connect("")
+	w.exec(other, putKV, "k", "v")
+	got := 0
+	for typ, body := c.message(); typ != 'Z'; typ, body = c.message() {
+		if typ == 0 {
+			t.Fatalf("the connection ended after %d rows", got)
+		}
+		if typ == 'D' && len(body) == size+6 {
+			got++
+		}
+	}
+	if got != rows {
+		t.Errorf("%d of %d rows came", got, rows)
+	}
+}
+
+func appendStartup(user, database string) []byte { return pgwire.AppendStartup(nil, user, database) }
+
+// TestPooledGone: a client goes in the midst of a transaction. What it did is rolled back before anyone else has its
+// connection.
+func TestPooledGone(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 1)"))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range 5 {
+		c := w.connect("")
+		tx, err := c.Begin(ctx)
+		if err == nil {
+			_, err = tx.Exec(ctx, "INSERT INTO kv (name, content) VALUES ('gone', 'x')")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.PgConn().Conn().Close()
+		next := w.connect("")
+		if n, err := w.rows(next, getKV, "gone"); n != 0 || err != nil {
+			t.Errorf("round %d: %d rows of a transaction that was left: %v", i, n, err)
+		}
+		w.exec(next, putKV, "there", "v")
+	}
+	if seen := w.fleet.Watched(); seen.MostOpen > 4 {
+		t.Errorf("%d connections at once", seen.MostOpen)
+	}
+}
+
+// TestPooledGarbage: bytes that are no messages, at each state of a connection. It is ended with a word, and nothing of it
+// reaches a server.
+func TestPooledGarbage(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	started := appendStartup("tablet", "obra")
+	begin := append(started[:len(started):len(started)], pgwire.AppendQuery(nil, "BEGIN")...)
+	for name, b := range map[string][]byte{
+		"before the startup":         {0, 0, 0, 1, 2, 3, 4, 5},
+		"a huge startup":             {0xff, 0xff, 0xff, 0xff, 0, 3, 0, 0},
+		"after the startup":          append(started[:len(started):len(started)], "GET / HTTP/1.1\r\n\r\n"...),
+		"a length below its least":   append(started[:len(started):len(started)], 'Q', 0, 0, 0, 2),
+		"a length beyond the most":   append(started[:len(started):len(started)], 'Q', 0x7f, 0, 0, 0),
+		"a text without its end":     append(started[:len(started):len(started)], 'Q', 0, 0, 0, 6, 'a', 'b'),
+		"Parse without its end":      append(started[:len(started):len(started)], 'P', 0, 0, 0, 6, 'a', 'b'),
+		"Bind without its end":       append(started[:len(started):len(started)], 'B', 0, 0, 0, 6, 'a', 'b'),
+		"within a transaction":       append(begin[:len(begin):len(begin)], 'q', 0, 0, 0, 4),
+		"Describe of nothing, there": append(begin[:len(begin):len(begin)], 'D', 0, 0, 0, 4),
+	} {
+		c := dial(t, w.addr)
+		c.send(b)
+		said := ""
+		for typ, body := c.message(); typ != 0; typ, body = c.message() {
+			if typ == 'E' {
+				said = pgwire.ErrorCode(body)
+			}
+		}
+		if said != "08P01" {
+			t.Errorf("%s: ended with %q", name, said)
+		}
+	}
+	c := w.connect("")
+	w.exec(c, putKV, "k", "v")
+	if code := try(c, "SYNTAX"); code != "42601" {
+		t.Errorf("a syntax error: %q", code)
+	}
+}
+
+// TestPooledDriverWays uses a driver as programs do: batches, CopyFrom, read-only transactions, errors within a batch,
+// contexts that end, and database/sql with several connections.
+func TestPooledDriverWays(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := w.connect("")
+	b := &pgx.Batch{}
+	for i := range 10 {
+		b.Queue(putKV, fmt.Sprint("b", i), "v")
+		b.Queue(getKV, fmt.Sprint("b", i))
+	}
+	r := c.SendBatch(ctx, b)
+	for i := range 10 {
+		var v string
+		if _, err := r.Exec(); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.QueryRow().Scan(&v); err != nil || v != "v" {
+			t.Fatalf("row %d of a batch: %q, %v", i, v, err)
+		}
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+	b = &pgx.Batch{}
+	b.Queue("INSERT INTO kv (name, content) VALUES ('undone', 'v')")
+	b.Queue("NONSENSE")
+	b.Queue("INSERT INTO kv (name, content) VALUES ('undone', 'v')")
+	if err := c.SendBatch(ctx, b).Close(); state(err) != "42601" {
+		t.Errorf("an error within a batch: %v", err)
+	}
+	if n, err := w.rows(c, getKV, "undone"); n != 0 || err != nil {
+		t.Errorf("%d rows of a batch that failed: %v", n, err)
+	}
+	if n, err := c.CopyFrom(ctx, pgx.Identifier{"kv"}, []string{"content"}, pgx.CopyFromRows([][]any{{"x"}, {"y"}})); err != nil || n == 0 {
+		t.Errorf("CopyFrom: %d, %v", n, err)
+	}
+	tx, err := c.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, putKV, "k", "v"); state(err) != "25006" {
+		t.Errorf("a write within a transaction that only reads: %v", err)
+	}
+	if err := tx.Rollback(ctx); err != nil {
+		t.Error(err)
+	}
+	short, end := context.WithTimeout(ctx, 50*time.Millisecond)
+	_, err = c.Exec(short, "SELECT pg_sleep(30)")
+	end()
+	if err == nil {
+		t.Error("a context's end ends no query")
+	}
+	db, err := sql.Open("pgx", fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = db.Close() }()
+	var wg sync.WaitGroup
+	for n := range 10 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := db.Conn(ctx) // own writes are seen within a session, and any two statements of db may be of two
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = c.Close() }()
+			for i := range 20 {
+				key, v := fmt.Sprint("sql", n), ""
+				if _, err := c.ExecContext(ctx, putKV, key, fmt.Sprint(i)); err != nil {
+					t.Error(err)
+					return
+				}
+				if err := c.QueryRowContext(ctx, getKV, key).Scan(&v); err != nil || v != fmt.Sprint(i) {
+					t.Error(err)
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	if seen := w.fleet.Watched(); seen.Twice > 0 || seen.MostOpen > 4 {
+		t.Errorf("%d statements prepared twice, %d connections at once", seen.Twice, seen.MostOpen)
+	}
+}
--- /dev/null
+++ b/cmd/beechgrade/pooled_takeover_test.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"beechgrade/internal/kit/fleet"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// TestPooledTakeover: a prepared statement is used again after its server was replaced. The client sees nothing of it,
+// and the new server is asked to prepare it exactly once on each connection.
+func TestPooledTakeover(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+	c := w.connect("")
+	for i := range 10 {
+		w.exec(c, putKV, "ana", fmt.Sprint(i))
+	}
+	before := w.fleet.Watched()
+	if before.Preparations != 1 {
+		t.Errorf("one statement over one connection was prepared %d times", before.Preparations)
+	}
+	old := w.fleet.Primary(0)
+	if err := w.fleet.Kill(old); err != nil {
+		t.Fatal(err)
+	}
+	within(t, "takeover", func() bool { p := w.fleet.Primary(0); return p != "" && p != old })
+	within(t, "the pooler follows", func() bool {
+		if c.IsClosed() {
+			t.Fatal("the client's connection was closed though it was idle")
+		}
+		return try(c, putKV, "ana", "new") == ""
+	})
+	for i := range 10 {
+		w.exec(c, putKV, "ana", fmt.Sprint(i))
+	}
+	seen := w.fleet.Watched()
+	if seen.Twice > 0 || seen.Preparations > seen.Sessions {
+		t.Errorf("%d preparations over %d connections, %d of them twice", seen.Preparations, seen.Sessions, seen.Twice)
+	}
+	if v := w.value(c, getKV, "ana"); v != "9" {
+		t.Errorf("read %q", v)
+	}
+}
+
+// breakAt has the connection break at the statement that a check picks, once.
+func breakAt(f *fleet.Fleet, at func(sql string) bool) {
+	var broke atomic.Bool
+	f.Before(func(_, sql string) bool { return !at(sql) || !broke.CompareAndSwap(false, true) })
+}
+
+// TestPooledServerDies: the server's connection breaks at each point of a transaction. The client hears what may have
+// become of it, and nothing is done a second time.
+func TestPooledServerDies(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*patience)
+	defer cancel()
+	has := func(part string) func(string) bool {
+		return func(sql string) bool { return strings.Contains(sql, part) }
+	}
+	for name, c := range map[string]struct {
+		at   func(string) bool
+		do   func(w *pooledWorld, c *pgx.Conn) error
+		want string
+	}{
+		"a write by itself": {has("INSERT"), func(_ *pooledWorld, c *pgx.Conn) error {
+			_, err := c.Exec(ctx, putKV, "k", "v")
+			return err
+		}, "08007"},
+		"between BEGIN and COMMIT": {has("INSERT"), func(_ *pooledWorld, c *pgx.Conn) error {
+			tx, err := c.Begin(ctx)
+			if err == nil {
+				_, err = tx.Exec(ctx, putKV, "k", "v")
+			}
+			return err
+		}, "08006"},
+		"during COMMIT": {has("commit"), func(_ *pooledWorld, c *pgx.Conn) error {
+			tx, err := c.Begin(ctx)
+			if err == nil {
+				_, err = tx.Exec(ctx, putKV, "k", "v")
+			}
+			if err == nil {
+				err = tx.Commit(ctx)
+			}
+			return err
+		}, "08007"},
+		"during COPY": {has("(copy data)"), func(_ *pooledWorld, c *pgx.Conn) error {
+			_, err := c.PgConn().CopyFrom(ctx, strings.NewReader(strings.Repeat("k\tv\n", 1000)), "COPY kv (name, content) FROM STDIN")
+			return err
+		}, "08007"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
+			conn := w.connect("")
+			w.exec(conn, putKV, "warm", "x")
+			breakAt(w.fleet, c.at)
+			before := w.fleet.Watched().Statements
+			if got := state(c.do(w, conn)); got != c.want {
+				t.Errorf("the client hears %q, want %s", got, c.want)
+			}
+			time.Sleep(30 * time.Millisecond) // for a second try that must not be
+			w.fleet.Before(nil)
+			if n := w.fleet.Watched().Statements - before; n > 3 {
+				t.Errorf("%d statements ran", n)
+			}
+			again := w.connect("")
+			if v, err := w.rows(again, getKV, "k"); err != nil || v != 0 {
+				t.Errorf("%d rows of what was not committed: %v", v, err)
+			}
+		})
+	}
+}
+
+// TestPooledDrain: a server drains while a transaction is open on it. The transaction may end within the grace; behind
+// it nothing more is sent there, and the client hears at once.
+func TestPooledDrain(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 4)"), func(c *fleet.Config) { c.GraceMs = 3000 }) // enough for any machine
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	quick, slow := w.connect(""), w.connect("")
+	var txs []pgx.Tx
+	for _, c := range []*pgx.Conn{quick, slow} {
+		tx, err := c.Begin(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.Exec(ctx, putKV, "k", "v"); err != nil {
+			t.Fatal(err)
+		}
+		txs = append(txs, tx)
+	}
+	old := w.fleet.Primary(0)
+	if err := w.fleet.Drain(old); err != nil {
+		t.Fatal(err)
+	}
+	within(t, "discovery tells of the drain", func() bool {
+		for _, e := range w.fleet.List().Instances {
+			if e.ID == old && e.Lifecycle == "draining" {
+				return true
+			}
+		}
+		return false
+	})
+	if err := txs[0].Commit(ctx); err != nil {
+		t.Errorf("within the grace: %v", err)
+	}
+	var pe *pgconn.PgError
+	if _, err := slow.PgConn().ReceiveMessage(ctx); !errors.As(err, &pe) || pe.Code != "57P01" { // without asking
+		t.Errorf("behind the grace the client hears %v", err)
+	}
+	within(t, "another server takes over", func() bool { return try(quick, putKV, "k", "new") == "" })
+	if n := w.fleet.Watched().DuringDrain; n > 0 {
+		t.Errorf("%d messages were sent to a server behind the grace", n)
+	}
+}
+
+// TestPooledStorm: 2,000 clients come at once while the group has no primary, over a pool of 20. None waits for ever, those
+// in the queue are served in their order, and the new primary is not dialled by all at once.
+func TestPooledStorm(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 20) (dials 2) (wait 30s) (queue 5000)"))
+	warm := w.connect("")
+	w.exec(warm, putKV, "k", "v")
+	old := w.fleet.Primary(0)
+	_ = w.fleet.Kill(old)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*patience)
+	defer cancel()
+	const clients = 2000
+	var wg sync.WaitGroup
+	var served, refused, other atomic.Int64
+	for n := range clients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+			for try := 0; err == nil && try < 200; try++ {
+				_, err = c.Exec(ctx, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('k%d', 'v')", n)).ReadAll()
+				switch state(err) {
+				case "":
+					served.Add(1)
+					_ = c.Close(ctx)
+					return
+				case "53300", "08007", "57P01":
+					refused.Add(1)
+					if err = nil; c.IsClosed() {
+						c, err = pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			other.Add(1)
+			if err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	wg.Wait()
+	if served.Load() != clients {
+		t.Errorf("%d of %d served, %d refusals, %d others", served.Load(), clients, refused.Load(), other.Load())
+	}
+	seen := w.fleet.Watched()
+	if len(w.fleet.Fallen()) > 0 || seen.MostOpen > 3*20 {
+		t.Errorf("fallen: %v; %d connections at once", w.fleet.Fallen(), seen.MostOpen)
+	}
+	t.Logf("%d served, %d refusals, %d connections begun", served.Load(), refused.Load(), seen.Sessions)
+}
+
+// TestPooledWaiting: clients that are connected and warm write at the moment at which the primary has died. Each has its
+// answer, and all are served once another took over.
+func TestPooledWaiting(t *testing.T) {
+	w := pooled(t, fmt.Sprintf(usual, "(connections 50) (dials 16) (wait 60s) (queue 100000)"), func(c *fleet.Config) {
+		c.Detect, c.Elect, c.ColdMs = fleet.Range{400, 500}, fleet.Range{400, 500}, 1000
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	const clients = 300
+	var conns []*pgconn.PgConn
+	for i := range clients {
+		c, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable&application_name=app%d", w.addr, i%7))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	var wg sync.WaitGroup
+	write := func() {
+		for i, c := range conns {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for ctx.Err() == nil {
+					if _, err := c.Exec(ctx, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('t%d', 'v')", i)).ReadAll(); err == nil {
+						return
+					}
+					if c.IsClosed() {
+						c, _ = pgconn.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable", w.addr))
+						if c == nil {
+							break
+						}
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				t.Errorf("client %d had no answer in time", i)
+			}()
+		}
+		wg.Wait()
+	}
+	write()
+	_ = w.fleet.Kill(w.fleet.Primary(0))
+	write()
+}
--- /dev/null
+++ b/cmd/beechgrade/pooled_world_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/config"
+	"beechgrade/internal/kit/fleet"
+	"beechgrade/internal/operate"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// pooledWorld is a fleet of stand-ins and a pooler before it, with the second front.
+type pooledWorld struct {
+	t     *testing.T
+	fleet *fleet.Fleet
+	pool  *pooler
+	addr  string
+
+	endRecords func()
+}
+
+// usual are settings of a pool by transaction.
+const usual = `(pooling (listen "127.0.0.1:0")
+	(class "office" (needs primary) (aim 5s) (deadline 60s))
+	(class "office-reads" (needs session) (aim 5s) (deadline 60s))
+	(pool (class "office") (reads "office-reads") %s))`
+
+// pooled starts both. change may change the fleet.
+func pooled(t *testing.T, settings string, change ...func(*fleet.Config)) *pooledWorld {
+	t.Helper()
+	fc := fleet.Defaults(3)
+	fc.Detect, fc.Elect, fc.List, fc.Roles = fleet.Range{100, 150}, fleet.Range{100, 150}, fleet.Range{30, 60}, fleet.Range{100, 200}
+	fc.Report, fc.Conns = fleet.Range{20, 40}, 2000
+	for _, f := range change {
+		f(&fc)
+	}
+	f := fleet.New(fc, clock.System(), slog.New(slog.DiscardHandler))
+	if err := f.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	set, err := operate.Parse("test", []byte(settings), os.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := testConfig(t, "", nil, func(c *config.Config) {
+		c.Discovery, c.Known = f.Discovery(), f.List()
+		c.Limits.Sockets = 8000
+		c.Settings.MayProbe, c.Settings.DrainGrace = true, clock.Span(fc.GraceMs)
+		c.Settings.ColdFrom, c.Settings.ColdTime = 0.15, time.Second
+		c.Settings.FallMultiple, c.Settings.FallSpan = 2.5, 1500*time.Millisecond
+		c.ConnectTimeoutMs = 2000
+	})
+	if err := set.Pooling.Check(cfg.Classes); err != nil {
+		t.Fatal(err)
+	}
+	set.Pooling.AddClasses(cfg)
+	p := newPooler(cfg, slog.New(slog.DiscardHandler))
+	if os.Getenv("POOL_LOG") != "" {
+		p.log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	p.usePooling(set.Pooling)
+	end := p.record(set.Record)
+	launch(t, p)
+	at := make(chan string, 1)
+	p.loop.Post(func() { at <- p.pooledAddr })
+	var once sync.Once
+	return &pooledWorld{t, f, p, <-at, func() {
+		once.Do(func() {
+			done := make(chan struct{})
+			p.loop.Post(func() { end(); close(done) })
+			<-done
+		})
+	}}
+}
+
+// connect opens a connection with a real driver.
+func (w *pooledWorld) connect(more string) *pgx.Conn {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c, err := pgx.Connect(ctx, fmt.Sprintf("postgres://tablet@%s/obra?sslmode=disable%s", w.addr, more))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+// exec runs a statement that must go well.
+func (w *pooledWorld) exec(c *pgx.Conn, sql string, args ...any) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if _, err := c.Exec(ctx, sql, args...); err != nil {
+		w.t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+// value reads one value.
+func (w *pooledWorld) value(c *pgx.Conn, sql string, args ...any) string {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var v string
+	if err := c.QueryRow(ctx, sql, args...).Scan(&v); err != nil {
+		w.t.Fatalf("%s: %v", sql, err)
+	}
+	return v
+}
+
+const (
+	putKV = "INSERT INTO kv (name, content) VALUES ($1, $2)"
+	getKV = "SELECT content FROM kv WHERE name = $1"
+)
+
+// within waits until a check holds.
+func within(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); !check(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%s: not within %s", what, patience)
+		}
+	}
+}
+
+// try runs a statement and returns its SQLSTATE, empty where it went well.
+func try(c *pgx.Conn, sql string, args ...any) string {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := c.Exec(ctx, sql, args...)
+	return state(err)
+}
+
+func state(err error) string {
+	var pe *pgconn.PgError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &pe):
+		return pe.Code
+	}
+	return "broken: " + err.Error()
+}
+
+// rows counts a query's rows.
+func (w *pooledWorld) rows(c *pgx.Conn, sql string, args ...any) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := c.Query(ctx, sql, args...)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Close()
+	n := 0
+	for r.Next() {
+		n++
+	}
+	return n, r.Err()
+}
