Tell the figures on a sheet, and to Prometheus by its own library

Need: ten functions printed the door's lines by hand, each in its own way, and operators' scrapers could not read them. A property test reads any name back by the library's parser.

--- a/cmd/beechgrade/agreed.go
+++ b/cmd/beechgrade/agreed.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
 	"beechgrade/internal/peers/agreed/joined"
@@ -219,22 +220,33 @@
 	l.part.Propose(number, append([]byte{agreed.OfTally}, tally.Entry(l.name, number, 0)...))
 }
 
-// appendAgreed prints the log's figures, where there is one.
-func (p *pooler) appendAgreed(dst []byte) []byte {
+// tellAgreed tells the log's figures, where there is one.
+func (p *pooler) tellAgreed(s *sheet.Sheet) {
 	if p.agreed == nil {
-		return dst
-	}
-	l := p.agreed
-	s, c := l.part.Standing(), l.part.Counts()
-	flag := map[bool]uint64{true: 1}
-	for _, f := range []struct {
-		name string
-		n    uint64
-	}{{"part", flag[s.Part]}, {"leads", flag[s.Leads]}, {"broke", flag[c.Broke != ""]}, {"changes", flag[s.Changes]}, {"term", s.Term}, {"last", s.Last}, {"commit", s.Commit},
-		{"applied", s.Applied}, {"first", s.First}, {"bytes", uint64(s.Bytes)}, {"writing", uint64(s.Pending)}, {"forwarded", uint64(s.Waiting)}, {"sent", c.Sent},
-		{"sent_bytes", c.Bytes}, {"streams", c.Streams}, {"writes", c.Writes}, {"dropped", c.Dropped}, {"taken", l.tally.Taken}, {"again", l.tally.Again}, {"sum", l.tally.Sum},
-		{"tried", max(1, l.next) - 1}, {"unheard", uint64(len(l.waiting))}} {
-		dst = fmt.Appendf(dst, "app.agreed.%s=%d\n", f.name, f.n)
+		return
 	}
-	return dst
+	l, log := p.agreed, s.Part("agreed")
+	now, n := l.part.Standing(), l.part.Counts()
+	log.Flag("part", now.Part)
+	log.Flag("leads", now.Leads)
+	log.Flag("broke", n.Broke != "")
+	log.Flag("changes", now.Changes)
+	log.Whole("term", int64(now.Term))
+	log.Whole("last", int64(now.Last))
+	log.Whole("commit", int64(now.Commit))
+	log.Whole("applied", int64(now.Applied))
+	log.Whole("first", int64(now.First))
+	log.Whole("bytes", int64(now.Bytes))
+	log.Whole("writing", int64(now.Pending))
+	log.Whole("forwarded", int64(now.Waiting))
+	log.Count("sent", n.Sent)
+	log.Count("sent_bytes", n.Bytes)
+	log.Count("streams", n.Streams)
+	log.Count("writes", n.Writes)
+	log.Count("dropped", n.Dropped)
+	log.Count("taken", l.tally.Taken)
+	log.Count("again", l.tally.Again)
+	log.Count("sum", l.tally.Sum)
+	log.Count("tried", max(1, l.next)-1)
+	log.Whole("unheard", int64(len(l.waiting)))
 }
--- a/cmd/beechgrade/credit.go
+++ b/cmd/beechgrade/credit.go
@@ -12,6 +12,7 @@
 	jsoniter "github.com/json-iterator/go"
 	"golang.org/x/sys/unix"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
 	"beechgrade/internal/peers/credit"
@@ -304,17 +305,21 @@
 	x.p.log.Info("credit: ends", "spent", x.spent, "refused", x.refused, "waited", x.waited)
 }
 
-// appendCredit prints how credit stands, where there is any.
-func (p *pooler) appendCredit(dst []byte) []byte {
+// tellCredit tells how credit stands, where there is any.
+func (p *pooler) tellCredit(s *sheet.Sheet) {
 	if p.credit == nil {
-		return dst
+		return
 	}
-	x := p.credit
+	x, all := p.credit, s.Part("credit")
 	free, held := int64(0), int64(0)
-	for _, s := range x.credit.Standings() {
-		free, held = free+s.Free, held+s.Held
+	for _, a := range x.credit.Standings() {
+		free, held = free+a.Free, held+a.Held
 	}
-	dst = fmt.Appendf(dst, "app.credit.spent=%d\napp.credit.free=%d\napp.credit.held=%d\napp.credit.refused=%d\napp.credit.waited=%d\n", x.spent, free, held, x.refused, x.waited)
+	all.Whole("spent", x.spent)
+	all.Whole("free", free)
+	all.Whole("held", held)
+	all.Count("refused", x.refused)
+	all.Count("waited", x.waited)
 	if b := x.credit.Books(); b != nil {
 		var paid, left, lent, stranded, spent int64
 		for _, n := range b.Tenants() {
@@ -322,8 +327,13 @@
 			paid, left, lent, stranded, spent = paid+t.Paid, left+t.Balance, lent+t.Lent, stranded+t.Stranded, spent+t.Spent
 		}
 		tenants, accounts := b.Size()
-		dst = fmt.Appendf(dst, "app.credit.books.paid=%d\napp.credit.books.balance=%d\napp.credit.books.lent=%d\napp.credit.books.stranded=%d\napp.credit.books.spent=%d\n"+
-			"app.credit.books.tenants=%d\napp.credit.books.accounts=%d\n", paid, left, lent, stranded, spent, tenants, accounts)
+		books := s.Part("credit.books")
+		books.Whole("paid", paid)
+		books.Whole("balance", left)
+		books.Whole("lent", lent)
+		books.Whole("stranded", stranded)
+		books.Whole("spent", spent)
+		books.Whole("tenants", int64(tenants))
+		books.Whole("accounts", int64(accounts))
 	}
-	return dst
 }
--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -78,6 +78,18 @@
 	refused.send([]byte(strings.Replace(string(query("5", "read", 9000)), "cluster=0", "cluster=7", 1))) // no such group
 	refused.want("EZ 53300")
 	settle(t, door, map[string]string{listed: "1", "upstream_tries": "5", "handled.read.passed": "2", "handled.read.dropped": "1", "handled.write.bad_gateway": "1"})
+
+	// The same for Prometheus.
+	text := call(t, door, "GET", "/-/prometheus")
+	for _, want := range []string{"200 # TYPE app_handled_class_passed_total counter\n", "\napp_upstream_tries_total 5\n", "\napp_handled_class_passed_total{class=\"read\"} 2\n",
+		"\napp_handled_class_bad_gateway_total{class=\"write\"} 1\n", "\napp_known_database_servers 1\n"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	if got := call(t, door, "POST", "/-/prometheus"); !strings.HasPrefix(got, "405 ") {
+		t.Errorf("a wrong method: %.60q", got)
+	}
 }
 
 // TestFiguresOfCopies: a read that many later ones overtook is copied; both attempts count, and the request once.
--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -1,8 +1,7 @@
 package main
 
 import (
-	"fmt"
-
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/operate"
 )
@@ -49,11 +48,13 @@
 	}
 }
 
-// appendInvariants prints the figures of statements, where any are checked.
-func (p *pooler) appendInvariants(dst []byte) []byte {
+// tellInvariants tells the figures of statements, where any are checked.
+func (p *pooler) tellInvariants(s *sheet.Sheet) {
 	if !p.countsChecks {
-		return dst
+		return
 	}
 	made, broken := p.checks.Counts()
-	return fmt.Appendf(dst, "app.invariants.checked=%d\napp.invariants.broken=%d\n", made, broken)
+	invariants := s.Part("invariants")
+	invariants.Count("checked", uint64(made))
+	invariants.Count("broken", uint64(broken))
 }
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -9,6 +9,7 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/control"
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record/recordpb"
@@ -91,22 +92,27 @@
 // Call is control.Desk's.
 func (d desk) Call(method, path string) control.Answer {
 	p := d.p
-	if path == "/-/metrics" && method == http.MethodGet {
-		b := p.core.AppendFigures(nil)
-		for _, more := range []func([]byte) []byte{p.appendPeers, p.appendLimits, p.appendInvariants, p.appendScatter, p.appendAgreed, p.appendCredit, p.appendOverload,
-			p.appendVerdicts, p.appendZones} {
-			b = more(b)
+	if method == http.MethodGet {
+		switch path {
+		case "/-/metrics":
+			return control.Answer{Status: http.StatusOK, Body: p.figures().AppendLines(nil)}
+		case "/-/prometheus":
+			b, err := p.figures().Text()
+			if err != nil {
+				return control.Answer{Status: http.StatusInternalServerError, Body: []byte(err.Error() + "\n")}
+			}
+			return control.Answer{Status: http.StatusOK, Type: sheet.TextType, Body: b}
 		}
-		return control.Answer{Status: http.StatusOK, Body: b}
 	}
 	calls := map[string]struct {
 		method string
 		do     func() bool
 	}{
-		"/-/metrics": {method: http.MethodGet},
-		"/-/ready":   {http.MethodGet, p.life.Serves},
-		"/-/drain":   {http.MethodPost, func() bool { return p.live(lifecycle.Drain) }},
-		"/-/resume":  {http.MethodPost, func() bool { return p.live(lifecycle.Resume) }},
+		"/-/metrics":    {method: http.MethodGet},
+		"/-/prometheus": {method: http.MethodGet},
+		"/-/ready":      {http.MethodGet, p.life.Serves},
+		"/-/drain":      {http.MethodPost, func() bool { return p.live(lifecycle.Drain) }},
+		"/-/resume":     {http.MethodPost, func() bool { return p.live(lifecycle.Resume) }},
 	}
 	c, ok := calls[path]
 	switch {
@@ -122,6 +128,16 @@
 	return control.Answer{Status: http.StatusConflict, Body: []byte(p.life.State().String() + "\n")}
 }
 
+// figures are all that the process tells of itself.
+func (p *pooler) figures() *sheet.Sheet {
+	s := &sheet.Sheet{}
+	for _, tell := range []func(*sheet.Sheet){p.core.Tell, p.tellPeers, p.tellLimits, p.tellInvariants, p.tellScatter, p.tellAgreed, p.tellCredit, p.tellOverload,
+		p.tellVerdicts, p.tellZones} {
+		tell(s)
+	}
+	return s
+}
+
 // live takes an event of the pooler's life, does what follows from it, and tells whether it could be followed.
 func (p *pooler) live(e lifecycle.Event) bool {
 	was := p.life.State()
--- a/cmd/beechgrade/limits.go
+++ b/cmd/beechgrade/limits.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"beechgrade/internal/clickhouse/limits"
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/record/recordpb"
@@ -190,18 +191,16 @@
 	return &quota.Settings{Expect: expect}
 }
 
-// appendLimits prints how the fleet's limits stand here.
-func (p *pooler) appendLimits(dst []byte) []byte {
+// tellLimits tells how the fleet's limits stand here.
+func (p *pooler) tellLimits(s *sheet.Sheet) {
 	if p.peers == nil || p.limits == nil {
-		return dst
+		return
 	}
-	for _, s := range p.peers.Standings() {
-		owns := 0
-		if s.Owns {
-			owns = 1
-		}
-		dst = fmt.Appendf(dst, "app.limits.%s.allowed=%g\napp.limits.%s.floor=%g\napp.limits.%s.owns=%d\napp.limits.%s.lent=%g\n", s.Limit.Name, s.Amount, s.Limit.Name, s.Floor,
-			s.Limit.Name, owns, s.Limit.Name, s.Lent)
+	for _, l := range p.peers.Standings() {
+		of := s.Part("limits").Of("limit", l.Limit.Name)
+		of.Level("allowed", l.Amount)
+		of.Level("floor", l.Floor)
+		of.Flag("owns", l.Owns)
+		of.Level("lent", l.Lent)
 	}
-	return dst
 }
--- a/cmd/beechgrade/overload.go
+++ b/cmd/beechgrade/overload.go
@@ -1,8 +1,9 @@
 package main
 
 import (
-	"fmt"
+	"strconv"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/loop"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
@@ -35,13 +36,15 @@
 	p.over = j
 }
 
-// appendOverload prints how groups stand, where overload is handled together.
-func (p *pooler) appendOverload(dst []byte) []byte {
+// tellOverload tells how groups stand, where overload is handled together.
+func (p *pooler) tellOverload(s *sheet.Sheet) {
 	if p.over == nil {
-		return dst
+		return
 	}
-	for _, s := range p.over.Standings() {
-		dst = fmt.Appendf(dst, "app.overload.%d.level=%g\napp.overload.%d.of=%d\napp.overload.%d.answers=%d\n", s.Group, s.Level, s.Group, s.Cells, s.Group, s.Answers)
+	for _, g := range p.over.Standings() {
+		of := s.Part("overload").Of("group", strconv.Itoa(int(g.Group)))
+		of.Level("level", g.Level)
+		of.Whole("of", int64(g.Cells))
+		of.Whole("answers", int64(g.Answers))
 	}
-	return dst
 }
--- a/cmd/beechgrade/peers.go
+++ b/cmd/beechgrade/peers.go
@@ -7,6 +7,7 @@
 
 	"beechgrade/internal/clickhouse/limits"
 	"beechgrade/internal/clock"
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
 	"beechgrade/internal/peers/view"
@@ -67,18 +68,18 @@
 	f.p.core.Note(recordpb.Kind_KIND_PEER, fmt.Sprintf("%s %x %s: %s, was %s", r.Name, uint64(r.ID), r.Zone, r.State, was))
 }
 
-// appendPeers prints the fleet's figures, where there is one.
-func (p *pooler) appendPeers(dst []byte) []byte {
+// tellPeers tells the fleet's figures, where there is one.
+func (p *pooler) tellPeers(s *sheet.Sheet) {
 	if p.peers == nil {
-		return dst
-	}
-	c, s := p.peers.Counts(), p.peers.Stats()
-	for _, f := range []struct {
-		name string
-		n    uint64
-	}{{"reachable", uint64(c.Reachable)}, {"sending", uint64(c.Sending)}, {"datagrams_in", s.In}, {"datagrams_out", s.Out}, {"dropped", s.Dropped},
-		{"overrun", s.Overrun}, {"exchanges", s.Exchanges}, {"exchanges_failed", s.Fails}} {
-		dst = fmt.Appendf(dst, "app.peers.%s=%d\n", f.name, f.n)
+		return
 	}
-	return dst
+	peers, c, n := s.Part("peers"), p.peers.Counts(), p.peers.Stats()
+	peers.Whole("reachable", int64(c.Reachable))
+	peers.Whole("sending", int64(c.Sending))
+	peers.Count("datagrams_in", n.In)
+	peers.Count("datagrams_out", n.Out)
+	peers.Count("dropped", n.Dropped)
+	peers.Count("overrun", n.Overrun)
+	peers.Count("exchanges", n.Exchanges)
+	peers.Count("exchanges_failed", n.Fails)
 }
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/operate"
@@ -119,12 +120,13 @@
 	if p.limits != nil {
 		t.Error("there are limits of the whole fleet")
 	}
-	if got := string(p.appendLimits(p.appendPeers(nil))); got != "" {
-		t.Errorf("figures %q", got)
-	}
-	if n := testing.AllocsPerRun(100, func() { p.appendLimits(p.appendPeers(nil)); p.core.Expire() }); n != 0 {
+	told := &sheet.Sheet{}
+	if n := testing.AllocsPerRun(100, func() { p.tellPeers(told); p.tellLimits(told); p.core.Expire() }); n != 0 {
 		t.Errorf("%v allocations", n)
 	}
+	if got := string(told.AppendLines(nil)); got != "" {
+		t.Errorf("figures %q", got)
+	}
 }
 
 // peerRoutines is how many goroutines are in the peers' code.
--- a/cmd/beechgrade/scatter.go
+++ b/cmd/beechgrade/scatter.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/fronts/scatter"
 	"beechgrade/internal/fronts/scatter/cursor"
 	"beechgrade/internal/operate"
@@ -32,10 +33,9 @@
 	return n
 }
 
-// appendScatter prints the scattered reads' figures, where there are any.
-func (p *pooler) appendScatter(dst []byte) []byte {
-	if p.scatter == nil {
-		return dst
+// tellScatter tells the scattered reads' figures, where there are any.
+func (p *pooler) tellScatter(s *sheet.Sheet) {
+	if p.scatter != nil {
+		p.scatter.Figures(s)
 	}
-	return p.scatter.AppendFigures(dst)
 }
--- a/cmd/beechgrade/verdicts.go
+++ b/cmd/beechgrade/verdicts.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"math"
+	"strconv"
+	"strings"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/verdicts/joined"
 )
@@ -17,20 +21,21 @@
 	p.peers.Join(p.judged)
 }
 
-// appendVerdicts prints why servers are avoided, by whose word, and until when.
-func (p *pooler) appendVerdicts(dst []byte) []byte {
+// tellVerdicts tells why servers are avoided, by whose word, and until when.
+func (p *pooler) tellVerdicts(s *sheet.Sheet) {
 	if p.judged == nil {
-		return dst
+		return
 	}
-	for _, s := range p.judged.Avoided() {
-		dst = fmt.Appendf(dst, "app.verdicts.%s.until=%.0f\napp.verdicts.%s.why=%s\napp.verdicts.%s.by=", s.Server, s.Until, s.Server, s.Why, s.Server)
-		for i, id := range s.By {
-			if i > 0 {
-				dst = append(dst, ',')
-			}
-			dst = fmt.Appendf(dst, "%x", uint64(id))
+	verdicts := s.Part("verdicts")
+	for _, v := range p.judged.Avoided() {
+		of := verdicts.Of("server", v.Server)
+		of.Whole("until", int64(math.RoundToEven(v.Until)))
+		of.Word("why", fmt.Sprint(v.Why))
+		by := make([]string, len(v.By))
+		for i, id := range v.By {
+			by[i] = strconv.FormatUint(uint64(id), 16)
 		}
-		dst = append(dst, '\n')
+		of.Word("by", strings.Join(by, ","))
 	}
-	return fmt.Appendf(dst, "app.verdicts.own_links=%d\n", p.judged.Lonely())
+	verdicts.Whole("own_links", int64(p.judged.Lonely()))
 }
--- a/cmd/beechgrade/zones.go
+++ b/cmd/beechgrade/zones.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
 	"beechgrade/internal/peers/zones/joined"
@@ -144,21 +145,28 @@
 	z.p.log.Info("zones: orders read again", "orders", len(set.Order))
 }
 
-// appendZones prints how zones stand, where they are decided together.
-func (p *pooler) appendZones(dst []byte) []byte {
+// tellZones tells how zones stand, where they are decided together.
+func (p *pooler) tellZones(s *sheet.Sheet) {
 	if p.zones == nil {
-		return dst
+		return
 	}
-	z := p.zones
-	s, plan := z.j.Standing()
-	c := z.j.Counts()
-	dst = fmt.Appendf(dst, "app.zones.plans=%d\napp.zones.shifts=%d\napp.zones.fallbacks=%d\napp.zones.why=%d\napp.zones.near=%d\n", c.Plans, c.Shifts, c.Fallbacks, s.Why, s.Zone)
+	z, zones := p.zones, s.Part("zones")
+	now, plan := z.j.Standing()
+	n := z.j.Counts()
+	zones.Count("plans", n.Plans)
+	zones.Count("shifts", n.Shifts)
+	zones.Count("fallbacks", n.Fallbacks)
+	zones.Whole("why", int64(now.Why))
+	zones.Whole("near", int64(now.Zone))
 	if plan == nil {
-		return dst
+		return
 	}
-	dst = fmt.Appendf(dst, "app.zones.plan=%d\napp.zones.short=%g\napp.zones.most=%g\n", plan.No, plan.Short, plan.Most)
+	zones.Whole("plan", int64(plan.No))
+	zones.Level("short", plan.Short)
+	zones.Level("most", plan.Most)
 	for i, m := range plan.Zones {
-		dst = fmt.Appendf(dst, "app.zones.%s.state=%d\napp.zones.%s.near=%g\n", z.set.Zones[i], m.State, z.set.Zones[i], plan.Matrix[i][i])
+		zone := zones.Of("zone", z.set.Zones[i])
+		zone.Whole("state", int64(m.State))
+		zone.Level("near", plan.Matrix[i][i])
 	}
-	return dst
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -264,12 +264,6 @@
 // Figures are the process's.
 func (c *Core) Figures() *figures.Figures { return &c.figures }
 
-// AppendFigures prints them.
-func (c *Core) AppendFigures(dst []byte) []byte {
-	listed, avoided := c.router.Survey()
-	return c.figures.Append(dst, listed, avoided)
-}
-
 // flow is a request's answer on its way past the core.
 type flow struct {
 	backend.Flow
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -1,10 +1,11 @@
-// Package figures counts what the pooler does, where the core sees a request or an attempt begin and end, and prints it as
-// lines of a name and a number. It does no I/O.
+// Package figures counts what the pooler does, where the core sees a request or an attempt begin and end, and tells it on a
+// sheet. It does no I/O.
 package figures
 
 import (
 	"slices"
-	"strconv"
+
+	"beechgrade/internal/figures/sheet"
 )
 
 // End is how a request ended.
@@ -49,25 +50,19 @@
 	return f.classes[i]
 }
 
-// Append prints the figures, with the servers that are listed and those of them that are avoided.
-func (f *Figures) Append(dst []byte, listed, avoided int) []byte {
-	line := func(n uint64, name ...string) {
-		dst = append(dst, "app"...)
-		for _, s := range name {
-			dst = append(append(dst, '.'), s...)
-		}
-		dst = append(strconv.AppendUint(append(dst, '='), n, 10), '\n')
-	}
+// Tell tells the figures, with the servers that are listed and those of them that are avoided.
+func (f *Figures) Tell(s *sheet.Sheet, listed, avoided int) {
 	for _, c := range f.classes {
-		for e, s := range names {
-			line(c.ended[e], "handled", c.name, s)
+		of := s.Part("handled").Of("class", c.name)
+		for e, name := range names {
+			of.Count(name, c.ended[e])
 		}
 	}
-	line(f.Tries, "upstream_tries")
-	line(uint64(f.Open), "in_progress")
-	line(uint64(listed), "known_database_servers")
-	line(uint64(avoided), "skipped_database_servers")
-	line(f.Loads, "loads")
-	line(f.LoadErrors, "load_errors")
-	return dst
+	all := s.Part("")
+	all.Count("upstream_tries", f.Tries)
+	all.Whole("in_progress", int64(f.Open))
+	all.Whole("known_database_servers", int64(listed))
+	all.Whole("skipped_database_servers", int64(avoided))
+	all.Count("loads", f.Loads)
+	all.Count("load_errors", f.LoadErrors)
 }
--- /dev/null
+++ b/internal/figures/sheet/sheet_test.go
@@ -0,0 +1,147 @@
+package sheet
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"pgregory.net/rapid"
+)
+
+// read parses the text form as a reader of its own does: each line's family, labels and value.
+func read(t interface{ Fatal(...any) }, text []byte) map[string]float64 {
+	p := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := p.TextToMetricFamilies(bytes.NewReader(text))
+	if err != nil {
+		t.Fatal(err, string(text))
+	}
+	out := map[string]float64{}
+	for name, f := range families {
+		for _, m := range f.Metric {
+			id := name
+			for _, l := range m.Label {
+				id += fmt.Sprintf(" %s=%q", l.GetName(), l.GetValue())
+			}
+			if _, twice := out[id]; twice {
+				t.Fatal("twice", id)
+			}
+			if out[id] = m.GetGauge().GetValue(); f.GetType() == dto.MetricType_COUNTER {
+				out[id] = m.GetCounter().GetValue()
+			}
+		}
+	}
+	return out
+}
+
+// TestForms: one sheet in both forms; lines of one family stand together in the text however they came.
+func TestForms(t *testing.T) {
+	t.Parallel()
+	var s Sheet
+	s.Part("").Count("upstream_tries", math.MaxUint64)
+	for _, c := range []string{"read", "write"} {
+		s.Part("handled").Of("class", c).Count("passed", 3)
+		s.Part("handled").Of("class", c).Count("dropped", 0)
+	}
+	s.Part("credit.books").Whole("paid", -2)
+	s.Part("zones").Level("short", 1e6)
+	s.Part("zones").Of("zone", "a").Flag("near", true)
+	s.Part("verdicts").Of("server", "s1").Word("why", "silent")
+	lines := `app.upstream_tries=18446744073709551615
+app.handled.read.passed=3
+app.handled.read.dropped=0
+app.handled.write.passed=3
+app.handled.write.dropped=0
+app.credit.books.paid=-2
+app.zones.short=1e+06
+app.zones.a.near=1
+app.verdicts.s1.why=silent
+`
+	if d := cmp.Diff(lines, string(s.AppendLines(nil))); d != "" {
+		t.Error(d)
+	}
+	text, err := s.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := `# TYPE app_upstream_tries_total counter
+app_upstream_tries_total 1.8446744073709552e+19
+# TYPE app_handled_class_passed_total counter
+app_handled_class_passed_total{class="read"} 3
+app_handled_class_passed_total{class="write"} 3
+# TYPE app_handled_class_dropped_total counter
+app_handled_class_dropped_total{class="read"} 0
+app_handled_class_dropped_total{class="write"} 0
+# TYPE app_credit_books_paid gauge
+app_credit_books_paid -2
+# TYPE app_zones_short gauge
+app_zones_short 1e+06
+# TYPE app_zones_zone_near gauge
+app_zones_zone_near{zone="a"} 1
+# TYPE app_verdicts_server_why gauge
+app_verdicts_server_why{server="s1",is="silent"} 1
+`
+	if d := cmp.Diff(want, string(text)); d != "" {
+		t.Error(d)
+	}
+}
+
+// TestTextHoldsAnyName: whatever a class, a limit or a server is called, quotes, line ends and bytes that are no text included, a
+// reader finds each figure once, with its value.
+func TestTextHoldsAnyName(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var s Sheet
+		want := map[string]float64{}
+		names := rapid.SliceOfNDistinct(rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"\xff", "a\"b\\", "x\ny", "", "{}=1"})), 0, 8,
+			func(n string) string { return strings.ToValidUTF8(n, "\uFFFD") }).Draw(t, "names")
+		for _, n := range names {
+			x := rapid.Float64().Draw(t, "x")
+			s.Part("limits").Of("limit", n).Level("lent", x)
+			s.Part("limits").Of("limit", n).Word("why", n)
+			n = strings.ToValidUTF8(n, "\uFFFD")
+			want[fmt.Sprintf("app_limits_limit_lent limit=%q", n)] = x
+			want[fmt.Sprintf("app_limits_limit_why limit=%q is=%q", n, n)] = 1
+		}
+		text, err := s.Text()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, read(t, text)); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// BenchmarkForms measures a sheet of 60 figures in each form.
+func BenchmarkForms(b *testing.B) {
+	fill := func() *Sheet {
+		s := &Sheet{}
+		for i := range 20 {
+			of := s.Part("handled").Of("class", fmt.Sprint(i))
+			of.Count("passed", 1e6)
+			of.Count("dropped", 17)
+			of.Count("bad_gateway", 0)
+		}
+		return s
+	}
+	b.Run("lines", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			fill().AppendLines(nil)
+		}
+	})
+	b.Run("text", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := fill().Text(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/fronts/scatter/front.go
+++ b/internal/fronts/scatter/front.go
@@ -11,12 +11,12 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/front"
 	"beechgrade/internal/fronts/scatter/cursor"
 	"beechgrade/internal/fronts/scatter/merge"
@@ -278,19 +278,19 @@
 	return decide.RoleUnknown
 }
 
-// AppendFigures prints what was done.
-func (f *Front) AppendFigures(dst []byte) []byte {
-	c := f.Counts
-	var b strings.Builder
+// Figures tells what was done.
+func (f *Front) Figures(s *sheet.Sheet) {
+	c, scatter := f.Counts, s.Part("scatter")
 	for _, x := range []struct {
 		name string
 		n    uint64
 	}{{"pages", c.Pages}, {"served", c.Served}, {"refused", c.Refused}, {"failed", c.Failed}, {"gone", c.Gone}, {"rows", c.Rows}, {"asked", c.Asked},
-		{"asked_again", c.Again}, {"shards_missing", c.Missing}, {"cancels", c.Cancels}, {"cursors_refused", c.Cursors}, {"running", uint64(len(f.running))},
-		{"held_bytes", uint64(f.Held())}, {"connections", uint64(f.conns)}} {
-		fmt.Fprintf(&b, "app.scatter.%s=%d\n", x.name, x.n)
+		{"asked_again", c.Again}, {"shards_missing", c.Missing}, {"cancels", c.Cancels}, {"cursors_refused", c.Cursors}} {
+		scatter.Count(x.name, x.n)
 	}
-	return append(dst, b.String()...)
+	scatter.Whole("running", int64(len(f.running)))
+	scatter.Whole("held_bytes", int64(f.Held()))
+	scatter.Whole("connections", int64(f.conns))
 }
 
 // Bound is the bound of what is held for one page of a scatter.
