Have the stories of upgrades wait for their processes' ends

Cause: TestDrainHeardByOne failed once in 179 s of the whole package on a busy machine, as its folder was removed while a process that was told to end still wrote its state there. Change: each process's end is waited for before the folder goes. Result: the daemon is not at fault and not changed.

--- a/cmd/beechgrade/upgrade_test.go
+++ b/cmd/beechgrade/upgrade_test.go
@@ -81,7 +81,15 @@
 	}), slog.New(slog.DiscardHandler))
 	give(u.t, p, u.ln)
 	p.inheritKnown(u.dir)
-	launch(u.t, p)
+	var ended <-chan error
+	u.t.Cleanup(func() { // behind launch's own, which tells it to end: it writes into the folder until it has
+		select {
+		case <-ended:
+		case <-time.After(patience):
+			u.t.Error("it does not end")
+		}
+	})
+	_, _, _, ended = launch(u.t, p)
 	u.until("ready", p, func() bool { return p.life.Serves() })
 	return p
 }
