Show differences of rows, words and events by go-cmp where tests compared by hand

Need: a failed comparison printed two lists of up to 1000 rows, or only their lengths. Change: cmp.Diff in the tests of scattered reads, of merging, of lent words and of the simulator's wire. Result: the same comparisons; what differs is shown.

--- a/cmd/beechgrade-kit/scatter_test.go
+++ b/cmd/beechgrade-kit/scatter_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"beechgrade/internal/kit/fair"
@@ -178,8 +179,8 @@
 			break
 		}
 	}
-	if want := r.want(); !slices.Equal(got, want) {
-		t.Errorf("%d rows in %d pages\n got %v\nwant %v", len(got), pages, got, want)
+	if diff := cmp.Diff(r.want(), got); diff != "" {
+		t.Errorf("%d rows in %d pages %s", len(got), pages, diff)
 	}
 }
 
@@ -313,8 +314,8 @@
 		}
 		got, cursor, longest = append(got, ids...), next, max(longest, len(next))
 	}
-	if want := r.want(); !slices.Equal(got, want) {
-		t.Errorf("%d rows of %d", len(got), len(want))
+	if diff := cmp.Diff(r.want(), got); diff != "" {
+		t.Errorf("%d rows %s", len(got), diff)
 	}
 	t.Logf("%d rows in pages of 7: %s; a cursor has %d characters at most", len(got), time.Since(began).Round(time.Millisecond), longest)
 }
@@ -348,8 +349,8 @@
 	if err != nil || next != "" {
 		t.Errorf("%q, %v", next, err)
 	}
-	if got, want := slices.Concat(first, second, rest), r.want(); !slices.Equal(got, want) {
-		t.Errorf(" got %v\nwant %v", got, want)
+	if diff := cmp.Diff(r.want(), slices.Concat(first, second, rest)); diff != "" {
+		t.Error(diff)
 	}
 }
 
--- a/cmd/beechgrade/scatter_test.go
+++ b/cmd/beechgrade/scatter_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -203,8 +204,8 @@
 	w := scatterPooler(t, "(whole)")
 	want := sortedIDs(visits(w.fleet, 60))
 	for _, n := range []int{7, 50, 240, 1000} {
-		if got := w.reader().all(t, n); !slices.Equal(got, want) {
-			t.Fatalf("pages of %d: %d rows\n got %v\nwant %v", n, len(got), got, want)
+		if diff := cmp.Diff(want, w.reader().all(t, n)); diff != "" {
+			t.Fatalf("pages of %d: %s", n, diff)
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -230,8 +231,8 @@
 				break
 			}
 		}
-		if !slices.Equal(got, want) {
-			t.Errorf("%v: %v", mode, got)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%v: %s", mode, diff)
 		}
 	}
 	if n := w.on(func() int { return w.pool.scatter.Running() }); n != 0 {
@@ -319,8 +320,8 @@
 	})
 	r := w.reader()
 	got, err := r.page(40, "")
-	if err != nil || !slices.Equal(got, want) {
-		t.Fatalf("%v\n got %v\nwant %v", err, got, want)
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Fatalf("%v %s", err, diff)
 	}
 	within(t, "nothing runs any more", func() bool { _, running, _, _ := w.fleet.Reads(); return running == 0 })
 	reads, _, _, hits := w.fleet.Reads()
@@ -357,8 +358,8 @@
 			return fleet.Manner{}
 		})
 		got, err := w.reader().page(240, "")
-		if err != nil || !slices.Equal(got, want) {
-			t.Fatalf("%v: %v\n got %v\nwant %v", effect, err, got, want)
+		if diff := cmp.Diff(want, got); err != nil || diff != "" {
+			t.Fatalf("%v: %v %s", effect, err, diff)
 		}
 		if len(asked) != 4 || asked["s-0-"] < 2 {
 			t.Errorf("nobody broke off: %v", asked)
@@ -387,8 +388,9 @@
 		w.fleet.Asked(nil)
 		got = append(got, r.all(t, 40)...)
 		slices.Sort(got)
-		if slices.Sort(want); !slices.Equal(got, want) {
-			t.Errorf("%d rows of %d", len(got), len(want))
+		slices.Sort(want)
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%d rows of %d: %s", len(got), len(want), diff)
 		}
 	}
 }
--- a/internal/fronts/scatter/merge/merge_test.go
+++ b/internal/fronts/scatter/merge/merge_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	gocmp "github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -246,8 +247,8 @@
 		for _, r := range all {
 			want = append(want, r.text)
 		}
-		if !slices.Equal(got, want) || !m.Done() || m.Held() != 0 {
-			t.Fatalf("got %v\nwant %v, done %v, %d held", got, want, m.Done(), m.Held())
+		if diff := gocmp.Diff(want, got); diff != "" || !m.Done() || m.Held() != 0 {
+			t.Fatalf("done %v, %d held %s", m.Done(), m.Held(), diff)
 		}
 	})
 }
--- a/internal/peers/overload/lend/lend_test.go
+++ b/internal/peers/overload/lend/lend_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"math"
-	"reflect"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"beechgrade/internal/invariant"
@@ -223,8 +223,9 @@
 		}), 1, Block).Draw(rt, "items")
 		g := &Give{rapid.Uint32().Draw(rt, "seq"), items}
 		b := g.Append(nil)
-		if m, err := Read(b); err != nil || !reflect.DeepEqual(m, g) || len(b) > 100 {
-			rt.Fatalf("%d bytes of %+v read as %+v, %v", len(b), g, m, err)
+		m, err := Read(b)
+		if diff := cmp.Diff(any(g), any(m)); err != nil || diff != "" || len(b) > 100 {
+			rt.Fatalf("%d bytes: %v %s", len(b), err, diff)
 		}
 		if m, err := Read(b[:rapid.IntRange(0, len(b)-1).Draw(rt, "cut")]); err == nil {
 			rt.Fatalf("a part of it read as %+v", m)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,11 +3,12 @@
 import (
 	"errors"
 	"io"
-	"reflect"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"beechgrade/internal/decide"
 )
 
@@ -67,8 +68,9 @@
 		&decide.Timer{Tag: -77},
 	}
 	for i, w := range want {
-		if got := b.Items[i+1]; got.Front != 3 || !reflect.DeepEqual(got.Event, w) {
-			t.Errorf("event %d:\n got %+v\nwant %+v", i, got.Event, w)
+		got := b.Items[i+1]
+		if diff := cmp.Diff(w, got.Event); diff != "" || got.Front != 3 {
+			t.Errorf("event %d at %d: %s", i, got.Front, diff)
 		}
 	}
 	if b.Items[10].Kind != Stop {
