Give what a Bind holds a module of its own, with a property test

Need: reading and writing a Bind's rest was a pure part among the scattered reads' connections, and only tried through them. Change: internal/fronts/scatter/bind, moved as it was; its test writes messages by the protocol's page.

--- a/internal/fronts/scatter/bind.go
+++ b/internal/fronts/scatter/bind/bind.go
@@ -1,4 +1,7 @@
-package scatter
+// Package bind reads what a Bind message has behind its names, and writes it again with more values behind the client's own. It is
+// told bytes and tells bytes; it knows no connection, nor what a value means. It takes 1000 parameters at most and copies what it keeps,
+// so it holds as much as the message it was told.
+package bind
 
 import (
 	"encoding/binary"
@@ -9,18 +12,19 @@
 	"beechgrade/internal/pgwire"
 )
 
-// bind is what a Bind has behind its names.
-type bind struct {
+// Values is what a Bind has behind its names.
+type Values struct {
+	Params  [][]byte // nil for NULL
 	forms   []uint16
-	params  [][]byte
 	results []byte // the forms that are wished for, as they came
 }
 
 const mostParams = 1000
 
-func readBind(b []byte) (x bind, err error) {
+// Read takes a Bind's rest; none, of a simple query, is one without values.
+func Read(b []byte) (x Values, err error) {
 	if b == nil { // a simple query's
-		return bind{results: []byte{0, 0}}, nil
+		return Values{results: []byte{0, 0}}, nil
 	}
 	bad := fmt.Errorf("%w: Bind", pgwire.ErrMalformed)
 	number := func() int {
@@ -49,29 +53,29 @@
 		}
 		size := int32(binary.BigEndian.Uint32(b))
 		if b = b[4:]; size < 0 {
-			x.params = append(x.params, nil)
+			x.Params = append(x.Params, nil)
 			continue
 		}
 		if len(b) < int(size) {
 			return x, bad
 		}
-		x.params, b = append(x.params, slices.Clone(b[:size])), b[size:]
+		x.Params, b = append(x.Params, slices.Clone(b[:size])), b[size:]
 	}
-	if len(b) < 2 || len(b) != 2+2*int(binary.BigEndian.Uint16(b)) || len(x.forms) > 1 && len(x.forms) != len(x.params) {
+	if len(b) < 2 || len(b) != 2+2*int(binary.BigEndian.Uint16(b)) || len(x.forms) > 1 && len(x.forms) != len(x.Params) {
 		return x, bad
 	}
 	x.results = slices.Clone(b)
 	return x, err
 }
 
-// with is the same with more values behind its own, as text.
-func (x *bind) with(vals [][]byte) []byte {
-	n := len(x.params) + len(vals)
+// With is the same with more values behind its own, as text.
+func (x *Values) With(vals [][]byte) []byte {
+	n := len(x.Params) + len(vals)
 	dst := binary.BigEndian.AppendUint16(nil, uint16(n))
 	for i := range n {
 		form := uint16(0)
 		switch {
-		case i >= len(x.params) || len(x.forms) == 0:
+		case i >= len(x.Params) || len(x.forms) == 0:
 		case len(x.forms) == 1:
 			form = x.forms[0]
 		default:
@@ -80,7 +84,7 @@
 		dst = binary.BigEndian.AppendUint16(dst, form)
 	}
 	dst = binary.BigEndian.AppendUint16(dst, uint16(n))
-	for _, v := range append(slices.Clone(x.params), vals...) {
+	for _, v := range append(slices.Clone(x.Params), vals...) {
 		if v == nil {
 			dst = binary.BigEndian.AppendUint32(dst, math.MaxUint32)
 			continue
--- /dev/null
+++ b/internal/fronts/scatter/bind/bind_test.go
@@ -0,0 +1,89 @@
+package bind
+
+import (
+	"encoding/binary"
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/steady"
+)
+
+// whole writes a Bind's rest by the protocol's page: forms, values, wished forms.
+func whole(forms []uint16, vals [][]byte, results []uint16) []byte {
+	list := func(dst []byte, l []uint16) []byte {
+		dst = binary.BigEndian.AppendUint16(dst, uint16(len(l)))
+		for _, x := range l {
+			dst = binary.BigEndian.AppendUint16(dst, x)
+		}
+		return dst
+	}
+	b := binary.BigEndian.AppendUint16(list(nil, forms), uint16(len(vals)))
+	for _, v := range vals {
+		if v == nil {
+			b = binary.BigEndian.AppendUint32(b, math.MaxUint32)
+			continue
+		}
+		b = append(binary.BigEndian.AppendUint32(b, uint32(len(v))), v...)
+	}
+	return list(b, results)
+}
+
+// TestWith: the client's values keep their forms, however those were stated (none, one for all, one each); what is put behind them
+// is text, NULL stays NULL, and a message that is cut or goes on is an error.
+func TestWith(t *testing.T) {
+	t.Parallel()
+	steady.Check(t, func(rt *rapid.T) {
+		value := rapid.OneOf(rapid.Just[[]byte](nil), rapid.SliceOfN(rapid.Byte(), 0, 5))
+		vals := rapid.SliceOfN(value, 0, 4).Draw(rt, "vals")
+		more := rapid.SliceOfN(value, 0, 3).Draw(rt, "more")
+		results := rapid.SliceOfN(rapid.Uint16Range(0, 1), 0, 3).Draw(rt, "results")
+		each := rapid.SliceOfN(rapid.Uint16Range(0, 1), len(vals), len(vals)).Draw(rt, "forms")
+		stated := each
+		switch rapid.IntRange(0, 2).Draw(rt, "stated") {
+		case 0:
+			stated, each = nil, make([]uint16, len(vals))
+		case 1:
+			one := rapid.Uint16Range(0, 1).Draw(rt, "one")
+			stated = []uint16{one}
+			for i := range each {
+				each[i] = one
+			}
+		}
+		b := whole(stated, vals, results)
+		x, err := Read(b)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if diff := cmp.Diff(vals, x.Params, cmpopts.EquateEmpty()); diff != "" {
+			rt.Fatal(diff)
+		}
+		all := append(append([][]byte{}, vals...), more...)
+		if diff := cmp.Diff(whole(append(each, make([]uint16, len(more))...), all, results), x.With(more)); diff != "" {
+			rt.Fatal(diff)
+		}
+		if _, err := Read(b[:rapid.IntRange(0, len(b)-1).Draw(rt, "cut")]); err == nil {
+			rt.Fatal("a part of it was read")
+		}
+		if _, err := Read(append(b, 0)); err == nil {
+			rt.Fatal("something behind it was read over")
+		}
+	})
+}
+
+// TestBounds: many values are refused before they are kept, and a simple query has none.
+func TestBounds(t *testing.T) {
+	t.Parallel()
+	if _, err := Read(whole(nil, make([][]byte, mostParams), nil)); err != nil {
+		t.Error(err)
+	}
+	if _, err := Read(whole(nil, make([][]byte, mostParams+1), nil)); err == nil {
+		t.Error("one too many is taken")
+	}
+	if x, err := Read(nil); err != nil || len(x.Params) != 0 || cmp.Diff(whole(nil, nil, nil), x.With(nil)) != "" {
+		t.Error(x, err)
+	}
+}
--- a/internal/fronts/scatter/link.go
+++ b/internal/fronts/scatter/link.go
@@ -107,7 +107,7 @@
 // ask sends a part's statement, behind what brings the client's settings over.
 func (l *link) ask(p *part) error {
 	s := p.s
-	sql, vals, err := s.asked.Word(&s.spec.Order, &p.a.Place, p.a.Shard, p.a.Limit, len(s.bind.params))
+	sql, vals, err := s.asked.Word(&s.spec.Order, &p.a.Place, p.a.Shard, p.a.Limit, len(s.bind.Params))
 	if err != nil {
 		return err
 	}
@@ -120,7 +120,7 @@
 		l.syncs = func() { s.who.Settings.Synced(l.server) }
 	}
 	out = pgwire.AppendParse(out, "", sql, s.types)
-	out = pgwire.AppendBind(out, "", "", s.bind.with(vals))
+	out = pgwire.AppendBind(out, "", "", s.bind.With(vals))
 	out = append(out, 'D', 0, 0, 0, 6, 'P', 0)
 	out = append(out, 'E', 0, 0, 0, 9, 0, 0, 0, 0, 0)
 	out = append(out, 'S', 0, 0, 0, 4)
--- a/internal/fronts/scatter/scatter.go
+++ b/internal/fronts/scatter/scatter.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"beechgrade/internal/front"
+	"beechgrade/internal/fronts/scatter/bind"
 	"beechgrade/internal/fronts/scatter/cursor"
 	"beechgrade/internal/fronts/scatter/plan"
 	"beechgrade/internal/fronts/scatter/run"
@@ -57,7 +58,7 @@
 	asked  plan.Asked
 	who    Who
 	types  []byte
-	bind   bind
+	bind   bind.Values
 	bound  cursor.Bound
 	due    float64
 	reader Reader
@@ -82,7 +83,7 @@
 	now, spec := f.loop.Now(), &f.opt.Specs[no]
 	s := &Scatter{f: f, spec: spec, no: no, set: spec.Run(), asked: a, who: who, types: types, reader: r}
 	var err error
-	if s.bind, err = readBind(params); err != nil {
+	if s.bind, err = bind.Read(params); err != nil {
 		return nil, err
 	}
 	page := a.Page
@@ -99,14 +100,14 @@
 		return nil, ErrEncoding
 	}
 	text, list := a.Cursor, []string{a.Body, string(types)}
-	for i, p := range s.bind.params {
+	for i, p := range s.bind.Params {
 		if i+1 == a.CursorParam {
 			text = string(p)
 			continue
 		}
 		list = append(list, strconv.Itoa(i), string(p), strconv.FormatBool(p == nil))
 	}
-	if a.CursorParam > len(s.bind.params) {
+	if a.CursorParam > len(s.bind.Params) {
 		return nil, fmt.Errorf("%w: there is no parameter $%d", plan.ErrComment, a.CursorParam)
 	}
 	s.bound = cursor.Bound{Statement: Mark(list...), Reader: Mark(a.Tenant, spec.Class, who.User, who.Database), Order: spec.orderMark, Shards: spec.shardMark}
