--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 
@@ -90,8 +91,11 @@
 type desk struct{ p *pooler }
 
 // Call is control.Desk's.
-func (d desk) Call(method, path string) control.Answer {
+func (d desk) Call(method, path string, query url.Values) control.Answer {
 	p := d.p
+	if path == zonesPath && p.zones != nil {
+		return p.zones.call(method, query)
+	}
 	if method == http.MethodGet {
 		switch path {
 		case "/-/metrics":
