--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -218,7 +218,9 @@
 
 // TestColumnStore: a rehearsal of the ClickHouse front on sockets breaks no rule, puts those that it can to the test, and its
 // records and clients tell every try alike.
-func TestColumnStore(t *testing.T) {
+func TestColumnStore(t *testing.T) { fair.Story(t, testColumnStore) }
+
+func testColumnStore(t testing.TB) {
 	_, v, res, _ := rehearsal(t, `(rehearsal "house" (clickhouse) (seconds 5) (poolers 2) (groups 4) (rate 60) (cold 1s) (class "painel" (aim 3s) (deadline 4s) (bound 4s) (work 2ms 4ms))
 		(class "relatorio-mes" (aim 3s) (deadline 4s) (work 2ms 4ms)) (class "carga" (aim 3s) (deadline 4s) (work 2ms 4ms))
 		(at 1s (hang member 0 0) (for 1s)) (at 2s (drain member 0 1) (for 1500ms)) (at 2500ms (die member 0 2) (for 1s)))`)
@@ -235,7 +237,9 @@
 
 // TestJournalKilled: a pooler is killed under load again and again: each write that ran has an answer that its client heard, or
 // is in the journal; none is there twice; the journal lists what was called off and broken off too.
-func TestJournalKilled(t *testing.T) {
+func TestJournalKilled(t *testing.T) { fair.Story(t, testJournalKilled) }
+
+func testJournalKilled(t testing.TB) {
 	dir, out := t.TempDir(), t.TempDir()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "killed" (seconds 6) (poolers 1) `+strings.Replace(quick, "(rate 60)", "(rate 150)", 1)+` (class "registrar-ponto" (share 0.8)) (at 500ms (kill-pooler 0) (for 60ms) (every 450ms)))`))
 	if err != nil {
@@ -311,7 +315,9 @@
 
 // TestConsulLies: real daemons take their list from stand-ins for Consul that say it wrongly in every way, while a primary dies
 // and another hangs. No rule is broken by what crossed the wires, and the records tell what was said and judged.
-func TestConsulLies(t *testing.T) {
+func TestConsulLies(t *testing.T) { fair.Story(t, testConsulLies) }
+
+func testConsulLies(t testing.TB) {
 	_, _, res, dir := rehearsal(t, `(rehearsal "lies" (seconds 8) (poolers 2) (consul 2) `+quick+`
 		(at 1s (deregister-all) (for 1s)) (at 1500ms (die primary 0) (for 2s)) (at 2500ms (wrong-roles) (for 2s))
 		(at 3s (hang primary 1) (for 2s)) (at 3500ms (reissue member 0 1)) (at 4s (fail-check everyone) (for 1s)) (at 5s (agent 1 cut) (for 1s)) (at 5s (agent 0 frozen) (for 2s))
