Tell of servers that are avoided by others' word in `peers` and the incident view

Operators had to read each pooler's figures to learn why a server was avoided. `beechgrade-kit peers` tells it now, in the answer that poolers give to those who look; records have a kind for it, and the incident summary and report a row for each server. (verdicts ...) of a scenario reaches daemons on sockets. The rule of no blackout knows processes: what befell a server's last one, and was seen of it, counts for nothing 5 s after the next began; so poolers that keep evidence of an old process are caught in virtual time.

--- a/cmd/beechgrade-kit/peers.go
+++ b/cmd/beechgrade-kit/peers.go
@@ -10,12 +10,14 @@
 	"strings"
 	"sync"
 	"text/tabwriter"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 	"github.com/urfave/cli/v3"
 
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers"
+	"beechgrade/internal/peers/part"
 	fleetview "beechgrade/internal/peers/view"
 )
 
@@ -38,6 +40,7 @@
 	Err     string             `json:"error,omitempty"`
 	Counts  fleetview.Counts   `json:"counts"`
 	Records []fleetview.Record `json:"records"`
+	Avoided []part.Avoided     `json:"avoided,omitempty"` // servers, by others' word
 }
 
 // askPeers asks poolers side by side.
@@ -49,15 +52,15 @@
 		go func() {
 			defer wg.Done()
 			out[i] = &asked{Addr: a}
-			records, counts, err := peers.Show(a, key)
+			shown, err := peers.Show(a, key)
 			if err != nil {
 				out[i].Err = err.Error()
 				return
 			}
-			if len(records) > 0 {
-				out[i].Name = records[0].Name
+			if len(shown.Records) > 0 {
+				out[i].Name = shown.Records[0].Name
 			}
-			out[i].Records, out[i].Counts = records, counts
+			out[i].Records, out[i].Counts, out[i].Avoided = shown.Records, shown.Counts, shown.Avoided
 		}()
 	}
 	wg.Wait()
@@ -165,12 +168,31 @@
 				map[bool]string{true: "sees a majority", false: "sees no majority"}[v.Counts.Majority], map[bool]string{true: ", hears nobody"}[v.Counts.Alone])
 		}
 	}
-	if heard == 0 {
+	if avoidedText(w, views); heard == 0 {
 		return failed{errors.New("nobody answers")}
 	}
 	return nil
 }
 
+// avoidedText tells why servers are avoided, by whose word, and until when.
+func avoidedText(w io.Writer, views []*asked) {
+	names := map[fleetview.ID]string{}
+	for _, v := range views {
+		for _, r := range v.Records {
+			names[r.ID] = r.Name
+		}
+	}
+	for _, v := range views {
+		for _, a := range v.Avoided {
+			var by []string
+			for _, id := range a.By {
+				by = append(by, cmp.Or(names[id], fmt.Sprintf("%x", uint64(id))))
+			}
+			fmt.Fprintf(w, "%s avoids %s: %s, by the word of %s, until %s\n", v.Name, a.Server, a.Why, strings.Join(by, " and "), time.UnixMilli(int64(a.Until)).UTC().Format("2006-01-02 15:04:05.000"))
+		}
+	}
+}
+
 func boolFirst(a, b bool) int {
 	switch {
 	case a == b:
--- /dev/null
+++ b/cmd/beechgrade-kit/peers_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"beechgrade/internal/peers/part"
+	fleetview "beechgrade/internal/peers/view"
+)
+
+// TestPeersAvoided: what poolers avoid is told with why, by whose word and until when; an ID that nobody has a name for stands as it is.
+func TestPeersAvoided(t *testing.T) {
+	var b strings.Builder
+	err := peersText(&b, []*asked{
+		{Addr: "x", Err: "refused"},
+		{Addr: "y", Name: "pooler-4", Records: []fleetview.Record{{ID: 4, Name: "pooler-4"}, {ID: 1, Name: "pooler-1"}},
+			Avoided: []part.Avoided{{Server: "db-7", Why: "silent", By: []fleetview.ID{1, 0x9f}, Until: 1764650000912}}},
+	})
+	if want := "pooler-4 avoids db-7: silent, by the word of pooler-1 and 9f, until 2025-12-02 04:33:20.912\n"; err != nil || !strings.Contains(b.String(), want) {
+		t.Errorf("%v\n%s\nwant %s", err, b.String(), want)
+	}
+}
--- a/internal/kit/emulate/blackout.go
+++ b/internal/kit/emulate/blackout.go
@@ -5,10 +5,15 @@
 	"beechgrade/internal/kit/scenario"
 )
 
+// freshMs is until when a server's new process may be avoided for what the old one did: until all have its entry, and a probe of it, which may come
+// 3.2 s after the last; and a second.
+const freshMs = 5000
+
 // Blackouts are what the rules of who is asked go by.
 func Blackouts(s *scenario.Script) check.BlackoutConfig {
 	c := check.BlackoutConfig{Poolers: s.Poolers, WindowMs: 10000, AfterMs: 10000, OwnMs: 120000, Part: 0.8, Least: 12, Wanted: 20}
 	if v := s.Verdicts; v != nil {
+		c.FreshMs = freshMs
 		c.AfterMs, c.Part = v.Set.Lapse+2000, max(c.Part, v.Set.Blind)
 	}
 	next := 0
@@ -26,7 +31,13 @@
 // sight is what befalls servers, ways and poolers now: check.Sight.
 type sight struct{ e *Emulation }
 
-func (x sight) Sound(s int) bool   { return x.e.world.Servers[s].Sound(x.e.s.now) }
+func (x sight) Sound(s int) bool { return x.e.world.Servers[s].Sound(x.e.s.now) }
+func (x sight) Born(s int) float64 {
+	if x.e.world.List.Extra > 0 || x.e.world.List.Gone { // it may be long until all have its entry
+		return 0
+	}
+	return x.e.world.Servers[s].Started
+}
 func (x sight) Primary(s int) bool { w := x.e.world.Servers[s]; return w.Group.Primary == w }
 func (x sight) Way(p, s int) bool {
 	return x.e.ways.good(p, s) && !x.e.world.List.Gone && x.e.ways.held[p] == 0
--- a/internal/kit/emulate/mutants_verdicts.go
+++ b/internal/kit/emulate/mutants_verdicts.go
@@ -12,5 +12,6 @@
 		{Name: "one word is enough", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.OneEnough }},
 		{Name: "age is taken from when it was heard", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.HeardAge }},
 		{Name: "own evidence is overruled by others' older", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.OwnLoses }},
+		{Name: "evidence of the old process is kept", Breaks: check.NoBlackout, Verdicts: func(_ int, s *verdicts.Settings) { s.Broken = verdicts.KeepsOld }},
 	}
 }
--- /dev/null
+++ b/internal/kit/incident/avoided_test.go
@@ -0,0 +1,27 @@
+package incident
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/record"
+)
+
+// TestAvoided: what a pooler avoids by others' word becomes spans, which end by its word, by another reason or with its process; what cannot be read is left out.
+func TestAvoided(t *testing.T) {
+	var a avoided
+	for _, e := range []struct {
+		by   string
+		at   float64
+		text string
+	}{{"a", 1, "db-7: silent by 9f,8e until 1000"}, {"b", 2, "db-7: silent by 9f until 1000"}, {"a", 4, "db-7: no more"}, {"a", 5, "db-7: no more"},
+		{"a", 6, "db: 8: silent by 8e until 1000"}, {"a", 7, "nothing"}, {"a", 7, ": silent by 9f until 1"}, {"a", 8, "db-9: silent by 9f"}} {
+		a.event(e.by, &record.Event{At: e.at, Text: e.text})
+	}
+	a.ended("a", 9)
+	want := []Avoided{{"db-7", "a", "silent", []string{"c", "8e"}, 1, 4}, {"db-7", "b", "silent", []string{"c"}, 2, 0}, {"db: 8", "a", "silent", []string{"8e"}, 6, 9}}
+	if diff := cmp.Diff(want, a.view([]Seen{{Of: "c 9f"}})); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -74,6 +74,7 @@
 	orphans   uint64
 	retryLost uint64
 	fleet     fleet
+	avoided   avoided
 	limits    limits
 }
 
@@ -221,6 +222,7 @@
 	}
 	x.pooler.ordered = ordered
 	m.fleet.ended(r.Pooler, x.last)
+	m.avoided.ended(r.Pooler, x.last)
 	m.limits.ended(r.Pooler, x.last)
 	m.endPools(x)
 	if !ordered {
@@ -292,6 +294,8 @@
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
 	case recordpb.Kind_KIND_PEER:
 		m.fleet.event(r.Pooler, e)
+	case recordpb.Kind_KIND_AVOIDED:
+		m.avoided.event(r.Pooler, e)
 	case recordpb.Kind_KIND_LIMIT:
 		m.limits.event(r.Pooler, e)
 	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
--- /dev/null
+++ b/internal/kit/report/avoided_test.go
@@ -0,0 +1,35 @@
+package report
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/kit/incident"
+)
+
+// TestAvoidedRows: a row for each server, over all poolers that avoided it; text and page have it.
+func TestAvoidedRows(t *testing.T) {
+	spell := func(server, by string, word []string, from, to float64) incident.Avoided {
+		return incident.Avoided{Server: server, By: by, Why: "silent", Word: word, From: from, To: to}
+	}
+	v := &incident.View{From: 1000, To: 9000, Events: 1, Avoided: []incident.Avoided{spell("db-7", "a", []string{"c", "d"}, 1000, 2000), spell("db-7", "a", []string{"e"}, 3000, 4000),
+		spell("db-7", "b", []string{"c"}, 1100, 5000), spell("db-9", "b", []string{"c"}, 1500, 0)}}
+	want := []AvoidedRow{{"db-7", "silent", "c, d, e", 2, 3, 1000, 5000}, {"db-9", "silent", "c", 1, 1, 1500, 0}}
+	if diff := cmp.Diff(want, AvoidedRows(v)); diff != "" {
+		t.Error(diff)
+	}
+	var text, page strings.Builder
+	if err := Text(&text, v); err != nil {
+		t.Fatal(err)
+	}
+	if err := HTML(&page, v, "x"); err != nil {
+		t.Fatal(err)
+	}
+	for name, s := range map[string]string{"text": text.String(), "page": page.String()} {
+		if !strings.Contains(s, "by the word of") || !strings.Contains(s, "c, d, e") {
+			t.Errorf("%s: it is not told by whose word db-7 was avoided", name)
+		}
+	}
+}
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -101,6 +101,7 @@
 	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
+	Avoided      []AvoidedRow
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -127,6 +128,8 @@
 	d.lanes()
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
+	d.Avoided = AvoidedRows(v)
+	d.Avoided = d.Avoided[:min(len(d.Avoided), maxRows)]
 	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
 	if v.Members != nil {
 		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
--- a/internal/kit/report/text.go
+++ b/internal/kit/report/text.go
@@ -46,6 +46,7 @@
 	}
 	gaps(b, v)
 	pools(b, v)
+	avoided(b, v)
 	var returns []incident.Return
 	for _, s := range v.Servers {
 		returns = append(returns, s.Returns...)
--- a/internal/kit/scenario/credit.go
+++ b/internal/kit/scenario/credit.go
@@ -132,13 +132,16 @@
 	return 0
 }
 
-// Shared is what the operators' settings say of the log in common, credit and overload, for a daemon whose disk and marks lie in these
+// Shared is what the operators' settings say of the log in common, credit, overload and verdicts on servers, for a daemon whose disk and marks lie in these
 // folders. pays are the payments that it has read of since the start; more are forms of (credit ...).
 func (s *Script) Shared(disk, marks string, pays []Fault, more string) string {
 	var b strings.Builder
 	if s.Overload != nil {
 		b.WriteString(textOf(s.Overload.node) + "\n")
 	}
+	if s.Verdicts != nil {
+		b.WriteString(textOf(s.Verdicts.node) + "\n")
+	}
 	if a := s.Agreed; a != nil {
 		b.WriteString("(agreed (voters")
 		for i := range a.Voters {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -83,11 +83,11 @@
 	Peers  *Peers               // poolers keep a view of the fleet; nil where they do not
 	Limits *operate.FleetLimits // that hold for the whole fleet; nil for none
 
-	Overload *Overload         // nil where each pooler handles it alone
-	Agreed   *Agreed           // the log in common, nil for none
-	Credit   *Credit           // tenants pay ahead, nil where they do not
-	Pages    *Pages            // reports over all groups, nil for none
-	Verdicts *operate.Verdicts // nil where each pooler learns alone
+	Overload *Overload // nil where each pooler handles it alone
+	Agreed   *Agreed   // the log in common, nil for none
+	Credit   *Credit   // tenants pay ahead, nil where they do not
+	Pages    *Pages    // reports over all groups, nil for none
+	Verdicts *Verdicts // nil where each pooler learns alone
 
 	source  *sexp.Node   // as it was read
 	smaller []*sexp.Node // forms that go for sockets
--- a/internal/kit/scenario/verdicts.go
+++ b/internal/kit/scenario/verdicts.go
@@ -5,8 +5,15 @@
 	"beechgrade/internal/sexp"
 )
 
+// Verdicts is how the fleet shares what it knows of servers.
+type Verdicts struct {
+	operate.Verdicts
+	node *sexp.Node
+}
+
 // verdicts reads (verdicts ...), as the operators' settings have it.
-func (s *Script) verdicts(n *sexp.Node) (err error) {
-	s.Verdicts, err = operate.ReadVerdicts(n)
+func (s *Script) verdicts(n *sexp.Node) error {
+	set, err := operate.ReadVerdicts(n)
+	s.Verdicts = &Verdicts{*set, n}
 	return err
 }
--- a/internal/peers/form.go
+++ b/internal/peers/form.go
@@ -18,9 +18,11 @@
 
 // What goes between two poolers is, in this order: the mark and the version, a keyed hash of the rest, and a protobuf message:
 //
-//	message Envelope { uint32 kind = 1; fixed64 from = 2; uint32 seq = 3; fixed64 target = 4; repeated Record records = 5; Counts counts = 6; }
+//	message Envelope { uint32 kind = 1; fixed64 from = 2; uint32 seq = 3; fixed64 target = 4; repeated Record records = 5; Counts counts = 6;
+//	                   repeated Avoided avoided = 10; }
 //	message Record { fixed64 id = 1; string name = 2; string addr = 3; string zone = 4; string region = 5; string version = 6;
 //	                 uint32 incarnation = 7; uint32 state = 8; bool draining = 9; }
+//	message Avoided { string server = 1; string why = 2; repeated fixed64 by = 3; fixed64 until = 4; } in the answer to those who look; until is a double
 //	message Counts { uint32 reachable = 1; uint32 sending = 2; bool majority = 3; bool alone = 4; }
 //
 // About limits the kind is 18, the target is whom it is for, and the rest is:
@@ -70,6 +72,7 @@
 type envelope struct {
 	view.Message
 	counts view.Counts
+	avoids []part.Avoided
 	limits *quota.Message
 	body   body // of a part
 }
@@ -137,6 +140,10 @@
 		part = appendUint(appendUint(part, 3, bit(c.Majority)), 4, bit(c.Alone))
 		b = protowire.AppendBytes(protowire.AppendTag(b, 6, protowire.BytesType), part)
 	}
+	for i := range e.avoids {
+		part = appendAvoided(part[:0], &e.avoids[i])
+		b = protowire.AppendBytes(protowire.AppendTag(b, 10, protowire.BytesType), part)
+	}
 	if m := e.limits; m != nil {
 		for i := range m.Items {
 			part = appendItem(part[:0], &m.Items[i])
@@ -297,6 +304,13 @@
 			if e.limits != nil {
 				e.limits.Verb = quota.Verb(min(x, 255))
 			}
+		case 10:
+			if len(e.avoids) >= mostAvoided {
+				return fmt.Errorf("%w: over %d avoided", ErrForm, mostAvoided)
+			}
+			a, err := readAvoided(text)
+			e.avoids = append(e.avoids, a)
+			return err
 		case 9:
 			e.body.raw = slices.Clone(text) // the reader uses its bytes again
 		}
--- /dev/null
+++ b/internal/peers/form_avoided.go
@@ -0,0 +1,55 @@
+package peers
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/view"
+)
+
+// mostAvoided and mostWords bound what is told, and read, of what a pooler avoids: servers, and of each those by whose word.
+const (
+	mostAvoided = 1000
+	mostWords   = 16
+)
+
+// avoided is what this pooler's parts avoid by others' word, as far as it is told.
+func (p *Peers) avoided() (all []part.Avoided) {
+	for _, x := range p.parts {
+		if a, ok := x.(part.Avoiding); ok {
+			all = append(all, a.Avoided()...)
+		}
+	}
+	return all[:min(len(all), mostAvoided)]
+}
+
+func appendAvoided(b []byte, a *part.Avoided) []byte {
+	b = appendText(appendText(b, 1, a.Server), 2, a.Why)
+	for _, id := range a.By[:min(len(a.By), mostWords)] {
+		b = appendFixed(b, 3, uint64(id))
+	}
+	return appendFixed(b, 4, math.Float64bits(a.Until))
+}
+
+func readAvoided(b []byte) (a part.Avoided, err error) {
+	err = fields(b, func(num protowire.Number, x uint64, text []byte) error {
+		switch num {
+		case 1:
+			a.Server = string(text)
+		case 2:
+			a.Why = string(text)
+		case 3:
+			if len(a.By) < mostWords {
+				a.By = append(a.By, view.ID(x))
+			}
+		case 4:
+			if a.Until = math.Float64frombits(x); !(math.Abs(a.Until) < 1e15) {
+				return ErrForm
+			}
+		}
+		return nil
+	})
+	return a, err
+}
--- a/internal/peers/form_test.go
+++ b/internal/peers/form_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/quota"
 	"beechgrade/internal/peers/view"
 	"beechgrade/internal/steady"
@@ -29,6 +30,9 @@
 		if rapid.Bool().Draw(t, "counts") {
 			in.counts = view.Counts{Reachable: 3, Sending: rapid.IntRange(1, 2000).Draw(t, "sending"), Majority: rapid.Bool().Draw(t, "majority")}
 		}
+		for range rapid.IntRange(0, 3).Draw(t, "avoids") {
+			in.avoids = append(in.avoids, part.Avoided{Server: text.Draw(t, "server"), Why: "silent", By: []view.ID{view.ID(rapid.Uint64().Draw(t, "by")), 7}, Until: rapid.Float64Range(-1e14, 1e14).Draw(t, "until")})
+		}
 		b := testKey.seal(nil, in)
 		out, err := testKey.open(b)
 		if err != nil {
--- a/internal/peers/part/part.go
+++ b/internal/peers/part/part.go
@@ -38,6 +38,17 @@
 	Append(b []byte) []byte // off the loop
 }
 
+// Avoided is a server that a pooler avoids by others' word: why, by whose, and until when.
+type Avoided struct {
+	Server string    `json:"server"`
+	Why    string    `json:"why"`
+	By     []view.ID `json:"by"`
+	Until  float64   `json:"until_ms"`
+}
+
+// Avoiding is a part that tells, for those who look, what is avoided; on the loop.
+type Avoiding interface{ Avoided() []Avoided }
+
 // Net carries words. An address is that of a view.Record.
 type Net interface {
 	Now() float64
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -447,6 +447,8 @@
 		mine := p.side()
 		if e.Kind == kindRecords {
 			p.do(view.Exchanged{Records: e.Records})
+		} else {
+			mine.avoids = p.avoided()
 		}
 		got <- mine
 	})
@@ -488,16 +490,23 @@
 	p.wg.Wait()
 }
 
+// Shown is what a pooler says to those who look.
+type Shown struct {
+	Records []view.Record
+	Counts  view.Counts
+	Avoided []part.Avoided // by others' word
+}
+
 // Show asks a pooler for all that it knows.
-func Show(addr string, key Key) ([]view.Record, view.Counts, error) {
+func Show(addr string, key Key) (Shown, error) {
 	c, err := net.DialTimeout("tcp", addr, streamMs*time.Millisecond)
 	if err != nil {
-		return nil, view.Counts{}, err
+		return Shown{}, err
 	}
 	defer func() { _ = c.Close() }()
 	e, err := Call(c, key, &envelope{Message: view.Message{Kind: kindShow}})
 	if err != nil {
-		return nil, view.Counts{}, err
+		return Shown{}, err
 	}
-	return e.Records, e.counts, nil
+	return Shown{e.Records, e.counts, e.avoids}, nil
 }
--- a/internal/peers/verdicts/api.go
+++ b/internal/peers/verdicts/api.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/view"
 )
 
@@ -97,6 +98,9 @@
 	return s.Turn + each + answer + s.Spread(delay)
 }
 
+// Caught bounds the time from when a process hears the others, again or for the first time, to when it heeds what they heed.
+func (s *Settings) Caught(delay float64) float64 { return s.Refresh + s.Spread(delay) }
+
 // Lonely bounds how long one that hears nobody goes by what it heard.
 func (s *Settings) Lonely() float64 { return 3*s.Refresh + s.Step }
 
@@ -268,31 +272,29 @@
 
 // The actions.
 const (
-	Send  ActionKind = iota // Message goes to Addr
-	Avoid                   // the module is told that Server is down
-	Try                     // the module is told that it answers again
-	Learn                   // the module is told Said of Server, Age old
-	Look                    // Server is to be probed, and the outcome told here: somebody says that it leads
+	Send   ActionKind = iota // Message goes to Addr
+	Avoid                    // the module is told that Server is down
+	Try                      // the module is told that it answers again
+	Learn                    // the module is told Said of Server, Age old
+	Look                     // Server is to be probed, and the outcome told here: somebody says that it leads
+	Begins                   // Server is avoided by others' word from now on, as Standings have it; for those who look
+	Ends                     // it is no more
 )
 
 // Action is something that it asks for.
 type Action struct {
-	Kind   ActionKind
-	To     ID
-	Addr   string
-	Tell   *Tell
-	Word   *Word
-	Server string
-	Said   Said
-	Age    float64
+	Kind     ActionKind
+	To       ID
+	Addr     string
+	Tell     *Tell
+	Word     *Word
+	Server   string
+	Said     Said
+	Age      float64
+	Standing Standing
 }
 
 // Standing is why a server is avoided, by whose word, and until when.
-type Standing struct {
-	Server string
-	Why    string
-	By     []ID
-	Until  float64
-}
+type Standing = part.Avoided
 
 var inf = math.Inf(1)
--- a/internal/peers/verdicts/doc.go
+++ b/internal/peers/verdicts/doc.go
@@ -53,6 +53,11 @@
 //	poolers that send to a server which is bad by word, after its first Turn  Trying = min(Testers, max(2, floor(poolers/4))), while views are
 //	    equal, and twice that where one turn ends and the next begins
 //	one that hears nobody goes by what it heard no longer than           Lonely = 3*Refresh + Step
+//	one that hears the others again, or for the first time, heeds what they heed within  Caught = Refresh + Spread: after a partition, a halt, a start
+//	a server's other process is avoided by words of the old one          not at all, by those whose list names it
+//	where all begin anew but one that had no answer of a deaf server, all avoid it within  2*work + Spread (and a step) of the first request that
+//	    another sends there: that one's evidence counts, and is one of Observers
+//	messages in a Refresh after a partition                              twice those in one before
 //	bytes a second of a pooler, in the mean                              Talk
 //
 // # What it does not know
--- a/internal/peers/verdicts/heed.go
+++ b/internal/peers/verdicts/heed.go
@@ -127,11 +127,15 @@
 		}
 		return
 	}
-	if !s.avoid.on {
+	begins := !s.avoid.on
+	if begins {
 		s.avoid = avoid{on: true, since: v.now}
 		v.out = append(v.out, Action{Kind: Avoid, Server: s.Name})
 	}
 	s.avoid.why, s.avoid.by, s.avoid.until = "silent", w.by, min(w.last+v.set.Lapse, w.at+v.set.holds())
+	if begins {
+		v.out = append(v.out, Action{Kind: Begins, Server: s.Name, Standing: s.standing()})
+	}
 	turn := v.turn(s)
 	switch {
 	case turn && !s.avoid.turn:
@@ -184,6 +188,7 @@
 func (v *Verdicts) release(s *server, try bool) {
 	last := s.avoid
 	s.avoid = avoid{}
+	v.out = append(v.out, Action{Kind: Ends, Server: s.Name})
 	if !try {
 		return
 	}
--- a/internal/peers/verdicts/joined/joined.go
+++ b/internal/peers/verdicts/joined/joined.go
@@ -31,6 +31,9 @@
 // Options say what is shared, and how.
 type Options struct{ Set verdicts.Settings }
 
+// Told hears of each server that this pooler begins or ends to avoid by others' word.
+type Told func(s verdicts.Standing, begins bool)
+
 // Joined is a pooler's side. It is part.Part and core.Witness.
 type Joined struct {
 	opt    Options
@@ -42,6 +45,7 @@
 	kinds  map[string]float64 // rates of the servers, as learned
 	works  []float64
 	learnt float64
+	told   Told // may be nil
 	checks *invariant.Checks
 	every  int
 }
@@ -51,6 +55,9 @@
 	return &Joined{opt: opt, core: c, host: h, listed: map[string]verdicts.Server{}, kinds: map[string]float64{}}
 }
 
+// Tell has somebody hear of what is avoided.
+func (j *Joined) Tell(to Told) { j.told = to }
+
 // Check has its invariants checked.
 func (j *Joined) Check(c *invariant.Checks, every int) {
 	if j.checks, j.every = c, every; j.v != nil {
@@ -215,6 +222,11 @@
 			j.core.Avoid(a.Server)
 		case verdicts.Try:
 			j.core.Try(a.Server)
+		case verdicts.Begins, verdicts.Ends:
+			if j.told != nil {
+				a.Standing.Server = a.Server
+				j.told(a.Standing, a.Kind == verdicts.Begins)
+			}
 		case verdicts.Look:
 			j.core.Look(a.Server)
 		case verdicts.Learn:
@@ -229,7 +241,7 @@
 	j.acts = acts
 }
 
-// Avoided are the servers that this pooler avoids by others' word: for those who look.
+// Avoided is part.Avoiding's: the servers that this pooler avoids by others' word.
 func (j *Joined) Avoided() []verdicts.Standing {
 	if j.v == nil {
 		return nil
--- a/internal/peers/verdicts/verdicts.go
+++ b/internal/peers/verdicts/verdicts.go
@@ -271,11 +271,15 @@
 	return s != nil && s.avoid.on && !s.avoid.turn
 }
 
+func (s *server) standing() Standing {
+	return Standing{Server: s.Name, Why: s.avoid.why, By: s.avoid.by, Until: s.avoid.until}
+}
+
 // Standings tell what is avoided by others' word.
 func (v *Verdicts) Standings() (out []Standing) {
 	for _, s := range v.order {
 		if s.avoid.on {
-			out = append(out, Standing{Server: s.Name, Why: s.avoid.why, By: s.avoid.by, Until: s.avoid.until})
+			out = append(out, s.standing())
 		}
 	}
 	slices.SortFunc(out, func(a, b Standing) int { return cmp.Compare(a.Server, b.Server) })
