Tell how verdicts go round, and measure what one message of them keeps a loop

Plays in virtual time have the time from who knew to the first who heeded and from that to the last; benchmarks have the longest that one event keeps the loop, for a collector and for one that heeds.

--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -158,6 +158,16 @@
 	if v := r.Views; v != nil {
 		fmt.Fprintf(w, "\nviews: %.1f datagrams and %.0f bytes a second of each pooler; %d accused wrongly, %d called failed that ran\n", v.Packets, v.Bytes, v.Accused, v.Wrong)
 	}
+	if n := float64(len(r.Heeds)); n > 0 {
+		spread, longest, whole, known := 0.0, 0.0, 0, 0.0
+		for _, h := range r.Heeds {
+			spread, longest, known = spread+(h.Last-h.First)/n, max(longest, h.Last-h.First), known+(h.First-h.Knew)/n
+			if h.Poolers >= r.Poolers/2 {
+				whole++
+			}
+		}
+		fmt.Fprintf(w, "\nverdicts: %d, of them %d heeded by half of all poolers at least; %.0f ms from who knew to the first who heeded, %.0f ms from that to the last, at most %.0f\n", len(r.Heeds), whole, known, spread, longest)
+	}
 	if r.ModuleMs > 0 {
 		fmt.Fprintf(w, "\ndecision module: %.1f us a try, %.0f%% of the run\n", 1000*r.ModuleMs/float64(max(1, r.Tries)), 100*r.ModuleMs/r.WallMs)
 	}
--- a/internal/kit/check/blackout.go
+++ b/internal/kit/check/blackout.go
@@ -195,6 +195,9 @@
 // Trials are the times in which something was wrong with a server that ran, in the order of their ends.
 func (b *Blackouts) Trials() []Trial { return b.past }
 
+// Knew is when a pooler first had no answer of a server with which something is wrong; 0 for not yet, or where nothing is.
+func (b *Blackouts) Knew(server int) float64 { return b.trial[server].Knew }
+
 // hold holds a window to the rules.
 func (b *Blackouts) hold(at float64, g int) {
 	members, lead := b.cfg.Groups[g], b.lead[g]
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -76,6 +76,7 @@
 	Views     *Views             `json:"views,omitempty"`
 	Limits    *Limits            `json:"limits,omitempty"`
 	Trials    []check.Trial      `json:"-"`
+	Heeds     []Heed             `json:"verdicts_heeded,omitempty"`
 	Pages     *PageCounts        `json:"pages,omitempty"`
 	Funds     []Funds            `json:"funds,omitempty"`
 	P50       float64            `json:"served_p50_ms"`
@@ -91,6 +92,7 @@
 	rng      *rand.Rand // of the network and the clients, apart from the model's
 	poolers  []*pooler
 	black    *check.Blackouts // nil where poolers are no peers
+	heeds    []Heed           // how verdicts went round
 	fleet    *fleetOf         // the poolers as peers, nil where they are none
 	paging   *paging          // reports that are read in pages, nil for none
 	funds    *funds           // that tenants pay ahead, nil for none
@@ -231,7 +233,7 @@
 		}
 		e.fleet.check.Verdict(r.Verdict)
 		e.black.Verdict(r.Verdict)
-		r.Trials = e.black.Trials()
+		r.Trials, r.Heeds = e.black.Trials(), e.heeds
 	}
 	if e.paging != nil {
 		e.paging.check.Verdict(e.s.now, r.Verdict)
--- a/internal/kit/emulate/verdicts.go
+++ b/internal/kit/emulate/verdicts.go
@@ -14,6 +14,11 @@
 		}
 		j := joined.New(opt, c, h)
 		j.Check(h.x.p.e.checks, walkEach)
+		j.Tell(func(s part.Avoided, begins bool) {
+			if begins {
+				h.x.p.e.heeded(s)
+			}
+		})
 		c.Witness(j)
 		h.x.judged = j
 		return []part.Part{j}
--- a/internal/peers/verdicts/bench_test.go
+++ b/internal/peers/verdicts/bench_test.go
@@ -63,3 +63,53 @@
 	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
 	runtime.KeepAlive(v)
 }
+
+// BenchmarkHeed is a pooler that collects nothing and hears three collectors tell of 100 servers, all of whose positions moved, once every Period: the time for
+// all that comes in one, and the longest that one message keeps the loop.
+func BenchmarkHeed(b *testing.B) {
+	v := New(Defaults(), 1, 1e6)
+	m := Members{Self: 1}
+	for i := range 300 {
+		m.Peers = append(m.Peers, Peer{ID: ID(i + 1), Addr: fmt.Sprint(i), Zone: string(rune('a' + i%3))})
+	}
+	var l Listed
+	for i := range 100 {
+		l.Servers = append(l.Servers, Server{Name: fmt.Sprintf("db-%d", i), Group: i / 4})
+	}
+	v.Handle(1e6, m, nil)
+	v.Handle(1e6, l, nil)
+	now, seq, longest := 1e6, uint32(0), time.Duration(0)
+	var out []Action
+	round := func() {
+		seq++
+		now += v.set.Period
+		for n := range 3 {
+			var items [2][]Sum
+			var from [2]ID
+			for i, s := range v.order {
+				block := min(1, s.Group/Block)
+				from[block] = v.collectors(s)[n]
+				items[block] = append(items[block], Sum{Key: s.key, Answered: 20, Said: Said{Follows, now - 40 - float64(i%7)}, SaidAge: 20})
+			}
+			for block := range items {
+				split(items[block], (*Sum).size, func(part []Sum) {
+					e := Heard{From: from[block], Message: &Word{Seq: seq, Items: part}}
+					began := time.Now()
+					out = v.Handle(now, e, out[:0])
+					longest = max(longest, time.Since(began))
+				})
+			}
+		}
+		out = v.Handle(now, Tick{}, out[:0])
+		clear(out)
+	}
+	for range 30 {
+		round()
+	}
+	longest = 0
+	b.ResetTimer()
+	for range b.N {
+		round()
+	}
+	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-ms")
+}
