--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,10 +4,8 @@
 package peers
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -102,12 +100,6 @@
 	ended    bool // on the loop: nothing is told to the view any more
 }
 
-// datagram is one that goes out; the view's message is not changed any more.
-type datagram struct {
-	to netip.AddrPort
-	e  envelope
-}
-
 // New makes a peer; Start begins it.
 func New(l Loop, log *slog.Logger, opt Options, events Events) *Peers {
 	if opt.Advertise == "" {
@@ -252,215 +244,6 @@
 	return Stats{In: p.in.Load(), Out: p.sent.Load(), Dropped: p.dropped.Load(), Overrun: p.overrun.Load(), Exchanges: p.traded.Load(), Fails: p.failed.Load()}
 }
 
-// write has a datagram go out, unless too many wait.
-func (p *Peers) write(addr string, e envelope) {
-	to, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		p.dropped.Add(1)
-		return
-	}
-	select {
-	case p.send <- datagram{to, e}:
-	default:
-		p.overrun.Add(1)
-	}
-}
-
-func (p *Peers) writer() {
-	defer p.wg.Done()
-	defer close(p.written)
-	var b []byte
-	for d := range p.send {
-		b = p.opt.Key.seal(b[:0], &d.e)
-		if _, err := p.packet.WriteToUDPAddrPort(b, d.to); err == nil {
-			p.sent.Add(1)
-		}
-	}
-}
-
-func (p *Peers) reader() {
-	defer p.wg.Done()
-	b := make([]byte, MostDatagram+1)
-	for {
-		n, _, err := p.packet.ReadFromUDPAddrPort(b)
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			continue // a refusal of what was sent to one who has gone
-		}
-		if n > MostDatagram {
-			p.dropped.Add(1)
-			continue
-		}
-		e, err := p.opt.Key.open(b[:n])
-		ofPart := err == nil && e.Kind >= part.First && e.Kind <= part.Last
-		if ofPart {
-			err = p.readPart(e)
-		}
-		if err != nil || !ofPart && e.Kind > view.Gossip && (e.Kind != kindLimits || e.limits == nil) {
-			p.dropped.Add(1)
-			continue
-		}
-		p.in.Add(1)
-		if ofPart {
-			p.post(func() { p.heardPart(e) })
-			continue
-		}
-		if e.Kind == kindLimits {
-			p.post(func() { p.share(quota.Heard{Message: e.limits}) })
-			continue
-		}
-		p.post(func() { p.do(view.Heard{Message: &e.Message}) })
-	}
-}
-
-// post tells the view from a goroutine, unless too much waits for the loop.
-func (p *Peers) post(do func()) {
-	if p.posted.Add(1) > waiting {
-		p.posted.Add(-1)
-		p.overrun.Add(1)
-		return
-	}
-	p.loop.Post(func() {
-		p.posted.Add(-1)
-		do()
-	})
-}
-
-// trade begins a full exchange.
-func (p *Peers) trade(addr string) {
-	if p.asking.Add(1) > streams {
-		p.asking.Add(-1)
-		p.overrun.Add(1)
-		return
-	}
-	mine := p.side()
-	p.traded.Add(1)
-	go func() {
-		defer p.asking.Add(-1)
-		e, err := p.exchange(addr, mine)
-		if err != nil {
-			p.failed.Add(1)
-			p.log.Debug("peers: exchange", "addr", addr, "err", err)
-			return
-		}
-		p.post(func() { p.do(view.Exchanged{Records: e.Records}) })
-	}()
-}
-
-// side is this process's side of an exchange; it is made on the loop.
-func (p *Peers) side() *envelope {
-	me := p.view.Self()
-	return &envelope{Message: view.Message{Kind: kindRecords, From: me.ID, Records: p.view.Records()}, counts: p.counts}
-}
-
-func (p *Peers) exchange(addr string, mine *envelope) (*envelope, error) {
-	d := net.Dialer{Timeout: streamMs * time.Millisecond, LocalAddr: &net.TCPAddr{IP: p.local.AsSlice()}}
-	c, err := d.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = c.Close() }()
-	return Call(c, p.opt.Key, mine)
-}
-
-// Call has one side of an exchange over a connection that is up.
-func Call(c net.Conn, key Key, mine *envelope) (*envelope, error) {
-	_ = c.SetDeadline(time.Now().Add(streamMs * time.Millisecond))
-	if _, err := c.Write(appendFrame(nil, key.seal(nil, mine))); err != nil {
-		return nil, err
-	}
-	return readFrame(c, key)
-}
-
-// readFrame reads one sealed message of a stream. Nothing is set aside for what a length promises before it has come.
-func readFrame(c io.Reader, key Key) (*envelope, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(c, head[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > MostStream {
-		return nil, fmt.Errorf("%w: %d bytes", ErrForm, n)
-	}
-	b, err := io.ReadAll(io.LimitReader(c, int64(n)))
-	if err != nil {
-		return nil, err
-	}
-	if len(b) < int(n) {
-		return nil, io.ErrUnexpectedEOF
-	}
-	return key.open(b)
-}
-
-func (p *Peers) accepter() {
-	defer p.wg.Done()
-	room := make(chan struct{}, streams)
-	for {
-		c, err := p.listen.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(againMs * time.Millisecond) // no descriptor
-			continue
-		}
-		select {
-		case room <- struct{}{}:
-		default:
-			p.overrun.Add(1)
-			_ = c.Close()
-			continue
-		}
-		go func() {
-			defer func() { _ = c.Close(); <-room }()
-			p.answer(c)
-		}()
-	}
-}
-
-// answer has the other side of an exchange.
-func (p *Peers) answer(c net.Conn) {
-	_ = c.SetDeadline(time.Now().Add(streamMs * time.Millisecond))
-	e, err := readFrame(c, p.opt.Key)
-	if err == nil && e.Kind >= part.First && e.Kind <= part.Last {
-		p.answerPart(c, e)
-		return
-	}
-	if err != nil || e.Kind != kindRecords && e.Kind != kindShow {
-		p.dropped.Add(1)
-		return
-	}
-	got := make(chan *envelope, 1)
-	if p.posted.Add(1) > waiting {
-		p.posted.Add(-1)
-		p.overrun.Add(1)
-		return
-	}
-	p.loop.Post(func() {
-		p.posted.Add(-1)
-		if p.ended {
-			close(got)
-			return
-		}
-		mine := p.side()
-		if e.Kind == kindRecords {
-			p.do(view.Exchanged{Records: e.Records})
-		} else {
-			mine.avoids = p.avoided()
-		}
-		got <- mine
-	})
-	select {
-	case mine := <-got:
-		if mine != nil {
-			_, _ = c.Write(appendFrame(nil, p.opt.Key.seal(nil, mine)))
-		}
-	case <-time.After(streamMs * time.Millisecond):
-	}
-}
-
 // Leave tells the others that this process ends, and gives the address up; quietly where another of this pooler's processes goes
 // on in its place. It runs on the loop, and nothing comes of the view afterwards.
 func (p *Peers) Leave(quietly bool) {
@@ -489,24 +272,3 @@
 	_ = p.listen.Close()
 	p.wg.Wait()
 }
-
-// Shown is what a pooler says to those who look.
-type Shown struct {
-	Records []view.Record
-	Counts  view.Counts
-	Avoided []part.Avoided // by others' word
-}
-
-// Show asks a pooler for all that it knows.
-func Show(addr string, key Key) (Shown, error) {
-	c, err := net.DialTimeout("tcp", addr, streamMs*time.Millisecond)
-	if err != nil {
-		return Shown{}, err
-	}
-	defer func() { _ = c.Close() }()
-	e, err := Call(c, key, &envelope{Message: view.Message{Kind: kindShow}})
-	if err != nil {
-		return Shown{}, err
-	}
-	return Shown{e.Records, e.counts, e.avoids}, nil
-}
--- a/internal/peers/form_avoided.go
+++ b/internal/peers/shown.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"net"
+	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
@@ -9,6 +11,27 @@
 	"beechgrade/internal/peers/view"
 )
 
+// Shown is what a pooler says to those who look.
+type Shown struct {
+	Records []view.Record
+	Counts  view.Counts
+	Avoided []part.Avoided // by others' word
+}
+
+// Show asks a pooler for all that it knows.
+func Show(addr string, key Key) (Shown, error) {
+	c, err := net.DialTimeout("tcp", addr, streamMs*time.Millisecond)
+	if err != nil {
+		return Shown{}, err
+	}
+	defer func() { _ = c.Close() }()
+	e, err := Call(c, key, &envelope{Message: view.Message{Kind: kindShow}})
+	if err != nil {
+		return Shown{}, err
+	}
+	return Shown{e.Records, e.counts, e.avoids}, nil
+}
+
 // mostAvoided and mostWords bound what is told, and read, of what a pooler avoids: servers, and of each those by whose word.
 const (
 	mostAvoided = 1000
