--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -158,16 +158,7 @@
 	if v := r.Views; v != nil {
 		fmt.Fprintf(w, "\nviews: %.1f datagrams and %.0f bytes a second of each pooler; %d accused wrongly, %d called failed that ran\n", v.Packets, v.Bytes, v.Accused, v.Wrong)
 	}
-	if n := float64(len(r.Heeds)); n > 0 {
-		spread, longest, whole, known := 0.0, 0.0, 0, 0.0
-		for _, h := range r.Heeds {
-			spread, longest, known = spread+(h.Last-h.First)/n, max(longest, h.Last-h.First), known+(h.First-h.Knew)/n
-			if h.Poolers >= r.Poolers/2 {
-				whole++
-			}
-		}
-		fmt.Fprintf(w, "\nverdicts: %d, of them %d heeded by half of all poolers at least; %.0f ms from who knew to the first who heeded, %.0f ms from that to the last, at most %.0f\n", len(r.Heeds), whole, known, spread, longest)
-	}
+	heedsText(w, r)
 	if r.ModuleMs > 0 {
 		fmt.Fprintf(w, "\ndecision module: %.1f us a try, %.0f%% of the run\n", 1000*r.ModuleMs/float64(max(1, r.Tries)), 100*r.ModuleMs/r.WallMs)
 	}
@@ -184,6 +175,21 @@
 	return nil
 }
 
+// heedsText tells how verdicts went round.
+func heedsText(w io.Writer, r *emulate.Result) {
+	if len(r.Heeds) == 0 {
+		return
+	}
+	sum, longest, most := 0.0, 0.0, 0
+	for _, h := range r.Heeds {
+		sum, longest = sum+h.Last-h.First, max(longest, h.Last-h.First)
+		if 2*h.Poolers >= r.Poolers {
+			most++
+		}
+	}
+	fmt.Fprintf(w, "\nverdicts: %d, of them %d heeded by half of all poolers at least; from the first who heeded to the last %.1f ms, at most %.1f\n", len(r.Heeds), most, sum/float64(len(r.Heeds)), longest)
+}
+
 func labRun(ctx context.Context, c *cli.Command) error {
 	if c.Args().Len() != 1 {
 		return errors.New("one experiment is due; see --help")
