--- a/cmd/beechgrade-kit/lab.go
+++ b/cmd/beechgrade-kit/lab.go
@@ -157,6 +157,9 @@
 	}
 	if v := r.Views; v != nil {
 		fmt.Fprintf(w, "\nviews: %.1f datagrams and %.0f bytes a second of each pooler; %d accused wrongly, %d called failed that ran\n", v.Packets, v.Bytes, v.Accused, v.Wrong)
+		if v.Told > 0 {
+			fmt.Fprintf(w, "parts: %.1f datagrams and %.0f bytes a second of each pooler\n", v.Told, v.ToldSize)
+		}
 	}
 	heedsText(w, r)
 	if r.ModuleMs > 0 {
