--- a/cmd/beechgrade/verdicts.go
+++ b/cmd/beechgrade/verdicts.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/verdicts"
 	"beechgrade/internal/peers/verdicts/joined"
@@ -34,20 +36,24 @@
 }
 
 func idsText(ids []view.ID) string {
-	var all []string
-	for _, id := range ids {
-		all = append(all, strconv.FormatUint(uint64(id), 16))
+	all := make([]string, len(ids))
+	for i, id := range ids {
+		all[i] = strconv.FormatUint(uint64(id), 16)
 	}
 	return strings.Join(all, ",")
 }
 
-// appendVerdicts prints why servers are avoided, by whose word, and until when.
-func (p *pooler) appendVerdicts(dst []byte) []byte {
+// tellVerdicts tells why servers are avoided, by whose word, and until when.
+func (p *pooler) tellVerdicts(s *sheet.Sheet) {
 	if p.judged == nil {
-		return dst
+		return
 	}
-	for _, s := range p.judged.Avoided() {
-		dst = fmt.Appendf(dst, "app.verdicts.%s.until=%.0f\napp.verdicts.%s.why=%s\napp.verdicts.%s.by=%s\n", s.Server, s.Until, s.Server, s.Why, s.Server, idsText(s.By))
+	part := s.Part("verdicts")
+	for _, v := range p.judged.Avoided() {
+		of := part.Of("server", v.Server)
+		of.Whole("until", int64(math.RoundToEven(v.Until)))
+		of.Word("why", v.Why)
+		of.Word("by", idsText(v.By))
 	}
-	return fmt.Appendf(dst, "app.verdicts.own_links=%d\n", p.judged.Lonely())
+	part.Whole("own_links", int64(p.judged.Lonely()))
 }
