--- a/cmd/beechgrade/verdicts.go
+++ b/cmd/beechgrade/verdicts.go
@@ -8,7 +8,10 @@
 
 	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
+	"beechgrade/internal/peers/verdicts"
 	"beechgrade/internal/peers/verdicts/joined"
+	"beechgrade/internal/peers/view"
+	"beechgrade/internal/record/recordpb"
 )
 
 // useVerdicts has the fleet share what it knows of servers, where the settings have it so; after usePeers.
@@ -17,25 +20,40 @@
 		return
 	}
 	p.judged = joined.New(set.Options, p.core, peersHost{p.peers, p.loop})
+	p.judged.Tell(func(s verdicts.Standing, begins bool) {
+		p.core.Note(recordpb.Kind_KIND_AVOIDED, verdictText(s, begins))
+	})
 	p.core.Witness(p.judged)
 	p.peers.Join(p.judged)
 }
 
+// verdictText is what the records have of a server that is avoided from now on by others' word, or no more.
+func verdictText(s verdicts.Standing, begins bool) string {
+	if !begins {
+		return s.Server + ": no more"
+	}
+	return fmt.Sprintf("%s: %s by %s until %.0f", s.Server, s.Why, idsText(s.By), s.Until)
+}
+
+func idsText(ids []view.ID) string {
+	all := make([]string, len(ids))
+	for i, id := range ids {
+		all[i] = strconv.FormatUint(uint64(id), 16)
+	}
+	return strings.Join(all, ",")
+}
+
 // tellVerdicts tells why servers are avoided, by whose word, and until when.
 func (p *pooler) tellVerdicts(s *sheet.Sheet) {
 	if p.judged == nil {
 		return
 	}
-	verdicts := s.Part("verdicts")
+	part := s.Part("verdicts")
 	for _, v := range p.judged.Avoided() {
-		of := verdicts.Of("server", v.Server)
+		of := part.Of("server", v.Server)
 		of.Whole("until", int64(math.RoundToEven(v.Until)))
-		of.Word("why", fmt.Sprint(v.Why))
-		by := make([]string, len(v.By))
-		for i, id := range v.By {
-			by[i] = strconv.FormatUint(uint64(id), 16)
-		}
-		of.Word("by", strings.Join(by, ","))
+		of.Word("why", v.Why)
+		of.Word("by", idsText(v.By))
 	}
-	verdicts.Whole("own_links", int64(p.judged.Lonely()))
+	part.Whole("own_links", int64(p.judged.Lonely()))
 }
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -101,9 +101,13 @@
 	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
+<<<<<<< HEAD
 	Zones        []ZoneLane
 	ZoneGoes     []ZoneLane
 	MoreZones    int
+=======
+	Avoided      []AvoidedRow
+>>>>>>> ready/verdicts
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -130,6 +134,8 @@
 	d.lanes()
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
+	d.Avoided = AvoidedRows(v)
+	d.Avoided = d.Avoided[:min(len(d.Avoided), maxRows)]
 	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
 	d.Zones, d.ZoneGoes, d.MoreZones = ZoneLanes(v, laneW)
 	if v.Members != nil {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -131,6 +131,8 @@
 		mine := p.side()
 		if e.Kind == kindRecords {
 			p.do(view.Exchanged{Records: e.Records})
+		} else {
+			mine.avoids = p.avoided()
 		}
 		got <- mine
 	})
