Take out the marks that a merge left in the incident view and the report

Change: zones and avoided servers both stand in the view, the text and the page. Measured: build, vet, the tests of both packages.

--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -37,11 +37,8 @@
 	Members  *members.View   `json:"members,omitempty"` // where the list was made of several sources
 	Limits   []Held          `json:"limits,omitempty"`  // where limits held for the whole fleet: who might use how much
 	Fleet    []Seen          `json:"fleet,omitempty"`   // where poolers were peers: who saw whom
-<<<<<<< HEAD
 	Zones    *ZonesView      `json:"zones,omitempty"`   // where the fleet decided them together
-=======
 	Avoided  []Avoided       `json:"avoided,omitempty"` // where poolers share what they know of servers: which, by whose word
->>>>>>> ready/verdicts
 }
 
 // ClassView is what a class was served. A chain is what a client asked once, with its own retries.
@@ -269,12 +266,8 @@
 	if m.members != nil {
 		v.Members = m.members.View()
 	}
-<<<<<<< HEAD
 	v.Fleet, v.Limits, v.Zones = m.fleet.view(), m.limits.view(), m.zones.view()
-=======
-	v.Fleet, v.Limits = m.fleet.view(), m.limits.view()
 	v.Avoided = m.avoided.view(v.Fleet)
->>>>>>> ready/verdicts
 	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
 	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -101,13 +101,10 @@
 	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
-<<<<<<< HEAD
 	Zones        []ZoneLane
 	ZoneGoes     []ZoneLane
 	MoreZones    int
-=======
 	Avoided      []AvoidedRow
->>>>>>> ready/verdicts
 	Judged       []string
 	Judgements   []members.Judgement
 }
--- a/internal/kit/report/text.go
+++ b/internal/kit/report/text.go
@@ -46,11 +46,8 @@
 	}
 	gaps(b, v)
 	pools(b, v)
-<<<<<<< HEAD
 	zonesText(b, v)
-=======
 	avoided(b, v)
->>>>>>> ready/verdicts
 	var returns []incident.Return
 	for _, s := range v.Servers {
 		returns = append(returns, s.Returns...)
