--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -104,6 +104,7 @@
 	Zones        []ZoneLane
 	ZoneGoes     []ZoneLane
 	MoreZones    int
+	Avoided      []AvoidedRow
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -130,6 +131,8 @@
 	d.lanes()
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
+	d.Avoided = AvoidedRows(v)
+	d.Avoided = d.Avoided[:min(len(d.Avoided), maxRows)]
 	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
 	d.Zones, d.ZoneGoes, d.MoreZones = ZoneLanes(v, laneW)
 	if v.Members != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -272,17 +272,3 @@
 	_ = p.listen.Close()
 	p.wg.Wait()
 }
-
-// Show asks a pooler for all that it knows.
-func Show(addr string, key Key) ([]view.Record, view.Counts, error) {
-	c, err := net.DialTimeout("tcp", addr, streamMs*time.Millisecond)
-	if err != nil {
-		return nil, view.Counts{}, err
-	}
-	defer func() { _ = c.Close() }()
-	e, err := Call(c, key, &envelope{Message: view.Message{Kind: kindShow}})
-	if err != nil {
-		return nil, view.Counts{}, err
-	}
-	return e.Records, e.counts, nil
-}
