Look at waiting writes again at the send, and call them off at anybody's word

Others' probes, verdicts, looks and the list reached the router, but not what waited for a connection; a probe made for others was not told to the module at all; and what a server's own word called off could go back to the same server, as the router heard last (by reading).

--- a/cmd/beechgrade/pooled.go
+++ b/cmd/beechgrade/pooled.go
@@ -115,6 +115,16 @@
 	}
 }
 
+func (s fronts) Recall(id string, which func(backend.Tag) bool) {
+	s.Pool.Recall(id, which)
+	if s.pooled != nil {
+		s.pooled.Recall(id, which)
+	}
+	if s.house != nil {
+		s.house.Recall(id, which)
+	}
+}
+
 func (s fronts) Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref {
 	switch {
 	case s.house != nil && clickhouse.Ours(q):
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -59,6 +59,10 @@
 
 // Events is told of ends, and of an attempt whose last byte has left. The calls may come from within Start, Cancel and Probe.
 type Events interface {
+	// AttemptGoes is asked as an attempt's first byte is to go out; false, and it is not sent: others' words may have come while it waited.
+	AttemptGoes(t Tag) bool
+	// ServerDenies tells that a server says that it is a replica, before the end is told of what it answered so.
+	ServerDenies(store string, said Said, probe bool)
 	AttemptWritten(t Tag)
 	// AttemptBegun ends an attempt as served whose answer is passed on as it comes. stop gives up the rest; the Flow is nil
 	// where nobody takes it.
@@ -293,6 +297,10 @@
 		if a.Once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
 			break
 		}
+		if !a.goes(p) {
+			p.drop(a, decide.Skipped)
+			return
+		}
 		c.carry(a)
 		return
 	}
@@ -302,6 +310,9 @@
 	}
 }
 
+// goes asks whether an attempt may still go out. A probe always may.
+func (a *attempt) goes(p *Pool) bool { return a.query == nil || p.events.AttemptGoes(a.tag) }
+
 // dial opens one more connection in its turn, if somebody waits for it then.
 func (p *Pool) dial(s *store) {
 	if p.opt.Dial == nil {
@@ -375,11 +386,14 @@
 	p.end(a, Outcome{Result: r})
 }
 
-// recall gives up what must not run twice and still waits for a connection to a server that says it is a replica: it would
-// be turned away there.
-func (p *Pool) recall(s *store) {
+// Recall gives up of what waits for a connection to a server that which may not go out any more.
+func (p *Pool) Recall(id string, which func(Tag) bool) {
+	s := p.stores[id]
+	if s == nil {
+		return
+	}
 	for i := 0; i < len(s.waiting); {
-		if a := s.waiting[i]; a.Once {
+		if a := s.waiting[i]; a.query != nil && which(a.tag) {
 			p.drop(a, decide.Skipped)
 			i = 0 // what that led to may have changed the rest
 			continue
@@ -454,7 +468,7 @@
 	p := c.pool
 	for len(c.store.waiting) > 0 {
 		a := c.store.waiting[0]
-		if a.Late(p.loop.Now()) {
+		if a.Late(p.loop.Now()) || !a.goes(p) {
 			p.drop(a, decide.Skipped)
 			continue
 		}
@@ -744,8 +758,8 @@
 			}
 		}
 		c.attempt, a.conn = nil, nil
-		if o.Role == decide.RoleReplica {
-			p.recall(c.store)
+		if o.Role == decide.RoleReplica && len(c.store.waiting) > 0 {
+			p.events.ServerDenies(c.store.id, o.Said, a.query == nil)
 		}
 		// The connection is free before the end is told: what that leads to may use it.
 		c.ready()
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -16,6 +16,8 @@
 
 type told chan Outcome
 
+func (c told) AttemptGoes(Tag) bool               { return true }
+func (c told) ServerDenies(string, Said, bool)    {}
 func (c told) AttemptWritten(Tag)                 {}
 func (c told) AttemptBegun(Tag, func()) Flow      { return nil }
 func (c told) AttemptEnded(_ Tag, o Outcome)      { c <- o }
@@ -146,8 +148,20 @@
 	}
 }
 
-// TestRecalled: a write that waits for a connection to a server which then says that it is a replica is never sent there; a
-// read is.
+// deniedBy is told, and gives up the writes that wait where a server denies, as the core does.
+type deniedBy struct {
+	told
+	p    **Pool
+	dies map[int]bool // attempts that may not go out any more
+}
+
+func (d deniedBy) ServerDenies(store string, _ Said, _ bool) {
+	(*d.p).Recall(store, func(t Tag) bool { return t.No == 1 })
+}
+func (d deniedBy) AttemptGoes(t Tag) bool { return !d.dies[t.No] }
+
+// TestRecalled: a write that waits for a connection to a server which then says that it is a replica is never sent there, nor one that may not go when
+// its connection is free; a read is.
 func TestRecalled(t *testing.T) {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -158,7 +172,7 @@
 	var p *Pool
 	l := loop.New(clk, slog.New(slog.DiscardHandler), func() loop.Handler { return nobody{} }, func() {})
 	p = New(l, slog.New(slog.DiscardHandler), Options{Roles: [2]string{"primary", "replica"}, ConnectTimeoutMs: 1e5, IdleMs: 1e5, MaxConns: func() int { return 1 },
-		Memory: func() int { return 1 << 18 }}, events)
+		Memory: func() int { return 1 << 18 }}, deniedBy{events, &p, map[int]bool{3: true}})
 	ready := make(chan struct{})
 	l.Ready = func() { close(ready) }
 	ended := make(chan error, 1)
@@ -166,7 +180,7 @@
 	<-ready
 	l.Post(func() {
 		p.SetAddress("s", server.Addr().String())
-		for no := range 3 {
+		for _, no := range []int{0, 1, 3, 2} {
 			p.Start("s", events, clk.Ms+9000, Terms{Once: no != 2}, Tag{No: no}) // all but one go without a connection
 		}
 	})
@@ -191,7 +205,7 @@
 	_, _ = far.Write(pgwire.AppendReady(pgwire.AppendParameter(answer, "role", "replica")))
 	read() // the read, on the same connection
 	var got []decide.Result
-	for range 2 {
+	for range 3 {
 		select {
 		case o := <-events:
 			got = append(got, o.Result)
@@ -199,7 +213,7 @@
 			t.Fatal("not told")
 		}
 	}
-	if diff := cmp.Diff([]decide.Result{decide.Skipped, decide.OK}, got); diff != "" {
+	if diff := cmp.Diff([]decide.Result{decide.Skipped, decide.Skipped, decide.OK}, got); diff != "" {
 		t.Error(diff)
 	}
 	l.End()
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -147,6 +147,25 @@
 	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
 }
 
+// Recall is core.Servers'.
+func (f *Front) Recall(id string, which func(backend.Tag) bool) {
+	s := f.stores[id]
+	if s == nil {
+		return
+	}
+	for i := 0; i < len(s.waiting); {
+		if a := s.waiting[i]; a.r != nil && which(a.tag) {
+			f.drop(a, decide.Skipped)
+			i = 0 // what that led to may have changed the rest
+			continue
+		}
+		i++
+	}
+}
+
+// goes asks whether an attempt may still go out. A probe always may.
+func (f *Front) goes(a *attempt) bool { return a.r == nil || f.events.AttemptGoes(a.tag) }
+
 // Probe asks a server whether it is there.
 func (f *Front) Probe(id string) {
 	s := f.stores[id]
@@ -180,6 +199,10 @@
 			l.close()
 			continue
 		}
+		if !f.goes(a) {
+			f.drop(a, decide.Skipped)
+			return
+		}
 		s.idle = s.idle[:len(s.idle)-1]
 		l.ask(a)
 		return
@@ -298,8 +321,12 @@
 		l.close()
 		return
 	}
-	if len(s.waiting) > 0 {
+	for len(s.waiting) > 0 {
 		a := s.waiting[0]
+		if !l.f.goes(a) {
+			l.f.drop(a, decide.Skipped)
+			continue
+		}
 		s.waiting = s.waiting[1:]
 		l.ask(a)
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,7 @@
 	Start(id string, q backend.Query, until float64, on backend.Terms, t backend.Tag) slots.Ref
 	Cancel(attempt slots.Ref)
 	Probe(id string)
+	Recall(id string, which func(backend.Tag) bool) // gives up of what has not gone out to a server yet that which may not go
 }
 
 // Loop is the event loop as the core needs it.
@@ -191,6 +192,7 @@
 	ref     slots.Ref
 	from    float64
 	written bool
+	goes    bool // it was looked at as it went out
 }
 
 // New makes the core of one pooler.
@@ -458,6 +460,7 @@
 func (c *Core) AttemptWritten(t backend.Tag) {
 	if q, ok := c.requests.Get(t.Request); ok && !q.tries[t.No].written {
 		q.tries[t.No].written = true
+		c.went(q, t.No)
 		c.keys.sent(q.key, q.tries[t.No].from, c.loop.Now())
 		c.figures.Tries++
 	}
@@ -513,6 +516,9 @@
 	if c.looked(store, &o) {
 		return
 	}
+	if c.fleet.prober != nil && o.Result == decide.OK { // it may have been made for others alone: the module would not be told
+		c.recallRole(store, o.Said)
+	}
 	if c.fleet.prober == nil || !c.fleet.prober.Ended(store, o.Result, o.Said) {
 		c.ProbeTold(store, o.Result, o.Said, 0)
 	}
@@ -568,7 +574,9 @@
 		case e.Entries[i].State == decide.Gone && !c.cfg.Settings.DrainOnly:
 			c.servers.Forget(id)
 		case e.Entries[i].State != decide.Serving:
-			c.servers.CloseIdle(id)
+			if c.servers.CloseIdle(id); e.Entries[i].State == decide.Draining { // what waits for a connection would be new to it, however late that comes up
+				c.servers.Recall(id, func(backend.Tag) bool { return true })
+			}
 		}
 	}
 	if kind != decide.ListChanges && !c.cfg.Settings.DrainOnly { // where only draining binds, one that vanished may serve
@@ -689,7 +697,7 @@
 		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
 	}
 	q.tries = append(q.tries, try{store: a.Store, from: c.loop.Now()})
-	if q.over || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
+	if q.over || !c.may(q, a.Store) || no >= c.cfg.Settings.MaxAttempts || q.due <= c.loop.Now() {
 		c.tell(&decide.Outcome{ID: a.ID, Attempt: no, Store: a.Store, Result: decide.Skipped, Final: q.over})
 		return
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -105,6 +105,7 @@
 
 // ProbeTold tells the router what a probe found, which is ageMs old at most.
 func (c *Core) ProbeTold(store string, result decide.Result, said backend.Said, ageMs float64) {
+	denies := said.Role == decide.RoleReplica
 	if w := c.seen.witness; w != nil && result == decide.OK && w.Withholds(store) {
 		c.recall(store, said)
 		result, said = decide.Failed, backend.Said{} // it tells nothing of whether requests come through
@@ -112,6 +113,9 @@
 	r := told(said)
 	r.Age = clock.Span(ageMs)
 	c.tell(&decide.ProbeResult{Store: decide.StoreID(store), Result: result, Load: r})
+	if denies {
+		c.recallSends(store)
+	}
 }
 
 // weigh counts a request that came.
--- a/internal/core/invariants_test.go
+++ b/internal/core/invariants_test.go
@@ -38,7 +38,11 @@
 func (d *drawn) At(ms float64, f func()) *deadline.Timer { return d.heap.Add(ms, f) }
 func (d *drawn) Probe(id string)                         { d.probes = append(d.probes, id) }
 func (d *drawn) Start(_ string, _ backend.Query, _ float64, _ backend.Terms, t backend.Tag) slots.Ref {
-	d.out = append(d.out, t)
+	if d.core.AttemptGoes(t) { // it has a connection; of one that waits sends_test.go tells
+		d.out = append(d.out, t)
+	} else {
+		d.core.AttemptEnded(t, backend.Outcome{Result: decide.Skipped})
+	}
 	return slots.Ref{Index: uint32(t.No) + 1, Gen: 1}
 }
 
--- /dev/null
+++ b/internal/core/sends_test.go
@@ -0,0 +1,212 @@
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"beechgrade/internal/backend"
+	"beechgrade/internal/config"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/front"
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/slots"
+)
+
+// dials are servers to which no connection is up yet: what is sent waits, in its order.
+type dials struct {
+	counting
+	core  *Core
+	waits []dialled
+	sent  []string // what has gone out, where
+	begun int
+}
+
+type dialled struct {
+	to  string
+	tag backend.Tag
+}
+
+func (d *dials) Start(id string, _ backend.Query, _ float64, _ backend.Terms, t backend.Tag) slots.Ref {
+	d.begun++
+	d.waits = append(d.waits, dialled{id, t})
+	return slots.Ref{}
+}
+
+func (d *dials) Recall(id string, which func(backend.Tag) bool) {
+	for i := 0; i < len(d.waits); {
+		if x := d.waits[i]; x.to == id && which(x.tag) {
+			d.skip(i)
+			i = 0
+			continue
+		}
+		i++
+	}
+}
+
+func (d *dials) skip(i int) {
+	x := d.waits[i]
+	d.waits = slices.Delete(d.waits, i, i+1)
+	d.core.AttemptEnded(x.tag, backend.Outcome{Result: decide.Skipped})
+}
+
+// up has a connection to a server come up, which carries what waits longest.
+func (d *dials) up(id string) {
+	for {
+		i := slices.IndexFunc(d.waits, func(x dialled) bool { return x.to == id })
+		if i < 0 {
+			return
+		}
+		x := d.waits[i]
+		if !d.core.AttemptGoes(x.tag) {
+			d.skip(i)
+			continue
+		}
+		d.waits = slices.Delete(d.waits, i, i+1)
+		d.sent = append(d.sent, id)
+		d.core.AttemptWritten(x.tag)
+		return
+	}
+}
+
+// dialling is a core of which two writes and a read wait for a connection to a, which leads.
+func dialling(t *testing.T) (*Core, *dials, *hand, *witness) {
+	t.Helper()
+	entry := func(id string) discovery.Instance {
+		return discovery.Instance{ID: id, HostPort: "1.2.3.4:5", Lifecycle: "up", Weight: 1}
+	}
+	cfg := &config.Config{Classes: []string{"write", "read"}, Settings: decide.Settings{Siblings: 1, Tick: time.Millisecond, MaxAttempts: 4, MayProbe: true, MayCancel: true,
+		Classes: []decide.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Read: decide.Write, Effect: decide.Unsafe}, {Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Read: decide.ReadAny}}},
+		Known: discovery.List{Reset: true, Instances: []discovery.Instance{entry("a"), entry("b")}}}
+	l, d, w := &hand{now: 1e6}, &dials{}, &witness{}
+	c := New(l, slog.New(slog.DiscardHandler), cfg)
+	c.Check(invariant.Test(t), 1)
+	d.core = c
+	c.Start(d, l)
+	c.Learnt("a", backend.Said{Role: decide.RolePrimary, Position: l.now - 500, HasPos: true}, 0)
+	for _, id := range []string{"1", "2"} {
+		ask(t, c, l, id, "write")
+	}
+	if fmt.Sprint(d.waits) != fmt.Sprint([]dialled{{"a", backend.Tag{Request: d.waits[0].tag.Request}}, {"a", backend.Tag{Request: d.waits[1].tag.Request}}}) {
+		t.Fatalf("%v wait", d.waits)
+	}
+	return c, d, l, w
+}
+
+func ask(t *testing.T, c *Core, l *hand, id, class string) {
+	t.Helper()
+	if _, err := c.Ask(front.Request{ID: id, Class: class, Due: l.now + 2000, Query: still{}}, still{}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// prober makes probes, and tells the module of none: they were others' to know.
+type prober struct{}
+
+func (prober) Wanted(string) bool                             { return true }
+func (prober) Ended(string, decide.Result, backend.Said) bool { return true }
+
+// TestWaitingWritesHear: writes wait for a connection to their primary when this pooler hears, from whomever, that it is a replica now. None goes there when
+// the connection is up; each goes to the new primary, with one try more.
+func TestWaitingWritesHear(t *testing.T) {
+	said := func(l *hand, r decide.Role, before float64) backend.Said {
+		return backend.Said{Role: r, Position: l.now - before, HasPos: true}
+	}
+	for by, tells := range map[string]func(c *Core, l *hand, w *witness){
+		"another's probe": func(c *Core, l *hand, _ *witness) {
+			c.ProbeTold("a", decide.OK, said(l, decide.RoleReplica, 10), 30)
+		},
+		"another's probe of what is avoided": func(c *Core, l *hand, w *witness) {
+			w.withholds = "a"
+			c.Witness(w)
+			c.ProbeTold("a", decide.OK, said(l, decide.RoleReplica, 10), 30)
+		},
+		"a look": func(c *Core, l *hand, w *witness) {
+			c.Witness(w)
+			c.Look("a")
+			c.ProbeEnded("a", backend.Outcome{Said: said(l, decide.RoleReplica, 10)})
+		},
+		"its own probe for another": func(c *Core, l *hand, _ *witness) {
+			c.Probing(prober{})
+			c.ProbeEnded("a", backend.Outcome{Said: said(l, decide.RoleReplica, 10)})
+		},
+		"its own probe":                     func(c *Core, l *hand, _ *witness) { c.ServerDenies("a", said(l, decide.RoleReplica, 10), true) },
+		"an answer":                         func(c *Core, l *hand, _ *witness) { c.ServerDenies("a", backend.Said{Role: decide.RoleReplica}, false) },
+		"a verdict":                         func(c *Core, l *hand, _ *witness) { c.Learnt("a", said(l, decide.RoleReplica, 10), 20) },
+		"a verdict on another, at the send": func(c *Core, l *hand, _ *witness) { c.Learnt("b", said(l, decide.RolePrimary, 5), 5) },
+		"another's memory, at the send": func(c *Core, l *hand, _ *witness) {
+			k, _ := c.router.MemoryOf("a")
+			k.Role, k.RoleAt = decide.RoleReplica, k.RoleAt+1
+			c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+		},
+	} {
+		t.Run(by, func(t *testing.T) {
+			c, d, l, w := dialling(t)
+			tells(c, l, w)
+			if early := !strings.HasSuffix(by, "at the send"); early != (len(d.waits) == 0) {
+				t.Errorf("%v wait still", d.waits)
+			}
+			for range 3 {
+				d.up("a")
+			}
+			if len(d.sent) > 0 || d.begun > 4 {
+				t.Errorf("sent to %v, %d attempts begun", d.sent, d.begun)
+			}
+			c.ProbeTold("b", decide.OK, said(l, decide.RolePrimary, 1), 0)
+			for range 3 {
+				d.up("b")
+			}
+			if fmt.Sprint(d.sent) != "[b b]" || d.begun != 4 {
+				t.Errorf("with a new primary: sent to %v, %d attempts begun", d.sent, d.begun)
+			}
+		})
+	}
+}
+
+// TestOldWordCallsNothingOff: that a server was a replica before it led calls nothing off.
+func TestOldWordCallsNothingOff(t *testing.T) {
+	c, d, l, _ := dialling(t)
+	old := backend.Said{Role: decide.RoleReplica, Position: l.now - 900, HasPos: true}
+	c.ProbeTold("a", decide.OK, old, 30)
+	c.ServerDenies("a", old, true)
+	d.up("a")
+	d.up("a")
+	if fmt.Sprint(d.sent) != "[a a]" || d.begun != 2 {
+		t.Errorf("sent to %v, %d attempts begun", d.sent, d.begun)
+	}
+}
+
+// TestWaitingHearsOfDrain: what waits for a connection to a server that begins to drain is called off, reads too: its connection may come up after the grace.
+func TestWaitingHearsOfDrain(t *testing.T) {
+	c, d, l, _ := dialling(t)
+	ask(t, c, l, "3", "read")
+	for i := range d.waits {
+		d.waits[i].to = "a"
+	}
+	begun := d.begun
+	c.Listed(&discovery.List{Generation: 2, Instances: []discovery.Instance{{ID: "a", HostPort: "1.2.3.4:5", Lifecycle: "draining", Weight: 1}}})
+	if d.up("a"); len(d.sent) > 0 || begun != 3 {
+		t.Errorf("sent to %v; %d were begun before", d.sent, begun)
+	}
+}
+
+// TestSendsInvariant: who sends a write after such a word without having looked breaks the statement.
+func TestSendsInvariant(t *testing.T) {
+	c, d, l, _ := dialling(t)
+	var broken []string
+	c.checks = invariant.New(func(b invariant.Breach) { broken = append(broken, b.Name) })
+	kept := slices.Clone(d.waits)
+	c.AttemptWritten(kept[0].tag)
+	if len(broken) > 0 {
+		t.Fatalf("%v, while it leads", broken)
+	}
+	c.Learnt("b", backend.Said{Role: decide.RolePrimary, Position: l.now - 5, HasPos: true}, 5)
+	c.AttemptWritten(kept[1].tag)
+	if fmt.Sprint(broken) != "[core: what the primary alone may take goes to no other server]" {
+		t.Errorf("%v", broken)
+	}
+}
--- a/internal/core/siblings_test.go
+++ b/internal/core/siblings_test.go
@@ -29,12 +29,13 @@
 // counting are servers that count what they are asked.
 type counting struct{ n int }
 
-func (*counting) SetAddress(string, string) {}
-func (*counting) CloseIdle(string)          {}
-func (*counting) Forget(string)             {}
-func (*counting) Retain(map[string]bool)    {}
-func (*counting) Probe(string)              {}
-func (*counting) Cancel(slots.Ref)          {}
+func (*counting) SetAddress(string, string)             {}
+func (*counting) CloseIdle(string)                      {}
+func (*counting) Forget(string)                         {}
+func (*counting) Retain(map[string]bool)                {}
+func (*counting) Recall(string, func(backend.Tag) bool) {}
+func (*counting) Probe(string)                          {}
+func (*counting) Cancel(slots.Ref)                      {}
 func (c *counting) Start(string, backend.Query, float64, backend.Terms, backend.Tag) slots.Ref {
 	c.n++
 	return slots.Ref{}
--- a/internal/core/witness.go
+++ b/internal/core/witness.go
@@ -81,6 +81,9 @@
 	if k, ok := c.router.MemoryOf(decide.StoreID(store)); ok && said.HasPos && said.Role != decide.RoleUnknown && at <= now {
 		k.Down, k.Role, k.RoleAt = false, said.Role, at
 		c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+		if said.Role == decide.RoleReplica {
+			c.recallSends(store)
+		}
 	}
 }
 
@@ -99,6 +102,9 @@
 		k.Position, k.PositionAt, k.PlacedAt = at, now, now-clock.Span(ageMs)
 	}
 	c.Recall(&decide.Memory{Stores: []decide.StoreMemory{k}})
+	if said.Role == decide.RoleReplica {
+		c.recallSends(store)
+	}
 }
 
 // Avoid has the router take a server for down; Try has it send a few requests there, if it does.
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -209,6 +209,12 @@
 	return 1
 }
 
+// Leads tells whether a store is the primary of its group by the latest evidence.
+func (r *Router) Leads(id StoreID) bool {
+	s := r.stores[id]
+	return s != nil && r.primary(s.group) == s
+}
+
 // newStore files a store of which nothing is known.
 func (r *Router) newStore(id StoreID, g *group) *store {
 	s := &store{id: id, group: g, set: &r.set, serviceAt: r.now, position: never, pace: 1, rel: 1, positionAt: r.now, roleAt: never, askedAt: never,
--- a/internal/fronts/scatter/part.go
+++ b/internal/fronts/scatter/part.go
@@ -168,6 +168,10 @@
 		f.end(l.attempt, decide.Full, nil)
 		return
 	}
+	if a := l.attempt; a != nil && !f.events.AttemptGoes(a.tag) {
+		f.end(a, decide.Skipped, nil)
+		return
+	}
 	if err := l.ask(p); err != nil {
 		p.broke(err.Error(), false)
 		return
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -186,6 +186,12 @@
 	j.Servers.Retain(ids)
 }
 
+// Recall is core.Servers'.
+func (j *Journal) Recall(id string, which func(backend.Tag) bool) {
+	j.recall(func(h *held) bool { return h.attempt.Server == id && which(h.tag) })
+	j.Servers.Recall(id, which)
+}
+
 func (j *Journal) recall(which func(*held) bool) {
 	var out []*held
 	j.held.Each(func(_ slots.Ref, h *held) {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -38,6 +38,7 @@
 func (r *rig) CloseIdle(id string)                      { r.note("idle %s", id) }
 func (r *rig) Forget(id string)                         { r.note("forget %s", id) }
 func (r *rig) Retain(map[string]bool)                   {}
+func (r *rig) Recall(string, func(backend.Tag) bool)    {}
 func (r *rig) Probe(id string)                          {}
 func (r *rig) Cancel(ref slots.Ref)                     { r.note("cancel %d", ref.Index) }
 func (r *rig) AttemptEnded(t backend.Tag, o backend.Outcome) {
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -304,6 +304,10 @@
 	st.expire()
 	if n := len(st.idle); n > 0 {
 		if rest := e.s.now - st.idle[n-1]; !a.Once || rest < p.wear.Limit() {
+			if !a.goes() {
+				a.drop(decide.Skipped)
+				return
+			}
 			st.idle = st.idle[:n-1]
 			a.rest = rest
 			a.send()
@@ -433,7 +437,7 @@
 	}
 	for len(st.waiting) > 0 {
 		a := st.waiting[0]
-		if a.Late(st.p.e.s.now) {
+		if a.Late(st.p.e.s.now) || !a.goes() {
 			a.drop(decide.Skipped)
 			continue
 		}
@@ -450,10 +454,14 @@
 	}
 }
 
-// recall gives up writes that wait for a connection to a server that says it is a replica, as the daemon does.
-func (st *store) recall() {
+// Recall is core.Servers'.
+func (p *pooler) Recall(id string, which func(backend.Tag) bool) {
+	st := p.store(id)
+	if st == nil {
+		return
+	}
 	for i := 0; i < len(st.waiting); {
-		if a := st.waiting[i]; a.Once {
+		if a := st.waiting[i]; a.v != nil && which(a.tag) {
 			a.drop(decide.Skipped)
 			i = 0
 			continue
@@ -462,6 +470,9 @@
 	}
 }
 
+// goes asks whether an attempt may still go out, as the daemon does. A probe always may.
+func (a *attempt) goes() bool { return a.v == nil || a.p.core.AttemptGoes(a.tag) }
+
 func (st *store) unqueue(a *attempt) {
 	for i := range st.waiting {
 		if st.waiting[i] == a {
@@ -609,8 +620,8 @@
 		}
 		delete(st.busy, a)
 		a.p.wear.Note(a.p.e.s.now, a.rest, false)
-		if o.Role == decide.RoleReplica {
-			st.recall()
+		if o.Role == decide.RoleReplica && len(st.waiting) > 0 {
+			a.p.core.ServerDenies(a.id, o.Said, a.v == nil)
 		}
 		st.free() // before the end is told: what that leads to may use it
 		a.end(o)
--- a/internal/pooling/pooling.go
+++ b/internal/pooling/pooling.go
@@ -326,6 +326,8 @@
 	a.t.attempt = a
 	if f.addrs[store] == "" {
 		f.end(a, decide.Unreachable, nil)
+	} else if !f.events.AttemptGoes(a.tag) {
+		f.end(a, decide.Cancelled, nil)
 	} else if c := a.t.c; !c.stay(a) {
 		f.expire()
 		f.do(c.pool, c.pool.share.Want(share.ID(refNumber(a.ref)), store, f.loop.Now()))
@@ -333,6 +335,19 @@
 	return slots.Ref{Index: a.ref.Index | firstRef, Gen: a.ref.Gen}
 }
 
+// Recall is core.Servers': what has no connection yet and may not go to that server any more is given up.
+func (f *Front) Recall(store string, which func(backend.Tag) bool) {
+	var out []*attempt
+	f.attempts.Each(func(_ slots.Ref, a *attempt) {
+		if a.store == store && a.link == nil && which(a.tag) {
+			out = append(out, a)
+		}
+	})
+	for _, a := range out {
+		f.end(a, decide.Cancelled, nil)
+	}
+}
+
 // Cancel is core.Servers': it gives an attempt up. What was sent may have run.
 func (f *Front) Cancel(ref slots.Ref) {
 	if a, ok := f.attempts.Get(slots.Ref{Index: ref.Index &^ firstRef, Gen: ref.Gen}); ok {
@@ -389,6 +404,9 @@
 			case !up:
 			case !ok:
 				l.free()
+			case !f.events.AttemptGoes(a.tag):
+				l.free()
+				f.end(a, decide.Cancelled, nil)
 			default:
 				a.t.c.assign(a, l)
 			}
