Count no broken connection for ever in virtual time, and write every word of a scenario down

Cause: an attempt that was given up between its server's end and the reset's arrival left its connection counted, so that pooler and server had a place less for good; Text knew nothing of peers, limits, overload, verdicts, log, credit, pages, tenants, sites, keys and links, so what lab shrink wrote was another scenario. Change: drop, giveUp and unhold count such a connection out; counted connections are stated to be there as processes and plays end. Text writes what the parser takes, forms of settings as they were read; what comes again is written out; a scenario with fewer poolers than voters is none; drawn times are whole nanoseconds, as they can be written. Result: TestBrokenConnectionsAreNotCounted and TestPageLeftBeforeItsResetIsNotCounted fail without each of the three; TestTextTakesEveryWord draws each word and each fault, TestTextOfExamples takes all examples with five draws each.

--- /dev/null
+++ b/internal/kit/emulate/conns_test.go
@@ -0,0 +1,60 @@
+package emulate
+
+import (
+	"slices"
+	"testing"
+
+	"beechgrade/internal/kit/check"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/peers/part"
+)
+
+// TestBrokenConnectionsAreNotCounted: servers die while attempts are out there, some of which are given up, by clients, the module or a page, before the pooler
+// hears that their connection broke. No such connection counts for ever: it would take a place of the pooler's, and of the server's.
+func TestBrokenConnectionsAreNotCounted(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		r := play(t, parse(t, `(rehearsal "broken" (seconds 12) (poolers 4) (groups 3 3) (rate 400) (way 10ms 45ms) (retries 2) (detect 100ms 200ms) (elect 100ms 200ms) (crowds 2)
+			(class "quadro-obra" (aim 100ms) (deadline 160ms)) (class "conferir-ponto" (aim 100ms) (deadline 180ms))
+			(pages (class "conferir-ponto") (rows 60) (page 11) (readers 6) (think 5ms) (changes 60) (wait 300ms))
+			(at 1s (die everyone) (for 100ms) (every 400ms)) (at 1300ms (hang replica 0) (for 300ms) (every 1s)) (at 5s (kill-pooler 1) (for 500ms)))`), Options{Seed: seed + 1})
+		if r.Verdict.Broken[check.Invariant] > 0 || r.Verdict.Checked[check.Invariant] == 0 {
+			t.Errorf("seed %d: %v, in %d attempts", seed+1, r.Verdict.Broken, r.Attempts)
+		}
+	}
+}
+
+// TestPageLeftBeforeItsResetIsNotCounted: a page's client gives up while rows of a shard come on a connection that its server has broken, before the pooler hears of that.
+func TestPageLeftBeforeItsResetIsNotCounted(t *testing.T) {
+	t.Parallel()
+	left := 0
+	join := func(h Host) []part.Part {
+		e := h.x.p.e
+		if h.x.p.no > 0 {
+			return nil
+		}
+		var look func()
+		look = func() {
+			for _, p := range e.poolers {
+				for _, s := range slices.Clone(e.paging.open[p]) {
+					for _, x := range s.parts {
+						if x != nil && x.out != nil && !x.out.ended && x.open && x.out.slife != x.out.st.life {
+							left++
+							s.leave()
+							break
+						}
+					}
+				}
+			}
+			e.s.After(1, world.Func(look), 0)
+		}
+		look()
+		return nil
+	}
+	r := play(t, parse(t, `(rehearsal "left" (seconds 8) (poolers 3) (groups 3 3) (rate 60) (way 10ms 40ms) (detect 100ms 200ms) (elect 100ms 200ms) (peers)
+		(pages (class "conferir-ponto") (rows 900) (page 800) (readers 20) (think 5ms) (changes 60))
+		(at 1s (die everyone) (for 100ms) (every 400ms)))`), Options{Seed: 1, Parts: []Joined{join}})
+	if left == 0 || r.Verdict.Broken[check.Invariant] > 0 || r.Verdict.Checked[check.Invariant] == 0 {
+		t.Errorf("%d were left; %v", left, r.Verdict.Broken)
+	}
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -203,6 +203,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	for _, p := range e.poolers {
+		p.counted()
+	}
 	e.check.Finish(e.s.now)
 	return e.result(), nil
 }
--- a/internal/kit/emulate/pages_made.go
+++ b/internal/kit/emulate/pages_made.go
@@ -289,6 +289,8 @@
 	}
 	if a.slife == a.st.life {
 		a.st.free()
+	} else { // the server broke it
+		a.st.add(-1)
 	}
 }
 
@@ -388,9 +390,7 @@
 	if a := x.out; x.open && a != nil && !a.ended {
 		st := a.st
 		delete(st.busy, a)
-		if a.slife == st.life {
-			st.add(-1)
-		}
+		st.add(-1)
 		x.s.g.e.s.After(a.p.e.way(), a, atCancel)
 		a.end(backend.Outcome{Result: decide.OK})
 		st.refill()
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -158,6 +158,7 @@
 	if !p.up {
 		return
 	}
+	p.counted()
 	p.up = false
 	p.life++
 	e := p.e
@@ -328,6 +329,26 @@
 	st.p.e.conned = max(st.p.e.conned, st.p.conns)
 }
 
+// counted states that what counts as connections at a process's end is there: idle, coming up, or with an attempt.
+func (p *pooler) counted() {
+	if !p.up {
+		return
+	}
+	sum := 0
+	for _, st := range p.stores {
+		if st == nil {
+			continue
+		}
+		sum += st.conns
+		p.e.checks.That(st.conns == len(st.idle)+st.dialing+len(st.busy), "emulate: counted connections are there", func() string {
+			return fmt.Sprintf("%s to %s: %d counted; %d idle, %d coming up, %d in use", p.name, st.s.Name, st.conns, len(st.idle), st.dialing, len(st.busy))
+		})
+	}
+	p.e.checks.That(sum == p.conns, "emulate: a pooler's connections are those to its servers", func() string {
+		return fmt.Sprintf("%s: %d counted, %d to servers", p.name, p.conns, sum)
+	})
+}
+
 // expire closes connections that were idle for too long.
 func (st *store) expire() {
 	n := 0
@@ -676,9 +697,7 @@
 		return
 	}
 	delete(st.busy, a)
-	if a.slife == st.life {
-		st.add(-1)
-	}
+	st.add(-1) // where the server broke it, its reset is yet to come, and finds nobody
 	if !a.p.cut(st.s) {
 		a.p.e.s.After(a.p.e.way(), a, atCancel)
 	}
--- a/internal/kit/scenario/chaos.go
+++ b/internal/kit/scenario/chaos.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -105,7 +106,7 @@
 	case "apart":
 		f.Ends, f.Link.Cut = [2][]int{all[:1], all[1:min(2, n)]}, true
 	case "lossy":
-		f.Ends, f.Both = [2][]int{all, all}, false
+		f.What, f.Ends, f.Both = "links", [2][]int{all, all}, false
 		f.Link.Lose, f.Link.Duplicate, f.Link.Reorder = f.Value, 0.1, 0.2
 	case "slow":
 		f.Ends, f.Link.Slow = [2][]int{all[:some], all}, f.Value
@@ -168,6 +169,9 @@
 			d = drawable[rng.IntN(len(drawable))]
 		}
 		f := Fault{What: d.what, At: min(end-1, float64(int(between([2]float64{c.From, c.To})))), For: float64(int(between(d.spans))), Value: between(d.value)}
+		if d.what == "list-late" || d.what == "slow" { // a time, as it can be written down
+			f.Value = math.Round(f.Value*1e6) / 1e6
+		}
 		group := rng.IntN(len(s.Fleet.Groups))
 		member := rng.IntN(s.Fleet.Groups[group])
 		if f.OfWays() {
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -446,11 +446,13 @@
 // unfold writes out what comes again and again.
 func unfold(faults []Fault, endMs float64) (out []Fault) {
 	for _, f := range faults {
+		every := f.Every
+		f.Every = 0 // each is written out
 		out = append(out, f)
-		if f.Every <= 0 {
+		if every <= 0 {
 			continue
 		}
-		for at := f.At + f.Every; at < endMs && len(out) < maxFaults; at += f.Every {
+		for at := f.At + every; at < endMs && len(out) < maxFaults; at += every {
 			again := f
 			again.At = at
 			out = append(out, again)
@@ -703,6 +705,9 @@
 // Again makes all that follows from a script that was changed, and checks it.
 func (s *Script) Again() error {
 	s.Clients.Jumps = nil
+	if s.Agreed != nil && s.Agreed.Voters > s.Poolers {
+		return s.source.Errorf("of %d poolers %d cannot vote", s.Poolers, s.Agreed.Voters)
+	}
 	for i := range s.Faults {
 		if f := &s.Faults[i]; f.Who.Node != nil {
 			var err error
--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -7,10 +7,15 @@
 	"strings"
 
 	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/links"
 	"beechgrade/internal/kit/world"
+	"beechgrade/internal/sexp"
 )
 
-// Text writes a script down, so that it can be read again. Only what differs from the defaults is said.
+// asRead are forms that are written as they were read: their settings are no matter of a smaller scenario.
+var asRead = []string{"peers", "fleet-limits", "overload", "verdicts", "agreed", "credit", "pages"}
+
+// Text writes a script down, so that it can be read again. Only what differs from the defaults is said. What comes again and again is written out.
 func (s *Script) Text() string {
 	var b strings.Builder
 	f, c, was, wc := &s.Fleet, &s.Clients, world.Defaults(3), clients.Defaults()
@@ -38,6 +43,50 @@
 			fmt.Fprintf(&b, "\n  (%s %sms %sms)", name, num(is[0]), num(is[1]))
 		}
 	}
+	yes := func(name string, is bool) {
+		if is {
+			fmt.Fprintf(&b, "\n  (%s yes)", name)
+		}
+	}
+	if len(s.Sites) > 0 {
+		b.WriteString("\n  (sites")
+		for _, name := range s.Sites {
+			b.WriteString(" " + quote(name))
+		}
+		b.WriteString(")")
+	}
+	if len(s.Regions) > 0 {
+		b.WriteString("\n  (regions")
+		for i := range s.Regions[len(s.Regions)-1] + 1 {
+			n := 0
+			for _, r := range s.Regions {
+				if r == i {
+					n++
+				}
+			}
+			fmt.Fprintf(&b, " %d", n)
+		}
+		b.WriteString(")")
+	}
+	both("cross", s.Cross, [2]float64{})
+	both("far", s.Far, [2]float64{})
+	yes("near", s.Near)
+	number("cross-price", s.CrossPrice, 0, "")
+	yes("pushed", s.Pushed)
+	yes("pack", s.Pack)
+	number("record-queue", float64(s.Queue), 0, "")
+	number("back-in", s.BackMs, 0, "ms")
+	number("skew", c.Skew, wc.Skew, "")
+	number("swing", c.SwingMs, wc.SwingMs, "ms")
+	number("allowance", c.Allowance, wc.Allowance, "")
+	number("over", c.Over, wc.Over, "")
+	for _, t := range c.Tenants {
+		fmt.Fprintf(&b, "\n  (tenant %s (share %s)", quote(t.Name), num(t.Share))
+		if t.Usage != 1 {
+			fmt.Fprintf(&b, " (usage %s)", num(t.Usage))
+		}
+		b.WriteString(")")
+	}
 	number("sessions", float64(c.Sessions), float64(wc.Sessions), "")
 	number("follows", c.Follows, wc.Follows, "")
 	number("follow", c.FollowMs, wc.FollowMs, "ms")
@@ -75,8 +124,15 @@
 		if k == o {
 			continue
 		}
-		fmt.Fprintf(&b, "\n  (class %s (share %s) (aim %sms) (deadline %sms) (worth %s) (late %s) (bound %sms) (work %sms %sms))", quote(k.Name), num(k.Share), num(k.Aim),
+		fmt.Fprintf(&b, "\n  (class %s (share %s) (aim %sms) (deadline %sms) (worth %s) (late %s) (bound %sms) (work %sms %sms)", quote(k.Name), num(k.Share), num(k.Aim),
 			num(k.Deadline), num(k.Worth), num(k.LateWorth), num(k.Bound), num(k.Work[0]), num(k.Work[1]))
+		if k.KeyMs > 0 {
+			fmt.Fprintf(&b, " (keyed %sms)", num(k.KeyMs))
+		}
+		b.WriteString(")")
+	}
+	for _, n := range s.kept() {
+		b.WriteString("\n  " + textOf(n))
 	}
 	if c := s.Chaos; c.Faults > 0 {
 		fmt.Fprintf(&b, "\n  (chaos %d %sms %sms", c.Faults, num(c.From), num(c.To))
@@ -86,6 +142,9 @@
 		b.WriteString(")")
 	}
 	for _, x := range s.Faults {
+		if x.OfLinks() && x.Owner == "" && (len(x.Ends[0]) == 0 || len(x.Ends[1]) == 0) {
+			continue // it was drawn between some poolers and none
+		}
 		fmt.Fprintf(&b, "\n  (at %sms (%s%s)", num(x.At), x.What, x.args())
 		if x.For > 0 {
 			fmt.Fprintf(&b, " (for %sms)", num(x.For))
@@ -106,10 +165,31 @@
 	case "load":
 		fmt.Fprintf(&b, " %s", num(f.Value))
 	case "kill-pooler", "restart-pooler", "stall-pooler":
+		if f.Owner != "" {
+			return " owner " + quote(f.Owner)
+		}
 		fmt.Fprintf(&b, " %d", f.Target.Group)
+	case "limit":
+		fmt.Fprintf(&b, " %s %s%s", quote(f.Target.Word), num(f.Value), numbers(f.Ends[0]))
+	case "pay":
+		fmt.Fprintf(&b, " %s %d %s%s", quote(f.Target.Word), f.Number, num(f.Value), numbers(f.Ends[0]))
+	case "links", "between":
+		fmt.Fprintf(&b, " %s %s%s", f.From.text(f.Ends[0]), f.To.text(f.Ends[1]), linkText(&f.Link))
+	case "route", "routes":
+		for _, names := range f.Places {
+			b.WriteString(" (")
+			for i, name := range names {
+				if i > 0 {
+					b.WriteString(" ")
+				}
+				b.WriteString(quote(name))
+			}
+			b.WriteString(")")
+		}
+		b.WriteString(linkText(&f.Link))
 	default:
 		if f.OfWays() {
-			fmt.Fprintf(&b, " (%s)", strings.Trim(fmt.Sprint(f.Poolers), "[]"))
+			b.WriteString(" " + f.Who.text(f.Poolers))
 		}
 		if f.What == "list-held" {
 			break
@@ -122,6 +202,51 @@
 	return b.String()
 }
 
+// text names poolers as they were named, or those that were drawn.
+func (w whom) text(poolers []int) string {
+	if w.Node != nil {
+		return textOf(w.Node)
+	}
+	return "(" + strings.TrimPrefix(numbers(poolers), " ") + ")"
+}
+
+func numbers(list []int) string {
+	var b strings.Builder
+	for _, n := range list {
+		fmt.Fprintf(&b, " %d", n)
+	}
+	return b.String()
+}
+
+// linkText is what befalls a link.
+func linkText(l *links.Fault) string {
+	var b strings.Builder
+	if l.Cut {
+		b.WriteString(" cut")
+	}
+	for _, x := range []struct {
+		name, unit string
+		is         float64
+	}{{"lose", "", l.Lose}, {"duplicate", "", l.Duplicate}, {"reorder", "", l.Reorder}, {"slow", "ms", l.Slow}} {
+		if x.is > 0 {
+			fmt.Fprintf(&b, " (%s %s%s)", x.name, num(x.is), x.unit)
+		}
+	}
+	return b.String()
+}
+
+// kept are the forms that are written as they were read.
+func (s *Script) kept() (out []*sexp.Node) {
+	on := map[string]bool{"peers": s.Peers != nil, "fleet-limits": s.Limits != nil, "overload": s.Overload != nil, "verdicts": s.Verdicts != nil, "agreed": s.Agreed != nil, "credit": s.Credit != nil,
+		"pages": s.Pages != nil}
+	for _, n := range s.source.Args() {
+		if h := n.Head(); slices.Contains(asRead, h) && on[h] || h == "on-sockets" {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func num(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
 
 func quote(s string) string {
--- /dev/null
+++ b/internal/kit/scenario/text_test.go
@@ -0,0 +1,166 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/steady"
+)
+
+// words are values for every word that the parser takes, to draw from.
+var words = map[string][]string{
+	"seconds": {"30", "44.5"}, "poolers": {"5", "7"}, "groups": {"3 2 4", "3 3 3"}, "groups-of": {"6 3"}, "way": {"0.1ms 2ms"}, "handshake": {"1ms 3ms"},
+	"probe-cost": {"3ms"}, "probe-price": {"0.02"}, "clickhouse": {"yes"}, "consul": {"3"}, "forgets": {"2s"}, "idle": {"4s"}, "descriptors": {"300"}, "crowds": {"2"},
+	"connections": {"90"}, "rate": {"77.5"}, "sessions": {"44"}, "follows": {"0.3"}, "follow": {"40ms"}, "roams": {"0.4"}, "retries": {"4"}, "retry": {"10ms 70ms"},
+	"class":  {`"quadro-obra" (aim 700ms) (work 3ms 9ms)`, `"registrar-ponto" (keyed 3s) (late 0.25)`},
+	"tenant": {`"a" (share 0.5)`, `"b" (share 0.25) (usage 4)`}, "allowance": {"55"}, "over": {"0.5"},
+	"peers": {"", "(probe 300ms) (seeds 1)"}, "fleet-limits": {`(lease 6s) (limit "l" (of tenant "a") (rate 100) (burst 10))`},
+	"overload": {"", "(shed yes) (probes (each 30ms)) (repeats)"}, "agreed": {"(voters 3) (tick 60ms)", "(voters 5)"},
+	"credit": {`(price "quadro-obra" (request 10)) (payment "a" 1 900)`}, "pages": {`(class "conferir-ponto") (rows 9)`, `(class "conferir-ponto") (tenant "a") (desc yes)`},
+	"on-sockets": {"(poolers 2) (rate 9)"}, "verdicts": {"", "(testers 3) (places no)"}, "back-in": {"5s"}, "skew": {"0.5"}, "swing": {"2s"}, "pushed": {"yes"},
+	"sites": {`"x" "y" "z"`}, "cross": {"5ms 6ms"}, "regions": {"2 1"}, "far": {"40ms 50ms"}, "near": {"yes"}, "cross-price": {"0.125"}, "cores": {"2"}, "queue": {"70"}, "tail": {"yes"},
+	"ship": {"1ms 9ms"}, "apply": {"7ms"}, "detect": {"100ms 300ms"}, "elect": {"110ms 300ms"}, "switch": {"120ms 300ms"}, "list": {"130ms 300ms"}, "roles": {"140ms 300ms"},
+	"cold": {"8s"}, "cold-by": {"0.25"}, "falls": {"1.5"}, "falls-in": {"900ms"}, "pack": {"yes"}, "record-queue": {"128"},
+	"at": {`1s (die primary 0)`, `1500ms (load 2) (for 3s)`, `1s (lag replica 1 6.5) (for 1s) (every 9s)`, `2s (list-late 1250.5ms) (for 1s)`, `2s (list-gone) (for 1s)`, `3s (agent 0 frozen)`,
+		`3s (links 0 (1 2) cut (lose 0.25)) (for 2s)`, `3s (between (part 0 0.4) (part 0.4 1) (slow 20ms) (duplicate 0.1) (reorder 0.2)) (for 1s)`, `3s (links (owner "l") all cut) (for 1s)`,
+		`4s (route "x" ("y" "z") cut) (for 1s)`, `4s (routes ("x" "z") "y" (slow 9ms)) (for 1s)`, `4s (power "y") (for 1s)`, `4s (crowd site "x" 0.5) (for 1s)`, `5s (limit "l" 50)`, `5s (limit "l" 60 0 2)`,
+		`5s (pay "a" 2 700)`, `5s (pay "a" 3 800 1 2)`, `6s (kill-pooler 1) (for 1s)`, `6s (stall-pooler owner "l") (for 1s)`, `6s (restart-pooler 2)`, `6s (restart member 0 1)`, `7s (cut x everyone) (for 1s)`,
+		`7s (cut prober member 1 0) (for 1s)`, `7s (thin (0 2) half-primaries 0.5) (for 1s)`, `7s (list-held all) (for 1s)`, `8s (hang primaries) (for 1s)`, `8s (disk replica 0 3) (for 1s)`,
+		`8s (wrong-roles) (for 1s)`, `8s (deregister-all) (for 1s)`, `8s (reissue member 0 0)`, `8s (fail-check member 0 0) (for 1s)`, `9s (list-silent)`, `9s (lose everyone 0.5) (for 1s)`},
+	"chaos": {"4 2s 9s", "9 2s 9s lossy slow parted apart unheard list-late lag", "5 1s 9s cut thin list-held restart"},
+}
+
+// plain is a script without where its parts were read, and with how its poolers were named resolved.
+func plain(s *Script) map[string]any {
+	c := s.Clone()
+	out := map[string]any{}
+	for _, n := range c.kept() {
+		out["form "+n.Head()] = textOf(n)
+	}
+	var smaller []string
+	for _, n := range c.smaller {
+		smaller = append(smaller, textOf(n))
+	}
+	out["smaller"] = smaller
+	c.source, c.smaller, c.Overload, c.Credit, c.Pages, c.Limits, c.Verdicts, c.Agreed = nil, nil, nil, nil, nil, nil, nil, nil // by their forms
+	c.Faults = slices.DeleteFunc(c.Faults, func(f Fault) bool {
+		return f.OfLinks() && f.Owner == "" && (len(f.Ends[0]) == 0 || len(f.Ends[1]) == 0)
+	})
+	for i := range c.Faults {
+		f := &c.Faults[i]
+		f.Pos.Line, f.Pos.Col, f.Pos.File = 0, 0, ""
+		f.Who, f.From, f.To = whom{}, whom{}, whom{}
+		if f.OfLinks() || !slices.Contains([]string{"crowd", "lag", "lose", "disk", "thin", "list-late", "load", "limit", "pay"}, f.What) {
+			f.Value = 0 // it was drawn for nothing
+		}
+	}
+	out["all"] = *c
+	return out
+}
+
+// same holds a script against what is read of its text.
+func same(t rapid.TB, s *Script) {
+	text := s.Text()
+	again, err := Parse("again", []byte(text))
+	if err != nil {
+		t.Fatalf("%v\n%s", err, text)
+	}
+	if a, b := plain(s), plain(again); !reflect.DeepEqual(a, b) {
+		t.Fatalf("%+v\nbecame\n%+v\n%s", a, b, text)
+	}
+}
+
+// TestTextTakesEveryWord: a script of any words, and what is drawn of it, is the same once written down and read again.
+func TestTextTakesEveryWord(t *testing.T) {
+	s, _ := Parse("s", []byte(`(rehearsal "x")`))
+	var all []string
+	for w := range s.form() {
+		if len(words[w]) == 0 {
+			t.Errorf("no value of %q is drawn", w)
+		}
+		all = append(all, w)
+	}
+	slices.Sort(all)
+	many := append(slices.Clone(all), slices.Repeat([]string{"at"}, 40)...)
+	read := map[string]int{}
+	steady.Check(t, func(t *rapid.T) {
+		text := `(rehearsal "x \"y\" \\"`
+		var said []string
+		say := func(head, value string) {
+			if try := strings.TrimRight(text, " ") + " (" + head + " " + value + ")"; head != "" {
+				if _, err := Parse("s", []byte(try+")")); err == nil { // what does not go with what is there already is left out
+					text, said = try, append(said, head)
+				}
+			}
+		}
+		for _, base := range []string{"seconds", "poolers", "peers", "tenant", "sites", "fleet-limits", "overload", "agreed", "credit", "consul", "regions"} {
+			if rapid.Float64().Draw(t, base) < 0.7 {
+				say(base, rapid.SampledFrom(words[base]).Draw(t, base))
+			}
+		}
+		for range rapid.IntRange(0, 80).Draw(t, "words") {
+			w := rapid.SampledFrom(many).Draw(t, "word")
+			say(w, rapid.SampledFrom(words[w]).Draw(t, "value"))
+		}
+		s, err := Parse("s", []byte(text+")"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		same(t, s)
+		if d, err := s.Drawn(uint64(rapid.IntRange(0, 99).Draw(t, "seed"))); err == nil { // faults of ways do not go with Consul
+			s = d
+			same(t, s)
+		}
+		for _, w := range said {
+			read[w]++
+		}
+		for _, f := range s.Faults {
+			read["(at "+f.What+")"]++
+		}
+	})
+	for _, w := range all {
+		if read[w] == 0 {
+			t.Errorf("%q was never written", w)
+		}
+	}
+	for w := range faults {
+		if read["(at "+w+")"] == 0 && w != "power" { // which is written as what it does
+			t.Errorf("(at %s) was never written", w)
+		}
+	}
+}
+
+// TestTextOfExamples: each scenario that lies with the project is the same once written down and read again, with its drawn faults too.
+func TestTextOfExamples(t *testing.T) {
+	paths, _ := filepath.Glob("../../../example/rehearsals/*.sexp")
+	if len(paths) < 20 {
+		t.Fatalf("%v", paths)
+	}
+	for _, path := range paths {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := Parse(path, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(fmt.Sprint(filepath.Base(path)), func(t *testing.T) {
+			same(t, s)
+			for seed := range uint64(5) {
+				d, err := s.Drawn(seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				same(t, d)
+			}
+		})
+	}
+}
