--- a/internal/kit/emulate/pages_made.go
+++ b/internal/kit/emulate/pages_made.go
@@ -275,6 +275,10 @@
 			a.drop(decide.Full)
 			return
 		}
+		if !a.goes() {
+			a.drop(decide.Skipped)
+			return
+		}
 		a.held = false
 		a.send()
 	}
