Play a month-end that was written down, to the same events

Need: nothing showed that a rich scenario's text is the same play. Change: TestWrittenDownIsTheSamePlay, three seeds with nine drawn faults.

--- a/internal/kit/emulate/month_test.go
+++ b/internal/kit/emulate/month_test.go
@@ -85,3 +85,20 @@
 		t.Errorf("without a mutant: %v", whole.Verdict.Broken)
 	}
 }
+
+// TestWrittenDownIsTheSamePlay: a scenario with all that the month-end has and faults drawn beside it, written down and read again, is the same play to the bit.
+func TestWrittenDownIsTheSamePlay(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		s := short(t, "")
+		s.Clients.Seconds, s.Poolers, s.Clients.Rate = 7.5, 9, 60
+		s.Chaos = scenario.Chaos{Faults: 9, From: 1000, To: 6500, Kinds: []string{"die", "lag", "lossy", "parted", "unheard", "slow", "kill-pooler", "stall-pooler", "list-late", "cut", "thin"}}
+		s, err := s.Drawn(seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a, b := play(t, s, Options{Seed: seed}), play(t, parse(t, s.Text()), Options{Seed: seed}); a.Hash != b.Hash || a.Tries == 0 {
+			t.Errorf("seed %d: %d and %d tries, another play of\n%s", seed, a.Tries, b.Tries, s.Text())
+		}
+	}
+}
