--- a/cmd/beechgrade/zones.go
+++ b/cmd/beechgrade/zones.go
@@ -7,9 +7,13 @@
 	"strconv"
 	"strings"
 
+	"beechgrade/internal/figures/sheet"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/agreed"
+	zonedesk "beechgrade/internal/peers/zones/desk"
 	"beechgrade/internal/peers/zones/joined"
+	"beechgrade/internal/record/recordpb"
+	"beechgrade/internal/store"
 )
 
 // zoned is which zone serves what, as the fleet decides it. It is zones' Log, and joined's Keeper.
@@ -19,6 +23,8 @@
 	j    *joined.Joined
 	keep chan numbered
 	done chan struct{}
+	last *zonedesk.Note // that was recorded
+	sent []uint64       // counts as of it
 }
 
 type numbered struct {
@@ -31,7 +37,7 @@
 	if !set.On {
 		return func() {}, nil
 	}
-	z := &zoned{p: p, set: set, keep: make(chan numbered, 64), done: make(chan struct{})}
+	z := &zoned{p: p, set: set, keep: make(chan numbered, 64), done: make(chan struct{}), sent: make([]uint64, len(set.Zones))}
 	s := set.Settings
 	if i := p.cfg.Settings.Zone; i >= 0 && i < len(p.cfg.Zones) {
 		s.Zone = p.cfg.Zones[i]
@@ -68,6 +74,11 @@
 	if err := os.MkdirAll(z.set.Dir, 0o700); err != nil {
 		return 0, err
 	}
+	return z.held()
+}
+
+// held is the number in the file, 0 for none.
+func (z *zoned) held() (uint64, error) {
 	b, err := os.ReadFile(z.file())
 	if os.IsNotExist(err) {
 		return 0, nil
@@ -86,8 +97,11 @@
 	defer close(z.done)
 	last := uint64(0)
 	for k := range z.keep {
+		if has, err := z.held(); err == nil { // another process of this pooler, which takes over, may have kept a newer one
+			last = max(last, has)
+		}
 		if k.no > last {
-			if err := save(z.file(), strconv.AppendUint(nil, k.no, 10)); err != nil {
+			if err := store.Replace(store.Dir(z.set.Dir), filepath.Base(z.file()), strconv.AppendUint(nil, k.no, 10)); err != nil {
 				z.p.log.Error("zones: the plan's number cannot be kept; the plan is not followed", "err", err)
 				z.p.loop.Post(func() { z.later(k) })
 				continue
@@ -129,6 +143,21 @@
 	}
 }
 
+// noteMs is between two notes for the records.
+const noteMs = 1000
+
+// note records what this pooler goes by and where reads went, where there is anything to say.
+func (z *zoned) note() {
+	s, p := z.j.Standing()
+	n := zonedesk.Take(z.j.Settings(), s, p, z.j.Sent(), z.sent)
+	if z.last == nil || n.Sent != nil || !n.Same(z.last) {
+		copy(z.sent, z.j.Sent())
+		z.last = n
+		z.p.core.Note(recordpb.Kind_KIND_ZONES, n.Text())
+	}
+	z.p.loop.At(z.p.loop.Now()+noteMs, z.note)
+}
+
 // Propose is zones.Log's.
 func (z *zoned) Propose(entry []byte) {
 	z.p.agreed.part.Propose(0, append([]byte{agreed.OfZones}, entry...))
@@ -144,21 +173,28 @@
 	z.p.log.Info("zones: orders read again", "orders", len(set.Order))
 }
 
-// appendZones prints how zones stand, where they are decided together.
-func (p *pooler) appendZones(dst []byte) []byte {
+// tellZones tells how zones stand, where they are decided together.
+func (p *pooler) tellZones(s *sheet.Sheet) {
 	if p.zones == nil {
-		return dst
+		return
 	}
-	z := p.zones
-	s, plan := z.j.Standing()
-	c := z.j.Counts()
-	dst = fmt.Appendf(dst, "app.zones.plans=%d\napp.zones.shifts=%d\napp.zones.fallbacks=%d\napp.zones.why=%d\napp.zones.near=%d\n", c.Plans, c.Shifts, c.Fallbacks, s.Why, s.Zone)
+	z, zones := p.zones, s.Part("zones")
+	now, plan := z.j.Standing()
+	n := z.j.Counts()
+	zones.Count("plans", n.Plans)
+	zones.Count("shifts", n.Shifts)
+	zones.Count("fallbacks", n.Fallbacks)
+	zones.Whole("why", int64(now.Why))
+	zones.Whole("near", int64(now.Zone))
 	if plan == nil {
-		return dst
+		return
 	}
-	dst = fmt.Appendf(dst, "app.zones.plan=%d\napp.zones.short=%g\napp.zones.most=%g\n", plan.No, plan.Short, plan.Most)
+	zones.Whole("plan", int64(plan.No))
+	zones.Level("short", plan.Short)
+	zones.Level("most", plan.Most)
 	for i, m := range plan.Zones {
-		dst = fmt.Appendf(dst, "app.zones.%s.state=%d\napp.zones.%s.near=%g\n", z.set.Zones[i], m.State, z.set.Zones[i], plan.Matrix[i][i])
+		zone := zones.Of("zone", z.set.Zones[i])
+		zone.Whole("state", int64(m.State))
+		zone.Level("near", plan.Matrix[i][i])
 	}
-	return dst
 }
