--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -64,6 +64,10 @@
 		if a.Once && p.loop.Now()-c.since >= p.wear.Limit() { // as far as can be told, it may be of no use
 			break
 		}
+		if !a.goes(p) {
+			p.drop(a, decide.Skipped)
+			return
+		}
 		c.carry(a)
 		return
 	}
@@ -93,11 +97,14 @@
 	p.end(a, Outcome{Result: r})
 }
 
-// recall gives up what must not run twice and still waits for a connection to a server that says it is a replica: it would
-// be turned away there.
-func (p *Pool) recall(s *store) {
+// Recall gives up of what waits for a connection to a server that which may not go out any more.
+func (p *Pool) Recall(id string, which func(Tag) bool) {
+	s := p.stores[id]
+	if s == nil {
+		return
+	}
 	for i := 0; i < len(s.waiting); {
-		if a := s.waiting[i]; a.Once {
+		if a := s.waiting[i]; a.query != nil && which(a.tag) {
 			p.drop(a, decide.Skipped)
 			i = 0 // what that led to may have changed the rest
 			continue
