--- a/internal/backend/api.go
+++ b/internal/backend/api.go
@@ -48,6 +48,10 @@
 
 // Events is told of ends, and of an attempt whose last byte has left. The calls may come from within Start, Cancel and Probe.
 type Events interface {
+	// AttemptGoes is asked as an attempt's first byte is to go out; false, and it is not sent: others' words may have come while it waited.
+	AttemptGoes(t Tag) bool
+	// ServerDenies tells that a server says that it is a replica, before the end is told of what it answered so.
+	ServerDenies(store string, said Said, probe bool)
 	AttemptWritten(t Tag)
 	// AttemptBegun ends an attempt as served whose answer is passed on as it comes. stop gives up the rest; the Flow is nil
 	// where nobody takes it.
--- a/internal/clickhouse/link.go
+++ b/internal/clickhouse/link.go
@@ -92,8 +92,12 @@
 		l.close()
 		return
 	}
-	if len(s.waiting) > 0 {
+	for len(s.waiting) > 0 {
 		a := s.waiting[0]
+		if !l.f.goes(a) {
+			l.f.drop(a, decide.Skipped)
+			continue
+		}
 		s.waiting = s.waiting[1:]
 		l.ask(a)
 		return
