Weigh verdicts at once when a group loses a member

Where the list dropped a member, others' words took two of a group of three until the next tick: seen by the program's own statement in a drawn play.

--- a/example/rehearsals/verdicts-many.sexp
+++ b/example/rehearsals/verdicts-many.sexp
@@ -2,5 +2,5 @@
 ; servers. Short and with little talk, for many seeds; verdicts end soon, so that a blackout by word shows in the last 10 s. For virtual time only.
 (rehearsal "verdicts many"
   (seconds 20.5) (poolers 300) (groups-of 2 4) (rate 150) (retries 1) (sites "a" "b" "c") (cross 0.3ms 1ms) (cold 2s)
-  (peers) (verdicts (lapse 3s) (period 200ms))
+  (peers (probe 3s) (gossip 1s) (exchange 30s)) (verdicts (lapse 3s) (period 200ms))
   (chaos 8 1s 5s deaf mute lose hang die lag cut thin list-held restart kill-pooler stall-pooler parted unheard lossy slow))
--- a/internal/peers/verdicts/verdicts.go
+++ b/internal/peers/verdicts/verdicts.go
@@ -186,6 +186,11 @@
 	for _, s := range v.order {
 		v.groups[s.Group] = append(v.groups[s.Group], s)
 	}
+	for _, s := range v.order { // a group that has lost a member spares fewer
+		if s.avoid.on {
+			v.weigh(s)
+		}
+	}
 }
 
 // keyOf names a server's process.
--- a/internal/peers/verdicts/verdicts_test.go
+++ b/internal/peers/verdicts/verdicts_test.go
@@ -409,6 +409,21 @@
 	}
 }
 
+// TestGroupShrinks: words take two of a group of four. The list drops one of the others: words take one of three from then on.
+func TestGroupShrinks(t *testing.T) {
+	f := newFleet(t, zones("a", 5)...)
+	f.answers = func(_ *pooler, s string) bool { return s != "s1" && s != "s2" }
+	f.pass(3000, 300)
+	p := f.poolers[0]
+	if n := len(p.v.Standings()); n != 2 {
+		t.Fatalf("%d are avoided", n)
+	}
+	f.servers = slices.Delete(f.servers, 3, 4)
+	if p.do(Listed{Servers: f.servers}); len(p.v.Standings()) != 1 {
+		t.Errorf("words take %d of three", len(p.v.Standings()))
+	}
+}
+
 // TestAlone: one that hears nobody goes by what it heard for no longer than is stated.
 func TestAlone(t *testing.T) {
 	f := newFleet(t, zones("a", 5)...)
