Take sizes of the store's measurement as people write them

--sizes took bytes alone: 1GB was no number of bytes, and said so only after minutes of measuring. Sizes are read by go-humanize before anything is measured; one that is none gets one line.

--- a/cmd/beechgrade-kit/store.go
+++ b/cmd/beechgrade-kit/store.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"text/tabwriter"
 
+	"github.com/dustin/go-humanize"
 	"github.com/urfave/cli/v3"
 
 	"beechgrade/internal/kit/storebench"
@@ -27,7 +27,7 @@
 			{Name: "measure", Usage: "hold it beside bbolt: commits, opening, and what each makes of damaged files", Flags: []cli.Flag{
 				&cli.FloatFlag{Name: "seconds", Value: 3, Usage: "of each part, `NUMBER`"},
 				&cli.IntFlag{Name: "step", Value: 97, Usage: "damage each `NUMBER`th byte; 0 for none"},
-				&cli.StringFlag{Name: "sizes", Usage: "also fill each with so many bytes and open it again, such as `1000,1000000`; each once with as many keys as there are records, and once with a thousand"},
+				&cli.StringFlag{Name: "sizes", Usage: "also fill each with so many bytes and open it again, such as `1KB,1MB,1GB`; each once with as many keys as there are records, and once with a thousand"},
 				&cli.StringFlag{Name: "out", Value: "store-measured", Usage: "an empty `DIR` to work in"}, asJSON()}, Action: measureStore},
 			{Name: "opened", Hidden: true, ArgsUsage: "NAME DIR", Action: func(_ context.Context, c *cli.Command) error {
 				fmt.Fprintln(c.Root().Writer, storebench.Opened(c.Args().Get(0), c.Args().Get(1)))
@@ -117,10 +117,29 @@
 	return nil
 }
 
+// mostFilled bounds what a candidate is filled with; it is written a few times over.
+const mostFilled = 16e9
+
+// parseSizes reads sizes such as 1KB, 1MB or 1GB, with commas between them. KB are 1000 bytes, KiB 1024; a number alone is bytes.
+func parseSizes(text string) (out []int64, err error) {
+	for _, x := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' }) {
+		n, err := humanize.ParseBytes(x)
+		if err != nil || n < 1 || n > mostFilled {
+			return nil, fmt.Errorf("--sizes: %q is no size from 1 byte to 16GB; one is written like 1000, 1KB, 1MB or 1GB", x)
+		}
+		out = append(out, int64(n))
+	}
+	return out, nil
+}
+
 func measureStore(ctx context.Context, c *cli.Command) error {
 	if s, step := c.Float("seconds"), c.Int("step"); !(s > 0 && s <= 600) || step < 0 {
 		return errors.New("--seconds up to 600, and --step from 0")
 	}
+	sizes, err := parseSizes(c.String("sizes"))
+	if err != nil {
+		return err
+	}
 	kit, err := os.Executable()
 	if err != nil {
 		return err
@@ -137,14 +156,6 @@
 			return err
 		}
 	}
-	var sizes []int64
-	for _, text := range strings.FieldsFunc(c.String("sizes"), func(r rune) bool { return r == ',' }) {
-		n, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || n < 1 {
-			return fmt.Errorf("--sizes: %q is no number of bytes", text)
-		}
-		sizes = append(sizes, n)
-	}
 	scaled, err := storebench.Scale(ctx, kit, c.String("out"), sizes, false)
 	if err != nil {
 		return err
