Bound what a store takes in memory, state its invariants, and hurry a compaction that appends wait for

All that is live is in memory, and 1 GB of it took 1.3 GB: MaxMemory refuses aloud what would take more. A compaction that was asked for went beyond the bound on size, and one that appends waited for still kept to its pace. What holds between two batches is stated by internal/invariant, on in the random histories, power losses, linear histories and bounds; each statement is seen to be false by a test.

--- a/internal/store/beside_test.go
+++ b/internal/store/beside_test.go
@@ -53,7 +53,7 @@
 // there is each time. It tells how many were acknowledged and asked for, and how the compactions ended.
 func playBeside(t *testing.T, d *faulty.Disk, acts []act, all []map[string]string) (acked, asked int, compacted error) {
 	h := &hooked{Disk: d}
-	s, _, err := store.Open(store.Options{FS: h, SegmentBytes: 700})
+	s, _, err := store.Open(store.Options{FS: h, SegmentBytes: 700, Checks: strict(), Every: 1})
 	if err != nil {
 		return 0, 0, err
 	}
@@ -189,7 +189,7 @@
 func TestBounds(t *testing.T) {
 	const most = 30000
 	d := faulty.New()
-	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 2000, MaxBytes: most})
+	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 2000, MaxBytes: most, Checks: strict(), Every: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -219,6 +219,11 @@
 			break
 		}
 	}
+	asked := make(chan error, 1)
+	s.Compact(func(err error) { asked <- err })
+	if err := <-asked; !errors.Is(err, store.ErrFull) { // its snapshot has no room beside what there is
+		t.Errorf("a compaction that was asked for: %v", err)
+	}
 	t.Logf("at most %d bytes of %d; refused with %d records", largest, most, kept)
 	if largest > most || kept == 1000 || len(held(s)) != kept || kept*(100+40) < most/3 {
 		t.Errorf("%d bytes of %d, %d records of %d", largest, most, len(held(s)), kept)
--- /dev/null
+++ b/internal/store/checks_test.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/btree"
+
+	"beechgrade/internal/invariant"
+)
+
+func kept(t *testing.T, s *Store, e ...Entry) error {
+	t.Helper()
+	done := make(chan error, 1)
+	s.Append(e, func(err error) { done <- err })
+	return <-done
+}
+
+// TestChecksFail: each statement is seen to be false once what it is about is broken, and none is while nothing is.
+func TestChecksFail(t *testing.T) {
+	t.Parallel()
+	for want, breaks := range map[string]func(s *Store){
+		"": func(*Store) {},
+		"store: what was acknowledged is what is durable":                      func(s *Store) { s.seq++ },
+		"store: the segment that is written is replaced by nothing":            func(s *Store) { s.old = append(s.old, segment(s.number)) },
+		"store: it stays within its bound":                                     func(s *Store) { s.total += 2 << 20 },
+		"store: what is live is counted":                                       func(s *Store) { s.live++ },
+		"store: its files' sizes are counted":                                  func(s *Store) { s.size++ },
+		"compaction: every file is written, to be replaced, or being replaced": func(s *Store) { s.sizes["stray"] = 0 },
+		"compaction: a snapshot is no larger than was reserved":                func(s *Store) { s.checkCompacted(&compaction{size: 1 << 20}) },
+		"compaction: a snapshot is of what was before":                         func(s *Store) { s.checkCompacted(&compaction{upTo: 1 << 40}) },
+		"store: the index has its keys in order, each once": func(s *Store) {
+			other := btree.NewG(degree, func(a, b item) bool { return a.key > b.key })
+			s.tree.Ascend(func(x item) bool { other.ReplaceOrInsert(x); return true })
+			s.tree = other
+		},
+	} {
+		s, _, err := Open(Options{FS: Dir(t.TempDir()), SegmentBytes: 500, MaxBytes: 1 << 20})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 40 {
+			if err := kept(t, s, Entry{Key: fmt.Sprint("k", i%9), Value: []byte(strings.Repeat("v", i))}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := s.Close(); err != nil { // the writer has ended: what was its own is this test's
+			t.Fatal(err)
+		}
+		s.opt.Checks, s.opt.Every = invariant.New(nil), 1
+		breaks(s)
+		s.check()
+		broken := s.opt.Checks.Broken()
+		if found := len(broken) > 0; found != (want != "") || found && broken[0].Name != want {
+			t.Errorf("%q: %v", want, broken)
+		}
+	}
+}
+
+// TestMemory: beyond the bound on memory nothing is taken that takes more; what gives room back is, and then there is room again. What was
+// kept by then stays, also when it is opened with less.
+func TestMemory(t *testing.T) {
+	t.Parallel()
+	dir := Dir(t.TempDir())
+	most := Memory(10, 10*102)
+	s, _, err := Open(Options{FS: dir, MaxMemory: most, Checks: invariant.Test(t), Every: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(i int) Entry { return Entry{Key: fmt.Sprintf("%02d", i), Value: make([]byte, 100)} }
+	for i := range 10 {
+		if err := kept(t, s, put(i)); err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	for _, x := range []struct {
+		entries []Entry
+		want    error
+	}{
+		{[]Entry{put(10)}, ErrFull},
+		{[]Entry{put(3)}, nil}, // in place of as much
+		{[]Entry{{Key: "03", Value: make([]byte, 101)}}, ErrFull},
+		{[]Entry{{Key: "04", Gone: true}, put(11)}, nil},
+		{[]Entry{put(12)}, ErrFull},
+		{[]Entry{{Key: "05", Gone: true}}, nil},
+		{[]Entry{put(12)}, nil},
+	} {
+		if err := kept(t, s, x.entries...); !errors.Is(err, x.want) {
+			t.Errorf("%v: %v", x.entries[0].Key, err)
+		}
+	}
+	var errs [4]error // in one batch, room is promised once
+	_ = kept(t, s, Entry{Key: "00", Gone: true})
+	done := make(chan int, len(errs))
+	for i := range errs {
+		s.Append([]Entry{put(20 + i)}, func(err error) { errs[i] = err; done <- i })
+	}
+	full := 0
+	for range errs {
+		if errors.Is(errs[<-done], ErrFull) {
+			full++
+		}
+	}
+	if full != 3 {
+		t.Errorf("%d of 4 were refused; there was room for one", full)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s, rec, err := Open(Options{FS: dir, MaxMemory: most / 2})
+	if err != nil || rec.Records != 10 || rec.TookMs <= 0 {
+		t.Fatal(rec, err)
+	}
+	if err := kept(t, s, put(30)); !errors.Is(err, ErrFull) {
+		t.Error(err)
+	}
+	if err := errors.Join(kept(t, s, Entry{Key: "01", Gone: true}), s.Close()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -21,6 +21,8 @@
 	size    int64
 	final   bool // what failed leaves names that nobody knows of
 	done    []func(error)
+	now     chan struct{} // closed once somebody waits for its room: no sparing of the disk any more
+	hurried bool
 }
 
 const chunk = 64 << 10
@@ -28,7 +30,7 @@
 // compact begins a compaction; one that is asked for while another is under way comes behind that, as it is to hold all that came before.
 func (s *Store) compact(done func(error)) {
 	for s.beside != nil {
-		s.compacted(<-s.results)
+		s.await()
 	}
 	err := s.dead()
 	if err == nil && s.size > headSize {
@@ -40,19 +42,30 @@
 		return
 	}
 	s.mu.Lock()
-	c := &compaction{upTo: upTo, durable: s.durable, tree: s.tree.Clone(), old: s.old, reserve: s.live + headSize + frameHead, done: []func(error){done}}
+	c := &compaction{upTo: upTo, durable: s.durable, tree: s.tree.Clone(), old: s.old, reserve: s.live + headSize + frameHead, done: []func(error){done},
+		now: make(chan struct{})}
 	s.mu.Unlock()
 	s.old = nil
 	s.beside = c
 	go func() { s.results <- c.run(s.opt.FS, s.opt.Pace, s.hurry) }()
 }
 
+// await waits for the compaction that is under way, which need not spare the disk meanwhile: appends wait for it too.
+func (s *Store) await() {
+	if c := s.beside; !c.hurried {
+		c.hurried = true
+		close(c.now)
+	}
+	s.compacted(<-s.results)
+}
+
 // compacted takes a compaction's end. One whose file could not be written leaves all as it was; one that failed later is final.
 func (s *Store) compacted(err error) {
 	c := s.beside
 	s.beside = nil
 	switch {
 	case err == nil:
+		s.checkCompacted(c)
 		s.grow(snapshot(c.upTo), c.size)
 		for _, name := range c.old {
 			s.total -= s.sizes[name]
@@ -101,6 +114,7 @@
 			select {
 			case <-time.After(ahead - time.Since(began)):
 			case <-hurry:
+			case <-c.now:
 			}
 		}
 		return err == nil
@@ -132,6 +146,16 @@
 	}
 }
 
+// hasRoom tells whether a snapshot has room beside what there is.
+func (s *Store) hasRoom() bool {
+	for s.opt.MaxBytes > 0 && s.beside != nil {
+		s.await()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opt.MaxBytes <= 0 || s.total+s.live+2*(headSize+frameHead) <= s.opt.MaxBytes
+}
+
 // makesRoom tells whether a snapshot has room beside what there is, and is less than half of that.
 func (s *Store) makesRoom() bool {
 	s.mu.Lock()
@@ -143,12 +167,12 @@
 // roomFor sees to it that so many bytes more can be taken, and tells whether they can: what must be kept is never given up for it.
 func (s *Store) roomFor(n int64) bool {
 	for s.beside != nil && s.taken()+n > s.opt.MaxBytes {
-		s.compacted(<-s.results)
+		s.await()
 	}
 	if s.taken()+n > s.opt.MaxBytes && s.dead() == nil && s.makesRoom() {
 		s.compact(nil)
 		for s.beside != nil {
-			s.compacted(<-s.results)
+			s.await()
 		}
 	}
 	return s.dead() == nil && s.taken()+n <= s.opt.MaxBytes
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -197,9 +197,11 @@
 		} else {
 			old, was = s.tree.ReplaceOrInsert(item{key: e.Key, value: e.Value})
 			s.live += int64(frameHead + sizeOf(e))
+			s.payload += int64(len(e.Key) + len(e.Value))
 		}
 		if was {
 			s.live -= int64(frameHead + entryHead + len(old.key) + len(old.value))
+			s.payload -= int64(len(old.key) + len(old.value))
 		}
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,8 +8,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/google/btree"
+
+	"beechgrade/internal/invariant"
 )
 
 // Errors of the store. What is rotten is never opened in silence: an operator has to look.
@@ -34,7 +37,11 @@
 	SegmentBytes int64        // a segment that has so much is followed by another
 	MaxBytes     int64        // of all that is kept, a snapshot that is being written among it, 0 for any; beyond it nothing more is taken
 	Pace         int64        // bytes a second that a compaction writes at most, 0 for any
+	MaxMemory    int64        // that live records may take, by Memory, 0 for any; beyond it nothing that takes more is taken
 	Post         func(func()) // runs what tells of a commit, on the loop say; nil for where it happens
+
+	Checks *invariant.Checks // the writer's own; nil for off
+	Every  int               // batches for a walk over all that there is
 }
 
 // Recovery is what opening found.
@@ -43,8 +50,16 @@
 	Segments int    // read behind the snapshot
 	Dropped  int    // bytes of a tail that was never whole
 	Why      string // ...and what was wrong with it
+	TookMs   float64
 }
 
+// perRecord is what a record takes in the index beside its key and value: its place, with half of a tree's nodes free, the allocations'
+// rounding, and as much again as the collector lets grow.
+const perRecord = 160
+
+// Memory is about how many bytes of memory so many live records take, whose keys and values have so many bytes.
+func Memory(records int, bytes int64) int64 { return 2*bytes + perRecord*int64(records) }
+
 type item struct {
 	key   string
 	value []byte
@@ -64,7 +79,8 @@
 	closed  bool
 	wake    chan struct{}
 	stopped chan struct{}
-	live    int64 // bytes of live records
+	live    int64 // bytes of live records, as a snapshot has them
+	payload int64 // bytes of their keys and values
 	total   int64 // bytes of all files
 
 	// The writer's own.
@@ -78,6 +94,8 @@
 	beside  *compaction   // that is under way, nil for none
 	results chan error    // of it, when it has ended
 	hurry   chan struct{} // closed once a compaction shall not spare the disk any more
+	walked  int
+	found   int64 // bytes that were there at the start
 }
 
 type commit struct {
@@ -93,6 +111,7 @@
 	if opt.SegmentBytes <= 0 {
 		opt.SegmentBytes = 8 << 20
 	}
+	began := time.Now()
 	unlock, err := opt.FS.Lock()
 	if err != nil {
 		return nil, nil, fmt.Errorf("store: %w", err)
@@ -102,6 +121,8 @@
 	if rec, err = s.recover(); err != nil {
 		return nil, rec, errors.Join(fmt.Errorf("store: %w", err), unlock())
 	}
+	s.found = s.total
+	rec.TookMs = float64(time.Since(began).Microseconds()) / 1000
 	go s.write()
 	return s, rec, nil
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/steady"
 	"beechgrade/internal/store"
@@ -60,9 +61,12 @@
 	return out
 }
 
+// strict are checks that end everything where one fails: the writer goes on, and what a test holds is not its own.
+func strict() *invariant.Checks { return invariant.New(func(b invariant.Breach) { panic(b.String()) }) }
+
 // play has a store go through a history, one act after the other, and tells how many were acknowledged, and how many asked for.
 func play(d *faulty.Disk, acts []act) (acked, asked int) {
-	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 700})
+	s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 700, Checks: strict(), Every: 1})
 	if err != nil {
 		return 0, 0
 	}
@@ -363,8 +367,9 @@
 		d := faulty.New()
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		model := map[string]string{}
+		checks := invariant.New(nil)
 		open := func() *store.Store {
-			s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 300})
+			s, _, err := store.Open(store.Options{FS: d, SegmentBytes: 300, Checks: checks, Every: 1})
 			if err != nil {
 				rt.Fatalf("open: %v", err)
 			}
@@ -397,6 +402,9 @@
 			},
 			"crash": func(rt *rapid.T) {
 				_ = s.Close()
+				if broken := checks.Broken(); broken != nil {
+					rt.Fatal(broken)
+				}
 				d = d.Restart(rng, rapid.Bool().Draw(rt, "power"))
 				s = open()
 			},
@@ -407,6 +415,9 @@
 			},
 		})
 		_ = s.Close()
+		if broken := checks.Broken(); broken != nil {
+			rt.Fatal(broken)
+		}
 	})
 }
 
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -41,6 +41,7 @@
 	var buf []byte
 	var frames []frame
 	var batch []commit
+	promised := int64(0) // of memory, by the batch
 	flush := func() {
 		if len(batch) == 0 {
 			return
@@ -49,11 +50,14 @@
 		for _, c := range batch {
 			s.tell(c.done, err)
 		}
-		buf, frames, batch = nil, nil, nil
+		buf, frames, batch, promised = nil, nil, nil, 0
 	}
 	for _, c := range all {
 		if c.compact {
-			flush()
+			if flush(); s.dead() == nil && !s.hasRoom() {
+				s.tell(c.done, ErrFull)
+				continue
+			}
 			s.compact(c.done)
 			continue
 		}
@@ -74,6 +78,18 @@
 				continue
 			}
 		}
+		if s.opt.MaxMemory > 0 {
+			more := s.grows(c.entries)
+			if !s.fits(more, promised) {
+				flush()
+				more = s.grows(c.entries)
+			}
+			if !s.fits(more, promised) {
+				s.tell(c.done, cmp.Or(s.dead(), ErrFull))
+				continue
+			}
+			promised += max(0, more)
+		}
 		f := frame{seq: s.seq + 1 + uint64(len(frames)), durable: s.durable, kind: kindPut}
 		for _, e := range c.entries { // the caller's own may change
 			e.Value = slices.Clone(e.Value)
@@ -85,6 +101,34 @@
 	}
 	flush()
 	s.early()
+	s.check()
+}
+
+// fits tells whether entries find room in memory behind so much that is promised, or take no more than they give back.
+func (s *Store) fits(more, promised int64) bool {
+	return more <= 0 || s.memory()+promised+more <= s.opt.MaxMemory
+}
+
+func (s *Store) memory() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Memory(s.tree.Len(), s.payload)
+}
+
+// grows is how much more memory is taken once entries are kept, by what is there now.
+func (s *Store) grows(entries []Entry) (n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range entries {
+		e := &entries[i]
+		if old, ok := s.tree.Get(item{key: e.Key}); ok {
+			n -= Memory(1, int64(len(old.key)+len(old.value)))
+		}
+		if !e.Gone {
+			n += Memory(1, int64(len(e.Key)+len(e.Value)))
+		}
+	}
+	return n
 }
 
 func (s *Store) dead() error {
