--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -41,6 +41,12 @@
 	AttemptEnded(t backend.Tag, o backend.Outcome)
 }
 
+// Store is the durable store as the journal needs it.
+type Store interface {
+	Append(entries []store.Entry, done func(error)) // done is called on the loop
+	Range(from, to string, f func(key string, value []byte) bool)
+}
+
 // ownRef is in the refs of attempts that the journal holds back, so that they differ from the servers'.
 const ownRef = 1 << 29
 
@@ -50,7 +56,7 @@
 	loop  Loop
 	log   *slog.Logger
 	core  Core
-	store *store.Store
+	store Store
 	mode  Mode
 	began float64
 	n     uint64
@@ -73,7 +79,7 @@
 
 // New makes a journal on a store that is open, before the connections to servers. What the store holds of earlier processes
 // may have run.
-func New(l Loop, log *slog.Logger, c Core, s *store.Store, mode Mode) *Journal {
+func New(l Loop, log *slog.Logger, c Core, s Store, mode Mode) *Journal {
 	j := &Journal{loop: l, log: log, core: c, store: s, mode: mode, began: l.Now(), keys: map[backend.Tag]*held{}, ran: map[string]bool{}}
 	for _, a := range Pending(s) {
 		j.ran[a.ID] = true
@@ -222,7 +228,7 @@
 const prefix, behind = "attempt/", "attempt0" // behind is the first key that is behind all with the prefix
 
 // Pending are the attempts that a store holds, by server and time: each may have run.
-func Pending(s *store.Store) (out []Attempt) {
+func Pending(s Store) (out []Attempt) {
 	s.Range(prefix, behind, func(_ string, v []byte) bool {
 		if a, err := decode(v); err == nil {
 			out = append(out, a)
@@ -236,7 +242,7 @@
 }
 
 // Clear drops all that is pending, once it has been reconciled.
-func Clear(s *store.Store, done func(error)) {
+func Clear(s Store, done func(error)) {
 	var gone []store.Entry
 	s.Range(prefix, behind, func(k string, _ []byte) bool {
 		gone = append(gone, store.Entry{Key: k, Gone: true})
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -159,3 +159,27 @@
 		_ = r.store.Close()
 	}
 }
+
+// TestClockBack: each start's clock stands further back than the one before: no entry is written over, each is listed, and each id is refused.
+func TestClockBack(t *testing.T) {
+	d := faulty.New()
+	for i, now := range []float64{1e6, 5e5, 5e5, 10, 0} {
+		r := newRig(t, d, Before)
+		r.now = now
+		r.j = New(r, slog.New(slog.NewTextHandler(io.Discard, nil)), r, r.store, Before)
+		r.j.Wrap(r)
+		for k := range uint32(i) {
+			if !r.j.Ran(fmt.Sprint("id-", k+1)) {
+				t.Errorf("start %d at %v: id-%d may have run, and is not known", i, now, k+1)
+			}
+		}
+		r.j.Start("a", nil, 2e6, backend.Terms{Once: true}, backend.Tag{Request: slots.Ref{Index: uint32(i + 1)}})
+		r.pass(1)
+		if n := len(Pending(r.store)); n != i+1 {
+			t.Errorf("start %d at %v: %d are listed", i, now, n)
+		}
+		if err := r.store.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -3,6 +3,7 @@
 package kept
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,6 +13,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/store"
 )
 
@@ -86,6 +88,11 @@
 type Options struct {
 	FS        store.FS
 	MostBytes int64
+	Pace      int64 // of its compactions, in bytes a second; 0 for any
+	MaxMemory int64
+	Checks    *invariant.Checks // the keeper's goroutine's own; nil for off
+	Store     *invariant.Checks // the store's
+	Every     int
 	AgeMs     float64 // what was last known to be good before that is not used
 	Log       *slog.Logger
 }
@@ -94,6 +101,7 @@
 type Keeper struct {
 	opt   Options
 	first map[string]*Record // as found at the start
+	found *store.Recovery    // by the start
 
 	mu     sync.Mutex
 	next   map[string]func() (*Record, error)
@@ -127,10 +135,14 @@
 
 // open opens the store; what it holds is read at a start only.
 func (k *Keeper) open(start bool) error {
-	s, rec, err := store.Open(store.Options{FS: k.opt.FS, MaxBytes: k.opt.MostBytes, SegmentBytes: k.opt.MostBytes / 8})
+	s, rec, err := store.Open(store.Options{FS: k.opt.FS, MaxBytes: k.opt.MostBytes, SegmentBytes: k.opt.MostBytes / 8, Pace: k.opt.Pace, MaxMemory: k.opt.MaxMemory,
+		Checks: k.opt.Store, Every: k.opt.Every})
 	if err != nil {
 		return err
 	}
+	if start {
+		k.found = rec
+	}
 	if k.store = s; rec.Dropped > 0 {
 		k.opt.Log.Warn("kept: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
 	}
@@ -165,6 +177,14 @@
 	return r, nil
 }
 
+// Recovery is what the opening of the store found, nil where another process had it.
+func (k *Keeper) Recovery() *store.Recovery {
+	if k == nil {
+		return nil
+	}
+	return k.found
+}
+
 // Put has a value kept in place of the one before. What makes it runs on the keeper's goroutine; of several that wait, only the
 // last does.
 func (k *Keeper) Put(what string, value func() (*Record, error)) {
@@ -231,6 +251,7 @@
 		err = <-done
 	}
 	if err == nil {
+		k.check(what, r)
 		delete(k.failed, what)
 	} else if k.failed[what] != err.Error() { // once
 		k.failed[what] = err.Error()
@@ -238,6 +259,29 @@
 	}
 }
 
+// check states what holds once a value has been kept.
+func (k *Keeper) check(what string, r *Record) {
+	c := k.opt.Checks
+	if !c.On() {
+		return
+	}
+	v, ok := k.store.Get(what)
+	got, err := decode(v)
+	c.That(ok && err == nil && got.SavedMs == r.SavedMs && got.From == r.From && bytes.Equal(got.Body, r.Body), "kept: a value is there as it was kept", func() string {
+		return fmt.Sprintf("%s: there %v, %v, %d bytes of %d", what, ok, err, len(v), len(r.Body))
+	})
+	n := 0
+	k.store.Range("", "", func(key string, _ []byte) bool {
+		n++
+		c.That(key == Config || key == List || key == Members, "kept: nothing else is there", func() string { return fmt.Sprintf("%q", key) })
+		return n < 8
+	})
+	k.mu.Lock()
+	waiting := len(k.next)
+	k.mu.Unlock()
+	c.That(waiting <= 3, "kept: one value of each kind waits at most", func() string { return fmt.Sprint(waiting, " wait") })
+}
+
 // Stop keeps what waits, and ends.
 func (k *Keeper) Stop() {
 	if k != nil {
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -9,13 +9,20 @@
 	"strings"
 	"testing"
 
+	"pgregory.net/rapid"
+
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/standin/faulty"
+	"beechgrade/internal/steady"
+	"beechgrade/internal/store"
 )
 
 func value(at float64, body string) func() (*Record, error) {
 	return func() (*Record, error) { return &Record{SavedMs: at, From: "f", Body: []byte(body)}, nil }
 }
 
+func strict() *invariant.Checks { return invariant.New(func(b invariant.Breach) { panic(b.String()) }) }
+
 // TestFound: what was kept last is found by the next start, within its age, by a clock that went back a little too; not by one that
 // went back far, whose word on the age is worth nothing.
 func TestFound(t *testing.T) {
@@ -56,7 +63,7 @@
 func TestDisk(t *testing.T) {
 	play := func(d *faulty.Disk) string {
 		var log bytes.Buffer
-		k, err := Start(Options{FS: d, MostBytes: 1 << 20, AgeMs: 1e9, Log: slog.New(slog.NewTextHandler(&log, nil))})
+		k, err := Start(Options{FS: d, MostBytes: 1 << 20, AgeMs: 1e9, Log: slog.New(slog.NewTextHandler(&log, nil)), Checks: strict(), Store: strict(), Every: 1})
 		if err != nil {
 			return err.Error()
 		}
@@ -92,3 +99,89 @@
 		t.Error(err)
 	}
 }
+
+// TestChecksFail: each statement is seen to be false once what it is about is broken, and none is while nothing is.
+func TestChecksFail(t *testing.T) {
+	for want, breaks := range map[string]func(k *Keeper, r *Record){
+		"":                                      func(*Keeper, *Record) {},
+		"kept: a value is there as it was kept": func(_ *Keeper, r *Record) { r.SavedMs++ },
+		"kept: nothing else is there": func(k *Keeper, _ *Record) {
+			done := make(chan error, 1)
+			k.store.Append([]store.Entry{{Key: "stray"}}, func(err error) { done <- err })
+			<-done
+		},
+		"kept: one value of each kind waits at most": func(k *Keeper, _ *Record) {
+			for _, what := range []string{"1", "2", "3", "4"} {
+				k.next[what] = nil
+			}
+		},
+	} {
+		s, _, err := store.Open(store.Options{FS: faulty.New()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		k := &Keeper{opt: Options{Checks: invariant.New(nil)}, store: s, next: map[string]func() (*Record, error){}, failed: map[string]string{}}
+		r := &Record{SavedMs: 1, From: "f", Body: []byte("b")}
+		k.keep(Config, func() (*Record, error) { return r, nil })
+		breaks(k, r)
+		k.check(Config, r)
+		if broken := k.opt.Checks.Broken(); (len(broken) > 0) != (want != "") || want != "" && broken[0].Name != want {
+			t.Errorf("%q: %v", want, broken)
+		}
+		_ = s.Close()
+	}
+}
+
+// TestRandom: values of all kinds come at any time while the disk fails or the power goes out: a start finds of each the last that was kept, or
+// one that came after it, whole, and every statement holds.
+func TestRandom(t *testing.T) {
+	steady.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		d := faulty.New()
+		least, last := map[string]float64{}, map[string]float64{}
+		n := 0.0
+		for range rapid.IntRange(1, 4).Draw(rt, "lives") {
+			checks, inner := invariant.New(nil), invariant.New(nil)
+			k, err := Start(Options{FS: d, MostBytes: 1 << 20, AgeMs: 1e9, Log: slog.New(slog.DiscardHandler), Checks: checks, Store: inner, Every: 1})
+			if err != nil {
+				rt.Fatal(err)
+			}
+			for _, what := range []string{Config, List, Members} {
+				r, err := k.Found(what, n)
+				if err != nil {
+					rt.Fatal(err)
+				}
+				got := 0.0
+				if r != nil {
+					got = r.SavedMs
+					if string(r.Body) != strings.Repeat(what, int(got)%90) {
+						rt.Fatalf("%s: %q of %v", what, r.Body, got)
+					}
+				}
+				if got < least[what] || got > last[what] {
+					rt.Fatalf("%s: found that of %v; kept %v, last %v", what, got, least[what], last[what])
+				}
+				least[what], last[what] = got, got // what was lost does not come back
+			}
+			ops, _ := d.Ops()
+			d.CrashAt = ops + rapid.IntRange(1, 60).Draw(rt, "until")
+			for range rapid.IntRange(0, 12).Draw(rt, "values") {
+				n++
+				what := rapid.SampledFrom([]string{Config, List, Members}).Draw(rt, "what")
+				r := &Record{SavedMs: n, Body: []byte(strings.Repeat(what, int(n)%90))}
+				last[what] = n
+				k.Put(what, func() (*Record, error) { return r, nil })
+			}
+			k.Stop()
+			if now, _ := d.Ops(); now < d.CrashAt { // all was kept
+				for what, at := range last {
+					least[what] = at
+				}
+			}
+			if broken := append(checks.Broken(), inner.Broken()...); broken != nil {
+				rt.Fatal(broken)
+			}
+			d = d.Restart(rng, true)
+		}
+	})
+}
