Record what a start found in its durable stores, and show it in the incident view

After a crash nobody could tell from the records what was recovered. A start that found something says how many records, segments and dropped bytes, how long it took and what was wrong with the end; the view lists it and has a finding for each.

--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// Recovered records what the opening of a durable store found, how long that took, and what was wrong with the store's end.
+func (c *Core) Recovered(f record.Found, took float64, why string) {
+	if c.rec.On() {
+		c.rec.Put(&record.Event{At: c.loop.Now(), Kind: recordpb.Kind_KIND_RECOVERED, Took: took, Text: why, Found: &f})
+	}
+}
+
 // RecordClasses are the classes as the records' headers have them.
 func RecordClasses(names []string, classes []decide.Class) []*recordpb.Class {
 	reads := map[decide.ReadKind]string{decide.ReadAny: "any", decide.ReadBounded: "bounded",
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -75,6 +75,8 @@
 	retryLost uint64
 	fleet     fleet
 	limits    limits
+
+	recoveries []Recovery
 }
 
 // run is one life of a pooler.
@@ -290,6 +292,8 @@
 		m.find(Finding{At: e.At, Kind: "stop", Pooler: r.Pooler, Text: "stopped in order"})
 	case recordpb.Kind_KIND_RELOAD:
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
+	case recordpb.Kind_KIND_RECOVERED:
+		m.recovered(r.Pooler, e)
 	case recordpb.Kind_KIND_PEER:
 		m.fleet.event(r.Pooler, e)
 	case recordpb.Kind_KIND_LIMIT:
--- /dev/null
+++ b/internal/kit/incident/recovered.go
@@ -0,0 +1,38 @@
+package incident
+
+import (
+	"cmp"
+	"fmt"
+
+	"beechgrade/internal/record"
+)
+
+// Recovery is what a pooler's start found in one of its durable stores.
+type Recovery struct {
+	At       float64 `json:"at_ms"`
+	Pooler   string  `json:"pooler"`
+	Store    string  `json:"store"`
+	Records  int64   `json:"records"`  // live
+	Segments int64   `json:"segments"` // read behind the snapshot
+	Dropped  int64   `json:"dropped_bytes"`
+	TookMs   float64 `json:"took_ms"`
+	Why      string  `json:"why,omitempty"` // what was wrong with what was dropped
+}
+
+// mostRecoveries bounds how many are kept; what comes after them is left out.
+const mostRecoveries = 20000
+
+func (m *Model) recovered(by string, e *record.Event) {
+	f := e.Found
+	if f == nil {
+		return
+	}
+	text := fmt.Sprintf("the %s store held %d records, %d segments behind its snapshot, read in %.1f ms", cmp.Or(f.Store, "durable"), f.Records, f.Segments, e.Took)
+	if f.Dropped > 0 {
+		text += fmt.Sprintf("; %d bytes of its end were never whole, and were dropped: %s", f.Dropped, e.Text)
+	}
+	m.find(Finding{At: e.At, Kind: "recovered", Pooler: by, Text: text})
+	if len(m.recoveries) < mostRecoveries {
+		m.recoveries = append(m.recoveries, Recovery{At: e.At, Pooler: by, Store: f.Store, Records: f.Records, Segments: f.Segments, Dropped: f.Dropped, TookMs: e.Took, Why: e.Text})
+	}
+}
--- /dev/null
+++ b/internal/kit/incident/recovered_test.go
@@ -0,0 +1,35 @@
+package incident
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"beechgrade/internal/record"
+	"beechgrade/internal/record/recordpb"
+)
+
+// TestRecovered: what a start found in its stores is listed, and is a finding of its pooler; a record of it that says nothing is passed over.
+func TestRecovered(t *testing.T) {
+	s := newStory("a")
+	s.tell(1, record.Event{Kind: recordpb.Kind_KIND_RECOVERED, Took: 12.5, Text: "0000000000000003.log, byte 91: it ends within a frame",
+		Found: &record.Found{Store: "journal", Records: 7, Segments: 2, Dropped: 31}})
+	s.tell(2, record.Event{Kind: recordpb.Kind_KIND_RECOVERED, Took: 1, Found: &record.Found{Store: "kept", Records: 2, Segments: 1}})
+	s.tell(3, record.Event{Kind: recordpb.Kind_KIND_RECOVERED})
+	s.Finish()
+	v := s.View()
+	want := []Recovery{{t0 + 1, "a", "journal", 7, 2, 31, 12.5, "0000000000000003.log, byte 91: it ends within a frame"}, {t0 + 2, "a", "kept", 2, 1, 0, 1, ""}}
+	if diff := cmp.Diff(want, v.Recoveries); diff != "" {
+		t.Error(diff)
+	}
+	var said []string
+	for _, f := range v.Findings {
+		if f.Kind == "recovered" && f.Pooler == "a" {
+			said = append(said, f.Text)
+		}
+	}
+	if len(said) != 2 || !strings.Contains(said[0], "7 records, 2 segments") || !strings.Contains(said[0], "31 bytes of its end") || strings.Contains(said[1], "dropped") {
+		t.Errorf("%q", said)
+	}
+}
--- a/internal/kit/incident/view.go
+++ b/internal/kit/incident/view.go
@@ -37,6 +37,8 @@
 	Members  *members.View   `json:"members,omitempty"` // where the list was made of several sources
 	Limits   []Held          `json:"limits,omitempty"`  // where limits held for the whole fleet: who might use how much
 	Fleet    []Seen          `json:"fleet,omitempty"`   // where poolers were peers: who saw whom
+
+	Recoveries []Recovery `json:"recoveries,omitempty"` // of durable stores, at poolers' starts
 }
 
 // ClassView is what a class was served. A chain is what a client asked once, with its own retries.
@@ -265,6 +267,7 @@
 		v.Members = m.members.View()
 	}
 	v.Fleet, v.Limits = m.fleet.view(), m.limits.view()
+	v.Recoveries = slices.Clone(m.recoveries)
 	slices.SortStableFunc(v.Findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(v.Unknown, func(a, b Unknown) int { return cmp.Compare(a.At, b.At) })
 	v.Total = ClassView{Name: "all", Reasons: map[string]uint64{}}
--- a/internal/kit/records/records.go
+++ b/internal/kit/records/records.go
@@ -510,6 +510,9 @@
 	if l := x.Lost; l != nil {
 		e.Lost, e.From, e.To, e.Cause = l.Events, ms(l.FromUs), ms(l.ToUs), uint8(l.Cause)
 	}
+	if r := x.Recovered; r != nil {
+		e.Found = &record.Found{Store: r.Store, Records: int64(r.Records), Segments: int64(r.Segments), Dropped: int64(r.Dropped)}
+	}
 	st.stopped = x.Kind == recordpb.Kind_KIND_STOP
 	return nil
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -92,6 +92,16 @@
 	Moved   bool
 	Carried bool
 	Holds   PoolHolds
+
+	Found *Found // of a store that was opened; Text is why some of it was dropped
+}
+
+// Found is what the opening of a durable store found.
+type Found struct {
+	Store    string
+	Records  int64
+	Segments int64
+	Dropped  int64 // bytes
 }
 
 // PoolHolds is what a pool holds; LongestMs is for how long one of those who wait has.
--- a/internal/record/writer.go
+++ b/internal/record/writer.go
@@ -279,6 +279,9 @@
 		w.lost += e.Lost
 	case recordpb.Kind_KIND_LIST:
 		x.Number, x.Whole = e.Number, e.Whole
+	case recordpb.Kind_KIND_RECOVERED:
+		f := e.Found
+		x.Recovered = &recordpb.Recovered{Store: f.Store, Records: uint64(f.Records), Segments: uint32(f.Segments), Dropped: uint64(f.Dropped)}
 	}
 }
 
