--- a/internal/operate/agreed.go
+++ b/internal/operate/agreed.go
@@ -14,6 +14,7 @@
 	On        bool
 	Dir       string // of a voter; "$NAME" stands for a variable of the environment
 	MostBytes int64
+	Pace      int64 // bytes a second that its compactions write at most, 0 for any
 	Settings  agreed.Settings
 	Witness   float64 // entries a second that this pooler proposes to try the voters
 }
@@ -40,6 +41,7 @@
 			return err
 		},
 		"most":      func(n *sexp.Node) (err error) { a.MostBytes, err = n.Bytes(64<<20, 1<<40); return err },
+		"pace":      func(n *sexp.Node) (err error) { a.Pace, err = n.Bytes(leastPace, 1<<40); return err },
 		"tick":      func(n *sexp.Node) (err error) { s.Tick, err = n.Millis(50, 10000); return err },
 		"election":  func(n *sexp.Node) (err error) { s.Election, err = n.Int(4, 1000); return err },
 		"heartbeat": func(n *sexp.Node) (err error) { s.Heartbeat, err = n.Int(1, 250); return err },
--- a/internal/operate/journal.go
+++ b/internal/operate/journal.go
@@ -12,6 +12,7 @@
 	Dir       string // empty for off; "$NAME" stands for a variable of the environment
 	Mode      journal.Mode
 	MostBytes int64
+	Pace      int64 // bytes a second that its compactions write at most, 0 for any
 }
 
 func (j *Journal) read(n *sexp.Node, env func(string) string) error {
@@ -38,6 +39,7 @@
 			return nil
 		},
 		"most": func(n *sexp.Node) (err error) { j.MostBytes, err = n.Bytes(1<<20, 1<<40); return err },
+		"pace": func(n *sexp.Node) (err error) { j.Pace, err = n.Bytes(leastPace, 1<<40); return err },
 	}).Read(n.Args()); err != nil {
 		return err
 	}
