Hand sessions' commits over to the next process on a given socket

A second process could not have the sessions' folder, so that an upgrade on a given socket was refused. It now keeps its own in a second place; while there are two, both hold sessions' reads to the present, and once one has ended the other takes over what it had. Found by the test of drawn histories: a session whose commit had been dropped by the one was held to an older one by the other, twice in different ways. Stores' paces, bounds on memory and recoveries are wired in.

--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -232,11 +233,14 @@
 	}
 }
 
+// kills is how often TestJournalKilled kills its pooler; a hundred take a minute.
+var kills = flag.Int("kills", 12, "how often a pooler with a journal is killed")
+
 // TestJournalKilled: a pooler is killed under load again and again: each write that ran has an answer that its client heard, or
 // is in the journal; none is there twice; the journal lists what was called off and broken off too.
 func TestJournalKilled(t *testing.T) {
 	dir, out := t.TempDir(), t.TempDir()
-	s, err := scenario.Parse("script", []byte(`(rehearsal "killed" (seconds 6) (poolers 1) `+strings.Replace(quick, "(rate 60)", "(rate 150)", 1)+` (class "registrar-ponto" (share 0.8)) (at 500ms (kill-pooler 0) (for 60ms) (every 450ms)))`))
+	s, err := scenario.Parse("script", []byte(fmt.Sprintf(`(rehearsal "killed" (seconds %g) (poolers 1) `+strings.Replace(quick, "(rate 60)", "(rate 150)", 1)+` (class "registrar-ponto" (share 0.8)) (at 500ms (kill-pooler 0) (for 60ms) (every 450ms)))`, 0.6+0.45*float64(*kills))))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -282,6 +286,21 @@
 			t.Errorf("%s is listed %d times", what, n)
 		}
 	}
+	_, v, _, err := rehearse.Compare(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := int64(0)
+	for _, r := range v.Recoveries { // each start but the first says what it found
+		if r.Pooler != "pooler-0" || r.Store != "journal" || r.TookMs <= 0 || r.Records < found {
+			t.Errorf("%+v", r)
+		}
+		found = r.Records
+	}
+	if len(v.Recoveries) < *kills/2 || found == 0 {
+		t.Errorf("%d recoveries of %d, the last of %d records", len(v.Recoveries), *kills, found)
+	}
+	t.Logf("%d starts found something", len(v.Recoveries))
 	t.Logf("%d writes ran, of %d nothing was heard; %d lines", len(res.Ran), lost, len(listed)/2)
 	if len(res.Ran) < 100 || lost == 0 {
 		t.Errorf("%d writes ran, and of %d nothing was heard: nothing was put to the test", len(res.Ran), lost)
--- a/cmd/beechgrade/agreed.go
+++ b/cmd/beechgrade/agreed.go
@@ -90,7 +90,7 @@
 	go func() {
 		defer close(l.opened)
 		for {
-			s, rec, err := store.Open(store.Options{FS: store.Dir(l.set.Dir), MaxBytes: l.set.MostBytes, SegmentBytes: l.set.MostBytes / 16, Post: l.mail})
+			s, rec, err := store.Open(store.Options{FS: store.Dir(l.set.Dir), MaxBytes: l.set.MostBytes, SegmentBytes: l.set.MostBytes / 16, Pace: l.set.Pace, Post: l.mail})
 			if errors.Is(err, store.ErrLocked) {
 				select {
 				case <-l.ended:
@@ -108,8 +108,9 @@
 				})
 			}
 			l.p.loop.Post(func() {
-				if err == nil && rec.Dropped > 0 {
-					l.p.log.Warn("agreed: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
+				if err == nil {
+					l.p.recover("agreed", rec)
+					l.p.recordRecovered()
 				}
 				l.part.Begin(l, records, err)
 			})
--- /dev/null
+++ b/cmd/beechgrade/beside.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"beechgrade/internal/clock"
+	"beechgrade/internal/commits"
+	"beechgrade/internal/decide"
+	"beechgrade/internal/store"
+)
+
+const (
+	besideName = "beside"               // the second place's folder, in the first
+	lookEvery  = 100 * time.Millisecond // between looks at whether another process has the other place
+	trustMs    = 300                    // after a look began that found none, sessions' reads go by what is known here
+	settleMs   = 500                    // after the start, until a write is answered: by then the other process has looked, or trusts itself no more
+)
+
+// besideSessions is the place of the other process on this socket, where an upgrade has two. While that one lives, either may serve a
+// session's writes, and both hold sessions' reads to the present; once it has ended, its commits are taken from there.
+type besideSessions struct {
+	p      *pooler
+	opt    store.Options
+	owns   bool // the first place is this process's own: the other need not be there
+	locked bool // at the start
+	asked  bool // ...and its commits have not been taken since; the goroutine's
+
+	trusted float64 // until then nobody else serves sessions' writes
+	settle  float64 // no write is answered before
+	began   bool
+	quit    chan struct{}
+	done    chan struct{}
+}
+
+func newBeside(p *pooler, fs store.FS, opt store.Options, own bool) *besideSessions {
+	opt.FS, opt.Checks = fs, nil // these are its own store's
+	return &besideSessions{p: p, opt: opt, owns: own, quit: make(chan struct{}), done: make(chan struct{})}
+}
+
+// first takes what a process that has ended left there, before the loop begins; or notes that one is there.
+func (b *besideSessions) first() error {
+	if d, ok := b.opt.FS.(store.Dir); ok && b.owns && b.p.given == nil {
+		if _, err := os.Stat(string(d)); errors.Is(err, os.ErrNotExist) {
+			return nil
+		}
+	}
+	s, rec, err := store.Open(b.opt)
+	if errors.Is(err, store.ErrLocked) {
+		b.locked, b.asked = true, true
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	b.p.recover("sessions", rec)
+	told := make(chan error, 1)
+	b.p.commits.Merge(commits.Read(s, clock.Span(b.p.loop.Now()), b.p.log), func(err error) { told <- err })
+	if err = <-told; err == nil {
+		err = commits.Erase(s)
+	}
+	return errors.Join(err, s.Close())
+}
+
+// begin goes on with the loop.
+func (b *besideSessions) begin() {
+	if b == nil {
+		return
+	}
+	if b.locked {
+		b.settle = b.p.loop.Now() + settleMs
+	}
+	b.began = true
+	go b.watch()
+}
+
+// doubts tells whether a session's last write may have been served by another process.
+func (b *besideSessions) doubts() bool { return b.p.loop.Now() > b.trusted }
+
+// Keep is core.Commits'.
+func (b *besideSessions) Keep(session string, at decide.Time, done func(kept bool)) (waits bool) {
+	if done == nil || b.p.loop.Now() >= b.settle {
+		return b.p.commits.Keep(session, at, done)
+	}
+	later := func(kept bool) {
+		b.p.loop.At(max(b.settle, b.p.loop.Now()), func() { done(kept) })
+	}
+	if !b.p.commits.Keep(session, at, later) {
+		later(true)
+	}
+	return true
+}
+
+// watch looks again and again whether another process has the other place. It runs beside the loop.
+func (b *besideSessions) watch() {
+	defer close(b.done)
+	said, began := "", b.p.loop.Now()
+	for {
+		last := began
+		if began = b.p.loop.Now(); began-last > trustMs { // one may have come and gone meanwhile
+			b.asked = true
+		}
+		err := b.look()
+		switch {
+		case err == nil:
+			until := began + trustMs
+			b.p.loop.Post(func() { b.trusted = max(b.trusted, until) })
+		case errors.Is(err, store.ErrLocked):
+			b.asked = true
+		case err.Error() != said: // reads stay held to the present
+			said = err.Error()
+			b.p.log.Error("sessions: what the other process had is not known", "err", err)
+		}
+		select {
+		case <-b.quit:
+			return
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+// look takes over what a process that has ended had; nil means that there is none, and that nothing of it is missing here.
+func (b *besideSessions) look() error {
+	if !b.asked {
+		unlock, err := b.opt.FS.Lock()
+		if err != nil {
+			return err
+		}
+		return unlock()
+	}
+	s, _, err := store.Open(b.opt)
+	if err != nil {
+		return err
+	}
+	h := commits.Read(s, clock.Span(b.p.loop.Now()), b.p.log)
+	told := make(chan error, 1)
+	b.p.loop.Post(func() {
+		m := b.p.commits.Merge(h, func(err error) { told <- err })
+		b.p.core.Recall(m)
+		b.p.log.Info("sessions: another process has ended, and its commits are known here", "sessions", len(m.Commits))
+	})
+	select {
+	case err = <-told:
+	case <-b.quit: // what is there stays there, for the next start
+		return errors.Join(store.ErrClosed, s.Close())
+	}
+	if err == nil {
+		err = commits.Erase(s)
+	}
+	if err = errors.Join(err, s.Close()); err == nil {
+		b.asked = false
+	}
+	return err
+}
+
+// stop ends the looks, once the loop has ended.
+func (b *besideSessions) stop() {
+	close(b.quit)
+	if b.began {
+		<-b.done
+	}
+}
--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -29,6 +29,9 @@
 	if p.judged != nil {
 		p.judged.Check(c, every)
 	}
+	if p.commits != nil {
+		p.commits.Check(c, every)
+	}
 	if p.scatter != nil {
 		p.scatter.Check(p.checks)
 	}
--- a/cmd/beechgrade/journal.go
+++ b/cmd/beechgrade/journal.go
@@ -17,13 +17,13 @@
 }
 
 func (p *pooler) journalOn(fs store.FS, o operate.Journal) (stop func(), err error) {
-	s, rec, err := store.Open(store.Options{FS: fs, MaxBytes: o.MostBytes, SegmentBytes: o.MostBytes / 16, Post: p.loop.Post})
+	checks, every := p.storeChecks()
+	s, rec, err := store.Open(store.Options{FS: fs, MaxBytes: o.MostBytes, SegmentBytes: o.MostBytes / 16, Pace: o.Pace, MaxMemory: storeMemory(p.cfg.Limits.MemoryMB),
+		Post: p.loop.Post, Checks: checks, Every: every})
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	if rec.Dropped > 0 {
-		p.log.Warn("journal: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
-	}
+	p.recover("journal", rec)
 	p.journal = journal.New(p.loop, p.log, p.core, s, o.Mode)
 	p.core.Journal(p.journal)
 	if n := len(journal.Pending(s)); n > 0 {
--- a/cmd/beechgrade/kept.go
+++ b/cmd/beechgrade/kept.go
@@ -23,11 +23,12 @@
 )
 
 // startKept opens what is kept, where the settings have it on. Without a disk that can be used the start goes on, as if it were off.
-func startKept(o operate.Kept, log *slog.Logger) *kept.Keeper {
+func startKept(o operate.Kept, checked operate.Invariants, log *slog.Logger) *kept.Keeper {
 	if o.Dir == "" {
 		return nil
 	}
-	k, err := kept.Start(kept.Options{FS: store.Dir(o.Dir), MostBytes: o.MostBytes, AgeMs: o.AgeMs, Log: log})
+	k, err := kept.Start(kept.Options{FS: store.Dir(o.Dir), MostBytes: o.MostBytes, AgeMs: o.AgeMs, Pace: o.Pace, Log: log,
+		Checks: loggedChecks(checked, log), Store: loggedChecks(checked, log), Every: checked.Every})
 	if err != nil {
 		log.Error("kept: starting without it, and nothing is kept", "dir", o.Dir, "err", err)
 		return nil
@@ -66,6 +67,7 @@
 		return
 	}
 	p.kept = k
+	p.recover("kept", k.Recovery())
 	if p.sources == nil {
 		p.restore()
 	}
--- a/cmd/beechgrade/main.go
+++ b/cmd/beechgrade/main.go
@@ -176,7 +176,7 @@
 		}
 	}
 	if log != nil {
-		k = startKept(set.Kept, log)
+		k = startKept(set.Kept, set.Invariants, log)
 	}
 	if err != nil {
 		cfg, err = keptConfig(k, err, os.Getenv, log)
@@ -225,6 +225,10 @@
 	p.useMembers(set.Membership)
 	p.useKept(keeper)
 	p.keepConfig(cfg, os.Getenv("EDGE_CONFIG"))
+	p.set = set
+	if p.given, err = inherit(os.Getenv); err != nil {
+		return badInput{err}
+	}
 	end, err := p.useJournal(set.Journal)
 	if err != nil {
 		return err
@@ -235,9 +239,6 @@
 		return err
 	}
 	defer endSessions()
-	if p.given, err = inherit(os.Getenv); err != nil {
-		return badInput{err}
-	}
 	p.inheritKnown(os.Getenv("TMPDIR"))
 	if err := p.usePeers(set.Peers, set.Limits); err != nil {
 		return err
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -84,10 +84,13 @@
 
 	journal *journal.Journal // nil where it is off
 
-	commits    *commits.Keeper // of sessions, nil where they are not kept
-	kept       *kept.Keeper    // the last good configuration and list, nil where they are not kept
-	keptConfig func()          // says that the configuration is still good, nil where it came from there
-	keptAt     float64         // the list was kept last, or will be
+	set        *operate.Settings // as they were at the start; tests have none
+	recovered  []recovered       // by the start, until it is recorded
+	commits    *commits.Keeper   // of sessions, nil where they are not kept
+	beside     *besideSessions   // the other process's on this socket, nil where there can be none
+	kept       *kept.Keeper      // the last good configuration and list, nil where they are not kept
+	keptConfig func()            // says that the configuration is still good, nil where it came from there
+	keptAt     float64           // the list was kept last, or will be
 	keeping    bool
 
 	agreed *commonLog // nil where it is off
@@ -187,6 +190,7 @@
 		directory = p.sources.members
 	}
 	p.core.Note(recordpb.Kind_KIND_START, "")
+	p.recordRecovered()
 	servers := p.servers()
 	if p.journal != nil {
 		servers = p.journal.Wrap(servers)
@@ -198,6 +202,7 @@
 	if p.commits != nil {
 		p.core.Recall(p.commits.Memory())
 	}
+	p.beside.begin()
 	p.keep()
 	p.front.Start()
 	p.open()
--- /dev/null
+++ b/cmd/beechgrade/recovered.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"log/slog"
+
+	"beechgrade/internal/invariant"
+	"beechgrade/internal/operate"
+	"beechgrade/internal/record"
+	"beechgrade/internal/store"
+)
+
+// recovered is what the opening of a durable store found.
+type recovered struct {
+	name string
+	*store.Recovery
+}
+
+// recover notes what was found, for the log now and for the records once there are any.
+func (p *pooler) recover(name string, rec *store.Recovery) {
+	if rec == nil {
+		return
+	}
+	if rec.Dropped > 0 {
+		p.log.Warn(name+": its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
+	}
+	p.recovered = append(p.recovered, recovered{name, rec})
+}
+
+// recordRecovered records what was found, on the loop.
+func (p *pooler) recordRecovered() {
+	for _, r := range p.recovered {
+		if r.Records > 0 || r.Dropped > 0 {
+			p.core.Recovered(record.Found{Store: r.name, Records: int64(r.Records), Segments: int64(r.Segments), Dropped: int64(r.Dropped)}, r.TookMs, r.Why)
+		}
+	}
+	p.recovered = nil
+}
+
+// stores is how many there may be at once, and storesPart the part of the memory that their records may take together.
+const (
+	stores     = 4
+	storesPart = 4 // one in so many
+)
+
+// storeMemory is how much one store's records may take.
+func storeMemory(memoryMB int) int64 { return int64(memoryMB) << 20 / storesPart / stores }
+
+// storeChecks are the checks of one store, which are its writer's own; a breach is counted and told on the loop, with all others.
+func (p *pooler) storeChecks() (c *invariant.Checks, every int) {
+	if p.set == nil || !p.set.Invariants.On {
+		return nil, 0
+	}
+	return invariant.New(func(b invariant.Breach) {
+		p.loop.Post(func() { p.checks.That(false, b.Name, func() string { return b.State }) })
+	}), p.set.Invariants.Every
+}
+
+// loggedChecks are checks of what is no loop's: a breach is told in the log.
+func loggedChecks(set operate.Invariants, log *slog.Logger) *invariant.Checks {
+	if !set.On {
+		return nil
+	}
+	return invariant.New(func(b invariant.Breach) { log.Error("invariant broken", "name", b.Name, "state", b.State) })
+}
--- a/cmd/beechgrade/sessions.go
+++ b/cmd/beechgrade/sessions.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"path/filepath"
+	"time"
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/commits"
@@ -20,25 +22,71 @@
 		p.log.Warn("sessions: they bring their commits themselves: nothing is kept")
 		return func() {}, nil
 	}
-	return p.sessionsOn(store.Dir(o.Dir), o)
+	return p.sessionsIn([2]store.FS{store.Dir(o.Dir), store.Dir(filepath.Join(o.Dir, besideName))}, o)
 }
 
+// sessionsOn keeps them in one place.
 func (p *pooler) sessionsOn(fs store.FS, o operate.Sessions) (stop func(), err error) {
-	s, rec, err := store.Open(store.Options{FS: fs, MaxBytes: o.MostBytes, SegmentBytes: o.MostBytes / 16})
+	return p.sessionsIn([2]store.FS{fs, nil}, o)
+}
+
+// sessionsIn keeps them in the first of two places that no other process has; the second is for processes on a given socket alone.
+func (p *pooler) sessionsIn(places [2]store.FS, o operate.Sessions) (stop func(), err error) {
+	checks, every := p.storeChecks()
+	opt := store.Options{MaxBytes: o.MostBytes, SegmentBytes: o.MostBytes / 16, Pace: o.Pace, MaxMemory: storeMemory(p.cfg.Limits.MemoryMB), Checks: checks, Every: every}
+	s, rec, at, err := p.openSessions(places, opt)
 	if err != nil {
 		return nil, fmt.Errorf("sessions: %w", err)
 	}
-	if rec.Dropped > 0 {
-		p.log.Warn("sessions: its end was not whole", "bytes", rec.Dropped, "why", rec.Why)
-	}
-	if p.commits, err = commits.New(s, o.Mode, clock.Span(p.loop.Now()), p.loop.Post, p.log); err != nil {
+	p.recover("sessions", rec)
+	k, err := commits.New(s, o.Mode, clock.Span(p.loop.Now()), p.loop.Post, p.log)
+	if err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
-	p.core.Commits(p.commits)
-	p.log.Info("sessions: kept", "mode", o.Mode.String(), "sessions", len(p.commits.Memory().Commits))
-	return func() {
+	k.Bound(int(opt.MaxMemory / store.Memory(1, int64(commits.MostBytes))))
+	p.commits = k
+	p.core.Commits(k)
+	end := func() {
 		if err := commits.Close(s, o.Mode); err != nil {
 			p.log.Error("sessions: not ended in order", "err", err)
 		}
-	}, nil
+	}
+	if other := places[1-at]; other != nil {
+		b := newBeside(p, other, opt, at == 0)
+		if err := b.first(); err != nil {
+			return nil, errors.Join(fmt.Errorf("sessions: %w", err), s.Close())
+		}
+		if p.given != nil {
+			p.beside = b
+			p.core.Commits(b)
+			p.core.Doubt(b.doubts)
+			endKeeper := end
+			end = func() { b.stop(); endKeeper() }
+		}
+	}
+	p.log.Info("sessions: kept", "mode", o.Mode.String(), "sessions", len(p.commits.Memory().Commits), "beside", p.beside != nil && p.beside.locked)
+	return end, nil
+}
+
+const (
+	openAgain = 20 * time.Millisecond // another process looks whether a place is free, and has it for that moment
+	openMost  = time.Second
+)
+
+// openSessions opens a place that no process has.
+func (p *pooler) openSessions(places [2]store.FS, opt store.Options) (s *store.Store, rec *store.Recovery, at int, err error) {
+	for until := time.Now().Add(openMost); ; time.Sleep(openAgain) {
+		for at = range places {
+			if at == 1 && (p.given == nil || places[1] == nil) {
+				return nil, nil, 0, err
+			}
+			opt.FS = places[at]
+			if s, rec, err = store.Open(opt); !errors.Is(err, store.ErrLocked) {
+				return s, rec, at, err
+			}
+		}
+		if time.Now().After(until) {
+			return nil, nil, 0, err
+		}
+	}
 }
--- a/internal/commits/commits.go
+++ b/internal/commits/commits.go
@@ -3,14 +3,17 @@
 package commits
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/store"
 )
 
@@ -45,41 +48,40 @@
 	most  int
 
 	known   map[string]decide.Time
+	earlier map[string]decide.Time // those that were dropped last
+	long    map[string]decide.Time // those whose names are too long to be kept, as many as may be known
 	dropped decide.Time
 	failed  bool // it was told that the disk takes nothing more
+
+	checks *invariant.Checks // nil for off
+	every  int
+	walked int
 }
 
+// MostBytes is what a session's commit has at most, key and value.
+const MostBytes = len(prefix) + longName + 9
+
+// Bound bounds the sessions further, where memory is short.
+func (k *Keeper) Bound(most int) { k.most = min(k.most, max(1, most)) }
+
+// Check has the keeper check statements about its state, with a walk over it each so many changes.
+func (k *Keeper) Check(c *invariant.Checks, every int) { k.checks, k.every = c, every }
+
 // New makes a keeper on a store that is open and posts nothing itself. Where the process before ended without an order and had
 // answered writes without waiting, every session counts as written as late as now, or as the latest that is kept where the clock has gone
 // back. What that leads to is durable when New returns.
 func New(s *store.Store, mode Mode, now decide.Time, post func(func()), log *slog.Logger) (*Keeper, error) {
 	k := &Keeper{store: s, mode: mode, post: post, log: log, most: MostSessions, known: map[string]decide.Time{}}
-	latest := decide.Time(0)
-	s.Range("", "", func(key string, v []byte) bool {
-		at, err := decode(v)
-		switch {
-		case err != nil:
-			log.Warn("sessions: a value is not used", "key", key, "err", err)
-			latest = max(latest, now) // whatever it was
-			k.dropped = max(k.dropped, now)
-		case key == dropped:
-			k.dropped = max(k.dropped, at)
-			latest = max(latest, at)
-		case key >= prefix && key < behind:
-			k.known[key[len(prefix):]] = at
-			latest = max(latest, at)
-		}
-		return true
-	})
+	h := Read(s, now, log)
+	k.known, k.dropped = h.commits, h.dropped
 	var entries []store.Entry
-	_, unclean := s.Get(marker)
-	if unclean {
+	if h.unclean {
 		log.Warn("sessions: the process before did not end in order: every session counts as written until now")
-		entries = k.drop(max(now, latest))
+		entries = k.drop(h.until)
 	}
 	if mode == Alongside {
 		entries = append(entries, store.Entry{Key: marker, Value: encode(now)})
-	} else if unclean {
+	} else if h.unclean {
 		entries = append(entries, store.Entry{Key: marker, Gone: true})
 	}
 	if len(entries) > 0 {
@@ -103,11 +105,166 @@
 	for _, name := range names {
 		entries = append(entries, store.Entry{Key: prefix + name, Gone: true})
 	}
-	k.known = map[string]decide.Time{}
+	k.earlier, k.known = k.known, map[string]decide.Time{}
 	k.dropped = max(k.dropped, until)
 	return append(entries, store.Entry{Key: dropped, Value: encode(k.dropped)})
 }
 
+// Held is what a store holds.
+type Held struct {
+	commits map[string]decide.Time
+	dropped decide.Time
+	unclean bool        // its process had answered writes without waiting, and did not end in order
+	until   decide.Time // then: no commit of its process is later
+	empty   bool
+}
+
+// Read reads what a store holds.
+func Read(s *store.Store, now decide.Time, log *slog.Logger) *Held {
+	h := &Held{commits: map[string]decide.Time{}, empty: true}
+	latest := decide.Time(0)
+	s.Range("", "", func(key string, v []byte) bool {
+		h.empty = false
+		at, err := decode(v)
+		switch {
+		case err != nil:
+			log.Warn("sessions: a value is not used", "key", key, "err", err)
+			latest = max(latest, now) // whatever it was
+			h.dropped = max(h.dropped, now)
+		case key == dropped:
+			h.dropped = max(h.dropped, at)
+			latest = max(latest, at)
+		case key >= prefix && key < behind:
+			h.commits[key[len(prefix):]] = at
+			latest = max(latest, at)
+		}
+		return true
+	})
+	_, h.unclean = s.Get(marker)
+	h.until = max(now, latest)
+	return h
+}
+
+// Erase empties a store whose content is kept elsewhere.
+func Erase(s *store.Store) error {
+	var gone []store.Entry
+	s.Range("", "", func(key string, _ []byte) bool {
+		gone = append(gone, store.Entry{Key: key, Gone: true})
+		return true
+	})
+	if len(gone) == 0 {
+		return nil
+	}
+	done := make(chan error, 1)
+	s.Append(gone, func(err error) { done <- err })
+	return <-done
+}
+
+// Merge takes what another process on the same socket held when it ended, and tells what the router has to know of it. done is called
+// off the loop, once it is kept here: from then on it need not be there any more.
+func (k *Keeper) Merge(h *Held, done func(error)) *decide.Memory {
+	m := &decide.Memory{}
+	var entries []store.Entry
+	if h.unclean { // a session may have written there until its end, whatever is known of it here
+		k.log.Warn("sessions: another process did not end in order: every session counts as written until its end")
+		for _, of := range []map[string]decide.Time{k.earlier, k.long, k.known} {
+			for name, at := range of {
+				m.Commits = append(m.Commits, decide.Commit{Session: name, At: max(at, h.until)})
+			}
+		}
+		entries = k.drop(h.until)
+	}
+	if h.dropped > 0 { // what was dropped there may be later than what is known here
+		for _, of := range []map[string]decide.Time{k.earlier, k.long, k.known} {
+			for _, name := range slices.Sorted(maps.Keys(of)) {
+				if _, ok := h.commits[name]; ok || of[name] >= h.dropped {
+					continue
+				}
+				m.Commits = append(m.Commits, decide.Commit{Session: name, At: h.dropped})
+				if was, ok := k.known[name]; ok && was < h.dropped {
+					k.known[name] = h.dropped
+					entries = append(entries, store.Entry{Key: prefix + name, Value: encode(h.dropped)})
+				}
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.commits)) {
+		at := h.commits[name]
+		was, ok := k.known[name]
+		if ok && was >= at {
+			continue
+		}
+		m.Commits = append(m.Commits, decide.Commit{Session: name, At: at})
+		if !ok && k.dropped >= at { // any that is not kept here counts as later; the router may know it still
+			continue
+		}
+		if !ok && len(k.known) >= k.most {
+			entries = append(entries, k.drop(0)...)
+		}
+		k.known[name] = at
+		entries = append(entries, store.Entry{Key: prefix + name, Value: encode(at)})
+	}
+	if h.dropped > k.dropped {
+		k.dropped = h.dropped
+		entries = append(entries, store.Entry{Key: dropped, Value: encode(k.dropped)})
+	}
+	m.Forgotten = k.dropped
+	slices.SortStableFunc(m.Commits, func(a, b decide.Commit) int {
+		return cmp.Or(cmp.Compare(a.Session, b.Session), cmp.Compare(a.At, b.At))
+	})
+	k.check()
+	if len(entries) == 0 {
+		done(nil)
+		return m
+	}
+	k.store.Append(entries, done)
+	return m
+}
+
+// check states what holds between two calls.
+func (k *Keeper) check() {
+	c := k.checks
+	if !c.On() {
+		return
+	}
+	c.That(len(k.known) <= k.most, "commits: sessions are bounded", func() string { return fmt.Sprintf("%d of %d", len(k.known), k.most) })
+	c.Walk(&k.walked, max(1, k.every), "commits: a walk over the sessions", func(c *invariant.Checks) {
+		for name, at := range k.known {
+			c.That(at >= 0 && len(name) <= longName, "commits: a session's commit is one", func() string { return fmt.Sprintf("%.40q: %d", name, at) })
+		}
+	})
+}
+
+// checkStep states that a session's commit has not gone back.
+func (k *Keeper) checkStep(session string, was decide.Time, known bool) {
+	now, is := k.known[session]
+	k.checks.That(!known || !is || now >= was, "commits: a session's commit does not go back", func() string {
+		return fmt.Sprintf("%.40q: %d after %d", session, now, was)
+	})
+}
+
+// checkKept states that a write whose answer may go out now is kept.
+func (k *Keeper) checkKept(session string, at decide.Time) {
+	c := k.checks
+	if !c.On() {
+		return
+	}
+	read := func(key string) decide.Time {
+		v, ok := k.store.Get(key)
+		if !ok {
+			return -1
+		}
+		x, err := decode(v)
+		if err != nil {
+			return -1
+		}
+		return x
+	}
+	c.That(read(prefix+session) >= at || read(dropped) >= at, "commits: what is answered as kept is there", func() string {
+		return fmt.Sprintf("%.40q at %d: its own %d, dropped %d", session, at, read(prefix+session), read(dropped))
+	})
+}
+
 // Memory is what the router is given at a start.
 func (k *Keeper) Memory() *decide.Memory {
 	m := &decide.Memory{Forgotten: k.dropped}
@@ -126,9 +283,14 @@
 // Keep is core.Commits'.
 func (k *Keeper) Keep(session string, at decide.Time, done func(kept bool)) (waits bool) {
 	var entries []store.Entry
-	switch was, ok := k.known[session]; {
+	was, ok := k.known[session]
+	switch {
 	case len(session) > longName:
 		k.dropped = max(k.dropped, at)
+		if len(k.long) >= k.most || k.long == nil {
+			k.long = map[string]decide.Time{}
+		}
+		k.long[session] = at
 		entries = []store.Entry{{Key: dropped, Value: encode(k.dropped)}}
 	case ok && was >= at:
 		entries = []store.Entry{{Key: prefix + session, Value: encode(was)}} // it may be on its way yet: this one comes behind it
@@ -139,6 +301,10 @@
 		k.known[session] = at
 		entries = append(entries, store.Entry{Key: prefix + session, Value: encode(at)})
 	}
+	if k.checks.On() {
+		k.checkStep(session, was, ok)
+		k.check()
+	}
 	waits = k.mode == Before && done != nil
 	k.store.Append(entries, func(err error) {
 		if err == nil && !waits {
@@ -150,6 +316,9 @@
 				k.log.Error("sessions: commits are not kept", "mode", k.mode.String(), "err", err)
 			}
 			if waits {
+				if err == nil {
+					k.checkKept(session, at)
+				}
 				done(err == nil)
 			}
 		})
--- a/internal/commits/commits_test.go
+++ b/internal/commits/commits_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/steady"
 	"beechgrade/internal/store"
@@ -25,6 +26,7 @@
 	if k, err = New(s, mode, now, func(f func()) { told <- f }, slog.New(slog.DiscardHandler)); err != nil {
 		return nil, nil, nil, errors.Join(err, s.Close())
 	}
+	k.Check(invariant.New(func(b invariant.Breach) { panic(b.String()) }), 1)
 	return k, s, func() { (<-told)() }, nil
 }
 
@@ -135,3 +137,135 @@
 		}
 	}
 }
+
+// TestMerge: two processes serve sessions' writes at once, each on its own disk; one ends, in order or not, or the power goes out, and the
+// other takes over what it held, from there or after a start of its own. No session is held to less than its last commit that was answered
+// by either, and what was taken over may be taken over again.
+func TestMerge(t *testing.T) {
+	steady.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		disks := [2]*faulty.Disk{faulty.New(), faulty.New()}
+		var keepers [2]*Keeper
+		var stores [2]*store.Store
+		var waits [2]func()
+		var modes [2]Mode
+		now, answered := decide.Time(1000), map[string]decide.Time{}
+		for i := range keepers {
+			modes[i] = rapid.SampledFrom([]Mode{Before, Alongside}).Draw(rt, "mode")
+			var err error
+			if keepers[i], stores[i], waits[i], err = open(disks[i], modes[i], now); err != nil {
+				rt.Fatal(err)
+			}
+			keepers[i].most = 4
+		}
+		router := map[string]decide.Time{} // what the living one's router knows, and of any other
+		forgotten := decide.Time(0)
+		for range rapid.IntRange(0, 30).Draw(rt, "writes") {
+			i := rapid.IntRange(0, 1).Draw(rt, "by")
+			now += decide.Time(rapid.IntRange(1, 20).Draw(rt, "later"))
+			name, at, heard := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", strings.Repeat("long", 60)}).Draw(rt, "session"), now, true
+			if keepers[i].Keep(name, at, func(kept bool) { heard = kept }) {
+				waits[i]()
+			}
+			if heard {
+				answered[name] = at
+			}
+			if i == 1 {
+				router[name] = at
+			}
+		}
+		ordered := rapid.Bool().Draw(rt, "in order")
+		if ordered {
+			if err := Close(stores[0], modes[0]); err != nil {
+				rt.Fatal(err)
+			}
+		} else {
+			_ = stores[0].Close()
+		}
+		disks[0] = disks[0].Restart(rng, !ordered)
+		if rapid.Bool().Draw(rt, "the other starts anew") {
+			if err := Close(stores[1], modes[1]); err != nil {
+				rt.Fatal(err)
+			}
+			var err error
+			disks[1] = disks[1].Restart(rng, true)
+			if keepers[1], stores[1], _, err = open(disks[1], modes[1], now); err != nil {
+				rt.Fatal(err)
+			}
+			router = map[string]decide.Time{}
+			m := keepers[1].Memory()
+			forgotten = m.Forgotten
+			for _, c := range m.Commits {
+				router[c.Session] = c.At
+			}
+		}
+		for range rapid.IntRange(1, 2).Draw(rt, "times") {
+			s, _, err := store.Open(store.Options{FS: disks[0]})
+			if err != nil {
+				rt.Fatal(err)
+			}
+			told := make(chan error, 1)
+			m := keepers[1].Merge(Read(s, now, slog.New(slog.DiscardHandler)), func(err error) { told <- err })
+			if err := <-told; err != nil {
+				rt.Fatal(err)
+			}
+			forgotten = max(forgotten, m.Forgotten)
+			for _, c := range m.Commits {
+				router[c.Session] = max(router[c.Session], c.At)
+			}
+			if rapid.Bool().Draw(rt, "emptied") {
+				if err := Erase(s); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			if err := s.Close(); err != nil {
+				rt.Fatal(err)
+			}
+		}
+		for name, at := range answered {
+			got, ok := router[name]
+			if !ok {
+				got = forgotten
+			}
+			if got < at {
+				rt.Fatalf("the router holds %.10s to %d, and it heard of %d", name, got, at)
+			}
+		}
+		_ = stores[1].Close()
+		last, s, _, err := open(disks[1].Restart(rng, true), modes[1], now)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		for name, at := range answered {
+			if got := need(last, name); got < at {
+				rt.Fatalf("after a start %.10s is held to %d, and it heard of %d", name, got, at)
+			}
+		}
+		_ = s.Close()
+	})
+}
+
+// TestChecksFail: each statement is seen to be false once what it is about is broken, and none is while nothing is.
+func TestChecksFail(t *testing.T) {
+	for want, breaks := range map[string]func(k *Keeper){
+		"":                                   func(k *Keeper) { k.check(); k.checkStep("a", 5, true); k.checkKept("a", 5) },
+		"commits: sessions are bounded":      func(k *Keeper) { k.most = 0; k.check() },
+		"commits: a session's commit is one": func(k *Keeper) { k.known["b"] = -1; k.check() },
+		"commits: a session's commit does not go back": func(k *Keeper) { k.checkStep("a", 6, true) },
+		"commits: what is answered as kept is there":   func(k *Keeper) { k.checkKept("a", 6) },
+	} {
+		k, s, wait, err := open(faulty.New(), Before, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k.Keep("a", 5, func(bool) {})
+		wait()
+		c := invariant.New(nil)
+		k.Check(c, 1)
+		breaks(k)
+		if broken := c.Broken(); (len(broken) > 0) != (want != "") || want != "" && broken[0].Name != want {
+			t.Errorf("%q: %v", want, broken)
+		}
+		_ = s.Close()
+	}
+}
--- a/internal/core/commits.go
+++ b/internal/core/commits.go
@@ -7,6 +7,7 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/figures"
+	"beechgrade/internal/front"
 	"beechgrade/internal/record/recordpb"
 	"beechgrade/internal/slots"
 )
@@ -20,6 +21,33 @@
 // Commits has sessions' commits kept, where the router has to remember them.
 func (c *Core) Commits(k Commits) { c.commits = k }
 
+// Doubt has reads of sessions held to the present while doubts says so, whatever the router knows of them: another process may serve their
+// writes.
+func (c *Core) Doubt(doubts func() bool) { c.doubt.doubts = doubts }
+
+// doubt is whether sessions' writes may be elsewhere.
+type doubt struct {
+	doubts func() bool // nil for never
+	ahead  float64     // all sessions that the router does not know count as written until then
+}
+
+const (
+	aheadMs = 1000 // of the clock, that a commit elsewhere may be, and that sessions count as written...
+	renewMs = 500  // ...renewed where it is less
+)
+
+// sessionOf is the session as the router has it: in doubt one that it does not know, and any of these counts as written only now.
+func (c *Core) sessionOf(q *front.Request, set *decide.Class) string {
+	if c.doubt.doubts == nil || set.Read != decide.ReadSession || !c.doubt.doubts() {
+		return q.Session
+	}
+	if now := c.loop.Now(); c.doubt.ahead < now+renewMs {
+		c.doubt.ahead = now + aheadMs
+		c.Recall(&decide.Memory{Forgotten: clock.Span(c.doubt.ahead)})
+	}
+	return "\x00" + q.Session
+}
+
 func (c *Core) keeps() bool { return c.commits != nil && c.cfg.Settings.KeptTokens }
 
 // held is a write's answer that waits. For the router the request is answered.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -101,6 +101,7 @@
 	words  Words // nil where nobody listens
 
 	journal Journal // nil where there is none
+	doubt   doubt
 	commits Commits // nil where sessions' commits are not kept
 
 	bounds []*bound // limits that hold for the whole fleet
@@ -403,7 +404,7 @@
 	ref := c.requests.Put(r)
 	c.recordRequest(r, &q, class)
 	e := &decide.Request{ID: requestID(ref), Class: class, Group: q.Group, Tenant: tenant, Due: clock.Span(q.Due),
-		Session: q.Session, Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
+		Session: c.sessionOf(&q, set), Repeat: q.Repeat, Only: decide.StoreID(q.Only)}
 	if q.After > 0 {
 		// A commit is rounded up and so may lie ahead of the clock, or far ahead where a clock was set; 0 would stand for none.
 		e.SinceOwn = cmp.Or(now-clock.Span(q.After), 1)
