--- /dev/null
+++ b/internal/kit/emulate/disk.go
@@ -0,0 +1,102 @@
+package emulate
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+
+	"beechgrade/internal/core"
+	"beechgrade/internal/deadline"
+	"beechgrade/internal/journal"
+	"beechgrade/internal/kit/world"
+	durable "beechgrade/internal/store"
+)
+
+// disk is a pooler's, with the durable store's promise: what was told as kept is there after a kill; of what was being written, all or
+// nothing is. One write is under way at a time, and what comes meanwhile goes out together in the next.
+type disk struct {
+	p      *pooler
+	took   world.Range
+	kept   map[string][]byte
+	out    []appended // under way
+	queue  []appended
+	writes int
+}
+
+type appended struct {
+	entries []durable.Entry
+	done    func(error)
+}
+
+// Append is journal.Store's.
+func (d *disk) Append(entries []durable.Entry, done func(error)) {
+	d.queue = append(d.queue, appended{entries, done})
+	if len(d.out) == 0 {
+		d.write()
+	}
+}
+
+func (d *disk) write() {
+	d.out, d.queue = d.queue, nil
+	d.writes++
+	p, life := d.p, d.p.life
+	p.e.s.at(p.e.s.now+p.e.draw(d.took), world.Func(func() {
+		p.whenRunning(life, func() {
+			out := d.out
+			d.out = nil
+			d.keep(out)
+			for _, a := range out {
+				a.done(nil)
+			}
+			if len(d.out) == 0 && len(d.queue) > 0 {
+				d.write()
+			}
+		})
+	}), 0)
+}
+
+func (d *disk) keep(all []appended) {
+	for _, a := range all {
+		for _, e := range a.entries {
+			if delete(d.kept, e.Key); !e.Gone {
+				d.kept[e.Key] = e.Value
+			}
+		}
+	}
+}
+
+// killed has the pooler's process end: what was under way may have come to the disk.
+func (d *disk) killed() {
+	if d == nil {
+		return
+	}
+	if len(d.out) > 0 && d.p.e.rng.IntN(2) == 0 {
+		d.keep(d.out)
+	}
+	d.out, d.queue = nil, nil
+}
+
+// Range is journal.Store's.
+func (d *disk) Range(from, to string, f func(key string, value []byte) bool) {
+	for _, k := range slices.Sorted(maps.Keys(d.kept)) {
+		if k >= from && (to == "" || k < to) && !f(k, d.kept[k]) {
+			return
+		}
+	}
+}
+
+// journalLoop is journal.Loop's.
+type journalLoop struct{ lifeLoop }
+
+// Stop is journal.Loop's: what comes of a timer that was stopped finds its attempt ended.
+func (journalLoop) Stop(*deadline.Timer) {}
+
+// journaled are the pooler's servers, behind its journal where it keeps one.
+func (p *pooler) journaled() core.Servers {
+	if p.disk == nil {
+		return p
+	}
+	j := journal.New(journalLoop{lifeLoop{p, p.life}}, slog.New(slog.DiscardHandler), p.core, p.disk, p.e.script.Journal.Mode)
+	p.core.Journal(j)
+	return j.Wrap(p)
+}
--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"beechgrade/internal/invariant"
+	"beechgrade/internal/journal"
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/kit/links"
@@ -31,6 +32,7 @@
 	Parts    []Joined               // that live in each pooler, beside those that the scenario has
 	Tried    func(t *clients.Try)   // is told how each try ended for its client; may be nil
 
+	ran  func(id string)                                                            // is told of each write that must never run twice, as it runs; for tests
 	Read func(at float64, class *clients.Class, pooler int, work float64, far bool) // is told of each attempt of a read that any member may serve; may be nil
 }
 
@@ -45,16 +47,18 @@
 
 // Result is what came of a run.
 type Result struct {
-	Scenario string         `json:"scenario"`
-	Seed     uint64         `json:"seed"`
-	Mutant   string         `json:"mutant,omitempty"`
-	Poolers  int            `json:"poolers"`
-	Servers  int            `json:"servers"`
-	Groups   int            `json:"groups"`
-	Hash     string         `json:"hash"` // of every event, in order
-	Score    *score.Score   `json:"score"`
-	Verdict  *check.Verdict `json:"rules"`
-	Facts    []world.Fact   `json:"facts,omitempty"`
+	Pending  []journal.Attempt `json:"-"` // in poolers' journals at the end
+	Writes   int               `json:"journal_writes,omitempty"`
+	Scenario string            `json:"scenario"`
+	Seed     uint64            `json:"seed"`
+	Mutant   string            `json:"mutant,omitempty"`
+	Poolers  int               `json:"poolers"`
+	Servers  int               `json:"servers"`
+	Groups   int               `json:"groups"`
+	Hash     string            `json:"hash"` // of every event, in order
+	Score    *score.Score      `json:"score"`
+	Verdict  *check.Verdict    `json:"rules"`
+	Facts    []world.Fact      `json:"facts,omitempty"`
 
 	Events    uint64             `json:"events"`
 	Asked     uint64             `json:"asked"`
@@ -220,6 +224,12 @@
 			r.Ends[resultNames[i]] = n
 		}
 	}
+	for _, p := range e.poolers {
+		if p.disk != nil {
+			r.Pending = append(r.Pending, journal.Pending(p.disk)...)
+			r.Writes += p.disk.writes
+		}
+	}
 	r.Verdict.Invariants(e.s.now, e.checks)
 	if e.opt.Mutant != nil {
 		r.Mutant = e.opt.Mutant.Name
@@ -364,6 +374,9 @@
 	if !ok || a.v == nil {
 		return
 	}
+	if j.Writes && a.Once && e.opt.ran != nil {
+		e.opt.ran(a.v.name)
+	}
 	value, position := j.Value, r.Position
 	if r.Dropped {
 		e.check.Repeated(e.s.now, s.No, a.v.id, hashOf(value), position)
--- /dev/null
+++ b/internal/kit/emulate/journal_test.go
@@ -0,0 +1,92 @@
+package emulate
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/scenario"
+)
+
+const journalScript = `(rehearsal "journal" (seconds %d) (poolers 2) (groups 3 3) (rate 400) (retries 0) (cold 5s) (journal %s)
+	(class "registrar-ponto" (share 0.5)) (at 4s (die primary 0) (for 3s)) (at 1s (kill-pooler 0) (for 60ms) (every 200ms)))`
+
+type journaled struct {
+	*Result
+	ran, unheard, missing, twice int
+	listed                       int
+	times                        *hdrhistogram.Histogram // of registrar-ponto, as served
+	asked, served                int
+}
+
+// playJournal plays writes while poolers are killed, and holds what ran against what was heard and what is listed.
+func playJournal(t *testing.T, seed uint64, seconds int, mode string) *journaled {
+	t.Helper()
+	s, err := scenario.Parse("journal", []byte(fmt.Sprintf(journalScript, seconds, mode)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &journaled{times: hdrhistogram.New(1, 60_000_000, 3)}
+	ran, heard := map[string]int{}, map[string]bool{}
+	x.Result, err = Run(context.Background(), s, Options{Seed: seed, ran: func(id string) { ran[id]++ }, Tried: func(y *clients.Try) {
+		heard[y.ID] = y.Kind == clients.Served
+		if y.Class.Name != "registrar-ponto" {
+			return
+		}
+		if y.No == 0 {
+			x.asked++
+		}
+		if y.Kind == clients.Served {
+			x.served++
+			_ = x.times.RecordValue(int64((y.Ended - y.First) * 1000))
+		}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !x.Verdict.OK() {
+		t.Errorf("seed %d, %s: %v", seed, mode, x.Verdict.Broken)
+	}
+	listed := map[string]bool{}
+	var lines []string
+	for _, a := range x.Pending {
+		listed[a.ID] = true
+		lines = append(lines, fmt.Sprint(a.ID, " ", a.No, " ", a.At))
+	}
+	slices.Sort(lines)
+	x.listed = len(lines)
+	x.twice = len(lines) - len(slices.Compact(lines))
+	for id := range ran {
+		x.ran++
+		if !heard[id] {
+			if x.unheard++; !listed[id] {
+				x.missing++
+			}
+		}
+	}
+	return x
+}
+
+// TestJournalKilled: poolers are killed again and again under writes, on disks of any speed; each write that ran has an answer that was heard,
+// or is listed, once; and no rule is broken. Alongside, what is missing came in the last moments before a kill.
+func TestJournalKilled(t *testing.T) {
+	t.Parallel()
+	unheard := 0
+	for seed := range uint64(2) {
+		for _, mode := range []string{"before (disk 0.1ms 2ms)", "before (disk 20ms 200ms)", "alongside (disk 0.1ms 2ms)", "alongside (disk 20ms 200ms)"} {
+			x := playJournal(t, seed+1, 12, mode)
+			t.Logf("seed %d, %s: %d writes ran, %d unheard, %d of them not listed; %d lines; %d disk writes; service %.4f", seed+1, mode, x.ran, x.unheard, x.missing, x.listed, x.Writes, x.Score.Ratio)
+			unheard += x.unheard
+			if x.twice > 0 || x.ran < 300 || x.listed == 0 || x.missing > 0 && mode[0] == 'b' {
+				t.Errorf("seed %d, %s: %d ran, %d unheard, %d not listed, %d listed twice", seed+1, mode, x.ran, x.unheard, x.missing, x.twice)
+			}
+		}
+	}
+	if unheard == 0 {
+		t.Error("all that ran was heard of: nothing was put to the test")
+	}
+}
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -41,6 +41,7 @@
 	wear   wear.Wear
 	member *member              // nil where the list is the platform's
 	limits *operate.FleetLimits // as it last read them
+	disk   *disk                // that outlives its processes, nil where it keeps no journal
 }
 
 // store is a pooler's connections to one server.
@@ -100,6 +101,9 @@
 func (e *Emulation) newPooler(no int) *pooler {
 	p := &pooler{e: e, no: no, name: fmt.Sprintf("pooler-%d", no), visits: map[*visit]bool{}}
 	p.known, p.limits = e.world.List.Whole(), e.script.Limits
+	if e.script.Journal != nil {
+		p.disk = &disk{p: p, took: e.script.Journal.Disk, kept: map[string][]byte{}}
+	}
 	return p
 }
 
@@ -126,8 +130,9 @@
 			p.join()
 		}
 	}()
+	servers := p.journaled()
 	if p.member = nil; e.agents == nil {
-		p.core.Start(p, p)
+		p.core.Start(servers, p)
 		if e.script.Pushed { // the agent's watch, held open by the pooler's program
 			p.Watch()
 		}
@@ -136,7 +141,7 @@
 	p.member = p.newMember()
 	p.core.Hear(p.member.join)
 	cfg.Known = p.member.join.Begin()
-	p.core.Start(p, p.member.join)
+	p.core.Start(servers, p.member.join)
 	p.member.ask()
 	return nil
 }
@@ -161,6 +166,7 @@
 	p.up = false
 	p.life++
 	e := p.e
+	p.disk.killed()
 	if p.peer != nil {
 		e.fleet.check.Ended(e.s.now, p.no, p.peer.view.Self().State == view.Left)
 		p.peer = nil
--- /dev/null
+++ b/internal/kit/scenario/journal.go
@@ -0,0 +1,35 @@
+package scenario
+
+import (
+	"beechgrade/internal/journal"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/sexp"
+)
+
+// Journal is what each pooler keeps, in virtual time, of attempts that may have run.
+type Journal struct {
+	Mode journal.Mode
+	Disk world.Range // ms that a write and its sync take; what comes meanwhile goes out together in the next
+}
+
+// journal reads (journal off), (journal before ...) or (journal alongside ...), with (disk LEAST MOST) behind it.
+func (s *Script) journal(n *sexp.Node) error {
+	a := n.Args()
+	if len(a) == 0 {
+		return n.Errorf("(journal ...) takes off, before or alongside")
+	}
+	j := &Journal{Disk: world.Range{0.1, 2}}
+	switch a[0].Text {
+	case "off":
+		s.Journal = nil
+		return nil
+	case "before":
+		j.Mode = journal.Before
+	case "alongside":
+		j.Mode = journal.Alongside
+	default:
+		return a[0].Errorf("off, before or alongside is due here")
+	}
+	s.Journal = j
+	return sexp.Form{"disk": func(n *sexp.Node) error { return spans(n, (*[2]float64)(&j.Disk)) }}.Read(a[1:])
+}
--- a/internal/kit/scenario/scenario.go
+++ b/internal/kit/scenario/scenario.go
@@ -42,6 +42,9 @@
 	if s.Forgets > 0 {
 		return fmt.Errorf("%q has (forgets ...), which can be played in virtual time only", s.Name)
 	}
+	if s.Journal != nil {
+		return fmt.Errorf("%q has (journal ...), which can be played in virtual time only; on sockets the settings have it", s.Name)
+	}
 	for _, f := range s.Faults {
 		if f.OfRoutes() {
 			return &sexp.Error{Pos: f.Pos, Text: fmt.Sprintf("(%s ...) can be played in virtual time only", f.What)}
@@ -86,6 +89,7 @@
 	Overload *Overload         // nil where each pooler handles it alone
 	Agreed   *Agreed           // the log in common, nil for none
 	Credit   *Credit           // tenants pay ahead, nil where they do not
+	Journal  *Journal          // of what may have run, nil for none
 	Pages    *Pages            // reports over all groups, nil for none
 	Verdicts *operate.Verdicts // nil where each pooler learns alone
 
@@ -271,6 +275,7 @@
 		"overload":     s.overload,
 		"agreed":       s.agreed,
 		"credit":       s.credit,
+		"journal":      s.journal,
 		"pages":        s.pages,
 		"on-sockets":   func(n *sexp.Node) error { s.smaller = n.Args(); return nil },
 		"verdicts":     s.verdicts,
