--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -74,7 +74,9 @@
 	orphans   uint64
 	retryLost uint64
 	fleet     fleet
+	avoided   avoided
 	limits    limits
+	zones     zones
 
 	recoveries []Recovery
 }
@@ -223,7 +225,9 @@
 	}
 	x.pooler.ordered = ordered
 	m.fleet.ended(r.Pooler, x.last)
+	m.avoided.ended(r.Pooler, x.last)
 	m.limits.ended(r.Pooler, x.last)
+	m.zones.ended(r.Pooler, x.last)
 	m.endPools(x)
 	if !ordered {
 		m.find(Finding{At: x.last, Kind: "killed", Pooler: r.Pooler, Grave: true,
@@ -296,8 +300,12 @@
 		m.recovered(r.Pooler, e)
 	case recordpb.Kind_KIND_PEER:
 		m.fleet.event(r.Pooler, e)
+	case recordpb.Kind_KIND_AVOIDED:
+		m.avoided.event(r.Pooler, e)
 	case recordpb.Kind_KIND_LIMIT:
 		m.limits.event(r.Pooler, e)
+	case recordpb.Kind_KIND_ZONES:
+		m.zones.event(r.Pooler, e)
 	case recordpb.Kind_KIND_SESSION_BEGIN, recordpb.Kind_KIND_SESSION_END:
 		m.onSession(e, e.Kind == recordpb.Kind_KIND_SESSION_END)
 	case recordpb.Kind_KIND_HAND:
