--- a/cmd/beechgrade/kept.go
+++ b/cmd/beechgrade/kept.go
@@ -67,7 +67,9 @@
 		return
 	}
 	p.kept = k
-	p.recover("kept", k.Recovery())
+	if rec := k.Recovery(); rec != nil { // the keeper has logged it
+		p.recovered = append(p.recovered, recovered{"kept", rec})
+	}
 	if p.sources == nil {
 		p.restore()
 	}
--- a/internal/kit/emulate/journal_test.go
+++ b/internal/kit/emulate/journal_test.go
@@ -13,7 +13,9 @@
 )
 
 const journalScript = `(rehearsal "journal" (seconds %d) (poolers 2) (groups 3 3) (rate 400) (retries 0) (cold 5s) (journal %s)
-	(class "registrar-ponto" (share 0.5)) (at 4s (die primary 0) (for 3s)) (at 1s (kill-pooler 0) (for 60ms) (every 200ms)))`
+	(class "registrar-ponto" (share 0.5)) %s)`
+
+const journalFaults = `(at 4s (die primary 0) (for 3s)) (at 1s (kill-pooler 0) (for 60ms) (every 200ms))`
 
 type journaled struct {
 	*Result
@@ -24,9 +26,9 @@
 }
 
 // playJournal plays writes while poolers are killed, and holds what ran against what was heard and what is listed.
-func playJournal(t *testing.T, seed uint64, seconds int, mode string) *journaled {
+func playJournal(t *testing.T, seed uint64, seconds int, mode, faults string) *journaled {
 	t.Helper()
-	s, err := scenario.Parse("journal", []byte(fmt.Sprintf(journalScript, seconds, mode)))
+	s, err := scenario.Parse("journal", []byte(fmt.Sprintf(journalScript, seconds, mode, faults)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +80,7 @@
 	unheard := 0
 	for seed := range uint64(2) {
 		for _, mode := range []string{"before (disk 0.1ms 2ms)", "before (disk 20ms 200ms)", "alongside (disk 0.1ms 2ms)", "alongside (disk 20ms 200ms)"} {
-			x := playJournal(t, seed+1, 12, mode)
+			x := playJournal(t, seed+1, 12, mode, journalFaults)
 			t.Logf("seed %d, %s: %d writes ran, %d unheard, %d of them not listed; %d lines; %d disk writes; service %.4f", seed+1, mode, x.ran, x.unheard, x.missing, x.listed, x.Writes, x.Score.Ratio)
 			unheard += x.unheard
 			if x.twice > 0 || x.ran < 300 || x.listed == 0 || x.missing > 0 && mode[0] == 'b' {
@@ -90,3 +92,26 @@
 		t.Error("all that ran was heard of: nothing was put to the test")
 	}
 }
+
+// TestJournalCost: what a journal costs registrar-ponto while nothing else goes wrong, paired by seed: alongside nothing, before about as long as the
+// disk takes.
+func TestJournalCost(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		var off *journaled
+		for _, x := range []struct {
+			mode string
+			most float64 // ms that the median may be later
+		}{{"off", 0}, {"alongside (disk 0.1ms 2ms)", 1}, {"before (disk 0.1ms 2ms)", 6}, {"alongside (disk 5ms 20ms)", 1}, {"before (disk 5ms 20ms)", 60}} {
+			got := playJournal(t, seed+1, 20, x.mode, "")
+			if off == nil {
+				off = got
+			}
+			p50, p99 := float64(got.times.ValueAtQuantile(50))/1000, float64(got.times.ValueAtQuantile(99))/1000
+			t.Logf("seed %d, %s: registrar-ponto p50 %.2f ms, p99 %.2f; %d of %d served; service %.4f", seed+1, x.mode, p50, p99, got.served, got.asked, got.Score.Ratio)
+			if later := p50 - float64(off.times.ValueAtQuantile(50))/1000; later > x.most || got.Score.Ratio < off.Score.Ratio-0.02 {
+				t.Errorf("seed %d, %s: %.2f ms later, service %.4f beside %.4f", seed+1, x.mode, later, got.Score.Ratio, off.Score.Ratio)
+			}
+		}
+	}
+}
