--- a/cmd/beechgrade/beside_test.go
+++ b/cmd/beechgrade/beside_test.go
@@ -52,8 +52,13 @@
 		two, endTwo := start()
 		kept, at := make(chan float64, 1), clock.Span(two.loop.Now())
 		two.loop.Post(func() {
+			if two.beside.settle == 0 {
+				t.Error("it does not wait at its start, though another process is there")
+			}
+			two.beside.settle = two.loop.Now() + 200 // it became ready later than that
 			if !two.beside.Keep("x", at, func(bool) { kept <- two.loop.Now() }) {
 				t.Error("an answer does not wait, though the other process may not know of this one")
+				kept <- 0
 			}
 		})
 		if when := <-kept; when < two.beside.settle {
