--- a/cmd/beechgrade/beside_test.go
+++ b/cmd/beechgrade/beside_test.go
@@ -20,80 +20,88 @@
 // TestBeside: while there are two processes on a socket both doubt what they know of sessions, the next answers no write before the other knows
 // of it, and a third is refused; once the one has ended, the other knows its sessions, keeps them, and doubts no more.
 func TestBeside(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []commits.Mode{commits.Before, commits.Alongside} {
-		u := newUpgrade(t)
-		dir := t.TempDir()
-		places := [2]store.FS{store.Dir(dir), store.Dir(filepath.Join(dir, besideName))}
-		set := operate.Sessions{Mode: mode, MostBytes: 1 << 20}
-		unused := func() *pooler {
-			p := newPooler(testConfig(t, "127.0.0.1:1", nil, func(c *config.Config) { c.Discovery, c.Settings.KeptTokens = u.at, true }), slog.New(slog.DiscardHandler))
-			give(t, p, u.ln)
-			return p
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			besideIn(t, mode)
+		})
+	}
+}
+
+func besideIn(t *testing.T, mode commits.Mode) {
+	u := newUpgrade(t)
+	dir := t.TempDir()
+	places := [2]store.FS{store.Dir(dir), store.Dir(filepath.Join(dir, besideName))}
+	set := operate.Sessions{Mode: mode, MostBytes: 1 << 20}
+	unused := func() *pooler {
+		p := newPooler(testConfig(t, "127.0.0.1:1", nil, func(c *config.Config) { c.Discovery, c.Settings.KeptTokens = u.at, true }), slog.New(slog.DiscardHandler))
+		give(t, p, u.ln)
+		return p
+	}
+	start := func() (p *pooler, end func()) {
+		p = unused()
+		close, err := p.sessionsIn(places, set)
+		if err != nil {
+			t.Fatal(err)
 		}
-		start := func() (p *pooler, end func()) {
-			p = unused()
-			close, err := p.sessionsIn(places, set)
-			if err != nil {
-				t.Fatal(err)
-			}
-			var once sync.Once
-			stopped := func() { once.Do(close) }
-			t.Cleanup(stopped)
-			_, _, stop, done := launch(t, p)
-			u.until("ready", p, func() bool { return p.life.Serves() })
-			return p, func() {
-				stop <- syscall.SIGTERM
-				<-done
-				stopped()
-			}
+		var once sync.Once
+		stopped := func() { once.Do(close) }
+		t.Cleanup(stopped)
+		_, _, stop, done := launch(t, p)
+		u.until("ready", p, func() bool { return p.life.Serves() })
+		return p, func() {
+			stop <- syscall.SIGTERM
+			<-done
+			stopped()
 		}
-		one, endOne := start()
-		u.until("alone, it trusts what it knows", one, func() bool { return !one.beside.doubts() })
-		two, endTwo := start()
-		kept, at := make(chan float64, 1), clock.Span(two.loop.Now())
-		two.loop.Post(func() {
-			if two.beside.settle == 0 {
-				t.Error("it does not wait at its start, though another process is there")
-			}
-			two.beside.settle = two.loop.Now() + 200 // it became ready later than that
-			if !two.beside.Keep("x", at, func(bool) { kept <- two.loop.Now() }) {
-				t.Error("an answer does not wait, though the other process may not know of this one")
-				kept <- 0
-			}
-		})
-		if when := <-kept; when < two.beside.settle {
-			t.Errorf("%s: answered at %v, before %v", mode, when, two.beside.settle)
+	}
+	one, endOne := start()
+	u.until("alone, it trusts what it knows", one, func() bool { return !one.beside.doubts() })
+	two, endTwo := start()
+	kept, at := make(chan float64, 1), clock.Span(two.loop.Now())
+	two.loop.Post(func() {
+		if two.beside.settle == 0 {
+			t.Error("it does not wait at its start, though another process is there")
 		}
-		u.until("it doubts", one, one.beside.doubts)
-		u.until("it doubts", two, two.beside.doubts)
-		third := unused()
-		if _, err := third.sessionsIn(places, set); !errors.Is(err, store.ErrLocked) {
-			t.Errorf("a third process: %v", err)
+		two.beside.settle = two.loop.Now() + 200 // it became ready later than that
+		if !two.beside.Keep("x", at, func(bool) { kept <- two.loop.Now() }) {
+			t.Error("an answer does not wait, though the other process may not know of this one")
+			kept <- 0
 		}
-		_ = third.given.Close()
-		written := make(chan bool, 1)
-		one.loop.Post(func() {
-			if !one.commits.Keep("s", at+5, func(bool) { written <- true }) {
-				written <- true
-			}
-		})
-		<-written
-		endOne()
-		u.until("it trusts what it knows", two, func() bool { return !two.beside.doubts() })
-		u.until("it knows", two, func() bool {
-			return slices.Contains(two.commits.Memory().Commits, decide.Commit{Session: "s", At: at + 5})
-		})
-		endTwo()
-		last := newPooler(testConfig(t, "127.0.0.1:1", nil, func(c *config.Config) { c.Settings.KeptTokens = true }), slog.New(slog.DiscardHandler))
-		end, err := last.sessionsIn(places, set) // alone, on no given socket
-		if err != nil {
-			t.Fatal(err)
+	})
+	if when := <-kept; when < two.beside.settle {
+		t.Errorf("%s: answered at %v, before %v", mode, when, two.beside.settle)
+	}
+	u.until("it doubts", one, one.beside.doubts)
+	u.until("it doubts", two, two.beside.doubts)
+	third := unused()
+	if _, err := third.sessionsIn(places, set); !errors.Is(err, store.ErrLocked) {
+		t.Errorf("a third process: %v", err)
+	}
+	_ = third.given.Close()
+	written := make(chan bool, 1)
+	one.loop.Post(func() {
+		if !one.commits.Keep("s", at+5, func(bool) { written <- true }) {
+			written <- true
 		}
-		for _, want := range []decide.Commit{{Session: "s", At: at + 5}, {Session: "x", At: at}} {
-			if !slices.Contains(last.commits.Memory().Commits, want) {
-				t.Errorf("%s: %v is not in %v", mode, want, last.commits.Memory())
-			}
+	})
+	<-written
+	endOne()
+	u.until("it trusts what it knows", two, func() bool { return !two.beside.doubts() })
+	u.until("it knows", two, func() bool {
+		return slices.Contains(two.commits.Memory().Commits, decide.Commit{Session: "s", At: at + 5})
+	})
+	endTwo()
+	last := newPooler(testConfig(t, "127.0.0.1:1", nil, func(c *config.Config) { c.Settings.KeptTokens = true }), slog.New(slog.DiscardHandler))
+	end, err := last.sessionsIn(places, set) // alone, on no given socket
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []decide.Commit{{Session: "s", At: at + 5}, {Session: "x", At: at}} {
+		if !slices.Contains(last.commits.Memory().Commits, want) {
+			t.Errorf("%s: %v is not in %v", mode, want, last.commits.Memory())
 		}
-		end()
 	}
+	end()
 }
