Go through the zones' fencing and fallback, and have an oracle share reads

What was proven of plans was proven in stories. internal/kit/explore now goes through voters that are the real package, on a log that is as bad as a log may be: entries in any order and twice, several who lead, voters that stand still or start again from what their disks had. Each rule of plans has a mutant that is caught in a play or in a search. An oracle in the emulation sees what is truly so and shares reads by the same planner.

--- a/internal/kit/check/zones.go
+++ b/internal/kit/check/zones.go
@@ -1,18 +1,23 @@
 package check
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
-// Zones holds what poolers made of the fleet's plans against what was true of clients and servers. It knows the faults, by Changed, and no
-// plan but by what it says.
+// Zones holds what poolers made of the fleet's plans against what was true of clients and servers. It knows the faults, by Changed and Struck, and no
+// plan but by what it says. Calm is where nothing is under way, and nothing ended lately.
 type Zones struct {
 	Safe    float64 // part of a zone's cores that may be planned where it receives
 	Settled float64 // ms after a change in which a plan may not know of it yet
 	Far     float64 // part of reads that may cross in calm
 
+	Plans   int // looks at a plan that were held against its safe load
 	Found   []Breach
 	plans   map[uint64]uint64 // by number: a sum of what it asks for
 	last    map[int]uint64    // by pooler, whatever process
-	changed float64
+	changes []float64
+	faults  [][2]float64
 	reads   float64
 	far     float64
 }
@@ -35,7 +40,19 @@
 }
 
 // Changed tells that something befell zones, their servers or what is asked of them, or ended.
-func (c *Zones) Changed(at float64) { c.changed = max(c.changed, at) }
+func (c *Zones) Changed(at float64) { c.changes = append(c.changes, at) }
+
+// Struck tells of a fault from one time to another; it may be told ahead.
+func (c *Zones) Struck(from, to float64) {
+	c.Changed(from)
+	c.Changed(to)
+	c.faults = append(c.faults, [2]float64{from, to})
+}
+
+// settled tells whether nothing changed lately.
+func (c *Zones) settled(at float64) bool {
+	return !slices.ContainsFunc(c.changes, func(x float64) bool { return x <= at && at < x+c.Settled })
+}
 
 // Follows tells that a pooler follows a plan now; sum is of all that it asks for.
 func (c *Zones) Follows(at float64, pooler int, no, sum uint64) {
@@ -51,9 +68,10 @@
 
 // Planned holds a plan's shares, by zone, against the cores of work that clients near each ask and those that serve in each.
 func (c *Zones) Planned(at float64, no uint64, shares [][]float64, asked, cores []float64) {
-	if at < c.changed+c.Settled {
+	if !c.settled(at) {
 		return
 	}
+	c.Plans++
 	for b := range cores {
 		all, came := 0.0, 0.0
 		for a := range shares {
@@ -69,7 +87,7 @@
 
 // Read tells that a read that any member may serve went out, to another zone or not.
 func (c *Zones) Read(at float64, far bool) {
-	if at < c.changed+c.Settled {
+	if !c.settled(at) || slices.ContainsFunc(c.faults, func(f [2]float64) bool { return f[0] <= at && at < f[1] }) {
 		return
 	}
 	if c.reads++; far {
@@ -84,3 +102,6 @@
 	}
 	return far
 }
+
+// Calm is how many reads were in calm.
+func (c *Zones) Calm() float64 { return c.reads }
--- /dev/null
+++ b/internal/kit/emulate/zones_oracle.go
@@ -0,0 +1,150 @@
+package emulate
+
+import (
+	"math"
+	"slices"
+
+	"beechgrade/internal/decide"
+	"beechgrade/internal/kit/clients"
+	"beechgrade/internal/kit/world"
+	"beechgrade/internal/membership/discovery"
+	"beechgrade/internal/peers/part"
+	"beechgrade/internal/peers/zones/follow"
+	"beechgrade/internal/peers/zones/plan"
+)
+
+// ZoneOracle shares reads by the planner that poolers have, of what is truly so and at once: who is alive, what servers can do, what they lose and which
+// ways are cut. It is what plans are held against, and no pooler could be it.
+type ZoneOracle struct {
+	Plan   plan.Settings // but for classes and delays
+	Price  float64       // of crossing
+	EachMs float64
+	Lossy  float64 // a zone of which servers lose more than that is left
+
+	Shifts int
+
+	e      *Emulation
+	counts [][][]float64 // by group, class and zone: requests a second
+	asked  [][][]float64 // since the last step
+	stands map[int]int   // by pooler: the zone that it took for near
+}
+
+// loadMs is over how long the oracle's loads are smoothed: arrivals are drawn, and it knows no rate.
+const loadMs = 4000
+
+// Join is Options.Parts'.
+func (o *ZoneOracle) Join(h Host) []part.Part {
+	p := h.x.p
+	if o.e == nil {
+		o.e, o.stands = p.e, map[int]int{}
+		for range p.e.world.Groups {
+			o.counts, o.asked = append(o.counts, o.table()), append(o.asked, o.table())
+		}
+		p.e.s.After(o.EachMs, world.Func(o.step), 0)
+	}
+	delete(o.stands, p.no)
+	p.core.Locate(oracleEar{o, p.no % len(p.e.script.Sites)})
+	return nil
+}
+
+func (o *ZoneOracle) table() (t [][]float64) {
+	for range o.e.script.Clients.Classes {
+		t = append(t, make([]float64, len(o.e.script.Sites)))
+	}
+	return t
+}
+
+// oracleEar is core.Geography's.
+type oracleEar struct {
+	o    *ZoneOracle
+	zone int
+}
+
+func (x oracleEar) Listed(*discovery.List, bool)                    {}
+func (x oracleEar) Tried(string, int, decide.Result, float64, bool) {}
+func (x oracleEar) Probed(string, bool)                             {}
+func (x oracleEar) Asked(group, class int)                          { x.o.asked[group][class][x.zone]++ }
+func meanWork(c *clients.Class) float64                             { return (c.Work[0] + c.Work[1]) / 2 }
+func movable(c *clients.Class) bool                                 { return c.Read != clients.Write }
+func (o *ZoneOracle) smooth(was, count float64) float64 {
+	fade := math.Exp(-o.EachMs / loadMs)
+	return was*fade + count*1000/o.EachMs*(1-fade)
+}
+
+// step looks at the world and has each pooler stand where the plan has it.
+func (o *ZoneOracle) step() {
+	e, sites := o.e, len(o.e.script.Sites)
+	set := o.Plan
+	set.Delay = e.script.Delays()
+	for a := range sites {
+		for b := range sites {
+			if a != b && e.routes != nil && (e.routes.Cut(a, b) || e.routes.Cut(b, a)) {
+				set.Delay[a][b] = math.Inf(1)
+			}
+		}
+	}
+	classes := e.script.Clients.Classes
+	for i := range classes {
+		c := plan.Class{Worth: classes[i].Worth, Reach: classes[i].Aim}
+		if classes[i].Read == clients.ReadBounded {
+			c.Age = classes[i].Bound
+		}
+		set.Classes = append(set.Classes, c)
+	}
+	var groups []plan.Group
+	var answers []plan.Answer
+	for k, g := range e.world.Groups {
+		x := plan.Group{Rooms: make([]plan.Room, sites)}
+		members, lossy := make([]float64, sites), make([]float64, sites)
+		for _, s := range g.Members {
+			z := s.SiteNo()
+			part, loses := s.Truth(e.s.now)
+			x.Rooms[z].Cores += part * float64(e.script.Fleet.Cores)
+			if members[z]++; loses > o.Lossy {
+				lossy[z]++
+			}
+		}
+		for c := range classes {
+			for z := range sites {
+				o.counts[k][c][z] = o.smooth(o.counts[k][c][z], o.asked[k][c][z])
+				o.asked[k][c][z] = 0
+				load := o.counts[k][c][z] * meanWork(&classes[c]) / 1000
+				if movable(&classes[c]) {
+					x.Flows = append(x.Flows, plan.Flow{Class: c, Zone: z, Load: load})
+				} else if g.Primary != nil {
+					x.Rooms[g.Primary.SiteNo()].Fixed += load
+				}
+			}
+		}
+		for z := range x.Rooms {
+			well := members[z] > 0 && lossy[z]*2 < members[z]
+			x.Rooms[z].Keeps, x.Rooms[z].Takes = well, well
+		}
+		groups = append(groups, x)
+		answers = append(answers, set.Solve(&x))
+	}
+	m, _ := set.Fold(groups, answers)
+	at := make([][]*pooler, sites)
+	for _, p := range e.poolers {
+		if p.up {
+			at[p.no%sites] = append(at[p.no%sites], p)
+		}
+	}
+	from := make([]int, sites)
+	for z := range at {
+		from[z] = len(at[z])
+	}
+	m = set.Round(m, groups, from)
+	for z := range at {
+		slices.SortFunc(at[z], func(a, b *pooler) int { return a.no - b.no })
+		for rank, p := range at[z] {
+			home := follow.Home(m[z], z, rank, len(at[z]))
+			if was, stood := o.stands[p.no]; stood && was != home {
+				o.Shifts++
+			}
+			o.stands[p.no] = home
+			p.core.Stand(e.script.Sites[home], o.Price)
+		}
+	}
+	e.s.After(o.EachMs, world.Func(o.step), 0)
+}
--- a/internal/kit/emulate/zones_test.go
+++ b/internal/kit/emulate/zones_test.go
@@ -11,6 +11,7 @@
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
 	"beechgrade/internal/peers/agreed"
+	"beechgrade/internal/peers/part"
 	"beechgrade/internal/peers/zones"
 	"beechgrade/internal/peers/zones/follow"
 	"beechgrade/internal/peers/zones/state"
@@ -32,19 +33,20 @@
 	short float64
 }
 
-// zoned plays a script with zones decided together, or each pooler for itself; changes are when something befalls the fleet.
-func zoned(t *testing.T, seed uint64, on bool, script string, changes []float64, mutate func(*zones.Settings)) *zonedPlay {
+// zoned plays a script with zones decided together, or each pooler for itself; changes are when something begins to befall the fleet and when that ends, by turns.
+func zoned(t *testing.T, seed uint64, on bool, script string, changes []float64, mutate func(*zones.Settings, *Options)) *zonedPlay {
 	t.Helper()
 	s := parse(t, fmt.Sprintf(`(rehearsal "zones" (peers) (near yes) (pushed yes) (cross-price 0.01) (cold 10s) (retries 1) %s)`, script))
 	z := &zonedPlay{Zoned: &Zoned{Log: &CommonLog{Settings: agreed.Defaults(), Voters: 3, Seed: seed, DiskMs: [2]float64{0.1, 2}}, Set: zones.Defaults(), KeepMs: 1}}
 	z.rules = check.NewZones(0.9, 15000, 0.02)
-	for _, at := range append(changes, 0) {
-		z.rules.Changed(at)
+	z.rules.Changed(0)
+	for i := 0; i+1 < len(changes); i += 2 {
+		z.rules.Struck(changes[i], changes[i+1])
 	}
+	opt := Options{Seed: seed}
 	if mutate != nil {
-		mutate(&z.Set)
+		mutate(&z.Set, &opt)
 	}
-	opt := Options{Seed: seed}
 	type ask struct{ at, work float64 }
 	asked := make([][]ask, len(s.Sites)) // of the last seconds
 	const span = 8000
@@ -66,6 +68,18 @@
 				loads[i] += a.work / span
 			}
 		}
+		for p := range s.Poolers {
+			x := z.Of(p)
+			if x == nil {
+				continue
+			}
+			if _, plan := x.Standing(); plan != nil {
+				z.rules.Follows(at-startMs, p, plan.No, xxhash.Sum64(plan.Append(nil)))
+			}
+		}
+		if z.Of(1) == nil {
+			return
+		}
 		if p, plan := z.Of(1).Standing(); p.Why == follow.Planned {
 			z.rules.Planned(at-startMs, plan.No, plan.Matrix, loads, z.Cores(1))
 		}
@@ -161,19 +175,41 @@
 	}
 }
 
-// TestZonesMutants: what breaks a rule on purpose is found.
+// another has a voter tell a plan that was not agreed.
+func another(no int, w part.Words) part.Words {
+	x, ok := w.(*zones.Word)
+	if !ok || no != 1 || x.Plan == nil {
+		return w
+	}
+	p := *x.Plan
+	p.Matrix = slices.Concat(p.Matrix[1:], p.Matrix[:1])
+	return &zones.Word{No: x.No, Age: x.Age, Plan: &p}
+}
+
+// TestZonesMutants: what breaks a rule on purpose is found, and nothing is where it is left out.
 func TestZonesMutants(t *testing.T) {
 	t.Parallel()
 	for _, x := range []struct {
 		rule         check.Rule
 		rate, script string
-		mutate       func(*zones.Settings)
+		changes      []float64
+		mutate       func(*zones.Settings, *Options)
 	}{
-		{check.NearCalm, "(rate 100)", `(seconds 40)`, func(s *zones.Settings) { s.Price = 0 }},
+		{check.NearCalm, "(rate 50)", `(seconds 40)`, nil, func(s *zones.Settings, _ *Options) { s.Price = 0 }},
+		{check.OnePlan, "(rate 30)", `(seconds 20)`, nil, func(_ *zones.Settings, o *Options) { o.Mutant = &Mutant{Says: another} }},
+		{check.OldPlan, "(rate 30)", `(seconds 20) (at 5s (between all all (reorder 0.5)) (for 12s))`, []float64{5000, 17000}, func(s *zones.Settings, _ *Options) { s.Forgets = true }},
+		{check.FullZone, "(rate 360)", `(seconds 28) (at 4s (die site "a") (for 60s))`, []float64{4000, 64000}, func(s *zones.Settings, _ *Options) { s.Chief.Plan.Spare = -1 }},
 	} {
-		z := zoned(t, 1, true, strings.Replace(threeZones, "(rate 50)", x.rate, 1)+x.script, nil, x.mutate)
-		if !slices.ContainsFunc(z.rules.Found, func(b check.Breach) bool { return b.Rule == x.rule }) {
-			t.Errorf("%q is not found", x.rule)
-		}
+		t.Run(string(x.rule), func(t *testing.T) {
+			t.Parallel()
+			script := strings.Replace(threeZones, "(rate 50)", x.rate, 1) + x.script
+			if z := zoned(t, 1, true, script, x.changes, nil); len(z.rules.Found) > 0 {
+				t.Errorf("without: %+v", z.rules.Found[0])
+			}
+			z := zoned(t, 1, true, script, x.changes, x.mutate)
+			if !slices.ContainsFunc(z.rules.Found, func(b check.Breach) bool { return b.Rule == x.rule }) {
+				t.Errorf("it is not found: %+v", z.rules.Found)
+			}
+		})
 	}
 }
--- /dev/null
+++ b/internal/kit/explore/zones_test.go
@@ -0,0 +1,190 @@
+package explore
+
+import (
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+)
+
+// ledZones are voters of whom the first leads, with a plan in force that all follow and have kept.
+func ledZones(t *testing.T, mutate func(s *ZoneVoters)) *ZoneVoters {
+	t.Helper()
+	s := NewZoneVoters(ZoneSettings(3))
+	if mutate != nil {
+		mutate(s)
+	}
+	do := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range s.procs {
+		do(s.lead(i, 0))
+	}
+	s.GoneAt = 3
+	for s.now < 2 {
+		do(s.pass(-1))
+		do(s.settle())
+	}
+	for i, x := range s.procs {
+		if stand, p := x.z.Standing(); p == nil || stand.Zone != i {
+			t.Fatalf("voter %d: %+v, %+v", i, stand, p)
+		}
+	}
+	return s
+}
+
+// settle has all that is on its way arrive.
+func (s *ZoneVoters) settle() (err error) {
+	for more := true; more && err == nil; {
+		more = false
+		for len(s.waits) > 0 {
+			s.agree(0, false)
+		}
+		for i := range s.procs {
+			for err == nil && s.procs[i].done < len(s.log) {
+				more, err = true, s.apply(i)
+			}
+			for err == nil && len(s.procs[i].keeps) > 0 {
+				more, err = true, s.kept(i)
+			}
+		}
+		for err == nil && len(s.wires) > 0 {
+			more, err = true, s.deliver(0, false)
+		}
+	}
+	return err
+}
+
+// TestZonesSmoke: once a zone has nothing that serves all voters follow a plan that has it left, and who is cut off falls back.
+func TestZonesSmoke(t *testing.T) {
+	t.Parallel()
+	s := ledZones(t, nil)
+	for range 4 {
+		if err := s.pass(-1); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.settle(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, x := range s.procs {
+		if stand, p := x.z.Standing(); p == nil || p.Matrix[2][2] != 0 || i == 2 && stand.Zone == 2 {
+			t.Errorf("voter %d: %+v, %+v", i, stand, p)
+		}
+	}
+	t.Logf("%d entries, plan %d", len(s.log), s.procs[0].number)
+}
+
+// zoneWays are what may happen, and how far all of it is gone through.
+var zoneWays = []struct {
+	name                                    string
+	led                                     bool
+	pass, sleep, lead, crash, double, twice int
+	depth, long                             int
+}{
+	{"nobody leads yet, two do", false, 1, 0, 3, 0, 0, 1, 4, 6},
+	{"a zone fails, and two lead", true, 2, 1, 2, 0, 0, 0, 4, 5},
+	{"a zone fails, voters start again", true, 2, 0, 1, 2, 0, 0, 4, 5},
+	{"words come twice, a voter sleeps", true, 2, 1, 0, 1, 1, 0, 3, 5},
+	{"a zone was left, voters start again", true, 0, 0, 1, 1, 0, 0, 5, 7},
+}
+
+// lastWay begins once a zone was left.
+const lastWay = 4
+
+// zoneWay is the start of one of the ways.
+func zoneWay(t *testing.T, i int, mutate func(s *ZoneVoters)) *ZoneVoters {
+	t.Helper()
+	c, s := zoneWays[i], NewZoneVoters(ZoneSettings(3))
+	if c.led {
+		s = ledZones(t, mutate)
+	}
+	if i == lastWay {
+		for range 2 {
+			if err := s.pass(-1); err != nil {
+				t.Fatal(err)
+			}
+			if err := s.settle(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, p := s.procs[1].z.Standing(); p.Matrix[2][2] != 0 {
+			t.Fatalf("%+v", p)
+		}
+	}
+	s.Pass, s.Sleep, s.Lead, s.Crash, s.Double, s.Twice = c.pass, c.sleep, c.lead, c.crash, c.double, c.twice
+	return s
+}
+
+// TestZonesExplored goes through all that can happen within so many steps.
+func TestZonesExplored(t *testing.T) {
+	t.Parallel()
+	for i, c := range zoneWays {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := zoneWay(t, i, nil)
+			depth := c.depth
+			if os.Getenv("EXPLORE_LONG") != "" {
+				depth = c.long
+			}
+			r := Run(s, Bounds{depth, 1 << 20})
+			t.Logf("%d states, %d steps, depth %d, whole %v", r.States, r.Steps, r.Depth, r.Whole)
+			if r.Err != nil || !r.Whole {
+				t.Fatalf("%v after %q; whole: %v", r.Err, r.Trace, r.Whole)
+			}
+		})
+	}
+}
+
+// wanderZones goes so many drawn ways with all that may happen.
+func wanderZones(t *testing.T, ways, steps int, mutate func(s *ZoneVoters)) (way []string, err error) {
+	t.Helper()
+	for seed := range uint64(ways) {
+		s := ledZones(t, mutate)
+		s.Pass, s.Sleep, s.Lead, s.Crash, s.Double, s.Twice = 12, 4, 6, 3, 3, 2
+		r := rand.New(rand.NewPCG(seed, 9))
+		if way, err = s.Wander(r.IntN, steps); err != nil {
+			return way, err
+		}
+	}
+	return nil, nil
+}
+
+// TestZonesWander: longer ways than can all be gone.
+func TestZonesWander(t *testing.T) {
+	t.Parallel()
+	if way, err := wanderZones(t, 80, 70, nil); err != nil {
+		t.Fatalf("%v after %q", err, way)
+	}
+}
+
+// TestZonesFenceMutants: each is found.
+func TestZonesFenceMutants(t *testing.T) {
+	t.Parallel()
+	for _, m := range []struct {
+		name, finds string
+		mutate      func(s *ZoneVoters)
+	}{
+		{"books take any plan", "another plan", func(s *ZoneVoters) { s.Sloppy = true }},
+		{"what was kept is not there after a start", "after plan", func(s *ZoneVoters) { s.Amnesiac = true }},
+		{"a start takes what its disk has for news", "applied last", func(s *ZoneVoters) { s.Hasty = true }},
+		{"words come without their age", "applied last", func(s *ZoneVoters) { s.Timeless = true }},
+		{"any plan is followed", "after", func(s *ZoneVoters) { s.Set.Forgets = true }},
+		{"a plan has no end", "applied last", func(s *ZoneVoters) { s.Endless = true }},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			way, err := wanderZones(t, 300, 70, m.mutate)
+			if m.finds == "after plan" {
+				r := Run(zoneWay(t, lastWay, m.mutate), Bounds{5, 1 << 20})
+				way, err = r.Trace, r.Err
+			}
+			if err == nil || !strings.Contains(err.Error(), m.finds) {
+				t.Fatalf("found: %v", err)
+			}
+			t.Logf("%v, after %d steps", err, len(way))
+		})
+	}
+}
--- a/internal/kit/world/server.go
+++ b/internal/kit/world/server.go
@@ -364,3 +364,11 @@
 	}
 	return 5
 }
+
+// Truth is what a server does truly: the part of its warm cores that it works with, 0 where it answers nothing, and the part of its requests that it loses.
+func (s *Server) Truth(now float64) (cores, loses float64) {
+	if !s.fit() || s.Deaf || s.Mute {
+		return 0, s.loses
+	}
+	return s.Warmth(now) * s.left, s.loses
+}
--- a/internal/peers/zones/api.go
+++ b/internal/peers/zones/api.go
@@ -24,6 +24,8 @@
 	Chief  chief.Settings
 	Floor  uint64 // of the plan that this pooler followed before it was started
 	Checks *invariant.Checks
+
+	Forgets bool // a mutant: any plan is followed
 }
 
 // Order is an operators' word on a zone. The highest number of a zone holds.
@@ -81,5 +83,5 @@
 	c := s.Chief
 	c.Name, c.Of, c.Zones = s.Name, s.Of(), len(s.Zones)
 	st := &c.State
-	return c, follow.Settings{Zone: max(0, s.Index(s.Zone)), Of: s.Of(), Life: s.Life, Price: s.Price, Least: st.Least, FailAt: st.FailAt, Fail: st.Fail, Floor: s.Floor}
+	return c, follow.Settings{Zone: max(0, s.Index(s.Zone)), Of: s.Of(), Life: s.Life, Price: s.Price, Least: st.Least, FailAt: st.FailAt, Fail: st.Fail, Floor: s.Floor, Forgets: s.Forgets}
 }
--- a/internal/peers/zones/chief/chief_test.go
+++ b/internal/peers/zones/chief/chief_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
+	"time"
 
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/peers/zones/book"
@@ -295,3 +297,38 @@
 		t.Errorf("%v, short %.2f", m, r.book.Plan.Short)
 	}
 }
+
+// BenchmarkStep is a look and a plan at nine zones, 90 poolers and 20 groups with a server each in every zone, while a zone is left: the longest that
+// the leader's loop stands still for zones, but for the words that come in.
+func BenchmarkStep(b *testing.B) {
+	set := settings(9)
+	c, bk := New(set), book.New()
+	c.Lead(1, true, nil)
+	now, took := 1.0, []float64{}
+	for range b.N {
+		for p := range uint64(90) {
+			t := &Tell{Zone: int(p % 9)}
+			for g := range 20 {
+				for z := range 9 {
+					x := Cell{Group: g, Zone: z, Asked: 3, Cores: 4, Whole: 4}
+					if z == 0 && len(took)%2 == 1 {
+						x.Cores, x.Lost = 0, 3
+					}
+					t.Cells = append(t.Cells, x)
+				}
+				t.Asks = append(t.Asks, Ask{Group: g, Load: 0.1})
+			}
+			c.Told(now, p, t)
+		}
+		from := time.Now()
+		entries := c.Step(now, bk)
+		took = append(took, float64(time.Since(from).Microseconds())/1000)
+		for i, e := range entries {
+			bk.Apply(bk.Index+uint64(i)+1, e)
+		}
+		now += set.Step / 4
+	}
+	slices.Sort(took)
+	b.ReportMetric(took[len(took)/2], "p50-ms")
+	b.ReportMetric(took[len(took)*99/100], "p99-ms")
+}
