--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -13,11 +13,12 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
+	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/membership/discovery"
 )
 
 // figures fetches what a door tells, but for what is 0.
-func figures(t *testing.T, door string) map[string]string {
+func figures(t testing.TB, door string) map[string]string {
 	t.Helper()
 	got := map[string]string{}
 	for l := range strings.Lines(strings.TrimPrefix(call(t, door, "GET", "/-/metrics"), "200 ")) {
@@ -33,7 +34,7 @@
 }
 
 // settle waits until the figures are as wanted, and tells how they differ at last.
-func settle(t *testing.T, door string, want map[string]string) {
+func settle(t testing.TB, door string, want map[string]string) {
 	t.Helper()
 	diff := ""
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -45,7 +46,9 @@
 }
 
 // TestFigures: they are true after every kind of end.
-func TestFigures(t *testing.T) {
+func TestFigures(t *testing.T) { fair.Story(t, testFigures) }
+
+func testFigures(t testing.TB) {
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	const listed = "known_database_servers"
@@ -78,10 +81,24 @@
 	refused.send([]byte(strings.Replace(string(query("5", "read", 9000)), "cluster=0", "cluster=7", 1))) // no such group
 	refused.want("EZ 53300")
 	settle(t, door, map[string]string{listed: "1", "upstream_tries": "5", "handled.read.passed": "2", "handled.read.dropped": "1", "handled.write.bad_gateway": "1"})
+
+	// The same for Prometheus.
+	text := call(t, door, "GET", "/-/prometheus")
+	for _, want := range []string{"200 # TYPE app_handled_class_passed_total counter\n", "\napp_upstream_tries_total 5\n", "\napp_handled_class_passed_total{class=\"read\"} 2\n",
+		"\napp_handled_class_bad_gateway_total{class=\"write\"} 1\n", "\napp_known_database_servers 1\n"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q in\n%s", want, text)
+		}
+	}
+	if got := call(t, door, "POST", "/-/prometheus"); !strings.HasPrefix(got, "405 ") {
+		t.Errorf("a wrong method: %.60q", got)
+	}
 }
 
 // TestFiguresOfCopies: a read that many later ones overtook is copied; both attempts count, and the request once.
-func TestFiguresOfCopies(t *testing.T) {
+func TestFiguresOfCopies(t *testing.T) { fair.Story(t, testFiguresOfCopies) }
+
+func testFiguresOfCopies(t testing.TB) {
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	slow, c := client(t, pooler), client(t, pooler)
@@ -107,7 +124,9 @@
 
 // TestFiguresOfTheUnreached: a connection that never comes up is no attempt that was written. A server that drains is listed and
 // avoided.
-func TestFiguresOfTheUnreached(t *testing.T) {
+func TestFiguresOfTheUnreached(t *testing.T) { fair.Story(t, testFiguresOfTheUnreached) }
+
+func testFiguresOfTheUnreached(t testing.TB) {
 	l := listen(t)
 	_ = l.Close()
 	pooler, door, _, _ := operated(t, l.Addr().String(), func(p *pooler) {
@@ -127,7 +146,9 @@
 
 // TestRetune: new settings take hold while requests are under way, which keep what they came with; a class that has gone is not
 // asked for until it is back, and one that was never there appears.
-func TestRetune(t *testing.T) {
+func TestRetune(t *testing.T) { fair.Story(t, testRetune) }
+
+func testRetune(t testing.TB) {
 	srv, queries := server(t)
 	files := make(chan func(*config.Config), 1)
 	pooler, door, hups, _, _ := operatedReload(t, srv, func(p *pooler) {
@@ -198,7 +219,9 @@
 }
 
 // TestFewerAttempts: a request that has used more attempts than are allowed by now is not tried again.
-func TestFewerAttempts(t *testing.T) {
+func TestFewerAttempts(t *testing.T) { fair.Story(t, testFewerAttempts) }
+
+func testFewerAttempts(t testing.TB) {
 	srv, queries := server(t)
 	cfg := testConfig(t, srv, nil)
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
--- a/internal/kit/report/html.go
+++ b/internal/kit/report/html.go
@@ -101,6 +101,10 @@
 	MoreLimits   int
 	Fleet        []FleetLane
 	MoreFleet    int
+	Zones        []ZoneLane
+	ZoneGoes     []ZoneLane
+	MoreZones    int
+	Avoided      []AvoidedRow
 	Judged       []string
 	Judgements   []members.Judgement
 }
@@ -127,7 +131,10 @@
 	d.lanes()
 	d.lists()
 	d.Fleet, d.MoreFleet = FleetLanes(v, laneW)
+	d.Avoided = AvoidedRows(v)
+	d.Avoided = d.Avoided[:min(len(d.Avoided), maxRows)]
 	d.Limits, d.MoreLimits = LimitLanes(v, laneW)
+	d.Zones, d.ZoneGoes, d.MoreZones = ZoneLanes(v, laneW)
 	if v.Members != nil {
 		d.Members, d.Judged = MemberRows(v.Members), MemberCounts(v.Members)
 		d.MoreMembers = max(0, len(d.Members)-maxRows)
