--- a/internal/kit/emulate/blackout.go
+++ b/internal/kit/emulate/blackout.go
@@ -40,7 +40,7 @@
 }
 func (x sight) Primary(s int) bool { w := x.e.world.Servers[s]; return w.Group.Primary == w }
 func (x sight) Way(p, s int) bool {
-	return x.e.ways.good(p, s) && !x.e.world.List.Gone && x.e.ways.held[p] == 0
+	return x.e.ways.good(p, s) && !x.e.apart(x.e.poolers[p], x.e.world.Servers[s]) && !x.e.world.List.Gone && x.e.ways.held[p] == 0
 }
 func (x sight) Pooler(no int) bool { p := x.e.poolers[no]; return p.up && x.e.s.now >= p.still }
 func (x sight) Runs(server int) bool {
