--- a/internal/peers/zones/doc.go
+++ b/internal/peers/zones/doc.go
@@ -35,6 +35,7 @@
 //	    must last; they are told, looked at, agreed, told back and kept; where no leader stands, Elect and Settle more;
 //	from then until a dead zone is left         one step; one that fails by half in 1/Out steps of Step, Empty at most;
 //	who is cut off falls back within            Fallback(d)      = Life + d of the last renewal that a voter applied;
+//	    who stood still finds words that are older than they say: for it d counts until it goes on;
 //	a zone is left or taken back in a minute    Shifts           times at most (state.Settings.Shifts);
 //	an older plan after a newer one             Fence            = 0: by numbers in the process, by Floor over restarts. Who has no file for that
 //	    may follow, when it was restarted, what a voter that lags applied less than Life ago;
