--- a/internal/commits/commits.go
+++ b/internal/commits/commits.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"beechgrade/internal/decide"
+	"beechgrade/internal/invariant"
 	"beechgrade/internal/store"
 )
 
@@ -45,41 +46,40 @@
 	most  int
 
 	known   map[string]decide.Time
+	earlier map[string]decide.Time // those that were dropped last
+	long    map[string]decide.Time // those whose names are too long to be kept, as many as may be known
 	dropped decide.Time
 	failed  bool // it was told that the disk takes nothing more
+
+	checks *invariant.Checks // nil for off
+	every  int
+	walked int
 }
 
+// MostBytes is what a session's commit has at most, key and value.
+const MostBytes = len(prefix) + longName + 9
+
+// Bound bounds the sessions further, where memory is short.
+func (k *Keeper) Bound(most int) { k.most = min(k.most, max(1, most)) }
+
+// Check has the keeper check statements about its state, with a walk over it each so many changes.
+func (k *Keeper) Check(c *invariant.Checks, every int) { k.checks, k.every = c, every }
+
 // New makes a keeper on a store that is open and posts nothing itself. Where the process before ended without an order and had
 // answered writes without waiting, every session counts as written as late as now, or as the latest that is kept where the clock has gone
 // back. What that leads to is durable when New returns.
 func New(s *store.Store, mode Mode, now decide.Time, post func(func()), log *slog.Logger) (*Keeper, error) {
 	k := &Keeper{store: s, mode: mode, post: post, log: log, most: MostSessions, known: map[string]decide.Time{}}
-	latest := decide.Time(0)
-	s.Range("", "", func(key string, v []byte) bool {
-		at, err := decode(v)
-		switch {
-		case err != nil:
-			log.Warn("sessions: a value is not used", "key", key, "err", err)
-			latest = max(latest, now) // whatever it was
-			k.dropped = max(k.dropped, now)
-		case key == dropped:
-			k.dropped = max(k.dropped, at)
-			latest = max(latest, at)
-		case key >= prefix && key < behind:
-			k.known[key[len(prefix):]] = at
-			latest = max(latest, at)
-		}
-		return true
-	})
+	h := Read(s, now, log)
+	k.known, k.dropped = h.commits, h.dropped
 	var entries []store.Entry
-	_, unclean := s.Get(marker)
-	if unclean {
+	if h.unclean {
 		log.Warn("sessions: the process before did not end in order: every session counts as written until now")
-		entries = k.drop(max(now, latest))
+		entries = k.drop(h.until)
 	}
 	if mode == Alongside {
 		entries = append(entries, store.Entry{Key: marker, Value: encode(now)})
-	} else if unclean {
+	} else if h.unclean {
 		entries = append(entries, store.Entry{Key: marker, Gone: true})
 	}
 	if len(entries) > 0 {
@@ -103,7 +103,7 @@
 	for _, name := range names {
 		entries = append(entries, store.Entry{Key: prefix + name, Gone: true})
 	}
-	k.known = map[string]decide.Time{}
+	k.earlier, k.known = k.known, map[string]decide.Time{}
 	k.dropped = max(k.dropped, until)
 	return append(entries, store.Entry{Key: dropped, Value: encode(k.dropped)})
 }
@@ -126,9 +126,14 @@
 // Keep is core.Commits'.
 func (k *Keeper) Keep(session string, at decide.Time, done func(kept bool)) (waits bool) {
 	var entries []store.Entry
-	switch was, ok := k.known[session]; {
+	was, ok := k.known[session]
+	switch {
 	case len(session) > longName:
 		k.dropped = max(k.dropped, at)
+		if len(k.long) >= k.most || k.long == nil {
+			k.long = map[string]decide.Time{}
+		}
+		k.long[session] = at
 		entries = []store.Entry{{Key: dropped, Value: encode(k.dropped)}}
 	case ok && was >= at:
 		entries = []store.Entry{{Key: prefix + session, Value: encode(was)}} // it may be on its way yet: this one comes behind it
@@ -139,6 +144,10 @@
 		k.known[session] = at
 		entries = append(entries, store.Entry{Key: prefix + session, Value: encode(at)})
 	}
+	if k.checks.On() {
+		k.checkStep(session, was, ok)
+		k.check()
+	}
 	waits = k.mode == Before && done != nil
 	k.store.Append(entries, func(err error) {
 		if err == nil && !waits {
@@ -150,6 +159,9 @@
 				k.log.Error("sessions: commits are not kept", "mode", k.mode.String(), "err", err)
 			}
 			if waits {
+				if err == nil {
+					k.checkKept(session, at)
+				}
 				done(err == nil)
 			}
 		})
--- a/internal/kit/incident/model.go
+++ b/internal/kit/incident/model.go
@@ -77,6 +77,8 @@
 	avoided   avoided
 	limits    limits
 	zones     zones
+
+	recoveries []Recovery
 }
 
 // run is one life of a pooler.
@@ -294,6 +296,8 @@
 		m.find(Finding{At: e.At, Kind: "stop", Pooler: r.Pooler, Text: "stopped in order"})
 	case recordpb.Kind_KIND_RELOAD:
 		m.find(Finding{At: e.At, Kind: "reload", Pooler: r.Pooler, Text: "read its configuration again; changed: " + cmp.Or(e.Text, "nothing")})
+	case recordpb.Kind_KIND_RECOVERED:
+		m.recovered(r.Pooler, e)
 	case recordpb.Kind_KIND_PEER:
 		m.fleet.event(r.Pooler, e)
 	case recordpb.Kind_KIND_AVOIDED:
