Count what servers' cores did by what became of it for clients

Virtual time now counts, at servers and clients, core seconds for tries in time, late, retried, in vain and after their end, and the wait for a core.

--- a/internal/kit/emulate/emulate.go
+++ b/internal/kit/emulate/emulate.go
@@ -68,6 +68,7 @@
 	Ends      map[string]uint64  `json:"attempts_by_end"`
 	Conns     int                `json:"most_connections_of_a_pooler"`
 	Again     Again              `json:"again"`
+	Spent     Spent              `json:"spent"`
 	Lost      map[string]float64 `json:"worth_lost_by_last_answer"`
 	VirtualMs float64            `json:"virtual_ms"`
 	WallMs    float64            `json:"wall_ms"`
@@ -113,6 +114,7 @@
 	results                               [16]uint64
 	lost                                  map[string]float64
 	agains                                *agains
+	spends                                spends
 	moduleNs                              int64
 	checks                                *invariant.Checks
 	began                                 time.Time
@@ -213,7 +215,7 @@
 	s := e.script
 	r := &Result{Scenario: s.Name, Seed: e.opt.Seed, Poolers: s.Poolers, Servers: len(e.world.Servers), Groups: len(e.world.Groups), Hash: fmt.Sprintf("%016x", e.s.hash),
 		Score: e.keeper.Score(), Verdict: e.check.Verdict(), Facts: e.world.Facts(), Events: e.s.events, Asked: e.asked, Tries: e.tries, Attempts: e.attempts, Crossed: e.crossed, Reads: e.reads, Far: e.far, Probes: e.probes,
-		Lists: e.lists, Conns: e.conned, Again: e.agains.result(), Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
+		Lists: e.lists, Conns: e.conned, Again: e.agains.result(), Spent: e.spends.result(), Ends: map[string]uint64{}, Lost: e.lost, VirtualMs: e.s.now - startMs, WallMs: float64(time.Since(e.began).Microseconds()) / 1000,
 		ModuleMs: float64(e.moduleNs) / 1e6, HeapMB: float64(m.HeapAlloc) / (1 << 20), P50: e.times.quantile(50), P99: e.times.quantile(99)}
 	for i, n := range e.results {
 		if n > 0 {
--- a/internal/kit/emulate/pooler.go
+++ b/internal/kit/emulate/pooler.go
@@ -517,6 +517,7 @@
 	case atServer:
 		a.arrive()
 	case atCancel:
+		a.p.e.spends.calledOff(a)
 		a.job.Cancel()
 	default:
 		if !a.ended && a.p.life == a.life && a.p.e.s.now < a.p.still {
@@ -568,6 +569,7 @@
 	if r.Verdict == world.QueueFull {
 		a.p.e.agains.full(a.v, a.st.s)
 	}
+	a.p.e.spends.worked(a)
 	if a.reply = r; a.p.cut(a.st.s) {
 		return
 	}
--- a/internal/kit/emulate/visit.go
+++ b/internal/kit/emulate/visit.go
@@ -89,6 +89,8 @@
 
 	sentOnce bool // an attempt of it was sent
 	taken    int  // attempts that servers took
+
+	worked float64 // ms that a core had for it
 }
 
 // What a visit's event is.
@@ -261,6 +263,7 @@
 	}
 	e.s.mix(v.id, uint64(len(kind))<<32|uint64(t.Pooler+1))
 	e.keeper.Tried(t)
+	e.spends.ended(v, t)
 	if e.funds != nil {
 		e.funds.tried(t)
 	}
--- a/internal/kit/world/server.go
+++ b/internal/kit/world/server.go
@@ -86,6 +86,7 @@
 
 	s     *Server
 	came  float64
+	began float64 // 0 while it was not worked on
 	life  uint32
 	state jobState
 }
@@ -207,7 +208,7 @@
 // Take has a server take a request. Its owner is told of the answer, perhaps before Take returns.
 func (s *Server) Take(j *Job) {
 	now := s.w.clk.Now()
-	j.s, j.came, j.life, j.state = s, now, s.life, jobOut
+	j.s, j.came, j.began, j.life, j.state = s, now, 0, s.life, jobOut
 	switch {
 	case !s.Up || s.Hung || s.Deaf || s.loses > 0 && s.w.rng.Float64() < s.loses:
 		return // nobody answers
@@ -236,7 +237,7 @@
 func (s *Server) waiting() int { return len(s.queue) - s.head }
 
 func (s *Server) begin(j *Job, now float64) {
-	j.state = jobWorks
+	j.state, j.began = jobWorks, now
 	speed := s.Warmth(now) * s.left
 	if j.Writes {
 		speed /= s.disk
@@ -334,6 +335,17 @@
 	s.working = max(0, s.working-1)
 }
 
+// Spent is how long a job waited for a core, and how long it has had one by now.
+func (j *Job) Spent(now float64) (waited, worked float64) {
+	if j.began == 0 {
+		return now - j.came, 0
+	}
+	return j.began - j.came, now - j.began
+}
+
+// Open tells whether a server has a job that it has not answered.
+func (j *Job) Open() bool { return j.s != nil && j.life == j.s.life && (j.state == jobWaits || j.state == jobWorks) }
+
 // Cancel stops work on a job whose owner wants it no more: its connection has gone.
 func (j *Job) Cancel() {
 	s := j.s
