Shed by what was left undone, by primaries and others apart, and learn less where much is shut

Counted at servers, at twice the load of 40 servers 150 poolers had a fifth of the cores' time late and a fifth idle: what was shut went on growing while the first second's queue drained, writes and reads were held against one sum, and waiting was learned as work. The checker holds own repeats to what was earned.

--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -35,14 +35,14 @@
 				n, _ := r.load(s)
 				got = min(got, took*share(n)*r.warmth(s))
 			}
-			s.want += q.work()
-			s.got += got
+			of, _ := r.crowds(s)
+			learns := math.Pow(r.part(of), learnLess) // where much is shut out, it tells of those before it
+			s.want, s.got = s.want+q.work()*learns, s.got+got*learns
 			if r.warmth(s) == 1 { // how cold a store is, is known roughly: it proves little
-				r.waited(s, took-q.work()/r.base(s))
-				c.n++
-				c.work = max(1e-3, c.work+max(workGain, 1/(c.n+8))*(got*r.base(s)*c.work/q.work()-c.work))
-				r.work += max(workGain, 1/(r.answers+8)) * (c.work - r.work)
-				r.answers++
+				r.waited(s, of, took-q.work()/r.base(s), q.work())
+				c.work = max(1e-3, c.work+learns*max(workGain, 1/(c.n+8))*(got*r.base(s)*c.work/q.work()-c.work))
+				r.work += learns * max(workGain, 1/(r.answers+8)) * (c.work - r.work)
+				c.n, r.answers = c.n+learns, r.answers+learns
 			}
 		}
 		s.fails, s.failedAt = r.failing(s)/2, r.now
--- a/internal/decide/router.go
+++ b/internal/decide/router.go
@@ -55,6 +55,9 @@
 	waitLeast    = 0.5                    // ...but no less than this part of a usual request's time
 	waitMost     = 4.0                    // so many times that counts at most
 	shutRate     = 0.25                   // what is let in falls so fast a second for each time that
+	shutMore     = 0.25                   // no more is shut than was undone lately, and this
+	shutSoon     = 4.0                    // shutting is so much faster than opening, as that bounds it
+	learnLess    = 4.0                    // an answer teaches this power of the part that is let in
 	openMost     = -0.5                   // what is well is so much slower to shut
 	openAgain    = 10.0                   // seconds: memory of that
 	dueMargin    = 2                      // ticks before a request's end at which it gets its answer
--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -2,13 +2,16 @@
 
 import "math"
 
-// waited takes in how long an answer kept waiting behind others.
-func (r *Router) waited(s *store, wait float64) {
-	much := max(waitPart*r.leastAim.Seconds(), waitLeast*r.work/r.rateOf(s))
-	for _, c := range r.crowds(s) {
-		age := (r.now - c.at).Seconds()
-		shut := r.shut(c) + shutRate*min(waitMost, max(-1, wait/much-1))*min(1, age)
-		c.shut, c.at, c.cutAt = max(openMost, shut), r.now, never
+// waited takes in how long an answer to so much work was kept waiting behind others. Shut is at most what was not done
+// of what was asked, and a part: else what waited long before would go on shutting. Of a group one hears little.
+func (r *Router) waited(s *store, of [2]*crowding, wait, work float64) {
+	step := min(waitMost, wait/max(waitPart*r.leastAim.Seconds(), waitLeast*r.work/r.rateOf(s))-1)
+	for i, c := range of {
+		r.count(c).done += work
+		like := float64(1-i) * rateMemory * r.work / max(1e-9, of[1].asked)
+		most := shutMore + math.Log((c.asked+like*of[1].asked)/max(1e-9, c.done+like*of[1].done))
+		shut := r.shut(c) + shutRate*max(-1, step, shutSoon*step)*min(1, (r.now-c.at).Seconds())
+		c.shut, c.at, c.cutAt = max(openMost, min(shut, max(0, most)/max(1e-9, r.sees()))), r.now, never
 	}
 }
 
@@ -16,25 +19,25 @@
 	return c.shut * math.Exp(-(r.now-c.at).Seconds()/openAgain)
 }
 
-// letsIn tells whether a request is let in at a store. Beside few others, what a router has out tells more.
+// part is the part of what is asked that is let in.
+func (r *Router) part(of [2]*crowding) float64 {
+	return math.Exp(-max(0, r.shut(of[0])+r.shut(of[1])) / 2 * r.sees())
+}
+
+// letsIn tells whether a request is let in at a store.
 // One group's answers are few, chance is much in them: all groups' count as much. One that is well is spared.
 func (r *Router) letsIn(s *store, q *request) bool {
-	of := r.crowds(s)
+	of, kind := r.crowds(s)
 	if may := r.affords(q) && r.connects(s); !may || of[0].shut+of[1].shut <= 0 {
 		return may
 	}
 	if c := of[0]; c.cutAt != r.now {
-		others := float64(r.set.Siblings - 1)
-		part := math.Exp(-max(0, r.shut(c)+r.shut(of[1])) / 2 * others / (others + fewRouters))
-		left := 0.0
-		for _, n := range r.asked {
-			left += n * part
-		}
+		left := r.count(of[1]).asked * r.part(of)
 		c.cutAt, c.bin = r.now, urgencyBins
 		for c.bin > 0 && left >= 0 {
 			c.bin--
-			c.part = left / max(1e-9, r.asked[c.bin])
-			left -= r.asked[c.bin]
+			c.part = left / max(1e-9, r.asked[kind][c.bin])
+			left -= r.asked[kind][c.bin]
 		}
 	}
 	b := urgencyBin(r.urgency(q))
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -48,7 +48,7 @@
 	rewatchAt Time
 	watchedAt Time // last subscribed then
 
-	asked   [urgencyBins]float64 // requests of late, by urgency, fading, up to askedAt
+	asked   [2][urgencyBins]float64 // work asked of primaries, and of others, of late, by urgency, fading, up to askedAt
 	askedAt Time
 	crowded [2]crowding      // at all groups' primaries, and at the others
 	twice   account.Accounts // what groups may have twice
@@ -380,16 +380,37 @@
 	return or
 }
 
-// asks counts a request among what is asked, by its urgency.
+// asks counts a request among what is asked, by its urgency: what any member can take is a part of what its primary is asked.
 func (r *Router) asks(q *request) {
 	keep := math.Exp(-(r.now - r.askedAt).Seconds() / flowMemory.Seconds())
+	bin, part := urgencyBin(r.urgency(q)), [2]float64{1, 0}
+	if !q.primaryOnly() {
+		part = [2]float64{1 / float64(max(1, len(q.group.members))), 1}
+	}
 	for i := range r.asked {
-		r.asked[i] *= keep
+		for k := range r.asked[i] {
+			r.asked[i][k] *= keep
+		}
+		r.asked[i][bin] += part[i] * q.work()
+		for _, c := range []*crowding{&q.group.crowded[i], &r.crowded[i]} {
+			r.count(c).asked += part[i] * q.work()
+		}
 	}
-	r.asked[urgencyBin(r.urgency(q))]++
 	r.askedAt = r.now
 }
 
+// sees is how much answers tell of others: beside few, what a router has out itself tells more.
+func (r *Router) sees() float64 {
+	return float64(r.set.Siblings-1) / (float64(r.set.Siblings-1) + fewRouters)
+}
+
+// count brings up to date what was asked and done.
+func (r *Router) count(c *crowding) *crowding {
+	keep := math.Exp(-(r.now - c.countAt).Seconds() / flowMemory.Seconds())
+	c.asked, c.done, c.countAt = c.asked*keep, c.done*keep, r.now
+	return c
+}
+
 func urgencyBin(u float64) int { return int(min(urgencyBins-1, max(0, urgencyBins/2+4*math.Log2(u)))) }
 
 // crowding is what the answers of a group's primary, or of its other members, tell of waiting there.
@@ -399,6 +420,9 @@
 	bin   int     // of which, as of cutAt, this is the least urgent...
 	part  float64 // ...and this part of it
 	cutAt Time
+
+	asked, done float64 // work of late, fading, up to countAt
+	countAt     Time
 }
 
 // advance moves a store's virtual service up to now; call it before its load changes.
@@ -416,12 +440,11 @@
 }
 
 // crowds are those to which a store belongs, its group's and all groups': what writes meet is not what reads meet.
-func (r *Router) crowds(s *store) [2]*crowding {
-	i := 1
-	if s == r.primary(s.group) {
-		i = 0
+func (r *Router) crowds(s *store) (of [2]*crowding, i int) {
+	if s != r.primary(s.group) {
+		i = 1
 	}
-	return [2]*crowding{&s.group.crowded[i], &r.crowded[i]}
+	return [2]*crowding{&s.group.crowded[i], &r.crowded[i]}, i
 }
 
 // dispatch brings an event to what decides about it.
--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -188,7 +188,7 @@
 func New(cfg Config) *Checker {
 	c := &Checker{cfg: cfg, open: map[uint64]*request{}, listed: map[where]listing{}, cold: map[int]*coldness{}, words: map[where]word{}, leads: map[int]float64{}, counts: map[Rule]int{}, checked: map[Rule]uint64{}, still: map[int]stillness{}, keyed: map[keyAt][]keySend{}}
 	if cfg.Overload != nil {
-		c.over = &overload{Overload: *cfg.Overload}
+		c.over = &overload{Overload: *cfg.Overload, twice: newRepeats(len(cfg.Overload.Capacity))}
 	}
 	for _, l := range cfg.Limits {
 		c.limits = append(c.limits, &limitUse{Limit: l, poolers: map[int]*poolerUse{}, runs: map[run]float64{}, seconds: map[int64]float64{}, wanted: map[int64]float64{}})
@@ -373,6 +373,9 @@
 			}
 		}
 	}
+	if no > 0 {
+		c.sentAgain(at, q, server)
+	}
 	for len(q.attempts) <= no {
 		q.attempts = append(q.attempts, attempt{never: true, ended: true})
 	}
@@ -428,6 +431,9 @@
 
 // Forgot tells that a pooler's process has ended, and knows nothing any more.
 func (c *Checker) Forgot(pooler int) {
+	if c.over != nil {
+		c.over.twice.began++
+	}
 	for w := range c.listed {
 		if w.pooler == pooler {
 			delete(c.listed, w)
--- a/internal/kit/check/overload.go
+++ b/internal/kit/check/overload.go
@@ -17,7 +17,7 @@
 
 // OverloadRules are those of overload that is handled together.
 func OverloadRules() []Rule {
-	return []Rule{ProbesShared, TalkBounded, QuietSpared, TenantKept, ServiceBack}
+	return []Rule{ProbesShared, TalkBounded, QuietSpared, TenantKept, ServiceBack, RepeatsBounded}
 }
 
 // Overload is what its rules go by. What is 0 is not checked.
@@ -33,6 +33,8 @@
 	Work     []float64          // ms, by class, in the mean
 	Tenants  map[string]float64 // requests a second within the share of each
 	BackMs   float64            // until service is back
+
+	Repeats func(firsts, processes int, ms float64) float64 // that a group may have over all poolers; nil for any number
 }
 
 // Spans, in s.
@@ -55,6 +57,7 @@
 	from     float64
 	seconds  []overSecond
 	troubles []trouble
+	twice    repeats
 	told     bool
 }
 
@@ -104,6 +107,7 @@
 	q.group, q.tenant = group, tenant
 	g := &s.groups[group]
 	g.asked++
+	o.twice.asked[group]++
 	g.work += o.Work[class]
 	if q.class.Writes {
 		g.writes += o.Work[class]
--- a/internal/kit/emulate/mutants.go
+++ b/internal/kit/emulate/mutants.go
@@ -194,6 +194,8 @@
 		{Name: "sheds in all groups what one cannot do", Breaks: check.QuietSpared, Core: func(no int, c joined.Core) joined.Core { return everywhere{c} }},
 		{Name: "knows of no tenants", Breaks: check.TenantKept, Module: func(c *config.Config) { c.Settings.Tenants = nil }},
 		{Name: "does not let in again", Breaks: check.ServiceBack, Over: func(no int, o *joined.Options) { o.Set.Back, o.Set.Hold = 1e-4, 1e6 }},
+		{Name: "repeats whatever it likes", Breaks: check.RepeatsBounded, Over: func(no int, o *joined.Options) { o.Repeats = false }},
+		{Name: "earns a repeat with each first try", Breaks: check.RepeatsBounded, Over: func(no int, o *joined.Options) { o.Part = 1 }},
 	}
 }
 
--- a/internal/kit/scenario/overload.go
+++ b/internal/kit/scenario/overload.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"time"
 
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/world"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/overload"
+	"beechgrade/internal/peers/overload/account"
 	"beechgrade/internal/sexp"
 )
 
@@ -34,6 +36,12 @@
 		c.Probes = p.Most(s.Poolers) + float64(p.Probers)
 		c.CalmMs = p.Shun + p.Latest() + v.Detect(s.Poolers, max(1, s.Poolers/2), s.Way[1]) + v.Settle(s.Poolers, max(1, s.Poolers/2), s.Way[1], false)
 	}
+	if b := &s.Overload.Bound; b.Repeats {
+		r := account.Repeats{Part: b.Part, Floor: b.Floor, Span: time.Duration(b.SpanMs * float64(time.Millisecond))}
+		c.Repeats = func(firsts, n int, ms float64) float64 {
+			return r.Most(firsts, n, s.Poolers, time.Duration(ms*float64(time.Millisecond)))
+		}
+	}
 	set := s.Overload.Set
 	for _, x := range s.Clients.Classes {
 		c.Work = append(c.Work, (x.Work[0]+x.Work[1])/2)
