--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -7,11 +7,12 @@
 func (r *Router) waited(s *store, of [2]*crowding, wait, work float64) {
 	step := min(waitMost, wait/max(waitPart*r.leastAim.Seconds(), waitLeast*r.work/r.rateOf(s))-1)
 	for i, c := range of {
-		r.count(c).done += work
+		r.count(c)
 		like := float64(1-i) * rateMemory * r.work / max(1e-9, of[1].asked)
 		most := shutMore + math.Log((c.asked+like*of[1].asked)/max(1e-9, c.done+like*of[1].done))
 		shut := r.shut(c) + shutRate*max(-1, step, shutSoon*step)*min(1, (r.now-c.at).Seconds())
 		c.shut, c.at, c.cutAt = max(openMost, min(shut, max(0, most)/max(1e-9, r.sees()))), r.now, never
+		c.done += work
 	}
 }
 
