Order classes of equal dearness by worth and aim, tell figures of shedding alone

Two classes whose worth for work was the same in eighths of a doubling were shed in the order of their names, so other names were other events; now by worth, then the longest aim.

--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -166,6 +166,7 @@
 	used     bool
 	group    int
 	tenant   string
+	loads    bool // it counts as load
 }
 
 type attempt struct {
--- a/internal/kit/check/overload.go
+++ b/internal/kit/check/overload.go
@@ -104,7 +104,7 @@
 	if s == nil {
 		return
 	}
-	q.group, q.tenant = group, tenant
+	q.group, q.tenant, q.loads = group, tenant, true
 	g := &s.groups[group]
 	g.asked++
 	o.twice.asked[group]++
--- a/internal/peers/overload/collect.go
+++ b/internal/peers/overload/collect.go
@@ -99,7 +99,7 @@
 		}
 	}
 	if len(seen) > 0 {
-		o.lead = reorder(o.lead, o.worth, mid)
+		o.lead = reorder(o.lead, o.worth, mid, o.aim)
 	}
 	for _, g := range o.order {
 		if len(g.tells) > 0 {
--- a/internal/peers/overload/order.go
+++ b/internal/peers/overload/order.go
@@ -29,15 +29,17 @@
 	return c
 }
 
-// reorder sorts classes by worth for work, and leaves the order that there was where it is about right.
-func reorder(old []uint16, worth, work map[uint16]float64) []uint16 {
+// reorder sorts classes by worth for work, equals by worth and then the longest aim first, and leaves the order that there was where it is about right.
+func reorder(old []uint16, worth, work, aim map[uint16]float64) []uint16 {
 	keys := make([]uint16, 0, len(worth))
 	dear := map[uint16]float64{}
 	for k, w := range worth { // sorted below: the map's order does not matter
 		keys = append(keys, k)
 		dear[k] = w / max(1e-9, work[k])
 	}
-	slices.SortFunc(keys, func(a, b uint16) int { return cmp.Or(cmp.Compare(dear[a], dear[b]), cmp.Compare(a, b)) })
+	slices.SortFunc(keys, func(a, b uint16) int {
+		return cmp.Or(cmp.Compare(dear[a], dear[b]), cmp.Compare(worth[a], worth[b]), cmp.Compare(aim[b], aim[a]), cmp.Compare(a, b))
+	})
 	if len(old) != len(keys) {
 		return keys
 	}
