--- a/internal/decide/shed.go
+++ b/internal/decide/shed.go
@@ -2,8 +2,7 @@
 
 import "math"
 
-// waited takes in how long an answer to so much work was kept waiting behind others. Shut is at most what was not done
-// of what was asked, and a part: else what waited long before would go on shutting. Of a group one hears little.
+// waited takes in an answer's wait behind others. No more is shut than was left undone of late, and a part.
 func (r *Router) waited(s *store, of [2]*crowding, wait, work float64) {
 	step := min(waitMost, wait/max(waitPart*r.leastAim.Seconds(), waitLeast*r.work/r.rateOf(s))-1)
 	for i, c := range of {
