--- a/internal/kit/scenario/text.go
+++ b/internal/kit/scenario/text.go
@@ -13,7 +13,7 @@
 )
 
 // asRead are forms that are written as they were read: their settings are no matter of a smaller scenario.
-var asRead = []string{"peers", "fleet-limits", "overload", "verdicts", "agreed", "credit", "pages"}
+var asRead = []string{"peers", "fleet-limits", "overload", "verdicts", "agreed", "credit", "pages", "journal"}
 
 // Text writes a script down, so that it can be read again. Only what differs from the defaults is said. What comes again and again is written out.
 func (s *Script) Text() string {
@@ -238,7 +238,7 @@
 // kept are the forms that are written as they were read.
 func (s *Script) kept() (out []*sexp.Node) {
 	on := map[string]bool{"peers": s.Peers != nil, "fleet-limits": s.Limits != nil, "overload": s.Overload != nil, "verdicts": s.Verdicts != nil, "agreed": s.Agreed != nil, "credit": s.Credit != nil,
-		"pages": s.Pages != nil}
+		"pages": s.Pages != nil, "journal": s.Journal != nil}
 	for _, n := range s.source.Args() {
 		if h := n.Head(); slices.Contains(asRead, h) && on[h] || h == "on-sockets" {
 			out = append(out, n)
--- a/internal/kit/scenario/text_test.go
+++ b/internal/kit/scenario/text_test.go
@@ -34,7 +34,8 @@
 		`5s (pay "a" 2 700)`, `5s (pay "a" 3 800 1 2)`, `6s (kill-pooler 1) (for 1s)`, `6s (stall-pooler owner "l") (for 1s)`, `6s (restart-pooler 2)`, `6s (restart member 0 1)`, `7s (cut x everyone) (for 1s)`,
 		`7s (cut prober member 1 0) (for 1s)`, `7s (thin (0 2) half-primaries 0.5) (for 1s)`, `7s (list-held all) (for 1s)`, `8s (hang primaries) (for 1s)`, `8s (disk replica 0 3) (for 1s)`,
 		`8s (wrong-roles) (for 1s)`, `8s (deregister-all) (for 1s)`, `8s (reissue member 0 0)`, `8s (fail-check member 0 0) (for 1s)`, `9s (list-silent)`, `9s (lose everyone 0.5) (for 1s)`},
-	"chaos": {"4 2s 9s", "9 2s 9s lossy slow parted apart unheard list-late lag", "5 1s 9s cut thin list-held restart"},
+	"journal": {"before (disk 5ms 20ms)", "alongside", "off"},
+	"chaos":   {"4 2s 9s", "9 2s 9s lossy slow parted apart unheard list-late lag", "5 1s 9s cut thin list-held restart"},
 }
 
 // plain is a script without where its parts were read, and with how its poolers were named resolved.
