Play the emulation's stories side by side

Cause: the package took 95 s, most of it one play after another, and with it the suite's first half. Change: stories that share nothing run in parallel.

--- a/internal/kit/emulate/agreed_test.go
+++ b/internal/kit/emulate/agreed_test.go
@@ -109,6 +109,7 @@
 // TestAgreed: 16 poolers, five of which vote, with each voter killed, stopped and cut off in its turn; all take the same entries, and the same
 // seed is the same to the bit.
 func TestAgreed(t *testing.T) {
+	t.Parallel()
 	script := `(seconds 60) (at 10s (kill-pooler 0) (for 2s)) (at 14s (kill-pooler 1) (for 2s)) (at 18s (kill-pooler 2) (for 2s)) (at 22s (stall-pooler 3) (for 5s)) (at 28s (stall-pooler 4) (for 5s))
 		(at 34s (between (0 1) (2 3 4) cut) (for 5s)) (at 40s (between (2 3) (0 1 4) cut) (for 5s)) (at 46s (between all all (lose 0.3) (duplicate 0.2) (reorder 0.3)) (for 8s))`
 	x, hash := play5(t, 1, 5, 16, 100, script)
@@ -124,6 +125,7 @@
 
 // TestAgreedElects: a leader that is killed is followed by another within the bound, and where two stood at once, within twice that.
 func TestAgreedElects(t *testing.T) {
+	t.Parallel()
 	var all []float64
 	bound := 0.0
 	for seed := range uint64(4) {
--- a/internal/kit/emulate/emulate_test.go
+++ b/internal/kit/emulate/emulate_test.go
@@ -50,6 +50,7 @@
 
 // TestLies: whatever Consul says wrongly, no rule is broken, and service goes on.
 func TestLies(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		r := play(t, parse(t, lies), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -73,6 +74,7 @@
 
 // TestSame: the same scenario and seed are the same run to the last event; another seed is not.
 func TestSame(t *testing.T) {
+	t.Parallel()
 	s := parse(t, everything)
 	a, b, c := play(t, s, Options{Seed: 7}), play(t, s, Options{Seed: 7}), play(t, s, Options{Seed: 8})
 	if a.Hash != b.Hash || a.Hash == c.Hash {
@@ -85,6 +87,7 @@
 
 // TestRules: through all that goes wrong, the pooler breaks no rule, and each rule was put to the test.
 func TestRules(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		r := play(t, parse(t, everything), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -110,6 +113,7 @@
 
 // TestMutants: each pooler that is broken on purpose is caught, by the rule that it breaks.
 func TestMutants(t *testing.T) {
+	t.Parallel()
 	for _, m := range Mutants() {
 		t.Run(m.Name, func(t *testing.T) {
 			s := parse(t, everything)
@@ -135,6 +139,7 @@
 // TestStartWithoutPrimary plays what drawn faults once found: a pooler starts while its group has no primary, and the late
 // list still names one whose position stands still.
 func TestStartWithoutPrimary(t *testing.T) {
+	t.Parallel()
 	text, err := os.ReadFile("../../../example/rehearsals/start-without-primary.sexp")
 	if err != nil {
 		t.Fatal(err)
@@ -148,6 +153,7 @@
 // TestForgottenConnections: what lies between forgets connections that rest. Requests are lost on them until the pooler has
 // learnt it, and no rule is broken; where the pooler closes them sooner, none is lost.
 func TestForgottenConnections(t *testing.T) {
+	t.Parallel()
 	const calm = `(rehearsal "rest" (seconds 40) (groups 3 3) (rate 25) %s)`
 	resets := func(forms string) uint64 {
 		r := play(t, parse(t, fmt.Sprintf(calm, forms)), Options{Seed: 3})
@@ -163,6 +169,7 @@
 
 // TestFewDescriptors: a pooler never has more connections than its descriptors allow, and serves all the same.
 func TestFewDescriptors(t *testing.T) {
+	t.Parallel()
 	const many = `(rehearsal "descriptors" (seconds 10) (groups-of 20 3) (rate 400) (sessions 2000) %s)`
 	free := play(t, parse(t, fmt.Sprintf(many, "")), Options{Seed: 4})
 	few := play(t, parse(t, fmt.Sprintf(many, "(descriptors 128)")), Options{Seed: 4})
@@ -182,6 +189,7 @@
 // is: no rule broken, each put to the test that can be, and the same run twice. What repeats a write or hears of no drain is
 // caught there too.
 func TestHouse(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		r := play(t, parse(t, house), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -215,6 +223,7 @@
 // TestStalledPoolers: poolers stand still and wake while primaries are replaced and replicas fall behind; what waited in their sockets
 // is no news, and no read is staler than it may be.
 func TestStalledPoolers(t *testing.T) {
+	t.Parallel()
 	s := load(t, "stalled-poolers")
 	for seed := range uint64(4) {
 		r := play(t, s, Options{Seed: seed})
--- a/internal/kit/emulate/invariants_test.go
+++ b/internal/kit/emulate/invariants_test.go
@@ -14,6 +14,7 @@
 // TestStopped: whatever a process that was stopped reads when it wakes, no read is staler than it may be, each request has one answer,
 // and no statement of the program about its own state is false.
 func TestStopped(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		r := play(t, parse(t, stopped), Options{Seed: seed + 1})
 		for _, rule := range []check.Rule{check.NotStale, check.OneAnswer, check.NotTwice, check.Invariant} {
--- a/internal/kit/emulate/limits_test.go
+++ b/internal/kit/emulate/limits_test.go
@@ -29,6 +29,7 @@
 
 // TestLimitMutants: each breaks its rule, and the program as it is breaks none in the same scenario.
 func TestLimitMutants(t *testing.T) {
+	t.Parallel()
 	never := `(fleet-limits (lease 6s) (promise 2s) (limit "a" (of tenant "a") (rate 100) (burst 10)))`
 	for i, x := range []struct{ text string }{
 		{quick + `(seconds 30) (rate 300) (skew 0.5) (at 15s (between 0 all cut) (for 10s)) ` + never},
@@ -61,6 +62,7 @@
 // TestLimitsUnderChaos: links and processes fail as drawn from seeds; no limit is gone over by either manner beyond its bound, and the same
 // seed plays the same to the bit.
 func TestLimitsUnderChaos(t *testing.T) {
+	t.Parallel()
 	s, err := scenario.Load("../../../example/rehearsals/fleet-limits-chaos.sexp")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/kit/emulate/overload_test.go
+++ b/internal/kit/emulate/overload_test.go
@@ -28,6 +28,7 @@
 
 // TestOverloadMutants: each breaks its rule, and the program as it is breaks none in the same scenario.
 func TestOverloadMutants(t *testing.T) {
+	t.Parallel()
 	const probes = `(overload (probes (each 400ms) (age 400ms)))`
 	const few = `(overload (repeats (part 0.002) (floor 4)))`
 	texts := [][2]string{{halved, probes}, {halved, probes}, {halved, `(overload (shed yes))`}, {oneHot, `(overload (shed yes))`}, {stormed, `(overload (shed yes))`}, {harder, `(overload (shed yes))`},
@@ -52,6 +53,7 @@
 // hot: the nine others shed nothing for that, and all are served as without it. Before strain was taken without both extremes, the first had
 // nine groups that were well turn away 0.7 of what they were asked.
 func TestOverloadLiar(t *testing.T) {
+	t.Parallel()
 	const ten = `(groups 1 2 2 2 2 2 2 2 2 2) (rate 200) (seconds 18) (at 4s (crowd primary 0 0.1) (for 12s)) `
 	honest := playOver(t, ten, `(overload (shed yes))`, 5, nil).Score.Ratio
 	for name, times := range liars.Times {
--- a/internal/kit/emulate/parts_test.go
+++ b/internal/kit/emulate/parts_test.go
@@ -58,6 +58,7 @@
 // TestParts: what a part tells arrives at those that the way lets through, and not at those that it cuts off; what is for a process that has
 // gone is not heard by the next one of its pooler.
 func TestParts(t *testing.T) {
+	t.Parallel()
 	script := `(rehearsal "parts" (seconds 30) (poolers 4) (groups 3) (rate 20) (peers) (at 10s (between (0 1) (2 3) cut) (for 2s)) (at 20s (kill-pooler 3) (for 1s)))`
 	run := func() (string, []*counter) {
 		var made []*counter
--- a/internal/kit/emulate/peers_test.go
+++ b/internal/kit/emulate/peers_test.go
@@ -21,6 +21,7 @@
 // TestViews: through all that befalls processes and the ways between them, views stay within their bounds, and each rule was put to
 // the test.
 func TestViews(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		r := play(t, parse(t, fleetFaults), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -45,6 +46,7 @@
 
 // TestViewMutants: each view that is broken on purpose is caught, by the rule that it breaks.
 func TestViewMutants(t *testing.T) {
+	t.Parallel()
 	for _, m := range ViewMutants() {
 		t.Run(m.Name, func(t *testing.T) {
 			r := play(t, parse(t, fleetFaults), Options{Seed: 1, Mutant: &m})
@@ -57,6 +59,7 @@
 
 // TestFlapping: ways that come back within the time of a suspicion have nobody called failed.
 func TestFlapping(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		r := play(t, parse(t, flapping), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -71,6 +74,7 @@
 
 // TestViewsUnderLoss: with three messages of ten lost for a minute there is no failure that lasts, and in the end all agree.
 func TestViewsUnderLoss(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		r := play(t, parse(t, lossyFaults), Options{Seed: seed})
 		for _, b := range r.Verdict.Breaches {
@@ -86,6 +90,7 @@
 
 // TestViewsUnderChaos: what befalls processes and ways is drawn from 60 seeds, overlapping as it comes, at 12 poolers; no rule is broken.
 func TestViewsUnderChaos(t *testing.T) {
+	t.Parallel()
 	s := load(t, "fleet-chaos")
 	for seed := range uint64(60) {
 		r := play(t, s, Options{Seed: seed})
--- a/internal/kit/emulate/second_test.go
+++ b/internal/kit/emulate/second_test.go
@@ -21,6 +21,7 @@
 // beyond its share loses first, and only under pressure; crossing between sites is the exception; sessions that roam see their
 // own writes.
 func TestSecondDeployment(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"keyed-window", "tenants", "two-sites", "roaming"} {
 		for seed := range uint64(4) {
 			r := play(t, load(t, name), Options{Seed: seed})
--- a/internal/kit/emulate/verdicts_liar_test.go
+++ b/internal/kit/emulate/verdicts_liar_test.go
@@ -38,6 +38,7 @@
 // observer and as a collector. No rule is broken, and as much is served as without it; poolers that need one word only break the rules of
 // staleness and of whom writes go to.
 func TestVerdictLiar(t *testing.T) {
+	t.Parallel()
 	s := parse(t, liedTo)
 	honest := play(t, s, Options{Seed: 1}).Score.Ratio
 	believed := map[string]check.Rule{"leads": check.NotDenied, "ahead": check.NotStale}
--- a/internal/kit/emulate/verdicts_test.go
+++ b/internal/kit/emulate/verdicts_test.go
@@ -26,6 +26,7 @@
 // word only, or for which each word is new, are caught. A server that is another process is avoided for nothing that the last one did; poolers that keep
 // what they have of that one are caught.
 func TestVerdictMutants(t *testing.T) {
+	t.Parallel()
 	for i, m := range VerdictMutants() {
 		t.Run(m.Name, func(t *testing.T) {
 			text := []string{lateWords, toldOf, toldOf, seldomTold, another}[i]
@@ -46,6 +47,7 @@
 // TestVerdictsUnderChaos: what befalls servers, the ways to them, poolers and the ways between them is drawn from seeds; no rule is broken. At seed 13
 // a primary comes back as a replica while writes wait for it. Many more seeds with BEECHGRADE_VERDICT_SEEDS.
 func TestVerdictsUnderChaos(t *testing.T) {
+	t.Parallel()
 	seeds := []uint64{0, 1, 13}
 	if n, err := strconv.Atoi(os.Getenv("BEECHGRADE_VERDICT_SEEDS")); err == nil {
 		seeds = seeds[:0]
--- a/internal/kit/emulate/zones_figures_test.go
+++ b/internal/kit/emulate/zones_figures_test.go
@@ -13,6 +13,7 @@
 
 // TestZonesFigures prints what a play of zones comes to with each pooler for itself, with plans, and with the oracle, paired by seed.
 func TestZonesFigures(t *testing.T) {
+	t.Parallel()
 	seeds, err := strconv.ParseUint(os.Getenv("BEECHGRADE_ZONE_FIGURES"), 10, 64)
 	if err != nil {
 		t.Skip("BEECHGRADE_ZONE_FIGURES says how many seeds")
