Hold no try against a quiet group that waited at a pooler which stood still

The rule knew of stops, and did not set them apart. Change: such answers count as neither served nor refused.

--- a/internal/kit/check/check.go
+++ b/internal/kit/check/check.go
@@ -269,6 +269,9 @@
 		c.breach(Breach{Rule: OneAnswer, At: at, ID: id, Server: -1, Text: fmt.Sprintf("the answer came %.0f ms late", at-q.due)}, q.events)
 	}
 	if c.over != nil {
+		if s := c.still[q.pooler]; q.asked <= s.until && s.from <= at { // it waited there while the pooler stood still: no word on load
+			kind = ""
+		}
 		c.over.heard(q, kind, served)
 	}
 	if served {
