--- a/cmd/beechgrade/descriptors_test.go
+++ b/cmd/beechgrade/descriptors_test.go
@@ -38,6 +38,47 @@
 	cmd   *exec.Cmd
 	addr  string
 	ended chan struct{}
+
+	mu  sync.Mutex
+	log []string
+}
+
+// keep adds a line to the process's log.
+func (d *daemon) keep(line string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.log = append(d.log, line)
+}
+
+// logged returns the lines of the process's log that hold the given text.
+func (d *daemon) logged(text string) (lines []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, line := range d.log {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// field returns the value of a field of a log line.
+func field(line, name string) string {
+	_, rest, _ := strings.Cut(line, " "+name+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
+// admin waits for the process's admin endpoint and returns its address.
+func (d *daemon) admin() string {
+	d.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if lines := d.logged("msg=control"); len(lines) > 0 {
+			return field(lines[0], "listen")
+		}
+	}
+	d.t.Fatal("the process opens no admin endpoint")
+	return ""
 }
 
 // runDaemon starts the program with a configuration, and with so many descriptors that the system lets it have.
@@ -65,6 +106,7 @@
 	go func() {
 		defer close(d.ended)
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			d.keep(lines.Text())
 			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving"); ok {
 				serving <- strings.TrimPrefix(strings.Fields(rest)[1], "listen=")
 			}
