Figures and log lines of why clients' connections end, and of a drain's stages

What the incident lacked: a count of connections by the reason of their end, of commands refused in drains, and of those connected, halfway and leaving; a debug line for each connection that ends (session, reason, age, commands, refusals, unanswered, unsent); an info line at each stage of a drain. The tests of figures compare everything but the clients' part, which depends on when a close is read and has a test of its own (TestFiguresOfClients): as strict for the rest.

--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,8 +18,20 @@
 	"beechgrade/internal/membership/discovery"
 )
 
-// figures fetches what a door tells, but for what is 0.
+// clientFigures is the prefix of the figures of clients' connections, which have tests of their own: how many are connected depends on
+// when a close is read.
+const clientFigures = "clients."
+
+// figures fetches what a door tells, but for what is 0 and for clients' connections.
 func figures(t testing.TB, door string) map[string]string {
+	t.Helper()
+	got := allFigures(t, door)
+	maps.DeleteFunc(got, func(name, _ string) bool { return strings.HasPrefix(name, clientFigures) })
+	return got
+}
+
+// allFigures fetches what a door tells, but for what is 0.
+func allFigures(t testing.TB, door string) map[string]string {
 	t.Helper()
 	got := map[string]string{}
 	for l := range strings.Lines(strings.TrimPrefix(call(t, door, "GET", "/-/metrics"), "200 ")) {
@@ -248,3 +261,37 @@
 		t.Errorf("asked %q", (<-queries).sql)
 	}
 }
+
+// TestFiguresOfClients: the connected clients are counted, and those that have ended by the reason.
+func TestFiguresOfClients(t *testing.T) { fair.Story(t, testFiguresOfClients) }
+
+func testFiguresOfClients(t testing.TB) {
+	srv, _ := server(t)
+	pooler, door, _, _ := operated(t, srv)
+	settleClients := func(want map[string]string) {
+		t.Helper()
+		diff := ""
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+			got := allFigures(t, door)
+			maps.DeleteFunc(got, func(name, _ string) bool {
+				return !strings.HasPrefix(name, clientFigures) || name == "clients.client.ended" // the loop's connection to itself is one
+			})
+			if diff = cmp.Diff(want, got); diff == "" {
+				return
+			}
+		}
+		t.Error(diff)
+	}
+	settleClients(map[string]string{})
+	half, malformed, idle := client(t, pooler), client(t, pooler), client(t, pooler)
+	half.send(query("1", "read", 9000)[:9])
+	malformed.send([]byte("y"))
+	settleClients(map[string]string{"clients.connected": "2", "clients.halfway": "1", "clients.protocol.ended": "1"})
+	call(t, door, "POST", "/-/drain")
+	if got := idle.answer(); got != "$" {
+		t.Errorf("the idle client is told %q", got)
+	}
+	_ = idle.Close()
+	_ = half.Close()
+	settleClients(map[string]string{"clients.protocol.ended": "1", "clients.drain.ended": "1"})
+}
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -138,7 +138,7 @@
 // figures are all that the process tells of itself.
 func (p *pooler) figures() *sheet.Sheet {
 	s := &sheet.Sheet{}
-	for _, tell := range []func(*sheet.Sheet){p.core.WriteFigures, p.tellPeers, p.tellLimits, p.tellInvariants, p.tellScatter, p.tellAgreed, p.tellCredit, p.tellOverload,
+	for _, tell := range []func(*sheet.Sheet){p.core.WriteFigures, p.front.WriteFigures, p.tellPeers, p.tellLimits, p.tellInvariants, p.tellScatter, p.tellAgreed, p.tellCredit, p.tellOverload,
 		p.tellVerdicts, p.tellZones} {
 		tell(s)
 	}
@@ -185,10 +185,15 @@
 		p.clickhouse.Drain()
 	}
 	from := p.loop.Now()
-	for ms, do := range map[float64]func(){in: p.front.Drain, cutMs: p.front.Cut} {
-		p.loop.At(from+ms, func() {
+	for _, stage := range []struct {
+		name string
+		ms   float64
+		do   func()
+	}{{"close idle connections", in, p.front.Drain}, {"refuse commands", cutMs, p.front.Cut}} {
+		p.loop.At(from+stage.ms, func() {
 			if p.shedding == this && p.life.Sheds() {
-				do()
+				p.log.Info("drain", "stage", stage.name, "ms", p.loop.Now()-from, "sessions", p.front.Sessions(), "halfway", p.front.Halves(), "open", p.core.Open())
+				stage.do()
 			}
 		})
 	}
--- a/internal/frontend/platform/capacity.go
+++ b/internal/frontend/platform/capacity.go
@@ -121,6 +121,7 @@
 		}
 		switch {
 		case session.stuckSince != 0 && now-session.stuckSince >= stuckMs:
+			session.endFor(endedByNotReading)
 			session.conn.Close()
 		case session.leaving:
 		case session.waitsForMemory:
@@ -144,7 +145,7 @@
 
 // expire ends a connection whose client has not done its next step in time, unless the bytes have arrived and are only unread.
 func (session *session) expire(now float64) {
-	age, report := now-session.since, ""
+	age, report, reason := now-session.since, "", endedByStartup
 	switch {
 	case session.use == silent && age >= startupMs && session.input.Pending() > 0:
 		report = "the startup message is not whole in time"
@@ -152,16 +153,20 @@
 	case session.use == halfway && session.longBytes > 0 && now-session.lastData < stuckMs && age < idleMs: // a long message may take longer, as long as some of it arrives
 		return
 	case session.use == halfway && session.stuckSince == 0 && age >= messageMs:
-		report = "the message is not whole in time"
-	case (session.use == mute || session.use == resting) && (age >= idleMs || session.postgres.draining && !session.fresh()):
+		report, reason = "the message is not whole in time", endedByMessage
+	case (session.use == mute || session.use == resting) && age >= idleMs:
+		reason = endedByIdleness
+	case (session.use == mute || session.use == resting) && session.postgres.draining && !session.fresh():
+		reason = endedByDrain
 	default:
 		return
 	}
 	switch {
 	case !session.conn.Quiet():
 	case report != "":
-		session.fatal(codeProtocol, report)
+		session.fatal(reason, codeProtocol, report)
 	default:
+		session.endFor(reason)
 		session.leave()
 	}
 }
@@ -212,9 +217,10 @@
 		case !session.conn.Quiet() && !session.conn.Parked():
 			continue
 		case of == halfway:
-			session.fatal(codeRefused, "too many clients")
+			session.fatal(endedByRoom, codeRefused, "too many clients")
 			return true
 		}
+		session.endFor(endedByRoom)
 		session.leave()
 		return true
 	}
@@ -260,7 +266,7 @@
 	for _, step := range []func(){
 		session.failWaiting,
 		session.proceed,
-		func() { session.fatal(codeRefused, "clients hold too much") },
+		func() { session.fatal(endedByMemory, codeRefused, "clients hold too much") },
 	} {
 		step()
 		if session.countHeld(); session.heldBytes < before {
@@ -268,6 +274,7 @@
 		}
 	}
 	session.postgres.log.Warn("a client holds too much", "bytes", session.heldBytes)
+	session.endFor(endedByMemory)
 	session.conn.Close()
 }
 
--- a/internal/frontend/platform/closing.go
+++ b/internal/frontend/platform/closing.go
@@ -39,9 +39,10 @@
 	switch {
 	case session.closed, session.ended, session.conn == nil, len(session.queue) > 0:
 	case session.postgres.finishing && session.input.Pending() > 0 && (session.conn.Quiet() || session.conn.Parked()):
-		session.fatal(codeClosed, errSentAway.Error())
+		session.fatal(endedByDrain, codeClosed, errSentAway.Error())
 	case session.input.Pending() > 0, session.fresh(), !session.conn.Quiet():
 	case session.postgres.finishing, session.idle():
+		session.endFor(endedByDrain)
 		session.leave()
 	}
 }
@@ -53,8 +54,9 @@
 }
 
 // fatal ends the connection with an error message.
-func (session *session) fatal(code, text string) {
+func (session *session) fatal(reason endReason, code, text string) {
 	if !session.closed && !session.ended {
+		session.endFor(reason)
 		session.end(pgwire.AppendError(session.output[:0], "FATAL", code, text, ""))
 	}
 }
@@ -152,6 +154,7 @@
 		_ = session.conn.Write(out) // the client may be gone
 	}
 	session.closed = true
+	session.countEnd()
 	session.postgres.sessions.Drop(session.ref)
 	session.postgres.loop.Stop(session.recheckTimer)
 	session.fileByUse()
--- a/internal/frontend/platform/postgres.go
+++ b/internal/frontend/platform/postgres.go
@@ -58,6 +58,9 @@
 	longQueue  []*session      // sessions that wait for memory for a long message, oldest first
 	flows      int             // answers being streamed
 	turnedAway int             // clients refused since the last sweep
+
+	ended           [endReasons]uint64 // connections
+	refusedForDrain uint64             // commands
 }
 
 // NewPostgres returns a frontend without clients.
@@ -67,7 +70,7 @@
 
 // Accept returns the handler for a new connection.
 func (postgres *Postgres) Accept() loop.Handler {
-	session := &session{postgres: postgres, input: pgwire.NewReader(maxLong), since: postgres.loop.Now()}
+	session := &session{postgres: postgres, input: pgwire.NewReader(maxLong), since: postgres.loop.Now(), opened: postgres.loop.Now()}
 	session.ref = postgres.sessions.Put(session)
 	return session
 }
@@ -123,6 +126,11 @@
 	lastData       float64 // when it last sent something
 	use            use
 	element        *list.Element // in postgres.byUse
+
+	opened          float64 // when it was accepted
+	reason          endReason
+	commands        int // handled
+	refusedForDrain int // of commands
 }
 
 // idle reports whether nothing is read, owed or unsent on the connection.
@@ -134,9 +142,9 @@
 func (session *session) Opened(conn *loop.Conn) {
 	session.conn = conn
 	if session.postgres.finishing {
-		session.fatal(codeClosed, errSentAway.Error())
+		session.fatal(endedByDrain, codeClosed, errSentAway.Error())
 	} else if !session.postgres.admit(session) {
-		session.fatal(codeRefused, "too many clients")
+		session.fatal(endedByRoom, codeRefused, "too many clients")
 	}
 	session.fileByUse()
 }
@@ -164,7 +172,7 @@
 	defer session.fileByUse()
 	for !session.closed && !session.ended {
 		if session.refuseNext = session.full() && session.farAhead(); session.refuseNext && session.hopeless() {
-			session.fatal(codeProtocol, "too much sent ahead of the answers")
+			session.fatal(endedByMemory, codeProtocol, "too much sent ahead of the answers")
 			return
 		}
 		if session.full() && !session.refuseNext {
@@ -172,7 +180,7 @@
 		}
 		more, err := session.step()
 		if err != nil {
-			session.fatal(codeProtocol, err.Error())
+			session.fatal(endedByProtocol, codeProtocol, err.Error())
 			return
 		}
 		if !more {
@@ -225,6 +233,7 @@
 	if err != nil || !ok {
 		return false, err
 	}
+	session.commands++
 	at := session.arrived.take(len(message.Raw))
 	long := session.longBytes
 	session.longBytes = 0
@@ -338,6 +347,8 @@
 		return
 	}
 	if session.postgres.refusing {
+		session.postgres.refusedForDrain++
+		session.refusedForDrain++
 		session.answerError(codeClosed, errSentAway)
 		return
 	}
--- a/internal/frontend/platform/queue.go
+++ b/internal/frontend/platform/queue.go
@@ -163,6 +163,7 @@
 	case session.closed || answer.done:
 	case session.queue[0] == answer:
 		session.endFlow(answer)
+		session.endFor(endedByBrokenFlow)
 		session.leave()
 	default: // nothing of it has been sent
 		answer.waiting = nil
