A drain ends every connection in stages that no client can renew

Seen: in a drain, a client whose first request came after the refusals had begun stayed for ever by asking again. Cause: session.fresh (platform/closing.go) counted 250 ms from session.since, which answer.finish renews, and a refused request did not set session.asked (platform/postgres.go, query), so leaveIfIdle never took the connection for idle. Class: a wait that the client can renew, or that nobody ends.

Change: one sequence of stages (platform/drain.go), set by the owner's clock from the drain's begin: close idle 0.35 s, refuse commands 1.5 s, end partial messages 2.5 s, close active 3 s, close all after 10 s or the longest deadline. New connections are told 57P03 from 1.5 s on. From 2.5 s a client that has sent more has its open requests answered at once (Desk.AnswerBy). Stop and hand-over use the same stages; an end of the process no longer takes the drain's stages back.

Measured: both regression tests fail before (1,000 refusals in a row) and pass after; without the line that ends the grace the frontend's test fails again; all tests of internal pass, and those of drain, stop, hand-over and figures.

--- a/cmd/beechgrade/ends_test.go
+++ b/cmd/beechgrade/ends_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"beechgrade/internal/config"
+	"beechgrade/internal/frontend/platform"
 	"beechgrade/internal/protocol/pgwire"
 )
 
@@ -146,7 +147,7 @@
 		n = <-read
 	}
 	stands, goes := make(chan bool), make(chan bool)
-	p.loop.Post(func() { close(stands); <-goes; p.front.Finish() })
+	p.loop.Post(func() { close(stands); <-goes; p.front.SendAway(platform.EndPartial) })
 	<-stands
 	c.send(half[20:])
 	k.send(query("whole", "read", 500))
--- a/cmd/beechgrade/life.go
+++ b/cmd/beechgrade/life.go
@@ -11,15 +11,25 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/control"
 	"beechgrade/internal/figures/sheet"
+	"beechgrade/internal/frontend/platform"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/record/recordpb"
 )
 
+// The times from a drain's begin until its stages, in milliseconds. By 4 s no client may hold a connection that is idle, or on which it has
+// asked in the last 2 s: CloseActive is early enough for a connection to be shut (leaveMs and lingerMs of the frontend) and for the process to
+// be held up meanwhile.
 const (
-	noticeMs = 350  // from a no until clients' side has noticed: new connections stop, and closed ones go elsewhere
-	cutMs    = 1500 // after a drain has begun, until a client that never falls idle is cut off
-	unheard  = 1500 // of the list, after which the one from the start has to do
+	noticeMs        = 350  // until clients' side has noticed: new connections stop, and closed ones go elsewhere
+	refuseMs        = 1500 // until the commands of clients that never become idle are refused
+	endPartialMs    = 2500
+	closeActiveMs   = 3000
+	afterDeadlineMs = 1000 // from the last deadline of what was taken before that until CloseAll
+)
+
+const (
+	unheard = 1500 // of the list, after which the one from the start has to do
 
 	queuedMs     = 1000 // after the process would end, for what has just connected to be told so...
 	queuedSoonMs = 50   // ...and where it may be killed soon
@@ -163,7 +173,7 @@
 	switch now {
 	case lifecycle.Draining:
 		p.core.Note(recordpb.Kind_KIND_DRAIN, "")
-		p.shed(noticeMs)
+		p.sendAway()
 	case lifecycle.Ready:
 		p.resume()
 	case lifecycle.HandingOver, lifecycle.Stopping:
@@ -173,34 +183,60 @@
 	return ok
 }
 
-// shed closes clients' connections as they fall idle from a while on, and cuts off later those that never do. A resume in
-// between ends that.
-func (p *pooler) shed(in float64) {
-	p.shedding++
-	this := p.shedding
+// sendAway begins a drain: clients are sent away in stages, each at a time that counts from now. A resume ends that; an end of the process
+// does not.
+func (p *pooler) sendAway() {
+	p.drains++
+	this, from := p.drains, p.loop.Now()
 	if p.pooled != nil {
 		p.pooled.Drain()
 	}
 	if p.clickhouse != nil {
 		p.clickhouse.Drain()
 	}
-	from := p.loop.Now()
-	for _, stage := range []struct {
-		name string
-		ms   float64
-		do   func()
-	}{{"close idle connections", in, p.front.Drain}, {"refuse commands", cutMs, p.front.Cut}} {
-		p.loop.At(from+stage.ms, func() {
-			if p.shedding == this && p.life.Sheds() {
-				p.log.Info("drain", "stage", stage.name, "ms", p.loop.Now()-from, "sessions", p.front.Sessions(), "halfway", p.front.Halves(), "open", p.core.Open())
-				stage.do()
+	for _, step := range []struct {
+		ms    float64
+		stage platform.Stage
+	}{
+		{noticeMs, platform.CloseIdle}, {refuseMs, platform.RefuseCommands}, {endPartialMs, platform.EndPartial},
+		{closeActiveMs, platform.CloseActive}, {p.closeAllMs(), platform.CloseAll},
+	} {
+		p.loop.At(from+step.ms, func() {
+			if p.drains == this {
+				p.enterStage(step.stage, from)
 			}
 		})
 	}
 }
 
-// resume ends shed.
+// closeAllMs is the time from a drain's begin until whatever a client still has under way is ended: what was begun before commands were
+// refused has had its whole time by then.
+func (p *pooler) closeAllMs() float64 {
+	longest := 0.0
+	for _, class := range p.cfg.Settings.Classes {
+		longest = max(longest, clock.Millis(class.Deadline))
+	}
+	return max(drainMost, refuseMs+longest+afterDeadlineMs)
+}
+
+// enterStage brings a drain that began at the given time to a stage.
+func (p *pooler) enterStage(stage platform.Stage, from float64) {
+	p.log.Info("drain", "stage", stage.String(), "ms", p.loop.Now()-from, "sessions", p.front.Sessions(), "halfway", p.front.Halves(), "open", p.core.Open())
+	p.front.SendAway(stage)
+	if stage < platform.CloseAll {
+		return
+	}
+	if p.pooled != nil {
+		p.pooled.End()
+	}
+	if p.clickhouse != nil {
+		p.clickhouse.End()
+	}
+}
+
+// resume ends a drain.
 func (p *pooler) resume() {
+	p.drains++ // what is left of it has no effect
 	p.front.Resume()
 	if p.pooled != nil {
 		p.pooled.Resume()
@@ -229,12 +265,13 @@
 			p.peers.Leave(true)
 		}
 		closeAt, leastMs = began, handMs
-		p.loop.At(began+longest, p.front.Cut)
+		p.loop.At(began+longest, func() { p.front.SendAway(platform.RefuseCommands) })
 	} else if drained {
 		closeAt = began
 	}
-	p.loop.At(closeAt, p.front.Drain)
-	p.loop.At(began+longest+drainEnd, p.front.Finish)
+	p.loop.At(closeAt, func() { p.front.SendAway(platform.CloseIdle) })
+	p.loop.At(began+longest+drainEnd, func() { p.front.SendAway(platform.EndPartial) })
+	p.loop.At(began+longest+drainActive, func() { p.front.SendAway(platform.CloseActive) })
 	if p.pooled != nil {
 		p.stopPooled()
 		p.pooled.Drain()
@@ -265,7 +302,7 @@
 // endLoop ends the loop. What connects in the last moment is accepted and told so first, lest it be reset with the listener; by the given
 // time it ends whatever they have read of that.
 func (p *pooler) endLoop(by float64) {
-	p.front.Finish()
+	p.front.SendAway(platform.EndPartial)
 	p.loop.StopAccepting(by-p.loop.Now(), func(accepted int) {
 		var look func()
 		look = func() {
--- a/cmd/beechgrade/life_test.go
+++ b/cmd/beechgrade/life_test.go
@@ -207,7 +207,7 @@
 	}
 	call(t, door, "POST", "/-/resume")
 	k := client(t, pooler)
-	time.Sleep(cutMs * time.Millisecond)
+	time.Sleep(refuseMs * time.Millisecond)
 	k.send(query("2", "read", 9000))
 	nextQuery(t, queries).send(row("w"))
 	k.want("TDCZ w")
--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -34,20 +34,21 @@
 )
 
 const (
-	reserved   = 64   // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
-	poolMost   = 0.45 // of the others, at most for connections to servers...
-	poolLeast  = 0.2  // ...and what clients leave to them
-	askPart    = 4    // clients that ask and hold 1 descriptor in so many are many
-	idlePart   = 0.8  // of the servers' idle time, after which a connection is closed here
-	drainMs    = 700  // after SIGTERM clients still come; the process may be killed so long after the longest deadline
-	drainEnd   = 500  // after the longest deadline, what came meanwhile has its answer, and nothing more is taken...
-	drainClose = 250  // ...so long after it, clients' idle connections are closed...
-	drainLast  = 600  // ...and so long after it, those of which clients do not close their side
-	handMs     = 100  // after another process takes over, for connections that were just accepted to come on the loop
-	deadlineMs = 3000 // counted as the longest deadline where that is longer
-	gaugeMs    = 1000
-	pollMs     = 20    // between looks at whether something is still owed
-	drainMost  = 10000 // a client that never goes does not keep the process
+	reserved    = 64   // descriptors for discovery, the listener, the runtime, and dials, which take two for a moment
+	poolMost    = 0.45 // of the others, at most for connections to servers...
+	poolLeast   = 0.2  // ...and what clients leave to them
+	askPart     = 4    // clients that ask and hold 1 descriptor in so many are many
+	idlePart    = 0.8  // of the servers' idle time, after which a connection is closed here
+	drainMs     = 700  // after SIGTERM clients still come; the process may be killed so long after the longest deadline
+	drainEnd    = 500  // after the longest deadline, what came meanwhile has its answer, and nothing more is taken...
+	drainClose  = 250  // ...so long after it, clients' idle connections are closed...
+	drainActive = 550  // ...so long after it, those of clients that go on sending...
+	drainLast   = 600  // ...and so long after it, those of which clients do not close their side
+	handMs      = 100  // after another process takes over, for connections that were just accepted to come on the loop
+	deadlineMs  = 3000 // counted as the longest deadline where that is longer
+	gaugeMs     = 1000
+	pollMs      = 20    // between looks at whether something is still owed
+	drainMost   = 10000 // a client that never goes does not keep the process
 )
 
 // pooler is the program's parts, joined.
@@ -107,7 +108,7 @@
 	given      net.Listener // the listening socket that the process was given, nil where it opens its own
 	stopTaking func()       // ends accepting there
 	heard      bool         // the list, from whoever keeps it
-	shedding   int          // drains so far
+	drains     int          // drains begun and ended so far
 	list       list
 	folder     stateFolder     // where processes on one socket tell each other, nil where they do not
 	before     *handover.State // what another process knew, until it is taken
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -231,13 +231,18 @@
 func (c *Core) EndAt(ms float64) {
 	c.endsAt = ms
 	var open []slots.Ref
-	c.requests.Each(func(ref slots.Ref, req *request) {
-		if req.platform && !req.over && req.deadline > ms {
-			req.deadline = ms
-			open = append(open, ref)
-		}
-	})
+	c.requests.Each(func(ref slots.Ref, _ *request) { open = append(open, ref) })
 	for _, ref := range open {
-		c.handle(&decide.Hasten{ID: requestID(ref), By: clock.Span(ms)})
+		c.AnswerBy(ref, ms)
+	}
+}
+
+// AnswerBy implements platform.Desk. It brings forward the deadline of a request of the platform's clients.
+func (c *Core) AnswerBy(ref slots.Ref, ms float64) {
+	req, ok := c.requests.Get(ref)
+	if !ok || !req.platform || req.over || req.deadline <= ms {
+		return
 	}
+	req.deadline = ms
+	c.handle(&decide.Hasten{ID: requestID(ref), By: clock.Span(ms)})
 }
--- a/internal/frontend/platform/ahead_test.go
+++ b/internal/frontend/platform/ahead_test.go
@@ -15,7 +15,7 @@
 	client := world.client()
 	client.send(queries(0, maxQueue+20))
 	world.until("as many as may be are asked", func() bool { return len(world.desk.asked) == maxQueue })
-	world.do(func() { world.postgres.Drain(); world.postgres.Cut() })
+	world.do(func() { world.postgres.SendAway(RefuseCommands) })
 	client.send(queries(100, 103)) // and some come behind that
 	world.until("all is read", func() bool {
 		return world.session().input.Pending() == len(queries(maxQueue, maxQueue+20))+len(queries(100, 103))
--- a/internal/frontend/platform/capacity.go
+++ b/internal/frontend/platform/capacity.go
@@ -114,6 +114,9 @@
 			return
 		}
 		session.fileByUse() // the client may have read its answers meanwhile
+		if session.sendAway(); session.closed {
+			return
+		}
 		if took := session.written - session.conn.Unsent(); session.conn.Unsent() == 0 {
 			session.stuckSince = 0
 		} else if session.stuckSince == 0 || took != session.taken {
@@ -156,8 +159,6 @@
 		report, reason = "the message is not whole in time", endedByMessage
 	case (session.use == mute || session.use == resting) && age >= idleMs:
 		reason = endedByIdleness
-	case (session.use == mute || session.use == resting) && session.postgres.draining && !session.fresh():
-		reason = endedByDrain
 	default:
 		return
 	}
--- a/internal/frontend/platform/closing.go
+++ b/internal/frontend/platform/closing.go
@@ -2,7 +2,6 @@
 
 import (
 	"beechgrade/internal/protocol/pgwire"
-	"beechgrade/internal/slots"
 )
 
 // This file holds the one procedure by which the pooler itself ends a client's connection:
@@ -14,43 +13,24 @@
 //
 // A close over unread bytes is a reset, which may overtake the last answers: hence step 3.
 
-// Resume undoes Drain and Cut.
-func (postgres *Postgres) Resume() { postgres.draining, postgres.refusing = false, false }
-
-// Cut makes all further commands be refused, so that every connection becomes idle and can be closed; some never would otherwise.
-func (postgres *Postgres) Cut() { postgres.refusing = true }
-
-// Drain closes clients' connections as they become idle, from now on.
-func (postgres *Postgres) Drain() {
-	postgres.draining = true
-	postgres.sessions.Each(func(_ slots.Ref, session *session) { session.leaveIfIdle() })
-}
-
-// Finish closes the remaining connections and all new ones. Requests are refused from now on, including those of which only a
-// part has arrived.
-func (postgres *Postgres) Finish() {
-	postgres.finishing = true
-	postgres.Cut()
-	postgres.Drain()
-}
-
 // leaveIfIdle ends a connection on which nothing is owed and nothing is unread.
 func (session *session) leaveIfIdle() {
 	switch {
 	case session.closed, session.ended, session.conn == nil, len(session.queue) > 0:
-	case session.postgres.finishing && session.input.Pending() > 0 && (session.conn.Quiet() || session.conn.Parked()):
+	case session.postgres.stage >= EndPartial && session.input.Pending() > 0 && (session.conn.Quiet() || session.conn.Parked()):
 		session.fatal(endedByDrain, codeClosed, errSentAway.Error())
 	case session.input.Pending() > 0, session.fresh(), !session.conn.Quiet():
-	case session.postgres.finishing, session.idle():
+	case session.postgres.stage >= EndPartial, session.idle():
 		session.endFor(endedByDrain)
 		session.leave()
 	}
 }
 
 // fresh reports whether the client has connected so recently that its first request is probably on its way; closing now would
-// leave that unanswered. The connection is closed after that request, or a little later.
+// leave that unanswered. This grace counts from the connection's startup and ends with its first request, also with one that is refused:
+// nothing that the client sends begins it anew.
 func (session *session) fresh() bool {
-	return !session.asked && !session.postgres.finishing && session.postgres.loop.Now()-session.since < freshMs
+	return !session.asked && session.postgres.stage < EndPartial && session.postgres.loop.Now() < session.graceEnds
 }
 
 // fatal ends the connection with an error message.
--- a/internal/frontend/platform/closing_test.go
+++ b/internal/frontend/platform/closing_test.go
@@ -48,7 +48,7 @@
 // sent at the same time meets no reset.
 func TestRestingClientIsNotReset(t *testing.T) {
 	for name, end := range map[string]func(postgres *Postgres){
-		"drain": func(postgres *Postgres) { postgres.Drain() },
+		"drain": func(postgres *Postgres) { postgres.SendAway(CloseIdle) },
 		"sweep": func(postgres *Postgres) { postgres.sweep() },
 		"evict": func(postgres *Postgres) { postgres.evict(resting, 0) },
 	} {
@@ -84,7 +84,7 @@
 	world.do(func() {
 		world.postgres.sessions.Each(func(_ slots.Ref, session *session) { session.since -= freshMs })
 		began = world.loop.Now()
-		world.postgres.Drain()
+		world.postgres.SendAway(CloseIdle)
 	})
 	for _, client := range clients {
 		client.want("$")
--- a/internal/frontend/platform/drain_test.go
+++ b/internal/frontend/platform/drain_test.go
@@ -8,9 +8,8 @@
 	world := newWorld(t, 100, 1<<28)
 	client := world.client()
 	world.do(func() {
-		world.session().since = world.loop.Now()
-		world.postgres.Drain()
-		world.postgres.Cut()
+		world.session().graceEnds = world.loop.Now() + 1e6 // its first request is on its way
+		world.postgres.SendAway(RefuseCommands)
 	})
 	client.send(query("1"))
 	client.want("EZ 57P03")
--- a/internal/frontend/platform/postgres.go
+++ b/internal/frontend/platform/postgres.go
@@ -49,16 +49,15 @@
 	budget     Budget
 	sessions   slots.Table[*session]
 	byUse      [uses]list.List // sessions by their use, the longest in that use first
-	draining   bool            // connections are closed as they become idle
+	stage      Stage           // of sending clients away
 	notReady   bool            // health checks fail
-	refusing   bool            // all commands are refused
-	finishing  bool            // all connections are closed, including those in the middle of a message
 	heldBytes  int             // bytes of waiting input and output
 	longBytes  int             // bytes reserved for long messages that are arriving or whose requests are open
 	longQueue  []*session      // sessions that wait for memory for a long message, oldest first
 	flows      int             // answers being streamed
 	turnedAway int             // clients refused since the last sweep
 
+	refusingSince   float64            // when the present stage of sending away passed RefuseCommands
 	ended           [endReasons]uint64 // connections
 	refusedForDrain uint64             // commands
 }
@@ -70,7 +69,8 @@
 
 // Accept returns the handler for a new connection.
 func (postgres *Postgres) Accept() loop.Handler {
-	session := &session{postgres: postgres, input: pgwire.NewReader(maxLong), since: postgres.loop.Now(), opened: postgres.loop.Now()}
+	now := postgres.loop.Now()
+	session := &session{postgres: postgres, input: pgwire.NewReader(maxLong), since: now, opened: now, graceEnds: now + freshMs}
 	session.ref = postgres.sessions.Put(session)
 	return session
 }
@@ -128,6 +128,7 @@
 	element        *list.Element // in postgres.byUse
 
 	opened          float64 // when it was accepted
+	graceEnds       float64 // until when its first request is waited for while clients are sent away
 	reason          endReason
 	commands        int // handled
 	refusedForDrain int // of commands
@@ -141,7 +142,7 @@
 // Opened implements loop.Handler.
 func (session *session) Opened(conn *loop.Conn) {
 	session.conn = conn
-	if session.postgres.finishing {
+	if session.postgres.stage >= RefuseCommands {
 		session.fatal(endedByDrain, codeClosed, errSentAway.Error())
 	} else if !session.postgres.admit(session) {
 		session.fatal(endedByRoom, codeRefused, "too many clients")
@@ -190,10 +191,11 @@
 	if session.closed || session.ended {
 		return
 	}
-	if session.started && session.conn.Unsent() > maxUnsent && (session.input.Pending() > 0 || session.postgres.draining) {
+	sendAway := session.postgres.stage >= CloseIdle
+	if session.started && session.conn.Unsent() > maxUnsent && (session.input.Pending() > 0 || sendAway) {
 		session.proceedIn(recheckMs)
-	} else if session.postgres.draining && session.started || session.postgres.finishing {
-		session.leaveIfIdle()
+	} else if sendAway && (session.started || session.postgres.stage >= EndPartial) {
+		session.sendAway()
 	}
 }
 
@@ -325,6 +327,7 @@
 		session.leave()
 	default:
 		session.started, session.since = true, session.postgres.loop.Now()
+		session.graceEnds = session.since + freshMs
 		session.send(pgwire.AppendWelcome(session.output[:0]))
 	}
 	return true, nil
@@ -346,9 +349,10 @@
 		session.answer(pgwire.AppendReady(pgwire.AppendComplete(session.output[:0], strings.ToUpper(command))))
 		return
 	}
-	if session.postgres.refusing {
+	if session.postgres.stage >= RefuseCommands {
 		session.postgres.refusedForDrain++
 		session.refusedForDrain++
+		session.asked = true
 		session.answerError(codeClosed, errSentAway)
 		return
 	}
--- a/internal/frontend/platform/queue.go
+++ b/internal/frontend/platform/queue.go
@@ -71,7 +71,7 @@
 	if len(session.queue) == 0 {
 		session.queue = nil
 	}
-	if full && session.input.Pending() > 0 || session.postgres.draining {
+	if full && session.input.Pending() > 0 || session.postgres.stage >= CloseIdle {
 		session.proceedIn(0) // by a timer, so that the caller's work is done first
 	}
 	session.fileByUse()
--- a/internal/frontend/platform/request.go
+++ b/internal/frontend/platform/request.go
@@ -50,7 +50,8 @@
 // to no request.
 type Desk interface {
 	Ask(request Request, c Client) (slots.Ref, error)
-	Gone(ref slots.Ref) // the client of the request has gone
+	Gone(ref slots.Ref)                 // the client of the request has gone
+	AnswerBy(ref slots.Ref, ms float64) // the request has its answer by that time on the clock, if its deadline is not sooner
 }
 
 // Departing is a Client that can report whether it has closed its connection, even if the event loop has not read the close yet.
--- a/internal/frontend/platform/world_test.go
+++ b/internal/frontend/platform/world_test.go
@@ -36,6 +36,7 @@
 	ids       []string
 	deadlines []float64
 	gone      []slots.Ref
+	hastened  []slots.Ref
 	number    uint32
 }
 
@@ -49,6 +50,11 @@
 // Gone implements Desk.
 func (desk *scriptedDesk) Gone(ref slots.Ref) { desk.gone = append(desk.gone, ref) }
 
+// AnswerBy implements Desk.
+func (desk *scriptedDesk) AnswerBy(ref slots.Ref, _ float64) {
+	desk.hastened = append(desk.hastened, ref)
+}
+
 // newWorld runs a frontend with these limits of clients and of memory in bytes.
 func newWorld(t testing.TB, clients, memory int) *world {
 	world := &world{t: t, desk: &scriptedDesk{}}
--- a/internal/frontend/scatter/attempts_test.go
+++ b/internal/frontend/scatter/attempts_test.go
@@ -76,6 +76,9 @@
 
 func (g *stage) Gone(ref slots.Ref) { g.close(g.requests[ref.Index]) }
 
+// AnswerBy is platform.Desk's.
+func (g *stage) AnswerBy(slots.Ref, float64) {}
+
 func (g *stage) close(x *asking) {
 	x.over = true
 	for _, r := range x.open {
