--- a/cmd/beechgrade/descriptors_test.go
+++ b/cmd/beechgrade/descriptors_test.go
@@ -82,7 +82,7 @@
 }
 
 // runDaemon starts the program with a configuration, and with so many descriptors that the system lets it have.
-func runDaemon(t testing.TB, path string, config map[string]any, descriptors int) *daemon {
+func runDaemon(t testing.TB, path string, config map[string]any, descriptors int, flags ...string) *daemon {
 	t.Helper()
 	text, err := json.Marshal(config)
 	if err != nil {
@@ -92,7 +92,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" serve", descriptors), path)
+	cmd := exec.Command("sh", append([]string{"-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\" serve", descriptors), path}, flags...)...)
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
@@ -105,7 +105,8 @@
 	serving := make(chan string, 1)
 	go func() {
 		defer close(d.ended)
-		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+		lines := bufio.NewScanner(stderr)
+		for lines.Scan() {
 			d.keep(lines.Text())
 			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving"); ok {
 				serving <- strings.TrimPrefix(strings.Fields(rest)[1], "listen=")
