--- a/internal/lifecycle/lifecycle_test.go
+++ b/internal/lifecycle/lifecycle_test.go
@@ -45,3 +45,32 @@
 		}
 	})
 }
+
+// TestDrainedProcessNeverWelcomes: a process that was drained, and is told to end before the drain was taken back, or drained while it ends,
+// must not tell clients that they may come.
+func TestDrainedProcessNeverWelcomes(t *testing.T) {
+	for name, events := range map[string][]Event{
+		"end within the drain":               {Began, Drain, Term},
+		"end before a drain that was wished": {Drain, Term},
+		"drain while it ends":                {Began, Term, Drain},
+		"drained anew":                       {Began, Drain, Resume, Drain, Term},
+		"resume while it ends":               {Began, Drain, Term, Resume},
+	} {
+		machine := Machine{}
+		for _, event := range events {
+			machine.Handle(event)
+		}
+		if machine.Welcomes() {
+			t.Errorf("%s: welcomes in state %v", name, machine.State())
+		}
+	}
+	for name, events := range map[string][]Event{"never drained": {Began, Term}, "drain taken back": {Began, Drain, Resume, Term}} {
+		machine := Machine{}
+		for _, event := range events {
+			machine.Handle(event)
+		}
+		if !machine.Welcomes() {
+			t.Errorf("%s: does not welcome", name)
+		}
+	}
+}
