A drained process that is told to end goes on turning clients away

Machine kept only the wish of a drain before the start; a drain was forgotten at SIGTERM, and the empty query was answered well again. The machine now remembers a drain until it is taken back, in every state; a drain while the process ends counts too. TestDrainedProcessNeverWelcomes failed before (5 of 5 orders) and passes; tests of drain, resume, stop and hand-over pass.

--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -31,9 +31,9 @@
 
 // Machine is one pooler's life. Shared says that another process may hold its listening socket too.
 type Machine struct {
-	Shared bool
-	state  State
-	wish   bool // it was drained before it could serve
+	Shared  bool
+	state   State
+	drained bool // the operators have its clients sent away, whatever the state
 }
 
 // State is the present one.
@@ -43,21 +43,23 @@
 func (m *Machine) Handle(e Event) bool {
 	ending := m.state == HandingOver || m.state == Stopping
 	switch {
+	case e == Drain:
+		m.drained = true
+	case e == Resume && !ending:
+		m.drained = false
+	}
+	switch {
 	case e == Term && ending:
 	case e == Term && m.Shared:
 		m.state = HandingOver
 	case e == Term:
 		m.state = Stopping
 	case e == Began && m.state == Starting:
-		if m.state = Ready; m.wish {
+		if m.state = Ready; m.drained {
 			m.state = Draining
 		}
-	case e == Drain && m.state == Starting:
-		m.wish = true
 	case e == Drain && m.state == Ready:
 		m.state = Draining
-	case e == Resume && m.state == Starting:
-		m.wish = false
 	case e == Resume && m.state == Draining:
 		m.state = Ready
 	case e == Resume && ending: // there is no way back
@@ -74,7 +76,7 @@
 
 // Welcomes tells whether whoever asks if clients may come is told yes.
 func (m *Machine) Welcomes() bool {
-	return m.state == Starting && !m.wish || m.state == Ready || m.state == Stopping
+	return !m.drained && (m.state == Starting || m.state == Ready || m.state == Stopping)
 }
 
 // Sheds tells whether clients' connections are to be closed as they fall idle.
