Failing test: a stepped wall clock hides a live process on the same socket

Known red until the repair. Folder.Others compares SavedMs and the file's time with the wall clock: steps of -1 h, -3 s, 3 s and 1 h each hide the process, and 1 h removes its file.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -92,3 +92,22 @@
 		}
 	})
 }
+
+// TestSteppedWallClock: a wall clock that steps between one process's writing and another's reading hides no live process and removes no file
+// of one.
+func TestSteppedWallClock(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		dir := t.TempDir()
+		writer, reader, now := In(dir), In(dir), float64(time.Now().UnixMilli())
+		if err := writer.Write(state(now)); err != nil {
+			t.Fatal(err)
+		}
+		others, err := reader.Others(now+float64(step.Milliseconds()), FreshMs)
+		if err != nil || len(others) != 1 {
+			t.Errorf("step of %v: %d processes are heard, %v", step, len(others), err)
+		}
+		if _, err := os.Stat(filepath.Join(dir, writer.own)); err != nil {
+			t.Errorf("step of %v: %v", step, err)
+		}
+	}
+}
