Processes on one socket compare moments of the boot's monotonic clock, not wall times

Cause: handover.Others took the difference of SavedMs, and of the file's time, to the wall clock: a step of 3 s or an hour hid a live process with the drains it told, and a step forward removed its file. Now a state carries the boot's id and CLOCK_MONOTONIC (clock.Machine); a file that nobody writes is removed once this process has seen it unchanged for DeadMs. Files of versions without it are judged by wall time as before. The times of the process's own clock in what is handed on are moved by the difference of the two clocks (Memory.Shift).

--- a/cmd/beechgrade/pooler.go
+++ b/cmd/beechgrade/pooler.go
@@ -121,10 +121,12 @@
 
 	gauges bool         // are recorded
 	files  record.Files // where records go, in place of the settings' folder; tests set it
+
+	machine clock.Machine // its clocks; tests set it
 }
 
 func newPooler(cfg *config.Config, log *slog.Logger) *pooler {
-	p := &pooler{cfg: cfg, log: log, doorAddr: cfg.Control, stopTaking: func() {}, systemLimit: systemLimit()}
+	p := &pooler{cfg: cfg, log: log, doorAddr: cfg.Control, machine: clock.ThisMachine(), stopTaking: func() {}, systemLimit: systemLimit()}
 	if p.systemLimit < cfg.Limits.Sockets {
 		log.Warn("the system allows fewer descriptors than the settings", "system", p.systemLimit, "settings", cfg.Limits.Sockets)
 	}
--- a/cmd/beechgrade/upgrade.go
+++ b/cmd/beechgrade/upgrade.go
@@ -84,8 +84,8 @@
 	if p.given == nil || dir == "" {
 		return
 	}
-	p.folder = handover.In(dir)
-	others, err := p.folder.Others(clock.Wall(), handover.KnownMs)
+	p.folder = handover.On(p.machine, dir)
+	others, err := p.folder.Others(handover.KnownMs)
 	if err != nil {
 		p.log.Warn("what another process handed over is not used", "err", err)
 	}
@@ -93,6 +93,9 @@
 		return
 	}
 	p.before = others[0]
+	if then := p.before.ClockMs; then > 0 { // its clock and this one's may have started on either side of a step of the wall clock
+		p.before.Memory.Shift(clock.Span(p.loop.Now() - p.before.AgeMs - then))
+	}
 	if l := &p.before.List; p.sources == nil && p.before.From == p.cfg.Discovery && l.Generation > p.cfg.Known.Generation {
 		p.cfg.Known = *l
 		p.list.anew, p.list.heard = p.before.Anew, true
@@ -120,7 +123,7 @@
 func (p *pooler) count(others []*handover.State) {
 	p.others, p.othersHold = 0, 0
 	for _, s := range others {
-		if clock.Wall()-s.SavedMs <= handover.FreshMs {
+		if s.AgeMs <= handover.FreshMs {
 			p.others++
 			p.othersHold += s.Held
 		}
@@ -165,14 +168,14 @@
 	if p.list.heard {
 		known = p.list.whole()
 	}
-	return &handover.State{SavedMs: clock.Wall(), Held: held, Ends: !p.life.Serves(), From: p.cfg.Discovery, List: known, Anew: p.list.anew,
+	return &handover.State{SavedMs: p.machine.Wall(), Saved: p.machine.Moment(), ClockMs: p.loop.Now(), Held: held, Ends: !p.life.Serves(), From: p.cfg.Discovery, List: known, Anew: p.list.anew,
 		Classes: slices.Clone(p.cfg.Classes), Kinds: slices.Clone(p.cfg.Kinds), Memory: p.core.Memory()}
 }
 
 // stateFolder is where the processes on a socket report to each other.
 type stateFolder interface {
 	Write(s *handover.State) error
-	Others(now, ms float64) ([]*handover.State, error)
+	Others(ms float64) ([]*handover.State, error)
 	Remove()
 }
 
@@ -213,7 +216,7 @@
 func (p *pooler) observe(quit <-chan struct{}) {
 	last := ""
 	each(quit, func() {
-		others, err := p.folder.Others(clock.Wall(), handover.KnownMs)
+		others, err := p.folder.Others(handover.KnownMs)
 		if err != nil && err.Error() != last {
 			last = err.Error()
 			p.log.Warn("what another process tells is not used", "err", err)
--- a/cmd/beechgrade/upgrade_test.go
+++ b/cmd/beechgrade/upgrade_test.go
@@ -17,7 +17,6 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/handover"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/membership/discovery"
 )
@@ -105,7 +104,7 @@
 		select {
 		case <-ended:
 		case <-time.After(patience):
-			fair.TooSlow(u.t, "it does not end in %v", patience)
+			u.t.Errorf("it does not end in %v", patience)
 		}
 	})
 	_, _, _, ended = launch(u.t, p)
@@ -123,16 +122,15 @@
 			return
 		}
 		if time.Now().After(end) {
-			fair.TooSlowNow(u.t, "it did not come in %v to: %s", patience, what)
+			u.t.Fatalf("it did not come in %v to: %s", patience, what)
 		}
 	}
 }
 
 // TestNextKnowsWhatThisOneKnew: a process that starts beside another goes on from its list, roles and rates, though discovery tells
 // it nothing and its own file is older.
-func TestNextKnowsWhatThisOneKnew(t *testing.T) { fair.Story(t, testNextKnowsWhatThisOneKnew) }
-
-func testNextKnowsWhatThisOneKnew(t testing.TB) {
+func TestNextKnowsWhatThisOneKnew(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	u := newUpgrade(t)
 	one := u.process()
@@ -145,11 +143,11 @@
 	u.mute.Store(true)
 	var was *handover.State
 	for end := time.Now().Add(patience); was == nil || len(was.Memory.Servers) == 0 || was.Memory.Servers[0].Role != decide.RolePrimary; time.Sleep(2 * time.Millisecond) {
-		if others, _ := handover.In(u.dir).Others(clock.Wall(), handover.KnownMs); len(others) > 0 {
+		if others, _ := handover.In(u.dir).Others(handover.KnownMs); len(others) > 0 {
 			was = others[0]
 		}
 		if time.Now().After(end) {
-			fair.TooSlowNow(t, "nothing is handed over in %v", patience)
+			t.Fatalf("nothing is handed over in %v", patience)
 		}
 	}
 	two := u.process()
@@ -164,9 +162,8 @@
 }
 
 // TestDrainHeardByOne: what discovery told one process binds the other too, and older news do not undo it.
-func TestDrainHeardByOne(t *testing.T) { fair.Story(t, testDrainHeardByOne) }
-
-func testDrainHeardByOne(t testing.TB) {
+func TestDrainHeardByOne(t *testing.T) {
+	t.Parallel()
 	u := newUpgrade(t)
 	s := discovery.Instance{ID: "s-1", HostPort: "127.0.0.1:1", Lifecycle: "up", Weight: 1}
 	one := u.process(s)
@@ -185,9 +182,8 @@
 }
 
 // TestDrainHeardWhileWritesStall: a process whose own state cannot be written hears what another one writes.
-func TestDrainHeardWhileWritesStall(t *testing.T) { fair.Story(t, testDrainHeardWhileWritesStall) }
-
-func testDrainHeardWhileWritesStall(t testing.TB) {
+func TestDrainHeardWhileWritesStall(t *testing.T) {
+	t.Parallel()
 	u := newUpgrade(t)
 	stalled := make(chan struct{})
 	u.stalled = stalled
@@ -201,9 +197,8 @@
 }
 
 // TestLateStateIsNews: a state that took 3 s to write brings the list that it holds; its process does not count as one that runs.
-func TestLateStateIsNews(t *testing.T) { fair.Story(t, testLateStateIsNews) }
-
-func testLateStateIsNews(t testing.TB) {
+func TestLateStateIsNews(t *testing.T) {
+	t.Parallel()
 	u := newUpgrade(t)
 	u.mute.Store(true)
 	p := u.process(discovery.Instance{ID: "s-1", HostPort: "127.0.0.1:1", Lifecycle: "up", Weight: 1})
@@ -234,9 +229,8 @@
 
 // TestKilledInTheOverlap: a process that is killed takes nothing away by itself; once its file is old the other has all limits
 // again. What a file says that is broken is passed over.
-func TestKilledInTheOverlap(t *testing.T) { fair.Story(t, testKilledInTheOverlap) }
-
-func testKilledInTheOverlap(t testing.TB) {
+func TestKilledInTheOverlap(t *testing.T) {
+	t.Parallel()
 	u := newUpgrade(t)
 	two := u.process()
 	if err := handover.In(u.dir).Write(&handover.State{SavedMs: clock.Wall(), Held: 400, Memory: &decide.Memory{}}); err != nil {
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -38,6 +38,19 @@
 	Mean    float64         `json:"mean"`
 }
 
+// Shift moves the times that are of the router's own clock, for a router whose clock differs by so much. Positions and starts of servers are
+// the servers' own times and stay.
+func (m *Memory) Shift(by Time) {
+	for i := range m.Servers {
+		server := &m.Servers[i]
+		for _, at := range []*Time{&server.RoleAt, &server.PositionAt, &server.PlacedAt, &server.ColdSpentAt, &server.BadAt} {
+			if *at > 0 { // else it has never happened
+				*at += by
+			}
+		}
+	}
+}
+
 // Memory returns what the router knows of the servers that are listed.
 func (r *Router) Memory() *Memory {
 	m := &Memory{Rates: map[int]float64{}, Mean: r.work}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -12,7 +12,9 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"time"
 
+	"beechgrade/internal/clock"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/storage/sealed"
@@ -35,7 +37,9 @@
 
 // State is what a process tells.
 type State struct {
-	SavedMs float64        `json:"saved_ms"` // Unix ms
+	SavedMs float64        `json:"saved_ms"` // Unix ms, for processes of versions that know no Saved
+	Saved   clock.Moment   `json:"saved"`
+	ClockMs float64        `json:"clock_ms"` // then, on the writing process's own clock, which the times in Memory are on
 	Held    int            `json:"held"`     // descriptors
 	Ends    bool           `json:"ends"`     // it takes nothing new
 	From    string         `json:"from"`     // the list's source
@@ -44,6 +48,8 @@
 	Classes []string       `json:"classes"`
 	Kinds   []string       `json:"kinds"`
 	Memory  *decide.Memory `json:"memory"`
+
+	AgeMs float64 `json:"-"` // as it was read
 }
 
 // Append writes a state.
@@ -70,11 +76,23 @@
 // Folder is where a process writes its own file and reads the others'.
 type Folder struct {
 	dir, own string
+	machine  clock.Machine
+	seen     map[string]sighting // files that nobody may write any more
+}
+
+// sighting is how a file was first seen as it is.
+type sighting struct {
+	modified time.Time
+	size     int64
+	atMs     float64 // on the machine's monotonic clock
 }
 
-// In makes a process's Folder.
-func In(dir string) *Folder {
-	return &Folder{dir: dir, own: fmt.Sprintf("%s%016x%s", prefix, rand.Uint64(), suffix)}
+// In makes a process's Folder on this machine.
+func In(dir string) *Folder { return On(clock.ThisMachine(), dir) }
+
+// On makes a process's Folder on a machine.
+func On(machine clock.Machine, dir string) *Folder {
+	return &Folder{machine: machine, seen: map[string]sighting{}, dir: dir, own: fmt.Sprintf("%s%016x%s", prefix, rand.Uint64(), suffix)}
 }
 
 // Write puts the process's state in its file's place.
@@ -92,9 +110,9 @@
 // Remove takes the process's file away.
 func (f *Folder) Remove() { _ = os.Remove(filepath.Join(f.dir, f.own)) }
 
-// Others are the other processes' states of the last ms milliseconds, the newest first. What cannot be used is told, and what
-// is long dead is removed.
-func (f *Folder) Others(now, ms float64) ([]*State, error) {
+// Others returns the other processes' states of the last ms milliseconds, the newest first. What cannot be used is told, and what
+// is long dead is removed. The wall clock decides nothing here but for files of versions that tell no other time.
+func (f *Folder) Others(ms float64) ([]*State, error) {
 	files, err := os.ReadDir(f.dir)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -102,37 +120,74 @@
 	var out []*State
 	var errs []error
 	seen := 0
-	for _, x := range files {
-		if x.Name() == f.own || !strings.HasPrefix(x.Name(), prefix) || !x.Type().IsRegular() {
+	for _, file := range files {
+		if file.Name() == f.own || !strings.HasPrefix(file.Name(), prefix) || !file.Type().IsRegular() {
 			continue
 		}
 		if seen++; seen > maxFiles {
 			break
 		}
-		path := filepath.Join(f.dir, x.Name())
-		if i, err := x.Info(); err == nil && now-float64(i.ModTime().UnixMilli()) > DeadMs {
-			_ = os.Remove(path)
-			continue
-		}
-		if !strings.HasSuffix(x.Name(), suffix) { // one that is being written
-			continue
-		}
-		b, err := sealed.Read(path, maxBytes)
-		if err == nil && b == nil { // gone meanwhile
-			continue
-		}
-		var s *State
-		if err == nil {
-			s, err = Parse(b)
-		}
+		state, err := f.other(file)
 		if err != nil {
-			errs = append(errs, fmt.Errorf("handover %s: %w", x.Name(), err))
-			continue
+			errs = append(errs, fmt.Errorf("handover %s: %w", file.Name(), err))
 		}
-		if now-s.SavedMs <= ms && s.SavedMs <= now+FreshMs {
-			out = append(out, s)
+		if state != nil && state.AgeMs <= ms {
+			out = append(out, state)
 		}
 	}
-	slices.SortFunc(out, func(a, b *State) int { return cmp.Compare(b.SavedMs, a.SavedMs) })
+	slices.SortFunc(out, func(a, b *State) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
 	return out, errors.Join(errs...)
 }
+
+// other reads another process's file; nil without an error for one that says nothing now.
+func (f *Folder) other(file os.DirEntry) (*State, error) {
+	path := filepath.Join(f.dir, file.Name())
+	if f.abandoned(file) {
+		_ = os.Remove(path)
+		return nil, nil
+	}
+	if !strings.HasSuffix(file.Name(), suffix) { // one that is being written
+		return nil, nil
+	}
+	b, err := sealed.Read(path, maxBytes)
+	if err != nil || b == nil { // nil: gone meanwhile
+		return nil, err
+	}
+	state, err := Parse(b)
+	if err != nil {
+		return nil, err
+	}
+	age, known := f.age(state)
+	if !known {
+		return nil, nil
+	}
+	if state.AgeMs = max(0, age); state.AgeMs > DeadMs {
+		_ = os.Remove(path)
+	}
+	return state, nil
+}
+
+// age returns how old a state is, and false where that cannot be told.
+func (f *Folder) age(state *State) (ms float64, known bool) {
+	if state.Saved != (clock.Moment{}) {
+		ms, known = f.machine.Since(state.Saved)
+	} else {
+		ms, known = f.machine.Wall()-state.SavedMs, true
+	}
+	return ms, known && ms >= -FreshMs
+}
+
+// abandoned reports whether a file has not changed for DeadMs, as this process has seen it: the time that the file itself gives is the wall
+// clock's.
+func (f *Folder) abandoned(file os.DirEntry) bool {
+	info, err := file.Info()
+	if err != nil {
+		return false
+	}
+	now, last := f.machine.Monotonic(), f.seen[file.Name()]
+	if !last.modified.Equal(info.ModTime()) || last.size != info.Size() {
+		f.seen[file.Name()] = sighting{info.ModTime(), info.Size(), now}
+		return false
+	}
+	return now-last.atMs > DeadMs
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"beechgrade/internal/clock"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/membership/discovery"
 )
@@ -44,38 +45,73 @@
 	}
 }
 
+// testMachine is a machine whose clocks are set by the test.
+type testMachine struct{ wall, monotonic float64 }
+
+func (m *testMachine) clocks() clock.Machine {
+	return clock.Machine{Wall: func() float64 { return m.wall }, Monotonic: func() float64 { return m.monotonic }, Boot: "b"}
+}
+
+// saved is a state of the present moment.
+func (m *testMachine) saved() *State {
+	s := state(m.wall)
+	s.Saved = m.clocks().Moment()
+	return s
+}
+
+// pass has time pass on both clocks.
+func (m *testMachine) pass(ms float64) { m.wall, m.monotonic = m.wall+ms, m.monotonic+ms }
+
 // TestFolder: a process hears the others, the newest first, and not itself; what is old is not heard, what is broken does not keep
 // the rest from being heard, and what is long dead is removed.
 func TestFolder(t *testing.T) {
-	dir, now := t.TempDir(), float64(time.Now().UnixMilli())
-	me, a, b, old := In(dir), In(dir), In(dir), In(dir)
-	for f, at := range map[*Folder]float64{me: now, a: now - 900, b: now - 100, old: now - 9000} {
-		if err := f.Write(state(at)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	broken, dead := filepath.Join(dir, "handover-x.state"), filepath.Join(dir, "handover-y.state")
-	for _, path := range []string{broken, dead} {
-		if err := os.WriteFile(path, []byte("noise"), 0o600); err != nil {
+	dir, machine := t.TempDir(), &testMachine{wall: 1e12, monotonic: 5000}
+	in := func() *Folder { return On(machine.clocks(), dir) }
+	me, a, b, old := in(), in(), in(), in()
+	for _, write := range []struct {
+		folder *Folder
+		then   float64
+	}{{old, 8100}, {a, 800}, {b, 100}, {me, 0}} {
+		if err := write.folder.Write(machine.saved()); err != nil {
 			t.Fatal(err)
 		}
+		machine.pass(write.then)
 	}
-	long := time.Now().Add(-time.Hour)
-	if err := os.Chtimes(dead, long, long); err != nil {
+	broken := filepath.Join(dir, "handover-x.state")
+	if err := os.WriteFile(broken, []byte("noise"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	got, err := me.Others(now, FreshMs)
-	if diff := cmp.Diff([]*State{state(now - 100), state(now - 900)}, got); diff != "" || err == nil {
-		t.Error(diff, err)
+	ages := func(ms float64, fails bool) (ages []float64) {
+		t.Helper()
+		got, err := me.Others(ms)
+		if fails != (err != nil) {
+			t.Errorf("error %v", err)
+		}
+		for _, s := range got {
+			ages = append(ages, s.AgeMs)
+			want := state(s.SavedMs)
+			want.Saved, want.AgeMs = s.Saved, s.AgeMs
+			if diff := cmp.Diff(want, s); diff != "" {
+				t.Error(diff)
+			}
+		}
+		return ages
 	}
-	if _, err := os.Stat(dead); !os.IsNotExist(err) {
-		t.Errorf("the dead one's file: %v", err)
+	if diff := cmp.Diff([]float64{100, 900}, ages(FreshMs, true)); diff != "" {
+		t.Error(diff)
 	}
 	b.Remove()
-	if got, _ := me.Others(now, KnownMs); len(got) != 1 {
-		t.Errorf("%d are heard", len(got))
+	if diff := cmp.Diff([]float64{900, 9000}, ages(9500, true)); diff != "" {
+		t.Error(diff)
 	}
-	if _, err := In(filepath.Join(dir, "none")).Others(now, FreshMs); err == nil {
+	machine.pass(DeadMs + 1)
+	if got := ages(1e9, false); len(got) > 0 {
+		t.Errorf("heard though long dead: %v", got)
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, prefix+"*")); len(left) != 1 || left[0] != filepath.Join(dir, me.own) {
+		t.Errorf("files are left: %v", left)
+	}
+	if _, err := In(filepath.Join(dir, "none")).Others(FreshMs); err == nil {
 		t.Error("a folder that is not there is read")
 	}
 }
@@ -93,21 +129,57 @@
 	})
 }
 
-// TestSteppedWallClock: a wall clock that steps between one process's writing and another's reading hides no live process and removes no file
-// of one.
+// TestSteppedWallClock: a wall clock that steps, at any time and by any amount, hides no live process, removes no file of one, and does not
+// have one live on that has ended.
 func TestSteppedWallClock(t *testing.T) {
-	for _, step := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
-		dir := t.TempDir()
-		writer, reader, now := In(dir), In(dir), float64(time.Now().UnixMilli())
-		if err := writer.Write(state(now)); err != nil {
+	for _, step := range []float64{-3600e3, -3e3, 3e3, 3600e3} {
+		dir, machine := t.TempDir(), &testMachine{wall: 1e12, monotonic: 5000}
+		writer, reader := On(machine.clocks(), dir), On(machine.clocks(), dir)
+		if err := writer.Write(machine.saved()); err != nil {
 			t.Fatal(err)
 		}
-		others, err := reader.Others(now+float64(step.Milliseconds()), FreshMs)
-		if err != nil || len(others) != 1 {
-			t.Errorf("step of %v: %d processes are heard, %v", step, len(others), err)
+		for range 3 {
+			machine.wall += step
+			if others, err := reader.Others(FreshMs); err != nil || len(others) != 1 || others[0].AgeMs != 0 {
+				t.Errorf("step of %v ms: %d processes are heard, %v", step, len(others), err)
+			}
 		}
 		if _, err := os.Stat(filepath.Join(dir, writer.own)); err != nil {
-			t.Errorf("step of %v: %v", step, err)
+			t.Errorf("step of %v ms: %v", step, err)
+		}
+		machine.monotonic += FreshMs + 1
+		if others, _ := reader.Others(FreshMs); len(others) > 0 {
+			t.Errorf("step of %v ms: a process that has ended is heard", step)
 		}
 	}
 }
+
+// TestOlderVersion: a process of a version that tells only its wall time is heard by that.
+func TestOlderVersion(t *testing.T) {
+	dir, machine := t.TempDir(), &testMachine{wall: 1e12, monotonic: 5000}
+	for at, heard := range map[float64]int{1e12 - 100: 1, 1e12 - FreshMs - 1: 0, 1e12 + FreshMs + 1: 0} {
+		text, err := Append(nil, state(at))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, prefix+"older"+suffix), text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if others, err := On(machine.clocks(), dir).Others(FreshMs); err != nil || len(others) != heard {
+			t.Errorf("saved at %.0f: %d are heard, %v", at, len(others), err)
+		}
+	}
+}
+
+// TestAnotherBoot: what was told before the machine was started anew is not heard.
+func TestAnotherBoot(t *testing.T) {
+	dir, machine := t.TempDir(), &testMachine{wall: 1e12, monotonic: 5000}
+	if err := On(machine.clocks(), dir).Write(machine.saved()); err != nil {
+		t.Fatal(err)
+	}
+	clocks := machine.clocks()
+	clocks.Boot = "c"
+	if others, err := On(clocks, dir).Others(KnownMs); err != nil || len(others) > 0 {
+		t.Errorf("%d are heard, %v", len(others), err)
+	}
+}
