--- a/cmd/beechgrade/undelivered_test.go
+++ b/cmd/beechgrade/undelivered_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -64,7 +67,11 @@
 			c := client(t, pooler)
 			c.send(pgwire.AppendQuery(nil, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('k', '%s') RETURNING content /* id=1,c=write,d=%d,cluster=0 */", long(story.size), story.wait)))
 			<-began
-			until(t, p, "it waits in the socket", func() bool { return p.core.Figures().Tries == 1 || story.size > 1<<14 })
+			whole := uint64(1) // of 15 KB the last byte has left the pooler; of 120 KB only a part has, which the server does not take
+			if story.size > 1<<14 {
+				whole = 0
+			}
+			until(t, p, "it waits in the socket", func() bool { return unsentTo(t, l.Addr()) > 0 && p.core.Figures().Tries == whole })
 			story.end(c)
 			until(t, p, "its request has ended", func() bool { return p.core.Open() == 0 })
 			time.Sleep(lateBy)
@@ -76,6 +83,29 @@
 	}
 }
 
+// unsentTo returns how many bytes wait in the sockets of this process's connections to an address, as its machine reports them.
+func unsentTo(t testing.TB, addr net.Addr) (bytes int64) {
+	t.Helper()
+	table, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	remote := fmt.Sprintf("0100007F:%04X", addr.(*net.TCPAddr).Port)
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line) // number, local, remote, state, send and receive queue
+		if len(fields) < 5 || fields[2] != remote {
+			continue
+		}
+		queue, _, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseInt(queue, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bytes += n
+	}
+	return bytes
+}
+
 // narrow has a listener's connections take little that is not read.
 func narrow(t testing.TB, l net.Listener) {
 	t.Helper()
