--- a/cmd/beechgrade-kit/agreed_test.go
+++ b/cmd/beechgrade-kit/agreed_test.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -116,7 +115,7 @@
 	found := len(a.Found)
 	a.End(ends, 3*time.Second)
 	for _, f := range a.Found[found:] {
-		fair.TooSlow(t, "%s, 3 s after others took these", f)
+		t.Errorf("%s, 3 s after others took these", f)
 	}
 	t.Logf("%d entries taken, %d terms with a leader, %.1f s at most in which nobody took any", a.Most, a.Leads, a.Gap.Seconds())
 	if t.Failed() {
@@ -135,49 +134,45 @@
 
 // TestFleetAgreedKilled: each of three voters is killed in turn, so the one that leads too; then all at once. Nothing that anybody
 // took is lost, and another leads within the bound and what a busy machine adds.
-func TestFleetAgreedKilled(t *testing.T) { fair.Story(t, testFleetAgreedKilled) }
-
-func testFleetAgreedKilled(t testing.TB) {
+func TestFleetAgreedKilled(t *testing.T) {
+	t.Parallel()
 	a, _ := agreedPlay(t, 3, `(seconds 19) (at 3s (kill-pooler 0) (for 2s)) (at 7s (kill-pooler 1) (for 2s)) (at 11s (kill-pooler 2) (for 2s))
 		(at 14s (kill-pooler 0) (for 300ms)) (at 14s (kill-pooler 1) (for 300ms)) (at 14s (kill-pooler 2) (for 300ms))`, nil)
 	if a.Leads < 2 {
 		t.Errorf("%d terms", a.Leads)
 	}
 	if a.Most < 1000 || a.Gap > 8*time.Second {
-		fair.TooSlow(t, "%d entries, a gap of %v", a.Most, a.Gap)
+		t.Errorf("%d entries, a gap of %v", a.Most, a.Gap)
 	}
 }
 
 // TestFleetAgreedStopped: each voter stands still for 5 s and wakes, the leader of old among them.
-func TestFleetAgreedStopped(t *testing.T) { fair.Story(t, testFleetAgreedStopped) }
-
-func testFleetAgreedStopped(t testing.TB) {
+func TestFleetAgreedStopped(t *testing.T) {
+	t.Parallel()
 	a, _ := agreedPlay(t, 3, `(seconds 22) (at 2s (stall-pooler 0) (for 5s)) (at 8500ms (stall-pooler 1) (for 5s)) (at 15s (stall-pooler 2) (for 5s))`, nil)
 	if a.Leads < 2 {
 		t.Errorf("%d terms", a.Leads)
 	}
 	if a.Most < 1000 || a.Gap > 5*time.Second {
-		fair.TooSlow(t, "%d entries, a gap of %v", a.Most, a.Gap)
+		t.Errorf("%d entries, a gap of %v", a.Most, a.Gap)
 	}
 }
 
 // TestFleetAgreedParted: of five voters two are cut off from three, then others, with proposals on both sides; then three of ten datagrams
 // are lost, others doubled and overtaken.
-func TestFleetAgreedParted(t *testing.T) { fair.Story(t, testFleetAgreedParted) }
-
-func testFleetAgreedParted(t testing.TB) {
+func TestFleetAgreedParted(t *testing.T) {
+	t.Parallel()
 	a, _ := agreedPlay(t, 5, `(seconds 22) (at 2s (between (0 1) (2 3 4) cut) (for 5s)) (at 8s (between (2 3) (0 1 4 5) cut) (for 4s))
 		(at 12500ms (between all all (lose 0.3) (duplicate 0.2) (reorder 0.3)) (for 5s))`, nil)
 	if a.Most < 1500 || a.Gap > 9*time.Second {
-		fair.TooSlow(t, "%d entries, a gap of %v", a.Most, a.Gap)
+		t.Errorf("%d entries, a gap of %v", a.Most, a.Gap)
 	}
 }
 
 // TestFleetAgreedDisks: all three are killed; one comes back without its disk, one with a torn tail. The one without has no vote until
 // the others have agreed to its new disk; later another's disk is rotten: it votes no more, serves on, and the others go on without it.
-func TestFleetAgreedDisks(t *testing.T) { fair.Story(t, testFleetAgreedDisks) }
-
-func testFleetAgreedDisks(t testing.TB) {
+func TestFleetAgreedDisks(t *testing.T) {
+	t.Parallel()
 	kills := map[string]int{}
 	a, lines := agreedPlay(t, 3, `(seconds 18) (at 3s (kill-pooler 0) (for 500ms)) (at 3s (kill-pooler 1) (for 500ms)) (at 3s (kill-pooler 2) (for 500ms)) (at 11s (kill-pooler 0) (for 500ms))`,
 		func(disk, pooler string) {
@@ -225,11 +220,10 @@
 }
 
 // TestFleetAgreedRolled: three voters are restarted one after the other under load.
-func TestFleetAgreedRolled(t *testing.T) { fair.Story(t, testFleetAgreedRolled) }
-
-func testFleetAgreedRolled(t testing.TB) {
+func TestFleetAgreedRolled(t *testing.T) {
+	t.Parallel()
 	a, _ := agreedPlay(t, 3, `(seconds 20) (at 2s (restart-pooler 0)) (at 7s (restart-pooler 1)) (at 12s (restart-pooler 2))`, nil)
 	if a.Most < 1500 || a.Gap > 3*time.Second {
-		fair.TooSlow(t, "%d entries, a gap of %v", a.Most, a.Gap)
+		t.Errorf("%d entries, a gap of %v", a.Most, a.Gap)
 	}
 }
--- a/cmd/beechgrade-kit/alone_test.go
+++ b/cmd/beechgrade-kit/alone_test.go
@@ -17,7 +17,6 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fair"
 	stands "beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/membership/discovery"
@@ -101,7 +100,7 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
-	fair.TooSlowNow(a.t, "it does not serve in 20 s: %s", a.log())
+	a.t.Fatalf("it does not serve in 20 s: %s", a.log())
 	return nil
 }
 
@@ -127,7 +126,7 @@
 	a.t.Helper()
 	for until := time.Now().Add(10 * time.Second); !strings.Contains(a.log(), what); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(until) {
-			fair.TooSlowNow(a.t, "%q is not in the log in 10 s:\n%s", what, a.log())
+			a.t.Fatalf("%q is not in the log in 10 s:\n%s", what, a.log())
 		}
 	}
 }
--- a/cmd/beechgrade-kit/breached_test.go
+++ b/cmd/beechgrade-kit/breached_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/score"
 )
@@ -27,7 +26,7 @@
 		}
 	}
 	for _, b := range res.Rules.Breaches {
-		fair.TooSlow(t, "%s: at %.1f s: %s\n%+v", b.Rule, (b.At-res.FromMs)/1000, b.Text, b.Proof)
+		t.Errorf("%s: at %.1f s: %s\n%+v", b.Rule, (b.At-res.FromMs)/1000, b.Text, b.Proof)
 		return
 	}
 }
@@ -46,7 +45,7 @@
 		}
 	}
 	for _, b := range saw {
-		fair.TooSlow(t, "the clients saw %+v", b)
+		t.Errorf("the clients saw %+v", b)
 		return
 	}
 }
--- a/cmd/beechgrade-kit/credit_test.go
+++ b/cmd/beechgrade-kit/credit_test.go
@@ -14,7 +14,6 @@
 
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -149,9 +148,8 @@
 
 // TestFleetCreditLeader: each voter is killed in turn, so the one that leads too, at whatever step of a loan it is, while a tenant's funds run
 // out; then one pooler that does not vote reads of a payment, twice.
-func TestFleetCreditLeader(t *testing.T) { fair.Story(t, testFleetCreditLeader) }
-
-func testFleetCreditLeader(t testing.TB) {
+func TestFleetCreditLeader(t *testing.T) {
+	t.Parallel()
 	const paidAt = 14000
 	c, res := creditPlay{voters: 3, funds: 4000, script: `(seconds 20) (at 2s (kill-pooler 0) (for 1s)) (at 4500ms (kill-pooler 1) (for 1s)) (at 7s (kill-pooler 2) (for 1s)) (at 8s (kill-pooler 6) (for 1s))`,
 		pays: []creditPay{{paidAt, 2, 1000, []int{7}}, {paidAt + 500, 2, 1000, []int{7, 3}}, {paidAt + 1000, 2, 1000, []int{0, 1, 2, 4, 5, 6}}}}.play(t)
@@ -162,7 +160,7 @@
 	if opened := next - res.FromMs - paidAt; next == 0 {
 		t.Error("the payment never opened")
 	} else if opened > 2500 {
-		fair.TooSlow(t, "the payment opened after %.0f ms", opened)
+		t.Errorf("the payment opened after %.0f ms", opened)
 	} else {
 		t.Logf("the payment opened after %.0f ms", opened)
 	}
@@ -170,9 +168,8 @@
 
 // TestFleetCreditParted: of five voters two are cut off from three, with demand on both sides and funds that run out meanwhile; then a payment is
 // read on the side that has no majority, and opens once the ways are well.
-func TestFleetCreditParted(t *testing.T) { fair.Story(t, testFleetCreditParted) }
-
-func testFleetCreditParted(t testing.TB) {
+func TestFleetCreditParted(t *testing.T) {
+	t.Parallel()
 	c, res := creditPlay{voters: 5, funds: 3500, script: `(seconds 24) (at 4s (between (0 1 5) (2 3 4 6 7) cut) (for 9s)) (at 15s (between all all (lose 0.2) (duplicate 0.2) (reorder 0.2)) (for 5s))`,
 		pays: []creditPay{{11000, 2, 1500, []int{5}}}}.play(t)
 	if used, _ := c.Served("a", res.FromMs+22000); used < 4000 {
@@ -181,9 +178,8 @@
 }
 
 // TestFleetCreditStopped: poolers stand still past their accounts' ends, and wake; what they held is spent by nobody twice.
-func TestFleetCreditStopped(t *testing.T) { fair.Story(t, testFleetCreditStopped) }
-
-func testFleetCreditStopped(t testing.TB) {
+func TestFleetCreditStopped(t *testing.T) {
+	t.Parallel()
 	c, res := creditPlay{voters: 3, funds: 4500, script: `(seconds 22) (at 3s (stall-pooler 5) (for 6s)) (at 4s (stall-pooler 0) (for 6s)) (at 11s (stall-pooler 1) (for 5s)) (at 11s (stall-pooler 6) (for 5s))`}.play(t)
 	if used, _ := c.Served("a", res.ToMs); used < 4000 {
 		t.Errorf("%d of 4500 were used", used)
@@ -192,9 +188,8 @@
 
 // TestFleetCreditDisks: all are killed and come back on their disks, one of them without, one with a torn end; what was paid and spent is known
 // as before.
-func TestFleetCreditDisks(t *testing.T) { fair.Story(t, testFleetCreditDisks) }
-
-func testFleetCreditDisks(t testing.TB) {
+func TestFleetCreditDisks(t *testing.T) {
+	t.Parallel()
 	var kills string
 	for i := range 8 {
 		kills += fmt.Sprintf(" (at 6s (kill-pooler %d) (for 500ms))", i)
@@ -214,9 +209,8 @@
 }
 
 // TestFleetCreditTen: funds for ten requests, eight processes that want them.
-func TestFleetCreditTen(t *testing.T) { fair.Story(t, testFleetCreditTen) }
-
-func testFleetCreditTen(t testing.TB) {
+func TestFleetCreditTen(t *testing.T) {
+	t.Parallel()
 	c, res := creditPlay{voters: 3, funds: 10 * creditPrice, script: `(seconds 8)`}.play(t)
 	if used, _ := c.Served("a", res.ToMs); used != 10*creditPrice {
 		t.Errorf("%d of %d were used", used, 10*creditPrice)
@@ -225,9 +219,8 @@
 
 // TestFleetCreditRestarted: voters restart in order one at a time, under load, while prices are halved midway at all poolers: each request costs
 // what it was let in by.
-func TestFleetCreditRestarted(t *testing.T) { fair.Story(t, testFleetCreditRestarted) }
-
-func testFleetCreditRestarted(t testing.TB) {
+func TestFleetCreditRestarted(t *testing.T) {
+	t.Parallel()
 	const funds, cheaper = 6000, 9000
 	c, res := creditPlay{voters: 3, funds: funds, cheaper: cheaper,
 		script: `(seconds 20) (at 3s (restart-pooler 0)) (at 7s (restart-pooler 1)) (at 11s (restart-pooler 2)) (at 14s (restart-pooler 5))`}.play(t)
--- a/cmd/beechgrade-kit/fleet_test.go
+++ b/cmd/beechgrade-kit/fleet_test.go
@@ -6,7 +6,6 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -57,9 +56,8 @@
 
 // TestFleetKilled: half of 8 processes are killed at once and return with an empty memory; the others call them failed within the
 // bound, and take their successors for them.
-func TestFleetKilled(t *testing.T) { fair.Story(t, testFleetKilled) }
-
-func testFleetKilled(t testing.TB) {
+func TestFleetKilled(t *testing.T) {
+	t.Parallel()
 	res := fleet(t, `(seconds 14) (at 2s (kill-pooler 1) (for 5s)) (at 2s (kill-pooler 4) (for 5s)) (at 2s (kill-pooler 6) (for 5s)) (at 2s (kill-pooler 7) (for 5s))`,
 		check.ViewComplete, check.ViewNoReturn)
 	if n := len(res.Fleet.Views.Detected); n < 16 {
@@ -69,9 +67,8 @@
 
 // TestFleetParted: a partition five to three heals, and both sides find each other without a seed: 0 and 1, the seeds, are on one
 // side.
-func TestFleetParted(t *testing.T) { fair.Story(t, testFleetParted) }
-
-func testFleetParted(t testing.TB) {
+func TestFleetParted(t *testing.T) {
+	t.Parallel()
 	res := fleet(t, `(seconds 21) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 8s))`, check.ViewComplete, check.ViewSettled)
 	if res.Fleet.Lost == 0 {
 		t.Error("nothing was lost")
@@ -80,16 +77,14 @@
 
 // TestFleetUnheard: what one says is lost while it hears all, two never hear each other, and one stands still for 5 s; nobody who can
 // be reached is called failed for good. That who stood still accuses nobody is held in virtual time, where who says it first is seen.
-func TestFleetUnheard(t *testing.T) { fair.Story(t, testFleetUnheard) }
-
-func testFleetUnheard(t testing.TB) {
+func TestFleetUnheard(t *testing.T) {
+	t.Parallel()
 	fleet(t, `(seconds 25) (at 2s (links 2 all cut) (for 4s)) (at 2s (between 0 3 cut) (for 10s)) (at 9s (stall-pooler 5) (for 5s))`, check.ViewSettled)
 }
 
 // TestFleetUnderLoss: with three datagrams of ten lost, doubled and overtaken ones, nobody who runs is called failed for long.
-func TestFleetUnderLoss(t *testing.T) { fair.Story(t, testFleetUnderLoss) }
-
-func testFleetUnderLoss(t testing.TB) {
+func TestFleetUnderLoss(t *testing.T) {
+	t.Parallel()
 	res := fleet(t, `(seconds 14) (at 2s (between all all (lose 0.3) (duplicate 0.2) (reorder 0.3)) (for 8s)) (at 4s (restart-pooler 3))`)
 	if res.Fleet.Lost < 100 {
 		t.Errorf("%d datagrams lost", res.Fleet.Lost)
@@ -98,9 +93,8 @@
 
 // TestFleetRestarted: all 8 are killed a quarter at a time and come back empty within the time of a suspicion, the seeds first; two
 // links flap meanwhile. In the end each is known by its new process, and no old one comes back.
-func TestFleetRestarted(t *testing.T) { fair.Story(t, testFleetRestarted) }
-
-func testFleetRestarted(t testing.TB) {
+func TestFleetRestarted(t *testing.T) {
+	t.Parallel()
 	fleet(t, `(seconds 24) (at 2s (between 2 5 cut) (for 200ms) (every 400ms)) (at 2s (between 1 6 cut) (for 300ms) (every 700ms))
 		(at 3s (kill-pooler 0) (for 200ms)) (at 3s (kill-pooler 1) (for 200ms)) (at 5s (kill-pooler 2) (for 200ms)) (at 5s (kill-pooler 3) (for 200ms))
 		(at 7s (kill-pooler 4) (for 200ms)) (at 7s (kill-pooler 5) (for 200ms)) (at 9s (kill-pooler 6) (for 200ms)) (at 9s (kill-pooler 7) (for 200ms))`, check.ViewNoReturn)
@@ -108,16 +102,14 @@
 
 // TestFleetOneLeft: the seeds are gone, then all but one; they come back while the seeds stay away, and are found by the one that was
 // left.
-func TestFleetOneLeft(t *testing.T) { fair.Story(t, testFleetOneLeft) }
-
-func testFleetOneLeft(t testing.TB) {
+func TestFleetOneLeft(t *testing.T) {
+	t.Parallel()
 	fleet(t, `(seconds 26) (at 2s (kill-pooler 0)) (at 2s (kill-pooler 1)) (at 5s (kill-pooler 2) (for 4s)) (at 5s (kill-pooler 3) (for 4s))
 		(at 5s (kill-pooler 4) (for 4s)) (at 5s (kill-pooler 5) (for 4s)) (at 5s (kill-pooler 6) (for 4s))`, check.ViewComplete, check.ViewSettled)
 }
 
 // TestFleetThreeWays: the fleet falls into three parts, each of which calls the others failed, and is one again after the heal.
-func TestFleetThreeWays(t *testing.T) { fair.Story(t, testFleetThreeWays) }
-
-func testFleetThreeWays(t testing.TB) {
+func TestFleetThreeWays(t *testing.T) {
+	t.Parallel()
 	fleet(t, `(seconds 22) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 8s)) (at 3s (between (0 1) (2 3 4) cut) (for 7s))`, check.ViewComplete, check.ViewSettled)
 }
--- a/cmd/beechgrade-kit/kept_test.go
+++ b/cmd/beechgrade-kit/kept_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/world"
 )
 
@@ -18,9 +17,8 @@
 // TestKeptStart: a daemon is killed, discovery is gone and its configuration's file cut short: it serves by what was kept. A server
 // that has been drained meanwhile is not asked any more once discovery is back. Where what was kept is torn, rotten, foreign or too old, one
 // line says so, and the start is one without it.
-func TestKeptStart(t *testing.T) { fair.Story(t, testKeptStart) }
-
-func testKeptStart(t testing.TB) {
+func TestKeptStart(t *testing.T) {
+	t.Parallel()
 	a := newAlone(t, keptScript)
 	dir := a.file("kept")
 	set := fmt.Sprintf("(kept (dir %q) (age 1h))", dir)
@@ -53,7 +51,7 @@
 			break
 		}
 		if time.Now().After(until) {
-			fair.TooSlowNow(t, "the list was not kept in 10 s: %s", a.log())
+			t.Fatalf("the list was not kept in 10 s: %s", a.log())
 		}
 	}
 	a.kill()
--- a/cmd/beechgrade-kit/kit_test.go
+++ b/cmd/beechgrade-kit/kit_test.go
@@ -18,7 +18,6 @@
 
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/report"
@@ -83,9 +82,8 @@
 // TestPrimariesDie is the incident that the operators fear: the primaries of all groups die together while the list
 // lags, and come back cold. The view must show each group's takeover as it truly was, the cold returns, and figures
 // that equal the clients' own to the last request.
-func TestPrimariesDie(t *testing.T) { fair.Story(t, testPrimariesDie) }
-
-func testPrimariesDie(t testing.TB) {
+func TestPrimariesDie(t *testing.T) {
+	t.Parallel()
 	m, v, res, dir := rehearsal(t, `(rehearsal "die" (seconds 9) (poolers 2) `+quick+` (at 1s (list-late 1s) (for 6s)) (at 2s (die primaries) (for 3s)))`)
 	if m.Tries < 400 || m.Equal != m.Tries {
 		t.Errorf("%d of %d tries are told alike", m.Equal, m.Tries)
@@ -150,9 +148,8 @@
 
 // TestPoolerKilled kills a pooler in the midst of a takeover and starts it again. Its records end abruptly; what the
 // clients saw and the records do not say must be exactly what the records themselves call unknown or missing.
-func TestPoolerKilled(t *testing.T) { fair.Story(t, testPoolerKilled) }
-
-func testPoolerKilled(t testing.TB) {
+func TestPoolerKilled(t *testing.T) {
+	t.Parallel()
 	m, v, res, _ := rehearsal(t, `(rehearsal "killed" (seconds 8) (poolers 2) `+quick+` (at 2s (die primaries) (for 3s)) (at 2500ms (kill-pooler 0) (for 1s)))`)
 	if m.Equal+m.Unknown+m.Dark+m.Untaken != m.Tries || m.Equal < m.Tries/2 {
 		t.Errorf("%+v", m)
@@ -219,9 +216,8 @@
 
 // TestColumnStore: a rehearsal of the ClickHouse front on sockets breaks no rule, puts those that it can to the test, and its
 // records and clients tell every try alike.
-func TestColumnStore(t *testing.T) { fair.Story(t, testColumnStore) }
-
-func testColumnStore(t testing.TB) {
+func TestColumnStore(t *testing.T) {
+	t.Parallel()
 	_, v, res, _ := rehearsal(t, `(rehearsal "house" (clickhouse) (seconds 5) (poolers 2) (groups 4) (rate 60) (cold 1s) (class "painel" (aim 3s) (deadline 4s) (bound 4s) (work 2ms 4ms))
 		(class "relatorio-mes" (aim 3s) (deadline 4s) (work 2ms 4ms)) (class "carga" (aim 3s) (deadline 4s) (work 2ms 4ms))
 		(at 1s (hang member 0 0) (for 1s)) (at 2s (drain member 0 1) (for 1500ms)) (at 2500ms (die member 0 2) (for 1s)))`)
@@ -241,9 +237,8 @@
 
 // TestJournalKilled: a pooler is killed under load again and again: each write that ran has an answer that its client heard, or
 // is in the journal; none is there twice; the journal lists what was called off and broken off too.
-func TestJournalKilled(t *testing.T) { fair.Story(t, testJournalKilled) }
-
-func testJournalKilled(t testing.TB) {
+func TestJournalKilled(t *testing.T) {
+	t.Parallel()
 	dir, out := t.TempDir(), t.TempDir()
 	s, err := scenario.Parse("script", []byte(fmt.Sprintf(`(rehearsal "killed" (seconds %g) (poolers 1) `+strings.Replace(quick, "(rate 60)", "(rate 150)", 1)+` (class "registrar-ponto" (share 0.8)) (at 500ms (kill-pooler 0) (for 60ms) (every 450ms)))`, 0.6+0.45*float64(*kills))))
 	if err != nil {
@@ -334,9 +329,8 @@
 
 // TestConsulLies: real daemons take their list from stand-ins for Consul that say it wrongly in every way, while a primary dies
 // and another hangs. No rule is broken by what crossed the wires, and the records tell what was said and judged.
-func TestConsulLies(t *testing.T) { fair.Story(t, testConsulLies) }
-
-func testConsulLies(t testing.TB) {
+func TestConsulLies(t *testing.T) {
+	t.Parallel()
 	_, _, res, dir := rehearsal(t, `(rehearsal "lies" (seconds 8) (poolers 2) (consul 2) `+quick+`
 		(at 1s (deregister-all) (for 1s)) (at 1500ms (die primary 0) (for 2s)) (at 2500ms (wrong-roles) (for 2s))
 		(at 3s (hang primary 1) (for 2s)) (at 3500ms (reissue member 0 1)) (at 4s (fail-check everyone) (for 1s)) (at 5s (agent 1 cut) (for 1s)) (at 5s (agent 0 frozen) (for 2s))
@@ -345,7 +339,7 @@
 		t.Errorf("broken by what crossed the wires: %v", res.Rules.Broken)
 	}
 	if res.Score.Ratio < 0.3 {
-		fair.TooSlow(t, "service %v", res.Score.Ratio)
+		t.Errorf("service %v", res.Score.Ratio)
 	}
 	var out bytes.Buffer
 	cmd := command()
--- a/cmd/beechgrade-kit/month_test.go
+++ b/cmd/beechgrade-kit/month_test.go
@@ -9,16 +9,14 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
 
 // TestFleetMonthEnd: the month-end with eight processes and a relay between each two of them: overload from clients that try again, a partition,
 // a tenant whose funds run out and who pays, reports paged at all of them in turn, two killed. Servers and clients count.
-func TestFleetMonthEnd(t *testing.T) { fair.Story(t, testFleetMonthEnd) }
-
-func testFleetMonthEnd(t testing.TB) {
+func TestFleetMonthEnd(t *testing.T) {
+	t.Parallel()
 	s, err := scenario.Load("../../example/rehearsals/month-end-fleet.sexp")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/beechgrade-kit/overload_test.go
+++ b/cmd/beechgrade-kit/overload_test.go
@@ -14,7 +14,6 @@
 
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -84,33 +83,30 @@
 
 // TestFleetOverloadHalved: all servers do half as much for 5 s under clients that try again; service is back to 0.95 of before within 4 s
 // of the fault's end.
-func TestFleetOverloadHalved(t *testing.T) { fair.Story(t, testFleetOverloadHalved) }
-
-func testFleetOverloadHalved(t testing.TB) {
+func TestFleetOverloadHalved(t *testing.T) {
+	t.Parallel()
 	res := overload(t, 250, `(seconds 18) (back-in 4s) (at 5s (crowd everyone 0.5) (for 5s))`, rehearse.Options{})
 	if res.Score.Total.Ratio < 0.7 {
-		fair.TooSlow(t, "%.3f of the worth was earned", res.Score.Total.Ratio)
+		t.Errorf("%.3f of the worth was earned", res.Score.Total.Ratio)
 	}
 	tested(t, res, check.ServiceBack, check.ProbesShared)
 }
 
 // TestFleetOverloadParted: a partition five to three under much load, a pooler that stands still for 5 s, two that restart with nothing, and
 // words that are lost, doubled and overtaken; no rule is broken.
-func TestFleetOverloadParted(t *testing.T) { fair.Story(t, testFleetOverloadParted) }
-
-func testFleetOverloadParted(t testing.TB) {
+func TestFleetOverloadParted(t *testing.T) {
+	t.Parallel()
 	res := overload(t, 500, `(seconds 22) (at 3s (between (5 6 7) (0 1 2 3 4) cut) (for 5s)) (at 4s (stall-pooler 2) (for 5s)) (at 10s (kill-pooler 1) (for 300ms)) (at 10s (kill-pooler 4) (for 300ms))
 		(at 12s (between all all (lose 0.2) (duplicate 0.2) (reorder 0.2) (slow 100ms)) (for 4s))`, rehearse.Options{})
 	if res.Score.Total.Ratio < 0.3 {
-		fair.TooSlow(t, "%.3f of the worth was earned", res.Score.Total.Ratio)
+		t.Errorf("%.3f of the worth was earned", res.Score.Total.Ratio)
 	}
 }
 
 // TestFleetOverloadSkewed: one pooler gets half of all clients, one lies that nobody asks it for anything, what two say comes 3 s late, doubled
 // and overtaken, and one tenant storms. The other tenant keeps its share, and a client is served much the same wherever it asks.
-func TestFleetOverloadSkewed(t *testing.T) { fair.Story(t, testFleetOverloadSkewed) }
-
-func testFleetOverloadSkewed(t testing.TB) {
+func TestFleetOverloadSkewed(t *testing.T) {
+	t.Parallel()
 	out := t.TempDir()
 	res := overload(t, 500, `(seconds 16) (skew 0.45) (allowance 300) (tenant "quiet" (share 0.5) (usage 0.8)) (tenant "storm" (share 0.5) (usage 4))
 		(at 7s (links (3 4) all (slow 3s) (duplicate 0.3) (reorder 0.3)) (for 4s))`, lies(t, rehearse.Options{Out: out}, 6, "none"))
@@ -131,9 +127,8 @@
 
 // TestFleetOverloadOneHot: a group of ten can do a tenth, one pooler lies that it is asked a thousand times what it is, and the prober of a server of
 // another group is cut off from it, which all others reach. Nine groups are left alone, and the server goes on serving.
-func TestFleetOverloadOneHot(t *testing.T) { fair.Story(t, testFleetOverloadOneHot) }
-
-func testFleetOverloadOneHot(t testing.TB) {
+func TestFleetOverloadOneHot(t *testing.T) {
+	t.Parallel()
 	var mu sync.Mutex
 	var came []float64
 	res := overload(t, 200, `(seconds 16) (groups 1 2 2 2 2 2 2 2 2 2) (at 4s (crowd primary 0 0.1) (for 11s)) (at 8s (cut prober replica 3) (for 6s))`,
--- a/cmd/beechgrade-kit/repeats_test.go
+++ b/cmd/beechgrade-kit/repeats_test.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"testing"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 	"beechgrade/internal/peers/overload/account"
@@ -13,9 +12,8 @@
 
 // TestFleetRepeats: among eight processes, a group's replica returns, servers of another lose half of what they are sent, and the ways between
 // three poolers and five are cut in the midst of it; without the bound servers take 99 a second time. What servers take a second time stays within the formula, counted at them.
-func TestFleetRepeats(t *testing.T) { fair.Story(t, testFleetRepeats) }
-
-func testFleetRepeats(t testing.TB) {
+func TestFleetRepeats(t *testing.T) {
+	t.Parallel()
 	s, err := scenario.Parse("script", []byte(`(rehearsal "repeats" `+fleetQuick+` (seconds 14) (retries 0)
 		(at 2s (lose replica 0 0.6) (for 8s)) (at 3s (die replica 1) (for 2s)) (at 4s (between (5 6 7) (0 1 2 3 4) cut) (for 5s)))`))
 	if err != nil {
@@ -40,6 +38,6 @@
 		t.Error("nothing was ever repeated")
 	}
 	if res.Score.Total.Ratio < 0.8 {
-		fair.TooSlow(t, "service %v", res.Score.Total.Ratio)
+		t.Errorf("service %v", res.Score.Total.Ratio)
 	}
 }
--- a/cmd/beechgrade-kit/scatter_test.go
+++ b/cmd/beechgrade-kit/scatter_test.go
@@ -17,7 +17,6 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"beechgrade/internal/kit/fair"
 	stand "beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/standin/sorted"
@@ -137,9 +136,8 @@
 
 // TestScatterFleetKilled: pages alternate between three processes, of which two cannot hear each other; one is killed between pages, and one within a
 // page. Whoever is left goes on with the cursor, and the pages are the sorted list.
-func TestScatterFleetKilled(t *testing.T) { fair.Story(t, testScatterFleetKilled) }
-
-func testScatterFleetKilled(t testing.TB) {
+func TestScatterFleetKilled(t *testing.T) {
+	t.Parallel()
 	r := startReports(t, "(whole)", "", nil)
 	r.fill(100, 9)
 	r.Part(0, 1, true)
@@ -186,9 +184,8 @@
 
 // TestScatterFleetTakeover: rows are written and deleted while pages are read; replicas are behind; a primary is killed in the midst of a page. Rows that are there
 // throughout come exactly once, none twice, and no page is read at a position before that of the page before.
-func TestScatterFleetTakeover(t *testing.T) { fair.Story(t, testScatterFleetTakeover) }
-
-func testScatterFleetTakeover(t testing.TB) {
+func TestScatterFleetTakeover(t *testing.T) {
+	t.Parallel()
 	r := startReports(t, "(whole) (silent 400ms) (again 8)", "", nil)
 	r.fill(120, 9)
 	for g := range 3 {
@@ -289,9 +286,8 @@
 }
 
 // TestScatterFleetEqual: 10,000 rows with one key, over all shards, in pages of 7, ten at a process and then ten at the next.
-func TestScatterFleetEqual(t *testing.T) { fair.Story(t, testScatterFleetEqual) }
-
-func testScatterFleetEqual(t testing.TB) {
+func TestScatterFleetEqual(t *testing.T) {
+	t.Parallel()
 	r := startReports(t, "(whole)", "", nil)
 	r.fill(3334, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
@@ -321,9 +317,8 @@
 }
 
 // TestScatterFleetShards: a shard goes, and comes again, between pages: a process with another list refuses the cursor, one with the same list goes on.
-func TestScatterFleetShards(t *testing.T) { fair.Story(t, testScatterFleetShards) }
-
-func testScatterFleetShards(t testing.TB) {
+func TestScatterFleetShards(t *testing.T) {
+	t.Parallel()
 	r := startReports(t, "(whole)", "", nil)
 	r.fill(30, 3)
 	first, cursor, err := r.page(1, 20, "")
@@ -356,9 +351,8 @@
 
 // TestScatterFleetKeys: three processes of which each two neighbours are one key apart. A cursor is taken one key on, and refused two keys on or by who has
 // not heard of its key yet; no flipped bit of any byte is taken.
-func TestScatterFleetKeys(t *testing.T) { fair.Story(t, testScatterFleetKeys) }
-
-func testScatterFleetKeys(t testing.TB) {
+func TestScatterFleetKeys(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	r := startReports(t, "", "", func(i int, pooled string) string {
 		file := filepath.Join(dir, fmt.Sprint("key", i))
@@ -413,9 +407,8 @@
 }
 
 // TestScatterFleetLimit: the fleet asks so many shards at once at most, as the servers count, and a page is refused as a whole beyond that.
-func TestScatterFleetLimit(t *testing.T) { fair.Story(t, testScatterFleetLimit) }
-
-func testScatterFleetLimit(t testing.TB) {
+func TestScatterFleetLimit(t *testing.T) {
+	t.Parallel()
 	const most = 9
 	r := startReports(t, "", "", func(_ int, pooled string) string {
 		return reportSettings(pooled, "", reportShards, "(whole)") + fmt.Sprintf(`(fleet-limits (lease 2s) (promise 2s) (renew 400ms) (soon 100ms) (limit "shards" (of shards) (at-once %d) (reserve 0)))`, most)
--- a/cmd/beechgrade-kit/sessions_test.go
+++ b/cmd/beechgrade-kit/sessions_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/world"
 )
 
@@ -19,13 +18,12 @@
 func TestSessionsKilled(t *testing.T) {
 	for _, mode := range []string{"before", "alongside"} {
 		t.Run(mode, func(t *testing.T) {
-			fair.Story(t, func(t testing.TB) {
-				stale, checked, writes := sessionsKilled(t, func(a *alone) string { return fmt.Sprintf("(sessions (dir %q) (mode %s))", a.file("sessions"), mode) })
-				t.Logf("%d writes, %d reads, %d of them stale", writes, checked, stale)
-				if stale > 0 || checked < 60 || writes < 100 {
-					t.Errorf("%d reads of %d were stale; %d writes", stale, checked, writes)
-				}
-			})
+			t.Parallel()
+			stale, checked, writes := sessionsKilled(t, func(a *alone) string { return fmt.Sprintf("(sessions (dir %q) (mode %s))", a.file("sessions"), mode) })
+			t.Logf("%d writes, %d reads, %d of them stale", writes, checked, stale)
+			if stale > 0 || checked < 60 || writes < 100 {
+				t.Errorf("%d reads of %d were stale; %d writes", stale, checked, writes)
+			}
 		})
 	}
 }
--- a/cmd/beechgrade-kit/sessions_upgrade_test.go
+++ b/cmd/beechgrade-kit/sessions_upgrade_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/world"
 )
 
@@ -57,7 +56,7 @@
 		default:
 		}
 		if time.Now().After(until) {
-			fair.TooSlowNow(a.t, "process %d does not serve in 20 s:\n%s", no, p.said())
+			a.t.Fatalf("process %d does not serve in 20 s:\n%s", no, p.said())
 		}
 	}
 	return p
@@ -179,7 +178,7 @@
 				t.Errorf("process %d: %v\n%s", n, err, now.said())
 			}
 		case <-time.After(20 * time.Second):
-			fair.TooSlowNow(t, "it does not end in 20 s: %s", now.said())
+			t.Fatalf("it does not end in 20 s: %s", now.said())
 		}
 		now = next
 	}
--- a/cmd/beechgrade-kit/standing_test.go
+++ b/cmd/beechgrade-kit/standing_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 )
 
@@ -12,9 +11,8 @@
 
 // TestFleetSilentList: all watches fall silent, and discovery hangs for 2 s; servers begin to drain in the silence. 6 s after it began
 // no process sends them anything new, though none has been told by the watch that it had.
-func TestFleetSilentList(t *testing.T) { fair.Story(t, testFleetSilentList) }
-
-func testFleetSilentList(t testing.TB) {
+func TestFleetSilentList(t *testing.T) {
+	t.Parallel()
 	res := fleetAt(t, 150, fleetQuick+` (seconds 18) (at 4s (list-silent) (for 2s)) (at 4500ms (drain replica 0) (for 10s)) (at 5s (drain primary 1) (for 10s)) (at 7s (stall-pooler 3) (for 2s))`, check.DrainsKept, check.NotStale)
 	told := 0
 	for _, f := range res.Facts {
@@ -30,9 +28,8 @@
 // TestFleetRestartsUnderClients: all 8 are restarted in order, a quarter at a time, while clients send on every connection that stays
 // open and open new ones. Each request that a process has taken has its answer. A close may cross one that it has not read, which goes to
 // another process then; by the poolers' records all that have no answer are such, and they are fewer than one in 200.
-func TestFleetRestartsUnderClients(t *testing.T) { fair.Story(t, testFleetRestartsUnderClients) }
-
-func testFleetRestartsUnderClients(t testing.TB) {
+func TestFleetRestartsUnderClients(t *testing.T) {
+	t.Parallel()
 	out, res := fleetIn(t, 300, fleetQuick+` (retries 0) (roams 1) (class "conferir-ponto" (deadline 1s)) (seconds 22)
 		(at 2s (restart-pooler 0)) (at 2s (restart-pooler 1)) (at 6s (restart-pooler 2)) (at 6s (restart-pooler 3))
 		(at 10s (restart-pooler 4)) (at 10s (restart-pooler 5)) (at 14s (restart-pooler 6)) (at 14s (restart-pooler 7))`)
@@ -52,9 +49,8 @@
 
 // TestFleetRelease: a release: six of 8 processes are killed at once and come back empty, and with them all servers die and return cold. Each
 // process knows only how many there are; together they push no server over.
-func TestFleetRelease(t *testing.T) { fair.Story(t, testFleetRelease) }
-
-func testFleetRelease(t testing.TB) {
+func TestFleetRelease(t *testing.T) {
+	t.Parallel()
 	res := fleetAt(t, 200, fleetQuick+` (retries 2) (falls 2) (falls-in 1s) (cold-by 0.15) (seconds 16) (at 5s (die everyone) (for 1s))
 		(at 5s (kill-pooler 0) (for 1200ms)) (at 5s (kill-pooler 1) (for 1200ms)) (at 5s (kill-pooler 2) (for 1200ms))
 		(at 5s (kill-pooler 3) (for 1200ms)) (at 5s (kill-pooler 4) (for 1200ms)) (at 5s (kill-pooler 5) (for 1200ms))`, check.ColdSpared)
--- a/cmd/beechgrade-kit/verdicts_test.go
+++ b/cmd/beechgrade-kit/verdicts_test.go
@@ -10,7 +10,6 @@
 	"testing"
 
 	"beechgrade/internal/kit/check"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -102,9 +101,8 @@
 
 // TestFleetVerdictsDeaf: a server hears no requests while probes pass, another is cut off from one zone only, one pooler's own links lose most, and
 // at last all replicas of a group are deaf.
-func TestFleetVerdictsDeaf(t *testing.T) { fair.Story(t, testFleetVerdictsDeaf) }
-
-func testFleetVerdictsDeaf(t testing.TB) {
+func TestFleetVerdictsDeaf(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	res, came := verdicts(t, "(verdicts (turn 30s))", `(seconds 17) (at 4s (deaf member 0 1) (for 5s)) (at 4s (cut a member 1 1) (for 5s)) (at 4s (thin 7 everyone 0.8) (for 5s))
 		(at 11s (deaf member 0 1) (for 4s)) (at 11s (deaf member 0 2) (for 4s)) (at 11s (deaf member 0 3) (for 4s))`, rehearse.Options{Out: dir})
@@ -178,9 +176,8 @@
 // TestFleetVerdictsTakeover: the fleet falls apart while a server is cut off from one side; one process stands still for 5 s; a server is another process at
 // once. A primary dies and the list tells one of eight of the takeover, the others nothing. A server is deaf, and all are killed but one. No rule is broken;
 // each of these is over within its bound.
-func TestFleetVerdictsTakeover(t *testing.T) { fair.Story(t, testFleetVerdictsTakeover) }
-
-func testFleetVerdictsTakeover(t testing.TB) {
+func TestFleetVerdictsTakeover(t *testing.T) {
+	t.Parallel()
 	_, came := verdicts(t, "(verdicts (testers 1) (turn 30s))", `(seconds 19) (at 2s (between (5 6 7) (0 1 2 3 4) cut) (for 4s)) (at 2s (cut (5 6 7) member 1 2) (for 5s)) (at 2s (stall-pooler 4) (for 5s))
 		(at 3s (restart member 1 1)) (at 8s (list-held (1 2 3 4 5 6 7)) (for 5s)) (at 8200ms (die primary 0)) (at 12s (deaf member 1 3) (for 7s))
 		(at 14s (kill-pooler 0) (for 200ms)) (at 14s (kill-pooler 1) (for 200ms)) (at 14s (kill-pooler 2) (for 200ms)) (at 14s (kill-pooler 4) (for 200ms))
@@ -224,12 +221,11 @@
 
 // TestFleetVerdictsLiar: one of eight processes says of all servers that they are silent, lead and are 5 s further than they are, while one is deaf: the
 // others avoid that one and no other, and no rule is broken. Seven of the eight collect, so it does in most runs.
-func TestFleetVerdictsLiar(t *testing.T) { fair.Story(t, testFleetVerdictsLiar) }
-
-func testFleetVerdictsLiar(t testing.TB) {
+func TestFleetVerdictsLiar(t *testing.T) {
+	t.Parallel()
 	res, came := verdicts(t, "(verdicts (testers 1) (collectors 7) (turn 30s))", `(seconds 9) (at 4s (deaf member 0 1) (for 5s))`, lies(t, rehearse.Options{}, 3, "servers"))
 	if got := res.Score.Total.Ratio; got < 0.9 { // 0.78 where one word is enough
-		fair.TooSlow(t, "service %.3f", got)
+		t.Errorf("service %.3f", got)
 	}
 	others := func(p int) bool { return p != 3 }
 	for s := range 8 {
--- a/cmd/beechgrade-kit/zones_hard_test.go
+++ b/cmd/beechgrade-kit/zones_hard_test.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"testing"
-
-	"beechgrade/internal/kit/fair"
 )
 
 // The times of TestFleetZonesOrdered, in ms.
@@ -24,9 +22,8 @@
 // TestFleetZonesOrdered: zone c's servers die; while the fleet leaves it, operators evacuate b with the kit's command. Then all poolers are killed at once
 // and come back: on the plan that was in force, with b left. The way from b to a flaps. Operators take b back, and in the midst of its way back
 // load doubles. No plan sends more than is safe to a zone that receives, nearly all reads stay near in calm, and b is back whole in the end.
-func TestFleetZonesOrdered(t *testing.T) { fair.Story(t, testFleetZonesOrdered) }
-
-func testFleetZonesOrdered(t testing.TB) {
+func TestFleetZonesOrdered(t *testing.T) {
+	t.Parallel()
 	var said [3]string
 	var errs [3]error
 	z := playZones(t, 3, fmt.Sprintf(`(rate 45) (seconds %g) (at %dms (die site "c") (for %dms)) %s (at %dms (cut b site "a") (for 1200ms)) (at %dms (cut b site "a") (for 1200ms))
@@ -156,9 +153,8 @@
 // TestFleetZonesSplit: zone c's servers die; while the fleet leaves it, the voter that leads of five stands still for 5 s. Another goes on: when the zone fails
 // to which c's reads go, they leave that too. The leader of old wakes, and no plan of its is followed. Then the voters split 2-2-1: nobody makes a plan,
 // all fall back in time, and once the ways are well all have the same plan, by which all zones are in use again.
-func TestFleetZonesSplit(t *testing.T) { fair.Story(t, testFleetZonesSplit) }
-
-func testFleetZonesSplit(t testing.TB) {
+func TestFleetZonesSplit(t *testing.T) {
+	t.Parallel()
 	stalled := -1
 	z := playZones(t, 5, fmt.Sprintf(`(rate 45) (seconds %g) (at %dms (die site "c") (for %dms)) (at %dms (stall-pooler 0) (for 5s)) (at %dms (die site "a") (for %dms))
 		(at %dms (between (0 1) (2 3 4 5 6 7) cut) (for %dms)) (at %dms (between (2 3 5) (4 6 7) cut) (for %dms))`, splitEnd/1000., splitDies, splitWell-splitDies, splitStall, splitNext, splitWell-splitNext,
--- a/cmd/beechgrade-kit/zones_test.go
+++ b/cmd/beechgrade-kit/zones_test.go
@@ -18,7 +18,6 @@
 
 	"beechgrade/internal/kit/check"
 	"beechgrade/internal/kit/clients"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/rehearse"
 	"beechgrade/internal/kit/scenario"
 )
@@ -178,16 +177,15 @@
 	half, most := waits[len(waits)/2], waits[len(waits)*9/10]
 	t.Logf("in the zone that was cut off %d of %d reads that may be old were served; %d others were given up after %.0f ms, %.0f for nine in ten: %v", served, reads, len(waits), half, most, kinds)
 	if most > soonMs {
-		fair.TooSlow(t, "nine in ten were given up after up to %.0f ms", most)
+		t.Errorf("nine in ten were given up after up to %.0f ms", most)
 	}
 }
 
 // TestFleetZones: a zone's servers lose their power; while it is left the voter that leads is killed, and starts again on its disk; then zone c's poolers
 // are cut off from the others, and from their servers. Doors and logs show one plan for each number and none older after a newer, over the restart too; the zone is left and taken
 // back; who is cut off falls back in time, nobody else does; in the end all have the same plan.
-func TestFleetZones(t *testing.T) { fair.Story(t, testFleetZones) }
-
-func testFleetZones(t testing.TB) {
+func TestFleetZones(t *testing.T) {
+	t.Parallel()
 	s, err := scenario.Parse("script", []byte(fmt.Sprintf(`(rehearsal "zones" (rate 150) (sites "a" "b" "c") (near yes) %s (retries 2) (seconds %d) (at %dms (die site "c") (for %dms))
 		(at %dms (kill-pooler 0) (for 700ms)) (at %dms (between (2 5) (0 1 3 4 6 7) cut) (for %dms)) (at %dms (cut (2 5) site "a") (for %dms)) (at %dms (cut (2 5) site "b") (for %dms)))`,
 		strings.NewReplacer("(rate 60)", "", "(aim 3s)", "(aim 400ms)").Replace(fleetQuick), zonesEnd/1000, zoneDies, zoneBack-zoneDies, chiefDies, zoneParts, zoneOnes-zoneParts, zoneParts, zoneOnes-zoneParts, zoneParts, zoneOnes-zoneParts)))
@@ -270,6 +268,6 @@
 	t.Logf("killed %d; %d lines of plans that ask for something else; %d asked, of the worth %.3f; %d failed; %d numbers in common at the end", killed, follows, all.Asked, all.Ratio, all.Failed, same)
 	zoneInside(t, triesIn(t, dir), from+zoneParts, from+zoneOnes)
 	if all.Ratio < 0.85 { // what only a primary elsewhere can do is lost to the clients of the zone that is cut off
-		fair.TooSlow(t, "of the worth asked %.3f was served", all.Ratio)
+		t.Errorf("of the worth asked %.3f was served", all.Ratio)
 	}
 }
--- a/cmd/beechgrade/clickhouse_ends_test.go
+++ b/cmd/beechgrade/clickhouse_ends_test.go
@@ -18,7 +18,6 @@
 	"golang.org/x/sys/unix"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/standin/house"
 )
 
@@ -126,9 +125,8 @@
 
 // TestHouseCopies: reads that one server keeps are copied to the other, and both answer at the same moment: the client has one
 // answer, whole, of one of them.
-func TestHouseCopies(t *testing.T) { fair.Story(t, testHouseCopies) }
-
-func testHouseCopies(t testing.TB) {
+func TestHouseCopies(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 2, "", func(c *config.Config) { c.Settings.MayProbe = true })
 	for i := range 20 { // so that it is known how long one takes
 		if s, _, _, err := w.query("GET", "SELECT 1", "", id(fmt.Sprint("w", i))); s != 200 || err != nil {
--- a/cmd/beechgrade/clickhouse_hard_test.go
+++ b/cmd/beechgrade/clickhouse_hard_test.go
@@ -19,7 +19,6 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/standin/house"
 )
 
@@ -32,9 +31,8 @@
 
 // TestHouseSessions: a session stays with one server, whatever connection it comes by; one query at a time; where its server
 // drains or dies it is lost, which is said once, and begins anew; nothing of one user is another's.
-func TestHouseSessions(t *testing.T) { fair.Story(t, testHouseSessions) }
-
-func testHouseSessions(t testing.TB) {
+func TestHouseSessions(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 3, "")
 	ask := func(sql, session string, more ...string) string {
 		v := url.Values{"session_id": {session}}
@@ -148,9 +146,8 @@
 
 // TestHouseProgress: fields of progress reach the client while its query runs, however many there are; the answer has begun
 // with the first, so that the deadline holds no more.
-func TestHouseProgress(t *testing.T) { fair.Story(t, testHouseProgress) }
-
-func testHouseProgress(t testing.TB) {
+func TestHouseProgress(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "(deadline 300ms) (aim 300ms)")
 	c, err := net.Dial("tcp", w.addr)
 	if err != nil {
@@ -188,9 +185,8 @@
 
 // TestHouseBounds: reads with a bound go only to servers whose data is known to be so new, whether the module asks for that
 // ahead or the front does before each; where none is, they are refused; writes and reads without one go anywhere.
-func TestHouseBounds(t *testing.T) { fair.Story(t, testHouseBounds) }
-
-func testHouseBounds(t testing.TB) {
+func TestHouseBounds(t *testing.T) {
+	t.Parallel()
 	for _, behind := range []decide.Behind{decide.BehindAnswers, decide.BehindRefuses} {
 		w := housesAs(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(s []*house.Server) { s[1].Lag(60); s[2].Lag(-1) }, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
 		ask := func(path, sql, id string) int {
@@ -258,9 +254,8 @@
 
 // TestHouseSmuggling: what two readers could read as two messages is refused, and its connection closed; none of it reaches a
 // server, nor what stands behind it.
-func TestHouseSmuggling(t *testing.T) { fair.Story(t, testHouseSmuggling) }
-
-func testHouseSmuggling(t testing.TB) {
+func TestHouseSmuggling(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "")
 	const host = " HTTP/1.1\r\nHost: h\r\n"
 	behind := "GET /?query=SELECT+2 HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -324,9 +319,8 @@
 
 // TestHouseSlow: clients that send a byte now and then, and one that reads nothing, are ended in their time; others are served
 // meanwhile, and what is held stays bounded.
-func TestHouseSlow(t *testing.T) { fair.Story(t, testHouseSlow) }
-
-func testHouseSlow(t testing.TB) {
+func TestHouseSlow(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "(head 400ms) (stall 400ms)", func(c *config.Config) { c.Limits.MemoryMB = 32 })
 	var open []net.Conn
 	for i := range 150 {
--- a/cmd/beechgrade/clickhouse_storm_test.go
+++ b/cmd/beechgrade/clickhouse_storm_test.go
@@ -22,7 +22,6 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/kit/check/queries"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/kit/standin/house"
 	"beechgrade/internal/operate"
@@ -97,9 +96,8 @@
 
 // TestHouseStorm: 10,000 queries of all kinds, from a seed, through servers that are full, silent, dead and back, behind, and
 // drained: each has exactly one end, counted on both sides, and no rule is broken.
-func TestHouseStorm(t *testing.T) { fair.Story(t, testHouseStorm) }
-
-func testHouseStorm(t testing.TB) {
+func TestHouseStorm(t *testing.T) {
+	t.Parallel()
 	const asks, workers, slices = 10000, 24, 25
 	w := housesAs(t, 4, `(deadline 600ms) (aim 300ms) (hold 4k) (class "mes" (path "/mes") (bound 8s) (aim 500ms) (deadline 1500ms))`, func(s []*house.Server) { s[2].Lag(30); s[3].Lag(12) },
 		func(c *config.Config) { c.Settings.MayProbe = true })
@@ -251,9 +249,8 @@
 
 // TestHouseJournal: writes go out once their entries are durable, and those of which nothing was heard are listed by their
 // query_id; a pooler that starts on that journal answers such an id as failed, and sends nothing.
-func TestHouseJournal(t *testing.T) { fair.Story(t, testHouseJournal) }
-
-func testHouseJournal(t testing.TB) {
+func TestHouseJournal(t *testing.T) {
+	t.Parallel()
 	d := faulty.New()
 	start := func() (*houseWorld, func()) {
 		var end func()
--- a/cmd/beechgrade/clickhouse_test.go
+++ b/cmd/beechgrade/clickhouse_test.go
@@ -24,7 +24,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/standin/house"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/operate"
@@ -165,9 +164,8 @@
 func id(s string) url.Values { return url.Values{"query_id": {s}} }
 
 // TestHouseServes: queries in each form that the interface has, and answers and exceptions as the server gave them.
-func TestHouseServes(t *testing.T) { fair.Story(t, testHouseServes) }
-
-func testHouseServes(t testing.TB) {
+func TestHouseServes(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "")
 	for _, c := range []struct{ method, sql, body, status string }{
 		{"GET", "SELECT 1", "", "200  1\n"},
@@ -196,9 +194,8 @@
 
 // TestHousePipelined: requests sent at once are answered in their order, chunked bodies are passed on, and what is not HTTP as
 // it should be ends the connection with its reason.
-func TestHousePipelined(t *testing.T) { fair.Story(t, testHousePipelined) }
-
-func testHousePipelined(t testing.TB) {
+func TestHousePipelined(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 2, "(most-body 64k)")
 	c, err := net.Dial("tcp", w.addr)
 	if err != nil {
@@ -236,9 +233,8 @@
 }
 
 // TestHouseStreams: a result far beyond what the pooler may hold passes whole, to a client that reads slowly too.
-func TestHouseStreams(t *testing.T) { fair.Story(t, testHouseStreams) }
-
-func testHouseStreams(t testing.TB) {
+func TestHouseStreams(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "", func(c *config.Config) { c.Limits.MemoryMB = 16 })
 	res, err := w.client.Get("http://" + w.addr + "/?" + url.Values{"query": {"SELECT /* ROWS 50000 */"}}.Encode())
 	if err != nil {
@@ -265,9 +261,8 @@
 }
 
 // TestHouseCancel: a client that goes ends its query, before its answer has begun and in the midst of it.
-func TestHouseCancel(t *testing.T) { fair.Story(t, testHouseCancel) }
-
-func testHouseCancel(t testing.TB) {
+func TestHouseCancel(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "")
 	for i, sql := range []string{"SELECT /* HANG */", "INSERT /* HANG */", "SELECT /* SLOW 100000 */"} {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -300,16 +295,15 @@
 	w.t.Helper()
 	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
-			fair.TooSlowNow(w.t, "not so in %v: %s", patience, what)
+			w.t.Fatalf("not so in %v: %s", patience, what)
 		}
 	}
 }
 
 // TestHouseKill: where the settings have it, a query whose client has gone, or whose time is over, is killed by its id, given or
 // made, as the user that asked; nothing is killed that has ended, and nothing is sent to a server whose drain's grace is over.
-func TestHouseKill(t *testing.T) { fair.Story(t, testHouseKill) }
-
-func testHouseKill(t testing.TB) {
+func TestHouseKill(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "(kill)")
 	kills := func() (out []string) {
 		for _, r := range w.runs("") {
@@ -376,9 +370,8 @@
 
 // TestHouseAgain: what reads is tried elsewhere where a server is full, dead or drops it; what may write never runs twice; an
 // answer that broke off in its midst is not made whole by another.
-func TestHouseAgain(t *testing.T) { fair.Story(t, testHouseAgain) }
-
-func testHouseAgain(t testing.TB) {
+func TestHouseAgain(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 3, "")
 	w.servers[0].Full(true)
 	for i := range 12 {
@@ -408,9 +401,8 @@
 }
 
 // TestHouseTime: the sooner of the class's deadline and the query's own limit ends it, with its own code, and at the server too.
-func TestHouseTime(t *testing.T) { fair.Story(t, testHouseTime) }
-
-func testHouseTime(t testing.TB) {
+func TestHouseTime(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, `(deadline-header "X-Wait")`)
 	req, _ := http.NewRequest(http.MethodPost, "http://"+w.addr+"/?query=INSERT+/*+HANG+*/&query_id=h", nil)
 	req.Header.Set("X-Wait", "300")
@@ -429,9 +421,8 @@
 
 // TestHouseClasses: queries are of classes by user, database, path or header, the first that matches, and have their deadlines; the
 // server is asked at its own path.
-func TestHouseClasses(t *testing.T) { fair.Story(t, testHouseClasses) }
-
-func testHouseClasses(t testing.TB) {
+func TestHouseClasses(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, `(class "fast" (path "/fast") (aim 100ms) (deadline 300ms)) (class "mes" (database "mes") (header "X-Report" "mes") (aim 100ms) (deadline 400ms))`)
 	ask := func(path string, header http.Header, v url.Values) (int, time.Duration) {
 		v.Set("query", "INSERT /* HANG */")
@@ -451,12 +442,12 @@
 	if s, took := ask("/fast", http.Header{}, url.Values{}); s != 504 {
 		t.Errorf("by path: %d after %v", s, took)
 	} else if took > 10*time.Second {
-		fair.TooSlow(t, "by path: after %v", took)
+		t.Errorf("by path: after %v", took)
 	}
 	if s, took := ask("/", http.Header{"X-Report": {"mes"}, "X-Clickhouse-Database": {"mes"}}, url.Values{}); s != 504 {
 		t.Errorf("by database and header: %d after %v", s, took)
 	} else if took > 10*time.Second {
-		fair.TooSlow(t, "by database and header: after %v", took)
+		t.Errorf("by database and header: after %v", took)
 	}
 	if s, took := ask("/", http.Header{"X-Report": {"mes"}}, url.Values{"database": {"dia"}, "max_execution_time": {"2"}}); s != 504 || took < 1500*time.Millisecond {
 		t.Errorf("of no class of its own: %d after %v", s, took)
@@ -468,9 +459,8 @@
 
 // TestHouseDrain: while queries come without a pause, nothing new goes to a server once the pooler has heard that it drains, and
 // what runs there ends in its time. Every query has its one answer.
-func TestHouseDrain(t *testing.T) { fair.Story(t, testHouseDrain) }
-
-func testHouseDrain(t testing.TB) {
+func TestHouseDrain(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 2, "")
 	var wg sync.WaitGroup
 	stop := make(chan struct{})
@@ -513,7 +503,7 @@
 	wg.Wait()
 	for _, r := range w.servers[0].Runs() {
 		if r.At.After(heard.Add(250 * time.Millisecond)) {
-			fair.TooSlow(t, "sent %v after it was told to drain: %s", r.At.Sub(heard), r.Text)
+			t.Errorf("sent %v after it was told to drain: %s", r.At.Sub(heard), r.Text)
 		}
 	}
 	if len(bad) > 0 {
@@ -523,9 +513,8 @@
 
 // TestHouseOneAnswer: whatever befalls the servers, each query has exactly one answer or a broken connection, no write runs twice,
 // and each answer is one that a server gave for that query.
-func TestHouseOneAnswer(t *testing.T) { fair.Story(t, testHouseOneAnswer) }
-
-func testHouseOneAnswer(t testing.TB) {
+func TestHouseOneAnswer(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 3, "")
 	rng := rand.New(rand.NewPCG(7, 7))
 	texts := []string{"SELECT 1", "INSERT INTO t VALUES (1)", "SELECT /* SLOW 3 */", "INSERT /* DROP */", "SELECT /* FAIL 60 */", "INSERT /* FAIL 241 */", "SELECT /* ROWS 50 */", "INSERT /* BROKEN */"}
@@ -571,9 +560,8 @@
 
 // TestHouseUsers: a user's queries beyond its limits wait or are turned away at once; another's are served meanwhile; a place is
 // free again once its query has ended, also where its client has gone.
-func TestHouseUsers(t *testing.T) { fair.Story(t, testHouseUsers) }
-
-func testHouseUsers(t testing.TB) {
+func TestHouseUsers(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, `(user "escritorio" (queries 2) (queue 1) (wait 15s)) (user "lento" (queries 1) (queue 1) (wait 50ms)) (user "raro" (rate 0.001) (burst 2))`)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/cmd/beechgrade/clickhouse_uploads_test.go
+++ b/cmd/beechgrade/clickhouse_uploads_test.go
@@ -15,7 +15,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 )
 
 // raw puts a raw request, and reads its answer up to the connection's end.
@@ -73,9 +72,8 @@
 
 // TestHouseUploads: a body far beyond the memory passes whole, by length and in chunks, to a server that reads slowly too, and
 // with a bound on what is held; one that is longer than any may be is refused, before its end or once that shows.
-func TestHouseUploads(t *testing.T) { fair.Story(t, testHouseUploads) }
-
-func testHouseUploads(t testing.TB) {
+func TestHouseUploads(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 2, "(hold 64k) (most-body 40m)", func(c *config.Config) { c.Limits.MemoryMB = 16 })
 	w.servers[0].SlowRead(time.Millisecond)
 	w.servers[1].SlowRead(time.Millisecond)
@@ -124,9 +122,8 @@
 
 // TestHouseUploadBreaks: a body that breaks off is broken off at its server too, and never made whole by another; where the
 // server breaks, the client is told once, and nothing is sent again; one whose rest does not come is answered.
-func TestHouseUploadBreaks(t *testing.T) { fair.Story(t, testHouseUploadBreaks) }
-
-func testHouseUploadBreaks(t testing.TB) {
+func TestHouseUploadBreaks(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 1, "(hold 16k) (head 300ms)")
 	if s, _, err := w.upload("c", &filler{left: 4 << 20, sum: xxhash.New(), then: errors.New("it is broken")}, 8<<20); err == nil {
 		t.Errorf("%d", s)
@@ -174,9 +171,8 @@
 }
 
 // TestHouseEarly: a server that answers before it has read a body gives the one answer, and the connection ends behind it.
-func TestHouseEarly(t *testing.T) { fair.Story(t, testHouseEarly) }
-
-func testHouseEarly(t testing.TB) {
+func TestHouseEarly(t *testing.T) {
+	t.Parallel()
 	w := houses(t, 2, "(hold 16k)")
 	for i := range 4 {
 		req, _ := http.NewRequest(http.MethodPost, "http://"+w.addr+"/?"+url.Values{"query": {"INSERT /* EARLY 241 */"}, "query_id": {fmt.Sprint("e", i)}}.Encode(), &filler{left: 1 << 20, sum: xxhash.New()})
--- a/cmd/beechgrade/credit_test.go
+++ b/cmd/beechgrade/credit_test.go
@@ -12,7 +12,6 @@
 	"github.com/google/go-cmp/cmp"
 	jsoniter "github.com/json-iterator/go"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/peers/credit/ledger"
 	"beechgrade/internal/peers/credit/purse"
@@ -39,23 +38,21 @@
 }
 
 // TestNeverBegan: a pooler that could not begin, as its address is taken, ends all the same.
-func TestNeverBegan(t *testing.T) { fair.Story(t, testNeverBegan) }
-
-func testNeverBegan(t testing.TB) {
+func TestNeverBegan(t *testing.T) {
+	t.Parallel()
 	_, stop := creditOf(t, t.TempDir())
 	done := make(chan struct{})
 	go func() { stop(); close(done) }()
 	select {
 	case <-done:
 	case <-time.After(10 * time.Second):
-		fair.TooSlowNow(t, "it hangs: not done in 10 s")
+		t.Fatalf("it hangs: not done in 10 s")
 	}
 }
 
 // TestMarksKept: marks are written whole; those of a process that is there are left alone, of one that is gone they are found once.
-func TestMarksKept(t *testing.T) { fair.Story(t, testMarksKept) }
-
-func testMarksKept(t testing.TB) {
+func TestMarksKept(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	one, stop := creditOf(t, dir)
 	x := one.credit
--- a/cmd/beechgrade/descriptors_test.go
+++ b/cmd/beechgrade/descriptors_test.go
@@ -83,6 +83,12 @@
 
 // runDaemon starts the program with a configuration, and with so many descriptors that the system lets it have.
 func runDaemon(t testing.TB, path string, config map[string]any, descriptors int, flags ...string) *daemon {
+	t.Helper()
+	return runDaemonUnder(t, "", path, config, descriptors, flags...)
+}
+
+// runDaemonUnder is runDaemon under another program, such as a tracer, which must leave the process its number.
+func runDaemonUnder(t testing.TB, program, path string, config map[string]any, descriptors int, flags ...string) *daemon {
 	t.Helper()
 	text, err := json.Marshal(config)
 	if err != nil {
@@ -92,7 +98,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("sh", append([]string{"-c", fmt.Sprintf("ulimit -n %d && exec \"$0\" \"$@\" serve", descriptors), path}, flags...)...)
+	cmd := exec.Command("sh", append([]string{"-c", fmt.Sprintf("ulimit -n %d && exec %s \"$0\" \"$@\" serve", descriptors, program), path}, flags...)...)
 	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
--- a/cmd/beechgrade/figures_test.go
+++ b/cmd/beechgrade/figures_test.go
@@ -14,7 +14,6 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/membership/discovery"
 )
 
@@ -59,9 +58,8 @@
 }
 
 // TestFigures: they are true after every kind of end.
-func TestFigures(t *testing.T) { fair.Story(t, testFigures) }
-
-func testFigures(t testing.TB) {
+func TestFigures(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	const listed = "known_database_servers"
@@ -109,9 +107,8 @@
 }
 
 // TestFiguresOfCopies: a read that many later ones overtook is copied; both attempts count, and the request once.
-func TestFiguresOfCopies(t *testing.T) { fair.Story(t, testFiguresOfCopies) }
-
-func testFiguresOfCopies(t testing.TB) {
+func TestFiguresOfCopies(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	slow, c := client(t, pooler), client(t, pooler)
@@ -137,9 +134,8 @@
 
 // TestFiguresOfTheUnreached: a connection that never comes up is no attempt that was written. A server that drains is listed and
 // avoided.
-func TestFiguresOfTheUnreached(t *testing.T) { fair.Story(t, testFiguresOfTheUnreached) }
-
-func testFiguresOfTheUnreached(t testing.TB) {
+func TestFiguresOfTheUnreached(t *testing.T) {
+	t.Parallel()
 	l := listen(t)
 	_ = l.Close()
 	pooler, door, _, _ := operated(t, l.Addr().String(), func(p *pooler) {
@@ -159,9 +155,8 @@
 
 // TestRetune: new settings take hold while requests are under way, which keep what they came with; a class that has gone is not
 // asked for until it is back, and one that was never there appears.
-func TestRetune(t *testing.T) { fair.Story(t, testRetune) }
-
-func testRetune(t testing.TB) {
+func TestRetune(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	files := make(chan func(*config.Config), 1)
 	pooler, door, hups, _, _ := operatedReload(t, srv, func(p *pooler) {
@@ -232,9 +227,8 @@
 }
 
 // TestFewerAttempts: a request that has used more attempts than are allowed by now is not tried again.
-func TestFewerAttempts(t *testing.T) { fair.Story(t, testFewerAttempts) }
-
-func testFewerAttempts(t testing.TB) {
+func TestFewerAttempts(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	cfg := testConfig(t, srv, nil)
 	p := newPooler(cfg, slog.New(slog.DiscardHandler))
@@ -263,9 +257,8 @@
 }
 
 // TestFiguresOfClients: the connected clients are counted, and those that have ended by the reason.
-func TestFiguresOfClients(t *testing.T) { fair.Story(t, testFiguresOfClients) }
-
-func testFiguresOfClients(t testing.TB) {
+func TestFiguresOfClients(t *testing.T) {
+	t.Parallel()
 	srv, _ := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	settleClients := func(want map[string]string) {
--- a/cmd/beechgrade/life_test.go
+++ b/cmd/beechgrade/life_test.go
@@ -15,7 +15,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
@@ -74,9 +73,8 @@
 }
 
 // TestDoor: each call has its answer, what is no call is turned away, and callers that finish none keep nobody out.
-func TestDoor(t *testing.T) { fair.Story(t, testDoor) }
-
-func testDoor(t testing.TB) {
+func TestDoor(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	for range 40 { // they connect, and some begin a call
@@ -120,9 +118,8 @@
 
 // TestDrain: a drained pooler says no, closes connections as they fall idle and none that holds something taken, cuts off who
 // never falls idle, lives on, and is back after a resume. Drained twice is drained once.
-func TestDrain(t *testing.T) { fair.Story(t, testDrain) }
-
-func testDrain(t testing.TB) {
+func TestDrain(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, door, stop, done := operated(t, srv)
 	idle, busy, never, mute := client(t, pooler), client(t, pooler), client(t, pooler), dial(t, pooler)
@@ -162,7 +159,7 @@
 		t.Errorf("the client that never stops was told %q", got)
 	}
 	if took := time.Since(began); took > 3*time.Second {
-		fair.TooSlow(t, "the client that never stops was told to go after %v", took)
+		t.Errorf("the client that never stops was told to go after %v", took)
 	}
 	held.send(row("v1"))
 	busy.want("TDCZ v1")
@@ -187,9 +184,8 @@
 
 // TestResumeInTheMiddle: a drain that is taken back before clients are closed leaves them alone, and one that is taken back later
 // closes nobody any more.
-func TestResumeInTheMiddle(t *testing.T) { fair.Story(t, testResumeInTheMiddle) }
-
-func testResumeInTheMiddle(t testing.TB) {
+func TestResumeInTheMiddle(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, door, _, _ := operated(t, srv)
 	c := client(t, pooler)
@@ -214,9 +210,8 @@
 }
 
 // TestNoDoor: without the setting nothing listens for operators.
-func TestNoDoor(t *testing.T) { fair.Story(t, testNoDoor) }
-
-func testNoDoor(t testing.TB) {
+func TestNoDoor(t *testing.T) {
+	t.Parallel()
 	srv, _ := server(t)
 	p := newPooler(testConfig(t, srv, nil), slog.New(slog.DiscardHandler))
 	launch(t, p)
@@ -229,9 +224,8 @@
 
 // TestInherited: two processes hold one listening socket. The one that is told to end takes nothing new, answers what it took,
 // closes who falls idle and ends soon; no connection is refused meanwhile.
-func TestInherited(t *testing.T) { fair.Story(t, testInherited) }
-
-func testInherited(t testing.TB) {
+func TestInherited(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	ln := listen(t).(*net.TCPListener)
 	share := func(p *pooler) { give(t, p, ln) }
@@ -260,7 +254,7 @@
 		t.Errorf("ended with %v after %v", err, time.Since(began))
 	}
 	if took := time.Since(began); took > 2*time.Second {
-		fair.TooSlow(t, "ended after %v", took)
+		t.Errorf("ended after %v", took)
 	}
 	if got := empty(t, addr) + ", " + call(t, door2, "GET", "/-/ready"); got != "IZ, 200 ready" {
 		t.Error(got)
@@ -269,9 +263,8 @@
 
 // TestComesAsItEnds: a client whose connection a process has just accepted when it is told to end has its first request answered: nobody
 // closes in its face. Behind the answer its connection is closed.
-func TestComesAsItEnds(t *testing.T) { fair.Story(t, testComesAsItEnds) }
-
-func testComesAsItEnds(t testing.TB) {
+func TestComesAsItEnds(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	ln := listen(t).(*net.TCPListener)
 	accepted := make(chan int, 1)
@@ -301,9 +294,8 @@
 }
 
 // TestNoSocket: a descriptor that is no listening socket stops the start with one line.
-func TestNoSocket(t *testing.T) { fair.Story(t, testNoSocket) }
-
-func testNoSocket(t testing.TB) {
+func TestNoSocket(t *testing.T) {
+	t.Parallel()
 	f, err := os.CreateTemp(t.TempDir(), "x")
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/beechgrade/long_test.go
+++ b/cmd/beechgrade/long_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
@@ -146,9 +145,8 @@
 }
 
 // TestLongLies: a length beyond the bound, or one that contradicts the value's own, is never passed on.
-func TestLongLies(t *testing.T) { fair.Story(t, testLongLies) }
-
-func testLongLies(t testing.TB) {
+func TestLongLies(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, _, _, _ := operated(t, srv, func(p *pooler) { p.cfg.Settings.MaxAttempts = 1; p.loop.Post(p.core.Reload) })
 	whole := row(string(long(1 << 20)))
@@ -165,9 +163,8 @@
 }
 
 // TestLongAnswersInTurn: long answers that come before their turn wait at their servers, and keep the commands' order.
-func TestLongAnswersInTurn(t *testing.T) { fair.Story(t, testLongAnswersInTurn) }
-
-func testLongAnswersInTurn(t testing.TB) {
+func TestLongAnswersInTurn(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	pooler, _, _ := start(t, srv, nil, func(c *config.Config) { c.Limits.MemoryMB = 64 })
 	c := client(t, pooler)
@@ -259,9 +256,8 @@
 
 // TestLongWriteNeverWhole: a long write whose server goes before its last byte never ran, so its client may try
 // again; a client that goes in the midst of one leaves room for the next.
-func TestLongWriteNeverWhole(t *testing.T) { fair.Story(t, testLongWriteNeverWhole) }
-
-func testLongWriteNeverWhole(t testing.TB) {
+func TestLongWriteNeverWhole(t *testing.T) {
+	t.Parallel()
 	l := listen(t)
 	raw, err := l.(*net.TCPListener).SyscallConn()
 	if err != nil {
--- a/cmd/beechgrade/members_test.go
+++ b/cmd/beechgrade/members_test.go
@@ -17,7 +17,6 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/standin/agent"
 	"beechgrade/internal/kit/world"
@@ -142,16 +141,15 @@
 	case q = <-b:
 		to = 1
 	case <-time.After(patience):
-		fair.TooSlowNow(t, "nobody was asked in %v", patience)
+		t.Fatalf("nobody was asked in %v", patience)
 	}
 	return q, to
 }
 
 // TestMaintenance: once the pooler has been told that a server is in maintenance, of its service or its node, nothing more goes
 // there, under load; and it does again once that is over and the other one is.
-func TestMaintenance(t *testing.T) { fair.Story(t, testMaintenance) }
-
-func testMaintenance(t testing.TB) {
+func TestMaintenance(t *testing.T) {
+	t.Parallel()
 	for _, node := range []bool{false, true} {
 		w, a, b := pair(t, "", "")
 		addr := map[string]string{"a": w.entry("a").Address, "b": w.entry("b").Address}
@@ -206,9 +204,8 @@
 
 // TestDeregistered: everything deregistered at once, by mistake, takes nothing away; the operators' word on a reload does, and so
 // do their pins.
-func TestDeregistered(t *testing.T) { fair.Story(t, testDeregistered) }
-
-func testDeregistered(t testing.TB) {
+func TestDeregistered(t *testing.T) {
+	t.Parallel()
 	file := filepath.Join(t.TempDir(), "override.sexp")
 	w, a, b := pair(t, fmt.Sprintf("(override %q)", file), "")
 	was := []agent.Instance{at("a", w.entry("a").Address, "primary"), at("b", w.entry("b").Address, "replica")}
@@ -234,9 +231,8 @@
 }
 
 // TestTokenOnReload: a token that is denied keeps what is known, and one from a changed file is used after a reload.
-func TestTokenOnReload(t *testing.T) { fair.Story(t, testTokenOnReload) }
-
-func testTokenOnReload(t testing.TB) {
+func TestTokenOnReload(t *testing.T) {
+	t.Parallel()
 	file := filepath.Join(t.TempDir(), "token")
 	if err := os.WriteFile(file, []byte("one\n"), 0o600); err != nil {
 		t.Fatal(err)
@@ -257,9 +253,8 @@
 
 // TestSavedList: a start without any source serves by the saved list, and by what the sources say once they are back; a torn or
 // foreign file is a start without it.
-func TestSavedList(t *testing.T) { fair.Story(t, testSavedList) }
-
-func testSavedList(t testing.TB) {
+func TestSavedList(t *testing.T) {
+	t.Parallel()
 	file := filepath.Join(t.TempDir(), "members")
 	w, a, b := pair(t, fmt.Sprintf("(snapshot %q)", file), "")
 	w.ask(a, b, 2)
@@ -268,7 +263,7 @@
 			break
 		}
 		if time.Now().After(end) {
-			fair.TooSlowNow(t, "it was not saved in %v", patience)
+			t.Fatalf("it was not saved in %v", patience)
 		}
 	}
 	b2, err := os.ReadFile(file)
@@ -294,9 +289,8 @@
 }
 
 // TestStaticAndPlatform: a file in the platform's form and the platform's discovery are sources too; the first by rank wins.
-func TestStaticAndPlatform(t *testing.T) { fair.Story(t, testStaticAndPlatform) }
-
-func testStaticAndPlatform(t testing.TB) {
+func TestStaticAndPlatform(t *testing.T) {
+	t.Parallel()
 	addrA, a := server(t)
 	addrB, b := server(t)
 	file := filepath.Join(t.TempDir(), "list.json")
@@ -323,9 +317,8 @@
 
 // TestOldPrimaryInCatalogue: the catalogue names the old primary after a takeover, the old one still answers, and a check that
 // passes is of a server that answers nothing. Writes go where the servers say, and none runs twice.
-func TestOldPrimaryInCatalogue(t *testing.T) { fair.Story(t, testOldPrimaryInCatalogue) }
-
-func testOldPrimaryInCatalogue(t testing.TB) {
+func TestOldPrimaryInCatalogue(t *testing.T) {
+	t.Parallel()
 	fc := fleet.Defaults(3)
 	fc.Detect, fc.Elect, fc.List, fc.Roles = fleet.Range{100, 150}, fleet.Range{100, 150}, fleet.Range{30, 60}, fleet.Range{1e6, 1e6}
 	fc.Report, fc.Seed = fleet.Range{20, 40}, 3
@@ -352,7 +345,7 @@
 		t.Helper()
 		for end := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(end) {
-				fair.TooSlowNow(t, "not so in %v: %s", patience, what)
+				t.Fatalf("not so in %v: %s", patience, what)
 			}
 		}
 	}
--- a/cmd/beechgrade/peer_test.go
+++ b/cmd/beechgrade/peer_test.go
@@ -17,7 +17,6 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/invariant"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/protocol/pgwire"
 )
@@ -145,7 +144,7 @@
 	case q := <-queries:
 		return q
 	case <-time.After(patience):
-		fair.TooSlowNow(t, "the server was asked nothing in %v", patience)
+		t.Fatalf("the server was asked nothing in %v", patience)
 		return asked{}
 	}
 }
--- a/cmd/beechgrade/peers_test.go
+++ b/cmd/beechgrade/peers_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"beechgrade/internal/figures/sheet"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/links"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/operate"
@@ -86,7 +85,7 @@
 			return
 		}
 	}
-	fair.TooSlowNow(t, "%s: it did not come to that in %v: %s%+v", what, patience, s, c)
+	t.Fatalf("%s: it did not come to that in %v: %s%+v", what, patience, s, c)
 }
 
 // TestNoPeers: where the settings have no (peers ...), as in the line 'run', nothing of it is made: no socket, no goroutine, no figure, no
@@ -231,9 +230,8 @@
 
 // TestPeersUpgrade: two processes on one given socket are one pooler: the next takes the address over when the old one hands over, and
 // the others neither suspect it nor count two.
-func TestPeersUpgrade(t *testing.T) { fair.Story(t, testPeersUpgrade) }
-
-func testPeersUpgrade(t testing.TB) {
+func TestPeersUpgrade(t *testing.T) {
+	t.Parallel()
 	srv, _ := server(t)
 	a := peerSettings(t)
 	a.View.Probe, a.View.Timeout = 2000, 900 // over what a busy machine may take to start the next one's sockets
@@ -273,15 +271,14 @@
 	}
 	if !taken {
 		s, c := fleetOf(other)
-		fair.TooSlow(t, "the next one did not take over in 3 s: %s%+v", s, c)
+		t.Errorf("the next one did not take over in 3 s: %s%+v", s, c)
 	}
 	untilFleet(t, next, "it knows the other", there)
 }
 
 // TestPeersOneName: two poolers are given one name. The younger one takes a name of its own, and all count both.
-func TestPeersOneName(t *testing.T) { fair.Story(t, testPeersOneName) }
-
-func testPeersOneName(t testing.TB) {
+func TestPeersOneName(t *testing.T) {
+	t.Parallel()
 	srv, _ := server(t)
 	a := peerSettings(t)
 	settings := func() operate.Peers {
@@ -315,9 +312,8 @@
 
 // TestPeersUpgradeInAPartition: one that is cut off from a third is upgraded meanwhile. Behind the partition the old process is called
 // failed; when it heals, the next one takes its place there too, and nobody counts two.
-func TestPeersUpgradeInAPartition(t *testing.T) { fair.Story(t, testPeersUpgradeInAPartition) }
-
-func testPeersUpgradeInAPartition(t testing.TB) {
+func TestPeersUpgradeInAPartition(t *testing.T) {
+	t.Parallel()
 	srv, _ := server(t)
 	relays, err := links.NewRelays(3, 1)
 	if err != nil {
--- a/cmd/beechgrade/pooled_begun_test.go
+++ b/cmd/beechgrade/pooled_begun_test.go
@@ -12,7 +12,6 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/incident"
 	"beechgrade/internal/kit/records"
@@ -90,9 +89,8 @@
 
 // TestPooledBegunPipeline: BEGIN and the first statement come in one pipeline, as some drivers send them, at a server that
 // has handed over. Both are asked of the new primary, and the client has one answer to each.
-func TestPooledBegunPipeline(t *testing.T) { fair.Story(t, testPooledBegunPipeline) }
-
-func testPooledBegunPipeline(t testing.TB) {
+func TestPooledBegunPipeline(t *testing.T) {
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 4*patience)
 	defer cancel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
@@ -121,9 +119,8 @@
 
 // TestPooledBegunNot: what has done more than begin does not begin again, and what was declared READ ONLY hears of its
 // write.
-func TestPooledBegunNot(t *testing.T) { fair.Story(t, testPooledBegunNot) }
-
-func testPooledBegunNot(t testing.TB) {
+func TestPooledBegunNot(t *testing.T) {
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 4*patience)
 	defer cancel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
@@ -149,9 +146,8 @@
 }
 
 // TestPooledLarge: a row and a copy's data far beyond what the pooler keeps of one message pass through it in parts.
-func TestPooledLarge(t *testing.T) { fair.Story(t, testPooledLarge) }
-
-func testPooledLarge(t testing.TB) {
+func TestPooledLarge(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, strings.Replace(fmt.Sprintf(usual, "(connections 2)"), "(pooling ", "(pooling (most-answer 64k) (most-message 64k) ", 1))
 	c := dial(t, w.addr)
 	c.send(appendStartup("tablet", "obra"))
@@ -192,9 +188,8 @@
 
 // TestPooledLargeBroken: the server's connection ends within a row that comes in parts. Nothing is put into the row's
 // place: the client's connection ends within it.
-func TestPooledLargeBroken(t *testing.T) { fair.Story(t, testPooledLargeBroken) }
-
-func testPooledLargeBroken(t testing.TB) {
+func TestPooledLargeBroken(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	c := dial(t, w.addr)
 	c.send(appendStartup("tablet", "obra"))
@@ -306,9 +301,8 @@
 
 // TestPooledRecords: the records of a takeover tell of the sessions, of the connections that changed hands, and of the
 // transaction that began again.
-func TestPooledRecords(t *testing.T) { fair.Story(t, testPooledRecords) }
-
-func testPooledRecords(t testing.TB) {
+func TestPooledRecords(t *testing.T) {
+	t.Parallel()
 	dir := t.TempDir()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)")+fmt.Sprintf("(record (on) (dir %q))", dir))
 	a, b := w.connect("&application_name=a"), w.connect("&application_name=b")
--- a/cmd/beechgrade/pooled_clients_test.go
+++ b/cmd/beechgrade/pooled_clients_test.go
@@ -10,15 +10,13 @@
 
 	"github.com/jackc/pgx/v5"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/protocol/pgwire"
 )
 
 // TestPooledCancel: cancels that come as connections change hands never hit another client's query.
-func TestPooledCancel(t *testing.T) { fair.Story(t, testPooledCancel) }
-
-func testPooledCancel(t testing.TB) {
+func TestPooledCancel(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"), func(c *fleet.Config) { c.CancelMs = 4 }) // cancels are slow on their way
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -80,9 +78,8 @@
 
 // TestPooledSlowReader: a client asks for a large result and does not read it. What it does not read stays with the
 // server: the pooler keeps little, and others are served.
-func TestPooledSlowReader(t *testing.T) { fair.Story(t, testPooledSlowReader) }
-
-func testPooledSlowReader(t testing.TB) {
+func TestPooledSlowReader(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	c := dial(t, w.addr)
 	c.send(appendStartup("tablet", "obra"))
@@ -121,9 +118,8 @@
 
 // TestPooledGone: a client goes in the midst of a transaction. What it did is rolled back before anyone else has its
 // connection.
-func TestPooledGone(t *testing.T) { fair.Story(t, testPooledGone) }
-
-func testPooledGone(t testing.TB) {
+func TestPooledGone(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 1)"))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -150,9 +146,8 @@
 
 // TestPooledGarbage: bytes that are no messages, at each state of a connection. It is ended with a word, and nothing of it
 // reaches a server.
-func TestPooledGarbage(t *testing.T) { fair.Story(t, testPooledGarbage) }
-
-func testPooledGarbage(t testing.TB) {
+func TestPooledGarbage(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	started := appendStartup("tablet", "obra")
 	begin := append(started[:len(started):len(started)], pgwire.AppendQuery(nil, "BEGIN")...)
@@ -189,9 +184,8 @@
 
 // TestPooledDriverWays uses a driver as programs do: batches, CopyFrom, read-only transactions, errors within a batch,
 // contexts that end, and database/sql with several connections.
-func TestPooledDriverWays(t *testing.T) { fair.Story(t, testPooledDriverWays) }
-
-func testPooledDriverWays(t testing.TB) {
+func TestPooledDriverWays(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/cmd/beechgrade/pooled_protocol_test.go
+++ b/cmd/beechgrade/pooled_protocol_test.go
@@ -6,14 +6,12 @@
 	"fmt"
 	"testing"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
 // TestPooledProtocol: what is not served gets a clear word, and what a newer client asks for is negotiated.
-func TestPooledProtocol(t *testing.T) { fair.Story(t, testPooledProtocol) }
-
-func testPooledProtocol(t testing.TB) {
+func TestPooledProtocol(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	c := dial(t, w.addr)
 	c.send([]byte{0, 0, 0, 8, 4, 210, 22, 47}) // SSLRequest
@@ -59,9 +57,8 @@
 
 // TestPooledShape: a table's shape changes under a prepared statement. Its client hears what PostgreSQL would say, and
 // whoever prepares the same text again gets a plan that is right: the one that is out of date is kept for nobody.
-func TestPooledShape(t *testing.T) { fair.Story(t, testPooledShape) }
-
-func testPooledShape(t testing.TB) {
+func TestPooledShape(t *testing.T) {
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 1)"))
--- a/cmd/beechgrade/pooled_takeover_test.go
+++ b/cmd/beechgrade/pooled_takeover_test.go
@@ -13,15 +13,13 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 )
 
 // TestPooledTakeover: a prepared statement is used again after its server was replaced. The client sees nothing of it,
 // and the new server is asked to prepare it exactly once on each connection.
-func TestPooledTakeover(t *testing.T) { fair.Story(t, testPooledTakeover) }
-
-func testPooledTakeover(t testing.TB) {
+func TestPooledTakeover(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	c := w.connect("")
 	for i := range 10 {
@@ -123,9 +121,8 @@
 
 // TestPooledDrain: a server drains while a transaction is open on it. The transaction may end within the grace; behind
 // it nothing more is sent there, and the client hears at once.
-func TestPooledDrain(t *testing.T) { fair.Story(t, testPooledDrain) }
-
-func testPooledDrain(t testing.TB) {
+func TestPooledDrain(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 4)"), func(c *fleet.Config) { c.GraceMs = 3000 }) // enough for any machine
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -168,9 +165,8 @@
 
 // TestPooledStorm: 2,000 clients come at once while the group has no primary, over a pool of 20. None waits for ever, those
 // in the queue are served in their order, and the new primary is not dialled by all at once.
-func TestPooledStorm(t *testing.T) { fair.Story(t, testPooledStorm) }
-
-func testPooledStorm(t testing.TB) {
+func TestPooledStorm(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 20) (dials 2) (wait 30s) (queue 5000)"))
 	warm := w.connect("")
 	w.exec(warm, putKV, "k", "v")
@@ -220,9 +216,8 @@
 
 // TestPooledWaiting: clients that are connected and warm write at the moment at which the primary has died. Each has its
 // answer, and all are served once another took over.
-func TestPooledWaiting(t *testing.T) { fair.Story(t, testPooledWaiting) }
-
-func testPooledWaiting(t testing.TB) {
+func TestPooledWaiting(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 50) (dials 16) (wait 60s) (queue 100000)"), func(c *fleet.Config) {
 		c.Detect, c.Elect, c.ColdMs = fleet.Range{400, 500}, fleet.Range{400, 500}, 1000
 	})
--- a/cmd/beechgrade/pooled_test.go
+++ b/cmd/beechgrade/pooled_test.go
@@ -13,14 +13,12 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	_ "github.com/jackc/pgx/v5/stdlib"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 )
 
 // TestPooledDriver serves a real driver: its statement cache, simple queries, transactions, errors, batches and COPY.
-func TestPooledDriver(t *testing.T) { fair.Story(t, testPooledDriver) }
-
-func testPooledDriver(t testing.TB) {
+func TestPooledDriver(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 3)"))
 	c := w.connect("")
 	for i := range 5 {
@@ -36,9 +34,8 @@
 }
 
 // TestPooledOwnWrites: replicas are far behind, and each session's reads see its last write all the same.
-func TestPooledOwnWrites(t *testing.T) { fair.Story(t, testPooledOwnWrites) }
-
-func testPooledOwnWrites(t testing.TB) {
+func TestPooledOwnWrites(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 8)"), func(c *fleet.Config) { c.Apply = 2 })
 	_ = w.fleet.Lag("s-0-1", 5)
 	_ = w.fleet.Lag("s-0-2", 2)
@@ -84,9 +81,8 @@
 
 // TestPooledSettings runs 100,000 statements of 200 clients, each with settings of its own, over six connections of which
 // some break all the time. Each statement says what it wants to run under, and the stand-ins check it.
-func TestPooledSettings(t *testing.T) { fair.Story(t, testPooledSettings) }
-
-func testPooledSettings(t testing.TB) {
+func TestPooledSettings(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 6) (queue 1000)"), func(c *fleet.Config) { c.Groups = []int{1} })
 	const clients, each = 200, 500
 	rng := rand.New(rand.NewPCG(11, 0))
@@ -167,9 +163,8 @@
 }
 
 // TestPooledPins: what can't be carried keeps its connection, or is refused, by setting; DISCARD ALL lets go.
-func TestPooledPins(t *testing.T) { fair.Story(t, testPooledPins) }
-
-func testPooledPins(t testing.TB) {
+func TestPooledPins(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, fmt.Sprintf(usual, "(connections 2)"))
 	show := w.connect("&dbname=beechgrade&default_query_exec_mode=simple_protocol")
 	pinned := func() (n int) {
@@ -217,9 +212,8 @@
 
 // TestPooledSession: by session, a client keeps its connection, and moves with its settings and statements when its server
 // drains.
-func TestPooledSession(t *testing.T) { fair.Story(t, testPooledSession) }
-
-func testPooledSession(t testing.TB) {
+func TestPooledSession(t *testing.T) {
+	t.Parallel()
 	w := pooled(t, strings.Replace(fmt.Sprintf(usual, "(mode session) (connections 4)"), `(reads "office-reads")`, "", 1))
 	c := w.connect("")
 	w.exec(c, "SET search_path TO 'mine'")
--- a/cmd/beechgrade/pooled_world_test.go
+++ b/cmd/beechgrade/pooled_world_test.go
@@ -15,7 +15,6 @@
 
 	"beechgrade/internal/clock"
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/operate"
 )
@@ -130,7 +129,7 @@
 	t.Helper()
 	for until := time.Now().Add(patience); !check(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(until) {
-			fair.TooSlowNow(t, "%s: not within %s", what, patience)
+			t.Fatalf("%s: not within %s", what, patience)
 		}
 	}
 }
--- a/cmd/beechgrade/queue_ends_test.go
+++ b/cmd/beechgrade/queue_ends_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/lifecycle"
 	"beechgrade/internal/protocol/pgwire"
 )
@@ -70,6 +69,6 @@
 			t.Error(err)
 		}
 	case <-time.After(patience):
-		fair.TooSlow(t, "it does not end in %v", patience)
+		t.Errorf("it does not end in %v", patience)
 	}
 }
--- a/cmd/beechgrade/scatter_test.go
+++ b/cmd/beechgrade/scatter_test.go
@@ -19,7 +19,6 @@
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/invariant"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/fleet"
 	"beechgrade/internal/kit/standin/sorted"
 	"beechgrade/internal/operate"
@@ -201,9 +200,8 @@
 }
 
 // TestScatterPages: pages of several sizes give the sorted list, by simple queries and by a driver's own ways, with a cursor as parameter.
-func TestScatterPages(t *testing.T) { fair.Story(t, testScatterPages) }
-
-func testScatterPages(t testing.TB) {
+func TestScatterPages(t *testing.T) {
+	t.Parallel()
 	w := scatterPooler(t, "(whole)")
 	want := sortedIDs(visits(w.fleet, 60))
 	for _, n := range []int{7, 50, 240, 1000} {
@@ -250,9 +248,8 @@
 }
 
 // TestScatterRefused: one clear error for each fault, with its SQLSTATE, and the connection goes on.
-func TestScatterRefused(t *testing.T) { fair.Story(t, testScatterRefused) }
-
-func testScatterRefused(t testing.TB) {
+func TestScatterRefused(t *testing.T) {
+	t.Parallel()
 	w := scatterPooler(t, "(whole) (most-page 500) (at-once 1)")
 	visits(w.fleet, 30)
 	r := w.reader()
@@ -307,9 +304,8 @@
 
 // TestScatterBadShards: one shard is silent, one slow by 100 times, one endless. The whole waits for the slow one, does without the silent
 // server, and the endless one is ended, as the servers see.
-func TestScatterBadShards(t *testing.T) { fair.Story(t, testScatterBadShards) }
-
-func testScatterBadShards(t testing.TB) {
+func TestScatterBadShards(t *testing.T) {
+	t.Parallel()
 	w := scatterPooler(t, "(whole) (silent 300ms)")
 	want := sortedIDs(visits(w.fleet, 60))[:40]
 	silent := ""
@@ -344,9 +340,8 @@
 
 // TestScatterBreaksEarly: in each group one server breaks off behind its third row, within some 10 ms. The rest comes from behind that row, be the class one
 // that the module asks but once, as those of the pools are, or one that it would ask again by itself.
-func TestScatterBreaksEarly(t *testing.T) { fair.Story(t, testScatterBreaksEarly) }
-
-func testScatterBreaksEarly(t testing.TB) {
+func TestScatterBreaksEarly(t *testing.T) {
+	t.Parallel()
 	for _, effect := range []decide.Effect{decide.Unsafe, decide.Safe} {
 		w := scatterPoolerOf(t, "(whole)", func(c *config.Config) {
 			c.Settings.Classes[slices.Index(c.Classes, "reports")].Effect = effect
@@ -378,9 +373,8 @@
 
 // TestScatterPartial: a group is silent altogether: the page has the others' rows, names the missing one, and the cursor keeps its place, so that its rows
 // come once it is back. Where the whole is wanted, the page fails in time.
-func TestScatterPartial(t *testing.T) { fair.Story(t, testScatterPartial) }
-
-func testScatterPartial(t testing.TB) {
+func TestScatterPartial(t *testing.T) {
+	t.Parallel()
 	for _, setting := range []string{"(partial 1)", "(whole)"} {
 		w := scatterPooler(t, setting+" (silent 200ms) (again 1) (wait 3s)")
 		want := sortedIDs(visits(w.fleet, 30))
@@ -407,9 +401,8 @@
 }
 
 // TestScatterGone: clients that go midway, and one that cancels, leave nothing: no statement runs on, no page is kept.
-func TestScatterGone(t *testing.T) { fair.Story(t, testScatterGone) }
-
-func testScatterGone(t testing.TB) {
+func TestScatterGone(t *testing.T) {
+	t.Parallel()
 	w := scatterPooler(t, "(whole)")
 	visits(w.fleet, 60)
 	w.fleet.Asked(func(string, string) fleet.Manner { return fleet.Manner{Each: 30 * time.Millisecond} })
@@ -443,9 +436,8 @@
 }
 
 // TestScatterSlowReader: a client that does not read has the shards wait: what is held stays within its bound, and all rows come when it reads on.
-func TestScatterSlowReader(t *testing.T) { fair.Story(t, testScatterSlowReader) }
-
-func testScatterSlowReader(t testing.TB) {
+func TestScatterSlowReader(t *testing.T) {
+	t.Parallel()
 	w := scatterPooler(t, "(whole) (memory 64k) (most-page 20000)")
 	w.fleet.Scatter(&fleet.Table{Name: "visits", Columns: sorted.Table{"id", "place", "name"}, Types: sorted.Row{int64(0), int64(0), ""}})
 	const n = 3000
--- a/cmd/beechgrade/scenario_clients_test.go
+++ b/cmd/beechgrade/scenario_clients_test.go
@@ -7,15 +7,13 @@
 	"time"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
 // TestGoneClient: when a client goes, its attempt is called off by closing the server's connection, which carries nothing
 // after that.
-func TestGoneClient(t *testing.T) { fair.Story(t, testGoneClient) }
-
-func testGoneClient(t testing.TB) {
+func TestGoneClient(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -37,10 +35,7 @@
 // TestBadInputEndsItsConnectionAlone: what breaks the protocol costs nobody else anything; what is only no request costs
 // not even its connection.
 func TestBadInputEndsItsConnectionAlone(t *testing.T) {
-	fair.Story(t, testBadInputEndsItsConnectionAlone)
-}
-
-func testBadInputEndsItsConnectionAlone(t testing.TB) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -64,9 +59,8 @@
 
 // TestNoRequest: what is no request that could be asked has an error, and never reaches a server: the id of another client's
 // open request, a write in a class of reads, a class or a group that there is not.
-func TestNoRequest(t *testing.T) { fair.Story(t, testNoRequest) }
-
-func testNoRequest(t testing.TB) {
+func TestNoRequest(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c, other := client(t, pooler), client(t, pooler)
@@ -94,9 +88,8 @@
 
 // TestSilentClients: clients that connect and say nothing, or stop within a message, are closed soon, and make room at once for
 // one that asks; neither costs a client with an open request anything.
-func TestSilentClients(t *testing.T) { fair.Story(t, testSilentClients) }
-
-func testSilentClients(t testing.TB) {
+func TestSilentClients(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 }) // eight for clients
 	busy := client(t, pooler)
@@ -131,9 +124,8 @@
 
 // TestRestedClientsMakeRoom: clients may open only so many connections, and some keep each for a while after one request. Where
 // those that ask are many, the ones that rest longest are closed before there are too many, and nobody is turned away.
-func TestRestedClientsMakeRoom(t *testing.T) { fair.Story(t, testRestedClientsMakeRoom) }
-
-func testRestedClientsMakeRoom(t testing.TB) {
+func TestRestedClientsMakeRoom(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 96 }) // room for 77 clients
 	var clients []*peer
@@ -165,9 +157,8 @@
 
 // TestTurnedAwayWithAWord: a client for which there is no room is told so though it has sent its request already: a close with
 // that unread would be a reset, which may overtake the word.
-func TestTurnedAwayWithAWord(t *testing.T) { fair.Story(t, testTurnedAwayWithAWord) }
-
-func testTurnedAwayWithAWord(t testing.TB) {
+func TestTurnedAwayWithAWord(t *testing.T) {
+	t.Parallel()
 	addr, _ := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
 	for n := range 6 { // four of which have a connection to the server
@@ -182,9 +173,8 @@
 }
 
 // TestRefusalSaysWhenToComeBack: where the settings allow advice, a refusal has the module's wait in field D.
-func TestRefusalSaysWhenToComeBack(t *testing.T) { fair.Story(t, testRefusalSaysWhenToComeBack) }
-
-func testRefusalSaysWhenToComeBack(t testing.TB) {
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	t.Parallel()
 	addr, _ := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) {
 		c.Known.Instances[0].Cell, c.Settings.MaxRetryAfter = 9, 1500*time.Millisecond
--- a/cmd/beechgrade/scenario_process_test.go
+++ b/cmd/beechgrade/scenario_process_test.go
@@ -15,16 +15,14 @@
 	"time"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/protocol/pgwire"
 )
 
 // TestWatch: a watch that is refused is asked for again, from the same generation; what it then tells binds: nothing more
 // goes to a server that drains.
-func TestWatch(t *testing.T) { fair.Story(t, testWatch) }
-
-func testWatch(t testing.TB) {
+func TestWatch(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	var calls atomic.Int32
 	told := make(chan string, 9)
@@ -45,7 +43,7 @@
 				t.Fatalf("asked %s", got)
 			}
 		case <-time.After(patience):
-			fair.TooSlowNow(t, "no watch was asked for in %v", patience)
+			t.Fatalf("no watch was asked for in %v", patience)
 		}
 	}
 	c := client(t, pooler)
@@ -62,16 +60,15 @@
 		case got != "TDCZ v":
 			t.Fatalf("got %q", got)
 		case time.Now().After(end):
-			fair.TooSlowNow(t, "a server that drains is still asked after %v", patience)
+			t.Fatalf("a server that drains is still asked after %v", patience)
 		}
 	}
 }
 
 // TestReload: on SIGHUP a configuration that cannot be used changes nothing. One that names another discovery is followed at
 // once: it is asked for its whole list, as its generations are its own, and the old one's end is not taken for its failure.
-func TestReload(t *testing.T) { fair.Story(t, testReload) }
-
-func testReload(t testing.TB) {
+func TestReload(t *testing.T) {
+	t.Parallel()
 	atOld, old := server(t)
 	atNew, moved := server(t)
 	calls := make(chan string, 9)
@@ -107,7 +104,7 @@
 				t.Fatalf("asked %s, want %s", got, want)
 			}
 		case <-time.After(patience):
-			fair.TooSlowNow(t, "not asked in %v: %s", patience, want)
+			t.Fatalf("not asked in %v: %s", patience, want)
 		}
 	}
 	told("1/v1/endpoints?watch=1&from=4")
@@ -122,7 +119,7 @@
 	<-closed
 	for end, came := time.Now().Add(patience), false; !came; { // until the new list is used
 		if time.Now().After(end) {
-			fair.TooSlowNow(t, "the new list is not used in %v", patience)
+			t.Fatalf("the new list is not used in %v", patience)
 		}
 		c.send(query("2", "read", 9000))
 		for answered := false; !answered; {
@@ -132,7 +129,7 @@
 				came = true
 			case q = <-old:
 			case <-time.After(patience):
-				fair.TooSlowNow(t, "nobody was asked in %v", patience)
+				t.Fatalf("nobody was asked in %v", patience)
 			}
 			if answered = q.sql != "(gone)"; answered {
 				q.send(row("v"))
@@ -147,9 +144,8 @@
 
 // TestDescriptorsRunShort: gnet's loop ends if it cannot accept, so there are never more connections than descriptors: a
 // new client takes an idle one's place.
-func TestDescriptorsRunShort(t *testing.T) { fair.Story(t, testDescriptorsRunShort) }
-
-func testDescriptorsRunShort(t testing.TB) {
+func TestDescriptorsRunShort(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) { c.Limits.Sockets = reserved + 10 })
 	var clients []*peer
@@ -170,9 +166,8 @@
 
 // TestServerMoves: a server that the list shows at another address is asked there, though a connection to the old one was in
 // use when the news came and is free now.
-func TestServerMoves(t *testing.T) { fair.Story(t, testServerMoves) }
-
-func testServerMoves(t testing.TB) {
+func TestServerMoves(t *testing.T) {
+	t.Parallel()
 	old, atOld := server(t)
 	moved, atNew := server(t)
 	tell := make(chan struct{})
@@ -192,7 +187,7 @@
 	close(tell)
 	for came, end := false, time.Now().Add(patience); !came; { // until the news has come
 		if time.Now().After(end) {
-			fair.TooSlowNow(t, "the new address is not asked in %v", patience)
+			t.Fatalf("the new address is not asked in %v", patience)
 		}
 		other.send(query("2", "read", 9000))
 		for answered := false; !answered; {
@@ -205,7 +200,7 @@
 				q.send(row("v"))
 				came, answered = true, true
 			case <-time.After(patience):
-				fair.TooSlowNow(t, "nobody was asked in %v", patience)
+				t.Fatalf("nobody was asked in %v", patience)
 			}
 		}
 		other.want("TDCZ v")
@@ -220,9 +215,8 @@
 // TestStop: after SIGTERM what was taken is answered, and both new connections and those that there are stay in use until the
 // longest deadline has passed. What comes meanwhile has its answer in time, whatever its client would wait for. The process
 // ends well once nothing is owed.
-func TestStop(t *testing.T) { fair.Story(t, testStop) }
-
-func testStop(t testing.TB) {
+func TestStop(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, stop, done := start(t, addr, nil, func(c *config.Config) {
 		for i := range c.Settings.Classes {
@@ -252,7 +246,7 @@
 			t.Error(err)
 		}
 	case <-time.After(patience):
-		fair.TooSlow(t, "the process did not end in %v", patience)
+		t.Errorf("the process did not end in %v", patience)
 	}
 	if _, err := net.Dial("tcp", pooler); err == nil || !strings.Contains(err.Error(), "refused") {
 		t.Errorf("after the end: %v", err)
@@ -276,9 +270,8 @@
 
 // TestRecordsHang guards against records that hold service up: with a disk on which every write hangs, and far more
 // events than may wait, clients are served as ever, and the pooler ends when it is told to.
-func TestRecordsHang(t *testing.T) { fair.Story(t, testRecordsHang) }
-
-func testRecordsHang(t testing.TB) {
+func TestRecordsHang(t *testing.T) {
+	t.Parallel()
 	srv, queries := server(t)
 	hangs := make(chan struct{}, 1)
 	p := newPooler(testConfig(t, srv, nil), slog.New(slog.DiscardHandler))
--- a/cmd/beechgrade/scenario_test.go
+++ b/cmd/beechgrade/scenario_test.go
@@ -8,15 +8,13 @@
 	"time"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
 // TestServes: startup and queries arrive in pieces or run together. A request does not wait for the answers to those before
 // it, but its own does: answers come in the order of the commands, and the server's connections are used again.
-func TestServes(t *testing.T) { fair.Story(t, testServes) }
-
-func testServes(t testing.TB) {
+func TestServes(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := dial(t, pooler)
@@ -53,9 +51,8 @@
 
 // TestCommandsAhead: a client that sends more commands than are taken at a time has them all answered, in order; the time of
 // one that had to wait counts from its arrival. What cannot be read ends the connection once those before are answered.
-func TestCommandsAhead(t *testing.T) { fair.Story(t, testCommandsAhead) }
-
-func testCommandsAhead(t testing.TB) {
+func TestCommandsAhead(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -79,9 +76,8 @@
 
 // TestResetMayHaveRun: a write whose connection breaks after its last byte has one answer, and not one that asks the client
 // to try again; it is not sent a second time.
-func TestResetMayHaveRun(t *testing.T) { fair.Story(t, testResetMayHaveRun) }
-
-func testResetMayHaveRun(t testing.TB) {
+func TestResetMayHaveRun(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -120,9 +116,8 @@
 
 // TestSpoiltAnswer: what is no whole good answer is never passed on, however it begins; the write may have run, so its client
 // is told that nothing is promised, and the connection is of no further use.
-func TestSpoiltAnswer(t *testing.T) { fair.Story(t, testSpoiltAnswer) }
-
-func testSpoiltAnswer(t testing.TB) {
+func TestSpoiltAnswer(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -141,9 +136,8 @@
 
 // TestAnswerStopsShort: an answer that stops in its midst, on a connection that stays open, will not go on. A read is asked
 // again at once; a write has failed, long before its time is up.
-func TestAnswerStopsShort(t *testing.T) { fair.Story(t, testAnswerStopsShort) }
-
-func testAnswerStopsShort(t testing.TB) {
+func TestAnswerStopsShort(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -169,9 +163,8 @@
 
 // TestExtraAnswer: what a server sends beyond its answer would be taken for the answer to the next request, so the connection
 // is not used again, whether it comes at once, while another request waits for the connection, or while it is idle.
-func TestExtraAnswer(t *testing.T) { fair.Story(t, testExtraAnswer) }
-
-func testExtraAnswer(t testing.TB) {
+func TestExtraAnswer(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil)
 	c := client(t, pooler)
@@ -200,9 +193,8 @@
 }
 
 // TestProbeFindsThePrimary: while no primary is known, a write waits for what a probe tells of the role.
-func TestProbeFindsThePrimary(t *testing.T) { fair.Story(t, testProbeFindsThePrimary) }
-
-func testProbeFindsThePrimary(t testing.TB) {
+func TestProbeFindsThePrimary(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	pooler, _, _ := start(t, addr, nil, func(c *config.Config) {
 		c.Known.Instances[0].Role, c.Settings.MayProbe = "replica", true
--- a/cmd/beechgrade/second_test.go
+++ b/cmd/beechgrade/second_test.go
@@ -11,7 +11,6 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/protocol/pgwire"
 )
 
@@ -24,9 +23,8 @@
 
 // TestPushedList: where lists are pushed nobody is to ask for them, but what the agent holds counts as told: a watch is open
 // all the same, goes on from what was heard when the agent closes it or goes silent, and its failures are nobody's.
-func TestPushedList(t *testing.T) { fair.Story(t, testPushedList) }
-
-func testPushedList(t testing.TB) {
+func TestPushedList(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	froms, then := make(chan string, 99), make(chan string)
 	pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
@@ -71,9 +69,8 @@
 
 // TestTenants: one beyond its share waits behind one within, when there is no room for both, though it came first. One that
 // does not exist, or is not named, gets one error at once, and its client can go on.
-func TestTenants(t *testing.T) { fair.Story(t, testTenants) }
-
-func testTenants(t testing.TB) {
+func TestTenants(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	p := newPooler(testConfig(t, addr, nil, func(c *config.Config) {
 		c.Tenants = []string{"greedy", "modest"}
@@ -120,9 +117,8 @@
 
 // TestReportsInAnswers: a load report in an answer tells its server's role. One that cannot be read, or lies ahead, tells
 // nothing, and does the answer no harm.
-func TestReportsInAnswers(t *testing.T) { fair.Story(t, testReportsInAnswers) }
-
-func testReportsInAnswers(t testing.TB) {
+func TestReportsInAnswers(t *testing.T) {
+	t.Parallel()
 	for _, story := range []struct{ report, write string }{{"x0=%d,x1=1", "TDCZ w"}, {"x0=%d,x1=yes", "EZ 53300"},
 		{"x1=1", "EZ 53300"}, {"x0=9%d,x1=1", "EZ 53300"}, {"=,,\xff%d", "EZ 53300"}} {
 		addr, queries := server(t)
@@ -163,9 +159,8 @@
 // TestKeyWindowAtAClientsRetry: what a client asks again with its key, under a new id, is held to the window of the first: sent
 // within it, and not behind it, where its servers may have forgotten the key; then it fails at once. What has no key cannot be
 // known again.
-func TestKeyWindowAtAClientsRetry(t *testing.T) { fair.Story(t, testKeyWindowAtAClientsRetry) }
-
-func testKeyWindowAtAClientsRetry(t testing.TB) {
+func TestKeyWindowAtAClientsRetry(t *testing.T) {
+	t.Parallel()
 	for _, within := range []bool{true, false} {
 		addr, queries := server(t)
 		window := patience
@@ -202,9 +197,8 @@
 
 // TestKeyWindowOnASlowConnect: a keyed write is to go out once more within its window, but the connection for it comes up only
 // behind that. It is given up unsent when the window ends, long before its client's time.
-func TestKeyWindowOnASlowConnect(t *testing.T) { fair.Story(t, testKeyWindowOnASlowConnect) }
-
-func testKeyWindowOnASlowConnect(t testing.TB) {
+func TestKeyWindowOnASlowConnect(t *testing.T) {
+	t.Parallel()
 	l := listen(t)
 	conns := make(chan *peer)
 	go func() {
@@ -237,7 +231,7 @@
 	began := time.Now()
 	c.want("EZ 58000")
 	if took := time.Since(began); took > 4*time.Second {
-		fair.TooSlow(t, "given up after %v", took)
+		t.Errorf("given up after %v", took)
 	}
 	welcome(slow)
 	_ = slow.SetDeadline(time.Now().Add(200 * time.Millisecond))
--- a/cmd/beechgrade/sessions_test.go
+++ b/cmd/beechgrade/sessions_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"beechgrade/internal/config"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/protocol/pgwire"
@@ -53,9 +52,8 @@
 
 // TestSlowSessions: while the disk does not answer, a write's answer waits, reads are served and the loop turns; where the client's
 // deadline comes first, or the disk refuses, it is answered as failed; alongside, it is answered whatever the disk does.
-func TestSlowSessions(t *testing.T) { fair.Story(t, testSlowSessions) }
-
-func testSlowSessions(t testing.TB) {
+func TestSlowSessions(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []sessiontoken.Mode{sessiontoken.Before, sessiontoken.Alongside} {
 		addr, queries := server(t)
 		cfg := testConfig(t, addr, nil, func(c *config.Config) { c.Settings.TrackCommits = true })
--- a/cmd/beechgrade/standing_test.go
+++ b/cmd/beechgrade/standing_test.go
@@ -16,7 +16,6 @@
 
 	"beechgrade/internal/config"
 	"beechgrade/internal/decide"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/membership/discovery"
 	"beechgrade/internal/protocol/pgwire"
 )
@@ -50,7 +49,7 @@
 		case got != "TDCZ v":
 			t.Fatalf("got %q", got)
 		case time.Now().After(by):
-			fair.TooSlowNow(t, "a server that drains is still asked")
+			t.Fatalf("a server that drains is still asked")
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -190,9 +189,8 @@
 
 // TestPushedFromTheFirstMoment: where lists are pushed, what the agent has counts from a process's first moment, whatever list it was
 // given; it is heard within the grace of a drain.
-func TestPushedFromTheFirstMoment(t *testing.T) { fair.Story(t, testPushedFromTheFirstMoment) }
-
-func testPushedFromTheFirstMoment(t testing.TB) {
+func TestPushedFromTheFirstMoment(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	began := time.Now()
 	pooler, _, _ := start(t, addr, func(w http.ResponseWriter, r *http.Request) {
@@ -239,9 +237,8 @@
 // ones for a while. Every request that was taken has its answer, and the process is gone before it may be killed. A close may cross a request
 // that was not read; no answer may be cut short or late. A client that asks again at once upon each answer need never be seen idle, so at the very end
 // (from drainEnd behind the longest deadline on) what it asks is refused, and nothing else but its connection's end comes behind that.
-func TestStopUnderClients(t *testing.T) { fair.Story(t, testStopUnderClients) }
-
-func testStopUnderClients(t testing.TB) {
+func TestStopUnderClients(t *testing.T) {
+	t.Parallel()
 	addr, queries := server(t)
 	const longest = time.Second
 	pooler, stop, done := start(t, addr, nil, func(c *config.Config) {
@@ -327,10 +324,10 @@
 			t.Errorf("it ended after %v: %v", took, err)
 		}
 		if took > longest+700*time.Millisecond {
-			fair.TooSlow(t, "it ended after %v", took)
+			t.Errorf("it ended after %v", took)
 		}
 	case <-time.After(patience):
-		fair.TooSlowNow(t, "the process did not end in %v", patience)
+		t.Fatalf("the process did not end in %v", patience)
 	}
 	wg.Wait()
 	sum := 0
@@ -350,10 +347,10 @@
 		t.Errorf("told: %v", counts)
 	}
 	if sum < 1000 {
-		fair.TooSlow(t, "only %d answers while it ran: %v", sum, counts)
+		t.Errorf("only %d answers while it ran: %v", sum, counts)
 	}
 	if late > 0 {
-		fair.TooSlow(t, "%d answers came over half a second behind their time", late)
+		t.Errorf("%d answers came over half a second behind their time", late)
 	}
 }
 
@@ -363,9 +360,8 @@
 // TestStopUnderAskers: requests that hang end as the process takes nothing more, and at that moment their clients have asked again, as clients do that wait
 // for nothing between an answer and the next request; the loop comes to both moments at once, as on a machine where it stood a while. Every request that came
 // has its answer: the first its own, the other a refusal, and only then is the connection closed.
-func TestStopUnderAskers(t *testing.T) { fair.Story(t, testStopUnderAskers) }
-
-func testStopUnderAskers(t testing.TB) {
+func TestStopUnderAskers(t *testing.T) {
+	t.Parallel()
 	const longest, many = 600 * time.Millisecond, 4 // a server that has answered nobody yet is sent no more
 	addr, queries := server(t)
 	p := newPooler(testConfig(t, addr, nil, shortest(longest)), slog.New(slog.DiscardHandler))
@@ -397,7 +393,7 @@
 		told[toldUpToTheEnd(c)]++
 	}
 	if open != many {
-		fair.TooSlowNow(t, "%d of %d requests are open as the loop stands", open, many) // it stood too late
+		t.Fatalf("%d of %d requests are open as the loop stands", open, many) // it stood too late
 	}
 	if told["EZ 58000, EZ 57P03, $"]+told["EZ 53300, EZ 57P03, $"] != many {
 		t.Errorf("told: %v", told)
@@ -409,9 +405,8 @@
 
 // TestWordThatWaited: a pooler stands still. A primary's answer comes meanwhile, and a read whose data may be 200 ms old; then another
 // takes over. When the pooler wakes, that answer is 1.5 s old, not news: the read goes to nobody until somebody is asked.
-func TestWordThatWaited(t *testing.T) { fair.Story(t, testWordThatWaited) }
-
-func testWordThatWaited(t testing.TB) {
+func TestWordThatWaited(t *testing.T) {
+	t.Parallel()
 	addrP, atP := server(t)
 	addrA, atA := server(t)
 	p := newPooler(testConfig(t, addrP, nil, func(c *config.Config) {
--- /dev/null
+++ b/cmd/beechgrade/syscalls_test.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"fmt"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"beechgrade/internal/protocol/pgwire"
+)
+
+// injection has strace fail some of a process's system calls.
+type injection struct {
+	call  string // or several, with commas
+	error string
+	when  string // the number of the first call of a thread that fails, and the distance between further ones
+	ends  bool   // it ends the connection that it meets, as it would in the field
+}
+
+// injections are the runs that CI makes. What passes in a moment may cost time, never an answer. What breaks a connection is treated like a
+// reset: the process goes on, and nothing that may have run is sent again.
+var injections = []injection{
+	{call: "read", error: "EINTR", when: "20+7"},
+	{call: "write", error: "EINTR", when: "20+7"},
+	{call: "write", error: "ENOBUFS", when: "20+11"},
+	{call: "epoll_ctl", error: "ENOMEM", when: "8+5"},
+	{call: "epoll_wait,epoll_pwait", error: "EINTR", when: "8+3"},
+	{call: "accept4", error: "ECONNABORTED", when: "2+2"},
+	{call: "accept4", error: "ENFILE", when: "2+3"},
+	{call: "connect", error: "EADDRNOTAVAIL", when: "3+3"},
+	{call: "connect", error: "ENETUNREACH", when: "3+3"},
+	{call: "socket", error: "ENOBUFS", when: "3+4"},
+	{call: "fcntl", error: "EMFILE", when: "9+5"},
+	{call: "getsockopt,setsockopt", error: "ENOBUFS", when: "9+5"},
+	{call: "recvfrom", error: "EINTR", when: "5+3"},
+	{call: "close", error: "EINTR", when: "9+4"},
+	{call: "read", error: "EHOSTUNREACH", when: "60+41", ends: true},
+	{call: "read", error: "ETIMEDOUT", when: "60+41", ends: true},
+	{call: "write", error: "ETIMEDOUT", when: "60+41", ends: true},
+}
+
+// TestFailingSystemCalls plays clients against a process whose system calls fail.
+func TestFailingSystemCalls(t *testing.T) {
+	tracer, err := exec.LookPath("strace")
+	if err != nil {
+		t.Fatal("strace is needed (the Debian package of that name): ", err)
+	}
+	path := buildDaemon(t)
+	for _, injection := range injections {
+		t.Run(injection.call+" "+injection.error, func(t *testing.T) { injection.play(t, tracer, path) })
+	}
+}
+
+// play runs clients that ask in turn, some on one connection and some on a new one each time.
+func (injection injection) play(t *testing.T, tracer, path string) {
+	const clients, each = 12, 40
+	srv, queries := server(t)
+	var ran sync.Map // the ids of writes that servers got
+	go func() {
+		for query := range queries {
+			if _, rest, ok := strings.Cut(query.sql, "id=w"); ok {
+				id, _, _ := strings.Cut(rest, ",")
+				if _, again := ran.LoadOrStore(id, true); again {
+					t.Errorf("write %s was sent twice", id)
+				}
+			}
+			query.send(row("v"))
+		}
+	}()
+	under := fmt.Sprintf("%s -D -f -qq --seccomp-bpf -o /dev/null -e trace=%s -e signal=none -e inject=%s:error=%s:when=%s",
+		tracer, injection.call, injection.call, injection.error, injection.when)
+	config := daemonConfig(srv, "127.0.0.1:1", 256, true)
+	config["control"] = "127.0.0.1:0"
+	d := runDaemonUnder(t, under, path, config, 256)
+	admin := d.admin()
+	for end := time.Now().Add(patience); call(t, admin, "GET", "/-/ready") != "200 ready" && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	var lost, served atomic.Int32
+	var all sync.WaitGroup
+	for n := range clients {
+		all.Go(func() {
+			var c *peer
+			for k := range each {
+				if lost.Load() > mostLost && !injection.ends {
+					return
+				}
+				if c == nil {
+					if c = connectTo(t, d.addr); c == nil {
+						lost.Add(1)
+						continue
+					}
+				}
+				id, class := fmt.Sprintf("r%d.%d", n, k), "read"
+				if k%4 == 3 {
+					id, class = fmt.Sprintf("w%d.%d", n, k), "write"
+				}
+				c.send(query(id, class, 9000))
+				switch got := c.answer(); got {
+				case "TDCZ v":
+					served.Add(1)
+				case "EZ 53300", "EZ 58000":
+				default: // the connection has ended
+					lost.Add(1)
+					_ = c.Close()
+					c = nil
+				}
+				if n%2 == 1 && c != nil && k%5 == 4 {
+					_ = c.Close()
+					c = nil
+				}
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("%d of %d requests served, %d lost", served.Load(), clients*each, lost.Load())
+	if !injection.ends && lost.Load() > 0 {
+		t.Errorf("%d of %d requests have no answer", lost.Load(), clients*each)
+	}
+	if served.Load() < clients*each/2 {
+		t.Errorf("%d of %d requests are served", served.Load(), clients*each)
+	}
+	if got := call(t, admin, "GET", "/-/ready"); got != "200 ready" && !injection.ends {
+		t.Errorf("ready: %q", got)
+	}
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-d.ended:
+	case <-time.After(patience):
+		t.Error("the process does not end")
+	}
+}
+
+// mostLost is the number of lost requests after which a run has shown enough.
+const mostLost = 5
+
+// connectTo connects a client and starts up; nil where the connection ends instead. A connection that was reset before anything was sent is
+// tried again.
+func connectTo(t *testing.T, addr string) *peer {
+	c := dial(t, addr)
+	_ = c.SetDeadline(time.Now().Add(patience / 2))
+	c.send(pgwire.AppendStartup(nil, "backend", "store"))
+	if got := c.answer(); got != "RSSSSZ" {
+		_ = c.Close()
+		return nil
+	}
+	return c
+}
--- a/cmd/beechgrade/upgrade_anew_test.go
+++ b/cmd/beechgrade/upgrade_anew_test.go
@@ -12,7 +12,6 @@
 	"beechgrade/internal/clock"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/handover"
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/membership/discovery"
 )
 
@@ -157,10 +156,7 @@
 // TestDiscoveryBeganAnewBesideAnother: discovery restarts with lower generations while another process's file names a higher one, which
 // this process had taken. Its list is taken, and the other's is not any more, until the other has seen the restart too.
 func TestDiscoveryBeganAnewBesideAnother(t *testing.T) {
-	fair.Story(t, testDiscoveryBeganAnewBesideAnother)
-}
-
-func testDiscoveryBeganAnewBesideAnother(t testing.TB) {
+	t.Parallel()
 	u, p, other, _, calls := beside(t)
 	other.names(p, states(50, "up", "up", "up"), 0)
 	u.holds(p, states(50, "up", "up", "up"))
@@ -180,9 +176,8 @@
 
 // TestAnotherSawDiscoveryBeginAnew: another process has seen discovery restart. Its list binds at once, though of a lower generation;
 // a drain that this process alone was told of goes on until discovery itself says otherwise, and discovery is asked for the whole list.
-func TestAnotherSawDiscoveryBeginAnew(t *testing.T) { fair.Story(t, testAnotherSawDiscoveryBeginAnew) }
-
-func testAnotherSawDiscoveryBeginAnew(t testing.TB) {
+func TestAnotherSawDiscoveryBeginAnew(t *testing.T) {
+	t.Parallel()
 	u, p, other, watch, calls := beside(t)
 	watch.tell(t, states(50, "up", "draining"))
 	u.holds(p, states(50, "up", "draining"))
@@ -204,10 +199,7 @@
 // TestAnotherNamesWhatWasBeforeTheRestart: a process that began after discovery's restart, and was told of a drain, reads a higher generation
 // of a process that has not noticed. The drain binds, and what discovery says next counts.
 func TestAnotherNamesWhatWasBeforeTheRestart(t *testing.T) {
-	fair.Story(t, testAnotherNamesWhatWasBeforeTheRestart)
-}
-
-func testAnotherNamesWhatWasBeforeTheRestart(t testing.TB) {
+	t.Parallel()
 	u, p, other, watch, calls := beside(t)
 	watch.tell(t, states(49, "draining", "up"))
 	u.holds(p, states(49, "draining", "up"))
@@ -221,9 +213,8 @@
 
 // TestUnheardGenerationIsNotNamed: a process that has not heard discovery yet names no list to the other one, whatever generation its
 // configuration has.
-func TestUnheardGenerationIsNotNamed(t *testing.T) { fair.Story(t, testUnheardGenerationIsNotNamed) }
-
-func testUnheardGenerationIsNotNamed(t testing.TB) {
+func TestUnheardGenerationIsNotNamed(t *testing.T) {
+	t.Parallel()
 	u, p, _, watch, _ := beside(t)
 	u.known = 90
 	two := u.process(states(90, "up").Instances...)
--- a/cmd/beechgrade/zones_test.go
+++ b/cmd/beechgrade/zones_test.go
@@ -6,16 +6,14 @@
 	"testing"
 	"time"
 
-	"beechgrade/internal/kit/fair"
 	"beechgrade/internal/operate"
 	"beechgrade/internal/storage/store"
 )
 
 // TestZonesKeep: a plan's number that the disk does not take at first is kept once it does, and only then the plan is followed; an older one that
 // comes behind does not take its place, nor that of a newer one of another process.
-func TestZonesKeep(t *testing.T) { fair.Story(t, testZonesKeep) }
-
-func testZonesKeep(t testing.TB) {
+func TestZonesKeep(t *testing.T) {
+	t.Parallel()
 	var p *pooler
 	_, _, stop, ended := operated(t, "", func(at *pooler) { p = at })
 	dir := filepath.Join(t.TempDir(), "zones")
@@ -41,7 +39,7 @@
 				t.Errorf("%d was kept before %d", got, no)
 			}
 		case <-time.After(10 * time.Second):
-			fair.TooSlowNow(t, "%d was not tried again in 10 s", no)
+			t.Fatalf("%d was not tried again in 10 s", no)
 		}
 	}
 	if no, err := z.floor(); no != 7 || err != nil {
@@ -54,7 +52,7 @@
 	select {
 	case <-kept:
 	case <-time.After(10 * time.Second):
-		fair.TooSlowNow(t, "9 was not passed over in 10 s")
+		t.Fatalf("9 was not passed over in 10 s")
 	}
 	if no, err := z.floor(); no != 12 || err != nil {
 		t.Errorf("%d is kept, %v: another process of this pooler had kept 12", no, err)
