An event loop of our own: interrupted calls and lost wake-ups cost time, not answers

Cause: gnet closes a connection at any error of read and write but EAGAIN (eventloop.read, write), and Poller.Trigger sets its mark before a write to the eventfd that may fail; the mark then stays, and no later wake-up is written. Weighed: enrolling the descriptor anew in the handler of the close loses what gnet had buffered and needs the same wake-up. So internal/loop has its own level-triggered epoll loop with the same interface, and gnet is gone. Accepts are made on the loop, without the runtime's poller: net.Accept resets a connection that it has no memory for (epoll_ctl ENOMEM), and unix.Accept4 closes one where its getsockopt fails; both seen by the test.

--- a/cmd/beechgrade/scenario_process_test.go
+++ b/cmd/beechgrade/scenario_process_test.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// TestDescriptorsRunShort: gnet's loop ends if it cannot accept, so there are never more connections than descriptors: a
+// TestDescriptorsRunShort: nothing can be accepted without a descriptor, so there are never more connections than descriptors: a
 // new client takes an idle one's place.
 func TestDescriptorsRunShort(t *testing.T) {
 	t.Parallel()
--- a/internal/backend/dial.go
+++ b/internal/backend/dial.go
@@ -160,7 +160,7 @@
 			pool.wear.Note(pool.loop.Now(), conn.restedFor, true)
 		}
 		result := decide.Reset
-		// If gnet has dropped its buffer, unsent is 0 and the attempt counts as one that may have run, which is the safe side.
+		// If the loop has dropped its buffer, unsent is 0 and the attempt counts as one that may have run, which is the safe side.
 		if !conn.handedOver || unsent > 0 { // its last byte was never sent, so it cannot have run
 			result = decide.Unreachable
 		}
--- a/internal/loop/engine.go
+++ b/internal/loop/engine.go
@@ -1,83 +1,136 @@
 package loop
 
 import (
-	"fmt"
-	"log/slog"
+	"errors"
+	"io"
+	"os"
 
-	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
-// begin runs the start function, once the loop is known, and what was posted before.
-func (l *Loop) begin(el gnet.EventLoop) {
-	l.mu.Lock()
-	l.el = el
-	posted := l.posted
-	l.posted = nil
-	l.mu.Unlock()
+const readBuffer = 1 << 16 // bytes that are read at once from a connection
+
+// begin runs the start function, and accepts from then on.
+func (l *Loop) begin() {
+	defer l.enter()()
 	l.pauses.onTime = l.clk.Now()
 	l.heartbeat()
 	l.start()
 	if l.own != nil {
-		l.own.take(l.accept)
+		l.own.begin()
 	}
-	for _, f := range posted {
-		f()
+}
+
+// serve runs the loop until End.
+func (l *Loop) serve() error {
+	l.begin()
+	buffer := make([]byte, readBuffer)
+	for !l.hasEnded() {
+		events, err := l.poller.wait()
+		if err != nil {
+			return err
+		}
+		for _, event := range events {
+			l.dispatch(int(event.Fd), event.Events, buffer)
+		}
+		l.runPosted()
 	}
+	return nil
 }
 
-// OnOpen is gnet's.
-func (l *Loop) OnOpen(gc gnet.Conn) ([]byte, gnet.Action) {
-	defer l.enter()()
-	if l.el == nil {
-		l.begin(gc.EventLoop())
+func (l *Loop) hasEnded() bool {
+	select {
+	case <-l.ended:
+		return true
+	default:
+		return false
 	}
-	c, ok := gc.Context().(*Conn)
-	if !ok {
-		c = &Conn{loop: l, h: l.accept()}
-		gc.SetContext(c)
+}
+
+// dispatch takes the events of a descriptor. Behind a close within this turn it may be nobody's.
+func (l *Loop) dispatch(fd int, events uint32, buffer []byte) {
+	if c := l.conns[fd]; c != nil {
+		l.handle(c, events, buffer)
+		return
 	}
-	if c.gone { // it was closed on its way back
-		return nil, gnet.Close
+	if a := l.acceptors[fd]; a != nil {
+		defer l.enter()()
+		a.take()
 	}
-	c.gc = gc
-	if c.parked != nil { // it is back
-		c.parked, c.back = nil, false
-		if b := c.out; len(b) > 0 {
-			c.out = nil
-			_ = c.Write(b)
+}
+
+// handle takes the events of a connection.
+func (l *Loop) handle(c *Conn, events uint32, buffer []byte) {
+	defer l.enter()()
+	if events&unix.EPOLLOUT != 0 {
+		if err := c.flush(); err != nil {
+			l.closeConn(c, err)
+			return
 		}
-		return nil, gnet.None
+		c.watch()
 	}
-	if c.h == nil {
-		c.h = c.accept()
+	if events&^unix.EPOLLOUT != 0 && !c.parked {
+		l.read(c, buffer)
 	}
-	c.h.Opened(c)
-	return nil, gnet.None
 }
 
-// OnTraffic is gnet's.
-func (l *Loop) OnTraffic(gc gnet.Conn) gnet.Action {
-	defer l.enter()()
-	c, ok := gc.Context().(*Conn)
-	if !ok {
-		return gnet.Close
+// read reads once from a connection. What is left makes another event.
+func (l *Loop) read(c *Conn, buffer []byte) {
+	n, err := l.poller.calls.read(c.fd, buffer)
+	switch {
+	case err != nil && passes(err): // there will be another event
+	case err != nil:
+		l.closeConn(c, os.NewSyscallError("read", err))
+	case n == 0:
+		l.closeConn(c, io.EOF)
+	default:
+		c.h.Data(buffer[:n])
 	}
-	if b, err := gc.Next(-1); err == nil && len(b) > 0 {
-		c.h.Data(b)
+}
+
+// runPosted runs the functions that were posted until now.
+func (l *Loop) runPosted() {
+	l.mu.Lock()
+	posted := l.posted
+	l.posted, l.wakeSent = l.spare, false
+	l.mu.Unlock()
+	for i, f := range posted {
+		posted[i] = nil
+		func() {
+			defer l.enter()()
+			f()
+		}()
 	}
-	return gnet.None
+	l.spare = posted[:0]
 }
 
-// OnClose is gnet's.
-func (l *Loop) OnClose(gc gnet.Conn, err error) gnet.Action {
-	defer l.enter()()
-	if c, ok := gc.Context().(*Conn); ok && !c.gone && c.parked == nil {
-		c.h.Closed(err)
-		c.gone = true
+// open puts a connection on the loop.
+func (l *Loop) open(c *Conn) {
+	l.conns[c.fd] = c
+	if c.h == nil {
+		c.h = c.accept()
 	}
-	return gnet.None
+	c.watch()
+	c.h.Opened(c)
 }
 
+// closeAll closes all connections, and ends the loop for those who wait for it.
+func (l *Loop) closeAll() {
+	func() {
+		defer l.enter()()
+		for _, c := range l.conns {
+			c.Close()
+		}
+	}()
+	l.mu.Lock()
+	l.over = true
+	l.mu.Unlock()
+	close(l.stopped)
+}
+
+// errOver is the error for a connection that comes when the loop has ended.
+var errOver = errors.New("the loop has ended")
+
 // enter begins a callback and returns what ends it: deadlines are run between callbacks, never inside
 // one.
 func (l *Loop) enter() func() {
@@ -100,12 +153,3 @@
 	}
 	l.arm()
 }
-
-// gnetLog passes gnet's log lines on.
-type gnetLog struct{ log *slog.Logger }
-
-func (g gnetLog) Debugf(f string, a ...any) { g.log.Debug(fmt.Sprintf(f, a...)) }
-func (g gnetLog) Infof(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
-func (g gnetLog) Warnf(f string, a ...any)  { g.log.Debug(fmt.Sprintf(f, a...)) }
-func (g gnetLog) Errorf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
-func (g gnetLog) Fatalf(f string, a ...any) { g.log.Error(fmt.Sprintf(f, a...)) }
--- a/internal/loop/peer.go
+++ b/internal/loop/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -10,29 +9,15 @@
 // PeerClosed tells whether the other side has closed the connection or its sending half, or whether the connection was
 // reset, also where the loop has not read that yet: it asks the socket itself. What the other side sent before may still
 // wait to be read.
-func (c *Conn) PeerClosed() bool {
-	switch {
-	case c.gone:
-		return true
-	case c.parked == nil:
-		return peerClosed(c.gc.Fd())
-	}
-	closed := false
-	if parked, ok := c.parked.(syscall.Conn); ok {
-		if raw, err := parked.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
-		}
-	}
-	return closed
-}
+func (c *Conn) PeerClosed() bool { return c.gone || peerClosed(c.fd) }
 
 // Undelivered is the number of bytes written that the other side's system has not taken yet, as far as is known: those that wait
 // here for the socket, and those that wait in it. A close still delivers these, however late; an Abort does not.
 func (c *Conn) Undelivered() int {
-	if c.gone || c.parked != nil {
+	if c.gone || c.parked {
 		return c.Unsent()
 	}
-	waiting, err := unix.IoctlGetInt(c.gc.Fd(), unix.TIOCOUTQ)
+	waiting, err := unix.IoctlGetInt(c.fd, unix.TIOCOUTQ)
 	if err != nil {
 		waiting = 0
 	}
@@ -42,10 +27,10 @@
 // Untransmitted is the number of bytes written that have not left this machine even once: those that wait here for the socket, and
 // those that wait in it until the other side's system has room.
 func (c *Conn) Untransmitted() int {
-	if c.gone || c.parked != nil {
+	if c.gone || c.parked {
 		return c.Unsent()
 	}
-	waiting, err := unix.IoctlGetInt(c.gc.Fd(), unix.SIOCOUTQNSD)
+	waiting, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQNSD)
 	if err != nil {
 		waiting = 0
 	}
@@ -53,18 +38,14 @@
 }
 
 func peerClosed(fd int) bool {
-	var b [1]byte
-	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := peek(fd)
 	switch {
-	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+	case errors.Is(err, unix.EAGAIN):
 		return false
 	case err != nil, n == 0:
 		return true
 	}
 	// Bytes that wait to be read hide the end behind them.
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	if _, err := unix.Poll(p, 0); err != nil {
-		return false
-	}
-	return p[0].Revents&(unix.POLLERR|unix.POLLHUP|unix.POLLRDHUP) != 0
+	events, err := poll(fd, unix.POLLRDHUP)
+	return err == nil && events&(unix.POLLERR|unix.POLLHUP|unix.POLLRDHUP) != 0
 }
