--- a/cmd/beechgrade/invariants.go
+++ b/cmd/beechgrade/invariants.go
@@ -37,6 +37,7 @@
 	p.loop.Between = func() {
 		p.loop.Check(c, every)
 		p.pool.Check(c, every)
+		p.front.Check(c, every)
 		if p.pooled != nil {
 			p.pooled.Check(c, every)
 		}
--- a/internal/frontend/platform/drain.go
+++ b/internal/frontend/platform/drain.go
@@ -41,10 +41,11 @@
 	if stage <= postgres.stage {
 		return
 	}
+	now := postgres.loop.Now()
 	if postgres.stage < RefuseCommands && stage >= RefuseCommands {
-		postgres.refusingSince = postgres.loop.Now()
+		postgres.refusingSince = now
 	}
-	postgres.stage = stage
+	postgres.stage, postgres.stageSince = stage, now
 	postgres.sessions.Each(func(_ slots.Ref, session *session) { session.sendAway() })
 }
 
--- a/internal/frontend/platform/postgres.go
+++ b/internal/frontend/platform/postgres.go
@@ -58,6 +58,8 @@
 	turnedAway int             // clients refused since the last sweep
 
 	refusingSince   float64            // when the present stage of sending away passed RefuseCommands
+	stageSince      float64            // when the present stage of sending away began
+	walks           int                // of the invariants
 	ended           [endReasons]uint64 // connections
 	refusedForDrain uint64             // commands
 }
