--- a/cmd/beechgrade/snapshots.go
+++ b/cmd/beechgrade/snapshots.go
@@ -42,7 +42,7 @@
 	if k == nil || !errors.Is(cause, config.ErrUnread) {
 		return nil, cause
 	}
-	r, err := k.Found(snapshots.Config, clock.Wall())
+	r, err := k.Found(snapshots.Config, clock.ThisMachine())
 	if err == nil && r != nil && r.From != env("EDGE_CONFIG") {
 		err = fmt.Errorf("it is of %s", r.From)
 	}
@@ -57,7 +57,7 @@
 		return nil, fmt.Errorf("%w; what was kept is not used: %w", cause, err)
 	}
 	c.Kept = true
-	log.Warn("kept: starting with the configuration that was kept", "saved_s_ago", math.Round((clock.Wall()-r.SavedMs)/1000), "why", cause)
+	log.Warn("kept: starting with the configuration that was kept", "saved_s_ago", math.Round(r.Age(clock.ThisMachine())/1000), "why", cause)
 	return c, nil
 }
 
@@ -77,7 +77,7 @@
 
 // restore takes the list that was kept where it is newer than the configuration's, of the same discovery.
 func (p *pooler) restore() {
-	r, err := p.kept.Found(snapshots.List, clock.Wall())
+	r, err := p.kept.Found(snapshots.List, p.machine)
 	var l discovery.List
 	if err == nil && r != nil {
 		if err = jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(r.Body, &l); err == nil && (len(l.Instances) == 0 || !l.Reset) {
@@ -95,7 +95,7 @@
 		p.log.Info("kept: the configuration's list is newer", "generation", known.Generation, "kept", l.Generation)
 	default:
 		p.cfg.Known = l
-		p.log.Info("kept: starting with the list that was kept", "servers", len(l.Instances), "generation", l.Generation, "saved_s_ago", math.Round((clock.Wall()-r.SavedMs)/1000))
+		p.log.Info("kept: starting with the list that was kept", "servers", len(l.Instances), "generation", l.Generation, "saved_s_ago", math.Round(r.Age(p.machine)/1000))
 	}
 }
 
@@ -106,8 +106,8 @@
 	}
 	text := c.Text
 	p.renewConfig = func() {
-		at := clock.Wall()
-		p.kept.Put(snapshots.Config, func() (*snapshots.Record, error) { return &snapshots.Record{SavedMs: at, From: path, Body: text}, nil })
+		record := snapshots.RecordOf(p.machine, path, text)
+		p.kept.Put(snapshots.Config, func() (*snapshots.Record, error) { return record, nil })
 	}
 	p.renewConfig()
 }
@@ -141,13 +141,14 @@
 	p.keptAt = max(now, p.keptAt+listPause)
 	p.loop.At(p.keptAt, func() {
 		p.keeping = false
-		l, from, at := p.list.whole(), p.cfg.Discovery, clock.Wall()
+		l, record := p.list.whole(), snapshots.RecordOf(p.machine, p.cfg.Discovery, nil)
 		if len(l.Instances) == 0 || l.Generation == 0 { // it serves nobody, or is another discovery's still
 			return
 		}
 		p.kept.Put(snapshots.List, func() (*snapshots.Record, error) {
 			b, err := jsoniter.ConfigCompatibleWithStandardLibrary.Marshal(&l)
-			return &snapshots.Record{SavedMs: at, From: from, Body: b}, err
+			record.Body = b
+			return record, err
 		})
 	})
 }
@@ -157,7 +158,7 @@
 
 // Load is snapshot.Saver's.
 func (s savedMembers) Load() (*snapshot.File, error) {
-	r, err := s.k.Found(snapshots.Members, clock.Wall())
+	r, err := s.k.Found(snapshots.Members, clock.ThisMachine())
 	if err != nil || r == nil {
 		return nil, err
 	}
@@ -168,7 +169,9 @@
 func (s savedMembers) Save(f *snapshot.File) error {
 	b, err := snapshot.Append(nil, f)
 	if err == nil {
-		s.k.Put(snapshots.Members, func() (*snapshots.Record, error) { return &snapshots.Record{SavedMs: f.SavedMs, Body: b}, nil })
+		s.k.Put(snapshots.Members, func() (*snapshots.Record, error) {
+			return &snapshots.Record{SavedMs: f.SavedMs, Saved: clock.ThisMachine().Moment(), Body: b}, nil
+		})
 	}
 	return err
 }
--- a/internal/storage/snapshots/snapshots.go
+++ b/internal/storage/snapshots/snapshots.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"beechgrade/internal/binaryform"
+	"beechgrade/internal/clock"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/storage/store"
 )
@@ -37,16 +38,35 @@
 
 // Record is a value that is kept, as a protobuf message:
 //
-//	message Record { double saved_ms = 1; string from = 2; bytes body = 3; }
+//	message Record { double saved_ms = 1; string from = 2; bytes body = 3; string boot = 4; double monotonic_ms = 5; }
 type Record struct {
-	SavedMs float64 // Unix ms at which it was known to be good
+	SavedMs float64      // Unix ms at which it was known to be good
+	Saved   clock.Moment // the same, for the boot in which that was
 	From    string
 	Body    []byte
 }
 
+// RecordOf returns a record that is known to be good now.
+func RecordOf(machine clock.Machine, from string, body []byte) *Record {
+	return &Record{SavedMs: machine.Wall(), Saved: machine.Moment(), From: from, Body: body}
+}
+
+// Age returns the milliseconds since a record was known to be good: by the boot's own clock, or by the wall clock after another start of the
+// machine.
+func (r *Record) Age(machine clock.Machine) float64 {
+	if ms, known := machine.Since(r.Saved); known {
+		return ms
+	}
+	return machine.Wall() - r.SavedMs
+}
+
 func (r *Record) encode() []byte {
 	b := binaryform.PutFixed(nil, 1, math.Float64bits(r.SavedMs))
-	return binaryform.PutText(binaryform.PutText(b, 2, r.From), 3, r.Body)
+	b = binaryform.PutText(binaryform.PutText(b, 2, r.From), 3, r.Body)
+	if r.Saved.Boot == "" {
+		return b
+	}
+	return binaryform.PutFixed(binaryform.PutText(b, 4, r.Saved.Boot), 5, math.Float64bits(r.Saved.MonotonicMs))
 }
 
 func decode(b []byte) (*Record, error) {
@@ -61,10 +81,14 @@
 		case f.Num == 3 && f.Type == protowire.BytesType:
 			r.Body = f.Text
 			seen |= 2
+		case f.Num == 4 && f.Type == protowire.BytesType:
+			r.Saved.Boot = string(f.Text)
+		case f.Num == 5 && f.Type == protowire.Fixed64Type:
+			r.Saved.MonotonicMs = math.Float64frombits(f.X)
 		}
 		return nil
 	})
-	if err != nil || seen != 3 || math.IsNaN(r.SavedMs) {
+	if err != nil || seen != 3 || math.IsNaN(r.SavedMs) || math.IsNaN(r.Saved.MonotonicMs) {
 		return nil, ErrForeign
 	}
 	return r, nil
@@ -149,12 +173,12 @@
 
 // Found is what was kept when the store was opened, nil where there is nothing; an error says why it is not used. Nothing that is
 // older than the bound, or whose age nobody can tell, is.
-func (k *Keeper) Found(what string, now float64) (*Record, error) {
+func (k *Keeper) Found(what string, machine clock.Machine) (*Record, error) {
 	if k == nil || k.first[what] == nil {
 		return nil, nil
 	}
 	r := k.first[what]
-	switch age := now - r.SavedMs; {
+	switch age := r.Age(machine); {
 	case age < -aheadMs:
 		return nil, fmt.Errorf("%w, by %.0f s", ErrAhead, -age/1000)
 	case age > k.opt.AgeMs:
--- a/internal/storage/snapshots/snapshots_test.go
+++ b/internal/storage/snapshots/snapshots_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"beechgrade/internal/clock"
 	"beechgrade/internal/invariant"
 	"beechgrade/internal/kit/standin/faulty"
 	"beechgrade/internal/steady"
@@ -23,6 +24,43 @@
 
 func strict() *invariant.Checks { return invariant.New(func(b invariant.Breach) { panic(b.String()) }) }
 
+// wall is a machine of an unknown boot whose wall clock stands at a time.
+func wall(ms float64) clock.Machine { return clock.Machine{Wall: func() float64 { return ms }} }
+
+// TestFoundBehindASteppedClock: within a boot, the age of what is kept is a span of real time, however the wall clock steps; it is judged by the
+// wall clock after another start of the machine.
+func TestFoundBehindASteppedClock(t *testing.T) {
+	for _, step := range []float64{-3600e3, -3e3, 0, 3e3, 3600e3} {
+		d, now, monotonic := faulty.New(), 1e12, 5000.0
+		machine := clock.Machine{Wall: func() float64 { return now }, Monotonic: func() float64 { return monotonic }, Boot: "b"}
+		opt := Options{FS: d, MostBytes: 1 << 20, AgeMs: 1000, Log: slog.New(slog.DiscardHandler)}
+		k, err := Start(opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		saved := RecordOf(machine, "from", []byte("body"))
+		k.Put(List, func() (*Record, error) { return saved, nil })
+		k.Stop()
+		if k, err = Start(opt); err != nil {
+			t.Fatal(err)
+		}
+		now, monotonic = now+step+1000, monotonic+1000
+		if r, err := k.Found(List, machine); err != nil || r == nil || r.Age(machine) != 1000 {
+			t.Errorf("step of %v ms: %+v, %v", step, r, err)
+		}
+		other := machine
+		other.Boot = "c"
+		if r, _ := k.Found(List, other); (r != nil) != (step <= 0 && step >= -aheadMs) {
+			t.Errorf("step of %v ms, in another boot: %+v", step, r)
+		}
+		monotonic++
+		if _, err := k.Found(List, machine); !errors.Is(err, ErrOld) {
+			t.Errorf("step of %v ms: what is too old is found: %v", step, err)
+		}
+		k.Stop()
+	}
+}
+
 // TestFound: what was kept last is found by the next start, within its age, by a clock that went back a little too; not by one that
 // went back far, whose word on the age is worth nothing.
 func TestFound(t *testing.T) {
@@ -41,7 +79,7 @@
 	k.Put(Config, value(1e6, "b"))
 	k.Stop()
 	second.Stop()
-	if r, err := second.Found(List, 1e6); r != nil || err != nil {
+	if r, err := second.Found(List, wall(1e6)); r != nil || err != nil {
 		t.Errorf("the second process read %+v, %v", r, err)
 	}
 	if k, err = Start(opt); err != nil {
@@ -49,11 +87,11 @@
 	}
 	defer k.Stop()
 	for now, want := range map[float64]error{1e6: nil, 1e6 + 1000: nil, 1e6 + 1001: ErrOld, 1e6 - aheadMs: nil, 1e6 - aheadMs - 1: ErrAhead} {
-		if r, err := k.Found(List, now); !errors.Is(err, want) || (r != nil) != (want == nil) || r != nil && string(r.Body) != "a" {
+		if r, err := k.Found(List, wall(now)); !errors.Is(err, want) || (r != nil) != (want == nil) || r != nil && string(r.Body) != "a" {
 			t.Errorf("at %v: %+v, %v", now, r, err)
 		}
 	}
-	if r, err := k.Found(Members, 1e6); r != nil || err != nil {
+	if r, err := k.Found(Members, wall(1e6)); r != nil || err != nil {
 		t.Errorf("never kept: %+v, %v", r, err)
 	}
 }
@@ -89,7 +127,7 @@
 			if err != nil {
 				t.Fatalf("operation %d: %v", at, err)
 			}
-			if r, err := k.Found(Config, 0); err != nil || r != nil && string(r.Body) != strings.Repeat(fmt.Sprint(r.SavedMs), 300) {
+			if r, err := k.Found(Config, wall(0)); err != nil || r != nil && string(r.Body) != strings.Repeat(fmt.Sprint(r.SavedMs), 300) {
 				t.Errorf("operation %d: %+v %v", at, r, err)
 			}
 			k.Stop()
@@ -147,7 +185,7 @@
 				rt.Fatal(err)
 			}
 			for _, what := range []string{Config, List, Members} {
-				r, err := k.Found(what, n)
+				r, err := k.Found(what, wall(n))
 				if err != nil {
 					rt.Fatal(err)
 				}
