--- a/internal/decide/slowstart_test.go
+++ b/internal/decide/slowstart_test.go
@@ -33,7 +33,8 @@
 	sends    []slowStartSend // to the primary, in order
 	requests int
 	answer   func(f *slowStartFleet) (Result, time.Duration)
-	started  Time // of the primary's present process
+	started  Time          // of the primary's present process
+	ahead    time.Duration // the primary's clock is ahead of the routers'
 }
 
 // slowStartSend is a call that went out to a process of the primary, and how many that was allowed in the span then.
@@ -98,7 +99,7 @@
 	f.routers[i] = r
 	entry := Entry{Server: "p", Primary: true}
 	if f.started > start {
-		entry.Started = f.started
+		entry.Started = f.started + f.ahead
 	}
 	f.handle(i, &List{Kind: ListRestored, Entries: []Entry{entry, {Server: "a"}, {Server: "b"}}})
 	f.handle(i, &ProbeResult{Server: "p", Result: OK, Load: Report{Role: RolePrimary, HasPosition: true, Position: f.now}})
@@ -151,7 +152,7 @@
 		f.started = f.now
 		for i := range f.routers {
 			f.later(time.Duration(f.rng.Float64()*float64(heard)), i,
-				&List{Kind: ListChanges, Entries: []Entry{{Server: "p", Primary: true, Started: f.now}}})
+				&List{Kind: ListChanges, Entries: []Entry{{Server: "p", Primary: true, Started: f.started + f.ahead}}})
 		}
 	})
 }
@@ -263,6 +264,23 @@
 	})
 }
 
+// TestSlowStartBySteppedClocks: the wall clock of the server, or that of the routers, has been stepped: the start that the list reports lies
+// ahead of the routers' clock, or long before it.
+func TestSlowStartBySteppedClocks(t *testing.T) {
+	for _, ahead := range []time.Duration{-time.Hour, -3 * time.Second, 3 * time.Second, time.Hour} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			holdSlowStart(t, nil, func(f *slowStartFleet) Time {
+				f.ahead = ahead
+				f.demand(start, start+20*time.Second, 200)
+				f.restart(restartAt, 0)
+				f.demand(restartAt+time.Second, restartAt+2*time.Second, 1000)
+				f.run(start + 18*time.Second)
+				return restartAt
+			})
+		})
+	}
+}
+
 // TestSlowStartRetries: the server turns away most of what it gets, and all of it is sent again.
 func TestSlowStartRetries(t *testing.T) {
 	holdSlowStart(t, nil, func(f *slowStartFleet) Time {
