Slow start counts a start from when a watch tells of it, whatever clock dated it

Cause: list.go took startedAtMs at its word. Now a start that a watch tells of as changed counts from then; one of a whole list counts as reported, and none lies ahead. Open: a process that starts with a clock an hour ahead takes the starts of its first whole list for an hour old.

--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -32,7 +32,7 @@
 				}
 			}
 		}
-		s.coldFrom = max(s.coldFrom, cmp.Or(entry.Started, never))
+		r.hearStart(s, &entry, ev.Kind)
 		if r.set.ListShowsRole && entry.Primary && s.role == RoleUnknown {
 			s.role, s.roleAt = RolePrimary, never+1
 		}
@@ -54,6 +54,21 @@
 	}
 }
 
+// hearStart takes the start that an entry reports. It is a time of the server's clock, which may differ from this one's by any amount. So
+// a start of which a watch tells counts from now, as it has just happened; only where nothing was known before is it taken as reported, and
+// none lies ahead.
+func (r *Router) hearStart(s *server, entry *Entry, kind ListKind) {
+	if entry.Started == s.entry.Started {
+		return
+	}
+	known := s.entry.Server != ""
+	if known && r.listed && kind == ListChanges {
+		s.coldFrom = max(s.coldFrom, r.now)
+		return
+	}
+	s.coldFrom = max(s.coldFrom, min(r.now, cmp.Or(entry.Started, never)))
+}
+
 // rewatch subscribes after a pause, each router at its own time, before missed changes count as known.
 func (r *Router) rewatch(pause time.Duration) {
 	most := min(callsApart-min(callSilent, r.now-r.watchedAt), Time(watchPart*float64(r.set.AskEvery)))
