--- a/internal/frontend/scatter/link.go
+++ b/internal/frontend/scatter/link.go
@@ -162,6 +162,14 @@
 	}
 }
 
+// readOn ends park, once what has been read is worked off: what is read before that adds to what is held.
+func (l *link) readOn() {
+	if l.parked && !l.stopped && !l.closed {
+		l.parked = false
+		l.conn.Unpark()
+	}
+}
+
 // stop has the merge take no more rows from here.
 func (l *link) stop() {
 	if !l.stopped && !l.ending {
@@ -176,14 +184,11 @@
 		return
 	}
 	l.stopped = false
-	if l.parked {
-		l.parked = false
-		l.conn.Unpark()
-	}
 	l.f.loop.At(l.f.loop.Now(), func() {
 		if !l.closed && !l.stopped && !l.busy {
 			l.work()
 		}
+		l.readOn()
 	})
 }
 
