--- a/internal/decide/age_test.go
+++ b/internal/decide/age_test.go
@@ -1,6 +1,9 @@
 package decide
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // leads is what a server says of itself that is the primary.
 func leads(at Time) Report { return Report{Role: RolePrimary, Position: at, HasPosition: true} }
@@ -130,3 +133,20 @@
 		}
 	}
 }
+
+// TestReadsByASlowClock: this router's clock is behind the servers', as that of a process that began behind a step. A replica that is 3.1 s behind
+// its primary looks 0.1 s old by this clock, and must not get a read whose bound is 0.3 s.
+func TestReadsByASlowClock(t *testing.T) {
+	const behind = 3 * time3
+	g := newRig(t, testSettings(), Entry{Server: "p", Size: 1}, Entry{Server: "a", Size: 1})
+	for n := range 20 {
+		g.now += 100 * ms
+		g.report("p", RolePrimary, g.now+behind)
+		g.report("a", RoleReplica, g.now-100*ms)
+		for _, a := range of(Send, g.ask(RequestID(fmt.Sprint(n)), cBounded)) {
+			if a.Server == "a" {
+				t.Fatalf("read %d goes to the replica, which is %v behind", n, behind+100*ms)
+			}
+		}
+	}
+}
