Sessions: a starting process waits longer for a place that is being taken over, and says so

The process that stays takes over what the ended one left, and holds that place for as long as the disk needs for it; the one that starts gave up after 1 s. That the disk was slow then is likely, not proven: nothing logged it. Now both log it when it takes over 250 ms, and the wait is 8 s, as a process is to be ready within 10 s.

--- a/cmd/beechgrade-kit/sessions_upgrade_test.go
+++ b/cmd/beechgrade-kit/sessions_upgrade_test.go
@@ -109,6 +109,14 @@
 	defer func() { _ = socket.Close() }()
 	set := settings(a)
 	now := a.onSocket(socket, set, 0)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for n := range 3 {
+				b, _ := os.ReadFile(a.file(fmt.Sprint("log-", n)))
+				t.Logf("log %d:\n%s", n, b)
+			}
+		}
+	})
 	var mu sync.Mutex
 	no := 0
 	quit := make(chan struct{})
--- a/cmd/beechgrade/sessions.go
+++ b/cmd/beechgrade/sessions.go
@@ -70,12 +70,19 @@
 
 const (
 	openAgain = 20 * time.Millisecond // another process looks whether a place is free, and has it for that moment
-	openMost  = time.Second
+	openMost  = 8 * time.Second       // one that takes a place over holds it for as long as the disk takes; a process is to be ready within 10 s
+	openSlow  = 250 * time.Millisecond
 )
 
 // openSessions opens a place that no process has.
 func (p *pooler) openSessions(places [2]store.FS, opt store.Options) (s *store.Store, rec *store.Recovery, at int, err error) {
-	for until := time.Now().Add(openMost); ; time.Sleep(openAgain) {
+	began := time.Now()
+	defer func() {
+		if took := time.Since(began); took > openSlow {
+			p.log.Warn("sessions: a place was long in coming free", "ms", took.Milliseconds(), "place", at, "err", err)
+		}
+	}()
+	for until := began.Add(openMost); ; time.Sleep(openAgain) {
 		for at = range places {
 			if at == 1 && (p.given == nil || places[1] == nil) {
 				return nil, nil, 0, err
--- a/cmd/beechgrade/upgrade_sessions.go
+++ b/cmd/beechgrade/upgrade_sessions.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	upgradeDir = "beside"               // the second place's folder, in the first
-	lookEvery  = 100 * time.Millisecond // between looks at whether another process has the other place
-	trustMs    = 300                    // after a look began that found none, sessions' reads go by what is known here
-	settleMs   = 500                    // after the start, until a write is answered: by then the other process has looked, or trusts itself no more
+	upgradeDir     = "beside"               // the second place's folder, in the first
+	lookEvery      = 100 * time.Millisecond // between looks at whether another process has the other place
+	trustMs        = 300                    // after a look began that found none, sessions' reads go by what is known here
+	slowTakeoverMs = 250                    // in which the other place is held
+	settleMs       = 500                    // after the start, until a write is answered: by then the other process has looked, or trusts itself no more
 )
 
 // upgradeSessions is the place of the other process on this socket, where an upgrade has two. While that one lives, either may serve a
@@ -129,10 +130,12 @@
 		}
 		return unlock()
 	}
+	began := b.p.loop.Now()
 	s, _, err := store.Open(b.opt)
 	if err != nil {
 		return err
 	}
+	opened := b.p.loop.Now()
 	h := sessiontoken.Read(s, clock.Span(b.p.loop.Now()), b.p.log)
 	told := make(chan error, 1)
 	b.p.loop.Post(func() {
@@ -145,12 +148,17 @@
 	case <-b.quit: // what is there stays there, for the next start
 		return errors.Join(store.ErrClosed, s.Close())
 	}
+	merged := b.p.loop.Now()
 	if err == nil {
 		err = sessiontoken.Erase(s)
 	}
+	erased := b.p.loop.Now()
 	if err = errors.Join(err, s.Close()); err == nil {
 		b.asked = false
 	}
+	if ended := b.p.loop.Now(); ended-began > slowTakeoverMs { // a process that starts meanwhile finds no free place
+		b.p.log.Warn("sessions: taking over was slow", "open_ms", opened-began, "merge_ms", merged-opened, "erase_ms", erased-merged, "close_ms", ended-erased)
+	}
 	return err
 }
 
