Loop: the poller is published under the lock that posts take

Post may run on another goroutine before Serve has the poller; the write had no lock. It could cost one wake-up, so 50 ms. The loop's and the frontend's tests pass with -race.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -55,11 +55,11 @@
 	depth int // callbacks that run inside each other: a close within a write, say
 
 	mu       sync.Mutex // guards what follows
-	poller   *poller
-	posted   []func() // to be run
-	wakeSent bool     // the poller has been woken for them
-	over     bool     // nothing more is run
-	spare    []func() // a buffer for posted
+	poller   *poller    // set once; only the loop uses it without mu
+	posted   []func()   // to be run
+	wakeSent bool       // the poller has been woken for them
+	over     bool       // nothing more is run
+	spare    []func()   // a buffer for posted
 }
 
 // New makes a loop. accept makes the handler of each accepted connection; start runs on the loop before
@@ -94,7 +94,9 @@
 	if err != nil {
 		return fmt.Errorf("event loop: %w", err)
 	}
+	l.mu.Lock()
 	l.poller = poller
+	l.mu.Unlock()
 	if l.Ready != nil {
 		l.Post(l.Ready)
 	}
