--- a/internal/loop/calls_test.go
+++ b/internal/loop/calls_test.go
@@ -199,6 +199,13 @@
 	}
 }
 
+// nobody hears nothing of a connection.
+type nobody struct{}
+
+func (nobody) Opened(*Conn) {}
+func (nobody) Data([]byte)  {}
+func (nobody) Closed(error) {}
+
 // TestLostWakeup: where the poller cannot be woken, what was posted runs all the same.
 func TestLostWakeup(t *testing.T) {
 	l := New(clock.System(), slog.New(slog.DiscardHandler), func() Handler { return nobody{} }, func() {})
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -12,13 +12,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// nobody hears nothing of a connection.
-type nobody struct{}
-
-func (nobody) Opened(*Conn) {}
-func (nobody) Data([]byte)  {}
-func (nobody) Closed(error) {}
-
 // Addr is the address that the loop listens on, with its port where any was asked for.
 func (l *Loop) Addr() string { return l.addr }
 
