--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// hearStart takes the start that an entry reports. It is a time of the server's clock, which may differ from this one's by any amount. So
-// a start of which a watch tells counts from now, as it has just happened; only where nothing was known before is it taken as reported, and
-// none lies ahead.
+// hearStart takes the start that an entry reports. It is a time of the server's clock, which may differ from
+// this one's by any amount. So a start of which a watch tells counts from now, as it has just happened; only
+// where nothing was known before is it taken as reported, and none lies ahead.
 func (r *Router) hearStart(s *server, entry *Entry, kind ListKind) {
 	if entry.Started == s.entry.Started {
 		return
