decide: the servers' clock is estimated from their primaries' reports

Cause: positions, which are times of the servers' clock, were compared with this process's, which is off for good where the process began behind a step. Two processes' memories shift starts as well.

--- a/internal/backend/api.go
+++ b/internal/backend/api.go
@@ -102,5 +102,4 @@
 	leaveMs     = 100     // within which the remaining time must be transmitted; it may be wrong by 150 ms, pauses included
 	digitsMs    = 50      // within which a query can be sent without the remaining time losing a digit
 	brokeMs     = 50      // a connection that breaks so soon after a request is counted as broken by it
-	aheadMs     = 100     // by which a position may be ahead of the local clock: commits are rounded up, clocks differ
 )
--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -145,8 +145,8 @@
 	pool.events.AttemptEnded(attempt.tag, outcome)
 }
 
-// position reports whether a position is plausible: positive and not ahead of the clock by more than aheadMs.
-func (pool *Pool) position(ms float64) bool { return ms > 0 && ms <= pool.loop.Now()+aheadMs }
+// position reports whether a position is plausible.
+func (pool *Pool) position(ms float64) bool { return clock.Plausible(ms, pool.loop.Now()) }
 
 func (pool *Pool) role(val string) decide.Role {
 	switch val {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,6 +1,7 @@
 // Package clock is the program's one source of time. Every reading is float64 milliseconds on one
 // scale: Unix time as it was read at the start, carried on by the monotonic clock, so that it never
-// steps and positions and start times from the outside need no further mapping than FromUnix.
+// steps. Positions and start times from the outside are mapped by FromUnix; where the machines' clocks
+// differ, internal/decide learns by how much.
 package clock
 
 import (
@@ -38,6 +39,12 @@
 // FromUnix maps Unix milliseconds, as the wire has them, onto the clock's scale.
 func FromUnix(ms int64) float64 { return float64(ms) }
 
+// mostAheadMs is a day: no clock is stepped further.
+const mostAheadMs = 24 * 60 * 60 * 1000
+
+// Plausible reports whether a time that a server stated, as FromUnix maps it, can be one of its clock, which may differ from this one.
+func Plausible(ms, now float64) bool { return ms > 0 && ms <= now+mostAheadMs }
+
 // Span converts milliseconds to the decision module's unit, exactly to the nanosecond for whole
 // milliseconds: a position and the commit it must reach compare equal only then.
 func Span(ms float64) time.Duration {
--- a/internal/core/sends.go
+++ b/internal/core/sends.go
@@ -47,7 +47,7 @@
 	now := clock.Span(c.loop.Now())
 	at := now // in an answer to a request it counts at once
 	if probe {
-		at = min(now, clock.Span(report.Position))
+		at = min(now, c.dated(server, report))
 	}
 	if known, ok := c.router.MemoryOf(decide.ServerID(server)); ok && known.Role != decide.RoleReplica {
 		known.Down, known.Role, known.RoleAt = false, decide.RoleReplica, at
--- a/internal/core/witness.go
+++ b/internal/core/witness.go
@@ -67,9 +67,14 @@
 	return true
 }
 
+// dated returns the time of a report on this process's clock, by the server's position.
+func (c *Core) dated(server string, report backend.Report) decide.Time {
+	return c.router.OnClock(decide.ServerID(server), clock.Span(report.Position))
+}
+
 // recall gives the router a server's report, as of the report's time.
 func (c *Core) recall(server string, report backend.Report) {
-	if !report.HasPos || report.Position > c.loop.Now() {
+	if !report.HasPos || c.dated(server, report) > clock.Span(c.loop.Now()) {
 		return
 	}
 	c.ServerReported(server, report, 0)
@@ -77,7 +82,7 @@
 
 // recallRole is recall without the position.
 func (c *Core) recallRole(server string, report backend.Report) {
-	now, at := clock.Span(c.loop.Now()), clock.Span(report.Position)
+	now, at := clock.Span(c.loop.Now()), c.dated(server, report)
 	if known, ok := c.router.MemoryOf(decide.ServerID(server)); ok && report.HasPos && report.Role != decide.RoleUnknown && at <= now {
 		known.Down, known.Role, known.RoleAt = false, report.Role, at
 		c.Recall(&decide.Memory{Servers: []decide.ServerMemory{known}})
@@ -89,7 +94,7 @@
 
 // ServerReported gives the router a server's report, made to any pooler, that is ageMs old at most. A position also is the time of its report.
 func (c *Core) ServerReported(server string, report backend.Report, ageMs float64) {
-	now, at := clock.Span(c.loop.Now()), clock.Span(report.Position)
+	now, at := clock.Span(c.loop.Now()), c.dated(server, report)
 	known, ok := c.router.MemoryOf(decide.ServerID(server))
 	if !ok || at > now {
 		return
@@ -98,8 +103,8 @@
 	if report.Role != decide.RoleUnknown {
 		known.Role, known.RoleAt = report.Role, at
 	}
-	if at > known.Position {
-		known.Position, known.PositionAt, known.PlacedAt = at, now, now-clock.Span(ageMs)
+	if position := clock.Span(report.Position); position > known.Position {
+		known.Position, known.PositionAt, known.PlacedAt = position, now, now-clock.Span(ageMs)
 	}
 	c.Recall(&decide.Memory{Servers: []decide.ServerMemory{known}})
 	if report.Role == decide.RoleReplica {
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -22,6 +22,7 @@
 //   - attempts.go: outcomes of attempts, and when a request is sent again
 //   - health.go: which servers are taken out of use, and when they return
 //   - list.go: the server list and its subscription
+//   - offset.go: how far the servers' clock is ahead of the router's
 package decide
 
 import (
@@ -259,7 +260,7 @@
 	RoleReplica
 )
 
-// Report is what a server reported of itself. Position is a time on the router's clock up to which it has
+// Report is what a server reported of itself. Position is a time on the servers' clock up to which it has
 // applied every commit. HasPosition and HasHeld tell which fields are present.
 type Report struct {
 	Role        Role
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -18,12 +18,14 @@
 	req := a.req
 	r.countLost(s, a, ev.Result)
 	req.reached = req.reached || ev.Result != Unreachable && ev.Result != Skipped
+	r.observeClock(s, ev.Reported, a.sent)
 	at := r.now // that it is a replica counts at once; that it leads, as of its report
 	if ev.Reported.Role == RolePrimary {
-		at = min(r.now, max(a.sent, ev.Reported.Position))
+		at = min(r.now, max(a.sent, s.group.onClock(ev.Reported.Position)))
 	}
 	r.takeReport(s, ev.Reported, at)
-	r.takeReport(s, ev.Load, ev.Load.Position)
+	r.observeClock(s, ev.Load, never) // it is some time old
+	r.takeReport(s, ev.Load, s.group.onClock(ev.Load.Position))
 	switch ev.Result {
 	case OK:
 		c := req.class
@@ -51,7 +53,8 @@
 		}
 		r.answered(s, a)
 		if req.class.Read == Write && r.set.TrackCommits {
-			r.remember(req.session, ev.Reported.position(r.now)) // committed by now, whatever the report says
+			// committed by now, whatever the report says
+			r.remember(req.session, ev.Reported.position(r.serversNow(s.group)))
 		}
 	case Missed:
 		r.answered(s, a)
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -33,18 +33,25 @@
 	if need == never || r.proven(s, req) >= need {
 		return true, true
 	}
-	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.placedAt-s.position) ||
+	if s == r.primary(req.group) { // it stands at the present, whatever this clock makes of its position
+		return false, true
+	}
+	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.lacked()) ||
 		s.position+time.Duration(float64(r.now-s.positionAt)*s.pace) >= need
 }
 
-// proven is as of when a server's data is complete: a primary's as of its report, or of this request's probe.
+// lacked is how far behind a server's data was when it was last reported.
+func (s *server) lacked() time.Duration { return s.placedAt - s.group.onClock(s.position) }
+
+// proven is as of when a server's data is complete, on the servers' clock: a primary's as of its report, or of
+// this request's probe.
 func (r *Router) proven(s *server, req *request) Time {
 	at := s.position
 	if s == r.primary(req.group) {
-		if at = max(at, s.roleAt); !r.set.MayProbe {
+		if at = max(at, s.roleAt+req.group.clock.ahead); !r.set.MayProbe {
 			at = math.MaxInt64 / 2
 		} else if s.askedAt >= req.arrived {
-			at = max(at, s.askedAt)
+			at = max(at, s.askedAt+req.group.clock.ahead)
 		}
 	}
 	return at
@@ -74,18 +81,18 @@
 // listed tells whether the list allows its use. With DrainOnly a server that left the list may be used.
 func (s *server) listed() bool { return !s.draining && (s.gone == 0 || s.set.DrainOnly) }
 
-// needs is the position that a request needs of a replica now.
+// needs is the position that a request needs of a replica now, on the servers' clock.
 func (r *Router) needs(req *request) Time {
 	if req.class.Read == ReadBounded {
-		return r.now - req.class.Bound
+		return r.serversNow(req.group) - req.class.Bound
 	}
 	return req.need
 }
 
 // chance is how likely a probe finds a server new enough: one that was far behind stays so for a while.
 func (r *Router) chance(s *server, req *request) float64 {
-	lacked, may := s.placedAt-s.position, r.now-r.needs(req)
-	if s.position == never || lacked <= may {
+	lacked, may := s.lacked(), r.serversNow(req.group)-r.needs(req)
+	if s.position == never || lacked <= may || s == r.primary(req.group) {
 		return 1
 	}
 	return 1 - (1-may.Seconds()/lacked.Seconds())*r.fading(s.placedAt, linkMemory)
@@ -186,7 +193,7 @@
 	s.share += 1 / (pickMemory * float64(len(s.group.members)))
 	by := req.sendBy - r.set.Tick
 	if req.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, and age
-		by = min(by, r.proven(s, req)+req.class.Bound+1)
+		by = min(by, req.group.onClock(r.proven(s, req))+req.class.Bound+1)
 	}
 	r.act(Action{Kind: Send, ID: req.id, Server: s.id, By: by})
 	return true
--- a/internal/decide/estimate.go
+++ b/internal/decide/estimate.go
@@ -60,7 +60,7 @@
 	if report.HasPosition {
 		s.placedAt = max(s.placedAt, r.now-report.Age)
 	}
-	if report.HasPosition && report.Position > s.position && report.Position <= r.now {
+	if report.HasPosition && report.Position > s.position && report.Position <= r.serversNow(s.group) {
 		if s.position != never && r.now-s.positionAt > 0 {
 			s.pace += 0.3 * (min(1, float64(report.Position-s.position)/float64(r.now-s.positionAt)) - s.pace)
 		}
--- a/internal/decide/handover.go
+++ b/internal/decide/handover.go
@@ -38,12 +38,12 @@
 	Mean    float64         `json:"mean"`
 }
 
-// Shift moves the times that are of the router's own clock, for a router whose clock differs by so much. Positions and starts of servers are
-// the servers' own times and stay.
+// Shift moves the times that are of the router's own clock, for a router whose clock differs by so much. Positions are
+// on the servers' clock and stay.
 func (m *Memory) Shift(by Time) {
 	for i := range m.Servers {
 		server := &m.Servers[i]
-		for _, at := range []*Time{&server.RoleAt, &server.PositionAt, &server.PlacedAt, &server.ColdSpentAt, &server.BadAt} {
+		for _, at := range []*Time{&server.RoleAt, &server.PositionAt, &server.PlacedAt, &server.ColdFrom, &server.ColdSpentAt, &server.BadAt} {
 			if *at > 0 { // else it has never happened
 				*at += by
 			}
@@ -86,7 +86,7 @@
 // figures out of range are ignored, as the memory may come from a file or from the network.
 func (r *Router) Recall(now Time, m *Memory) {
 	if r.watch != nil {
-		r.watch.onRecall(now, m)
+		r.watch.onRecall(r, now, m)
 	}
 	if m.Forgotten > 0 {
 		r.forgotten = max(r.forgotten, m.Forgotten)
@@ -117,7 +117,7 @@
 		if known.RoleAt > s.roleAt && known.RoleAt <= now && known.Role <= RoleReplica {
 			s.role, s.roleAt = known.Role, known.RoleAt
 		}
-		if known.Position > s.position && known.Position <= now && known.PositionAt <= now && known.PlacedAt <= now {
+		if known.Position > s.position && s.group.onClock(known.Position) <= now && known.PositionAt <= now && known.PlacedAt <= now {
 			s.position, s.positionAt, s.placedAt, s.pace = known.Position, known.PositionAt, known.PlacedAt, min(1, max(0, known.Pace))
 		}
 		if sane(known.Rel) {
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -65,6 +65,10 @@
 	if s == nil {
 		return
 	}
+	sent := never
+	if s.probing {
+		sent = s.probeAt
+	}
 	slow := s.probing && r.observeLink(s, r.now-s.probeAt)
 	s.probing = false
 	if ev.Result == Full || ev.Result == Failed || ev.Result == Skipped || ev.Result != OK && slow {
@@ -81,7 +85,8 @@
 	if s.probeFails = 0; ev.Load.Role == RolePrimary { // no other answer confirms that it leads
 		s.askedAt = s.probeAt
 	}
-	r.takeReport(s, ev.Load, ev.Load.Position) // a primary's position is the time of its report
+	r.observeClock(s, ev.Load, sent)
+	r.takeReport(s, ev.Load, s.group.onClock(ev.Load.Position)) // a primary's position is the time of its report
 	if s.health == down {
 		// A probe bypasses its queue, so requests have to prove it. What it had in flight may be gone.
 		r.recover(s)
--- /dev/null
+++ b/internal/decide/offset_test.go
@@ -0,0 +1,107 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// hour is what an operator's mistake steps a clock by.
+const hour = time.Hour
+
+// answerAt plays a probe's answer: the server's clock is ahead of the router's by so much, and the way takes 2 ms either way.
+func (c *clockOffset) answerAt(now Time, ahead time.Duration) {
+	c.observe(now, now-4*ms, now-2*ms+ahead)
+}
+
+// TestClockOffset: reports of the primary tell how far its clock is ahead. The estimate is raised at once, as a read would else be too stale, and
+// lowered only when several agree.
+func TestClockOffset(t *testing.T) {
+	near := func(t *testing.T, c *clockOffset, want time.Duration) {
+		t.Helper()
+		if off := c.ahead - want; off < 0 || off > 4*ms {
+			t.Errorf("estimate %v, want %v and at most the way more", c.ahead, want)
+		}
+	}
+	for _, ahead := range []time.Duration{hour, -hour, 3 * time.Second, -3 * time.Second} {
+		t.Run(ahead.String(), func(t *testing.T) {
+			c, now := &clockOffset{}, start
+			for range 12 {
+				c.answerAt(now, ahead)
+				now += 100 * ms
+			}
+			near(t, c, ahead)
+			for range 12 {
+				c.answerAt(now, 0) // another machine leads now
+				now += 100 * ms
+			}
+			near(t, c, 0)
+		})
+	}
+	t.Run("differences that delays explain", func(t *testing.T) {
+		c := &clockOffset{}
+		for n := range 100 {
+			c.answerAt(start+Time(n)*100*ms, time.Duration(n%5-2)*100*ms)
+			c.observe(start, start-3*time.Second, start-3*time.Second) // an answer that was long on its way
+			c.observe(start, never, start-20*time.Second)              // a report that came along, of any age
+		}
+		if c.ahead != 0 {
+			t.Errorf("estimate %v", c.ahead)
+		}
+	})
+	t.Run("a primary that stands still", func(t *testing.T) {
+		c := &clockOffset{}
+		for n := range 100 {
+			now := start + Time(n)*200*ms
+			c.observe(now, now-4*ms, start-10*time.Second)
+		}
+		if c.ahead != 0 {
+			t.Errorf("estimate %v", c.ahead)
+		}
+	})
+	t.Run("two that say they lead", func(t *testing.T) {
+		c := &clockOffset{}
+		for n := range 100 {
+			c.answerAt(start+Time(n)*100*ms, time.Duration(n%2)*-hour)
+		}
+		if c.ahead != 0 {
+			t.Errorf("estimate %v", c.ahead)
+		}
+	})
+}
+
+// TestReadsByAFastClock: this router's clock is an hour ahead of the servers'. A replica that is up to date must serve bounded reads all the same, once
+// reports agree, and one that is behind must not; until then the primary serves them, which was no more asked once it seemed an hour behind; a server that has started lately by the servers' clock counts as cold.
+func TestReadsByAFastClock(t *testing.T) {
+	g := newRig(t, testSettings(), Entry{Server: "p", Size: 1}, Entry{Server: "a", Size: 1, Started: start - hour - 100*ms}, Entry{Server: "b", Size: 1})
+	if g.r.warmth(g.r.servers["a"]) != 1 {
+		t.Fatal("by its own clock alone the router has no reason to take it for cold")
+	}
+	position := map[ServerID]time.Duration{"p": 0, "a": 100 * ms, "b": time3}
+	served := map[ServerID]int{}
+	for n := range 60 {
+		out := append(g.pass(50*ms), g.ask(RequestID(fmt.Sprint(n)), cBounded)...)
+		for len(out) > 0 { // probes are answered after 4 ms, requests at once
+			a := out[0]
+			out = out[1:]
+			if a.Kind == Probe {
+				g.now += 4 * ms
+				report := Report{Role: RoleReplica, Position: g.now - 2*ms - hour - position[a.Server], HasPosition: true}
+				if a.Server == "p" {
+					report.Role = RolePrimary
+				}
+				out = append(out, g.do(&ProbeResult{Server: a.Server, Load: report})...)
+			}
+			if a.Kind == Send {
+				served[a.Server]++
+				out = append(out, g.end(a.ID, a.Attempt, a.Server, OK)...)
+			}
+		}
+	}
+	if served["a"] == 0 || served["b"] > 0 || served["a"]+served["p"] < 58 {
+		t.Errorf("of 60 reads served by %v: want nearly all, some by a, none by b", served)
+	}
+	if g.r.warmth(g.r.servers["a"]) == 1 {
+		t.Error("a server that started 3 s ago counts as warm")
+	}
+}
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -89,7 +89,7 @@
 	frozenUntil    Time    // ...until then
 	want, got      float64 // since the last refresh: average work of answered requests; service they took
 	othersLoad     float64 // requests of other routers in flight there, as of reportedAt
-	position       Time    // known position; never goes back
+	position       Time    // known position, on the servers' clock; never goes back
 	positionAt     Time
 	placedAt       Time    // last report of its position, new or not
 	askedAt        Time    // when the probe that it answered last was sent
@@ -122,6 +122,7 @@
 	members []*server
 	held    []*request
 	backlog [2]backlog // at its primary, and at the others
+	clock   clockOffset
 }
 
 // attempt is a request on its way to a server.
--- a/internal/frontend/pooling/pooling.go
+++ b/internal/frontend/pooling/pooling.go
@@ -4,6 +4,7 @@
 package pooling
 
 import (
+	"beechgrade/internal/clock"
 	"crypto/rand"
 	"encoding/binary"
 	"log/slog"
@@ -490,7 +491,7 @@
 // position reads a position that a server told, 0 for none.
 func (f *Front) position(val string) float64 {
 	ms, err := strconv.ParseInt(val, 10, 64)
-	if err != nil || ms <= 0 || float64(ms) > f.loop.Now()+100 {
+	if err != nil || !clock.Plausible(float64(ms), f.loop.Now()) {
 		return 0
 	}
 	return float64(ms)
--- a/internal/frontend/scatter/answers.go
+++ b/internal/frontend/scatter/answers.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"beechgrade/internal/clock"
 	"fmt"
 	"strconv"
 
@@ -118,7 +119,7 @@
 // said is what the last answer said of the server's role and position.
 func (l *link) said() (decide.Role, float64, bool) {
 	ms, err := strconv.ParseInt(l.params[l.f.opt.PositionName], 10, 64)
-	ok := err == nil && ms > 0 && float64(ms) <= l.f.loop.Now()+100
+	ok := err == nil && clock.Plausible(float64(ms), l.f.loop.Now())
 	if !ok {
 		ms = 0
 	}
