--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -33,7 +33,7 @@
 	if need == never || r.proven(s, req) >= need {
 		return true, true
 	}
-	if s == r.primary(req.group) { // it stands at the present, whatever this clock makes of its position
+	if s == r.primary(req.group) { // it stands at the present, whatever its last report was
 		return false, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.lacked()) ||
@@ -43,8 +43,8 @@
 // lacked is how far behind a server's data was when it was last reported.
 func (s *server) lacked() time.Duration { return s.placedAt - s.group.onClock(s.position) }
 
-// proven is as of when a server's data is complete, on the servers' clock: a primary's as of its report, or of
-// this request's probe.
+// proven is as of when a server's data is complete, on the servers' clock: a primary's as of its report, or
+// of this request's probe.
 func (r *Router) proven(s *server, req *request) Time {
 	at := s.position
 	if s == r.primary(req.group) {
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -86,7 +86,8 @@
 		s.askedAt = s.probeAt
 	}
 	r.observeClock(s, ev.Load, sent)
-	r.takeReport(s, ev.Load, s.group.onClock(ev.Load.Position)) // a primary's position is the time of its report
+	// a primary's position is the time of its report
+	r.takeReport(s, ev.Load, s.group.onClock(ev.Load.Position))
 	if s.health == down {
 		// A probe bypasses its queue, so requests have to prove it. What it had in flight may be gone.
 		r.recover(s)
--- a/internal/decide/offset.go
+++ b/internal/decide/offset.go
@@ -6,19 +6,22 @@
 )
 
 const (
-	offsetSlack   = 500 * time.Millisecond // what delays and rounding explain; clocks are stepped by seconds
-	offsetWay     = 250 * time.Millisecond // an answer that took longer tells only how far behind the clock can be
-	offsetConfirm = time.Second            // for so long reports must agree that the servers' clock is behind...
-	offsetReports = 3                      // ...and there must be so many
+	// offsetSlack is what delays and rounding explain; clocks are stepped by seconds.
+	offsetSlack = 500 * time.Millisecond
+	// offsetWay bounds the time of an answer that is evidence that the servers' clock is behind.
+	offsetWay = 250 * time.Millisecond
+	// offsetConfirm is how long reports must agree that the servers' clock is behind, offsetReports how many.
+	offsetConfirm = time.Second
+	offsetReports = 3
 )
 
-// clockOffset estimates how far the clock of a group's servers is ahead of this router's, from reports of its
-// primary: its position is the time of its report. Positions are kept as the servers state them, and the offset
-// is used where one is compared with this router's clock.
+// clockOffset estimates how far the clock of a group's servers is ahead of this router's, from reports of
+// its primary: its position is the time of its report. Positions are kept as the servers state them, and the
+// offset is used where one is compared with this router's clock.
 //
-// Too high an offset makes data look older than they are, which costs a detour to the primary. Too low a one lets
-// a stale replica serve. So the estimate is raised at once, and lowered only after several reports that agree. A
-// primary that stands still does not agree with itself.
+// Too high an offset makes data look older than they are, which costs a detour to the primary. Too low a one
+// lets a stale replica serve. So the estimate is raised at once, and lowered only after several reports that
+// agree. A primary that stands still does not agree with itself.
 type clockOffset struct {
 	ahead   time.Duration // the estimate
 	low     time.Duration // the bounds on which the reports since agree...
@@ -27,8 +30,8 @@
 	reports int
 }
 
-// observe takes a position that a primary reported in answer to what was sent at that time, or never where that
-// is not known.
+// observe takes a position that a primary reported in answer to what was sent at that time, or never where
+// that is not known.
 func (c *clockOffset) observe(now, sent, position Time) {
 	low, high := position-now, time.Duration(math.MaxInt64)
 	if sent != never && now-sent <= offsetWay {
@@ -77,8 +80,8 @@
 	}
 }
 
-// correctStarts dates the starts of a group's servers by the servers' clock, which is behind where it was taken
-// to be: one that seemed to have started long ago may just have done so.
+// correctStarts dates the starts of a group's servers by the servers' clock, which is behind where it was
+// taken to be: one that seemed to have started long ago may just have done so.
 func (r *Router) correctStarts(grp *group) {
 	for _, s := range grp.members {
 		if s.entry.Started != 0 {
