--- a/internal/peers/credit/fleet_test.go
+++ b/internal/peers/credit/fleet_test.go
@@ -434,3 +434,24 @@
 		}
 	}
 }
+
+// TestLastOfFundsIsUsed: with funds for ten requests and more than that asked for, at poolers in any order, all ten are served. Seen: loans of parts of
+// what was left had scattered the last price over poolers, each with less than one price. All of them refused, and asked for more without anything
+// that waited, for which nobody is called; so the state lasted as long as clients kept asking.
+func TestLastOfFundsIsUsed(t *testing.T) {
+	const price, funds, poolers = 10, 100, 8
+	for seed := range uint64(100) {
+		f := newFleet(t, poolers, func(s *Settings) {
+			s.Purse.Classes = []purse.Class{{Price: purse.Price{Request: price}, Worth: 1}}
+			s.Pays = []bank.Pay{{Tenant: "t", No: 1, Amount: funds}}
+		})
+		f.rng = rand.New(rand.NewPCG(seed, 11))
+		f.run(2000)
+		f.load(54, 8000, even, nil)
+		f.run(9000)
+		f.check(funds)
+		if f.charged != funds {
+			t.Errorf("seed %d: %d of %d are used", seed, f.charged, funds)
+		}
+	}
+}
