Credit: parts of a price that poolers cannot use come back, and the last is lent whole

Cause: grants beyond what waits are a share of what is left (bank part), so they fall below one price; a pooler with less than a price refuses at once while it is dry (purse dry), asks without anything that waits, and nobody is called for that: the state lasts as long as clients ask. Change: a dry pooler gives back what is less than the least price asked for, and asks for one price, not two; where nobody holds anything and shares are below one unit, one asker gets all that it wants.

--- a/internal/peers/credit/bank/bank.go
+++ b/internal/peers/credit/bank/bank.go
@@ -5,7 +5,8 @@
 //
 // Asks are gathered for a Beat, or as long as the last entry takes, and put to the log as one entry. An ask gets what waits at its pooler
 // already, the first first; beyond that, what the pooler spends in the purse's Span, but never more than its part, by what is spent, of 1/Shrink of
-// what the tenant has left. So loans shrink as funds do. Where what waits finds nothing, those that hold most are called to give back
+// what the tenant has left. So loans shrink as funds do. What is less than one price where nothing waits comes back, and the last of it is
+// lent whole. Where what waits finds nothing, those that hold most are called to give back
 // half of what they hold, down to the last of it.
 //
 // # What it does not know
@@ -339,7 +340,7 @@
 			continue
 		}
 		can := max(0, spare[name]+p.Key.Depth)
-		n := min(can, p.Want, max(p.Need, b.part(p)-max(0, a.Granted-max(a.Returned, p.Returned)-max(a.Spent, p.Spent))))
+		n := min(can, p.Want, max(p.Need, b.beyondNeed(p, &a, can)))
 		n = max(0, n)
 		if n < p.Need {
 			unmet[name] += p.Need - n
@@ -396,6 +397,17 @@
 	b.demand[p.Key.Tenant] = list
 }
 
+// beyondNeed is the most that a pooler may get beside what waits. Where a part of what is left is less than one unit and nobody holds any of
+// it, one gets all that it wants: smaller parts would be of use to nobody.
+func (b *Bank) beyondNeed(p *pending, a *ledger.Account, can int64) int64 {
+	holds := max(0, a.Granted-max(a.Returned, p.Returned)-max(a.Spent, p.Spent))
+	part := b.part(p)
+	if part == 0 && holds == 0 && p.Want <= can && !b.others(p) {
+		return p.Want
+	}
+	return part - holds
+}
+
 // part is the most that a pooler may hold of what its tenant has left, beside what waits.
 func (b *Bank) part(p *pending) int64 {
 	t := b.books.Tenant(p.Key.Tenant)
--- a/internal/peers/credit/fleet_test.go
+++ b/internal/peers/credit/fleet_test.go
@@ -440,7 +440,7 @@
 // that waited, for which nobody is called; so the state lasted as long as clients kept asking.
 func TestLastOfFundsIsUsed(t *testing.T) {
 	const price, funds, poolers = 10, 100, 8
-	for seed := range uint64(100) {
+	for seed := range uint64(200) {
 		f := newFleet(t, poolers, func(s *Settings) {
 			s.Purse.Classes = []purse.Class{{Price: purse.Price{Request: price}, Worth: 1}}
 			s.Pays = []bank.Pay{{Tenant: "t", No: 1, Amount: funds}}
--- a/internal/peers/credit/purse/ask.go
+++ b/internal/peers/credit/purse/ask.go
@@ -1,6 +1,7 @@
 package purse
 
 import (
+	"math"
 	"slices"
 
 	"beechgrade/internal/peers/credit/ledger"
@@ -95,8 +96,8 @@
 		target = max(target, 2*price)
 	}
 	dry := p.now < t.dry && t.total(p.now) > 0
-	if dry {
-		target = max(target, price)
+	if dry { // one price, which may be the last
+		target = max(need, price)
 	}
 	free := a.free()
 	if a.gen > 0 && free > 0 && p.now-o.used > p.set.Idle && need == 0 && !dry && a.held == 0 { // nobody asks for it any more
@@ -110,6 +111,10 @@
 		a.returned += free - target
 		free, o.called = target, true
 	}
+	if dry && need == 0 && a.till > 0 && free > 0 && free < p.leastPrice(t, o.depth) { // of use to nobody but with what others have
+		a.returned += free
+		free = 0
+	}
 	want := max(0, target-free)
 	pause := p.set.Renew
 	switch {
@@ -149,6 +154,20 @@
 	return n
 }
 
+// leastPrice is the cheapest of what is asked for, to a depth.
+func (p *Purse) leastPrice(t *tenant, depth int64) int64 {
+	least := int64(math.MaxInt64)
+	for i := range t.flows {
+		if c := &p.set.Classes[i]; t.flows[i].rate(p.now) > 1e-3 && (depth == 0 || c.Depth == depth) {
+			least = min(least, c.held(1))
+		}
+	}
+	if least == math.MaxInt64 {
+		return 0
+	}
+	return least
+}
+
 // mark asks for a higher mark of an account where the one there is comes near.
 func (p *Purse) mark(t *tenant, o *pot) {
 	a := &o.cur
