Agreed log: a follower behind a change of voters answers its leader

Cause: answers go to the name that the table, as of what is applied, has for the leader's number (log.go nameOf); a leader whose new disk was admitted by an entry that the follower lacks is not in it, so answers went nowhere, the leader took it for silent, and as it heard a leader it asked nobody. Test first: TestFollowerBehindAChangeAnswersItsLeader fails without the change.

--- a/internal/peers/agreed/agreed_test.go
+++ b/internal/peers/agreed/agreed_test.go
@@ -148,3 +148,37 @@
 		}
 	}
 }
+
+// TestFollowerBehindAChangeAnswersItsLeader: a follower that has not applied the change by which its leader's new disk became a voter must answer it all the
+// same, or it never learns of the change. Seen: the leader's messages came, the answers went to a name that the follower's table did not have, so nowhere; the
+// leader took it for silent, and as it had a leader it asked nobody either: it stayed behind for good.
+func TestFollowerBehindAChangeAnswersItsLeader(t *testing.T) {
+	all := []Member{{"a", 1}, {"b", 2}, {"c", 3}}
+	fresh := Member{"b", 99} // b lost its disk and was admitted with a new one
+	set := Defaults()
+	set.Voters, set.Self = []string{"a", "b", "c"}, "a"
+	follower := New(set, 0)
+	follower.Handle(0, Members{Voters: []Address{{"a", "A"}, {"b", "B"}, {"c", "C"}}}, nil)
+	follower.Handle(0, Restored{Records: Founded(all[0], all)}, nil)
+	set.Self = "b"
+	leader := New(set, 0)
+	leader.self, leader.group = fresh, groupOf(all)
+	leader.table, leader.addr["a"] = all, "A"
+	kind := pb.MsgHeartbeat
+	leader.send(&pb.Message{Type: &kind, From: proto.Uint64(fresh.number()), To: proto.Uint64(all[0].number()), Term: proto.Uint64(5)})
+	if len(leader.out) != 1 {
+		t.Fatalf("%+v", leader.out)
+	}
+	out := follower.Handle(1, Heard{Message: leader.out[0].Message}, nil)
+	for _, a := range out { // the new term is stored before the answer
+		if a.Kind == Store {
+			out = append(out, follower.Handle(2, Stored{Ref: a.Ref}, nil)...)
+		}
+	}
+	for _, a := range out {
+		if a.Kind == Send && a.Addr == "B" {
+			return
+		}
+	}
+	t.Errorf("no answer to the leader: %+v", out)
+}
--- a/internal/peers/agreed/log.go
+++ b/internal/peers/agreed/log.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +31,7 @@
 	broke  string
 	left   bool
 	addr   map[string]string // of voters, by name
+	recent map[uint64]string // names of voters that have written, by number, where the table does not have them
 
 	// As a voter.
 	votes    bool
@@ -83,7 +85,7 @@
 func New(set Settings, now float64) *Log {
 	set.Voters = slices.Clone(set.Voters)
 	slices.Sort(set.Voters)
-	l := &Log{set: set, now: now, tickAt: now + set.Tick, addr: map[string]string{}, votes: slices.Contains(set.Voters, set.Self)}
+	l := &Log{set: set, now: now, tickAt: now + set.Tick, addr: map[string]string{}, recent: map[uint64]string{}, votes: slices.Contains(set.Voters, set.Self)}
 	l.rng = rand.New(rand.NewPCG(set.Drawn, xxhash.Sum64String(set.Self)^math.Float64bits(now)))
 	l.draw = l.rng.IntN(set.Election)
 	l.founder.heard = map[string]*message{}
@@ -211,6 +213,7 @@
 		if l.node == nil || m.group != l.group || m.to != l.self.number() {
 			return
 		}
+		l.learn(m)
 		data := m.data
 		if m.verb == verbPart {
 			if data = l.join(m); data == nil {
@@ -281,13 +284,23 @@
 	}
 }
 
+// learn keeps who sent a message, if the table does not have it: a voter with a new disk, admitted by entries that are not applied here
+// yet. It must be answered, or they never come. One that the log does not admit is never counted by raft.
+func (l *Log) learn(m *message) {
+	if !slices.Contains(l.set.Voters, m.name) || l.nameOf(m.from) != "" {
+		return
+	}
+	maps.DeleteFunc(l.recent, func(_ uint64, name string) bool { return name == m.name }) // one disk for each name
+	l.recent[m.from] = m.name
+}
+
 func (l *Log) nameOf(id uint64) string {
 	for i := range l.table {
 		if l.table[i].number() == id {
 			return l.table[i].Name
 		}
 	}
-	return ""
+	return l.recent[id]
 }
 
 // send has a message of raft's go to a voter.
@@ -297,7 +310,7 @@
 		l.stop(err.Error())
 		return
 	}
-	m := &message{verb: verbRaft, group: l.group, from: r.GetFrom(), to: r.GetTo(), data: b}
+	m := &message{verb: verbRaft, group: l.group, from: r.GetFrom(), to: r.GetTo(), name: l.self.Name, data: b}
 	if r.GetType() == pb.MsgSnap {
 		l.split(m)
 		return
