Refusals, failures and repeats state their reason: in the log by request, and in figures

The decision module's actions carry a typed reason. The core logs each with the request's id, attempts, servers and time left (debug), and counts it as app.decisions.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -61,9 +61,9 @@
 			c.servers.Cancel(req.attempts[a.Attempt].ref)
 		}
 	case decide.Refuse:
-		c.refuse(a.ID, clock.Millis(a.Wait))
+		c.refuse(a, clock.Millis(a.Wait))
 	case decide.Fail:
-		c.fail(a.ID)
+		c.fail(a)
 	case decide.Probe:
 		if c.rec.On() {
 			c.probed[string(a.Server)] = c.loop.Now()
@@ -88,8 +88,10 @@
 	}
 }
 
-func (c *Core) refuse(id decide.RequestID, waitMs float64) {
-	if req := c.conclude(id, figures.Dropped); req != nil {
+func (c *Core) refuse(a *decide.Action, waitMs float64) {
+	if req := c.conclude(a.ID, figures.Dropped); req != nil {
+		c.decisions.refused[a.Reason]++
+		c.logDecision("refuse", req, a)
 		req.client.Refused(waitMs)
 		c.recordAnswer(req, recordpb.Final_FINAL_REFUSED, waitMs)
 	}
@@ -97,12 +99,14 @@
 
 // fail gives the final answer to a request which the router takes to have run, perhaps. The router counts an attempt as in flight from its
 // decision on. Where no attempt has begun on a connection, or each is known not to have run, a retry is harmless, and the client is told so.
-func (c *Core) fail(id decide.RequestID) {
-	if req, ok := c.requests.Get(refOf(id)); ok && !req.mayHaveRun() {
-		c.refuse(id, clock.Millis(c.cfg.Settings.MaxRetryAfter))
+func (c *Core) fail(a *decide.Action) {
+	if req, ok := c.requests.Get(refOf(a.ID)); ok && !req.mayHaveRun() {
+		c.refuse(a, clock.Millis(c.cfg.Settings.MaxRetryAfter))
 		return
 	}
-	if req := c.conclude(id, figures.BadGateway); req != nil {
+	if req := c.conclude(a.ID, figures.BadGateway); req != nil {
+		c.decisions.failed[a.Reason]++
+		c.logDecision("fail", req, a)
 		req.client.Failed()
 		c.recordAnswer(req, recordpb.Final_FINAL_FAILED, 0)
 	}
@@ -118,6 +122,10 @@
 	if !ok {
 		return
 	}
+	if a.Reason != decide.ReasonNone {
+		c.decisions.repeated[a.Reason]++
+		c.logDecision("repeat", req, a)
+	}
 	no, until := len(req.attempts), req.deadline
 	if a.Wait != 0 {
 		until = min(until, c.loop.Now()+clock.Millis(a.Wait))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,7 @@
 	keys         keys // of keyed requests that may have run
 	ran          keys // of requests that must not run twice and may have run, by id
 	figures      figures.Figures
+	decisions    decisionCounts
 	classFigures []*figures.Class // by the classes' numbers
 	processes    int              // processes on the socket, 0 for this one alone
 	peers        int              // poolers that may be sending, 0 for the settings' number
@@ -144,7 +145,7 @@
 // New returns the core of one pooler.
 func New(l Loop, log *slog.Logger, cfg *config.Config) *Core {
 	c := &Core{loop: l, log: log, cfg: cfg, router: decide.New(cfg.Settings, cfg.Seed),
-		ids: map[string]slots.Ref{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
+		decisions: newDecisionCounts(), ids: map[string]slots.Ref{}, probed: map[string]float64{}, zones: newNames(cfg.Zones), kinds: newNames(cfg.Kinds)}
 	c.indexNames()
 	return c
 }
--- /dev/null
+++ b/internal/core/decisions.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"context"
+	"log/slog"
+
+	"beechgrade/internal/decide"
+	"beechgrade/internal/figures/sheet"
+)
+
+// decisionCounts are the numbers of decisions by their reason.
+type decisionCounts struct {
+	refused, failed, repeated []uint64
+}
+
+func newDecisionCounts() decisionCounts {
+	n := len(decide.Reasons())
+	return decisionCounts{refused: make([]uint64, n), failed: make([]uint64, n), repeated: make([]uint64, n)}
+}
+
+// tell writes the numbers to a sheet.
+func (counts *decisionCounts) tell(figures *sheet.Sheet) {
+	decisions := figures.Part("decisions")
+	for _, reason := range decide.Reasons()[1:] { // there is none without a reason
+		of := decisions.Of("reason", reason.String())
+		of.Count("refused", counts.refused[reason])
+		of.Count("failed", counts.failed[reason])
+		of.Count("repeated", counts.repeated[reason])
+	}
+}
+
+// logDecision logs what the router decided about a request and why.
+func (c *Core) logDecision(what string, req *request, a *decide.Action) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	last := ""
+	if n := len(req.attempts); n > 0 {
+		last = string(req.attempts[n-1].server)
+	}
+	c.log.Debug("decision", "what", what, "reason", a.Reason.String(), "request", req.id, "class", c.cfg.Classes[req.class], "attempts", len(req.attempts),
+		"in_flight", req.inFlight, "last_server", last, "server", string(a.Server), "left_ms", req.deadline-c.loop.Now())
+}
--- /dev/null
+++ b/internal/core/decisions_test.go
@@ -0,0 +1,36 @@
+package core
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"beechgrade/internal/decide"
+	"beechgrade/internal/figures/sheet"
+)
+
+// TestDecisionsAreLoggedAndCounted: of a request that is repeated and then given up, the log tells which it was, why, and where it had been sent; the figures
+// count both.
+func TestDecisionsAreLoggedAndCounted(t *testing.T) {
+	c, d, l, _ := dialling(t)
+	var log bytes.Buffer
+	c.log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	d.skip(0)     // the connection was not to be had: it is sent again
+	l.now += 3000 // beyond its deadline
+	c.handle(&decide.Timer{})
+	for _, line := range []string{`msg=decision what=repeat reason=unanswered request=1 class=write attempts=1`, `msg=decision what=refuse reason=`} {
+		if !strings.Contains(log.String(), line) {
+			t.Errorf("no %q in\n%s", line, &log)
+		}
+	}
+	figures := &sheet.Sheet{}
+	c.WriteFigures(figures)
+	text, err := figures.Text()
+	if err != nil || !strings.Contains(string(text), "decisions") {
+		t.Error(err, string(text))
+	}
+	if c.decisions.repeated[decide.ReasonUnanswered] == 0 {
+		t.Errorf("%+v", c.decisions)
+	}
+}
--- a/internal/core/figures.go
+++ b/internal/core/figures.go
@@ -6,4 +6,5 @@
 func (c *Core) WriteFigures(s *sheet.Sheet) {
 	listed, avoided := c.router.Survey()
 	c.figures.Tell(s, listed, avoided)
+	c.decisions.tell(s)
 }
--- a/internal/decide/api.go
+++ b/internal/decide/api.go
@@ -368,6 +368,38 @@
 	Log                         // a line for the log
 )
 
+// Reason says why a request is refused, failed or sent again, for logs and figures.
+type Reason uint8
+
+// Reasons.
+const (
+	ReasonNone       Reason = iota
+	ReasonLate              // it came with no time left, or is of no class that is known
+	ReasonShed              // the routers have agreed to turn it away
+	ReasonGroup             // no server of its group is known
+	ReasonAllowance         // its tenant's allowance is used up
+	ReasonTime              // its time was up
+	ReasonHopeless          // no server could answer in the time that is left
+	ReasonAttempts          // it may not be sent again
+	ReasonCopy              // sent again: the attempt before is silent or lost
+	ReasonUnanswered        // sent again: the attempt before ended without an answer
+	reasons
+)
+
+var reasonNames = [reasons]string{"none", "late", "shed", "group", "allowance", "time", "hopeless", "attempts", "copy", "unanswered"}
+
+// String returns the reason as logs and figures name it.
+func (reason Reason) String() string { return reasonNames[min(reason, reasons-1)] }
+
+// Reasons returns all of them.
+func Reasons() []Reason {
+	all := make([]Reason, reasons)
+	for i := range all {
+		all[i] = Reason(i)
+	}
+	return all
+}
+
 // Action is an output of the router. Its embedder carries actions out in order.
 type Action struct {
 	Kind    ActionKind
@@ -379,4 +411,5 @@
 	At      Time
 	Tag     int64
 	Text    string
+	Reason  Reason // Refuse, Fail and Send
 }
--- a/internal/decide/attempts.go
+++ b/internal/decide/attempts.go
@@ -105,7 +105,7 @@
 		for _, a := range slices.Clone(s.open) {
 			req := a.req
 			if !req.finished && r.closing(req) {
-				r.finish(req)
+				r.finish(req, ReasonTime)
 			}
 			if !a.lost && a.passed >= lostPassed && r.serviceOf(s, a) > r.patience(grp) {
 				a.lost, s.lost = true, s.lost+1
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -195,6 +195,17 @@
 	if req.class.Read == ReadBounded && r.set.Behind == BehindAnswers { // it may wait, and age
 		by = min(by, req.group.onClock(r.proven(s, req))+req.class.Bound+1)
 	}
-	r.act(Action{Kind: Send, ID: req.id, Server: s.id, By: by})
+	r.act(Action{Kind: Send, ID: req.id, Server: s.id, By: by, Reason: req.whyAgain()})
 	return true
 }
+
+// whyAgain is the reason of an attempt that has just been added.
+func (req *request) whyAgain() Reason {
+	switch {
+	case len(req.attempts) < 2:
+		return ReasonNone
+	case req.open > 1:
+		return ReasonCopy
+	}
+	return ReasonUnanswered
+}
--- a/internal/decide/queue.go
+++ b/internal/decide/queue.go
@@ -11,12 +11,16 @@
 		return
 	}
 	if uint(ev.Class) >= uint(len(r.classes)) || ev.Deadline <= r.now || r.set.Shed[ev.Group].Off(r.now, ev) {
-		r.act(Action{Kind: Refuse, ID: ev.ID, Wait: r.set.Shed[ev.Group].Advice(r.now, ev)})
+		reason := ReasonShed
+		if uint(ev.Class) >= uint(len(r.classes)) || ev.Deadline <= r.now {
+			reason = ReasonLate
+		}
+		r.act(Action{Kind: Refuse, ID: ev.ID, Wait: r.set.Shed[ev.Group].Advice(r.now, ev), Reason: reason})
 		return
 	}
 	c := &r.classes[ev.Class]
 	if r.groups[ev.Group] == nil && len(r.servers) > 0 { // and leaves no record
-		r.act(Action{Kind: Refuse, ID: ev.ID, Wait: min(r.set.MaxRetryAfter, c.Target)})
+		r.act(Action{Kind: Refuse, ID: ev.ID, Wait: min(r.set.MaxRetryAfter, c.Target), Reason: ReasonGroup})
 		return
 	}
 	req := &request{id: ev.ID, class: c, group: r.groupOf(ev.Group), arrived: r.now, deadline: ev.Deadline,
@@ -43,7 +47,7 @@
 			t.tokens--
 		} else if r.set.Tenants[ev.Tenant].Hard {
 			wait := min(r.set.MaxRetryAfter, seconds((1-t.tokens)/max(t.rate, 1e-3)))
-			r.act(Action{Kind: Refuse, ID: ev.ID, Wait: wait})
+			r.act(Action{Kind: Refuse, ID: ev.ID, Wait: wait, Reason: ReasonAllowance})
 			return
 		} else {
 			req.value = max(req.value*r.set.OverShareWorth, 1e-6)
@@ -113,17 +117,30 @@
 	kept, queue := grp.held[:0:0], grp.held
 	grp.held = nil
 	for _, req := range queue {
-		switch over := r.closing(req) || r.spent(req) || r.now+r.soonest(req) > req.giveUpAt; {
+		switch over := r.over(req); {
 		case req.finished:
-		case over && req.open == 0:
-			r.finish(req)
-		case !over && !r.send(req):
+		case over != ReasonNone && req.open == 0:
+			r.finish(req, over)
+		case over == ReasonNone && !r.send(req):
 			kept = append(kept, req)
 		}
 	}
 	grp.held = append(kept, grp.held...)
 }
 
+// over tells why a request cannot be sent any more; ReasonNone where it can.
+func (r *Router) over(req *request) Reason {
+	switch {
+	case r.closing(req):
+		return ReasonTime
+	case r.spent(req):
+		return ReasonAttempts
+	case r.now+r.soonest(req) > req.giveUpAt:
+		return ReasonHopeless
+	}
+	return ReasonNone
+}
+
 // soonest is the least time to an answer, at the server of the group that is fastest under its load.
 func (r *Router) soonest(req *request) Time {
 	if c := req.class; c.soonestAt != r.now || c.soonestFor != req.group {
@@ -141,8 +158,8 @@
 }
 
 // finish gives the final answer: refused where a retry is harmless, with the longest advice, else failed.
-func (r *Router) finish(req *request) {
-	answer := Action{Kind: Fail, ID: req.id}
+func (r *Router) finish(req *request, reason Reason) {
+	answer := Action{Kind: Fail, ID: req.id, Reason: reason}
 	c, unsent := req.class, !req.ran && req.open == 0
 	if c.Effect == Safe || unsent || c.Effect == Keyed && c.Scope == ScopeAll {
 		answer.Kind, answer.Wait = Refuse, r.set.MaxRetryAfter
