--- a/cmd/beechgrade/drain_habits_test.go
+++ b/cmd/beechgrade/drain_habits_test.go
@@ -38,8 +38,25 @@
 	lastServe time.Time
 }
 
+// dialect is what clients of a frontend send. What it lacks, none of its clients does.
+type dialect struct {
+	startup   []byte
+	read      func() []byte
+	hang, big func() []byte // requests whose answer does not come, and whose answer is big
+}
+
+// platformDialect is that of the platform's clients. id returns another id each time.
+func platformDialect(id func() string) dialect {
+	return dialect{
+		startup: pgwire.AppendStartup(nil, "backend", "store"),
+		read:    func() []byte { return query(id(), "read", 9000) },
+		hang:    func() []byte { return query("hang"+id(), "read", 19000) },
+		big:     func() []byte { return query("big"+id(), "read", 9000) },
+	}
+}
+
 // connect connects a client that sends its startup message, or the given bytes in place of that.
-func connect(t *testing.T, name, addr string, first []byte) *caller {
+func connect(t *testing.T, name, addr string, startup, first []byte) *caller {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return nil
@@ -47,7 +64,7 @@
 	c := &caller{t: t, name: name, conn: conn, ended: make(chan struct{}), answers: make(chan string, 1)}
 	t.Cleanup(func() { _ = conn.Close() })
 	if first == nil {
-		first = pgwire.AppendStartup(nil, "backend", "store")
+		first = startup
 		c.sent = append(c.sent, time.Now())
 	}
 	_, _ = conn.Write(first)
@@ -150,14 +167,14 @@
 }
 
 // habits are what clients do from their connection on.
-func habits(id func() string) map[string]func(t *testing.T, name, addr string) *caller {
-	read := func(int) []byte { return query(id(), "read", 9000) }
+func habits(speaks dialect) map[string]func(t *testing.T, name, addr string) *caller {
+	read := func(int) []byte { return speaks.read() }
 	statement := func(sql string) func(int) []byte {
 		return func(int) []byte { return pgwire.AppendQuery(nil, sql) }
 	}
 	loop := func(next func(int) []byte, wait time.Duration, ahead int) func(t *testing.T, name, addr string) *caller {
 		return func(t *testing.T, name, addr string) *caller {
-			c := connect(t, name, addr, nil)
+			c := connect(t, name, addr, speaks.startup, nil)
 			if c != nil {
 				go c.again(next, wait, ahead)
 			}
@@ -166,7 +183,7 @@
 	}
 	first := func(b []byte, next func(n int) []byte, pause time.Duration) func(t *testing.T, name, addr string) *caller {
 		return func(t *testing.T, name, addr string) *caller {
-			c := connect(t, name, addr, b)
+			c := connect(t, name, addr, speaks.startup, b)
 			if c != nil {
 				go c.read()
 				go c.every(next, pause)
@@ -175,10 +192,9 @@
 		}
 	}
 	nothing := func(int) []byte { return nil }
-	startup := pgwire.AppendStartup(nil, "backend", "store")
-	half := query("half", "read", 9000)
+	startup, half := speaks.startup, speaks.read()
 	long := pgwire.AppendQuery(nil, strings.Repeat(" ", 1<<20))
-	return map[string]func(t *testing.T, name, addr string) *caller{
+	all := map[string]func(t *testing.T, name, addr string) *caller{
 		"asks at once":                   loop(read, 0, 1),
 		"asks after 5 ms":                loop(read, 5*time.Millisecond, 1),
 		"asks after 50 ms":               loop(read, 50*time.Millisecond, 1),
@@ -201,27 +217,31 @@
 		"half a request":               first(append(startup[:len(startup):len(startup)], half[:9]...), nothing, time.Second),
 		"a long message that trickles": first(append(startup[:len(startup):len(startup)], long[:100]...), func(int) []byte { return []byte(" ") }, 20*time.Millisecond),
 		"a long message that stops":    first(append(startup[:len(startup):len(startup)], long[:1000]...), nothing, time.Second),
-		"a request that hangs, with others behind it": func(t *testing.T, name, addr string) *caller {
-			c := connect(t, name, addr, nil)
+	}
+	if speaks.hang != nil {
+		all["a request that hangs, with others behind it"] = func(t *testing.T, name, addr string) *caller {
+			c := connect(t, name, addr, speaks.startup, nil)
 			if c == nil {
 				return nil
 			}
 			go c.read()
-			c.command(query("hang"+id(), "read", 19000))
+			c.command(speaks.hang())
 			go func() {
 				for {
 					select {
 					case <-c.ended:
 						return
 					case <-time.After(300 * time.Millisecond):
-						c.command(query(id(), "read", 9000))
+						c.command(speaks.read())
 					}
 				}
 			}()
 			return c
-		},
-		"reads nothing, asks on": func(t *testing.T, name, addr string) *caller {
-			c := connect(t, name, addr, nil)
+		}
+	}
+	if speaks.big != nil {
+		all["reads nothing, asks on"] = func(t *testing.T, name, addr string) *caller {
+			c := connect(t, name, addr, speaks.startup, nil)
 			if c == nil {
 				return nil
 			}
@@ -229,15 +249,16 @@
 			go func() {
 				defer c.read() // at last, to see what there is
 				for range 600 {
-					if _, err := c.conn.Write(query("big"+id(), "read", 9000)); err != nil {
+					if _, err := c.conn.Write(speaks.big()); err != nil {
 						return
 					}
 					time.Sleep(8 * time.Millisecond)
 				}
 			}()
 			return c
-		},
+		}
 	}
+	return all
 }
 
 // TestNoHabitOutlivesADrain: whatever a client does, and whenever it comes, its connection ends by the bound, and every command that was
@@ -282,15 +303,16 @@
 		number++
 		return strconv.FormatInt(number, 16)
 	}
+	speaks := platformDialect(id)
 	var callers []*caller
 	come := func(moment string) {
-		for name, habit := range habits(id) {
+		for name, habit := range habits(speaks) {
 			if c := habit(t, name+", "+moment, d.addr); c != nil {
 				callers = append(callers, c)
 			}
 		}
 	}
-	waiting := connect(t, "waits", d.addr, nil) // asks once, before the drain: it keeps its time
+	waiting := connect(t, "waits", d.addr, speaks.startup, nil) // asks once, before the drain: it keeps its time
 	go waiting.read()
 	waiting.command(query("hold", "read", 15000))
 	hold := next(t, held)
