--- a/cmd/beechgrade-kit/main.go
+++ b/cmd/beechgrade-kit/main.go
@@ -71,6 +71,7 @@
 						Action: trace},
 				},
 			},
+			sizesCommand(asJSON),
 			{
 				Name: "pooling", Usage: "measure the pooling front beside the stand-ins reached directly",
 				Flags: []cli.Flag{
--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -92,7 +92,7 @@
 // chance is how likely a probe finds a server new enough: one that was far behind stays so for a while.
 func (r *Router) chance(s *server, req *request) float64 {
 	lacked, may := s.lacked(), r.serversNow(req.group)-r.needs(req)
-	if s.position == never || lacked <= may || s == r.primary(req.group) {
+	if s.position == never || lacked <= may {
 		return 1
 	}
 	return 1 - (1-may.Seconds()/lacked.Seconds())*r.fading(s.placedAt, linkMemory)
