--- a/internal/decide/choose.go
+++ b/internal/decide/choose.go
@@ -33,7 +33,7 @@
 	if need == never || r.proven(s, req) >= need {
 		return true, true
 	}
-	if s == r.primary(req.group) { // it stands at the present, whatever its last report was
+	if s == r.primary(req.group) && req.group.clock.inDoubt() { // it stands at the present, by another clock
 		return false, true
 	}
 	return false, s.position == never || r.now-s.placedAt > max(r.seekEach, s.lacked()) ||
--- a/internal/decide/health.go
+++ b/internal/decide/health.go
@@ -137,6 +137,9 @@
 		if s.health != down && r.silent(s) {
 			r.takeDown(s)
 		}
+		if s == p && grp.clock.reports > 0 {
+			r.probe(s, offsetProbe)
+		}
 		if s.health == down && r.set.MayProbe {
 			r.probe(s, s.downPause())
 		} else if s.health == down {
--- a/internal/decide/invariants.go
+++ b/internal/decide/invariants.go
@@ -327,6 +327,13 @@
 	held := map[*request]bool{}
 	_, ticked := ev.(*Timer)
 	for _, grp := range r.groupOrder {
+		atMembers := 0
+		for _, s := range grp.members {
+			atMembers += len(s.open)
+		}
+		w.checks.That(grp.open == atMembers, "decide: attempts in flight agree by group", func() string {
+			return fmt.Sprintf("group %d: %d in lists, %d counted", grp.id, atMembers, grp.open)
+		})
 		for _, req := range grp.held {
 			w.checks.That(!held[req], "decide: a request is held once", func() string { return fmt.Sprintf("%x in group %d", req.id, grp.id) })
 			w.checks.That(req.group == grp, "decide: a request is held in its group", func() string { return fmt.Sprintf("%x in group %d", req.id, grp.id) })
--- a/internal/decide/list.go
+++ b/internal/decide/list.go
@@ -50,7 +50,9 @@
 	}
 	r.listed = true
 	for _, grp := range r.groupOrder {
-		r.drainQueue(grp)
+		if len(grp.held) > 0 {
+			r.drainQueue(grp)
+		}
 	}
 }
 
--- a/internal/decide/offset.go
+++ b/internal/decide/offset.go
@@ -13,6 +13,8 @@
 	// offsetConfirm is how long reports must agree that the servers' clock is behind, offsetReports how many.
 	offsetConfirm = time.Second
 	offsetReports = 3
+	// offsetProbe is the pause between probes for such reports.
+	offsetProbe = offsetConfirm / 4
 )
 
 // clockOffset estimates how far the clock of a group's servers is ahead of this router's, from reports of
@@ -47,6 +49,9 @@
 	}
 }
 
+// inDoubt tells whether reports agree that the servers' clock is behind, too few to be believed.
+func (c *clockOffset) inDoubt() bool { return c.reports > 1 }
+
 // lower counts a report that places the servers' clock behind the estimate.
 func (c *clockOffset) lower(now Time, low, high time.Duration) {
 	if c.reports == 0 || low > c.high || high < c.low {
--- a/internal/decide/router_test.go
+++ b/internal/decide/router_test.go
@@ -202,6 +202,7 @@
 		a := &attempt{req: req, sent: g.now, service: b.service}
 		b.open, req.attempts, req.open = append(b.open, a), append(req.attempts, a), 1
 		g.r.open++
+		b.group.open++
 		b.service += req.work() / g.r.base(b) / 2
 		b.serviceAt = g.now
 		g.end(id, 0, "b", OK)
--- a/internal/decide/state.go
+++ b/internal/decide/state.go
@@ -121,6 +121,7 @@
 	id      int
 	members []*server
 	held    []*request
+	open    int        // attempts in flight at its members
 	backlog [2]backlog // at its primary, and at the others
 	clock   clockOffset
 }
@@ -231,14 +232,12 @@
 		s.newAt, s.coldSpent, s.drawnAt = r.now, 0, r.now-r.set.FallSpan
 	}
 	r.servers[id] = s
-	r.order = append(r.order, s)
-	slices.SortFunc(r.order, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	at, _ := slices.BinarySearchFunc(r.order, id, func(o *server, id ServerID) int { return cmp.Compare(o.id, id) })
+	r.order = slices.Insert(r.order, at, s)
 	grp.members = append(grp.members, s)
 	return s
 }
 
-func (s *server) isBusy() bool { return len(s.open) > 0 }
-
 // drop removes a server, and its group if that is empty then. The caller removes it from the order.
 func (r *Router) drop(s *server) {
 	grp := s.group
@@ -256,8 +255,8 @@
 	if grp == nil {
 		grp = &group{id: id}
 		r.groups[id] = grp
-		r.groupOrder = append(r.groupOrder, grp)
-		slices.SortFunc(r.groupOrder, func(a, b *group) int { return a.id - b.id })
+		at, _ := slices.BinarySearchFunc(r.groupOrder, id, func(o *group, id int) int { return cmp.Compare(o.id, id) })
+		r.groupOrder = slices.Insert(r.groupOrder, at, grp)
 	}
 	return grp
 }
@@ -270,6 +269,7 @@
 	a.req.attempts = append(a.req.attempts, a)
 	a.req.open++
 	r.open++
+	s.group.open++
 	s.returning.Has(len(s.open))
 }
 
@@ -310,6 +310,7 @@
 	a.over = true
 	a.req.open--
 	r.open--
+	s.group.open--
 	return a, i
 }
 
@@ -473,7 +474,7 @@
 		r.refresh()
 	}
 	for _, grp := range r.groupOrder {
-		if len(grp.held) == 0 && !slices.ContainsFunc(grp.members, (*server).isBusy) {
+		if len(grp.held) == 0 && grp.open == 0 {
 			continue
 		}
 		r.tend(grp)
