--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,7 +2,7 @@
 // deadlines all run on it, one at a time, so nothing needs a lock.
 //
 // A system call that fails in a way that passes (EINTR, EAGAIN, want of memory or buffers) is made again and costs time alone; any other
-// failure ends its connection. A wake-up that is lost is made up for within maxWaitMs.
+// failure ends its connection. A wake-up that fails is made in another way.
 package loop
 
 import (
--- a/internal/loop/poller.go
+++ b/internal/loop/poller.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -12,7 +13,6 @@
 const (
 	maxEvents  = 256 // events that are taken at once
 	startTries = 50  // with a pause in between, where the machine has no memory for a poller
-	maxWaitMs  = 50  // the longest wait for events: a wake-up that was lost costs no more
 	readWants  = uint32(unix.EPOLLIN)
 	bothWants  = uint32(unix.EPOLLIN | unix.EPOLLOUT)
 )
@@ -30,15 +30,30 @@
 	accept: acceptDescriptor}
 
 // poller waits for events of descriptors and for wake-ups by other goroutines. Its methods but wake are for the loop alone.
+//
+// While there are no events the goroutine waits in the runtime's own poller, which watches the epoll descriptor like any other. A call of
+// epoll_wait that blocks would keep a thread, and the runtime's monitor busy with it.
 type poller struct {
 	calls  systemCalls
 	epoll  int
+	file   *os.File // of epoll
+	idle   syscall.RawConn
 	wakeup int // an eventfd
 	events [maxEvents]unix.EpollEvent
 }
 
-// newPoller opens a poller.
-func newPoller(calls systemCalls) (*poller, error) {
+// newPoller opens a poller, and tries again where the machine lacks something for it.
+func newPoller(calls systemCalls) (p *poller, err error) {
+	for range startTries {
+		if p, err = openPoller(calls); err == nil {
+			return p, nil
+		}
+		time.Sleep(acceptPause)
+	}
+	return nil, err
+}
+
+func openPoller(calls systemCalls) (*poller, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, os.NewSyscallError("epoll_create1", err)
@@ -49,19 +64,35 @@
 		return nil, os.NewSyscallError("eventfd", err)
 	}
 	p := &poller{calls: calls, epoll: epoll, wakeup: wakeup}
-	for range startTries {
-		if err = p.control(unix.EPOLL_CTL_ADD, wakeup, readWants); err == nil {
-			return p, nil
-		}
-		time.Sleep(acceptPause)
+	if err := p.enrol(); err != nil {
+		p.close()
+		return nil, err
 	}
-	p.close()
-	return nil, err
+	return p, nil
+}
+
+// enrol has the epoll descriptor watch the eventfd, and the runtime watch the epoll descriptor.
+func (p *poller) enrol() (err error) {
+	if err := unix.SetNonblock(p.epoll, true); err != nil { // else the runtime takes it for a file
+		return os.NewSyscallError("fcntl", err)
+	}
+	p.file = os.NewFile(uintptr(p.epoll), "epoll")
+	if err := p.file.SetReadDeadline(time.Time{}); err != nil { // the runtime does not watch it
+		return err
+	}
+	if p.idle, err = p.file.SyscallConn(); err != nil {
+		return err
+	}
+	return p.control(unix.EPOLL_CTL_ADD, p.wakeup, readWants)
 }
 
 func (p *poller) close() {
 	_ = unix.Close(p.wakeup)
-	_ = unix.Close(p.epoll)
+	if p.file == nil {
+		_ = unix.Close(p.epoll)
+		return
+	}
+	_ = p.file.Close()
 }
 
 // control adds or changes what is waited for at a descriptor.
@@ -78,9 +109,18 @@
 // forget ends the waiting for a descriptor. It needs no memory, and so does not fail for want of it.
 func (p *poller) forget(fd int) { _ = p.control(unix.EPOLL_CTL_DEL, fd, 0) }
 
-// wait waits for events, for maxWaitMs at most. Those of the wake-up are taken and not returned.
+// wait waits for events. Those of the wake-up are taken and not returned.
 func (p *poller) wait() ([]unix.EpollEvent, error) {
-	n, err := p.calls.wait(p.epoll, p.events[:], maxWaitMs)
+	n, err := 0, error(nil)
+	// The runtime learns only that events have come, not that some are left; so it is asked to wait once there are none.
+	if failed := p.idle.Read(func(uintptr) bool {
+		n, err = p.calls.wait(p.epoll, p.events[:], 0)
+		return n > 0 || err != nil
+	}); errors.Is(failed, os.ErrDeadlineExceeded) { // see wake
+		return nil, p.file.SetReadDeadline(time.Time{})
+	} else if failed != nil {
+		return nil, fmt.Errorf("event loop: %w", failed)
+	}
 	if errors.Is(err, unix.EINTR) {
 		return nil, nil
 	}
@@ -104,13 +144,15 @@
 	_, _ = p.calls.read(p.wakeup, count[:])
 }
 
-// wake has a wait return, from any goroutine. An error that lasts costs at most maxWaitMs.
+// wake has a wait return, from any goroutine. Where the eventfd cannot be written, the wait is ended by its deadline.
 func (p *poller) wake() {
 	one := [8]byte{1}
-	for {
-		if _, err := p.calls.write(p.wakeup, one[:]); !errors.Is(err, unix.EINTR) {
-			return // EAGAIN: it has been woken very often
-		}
+	_, err := p.calls.write(p.wakeup, one[:])
+	for errors.Is(err, unix.EINTR) {
+		_, err = p.calls.write(p.wakeup, one[:])
+	}
+	if err != nil {
+		_ = p.file.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
