Test: unbounded reads overlap by a gate, so that each server is asked

The test took for granted that they overlap; on a slow machine they come one after the other, and the cheapest server rightly gets each.

--- a/cmd/beechgrade/clickhouse_hard_test.go
+++ b/cmd/beechgrade/clickhouse_hard_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -183,12 +184,41 @@
 	}
 }
 
+// holdUntilAllAsked has servers hold reads without a bound until each has one, so that they overlap however slow the machine is: one after the other
+// they might all go to one server, and rightly so.
+func holdUntilAllAsked(servers []*house.Server) {
+	asked, all := make([]sync.Once, len(servers)), make(chan struct{})
+	var left atomic.Int32
+	left.Store(int32(len(servers)))
+	for i, server := range servers {
+		server.Answer(func(_ http.ResponseWriter, r *http.Request, run *house.Run, _ []byte) bool {
+			if !strings.HasPrefix(run.ID, "a") {
+				return false
+			}
+			asked[i].Do(func() {
+				if left.Add(-1) == 0 {
+					close(all)
+				}
+			})
+			select {
+			case <-all:
+			case <-r.Context().Done():
+			}
+			return false
+		})
+	}
+}
+
 // TestHouseBounds: reads with a bound go only to servers whose data is known to be so new, whether the module asks for that
 // ahead or the front does before each; where none is, they are refused; writes and reads without one go anywhere.
 func TestHouseBounds(t *testing.T) {
 	t.Parallel()
 	for _, behind := range []decide.Behind{decide.BehindAnswers, decide.BehindRefuses} {
-		w := housesAs(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(s []*house.Server) { s[1].Lag(60); s[2].Lag(-1) }, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
+		w := housesAs(t, 3, `(deadline 2s) (aim 1s) (class "mes" (path "/mes") (bound 3s) (aim 1s) (deadline 1500ms))`, func(s []*house.Server) {
+			s[1].Lag(60)
+			s[2].Lag(-1)
+			holdUntilAllAsked(s)
+		}, func(c *config.Config) { c.Settings.Behind, c.Settings.MayProbe = behind, true })
 		ask := func(path, sql, id string) int {
 			res, err := w.client.Get("http://" + w.addr + path + "?" + url.Values{"query": {sql}, "query_id": {id}}.Encode())
 			if err != nil {
