--- a/internal/kit/machine/machine_test.go
+++ b/internal/kit/machine/machine_test.go
@@ -13,7 +13,7 @@
 	if _, err := os.Stat("/proc/self/schedstat"); err != nil {
 		t.Skip("the system does not tell how long threads wait")
 	}
-	look := func(threads int) Busy {
+	look := func(threads int) (busy Busy, waited float64) {
 		w := Begin()
 		stop := time.Now().Add(300 * time.Millisecond)
 		var wg sync.WaitGroup
@@ -29,14 +29,20 @@
 		}
 		wg.Wait()
 		time.Sleep(time.Until(stop))
-		return w.End()
+		busy = w.End()
+		for name, x := range w.seen[len(w.seen)-1].threads {
+			waited += max(0, x[1]-w.seen[0].threads[name][1])
+		}
+		return busy, waited
 	}
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(8 * runtime.NumCPU()))
-	if busy := look(8 * runtime.NumCPU()); busy.Waited < 0.5 || busy.Worst < 0.5 {
+	busy, many := look(8 * runtime.NumCPU())
+	if busy.Waited < 0.5 || busy.Worst < 0.5 {
 		t.Errorf("%+v", busy)
 	}
-	if one, many := look(1), look(8*runtime.NumCPU()); one.Waited >= many.Waited {
-		t.Errorf("one thread %+v, many %+v", one, many)
+	// What part of its time one thread waits is up to what else runs on the machine; how long it waits is not more than its time.
+	if _, one := look(1); one*4 >= many {
+		t.Errorf("one thread waited %.0f ns, many %.0f", one, many)
 	}
 }
 
