Review: a second copy behind an answer is served to the pool's next client

Cause: the pooling front gives a connection to the next waiting client at ReadyForQuery although bytes beyond the answer are still unread; they count as that client's answer.

Nothing is fixed.

--- /dev/null
+++ b/review/standin/platform.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Times of the cases with the platform's clients, as in the deployment's classes.
+const (
+	writeWork = 30 * time.Millisecond
+	readWork  = 80 * time.Millisecond
+)
+
+// platformClient sends statements of the platform's protocol.
+type platformClient struct {
+	*client
+	env *env
+}
+
+// platformClients opens connections for sessions, one each.
+func (e *env) platformClients(addr string, n int) (all []platformClient, err error) {
+	for range n {
+		c, err := connect(addr, "backend", "store")
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, platformClient{c, e})
+	}
+	return all, nil
+}
+
+var lastID atomic.Uint64
+
+// write writes the session's row.
+func (c platformClient) write(session, value string) answer {
+	return c.logged(session, fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('%s', '%s') RETURNING content /* id=%016x,c=entry,d=2000,cluster=0 */",
+		session, value, lastID.Add(1)))
+}
+
+// readRow reads the session's row.
+func (c platformClient) readRow(session string) answer {
+	return c.logged(session, fmt.Sprintf("SELECT content FROM kv WHERE name = '%s' /* id=%016x,c=own,d=2000,cluster=0 */", session, lastID.Add(1)))
+}
+
+func (c platformClient) logged(session, sql string) answer {
+	c.env.record.line("session %s sends: %s", session, sql)
+	a := c.ask(sql)
+	c.env.record.line("session %s gets: %s", session, a)
+	return a
+}
+
+// forAll calls a function for each session at the same time, with its connection, and returns the answers.
+func forAll(clients []platformClient, do func(c platformClient, session string) answer) []answer {
+	answers := make([]answer, len(clients))
+	var all sync.WaitGroup
+	for i, c := range clients {
+		all.Go(func() { answers[i] = do(c, fmt.Sprintf("s%d", i)) })
+	}
+	all.Wait()
+	return answers
+}
+
+// keptUpgrade: with sessions' commits kept by the pooler, a second process takes over the clients' socket.
+func keptUpgrade(e *env) (broken bool, err error) {
+	f, err := newFleet(e.record, options{replicas: 2, lag: func() time.Duration { return 3 * time.Second }, work: writeWork, readWork: readWork})
+	if err != nil {
+		return false, err
+	}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return false, err
+	}
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		return false, err
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	start := func(name string) (*pooler, error) {
+		return e.startPooler(poolerOptions{name: name, discovery: f.discovery, listener: socket, listen: addr,
+			change: func(c tree) { at(c, "settings", "family_info")["tokens"] = "kept" }})
+	}
+	first, err := start("old")
+	if err != nil {
+		return false, err
+	}
+	clients, err := e.platformClients(addr, 20)
+	if err != nil {
+		return false, err
+	}
+	forAll(clients, func(c platformClient, s string) answer { return c.write(s, "old") })
+	time.Sleep(3500 * time.Millisecond) // the replicas have these rows now
+	if e.trouble {
+		if _, err := start("new"); err != nil {
+			return false, err
+		}
+	}
+	for _, a := range forAll(clients, func(c platformClient, s string) answer { return c.write(s, "new") }) {
+		if a.Tag == "" {
+			return false, fmt.Errorf("a write was not served: %s", a)
+		}
+	}
+	if e.trouble {
+		e.record.line("SIGTERM to the old process, as the new one says yes")
+		first.terminate()
+		time.Sleep(300 * time.Millisecond)
+	}
+	again, err := e.platformClients(addr, len(clients))
+	if err != nil {
+		return false, err
+	}
+	for i, a := range forAll(again, func(c platformClient, s string) answer { return c.readRow(s) }) {
+		if a.Tag != "" && a.Code == "" && a.Value != "new" {
+			e.record.line("session s%d: the read does not show the write that was answered", i)
+			broken = true
+		}
+	}
+	for _, c := range append(clients, again...) {
+		_ = c.conn.Close()
+	}
+	return broken, nil
+}
+
+const (
+	copyClients = 40
+	copyReads   = 100 // of each client
+	copyEvery   = 50  // reads, of which one is answered twice
+)
+
+// platformCopy: servers answer one read of fifty twice, the second time a millisecond later.
+func platformCopy(e *env) (broken bool, err error) {
+	var reads, wrong atomic.Int32
+	f, err := newFleet(e.record, options{replicas: 2, lag: func() time.Duration { return 0 }, work: 5 * time.Millisecond, apart: time.Millisecond,
+		copies: func(sql string) bool {
+			return e.trouble && strings.HasPrefix(sql, "SELECT") && reads.Add(1)%copyEvery == 0
+		}})
+	if err != nil {
+		return false, err
+	}
+	p, err := e.startPooler(poolerOptions{name: "p1", discovery: f.discovery})
+	if err != nil {
+		return false, err
+	}
+	for i := range copyClients {
+		f.commit(fmt.Sprintf("s%d", i), fmt.Sprintf("v%d", i))
+	}
+	time.Sleep(time.Second)
+	clients, err := e.platformClients(p.listen, copyClients)
+	if err != nil {
+		return false, err
+	}
+	forAll(clients, func(c platformClient, s string) (a answer) {
+		for i := range copyReads {
+			a = c.ask(fmt.Sprintf("SELECT content FROM kv WHERE name = '%s' /* id=%016x,c=report,d=1200,cluster=0 */", s, lastID.Add(1)))
+			if a.Tag != "" && a.Code == "" && a.Value != "v"+s[1:] {
+				wrong.Add(1)
+				e.record.line("session %s was served another one's value: %s", s, a)
+			}
+			time.Sleep(time.Duration(i%20) * time.Millisecond)
+		}
+		return a
+	})
+	e.record.line("%d of %d reads were served another session's value; %d answers had a second copy", wrong.Load(), copyClients*copyReads, reads.Load()/copyEvery)
+	return wrong.Load() > 0, nil
+}
