--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,9 +20,10 @@
 	discovery string // address
 	servers   []*server
 
-	mu      sync.Mutex
-	rows    map[string][]version // by name, oldest first
-	commits int                  // commits so far
+	mu         sync.Mutex
+	rows       map[string][]version // by name, oldest first
+	generation int                  // of the list
+	draining   map[string]bool      // servers, by id
 }
 
 // version is a committed value of a row.
@@ -63,7 +64,7 @@
 
 // newFleet starts servers and discovery on loopback.
 func newFleet(r *record, o options) (*fleet, error) {
-	f := &fleet{record: r, rows: map[string][]version{}}
+	f := &fleet{record: r, rows: map[string][]version{}, generation: 1, draining: map[string]bool{}}
 	for i, addr := range o.addresses {
 		f.servers = append(f.servers, &server{fleet: f, id: fmt.Sprintf("s-%d", i), addr: addr, role: "primary"})
 	}
@@ -118,23 +119,55 @@
 	return config.Listen(background, "tcp4", "127.0.0.1:0")
 }
 
-// list answers discovery's calls: the whole list, and a watch without changes.
+// list answers discovery's calls: the whole list, and a watch that tells it again when it has changed.
 func (f *fleet) list(w http.ResponseWriter, r *http.Request) {
-	var entries []string
-	for _, s := range f.servers {
-		entries = append(entries, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"room","machineType":"small","cell":0,`+
-			`"lifecycle":"up","weight":1.0,"startedAtMs":0,"role":%q}`, s.id, s.addr, s.role))
-	}
-	_, _ = fmt.Fprintf(w, `{"generation":1,"reset":true,"instances":[%s]}`+"\n", strings.Join(entries, ","))
+	told := f.writeList(w)
+	toldAt := time.Now()
 	for flusher, ok := w.(http.Flusher); ok && r.URL.Query().Get("watch") != ""; {
 		flusher.Flush()
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(2 * time.Second):
+		case <-time.After(10 * time.Millisecond):
+		}
+		f.mu.Lock()
+		changed := f.generation != told
+		f.mu.Unlock()
+		if changed {
+			told = f.writeList(w)
+			f.record.line("discovery: told generation %d", told)
+		} else if time.Since(toldAt) >= 2*time.Second {
 			_, _ = io.WriteString(w, "\n")
+		} else {
+			continue
+		}
+		toldAt = time.Now()
+	}
+}
+
+// writeList writes the whole list and returns its generation.
+func (f *fleet) writeList(w io.Writer) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var entries []string
+	for _, s := range f.servers {
+		state := "up"
+		if f.draining[s.id] {
+			state = "draining"
 		}
+		entries = append(entries, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"room","machineType":"small","cell":0,`+
+			`"lifecycle":%q,"weight":1.0,"startedAtMs":0,"role":%q}`, s.id, s.addr, state, s.role))
 	}
+	_, _ = fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[%s]}`+"\n", f.generation, strings.Join(entries, ","))
+	return f.generation
+}
+
+// drain lists a server as draining.
+func (f *fleet) drain(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining[id] = true
+	f.generation++
 }
 
 func (s *server) accept(l net.Listener) {
@@ -149,7 +182,7 @@
 		s.fleet.mu.Unlock()
 		go func() {
 			defer func() { _ = conn.Close() }()
-			session := &session{server: s, conn: conn.(*net.TCPConn), name: fmt.Sprintf("%s conn %d", s.id, number), role: "none"}
+			session := &session{server: s, conn: conn.(*net.TCPConn), name: fmt.Sprintf("%s conn %d", s.id, number), role: "none", zone: "UTC"}
 			session.serve()
 		}()
 	}
@@ -161,7 +194,9 @@
 	conn   *net.TCPConn
 	name   string
 	role   string // as by SET ROLE, "none" for the user of the connection
+	zone   string // as by SET TIME ZONE
 	state  byte   // transaction status
+	staged [][2]string
 }
 
 func (s *session) serve() {
@@ -269,6 +304,11 @@
 			s.log("turned away", sql)
 			return appendError(nil, "25006", "this is no primary"), 0, false
 		}
+		if s.state == 'T' {
+			s.staged = append(s.staged, [2]string{m[1], m[2]})
+			s.log("ran, not committed yet", sql)
+			return appendStrings(appendRow(nil, "content", m[2]), 'C', "INSERT 0 1"), 0, false
+		}
 		position = s.server.fleet.commit(m[1], m[2])
 		s.log(fmt.Sprintf("ran, committed at %d", position), sql)
 		if hook := s.server.onWrite; hook != nil && hook(sql, s.conn) {
@@ -296,9 +336,25 @@
 		s.log("begun", sql)
 		return appendStrings(nil, 'C', "BEGIN"), 0, false
 	case upper == "COMMIT", upper == "ROLLBACK":
-		s.state = 'I'
+		for _, row := range s.staged {
+			if upper == "COMMIT" {
+				position = s.server.fleet.commit(row[0], row[1])
+			}
+		}
+		wrote := position > 0
+		s.state, s.staged = 'I', nil
 		s.log("ended", sql)
-		return appendStrings(nil, 'C', upper), 0, false
+		if hook := s.server.onWrite; wrote && hook != nil && hook(sql, s.conn) {
+			return nil, 0, true
+		}
+		return appendStrings(nil, 'C', upper), position, false
+	case strings.HasPrefix(upper, "SET TIME ZONE"):
+		s.zone = strings.TrimSpace(sql[len("SET TIME ZONE"):])
+		s.log("time zone is now "+s.zone, sql)
+		return appendStrings(nil, 'C', "SET"), 0, false
+	case strings.HasPrefix(upper, "SELECT CURRENT_SETTING('TIMEZONE')"):
+		s.log("time zone is "+s.zone, sql)
+		return appendStrings(appendRow(nil, "current_setting", s.zone), 'C', "SELECT 1"), 0, false
 	case upper == "RESET ROLE" || upper == `RESET "ROLE"`:
 		s.role = "none"
 		s.log("role is now none", sql)
@@ -331,7 +387,6 @@
 	defer f.mu.Unlock()
 	at := time.Now().UnixMilli() + 1
 	f.rows[name] = append(f.rows[name], version{value, at})
-	f.commits++
 	return at
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,8 @@
 	"platform-copy":    platformCopy,
 	"second-copy":      secondCopy,
 	"hidden-length":    hiddenLength,
+	"journal-gap":      journalGap,
+	"drained-session":  drainedSession,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin/pooling.go
+++ b/review/standin/pooling.go
@@ -275,3 +275,39 @@
 	e.record.line("client B, which has set nothing: SHOW ROLE: %s", got)
 	return got.Value != "none", nil
 }
+
+// drainedSession: a session has a setting that cannot be carried; its server begins to drain while it reads.
+func drainedSession(e *env) (broken bool, err error) {
+	f, err := newFleet(e.record, options{replicas: 2, lag: func() time.Duration { return 10 * time.Millisecond }, work: time.Millisecond})
+	if err != nil {
+		return false, err
+	}
+	addr, err := e.startPooling(f, 10)
+	if err != nil {
+		return false, err
+	}
+	c, err := connect(addr, "tablet", "obra")
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = c.conn.Close() }()
+	const zone = "INTERVAL '-03:00' HOUR TO MINUTE"
+	e.record.line("client: SET TIME ZONE: %s", c.ask("SET TIME ZONE "+zone))
+	for i := range 60 {
+		if i == 20 && e.trouble {
+			e.record.line("discovery: s-0 drains")
+			f.drain("s-0")
+		}
+		a := c.ask("SELECT current_setting('timezone')")
+		e.record.line("client: time zone: %s", a)
+		if a.Ended || a.Code != "" { // the session was ended, and the client knows
+			return broken, nil
+		}
+		if a.Value != zone {
+			e.record.line("the statement ran with another time zone than the session has set")
+			broken = true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return broken, nil
+}
