--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 	"platform-copy":    platformCopy,
 	"second-copy":      secondCopy,
 	"hidden-length":    hiddenLength,
+	"blocking-socket":  blockingSocket,
 	"drain-platform":   drainPlatform,
 	"drain-pooled":     drainPooled,
 	"behind-long":      behindLong,
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -64,22 +66,33 @@
 	return answers
 }
 
+// sharedSocket returns a listening socket that processes inherit, and its address. It stays in the mode that the processes give it; with
+// blocking, it is put into blocking mode as each process is started.
+func sharedSocket(blocking bool) (socket *os.File, addr string, err error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = l.Close() }()
+	file, err := l.(*net.TCPListener).File()
+	if err != nil || blocking {
+		return file, l.Addr().String(), err // os/exec puts the descriptor of such a file into blocking mode
+	}
+	defer func() { _ = file.Close() }()
+	fd, err := syscall.Dup(int(file.Fd()))
+	return os.NewFile(uintptr(fd), "socket"), l.Addr().String(), err
+}
+
 // keptUpgrade: with sessions' commits kept by the pooler, a second process takes over the clients' socket.
 func keptUpgrade(e *env) (broken bool, err error) {
 	f, err := newFleet(e.record, options{replicas: 2, lag: func() time.Duration { return 3 * time.Second }, work: writeWork, readWork: readWork})
 	if err != nil {
 		return false, err
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return false, err
-	}
-	socket, err := l.(*net.TCPListener).File()
+	socket, addr, err := sharedSocket(false)
 	if err != nil {
 		return false, err
 	}
-	addr := l.Addr().String()
-	_ = l.Close()
 	start := func(name string) (*pooler, error) {
 		return e.startPooler(poolerOptions{name: name, discovery: f.discovery, listener: socket, listen: addr,
 			change: func(c tree) { at(c, "settings", "family_info")["tokens"] = "kept" }})
@@ -223,3 +236,81 @@
 	}
 	return broken, nil
 }
+
+const (
+	upgradeRounds  = 8
+	upgradeClients = 50
+	killAfter      = 3700 * time.Millisecond // from SIGTERM, as the platform does
+)
+
+// blockingSocket: one process after the other takes over the clients' socket, which is in blocking mode as each one is started.
+func blockingSocket(e *env) (broken bool, err error) {
+	f, err := newFleet(e.record, options{replicas: 3, lag: func() time.Duration { return 20 * time.Millisecond }, work: 5 * time.Millisecond})
+	if err != nil {
+		return false, err
+	}
+	f.commit("x", "y")
+	socket, addr, err := sharedSocket(e.trouble)
+	if err != nil {
+		return false, err
+	}
+	number := 0
+	start := func() (*pooler, error) {
+		number++
+		return e.startPooler(poolerOptions{name: fmt.Sprintf("p%d", number), discovery: f.discovery, listener: socket, listen: addr})
+	}
+	current, err := start()
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	var stop atomic.Bool
+	var lost atomic.Int32
+	var all sync.WaitGroup
+	for range upgradeClients {
+		all.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				c, err := connect(addr, "backend", "store")
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				for k := 0; k < 10+i%50 && !stop.Load(); k++ {
+					began := time.Now()
+					a := c.ask(fmt.Sprintf("SELECT content FROM kv WHERE name = 'x' /* id=%016x,c=report,d=1200,cluster=0 */", lastID.Add(1)))
+					if took := time.Since(began); took > 1800*time.Millisecond {
+						lost.Add(1)
+						e.record.line("a request with d=1200 ends after %v: %s", took, a)
+					}
+					if a.Ended {
+						break
+					}
+					time.Sleep(time.Duration(k%30) * time.Millisecond)
+				}
+				_ = c.conn.Close()
+			}
+		})
+	}
+	for range upgradeRounds {
+		time.Sleep(1500 * time.Millisecond)
+		old := current
+		if current, err = start(); err != nil {
+			return false, err
+		}
+		e.record.line("SIGTERM to the old process, as the new one says yes")
+		old.terminate()
+		select {
+		case err := <-old.exited:
+			old.exited <- err
+			e.record.line("the old process has ended")
+		case <-time.After(killAfter):
+			e.record.line("the old process has not ended and is killed")
+			old.kill()
+			old.exited <- nil
+		}
+	}
+	stop.Store(true)
+	all.Wait()
+	e.record.line("%d requests had no answer in time", lost.Load())
+	return lost.Load() > 0, nil
+}
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -148,7 +148,7 @@
 	}
 	go func() { p.exited <- p.cmd.Wait() }()
 	e.started.add(p)
-	e.record.line("pooler %s started: %s", o.name, command)
+	e.record.line("pooler %s started: %s", o.name, strings.ReplaceAll(command, e.folder, "FOLDER"))
 	for range 300 {
 		if p.ready() {
 			e.record.line("pooler %s is ready", o.name)
