--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -227,9 +227,10 @@
 		a := c.read()
 		e.record.line("client: answer %d: %s", i, a)
 		if a.Ended && a.Code == "" {
-			for k := max(0, i-1); k < writes; k++ {
-				e.record.line("write %d has no answer, and has run %d times", k, f.versions(fmt.Sprintf("ponto-%d", k)))
-				broken = true
+			for k := max(0, i-1); k < writes; k++ { // a write that was not forwarded could be sent once more by its client
+				ran := f.versions(fmt.Sprintf("ponto-%d", k))
+				e.record.line("write %d has no answer, and has run %d times", k, ran)
+				broken = broken || ran > 0
 			}
 			break
 		}
--- a/review/standin/pooling.go
+++ b/review/standin/pooling.go
@@ -159,12 +159,13 @@
 	copiedRead = 4 // the read whose answer is followed by a second copy
 )
 
-// secondCopy: one answer of a server is followed by a second copy; a client with a write waits for the connection meanwhile.
+// secondCopy: one answer of a server is followed by a second copy; another client waits for the connection meanwhile. Both clients read one
+// row of one column, so that neither can tell the other one's answer from its own.
 func secondCopy(e *env) (broken bool, err error) {
 	var reads atomic.Int32
 	f, err := newFleet(e.record, options{replicas: 0, work: writeWork, readWork: readWork,
 		copies: func(sql string) bool {
-			return e.trouble && strings.HasPrefix(sql, "SELECT") && !strings.Contains(sql, "warm") && reads.Add(1) == copiedRead
+			return e.trouble && strings.Contains(sql, "'quadro'") && reads.Add(1) == copiedRead
 		}})
 	if err != nil {
 		return false, err
@@ -183,25 +184,30 @@
 		return false, err
 	}
 	defer func() { _ = writer.conn.Close() }()
+	served := func(round int, client, want string, a answer) {
+		e.record.line("round %d: client %s: wants %q: %s", round, client, want, a)
+		if a.Code == "" && !a.Ended && a.Tag == "SELECT 1" && a.Value != want {
+			e.record.line("round %d: client %s was served a value that was made for the other client", round, client)
+			broken = true
+		}
+	}
 	for i := range rounds {
-		f.commit("quadro", fmt.Sprintf("secret of R %d", i))
+		forR, forW := fmt.Sprintf("board of R %d", i), fmt.Sprintf("payroll of W %d", i)
+		f.commit("quadro", forR)
+		f.commit("folha", forW)
 		if err := reader.send("SELECT content FROM kv WHERE name = 'quadro'"); err != nil {
-			return false, err
+			return broken, err
 		}
 		time.Sleep(readWork / 4)
-		want := fmt.Sprintf("hours of W %d", i)
-		if err := writer.send(fmt.Sprintf("INSERT INTO kv (name, content) VALUES ('ponto-%d', '%s') RETURNING content", i, want)); err != nil {
-			return false, err
+		if err := writer.send("SELECT content FROM kv WHERE name = 'folha' FOR UPDATE"); err != nil {
+			return broken, err
 		}
-		e.record.line("round %d: client R: SELECT: %s", i, reader.read())
-		a := writer.read()
-		e.record.line("round %d: client W: INSERT of %q: %s", i, want, a)
-		if a.Ended {
-			return broken, nil
-		}
-		if a.Code == "" && a.Value != want {
-			e.record.line("round %d: client W was served a value that was made for client R", i)
-			broken = true
+		r := reader.read()
+		served(i, "R", forR, r)
+		w := writer.read()
+		served(i, "W", forW, w)
+		if r.Ended || w.Ended {
+			break
 		}
 	}
 	return broken, nil
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -197,20 +197,25 @@
 
 // poolers are the processes that a case has started.
 type poolers struct {
-	mu  sync.Mutex
-	all []*pooler
+	mu    sync.Mutex
+	all   []*pooler
+	ended bool // kill was called
 }
 
 func (s *poolers) add(p *pooler) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.all = append(s.all, p)
+	if s.ended { // the case goes on after its time is over
+		p.kill()
+	}
 }
 
 // kill ends the processes.
 func (s *poolers) kill() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
 	for _, p := range s.all {
 		p.kill()
 	}
