Review: a pipelined transaction runs twice where the one before it is turned away

Cause: the pooling frontend keeps all that a client sends before its first answer, and sends all of it again when the first statement is answered with 53300, 25006, 72000 or 57P03. Behind a Sync the server has run the next transaction by then.

Change: case 1 of the review, with new stand-ins in review/witness: a platform, PostgreSQL servers, a network and clients.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-CGO_ENABLED=0 go build -buildvcs=false -trimpath -o review/bin/ ./review/standin
+CGO_ENABLED=0 go build -buildvcs=false -trimpath -o review/bin/ ./review/standin ./review/witness
