Review: a committed transaction is reported as rolled back at the limit of its time

Cause: at the limit of a transaction's time the pooling frontend answers 57014, "rolled back" on its page, also while a COMMIT is out whose outcome is unknown.

Change: case 3 of the review. It replaces the earlier case 3.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,8 +1,11 @@
 #!/bin/sh
 # Runs the case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-if [ ! -x bin/beechgrade ] || [ ! -x review/bin/standin ]; then
+if [ ! -x bin/beechgrade ] || [ ! -x review/bin/witness ]; then
   echo "not built: run the build of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
 fi
-exec timeout --kill-after=5 115 review/bin/standin false-refusal review/3/record.txt
+timeout --kill-after=5 110 review/bin/witness rolled-back review/3/record.txt
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
