Review: a story on settings that a server rejects, behind which the statement still runs

Cause: the pooling frontend sends a transaction's first messages directly behind the query that gives the connection the client's settings. Where the server rejects that query, the statement runs under the settings that the connection had, those of its last client.

--- a/review/witness/client.go
+++ b/review/witness/client.go
@@ -17,20 +17,31 @@
 	rows   []string // the first values of the rows of the last answer
 }
 
-// connect connects a client and completes its startup.
-func connect(address, user, database string) (*pgClient, error) {
+// connect connects a client and completes its startup. Settings are names and values, one after the other.
+func connect(address, user, database string, settings ...string) (*pgClient, error) {
 	conn, err := net.DialTimeout("tcp", address, 2*time.Second)
 	if err != nil {
 		return nil, err
 	}
 	c := &pgClient{conn: conn, reader: pgwire.NewReader(1 << 24), buffer: make([]byte, 1<<15)}
-	if err := c.send(pgwire.AppendStartup(nil, user, database)); err != nil {
+	if err := c.send(startup(append([]string{"user", user, "database", database}, settings...))); err != nil {
 		return nil, err
 	}
 	_, err = c.answer(5 * time.Second)
 	return c, err
 }
 
+// startup returns a startup message with these names and values.
+func startup(parameters []string) []byte {
+	b := binary.BigEndian.AppendUint32([]byte{0, 0, 0, 0}, pgwire.Version)
+	for _, text := range parameters {
+		b = append(append(b, text...), 0)
+	}
+	b = append(b, 0)
+	binary.BigEndian.PutUint32(b, uint32(len(b)))
+	return b
+}
+
 func (c *pgClient) send(b []byte) error {
 	_, err := c.conn.Write(b)
 	return err
--- a/review/witness/database.go
+++ b/review/witness/database.go
@@ -92,6 +92,7 @@
 	portals  map[string]string
 	skipping bool   // up to the next Sync, after an error
 	extended bool   // the statement that runs was sent by the extended protocol
+	failed   bool   // the statement that ran last failed
 	person   string // the setting app.person, which the function app_login sets
 }
 
@@ -173,7 +174,14 @@
 	switch m.Type {
 	case pgwire.Query:
 		sql, _ := pgwire.Text(m.Body)
-		s.execute(sql)
+		before := s.person
+		s.failed = false
+		for _, statement := range strings.Split(sql, "; ") {
+			if s.execute(statement); s.failed { // what the text has set so far is undone, as by PostgreSQL
+				s.person = before
+				break
+			}
+		}
 		return s.ready()
 	case pgwire.Parse:
 		name, sql, _, _ := pgwire.ParseMessage(m.Body)
@@ -217,8 +225,7 @@
 	}
 	if d.refuses != nil && d.refuses(sql) {
 		d.scene.note("%s: turned away in session %d: %s", d.name, s.pid, shorten(sql))
-		s.out = pgwire.AppendError(s.out, "ERROR", "53300", "the queue is full", "")
-		s.skipping = s.extended
+		s.fail("53300", "the queue is full")
 		return
 	}
 	words := strings.Fields(sql)
@@ -240,7 +247,7 @@
 		s.out = pgwire.AppendComplete(s.out, "ROLLBACK")
 	case "INSERT", "UPDATE":
 		if d.role != "primary" {
-			s.out = pgwire.AppendError(s.out, "ERROR", "25006", "cannot execute "+word+" in a read-only transaction", "")
+			s.fail("25006", "cannot execute "+word+" in a read-only transaction")
 			return
 		}
 		if s.state == pgwire.StateTransaction {
@@ -262,11 +269,42 @@
 	case "SELECT":
 		s.out = pgwire.AppendRow(s.out, "value", []byte(s.read(sql)))
 		s.out = pgwire.AppendComplete(s.out, "SELECT 1")
+	case "RESET":
+		if strings.Contains(sql, "person") || strings.Contains(sql, "ALL") {
+			s.person = ""
+		}
+		s.out = pgwire.AppendComplete(s.out, word)
+	case "SET":
+		s.set(sql)
 	default:
 		s.out = pgwire.AppendComplete(s.out, word)
 	}
 }
 
+// fail answers a statement with an error.
+func (s *dbSession) fail(code, text string) {
+	s.failed = true
+	s.skipping = s.extended
+	s.out = pgwire.AppendError(s.out, "ERROR", code, text, "")
+}
+
+// set runs SET of the setting app.person, or of a time zone that the server knows.
+func (s *dbSession) set(sql string) {
+	value := ""
+	if parts := strings.Split(sql, "'"); len(parts) > 1 {
+		value = parts[1]
+	}
+	switch {
+	case strings.Contains(sql, "person"):
+		s.person = value
+	case strings.Contains(strings.ToUpper(sql), "ZONE") && value != "America/Recife":
+		s.db.scene.note("%s: error 22023 in session %d: %s", s.db.name, s.pid, sql)
+		s.fail("22023", "invalid value for parameter \"TimeZone\": \""+value+"\"")
+		return
+	}
+	s.out = pgwire.AppendComplete(s.out, "SET")
+}
+
 // read runs a SELECT and returns the value of its row.
 func (s *dbSession) read(sql string) string {
 	switch {
