--- a/review/witness/foreign.go
+++ b/review/witness/foreign.go
@@ -40,7 +40,7 @@
 		s.note("client ana disconnects")
 		_ = ana.send([]byte("X\x00\x00\x00\x04"))
 		_ = ana.conn.Close()
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(time.Second) // the pooler notices it meanwhile
 	}
 	rui, err := connect(p.pooling, "escritorio", "obra")
 	if err != nil {
