--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,12 @@
   echo "not built: run the build of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
 fi
-timeout --kill-after=5 110 review/bin/witness foreign review/3/record.txt
+timeout --kill-after=5 110 review/bin/witness foreign review/3/record.txt &
+standin=$!
+trap 'kill "$standin"' TERM INT
+wait "$standin"
 code=$?
+trap - TERM INT
+wait "$standin" 2>/dev/null # where a signal ended the first wait
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -134,6 +134,7 @@
 	}
 	p.cmd = exec.CommandContext(background, "/bin/sh", "-c", command)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+configFile, "TMPDIR="+e.folder)
 	if o.listener != nil {
 		null, err := os.Open(os.DevNull)
--- a/review/witness/main.go
+++ b/review/witness/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,7 +44,7 @@
 	defer os.RemoveAll(dir)
 	s := &scene{record: record, dir: dir, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
 	s.note("trouble: %v", s.trouble)
-	broken, err := story(s)
+	broken, err := s.playUntilSignal(story)
 	s.stopAll()
 	switch {
 	case err != nil:
@@ -56,6 +58,23 @@
 	return exitHeld
 }
 
+// playUntilSignal plays a story. One that is ended by a signal could not run.
+func (s *scene) playUntilSignal(story func(*scene) (bool, error)) (broken bool, err error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		broken, err = story(s)
+	}()
+	select {
+	case <-done:
+		return broken, err
+	case received := <-signals:
+		return false, fmt.Errorf("ended by signal %v", received)
+	}
+}
+
 // scene is one play of a case.
 type scene struct {
 	record  *os.File
--- a/review/witness/platform.go
+++ b/review/witness/platform.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -232,7 +233,10 @@
 }
 
 func (s *scene) stopAll() {
-	for _, p := range s.processes {
+	s.mu.Lock()
+	processes := slices.Clone(s.processes)
+	s.mu.Unlock()
+	for _, p := range processes {
 		if !p.hasEnded() {
 			p.kill()
 		}
