beechgrade-kit pooling: the measurement no longer ends with a nil pointer

Seen: each run ended in pooler.stop at trafficWatcher.faultChanged, after its last stage and before its result was written. A measurement has no checked traffic, so there is no watcher. stop reports the end of a fault only where there is one.

--- a/internal/testkit/rehearse/daemon.go
+++ b/internal/testkit/rehearse/daemon.go
@@ -170,7 +170,9 @@
 		return
 	}
 	_ = cmd.Process.Signal(sig)
-	p.run.traffic.faultChanged(p.run.clk.Now(), 0)
+	if p.run.traffic != nil { // nil in a measurement without checked traffic
+		p.run.traffic.faultChanged(p.run.clk.Now(), 0)
+	}
 	if f := p.run.peers; f != nil && sig == syscall.SIGKILL {
 		f.ended(p.index, false)
 	} else if f != nil { // a pooler that shuts down gracefully goes on until it has answered all requests
