Pooling: metrics and a log line for what may be sent again

Nothing told from outside why, and with how much behind it, the pooling frontend sent messages again. Metrics app.pooling.* count it by reason, and the debug log names the client, the server, the SQLSTATE and how many ReadyForQuery messages answer what is sent again. The fake servers reject statements and lose answers where a test asks for it, and count commits by key.

--- a/cmd/beechgrade/admin.go
+++ b/cmd/beechgrade/admin.go
@@ -91,6 +91,7 @@
 	p.writePeersMetrics(snapshot)
 	p.writeLimitsMetrics(snapshot)
 	p.writeInvariantsMetrics(snapshot)
+	p.writePoolingMetrics(snapshot)
 	p.writeScatterMetrics(snapshot)
 	p.writeRaftLogMetrics(snapshot)
 	p.writeCreditMetrics(snapshot)
--- a/cmd/beechgrade/pooling.go
+++ b/cmd/beechgrade/pooling.go
@@ -9,6 +9,7 @@
 	"beechgrade/internal/frontend/pooling"
 	"beechgrade/internal/frontend/scatter"
 	"beechgrade/internal/lifecycle"
+	"beechgrade/internal/metrics/exposition"
 	"beechgrade/internal/settings"
 )
 
@@ -32,6 +33,13 @@
 	}, p.core, p.core)
 }
 
+// writePoolingMetrics writes the metrics of the pooling frontend, where it is enabled.
+func (p *pooler) writePoolingMetrics(s *exposition.Snapshot) {
+	if p.pooling != nil {
+		p.pooling.WriteMetrics(s)
+	}
+}
+
 // listenPooling opens the address of the pooling frontend.
 func (p *pooler) listenPooling() {
 	address, stop, err := p.loop.Listen(p.poolingAddr, p.pooling.Accept)
--- a/internal/frontend/pooling/answers.go
+++ b/internal/frontend/pooling/answers.go
@@ -278,7 +278,7 @@
 		return
 	}
 	if result, ok := l.mayRunElsewhere(c, m); ok { // it did not run, and the client has received no answer
-		l.retryElsewhere(c, result)
+		l.retryElsewhere(c, result, code)
 		return
 	}
 	l.relay(m.Raw, false)
--- a/internal/frontend/pooling/frontend.go
+++ b/internal/frontend/pooling/frontend.go
@@ -122,6 +122,8 @@
 // Counts are numbers of events since the start.
 type Counts struct {
 	Transactions, Prepared, Executed, SettingsSynced, Migrations, Cancels, Rejected, Restarts uint64
+
+	Resent [resendReasonCount]uint64 // how often messages could be sent again, by reason
 }
 
 // New returns a frontend without clients. events receives the ends of attempts.
@@ -190,6 +192,22 @@
 	return n
 }
 
+// UnsentToServers returns the number of bytes that were written to servers but not accepted by the sockets yet.
+func (f *Frontend) UnsentToServers() (n int) {
+	f.links.Each(func(_ slotmap.Ref, l *link) {
+		if l.conn != nil {
+			n += l.conn.Unsent()
+		}
+	})
+	return n
+}
+
+// PendingInput returns the number of bytes that were received from clients and not handled yet.
+func (f *Frontend) PendingInput() (n int) {
+	f.clients.Each(func(_ slotmap.Ref, c *client) { n += c.input.Pending() })
+	return n
+}
+
 // HasOutstanding reports whether a client is in a transaction, waits for an answer or has not received all of one.
 func (f *Frontend) HasOutstanding() bool {
 	outstanding := f.lingering > 0
--- a/internal/frontend/pooling/link.go
+++ b/internal/frontend/pooling/link.go
@@ -285,6 +285,7 @@
 		result := decide.Reset
 		if retryable && (unsent > 0 || a.transaction.sentOnlyBeginning()) { // not sent completely, or harmless if it ran
 			result = decide.Unreachable
+			l.frontend.logResend(c, l.serverID, resendLost, "", a.transaction.replay)
 		}
 		if retryable && c.transaction != nil {
 			c.transaction.hasConnection = false
--- a/internal/frontend/pooling/restart.go
+++ b/internal/frontend/pooling/restart.go
@@ -259,6 +259,21 @@
 	return 0, false
 }
 
+// countReadyAnswers returns how many ReadyForQuery messages answer a client's messages.
+func countReadyAnswers(raw []byte) (count int) {
+	reader := pgwire.NewReader(len(raw) + 1)
+	reader.Feed(raw)
+	for {
+		m, ok, err := reader.Next()
+		if err != nil || !ok {
+			return count
+		}
+		if m.Type == pgwire.Query || m.Type == pgwire.Sync {
+			count++
+		}
+	}
+}
+
 // firstStatementPending reports whether no statement of the transaction but its beginning was answered.
 func (c *client) firstStatementPending() bool {
 	t := c.transaction
@@ -281,8 +296,8 @@
 	return slices.ContainsFunc(t.effects, func(s sqltext.Statement) bool { return s.ReadOnly })
 }
 
-// retryElsewhere sends a transaction whose first statement did not run to another server.
-func (l *link) retryElsewhere(c *client, result decide.Result) {
+// retryElsewhere sends a transaction whose first statement did not run, as an error with this code shows, to another server.
+func (l *link) retryElsewhere(c *client, result decide.Result, code string) {
 	c.link = nil
 	l.owner = nil
 	l.unusable = true // further messages from the server are for no client
@@ -290,12 +305,14 @@
 	c.deferredAnswers = nil
 	t := c.transaction
 	if t == nil {
+		l.frontend.logResend(c, l.serverID, resendRejected, code, c.unansweredMessages)
 		l.close()
 		if err := c.restart(c.unansweredMessages, true); err != nil {
 			c.endWithError(codeProtocol, err.Error())
 		}
 		return
 	}
+	l.frontend.logResend(c, l.serverID, resendRejected, code, t.replay)
 	t.hasConnection = false
 	t.restarting = false
 	a := t.attempt
--- a/internal/testkit/fake/database/fleet.go
+++ b/internal/testkit/fake/database/fleet.go
@@ -61,6 +61,8 @@
 
 	watch         Watch // counts of ordinary sessions
 	before        func(server, sql string) bool
+	reject        func(server, sql string) (code string)
+	loseAnswer    func(server, sql string) bool
 	sessions      map[uint32]*session
 	lastPID       uint32
 	streamed      int
@@ -88,7 +90,7 @@
 		log:      log,
 		timers:   map[*time.Timer]bool{},
 		sessions: map[uint32]*session{},
-		watch:    Watch{ByText: map[string]int{}},
+		watch:    Watch{ByText: map[string]int{}, Committed: map[string]int{}},
 	}
 	f.world = model.New(cfg, f, f)
 	for _, s := range f.world.Servers {
--- a/internal/testkit/fake/database/session.go
+++ b/internal/testkit/fake/database/session.go
@@ -38,6 +38,7 @@
 	sql       string          // statement that runs and may be cancelled
 	local     map[string]bool // settings that were changed by SET LOCAL
 	committed float64         // log position of the last write that was committed, until it is reported
+	losesNext bool            // the connection is reset in place of the next ReadyForQuery
 }
 
 // point is a savepoint.
@@ -220,8 +221,7 @@
 		if sess.status == 'I' { // no portal outlives its transaction
 			clear(sess.portals)
 		}
-		sess.ready()
-		return sess.be.Flush() == nil
+		return sess.finish()
 	case *pgproto3.Flush:
 		return sess.be.Flush() == nil
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
@@ -271,6 +271,15 @@
 	if sess.status == 'I' {
 		clear(sess.portals)
 	}
+	return sess.finish()
+}
+
+// finish completes an answer and sends it, or resets the connection if the answer is to be lost. It returns false if the connection has ended.
+func (sess *session) finish() bool {
+	if sess.losesNext {
+		sess.c.reset()
+		return false
+	}
 	sess.ready()
 	return sess.be.Flush() == nil
 }
@@ -289,12 +298,20 @@
 			f.watch.Mismatches = append(f.watch.Mismatches, fmt.Sprintf("%s: %s is %q, wanted %q", sql, w[1], have, w[2]))
 		}
 	}
-	before := f.before
+	before, reject, loseAnswer := f.before, f.reject, f.loseAnswer
 	f.mu.Unlock()
 	if before != nil && !before(s.Name, sql) {
 		sess.c.reset()
 		return false, nil
 	}
+	if reject != nil {
+		if code := reject(s.Name, sql); code != "" {
+			return true, fail(code, "rejected by the test")
+		}
+	}
+	if loseAnswer != nil && loseAnswer(s.Name, sql) {
+		sess.losesNext = true
+	}
 	if sess.c.isDead() {
 		return false, nil
 	}
--- a/internal/testkit/fake/database/transactions.go
+++ b/internal/testkit/fake/database/transactions.go
@@ -35,6 +35,7 @@
 	for _, w := range sess.writes {
 		if s.Group.Primary == s.Server && !sess.c.dead {
 			sess.committed = s.Group.Write(f.clk.Now(), w.key, w.value)
+			f.watch.Committed[w.key]++
 		}
 	}
 	f.mu.Unlock()
--- a/internal/testkit/fake/database/watch.go
+++ b/internal/testkit/fake/database/watch.go
@@ -1,6 +1,9 @@
 package database
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Watch holds counts of ordinary sessions over all servers.
 type Watch struct {
@@ -14,6 +17,7 @@
 	Open         int            `json:"open"`
 	MostOpen     int            `json:"most_open"`
 	DuringDrain  int            `json:"during_drain"` // messages received after the grace of a drain
+	Committed    map[string]int `json:"-"`            // writes that were committed, by their keys
 }
 
 // Watched returns the counts so far.
@@ -26,6 +30,7 @@
 	for k, n := range f.watch.ByText {
 		w.ByText[k] = n
 	}
+	w.Committed = maps.Clone(f.watch.Committed)
 	return w
 }
 
@@ -37,6 +42,22 @@
 	f.before = do
 }
 
+// Reject sets a function that is called before each statement of an ordinary session. The statement is not executed if it returns an
+// SQLSTATE, with which the session answers.
+func (f *Fleet) Reject(code func(server, sql string) string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reject = code
+}
+
+// LoseAnswer sets a function that is called after each statement of an ordinary session. If it returns true, the connection is reset in place
+// of the next ReadyForQuery, after what the statement's transaction commits there.
+func (f *Fleet) LoseAnswer(lose func(server, sql string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loseAnswer = lose
+}
+
 // Streamed returns the number of bytes of streamed results that were sent, counted in steps of 16 rows.
 func (f *Fleet) Streamed() int {
 	f.mu.Lock()
