A close no longer sends bytes whose request counts as not sent

Cause: a connection that ends with bytes unsent shows that its request did not run, and the request is sent to another server. The event loop then closed the connection, and sent what the socket took of those very bytes: where the peer had read meanwhile, that could complete the request. Change: Conn.DiscardUnsent returns how many bytes were never accepted and drops them; the platform's and ClickHouse's connections count with it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -68,7 +68,7 @@
 // Closed implements eventloop.Handler.
 func (conn *conn) Closed(error) {
 	pool := conn.pool
-	previous, unsent := conn.state, conn.socket.Unsent()
+	previous, unsent := conn.state, conn.socket.DiscardUnsent()
 	switch previous {
 	case closed:
 		return
--- a/internal/eventloop/close.go
+++ b/internal/eventloop/close.go
@@ -44,6 +44,15 @@
 	c.Close()
 }
 
+// DiscardUnsent discards the bytes that were written but not accepted by the socket, and returns their number. Called in Closed, it shows
+// that they never reach the peer; a close sends of them what the socket accepts otherwise.
+func (c *Conn) DiscardUnsent() int {
+	unsent := c.Unsent()
+	c.output = nil
+	c.sent = 0
+	return unsent
+}
+
 // closeConn closes a connection that ended with the given error, nil for none.
 func (l *Loop) closeConn(c *Conn, err error) {
 	if c.closed || c.closingOrUnopened() {
--- a/internal/frontend/clickhouse/link.go
+++ b/internal/frontend/clickhouse/link.go
@@ -219,12 +219,16 @@
 		return
 	}
 	f, s := l.frontend, l.server
+	unsent := 0
+	if l.conn != nil {
+		unsent = l.conn.DiscardUnsent()
+	}
 	l.state = linkClosed
 	f.conns--
 	f.loop.StopTimer(l.timer)
 	s.removeIdle(l)
 	if l.attempt != nil {
-		l.failAttempt()
+		l.failAttempt(unsent)
 	}
 	if l.client != nil && (before == streaming || before == forwardingHead) {
 		c := l.client
@@ -241,14 +245,14 @@
 	}
 }
 
-// failAttempt ends the attempt whose connection was closed before its answer began.
-func (l *link) failAttempt() {
+// failAttempt ends the attempt whose connection was closed, with the given number of bytes unsent, before its answer began.
+func (l *link) failAttempt(unsent int) {
 	a := l.attempt
 	l.attempt = nil
 	a.link = nil
 	a.detachRequest(l)
 	result := decide.Reset
-	fullySent := l.written && (l.conn == nil || l.conn.Unsent() == 0)
+	fullySent := l.written && unsent == 0
 	if !fullySent && (a.request == nil || !a.request.bodyForwarded) { // the server cannot have run the query
 		result = decide.Unreachable
 	}
