Pooling: pipelined transactions are sent one after the other, and judged one by one

Callers saw: of two pipelined INSERTs the server rejected the first (53300), ran the second, and both were sent again: the second was committed twice. Cause: all that came before the first answer was one replay, of which the first error, or unsent bytes of any message, was taken to speak for the whole. Ruled out: answers matched to the wrong transaction; the decision module. A Sync that a server ignores before the data of a COPY is no longer waited for (TestPooledCopyWithSyncAhead: 08007 before).

--- a/internal/frontend/pooling/answers.go
+++ b/internal/frontend/pooling/answers.go
@@ -59,6 +59,9 @@
 		return
 	}
 	deferrable := expected.kind != answersQuery && expected.kind != answersExecute
+	if m.Type == pgwire.CopyInResponse {
+		l.copyBegan()
+	}
 	if expected.completesStatement(m.Type) {
 		deferrable = l.statementCompleted(expected, m) || deferrable
 	}
@@ -207,44 +210,17 @@
 
 // popAnswer removes the first expected answer, which is complete, and gives the local answers that follow it.
 func (l *link) popAnswer() {
-	l.prepareResolved(&l.expected[0], false)
+	l.owner.reattach(&l.expected[0], false)
 	l.expected = l.expected[1:]
 	l.sendLocalAnswers()
 }
 
-// prepareUnresolved reports whether the outcome of the answer decides if a statement is prepared, or stays detached.
-func (expected *expectedAnswer) prepareUnresolved() bool {
-	switch expected.kind {
-	case answersParse:
-		return expected.statement != nil
-	case answersLocally:
-		return expected.toClient || expected.detached != nil
-	}
-	return false
-}
-
-// prepareResolved records that the answer has arrived or was dropped, so that it is known whether its statement is prepared.
-func (l *link) prepareResolved(expected *expectedAnswer, failed bool) {
-	unresolved := expected.prepareUnresolved()
-	l.owner.reattach(expected, failed)
-	if !unresolved {
-		return
-	}
-	l.pendingParses--
-	if l.pendingParses == 0 && l.awaitsParses {
-		l.awaitsParses = false
-		if l.owner != nil {
-			l.owner.proceedSoon()
-		}
-	}
-}
-
 // sendLocalAnswers gives the answers that are next in order and belong to messages that were not sent to the server.
 func (l *link) sendLocalAnswers() {
 	for len(l.expected) > 0 && l.expected[0].kind == answersLocally {
 		expected := l.expected[0]
 		l.expected = l.expected[1:]
-		l.prepareResolved(&expected, false)
+		l.owner.reattach(&expected, false)
 		l.relay(expected.answer, true)
 	}
 	if len(l.expected) == 0 {
@@ -277,7 +253,7 @@
 	if c == nil {
 		return
 	}
-	if result, ok := l.mayRunElsewhere(c, m); ok { // it did not run, and the client has received no answer
+	if result, ok := l.rejectionResult(c, m); ok { // it did not run, and the client has received no answer
 		l.retryElsewhere(c, result, code)
 		return
 	}
@@ -313,9 +289,13 @@
 		if expected.kind == answersClose && expected.statement != nil {
 			l.unusable = true // the statement is still prepared at the server, but not counted any more
 		}
-		l.prepareResolved(expected, true)
+		c.reattach(expected, true)
 	}
 	l.skipping = len(l.expected) == 0
+	if l.skipping && c != nil {
+		c.extendedOpen = true // also if a skipped Query was to end the pipeline
+		c.proceedSoon()
+	}
 	if code == codeUnsupported { // a cached plan is out of date; no other client may get it
 		l.unusable = true
 	}
@@ -339,15 +319,29 @@
 	}
 	if expected.kind == answersInternalQuery {
 		l.internalQueryAnswered(expected, m.Body[0])
-	} else if c := l.owner; c != nil {
-		c.readyForQuery(l, m.Body[0])
-		c.flush() // here, because the connection may belong to another client by now
-		c.closeIfDraining()
+	} else {
+		l.statementEnd = 0
+		l.copy = noCopy
+		l.ownerReady(m.Body[0])
 	}
 	l.sendLocalAnswers()
 	l.freeIfSettled()
 }
 
+// ownerReady handles a ReadyForQuery for the client that uses the connection. The connection may belong to another client afterwards.
+func (l *link) ownerReady(state byte) {
+	c := l.owner
+	if c == nil {
+		return
+	}
+	c.readyForQuery(l, state)
+	c.flush()
+	if c.input.Pending() > 0 {
+		c.proceedSoon()
+	}
+	c.closeIfDraining()
+}
+
 // internalQueryAnswered records the end of an internal query.
 func (l *link) internalQueryAnswered(expected expectedAnswer, state byte) {
 	l.internalQueries--
--- a/internal/frontend/pooling/client.go
+++ b/internal/frontend/pooling/client.go
@@ -134,8 +134,8 @@
 	c.closeIfDraining()
 }
 
-// mustWait reports whether the client's next message must wait: for a scattered read, for a server connection, or for a server that
-// does not accept more.
+// mustWait reports whether the client's next message must wait: for a scattered read, for a server connection, for the answer to a Query or a
+// Sync, or for a server that does not accept more.
 func (c *client) mustWait() bool {
 	switch {
 	case c.terminating, c.page != nil, c.queued != nil:
@@ -143,7 +143,10 @@
 	case c.transaction != nil && (!c.transaction.hasConnection || c.transaction.restarting):
 		return true
 	}
-	return c.link != nil && c.link.mustWait()
+	if c.link == nil {
+		return false
+	}
+	return c.link.mustWait() || c.link.awaitsReady() && !c.mayCopy()
 }
 
 // answersOutstanding reports whether the client has sent a message that is not answered yet.
--- a/internal/frontend/pooling/commands.go
+++ b/internal/frontend/pooling/commands.go
@@ -245,21 +245,20 @@
 	}
 	c.failed = false
 	c.appendReady()
-	if t := c.transaction; t != nil && (state != pgwire.StateIdle || len(l.expected) == 0) {
+	if t := c.transaction; t != nil {
 		c.transaction = nil
 		t.answered = true
 		if t.attempt != nil {
 			c.frontend.endAttempt(t.attempt, decide.OK, l)
 		}
 	}
-	switch {
-	case state != pgwire.StateIdle:
+	if state != pgwire.StateIdle {
 		c.boundIdleTime(l)
-	case len(l.expected) == 0 && !c.extendedOpen:
-		c.frontend.eventLoop.StopTimer(c.limitTimer)
-		c.wrote = false
-		c.release()
+		return
 	}
+	c.frontend.eventLoop.StopTimer(c.limitTimer)
+	c.wrote = false
+	c.release()
 }
 
 // transactionEnded records the end of a transaction on its connection.
--- a/internal/frontend/pooling/forward.go
+++ b/internal/frontend/pooling/forward.go
@@ -29,6 +29,9 @@
 		c.endWithError(codeShutdown, textServerDraining)
 		return nil
 	}
+	if l.copy == copyWaits && c.forwardDuringCopy(m.Type) {
+		return nil
+	}
 	switch m.Type {
 	case pgwire.Query:
 		return c.forwardQuery(m)
@@ -44,10 +47,12 @@
 		return c.forwardClose(m)
 	case pgwire.Sync:
 		c.extendedOpen = false
-		l.awaitsParses = l.pendingParses > 0
 		l.expect(expectedAnswer{kind: answersSync})
 		l.write(m.Raw)
 	default: // Flush, and the messages of COPY
+		if m.Type == pgwire.CopyDone || m.Type == pgwire.CopyFail {
+			l.copy = copyAllSent
+		}
 		l.write(m.Raw)
 		l.inPartialMessage = m.More
 	}
@@ -61,7 +66,8 @@
 	}
 	l, effects := c.link, effectsOfText(sql)
 	c.noteEffects(effects)
-	l.awaitsParses = l.pendingParses > 0
+	c.extendedOpen = false
+	l.noteStatement(effects, len(m.Raw))
 	l.expect(expectedAnswer{kind: answersQuery, effects: effects})
 	l.write(m.Raw)
 	c.frontend.Counts.Executed++
@@ -161,6 +167,7 @@
 		c.wrote = true
 	}
 	c.extendedOpen = true
+	l.noteStatement(effects, len(m.Raw))
 	l.expect(expectedAnswer{kind: answersExecute, effects: effects})
 	l.write(m.Raw)
 	c.frontend.Counts.Executed++
--- a/internal/frontend/pooling/invariants.go
+++ b/internal/frontend/pooling/invariants.go
@@ -21,6 +21,9 @@
 	ready, opening := map[*pool]int{}, map[*pool]int{}
 	f.links.Each(func(ref slotmap.Ref, l *link) {
 		checks.That(!l.closed, "pooling: closed connections are removed", func() string { return fmt.Sprintf("%v to %s", ref, l.serverID) })
+		checks.That(l.readyAnswersInOrder(), "pooling: nothing follows an unanswered Query or Sync", func() string {
+			return fmt.Sprintf("%v to %s expects %d answers", ref, l.serverID, len(l.expected))
+		})
 		if l.ready {
 			ready[l.pool]++
 		} else {
@@ -39,3 +42,14 @@
 		checks.That(!a.ended, "pooling: ended attempts are removed", func() string { return fmt.Sprintf("%v at %s", ref, a.server) })
 	})
 }
+
+// readyAnswersInOrder reports whether no message of a client follows a Query or a Sync that is unanswered.
+func (l *link) readyAnswersInOrder() bool {
+	for i := range l.expected {
+		kind := l.expected[i].kind
+		if (kind == answersQuery || kind == answersSync) && i < len(l.expected)-1 && l.expected[i+1].kind != answersInternalQuery {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/frontend/pooling/invariants_test.go
+++ b/internal/frontend/pooling/invariants_test.go
@@ -18,6 +18,9 @@
 		{"pooling: closed connections are removed", func(_ *Frontend, l *link, _ *attempt) { l.closed = true }},
 		{"pooling: a pool counts the connections that there are", func(f *Frontend, l *link, _ *attempt) { f.links.Remove(l.ref) }},
 		{"pooling: a pool counts the connections that there are", func(_ *Frontend, l *link, _ *attempt) { l.ready = false }},
+		{"pooling: nothing follows an unanswered Query or Sync", func(_ *Frontend, l *link, _ *attempt) {
+			l.expected = []expectedAnswer{{kind: answersSync}, {kind: answersParse}}
+		}},
 		{"pooling: ended attempts are removed", func(_ *Frontend, _ *link, a *attempt) { a.ended = true }},
 	} {
 		p := &pool{conns: connpool.New(connpool.Limits{MaxConns: 2, MaxWaiting: 2})}
--- a/internal/frontend/pooling/link.go
+++ b/internal/frontend/pooling/link.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"beechgrade/internal/backend"
-	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/eventloop/slotmap"
 	"beechgrade/internal/eventloop/timers"
@@ -35,9 +34,10 @@
 
 	expected         []expectedAnswer // answers that are outstanding, in order
 	internalQueries  int              // queries of the pooler itself that are not answered yet
-	pendingParses    int              // expected answers that decide whether a statement is prepared
-	awaitsParses     bool             // a Sync or simple query followed pendingParses: nothing more may be sent until they are decided
+	written          uint64           // bytes that were written
+	statementEnd     uint64           // value of written after the first message that runs a statement and is unanswered; 0 for none
 	skipping         bool             // after an error in a pipeline, messages are skipped up to the next Sync
+	copy             copyState        // of a COPY from the client
 	inPartialMessage bool             // the server has received only a part of a message
 	readingPaused    bool             // reading from the server is paused, because the client does not read
 
@@ -85,9 +85,6 @@
 // expect adds an expected answer.
 func (l *link) expect(expected expectedAnswer) {
 	l.expected = append(l.expected, expected)
-	if expected.prepareUnresolved() {
-		l.pendingParses++
-	}
 	if len(l.expected) > maxExpected && l.owner != nil {
 		l.owner.endWithError(codeLimitExceeded, "too many messages ahead of their answers")
 	}
@@ -95,6 +92,7 @@
 
 func (l *link) write(b []byte) {
 	if !l.closed && l.conn != nil {
+		l.written += uint64(len(b))
 		_ = l.conn.Write(b) // a failed write closes the connection
 	}
 }
@@ -127,7 +125,7 @@
 
 // mustWait reports whether messages of the client must not be sent at present.
 func (l *link) mustWait() bool {
-	return l.internalQueries > 0 || l.awaitsParses || l.serverNotReading()
+	return l.internalQueries > 0 || l.serverNotReading()
 }
 
 // serverNotReading reports whether more than pauseUnsent bytes to the server are unsent.
@@ -257,7 +255,7 @@
 		l.dialFailed()
 		return
 	}
-	unsent := l.conn.Unsent()
+	unsent := l.conn.DiscardUnsent()
 	l.closed = true
 	l.state.DeallocatedAll()
 	for i := range l.expected {
@@ -271,30 +269,3 @@
 	}
 	l.frontend.execute(l.pool, l.pool.conns.Lost(l.id(), l.frontend.now()))
 }
-
-// endOwnersAttempt ends the attempt of the client that used the connection when it was lost, with the given number of bytes unsent.
-func (l *link) endOwnersAttempt(c *client, unsent int) {
-	var a *attempt
-	if c.transaction != nil {
-		a = c.transaction.attempt
-	}
-	c.connectionLost(l)
-	if a != nil && !a.ended {
-		retryable := !a.transaction.answered
-		a.link = nil
-		result := decide.Reset
-		if retryable && (unsent > 0 || a.transaction.sentOnlyBeginning()) { // not sent completely, or harmless if it ran
-			result = decide.Unreachable
-			l.frontend.logResend(c, l.serverID, resendLost, "", a.transaction.replay)
-		}
-		if retryable && c.transaction != nil {
-			c.transaction.hasConnection = false
-			c.transaction.restarting = false
-			c.deferredAnswers = nil
-		}
-		l.frontend.endCancelled(a, result, l)
-	}
-	if !c.closed {
-		c.flush()
-	}
-}
--- a/internal/frontend/pooling/restart.go
+++ b/internal/frontend/pooling/restart.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"beechgrade/internal/decide"
 	"beechgrade/internal/protocol/pgwire"
 	"beechgrade/internal/protocol/sqltext"
 	"beechgrade/internal/record"
@@ -18,22 +17,12 @@
 	return len(effects) == 1 && effects[0].Kind == sqltext.Begin
 }
 
-// cutAfterFirstReady splits messages after the first one that is answered with ReadyForQuery. Without such a message, it returns all as
-// the first part.
-func cutAfterFirstReady(raw []byte) (first, rest []byte) {
-	reader := pgwire.NewReader(len(raw) + 1)
-	reader.Feed(raw)
-	length := 0
-	for {
-		m, ok, err := reader.Next()
-		if err != nil || !ok {
-			return raw, nil
-		}
-		length += len(m.Raw)
-		if m.Type == pgwire.Query || m.Type == pgwire.Sync {
-			return raw[:length], raw[length:]
-		}
+// beginning returns the messages that begin the transaction, once they are answered: those that began a restarted one, or else all.
+func (t *transaction) beginning() []byte {
+	if t.restartBytes > 0 {
+		return t.replay[:t.restartBytes]
 	}
+	return t.replay
 }
 
 // canMigrate reports whether the session can continue on another connection.
@@ -47,17 +36,10 @@
 	case state != pgwire.StateTransaction || !c.canMigrate():
 		c.disableRestart()
 	case t != nil && !t.answered:
-		first, rest := cutAfterFirstReady(t.replay)
 		c.begunTransaction = t
-		c.beginMessages = slices.Clone(first)
-		c.unansweredMessages = slices.Clone(rest)
-	case c.begunTransaction != nil: // the messages since then ran no statement, and are answered
-		_, rest := cutAfterFirstReady(c.unansweredMessages)
-		c.unansweredMessages = slices.Clone(rest)
-	}
-	if len(c.unansweredMessages) == 0 {
-		c.unansweredMessages = nil
+		c.beginMessages = slices.Clone(t.beginning())
 	}
+	c.unansweredMessages = nil
 	c.flushDeferred()
 }
 
@@ -213,110 +195,3 @@
 		c.frontend.eventLoop.At(c.frontend.now(), c.proceed)
 	}
 }
-
-// sentOnlyBeginning reports whether only the beginning of the transaction was sent, so that it is harmless if a server ran it.
-func (t *transaction) sentOnlyBeginning() bool {
-	if t.answered || !onlyBegins(t.effects) {
-		return false
-	}
-	if t.restartBytes > 0 {
-		return t.restarting
-	}
-	_, rest := cutAfterFirstReady(t.replay)
-	return len(rest) == 0 && runsOneStatement(t.replay)
-}
-
-// runsOneStatement reports whether messages run one statement at most.
-func runsOneStatement(raw []byte) bool {
-	reader := pgwire.NewReader(len(raw) + 1)
-	reader.Feed(raw)
-	runs := 0
-	for {
-		m, ok, err := reader.Next()
-		if err != nil || !ok {
-			return runs <= 1
-		}
-		if m.Type == pgwire.Query || m.Type == pgwire.Execute {
-			runs++
-		}
-	}
-}
-
-// mayRunElsewhere reports whether an error shows that a transaction's first statement did not run and may be sent to another server,
-// and the result of the attempt.
-func (l *link) mayRunElsewhere(c *client, m pgwire.Message) (decide.Result, bool) {
-	if !c.canMigrate() || !c.firstStatementPending() {
-		return 0, false
-	}
-	switch pgwire.ErrorCode(m.Body) {
-	case codeReadOnly: // the client gets the error if it declared the transaction read-only itself
-		return decide.Misdirected, !c.declaredReadOnly()
-	case codeTooFarBehind:
-		return decide.Misdirected, true
-	case codeTooManyClients, codeCannotConnectNow:
-		return decide.Overloaded, true
-	}
-	return 0, false
-}
-
-// countReadyAnswers returns how many ReadyForQuery messages answer a client's messages.
-func countReadyAnswers(raw []byte) (count int) {
-	reader := pgwire.NewReader(len(raw) + 1)
-	reader.Feed(raw)
-	for {
-		m, ok, err := reader.Next()
-		if err != nil || !ok {
-			return count
-		}
-		if m.Type == pgwire.Query || m.Type == pgwire.Sync {
-			count++
-		}
-	}
-}
-
-// firstStatementPending reports whether no statement of the transaction but its beginning was answered.
-func (c *client) firstStatementPending() bool {
-	t := c.transaction
-	if t == nil {
-		return c.begunTransaction != nil && c.unansweredMessages != nil
-	}
-	atStart := c.sessionState == pgwire.StateIdle || t.restartBytes > 0
-	return !t.answered && t.attempt != nil && atStart
-}
-
-// declaredReadOnly reports whether the client has declared the transaction, or its session, read-only.
-func (c *client) declaredReadOnly() bool {
-	if c.state.Setting("default_transaction_read_only") != "" || c.state.Setting("transaction_read_only") != "" {
-		return true
-	}
-	t := c.transaction
-	if t == nil {
-		t = c.begunTransaction
-	}
-	return slices.ContainsFunc(t.effects, func(s sqltext.Statement) bool { return s.ReadOnly })
-}
-
-// retryElsewhere sends a transaction whose first statement did not run, as an error with this code shows, to another server.
-func (l *link) retryElsewhere(c *client, result decide.Result, code string) {
-	c.link = nil
-	l.owner = nil
-	l.unusable = true // further messages from the server are for no client
-	c.failed = false
-	c.deferredAnswers = nil
-	t := c.transaction
-	if t == nil {
-		l.frontend.logResend(c, l.serverID, resendRejected, code, c.unansweredMessages)
-		l.close()
-		if err := c.restart(c.unansweredMessages, true); err != nil {
-			c.endWithError(codeProtocol, err.Error())
-		}
-		return
-	}
-	l.frontend.logResend(c, l.serverID, resendRejected, code, t.replay)
-	t.hasConnection = false
-	t.restarting = false
-	a := t.attempt
-	a.link = nil
-	l.close()
-	l.frontend.endCancelled(a, result, l)
-}
