Server connections are given on only when clean, which one place decides

Callers saw: a second copy behind one client's answer was served to the client that got the connection next, and all later answers were one client off. Cause: each frontend decided alone when a connection is clean. Pooling asked only whether the server had closed, scattered reads asked nothing. Ruled out: answers matched in wrong order. Change: internal/backend/reuse decides for platform, pooling, ClickHouse and scattered reads: no answer outstanding, no byte that belongs to none, nothing unread in the socket. Pooling asks at release, at assignment and before each statement on a kept connection, where notices and the like are read first.

--- a/internal/backend/attempts.go
+++ b/internal/backend/attempts.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop/slotmap"
 )
@@ -70,7 +71,7 @@
 		conn := server.idle[len(server.idle)-1]
 		// The server may have closed the connection, and the loop may not have read that yet. A request written now would end
 		// with a reset, and one that must not run twice could not be retried.
-		if !conn.socket.OpenAndIdle() {
+		if reuse.Check(0, conn.input.Pending(), conn.socket) != reuse.Clean {
 			conn.socket.Close()
 			continue
 		}
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/protocol/pgwire"
@@ -45,13 +46,10 @@
 
 // reusable reports whether another query may be sent on the connection.
 func (conn *conn) reusable() bool {
-	switch {
-	case conn.addr != conn.server.addr: // another server may listen at the old address
-		return false
-	case conn.input.Pending() > 0, !conn.socket.OpenAndIdle(): // bytes beyond the answer would be read as part of the next answer
+	if conn.addr != conn.server.addr { // another server may listen at the old address
 		return false
 	}
-	return len(conn.unwritten) == 0
+	return reuse.Check(len(conn.unwritten), conn.input.Pending(), conn.socket) == reuse.Clean
 }
 
 // removeIdle removes the connection from the idle ones of its server.
--- a/internal/eventloop/peer.go
+++ b/internal/eventloop/peer.go
@@ -41,6 +41,17 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
+// readNowBytes bounds what ReadNow reads.
+const readNowBytes = 16 << 10
+
+// ReadNow reads what waits in the socket, up to readNowBytes, and hands it to the handler, as the loop would do later. It is called from a
+// callback of another connection, or of a timer, and the connection may be closed when it returns.
+func (c *Conn) ReadNow() {
+	if !c.closed && !c.readingPaused && !c.closingOrUnopened() {
+		c.loop.read(c, make([]byte, readNowBytes))
+	}
+}
+
 // Unsent returns the number of bytes written that the socket has not accepted yet.
 func (c *Conn) Unsent() int {
 	if c.closed {
--- a/internal/frontend/clickhouse/attempts.go
+++ b/internal/frontend/clickhouse/attempts.go
@@ -98,7 +98,7 @@
 	a.timer = f.loop.At(a.deadline, func() { f.abort(a, decide.TimedOut) })
 	for len(s.idle) > 0 {
 		l := s.idle[len(s.idle)-1]
-		if !l.conn.OpenAndIdle() { // the server may have closed the connection
+		if !l.clean() { // the server may have closed the connection
 			l.close()
 			continue
 		}
--- a/internal/frontend/clickhouse/link.go
+++ b/internal/frontend/clickhouse/link.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"syscall"
 
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/eventloop/timers"
@@ -105,7 +106,7 @@
 	l.client = nil
 	l.attempt = nil
 	s := l.server
-	if l.address != s.address || len(l.input) > 0 || !l.conn.OpenAndIdle() {
+	if l.address != s.address || !l.clean() {
 		l.close()
 		return
 	}
@@ -125,6 +126,9 @@
 	l.timer = loop.At(loop.Now()+l.frontend.options.ConnectionIdleMs, l.close)
 }
 
+// clean reports whether the next request may be sent on the connection, whose answer is complete.
+func (l *link) clean() bool { return reuse.Check(0, len(l.input), l.conn) == reuse.Clean }
+
 // send sends an attempt's request. For a health check it sends a ping or a request for the server's staleness instead; the latter also
 // precedes an attempt's request where needsStalenessReport says so.
 func (l *link) send(a *attempt) {
--- a/internal/frontend/pooling/answers.go
+++ b/internal/frontend/pooling/answers.go
@@ -18,6 +18,9 @@
 
 // message handles a message from the server on a connection that is ready.
 func (l *link) message(m pgwire.Message) {
+	if l.isResting() && l.closeIfUnsolicited(m) {
+		return
+	}
 	switch m.Type {
 	case pgwire.ParameterStatus:
 		l.parameterStatus(m)
@@ -36,11 +39,6 @@
 
 // answerPart handles a message that is a part of the first expected answer.
 func (l *link) answerPart(m pgwire.Message) {
-	if len(l.expected) == 0 {
-		l.frontend.log.Warn("pooling: server sent data without a request, closing the connection", "server", l.serverID, "type", string(m.Type))
-		l.close()
-		return
-	}
 	if m.Part {
 		l.streamPart(m)
 		return
@@ -303,7 +301,7 @@
 
 // readyForQuery handles ReadyForQuery.
 func (l *link) readyForQuery(m pgwire.Message) {
-	if len(m.Body) != 1 || len(l.expected) == 0 {
+	if len(m.Body) != 1 {
 		l.close()
 		return
 	}
--- a/internal/frontend/pooling/dial.go
+++ b/internal/frontend/pooling/dial.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/frontend/pooling/sessionstate"
 	"beechgrade/internal/protocol/pgwire"
@@ -87,6 +88,9 @@
 	}
 	if l.owner != nil {
 		l.owner.flush()
+	} else if l.isResting() && l.input.Pending() > 0 {
+		l.logDropped(reuse.Input)
+		l.close()
 	}
 }
 
@@ -106,6 +110,11 @@
 			l.secret = binary.BigEndian.Uint32(m.Body[int32Bytes:])
 		}
 	case pgwire.ReadyForQuery:
+		if l.input.Pending() > 0 {
+			l.frontend.log.Warn("pooling: server sent data behind its startup, closing the connection", "server", l.serverID)
+			l.dialFailed()
+			return
+		}
 		l.ready = true
 		l.frontend.eventLoop.StopTimer(l.timer)
 		delete(l.pool.failed, l.serverID)
--- a/internal/frontend/pooling/forward.go
+++ b/internal/frontend/pooling/forward.go
@@ -18,6 +18,12 @@
 	if l.pastGrace() && c.leaveConnection() {
 		return c.restart(m.Raw, false)
 	}
+	if !c.checkKept() {
+		if c.closed {
+			return nil
+		}
+		return c.message(m)
+	}
 	c.keepForReplay(m)
 	if l.skipping {
 		if m.Type != pgwire.Sync { // skipped, as by the server after an error in a pipeline
--- a/internal/frontend/pooling/frontend.go
+++ b/internal/frontend/pooling/frontend.go
@@ -15,6 +15,7 @@
 	"math"
 
 	"beechgrade/internal/backend"
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/eventloop/slotmap"
 	"beechgrade/internal/frontend/platform"
@@ -123,7 +124,8 @@
 type Counts struct {
 	Transactions, Prepared, Executed, SettingsSynced, Migrations, Cancels, Rejected, Restarts uint64
 
-	Resent [resendReasonCount]uint64 // how often messages could be sent again, by reason
+	Resent  [resendReasonCount]uint64 // how often messages could be sent again, by reason
+	Dropped [reuse.ReasonCount]uint64 // server connections that were not clean, by reason
 }
 
 // New returns a frontend without clients. events receives the ends of attempts.
--- a/internal/frontend/pooling/link.go
+++ b/internal/frontend/pooling/link.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"beechgrade/internal/backend"
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/eventloop/slotmap"
 	"beechgrade/internal/eventloop/timers"
@@ -131,9 +132,6 @@
 // serverNotReading reports whether more than pauseUnsent bytes to the server are unsent.
 func (l *link) serverNotReading() bool { return l.conn != nil && l.conn.Unsent() > pauseUnsent }
 
-// serverClosed reports whether the server has closed the connection, even if the event loop has not read the end of stream yet.
-func (l *link) serverClosed() bool { return l.conn.PeerState().EndOfStream }
-
 // pastGrace reports whether nothing more may be sent, because the grace period of the draining server is over.
 func (l *link) pastGrace() bool { return l.closesAt != 0 && l.frontend.now() >= l.closesAt }
 
@@ -188,7 +186,13 @@
 func (l *link) free() {
 	switch {
 	case l.closed:
-	case l.unusable || l.inPartialMessage || l.closesAt != 0 || len(l.expected) > l.internalQueries:
+	case l.unusable || l.inPartialMessage || l.closesAt != 0:
+		l.close()
+	case len(l.expected) > l.internalQueries:
+		l.logDropped(reuse.Answers)
+		l.close()
+	case l.internalQueries == 0 && l.input.Pending() > 0:
+		l.logDropped(reuse.Input)
 		l.close()
 	case l.cancels > 0:
 		l.freeWhenSettled = true
--- a/internal/frontend/pooling/pools.go
+++ b/internal/frontend/pooling/pools.go
@@ -137,7 +137,7 @@
 	case !f.events.MaySend(a.id):
 		l.free()
 		f.endAttempt(a, decide.Cancelled, nil)
-	case l.serverClosed():
+	case !l.clean():
 		l.close()
 		f.execute(p, p.conns.Request(action.Waiter, a.server, f.now()))
 	default:
--- a/internal/frontend/pooling/submit.go
+++ b/internal/frontend/pooling/submit.go
@@ -173,7 +173,7 @@
 	case l.serverID != a.server:
 		c.frontend.Counts.Migrations++
 	case l.closesAt != 0:
-	case !l.serverClosed():
+	case l.clean():
 		c.resume(a, l)
 		return true
 	case sticky:
--- a/internal/frontend/scatter/dial.go
+++ b/internal/frontend/scatter/dial.go
@@ -59,9 +59,10 @@
 		l := links[len(links)-1]
 		f.idle[key] = links[:len(links)-1]
 		f.loop.StopTimer(l.timer)
-		if !l.closed {
+		if l.clean() {
 			return l
 		}
+		l.close()
 	}
 	return nil
 }
--- a/internal/frontend/scatter/link.go
+++ b/internal/frontend/scatter/link.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop"
 	"beechgrade/internal/eventloop/timers"
@@ -185,7 +186,7 @@
 	switch {
 	case l.closed:
 	case l.openCancels > 0: // cancelEnded calls release again
-	case l.broken || l.cancelSent || f.draining[l.key.server]:
+	case l.broken || l.cancelSent || f.draining[l.key.server] || l.input.Pending() > 0:
 		l.close()
 	default:
 		f.idle[l.key] = append(f.idle[l.key], l)
@@ -193,6 +194,20 @@
 	}
 }
 
+// clean reports whether a statement may be sent on the connection, which has none. Messages that a server may send at any time are handled
+// first, if they wait in the socket.
+func (l *link) clean() bool {
+	if l.closed {
+		return false
+	}
+	reason := reuse.Check(l.pendingReady, l.input.Pending(), l.conn)
+	if reason == reuse.Socket {
+		l.conn.ReadNow()
+		reason = reuse.Check(l.pendingReady, l.input.Pending(), l.conn)
+	}
+	return reason == reuse.Clean
+}
+
 // pauseRows stops the handling of messages, which stay in the input, as the merge is full.
 func (l *link) pauseRows() {
 	if !l.mergeFull && !l.discarding {
--- a/internal/frontend/scatter/part.go
+++ b/internal/frontend/scatter/part.go
@@ -111,6 +111,10 @@
 		f.endAttempt(a, decide.NotSent, nil)
 		return
 	}
+	if !l.clean() {
+		l.close()
+		return
+	}
 	if err := l.send(p); err != nil {
 		p.reportFailure(err.Error(), false)
 		return
--- a/internal/frontend/scatter/reuse_test.go
+++ b/internal/frontend/scatter/reuse_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -71,3 +72,49 @@
 	s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
 	_ = s.backend.Flush()
 }
+
+// pageTimeout bounds the wait for a page that will come.
+const pageTimeout = 20 * time.Second
+
+// TestBytesBehindAnswerAreNotNextPage guards against what a server sends behind an answer being read as the answer to the next statement on the
+// connection, of another client's page: a second copy, a part of one, or bytes that come while the connection is idle.
+func TestBytesBehindAnswerAreNotNextPage(t *testing.T) {
+	copied := func(s *statement) {
+		s.beginAnswer().sendRows(7).endAnswer(true)
+	}
+	for name, send := range map[string]func(s *statement){
+		"a second copy":      copied,
+		"half a message":     func(s *statement) { _, _ = s.conn.Write([]byte{'D', 0, 0, 0}) },
+		"only ReadyForQuery": func(s *statement) { _, _ = s.conn.Write([]byte{'Z', 0, 0, 0, 5, 'I'}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			a, c := f.firstStatements()
+			a.beginAnswer().sendRows(1).endAnswer(true)
+			c.beginAnswer().sendRows(2).endAnswer(true)
+			f.wantPage("[1 2]", fmt.Sprint("0 ", decide.OK), fmt.Sprint("1 ", decide.OK))
+			f.onLoop(func() { // the loop cannot read before the next page is begun
+				send(a)
+				f.rows, f.nextServer = nil, "a"
+				query := plan.Query{Scatter: "visits", Statement: "SELECT id FROM visits WHERE true /*after*/ /*order*/"}
+				if _, err := f.begin(query); err != nil {
+					t.Errorf("beginning the second page: %v", err)
+				}
+			})
+			next, other := f.firstStatements()
+			if next.conn == a.conn {
+				t.Error("the connection with bytes behind its answer was used again")
+			}
+			next.beginAnswer().sendRows(3).endAnswer(true)
+			other.beginAnswer().sendRows(4).endAnswer(true)
+			select {
+			case page := <-f.page:
+				if page != "[3 4]" {
+					t.Errorf("second page is %s, want [3 4]", page)
+				}
+			case <-time.After(pageTimeout):
+				t.Fatal("the second page did not end")
+			}
+		})
+	}
+}
--- a/internal/protocol/pgwire/bodies.go
+++ b/internal/protocol/pgwire/bodies.go
@@ -13,6 +13,15 @@
 // ErrorDetail returns the detail of an ErrorResponse's body, empty if it has none.
 func ErrorDetail(body []byte) string { return errorFieldValue(body, fieldDetail) }
 
+// EndsSession reports whether the severity in an ErrorResponse's body is one with which the server ends the session.
+func EndsSession(body []byte) bool {
+	severity := errorFieldValue(body, fieldSeverityUnlocalized)
+	if severity == "" {
+		severity = errorFieldValue(body, fieldSeverity)
+	}
+	return severity == "FATAL" || severity == "PANIC"
+}
+
 func errorFieldValue(body []byte, key byte) string {
 	for len(body) > 1 {
 		value, rest, ok := bytes.Cut(body[1:], []byte{0})
--- a/internal/testkit/fake/database/fleet.go
+++ b/internal/testkit/fake/database/fleet.go
@@ -63,6 +63,7 @@
 	before        func(server, sql string) bool
 	reject        func(server, sql string) (code string)
 	loseAnswer    func(server, sql string) bool
+	copyAnswer    func(server, sql string) bool
 	sessions      map[uint32]*session
 	lastPID       uint32
 	streamed      int
--- a/internal/testkit/fake/database/session.go
+++ b/internal/testkit/fake/database/session.go
@@ -39,6 +39,7 @@
 	local     map[string]bool // settings that were changed by SET LOCAL
 	committed float64         // log position of the last write that was committed, until it is reported
 	losesNext bool            // the connection is reset in place of the next ReadyForQuery
+	copyNext  bool            // the next output is sent twice
 }
 
 // point is a savepoint.
@@ -67,12 +68,12 @@
 	s, f := c.s, c.s.f
 	sess := &session{
 		c:       c,
-		be:      pgproto3.NewBackend(c.in, c),
 		startup: map[string]string{},
 		stmts:   map[string]*prepared{},
 		portals: map[string]*portal{},
 		status:  'I',
 	}
+	sess.be = pgproto3.NewBackend(c.in, sess)
 	for n, v := range params {
 		if n != "user" && n != "database" {
 			sess.startup[strings.ToLower(n)] = v
@@ -125,6 +126,16 @@
 	}
 }
 
+// Write implements io.Writer: it writes the session's output.
+func (sess *session) Write(b []byte) (int, error) {
+	if sess.copyNext {
+		sess.copyNext = false
+		_, err := sess.c.Write(slices.Concat(b, b))
+		return len(b), err
+	}
+	return sess.c.Write(b)
+}
+
 func (sess *session) initial() map[string]string {
 	out := map[string]string{}
 	for n, v := range defaultSettings {
@@ -298,7 +309,7 @@
 			f.watch.Mismatches = append(f.watch.Mismatches, fmt.Sprintf("%s: %s is %q, wanted %q", sql, w[1], have, w[2]))
 		}
 	}
-	before, reject, loseAnswer := f.before, f.reject, f.loseAnswer
+	before, reject, loseAnswer, copyAnswer := f.before, f.reject, f.loseAnswer, f.copyAnswer
 	f.mu.Unlock()
 	if before != nil && !before(s.Name, sql) {
 		sess.c.reset()
@@ -312,6 +323,9 @@
 	if loseAnswer != nil && loseAnswer(s.Name, sql) {
 		sess.losesNext = true
 	}
+	if copyAnswer != nil && copyAnswer(s.Name, sql) {
+		sess.copyNext = true
+	}
 	if sess.c.isDead() {
 		return false, nil
 	}
--- a/internal/testkit/fake/database/watch.go
+++ b/internal/testkit/fake/database/watch.go
@@ -58,6 +58,14 @@
 	f.loseAnswer = lose
 }
 
+// CopyAnswer sets a function that is called after each statement of an ordinary session. If it returns true, a second copy of the answer that
+// is sent next follows it, in the same write.
+func (f *Fleet) CopyAnswer(copies func(server, sql string) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.copyAnswer = copies
+}
+
 // Streamed returns the number of bytes of streamed results that were sent, counted in steps of 16 rows.
 func (f *Fleet) Streamed() int {
 	f.mu.Lock()
