What code of the database leaves in a session meets no other client

Callers saw, in a pool by session: after ana logged in by a function that sets app.person and left, rui's INSERT ran under app.person = 'ana'. Cause: a connection that changes hands was taken to hold only what statements had told the pooler. Ruled out: the next client's settings were not sent (it had none); the function's text could be read (it is in the database). A connection of a pool by session serves one client; a session that ran code of the database ends with its connection (57P01); nothing is sent before the settings are accepted, in scattered reads too. RESET ALL keeps the role, a new user resets it.

--- a/internal/backend/reuse/reuse.go
+++ b/internal/backend/reuse/reuse.go
@@ -18,13 +18,15 @@
 	Input
 	// Socket means that the socket holds unread bytes or the end of the stream, or that reading from it is paused.
 	Socket
+	// Session means that the server's session may hold what another client has left in it.
+	Session
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 // String returns the reason as metrics and logs name it.
 func (reason Reason) String() string {
-	return [...]string{"clean", "answers", "input", "socket"}[reason]
+	return [...]string{"clean", "answers", "input", "socket", "session"}[reason]
 }
 
 // Peer is the socket of a connection.
--- a/internal/frontend/pooling/admin.go
+++ b/internal/frontend/pooling/admin.go
@@ -98,7 +98,7 @@
 		} else if c.transaction != nil {
 			state = "waiting"
 		}
-		table.rows = append(table.rows, []string{c.pool.key.database, c.pool.key.user, state, server, c.state.Sticky.String()})
+		table.rows = append(table.rows, []string{c.pool.key.database, c.pool.key.user, state, server, c.boundBy()})
 	})
 	return table
 }
--- a/internal/frontend/pooling/answers.go
+++ b/internal/frontend/pooling/answers.go
@@ -57,8 +57,11 @@
 		return
 	}
 	deferrable := expected.kind != answersQuery && expected.kind != answersExecute
-	if m.Type == pgwire.CopyInResponse {
+	switch {
+	case m.Type == pgwire.CopyInResponse:
 		l.copyBegan()
+	case m.Type == pgwire.PortalSuspended && l.owner != nil:
+		l.owner.statementInterrupted(expected)
 	}
 	if expected.completesStatement(m.Type) {
 		deferrable = l.statementCompleted(expected, m) || deferrable
@@ -145,25 +148,6 @@
 	}
 }
 
-// reportParameters reports to a client the parameters that differ on its new connection. If an internal query is changing settings, it
-// does so once that query has succeeded.
-func (l *link) reportParameters(c *client) {
-	if l.internalQueries == 0 {
-		c.reportChanged(l.params)
-		return
-	}
-	last := &l.expected[len(l.expected)-1]
-	previous := last.onSuccess
-	last.onSuccess = func() {
-		if previous != nil {
-			previous()
-		}
-		if l.owner == c {
-			c.reportChanged(l.params)
-		}
-	}
-}
-
 // reportChanged reports the parameters whose values differ from those reported to the client before.
 func (c *client) reportChanged(params map[string]string) {
 	for _, name := range sortedKeys(params) {
@@ -230,7 +214,7 @@
 func (l *link) errorResponse(m pgwire.Message) {
 	code := pgwire.ErrorCode(m.Body)
 	if l.answersInternal() {
-		l.settingsFailed(code)
+		l.settingsFailed(m)
 		return
 	}
 	c := l.owner
@@ -243,6 +227,9 @@
 		}
 		return
 	}
+	if c != nil {
+		c.statementInterrupted(&l.expected[0])
+	}
 	if l.expected[0].kind != answersQuery {
 		l.dropPipeline(code)
 	} else {
@@ -258,15 +245,6 @@
 	l.relay(m.Raw, false)
 }
 
-// settingsFailed ends the session whose settings the server rejected, because no statement may run under other settings.
-func (l *link) settingsFailed(code string) {
-	l.frontend.log.Warn("pooling: server rejected the settings of a session, not reusing the connection", "server", l.serverID, "code", code)
-	l.unusable = true
-	if l.owner != nil {
-		l.owner.endWithError(code, "the session's settings cannot be carried to this server connection")
-	}
-}
-
 // dropPipeline drops the expected answers up to the next Sync, because the server skips their messages after an error. Their statements
 // are not prepared, or not closed.
 func (l *link) dropPipeline(code string) {
@@ -343,12 +321,12 @@
 // internalQueryAnswered records the end of an internal query.
 func (l *link) internalQueryAnswered(expected expectedAnswer, state byte) {
 	l.internalQueries--
-	if expected.onSuccess != nil && !l.unusable {
-		expected.onSuccess()
-	}
 	if state != pgwire.StateIdle {
 		l.unusable = true
 	}
+	if expected.onSuccess != nil && !l.unusable {
+		expected.onSuccess()
+	}
 	if c := l.owner; c != nil && l.internalQueries == 0 && c.conn != nil {
 		l.frontend.eventLoop.At(l.frontend.now(), c.proceed)
 	}
--- a/internal/frontend/pooling/attempts.go
+++ b/internal/frontend/pooling/attempts.go
@@ -30,6 +30,7 @@
 	server      string
 	transaction *transaction
 	link        *link // nil while the attempt waits for a connection
+	sent        bool  // messages of the transaction were sent, not only settings of the session
 	ended       bool
 	timer       *timers.Timer // fires at its deadline
 }
@@ -135,17 +136,24 @@
 	switch {
 	case result == decide.OK:
 	case a.link != nil:
+		outcome.Result = a.resultIfUnsent(result)
 		a.link.abandon()
-	default:
-		if result == decide.TimedOut || result == decide.Cancelled {
-			outcome.Result = decide.NotSent // the attempt never got a connection
-		}
+	default: // the attempt never got a connection
+		outcome.Result = a.resultIfUnsent(result)
 		p := a.transaction.client.pool
 		f.execute(p, p.conns.Withdraw(a.waiterID(), f.now()))
 	}
 	f.events.AttemptEnded(a.id, outcome)
 }
 
+// resultIfUnsent returns the result of an attempt that was given up: NotSent if nothing of its transaction was sent.
+func (a *attempt) resultIfUnsent(result decide.Result) decide.Result {
+	if givenUp := result == decide.TimedOut || result == decide.Cancelled; givenUp && !a.sent {
+		return decide.NotSent
+	}
+	return result
+}
+
 // role maps a role that a server reported.
 func (f *Frontend) role(value string) decide.Role {
 	switch value {
--- a/internal/frontend/pooling/close.go
+++ b/internal/frontend/pooling/close.go
@@ -124,9 +124,14 @@
 // closed if it is in use, or if its state must not reach another client.
 func (c *client) detachLink(t *transaction) {
 	l := c.unlink()
+	if c.sessionState != pgwire.StateIdle {
+		c.state.Abort() // the locks of the session outlive the rollback
+	}
 	switch {
-	case len(l.expected) > 0 || c.extendedOpen || c.state.Sticky != 0 || t != nil:
+	case len(l.expected) > 0 || c.extendedOpen || c.boundBy() != "" || t != nil:
 		l.close()
+	case l.servesOneClient():
+		l.free()
 	case c.sessionState != pgwire.StateIdle:
 		l.sendInternalQuery("ROLLBACK", nil)
 		l.free()
--- a/internal/frontend/pooling/forward.go
+++ b/internal/frontend/pooling/forward.go
@@ -227,6 +227,13 @@
 	}
 }
 
+// statementInterrupted records the statement to which the server has answered an error, or that its portal is suspended.
+func (c *client) statementInterrupted(expected *expectedAnswer) {
+	if expected.nextEffect < len(expected.effects) {
+		c.state.Interrupted(&expected.effects[expected.nextEffect])
+	}
+}
+
 // statementCompleted records a statement that the server has statementCompleted.
 func (c *client) statementCompleted(s *sqltext.Statement, tag string) {
 	switch s.Kind {
--- a/internal/frontend/pooling/link.go
+++ b/internal/frontend/pooling/link.go
@@ -22,12 +22,13 @@
 	serverID string
 	conn     *eventloop.Conn // nil until it is open
 	input    pgwire.Reader
-	timer    *timers.Timer // bounds the time to connect and start up
+	timer    *timers.Timer // bounds the time to connect and start up, or to settle before a release
 	ready    bool          // the startup is complete
 	closed   bool
 	closesAt float64 // time after which nothing more is sent, because the server is draining; 0 for never
 
 	owner           *client              // the client that uses the connection, nil for none
+	assigned        bool                 // the connection was assigned to a client
 	lastSessionHash uint64               // session hash of the last client that used the connection, 0 for none
 	state           *sessionstate.Server // settings and prepared statements
 	params          map[string]string    // as the server reported them
@@ -188,6 +189,9 @@
 	case l.closed:
 	case l.unusable || l.inPartialMessage || l.closesAt != 0:
 		l.close()
+	case l.servesOneClient():
+		l.frontend.Counts.Dropped[reuse.Session]++
+		l.close()
 	case len(l.expected) > l.internalQueries:
 		l.logDropped(reuse.Answers)
 		l.close()
@@ -195,18 +199,30 @@
 		l.logDropped(reuse.Input)
 		l.close()
 	case l.cancels > 0:
-		l.freeWhenSettled = true
+		l.freeLater()
 	case l.lateCancelPossible: // an internal query, so that a late cancel request cancels that and not the next client's query
 		l.lateCancelPossible = false
 		l.sendInternalQuery("", nil)
-		l.freeWhenSettled = true
+		l.freeLater()
 	case l.internalQueries > 0:
-		l.freeWhenSettled = true
+		l.freeLater()
 	default:
 		l.frontend.execute(l.pool, l.pool.conns.Release(l.id(), l.frontend.now()))
 	}
 }
 
+// freeLater releases the connection once all internal queries and cancel requests are complete. It is closed if they are not complete in time.
+func (l *link) freeLater() {
+	l.freeWhenSettled = true
+	loop := l.frontend.eventLoop
+	loop.StopTimer(l.timer)
+	l.timer = loop.At(loop.Now()+l.frontend.options.ConnectMs, func() {
+		if l.freeWhenSettled {
+			l.close()
+		}
+	})
+}
+
 // freeIfSettled releases a connection whose release waited for internal queries and cancel requests, once these are complete.
 func (l *link) freeIfSettled() {
 	if l.freeWhenSettled && l.internalQueries == 0 && l.cancels == 0 {
--- a/internal/frontend/pooling/release.go
+++ b/internal/frontend/pooling/release.go
@@ -1,10 +1,6 @@
 package pooling
 
-import (
-	"fmt"
-
-	"beechgrade/internal/protocol/pgwire"
-)
+import "beechgrade/internal/protocol/pgwire"
 
 // release releases the connection after a transaction, unless the session must keep it.
 func (c *client) release() {
@@ -12,12 +8,12 @@
 	if l == nil {
 		return
 	}
-	sticky := c.state.Sticky != 0
-	if l.closesAt == 0 && (c.pool.options.Mode == Session || sticky) {
+	bound := c.boundBy()
+	if l.closesAt == 0 && (c.pool.options.Mode == Session || bound != "") {
 		return
 	}
-	if sticky {
-		c.endWithError(codeShutdown, fmt.Sprintf("the server is being taken out, and %s can't be carried to another", c.state.Sticky))
+	if bound != "" {
+		c.endDraining(bound)
 		return
 	}
 	c.unlink().free()
@@ -30,13 +26,13 @@
 	if c.closed || c.survivesLoss(l) {
 		return
 	}
-	sticky := c.state.Sticky != 0
+	bound := c.boundBy()
 	busy := len(l.expected) > 0 || c.sessionState != pgwire.StateIdle || c.extendedOpen
 	switch {
-	case !busy && !sticky: // between transactions: the next transaction gets another connection
+	case !busy && bound == "": // between transactions: the next transaction gets another connection
 		c.leavePool()
 	case !busy:
-		c.endWithError(codeShutdown, fmt.Sprintf("the server connection ended, and with it %s", c.state.Sticky))
+		c.endBound(bound)
 	case l.committing() || c.sessionState == pgwire.StateIdle && c.wrote:
 		c.endWithError(codeOutcomeUnknown, textOutcomeUnknown)
 	default:
@@ -48,7 +44,7 @@
 func (c *client) survivesLoss(l *link) bool {
 	t := c.transaction
 	if t != nil {
-		return t.attempt != nil && !t.answered && c.state.Sticky == 0 // the decision module decides on another attempt
+		return t.attempt != nil && !t.answered && c.boundBy() == "" // the decision module decides on another attempt
 	}
 	return c.begunTransaction != nil && c.unansweredMessages == nil && len(l.expected) == 0 && c.canMigrate()
 }
--- a/internal/frontend/pooling/resend.go
+++ b/internal/frontend/pooling/resend.go
@@ -116,7 +116,9 @@
 		}
 		return
 	}
-	l.frontend.logResend(c, l.serverID, resendRejected, code, t.replay)
+	if !t.cancelled {
+		l.frontend.logResend(c, l.serverID, resendRejected, code, t.replay)
+	}
 	t.hasConnection = false
 	t.restarting = false
 	a := t.attempt
--- a/internal/frontend/pooling/restart.go
+++ b/internal/frontend/pooling/restart.go
@@ -25,9 +25,6 @@
 	return t.replay
 }
 
-// canMigrate reports whether the session can continue on another connection.
-func (c *client) canMigrate() bool { return c.pool.options.Mode == Transaction && c.state.Sticky == 0 }
-
 // noteReady records a ReadyForQuery, after which the open transaction may have only begun. t is nil if the first answer of the
 // transaction was complete before.
 func (c *client) noteReady(t *transaction, state byte) {
--- a/internal/frontend/pooling/sessionstate/client.go
+++ b/internal/frontend/pooling/sessionstate/client.go
@@ -36,6 +36,7 @@
 type Client struct {
 	Sticky        sqltext.StickyReason // why the session must keep its server connection, 0 if it need not
 	stickyPending sqltext.StickyReason // reasons that arose in the open transaction
+	Opaque        bool                 // the session ran code of the database, which may have left state in it that nobody reported
 
 	statements *Statements
 	prepared   map[string]*Statement // by the client's names
@@ -129,6 +130,7 @@
 // Completed records a statement that a server has completed.
 func (c *Client) Completed(s *sqltext.Statement) {
 	c.stickyPending |= s.Sticky
+	c.Opaque = c.Opaque || s.Opaque
 	switch s.Kind {
 	case sqltext.Set:
 		if !s.Local {
@@ -145,6 +147,13 @@
 	}
 }
 
+// Interrupted records a statement that ran and was not completed: it ended with an error, or its portal is suspended. Its changes count as
+// undone, but for the locks of the session, and for what code of the database has left.
+func (c *Client) Interrupted(s *sqltext.Statement) {
+	c.stickyPending |= s.Sticky & sqltext.StickyAdvisoryLock
+	c.Opaque = c.Opaque || s.Opaque
+}
+
 // addPending records a change of the open transaction. A session with changes beyond the bounds becomes sticky.
 func (c *Client) addPending(x change) {
 	if len(c.pending) >= maxPending || len(x.value) > MaxValue {
@@ -168,6 +177,7 @@
 func (c *Client) Reset() {
 	c.endTransaction()
 	c.Sticky = 0
+	c.Opaque = false
 	c.UnprepareAll()
 	c.settings = map[string]string{}
 	for name, value := range c.startup {
@@ -192,16 +202,23 @@
 	c.endTransaction()
 }
 
+// commitResetAll resets all settings but those of the session's user and role, which RESET ALL leaves as they are.
 func (c *Client) commitResetAll(s *Server) {
 	for name := range c.settings {
-		if _, ok := c.startup[name]; !ok {
+		if _, ok := c.startup[name]; !ok && !isIdentity(name) {
 			delete(c.settings, name)
 		}
 	}
 	for name, value := range c.startup {
-		c.settings[name] = value
+		if !isIdentity(name) {
+			c.settings[name] = value
+		}
+	}
+	for name := range s.settings { // the startup settings are set again by the next SyncQuery
+		if !isIdentity(name) {
+			delete(s.settings, name)
+		}
 	}
-	s.settings = map[string]string{} // the startup settings are set again by the next SyncQuery
 }
 
 func (c *Client) commitReset(s *Server, name string) {
@@ -210,6 +227,15 @@
 		c.settings[name] = value
 	}
 	delete(s.settings, name)
+	c.noteAuthorization(s, name)
+}
+
+// noteAuthorization records that a change of the session's user resets its role.
+func (c *Client) noteAuthorization(s *Server, name string) {
+	if name == settingSessionAuthorization {
+		delete(c.settings, settingRole)
+		delete(s.settings, settingRole)
+	}
 }
 
 func (c *Client) commitSet(s *Server, x change) {
@@ -219,6 +245,7 @@
 	}
 	c.settings[x.name] = x.value
 	s.settings[x.name] = x.value
+	c.noteAuthorization(s, x.name)
 }
 
 // Abort drops the changes of the transaction, except those that outlive a rollback.
--- a/internal/frontend/pooling/sessionstate/sessionstate_test.go
+++ b/internal/frontend/pooling/sessionstate/sessionstate_test.go
@@ -44,8 +44,17 @@
 				m.settings[s.Name] = s.Value
 			}
 			m.local[s.Name] = s.Local
+			if s.Name == "session_authorization" {
+				delete(m.settings, "role")
+				m.local["role"] = false
+			}
 		case sqltext.ResetAll:
-			m.settings = map[string]string{}
+			for name := range m.settings {
+				if name != "session_authorization" && name != "role" {
+					delete(m.settings, name)
+					m.local[name] = false
+				}
+			}
 		case sqltext.Savepoint:
 			m.savepoints = append(m.savepoints, savepoint{s.Name, clone(m.settings)})
 		case sqltext.RollbackTo:
@@ -117,9 +126,14 @@
 			m.begin()
 			for range rapid.IntRange(0, 5).Draw(t, "statements") {
 				name := rapid.SampledFrom([]string{"a", "b", "app"}).Draw(t, "name")
-				sql := rapid.SampledFrom([]string{"SET %s TO 'x'", "SET %s TO 'y'", "RESET %s", "SAVEPOINT %s", "ROLLBACK TO %s"}).Draw(t, "sql")
-				sql = fmt.Sprintf(sql, name)
-				if strings.HasPrefix(sql, "RESET app") {
+				sql := rapid.SampledFrom([]string{"SET %s TO 'x'", "SET %s TO 'y'", "RESET %s", "SAVEPOINT %s", "ROLLBACK TO %s", "identity"}).Draw(t, "sql")
+				if sql == "identity" {
+					sql = rapid.SampledFrom([]string{"SET ROLE clerk", "SET ROLE payer", "RESET ROLE", "SET SESSION AUTHORIZATION ana",
+						"SET SESSION AUTHORIZATION rui", "RESET SESSION AUTHORIZATION", "RESET ALL"}).Draw(t, "identity")
+				} else {
+					sql = fmt.Sprintf(sql, name)
+				}
+				if strings.HasPrefix(sql, "RESET app") || sql == "RESET ALL" && k > 0 {
 					continue // the default comes from the startup message, which the model does not know
 				}
 				m.run(sql)
--- a/internal/frontend/pooling/sessionstate/sync.go
+++ b/internal/frontend/pooling/sessionstate/sync.go
@@ -15,6 +15,12 @@
 	settingTimeZone             = "timezone"
 )
 
+// settingDateStyle has two parts, of which a value may give one. It is reset first, so that the other part is not that of another client.
+const settingDateStyle = "datestyle"
+
+// isIdentity reports whether a setting is the user or the role of the session.
+func isIdentity(name string) bool { return name == settingSessionAuthorization || name == settingRole }
+
 // SyncQuery returns the query that gives the connection the client's settings; it is empty if none differ. Synced must be called once the
 // query was answered.
 func (c *Client) SyncQuery(s *Server) string {
@@ -29,6 +35,10 @@
 			names = append(names, name)
 		}
 	}
+	_, hasRole := c.settings[settingRole]
+	if hasRole && slices.Contains(names, settingSessionAuthorization) && !slices.Contains(names, settingRole) {
+		names = append(names, settingRole) // reset by the change of the user
+	}
 	slices.SortFunc(names, compareSettings)
 	var query strings.Builder
 	for i, name := range names {
@@ -52,6 +62,8 @@
 		return "SET TIME ZONE " + value
 	case settingRole:
 		return "SET ROLE " + value
+	case settingDateStyle:
+		return resetStatement(name) + "; SET " + quoteName(name) + " TO " + value
 	}
 	return "SET " + quoteName(name) + " TO " + value
 }
--- a/internal/frontend/pooling/submit.go
+++ b/internal/frontend/pooling/submit.go
@@ -158,37 +158,6 @@
 	c.failCommand(t.replay[0], codeInternal, err.Error())
 }
 
-// keepConnection continues on the client's present connection if that may be used for the attempt. It returns false if the attempt
-// needs another connection; the present one, if any, was released or closed then. A sticky session that cannot continue is ended.
-func (c *client) keepConnection(a *attempt) bool {
-	l := c.link
-	if l == nil {
-		return false
-	}
-	sticky := c.state.Sticky != 0
-	switch {
-	case l.serverID != a.server && sticky && l.closesAt == 0: // the session cannot be migrated
-		c.resume(a, l)
-		return true
-	case l.serverID != a.server:
-		c.frontend.Counts.Migrations++
-	case l.closesAt != 0:
-	case l.clean():
-		c.resume(a, l)
-		return true
-	case sticky:
-		c.endWithError(codeShutdown, fmt.Sprintf("the server connection ended, and with it %s", c.state.Sticky))
-		return true
-	default:
-		c.unlink()
-		l.close()
-		return false
-	}
-	c.unlink()
-	l.free()
-	return false
-}
-
 // unlink separates the client from its connection, and returns the connection, nil for none.
 func (c *client) unlink() *link {
 	l := c.link
@@ -205,6 +174,7 @@
 	l.owner = c
 	c.link = l
 	l.lastSessionHash = c.sessionHash
+	l.assigned = true
 	if c.closed {
 		c.unlink()
 		l.free()
@@ -216,30 +186,6 @@
 	c.resume(a, l)
 }
 
-// resume sends the messages of the transaction so far on the client's connection, after a query for settings that differ.
-func (c *client) resume(a *attempt, l *link) {
-	a.link = l
-	c.boundTransactionTime()
-	if sql := c.state.SyncQuery(l.state); sql != "" {
-		c.frontend.Counts.SettingsSynced++
-		l.sendInternalQuery(sql, func() { c.state.Synced(l.state) })
-	}
-	t := c.transaction
-	if t == nil || c.link != l { // the connection was lost while the settings were sent: the transaction is sent elsewhere, or was answered
-		return
-	}
-	l.reportParameters(c)
-	t.hasConnection = true
-	if err := c.sendReplay(t); err != nil {
-		c.endWithError(codeProtocol, err.Error())
-		return
-	}
-	if l.conn != nil && l.conn.Unsent() == 0 {
-		c.frontend.events.AttemptWritten(a.id)
-	}
-	c.proceedSoon()
-}
-
 // boundTransactionTime limits the time of the transaction.
 func (c *client) boundTransactionTime() {
 	limitMs := c.pool.options.MaxTransactionMs
--- a/internal/frontend/scatter/answers.go
+++ b/internal/frontend/scatter/answers.go
@@ -124,13 +124,10 @@
 		return
 	}
 	l.pendingReady--
-	if l.pendingReady > 0 {
-		if l.onSettingsReady != nil && !l.broken {
-			l.onSettingsReady()
-			l.onSettingsReady = nil
-		}
+	if l.pendingReady > 0 && l.settingsApplied() {
 		return
 	}
+	l.pendingReady = 0
 	p := l.part
 	if a := l.attempt; a != nil && !a.ended {
 		l.frontend.endAttempt(a, decide.OK, l)
--- a/internal/frontend/scatter/attempts_test.go
+++ b/internal/frontend/scatter/attempts_test.go
@@ -204,6 +204,8 @@
 		switch m := m.(type) {
 		case *pgproto3.Bind:
 			cursorValues = fmt.Sprintf("%s", m.Parameters)
+		case *pgproto3.Query: // the settings of the caller
+			f.statements <- &statement{name, m.String, be, c}
 		case *pgproto3.Sync:
 			f.statements <- &statement{name, cursorValues, be, c}
 		}
--- a/internal/frontend/scatter/link.go
+++ b/internal/frontend/scatter/link.go
@@ -31,20 +31,20 @@
 	secret   uint32               // secret of the cancel key
 
 	// The current statement.
-	attempt         *attempt // nil once its outcome was reported
-	part            *part    // the part whose statement it is
-	sent            bool
-	pendingReady    int    // ReadyForQuery messages expected: one after the settings, if these are sent, and one after the statement
-	onSettingsReady func() // called once the settings were applied
-	columns         orderColumns
-	rows            int     // rows received
-	answerBegun     bool    // a row, the end of the rows or an error was received
-	answerBegunAt   float64 // 0 until set
-	completed       bool    // CommandComplete was received
-	discarding      bool    // messages are discarded up to ReadyForQuery
-	broken          bool    // the session cannot be used again
-	cancelSent      bool    // a cancel request was sent
-	openCancels     int     // cancel requests in progress
+	attempt       *attempt // nil once its outcome was reported
+	part          *part    // the part whose statement it is
+	sent          bool
+	pendingReady  int    // ReadyForQuery messages expected: one after the settings, if these are sent, and one after the statement
+	statement     []byte // messages that are sent once the settings were applied
+	columns       orderColumns
+	rows          int     // rows received
+	answerBegun   bool    // a row, the end of the rows or an error was received
+	answerBegunAt float64 // 0 until set
+	completed     bool    // CommandComplete was received
+	discarding    bool    // messages are discarded up to ReadyForQuery
+	broken        bool    // the session cannot be used again
+	cancelSent    bool    // a cancel request was sent
+	openCancels   int     // cancel requests in progress
 
 	mergeFull     bool // the merge accepts no rows, and messages stay in input
 	readingPaused bool
@@ -115,7 +115,8 @@
 	return l.part.page
 }
 
-// send sends a part's statement, preceded by a query that applies the client's settings to the session if these differ.
+// send sends a part's statement. If the session's settings differ from the client's, it sends the query that applies these, and the statement
+// once the server has accepted them.
 func (l *link) send(p *part) error {
 	r := p.page
 	statement, values, err := r.query.ShardStatement(&r.spec.Order, &p.action.Place, p.action.Shard, p.action.MaxRows, len(r.values.Params))
@@ -129,21 +130,55 @@
 	l.answerBegunAt = 0
 	l.completed = false
 	l.discarding = false
-	var out []byte
-	if query := r.caller.Settings.SyncQuery(l.settings); query != "" {
-		out = pgwire.AppendQuery(out, query)
-		l.pendingReady++
-		l.onSettingsReady = func() { r.caller.Settings.Synced(l.settings) }
-	}
-	out = pgwire.AppendParse(out, "", statement, r.paramTypes)
+	out := pgwire.AppendParse(nil, "", statement, r.paramTypes)
 	out = pgwire.AppendBind(out, "", "", r.values.EncodeWith(values))
 	out = append(out, describePortal...)
 	out = append(out, executeAll...)
 	out = append(out, syncMessage...)
-	_ = l.conn.Write(out) // a failed write closes the connection
+	if query := r.caller.Settings.SyncQuery(l.settings); query != "" {
+		l.pendingReady++
+		l.statement = out
+		_ = l.conn.Write(pgwire.AppendQuery(nil, query)) // a failed write closes the connection
+		return nil
+	}
+	l.write(out)
 	return nil
 }
 
+// write writes the messages of the statement.
+func (l *link) write(statement []byte) {
+	if l.conn.Write(statement) != nil { // which has closed the connection
+		return
+	}
+	if a := l.attempt; a != nil && !a.ended && l.conn.Unsent() == 0 {
+		l.frontend.events.AttemptWritten(a.id)
+	}
+}
+
+// settingsApplied sends the statement that waited for the settings, and reports whether it was sent: nobody may need it any more, or its
+// attempt may not be sent any more.
+func (l *link) settingsApplied() bool {
+	statement := l.statement
+	l.statement = nil
+	if l.broken || l.part == nil {
+		return false
+	}
+	l.part.page.caller.Settings.Synced(l.settings)
+	if l.discarding {
+		return false
+	}
+	if a := l.attempt; a != nil && !l.frontend.events.MaySend(a.id) {
+		l.frontend.endAttempt(a, decide.NotSent, nil)
+		return false
+	}
+	if l.input.Pending() > 0 { // would be read as the answer to the statement
+		l.close()
+		return true
+	}
+	l.write(statement)
+	return true
+}
+
 // Messages of the extended protocol for the unnamed portal.
 const (
 	describePortal = "D\x00\x00\x00\x06P\x00"
--- a/internal/frontend/scatter/part.go
+++ b/internal/frontend/scatter/part.go
@@ -120,9 +120,6 @@
 		return
 	}
 	f.Counts.Sent++
-	if a := l.attempt; a != nil && !a.ended && l.conn != nil && l.conn.Unsent() == 0 {
-		f.events.AttemptWritten(a.id)
-	}
 }
 
 // abandon ends a part that the run does not need any more. Statements that do not end by themselves shortly after are cancelled at their
--- a/internal/frontend/scatter/reuse_test.go
+++ b/internal/frontend/scatter/reuse_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"beechgrade/internal/decide"
+	"beechgrade/internal/frontend/pooling/sessionstate"
 	"beechgrade/internal/frontend/scatter/plan"
 )
 
@@ -118,3 +120,77 @@
 		})
 	}
 }
+
+// TestReadWaitsForSettings guards against a read running under the settings of another client: its statement is sent only once the server has
+// accepted the caller's settings, and not behind bytes that belong to no answer.
+func TestReadWaitsForSettings(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer func(s *statement)
+		sent   bool // on the same connection
+	}{
+		"accepted":             {func(s *statement) { s.acceptSettings(1) }, true},
+		"rejected":             {func(s *statement) { s.rejectSettings() }, false},
+		"with a second answer": {func(s *statement) { s.acceptSettings(2) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			a, c := f.firstStatements()
+			a.beginAnswer().sendRows(1).endAnswer(true)
+			c.beginAnswer().sendRows(2).endAnswer(true)
+			f.wantPage("[1 2]")
+			settings := sessionstate.NewClient(sessionstate.NewStatements(), map[string]string{"app.person": "rui"})
+			f.onLoop(func() {
+				f.rows = nil
+				query := plan.Query{Scatter: "visits", Statement: "SELECT id FROM visits WHERE true /*after*/ /*order*/"}
+				caller := Caller{Database: "d", User: "u", Settings: settings}
+				if _, err := f.frontend.Begin(query, caller, []byte{0, 0}, nil, f); err != nil {
+					t.Errorf("beginning the page: %v", err)
+				}
+			})
+			first, second := f.firstStatements()
+			for _, s := range []*statement{first, second} {
+				if !strings.Contains(s.cursorValues, "app") {
+					t.Fatalf("%s received %q before the settings", s.server, s.cursorValues)
+				}
+			}
+			second.acceptSettings(1)
+			tc.answer(first)
+			for { // until the read of the first shard has come, or the page has ended without it
+				select {
+				case s := <-f.statements:
+					if s.conn == first.conn && !tc.sent {
+						t.Fatalf("the statement was sent on a connection whose settings were %s", name)
+					}
+					if strings.Contains(s.cursorValues, "app") {
+						s.acceptSettings(1)
+						continue
+					}
+					s.beginAnswer().sendRows(3).endAnswer(true)
+				case page := <-f.page:
+					if tc.sent && page != "[3 3]" {
+						t.Errorf("page is %s, want [3 3]", page)
+					}
+					return
+				case <-time.After(pageTimeout):
+					t.Fatal("the page did not end")
+				}
+			}
+		})
+	}
+}
+
+// acceptSettings answers the query that applies settings, as often as told.
+func (s *statement) acceptSettings(times int) {
+	for range times {
+		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	}
+	_ = s.backend.Flush()
+}
+
+// rejectSettings answers the query that applies settings with an error.
+func (s *statement) rejectSettings() {
+	s.backend.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "22023", Message: "invalid value"})
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = s.backend.Flush()
+}
--- a/internal/protocol/sqltext/classify.go
+++ b/internal/protocol/sqltext/classify.go
@@ -135,6 +135,9 @@
 func classifyCreate(tokens statementTokens) Statement {
 	s := Statement{Kind: Other, Sticky: stickyCalls(tokens)}
 	isCreate := tokens[0].isWord("CREATE")
+	if tokens.contains("pg_temp") { // the schema of the session's temporary objects
+		s.Sticky |= StickyTempTables
+	}
 	for i := 1; i < len(tokens); i++ {
 		isTemporary := tokens[i].isWord("TEMP", "TEMPORARY")
 		if isTemporary && (isCreate || tokens[i-1].isWord("INTO")) {
--- a/internal/protocol/sqltext/query.go
+++ b/internal/protocol/sqltext/query.go
@@ -24,6 +24,9 @@
 // without functions other than those of readOnlyFunctions.
 func classifyQuery(tokens statementTokens) Statement {
 	s := Statement{Kind: Other, Sticky: stickyCalls(tokens)}
+	if tokens[0].isWord("UPDATE") && tokens.contains("pg_settings") { // a rule of that view changes settings
+		s.Sticky |= StickyUnknownSetting
+	}
 	first := 0
 	for first < len(tokens) && tokens[first].isSymbol("(") {
 		first++
--- a/internal/protocol/sqltext/sqltext.go
+++ b/internal/protocol/sqltext/sqltext.go
@@ -67,22 +67,29 @@
 	ReadOnly bool   // of Begin: the transaction is declared read-only
 	Sticky   StickyReason
 	Copy     bool // COPY from or to the client
+	Opaque   bool // it may leave state in the session that its text does not show, because it runs code of the database
 	From, To int  // byte offsets in the text: of its start and after its end
 }
 
 const maxStatements = 1000
 
+// unknownText returns the one statement that stands for a text that cannot be split.
+func unknownText(sql string) []Statement {
+	return []Statement{{Kind: Other, Opaque: true, From: 0, To: len(sql)}}
+}
+
 // Split returns the statements of a text. A text that ends within a quotation or a comment is one statement of kind Other.
 func Split(sql string) []Statement {
 	tokens, ok := scan(sql)
 	if !ok {
-		return []Statement{{Kind: Other, From: 0, To: len(sql)}}
+		return unknownText(sql)
 	}
 	var statements []Statement
 	from, depth := 0, 0
 	flush := func(to int) {
 		if part := tokens[from:to]; len(part) > 0 {
 			statement := classify(sql, part)
+			statement.Opaque = statement.Kind == Other && statementTokens(part).areOpaque()
 			statement.From, statement.To = part[0].from, part[len(part)-1].to
 			statements = append(statements, statement)
 		}
@@ -98,7 +105,7 @@
 			flush(i)
 		}
 		if len(statements) == maxStatements {
-			return []Statement{{Kind: Other, From: 0, To: len(sql)}}
+			return unknownText(sql)
 		}
 	}
 	flush(len(tokens))
--- a/internal/protocol/sqltext/sqltext_test.go
+++ b/internal/protocol/sqltext/sqltext_test.go
@@ -7,7 +7,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
-var ignoreOffsets = cmpopts.IgnoreFields(Statement{}, "From", "To")
+var ignoreOffsets = cmpopts.IgnoreFields(Statement{}, "From", "To", "Opaque") // TestOpaqueStatements checks Opaque
 
 // TestSplitClassifiesStatements: a statement must not be classified as doing less than it does, such as a write as a read.
 func TestSplitClassifiesStatements(t *testing.T) {
@@ -57,6 +57,8 @@
 		"DEALLOCATE PREPARE a; DEALLOCATE ALL; DEALLOCATE \"B\"":                  {{Kind: Deallocate, Name: "a"}, {Kind: Deallocate}, {Kind: Deallocate, Name: "B"}},
 		"CREATE TEMP TABLE t (a int)":                                             {{Kind: Other, Sticky: StickyTempTables}},
 		"create table temp_t (a int)":                                             {{Kind: Other}},
+		"CREATE TABLE pg_temp.t (a int)":                                          {{Kind: Other, Sticky: StickyTempTables}},
+		"UPDATE pg_settings SET setting = 'a' WHERE name = 'search_path'":         {{Kind: Other, Sticky: StickyUnknownSetting}},
 		"SELECT 1 AS a INTO TEMPORARY t":                                          {{Kind: Other, Sticky: StickyTempTables}},
 		"SELECT pg_advisory_lock(1)":                                              {{Kind: Other, Sticky: StickyAdvisoryLock}},
 		"SELECT pg_advisory_xact_lock(1)":                                         {{Kind: Other}},
@@ -73,6 +75,39 @@
 	}
 }
 
+// TestOpaqueStatements guards against a session being carried to another connection without what code of the database has left in it.
+func TestOpaqueStatements(t *testing.T) {
+	for sql, want := range map[string]bool{
+		"SELECT app_login('ana')":                       true,
+		"SELECT a.login('ana')":                         true,
+		`SELECT "max"(1)`:                               true,
+		"CALL close_day()":                              true,
+		"DO $$BEGIN PERFORM x(); END$$":                 true,
+		"EXECUTE p":                                     true,
+		"LOAD 'library'":                                true,
+		"INSERT INTO t (a) VALUES (next_number())":      true,
+		"INSERT INTO t (a) SELECT b.f(1)":               true,
+		"UPDATE t SET a = f(a)":                         true,
+		"SELECT 'open":                                  true,
+		"FROBNICATE":                                    true,
+		"WITH x AS (SELECT f(1)) INSERT INTO t TABLE x": true,
+		"SELECT 1":                                      false,
+		"SELECT max(a) FROM t":                          false,
+		"SELECT a FROM t FOR UPDATE":                    false,
+		"INSERT INTO t (a, b) VALUES (1, lower('B'))":   false,
+		`INSERT INTO s."T" (a) VALUES (1) ON CONFLICT (a) DO NOTHING`: false,
+		"UPDATE t SET a = 1":              false,
+		"DELETE FROM t WHERE a IN (1, 2)": false,
+		"COPY t (a, b) FROM STDIN":        false,
+		"CREATE TABLE t (a int)":          false,
+		"SET search_path TO a":            false,
+	} {
+		if got := Split(sql)[0].Opaque; got != want {
+			t.Errorf("statement %q is opaque: %v, want %v", sql, got, want)
+		}
+	}
+}
+
 // TestSetConfigReadsLiteralsOnly: a call must be parsed with exactly the value that it sets, or be rejected.
 func TestSetConfigReadsLiteralsOnly(t *testing.T) {
 	for sql, want := range map[string]Statement{
--- a/internal/testkit/fake/database/session.go
+++ b/internal/testkit/fake/database/session.go
@@ -40,6 +40,7 @@
 	committed float64         // log position of the last write that was committed, until it is reported
 	losesNext bool            // the connection is reset in place of the next ReadyForQuery
 	copyNext  bool            // the next output is sent twice
+	locks     int             // advisory locks of the session
 }
 
 // point is a savepoint.
@@ -92,6 +93,7 @@
 		f.mu.Lock()
 		delete(f.sessions, sess.pid)
 		f.watch.Open--
+		f.watch.Locks -= sess.locks
 		f.mu.Unlock()
 	}()
 	sess.be.Send(&pgproto3.AuthenticationOk{})
--- a/internal/testkit/fake/database/watch.go
+++ b/internal/testkit/fake/database/watch.go
@@ -17,6 +17,7 @@
 	Open         int            `json:"open"`
 	MostOpen     int            `json:"most_open"`
 	DuringDrain  int            `json:"during_drain"` // messages received after the grace of a drain
+	Locks        int            `json:"locks"`        // advisory locks that sessions hold
 	Committed    map[string]int `json:"-"`            // writes that were committed, by their keys
 }
 
--- a/internal/testkit/fake/database/work.go
+++ b/internal/testkit/fake/database/work.go
@@ -29,6 +29,8 @@
 	repeated       = regexp.MustCompile(`(?is)^\s*SELECT\s+repeat\('x', (\d+)\)\s+FROM\s+generate_series\(1, (\d+)\)`)
 	copyFrom       = regexp.MustCompile(`(?is)^\s*COPY\s+"?kv"?\s.*FROM\s+STDIN`)
 	copyTo         = regexp.MustCompile(`(?is)^\s*COPY\s+kv\s+TO\s+STDOUT`)
+	actAs          = regexp.MustCompile(`(?is)^\s*(?:SELECT|CALL)\s+act_as\('([^']*)'\)`) // code of the database that sets app.actor
+	advisoryLock   = regexp.MustCompile(`(?is)^\s*SELECT\s+pg_advisory_lock\(`)
 	currentSetting = regexp.MustCompile(`(?is)^\s*SELECT\s+current_setting\('([^']*)'\)`)
 )
 
@@ -120,6 +122,13 @@
 	case sqltext.Show:
 		return "SHOW", [][]byte{[]byte(sess.settings[strings.ToLower(strings.Fields(sql)[1])])}, nil
 	}
+	if m := actAs.FindStringSubmatch(sql); m != nil {
+		sess.set("app.actor", m[1])
+		return "SELECT 1", [][]byte{[]byte("")}, nil
+	}
+	if advisoryLock.MatchString(sql) {
+		return sess.lock(sql)
+	}
 	if m := currentSetting.FindStringSubmatch(sql); m != nil {
 		return "SELECT 1", [][]byte{[]byte(sess.settings[m[1]])}, nil
 	}
@@ -167,7 +176,7 @@
 		return "CREATE TABLE", nil, nil
 	case strings.HasPrefix(up, "LISTEN"):
 		return "LISTEN", nil, nil
-	case strings.HasPrefix(up, "SELECT PG_ADVISORY_LOCK"), strings.HasPrefix(up, "SELECT 1"):
+	case strings.HasPrefix(up, "SELECT 1"):
 		return "SELECT 1", [][]byte{[]byte("1")}, nil
 	}
 	return "", nil, fail("42601", "the stand-in does not know %.60q", sql)
@@ -191,6 +200,19 @@
 	return "SELECT 1", [][]byte{v}, nil
 }
 
+// lock takes a lock of the session, which a rollback does not release. The rest of a statement that divides by zero fails.
+func (sess *session) lock(sql string) (string, [][]byte, error) {
+	f := sess.c.s.f
+	f.mu.Lock()
+	sess.locks++
+	f.watch.Locks++
+	f.mu.Unlock()
+	if strings.Contains(sql, "1/0") {
+		return "", nil, fail("22012", "division by zero")
+	}
+	return "SELECT 1", [][]byte{[]byte("1")}, nil
+}
+
 // sleep waits until the time has passed or the statement is cancelled, at most 60 s.
 func (sess *session) sleep(sql, seconds string) (string, [][]byte, error) {
 	d, _ := strconv.ParseFloat(seconds, 64)
