A scattered read is rejected where its session's settings cannot be carried

A session that had set what the pooler cannot read, or in a pool by session had run code of the database, had its scattered reads run on other connections without it, and could not tell. Cause: scattered reads carry the settings that are known and asked nothing else. Change: they are rejected (0A000) until DISCARD ALL; session.go decides. TestScatteredReadNeedsKnownSettings holds it (0A000 is new; not run on the code before).

--- a/cmd/beechgrade/pooling_session_test.go
+++ b/cmd/beechgrade/pooling_session_test.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5"
+
 	"beechgrade/internal/protocol/pgwire"
 	"beechgrade/internal/testkit/fake/database"
 )
@@ -249,3 +252,25 @@
 		})
 	}
 }
+
+// TestScatteredReadNeedsKnownSettings guards against a scattered read running without the settings of its session, where the pooler cannot read
+// these.
+func TestScatteredReadNeedsKnownSettings(t *testing.T) {
+	w := newScatterFixture(t, "(whole)")
+	putVisits(w.fleet, 5)
+	r := w.reader()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for _, step := range []struct{ sql, code string }{
+		{"SELECT 1", ""},
+		{"SELECT 1, set_config('app.region', 'no' || 'rth', false)", "0A000"},
+		{"DISCARD ALL", ""},
+	} {
+		if _, err := r.c.Exec(ctx, step.sql, pgx.QueryExecModeSimpleProtocol); err != nil {
+			t.Fatalf("statement %q: %v", step.sql, err)
+		}
+		if _, err := r.readPage(5, ""); sqlState(err) != step.code {
+			t.Errorf("scattered read after %q: SQLSTATE is %q, want %q", step.sql, sqlState(err), step.code)
+		}
+	}
+}
--- a/internal/frontend/pooling/scatter.go
+++ b/internal/frontend/pooling/scatter.go
@@ -150,6 +150,10 @@
 		c.scatterFail(codeActiveTransaction, "a scattered read is a transaction of its own", "")
 		return
 	}
+	if err == nil && c.hasUnknownSettings() {
+		c.scatterFail(codeUnsupported, "a scattered read can't be given the settings of this session; DISCARD ALL ends them", "")
+		return
+	}
 	if err == nil {
 		err = c.beginPage(query, types, params, describe)
 	}
--- a/internal/frontend/pooling/session.go
+++ b/internal/frontend/pooling/session.go
@@ -6,6 +6,7 @@
 	"beechgrade/internal/backend/reuse"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/protocol/pgwire"
+	"beechgrade/internal/protocol/sqltext"
 )
 
 // This file decides what of a client's session may meet another connection, and what of a server's session may meet another client. The pooler
@@ -27,6 +28,11 @@
 	return ""
 }
 
+// hasUnknownSettings reports whether settings of the session may be in force that the pooler cannot give to another connection.
+func (c *client) hasUnknownSettings() bool {
+	return c.state.Sticky&sqltext.StickyUnknownSetting != 0 || c.pool.options.Mode == Session && c.state.Opaque
+}
+
 // canMigrate reports whether the next transaction of the session may run on another connection as a matter of course.
 func (c *client) canMigrate() bool { return c.pool.options.Mode == Transaction && c.boundBy() == "" }
 
