One place says which SQLSTATEs show that a statement did not run

The list of codes by which work may be sent again stood three times: platform's connections, pooling and scattered reads. backend.RejectionResult has it now, and each asks it.

--- a/internal/backend/answers.go
+++ b/internal/backend/answers.go
@@ -5,16 +5,6 @@
 	"beechgrade/internal/protocol/pgwire"
 )
 
-// SQLSTATE codes by which a server reports more than that the request failed.
-const (
-	codeReadOnly       = "25006" // a write reached a replica
-	codeTooFarBehind   = "72000" // a read needs a later position than the server has
-	codeTooManyClients = "53300"
-	codeShuttingDown   = "57P03"
-)
-
-func refusesLoad(code string) bool { return code == codeTooManyClients || code == codeShuttingDown }
-
 // Data implements eventloop.Handler.
 func (conn *conn) Data(data []byte) {
 	if conn.state == idle { // these bytes would be read as part of the next answer
@@ -170,13 +160,9 @@
 
 // result derives the result from the messages received before ReadyForQuery.
 func (conn *conn) result() decide.Result {
-	switch code := conn.answerReader.Code; {
-	case code == "" && conn.answerReader.Served:
+	if conn.answerReader.Code == "" && conn.answerReader.Served {
 		return decide.OK
-	case code == codeReadOnly, code == codeTooFarBehind:
-		return decide.Misdirected
-	case refusesLoad(code):
-		return decide.Overloaded
 	}
-	return decide.Failed
+	result, _ := RejectionResult(conn.answerReader.Code)
+	return result
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -103,17 +103,17 @@
 	if !conn.fullyWritten || unsent > 0 { // its last byte was never sent, so it cannot have run
 		result = decide.Unreachable
 	}
-	if refusesLoad(conn.answerReader.Code) {
-		result = decide.Overloaded
+	if rejection, ok := RejectionResult(conn.answerReader.Code); ok && rejection == decide.Overloaded {
+		result = rejection
 	}
 	pool.finish(attempt, Outcome{Result: result, Report: conn.outcome.Report})
 }
 
 // closedDuringStartup handles a connection that was closed while it was being established. A server that has
-// too many connections sends an error with codeTooManyClients first.
+// too many connections sends an error with CodeTooManyClients first.
 func (conn *conn) closedDuringStartup() {
 	waiting := conn.server.waiting
-	tooManyClients := conn.answerReader.Code == codeTooManyClients
+	tooManyClients := conn.answerReader.Code == CodeTooManyClients
 	if tooManyClients && len(waiting) >= conn.server.dialing && len(waiting) > 0 {
 		conn.pool.unqueue(waiting[0])
 		defer conn.pool.finish(waiting[0], Outcome{Result: decide.Overloaded})
--- a/internal/frontend/pooling/codes.go
+++ b/internal/frontend/pooling/codes.go
@@ -24,12 +24,6 @@
 	codeMissingPart        = "01000" // of a warning
 )
 
-// SQLSTATE codes with which a server reports that it did not run a statement.
-const (
-	codeReadOnly     = "25006" // a write reached a replica
-	codeTooFarBehind = "72000" // a read needs a later position than the server has
-)
-
 // CodeUnfunded is the SQLSTATE of a rejection because the tenant's prepaid credit is used up or low.
 const CodeUnfunded = "PP001"
 
--- a/internal/frontend/pooling/resend.go
+++ b/internal/frontend/pooling/resend.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/protocol/pgwire"
 	"beechgrade/internal/protocol/sqltext"
@@ -67,15 +68,11 @@
 	if !c.canMigrate() || !c.firstStatementPending() {
 		return 0, false
 	}
-	switch pgwire.ErrorCode(m.Body) {
-	case codeReadOnly: // the client gets the error if it declared the transaction read-only itself
-		return decide.Misdirected, !c.declaredReadOnly()
-	case codeTooFarBehind:
-		return decide.Misdirected, true
-	case codeTooManyClients, codeCannotConnectNow:
-		return decide.Overloaded, true
+	code := pgwire.ErrorCode(m.Body)
+	if code == backend.CodeReadOnly && c.declaredReadOnly() { // the client's own declaration, of which it gets the error
+		return 0, false
 	}
-	return 0, false
+	return backend.RejectionResult(code)
 }
 
 // firstStatementPending reports whether no statement of the transaction but its beginning was answered.
--- a/internal/frontend/scatter/answers.go
+++ b/internal/frontend/scatter/answers.go
@@ -4,20 +4,13 @@
 	"fmt"
 	"strconv"
 
+	"beechgrade/internal/backend"
 	"beechgrade/internal/decide"
 	"beechgrade/internal/eventloop/clock"
 	"beechgrade/internal/frontend/scatter/execution"
 	"beechgrade/internal/protocol/pgwire"
 )
 
-// SQLSTATE codes of errors with which a server has not run the statement, and another server may run it.
-const (
-	codeReadOnly         = "25006"
-	codeTooFarBehind     = "72000"
-	codeTooManyClients   = "53300"
-	codeCannotConnectNow = "57P03"
-)
-
 // handleMessage handles a message that a server sends after its startup.
 func (l *link) handleMessage(m pgwire.Message) {
 	p := l.part
@@ -76,7 +69,7 @@
 	code := pgwire.ErrorCode(m.Body)
 	l.discarding = true
 	if a := l.attempt; a != nil && !a.ended && !l.answerBegun {
-		if result := resultOf(code); result != decide.OK {
+		if result, rejected := backend.RejectionResult(code); rejected {
 			l.broken = true
 			l.frontend.endAttempt(a, result, nil)
 			return
@@ -86,18 +79,6 @@
 	l.part.reportFailure(code+" "+pgwire.ErrorDetail(m.Body), isRetryable(code))
 }
 
-// resultOf returns the result of an attempt that was answered with an error. The result is OK for an error of the statement itself, as
-// the server is not at fault.
-func resultOf(code string) decide.Result {
-	switch code {
-	case codeReadOnly, codeTooFarBehind:
-		return decide.Misdirected
-	case codeTooManyClients, codeCannotConnectNow:
-		return decide.Overloaded
-	}
-	return decide.OK
-}
-
 // isRetryable reports whether the class of an error allows that the statement succeeds at another server.
 func isRetryable(code string) bool {
 	const codeLength, classLength = 5, 2
