Pooling: a connection that is lost while it is checked is not given up twice

A check that finds a connection spoilt within a transaction, before the server got any of it, began the transaction a second time with the message at hand: answered '1CZ' in place of '12CZ' (TestPooledConnectionSpoiltWithinTransaction, 9 kinds of bytes, failed before). A check that meets the end of a kept connection ends its attempt, and a new one may have a connection by then, which the old one would have given back; by reading only. Change: the message joins what is kept for the next connection; an attempt that the check has ended takes nothing more. Measured: TestPooledConnectionSpoiltWithinTransaction and the tests of kept connections pass.

--- a/cmd/beechgrade/pooling_reuse_test.go
+++ b/cmd/beechgrade/pooling_reuse_test.go
@@ -228,3 +228,69 @@
 		}
 	}
 }
+
+// TestPooledConnectionSpoiltWithinTransaction guards against a transaction being begun twice, or a message of it being lost, where its connection turns
+// out not to be clean before the server got any of it: its first message was answered by the pooler, as the statement was prepared already.
+func TestPooledConnectionSpoiltWithinTransaction(t *testing.T) {
+	for name, trailing := range trailingBytes {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			conns, executed := make(chan *peer, 9), make(chan int, 9)
+			go func() {
+				for n := 1; ; n++ {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					up := newPeer(t, conn)
+					conns <- up
+					go serveExtended(up, func() { executed <- n })
+				}
+			}()
+			s := newPoolFixture(t, l.Addr().String(), "(connections 1)")
+			c := s.client()
+			prepare := pgwire.AppendParse(nil, "", "UPDATE hours SET paid = true", []byte{0, 0})
+			c.send(slices.Concat(prepare, syncMessage))
+			c.want("1Z")
+			up := <-conns
+			c.send(prepare)
+			s.waitUntilOnLoop("the transaction has the connection", func() bool { _, want := s.p.pooling.Demand("obra/tablet"); return want == 1 })
+			release := s.holdLoop()
+			c.send(slices.Concat(pgwire.AppendBind(nil, "", "", []byte{0, 0, 0, 0, 0, 0}), executeMessage, syncMessage))
+			up.send(trailing)
+			release()
+			c.want("12CZ")
+			if n := <-executed; n != 2 || len(executed) > 0 {
+				t.Errorf("executed on connection %d, and %d times more; want once, on the second", n, len(executed))
+			}
+			c.send(simpleQuery("SELECT 1"))
+			c.want("CZ")
+		})
+	}
+}
+
+// serveExtended answers the messages of the extended protocol and simple queries as a server would that has run them.
+func serveExtended(p *peer, execute func()) {
+	p.skipStartup()
+	p.send(pgwire.AppendStartupResponse(nil))
+	var out []byte
+	for typ, _ := p.message(); typ != 0; typ, _ = p.message() {
+		switch typ {
+		case 'P':
+			out = pgwire.AppendWithoutBody(out, pgwire.ParseComplete)
+		case 'B':
+			out = pgwire.AppendWithoutBody(out, pgwire.BindComplete)
+		case 'E':
+			execute()
+			out = pgwire.AppendComplete(out, "UPDATE 1")
+		case 'Q':
+			out = pgwire.AppendReady(pgwire.AppendComplete(out, "SELECT 1"))
+		case 'S':
+			out = pgwire.AppendReady(out)
+		}
+		if typ == 'S' || typ == 'Q' {
+			p.send(out)
+			out = nil
+		}
+	}
+}
--- a/internal/frontend/pooling/forward.go
+++ b/internal/frontend/pooling/forward.go
@@ -19,10 +19,7 @@
 		return c.restart(m.Raw, false)
 	}
 	if !c.checkKept() {
-		if c.closed {
-			return nil
-		}
-		return c.message(m)
+		return c.continueAfterLoss(m)
 	}
 	c.keepForReplay(m)
 	if l.skipping {
@@ -65,6 +62,21 @@
 	return nil
 }
 
+// continueAfterLoss handles a message that was to be sent on a connection that has just been closed.
+func (c *client) continueAfterLoss(m pgwire.Message) error {
+	t := c.transaction
+	switch {
+	case c.closed:
+		return nil
+	case t == nil:
+		return c.message(m)
+	case t.attempt != nil && t.attempt.sent: // the transaction has another connection by now
+		return c.forward(m)
+	}
+	c.keepForReplay(m)
+	return nil
+}
+
 func (c *client) forwardQuery(m pgwire.Message) error {
 	sql, err := pgwire.Text(m.Body)
 	if err != nil {
--- a/internal/frontend/pooling/session.go
+++ b/internal/frontend/pooling/session.go
@@ -59,14 +59,19 @@
 		return false
 	}
 	bound := c.boundBy()
+	clean := l.clean()
+	if a.ended || c.link != l { // the connection has just been lost, which has ended the attempt
+		return true
+	}
+	stays := l.serverID == a.server && l.closesAt == 0
 	switch {
 	case bound != "" && l.closesAt != 0:
 		c.endDraining(bound)
 		return true
-	case bound != "" && !l.clean():
+	case bound != "" && !clean:
 		c.endBound(bound)
 		return true
-	case bound != "", l.serverID == a.server && l.closesAt == 0 && l.clean():
+	case clean && (stays || bound != ""):
 		c.resume(a, l)
 		return true
 	}
