Scattered reads: a connection is used again only after plain reads

Change: a statement that is not known to be a plain read (sqltext) has its connection closed. What it costs: reads that call functions of the database open connections of their own; plain ones none.

--- a/internal/frontend/scatter/link.go
+++ b/internal/frontend/scatter/link.go
@@ -43,6 +43,7 @@
 	completed     bool    // CommandComplete was received
 	discarding    bool    // messages are discarded up to ReadyForQuery
 	broken        bool    // the session cannot be used again
+	leavesState   bool    // a statement that may have left something in the session was sent
 	cancelSent    bool    // a cancel request was sent
 	openCancels   int     // cancel requests in progress
 
@@ -124,6 +125,7 @@
 		return err
 	}
 	l.sent = true
+	l.leavesState = l.leavesState || !r.plain
 	l.pendingReady = 1
 	l.rows = 0
 	l.answerBegun = false
@@ -221,7 +223,7 @@
 	switch {
 	case l.closed:
 	case l.openCancels > 0: // cancelEnded calls release again
-	case l.broken || l.cancelSent || f.draining[l.key.server] || l.input.Pending() > 0:
+	case l.broken || l.leavesState || l.cancelSent || f.draining[l.key.server] || l.input.Pending() > 0:
 		l.close()
 	default:
 		f.idle[l.key] = append(f.idle[l.key], l)
--- a/internal/frontend/scatter/reuse_test.go
+++ b/internal/frontend/scatter/reuse_test.go
@@ -194,3 +194,42 @@
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	_ = s.backend.Flush()
 }
+
+// TestConnectionsOfPlainReadsAreReused guards against what a statement leaves in a server's session, by a function or otherwise, being in force for the
+// next client's read: only connections of plain reads are used again.
+func TestConnectionsOfPlainReadsAreReused(t *testing.T) {
+	const tail = " FROM visits WHERE true /*after*/ /*order*/"
+	for sql, reused := range map[string]bool{
+		"SELECT id" + tail:                                     true,
+		"SELECT id, upper(place)" + tail:                       true,
+		"SELECT id, act_as('ana')" + tail:                      false,
+		"SELECT id, set_config('app.person', 'ana', f)" + tail: false,
+		"SELECT id, pg_advisory_lock(id)" + tail:               false,
+		"SET search_path TO hidden /*after*/ /*order*/":        false,
+	} {
+		f := newFixture(t)
+		a, c := f.firstStatements()
+		a.beginAnswer().sendRows(1).endAnswer(true)
+		c.beginAnswer().sendRows(2).endAnswer(true)
+		f.wantPage("[1 2]")
+		conns := map[bool]int{} // connections to server c, by whether they are the one of the page before
+		var last *statement
+		for _, next := range []string{sql, "SELECT id" + tail} {
+			f.onLoop(func() {
+				f.rows, f.nextServer = nil, "a"
+				if _, err := f.begin(plan.Query{Scatter: "visits", Statement: next}); err != nil {
+					t.Errorf("beginning the page of %q: %v", next, err)
+				}
+			})
+			a, c := f.firstStatements()
+			conns[last != nil && c.conn == last.conn]++
+			last = c
+			a.beginAnswer().sendRows(3).endAnswer(true)
+			c.beginAnswer().sendRows(4).endAnswer(true)
+			f.wantPage("[3 4]")
+		}
+		if conns[true] == 1 != reused {
+			t.Errorf("connection used again after %q: %v, want %v", sql, conns[true] == 1, reused)
+		}
+	}
+}
--- a/internal/frontend/scatter/scatter.go
+++ b/internal/frontend/scatter/scatter.go
@@ -12,6 +12,7 @@
 	"beechgrade/internal/frontend/scatter/cursor"
 	"beechgrade/internal/frontend/scatter/execution"
 	"beechgrade/internal/frontend/scatter/plan"
+	"beechgrade/internal/protocol/sqltext"
 )
 
 // Reader receives the rows and the result of one page. Page or Fail is the last call.
@@ -68,6 +69,7 @@
 	caller     Caller
 	paramTypes []byte             // types of the parameters, as in a Parse message
 	values     bindmessage.Values // the client's parameters
+	plain      bool               // the statement is known to leave nothing in a server's session
 	binding    cursor.Binding     // that the cursors of the page must have
 	deadline   float64
 	reader     Reader
@@ -85,6 +87,12 @@
 	key         []byte // buffer of rowKey
 }
 
+// isPlainRead reports whether a statement is known to be a read that leaves nothing in a server's session.
+func isPlainRead(statement string) bool {
+	statements := sqltext.Split(statement)
+	return len(statements) == 1 && statements[0].Kind == sqltext.Read && statements[0].Sticky == 0
+}
+
 // Begin begins a page. paramTypes has the format of a Parse message, and params is the part of a Bind message after the names, nil for a
 // simple query. If Begin returns an error, no page was begun.
 func (f *Frontend) Begin(query plan.Query, caller Caller, paramTypes, params []byte, reader Reader) (*PageRead, error) {
@@ -113,6 +121,7 @@
 		caller:     caller,
 		paramTypes: paramTypes,
 		values:     values,
+		plain:      isPlainRead(query.Statement),
 		reader:     reader,
 		parts:      make([]*part, len(spec.Shards)),
 	}
