--- a/review/standin2/discovery.go
+++ b/review/standin2/discovery.go
@@ -36,7 +36,7 @@
 	known := list{Generation: 1, Reset: true}
 	for _, s := range servers {
 		known.Instances = append(known.Instances, instance{
-			ID: s.id, Address: s.listener.Addr().String(), Zone: "room", Machine: "small", Lifecycle: "up", Weight: 1, Role: s.role,
+			ID: s.id, Address: s.listener.Addr().String(), Cell: s.cell, Zone: "room", Machine: "small", Lifecycle: "up", Weight: 1, Role: s.role,
 		})
 	}
 	text, err := json.Marshal(known)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -48,6 +48,8 @@
 	"doubt":     doubtCase,
 	"journaled": journaledCase,
 	"long":      longCase,
+	"pipeline":  pipelineCase,
+	"replace":   replaceCase,
 }
 
 func main() {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -64,6 +64,7 @@
 type server struct {
 	run          *run
 	id, role     string
+	cell         int
 	lagMs        int64
 	workMs       int64         // that a statement of the platform's form takes
 	pieces       time.Duration // between the pieces of a long row
@@ -71,7 +72,10 @@
 	table        *table
 	listener     net.Listener
 
+	copiedAt int64 // when it was started from an older copy, which it makes up for; 0 for long ago
+
 	mu       sync.Mutex
+	conns    map[net.Conn]bool
 	cutUntil time.Time // until then nothing reaches the pooler
 	ran      func(s *session, sql string)
 }
@@ -82,18 +86,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("server: %w", err)
 	}
+	return r.serveAt(listener, &server{id: id, role: role, lagMs: lagMs, table: t}), nil
+}
+
+// serveAt has a server serve at a listener.
+func (r *run) serveAt(listener net.Listener, s *server) *server {
 	r.atEnd(func() { _ = listener.Close() })
-	s := &server{run: r, id: id, role: role, lagMs: lagMs, table: t, listener: listener}
+	s.run, s.listener, s.conns = r, listener, map[net.Conn]bool{}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns[conn] = true
+			s.mu.Unlock()
 			go s.serve(conn)
 		}
 	}()
-	return s, nil
+	return s
 }
 
 // onRun has f called after a statement has run, and before it is answered.
@@ -122,6 +134,9 @@
 	if s.role == primary {
 		return math.MaxInt64
 	}
+	if s.copiedAt != 0 {
+		return min(nowMs()-shipMs, s.copiedAt-copyAgeMs+catchUp*(nowMs()-s.copiedAt))
+	}
 	return nowMs() - s.lagMs
 }
 
