--- a/review/standin2/columns.go
+++ b/review/standin2/columns.go
@@ -47,6 +47,15 @@
 		return
 	}
 	s.run.note("%s: runs %s", s.id, query)
+	if text, ok := strings.CutPrefix(query, "echo "); ok {
+		_, _ = io.WriteString(w, text)
+		return
+	}
+	if text, ok := strings.CutPrefix(query, "slow "); ok {
+		time.Sleep(slowRead)
+		_, _ = io.WriteString(w, "the answer to "+text)
+		return
+	}
 	controller := http.NewResponseController(w)
 	for range answerPieces {
 		_, err := io.WriteString(w, strings.Repeat("x", pieceBytes-1)+"\n")
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -50,6 +50,7 @@
 	"long":      longCase,
 	"pipeline":  pipelineCase,
 	"replace":   replaceCase,
+	"smuggle":   smuggleCase,
 }
 
 func main() {
