--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -179,6 +179,55 @@
 	return &read, nil
 }
 
+// behindCase: a client sends writes behind a read of a long value, and the connection of that read is reset in the middle of the value.
+func behindCase(r *run) error {
+	servers, discovery, err := r.group(1)
+	if err != nil {
+		return err
+	}
+	servers[0].table.commit([]row{{key: "big", value: `\x` + strings.Repeat("61", longBytes)}})
+	time.Sleep(10 * shipMs * time.Millisecond)
+	for _, s := range servers {
+		s.pieces, s.resetsLong = slowly, r.trouble
+	}
+	p := &pooler{run: r, name: "n1", discovery: discovery, tokens: "brought"}
+	if err := p.start(); err != nil {
+		return err
+	}
+	c, err := connect(p.listen, "backend", "store")
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	keys := []string{"ana", "rui", "eva"}
+	commands := []string{platformStatement("SELECT content FROM kv WHERE name = 'big'", "read", "relatorio-mes")}
+	for _, key := range keys {
+		insert := fmt.Sprintf(`INSERT INTO kv (name, content) VALUES ('%s', '\x61') RETURNING content`, key)
+		commands = append(commands, platformStatement(insert, "write-"+key, "registrar-ponto"))
+	}
+	if err := c.sendAll(commands); err != nil {
+		return err
+	}
+	r.note("client: sent %d commands at once", len(commands))
+	answered := -1 // without the read
+	for _, sql := range commands {
+		a, err := c.read()
+		if _, err = r.told("client", sql, a, err); err != nil {
+			break
+		}
+		answered++
+	}
+	ran := 0
+	for _, key := range keys {
+		ran += len(servers[0].table.values(key, servers[0].position()))
+	}
+	r.note("writes: %d sent, %d run, %d answered", len(keys), ran, max(answered, 0))
+	if max(answered, 0) < ran {
+		return errBroken
+	}
+	return nil
+}
+
 const report = "SELECT count(*) FROM ponto WHERE inicio >= '2026-12-02 00:00'"
 
 // literalCase: two clients of a pool with different time zones prepare the same text, one after the other.
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -67,6 +67,18 @@
 	return c.read()
 }
 
+// sendAll sends simple queries in one write.
+func (c *client) sendAll(commands []string) error {
+	var b []byte
+	for _, sql := range commands {
+		b = pgwire.AppendQuery(b, sql)
+	}
+	if _, err := c.conn.Write(b); err != nil {
+		return fmt.Errorf("send: %w", err)
+	}
+	return nil
+}
+
 // prepared prepares a statement under a name, runs it and reads the answer.
 func (c *client) prepared(name, sql string) (answer, error) {
 	b := pgwire.AppendParse(nil, name, sql, []byte{0, 0})
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -48,6 +48,7 @@
 	"script":    scriptCase,
 	"journaled": journaledCase,
 	"long":      longCase,
+	"behind":    behindCase,
 	"pipeline":  pipelineCase,
 	"replace":   replaceCase,
 	"smuggle":   smuggleCase,
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -69,6 +69,7 @@
 	workMs       int64         // that a statement of the platform's form takes
 	pieces       time.Duration // between the pieces of a long row
 	commitsFirst bool          // a statement with a long row commits before the row is sent
+	resetsLong   bool          // the connection is reset in the middle of a long row
 	table        *table
 	listener     net.Listener
 
--- a/review/standin2/sql.go
+++ b/review/standin2/sql.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
+	"net"
 	"regexp"
 	"slices"
 	"strings"
@@ -155,11 +156,8 @@
 		if c.server.commitsFirst {
 			c.commitPending()
 		}
-		for piece := range slices.Chunk(pgwire.AppendRow(nil, "content", value), longValue) {
-			if _, err := c.conn.Write(piece); err != nil {
-				return c.failed("08006", err.Error()), false
-			}
-			time.Sleep(c.server.pieces)
+		if err := c.sendInPieces(pgwire.AppendRow(nil, "content", value)); err != nil {
+			return c.failed("08006", err.Error()), false
 		}
 		c.commitPending()
 		c.server.run.note("%s: committed at %d", c.server.id, c.commitMs)
@@ -171,6 +169,26 @@
 	return pgwire.AppendComplete(nil, "INSERT 0 1"), true
 }
 
+// sendInPieces sends a long row, or resets the connection in the middle of it.
+func (c *session) sendInPieces(row []byte) error {
+	sent := 0
+	for piece := range slices.Chunk(row, longValue) {
+		if c.server.resetsLong && sent > len(row)/2 {
+			c.server.run.note("%s: resets the connection after %d of %d bytes of the row", c.server.id, sent, len(row))
+			if tcp, ok := c.conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = c.conn.Close()
+		}
+		if _, err := c.conn.Write(piece); err != nil {
+			return fmt.Errorf("send a row: %w", err)
+		}
+		sent += len(piece)
+		time.Sleep(c.server.pieces)
+	}
+	return nil
+}
+
 // longValue is the length from which a row does not fit the buffers on its way.
 const longValue = 1 << 16
 
@@ -213,8 +231,11 @@
 	}
 	if len(value) > longValue {
 		c.server.run.note("%s: runs %s: %d bytes", c.server.id, p.sql, len(value))
-	} else {
-		c.server.run.note("%s: runs %s under TimeZone %s: %q", c.server.id, p.sql, c.timeZone(), value)
+		if err := c.sendInPieces(pgwire.AppendRow(nil, "value", value)); err != nil {
+			return c.failed("08006", err.Error()), false
+		}
+		return pgwire.AppendComplete(nil, "SELECT 1"), true
 	}
+	c.server.run.note("%s: runs %s under TimeZone %s: %q", c.server.id, p.sql, c.timeZone(), value)
 	return pgwire.AppendComplete(pgwire.AppendRow(nil, "value", value), "SELECT 1"), true
 }
