--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,6 +4,6 @@
 for program in bin/beechgrade bin/beechgrade-kit review/bin/standin2; do
   if [ ! -x "$program" ]; then echo "$program is missing: build it first"; exit 2; fi
 done
-timeout -k 5 110 review/bin/standin2 script "review/9"
+timeout -k 5 110 review/bin/standin2 script "review/10"
 code=$?
 case $code in 0|1) exit $code ;; *) exit 2 ;; esac
