--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,4 +6,4 @@
   sh -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)"
 fi
 mkdir -p review/bin
-go build -buildvcs=false -o review/bin/standin2 ./review/standin2
+CGO_ENABLED=0 go build -buildvcs=false -trimpath -o review/bin/standin2 ./review/standin2
