--- a/review/standin2/pooler.go
+++ b/review/standin2/pooler.go
@@ -119,6 +119,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	p.command = exec.Command("/bin/sh", "-c", "exec bin/beechgrade --settings "+operators+" serve")
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also where this process is killed
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.Env = append(os.Environ(), "EDGE_NAME="+p.name, "EDGE_LISTEN="+p.listen, "EDGE_DISCOVERY="+p.discovery, "EDGE_CONFIG="+path,
 		"EDGE_CONTROL="+p.control, "TMPDIR="+temporary)
